--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['packages/*/dist/tests/**/*.test.js'],
+  workerThreads: false,
+  concurrency: 4,
+  timeout: '5m'
+}
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,71 @@
+// Code rules: Standard without its formatting part, the direction of imports between packages,
+// and the purity of the decision logic in `domain`.
+import neostandard from 'neostandard'
+import tseslint from 'typescript-eslint'
+
+const allowedImports = {
+  domain: [],
+  protocol: ['domain'],
+  platform: ['domain', 'protocol'],
+  node: ['domain', 'protocol', 'platform'],
+  cli: ['protocol', 'platform'],
+  standin: ['protocol']
+}
+
+const packageNames = Object.keys(allowedImports)
+
+const importDirection = packageNames.map((name) => ({
+  name: `import direction of ${name}`,
+  files: [`packages/${name}/src/**/*.ts`],
+  rules: {
+    'no-restricted-imports': ['error', {
+      patterns: [
+        {
+          group: packageNames
+            .filter((other) => !allowedImports[name].includes(other))
+            .map((other) => `@bluebellhill/${other}`),
+          message: `packages/${name} may import ${allowedImports[name].join(', ') || 'no package of ours'}.`
+        },
+        {
+          group: ['@bluebellhill/*/*', '**/packages/*'],
+          message: 'A package is entered by its index only.'
+        },
+        ...(name === 'domain'
+          ? [{ group: ['node:*', 'fs', 'net', 'http', 'dgram', 'crypto', 'timers', 'perf_hooks'], message: 'The decision logic does no input or output.' }]
+          : [])
+      ]
+    }]
+  }
+}))
+
+const clockAndRandom = ['Date', 'performance', 'setTimeout', 'setInterval', 'setImmediate', 'queueMicrotask', 'process', 'crypto', 'fetch']
+
+export default [
+  ...neostandard({ ts: true, noStyle: true, ignores: ['**/dist/**', '**/generated/**', 'out/**'] }),
+  ...tseslint.configs.recommended.map((config) => ({ ...config, files: ['packages/**/*.ts'] })),
+  {
+    name: 'house rules',
+    files: ['packages/**/*.ts'],
+    rules: {
+      '@typescript-eslint/consistent-type-imports': ['error', { fixStyle: 'separate-type-imports' }],
+      '@typescript-eslint/no-explicit-any': 'error',
+      'no-void': 'off',
+      'no-restricted-syntax': ['error',
+        { selector: 'TSEnumDeclaration', message: 'Use a constant object and a derived union type.' },
+        { selector: 'ExportDefaultDeclaration', message: 'Use named exports.' }
+      ]
+    }
+  },
+  ...importDirection,
+  {
+    name: 'purity of the decision logic',
+    files: ['packages/domain/src/**/*.ts'],
+    rules: {
+      'no-restricted-globals': ['error', ...clockAndRandom.map((name) => ({
+        name,
+        message: 'The decision logic takes the time as `now` and randomness from a seeded generator.'
+      }))],
+      'no-restricted-properties': ['error', { object: 'Math', property: 'random', message: 'Pass in a seeded generator.' }]
+    }
+  }
+]
--- /dev/null
+++ b/eslint.format.config.js
@@ -0,0 +1,12 @@
+// Formatting only: Standard style. `npm run format` rewrites, `npm run format:check` verifies.
+import neostandard from 'neostandard'
+
+export default neostandard({
+  ts: true,
+  ignores: ['**/dist/**', '**/generated/**', 'out/**']
+}).map((config) => ({
+  ...config,
+  rules: Object.fromEntries(
+    Object.entries(config.rules ?? {}).filter(([name]) => name.startsWith('@stylistic/'))
+  )
+}))
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,2 @@
+/** Entry of the package. */
+export {}
