--- a/eslint.config.js
+++ b/eslint.config.js
@@ -50,6 +50,9 @@
       '@typescript-eslint/consistent-type-imports': ['error', { fixStyle: 'separate-type-imports' }],
       '@typescript-eslint/no-explicit-any': 'error',
       'no-void': 'off',
+      // A constant object and its derived union type share a name.
+      'no-redeclare': 'off',
+      '@typescript-eslint/no-redeclare': 'off',
       'no-restricted-syntax': ['error',
         { selector: 'TSEnumDeclaration', message: 'Use a constant object and a derived union type.' },
         { selector: 'ExportDefaultDeclaration', message: 'Use named exports.' }
--- a/eslint.format.config.js
+++ b/eslint.format.config.js
@@ -6,6 +6,7 @@
   ignores: ['**/dist/**', '**/generated/**', 'out/**']
 }).map((config) => ({
   ...config,
+  linterOptions: { reportUnusedDisableDirectives: 'off' },
   rules: Object.fromEntries(
     Object.entries(config.rules ?? {}).filter(([name]) => name.startsWith('@stylistic/'))
   )
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,2 +1,5 @@
-/** Entry of the package. */
-export {}
+/** Decision logic of bluebellhill: deterministic aggregates without input or output. */
+export * from './types.js'
+export * from './constants.js'
+export * from './dispatch/types.js'
+export * from './request/types.js'
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,2 +1,2 @@
-/** Entry of the package. */
-export {}
+/** Peer messages, result codes and time line event types. */
+export * from './generated/peer.js'
--- /dev/null
+++ b/scripts/runTests.mjs
@@ -0,0 +1,38 @@
+// Runs every test, holds the failures against KNOWN-RED.txt and prints one closing line.
+import { readFileSync } from 'node:fs'
+import { createInterface } from 'node:readline'
+import { spawn } from 'node:child_process'
+
+const KNOWN_RED = 'KNOWN-RED.txt'
+
+const readKnownRed = () => readFileSync(KNOWN_RED, 'utf8')
+  .split('\n')
+  .filter((line) => line.startsWith('test: '))
+  .map((line) => line.slice('test: '.length).trim())
+
+const args = process.argv.slice(2)
+const child = spawn('npx', ['--no-install', 'ava', '--tap', ...args], { stdio: ['ignore', 'pipe', 'inherit'] })
+const passed = []
+const failed = []
+for await (const line of createInterface({ input: child.stdout })) {
+  const match = /^(not )?ok \d+ - (.*?)(?: # .*)?$/.exec(line)
+  if (match) (match[1] ? failed : passed).push(match[2])
+  if (!match || match[1]) console.log(line)
+}
+const status = await new Promise((resolve) => {
+  if (child.exitCode !== null) resolve(child.exitCode)
+  child.on('exit', resolve)
+})
+
+const known = readKnownRed()
+const isKnown = (name) => known.some((entry) => name === entry || name.endsWith(` › ${entry}`))
+const knownFailed = failed.filter(isKnown)
+const newlyFailed = failed.filter((name) => !isKnown(name))
+for (const name of knownFailed) console.log(`known red: ${name}`)
+for (const name of newlyFailed) console.log(`FAILED: ${name}`)
+for (const name of known.filter((entry) => passed.some((test) => test === entry || test.endsWith(` › ${entry}`)))) {
+  console.log(`listed in ${KNOWN_RED} but passed: ${name}`)
+}
+const broken = newlyFailed.length > 0 || passed.length === 0 || (status !== 0 && failed.length === 0)
+console.log(`${passed.length} passed, ${newlyFailed.length + (broken && newlyFailed.length === 0 ? 1 : 0)} failed`)
+process.exitCode = broken ? 1 : 0
