--- a/packages/domain/src/request/types.ts
+++ b/packages/domain/src/request/types.ts
@@ -23,13 +23,13 @@
 export type RequestEvent =
   | { readonly type: 'admitted' }
   | { readonly type: 'granted', readonly dispatcher: NodeId, readonly grant: Grant }
-  | { readonly type: 'refused', readonly attempt: AttemptId, readonly kind: OutcomeKind, readonly retryAfter: Millis, readonly reason: string }
+  | { readonly type: 'refused', readonly attempt: AttemptId, readonly kind: OutcomeKind, readonly retryAfter: Millis, readonly reason: string, readonly dispatcher?: NodeId }
   /** The dispatcher did not answer or cannot be reached. */
-  | { readonly type: 'dispatcher_lost', readonly attempt: AttemptId }
+  | { readonly type: 'dispatcher_lost', readonly attempt: AttemptId, readonly dispatcher?: NodeId }
   | { readonly type: 'recalled', readonly attempt: AttemptId }
   /** The first byte of the attempt is about to leave for the backend server. */
   | { readonly type: 'sending', readonly attempt: AttemptId }
-  /** The backend server sent the last token with a finish reason and the end mark. */
+  /** The backend server sent the last token with a finish reason and the end mark; `generated` counts from the attempt's first token. */
   | { readonly type: 'completed', readonly attempt: AttemptId, readonly generated: Tokens }
   /** The attempt broke; `started` is what the server said or what the connection shows. */
   | { readonly type: 'broken', readonly attempt: AttemptId, readonly started: Ran, readonly resumable: boolean, readonly reason: string, readonly retryAfter: Millis | null }
