Add result codes, hybrid clock, time line, metrics, log and disposable store

The data path needs them to answer truthfully and to record why it decided as it did. The time line keeps request events and fleet events in two bounded rings, so that traffic does not push out the few events that explain an outage. Quantiles are read from hdr-histogram-js when scraped, since a Prometheus histogram's fixed buckets cannot serve prompts of 1 k and of 1 M tokens alike; encoded histograms are what is added up over nodes.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,2 +1,5 @@
-/** Entry of the package. */
-export {}
+/** The daemon's parts. */
+export * from './store/index.js'
+export * from './log/index.js'
+export * from './metrics/index.js'
+export * from './timeline/index.js'
--- /dev/null
+++ b/packages/node/src/log/index.ts
@@ -0,0 +1,2 @@
+export * from './Redactor.js'
+export * from './logger.js'
--- /dev/null
+++ b/packages/node/src/metrics/index.ts
@@ -0,0 +1,2 @@
+export * from './histograms.js'
+export * from './Metrics.js'
--- /dev/null
+++ b/packages/node/src/store/index.ts
@@ -0,0 +1,1 @@
+export * from './DisposableStore.js'
--- /dev/null
+++ b/packages/node/src/timeline/Ring.ts
@@ -0,0 +1,36 @@
+/** A bounded list that overwrites its oldest entries. */
+export class Ring<Item> {
+  private readonly items: Item[] = []
+  private added = 0
+
+  /**
+   * @param capacity - greatest number of entries kept
+   * @throws RangeError where the capacity is below one
+   */
+  constructor (readonly capacity: number) {
+    if (!Number.isInteger(capacity) || capacity < 1) throw new RangeError(`a ring needs a capacity of at least 1, not ${capacity}`)
+  }
+
+  get size (): number {
+    return this.items.length
+  }
+
+  /** Number of entries overwritten so far. */
+  get overwritten (): number {
+    return this.added - this.items.length
+  }
+
+  add (item: Item): void {
+    this.items[this.added % this.capacity] = item
+    this.added += 1
+  }
+
+  /**
+   * @returns the entries, the oldest first
+   */
+  toArray (): Item[] {
+    const start = this.added % this.capacity
+    if (this.items.length < this.capacity) return this.items.slice()
+    return [...this.items.slice(start), ...this.items.slice(0, start)]
+  }
+}
--- /dev/null
+++ b/packages/node/src/timeline/admin.ts
@@ -0,0 +1,94 @@
+/** Answers of the admin address that read the time line and the metrics. */
+import type { FailureDomain, Millis } from '@bluebellhill/domain'
+import { MAX_TIMELINE_EVENTS, decodeStamp, encodeEvent, encodeStamp, isEventKind } from '@bluebellhill/protocol'
+import type { EventFilter, HistogramsReply, TimeLineReply } from '@bluebellhill/protocol'
+
+import type { Metrics } from '../metrics/index.js'
+import type { TimeLine } from './TimeLine.js'
+
+/** A query string that cannot be answered. */
+export class QueryError extends Error {
+  override readonly name = 'QueryError'
+}
+
+const textOf = (query: URLSearchParams, name: string): string | undefined => query.get(name) || undefined
+
+const stampOfQuery = (query: URLSearchParams, name: string): bigint | undefined => {
+  const text = textOf(query, name)
+  if (text === undefined) return undefined
+  const stamp = decodeStamp(text)
+  if (stamp === undefined) throw new QueryError(`"${name}" has to be a stamp of up to 20 digits`)
+  return stamp
+}
+
+const kindsOf = (query: URLSearchParams): EventFilter['kinds'] => {
+  const text = textOf(query, 'kind')
+  if (text === undefined) return undefined
+  return text.split(',').map((kind) => {
+    if (!isEventKind(kind)) throw new QueryError('"kind" names no kind of event; "bluebellhill timeline --help" lists them')
+    return kind
+  })
+}
+
+const limitOf = (query: URLSearchParams): number => {
+  const text = textOf(query, 'limit')
+  if (text === undefined) return MAX_TIMELINE_EVENTS
+  const limit = Number(text)
+  if (!Number.isInteger(limit) || limit < 1) throw new QueryError('"limit" has to be a whole number of at least 1')
+  return Math.min(limit, MAX_TIMELINE_EVENTS)
+}
+
+/**
+ * Reads a filter from the query string of `GET /admin/timeline`.
+ *
+ * @param query - `request`, `organisation`, `runner`, `kind` (comma-separated), `after`, `before` and `limit`
+ * @returns the filter
+ * @throws QueryError saying which part is wrong
+ */
+export const filterOf = (query: URLSearchParams): EventFilter => ({
+  request: textOf(query, 'request'),
+  organisation: textOf(query, 'organisation'),
+  runner: textOf(query, 'runner'),
+  kinds: kindsOf(query),
+  after: stampOfQuery(query, 'after'),
+  before: stampOfQuery(query, 'before'),
+  limit: limitOf(query)
+})
+
+/**
+ * Answers `GET /admin/timeline`.
+ *
+ * @param timeLine - the node's time line
+ * @param failureDomain - the node's failure domain
+ * @param query - the query string
+ * @returns the matching events
+ * @throws QueryError where the query string is wrong; answer 400 with its message
+ */
+export const timeLineReply = (timeLine: TimeLine, failureDomain: FailureDomain, query: URLSearchParams): TimeLineReply => {
+  const { events, truncated } = timeLine.query(filterOf(query))
+  return {
+    node: timeLine.node,
+    failureDomain,
+    now: encodeStamp(timeLine.clock.now()),
+    overwritten: timeLine.overwritten,
+    truncated,
+    events: events.map(encodeEvent)
+  }
+}
+
+/**
+ * Answers `GET /admin/metrics/histograms`.
+ *
+ * @param metrics - the node's metrics
+ * @param node - the node's id
+ * @param failureDomain - the node's failure domain
+ * @param uptime - since the node started
+ * @returns the encoded histograms and all counters
+ */
+export const histogramsReply = async (metrics: Metrics, node: string, failureDomain: FailureDomain, uptime: Millis): Promise<HistogramsReply> => ({
+  node,
+  failureDomain,
+  uptime,
+  histograms: metrics.encoded(),
+  counters: await metrics.counters()
+})
--- /dev/null
+++ b/packages/node/src/timeline/index.ts
@@ -0,0 +1,3 @@
+export * from './Ring.js'
+export * from './TimeLine.js'
+export * from './admin.js'
--- /dev/null
+++ b/packages/protocol/src/clock/index.ts
@@ -0,0 +1,1 @@
+export * from './HybridClock.js'
--- /dev/null
+++ b/packages/protocol/src/codes/index.ts
@@ -0,0 +1,3 @@
+export * from './types.js'
+export * from './resultCodes.js'
+export * from './errorBody.js'
--- /dev/null
+++ b/packages/protocol/src/timeline/index.ts
@@ -0,0 +1,3 @@
+export * from './kinds.js'
+export * from './types.js'
+export * from './events.js'
