--- /dev/null
+++ b/packages/node/src/dispatch/DispatcherHost.ts
@@ -0,0 +1,149 @@
+/** Hosts the dispatcher aggregate in an actor: serialises its events and carries out its effects. */
+import { assertNever } from '@bluebellhill/domain'
+import type { AttemptId, DispatchEffect, DispatchEvent, DispatchOrder, DispatchSummary, Dispatcher, Grant, Millis, NodeId, OutcomeKind, RunnerId } from '@bluebellhill/domain'
+import { EventKind } from '@bluebellhill/protocol'
+import { dispatch, spawn, stop } from 'nact'
+import type { Ref } from 'nact'
+
+import { monotonicNow } from '../clock/monotonic.js'
+import type { Metrics } from '../metrics/index.js'
+import type { TimeLine } from '../timeline/index.js'
+
+type Effect<Type extends DispatchEffect['type']> = Extract<DispatchEffect, { type: Type }>
+
+/** The dispatcher's answer to an order. */
+export type OrderReply =
+  | { readonly type: 'granted', readonly grant: Grant }
+  | { readonly type: 'refused', readonly kind: OutcomeKind, readonly retryAfter: Millis, readonly reason: string }
+
+interface PendingOrder {
+  readonly order: DispatchOrder
+  readonly receivedAt: Millis
+  readonly settle: (reply: OrderReply) => void
+}
+
+/** What the dispatcher reaches outside the node. */
+export abstract class DispatchReach {
+  /** Stops an attempt on a runner. Never rejects. */
+  abstract cancel (runner: RunnerId, attempt: AttemptId): Promise<void>
+
+  /** Tells an entry node that an attempt has to make way. Never rejects. */
+  abstract recall (entry: NodeId, attempt: AttemptId, reason: string): Promise<void>
+}
+
+/** The node's dispatcher. */
+export class DispatcherHost {
+  readonly #dispatcher: Dispatcher
+  readonly #reach: DispatchReach
+  readonly #timeLine: TimeLine
+  readonly #metrics: Metrics
+  readonly #actor: Ref<DispatchEvent>
+  readonly #pending = new Map<AttemptId, PendingOrder>()
+  #timer: NodeJS.Timeout | null = null
+
+  constructor (dispatcher: Dispatcher, reach: DispatchReach, timeLine: TimeLine, metrics: Metrics, parent: Ref<unknown>) {
+    this.#dispatcher = dispatcher
+    this.#reach = reach
+    this.#timeLine = timeLine
+    this.#metrics = metrics
+    this.#actor = spawn(parent as never, (_state: unknown, event: DispatchEvent) => this.#handle(event), 'dispatcher') as Ref<DispatchEvent>
+  }
+
+  /** Hands an event to the dispatcher's actor. */
+  tell (event: DispatchEvent): void {
+    dispatch(this.#actor as never, event)
+  }
+
+  /**
+   * Places an order.
+   *
+   * @param order - what is asked for
+   * @param signal - aborted to withdraw the order, also after its grant
+   * @returns the grant or the refusal; never settles once withdrawn
+   */
+  acquire (order: DispatchOrder, signal: AbortSignal): Promise<OrderReply> {
+    return new Promise((resolve) => {
+      this.#pending.set(order.attempt, { order, receivedAt: monotonicNow(), settle: resolve })
+      signal.addEventListener('abort', () => this.#withdraw(order.attempt), { once: true })
+      this.#timeLine.record(EventKind.OrderQueued, subjectOf(order), '', { entry: order.entry, ahead: this.#pending.size - 1, promptTokens: order.promptTokens })
+      this.tell({ type: 'ordered', order })
+    })
+  }
+
+  /** The state that is gossiped to the entry nodes. */
+  summaries (): readonly DispatchSummary[] {
+    return this.#dispatcher.summaries(monotonicNow())
+  }
+
+  dispose (): void {
+    if (this.#timer !== null) clearTimeout(this.#timer)
+    stop(this.#actor as never)
+  }
+
+  #withdraw (attempt: AttemptId): void {
+    this.#pending.delete(attempt)
+    this.tell({ type: 'withdrawn', attempt })
+  }
+
+  #handle (event: DispatchEvent): void {
+    for (const effect of this.#dispatcher.handle(event, monotonicNow())) this.#perform(effect)
+    this.#setTimer()
+  }
+
+  #perform (effect: DispatchEffect): void {
+    switch (effect.type) {
+      case 'grant': return this.#grant(effect.grant)
+      case 'refuse': return this.#refuse(effect)
+      case 'cancel_on_runner': return this.#cancel(effect)
+      case 'recall': return this.#recall(effect)
+      default: return assertNever(effect)
+    }
+  }
+
+  #grant (grant: Grant): void {
+    const pending = this.#pending.get(grant.attempt)
+    if (pending === undefined) return this.tell({ type: 'withdrawn', attempt: grant.attempt })
+    this.#pending.delete(grant.attempt)
+    const queueDelay = monotonicNow() - pending.receivedAt
+    this.#metrics.order('granted')
+    this.#metrics.queueDelay(pending.order.promptTokens, queueDelay)
+    this.#timeLine.record(EventKind.OrderGranted, { ...subjectOf(pending.order), runner: grant.runner }, grant.reason, {
+      entry: grant.entry,
+      queueDelay,
+      validFor: grant.validFor,
+      priority: grant.priority,
+      group: grant.group
+    })
+    pending.settle({ type: 'granted', grant })
+  }
+
+  #refuse (effect: Effect<'refuse'>): void {
+    const pending = this.#pending.get(effect.attempt)
+    if (pending === undefined) return
+    this.#pending.delete(effect.attempt)
+    this.#metrics.order(effect.kind)
+    this.#timeLine.record(EventKind.OrderRefused, subjectOf(pending.order), effect.reason, { entry: effect.entry, code: effect.kind, retryAfter: effect.retryAfter })
+    pending.settle({ type: 'refused', kind: effect.kind, retryAfter: effect.retryAfter, reason: effect.reason })
+  }
+
+  #cancel (effect: Effect<'cancel_on_runner'>): void {
+    this.#metrics.orphanFreed()
+    this.#timeLine.record(EventKind.OrphanFreed, { attempt: effect.attempt, runner: effect.runner }, effect.reason, { heldTokens: 0, age: 0 })
+    void this.#reach.cancel(effect.runner, effect.attempt)
+  }
+
+  #recall (effect: Effect<'recall'>): void {
+    this.#timeLine.record(EventKind.AttemptRecalled, { attempt: effect.attempt }, effect.reason, { dispatcher: this.#timeLine.node })
+    void this.#reach.recall(effect.entry, effect.attempt, effect.reason)
+  }
+
+  #setTimer (): void {
+    if (this.#timer !== null) clearTimeout(this.#timer)
+    const at = this.#dispatcher.nextTimer()
+    if (at === null) return
+    this.#timer = setTimeout(() => this.tell({ type: 'ticked' }), Math.max(1, Math.ceil(at - monotonicNow())))
+  }
+}
+
+const subjectOf = (order: DispatchOrder): Pick<DispatchOrder, 'request' | 'attempt' | 'organisation'> =>
+  ({ request: order.request, attempt: order.attempt, organisation: order.organisation })
--- /dev/null
+++ b/packages/node/src/dispatch/EngineMonitor.ts
@@ -0,0 +1,118 @@
+/** Reads the status and the cache events of one model engine. */
+import type { AttemptId, CacheEvent, HeldAttempt, RunnerReport } from '@bluebellhill/domain'
+import { describeFailure } from '@bluebellhill/platform'
+import type { EngineCacheEvents, EngineStatus, ModelEngine } from '@bluebellhill/platform'
+import { setTimeout as delay } from 'node:timers/promises'
+
+import { Monitor } from './Monitor.js'
+import type { MonitorListener } from './Monitor.js'
+
+const STATUS_INTERVAL_MS = 200
+const EVENTS_WAIT_MS = 2_000
+const EVENTS_RETRY_MS = 1_000
+/** Failed status calls in a row after which the engine counts as unreachable. */
+const UNREACHABLE_AFTER = 3
+
+/** Polls one engine. */
+export class EngineMonitor extends Monitor {
+  readonly #engine: ModelEngine
+  readonly #listener: MonitorListener
+  readonly #controller = new AbortController()
+  #failures = 0
+
+  constructor (engine: ModelEngine, listener: MonitorListener) {
+    super()
+    this.#engine = engine
+    this.#listener = listener
+  }
+
+  start (): void {
+    void this.#pollStatus()
+    void this.#pollEvents()
+  }
+
+  dispose (): void {
+    this.#controller.abort()
+  }
+
+  get #stopped (): boolean {
+    return this.#controller.signal.aborted
+  }
+
+  async #pollStatus (): Promise<void> {
+    while (!this.#stopped) {
+      const result = await this.#engine.status()
+      if (this.#stopped) return
+      if (result.ok) this.#report(result.value)
+      else this.#fail(describeFailure(result.failure))
+      await this.#pause(STATUS_INTERVAL_MS)
+    }
+  }
+
+  #report (status: EngineStatus): void {
+    this.#failures = 0
+    this.#listener.reported(reportOf(status, Date.now()))
+  }
+
+  #fail (reason: string): void {
+    this.#failures += 1
+    if (this.#failures === UNREACHABLE_AFTER) this.#listener.unreachable(reason)
+  }
+
+  async #pollEvents (): Promise<void> {
+    let after = 0
+    while (!this.#stopped) {
+      const result = await this.#engine.events(after, EVENTS_WAIT_MS)
+      if (this.#stopped) return
+      if (result.ok) after = this.#takeEvents(after, result.value)
+      else await this.#pause(EVENTS_RETRY_MS)
+    }
+  }
+
+  #takeEvents (after: number, answer: EngineCacheEvents): number {
+    const restarted = answer.next < after
+    const gap = restarted || hasGap(after, answer)
+    if (gap || answer.events.length > 0) this.#listener.cacheChanged(gap, answer.events.map(cacheEventOf))
+    return answer.next
+  }
+
+  async #pause (ms: number): Promise<void> {
+    await delay(ms, undefined, { signal: this.#controller.signal }).catch(() => {})
+  }
+}
+
+const hasGap = (after: number, answer: EngineCacheEvents): boolean => {
+  let previous = after
+  for (const event of answer.events) {
+    if (previous !== 0 && event.seq !== previous + 1) return true
+    previous = event.seq
+  }
+  return false
+}
+
+const cacheEventOf = (event: EngineCacheEvents['events'][number]): CacheEvent =>
+  event.kind === 'cleared' ? { kind: 'cleared' } : { kind: event.kind, blocks: event.blocks }
+
+const reportOf = (status: EngineStatus, wallNow: number): RunnerReport => ({
+  model: status.model,
+  version: status.version,
+  adapters: status.adapters,
+  loading: status.loading !== null,
+  totalTokens: status.capacity.tokens,
+  slots: status.capacity.slots,
+  blockTokens: status.capacity.blockTokens,
+  chunkTokens: status.capacity.chunkTokens,
+  loadAge: Math.max(0, wallNow - status.load.asOf),
+  running: status.load.running,
+  waiting: status.load.waiting,
+  freeTokens: status.load.freeTokens,
+  pendingPrefillTokens: status.load.pendingPrefillTokens,
+  prefillRate: status.load.prefillTokensPerSecond,
+  decodeRate: status.load.decodeTokensPerSecond,
+  held: heldOf(status)
+})
+
+const heldOf = (status: EngineStatus): HeldAttempt[] => [
+  ...status.streams.map((stream) => ({ attempt: stream.requestId as AttemptId, heldTokens: stream.heldTokens, age: stream.age })),
+  ...status.segments.map((segment) => ({ attempt: segment.requestId as AttemptId, heldTokens: segment.tokens, age: segment.age }))
+]
--- /dev/null
+++ b/packages/node/src/dispatch/RunnerDirectory.ts
@@ -0,0 +1,88 @@
+/** All backend servers that this node knows of, wherever the knowledge came from. */
+import type { FailureDomain, RunnerId } from '@bluebellhill/domain'
+
+/** What a backend server offers. */
+export const BackendKind = {
+  Engine: 'engine',
+  Plain: 'plain'
+} as const
+export type BackendKind = typeof BackendKind[keyof typeof BackendKind]
+
+/** One backend server. */
+export interface Backend {
+  readonly id: RunnerId
+  /** `ip:port` */
+  readonly address: string
+  readonly failureDomain: FailureDomain
+  readonly kind: BackendKind
+  /** The plain service's name; null for an engine. */
+  readonly service: string | null
+  readonly leaving: boolean
+}
+
+/** Told when the known backend servers changed. */
+export type DirectoryListener = () => void
+
+/** Merges the backend servers of the settings, the VM list and the gossip. */
+export class RunnerDirectory {
+  readonly #fixed: readonly Backend[]
+  readonly #listed = new Map<RunnerId, Backend>()
+  readonly #leaving = new Set<RunnerId>()
+  readonly #listeners = new Set<DirectoryListener>()
+
+  /**
+   * @param fixed - backend servers named in the settings
+   */
+  constructor (fixed: readonly Backend[]) {
+    this.#fixed = fixed
+  }
+
+  /** Every known backend server. */
+  all (): readonly Backend[] {
+    const byId = new Map<RunnerId, Backend>()
+    for (const backend of [...this.#fixed, ...this.#listed.values()]) byId.set(backend.id, this.#withLeaving(backend))
+    return [...byId.values()]
+  }
+
+  /**
+   * Finds a backend server.
+   *
+   * @param id - its name
+   */
+  find (id: RunnerId): Backend | undefined {
+    const backend = this.#listed.get(id) ?? this.#fixed.find((fixed) => fixed.id === id)
+    return backend === undefined ? undefined : this.#withLeaving(backend)
+  }
+
+  /** Takes in the VM list; what it does not name any more is gone. */
+  replaceListed (backends: readonly Backend[]): void {
+    const before = JSON.stringify([...this.#listed.values()])
+    this.#listed.clear()
+    for (const backend of backends) this.#listed.set(backend.id, backend)
+    if (JSON.stringify([...this.#listed.values()]) !== before) this.#changed()
+  }
+
+  /** Replaces the set of backend servers that other nodes know to be leaving. */
+  replaceLeaving (ids: Iterable<RunnerId>): void {
+    const next = new Set(ids)
+    const same = next.size === this.#leaving.size && [...next].every((id) => this.#leaving.has(id))
+    if (same) return
+    this.#leaving.clear()
+    for (const id of next) this.#leaving.add(id)
+    this.#changed()
+  }
+
+  /** @returns a function that removes the listener */
+  listen (listener: DirectoryListener): () => void {
+    this.#listeners.add(listener)
+    return () => { this.#listeners.delete(listener) }
+  }
+
+  #withLeaving (backend: Backend): Backend {
+    return this.#leaving.has(backend.id) ? { ...backend, leaving: true } : backend
+  }
+
+  #changed (): void {
+    for (const listener of this.#listeners) listener()
+  }
+}
--- /dev/null
+++ b/packages/node/src/dispatch/RunnerOwnership.ts
@@ -0,0 +1,94 @@
+/** Keeps the dispatcher in charge of exactly the runners that fall to this node. */
+import type { FailureDomain, RunnerId } from '@bluebellhill/domain'
+import { EventKind } from '@bluebellhill/protocol'
+
+import type { TimeLine } from '../timeline/index.js'
+import type { DispatcherHost } from './DispatcherHost.js'
+import type { Monitor, MonitorListener } from './Monitor.js'
+import type { Backend, RunnerDirectory } from './RunnerDirectory.js'
+
+/** Decides which node dispatches for a runner. */
+export abstract class OwnershipRule {
+  /** @returns whether the runner falls to this node now */
+  abstract isOwn (runner: RunnerId): boolean
+}
+
+/** Makes the monitor that fits a backend server. */
+export abstract class MonitorSource {
+  abstract create (backend: Backend, listener: MonitorListener): Monitor
+}
+
+interface OwnedRunner {
+  readonly backend: Backend
+  readonly monitor: Monitor
+  leaving: boolean
+}
+
+/** Takes runners over and gives them up as the members of the failure domain change. */
+export class RunnerOwnership {
+  readonly #failureDomain: FailureDomain
+  readonly #directory: RunnerDirectory
+  readonly #rule: OwnershipRule
+  readonly #monitors: MonitorSource
+  readonly #dispatcher: DispatcherHost
+  readonly #timeLine: TimeLine
+  readonly #owned = new Map<RunnerId, OwnedRunner>()
+
+  constructor (failureDomain: FailureDomain, directory: RunnerDirectory, rule: OwnershipRule, monitors: MonitorSource, dispatcher: DispatcherHost, timeLine: TimeLine) {
+    this.#failureDomain = failureDomain
+    this.#directory = directory
+    this.#rule = rule
+    this.#monitors = monitors
+    this.#dispatcher = dispatcher
+    this.#timeLine = timeLine
+  }
+
+  /** Runners that this node dispatches for. */
+  get runners (): readonly Backend[] {
+    return [...this.#owned.values()].map((owned) => owned.backend)
+  }
+
+  /** Compares what is owned with what should be; called after any change of members or backend servers. */
+  reconcile (): void {
+    const wanted = new Map(this.#directory.all()
+      .filter((backend) => backend.failureDomain === this.#failureDomain && this.#rule.isOwn(backend.id))
+      .map((backend) => [backend.id, backend]))
+    for (const [id, owned] of this.#owned) {
+      const backend = wanted.get(id)
+      if (backend === undefined || backend.address !== owned.backend.address) this.#giveUp(id)
+    }
+    for (const backend of wanted.values()) this.#takeOver(backend)
+  }
+
+  dispose (): void {
+    for (const id of [...this.#owned.keys()]) this.#giveUp(id)
+  }
+
+  #takeOver (backend: Backend): void {
+    const owned = this.#owned.get(backend.id) ?? this.#assign(backend)
+    if (!backend.leaving || owned.leaving) return
+    owned.leaving = true
+    this.#dispatcher.tell({ type: 'runner_leaving', runner: backend.id })
+  }
+
+  #assign (backend: Backend): OwnedRunner {
+    const runner = backend.id
+    const monitor = this.#monitors.create(backend, {
+      reported: (report) => this.#dispatcher.tell({ type: 'runner_reported', runner, report }),
+      cacheChanged: (gap, events) => this.#dispatcher.tell({ type: 'cache_changed', runner, gap, events }),
+      unreachable: () => this.#dispatcher.tell({ type: 'runner_unreachable', runner })
+    })
+    const owned = { backend, monitor, leaving: false }
+    this.#owned.set(runner, owned)
+    this.#timeLine.record(EventKind.RunnerTakenOver, { runner }, 'owner by rendezvous among the live members', { previous: null })
+    this.#dispatcher.tell({ type: 'runner_assigned', runner, failureDomain: backend.failureDomain })
+    monitor.start()
+    return owned
+  }
+
+  #giveUp (runner: RunnerId): void {
+    this.#owned.get(runner)?.monitor.dispose()
+    this.#owned.delete(runner)
+    this.#dispatcher.tell({ type: 'runner_removed', runner })
+  }
+}
--- /dev/null
+++ b/packages/node/src/edge/body.ts
@@ -0,0 +1,45 @@
+/** Reads the bodies of callers. */
+import type { IncomingMessage } from 'node:http'
+
+import { OutcomeKind } from '@bluebellhill/domain'
+
+import { RefusedCall } from './errors.js'
+
+/**
+ * Reads a body whole.
+ *
+ * @param request - the caller's request
+ * @param limit - the longest body in bytes
+ * @param timeout - time for the whole body, in milliseconds
+ * @returns the body
+ * @throws RefusedCall where the body is over the limit, too slow or cut off
+ */
+export const readBody = async (request: IncomingMessage, limit: number, timeout: number): Promise<Buffer> => {
+  const declared = Number(request.headers['content-length'] ?? 0)
+  if (declared > limit) throw tooLarge(limit)
+  const timer = setTimeout(() => request.destroy(), timeout)
+  try {
+    return await collect(request, limit)
+  } finally {
+    clearTimeout(timer)
+  }
+}
+
+const collect = async (request: IncomingMessage, limit: number): Promise<Buffer> => {
+  const pieces: Buffer[] = []
+  let length = 0
+  try {
+    for await (const piece of request as AsyncIterable<Buffer>) {
+      length += piece.length
+      if (length > limit) throw tooLarge(limit)
+      pieces.push(piece)
+    }
+  } catch (error) {
+    if (error instanceof RefusedCall) throw error
+    throw new RefusedCall(OutcomeKind.BadRequest, 'the body was cut off or came too slowly')
+  }
+  return Buffer.concat(pieces, length)
+}
+
+const tooLarge = (limit: number): RefusedCall =>
+  new RefusedCall(OutcomeKind.TooLarge, `the body is over ${limit} bytes`)
--- /dev/null
+++ b/packages/node/src/peers/PeerClients.ts
@@ -0,0 +1,77 @@
+/** Keeps one gRPC channel to each peer and one client for each of its services. */
+import { credentials } from '@grpc/grpc-js'
+import type { ChannelCredentials } from '@grpc/grpc-js'
+import { DispatcherClient, EntryClient } from '@bluebellhill/protocol'
+
+interface PeerChannel {
+  readonly dispatcher: DispatcherClient
+  readonly entry: EntryClient
+}
+
+/** The clients of all peers, by address. */
+export class PeerClients {
+  readonly #channels = new Map<string, PeerChannel>()
+  readonly #credentials: ChannelCredentials
+
+  constructor (channelCredentials: ChannelCredentials = credentials.createInsecure()) {
+    this.#credentials = channelCredentials
+  }
+
+  /**
+   * Gives the dispatcher service of a peer.
+   *
+   * @param address - the peer's `ip:port`
+   */
+  dispatcher (address: string): DispatcherClient {
+    return this.#channel(address).dispatcher
+  }
+
+  /**
+   * Gives the entry service of a peer.
+   *
+   * @param address - the peer's `ip:port`
+   */
+  entry (address: string): EntryClient {
+    return this.#channel(address).entry
+  }
+
+  /** Closes every channel whose address is not in use any more. */
+  retain (addresses: ReadonlySet<string>): void {
+    for (const [address, channel] of this.#channels) {
+      if (addresses.has(address)) continue
+      this.#close(channel)
+      this.#channels.delete(address)
+    }
+  }
+
+  dispose (): void {
+    this.retain(new Set())
+  }
+
+  #channel (address: string): PeerChannel {
+    let channel = this.#channels.get(address)
+    if (channel === undefined) {
+      channel = this.#open(address)
+      this.#channels.set(address, channel)
+    }
+    return channel
+  }
+
+  #open (address: string): PeerChannel {
+    const options = {
+      'grpc.initial_reconnect_backoff_ms': 100,
+      'grpc.max_reconnect_backoff_ms': 1_000,
+      'grpc.keepalive_time_ms': 2_000,
+      'grpc.keepalive_timeout_ms': 1_000
+    }
+    return {
+      dispatcher: new DispatcherClient(address, this.#credentials, options),
+      entry: new EntryClient(address, this.#credentials, options)
+    }
+  }
+
+  #close (channel: PeerChannel): void {
+    channel.dispatcher.close()
+    channel.entry.close()
+  }
+}
--- /dev/null
+++ b/packages/node/src/requests/ActiveAttempt.ts
@@ -0,0 +1,94 @@
+/** The granted attempt of a request: its connection and the reports that renew its grant. */
+import { ProgressKind } from '@bluebellhill/domain'
+import type { AttemptId, DispatchOrder, Grant, RunnerId, Tokens } from '@bluebellhill/domain'
+
+import type { Attempt } from './Attempt.js'
+import type { OrderDesk, OrderResult } from './OrderDesk.js'
+
+type GrantedOrder = Extract<OrderResult, { type: 'granted' }>
+
+/** Reports of one grant's life that are sent at the least. */
+const REPORTS_PER_GRANT = 3
+const LONGEST_REPORT_INTERVAL_MS = 1_000
+
+/** Told when the dispatcher wants the runner back. */
+export interface RecallListener {
+  tell (event: { readonly type: 'recalled', readonly attempt: AttemptId }): void
+}
+
+/** Runs one attempt and keeps its dispatcher informed. */
+export class ActiveAttempt {
+  readonly attempt: AttemptId
+  readonly address: string
+  readonly groupAddresses: readonly string[]
+  readonly #grant: Grant
+  readonly #runner: RunnerId
+  readonly #desk: OrderDesk
+  readonly #generated: () => Tokens
+  #connection: Attempt | null = null
+  #order: DispatchOrder | null = null
+  #listener: RecallListener | null = null
+  #timer: NodeJS.Timeout | null = null
+
+  /**
+   * @param attempt - the attempt's id
+   * @param granted - the dispatcher's grant
+   * @param desk - the way to the dispatchers
+   * @param generated - reads how many tokens the caller has
+   */
+  constructor (attempt: AttemptId, granted: GrantedOrder, desk: OrderDesk, generated: () => Tokens) {
+    this.attempt = attempt
+    this.address = granted.address
+    this.groupAddresses = granted.groupAddresses
+    this.#grant = granted.grant
+    this.#runner = granted.grant.runner
+    this.#desk = desk
+    this.#generated = generated
+  }
+
+  /**
+   * Starts a connection, in place of the one before.
+   *
+   * @param connection - the prepared try
+   * @param order - handed on with reports, so that a new dispatcher can take the attempt up
+   * @param listener - told of a recall
+   */
+  run (connection: Attempt, order: DispatchOrder, listener: RecallListener): void {
+    const first = this.#connection === null
+    this.#connection?.abort()
+    this.#connection = connection
+    this.#order = order
+    this.#listener = listener
+    if (first) this.#startReports()
+    void connection.run()
+  }
+
+  firstToken (): void {
+    void this.#report(ProgressKind.FirstToken)
+  }
+
+  /**
+   * Drops the connection and tells the dispatcher that the attempt is over.
+   *
+   * @param kind - how it ended
+   */
+  stop (kind: ProgressKind): void {
+    this.#connection?.abort()
+    if (this.#timer !== null) clearInterval(this.#timer)
+    this.#timer = null
+    void this.#report(kind)
+  }
+
+  #startReports (): void {
+    const interval = Math.min(LONGEST_REPORT_INTERVAL_MS, this.#grant.validFor / REPORTS_PER_GRANT)
+    this.#timer = setInterval(() => { void this.#report(ProgressKind.Streaming) }, interval)
+    void this.#report(ProgressKind.Sent)
+  }
+
+  async #report (kind: ProgressKind): Promise<void> {
+    if (this.#order === null) return
+    const progress = { attempt: this.attempt, runner: this.#runner, kind, generated: this.#generated(), order: this.#order }
+    const recalled = await this.#desk.report(progress)
+    if (recalled) this.#listener?.tell({ type: 'recalled', attempt: this.attempt })
+  }
+}
--- /dev/null
+++ b/packages/node/src/requests/RequestHost.ts
@@ -0,0 +1,74 @@
+/** All requests in progress at this entry node. */
+import type { AttemptId, NodeId, Outcome, RequestId, RequestOptions, RequestSpec } from '@bluebellhill/domain'
+import type { Ref } from 'nact'
+
+import type { Answer } from './Answer.js'
+import type { AttemptSource, SessionPorts } from './ports.js'
+import { RequestSession } from './RequestSession.js'
+
+/** Starts requests, finds them by attempt, and knows when none is left. */
+export class RequestHost {
+  readonly #node: NodeId
+  readonly #options: RequestOptions
+  readonly #ports: SessionPorts
+  readonly #parent: Ref<unknown>
+  readonly #sessions = new Map<RequestId, RequestSession>()
+  readonly #idleWaiters: Array<() => void> = []
+
+  constructor (node: NodeId, options: RequestOptions, ports: SessionPorts, parent: Ref<unknown>) {
+    this.#node = node
+    this.#options = options
+    this.#ports = ports
+    this.#parent = parent
+  }
+
+  /** Requests in progress. */
+  get size (): number {
+    return this.#sessions.size
+  }
+
+  /**
+   * Starts a request.
+   *
+   * @param spec - the admitted request
+   * @param answer - the way back to its caller
+   * @param source - starts its tries
+   * @returns the session, and its final result
+   */
+  start (spec: RequestSpec, answer: Answer, source: AttemptSource): { session: RequestSession, finished: Promise<Outcome> } {
+    let resolve: (outcome: Outcome) => void = () => {}
+    const finished = new Promise<Outcome>((settle) => { resolve = settle })
+    const session = new RequestSession(spec, this.#options, answer, source, this.#ports, this.#parent, this.#node, (outcome) => {
+      this.#remove(spec.id)
+      resolve(outcome)
+    })
+    this.#sessions.set(spec.id, session)
+    session.start()
+    return { session, finished }
+  }
+
+  /**
+   * Makes an attempt give its runner up.
+   *
+   * @param attempt - the attempt; its id begins with that of its request
+   * @returns false where the request is not in progress here
+   */
+  recall (attempt: AttemptId): boolean {
+    const request = attempt.slice(0, attempt.lastIndexOf('.')) as RequestId
+    const session = this.#sessions.get(request)
+    session?.tell({ type: 'recalled', attempt })
+    return session !== undefined
+  }
+
+  /** Resolves when no request is in progress. */
+  async idle (): Promise<void> {
+    if (this.#sessions.size === 0) return
+    await new Promise<void>((resolve) => { this.#idleWaiters.push(resolve) })
+  }
+
+  #remove (id: RequestId): void {
+    this.#sessions.delete(id)
+    if (this.#sessions.size > 0) return
+    for (const resolve of this.#idleWaiters.splice(0)) resolve()
+  }
+}
--- /dev/null
+++ b/packages/node/src/requests/RequestSession.ts
@@ -0,0 +1,244 @@
+/** Hosts the aggregate of one request: carries out its effects and brings back as events what happens. */
+import { assertNever, ProgressKind, Request } from '@bluebellhill/domain'
+import type { AttemptId, DispatchOrder, NodeId, Outcome, RequestEffect, RequestEvent, RequestOptions, RequestSpec, Tokens } from '@bluebellhill/domain'
+import { DropCause, EventKind } from '@bluebellhill/protocol'
+import { dispatch, spawn, stop } from 'nact'
+import type { Ref } from 'nact'
+
+import { monotonicNow } from '../clock/monotonic.js'
+import { ActiveAttempt } from './ActiveAttempt.js'
+import type { Answer, AnswerEnd } from './Answer.js'
+import type { AttemptListener, Break } from './Attempt.js'
+import type { OrderResult } from './OrderDesk.js'
+import type { AttemptSource, SessionPorts } from './ports.js'
+
+type Effect<Type extends RequestEffect['type']> = Extract<RequestEffect, { type: Type }>
+
+/** One request in progress at its entry node. */
+export class RequestSession implements AttemptListener {
+  readonly #spec: RequestSpec
+  readonly #request: Request
+  readonly #answer: Answer
+  readonly #source: AttemptSource
+  readonly #ports: SessionPorts
+  readonly #actor: Ref<RequestEvent>
+  readonly #entry: NodeId
+  readonly #whenFinished: (outcome: Outcome) => void
+  readonly #orders = new Map<AttemptId, AbortController>()
+  #active: ActiveAttempt | null = null
+  #end: AnswerEnd | null = null
+  #timer: NodeJS.Timeout | null = null
+  #firstTokenAt: number | null = null
+  #attempts = 0
+
+  /**
+   * @param spec - the admitted request
+   * @param options - bounds of its attempts
+   * @param answer - the way back to the caller
+   * @param source - starts its tries
+   * @param ports - the shared parts of the node
+   * @param parent - the actor that requests live under
+   * @param entry - this node
+   * @param whenFinished - called once with the final result
+   */
+  constructor (spec: RequestSpec, options: RequestOptions, answer: Answer, source: AttemptSource, ports: SessionPorts, parent: Ref<unknown>, entry: NodeId, whenFinished: (outcome: Outcome) => void) {
+    this.#spec = spec
+    this.#request = new Request(spec, options)
+    this.#answer = answer
+    this.#source = source
+    this.#ports = ports
+    this.#entry = entry
+    this.#whenFinished = whenFinished
+    this.#actor = spawn(parent as never, (_state: unknown, event: RequestEvent) => this.#handle(event), spec.id) as Ref<RequestEvent>
+  }
+
+  start (): void {
+    this.tell({ type: 'admitted' })
+  }
+
+  /** Hands an event to the request's actor. */
+  tell (event: RequestEvent): void {
+    dispatch(this.#actor as never, event)
+  }
+
+  sending (attempt: AttemptId): void {
+    // The decision has to stand before the first byte leaves, so it does not wait in the mailbox.
+    this.#handle({ type: 'sending', attempt })
+  }
+
+  chunk (attempt: AttemptId, offset: Tokens, count: Tokens, text: string): boolean {
+    const now = monotonicNow()
+    const dropped = this.#request.accept(attempt, offset, count, now)
+    if (dropped !== 0) {
+      this.#dropped(attempt, DropCause.Late, offset)
+      return false
+    }
+    if (this.#firstTokenAt === null) this.#markFirstToken(attempt, now)
+    this.#ports.metrics.relayed(count, text.length)
+    return this.#answer.text(text)
+  }
+
+  crossed (attempt: AttemptId): void {
+    this.#dropped(attempt, DropCause.Crossed, null)
+  }
+
+  completed (attempt: AttemptId, end: AnswerEnd): void {
+    this.#end = end
+    this.tell({ type: 'completed', attempt, generated: end.usage.completionTokens })
+  }
+
+  broken (attempt: AttemptId, reason: Break): void {
+    this.#ports.timeLine.record(EventKind.AttemptBroken, this.#subject(attempt), reason.reason, {
+      started: reason.started,
+      generated: this.#request.generated
+    })
+    this.tell({ type: 'broken', attempt, ...reason })
+  }
+
+  async drained (): Promise<void> {
+    await this.#answer.drained()
+  }
+
+  #handle (event: RequestEvent): void {
+    for (const effect of this.#request.handle(event, monotonicNow())) this.#perform(effect)
+  }
+
+  #perform (effect: RequestEffect): void {
+    switch (effect.type) {
+      case 'seek': return void this.#seek(effect)
+      case 'send': return this.#send(effect)
+      case 'cancel': return this.#cancel(effect)
+      case 'finish': return this.#finish(effect.outcome)
+      case 'set_timer': return this.#setTimer(effect.at)
+      default: return assertNever(effect)
+    }
+  }
+
+  async #seek (effect: Effect<'seek'>): Promise<void> {
+    const controller = new AbortController()
+    this.#orders.set(effect.attempt, controller)
+    const result = await this.#ports.desk.seek(this.#orderOf(effect), effect.avoid, controller.signal)
+    this.#orders.delete(effect.attempt)
+    this.tell(this.#eventOf(effect.attempt, result))
+  }
+
+  #orderOf (effect: Effect<'seek'>): DispatchOrder {
+    const spec = this.#spec
+    return {
+      attempt: effect.attempt,
+      request: spec.id,
+      entry: this.#entry,
+      organisation: spec.organisation,
+      model: spec.model,
+      version: spec.version,
+      adapter: spec.adapter,
+      urgency: spec.urgency,
+      promptTokens: spec.promptTokens + effect.generated,
+      maxTokens: Math.max(0, spec.maxTokens - effect.generated),
+      prefix: spec.prefix,
+      remaining: effect.remaining,
+      excluded: effect.excluded
+    }
+  }
+
+  #eventOf (attempt: AttemptId, result: OrderResult): RequestEvent {
+    switch (result.type) {
+      case 'granted':
+        this.#active = new ActiveAttempt(attempt, result, this.#ports.desk, () => this.#request.generated)
+        return { type: 'granted', dispatcher: result.dispatcher, grant: result.grant }
+      case 'refused':
+        return { type: 'refused', attempt, kind: result.kind, retryAfter: result.retryAfter, reason: result.reason, dispatcher: result.dispatcher ?? undefined }
+      case 'lost':
+        return { type: 'dispatcher_lost', attempt, dispatcher: result.dispatcher }
+      default:
+        return assertNever(result)
+    }
+  }
+
+  #send (effect: Effect<'send'>): void {
+    const active = this.#active
+    if (active === null || active.attempt !== effect.attempt) return
+    this.#attempts += 1
+    this.#ports.metrics.attempt(effect.mode)
+    this.#ports.timeLine.record(EventKind.AttemptSent, this.#subject(effect.attempt), effect.grant.reason, {
+      dispatcher: effect.dispatcher,
+      mode: effect.mode,
+      generated: effect.generated
+    })
+    const order = { attempt: effect.attempt, grant: effect.grant, address: active.address, groupAddresses: active.groupAddresses, mode: effect.mode, generated: effect.generated }
+    active.run(this.#source.create(order, this), this.#orderFor(active.attempt), this)
+  }
+
+  #orderFor (attempt: AttemptId): DispatchOrder {
+    return this.#orderOf({ type: 'seek', attempt, excluded: [], generated: 0, remaining: this.#spec.deadline - monotonicNow(), avoid: [] })
+  }
+
+  #cancel (effect: Effect<'cancel'>): void {
+    this.#orders.get(effect.attempt)?.abort()
+    const active = this.#active
+    if (active === null || active.attempt !== effect.attempt) return
+    this.#active = null
+    this.#ports.timeLine.record(EventKind.AttemptCancelled, this.#subject(effect.attempt), effect.reason, { generated: this.#request.generated })
+    if (effect.runner !== null) void this.#source.cancel(active.address, effect.attempt)
+    active.stop(ProgressKind.Failed)
+  }
+
+  #finish (outcome: Outcome): void {
+    this.#clearTimer()
+    this.#active?.stop(ProgressKind.Ended)
+    this.#active = null
+    for (const controller of this.#orders.values()) controller.abort()
+    if (outcome.kind === 'answered') this.#answer.end(this.#wholeEnd())
+    else this.#answer.fail(outcome)
+    this.#recordEnd(outcome)
+    stop(this.#actor as never)
+    this.#whenFinished(outcome)
+  }
+
+  #wholeEnd (): AnswerEnd {
+    const usage = { promptTokens: this.#end?.usage.promptTokens ?? this.#spec.promptTokens, completionTokens: this.#request.generated }
+    return { finishReason: this.#end?.finishReason ?? 'length', usage }
+  }
+
+  #recordEnd (outcome: Outcome): void {
+    const now = monotonicNow()
+    const { metrics, timeLine } = this.#ports
+    metrics.outcome(outcome.kind, outcome.ran)
+    timeLine.record(EventKind.RequestFinished, this.#subject(), outcome.detail ?? outcome.kind, {
+      code: outcome.kind,
+      ran: outcome.ran,
+      generated: this.#request.generated,
+      duration: now - this.#spec.admittedAt,
+      firstToken: this.#firstTokenAt === null ? null : this.#firstTokenAt - this.#spec.admittedAt,
+      attempts: this.#attempts
+    })
+  }
+
+  #markFirstToken (attempt: AttemptId, now: number): void {
+    this.#firstTokenAt = now
+    const elapsed = now - this.#spec.admittedAt
+    this.#ports.metrics.firstToken(this.#spec.promptTokens, elapsed)
+    this.#ports.timeLine.record(EventKind.FirstToken, this.#subject(attempt), '', { elapsed })
+    this.#active?.firstToken()
+  }
+
+  #dropped (attempt: AttemptId, cause: DropCause, offset: Tokens | null): void {
+    this.#ports.metrics.dropped(cause)
+    this.#ports.timeLine.record(EventKind.AnswerDropped, this.#subject(attempt), cause, { cause, offset })
+  }
+
+  #subject (attempt?: AttemptId): { request: RequestSpec['id'], organisation: RequestSpec['organisation'], attempt?: AttemptId } {
+    const { id, organisation } = this.#spec
+    return attempt === undefined ? { request: id, organisation } : { request: id, organisation, attempt }
+  }
+
+  #setTimer (at: number): void {
+    this.#clearTimer()
+    this.#timer = setTimeout(() => this.tell({ type: 'timer' }), Math.max(0, Math.ceil(at - monotonicNow())))
+  }
+
+  #clearTimer (): void {
+    if (this.#timer !== null) clearTimeout(this.#timer)
+    this.#timer = null
+  }
+}
