Add the dispatcher, its policies and the choice of a dispatcher

New event peers_summarised and optional summary fields runnerIds and demand, from which every dispatcher of a failure domain finds the same runners for long work.

--- /dev/null
+++ b/packages/domain/src/dispatch/LeastReportedLoad.ts
@@ -0,0 +1,19 @@
+/** Baseline: the runner whose last report shows the least work. */
+import type { QueuedOrder } from './DispatchQueue.js'
+import type { RunnerChoice } from './RoutingPolicy.js'
+import { RoutingPolicy } from './RoutingPolicy.js'
+import type { Runner } from './Runner.js'
+
+/** Compares the figures of the lagging load reports only. */
+export class LeastReportedLoad extends RoutingPolicy {
+  override readonly name = 'least_reported_load'
+
+  override choose (queued: QueuedOrder, serving: readonly Runner[]): RunnerChoice | null {
+    const open = serving.filter((runner) => runner.hasRoom(queued.order))
+    const best = open.reduce<Runner | null>((least, runner) => least === null || reportedLoad(runner) < reportedLoad(least) ? runner : least, null)
+    return best === null ? null : { runner: best, reason: `reported load ${reportedLoad(best)}` }
+  }
+}
+
+const reportedLoad = (runner: Runner): number =>
+  (runner.report?.running ?? 0) + (runner.report?.waiting ?? 0)
--- /dev/null
+++ b/packages/domain/src/dispatch/Runner.ts
@@ -0,0 +1,146 @@
+/** One runner as its dispatcher accounts for it. */
+import type { AttemptId, FailureDomain, Millis, RunnerId, Tokens } from '../types.js'
+import { LearnedRate } from './LearnedRate.js'
+import type { LiveAttempt } from './LiveAttempt.js'
+import { PrefixIndex } from './PrefixIndex.js'
+import type { DispatchOrder, HeldAttempt, RunnerReport } from './types.js'
+import { ProgressKind } from './types.js'
+
+/** An attempt that the engine holds and this dispatcher did not grant. */
+export interface UnknownAttempt {
+  readonly attempt: AttemptId
+  readonly heldTokens: Tokens
+  /** When the dispatcher first saw it. */
+  readonly seenAt: Millis
+  /** When the engine took it in. */
+  readonly startedAt: Millis
+}
+
+/** Slots, memory, learned rates and prefix cache of one runner. */
+export class Runner {
+  readonly id: RunnerId
+  readonly failureDomain: FailureDomain
+  readonly assignedAt: Millis
+  readonly prefixes = new PrefixIndex()
+  readonly attempts = new Map<AttemptId, LiveAttempt>()
+  readonly unknown = new Map<AttemptId, UnknownAttempt>()
+  leaving = false
+  unreachable = false
+  #report: RunnerReport | null = null
+  readonly #prefillRate = new LearnedRate()
+  readonly #decodeRate = new LearnedRate()
+
+  /**
+   * @param id - name of the runner
+   * @param failureDomain - where it stands
+   * @param now - when this dispatcher took it over
+   */
+  constructor (id: RunnerId, failureDomain: FailureDomain, now: Millis) {
+    this.id = id
+    this.failureDomain = failureDomain
+    this.assignedAt = now
+  }
+
+  get report (): RunnerReport | null {
+    return this.#report
+  }
+
+  /** Tokens a second; 0 while unknown. */
+  get prefillRate (): number {
+    return this.#prefillRate.value
+  }
+
+  /** Tokens a second of one stream; 0 while unknown. */
+  get decodeRate (): number {
+    return this.#decodeRate.value
+  }
+
+  get totalTokens (): Tokens {
+    return this.#report?.totalTokens ?? 0
+  }
+
+  get slots (): number {
+    return this.#report?.slots ?? 0
+  }
+
+  /** Slots that neither a granted nor an unknown attempt takes. */
+  get freeSlots (): number {
+    return Math.max(0, this.slots - this.attempts.size - this.unknown.size)
+  }
+
+  /** Memory that neither a granted nor an unknown attempt may come to hold. */
+  get freeTokens (): Tokens {
+    let taken = 0
+    for (const attempt of this.attempts.values()) taken += this.#blocks(attempt.reservedTokens)
+    for (const attempt of this.unknown.values()) taken += attempt.heldTokens
+    return Math.max(0, this.totalTokens - taken)
+  }
+
+  /** Prompt tokens still to be computed for the granted attempts. */
+  get pendingPrefill (): Tokens {
+    let pending = 0
+    for (const attempt of this.attempts.values()) pending += attempt.pendingPrefill
+    return pending
+  }
+
+  /** Whether the runner may be given work. */
+  get isUsable (): boolean {
+    return this.#report !== null && !this.leaving && !this.unreachable && !this.#report.loading
+  }
+
+  /** @returns whether the runner has the model, version and adapter that the order names */
+  serves (order: DispatchOrder): boolean {
+    const report = this.#report
+    if (report === null || !this.isUsable || report.model !== order.model) return false
+    if (order.version !== null && report.version !== order.version) return false
+    if (order.adapter !== null && !report.adapters.includes(order.adapter)) return false
+    return !order.excluded.includes(this.id)
+  }
+
+  /** @returns whether the order fits into the runner's memory when it is empty */
+  couldHold (order: DispatchOrder): boolean {
+    return this.#blocks(order.promptTokens + order.maxTokens) <= this.totalTokens
+  }
+
+  /** @returns whether a slot and memory are free for the order */
+  hasRoom (order: DispatchOrder): boolean {
+    return this.freeSlots > 0 && this.#blocks(order.promptTokens + order.maxTokens) <= this.freeTokens
+  }
+
+  /** @returns prompt tokens that the prefix cache spares */
+  cachedTokens (order: DispatchOrder): Tokens {
+    const matched = this.prefixes.match(order.prefix, this.#report?.blockTokens ?? 0)
+    return Math.min(matched, Math.max(0, order.promptTokens - 1))
+  }
+
+  /** Takes a report in; attempts that it lists and nobody granted here become unknown ones. */
+  take (report: RunnerReport, now: Millis): void {
+    this.#report = report
+    this.unreachable = false
+    this.#prefillRate.learn(report.prefillRate)
+    this.#decodeRate.learn(report.decodeRate)
+    this.#reconcile(report.held, now)
+  }
+
+  /** Learns from the phases that an attempt has gone through. */
+  learn (attempt: LiveAttempt, kind: ProgressKind, now: Millis): void {
+    if (attempt.firstTokenAt === null || kind !== ProgressKind.Ended) return
+    const decoding = now - attempt.firstTokenAt
+    if (decoding > 0 && attempt.generated > 1) this.#decodeRate.learn((attempt.generated - 1) * 1_000 / decoding)
+  }
+
+  #reconcile (held: readonly HeldAttempt[], now: Millis): void {
+    const before = new Map(this.unknown)
+    this.unknown.clear()
+    for (const { attempt, heldTokens, age } of held) {
+      if (this.attempts.has(attempt)) continue
+      const seenAt = before.get(attempt)?.seenAt ?? now
+      this.unknown.set(attempt, { attempt, heldTokens, seenAt, startedAt: now - age })
+    }
+  }
+
+  #blocks (tokens: Tokens): Tokens {
+    const block = this.#report?.blockTokens ?? 1
+    return Math.ceil(tokens / block) * block
+  }
+}
--- /dev/null
+++ b/packages/domain/src/dispatch/WaitEstimate.ts
@@ -0,0 +1,97 @@
+/** Expected waits, from learned rates and the work that is ahead. */
+import type { Millis, Tokens } from '../types.js'
+import type { QueuedOrder } from './DispatchQueue.js'
+import type { Runner } from './Runner.js'
+import type { DispatchOrder } from './types.js'
+
+/** Work that stands before an order. */
+export interface WorkAhead {
+  readonly orders: number
+  readonly promptTokens: Tokens
+  readonly maxTokens: Tokens
+}
+
+/** @returns the work of a number of waiting orders */
+export const workOf = (orders: Iterable<QueuedOrder>): WorkAhead => {
+  let count = 0
+  let promptTokens = 0
+  let maxTokens = 0
+  for (const { order } of orders) {
+    count += 1
+    promptTokens += order.promptTokens
+    maxTokens += order.maxTokens
+  }
+  return { orders: count, promptTokens, maxTokens }
+}
+
+/**
+ * Time from the start on a free runner to the last token.
+ *
+ * @returns milliseconds; 0 where no rate was learned yet
+ */
+export const serviceTime = (runner: Runner, order: DispatchOrder): Millis =>
+  prefillTime(runner, order.promptTokens - runner.cachedTokens(order)) + decodeTime(runner, order.maxTokens)
+
+/** @returns milliseconds to compute prompt tokens; 0 where no rate was learned yet */
+export const prefillTime = (runner: Runner, tokens: Tokens): Millis =>
+  runner.prefillRate > 0 ? tokens * 1_000 / runner.prefillRate : 0
+
+/** @returns milliseconds to generate tokens in one stream; 0 where no rate was learned yet */
+export const decodeTime = (runner: Runner, tokens: Tokens): Millis =>
+  runner.decodeRate > 0 ? tokens * 1_000 / runner.decodeRate : 0
+
+/**
+ * Time that a new order waits until a runner starts it.
+ *
+ * The longest of three waits counts: for the prefill before it, for a slot and for memory.
+ *
+ * @param runners - runners that may take it
+ * @param ahead - waiting orders that go first
+ * @param order - the new order's memory
+ */
+export const waitTime = (runners: readonly Runner[], ahead: WorkAhead, order: { readonly promptTokens: Tokens, readonly maxTokens: Tokens }): Millis => {
+  if (runners.length === 0) return Infinity
+  const prefill = prefillWait(runners, ahead)
+  const slot = slotWait(runners, ahead)
+  const memory = memoryWait(runners, ahead, order)
+  return Math.max(prefill, slot, memory)
+}
+
+const prefillWait = (runners: readonly Runner[], ahead: WorkAhead): Millis => {
+  const rate = total(runners, (runner) => runner.prefillRate)
+  if (rate <= 0) return 0
+  const idle = ahead.orders === 0 && runners.some((runner) => runner.pendingPrefill === 0 && runner.freeSlots > 0)
+  if (idle) return 0
+  return (total(runners, (runner) => runner.pendingPrefill) + ahead.promptTokens) * 1_000 / rate
+}
+
+const slotWait = (runners: readonly Runner[], ahead: WorkAhead): Millis => {
+  const lacking = ahead.orders + 1 - total(runners, (runner) => runner.freeSlots)
+  const slots = total(runners, (runner) => runner.slots)
+  return lacking <= 0 || slots === 0 ? 0 : meanStay(runners, ahead) * lacking / slots
+}
+
+const memoryWait = (runners: readonly Runner[], ahead: WorkAhead, order: { readonly promptTokens: Tokens, readonly maxTokens: Tokens }): Millis => {
+  const wanted = ahead.promptTokens + ahead.maxTokens + order.promptTokens + order.maxTokens
+  const lacking = wanted - total(runners, (runner) => runner.freeTokens)
+  const memory = total(runners, (runner) => runner.totalTokens)
+  return lacking <= 0 || memory === 0 ? 0 : meanStay(runners, ahead) * lacking / memory
+}
+
+/** Mean time that a granted or waiting order holds its slot. */
+const meanStay = (runners: readonly Runner[], ahead: WorkAhead): Millis => {
+  let stay = 0
+  let count = ahead.orders
+  const first = runners[0]
+  if (first !== undefined) stay += prefillTime(first, ahead.promptTokens) + decodeTime(first, ahead.maxTokens)
+  for (const runner of runners) {
+    for (const attempt of runner.attempts.values()) {
+      stay += prefillTime(runner, attempt.order.promptTokens) + decodeTime(runner, attempt.order.maxTokens)
+      count += 1
+    }
+  }
+  return count === 0 ? 0 : stay / count
+}
+
+const total = (runners: readonly Runner[], value: (runner: Runner) => number): number =>
+  runners.reduce((sum, runner) => sum + value(runner), 0)
--- /dev/null
+++ b/packages/domain/src/dispatch/constants.ts
@@ -0,0 +1,44 @@
+/** Defaults of the dispatcher. Times are in milliseconds. */
+import type { Millis, Tokens } from '../types.js'
+
+/** Time in which an entry node must have sent, after which its grant lapses. */
+export const GRANT_VALIDITY: Millis = 2_000
+
+/** Time that a grant is kept beyond its validity, for messages on the way. */
+export const GRANT_MARGIN: Millis = 500
+
+/** Time without progress after which an attempt counts as left by its entry node. */
+export const SILENCE_LIMIT: Millis = 4_000
+
+/** Time that the attempts of a lost entry node are still kept. */
+export const LOST_ENTRY_GRACE: Millis = 1_500
+
+/** Time after a take-over in which entry nodes report the attempts that the new dispatcher did not grant. */
+export const INHERITED_GRACE: Millis = 4_000
+
+/** Time that an attempt which began after the take-over, without a grant of this dispatcher, is left alone. */
+export const FOREIGN_GRACE: Millis = 8_000
+
+/** Time that the end of an attempt is remembered, to tell a late report from a live attempt. */
+export const ENDED_MEMORY: Millis = 30_000
+
+/** Time constant over which offered work is averaged. */
+export const DEMAND_WINDOW: Millis = 10_000
+
+/** Waiting orders that one dispatch pass looks at. */
+export const SCAN_LIMIT = 256
+
+/** Weight of the newest sample in a learned rate. */
+export const RATE_WEIGHT = 0.2
+
+/** Length class from which a prompt counts as long; an index of `LENGTH_CLASSES`. */
+export const LONG_CLASS = 2
+
+/** Prompt tokens above which a prompt counts as long. */
+export const LONG_PROMPT: Tokens = 32_000
+
+/** Retry time where the queue gives no estimate. */
+export const LEAST_RETRY_AFTER: Millis = 250
+
+/** Longest retry time that a refusal names. */
+export const MAX_RETRY_AFTER: Millis = 60_000
--- a/packages/domain/src/dispatch/types.ts
+++ b/packages/domain/src/dispatch/types.ts
@@ -80,6 +80,8 @@
   | { readonly type: 'withdrawn', readonly attempt: AttemptId }
   /** `runner` lets a new dispatcher take up an attempt that it did not grant. */
   | { readonly type: 'progressed', readonly attempt: AttemptId, readonly runner: RunnerId, readonly kind: ProgressKind, readonly generated: Tokens, readonly order: DispatchOrder | null }
+  /** Summaries of the other live dispatchers of the same failure domain, as last gossiped. */
+  | { readonly type: 'peers_summarised', readonly summaries: readonly DispatchSummary[] }
   | { readonly type: 'entry_lost', readonly entry: NodeId }
   | { readonly type: 'ticked' }
 
@@ -116,4 +118,8 @@
   readonly queueDelay: readonly Millis[]
   /** Tokens a second of all its runners together. */
   readonly prefillRate: number
+  /** The usable runners; with those of its peers they give the failure domain's runners for long work. */
+  readonly runnerIds?: readonly RunnerId[]
+  /** Prompt tokens a second that were asked of this dispatcher, by length class. */
+  readonly demand?: readonly number[]
 }
