Add SWIM membership with a gossip board and its UDP service

Nodes must know within seconds which of them are alive, leaving or cut off, without a consensus group. The aggregate takes events and a time and returns effects; the service hosts it on an authenticated UDP socket with plain timers. A ring probe inside the failure domain stands beside the random one, since random probing alone leaves the time to the first probe of a dead node without a bound. Ruled out: a library's clustering, and gossip over gRPC (connection state for every pair of nodes).

--- /dev/null
+++ b/packages/domain/src/membership/GossipBoard.ts
@@ -0,0 +1,248 @@
+import type { FailureDomain, Millis, NodeId } from '../types.js'
+import { DIGEST_BUCKETS, MAX_DATAGRAM_BYTES, VALUE_RETRANSMIT_FACTOR } from './constants.js'
+import { hashText } from './hash.js'
+import { bucketOf } from './MemberTable.js'
+import { valueBytes } from './messageSize.js'
+import { ValueScope } from './types.js'
+import type { GossipValue } from './types.js'
+
+interface Entry {
+  value: GossipValue
+  hash: number
+  transmissions: number
+  order: number
+  pending: boolean
+}
+
+/** Options of a board. */
+export interface BoardOptions {
+  readonly node: NodeId
+  readonly failureDomain: FailureDomain
+  readonly startedAt: number
+  /** Bytes a second that values may take in sent datagrams. */
+  readonly budget: number
+}
+
+const keyOf = (node: NodeId, topic: string): string => `${node}\u0000${topic}`
+
+const isNewer = (value: GossipValue, known: GossipValue): boolean =>
+  value.startedAt === known.startedAt ? value.version > known.version : value.startedAt > known.startedAt
+
+/**
+ * Small versioned values by node and topic. The greatest version wins; a value that is replaced
+ * before it was sent is never sent, so a tight budget costs freshness and no backlog.
+ */
+export class GossipBoard {
+  private readonly entries = new Map<string, Entry>()
+  private readonly buckets: number[] = Array.from({ length: DIGEST_BUCKETS }, () => 0)
+  private order = 0
+  private tokens: number
+  private refilledAt: Millis | null = null
+  private startedAt: number
+  private pendingCount = 0
+
+  constructor (private readonly options: BoardOptions) {
+    this.tokens = 2 * MAX_DATAGRAM_BYTES
+    this.startedAt = options.startedAt
+  }
+
+  /** Values waiting to be sent. */
+  get pending (): number {
+    return this.pendingCount
+  }
+
+  get size (): number {
+    return this.entries.size
+  }
+
+  /** Takes a new start stamp after another life of this node was seen to have a later one. */
+  restart (startedAt: number): void {
+    this.startedAt = startedAt
+    for (const entry of [...this.entries.values()]) {
+      if (entry.value.node !== this.options.node) continue
+      this.store({ ...entry.value, startedAt })
+    }
+  }
+
+  /**
+   * Sets this node's value of a topic.
+   *
+   * @param topic - name of the value
+   * @param bytes - contents; with topic and node it must fit one datagram
+   * @param scope - who gets it
+   * @param durable - whether anti-entropy covers it
+   * @returns the stored value, or null where the contents did not change
+   * @throws RangeError where the value does not fit one datagram
+   */
+  publish (topic: string, bytes: Uint8Array, scope: ValueScope, durable: boolean): GossipValue | null {
+    const known = this.entries.get(keyOf(this.options.node, topic))?.value
+    if (known !== undefined && sameBytes(known.bytes, bytes)) return null
+    const value: GossipValue = {
+      node: this.options.node,
+      topic,
+      scope,
+      durable,
+      startedAt: this.startedAt,
+      version: (known?.version ?? 0) + 1,
+      bytes
+    }
+    if (valueBytes(value) > MAX_DATAGRAM_BYTES / 2) throw new RangeError(`value of topic ${topic} has ${bytes.length} bytes and does not fit a datagram`)
+    this.store(value)
+    return value
+  }
+
+  /** Sends this node's values again under a new version, which repairs losses of values that anti-entropy does not cover. */
+  refresh (): void {
+    for (const entry of [...this.entries.values()]) {
+      const { value } = entry
+      if (value.node !== this.options.node || value.durable) continue
+      this.store({ ...value, version: value.version + 1 })
+    }
+  }
+
+  /**
+   * Takes a value in.
+   *
+   * @param value - value of another node
+   * @returns whether it replaced what was known
+   */
+  receive (value: GossipValue): boolean {
+    if (value.node === this.options.node) return this.receiveOwn(value)
+    const known = this.entries.get(keyOf(value.node, value.topic))
+    if (known !== undefined && !isNewer(value, known.value)) return false
+    this.store(value)
+    return true
+  }
+
+  get (node: NodeId, topic: string): GossipValue | undefined {
+    return this.entries.get(keyOf(node, topic))?.value
+  }
+
+  /** Every node's value of a topic. */
+  values (topic: string): GossipValue[] {
+    return [...this.entries.values()].filter((entry) => entry.value.topic === topic).map((entry) => entry.value)
+  }
+
+  /** Every value whose topic starts with `prefix`. */
+  valuesUnder (prefix: string): GossipValue[] {
+    return [...this.entries.values()].filter((entry) => entry.value.topic.startsWith(prefix)).map((entry) => entry.value)
+  }
+
+  /**
+   * Drops the values of a node that is gone.
+   *
+   * @returns topics that it had
+   */
+  forget (node: NodeId): string[] {
+    const topics: string[] = []
+    for (const [key, entry] of this.entries) {
+      if (entry.value.node !== node) continue
+      topics.push(entry.value.topic)
+      this.drop(key, entry)
+    }
+    return topics
+  }
+
+  /** Whether a datagram of values may be sent now. */
+  mayPush (now: Millis): boolean {
+    this.refill(now)
+    return this.pendingCount > 0 && this.tokens >= MAX_DATAGRAM_BYTES / 2
+  }
+
+  /**
+   * Takes values for one datagram: the least sent first, then the newest.
+   *
+   * @param room - bytes left in the datagram
+   * @param peer - receiver, whose own values are left out
+   * @param sameDomain - whether the receiver is in this node's failure domain
+   * @param members - number of reachable members
+   * @param now - current time
+   */
+  take (room: number, peer: NodeId | null, sameDomain: boolean, members: number, now: Millis): GossipValue[] {
+    this.refill(now)
+    if (this.pendingCount === 0 || this.tokens <= 0) return []
+    const limit = Math.max(2, Math.ceil(VALUE_RETRANSMIT_FACTOR * Math.log2(members + 1)))
+    const taken: GossipValue[] = []
+    let left = Math.min(room, Math.floor(this.tokens))
+    for (const entry of this.sendable(peer, sameDomain)) {
+      const size = valueBytes(entry.value)
+      if (size > left) break
+      left -= size
+      this.tokens -= size
+      taken.push(entry.value)
+      entry.transmissions += 1
+      if (entry.transmissions >= limit) this.settle(entry)
+    }
+    return taken
+  }
+
+  digest (): readonly number[] {
+    return [...this.buckets]
+  }
+
+  /** Durable values in buckets whose hash differs from `digest`. */
+  differing (digest: readonly number[], sameDomain: boolean): GossipValue[] {
+    return [...this.entries.values()]
+      .map((entry) => entry.value)
+      .filter((value) => value.durable && (sameDomain || value.scope === ValueScope.Fleet))
+      .filter((value) => this.buckets[bucketOf(value.node)] !== digest[bucketOf(value.node)])
+  }
+
+  /** Every value that a joining node should get. */
+  snapshot (sameDomain: boolean): GossipValue[] {
+    return [...this.entries.values()]
+      .map((entry) => entry.value)
+      .filter((value) => sameDomain || value.scope === ValueScope.Fleet)
+  }
+
+  private receiveOwn (value: GossipValue): boolean {
+    const known = this.entries.get(keyOf(value.node, value.topic))
+    if (value.startedAt !== this.startedAt || known === undefined) return false
+    if (value.version > known.value.version) this.store({ ...known.value, version: value.version + 1 })
+    return false
+  }
+
+  private sendable (peer: NodeId | null, sameDomain: boolean): Entry[] {
+    return [...this.entries.values()]
+      .filter((entry) => entry.pending && entry.value.node !== peer)
+      .filter((entry) => sameDomain || entry.value.scope === ValueScope.Fleet)
+      .sort((a, b) => a.transmissions - b.transmissions || b.order - a.order)
+  }
+
+  private store (value: GossipValue): void {
+    const key = keyOf(value.node, value.topic)
+    const old = this.entries.get(key)
+    if (old !== undefined) this.drop(key, old)
+    this.order += 1
+    const hash = value.durable && value.scope === ValueScope.Fleet ? hashText(`${key}|${value.startedAt}|${value.version}`) : 0
+    this.toggle(value.node, hash)
+    this.entries.set(key, { value, hash, transmissions: 0, order: this.order, pending: true })
+    this.pendingCount += 1
+  }
+
+  private drop (key: string, entry: Entry): void {
+    this.settle(entry)
+    this.toggle(entry.value.node, entry.hash)
+    this.entries.delete(key)
+  }
+
+  private settle (entry: Entry): void {
+    if (!entry.pending) return
+    entry.pending = false
+    this.pendingCount -= 1
+  }
+
+  private toggle (node: NodeId, hash: number): void {
+    const bucket = bucketOf(node)
+    this.buckets[bucket] = ((this.buckets[bucket] ?? 0) ^ hash) >>> 0
+  }
+
+  private refill (now: Millis): void {
+    const elapsed = this.refilledAt === null ? 0 : now - this.refilledAt
+    this.refilledAt = now
+    this.tokens = Math.min(2 * MAX_DATAGRAM_BYTES, this.tokens + elapsed * this.options.budget / 1_000)
+  }
+}
+
+const sameBytes = (a: Uint8Array, b: Uint8Array): boolean =>
+  a.length === b.length && a.every((byte, index) => byte === b[index])
--- /dev/null
+++ b/packages/domain/src/membership/Probes.ts
@@ -0,0 +1,78 @@
+import type { Millis, NodeId } from '../types.js'
+
+/** A probe that waits for its answer. */
+export interface Probe {
+  readonly sequence: number
+  readonly target: NodeId
+  readonly sentAt: Millis
+  indirectAt: Millis | null
+  asked: number
+  nacks: number
+}
+
+/** A probe made on behalf of another member. */
+export interface RelayedProbe {
+  readonly requester: string
+  readonly requesterSequence: number
+  readonly sentAt: Millis
+}
+
+/** Probes without an answer so far, own and relayed ones. */
+export class Probes {
+  private sequence = 0
+  private readonly own = new Map<number, Probe>()
+  private readonly relayed = new Map<number, RelayedProbe>()
+
+  start (target: NodeId, now: Millis): Probe {
+    this.sequence += 1
+    const probe: Probe = { sequence: this.sequence, target, sentAt: now, indirectAt: null, asked: 0, nacks: 0 }
+    this.own.set(probe.sequence, probe)
+    return probe
+  }
+
+  relay (requester: string, requesterSequence: number, now: Millis): number {
+    this.sequence += 1
+    this.relayed.set(this.sequence, { requester, requesterSequence, sentAt: now })
+    return this.sequence
+  }
+
+  get (sequence: number): Probe | undefined {
+    return this.own.get(sequence)
+  }
+
+  isProbing (target: NodeId): boolean {
+    for (const probe of this.own.values()) {
+      if (probe.target === target) return true
+    }
+    return false
+  }
+
+  finish (sequence: number): Probe | undefined {
+    const probe = this.own.get(sequence)
+    this.own.delete(sequence)
+    return probe
+  }
+
+  finishRelayed (sequence: number): RelayedProbe | undefined {
+    const relayed = this.relayed.get(sequence)
+    this.relayed.delete(sequence)
+    return relayed
+  }
+
+  all (): Probe[] {
+    return [...this.own.values()]
+  }
+
+  /** Removes relayed probes that were sent before `since` and returns them. */
+  takeRelayedBefore (since: Millis): RelayedProbe[] {
+    const late = [...this.relayed].filter(([, relayed]) => relayed.sentAt <= since)
+    for (const [sequence] of late) this.relayed.delete(sequence)
+    return late.map(([, relayed]) => relayed)
+  }
+
+  /** Drops everything that waits; used after a pause. */
+  clear (): void {
+    this.own.clear()
+    this.relayed.clear()
+  }
+}
--- /dev/null
+++ b/packages/domain/src/membership/UpdateQueue.ts
@@ -0,0 +1,66 @@
+import type { NodeId } from '../types.js'
+import { UPDATE_RETRANSMIT_FACTOR } from './constants.js'
+import { updateBytes } from './messageSize.js'
+import type { Member } from './types.js'
+
+interface Pending {
+  transmissions: number
+  order: number
+}
+
+/** Members whose last change still has to be passed on; the least sent and newest go first. */
+export class UpdateQueue {
+  private readonly pending = new Map<NodeId, Pending>()
+  private order = 0
+
+  get size (): number {
+    return this.pending.size
+  }
+
+  /** Whether some change was not sent at all yet. */
+  hasUnsent (): boolean {
+    for (const entry of this.pending.values()) {
+      if (entry.transmissions === 0) return true
+    }
+    return false
+  }
+
+  add (node: NodeId): void {
+    this.order += 1
+    this.pending.set(node, { transmissions: 0, order: this.order })
+  }
+
+  remove (node: NodeId): void {
+    this.pending.delete(node)
+  }
+
+  /**
+   * Takes what fits and counts it as sent once.
+   *
+   * @param room - bytes left in the datagram
+   * @param members - number of reachable members
+   * @param lookup - current claim of a member
+   * @returns updates to send
+   */
+  take (room: number, members: number, lookup: (node: NodeId) => Member | undefined): Member[] {
+    if (this.pending.size === 0) return []
+    const limit = Math.max(3, Math.ceil(UPDATE_RETRANSMIT_FACTOR * Math.log2(members + 1)))
+    const candidates = [...this.pending].sort(([, a], [, b]) => a.transmissions - b.transmissions || b.order - a.order)
+    const taken: Member[] = []
+    let left = room
+    for (const [node, entry] of candidates) {
+      const member = lookup(node)
+      if (member === undefined) {
+        this.pending.delete(node)
+        continue
+      }
+      const size = updateBytes(member)
+      if (size > left) break
+      left -= size
+      taken.push(member)
+      entry.transmissions += 1
+      if (entry.transmissions >= limit) this.pending.delete(node)
+    }
+    return taken
+  }
+}
--- /dev/null
+++ b/packages/domain/src/membership/constants.ts
@@ -0,0 +1,52 @@
+/** Periods, limits and sizes of membership and gossip. */
+import type { MembershipTimings } from './types.js'
+
+/** Longest datagram payload, in bytes. */
+export const MAX_DATAGRAM_BYTES = 1_200
+
+/** Bytes of a datagram that are not updates or values: authentication tag, sender and body. */
+export const ENVELOPE_BYTES = 112
+
+/** IPv4 and UDP headers of one datagram, in bytes. */
+export const HEADER_BYTES = 28
+
+/** A member is sent at most this many times log2(members) by one node after each change. */
+export const UPDATE_RETRANSMIT_FACTOR = 2
+
+/** As `UPDATE_RETRANSMIT_FACTOR`, for values. */
+export const VALUE_RETRANSMIT_FACTOR = 1
+
+/** Buckets of the anti-entropy digest. */
+export const DIGEST_BUCKETS = 16
+
+/** Datagrams sent in answer to one digest or join at most. */
+export const MAX_SYNC_DATAGRAMS = 40
+
+/** Datagrams a second sent right after a change, besides the periodic ones. */
+export const URGENT_DATAGRAMS_PER_SECOND = 24
+
+/** Probes a second of members of a failure domain in which a suspect was found. */
+export const EXTRA_PROBES_PER_SECOND = 4
+
+/** Members that report the aggregate of their failure domain to the others. */
+export const REPORTERS_PER_FAILURE_DOMAIN = 2
+
+/** Longest time between two ticks of a healthy node, in milliseconds. */
+export const TICK_PERIOD = 50
+
+export const DEFAULT_TIMINGS: MembershipTimings = {
+  probePeriod: 1_000,
+  ackTimeout: 250,
+  indirectTimeout: 350,
+  relayTimeout: 150,
+  suspicionTimeout: 800,
+  pauseThreshold: 1_000,
+  helpers: 3,
+  gossipPeriod: 250,
+  fanout: 3,
+  antiEntropyPeriod: 5_000,
+  reconnectPeriod: 2_000,
+  tombstoneLifetime: 300_000,
+  maxLocalHealth: 8,
+  valueBudget: 2_000
+}
--- /dev/null
+++ b/packages/domain/src/membership/messageSize.ts
@@ -0,0 +1,19 @@
+/** Upper bounds of encoded sizes, so that a datagram can be filled without encoding it. */
+import type { GossipValue, Member } from './types.js'
+
+const UPDATE_FIXED_BYTES = 32
+const VALUE_FIXED_BYTES = 26
+
+/**
+ * @param member - update to send
+ * @returns bytes that it takes in a datagram at most
+ */
+export const updateBytes = (member: Member): number =>
+  UPDATE_FIXED_BYTES + member.node.length + member.failureDomain.length + member.peerAddress.length + member.gossipAddress.length
+
+/**
+ * @param value - value to send
+ * @returns bytes that it takes in a datagram at most
+ */
+export const valueBytes = (value: GossipValue): number =>
+  VALUE_FIXED_BYTES + value.node.length + value.topic.length + value.bytes.length
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,2 +1,3 @@
 /** Entry of the package. */
 export {}
+export * from './membership/index.js'
--- /dev/null
+++ b/packages/node/src/membership/index.ts
@@ -0,0 +1,5 @@
+/** Membership of the fleet over UDP. */
+export * from './authentication.js'
+export * from './codec.js'
+export * from './GossipSocket.js'
+export * from './MembershipService.js'
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,2 +1,4 @@
 /** Peer messages, result codes and time line event types. */
 export * from './generated/peer.js'
+/** Datagrams; apart, since their names are those of the domain's own types. */
+export * as gossipWire from './generated/gossip.js'
