--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -3,3 +3,6 @@
 export * from './log/index.js'
 export * from './metrics/index.js'
 export * from './timeline/index.js'
+/** Entry of the package. */
+export {}
+export * from './membership/index.js'
