Add the stand-ins of the key-value service, VM list, weight store and plain service

Each is its own process with a ready line, a control address that still answers while a fault has taken the service down, fault switches and a ledger.

--- a/packages/standin/src/commands/index.ts
+++ b/packages/standin/src/commands/index.ts
@@ -1,6 +1,11 @@
 /** The subcommands by name. */
 import { engineCommand } from './engine.js'
+import { keyValueCommand, plainCommand, vmListCommand, weightStoreCommand } from './platform.js'
 
 export const COMMANDS = {
-  engine: engineCommand
+  engine: engineCommand,
+  'key-value': keyValueCommand,
+  'vm-list': vmListCommand,
+  'weight-store': weightStoreCommand,
+  plain: plainCommand
 }
--- a/packages/standin/src/http/StandinServer.ts
+++ b/packages/standin/src/http/StandinServer.ts
@@ -12,6 +12,8 @@
   /** `ip:port`; port 0 takes any free one. */
   readonly listen: string
   readonly routes: Routes
+  /** Further routes of the control address. */
+  readonly controlRoutes?: Routes
   readonly faults: object
   /** Record of what truly ran. */
   readonly ledger: () => unknown
@@ -58,6 +60,7 @@
   private controlRoutes (): Routes {
     const { faults, ledger, faultsChanged } = this.parts
     return {
+      ...this.parts.controlRoutes,
       'GET /ledger': ({ response }) => sendJson(response, 200, ledger()),
       'POST /faults': async ({ request, response }) => {
         setFaults(faults, await readJson(request))
