--- /dev/null
+++ b/packages/node/src/edge/CompletionRoute.ts
@@ -0,0 +1,73 @@
+/** `POST /v1/completions` and `POST /v1/chat/completions`. */
+import type { IncomingMessage } from 'node:http'
+
+import type { RequestSpec } from '@bluebellhill/domain'
+
+import type { CompletionSources } from '../requests/CompletionSource.js'
+import type { RequestHost } from '../requests/RequestHost.js'
+import type { Admission } from './Admission.js'
+import { readBody } from './body.js'
+import type { BodyLimits } from './body.js'
+import { StreamedCompletion, WholeCompletion } from './CompletionAnswer.js'
+import { parseCompletionCall } from './completionCall.js'
+import { shapeOf } from './CompletionShape.js'
+import { readDeadline } from './headers.js'
+import type { KnownOrganisation } from './Organisations.js'
+import { OrganisationRoute } from './Route.js'
+import type { EdgeCall } from './Route.js'
+import { CallForm } from './types.js'
+import type { CompletionCall } from './types.js'
+
+const MS_PER_SECOND = 1_000
+
+const PATHS: Readonly<Record<string, CallForm>> = {
+  '/v1/completions': CallForm.Text,
+  '/v1/chat/completions': CallForm.Chat
+}
+
+/** What the completion routes work with. */
+export interface CompletionRouteParts {
+  readonly admission: Admission
+  readonly requests: RequestHost
+  readonly sources: CompletionSources
+  readonly limits: BodyLimits
+}
+
+/** Answers completions. */
+export class CompletionRoute extends OrganisationRoute {
+  readonly #parts: CompletionRouteParts
+
+  constructor (recognise: (request: IncomingMessage) => KnownOrganisation, parts: CompletionRouteParts) {
+    super(recognise)
+    this.#parts = parts
+  }
+
+  matches (method: string, path: string): boolean {
+    return method === 'POST' && path in PATHS
+  }
+
+  protected async handleFor (organisation: KnownOrganisation, call: EdgeCall): Promise<void> {
+    const { admission, limits } = this.#parts
+    const deadline = readDeadline(call.request.headers)
+    const body = await readBody(call.request, limits)
+    const completion = parseCompletionCall(PATHS[call.path] ?? CallForm.Text, body)
+    const spec = admission.completion(organisation, completion, deadline)
+    await this.#run(spec, completion, call)
+  }
+
+  async #run (spec: RequestSpec, completion: CompletionCall, call: EdgeCall): Promise<void> {
+    call.response.setHeader('x-request-id', spec.id)
+    const answer = answerFor(spec, completion, call)
+    const source = this.#parts.sources.create(spec, completion)
+    const { session, finished } = this.#parts.requests.start(spec, answer, source)
+    call.response.on('close', () => session.tell({ type: 'caller_gone' }))
+    await finished
+  }
+}
+
+const answerFor = (spec: RequestSpec, completion: CompletionCall, { response }: EdgeCall): StreamedCompletion | WholeCompletion => {
+  const head = { id: spec.id, model: completion.model, created: Math.floor(Date.now() / MS_PER_SECOND) }
+  const shape = shapeOf(completion.form)
+  if (completion.streamed) return new StreamedCompletion(response, head, shape, completion.usageWanted)
+  return new WholeCompletion(response, head, shape)
+}
--- /dev/null
+++ b/packages/node/src/edge/Route.ts
@@ -0,0 +1,43 @@
+/** One route of the caller interface. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+
+import type { KnownOrganisation } from './Organisations.js'
+
+/** A caller's request with what the edge already knows of it. */
+export interface EdgeCall {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly path: string
+  /** The path's query with its question mark, or an empty text. */
+  readonly query: string
+}
+
+/** Answers the calls of one route. */
+export abstract class Route {
+  /** @returns whether the route answers this method and path */
+  abstract matches (method: string, path: string): boolean
+
+  /**
+   * Answers a call.
+   *
+   * @throws RefusedCall where the call is refused before its admission
+   */
+  abstract handle (call: EdgeCall): Promise<void>
+}
+
+/** A route that only known organisations may call. */
+export abstract class OrganisationRoute extends Route {
+  readonly #recognise: (request: IncomingMessage) => KnownOrganisation
+
+  constructor (recognise: (request: IncomingMessage) => KnownOrganisation) {
+    super()
+    this.#recognise = recognise
+  }
+
+  async handle (call: EdgeCall): Promise<void> {
+    await this.handleFor(this.#recognise(call.request), call)
+  }
+
+  /** Answers a call of an organisation. */
+  protected abstract handleFor (organisation: KnownOrganisation, call: EdgeCall): Promise<void>
+}
--- a/packages/node/src/edge/body.ts
+++ b/packages/node/src/edge/body.ts
@@ -5,21 +5,27 @@
 
 import { RefusedCall } from './errors.js'
 
+/** Bounds of a caller's body. */
+export interface BodyLimits {
+  readonly bytes: number
+  /** Time for the whole body, in milliseconds. */
+  readonly timeout: number
+}
+
 /**
  * Reads a body whole.
  *
  * @param request - the caller's request
- * @param limit - the longest body in bytes
- * @param timeout - time for the whole body, in milliseconds
+ * @param limits - bounds of its length and its time
  * @returns the body
  * @throws RefusedCall where the body is over the limit, too slow or cut off
  */
-export const readBody = async (request: IncomingMessage, limit: number, timeout: number): Promise<Buffer> => {
+export const readBody = async (request: IncomingMessage, limits: BodyLimits): Promise<Buffer> => {
   const declared = Number(request.headers['content-length'] ?? 0)
-  if (declared > limit) throw tooLarge(limit)
-  const timer = setTimeout(() => request.destroy(), timeout)
+  if (declared > limits.bytes) throw tooLarge(limits.bytes)
+  const timer = setTimeout(() => request.destroy(), limits.timeout)
   try {
-    return await collect(request, limit)
+    return await collect(request, limits.bytes)
   } finally {
     clearTimeout(timer)
   }
--- a/packages/node/src/peers/PeerServer.ts
+++ b/packages/node/src/peers/PeerServer.ts
@@ -2,12 +2,14 @@
 import { Server, ServerCredentials, status } from '@grpc/grpc-js'
 import type { sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js'
 import { assertNever } from '@bluebellhill/domain'
-import type { AttemptId, ProgressKind, RunnerId } from '@bluebellhill/domain'
+import type { AttemptId, DispatchOrder, ProgressKind, RunnerId } from '@bluebellhill/domain'
 import { DispatcherService, EntryService } from '@bluebellhill/protocol'
 import type { AcquireReply, AcquireRequest, DispatcherServer, EntryServer, Grant as GrantMessage, ProgressReply, ProgressRequest, RecallReply, RecallRequest } from '@bluebellhill/protocol'
 
-import type { DispatcherHost, OrderReply } from '../dispatch/DispatcherHost.js'
+import type { DispatcherDesk } from '../dispatch/DispatcherDesk.js'
+import type { DispatcherHost } from '../dispatch/DispatcherHost.js'
 import type { RunnerDirectory } from '../dispatch/RunnerDirectory.js'
+import type { OrderResult } from '../requests/OrderDesk.js'
 import type { TimeLine } from '../timeline/index.js'
 import { decodeOrder } from './orderMessage.js'
 
@@ -24,6 +26,7 @@
 /** What the peer server stands before. */
 export interface PeerServerParts {
   readonly dispatcher: DispatcherHost
+  readonly desk: DispatcherDesk
   readonly directory: RunnerDirectory
   readonly requests: RecallTarget
   readonly timeLine: TimeLine
@@ -69,33 +72,24 @@
   }
 
   async #acquire (call: ServerUnaryCall<AcquireRequest, AcquireReply>, done: sendUnaryData<AcquireReply>): Promise<void> {
-    const { order, clock } = call.request
+    const { order, clock, direct } = call.request
     if (order === undefined) return done({ code: status.INVALID_ARGUMENT, details: 'the order is missing' })
     this.#parts.timeLine.receive(clock)
     const controller = new AbortController()
     call.on('cancelled', () => controller.abort())
-    const reply = await this.#parts.dispatcher.acquire(decodeOrder(order), controller.signal)
-    done(null, { result: this.#resultOf(reply), clock: this.#parts.timeLine.send() })
+    const result = await this.#place(decodeOrder(order), direct, controller.signal)
+    if (result.type === 'lost') return done({ code: status.UNAVAILABLE, details: result.reason })
+    done(null, { result: resultMessage(result), clock: this.#parts.timeLine.send() })
   }
 
-  #resultOf (reply: OrderReply): AcquireReply['result'] {
-    switch (reply.type) {
-      case 'granted': return { $case: 'grant', value: this.#grantOf(reply) }
-      case 'refused': return { $case: 'refusal', value: { kind: reply.kind, retryAfterMs: Math.ceil(reply.retryAfter), reason: reply.reason } }
-      default: return assertNever(reply)
-    }
-  }
-
-  #grantOf ({ grant }: Extract<OrderReply, { type: 'granted' }>): GrantMessage {
-    return {
-      runner: grant.runner,
-      runnerAddress: this.#addressOf(grant.runner),
-      validForMs: Math.floor(grant.validFor),
-      priority: grant.priority,
-      reason: grant.reason,
-      group: [...grant.group],
-      groupAddresses: grant.group.map((member) => this.#addressOf(member))
-    }
+  async #place (order: DispatchOrder, direct: boolean, signal: AbortSignal): Promise<OrderResult> {
+    const { desk, dispatcher, timeLine } = this.#parts
+    if (!direct) return await desk.relay(order, signal)
+    const reply = await dispatcher.acquire(order, signal)
+    if (reply.type === 'refused') return { ...reply, dispatcher: timeLine.node }
+    const { grant } = reply
+    const groupAddresses = grant.group.map((member) => this.#addressOf(member))
+    return { type: 'granted', dispatcher: timeLine.node, grant, address: this.#addressOf(grant.runner), groupAddresses }
   }
 
   #addressOf (runner: RunnerId): string {
@@ -122,3 +116,23 @@
     done(null, { known, clock: this.#parts.timeLine.send() })
   }
 }
+
+type SettledResult = Exclude<OrderResult, { type: 'lost' }>
+
+const resultMessage = (result: SettledResult): AcquireReply['result'] => {
+  switch (result.type) {
+    case 'granted': return { $case: 'grant', value: grantMessage(result) }
+    case 'refused': return { $case: 'refusal', value: { kind: result.kind, retryAfterMs: Math.ceil(result.retryAfter), reason: result.reason } }
+    default: return assertNever(result)
+  }
+}
+
+const grantMessage = ({ grant, address, groupAddresses }: Extract<OrderResult, { type: 'granted' }>): GrantMessage => ({
+  runner: grant.runner,
+  runnerAddress: address,
+  validForMs: Math.floor(grant.validFor),
+  priority: grant.priority,
+  reason: grant.reason,
+  group: [...grant.group],
+  groupAddresses: [...groupAddresses]
+})
--- /dev/null
+++ b/packages/node/src/requests/CompletionSource.ts
@@ -0,0 +1,108 @@
+/** Starts the tries of one completion. */
+import { SendMode } from '@bluebellhill/domain'
+import type { AttemptId, RequestSpec, Tokens } from '@bluebellhill/domain'
+import type { ModelEngine } from '@bluebellhill/platform'
+
+import { monotonicNow } from '../clock/monotonic.js'
+import type { CompletionCall } from '../edge/types.js'
+import type { AnswerEnd } from './Answer.js'
+import type { Attempt, AttemptListener, AttemptOrder } from './Attempt.js'
+import { CompletionAttempt } from './CompletionAttempt.js'
+import { AttemptSource } from './ports.js'
+import type { TokenEstimator } from './TokenEstimator.js'
+
+/** Gives the client of an engine by its address. */
+export type EngineSource = (address: string) => ModelEngine
+
+/** Makes the sources of all completions. */
+export class CompletionSources {
+  readonly #engines: EngineSource
+  readonly #estimator: TokenEstimator
+
+  constructor (engines: EngineSource, estimator: TokenEstimator) {
+    this.#engines = engines
+    this.#estimator = estimator
+  }
+
+  /**
+   * Makes the source of one request.
+   *
+   * @param spec - the admitted request
+   * @param call - what the caller asked for
+   */
+  create (spec: RequestSpec, call: CompletionCall): AttemptSource {
+    return new CompletionSource(spec, call, this.#engines, this.#estimator)
+  }
+}
+
+/** Knows a completion's prompt, and the text that its caller already has. */
+class CompletionSource extends AttemptSource {
+  readonly #spec: RequestSpec
+  readonly #call: CompletionCall
+  readonly #engines: EngineSource
+  readonly #estimator: TokenEstimator
+  readonly #sent: string[] = []
+  /** Tokens that the caller had when the current attempt was first sent. */
+  #base: Tokens = 0
+
+  constructor (spec: RequestSpec, call: CompletionCall, engines: EngineSource, estimator: TokenEstimator) {
+    super()
+    this.#spec = spec
+    this.#call = call
+    this.#engines = engines
+    this.#estimator = estimator
+  }
+
+  create (order: AttemptOrder, listener: AttemptListener): Attempt {
+    if (order.mode !== SendMode.Resume) this.#base = order.generated
+    const start = order.mode === SendMode.Resume ? order.generated - this.#base : 0
+    const timeout = Math.max(1, Math.ceil(this.#spec.deadline - monotonicNow()))
+    const engine = this.#engines(order.address)
+    return new CompletionAttempt(engine, order, start, this, this.#keepText(listener), timeout)
+  }
+
+  async cancel (address: string, attempt: AttemptId): Promise<void> {
+    await this.#engines(address).cancel(attempt)
+  }
+
+  /** Writes the JSON body of one try. */
+  encode (order: AttemptOrder): string {
+    const { model, version, adapter } = this.#spec
+    return JSON.stringify({
+      ...this.#call.sampling,
+      model,
+      version: version ?? undefined,
+      adapter: adapter ?? undefined,
+      prompt: this.#call.prompt + this.#sentBefore(order),
+      max_tokens: this.#spec.maxTokens - this.#base,
+      stream: true,
+      request_id: order.attempt,
+      priority: order.grant.priority,
+      resume: order.mode === SendMode.Resume ? { offset: order.generated - this.#base } : undefined
+    })
+  }
+
+  #sentBefore (order: AttemptOrder): string {
+    return order.mode === SendMode.Continue ? this.#sent.join('') : ''
+  }
+
+  #keepText (listener: AttemptListener): AttemptListener {
+    return {
+      sending: (attempt) => listener.sending(attempt),
+      chunk: (attempt, offset, count, text) => {
+        const accepted = listener.chunk(attempt, offset, count, text)
+        this.#sent.push(text)
+        return accepted
+      },
+      crossed: (attempt) => listener.crossed(attempt),
+      completed: (attempt, end) => this.#completed(listener, attempt, end),
+      broken: (attempt, reason) => listener.broken(attempt, reason),
+      drained: () => listener.drained()
+    }
+  }
+
+  #completed (listener: AttemptListener, attempt: AttemptId, end: AnswerEnd): void {
+    if (this.#base === 0) this.#estimator.learn(this.#spec.model, this.#call.promptBytes, end.usage.promptTokens)
+    listener.completed(attempt, end)
+  }
+}
