--- a/packages/domain/src/membership/Dissemination.ts
+++ b/packages/domain/src/membership/Dissemination.ts
@@ -3,7 +3,7 @@
 import { isNeighbour, othersOf } from './context.js'
 import type { MembershipContext } from './context.js'
 import { packDatagrams, UPDATE_ROOM } from './datagrams.js'
-import type { GossipBoard } from './GossipBoard.js'
+import type { GossipBoard, Receiver } from './GossipBoard.js'
 import { sample } from './ProbeSchedule.js'
 import type { GossipBody, GossipValue, Member } from './types.js'
 import { UpdateQueue } from './UpdateQueue.js'
@@ -43,9 +43,20 @@
     return this.queue.take(room, table.reachable().length, (node) => table.get(node))
   }
 
+  /**
+   * @param room - bytes left in the datagram
+   * @param peer - receiver
+   * @returns durable values to send along
+   */
+  takeDurable (room: number, peer: Member): GossipValue[] {
+    if (!this.board.hasDurablePending()) return []
+    const audience = this.context.table.reachable().length
+    return this.board.takeDurable(room, { ...this.receiver(peer), audience })
+  }
+
   /** Sends changes that no one was told yet. */
   pushUrgent (): void {
-    while (this.urgentTokens > 0 && this.queue.hasUnsent()) {
+    while (this.urgentTokens > 0 && (this.queue.hasUnsent() || this.board.hasDurableUnsent())) {
       const peers = this.urgentPeers()
       if (peers.length === 0) return
       this.urgentTokens -= peers.length
@@ -57,7 +68,7 @@
   pushPeriodically (now: Millis): void {
     const { rng, timings } = this.context
     const others = othersOf(this.context)
-    if (this.queue.size > 0) this.pushTo(sample(rng, others, timings.fanout))
+    if (this.queue.size > 0 || this.board.hasDurablePending()) this.pushTo(sample(rng, others, timings.fanout))
     const neighbours = others.filter((member) => isNeighbour(this.context, member))
     const distant = others.filter((member) => !isNeighbour(this.context, member))
     for (const peer of sample(rng, distant, 1)) this.pushValues(peer, now)
@@ -79,8 +90,7 @@
     const own = this.digest(true)
     if (sameNumbers(digest.members, own.members) && sameNumbers(digest.values, own.values)) return
     if (!digest.reply) this.context.send(from, own, sender)
-    const values = this.board.differing(digest.values, sender !== undefined && isNeighbour(this.context, sender))
-    this.sync(from, this.context.table.differing(digest.members), values)
+    this.sync(from, this.context.table.differing(digest.members), this.board.differing(digest.values))
   }
 
   /** Sends the whole table and every value that the sender should have. */
@@ -106,13 +116,18 @@
 
   private pushValues (peer: Member, now: Millis): void {
     if (!this.board.mayPush(now)) return
-    const sameDomain = isNeighbour(this.context, peer)
-    const audience = sameDomain ? this.context.table.inDomain(peer.failureDomain) : this.context.table.reachable()
-    const values = this.board.take(UPDATE_ROOM, peer.node, sameDomain, audience.length, now)
+    const values = this.board.take(UPDATE_ROOM, this.receiver(peer), now)
     if (values.length === 0) return
     this.context.emit(peer.gossipAddress, { sender: this.context.me().node, body: { type: 'push' }, updates: [], values })
   }
 
+  private receiver (peer: Member): Receiver {
+    const sameDomain = isNeighbour(this.context, peer)
+    const { table } = this.context
+    const audience = sameDomain ? table.inDomain(peer.failureDomain) : table.reachable()
+    return { node: peer.node, sameDomain, audience: audience.length }
+  }
+
   private sync (to: string, members: readonly Member[], values: readonly GossipValue[]): void {
     const sender = this.context.me().node
     for (const batch of packDatagrams(members, values).slice(0, MAX_SYNC_DATAGRAMS)) {
--- a/packages/domain/src/membership/GossipBoard.ts
+++ b/packages/domain/src/membership/GossipBoard.ts
@@ -1,5 +1,6 @@
 import type { FailureDomain, Millis, NodeId } from '../types.js'
-import { DIGEST_BUCKETS, MAX_DATAGRAM_BYTES, VALUE_RETRANSMIT_FACTOR } from './constants.js'
+import { ByteBudget } from './ByteBudget.js'
+import { DIGEST_BUCKETS, MAX_DATAGRAM_BYTES, UPDATE_RETRANSMIT_FACTOR, VALUE_RETRANSMIT_FACTOR } from './constants.js'
 import { hashText } from './hash.js'
 import { bucketOf } from './MemberTable.js'
 import { valueBytes } from './messageSize.js'
@@ -23,6 +24,15 @@
   readonly budget: number
 }
 
+/** Who a datagram is for. */
+export interface Receiver {
+  /** Its own values are left out. */
+  readonly node: NodeId
+  readonly sameDomain: boolean
+  /** Number of nodes that the values are meant for. */
+  readonly audience: number
+}
+
 const keyOf = (node: NodeId, topic: string): string => `${node}\u0000${topic}`
 
 const isNewer = (value: GossipValue, known: GossipValue): boolean =>
@@ -36,13 +46,13 @@
   private readonly entries = new Map<string, Entry>()
   private readonly buckets: number[] = Array.from({ length: DIGEST_BUCKETS }, () => 0)
   private order = 0
-  private tokens: number
-  private refilledAt: Millis | null = null
+  private readonly budget: ByteBudget
   private startedAt: number
   private pendingCount = 0
+  private pendingDurable = 0
 
   constructor (private readonly options: BoardOptions) {
-    this.tokens = 2 * MAX_DATAGRAM_BYTES
+    this.budget = new ByteBudget(options.budget, 2 * MAX_DATAGRAM_BYTES)
     this.startedAt = options.startedAt
   }
 
@@ -72,9 +82,10 @@
    * @param scope - who gets it
    * @param durable - whether anti-entropy covers it; for values of the whole fleet
    * @returns the stored value, or null where the contents did not change
-   * @throws RangeError where the value does not fit one datagram
+   * @throws RangeError where the value does not fit one datagram, or is durable and not for the whole fleet
    */
   publish (topic: string, bytes: Uint8Array, scope: ValueScope, durable: boolean): GossipValue | null {
+    if (durable && scope !== ValueScope.Fleet) throw new RangeError(`durable value of topic ${topic} is not for the whole fleet`)
     const known = this.entries.get(keyOf(this.options.node, topic))?.value
     if (known !== undefined && sameBytes(known.bytes, bytes)) return null
     const value: GossipValue = {
@@ -147,35 +158,48 @@
 
   /** Whether a datagram of values may be sent now. */
   mayPush (now: Millis): boolean {
-    this.refill(now)
-    return this.pendingCount > 0 && this.tokens >= MAX_DATAGRAM_BYTES / 2
+    return this.pendingCount > this.pendingDurable && this.budget.available(now) >= MAX_DATAGRAM_BYTES / 2
+  }
+
+  /** Whether a durable value still has to be passed on. */
+  hasDurablePending (): boolean {
+    return this.pendingDurable > 0
+  }
+
+  /** Whether no one was told of some durable value yet. */
+  hasDurableUnsent (): boolean {
+    if (this.pendingDurable === 0) return false
+    return [...this.entries.values()].some((entry) => entry.pending && entry.value.durable && entry.transmissions === 0)
   }
 
   /**
-   * Takes values for one datagram: the least sent first, then the newest.
+   * Takes values that anti-entropy does not cover, within the budget: the least sent first, then the newest.
    *
    * @param room - bytes left in the datagram
-   * @param peer - receiver, whose own values are left out
-   * @param sameDomain - whether the receiver is in this node's failure domain
-   * @param members - number of reachable members
+   * @param receiver - who gets them
    * @param now - current time
    */
-  take (room: number, peer: NodeId | null, sameDomain: boolean, members: number, now: Millis): GossipValue[] {
-    this.refill(now)
-    if (this.pendingCount === 0 || this.tokens <= 0) return []
-    const limit = Math.max(2, Math.ceil(VALUE_RETRANSMIT_FACTOR * Math.log2(members + 1)))
-    const taken: GossipValue[] = []
-    let left = Math.min(room, Math.floor(this.tokens))
-    for (const entry of this.sendable(peer, sameDomain)) {
-      const size = valueBytes(entry.value)
-      if (size > left) break
-      left -= size
-      this.tokens -= size
-      taken.push(entry.value)
-      entry.transmissions += 1
-      if (entry.transmissions >= limit) this.settle(entry)
+  take (room: number, receiver: Receiver, now: Millis): GossipValue[] {
+    if (this.pendingCount === this.pendingDurable) return []
+    const limit = Math.max(2, Math.ceil(VALUE_RETRANSMIT_FACTOR * Math.log2(receiver.audience + 1)))
+    const allowed = Math.min(room, Math.floor(this.budget.available(now)))
+    return this.takeFrom(this.sendable(receiver, false), allowed, limit)
+  }
+
+  /**
+   * Takes durable values; they are few and not held back by the budget.
+   *
+   * @param room - bytes left in the datagram
+   * @param receiver - who gets them
+   */
+  takeDurable (room: number, receiver: Receiver): GossipValue[] {
+    if (this.pendingDurable === 0) return []
+    const limit = Math.max(3, Math.ceil(UPDATE_RETRANSMIT_FACTOR * Math.log2(receiver.audience + 1)))
+    for (const entry of this.entries.values()) {
+      // The publisher knows its own value; this counts as passed on.
+      if (entry.pending && entry.value.durable && entry.value.node === receiver.node) this.countTransmission(entry, limit)
     }
-    return taken
+    return this.takeFrom(this.sendable(receiver, true), room, limit)
   }
 
   digest (): readonly number[] {
@@ -183,10 +207,10 @@
   }
 
   /** Durable values in buckets whose hash differs from `digest`. */
-  differing (digest: readonly number[], sameDomain: boolean): GossipValue[] {
+  differing (digest: readonly number[]): GossipValue[] {
     return [...this.entries.values()]
       .map((entry) => entry.value)
-      .filter((value) => value.durable && (sameDomain || value.scope === ValueScope.Fleet))
+      .filter((value) => value.durable)
       .filter((value) => this.buckets[bucketOf(value.node)] !== digest[bucketOf(value.node)])
   }
 
@@ -204,22 +228,42 @@
     return false
   }
 
-  private sendable (peer: NodeId | null, sameDomain: boolean): Entry[] {
+  private sendable ({ node, sameDomain }: Receiver, durable: boolean): Entry[] {
     return [...this.entries.values()]
-      .filter((entry) => entry.pending && entry.value.node !== peer)
+      .filter((entry) => entry.pending && entry.value.durable === durable && entry.value.node !== node)
       .filter((entry) => sameDomain || entry.value.scope === ValueScope.Fleet)
       .sort((a, b) => a.transmissions - b.transmissions || b.order - a.order)
   }
 
+  private takeFrom (candidates: readonly Entry[], room: number, limit: number): GossipValue[] {
+    const taken: GossipValue[] = []
+    let left = room
+    for (const entry of candidates) {
+      const size = valueBytes(entry.value)
+      if (size > left) break
+      left -= size
+      taken.push(entry.value)
+      this.countTransmission(entry, limit)
+    }
+    this.budget.spend(room - left)
+    return taken
+  }
+
+  private countTransmission (entry: Entry, limit: number): void {
+    entry.transmissions += 1
+    if (entry.transmissions >= limit) this.settle(entry)
+  }
+
   private store (value: GossipValue): void {
     const key = keyOf(value.node, value.topic)
     const old = this.entries.get(key)
     if (old !== undefined) this.drop(key, old)
     this.order += 1
-    const hash = value.durable && value.scope === ValueScope.Fleet ? hashText(`${key}|${value.startedAt}|${value.version}`) : 0
+    const hash = value.durable ? hashText(`${key}|${value.startedAt}|${value.version}`) : 0
     this.toggle(value.node, hash)
     this.entries.set(key, { value, hash, transmissions: 0, order: this.order, pending: true })
     this.pendingCount += 1
+    if (value.durable) this.pendingDurable += 1
   }
 
   private drop (key: string, entry: Entry): void {
@@ -232,18 +276,13 @@
     if (!entry.pending) return
     entry.pending = false
     this.pendingCount -= 1
+    if (entry.value.durable) this.pendingDurable -= 1
   }
 
   private toggle (node: NodeId, hash: number): void {
     const bucket = bucketOf(node)
     this.buckets[bucket] = ((this.buckets[bucket] ?? 0) ^ hash) >>> 0
   }
-
-  private refill (now: Millis): void {
-    const elapsed = this.refilledAt === null ? 0 : now - this.refilledAt
-    this.refilledAt = now
-    this.tokens = Math.min(2 * MAX_DATAGRAM_BYTES, this.tokens + elapsed * this.options.budget / 1_000)
-  }
 }
 
 const sameBytes = (a: Uint8Array, b: Uint8Array): boolean =>
--- a/packages/domain/src/membership/Membership.ts
+++ b/packages/domain/src/membership/Membership.ts
@@ -93,14 +93,17 @@
   }
 
   /**
-   * Publishes a value of this node.
+   * Publishes a value of this node; a durable one is sent at once.
    *
    * @returns effects; empty where the contents did not change
    * @throws RangeError where the value does not fit a datagram
    */
   publish (topic: string, bytes: Uint8Array, scope: ValueScope, durable: boolean): MembershipEffect[] {
+    this.effects = []
     const value = this.board.publish(topic, bytes, scope, durable)
-    return value === null ? [] : [{ type: 'value_changed', value }]
+    if (value !== null) this.effects.push({ type: 'value_changed', value })
+    this.dissemination.pushUrgent()
+    return this.effects
   }
 
   private context (): MembershipContext {
@@ -276,11 +279,13 @@
     const updates: Member[] = []
     if (peer === undefined || peer.state !== MemberState.Alive) updates.push(this.self)
     if (peer !== undefined && peer.state !== MemberState.Alive) updates.push(peer)
-    const used = updates.reduce((sum, update) => sum + updateBytes(update), bodyBytes(body))
-    for (const update of this.dissemination.takeUpdates(UPDATE_ROOM - used)) {
+    let room = UPDATE_ROOM - updates.reduce((sum, update) => sum + updateBytes(update), bodyBytes(body))
+    for (const update of this.dissemination.takeUpdates(room)) {
+      room -= updateBytes(update)
       if (!updates.some((other) => other.node === update.node)) updates.push(update)
     }
-    this.emit(to, { sender: this.self.node, body, updates, values: [] })
+    const values = peer === undefined ? [] : this.dissemination.takeDurable(room, peer)
+    this.emit(to, { sender: this.self.node, body, updates, values })
   }
 
   private emit (to: string, message: GossipMessage): void {
--- a/packages/domain/src/membership/constants.ts
+++ b/packages/domain/src/membership/constants.ts
@@ -28,12 +28,15 @@
 /** Probes a second of members of a failure domain in which a suspect was found. */
 export const EXTRA_PROBES_PER_SECOND = 4
 
-/** Members that report the aggregate of their failure domain to the others. */
-export const REPORTERS_PER_FAILURE_DOMAIN = 2
-
 /** Longest time between two ticks of a healthy node, in milliseconds. */
 export const TICK_PERIOD = 50
 
+/** Time between two looks at a node's own summaries, in milliseconds. */
+export const SUMMARY_PERIOD = 250
+
+/** Time between two reports of a failure domain's aggregate to the others, in milliseconds. */
+export const REPORT_PERIOD = 2_000
+
 export const DEFAULT_TIMINGS: MembershipTimings = {
   probePeriod: 1_000,
   ackTimeout: 250,
--- /dev/null
+++ b/packages/domain/tests/gossipBoard.test.ts
@@ -0,0 +1,127 @@
+import test from 'ava'
+import fc from 'fast-check'
+
+import { GossipBoard, MAX_DATAGRAM_BYTES, valueBytes } from '../src/index.js'
+import type { FailureDomain, GossipValue, NodeId } from '../src/index.js'
+import { MemberGroup } from './memberGroup.js'
+
+const SEED = 20_261_203
+
+const board = (node: string, budget = 1_000_000): GossipBoard =>
+  new GossipBoard({ node: node as NodeId, failureDomain: 'fd0' as FailureDomain, startedAt: 1, budget })
+
+const value = (version: number, startedAt = 1): GossipValue =>
+  ({ node: 'a' as NodeId, topic: 't', scope: 'fleet', durable: true, startedAt, version, bytes: Uint8Array.of(version, startedAt) })
+
+const neighbour = { node: 'x' as NodeId, sameDomain: true, audience: 9 }
+
+test('the last version wins in any order of arrival', (t) => {
+  const values = fc.array(fc.record({ version: fc.integer({ min: 1, max: 9 }), startedAt: fc.integer({ min: 1, max: 3 }) }), { minLength: 1 })
+  t.notThrows(() => fc.assert(fc.property(values, (claims) => {
+    const reader = board('reader')
+    for (const { version, startedAt } of claims) reader.receive(value(version, startedAt))
+    const best = Math.max(...claims.map(({ version, startedAt }) => startedAt * 10 + version))
+    const held = reader.get('a' as NodeId, 't')
+    return held !== undefined && held.startedAt * 10 + held.version === best
+  }), { seed: SEED, numRuns: 500 }))
+})
+
+test('a replaced value is not sent again', (t) => {
+  const writer = board('w')
+  for (let version = 1; version <= 50; version += 1) writer.publish('t', Uint8Array.of(version), 'fleet', false)
+  const sent = writer.take(1_000, neighbour, 0)
+  t.deepEqual(sent.map(({ bytes }) => [...bytes]), [[50]])
+})
+
+test('an unchanged value is not published again', (t) => {
+  const writer = board('w')
+  t.not(writer.publish('t', Uint8Array.of(1), 'fleet', false), null)
+  t.is(writer.publish('t', Uint8Array.of(1), 'fleet', false), null)
+})
+
+test('values stay within the budget and the datagram', (t) => {
+  const budget = 2_000
+  const writer = board('w', budget)
+  let bytes = 0
+  const seconds = 60
+  for (let now = 0; now < seconds * 1_000; now += 50) {
+    for (let topic = 0; topic < 40; topic += 1) writer.publish(`t${topic}`, Uint8Array.of(now % 251, topic, now % 7), 'failure_domain', false)
+    while (writer.mayPush(now)) {
+      const sent = writer.take(MAX_DATAGRAM_BYTES, neighbour, now)
+      if (sent.length === 0) break
+      const size = sent.reduce((sum, entry) => sum + valueBytes(entry), 0)
+      t.true(size <= MAX_DATAGRAM_BYTES)
+      bytes += size
+    }
+  }
+  t.true(bytes <= budget * seconds + 2 * MAX_DATAGRAM_BYTES)
+  t.true(bytes > budget * seconds / 2)
+})
+
+test('values that were sent least go first', (t) => {
+  const writer = board('w')
+  for (let topic = 0; topic < 60; topic += 1) writer.publish(`t${topic}`, new Uint8Array(40), 'fleet', false)
+  const first = writer.take(1_000, neighbour, 0).map(({ topic }) => topic)
+  const second = writer.take(1_000, neighbour, 0).map(({ topic }) => topic)
+  t.deepEqual(first.filter((topic) => second.includes(topic)), [])
+})
+
+test('a value of the failure domain is not sent to another', (t) => {
+  const writer = board('w')
+  writer.publish('t', Uint8Array.of(1), 'failure_domain', false)
+  t.deepEqual(writer.take(1_000, { ...neighbour, sameDomain: false }, 0), [])
+  t.is(writer.take(1_000, neighbour, 0).length, 1)
+})
+
+test('a value that does not fit is refused', (t) => {
+  t.throws(() => board('w').publish('t', new Uint8Array(MAX_DATAGRAM_BYTES), 'fleet', false), { instanceOf: RangeError })
+  t.throws(() => board('w').publish('t', Uint8Array.of(1), 'failure_domain', true), { instanceOf: RangeError })
+})
+
+const reachesPaused = (antiEntropyPeriod: number): number | null => {
+  const group = new MemberGroup({ seed: 11, size: 9, maxLatency: 10, timings: { antiEntropyPeriod } })
+  group.run(8_000)
+  group.pause(8, 15_000)
+  group.perform(3, group.at(3).membership.publish('revision', Uint8Array.of(7), 'fleet', true))
+  group.run(15_000)
+  return group.runUntil(() => group.at(8).membership.board.values('revision').length === 1, 60_000)
+}
+
+test('a member that was paused gets the durable values that it missed', (t) => {
+  t.not(reachesPaused(5_000), null)
+})
+
+test('without anti-entropy it does not', (t) => {
+  t.is(reachesPaused(Infinity), null)
+})
+
+test('a durable value reaches all members within 500 ms where nothing is lost', (t) => {
+  const group = new MemberGroup({ seed: 12, size: 40, domains: 4, maxLatency: 5 })
+  group.run(8_000)
+  group.tell(3, { type: 'ticked' })
+  const effects = group.at(3).membership.publish('leaving/r1', Uint8Array.of(1), 'fleet', true)
+  group.perform(3, effects)
+  t.not(group.runUntil(() => group.participants.every(({ membership }) => membership.board.values('leaving/r1').length === 1), 500), null)
+})
+
+test('a node that joins later gets the values', (t) => {
+  const group = new MemberGroup({ seed: 13, size: 9 })
+  group.run(4_000)
+  group.crash(8)
+  group.perform(3, group.at(3).membership.publish('revision', Uint8Array.of(7), 'fleet', true))
+  group.run(20_000)
+  group.restart(8)
+  t.not(group.runUntil(() => group.at(8).membership.board.values('revision').length === 1, 1_000), null)
+})
+
+test('a restarted node does not keep the values of its earlier process', (t) => {
+  const group = new MemberGroup({ seed: 14, size: 9 })
+  group.run(4_000)
+  group.perform(8, group.at(8).membership.publish('load', Uint8Array.of(7), 'fleet', false))
+  group.run(2_000)
+  t.is(group.at(1).membership.board.values('load').length, 1)
+  group.crash(8)
+  group.restart(8)
+  group.run(3_000)
+  t.is(group.at(1).membership.board.values('load').length, 0)
+})
--- a/packages/domain/tests/memberGroup.ts
+++ b/packages/domain/tests/memberGroup.ts
@@ -84,6 +84,11 @@
     this.carryOut(this.at(index), this.at(index).membership.handle(event, this.now))
   }
 
+  /** Carries out effects that did not come from an event. */
+  perform (index: number, effects: readonly MembershipEffect[]): void {
+    this.carryOut(this.at(index), effects)
+  }
+
   run (length: number): void {
     const end = this.now + length
     while (this.now < end) {
