--- /dev/null
+++ b/packages/node/src/daemon/VmListPoller.ts
@@ -0,0 +1,67 @@
+/** Reads the platform's VM list and hands it to the directory and the membership. */
+import type { FailureDomain, NodeId, RunnerId } from '@bluebellhill/domain'
+import type { Vm, VmList, VmReport } from '@bluebellhill/platform'
+import { VmRole, VmState } from '@bluebellhill/platform'
+import { setTimeout as delay } from 'node:timers/promises'
+
+import type { Backend, RunnerDirectory } from '../dispatch/RunnerDirectory.js'
+import type { LeavingRunners, MembershipService } from '../membership/index.js'
+
+const POLL_INTERVAL_MS = 1_000
+const JITTER = 0.2
+
+/** Polls the VM list; while it is out, what was known stays in force. */
+export class VmListPoller {
+  readonly #list: VmList
+  readonly #directory: RunnerDirectory
+  readonly #membership: MembershipService
+  readonly #leaving: LeavingRunners
+  readonly #controller = new AbortController()
+
+  constructor (list: VmList, directory: RunnerDirectory, membership: MembershipService, leaving: LeavingRunners) {
+    this.#list = list
+    this.#directory = directory
+    this.#membership = membership
+    this.#leaving = leaving
+  }
+
+  start (): void {
+    void this.#poll()
+  }
+
+  dispose (): void {
+    this.#controller.abort()
+  }
+
+  async #poll (): Promise<void> {
+    while (!this.#controller.signal.aborted) {
+      const result = await this.#list.read()
+      if (this.#controller.signal.aborted) return
+      if (result.ok) this.#take(result.value)
+      const interval = POLL_INTERVAL_MS * (1 + JITTER * (Math.random() - 0.5))
+      await delay(interval, undefined, { signal: this.#controller.signal }).catch(() => {})
+    }
+  }
+
+  #take (report: VmReport): void {
+    const backends = report.vms.filter((vm) => vm.role === VmRole.Backend).map(backendOf)
+    for (const backend of backends) this.#announce(backend)
+    this.#directory.replaceListed(backends)
+    const entries = report.vms.filter((vm) => vm.role === VmRole.Entry)
+    this.#membership.vmListed(report.asOf, entries.map((vm) => ({ node: vm.name as NodeId, leaving: vm.state === VmState.Leaving })))
+  }
+
+  #announce (backend: Backend): void {
+    if (backend.leaving) this.#leaving.announce(backend.id)
+    else this.#leaving.retract(backend.id)
+  }
+}
+
+const backendOf = (vm: Vm): Backend => ({
+  id: vm.name as RunnerId,
+  address: `${vm.address}:${vm.port}`,
+  failureDomain: vm.failureDomain as FailureDomain,
+  kind: vm.kind ?? 'engine',
+  service: vm.service,
+  leaving: vm.state === VmState.Leaving
+})
--- /dev/null
+++ b/packages/node/src/daemon/types.ts
@@ -0,0 +1,37 @@
+/** What a daemon is started with. */
+import type { FailureDomain, Millis, NodeId, RoutingPolicy } from '@bluebellhill/domain'
+
+import type { BodyLimits } from '../edge/body.js'
+import type { Organisations } from '../edge/Organisations.js'
+import type { Backend } from '../dispatch/RunnerDirectory.js'
+import type { Log } from '../log/index.js'
+
+/** Addresses as `ip:port`; port 0 takes a free one. */
+export interface DaemonAddresses {
+  readonly caller: string
+  readonly peer: string
+  readonly gossip: string
+  readonly admin: string
+}
+
+/** The parts of the settings that the daemon itself reads. */
+export interface DaemonOptions {
+  readonly node: NodeId
+  readonly failureDomain: FailureDomain
+  readonly listen: DaemonAddresses
+  /** Gossip addresses to join through. */
+  readonly seeds: readonly string[]
+  /** Secrets that peers share: the first signs, every one is accepted. */
+  readonly secrets: readonly string[]
+  readonly runners: readonly Backend[]
+  /** Addresses of the VM list; none leaves only the runners of the settings. */
+  readonly vmList: readonly string[]
+  readonly policy: RoutingPolicy
+  readonly bodyLimits: BodyLimits
+  /** Calls that one plain service takes at once. */
+  readonly serviceSlots: number
+  /** Time between the failing readiness and the refusal of new work. */
+  readonly drainGrace: Millis
+  readonly organisations: Organisations
+  readonly log: Log
+}
--- a/packages/node/src/dispatch/RunnerDirectory.ts
+++ b/packages/node/src/dispatch/RunnerDirectory.ts
@@ -1,12 +1,6 @@
 /** All backend servers that this node knows of, wherever the knowledge came from. */
 import type { FailureDomain, RunnerId } from '@bluebellhill/domain'
-
-/** What a backend server offers. */
-export const BackendKind = {
-  Engine: 'engine',
-  Plain: 'plain'
-} as const
-export type BackendKind = typeof BackendKind[keyof typeof BackendKind]
+import type { BackendKind } from '@bluebellhill/platform'
 
 /** One backend server. */
 export interface Backend {
--- /dev/null
+++ b/packages/node/src/edge/CallerServer.ts
@@ -0,0 +1,99 @@
+/** The HTTP server for callers. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { randomUUID } from 'node:crypto'
+
+import { OutcomeKind, Ran } from '@bluebellhill/domain'
+import type { Outcome } from '@bluebellhill/domain'
+import { EventKind } from '@bluebellhill/protocol'
+
+import type { Metrics } from '../metrics/index.js'
+import type { TimeLine } from '../timeline/index.js'
+import { RefusedCall } from './errors.js'
+import { listen } from './listen.js'
+import { writeFailure } from './response.js'
+import type { EdgeCall, Route } from './Route.js'
+
+const HEADERS_TIMEOUT_MS = 10_000
+const MAX_HEADER_BYTES = 16_384
+const MAX_TARGET_LENGTH = 4_096
+
+/** Hands each call to its route and answers what goes wrong on the way. */
+export class CallerServer {
+  readonly #server: Server
+  readonly #routes: readonly Route[]
+  readonly #timeLine: TimeLine
+  readonly #metrics: Metrics
+
+  constructor (routes: readonly Route[], timeLine: TimeLine, metrics: Metrics) {
+    this.#routes = routes
+    this.#timeLine = timeLine
+    this.#metrics = metrics
+    this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, headersTimeout: HEADERS_TIMEOUT_MS }, (request, response) => {
+      void this.#handle(request, response)
+    })
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address - `ip:port`; port 0 takes a free one
+   * @returns the address in use
+   */
+  async listen (address: string): Promise<string> {
+    return await listen(this.#server, address)
+  }
+
+  /** Takes no new connection and closes the idle ones. */
+  stopListening (): void {
+    this.#server.close()
+    this.#server.closeIdleConnections()
+  }
+
+  dispose (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.on('error', () => {})
+    try {
+      const call = edgeCall(request, response)
+      await this.#routeOf(request.method ?? 'GET', call.path).handle(call)
+    } catch (error) {
+      this.#refuse(request, response, error)
+    }
+  }
+
+  #routeOf (method: string, path: string): Route {
+    const route = this.#routes.find((each) => each.matches(method, path))
+    if (route === undefined) throw new RefusedCall(OutcomeKind.UnknownRoute, `${method} ${path.slice(0, 100)}`)
+    return route
+  }
+
+  #refuse (request: IncomingMessage, response: ServerResponse, error: unknown): void {
+    const requestId = `req-${randomUUID()}`
+    const outcome = refusalOf(error)
+    this.#metrics.outcome(outcome.kind, outcome.ran)
+    this.#timeLine.record(EventKind.RequestRefused, {}, outcome.detail ?? '', { code: outcome.kind, ran: outcome.ran, retryAfter: outcome.retryAfter ?? null })
+    if (!request.complete) response.setHeader('connection', 'close')
+    writeFailure(response, outcome, requestId)
+    if (!request.complete) request.resume()
+  }
+}
+
+const edgeCall = (request: IncomingMessage, response: ServerResponse): EdgeCall => {
+  const target = request.url ?? '/'
+  if (target.length > MAX_TARGET_LENGTH) throw new RefusedCall(OutcomeKind.UnknownRoute, 'the path is too long')
+  const mark = target.indexOf('?')
+  const path = mark < 0 ? target : target.slice(0, mark)
+  return { request, response, path, query: mark < 0 ? '' : target.slice(mark) }
+}
+
+const refusalOf = (error: unknown): Outcome => {
+  if (!(error instanceof RefusedCall)) {
+    return { kind: OutcomeKind.Internal, ran: Ran.Unknown, detail: error instanceof Error ? error.message : 'unknown error' }
+  }
+  const outcome = { kind: error.kind, ran: Ran.No, detail: error.message }
+  return error.retryAfter === null ? outcome : { ...outcome, retryAfter: error.retryAfter }
+}
--- /dev/null
+++ b/packages/node/src/edge/HealthRoute.ts
@@ -0,0 +1,38 @@
+/** `/healthz`, `/readyz` and `/metrics`. */
+import type { Metrics } from '../metrics/index.js'
+import { writeJson } from './response.js'
+import { Route } from './Route.js'
+import type { EdgeCall } from './Route.js'
+
+/** Why the balancer should send nothing here, or null. */
+export type ReadinessCheck = () => string | null
+
+/** Answers the probes of the balancer and of the metrics collector. */
+export class HealthRoute extends Route {
+  readonly #unready: ReadinessCheck
+  readonly #metrics: Metrics
+
+  constructor (unready: ReadinessCheck, metrics: Metrics) {
+    super()
+    this.#unready = unready
+    this.#metrics = metrics
+  }
+
+  matches (method: string, path: string): boolean {
+    return method === 'GET' && ['/healthz', '/readyz', '/metrics'].includes(path)
+  }
+
+  async handle (call: EdgeCall): Promise<void> {
+    if (call.path === '/healthz') return writeJson(call.response, 200, { status: 'alive' })
+    if (call.path === '/readyz') return this.#readiness(call)
+    const text = await this.#metrics.text()
+    call.response.writeHead(200, { 'content-type': this.#metrics.contentType })
+    call.response.end(text)
+  }
+
+  #readiness (call: EdgeCall): void {
+    const reason = this.#unready()
+    if (reason === null) writeJson(call.response, 200, { status: 'ready' })
+    else writeJson(call.response, 503, { status: 'not ready', reason })
+  }
+}
--- a/packages/node/src/edge/response.ts
+++ b/packages/node/src/edge/response.ts
@@ -2,9 +2,7 @@
 import type { ServerResponse } from 'node:http'
 
 import type { Outcome } from '@bluebellhill/domain'
-import { codeOf, errorBody } from '@bluebellhill/protocol'
-
-const MS_PER_SECOND = 1_000
+import { codeOf, errorBody, errorHeaders } from '@bluebellhill/protocol'
 
 /**
  * Writes a JSON response and ends it.
@@ -29,8 +27,7 @@
  */
 export const writeFailure = (response: ServerResponse, outcome: Outcome, requestId: string): void => {
   if (response.destroyed || response.headersSent) return
-  if (outcome.retryAfter !== undefined) {
-    response.setHeader('retry-after', Math.max(1, Math.ceil(outcome.retryAfter / MS_PER_SECOND)))
-  }
-  writeJson(response, codeOf(outcome.kind).httpStatus, errorBody(outcome, requestId))
+  const headers = errorHeaders(outcome, requestId)
+  for (const [name, value] of Object.entries(headers)) response.setHeader(name, value)
+  writeJson(response, codeOf(outcome.kind).status, errorBody(outcome, requestId))
 }
--- a/packages/node/src/requests/Attempt.ts
+++ b/packages/node/src/requests/Attempt.ts
@@ -25,16 +25,23 @@
   readonly retryAfter: number | null
 }
 
+/** What became of a piece of the answer. */
+export const ChunkFate = {
+  /** Passed on; the caller keeps up. */
+  Flowing: 'flowing',
+  /** Passed on; `drained` is to be awaited before the next. */
+  Full: 'full',
+  /** Not passed on: the attempt is not wanted any more. */
+  Dropped: 'dropped'
+} as const
+export type ChunkFate = typeof ChunkFate[keyof typeof ChunkFate]
+
 /** What an attempt tells the request that it serves. */
 export interface AttemptListener {
   /** The first byte is about to leave. */
   sending (attempt: AttemptId): void
-  /**
-   * A piece of the answer came.
-   *
-   * @returns false where the attempt is not wanted any more
-   */
-  chunk (attempt: AttemptId, offset: Tokens, count: Tokens, text: string): boolean
+  /** A piece of the answer came. */
+  chunk (attempt: AttemptId, offset: Tokens, count: Tokens, text: string): ChunkFate
   /** A chunk of another request came on this attempt's stream. */
   crossed (attempt: AttemptId): void
   completed (attempt: AttemptId, end: AnswerEnd): void
--- a/packages/node/src/requests/CompletionAttempt.ts
+++ b/packages/node/src/requests/CompletionAttempt.ts
@@ -6,7 +6,7 @@
 import { z } from 'zod'
 
 import type { Usage } from '../edge/types.js'
-import { Attempt } from './Attempt.js'
+import { Attempt, ChunkFate } from './Attempt.js'
 import type { AttemptListener, AttemptOrder, Break } from './Attempt.js'
 import { EventSplitter } from './sse.js'
 
@@ -97,38 +97,38 @@
     for await (const bytes of body) {
       for (const data of this.#splitter.push(bytes)) {
         if (this.#ended) return
-        const flowing = this.#take(data)
-        if (!flowing) await this.#listener.drained()
+        const fate = this.#take(data)
+        if (fate === ChunkFate.Full) await this.#listener.drained()
       }
       if (this.#ended) return
     }
   }
 
-  #take (data: string): boolean {
+  #take (data: string): ChunkFate {
     if (data === END_MARK) {
       this.#endMark()
-      return true
+      return ChunkFate.Flowing
     }
     const parsed = chunkSchema.safeParse(JSON.parse(data))
     if (!parsed.success) throw new Error('chunk does not follow the protocol')
     return this.#takeChunk(parsed.data)
   }
 
-  #takeChunk (chunk: Chunk): boolean {
+  #takeChunk (chunk: Chunk): ChunkFate {
     if (chunk.error !== undefined) throw new Error(`engine error ${chunk.error.code ?? ''} ${chunk.error.message ?? ''}`)
     if (chunk.id !== this.#order.attempt) {
       this.#listener.crossed(this.#order.attempt)
-      return true
+      return ChunkFate.Flowing
     }
     if (chunk.usage != null) this.#usage = { promptTokens: chunk.usage.prompt_tokens, completionTokens: chunk.usage.completion_tokens }
     const choice = chunk.choices[0]
-    if (choice === undefined) return true
+    if (choice === undefined) return ChunkFate.Flowing
     if (choice.finish_reason != null) this.#finishReason = choice.finish_reason
-    return choice.text === '' ? true : this.#takeText(chunk.offset ?? this.#next, chunk.tokens ?? 1, choice.text)
+    return choice.text === '' ? ChunkFate.Flowing : this.#takeText(chunk.offset ?? this.#next, chunk.tokens ?? 1, choice.text)
   }
 
-  #takeText (offset: Tokens, count: Tokens, text: string): boolean {
-    if (offset + count <= this.#next) return true
+  #takeText (offset: Tokens, count: Tokens, text: string): ChunkFate {
+    if (offset + count <= this.#next) return ChunkFate.Flowing
     if (offset !== this.#next) throw new Error(`expected token ${this.#next}, got ${offset}`)
     this.#next += count
     return this.#listener.chunk(this.#order.attempt, offset, count, text)
--- a/packages/node/src/requests/CompletionSource.ts
+++ b/packages/node/src/requests/CompletionSource.ts
@@ -6,6 +6,7 @@
 import { monotonicNow } from '../clock/monotonic.js'
 import type { CompletionCall } from '../edge/types.js'
 import type { AnswerEnd } from './Answer.js'
+import { ChunkFate } from './Attempt.js'
 import type { Attempt, AttemptListener, AttemptOrder } from './Attempt.js'
 import { CompletionAttempt } from './CompletionAttempt.js'
 import { AttemptSource } from './ports.js'
@@ -44,6 +45,8 @@
   readonly #sent: string[] = []
   /** Tokens that the caller had when the current attempt was first sent. */
   #base: Tokens = 0
+  /** The text of those tokens. */
+  #before = ''
 
   constructor (spec: RequestSpec, call: CompletionCall, engines: EngineSource, estimator: TokenEstimator) {
     super()
@@ -54,7 +57,7 @@
   }
 
   create (order: AttemptOrder, listener: AttemptListener): Attempt {
-    if (order.mode !== SendMode.Resume) this.#base = order.generated
+    if (order.mode !== SendMode.Resume) this.#rebase(order)
     const start = order.mode === SendMode.Resume ? order.generated - this.#base : 0
     const timeout = Math.max(1, Math.ceil(this.#spec.deadline - monotonicNow()))
     const engine = this.#engines(order.address)
@@ -73,7 +76,7 @@
       model,
       version: version ?? undefined,
       adapter: adapter ?? undefined,
-      prompt: this.#call.prompt + this.#sentBefore(order),
+      prompt: this.#call.prompt + this.#before,
       max_tokens: this.#spec.maxTokens - this.#base,
       stream: true,
       request_id: order.attempt,
@@ -82,17 +85,18 @@
     })
   }
 
-  #sentBefore (order: AttemptOrder): string {
-    return order.mode === SendMode.Continue ? this.#sent.join('') : ''
+  #rebase (order: AttemptOrder): void {
+    this.#base = order.generated
+    this.#before = this.#sent.join('')
   }
 
   #keepText (listener: AttemptListener): AttemptListener {
     return {
       sending: (attempt) => listener.sending(attempt),
       chunk: (attempt, offset, count, text) => {
-        const accepted = listener.chunk(attempt, offset, count, text)
-        this.#sent.push(text)
-        return accepted
+        const fate = listener.chunk(attempt, offset, count, text)
+        if (fate !== ChunkFate.Dropped) this.#sent.push(text)
+        return fate
       },
       crossed: (attempt) => listener.crossed(attempt),
       completed: (attempt, end) => this.#completed(listener, attempt, end),
--- a/packages/node/src/requests/RequestSession.ts
+++ b/packages/node/src/requests/RequestSession.ts
@@ -8,6 +8,7 @@
 import { monotonicNow } from '../clock/monotonic.js'
 import { ActiveAttempt } from './ActiveAttempt.js'
 import type { Answer, AnswerEnd } from './Answer.js'
+import { ChunkFate } from './Attempt.js'
 import type { AttemptListener, Break } from './Attempt.js'
 import type { OrderResult } from './OrderDesk.js'
 import type { AttemptSource, SessionPorts } from './ports.js'
@@ -66,16 +67,16 @@
     this.#handle({ type: 'sending', attempt })
   }
 
-  chunk (attempt: AttemptId, offset: Tokens, count: Tokens, text: string): boolean {
+  chunk (attempt: AttemptId, offset: Tokens, count: Tokens, text: string): ChunkFate {
     const now = monotonicNow()
     const dropped = this.#request.accept(attempt, offset, count, now)
     if (dropped !== 0) {
       this.#dropped(attempt, DropCause.Late, offset)
-      return false
+      return ChunkFate.Dropped
     }
     if (this.#firstTokenAt === null) this.#markFirstToken(attempt, now)
     this.#ports.metrics.relayed(count, text.length)
-    return this.#answer.text(text)
+    return this.#answer.text(text) ? ChunkFate.Flowing : ChunkFate.Full
   }
 
   crossed (attempt: AttemptId): void {
