--- /dev/null
+++ b/packages/node/tests/metrics.test.ts
@@ -0,0 +1,82 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { build, decodeFromCompressedBase64 } from 'hdr-histogram-js'
+import { OutcomeKind, Ran } from '@bluebellhill/domain'
+import { DropCause, HistogramName } from '@bluebellhill/protocol'
+
+import { HIGHEST_VALUE, Metrics, histogramsReply, lengthClassOf } from '../src/index.js'
+import type { FailureDomain } from '@bluebellhill/domain'
+
+const measured = fc.record({ promptTokens: fc.integer({ min: 1, max: 2_000_000 }), elapsed: fc.integer({ min: 0, max: HIGHEST_VALUE }) })
+
+test('histograms of several nodes add up to those of one that saw everything', (t) => {
+  fc.assert(fc.property(fc.array(fc.array(measured, { maxLength: 30 }), { minLength: 1, maxLength: 4 }), (nodes) => {
+    const whole = new Metrics()
+    const parts = nodes.map((values) => {
+      const metrics = new Metrics()
+      for (const value of values) {
+        metrics.firstToken(value.promptTokens, value.elapsed)
+        whole.firstToken(value.promptTokens, value.elapsed)
+      }
+      return metrics.encoded()
+    })
+    return whole.encoded().every((expected) => {
+      const sum = build({ highestTrackableValue: HIGHEST_VALUE, numberOfSignificantValueDigits: 2 })
+      for (const part of parts.flat().filter((encoded) => encoded.length === expected.length)) sum.add(decodeFromCompressedBase64(part.encoded))
+      const all = decodeFromCompressedBase64(expected.encoded)
+      return sum.totalCount === expected.count && [50, 95, 99].every((quantile) => sum.getValueAtPercentile(quantile) === all.getValueAtPercentile(quantile))
+    })
+  }), { seed: 651, numRuns: 100 })
+  t.pass()
+})
+
+test('any figure is recorded without an error', (t) => {
+  fc.assert(fc.property(fc.double(), fc.double(), fc.double(), (promptTokens, elapsed, expected) => {
+    const metrics = new Metrics()
+    metrics.firstToken(promptTokens, elapsed)
+    metrics.queueDelay(promptTokens, elapsed)
+    metrics.slowdown(promptTokens, elapsed, expected)
+    return metrics.encoded().every((histogram) => histogram.count === 1)
+  }), { seed: 652, numRuns: 300 })
+  t.pass()
+})
+
+test('prompts fall into the length classes by their bounds', (t) => {
+  t.deepEqual([1, 4_000, 4_001, 32_000, 100_000, 100_001, 1_048_576, 5_000_000].map(lengthClassOf),
+    ['under_4k', 'under_4k', '4k_32k', '4k_32k', '32k_100k', '100k_1m', '100k_1m', '100k_1m'])
+})
+
+test('only short requests count towards the slowdown', (t) => {
+  const metrics = new Metrics()
+  metrics.slowdown(4_000, 240, 200)
+  metrics.slowdown(4_001, 240, 200)
+  const [slowdown] = metrics.encoded()
+  t.is(slowdown?.name, HistogramName.ShortSlowdown)
+  t.is(slowdown?.count, 1)
+  const value = decodeFromCompressedBase64(slowdown!.encoded).getValueAtPercentile(50)
+  t.true(Math.abs(value - 1_200) <= 12)
+})
+
+test('the Prometheus text and the admin answer carry every counter', async (t) => {
+  const metrics = new Metrics()
+  metrics.outcome(OutcomeKind.Overloaded, Ran.No)
+  metrics.outcome(OutcomeKind.Overloaded, Ran.No)
+  metrics.attempt('fresh')
+  metrics.dropped(DropCause.Late)
+  metrics.storeCall('txn', 'ok')
+  metrics.order('granted')
+  metrics.relayed(7, 100)
+  metrics.firstToken(100, 250)
+  metrics.gauge('requests_in_progress', 'Requests in progress', () => 4)
+  const text = await metrics.text()
+  t.true(text.includes('bluebellhill_requests_total{code="overloaded",number="1203",ran="no"} 2\n'))
+  t.true(text.includes('bluebellhill_answers_dropped_total{cause="late"} 1\n'))
+  t.true(text.includes('bluebellhill_generated_tokens_total 7\n'))
+  t.true(text.includes('bluebellhill_requests_in_progress 4\n'))
+  t.regex(text, /bluebellhill_first_token_seconds\{length="under_4k",quantile="0.95"\} 0\.25\d?\n/)
+  const reply = await histogramsReply(metrics, 'n1', 'sohar' as FailureDomain, 5)
+  t.deepEqual(reply.counters.find((counter) => counter.name === 'bluebellhill_store_calls_total'), {
+    name: 'bluebellhill_store_calls_total', labels: { operation: 'txn', result: 'ok' }, value: 1
+  })
+  t.is(reply.histograms.length, 1)
+})
--- a/packages/protocol/src/codes/index.ts
+++ b/packages/protocol/src/codes/index.ts
@@ -1,3 +1,4 @@
 export * from './types.js'
 export * from './resultCodes.js'
 export * from './errorBody.js'
+export * from './document.js'
