Add the command line's views of the fleet: status, top, timeline, explain, drain, codes

An operator had no way to read what the nodes record. The actions ask every node's admin address, merge the answers by stamp and name the nodes that did not answer. citty passes over options that it does not know and colours help in a pipe; the frame checks options itself (exit code 2, with what to do next) and turns colours off outside a terminal. The page is drawn as static SVG: a script was ruled out, since a page that is mailed around should be safe to open.

--- /dev/null
+++ b/packages/cli/src/actions/status.ts
@@ -0,0 +1,77 @@
+import { defineCommand } from 'citty'
+import { AdminPath, MemberState, NodeState } from '@bluebellhill/protocol'
+import type { StatusReply } from '@bluebellhill/protocol'
+
+import { FLEET_ARGS, askFleet, durationOption, findingsOf, nodesOf, showView } from '../fleet/index.js'
+import type { FleetAnswer } from '../fleet/index.js'
+import { Tone, formatDuration, outputPainter, runAction, tableOf } from '../terminal/index.js'
+import type { ActionMeta } from '../terminal/index.js'
+
+const META: ActionMeta = {
+  name: 'status',
+  description: 'Show every node and what stands out',
+  examples: [
+    'bluebellhill status --nodes 10.0.0.1:7401,10.0.0.2:7401',
+    'bluebellhill status --watch',
+    'bluebellhill status --json | jq .findings'
+  ]
+}
+
+const BYTES_PER_MEGABYTE = 1_000_000
+
+const HEADER = ['NODE', 'DOMAIN', 'STATE', 'UP', 'REQUESTS', 'QUEUED', 'MEMBERS', 'CONFIG', 'LEASES', 'MEMORY']
+
+const rowOf = (status: StatusReply): string[] => {
+  const alive = status.members.filter((member) => member.state === MemberState.Alive).length
+  const fleet = status.configurations.find((value) => value.organisation === null)
+  const tone = status.state === NodeState.Ready ? Tone.Good : Tone.Warning
+  return [
+    status.node,
+    status.failureDomain,
+    outputPainter()(tone, status.state),
+    formatDuration(status.uptime),
+    String(status.requestsInProgress),
+    String(status.ordersQueued),
+    `${alive} of ${status.members.length}`,
+    fleet?.revision ?? '-',
+    status.leases.map((lease) => lease.lease).join(',') || '-',
+    `${Math.round(status.memoryBytes / BYTES_PER_MEGABYTE)} MB`
+  ]
+}
+
+const compareStatus = (left: StatusReply, right: StatusReply): number =>
+  left.failureDomain.localeCompare(right.failureDomain) || left.node.localeCompare(right.node)
+
+const textOf = ({ answers, silent }: FleetAnswer<StatusReply>): string => {
+  const paint = outputPainter()
+  const nodes = answers.map(({ reply }) => reply).sort(compareStatus)
+  const findings = [
+    ...silent.map((node) => paint(Tone.Bad, `${node.address} did not answer: ${node.reason}`)),
+    ...findingsOf(nodes).map((finding) => paint(Tone.Warning, finding))
+  ]
+  const summary = findings.length === 0 ? [paint(Tone.Good, 'Nothing stands out.')] : findings
+  return [tableOf(HEADER, nodes.map(rowOf), paint), '', ...summary].join('\n')
+}
+
+const jsonOf = ({ answers, silent }: FleetAnswer<StatusReply>, indent: number): string => {
+  const nodes = answers.map(({ address, reply }) => ({ address, ...reply }))
+  return JSON.stringify({ nodes, silent, findings: findingsOf(nodes) }, null, indent)
+}
+
+/** Shows the status of all nodes. */
+export const status = defineCommand({
+  meta: META,
+  args: {
+    ...FLEET_ARGS,
+    watch: { type: 'boolean', description: 'show it again every two seconds', default: false }
+  },
+  run: ({ args }) => runAction(args, async () => {
+    const nodes = nodesOf(args.nodes, process.env)
+    const timeout = durationOption('timeout', args.timeout)
+    const indent = args.watch ? 0 : 2
+    await showView(args.watch, async () => {
+      const answer = await askFleet<StatusReply>(nodes, { path: AdminPath.Status, timeout })
+      return args.json ? jsonOf(answer, indent) : textOf(answer)
+    })
+  })
+})
--- /dev/null
+++ b/packages/cli/src/actions/top.ts
@@ -0,0 +1,80 @@
+import { defineCommand } from 'citty'
+import { AdminPath, RunnerState } from '@bluebellhill/protocol'
+import type { RunnerStatus, RunnersReply } from '@bluebellhill/protocol'
+
+import { FLEET_ARGS, askFleet, durationOption, nodesOf, showView, warnOfSilent } from '../fleet/index.js'
+import type { FleetAnswer } from '../fleet/index.js'
+import { Tone, formatDuration, outputPainter, runAction, tableOf } from '../terminal/index.js'
+import type { ActionMeta } from '../terminal/index.js'
+
+const META: ActionMeta = {
+  name: 'top',
+  description: 'Show the runners, the fullest first',
+  examples: ['bluebellhill top --watch', 'bluebellhill top --json | jq ".runners[] | select(.state != \\"ready\\")"']
+}
+
+interface DispatchedRunner extends RunnerStatus {
+  readonly dispatcher: string
+}
+
+const PERCENT = 100
+
+const fillOf = (runner: RunnerStatus): number => runner.totalTokens === 0 ? 0 : 1 - runner.freeTokens / runner.totalTokens
+
+const runnersOf = ({ answers }: FleetAnswer<RunnersReply>): DispatchedRunner[] => answers
+  .flatMap(({ reply }) => reply.runners.map((runner) => ({ ...runner, dispatcher: reply.node })))
+  .sort((left, right) => fillOf(right) - fillOf(left) || left.runner.localeCompare(right.runner))
+
+const HEADER = ['RUNNER', 'DOMAIN', 'STATE', 'MODEL', 'VERSION', 'ROLE', 'RUNNING', 'WAITING', 'MEMORY', 'PREFILL/S', 'DECODE/S', 'REPORT', 'DISPATCHER']
+
+const rowOf = (runner: DispatchedRunner): string[] => [
+  runner.runner,
+  runner.failureDomain,
+  outputPainter()(runner.state === RunnerState.Ready ? Tone.Good : Tone.Warning, runner.state),
+  runner.model ?? '-',
+  runner.version ?? '-',
+  runner.role,
+  `${runner.running} of ${runner.slots}`,
+  String(runner.waiting),
+  `${Math.round(fillOf(runner) * PERCENT)}%`,
+  String(Math.round(runner.prefillRate)),
+  String(Math.round(runner.decodeRate)),
+  runner.reportAge === null ? 'none yet' : `${formatDuration(runner.reportAge)} old`,
+  runner.dispatcher
+]
+
+/** Runners that more than one node dispatches, as may be for a moment after a take-over. */
+const sharedRunners = (runners: readonly DispatchedRunner[]): string[] => {
+  const counts = new Map<string, number>()
+  for (const { runner } of runners) counts.set(runner, (counts.get(runner) ?? 0) + 1)
+  return [...counts].filter(([, count]) => count > 1).map(([runner]) => runner)
+}
+
+const textOf = (runners: readonly DispatchedRunner[]): string => {
+  const paint = outputPainter()
+  const shared = sharedRunners(runners)
+  const note = shared.length === 0 ? [] : ['', paint(Tone.Warning, `More than one node dispatches ${shared.join(', ')}; this passes within seconds of a take-over, and lasts while failure domains are cut off.`)]
+  if (runners.length === 0) return 'No node dispatches any runner: look at "bluebellhill status" and at the VM list.'
+  return [tableOf(HEADER, runners.map(rowOf), paint), ...note].join('\n')
+}
+
+/** Shows the runners. */
+export const top = defineCommand({
+  meta: META,
+  args: {
+    ...FLEET_ARGS,
+    watch: { type: 'boolean', description: 'show it again every two seconds', default: false }
+  },
+  run: ({ args }) => runAction(args, async () => {
+    const nodes = nodesOf(args.nodes, process.env)
+    const timeout = durationOption('timeout', args.timeout)
+    const indent = args.watch ? 0 : 2
+    await showView(args.watch, async () => {
+      const answer = await askFleet<RunnersReply>(nodes, { path: AdminPath.Runners, timeout })
+      const runners = runnersOf(answer)
+      if (args.json) return JSON.stringify({ runners, silent: answer.silent }, null, indent)
+      warnOfSilent(answer.silent)
+      return textOf(runners)
+    })
+  })
+})
--- /dev/null
+++ b/packages/cli/src/fleet/findings.ts
@@ -0,0 +1,54 @@
+/** What stands out in the status of all nodes. */
+import { MemberState, NodeState } from '@bluebellhill/protocol'
+import type { StatusReply } from '@bluebellhill/protocol'
+
+import { formatTime, plural } from '../terminal/index.js'
+
+const compareText = (left: string, right: string): number => left < right ? -1 : Number(left > right)
+
+const groupBy = <Item>(items: readonly Item[], keyOf: (item: Item) => string): Array<[string, Item[]]> => {
+  const groups = new Map<string, Item[]>()
+  for (const item of items) groups.set(keyOf(item), [...groups.get(keyOf(item)) ?? [], item])
+  return [...groups].sort(([left], [right]) => compareText(left, right))
+}
+
+const states = (nodes: readonly StatusReply[]): string[] => nodes
+  .filter((status) => status.state !== NodeState.Ready)
+  .map((status) => `${status.node} is ${status.state}, with ${plural(status.requestsInProgress, 'request')} in progress`)
+
+const members = (nodes: readonly StatusReply[]): string[] => {
+  const views = nodes.flatMap((status) => status.members.map((member) => ({ seer: status.node, ...member })))
+  return groupBy(views.filter((view) => view.state !== MemberState.Alive), (view) => `${view.node} ${view.state}`)
+    .map(([, group]) => `${group[0]!.node} (${group[0]!.failureDomain}) is ${group[0]!.state} for ${group.map((view) => view.seer).join(', ')}`)
+}
+
+const platform = (nodes: readonly StatusReply[]): string[] => {
+  const views = nodes.flatMap((status) => status.platform.map((service) => ({ seer: status.node, ...service })))
+  return groupBy(views.filter((view) => !view.available), (view) => view.service).map(([service, group]) => {
+    const since = Math.min(...group.map((view) => view.since))
+    return `the ${service} does not answer ${group.map((view) => view.seer).join(', ')} since ${formatTime(since)} UTC`
+  })
+}
+
+const configurations = (nodes: readonly StatusReply[]): string[] => {
+  const views = nodes.flatMap((status) => status.configurations.map((value) => ({ seer: status.node, ...value })))
+  return groupBy(views, (view) => view.organisation ?? '').flatMap(([organisation, group]) => {
+    const revisions = groupBy(group, (view) => view.revision)
+    if (revisions.length < 2) return []
+    const parts = revisions.map(([revision, seers]) => `${revision} on ${seers.map((view) => view.seer).join(', ')}`)
+    return [`the configuration of ${organisation === '' ? 'the fleet' : organisation} differs: revision ${parts.join('; ')}`]
+  })
+}
+
+const clocks = (nodes: readonly StatusReply[]): string[] => nodes
+  .filter((status) => status.distrustedStamps > 0)
+  .map((status) => `${status.node} met ${plural(status.distrustedStamps, 'stamp')} of peers whose clock is far ahead; the time line names them as clock_distrusted`)
+
+/**
+ * Finds what an operator should look at.
+ *
+ * @param nodes - the status of each node that answered
+ * @returns one sentence for each finding; none where all is as it should be
+ */
+export const findingsOf = (nodes: readonly StatusReply[]): string[] =>
+  [states, members, platform, configurations, clocks].flatMap((find) => find(nodes))
--- /dev/null
+++ b/packages/cli/src/fleet/index.ts
@@ -0,0 +1,5 @@
+export * from './nodes.js'
+export * from './adminClient.js'
+export * from './args.js'
+export * from './watch.js'
+export * from './findings.js'
--- /dev/null
+++ b/packages/cli/src/fleet/nodes.ts
@@ -0,0 +1,41 @@
+/** Addresses of the nodes that an action asks. */
+import { isIPv4, isIPv6 } from 'node:net'
+
+import { ActionError, ExitCode } from '../terminal/index.js'
+
+/** Environment variable with the nodes' admin addresses, where `--nodes` is not given. */
+export const NODES_VARIABLE = 'BLUEBELLHILL_NODES'
+
+/** Environment variable with the secret of the admin addresses. */
+export const ADMIN_SECRET_VARIABLE = 'BLUEBELLHILL_ADMIN_SECRET'
+
+const MAX_PORT = 65_535
+const FORM = 'such as 10.0.0.1:7401,10.0.0.2:7401'
+
+const isAddress = (text: string): boolean => {
+  const colon = text.lastIndexOf(':')
+  const host = text.slice(0, colon).replace(/^\[(.*)\]$/, '$1')
+  const port = Number(text.slice(colon + 1))
+  return colon > 0 && (isIPv4(host) || isIPv6(host)) && Number.isInteger(port) && port > 0 && port <= MAX_PORT
+}
+
+/**
+ * Reads the admin addresses to ask.
+ *
+ * @param option - the value of `--nodes`
+ * @param environment - the environment's variables
+ * @returns the addresses, each `ip:port` and each once
+ * @throws ActionError where there are none, or one is not an IP number with a port
+ */
+export const nodesOf = (option: string | undefined, environment: Readonly<Record<string, string | undefined>>): string[] => {
+  const text = option ?? environment[NODES_VARIABLE] ?? ''
+  const addresses = [...new Set(text.split(',').map((part) => part.trim()).filter((part) => part !== ''))]
+  if (addresses.length === 0) {
+    throw new ActionError(ExitCode.Usage, 'no nodes were named', `give their admin addresses with --nodes or ${NODES_VARIABLE}, ${FORM}`)
+  }
+  const wrong = addresses.find((address) => !isAddress(address))
+  if (wrong !== undefined) {
+    throw new ActionError(ExitCode.Usage, `"${wrong}" is not an admin address`, `write each as an IP number and a port, ${FORM}`)
+  }
+  return addresses
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,7 +1,8 @@
 /** The operator's command line. */
-import { defineCommand, runMain } from 'citty'
+import { defineCommand } from 'citty'
 
 import { ACTIONS } from './actions/index.js'
+import { runCommandLine } from './terminal/index.js'
 
 const main = defineCommand({
   meta: { name: 'bluebellhill', description: 'Operate a bluebellhill fleet' },
@@ -13,6 +14,4 @@
  *
  * @param args - the words after the program's name
  */
-export const run = async (args: string[]): Promise<void> => {
-  await runMain(main, { rawArgs: args })
-}
+export const run = (args: string[]): Promise<void> => runCommandLine(main, ACTIONS, args)
--- /dev/null
+++ b/packages/cli/src/terminal/index.ts
@@ -0,0 +1,5 @@
+export * from './errors.js'
+export * from './style.js'
+export * from './format.js'
+export * from './usage.js'
+export * from './runCommandLine.js'
--- /dev/null
+++ b/packages/cli/src/terminal/runCommandLine.ts
@@ -0,0 +1,63 @@
+/** Finds the action that was named, checks its options and runs it. */
+import { runCommand } from 'citty'
+import type { ArgsDef } from 'citty'
+
+import type { Action } from '../types.js'
+import { ActionError, ExitCode, runAction } from './errors.js'
+import { usageOf } from './usage.js'
+
+const HELP_WORDS: ReadonlySet<string> = new Set(['--help', '-h', 'help'])
+
+const isHelp = (args: readonly string[]): boolean => args.some((arg) => HELP_WORDS.has(arg))
+
+const optionName = (arg: string): string => arg.replace(/^--(no-)?/, '').replace(/=.*$/, '')
+
+/** Options that the action does not know; citty would pass over them without a word. */
+const unknownOption = (action: Action, args: readonly string[]): string | undefined => {
+  const known = new Set(Object.entries((action.args ?? {}) as ArgsDef).flatMap(([name, arg]) => {
+    const alias = 'alias' in arg ? arg.alias ?? [] : []
+    return [name, ...(Array.isArray(alias) ? alias : [alias])]
+  }))
+  const end = args.indexOf('--')
+  const options = (end < 0 ? args : args.slice(0, end)).filter((arg) => arg.startsWith('--'))
+  return options.find((arg) => !known.has(optionName(arg)))
+}
+
+const isUsageFault = (error: unknown): error is Error => error instanceof Error && error.name === 'CLIError'
+
+const runNamed = async (name: string, action: Action, args: string[]): Promise<void> => {
+  const help = `see "bluebellhill ${name} --help"`
+  const wrong = unknownOption(action, args)
+  if (wrong !== undefined) throw new ActionError(ExitCode.Usage, `"${name}" has no option "${wrong}"`, help)
+  try {
+    await runCommand(action, { rawArgs: args })
+  } catch (error) {
+    if (isUsageFault(error)) throw new ActionError(ExitCode.Usage, error.message, help)
+    throw error
+  }
+}
+
+const dispatch = async (main: Action, actions: Readonly<Record<string, Action>>, args: string[]): Promise<void> => {
+  const [name, ...rest] = args
+  const action = name === undefined || !Object.hasOwn(actions, name) ? undefined : actions[name]
+  if (name !== undefined && action === undefined && !isHelp([name])) {
+    throw new ActionError(ExitCode.Usage, `there is no action "${name}"`, `use one of ${Object.keys(actions).join(', ')}; "bluebellhill --help" tells what each does`)
+  }
+  if (action === undefined || isHelp(rest)) {
+    const named = action ?? actions[rest[0] ?? '']
+    process.stdout.write(named === undefined ? await usageOf(main) : await usageOf(named, main))
+    if (name === undefined) process.exitCode = ExitCode.Usage
+    return
+  }
+  await runNamed(name!, action, rest)
+}
+
+/**
+ * Runs the command line. A wrong use sets exit code 2 and names what to do next.
+ *
+ * @param main - the command with all actions, for its help
+ * @param actions - the actions by name
+ * @param args - the words after the program's name
+ */
+export const runCommandLine = (main: Action, actions: Readonly<Record<string, Action>>, args: string[]): Promise<void> =>
+  runAction({ json: args.includes('--json') }, () => dispatch(main, actions, args))
--- /dev/null
+++ b/packages/cli/src/timeline/explain.ts
@@ -0,0 +1,135 @@
+/** Turns the events of one request into a few sentences. */
+import { EventKind, codeOf, wallOf } from '@bluebellhill/protocol'
+import type { EventOf, ResultCode, TimeLineEvent } from '@bluebellhill/protocol'
+
+import type { SilentNode } from '../fleet/index.js'
+import { formatCount, formatDuration, formatTime, plural } from '../terminal/index.js'
+
+/** What the command line says of a request. */
+export interface Explanation {
+  /** What happened, in order. */
+  readonly sentences: readonly string[]
+  /** What an operator may do; absent where the request was answered. */
+  readonly advice: string | null
+  /** Parts of the path that could not be read. */
+  readonly gaps: readonly string[]
+}
+
+const RAN_WORDS: Readonly<Record<string, string>> = {
+  no: 'it did not run',
+  yes: 'it ran',
+  unknown: 'it may have run'
+}
+
+const because = (reason: string): string => reason === '' ? '.' : `: ${reason.replace(/\.$/, '')}.`
+
+const runnerOf = (event: TimeLineEvent): string => event.runner ?? 'an unnamed runner'
+
+const codeText = (kind: string): string => {
+  const code: ResultCode | undefined = codeOf(kind as ResultCode['name'])
+  return code === undefined ? kind : `${code.name} (${code.number})`
+}
+
+const admitted = (event: EventOf<typeof EventKind.RequestAdmitted>): string => {
+  const { model, promptTokens, maxTokens, limit, idempotent } = event.payload
+  const once = idempotent ? '' : ' It may be sent to a backend server once only.'
+  return `Node ${event.node} admitted it for organisation ${event.organisation ?? '(none)'} at ${formatTime(wallOf(event.stamp))} UTC: ` +
+    `model ${model}, ${plural(promptTokens, 'prompt token')}, up to ${formatCount(maxTokens)} new ones, to be answered within ${formatDuration(limit)}.${once}`
+}
+
+const granted = (event: EventOf<typeof EventKind.OrderGranted>): string => {
+  const group = event.payload.group ?? []
+  const what = group.length > 0 ? `the group ${group.join(', ')}` : `runner ${runnerOf(event)}`
+  return `Dispatcher ${event.node} granted ${what} after ${formatDuration(event.payload.queueDelay)} in its queue${because(event.reason)}`
+}
+
+const refused = (event: EventOf<typeof EventKind.RequestRefused>): string => {
+  const { code, ran, retryAfter } = event.payload
+  const retry = retryAfter === null || retryAfter === undefined ? '' : ` The caller was told to come back in ${formatDuration(retryAfter)}.`
+  return `Node ${event.node} refused it as ${codeText(code)}; ${RAN_WORDS[ran] ?? ran}${because(event.reason)}${retry}`
+}
+
+const finished = (event: EventOf<typeof EventKind.RequestFinished>): string => {
+  const { code, ran, generated, duration, attempts } = event.payload
+  const cost = `${plural(generated, 'token')} in ${plural(attempts, 'attempt')}`
+  if (code === 'answered') return `It was answered whole after ${formatDuration(duration)}: ${cost}.`
+  return `It ended after ${formatDuration(duration)} as ${codeText(code)}; ${RAN_WORDS[ran] ?? ran} (${cost})${because(event.reason)}`
+}
+
+type Teller<Kind extends EventKind> = (event: EventOf<Kind>) => string | null
+
+const silence = (): null => null
+
+/** How each kind is told; null where another event tells it already or it is not about a request. */
+const TELLERS: { readonly [Kind in EventKind]: Teller<Kind> } = {
+  [EventKind.RequestAdmitted]: admitted,
+  [EventKind.RequestRefused]: refused,
+  [EventKind.RequestFinished]: finished,
+  [EventKind.KeyClaimed]: (event) => `The register answered its Idempotency-Key with "${event.payload.state}" after ${formatDuration(event.payload.duration)}${because(event.reason)}`,
+  [EventKind.OrderSought]: silence,
+  [EventKind.OrderQueued]: silence,
+  [EventKind.OrderGranted]: granted,
+  [EventKind.OrderRefused]: (event) => `Dispatcher ${event.node} refused the order as ${codeText(event.payload.code)}${because(event.reason)}`,
+  [EventKind.DispatcherLost]: (event) => `Dispatcher ${event.payload.dispatcher} was lost${because(event.reason)}`,
+  [EventKind.AttemptSent]: silence,
+  [EventKind.FirstToken]: (event) => `Runner ${runnerOf(event)} sent the first token ${formatDuration(event.payload.elapsed)} after admission.`,
+  [EventKind.AttemptBroken]: (event) => `The attempt on runner ${runnerOf(event)} broke after ${plural(event.payload.generated, 'token')}${because(event.reason)}`,
+  [EventKind.AttemptCompleted]: silence,
+  [EventKind.AttemptResumed]: (event) => `It was resumed on runner ${runnerOf(event)} at token ${formatCount(event.payload.offset)}.`,
+  [EventKind.AttemptContinued]: (event) => `It was continued on runner ${runnerOf(event)} from token ${formatCount(event.payload.offset)}.`,
+  [EventKind.AttemptCancelled]: (event) => `The attempt on runner ${runnerOf(event)} was cancelled${because(event.reason)}`,
+  [EventKind.AttemptRecalled]: (event) => `Dispatcher ${event.payload.dispatcher} called the attempt on runner ${runnerOf(event)} back${because(event.reason)}`,
+  [EventKind.AnswerDropped]: (event) => `A ${event.payload.cause} answer of runner ${runnerOf(event)} was dropped${because(event.reason)}`,
+  [EventKind.GrantLapsed]: (event) => `Dispatcher ${event.node} let the grant on runner ${runnerOf(event)} lapse${because(event.reason)}`,
+  [EventKind.OrphanFreed]: (event) => `Node ${event.node} freed ${plural(event.payload.heldTokens, 'token')} of memory on runner ${runnerOf(event)}${because(event.reason)}`,
+  [EventKind.RunnerTakenOver]: silence,
+  [EventKind.RunnerChanged]: silence,
+  [EventKind.MemberChanged]: silence,
+  [EventKind.ClockDistrusted]: silence,
+  [EventKind.ConfigurationInstalled]: silence,
+  [EventKind.LeaseWon]: silence,
+  [EventKind.LeaseLost]: silence,
+  [EventKind.EngineOrdered]: silence,
+  [EventKind.PlatformChanged]: silence,
+  [EventKind.NodeStarted]: silence,
+  [EventKind.NodeStopping]: silence,
+  [EventKind.NodeStopped]: silence
+}
+
+const tell = (event: TimeLineEvent): string | null => (TELLERS[event.kind] as Teller<EventKind>)(event as EventOf<EventKind>)
+
+const isEnd = (event: TimeLineEvent): boolean => event.kind === EventKind.RequestFinished || event.kind === EventKind.RequestRefused
+
+const endCode = (event: TimeLineEvent | undefined): ResultCode | undefined => {
+  if (event?.kind !== EventKind.RequestFinished && event?.kind !== EventKind.RequestRefused) return undefined
+  return codeOf(event.payload.code)
+}
+
+const latest = (events: readonly TimeLineEvent[]): string => {
+  const last = events[events.length - 1]
+  return last === undefined ? '' : ` The last event held is ${last.kind} on node ${last.node} at ${formatTime(wallOf(last.stamp))} UTC.`
+}
+
+const gapsOf = (events: readonly TimeLineEvent[], silent: readonly SilentNode[]): string[] => {
+  const starts = events.some((event) => event.kind === EventKind.RequestAdmitted || event.kind === EventKind.RequestRefused)
+  const ends = events.some(isEnd)
+  const gaps: string[] = []
+  if (!starts) gaps.push('No node holds its beginning: the ring has overwritten it, or the node that admitted it did not answer.')
+  if (!ends) gaps.push(`No node holds its end: it is in progress, or the node that admitted it has stopped or did not answer.${latest(events)}`)
+  if (silent.length > 0) gaps.push(`Did not answer: ${silent.map((node) => node.address).join(', ')}; their part of the path is missing.`)
+  return gaps
+}
+
+/**
+ * Explains one request.
+ *
+ * @param events - the events of this request, in order
+ * @param silent - the nodes that did not answer
+ * @returns what happened, what to do and what could not be read
+ */
+export const explain = (events: readonly TimeLineEvent[], silent: readonly SilentNode[]): Explanation => {
+  const sentences = events.flatMap((event) => tell(event) ?? [])
+  const code = endCode(events.findLast(isEnd))
+  const needsAdvice = code !== undefined && code.name !== 'answered'
+  return { sentences, advice: needsAdvice ? code.operator : null, gaps: gapsOf(events, silent) }
+}
--- /dev/null
+++ b/packages/cli/src/timeline/html/overview.ts
@@ -0,0 +1,126 @@
+/** The overview of the page: one lane for each process, grouped by failure domain. */
+import { wallOf } from '@bluebellhill/protocol'
+import type { TimeLineEvent } from '@bluebellhill/protocol'
+
+import { Tone, formatTime } from '../../terminal/index.js'
+import type { LaneNode } from '../gather.js'
+import { toneOf } from '../text.js'
+import { element } from './markup.js'
+import type { Markup } from './markup.js'
+
+const WIDTH = 1_200
+const LABEL_WIDTH = 170
+const LANE_HEIGHT = 34
+const DOMAIN_HEIGHT = 22
+const AXIS_HEIGHT = 24
+const RIGHT_MARGIN = 16
+const TICKS = 6
+
+/** Marks of one tone closer than this share one mark, in pixels. */
+const MARK_STEP = 3
+
+const CLASS_OF: Readonly<Record<Tone, string>> = {
+  [Tone.Good]: 'good',
+  [Tone.Warning]: 'warning',
+  [Tone.Bad]: 'bad',
+  [Tone.Notice]: 'notice',
+  [Tone.Faint]: 'ordinary',
+  [Tone.Strong]: 'ordinary'
+}
+
+/** Height of a mark's row within its lane, in pixels, so that grave ones are never covered. */
+const ROW_OF: Readonly<Record<string, number>> = { bad: 6, warning: 12, notice: 18, good: 24, ordinary: 29 }
+
+/**
+ * Names the style of an event's mark.
+ *
+ * @param event - the event
+ * @returns a class of the style sheet
+ */
+export const markClass = (event: TimeLineEvent): string => CLASS_OF[toneOf(event)]
+
+interface Scale {
+  readonly start: number
+  readonly span: number
+}
+
+const scaleOf = (events: readonly TimeLineEvent[]): Scale => {
+  const start = wallOf(events[0]!.stamp)
+  return { start, span: Math.max(1, wallOf(events[events.length - 1]!.stamp) - start) }
+}
+
+const positionOf = (scale: Scale, wall: number): number =>
+  LABEL_WIDTH + (wall - scale.start) / scale.span * (WIDTH - LABEL_WIDTH - RIGHT_MARGIN)
+
+interface Mark {
+  readonly x: number
+  readonly style: string
+  readonly events: TimeLineEvent[]
+}
+
+const gatherMarks = (events: readonly TimeLineEvent[], scale: Scale): Mark[] => {
+  const marks = new Map<string, Mark>()
+  for (const event of events) {
+    const x = Math.round(positionOf(scale, wallOf(event.stamp)) / MARK_STEP) * MARK_STEP
+    const style = markClass(event)
+    const mark = marks.get(`${x} ${style}`)
+    if (mark === undefined) marks.set(`${x} ${style}`, { x, style, events: [event] })
+    else mark.events.push(event)
+  }
+  return [...marks.values()]
+}
+
+const titleOf = (mark: Mark): string => {
+  const kinds = new Map<string, number>()
+  for (const event of mark.events) kinds.set(event.kind, (kinds.get(event.kind) ?? 0) + 1)
+  const counts = [...kinds].map(([kind, count]) => `${count} x ${kind}`).join(', ')
+  const only = mark.events.length === 1 ? `: ${mark.events[0]!.reason}` : ''
+  return `${formatTime(wallOf(mark.events[0]!.stamp)).slice(11)} ${counts}${only}`
+}
+
+const drawMark = (mark: Mark, top: number): Markup => {
+  const radius = Math.min(5, 2.2 + Math.log10(mark.events.length))
+  return element('circle', { class: mark.style, cx: mark.x, cy: top + ROW_OF[mark.style]!, r: radius.toFixed(1) }, element('title', {}, titleOf(mark)))
+}
+
+const drawAxis = (scale: Scale, height: number): Markup[] => Array.from({ length: TICKS + 1 }, (_, tick) => {
+  const wall = scale.start + scale.span * tick / TICKS
+  const x = positionOf(scale, wall).toFixed(1)
+  const anchor = tick === TICKS ? 'end' : 'middle'
+  return [
+    element('line', { class: 'grid', x1: x, x2: x, y1: 0, y2: height - AXIS_HEIGHT }),
+    element('text', { class: 'axis', x, y: height - 8, 'text-anchor': anchor }, formatTime(wall).slice(11, 23))
+  ]
+}).flat()
+
+const drawLane = (node: LaneNode, events: readonly TimeLineEvent[], scale: Scale, top: number): Markup[] => [
+  element('rect', { class: 'lane', x: LABEL_WIDTH, y: top + 1, width: WIDTH - LABEL_WIDTH, height: LANE_HEIGHT - 3, rx: 3 }),
+  element('text', { x: 12, y: top + LANE_HEIGHT / 2 + 4 }, node.node),
+  ...gatherMarks(events, scale).map((mark) => drawMark(mark, top))
+]
+
+const domainsOf = (nodes: readonly LaneNode[]): string[] => [...new Set(nodes.map((node) => node.failureDomain))]
+
+/**
+ * Draws the lanes of all processes.
+ *
+ * @param nodes - ordered by failure domain
+ * @param events - in order; at least one
+ * @returns the drawing
+ */
+export const drawOverview = (nodes: readonly LaneNode[], events: readonly TimeLineEvent[]): Markup => {
+  const scale = scaleOf(events)
+  const domains = domainsOf(nodes)
+  const height = nodes.length * LANE_HEIGHT + domains.length * DOMAIN_HEIGHT + AXIS_HEIGHT
+  const parts: Markup[] = drawAxis(scale, height)
+  let top = 0
+  for (const domain of domains) {
+    parts.push(element('text', { class: 'domain', x: 0, y: top + DOMAIN_HEIGHT - 7 }, domain))
+    top += DOMAIN_HEIGHT
+    for (const node of nodes.filter((lane) => lane.failureDomain === domain)) {
+      parts.push(...drawLane(node, events.filter((event) => event.node === node.node), scale, top))
+      top += LANE_HEIGHT
+    }
+  }
+  return element('svg', { viewBox: `0 0 ${WIDTH} ${height}`, role: 'img', 'aria-label': 'events by process' }, parts)
+}
--- /dev/null
+++ b/packages/cli/src/timeline/requestPaths.ts
@@ -0,0 +1,74 @@
+/** Groups events by request and picks the requests worth showing. */
+import { EventKind, codeOf, wallOf } from '@bluebellhill/protocol'
+import type { ResultCode, TimeLineEvent } from '@bluebellhill/protocol'
+
+/** The events of one request over all nodes. */
+export interface RequestPath {
+  readonly request: string
+  readonly organisation: string | null
+  readonly events: readonly TimeLineEvent[]
+  /** How it ended; null while it is in progress or where no node tells. */
+  readonly code: ResultCode | null
+  /** From its first event to its last, in milliseconds. */
+  readonly duration: number
+  /** Attempts sent. */
+  readonly attempts: number
+}
+
+const TROUBLE: ReadonlySet<EventKind> = new Set([
+  EventKind.AttemptBroken, EventKind.AttemptRecalled, EventKind.AnswerDropped, EventKind.DispatcherLost, EventKind.GrantLapsed,
+  EventKind.OrphanFreed, EventKind.OrderRefused
+])
+
+const pathOf = (request: string, events: readonly TimeLineEvent[]): RequestPath => {
+  const end = events.findLast((event) => event.kind === EventKind.RequestFinished || event.kind === EventKind.RequestRefused)
+  const code = end?.kind === EventKind.RequestFinished || end?.kind === EventKind.RequestRefused ? codeOf(end.payload.code) : undefined
+  const first = events[0]
+  const last = events[events.length - 1]
+  return {
+    request,
+    organisation: events.find((event) => event.organisation !== undefined)?.organisation ?? null,
+    events,
+    code: code ?? null,
+    duration: first === undefined || last === undefined ? 0 : wallOf(last.stamp) - wallOf(first.stamp),
+    attempts: events.filter((event) => event.kind === EventKind.AttemptSent).length
+  }
+}
+
+/**
+ * Groups events by request.
+ *
+ * @param events - in order
+ * @returns one path for each request, in the order of their first events
+ */
+export const requestPaths = (events: readonly TimeLineEvent[]): RequestPath[] => {
+  const groups = new Map<string, TimeLineEvent[]>()
+  for (const event of events) {
+    if (event.request === undefined) continue
+    const group = groups.get(event.request)
+    if (group === undefined) groups.set(event.request, [event])
+    else group.push(event)
+  }
+  return [...groups].map(([request, group]) => pathOf(request, group))
+}
+
+/**
+ * Counts the events of a path that are out of the ordinary course.
+ *
+ * @param path - the path
+ * @returns 0 for a request that was answered at the first attempt
+ */
+export const troubleOf = (path: RequestPath): number => {
+  const ended = path.code === null || path.code.name !== 'answered' ? 1 : 0
+  return ended + path.events.filter((event) => TROUBLE.has(event.kind)).length
+}
+
+/**
+ * Picks the paths worth showing: those with most trouble first, then the slowest.
+ *
+ * @param paths - all paths
+ * @param limit - how many
+ * @returns at most `limit` paths
+ */
+export const notablePaths = (paths: readonly RequestPath[], limit: number): RequestPath[] =>
+  [...paths].sort((left, right) => troubleOf(right) - troubleOf(left) || right.duration - left.duration).slice(0, limit)
--- /dev/null
+++ b/packages/cli/tests/runCommand.ts
@@ -0,0 +1,22 @@
+/** Runs the command line as its own process. */
+import { spawn } from 'node:child_process'
+import { fileURLToPath } from 'node:url'
+
+const PROGRAM = fileURLToPath(new URL('../../bin/bluebellhill.js', import.meta.url))
+
+export interface CommandResult {
+  readonly exitCode: number | null
+  readonly output: string
+  readonly errors: string
+}
+
+/** Runs one action; the environment holds nothing of the caller's fleet. */
+export const runCommand = (args: readonly string[], environment: Readonly<Record<string, string>> = {}): Promise<CommandResult> => new Promise((resolve, reject) => {
+  const child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'], env: { PATH: process.env.PATH, ...environment } })
+  let output = ''
+  let errors = ''
+  child.stdout.on('data', (chunk) => { output += String(chunk) })
+  child.stderr.on('data', (chunk) => { errors += String(chunk) })
+  child.on('error', reject)
+  child.on('close', (exitCode) => resolve({ exitCode, output, errors }))
+})
