--- /dev/null
+++ b/packages/node/src/daemon/dispatch.ts
@@ -0,0 +1,80 @@
+/** A node's dispatcher and the way to all others. */
+import { randomInt } from 'node:crypto'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+
+import { Dispatcher, Router } from '@bluebellhill/domain'
+
+import { DispatcherDesk } from '../dispatch/DispatcherDesk.js'
+import { DispatcherHost } from '../dispatch/DispatcherHost.js'
+import { DispatcherViews } from '../dispatch/DispatcherViews.js'
+import { RunnerOwnership } from '../dispatch/RunnerOwnership.js'
+import { BackendMonitors, MemberOwnership, PeerReach } from './adapters.js'
+import type { OwnRequests } from './adapters.js'
+import type { Fleet } from './fleet.js'
+import type { Foundation } from './foundation.js'
+
+const EXCHANGE_INTERVAL_MS = 250
+const RECONCILE_INTERVAL_MS = 1_000
+const MAX_SEED = 0x7fffffff
+
+/** The parts that place work. */
+export interface DispatchParts {
+  readonly dispatcher: DispatcherHost
+  readonly ownership: RunnerOwnership
+  readonly views: DispatcherViews
+  readonly desk: DispatcherDesk
+}
+
+/**
+ * Builds the dispatcher and starts to exchange summaries.
+ *
+ * @param foundation - the node's foundation
+ * @param fleet - its view of the fleet
+ * @param requests - the node's own requests, which recalls may speak of
+ */
+export const buildDispatch = (foundation: Foundation, fleet: Fleet, requests: () => OwnRequests): DispatchParts => {
+  const { options, store, directory, timeLine, metrics, peers } = foundation
+  const { membership } = fleet
+  const reach = new PeerReach({ directory, clients: foundation.backends, peers, membership, timeLine, requests })
+  const dispatcher = store.add(new DispatcherHost(new Dispatcher({ node: options.node, policy: options.policy }), reach, timeLine, metrics, foundation.actors))
+  const monitors = new BackendMonitors(foundation.backends, options.serviceSlots)
+  const rule = new MemberOwnership(membership, options.failureDomain)
+  const ownership = store.add(new RunnerOwnership(options.failureDomain, directory, rule, monitors, dispatcher, timeLine))
+  const views = store.add(new DispatcherViews(membership, fleet.exchange, dispatcher))
+  const generator = xoroshiro128plus(randomInt(MAX_SEED))
+  const router = new Router({ random: () => uniformFloat64(generator) })
+  const desk = new DispatcherDesk({ router, views, membership, directory, dispatcher, clients: peers, timeLine })
+  followFleet(foundation, fleet, { dispatcher, ownership, views, desk })
+  return { dispatcher, ownership, views, desk }
+}
+
+const followFleet = (foundation: Foundation, fleet: Fleet, parts: DispatchParts): void => {
+  const { store, directory } = foundation
+  const { membership, leaving, exchange } = fleet
+  const { ownership, dispatcher, views } = parts
+  const reconcile = (): void => {
+    directory.replaceLeaving(leaving.all())
+    ownership.reconcile()
+  }
+  store.addStep(directory.listen(reconcile))
+  store.addStep(membership.onChange((change) => {
+    if (change.type === 'member_changed') followMember(parts, change.member.node, change.member.state)
+    if (change.type !== 'value_changed' || change.value.topic.startsWith('leaving/')) reconcile()
+  }))
+  every(foundation, RECONCILE_INTERVAL_MS, reconcile)
+  every(foundation, EXCHANGE_INTERVAL_MS, () => {
+    exchange.publish(dispatcher.summaries())
+    dispatcher.tell({ type: 'peers_summarised', summaries: views.peers() })
+  })
+  reconcile()
+}
+
+const followMember = ({ dispatcher }: DispatchParts, entry: Parameters<DispatcherHost['entryLost']>[0], state: string): void => {
+  if (state === 'unreachable' || state === 'left') dispatcher.entryLost(entry)
+}
+
+const every = ({ store }: Foundation, interval: number, step: () => void): void => {
+  const timer = setInterval(step, interval)
+  store.addStep(() => clearInterval(timer))
+}
--- /dev/null
+++ b/packages/node/src/daemon/foundation.ts
@@ -0,0 +1,61 @@
+/** What every other part of a node rests on. */
+import { start as startActors, stop as stopActors } from 'nact'
+import type { Ref } from 'nact'
+
+import { HttpModelEngine, HttpPlainService, HttpPool } from '@bluebellhill/platform'
+import { HybridClock } from '@bluebellhill/protocol'
+
+import { RunnerDirectory } from '../dispatch/RunnerDirectory.js'
+import { Metrics } from '../metrics/index.js'
+import { PeerClients } from '../peers/PeerClients.js'
+import { PrefixHasher } from '../requests/PrefixHasher.js'
+import { TokenEstimator } from '../requests/TokenEstimator.js'
+import { DisposableStore } from '../store/index.js'
+import { TimeLine } from '../timeline/index.js'
+import type { BackendClients } from './adapters.js'
+import { perAddress } from './backendClients.js'
+import type { DaemonOptions } from './types.js'
+
+/** The parts without a view of the fleet. */
+export interface Foundation {
+  readonly options: DaemonOptions
+  readonly store: DisposableStore
+  readonly timeLine: TimeLine
+  readonly metrics: Metrics
+  readonly actors: Ref<unknown>
+  readonly directory: RunnerDirectory
+  readonly peers: PeerClients
+  readonly pool: HttpPool
+  readonly backends: BackendClients
+  readonly hasher: PrefixHasher
+  readonly estimator: TokenEstimator
+}
+
+/**
+ * Builds the foundation.
+ *
+ * @param options - what the daemon is started with
+ */
+export const buildFoundation = async (options: DaemonOptions): Promise<Foundation> => {
+  const store = new DisposableStore()
+  const pool = new HttpPool()
+  store.addStep(() => pool.dispose())
+  const actors = startActors()
+  store.addStep(() => stopActors(actors))
+  return {
+    options,
+    store,
+    pool,
+    actors: actors as Ref<unknown>,
+    timeLine: new TimeLine(options.node, new HybridClock(() => Date.now())),
+    metrics: new Metrics(),
+    directory: new RunnerDirectory(options.runners),
+    peers: store.add(new PeerClients()),
+    backends: {
+      engine: perAddress((address) => new HttpModelEngine(pool, address)),
+      service: perAddress((address) => new HttpPlainService(pool, address))
+    },
+    hasher: await PrefixHasher.create(),
+    estimator: new TokenEstimator()
+  }
+}
--- a/packages/node/src/dispatch/DispatcherDesk.ts
+++ b/packages/node/src/dispatch/DispatcherDesk.ts
@@ -78,13 +78,19 @@
       excluded: order.excluded,
       remaining: order.remaining
     })
-    if (chosen === me.node) return await this.#placeHere(order, signal)
+    if (chosen === me.node) return await this.placeHere(order, signal)
     const peer = this.#peerOf(chosen)
     if (peer === undefined) return { type: 'lost', dispatcher: chosen, reason: 'no member is left there' }
     return await this.#placeAt(peer, chosen, order, signal)
   }
 
-  async #placeHere (order: DispatchOrder, signal: AbortSignal): Promise<OrderResult> {
+  /**
+   * Places an order with this node's own dispatcher.
+   *
+   * @param order - what is to be placed
+   * @param signal - aborted to withdraw it
+   */
+  async placeHere (order: DispatchOrder, signal: AbortSignal): Promise<OrderResult> {
     const dispatcher = this.#parts.membership.me().node
     const reply = await this.#parts.dispatcher.acquire(order, signal)
     if (reply.type === 'refused') return { ...reply, dispatcher }
--- a/packages/node/src/dispatch/DispatcherHost.ts
+++ b/packages/node/src/dispatch/DispatcherHost.ts
@@ -75,6 +75,16 @@
     return this.#dispatcher.summaries(monotonicNow())
   }
 
+  /** Orders that wait. */
+  get queued (): number {
+    return this.#dispatcher.queued
+  }
+
+  /** The members no longer reach an entry node. */
+  entryLost (entry: NodeId): void {
+    this.tell({ type: 'entry_lost', entry })
+  }
+
   dispose (): void {
     if (this.#timer !== null) clearTimeout(this.#timer)
     stop(this.#actor as never)
--- a/packages/node/src/dispatch/RunnerOwnership.ts
+++ b/packages/node/src/dispatch/RunnerOwnership.ts
@@ -1,7 +1,8 @@
 /** Keeps the dispatcher in charge of exactly the runners that fall to this node. */
-import type { FailureDomain, RunnerId } from '@bluebellhill/domain'
+import type { FailureDomain, Millis, RunnerId, RunnerReport } from '@bluebellhill/domain'
 import { EventKind } from '@bluebellhill/protocol'
 
+import { monotonicNow } from '../clock/monotonic.js'
 import type { TimeLine } from '../timeline/index.js'
 import type { DispatcherHost } from './DispatcherHost.js'
 import type { Monitor, MonitorListener } from './Monitor.js'
@@ -18,10 +19,21 @@
   abstract create (backend: Backend, listener: MonitorListener): Monitor
 }
 
+/** What is known of a runner that this node dispatches for. */
+export interface OwnedStatus {
+  readonly backend: Backend
+  readonly report: RunnerReport | null
+  readonly reportedAt: Millis | null
+  readonly unreachable: boolean
+}
+
 interface OwnedRunner {
   readonly backend: Backend
   readonly monitor: Monitor
   leaving: boolean
+  report: RunnerReport | null
+  reportedAt: Millis | null
+  unreachable: boolean
 }
 
 /** Takes runners over and gives them up as the members of the failure domain change. */
@@ -43,9 +55,9 @@
     this.#timeLine = timeLine
   }
 
-  /** Runners that this node dispatches for. */
-  get runners (): readonly Backend[] {
-    return [...this.#owned.values()].map((owned) => owned.backend)
+  /** The runners that this node dispatches for, as last seen. */
+  statuses (): readonly OwnedStatus[] {
+    return [...this.#owned.values()].map((owned) => ({ ...owned, backend: this.#directory.find(owned.backend.id) ?? owned.backend }))
   }
 
   /** Compares what is owned with what should be; called after any change of members or backend servers. */
@@ -74,11 +86,11 @@
   #assign (backend: Backend): OwnedRunner {
     const runner = backend.id
     const monitor = this.#monitors.create(backend, {
-      reported: (report) => this.#dispatcher.tell({ type: 'runner_reported', runner, report }),
+      reported: (report) => this.#reported(runner, report),
       cacheChanged: (gap, events) => this.#dispatcher.tell({ type: 'cache_changed', runner, gap, events }),
-      unreachable: () => this.#dispatcher.tell({ type: 'runner_unreachable', runner })
+      unreachable: () => this.#unreachable(runner)
     })
-    const owned = { backend, monitor, leaving: false }
+    const owned: OwnedRunner = { backend, monitor, leaving: false, report: null, reportedAt: null, unreachable: false }
     this.#owned.set(runner, owned)
     this.#timeLine.record(EventKind.RunnerTakenOver, { runner }, 'owner by rendezvous among the live members', { previous: null })
     this.#dispatcher.tell({ type: 'runner_assigned', runner, failureDomain: backend.failureDomain })
@@ -86,6 +98,21 @@
     return owned
   }
 
+  #reported (runner: RunnerId, report: RunnerReport): void {
+    const owned = this.#owned.get(runner)
+    if (owned === undefined) return
+    owned.report = report
+    owned.reportedAt = monotonicNow()
+    owned.unreachable = false
+    this.#dispatcher.tell({ type: 'runner_reported', runner, report })
+  }
+
+  #unreachable (runner: RunnerId): void {
+    const owned = this.#owned.get(runner)
+    if (owned !== undefined) owned.unreachable = true
+    this.#dispatcher.tell({ type: 'runner_unreachable', runner })
+  }
+
   #giveUp (runner: RunnerId): void {
     this.#owned.get(runner)?.monitor.dispose()
     this.#owned.delete(runner)
--- a/packages/node/src/peers/PeerServer.ts
+++ b/packages/node/src/peers/PeerServer.ts
@@ -8,7 +8,6 @@
 
 import type { DispatcherDesk } from '../dispatch/DispatcherDesk.js'
 import type { DispatcherHost } from '../dispatch/DispatcherHost.js'
-import type { RunnerDirectory } from '../dispatch/RunnerDirectory.js'
 import type { OrderResult } from '../requests/OrderDesk.js'
 import type { TimeLine } from '../timeline/index.js'
 import { decodeOrder } from './orderMessage.js'
@@ -20,14 +19,13 @@
    *
    * @returns false where no such attempt is in progress
    */
-  recall (attempt: AttemptId, reason: string): boolean
+  recall (attempt: AttemptId): boolean
 }
 
 /** What the peer server stands before. */
 export interface PeerServerParts {
   readonly dispatcher: DispatcherHost
   readonly desk: DispatcherDesk
-  readonly directory: RunnerDirectory
   readonly requests: RecallTarget
   readonly timeLine: TimeLine
 }
@@ -35,10 +33,13 @@
 /** The gRPC server of one node. */
 export class PeerServer {
   readonly #server = new Server()
-  readonly #parts: PeerServerParts
+  readonly #lookUp: () => PeerServerParts | null
 
-  constructor (parts: PeerServerParts) {
-    this.#parts = parts
+  /**
+   * @param lookUp - gives the node's parts, or null while the node is being built
+   */
+  constructor (lookUp: () => PeerServerParts | null) {
+    this.#lookUp = lookUp
     this.#server.addService(DispatcherService, this.#dispatcherServer())
     this.#server.addService(EntryService, this.#entryServer())
   }
@@ -62,59 +63,56 @@
 
   #dispatcherServer (): DispatcherServer {
     return {
-      acquire: (call, done) => { void this.#acquire(call, done) },
-      progress: (call, done) => this.#progress(call, done)
+      acquire: (call, done) => this.#withParts(done, (parts) => { void acquire(parts, call, done) }),
+      progress: (call, done) => this.#withParts(done, (parts) => progress(parts, call, done))
     }
   }
 
   #entryServer (): EntryServer {
-    return { recall: (call, done) => this.#recall(call, done) }
+    return { recall: (call, done) => this.#withParts(done, (parts) => recall(parts, call, done)) }
   }
 
-  async #acquire (call: ServerUnaryCall<AcquireRequest, AcquireReply>, done: sendUnaryData<AcquireReply>): Promise<void> {
-    const { order, clock, direct } = call.request
-    if (order === undefined) return done({ code: status.INVALID_ARGUMENT, details: 'the order is missing' })
-    this.#parts.timeLine.receive(clock)
-    const controller = new AbortController()
-    call.on('cancelled', () => controller.abort())
-    const result = await this.#place(decodeOrder(order), direct, controller.signal)
-    if (result.type === 'lost') return done({ code: status.UNAVAILABLE, details: result.reason })
-    done(null, { result: resultMessage(result), clock: this.#parts.timeLine.send() })
+  #withParts <Reply>(done: sendUnaryData<Reply>, serve: (parts: PeerServerParts) => void): void {
+    const parts = this.#lookUp()
+    if (parts === null) done({ code: status.UNAVAILABLE, details: 'the node is starting' })
+    else serve(parts)
   }
+}
 
-  async #place (order: DispatchOrder, direct: boolean, signal: AbortSignal): Promise<OrderResult> {
-    const { desk, dispatcher, timeLine } = this.#parts
-    if (!direct) return await desk.relay(order, signal)
-    const reply = await dispatcher.acquire(order, signal)
-    if (reply.type === 'refused') return { ...reply, dispatcher: timeLine.node }
-    const { grant } = reply
-    const groupAddresses = grant.group.map((member) => this.#addressOf(member))
-    return { type: 'granted', dispatcher: timeLine.node, grant, address: this.#addressOf(grant.runner), groupAddresses }
-  }
+const acquire = async (parts: PeerServerParts, call: ServerUnaryCall<AcquireRequest, AcquireReply>, done: sendUnaryData<AcquireReply>): Promise<void> => {
+  const { order, clock, direct } = call.request
+  if (order === undefined) return done({ code: status.INVALID_ARGUMENT, details: 'the order is missing' })
+  parts.timeLine.receive(clock)
+  const controller = new AbortController()
+  call.on('cancelled', () => controller.abort())
+  const result = await place(parts, decodeOrder(order), direct, controller.signal)
+  if (result.type === 'lost') return done({ code: status.UNAVAILABLE, details: result.reason })
+  done(null, { result: resultMessage(result), clock: parts.timeLine.send() })
+}
 
-  #addressOf (runner: RunnerId): string {
-    return this.#parts.directory.find(runner)?.address ?? ''
-  }
+const place = async (parts: PeerServerParts, order: DispatchOrder, direct: boolean, signal: AbortSignal): Promise<OrderResult> => {
+  if (!direct) return await parts.desk.relay(order, signal)
+  return await parts.desk.placeHere(order, signal)
+}
 
-  #progress (call: ServerUnaryCall<ProgressRequest, ProgressReply>, done: sendUnaryData<ProgressReply>): void {
-    const message = call.request
-    this.#parts.timeLine.receive(message.clock)
-    this.#parts.dispatcher.tell({
-      type: 'progressed',
-      attempt: message.attempt as AttemptId,
-      runner: message.runner as RunnerId,
-      kind: message.kind as ProgressKind,
-      generated: message.generated,
-      order: message.order === undefined ? null : decodeOrder(message.order)
-    })
-    done(null, { recalled: false, clock: this.#parts.timeLine.send() })
-  }
+const progress = (parts: PeerServerParts, call: ServerUnaryCall<ProgressRequest, ProgressReply>, done: sendUnaryData<ProgressReply>): void => {
+  const message = call.request
+  parts.timeLine.receive(message.clock)
+  parts.dispatcher.tell({
+    type: 'progressed',
+    attempt: message.attempt as AttemptId,
+    runner: message.runner as RunnerId,
+    kind: message.kind as ProgressKind,
+    generated: message.generated,
+    order: message.order === undefined ? null : decodeOrder(message.order)
+  })
+  done(null, { recalled: false, clock: parts.timeLine.send() })
+}
 
-  #recall (call: ServerUnaryCall<RecallRequest, RecallReply>, done: sendUnaryData<RecallReply>): void {
-    this.#parts.timeLine.receive(call.request.clock)
-    const known = this.#parts.requests.recall(call.request.attempt as AttemptId, call.request.reason)
-    done(null, { known, clock: this.#parts.timeLine.send() })
-  }
+const recall = (parts: PeerServerParts, call: ServerUnaryCall<RecallRequest, RecallReply>, done: sendUnaryData<RecallReply>): void => {
+  parts.timeLine.receive(call.request.clock)
+  const known = parts.requests.recall(call.request.attempt as AttemptId)
+  done(null, { known, clock: parts.timeLine.send() })
 }
 
 type SettledResult = Exclude<OrderResult, { type: 'lost' }>
