Add the platform's abstract services and their HTTP adapters

The daemon needs to tell a call that never left from one that may have run. Reading undici's error codes was ruled out: ECONNRESET does not say whether the request had been written. A handler around the dispatcher marks the moment the request is handed to the socket and refuses a second hand-over, so a failure is either not_sent, not_started (by the server's word), or unknown. Tested against sockets that refuse, reset, stop in the head and stay silent; without the mark the test 'refused connection did not run' and 'reset after the request' cannot both hold.

--- /dev/null
+++ b/packages/platform/src/engine/HttpModelEngine.ts
@@ -0,0 +1,155 @@
+/** A model engine over HTTP. */
+import { BODY_IDLE_TIMEOUT_MS, CONTROL_TIMEOUT_MS, ERROR_BODY_BYTES, HEADERS_TIMEOUT_MS } from '../http/constants.js'
+import { cancelSchema, eventsSchema, staleFencingSchema, statusSchema, tokensSchema } from './encoding.js'
+import { decodeJson, readBody, readFailure, readJson } from '../http/json.js'
+import { failed, success } from '../result.js'
+import { ModelEngine } from './ModelEngine.js'
+import type { CallFailure } from '../errors.js'
+import type { HttpAnswer, HttpCall, HttpPool } from '../http/HttpPool.js'
+import type { Millis } from '@bluebellhill/domain'
+import type { Result } from '../result.js'
+import type { CompletionCall, CompletionStream, EngineCacheEvents, EngineOrder, EngineStatus, ExportedSegment, OrderAnswer, SegmentPrefill } from './types.js'
+
+const CONFLICT = 409
+const OK_STATUS = 200
+const JSON_HEADERS = { 'content-type': 'application/json' }
+
+/** Bytes of an exported segment at most. */
+const SEGMENT_BYTES = 256 * 1024 * 1024
+
+/** Time for a transfer of one segment. */
+const TRANSFER_TIMEOUT_MS = 60_000
+
+export class HttpModelEngine extends ModelEngine {
+  readonly address: string
+  readonly #pool: HttpPool
+  readonly #timeout: Millis
+
+  /**
+   * @param pool - connections
+   * @param address - `ip:port`
+   * @param timeout - time for one control call
+   */
+  constructor (pool: HttpPool, address: string, timeout: Millis = CONTROL_TIMEOUT_MS) {
+    super()
+    this.#pool = pool
+    this.address = address
+    this.#timeout = timeout
+  }
+
+  override async complete (call: CompletionCall): Promise<Result<CompletionStream, CallFailure>> {
+    const answer = await this.#pool.send({
+      address: this.address,
+      method: 'POST',
+      path: '/v1/completions',
+      headers: JSON_HEADERS,
+      body: call.body,
+      signal: call.signal,
+      timeout: call.timeout ?? HEADERS_TIMEOUT_MS,
+      idleTimeout: call.idleTimeout ?? BODY_IDLE_TIMEOUT_MS,
+      onSending: call.onSending
+    })
+    if (!answer.ok) return answer
+    if (answer.value.status !== OK_STATUS) return failed(await readFailure(answer.value))
+    return success({ headers: answer.value.headers, body: answer.value.body })
+  }
+
+  override async cancel (requestId: string): Promise<Result<boolean, CallFailure>> {
+    const answer = await this.#post('/v1/cancel', { request_id: requestId })
+    if (!answer.ok) return answer
+    const read = await readJson(answer.value, cancelSchema)
+    return read.ok ? success(read.value.cancelled) : read
+  }
+
+  override async status (): Promise<Result<EngineStatus, CallFailure>> {
+    const answer = await this.#get('/v1/engine/status', this.#timeout)
+    return answer.ok ? readJson(answer.value, statusSchema) : answer
+  }
+
+  override async events (after: number, wait: Millis): Promise<Result<EngineCacheEvents, CallFailure>> {
+    const answer = await this.#get(`/v1/engine/events?after=${after}&waitMs=${wait}`, this.#timeout + wait)
+    return answer.ok ? readJson(answer.value, eventsSchema) : answer
+  }
+
+  override async order (fencing: number, order: EngineOrder): Promise<Result<OrderAnswer, CallFailure>> {
+    const answer = await this.#post('/v1/engine/orders', { fencing, order })
+    if (!answer.ok) return answer
+    if (answer.value.status === CONFLICT) return await readStaleFencing(answer.value)
+    if (answer.value.status >= 300) return failed(await readFailure(answer.value))
+    await answer.value.body.dump()
+    return success({ accepted: true })
+  }
+
+  override async prefill (prefill: SegmentPrefill): Promise<Result<number, CallFailure>> {
+    const answer = await this.#post('/v1/kv/prefill', {
+      request_id: prefill.requestId,
+      segment_id: prefill.segmentId,
+      prompt: prefill.prompt,
+      context_segments: prefill.contextSegments,
+      model: prefill.model,
+      version: prefill.version,
+      priority: prefill.priority
+    }, { signal: prefill.signal, timeout: prefill.timeout ?? HEADERS_TIMEOUT_MS })
+    if (!answer.ok) return answer
+    const read = await readJson(answer.value, tokensSchema)
+    return read.ok ? success(read.value.tokens) : read
+  }
+
+  override async exportSegment (segmentId: string, signal?: AbortSignal): Promise<Result<ExportedSegment, CallFailure>> {
+    const answer = await this.#post('/v1/kv/export', { segment_id: segmentId }, { signal, timeout: TRANSFER_TIMEOUT_MS })
+    if (!answer.ok) return answer
+    if (answer.value.status !== OK_STATUS) return failed(await readFailure(answer.value))
+    const tokens = Number(answer.value.headers['x-segment-tokens'] ?? NaN)
+    const bytes = await readBody(answer.value, SEGMENT_BYTES)
+    if (!bytes.ok) return bytes
+    if (!Number.isFinite(tokens)) return failed({ type: 'malformed', reason: 'header x-segment-tokens is missing' })
+    return success({ tokens, bytes: bytes.value })
+  }
+
+  override async importSegment (segmentId: string, requestId: string, bytes: Buffer, signal?: AbortSignal): Promise<Result<void, CallFailure>> {
+    const query = new URLSearchParams({ segment_id: segmentId, request_id: requestId })
+    const answer = await this.#pool.send({
+      address: this.address,
+      method: 'POST',
+      path: `/v1/kv/import?${query.toString()}`,
+      headers: { 'content-type': 'application/octet-stream' },
+      body: bytes,
+      signal,
+      timeout: TRANSFER_TIMEOUT_MS
+    })
+    return await settled(answer)
+  }
+
+  override async release (requestId: string): Promise<Result<void, CallFailure>> {
+    return await settled(await this.#post('/v1/kv/release', { request_id: requestId }))
+  }
+
+  override async healthy (): Promise<boolean> {
+    return (await settled(await this.#get('/health', this.#timeout))).ok
+  }
+
+  async #post (path: string, body: unknown, limits: Pick<HttpCall, 'signal' | 'timeout'> = {}): Promise<Result<HttpAnswer, CallFailure>> {
+    const timeout = limits.timeout ?? this.#timeout
+    const signal = limits.signal ?? AbortSignal.timeout(timeout)
+    return await this.#pool.send({ address: this.address, method: 'POST', path, headers: JSON_HEADERS, body: JSON.stringify(body), timeout, signal })
+  }
+
+  async #get (path: string, timeout: Millis): Promise<Result<HttpAnswer, CallFailure>> {
+    return await this.#pool.send({ address: this.address, method: 'GET', path, timeout, signal: AbortSignal.timeout(timeout) })
+  }
+}
+
+const settled = async (answer: Result<HttpAnswer, CallFailure>): Promise<Result<void, CallFailure>> => {
+  if (!answer.ok) return answer
+  if (answer.value.status >= 300) return failed(await readFailure(answer.value))
+  await answer.value.body.dump()
+  return success(undefined)
+}
+
+const readStaleFencing = async (answer: HttpAnswer): Promise<Result<OrderAnswer, CallFailure>> => {
+  const body = await readBody(answer, ERROR_BODY_BYTES)
+  if (!body.ok) return body
+  const stale = decodeJson(body.value.toString('utf8'), staleFencingSchema)
+  if (stale.ok) return success({ accepted: false, currentFencing: stale.value.error.current })
+  return failed({ type: 'rejected', status: CONFLICT, code: 'http_409', retryAfter: null, reason: 'the engine refused the order' })
+}
--- /dev/null
+++ b/packages/platform/src/http/HttpPool.ts
@@ -0,0 +1,143 @@
+/** One keep-alive connection pool per backend address, shared by every adapter of a process. */
+import { Agent, DecoratorHandler, request } from 'undici'
+import type { Dispatcher } from 'undici'
+
+import { BODY_IDLE_TIMEOUT_MS, CONNECT_TIMEOUT_MS, CONNECTIONS_PER_ADDRESS, HEADERS_TIMEOUT_MS, KEEP_ALIVE_MAX_MS, KEEP_ALIVE_MS } from './constants.js'
+import { failed, success } from '../result.js'
+import type { CallFailure } from '../errors.js'
+import type { Millis } from '@bluebellhill/domain'
+import type { Result } from '../result.js'
+
+export interface HttpCall {
+  /** `ip:port` */
+  readonly address: string
+  readonly method: string
+  readonly path: string
+  readonly headers?: Record<string, string | string[]>
+  readonly body?: string | Buffer | Uint8Array
+  readonly signal?: AbortSignal
+  /** Time until the head of the answer, waiting for a connection included. */
+  readonly timeout?: Millis
+  /** Time between two pieces of the body. */
+  readonly idleTimeout?: Millis
+  /** Runs right before the first byte of the request is written. */
+  readonly onSending?: () => void
+}
+
+export interface HttpAnswer {
+  readonly status: number
+  readonly headers: Record<string, string | string[] | undefined>
+  readonly body: Dispatcher.ResponseData['body']
+}
+
+/** Whether the first byte of one call has been handed to a socket. */
+interface SendMark {
+  sent: boolean
+  readonly onSending?: () => void
+}
+
+/** Notes when a call starts to be written, and stops the client from writing it twice. */
+class SendWatcher implements Dispatcher.DispatchHandler {
+  readonly #handler: Dispatcher.DispatchHandler
+  readonly #mark: SendMark
+
+  constructor (handler: Dispatcher.DispatchHandler, mark: SendMark) {
+    this.#handler = new DecoratorHandler(handler)
+    this.#mark = mark
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController, context: unknown): void {
+    if (this.#mark.sent) {
+      controller.abort(new Error('the connection broke after the call was written'))
+      return
+    }
+    this.#mark.sent = true
+    this.#mark.onSending?.()
+    this.#handler.onRequestStart?.(controller, context)
+  }
+
+  onRequestUpgrade (...args: Parameters<NonNullable<Dispatcher.DispatchHandler['onRequestUpgrade']>>): void {
+    this.#handler.onRequestUpgrade?.(...args)
+  }
+
+  onResponseStart (...args: Parameters<NonNullable<Dispatcher.DispatchHandler['onResponseStart']>>): void {
+    this.#handler.onResponseStart?.(...args)
+  }
+
+  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#handler.onResponseData?.(controller, chunk)
+  }
+
+  onResponseEnd (...args: Parameters<NonNullable<Dispatcher.DispatchHandler['onResponseEnd']>>): void {
+    this.#handler.onResponseEnd?.(...args)
+  }
+
+  onResponseError (controller: Dispatcher.DispatchController, error: Error): void {
+    this.#handler.onResponseError?.(controller, error)
+  }
+}
+
+const watchSending: Dispatcher.DispatcherComposeInterceptor = (dispatch) => (options, handler) =>
+  dispatch(options, new SendWatcher(handler, (options as { opaque?: SendMark }).opaque ?? { sent: false }))
+
+/** HTTP client with one pool per address. */
+export class HttpPool {
+  readonly #agent: Agent
+  readonly #dispatcher: Dispatcher
+
+  /**
+   * @param connections - connections to one address at most
+   * @param connectTimeout - time to open a connection
+   */
+  constructor (connections: number = CONNECTIONS_PER_ADDRESS, connectTimeout: Millis = CONNECT_TIMEOUT_MS) {
+    this.#agent = new Agent({
+      connections,
+      pipelining: 1,
+      connect: { timeout: connectTimeout },
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveMaxTimeout: KEEP_ALIVE_MAX_MS
+    })
+    this.#dispatcher = this.#agent.compose(watchSending)
+  }
+
+  /**
+   * Sends one call, at most once.
+   *
+   * @param call - where to send what
+   * @returns the head and the unread body, or a failure that tells whether a byte left
+   */
+  async send (call: HttpCall): Promise<Result<HttpAnswer, CallFailure>> {
+    const mark: SendMark = { sent: false, onSending: call.onSending }
+    const timeout = new AbortController()
+    const timer = call.timeout === undefined ? null : setTimeout(() => timeout.abort(new Error(`no answer within ${call.timeout} ms`)), call.timeout)
+    const signals = call.signal === undefined ? timeout.signal : AbortSignal.any([call.signal, timeout.signal])
+    try {
+      const answer = await request(`http://${call.address}${call.path}`, {
+        dispatcher: this.#dispatcher,
+        method: call.method as Dispatcher.HttpMethod,
+        headers: call.headers,
+        body: call.body,
+        signal: signals,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        bodyTimeout: call.idleTimeout ?? BODY_IDLE_TIMEOUT_MS,
+        opaque: mark
+      })
+      return success({ status: answer.statusCode, headers: answer.headers, body: answer.body })
+    } catch (error) {
+      return failed({ type: mark.sent ? 'interrupted' : 'not_sent', reason: reasonOf(error) })
+    } finally {
+      if (timer !== null) clearTimeout(timer)
+    }
+  }
+
+  /** Ends all connections; calls in progress fail. */
+  async dispose (): Promise<void> {
+    await this.#agent.destroy()
+  }
+}
+
+const reasonOf = (error: unknown): string => {
+  if (!(error instanceof Error)) return String(error)
+  const code = (error as NodeJS.ErrnoException).code
+  return typeof code === 'string' ? `${code} ${error.message}` : error.message
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,18 @@
-/** Entry of the package. */
-export {}
+/** What stands outside bluebellhill: abstract services, their HTTP adapters, settings and operators' configuration. */
+export * from './result.js'
+export * from './errors.js'
+export { HttpPool } from './http/HttpPool.js'
+export type { HttpAnswer, HttpCall } from './http/HttpPool.js'
+export { readBody, readFailure, readJson, retryAfterOf } from './http/json.js'
+export * from './keyValue/types.js'
+export * from './keyValue/KeyValueService.js'
+export * from './keyValue/HttpKeyValueService.js'
+export * from './vmList/VmList.js'
+export { HttpVmList } from './vmList/HttpVmList.js'
+export * from './weightStore/WeightStore.js'
+export * from './weightStore/HttpWeightStore.js'
+export * from './engine/types.js'
+export * from './engine/ModelEngine.js'
+export * from './engine/HttpModelEngine.js'
+export * from './plainService/PlainService.js'
+export * from './plainService/HttpPlainService.js'
--- /dev/null
+++ b/packages/platform/src/keyValue/HttpWatch.ts
@@ -0,0 +1,100 @@
+/** One watch: a call that answers with a JSON object a line until it is ended. */
+import { decodeJson, readFailure } from '../http/json.js'
+import { decodeKeyValue, encodeRange, watchSchema } from './encoding.js'
+import { LineDecoder } from '../http/LineDecoder.js'
+import type { AddressList } from '../http/AddressList.js'
+import type { CallFailure } from '../errors.js'
+import type { HttpAnswer, HttpPool } from '../http/HttpPool.js'
+import type { Millis } from '@bluebellhill/domain'
+import type { Watch, WatchListener } from './KeyValueService.js'
+import type { WatchedChange, WatchQuery } from './types.js'
+import type { z } from 'zod'
+
+type WatchReport = z.output<typeof watchSchema>['result']
+
+export class HttpWatch implements Watch {
+  readonly #pool: HttpPool
+  readonly #addresses: AddressList
+  readonly #listener: WatchListener
+  readonly #abort = new AbortController()
+  #ended = false
+
+  /**
+   * @param pool - connections
+   * @param addresses - the service's instances
+   * @param listener - receives the reports
+   */
+  constructor (pool: HttpPool, addresses: AddressList, listener: WatchListener) {
+    this.#pool = pool
+    this.#addresses = addresses
+    this.#listener = listener
+  }
+
+  /**
+   * Sends the call and reports until it ends.
+   *
+   * @param query - what to watch
+   * @param timeout - time until the head of the answer
+   */
+  async open (query: WatchQuery, timeout: Millis): Promise<void> {
+    const create = { ...encodeRange(query), ...(query.startRevision === undefined ? {} : { start_revision: String(query.startRevision) }) }
+    const answer = await this.#addresses.run((address) => this.#pool.send({
+      address,
+      method: 'POST',
+      path: '/v3/watch',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ create_request: create }),
+      signal: this.#abort.signal,
+      timeout,
+      idleTimeout: 0
+    }))
+    if (!answer.ok) this.#close(answer.failure)
+    else if (answer.value.status !== 200) this.#close(await readFailure(answer.value))
+    else await this.#read(answer.value)
+  }
+
+  dispose (): void {
+    this.#ended = true
+    this.#abort.abort()
+  }
+
+  async #read (answer: HttpAnswer): Promise<void> {
+    const lines = new LineDecoder()
+    try {
+      for await (const piece of answer.body) {
+        for (const line of lines.push(piece as Buffer)) {
+          if (!this.#take(line)) return
+        }
+      }
+      this.#close({ type: 'interrupted', reason: 'the server ended the watch' })
+    } catch (error) {
+      this.#close({ type: 'interrupted', reason: error instanceof Error ? error.message : String(error) })
+    }
+  }
+
+  #take (line: string): boolean {
+    if (this.#ended) return false
+    if (line.trim() === '') return true
+    const report = decodeJson(line, watchSchema)
+    if (!report.ok) return this.#close(report.failure)
+    const { result } = report.value
+    if (result.canceled) return this.#close({ type: 'rejected', status: 200, code: 'watch_cancelled', retryAfter: null, reason: result.cancel_reason ?? 'the server cancelled the watch' })
+    const revision = result.header?.revision ?? 0
+    if (result.created) this.#listener.opened(revision)
+    if (result.events.length > 0) this.#listener.changed(revision, result.events.map(decodeChange))
+    return true
+  }
+
+  #close (failure: CallFailure): false {
+    if (this.#ended) return false
+    this.#ended = true
+    this.#abort.abort()
+    this.#listener.closed(failure)
+    return false
+  }
+}
+
+const decodeChange = (event: WatchReport['events'][number]): WatchedChange => {
+  const value = decodeKeyValue(event.kv)
+  return event.type === 'PUT' ? { type: 'put', value } : { type: 'delete', key: value.key, modRevision: value.modRevision }
+}
--- /dev/null
+++ b/packages/platform/src/weightStore/HttpWeightStore.ts
@@ -0,0 +1,45 @@
+/** The weight store over HTTP. */
+import { AddressList } from '../http/AddressList.js'
+import { CONTROL_TIMEOUT_MS } from '../http/constants.js'
+import { readFailure } from '../http/json.js'
+import { failed, success } from '../result.js'
+import { WeightStore } from './WeightStore.js'
+import type { CallFailure } from '../errors.js'
+import type { HttpPool } from '../http/HttpPool.js'
+import type { Millis } from '@bluebellhill/domain'
+import type { Result } from '../result.js'
+import type { WeightStream } from './WeightStore.js'
+
+const TOO_MANY_REQUESTS = 429
+
+export class HttpWeightStore extends WeightStore {
+  readonly #pool: HttpPool
+  readonly #addresses: AddressList
+  readonly #timeout: Millis
+
+  /**
+   * @param pool - connections
+   * @param addresses - `ip:port` of each instance
+   * @param timeout - time until the head of the answer
+   */
+  constructor (pool: HttpPool, addresses: readonly string[], timeout: Millis = CONTROL_TIMEOUT_MS) {
+    super()
+    this.#pool = pool
+    this.#addresses = new AddressList(addresses)
+    this.#timeout = timeout
+  }
+
+  override async open (model: string, version: string, signal?: AbortSignal): Promise<Result<WeightStream, CallFailure>> {
+    const path = `/v1/weights/${encodeURIComponent(model)}/${encodeURIComponent(version)}`
+    return await this.#addresses.run(async (address) => {
+      const answer = await this.#pool.send({ address, method: 'GET', path, signal, timeout: this.#timeout })
+      if (!answer.ok) return answer
+      if (answer.value.status === 200) {
+        const length = Number(answer.value.headers['content-length'] ?? NaN)
+        return success({ size: Number.isFinite(length) ? length : null, body: answer.value.body })
+      }
+      const failure = await readFailure(answer.value)
+      return failed(failure.type === 'rejected' && failure.status === TOO_MANY_REQUESTS ? { ...failure, type: 'not_started' } : failure)
+    })
+  }
+}
--- /dev/null
+++ b/packages/platform/tests/httpPool.test.ts
@@ -0,0 +1,108 @@
+import test from 'ava'
+import { createServer } from 'node:net'
+import { setTimeout } from 'node:timers/promises'
+import type { AddressInfo, Server, Socket } from 'node:net'
+
+import { HttpModelEngine, HttpPlainService, HttpPool, ranOf } from '../src/index.js'
+import type { CallFailure } from '../src/index.js'
+
+const listen = async (onSocket: (socket: Socket) => void): Promise<{ server: Server, address: string }> => {
+  const server = createServer((socket) => {
+    socket.on('error', () => {})
+    onSocket(socket)
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
+}
+
+const answer = (socket: Socket, status: string, headers: string[], body: string): void => {
+  socket.write([`HTTP/1.1 ${status}`, ...headers, `content-length: ${Buffer.byteLength(body)}`, '', body].join('\r\n'))
+}
+
+const complete = async (address: string): Promise<{ failure: CallFailure | null, sending: number }> => {
+  const pool = new HttpPool(8, 500)
+  let sending = 0
+  const result = await new HttpModelEngine(pool, address).complete({ body: '{}', timeout: 2_000, onSending: () => { sending += 1 } })
+  if (result.ok) result.value.body.on('error', () => {})
+  await pool.dispose()
+  return { failure: result.ok ? null : result.failure, sending }
+}
+
+test('refused connection did not run', async (t) => {
+  const { server, address } = await listen(() => {})
+  await new Promise((resolve) => server.close(resolve))
+  const { failure, sending } = await complete(address)
+  t.is(failure?.type, 'not_sent')
+  t.is(ranOf(failure!), 'no')
+  t.is(sending, 0)
+})
+
+test('reset after the request is unknown and is not sent again', async (t) => {
+  let received = 0
+  const { server, address } = await listen((socket) => socket.once('data', () => {
+    received += 1
+    socket.resetAndDestroy()
+  }))
+  const { failure, sending } = await complete(address)
+  server.close()
+  t.is(failure?.type, 'interrupted')
+  t.is(ranOf(failure!), 'unknown')
+  t.is(sending, 1)
+  t.is(received, 1)
+})
+
+test('half a head is unknown', async (t) => {
+  const { server, address } = await listen((socket) => socket.once('data', () => socket.end('HTTP/1.1 200 OK\r\ncontent-')))
+  const { failure } = await complete(address)
+  server.close()
+  t.is(ranOf(failure!), 'unknown')
+})
+
+test('only the word of the server makes an error not started', async (t) => {
+  const bodies = ['{"error":{"code":"no_capacity","started":false}}', '{"error":{"code":"no_capacity"}}', 'oops', '{"error":null}', '']
+  const seen: string[] = []
+  for (const body of bodies) {
+    const { server, address } = await listen((socket) => socket.once('data', () => answer(socket, '503 Service Unavailable', ['retry-after: 2', 'connection: close'], body)))
+    const { failure } = await complete(address)
+    server.close()
+    seen.push(failure?.type ?? 'none')
+    if (failure?.type === 'not_started') t.is(failure.retryAfter, 2_000)
+  }
+  t.deepEqual(seen, ['not_started', 'rejected', 'rejected', 'rejected', 'rejected'])
+})
+
+test('a silent server ends in time', async (t) => {
+  const { server, address } = await listen(() => {})
+  const { failure } = await complete(address)
+  server.close()
+  t.is(failure?.type, 'interrupted')
+})
+
+test('a plain service says by header that it did not start', async (t) => {
+  const { server, address } = await listen((socket) => socket.on('data', () => answer(socket, '503 Service Unavailable', ['x-not-started: 1'], '')))
+  const pool = new HttpPool()
+  const result = await new HttpPlainService(pool, address).call({ method: 'POST', path: '/orders', headers: {}, body: 'x', timeout: 2_000 })
+  await pool.dispose()
+  server.close()
+  t.is(result.ok ? 'ok' : result.failure.type, 'not_started')
+})
+
+test('two calls in turn share a connection', async (t) => {
+  let sockets = 0
+  const { server, address } = await listen((socket) => {
+    sockets += 1
+    socket.on('data', (piece) => {
+      if (piece.includes('request_id')) answer(socket, '200 OK', [], '{"cancelled":true}')
+    })
+  })
+  const pool = new HttpPool()
+  t.teardown(async () => {
+    await pool.dispose()
+    server.close()
+  })
+  const engine = new HttpModelEngine(pool, address)
+  t.deepEqual(await engine.cancel('a'), { ok: true, value: true })
+  await setTimeout(20)
+  t.deepEqual(await engine.cancel('b'), { ok: true, value: true })
+  t.is(sockets, 1)
+})
