--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,2 +1,8 @@
+/** The daemon's parts. */
+export * from './store/index.js'
+export * from './log/index.js'
+export * from './metrics/index.js'
+export * from './timeline/index.js'
 /** Entry of the package. */
 export {}
+export * from './membership/index.js'
