--- a/packages/node/src/daemon/adapters.ts
+++ b/packages/node/src/daemon/adapters.ts
@@ -1,4 +1,5 @@
 /** Joins the dispatcher's ports to the membership, the backend servers and the peers. */
+import { Metadata } from '@grpc/grpc-js'
 import { assertNever, hashText, ownerOf } from '@bluebellhill/domain'
 import type { AttemptId, FailureDomain, NodeId, RunnerId } from '@bluebellhill/domain'
 import type { ModelEngine, PlainService } from '@bluebellhill/platform'
@@ -108,7 +109,7 @@
     const { peers, timeLine } = this.#parts
     return new Promise((resolve) => {
       const message = { attempt, reason, clock: timeLine.send() }
-      peers.entry(address).recall(message, { deadline: Date.now() + RECALL_TIMEOUT_MS }, () => resolve())
+      peers.entry(address).recall(message, new Metadata(), { deadline: Date.now() + RECALL_TIMEOUT_MS }, () => resolve())
     })
   }
 }
--- a/packages/node/src/daemon/fleet.ts
+++ b/packages/node/src/daemon/fleet.ts
@@ -1,6 +1,8 @@
 /** A node's view of the fleet: members, summaries and leaving backend servers. */
+import type { MemberState } from '@bluebellhill/domain'
 import { HttpVmList } from '@bluebellhill/platform'
 import { EventKind } from '@bluebellhill/protocol'
+import type { MemberState as RecordedState } from '@bluebellhill/protocol'
 
 import { monotonicNow } from '../clock/monotonic.js'
 import { endpointOf } from '../edge/listen.js'
@@ -52,13 +54,15 @@
     const { member, previous } = change
     timeLine.record(EventKind.MemberChanged, {}, '', {
       member: member.node,
-      from: previous === null ? null : previous.state === 'left' ? 'gone' : previous.state,
-      to: member.state === 'left' ? 'gone' : member.state,
+      from: previous === null ? null : recordedState(previous),
+      to: recordedState(member.state),
       incarnation: member.incarnation
     })
   })
 }
 
+const recordedState = (state: MemberState): RecordedState => state === 'left' ? 'gone' : state
+
 const startVmList = (foundation: Foundation, membership: MembershipService, leaving: LeavingRunners): void => {
   const { options, pool, directory, store } = foundation
   if (options.vmList.length === 0) return
--- a/packages/node/src/dispatch/DispatcherDesk.ts
+++ b/packages/node/src/dispatch/DispatcherDesk.ts
@@ -1,5 +1,5 @@
 /** Places orders with the dispatcher that the router chooses, here or on a peer. */
-import { status } from '@grpc/grpc-js'
+import { Metadata, status } from '@grpc/grpc-js'
 import type { ServiceError } from '@grpc/grpc-js'
 import { hashText, ownerOf } from '@bluebellhill/domain'
 import type { DispatchOrder, FailureDomain, Member, NodeId, OrderFacts, OutcomeKind, Router, RoutingRefusal, RunnerId } from '@bluebellhill/domain'
@@ -120,7 +120,7 @@
     return new Promise((resolve) => {
       const deadline = Date.now() + order.remaining
       const message = { order: encodeOrder(order), clock: timeLine.send(), direct: failureDomainOf(chosen) === null }
-      const call = clients.dispatcher(peer.peerAddress).acquire(message, { deadline }, (error, reply) => {
+      const call = clients.dispatcher(peer.peerAddress).acquire(message, new Metadata(), { deadline }, (error, reply) => {
         if (error !== null) {
           if (isConnectionError(error)) membership.callFailed(peer.node)
           return resolve({ type: 'lost', dispatcher: chosen, reason: error.details })
@@ -146,7 +146,7 @@
     const { attempt, runner, kind, generated, order } = progress
     return new Promise((resolve) => {
       const message = { attempt, runner, kind, generated, order: encodeOrder(order), clock: timeLine.send() }
-      clients.dispatcher(owner.peerAddress).progress(message, { deadline: Date.now() + REPORT_TIMEOUT_MS }, (error, reply) => {
+      clients.dispatcher(owner.peerAddress).progress(message, new Metadata(), { deadline: Date.now() + REPORT_TIMEOUT_MS }, (error, reply) => {
         if (error !== null) return resolve(false)
         timeLine.receive(reply.clock)
         resolve(reply.recalled)
--- a/packages/node/src/dispatch/DispatcherViews.ts
+++ b/packages/node/src/dispatch/DispatcherViews.ts
@@ -2,8 +2,7 @@
 import type { DispatcherState, DispatchSummary, FailureDomain, Millis, NodeId } from '@bluebellhill/domain'
 
 import { monotonicNow } from '../clock/monotonic.js'
-import type { MembershipService } from '../membership/index.js'
-import type { SummaryExchange } from '../membership/index.js'
+import type { MembershipService, SummaryExchange } from '../membership/index.js'
 import type { DispatcherHost } from './DispatcherHost.js'
 
 const DOMAIN_PREFIX = 'domain:'
--- a/packages/node/src/peers/PeerServer.ts
+++ b/packages/node/src/peers/PeerServer.ts
@@ -84,8 +84,11 @@
   if (order === undefined) return done({ code: status.INVALID_ARGUMENT, details: 'the order is missing' })
   parts.timeLine.receive(clock)
   const controller = new AbortController()
-  call.on('cancelled', () => controller.abort())
+  const withdraw = (): void => controller.abort()
+  call.on('cancelled', withdraw)
   const result = await place(parts, decodeOrder(order), direct, controller.signal)
+  // The event also comes when an answered call is closed; from here on the grant's expiry covers a lost answer.
+  call.off('cancelled', withdraw)
   if (result.type === 'lost') return done({ code: status.UNAVAILABLE, details: result.reason })
   done(null, { result: resultMessage(result), clock: parts.timeLine.send() })
 }
--- a/packages/node/src/requests/CompletionSource.ts
+++ b/packages/node/src/requests/CompletionSource.ts
@@ -106,7 +106,13 @@
   }
 
   #completed (listener: AttemptListener, attempt: AttemptId, end: AnswerEnd): void {
-    if (this.#base === 0) this.#estimator.learn(this.#spec.model, this.#call.promptBytes, end.usage.promptTokens)
+    if (this.#base > 0) return listener.completed(attempt, this.#withOwnPrompt(end))
+    this.#estimator.learn(this.#spec.model, this.#call.promptBytes, end.usage.promptTokens)
     listener.completed(attempt, end)
   }
+
+  /** An engine that continued an answer counts the earlier tokens to the prompt. */
+  #withOwnPrompt (end: AnswerEnd): AnswerEnd {
+    return { ...end, usage: { ...end.usage, promptTokens: this.#spec.promptTokens } }
+  }
 }
--- a/packages/node/src/requests/RequestHost.ts
+++ b/packages/node/src/requests/RequestHost.ts
@@ -36,11 +36,11 @@
    * @returns the session, and its final result
    */
   start (spec: RequestSpec, answer: Answer, source: AttemptSource): { session: RequestSession, finished: Promise<Outcome> } {
-    let resolve: (outcome: Outcome) => void = () => {}
-    const finished = new Promise<Outcome>((settle) => { resolve = settle })
+    let settle: (outcome: Outcome) => void = () => {}
+    const finished = new Promise<Outcome>((resolve) => { settle = resolve })
     const session = new RequestSession(spec, this.#options, answer, source, this.#ports, this.#parent, this.#node, (outcome) => {
       this.#remove(spec.id)
-      resolve(outcome)
+      settle(outcome)
     })
     this.#sessions.set(spec.id, session)
     session.start()
