Start the daemon from checked settings and route calls to plain services

Configuration files stand in for the key-value service in small setups. Seen by hand with three nodes in three failure domains: a completion entered at a node without an engine, and a service call at a node without the service, each answered whole; the service's ledger shows one execution.

--- a/packages/node/src/daemon/Daemon.ts
+++ b/packages/node/src/daemon/Daemon.ts
@@ -24,7 +24,7 @@
 /** Version that the daemon reports. */
 export const VERSION = '0.1.0'
 
-const BLOCK_TOKENS = 64
+const BLOCK_TOKENS = 256
 
 /** Whether the node takes new work, and whether the balancer should send some. */
 interface Doors {
@@ -129,7 +129,15 @@
 
 const buildCallers = (foundation: Foundation, requests: RequestHost, doors: Doors): CallerServer => {
   const { options, timeLine, metrics, hasher, estimator, backends, store } = foundation
-  const admission = new Admission({ hasher, estimator, timeLine, blockTokens: () => BLOCK_TOKENS, isOpen: () => doors.open })
+  const admission = new Admission({
+    hasher,
+    estimator,
+    timeLine,
+    limits: options.admission,
+    blockTokens: () => BLOCK_TOKENS,
+    isOpen: () => doors.open,
+    inProgress: () => requests.size
+  })
   const routes = callerRoutes({
     organisations: options.organisations,
     admission,
--- /dev/null
+++ b/packages/node/src/daemon/main.ts
@@ -0,0 +1,56 @@
+/** The command `bluebellhilld`. */
+import { readFile } from 'node:fs/promises'
+
+import { formatProblem, loadSettings } from '@bluebellhill/platform'
+import type { Configuration, Settings } from '@bluebellhill/platform'
+import { defineCommand, runMain } from 'citty'
+
+import { openLog } from '../log/index.js'
+import { loadConfigurationFiles } from './configurationFiles.js'
+import { Daemon, VERSION } from './Daemon.js'
+import { optionsOf } from './optionsOf.js'
+
+const EXIT_BAD_SETTINGS = 1
+
+const command = defineCommand({
+  meta: { name: 'bluebellhilld', version: VERSION, description: 'One node of bluebellhill' },
+  args: {
+    settings: { type: 'string', required: true, description: 'YAML file with the settings of this node' },
+    configuration: { type: 'string', default: '', description: 'Configuration files, separated by commas, for a setup without a key-value service' }
+  },
+  run: async ({ args }) => { await serve(args.settings, args.configuration) }
+})
+
+/**
+ * Runs the daemon until it is told to stop.
+ *
+ * @param args - the words after the program's name
+ */
+export const runDaemon = async (args: string[]): Promise<void> => {
+  await runMain(command, { rawArgs: args })
+}
+
+const serve = async (settingsFile: string, configurationFiles: string): Promise<void> => {
+  const settings = await readSettings(settingsFile)
+  const fixed = await loadConfigurationFiles(configurationFiles.split(',').filter((file) => file !== ''))
+  const daemon = await startDaemon(settings, () => fixed)
+  process.once('SIGTERM', () => stopAndExit(daemon))
+  process.once('SIGINT', () => stopAndExit(daemon))
+  process.stdout.write(`${JSON.stringify({ ready: true, name: settings.name, ...daemon.addresses })}\n`)
+}
+
+const startDaemon = async (settings: Settings, configuration: () => Configuration | null): Promise<Daemon> => {
+  const log = openLog({ node: settings.name, failureDomain: settings.failureDomain, level: settings.log.level })
+  return await Daemon.start(optionsOf(settings, configuration, log))
+}
+
+const stopAndExit = (daemon: Daemon): void => {
+  daemon.stop().then(() => process.exit(0), () => process.exit(1))
+}
+
+const readSettings = async (file: string): Promise<Settings> => {
+  const result = loadSettings(await readFile(file, 'utf8'), file)
+  if (result.ok) return result.value
+  for (const problem of result.failure) process.stderr.write(`${formatProblem(problem)}\n`)
+  process.exit(EXIT_BAD_SETTINGS)
+}
--- /dev/null
+++ b/packages/node/src/daemon/optionsOf.ts
@@ -0,0 +1,52 @@
+/** Turns checked settings into what the daemon is started with. */
+import { assertNever, LeastReportedLoad, LengthAware, RoundRobin } from '@bluebellhill/domain'
+import type { FailureDomain, NodeId, RoutingPolicy, RunnerId } from '@bluebellhill/domain'
+import { PolicyName } from '@bluebellhill/platform'
+import type { Configuration, Settings } from '@bluebellhill/platform'
+
+import type { Backend } from '../dispatch/RunnerDirectory.js'
+import { Organisations } from '../edge/Organisations.js'
+import type { Log } from '../log/index.js'
+import type { DaemonOptions } from './types.js'
+
+/**
+ * Maps settings.
+ *
+ * @param settings - checked settings
+ * @param configuration - gives the operators' configuration in force
+ * @param log - the node's log
+ */
+export const optionsOf = (settings: Settings, configuration: () => Configuration | null, log: Log): DaemonOptions => ({
+  node: settings.name as NodeId,
+  failureDomain: settings.failureDomain as FailureDomain,
+  listen: settings.listen,
+  seeds: settings.seeds,
+  secrets: settings.secrets.peer,
+  runners: settings.runners.map(backendOf),
+  vmList: settings.platform.vmList,
+  policy: policyOf(settings.policy),
+  bodyLimits: { bytes: settings.limits.bodyBytes, timeout: settings.limits.bodyTimeout },
+  admission: { requests: settings.limits.requests, longestDeadline: settings.limits.longestDeadline },
+  serviceSlots: settings.limits.serviceSlots,
+  drainGrace: settings.limits.drainGrace,
+  organisations: new Organisations(configuration),
+  log
+})
+
+const backendOf = (runner: Settings['runners'][number]): Backend => ({
+  id: runner.name as RunnerId,
+  address: runner.address,
+  failureDomain: runner.failureDomain as FailureDomain,
+  kind: runner.kind,
+  service: runner.service ?? null,
+  leaving: false
+})
+
+const policyOf = (policy: Settings['policy']): RoutingPolicy => {
+  switch (policy.name) {
+    case PolicyName.RoundRobin: return new RoundRobin()
+    case PolicyName.LeastReportedLoad: return new LeastReportedLoad()
+    case PolicyName.LengthAware: return new LengthAware()
+    default: return assertNever(policy.name)
+  }
+}
--- a/packages/node/src/daemon/types.ts
+++ b/packages/node/src/daemon/types.ts
@@ -1,6 +1,7 @@
 /** What a daemon is started with. */
 import type { FailureDomain, Millis, NodeId, RoutingPolicy } from '@bluebellhill/domain'
 
+import type { AdmissionLimits } from '../edge/Admission.js'
 import type { BodyLimits } from '../edge/body.js'
 import type { Organisations } from '../edge/Organisations.js'
 import type { Backend } from '../dispatch/RunnerDirectory.js'
@@ -28,6 +29,7 @@
   readonly vmList: readonly string[]
   readonly policy: RoutingPolicy
   readonly bodyLimits: BodyLimits
+  readonly admission: AdmissionLimits
   /** Calls that one plain service takes at once. */
   readonly serviceSlots: number
   /** Time between the failing readiness and the refusal of new work. */
--- a/packages/node/src/edge/Admission.ts
+++ b/packages/node/src/edge/Admission.ts
@@ -3,6 +3,8 @@
 
 import { OutcomeKind } from '@bluebellhill/domain'
 import type { Millis, RequestId, RequestSpec, Tokens } from '@bluebellhill/domain'
+import { renderPrompt } from '@bluebellhill/platform'
+import type { ResolvedTemplate } from '@bluebellhill/platform'
 import { EventKind } from '@bluebellhill/protocol'
 
 import { monotonicNow } from '../clock/monotonic.js'
@@ -11,18 +13,44 @@
 import type { TokenEstimator } from '../requests/TokenEstimator.js'
 import type { TimeLine } from '../timeline/index.js'
 import { RefusedCall } from './errors.js'
-import type { KnownOrganisation, TemplateRules } from './Organisations.js'
+import type { KnownOrganisation } from './Organisations.js'
 import type { CompletionCall } from './types.js'
 
+const STOPPING_RETRY_AFTER_MS = 1_000
+const FULL_RETRY_AFTER_MS = 1_000
+
+/** Bounds of one entry node's admission. */
+export interface AdmissionLimits {
+  /** Requests in progress at the most. */
+  readonly requests: number
+  readonly longestDeadline: Millis
+}
+
 /** What admission works with. */
 export interface AdmissionParts {
   readonly hasher: PrefixHasher
   readonly estimator: TokenEstimator
   readonly timeLine: TimeLine
+  readonly limits: AdmissionLimits
   /** Tokens in one block of a model's prefix cache. */
   readonly blockTokens: (model: string) => Tokens
   /** Whether the node takes new work. */
   readonly isOpen: () => boolean
+  /** Requests in progress. */
+  readonly inProgress: () => number
+}
+
+/** A call to a plain service, as far as templates look at it. */
+export interface ServiceTarget {
+  readonly service: string
+  readonly method: string
+  readonly path: string
+}
+
+/** An admitted completion with the prompt that the engine gets. */
+export interface AdmittedCompletion {
+  readonly spec: RequestSpec
+  readonly prompt: string
 }
 
 type Dispatched = Pick<RequestSpec, 'model' | 'version' | 'adapter' | 'promptTokens' | 'maxTokens' | 'prefix'>
@@ -38,56 +66,58 @@
   /**
    * Admits a completion.
    *
-   * @param organisation - whose request it is
+   * @param caller - whose request it is
    * @param call - the checked call
    * @param limit - the caller's own time limit, or null
    * @returns the admitted request
-   * @throws RefusedCall where no template fits or the node is stopping
+   * @throws RefusedCall where no template fits, the prompt is too long or the node takes no more work
    */
-  completion (organisation: KnownOrganisation, call: CompletionCall, limit: Millis | null): RequestSpec {
-    const template = completionTemplate(organisation, call.model)
+  completion (caller: KnownOrganisation, call: CompletionCall, limit: Millis | null): AdmittedCompletion {
+    const template = caller.configuration.templateFor(caller.organisation, call.model)
     if (template?.model == null) throw new RefusedCall(OutcomeKind.UnknownModel, `no template for "${call.model}"`)
-    const { model } = template
-    return this.#admit(organisation, template, limit, {
-      model,
-      version: template.version,
-      adapter: template.adapter,
-      promptTokens: this.#parts.estimator.estimate(model, call.promptBytes),
-      maxTokens: call.maxTokens ?? template.maxTokens,
-      prefix: this.#parts.hasher.blocks(call.prompt, this.#parts.blockTokens(model))
-    })
+    const prompt = promptOf(template, call)
+    const spec = this.#admit(caller, template, limit, this.#dispatched(template, template.model, prompt, call))
+    return { spec, prompt }
   }
 
   /**
    * Admits a call to a plain service.
    *
-   * @param organisation - whose call it is
-   * @param service - the service's name
+   * @param caller - whose call it is
+   * @param target - what is called
    * @param limit - the caller's own time limit, or null
    * @returns the admitted request
-   * @throws RefusedCall where the organisation has no template for the service or the node is stopping
+   * @throws RefusedCall where no template fits or the node takes no more work
    */
-  service (organisation: KnownOrganisation, service: string, limit: Millis | null): RequestSpec {
-    const template = organisation.templates.find((each) => each.service === service)
-    if (template === undefined) throw new RefusedCall(OutcomeKind.UnknownRoute, `no template for the service "${service}"`)
-    return this.#admit(organisation, template, limit, {
-      model: serviceModel(service),
-      version: null,
-      adapter: null,
-      promptTokens: 1,
-      maxTokens: 0,
-      prefix: []
-    })
+  service (caller: KnownOrganisation, target: ServiceTarget, limit: Millis | null): RequestSpec {
+    const { service, method, path } = target
+    const template = caller.configuration.serviceTemplateFor(caller.organisation, service, method, path)
+    if (template === null) throw new RefusedCall(OutcomeKind.UnknownRoute, `no template for ${method} on the service "${service}"`)
+    return this.#admit(caller, template, limit, { model: serviceModel(service), version: null, adapter: null, promptTokens: 1, maxTokens: 0, prefix: [] })
   }
 
-  #admit (organisation: KnownOrganisation, template: TemplateRules, limit: Millis | null, dispatched: Dispatched): RequestSpec {
-    if (!this.#parts.isOpen()) throw new RefusedCall(OutcomeKind.Stopping, 'the node is stopping', STOPPING_RETRY_AFTER_MS)
+  #dispatched (template: ResolvedTemplate, model: string, prompt: string, call: CompletionCall): Dispatched {
+    const promptTokens = this.#parts.estimator.estimate(model, Buffer.byteLength(prompt))
+    const most = template.maxPromptTokens
+    if (most !== null && promptTokens > most) throw new RefusedCall(OutcomeKind.TooLarge, `about ${promptTokens} prompt tokens, ${most} are allowed`)
+    return {
+      model,
+      version: template.version,
+      adapter: template.adapter,
+      promptTokens,
+      maxTokens: call.maxTokens ?? template.maxTokens,
+      prefix: this.#parts.hasher.blocks(prompt, this.#parts.blockTokens(model))
+    }
+  }
+
+  #admit (caller: KnownOrganisation, template: ResolvedTemplate, limit: Millis | null, dispatched: Dispatched): RequestSpec {
+    this.#checkOpen()
     const admittedAt = monotonicNow()
-    const allowed = Math.min(template.deadline, limit ?? Infinity)
+    const allowed = Math.min(template.deadline, limit ?? Infinity, this.#parts.limits.longestDeadline)
     const spec: RequestSpec = {
       ...dispatched,
       id: `req-${randomUUID()}` as RequestId,
-      organisation: organisation.id,
+      organisation: caller.id,
       template: template.name,
       urgency: template.urgency,
       idempotent: template.idempotent,
@@ -98,6 +128,13 @@
     return spec
   }
 
+  #checkOpen (): void {
+    if (!this.#parts.isOpen()) throw new RefusedCall(OutcomeKind.Stopping, 'the node is stopping', STOPPING_RETRY_AFTER_MS)
+    if (this.#parts.inProgress() >= this.#parts.limits.requests) {
+      throw new RefusedCall(OutcomeKind.Overloaded, 'the node has as many requests in progress as it may', FULL_RETRY_AFTER_MS)
+    }
+  }
+
   #record (spec: RequestSpec, limit: Millis): void {
     this.#parts.timeLine.record(EventKind.RequestAdmitted, { request: spec.id, organisation: spec.organisation }, '', {
       template: spec.template,
@@ -111,10 +148,8 @@
   }
 }
 
-const STOPPING_RETRY_AFTER_MS = 1_000
-
-/** A template's own name goes before the name of a model. */
-const completionTemplate = (organisation: KnownOrganisation, name: string): TemplateRules | undefined => {
-  const templates = organisation.templates.filter((template) => template.model !== null)
-  return templates.find((template) => template.name === name) ?? templates.find((template) => template.model === name)
+const promptOf = (template: ResolvedTemplate, call: CompletionCall): string => {
+  const rendered = renderPrompt(template.source, call.parameters, call.prompt)
+  if (!rendered.ok) throw new RefusedCall(OutcomeKind.BadRequest, rendered.failure)
+  return rendered.value
 }
--- a/packages/node/src/edge/CompletionRoute.ts
+++ b/packages/node/src/edge/CompletionRoute.ts
@@ -5,7 +5,7 @@
 
 import type { CompletionSources } from '../requests/CompletionSource.js'
 import type { RequestHost } from '../requests/RequestHost.js'
-import type { Admission } from './Admission.js'
+import type { Admission, AdmittedCompletion } from './Admission.js'
 import { readBody } from './body.js'
 import type { BodyLimits } from './body.js'
 import { StreamedCompletion, WholeCompletion } from './CompletionAnswer.js'
@@ -51,14 +51,14 @@
     const deadline = readDeadline(call.request.headers)
     const body = await readBody(call.request, limits)
     const completion = parseCompletionCall(PATHS[call.path] ?? CallForm.Text, body)
-    const spec = admission.completion(organisation, completion, deadline)
-    await this.#run(spec, completion, call)
+    const admitted = admission.completion(organisation, completion, deadline)
+    await this.#run(admitted, completion, call)
   }
 
-  async #run (spec: RequestSpec, completion: CompletionCall, call: EdgeCall): Promise<void> {
+  async #run ({ spec, prompt }: AdmittedCompletion, completion: CompletionCall, call: EdgeCall): Promise<void> {
     call.response.setHeader('x-request-id', spec.id)
     const answer = answerFor(spec, completion, call)
-    const source = this.#parts.sources.create(spec, completion)
+    const source = this.#parts.sources.create(spec, prompt, completion.sampling)
     const { session, finished } = this.#parts.requests.start(spec, answer, source)
     call.response.on('close', () => session.tell({ type: 'caller_gone' }))
     await finished
--- a/packages/node/src/edge/ModelsRoute.ts
+++ b/packages/node/src/edge/ModelsRoute.ts
@@ -15,9 +15,9 @@
   }
 }
 
-const modelNames = (organisation: KnownOrganisation): string[] => {
-  const templates = organisation.templates.filter((template) => template.model !== null)
-  return [...new Set(templates.flatMap((template) => [template.name, template.model ?? '']))].sort()
+const modelNames = (known: KnownOrganisation): string[] => {
+  const templates = known.configuration.templatesOf(known.organisation)
+  return [...new Set(templates.flatMap((template) => template.model === null ? [] : [template.name, template.model]))].sort()
 }
 
 const modelBody = (id: string): object => ({ id, object: 'model', created: 0, owned_by: 'bluebellhill' })
--- a/packages/node/src/edge/Organisations.ts
+++ b/packages/node/src/edge/Organisations.ts
@@ -1,39 +1,43 @@
-/** What the caller edge needs of the configuration in force. */
-import type { Millis, OrganisationId, Tokens } from '@bluebellhill/domain'
+/** Recognises callers by the configuration in force. */
+import { createHash } from 'node:crypto'
 
-/** What a template settles for its requests. */
-export interface TemplateRules {
-  readonly name: string
-  /** The model's name; null for a template of plain service calls. */
-  readonly model: string | null
-  readonly version: string | null
-  readonly adapter: string | null
-  /** The plain service's name; null for a template of completions. */
-  readonly service: string | null
-  /** A smaller number is more urgent. */
-  readonly urgency: number
-  readonly deadline: Millis
-  /** Tokens of an answer whose caller sets no limit. */
-  readonly maxTokens: Tokens
-  readonly idempotent: boolean
-}
+import type { OrganisationId } from '@bluebellhill/domain'
+import type { Configuration, Organisation } from '@bluebellhill/platform'
 
-/** An organisation that was recognised by its key. */
+/** An organisation that was recognised by its key, with the configuration that recognised it. */
 export interface KnownOrganisation {
   readonly id: OrganisationId
-  readonly templates: readonly TemplateRules[]
+  readonly organisation: Organisation
+  readonly configuration: Configuration
 }
 
 /** The organisations of the configuration in force. */
-export abstract class Organisations {
+export class Organisations {
+  readonly #current: () => Configuration | null
+
   /**
-   * Recognises a caller.
-   *
-   * @param apiKey - the key as the caller sent it
-   * @returns the organisation, or null where no organisation has the key
+   * @param current - gives the configuration in force, or null while there is none
    */
-  abstract byKey (apiKey: string): KnownOrganisation | null
+  constructor (current: () => Configuration | null) {
+    this.#current = current
+  }
 
   /** Whether any configuration is in force yet. */
-  abstract get ready (): boolean
+  get ready (): boolean {
+    return this.#current() !== null
+  }
+
+  /**
+   * Recognises a caller. Only hashes are looked up, so the time taken tells nothing of a key.
+   *
+   * @param apiKey - the key as the caller sent it
+   * @returns the organisation, or null where none has the key
+   */
+  byKey (apiKey: string): KnownOrganisation | null {
+    const configuration = this.#current()
+    const hash = createHash('sha256').update(apiKey).digest('hex')
+    const organisation = configuration?.organisationByKeyHash(hash) ?? null
+    if (configuration === null || organisation === null) return null
+    return { id: organisation.name as OrganisationId, organisation, configuration }
+  }
 }
--- a/packages/node/src/edge/ServiceRoute.ts
+++ b/packages/node/src/edge/ServiceRoute.ts
@@ -51,7 +51,7 @@
     if (match?.[1] === undefined) throw new RefusedCall(OutcomeKind.UnknownRoute, 'the path has to be /services/NAME/...')
     const deadline = readDeadline(call.request.headers)
     const body = await readBody(call.request, this.#parts.limits)
-    const spec = this.#parts.admission.service(organisation, match[1], deadline)
+    const spec = this.#parts.admission.service(organisation, { service: match[1], method: call.request.method ?? 'GET', path: match[2] ?? '/' }, deadline)
     await this.#run(spec, call, {
       method: call.request.method ?? 'GET',
       path: `${match[2] ?? '/'}${call.query}`,
--- a/packages/node/src/edge/completionCall.ts
+++ b/packages/node/src/edge/completionCall.ts
@@ -21,6 +21,7 @@
   ...samplingFields,
   model: z.string().min(1).max(256),
   n: z.literal(1).nullish(),
+  parameters: z.record(z.string().max(128), z.union([z.string(), z.number(), z.boolean()])).nullish(),
   stream: z.boolean().nullish(),
   stream_options: z.object({ include_usage: z.boolean().nullish() }).nullish()
 }
@@ -98,7 +99,7 @@
   form,
   model: body.model,
   prompt,
-  promptBytes: Buffer.byteLength(prompt),
+  parameters: body.parameters ?? {},
   maxTokens,
   streamed: body.stream === true,
   usageWanted: body.stream_options?.include_usage === true,
--- a/packages/node/src/edge/types.ts
+++ b/packages/node/src/edge/types.ts
@@ -14,7 +14,8 @@
   /** The name in the body's `model` field: a template of the organisation, or a model. */
   readonly model: string
   readonly prompt: string
-  readonly promptBytes: number
+  /** Values for the parameters of the template. */
+  readonly parameters: Readonly<Record<string, unknown>>
   readonly maxTokens: Tokens | null
   readonly streamed: boolean
   /** True where the caller asked for the usage chunk of a streamed answer. */
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -8,5 +8,4 @@
 export * from './membership/index.js'
 export { Daemon, VERSION } from './daemon/Daemon.js'
 export type { DaemonAddresses, DaemonOptions } from './daemon/types.js'
-export { Organisations } from './edge/Organisations.js'
-export type { KnownOrganisation, TemplateRules } from './edge/Organisations.js'
+export { runDaemon } from './daemon/main.js'
--- a/packages/node/src/requests/CompletionSource.ts
+++ b/packages/node/src/requests/CompletionSource.ts
@@ -4,7 +4,6 @@
 import type { ModelEngine } from '@bluebellhill/platform'
 
 import { monotonicNow } from '../clock/monotonic.js'
-import type { CompletionCall } from '../edge/types.js'
 import type { AnswerEnd } from './Answer.js'
 import { ChunkFate } from './Attempt.js'
 import type { Attempt, AttemptListener, AttemptOrder } from './Attempt.js'
@@ -12,6 +11,9 @@
 import { AttemptSource } from './ports.js'
 import type { TokenEstimator } from './TokenEstimator.js'
 
+/** Sampling fields of an OpenAI body. */
+export type Sampling = Readonly<Record<string, unknown>>
+
 /** Gives the client of an engine by its address. */
 export type EngineSource = (address: string) => ModelEngine
 
@@ -29,17 +31,19 @@
    * Makes the source of one request.
    *
    * @param spec - the admitted request
-   * @param call - what the caller asked for
+   * @param prompt - the text for the engine
+   * @param sampling - sampling fields that are handed to the engine as they are
    */
-  create (spec: RequestSpec, call: CompletionCall): AttemptSource {
-    return new CompletionSource(spec, call, this.#engines, this.#estimator)
+  create (spec: RequestSpec, prompt: string, sampling: Sampling): AttemptSource {
+    return new CompletionSource(spec, prompt, sampling, this.#engines, this.#estimator)
   }
 }
 
 /** Knows a completion's prompt, and the text that its caller already has. */
 class CompletionSource extends AttemptSource {
   readonly #spec: RequestSpec
-  readonly #call: CompletionCall
+  readonly #prompt: string
+  readonly #sampling: Sampling
   readonly #engines: EngineSource
   readonly #estimator: TokenEstimator
   readonly #sent: string[] = []
@@ -48,10 +52,11 @@
   /** The text of those tokens. */
   #before = ''
 
-  constructor (spec: RequestSpec, call: CompletionCall, engines: EngineSource, estimator: TokenEstimator) {
+  constructor (spec: RequestSpec, prompt: string, sampling: Sampling, engines: EngineSource, estimator: TokenEstimator) {
     super()
     this.#spec = spec
-    this.#call = call
+    this.#prompt = prompt
+    this.#sampling = sampling
     this.#engines = engines
     this.#estimator = estimator
   }
@@ -72,11 +77,11 @@
   encode (order: AttemptOrder): string {
     const { model, version, adapter } = this.#spec
     return JSON.stringify({
-      ...this.#call.sampling,
+      ...this.#sampling,
       model,
       version: version ?? undefined,
       adapter: adapter ?? undefined,
-      prompt: this.#call.prompt + this.#before,
+      prompt: this.#prompt + this.#before,
       max_tokens: this.#spec.maxTokens - this.#base,
       stream: true,
       request_id: order.attempt,
@@ -107,7 +112,7 @@
 
   #completed (listener: AttemptListener, attempt: AttemptId, end: AnswerEnd): void {
     if (this.#base > 0) return listener.completed(attempt, this.#withOwnPrompt(end))
-    this.#estimator.learn(this.#spec.model, this.#call.promptBytes, end.usage.promptTokens)
+    this.#estimator.learn(this.#spec.model, Buffer.byteLength(this.#prompt), end.usage.promptTokens)
     listener.completed(attempt, end)
   }
 
