--- a/packages/standin/src/RateLimit.ts
+++ b/packages/standin/src/RateLimit.ts
@@ -21,8 +21,8 @@
    */
   set (perSecond: number): void {
     if (perSecond === this.perSecond) return
+    this.tokens = this.perSecond === 0 ? perSecond : Math.min(this.tokens, perSecond)
     this.perSecond = perSecond
-    this.tokens = Math.min(this.tokens, perSecond)
   }
 
   /**
--- a/packages/standin/src/http/messages.ts
+++ b/packages/standin/src/http/messages.ts
@@ -34,13 +34,14 @@
  * @param request - where to read
  */
 export const cutHalfway = async (request: IncomingMessage): Promise<void> => {
+  const { socket } = request
   const half = Number(request.headers['content-length'] ?? 0) / 2
   let received = 0
   for await (const part of request) {
     received += (part as Buffer).length
     if (received >= half) break
   }
-  request.socket.destroy()
+  socket.destroy()
 }
 
 /**
