Cut a stand-in's stream exactly after the set number of tokens

The resume test passed with an ignored offset: the cut dropped the whole event, so the offset was 0. The events up to the cut now arrive, and the test says how many.

--- a/packages/standin/src/engine/AnswerSink.ts
+++ b/packages/standin/src/engine/AnswerSink.ts
@@ -19,6 +19,12 @@
    * @param text - last events
    */
   abstract end (text: string): void
+  /**
+   * Sends text and then cuts the connection.
+   *
+   * @param text - last events that arrive
+   */
+  abstract cut (text: string): void
   /** Cuts the connection. */
   abstract dispose (): void
 }
@@ -48,6 +54,10 @@
     this.response.end(text)
   }
 
+  override cut (text: string): void {
+    this.response.write(text, () => this.response.destroy())
+  }
+
   override dispose (): void {
     this.response.destroy()
   }
--- a/packages/standin/src/engine/AnswerStream.ts
+++ b/packages/standin/src/engine/AnswerStream.ts
@@ -22,7 +22,7 @@
   lostAt: number | null = null
   /** Set when the last event was handed to the reader. */
   finished = false
-  /** Tokens after which the next event is cut off; null for none. */
+  /** Tokens after which the connection is cut; null for none. */
   cutAt: number | null = null
   stalled = false
 
@@ -48,13 +48,14 @@
    * Writes the tokens not yet sent as one event.
    *
    * @param id - the id put into the event
+   * @param limit - offset after the last token that may be sent
    * @returns the event and, after the last token, the end mark
    */
-  takeEvents (id: string): string {
+  takeEvents (id: string, limit = Infinity): string {
     const from = this.sent
-    this.sent = this.sequence.generated
+    this.sent = Math.min(limit, this.sequence.generated)
     const text = answerText(this.spec.seed, from, this.sent)
-    const last = this.isComplete
+    const last = this.isComplete && this.sent === this.sequence.generated
     const finishReason = last ? '"length"' : 'null'
     const usage = last ? `{"prompt_tokens":${this.spec.promptTokens},"completion_tokens":${this.sent}}` : 'null'
     const event = `data: {"id":"${id}","object":"text_completion","model":"${this.spec.model}","offset":${from},"choices":[{"index":0,"text":"${text}","finish_reason":${finishReason}}],"usage":${usage}}\n\n`
--- a/packages/standin/src/engine/Engine.ts
+++ b/packages/standin/src/engine/Engine.ts
@@ -141,13 +141,9 @@
     if (!stream.isDue) return
     const sink = stream.sink!
     const wrong = stream.sent === 0 && takeFault(this.faults, 'wrongId')
-    const events = stream.takeEvents(wrong ? FOREIGN_ID : stream.spec.requestId)
-    if (stream.cutAt !== null && stream.sent >= stream.cutAt) {
-      stream.cutAt = null
-      sink.dispose()
-      return
-    }
-    this.deliver(stream, sink, events)
+    const events = stream.takeEvents(wrong ? FOREIGN_ID : stream.spec.requestId, stream.cutAt ?? Infinity)
+    if (stream.cutAt !== null && stream.sent >= stream.cutAt) this.cut(stream, sink, events)
+    else this.deliver(stream, sink, events)
   }
 
   /**
@@ -249,6 +245,12 @@
     this.forget(stream, RunState.Done)
   }
 
+  private cut (stream: AnswerStream, sink: AnswerSink, events: string): void {
+    stream.cutAt = null
+    sink.cut(events)
+    this.detach(stream, sink)
+  }
+
   private freeLater (stream: AnswerStream): void {
     setTimeout(() => {
       const unread = stream.sink === null && stream.lostAt !== null
--- a/packages/standin/src/engine/completionRoutes.ts
+++ b/packages/standin/src/engine/completionRoutes.ts
@@ -31,6 +31,10 @@
     sendJson(this.exchange.response, 200, { id: spec.requestId, object: 'text_completion', model: spec.model, offset: 0, choices, usage })
   }
 
+  override cut (): void {
+    this.dispose()
+  }
+
   override dispose (): void {
     this.exchange.response.destroy()
   }
--- a/packages/standin/tests/engineServer.test.ts
+++ b/packages/standin/tests/engineServer.test.ts
@@ -30,10 +30,10 @@
   const first = await stream(running.address, { prompt: 'p', max_tokens: 40, request_id: 'a' })
   t.true(first.broken)
   t.false(first.done)
-  const offset = first.ids.length
-  const rest = await stream(running.address, { request_id: 'a', resume: { offset } })
+  t.is(first.text, expected('p', 5))
+  const rest = await stream(running.address, { request_id: 'a', resume: { offset: 5 } })
   t.true(rest.done)
-  t.is(answerText(answerSeed(preparePrompt('p').bytes), 0, offset) + rest.text, expected('p', 40))
+  t.is(first.text + rest.text, expected('p', 40))
   t.is(await heldTokens(running), 0)
 })
 
