--- /dev/null
+++ b/packages/node/src/membership/index.ts
@@ -0,0 +1,8 @@
+/** Membership of the fleet over UDP. */
+export * from './authentication.js'
+export * from './codec.js'
+export * from './GossipSocket.js'
+export * from './LeavingRunners.js'
+export * from './MembershipService.js'
+export * from './summaryCodec.js'
+export * from './SummaryExchange.js'
