Test the command line's views; route the admin address

The routes take the daemon as an abstract class of sources and answer status, headers and body, so that they are tested without a socket. The secret is compared by digest in constant time, and two are taken while it is rotated. Looked at in headless Chromium with a sample run: the descriptions were cut off at the right edge, the way back from a dispatcher was not drawn and 25 requests without trouble hid what mattered; mended. Arrow heads are defined once, since a definition inside a closed section is not drawn. Shown to fail: without escaping the page test fails, with the lists joined instead of merged the order test, without the check of options the exit codes, without the check of the secret the admin test and its fuzzing.

--- a/packages/cli/src/fleet/findings.ts
+++ b/packages/cli/src/fleet/findings.ts
@@ -50,5 +50,7 @@
  * @param nodes - the status of each node that answered
  * @returns one sentence for each finding; none where all is as it should be
  */
-export const findingsOf = (nodes: readonly StatusReply[]): string[] =>
-  [states, members, platform, configurations, clocks].flatMap((find) => find(nodes))
+export const findingsOf = (nodes: readonly StatusReply[]): string[] => {
+  const ordered = [...nodes].sort((left, right) => compareText(left.node, right.node))
+  return [states, members, platform, configurations, clocks].flatMap((find) => find(ordered))
+}
--- a/packages/cli/src/terminal/style.ts
+++ b/packages/cli/src/terminal/style.ts
@@ -24,7 +24,7 @@
  */
 export const painterFor = (isTerminal: boolean, environment: Readonly<Record<string, string | undefined>>): Painter => {
   const colours = isTerminal && !environment.NO_COLOR && environment.TERM !== 'dumb'
-  return colours ? (tone, text) => styleText(tone, text) : (_tone, text) => text
+  return colours ? (tone, text) => styleText(tone, text, { validateStream: false }) : (_tone, text) => text
 }
 
 /**
--- a/packages/cli/src/timeline/html/overview.ts
+++ b/packages/cli/src/timeline/html/overview.ts
@@ -10,14 +10,14 @@
 
 const WIDTH = 1_200
 const LABEL_WIDTH = 170
-const LANE_HEIGHT = 34
+const LANE_HEIGHT = 40
 const DOMAIN_HEIGHT = 22
 const AXIS_HEIGHT = 24
 const RIGHT_MARGIN = 16
 const TICKS = 6
 
 /** Marks of one tone closer than this share one mark, in pixels. */
-const MARK_STEP = 3
+const MARK_STEP = 4
 
 const CLASS_OF: Readonly<Record<Tone, string>> = {
   [Tone.Good]: 'good',
@@ -29,7 +29,7 @@
 }
 
 /** Height of a mark's row within its lane, in pixels, so that grave ones are never covered. */
-const ROW_OF: Readonly<Record<string, number>> = { bad: 6, warning: 12, notice: 18, good: 24, ordinary: 29 }
+const ROW_OF: Readonly<Record<string, number>> = { bad: 7, warning: 14, notice: 20, good: 27, ordinary: 33 }
 
 /**
  * Names the style of an event's mark.
@@ -74,12 +74,13 @@
   const kinds = new Map<string, number>()
   for (const event of mark.events) kinds.set(event.kind, (kinds.get(event.kind) ?? 0) + 1)
   const counts = [...kinds].map(([kind, count]) => `${count} x ${kind}`).join(', ')
-  const only = mark.events.length === 1 ? `: ${mark.events[0]!.reason}` : ''
+  const { reason } = mark.events[0]!
+  const only = mark.events.length === 1 && reason !== '' ? `: ${reason}` : ''
   return `${formatTime(wallOf(mark.events[0]!.stamp)).slice(11)} ${counts}${only}`
 }
 
 const drawMark = (mark: Mark, top: number): Markup => {
-  const radius = Math.min(5, 2.2 + Math.log10(mark.events.length))
+  const radius = Math.min(5, 2.8 + Math.log10(mark.events.length))
   return element('circle', { class: mark.style, cx: mark.x, cy: top + ROW_OF[mark.style]!, r: radius.toFixed(1) }, element('title', {}, titleOf(mark)))
 }
 
--- a/packages/cli/src/timeline/html/page.ts
+++ b/packages/cli/src/timeline/html/page.ts
@@ -13,11 +13,14 @@
 import { element } from './markup.js'
 import type { Markup } from './markup.js'
 import { drawOverview, markClass } from './overview.js'
-import { drawPath } from './pathDrawing.js'
+import { ARROW_HEAD, drawPath } from './pathDrawing.js'
 import { STYLE } from './style.js'
 
-/** Requests whose path is drawn. */
-const MAX_PATHS = 25
+/** Requests out of the ordinary whose path is drawn. */
+const MAX_TROUBLED_PATHS = 25
+
+/** Requests without trouble whose path is drawn, the slowest. */
+const MAX_ORDINARY_PATHS = 5
 
 /** Paths that are open when the page is shown. */
 const OPEN_PATHS = 3
@@ -41,6 +44,19 @@
   ...nodes.filter((node) => node.truncated).map((node) => element('p', { class: 'warn' }, `${node.node} held more events than were read.`))
 ]
 
+const SECTIONS: ReadonlyArray<readonly [string, string]> = [
+  ['processes', 'Processes'],
+  ['requests', 'Requests'],
+  ['fleet', 'Changes of the fleet'],
+  ['histograms', 'Histograms'],
+  ['counters', 'Counters']
+]
+
+const navigation = (sections: readonly Markup[]): Markup => {
+  const present = SECTIONS.filter(([id]) => sections.some((section) => section.html.includes(`id="${id}"`)))
+  return element('nav', {}, present.flatMap(([id, title]) => [element('a', { href: `#${id}` }, title), ' ']))
+}
+
 const header = (content: PageContent, paths: readonly RequestPath[]): Markup[] => {
   const { events, nodes } = content.timeLine
   const first = events[0]
@@ -77,7 +93,7 @@
 const overview = (timeLine: MergedTimeLine): Markup[] => timeLine.events.length === 0
   ? []
   : [
-      element('h2', {}, 'Processes'),
+      element('h2', { id: 'processes' }, 'Processes'),
       element('p', { class: 'legend' }, LEGEND.map(([style, label]) => element('span', { class: style }, [element('i'), element('b', {}, label)]))),
       drawOverview(timeLine.nodes, timeLine.events)
     ]
@@ -99,7 +115,7 @@
   const shown = fleet.slice(-MAX_FLEET_EVENTS)
   const note = shown.length < fleet.length ? `, the newest ${formatCount(shown.length)} of ${formatCount(fleet.length)}` : ''
   return [
-    element('h2', {}, `Changes of the fleet${note}`),
+    element('h2', { id: 'fleet' }, `Changes of the fleet${note}`),
     element('table', {}, [headRow(['time (UTC)', 'node', 'event', 'about', 'reason', 'figures']), ...shown.map(fleetRow)])
   ]
 }
@@ -123,9 +139,11 @@
 
 const requests = (paths: readonly RequestPath[]): Markup[] => {
   if (paths.length === 0) return []
-  const shown = notablePaths(paths, MAX_PATHS)
-  const note = shown.length < paths.length ? `: the ${formatCount(shown.length)} with most trouble, then the slowest, of ${formatCount(paths.length)}` : ''
-  return [element('h2', {}, `Requests${note}`), ...shown.map(pathSection)]
+  const troubled = notablePaths(paths.filter((path) => troubleOf(path) > 0), MAX_TROUBLED_PATHS)
+  const ordinary = notablePaths(paths.filter((path) => troubleOf(path) === 0), MAX_ORDINARY_PATHS)
+  const shown = [...troubled, ...ordinary]
+  const note = shown.length < paths.length ? `${plural(troubled.length, 'request')} with trouble, then the slowest ${formatCount(ordinary.length)} without, of ${formatCount(paths.length)}.` : ''
+  return [element('h2', { id: 'requests' }, 'Requests'), element('p', { class: 'faint' }, note), ...shown.map(pathSection)]
 }
 
 const counterRow = (counter: CounterValue): Markup => element('tr', {}, [
@@ -135,8 +153,8 @@
 ])
 
 const metrics = (content: PageContent): Markup[] => [
-  ...(content.histograms.length === 0 ? [] : [element('h2', {}, 'Histograms over all nodes, since each started'), element('div', { class: 'charts' }, content.histograms.map(drawHistogram))]),
-  ...(content.counters.length === 0 ? [] : [element('h2', {}, 'Counters over all nodes, since each started'), element('table', {}, [headRow(['counter', 'labels', 'sum']), ...content.counters.filter((counter) => counter.value > 0).map(counterRow)])])
+  ...(content.histograms.length === 0 ? [] : [element('h2', { id: 'histograms' }, 'Histograms over all nodes, since each started'), element('div', { class: 'charts' }, content.histograms.map(drawHistogram))]),
+  ...(content.counters.length === 0 ? [] : [element('h2', { id: 'counters' }, 'Counters over all nodes, since each started'), element('table', {}, [headRow(['counter', 'labels', 'sum']), ...content.counters.filter((counter) => counter.value > 0).map(counterRow)])])
 ]
 
 /**
@@ -147,13 +165,13 @@
  */
 export const timeLinePage = (content: PageContent): string => {
   const paths = requestPaths(content.timeLine.events)
-  const body = [
-    ...header(content, paths),
+  const sections = [
     ...overview(content.timeLine),
     ...requests(paths),
     ...fleetEvents(content.timeLine.events),
     ...metrics(content)
   ]
+  const body = [ARROW_HEAD, ...header(content, paths), navigation(sections), ...sections]
   const head = element('head', {}, [
     element('meta', { charset: 'utf-8' }),
     element('meta', { name: 'viewport', content: 'width=device-width' }),
--- a/packages/cli/src/timeline/html/pathDrawing.ts
+++ b/packages/cli/src/timeline/html/pathDrawing.ts
@@ -10,13 +10,13 @@
 
 const WIDTH = 1_180
 const TIME_WIDTH = 80
-const TEXT_WIDTH = 560
+const TEXT_WIDTH = 620
 const ROW_HEIGHT = 24
 const HEADER_HEIGHT = 28
 const MARK_RADIUS = 4.5
 
 /** Longest description beside a row, in characters. */
-const MAX_TEXT_LENGTH = 100
+const MAX_TEXT_LENGTH = 98
 
 /** Events at which bytes pass between a node and a runner, and in which direction. */
 const TO_RUNNER: ReadonlySet<EventKind> = new Set([EventKind.AttemptSent, EventKind.AttemptCancelled, EventKind.OrphanFreed])
@@ -52,17 +52,22 @@
   return element('line', { class: 'arrow', x1: fromX, y1: fromY, x2: stop, y2: toY, 'marker-end': 'url(#head)' })
 }
 
-/** Draws how an event came about: from the process before it, or from or to a runner. */
-const drawArrow = (layout: Layout, events: readonly TimeLineEvent[], row: number): Markup[] => {
+/** Draws what passed between this event's process and a runner. */
+const drawRunnerArrow = (layout: Layout, event: TimeLineEvent, y: number): Markup[] => {
+  if (event.runner === undefined) return []
+  const own = layout.xOf(event.node)
+  const runner = layout.xOf(event.runner)
+  if (TO_RUNNER.has(event.kind)) return [arrow(own, y, runner, y)]
+  return FROM_RUNNER.has(event.kind) ? [arrow(runner, y, own, y)] : []
+}
+
+/** Draws what passed between two processes: an order to a dispatcher, or its answer. */
+const drawNodeArrow = (layout: Layout, events: readonly TimeLineEvent[], row: number): Markup[] => {
   const event = events[row]!
   const previous = events[row - 1]
-  const own = layout.xOf(event.node)
-  const y = yOf(row)
-  if (event.runner !== undefined && TO_RUNNER.has(event.kind)) return [arrow(own, y, layout.xOf(event.runner), y)]
-  if (event.runner !== undefined && FROM_RUNNER.has(event.kind)) return [arrow(layout.xOf(event.runner), y, own, y)]
-  const crosses = previous !== undefined && previous.node !== event.node
-  if (crosses && (FROM_NODE.has(event.kind) || FROM_NODE.has(previous.kind))) return [arrow(layout.xOf(previous.node), yOf(row - 1), own, y)]
-  return []
+  if (previous === undefined || previous.node === event.node) return []
+  if (!FROM_NODE.has(event.kind) && !FROM_NODE.has(previous.kind)) return []
+  return [arrow(layout.xOf(previous.node), yOf(row - 1), layout.xOf(event.node), yOf(row))]
 }
 
 const drawRow = (layout: Layout, events: readonly TimeLineEvent[], row: number): Markup[] => {
@@ -72,7 +77,8 @@
   const text = [event.kind, event.reason, payloadText(event)].filter((part) => part !== '').join(' · ')
   return [
     element('text', { class: 'axis', x: TIME_WIDTH - 14, y: y + 4, 'text-anchor': 'end' }, `+${formatDuration(elapsed)}`),
-    ...drawArrow(layout, events, row),
+    ...drawNodeArrow(layout, events, row),
+    ...drawRunnerArrow(layout, event, y),
     element('circle', { class: markClass(event), cx: layout.xOf(event.node), cy: y, r: MARK_RADIUS }),
     element('text', { x: WIDTH - TEXT_WIDTH + 8, y: y + 4 }, [shorten(text, MAX_TEXT_LENGTH), element('title', {}, text)])
   ]
@@ -87,8 +93,9 @@
   ]
 }
 
-const ARROW_HEAD = element('defs', {}, element('marker', { id: 'head', viewBox: '0 0 8 8', refX: 7, refY: 4, markerWidth: 7, markerHeight: 7, orient: 'auto' },
-  element('path', { d: 'M0 0 L8 4 L0 8 z', class: 'ordinary' })))
+/** Definition of the arrow heads; stands once in the page, outside anything that can be closed. */
+export const ARROW_HEAD = element('svg', { width: 0, height: 0, style: 'position:absolute' }, element('defs', {}, element('marker', { id: 'head', viewBox: '0 0 8 8', refX: 7, refY: 4, markerWidth: 7, markerHeight: 7, orient: 'auto' },
+  element('path', { d: 'M0 0 L8 4 L0 8 z', class: 'ordinary' }))))
 
 /**
  * Draws the path of one request.
@@ -100,7 +107,6 @@
   const layout = layOut(events)
   const height = HEADER_HEIGHT + ROW_HEIGHT * events.length
   return element('svg', { viewBox: `0 0 ${WIDTH} ${height}`, role: 'img', 'aria-label': 'path of the request' }, [
-    ARROW_HEAD,
     ...layout.columns.flatMap((column) => drawColumn(layout, column, height)),
     ...events.flatMap((_, row) => drawRow(layout, events, row))
   ])
--- a/packages/cli/src/timeline/html/style.ts
+++ b/packages/cli/src/timeline/html/style.ts
@@ -26,5 +26,5 @@
 summary .outcome { float: right; } .sentences { max-width: 88ch; margin: 8px 0 12px; padding-left: 20px; }
 .charts { display: grid; grid-template-columns: repeat(auto-fill, minmax(280px, 1fr)); gap: 16px; }
 .chart { border: 1px solid var(--line); border-radius: 6px; padding: 10px 12px; }
-code { font-size: 12px; }
+nav { margin-top: 8px; } nav a { color: var(--notice); margin-right: 14px; }
 `
--- /dev/null
+++ b/packages/node/src/admin/index.ts
@@ -0,0 +1,3 @@
+export * from './AdminSources.js'
+export * from './replies.js'
+export * from './adminRoutes.js'
--- a/packages/node/src/timeline/admin.ts
+++ b/packages/node/src/admin/replies.ts
@@ -4,7 +4,7 @@
 import type { EventFilter, HistogramsReply, TimeLineReply } from '@bluebellhill/protocol'
 
 import type { Metrics } from '../metrics/index.js'
-import type { TimeLine } from './TimeLine.js'
+import type { TimeLine } from '../timeline/index.js'
 
 /** A query string that cannot be answered. */
 export class QueryError extends Error {
--- a/packages/node/src/timeline/index.ts
+++ b/packages/node/src/timeline/index.ts
@@ -1,3 +1,2 @@
 export * from './Ring.js'
 export * from './TimeLine.js'
-export * from './admin.js'
