--- /dev/null
+++ b/packages/node/src/admin/AdminServer.ts
@@ -0,0 +1,61 @@
+/** The HTTP server for operators and the command line. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+
+import { listen } from '../edge/listen.js'
+import type { AdminSources } from './AdminSources.js'
+import { answerAdmin, errorAnswer } from './adminRoutes.js'
+import type { AdminAnswer } from './adminRoutes.js'
+
+/** Time within which the headers of a call have to come, in milliseconds. */
+const HEADERS_TIMEOUT = 5_000
+
+/** Answers the admin address. */
+export class AdminServer {
+  readonly #server: Server
+  readonly #sources: AdminSources
+  readonly #secrets: readonly string[]
+
+  /**
+   * @param sources - the daemon
+   * @param secrets - those that are accepted; none where the address is open
+   */
+  constructor (sources: AdminSources, secrets: readonly string[]) {
+    this.#sources = sources
+    this.#secrets = secrets
+    this.#server = createServer({ headersTimeout: HEADERS_TIMEOUT }, (request, response) => { void this.#handle(request, response) })
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address - `ip:port`; port 0 takes a free one
+   * @returns the address in use
+   */
+  async listen (address: string): Promise<string> {
+    return await listen(this.#server, address)
+  }
+
+  dispose (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.on('error', () => {})
+    // no admin call has a body
+    request.resume()
+    const answer = await this.#answer(request)
+    response.writeHead(answer.status, { ...answer.headers, 'content-length': Buffer.byteLength(answer.body) })
+    response.end(answer.body)
+  }
+
+  async #answer (request: IncomingMessage): Promise<AdminAnswer> {
+    const call = { method: request.method ?? 'GET', url: request.url ?? '/', authorization: request.headers.authorization }
+    try {
+      return await answerAdmin(this.#sources, call, this.#secrets)
+    } catch (error) {
+      return errorAnswer(500, error instanceof Error ? error.message : 'unknown error')
+    }
+  }
+}
--- a/packages/node/src/admin/adminRoutes.ts
+++ b/packages/node/src/admin/adminRoutes.ts
@@ -29,7 +29,14 @@
 const jsonAnswer = (value: unknown, status = 200): AdminAnswer =>
   ({ status, headers: { 'content-type': JSON_TYPE }, body: JSON.stringify(value) })
 
-const errorAnswer = (status: number, message: string): AdminAnswer => {
+/**
+ * Builds an error answer.
+ *
+ * @param status - the HTTP status
+ * @param message - what is wrong and what to do
+ * @returns the answer
+ */
+export const errorAnswer = (status: number, message: string): AdminAnswer => {
   const error: AdminError = { error: { message } }
   return jsonAnswer(error, status)
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,3 +4,5 @@
 export * from './clock/index.js'
 export * from './timeline/index.js'
 export * from './admin.js'
+/** Datagrams; apart, since their names are those of the domain's own types. */
+export * as gossipWire from './generated/gossip.js'
