--- a/packages/cli/tests/commands.test.ts
+++ b/packages/cli/tests/commands.test.ts
@@ -6,7 +6,7 @@
 import { ErrorType, EventKind, listCodes } from '@bluebellhill/protocol'
 
 import { BROKEN_REQUEST, sampleRun, serveFleet } from './sampleFleet.js'
-import { runCommand } from './runCommand.js'
+import { runCommand, runUnread } from './runCommand.js'
 
 const CLOSED_ADDRESS = '127.0.0.1:9999'
 
@@ -87,7 +87,7 @@
     [['status'], 2],
     [['status', '--nodes', 'sohar-1:7401'], 2],
     [['status', '--nodes', '127.0.0.1:70000'], 2],
-    [['status', '--organization', 'x'], 2],
+    [['codes', '--organization', 'x'], 2],
     [['timeline', '--nodes', CLOSED_ADDRESS, '--since', 'yesterday'], 2],
     [['timeline', '--nodes', CLOSED_ADDRESS, '--kind', 'none'], 2],
     [['timeline', '--nodes', CLOSED_ADDRESS, '--limit', '0'], 2],
@@ -123,3 +123,7 @@
   t.true(listCodes().every((code) => output.includes(`${code.number}  ${code.name}`)))
   t.is(JSON.parse((await runCommand(['codes', '1203', '--json'])).output).type, ErrorType.Server)
 })
+
+test('a reader that goes away early is no error', async (t) => {
+  t.like(await runUnread(['codes', '--json']), { exitCode: 0, errors: '' })
+})
--- a/packages/cli/tests/runCommand.ts
+++ b/packages/cli/tests/runCommand.ts
@@ -10,6 +10,16 @@
   readonly errors: string
 }
 
+/** Runs one action whose reader goes away before it has read anything. */
+export const runUnread = (args: readonly string[]): Promise<CommandResult> => new Promise((resolve, reject) => {
+  const child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'], env: { PATH: process.env.PATH } })
+  child.stdout.destroy()
+  let errors = ''
+  child.stderr.on('data', (chunk) => { errors += String(chunk) })
+  child.on('error', reject)
+  child.on('close', (exitCode) => resolve({ exitCode, output: '', errors }))
+})
+
 /** Runs one action; the environment holds nothing of the caller's fleet. */
 export const runCommand = (args: readonly string[], environment: Readonly<Record<string, string>> = {}): Promise<CommandResult> => new Promise((resolve, reject) => {
   const child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'], env: { PATH: process.env.PATH, ...environment } })
