--- a/packages/cli/tests/commands.test.ts
+++ b/packages/cli/tests/commands.test.ts
@@ -125,5 +125,5 @@
 })
 
 test('a reader that goes away early is no error', async (t) => {
-  t.like(await runUnread(['codes', '--json']), { exitCode: 0, errors: '' })
+  t.like(await runUnread(['codes', '--markdown']), { exitCode: 0, errors: '' })
 })
