--- a/packages/node/src/admin/AdminServer.ts
+++ b/packages/node/src/admin/AdminServer.ts
@@ -3,32 +3,27 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
 import { listen } from '../edge/listen.js'
-import { writeJson } from '../edge/response.js'
-import { QueryError } from '../timeline/index.js'
+import type { AdminSources } from './AdminSources.js'
+import { answerAdmin, errorAnswer } from './adminRoutes.js'
+import type { AdminAnswer } from './adminRoutes.js'
 
-/** One call of the admin interface. */
-export interface AdminCall {
-  readonly query: URLSearchParams
-}
-
-/** One endpoint of the admin interface. */
-export interface AdminEndpoint {
-  readonly method: string
-  readonly path: string
-  /** @returns what is written as JSON */
-  readonly answer: (call: AdminCall) => object | Promise<object>
-}
-
-const BASE = 'http://admin'
+/** Time within which the headers of a call have to come, in milliseconds. */
+const HEADERS_TIMEOUT = 5_000
 
-/** Answers the admin endpoints. */
+/** Answers the admin address. */
 export class AdminServer {
   readonly #server: Server
-  readonly #endpoints: readonly AdminEndpoint[]
+  readonly #sources: AdminSources
+  readonly #secrets: readonly string[]
 
-  constructor (endpoints: readonly AdminEndpoint[]) {
-    this.#endpoints = endpoints
-    this.#server = createServer((request, response) => { void this.#handle(request, response) })
+  /**
+   * @param sources - the daemon
+   * @param secrets - those that are accepted; none where the address is open
+   */
+  constructor (sources: AdminSources, secrets: readonly string[]) {
+    this.#sources = sources
+    this.#secrets = secrets
+    this.#server = createServer({ headersTimeout: HEADERS_TIMEOUT }, (request, response) => { void this.#handle(request, response) })
   }
 
   /**
@@ -47,14 +42,20 @@
   }
 
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.on('error', () => {})
+    // no admin call has a body
+    request.resume()
+    const answer = await this.#answer(request)
+    response.writeHead(answer.status, { ...answer.headers, 'content-length': Buffer.byteLength(answer.body) })
+    response.end(answer.body)
+  }
+
+  async #answer (request: IncomingMessage): Promise<AdminAnswer> {
+    const call = { method: request.method ?? 'GET', url: request.url ?? '/', authorization: request.headers.authorization }
     try {
-      const url = new URL(request.url ?? '/', BASE)
-      const endpoint = this.#endpoints.find((each) => each.method === request.method && each.path === url.pathname)
-      if (endpoint === undefined) return writeJson(response, 404, { error: { message: 'no such admin endpoint' } })
-      writeJson(response, 200, await endpoint.answer({ query: url.searchParams }))
+      return await answerAdmin(this.#sources, call, this.#secrets)
     } catch (error) {
-      const message = error instanceof Error ? error.message : 'unknown error'
-      writeJson(response, error instanceof QueryError ? 400 : 500, { error: { message } })
+      return errorAnswer(500, error instanceof Error ? error.message : 'unknown error')
     }
   }
 }
--- a/packages/node/src/daemon/Daemon.ts
+++ b/packages/node/src/daemon/Daemon.ts
@@ -3,9 +3,9 @@
 import { EventKind } from '@bluebellhill/protocol'
 import { setTimeout as delay } from 'node:timers/promises'
 
-import { adminEndpoints } from '../admin/endpoints.js'
-import type { AdminParts } from '../admin/endpoints.js'
 import { AdminServer } from '../admin/AdminServer.js'
+import { DaemonSources } from '../admin/DaemonSources.js'
+import type { AdminParts } from '../admin/DaemonSources.js'
 import { Admission } from '../edge/Admission.js'
 import { CallerServer } from '../edge/CallerServer.js'
 import { PeerServer } from '../peers/PeerServer.js'
@@ -158,6 +158,6 @@
 
 const listenAdmin = async (parts: AdminParts): Promise<string> => {
   const { store, options } = parts.foundation
-  const server = store.add(new AdminServer(adminEndpoints(parts)))
+  const server = store.add(new AdminServer(new DaemonSources(parts), options.adminSecrets ?? []))
   return await server.listen(options.listen.admin)
 }
--- a/packages/node/src/daemon/types.ts
+++ b/packages/node/src/daemon/types.ts
@@ -24,6 +24,8 @@
   readonly seeds: readonly string[]
   /** Secrets that peers share: the first signs, every one is accepted. */
   readonly secrets: readonly string[]
+  /** Secrets that the admin address accepts; it is open where there are none. */
+  readonly adminSecrets?: readonly string[]
   readonly runners: readonly Backend[]
   /** Addresses of the VM list; none leaves only the runners of the settings. */
   readonly vmList: readonly string[]
