Add ConfigurationSet and ConfigurationEdit: versions that never go back

A stale read and a restored store look the same to a reader. They are told apart by the write-back: the newer value is written on condition that the key is still at the revision that was read, which fails for a stale read and succeeds on a restored store. A lost answer is settled by repeating the same swap, whose condition cannot hold twice.

--- /dev/null
+++ b/packages/domain/src/configuration/ConfigurationEdit.ts
@@ -0,0 +1,136 @@
+/** One operator's edit of one value, by compare-and-swap. */
+import { assertNever } from '../types.js'
+import { EDIT_ATTEMPTS, EDIT_FIRST_DELAY_MS, EDIT_LONGEST_DELAY_MS } from './constants.js'
+import { historyAfter, includesEdit, nextRevision } from './versions.js'
+import type { ConfigurationValue, EditId, StoredValue } from './types.js'
+import type { Millis } from '../types.js'
+
+/** What the operator wants. */
+export interface EditRequest {
+  readonly name: string
+  readonly edit: EditId
+  readonly author: string
+  /** New text; null removes the value. */
+  readonly text: string | null
+  /** Revision that the operator looked at; null takes whatever is there. 0 stands for no value. */
+  readonly expected: number | null
+  /** Greatest revision that a node is known to have in force; 0 where none was asked. */
+  readonly leastRevision: number
+}
+
+export type EditEvent =
+  /** The value was read; null where there is none. */
+  | { readonly type: 'read', readonly stored: StoredValue | null }
+  /** The read or the swap did not take place. */
+  | { readonly type: 'not_run', readonly reason: string }
+  | { readonly type: 'swapped' }
+  /** The key had changed; `stored` is what it holds. */
+  | { readonly type: 'changed', readonly stored: StoredValue | null }
+  /** It is not known whether the swap took place. */
+  | { readonly type: 'answer_lost', readonly reason: string }
+
+export type EditOutcome =
+  /** `settled` tells that the answer was lost and found again in the value; `superseded` names a later value. */
+  | { readonly type: 'accepted', readonly value: ConfigurationValue, readonly settled: boolean, readonly superseded: ConfigurationValue | null }
+  /** Another edit won, or the value was not the expected one; `current` is null where there is none. */
+  | { readonly type: 'lost', readonly current: ConfigurationValue | null }
+  | { readonly type: 'unchanged', readonly value: ConfigurationValue }
+  /** Nothing was written. */
+  | { readonly type: 'unavailable', readonly reason: string }
+  /** The edit may or may not be in force. */
+  | { readonly type: 'unknown', readonly reason: string }
+
+export type EditEffect =
+  | { readonly type: 'read', readonly after: Millis }
+  /** Write the value if the key's revision is still this one. */
+  | { readonly type: 'swap', readonly value: ConfigurationValue, readonly modRevision: number, readonly after: Millis }
+  | { readonly type: 'finish', readonly outcome: EditOutcome }
+
+/** A swap whose answer is lost is repeated as it was: the same condition cannot hold twice, so it takes effect once. */
+export class ConfigurationEdit {
+  readonly #request: EditRequest
+  readonly #wallTime: number
+  #swap: { readonly value: ConfigurationValue, readonly modRevision: number } | null = null
+  #attempts = 0
+  #answerLost = false
+
+  /**
+   * @param request - what the operator wants
+   * @param wallTime - milliseconds since the epoch
+   */
+  constructor (request: EditRequest, wallTime: number) {
+    this.#request = request
+    this.#wallTime = wallTime
+  }
+
+  /** @returns the first step */
+  start (): EditEffect {
+    return { type: 'read', after: 0 }
+  }
+
+  /**
+   * Takes the answer to the last step.
+   *
+   * @param event - the answer
+   * @returns the next step
+   */
+  handle (event: EditEvent): EditEffect {
+    switch (event.type) {
+      case 'read':
+        return this.#prepare(event.stored)
+      case 'not_run':
+        return this.#repeat(event.reason)
+      case 'answer_lost':
+        this.#answerLost ||= this.#swap !== null
+        return this.#repeat(event.reason)
+      case 'swapped':
+        return this.#accepted(null)
+      case 'changed':
+        return this.#settle(event.stored?.value ?? null)
+      default:
+        return assertNever(event)
+    }
+  }
+
+  #prepare (stored: StoredValue | null): EditEffect {
+    const current = stored?.value ?? null
+    const { name, edit, author, text, expected, leastRevision } = this.#request
+    if (expected !== null && (current?.revision ?? 0) !== expected) return finish({ type: 'lost', current })
+    if (current !== null && isSame(current, text)) return finish({ type: 'unchanged', value: current })
+    const base = current === null || current.revision >= leastRevision ? current : { ...current, revision: leastRevision }
+    const value: ConfigurationValue = {
+      name,
+      revision: nextRevision(base ?? { revision: leastRevision }, this.#wallTime),
+      edit,
+      author,
+      editedAt: this.#wallTime,
+      removed: text === null,
+      text: text ?? '',
+      history: historyAfter(current)
+    }
+    this.#swap = { value, modRevision: stored?.modRevision ?? 0 }
+    return { type: 'swap', ...this.#swap, after: 0 }
+  }
+
+  #repeat (reason: string): EditEffect {
+    this.#attempts += 1
+    if (this.#attempts >= EDIT_ATTEMPTS) return finish(this.#answerLost ? { type: 'unknown', reason } : { type: 'unavailable', reason })
+    const after = Math.min(EDIT_LONGEST_DELAY_MS, EDIT_FIRST_DELAY_MS * 2 ** (this.#attempts - 1))
+    return this.#swap === null ? { type: 'read', after } : { type: 'swap', ...this.#swap, after }
+  }
+
+  #settle (current: ConfigurationValue | null): EditEffect {
+    const { edit } = this.#request
+    if (current !== null && includesEdit(current, edit)) return this.#accepted(current.edit === edit ? null : current)
+    return finish({ type: 'lost', current })
+  }
+
+  #accepted (superseded: ConfigurationValue | null): EditEffect {
+    return finish({ type: 'accepted', value: this.#swap!.value, settled: this.#answerLost, superseded })
+  }
+}
+
+const finish = (outcome: EditOutcome): EditEffect => ({ type: 'finish', outcome })
+
+const isSame = (current: ConfigurationValue, text: string | null): boolean =>
+  text === null ? current.removed : !current.removed && current.text === text
--- /dev/null
+++ b/packages/domain/src/configuration/ConfigurationSet.ts
@@ -0,0 +1,161 @@
+/** The configuration that one node knows and has in force. */
+import { assertNever } from '../types.js'
+import { hashText } from '../membership/hash.js'
+import { MAX_VALUES } from './constants.js'
+import { compareVersions, overwrites } from './versions.js'
+import type { ConfigurationEffect, ConfigurationEvent, ConfigurationValue, StoredValue, ValueSource, ValueVersion } from './types.js'
+
+/** Says why a value cannot be put in force, or null where it can. */
+export type UsabilityCheck = (value: ConfigurationValue) => string | null
+
+/**
+ * Never goes back to an older value, whatever the store or a peer says. Where the store shows an older one, the newer is
+ * written back on condition that the key is still as it was read: a stale read makes that fail, a restored store accepts it.
+ */
+export class ConfigurationSet {
+  readonly #check: UsabilityCheck
+  readonly #known = new Map<string, ConfigurationValue>()
+  readonly #inForce = new Map<string, ConfigurationValue>()
+  readonly #writingBack = new Set<string>()
+  #digest = 0
+
+  /** @param check - decides whether a value's text can be used by this node */
+  constructor (check: UsabilityCheck = () => null) {
+    this.#check = check
+  }
+
+  /** Values in force, removed ones left out. */
+  get inForce (): ConfigurationValue[] {
+    return [...this.#inForce.values()].filter((value) => !value.removed)
+  }
+
+  /** Whether this node knows any value. */
+  get isEmpty (): boolean {
+    return this.#known.size === 0
+  }
+
+  /** A number that is the same at two nodes that know the same versions. */
+  get digest (): number {
+    return this.#digest
+  }
+
+  /**
+   * Gives the newest version known of a value.
+   *
+   * @param name - the value's name
+   * @returns the value, or null
+   */
+  value (name: string): ConfigurationValue | null {
+    return this.#known.get(name) ?? null
+  }
+
+  /** The newest version known of every value. */
+  versions (): ValueVersion[] {
+    return [...this.#known.values()].map(({ name, revision, edit }) => ({ name, revision, edit }))
+  }
+
+  /**
+   * Gives the values that a peer lacks or has in an older version.
+   *
+   * @param versions - what the peer knows
+   * @returns newer values of this node
+   */
+  valuesSince (versions: readonly ValueVersion[]): ConfigurationValue[] {
+    const theirs = new Map(versions.map((version) => [version.name, version]))
+    return [...this.#known.values()].filter((value) => {
+      const other = theirs.get(value.name)
+      return other === undefined || compareVersions(value, other) > 0
+    })
+  }
+
+  /**
+   * Names the values that a peer has in a newer version.
+   *
+   * @param versions - what the peer knows
+   * @returns names of values to ask for
+   */
+  namesBehind (versions: readonly ValueVersion[]): string[] {
+    return versions
+      .filter((version) => {
+        const own = this.#known.get(version.name)
+        return own === undefined || compareVersions(own, version) < 0
+      })
+      .map((version) => version.name)
+  }
+
+  /**
+   * Takes an event.
+   *
+   * @param event - what was read or received
+   * @returns what to do
+   */
+  handle (event: ConfigurationEvent): ConfigurationEffect[] {
+    switch (event.type) {
+      case 'store_read':
+        return this.#readWhole(event.stored)
+      case 'store_changed':
+        return this.#takeStored([event.stored])
+      case 'store_deleted':
+        return this.#restoreMissing(event.name)
+      case 'received':
+        return event.values.flatMap((value) => this.#take(value, { type: 'peer', node: event.from }))
+      case 'written_back':
+        this.#writingBack.delete(event.name)
+        return []
+      default:
+        return assertNever(event)
+    }
+  }
+
+  #readWhole (stored: readonly StoredValue[]): ConfigurationEffect[] {
+    const present = new Set(stored.map((entry) => entry.name))
+    const missing = [...this.#known.keys()].filter((name) => !present.has(name))
+    return [...this.#takeStored(stored), ...missing.flatMap((name) => this.#restoreMissing(name))]
+  }
+
+  #takeStored (stored: readonly StoredValue[]): ConfigurationEffect[] {
+    const effects = stored.flatMap((entry) => this.#takeOneStored(entry))
+    const installed = effects.flatMap((effect) => effect.type === 'install' ? [effect.value] : [])
+    return installed.length === 0 ? effects : [...effects, { type: 'push', values: installed }]
+  }
+
+  #takeOneStored ({ name, modRevision, value }: StoredValue): ConfigurationEffect[] {
+    if (value === null) return [{ type: 'report_unusable', name, revision: null, reason: 'the stored bytes are no value of the configuration' }]
+    const known = this.#known.get(name)
+    if (known === undefined || compareVersions(value, known) >= 0) return this.#take(value, { type: 'store' })
+    return this.#writeBack(known, modRevision)
+  }
+
+  #take (value: ConfigurationValue, source: ValueSource): ConfigurationEffect[] {
+    const known = this.#known.get(value.name)
+    if (known !== undefined && compareVersions(value, known) <= 0) return []
+    if (known === undefined && this.#known.size >= MAX_VALUES) {
+      return [{ type: 'report_unusable', name: value.name, revision: value.revision, reason: `there are ${MAX_VALUES} values already` }]
+    }
+    this.#known.set(value.name, value)
+    this.#digest = (this.#digest ^ digestOf(known) ^ digestOf(value)) >>> 0
+    const forked: ConfigurationEffect[] = known !== undefined && overwrites(value, known) ? [{ type: 'report_fork', value, overwritten: known }] : []
+    return [...forked, ...this.#install(value, source)]
+  }
+
+  #install (value: ConfigurationValue, source: ValueSource): ConfigurationEffect[] {
+    const reason = value.removed ? null : this.#check(value)
+    if (reason !== null) return [{ type: 'report_unusable', name: value.name, revision: value.revision, reason }]
+    this.#inForce.set(value.name, value)
+    return [{ type: 'install', value, source }]
+  }
+
+  #restoreMissing (name: string): ConfigurationEffect[] {
+    const known = this.#known.get(name)
+    return known === undefined ? [] : this.#writeBack(known, 0)
+  }
+
+  #writeBack (value: ConfigurationValue, modRevision: number): ConfigurationEffect[] {
+    if (this.#writingBack.has(value.name)) return []
+    this.#writingBack.add(value.name)
+    return [{ type: 'write_back', value, modRevision }]
+  }
+}
+
+const digestOf = (version: ValueVersion | undefined): number =>
+  version === undefined ? 0 : hashText(`${version.name}\n${version.revision}\n${version.edit}`)
--- /dev/null
+++ b/packages/domain/src/configuration/index.ts
@@ -0,0 +1,6 @@
+/** The operators' configuration: edits, versions and what a node has in force. */
+export * from './types.js'
+export * from './constants.js'
+export * from './versions.js'
+export * from './ConfigurationSet.js'
+export * from './ConfigurationEdit.js'
