Authenticate peer calls by a rotating secret; hold readiness until the fleet is known; mend the formatter's ignores

The format check had lost its ignore list: a configuration object with only `ignores` stops being global once rules are added to it, so built files were checked too. A node was ready 2 s before it could place an order elsewhere: readiness now waits for a dispatcher of each model, 5 s at the most.

--- a/eslint.format.config.js
+++ b/eslint.format.config.js
@@ -4,10 +4,12 @@
 export default neostandard({
   ts: true,
   ignores: ['**/dist/**', '**/generated/**', 'out/**']
-}).map((config) => ({
-  ...config,
-  linterOptions: { reportUnusedDisableDirectives: 'off' },
-  rules: Object.fromEntries(
-    Object.entries(config.rules ?? {}).filter(([name]) => name.startsWith('@stylistic/'))
-  )
-}))
+}).map((config) => Object.keys(config).every((key) => key === 'ignores' || key === 'name')
+  ? config
+  : ({
+      ...config,
+      linterOptions: { reportUnusedDisableDirectives: 'off' },
+      rules: Object.fromEntries(
+        Object.entries(config.rules ?? {}).filter(([name]) => name.startsWith('@stylistic/'))
+      )
+    }))
--- a/packages/node/src/daemon/Daemon.ts
+++ b/packages/node/src/daemon/Daemon.ts
@@ -1,11 +1,13 @@
 /** One running node. */
 import { RetryBudget } from '@bluebellhill/domain'
+import type { Millis } from '@bluebellhill/domain'
 import { EventKind } from '@bluebellhill/protocol'
 import { setTimeout as delay } from 'node:timers/promises'
 
 import { AdminServer } from '../admin/AdminServer.js'
 import { DaemonSources } from '../admin/DaemonSources.js'
 import type { AdminParts } from '../admin/DaemonSources.js'
+import { monotonicNow } from '../clock/monotonic.js'
 import { Admission } from '../edge/Admission.js'
 import { CallerServer } from '../edge/CallerServer.js'
 import { PeerServer } from '../peers/PeerServer.js'
@@ -26,6 +28,8 @@
 
 const BLOCK_TOKENS = 256
 
+const LONGEST_JOIN_MS = 5_000
+
 /** Whether the node takes new work, and whether the balancer should send some. */
 interface Doors {
   ready: boolean
@@ -104,7 +108,7 @@
 const buildNode = async (foundation: Foundation): Promise<NodeParts> => {
   const { options, store, timeLine } = foundation
   let serving: PeerServerParts | null = null
-  const peerServer = store.add(new PeerServer(() => serving))
+  const peerServer = store.add(new PeerServer(foundation.authenticator, () => serving))
   const peer = await peerServer.listen(options.listen.peer)
   const fleet = await joinFleet(foundation, peer)
   let requests: RequestHost | null = null
@@ -112,7 +116,7 @@
   requests = buildRequests(foundation, dispatch)
   serving = { dispatcher: dispatch.dispatcher, desk: dispatch.desk, requests, timeLine }
   const doors = { ready: true, open: true }
-  const callers = buildCallers(foundation, requests, doors)
+  const callers = buildCallers(foundation, dispatch, requests, doors)
   const caller = await callers.listen(options.listen.caller)
   const drain = new EventTarget()
   const admin = await listenAdmin({ foundation, fleet, dispatch, requests, isReady: () => doors.ready, drain: () => drain.dispatchEvent(new Event('drain')), version: VERSION })
@@ -127,7 +131,8 @@
 const buildRequests = ({ options, timeLine, metrics, actors }: Foundation, { desk }: DispatchParts): RequestHost =>
   new RequestHost(options.node, { retryBudget: new RetryBudget() }, { desk, timeLine, metrics }, actors)
 
-const buildCallers = (foundation: Foundation, requests: RequestHost, doors: Doors): CallerServer => {
+const buildCallers = (foundation: Foundation, dispatch: DispatchParts, requests: RequestHost, doors: Doors): CallerServer => {
+  const startedAt = monotonicNow()
   const { options, timeLine, metrics, hasher, estimator, backends, store } = foundation
   const admission = new Admission({
     hasher,
@@ -145,17 +150,22 @@
     sources: new CompletionSources(backends.engine, estimator),
     clients: backends,
     limits: options.bodyLimits,
-    unready: () => unreadyReason(options, doors),
+    unready: () => unreadyReason(options, doors, () => knowsFleet(foundation, dispatch, startedAt)),
     metrics
   })
   return store.add(new CallerServer(routes, timeLine, metrics))
 }
 
-const unreadyReason = (options: DaemonOptions, doors: Doors): string | null => {
+const unreadyReason = (options: DaemonOptions, doors: Doors, fleetKnown: () => boolean): string | null => {
   if (!doors.ready) return 'the node is stopping'
-  return options.organisations.ready ? null : 'no configuration is in force yet'
+  if (!options.organisations.ready) return 'no configuration is in force yet'
+  return fleetKnown() ? null : 'the dispatchers of the models are not known yet'
 }
 
+/** Whether each model has a dispatcher, or there was time enough to hear of one. */
+const knowsFleet = ({ options }: Foundation, { views }: DispatchParts, startedAt: Millis): boolean =>
+  monotonicNow() - startedAt > LONGEST_JOIN_MS || options.organisations.dispatchNames().every((name) => views.states(name).length > 0)
+
 const listenAdmin = async (parts: AdminParts): Promise<string> => {
   const { store, options } = parts.foundation
   const server = store.add(new AdminServer(new DaemonSources(parts), options.adminSecrets ?? []))
--- a/packages/node/src/daemon/foundation.ts
+++ b/packages/node/src/daemon/foundation.ts
@@ -7,6 +7,7 @@
 
 import { RunnerDirectory } from '../dispatch/RunnerDirectory.js'
 import { Metrics } from '../metrics/index.js'
+import { PeerAuthenticator } from '../peers/PeerAuthenticator.js'
 import { PeerClients } from '../peers/PeerClients.js'
 import { PrefixHasher } from '../requests/PrefixHasher.js'
 import { TokenEstimator } from '../requests/TokenEstimator.js'
@@ -24,6 +25,7 @@
   readonly metrics: Metrics
   readonly actors: Ref<unknown>
   readonly directory: RunnerDirectory
+  readonly authenticator: PeerAuthenticator
   readonly peers: PeerClients
   readonly pool: HttpPool
   readonly backends: BackendClients
@@ -40,6 +42,7 @@
   const store = new DisposableStore()
   const pool = new HttpPool()
   store.addStep(() => pool.dispose())
+  const authenticator = new PeerAuthenticator(options.secrets, () => Date.now())
   const actors = startActors()
   store.addStep(() => stopActors(actors))
   return {
@@ -50,7 +53,8 @@
     timeLine: new TimeLine(options.node, new HybridClock(() => Date.now())),
     metrics: new Metrics(),
     directory: new RunnerDirectory(options.runners),
-    peers: store.add(new PeerClients()),
+    authenticator,
+    peers: store.add(new PeerClients(authenticator)),
     backends: {
       engine: perAddress((address) => new HttpModelEngine(pool, address)),
       service: perAddress((address) => new HttpPlainService(pool, address))
--- a/packages/node/src/edge/Organisations.ts
+++ b/packages/node/src/edge/Organisations.ts
@@ -4,6 +4,8 @@
 import type { OrganisationId } from '@bluebellhill/domain'
 import type { Configuration, Organisation } from '@bluebellhill/platform'
 
+import { serviceModel } from '../dispatch/PlainMonitor.js'
+
 /** An organisation that was recognised by its key, with the configuration that recognised it. */
 export interface KnownOrganisation {
   readonly id: OrganisationId
@@ -27,6 +29,13 @@
     return this.#current() !== null
   }
 
+  /** Names under which the fleet's models and plain services are dispatched. */
+  dispatchNames (): string[] {
+    const fleet = this.#current()?.fleet
+    if (fleet === undefined) return []
+    return [...fleet.models.map((model) => model.name), ...fleet.services.map((service) => serviceModel(service.name))]
+  }
+
   /**
    * Recognises a caller. Only hashes are looked up, so the time taken tells nothing of a key.
    *
--- a/packages/node/src/peers/PeerClients.ts
+++ b/packages/node/src/peers/PeerClients.ts
@@ -1,8 +1,10 @@
 /** Keeps one gRPC channel to each peer and one client for each of its services. */
 import { credentials } from '@grpc/grpc-js'
-import type { ChannelCredentials } from '@grpc/grpc-js'
+import type { Interceptor } from '@grpc/grpc-js'
 import { DispatcherClient, EntryClient } from '@bluebellhill/protocol'
 
+import type { PeerAuthenticator } from './PeerAuthenticator.js'
+
 interface PeerChannel {
   readonly dispatcher: DispatcherClient
   readonly entry: EntryClient
@@ -11,10 +13,14 @@
 /** The clients of all peers, by address. */
 export class PeerClients {
   readonly #channels = new Map<string, PeerChannel>()
-  readonly #credentials: ChannelCredentials
+  readonly #credentials = credentials.createInsecure()
+  readonly #interceptor: Interceptor
 
-  constructor (channelCredentials: ChannelCredentials = credentials.createInsecure()) {
-    this.#credentials = channelCredentials
+  /**
+   * @param authenticator - signs each call
+   */
+  constructor (authenticator: PeerAuthenticator) {
+    this.#interceptor = authenticator.interceptor()
   }
 
   /**
@@ -59,6 +65,7 @@
 
   #open (address: string): PeerChannel {
     const options = {
+      interceptors: [this.#interceptor],
       'grpc.initial_reconnect_backoff_ms': 100,
       'grpc.max_reconnect_backoff_ms': 1_000,
       'grpc.keepalive_time_ms': 2_000,
--- a/packages/node/src/peers/PeerServer.ts
+++ b/packages/node/src/peers/PeerServer.ts
@@ -11,6 +11,7 @@
 import type { OrderResult } from '../requests/OrderDesk.js'
 import type { TimeLine } from '../timeline/index.js'
 import { decodeOrder } from './orderMessage.js'
+import { PeerAuthenticator } from './PeerAuthenticator.js'
 
 /** The requests of this node that peers may speak of. */
 export interface RecallTarget {
@@ -33,12 +34,15 @@
 /** The gRPC server of one node. */
 export class PeerServer {
   readonly #server = new Server()
+  readonly #authenticator: PeerAuthenticator
   readonly #lookUp: () => PeerServerParts | null
 
   /**
+   * @param authenticator - checks each call
    * @param lookUp - gives the node's parts, or null while the node is being built
    */
-  constructor (lookUp: () => PeerServerParts | null) {
+  constructor (authenticator: PeerAuthenticator, lookUp: () => PeerServerParts | null) {
+    this.#authenticator = authenticator
     this.#lookUp = lookUp
     this.#server.addService(DispatcherService, this.#dispatcherServer())
     this.#server.addService(EntryService, this.#entryServer())
@@ -63,16 +67,19 @@
 
   #dispatcherServer (): DispatcherServer {
     return {
-      acquire: (call, done) => this.#withParts(done, (parts) => { void acquire(parts, call, done) }),
-      progress: (call, done) => this.#withParts(done, (parts) => progress(parts, call, done))
+      acquire: (call, done) => this.#withParts(call, done, (parts) => { void acquire(parts, call, done) }),
+      progress: (call, done) => this.#withParts(call, done, (parts) => progress(parts, call, done))
     }
   }
 
   #entryServer (): EntryServer {
-    return { recall: (call, done) => this.#withParts(done, (parts) => recall(parts, call, done)) }
+    return { recall: (call, done) => this.#withParts(call, done, (parts) => recall(parts, call, done)) }
   }
 
-  #withParts <Reply>(done: sendUnaryData<Reply>, serve: (parts: PeerServerParts) => void): void {
+  #withParts <Request, Reply>(call: ServerUnaryCall<Request, Reply>, done: sendUnaryData<Reply>, serve: (parts: PeerServerParts) => void): void {
+    if (!this.#authenticator.accepts(call.getPath(), PeerAuthenticator.tokenOf(call.metadata))) {
+      return done({ code: status.UNAUTHENTICATED, details: 'the peer is not known' })
+    }
     const parts = this.#lookUp()
     if (parts === null) done({ code: status.UNAVAILABLE, details: 'the node is starting' })
     else serve(parts)
