--- a/packages/standin/src/engine/AnswerStream.ts
+++ b/packages/standin/src/engine/AnswerStream.ts
@@ -58,7 +58,7 @@
     const last = this.isComplete && this.sent === this.sequence.generated
     const finishReason = last ? '"length"' : 'null'
     const usage = last ? `{"prompt_tokens":${this.spec.promptTokens},"completion_tokens":${this.sent}}` : 'null'
-    const event = `data: {"id":"${id}","object":"text_completion","model":"${this.spec.model}","offset":${from},"choices":[{"index":0,"text":"${text}","finish_reason":${finishReason}}],"usage":${usage}}\n\n`
+    const event = `data: {"id":"${id}","object":"text_completion","model":"${this.spec.model}","offset":${from},"tokens":${this.sent - from},"choices":[{"index":0,"text":"${text}","finish_reason":${finishReason}}],"usage":${usage}}\n\n`
     return last ? `${event}data: [DONE]\n\n` : event
   }
 }
