--- a/packages/standin/src/commands/index.ts
+++ b/packages/standin/src/commands/index.ts
@@ -1,5 +1,6 @@
 /** The subcommands by name. */
 import { engineCommand } from './engine.js'
+import { loadCommand } from './load.js'
 import { keyValueCommand, plainCommand, vmListCommand, weightStoreCommand } from './platform.js'
 
 export const COMMANDS = {
@@ -7,5 +8,6 @@
   'key-value': keyValueCommand,
   'vm-list': vmListCommand,
   'weight-store': weightStoreCommand,
-  plain: plainCommand
+  plain: plainCommand,
+  load: loadCommand
 }
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,2 +1,6 @@
-/** Entry of the package. */
-export {}
+/** Entry of the package: what tests, the demo and the bench use. */
+export * from './load/index.js'
+export * from './processes/index.js'
+export { answerSeed, answerText, preparePrompt } from './text.js'
+export { Disposables } from './Disposables.js'
+export type { Disposable } from './Disposables.js'
