--- /dev/null
+++ b/packages/node/src/admin/DaemonSources.ts
@@ -0,0 +1,124 @@
+/** The running daemon as its admin address sees it. */
+import type { FailureDomain, Millis, NodeId } from '@bluebellhill/domain'
+import { MemberState, NodeState, RunnerState } from '@bluebellhill/protocol'
+import type { ConfigurationStatus, LeaseStatus, MemberStatus, PlatformStatus, RunnerStatus } from '@bluebellhill/protocol'
+
+import { monotonicNow } from '../clock/monotonic.js'
+import type { DispatchParts } from '../daemon/dispatch.js'
+import type { Fleet } from '../daemon/fleet.js'
+import type { Foundation } from '../daemon/foundation.js'
+import type { OwnedStatus } from '../dispatch/RunnerOwnership.js'
+import type { Metrics } from '../metrics/index.js'
+import type { RequestHost } from '../requests/RequestHost.js'
+import type { TimeLine } from '../timeline/index.js'
+import { AdminSources } from './AdminSources.js'
+
+/** The parts of the daemon that are read. */
+export interface AdminParts {
+  readonly foundation: Foundation
+  readonly fleet: Fleet
+  readonly dispatch: DispatchParts
+  readonly requests: RequestHost
+  readonly isReady: () => boolean
+  /** Begins a planned stop. */
+  readonly drain: () => void
+  readonly version: string
+}
+
+/** Reads the parts of a running daemon. */
+export class DaemonSources extends AdminSources {
+  readonly node: NodeId
+  readonly failureDomain: FailureDomain
+  readonly version: string
+  readonly timeLine: TimeLine
+  readonly metrics: Metrics
+  readonly #parts: AdminParts
+
+  constructor (parts: AdminParts) {
+    super()
+    const { options, timeLine, metrics } = parts.foundation
+    this.node = options.node
+    this.failureDomain = options.failureDomain
+    this.version = parts.version
+    this.timeLine = timeLine
+    this.metrics = metrics
+    this.#parts = parts
+  }
+
+  uptime (): Millis {
+    return monotonicNow()
+  }
+
+  state (): NodeState {
+    return this.#parts.isReady() ? NodeState.Ready : NodeState.Draining
+  }
+
+  requestsInProgress (): number {
+    return this.#parts.requests.size
+  }
+
+  ordersQueued (): number {
+    return this.#parts.dispatch.dispatcher.queued
+  }
+
+  members (): readonly MemberStatus[] {
+    return this.#parts.fleet.membership.members().map((member) => ({
+      node: member.node,
+      failureDomain: member.failureDomain,
+      state: memberState(member.state, member.leaving),
+      incarnation: member.incarnation
+    }))
+  }
+
+  configurations (): readonly ConfigurationStatus[] {
+    return []
+  }
+
+  platform (): readonly PlatformStatus[] {
+    return []
+  }
+
+  leases (): readonly LeaseStatus[] {
+    return []
+  }
+
+  runners (): readonly RunnerStatus[] {
+    return this.#parts.dispatch.ownership.statuses().map(runnerStatus)
+  }
+
+  drain (): void {
+    this.#parts.drain()
+  }
+}
+
+const memberState = (state: 'alive' | 'suspect' | 'unreachable' | 'left', leaving: boolean): MemberState => {
+  if (state === 'left') return MemberState.Gone
+  return leaving && state === MemberState.Alive ? MemberState.Leaving : state
+}
+
+const runnerState = ({ backend, report, unreachable }: OwnedStatus): RunnerState => {
+  if (unreachable) return RunnerState.Unreachable
+  if (backend.leaving) return RunnerState.Leaving
+  return report?.loading === true ? RunnerState.Loading : RunnerState.Ready
+}
+
+const runnerStatus = (owned: OwnedStatus): RunnerStatus => {
+  const { backend, report, reportedAt } = owned
+  return {
+    runner: backend.id,
+    address: backend.address,
+    failureDomain: backend.failureDomain,
+    state: runnerState(owned),
+    model: report?.model ?? null,
+    version: report?.version ?? null,
+    role: backend.kind,
+    slots: report?.slots ?? 0,
+    running: report?.running ?? 0,
+    waiting: report?.waiting ?? 0,
+    freeTokens: report?.freeTokens ?? 0,
+    totalTokens: report?.totalTokens ?? 0,
+    prefillRate: report?.prefillRate ?? 0,
+    decodeRate: report?.decodeRate ?? 0,
+    reportAge: reportedAt === null ? null : monotonicNow() - reportedAt
+  }
+}
--- a/packages/node/src/daemon/Daemon.ts
+++ b/packages/node/src/daemon/Daemon.ts
@@ -3,9 +3,9 @@
 import { EventKind } from '@bluebellhill/protocol'
 import { setTimeout as delay } from 'node:timers/promises'
 
-import { adminEndpoints } from '../admin/endpoints.js'
-import type { AdminParts } from '../admin/endpoints.js'
 import { AdminServer } from '../admin/AdminServer.js'
+import { DaemonSources } from '../admin/DaemonSources.js'
+import type { AdminParts } from '../admin/DaemonSources.js'
 import { Admission } from '../edge/Admission.js'
 import { CallerServer } from '../edge/CallerServer.js'
 import { PeerServer } from '../peers/PeerServer.js'
@@ -24,7 +24,7 @@
 /** Version that the daemon reports. */
 export const VERSION = '0.1.0'
 
-const BLOCK_TOKENS = 64
+const BLOCK_TOKENS = 256
 
 /** Whether the node takes new work, and whether the balancer should send some. */
 interface Doors {
@@ -129,7 +129,15 @@
 
 const buildCallers = (foundation: Foundation, requests: RequestHost, doors: Doors): CallerServer => {
   const { options, timeLine, metrics, hasher, estimator, backends, store } = foundation
-  const admission = new Admission({ hasher, estimator, timeLine, blockTokens: () => BLOCK_TOKENS, isOpen: () => doors.open })
+  const admission = new Admission({
+    hasher,
+    estimator,
+    timeLine,
+    limits: options.admission,
+    blockTokens: () => BLOCK_TOKENS,
+    isOpen: () => doors.open,
+    inProgress: () => requests.size
+  })
   const routes = callerRoutes({
     organisations: options.organisations,
     admission,
@@ -150,6 +158,6 @@
 
 const listenAdmin = async (parts: AdminParts): Promise<string> => {
   const { store, options } = parts.foundation
-  const server = store.add(new AdminServer(adminEndpoints(parts)))
+  const server = store.add(new AdminServer(new DaemonSources(parts), options.adminSecrets ?? []))
   return await server.listen(options.listen.admin)
 }
