--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,4 +1,5 @@
 /** Entry of the package: what tests, the demo and the bench use. */
+export * from './fleet/index.js'
 export * from './load/index.js'
 export * from './processes/index.js'
 export { answerSeed, answerText, preparePrompt } from './text.js'
--- a/packages/standin/src/processes/ProcessSet.ts
+++ b/packages/standin/src/processes/ProcessSet.ts
@@ -19,6 +19,7 @@
 export class ProcessSet implements Disposable {
   private readonly children: ChildProcess[] = []
   private readonly folder = mkdtempSync(join(tmpdir(), 'bluebellhill-'))
+  private files = 0
   private readonly killAll = (): void => {
     for (const child of this.children) child.signal('SIGKILL')
   }
@@ -50,12 +51,26 @@
    *
    * @param name - its name
    * @param settings - its settings, written as YAML
+   * @param configuration - files of the operators' configuration, for a setup without a key-value service
    * @returns the process, ready
    */
-  async daemon (name: string, settings: unknown): Promise<ChildProcess> {
-    const file = join(this.folder, `${name}-${this.children.length}.yaml`)
-    writeFileSync(file, stringify(settings))
-    return await this.start(name, DAEMON, ['--settings', file])
+  async daemon (name: string, settings: unknown, configuration: readonly string[] = []): Promise<ChildProcess> {
+    const args = ['--settings', this.writeYaml(name, settings)]
+    if (configuration.length > 0) args.push('--configuration', configuration.join(','))
+    return await this.start(name, DAEMON, args)
+  }
+
+  /**
+   * Writes a file that lives as long as the processes.
+   *
+   * @param name - part of the file's name
+   * @param value - what it holds
+   * @returns its path
+   */
+  writeYaml (name: string, value: unknown): string {
+    const file = join(this.folder, `${name}-${this.files++}.yaml`)
+    writeFileSync(file, stringify(value))
+    return file
   }
 
   /**
