Divide a failure domain's runners between long and short prompts without a coordinator

Every dispatcher numbers the runners of its failure domain alike, from the runner counts and demand in the gossiped summaries, and takes the zones in an evenly spread order: long, flexible (lent to long prompts while idle), short. Ruled out: a list of runner ids in each summary (kilobytes a second at 76 nodes in a failure domain) and a hash threshold for each runner (uneven counts at eight runners). What a short prompt loses beside a long prefill is learned, not assumed; long ones that were let in are recalled early in their prefill. The summary carries the dispatcher's node and demand in place of runner ids.

--- a/packages/domain/src/dispatch/DispatchQueue.ts
+++ b/packages/domain/src/dispatch/DispatchQueue.ts
@@ -84,6 +84,13 @@
       .map(({ queued }) => queued)
   }
 
+  /** @returns the waiting orders of the same model that are taken up before one of them */
+  before (queued: QueuedOrder, now: Millis): readonly QueuedOrder[] {
+    const rank = this.#rank(queued, now)
+    return [...this.#orders.values()].filter((other) =>
+      other !== queued && other.order.model === queued.order.model && this.#rank(other, now) <= rank)
+  }
+
   #rank (queued: QueuedOrder, now: Millis): number {
     const { order, queuedAt, deadline } = queued
     const aged = Math.min(1, (now - queuedAt) / Math.max(1, deadline - queuedAt))
--- a/packages/domain/src/dispatch/Dispatcher.ts
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -1,37 +1,39 @@
 /** The account of one node's runners and the queue before them: grants, refuses, recalls and frees. */
-import type { AttemptId, Millis, NodeId, OutcomeKind, RunnerId, Tokens } from '../types.js'
-import { assertNever, OutcomeKind as Kind } from '../types.js'
+import type { AttemptId, Millis, NodeId, RunnerId } from '../types.js'
+import { assertNever, OutcomeKind } from '../types.js'
+import { assess, boundedRetry, expectedWait, leastService } from './admission.js'
+import type { Refusal } from './admission.js'
 import * as defaults from './constants.js'
 import { DispatchQueue } from './DispatchQueue.js'
 import type { QueuedOrder, QueueOptions } from './DispatchQueue.js'
 import { DomainView } from './DomainView.js'
-import type { DomainModel } from './DomainView.js'
+import { EndedAttempts } from './EndedAttempts.js'
 import { LengthAware } from './LengthAware.js'
 import { LiveAttempt } from './LiveAttempt.js'
+import { orphanedAt } from './orphans.js'
+import type { OrphanGraces } from './orphans.js'
 import type { RoutingContext, RoutingPolicy, RunnerChoice } from './RoutingPolicy.js'
 import type { Runner } from './Runner.js'
 import { RunnerPool } from './RunnerPool.js'
 import { summarise } from './summaries.js'
 import type { DispatchEffect, DispatchEvent, DispatchOrder, DispatchSummary, RunnerReport } from './types.js'
 import { ProgressKind } from './types.js'
-import { serviceTime, waitTime, workOf } from './WaitEstimate.js'
 
 /** Settings of a dispatcher; what is left out takes the default. */
-export interface DispatcherOptions {
+export interface DispatcherOptions extends Partial<OrphanGraces> {
   readonly node: NodeId
   readonly policy?: RoutingPolicy
   readonly queue?: QueueOptions
+  /** Time in which an entry node must have sent. */
   readonly grantValidity?: Millis
   /** Time without progress after which an attempt counts as left by its entry node. */
   readonly silenceLimit?: Millis
+  /** Time that the attempts of a lost entry node are still kept. */
   readonly lostEntryGrace?: Millis
-  readonly inheritedGrace?: Millis
-  readonly foreignGrace?: Millis
 }
 
 type Settings = Required<Omit<DispatcherOptions, 'policy' | 'queue' | 'node'>>
 
-type Ordered = Extract<DispatchEvent, { type: 'ordered' }>
 type Progressed = Extract<DispatchEvent, { type: 'progressed' }>
 
 /** Deterministic: the same events at the same times give the same effects. */
@@ -42,10 +44,10 @@
   readonly #pool = new RunnerPool()
   readonly #queue: DispatchQueue
   readonly #domain = new DomainView()
-  /** Attempts that have ended here, and when; a report that still lists one is late or shows a leak. */
-  readonly #ended = new Map<AttemptId, Millis>()
+  readonly #ended = new EndedAttempts()
   #effects: DispatchEffect[] = []
 
+  /** @param options - the node, its policy and its times */
   constructor (options: DispatcherOptions) {
     this.node = options.node
     this.#policy = options.policy ?? new LengthAware()
@@ -86,19 +88,24 @@
 
   /** @returns the state to gossip, one record for each model */
   summaries (now: Millis): readonly DispatchSummary[] {
-    return this.#pool.models().map((model) => {
-      const runners = this.#usable(model)
-      return summarise({ model, runners, queue: this.#queue, domain: this.#split(model, now), demand: this.#domain.ownDemand(model, now) })
-    })
+    return this.#pool.models().map((model) => summarise({
+      node: this.node,
+      model,
+      runners: this.#usable(model),
+      waiting: [...this.#queue.orders].filter(({ order }) => order.model === model),
+      policy: this.#policy,
+      context: this.#context(model, now),
+      demand: this.#domain.ownDemand(model, now)
+    }))
   }
 
   /** @returns when `ticked` is due next, or null when nothing is under way */
   nextTimer (): Millis | null {
     let next = Infinity
     for (const attempt of this.#pool.attempts) next = Math.min(next, attempt.lapsesAt)
-    for (const queued of this.#queue.orders) next = Math.min(next, queued.deadline)
+    for (const queued of this.#queue.orders) next = Math.min(next, this.#hopelessAt(queued))
     for (const runner of this.#pool.runners) {
-      for (const unknown of runner.unknown.values()) next = Math.min(next, this.#freeAt(runner, unknown))
+      for (const unknown of runner.unknown.values()) next = Math.min(next, orphanedAt(runner, unknown, this.#settings))
     }
     return Number.isFinite(next) ? next : null
   }
@@ -107,12 +114,12 @@
     switch (event.type) {
       case 'runner_assigned': return this.#pool.assign(event.runner, event.failureDomain, now)
       case 'runner_removed': return this.#pool.remove(event.runner)
-      case 'runner_leaving': return this.#mark(event.runner, (runner) => { runner.leaving = true })
-      case 'runner_unreachable': return this.#mark(event.runner, (runner) => { runner.unreachable = true })
+      case 'runner_leaving': return this.#change(event.runner, (runner) => { runner.leaving = true })
+      case 'runner_unreachable': return this.#change(event.runner, (runner) => { runner.unreachable = true })
       case 'runner_reported': return this.#reported(event.runner, event.report, now)
-      case 'cache_changed': return this.#mark(event.runner, (runner) => runner.prefixes.apply(event.events, event.gap))
+      case 'cache_changed': return this.#change(event.runner, (runner) => runner.prefixes.apply(event.events, event.gap))
       case 'peers_summarised': return this.#domain.update(event.summaries)
-      case 'ordered': return this.#ordered(event, now)
+      case 'ordered': return this.#ordered(event.order, now)
       case 'withdrawn': return this.#withdrawn(event.attempt, now)
       case 'progressed': return this.#progressed(event, now)
       case 'entry_lost': return this.#entryLost(event.entry, now)
@@ -121,7 +128,7 @@
     }
   }
 
-  #mark (id: RunnerId, change: (runner: Runner) => void): void {
+  #change (id: RunnerId, change: (runner: Runner) => void): void {
     const runner = this.#pool.runner(id)
     if (runner !== undefined) change(runner)
   }
@@ -135,48 +142,60 @@
     }
   }
 
-  #ordered ({ order }: Ordered, now: Millis): void {
+  #ordered (order: DispatchOrder, now: Millis): void {
     if (this.#queue.has(order.attempt) || this.#pool.attempt(order.attempt) !== undefined) return
-    if (this.#ended.delete(order.attempt)) return this.#refuse(order, Kind.NoRunner, 0, 'the attempt was withdrawn')
+    if (this.#ended.has(order.attempt)) return this.#refuse(order, { kind: OutcomeKind.NoRunner, retryAfter: 0, reason: 'the attempt has ended' })
     this.#domain.count(order.model, order.promptTokens, now)
+    const queued = this.#queue.add(order, now)
+    const refusal = this.#judge(queued, now)
+    if (refusal === null) return
+    this.#queue.remove(order.attempt)
+    this.#refuse(order, refusal)
+  }
+
+  #judge (queued: QueuedOrder, now: Millis): Refusal | null {
+    const { order } = queued
     const serving = this.#pool.serving(order)
-    if (serving.length === 0) return this.#refuse(order, Kind.NoRunner, defaults.LEAST_RETRY_AFTER, `no runner has ${order.model}`)
+    if (serving.length === 0) return { kind: OutcomeKind.NoRunner, retryAfter: defaults.LEAST_RETRY_AFTER, reason: `no runner has ${order.model}` }
     const holding = serving.filter((runner) => runner.couldHold(order))
-    if (holding.length === 0) return this.#refuse(order, Kind.NoGroup, 0, 'the prompt is above the memory of one runner')
-    const wait = waitTime(holding, workOf(this.#queue.orders), order)
-    const service = Math.min(...holding.map((runner) => serviceTime(runner, order)))
-    if (service > order.remaining) return this.#refuse(order, Kind.DeadlineInfeasible, 0, `takes ${Math.round(service)} ms, ${Math.round(order.remaining)} ms are left`)
-    if (wait + service > order.remaining) return this.#refuse(order, Kind.Overloaded, wait + service - order.remaining, `the wait is ${Math.round(wait)} ms`)
-    this.#queue.add(order, now)
+    if (holding.length === 0) return { kind: OutcomeKind.NoGroup, retryAfter: 0, reason: 'the prompt is above the memory of one runner' }
+    const ahead = this.#queue.before(queued, now)
+    return assess(order, { policy: this.#policy, context: this.#context(order.model, now), serving: holding, ahead })
   }
 
   #withdrawn (id: AttemptId, now: Millis): void {
-    const queued = this.#queue.remove(id)
+    this.#ended.add(id, now)
+    this.#queue.remove(id)
     const attempt = this.#pool.leave(id)
-    if (queued !== undefined) return
-    this.#ended.set(id, now)
     if (attempt !== undefined) this.#cancel(attempt.runner, id, 'withdrawn by the entry node')
   }
 
   #progressed (event: Progressed, now: Millis): void {
     const attempt = this.#pool.attempt(event.attempt) ?? this.#takeUp(event, now)
     if (attempt === undefined) return
-    const ended = event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed
-    const before = attempt.generated
+    const runner = this.#pool.runner(attempt.runner)
+    const before = { generated: attempt.generated, prefilling: attempt.isPrefilling }
     attempt.progress(event.kind, event.generated, now)
     attempt.lapsesAt = now + this.#settings.silenceLimit
-    this.#queue.charge(attempt.order.organisation, 0, attempt.generated - before)
-    if (!ended) return
-    this.#pool.runner(attempt.runner)?.learn(attempt, event.kind, now)
+    this.#queue.charge(attempt.order.organisation, 0, attempt.generated - before.generated)
+    if (before.prefilling && !attempt.isPrefilling) runner?.learnFirstToken(attempt, now)
+    if (event.kind === ProgressKind.Ended) runner?.learnEnd(attempt, now)
+    if (event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed) this.#end(attempt, now)
+  }
+
+  #end (attempt: LiveAttempt, now: Millis): void {
     this.#pool.leave(attempt.id)
-    this.#ended.set(attempt.id, now)
+    this.#ended.add(attempt.id, now)
   }
 
   /** Takes up an attempt that another dispatcher granted. */
   #takeUp (event: Progressed, now: Millis): LiveAttempt | undefined {
     const runner = this.#pool.runner(event.runner)
+    const over = event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed
+    if (over) this.#ended.add(event.attempt, now)
     if (event.order === null || runner === undefined || this.#ended.has(event.attempt)) return undefined
-    const attempt = new LiveAttempt(event.order, event.runner, now, now + this.#settings.silenceLimit, { cachedTokens: 0, aheadTokens: 0 })
+    const load = { cachedTokens: 0, shortAhead: 0, longBeside: 0 }
+    const attempt = new LiveAttempt(event.order, event.runner, now, now + this.#settings.silenceLimit, load)
     this.#queue.remove(event.attempt)
     this.#pool.enter(attempt)
     return attempt
@@ -192,54 +211,46 @@
   }
 
   #expire (now: Millis): void {
-    for (const [id, at] of this.#ended) {
-      if (now - at < defaults.ENDED_MEMORY) break
-      this.#ended.delete(id)
-    }
+    this.#ended.expire(now)
     this.#expireAttempts(now)
     this.#expireQueue(now)
-    this.#freeUnknown(now)
+    this.#freeOrphans(now)
   }
 
   #expireAttempts (now: Millis): void {
     for (const attempt of [...this.#pool.attempts]) {
       if (now < attempt.lapsesAt) continue
-      this.#pool.leave(attempt.id)
-      this.#ended.set(attempt.id, now)
+      this.#end(attempt, now)
       this.#cancel(attempt.runner, attempt.id, 'no progress was reported in time')
     }
   }
 
   #expireQueue (now: Millis): void {
     for (const queued of [...this.#queue.orders]) {
-      const service = this.#leastService(queued.order)
-      if (service !== null && now + service <= queued.deadline && now < queued.deadline) continue
+      if (now < this.#hopelessAt(queued)) continue
       this.#queue.remove(queued.order.attempt)
-      if (service === null) this.#refuse(queued.order, Kind.NoRunner, defaults.LEAST_RETRY_AFTER, `no runner has ${queued.order.model}`)
-      else this.#refuse(queued.order, Kind.Overloaded, this.#drainTime(queued.order), 'the deadline cannot be met any more')
+      this.#refuse(queued.order, this.#lateRefusal(queued.order, now))
     }
   }
 
-  #leastService (order: DispatchOrder): Millis | null {
+  /** When a waiting order can no longer be finished in time; at once where no runner is left for it. */
+  #hopelessAt ({ order, deadline }: QueuedOrder): Millis {
     const serving = this.#pool.serving(order)
-    return serving.length === 0 ? null : Math.min(...serving.map((runner) => serviceTime(runner, order)))
+    return serving.length === 0 ? 0 : deadline - leastService(order, serving)
   }
 
-  #drainTime (order: DispatchOrder): Millis {
-    return waitTime(this.#pool.serving(order), workOf(this.#queue.orders), order)
-  }
-
-  #freeAt (runner: Runner, unknown: { readonly seenAt: Millis, readonly startedAt: Millis }): Millis {
-    const inherited = unknown.startedAt <= runner.assignedAt
-    if (!inherited) return unknown.seenAt + this.#settings.foreignGrace
-    return Math.max(runner.assignedAt, unknown.seenAt) + this.#settings.inheritedGrace
+  #lateRefusal (order: DispatchOrder, now: Millis): Refusal {
+    const serving = this.#pool.serving(order)
+    if (serving.length === 0) return { kind: OutcomeKind.NoRunner, retryAfter: defaults.LEAST_RETRY_AFTER, reason: `no runner has ${order.model} any more` }
+    const wait = expectedWait(order, { policy: this.#policy, context: this.#context(order.model, now), serving, ahead: [...this.#queue.orders] })
+    return { kind: OutcomeKind.Overloaded, retryAfter: wait, reason: 'the deadline cannot be met any more' }
   }
 
-  #freeUnknown (now: Millis): void {
+  #freeOrphans (now: Millis): void {
     for (const runner of this.#pool.runners) {
       for (const unknown of [...runner.unknown.values()]) {
-        if (this.#ended.has(unknown.attempt) || now < this.#freeAt(runner, unknown)) continue
-        this.#ended.set(unknown.attempt, now)
+        if (this.#ended.has(unknown.attempt) || now < orphanedAt(runner, unknown, this.#settings)) continue
+        this.#ended.add(unknown.attempt, now)
         this.#cancel(runner.id, unknown.attempt, 'no entry node reported the attempt')
       }
     }
@@ -248,21 +259,19 @@
   #dispatch (now: Millis): void {
     if (this.#queue.size === 0) return
     const contexts = new Map<string, RoutingContext>()
-    let scanned = 0
-    for (const queued of this.#queue.ranked(now)) {
-      if (++scanned > defaults.SCAN_LIMIT) return
+    for (const queued of this.#queue.ranked(now).slice(0, defaults.SCAN_LIMIT)) {
       const serving = this.#pool.serving(queued.order)
       if (serving.length === 0) continue
       const context = contexts.get(queued.order.model) ?? this.#context(queued.order.model, now)
       contexts.set(queued.order.model, context)
+      this.#recall(queued.order, serving, context)
       const choice = this.#policy.choose(queued, serving, context)
       if (choice !== null) this.#grant(queued, choice, now)
-      else this.#recall(queued, serving, context)
     }
   }
 
-  #recall (queued: QueuedOrder, serving: readonly Runner[], context: RoutingContext): void {
-    for (const id of this.#policy.recalls(queued, serving, context)) {
+  #recall (order: DispatchOrder, serving: readonly Runner[], context: RoutingContext): void {
+    for (const id of this.#policy.recalls(order, serving, context)) {
       const attempt = this.#pool.attempt(id)
       if (attempt === undefined || attempt.recalled) continue
       attempt.recalled = true
@@ -271,37 +280,30 @@
   }
 
   #context (model: string, now: Millis): RoutingContext {
-    return { now, ...this.#split(model, now) }
-  }
-
-  #split (model: string, now: Millis): DomainModel {
     const runners = this.#usable(model)
     const prefillRate = runners.reduce((total, runner) => total + runner.prefillRate, 0)
-    return this.#domain.split(model, { runnerIds: runners.map((runner) => runner.id), prefillRate }, 0, now)
+    const own = { node: this.node, runnerIds: runners.map((runner) => runner.id), prefillRate }
+    return { now, zones: this.#domain.zones(model, own, this.#policy, now) }
   }
 
   #usable (model: string): readonly Runner[] {
     return [...this.#pool.runners].filter((runner) => runner.isUsable && runner.report?.model === model)
   }
 
-  #grant (queued: QueuedOrder, choice: RunnerChoice, now: Millis): void {
+  #grant (queued: QueuedOrder, { runner, reason }: RunnerChoice, now: Millis): void {
     const { order } = queued
-    const { runner } = choice
+    const validFor = this.#settings.grantValidity
+    const load = { cachedTokens: runner.cachedTokens(order), shortAhead: runner.pendingShort(now), longBeside: runner.pendingLong(now) }
     this.#queue.remove(order.attempt)
     this.#queue.charge(order.organisation, order.promptTokens, 0)
-    const load = { cachedTokens: runner.cachedTokens(order), aheadTokens: runner.pendingPrefill }
-    const validFor = this.#settings.grantValidity
     this.#pool.enter(new LiveAttempt(order, runner.id, now, now + validFor + defaults.GRANT_MARGIN, load))
     runner.prefixes.expect(order.prefix)
-    this.#effects.push({
-      type: 'grant',
-      grant: { attempt: order.attempt, entry: order.entry, runner: runner.id, validFor, priority: this.#policy.priority(order), reason: choice.reason, group: [] }
-    })
+    const priority = this.#policy.priority(order)
+    this.#effects.push({ type: 'grant', grant: { attempt: order.attempt, entry: order.entry, runner: runner.id, validFor, priority, reason, group: [] } })
   }
 
-  #refuse (order: DispatchOrder, kind: OutcomeKind, wait: Millis, reason: string): void {
-    const retryAfter: Tokens = Math.round(Math.min(defaults.MAX_RETRY_AFTER, Math.max(defaults.LEAST_RETRY_AFTER, wait)))
-    this.#effects.push({ type: 'refuse', attempt: order.attempt, entry: order.entry, kind, retryAfter, reason })
+  #refuse (order: DispatchOrder, { kind, retryAfter, reason }: Refusal): void {
+    this.#effects.push({ type: 'refuse', attempt: order.attempt, entry: order.entry, kind, retryAfter: boundedRetry(retryAfter), reason })
   }
 
   #cancel (runner: RunnerId, attempt: AttemptId, reason: string): void {
--- a/packages/domain/src/dispatch/LengthAware.ts
+++ b/packages/domain/src/dispatch/LengthAware.ts
@@ -1,34 +1,133 @@
-/** Keeps short prompts from waiting behind long ones. */
-import type { Tokens } from '../types.js'
+/** Keeps short prompts from waiting behind long ones, and lets long ones use what is idle. */
+import type { AttemptId, Millis } from '../types.js'
+import * as defaults from './constants.js'
 import type { QueuedOrder } from './DispatchQueue.js'
+import { RunnerZone } from './DomainView.js'
 import { isLongPrompt, lengthClassOf } from './lengths.js'
-import type { RoutingContext, RunnerChoice } from './RoutingPolicy.js'
+import type { OrderSize, RoutingContext, RunnerChoice } from './RoutingPolicy.js'
 import { RoutingPolicy } from './RoutingPolicy.js'
 import type { Runner } from './Runner.js'
 import type { DispatchOrder } from './types.js'
+import { prefillTime } from './WaitEstimate.js'
 
-/** Prefers the runner with the earliest first token, and confines long prompts to some runners. */
+/** Settings of the policy. */
+export interface LengthAwareOptions {
+  /** 0 favours the slowdown of short prompts, 1 the first token of long ones. */
+  readonly longWeight?: number
+}
+
+/** Steps of the priority between one urgency and the next. */
+const PRIORITIES_PER_URGENCY = 4
+
+/** Weight from which on a long prompt that was let in is never recalled. */
+const NO_RECALL_WEIGHT = 0.9
+
+/**
+ * Long prompts run one at a time on the runners of the long zone, and on idle ones of the flexible zone.
+ * Short prompts take the runner with the earliest first token, where a long prefill beside them counts with what it
+ * was seen to cost: one step of the engine, or all of it where the engine answers in the order of arrival.
+ */
 export class LengthAware extends RoutingPolicy {
   override readonly name = 'length_aware'
+  readonly #longWeight: number
+
+  constructor (options: LengthAwareOptions = {}) {
+    super()
+    this.#longWeight = options.longWeight ?? 0.5
+  }
+
+  override get longWeight (): number {
+    return this.#longWeight
+  }
 
   override choose (queued: QueuedOrder, serving: readonly Runner[], context: RoutingContext): RunnerChoice | null {
-    const open = serving.filter((runner) => runner.hasRoom(queued.order))
-    const long = isLongPrompt(queued.order.promptTokens)
-    const own = open.filter((runner) => context.longRunners.has(runner.id) === long)
-    const candidates = own.length > 0 ? own : open
-    const best = leastBy(candidates, (runner) => firstTokenWork(runner, queued.order))
-    if (best === null) return null
-    return { runner: best, reason: `${own.length > 0 ? 'own' : 'other'} runners, ${Math.round(firstTokenWork(best, queued.order))} tokens to the first answer` }
+    return isLongPrompt(queued.order.promptTokens)
+      ? chooseForLong(queued, serving, context)
+      : chooseForShort(queued.order, serving, context)
   }
 
   override priority (order: DispatchOrder): number {
-    return order.urgency * 4 + lengthClassOf(order.promptTokens)
+    return order.urgency * PRIORITIES_PER_URGENCY + lengthClassOf(order.promptTokens)
+  }
+
+  override eligible (order: OrderSize, serving: readonly Runner[], context: RoutingContext): readonly Runner[] {
+    if (!isLongPrompt(order.promptTokens)) return serving
+    const allowed = serving.filter((runner) => context.zones.get(runner.id) !== RunnerZone.Short)
+    return allowed.length > 0 ? allowed : serving
   }
+
+  override startDelay (order: OrderSize, runner: Runner, context: RoutingContext): Millis {
+    const zone = context.zones.get(runner.id)
+    if (!isLongPrompt(order.promptTokens)) return shortDelay(order, runner, context.now)
+    const misplaced = zone === RunnerZone.Short ? defaults.MISPLACED_DELAY : 0
+    return misplaced + prefillTime(runner, runner.pendingPrefill(context.now))
+  }
+
+  override recalls (order: DispatchOrder, serving: readonly Runner[], context: RoutingContext): readonly AttemptId[] {
+    if (isLongPrompt(order.promptTokens) || this.#longWeight >= NO_RECALL_WEIGHT) return []
+    const delays = serving.filter((runner) => runner.hasRoom(order)).map((runner) => shortDelay(order, runner, context.now))
+    if (Math.min(...delays) <= defaults.RECALL_DELAY) return []
+    const lent = serving.filter((runner) => context.zones.get(runner.id) !== RunnerZone.Long)
+    const least = leastBy(lent.flatMap((runner) => recallable(runner, context.now)), ({ done }) => done)
+    return least === null ? [] : [least.attempt]
+  }
+}
+
+const chooseForShort = (order: DispatchOrder, serving: readonly Runner[], { now }: RoutingContext): RunnerChoice | null => {
+  const open = serving.filter((runner) => runner.hasRoom(order) && hasShortBudget(runner, now))
+  const best = leastBy(open, (runner) => shortDelay(order, runner, now) + ownPrefill(order, runner))
+  if (best === null) return null
+  return { runner: best, reason: `earliest first token, ${Math.round(shortDelay(order, best, now))} ms before its own prefill` }
+}
+
+/** Whether the runner's short prompts still fit into a few steps; what does not is better ranked here. */
+const hasShortBudget = (runner: Runner, now: Millis): boolean => {
+  const chunks = runner.interference > defaults.UNRANKED_INTERFERENCE ? defaults.SHORT_CHUNKS_AHEAD_UNRANKED : defaults.SHORT_CHUNKS_AHEAD
+  const pending = runner.pendingShort(now)
+  return pending === 0 || pending < chunks * runner.chunkTokens
+}
+
+const chooseForLong = (queued: QueuedOrder, serving: readonly Runner[], context: RoutingContext): RunnerChoice | null => {
+  const { order } = queued
+  const open = serving.filter((runner) => runner.hasRoom(order) && runner.pendingLong(context.now) === 0)
+  const inZone = (zone: RunnerZone | undefined) => open.filter((runner) => context.zones.get(runner.id) === zone)
+  const cost = (runner: Runner): number => runner.pendingPrefill(context.now) - runner.cachedTokens(order)
+  const own = leastBy([...inZone(RunnerZone.Long), ...inZone(undefined)], cost)
+  if (own !== null) return { runner: own, reason: 'runner for long prompts' }
+  const lent = leastBy(inZone(RunnerZone.Flexible).filter((runner) => runner.pendingPrefill(context.now) === 0), cost)
+  if (lent !== null) return { runner: lent, reason: 'idle runner, lent by short prompts' }
+  if (!isLate(queued, serving, context)) return null
+  const any = leastBy(open, cost)
+  return any === null ? null : { runner: any, reason: 'no runner for long prompts in time' }
+}
+
+/** Whether an order has waited long, or no runner here is meant for it. */
+const isLate = (queued: QueuedOrder, serving: readonly Runner[], { now, zones }: RoutingContext): boolean => {
+  const misplaced = serving.every((runner) => zones.get(runner.id) === RunnerZone.Short)
+  const waited = now - queued.queuedAt
+  return misplaced || waited >= (queued.deadline - queued.queuedAt) * defaults.LATE_SHARE
 }
 
-/** Prompt tokens that the runner computes before the order's first token. */
-const firstTokenWork = (runner: Runner, order: DispatchOrder): Tokens =>
-  runner.pendingPrefill + order.promptTokens - runner.cachedTokens(order)
+/** Time on a runner before a short prompt's own prefill, with what its answer loses beside a long one. */
+const shortDelay = (order: OrderSize, runner: Runner, now: Millis): Millis => {
+  const short = prefillTime(runner, runner.pendingShort(now))
+  const long = prefillTime(runner, runner.pendingLong(now))
+  if (long === 0) return short
+  const step = prefillTime(runner, runner.chunkTokens)
+  const before = Math.min(long, step + runner.interference * long)
+  const during = Math.min(long, order.maxTokens * step)
+  return short + before + during
+}
+
+const ownPrefill = (order: DispatchOrder, runner: Runner): Millis =>
+  prefillTime(runner, order.promptTokens - runner.cachedTokens(order))
+
+/** Long attempts without a token whose prefill is not far advanced. */
+const recallable = (runner: Runner, now: Millis): readonly { readonly attempt: AttemptId, readonly done: number }[] =>
+  [...runner.attempts.values()]
+    .filter((attempt) => attempt.isPrefilling && !attempt.recalled && isLongPrompt(attempt.order.promptTokens))
+    .map((attempt) => ({ attempt: attempt.id, done: 1 - attempt.pendingPrefill(now, runner.prefillRate) / attempt.order.promptTokens }))
+    .filter(({ done }) => done < defaults.RECALL_LIMIT)
 
 const leastBy = <Item>(items: readonly Item[], cost: (item: Item) => number): Item | null => {
   let best: Item | null = null
--- a/packages/domain/src/dispatch/LiveAttempt.ts
+++ b/packages/domain/src/dispatch/LiveAttempt.ts
@@ -3,35 +3,43 @@
 import type { DispatchOrder } from './types.js'
 import { ProgressKind } from './types.js'
 
+/** The runner's state when an attempt was granted. */
+export interface GrantLoad {
+  /** Prompt tokens that were expected in the runner's cache. */
+  readonly cachedTokens: Tokens
+  /** Short prompts' tokens still to be computed before it. */
+  readonly shortAhead: Tokens
+  /** Long prompts' tokens still to be computed beside it. */
+  readonly longBeside: Tokens
+}
+
 /** Phase, memory and expiry of one granted attempt. */
 export class LiveAttempt {
   readonly order: DispatchOrder
   readonly runner: RunnerId
+  readonly load: GrantLoad
   readonly grantedAt: Millis
-  /** Prompt tokens that were expected in the runner's cache. */
-  readonly cachedTokens: Tokens
-  /** Pending prefill of the runner when this attempt was granted. */
-  readonly aheadTokens: Tokens
   lapsesAt: Millis
-  sentAt: Millis | null = null
-  firstTokenAt: Millis | null = null
-  generated: Tokens = 0
   recalled = false
+  #sentAt: Millis | null = null
+  #firstTokenAt: Millis | null = null
+  /** Tokens that the caller had before this attempt; reports count from the request's first token. */
+  #base: Tokens = 0
+  #generated: Tokens = 0
 
   /**
    * @param order - what was asked for
    * @param runner - the runner granted
    * @param now - time of the grant
    * @param lapsesAt - when the attempt counts as left unless progress is reported
-   * @param load - what of the prompt is cached, and what prefill the runner had before it
+   * @param load - the runner's state
    */
-  constructor (order: DispatchOrder, runner: RunnerId, now: Millis, lapsesAt: Millis, load: { readonly cachedTokens: Tokens, readonly aheadTokens: Tokens }) {
+  constructor (order: DispatchOrder, runner: RunnerId, now: Millis, lapsesAt: Millis, load: GrantLoad) {
     this.order = order
     this.runner = runner
     this.grantedAt = now
     this.lapsesAt = lapsesAt
-    this.cachedTokens = load.cachedTokens
-    this.aheadTokens = load.aheadTokens
+    this.load = load
   }
 
   get id (): AttemptId {
@@ -47,26 +55,51 @@
     return this.order.promptTokens + this.order.maxTokens
   }
 
+  /** Tokens that the attempt itself has generated, as far as was reported. */
+  get generated (): Tokens {
+    return this.#generated - this.#base
+  }
+
+  get sentAt (): Millis | null {
+    return this.#sentAt
+  }
+
+  get firstTokenAt (): Millis | null {
+    return this.#firstTokenAt
+  }
+
   /** Whether the prompt is still being computed. */
   get isPrefilling (): boolean {
-    return this.firstTokenAt === null
+    return this.#firstTokenAt === null
   }
 
-  /** Prompt tokens still to be computed, as far as is known. */
-  get pendingPrefill (): Tokens {
-    return this.isPrefilling ? Math.max(0, this.order.promptTokens - this.cachedTokens) : 0
+  /**
+   * Prompt tokens still to be computed.
+   *
+   * @param now - time
+   * @param rate - tokens a second of the runner; 0 while unknown
+   * @returns at least one token until the first answer is reported
+   */
+  pendingPrefill (now: Millis, rate: number): Tokens {
+    if (!this.isPrefilling) return 0
+    const elapsed = this.#sentAt === null ? 0 : now - this.#sentAt
+    const computed = Math.max(0, elapsed * rate / 1_000 - this.load.shortAhead)
+    return Math.max(1, this.order.promptTokens - this.load.cachedTokens - computed)
   }
 
   /**
    * Notes what the entry node reported.
    *
    * @param kind - phase reached
-   * @param generated - tokens generated so far
+   * @param generated - tokens of the request so far
    * @param now - time of the report
    */
   progress (kind: ProgressKind, generated: Tokens, now: Millis): void {
-    this.sentAt ??= now
-    this.generated = Math.max(this.generated, generated)
-    if (kind === ProgressKind.FirstToken || generated > 0) this.firstTokenAt ??= now
+    if (this.#sentAt === null) {
+      this.#sentAt = now
+      if (kind === ProgressKind.Sent) this.#base = generated
+    }
+    this.#generated = Math.max(this.#generated, this.#base, generated)
+    if (kind === ProgressKind.FirstToken || this.generated > 0) this.#firstTokenAt ??= now
   }
 }
--- a/packages/domain/src/dispatch/RoutingPolicy.ts
+++ b/packages/domain/src/dispatch/RoutingPolicy.ts
@@ -1,16 +1,16 @@
 /** How a dispatcher picks the runner of an order. */
-import type { AttemptId, Millis, RunnerId } from '../types.js'
+import type { AttemptId, Millis } from '../types.js'
 import type { QueuedOrder } from './DispatchQueue.js'
+import type { ZoneMap } from './DomainView.js'
 import type { Runner } from './Runner.js'
 import type { DispatchOrder } from './types.js'
+import { prefillTime } from './WaitEstimate.js'
 
 /** What a policy sees beside the runners. */
 export interface RoutingContext {
   readonly now: Millis
-  /** Runners of the whole failure domain that take long work first. */
-  readonly longRunners: ReadonlySet<RunnerId>
-  /** Share of the other runners' prefill capacity that short work takes, over the whole failure domain. */
-  readonly shortUtilisation: number
+  /** Which work the runners take first. */
+  readonly zones: ZoneMap
 }
 
 /** A runner picked for an order. */
@@ -20,11 +20,19 @@
   readonly reason: string
 }
 
+/** The parts of an order that an estimate needs. */
+export type OrderSize = Pick<DispatchOrder, 'promptTokens' | 'maxTokens' | 'prefix'>
+
 /** Chooses among runners; keeps no account of its own of slots and memory. */
 export abstract class RoutingPolicy {
   /** Name in settings and figures. */
   abstract readonly name: string
 
+  /** 0 favours the slowdown of short prompts, 1 the first token of long ones. */
+  get longWeight (): number {
+    return 0.5
+  }
+
   /**
    * Picks a runner.
    *
@@ -40,12 +48,22 @@
     return order.urgency
   }
 
+  /** @returns the runners that an order of this size normally goes to */
+  eligible (_order: OrderSize, serving: readonly Runner[], _context: RoutingContext): readonly Runner[] {
+    return serving
+  }
+
+  /** @returns time from the start on a runner to the beginning of the order's own prefill */
+  startDelay (_order: OrderSize, runner: Runner, context: RoutingContext): Millis {
+    return prefillTime(runner, runner.pendingPrefill(context.now))
+  }
+
   /**
    * Attempts that should make way for a waiting order.
    *
    * @returns attempts to recall; none unless a policy says otherwise
    */
-  recalls (_queued: QueuedOrder, _serving: readonly Runner[], _context: RoutingContext): readonly AttemptId[] {
+  recalls (_order: DispatchOrder, _serving: readonly Runner[], _context: RoutingContext): readonly AttemptId[] {
     return []
   }
 }
--- a/packages/domain/src/dispatch/Runner.ts
+++ b/packages/domain/src/dispatch/Runner.ts
@@ -1,10 +1,13 @@
 /** One runner as its dispatcher accounts for it. */
 import type { AttemptId, FailureDomain, Millis, RunnerId, Tokens } from '../types.js'
 import { LearnedRate } from './LearnedRate.js'
+import { isLongPrompt } from './lengths.js'
 import type { LiveAttempt } from './LiveAttempt.js'
 import { PrefixIndex } from './PrefixIndex.js'
 import type { DispatchOrder, HeldAttempt, RunnerReport } from './types.js'
-import { ProgressKind } from './types.js'
+
+/** Weight of the newest sample of interference. */
+const INTERFERENCE_WEIGHT = 0.3
 
 /** An attempt that the engine holds and this dispatcher did not grant. */
 export interface UnknownAttempt {
@@ -29,6 +32,7 @@
   #report: RunnerReport | null = null
   readonly #prefillRate = new LearnedRate()
   readonly #decodeRate = new LearnedRate()
+  #interference = 1
 
   /**
    * @param id - name of the runner
@@ -76,11 +80,29 @@
     return Math.max(0, this.totalTokens - taken)
   }
 
-  /** Prompt tokens still to be computed for the granted attempts. */
-  get pendingPrefill (): Tokens {
-    let pending = 0
-    for (const attempt of this.attempts.values()) pending += attempt.pendingPrefill
-    return pending
+  get chunkTokens (): Tokens {
+    return this.#report?.chunkTokens ?? 0
+  }
+
+  /** Part of a long prefill that a short prompt beside it waits for; 1 until an engine was seen to rank them. */
+  get interference (): number {
+    return this.#interference
+  }
+
+  /** @returns prompt tokens still to be computed */
+  pendingPrefill (now: Millis): Tokens {
+    const inherited = this.unknown.size > 0 ? this.#report?.pendingPrefillTokens ?? 0 : 0
+    return Math.max(inherited, this.#pending(now, () => true))
+  }
+
+  /** @returns prompt tokens of short prompts still to be computed */
+  pendingShort (now: Millis): Tokens {
+    return this.#pending(now, (attempt) => !isLongPrompt(attempt.order.promptTokens))
+  }
+
+  /** @returns prompt tokens of long prompts still to be computed */
+  pendingLong (now: Millis): Tokens {
+    return this.#pending(now, (attempt) => isLongPrompt(attempt.order.promptTokens))
   }
 
   /** Whether the runner may be given work. */
@@ -122,13 +144,31 @@
     this.#reconcile(report.held, now)
   }
 
-  /** Learns from the phases that an attempt has gone through. */
-  learn (attempt: LiveAttempt, kind: ProgressKind, now: Millis): void {
-    if (attempt.firstTokenAt === null || kind !== ProgressKind.Ended) return
+  /** Learns from an attempt whose first token was just reported. */
+  learnFirstToken (attempt: LiveAttempt, now: Millis): void {
+    const { cachedTokens, shortAhead, longBeside } = attempt.load
+    if (attempt.sentAt === null || this.prefillRate <= 0 || longBeside <= 0 || isLongPrompt(attempt.order.promptTokens)) return
+    const alone = (attempt.order.promptTokens - cachedTokens + shortAhead + this.chunkTokens) * 1_000 / this.prefillRate
+    const beside = longBeside * 1_000 / this.prefillRate
+    const sample = Math.min(1, Math.max(0, (now - attempt.sentAt - alone) / beside))
+    this.#interference += INTERFERENCE_WEIGHT * (sample - this.#interference)
+  }
+
+  /** Learns from an attempt that has ended. */
+  learnEnd (attempt: LiveAttempt, now: Millis): void {
+    if (attempt.firstTokenAt === null) return
     const decoding = now - attempt.firstTokenAt
     if (decoding > 0 && attempt.generated > 1) this.#decodeRate.learn((attempt.generated - 1) * 1_000 / decoding)
   }
 
+  #pending (now: Millis, counts: (attempt: LiveAttempt) => boolean): Tokens {
+    let pending = 0
+    for (const attempt of this.attempts.values()) {
+      if (counts(attempt)) pending += attempt.pendingPrefill(now, this.prefillRate)
+    }
+    return pending
+  }
+
   #reconcile (held: readonly HeldAttempt[], now: Millis): void {
     const before = new Map(this.unknown)
     this.unknown.clear()
--- a/packages/domain/src/dispatch/WaitEstimate.ts
+++ b/packages/domain/src/dispatch/WaitEstimate.ts
@@ -45,24 +45,17 @@
  *
  * The longest of three waits counts: for the prefill before it, for a slot and for memory.
  *
- * @param runners - runners that may take it
+ * @param runners - runners that may take it; never empty
  * @param ahead - waiting orders that go first
  * @param order - the new order's memory
+ * @param startDelay - least time that a runner takes for what it was already given
  */
-export const waitTime = (runners: readonly Runner[], ahead: WorkAhead, order: { readonly promptTokens: Tokens, readonly maxTokens: Tokens }): Millis => {
-  if (runners.length === 0) return Infinity
-  const prefill = prefillWait(runners, ahead)
-  const slot = slotWait(runners, ahead)
-  const memory = memoryWait(runners, ahead, order)
-  return Math.max(prefill, slot, memory)
-}
+export const waitTime = (runners: readonly Runner[], ahead: WorkAhead, order: { readonly promptTokens: Tokens, readonly maxTokens: Tokens }, startDelay: Millis): Millis =>
+  Math.max(prefillWait(runners, ahead) + startDelay, slotWait(runners, ahead), memoryWait(runners, ahead, order))
 
 const prefillWait = (runners: readonly Runner[], ahead: WorkAhead): Millis => {
   const rate = total(runners, (runner) => runner.prefillRate)
-  if (rate <= 0) return 0
-  const idle = ahead.orders === 0 && runners.some((runner) => runner.pendingPrefill === 0 && runner.freeSlots > 0)
-  if (idle) return 0
-  return (total(runners, (runner) => runner.pendingPrefill) + ahead.promptTokens) * 1_000 / rate
+  return rate > 0 ? ahead.promptTokens * 1_000 / rate : 0
 }
 
 const slotWait = (runners: readonly Runner[], ahead: WorkAhead): Millis => {
--- a/packages/domain/src/dispatch/constants.ts
+++ b/packages/domain/src/dispatch/constants.ts
@@ -1,5 +1,5 @@
 /** Defaults of the dispatcher. Times are in milliseconds. */
-import type { Millis, Tokens } from '../types.js'
+import type { Millis } from '../types.js'
 
 /** Time in which an entry node must have sent, after which its grant lapses. */
 export const GRANT_VALIDITY: Millis = 2_000
@@ -34,8 +34,26 @@
 /** Length class from which a prompt counts as long; an index of `LENGTH_CLASSES`. */
 export const LONG_CLASS = 2
 
-/** Prompt tokens above which a prompt counts as long. */
-export const LONG_PROMPT: Tokens = 32_000
+/** Wait that a dispatcher without a runner for long work states on top, so that others are preferred. */
+export const MISPLACED_DELAY: Millis = 5_000
+
+/** Chunks of short prompts that a runner is given at once; the others wait where they can still be ranked. */
+export const SHORT_CHUNKS_AHEAD = 8
+
+/** The same on a runner that was seen to answer in the order of arrival. */
+export const SHORT_CHUNKS_AHEAD_UNRANKED = 3
+
+/** Learned interference above which a runner counts as one that ignores priorities. */
+export const UNRANKED_INTERFERENCE = 0.5
+
+/** Delay of a short prompt above which a long one that was let in for want of work is recalled. */
+export const RECALL_DELAY: Millis = 150
+
+/** Share of a long prompt's prefill after which it is no longer recalled. */
+export const RECALL_LIMIT = 0.5
+
+/** Share of its time after which a waiting long prompt may take any runner. */
+export const LATE_SHARE = 0.5
 
 /** Retry time where the queue gives no estimate. */
 export const LEAST_RETRY_AFTER: Millis = 250
--- a/packages/domain/src/dispatch/lengths.ts
+++ b/packages/domain/src/dispatch/lengths.ts
@@ -1,7 +1,7 @@
 /** Length classes of prompts. */
 import { LENGTH_CLASSES } from '../constants.js'
 import type { Tokens } from '../types.js'
-import { LONG_PROMPT } from './constants.js'
+import { LONG_CLASS } from './constants.js'
 
 /** @returns the index in `LENGTH_CLASSES` of a prompt's length */
 export const lengthClassOf = (promptTokens: Tokens): number => {
@@ -10,4 +10,4 @@
 }
 
 /** @returns whether a prompt is kept apart from short ones */
-export const isLongPrompt = (promptTokens: Tokens): boolean => promptTokens >= LONG_PROMPT
+export const isLongPrompt = (promptTokens: Tokens): boolean => lengthClassOf(promptTokens) >= LONG_CLASS
--- /dev/null
+++ b/packages/domain/src/dispatch/orphans.ts
@@ -0,0 +1,24 @@
+/** When memory that an engine holds for nobody known is freed. */
+import type { Millis } from '../types.js'
+import type { Runner, UnknownAttempt } from './Runner.js'
+
+/** Times that entry nodes are given to report their attempts. */
+export interface OrphanGraces {
+  /** For attempts that were under way when the dispatcher took the runner over. */
+  readonly inheritedGrace: Millis
+  /** For attempts that began later by another dispatcher's grant: it may be alive and only unseen from here. */
+  readonly foreignGrace: Millis
+}
+
+/**
+ * Time at which an attempt counts as left, unless its entry node reports it before.
+ *
+ * @param runner - the runner that holds it
+ * @param unknown - the attempt as first seen
+ * @param graces - times to report
+ */
+export const orphanedAt = (runner: Runner, unknown: UnknownAttempt, graces: OrphanGraces): Millis => {
+  const inherited = unknown.startedAt <= runner.assignedAt
+  if (!inherited) return unknown.seenAt + graces.foreignGrace
+  return Math.max(runner.assignedAt, unknown.seenAt) + graces.inheritedGrace
+}
--- a/packages/domain/src/dispatch/types.ts
+++ b/packages/domain/src/dispatch/types.ts
@@ -118,8 +118,8 @@
   readonly queueDelay: readonly Millis[]
   /** Tokens a second of all its runners together. */
   readonly prefillRate: number
-  /** The usable runners; with those of its peers they give the failure domain's runners for long work. */
-  readonly runnerIds?: readonly RunnerId[]
+  /** The dispatcher; with the number of its runners it gives the failure domain's runners for long work. */
+  readonly node?: NodeId
   /** Prompt tokens a second that were asked of this dispatcher, by length class. */
   readonly demand?: readonly number[]
 }
