Send dispatch summaries to eight subscribers in place of relaying them

Summaries now go from their publisher to a few ranked neighbours, in turn and within their own budget; relayed values have another.

--- a/packages/domain/src/membership/Dissemination.ts
+++ b/packages/domain/src/membership/Dissemination.ts
@@ -5,6 +5,7 @@
 import { packDatagrams, UPDATE_ROOM } from './datagrams.js'
 import type { GossipBoard, Receiver } from './GossipBoard.js'
 import { sample } from './ProbeSchedule.js'
+import { Subscriptions } from './Subscriptions.js'
 import type { GossipBody, GossipValue, Member } from './types.js'
 import { UpdateQueue } from './UpdateQueue.js'
 
@@ -16,9 +17,12 @@
 /** Passes changes of members and values on: at once, periodically, and by anti-entropy. */
 export class Dissemination {
   private readonly queue = new UpdateQueue()
+  private readonly subscriptions: Subscriptions
   private urgentTokens = URGENT_DATAGRAMS_PER_SECOND
 
-  constructor (private readonly context: MembershipContext, private readonly board: GossipBoard) {}
+  constructor (private readonly context: MembershipContext, private readonly board: GossipBoard) {
+    this.subscriptions = new Subscriptions(context, board)
+  }
 
   /** Notes that the member's entry changed. */
   add (node: NodeId): void {
@@ -72,7 +76,8 @@
     const neighbours = others.filter((member) => isNeighbour(this.context, member))
     const distant = others.filter((member) => !isNeighbour(this.context, member))
     for (const peer of sample(rng, distant, 1)) this.pushValues(peer, now)
-    for (const peer of sample(rng, neighbours, timings.fanout)) this.pushValues(peer, now)
+    for (const peer of sample(rng, neighbours, 1)) this.pushValues(peer, now)
+    this.subscriptions.push(now)
   }
 
   /** Sends the changes, this node's own among them, to as many members as a datagram a second may reach at the end. */
--- a/packages/domain/src/membership/Membership.ts
+++ b/packages/domain/src/membership/Membership.ts
@@ -9,11 +9,12 @@
 import { Dissemination } from './Dissemination.js'
 import { FailureDetector } from './FailureDetector.js'
 import { GossipBoard } from './GossipBoard.js'
+import type { Spread } from './GossipBoard.js'
 import { MemberTable } from './MemberTable.js'
 import { updateBytes } from './messageSize.js'
 import { sample } from './ProbeSchedule.js'
 import { MemberState } from './types.js'
-import type { GossipBody, GossipMessage, GossipValue, Identity, ListedVm, Member, MembershipEffect, MembershipEvent, MembershipTimings, ValueScope } from './types.js'
+import type { GossipBody, GossipMessage, GossipValue, Identity, ListedVm, Member, MembershipEffect, MembershipEvent, MembershipTimings } from './types.js'
 
 /** Options of a node's membership. */
 export interface MembershipOptions {
@@ -45,15 +46,15 @@
   private nextGossip: Millis = 0
   private nextSync: Millis = 0
   private nextReconnect: Millis = 0
-  private nextRefresh: Millis = 0
+  private nextRenewal: Millis = 0
 
   constructor (options: MembershipOptions) {
     this.timings = { ...DEFAULT_TIMINGS, ...options.timings }
     this.rng = options.rng
     this.seeds = options.seeds
     this.self = { ...options.identity, state: MemberState.Alive, leaving: false, incarnation: 0 }
-    const { node, failureDomain, startedAt } = this.self
-    this.board = new GossipBoard({ node, failureDomain, startedAt, budget: this.timings.valueBudget })
+    const { node, startedAt } = this.self
+    this.board = new GossipBoard({ node, startedAt, relayBudget: this.timings.relayBudget })
     const context = this.context()
     this.detector = new FailureDetector(context)
     this.dissemination = new Dissemination(context, this.board)
@@ -98,9 +99,9 @@
    * @returns effects; empty where the contents did not change
    * @throws RangeError where the value does not fit a datagram
    */
-  publish (topic: string, bytes: Uint8Array, scope: ValueScope, durable: boolean): MembershipEffect[] {
+  publish (topic: string, bytes: Uint8Array, spread: Spread, now: Millis): MembershipEffect[] {
     this.effects = []
-    const value = this.board.publish(topic, bytes, scope, durable)
+    const value = this.board.publish(topic, bytes, spread, now)
     if (value !== null) this.effects.push({ type: 'value_changed', value })
     this.dissemination.pushUrgent()
     return this.effects
@@ -153,7 +154,7 @@
     this.nextProbe = now + uniformInt(this.rng, 0, this.timings.probePeriod)
     this.nextGossip = now + uniformInt(this.rng, 0, this.timings.gossipPeriod)
     this.nextSync = now + this.timings.antiEntropyPeriod
-    this.nextRefresh = now + 2 * this.timings.antiEntropyPeriod
+    this.nextRenewal = now + 2 * this.timings.antiEntropyPeriod
     this.nextReconnect = now
   }
 
@@ -176,9 +177,9 @@
     this.dissemination.refill()
     this.detector.probePeriodically(now)
     for (const node of this.table.forgetLeft(now, this.timings.tombstoneLifetime)) this.dissemination.remove(node)
-    if (now < this.nextRefresh) return
-    this.nextRefresh = now + 2 * this.timings.antiEntropyPeriod
-    this.board.refresh()
+    if (now < this.nextRenewal) return
+    this.nextRenewal = now + 2 * this.timings.antiEntropyPeriod
+    this.board.renew(now)
   }
 
   private reconnect (now: Millis): void {
@@ -192,7 +193,7 @@
 
   private receive (from: string, message: GossipMessage, now: Millis): void {
     for (const update of message.updates) this.take(update, `told by ${message.sender}`, now)
-    for (const value of message.values) this.takeValue(value)
+    for (const value of message.values) this.takeValue(value, now)
     this.answer(from, message, now)
   }
 
@@ -241,7 +242,7 @@
   // The clock of this VM is behind that of the process that had the same name.
   private outlive (claim: Member, now: Millis): void {
     this.self = { ...this.self, startedAt: claim.startedAt + 1, incarnation: 0 }
-    this.board.restart(this.self.startedAt)
+    this.board.restart(this.self.startedAt, now)
     this.announce({}, 'another process had this name', now)
   }
 
@@ -264,10 +265,10 @@
     }
   }
 
-  private takeValue (value: GossipValue): void {
+  private takeValue (value: GossipValue, now: Millis): void {
     const publisher = this.table.get(value.node)
     if (publisher !== undefined && (publisher.state === MemberState.Left || value.startedAt < publisher.startedAt)) return
-    if (this.board.receive(value)) this.effects.push({ type: 'value_changed', value })
+    if (this.board.receive(value, now)) this.effects.push({ type: 'value_changed', value })
   }
 
   private forgetValues (node: NodeId, before?: number): void {
--- a/packages/domain/src/membership/constants.ts
+++ b/packages/domain/src/membership/constants.ts
@@ -13,8 +13,14 @@
 /** A member is sent at most this many times log2(members) by one node after each change. */
 export const UPDATE_RETRANSMIT_FACTOR = 2
 
-/** As `UPDATE_RETRANSMIT_FACTOR`, for values. */
-export const VALUE_RETRANSMIT_FACTOR = 1
+/** Times that one node sends a version of a relayed value that anti-entropy does not cover. */
+export const VALUE_TRANSMISSIONS = 3
+
+/** Members that a node sends its own values of scope `subscribers` to. */
+export const SUBSCRIBERS = 8
+
+/** A value that was not renewed for this long, in milliseconds, says nothing any more; values are renewed each 10 s. */
+export const VALUE_LIFETIME = 25_000
 
 /** Buckets of the anti-entropy digest. */
 export const DIGEST_BUCKETS = 16
@@ -51,5 +57,6 @@
   reconnectPeriod: 2_000,
   tombstoneLifetime: 300_000,
   maxLocalHealth: 8,
-  valueBudget: 2_000
+  subscriberBudget: 1_500,
+  relayBudget: 600
 }
--- a/packages/domain/src/membership/types.ts
+++ b/packages/domain/src/membership/types.ts
@@ -33,8 +33,11 @@
 export type Identity = Pick<Member, 'node' | 'failureDomain' | 'peerAddress' | 'gossipAddress' | 'startedAt'>
 
 export const ValueScope = {
-  /** Kept and relayed only in the failure domain of the publisher. */
+  /** Sent by the publisher itself to a few members of its failure domain, and not relayed. */
+  Subscribers: 'subscribers',
+  /** Relayed to every member of the publisher's failure domain. */
   FailureDomain: 'failure_domain',
+  /** Relayed to every member. */
   Fleet: 'fleet'
 } as const
 export type ValueScope = typeof ValueScope[keyof typeof ValueScope]
@@ -121,6 +124,8 @@
   readonly reconnectPeriod: Millis
   readonly tombstoneLifetime: Millis
   readonly maxLocalHealth: number
-  /** Bytes a second that the values may take in sent datagrams. */
-  readonly valueBudget: number
+  /** Bytes a second for values that are sent to subscribers. */
+  readonly subscriberBudget: number
+  /** Bytes a second for relayed values that anti-entropy does not cover. */
+  readonly relayBudget: number
 }
--- a/packages/domain/tests/gossipBoard.test.ts
+++ b/packages/domain/tests/gossipBoard.test.ts
@@ -2,13 +2,17 @@
 import fc from 'fast-check'
 
 import { GossipBoard, MAX_DATAGRAM_BYTES, valueBytes } from '../src/index.js'
-import type { FailureDomain, GossipValue, NodeId } from '../src/index.js'
+import type { GossipValue, NodeId } from '../src/index.js'
 import { MemberGroup } from './memberGroup.js'
 
 const SEED = 20_261_203
 
-const board = (node: string, budget = 1_000_000): GossipBoard =>
-  new GossipBoard({ node: node as NodeId, failureDomain: 'fd0' as FailureDomain, startedAt: 1, budget })
+const VOLATILE = { scope: 'fleet', durable: false } as const
+const DURABLE = { scope: 'fleet', durable: true } as const
+const NEIGHBOURS_ONLY = { scope: 'failure_domain', durable: false } as const
+
+const board = (node: string, relayBudget = 1_000_000): GossipBoard =>
+  new GossipBoard({ node: node as NodeId, startedAt: 1, relayBudget })
 
 const value = (version: number, startedAt = 1): GossipValue =>
   ({ node: 'a' as NodeId, topic: 't', scope: 'fleet', durable: true, startedAt, version, bytes: Uint8Array.of(version, startedAt) })
@@ -19,7 +23,7 @@
   const values = fc.array(fc.record({ version: fc.integer({ min: 1, max: 9 }), startedAt: fc.integer({ min: 1, max: 3 }) }), { minLength: 1 })
   t.notThrows(() => fc.assert(fc.property(values, (claims) => {
     const reader = board('reader')
-    for (const { version, startedAt } of claims) reader.receive(value(version, startedAt))
+    for (const { version, startedAt } of claims) reader.receive(value(version, startedAt), 0)
     const best = Math.max(...claims.map(({ version, startedAt }) => startedAt * 10 + version))
     const held = reader.get('a' as NodeId, 't')
     return held !== undefined && held.startedAt * 10 + held.version === best
@@ -28,15 +32,15 @@
 
 test('a replaced value is not sent again', (t) => {
   const writer = board('w')
-  for (let version = 1; version <= 50; version += 1) writer.publish('t', Uint8Array.of(version), 'fleet', false)
+  for (let version = 1; version <= 50; version += 1) writer.publish('t', Uint8Array.of(version), VOLATILE, 0)
   const sent = writer.take(1_000, neighbour, 0)
   t.deepEqual(sent.map(({ bytes }) => [...bytes]), [[50]])
 })
 
 test('an unchanged value is not published again', (t) => {
   const writer = board('w')
-  t.not(writer.publish('t', Uint8Array.of(1), 'fleet', false), null)
-  t.is(writer.publish('t', Uint8Array.of(1), 'fleet', false), null)
+  t.not(writer.publish('t', Uint8Array.of(1), VOLATILE, 0), null)
+  t.is(writer.publish('t', Uint8Array.of(1), VOLATILE, 0), null)
 })
 
 test('values stay within the budget and the datagram', (t) => {
@@ -45,7 +49,7 @@
   let bytes = 0
   const seconds = 60
   for (let now = 0; now < seconds * 1_000; now += 50) {
-    for (let topic = 0; topic < 40; topic += 1) writer.publish(`t${topic}`, Uint8Array.of(now % 251, topic, now % 7), 'failure_domain', false)
+    for (let topic = 0; topic < 40; topic += 1) writer.publish(`t${topic}`, Uint8Array.of(now % 251, topic, now % 7), NEIGHBOURS_ONLY, 0)
     while (writer.mayPush(now)) {
       const sent = writer.take(MAX_DATAGRAM_BYTES, neighbour, now)
       if (sent.length === 0) break
@@ -60,7 +64,7 @@
 
 test('values that were sent least go first', (t) => {
   const writer = board('w')
-  for (let topic = 0; topic < 60; topic += 1) writer.publish(`t${topic}`, new Uint8Array(40), 'fleet', false)
+  for (let topic = 0; topic < 60; topic += 1) writer.publish(`t${topic}`, new Uint8Array(40), VOLATILE, 0)
   const first = writer.take(1_000, neighbour, 0).map(({ topic }) => topic)
   const second = writer.take(1_000, neighbour, 0).map(({ topic }) => topic)
   t.deepEqual(first.filter((topic) => second.includes(topic)), [])
@@ -68,21 +72,21 @@
 
 test('a value of the failure domain is not sent to another', (t) => {
   const writer = board('w')
-  writer.publish('t', Uint8Array.of(1), 'failure_domain', false)
+  writer.publish('t', Uint8Array.of(1), NEIGHBOURS_ONLY, 0)
   t.deepEqual(writer.take(1_000, { ...neighbour, sameDomain: false }, 0), [])
   t.is(writer.take(1_000, neighbour, 0).length, 1)
 })
 
 test('a value that does not fit is refused', (t) => {
-  t.throws(() => board('w').publish('t', new Uint8Array(MAX_DATAGRAM_BYTES), 'fleet', false), { instanceOf: RangeError })
-  t.throws(() => board('w').publish('t', Uint8Array.of(1), 'failure_domain', true), { instanceOf: RangeError })
+  t.throws(() => board('w').publish('t', new Uint8Array(MAX_DATAGRAM_BYTES), VOLATILE, 0), { instanceOf: RangeError })
+  t.throws(() => board('w').publish('t', Uint8Array.of(1), { scope: 'failure_domain', durable: true }, 0), { instanceOf: RangeError })
 })
 
 const reachesPaused = (antiEntropyPeriod: number): number | null => {
   const group = new MemberGroup({ seed: 11, size: 9, maxLatency: 10, timings: { antiEntropyPeriod } })
   group.run(8_000)
   group.pause(8, 15_000)
-  group.perform(3, group.at(3).membership.publish('revision', Uint8Array.of(7), 'fleet', true))
+  group.perform(3, group.at(3).membership.publish('revision', Uint8Array.of(7), DURABLE, group.now))
   group.run(15_000)
   return group.runUntil(() => group.at(8).membership.board.values('revision').length === 1, 60_000)
 }
@@ -99,7 +103,7 @@
   const group = new MemberGroup({ seed: 12, size: 40, domains: 4, maxLatency: 5 })
   group.run(8_000)
   group.tell(3, { type: 'ticked' })
-  const effects = group.at(3).membership.publish('leaving/r1', Uint8Array.of(1), 'fleet', true)
+  const effects = group.at(3).membership.publish('leaving/r1', Uint8Array.of(1), DURABLE, group.now)
   group.perform(3, effects)
   t.not(group.runUntil(() => group.participants.every(({ membership }) => membership.board.values('leaving/r1').length === 1), 500), null)
 })
@@ -108,7 +112,7 @@
   const group = new MemberGroup({ seed: 13, size: 9 })
   group.run(4_000)
   group.crash(8)
-  group.perform(3, group.at(3).membership.publish('revision', Uint8Array.of(7), 'fleet', true))
+  group.perform(3, group.at(3).membership.publish('revision', Uint8Array.of(7), DURABLE, group.now))
   group.run(20_000)
   group.restart(8)
   t.not(group.runUntil(() => group.at(8).membership.board.values('revision').length === 1, 1_000), null)
@@ -117,7 +121,7 @@
 test('a restarted node does not keep the values of its earlier process', (t) => {
   const group = new MemberGroup({ seed: 14, size: 9 })
   group.run(4_000)
-  group.perform(8, group.at(8).membership.publish('load', Uint8Array.of(7), 'fleet', false))
+  group.perform(8, group.at(8).membership.publish('load', Uint8Array.of(7), VOLATILE, group.now))
   group.run(2_000)
   t.is(group.at(1).membership.board.values('load').length, 1)
   group.crash(8)
--- a/packages/node/src/membership/MembershipService.ts
+++ b/packages/node/src/membership/MembershipService.ts
@@ -3,7 +3,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 
 import { Membership, takesNewWork, TICK_PERIOD, ValueScope } from '@bluebellhill/domain'
-import type { FailureDomain, GossipValue, ListedVm, Member, MembershipEffect, MembershipEvent, MembershipTimings, Millis, NodeId } from '@bluebellhill/domain'
+import type { FailureDomain, GossipValue, ListedVm, Member, MembershipEffect, MembershipEvent, MembershipTimings, Millis, NodeId, Spread } from '@bluebellhill/domain'
 
 import { GossipSocket } from './GossipSocket.js'
 import type { DropRule, SocketCounters } from './GossipSocket.js'
@@ -36,12 +36,8 @@
 export type MembershipChange = Exclude<MembershipEffect, { readonly type: 'send' }>
 export type ChangeListener = (change: MembershipChange) => void
 
-/** How a value is spread. */
-export interface PublishOptions {
-  readonly scope?: ValueScope
-  /** Covered by anti-entropy; for values that change seldom and must not be missed. */
-  readonly durable?: boolean
-}
+/** How a value is spread: to the failure domain, unless told otherwise. */
+export type PublishOptions = Partial<Spread>
 
 const MAX_SEED = 0x7fffffff
 
@@ -117,17 +113,25 @@
    * @throws RangeError where it does not fit
    */
   publish (topic: string, bytes: Uint8Array, { scope = ValueScope.FailureDomain, durable = false }: PublishOptions = {}): void {
-    this.carryOut(this.running().publish(topic, bytes, scope, durable))
+    this.carryOut(this.running().publish(topic, bytes, { scope, durable }, this.options.clock()))
   }
 
-  /** The last known value of each node. */
-  values (topic: string): GossipValue[] {
-    return this.running().board.values(topic)
+  /**
+   * @param topic - name of the values
+   * @param maxAge - only values that were received or renewed within these milliseconds
+   * @returns the last known value of each node
+   */
+  values (topic: string, maxAge = Infinity): GossipValue[] {
+    return this.running().board.values(topic, this.options.clock() - maxAge)
   }
 
-  /** The last known values of each node whose topic starts with `prefix`. */
-  valuesUnder (prefix: string): GossipValue[] {
-    return this.running().board.valuesUnder(prefix)
+  /**
+   * @param prefix - start of the topics
+   * @param maxAge - only values that were received or renewed within these milliseconds
+   * @returns the last known values of each node
+   */
+  valuesUnder (prefix: string, maxAge = Infinity): GossipValue[] {
+    return this.running().board.valuesUnder(prefix, this.options.clock() - maxAge)
   }
 
   /**
--- a/packages/node/src/membership/SummaryExchange.ts
+++ b/packages/node/src/membership/SummaryExchange.ts
@@ -1,12 +1,17 @@
-import { aggregateSummaries, hashText, ranked, REPORT_PERIOD, takesNewWork, ValueScope } from '@bluebellhill/domain'
-import type { DispatchSummary, FailureDomain, GossipValue, Member, NodeId } from '@bluebellhill/domain'
+import { aggregateSummaries, hashText, ranked, REPORT_PERIOD, takesNewWork, VALUE_LIFETIME, ValueScope } from '@bluebellhill/domain'
+import type { DispatchSummary, FailureDomain, Member, NodeId } from '@bluebellhill/domain'
 
 import type { MembershipService } from './MembershipService.js'
-import { decodeSummary, encodeSummary } from './summaryCodec.js'
+import { decodeSummary, encodeSummaries } from './summaryCodec.js'
 
-const DISPATCHER_PREFIX = 'd/'
-const AGGREGATE_PREFIX = 'a/'
-const NO_RUNNERS = new Uint8Array(0)
+/** Models of one dispatcher, relayed to its whole failure domain. */
+const MODELS_TOPIC = 'models'
+/** Summaries of one dispatcher, sent to its subscribers. */
+const SUMMARY_TOPIC = 'summary'
+/** Summaries of one failure domain, relayed to the fleet. */
+const AGGREGATE_TOPIC = 'aggregate'
+/** More models than fit one value are split over numbered topics. */
+const MODELS_PER_VALUE = 12
 
 /** One dispatcher's state of a model. */
 export interface DispatcherSummary {
@@ -21,11 +26,13 @@
 }
 
 /**
- * Spreads dispatch summaries: each dispatcher's to its own failure domain, and to the others their
- * sum, which one member of the failure domain reports.
+ * Spreads dispatch summaries. Each dispatcher's go to its subscribers in the failure domain, the names
+ * of its models to all of it, and to the other failure domains an estimate of the sum, which one
+ * member reports.
  */
 export class SummaryExchange {
   private timer: NodeJS.Timeout | null = null
+  private readonly published = new Map<string, number>()
 
   constructor (private readonly service: MembershipService) {}
 
@@ -40,15 +47,28 @@
    * @param summaries - one for each model that it has runners of
    */
   publish (summaries: readonly DispatchSummary[]): void {
-    this.publishAll(DISPATCHER_PREFIX, summaries, ValueScope.FailureDomain)
+    this.publishSplit(MODELS_TOPIC, summaries.map(({ model }) => model).sort(), encodeNames, ValueScope.FailureDomain)
+    this.publishSplit(SUMMARY_TOPIC, summaries, encodeSummaries, ValueScope.Subscribers)
   }
 
   /**
    * @param model - model asked for
-   * @returns the dispatchers of the own failure domain that may get new work
+   * @returns dispatchers of the own failure domain that may get new work and whose state is known here
    */
   dispatchers (model: string): DispatcherSummary[] {
-    return this.read(`${DISPATCHER_PREFIX}${model}`).map(({ publisher, summary }) => ({ dispatcher: publisher, summary }))
+    return this.read(SUMMARY_TOPIC, model).map(({ publisher, summary }) => ({ dispatcher: publisher, summary }))
+  }
+
+  /**
+   * @param model - model asked for
+   * @returns every dispatcher of the own failure domain that may get new work and has runners of the model
+   */
+  holders (model: string): Member[] {
+    const workers = new Map(this.service.workers(this.service.me().failureDomain).map((member) => [member.node, member]))
+    return this.service.valuesUnder(`${MODELS_TOPIC}/`).flatMap((value) => {
+      const member = workers.get(value.node)
+      return member !== undefined && namesOf(value.bytes).includes(model) ? [member] : []
+    })
   }
 
   /**
@@ -57,7 +77,7 @@
    */
   failureDomains (model: string): DomainSummary[] {
     const { failureDomain } = this.service.me()
-    return this.read(`${AGGREGATE_PREFIX}${model}`)
+    return this.read(AGGREGATE_TOPIC, model)
       .filter(({ publisher }) => publisher.failureDomain !== failureDomain && publisher.node === this.reporter(publisher.failureDomain))
       .map(({ publisher, summary }) => ({ failureDomain: publisher.failureDomain, summary }))
   }
@@ -67,48 +87,69 @@
     this.timer = null
   }
 
-  /** Publishes the sum over the own failure domain where this node is its reporter. */
+  /** Publishes the estimated sum over the own failure domain where this node is its reporter. */
   report (): void {
     const { node, failureDomain } = this.service.me()
-    const isReporter = this.reporter(failureDomain) === node
-    const topics = new Set(this.service.valuesUnder(DISPATCHER_PREFIX).map(({ topic }) => topic))
-    const sums: DispatchSummary[] = []
-    for (const topic of isReporter ? topics : []) {
-      const summaries = this.read(topic).map(({ summary }) => summary)
-      if (summaries.length > 0) sums.push(aggregateSummaries(summaries))
-    }
-    this.publishAll(AGGREGATE_PREFIX, sums, ValueScope.Fleet)
+    if (this.reporter(failureDomain) !== node) return
+    const models = new Set(this.service.valuesUnder(`${MODELS_TOPIC}/`).flatMap((value) => namesOf(value.bytes)))
+    const sums = [...models].sort().flatMap((model) => this.estimate(model))
+    this.publishSplit(AGGREGATE_TOPIC, sums, encodeSummaries, ValueScope.Fleet)
+  }
+
+  // The summaries known here are a sample: their sum is scaled to the number of dispatchers that have the model.
+  private estimate (model: string): DispatchSummary[] {
+    const known = this.dispatchers(model)
+    if (known.length === 0) return []
+    const scale = Math.max(1, this.holders(model).length / known.length)
+    const sum = aggregateSummaries(known.map(({ summary }) => summary))
+    return [{
+      ...sum,
+      runners: Math.round(sum.runners * scale),
+      freeTokens: sum.freeTokens * scale,
+      freeSlots: Math.round(sum.freeSlots * scale),
+      prefillRate: sum.prefillRate * scale
+    }]
   }
 
   private reporter (failureDomain: FailureDomain): NodeId | undefined {
-    return ranked(AGGREGATE_PREFIX, this.service.workers(failureDomain), 1, hashText)[0]
+    return ranked(AGGREGATE_TOPIC, this.service.workers(failureDomain), 1, hashText)[0]
   }
 
-  private publishAll (prefix: string, summaries: readonly DispatchSummary[], scope: ValueScope): void {
-    const { node } = this.service.me()
-    const served = new Set(summaries.map(({ model }) => `${prefix}${model}`))
-    for (const summary of summaries) this.service.publish(`${prefix}${summary.model}`, encodeSummary(summary), { scope })
-    for (const value of this.service.valuesUnder(prefix)) {
-      if (value.node === node && !served.has(value.topic)) this.service.publish(value.topic, NO_RUNNERS, { scope })
+  private publishSplit <Item>(topic: string, items: readonly Item[], encode: (items: readonly Item[]) => Uint8Array, scope: ValueScope): void {
+    const parts = Math.max(1, Math.ceil(items.length / MODELS_PER_VALUE), this.published.get(topic) ?? 0)
+    this.published.set(topic, parts)
+    for (let part = 0; part < parts; part += 1) {
+      const contents = encode(items.slice(part * MODELS_PER_VALUE, (part + 1) * MODELS_PER_VALUE))
+      this.service.publish(`${topic}/${part}`, contents, { scope })
     }
   }
 
-  private read (topic: string): Array<{ publisher: Member, summary: DispatchSummary }> {
+  private read (topic: string, model: string): Array<{ publisher: Member, summary: DispatchSummary }> {
     const members = new Map(this.service.members().map((member) => [member.node, member]))
-    return this.service.values(topic).flatMap((value) => {
+    return this.service.valuesUnder(`${topic}/`, VALUE_LIFETIME).flatMap((value) => {
       const publisher = members.get(value.node)
-      if (publisher === undefined || !takesNewWork(publisher)) return []
-      return this.decode(value).map((summary) => ({ publisher, summary }))
+      const summary = decodeOrNull(model, value.bytes)
+      return publisher === undefined || summary === null || !takesNewWork(publisher) ? [] : [{ publisher, summary }]
     })
   }
+}
 
-  // A value that cannot be read is as good as none.
-  private decode (value: GossipValue): DispatchSummary[] {
-    if (value.bytes.length === 0) return []
-    try {
-      return [decodeSummary(value.topic.slice(value.topic.indexOf('/') + 1), value.bytes)]
-    } catch {
-      return []
-    }
+// A value that cannot be read is as good as none.
+const decodeOrNull = (model: string, bytes: Uint8Array): DispatchSummary | null => {
+  try {
+    return decodeSummary(model, bytes)
+  } catch {
+    return null
+  }
+}
+
+const encodeNames = (names: readonly string[]): Uint8Array => Buffer.from(JSON.stringify(names))
+
+const namesOf = (bytes: Uint8Array): string[] => {
+  try {
+    const names: unknown = JSON.parse(Buffer.from(bytes).toString())
+    return Array.isArray(names) ? names.filter((name) => typeof name === 'string') : []
+  } catch {
+    return []
   }
 }
--- a/packages/node/src/membership/codec.ts
+++ b/packages/node/src/membership/codec.ts
@@ -5,6 +5,8 @@
 
 const STATES: readonly MemberState[] = [MemberState.Alive, MemberState.Suspect, MemberState.Unreachable, MemberState.Left]
 
+const SCOPES: readonly ValueScope[] = [ValueScope.Subscribers, ValueScope.FailureDomain, ValueScope.Fleet]
+
 type WireBody = gossipWire.GossipDatagram['body']
 
 const encodeBody = (body: GossipBody): WireBody => {
@@ -63,22 +65,26 @@
 const encodeValue = (value: GossipValue): gossipWire.GossipValue => ({
   node: value.node,
   topic: value.topic,
-  fleet: value.scope === ValueScope.Fleet,
+  scope: SCOPES.indexOf(value.scope),
   durable: value.durable,
   startedAt: BigInt(value.startedAt),
   version: value.version,
   contents: value.bytes
 })
 
-const decodeValue = (value: gossipWire.GossipValue): GossipValue => ({
-  node: value.node as NodeId,
-  topic: value.topic,
-  scope: value.fleet ? ValueScope.Fleet : ValueScope.FailureDomain,
-  durable: value.durable,
-  startedAt: Number(value.startedAt),
-  version: value.version,
-  bytes: new Uint8Array(value.contents)
-})
+const decodeValue = (value: gossipWire.GossipValue): GossipValue => {
+  const scope = SCOPES[value.scope]
+  if (scope === undefined || value.node === '') throw new RangeError(`value of node "${value.node}" with scope ${value.scope}`)
+  return {
+    node: value.node as NodeId,
+    topic: value.topic,
+    scope,
+    durable: value.durable,
+    startedAt: Number(value.startedAt),
+    version: value.version,
+    bytes: new Uint8Array(value.contents)
+  }
+}
 
 /**
  * @param message - message to send
--- a/packages/node/src/membership/summaryCodec.ts
+++ b/packages/node/src/membership/summaryCodec.ts
@@ -1,39 +1,49 @@
-/** Encoding of dispatch summaries as gossip values. */
+/** Encoding of dispatch summaries as gossip values, rounded to coarse units. */
 import { gossipWire } from '@bluebellhill/protocol'
+import { hashText, LENGTH_CLASSES } from '@bluebellhill/domain'
 import type { DispatchSummary } from '@bluebellhill/domain'
 
-const whole = (amount: number): number => Math.max(0, Math.round(amount))
+const TOKEN_UNIT = 1_024
+const DELAY_UNIT = 10
+const RATE_UNIT = 100
+
+// Free amounts are rounded down and delays up, so that rounding promises nothing.
+const downTo = (unit: number) => (amount: number): number => Math.max(0, Math.floor(amount / unit))
+const upTo = (unit: number) => (amount: number): number => Math.max(0, Math.ceil(amount / unit))
 
 /**
- * @param summary - one model's state
- * @returns contents of its gossip value
+ * @param summaries - each model's state
+ * @returns contents of the gossip value
  */
-export const encodeSummary = (summary: DispatchSummary): Uint8Array =>
-  gossipWire.ModelSummary.encode({
-    model: '',
-    runners: summary.runners,
-    freeTokens: BigInt(whole(summary.freeTokens)),
-    freeSlots: whole(summary.freeSlots),
-    largestPrompt: whole(summary.largestPrompt),
-    queueDelayMs: summary.queueDelay.map(whole),
-    prefillRate: whole(summary.prefillRate)
+export const encodeSummaries = (summaries: readonly DispatchSummary[]): Uint8Array =>
+  gossipWire.ModelSummaries.encode({
+    models: summaries.map(({ model }) => hashText(model)),
+    runners: summaries.map(({ runners }) => runners),
+    freeTokens: summaries.map(({ freeTokens }) => freeTokens).map(downTo(TOKEN_UNIT)),
+    freeSlots: summaries.map(({ freeSlots }) => freeSlots).map(downTo(1)),
+    largestPrompt: summaries.map(({ largestPrompt }) => largestPrompt).map(downTo(TOKEN_UNIT)),
+    queueDelay: summaries.flatMap(({ queueDelay }) => LENGTH_CLASSES.map((_, index) => queueDelay[index] ?? 0)).map(upTo(DELAY_UNIT)),
+    prefillRate: summaries.map(({ prefillRate }) => prefillRate).map(downTo(RATE_UNIT))
   }).finish()
 
 /**
- * @param model - model, which the value's topic names
- * @param bytes - contents of the gossip value
- * @returns the model's state
- * @throws Error where the contents are not a summary
+ * @param model - model asked for
+ * @param bytes - contents of a gossip value
+ * @returns the model's state, or null where the value has none
+ * @throws Error where the contents are not summaries
  */
-export const decodeSummary = (model: string, bytes: Uint8Array): DispatchSummary => {
-  const summary = gossipWire.ModelSummary.decode(bytes)
+export const decodeSummary = (model: string, bytes: Uint8Array): DispatchSummary | null => {
+  const columns = gossipWire.ModelSummaries.decode(bytes)
+  const row = columns.models.indexOf(hashText(model))
+  if (row < 0) return null
+  const cell = (column: readonly number[], index = row): number => column[index] ?? 0
   return {
     model,
-    runners: summary.runners,
-    freeTokens: Number(summary.freeTokens),
-    freeSlots: summary.freeSlots,
-    largestPrompt: summary.largestPrompt,
-    queueDelay: summary.queueDelayMs,
-    prefillRate: summary.prefillRate
+    runners: cell(columns.runners),
+    freeTokens: cell(columns.freeTokens) * TOKEN_UNIT,
+    freeSlots: cell(columns.freeSlots),
+    largestPrompt: cell(columns.largestPrompt) * TOKEN_UNIT,
+    queueDelay: LENGTH_CLASSES.map((_, index) => cell(columns.queueDelay, row * LENGTH_CLASSES.length + index) * DELAY_UNIT),
+    prefillRate: cell(columns.prefillRate) * RATE_UNIT
   }
 }
