--- a/packages/node/src/daemon/types.ts
+++ b/packages/node/src/daemon/types.ts
@@ -1,6 +1,7 @@
 /** What a daemon is started with. */
 import type { FailureDomain, Millis, NodeId, RoutingPolicy } from '@bluebellhill/domain'
 
+import type { AdmissionLimits } from '../edge/Admission.js'
 import type { BodyLimits } from '../edge/body.js'
 import type { Organisations } from '../edge/Organisations.js'
 import type { Backend } from '../dispatch/RunnerDirectory.js'
@@ -23,11 +24,14 @@
   readonly seeds: readonly string[]
   /** Secrets that peers share: the first signs, every one is accepted. */
   readonly secrets: readonly string[]
+  /** Secrets that the admin address accepts; it is open where there are none. */
+  readonly adminSecrets?: readonly string[]
   readonly runners: readonly Backend[]
   /** Addresses of the VM list; none leaves only the runners of the settings. */
   readonly vmList: readonly string[]
   readonly policy: RoutingPolicy
   readonly bodyLimits: BodyLimits
+  readonly admission: AdmissionLimits
   /** Calls that one plain service takes at once. */
   readonly serviceSlots: number
   /** Time between the failing readiness and the refusal of new work. */
