Keep the configuration in force on every node with a few watchers a failure domain

A watch on each node would cost one waiting call a node at 380 nodes and a reconnect from each when the store returns. Two members of each failure domain watch, by their rank in the membership; they push to the others of their domain, and every node compares a 32-bit digest with a random peer. A node that starts in an outage takes the configuration from peers. Values newer than the store's are written back slowly, one node at a time.

--- /dev/null
+++ b/packages/node/src/configuration/ConfigurationService.ts
@@ -0,0 +1,255 @@
+/** One node's part in keeping the operators' configuration in force everywhere. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
+
+import { ConfigurationSet } from '@bluebellhill/domain'
+import type { ConfigurationEffect, ConfigurationEvent, ConfigurationValue, EditRecord, FailureDomain, NodeId, StoredValue, ValueSource, ValueVersion } from '@bluebellhill/domain'
+import type { Configuration, ConfigurationStore } from '@bluebellhill/platform'
+
+import { ConfigurationInForce } from './ConfigurationInForce.js'
+import type { ConfigurationMember, ConfigurationPeers } from './ConfigurationPeers.js'
+import { EXCHANGE_PERIOD_MS, FOREIGN_EXCHANGE_SHARE, RANK_PERIOD_MS, RUMOUR_TARGETS, START_PEERS, WATCHERS_PER_FAILURE_DOMAIN } from './constants.js'
+import { StoreWatcher } from './StoreWatcher.js'
+import { WriteBackQueue } from './WriteBackQueue.js'
+import type { WriteBackResult } from './WriteBackQueue.js'
+
+/** What the service tells the node, for the time line, the log and the metrics. */
+export type ConfigurationReport =
+  | { readonly type: 'installed', readonly value: ConfigurationValue, readonly source: ValueSource }
+  | { readonly type: 'unusable', readonly name: string, readonly revision: number | null, readonly reason: string }
+  | { readonly type: 'overwritten', readonly value: ConfigurationValue, readonly overwritten: EditRecord }
+  | { readonly type: 'written_back', readonly value: ConfigurationValue, readonly result: WriteBackResult }
+  | { readonly type: 'store', readonly available: boolean, readonly reason: string }
+
+export interface ConfigurationServiceOptions {
+  readonly node: NodeId
+  readonly failureDomain: FailureDomain
+  /** Null in a setup without a key-value service. */
+  readonly store: ConfigurationStore | null
+  readonly peers: ConfigurationPeers
+  readonly rng: RandomGenerator
+  /** Wall time in milliseconds since the epoch. */
+  readonly wallClock: () => number
+  readonly report: (report: ConfigurationReport) => void
+}
+
+/** A value in force, for the admin address. */
+export interface InstalledVersion extends ValueVersion {
+  /** Wall time in milliseconds since the epoch. */
+  readonly installedAt: number
+}
+
+export class ConfigurationService {
+  readonly #options: ConfigurationServiceOptions
+  readonly #inForce = new ConfigurationInForce()
+  readonly #set = new ConfigurationSet((value) => this.#inForce.check(value))
+  readonly #installed = new Map<string, InstalledVersion>()
+  readonly #watcher: StoreWatcher | null
+  readonly #writeBacks: WriteBackQueue | null
+  readonly #timers = new Set<NodeJS.Timeout>()
+  #disposed = false
+
+  constructor (options: ConfigurationServiceOptions) {
+    this.#options = options
+    const { store, rng } = options
+    this.#writeBacks = store === null ? null : new WriteBackQueue(store, (value, result) => this.#endWriteBack(value, result), rng)
+    this.#watcher = store === null
+      ? null
+      : new StoreWatcher(store, {
+        read: ({ values }) => this.#takeStored({ type: 'store_read', stored: values }, values),
+        changed: (stored) => this.#takeStored({ type: 'store_changed', stored }, [stored]),
+        deleted: (name) => this.#handle({ type: 'store_deleted', name }),
+        availability: (available, reason) => options.report({ type: 'store', available, reason })
+      }, rng)
+  }
+
+  /** The configuration in force; null before there is any. */
+  get current (): Configuration | null {
+    return this.#inForce.current
+  }
+
+  /** Whether this node watches the store. */
+  get isWatching (): boolean {
+    return this.#watcher?.isRunning ?? false
+  }
+
+  /** A number that is the same at two nodes that know the same versions. */
+  get digest (): number {
+    return this.#set.digest
+  }
+
+  /** The newest version that this node knows of every value. */
+  revisions (): ValueVersion[] {
+    return this.#set.versions()
+  }
+
+  /** The versions that are in force, and since when. */
+  installed (): InstalledVersion[] {
+    return [...this.#installed.values()]
+  }
+
+  /**
+   * Gives values to a peer.
+   *
+   * @param versions - what the peer knows
+   * @returns values that are newer here
+   */
+  valuesSince (versions: readonly ValueVersion[]): ConfigurationValue[] {
+    return this.#set.valuesSince(versions)
+  }
+
+  /**
+   * Gives values by name.
+   *
+   * @param names - names of values
+   * @returns those that this node knows
+   */
+  values (names: readonly string[]): ConfigurationValue[] {
+    return names.flatMap((name) => this.#set.value(name) ?? [])
+  }
+
+  /**
+   * Takes values from a peer; older ones are ignored.
+   *
+   * @param from - the peer
+   * @param values - checked for their form, not for their text
+   */
+  install (from: NodeId, values: readonly ConfigurationValue[]): void {
+    this.#handle({ type: 'received', from, values })
+  }
+
+  /** Gets a first configuration from peers, else from the store, and begins to keep it up to date. */
+  async start (): Promise<void> {
+    await this.#readFirst()
+    if (this.#disposed) return
+    this.#every(RANK_PERIOD_MS, async () => this.#takeRank())
+    this.#every(EXCHANGE_PERIOD_MS, async () => await this.#exchange(this.#choosePeer()))
+    this.#takeRank()
+  }
+
+  /** Stops watching and comparing. */
+  dispose (): void {
+    this.#disposed = true
+    this.#watcher?.stop()
+    this.#writeBacks?.dispose()
+    for (const timer of this.#timers) clearTimeout(timer)
+  }
+
+  async #readFirst (): Promise<void> {
+    for (let tries = 0; tries < START_PEERS && this.#set.isEmpty; tries += 1) await this.#exchange(this.#choosePeer())
+    if (this.#set.isEmpty && !this.#isRankedWatcher()) await this.#watcher?.readOnce()
+  }
+
+  #takeStored (event: ConfigurationEvent, stored: readonly StoredValue[]): void {
+    for (const each of stored) this.#writeBacks?.show(each)
+    this.#handle(event)
+  }
+
+  #handle (event: ConfigurationEvent): void {
+    const effects = this.#set.handle(event)
+    const installed = effects.flatMap((effect) => effect.type === 'install' ? [effect.value] : [])
+    if (installed.length > 0) this.#inForce.install(installed)
+    for (const effect of effects) this.#carryOut(effect)
+    if (event.type === 'received' && installed.length > 0) this.#spreadForeign(event.from, installed)
+  }
+
+  #carryOut (effect: ConfigurationEffect): void {
+    const { report, wallClock } = this.#options
+    switch (effect.type) {
+      case 'install': {
+        const { name, revision, edit } = effect.value
+        this.#installed.set(name, { name, revision, edit, installedAt: wallClock() })
+        return report({ type: 'installed', value: effect.value, source: effect.source })
+      }
+      case 'push':
+        return this.#pushOwnShare(effect.values)
+      case 'write_back':
+        return this.#writeBacks?.add(effect.value, effect.modRevision)
+      case 'report_fork':
+        return report({ type: 'overwritten', value: effect.value, overwritten: effect.overwritten })
+      case 'report_unusable':
+        return report({ type: 'unusable', name: effect.name, revision: effect.revision, reason: effect.reason })
+    }
+  }
+
+  #endWriteBack (value: ConfigurationValue, result: WriteBackResult): void {
+    this.#handle({ type: 'written_back', name: value.name })
+    this.#options.report({ type: 'written_back', value, result })
+  }
+
+  /** Members of the own failure domain in an order that all of them agree on. */
+  #ownMembers (): ConfigurationMember[] {
+    return this.#options.peers.members()
+      .filter((member) => member.failureDomain === this.#options.failureDomain)
+      .sort((left, right) => left.node < right.node ? -1 : 1)
+  }
+
+  #isRankedWatcher (): boolean {
+    const watchers = this.#ownMembers().slice(0, WATCHERS_PER_FAILURE_DOMAIN)
+    return watchers.length < WATCHERS_PER_FAILURE_DOMAIN || watchers.some((member) => member.node === this.#options.node)
+  }
+
+  #takeRank (): void {
+    if (this.#isRankedWatcher()) this.#watcher?.start()
+    else if (this.isWatching) this.#watcher?.stop()
+  }
+
+  /** The watchers of a failure domain share its other members among themselves. */
+  #pushOwnShare (values: readonly ConfigurationValue[]): void {
+    const members = this.#ownMembers()
+    const watchers = Math.min(members.length, WATCHERS_PER_FAILURE_DOMAIN)
+    const rank = Math.max(0, members.findIndex((member) => member.node === this.#options.node))
+    this.#push(members.slice(watchers).filter((_member, index) => index % watchers === rank % watchers), values)
+  }
+
+  /** A value that came from another failure domain goes to a few members of the own one at once. */
+  #spreadForeign (from: NodeId, values: readonly ConfigurationValue[]): void {
+    const { peers, node, failureDomain } = this.#options
+    const source = peers.members().find((member) => member.node === from)
+    if (source === undefined || source.failureDomain === failureDomain) return
+    const others = this.#ownMembers().filter((member) => member.node !== node)
+    const start = Math.floor(this.#random() * others.length)
+    this.#push([...others.slice(start), ...others.slice(0, start)].slice(0, RUMOUR_TARGETS), values)
+  }
+
+  #push (members: readonly ConfigurationMember[], values: readonly ConfigurationValue[]): void {
+    for (const member of members) this.#options.peers.push(member.node, values).catch(() => {})
+  }
+
+  #choosePeer (): NodeId | null {
+    const others = this.#options.peers.members().filter((member) => member.node !== this.#options.node)
+    const own = others.filter((member) => member.failureDomain === this.#options.failureDomain)
+    const foreign = others.filter((member) => member.failureDomain !== this.#options.failureDomain)
+    const preferred = this.#random() < FOREIGN_EXCHANGE_SHARE ? foreign : own
+    const candidates = preferred.length > 0 ? preferred : others
+    return candidates[Math.floor(this.#random() * candidates.length)]?.node ?? null
+  }
+
+  /** Compares with a peer and moves newer values either way. A peer that does not answer is passed over. */
+  async #exchange (peer: NodeId | null): Promise<void> {
+    if (peer === null) return
+    const { peers } = this.#options
+    try {
+      const theirs = await peers.versions(peer, this.#set.digest)
+      if (theirs === null || this.#disposed) return
+      const behind = this.#set.namesBehind(theirs)
+      const newer = this.#set.valuesSince(theirs)
+      if (behind.length > 0) this.install(peer, await peers.values(peer, behind))
+      if (newer.length > 0) await peers.push(peer, newer)
+    } catch {
+      // The next comparison goes to another peer.
+    }
+  }
+
+  #every (period: number, run: () => Promise<void>): void {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer)
+      void run().finally(() => { if (!this.#disposed) this.#every(period, run) })
+    }, period * (0.5 + this.#random()))
+    this.#timers.add(timer)
+  }
+
+  #random (): number {
+    return uniformFloat64(this.#options.rng)
+  }
+}
--- /dev/null
+++ b/packages/platform/src/configuration/storedValue.ts
@@ -0,0 +1,53 @@
+/** Form in which a configuration value stands in the key-value service and goes from node to node. */
+import { z } from 'zod'
+
+import type { ConfigurationValue, EditId } from '@bluebellhill/domain'
+
+/** Bytes of an encoded value at most; the key-value service takes no more than 1 MiB. */
+export const MAX_VALUE_BYTES = 1_040_000
+
+const FORMAT = 1
+
+const revision = z.number().int().min(1).max(Number.MAX_SAFE_INTEGER)
+const edit = z.string().min(1).max(64).transform((text) => text as EditId)
+const author = z.string().max(200)
+const editedAt = z.number().int().min(0)
+
+const valueSchema = z.object({
+  format: z.literal(FORMAT),
+  name: z.string().min(1).max(128),
+  revision,
+  edit,
+  author,
+  editedAt,
+  removed: z.boolean(),
+  text: z.string(),
+  history: z.array(z.object({ revision, edit, author, editedAt })).max(200)
+})
+
+/**
+ * Encodes a value.
+ *
+ * @param value - a configuration value
+ * @returns JSON bytes
+ */
+export const encodeValue = (value: ConfigurationValue): Buffer =>
+  Buffer.from(JSON.stringify({ format: FORMAT, ...value }), 'utf8')
+
+/**
+ * Decodes and checks a value.
+ *
+ * @param bytes - as stored or received
+ * @returns the value, or null where the bytes are none
+ */
+export const decodeValue = (bytes: Uint8Array): ConfigurationValue | null => {
+  if (bytes.length > MAX_VALUE_BYTES) return null
+  try {
+    const checked = valueSchema.safeParse(JSON.parse(Buffer.from(bytes).toString('utf8')))
+    if (!checked.success) return null
+    const { format: _format, ...value } = checked.data
+    return value
+  } catch {
+    return null
+  }
+}
--- a/packages/platform/src/http/constants.ts
+++ b/packages/platform/src/http/constants.ts
@@ -23,4 +23,4 @@
 export const ERROR_BODY_BYTES = 64 * 1024
 
 /** Bytes of a JSON answer to a control call that are read. */
-export const JSON_BODY_BYTES = 8 * 1024 * 1024
+export const JSON_BODY_BYTES = 64 * 1024 * 1024
--- a/packages/platform/src/keyValue/encoding.ts
+++ b/packages/platform/src/keyValue/encoding.ts
@@ -109,7 +109,7 @@
  * @returns the body of the call
  */
 export const encodeRange = (query: RangeQuery): Record<string, unknown> => ({
-  key: encodeKey(query.key),
+  key: encodeKey(query.after === undefined ? query.key : `${query.after}\0`),
   ...(query.prefix === true ? { range_end: encodePrefixEnd(query.key) } : {}),
   ...(query.limit === undefined ? {} : { limit: String(query.limit) }),
   ...(query.keysOnly === true ? { keys_only: true } : {})
--- a/packages/platform/src/keyValue/types.ts
+++ b/packages/platform/src/keyValue/types.ts
@@ -15,6 +15,8 @@
   readonly key: string
   /** All keys that begin with `key`. */
   readonly prefix?: boolean
+  /** With `prefix`: only keys behind this one, for reading in pages. */
+  readonly after?: string
   readonly limit?: number
   readonly keysOnly?: boolean
 }
