Record a request's whole course, lapsed grants, orphans and bad clocks; log what operators look for

Events of attempts named no runner, resumptions, continuations, lost dispatchers and completed attempts were not recorded, a refusal at the edge had no request id, and every cancelled attempt counted as an orphan. RequestRecorder takes the recording out of RequestSession. The slowdown of short requests is held against the fastest tenth of the same model and size, since the learned rates of a runner already contain the slowdown.

--- a/packages/node/src/daemon/Daemon.ts
+++ b/packages/node/src/daemon/Daemon.ts
@@ -117,11 +117,20 @@
   const drain = new EventTarget()
   const admin = await listenAdmin({ foundation, fleet, dispatch, requests, isReady: () => doors.ready, drain: () => drain.dispatchEvent(new Event('drain')), version: VERSION })
   const addresses = { caller, peer, gossip: fleet.gossipAddress, admin }
+  addGauges(foundation, fleet, requests, dispatch)
   timeLine.record(EventKind.NodeStarted, {}, '', { failureDomain: options.failureDomain, version: VERSION })
   options.log.info('node_started', { ...addresses })
   return { foundation, fleet, requests, callers, addresses, doors, drain }
 }
 
+const addGauges = ({ metrics, timeLine }: Foundation, { membership }: Fleet, requests: RequestHost, { dispatcher }: DispatchParts): void => {
+  metrics.gauge('requests_in_progress', 'Requests in progress at this entry node', () => requests.size)
+  metrics.gauge('orders_queued', 'Orders that wait at this dispatcher', () => dispatcher.queued)
+  metrics.gauge('members_alive', 'Members that this node holds alive, itself included', () => membership.members().filter((member) => member.state === 'alive').length)
+  metrics.gauge('timeline_events', 'Events held by the time line', () => timeLine.size)
+  metrics.gauge('clock_distrusted_stamps', 'Stamps of peers that were too far ahead to be followed', () => timeLine.clock.rejected)
+}
+
 const NO_REQUESTS = { recall: () => false }
 
 const buildRequests = ({ options, timeLine, metrics, actors }: Foundation, { desk }: DispatchParts): RequestHost =>
--- a/packages/node/src/daemon/fleet.ts
+++ b/packages/node/src/daemon/fleet.ts
@@ -50,12 +50,13 @@
 
 const recordMembers = ({ timeLine }: Foundation, membership: MembershipService): void => {
   membership.onChange((change) => {
+    if (change.type === 'self_distrusted') timeLine.record(EventKind.ProcessPaused, {}, 'the process did not run and trusts its timers again only after answers', { gap: change.gap })
     if (change.type !== 'member_changed') return
-    const { member, previous } = change
-    timeLine.record(EventKind.MemberChanged, {}, '', {
+    const { member, previous, reason } = change
+    timeLine.record(EventKind.MemberChanged, {}, reason, {
       member: member.node,
       from: previous === null ? null : recordedState(previous),
-      to: recordedState(member.state),
+      to: member.leaving && member.state === 'alive' ? 'leaving' : recordedState(member.state),
       incarnation: member.incarnation
     })
   })
--- a/packages/node/src/daemon/foundation.ts
+++ b/packages/node/src/daemon/foundation.ts
@@ -11,7 +11,7 @@
 import { PrefixHasher } from '../requests/PrefixHasher.js'
 import { TokenEstimator } from '../requests/TokenEstimator.js'
 import { DisposableStore } from '../store/index.js'
-import { TimeLine } from '../timeline/index.js'
+import { TimeLine, logEvents } from '../timeline/index.js'
 import type { BackendClients } from './adapters.js'
 import { perAddress } from './backendClients.js'
 import type { DaemonOptions } from './types.js'
@@ -42,13 +42,18 @@
   store.addStep(() => pool.dispose())
   const actors = startActors()
   store.addStep(() => stopActors(actors))
+  const timeLine = new TimeLine(options.node, new HybridClock(() => Date.now()))
+  for (const secret of [...options.secrets, ...options.adminSecrets ?? []]) options.log.addSecret(secret)
+  store.add(logEvents(timeLine, options.log))
+  const metrics = new Metrics()
+  metrics.observeProcess()
   return {
     options,
     store,
     pool,
     actors: actors as Ref<unknown>,
-    timeLine: new TimeLine(options.node, new HybridClock(() => Date.now())),
-    metrics: new Metrics(),
+    timeLine,
+    metrics,
     directory: new RunnerDirectory(options.runners),
     peers: store.add(new PeerClients()),
     backends: {
--- a/packages/node/src/dispatch/DispatcherDesk.ts
+++ b/packages/node/src/dispatch/DispatcherDesk.ts
@@ -72,8 +72,12 @@
     const { router, membership, timeLine } = this.#parts
     const me = membership.me()
     const chosen = router.choose(factsOf(order), states, me.failureDomain, avoid, monotonicNow())
-    if (typeof chosen !== 'string') return refusedByRouter(chosen)
-    timeLine.record(EventKind.OrderSought, { request: order.request, attempt: order.attempt, organisation: order.organisation }, '', {
+    const subject = { request: order.request, attempt: order.attempt, organisation: order.organisation }
+    if (typeof chosen !== 'string') {
+      timeLine.record(EventKind.OrderRefused, subject, chosen.reason, { entry: order.entry, code: chosen.kind, retryAfter: chosen.retryAfter })
+      return refusedByRouter(chosen)
+    }
+    timeLine.record(EventKind.OrderSought, subject, seekReason(chosen, me), {
       dispatcher: chosen,
       excluded: order.excluded,
       remaining: order.remaining
@@ -125,7 +129,7 @@
           if (isConnectionError(error)) membership.callFailed(peer.node)
           return resolve({ type: 'lost', dispatcher: chosen, reason: error.details })
         }
-        timeLine.receive(reply.clock)
+        timeLine.receive(reply.clock, peer.node)
         resolve(resultOf(order, chosen, reply))
       })
       signal.addEventListener('abort', () => call.cancel(), { once: true })
@@ -148,13 +152,19 @@
       const message = { attempt, runner, kind, generated, order: encodeOrder(order), clock: timeLine.send() }
       clients.dispatcher(owner.peerAddress).progress(message, new Metadata(), { deadline: Date.now() + REPORT_TIMEOUT_MS }, (error, reply) => {
         if (error !== null) return resolve(false)
-        timeLine.receive(reply.clock)
+        timeLine.receive(reply.clock, owner.node)
         resolve(reply.recalled)
       })
     })
   }
 }
 
+const seekReason = (chosen: NodeId, me: Member): string => {
+  const failureDomain = failureDomainOf(chosen)
+  if (failureDomain !== null) return `spills over to failure domain ${failureDomain}`
+  return chosen === me.node ? 'this node, by prefix and expected wait' : 'own failure domain, by prefix and expected wait'
+}
+
 const factsOf = (order: DispatchOrder): OrderFacts => ({
   model: order.model,
   promptTokens: order.promptTokens,
--- a/packages/node/src/dispatch/DispatcherHost.ts
+++ b/packages/node/src/dispatch/DispatcherHost.ts
@@ -1,6 +1,6 @@
 /** Hosts the dispatcher aggregate in an actor: serialises its events and carries out its effects. */
-import { assertNever } from '@bluebellhill/domain'
-import type { AttemptId, DispatchEffect, DispatchEvent, DispatchOrder, DispatchSummary, Dispatcher, Grant, Millis, NodeId, OutcomeKind, RunnerId } from '@bluebellhill/domain'
+import { assertNever, ProgressKind } from '@bluebellhill/domain'
+import type { AttemptId, DispatchEffect, DispatchEvent, DispatchOrder, DispatchSummary, Dispatcher, Grant, Millis, NodeId, OutcomeKind, RequestId, RunnerId } from '@bluebellhill/domain'
 import { EventKind } from '@bluebellhill/protocol'
 import { dispatch, spawn, stop } from 'nact'
 import type { Ref } from 'nact'
@@ -22,6 +22,11 @@
   readonly settle: (reply: OrderReply) => void
 }
 
+interface GrantedOrder {
+  readonly order: DispatchOrder
+  readonly runner: RunnerId
+}
+
 /** What the dispatcher reaches outside the node. */
 export abstract class DispatchReach {
   /** Stops an attempt on a runner. Never rejects. */
@@ -39,6 +44,8 @@
   readonly #metrics: Metrics
   readonly #actor: Ref<DispatchEvent>
   readonly #pending = new Map<AttemptId, PendingOrder>()
+  /** Orders that were granted here and are not over. */
+  readonly #granted = new Map<AttemptId, GrantedOrder>()
   #timer: NodeJS.Timeout | null = null
 
   constructor (dispatcher: Dispatcher, reach: DispatchReach, timeLine: TimeLine, metrics: Metrics, parent: Ref<unknown>) {
@@ -96,15 +103,26 @@
   }
 
   #handle (event: DispatchEvent): void {
-    for (const effect of this.#dispatcher.handle(event, monotonicNow())) this.#perform(effect)
+    const withdrawn = event.type === 'withdrawn'
+    for (const effect of this.#dispatcher.handle(event, monotonicNow())) this.#perform(effect, withdrawn)
+    this.#forget(event)
     this.#setTimer()
   }
 
-  #perform (effect: DispatchEffect): void {
+  /** Drops the grants that the event ended. */
+  #forget (event: DispatchEvent): void {
+    if (event.type === 'withdrawn' || (event.type === 'progressed' && isOver(event.kind))) this.#granted.delete(event.attempt)
+    if (event.type !== 'runner_removed') return
+    for (const [attempt, { runner }] of this.#granted) {
+      if (runner === event.runner) this.#granted.delete(attempt)
+    }
+  }
+
+  #perform (effect: DispatchEffect, withdrawn: boolean): void {
     switch (effect.type) {
       case 'grant': return this.#grant(effect.grant)
       case 'refuse': return this.#refuse(effect)
-      case 'cancel_on_runner': return this.#cancel(effect)
+      case 'cancel_on_runner': return this.#cancel(effect, withdrawn)
       case 'recall': return this.#recall(effect)
       default: return assertNever(effect)
     }
@@ -124,6 +142,7 @@
       priority: grant.priority,
       group: grant.group
     })
+    this.#granted.set(grant.attempt, { order: pending.order, runner: grant.runner })
     pending.settle({ type: 'granted', grant })
   }
 
@@ -136,14 +155,29 @@
     pending.settle({ type: 'refused', kind: effect.kind, retryAfter: effect.retryAfter, reason: effect.reason })
   }
 
-  #cancel (effect: Effect<'cancel_on_runner'>): void {
-    this.#metrics.orphanFreed()
-    this.#timeLine.record(EventKind.OrphanFreed, { attempt: effect.attempt, runner: effect.runner }, effect.reason, { heldTokens: 0, age: 0 })
+  #cancel (effect: Effect<'cancel_on_runner'>, withdrawn: boolean): void {
+    this.#recordCancel(effect, withdrawn)
+    this.#granted.delete(effect.attempt)
     void this.#reach.cancel(effect.runner, effect.attempt)
   }
 
+  /** Tells apart what the entry node withdrew, grants that lapsed, and attempts that nobody here granted. */
+  #recordCancel ({ attempt, runner, reason }: Effect<'cancel_on_runner'>, withdrawn: boolean): void {
+    const order = this.#granted.get(attempt)?.order
+    const subject = { request: requestOf(attempt), attempt, organisation: order?.organisation, runner }
+    if (withdrawn) {
+      this.#timeLine.record(EventKind.AttemptCancelled, subject, reason, { generated: 0 })
+    } else if (order !== undefined) {
+      this.#metrics.grantLapsed()
+      this.#timeLine.record(EventKind.GrantLapsed, subject, reason, { entry: order.entry })
+    } else {
+      this.#metrics.orphanFreed()
+      this.#timeLine.record(EventKind.OrphanFreed, subject, reason, { heldTokens: null })
+    }
+  }
+
   #recall (effect: Effect<'recall'>): void {
-    this.#timeLine.record(EventKind.AttemptRecalled, { attempt: effect.attempt }, effect.reason, { dispatcher: this.#timeLine.node })
+    this.#timeLine.record(EventKind.AttemptRecalled, { request: requestOf(effect.attempt), attempt: effect.attempt }, effect.reason, { dispatcher: this.#timeLine.node })
     void this.#reach.recall(effect.entry, effect.attempt, effect.reason)
   }
 
@@ -155,5 +189,10 @@
   }
 }
 
+const isOver = (kind: ProgressKind): boolean => kind === ProgressKind.Ended || kind === ProgressKind.Failed
+
+/** An attempt's id begins with that of its request. */
+const requestOf = (attempt: AttemptId): RequestId => attempt.slice(0, Math.max(0, attempt.lastIndexOf('.'))) as RequestId
+
 const subjectOf = (order: DispatchOrder): Pick<DispatchOrder, 'request' | 'attempt' | 'organisation'> =>
   ({ request: order.request, attempt: order.attempt, organisation: order.organisation })
--- a/packages/node/src/edge/CallerServer.ts
+++ b/packages/node/src/edge/CallerServer.ts
@@ -4,7 +4,7 @@
 import { randomUUID } from 'node:crypto'
 
 import { OutcomeKind, Ran } from '@bluebellhill/domain'
-import type { Outcome } from '@bluebellhill/domain'
+import type { Outcome, RequestId } from '@bluebellhill/domain'
 import { EventKind } from '@bluebellhill/protocol'
 
 import type { Metrics } from '../metrics/index.js'
@@ -72,10 +72,10 @@
   }
 
   #refuse (request: IncomingMessage, response: ServerResponse, error: unknown): void {
-    const requestId = `req-${randomUUID()}`
+    const requestId = `req-${randomUUID()}` as RequestId
     const outcome = refusalOf(error)
     this.#metrics.outcome(outcome.kind, outcome.ran)
-    this.#timeLine.record(EventKind.RequestRefused, {}, outcome.detail ?? '', { code: outcome.kind, ran: outcome.ran, retryAfter: outcome.retryAfter ?? null })
+    this.#timeLine.record(EventKind.RequestRefused, { request: requestId }, outcome.detail ?? '', { code: outcome.kind, ran: outcome.ran, retryAfter: outcome.retryAfter ?? null })
     if (!request.complete) response.setHeader('connection', 'close')
     writeFailure(response, outcome, requestId)
     if (!request.complete) request.resume()
--- a/packages/node/src/metrics/Metrics.ts
+++ b/packages/node/src/metrics/Metrics.ts
@@ -3,9 +3,11 @@
 import { LENGTH_CLASSES } from '@bluebellhill/domain'
 import { HistogramName, HistogramUnit, codeOf } from '@bluebellhill/protocol'
 import type { CounterValue, DropCause, EncodedHistogram } from '@bluebellhill/protocol'
-import { Counter, Gauge, Registry } from 'prom-client'
+import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 
 import { LengthHistograms } from './histograms.js'
+import { ShortBaseline } from './ShortBaseline.js'
+import type { ShortRequest } from './ShortBaseline.js'
 
 /** A slowdown of 1 is recorded as this many thousandths. */
 const THOUSANDTHS = 1_000
@@ -24,6 +26,7 @@
   private readonly firstTokens = new LengthHistograms(HistogramName.FirstToken, HistogramUnit.Millis)
   private readonly slowdowns = new LengthHistograms(HistogramName.ShortSlowdown, HistogramUnit.Thousandths)
   private readonly queueDelays = new LengthHistograms(HistogramName.QueueDelay, HistogramUnit.Millis)
+  private readonly baseline = new ShortBaseline()
   private generatedTokens = 0
   private relayedBytes = 0
 
@@ -65,6 +68,15 @@
     this.slowdowns.record(promptTokens, actual / expected * THOUSANDTHS)
   }
 
+  /**
+   * Records the slowdown of a short request against what the fastest of its kind took.
+   *
+   * @param request - answered in full
+   */
+  shortAnswered (request: ShortRequest): void {
+    this.slowdown(request.promptTokens, request.duration, this.baseline.expect(request))
+  }
+
   /**
    * Records how long an order waited in this dispatcher's queue.
    *
@@ -132,6 +144,11 @@
     })
   }
 
+  /** Adds processor time, memory and event loop lag of the process. */
+  observeProcess (): void {
+    collectDefaultMetrics({ register: this.registry })
+  }
+
   /**
    * Writes all metrics in the Prometheus text format.
    *
--- a/packages/node/src/metrics/index.ts
+++ b/packages/node/src/metrics/index.ts
@@ -1,2 +1,3 @@
 export * from './histograms.js'
 export * from './Metrics.js'
+export * from './ShortBaseline.js'
--- a/packages/node/src/peers/PeerServer.ts
+++ b/packages/node/src/peers/PeerServer.ts
@@ -79,10 +79,12 @@
   }
 }
 
+const UNNAMED_PEER = 'an unnamed peer'
+
 const acquire = async (parts: PeerServerParts, call: ServerUnaryCall<AcquireRequest, AcquireReply>, done: sendUnaryData<AcquireReply>): Promise<void> => {
   const { order, clock, direct } = call.request
   if (order === undefined) return done({ code: status.INVALID_ARGUMENT, details: 'the order is missing' })
-  parts.timeLine.receive(clock)
+  parts.timeLine.receive(clock, order.entry)
   const controller = new AbortController()
   const withdraw = (): void => controller.abort()
   call.on('cancelled', withdraw)
@@ -100,7 +102,7 @@
 
 const progress = (parts: PeerServerParts, call: ServerUnaryCall<ProgressRequest, ProgressReply>, done: sendUnaryData<ProgressReply>): void => {
   const message = call.request
-  parts.timeLine.receive(message.clock)
+  parts.timeLine.receive(message.clock, message.order?.entry ?? UNNAMED_PEER)
   parts.dispatcher.tell({
     type: 'progressed',
     attempt: message.attempt as AttemptId,
@@ -113,7 +115,7 @@
 }
 
 const recall = (parts: PeerServerParts, call: ServerUnaryCall<RecallRequest, RecallReply>, done: sendUnaryData<RecallReply>): void => {
-  parts.timeLine.receive(call.request.clock)
+  parts.timeLine.receive(call.request.clock, UNNAMED_PEER)
   const known = parts.requests.recall(call.request.attempt as AttemptId)
   done(null, { known, clock: parts.timeLine.send() })
 }
--- a/packages/node/src/requests/RequestSession.ts
+++ b/packages/node/src/requests/RequestSession.ts
@@ -1,7 +1,7 @@
 /** Hosts the aggregate of one request: carries out its effects and brings back as events what happens. */
 import { assertNever, ProgressKind, Request } from '@bluebellhill/domain'
 import type { AttemptId, DispatchOrder, NodeId, Outcome, RequestEffect, RequestEvent, RequestOptions, RequestSpec, Tokens } from '@bluebellhill/domain'
-import { DropCause, EventKind } from '@bluebellhill/protocol'
+import { DropCause } from '@bluebellhill/protocol'
 import { dispatch, spawn, stop } from 'nact'
 import type { Ref } from 'nact'
 
@@ -12,6 +12,7 @@
 import type { AttemptListener, Break } from './Attempt.js'
 import type { OrderResult } from './OrderDesk.js'
 import type { AttemptSource, SessionPorts } from './ports.js'
+import { RequestRecorder } from './RequestRecorder.js'
 
 type Effect<Type extends RequestEffect['type']> = Extract<RequestEffect, { type: Type }>
 
@@ -22,6 +23,7 @@
   readonly #answer: Answer
   readonly #source: AttemptSource
   readonly #ports: SessionPorts
+  readonly #recorder: RequestRecorder
   readonly #actor: Ref<RequestEvent>
   readonly #entry: NodeId
   readonly #whenFinished: (outcome: Outcome) => void
@@ -29,8 +31,7 @@
   #active: ActiveAttempt | null = null
   #end: AnswerEnd | null = null
   #timer: NodeJS.Timeout | null = null
-  #firstTokenAt: number | null = null
-  #attempts = 0
+  #hasFirstToken = false
 
   /**
    * @param spec - the admitted request
@@ -48,6 +49,7 @@
     this.#answer = answer
     this.#source = source
     this.#ports = ports
+    this.#recorder = new RequestRecorder(spec, ports)
     this.#entry = entry
     this.#whenFinished = whenFinished
     this.#actor = spawn(parent as never, (_state: unknown, event: RequestEvent) => this.#handle(event), spec.id) as Ref<RequestEvent>
@@ -59,6 +61,7 @@
 
   /** Hands an event to the request's actor. */
   tell (event: RequestEvent): void {
+    if (event.type === 'recalled') this.#recorder.recalled(event.attempt)
     dispatch(this.#actor as never, event)
   }
 
@@ -71,28 +74,26 @@
     const now = monotonicNow()
     const dropped = this.#request.accept(attempt, offset, count, now)
     if (dropped !== 0) {
-      this.#dropped(attempt, DropCause.Late, offset)
+      this.#recorder.dropped(attempt, DropCause.Late, offset)
       return ChunkFate.Dropped
     }
-    if (this.#firstTokenAt === null) this.#markFirstToken(attempt, now)
-    this.#ports.metrics.relayed(count, text.length)
+    this.#recorder.relayed(attempt, count, text.length, now)
+    if (!this.#hasFirstToken) this.#reportFirstToken()
     return this.#answer.text(text) ? ChunkFate.Flowing : ChunkFate.Full
   }
 
   crossed (attempt: AttemptId): void {
-    this.#dropped(attempt, DropCause.Crossed, null)
+    this.#recorder.dropped(attempt, DropCause.Crossed, null)
   }
 
   completed (attempt: AttemptId, end: AnswerEnd): void {
     this.#end = end
+    this.#recorder.completed(attempt, end.finishReason, this.#request.generated)
     this.tell({ type: 'completed', attempt, generated: end.usage.completionTokens })
   }
 
   broken (attempt: AttemptId, reason: Break): void {
-    this.#ports.timeLine.record(EventKind.AttemptBroken, this.#subject(attempt), reason.reason, {
-      started: reason.started,
-      generated: this.#request.generated
-    })
+    this.#recorder.broken(attempt, reason, this.#request.generated)
     this.tell({ type: 'broken', attempt, ...reason })
   }
 
@@ -120,6 +121,7 @@
     this.#orders.set(effect.attempt, controller)
     const result = await this.#ports.desk.seek(this.#orderOf(effect), effect.avoid, controller.signal)
     this.#orders.delete(effect.attempt)
+    if (controller.signal.aborted) return
     this.tell(this.#eventOf(effect.attempt, result))
   }
 
@@ -150,6 +152,7 @@
       case 'refused':
         return { type: 'refused', attempt, kind: result.kind, retryAfter: result.retryAfter, reason: result.reason, dispatcher: result.dispatcher ?? undefined }
       case 'lost':
+        this.#recorder.dispatcherLost(attempt, result.dispatcher, result.reason)
         return { type: 'dispatcher_lost', attempt, dispatcher: result.dispatcher }
       default:
         return assertNever(result)
@@ -159,13 +162,7 @@
   #send (effect: Effect<'send'>): void {
     const active = this.#active
     if (active === null || active.attempt !== effect.attempt) return
-    this.#attempts += 1
-    this.#ports.metrics.attempt(effect.mode)
-    this.#ports.timeLine.record(EventKind.AttemptSent, this.#subject(effect.attempt), effect.grant.reason, {
-      dispatcher: effect.dispatcher,
-      mode: effect.mode,
-      generated: effect.generated
-    })
+    this.#recorder.sent(effect)
     const order = { attempt: effect.attempt, grant: effect.grant, address: active.address, groupAddresses: active.groupAddresses, mode: effect.mode, generated: effect.generated }
     active.run(this.#source.create(order, this), this.#orderFor(active.attempt), this)
   }
@@ -179,7 +176,7 @@
     const active = this.#active
     if (active === null || active.attempt !== effect.attempt) return
     this.#active = null
-    this.#ports.timeLine.record(EventKind.AttemptCancelled, this.#subject(effect.attempt), effect.reason, { generated: this.#request.generated })
+    this.#recorder.cancelled(effect.attempt, effect.reason, this.#request.generated)
     if (effect.runner !== null) void this.#source.cancel(active.address, effect.attempt)
     active.stop(ProgressKind.Failed)
   }
@@ -191,7 +188,7 @@
     for (const controller of this.#orders.values()) controller.abort()
     if (outcome.kind === 'answered') this.#answer.end(this.#wholeEnd())
     else this.#answer.fail(outcome)
-    this.#recordEnd(outcome)
+    this.#recorder.finished(outcome, this.#request.generated, monotonicNow())
     stop(this.#actor as never)
     this.#whenFinished(outcome)
   }
@@ -201,38 +198,11 @@
     return { finishReason: this.#end?.finishReason ?? 'length', usage }
   }
 
-  #recordEnd (outcome: Outcome): void {
-    const now = monotonicNow()
-    const { metrics, timeLine } = this.#ports
-    metrics.outcome(outcome.kind, outcome.ran)
-    timeLine.record(EventKind.RequestFinished, this.#subject(), outcome.detail ?? outcome.kind, {
-      code: outcome.kind,
-      ran: outcome.ran,
-      generated: this.#request.generated,
-      duration: now - this.#spec.admittedAt,
-      firstToken: this.#firstTokenAt === null ? null : this.#firstTokenAt - this.#spec.admittedAt,
-      attempts: this.#attempts
-    })
-  }
-
-  #markFirstToken (attempt: AttemptId, now: number): void {
-    this.#firstTokenAt = now
-    const elapsed = now - this.#spec.admittedAt
-    this.#ports.metrics.firstToken(this.#spec.promptTokens, elapsed)
-    this.#ports.timeLine.record(EventKind.FirstToken, this.#subject(attempt), '', { elapsed })
+  #reportFirstToken (): void {
+    this.#hasFirstToken = true
     this.#active?.firstToken()
   }
 
-  #dropped (attempt: AttemptId, cause: DropCause, offset: Tokens | null): void {
-    this.#ports.metrics.dropped(cause)
-    this.#ports.timeLine.record(EventKind.AnswerDropped, this.#subject(attempt), cause, { cause, offset })
-  }
-
-  #subject (attempt?: AttemptId): { request: RequestSpec['id'], organisation: RequestSpec['organisation'], attempt?: AttemptId } {
-    const { id, organisation } = this.#spec
-    return attempt === undefined ? { request: id, organisation } : { request: id, organisation, attempt }
-  }
-
   #setTimer (at: number): void {
     this.#clearTimer()
     this.#timer = setTimeout(() => this.tell({ type: 'timer' }), Math.max(0, Math.ceil(at - monotonicNow())))
--- a/packages/node/src/timeline/TimeLine.ts
+++ b/packages/node/src/timeline/TimeLine.ts
@@ -1,8 +1,8 @@
 /** The node's own part of the time line over all processes. */
 import type { Disposable } from '../store/index.js'
-import type { NodeId } from '@bluebellhill/domain'
-import { REQUEST_KINDS, compareEvents, cut, matches } from '@bluebellhill/protocol'
-import type { EventFilter, EventKind, EventPayloads, EventSubject, HybridClock, Reception, Stamp, TimeLineEvent } from '@bluebellhill/protocol'
+import type { Millis, NodeId } from '@bluebellhill/domain'
+import { EventKind, REQUEST_KINDS, compareEvents, cut, matches, wallOf } from '@bluebellhill/protocol'
+import type { EventFilter, EventPayloads, EventSubject, HybridClock, Reception, Stamp, TimeLineEvent } from '@bluebellhill/protocol'
 
 import { Ring } from './Ring.js'
 
@@ -12,6 +12,12 @@
 /** Events about the fleet that a node keeps, apart, so that traffic does not push them out. */
 export const DEFAULT_FLEET_CAPACITY = 8_192
 
+/** Least time between two records of the same peer's bad clock, in milliseconds. */
+const DISTRUST_INTERVAL = 60_000
+
+/** Peers whose bad clocks are remembered. */
+const MAX_DISTRUSTED = 512
+
 /** Longest reason of an event, in characters. */
 const MAX_REASON_LENGTH = 300
 
@@ -34,6 +40,7 @@
 export class TimeLine {
   private readonly requests: Ring<TimeLineEvent>
   private readonly fleet: Ring<TimeLineEvent>
+  private readonly distrustedAt = new Map<string, Millis>()
   private readonly listeners = new Set<EventListener>()
 
   /**
@@ -100,11 +107,14 @@
   /**
    * Follows the stamp of a peer's message, so that what it causes stands after it.
    *
-   * @param stamp - the stamp that the message carried
+   * @param stamp - the stamp that the message carried; 0 where it carried none
+   * @param member - who sent it, as far as is known
    * @returns whether the peer's clock was followed
    */
-  receive (stamp: Stamp): Reception {
-    return this.clock.receive(stamp)
+  receive (stamp: Stamp, member: string): Reception {
+    const reception = this.clock.receive(stamp)
+    if (!reception.followed) this.distrust(stamp, member, wallOf(reception.stamp))
+    return reception
   }
 
   /**
@@ -121,6 +131,15 @@
     return { events, truncated: events.length < found.length }
   }
 
+  /** Records a peer's bad clock, though not for each of its messages. */
+  private distrust (stamp: Stamp, member: string, wall: Millis): void {
+    const last = this.distrustedAt.get(member)
+    if (last !== undefined && wall - last < DISTRUST_INTERVAL) return
+    if (this.distrustedAt.size >= MAX_DISTRUSTED) this.distrustedAt.clear()
+    this.distrustedAt.set(member, wall)
+    this.record(EventKind.ClockDistrusted, {}, 'its clock is too far ahead to be followed', { member, ahead: wallOf(stamp) - wall })
+  }
+
   /**
    * Calls a function with each further event.
    *
--- a/packages/node/src/timeline/index.ts
+++ b/packages/node/src/timeline/index.ts
@@ -1,2 +1,3 @@
 export * from './Ring.js'
 export * from './TimeLine.js'
+export * from './logEvents.js'
--- /dev/null
+++ b/packages/node/tests/dispatcherHost.test.ts
@@ -0,0 +1,131 @@
+import test from 'ava'
+import { Dispatcher, ProgressKind } from '@bluebellhill/domain'
+import type { AttemptId, DispatchOrder, FailureDomain, NodeId, OrganisationId, RequestId, RunnerId, RunnerReport } from '@bluebellhill/domain'
+import { EventKind, HybridClock } from '@bluebellhill/protocol'
+import { start, stop } from 'nact'
+import type { Ref } from 'nact'
+
+import { Metrics, TimeLine } from '../src/index.js'
+import { DispatchReach, DispatcherHost } from '../src/dispatch/DispatcherHost.js'
+
+const NODE = 'n1' as NodeId
+const RUNNER = 'g1' as RunnerId
+
+/** Limit of a wait for a condition, in milliseconds. */
+const WAIT_LIMIT = 20_000
+
+class SilentReach extends DispatchReach {
+  readonly cancelled: AttemptId[] = []
+
+  async cancel (_runner: RunnerId, attempt: AttemptId): Promise<void> {
+    this.cancelled.push(attempt)
+  }
+
+  async recall (): Promise<void> {}
+}
+
+const orderOf = (attempt: string): DispatchOrder => ({
+  attempt: attempt as AttemptId,
+  request: attempt.split('.')[0] as RequestId,
+  entry: 'n2' as NodeId,
+  organisation: 'orders' as OrganisationId,
+  model: 'm',
+  version: null,
+  adapter: null,
+  urgency: 1,
+  promptTokens: 1_000,
+  maxTokens: 16,
+  prefix: [],
+  remaining: 30_000,
+  excluded: []
+})
+
+const reportWith = (held: readonly string[]): RunnerReport => ({
+  model: 'm',
+  version: '1',
+  adapters: [],
+  loading: false,
+  totalTokens: 400_000,
+  slots: 8,
+  blockTokens: 256,
+  chunkTokens: 2_048,
+  loadAge: 0,
+  running: 0,
+  waiting: 0,
+  freeTokens: 400_000,
+  pendingPrefillTokens: 0,
+  prefillRate: 80_000,
+  decodeRate: 100,
+  held: held.map((attempt) => ({ attempt: attempt as AttemptId, heldTokens: 10, age: 60_000 }))
+})
+
+const open = () => {
+  const system = start() as Ref<unknown>
+  const timeLine = new TimeLine(NODE, new HybridClock(() => Date.now()), { requests: 1_000, fleet: 1_000 })
+  const metrics = new Metrics()
+  const reach = new SilentReach()
+  const dispatcher = new Dispatcher({ node: NODE, grantValidity: 20, silenceLimit: 50, inheritedGrace: 20, foreignGrace: 20 })
+  const host = new DispatcherHost(dispatcher, reach, timeLine, metrics, system)
+  host.tell({ type: 'runner_assigned', runner: RUNNER, failureDomain: 'sohar' as FailureDomain })
+  host.tell({ type: 'runner_reported', runner: RUNNER, report: reportWith([]) })
+  const kindsOf = (request: string) => timeLine.query({ request }).events.map((event) => event.kind)
+  const close = () => {
+    host.dispose()
+    stop(system as never)
+  }
+  return { host, timeLine, metrics, reach, kindsOf, close }
+}
+
+const until = async (condition: () => boolean, step: () => void = () => {}): Promise<void> => {
+  const end = Date.now() + WAIT_LIMIT
+  while (!condition()) {
+    if (Date.now() > end) throw new Error('the condition did not come true in time')
+    step()
+    await new Promise((resolve) => setTimeout(resolve, 5))
+  }
+}
+
+const never = new AbortController().signal
+
+test('a grant that is not used is recorded as lapsed, with its request and organisation', async (t) => {
+  const { host, timeLine, metrics, kindsOf, close } = open()
+  t.is((await host.acquire(orderOf('r1.1'), never)).type, 'granted')
+  await until(() => kindsOf('r1').includes(EventKind.GrantLapsed))
+  const lapsed = timeLine.query({ kinds: [EventKind.GrantLapsed] }).events[0]
+  t.like(lapsed, { request: 'r1', organisation: 'orders', runner: RUNNER, attempt: 'r1.1' })
+  t.true((await metrics.text()).includes('bluebellhill_grants_lapsed_total 1\n'))
+  t.true((await metrics.text()).includes('bluebellhill_orphans_freed_total 0\n'))
+  close()
+})
+
+test('what an engine holds for nobody is recorded as an orphan of its request', async (t) => {
+  const { host, timeLine, metrics, reach, close } = open()
+  await until(() => reach.cancelled.includes('lost.1' as AttemptId), () => {
+    host.tell({ type: 'runner_reported', runner: RUNNER, report: reportWith(['lost.1']) })
+    host.tell({ type: 'ticked' })
+  })
+  t.like(timeLine.query({ kinds: [EventKind.OrphanFreed] }).events[0], { request: 'lost', runner: RUNNER, attempt: 'lost.1' })
+  t.regex(await metrics.text(), /bluebellhill_orphans_freed_total [1-9]/)
+  close()
+})
+
+test('a withdrawn grant is recorded as cancelled, neither lapsed nor an orphan', async (t) => {
+  const { host, kindsOf, reach, close } = open()
+  const controller = new AbortController()
+  await host.acquire(orderOf('r2.1'), controller.signal)
+  host.tell({ type: 'progressed', attempt: 'r2.1' as AttemptId, runner: RUNNER, kind: ProgressKind.Sent, generated: 0, order: null })
+  controller.abort()
+  await until(() => reach.cancelled.length > 0)
+  t.deepEqual(kindsOf('r2'), [EventKind.OrderQueued, EventKind.OrderGranted, EventKind.AttemptCancelled])
+  close()
+})
+
+test('an attempt that ended leaves nothing to lapse', async (t) => {
+  const { host, kindsOf, close } = open()
+  await host.acquire(orderOf('r3.1'), never)
+  host.tell({ type: 'progressed', attempt: 'r3.1' as AttemptId, runner: RUNNER, kind: ProgressKind.Ended, generated: 16, order: null })
+  await host.acquire(orderOf('r4.1'), never)
+  await until(() => kindsOf('r4').includes(EventKind.GrantLapsed))
+  t.deepEqual(kindsOf('r3'), [EventKind.OrderQueued, EventKind.OrderGranted])
+  close()
+})
--- a/packages/node/tests/log.test.ts
+++ b/packages/node/tests/log.test.ts
@@ -3,8 +3,10 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { transports } from 'winston'
+import { EventKind, HybridClock } from '@bluebellhill/protocol'
+import type { NodeId, RequestId } from '@bluebellhill/domain'
 
-import { Redactor, openLog } from '../src/index.js'
+import { Redactor, TimeLine, logEvents, openLog } from '../src/index.js'
 import type { Log } from '../src/index.js'
 
 const LINE = /^([A-Za-z0-9_.]+=(?:[^\s"=\\]+|"(?:[^"\\]|\\.)*") ?)+$/
@@ -90,3 +92,20 @@
   t.is(lines.length, 1)
   t.regex(lines[0]!, /^time=\S+ level=info node=n1 domain=sohar event=news$/)
 })
+
+test('the log tells of the fleet and of trouble, not of the ordinary course', (t) => {
+  const { log, lines } = capture()
+  const timeLine = new TimeLine('n1' as NodeId, new HybridClock(() => 1_000))
+  const listening = logEvents(timeLine, log)
+  const subject = { request: 'r1' as RequestId }
+  timeLine.record(EventKind.FirstToken, subject, '', { elapsed: 3 })
+  timeLine.record(EventKind.RequestFinished, subject, '', { code: 'answered', ran: 'yes', generated: 1, duration: 1, firstToken: 1, attempts: 1 })
+  timeLine.record(EventKind.RequestFinished, subject, 'reset', { code: 'server_failed', ran: 'yes', generated: 1, duration: 1, firstToken: 1, attempts: 1 })
+  timeLine.record(EventKind.MemberChanged, {}, 'no answer', { member: 'n2', from: 'alive', to: 'suspect', incarnation: 1 })
+  void listening.dispose()
+  timeLine.record(EventKind.LeaseLost, {}, '', { lease: 'l', fencing: '1' })
+  t.deepEqual(lines.map((line) => line.replace(/^.* event=/, '')), [
+    'request_finished request=r1 reason=reset code=server_failed ran=yes generated=1 duration=1 firstToken=1 attempts=1',
+    'member_changed reason="no answer" member=n2 from=alive to=suspect incarnation=1'
+  ])
+})
--- a/packages/node/tests/timeLine.test.ts
+++ b/packages/node/tests/timeLine.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { EventKind, HybridClock, REQUEST_KINDS, decodeEvent, encodeStamp } from '@bluebellhill/protocol'
+import { EventKind, HybridClock, REQUEST_KINDS, decodeEvent, encodeStamp, stampOf } from '@bluebellhill/protocol'
 import type { NodeId, OrganisationId, RequestId, RunnerId, FailureDomain } from '@bluebellhill/domain'
 
 import { QueryError, Ring, TimeLine, filterOf, timeLineReply } from '../src/index.js'
@@ -117,3 +117,17 @@
   timeLine.record(EventKind.NodeStopped, {}, 'all done', {})
   t.deepEqual(heard, [EventKind.NodeStopping])
 })
+
+test('a peer with a bad clock is named, though not for each of its messages', (t) => {
+  let wall = 1_000_000
+  const timeLine = new TimeLine(NODE, new HybridClock(() => wall, 1_000), { requests: 10, fleet: 10 })
+  const ahead = () => stampOf(wall + 5_000)
+  t.true(timeLine.receive(stampOf(wall), 'n2').followed)
+  t.false(timeLine.receive(ahead(), 'n2').followed)
+  timeLine.receive(ahead(), 'n2')
+  timeLine.receive(ahead(), 'n3')
+  wall += 60_000
+  timeLine.receive(ahead(), 'n2')
+  const named = timeLine.query({ kinds: [EventKind.ClockDistrusted] }).events
+  t.deepEqual(named.map((event) => event.payload), ['n2', 'n3', 'n2'].map((member) => ({ member, ahead: 5_000 })))
+})
--- a/packages/protocol/src/timeline/kinds.ts
+++ b/packages/protocol/src/timeline/kinds.ts
@@ -27,6 +27,7 @@
   RunnerChanged: 'runner_changed',
   MemberChanged: 'member_changed',
   ClockDistrusted: 'clock_distrusted',
+  ProcessPaused: 'process_paused',
   ConfigurationInstalled: 'configuration_installed',
   LeaseWon: 'lease_won',
   LeaseLost: 'lease_lost',
@@ -108,10 +109,13 @@
   [EventKind.AttemptRecalled]: { readonly dispatcher: string }
   [EventKind.AnswerDropped]: { readonly cause: DropCause, readonly offset: Tokens | null }
   [EventKind.GrantLapsed]: { readonly entry: string }
-  [EventKind.OrphanFreed]: { readonly heldTokens: Tokens, readonly age: Millis }
+  /** `heldTokens` is null where the engine has not told. */
+  [EventKind.OrphanFreed]: { readonly heldTokens: Tokens | null }
   [EventKind.RunnerTakenOver]: { readonly previous: string | null }
   [EventKind.RunnerChanged]: { readonly from: RunnerState | null, readonly to: RunnerState }
   [EventKind.MemberChanged]: { readonly member: string, readonly from: MemberState | null, readonly to: MemberState, readonly incarnation: number }
+  /** The node's own process was stopped or starved. */
+  [EventKind.ProcessPaused]: { readonly gap: Millis }
   [EventKind.ClockDistrusted]: { readonly member: string, readonly ahead: Millis }
   /** `organisation` of the event is absent where the fleet's own value was installed. */
   [EventKind.ConfigurationInstalled]: { readonly revision: string, readonly previous: string | null, readonly source: string }
