--- a/packages/node/src/admin/DaemonSources.ts
+++ b/packages/node/src/admin/DaemonSources.ts
@@ -1,9 +1,11 @@
 /** The running daemon as its admin address sees it. */
 import type { FailureDomain, Millis, NodeId } from '@bluebellhill/domain'
+import { organisationOfValue } from '@bluebellhill/platform'
 import { MemberState, NodeState, RunnerState } from '@bluebellhill/protocol'
 import type { ConfigurationStatus, LeaseStatus, MemberStatus, PlatformStatus, RunnerStatus } from '@bluebellhill/protocol'
 
 import { monotonicNow } from '../clock/monotonic.js'
+import type { ConfigurationService, InstalledVersion } from '../configuration/index.js'
 import type { DispatchParts } from '../daemon/dispatch.js'
 import type { Fleet } from '../daemon/fleet.js'
 import type { Foundation } from '../daemon/foundation.js'
@@ -19,6 +21,7 @@
   readonly fleet: Fleet
   readonly dispatch: DispatchParts
   readonly requests: RequestHost
+  readonly configuration: ConfigurationService
   readonly isReady: () => boolean
   /** Begins a planned stop. */
   readonly drain: () => void
@@ -71,11 +74,11 @@
   }
 
   configurations (): readonly ConfigurationStatus[] {
-    return []
+    return this.#parts.configuration.installed().map(configurationStatus)
   }
 
   platform (): readonly PlatformStatus[] {
-    return []
+    return [...this.#parts.foundation.platform.values()]
   }
 
   leases (): readonly LeaseStatus[] {
@@ -91,6 +94,12 @@
   }
 }
 
+const configurationStatus = ({ name, revision, installedAt }: InstalledVersion): ConfigurationStatus => ({
+  organisation: organisationOfValue(name),
+  revision: String(revision),
+  installedAt
+})
+
 const memberState = (state: 'alive' | 'suspect' | 'unreachable' | 'left', leaving: boolean): MemberState => {
   if (state === 'left') return MemberState.Gone
   return leaving && state === MemberState.Alive ? MemberState.Leaving : state
--- /dev/null
+++ b/packages/node/src/daemon/buildNode.ts
@@ -0,0 +1,132 @@
+/** Builds the parts of a node and joins them. */
+import { RetryBudget } from '@bluebellhill/domain'
+import type { Millis } from '@bluebellhill/domain'
+import { HttpKeyValueService } from '@bluebellhill/platform'
+import { EventKind } from '@bluebellhill/protocol'
+
+import { AdminServer } from '../admin/AdminServer.js'
+import { DaemonSources } from '../admin/DaemonSources.js'
+import type { AdminParts } from '../admin/DaemonSources.js'
+import { monotonicNow } from '../clock/monotonic.js'
+import { Admission } from '../edge/Admission.js'
+import { CallerServer } from '../edge/CallerServer.js'
+import { Organisations } from '../edge/Organisations.js'
+import { PeerServer } from '../peers/PeerServer.js'
+import type { PeerServerParts } from '../peers/types.js'
+import { CompletionSources } from '../requests/CompletionSource.js'
+import { RequestHost } from '../requests/RequestHost.js'
+import { callerRoutes } from './callerRoutes.js'
+import { keepConfiguration } from './configuration.js'
+import { buildDispatch } from './dispatch.js'
+import type { DispatchParts } from './dispatch.js'
+import { joinFleet } from './fleet.js'
+import type { Fleet } from './fleet.js'
+import type { Foundation } from './foundation.js'
+import type { DaemonAddresses } from './types.js'
+import { VERSION } from './version.js'
+
+const BLOCK_TOKENS = 256
+
+const LONGEST_JOIN_MS = 5_000
+
+/** Whether the node takes new work, and whether the balancer should send some. */
+interface Doors {
+  ready: boolean
+  open: boolean
+}
+
+/** What a running node is made of. */
+export interface NodeParts {
+  readonly foundation: Foundation
+  readonly fleet: Fleet
+  readonly requests: RequestHost
+  readonly callers: CallerServer
+  readonly addresses: DaemonAddresses
+  readonly doors: Doors
+  /** Emits `drain` when an operator asks for a planned stop. */
+  readonly drain: EventTarget
+}
+
+/**
+ * Builds a node on its foundation and joins the fleet.
+ *
+ * @param foundation - the node's foundation
+ * @throws Error where an address cannot be bound
+ */
+export const buildNode = async (foundation: Foundation): Promise<NodeParts> => {
+  const { options, store, timeLine } = foundation
+  let serving: PeerServerParts | null = null
+  const peerServer = store.add(new PeerServer(foundation.authenticator, () => serving))
+  const peer = await peerServer.listen(options.listen.peer)
+  const fleet = await joinFleet(foundation, peer)
+  const keyValue = options.keyValue.length === 0 ? null : new HttpKeyValueService(foundation.pool, options.keyValue)
+  const configuration = keepConfiguration(foundation, fleet, keyValue)
+  let requests: RequestHost | null = null
+  const dispatch = buildDispatch(foundation, fleet, () => requests ?? NO_REQUESTS)
+  requests = buildRequests(foundation, dispatch)
+  serving = { dispatcher: dispatch.dispatcher, desk: dispatch.desk, requests, configuration: configuration.service, timeLine }
+  const doors = { ready: true, open: true }
+  const callers = buildCallers(foundation, new Organisations(configuration.current), dispatch, requests, doors)
+  const caller = await callers.listen(options.listen.caller)
+  const drain = new EventTarget()
+  const admin = await listenAdmin({ foundation, fleet, dispatch, requests, configuration: configuration.service, isReady: () => doors.ready, drain: () => drain.dispatchEvent(new Event('drain')), version: VERSION })
+  const addresses = { caller, peer, gossip: fleet.gossipAddress, admin }
+  addGauges(foundation, fleet, requests, dispatch)
+  timeLine.record(EventKind.NodeStarted, {}, '', { failureDomain: options.failureDomain, version: VERSION })
+  options.log.info('node_started', { ...addresses })
+  return { foundation, fleet, requests, callers, addresses, doors, drain }
+}
+
+const addGauges = ({ metrics, timeLine }: Foundation, { membership }: Fleet, requests: RequestHost, { dispatcher }: DispatchParts): void => {
+  metrics.gauge('requests_in_progress', 'Requests in progress at this entry node', () => requests.size)
+  metrics.gauge('orders_queued', 'Orders that wait at this dispatcher', () => dispatcher.queued)
+  metrics.gauge('members_alive', 'Members that this node holds alive, itself included', () => membership.members().filter((member) => member.state === 'alive').length)
+  metrics.gauge('timeline_events', 'Events held by the time line', () => timeLine.size)
+  metrics.gauge('clock_distrusted_stamps', 'Stamps of peers that were too far ahead to be followed', () => timeLine.clock.rejected)
+}
+
+const NO_REQUESTS = { recall: () => false }
+
+const buildRequests = ({ options, timeLine, metrics, actors }: Foundation, { desk }: DispatchParts): RequestHost =>
+  new RequestHost(options.node, { retryBudget: new RetryBudget() }, { desk, timeLine, metrics }, actors)
+
+const buildCallers = (foundation: Foundation, organisations: Organisations, dispatch: DispatchParts, requests: RequestHost, doors: Doors): CallerServer => {
+  const startedAt = monotonicNow()
+  const { options, timeLine, metrics, hasher, estimator, backends, store } = foundation
+  const admission = new Admission({
+    hasher,
+    estimator,
+    timeLine,
+    limits: options.admission,
+    blockTokens: () => BLOCK_TOKENS,
+    isOpen: () => doors.open,
+    inProgress: () => requests.size
+  })
+  const routes = callerRoutes({
+    organisations,
+    admission,
+    requests,
+    sources: new CompletionSources(backends.engine, estimator),
+    clients: backends,
+    limits: options.bodyLimits,
+    unready: () => unreadyReason(organisations, doors, () => knowsFleet(organisations, dispatch, startedAt)),
+    metrics
+  })
+  return store.add(new CallerServer(routes, timeLine, metrics))
+}
+
+const unreadyReason = (organisations: Organisations, doors: Doors, fleetKnown: () => boolean): string | null => {
+  if (!doors.ready) return 'the node is stopping'
+  if (!organisations.ready) return 'no configuration is in force yet'
+  return fleetKnown() ? null : 'the dispatchers of the models are not known yet'
+}
+
+/** Whether each model has a dispatcher, or there was time enough to hear of one. */
+const knowsFleet = (organisations: Organisations, { views }: DispatchParts, startedAt: Millis): boolean =>
+  monotonicNow() - startedAt > LONGEST_JOIN_MS || organisations.dispatchNames().every((name) => views.states(name).length > 0)
+
+const listenAdmin = async (parts: AdminParts): Promise<string> => {
+  const { store, options } = parts.foundation
+  const server = store.add(new AdminServer(new DaemonSources(parts), options.adminSecrets ?? []))
+  return await server.listen(options.listen.admin)
+}
--- /dev/null
+++ b/packages/node/src/daemon/configuration.ts
@@ -0,0 +1,72 @@
+/** The operators' configuration at this node: from the key-value service, from peers, or fixed by files. */
+import { randomInt } from 'node:crypto'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+
+import { assertNever } from '@bluebellhill/domain'
+import type { ConfigurationValue, ValueSource } from '@bluebellhill/domain'
+import { ConfigurationStore } from '@bluebellhill/platform'
+import type { Configuration, KeyValueService } from '@bluebellhill/platform'
+import { EventKind } from '@bluebellhill/protocol'
+
+import { ConfigurationService } from '../configuration/index.js'
+import type { ConfigurationReport } from '../configuration/index.js'
+import { GrpcConfigurationPeers } from '../peers/GrpcConfigurationPeers.js'
+import type { Fleet } from './fleet.js'
+import type { Foundation } from './foundation.js'
+
+const MAX_SEED = 0x7fffffff
+const KEY_VALUE_SERVICE = 'key-value service'
+
+/** Where the daemon's parts read the configuration in force. */
+export interface ConfigurationSource {
+  readonly service: ConfigurationService
+  /** The configuration in force; null before there is any. */
+  readonly current: () => Configuration | null
+}
+
+/**
+ * Starts to keep the configuration. It goes on in the background while the store or the peers do not answer.
+ *
+ * @param foundation - the node's foundation
+ * @param fleet - its view of the fleet
+ * @param keyValue - the platform's key-value service; null in a setup without one
+ */
+export const keepConfiguration = (foundation: Foundation, fleet: Fleet, keyValue: KeyValueService | null): ConfigurationSource => {
+  const { options, store, peers, timeLine } = foundation
+  const service = store.add(new ConfigurationService({
+    node: options.node,
+    failureDomain: options.failureDomain,
+    store: keyValue === null ? null : new ConfigurationStore(keyValue),
+    peers: new GrpcConfigurationPeers(fleet.membership, peers, timeLine),
+    rng: xoroshiro128plus(randomInt(MAX_SEED)),
+    wallClock: () => Date.now(),
+    report: (report) => record(foundation, report)
+  }))
+  void service.start()
+  return { service, current: () => options.fixedConfiguration ?? service.current }
+}
+
+const record = (foundation: Foundation, report: ConfigurationReport): void => {
+  const { timeLine, options } = foundation
+  switch (report.type) {
+    case 'installed': return recordInstalled(foundation, report.value, report.source)
+    case 'unusable': return options.log.warn('configuration_unusable', { name: report.name, revision: report.revision, reason: report.reason })
+    case 'overwritten': return options.log.warn('configuration_overwritten', { name: report.value.name, by: report.value.author, overwritten: report.overwritten.author })
+    case 'written_back': return options.log.warn('configuration_written_back', { name: report.value.name, revision: report.value.revision, result: JSON.stringify(report.result) })
+    case 'store': {
+      timeLine.record(EventKind.PlatformChanged, {}, report.reason, { service: KEY_VALUE_SERVICE, available: report.available })
+      foundation.platform.set(KEY_VALUE_SERVICE, { service: KEY_VALUE_SERVICE, available: report.available, since: Date.now() })
+      return
+    }
+    default: return assertNever(report)
+  }
+}
+
+const recordInstalled = ({ timeLine }: Foundation, value: ConfigurationValue, source: ValueSource): void => {
+  const previous = value.history[0]
+  timeLine.record(EventKind.ConfigurationInstalled, {}, `${value.name} by ${value.author}`, {
+    revision: String(value.revision),
+    previous: previous === undefined ? null : String(previous.revision),
+    source: source.type === 'peer' ? source.node : KEY_VALUE_SERVICE
+  })
+}
--- a/packages/node/src/daemon/foundation.ts
+++ b/packages/node/src/daemon/foundation.ts
@@ -4,6 +4,7 @@
 
 import { HttpModelEngine, HttpPlainService, HttpPool } from '@bluebellhill/platform'
 import { HybridClock } from '@bluebellhill/protocol'
+import type { PlatformStatus } from '@bluebellhill/protocol'
 
 import { RunnerDirectory } from '../dispatch/RunnerDirectory.js'
 import { Metrics } from '../metrics/index.js'
@@ -31,6 +32,8 @@
   readonly backends: BackendClients
   readonly hasher: PrefixHasher
   readonly estimator: TokenEstimator
+  /** The platform's services as last seen. */
+  readonly platform: Map<string, PlatformStatus>
 }
 
 /**
@@ -65,6 +68,7 @@
       service: perAddress((address) => new HttpPlainService(pool, address))
     },
     hasher: await PrefixHasher.create(),
-    estimator: new TokenEstimator()
+    estimator: new TokenEstimator(),
+    platform: new Map()
   }
 }
--- a/packages/node/src/daemon/main.ts
+++ b/packages/node/src/daemon/main.ts
@@ -7,8 +7,9 @@
 
 import { openLog } from '../log/index.js'
 import { loadConfigurationFiles } from './configurationFiles.js'
-import { Daemon, VERSION } from './Daemon.js'
+import { Daemon } from './Daemon.js'
 import { optionsOf } from './optionsOf.js'
+import { VERSION } from './version.js'
 
 const EXIT_BAD_SETTINGS = 1
 
@@ -33,13 +34,13 @@
 const serve = async (settingsFile: string, configurationFiles: string): Promise<void> => {
   const settings = await readSettings(settingsFile)
   const fixed = await loadConfigurationFiles(configurationFiles.split(',').filter((file) => file !== ''))
-  const daemon = await startDaemon(settings, () => fixed)
+  const daemon = await startDaemon(settings, fixed)
   process.once('SIGTERM', () => stopAndExit(daemon))
   process.once('SIGINT', () => stopAndExit(daemon))
   process.stdout.write(`${JSON.stringify({ ready: true, name: settings.name, ...daemon.addresses })}\n`)
 }
 
-const startDaemon = async (settings: Settings, configuration: () => Configuration | null): Promise<Daemon> => {
+const startDaemon = async (settings: Settings, configuration: Configuration | null): Promise<Daemon> => {
   const log = openLog({ node: settings.name, failureDomain: settings.failureDomain, level: settings.log.level })
   return await Daemon.start(optionsOf(settings, configuration, log))
 }
--- a/packages/node/src/daemon/optionsOf.ts
+++ b/packages/node/src/daemon/optionsOf.ts
@@ -5,7 +5,6 @@
 import type { Configuration, Settings } from '@bluebellhill/platform'
 
 import type { Backend } from '../dispatch/RunnerDirectory.js'
-import { Organisations } from '../edge/Organisations.js'
 import type { Log } from '../log/index.js'
 import type { DaemonOptions } from './types.js'
 
@@ -13,10 +12,10 @@
  * Maps settings.
  *
  * @param settings - checked settings
- * @param configuration - gives the operators' configuration in force
+ * @param fixedConfiguration - configuration from files, or null
  * @param log - the node's log
  */
-export const optionsOf = (settings: Settings, configuration: () => Configuration | null, log: Log): DaemonOptions => ({
+export const optionsOf = (settings: Settings, fixedConfiguration: Configuration | null, log: Log): DaemonOptions => ({
   node: settings.name as NodeId,
   failureDomain: settings.failureDomain as FailureDomain,
   listen: settings.listen,
@@ -29,7 +28,8 @@
   admission: { requests: settings.limits.requests, longestDeadline: settings.limits.longestDeadline },
   serviceSlots: settings.limits.serviceSlots,
   drainGrace: settings.limits.drainGrace,
-  organisations: new Organisations(configuration),
+  keyValue: settings.platform.keyValue,
+  fixedConfiguration,
   log
 })
 
--- a/packages/node/src/daemon/types.ts
+++ b/packages/node/src/daemon/types.ts
@@ -1,9 +1,10 @@
 /** What a daemon is started with. */
 import type { FailureDomain, Millis, NodeId, RoutingPolicy } from '@bluebellhill/domain'
 
+import type { Configuration } from '@bluebellhill/platform'
+
 import type { AdmissionLimits } from '../edge/Admission.js'
 import type { BodyLimits } from '../edge/body.js'
-import type { Organisations } from '../edge/Organisations.js'
 import type { Backend } from '../dispatch/RunnerDirectory.js'
 import type { Log } from '../log/index.js'
 
@@ -36,6 +37,9 @@
   readonly serviceSlots: number
   /** Time between the failing readiness and the refusal of new work. */
   readonly drainGrace: Millis
-  readonly organisations: Organisations
+  /** Addresses of the key-value service; none leaves the configuration to peers or files. */
+  readonly keyValue: readonly string[]
+  /** Configuration in a setup without a key-value service. */
+  readonly fixedConfiguration: Configuration | null
   readonly log: Log
 }
--- /dev/null
+++ b/packages/node/src/daemon/version.ts
@@ -0,0 +1,2 @@
+/** Version that the daemon reports. */
+export const VERSION = '0.1.0'
