--- a/packages/domain/src/idempotency/IdempotencyRegister.ts
+++ b/packages/domain/src/idempotency/IdempotencyRegister.ts
@@ -190,7 +190,7 @@
   }
 
   #resultOf (record: KeyRecord, order: ClaimOrder): ClaimResult {
-    if (record.body !== order.body) return { type: 'conflict' }
+    if (record.body !== null && record.body !== order.body) return { type: 'conflict' }
     if (record.state === KeyState.Done && record.outcome !== null) return { type: 'replay', outcome: record.outcome }
     if (record.state !== KeyState.Claimed) return { type: 'unknown' }
     const left = record.claimedAt + record.timeLimit + CONCLUSION_MARGIN_MS - this.#wallTime
--- a/packages/domain/src/idempotency/types.ts
+++ b/packages/domain/src/idempotency/types.ts
@@ -34,8 +34,8 @@
   readonly claimedAt: number
   /** Time that the request had left when its key was claimed. */
   readonly timeLimit: Millis
-  /** Digest of the request; the same key with another digest is a conflict. */
-  readonly body: string
+  /** Digest of the request; the same key with another digest is a conflict. Null where it is not known. */
+  readonly body: string | null
   readonly state: KeyState
   readonly outcome: RecordedOutcome | null
 }
--- /dev/null
+++ b/packages/node/bench/standinProcess.ts
@@ -0,0 +1,39 @@
+/** Starts a stand-in as a process of its own. */
+import { spawn } from 'node:child_process'
+import { createInterface } from 'node:readline'
+import { fileURLToPath } from 'node:url'
+
+const PROGRAM = fileURLToPath(new URL('../../../standin/dist/src/main.js', import.meta.url))
+
+export interface StandinProcess {
+  /** `ip:port` of the published interface. */
+  readonly address: string
+  /** `ip:port` of ledger and faults. */
+  readonly control: string
+  ledger (): Promise<Record<string, unknown>>
+  setFaults (faults: Record<string, unknown>): Promise<void>
+  stop (): void
+}
+
+/**
+ * Starts a stand-in.
+ *
+ * @param args - the words after the program's name
+ * @returns the running process
+ */
+export const startStandin = async (...args: string[]): Promise<StandinProcess> => {
+  const child = spawn(process.execPath, [PROGRAM, ...args, '--exit-with-parent'], { stdio: ['pipe', 'pipe', 'inherit'] })
+  const lines = createInterface({ input: child.stdout })
+  const line = await new Promise<string>((resolve, reject) => {
+    lines.once('line', resolve)
+    child.once('exit', (code) => reject(new Error(`the stand-in ended with ${code}`)))
+  })
+  const { address, control } = JSON.parse(line) as { address: string, control: string }
+  return {
+    address,
+    control,
+    ledger: async () => await (await fetch(`http://${control}/ledger`)).json() as Record<string, unknown>,
+    setFaults: async (faults) => { await fetch(`http://${control}/faults`, { method: 'POST', body: JSON.stringify(faults) }) },
+    stop: () => { child.kill() }
+  }
+}
--- /dev/null
+++ b/packages/node/src/idempotency/index.ts
@@ -0,0 +1,2 @@
+/** Idempotency keys at one node. */
+export * from './IdempotencyService.js'
--- /dev/null
+++ b/packages/node/src/idempotency/keyRecord.ts
@@ -0,0 +1,52 @@
+/** Form of a claim's record in the key-value service. */
+import { KeyState, OutcomeKind, Ran } from '@bluebellhill/domain'
+import type { ClaimToken, KeyRecord } from '@bluebellhill/domain'
+import { z } from 'zod'
+
+const recordSchema = z.object({
+  token: z.string().min(1).max(64).transform((text) => text as ClaimToken),
+  owner: z.string().max(128),
+  claimedAt: z.number(),
+  timeLimit: z.number().min(0),
+  body: z.string().max(128).nullable(),
+  state: z.enum(KeyState),
+  outcome: z.object({
+    kind: z.enum(OutcomeKind),
+    ran: z.enum(Ran),
+    answer: z.string().nullable()
+  }).nullable()
+})
+
+/** Stands for bytes that are no record: the key is taken, and nothing is known of it. */
+const UNREADABLE: KeyRecord = {
+  token: 'unreadable' as ClaimToken,
+  owner: 'unknown',
+  claimedAt: 0,
+  timeLimit: 0,
+  body: null,
+  state: KeyState.Unknown,
+  outcome: null
+}
+
+/**
+ * Encodes a record.
+ *
+ * @param record - a claim and its outcome
+ * @returns JSON bytes
+ */
+export const encodeRecord = (record: KeyRecord): Buffer => Buffer.from(JSON.stringify(record), 'utf8')
+
+/**
+ * Decodes a record. Bytes that are none count as a claim of which nothing is known, so that its request is not run.
+ *
+ * @param bytes - as stored
+ * @returns the record
+ */
+export const decodeRecord = (bytes: Buffer): KeyRecord => {
+  try {
+    const checked = recordSchema.safeParse(JSON.parse(bytes.toString('utf8')))
+    return checked.success ? checked.data : UNREADABLE
+  } catch {
+    return UNREADABLE
+  }
+}
--- a/packages/platform/src/settings/schema.ts
+++ b/packages/platform/src/settings/schema.ts
@@ -22,6 +22,9 @@
 } as const
 export type LogThreshold = typeof LogThreshold[keyof typeof LogThreshold]
 
+/** Time by which the claim of a key outlives the longest request, so that it cannot lapse while the request runs. */
+const KEY_RETENTION_MARGIN_MS = 60_000
+
 const MIN_SECRET_LENGTH = 16
 const MAX_SECRET_LENGTH = 512
 
@@ -74,6 +77,9 @@
   drainGrace: describeField(durationField('0s', '10m').prefault('5s'), { description: 'Time between the failing readiness check and the refusal of new work at a planned stop.' }),
   keyRetention: describeField(durationField('1m', '7d').prefault('1d'), { description: 'Time that the outcome of an idempotency key is kept.' }),
   storeWrites: describeField(countField(1, 100_000).default(300), { description: 'Writes a second that the whole fleet may send to the key-value service.' })
+}).superRefine((entry, context) => {
+  if (entry.keyRetention >= entry.longestDeadline + KEY_RETENTION_MARGIN_MS) return
+  context.addIssue({ code: 'custom', path: ['keyRetention'], message: 'is too short for the longest deadline', params: { allowed: 'at least a minute more than longestDeadline' } })
 })
 
 const policy = z.strictObject({
--- a/packages/platform/tests/settings.test.ts
+++ b/packages/platform/tests/settings.test.ts
@@ -57,6 +57,11 @@
   t.deepEqual(problemsIn(`${GOOD}runners:\n${entry}${entry}`), ['node.yaml:13: runners[1] repeats the name "r1"; allowed: each name once'])
 })
 
+test('a key is kept longer than any request runs', (t) => {
+  t.is(problemsIn(`${GOOD}limits: {longestDeadline: 10m, keyRetention: 5m}\n`).length, 1)
+  t.deepEqual(problemsIn(`${GOOD}limits: {longestDeadline: 4m, keyRetention: 5m}\n`), [])
+})
+
 test('broken YAML is a problem with its line', (t) => {
   t.regex(problemsIn(`${GOOD}limits: {`)[0] ?? '', /^node.yaml:\d+: the file is not valid YAML/)
   t.regex(problemsIn('')[0] ?? '', /^node.yaml:1: the file must not be null/)
