--- /dev/null
+++ b/packages/node/bench/configuration.ts
@@ -0,0 +1,140 @@
+/** Measures how fast an edit is in force on nine nodes, and the calls to the store when idle and at its return. */
+import { writeFile } from 'node:fs/promises'
+import { setTimeout as sleep } from 'node:timers/promises'
+
+import { defineCommand, runMain } from 'citty'
+import { build } from 'hdr-histogram-js'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+
+import type { ConfigurationValue, EditId, FailureDomain, NodeId, ValueVersion } from '@bluebellhill/domain'
+import { ConfigurationStore, FLEET_NAME, HttpKeyValueService, HttpPool } from '@bluebellhill/platform'
+
+import { ConfigurationPeers, ConfigurationService } from '../src/configuration/index.js'
+import type { ConfigurationMember } from '../src/configuration/index.js'
+import { startStandin } from './standinProcess.js'
+import type { StandinProcess } from './standinProcess.js'
+
+const BOUND_CALLS_PER_NODE = 1
+const BOUND_IN_FORCE_MS = 9_000
+const EDITS = 40
+const IDLE_MS = 20_000
+const OUTAGE_MS = 20_000
+const RETURN_MS = 10_000
+const NODES_PER_FAILURE_DOMAIN = 3
+const FAILURE_DOMAINS = 3
+
+/** Calls between services of this process, as the peers' connections would carry them. */
+class LocalPeers extends ConfigurationPeers {
+  readonly #services: ReadonlyMap<NodeId, ConfigurationService>
+  readonly #members: readonly ConfigurationMember[]
+  readonly #self: NodeId
+
+  constructor (services: ReadonlyMap<NodeId, ConfigurationService>, members: readonly ConfigurationMember[], self: NodeId) {
+    super()
+    this.#services = services
+    this.#members = members
+    this.#self = self
+  }
+
+  override members (): readonly ConfigurationMember[] {
+    return this.#members
+  }
+
+  override async versions (node: NodeId, digest: number): Promise<readonly ValueVersion[] | null> {
+    const service = this.#services.get(node)!
+    return service.digest === digest ? null : service.revisions()
+  }
+
+  override async values (node: NodeId, names: readonly string[]): Promise<readonly ConfigurationValue[]> {
+    return this.#services.get(node)!.values(names)
+  }
+
+  override async push (node: NodeId, values: readonly ConfigurationValue[]): Promise<void> {
+    this.#services.get(node)!.install(this.#self, values)
+  }
+}
+
+const openServices = (address: string, seed: number): ConfigurationService[] => {
+  const services = new Map<NodeId, ConfigurationService>()
+  const members = Array.from({ length: FAILURE_DOMAINS * NODES_PER_FAILURE_DOMAIN }, (_, index) => ({
+    node: `node-${index}` as NodeId,
+    failureDomain: `domain-${index % FAILURE_DOMAINS}` as FailureDomain
+  }))
+  members.forEach(({ node, failureDomain }, index) => services.set(node, new ConfigurationService({
+    node,
+    failureDomain,
+    store: new ConfigurationStore(new HttpKeyValueService(new HttpPool(), [address])),
+    peers: new LocalPeers(services, members, node),
+    rng: xoroshiro128plus(seed + index),
+    wallClock: Date.now,
+    report: () => {}
+  })))
+  return [...services.values()]
+}
+
+const callsOf = async (store: StandinProcess): Promise<{ total: number, bySecond: Record<string, number> }> =>
+  (await store.ledger() as { calls: { total: number, bySecond: Record<string, number> } }).calls
+
+const editOnce = async (store: ConfigurationStore, services: readonly ConfigurationService[], index: number): Promise<number> => {
+  const text = `kind: fleet\nmodels: [{name: model-${index}, versions: [{name: v1}], current: v1}]\n`
+  const outcome = await store.edit({ name: FLEET_NAME, edit: `edit-${index}` as EditId, author: 'bench', text, expected: null, leastRevision: 0 }, Date.now())
+  const accepted = performance.now()
+  if (outcome.type !== 'accepted') throw new Error(`the edit ended as ${outcome.type}`)
+  while (!services.every((service) => service.current?.model(`model-${index}`) != null)) await sleep(1)
+  return performance.now() - accepted
+}
+
+const main = defineCommand({
+  meta: { name: 'configuration', description: 'Time until an edit is in force, and calls to the store' },
+  args: {
+    seed: { type: 'string', default: '1', description: 'Seed of the pauses' },
+    json: { type: 'string', default: '', description: 'File for the figures' }
+  },
+  run: async ({ args }) => {
+    const stand = await startStandin('key-value')
+    const services = openServices(stand.address, Number(args.seed))
+    const editor = new ConfigurationStore(new HttpKeyValueService(new HttpPool(), [stand.address]))
+    await Promise.all(services.map(async (service) => await service.start()))
+    const inForce = build({ highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3 })
+    for (let index = 0; index < EDITS; index += 1) inForce.recordValue(Math.max(1, Math.round(await editOnce(editor, services, index) * 1_000)))
+    const before = await callsOf(stand)
+    await sleep(IDLE_MS)
+    const idle = await callsOf(stand)
+    await stand.setFaults({ unavailable: true })
+    await sleep(OUTAGE_MS)
+    const out = await callsOf(stand)
+    await stand.setFaults({ unavailable: false })
+    const back = await editOnce(editor, services, EDITS)
+    await sleep(RETURN_MS)
+    const returned = await callsOf(stand)
+    const seconds = Object.entries(returned.bySecond).filter(([second]) => !(second in out.bySecond)).map(([, calls]) => calls)
+    const nodes = services.length
+    const figures = {
+      nodes,
+      inForceMsP50: inForce.getValueAtPercentile(50) / 1_000,
+      inForceMsMax: inForce.maxValue / 1_000,
+      idleCallsPerNodePerSecond: (idle.total - before.total + nodes) / nodes / (IDLE_MS / 1_000),
+      outageCallsPerNodePerSecond: (out.total - idle.total) / nodes / (OUTAGE_MS / 1_000),
+      returnCallsInOneSecondMax: Math.max(0, ...seconds),
+      inForceMsAfterReturn: Math.round(back)
+    }
+    const report = {
+      bench: 'configuration',
+      seed: Number(args.seed),
+      figures,
+      bounds: [
+        { name: 'idleCallsPerNodePerSecond', most: BOUND_CALLS_PER_NODE, met: figures.idleCallsPerNodePerSecond <= BOUND_CALLS_PER_NODE },
+        { name: 'outageCallsPerNodePerSecond', most: BOUND_CALLS_PER_NODE, met: figures.outageCallsPerNodePerSecond <= BOUND_CALLS_PER_NODE },
+        { name: 'inForceMsMax', most: BOUND_IN_FORCE_MS, met: figures.inForceMsMax <= BOUND_IN_FORCE_MS },
+        { name: 'inForceMsAfterReturn', most: BOUND_IN_FORCE_MS, met: figures.inForceMsAfterReturn <= BOUND_IN_FORCE_MS }
+      ]
+    }
+    const text = JSON.stringify(report, null, 2)
+    if (args.json !== '') await writeFile(args.json, text)
+    console.log(text)
+    stand.stop()
+    process.exit(report.bounds.every(({ met }) => met) ? 0 : 1)
+  }
+})
+
+await runMain(main)
