--- a/packages/node/src/daemon/optionsOf.ts
+++ b/packages/node/src/daemon/optionsOf.ts
@@ -22,6 +22,7 @@
   listen: settings.listen,
   seeds: settings.seeds,
   secrets: settings.secrets.peer,
+  adminSecrets: settings.secrets.admin === undefined ? [] : [settings.secrets.admin],
   runners: settings.runners.map(backendOf),
   vmList: settings.platform.vmList,
   policy: policyOf(settings.policy),
