Run keyed non-idempotent requests at most once: claim, run, conclude, replay

The claim stands in the key-value service before anything is sent. A keyed request goes on when its caller leaves, since the caller comes back with the key for the outcome. Without a store, keyed non-idempotent requests are refused as not run.

--- a/packages/node/src/daemon/Daemon.ts
+++ b/packages/node/src/daemon/Daemon.ts
@@ -7,6 +7,9 @@
 import { buildFoundation } from './foundation.js'
 import type { DaemonAddresses, DaemonOptions } from './types.js'
 
+/** Time that a stopping node takes to write the outcomes of its last keyed requests. */
+const KEY_SETTLE_LIMIT_MS = 5_000
+
 /** A node that is in service until it is stopped. */
 export class Daemon {
   readonly #parts: NodeParts
@@ -49,7 +52,7 @@
   }
 
   async #stop (): Promise<void> {
-    const { foundation, fleet, requests, callers, doors } = this.#parts
+    const { foundation, fleet, keys, requests, callers, doors } = this.#parts
     const { timeLine, options, store } = foundation
     timeLine.record(EventKind.NodeStopping, {}, 'planned stop', { inProgress: requests.size })
     options.log.info('node_stopping', { in_progress: requests.size })
@@ -59,6 +62,7 @@
     doors.open = false
     callers.stopListening()
     await requests.idle()
+    await keys?.settled(KEY_SETTLE_LIMIT_MS)
     timeLine.record(EventKind.NodeStopped, {}, '', {})
     options.log.info('node_stopped', {})
     await store.dispose()
--- a/packages/node/src/daemon/buildNode.ts
+++ b/packages/node/src/daemon/buildNode.ts
@@ -9,16 +9,20 @@
 import type { AdminParts } from '../admin/DaemonSources.js'
 import { monotonicNow } from '../clock/monotonic.js'
 import { Admission } from '../edge/Admission.js'
+import { AdmittedRunner } from '../edge/AdmittedRunner.js'
 import { CallerServer } from '../edge/CallerServer.js'
 import { Organisations } from '../edge/Organisations.js'
+import type { IdempotencyService } from '../idempotency/index.js'
 import { PeerServer } from '../peers/PeerServer.js'
 import type { PeerServerParts } from '../peers/types.js'
 import { CompletionSources } from '../requests/CompletionSource.js'
+import { KeyedRuns } from '../requests/KeyedRuns.js'
 import { RequestHost } from '../requests/RequestHost.js'
 import { callerRoutes } from './callerRoutes.js'
 import { keepConfiguration } from './configuration.js'
 import { buildDispatch } from './dispatch.js'
 import type { DispatchParts } from './dispatch.js'
+import { keepKeys } from './keys.js'
 import { joinFleet } from './fleet.js'
 import type { Fleet } from './fleet.js'
 import type { Foundation } from './foundation.js'
@@ -39,6 +43,8 @@
 export interface NodeParts {
   readonly foundation: Foundation
   readonly fleet: Fleet
+  /** Null in a setup without a key-value service. */
+  readonly keys: IdempotencyService | null
   readonly requests: RequestHost
   readonly callers: CallerServer
   readonly addresses: DaemonAddresses
@@ -60,13 +66,14 @@
   const peer = await peerServer.listen(options.listen.peer)
   const fleet = await joinFleet(foundation, peer)
   const keyValue = options.keyValue.length === 0 ? null : new HttpKeyValueService(foundation.pool, options.keyValue)
+  const keys = keyValue === null ? null : keepKeys(foundation, fleet, keyValue)
   const configuration = keepConfiguration(foundation, fleet, keyValue)
   let requests: RequestHost | null = null
   const dispatch = buildDispatch(foundation, fleet, () => requests ?? NO_REQUESTS)
   requests = buildRequests(foundation, dispatch)
   serving = { dispatcher: dispatch.dispatcher, desk: dispatch.desk, requests, configuration: configuration.service, timeLine }
   const doors = { ready: true, open: true }
-  const callers = buildCallers(foundation, new Organisations(configuration.current), dispatch, requests, doors)
+  const callers = buildCallers(foundation, new Organisations(configuration.current), dispatch, requests, new KeyedRuns(keys, timeLine), doors)
   const caller = await callers.listen(options.listen.caller)
   const drain = new EventTarget()
   const admin = await listenAdmin({ foundation, fleet, dispatch, requests, configuration: configuration.service, isReady: () => doors.ready, drain: () => drain.dispatchEvent(new Event('drain')), version: VERSION })
@@ -74,7 +81,7 @@
   addGauges(foundation, fleet, requests, dispatch)
   timeLine.record(EventKind.NodeStarted, {}, '', { failureDomain: options.failureDomain, version: VERSION })
   options.log.info('node_started', { ...addresses })
-  return { foundation, fleet, requests, callers, addresses, doors, drain }
+  return { foundation, fleet, keys, requests, callers, addresses, doors, drain }
 }
 
 const addGauges = ({ metrics, timeLine }: Foundation, { membership }: Fleet, requests: RequestHost, { dispatcher }: DispatchParts): void => {
@@ -90,7 +97,7 @@
 const buildRequests = ({ options, timeLine, metrics, actors }: Foundation, { desk }: DispatchParts): RequestHost =>
   new RequestHost(options.node, { retryBudget: new RetryBudget() }, { desk, timeLine, metrics }, actors)
 
-const buildCallers = (foundation: Foundation, organisations: Organisations, dispatch: DispatchParts, requests: RequestHost, doors: Doors): CallerServer => {
+const buildCallers = (foundation: Foundation, organisations: Organisations, dispatch: DispatchParts, requests: RequestHost, keyed: KeyedRuns, doors: Doors): CallerServer => {
   const startedAt = monotonicNow()
   const { options, timeLine, metrics, hasher, estimator, backends, store } = foundation
   const admission = new Admission({
@@ -105,7 +112,7 @@
   const routes = callerRoutes({
     organisations,
     admission,
-    requests,
+    runner: new AdmittedRunner(requests, keyed),
     sources: new CompletionSources(backends.engine, estimator),
     clients: backends,
     limits: options.bodyLimits,
--- a/packages/node/src/daemon/callerRoutes.ts
+++ b/packages/node/src/daemon/callerRoutes.ts
@@ -4,6 +4,7 @@
 import { OutcomeKind } from '@bluebellhill/domain'
 
 import type { Admission } from '../edge/Admission.js'
+import type { AdmittedRunner } from '../edge/AdmittedRunner.js'
 import type { BodyLimits } from '../edge/body.js'
 import { CompletionRoute } from '../edge/CompletionRoute.js'
 import { RefusedCall } from '../edge/errors.js'
@@ -16,7 +17,6 @@
 import { ServiceRoute } from '../edge/ServiceRoute.js'
 import type { Metrics } from '../metrics/index.js'
 import type { CompletionSources } from '../requests/CompletionSource.js'
-import type { RequestHost } from '../requests/RequestHost.js'
 import type { BackendClients } from './adapters.js'
 
 const CONFIGURATION_RETRY_AFTER_MS = 1_000
@@ -25,7 +25,7 @@
 export interface RouteParts {
   readonly organisations: Organisations
   readonly admission: Admission
-  readonly requests: RequestHost
+  readonly runner: AdmittedRunner
   readonly sources: CompletionSources
   readonly clients: BackendClients
   readonly limits: BodyLimits
@@ -39,11 +39,11 @@
  * @param parts - what the routes work with
  */
 export const callerRoutes = (parts: RouteParts): readonly Route[] => {
-  const { admission, requests, sources, limits, clients } = parts
+  const { admission, runner, sources, limits, clients } = parts
   const recognise = (request: IncomingMessage): KnownOrganisation => recogniseCaller(parts.organisations, request)
   return [
-    new CompletionRoute(recognise, { admission, requests, sources, limits }),
-    new ServiceRoute(recognise, { admission, requests, services: clients.service, limits }),
+    new CompletionRoute(recognise, { admission, runner, sources, limits }),
+    new ServiceRoute(recognise, { admission, runner, services: clients.service, limits }),
     new ModelsRoute(recognise),
     new HealthRoute(parts.unready, parts.metrics)
   ]
--- /dev/null
+++ b/packages/node/src/daemon/keys.ts
@@ -0,0 +1,49 @@
+/** The idempotency keys at this node. */
+import { randomInt } from 'node:crypto'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+
+import { assertNever } from '@bluebellhill/domain'
+import type { KeyValueService } from '@bluebellhill/platform'
+
+import { monotonicNow } from '../clock/monotonic.js'
+import { IdempotencyService } from '../idempotency/index.js'
+import type { IdempotencyReport } from '../idempotency/index.js'
+import type { Fleet } from './fleet.js'
+import type { Foundation } from './foundation.js'
+
+const MAX_SEED = 0x7fffffff
+const SHARE_INTERVAL_MS = 1_000
+
+/**
+ * Starts to claim keys in the key-value service.
+ *
+ * @param foundation - the node's foundation
+ * @param fleet - its view of the fleet, which shares the store's writes
+ * @param keyValue - the platform's key-value service
+ */
+export const keepKeys = (foundation: Foundation, fleet: Fleet, keyValue: KeyValueService): IdempotencyService => {
+  const { options, store } = foundation
+  const service = store.add(new IdempotencyService({
+    node: options.node,
+    keyValue,
+    rng: xoroshiro128plus(randomInt(MAX_SEED)),
+    retention: options.keyRetention,
+    clock: monotonicNow,
+    wallClock: () => Date.now(),
+    report: (report) => record(foundation, report)
+  }))
+  const share = (): void => service.share(options.storeWrites, fleet.membership.workers().length)
+  const timer = setInterval(share, SHARE_INTERVAL_MS)
+  store.addStep(() => clearInterval(timer))
+  share()
+  return service
+}
+
+const record = ({ options }: Foundation, report: IdempotencyReport): void => {
+  switch (report.type) {
+    case 'claim_missing': return options.log.error('key_claim_missing', { key: report.key })
+    case 'claim_taken': return options.log.error('key_claim_taken', { key: report.key, owner: report.owner })
+    case 'store': return options.log.warn('key_store_changed', { available: report.available, reason: report.reason })
+    default: return assertNever(report)
+  }
+}
--- a/packages/node/src/daemon/optionsOf.ts
+++ b/packages/node/src/daemon/optionsOf.ts
@@ -30,6 +30,8 @@
   serviceSlots: settings.limits.serviceSlots,
   drainGrace: settings.limits.drainGrace,
   keyValue: settings.platform.keyValue,
+  keyRetention: settings.limits.keyRetention,
+  storeWrites: settings.limits.storeWrites,
   fixedConfiguration,
   log
 })
--- a/packages/node/src/daemon/types.ts
+++ b/packages/node/src/daemon/types.ts
@@ -39,6 +39,10 @@
   readonly drainGrace: Millis
   /** Addresses of the key-value service; none leaves the configuration to peers or files. */
   readonly keyValue: readonly string[]
+  /** Time that the outcome of an idempotency key is kept. */
+  readonly keyRetention: Millis
+  /** Writes a second that the whole fleet may send to the key-value service. */
+  readonly storeWrites: number
   /** Configuration in a setup without a key-value service. */
   readonly fixedConfiguration: Configuration | null
   readonly log: Log
--- a/packages/node/src/edge/CompletionRoute.ts
+++ b/packages/node/src/edge/CompletionRoute.ts
@@ -4,8 +4,8 @@
 import type { RequestSpec } from '@bluebellhill/domain'
 
 import type { CompletionSources } from '../requests/CompletionSource.js'
-import type { RequestHost } from '../requests/RequestHost.js'
 import type { Admission, AdmittedCompletion } from './Admission.js'
+import type { AdmittedRunner } from './AdmittedRunner.js'
 import { readBody } from './body.js'
 import type { BodyLimits } from './body.js'
 import { StreamedCompletion, WholeCompletion } from './CompletionAnswer.js'
@@ -13,6 +13,7 @@
 import { shapeOf } from './CompletionShape.js'
 import { readDeadline } from './headers.js'
 import type { KnownOrganisation } from './Organisations.js'
+import { RecordingCompletion } from './RecordingCompletion.js'
 import { OrganisationRoute } from './Route.js'
 import type { EdgeCall } from './Route.js'
 import { CallForm } from './types.js'
@@ -28,7 +29,7 @@
 /** What the completion routes work with. */
 export interface CompletionRouteParts {
   readonly admission: Admission
-  readonly requests: RequestHost
+  readonly runner: AdmittedRunner
   readonly sources: CompletionSources
   readonly limits: BodyLimits
 }
@@ -52,16 +53,14 @@
     const body = await readBody(call.request, limits)
     const completion = parseCompletionCall(PATHS[call.path] ?? CallForm.Text, body)
     const admitted = admission.completion(organisation, completion, deadline)
-    await this.#run(admitted, completion, call)
+    await this.#run(admitted, completion, call, body)
   }
 
-  async #run ({ spec, prompt }: AdmittedCompletion, completion: CompletionCall, call: EdgeCall): Promise<void> {
+  async #run ({ spec, prompt }: AdmittedCompletion, completion: CompletionCall, call: EdgeCall, identity: Buffer): Promise<void> {
     call.response.setHeader('x-request-id', spec.id)
-    const answer = answerFor(spec, completion, call)
+    const answer = new RecordingCompletion(answerFor(spec, completion, call))
     const source = this.#parts.sources.create(spec, prompt, completion.sampling)
-    const { session, finished } = this.#parts.requests.start(spec, answer, source)
-    call.response.on('close', () => session.tell({ type: 'caller_gone' }))
-    await finished
+    await this.#parts.runner.run({ spec, call, answer, source, identity })
   }
 }
 
--- a/packages/node/src/edge/ServiceRoute.ts
+++ b/packages/node/src/edge/ServiceRoute.ts
@@ -1,26 +1,22 @@
 /** `/services/<name>/...`: calls to plain services. */
-import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 
 import { OutcomeKind } from '@bluebellhill/domain'
-import type { AttemptId, Outcome, RequestSpec } from '@bluebellhill/domain'
+import type { RequestSpec } from '@bluebellhill/domain'
 import type { PlainService } from '@bluebellhill/platform'
 
-import { monotonicNow } from '../clock/monotonic.js'
-import { Answer } from '../requests/Answer.js'
-import type { Attempt, AttemptListener, AttemptOrder } from '../requests/Attempt.js'
-import { AttemptSource } from '../requests/ports.js'
-import type { RequestHost } from '../requests/RequestHost.js'
-import { ServiceAttempt } from '../requests/ServiceAttempt.js'
-import type { ServiceCallBody, WholeServiceAnswer } from '../requests/ServiceAttempt.js'
+import type { ServiceCallBody } from '../requests/ServiceAttempt.js'
+import { ServiceSource } from '../requests/ServiceSource.js'
 import type { Admission } from './Admission.js'
+import type { AdmittedRunner } from './AdmittedRunner.js'
 import { readBody } from './body.js'
 import type { BodyLimits } from './body.js'
 import { RefusedCall } from './errors.js'
 import { readDeadline } from './headers.js'
 import type { KnownOrganisation } from './Organisations.js'
-import { writeFailure } from './response.js'
 import { OrganisationRoute } from './Route.js'
 import type { EdgeCall } from './Route.js'
+import { ServiceReply } from './ServiceReply.js'
 
 const PATH = /^\/services\/([A-Za-z0-9._-]{1,128})(\/.*)?$/
 const NOT_FORWARDED = new Set(['host', 'connection', 'keep-alive', 'transfer-encoding', 'content-length', 'expect', 'te', 'upgrade', 'authorization', 'proxy-authorization'])
@@ -28,7 +24,7 @@
 /** What the service route works with. */
 export interface ServiceRouteParts {
   readonly admission: Admission
-  readonly requests: RequestHost
+  readonly runner: AdmittedRunner
   readonly services: (address: string) => PlainService
   readonly limits: BodyLimits
 }
@@ -64,71 +60,12 @@
     call.response.setHeader('x-request-id', spec.id)
     const answer = new ServiceReply(call.response, spec.id)
     const source = new ServiceSource(spec, body, this.#parts.services, this.#parts.limits.bytes, answer)
-    const { session, finished } = this.#parts.requests.start(spec, answer, source)
-    call.response.on('close', () => session.tell({ type: 'caller_gone' }))
-    await finished
+    await this.#parts.runner.run({ spec, call, answer, source, identity: identityOf(body) })
   }
 }
 
-/** Holds a service's answer until its request counts as answered. */
-class ServiceReply extends Answer {
-  readonly #response: ServerResponse
-  readonly #requestId: string
-  #answer: WholeServiceAnswer | null = null
-
-  constructor (response: ServerResponse, requestId: string) {
-    super()
-    this.#response = response
-    this.#requestId = requestId
-  }
-
-  whole (answer: WholeServiceAnswer): void {
-    this.#answer = answer
-  }
-
-  text (): boolean {
-    return true
-  }
-
-  async drained (): Promise<void> {}
-
-  end (): void {
-    if (this.#answer === null || this.#response.destroyed) return
-    const { status, headers, body } = this.#answer
-    this.#response.writeHead(status, { ...headers, 'content-length': body.length })
-    this.#response.end(body)
-  }
-
-  fail (outcome: Outcome): void {
-    writeFailure(this.#response, outcome, this.#requestId)
-  }
-}
-
-class ServiceSource extends AttemptSource {
-  readonly #spec: RequestSpec
-  readonly #body: ServiceCallBody
-  readonly #services: (address: string) => PlainService
-  readonly #bodyLimit: number
-  readonly #reply: ServiceReply
-
-  constructor (spec: RequestSpec, body: ServiceCallBody, services: (address: string) => PlainService, bodyLimit: number, reply: ServiceReply) {
-    super()
-    this.#spec = spec
-    this.#body = body
-    this.#services = services
-    this.#bodyLimit = bodyLimit
-    this.#reply = reply
-  }
-
-  create (order: AttemptOrder, listener: AttemptListener): Attempt {
-    const timeout = Math.max(1, Math.ceil(this.#spec.deadline - monotonicNow()))
-    const service = this.#services(order.address)
-    return new ServiceAttempt(service, order, this.#body, listener, timeout, this.#bodyLimit, (answer) => this.#reply.whole(answer))
-  }
-
-  // A plain service has no call to cancel; its connection was dropped already.
-  async cancel (_address: string, _attempt: AttemptId): Promise<void> {}
-}
+/** What makes two service calls the same: method, path with query, and body. */
+const identityOf = ({ method, path, body }: ServiceCallBody): Buffer => Buffer.concat([Buffer.from(`${method} ${path}\n`), body])
 
 const forwardedHeaders = (headers: IncomingHttpHeaders, spec: RequestSpec): Record<string, string | string[]> => {
   const kept = Object.entries(headers).filter((entry): entry is [string, string | string[]] => entry[1] !== undefined && !NOT_FORWARDED.has(entry[0]))
--- a/packages/node/src/requests/Answer.ts
+++ b/packages/node/src/requests/Answer.ts
@@ -27,3 +27,12 @@
   /** Ends with a refusal or a failure. */
   abstract fail (outcome: Outcome): void
 }
+
+/** An answer that can be kept and given again to a caller who repeats the request. */
+export abstract class ReplayableAnswer extends Answer {
+  /** The whole answer as a text, after `end`; null before. */
+  abstract recorded (): string | null
+
+  /** Answers with what an earlier request recorded. */
+  abstract replay (recorded: string): void
+}
--- /dev/null
+++ b/packages/node/src/requests/KeyedRuns.ts
@@ -0,0 +1,81 @@
+/** Runs non-idempotent requests under their idempotency keys: claim, run once, conclude; or replay. */
+import { assertNever, OutcomeKind, Ran } from '@bluebellhill/domain'
+import type { Outcome, RecordedOutcome, RequestSpec } from '@bluebellhill/domain'
+import { EventKind } from '@bluebellhill/protocol'
+
+import { monotonicNow } from '../clock/monotonic.js'
+import type { Claim, IdempotencyService, KeyedResult } from '../idempotency/index.js'
+import type { TimeLine } from '../timeline/index.js'
+import type { ReplayableAnswer } from './Answer.js'
+
+const NO_STORE_RETRY_AFTER_MS = 5_000
+
+/** A request with its key. */
+export interface KeyedRun {
+  readonly spec: RequestSpec
+  /** The caller's `Idempotency-Key`. */
+  readonly key: string
+  /** Everything that makes the request the same. */
+  readonly identity: Buffer
+  readonly answer: ReplayableAnswer
+  /** Runs the request to its final result; called once at the most. */
+  readonly run: () => Promise<Outcome>
+}
+
+/** Lets each key run at most once in the fleet. */
+export class KeyedRuns {
+  readonly #service: IdempotencyService | null
+  readonly #timeLine: TimeLine
+
+  /**
+   * @param service - claims keys; null in a setup without a key-value service, where no keyed request can run
+   * @param timeLine - the node's time line
+   */
+  constructor (service: IdempotencyService | null, timeLine: TimeLine) {
+    this.#service = service
+    this.#timeLine = timeLine
+  }
+
+  /**
+   * Runs a request, replays the outcome of an earlier one with the same key, or refuses.
+   *
+   * @param keyed - the request
+   */
+  async run (keyed: KeyedRun): Promise<void> {
+    if (this.#service === null) return keyed.answer.fail(refusal(OutcomeKind.StoreUnavailable, 'this fleet has no key-value service', NO_STORE_RETRY_AFTER_MS))
+    const started = monotonicNow()
+    const { spec, key, identity } = keyed
+    const result = await this.#service.claim({ organisation: spec.organisation, key, body: identity, timeLimit: spec.deadline - started })
+    this.#timeLine.record(EventKind.KeyClaimed, { request: spec.id, organisation: spec.organisation }, result.type, { state: result.type, duration: monotonicNow() - started })
+    await this.#follow(this.#service, keyed, result)
+  }
+
+  async #follow (service: IdempotencyService, keyed: KeyedRun, result: KeyedResult): Promise<void> {
+    const { answer } = keyed
+    switch (result.type) {
+      case 'claimed': return await this.#runClaimed(service, keyed, result.claim)
+      case 'replay': return replay(answer, result.outcome)
+      case 'in_progress': return answer.fail({ kind: OutcomeKind.KeyInProgress, ran: Ran.Unknown, detail: 'a request with this key is in progress', retryAfter: result.retryAfter })
+      case 'unknown': return answer.fail({ kind: OutcomeKind.KeyOutcomeUnknown, ran: Ran.Unknown, detail: 'an earlier request with this key was sent and its outcome was lost' })
+      case 'conflict': return answer.fail({ kind: OutcomeKind.KeyConflict, ran: Ran.No, detail: 'the key was used for another request' })
+      case 'unavailable': return answer.fail(refusal(OutcomeKind.StoreUnavailable, result.reason, result.retryAfter))
+      default: return assertNever(result)
+    }
+  }
+
+  async #runClaimed (service: IdempotencyService, { run, answer }: KeyedRun, claim: Claim): Promise<void> {
+    const outcome = await run()
+    if (outcome.ran === Ran.No) return service.conclude(claim, { type: 'not_run' })
+    if (outcome.ran === Ran.Unknown) return service.conclude(claim, { type: 'unknown' })
+    const text = outcome.kind === OutcomeKind.Answered ? answer.recorded() : null
+    service.conclude(claim, { type: 'done', outcome: { kind: outcome.kind, ran: outcome.ran, answer: text } })
+  }
+}
+
+const refusal = (kind: OutcomeKind, detail: string, retryAfter: number): Outcome => ({ kind, ran: Ran.No, detail, retryAfter })
+
+const replay = (answer: ReplayableAnswer, { kind, ran, answer: recorded }: RecordedOutcome): void => {
+  if (kind !== OutcomeKind.Answered) return answer.fail({ kind, ran, detail: 'outcome of an earlier request with this key' })
+  if (recorded !== null) return answer.replay(recorded)
+  answer.fail({ kind: OutcomeKind.KeyOutcomeUnknown, ran, detail: 'the earlier request with this key was answered; its answer was too large to keep' })
+}
--- a/packages/protocol/src/codes/resultCodes.ts
+++ b/packages/protocol/src/codes/resultCodes.ts
@@ -140,7 +140,7 @@
     number: 1303,
     status: 409,
     type: ErrorType.Conflict,
-    ran: [Ran.Unknown],
+    ran: [Ran.Unknown, Ran.Yes],
     retry: false,
     sentence: 'A call with the same Idempotency-Key was sent and its result is not known; look in the service itself before using a new key.',
     operator: 'Ask the plain service whether it executed the key.'
