--- a/packages/standin/src/fleet/Fleet.ts
+++ b/packages/standin/src/fleet/Fleet.ts
@@ -8,7 +8,7 @@
 import { MODEL, MODEL_VERSION, SERVICE } from './constants.js'
 import { fleetDocument, nodeSettings, organisationDocument } from './documents.js'
 import type { PlatformAddresses } from './documents.js'
-import type { FleetPlan, Placed } from './types.js'
+import type { FleetPlan, Placed, PlannedOrganisation } from './types.js'
 
 const SERVING_TIMEOUT_MS = 30_000
 const CHECK_MS = 50
@@ -61,7 +61,7 @@
     await this.startPlatform()
     await Promise.all([this.startEngines(), this.startPlains()])
     await this.publishVms()
-    this.writeConfiguration()
+    await this.writeConfiguration()
     for (const name of countedNames('node-', this.plan.nodes)) await this.startNode(name)
     await this.publishVms()
     await Promise.all(this.nodes.map(async ({ process }) => await this.untilServing(process)))
@@ -103,6 +103,18 @@
     await postJson(process.address('control'), '/faults', faults)
   }
 
+  /**
+   * Edits an organisation's configuration by the operators' command line and waits until it is in force on every node.
+   *
+   * @param organisation - whose configuration
+   * @param urgency - new urgency of its completions
+   * @returns what the command line said last
+   * @throws with its words when it fails
+   */
+  async applyOrganisation (organisation: PlannedOrganisation, urgency?: number): Promise<string> {
+    return await this.apply(organisation.name, organisationDocument(this.plan, organisation, urgency), true)
+  }
+
   /** Puts the running processes into the VM list. */
   async publishVms (): Promise<void> {
     const running = (placed: readonly Placed[]): Placed[] => placed.filter(({ process }) => process.isRunning)
@@ -118,6 +130,14 @@
     await this.processes.dispose()
   }
 
+  private async apply (name: string, document: unknown, wait: boolean): Promise<string> {
+    const args = ['apply', this.processes.writeYaml(name, document), '--platform', this.platformAddresses().keyValue]
+    const admins = this.nodes.filter(({ process }) => process.isRunning).map(({ process }) => process.address('admin'))
+    if (wait) args.push('--wait', '--nodes', admins.join(','))
+    const lines = await this.processes.commandLine(args)
+    return lines.at(-1) ?? ''
+  }
+
   private vmOf ({ name, failureDomain, process }: Placed, role: VmEntry['role'], field: string, kind: VmEntry['kind'], service: string | null): VmEntry {
     return { name, address: '127.0.0.1', failureDomain, role, state: 'live', kind, service, port: portOf(process.address(field)) }
   }
@@ -153,8 +173,12 @@
     }))))
   }
 
-  private writeConfiguration (): void {
-    if (!this.plan.configurationFromFiles) return
+  private async writeConfiguration (): Promise<void> {
+    if (!this.plan.configurationFromFiles) {
+      await this.apply('fleet', fleetDocument(this.plan), false)
+      for (const organisation of this.plan.organisations) await this.apply(organisation.name, organisationDocument(this.plan, organisation), false)
+      return
+    }
     this.configurationFiles = [
       this.processes.writeYaml('fleet', fleetDocument(this.plan)),
       ...this.plan.organisations.map((organisation) => this.processes.writeYaml(organisation.name, organisationDocument(this.plan, organisation)))
--- a/packages/standin/src/processes/ProcessSet.ts
+++ b/packages/standin/src/processes/ProcessSet.ts
@@ -11,6 +11,7 @@
 
 const STANDIN = fileURLToPath(new URL('../main.js', import.meta.url))
 const DAEMON = fileURLToPath(new URL('../../../../node/bin/bluebellhilld.js', import.meta.url))
+const COMMAND_LINE = fileURLToPath(new URL('../../../../cli/bin/bluebellhill.js', import.meta.url))
 
 /** Kinds of stand-in, as the command line names them. */
 export type StandinKind = 'engine' | 'key-value' | 'vm-list' | 'weight-store' | 'plain'
@@ -87,6 +88,21 @@
     return await child.whenReady()
   }
 
+  /**
+   * Runs the operators' command line to its end.
+   *
+   * @param args - its words
+   * @returns what it printed
+   * @throws with what it printed when it fails
+   */
+  async commandLine (args: readonly string[]): Promise<readonly string[]> {
+    const child = new ChildProcess('bluebellhill', COMMAND_LINE, args)
+    this.children.push(child)
+    const code = await child.exited
+    if (code !== 0) throw new Error(`bluebellhill ${args[0]} ended with ${code}:\n${child.log.join('\n')}`)
+    return child.log
+  }
+
   async dispose (): Promise<void> {
     await Promise.all(this.children.map(async (child) => await child.dispose()))
     process.off('exit', this.killAll)
