Weigh what each prefill costs the others on a runner, and send waiting long prompts on to idle peers

The shortest prompts keep runners planned by their own demand; middle ones go where they cost least. A long order that waits is sent to another dispatcher (recall of a waiting attempt) when the gossip says that it starts earlier there. The entry node compares three dispatchers, and counts its own orders as they are worked off.

--- a/packages/domain/src/dispatch/DispatchQueue.ts
+++ b/packages/domain/src/dispatch/DispatchQueue.ts
@@ -8,6 +8,8 @@
   readonly queuedAt: Millis
   /** Deadline on this node's clock. */
   readonly deadline: Millis
+  /** Whether its entry node was told to ask another dispatcher. */
+  redirected: boolean
 }
 
 /** Weights of the order in which waiting work is taken up. */
@@ -51,7 +53,7 @@
 
   /** Puts an order into the queue. */
   add (order: DispatchOrder, now: Millis): QueuedOrder {
-    const queued = { order, queuedAt: now, deadline: now + order.remaining }
+    const queued = { order, queuedAt: now, deadline: now + order.remaining, redirected: false }
     this.#liftIdle(order.organisation)
     this.#orders.set(order.attempt, queued)
     this.#waiting.set(order.organisation, (this.#waiting.get(order.organisation) ?? 0) + 1)
--- a/packages/domain/src/dispatch/Dispatcher.ts
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -9,6 +9,7 @@
 import { DomainView } from './DomainView.js'
 import { EndedAttempts } from './EndedAttempts.js'
 import { LengthAware } from './LengthAware.js'
+import { isLongPrompt, lengthClassOf } from './lengths.js'
 import { LiveAttempt } from './LiveAttempt.js'
 import { orphanedAt } from './orphans.js'
 import type { OrphanGraces } from './orphans.js'
@@ -118,7 +119,7 @@
       case 'runner_unreachable': return this.#change(event.runner, (runner) => { runner.unreachable = true })
       case 'runner_reported': return this.#reported(event.runner, event.report, now)
       case 'cache_changed': return this.#change(event.runner, (runner) => runner.prefixes.apply(event.events, event.gap))
-      case 'peers_summarised': return this.#domain.update(event.summaries)
+      case 'peers_summarised': return this.#peersSummarised(event.summaries, now)
       case 'ordered': return this.#ordered(event.order, now)
       case 'withdrawn': return this.#withdrawn(event.attempt, now)
       case 'progressed': return this.#progressed(event, now)
@@ -142,6 +143,24 @@
     }
   }
 
+  #peersSummarised (summaries: readonly DispatchSummary[], now: Millis): void {
+    this.#domain.update(summaries)
+    this.#redirect(now)
+  }
+
+  /** Sends one waiting long order on to a peer that would start it earlier. */
+  #redirect (now: Millis): void {
+    for (const queued of this.#queue.ranked(now)) {
+      const { order, redirected } = queued
+      if (redirected || !isLongPrompt(order.promptTokens)) continue
+      const own = expectedWait(order, { policy: this.#policy, context: this.#context(order.model, now), serving: this.#pool.serving(order), ahead: this.#queue.before(queued, now) })
+      if (this.#domain.leastDelay(order.model, lengthClassOf(order.promptTokens)) + defaults.REDIRECT_GAIN >= own) continue
+      queued.redirected = true
+      this.#effects.push({ type: 'recall', attempt: order.attempt, entry: order.entry, reason: 'another dispatcher would start it earlier' })
+      return
+    }
+  }
+
   #ordered (order: DispatchOrder, now: Millis): void {
     if (this.#queue.has(order.attempt) || this.#pool.attempt(order.attempt) !== undefined) return
     if (this.#ended.has(order.attempt)) return this.#refuse(order, { kind: OutcomeKind.NoRunner, retryAfter: 0, reason: 'the attempt has ended' })
@@ -194,7 +213,7 @@
     const over = event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed
     if (over) this.#ended.add(event.attempt, now)
     if (event.order === null || runner === undefined || this.#ended.has(event.attempt)) return undefined
-    const load = { cachedTokens: 0, shortAhead: 0, longBeside: 0 }
+    const load = { cachedTokens: 0, ahead: 0, behind: 0 }
     const attempt = new LiveAttempt(event.order, event.runner, now, now + this.#settings.silenceLimit, load)
     this.#queue.remove(event.attempt)
     this.#pool.enter(attempt)
@@ -293,7 +312,7 @@
   #grant (queued: QueuedOrder, { runner, reason }: RunnerChoice, now: Millis): void {
     const { order } = queued
     const validFor = this.#settings.grantValidity
-    const load = { cachedTokens: runner.cachedTokens(order), shortAhead: runner.pendingShort(now), longBeside: runner.pendingLong(now) }
+    const load = { cachedTokens: runner.cachedTokens(order), ...runner.pendingAround(lengthClassOf(order.promptTokens), now) }
     this.#queue.remove(order.attempt)
     this.#queue.charge(order.organisation, order.promptTokens, 0)
     this.#pool.enter(new LiveAttempt(order, runner.id, now, now + validFor + defaults.GRANT_MARGIN, load))
--- a/packages/domain/src/dispatch/DomainView.ts
+++ b/packages/domain/src/dispatch/DomainView.ts
@@ -1,18 +1,18 @@
 /** What a dispatcher knows of its whole failure domain, from gossiped summaries alone. */
 import { rendezvousOrder } from '../routing/rendezvous.js'
 import type { Millis, NodeId, RunnerId } from '../types.js'
-import { LONG_CLASS } from './constants.js'
+import { LONG_CLASS, MIDDLE_CLASS } from './constants.js'
 import { DemandMeter } from './DemandMeter.js'
 import { spreadOrder } from './spreadOrder.js'
 import type { DispatchSummary } from './types.js'
 
 /** Which work a runner takes first. */
 export const RunnerZone = {
-  /** Long prompts first. */
+  /** Long prompts, and middle ones beside them. */
   Long: 'long',
-  /** Short prompts first; lent to long ones when idle. */
+  /** Middle prompts first; lent to a long one when idle. */
   Flexible: 'flexible',
-  /** Short prompts only, unless a long one would miss its deadline. */
+  /** The shortest prompts first; lent to a middle one when that costs least. */
   Short: 'short'
 } as const
 export type RunnerZone = typeof RunnerZone[keyof typeof RunnerZone]
@@ -55,6 +55,12 @@
     return this.#meter(model).rates(now)
   }
 
+  /** @returns the least wait that a peer states for a length class; infinite where there is none */
+  leastDelay (model: string, lengthClass: number): Millis {
+    const delays = this.#peers.filter((peer) => peer.model === model && peer.runners > 0).map((peer) => peer.queueDelay[lengthClass] ?? Infinity)
+    return Math.min(Infinity, ...delays)
+  }
+
   /**
    * Divides a model's runners.
    *
@@ -72,7 +78,7 @@
     const total = own.runnerIds.length + sum(peers.map((peer) => peer.runners))
     const demand = addUp([this.ownDemand(model, now), ...peers.map((peer) => peer.demand ?? [])])
     const capacity = own.prefillRate + sum(peers.map((peer) => peer.prefillRate))
-    const bounds = zoneBounds({ total, capacity, short: sum(demand.slice(0, LONG_CLASS)), long: sum(demand.slice(LONG_CLASS)) }, weights)
+    const bounds = zoneBounds({ total, capacity, demand }, weights)
     if (bounds === null) return new Map()
     const first = this.#firstNumber(model, own.node, peers)
     const places = spreadOrder(total)
@@ -101,39 +107,37 @@
 
 interface Balance {
   readonly total: number
+  /** Tokens a second of all runners. */
   readonly capacity: number
-  /** Tokens a second. */
-  readonly short: number
-  readonly long: number
+  /** Tokens a second by length class. */
+  readonly demand: readonly number[]
 }
 
-/** Places below `long` belong to long prompts, those up to `flexible` are lent to them. */
+/** Places below `long` are of the long zone, those from `short` on of the short zone. */
 interface ZoneBounds {
   readonly long: number
-  readonly flexible: number
+  readonly short: number
 }
 
-/** Utilisation by short prompts that their runners are planned for, by the deployment's weight. */
-const SHORT_UTILISATION = { least: 0.3, most: 0.7 }
-
-/** Factor by which the weight may move the odds between long and short work. */
-const ODDS_RANGE = 2
+/** Utilisation that a zone is planned for, at the weights 0 and 1 of long prompts. */
+const SHORT_UTILISATION = { least: 0.15, most: 0.6 }
+const MIDDLE_UTILISATION = { least: 0.6, most: 1 }
 
 /** @returns null where there is no long work or nothing to divide */
-const zoneBounds = ({ total, capacity, short, long }: Balance, { longWeight }: ZoneWeights): ZoneBounds | null => {
+const zoneBounds = ({ total, capacity, demand }: Balance, { longWeight }: ZoneWeights): ZoneBounds | null => {
+  const long = sum(demand.slice(LONG_CLASS))
   if (total < 2 || long <= 0) return null
-  const odds = long / Math.max(short, Number.EPSILON) * ODDS_RANGE ** (2 * longWeight - 1)
-  const wanted = Math.round(total * odds / (1 + odds))
-  const planned = SHORT_UTILISATION.least + longWeight * (SHORT_UTILISATION.most - SHORT_UTILISATION.least)
-  const busyWithShort = capacity > 0 ? short * total / capacity : 0
-  const kept = Math.min(total - 1, Math.max(1, Math.ceil(busyWithShort / planned)))
-  const longCount = Math.max(1, Math.min(total - kept, wanted))
-  return { long: longCount, flexible: Math.max(longCount, total - kept) }
+  const busyWith = (tokens: number): number => capacity > 0 ? tokens * total / capacity : 0
+  const planned = ({ least, most }: { readonly least: number, readonly most: number }): number => least + longWeight * (most - least)
+  const short = Math.ceil(busyWith(sum(demand.slice(0, MIDDLE_CLASS))) / planned(SHORT_UTILISATION))
+  const middle = Math.round(busyWith(sum(demand.slice(MIDDLE_CLASS, LONG_CLASS))) / planned(MIDDLE_UTILISATION))
+  const kept = Math.max(1, Math.min(total - 1, short))
+  return { long: Math.max(1, total - kept - middle), short: total - kept }
 }
 
 const zoneOf = (place: number, bounds: ZoneBounds): RunnerZone => {
   if (place < bounds.long) return RunnerZone.Long
-  return place < bounds.flexible ? RunnerZone.Flexible : RunnerZone.Short
+  return place < bounds.short ? RunnerZone.Flexible : RunnerZone.Short
 }
 
 const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0)
--- a/packages/domain/src/dispatch/LengthAware.ts
+++ b/packages/domain/src/dispatch/LengthAware.ts
@@ -23,9 +23,9 @@
 const NO_RECALL_WEIGHT = 0.9
 
 /**
- * Long prompts run one at a time on the runners of the long zone, and on idle ones of the flexible zone.
- * Short prompts take the runner with the earliest first token, where a long prefill beside them counts with what it
- * was seen to cost: one step of the engine, or all of it where the engine answers in the order of arrival.
+ * Long prompts run one at a time, on the runners of the long zone and on idle ones of the flexible zone.
+ * Others take the runner where they cost least: their own wait, what their answer loses beside a longer prefill, and
+ * what their prefill takes from the answers being generated there.
  */
 export class LengthAware extends RoutingPolicy {
   override readonly name = 'length_aware'
@@ -58,44 +58,45 @@
 
   override startDelay (order: OrderSize, runner: Runner, context: RoutingContext): Millis {
     const zone = context.zones.get(runner.id)
-    if (!isLongPrompt(order.promptTokens)) return shortDelay(order, runner, context.now)
+    if (!isLongPrompt(order.promptTokens)) return shortDelay(order, runner, context.now) + outsideDelay(order, zone)
     const misplaced = zone === RunnerZone.Short ? defaults.MISPLACED_DELAY : 0
     return misplaced + prefillTime(runner, runner.pendingPrefill(context.now))
   }
 
   override recalls (order: DispatchOrder, serving: readonly Runner[], context: RoutingContext): readonly AttemptId[] {
-    if (isLongPrompt(order.promptTokens) || this.#longWeight >= NO_RECALL_WEIGHT) return []
+    if (lengthClassOf(order.promptTokens) >= defaults.MIDDLE_CLASS || this.#longWeight >= NO_RECALL_WEIGHT) return []
     const delays = serving.filter((runner) => runner.hasRoom(order)).map((runner) => shortDelay(order, runner, context.now))
     if (Math.min(...delays) <= defaults.RECALL_DELAY) return []
-    const lent = serving.filter((runner) => context.zones.get(runner.id) !== RunnerZone.Long)
+    const lent = serving.filter((runner) => context.zones.get(runner.id) === RunnerZone.Short)
     const least = leastBy(lent.flatMap((runner) => recallable(runner, context.now)), ({ done }) => done)
     return least === null ? [] : [least.attempt]
   }
 }
 
-const chooseForShort = (order: DispatchOrder, serving: readonly Runner[], { now }: RoutingContext): RunnerChoice | null => {
-  const open = serving.filter((runner) => runner.hasRoom(order) && hasShortBudget(runner, now))
-  const best = leastBy(open, (runner) => shortDelay(order, runner, now) + ownPrefill(order, runner))
+const chooseForShort = (order: DispatchOrder, serving: readonly Runner[], { now, zones }: RoutingContext): RunnerChoice | null => {
+  const lengthClass = lengthClassOf(order.promptTokens)
+  const open = serving.filter((runner) => runner.hasRoom(order) && hasBudget(runner, lengthClass, now))
+  const best = leastBy(open, (runner) => shortDelay(order, runner, now) + ownPrefill(order, runner) + outsideDelay(order, zones.get(runner.id)) + harm(order, runner, zones.get(runner.id)))
   if (best === null) return null
-  return { runner: best, reason: `earliest first token, ${Math.round(shortDelay(order, best, now))} ms before its own prefill` }
+  return { runner: best, reason: `least cost, ${Math.round(shortDelay(order, best, now))} ms lost to others' prefill` }
 }
 
-/** Whether the runner's short prompts still fit into a few steps; what does not is better ranked here. */
-const hasShortBudget = (runner: Runner, now: Millis): boolean => {
-  const chunks = runner.interference > defaults.UNRANKED_INTERFERENCE ? defaults.SHORT_CHUNKS_AHEAD_UNRANKED : defaults.SHORT_CHUNKS_AHEAD
-  const pending = runner.pendingShort(now)
-  return pending === 0 || pending < chunks * runner.chunkTokens
+/** Whether the prefill before a new prompt still fits into a few steps; what does not is better ranked here. */
+const hasBudget = (runner: Runner, lengthClass: number, now: Millis): boolean => {
+  const chunks = runner.interference > defaults.UNRANKED_INTERFERENCE ? defaults.CHUNKS_AHEAD_UNRANKED : defaults.CHUNKS_AHEAD
+  const { ahead } = runner.pendingAround(lengthClass, now)
+  return ahead === 0 || ahead < chunks * runner.chunkTokens
 }
 
 const chooseForLong = (queued: QueuedOrder, serving: readonly Runner[], context: RoutingContext): RunnerChoice | null => {
   const { order } = queued
-  const open = serving.filter((runner) => runner.hasRoom(order) && runner.pendingLong(context.now) === 0)
+  const open = serving.filter((runner) => runner.hasRoom(order) && !runner.hasLongPrefill)
   const inZone = (zone: RunnerZone | undefined) => open.filter((runner) => context.zones.get(runner.id) === zone)
   const cost = (runner: Runner): number => runner.pendingPrefill(context.now) - runner.cachedTokens(order)
   const own = leastBy([...inZone(RunnerZone.Long), ...inZone(undefined)], cost)
   if (own !== null) return { runner: own, reason: 'runner for long prompts' }
   const lent = leastBy(inZone(RunnerZone.Flexible).filter((runner) => runner.pendingPrefill(context.now) === 0), cost)
-  if (lent !== null) return { runner: lent, reason: 'idle runner, lent by short prompts' }
+  if (lent !== null) return { runner: lent, reason: 'idle runner, lent to a long prompt' }
   if (!isLate(queued, serving, context)) return null
   const any = leastBy(open, cost)
   return any === null ? null : { runner: any, reason: 'no runner for long prompts in time' }
@@ -108,15 +109,25 @@
   return misplaced || waited >= (queued.deadline - queued.queuedAt) * defaults.LATE_SHARE
 }
 
-/** Time on a runner before a short prompt's own prefill, with what its answer loses beside a long one. */
+/** Time on a runner before a prompt's own prefill, with what its answer loses beside a longer one. */
 const shortDelay = (order: OrderSize, runner: Runner, now: Millis): Millis => {
-  const short = prefillTime(runner, runner.pendingShort(now))
-  const long = prefillTime(runner, runner.pendingLong(now))
-  if (long === 0) return short
+  const { ahead, behind } = runner.pendingAround(lengthClassOf(order.promptTokens), now)
+  const longer = prefillTime(runner, behind)
   const step = prefillTime(runner, runner.chunkTokens)
-  const before = Math.min(long, step + runner.interference * long)
-  const during = Math.min(long, order.maxTokens * step)
-  return short + before + during
+  const before = Math.min(longer, step + runner.interference * longer)
+  const during = Math.min(longer, order.maxTokens * step)
+  return prefillTime(runner, ahead) + before + during
+}
+
+/** Time that one of the shortest prompts is to lose where longer ones come in beside it. */
+const outsideDelay = (order: OrderSize, zone: RunnerZone | undefined): Millis =>
+  zone !== undefined && zone !== RunnerZone.Short && lengthClassOf(order.promptTokens) < defaults.MIDDLE_CLASS ? defaults.OUTSIDE_DELAY : 0
+
+/** Time that a prompt's prefill takes from others on a runner: answers under way, and short prompts still to come. */
+const harm = (order: DispatchOrder, runner: Runner, zone: RunnerZone | undefined): Millis => {
+  const guest = zone === RunnerZone.Short && lengthClassOf(order.promptTokens) >= defaults.MIDDLE_CLASS
+  const weight = defaults.HARM_WEIGHT * runner.decoding + (guest ? defaults.GUEST_HARM : 0)
+  return weight * ownPrefill(order, runner)
 }
 
 const ownPrefill = (order: DispatchOrder, runner: Runner): Millis =>
--- a/packages/domain/src/dispatch/LiveAttempt.ts
+++ b/packages/domain/src/dispatch/LiveAttempt.ts
@@ -1,5 +1,6 @@
 /** An attempt that was granted a runner, as its dispatcher accounts for it. */
 import type { AttemptId, Millis, NodeId, RunnerId, Tokens } from '../types.js'
+import { lengthClassOf } from './lengths.js'
 import type { DispatchOrder } from './types.js'
 import { ProgressKind } from './types.js'
 
@@ -7,10 +8,10 @@
 export interface GrantLoad {
   /** Prompt tokens that were expected in the runner's cache. */
   readonly cachedTokens: Tokens
-  /** Short prompts' tokens still to be computed before it. */
-  readonly shortAhead: Tokens
-  /** Long prompts' tokens still to be computed beside it. */
-  readonly longBeside: Tokens
+  /** Tokens still to be computed of prompts that go first. */
+  readonly ahead: Tokens
+  /** Tokens still to be computed of longer prompts. */
+  readonly behind: Tokens
 }
 
 /** Phase, memory and expiry of one granted attempt. */
@@ -21,6 +22,7 @@
   readonly grantedAt: Millis
   lapsesAt: Millis
   recalled = false
+  readonly #lengthClass: number
   #sentAt: Millis | null = null
   #firstTokenAt: Millis | null = null
   /** Tokens that the caller had before this attempt; reports count from the request's first token. */
@@ -40,6 +42,7 @@
     this.grantedAt = now
     this.lapsesAt = lapsesAt
     this.load = load
+    this.#lengthClass = lengthClassOf(order.promptTokens)
   }
 
   get id (): AttemptId {
@@ -50,6 +53,10 @@
     return this.order.entry
   }
 
+  get lengthClass (): number {
+    return this.#lengthClass
+  }
+
   /** Memory that the attempt may come to hold. */
   get reservedTokens (): Tokens {
     return this.order.promptTokens + this.order.maxTokens
@@ -83,7 +90,7 @@
   pendingPrefill (now: Millis, rate: number): Tokens {
     if (!this.isPrefilling) return 0
     const elapsed = this.#sentAt === null ? 0 : now - this.#sentAt
-    const computed = Math.max(0, elapsed * rate / 1_000 - this.load.shortAhead)
+    const computed = Math.max(0, elapsed * rate / 1_000 - this.load.ahead)
     return Math.max(1, this.order.promptTokens - this.load.cachedTokens - computed)
   }
 
--- a/packages/domain/src/dispatch/Runner.ts
+++ b/packages/domain/src/dispatch/Runner.ts
@@ -1,7 +1,7 @@
 /** One runner as its dispatcher accounts for it. */
 import type { AttemptId, FailureDomain, Millis, RunnerId, Tokens } from '../types.js'
+import { LONG_CLASS } from './constants.js'
 import { LearnedRate } from './LearnedRate.js'
-import { isLongPrompt } from './lengths.js'
 import type { LiveAttempt } from './LiveAttempt.js'
 import { PrefixIndex } from './PrefixIndex.js'
 import type { DispatchOrder, HeldAttempt, RunnerReport } from './types.js'
@@ -84,7 +84,7 @@
     return this.#report?.chunkTokens ?? 0
   }
 
-  /** Part of a long prefill that a short prompt beside it waits for; 1 until an engine was seen to rank them. */
+  /** Part of a longer prefill that a shorter prompt beside it waits for; 1 until the engine was seen to rank them. */
   get interference (): number {
     return this.#interference
   }
@@ -95,14 +95,23 @@
     return Math.max(inherited, this.#pending(now, () => true))
   }
 
-  /** @returns prompt tokens of short prompts still to be computed */
-  pendingShort (now: Millis): Tokens {
-    return this.#pending(now, (attempt) => !isLongPrompt(attempt.order.promptTokens))
+  /** @returns prompt tokens still to be computed, of length classes up to and above one */
+  pendingAround (lengthClass: number, now: Millis): { readonly ahead: Tokens, readonly behind: Tokens } {
+    const ahead = this.#pending(now, (attempt) => attempt.lengthClass <= lengthClass)
+    return { ahead, behind: this.#pending(now, (attempt) => attempt.lengthClass > lengthClass) }
   }
 
-  /** @returns prompt tokens of long prompts still to be computed */
-  pendingLong (now: Millis): Tokens {
-    return this.#pending(now, (attempt) => isLongPrompt(attempt.order.promptTokens))
+  /** Attempts that are generating tokens. */
+  get decoding (): number {
+    let count = 0
+    for (const attempt of this.attempts.values()) if (!attempt.isPrefilling) count += 1
+    return count
+  }
+
+  /** Whether a long prompt is being computed. */
+  get hasLongPrefill (): boolean {
+    for (const attempt of this.attempts.values()) if (attempt.isPrefilling && attempt.lengthClass >= LONG_CLASS) return true
+    return false
   }
 
   /** Whether the runner may be given work. */
@@ -146,10 +155,10 @@
 
   /** Learns from an attempt whose first token was just reported. */
   learnFirstToken (attempt: LiveAttempt, now: Millis): void {
-    const { cachedTokens, shortAhead, longBeside } = attempt.load
-    if (attempt.sentAt === null || this.prefillRate <= 0 || longBeside <= 0 || isLongPrompt(attempt.order.promptTokens)) return
-    const alone = (attempt.order.promptTokens - cachedTokens + shortAhead + this.chunkTokens) * 1_000 / this.prefillRate
-    const beside = longBeside * 1_000 / this.prefillRate
+    const { cachedTokens, ahead, behind } = attempt.load
+    if (attempt.sentAt === null || this.prefillRate <= 0 || behind <= this.chunkTokens) return
+    const alone = (attempt.order.promptTokens - cachedTokens + ahead + this.chunkTokens) * 1_000 / this.prefillRate
+    const beside = behind * 1_000 / this.prefillRate
     const sample = Math.min(1, Math.max(0, (now - attempt.sentAt - alone) / beside))
     this.#interference += INTERFERENCE_WEIGHT * (sample - this.#interference)
   }
--- a/packages/domain/src/dispatch/constants.ts
+++ b/packages/domain/src/dispatch/constants.ts
@@ -31,17 +31,32 @@
 /** Weight of the newest sample in a learned rate. */
 export const RATE_WEIGHT = 0.2
 
+/** Length class from which a prompt is no longer among the shortest; an index of `LENGTH_CLASSES`. */
+export const MIDDLE_CLASS = 1
+
 /** Length class from which a prompt counts as long; an index of `LENGTH_CLASSES`. */
 export const LONG_CLASS = 2
 
 /** Wait that a dispatcher without a runner for long work states on top, so that others are preferred. */
 export const MISPLACED_DELAY: Millis = 5_000
 
-/** Chunks of short prompts that a runner is given at once; the others wait where they can still be ranked. */
-export const SHORT_CHUNKS_AHEAD = 8
+/** Chunks of prefill before a prompt that a runner is given at once; the others wait where they can still be ranked. */
+export const CHUNKS_AHEAD = 8
 
 /** The same on a runner that was seen to answer in the order of arrival. */
-export const SHORT_CHUNKS_AHEAD_UNRANKED = 3
+export const CHUNKS_AHEAD_UNRANKED = 3
+
+/** Weight of the time that a new prefill takes from each answer being generated on the same runner. */
+export const HARM_WEIGHT = 2
+
+/** The same for the short prompts that are to be expected on a runner kept for them. */
+export const GUEST_HARM = 4
+
+/** Time that one of the shortest prompts is expected to lose on a runner that is not kept for them. */
+export const OUTSIDE_DELAY: Millis = 30
+
+/** Advantage that another dispatcher must have before a waiting long prompt is sent on. */
+export const REDIRECT_GAIN: Millis = 500
 
 /** Learned interference above which a runner counts as one that ignores priorities. */
 export const UNRANKED_INTERFERENCE = 0.5
--- a/packages/domain/src/request/Request.ts
+++ b/packages/domain/src/request/Request.ts
@@ -227,7 +227,6 @@
     const current = this.#attempt
     if (current === null || current.id !== attempt) return []
     const sent = this.#state === RequestState.Sent
-    if (this.#state !== RequestState.Granted && !sent) return []
     if (sent && (current.answered || !this.spec.idempotent)) return []
     if (this.#recalls >= this.#options.maxRecalls) return []
     this.#recalls += 1
--- a/packages/domain/src/routing/OwnOrders.ts
+++ b/packages/domain/src/routing/OwnOrders.ts
@@ -8,6 +8,14 @@
   readonly at: Millis
 }
 
+/** How fast a dispatcher works off what it is given. */
+export interface DispatcherPace {
+  /** When its summary arrived. */
+  readonly receivedAt: Millis
+  /** Prompt tokens a second of one of its runners; 0 while unknown. */
+  readonly runnerRate: number
+}
+
 /** Sums recent orders by dispatcher and model. */
 export class OwnOrders {
   readonly #placed = new Map<NodeId, PlacedOrder[]>()
@@ -20,20 +28,21 @@
   }
 
   /**
-   * Orders since a summary was made.
+   * Prompt tokens of the orders since a summary was made, less what a runner each has computed meanwhile.
    *
    * @param node - the dispatcher
    * @param model - name of the model
-   * @param receivedAt - when its summary arrived
+   * @param pace - the dispatcher's summary and rate
+   * @param now - time
    */
-  since (node: NodeId, model: string, receivedAt: Millis): { readonly count: number, readonly promptTokens: Tokens } {
-    const placed = this.#placed.get(node)
-    if (placed === undefined) return { count: 0, promptTokens: 0 }
-    const from = receivedAt - GOSSIP_LAG
-    const recent = placed.filter((order) => order.at > from)
+  pending (node: NodeId, model: string, { receivedAt, runnerRate }: DispatcherPace, now: Millis): Tokens {
+    const recent = (this.#placed.get(node) ?? []).filter((order) => order.at > receivedAt - GOSSIP_LAG)
     if (recent.length === 0) this.#placed.delete(node)
     else this.#placed.set(node, recent)
-    const matching = recent.filter((order) => order.model === model)
-    return { count: matching.length, promptTokens: matching.reduce((sum, order) => sum + order.promptTokens, 0) }
+    let pending = 0
+    for (const order of recent) {
+      if (order.model === model) pending += Math.max(0, order.promptTokens - (now - order.at) * runnerRate / 1_000)
+    }
+    return pending
   }
 }
--- a/packages/domain/src/routing/Router.ts
+++ b/packages/domain/src/routing/Router.ts
@@ -1,5 +1,5 @@
 /** Choice of a dispatcher at the entry node, from gossiped summaries. */
-import { lengthClassOf } from '../dispatch/lengths.js'
+import { isLongPrompt, lengthClassOf } from '../dispatch/lengths.js'
 import type { DispatchSummary } from '../dispatch/types.js'
 import type { FailureDomain, Millis, NodeId } from '../types.js'
 import { OutcomeKind } from '../types.js'
@@ -24,7 +24,7 @@
   readonly rate: number
 }
 
-/** Compares two dispatchers picked at random, own failure domain first, and keeps prefixes together while loads allow. */
+/** Compares a few dispatchers picked at random, own failure domain first, and keeps prefixes together while loads allow. */
 export class Router {
   readonly #random: UniformRandom
   readonly #own = new OwnOrders()
@@ -44,7 +44,7 @@
    * @returns the dispatcher's node, or why none was chosen
    */
   choose (facts: OrderFacts, states: readonly DispatcherState[], own: FailureDomain, avoid: readonly NodeId[], now: Millis): NodeId | RoutingRefusal {
-    const serving = this.#candidates(facts, states)
+    const serving = this.#candidates(facts, states, now)
     if (serving.length === 0) return { kind: OutcomeKind.NoRunner, retryAfter: 1_000, reason: `no dispatcher has a runner for ${facts.model}` }
     const open = serving.filter((candidate) => !avoid.includes(candidate.node))
     const candidates = open.length > 0 ? open : serving
@@ -55,21 +55,22 @@
     return chosen.node
   }
 
-  #candidates (facts: OrderFacts, states: readonly DispatcherState[]): readonly Candidate[] {
+  #candidates (facts: OrderFacts, states: readonly DispatcherState[], now: Millis): readonly Candidate[] {
     const candidates: Candidate[] = []
     for (const state of states) {
       const summary = state.summaries.find((entry) => entry.model === facts.model && entry.runners > 0)
-      if (summary !== undefined) candidates.push(this.#candidate(facts, state, summary))
+      if (summary !== undefined) candidates.push(this.#candidate(facts, state, summary, now))
     }
     return candidates
   }
 
-  #candidate (facts: OrderFacts, state: DispatcherState, summary: DispatchSummary): Candidate {
-    const since = this.#own.since(state.node, facts.model, state.receivedAt)
+  #candidate (facts: OrderFacts, state: DispatcherState, summary: DispatchSummary, now: Millis): Candidate {
     const rate = summary.prefillRate
+    const runnerRate = rate / summary.runners
+    const since = this.#own.pending(state.node, facts.model, { receivedAt: state.receivedAt, runnerRate }, now)
     const reported = summary.queueDelay[lengthClassOf(facts.promptTokens)] ?? 0
-    const queue = reported + (rate > 0 ? since.promptTokens * 1_000 / rate : since.count)
-    const prefill = rate > 0 ? facts.promptTokens * 1_000 * summary.runners / rate : 0
+    const queue = reported + (rate > 0 ? since * 1_000 / Math.max(runnerRate, rate * defaults.ZONE_SHARE) : 0)
+    const prefill = rate > 0 ? facts.promptTokens * 1_000 / runnerRate : 0
     return { node: state.node, failureDomain: state.failureDomain, queue, wait: queue + prefill, rate }
   }
 
@@ -86,14 +87,14 @@
     const far = candidates.filter((candidate) => candidate.failureDomain !== own)
     const nearest = this.#among(facts, near)
     if (nearest !== null && nearest.queue <= defaults.SPILL_WAIT) return nearest
-    const farthest = this.#better(far)
+    const farthest = isLongPrompt(facts.promptTokens) ? this.#best(far) : this.#better(far)
     if (nearest === null) return farthest ?? candidates[0]!
     return farthest !== null && farthest.wait + defaults.SPILL_GAIN < nearest.wait ? farthest : nearest
   }
 
-  /** The dispatcher that keeps the prefix, unless it is loaded above the bound; else the better of two. */
+  /** The dispatcher that keeps the prefix, unless it is loaded above the bound; else the best of a few. */
   #among (facts: OrderFacts, candidates: readonly Candidate[]): Candidate | null {
-    const better = this.#better(candidates)
+    const better = isLongPrompt(facts.promptTokens) ? this.#best(candidates) : this.#better(candidates)
     if (better === null || facts.prefix.length === 0) return better
     const key = facts.prefix[Math.min(facts.prefix.length, defaults.AFFINITY_BLOCKS) - 1]!
     const preferred = rendezvousOrder(key, candidates.map((candidate) => candidate.node))[0]
@@ -103,11 +104,22 @@
     return home.queue <= mean * defaults.AFFINITY_BOUND ? home : better
   }
 
+  /** The best of all: a long prompt is rare and dear enough to compare every dispatcher. */
+  #best (candidates: readonly Candidate[]): Candidate | null {
+    const least = Math.min(...candidates.map((candidate) => candidate.wait))
+    return this.#draw(candidates.filter((candidate) => candidate.wait <= least))
+  }
+
+  /** The best of a few drawn at random; those that differ by less than the gossip can tell count as equal. */
   #better (candidates: readonly Candidate[]): Candidate | null {
-    const first = this.#draw(candidates)
-    const second = this.#draw(candidates.filter((candidate) => candidate !== first))
-    if (first === null || second === null) return first
-    return second.wait < first.wait ? second : first
+    let left = candidates
+    let best: Candidate | null = null
+    for (let draw = 0; draw < defaults.CHOICES && left.length > 0; draw++) {
+      const drawn = this.#draw(left)
+      left = left.filter((candidate) => candidate !== drawn)
+      if (drawn !== null && (best === null || drawn.wait + defaults.EQUAL_WAIT < best.wait)) best = drawn
+    }
+    return best
   }
 
   #draw (candidates: readonly Candidate[]): Candidate | null {
--- a/packages/domain/src/routing/constants.ts
+++ b/packages/domain/src/routing/constants.ts
@@ -18,3 +18,12 @@
 
 /** Estimated time, as a multiple of the time left, above which an entry node refuses by itself. */
 export const REFUSAL_MARGIN = 1.5
+
+/** Dispatchers that are drawn at random and compared. */
+export const CHOICES = 3
+
+/** Difference of waits below which two dispatchers count as equal. */
+export const EQUAL_WAIT: Millis = 5
+
+/** Share of a dispatcher's runners that an order of one kind is expected to find open to it. */
+export const ZONE_SHARE = 0.3
--- /dev/null
+++ b/packages/domain/tests/dispatchDrive.ts
@@ -0,0 +1,272 @@
+/** Passes events and effects between dispatchers, a router and small fakes of engines, in order of time. */
+import type { AttemptId, DispatchEffect, Dispatcher, DispatcherState, DispatchOrder, FailureDomain, Grant, Millis, NodeId, Router, RunnerId } from '../src/index.js'
+import { attempt as attemptId, DOMAIN, report, runner as runnerId } from './fixtures.js'
+
+/** Step times and sizes of a fake engine. */
+export interface EngineShape {
+  readonly chunkTokens: number
+  readonly stepMs: number
+  readonly newTokenMs: number
+  readonly slots: number
+  readonly totalTokens: number
+  readonly ranked: boolean
+  readonly loadLag: Millis
+}
+
+export const ENGINE: EngineShape = { chunkTokens: 2_048, stepMs: 5, newTokenMs: 0.01, slots: 64, totalTokens: 400_000, ranked: true, loadLag: 250 }
+
+interface Sequence { readonly id: AttemptId, readonly priority: number, readonly arrival: number, prefill: number, readonly wanted: number, generated: number }
+
+/** What became of one order. */
+export interface Trace {
+  readonly order: DispatchOrder
+  readonly submittedAt: Millis
+  readonly tried: AttemptId[]
+  grantedAt?: Millis
+  firstTokenAt?: Millis
+  endedAt?: Millis
+  refusedAt?: Millis
+  retryAfter?: Millis
+  recalls: number
+  redirects: number
+  grantedFor?: AttemptId
+  runner?: RunnerId
+}
+
+/** Continuous batching with chunked prefill; the shortest form of it. */
+class FakeEngine {
+  readonly sequences: Sequence[] = []
+  readonly shape: EngineShape
+  busy = false
+  #arrivals = 0
+
+  constructor (shape: EngineShape) {
+    this.shape = shape
+  }
+
+  add (grant: Grant, order: DispatchOrder): void {
+    this.sequences.push({ id: grant.attempt, priority: grant.priority, arrival: this.#arrivals++, prefill: order.promptTokens, wanted: order.maxTokens, generated: 0 })
+  }
+
+  remove (id: AttemptId): void {
+    const index = this.sequences.findIndex((sequence) => sequence.id === id)
+    if (index >= 0) this.sequences.splice(index, 1)
+  }
+
+  /** Computes one step and returns its length and the sequences that got a token. */
+  step (): { readonly duration: Millis, readonly advanced: readonly Sequence[] } {
+    const decoding = this.sequences.filter((sequence) => sequence.prefill === 0)
+    const prefilling = this.sequences.filter((sequence) => sequence.prefill > 0)
+      .sort((a, b) => (this.shape.ranked ? a.priority - b.priority : 0) || a.arrival - b.arrival)
+    let budget = this.shape.chunkTokens
+    const advanced = [...decoding]
+    for (const sequence of prefilling) {
+      const part = Math.min(budget, sequence.prefill)
+      sequence.prefill -= part
+      budget -= part
+      if (part > 0 && sequence.prefill === 0) advanced.push(sequence)
+    }
+    for (const sequence of advanced) sequence.generated += 1
+    const newTokens = decoding.length + this.shape.chunkTokens - budget
+    return { duration: this.shape.stepMs + this.shape.newTokenMs * newTokens, advanced }
+  }
+}
+
+/** Runs dispatchers with engines until all is done. */
+export class DispatchDrive {
+  now: Millis = 0
+  readonly traces = new Map<string, Trace>()
+  readonly #agenda: { at: Millis, order: number, run: () => void }[] = []
+  #count = 0
+  readonly #dispatchers = new Map<NodeId, Dispatcher>()
+  readonly #engines = new Map<RunnerId, { readonly engine: FakeEngine, readonly owner: Dispatcher }>()
+  readonly #states = new Map<NodeId, DispatcherState>()
+  readonly #domains = new Map<NodeId, FailureDomain>()
+  readonly #router: Router | null
+  #last: Millis = 0
+
+  constructor (router: Router | null = null) {
+    this.#router = router
+  }
+
+  addDispatcher (dispatcher: Dispatcher, runners: readonly string[], shape: EngineShape = ENGINE, failureDomain = DOMAIN): void {
+    this.#dispatchers.set(dispatcher.node, dispatcher)
+    this.#domains.set(dispatcher.node, failureDomain)
+    for (const name of runners) {
+      const id = runnerId(name)
+      this.#engines.set(id, { engine: new FakeEngine(shape), owner: dispatcher })
+      dispatcher.handle({ type: 'runner_assigned', runner: id, failureDomain }, 0)
+      this.#report(id)
+    }
+    this.#gossip(dispatcher)
+  }
+
+  submit (order: DispatchOrder, at: Millis): void {
+    this.#last = Math.max(this.#last, at + order.remaining)
+    this.traces.set(order.request, { order, submittedAt: at, tried: [], recalls: 0, redirects: 0 })
+    this.at(at, () => this.#place(order.request))
+  }
+
+  at (at: Millis, run: () => void): void {
+    this.#agenda.push({ at, order: this.#count++, run })
+    this.#siftUp()
+  }
+
+  run (): this {
+    while (this.#agenda.length > 0) {
+      const next = this.#pop()
+      this.now = next.at
+      next.run()
+    }
+    return this
+  }
+
+  #place (request: string): void {
+    const trace = this.traces.get(request)!
+    const remaining = trace.submittedAt + trace.order.remaining - this.now
+    const id = attemptId(`${request}.${trace.tried.length + 1}`)
+    trace.tried.push(id)
+    const order = { ...trace.order, attempt: id, remaining }
+    const facts = { model: order.model, promptTokens: order.promptTokens, maxTokens: order.maxTokens, prefix: order.prefix, remaining }
+    const only = this.#dispatchers.keys().next().value as NodeId
+    const chosen = this.#router?.choose(facts, [...this.#states.values()], DOMAIN, [], this.now) ?? only
+    if (typeof chosen !== 'string') return this.#refused(trace, chosen.retryAfter)
+    this.give(this.#dispatchers.get(chosen)!, { type: 'ordered', order })
+  }
+
+  give (dispatcher: Dispatcher, event: Parameters<Dispatcher['handle']>[0]): void {
+    for (const effect of dispatcher.handle(event, this.now)) this.#carryOut(effect)
+    const timer = dispatcher.nextTimer()
+    if (timer !== null && timer <= this.#last) this.at(Math.max(timer, this.now + 1), () => { if (dispatcher.nextTimer() !== null && dispatcher.nextTimer()! <= this.now) this.give(dispatcher, { type: 'ticked' }) })
+  }
+
+  #carryOut (effect: DispatchEffect): void {
+    if (effect.type === 'grant') this.#start(effect.grant)
+    else if (effect.type === 'refuse') this.#refused(this.#traceOf(effect.attempt), effect.retryAfter)
+    else if (effect.type === 'recall') this.#recalled(effect.attempt)
+    else if (effect.type === 'cancel_on_runner') this.#engines.get(effect.runner)?.engine.remove(effect.attempt)
+  }
+
+  #traceOf (id: AttemptId): Trace {
+    return this.traces.get(id.slice(0, id.lastIndexOf('.')))!
+  }
+
+  #refused (trace: Trace, retryAfter: Millis): void {
+    trace.refusedAt = this.now
+    trace.retryAfter = retryAfter
+  }
+
+  #start (grant: Grant): void {
+    const trace = this.#traceOf(grant.attempt)
+    trace.grantedAt = this.now
+    trace.grantedFor = grant.attempt
+    trace.runner = grant.runner
+    const { engine, owner } = this.#engines.get(grant.runner)!
+    engine.add(grant, trace.order)
+    this.#progress(owner, grant, 'sent', 0)
+    if (!engine.busy) this.#step(grant.runner)
+  }
+
+  #progress (owner: Dispatcher, { attempt, runner }: { readonly attempt: AttemptId, readonly runner: RunnerId }, kind: 'sent' | 'first_token' | 'streaming' | 'ended' | 'failed', generated: number): void {
+    this.at(this.now + 1, () => this.give(owner, { type: 'progressed', attempt, runner, kind, generated, order: null }))
+  }
+
+  #recalled (id: AttemptId): void {
+    const trace = this.#traceOf(id)
+    if (trace.firstTokenAt !== undefined) return
+    trace.recalls += 1
+    if (trace.tried.at(-1) !== id || trace.grantedFor !== id) return this.#sendOn(trace, id)
+    const { engine, owner } = this.#engines.get(trace.runner!)!
+    engine.remove(id)
+    this.#progress(owner, { attempt: id, runner: trace.runner! }, 'failed', 0)
+    this.at(this.now + 1, () => this.#place(trace.order.request))
+  }
+
+  /** A waiting order is withdrawn and placed anew. */
+  #sendOn (trace: Trace, id: AttemptId): void {
+    trace.redirects += 1
+    this.at(this.now + 1, () => {
+      for (const dispatcher of this.#dispatchers.values()) this.give(dispatcher, { type: 'withdrawn', attempt: id })
+      if (trace.grantedFor !== id) this.#place(trace.order.request)
+    })
+  }
+
+  #step (id: RunnerId): void {
+    const { engine, owner } = this.#engines.get(id)!
+    engine.busy = engine.sequences.length > 0
+    if (!engine.busy) return
+    const { duration, advanced } = engine.step()
+    this.at(this.now + duration, () => {
+      for (const sequence of advanced) this.#advanced(id, owner, engine, sequence)
+      this.#step(id)
+    })
+  }
+
+  #advanced (id: RunnerId, owner: Dispatcher, engine: FakeEngine, sequence: Sequence): void {
+    const trace = this.#traceOf(sequence.id)
+    const ended = sequence.generated >= sequence.wanted
+    if (sequence.generated === 1) {
+      trace.firstTokenAt = this.now
+      this.#progress(owner, { attempt: sequence.id, runner: id }, 'first_token', 1)
+    }
+    if (!ended) return
+    engine.remove(sequence.id)
+    trace.endedAt = this.now
+    this.#progress(owner, { attempt: sequence.id, runner: id }, 'ended', sequence.generated)
+  }
+
+  #report (id: RunnerId): void {
+    const { engine, owner } = this.#engines.get(id)!
+    const { shape } = engine
+    const held = engine.sequences.map((sequence) => ({ attempt: sequence.id, heldTokens: sequence.prefill + sequence.generated, age: 0 }))
+    const load = { running: engine.sequences.length, pendingPrefillTokens: engine.sequences.reduce((total, sequence) => total + sequence.prefill, 0) }
+    const rate = shape.chunkTokens * 1_000 / (shape.stepMs + shape.newTokenMs * shape.chunkTokens)
+    const figures = { slots: shape.slots, totalTokens: shape.totalTokens, chunkTokens: shape.chunkTokens, prefillRate: rate, decodeRate: 1_000 / (shape.stepMs + shape.newTokenMs), held, loadAge: shape.loadLag }
+    this.at(this.now + shape.loadLag, () => this.give(owner, { type: 'runner_reported', runner: id, report: report({ ...figures, ...load }) }))
+    if (this.now === 0) this.give(owner, { type: 'runner_reported', runner: id, report: report({ ...figures, held: [] }) })
+    if (this.now < this.#last || this.now === 0) this.at(this.now + 200, () => this.#report(id))
+  }
+
+  #gossip (dispatcher: Dispatcher): void {
+    const state = { node: dispatcher.node, failureDomain: this.#domains.get(dispatcher.node)!, receivedAt: this.now, summaries: dispatcher.summaries(this.now) }
+    this.#states.set(dispatcher.node, state)
+    for (const other of this.#dispatchers.values()) {
+      const peers = [...this.#states.values()].filter((entry) => entry.node !== other.node).flatMap((entry) => entry.summaries)
+      this.give(other, { type: 'peers_summarised', summaries: peers })
+    }
+    if (this.now < this.#last || this.now === 0) this.at(this.now + 500, () => this.#gossip(dispatcher))
+  }
+
+  #siftUp (): void {
+    const heap = this.#agenda
+    let index = heap.length - 1
+    while (index > 0) {
+      const parent = (index - 1) >> 1
+      if (!earlier(heap[index]!, heap[parent]!)) return
+      ;[heap[index], heap[parent]] = [heap[parent]!, heap[index]!]
+      index = parent
+    }
+  }
+
+  #pop (): { at: Millis, run: () => void } {
+    const heap = this.#agenda
+    const top = heap[0]!
+    const last = heap.pop()!
+    if (heap.length === 0) return top
+    heap[0] = last
+    let index = 0
+    for (;;) {
+      const left = 2 * index + 1
+      const right = left + 1
+      let least = index
+      if (left < heap.length && earlier(heap[left]!, heap[least]!)) least = left
+      if (right < heap.length && earlier(heap[right]!, heap[least]!)) least = right
+      if (least === index) return top
+      ;[heap[index], heap[least]] = [heap[least]!, heap[index]!]
+      index = least
+    }
+  }
+}
+
+const earlier = (a: { at: Millis, order: number }, b: { at: Millis, order: number }): boolean =>
+  a.at < b.at || (a.at === b.at && a.order < b.order)
