Hold gossip of member changes to a byte budget and mend stale beliefs by acks

Answers to joins and digests are no longer passed on, claims about members that are not alive leave out addresses, and changes have a budget. It now asks its suspects again when it wakes and compares tables at once, and a member that finds a stale claim about itself in a ping answers with its entry.

--- a/packages/domain/src/membership/Dissemination.ts
+++ b/packages/domain/src/membership/Dissemination.ts
@@ -1,9 +1,11 @@
 import type { Millis, NodeId } from '../types.js'
-import { MAX_SYNC_DATAGRAMS, URGENT_DATAGRAMS_PER_SECOND } from './constants.js'
+import { ByteBudget } from './ByteBudget.js'
+import { MAX_DATAGRAM_BYTES, MAX_SYNC_DATAGRAMS, UPDATE_BURST_BYTES } from './constants.js'
 import { isNeighbour, othersOf } from './context.js'
 import type { MembershipContext } from './context.js'
 import { packDatagrams, UPDATE_ROOM } from './datagrams.js'
 import type { GossipBoard, Receiver } from './GossipBoard.js'
+import { updateBytes } from './messageSize.js'
 import { sample } from './ProbeSchedule.js'
 import { Subscriptions } from './Subscriptions.js'
 import type { GossipBody, GossipValue, Member } from './types.js'
@@ -18,9 +20,10 @@
 export class Dissemination {
   private readonly queue = new UpdateQueue()
   private readonly subscriptions: Subscriptions
-  private urgentTokens = URGENT_DATAGRAMS_PER_SECOND
+  private readonly budget: ByteBudget
 
   constructor (private readonly context: MembershipContext, private readonly board: GossipBoard) {
+    this.budget = new ByteBudget(context.timings.updateBudget, UPDATE_BURST_BYTES)
     this.subscriptions = new Subscriptions(context, board)
   }
 
@@ -33,18 +36,19 @@
     this.queue.remove(node)
   }
 
-  /** Allows the next second's urgent datagrams. */
-  refill (): void {
-    this.urgentTokens = URGENT_DATAGRAMS_PER_SECOND
-  }
-
   /**
+   * Takes changed members to send along, within the budget.
+   *
    * @param room - bytes left in the datagram
-   * @returns changed members to send along
+   * @param now - current time
    */
-  takeUpdates (room: number): Member[] {
+  takeUpdates (room: number, now: Millis): Member[] {
+    if (this.queue.size === 0) return []
     const { table } = this.context
-    return this.queue.take(room, table.reachable().length, (node) => table.get(node))
+    const allowed = Math.min(room, this.budget.available(now))
+    const taken = this.queue.take(allowed, table.reachable().length, (node) => table.get(node))
+    this.budget.spend(taken.reduce((sum, member) => sum + updateBytes(member), 0))
+    return taken
   }
 
   /**
@@ -59,13 +63,9 @@
   }
 
   /** Sends changes that no one was told yet. */
-  pushUrgent (): void {
-    while (this.urgentTokens > 0 && (this.queue.hasUnsent() || this.board.hasDurableUnsent())) {
-      const peers = this.urgentPeers()
-      if (peers.length === 0) return
-      this.urgentTokens -= peers.length
-      this.pushTo(peers)
-    }
+  pushUrgent (now: Millis): void {
+    const hasNews = (this.queue.hasUnsent() && this.budget.available(now) >= MAX_DATAGRAM_BYTES / 2) || this.board.hasDurableUnsent()
+    if (hasNews) this.pushTo(this.urgentPeers())
   }
 
   /** Sends pending changes and values to a few members. */
@@ -85,10 +85,11 @@
     this.pushTo(sample(this.context.rng, othersOf(this.context), 2 * this.context.timings.fanout))
   }
 
-  /** Compares tables with one member. */
-  startSync (): void {
-    const [peer] = sample(this.context.rng, othersOf(this.context), 1)
-    if (peer !== undefined) this.context.send(peer.gossipAddress, this.digest(false), peer)
+  /** Compares tables with so many members. */
+  startSync (peers: number): void {
+    for (const peer of sample(this.context.rng, othersOf(this.context), peers)) {
+      this.context.send(peer.gossipAddress, this.digest(false), peer)
+    }
   }
 
   answerDigest (from: string, sender: Member | undefined, digest: Digest): void {
@@ -136,7 +137,7 @@
   private sync (to: string, members: readonly Member[], values: readonly GossipValue[]): void {
     const sender = this.context.me().node
     for (const batch of packDatagrams(members, values).slice(0, MAX_SYNC_DATAGRAMS)) {
-      this.context.emit(to, { sender, body: { type: 'push' }, ...batch })
+      this.context.emit(to, { sender, body: { type: 'sync' }, ...batch })
     }
   }
 }
--- a/packages/domain/src/membership/FailureDetector.ts
+++ b/packages/domain/src/membership/FailureDetector.ts
@@ -33,12 +33,15 @@
     this.health.worsen()
   }
 
-  /** Nothing that was awaited before a pause says anything about the others. */
+  /** Nothing that was awaited before a pause says anything about the others; suspects are asked again. */
   distrustSelf (now: Millis): void {
     this.probes.clear()
     this.extraTargets.length = 0
     this.health.distrust()
-    for (const node of this.suspicions.keys()) this.suspicions.set(node, this.suspicionDeadline(now))
+    for (const node of this.suspicions.keys()) {
+      this.suspicions.set(node, this.suspicionDeadline(now))
+      this.probe(node, now)
+    }
   }
 
   /** Acts on time-outs. */
--- a/packages/domain/src/membership/MemberTable.ts
+++ b/packages/domain/src/membership/MemberTable.ts
@@ -1,7 +1,7 @@
 import type { FailureDomain, Millis, NodeId } from '../types.js'
 import { DIGEST_BUCKETS } from './constants.js'
 import { hashText } from './hash.js'
-import { isReachable, mergeClaims } from './precedence.js'
+import { isCompact, isReachable, mergeClaims } from './precedence.js'
 import { MemberState } from './types.js'
 import type { Member } from './types.js'
 
@@ -59,6 +59,7 @@
   merge (claim: Member, now: Millis): Member | null | undefined {
     const row = this.rows.get(claim.node)
     if (row === undefined) {
+      if (isCompact(claim)) return undefined
       this.put(claim, now)
       return null
     }
--- a/packages/domain/src/membership/Membership.ts
+++ b/packages/domain/src/membership/Membership.ts
@@ -12,9 +12,11 @@
 import type { Spread } from './GossipBoard.js'
 import { MemberTable } from './MemberTable.js'
 import { updateBytes } from './messageSize.js'
+import { compactClaim } from './precedence.js'
 import { sample } from './ProbeSchedule.js'
 import { MemberState } from './types.js'
-import type { GossipBody, GossipMessage, GossipValue, Identity, ListedVm, Member, MembershipEffect, MembershipEvent, MembershipTimings } from './types.js'
+import type { GossipBody, GossipMessage, GossipValue, Identity, Member, MembershipEffect, MembershipEvent, MembershipTimings } from './types.js'
+import { claimsOfVmList } from './vmList.js'
 
 /** Options of a node's membership. */
 export interface MembershipOptions {
@@ -89,7 +91,7 @@
     this.effects = []
     this.noticePause(now)
     this.apply(event, now)
-    this.dissemination.pushUrgent()
+    this.dissemination.pushUrgent(now)
     return this.effects
   }
 
@@ -103,7 +105,7 @@
     this.effects = []
     const value = this.board.publish(topic, bytes, spread, now)
     if (value !== null) this.effects.push({ type: 'value_changed', value })
-    this.dissemination.pushUrgent()
+    this.dissemination.pushUrgent(now)
     return this.effects
   }
 
@@ -123,7 +125,9 @@
     switch (event.type) {
       case 'ticked': return this.tick(now)
       case 'received': return this.receive(event.from, event.message, now)
-      case 'vm_listed': return this.takeVmList(event.asOf, event.vms, now)
+      case 'vm_listed':
+        for (const { member, reason } of claimsOfVmList(this.table.all(), event.asOf, event.vms)) this.take(member, reason, now)
+        return
       case 'seeds_changed':
         this.seeds = event.addresses
         return
@@ -145,6 +149,7 @@
     this.detector.distrustSelf(now)
     this.effects.push({ type: 'self_distrusted', gap })
     this.announce({}, 'rejoined after a pause', now)
+    this.dissemination.startSync(this.timings.fanout)
     this.nextReconnect = now
   }
 
@@ -168,13 +173,12 @@
     }
     if (now >= this.nextSync) {
       this.nextSync = now + this.timings.antiEntropyPeriod
-      this.dissemination.startSync()
+      this.dissemination.startSync(1)
     }
   }
 
   private startPeriod (now: Millis): void {
     this.nextProbe = now + this.timings.probePeriod
-    this.dissemination.refill()
     this.detector.probePeriodically(now)
     for (const node of this.table.forgetLeft(now, this.timings.tombstoneLifetime)) this.dissemination.remove(node)
     if (now < this.nextRenewal) return
@@ -192,16 +196,18 @@
   }
 
   private receive (from: string, message: GossipMessage, now: Millis): void {
-    for (const update of message.updates) this.take(update, `told by ${message.sender}`, now)
+    const isNews = message.body.type !== 'sync'
+    for (const update of message.updates) this.take(update, `told by ${message.sender}`, now, isNews)
     for (const value of message.values) this.takeValue(value, now)
     this.answer(from, message, now)
   }
 
-  private answer (from: string, { sender, body }: GossipMessage, now: Millis): void {
+  private answer (from: string, message: GossipMessage, now: Millis): void {
+    const { sender, body } = message
     const peer = this.table.get(sender)
     switch (body.type) {
       case 'ping':
-        if (body.target === this.self.node) this.send(from, { type: 'ack', sequence: body.sequence }, peer)
+        if (body.target === this.self.node) this.send(from, { type: 'ack', sequence: body.sequence }, peer, this.isMisjudgedIn(message))
         return
       case 'ping_request': return this.detector.relay(from, body.sequence, body.target, now)
       case 'ack': return this.detector.acknowledge(body.sequence)
@@ -209,16 +215,22 @@
       case 'join': return this.dissemination.answerJoin(from, peer)
       case 'digest': return this.dissemination.answerDigest(from, peer, body)
       case 'push': return
+      case 'sync': return
       default: return assertNever(body)
     }
   }
 
-  private take (claim: Member, reason: string, now: Millis): void {
+  // The sender may hold a claim that this node refuted before, and which is news to no one else.
+  private isMisjudgedIn ({ updates }: GossipMessage): boolean {
+    return updates.some((claim) => claim.node === this.self.node && claim.state !== MemberState.Alive)
+  }
+
+  private take (claim: Member, reason: string, now: Millis, isNews = true): void {
     if (claim.node === this.self.node) return this.takeOwn(claim, now)
     const previous = this.table.merge(claim, now)
     if (previous === undefined) return
     const member = this.table.get(claim.node) as Member
-    this.dissemination.add(member.node)
+    if (isNews) this.dissemination.add(member.node)
     this.detector.track(member, now)
     if (member.state === MemberState.Left) this.forgetValues(member.node)
     else if (previous !== null && previous.startedAt !== member.startedAt) this.forgetValues(member.node, member.startedAt)
@@ -254,17 +266,6 @@
     this.effects.push({ type: 'member_changed', member: this.self, previous, reason })
   }
 
-  // The list lags: a member is dropped only where it is unreachable too, and a stop is believed only of the process that ran then.
-  private takeVmList (asOf: number, vms: readonly ListedVm[], now: Millis): void {
-    const listed = new Map(vms.map((vm) => [vm.node, vm]))
-    for (const member of this.table.all()) {
-      if (member.startedAt >= asOf) continue
-      const vm = listed.get(member.node)
-      if (vm === undefined && member.state === MemberState.Unreachable) this.take({ ...member, state: MemberState.Left }, 'no longer in the VM list', now)
-      if (vm?.leaving === true && !member.leaving) this.take({ ...member, leaving: true }, 'leaving by the VM list', now)
-    }
-  }
-
   private takeValue (value: GossipValue, now: Millis): void {
     const publisher = this.table.get(value.node)
     if (publisher !== undefined && (publisher.state === MemberState.Left || value.startedAt < publisher.startedAt)) return
@@ -276,16 +277,17 @@
   }
 
   // A wrong belief about the receiver travels with every message to it, so that it can refute.
-  private send (to: string, body: GossipBody, peer?: Member): void {
+  private send (to: string, body: GossipBody, peer?: Member, introduce = false): void {
     const updates: Member[] = []
-    if (peer === undefined || peer.state !== MemberState.Alive) updates.push(this.self)
-    if (peer !== undefined && peer.state !== MemberState.Alive) updates.push(peer)
+    if (introduce || peer === undefined || peer.state !== MemberState.Alive) updates.push(this.self)
+    if (peer !== undefined && peer.state !== MemberState.Alive) updates.push(compactClaim(peer))
     let room = UPDATE_ROOM - updates.reduce((sum, update) => sum + updateBytes(update), bodyBytes(body))
-    for (const update of this.dissemination.takeUpdates(room)) {
+    for (const update of this.dissemination.takeUpdates(room, this.lastEvent ?? 0)) {
       room -= updateBytes(update)
       if (!updates.some((other) => other.node === update.node)) updates.push(update)
     }
     const values = peer === undefined ? [] : this.dissemination.takeDurable(room, peer)
+    if (body.type === 'push' && updates.length === 0 && values.length === 0) return
     this.emit(to, { sender: this.self.node, body, updates, values })
   }
 
--- a/packages/domain/src/membership/UpdateQueue.ts
+++ b/packages/domain/src/membership/UpdateQueue.ts
@@ -1,6 +1,7 @@
 import type { NodeId } from '../types.js'
 import { UPDATE_RETRANSMIT_FACTOR } from './constants.js'
 import { updateBytes } from './messageSize.js'
+import { compactClaim } from './precedence.js'
 import type { Member } from './types.js'
 
 interface Pending {
@@ -37,7 +38,7 @@
   /**
    * Takes what fits and counts it as sent once.
    *
-   * @param room - bytes left in the datagram
+   * @param room - bytes that may be used
    * @param members - number of reachable members
    * @param lookup - current claim of a member
    * @returns updates to send
@@ -54,10 +55,11 @@
         this.pending.delete(node)
         continue
       }
-      const size = updateBytes(member)
+      const claim = compactClaim(member)
+      const size = updateBytes(claim)
       if (size > left) break
       left -= size
-      taken.push(member)
+      taken.push(claim)
       entry.transmissions += 1
       if (entry.transmissions >= limit) this.pending.delete(node)
     }
--- a/packages/domain/src/membership/constants.ts
+++ b/packages/domain/src/membership/constants.ts
@@ -11,7 +11,7 @@
 export const HEADER_BYTES = 28
 
 /** A member is sent at most this many times log2(members) by one node after each change. */
-export const UPDATE_RETRANSMIT_FACTOR = 2
+export const UPDATE_RETRANSMIT_FACTOR = 1
 
 /** Times that one node sends a version of a relayed value that anti-entropy does not cover. */
 export const VALUE_TRANSMISSIONS = 3
@@ -28,8 +28,8 @@
 /** Datagrams sent in answer to one digest or join at most. */
 export const MAX_SYNC_DATAGRAMS = 40
 
-/** Datagrams a second sent right after a change, besides the periodic ones. */
-export const URGENT_DATAGRAMS_PER_SECOND = 24
+/** Bytes of changed members that may be sent at once after a quiet time. */
+export const UPDATE_BURST_BYTES = 6_000
 
 /** Probes a second of members of a failure domain in which a suspect was found. */
 export const EXTRA_PROBES_PER_SECOND = 4
@@ -57,6 +57,7 @@
   reconnectPeriod: 2_000,
   tombstoneLifetime: 300_000,
   maxLocalHealth: 8,
+  updateBudget: 1_500,
   subscriberBudget: 1_500,
   relayBudget: 600
 }
--- a/packages/domain/src/membership/messageSize.ts
+++ b/packages/domain/src/membership/messageSize.ts
@@ -1,7 +1,7 @@
 /** Upper bounds of encoded sizes, so that a datagram can be filled without encoding it. */
 import type { GossipValue, Member } from './types.js'
 
-const UPDATE_FIXED_BYTES = 32
+const UPDATE_FIXED_BYTES = 28
 const VALUE_FIXED_BYTES = 26
 
 /**
--- a/packages/domain/src/membership/precedence.ts
+++ b/packages/domain/src/membership/precedence.ts
@@ -1,4 +1,5 @@
 /** Which of two claims about one member holds. */
+import type { FailureDomain } from '../types.js'
 import type { Member, MemberState } from './types.js'
 
 const STATE_RANK: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, unreachable: 2, left: 3 }
@@ -16,6 +17,22 @@
   return STATE_RANK[claim.state] > STATE_RANK[known.state]
 }
 
+/**
+ * Leaves out what the receivers know already, unless the member is alive: then it may be new to them.
+ *
+ * @param member - member to tell of
+ * @returns the claim to send
+ */
+export const compactClaim = (member: Member): Member =>
+  member.state === 'alive' ? member : { ...member, failureDomain: '' as FailureDomain, peerAddress: '', gossipAddress: '' }
+
+/** Whether the claim lacks the member's addresses. */
+export const isCompact = (claim: Member): boolean => claim.gossipAddress === ''
+
+const complete = (claim: Member, known: Member): Member => isCompact(claim)
+  ? { ...claim, failureDomain: known.failureDomain, peerAddress: known.peerAddress, gossipAddress: known.gossipAddress }
+  : claim
+
 /**
  * Merges two claims about one member; `leaving` stays set within one process life.
  *
@@ -24,7 +41,7 @@
  * @returns the merged claim, or `known` itself where nothing changes
  */
 export const mergeClaims = (claim: Member, known: Member): Member => {
-  const winner = supersedes(claim, known) ? claim : known
+  const winner = supersedes(claim, known) ? complete(claim, known) : known
   if (claim.startedAt !== known.startedAt) return winner
   const leaving = claim.leaving || known.leaving
   return winner.leaving === leaving ? winner : { ...winner, leaving }
--- a/packages/domain/src/membership/types.ts
+++ b/packages/domain/src/membership/types.ts
@@ -62,6 +62,8 @@
   /** The helper itself is well, but its probe of the target was not answered in time. */
   | { readonly type: 'nack', readonly sequence: number }
   | { readonly type: 'push' }
+  /** Part of the answer to a join or digest; what it tells is not passed on. */
+  | { readonly type: 'sync' }
   /** Asks for the whole table. */
   | { readonly type: 'join' }
   /** Hashes of the sender's table and durable values by bucket; differing buckets are sent back. */
@@ -124,6 +126,8 @@
   readonly reconnectPeriod: Millis
   readonly tombstoneLifetime: Millis
   readonly maxLocalHealth: number
+  /** Bytes a second for changes of members. */
+  readonly updateBudget: number
   /** Bytes a second for values that are sent to subscribers. */
   readonly subscriberBudget: number
   /** Bytes a second for relayed values that anti-entropy does not cover. */
--- a/packages/node/src/membership/codec.ts
+++ b/packages/node/src/membership/codec.ts
@@ -16,6 +16,7 @@
     case 'ack': return { $case: 'ack', value: { sequence: body.sequence } }
     case 'nack': return { $case: 'nack', value: { sequence: body.sequence } }
     case 'push': return { $case: 'push', value: {} }
+    case 'sync': return { $case: 'sync', value: {} }
     case 'join': return { $case: 'join', value: {} }
     case 'digest': return { $case: 'digest', value: { members: [...body.members], values: [...body.values], reply: body.reply } }
     default: return assertNever(body)
@@ -29,6 +30,7 @@
     case 'ack': return { type: 'ack', sequence: body.value.sequence }
     case 'nack': return { type: 'nack', sequence: body.value.sequence }
     case 'push': return { type: 'push' }
+    case 'sync': return { type: 'sync' }
     case 'join': return { type: 'join' }
     case 'digest': return { type: 'digest', members: body.value.members, values: body.value.values, reply: body.value.reply }
     case undefined: throw new RangeError('datagram without a body')
