--- a/packages/node/bench/membership.ts
+++ b/packages/node/bench/membership.ts
@@ -5,7 +5,7 @@
 import { MemberFleet } from './memberFleet.js'
 
 const MODELS = 8
-const WARM_UP = 20_000
+const WARM_UP = 40_000
 const MEASURED = 30_000
 const CONFIGURATION_PERIOD = 15_000
 const BOUNDS = { coreShare: 0.017, memoryBytes: 128 * 1024 * 1024, bytesPerSecond: 7_000 }
--- /dev/null
+++ b/packages/node/tests/memberProcesses.ts
@@ -0,0 +1,88 @@
+import { fork } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { setTimeout as delay } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
+
+import type { DaemonOrder, View } from './memberDaemon.js'
+
+const DAEMON = fileURLToPath(new URL('./memberDaemon.js', import.meta.url))
+
+/** One process of the test, spoken to in turn. */
+export class MemberProcess {
+  address = ''
+  private turn: Promise<unknown> = Promise.resolve()
+
+  constructor (readonly node: string, readonly failureDomain: string, readonly child: ChildProcess) {}
+
+  get port (): number {
+    return Number(this.address.split(':')[1])
+  }
+
+  async ask <Reply>(order: DaemonOrder): Promise<Reply> {
+    const previous = this.turn
+    const answer = previous.then(async () => {
+      this.child.send(order)
+      const [{ reply }] = await once(this.child, 'message') as [{ reply: Reply }]
+      return reply
+    })
+    this.turn = answer
+    return await answer
+  }
+
+  async view (): Promise<View> {
+    return await this.ask<View>({ type: 'view' })
+  }
+
+  signal (signal: NodeJS.Signals): void {
+    this.child.kill(signal)
+  }
+}
+
+/** Starts processes in three failure domains; the first is the seed of the others. */
+export const startProcesses = async (size: number): Promise<MemberProcess[]> => {
+  const processes: MemberProcess[] = []
+  for (let index = 0; index < size; index += 1) {
+    const process = new MemberProcess(`n${index}`, `fd${index % 3}`, fork(DAEMON, { execArgv: [] }))
+    await startOne(process, processes[0]?.address, index)
+    processes.push(process)
+  }
+  return processes
+}
+
+const startOne = async (process: MemberProcess, seed: string | undefined, index: number): Promise<void> => {
+  process.address = await process.ask<string>({
+    type: 'start',
+    options: {
+      node: process.node as never,
+      failureDomain: process.failureDomain as never,
+      peerAddress: `127.0.0.1:${index + 1}`,
+      host: '127.0.0.1',
+      port: 0,
+      seeds: seed === undefined ? [] : [seed],
+      secrets: ['secret'],
+      startedAt: Date.now(),
+      seed: index + 1
+    }
+  })
+}
+
+export const stopProcesses = async (processes: readonly MemberProcess[]): Promise<void> => {
+  for (const { child } of processes) {
+    if (child.exitCode !== null || child.signalCode !== null) continue
+    child.kill('SIGCONT')
+    child.kill('SIGKILL')
+    await once(child, 'exit')
+  }
+}
+
+/** Asks the processes until the condition holds of every view. */
+export const untilViews = async (processes: readonly MemberProcess[], condition: (view: View, process: MemberProcess) => boolean, limit = 30_000): Promise<void> => {
+  const end = performance.now() + limit
+  while (performance.now() < end) {
+    const views = await Promise.all(processes.map(async (process) => condition(await process.view(), process)))
+    if (views.every(Boolean)) return
+    await delay(50)
+  }
+  throw new Error(`condition did not hold within ${limit} ms`)
+}
--- /dev/null
+++ b/packages/node/tests/summaryExchange.test.ts
@@ -0,0 +1,62 @@
+import test from 'ava'
+import fc from 'fast-check'
+
+import type { DispatchSummary } from '@bluebellhill/domain'
+
+import { decodeGossip, decodeSummary, encodeSummaries, open, seal, SummaryExchange } from '../src/index.js'
+import { fleet, until } from './membershipFleet.js'
+
+const SEED = 20_261_203
+
+const summary = (model: string, runners: number): DispatchSummary => ({
+  model, runners, freeTokens: 10_240 * runners, freeSlots: runners, largestPrompt: 102_400, queueDelay: [10, 20, 30, 40], prefillRate: 1_000 * runners
+})
+
+test('summaries survive encoding but for rounding', (t) => {
+  const amount = fc.nat(10_000_000)
+  const any = fc.record({ model: fc.string({ maxLength: 20 }), runners: fc.nat(500), freeTokens: amount, freeSlots: fc.nat(5_000), largestPrompt: amount, queueDelay: fc.tuple(amount, amount, amount, amount), prefillRate: amount })
+  t.notThrows(() => fc.assert(fc.property(fc.uniqueArray(any, { minLength: 1, maxLength: 12, selector: ({ model }) => model }), (summaries) => {
+    const bytes = encodeSummaries(summaries)
+    return summaries.every((given) => {
+      const read = decodeSummary(given.model, bytes)
+      return read !== null && read.runners === given.runners && read.freeTokens <= given.freeTokens && given.freeTokens - read.freeTokens < 1_024 &&
+        read.queueDelay.every((delay, index) => delay >= (given.queueDelay[index] ?? 0) && delay < (given.queueDelay[index] ?? 0) + 10)
+    })
+  }), { seed: SEED, numRuns: 300 }))
+})
+
+test('no bytes crash the decoder, and no changed datagram is accepted', (t) => {
+  t.notThrows(() => fc.assert(fc.property(fc.uint8Array({ maxLength: 1_200 }), (bytes) => {
+    try {
+      decodeGossip(bytes)
+    } catch (error) {
+      if (!(error instanceof Error)) return false
+    }
+    return open(['secret'], bytes) === null
+  }), { seed: SEED, numRuns: 2_000 }))
+  const sealed = seal('secret', Uint8Array.of(1, 2, 3))
+  t.not(open(['other', 'secret'], sealed), null)
+  t.notThrows(() => fc.assert(fc.property(fc.nat(sealed.length - 1), fc.integer({ min: 1, max: 255 }), (at, change) => {
+    const changed = Buffer.from(sealed)
+    changed[at] = (changed[at] ?? 0) ^ change
+    return open(['secret'], changed) === null
+  }), { seed: SEED, numRuns: 300 }))
+})
+
+test('dispatchers see their neighbours, and the other failure domains see the sum', async (t) => {
+  const services = await fleet(6, { domains: 2 })
+  const exchanges = services.map((service) => new SummaryExchange(service))
+  t.teardown(async () => {
+    exchanges.forEach((exchange) => exchange.dispose())
+    await Promise.all(services.map((service) => service.dispose()))
+  })
+  await until(() => services.every((service) => service.workers().length === 6))
+  exchanges.forEach((exchange) => exchange.start())
+  exchanges.forEach((exchange, index) => exchange.publish([summary('m', index + 1)]))
+  await until(() => exchanges.every((exchange) => exchange.dispatchers('m').length === 3 && exchange.holders('m').length === 3))
+  // Odd nodes have 2, 4 and 6 runners.
+  await until(() => exchanges[0]?.failureDomains('m')[0]?.summary.runners === 12)
+  t.deepEqual(exchanges[0]?.failureDomains('m').map(({ failureDomain }) => failureDomain), ['fd1'])
+  exchanges[1]?.publish([])
+  await until(() => exchanges[3]?.holders('m').length === 2 && exchanges[3]?.dispatchers('m').length === 2)
+})
