Add check, apply, get, diff, history, remove, hash and docs to the command line, with examples

Tested against the stand-in store: four edits at one revision, a lost answer, an outage, a missing address.

--- /dev/null
+++ b/packages/cli/src/actions/hash.ts
@@ -0,0 +1,30 @@
+import { createHash } from 'node:crypto'
+import { text } from 'node:stream/consumers'
+
+import { defineCommand } from 'citty'
+
+import { ActionError, ExitCode, runAction } from '../terminal/index.js'
+import type { ActionMeta } from '../terminal/index.js'
+
+const META: ActionMeta = {
+  name: 'hash',
+  description: 'Hash an API key for an organisation\'s file',
+  examples: ['printf %s "$API_KEY" | bluebellhill hash', 'bluebellhill hash < key.txt'],
+  notes: ['The key is read from standard input, so that it stands in no process list and no shell history.']
+}
+
+const LEAST_KEY_LENGTH = 20
+
+/** Hashes a key. */
+export const hash = defineCommand({
+  meta: META,
+  args: {
+    json: { type: 'boolean', description: 'write JSON', default: false }
+  },
+  run: ({ args }) => runAction(args, async () => {
+    const key = (await text(process.stdin)).trim()
+    if (key.length < LEAST_KEY_LENGTH) throw new ActionError(ExitCode.Failed, `the key has fewer than ${LEAST_KEY_LENGTH} characters`, 'make one with "openssl rand -hex 24"')
+    const sha256 = createHash('sha256').update(key).digest('hex')
+    console.log(args.json ? JSON.stringify({ sha256 }) : sha256)
+  })
+})
--- /dev/null
+++ b/packages/cli/src/configuration/edit.ts
@@ -0,0 +1,134 @@
+/** Making an edit and telling the operator how it ended. */
+import { randomUUID } from 'node:crypto'
+import { userInfo } from 'node:os'
+
+import type { ConfigurationStore, ConfigurationValue, EditId, EditOutcome } from '@bluebellhill/platform'
+
+import { nodesOf } from '../fleet/index.js'
+import { ActionError, ExitCode, formatTime, outputPainter, parseDuration } from '../terminal/index.js'
+import { differencesOf } from './differences.js'
+import { greatestRevision, waitUntilInForce } from './inForce.js'
+import type { ForceReport } from './inForce.js'
+
+export const EDIT_ARGS = {
+  nodes: { type: 'string', valueHint: 'ip:port,...', description: 'admin addresses of the nodes (else BLUEBELLHILL_NODES)' },
+  wait: { type: 'boolean', description: 'wait until it is in force on all nodes', default: false },
+  timeout: { type: 'string', valueHint: 'time', description: 'longest wait', default: '30s' },
+  expect: { type: 'string', valueHint: 'revision', description: 'edit only where this revision is stored; 0 for none' },
+  author: { type: 'string', valueHint: 'name', description: 'who makes the edit (else the name of the account)' },
+  json: { type: 'boolean', description: 'write JSON', default: false }
+} as const
+
+/** Options of an edit as the operator gave them. */
+export interface EditOptions {
+  readonly nodes?: string
+  readonly wait: boolean
+  readonly timeout: string
+  readonly expect?: string
+  readonly author?: string
+  readonly json: boolean
+}
+
+/** An edit that was accepted or not needed. */
+export interface EditReport {
+  readonly name: string
+  readonly revision: number
+  readonly edit: string
+  readonly changed: boolean
+  /** The answer was lost, and the edit was found in the stored value. */
+  readonly settled: boolean
+  /** A later edit that was made on top meanwhile. */
+  readonly supersededBy: number | null
+  readonly force: ForceReport | null
+}
+
+/** Options after they were checked. */
+interface EditPlan {
+  readonly nodes: readonly string[]
+  readonly timeout: number
+  readonly expected: number | null
+  readonly author: string
+}
+
+const planOf = (options: EditOptions): EditPlan => {
+  const hasNodes = options.wait || (options.nodes ?? process.env.BLUEBELLHILL_NODES ?? '') !== ''
+  const timeout = parseDuration(options.timeout)
+  if (timeout === undefined) throw new ActionError(ExitCode.Usage, `--timeout "${options.timeout}" is no length of time`, 'give one such as 30s or 2m')
+  const expected = options.expect === undefined ? null : Number(options.expect)
+  if (expected !== null && !(Number.isSafeInteger(expected) && expected >= 0)) {
+    throw new ActionError(ExitCode.Usage, `--expect "${options.expect}" is no revision`, 'give the number that "bluebellhill get" shows')
+  }
+  return { nodes: hasNodes ? nodesOf(options.nodes, process.env) : [], timeout, expected, author: options.author ?? userInfo().username }
+}
+
+/**
+ * Makes an edit, and waits for the nodes where that is asked for.
+ *
+ * @param store - the stored configuration
+ * @param name - the value's name
+ * @param text - the new text; null removes the value
+ * @param options - as the operator gave them
+ * @returns how it ended
+ * @throws ActionError where it was not accepted, or is not in force in time
+ */
+export const makeEdit = async (store: ConfigurationStore, name: string, text: string | null, options: EditOptions): Promise<EditReport> => {
+  const { nodes, timeout, expected, author } = planOf(options)
+  const leastRevision = nodes.length === 0 ? 0 : await greatestRevision(nodes, name)
+  const outcome = await store.edit({ name, edit: randomUUID() as string as EditId, author, text, expected, leastRevision }, Date.now())
+  const report = reportOf(name, text, outcome)
+  if (!options.wait) return report
+  const force = await waitUntilInForce(nodes, name, report.revision, timeout, (seen) => showProgress(seen, nodes.length))
+  if (force.inForce.length < nodes.length) throw notInForce(report, force, nodes.length)
+  return { ...report, force }
+}
+
+const reportOf = (name: string, text: string | null, outcome: EditOutcome): EditReport => {
+  switch (outcome.type) {
+    case 'accepted': {
+      const { value, settled, superseded } = outcome
+      return { name, revision: value.revision, edit: value.edit, changed: true, settled, supersededBy: superseded?.revision ?? null, force: null }
+    }
+    case 'unchanged':
+      return { name, revision: outcome.value.revision, edit: outcome.value.edit, changed: false, settled: false, supersededBy: null, force: null }
+    case 'lost':
+      throw lostEdit(name, text, outcome.current)
+    case 'unavailable':
+      throw new ActionError(ExitCode.Unreachable, `nothing was written: ${outcome.reason}`, 'apply again when the key-value service answers; nodes go on with what they have')
+    case 'unknown':
+      throw new ActionError(ExitCode.Failed, `it is not known whether the edit was written: ${outcome.reason}`, `apply again; where it was written, that changes nothing. "bluebellhill history ${name}" shows it`)
+  }
+}
+
+const lostEdit = (name: string, text: string | null, current: ConfigurationValue | null): ActionError => {
+  if (current === null) return new ActionError(ExitCode.Failed, `nothing was written: "${name}" is not stored`, 'apply without --expect, or with --expect 0')
+  const { author, editedAt, revision } = current
+  const winner = `revision ${revision} by ${author} at ${formatTime(editedAt)}`
+  const differences = differencesOf({ name: winner, text: current.text }, { name: 'your edit', text: text ?? '' }, outputPainter())
+  const message = `nothing was written: "${name}" holds ${winner}\n${differences}`
+  return new ActionError(ExitCode.Failed, message, `take that edit in ("bluebellhill get ${name}"), then apply with --expect ${revision}`)
+}
+
+const notInForce = (report: EditReport, force: ForceReport, total: number): ActionError => {
+  const others = [...force.behind, ...force.silent.map((node) => `${node.address} (${node.reason})`)]
+  const message = `revision ${report.revision} of "${report.name}" is accepted, and in force on ${force.inForce.length} of ${total} nodes after ${force.elapsed} ms; not on ${others.join(', ')}`
+  return new ActionError(ExitCode.Failed, message, 'look at these nodes with "bluebellhill status"; the edit need not be made again')
+}
+
+const showProgress = (report: ForceReport, total: number): void => {
+  if (process.stderr.isTTY === true) process.stderr.write(`\rin force on ${report.inForce.length} of ${total} nodes `)
+}
+
+/**
+ * Writes how an edit ended.
+ *
+ * @param report - the edit
+ * @param asJson - whether to write JSON
+ */
+export const showEdit = (report: EditReport, asJson: boolean): void => {
+  if (asJson) return console.log(JSON.stringify(report, null, 2))
+  const what = report.changed ? `revision ${report.revision} of "${report.name}" is accepted` : `"${report.name}" is the same already, at revision ${report.revision}`
+  const settled = report.settled ? ' (the answer was lost; the edit was found in the store)' : ''
+  const superseded = report.supersededBy === null ? '' : `; revision ${report.supersededBy} was made on top of it`
+  const force = report.force === null ? '' : `\nin force on all ${report.force.inForce.length} nodes after ${report.force.elapsed} ms`
+  console.log(`${what}${settled}${superseded}${force}`)
+}
--- a/packages/platform/src/document/decode.ts
+++ b/packages/platform/src/document/decode.ts
@@ -117,6 +117,19 @@
     return (current as Record<PropertyKey, unknown>)[step]
   }, value)
 
+/**
+ * Finds the line of a field.
+ *
+ * @param text - YAML that was decoded before
+ * @param field - the field's path, such as `templates[2].model`
+ * @returns the line, counted from 1
+ */
+export const lineOfField = (text: string, field: string): number => {
+  const parsed = parse(text)
+  const path = [...field.matchAll(/([^.[\]]+)|\[(\d+)\]/g)].map(([, key, index]) => key ?? Number(index))
+  return typeof parsed === 'string' ? 1 : lineOf(parsed, path)
+}
+
 /** The line of a field, or of the nearest group around it that is in the file. */
 const lineOf = ({ document, lines }: Parsed, path: Path): number => {
   for (let length = path.length; length > 0; length -= 1) {
