Record changes of runners; tell a recall once; show unfit runners in the status

Seen with three nodes and four stand-in engines, one killed: status said that nothing stands out while a runner was unreachable, a runner's loss stood nowhere in the time line, and explain told each recall and each broken attempt twice.

--- a/packages/cli/src/actions/status.ts
+++ b/packages/cli/src/actions/status.ts
@@ -1,8 +1,8 @@
 import { defineCommand } from 'citty'
 import { AdminPath, MemberState, NodeState } from '@bluebellhill/protocol'
-import type { StatusReply } from '@bluebellhill/protocol'
+import type { RunnersReply, StatusReply } from '@bluebellhill/protocol'
 
-import { FLEET_ARGS, askFleet, durationOption, findingsOf, nodesOf, showView } from '../fleet/index.js'
+import { FLEET_ARGS, askFleet, durationOption, findingsOf, nodesOf, runnerFindingsOf, showView } from '../fleet/index.js'
 import type { FleetAnswer } from '../fleet/index.js'
 import { Tone, formatDuration, outputPainter, runAction, tableOf } from '../terminal/index.js'
 import type { ActionMeta } from '../terminal/index.js'
@@ -42,20 +42,37 @@
 const compareStatus = (left: StatusReply, right: StatusReply): number =>
   left.failureDomain.localeCompare(right.failureDomain) || left.node.localeCompare(right.node)
 
-const textOf = ({ answers, silent }: FleetAnswer<StatusReply>): string => {
+/** The status of the fleet at one moment. */
+interface FleetStatus extends FleetAnswer<StatusReply> {
+  readonly findings: readonly string[]
+}
+
+const readStatus = async (addresses: readonly string[], timeout: number): Promise<FleetStatus> => {
+  const [status, runners] = await Promise.all([
+    askFleet<StatusReply>(addresses, { path: AdminPath.Status, timeout }),
+    askFleet<RunnersReply>(addresses, { path: AdminPath.Runners, timeout })
+  ])
+  const findings = [
+    ...findingsOf(status.answers.map(({ reply }) => reply)),
+    ...runnerFindingsOf(runners.answers.map(({ reply }) => reply))
+  ]
+  return { ...status, findings }
+}
+
+const textOf = ({ answers, silent, findings: found }: FleetStatus): string => {
   const paint = outputPainter()
   const nodes = answers.map(({ reply }) => reply).sort(compareStatus)
   const findings = [
     ...silent.map((node) => paint(Tone.Bad, `${node.address} did not answer: ${node.reason}`)),
-    ...findingsOf(nodes).map((finding) => paint(Tone.Warning, finding))
+    ...found.map((finding) => paint(Tone.Warning, finding))
   ]
   const summary = findings.length === 0 ? [paint(Tone.Good, 'Nothing stands out.')] : findings
   return [tableOf(HEADER, nodes.map(rowOf), paint), '', ...summary].join('\n')
 }
 
-const jsonOf = ({ answers, silent }: FleetAnswer<StatusReply>, indent: number): string => {
+const jsonOf = ({ answers, silent, findings }: FleetStatus, indent: number): string => {
   const nodes = answers.map(({ address, reply }) => ({ address, ...reply }))
-  return JSON.stringify({ nodes, silent, findings: findingsOf(nodes) }, null, indent)
+  return JSON.stringify({ nodes, silent, findings }, null, indent)
 }
 
 /** Shows the status of all nodes. */
@@ -70,7 +87,7 @@
     const timeout = durationOption('timeout', args.timeout)
     const indent = args.watch ? 0 : 2
     await showView(args.watch, async () => {
-      const answer = await askFleet<StatusReply>(nodes, { path: AdminPath.Status, timeout })
+      const answer = await readStatus(nodes, timeout)
       return args.json ? jsonOf(answer, indent) : textOf(answer)
     })
   })
--- a/packages/cli/src/fleet/findings.ts
+++ b/packages/cli/src/fleet/findings.ts
@@ -1,6 +1,6 @@
 /** What stands out in the status of all nodes. */
-import { MemberState, NodeState } from '@bluebellhill/protocol'
-import type { StatusReply } from '@bluebellhill/protocol'
+import { MemberState, NodeState, RunnerState } from '@bluebellhill/protocol'
+import type { RunnersReply, StatusReply } from '@bluebellhill/protocol'
 
 import { formatTime, plural } from '../terminal/index.js'
 
@@ -44,6 +44,18 @@
   .filter((status) => status.distrustedStamps > 0)
   .map((status) => `${status.node} met ${plural(status.distrustedStamps, 'stamp')} of peers whose clock is far ahead; the time line names them as clock_distrusted`)
 
+/**
+ * Finds runners that take no new work.
+ *
+ * @param replies - the runners of each dispatcher that answered
+ * @returns one sentence for each
+ */
+export const runnerFindingsOf = (replies: readonly RunnersReply[]): string[] => replies
+  .flatMap((reply) => reply.runners.map((runner) => ({ dispatcher: reply.node, ...runner })))
+  .filter((runner) => runner.state !== RunnerState.Ready)
+  .sort((left, right) => compareText(left.runner, right.runner))
+  .map((runner) => `runner ${runner.runner} (${runner.failureDomain}) is ${runner.state}, says its dispatcher ${runner.dispatcher}`)
+
 /**
  * Finds what an operator should look at.
  *
--- a/packages/cli/src/timeline/explain.ts
+++ b/packages/cli/src/timeline/explain.ts
@@ -25,6 +25,12 @@
 
 const runnerOf = (event: TimeLineEvent): string => event.runner ?? 'an unnamed runner'
 
+/** An order to another failure domain names the domain; the dispatcher is chosen there. */
+const DOMAIN_PREFIX = 'domain:'
+
+const dispatcherText = (dispatcher: string | undefined): string =>
+  dispatcher?.startsWith(DOMAIN_PREFIX) === true ? `The dispatcher in ${dispatcher.slice(DOMAIN_PREFIX.length)}` : `Dispatcher ${dispatcher ?? '(unnamed)'}`
+
 const codeText = (kind: string): string => {
   const code: ResultCode | undefined = codeOf(kind as ResultCode['name'])
   return code === undefined ? kind : `${code.name} (${code.number})`
@@ -70,7 +76,7 @@
   [EventKind.OrderQueued]: silence,
   [EventKind.OrderGranted]: granted,
   [EventKind.OrderRefused]: (event) => `Node ${event.node} refused the order as ${codeText(event.payload.code)}${because(event.reason)}`,
-  [EventKind.DispatcherLost]: (event) => `Dispatcher ${event.payload.dispatcher} was lost${because(event.reason)}`,
+  [EventKind.DispatcherLost]: (event) => `${dispatcherText(event.payload.dispatcher)} was lost${because(event.reason)}`,
   [EventKind.AttemptSent]: silence,
   [EventKind.FirstToken]: (event) => `Runner ${runnerOf(event)} sent the first token ${formatDuration(event.payload.elapsed)} after admission.`,
   [EventKind.AttemptBroken]: (event) => `The attempt on runner ${runnerOf(event)} broke after ${plural(event.payload.generated, 'token')}${because(event.reason)}`,
@@ -78,7 +84,7 @@
   [EventKind.AttemptResumed]: (event) => `It was resumed on runner ${runnerOf(event)} at token ${formatCount(event.payload.offset)}.`,
   [EventKind.AttemptContinued]: (event) => `It was continued on runner ${runnerOf(event)} from token ${formatCount(event.payload.offset)}.`,
   [EventKind.AttemptCancelled]: (event) => `The attempt on runner ${runnerOf(event)} was cancelled${because(event.reason)}`,
-  [EventKind.AttemptRecalled]: (event) => `Dispatcher ${event.payload.dispatcher} called the attempt on runner ${runnerOf(event)} back${because(event.reason)}`,
+  [EventKind.AttemptRecalled]: (event) => `${dispatcherText(event.payload.dispatcher)} called the attempt on runner ${runnerOf(event)} back${because(event.reason)}`,
   [EventKind.AnswerDropped]: (event) => `A ${event.payload.cause} answer of runner ${runnerOf(event)} was dropped${because(event.reason)}`,
   [EventKind.GrantLapsed]: (event) => `Dispatcher ${event.node} let the grant on runner ${runnerOf(event)} lapse${because(event.reason)}`,
   [EventKind.OrphanFreed]: (event) => `Dispatcher ${event.node} freed what the attempt still held on runner ${runnerOf(event)}${because(event.reason)}`,
@@ -97,6 +103,17 @@
   [EventKind.NodeStopped]: silence
 }
 
+/** Kinds that only repeat what an earlier event of the same attempt told. */
+const REPEATS: ReadonlyMap<EventKind, readonly EventKind[]> = new Map([
+  [EventKind.AttemptRecalled, [EventKind.AttemptRecalled]],
+  [EventKind.AttemptCancelled, [EventKind.AttemptRecalled, EventKind.AttemptBroken, EventKind.AttemptCancelled]]
+])
+
+const isRepeat = (event: TimeLineEvent, index: number, events: readonly TimeLineEvent[]): boolean => {
+  const told = REPEATS.get(event.kind) ?? []
+  return event.attempt !== undefined && events.slice(0, index).some((earlier) => earlier.attempt === event.attempt && told.includes(earlier.kind))
+}
+
 const tell = (event: TimeLineEvent): string | null => (TELLERS[event.kind] as Teller<EventKind>)(event as EventOf<EventKind>)
 
 const isEnd = (event: TimeLineEvent): boolean => event.kind === EventKind.RequestFinished || event.kind === EventKind.RequestRefused
@@ -129,7 +146,7 @@
  * @returns what happened, what to do and what could not be read
  */
 export const explain = (events: readonly TimeLineEvent[], silent: readonly SilentNode[]): Explanation => {
-  const sentences = events.flatMap((event) => tell(event) ?? [])
+  const sentences = events.flatMap((event, index) => isRepeat(event, index, events) ? [] : tell(event) ?? [])
   const code = endCode(events.findLast(isEnd))
   const needsAdvice = code !== undefined && code.name !== 'answered'
   return { sentences, advice: needsAdvice ? code.operator : null, gaps: gapsOf(events, silent) }
--- a/packages/cli/src/timeline/html/pathDrawing.ts
+++ b/packages/cli/src/timeline/html/pathDrawing.ts
@@ -23,7 +23,7 @@
 const FROM_RUNNER: ReadonlySet<EventKind> = new Set([EventKind.FirstToken, EventKind.AttemptBroken, EventKind.AttemptCompleted, EventKind.AnswerDropped])
 
 /** Events that follow from what another process did. */
-const FROM_NODE: ReadonlySet<EventKind> = new Set([EventKind.OrderQueued, EventKind.OrderGranted, EventKind.OrderRefused])
+const FROM_NODE: ReadonlySet<EventKind> = new Set([EventKind.OrderSought, EventKind.OrderQueued, EventKind.OrderGranted, EventKind.OrderRefused])
 
 const columnsOf = (events: readonly TimeLineEvent[]): string[] => {
   const nodes = new Set(events.map((event) => event.node as string))
--- a/packages/cli/src/timeline/text.ts
+++ b/packages/cli/src/timeline/text.ts
@@ -24,6 +24,7 @@
 }
 
 const valueOf = (value: unknown): string => {
+  if (typeof value === 'number' && !Number.isInteger(value)) return value.toFixed(1)
   if (Array.isArray(value)) return value.length === 0 ? '-' : value.join(',')
   return value === null || value === undefined ? '-' : String(value)
 }
--- a/packages/cli/tests/commands.test.ts
+++ b/packages/cli/tests/commands.test.ts
@@ -64,7 +64,8 @@
     'barka-2 (barka) is unreachable for barka-1, saham-1, sohar-1, sohar-2',
     'the key-value service does not answer barka-1 since 2026-12-03 20:00:00.000 UTC',
     'the configuration of orders differs: revision 117 on barka-1; 118 on saham-1, sohar-1, sohar-2',
-    'sohar-2 met 2 stamps of peers whose clock is far ahead; the time line names them as clock_distrusted'
+    'sohar-2 met 2 stamps of peers whose clock is far ahead; the time line names them as clock_distrusted',
+    'runner barka-1-g2 (barka) is loading, says its dispatcher barka-1'
   ])
 }))
 
--- a/packages/cli/tests/explain.test.ts
+++ b/packages/cli/tests/explain.test.ts
@@ -6,7 +6,7 @@
 import { explain } from '../src/timeline/explain.js'
 import { notablePaths, requestPaths, troubleOf } from '../src/timeline/requestPaths.js'
 import { eventsOf } from './arbitraryEvents.js'
-import { BROKEN_REQUEST, REFUSED_REQUEST, sampleRun } from './sampleFleet.js'
+import { BROKEN_REQUEST, REFUSED_REQUEST, SampleFleet, sampleRun } from './sampleFleet.js'
 
 const eventsOfRequest = (request: string) => sampleRun().events.filter((event) => event.request === request)
 
@@ -29,6 +29,19 @@
   t.is(advice, codeOf('deadline_infeasible').operator)
 })
 
+test('what one event told is not told again by the next', (t) => {
+  const fleet = new SampleFleet()
+  const subject = { request: 'r1', attempt: 'r1.1', runner: 'g1' }
+  fleet.at('n2', EventKind.AttemptRecalled, subject, 'makes way for short prompts', { dispatcher: 'n2' })
+    .at('n1', EventKind.AttemptRecalled, subject, 'the dispatcher wants the runner back', { dispatcher: 'domain:saham' })
+    .at('n1', EventKind.AttemptCancelled, subject, 'recalled by the dispatcher', { generated: 0 })
+    .at('n1', EventKind.AttemptCancelled, { ...subject, attempt: 'r1.2' }, 'the caller has gone', { generated: 0 })
+  t.deepEqual(explain(fleet.events, []).sentences, [
+    'Dispatcher n2 called the attempt on runner g1 back: makes way for short prompts.',
+    'The attempt on runner g1 was cancelled: the caller has gone.'
+  ])
+})
+
 test('what could not be read is said', (t) => {
   const events = eventsOfRequest(BROKEN_REQUEST)
   const { gaps } = explain(events.slice(1, -1), [{ address: '127.0.0.1:9', reason: 'no answer in time' }])
--- a/packages/node/src/dispatch/DispatcherHost.ts
+++ b/packages/node/src/dispatch/DispatcherHost.ts
@@ -177,7 +177,9 @@
   }
 
   #recall (effect: Effect<'recall'>): void {
-    this.#timeLine.record(EventKind.AttemptRecalled, { request: requestOf(effect.attempt), attempt: effect.attempt }, effect.reason, { dispatcher: this.#timeLine.node })
+    const granted = this.#granted.get(effect.attempt)
+    const subject = { request: requestOf(effect.attempt), attempt: effect.attempt, organisation: granted?.order.organisation, runner: granted?.runner }
+    this.#timeLine.record(EventKind.AttemptRecalled, subject, effect.reason, { dispatcher: this.#timeLine.node })
     void this.#reach.recall(effect.entry, effect.attempt, effect.reason)
   }
 
--- a/packages/node/src/dispatch/RunnerOwnership.ts
+++ b/packages/node/src/dispatch/RunnerOwnership.ts
@@ -1,6 +1,6 @@
 /** Keeps the dispatcher in charge of exactly the runners that fall to this node. */
 import type { FailureDomain, Millis, RunnerId, RunnerReport } from '@bluebellhill/domain'
-import { EventKind } from '@bluebellhill/protocol'
+import { EventKind, RunnerState } from '@bluebellhill/protocol'
 
 import { monotonicNow } from '../clock/monotonic.js'
 import type { TimeLine } from '../timeline/index.js'
@@ -34,6 +34,8 @@
   report: RunnerReport | null
   reportedAt: Millis | null
   unreachable: boolean
+  /** As last recorded. */
+  state: RunnerState | null
 }
 
 /** Takes runners over and gives them up as the members of the failure domain change. */
@@ -80,6 +82,7 @@
     const owned = this.#owned.get(backend.id) ?? this.#assign(backend)
     if (!backend.leaving || owned.leaving) return
     owned.leaving = true
+    this.#noteState(owned, 'the VM list or a peer says that it is leaving')
     this.#dispatcher.tell({ type: 'runner_leaving', runner: backend.id })
   }
 
@@ -88,9 +91,9 @@
     const monitor = this.#monitors.create(backend, {
       reported: (report) => this.#reported(runner, report),
       cacheChanged: (gap, events) => this.#dispatcher.tell({ type: 'cache_changed', runner, gap, events }),
-      unreachable: () => this.#unreachable(runner)
+      unreachable: (reason) => this.#unreachable(runner, reason)
     })
-    const owned: OwnedRunner = { backend, monitor, leaving: false, report: null, reportedAt: null, unreachable: false }
+    const owned: OwnedRunner = { backend, monitor, leaving: false, report: null, reportedAt: null, unreachable: false, state: null }
     this.#owned.set(runner, owned)
     this.#timeLine.record(EventKind.RunnerTakenOver, { runner }, 'owner by rendezvous among the live members', { previous: null })
     this.#dispatcher.tell({ type: 'runner_assigned', runner, failureDomain: backend.failureDomain })
@@ -104,18 +107,34 @@
     owned.report = report
     owned.reportedAt = monotonicNow()
     owned.unreachable = false
+    this.#noteState(owned, 'its report')
     this.#dispatcher.tell({ type: 'runner_reported', runner, report })
   }
 
-  #unreachable (runner: RunnerId): void {
+  #unreachable (runner: RunnerId, reason: string): void {
     const owned = this.#owned.get(runner)
-    if (owned !== undefined) owned.unreachable = true
+    if (owned === undefined) return
+    owned.unreachable = true
+    this.#noteState(owned, reason)
     this.#dispatcher.tell({ type: 'runner_unreachable', runner })
   }
 
+  #noteState (owned: OwnedRunner, reason: string): void {
+    const state = stateOf(owned)
+    if (state === owned.state) return
+    this.#timeLine.record(EventKind.RunnerChanged, { runner: owned.backend.id }, reason, { from: owned.state, to: state })
+    owned.state = state
+  }
+
   #giveUp (runner: RunnerId): void {
     this.#owned.get(runner)?.monitor.dispose()
     this.#owned.delete(runner)
     this.#dispatcher.tell({ type: 'runner_removed', runner })
   }
 }
+
+const stateOf = ({ leaving, unreachable, report }: OwnedRunner): RunnerState => {
+  if (unreachable) return RunnerState.Unreachable
+  if (leaving) return RunnerState.Leaving
+  return report?.loading === true ? RunnerState.Loading : RunnerState.Ready
+}
--- a/packages/node/tests/dispatcherHost.test.ts
+++ b/packages/node/tests/dispatcherHost.test.ts
@@ -1,29 +1,15 @@
 import test from 'ava'
-import { Dispatcher, ProgressKind } from '@bluebellhill/domain'
-import type { AttemptId, DispatchOrder, FailureDomain, NodeId, OrganisationId, RequestId, RunnerId, RunnerReport } from '@bluebellhill/domain'
-import { EventKind, HybridClock } from '@bluebellhill/protocol'
-import { start, stop } from 'nact'
-import type { Ref } from 'nact'
+import { ProgressKind } from '@bluebellhill/domain'
+import type { AttemptId, DispatchOrder, FailureDomain, NodeId, OrganisationId, RequestId, RunnerId } from '@bluebellhill/domain'
+import { EventKind } from '@bluebellhill/protocol'
 
-import { Metrics, TimeLine } from '../src/index.js'
-import { DispatchReach, DispatcherHost } from '../src/dispatch/DispatcherHost.js'
+import { openHost, reportWith } from './fakeDispatch.js'
 
-const NODE = 'n1' as NodeId
 const RUNNER = 'g1' as RunnerId
 
 /** Limit of a wait for a condition, in milliseconds. */
 const WAIT_LIMIT = 20_000
 
-class SilentReach extends DispatchReach {
-  readonly cancelled: AttemptId[] = []
-
-  async cancel (_runner: RunnerId, attempt: AttemptId): Promise<void> {
-    this.cancelled.push(attempt)
-  }
-
-  async recall (): Promise<void> {}
-}
-
 const orderOf = (attempt: string): DispatchOrder => ({
   attempt: attempt as AttemptId,
   request: attempt.split('.')[0] as RequestId,
@@ -40,40 +26,12 @@
   excluded: []
 })
 
-const reportWith = (held: readonly string[]): RunnerReport => ({
-  model: 'm',
-  version: '1',
-  adapters: [],
-  loading: false,
-  totalTokens: 400_000,
-  slots: 8,
-  blockTokens: 256,
-  chunkTokens: 2_048,
-  loadAge: 0,
-  running: 0,
-  waiting: 0,
-  freeTokens: 400_000,
-  pendingPrefillTokens: 0,
-  prefillRate: 80_000,
-  decodeRate: 100,
-  held: held.map((attempt) => ({ attempt: attempt as AttemptId, heldTokens: 10, age: 60_000 }))
-})
-
 const open = () => {
-  const system = start() as Ref<unknown>
-  const timeLine = new TimeLine(NODE, new HybridClock(() => Date.now()), { requests: 1_000, fleet: 1_000 })
-  const metrics = new Metrics()
-  const reach = new SilentReach()
-  const dispatcher = new Dispatcher({ node: NODE, grantValidity: 20, silenceLimit: 50, inheritedGrace: 20, foreignGrace: 20 })
-  const host = new DispatcherHost(dispatcher, reach, timeLine, metrics, system)
-  host.tell({ type: 'runner_assigned', runner: RUNNER, failureDomain: 'sohar' as FailureDomain })
-  host.tell({ type: 'runner_reported', runner: RUNNER, report: reportWith([]) })
-  const kindsOf = (request: string) => timeLine.query({ request }).events.map((event) => event.kind)
-  const close = () => {
-    host.dispose()
-    stop(system as never)
-  }
-  return { host, timeLine, metrics, reach, kindsOf, close }
+  const opened = openHost()
+  opened.host.tell({ type: 'runner_assigned', runner: RUNNER, failureDomain: 'sohar' as FailureDomain })
+  opened.host.tell({ type: 'runner_reported', runner: RUNNER, report: reportWith([]) })
+  const kindsOf = (request: string) => opened.timeLine.query({ request }).events.map((event) => event.kind)
+  return { ...opened, kindsOf }
 }
 
 const until = async (condition: () => boolean, step: () => void = () => {}): Promise<void> => {
