--- a/packages/cli/src/configuration/inForce.ts
+++ b/packages/cli/src/configuration/inForce.ts
@@ -1,19 +1,15 @@
 /** On how many nodes a revision is in force. */
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { askFleet, CONFIGURATION_PATH } from '../fleet/index.js'
+import { AdminPath } from '@bluebellhill/protocol'
+import type { ConfigurationReply } from '@bluebellhill/protocol'
+
+import { askFleet } from '../fleet/index.js'
 import type { SilentNode } from '../fleet/index.js'
 
 const POLL_MS = 100
 const CALL_TIMEOUT_MS = 2_000
 
-/** Answer of a node's `GET /admin/configuration`. */
-export interface ConfigurationReply {
-  readonly node: string
-  /** Revision in force of each value. */
-  readonly revisions: Readonly<Record<string, number>>
-}
-
 export interface ForceReport {
   /** Milliseconds until the last node had it, or until the time was over. */
   readonly elapsed: number
@@ -32,7 +28,7 @@
  * @returns the greatest revision of the value that a node has in force; 0 where there is none
  */
 export const greatestRevision = async (nodes: readonly string[], name: string): Promise<number> => {
-  const { answers } = await askFleet<ConfigurationReply>(nodes, { path: CONFIGURATION_PATH, timeout: CALL_TIMEOUT_MS })
+  const { answers } = await askFleet<ConfigurationReply>(nodes, { path: AdminPath.Configuration, timeout: CALL_TIMEOUT_MS })
   return Math.max(0, ...answers.map(({ reply }) => reply.revisions[name] ?? 0))
 }
 
@@ -57,7 +53,7 @@
 }
 
 const look = async (nodes: readonly string[], name: string, revision: number, start: number): Promise<ForceReport> => {
-  const { answers, silent } = await askFleet<ConfigurationReply>(nodes, { path: CONFIGURATION_PATH, timeout: CALL_TIMEOUT_MS })
+  const { answers, silent } = await askFleet<ConfigurationReply>(nodes, { path: AdminPath.Configuration, timeout: CALL_TIMEOUT_MS })
   const has = ({ reply }: typeof answers[number]): boolean => (reply.revisions[name] ?? 0) >= revision
   return {
     elapsed: Math.round(performance.now() - start),
--- a/packages/cli/src/fleet/adminClient.ts
+++ b/packages/cli/src/fleet/adminClient.ts
@@ -4,9 +4,6 @@
 import { ActionError, ExitCode } from '../terminal/index.js'
 import { ADMIN_SECRET_VARIABLE } from './nodes.js'
 
-/** Path of a node's configuration in force. */
-export const CONFIGURATION_PATH = '/admin/configuration'
-
 /** How long a node may take to answer, in milliseconds. */
 export const DEFAULT_TIMEOUT = 5_000
 
@@ -31,7 +28,7 @@
 }
 
 export interface AdminCall {
-  readonly path: AdminPath | typeof CONFIGURATION_PATH
+  readonly path: AdminPath
   readonly query?: URLSearchParams
   readonly method?: 'GET' | 'POST'
   readonly timeout?: number
--- a/packages/node/src/admin/AdminSources.ts
+++ b/packages/node/src/admin/AdminSources.ts
@@ -20,6 +20,8 @@
   abstract ordersQueued (): number
   abstract members (): readonly MemberStatus[]
   abstract configurations (): readonly ConfigurationStatus[]
+  /** The revision in force of each configuration value. */
+  abstract revisions (): ReadonlyMap<string, number>
   abstract platform (): readonly PlatformStatus[]
   abstract leases (): readonly LeaseStatus[]
   /** The runners that this node dispatches. */
--- a/packages/node/src/admin/DaemonSources.ts
+++ b/packages/node/src/admin/DaemonSources.ts
@@ -77,6 +77,10 @@
     return this.#parts.configuration.installed().map(configurationStatus)
   }
 
+  revisions (): ReadonlyMap<string, number> {
+    return new Map(this.#parts.configuration.installed().map(({ name, revision }) => [name, revision]))
+  }
+
   platform (): readonly PlatformStatus[] {
     return [...this.#parts.foundation.platform.values()]
   }
--- a/packages/node/src/admin/adminRoutes.ts
+++ b/packages/node/src/admin/adminRoutes.ts
@@ -2,7 +2,7 @@
 import { createHash, timingSafeEqual } from 'node:crypto'
 
 import { AdminPath, encodeStamp } from '@bluebellhill/protocol'
-import type { AdminError, DrainReply, RunnersReply, StatusReply } from '@bluebellhill/protocol'
+import type { AdminError, ConfigurationReply, DrainReply, RunnersReply, StatusReply } from '@bluebellhill/protocol'
 
 import type { AdminSources } from './AdminSources.js'
 import { QueryError, histogramsReply, timeLineReply } from './replies.js'
@@ -97,10 +97,16 @@
   [AdminPath.Histograms]: 'GET',
   [AdminPath.Status]: 'GET',
   [AdminPath.Runners]: 'GET',
+  [AdminPath.Configuration]: 'GET',
   [AdminPath.Drain]: 'POST',
   [METRICS_PATH]: 'GET'
 }
 
+const configurationReply = (sources: AdminSources): ConfigurationReply => ({
+  node: sources.node,
+  revisions: Object.fromEntries(sources.revisions())
+})
+
 const answerPath = async (sources: AdminSources, path: string, query: URLSearchParams): Promise<AdminAnswer> => {
   const { metrics, timeLine, node, failureDomain } = sources
   switch (path) {
@@ -108,6 +114,7 @@
     case AdminPath.Histograms: return jsonAnswer(await histogramsReply(metrics, node, failureDomain, sources.uptime()))
     case AdminPath.Status: return jsonAnswer(statusReply(sources))
     case AdminPath.Runners: return jsonAnswer(runnersReply(sources))
+    case AdminPath.Configuration: return jsonAnswer(configurationReply(sources))
     case AdminPath.Drain: return jsonAnswer(drainReply(sources), 202)
     default: return { status: 200, headers: { 'content-type': metrics.contentType }, body: await metrics.text() }
   }
--- a/packages/node/tests/sampleSources.ts
+++ b/packages/node/tests/sampleSources.ts
@@ -18,6 +18,7 @@
   ordersQueued = () => 1
   members = () => [{ node: 'n2', failureDomain: 'saham', state: MemberState.Alive, incarnation: 3 }]
   configurations = () => [{ organisation: null, revision: '12', installedAt: 900 }]
+  revisions = () => new Map([['fleet', 12]])
   platform = () => [{ service: 'key-value service', available: true, since: 100 }]
   leases = () => []
   runners = () => [{
--- a/packages/protocol/src/admin.ts
+++ b/packages/protocol/src/admin.ts
@@ -9,7 +9,8 @@
   Histograms: '/admin/metrics/histograms',
   Status: '/admin/status',
   Drain: '/admin/drain',
-  Runners: '/admin/runners'
+  Runners: '/admin/runners',
+  Configuration: '/admin/configuration'
 } as const
 export type AdminPath = typeof AdminPath[keyof typeof AdminPath]
 
@@ -154,6 +155,12 @@
   readonly runners: readonly RunnerStatus[]
 }
 
+/** Answer of `GET /admin/configuration`: the revision in force of each value. */
+export interface ConfigurationReply {
+  readonly node: string
+  readonly revisions: Readonly<Record<string, number>>
+}
+
 /** Answer of `POST /admin/drain`. */
 export interface DrainReply {
   readonly node: string
