--- a/packages/domain/src/dispatch/DomainView.ts
+++ b/packages/domain/src/dispatch/DomainView.ts
@@ -120,8 +120,8 @@
 }
 
 /** Utilisation that a zone is planned for, at the weights 0 and 1 of long prompts. */
-const SHORT_UTILISATION = { least: 0.15, most: 0.6 }
-const MIDDLE_UTILISATION = { least: 0.6, most: 1 }
+const SHORT_UTILISATION = { least: 0.2, most: 1.2 }
+const MIDDLE_UTILISATION = { least: 0.8, most: 1.4 }
 
 /** @returns null where there is no long work or nothing to divide */
 const zoneBounds = ({ total, capacity, demand }: Balance, { longWeight }: ZoneWeights): ZoneBounds | null => {
--- a/packages/domain/src/dispatch/LengthAware.ts
+++ b/packages/domain/src/dispatch/LengthAware.ts
@@ -95,13 +95,17 @@
   const cost = (runner: Runner): number => runner.pendingPrefill(context.now) - runner.cachedTokens(order)
   const own = leastBy([...inZone(RunnerZone.Long), ...inZone(undefined)], cost)
   if (own !== null) return { runner: own, reason: 'runner for long prompts' }
-  const lent = leastBy(inZone(RunnerZone.Flexible).filter((runner) => runner.pendingPrefill(context.now) === 0), cost)
-  if (lent !== null) return { runner: lent, reason: 'idle runner, lent to a long prompt' }
+  const lent = leastBy(inZone(RunnerZone.Flexible).filter((runner) => canLend(runner, context.now)), cost)
+  if (lent !== null) return { runner: lent, reason: 'runner lent to a long prompt' }
   if (!isLate(queued, serving, context)) return null
   const any = leastBy(open, cost)
   return any === null ? null : { runner: any, reason: 'no runner for long prompts in time' }
 }
 
+/** Whether a long prompt may come in: middle prompts go before it, or there are none. */
+const canLend = (runner: Runner, now: Millis): boolean =>
+  runner.interference < defaults.UNRANKED_INTERFERENCE || runner.pendingPrefill(now) === 0
+
 /** Whether an order has waited long, or no runner here is meant for it. */
 const isLate = (queued: QueuedOrder, serving: readonly Runner[], { now, zones }: RoutingContext): boolean => {
   const misplaced = serving.every((runner) => zones.get(runner.id) === RunnerZone.Short)
--- a/packages/domain/src/routing/OwnOrders.ts
+++ b/packages/domain/src/routing/OwnOrders.ts
@@ -8,14 +8,6 @@
   readonly at: Millis
 }
 
-/** How fast a dispatcher works off what it is given. */
-export interface DispatcherPace {
-  /** When its summary arrived. */
-  readonly receivedAt: Millis
-  /** Prompt tokens a second of one of its runners; 0 while unknown. */
-  readonly runnerRate: number
-}
-
 /** Sums recent orders by dispatcher and model. */
 export class OwnOrders {
   readonly #placed = new Map<NodeId, PlacedOrder[]>()
@@ -28,21 +20,19 @@
   }
 
   /**
-   * Prompt tokens of the orders since a summary was made, less what a runner each has computed meanwhile.
+   * Prompt tokens of the orders since a summary was made.
+   *
+   * They count in full until the next summary: an estimate that counted them down as they are worked off spread middle
+   * prompts worse.
    *
    * @param node - the dispatcher
    * @param model - name of the model
-   * @param pace - the dispatcher's summary and rate
-   * @param now - time
+   * @param receivedAt - when its summary arrived
    */
-  pending (node: NodeId, model: string, { receivedAt, runnerRate }: DispatcherPace, now: Millis): Tokens {
+  pending (node: NodeId, model: string, receivedAt: Millis): Tokens {
     const recent = (this.#placed.get(node) ?? []).filter((order) => order.at > receivedAt - GOSSIP_LAG)
     if (recent.length === 0) this.#placed.delete(node)
     else this.#placed.set(node, recent)
-    let pending = 0
-    for (const order of recent) {
-      if (order.model === model) pending += Math.max(0, order.promptTokens - (now - order.at) * runnerRate / 1_000)
-    }
-    return pending
+    return recent.reduce((sum, order) => order.model === model ? sum + order.promptTokens : sum, 0)
   }
 }
--- a/packages/domain/src/routing/Router.ts
+++ b/packages/domain/src/routing/Router.ts
@@ -44,7 +44,7 @@
    * @returns the dispatcher's node, or why none was chosen
    */
   choose (facts: OrderFacts, states: readonly DispatcherState[], own: FailureDomain, avoid: readonly NodeId[], now: Millis): NodeId | RoutingRefusal {
-    const serving = this.#candidates(facts, states, now)
+    const serving = this.#candidates(facts, states)
     if (serving.length === 0) return { kind: OutcomeKind.NoRunner, retryAfter: 1_000, reason: `no dispatcher has a runner for ${facts.model}` }
     const open = serving.filter((candidate) => !avoid.includes(candidate.node))
     const candidates = open.length > 0 ? open : serving
@@ -55,21 +55,21 @@
     return chosen.node
   }
 
-  #candidates (facts: OrderFacts, states: readonly DispatcherState[], now: Millis): readonly Candidate[] {
+  #candidates (facts: OrderFacts, states: readonly DispatcherState[]): readonly Candidate[] {
     const candidates: Candidate[] = []
     for (const state of states) {
       const summary = state.summaries.find((entry) => entry.model === facts.model && entry.runners > 0)
-      if (summary !== undefined) candidates.push(this.#candidate(facts, state, summary, now))
+      if (summary !== undefined) candidates.push(this.#candidate(facts, state, summary))
     }
     return candidates
   }
 
-  #candidate (facts: OrderFacts, state: DispatcherState, summary: DispatchSummary, now: Millis): Candidate {
+  #candidate (facts: OrderFacts, state: DispatcherState, summary: DispatchSummary): Candidate {
     const rate = summary.prefillRate
     const runnerRate = rate / summary.runners
-    const since = this.#own.pending(state.node, facts.model, { receivedAt: state.receivedAt, runnerRate }, now)
+    const since = this.#own.pending(state.node, facts.model, state.receivedAt)
     const reported = summary.queueDelay[lengthClassOf(facts.promptTokens)] ?? 0
-    const queue = reported + (rate > 0 ? since * 1_000 / Math.max(runnerRate, rate * defaults.ZONE_SHARE) : 0)
+    const queue = reported + (rate > 0 ? since * 1_000 / rate : 0)
     const prefill = rate > 0 ? facts.promptTokens * 1_000 / runnerRate : 0
     return { node: state.node, failureDomain: state.failureDomain, queue, wait: queue + prefill, rate }
   }
--- a/packages/domain/src/routing/constants.ts
+++ b/packages/domain/src/routing/constants.ts
@@ -24,6 +24,3 @@
 
 /** Difference of waits below which two dispatchers count as equal. */
 export const EQUAL_WAIT: Millis = 5
-
-/** Share of a dispatcher's runners that an order of one kind is expected to find open to it. */
-export const ZONE_SHARE = 0.3
--- a/packages/domain/tests/dispatchDrive.ts
+++ b/packages/domain/tests/dispatchDrive.ts
@@ -164,6 +164,7 @@
     const { engine, owner } = this.#engines.get(grant.runner)!
     engine.add(grant, trace.order)
     this.#progress(owner, grant, 'sent', 0)
+    this.#keepReporting(owner, grant, trace)
     if (!engine.busy) this.#step(grant.runner)
   }
 
@@ -171,6 +172,14 @@
     this.at(this.now + 1, () => this.give(owner, { type: 'progressed', attempt, runner, kind, generated, order: null }))
   }
 
+  #keepReporting (owner: Dispatcher, grant: Grant, trace: Trace): void {
+    this.at(this.now + 1_000, () => {
+      if (trace.grantedFor !== grant.attempt || trace.endedAt !== undefined || trace.tried.at(-1) !== grant.attempt) return
+      this.#progress(owner, grant, 'streaming', trace.firstTokenAt === undefined ? 0 : 1)
+      this.#keepReporting(owner, grant, trace)
+    })
+  }
+
   #recalled (id: AttemptId): void {
     const trace = this.#traceOf(id)
     if (trace.firstTokenAt !== undefined) return
