Fill the retry budget with time too

Cause: after a backend outage with few requests, the budget stayed spent: the test of engine faults failed with retry_budget_spent minutes of traffic later, since only admitted requests paid in. Ruled out: a leak of retries (each was charged once).

--- a/packages/domain/src/request/Request.ts
+++ b/packages/domain/src/request/Request.ts
@@ -165,7 +165,7 @@
 
   #admit (now: Millis): readonly RequestEffect[] {
     if (this.#state !== RequestState.New) return []
-    this.#options.retryBudget.deposit()
+    this.#options.retryBudget.deposit(now)
     return [{ type: 'set_timer', at: this.spec.deadline }, ...this.#seek(now)]
   }
 
@@ -302,7 +302,7 @@
     this.#state = RequestState.Delayed
     if (this.#attempts - this.#recalls >= this.#options.maxAttempts) return this.#giveUp(retry.kind, retry.reason, retry.retryAfter)
     if (now + retry.delay >= this.spec.deadline) return this.#giveUp(retry.kind, retry.reason, retry.retryAfter)
-    if (retry.charged && !this.#options.retryBudget.withdraw()) {
+    if (retry.charged && !this.#options.retryBudget.withdraw(now)) {
       return this.#giveUp(OutcomeKind.RetryBudgetSpent, retry.reason, retry.retryAfter)
     }
     if (retry.delay === 0) return this.#seek(now)
--- a/packages/domain/src/request/RetryBudget.ts
+++ b/packages/domain/src/request/RetryBudget.ts
@@ -1,19 +1,26 @@
 /** Keeps retries below a share of the admitted requests, so that overload is not multiplied. */
 
+import type { Millis } from '../types.js'
+
+const MS_PER_SECOND = 1_000
+
 /** Bounds of a retry budget. */
 export interface RetryBudgetOptions {
   /** Retries that each admitted request pays in; 0.1 allows one retry to ten requests. */
   readonly ratio: number
   /** Most retries that can be saved up. */
   readonly capacity: number
+  /** Retries a second that are allowed however few requests there are. */
+  readonly perSecond: number
 }
 
-export const DEFAULT_RETRY_BUDGET: RetryBudgetOptions = { ratio: 0.2, capacity: 64 }
+export const DEFAULT_RETRY_BUDGET: RetryBudgetOptions = { ratio: 0.2, capacity: 64, perSecond: 5 }
 
 /** A budget that all requests of one entry node share. */
 export class RetryBudget {
   readonly #options: RetryBudgetOptions
   #saved: number
+  #countedUntil: Millis | null = null
 
   /** @param options - the share of retries and how many can be saved up */
   constructor (options: RetryBudgetOptions = DEFAULT_RETRY_BUDGET) {
@@ -26,19 +33,36 @@
     return Math.floor(this.#saved)
   }
 
-  /** Pays in for one admitted request. */
-  deposit (): void {
-    this.#saved = Math.min(this.#options.capacity, this.#saved + this.#options.ratio)
+  /**
+   * Pays in for one admitted request.
+   *
+   * @param now - time, in milliseconds
+   */
+  deposit (now: Millis): void {
+    this.#payInForTime(now)
+    this.#payIn(this.#options.ratio)
   }
 
   /**
    * Takes one retry out.
    *
+   * @param now - time, in milliseconds
    * @returns false when the budget is spent; nothing is taken then
    */
-  withdraw (): boolean {
+  withdraw (now: Millis): boolean {
+    this.#payInForTime(now)
     if (this.#saved < 1) return false
     this.#saved -= 1
     return true
   }
+
+  #payInForTime (now: Millis): void {
+    const since = this.#countedUntil ?? now
+    this.#countedUntil = Math.max(since, now)
+    this.#payIn(this.#options.perSecond * Math.max(0, now - since) / MS_PER_SECOND)
+  }
+
+  #payIn (retries: number): void {
+    this.#saved = Math.min(this.#options.capacity, this.#saved + retries)
+  }
 }
--- a/packages/domain/tests/requestHistory.ts
+++ b/packages/domain/tests/requestHistory.ts
@@ -60,7 +60,7 @@
   #admit (): Request {
     const request = new Request(
       spec({ id: `r${this.#restarts}` as RequestId, idempotent: this.#idempotent, maxTokens: this.#total, deadline: DEADLINE }),
-      { retryBudget: new RetryBudget({ ratio: 0.2, capacity: 4 }) }
+      { retryBudget: new RetryBudget({ ratio: 0.2, capacity: 4, perSecond: 0 }) }
     )
     this.request = request
     this.#give({ type: 'admitted' })
