Answer the orders of an entry node that was only paused; take plain calls side by side

Causes, found by pausing a node in the middle of keyed orders (recovery.test): - A dispatcher that lost sight of an entry node dropped its queued orders without a word; the node woke up and waited for the grant until its deadline, 30 s. Ruled out: a lost gRPC answer (the dispatcher's time line shows the order queued and never granted).

--- a/packages/domain/src/dispatch/Dispatcher.ts
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -222,7 +222,10 @@
 
   #entryLost (entry: NodeId, now: Millis): void {
     for (const { order } of [...this.#queue.orders]) {
-      if (order.entry === entry) this.#queue.remove(order.attempt)
+      if (order.entry !== entry) continue
+      this.#queue.remove(order.attempt)
+      // A paused entry node that comes back has to learn that its order is not queued any more.
+      this.#refuse(order, { kind: OutcomeKind.NoRunner, retryAfter: 0, reason: 'the entry node could not be reached' })
     }
     for (const attempt of this.#pool.attempts) {
       if (attempt.entry === entry) attempt.lapsesAt = Math.min(attempt.lapsesAt, now + this.#settings.lostEntryGrace)
--- a/packages/domain/src/types.ts
+++ b/packages/domain/src/types.ts
@@ -62,6 +62,7 @@
   ServerFailed: 'server_failed',
   AnswerLost: 'answer_lost',
   CallerGone: 'caller_gone',
+  Starting: 'starting',
   Stopping: 'stopping',
   Internal: 'internal'
 } as const
--- a/packages/domain/tests/dispatcher.test.ts
+++ b/packages/domain/tests/dispatcher.test.ts
@@ -61,3 +61,12 @@
   dispatcher.handle({ type: 'withdrawn', attempt: attempt('r.1') }, 0)
   t.is(ofType(ordered(dispatcher, order('r.1'), 1), 'grant').length, 0)
 })
+
+test('orders of an unreachable entry node are refused, since it may only be paused', (t) => {
+  const dispatcher = dispatcherWith(['a'], { slots: 1 })
+  ordered(dispatcher, order('r1.1'))
+  ordered(dispatcher, order('r2.1'))
+  const [refusal] = ofType(dispatcher.handle({ type: 'entry_lost', entry: order('r2.1').entry }, 10), 'refuse')
+  t.is(refusal?.attempt, attempt('r2.1'))
+  t.is(dispatcher.queued, 0)
+})
--- a/packages/node/src/daemon/callerRoutes.ts
+++ b/packages/node/src/daemon/callerRoutes.ts
@@ -51,7 +51,7 @@
 
 const recogniseCaller = (organisations: Organisations, request: IncomingMessage): KnownOrganisation => {
   const key = readApiKey(request.headers)
-  if (!organisations.ready) throw new RefusedCall(OutcomeKind.StoreUnavailable, 'no configuration is in force yet', CONFIGURATION_RETRY_AFTER_MS)
+  if (!organisations.ready) throw new RefusedCall(OutcomeKind.Starting, 'no configuration is in force yet', CONFIGURATION_RETRY_AFTER_MS)
   const organisation = organisations.byKey(key)
   if (organisation === null) throw new RefusedCall(OutcomeKind.Unauthorised, 'the API key is not known')
   return organisation
--- a/packages/node/src/dispatch/PlainMonitor.ts
+++ b/packages/node/src/dispatch/PlainMonitor.ts
@@ -67,7 +67,7 @@
   totalTokens: CALL_CAPACITY,
   slots,
   blockTokens: 1,
-  chunkTokens: 1,
+  chunkTokens: CALL_CAPACITY,
   loadAge: 0,
   running: 0,
   waiting: 0,
--- a/packages/protocol/src/codes/resultCodes.ts
+++ b/packages/protocol/src/codes/resultCodes.ts
@@ -199,6 +199,15 @@
     sentence: 'The caller closed the connection before the answer was whole.',
     operator: 'Compare the client\'s own time limit with the template\'s deadline.'
   },
+  [OutcomeKind.Starting]: {
+    number: 1503,
+    status: 503,
+    type: ErrorType.Server,
+    ran: NOT_RUN,
+    retry: true,
+    sentence: 'This node has just started and has no configuration yet; send the request again.',
+    operator: 'Check that the balancer honours "/readyz"; if it lasts, see the page on platform outages.'
+  },
   [OutcomeKind.Stopping]: {
     number: 1501,
     status: 503,
