--- a/packages/standin/src/demo.ts
+++ b/packages/standin/src/demo.ts
@@ -4,7 +4,9 @@
 
 const SEED = 1
 
-const report = await new Demonstration(SEED, (line) => console.log(line)).run()
+const demonstration = new Demonstration(SEED, (line) => console.log(line))
+const report = await demonstration.run()
 for (const line of reportTable(report)) console.log(line)
 console.log(closingLine(report))
-process.exitCode = report.lost === 0 && report.doubled === 0 ? 0 : 1
+const isSound = report.lost === 0 && report.doubled === 0 && !demonstration.editFailed
+process.exitCode = isSound ? 0 : 1
--- a/packages/standin/src/demonstration/Demonstration.ts
+++ b/packages/standin/src/demonstration/Demonstration.ts
@@ -15,6 +15,8 @@
 /** Runs the steps and reports on them as they happen. */
 export class Demonstration {
   private readonly fleet = new Fleet(DEMO_FLEET)
+  /** Whether the configuration edit did not come into force. */
+  editFailed = false
   private readonly counts = { answered: 0, refused: 0, failed: 0, other: 0 }
   private readonly extra: RequestRecord[] = []
   private startedAt = performance.now()
@@ -99,8 +101,13 @@
   private async edit (): Promise<void> {
     const organisation = DEMO_FLEET.organisations[1]!
     const startedAt = performance.now()
-    const said = await this.fleet.applyOrganisation(organisation, URGENT)
-    this.say(`urgency of ${organisation.name} set to ${URGENT} in ${Math.round(performance.now() - startedAt)} ms: ${said}`)
+    try {
+      const said = await this.fleet.applyOrganisation(organisation, URGENT)
+      this.say(`urgency of ${organisation.name} set to ${URGENT} in ${Math.round(performance.now() - startedAt)} ms: ${said}`)
+    } catch (error) {
+      this.editFailed = true
+      this.say(`the edit failed: ${String(error)}`)
+    }
   }
 
   private async killNode (): Promise<void> {
