--- a/packages/domain/src/dispatch/Dispatcher.ts
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -106,7 +106,9 @@
     for (const attempt of this.#pool.attempts) next = Math.min(next, attempt.lapsesAt)
     for (const queued of this.#queue.orders) next = Math.min(next, this.#hopelessAt(queued))
     for (const runner of this.#pool.runners) {
-      for (const unknown of runner.unknown.values()) next = Math.min(next, orphanedAt(runner, unknown, this.#settings))
+      for (const unknown of runner.unknown.values()) {
+        if (!this.#ended.has(unknown.attempt)) next = Math.min(next, orphanedAt(runner, unknown, this.#settings))
+      }
     }
     return Number.isFinite(next) ? next : null
   }
@@ -225,7 +227,8 @@
       if (order.entry === entry) this.#queue.remove(order.attempt)
     }
     for (const attempt of this.#pool.attempts) {
-      if (attempt.entry === entry) attempt.lapsesAt = Math.min(attempt.lapsesAt, now + this.#settings.lostEntryGrace)
+      const silent = now - attempt.heardAt > defaults.LOST_ENTRY_SILENCE
+      if (attempt.entry === entry && silent) attempt.lapsesAt = Math.min(attempt.lapsesAt, now + this.#settings.lostEntryGrace)
     }
   }
 
@@ -239,11 +242,24 @@
   #expireAttempts (now: Millis): void {
     for (const attempt of [...this.#pool.attempts]) {
       if (now < attempt.lapsesAt) continue
+      if (attempt.sentAt === null) {
+        this.#disown(attempt)
+        continue
+      }
       this.#end(attempt, now)
       this.#cancel(attempt.runner, attempt.id, 'no progress was reported in time')
     }
   }
 
+  /**
+   * Gives up a grant that nobody reported on. It may be in use all the same: its entry node may take another dispatcher
+   * for the runner's. If the engine holds it, it is left alone for the time of an attempt that is not known here.
+   */
+  #disown (attempt: LiveAttempt): void {
+    this.#pool.leave(attempt.id)
+    this.#pool.runner(attempt.runner)?.disown(attempt)
+  }
+
   #expireQueue (now: Millis): void {
     for (const queued of [...this.#queue.orders]) {
       if (now < this.#hopelessAt(queued)) continue
--- a/packages/domain/src/dispatch/LiveAttempt.ts
+++ b/packages/domain/src/dispatch/LiveAttempt.ts
@@ -24,6 +24,7 @@
   recalled = false
   readonly #lengthClass: number
   #sentAt: Millis | null = null
+  #heardAt: Millis
   #firstTokenAt: Millis | null = null
   /** Tokens that the caller had before this attempt; reports count from the request's first token. */
   #base: Tokens = 0
@@ -40,6 +41,7 @@
     this.order = order
     this.runner = runner
     this.grantedAt = now
+    this.#heardAt = now
     this.lapsesAt = lapsesAt
     this.load = load
     this.#lengthClass = lengthClassOf(order.promptTokens)
@@ -67,6 +69,11 @@
     return this.#generated - this.#base
   }
 
+  /** Time of the grant or of the last report. */
+  get heardAt (): Millis {
+    return this.#heardAt
+  }
+
   get sentAt (): Millis | null {
     return this.#sentAt
   }
@@ -102,6 +109,7 @@
    * @param now - time of the report
    */
   progress (kind: ProgressKind, generated: Tokens, now: Millis): void {
+    this.#heardAt = now
     if (this.#sentAt === null) {
       this.#sentAt = now
       if (kind === ProgressKind.Sent) this.#base = generated
--- a/packages/domain/src/dispatch/Runner.ts
+++ b/packages/domain/src/dispatch/Runner.ts
@@ -170,6 +170,12 @@
     if (decoding > 0 && attempt.generated > 1) this.#decodeRate.learn((attempt.generated - 1) * 1_000 / decoding)
   }
 
+  /** Counts a granted attempt as one that the engine may hold for an entry node not heard of. */
+  disown (attempt: LiveAttempt): void {
+    const { id, reservedTokens, grantedAt } = attempt
+    this.unknown.set(id, { attempt: id, heldTokens: reservedTokens, seenAt: grantedAt, startedAt: grantedAt })
+  }
+
   #pending (now: Millis, counts: (attempt: LiveAttempt) => boolean): Tokens {
     let pending = 0
     for (const attempt of this.attempts.values()) {
--- a/packages/domain/src/dispatch/constants.ts
+++ b/packages/domain/src/dispatch/constants.ts
@@ -8,13 +8,16 @@
 export const GRANT_MARGIN: Millis = 500
 
 /** Time without progress after which an attempt counts as left by its entry node. */
-export const SILENCE_LIMIT: Millis = 4_000
+export const SILENCE_LIMIT: Millis = 6_000
 
 /** Time that the attempts of a lost entry node are still kept. */
 export const LOST_ENTRY_GRACE: Millis = 1_500
 
+/** Silence of an attempt before its entry node's loss counts for it; one heard of later is of the node's next start. */
+export const LOST_ENTRY_SILENCE: Millis = 1_200
+
 /** Time after a take-over in which entry nodes report the attempts that the new dispatcher did not grant. */
-export const INHERITED_GRACE: Millis = 4_000
+export const INHERITED_GRACE: Millis = 6_000
 
 /** Time that an attempt which began after the take-over, without a grant of this dispatcher, is left alone. */
 export const FOREIGN_GRACE: Millis = 8_000
--- a/packages/domain/tests/dispatchDrive.ts
+++ b/packages/domain/tests/dispatchDrive.ts
@@ -1,5 +1,6 @@
 /** Passes events and effects between dispatchers, a router and small fakes of engines, in order of time. */
 import type { AttemptId, DispatchEffect, Dispatcher, DispatcherState, DispatchOrder, FailureDomain, Grant, Millis, NodeId, Router, RunnerId } from '../src/index.js'
+import { Agenda } from './agenda.js'
 import { attempt as attemptId, DOMAIN, report, runner as runnerId } from './fixtures.js'
 
 /** Step times and sizes of a fake engine. */
@@ -74,10 +75,8 @@
 
 /** Runs dispatchers with engines until all is done. */
 export class DispatchDrive {
-  now: Millis = 0
+  readonly #agenda = new Agenda()
   readonly traces = new Map<string, Trace>()
-  readonly #agenda: { at: Millis, order: number, run: () => void }[] = []
-  #count = 0
   readonly #dispatchers = new Map<NodeId, Dispatcher>()
   readonly #engines = new Map<RunnerId, { readonly engine: FakeEngine, readonly owner: Dispatcher }>()
   readonly #states = new Map<NodeId, DispatcherState>()
@@ -107,17 +106,16 @@
     this.at(at, () => this.#place(order.request))
   }
 
+  get now (): Millis {
+    return this.#agenda.now
+  }
+
   at (at: Millis, run: () => void): void {
-    this.#agenda.push({ at, order: this.#count++, run })
-    this.#siftUp()
+    this.#agenda.at(at, run)
   }
 
   run (): this {
-    while (this.#agenda.length > 0) {
-      const next = this.#pop()
-      this.now = next.at
-      next.run()
-    }
+    this.#agenda.run()
     return this
   }
 
@@ -245,37 +243,4 @@
     }
     if (this.now < this.#last || this.now === 0) this.at(this.now + 500, () => this.#gossip(dispatcher))
   }
-
-  #siftUp (): void {
-    const heap = this.#agenda
-    let index = heap.length - 1
-    while (index > 0) {
-      const parent = (index - 1) >> 1
-      if (!earlier(heap[index]!, heap[parent]!)) return
-      ;[heap[index], heap[parent]] = [heap[parent]!, heap[index]!]
-      index = parent
-    }
-  }
-
-  #pop (): { at: Millis, run: () => void } {
-    const heap = this.#agenda
-    const top = heap[0]!
-    const last = heap.pop()!
-    if (heap.length === 0) return top
-    heap[0] = last
-    let index = 0
-    for (;;) {
-      const left = 2 * index + 1
-      const right = left + 1
-      let least = index
-      if (left < heap.length && earlier(heap[left]!, heap[least]!)) least = left
-      if (right < heap.length && earlier(heap[right]!, heap[least]!)) least = right
-      if (least === index) return top
-      ;[heap[index], heap[least]] = [heap[least]!, heap[index]!]
-      index = least
-    }
-  }
 }
-
-const earlier = (a: { at: Millis, order: number }, b: { at: Millis, order: number }): boolean =>
-  a.at < b.at || (a.at === b.at && a.order < b.order)
