--- a/packages/domain/src/dispatch/DispatchQueue.ts
+++ b/packages/domain/src/dispatch/DispatchQueue.ts
@@ -8,6 +8,8 @@
   readonly queuedAt: Millis
   /** Deadline on this node's clock. */
   readonly deadline: Millis
+  /** Time from arrival to end, as estimated at arrival. */
+  expected: Millis
   /** Whether its entry node was told to ask another dispatcher. */
   redirected: boolean
 }
@@ -53,7 +55,7 @@
 
   /** Puts an order into the queue. */
   add (order: DispatchOrder, now: Millis): QueuedOrder {
-    const queued = { order, queuedAt: now, deadline: now + order.remaining, redirected: false }
+    const queued = { order, queuedAt: now, deadline: now + order.remaining, expected: 0, redirected: false }
     this.#liftIdle(order.organisation)
     this.#orders.set(order.attempt, queued)
     this.#waiting.set(order.organisation, (this.#waiting.get(order.organisation) ?? 0) + 1)
--- a/packages/domain/src/dispatch/Dispatcher.ts
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -1,7 +1,7 @@
 /** The account of one node's runners and the queue before them: grants, refuses, recalls and frees. */
 import type { AttemptId, Millis, NodeId, RunnerId } from '../types.js'
 import { assertNever, OutcomeKind } from '../types.js'
-import { assess, boundedRetry, expectedWait, leastService } from './admission.js'
+import { assess, boundedRetry, estimate, expectedWait, leastService } from './admission.js'
 import type { Refusal } from './admission.js'
 import * as defaults from './constants.js'
 import { DispatchQueue } from './DispatchQueue.js'
@@ -13,6 +13,7 @@
 import { LiveAttempt } from './LiveAttempt.js'
 import { orphanedAt } from './orphans.js'
 import type { OrphanGraces } from './orphans.js'
+import { Punctuality } from './Punctuality.js'
 import type { RoutingContext, RoutingPolicy, RunnerChoice } from './RoutingPolicy.js'
 import type { Runner } from './Runner.js'
 import { RunnerPool } from './RunnerPool.js'
@@ -45,6 +46,7 @@
   readonly #pool = new RunnerPool()
   readonly #queue: DispatchQueue
   readonly #domain = new DomainView()
+  readonly #punctuality = new Punctuality()
   readonly #ended = new EndedAttempts()
   #effects: DispatchEffect[] = []
 
@@ -181,7 +183,9 @@
     const holding = serving.filter((runner) => runner.couldHold(order))
     if (holding.length === 0) return { kind: OutcomeKind.NoGroup, retryAfter: 0, reason: 'the prompt is above the memory of one runner' }
     const ahead = this.#queue.before(queued, now)
-    return assess(order, { policy: this.#policy, context: this.#context(order.model, now), serving: holding, ahead })
+    const expected = estimate(order, { policy: this.#policy, context: this.#context(order.model, now), serving: holding, ahead })
+    queued.expected = expected.wait + expected.service
+    return assess(order, expected, this.#punctuality.factor(now))
   }
 
   #withdrawn (id: AttemptId, now: Millis): void {
@@ -200,10 +204,15 @@
     attempt.lapsesAt = now + this.#settings.silenceLimit
     this.#queue.charge(attempt.order.organisation, 0, attempt.generated - before.generated)
     if (before.prefilling && !attempt.isPrefilling) runner?.learnFirstToken(attempt, now)
-    if (event.kind === ProgressKind.Ended) runner?.learnEnd(attempt, now)
+    if (event.kind === ProgressKind.Ended) this.#learnEnd(attempt, now)
     if (event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed) this.#end(attempt, now)
   }
 
+  #learnEnd (attempt: LiveAttempt, now: Millis): void {
+    this.#pool.runner(attempt.runner)?.learnEnd(attempt, now)
+    this.#punctuality.learn(attempt.load.expected, now - attempt.load.queuedAt, now)
+  }
+
   #end (attempt: LiveAttempt, now: Millis): void {
     this.#pool.leave(attempt.id)
     this.#ended.add(attempt.id, now)
@@ -215,7 +224,7 @@
     const over = event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed
     if (over) this.#ended.add(event.attempt, now)
     if (event.order === null || runner === undefined || this.#ended.has(event.attempt)) return undefined
-    const load = { cachedTokens: 0, ahead: 0, behind: 0 }
+    const load = { cachedTokens: 0, ahead: 0, behind: 0, queuedAt: now, expected: 0 }
     const attempt = new LiveAttempt(event.order, event.runner, now, now + this.#settings.silenceLimit, load)
     this.#queue.remove(event.attempt)
     this.#pool.enter(attempt)
@@ -328,7 +337,7 @@
   #grant (queued: QueuedOrder, { runner, reason }: RunnerChoice, now: Millis): void {
     const { order } = queued
     const validFor = this.#settings.grantValidity
-    const load = { cachedTokens: runner.cachedTokens(order), ...runner.pendingAround(lengthClassOf(order.promptTokens), now) }
+    const load = { cachedTokens: runner.cachedTokens(order), ...runner.pendingAround(lengthClassOf(order.promptTokens), now), queuedAt: queued.queuedAt, expected: queued.expected }
     this.#queue.remove(order.attempt)
     this.#queue.charge(order.organisation, order.promptTokens, 0)
     this.#pool.enter(new LiveAttempt(order, runner.id, now, now + validFor + defaults.GRANT_MARGIN, load))
--- a/packages/domain/src/dispatch/LiveAttempt.ts
+++ b/packages/domain/src/dispatch/LiveAttempt.ts
@@ -12,6 +12,9 @@
   readonly ahead: Tokens
   /** Tokens still to be computed of longer prompts. */
   readonly behind: Tokens
+  /** When the order arrived, and how long it was expected to take from then. */
+  readonly queuedAt: Millis
+  readonly expected: Millis
 }
 
 /** Phase, memory and expiry of one granted attempt. */
--- /dev/null
+++ b/packages/domain/src/dispatch/Punctuality.ts
@@ -0,0 +1,49 @@
+/** How much longer orders take than was estimated when they were admitted. */
+import type { Millis } from '../types.js'
+
+/** Weight of the newest order. */
+const SLIP_WEIGHT = 0.05
+
+/** Largest factor that one order may show. */
+const MAX_SLIP = 4
+
+/** Estimates shorter than this say nothing about the factor. */
+const LEAST_ESTIMATE: Millis = 20
+
+/** Spread around the mean that an admission allows for. */
+const DEVIATIONS = 2
+
+/** Time constant over which the factor is forgotten when no order ends. */
+const FORGETTING: Millis = 5_000
+
+/** Learned mean and deviation of the time taken over the time estimated. */
+export class Punctuality {
+  #mean = 1
+  #deviation = 0
+  #learnedAt: Millis = 0
+
+  /**
+   * Factor by which an estimate is multiplied before it is held against a deadline.
+   *
+   * @param now - time; without new orders the factor falls back to 1, so that refusals alone cannot keep it up
+   */
+  factor (now: Millis): number {
+    const excess = this.#mean + DEVIATIONS * this.#deviation - 1
+    return 1 + Math.max(0, excess) * Math.exp(-Math.max(0, now - this.#learnedAt) / FORGETTING)
+  }
+
+  /**
+   * Notes an order that has ended.
+   *
+   * @param estimated - time from its arrival to its end, as estimated at its arrival
+   * @param taken - time that it took
+   * @param now - time of its end
+   */
+  learn (estimated: Millis, taken: Millis, now: Millis): void {
+    if (estimated < LEAST_ESTIMATE) return
+    this.#learnedAt = now
+    const sample = Math.min(MAX_SLIP, taken / estimated)
+    this.#deviation += SLIP_WEIGHT * (Math.abs(sample - this.#mean) - this.#deviation)
+    this.#mean += SLIP_WEIGHT * (sample - this.#mean)
+  }
+}
--- a/packages/domain/src/dispatch/Runner.ts
+++ b/packages/domain/src/dispatch/Runner.ts
@@ -31,7 +31,9 @@
   unreachable = false
   #report: RunnerReport | null = null
   readonly #prefillRate = new LearnedRate()
+  /** From reports; used until streams have shown more. */
   readonly #decodeRate = new LearnedRate()
+  readonly #streamRate = new LearnedRate()
   #interference = 1
 
   /**
@@ -56,7 +58,7 @@
 
   /** Tokens a second of one stream; 0 while unknown. */
   get decodeRate (): number {
-    return this.#decodeRate.value
+    return this.#streamRate.value || this.#decodeRate.value
   }
 
   get totalTokens (): Tokens {
@@ -167,7 +169,7 @@
   learnEnd (attempt: LiveAttempt, now: Millis): void {
     if (attempt.firstTokenAt === null) return
     const decoding = now - attempt.firstTokenAt
-    if (decoding > 0 && attempt.generated > 1) this.#decodeRate.learn((attempt.generated - 1) * 1_000 / decoding)
+    if (decoding > 0 && attempt.generated > 1) this.#streamRate.learn((attempt.generated - 1) * 1_000 / decoding)
   }
 
   /** Counts a granted attempt as one that the engine may hold for an entry node not heard of. */
--- a/packages/domain/src/dispatch/admission.ts
+++ b/packages/domain/src/dispatch/admission.ts
@@ -39,20 +39,30 @@
 export const leastService = (order: DispatchOrder, serving: readonly Runner[]): Millis =>
   Math.min(...serving.map((runner) => serviceTime(runner, order)))
 
+/** Expected course of an order. */
+export interface Estimate {
+  readonly wait: Millis
+  readonly service: Millis
+}
+
+/** @returns what an order may expect from the runners that can hold it */
+export const estimate = (order: DispatchOrder, prospect: Prospect): Estimate =>
+  ({ wait: expectedWait(order, prospect), service: leastService(order, prospect.serving) })
+
 /**
  * Judges an order.
  *
  * @param order - what is asked for
- * @param prospect - runners that can hold it, and the work ahead
+ * @param expected - its expected course
+ * @param slip - factor by which recent orders took longer than expected
  * @returns the refusal, or null where the deadline can be met
  */
-export const assess = (order: DispatchOrder, prospect: Prospect): Refusal | null => {
-  const service = leastService(order, prospect.serving)
-  const wait = expectedWait(order, prospect)
-  if (wait + service <= order.remaining) return null
-  const needed = `needs ${Math.round(wait)} ms to wait and ${Math.round(service)} ms to run, ${Math.round(order.remaining)} ms are left`
-  if (service > order.remaining) return { kind: OutcomeKind.DeadlineInfeasible, retryAfter: boundedRetry(wait), reason: needed }
-  return { kind: OutcomeKind.Overloaded, retryAfter: boundedRetry(wait + service - order.remaining), reason: needed }
+export const assess = (order: DispatchOrder, { wait, service }: Estimate, slip: number): Refusal | null => {
+  const needed = (wait + service) * slip
+  if (needed <= order.remaining) return null
+  const reason = `needs ${Math.round(wait)} ms to wait and ${Math.round(service)} ms to run, times ${slip.toFixed(2)}; ${Math.round(order.remaining)} ms are left`
+  if (service > order.remaining) return { kind: OutcomeKind.DeadlineInfeasible, retryAfter: boundedRetry(wait), reason }
+  return { kind: OutcomeKind.Overloaded, retryAfter: boundedRetry(needed - order.remaining), reason }
 }
 
 /** @returns a retry time that is neither at once nor beyond what can be foreseen */
