--- /dev/null
+++ b/packages/node/src/placement/index.ts
@@ -0,0 +1,3 @@
+/** Placement of models on the runners of a failure domain. */
+export * from './PlacementService.js'
+export * from './ports.js'
--- /dev/null
+++ b/packages/node/tests/placementDaemon.ts
@@ -0,0 +1,79 @@
+/** A process with placement alone; store and engine are in the test, over the process channel. */
+import type { EngineOrder, FailureDomain, Member, NodeId, OrderResult, PlacedRunner, RunnerId, WantedModel } from '@bluebellhill/domain'
+
+import { EngineOrders, LeadershipStore, PlacementService } from '../src/index.js'
+import type { LeaseAnswer } from '../src/index.js'
+
+/** Calls from the process. */
+export type PlacementCall =
+  | { readonly id: number, readonly type: 'acquire' | 'renew' | 'release', readonly token: string }
+  | { readonly id: number, readonly type: 'order', readonly fencing: number, readonly order: EngineOrder }
+
+/** Messages to the process. */
+export type PlacementMessage =
+  | { readonly type: 'start', readonly node: string, readonly nodes: readonly string[], readonly lifetime: number }
+  | { readonly type: 'wants', readonly wants: readonly WantedModel[] }
+  | { readonly type: 'report', readonly runner: PlacedRunner }
+  | { readonly type: 'answer', readonly id: number, readonly answer: unknown }
+
+const waiting = new Map<number, (answer: unknown) => void>()
+let calls = 0
+
+const call = async <Answer>(request: Record<string, unknown>): Promise<Answer> => await new Promise((resolve) => {
+  calls += 1
+  waiting.set(calls, (answer) => resolve(answer as Answer))
+  process.send?.({ ...request, id: calls })
+})
+
+class ChannelStore extends LeadershipStore {
+  async acquire (_: FailureDomain, token: string): Promise<LeaseAnswer> {
+    return await call<LeaseAnswer>({ type: 'acquire', token })
+  }
+
+  async renew (_: FailureDomain, token: string): Promise<LeaseAnswer> {
+    return await call<LeaseAnswer>({ type: 'renew', token })
+  }
+
+  async release (_: FailureDomain, token: string): Promise<void> {
+    await call({ type: 'release', token })
+  }
+}
+
+class ChannelEngine extends EngineOrders {
+  async give (_: RunnerId, fencing: number, order: EngineOrder): Promise<OrderResult> {
+    return await call<OrderResult>({ type: 'order', fencing, order })
+  }
+}
+
+const memberOf = (node: string): Member =>
+  ({ node: node as NodeId, failureDomain: 'fd' as FailureDomain, peerAddress: '', gossipAddress: '', state: 'alive', leaving: false, incarnation: 0, startedAt: 1 })
+
+let service: PlacementService | null = null
+
+const start = ({ node, nodes, lifetime }: Extract<PlacementMessage, { type: 'start' }>): void => {
+  const workers = nodes.map(memberOf)
+  service = new PlacementService({
+    node: node as NodeId,
+    failureDomain: 'fd' as FailureDomain,
+    startedAt: Date.now(),
+    enginesCheckFencing: false,
+    store: new ChannelStore(),
+    engines: new ChannelEngine(),
+    workers: () => workers,
+    clock: () => performance.now(),
+    lease: { lifetime, margin: lifetime / 5, renewPeriod: lifetime / 4, retryPeriod: lifetime / 4 },
+    limits: { orderRetry: 500 }
+  })
+  service.start()
+}
+
+process.on('message', (message: PlacementMessage) => {
+  if (message.type === 'start') start(message)
+  else if (message.type === 'wants') service?.wantsChanged(message.wants)
+  else if (message.type === 'report') service?.runnerReported(message.runner)
+  else {
+    waiting.get(message.id)?.(message.answer)
+    waiting.delete(message.id)
+  }
+})
+process.on('disconnect', () => process.exit(0))
