--- a/packages/domain/src/membership/constants.ts
+++ b/packages/domain/src/membership/constants.ts
@@ -58,6 +58,6 @@
   tombstoneLifetime: 300_000,
   maxLocalHealth: 8,
   updateBudget: 1_500,
-  subscriberBudget: 1_500,
+  subscriberBudget: 2_100,
   relayBudget: 600
 }
