Conclude claims that nobody concludes, and let starting nodes wait for their peers

Nodes that start together know no peer and would all watch the store; they wait up to about a second for the membership first.

--- a/packages/domain/src/idempotency/IdempotencyRegister.ts
+++ b/packages/domain/src/idempotency/IdempotencyRegister.ts
@@ -6,7 +6,7 @@
 import { WritePace } from './WritePace.js'
 import { KeyState } from './types.js'
 import type { Millis } from '../types.js'
-import type { ClaimOrder, ClaimResult, HeldRecord, KeyDigest, KeyRecord, RegisterEffect, RegisterEvent } from './types.js'
+import type { ClaimOrder, ClaimResult, Conclusion, HeldRecord, KeyDigest, KeyRecord, RegisterEffect, RegisterEvent } from './types.js'
 import type { Settlement, WaitingCaller } from './KeyEntry.js'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 
@@ -73,10 +73,8 @@
         return this.#claim(event.order)
       case 'conclude': {
         const entry = this.#entries.get(event.key)
-        if (entry?.token !== event.token || entry.phase !== EntryPhase.Held) return
-        entry.conclude(event.conclusion)
-        if (entry.target !== null) this.#answerWaiting(entry, entry.target)
-        return void this.#queue.push(entry)
+        if (entry?.token === event.token && entry.phase === EntryPhase.Held) this.#conclude(entry, event.conclusion)
+        return
       }
       case 'written':
         this.#pace.succeeded(this.#now)
@@ -101,6 +99,12 @@
     }
   }
 
+  #conclude (entry: KeyEntry, conclusion: Conclusion): void {
+    entry.conclude(conclusion)
+    if (entry.target !== null) this.#answerWaiting(entry, entry.target)
+    this.#queue.push(entry)
+  }
+
   #claim (order: ClaimOrder): void {
     const concluded = this.#cache.find(order.key)
     if (concluded !== null) return this.#answer(order, this.#resultOf(concluded, order))
@@ -164,6 +168,7 @@
       return void this.#queue.push(entry)
     }
     entry.phase = EntryPhase.Held
+    entry.heldUntil = this.#now + first.order.timeLimit + CONCLUSION_MARGIN_MS
     entry.callers = others.map(({ order }) => ({ order, until: this.#now + Math.min(OUTCOME_WAIT_MS, order.timeLimit) }))
     this.#answer(first.order, { type: 'claimed', claim: entry.token })
   }
@@ -224,6 +229,7 @@
     if (this.#now < this.#nextExpiryAt) return
     this.#nextExpiryAt = this.#now + EXPIRY_PERIOD_MS
     for (const entry of this.#entries.values()) {
+      if (entry.phase === EntryPhase.Held && entry.heldUntil <= this.#now) this.#conclude(entry, { type: 'unknown' })
       if (entry.callers.length === 0 || entry.callers.every(({ until }) => until > this.#now)) continue
       const late = entry.callers.filter(({ until }) => until <= this.#now)
       entry.callers = entry.callers.filter(({ until }) => until > this.#now)
--- a/packages/domain/src/idempotency/KeyEntry.ts
+++ b/packages/domain/src/idempotency/KeyEntry.ts
@@ -31,6 +31,8 @@
   /** Whether a write of the claim may have taken effect unseen. */
   maybeWritten = false
   inFlight = false
+  /** When a claim that nobody concluded is concluded as unknown. */
+  heldUntil: Millis = Infinity
   /** Forgotten before it was written. */
   dropped = false
   #target: KeyRecord | null
--- a/packages/domain/tests/idempotency.test.ts
+++ b/packages/domain/tests/idempotency.test.ts
@@ -246,6 +246,17 @@
   t.deepEqual([other.typeOf('t2'), other.typeOf('t3')], ['in_progress', 'unknown'])
 })
 
+test('a claim that its own node never concludes becomes unknown', (t) => {
+  const node = new Single('a', 1)
+  node.ask('k', 't1')
+  node.settle()
+  node.now += 60_000
+  node.settle()
+  node.ask('k', 't2')
+  t.is(node.typeOf('t2'), 'unknown')
+  t.is(node.store.records.get('k' as KeyDigest)?.record.state, KeyState.Unknown)
+})
+
 test('claims are refused at once while the store is out', (t) => {
   const node = new Single('a', 1)
   node.ask('k1', 't1')
--- a/packages/node/src/configuration/ConfigurationService.ts
+++ b/packages/node/src/configuration/ConfigurationService.ts
@@ -1,4 +1,6 @@
 /** One node's part in keeping the operators' configuration in force everywhere. */
+import { setTimeout as sleep } from 'node:timers/promises'
+
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 
@@ -8,7 +10,7 @@
 
 import { ConfigurationInForce } from './ConfigurationInForce.js'
 import type { ConfigurationMember, ConfigurationPeers } from './ConfigurationPeers.js'
-import { EXCHANGE_PERIOD_MS, FOREIGN_EXCHANGE_SHARE, RANK_PERIOD_MS, RUMOUR_TARGETS, START_PEERS, WATCHERS_PER_FAILURE_DOMAIN } from './constants.js'
+import { EXCHANGE_PERIOD_MS, FOREIGN_EXCHANGE_SHARE, RANK_PERIOD_MS, RUMOUR_TARGETS, START_PAUSE_MS, START_PEERS, WATCHERS_PER_FAILURE_DOMAIN } from './constants.js'
 import { StoreWatcher } from './StoreWatcher.js'
 import { WriteBackQueue } from './WriteBackQueue.js'
 import type { WriteBackResult } from './WriteBackQueue.js'
@@ -136,10 +138,17 @@
   }
 
   async #readFirst (): Promise<void> {
-    for (let tries = 0; tries < START_PEERS && this.#set.isEmpty; tries += 1) await this.#exchange(this.#choosePeer())
+    for (let tries = 0; tries < START_PEERS && this.#set.isEmpty && !this.#disposed; tries += 1) await this.#askAtStart()
     if (this.#set.isEmpty && !this.#isRankedWatcher()) await this.#watcher?.readOnce()
   }
 
+  /** Waits for the membership where no peer is known yet, so that nodes that start together do not all read the store. */
+  async #askAtStart (): Promise<void> {
+    const peer = this.#choosePeer()
+    if (peer === null) await sleep(START_PAUSE_MS * (0.5 + this.#random()))
+    else await this.#exchange(peer)
+  }
+
   #takeStored (event: ConfigurationEvent, stored: readonly StoredValue[]): void {
     for (const each of stored) this.#writeBacks?.show(each)
     this.#handle(event)
--- a/packages/node/src/configuration/constants.ts
+++ b/packages/node/src/configuration/constants.ts
@@ -28,3 +28,6 @@
 
 /** Peers that a starting node asks before it reads the store. */
 export const START_PEERS = 3
+
+/** Mean pause before a starting node asks again where it knows no peer yet, in milliseconds. */
+export const START_PAUSE_MS = 300
