Load many values without holding the node up, and measure configuration by its size

Loading 740 organisations of 8 templates took 4,592 ms in one step on the event loop, and each text was parsed twice.

--- a/packages/node/bench/configuration.ts
+++ b/packages/node/bench/configuration.ts
@@ -20,8 +20,16 @@
 const IDLE_MS = 20_000
 const OUTAGE_MS = 20_000
 const RETURN_MS = 10_000
-const NODES_PER_FAILURE_DOMAIN = 3
-const FAILURE_DOMAINS = 3
+const MS_PER_SECOND = 1_000
+
+/** Traffic between the services, in calls and bytes of JSON. */
+const traffic = { calls: 0, bytes: 0 }
+
+const counted = <Value>(value: Value): Value => {
+  traffic.calls += 1
+  traffic.bytes += JSON.stringify(value)?.length ?? 0
+  return value
+}
 
 /** Calls between services of this process, as the peers' connections would carry them. */
 class LocalPeers extends ConfigurationPeers {
@@ -42,28 +50,29 @@
 
   override async versions (node: NodeId, digest: number): Promise<readonly ValueVersion[] | null> {
     const service = this.#services.get(node)!
-    return service.digest === digest ? null : service.revisions()
+    return counted(service.digest === digest ? null : service.revisions())
   }
 
   override async values (node: NodeId, names: readonly string[]): Promise<readonly ConfigurationValue[]> {
-    return this.#services.get(node)!.values(names)
+    return counted(this.#services.get(node)!.values(names))
   }
 
   override async push (node: NodeId, values: readonly ConfigurationValue[]): Promise<void> {
-    this.#services.get(node)!.install(this.#self, values)
+    await this.#services.get(node)!.install(this.#self, counted(values))
   }
 }
 
-const openServices = (address: string, seed: number): ConfigurationService[] => {
+const openServices = (address: string, seed: number, nodes: number, failureDomains: number): ConfigurationService[] => {
   const services = new Map<NodeId, ConfigurationService>()
-  const members = Array.from({ length: FAILURE_DOMAINS * NODES_PER_FAILURE_DOMAIN }, (_, index) => ({
+  const pool = new HttpPool()
+  const members = Array.from({ length: nodes }, (_, index) => ({
     node: `node-${index}` as NodeId,
-    failureDomain: `domain-${index % FAILURE_DOMAINS}` as FailureDomain
+    failureDomain: `domain-${index % failureDomains}` as FailureDomain
   }))
   members.forEach(({ node, failureDomain }, index) => services.set(node, new ConfigurationService({
     node,
     failureDomain,
-    store: new ConfigurationStore(new HttpKeyValueService(new HttpPool(), [address])),
+    store: new ConfigurationStore(new HttpKeyValueService(pool, [address])),
     peers: new LocalPeers(services, members, node),
     rng: xoroshiro128plus(seed + index),
     wallClock: Date.now,
@@ -88,18 +97,24 @@
   meta: { name: 'configuration', description: 'Time until an edit is in force, and calls to the store' },
   args: {
     seed: { type: 'string', default: '1', description: 'Seed of the pauses' },
+    nodes: { type: 'string', default: '9', description: 'Services in this process' },
+    'failure-domains': { type: 'string', default: '3', description: 'Failure domains' },
     json: { type: 'string', default: '', description: 'File for the figures' }
   },
   run: async ({ args }) => {
     const stand = await startStandin('key-value')
-    const services = openServices(stand.address, Number(args.seed))
+    const services = openServices(stand.address, Number(args.seed), Number(args.nodes), Number(args['failure-domains']))
     const editor = new ConfigurationStore(new HttpKeyValueService(new HttpPool(), [stand.address]))
     await Promise.all(services.map(async (service) => await service.start()))
     const inForce = build({ highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3 })
     for (let index = 0; index < EDITS; index += 1) inForce.recordValue(Math.max(1, Math.round(await editOnce(editor, services, index) * 1_000)))
     const before = await callsOf(stand)
+    Object.assign(traffic, { calls: 0, bytes: 0 })
+    const processor = process.cpuUsage()
     await sleep(IDLE_MS)
     const idle = await callsOf(stand)
+    const idleTraffic = { ...traffic }
+    const used = process.cpuUsage(processor)
     await stand.setFaults({ unavailable: true })
     await sleep(OUTAGE_MS)
     const out = await callsOf(stand)
@@ -113,8 +128,11 @@
       nodes,
       inForceMsP50: inForce.getValueAtPercentile(50) / 1_000,
       inForceMsMax: inForce.maxValue / 1_000,
-      idleCallsPerNodePerSecond: (idle.total - before.total + nodes) / nodes / (IDLE_MS / 1_000),
-      outageCallsPerNodePerSecond: (out.total - idle.total) / nodes / (OUTAGE_MS / 1_000),
+      idleCallsPerNodePerSecond: (idle.total - before.total + nodes) / nodes / (IDLE_MS / MS_PER_SECOND),
+      idlePeerCallsPerNodePerSecond: idleTraffic.calls / nodes / (IDLE_MS / MS_PER_SECOND),
+      idlePeerBytesPerNodePerSecond: idleTraffic.bytes / nodes / (IDLE_MS / MS_PER_SECOND),
+      idleProcessorSharePerNode: (used.user + used.system) / MS_PER_SECOND / IDLE_MS / nodes,
+      outageCallsPerNodePerSecond: (out.total - idle.total) / nodes / (OUTAGE_MS / MS_PER_SECOND),
       returnCallsInOneSecondMax: Math.max(0, ...seconds),
       inForceMsAfterReturn: Math.round(back)
     }
--- /dev/null
+++ b/packages/node/bench/configurationSize.ts
@@ -0,0 +1,96 @@
+/** Measures memory and processor time of one node's configuration by the number of organisations. */
+import { writeFile } from 'node:fs/promises'
+import { monitorEventLoopDelay } from 'node:perf_hooks'
+
+import { defineCommand, runMain } from 'citty'
+
+import { ConfigurationSet } from '@bluebellhill/domain'
+import type { ConfigurationEffect, ConfigurationValue, EditId, NodeId } from '@bluebellhill/domain'
+import { organisationValueName } from '@bluebellhill/platform'
+
+import { ConfigurationInForce } from '../src/configuration/ConfigurationInForce.js'
+
+const SIZES = [10, 100, 740]
+const TEMPLATES = 8
+const CHANGES = 50
+const CHANGES_A_DAY = 5_800
+const SECONDS_A_DAY = 86_400
+const NANOSECONDS_PER_MS = 1_000_000
+const BYTES_PER_MEGABYTE = 1_000_000
+
+const textOf = (organisation: number): string => {
+  const templates = Array.from({ length: TEMPLATES }, (_, index) => `  - name: template-${index}
+    request: {shape: chat, typicalPromptTokens: 1500, maxPromptTokens: 16000, maxTokens: 250}
+    parameters: [{name: district}, {name: language, default: mn}]
+    prompt: |
+      Take the order for {{district}} in {{language}}.
+      {{input}}
+    urgency: 2
+    model: order-assistant
+    deadline: 15s
+    idempotent: true
+`).join('')
+  return `kind: organisation\nname: o${organisation}\nkeys: [{name: k, sha256: ${String(organisation).padStart(64, '0')}}]\ntemplates:\n${templates}`
+}
+
+const valueOf = (organisation: number, revision: number): ConfigurationValue => ({
+  name: organisationValueName(`o${organisation}`),
+  revision,
+  edit: `edit-${organisation}-${revision}` as EditId,
+  author: 'bench',
+  editedAt: 0,
+  removed: false,
+  text: textOf(organisation),
+  history: []
+})
+
+interface Held { readonly set: ConfigurationSet, readonly inForce: ConfigurationInForce }
+
+const receive = async ({ set, inForce }: Held, values: readonly ConfigurationValue[]): Promise<void> => {
+  await inForce.prepare(values)
+  const effects: ConfigurationEffect[] = set.handle({ type: 'received', from: 'peer' as NodeId, values })
+  inForce.install(effects.flatMap((effect) => effect.type === 'install' ? [effect.value] : []))
+}
+
+const measure = async (organisations: number): Promise<Record<string, number>> => {
+  globalThis.gc?.()
+  const memory = process.memoryUsage().heapUsed
+  const inForce = new ConfigurationInForce()
+  const held: Held = { set: new ConfigurationSet((value) => inForce.check(value)), inForce }
+  const pauses = monitorEventLoopDelay({ resolution: 1 })
+  pauses.enable()
+  const start = performance.now()
+  await receive(held, Array.from({ length: organisations }, (_, index) => valueOf(index, 1)))
+  const loaded = performance.now()
+  pauses.disable()
+  for (let change = 0; change < CHANGES; change += 1) await receive(held, [valueOf(change % organisations, change + 2)])
+  const changed = performance.now()
+  globalThis.gc?.()
+  const perChange = (changed - loaded) / CHANGES
+  return {
+    organisations,
+    textBytes: textOf(0).length,
+    loadMs: Math.round(loaded - start),
+    loadPauseMsMax: pauses.max / NANOSECONDS_PER_MS,
+    changeMs: perChange,
+    heapMegabytes: (process.memoryUsage().heapUsed - memory) / BYTES_PER_MEGABYTE,
+    versionsBytes: JSON.stringify(held.set.versions()).length,
+    processorShareOfADay: perChange * CHANGES_A_DAY / SECONDS_A_DAY / 1_000
+  }
+}
+
+const main = defineCommand({
+  meta: { name: 'configuration-size', description: 'One node\'s configuration by the number of organisations' },
+  args: {
+    json: { type: 'string', default: '', description: 'File for the figures' }
+  },
+  run: async ({ args }) => {
+    const figures = []
+    for (const size of SIZES) figures.push(await measure(size))
+    const text = JSON.stringify({ bench: 'configuration-size', figures, bounds: [] }, null, 2)
+    if (args.json !== '') await writeFile(args.json, text)
+    console.log(text)
+  }
+})
+
+await runMain(main)
--- a/packages/node/src/configuration/ConfigurationService.ts
+++ b/packages/node/src/configuration/ConfigurationService.ts
@@ -4,7 +4,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 
-import { ConfigurationSet } from '@bluebellhill/domain'
+import { compareVersions, ConfigurationSet } from '@bluebellhill/domain'
 import type { ConfigurationEffect, ConfigurationEvent, ConfigurationValue, EditRecord, FailureDomain, NodeId, StoredValue, ValueSource, ValueVersion } from '@bluebellhill/domain'
 import type { Configuration, ConfigurationStore } from '@bluebellhill/platform'
 
@@ -58,8 +58,8 @@
     this.#watcher = store === null
       ? null
       : new StoreWatcher(store, {
-        read: ({ values }) => this.#takeStored({ type: 'store_read', stored: values }, values),
-        changed: (stored) => this.#takeStored({ type: 'store_changed', stored }, [stored]),
+        read: async ({ values }) => await this.#takeStored({ type: 'store_read', stored: values }, values),
+        changed: (stored) => void this.#takeStored({ type: 'store_changed', stored }, [stored]),
         deleted: (name) => this.#handle({ type: 'store_deleted', name }),
         availability: (available, reason) => options.report({ type: 'store', available, reason })
       }, rng)
@@ -116,7 +116,8 @@
    * @param from - the peer
    * @param values - checked for their form, not for their text
    */
-  install (from: NodeId, values: readonly ConfigurationValue[]): void {
+  async install (from: NodeId, values: readonly ConfigurationValue[]): Promise<void> {
+    await this.#prepare(values)
     this.#handle({ type: 'received', from, values })
   }
 
@@ -149,12 +150,23 @@
     else await this.#exchange(peer)
   }
 
-  #takeStored (event: ConfigurationEvent, stored: readonly StoredValue[]): void {
+  async #takeStored (event: ConfigurationEvent, stored: readonly StoredValue[]): Promise<void> {
+    await this.#prepare(stored.flatMap(({ value }) => value ?? []))
     for (const each of stored) this.#writeBacks?.show(each)
     this.#handle(event)
   }
 
+  /** Checks the texts of newer values ahead, so that all of them come into force in one step. */
+  async #prepare (values: readonly ConfigurationValue[]): Promise<void> {
+    const newer = values.filter((value) => {
+      const known = this.#set.value(value.name)
+      return known === null || compareVersions(value, known) > 0
+    })
+    await this.#inForce.prepare(newer)
+  }
+
   #handle (event: ConfigurationEvent): void {
+    if (this.#disposed) return
     const effects = this.#set.handle(event)
     const installed = effects.flatMap((effect) => effect.type === 'install' ? [effect.value] : [])
     if (installed.length > 0) this.#inForce.install(installed)
@@ -243,7 +255,7 @@
       if (theirs === null || this.#disposed) return
       const behind = this.#set.namesBehind(theirs)
       const newer = this.#set.valuesSince(theirs)
-      if (behind.length > 0) this.install(peer, await peers.values(peer, behind))
+      if (behind.length > 0) await this.install(peer, await peers.values(peer, behind))
       if (newer.length > 0) await peers.push(peer, newer)
     } catch {
       // The next comparison goes to another peer.
--- a/packages/node/src/configuration/StoreWatcher.ts
+++ b/packages/node/src/configuration/StoreWatcher.ts
@@ -9,7 +9,8 @@
 
 /** Receives what the store shows. */
 export interface WatcherListener extends Pick<StoreListener, 'changed' | 'deleted'> {
-  read (stored: StoredConfiguration): void
+  /** Takes everything that the store holds; the watch goes on when it is taken in. */
+  read (stored: StoredConfiguration): Promise<void>
   /** Whether the store answers, each time that it changes. */
   availability (available: boolean, reason: string): void
 }
@@ -61,7 +62,7 @@
   async readOnce (): Promise<boolean> {
     const stored = await this.#store.readAll()
     this.#report(stored.ok, stored.ok ? '' : stored.failure.reason)
-    if (stored.ok) this.#listener.read(stored.value)
+    if (stored.ok) await this.#listener.read(stored.value)
     return stored.ok
   }
 
@@ -73,7 +74,8 @@
     if (round !== this.#round) return
     if (!stored.ok) return this.#retry(stored.failure.reason)
     this.#report(true, '')
-    this.#listener.read(stored.value)
+    await this.#listener.read(stored.value)
+    if (round !== this.#round) return
     this.#watch = this.#store.watch(stored.value.revision + 1, {
       opened: () => { this.#failures = 0 },
       changed: (value) => { if (round === this.#round) this.#listener.changed(value) },
@@ -88,7 +90,8 @@
     const stored = await this.#store.readAll()
     if (round !== this.#round) return
     if (!stored.ok) return this.#retry(stored.failure.reason)
-    this.#listener.read(stored.value)
+    await this.#listener.read(stored.value)
+    if (round !== this.#round) return
     this.#schedule(READ_PERIOD_MS * (0.5 + uniformFloat64(this.#rng)), () => this.#reread(round))
   }
 
--- a/packages/node/tests/configurationService.test.ts
+++ b/packages/node/tests/configurationService.test.ts
@@ -79,7 +79,7 @@
   }
 
   override async push (node: NodeId, values: readonly ConfigurationValue[]): Promise<void> {
-    this.#reach(node).install(this.#self, values)
+    await this.#reach(node).install(this.#self, values)
   }
 
   #reach (node: NodeId): ConfigurationService {
--- a/packages/platform/src/configuration/parseConfiguration.ts
+++ b/packages/platform/src/configuration/parseConfiguration.ts
@@ -1,7 +1,7 @@
 /** Reads a file that an operator wrote. */
 import { z } from 'zod'
 
-import { decodeDocument } from '../document/decode.js'
+import { checkYaml, readYaml } from '../document/decode.js'
 import { ConfigurationKind, fleetSchema, organisationSchema } from './schema.js'
 import type { DocumentProblem } from '../document/types.js'
 import type { Result } from '../result.js'
@@ -22,9 +22,11 @@
  * @returns the checked value, or every problem with file, line, field and what is allowed
  */
 export const parseConfiguration = (text: string, fileName: string): Result<ConfigurationFile, readonly DocumentProblem[]> => {
-  const kind = decodeDocument(text, fileName, kindSchema)
+  const yaml = readYaml(text, fileName)
+  if (!yaml.ok) return yaml
+  const kind = checkYaml(yaml.value, kindSchema)
   if (!kind.ok) return kind
   return kind.value.kind === ConfigurationKind.Fleet
-    ? decodeDocument(text, fileName, fleetSchema)
-    : decodeDocument(text, fileName, organisationSchema)
+    ? checkYaml(yaml.value, fleetSchema)
+    : checkYaml(yaml.value, organisationSchema)
 }
--- a/packages/platform/src/document/decode.ts
+++ b/packages/platform/src/document/decode.ts
@@ -18,20 +18,27 @@
 
 type Path = readonly PropertyKey[]
 
-interface Parsed {
+/** YAML with the places of its fields. */
+export interface Parsed {
   readonly document: Document.Parsed
   readonly lines: LineCounter
 }
 
+/** A file that is valid YAML, before its content is checked. */
+export interface YamlFile {
+  readonly file: string
+  readonly value: unknown
+  readonly parsed: Parsed
+}
+
 /**
- * Decodes a file.
+ * Reads YAML.
  *
  * @param text - the file's text
  * @param file - the file's name, for problems
- * @param schema - what it has to hold
- * @returns the checked value, or every problem in the order of lines
+ * @returns the content with its lines, or why it is no YAML
  */
-export const decodeDocument = <Value>(text: string, file: string, schema: z.ZodType<Value>): Result<Value, readonly DocumentProblem[]> => {
+export const readYaml = (text: string, file: string): Result<YamlFile, readonly DocumentProblem[]> => {
   if (Buffer.byteLength(text) > MAX_DOCUMENT_BYTES) {
     return failed([{ file, line: 1, field: '', message: 'is too large', allowed: `at most ${MAX_DOCUMENT_BYTES} bytes` }])
   }
@@ -42,13 +49,36 @@
     return failed(document.errors.slice(0, MAX_PROBLEMS).map((error) => notYaml(file, lines.linePos(error.pos[0]).line, error.message)))
   }
   const value = toValue(document)
-  if (!value.ok) return failed([notYaml(file, 1, value.failure)])
-  const checked = schema.safeParse(value.value)
+  return value.ok ? success({ file, value: value.value, parsed }) : failed([notYaml(file, 1, value.failure)])
+}
+
+/**
+ * Checks a file's content.
+ *
+ * @param yaml - the file
+ * @param schema - what it has to hold
+ * @returns the checked value, or every problem in the order of lines
+ */
+export const checkYaml = <Value>({ file, value, parsed }: YamlFile, schema: z.ZodType<Value>): Result<Value, readonly DocumentProblem[]> => {
+  const checked = schema.safeParse(value)
   if (checked.success) return success(checked.data)
-  const problems = checked.error.issues.flatMap((issue) => problemsOf(issue, parsed, file, schema, value.value))
+  const problems = checked.error.issues.flatMap((issue) => problemsOf(issue, parsed, file, schema, value))
   return failed(problems.sort((left, right) => left.line - right.line).slice(0, MAX_PROBLEMS))
 }
 
+/**
+ * Reads and checks a file.
+ *
+ * @param text - the file's text
+ * @param file - the file's name, for problems
+ * @param schema - what it has to hold
+ * @returns the checked value, or every problem in the order of lines
+ */
+export const decodeDocument = <Value>(text: string, file: string, schema: z.ZodType<Value>): Result<Value, readonly DocumentProblem[]> => {
+  const yaml = readYaml(text, file)
+  return yaml.ok ? checkYaml(yaml.value, schema) : yaml
+}
+
 const notYaml = (file: string, line: number, reason: string): DocumentProblem =>
   ({ file, line, field: '', message: `is not valid YAML: ${reason.split('\n')[0]}`, allowed: 'one YAML document' })
 
