--- a/packages/domain/src/idempotency/constants.ts
+++ b/packages/domain/src/idempotency/constants.ts
@@ -33,7 +33,7 @@
 
 /** First and longest pause after a failed write, in milliseconds. */
 export const FIRST_PAUSE_MS = 100
-export const LONGEST_PAUSE_MS = 5_000
+export const LONGEST_PAUSE_MS = 2_000
 
 /** Slowest pace of writes when the store says that it is overloaded, in milliseconds. */
 export const SLOWEST_WRITE_PERIOD_MS = 1_000
