--- a/packages/node/src/edge/CallerServer.ts
+++ b/packages/node/src/edge/CallerServer.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { randomUUID } from 'node:crypto'
+import type { Duplex } from 'node:stream'
 
 import { OutcomeKind, Ran } from '@bluebellhill/domain'
 import type { Outcome, RequestId } from '@bluebellhill/domain'
@@ -11,6 +12,7 @@
 import type { TimeLine } from '../timeline/index.js'
 import { RefusedCall } from './errors.js'
 import { listen } from './listen.js'
+import { parserOutcome, rawAnswer } from './protocolErrors.js'
 import { writeFailure } from './response.js'
 import type { EdgeCall, Route } from './Route.js'
 
@@ -32,6 +34,10 @@
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, headersTimeout: HEADERS_TIMEOUT_MS }, (request, response) => {
       void this.#handle(request, response)
     })
+    this.#server.on('checkExpectation', (request, response) => {
+      this.#refuse(request, response, new RefusedCall(OutcomeKind.BadRequest, 'leave the Expect header out, or send "100-continue"'))
+    })
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.#refuseBytes(error.code, socket))
   }
 
   /**
@@ -71,11 +77,24 @@
     return route
   }
 
-  #refuse (request: IncomingMessage, response: ServerResponse, error: unknown): void {
+  /** Answers bytes that are no HTTP; nothing is known of their sender. */
+  #refuseBytes (code: string | undefined, socket: Duplex): void {
+    if (code === 'ECONNRESET' || !socket.writable) return void socket.destroy()
+    const outcome = parserOutcome(code)
+    const requestId = this.#record(outcome)
+    socket.end(rawAnswer(outcome, requestId))
+  }
+
+  #record (outcome: Outcome): RequestId {
     const requestId = `req-${randomUUID()}` as RequestId
-    const outcome = refusalOf(error)
     this.#metrics.outcome(outcome.kind, outcome.ran)
     this.#timeLine.record(EventKind.RequestRefused, { request: requestId }, outcome.detail ?? '', { code: outcome.kind, ran: outcome.ran, retryAfter: outcome.retryAfter ?? null })
+    return requestId
+  }
+
+  #refuse (request: IncomingMessage, response: ServerResponse, error: unknown): void {
+    const outcome = refusalOf(error)
+    const requestId = this.#record(outcome)
     if (!request.complete) response.setHeader('connection', 'close')
     writeFailure(response, outcome, requestId)
     if (!request.complete) request.resume()
