--- a/packages/domain/src/request/Request.ts
+++ b/packages/domain/src/request/Request.ts
@@ -165,7 +165,7 @@
 
   #admit (now: Millis): readonly RequestEffect[] {
     if (this.#state !== RequestState.New) return []
-    this.#options.retryBudget.deposit()
+    this.#options.retryBudget.deposit(now)
     return [{ type: 'set_timer', at: this.spec.deadline }, ...this.#seek(now)]
   }
 
@@ -227,7 +227,6 @@
     const current = this.#attempt
     if (current === null || current.id !== attempt) return []
     const sent = this.#state === RequestState.Sent
-    if (this.#state !== RequestState.Granted && !sent) return []
     if (sent && (current.answered || !this.spec.idempotent)) return []
     if (this.#recalls >= this.#options.maxRecalls) return []
     this.#recalls += 1
@@ -303,7 +302,7 @@
     this.#state = RequestState.Delayed
     if (this.#attempts - this.#recalls >= this.#options.maxAttempts) return this.#giveUp(retry.kind, retry.reason, retry.retryAfter)
     if (now + retry.delay >= this.spec.deadline) return this.#giveUp(retry.kind, retry.reason, retry.retryAfter)
-    if (retry.charged && !this.#options.retryBudget.withdraw()) {
+    if (retry.charged && !this.#options.retryBudget.withdraw(now)) {
       return this.#giveUp(OutcomeKind.RetryBudgetSpent, retry.reason, retry.retryAfter)
     }
     if (retry.delay === 0) return this.#seek(now)
--- a/packages/domain/src/routing/OwnOrders.ts
+++ b/packages/domain/src/routing/OwnOrders.ts
@@ -20,20 +20,19 @@
   }
 
   /**
-   * Orders since a summary was made.
+   * Prompt tokens of the orders since a summary was made.
+   *
+   * They count in full until the next summary: an estimate that counted them down as they are worked off spread middle
+   * prompts worse.
    *
    * @param node - the dispatcher
    * @param model - name of the model
    * @param receivedAt - when its summary arrived
    */
-  since (node: NodeId, model: string, receivedAt: Millis): { readonly count: number, readonly promptTokens: Tokens } {
-    const placed = this.#placed.get(node)
-    if (placed === undefined) return { count: 0, promptTokens: 0 }
-    const from = receivedAt - GOSSIP_LAG
-    const recent = placed.filter((order) => order.at > from)
+  pending (node: NodeId, model: string, receivedAt: Millis): Tokens {
+    const recent = (this.#placed.get(node) ?? []).filter((order) => order.at > receivedAt - GOSSIP_LAG)
     if (recent.length === 0) this.#placed.delete(node)
     else this.#placed.set(node, recent)
-    const matching = recent.filter((order) => order.model === model)
-    return { count: matching.length, promptTokens: matching.reduce((sum, order) => sum + order.promptTokens, 0) }
+    return recent.reduce((sum, order) => order.model === model ? sum + order.promptTokens : sum, 0)
   }
 }
