Let a dispatcher and a request outlive an unforeseen error

The fuzz test with an aggregate that throws showed that the actor is dead afterwards: no order was answered any more. A request whose answer could not be written never ended, and a planned stop would wait for it. A supervision policy of the actor library was ruled out for the request: it would keep the actor and leave the caller waiting.

--- a/packages/cli/src/timeline/explain.ts
+++ b/packages/cli/src/timeline/explain.ts
@@ -98,6 +98,7 @@
   [EventKind.LeaseLost]: silence,
   [EventKind.EngineOrdered]: silence,
   [EventKind.PlatformChanged]: silence,
+  [EventKind.PartFailed]: (event) => `Node ${event.node} met an unforeseen error in its ${event.payload.part}${because(event.reason)}`,
   [EventKind.NodeStarted]: silence,
   [EventKind.NodeStopping]: silence,
   [EventKind.NodeStopped]: silence
--- a/packages/cli/src/timeline/text.ts
+++ b/packages/cli/src/timeline/text.ts
@@ -5,7 +5,7 @@
 import { Tone, formatStamp } from '../terminal/index.js'
 import type { Painter } from '../terminal/index.js'
 
-const BAD: ReadonlySet<EventKind> = new Set([EventKind.AttemptBroken, EventKind.DispatcherLost, EventKind.GrantLapsed, EventKind.LeaseLost, EventKind.ClockDistrusted, EventKind.ProcessPaused])
+const BAD: ReadonlySet<EventKind> = new Set([EventKind.AttemptBroken, EventKind.DispatcherLost, EventKind.GrantLapsed, EventKind.LeaseLost, EventKind.ClockDistrusted, EventKind.ProcessPaused, EventKind.PartFailed])
 const WARNING: ReadonlySet<EventKind> = new Set([EventKind.RequestRefused, EventKind.OrderRefused, EventKind.AnswerDropped, EventKind.AttemptCancelled, EventKind.AttemptRecalled, EventKind.OrphanFreed, EventKind.NodeStopping])
 const NOTICE: ReadonlySet<EventKind> = new Set([EventKind.MemberChanged, EventKind.RunnerTakenOver, EventKind.RunnerChanged, EventKind.ConfigurationInstalled, EventKind.LeaseWon, EventKind.EngineOrdered, EventKind.PlatformChanged, EventKind.NodeStarted, EventKind.NodeStopped])
 
--- a/packages/cli/tests/arbitraryEvents.ts
+++ b/packages/cli/tests/arbitraryEvents.ts
@@ -44,6 +44,7 @@
   [EventKind.LeaseLost]: fc.record({ lease: name, fencing }),
   [EventKind.EngineOrdered]: fc.record({ order: name, fencing, accepted: fc.boolean() }),
   [EventKind.PlatformChanged]: fc.record({ service: name, available: fc.boolean() }),
+  [EventKind.PartFailed]: fc.record({ part: name, during: name }),
   [EventKind.NodeStarted]: fc.record({ failureDomain: name, version: name }),
   [EventKind.NodeStopping]: fc.record({ inProgress: fc.nat() }),
   [EventKind.NodeStopped]: fc.constant({})
--- a/packages/node/src/dispatch/DispatcherHost.ts
+++ b/packages/node/src/dispatch/DispatcherHost.ts
@@ -1,6 +1,6 @@
 /** Hosts the dispatcher aggregate in an actor: serialises its events and carries out its effects. */
-import { assertNever, ProgressKind } from '@bluebellhill/domain'
-import type { AttemptId, DispatchEffect, DispatchEvent, DispatchOrder, DispatchSummary, Dispatcher, Grant, Millis, NodeId, OutcomeKind, RequestId, RunnerId } from '@bluebellhill/domain'
+import { assertNever, OutcomeKind, ProgressKind } from '@bluebellhill/domain'
+import type { AttemptId, DispatchEffect, DispatchEvent, DispatchOrder, DispatchSummary, Dispatcher, Grant, Millis, NodeId, RequestId, RunnerId } from '@bluebellhill/domain'
 import { EventKind } from '@bluebellhill/protocol'
 import { dispatch, spawn, stop } from 'nact'
 import type { Ref } from 'nact'
@@ -11,6 +11,9 @@
 
 type Effect<Type extends DispatchEffect['type']> = Extract<DispatchEffect, { type: Type }>
 
+/** When to come back after an unforeseen error, in milliseconds. */
+const FAILED_RETRY_AFTER: Millis = 1_000
+
 /** The dispatcher's answer to an order. */
 export type OrderReply =
   | { readonly type: 'granted', readonly grant: Grant }
@@ -103,12 +106,30 @@
   }
 
   #handle (event: DispatchEvent): void {
-    const withdrawn = event.type === 'withdrawn'
-    for (const effect of this.#dispatcher.handle(event, monotonicNow())) this.#perform(effect, withdrawn)
+    try {
+      this.#decide(event)
+    } catch (error) {
+      this.#failed(event, error)
+    }
     this.#forget(event)
     this.#setTimer()
   }
 
+  #decide (event: DispatchEvent): void {
+    const withdrawn = event.type === 'withdrawn'
+    for (const effect of this.#dispatcher.handle(event, monotonicNow())) this.#perform(effect, withdrawn)
+  }
+
+  /** Goes on after an unforeseen error: an actor that threw would never answer again. */
+  #failed (event: DispatchEvent, error: unknown): void {
+    const reason = error instanceof Error ? error.message : String(error)
+    this.#timeLine.record(EventKind.PartFailed, {}, reason, { part: 'dispatcher', during: event.type })
+    if (event.type !== 'ordered') return
+    const { attempt, entry } = event.order
+    this.#refuse({ type: 'refuse', attempt, entry, kind: OutcomeKind.Internal, retryAfter: FAILED_RETRY_AFTER, reason })
+    this.tell({ type: 'withdrawn', attempt })
+  }
+
   /** Drops the grants that the event ended. */
   #forget (event: DispatchEvent): void {
     if (event.type === 'withdrawn' || (event.type === 'progressed' && isOver(event.kind))) this.#granted.delete(event.attempt)
--- a/packages/node/src/requests/RequestSession.ts
+++ b/packages/node/src/requests/RequestSession.ts
@@ -1,5 +1,5 @@
 /** Hosts the aggregate of one request: carries out its effects and brings back as events what happens. */
-import { assertNever, ProgressKind, Request } from '@bluebellhill/domain'
+import { assertNever, OutcomeKind, ProgressKind, Request } from '@bluebellhill/domain'
 import type { AttemptId, DispatchOrder, NodeId, Outcome, RequestEffect, RequestEvent, RequestOptions, RequestSpec, Tokens } from '@bluebellhill/domain'
 import { DropCause } from '@bluebellhill/protocol'
 import { dispatch, spawn, stop } from 'nact'
@@ -181,18 +181,38 @@
     active.stop(ProgressKind.Failed)
   }
 
-  #finish (outcome: Outcome): void {
+  #finish (decided: Outcome): void {
     this.#clearTimer()
     this.#active?.stop(ProgressKind.Ended)
     this.#active = null
     for (const controller of this.#orders.values()) controller.abort()
-    if (outcome.kind === 'answered') this.#answer.end(this.#wholeEnd())
-    else this.#answer.fail(outcome)
+    const outcome = this.#deliver(decided)
     this.#recorder.finished(outcome, this.#request.generated, monotonicNow())
     stop(this.#actor as never)
     this.#whenFinished(outcome)
   }
 
+  /** Tells the caller, who hears of an unforeseen error too: a request that ends here must not be left open. */
+  #deliver (outcome: Outcome): Outcome {
+    try {
+      if (outcome.kind === OutcomeKind.Answered) this.#answer.end(this.#wholeEnd())
+      else this.#answer.fail(outcome)
+      return outcome
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error)
+      return this.#deliverFailure({ kind: OutcomeKind.Internal, ran: outcome.ran, detail })
+    }
+  }
+
+  #deliverFailure (outcome: Outcome): Outcome {
+    try {
+      this.#answer.fail(outcome)
+    } catch {
+      // the caller cannot be told; the time line still holds how the request ended
+    }
+    return outcome
+  }
+
   #wholeEnd (): AnswerEnd {
     const usage = { promptTokens: this.#end?.usage.promptTokens ?? this.#spec.promptTokens, completionTokens: this.#request.generated }
     return { finishReason: this.#end?.finishReason ?? 'length', usage }
--- a/packages/node/tests/dispatcherHost.test.ts
+++ b/packages/node/tests/dispatcherHost.test.ts
@@ -87,3 +87,12 @@
   t.deepEqual(kindsOf('r3'), [EventKind.OrderQueued, EventKind.OrderGranted])
   close()
 })
+
+test('a dispatcher that meets an unforeseen error refuses that order and answers the next one', async (t) => {
+  const { host, timeLine, close } = open()
+  const broken = Object.defineProperty({ ...orderOf('r5.1') }, 'model', { get: () => { throw new Error('unforeseen') } })
+  t.like(await host.acquire(broken, never), { type: 'refused', kind: 'internal' })
+  t.like(await host.acquire(orderOf('r7.1'), never), { type: 'granted' })
+  t.like(timeLine.query({ kinds: [EventKind.PartFailed] }).events[0], { reason: 'unforeseen' })
+  close()
+})
--- a/packages/protocol/src/timeline/kinds.ts
+++ b/packages/protocol/src/timeline/kinds.ts
@@ -33,6 +33,7 @@
   LeaseLost: 'lease_lost',
   EngineOrdered: 'engine_ordered',
   PlatformChanged: 'platform_changed',
+  PartFailed: 'part_failed',
   NodeStarted: 'node_started',
   NodeStopping: 'node_stopping',
   NodeStopped: 'node_stopped'
@@ -123,6 +124,8 @@
   [EventKind.LeaseLost]: { readonly lease: string, readonly fencing: string }
   [EventKind.EngineOrdered]: { readonly order: string, readonly fencing: string, readonly accepted: boolean }
   [EventKind.PlatformChanged]: { readonly service: string, readonly available: boolean }
+  /** A part of the node met an unforeseen error and goes on. */
+  [EventKind.PartFailed]: { readonly part: string, readonly during: string }
   [EventKind.NodeStarted]: { readonly failureDomain: string, readonly version: string }
   [EventKind.NodeStopping]: { readonly inProgress: number }
   [EventKind.NodeStopped]: Nothing
