--- a/packages/node/src/daemon/buildNode.ts
+++ b/packages/node/src/daemon/buildNode.ts
@@ -13,6 +13,7 @@
 import { CallerServer } from '../edge/CallerServer.js'
 import { Organisations } from '../edge/Organisations.js'
 import type { IdempotencyService } from '../idempotency/index.js'
+import { CountedKeyValueService } from '../metrics/index.js'
 import { PeerServer } from '../peers/PeerServer.js'
 import type { PeerServerParts } from '../peers/types.js'
 import { CompletionSources } from '../requests/CompletionSource.js'
@@ -65,7 +66,7 @@
   const peerServer = store.add(new PeerServer(foundation.authenticator, () => serving))
   const peer = await peerServer.listen(options.listen.peer)
   const fleet = await joinFleet(foundation, peer)
-  const keyValue = options.keyValue.length === 0 ? null : new HttpKeyValueService(foundation.pool, options.keyValue)
+  const keyValue = options.keyValue.length === 0 ? null : new CountedKeyValueService(new HttpKeyValueService(foundation.pool, options.keyValue), foundation.metrics)
   const keys = keyValue === null ? null : keepKeys(foundation, fleet, keyValue)
   const configuration = keepConfiguration(foundation, fleet, keyValue)
   let requests: RequestHost | null = null
--- a/packages/node/tests/metrics.test.ts
+++ b/packages/node/tests/metrics.test.ts
@@ -4,8 +4,10 @@
 import { OutcomeKind, Ran } from '@bluebellhill/domain'
 import { DropCause, HistogramName } from '@bluebellhill/protocol'
 
-import { HIGHEST_VALUE, Metrics, histogramsReply, lengthClassOf } from '../src/index.js'
+import { CountedKeyValueService, HIGHEST_VALUE, Metrics, histogramsReply, lengthClassOf } from '../src/index.js'
+import { FakeKeyValue } from './fakeKeyValue.js'
 import type { FailureDomain } from '@bluebellhill/domain'
+import type { Watch } from '@bluebellhill/platform'
 
 const measured = fc.record({ promptTokens: fc.integer({ min: 1, max: 2_000_000 }), elapsed: fc.integer({ min: 0, max: HIGHEST_VALUE }) })
 
@@ -80,3 +82,25 @@
   })
   t.is(reply.histograms.length, 1)
 })
+
+test('calls to the key-value service are counted by operation and result, a watch once', async (t) => {
+  const metrics = new Metrics()
+  const store = new FakeKeyValue()
+  const counted = new CountedKeyValueService(store, metrics)
+  await counted.range({ key: 'a' })
+  await counted.compareAndSwap('a', 0, Buffer.from('1'))
+  let watch: Watch | null = null
+  await new Promise<void>((resolve) => {
+    watch = counted.watch({ key: 'a' }, { opened: () => resolve(), changed: () => {}, closed: () => {} })
+  })
+  store.goDown()
+  await counted.range({ key: 'a' })
+  t.truthy(watch)
+  const calls = (await metrics.counters()).filter((counter) => counter.name === 'bluebellhill_store_calls_total')
+  t.deepEqual(calls.map(({ labels, value }) => [labels.operation, labels.result, value]).sort(), [
+    ['range', 'not_sent', 1],
+    ['range', 'ok', 1],
+    ['transact', 'ok', 1],
+    ['watch', 'ok', 1]
+  ])
+})
