--- a/packages/domain/src/dispatch/Dispatcher.ts
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -120,6 +120,7 @@
       case 'runner_assigned': return this.#pool.assign(event.runner, event.failureDomain, now)
       case 'runner_removed': return this.#pool.remove(event.runner)
       case 'runner_leaving': return this.#change(event.runner, (runner) => { runner.leaving = true })
+      case 'runner_draining': return this.#change(event.runner, (runner) => { runner.draining = event.draining })
       case 'runner_unreachable': return this.#change(event.runner, (runner) => { runner.unreachable = true })
       case 'runner_reported': return this.#reported(event.runner, event.report, now)
       case 'cache_changed': return this.#change(event.runner, (runner) => runner.prefixes.apply(event.events, event.gap))
--- a/packages/domain/src/dispatch/Runner.ts
+++ b/packages/domain/src/dispatch/Runner.ts
@@ -28,6 +28,7 @@
   readonly attempts = new Map<AttemptId, LiveAttempt>()
   readonly unknown = new Map<AttemptId, UnknownAttempt>()
   leaving = false
+  draining = false
   unreachable = false
   #report: RunnerReport | null = null
   readonly #prefillRate = new LearnedRate()
@@ -118,7 +119,7 @@
 
   /** Whether the runner may be given work. */
   get isUsable (): boolean {
-    return this.#report !== null && !this.leaving && !this.unreachable && !this.#report.loading
+    return this.#report !== null && !this.leaving && !this.draining && !this.unreachable && !this.#report.loading
   }
 
   /** @returns whether the runner has the model, version and adapter that the order names */
--- a/packages/domain/src/dispatch/types.ts
+++ b/packages/domain/src/dispatch/types.ts
@@ -73,6 +73,8 @@
   | { readonly type: 'runner_removed', readonly runner: RunnerId }
   /** No new work for the runner; its streams finish. */
   | { readonly type: 'runner_leaving', readonly runner: RunnerId }
+  /** No new work while it drains for a change of its model; unlike leaving, it may end. */
+  | { readonly type: 'runner_draining', readonly runner: RunnerId, readonly draining: boolean }
   | { readonly type: 'runner_unreachable', readonly runner: RunnerId }
   | { readonly type: 'runner_reported', readonly runner: RunnerId, readonly report: RunnerReport }
   | { readonly type: 'cache_changed', readonly runner: RunnerId, readonly gap: boolean, readonly events: readonly CacheEvent[] }
--- a/packages/domain/src/request/Request.ts
+++ b/packages/domain/src/request/Request.ts
@@ -205,6 +205,8 @@
   #refused (event: Extract<RequestEvent, { type: 'refused' }>, now: Millis): readonly RequestEffect[] {
     this.#refusals += 1
     if (event.dispatcher !== undefined) this.#avoid.add(event.dispatcher)
+    // Where only runners that failed it before are left, they get another chance.
+    if (event.kind === OutcomeKind.NoRunner) this.#excluded.clear()
     const untouched = this.#ran === Ran.No && this.#generated === 0
     if (untouched && this.#refusals >= this.#options.maxRefusals) return this.#giveUp(event.kind, event.reason, event.retryAfter)
     return this.#retry({
--- a/packages/domain/tests/dispatcher.test.ts
+++ b/packages/domain/tests/dispatcher.test.ts
@@ -70,3 +70,12 @@
   t.is(refusal?.attempt, attempt('r2.1'))
   t.is(dispatcher.queued, 0)
 })
+
+test('a draining runner gets no new work until it is drained', (t) => {
+  const dispatcher = dispatcherWith(['a', 'b'])
+  dispatcher.handle({ type: 'runner_draining', runner: runner('a'), draining: true }, 0)
+  t.is(ofType(ordered(dispatcher, order('r1.1')), 'grant')[0]?.grant.runner, runner('b'))
+  dispatcher.handle({ type: 'runner_draining', runner: runner('a'), draining: false }, 0)
+  dispatcher.handle({ type: 'runner_leaving', runner: runner('b') }, 0)
+  t.is(ofType(ordered(dispatcher, order('r2.1')), 'grant')[0]?.grant.runner, runner('a'))
+})
--- a/packages/domain/tests/request.test.ts
+++ b/packages/domain/tests/request.test.ts
@@ -70,3 +70,11 @@
   t.deepEqual(types(request.handle({ type: 'timer' }, 10_000)), ['cancel', 'finish'])
   t.like(request.outcome, { kind: OutcomeKind.DeadlinePassed, ran: Ran.Unknown })
 })
+
+test('when only runners that failed the request are left, they get another chance', (t) => {
+  const request = streaming()
+  request.handle({ type: 'broken', attempt: attempt('r.1'), started: Ran.No, resumable: false, reason: 'refused', retryAfter: null }, 4)
+  const refused = { type: 'refused', attempt: attempt('r.2'), kind: OutcomeKind.NoRunner, retryAfter: 0, reason: 'no runner' } as const
+  const seek = request.handle(refused, 5).find((effect) => effect.type === 'seek')
+  t.like(seek, { excluded: [] })
+})
--- a/packages/node/src/requests/ActiveAttempt.ts
+++ b/packages/node/src/requests/ActiveAttempt.ts
@@ -85,10 +85,15 @@
     void this.#report(ProgressKind.Sent)
   }
 
+  /** Each member of a group has a dispatcher of its own. */
+  #runners (): readonly RunnerId[] {
+    return this.#grant.group.length === 0 ? [this.#runner] : this.#grant.group
+  }
+
   async #report (kind: ProgressKind): Promise<void> {
     if (this.#order === null) return
-    const progress = { attempt: this.attempt, runner: this.#runner, kind, generated: this.#generated(), order: this.#order }
-    const recalled = await this.#desk.report(progress)
-    if (recalled) this.#listener?.tell({ type: 'recalled', attempt: this.attempt })
+    const progress = { attempt: this.attempt, kind, generated: this.#generated(), order: this.#order }
+    const recalls = await Promise.all(this.#runners().map(async (runner) => await this.#desk.report({ ...progress, runner })))
+    if (recalls.includes(true)) this.#listener?.tell({ type: 'recalled', attempt: this.attempt })
   }
 }
--- a/packages/node/src/requests/CompletionSource.ts
+++ b/packages/node/src/requests/CompletionSource.ts
@@ -8,6 +8,7 @@
 import { ChunkFate } from './Attempt.js'
 import type { Attempt, AttemptListener, AttemptOrder } from './Attempt.js'
 import { CompletionAttempt } from './CompletionAttempt.js'
+import { GroupAttempt, segmentId, splitPrompt } from './GroupAttempt.js'
 import { AttemptSource } from './ports.js'
 import type { TokenEstimator } from './TokenEstimator.js'
 
@@ -65,8 +66,21 @@
     if (order.mode !== SendMode.Resume) this.#rebase(order)
     const start = order.mode === SendMode.Resume ? order.generated - this.#base : 0
     const timeout = Math.max(1, Math.ceil(this.#spec.deadline - monotonicNow()))
-    const engine = this.#engines(order.address)
-    return new CompletionAttempt(engine, order, start, this, this.#keepText(listener), timeout)
+    const keeping = this.#keepText(listener)
+    if (order.groupAddresses.length > 0) return this.#createGroup(order, keeping, timeout)
+    return new CompletionAttempt(this.#engines(order.address), order, start, this, keeping, timeout)
+  }
+
+  #createGroup (order: AttemptOrder, listener: AttemptListener, timeout: number): Attempt {
+    const { model, version } = this.#spec
+    const engines = order.groupAddresses.map((address) => this.#engines(address))
+    const parts = splitPrompt(this.#prompt + this.#before, engines.length)
+    const members = engines.map((engine, index) => ({ engine, text: parts[index] ?? '' }))
+    const last = engines.at(-1) ?? this.#engines(order.address)
+    // Its segments are released with the attempt, so a broken stream of a group starts anew.
+    const untilBroken: AttemptListener = { ...listener, sending: () => {}, broken: (attempt, reason) => listener.broken(attempt, { ...reason, resumable: false }) }
+    const decode = new CompletionAttempt(last, order, 0, this, untilBroken, timeout)
+    return new GroupAttempt({ attempt: order.attempt, members, model, version, priority: order.grant.priority, timeout }, listener, decode)
   }
 
   async cancel (address: string, attempt: AttemptId): Promise<void> {
@@ -86,6 +100,7 @@
       stream: true,
       request_id: order.attempt,
       priority: order.grant.priority,
+      group: order.groupAddresses.length === 0 ? undefined : { segments: order.groupAddresses.map((_, index) => segmentId(order.attempt, index)) },
       resume: order.mode === SendMode.Resume ? { offset: order.generated - this.#base } : undefined
     })
   }
