--- a/packages/node/src/admin/DaemonSources.ts
+++ b/packages/node/src/admin/DaemonSources.ts
@@ -7,6 +7,7 @@
 import { monotonicNow } from '../clock/monotonic.js'
 import type { ConfigurationService, InstalledVersion } from '../configuration/index.js'
 import type { DispatchParts } from '../daemon/dispatch.js'
+import type { Placement } from '../daemon/placement.js'
 import type { Fleet } from '../daemon/fleet.js'
 import type { Foundation } from '../daemon/foundation.js'
 import type { OwnedStatus } from '../dispatch/RunnerOwnership.js'
@@ -22,6 +23,8 @@
   readonly dispatch: DispatchParts
   readonly requests: RequestHost
   readonly configuration: ConfigurationService
+  /** Null in a setup without a key-value service. */
+  readonly placement: Placement | null
   readonly isReady: () => boolean
   /** Begins a planned stop. */
   readonly drain: () => void
@@ -86,7 +89,7 @@
   }
 
   leases (): readonly LeaseStatus[] {
-    return []
+    return this.#parts.placement?.leases() ?? []
   }
 
   runners (): readonly RunnerStatus[] {
--- a/packages/node/src/daemon/buildNode.ts
+++ b/packages/node/src/daemon/buildNode.ts
@@ -24,6 +24,8 @@
 import { buildDispatch } from './dispatch.js'
 import type { DispatchParts } from './dispatch.js'
 import { keepKeys } from './keys.js'
+import { keepPlacement } from './placement.js'
+import type { Placement } from './placement.js'
 import { joinFleet } from './fleet.js'
 import type { Fleet } from './fleet.js'
 import type { Foundation } from './foundation.js'
@@ -70,14 +72,16 @@
   const keys = keyValue === null ? null : keepKeys(foundation, fleet, keyValue)
   const configuration = keepConfiguration(foundation, fleet, keyValue)
   let requests: RequestHost | null = null
-  const dispatch = buildDispatch(foundation, fleet, () => requests ?? NO_REQUESTS)
+  let placement: Placement | null = null
+  const dispatch = buildDispatch(foundation, fleet, () => requests ?? NO_REQUESTS, (model) => placement?.unserved(model))
   requests = buildRequests(foundation, dispatch)
   serving = { dispatcher: dispatch.dispatcher, desk: dispatch.desk, requests, configuration: configuration.service, timeLine }
+  placement = keyValue === null ? null : keepPlacement(foundation, fleet, dispatch, keyValue, configuration.current)
   const doors = { ready: true, open: true }
   const callers = buildCallers(foundation, new Organisations(configuration.current), dispatch, requests, new KeyedRuns(keys, timeLine), doors)
   const caller = await callers.listen(options.listen.caller)
   const drain = new EventTarget()
-  const admin = await listenAdmin({ foundation, fleet, dispatch, requests, configuration: configuration.service, isReady: () => doors.ready, drain: () => drain.dispatchEvent(new Event('drain')), version: VERSION })
+  const admin = await listenAdmin({ foundation, fleet, dispatch, requests, configuration: configuration.service, placement, isReady: () => doors.ready, drain: () => drain.dispatchEvent(new Event('drain')), version: VERSION })
   const addresses = { caller, peer, gossip: fleet.gossipAddress, admin }
   addGauges(foundation, fleet, requests, dispatch)
   timeLine.record(EventKind.NodeStarted, {}, '', { failureDomain: options.failureDomain, version: VERSION })
--- a/packages/node/src/daemon/optionsOf.ts
+++ b/packages/node/src/daemon/optionsOf.ts
@@ -8,6 +8,8 @@
 import type { Log } from '../log/index.js'
 import type { DaemonOptions } from './types.js'
 
+const EVEN_WEIGHT = 0.5
+
 /**
  * Maps settings.
  *
@@ -25,6 +27,7 @@
   runners: settings.runners.map(backendOf),
   vmList: settings.platform.vmList,
   policy: policyOf(settings.policy),
+  enginesCheckFencing: settings.engines.checkFencing,
   bodyLimits: { bytes: settings.limits.bodyBytes, timeout: settings.limits.bodyTimeout },
   admission: { requests: settings.limits.requests, longestDeadline: settings.limits.longestDeadline },
   serviceSlots: settings.limits.serviceSlots,
@@ -45,11 +48,16 @@
   leaving: false
 })
 
+const longWeightOf = ({ shortSlowdown, firstToken }: Settings['policy']['weights']): number => {
+  const sum = shortSlowdown + firstToken
+  return sum === 0 ? EVEN_WEIGHT : firstToken / sum
+}
+
 const policyOf = (policy: Settings['policy']): RoutingPolicy => {
   switch (policy.name) {
     case PolicyName.RoundRobin: return new RoundRobin()
     case PolicyName.LeastReportedLoad: return new LeastReportedLoad()
-    case PolicyName.LengthAware: return new LengthAware()
+    case PolicyName.LengthAware: return new LengthAware({ longWeight: longWeightOf(policy.weights) })
     default: return assertNever(policy.name)
   }
 }
--- /dev/null
+++ b/packages/node/src/daemon/placement.ts
@@ -0,0 +1,140 @@
+/** This node's part in placing models on the runners of its failure domain. */
+import { assertNever, ValueScope } from '@bluebellhill/domain'
+import type { RunnerId } from '@bluebellhill/domain'
+import type { Configuration, KeyValueService } from '@bluebellhill/platform'
+import { EventKind } from '@bluebellhill/protocol'
+import type { LeaseStatus } from '@bluebellhill/protocol'
+
+import { monotonicNow } from '../clock/monotonic.js'
+import { HttpEngineOrders, KeyValueLeadership, PlacedRunners, PlacementService, RunnerDrains, wantedModels } from '../placement/index.js'
+import type { PlacementChange } from '../placement/index.js'
+import type { DispatchParts } from './dispatch.js'
+import type { Fleet } from './fleet.js'
+import type { Foundation } from './foundation.js'
+
+const REPORT_INTERVAL_MS = 1_000
+const UNSERVED_PREFIX = 'unserved/'
+/** Time after which a request for a model without a runner counts no more. */
+const UNSERVED_MEMORY_MS = 30_000
+/** Share of a runner's prefill rate up to which traffic keeps one runner busy. */
+const BUSY_SHARE = 0.6
+
+/** What the daemon asks of placement. */
+export interface Placement {
+  leases (): readonly LeaseStatus[]
+  /** A request came for a model that no runner serves. */
+  unserved (model: string): void
+}
+
+/**
+ * Starts to take part in the placement of the failure domain.
+ *
+ * @param foundation - the node's foundation
+ * @param fleet - its view of the fleet
+ * @param dispatch - tells the traffic
+ * @param keyValue - holds the leader's lease
+ * @param configuration - gives the configuration in force
+ */
+export const keepPlacement = (foundation: Foundation, fleet: Fleet, dispatch: DispatchParts, keyValue: KeyValueService, configuration: () => Configuration | null): Placement => {
+  const { options, store, directory, backends } = foundation
+  const { membership } = fleet
+  const service = new PlacementService({
+    node: options.node,
+    failureDomain: options.failureDomain,
+    startedAt: Date.now(),
+    enginesCheckFencing: options.enginesCheckFencing,
+    store: new KeyValueLeadership(keyValue),
+    engines: new HttpEngineOrders(directory, backends.engine),
+    workers: () => membership.workers(options.failureDomain),
+    clock: monotonicNow
+  })
+  store.add(service)
+  const drains = new RunnerDrains(membership)
+  service.onChange((change) => follow(foundation, drains, change))
+  const reporter = new PlacementReporter(foundation, fleet, dispatch, service, configuration)
+  const timer = setInterval(() => reporter.report(), REPORT_INTERVAL_MS)
+  store.addStep(() => clearInterval(timer))
+  service.start()
+  return {
+    leases: () => service.fencing === null ? [] : [{ lease: options.failureDomain, fencing: String(service.fencing) }],
+    unserved: (model) => reporter.unserved(model)
+  }
+}
+
+const follow = ({ timeLine, options }: Foundation, drains: RunnerDrains, change: PlacementChange): void => {
+  switch (change.type) {
+    case 'order':
+      timeLine.record(EventKind.EngineOrdered, { runner: change.runner }, change.reason, { order: JSON.stringify(change.order), fencing: String(change.fencing), accepted: true })
+      return
+    case 'drain': return drains.set(change.runner, true)
+    case 'undrain': return drains.set(change.runner, false)
+    case 'led':
+      timeLine.record(EventKind.LeaseWon, {}, 'leads the placement', { lease: options.failureDomain, fencing: String(change.fencing) })
+      return
+    case 'stepped_down':
+      drains.clear()
+      timeLine.record(EventKind.LeaseLost, {}, change.reason, { lease: options.failureDomain, fencing: '' })
+      return
+    default: assertNever(change)
+  }
+}
+
+/** Feeds the placement service with configuration, runners and traffic. */
+class PlacementReporter {
+  readonly #foundation: Foundation
+  readonly #fleet: Fleet
+  readonly #dispatch: DispatchParts
+  readonly #service: PlacementService
+  readonly #configuration: () => Configuration | null
+  readonly #runners: PlacedRunners
+  readonly #unservedAt = new Map<string, number>()
+  #lastConfiguration: Configuration | null = null
+  #known = new Set<RunnerId>()
+
+  constructor (foundation: Foundation, fleet: Fleet, dispatch: DispatchParts, service: PlacementService, configuration: () => Configuration | null) {
+    this.#foundation = foundation
+    this.#fleet = fleet
+    this.#dispatch = dispatch
+    this.#service = service
+    this.#configuration = configuration
+    this.#runners = new PlacedRunners(fleet.membership)
+  }
+
+  report (): void {
+    const configuration = this.#configuration()
+    if (configuration !== null && configuration !== this.#lastConfiguration) this.#service.wantsChanged(wantedModels(configuration))
+    this.#lastConfiguration = configuration
+    this.#reportRunners()
+    for (const model of configuration?.fleet.models ?? []) this.#service.trafficReported(model.name, this.#busyRunners(model.name))
+  }
+
+  unserved (model: string): void {
+    const now = monotonicNow()
+    if (now - (this.#unservedAt.get(model) ?? -Infinity) < REPORT_INTERVAL_MS) return
+    this.#unservedAt.set(model, now)
+    this.#fleet.membership.publish(`${UNSERVED_PREFIX}${model}`, Buffer.from(String(Date.now())), { scope: ValueScope.Fleet })
+  }
+
+  #reportRunners (): void {
+    const runners = this.#runners.all()
+    const present = new Set(runners.map(({ runner }) => runner))
+    for (const runner of runners) this.#service.runnerReported(runner)
+    for (const gone of this.#known) if (!present.has(gone)) this.#service.runnerRemoved(gone)
+    this.#known = present
+  }
+
+  #busyRunners (model: string): number {
+    const own = this.#foundation.options.failureDomain
+    const summaries = this.#dispatch.views.states(model).filter((state) => state.failureDomain === own).flatMap((state) => state.summaries)
+    const demand = summaries.flatMap((summary) => summary.demand ?? []).reduce((sum, rate) => sum + rate, 0)
+    const runners = summaries.reduce((sum, summary) => sum + summary.runners, 0)
+    const rate = summaries.reduce((sum, summary) => sum + summary.prefillRate, 0)
+    if (runners === 0) return this.#isUnserved(model) ? 1 : 0
+    return rate > 0 ? Math.ceil(demand * runners / (rate * BUSY_SHARE)) : Math.min(1, Math.ceil(demand))
+  }
+
+  #isUnserved (model: string): boolean {
+    return this.#fleet.membership.values(`${UNSERVED_PREFIX}${model}`)
+      .some((value) => Date.now() - Number(Buffer.from(value.bytes).toString()) < UNSERVED_MEMORY_MS)
+  }
+}
--- a/packages/node/src/daemon/types.ts
+++ b/packages/node/src/daemon/types.ts
@@ -31,6 +31,8 @@
   /** Addresses of the VM list; none leaves only the runners of the settings. */
   readonly vmList: readonly string[]
   readonly policy: RoutingPolicy
+  /** Whether the engines refuse an order with an old fencing number. */
+  readonly enginesCheckFencing: boolean
   readonly bodyLimits: BodyLimits
   readonly admission: AdmissionLimits
   /** Calls that one plain service takes at once. */
--- a/packages/node/src/dispatch/DispatcherDesk.ts
+++ b/packages/node/src/dispatch/DispatcherDesk.ts
@@ -1,8 +1,8 @@
 /** Places orders with the dispatcher that the router chooses, here or on a peer. */
 import { Metadata, status } from '@grpc/grpc-js'
 import type { ServiceError } from '@grpc/grpc-js'
-import { hashText, ownerOf } from '@bluebellhill/domain'
-import type { DispatchOrder, FailureDomain, Member, NodeId, OrderFacts, OutcomeKind, Router, RoutingRefusal, RunnerId } from '@bluebellhill/domain'
+import { hashText, OutcomeKind, ownerOf } from '@bluebellhill/domain'
+import type { DispatchOrder, FailureDomain, Member, NodeId, OrderFacts, Router, RoutingRefusal, RunnerId } from '@bluebellhill/domain'
 import { EventKind } from '@bluebellhill/protocol'
 import type { AcquireReply, Grant as GrantMessage } from '@bluebellhill/protocol'
 
@@ -30,6 +30,8 @@
   readonly dispatcher: DispatcherHost
   readonly clients: PeerClients
   readonly timeLine: TimeLine
+  /** Told of a request for a model that no dispatcher serves. */
+  readonly unserved: (model: string) => void
 }
 
 /** The desk of one entry node. */
@@ -75,6 +77,7 @@
     const subject = { request: order.request, attempt: order.attempt, organisation: order.organisation }
     if (typeof chosen !== 'string') {
       timeLine.record(EventKind.OrderRefused, subject, chosen.reason, { entry: order.entry, code: chosen.kind, retryAfter: chosen.retryAfter })
+      if (chosen.kind === OutcomeKind.NoRunner) this.#parts.unserved(order.model)
       return refusedByRouter(chosen)
     }
     timeLine.record(EventKind.OrderSought, subject, seekReason(chosen, me), {
--- a/packages/node/src/dispatch/EngineMonitor.ts
+++ b/packages/node/src/dispatch/EngineMonitor.ts
@@ -4,6 +4,7 @@
 import type { EngineCacheEvents, EngineStatus, ModelEngine } from '@bluebellhill/platform'
 import { setTimeout as delay } from 'node:timers/promises'
 
+import type { PlacedState } from '../placement/index.js'
 import { Monitor } from './Monitor.js'
 import type { MonitorListener } from './Monitor.js'
 
@@ -52,6 +53,7 @@
   #report (status: EngineStatus): void {
     this.#failures = 0
     this.#listener.reported(reportOf(status, Date.now()))
+    this.#listener.placed(placedState(status))
   }
 
   #fail (reason: string): void {
@@ -112,6 +114,15 @@
   held: heldOf(status)
 })
 
+const placedState = ({ model, version, loading, adapters, role, streams, segments }: EngineStatus): PlacedState => ({
+  loaded: model === null || version === null ? null : { model, version },
+  loading: loading === null ? null : { model: loading.model, version: loading.version },
+  adapters: [...adapters].sort(),
+  role,
+  // Only whether it is busy matters; the exact number would be gossiped with each stream.
+  streams: Math.min(1, streams.length + segments.length)
+})
+
 const heldOf = (status: EngineStatus): HeldAttempt[] => [
   ...status.streams.map((stream) => ({ attempt: stream.requestId as AttemptId, heldTokens: stream.heldTokens, age: stream.age })),
   ...status.segments.map((segment) => ({ attempt: segment.requestId as AttemptId, heldTokens: segment.tokens, age: segment.age }))
--- a/packages/node/src/dispatch/RunnerOwnership.ts
+++ b/packages/node/src/dispatch/RunnerOwnership.ts
@@ -3,6 +3,7 @@
 import { EventKind, RunnerState } from '@bluebellhill/protocol'
 
 import { monotonicNow } from '../clock/monotonic.js'
+import type { PlacedState } from '../placement/index.js'
 import type { TimeLine } from '../timeline/index.js'
 import type { DispatcherHost } from './DispatcherHost.js'
 import type { Monitor, MonitorListener } from './Monitor.js'
@@ -14,6 +15,12 @@
   abstract isOwn (runner: RunnerId): boolean
 }
 
+/** Takes what engines say of their placement. */
+export interface PlacedSink {
+  publish (runner: RunnerId, state: PlacedState, leaving: boolean): void
+  retract (runner: RunnerId): void
+}
+
 /** Makes the monitor that fits a backend server. */
 export abstract class MonitorSource {
   abstract create (backend: Backend, listener: MonitorListener): Monitor
@@ -31,6 +38,7 @@
   readonly backend: Backend
   readonly monitor: Monitor
   leaving: boolean
+  draining: boolean
   report: RunnerReport | null
   reportedAt: Millis | null
   unreachable: boolean
@@ -46,15 +54,17 @@
   readonly #monitors: MonitorSource
   readonly #dispatcher: DispatcherHost
   readonly #timeLine: TimeLine
+  readonly #placed: PlacedSink
   readonly #owned = new Map<RunnerId, OwnedRunner>()
 
-  constructor (failureDomain: FailureDomain, directory: RunnerDirectory, rule: OwnershipRule, monitors: MonitorSource, dispatcher: DispatcherHost, timeLine: TimeLine) {
+  constructor (failureDomain: FailureDomain, directory: RunnerDirectory, rule: OwnershipRule, monitors: MonitorSource, dispatcher: DispatcherHost, timeLine: TimeLine, placed: PlacedSink) {
     this.#failureDomain = failureDomain
     this.#directory = directory
     this.#rule = rule
     this.#monitors = monitors
     this.#dispatcher = dispatcher
     this.#timeLine = timeLine
+    this.#placed = placed
   }
 
   /** The runners that this node dispatches for, as last seen. */
@@ -62,8 +72,12 @@
     return [...this.#owned.values()].map((owned) => ({ ...owned, backend: this.#directory.find(owned.backend.id) ?? owned.backend }))
   }
 
-  /** Compares what is owned with what should be; called after any change of members or backend servers. */
-  reconcile (): void {
+  /**
+   * Compares what is owned with what should be; called after any change of members or backend servers.
+   *
+   * @param draining - runners that get no new work until their model is changed
+   */
+  reconcile (draining: ReadonlySet<RunnerId>): void {
     const wanted = new Map(this.#directory.all()
       .filter((backend) => backend.failureDomain === this.#failureDomain && this.#rule.isOwn(backend.id))
       .map((backend) => [backend.id, backend]))
@@ -72,6 +86,7 @@
       if (backend === undefined || backend.address !== owned.backend.address) this.#giveUp(id)
     }
     for (const backend of wanted.values()) this.#takeOver(backend)
+    for (const [id, owned] of this.#owned) this.#drain(id, owned, draining.has(id))
   }
 
   dispose (): void {
@@ -90,10 +105,11 @@
     const runner = backend.id
     const monitor = this.#monitors.create(backend, {
       reported: (report) => this.#reported(runner, report),
+      placed: (state) => this.#placed.publish(runner, state, this.#directory.find(runner)?.leaving ?? true),
       cacheChanged: (gap, events) => this.#dispatcher.tell({ type: 'cache_changed', runner, gap, events }),
       unreachable: (reason) => this.#unreachable(runner, reason)
     })
-    const owned: OwnedRunner = { backend, monitor, leaving: false, report: null, reportedAt: null, unreachable: false, state: null }
+    const owned: OwnedRunner = { backend, monitor, leaving: false, draining: false, report: null, reportedAt: null, unreachable: false, state: null }
     this.#owned.set(runner, owned)
     this.#timeLine.record(EventKind.RunnerTakenOver, { runner }, 'owner by rendezvous among the live members', { previous: null })
     this.#dispatcher.tell({ type: 'runner_assigned', runner, failureDomain: backend.failureDomain })
@@ -101,6 +117,12 @@
     return owned
   }
 
+  #drain (runner: RunnerId, owned: OwnedRunner, draining: boolean): void {
+    if (owned.draining === draining) return
+    owned.draining = draining
+    this.#dispatcher.tell({ type: 'runner_draining', runner, draining })
+  }
+
   #reported (runner: RunnerId, report: RunnerReport): void {
     const owned = this.#owned.get(runner)
     if (owned === undefined) return
@@ -129,6 +151,7 @@
   #giveUp (runner: RunnerId): void {
     this.#owned.get(runner)?.monitor.dispose()
     this.#owned.delete(runner)
+    this.#placed.retract(runner)
     this.#dispatcher.tell({ type: 'runner_removed', runner })
   }
 }
--- /dev/null
+++ b/packages/node/src/placement/KeyValueLeadership.ts
@@ -0,0 +1,67 @@
+/** Leadership of a failure domain as a leased key of the key-value service. */
+import type { FailureDomain, Millis } from '@bluebellhill/domain'
+import type { KeyValueService } from '@bluebellhill/platform'
+
+import { LeadershipStore } from './ports.js'
+import type { LeaseAnswer } from './ports.js'
+
+const KEY_PREFIX = 'bluebellhill/leader/'
+const MS_PER_SECOND = 1_000
+
+const UNANSWERED: LeaseAnswer = { kind: 'unanswered' }
+const REFUSED: LeaseAnswer = { kind: 'refused' }
+
+/** Holds the leases of this process's terms. */
+export class KeyValueLeadership extends LeadershipStore {
+  readonly #keyValue: KeyValueService
+  readonly #leases = new Map<string, string>()
+
+  /** @param keyValue - the platform's key-value service */
+  constructor (keyValue: KeyValueService) {
+    super()
+    this.#keyValue = keyValue
+  }
+
+  async acquire (failureDomain: FailureDomain, token: string, lifetime: Millis): Promise<LeaseAnswer> {
+    const lease = await this.#keyValue.grantLease(Math.ceil(lifetime / MS_PER_SECOND))
+    if (!lease.ok) return UNANSWERED
+    const key = `${KEY_PREFIX}${failureDomain}`
+    const answer = await this.#keyValue.transact({
+      compare: [{ target: 'mod', key, revision: 0 }],
+      success: [{ type: 'put', key, value: Buffer.from(token), lease: lease.value.id }],
+      failure: [{ type: 'range', query: { key } }]
+    })
+    if (!answer.ok) return await this.#settle(key, token, lease.value.id)
+    if (answer.value.succeeded) return this.#hold(token, lease.value.id, answer.value.revision)
+    await this.#keyValue.revokeLease(lease.value.id)
+    return REFUSED
+  }
+
+  async renew (_failureDomain: FailureDomain, token: string): Promise<LeaseAnswer> {
+    const lease = this.#leases.get(token)
+    if (lease === undefined) return REFUSED
+    const answer = await this.#keyValue.keepLeaseAlive(lease)
+    if (!answer.ok) return UNANSWERED
+    return answer.value.ttlSeconds > 0 ? { kind: 'granted', revision: 0 } : REFUSED
+  }
+
+  async release (_failureDomain: FailureDomain, token: string): Promise<void> {
+    const lease = this.#leases.get(token)
+    this.#leases.delete(token)
+    if (lease !== undefined) await this.#keyValue.revokeLease(lease)
+  }
+
+  /** The answer was lost: reads back whether the write took effect. */
+  async #settle (key: string, token: string, lease: string): Promise<LeaseAnswer> {
+    const answer = await this.#keyValue.range({ key })
+    const held = answer.ok ? answer.value.values[0] : undefined
+    if (held !== undefined && held.value.toString() === token) return this.#hold(token, lease, held.modRevision)
+    await this.#keyValue.revokeLease(lease)
+    return UNANSWERED
+  }
+
+  #hold (token: string, lease: string, revision: number): LeaseAnswer {
+    this.#leases.set(token, lease)
+    return { kind: 'granted', revision }
+  }
+}
--- /dev/null
+++ b/packages/node/src/placement/PlacedRunners.ts
@@ -0,0 +1,88 @@
+/** Spreads what each engine holds from its dispatcher to the leader of the failure domain. */
+import type { PlacedRunner, RunnerId } from '@bluebellhill/domain'
+import { EngineRole, takesNewWork, ValueScope } from '@bluebellhill/domain'
+import { z } from 'zod'
+
+import { monotonicNow } from '../clock/monotonic.js'
+import type { MembershipService } from '../membership/index.js'
+
+/** What an engine itself says of its placement. */
+export type PlacedState = Omit<PlacedRunner, 'runner' | 'leaving'>
+
+const TOPIC_PREFIX = 'placed/'
+
+/** Time between two values of a runner that changes. */
+const CHANGE_PERIOD_MS = 1_000
+/** Time after which an unchanged value is sent again, for those that missed it. */
+const REFRESH_PERIOD_MS = 10_000
+
+interface Published {
+  readonly text: string
+  readonly at: number
+}
+
+const loadedSchema = z.object({ model: z.string(), version: z.string() }).nullable()
+
+const placedSchema = z.object({
+  loaded: loadedSchema,
+  loading: loadedSchema,
+  adapters: z.array(z.string()),
+  role: z.enum(EngineRole),
+  streams: z.number().int().min(0),
+  leaving: z.boolean()
+})
+
+/** Publishes the runners of this dispatcher and reads those of all. */
+export class PlacedRunners {
+  readonly #membership: MembershipService
+  readonly #published = new Map<RunnerId, Published>()
+
+  /** @param membership - carries the values within the failure domain */
+  constructor (membership: MembershipService) {
+    this.#membership = membership
+  }
+
+  /**
+   * Publishes a runner where something changed, and now and then where nothing did.
+   *
+   * @param runner - name of the engine
+   * @param state - what it last said
+   * @param leaving - whether it is leaving
+   */
+  publish (runner: RunnerId, state: PlacedState, leaving: boolean): void {
+    const text = JSON.stringify({ ...state, leaving })
+    const now = monotonicNow()
+    const last = this.#published.get(runner)
+    const period = last?.text === text ? REFRESH_PERIOD_MS : CHANGE_PERIOD_MS
+    if (last !== undefined && now - last.at < period) return
+    this.#published.set(runner, { text, at: now })
+    this.#send(runner, Buffer.from(text))
+  }
+
+  /** Takes back what was published of a runner that another node dispatches now. */
+  retract (runner: RunnerId): void {
+    if (!this.#published.delete(runner)) return
+    this.#send(runner, new Uint8Array(0))
+  }
+
+  #send (runner: RunnerId, bytes: Uint8Array): void {
+    this.#membership.publish(`${TOPIC_PREFIX}${runner}`, bytes, { scope: ValueScope.FailureDomain })
+  }
+
+  /** The engines of the failure domain as their live dispatchers last published them. */
+  all (): PlacedRunner[] {
+    const live = new Set(this.#membership.members().filter(takesNewWork).map((member) => member.node))
+    return this.#membership.valuesUnder(TOPIC_PREFIX)
+      .filter((value) => live.has(value.node) && value.bytes.length > 0)
+      .flatMap((value) => decode(value.topic.slice(TOPIC_PREFIX.length) as RunnerId, value.bytes))
+  }
+}
+
+const decode = (runner: RunnerId, bytes: Uint8Array): PlacedRunner[] => {
+  try {
+    const placed = placedSchema.safeParse(JSON.parse(Buffer.from(bytes).toString('utf8')))
+    return placed.success ? [{ runner, ...placed.data }] : []
+  } catch {
+    return []
+  }
+}
--- a/packages/node/tests/runnerOwnership.test.ts
+++ b/packages/node/tests/runnerOwnership.test.ts
@@ -11,6 +11,9 @@
 const RUNNER = 'g1' as RunnerId
 const DOMAIN = 'sohar' as FailureDomain
 
+const NO_PLACEMENT = { publish: () => {}, retract: () => {} }
+const NO_DRAINS: ReadonlySet<RunnerId> = new Set()
+
 class EveryRunner extends OwnershipRule {
   isOwn (): boolean {
     return true
@@ -35,8 +38,8 @@
   const { host, timeLine, close } = openHost()
   const monitors = new HeldMonitors()
   const directory = new RunnerDirectory([{ id: RUNNER, address: '127.0.0.1:1', failureDomain: DOMAIN, kind: 'engine', service: null, leaving: false }])
-  const ownership = new RunnerOwnership(DOMAIN, directory, new EveryRunner(), monitors, host, timeLine)
-  ownership.reconcile()
+  const ownership = new RunnerOwnership(DOMAIN, directory, new EveryRunner(), monitors, host, timeLine, NO_PLACEMENT)
+  ownership.reconcile(NO_DRAINS)
   monitors.listener?.reported(reportWith([], true))
   monitors.listener?.reported(reportWith([]))
   monitors.listener?.reported(reportWith([]))
@@ -44,7 +47,7 @@
   monitors.listener?.unreachable('connection refused')
   monitors.listener?.reported(reportWith([]))
   directory.replaceLeaving([RUNNER])
-  ownership.reconcile()
+  ownership.reconcile(NO_DRAINS)
   const changes = timeLine.query({ kinds: [EventKind.RunnerChanged], runner: RUNNER }).events
   t.deepEqual(changes.map((event) => event.payload), [
     { from: null, to: 'loading' },
