--- a/packages/standin/src/benches/length.ts
+++ b/packages/standin/src/benches/length.ts
@@ -31,6 +31,8 @@
   readonly shortSlowdown: Summary | null
   /** First token of long prompts over the time that one engine's prefill rate allows. */
   readonly longStretch: Summary | null
+  /** Mean lateness of the engines' steps; a busy machine makes every figure worse. */
+  readonly engineLatenessMs: number
   readonly machineLoad: number
 }
 
@@ -78,6 +80,7 @@
   firstTokenMs: run.report.firstTokenMs,
   shortSlowdown: shortOnly && pairedSlowdown(run, shortOnly),
   longStretch: longStretch(run),
+  engineLatenessMs: run.report.ledgers?.engineLatenessMs ?? 0,
   machineLoad: Math.round(loadavg()[0]! * 10) / 10
 })
 
--- a/packages/standin/src/engine/Engine.ts
+++ b/packages/standin/src/engine/Engine.ts
@@ -199,6 +199,7 @@
   }
 
   private runDueSteps (now: number, advanced: Set<AnswerStream>): void {
+    if (this.step && this.stepEndsAt <= now) this.ledger.wake(now - this.stepEndsAt)
     while (this.step && this.stepEndsAt <= now) {
       for (const sequence of this.scheduler.commit(this.step)) this.advance(sequence, advanced)
       this.begin(Math.max(this.stepEndsAt, now - CATCH_UP_MS))
--- a/packages/standin/src/engine/EngineLedger.ts
+++ b/packages/standin/src/engine/EngineLedger.ts
@@ -15,12 +15,22 @@
   state: RunState
 }
 
+/** How late the machine let the engine run its steps; figures of a busy machine say little. */
+export interface Lateness {
+  readonly wakes: number
+  readonly meanMs: number
+  readonly maxMs: number
+}
+
 /** Records executions by attempt, by answer and by `X-Request-Key`; the oldest are dropped when full. */
 export class EngineLedger {
   private readonly runs = new Map<string, Run>()
   private readonly calls: Record<string, number> = {}
   private readonly keys: Record<string, number> = {}
   private readonly repeated: string[] = []
+  private wakes = 0
+  private lateSum = 0
+  private lateMost = 0
 
   /**
    * Counts a call.
@@ -57,6 +67,22 @@
     run.generated = generated
   }
 
+  /**
+   * Records a wake-up for due steps.
+   *
+   * @param lateMs - time since the step was due
+   */
+  wake (lateMs: number): void {
+    this.wakes++
+    this.lateSum += lateMs
+    this.lateMost = Math.max(this.lateMost, lateMs)
+  }
+
+  /** Lateness since the start. */
+  get lateness (): Lateness {
+    return { wakes: this.wakes, meanMs: this.wakes === 0 ? 0 : this.lateSum / this.wakes, maxMs: this.lateMost }
+  }
+
   /** Everything recorded, as it is sent. */
   report (): { runs: Run[], executionsByKey: Record<string, number>, repeatedIds: string[], calls: Record<string, number> } {
     return { runs: [...this.runs.values()], executionsByKey: { ...this.keys }, repeatedIds: [...this.repeated], calls: { ...this.calls } }
--- a/packages/standin/src/engine/createEngine.ts
+++ b/packages/standin/src/engine/createEngine.ts
@@ -50,6 +50,7 @@
 const ledgerReport = (parts: EngineParts): unknown => ({
   name: parts.options.name,
   ...parts.ledger.report(),
+  lateness: parts.ledger.lateness,
   orders: parts.loader.orders,
   heldTokens: parts.engine.memory.heldBlocks * parts.options.blockTokens,
   importedTokens: parts.segments.importedTokens,
--- a/packages/standin/src/load/ledgers.ts
+++ b/packages/standin/src/load/ledgers.ts
@@ -13,6 +13,7 @@
   readonly executionsByKey?: Readonly<Record<string, number>>
   readonly heldTokens?: number
   readonly importedTokens?: number
+  readonly lateness?: { readonly wakes: number, readonly meanMs: number, readonly maxMs: number }
 }
 
 /** What the ledgers prove. */
@@ -28,6 +29,8 @@
   /** Completions that engines ran more than once. */
   readonly repeatedRuns: number
   readonly readable: number
+  /** Mean time in milliseconds by which the machine ran the engines' steps too late. */
+  readonly engineLatenessMs: number
 }
 
 /**
@@ -58,6 +61,13 @@
   return { orders, runs }
 }
 
+const meanLateness = (ledgers: readonly Ledger[]): number => {
+  const known = ledgers.flatMap(({ lateness }) => lateness ? [lateness] : [])
+  const wakes = known.reduce((sum, lateness) => sum + lateness.wakes, 0)
+  const late = known.reduce((sum, lateness) => sum + lateness.wakes * lateness.meanMs, 0)
+  return wakes === 0 ? 0 : Math.round(late * 1_000 / wakes) / 1_000
+}
+
 const ran = ({ key, digest }: RequestRecord, orders: ReadonlyMap<string, number>, runs: ReadonlyMap<string, number>): boolean =>
   key === null ? runs.has(digest ?? '') : orders.has(key)
 
@@ -78,6 +88,7 @@
     untruthful: refusedOnce.filter((record) => ran(record, orders, runs)).length,
     heldTokens: ledgers.reduce((sum, { heldTokens, importedTokens }) => sum + (heldTokens ?? 0) + (importedTokens ?? 0), 0),
     repeatedRuns: [...runs.values()].filter((count) => count > 1).length,
-    readable: ledgers.length
+    readable: ledgers.length,
+    engineLatenessMs: meanLateness(ledgers)
   }
 }
