--- a/packages/standin/src/benches/overhead.ts
+++ b/packages/standin/src/benches/overhead.ts
@@ -1,14 +1,10 @@
 /** What the path through a node adds to calling an engine directly. */
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
-import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
-
-import { DEFAULT_FLEET_PLAN, Fleet, MODEL } from '../fleet/index.js'
+import { DEFAULT_FLEET_PLAN, Fleet } from '../fleet/index.js'
 import type { FleetPlan } from '../fleet/index.js'
-import { Caller, ValueHistogram } from '../load/index.js'
-import type { CallOutcome, Summary } from '../load/index.js'
-import { PromptMaker } from '../load/PromptMaker.js'
 import { uniformReal } from '../load/random.js'
-import { answerSeed, answerText, preparePrompt } from '../text.js'
+import { Pairs } from './Pairs.js'
+import type { LevelFigures } from './Pairs.js'
+import { PROMPT_TOKENS, Sender } from './Sender.js'
 import { ProcessorShare } from './processorTime.js'
 import { atLeast, atMost, Bench } from './types.js'
 import type { BenchOptions, BenchReport } from './types.js'
@@ -24,11 +20,8 @@
 const WARM_UP_LEVEL = LEVELS[1]
 const BOUND_LEVEL = 32
 
-const PROMPT_TOKENS = 1_000
 const PAIRS_MS = 12_000
 const WARM_UP_MS = 3_000
-const DEADLINE_MS = 30_000
-const GRACE_MS = 3_000
 
 const STREAMS = 320
 const STREAM_TOKENS = 256
@@ -59,20 +52,6 @@
 const FAST_PLAN: FleetPlan = { ...PLAN, engineArgs: { ...PLAN.engineArgs, 'step-ms': 2 } }
 const SATURATING_STREAMS = 64
 
-interface LevelFigures {
-  readonly streams: number
-  readonly pairs: number
-  readonly directMs: Summary
-  readonly throughNodeMs: Summary
-  /** Difference of the medians and of the 99th percentiles, in milliseconds. */
-  readonly addedP50Ms: number
-  readonly addedP99Ms: number
-  /** Differences within pairs, by percentile, in milliseconds. */
-  readonly pairedP50Ms: number
-  readonly pairedP99Ms: number
-  readonly unanswered: number
-}
-
 interface StreamFigures {
   readonly requestsPerSecond: number
   readonly streams: number
@@ -84,69 +63,6 @@
 
 const sleep = async (ms: number): Promise<void> => await new Promise((resolve) => setTimeout(resolve, ms))
 
-const round = (value: number): number => Math.round(value * 1_000) / 1_000
-
-const percentile = (values: readonly number[], share: number): number =>
-  values.length === 0 ? 0 : round(values[Math.min(values.length - 1, Math.floor(values.length * share))]!)
-
-/** Sends completions of one size, each with its own prompt. */
-class Sender {
-  private readonly caller = new Caller(DEADLINE_MS, GRACE_MS)
-  private readonly prompts: PromptMaker
-  readonly random: RandomGenerator
-  private next = 0
-
-  constructor (seed: number, private readonly fleet: Fleet) {
-    this.prompts = new PromptMaker(seed)
-    this.random = xoroshiro128plus(seed)
-  }
-
-  async send (target: string, maxTokens: number): Promise<CallOutcome> {
-    const prompt = this.prompts.make({ id: this.next++, kind: 'completion', atMs: 0, organisation: 0, promptTokens: PROMPT_TOKENS, maxTokens, twice: false })
-    const expected = answerText(answerSeed(preparePrompt(prompt).bytes), 0, maxTokens)
-    return await this.caller.complete(target, { apiKey: this.fleet.plan.organisations[0]!.apiKey, model: MODEL, prompt, maxTokens, expected })
-  }
-
-  async dispose (): Promise<void> {
-    await this.caller.dispose()
-  }
-}
-
-/** Counts pairs of one level. */
-class Pairs {
-  readonly direct = new ValueHistogram()
-  readonly throughNode = new ValueHistogram()
-  readonly differences: number[] = []
-  unanswered = 0
-
-  add (direct: CallOutcome, throughNode: CallOutcome): void {
-    if (direct.type !== 'answered' || throughNode.type !== 'answered') {
-      this.unanswered++
-      return
-    }
-    this.direct.record(direct.firstTokenMs)
-    this.throughNode.record(throughNode.firstTokenMs)
-    this.differences.push(throughNode.firstTokenMs - direct.firstTokenMs)
-  }
-
-  figures (streams: number): LevelFigures {
-    const directMs = this.direct.summary()
-    const throughNodeMs = this.throughNode.summary()
-    const sorted = [...this.differences].sort((one, other) => one - other)
-    return {
-      streams,
-      pairs: sorted.length,
-      directMs,
-      throughNodeMs,
-      addedP50Ms: round(throughNodeMs.p50 - directMs.p50),
-      addedP99Ms: round(throughNodeMs.p99 - directMs.p99),
-      pairedP50Ms: percentile(sorted, 0.5),
-      pairedP99Ms: percentile(sorted, 0.99),
-      unanswered: this.unanswered
-    }
-  }
-}
-
 /** Workers send calls through the node and straight to an engine in turn, half of them at a time on each side. */
 export class OverheadBench extends Bench {
   override readonly name = 'overhead'
--- a/packages/standin/tests/platformServers.test.ts
+++ b/packages/standin/tests/platformServers.test.ts
@@ -3,7 +3,7 @@
 
 import { createKeyValue } from '../src/keyValue/createKeyValue.js'
 import { createPlain } from '../src/plain/createPlain.js'
-import { VmList } from '../src/vmList/createVmList.js'
+import { VmList } from '../src/vmList/VmList.js'
 import { createWeightStore } from '../src/weightStore/createWeightStore.js'
 import { get, post, until } from './helpers.js'
 
