--- a/packages/node/src/configuration/ConfigurationService.ts
+++ b/packages/node/src/configuration/ConfigurationService.ts
@@ -1,14 +1,16 @@
 /** One node's part in keeping the operators' configuration in force everywhere. */
+import { setTimeout as sleep } from 'node:timers/promises'
+
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 
-import { ConfigurationSet } from '@bluebellhill/domain'
+import { compareVersions, ConfigurationSet } from '@bluebellhill/domain'
 import type { ConfigurationEffect, ConfigurationEvent, ConfigurationValue, EditRecord, FailureDomain, NodeId, StoredValue, ValueSource, ValueVersion } from '@bluebellhill/domain'
 import type { Configuration, ConfigurationStore } from '@bluebellhill/platform'
 
 import { ConfigurationInForce } from './ConfigurationInForce.js'
 import type { ConfigurationMember, ConfigurationPeers } from './ConfigurationPeers.js'
-import { EXCHANGE_PERIOD_MS, FOREIGN_EXCHANGE_SHARE, RANK_PERIOD_MS, RUMOUR_TARGETS, START_PEERS, WATCHERS_PER_FAILURE_DOMAIN } from './constants.js'
+import { EXCHANGE_PERIOD_MS, FOREIGN_EXCHANGE_SHARE, RANK_PERIOD_MS, RUMOUR_TARGETS, START_PAUSE_MS, START_PEERS, WATCHERS_PER_FAILURE_DOMAIN } from './constants.js'
 import { StoreWatcher } from './StoreWatcher.js'
 import { WriteBackQueue } from './WriteBackQueue.js'
 import type { WriteBackResult } from './WriteBackQueue.js'
@@ -56,8 +58,8 @@
     this.#watcher = store === null
       ? null
       : new StoreWatcher(store, {
-        read: ({ values }) => this.#takeStored({ type: 'store_read', stored: values }, values),
-        changed: (stored) => this.#takeStored({ type: 'store_changed', stored }, [stored]),
+        read: async ({ values }) => await this.#takeStored({ type: 'store_read', stored: values }, values),
+        changed: (stored) => void this.#takeStored({ type: 'store_changed', stored }, [stored]),
         deleted: (name) => this.#handle({ type: 'store_deleted', name }),
         availability: (available, reason) => options.report({ type: 'store', available, reason })
       }, rng)
@@ -114,7 +116,8 @@
    * @param from - the peer
    * @param values - checked for their form, not for their text
    */
-  install (from: NodeId, values: readonly ConfigurationValue[]): void {
+  async install (from: NodeId, values: readonly ConfigurationValue[]): Promise<void> {
+    await this.#prepare(values)
     this.#handle({ type: 'received', from, values })
   }
 
@@ -136,16 +139,34 @@
   }
 
   async #readFirst (): Promise<void> {
-    for (let tries = 0; tries < START_PEERS && this.#set.isEmpty; tries += 1) await this.#exchange(this.#choosePeer())
+    for (let tries = 0; tries < START_PEERS && this.#set.isEmpty && !this.#disposed; tries += 1) await this.#askAtStart()
     if (this.#set.isEmpty && !this.#isRankedWatcher()) await this.#watcher?.readOnce()
   }
 
-  #takeStored (event: ConfigurationEvent, stored: readonly StoredValue[]): void {
+  /** Waits for the membership where no peer is known yet, so that nodes that start together do not all read the store. */
+  async #askAtStart (): Promise<void> {
+    const peer = this.#choosePeer()
+    if (peer === null) await sleep(START_PAUSE_MS * (0.5 + this.#random()))
+    else await this.#exchange(peer)
+  }
+
+  async #takeStored (event: ConfigurationEvent, stored: readonly StoredValue[]): Promise<void> {
+    await this.#prepare(stored.flatMap(({ value }) => value ?? []))
     for (const each of stored) this.#writeBacks?.show(each)
     this.#handle(event)
   }
 
+  /** Checks the texts of newer values ahead, so that all of them come into force in one step. */
+  async #prepare (values: readonly ConfigurationValue[]): Promise<void> {
+    const newer = values.filter((value) => {
+      const known = this.#set.value(value.name)
+      return known === null || compareVersions(value, known) > 0
+    })
+    await this.#inForce.prepare(newer)
+  }
+
   #handle (event: ConfigurationEvent): void {
+    if (this.#disposed) return
     const effects = this.#set.handle(event)
     const installed = effects.flatMap((effect) => effect.type === 'install' ? [effect.value] : [])
     if (installed.length > 0) this.#inForce.install(installed)
@@ -234,7 +255,7 @@
       if (theirs === null || this.#disposed) return
       const behind = this.#set.namesBehind(theirs)
       const newer = this.#set.valuesSince(theirs)
-      if (behind.length > 0) this.install(peer, await peers.values(peer, behind))
+      if (behind.length > 0) await this.install(peer, await peers.values(peer, behind))
       if (newer.length > 0) await peers.push(peer, newer)
     } catch {
       // The next comparison goes to another peer.
