--- a/packages/standin/src/demonstration/Demonstration.ts
+++ b/packages/standin/src/demonstration/Demonstration.ts
@@ -1,7 +1,7 @@
 /** The demonstration: a fleet in three failure domains under a mixed load, an edit, and two deaths on the way. */
 import { Fleet, SERVICE } from '../fleet/index.js'
 import { ArrivalKind, Caller, LoadRun, makeReport, proveByLedgers, readLedgers } from '../load/index.js'
-import type { LoadOptions, LoadRecords, LoadReport, RequestRecord } from '../load/index.js'
+import type { CallOutcome, LoadOptions, LoadRecords, LoadReport, RequestRecord } from '../load/index.js'
 import { demoLoad, DEMO_FLEET, STEPS } from './plan.js'
 
 const PROGRESS_MS = 2_000
@@ -12,6 +12,8 @@
 
 const sleep = async (ms: number): Promise<void> => await new Promise((resolve) => setTimeout(resolve, ms))
 
+const outcomeWords = (outcome: CallOutcome): string => 'code' in outcome ? `${outcome.type} with ${outcome.code}` : outcome.type
+
 /** Runs the steps and reports on them as they happen. */
 export class Demonstration {
   private readonly fleet = new Fleet(DEMO_FLEET)
@@ -92,7 +94,7 @@
     const [one, other] = this.fleet.callerAddresses
     const outcomes = await Promise.all([one!, other!].map(async (target) => await caller.order(target, call)))
     await caller.dispose()
-    this.say(`one order with one key sent to two nodes at once: ${outcomes.map(({ type }) => type).join(' and ')}`)
+    this.say(`one order with one key sent to two nodes at once: ${outcomes.map(outcomeWords).join(' and ')}`)
     const outcome = outcomes.find(({ type }) => type === 'answered') ?? outcomes[0]!
     const arrival = { id: -1, kind: ArrivalKind.Order, atMs: 0, organisation: 0, promptTokens: 0, maxTokens: 0, twice: true }
     this.extra.push({ arrival, outcome, digest: null, key: call.key, sends: 2 })
--- a/packages/standin/src/fleet/Fleet.ts
+++ b/packages/standin/src/fleet/Fleet.ts
@@ -176,7 +176,8 @@
   private async writeConfiguration (): Promise<void> {
     if (!this.plan.configurationFromFiles) {
       await this.apply('fleet', fleetDocument(this.plan), false)
-      for (const organisation of this.plan.organisations) await this.apply(organisation.name, organisationDocument(this.plan, organisation), false)
+      await Promise.all(this.plan.organisations.map(async (organisation) =>
+        await this.apply(organisation.name, organisationDocument(this.plan, organisation), false)))
       return
     }
     this.configurationFiles = [
--- a/packages/standin/src/fleet/constants.ts
+++ b/packages/standin/src/fleet/constants.ts
@@ -31,5 +31,5 @@
   weights: { shortSlowdown: 0.5, firstToken: 0.5 },
   logLevel: 'warn',
   deadline: '30s',
-  configurationFromFiles: true
+  configurationFromFiles: false
 }
