Reserve several runners for a prompt above one engine's memory

The messages are typed for the daemon (drainGroupEffects; events of like name), and a dispatcher works alone with its own runners until they are carried. After the grant the entry node's reports for each member renew it, as for any attempt, so the coordinator may die. Ruled out: a lock on runners in order (waits on a dead holder), a coordinator that renews the members.

--- a/packages/domain/src/dispatch/Dispatcher.ts
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -9,6 +9,11 @@
 import { DomainView } from './DomainView.js'
 import { EndedAttempts } from './EndedAttempts.js'
 import { LengthAware } from './LengthAware.js'
+import { GroupDesk, groupTokens } from './groups/GroupDesk.js'
+import type { GroupHost } from './groups/GroupDesk.js'
+import { reserveMembers } from './groups/reserve.js'
+import type { SequenceGroup } from './groups/SequenceGroup.js'
+import type { GroupEffect, GroupEvent, GroupMember } from './groups/types.js'
 import { isLongPrompt, lengthClassOf } from './lengths.js'
 import { LiveAttempt } from './LiveAttempt.js'
 import { orphanedAt } from './orphans.js'
@@ -48,6 +53,7 @@
   readonly #domain = new DomainView()
   readonly #punctuality = new Punctuality()
   readonly #ended = new EndedAttempts()
+  readonly #groups: GroupDesk
   #effects: DispatchEffect[] = []
 
   /** @param options - the node, its policy and its times */
@@ -62,6 +68,7 @@
       inheritedGrace: options.inheritedGrace ?? defaults.INHERITED_GRACE,
       foreignGrace: options.foreignGrace ?? defaults.FOREIGN_GRACE
     }
+    this.#groups = new GroupDesk(this.#groupHost())
   }
 
   /** Orders that wait. */
@@ -74,6 +81,11 @@
     return [...this.#pool.attempts].map((attempt) => attempt.id)
   }
 
+  /** @returns own runners that keep memory for a group's attempt */
+  reserved (attempt: AttemptId): readonly RunnerId[] {
+    return this.#pool.reserving(attempt).map((runner) => runner.id)
+  }
+
   /**
    * Decides what follows from an event.
    *
@@ -81,14 +93,20 @@
    * @param now - time of the event, in milliseconds
    * @returns effects in the order in which they are to be carried out
    */
-  handle (event: DispatchEvent, now: Millis): readonly DispatchEffect[] {
+  handle (event: DispatchEvent | GroupEvent, now: Millis): readonly DispatchEffect[] {
     this.#effects = []
-    this.#apply(event, now)
+    if (isGroupEvent(event)) this.#groups.handle(event, now)
+    else this.#apply(event, now)
     this.#expire(now)
     this.#dispatch(now)
     return this.#effects
   }
 
+  /** Takes the messages to other dispatchers that have gathered; to be called after each `handle`. */
+  drainGroupEffects (): readonly GroupEffect[] {
+    return this.#groups.drain()
+  }
+
   /** @returns the state to gossip, one record for each model */
   summaries (now: Millis): readonly DispatchSummary[] {
     return this.#pool.models().map((model) => summarise({
@@ -107,7 +125,9 @@
     let next = Infinity
     for (const attempt of this.#pool.attempts) next = Math.min(next, attempt.lapsesAt)
     for (const queued of this.#queue.orders) next = Math.min(next, this.#hopelessAt(queued))
+    next = Math.min(next, this.#groups.nextTimer)
     for (const runner of this.#pool.runners) {
+      next = Math.min(next, runner.reservations.nextExpiry)
       for (const unknown of runner.unknown.values()) {
         if (!this.#ended.has(unknown.attempt)) next = Math.min(next, orphanedAt(runner, unknown, this.#settings))
       }
@@ -166,9 +186,10 @@
   }
 
   #ordered (order: DispatchOrder, now: Millis): void {
-    if (this.#queue.has(order.attempt) || this.#pool.attempt(order.attempt) !== undefined) return
+    if (this.#queue.has(order.attempt) || this.#groups.has(order.attempt) || this.#pool.attempt(order.attempt) !== undefined) return
     if (this.#ended.has(order.attempt)) return this.#refuse(order, { kind: OutcomeKind.NoRunner, retryAfter: 0, reason: 'the attempt has ended' })
     this.#domain.count(order.model, order.promptTokens, now)
+    if (this.#needsGroup(order)) return this.#groups.start(order, now)
     const queued = this.#queue.add(order, now)
     const refusal = this.#judge(queued, now)
     if (refusal === null) return
@@ -181,7 +202,7 @@
     const serving = this.#pool.serving(order)
     if (serving.length === 0) return { kind: OutcomeKind.NoRunner, retryAfter: defaults.LEAST_RETRY_AFTER, reason: `no runner has ${order.model}` }
     const holding = serving.filter((runner) => runner.couldHold(order))
-    if (holding.length === 0) return { kind: OutcomeKind.NoGroup, retryAfter: 0, reason: 'the prompt is above the memory of one runner' }
+    if (holding.length === 0) return { kind: OutcomeKind.NoGroup, retryAfter: 0, reason: 'the prompt is above the memory of all runners of the failure domain' }
     const ahead = this.#queue.before(queued, now)
     const expected = estimate(order, { policy: this.#policy, context: this.#context(order.model, now), serving: holding, ahead })
     queued.expected = expected.wait + expected.service
@@ -191,13 +212,21 @@
   #withdrawn (id: AttemptId, now: Millis): void {
     this.#ended.add(id, now)
     this.#queue.remove(id)
+    this.#groups.drop(id)
+    this.#releaseMembers(id)
     const attempt = this.#pool.leave(id)
     if (attempt !== undefined) this.#cancel(attempt.runner, id, 'withdrawn by the entry node')
   }
 
   #progressed (event: Progressed, now: Millis): void {
+    const reserving = this.#pool.runner(event.runner)
+    if (reserving?.reservations.has(event.attempt)) return this.#memberProgressed(event, reserving, now)
     const attempt = this.#pool.attempt(event.attempt) ?? this.#takeUp(event, now)
     if (attempt === undefined) return
+    if (attempt.runner !== event.runner && reserving !== undefined) {
+      reserving.reservations.reserve(event.attempt, reserving.freeTokens, now)
+      return this.#memberProgressed(event, reserving, now)
+    }
     const runner = this.#pool.runner(attempt.runner)
     const before = { generated: attempt.generated, prefilling: attempt.isPrefilling }
     attempt.progress(event.kind, event.generated, now)
@@ -208,6 +237,53 @@
     if (event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed) this.#end(attempt, now)
   }
 
+  /** A member's memory stays reserved while the entry node reports, as a granted attempt does. */
+  #memberProgressed (event: Progressed, runner: Runner, now: Millis): void {
+    runner.reservations.renew(event.attempt, now + this.#settings.silenceLimit)
+    if (event.kind !== ProgressKind.Ended && event.kind !== ProgressKind.Failed) return
+    runner.reservations.release(event.attempt)
+    this.#ended.add(event.attempt, now)
+  }
+
+  /** Frees a group's memory on all own runners. */
+  #releaseMembers (id: AttemptId, round?: number): void {
+    for (const runner of this.#pool.reserving(id)) {
+      if (runner.reservations.release(id, round)) this.#cancel(runner.id, id, 'the group was given up')
+    }
+  }
+
+  #needsGroup (order: DispatchOrder): boolean {
+    const serving = this.#pool.serving(order)
+    if (serving.length === 0 || serving.some((runner) => runner.couldHold(order))) return false
+    const peers = this.#domain.peersWith(order.model).reduce((sum, peer) => sum + peer.runners * peer.largestPrompt, 0)
+    return serving.reduce((sum, runner) => sum + runner.totalTokens, peers) >= groupTokens(order)
+  }
+
+  #groupHost (): GroupHost {
+    return {
+      node: this.node,
+      dispatchers: (order) => [this.node, ...this.#domain.peersWith(order.model).flatMap((peer) => peer.node ?? [])],
+      reserve: (request, now) => reserveMembers(request, this.#pool.serving(request), now),
+      release: (attempt, round) => this.#releaseMembers(attempt, round),
+      ready: (group, members, now) => this.#grantGroup(group, members, now),
+      failed: ({ order }, now) => this.#refuse(order, { kind: OutcomeKind.NoGroup, retryAfter: this.#drainTime(order, now), reason: 'no group of runners could be had in time' }),
+      service: (order) => {
+        const serving = this.#pool.serving(order)
+        return serving.length === 0 ? 0 : leastService(order, serving)
+      }
+    }
+  }
+
+  /** The last member generates the answer over the segments of all. */
+  #grantGroup ({ order, startedAt }: SequenceGroup, members: readonly GroupMember[], now: Millis): void {
+    const runner = members.at(-1)?.runner
+    if (runner === undefined) return
+    this.#queue.charge(order.organisation, order.promptTokens, 0)
+    const reason = `group of ${members.length} runners, reserved after ${Math.round(now - startedAt)} ms`
+    const validFor = this.#settings.grantValidity
+    this.#effects.push({ type: 'grant', grant: { attempt: order.attempt, entry: order.entry, runner, validFor, priority: this.#policy.priority(order), reason, group: members.map((member) => member.runner) } })
+  }
+
   #learnEnd (attempt: LiveAttempt, now: Millis): void {
     this.#pool.runner(attempt.runner)?.learnEnd(attempt, now)
     this.#punctuality.learn(attempt.load.expected, now - attempt.load.queuedAt, now)
@@ -235,6 +311,7 @@
     for (const { order } of [...this.#queue.orders]) {
       if (order.entry === entry) this.#queue.remove(order.attempt)
     }
+    for (const order of this.#groups.orders) if (order.entry === entry) this.#groups.drop(order.attempt)
     for (const attempt of this.#pool.attempts) {
       const silent = now - attempt.heardAt > defaults.LOST_ENTRY_SILENCE
       if (attempt.entry === entry && silent) attempt.lapsesAt = Math.min(attempt.lapsesAt, now + this.#settings.lostEntryGrace)
@@ -244,6 +321,8 @@
   #expire (now: Millis): void {
     this.#ended.expire(now)
     this.#expireAttempts(now)
+    this.#expireReservations(now)
+    this.#groups.wake(now)
     this.#expireQueue(now)
     this.#freeOrphans(now)
   }
@@ -269,6 +348,16 @@
     this.#pool.runner(attempt.runner)?.disown(attempt)
   }
 
+  #expireReservations (now: Millis): void {
+    for (const runner of this.#pool.runners) {
+      for (const { attempt, used } of runner.reservations.expire(now)) {
+        if (!used) continue
+        this.#ended.add(attempt, now)
+        this.#cancel(runner.id, attempt, 'no progress of the group was reported in time')
+      }
+    }
+  }
+
   #expireQueue (now: Millis): void {
     for (const queued of [...this.#queue.orders]) {
       if (now < this.#hopelessAt(queued)) continue
@@ -286,8 +375,14 @@
   #lateRefusal (order: DispatchOrder, now: Millis): Refusal {
     const serving = this.#pool.serving(order)
     if (serving.length === 0) return { kind: OutcomeKind.NoRunner, retryAfter: defaults.LEAST_RETRY_AFTER, reason: `no runner has ${order.model} any more` }
-    const wait = expectedWait(order, { policy: this.#policy, context: this.#context(order.model, now), serving, ahead: [...this.#queue.orders] })
-    return { kind: OutcomeKind.Overloaded, retryAfter: wait, reason: 'the deadline cannot be met any more' }
+    return { kind: OutcomeKind.Overloaded, retryAfter: this.#drainTime(order, now), reason: 'the deadline cannot be met any more' }
+  }
+
+  /** Time until the waiting work is done. */
+  #drainTime (order: DispatchOrder, now: Millis): Millis {
+    const serving = this.#pool.serving(order)
+    if (serving.length === 0) return defaults.LEAST_RETRY_AFTER
+    return expectedWait(order, { policy: this.#policy, context: this.#context(order.model, now), serving, ahead: [...this.#queue.orders] })
   }
 
   #freeOrphans (now: Millis): void {
@@ -304,7 +399,8 @@
     if (this.#queue.size === 0) return
     const contexts = new Map<string, RoutingContext>()
     for (const queued of this.#queue.ranked(now).slice(0, defaults.SCAN_LIMIT)) {
-      const serving = this.#pool.serving(queued.order)
+      const long = isLongPrompt(queued.order.promptTokens)
+      const serving = this.#pool.serving(queued.order).filter((runner) => !runner.reservations.blocks(long, now))
       if (serving.length === 0) continue
       const context = contexts.get(queued.order.model) ?? this.#context(queued.order.model, now)
       contexts.set(queued.order.model, context)
@@ -354,3 +450,6 @@
     this.#effects.push({ type: 'cancel_on_runner', runner, attempt, reason })
   }
 }
+
+const isGroupEvent = (event: DispatchEvent | GroupEvent): event is GroupEvent =>
+  event.type === 'reservation_requested' || event.type === 'reservation_answered' || event.type === 'reservation_released'
--- a/packages/domain/src/dispatch/DomainView.ts
+++ b/packages/domain/src/dispatch/DomainView.ts
@@ -55,9 +55,14 @@
     return this.#meter(model).rates(now)
   }
 
+  /** @returns the peers that have a model */
+  peersWith (model: string): readonly DispatchSummary[] {
+    return this.#peers.filter((peer) => peer.model === model && peer.runners > 0)
+  }
+
   /** @returns the least wait that a peer states for a length class; infinite where there is none */
   leastDelay (model: string, lengthClass: number): Millis {
-    const delays = this.#peers.filter((peer) => peer.model === model && peer.runners > 0).map((peer) => peer.queueDelay[lengthClass] ?? Infinity)
+    const delays = this.peersWith(model).map((peer) => peer.queueDelay[lengthClass] ?? Infinity)
     return Math.min(Infinity, ...delays)
   }
 
--- a/packages/domain/src/dispatch/Runner.ts
+++ b/packages/domain/src/dispatch/Runner.ts
@@ -1,6 +1,7 @@
 /** One runner as its dispatcher accounts for it. */
 import type { AttemptId, FailureDomain, Millis, RunnerId, Tokens } from '../types.js'
 import { LONG_CLASS } from './constants.js'
+import { Reservations } from './groups/Reservations.js'
 import { LearnedRate } from './LearnedRate.js'
 import type { LiveAttempt } from './LiveAttempt.js'
 import { PrefixIndex } from './PrefixIndex.js'
@@ -19,12 +20,17 @@
   readonly startedAt: Millis
 }
 
+/** The parts of an order that say which runners have what it needs. */
+export type OrderTarget = Pick<DispatchOrder, 'model' | 'version' | 'adapter' | 'excluded'>
+
 /** Slots, memory, learned rates and prefix cache of one runner. */
 export class Runner {
   readonly id: RunnerId
   readonly failureDomain: FailureDomain
   readonly assignedAt: Millis
   readonly prefixes = new PrefixIndex()
+  /** Memory kept for sequence groups. */
+  readonly reservations = new Reservations()
   readonly attempts = new Map<AttemptId, LiveAttempt>()
   readonly unknown = new Map<AttemptId, UnknownAttempt>()
   leaving = false
@@ -71,12 +77,12 @@
 
   /** Slots that neither a granted nor an unknown attempt takes. */
   get freeSlots (): number {
-    return Math.max(0, this.slots - this.attempts.size - this.unknown.size)
+    return Math.max(0, this.slots - this.attempts.size - this.unknown.size - this.reservations.size)
   }
 
   /** Memory that neither a granted nor an unknown attempt may come to hold. */
   get freeTokens (): Tokens {
-    let taken = 0
+    let taken = this.reservations.tokens
     for (const attempt of this.attempts.values()) taken += this.#blocks(attempt.reservedTokens)
     for (const attempt of this.unknown.values()) taken += attempt.heldTokens
     return Math.max(0, this.totalTokens - taken)
@@ -122,7 +128,7 @@
   }
 
   /** @returns whether the runner has the model, version and adapter that the order names */
-  serves (order: DispatchOrder): boolean {
+  serves (order: OrderTarget): boolean {
     const report = this.#report
     if (report === null || !this.isUsable || report.model !== order.model) return false
     if (order.version !== null && report.version !== order.version) return false
@@ -190,7 +196,7 @@
     const before = new Map(this.unknown)
     this.unknown.clear()
     for (const { attempt, heldTokens, age } of held) {
-      if (this.attempts.has(attempt)) continue
+      if (this.attempts.has(attempt) || this.reservations.has(attempt)) continue
       const seenAt = before.get(attempt)?.seenAt ?? now
       this.unknown.set(attempt, { attempt, heldTokens, seenAt, startedAt: now - age })
     }
--- a/packages/domain/src/dispatch/RunnerPool.ts
+++ b/packages/domain/src/dispatch/RunnerPool.ts
@@ -2,7 +2,7 @@
 import type { AttemptId, FailureDomain, Millis, RunnerId } from '../types.js'
 import type { LiveAttempt } from './LiveAttempt.js'
 import { Runner } from './Runner.js'
-import type { DispatchOrder } from './types.js'
+import type { OrderTarget } from './Runner.js'
 
 /** Finds runners and attempts. */
 export class RunnerPool {
@@ -41,10 +41,15 @@
   }
 
   /** Runners that have what the order names, whether or not they have room. */
-  serving (order: DispatchOrder): readonly Runner[] {
+  serving (order: OrderTarget): readonly Runner[] {
     return [...this.#runners.values()].filter((runner) => runner.serves(order))
   }
 
+  /** Runners that keep memory for a group's attempt. */
+  reserving (id: AttemptId): readonly Runner[] {
+    return [...this.#runners.values()].filter((runner) => runner.reservations.has(id))
+  }
+
   /** Enters a granted attempt into the account of its runner. */
   enter (attempt: LiveAttempt): void {
     const runner = this.#runners.get(attempt.runner)
--- /dev/null
+++ b/packages/domain/src/dispatch/groups/SequenceGroup.ts
@@ -0,0 +1,125 @@
+/** Reservation of several runners of one failure domain for a prompt above one engine's memory. */
+import { hashText } from '../../membership/hash.js'
+import type { Millis, NodeId, Tokens } from '../../types.js'
+import type { DispatchOrder } from '../types.js'
+import type { GroupMember, ReservationRequest } from './types.js'
+
+/** Time that a dispatcher has to answer. */
+const ANSWER_TIME: Millis = 500
+
+/** Delay before the second pass; it doubles up to the longest, and differs between groups. */
+const RETRY_DELAY: Millis = 100
+const MAX_RETRY_DELAY: Millis = 1_000
+
+/** What the group wants done next. */
+export type GroupStep =
+  | { readonly type: 'ask', readonly dispatcher: NodeId, readonly request: ReservationRequest }
+  | { readonly type: 'release', readonly dispatcher: NodeId, readonly round: number }
+  | { readonly type: 'ready', readonly members: readonly GroupMember[] }
+
+/**
+ * Takes members from one dispatcher after another, in the order of their names, and gives all back when a pass does
+ * not suffice. Nothing is held while it waits, so that groups cannot block each other for good; the oldest group that
+ * waits for a runner has its turn first, so that none waits for ever.
+ */
+export class SequenceGroup {
+  readonly order: DispatchOrder
+  readonly startedAt: Millis
+  readonly deadline: Millis
+  readonly #need: Tokens
+  #plan: readonly NodeId[] = []
+  #next = 0
+  #asked: NodeId | null = null
+  #members: { readonly dispatcher: NodeId, readonly member: GroupMember }[] = []
+  #passes = 0
+  #round = 0
+  #wakeAt: Millis
+
+  /**
+   * @param order - the prompt
+   * @param now - time of its arrival
+   */
+  constructor (order: DispatchOrder, now: Millis) {
+    this.order = order
+    this.startedAt = now
+    this.deadline = now + order.remaining
+    this.#need = order.promptTokens + order.maxTokens
+    this.#wakeAt = now
+  }
+
+  /** Number of the last request. */
+  get round (): number {
+    return this.#round
+  }
+
+  /** When `wake` is due. */
+  get wakeAt (): Millis {
+    return this.#wakeAt
+  }
+
+  /** Dispatchers that hold a part, or may. */
+  get involved (): readonly NodeId[] {
+    return [...new Set([...this.#members.map(({ dispatcher }) => dispatcher), ...(this.#asked === null ? [] : [this.#asked])])]
+  }
+
+  /**
+   * Goes on when the time has come: begins a pass, or gives up a dispatcher that did not answer.
+   *
+   * @param dispatchers - live dispatchers of the failure domain that have the model
+   * @param now - time
+   */
+  wake (dispatchers: readonly NodeId[], now: Millis): readonly GroupStep[] {
+    if (now < this.#wakeAt) return []
+    if (this.#asked !== null) {
+      const silent = this.#asked
+      this.#asked = null
+      return [{ type: 'release', dispatcher: silent, round: this.#round }, ...this.#goOn(now)]
+    }
+    this.#plan = [...dispatchers].sort()
+    this.#next = 0
+    return this.#goOn(now)
+  }
+
+  /**
+   * Takes an answer in.
+   *
+   * @param dispatcher - who answers
+   * @param round - the request that it belongs to
+   * @param members - what was reserved
+   * @param now - time
+   * @returns a release where the answer comes too late to be used
+   */
+  answered (dispatcher: NodeId, round: number, members: readonly GroupMember[], now: Millis): readonly GroupStep[] {
+    if (this.#asked !== dispatcher || round !== this.#round) return [{ type: 'release', dispatcher, round }]
+    this.#asked = null
+    this.#members.push(...members.map((member) => ({ dispatcher, member })))
+    return this.#goOn(now)
+  }
+
+  #goOn (now: Millis): readonly GroupStep[] {
+    const missing = this.#need - this.#members.reduce((sum, { member }) => sum + member.tokens, 0)
+    if (missing <= 0) return [{ type: 'ready', members: this.#members.map(({ member }) => member) }]
+    const dispatcher = this.#plan[this.#next]
+    if (dispatcher === undefined) return this.#backOff(now)
+    this.#next += 1
+    this.#asked = dispatcher
+    this.#round += 1
+    this.#wakeAt = now + ANSWER_TIME
+    return [{ type: 'ask', dispatcher, request: this.#request(missing, now) }]
+  }
+
+  #backOff (now: Millis): readonly GroupStep[] {
+    const holders = this.involved
+    this.#members = []
+    const longest = Math.min(MAX_RETRY_DELAY, RETRY_DELAY * 2 ** this.#passes)
+    const spread = hashText(`${this.order.attempt}/${this.#passes}`) % longest
+    this.#passes += 1
+    this.#wakeAt = now + (longest + spread) / 2
+    return holders.map((dispatcher) => ({ type: 'release', dispatcher, round: this.#round }))
+  }
+
+  #request (tokens: Tokens, now: Millis): ReservationRequest {
+    const { attempt, model, version, adapter, excluded } = this.order
+    return { attempt, round: this.#round, model, version, adapter, tokens, age: now - this.startedAt, excluded }
+  }
+}
