--- /dev/null
+++ b/packages/cli/src/actions/status.ts
@@ -0,0 +1,94 @@
+import { defineCommand } from 'citty'
+import { AdminPath, MemberState, NodeState } from '@bluebellhill/protocol'
+import type { RunnersReply, StatusReply } from '@bluebellhill/protocol'
+
+import { FLEET_ARGS, askFleet, durationOption, findingsOf, nodesOf, runnerFindingsOf, showView } from '../fleet/index.js'
+import type { FleetAnswer } from '../fleet/index.js'
+import { Tone, formatDuration, outputPainter, runAction, tableOf } from '../terminal/index.js'
+import type { ActionMeta } from '../terminal/index.js'
+
+const META: ActionMeta = {
+  name: 'status',
+  description: 'Show every node and what stands out',
+  examples: [
+    'bluebellhill status --nodes 10.0.0.1:7401,10.0.0.2:7401',
+    'bluebellhill status --watch',
+    'bluebellhill status --json | jq .findings'
+  ]
+}
+
+const BYTES_PER_MEGABYTE = 1_000_000
+
+const HEADER = ['NODE', 'DOMAIN', 'STATE', 'UP', 'REQUESTS', 'QUEUED', 'MEMBERS', 'CONFIG', 'LEASES', 'MEMORY']
+
+const rowOf = (status: StatusReply): string[] => {
+  const alive = status.members.filter((member) => member.state === MemberState.Alive).length
+  const fleet = status.configurations.find((value) => value.organisation === null)
+  const tone = status.state === NodeState.Ready ? Tone.Good : Tone.Warning
+  return [
+    status.node,
+    status.failureDomain,
+    outputPainter()(tone, status.state),
+    formatDuration(status.uptime),
+    String(status.requestsInProgress),
+    String(status.ordersQueued),
+    `${alive} of ${status.members.length}`,
+    fleet?.revision ?? '-',
+    status.leases.map((lease) => lease.lease).join(',') || '-',
+    `${Math.round(status.memoryBytes / BYTES_PER_MEGABYTE)} MB`
+  ]
+}
+
+const compareStatus = (left: StatusReply, right: StatusReply): number =>
+  left.failureDomain.localeCompare(right.failureDomain) || left.node.localeCompare(right.node)
+
+/** The status of the fleet at one moment. */
+interface FleetStatus extends FleetAnswer<StatusReply> {
+  readonly findings: readonly string[]
+}
+
+const readStatus = async (addresses: readonly string[], timeout: number): Promise<FleetStatus> => {
+  const [status, runners] = await Promise.all([
+    askFleet<StatusReply>(addresses, { path: AdminPath.Status, timeout }),
+    askFleet<RunnersReply>(addresses, { path: AdminPath.Runners, timeout })
+  ])
+  const findings = [
+    ...findingsOf(status.answers.map(({ reply }) => reply)),
+    ...runnerFindingsOf(runners.answers.map(({ reply }) => reply))
+  ]
+  return { ...status, findings }
+}
+
+const textOf = ({ answers, silent, findings: found }: FleetStatus): string => {
+  const paint = outputPainter()
+  const nodes = answers.map(({ reply }) => reply).sort(compareStatus)
+  const findings = [
+    ...silent.map((node) => paint(Tone.Bad, `${node.address} did not answer: ${node.reason}`)),
+    ...found.map((finding) => paint(Tone.Warning, finding))
+  ]
+  const summary = findings.length === 0 ? [paint(Tone.Good, 'Nothing stands out.')] : findings
+  return [tableOf(HEADER, nodes.map(rowOf), paint), '', ...summary].join('\n')
+}
+
+const jsonOf = ({ answers, silent, findings }: FleetStatus, indent: number): string => {
+  const nodes = answers.map(({ address, reply }) => ({ address, ...reply }))
+  return JSON.stringify({ nodes, silent, findings }, null, indent)
+}
+
+/** Shows the status of all nodes. */
+export const status = defineCommand({
+  meta: META,
+  args: {
+    ...FLEET_ARGS,
+    watch: { type: 'boolean', description: 'show it again every two seconds', default: false }
+  },
+  run: ({ args }) => runAction(args, async () => {
+    const nodes = nodesOf(args.nodes, process.env)
+    const timeout = durationOption('timeout', args.timeout)
+    const indent = args.watch ? 0 : 2
+    await showView(args.watch, async () => {
+      const answer = await readStatus(nodes, timeout)
+      return args.json ? jsonOf(answer, indent) : textOf(answer)
+    })
+  })
+})
--- /dev/null
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -0,0 +1,331 @@
+/** The account of one node's runners and the queue before them: grants, refuses, recalls and frees. */
+import type { AttemptId, Millis, NodeId, RunnerId } from '../types.js'
+import { assertNever, OutcomeKind } from '../types.js'
+import { assess, boundedRetry, expectedWait, leastService } from './admission.js'
+import type { Refusal } from './admission.js'
+import * as defaults from './constants.js'
+import { DispatchQueue } from './DispatchQueue.js'
+import type { QueuedOrder, QueueOptions } from './DispatchQueue.js'
+import { DomainView } from './DomainView.js'
+import { EndedAttempts } from './EndedAttempts.js'
+import { LengthAware } from './LengthAware.js'
+import { isLongPrompt, lengthClassOf } from './lengths.js'
+import { LiveAttempt } from './LiveAttempt.js'
+import { orphanedAt } from './orphans.js'
+import type { OrphanGraces } from './orphans.js'
+import type { RoutingContext, RoutingPolicy, RunnerChoice } from './RoutingPolicy.js'
+import type { Runner } from './Runner.js'
+import { RunnerPool } from './RunnerPool.js'
+import { summarise } from './summaries.js'
+import type { DispatchEffect, DispatchEvent, DispatchOrder, DispatchSummary, RunnerReport } from './types.js'
+import { ProgressKind } from './types.js'
+
+/** Settings of a dispatcher; what is left out takes the default. */
+export interface DispatcherOptions extends Partial<OrphanGraces> {
+  readonly node: NodeId
+  readonly policy?: RoutingPolicy
+  readonly queue?: QueueOptions
+  /** Time in which an entry node must have sent. */
+  readonly grantValidity?: Millis
+  /** Time without progress after which an attempt counts as left by its entry node. */
+  readonly silenceLimit?: Millis
+  /** Time that the attempts of a lost entry node are still kept. */
+  readonly lostEntryGrace?: Millis
+}
+
+type Settings = Required<Omit<DispatcherOptions, 'policy' | 'queue' | 'node'>>
+
+type Progressed = Extract<DispatchEvent, { type: 'progressed' }>
+
+/** Deterministic: the same events at the same times give the same effects. */
+export class Dispatcher {
+  readonly node: NodeId
+  readonly #policy: RoutingPolicy
+  readonly #settings: Settings
+  readonly #pool = new RunnerPool()
+  readonly #queue: DispatchQueue
+  readonly #domain = new DomainView()
+  readonly #ended = new EndedAttempts()
+  #effects: DispatchEffect[] = []
+
+  /** @param options - the node, its policy and its times */
+  constructor (options: DispatcherOptions) {
+    this.node = options.node
+    this.#policy = options.policy ?? new LengthAware()
+    this.#queue = new DispatchQueue(options.queue)
+    this.#settings = {
+      grantValidity: options.grantValidity ?? defaults.GRANT_VALIDITY,
+      silenceLimit: options.silenceLimit ?? defaults.SILENCE_LIMIT,
+      lostEntryGrace: options.lostEntryGrace ?? defaults.LOST_ENTRY_GRACE,
+      inheritedGrace: options.inheritedGrace ?? defaults.INHERITED_GRACE,
+      foreignGrace: options.foreignGrace ?? defaults.FOREIGN_GRACE
+    }
+  }
+
+  /** Orders that wait. */
+  get queued (): number {
+    return this.#queue.size
+  }
+
+  /** Attempts that hold a grant. */
+  get granted (): readonly AttemptId[] {
+    return [...this.#pool.attempts].map((attempt) => attempt.id)
+  }
+
+  /**
+   * Decides what follows from an event.
+   *
+   * @param event - what happened
+   * @param now - time of the event, in milliseconds
+   * @returns effects in the order in which they are to be carried out
+   */
+  handle (event: DispatchEvent, now: Millis): readonly DispatchEffect[] {
+    this.#effects = []
+    this.#apply(event, now)
+    this.#expire(now)
+    this.#dispatch(now)
+    return this.#effects
+  }
+
+  /** @returns the state to gossip, one record for each model */
+  summaries (now: Millis): readonly DispatchSummary[] {
+    return this.#pool.models().map((model) => summarise({
+      node: this.node,
+      model,
+      runners: this.#usable(model),
+      waiting: [...this.#queue.orders].filter(({ order }) => order.model === model),
+      policy: this.#policy,
+      context: this.#context(model, now),
+      demand: this.#domain.ownDemand(model, now)
+    }))
+  }
+
+  /** @returns when `ticked` is due next, or null when nothing is under way */
+  nextTimer (): Millis | null {
+    let next = Infinity
+    for (const attempt of this.#pool.attempts) next = Math.min(next, attempt.lapsesAt)
+    for (const queued of this.#queue.orders) next = Math.min(next, this.#hopelessAt(queued))
+    for (const runner of this.#pool.runners) {
+      for (const unknown of runner.unknown.values()) next = Math.min(next, orphanedAt(runner, unknown, this.#settings))
+    }
+    return Number.isFinite(next) ? next : null
+  }
+
+  #apply (event: DispatchEvent, now: Millis): void {
+    switch (event.type) {
+      case 'runner_assigned': return this.#pool.assign(event.runner, event.failureDomain, now)
+      case 'runner_removed': return this.#pool.remove(event.runner)
+      case 'runner_leaving': return this.#change(event.runner, (runner) => { runner.leaving = true })
+      case 'runner_unreachable': return this.#change(event.runner, (runner) => { runner.unreachable = true })
+      case 'runner_reported': return this.#reported(event.runner, event.report, now)
+      case 'cache_changed': return this.#change(event.runner, (runner) => runner.prefixes.apply(event.events, event.gap))
+      case 'peers_summarised': return this.#peersSummarised(event.summaries, now)
+      case 'ordered': return this.#ordered(event.order, now)
+      case 'withdrawn': return this.#withdrawn(event.attempt, now)
+      case 'progressed': return this.#progressed(event, now)
+      case 'entry_lost': return this.#entryLost(event.entry, now)
+      case 'ticked': return
+      default: assertNever(event)
+    }
+  }
+
+  #change (id: RunnerId, change: (runner: Runner) => void): void {
+    const runner = this.#pool.runner(id)
+    if (runner !== undefined) change(runner)
+  }
+
+  #reported (id: RunnerId, report: RunnerReport, now: Millis): void {
+    const runner = this.#pool.runner(id)
+    if (runner === undefined) return
+    runner.take(report, now)
+    for (const unknown of runner.unknown.values()) {
+      if (this.#ended.has(unknown.attempt)) this.#cancel(id, unknown.attempt, 'the attempt has ended')
+    }
+  }
+
+  #peersSummarised (summaries: readonly DispatchSummary[], now: Millis): void {
+    this.#domain.update(summaries)
+    this.#redirect(now)
+  }
+
+  /** Sends one waiting long order on to a peer that would start it earlier. */
+  #redirect (now: Millis): void {
+    for (const queued of this.#queue.ranked(now)) {
+      const { order, redirected } = queued
+      if (redirected || !isLongPrompt(order.promptTokens)) continue
+      const own = expectedWait(order, { policy: this.#policy, context: this.#context(order.model, now), serving: this.#pool.serving(order), ahead: this.#queue.before(queued, now) })
+      if (this.#domain.leastDelay(order.model, lengthClassOf(order.promptTokens)) + defaults.REDIRECT_GAIN >= own) continue
+      queued.redirected = true
+      this.#effects.push({ type: 'recall', attempt: order.attempt, entry: order.entry, reason: 'another dispatcher would start it earlier' })
+      return
+    }
+  }
+
+  #ordered (order: DispatchOrder, now: Millis): void {
+    if (this.#queue.has(order.attempt) || this.#pool.attempt(order.attempt) !== undefined) return
+    if (this.#ended.has(order.attempt)) return this.#refuse(order, { kind: OutcomeKind.NoRunner, retryAfter: 0, reason: 'the attempt has ended' })
+    this.#domain.count(order.model, order.promptTokens, now)
+    const queued = this.#queue.add(order, now)
+    const refusal = this.#judge(queued, now)
+    if (refusal === null) return
+    this.#queue.remove(order.attempt)
+    this.#refuse(order, refusal)
+  }
+
+  #judge (queued: QueuedOrder, now: Millis): Refusal | null {
+    const { order } = queued
+    const serving = this.#pool.serving(order)
+    if (serving.length === 0) return { kind: OutcomeKind.NoRunner, retryAfter: defaults.LEAST_RETRY_AFTER, reason: `no runner has ${order.model}` }
+    const holding = serving.filter((runner) => runner.couldHold(order))
+    if (holding.length === 0) return { kind: OutcomeKind.NoGroup, retryAfter: 0, reason: 'the prompt is above the memory of one runner' }
+    const ahead = this.#queue.before(queued, now)
+    return assess(order, { policy: this.#policy, context: this.#context(order.model, now), serving: holding, ahead })
+  }
+
+  #withdrawn (id: AttemptId, now: Millis): void {
+    this.#ended.add(id, now)
+    this.#queue.remove(id)
+    const attempt = this.#pool.leave(id)
+    if (attempt !== undefined) this.#cancel(attempt.runner, id, 'withdrawn by the entry node')
+  }
+
+  #progressed (event: Progressed, now: Millis): void {
+    const attempt = this.#pool.attempt(event.attempt) ?? this.#takeUp(event, now)
+    if (attempt === undefined) return
+    const runner = this.#pool.runner(attempt.runner)
+    const before = { generated: attempt.generated, prefilling: attempt.isPrefilling }
+    attempt.progress(event.kind, event.generated, now)
+    attempt.lapsesAt = now + this.#settings.silenceLimit
+    this.#queue.charge(attempt.order.organisation, 0, attempt.generated - before.generated)
+    if (before.prefilling && !attempt.isPrefilling) runner?.learnFirstToken(attempt, now)
+    if (event.kind === ProgressKind.Ended) runner?.learnEnd(attempt, now)
+    if (event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed) this.#end(attempt, now)
+  }
+
+  #end (attempt: LiveAttempt, now: Millis): void {
+    this.#pool.leave(attempt.id)
+    this.#ended.add(attempt.id, now)
+  }
+
+  /** Takes up an attempt that another dispatcher granted. */
+  #takeUp (event: Progressed, now: Millis): LiveAttempt | undefined {
+    const runner = this.#pool.runner(event.runner)
+    const over = event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed
+    if (over) this.#ended.add(event.attempt, now)
+    if (event.order === null || runner === undefined || this.#ended.has(event.attempt)) return undefined
+    const load = { cachedTokens: 0, ahead: 0, behind: 0 }
+    const attempt = new LiveAttempt(event.order, event.runner, now, now + this.#settings.silenceLimit, load)
+    this.#queue.remove(event.attempt)
+    this.#pool.enter(attempt)
+    return attempt
+  }
+
+  #entryLost (entry: NodeId, now: Millis): void {
+    for (const { order } of [...this.#queue.orders]) {
+      if (order.entry === entry) this.#queue.remove(order.attempt)
+    }
+    for (const attempt of this.#pool.attempts) {
+      if (attempt.entry === entry) attempt.lapsesAt = Math.min(attempt.lapsesAt, now + this.#settings.lostEntryGrace)
+    }
+  }
+
+  #expire (now: Millis): void {
+    this.#ended.expire(now)
+    this.#expireAttempts(now)
+    this.#expireQueue(now)
+    this.#freeOrphans(now)
+  }
+
+  #expireAttempts (now: Millis): void {
+    for (const attempt of [...this.#pool.attempts]) {
+      if (now < attempt.lapsesAt) continue
+      this.#end(attempt, now)
+      this.#cancel(attempt.runner, attempt.id, 'no progress was reported in time')
+    }
+  }
+
+  #expireQueue (now: Millis): void {
+    for (const queued of [...this.#queue.orders]) {
+      if (now < this.#hopelessAt(queued)) continue
+      this.#queue.remove(queued.order.attempt)
+      this.#refuse(queued.order, this.#lateRefusal(queued.order, now))
+    }
+  }
+
+  /** When a waiting order can no longer be finished in time; at once where no runner is left for it. */
+  #hopelessAt ({ order, deadline }: QueuedOrder): Millis {
+    const serving = this.#pool.serving(order)
+    return serving.length === 0 ? 0 : deadline - leastService(order, serving)
+  }
+
+  #lateRefusal (order: DispatchOrder, now: Millis): Refusal {
+    const serving = this.#pool.serving(order)
+    if (serving.length === 0) return { kind: OutcomeKind.NoRunner, retryAfter: defaults.LEAST_RETRY_AFTER, reason: `no runner has ${order.model} any more` }
+    const wait = expectedWait(order, { policy: this.#policy, context: this.#context(order.model, now), serving, ahead: [...this.#queue.orders] })
+    return { kind: OutcomeKind.Overloaded, retryAfter: wait, reason: 'the deadline cannot be met any more' }
+  }
+
+  #freeOrphans (now: Millis): void {
+    for (const runner of this.#pool.runners) {
+      for (const unknown of [...runner.unknown.values()]) {
+        if (this.#ended.has(unknown.attempt) || now < orphanedAt(runner, unknown, this.#settings)) continue
+        this.#ended.add(unknown.attempt, now)
+        this.#cancel(runner.id, unknown.attempt, 'no entry node reported the attempt')
+      }
+    }
+  }
+
+  #dispatch (now: Millis): void {
+    if (this.#queue.size === 0) return
+    const contexts = new Map<string, RoutingContext>()
+    for (const queued of this.#queue.ranked(now).slice(0, defaults.SCAN_LIMIT)) {
+      const serving = this.#pool.serving(queued.order)
+      if (serving.length === 0) continue
+      const context = contexts.get(queued.order.model) ?? this.#context(queued.order.model, now)
+      contexts.set(queued.order.model, context)
+      this.#recall(queued.order, serving, context)
+      const choice = this.#policy.choose(queued, serving, context)
+      if (choice !== null) this.#grant(queued, choice, now)
+    }
+  }
+
+  #recall (order: DispatchOrder, serving: readonly Runner[], context: RoutingContext): void {
+    for (const id of this.#policy.recalls(order, serving, context)) {
+      const attempt = this.#pool.attempt(id)
+      if (attempt === undefined || attempt.recalled) continue
+      attempt.recalled = true
+      this.#effects.push({ type: 'recall', attempt: id, entry: attempt.entry, reason: 'makes way for short prompts' })
+    }
+  }
+
+  #context (model: string, now: Millis): RoutingContext {
+    const runners = this.#usable(model)
+    const prefillRate = runners.reduce((total, runner) => total + runner.prefillRate, 0)
+    const own = { node: this.node, runnerIds: runners.map((runner) => runner.id), prefillRate }
+    return { now, zones: this.#domain.zones(model, own, this.#policy, now) }
+  }
+
+  #usable (model: string): readonly Runner[] {
+    return [...this.#pool.runners].filter((runner) => runner.isUsable && runner.report?.model === model)
+  }
+
+  #grant (queued: QueuedOrder, { runner, reason }: RunnerChoice, now: Millis): void {
+    const { order } = queued
+    const validFor = this.#settings.grantValidity
+    const load = { cachedTokens: runner.cachedTokens(order), ...runner.pendingAround(lengthClassOf(order.promptTokens), now) }
+    this.#queue.remove(order.attempt)
+    this.#queue.charge(order.organisation, order.promptTokens, 0)
+    this.#pool.enter(new LiveAttempt(order, runner.id, now, now + validFor + defaults.GRANT_MARGIN, load))
+    runner.prefixes.expect(order.prefix)
+    const priority = this.#policy.priority(order)
+    this.#effects.push({ type: 'grant', grant: { attempt: order.attempt, entry: order.entry, runner: runner.id, validFor, priority, reason, group: [] } })
+  }
+
+  #refuse (order: DispatchOrder, { kind, retryAfter, reason }: Refusal): void {
+    this.#effects.push({ type: 'refuse', attempt: order.attempt, entry: order.entry, kind, retryAfter: boundedRetry(retryAfter), reason })
+  }
+
+  #cancel (runner: RunnerId, attempt: AttemptId, reason: string): void {
+    this.#effects.push({ type: 'cancel_on_runner', runner, attempt, reason })
+  }
+}
--- /dev/null
+++ b/packages/domain/src/dispatch/DomainView.ts
@@ -0,0 +1,148 @@
+/** What a dispatcher knows of its whole failure domain, from gossiped summaries alone. */
+import { rendezvousOrder } from '../routing/rendezvous.js'
+import type { Millis, NodeId, RunnerId } from '../types.js'
+import { LONG_CLASS, MIDDLE_CLASS } from './constants.js'
+import { DemandMeter } from './DemandMeter.js'
+import { spreadOrder } from './spreadOrder.js'
+import type { DispatchSummary } from './types.js'
+
+/** Which work a runner takes first. */
+export const RunnerZone = {
+  /** Long prompts, and middle ones beside them. */
+  Long: 'long',
+  /** Middle prompts first; lent to a long one when idle. */
+  Flexible: 'flexible',
+  /** The shortest prompts first; lent to a middle one when that costs least. */
+  Short: 'short'
+} as const
+export type RunnerZone = typeof RunnerZone[keyof typeof RunnerZone]
+
+/** Zones of this dispatcher's runners of one model; a runner that is not listed takes everything. */
+export type ZoneMap = ReadonlyMap<RunnerId, RunnerZone>
+
+/** Facts of this dispatcher's own runners, to be joined with those of its peers. */
+export interface OwnModel {
+  readonly node: NodeId
+  /** Usable runners, in any order. */
+  readonly runnerIds: readonly RunnerId[]
+  /** Tokens a second of all of them. */
+  readonly prefillRate: number
+}
+
+/** How a deployment weighs its two measures. */
+export interface ZoneWeights {
+  /** 0 favours short prompts, 1 the first token of long ones. */
+  readonly longWeight: number
+}
+
+/** Joins the summaries of all dispatchers of a failure domain with this one's own orders. */
+export class DomainView {
+  readonly #meters = new Map<string, DemandMeter>()
+  #peers: readonly DispatchSummary[] = []
+
+  /** Replaces the peers' summaries. */
+  update (peers: readonly DispatchSummary[]): void {
+    this.#peers = peers
+  }
+
+  /** Counts an order of this dispatcher. */
+  count (model: string, promptTokens: number, now: Millis): void {
+    this.#meter(model).count(promptTokens, now)
+  }
+
+  /** @returns this dispatcher's own demand, in tokens a second by length class */
+  ownDemand (model: string, now: Millis): readonly number[] {
+    return this.#meter(model).rates(now)
+  }
+
+  /** @returns the least wait that a peer states for a length class; infinite where there is none */
+  leastDelay (model: string, lengthClass: number): Millis {
+    const delays = this.#peers.filter((peer) => peer.model === model && peer.runners > 0).map((peer) => peer.queueDelay[lengthClass] ?? Infinity)
+    return Math.min(Infinity, ...delays)
+  }
+
+  /**
+   * Divides a model's runners.
+   *
+   * All dispatchers number the runners of the failure domain alike: by the rendezvous order of their nodes, then within
+   * each node. The numbers are taken in an order that spreads them evenly, so that every node has its part of each zone
+   * and a boundary that moves by one changes one runner.
+   *
+   * @param model - name of the model
+   * @param own - this dispatcher's runners
+   * @param weights - how the deployment weighs short and long prompts
+   * @param now - time
+   */
+  zones (model: string, own: OwnModel, weights: ZoneWeights, now: Millis): ZoneMap {
+    const peers = this.#peers.filter((peer) => peer.model === model && peer.node !== undefined && peer.node !== own.node)
+    const total = own.runnerIds.length + sum(peers.map((peer) => peer.runners))
+    const demand = addUp([this.ownDemand(model, now), ...peers.map((peer) => peer.demand ?? [])])
+    const capacity = own.prefillRate + sum(peers.map((peer) => peer.prefillRate))
+    const bounds = zoneBounds({ total, capacity, demand }, weights)
+    if (bounds === null) return new Map()
+    const first = this.#firstNumber(model, own.node, peers)
+    const places = spreadOrder(total)
+    return new Map([...own.runnerIds].sort().map((id, index) => [id, zoneOf(places[first + index] ?? 0, bounds)]))
+  }
+
+  /** Number of this dispatcher's first runner in the failure domain. */
+  #firstNumber (model: string, own: NodeId, peers: readonly DispatchSummary[]): number {
+    const runners = new Map(peers.map((peer) => [peer.node ?? own, peer.runners]))
+    let number = 0
+    for (const node of rendezvousOrder(`zones/${model}`, [own, ...runners.keys()])) {
+      if (node === own) break
+      number += runners.get(node) ?? 0
+    }
+    return number
+  }
+
+  #meter (model: string): DemandMeter {
+    const known = this.#meters.get(model)
+    if (known !== undefined) return known
+    const meter = new DemandMeter()
+    this.#meters.set(model, meter)
+    return meter
+  }
+}
+
+interface Balance {
+  readonly total: number
+  /** Tokens a second of all runners. */
+  readonly capacity: number
+  /** Tokens a second by length class. */
+  readonly demand: readonly number[]
+}
+
+/** Places below `long` are of the long zone, those from `short` on of the short zone. */
+interface ZoneBounds {
+  readonly long: number
+  readonly short: number
+}
+
+/** Utilisation that a zone is planned for, at the weights 0 and 1 of long prompts. */
+const SHORT_UTILISATION = { least: 0.2, most: 1.2 }
+const MIDDLE_UTILISATION = { least: 0.8, most: 1.4 }
+
+/** @returns null where there is no long work or nothing to divide */
+const zoneBounds = ({ total, capacity, demand }: Balance, { longWeight }: ZoneWeights): ZoneBounds | null => {
+  const long = sum(demand.slice(LONG_CLASS))
+  if (total < 2 || long <= 0) return null
+  const busyWith = (tokens: number): number => capacity > 0 ? tokens * total / capacity : 0
+  const planned = ({ least, most }: { readonly least: number, readonly most: number }): number => least + longWeight * (most - least)
+  const short = Math.ceil(busyWith(sum(demand.slice(0, MIDDLE_CLASS))) / planned(SHORT_UTILISATION))
+  const middle = Math.round(busyWith(sum(demand.slice(MIDDLE_CLASS, LONG_CLASS))) / planned(MIDDLE_UTILISATION))
+  const kept = Math.max(1, Math.min(total - 1, short))
+  return { long: Math.max(1, total - kept - middle), short: total - kept }
+}
+
+const zoneOf = (place: number, bounds: ZoneBounds): RunnerZone => {
+  if (place < bounds.long) return RunnerZone.Long
+  return place < bounds.short ? RunnerZone.Flexible : RunnerZone.Short
+}
+
+const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0)
+
+const addUp = (rows: readonly (readonly number[])[]): readonly number[] => {
+  const width = Math.max(0, ...rows.map((row) => row.length))
+  return Array.from({ length: width }, (_, column) => sum(rows.map((row) => row[column] ?? 0)))
+}
--- a/packages/domain/src/membership/ValueStore.ts
+++ b/packages/domain/src/membership/ValueStore.ts
@@ -45,6 +45,11 @@
     return this.entries.get(keyOf(node, topic))?.value
   }
 
+  /** When the value was last received or renewed; undefined where there is none. */
+  receivedAt (node: NodeId, topic: string): Millis | undefined {
+    return this.entries.get(keyOf(node, topic))?.receivedAt
+  }
+
   all (): StoredValue[] {
     return [...this.entries.values()]
   }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,4 +1,12 @@
-/** Entry of the package. */
-export {}
+/** The daemon's parts. */
+export * from './store/index.js'
+export * from './log/index.js'
+export * from './metrics/index.js'
+export * from './timeline/index.js'
+export * from './admin/index.js'
 export * from './membership/index.js'
 export * from './placement/index.js'
+export { Daemon } from './daemon/Daemon.js'
+export { VERSION } from './daemon/version.js'
+export type { DaemonAddresses, DaemonOptions } from './daemon/types.js'
+export { runDaemon } from './daemon/main.js'
--- a/packages/node/src/membership/MembershipService.ts
+++ b/packages/node/src/membership/MembershipService.ts
@@ -134,6 +134,14 @@
     return this.running().board.valuesUnder(prefix, this.options.clock() - maxAge)
   }
 
+  /**
+   * @param value - value that is held
+   * @returns reading of the monotonic clock when it was last received or renewed; 0 where it is not held any more
+   */
+  receivedAt ({ node, topic }: Pick<GossipValue, 'node' | 'topic'>): Millis {
+    return this.running().board.receivedAt(node, topic) ?? 0
+  }
+
   /**
    * @param listener - called after each change
    * @returns removes the listener
--- /dev/null
+++ b/packages/node/src/peers/PeerServer.ts
@@ -0,0 +1,64 @@
+/** Serves the node's peers over gRPC. */
+import { Server, ServerCredentials, status } from '@grpc/grpc-js'
+import type { handleUnaryCall, sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js'
+import { ConfigurationExchangeService, DispatcherService, EntryService } from '@bluebellhill/protocol'
+
+import { push, values, versions } from './configurationHandlers.js'
+import { acquire, progress, recall } from './dispatchHandlers.js'
+import { MAX_MESSAGE_BYTES } from './constants.js'
+import { PeerAuthenticator } from './PeerAuthenticator.js'
+import type { PeerServerParts } from './types.js'
+
+type Handler<Request, Reply> = (parts: PeerServerParts, call: ServerUnaryCall<Request, Reply>, done: sendUnaryData<Reply>) => void
+
+/** The gRPC server of one node. */
+export class PeerServer {
+  readonly #server = new Server({ 'grpc.max_receive_message_length': MAX_MESSAGE_BYTES })
+  readonly #authenticator: PeerAuthenticator
+  readonly #lookUp: () => PeerServerParts | null
+
+  /**
+   * @param authenticator - checks each call
+   * @param lookUp - gives the node's parts, or null while the node is being built
+   */
+  constructor (authenticator: PeerAuthenticator, lookUp: () => PeerServerParts | null) {
+    this.#authenticator = authenticator
+    this.#lookUp = lookUp
+    this.#server.addService(DispatcherService, {
+      acquire: this.#guard((parts, call, done) => { void acquire(parts, call, done) }),
+      progress: this.#guard(progress)
+    })
+    this.#server.addService(EntryService, { recall: this.#guard(recall) })
+    this.#server.addService(ConfigurationExchangeService, { versions: this.#guard(versions), values: this.#guard(values), push: this.#guard(push) })
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address - `ip:port`; port 0 takes a free one
+   * @returns the address in use
+   */
+  async listen (address: string): Promise<string> {
+    const port = await new Promise<number>((resolve, reject) => {
+      this.#server.bindAsync(address, ServerCredentials.createInsecure(), (error, bound) => error ? reject(error) : resolve(bound))
+    })
+    return `${address.slice(0, address.lastIndexOf(':'))}:${port}`
+  }
+
+  dispose (): void {
+    this.#server.forceShutdown()
+  }
+
+  #guard <Request, Reply>(handle: Handler<Request, Reply>): handleUnaryCall<Request, Reply> {
+    return (call, done) => this.#withParts(call, done, (parts) => handle(parts, call, done))
+  }
+
+  #withParts <Request, Reply>(call: ServerUnaryCall<Request, Reply>, done: sendUnaryData<Reply>, serve: (parts: PeerServerParts) => void): void {
+    if (!this.#authenticator.accepts(call.getPath(), PeerAuthenticator.tokenOf(call.metadata))) {
+      return done({ code: status.UNAUTHENTICATED, details: 'the peer is not known' })
+    }
+    const parts = this.#lookUp()
+    if (parts === null) done({ code: status.UNAVAILABLE, details: 'the node is starting' })
+    else serve(parts)
+  }
+}
--- /dev/null
+++ b/packages/node/src/requests/CompletionSource.ts
@@ -0,0 +1,123 @@
+/** Starts the tries of one completion. */
+import { SendMode } from '@bluebellhill/domain'
+import type { AttemptId, RequestSpec, Tokens } from '@bluebellhill/domain'
+import type { ModelEngine } from '@bluebellhill/platform'
+
+import { monotonicNow } from '../clock/monotonic.js'
+import type { AnswerEnd } from './Answer.js'
+import { ChunkFate } from './Attempt.js'
+import type { Attempt, AttemptListener, AttemptOrder } from './Attempt.js'
+import { CompletionAttempt } from './CompletionAttempt.js'
+import { AttemptSource } from './ports.js'
+import type { TokenEstimator } from './TokenEstimator.js'
+
+/** Sampling fields of an OpenAI body. */
+export type Sampling = Readonly<Record<string, unknown>>
+
+/** Gives the client of an engine by its address. */
+export type EngineSource = (address: string) => ModelEngine
+
+/** Makes the sources of all completions. */
+export class CompletionSources {
+  readonly #engines: EngineSource
+  readonly #estimator: TokenEstimator
+
+  constructor (engines: EngineSource, estimator: TokenEstimator) {
+    this.#engines = engines
+    this.#estimator = estimator
+  }
+
+  /**
+   * Makes the source of one request.
+   *
+   * @param spec - the admitted request
+   * @param prompt - the text for the engine
+   * @param sampling - sampling fields that are handed to the engine as they are
+   */
+  create (spec: RequestSpec, prompt: string, sampling: Sampling): AttemptSource {
+    return new CompletionSource(spec, prompt, sampling, this.#engines, this.#estimator)
+  }
+}
+
+/** Knows a completion's prompt, and the text that its caller already has. */
+class CompletionSource extends AttemptSource {
+  readonly #spec: RequestSpec
+  readonly #prompt: string
+  readonly #sampling: Sampling
+  readonly #engines: EngineSource
+  readonly #estimator: TokenEstimator
+  readonly #sent: string[] = []
+  /** Tokens that the caller had when the current attempt was first sent. */
+  #base: Tokens = 0
+  /** The text of those tokens. */
+  #before = ''
+
+  constructor (spec: RequestSpec, prompt: string, sampling: Sampling, engines: EngineSource, estimator: TokenEstimator) {
+    super()
+    this.#spec = spec
+    this.#prompt = prompt
+    this.#sampling = sampling
+    this.#engines = engines
+    this.#estimator = estimator
+  }
+
+  create (order: AttemptOrder, listener: AttemptListener): Attempt {
+    if (order.mode !== SendMode.Resume) this.#rebase(order)
+    const start = order.mode === SendMode.Resume ? order.generated - this.#base : 0
+    const timeout = Math.max(1, Math.ceil(this.#spec.deadline - monotonicNow()))
+    const engine = this.#engines(order.address)
+    return new CompletionAttempt(engine, order, start, this, this.#keepText(listener), timeout)
+  }
+
+  async cancel (address: string, attempt: AttemptId): Promise<void> {
+    await this.#engines(address).cancel(attempt)
+  }
+
+  /** Writes the JSON body of one try. */
+  encode (order: AttemptOrder): string {
+    const { model, version, adapter } = this.#spec
+    return JSON.stringify({
+      ...this.#sampling,
+      model,
+      version: version ?? undefined,
+      adapter: adapter ?? undefined,
+      prompt: this.#prompt + this.#before,
+      max_tokens: this.#spec.maxTokens - this.#base,
+      stream: true,
+      request_id: order.attempt,
+      priority: order.grant.priority,
+      resume: order.mode === SendMode.Resume ? { offset: order.generated - this.#base } : undefined
+    })
+  }
+
+  #rebase (order: AttemptOrder): void {
+    this.#base = order.generated
+    this.#before = this.#sent.join('')
+  }
+
+  #keepText (listener: AttemptListener): AttemptListener {
+    return {
+      sending: (attempt) => listener.sending(attempt),
+      chunk: (attempt, offset, count, text) => {
+        const fate = listener.chunk(attempt, offset, count, text)
+        if (fate !== ChunkFate.Dropped) this.#sent.push(text)
+        return fate
+      },
+      crossed: (attempt) => listener.crossed(attempt),
+      completed: (attempt, end) => this.#completed(listener, attempt, end),
+      broken: (attempt, reason) => listener.broken(attempt, reason),
+      drained: () => listener.drained()
+    }
+  }
+
+  #completed (listener: AttemptListener, attempt: AttemptId, end: AnswerEnd): void {
+    if (this.#base > 0) return listener.completed(attempt, this.#withOwnPrompt(end))
+    this.#estimator.learn(this.#spec.model, Buffer.byteLength(this.#prompt), end.usage.promptTokens)
+    listener.completed(attempt, end)
+  }
+
+  /** An engine that continued an answer counts the earlier tokens to the prompt. */
+  #withOwnPrompt (end: AnswerEnd): AnswerEnd {
+    return { ...end, usage: { ...end.usage, promptTokens: this.#spec.promptTokens } }
+  }
+}
