--- a/packages/node/src/placement/PlacedRunners.ts
+++ b/packages/node/src/placement/PlacedRunners.ts
@@ -36,6 +36,7 @@
 export class PlacedRunners {
   readonly #membership: MembershipService
   readonly #published = new Map<RunnerId, Published>()
+  #refreshes = 0
 
   /** @param membership - carries the values within the failure domain */
   constructor (membership: MembershipService) {
@@ -56,7 +57,9 @@
     const period = last?.text === text ? REFRESH_PERIOD_MS : CHANGE_PERIOD_MS
     if (last !== undefined && now - last.at < period) return
     this.#published.set(runner, { text, at: now })
-    this.#send(runner, Buffer.from(text))
+    this.#refreshes += 1
+    // Bytes that did not change would not be sent again.
+    this.#send(runner, Buffer.from(JSON.stringify({ ...state, leaving, refresh: this.#refreshes })))
   }
 
   /** Takes back what was published of a runner that another node dispatches now. */
