Carry sequence groups between dispatchers; let no leader unload before it knows what is wanted

Cause of a fault found by the group test: the leader took its lease before any configuration had come and unloaded every engine ("no template needs the model here"), so the first prompts found no runner. Ruled out: the engines' own state (the time line shows the orders). A leader without wants now gives no orders, and a model that is not needed is unloaded only after the time that traffic is remembered. Demand by length class is gossiped with the summaries.

--- a/packages/domain/src/dispatch/Dispatcher.ts
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -282,7 +282,7 @@
     this.#queue.charge(order.organisation, order.promptTokens, 0)
     const reason = `group of ${members.length} runners, reserved after ${Math.round(now - startedAt)} ms`
     const validFor = this.#settings.grantValidity
-    this.#effects.push({ type: 'grant', grant: { attempt: order.attempt, entry: order.entry, runner, validFor, priority: this.#policy.priority(order), reason, group: members.map((member) => member.runner) } })
+    this.#effects.push({ type: 'grant', grant: { attempt: order.attempt, entry: order.entry, runner, validFor, priority: this.#policy.priority(order), reason, group: members.map((member) => member.runner), groupTokens: members.map((member) => member.tokens) } })
   }
 
   #learnEnd (attempt: LiveAttempt, now: Millis): void {
--- a/packages/domain/src/dispatch/types.ts
+++ b/packages/domain/src/dispatch/types.ts
@@ -99,6 +99,8 @@
   readonly reason: string
   /** Members of a sequence group in order, for a prompt above one engine's memory; empty otherwise. */
   readonly group: readonly RunnerId[]
+  /** Memory that is reserved on each member of the group. */
+  readonly groupTokens?: readonly Tokens[]
 }
 
 export type DispatchEffect =
--- a/packages/domain/src/placement/PlacementPlan.ts
+++ b/packages/domain/src/placement/PlacementPlan.ts
@@ -23,6 +23,8 @@
   runner: PlacedRunner
   reportedAt: Millis
   drainingSince: Millis | null
+  /** Since when no template or traffic was seen to need its model; null while one does. */
+  idleSince: Millis | null
   orderedAt: Millis
   lastOrder: EngineOrder | null
 }
@@ -35,7 +37,8 @@
   private readonly traffic: TrafficWindow
   private readonly pace: LoadPace
   private readonly rows = new Map<RunnerId, Row>()
-  private wants: readonly WantedModel[] = []
+  /** Null until the configuration was heard of; a leader that knows no wants gives no orders. */
+  private wants: readonly WantedModel[] | null = null
   private effects: PlacementEffect[] = []
   private nextReconcile: Millis = 0
   /** Runners whose model is being changed, in the present comparison. */
@@ -126,7 +129,7 @@
   private report (runner: PlacedRunner, now: Millis): void {
     const row = this.rows.get(runner.runner)
     if (row === undefined) {
-      this.rows.set(runner.runner, { runner, reportedAt: now, drainingSince: null, orderedAt: -Infinity, lastOrder: null })
+      this.rows.set(runner.runner, { runner, reportedAt: now, drainingSince: null, idleSince: null, orderedAt: -Infinity, lastOrder: null })
       return
     }
     row.runner = runner
@@ -134,12 +137,14 @@
   }
 
   private reconcile (now: Millis): void {
+    if (this.wants === null) return
     const rows = [...this.rows.values()].filter((row) => !row.runner.leaving && now - row.reportedAt <= this.limits.reportLifetime)
     const shares = shareOut(this.wants, (want) => this.traffic.needed(want.model, now), rows.length)
     const assignments = assign(shares, this.withIntentions(rows, now), this.limits.rollingShare)
     this.changing = rows.filter((row) => this.isChanging(row, now)).length
     for (const row of rows) {
       const want = assignments.get(row.runner.runner)
+      if (want !== null) row.idleSince = null
       if (want === undefined) this.endDraining(row)
       else if (want === null) this.empty(row, now)
       else this.bring(row, want, now)
@@ -187,6 +192,9 @@
   private empty (row: Row, now: Millis): void {
     this.endDraining(row)
     if (heldBy(row.runner) === null) return
+    // A new leader has not seen the traffic before its term, so it waits as long as traffic is remembered.
+    row.idleSince ??= now
+    if (now - row.idleSince < this.limits.idleAfter) return
     if (row.runner.streams === 0) this.order(row, { kind: 'unload' }, 'no template needs the model here', now)
   }
 
--- a/packages/domain/tests/placement.test.ts
+++ b/packages/domain/tests/placement.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 
-import { assign, shareOut } from '../src/index.js'
+import { assign, PlacementPlan, shareOut } from '../src/index.js'
 import type { LeaseTimings, PlannedRunner, RunnerId, WantedModel } from '../src/index.js'
 import { PlacementGroup } from './placementGroup.js'
 
@@ -167,3 +167,28 @@
     return unchanged && shares.every(({ want: { model }, copies }) => moved.filter(({ loaded }) => loaded?.model === model).length === copies)
   }), { seed: SEED, numRuns: 500 }))
 })
+
+test('a leader that knows no wants yet unloads nothing', (t) => {
+  const group = new PlacementGroup({ seed: 5, engines: 4, candidates: 1, checksFencing: true, faults: 0, maxDelay: 60 })
+  group.tellAll({ type: 'wants_changed', wants: [want('a', 4)] })
+  t.not(group.runUntil(() => group.serving(want('a', 4)) === 4, SETTLE), null)
+  const plan = new PlacementPlan({ name: 'new', enginesCheckFencing: true })
+  plan.handle({ type: 'candidacy_changed', isCandidate: true }, 0)
+  const [acquire] = plan.handle({ type: 'ticked' }, 0).filter((effect) => effect.type === 'acquire_lease')
+  plan.handle({ type: 'lease_granted', token: acquire?.token ?? '', revision: 9, sentAt: 0 }, 10)
+  const orders = [500, 1_000, 1_500, 2_000, 4_000, 7_000, 9_000].flatMap((now) => {
+    for (const { runner } of group.engines) plan.handle({ type: 'runner_reported', runner: { ...runnerOf(0, 'a'), runner } }, now)
+    return plan.handle({ type: 'ticked' }, now).filter((effect) => effect.type === 'order')
+  })
+  t.deepEqual(orders, [])
+})
+
+test('a new leader unloads an idle model only after the time that traffic is remembered', (t) => {
+  const group = new PlacementGroup({ seed: 6, engines: 3, candidates: 1, checksFencing: true, faults: 0, maxDelay: 60, limits: { idleAfter: 20_000 } })
+  group.tellAll({ type: 'wants_changed', wants: [want('a', 3)] })
+  t.not(group.runUntil(() => group.serving(want('a', 3)) === 3, SETTLE), null)
+  group.tellAll({ type: 'wants_changed', wants: [want('a', 1)] })
+  group.run(15_000)
+  t.is(group.serving(want('a', 3)), 3)
+  t.not(group.runUntil(() => group.serving(want('a', 3)) === 1, SETTLE), null)
+})
--- a/packages/node/src/daemon/adapters.ts
+++ b/packages/node/src/daemon/adapters.ts
@@ -1,7 +1,7 @@
 /** Joins the dispatcher's ports to the membership, the backend servers and the peers. */
 import { Metadata } from '@grpc/grpc-js'
 import { assertNever, hashText, ownerOf } from '@bluebellhill/domain'
-import type { AttemptId, FailureDomain, NodeId, RunnerId } from '@bluebellhill/domain'
+import type { AttemptId, FailureDomain, GroupEffect, NodeId, RunnerId } from '@bluebellhill/domain'
 import type { ModelEngine, PlainService } from '@bluebellhill/platform'
 
 import { DispatchReach } from '../dispatch/DispatcherHost.js'
@@ -11,10 +11,12 @@
 import type { Backend, RunnerDirectory } from '../dispatch/RunnerDirectory.js'
 import { MonitorSource, OwnershipRule } from '../dispatch/RunnerOwnership.js'
 import type { MembershipService } from '../membership/index.js'
+import { encodeGroup } from '../peers/groupMessage.js'
 import type { PeerClients } from '../peers/PeerClients.js'
 import type { TimeLine } from '../timeline/index.js'
 
 const RECALL_TIMEOUT_MS = 2_000
+const GROUP_TIMEOUT_MS = 2_000
 
 /** Clients of backend servers by address. */
 export interface BackendClients {
@@ -95,6 +97,16 @@
     await engine.release(attempt)
   }
 
+  async group (effect: GroupEffect): Promise<void> {
+    const { membership, peers, timeLine } = this.#parts
+    const member = membership.members().find((each) => each.node === effect.to)
+    if (member === undefined) return
+    await new Promise<void>((resolve) => {
+      const message = encodeGroup(effect, timeLine.node, timeLine.send())
+      peers.dispatcher(member.peerAddress).group(message, new Metadata(), { deadline: Date.now() + GROUP_TIMEOUT_MS }, () => resolve())
+    })
+  }
+
   async recall (entry: NodeId, attempt: AttemptId, reason: string): Promise<void> {
     const { membership, requests } = this.#parts
     if (entry === membership.me().node) {
--- a/packages/node/src/dispatch/DispatcherDesk.ts
+++ b/packages/node/src/dispatch/DispatcherDesk.ts
@@ -203,6 +203,7 @@
     validFor: message.validForMs,
     priority: message.priority,
     reason: message.reason,
-    group: message.group as RunnerId[]
+    group: message.group as RunnerId[],
+    groupTokens: message.groupTokens
   }
 })
--- a/packages/node/src/dispatch/DispatcherHost.ts
+++ b/packages/node/src/dispatch/DispatcherHost.ts
@@ -1,6 +1,6 @@
 /** Hosts the dispatcher aggregate in an actor: serialises its events and carries out its effects. */
 import { assertNever, OutcomeKind, ProgressKind } from '@bluebellhill/domain'
-import type { AttemptId, DispatchEffect, DispatchEvent, DispatchOrder, DispatchSummary, Dispatcher, Grant, Millis, NodeId, RequestId, RunnerId } from '@bluebellhill/domain'
+import type { AttemptId, DispatchEffect, DispatchEvent, DispatchOrder, DispatchSummary, Dispatcher, Grant, GroupEffect, GroupEvent, Millis, NodeId, RequestId, RunnerId } from '@bluebellhill/domain'
 import { EventKind } from '@bluebellhill/protocol'
 import { dispatch, spawn, stop } from 'nact'
 import type { Ref } from 'nact'
@@ -30,11 +30,17 @@
   readonly runner: RunnerId
 }
 
+/** Events of the dispatcher and of the groups that it puts together. */
+type HostEvent = DispatchEvent | GroupEvent
+
 /** What the dispatcher reaches outside the node. */
 export abstract class DispatchReach {
   /** Stops an attempt on a runner. Never rejects. */
   abstract cancel (runner: RunnerId, attempt: AttemptId): Promise<void>
 
+  /** Carries a message about a sequence group to another dispatcher. Never rejects. */
+  abstract group (effect: GroupEffect): Promise<void>
+
   /** Tells an entry node that an attempt has to make way. Never rejects. */
   abstract recall (entry: NodeId, attempt: AttemptId, reason: string): Promise<void>
 }
@@ -45,7 +51,7 @@
   readonly #reach: DispatchReach
   readonly #timeLine: TimeLine
   readonly #metrics: Metrics
-  readonly #actor: Ref<DispatchEvent>
+  readonly #actor: Ref<HostEvent>
   readonly #pending = new Map<AttemptId, PendingOrder>()
   /** Orders that were granted here and are not over. */
   readonly #granted = new Map<AttemptId, GrantedOrder>()
@@ -56,11 +62,11 @@
     this.#reach = reach
     this.#timeLine = timeLine
     this.#metrics = metrics
-    this.#actor = spawn(parent as never, (_state: unknown, event: DispatchEvent) => this.#handle(event), 'dispatcher') as Ref<DispatchEvent>
+    this.#actor = spawn(parent as never, (_state: unknown, event: HostEvent) => this.#handle(event), 'dispatcher') as Ref<HostEvent>
   }
 
   /** Hands an event to the dispatcher's actor. */
-  tell (event: DispatchEvent): void {
+  tell (event: HostEvent): void {
     dispatch(this.#actor as never, event)
   }
 
@@ -105,7 +111,7 @@
     this.tell({ type: 'withdrawn', attempt })
   }
 
-  #handle (event: DispatchEvent): void {
+  #handle (event: HostEvent): void {
     try {
       this.#decide(event)
     } catch (error) {
@@ -115,13 +121,14 @@
     this.#setTimer()
   }
 
-  #decide (event: DispatchEvent): void {
+  #decide (event: HostEvent): void {
     const withdrawn = event.type === 'withdrawn'
     for (const effect of this.#dispatcher.handle(event, monotonicNow())) this.#perform(effect, withdrawn)
+    for (const effect of this.#dispatcher.drainGroupEffects()) void this.#reach.group(effect)
   }
 
   /** Goes on after an unforeseen error: an actor that threw would never answer again. */
-  #failed (event: DispatchEvent, error: unknown): void {
+  #failed (event: HostEvent, error: unknown): void {
     const reason = error instanceof Error ? error.message : String(error)
     this.#timeLine.record(EventKind.PartFailed, {}, reason, { part: 'dispatcher', during: event.type })
     if (event.type !== 'ordered') return
@@ -131,7 +138,7 @@
   }
 
   /** Drops the grants that the event ended. */
-  #forget (event: DispatchEvent): void {
+  #forget (event: HostEvent): void {
     if (event.type === 'withdrawn' || (event.type === 'progressed' && isOver(event.kind))) this.#granted.delete(event.attempt)
     if (event.type !== 'runner_removed') return
     for (const [attempt, { runner }] of this.#granted) {
--- a/packages/node/src/dispatch/DispatcherViews.ts
+++ b/packages/node/src/dispatch/DispatcherViews.ts
@@ -49,7 +49,7 @@
     const me = this.#membership.me().node
     return this.#exchange.models().flatMap((model) => this.#exchange.dispatchers(model)
       .filter(({ dispatcher }) => dispatcher.node !== me)
-      .map(({ summary }) => summary))
+      .map(({ dispatcher, summary }) => ({ ...summary, node: dispatcher.node })))
   }
 
   #ownState (model: string): DispatcherState[] {
--- a/packages/node/src/membership/summaryCodec.ts
+++ b/packages/node/src/membership/summaryCodec.ts
@@ -23,7 +23,8 @@
     freeSlots: summaries.map(({ freeSlots }) => freeSlots).map(downTo(1)),
     largestPrompt: summaries.map(({ largestPrompt }) => largestPrompt).map(downTo(TOKEN_UNIT)),
     queueDelay: summaries.flatMap(({ queueDelay }) => LENGTH_CLASSES.map((_, index) => queueDelay[index] ?? 0)).map(upTo(DELAY_UNIT)),
-    prefillRate: summaries.map(({ prefillRate }) => prefillRate).map(downTo(RATE_UNIT))
+    prefillRate: summaries.map(({ prefillRate }) => prefillRate).map(downTo(RATE_UNIT)),
+    demand: summaries.flatMap(({ demand }) => LENGTH_CLASSES.map((_, index) => demand?.[index] ?? 0)).map(upTo(RATE_UNIT))
   }).finish()
 
 /**
@@ -44,6 +45,7 @@
     freeSlots: cell(columns.freeSlots),
     largestPrompt: cell(columns.largestPrompt) * TOKEN_UNIT,
     queueDelay: LENGTH_CLASSES.map((_, index) => cell(columns.queueDelay, row * LENGTH_CLASSES.length + index) * DELAY_UNIT),
-    prefillRate: cell(columns.prefillRate) * RATE_UNIT
+    prefillRate: cell(columns.prefillRate) * RATE_UNIT,
+    demand: LENGTH_CLASSES.map((_, index) => cell(columns.demand, row * LENGTH_CLASSES.length + index) * RATE_UNIT)
   }
 }
--- a/packages/node/src/peers/PeerServer.ts
+++ b/packages/node/src/peers/PeerServer.ts
@@ -4,7 +4,7 @@
 import { ConfigurationExchangeService, DispatcherService, EntryService } from '@bluebellhill/protocol'
 
 import { push, values, versions } from './configurationHandlers.js'
-import { acquire, progress, recall } from './dispatchHandlers.js'
+import { acquire, group, progress, recall } from './dispatchHandlers.js'
 import { MAX_MESSAGE_BYTES } from './constants.js'
 import { PeerAuthenticator } from './PeerAuthenticator.js'
 import type { PeerServerParts } from './types.js'
@@ -26,7 +26,8 @@
     this.#lookUp = lookUp
     this.#server.addService(DispatcherService, {
       acquire: this.#guard((parts, call, done) => { void acquire(parts, call, done) }),
-      progress: this.#guard(progress)
+      progress: this.#guard(progress),
+      group: this.#guard(group)
     })
     this.#server.addService(EntryService, { recall: this.#guard(recall) })
     this.#server.addService(ConfigurationExchangeService, { versions: this.#guard(versions), values: this.#guard(values), push: this.#guard(push) })
--- a/packages/node/src/peers/dispatchHandlers.ts
+++ b/packages/node/src/peers/dispatchHandlers.ts
@@ -3,9 +3,10 @@
 import type { sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js'
 import { assertNever } from '@bluebellhill/domain'
 import type { AttemptId, DispatchOrder, ProgressKind, RunnerId } from '@bluebellhill/domain'
-import type { AcquireReply, AcquireRequest, Grant as GrantMessage, ProgressReply, ProgressRequest, RecallReply, RecallRequest } from '@bluebellhill/protocol'
+import type { AcquireReply, AcquireRequest, Grant as GrantMessage, GroupMessage, GroupReply, ProgressReply, ProgressRequest, RecallReply, RecallRequest } from '@bluebellhill/protocol'
 
 import type { OrderResult } from '../requests/OrderDesk.js'
+import { decodeGroup } from './groupMessage.js'
 import { decodeOrder } from './orderMessage.js'
 import type { PeerServerParts } from './types.js'
 
@@ -46,6 +47,14 @@
   done(null, { recalled: false, clock: parts.timeLine.send() })
 }
 
+/** Answers `Group`. */
+export const group = (parts: PeerServerParts, call: ServerUnaryCall<GroupMessage, GroupReply>, done: sendUnaryData<GroupReply>): void => {
+  parts.timeLine.receive(call.request.clock, call.request.from)
+  const event = decodeGroup(call.request)
+  if (event !== null) parts.dispatcher.tell(event)
+  done(null, { clock: parts.timeLine.send() })
+}
+
 /** Answers `Recall`. */
 export const recall = (parts: PeerServerParts, call: ServerUnaryCall<RecallRequest, RecallReply>, done: sendUnaryData<RecallReply>): void => {
   parts.timeLine.receive(call.request.clock, UNNAMED_PEER)
@@ -70,5 +79,6 @@
   priority: grant.priority,
   reason: grant.reason,
   group: [...grant.group],
-  groupAddresses: [...groupAddresses]
+  groupAddresses: [...groupAddresses],
+  groupTokens: [...grant.groupTokens ?? []]
 })
--- a/packages/node/src/requests/CompletionSource.ts
+++ b/packages/node/src/requests/CompletionSource.ts
@@ -40,6 +40,13 @@
   }
 }
 
+/** The last member also holds the answer. */
+const sharesOf = ({ grant, groupAddresses }: AttemptOrder, answerTokens: Tokens): number[] => {
+  const tokens = grant.groupTokens ?? []
+  const last = groupAddresses.length - 1
+  return groupAddresses.map((_, index) => Math.max(1, (tokens[index] ?? 1) - (index === last ? answerTokens : 0)))
+}
+
 /** Knows a completion's prompt, and the text that its caller already has. */
 class CompletionSource extends AttemptSource {
   readonly #spec: RequestSpec
@@ -74,7 +81,7 @@
   #createGroup (order: AttemptOrder, listener: AttemptListener, timeout: number): Attempt {
     const { model, version } = this.#spec
     const engines = order.groupAddresses.map((address) => this.#engines(address))
-    const parts = splitPrompt(this.#prompt + this.#before, engines.length)
+    const parts = splitPrompt(this.#prompt + this.#before, sharesOf(order, this.#spec.maxTokens - this.#base))
     const members = engines.map((engine, index) => ({ engine, text: parts[index] ?? '' }))
     const last = engines.at(-1) ?? this.#engines(order.address)
     // Its segments are released with the attempt, so a broken stream of a group starts anew.
--- a/packages/node/src/requests/GroupAttempt.ts
+++ b/packages/node/src/requests/GroupAttempt.ts
@@ -43,14 +43,16 @@
 export const segmentId = (attempt: AttemptId, index: number): string => `${attempt}/${index}`
 
 /**
- * Splits a prompt into parts of about the same length.
+ * Splits a prompt into parts in proportion to the members' shares.
  *
  * @param prompt - the whole text
- * @param count - number of parts
+ * @param shares - one number above 0 for each part
  * @returns the parts in order; joined they are the prompt
  */
-export const splitPrompt = (prompt: string, count: number): string[] => {
-  const ends = Array.from({ length: count }, (_, index) => boundary(prompt, Math.ceil(prompt.length * (index + 1) / count)))
+export const splitPrompt = (prompt: string, shares: readonly number[]): string[] => {
+  const total = shares.reduce((sum, share) => sum + share, 0)
+  let upTo = 0
+  const ends = shares.map((share) => boundary(prompt, Math.round(prompt.length * (upTo += share) / total)))
   return ends.map((end, index) => prompt.slice(ends[index - 1] ?? 0, end))
 }
 
--- a/packages/node/tests/fakeDispatch.ts
+++ b/packages/node/tests/fakeDispatch.ts
@@ -18,6 +18,7 @@
     this.cancelled.push(attempt)
   }
 
+  async group (): Promise<void> {}
   async recall (): Promise<void> {}
 }
 
