--- a/packages/standin/src/benches/ProgramBench.ts
+++ b/packages/standin/src/benches/ProgramBench.ts
@@ -7,11 +7,17 @@
 import { fileURLToPath } from 'node:url'
 
 import { Bench } from './types.js'
-import type { BenchOptions, BenchReport } from './types.js'
+import type { BenchOptions, BenchReport, Bound } from './types.js'
 
 const PACKAGES = new URL('../../../../', import.meta.url)
 
-/** Runs a program that takes `--seed` and `--json`. */
+/** How a program differs from the others. */
+export interface ProgramForm {
+  /** False for a program without randomness. */
+  readonly takesSeed: boolean
+}
+
+/** Runs a program that takes `--json`, and `--seed` where it draws anything. */
 export class ProgramBench extends Bench {
   private readonly program: string
 
@@ -19,8 +25,9 @@
    * @param name - of the bench
    * @param description - one line
    * @param path - of the compiled program, from the folder of the packages
+   * @param form - what the program takes
    */
-  constructor (override readonly name: string, override readonly description: string, path: string) {
+  constructor (override readonly name: string, override readonly description: string, path: string, private readonly form: ProgramForm = { takesSeed: true }) {
     super()
     this.program = fileURLToPath(new URL(path, PACKAGES))
   }
@@ -29,10 +36,9 @@
     const folder = mkdtempSync(join(tmpdir(), 'bluebellhill-bench-'))
     const file = join(folder, 'report.json')
     try {
-      const code = await this.execute(['--seed', String(seed), '--json', file], progress)
-      const report = this.read(file)
-      if (!report) throw new Error(`the bench ${this.name} ended with ${code} and gave no report`)
-      return report
+      const words = this.form.takesSeed ? ['--seed', String(seed)] : []
+      const code = await this.execute([...words, '--json', file], progress)
+      return this.read(file, seed, code)
     } finally {
       rmSync(folder, { recursive: true, force: true })
     }
@@ -44,11 +50,19 @@
     return await new Promise((resolve) => child.once('close', resolve))
   }
 
-  private read (file: string): BenchReport | null {
+  private read (file: string, seed: number, code: number | null): BenchReport {
+    let text: string
     try {
-      return JSON.parse(readFileSync(file, 'utf8')) as BenchReport
+      text = readFileSync(file, 'utf8')
     } catch {
-      return null
+      throw new Error(`the bench ${this.name} ended with ${code} and gave no report`)
     }
+    const { figures, bounds, ...rest } = JSON.parse(text) as Record<string, unknown>
+    // Some programs name their bounds without a verdict; those stay among the figures.
+    if (areBounds(bounds)) return { bench: this.name, seed, figures: figures ?? rest, bounds }
+    return { bench: this.name, seed, figures: { ...rest, figures, bounds }, bounds: [] }
   }
 }
+
+const areBounds = (value: unknown): value is Bound[] =>
+  Array.isArray(value) && value.every((bound: unknown) => typeof (bound as Bound).met === 'boolean')
