--- a/packages/domain/tests/groups.test.ts
+++ b/packages/domain/tests/groups.test.ts
@@ -76,7 +76,7 @@
 
   #send (from: NodeId, effect: GroupEffect): void {
     if (this.#random() < this.#loss) return
-    const delay = this.#random() < 0.05 ? 800 * this.#random() : 20 * this.#random()
+    const delay = this.#random() < 0.2 ? 400 + 500 * this.#random() : 20 * this.#random()
     this.agenda.at(this.agenda.now + 1 + delay, () => this.give(effect.to, eventOf(from, effect)))
   }
 
