--- a/packages/cli/src/fleet/findings.ts
+++ b/packages/cli/src/fleet/findings.ts
@@ -1,6 +1,6 @@
 /** What stands out in the status of all nodes. */
-import { MemberState, NodeState } from '@bluebellhill/protocol'
-import type { StatusReply } from '@bluebellhill/protocol'
+import { MemberState, NodeState, RunnerState } from '@bluebellhill/protocol'
+import type { RunnersReply, StatusReply } from '@bluebellhill/protocol'
 
 import { formatTime, plural } from '../terminal/index.js'
 
@@ -44,11 +44,25 @@
   .filter((status) => status.distrustedStamps > 0)
   .map((status) => `${status.node} met ${plural(status.distrustedStamps, 'stamp')} of peers whose clock is far ahead; the time line names them as clock_distrusted`)
 
+/**
+ * Finds runners that take no new work.
+ *
+ * @param replies - the runners of each dispatcher that answered
+ * @returns one sentence for each
+ */
+export const runnerFindingsOf = (replies: readonly RunnersReply[]): string[] => replies
+  .flatMap((reply) => reply.runners.map((runner) => ({ dispatcher: reply.node, ...runner })))
+  .filter((runner) => runner.state !== RunnerState.Ready)
+  .sort((left, right) => compareText(left.runner, right.runner))
+  .map((runner) => `runner ${runner.runner} (${runner.failureDomain}) is ${runner.state}, says its dispatcher ${runner.dispatcher}`)
+
 /**
  * Finds what an operator should look at.
  *
  * @param nodes - the status of each node that answered
  * @returns one sentence for each finding; none where all is as it should be
  */
-export const findingsOf = (nodes: readonly StatusReply[]): string[] =>
-  [states, members, platform, configurations, clocks].flatMap((find) => find(nodes))
+export const findingsOf = (nodes: readonly StatusReply[]): string[] => {
+  const ordered = [...nodes].sort((left, right) => compareText(left.node, right.node))
+  return [states, members, platform, configurations, clocks].flatMap((find) => find(ordered))
+}
--- a/packages/domain/src/dispatch/Dispatcher.ts
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -140,6 +140,7 @@
       case 'runner_assigned': return this.#pool.assign(event.runner, event.failureDomain, now)
       case 'runner_removed': return this.#pool.remove(event.runner)
       case 'runner_leaving': return this.#change(event.runner, (runner) => { runner.leaving = true })
+      case 'runner_draining': return this.#change(event.runner, (runner) => { runner.draining = event.draining })
       case 'runner_unreachable': return this.#change(event.runner, (runner) => { runner.unreachable = true })
       case 'runner_reported': return this.#reported(event.runner, event.report, now)
       case 'cache_changed': return this.#change(event.runner, (runner) => runner.prefixes.apply(event.events, event.gap))
@@ -309,7 +310,10 @@
 
   #entryLost (entry: NodeId, now: Millis): void {
     for (const { order } of [...this.#queue.orders]) {
-      if (order.entry === entry) this.#queue.remove(order.attempt)
+      if (order.entry !== entry) continue
+      this.#queue.remove(order.attempt)
+      // A paused entry node that comes back has to learn that its order is not queued any more.
+      this.#refuse(order, { kind: OutcomeKind.NoRunner, retryAfter: 0, reason: 'the entry node could not be reached' })
     }
     for (const order of this.#groups.orders) if (order.entry === entry) this.#groups.drop(order.attempt)
     for (const attempt of this.#pool.attempts) {
--- a/packages/domain/src/membership/Membership.ts
+++ b/packages/domain/src/membership/Membership.ts
@@ -9,11 +9,14 @@
 import { Dissemination } from './Dissemination.js'
 import { FailureDetector } from './FailureDetector.js'
 import { GossipBoard } from './GossipBoard.js'
+import type { Spread } from './GossipBoard.js'
 import { MemberTable } from './MemberTable.js'
 import { updateBytes } from './messageSize.js'
+import { compactClaim } from './precedence.js'
 import { sample } from './ProbeSchedule.js'
 import { MemberState } from './types.js'
-import type { GossipBody, GossipMessage, GossipValue, Identity, ListedVm, Member, MembershipEffect, MembershipEvent, MembershipTimings, ValueScope } from './types.js'
+import type { GossipBody, GossipMessage, GossipValue, Identity, Member, MembershipEffect, MembershipEvent, MembershipTimings } from './types.js'
+import { claimsOfVmList } from './vmList.js'
 
 /** Options of a node's membership. */
 export interface MembershipOptions {
@@ -45,15 +48,15 @@
   private nextGossip: Millis = 0
   private nextSync: Millis = 0
   private nextReconnect: Millis = 0
-  private nextRefresh: Millis = 0
+  private nextRenewal: Millis = 0
 
   constructor (options: MembershipOptions) {
     this.timings = { ...DEFAULT_TIMINGS, ...options.timings }
     this.rng = options.rng
     this.seeds = options.seeds
     this.self = { ...options.identity, state: MemberState.Alive, leaving: false, incarnation: 0 }
-    const { node, failureDomain, startedAt } = this.self
-    this.board = new GossipBoard({ node, failureDomain, startedAt, budget: this.timings.valueBudget })
+    const { node, startedAt } = this.self
+    this.board = new GossipBoard({ node, startedAt, relayBudget: this.timings.relayBudget })
     const context = this.context()
     this.detector = new FailureDetector(context)
     this.dissemination = new Dissemination(context, this.board)
@@ -88,7 +91,7 @@
     this.effects = []
     this.noticePause(now)
     this.apply(event, now)
-    this.dissemination.pushUrgent()
+    this.dissemination.pushUrgent(now)
     return this.effects
   }
 
@@ -98,11 +101,11 @@
    * @returns effects; empty where the contents did not change
    * @throws RangeError where the value does not fit a datagram
    */
-  publish (topic: string, bytes: Uint8Array, scope: ValueScope, durable: boolean): MembershipEffect[] {
+  publish (topic: string, bytes: Uint8Array, spread: Spread, now: Millis): MembershipEffect[] {
     this.effects = []
-    const value = this.board.publish(topic, bytes, scope, durable)
+    const value = this.board.publish(topic, bytes, spread, now)
     if (value !== null) this.effects.push({ type: 'value_changed', value })
-    this.dissemination.pushUrgent()
+    this.dissemination.pushUrgent(now)
     return this.effects
   }
 
@@ -122,7 +125,9 @@
     switch (event.type) {
       case 'ticked': return this.tick(now)
       case 'received': return this.receive(event.from, event.message, now)
-      case 'vm_listed': return this.takeVmList(event.asOf, event.vms, now)
+      case 'vm_listed':
+        for (const { member, reason } of claimsOfVmList(this.table.all(), event.asOf, event.vms)) this.take(member, reason, now)
+        return
       case 'seeds_changed':
         this.seeds = event.addresses
         return
@@ -144,6 +149,7 @@
     this.detector.distrustSelf(now)
     this.effects.push({ type: 'self_distrusted', gap })
     this.announce({}, 'rejoined after a pause', now)
+    this.dissemination.startSync(this.timings.fanout)
     this.nextReconnect = now
   }
 
@@ -153,7 +159,7 @@
     this.nextProbe = now + uniformInt(this.rng, 0, this.timings.probePeriod)
     this.nextGossip = now + uniformInt(this.rng, 0, this.timings.gossipPeriod)
     this.nextSync = now + this.timings.antiEntropyPeriod
-    this.nextRefresh = now + 2 * this.timings.antiEntropyPeriod
+    this.nextRenewal = now + 2 * this.timings.antiEntropyPeriod
     this.nextReconnect = now
   }
 
@@ -167,18 +173,17 @@
     }
     if (now >= this.nextSync) {
       this.nextSync = now + this.timings.antiEntropyPeriod
-      this.dissemination.startSync()
+      this.dissemination.startSync(1)
     }
   }
 
   private startPeriod (now: Millis): void {
     this.nextProbe = now + this.timings.probePeriod
-    this.dissemination.refill()
     this.detector.probePeriodically(now)
     for (const node of this.table.forgetLeft(now, this.timings.tombstoneLifetime)) this.dissemination.remove(node)
-    if (now < this.nextRefresh) return
-    this.nextRefresh = now + 2 * this.timings.antiEntropyPeriod
-    this.board.refresh()
+    if (now < this.nextRenewal) return
+    this.nextRenewal = now + 2 * this.timings.antiEntropyPeriod
+    this.board.renew(now)
   }
 
   private reconnect (now: Millis): void {
@@ -191,16 +196,18 @@
   }
 
   private receive (from: string, message: GossipMessage, now: Millis): void {
-    for (const update of message.updates) this.take(update, `told by ${message.sender}`, now)
-    for (const value of message.values) this.takeValue(value)
+    const isNews = message.body.type !== 'sync'
+    for (const update of message.updates) this.take(update, `told by ${message.sender}`, now, isNews)
+    for (const value of message.values) this.takeValue(value, now)
     this.answer(from, message, now)
   }
 
-  private answer (from: string, { sender, body }: GossipMessage, now: Millis): void {
+  private answer (from: string, message: GossipMessage, now: Millis): void {
+    const { sender, body } = message
     const peer = this.table.get(sender)
     switch (body.type) {
       case 'ping':
-        if (body.target === this.self.node) this.send(from, { type: 'ack', sequence: body.sequence }, peer)
+        if (body.target === this.self.node) this.send(from, { type: 'ack', sequence: body.sequence }, peer, this.isMisjudgedIn(message))
         return
       case 'ping_request': return this.detector.relay(from, body.sequence, body.target, now)
       case 'ack': return this.detector.acknowledge(body.sequence)
@@ -208,16 +215,22 @@
       case 'join': return this.dissemination.answerJoin(from, peer)
       case 'digest': return this.dissemination.answerDigest(from, peer, body)
       case 'push': return
+      case 'sync': return
       default: return assertNever(body)
     }
   }
 
-  private take (claim: Member, reason: string, now: Millis): void {
+  // The sender may hold a claim that this node refuted before, and which is news to no one else.
+  private isMisjudgedIn ({ updates }: GossipMessage): boolean {
+    return updates.some((claim) => claim.node === this.self.node && claim.state !== MemberState.Alive)
+  }
+
+  private take (claim: Member, reason: string, now: Millis, isNews = true): void {
     if (claim.node === this.self.node) return this.takeOwn(claim, now)
     const previous = this.table.merge(claim, now)
     if (previous === undefined) return
     const member = this.table.get(claim.node) as Member
-    this.dissemination.add(member.node)
+    if (isNews) this.dissemination.add(member.node)
     this.detector.track(member, now)
     if (member.state === MemberState.Left) this.forgetValues(member.node)
     else if (previous !== null && previous.startedAt !== member.startedAt) this.forgetValues(member.node, member.startedAt)
@@ -241,7 +254,7 @@
   // The clock of this VM is behind that of the process that had the same name.
   private outlive (claim: Member, now: Millis): void {
     this.self = { ...this.self, startedAt: claim.startedAt + 1, incarnation: 0 }
-    this.board.restart(this.self.startedAt)
+    this.board.restart(this.self.startedAt, now)
     this.announce({}, 'another process had this name', now)
   }
 
@@ -253,21 +266,10 @@
     this.effects.push({ type: 'member_changed', member: this.self, previous, reason })
   }
 
-  // The list lags: a member is dropped only where it is unreachable too, and a stop is believed only of the process that ran then.
-  private takeVmList (asOf: number, vms: readonly ListedVm[], now: Millis): void {
-    const listed = new Map(vms.map((vm) => [vm.node, vm]))
-    for (const member of this.table.all()) {
-      if (member.startedAt >= asOf) continue
-      const vm = listed.get(member.node)
-      if (vm === undefined && member.state === MemberState.Unreachable) this.take({ ...member, state: MemberState.Left }, 'no longer in the VM list', now)
-      if (vm?.leaving === true && !member.leaving) this.take({ ...member, leaving: true }, 'leaving by the VM list', now)
-    }
-  }
-
-  private takeValue (value: GossipValue): void {
+  private takeValue (value: GossipValue, now: Millis): void {
     const publisher = this.table.get(value.node)
     if (publisher !== undefined && (publisher.state === MemberState.Left || value.startedAt < publisher.startedAt)) return
-    if (this.board.receive(value)) this.effects.push({ type: 'value_changed', value })
+    if (this.board.receive(value, now)) this.effects.push({ type: 'value_changed', value })
   }
 
   private forgetValues (node: NodeId, before?: number): void {
@@ -275,16 +277,17 @@
   }
 
   // A wrong belief about the receiver travels with every message to it, so that it can refute.
-  private send (to: string, body: GossipBody, peer?: Member): void {
+  private send (to: string, body: GossipBody, peer?: Member, introduce = false): void {
     const updates: Member[] = []
-    if (peer === undefined || peer.state !== MemberState.Alive) updates.push(this.self)
-    if (peer !== undefined && peer.state !== MemberState.Alive) updates.push(peer)
+    if (introduce || peer === undefined || peer.state !== MemberState.Alive) updates.push(this.self)
+    if (peer !== undefined && peer.state !== MemberState.Alive) updates.push(compactClaim(peer))
     let room = UPDATE_ROOM - updates.reduce((sum, update) => sum + updateBytes(update), bodyBytes(body))
-    for (const update of this.dissemination.takeUpdates(room)) {
+    for (const update of this.dissemination.takeUpdates(room, this.lastEvent ?? 0)) {
       room -= updateBytes(update)
       if (!updates.some((other) => other.node === update.node)) updates.push(update)
     }
     const values = peer === undefined ? [] : this.dissemination.takeDurable(room, peer)
+    if (body.type === 'push' && updates.length === 0 && values.length === 0) return
     this.emit(to, { sender: this.self.node, body, updates, values })
   }
 
--- a/packages/domain/src/request/Request.ts
+++ b/packages/domain/src/request/Request.ts
@@ -165,7 +165,7 @@
 
   #admit (now: Millis): readonly RequestEffect[] {
     if (this.#state !== RequestState.New) return []
-    this.#options.retryBudget.deposit()
+    this.#options.retryBudget.deposit(now)
     return [{ type: 'set_timer', at: this.spec.deadline }, ...this.#seek(now)]
   }
 
@@ -205,6 +205,8 @@
   #refused (event: Extract<RequestEvent, { type: 'refused' }>, now: Millis): readonly RequestEffect[] {
     this.#refusals += 1
     if (event.dispatcher !== undefined) this.#avoid.add(event.dispatcher)
+    // Where only runners that failed it before are left, they get another chance.
+    if (event.kind === OutcomeKind.NoRunner) this.#excluded.clear()
     const untouched = this.#ran === Ran.No && this.#generated === 0
     if (untouched && this.#refusals >= this.#options.maxRefusals) return this.#giveUp(event.kind, event.reason, event.retryAfter)
     return this.#retry({
@@ -302,7 +304,7 @@
     this.#state = RequestState.Delayed
     if (this.#attempts - this.#recalls >= this.#options.maxAttempts) return this.#giveUp(retry.kind, retry.reason, retry.retryAfter)
     if (now + retry.delay >= this.spec.deadline) return this.#giveUp(retry.kind, retry.reason, retry.retryAfter)
-    if (retry.charged && !this.#options.retryBudget.withdraw()) {
+    if (retry.charged && !this.#options.retryBudget.withdraw(now)) {
       return this.#giveUp(OutcomeKind.RetryBudgetSpent, retry.reason, retry.retryAfter)
     }
     if (retry.delay === 0) return this.#seek(now)
--- a/packages/node/src/daemon/Daemon.ts
+++ b/packages/node/src/daemon/Daemon.ts
@@ -1,47 +1,14 @@
 /** One running node. */
-import { RetryBudget } from '@bluebellhill/domain'
 import { EventKind } from '@bluebellhill/protocol'
 import { setTimeout as delay } from 'node:timers/promises'
 
-import { adminEndpoints } from '../admin/endpoints.js'
-import type { AdminParts } from '../admin/endpoints.js'
-import { AdminServer } from '../admin/AdminServer.js'
-import { Admission } from '../edge/Admission.js'
-import { CallerServer } from '../edge/CallerServer.js'
-import { PeerServer } from '../peers/PeerServer.js'
-import type { PeerServerParts } from '../peers/PeerServer.js'
-import { CompletionSources } from '../requests/CompletionSource.js'
-import { RequestHost } from '../requests/RequestHost.js'
-import { callerRoutes } from './callerRoutes.js'
-import { buildDispatch } from './dispatch.js'
-import type { DispatchParts } from './dispatch.js'
-import { joinFleet } from './fleet.js'
-import type { Fleet } from './fleet.js'
+import { buildNode } from './buildNode.js'
+import type { NodeParts } from './buildNode.js'
 import { buildFoundation } from './foundation.js'
-import type { Foundation } from './foundation.js'
 import type { DaemonAddresses, DaemonOptions } from './types.js'
 
-/** Version that the daemon reports. */
-export const VERSION = '0.1.0'
-
-const BLOCK_TOKENS = 64
-
-/** Whether the node takes new work, and whether the balancer should send some. */
-interface Doors {
-  ready: boolean
-  open: boolean
-}
-
-interface NodeParts {
-  readonly foundation: Foundation
-  readonly fleet: Fleet
-  readonly requests: RequestHost
-  readonly callers: CallerServer
-  readonly addresses: DaemonAddresses
-  readonly doors: Doors
-  /** Emits `drain` when an operator asks for a planned stop. */
-  readonly drain: EventTarget
-}
+/** Time that a stopping node takes to write the outcomes of its last keyed requests. */
+const KEY_SETTLE_LIMIT_MS = 5_000
 
 /** A node that is in service until it is stopped. */
 export class Daemon {
@@ -85,7 +52,7 @@
   }
 
   async #stop (): Promise<void> {
-    const { foundation, fleet, requests, callers, doors } = this.#parts
+    const { foundation, fleet, keys, requests, callers, doors } = this.#parts
     const { timeLine, options, store } = foundation
     timeLine.record(EventKind.NodeStopping, {}, 'planned stop', { inProgress: requests.size })
     options.log.info('node_stopping', { in_progress: requests.size })
@@ -95,61 +62,9 @@
     doors.open = false
     callers.stopListening()
     await requests.idle()
+    await keys?.settled(KEY_SETTLE_LIMIT_MS)
     timeLine.record(EventKind.NodeStopped, {}, '', {})
     options.log.info('node_stopped', {})
     await store.dispose()
   }
 }
-
-const buildNode = async (foundation: Foundation): Promise<NodeParts> => {
-  const { options, store, timeLine } = foundation
-  let serving: PeerServerParts | null = null
-  const peerServer = store.add(new PeerServer(() => serving))
-  const peer = await peerServer.listen(options.listen.peer)
-  const fleet = await joinFleet(foundation, peer)
-  let requests: RequestHost | null = null
-  const dispatch = buildDispatch(foundation, fleet, () => requests ?? NO_REQUESTS)
-  requests = buildRequests(foundation, dispatch)
-  serving = { dispatcher: dispatch.dispatcher, desk: dispatch.desk, requests, timeLine }
-  const doors = { ready: true, open: true }
-  const callers = buildCallers(foundation, requests, doors)
-  const caller = await callers.listen(options.listen.caller)
-  const drain = new EventTarget()
-  const admin = await listenAdmin({ foundation, fleet, dispatch, requests, isReady: () => doors.ready, drain: () => drain.dispatchEvent(new Event('drain')), version: VERSION })
-  const addresses = { caller, peer, gossip: fleet.gossipAddress, admin }
-  timeLine.record(EventKind.NodeStarted, {}, '', { failureDomain: options.failureDomain, version: VERSION })
-  options.log.info('node_started', { ...addresses })
-  return { foundation, fleet, requests, callers, addresses, doors, drain }
-}
-
-const NO_REQUESTS = { recall: () => false }
-
-const buildRequests = ({ options, timeLine, metrics, actors }: Foundation, { desk }: DispatchParts): RequestHost =>
-  new RequestHost(options.node, { retryBudget: new RetryBudget() }, { desk, timeLine, metrics }, actors)
-
-const buildCallers = (foundation: Foundation, requests: RequestHost, doors: Doors): CallerServer => {
-  const { options, timeLine, metrics, hasher, estimator, backends, store } = foundation
-  const admission = new Admission({ hasher, estimator, timeLine, blockTokens: () => BLOCK_TOKENS, isOpen: () => doors.open })
-  const routes = callerRoutes({
-    organisations: options.organisations,
-    admission,
-    requests,
-    sources: new CompletionSources(backends.engine, estimator),
-    clients: backends,
-    limits: options.bodyLimits,
-    unready: () => unreadyReason(options, doors),
-    metrics
-  })
-  return store.add(new CallerServer(routes, timeLine, metrics))
-}
-
-const unreadyReason = (options: DaemonOptions, doors: Doors): string | null => {
-  if (!doors.ready) return 'the node is stopping'
-  return options.organisations.ready ? null : 'no configuration is in force yet'
-}
-
-const listenAdmin = async (parts: AdminParts): Promise<string> => {
-  const { store, options } = parts.foundation
-  const server = store.add(new AdminServer(adminEndpoints(parts)))
-  return await server.listen(options.listen.admin)
-}
--- a/packages/node/src/daemon/foundation.ts
+++ b/packages/node/src/daemon/foundation.ts
@@ -4,14 +4,16 @@
 
 import { HttpModelEngine, HttpPlainService, HttpPool } from '@bluebellhill/platform'
 import { HybridClock } from '@bluebellhill/protocol'
+import type { PlatformStatus } from '@bluebellhill/protocol'
 
 import { RunnerDirectory } from '../dispatch/RunnerDirectory.js'
 import { Metrics } from '../metrics/index.js'
+import { PeerAuthenticator } from '../peers/PeerAuthenticator.js'
 import { PeerClients } from '../peers/PeerClients.js'
 import { PrefixHasher } from '../requests/PrefixHasher.js'
 import { TokenEstimator } from '../requests/TokenEstimator.js'
 import { DisposableStore } from '../store/index.js'
-import { TimeLine } from '../timeline/index.js'
+import { TimeLine, logEvents } from '../timeline/index.js'
 import type { BackendClients } from './adapters.js'
 import { perAddress } from './backendClients.js'
 import type { DaemonOptions } from './types.js'
@@ -24,11 +26,14 @@
   readonly metrics: Metrics
   readonly actors: Ref<unknown>
   readonly directory: RunnerDirectory
+  readonly authenticator: PeerAuthenticator
   readonly peers: PeerClients
   readonly pool: HttpPool
   readonly backends: BackendClients
   readonly hasher: PrefixHasher
   readonly estimator: TokenEstimator
+  /** The platform's services as last seen. */
+  readonly platform: Map<string, PlatformStatus>
 }
 
 /**
@@ -40,22 +45,30 @@
   const store = new DisposableStore()
   const pool = new HttpPool()
   store.addStep(() => pool.dispose())
+  const authenticator = new PeerAuthenticator(options.secrets, () => Date.now())
   const actors = startActors()
   store.addStep(() => stopActors(actors))
+  const timeLine = new TimeLine(options.node, new HybridClock(() => Date.now()))
+  for (const secret of [...options.secrets, ...options.adminSecrets ?? []]) options.log.addSecret(secret)
+  store.add(logEvents(timeLine, options.log))
+  const metrics = new Metrics()
+  metrics.observeProcess()
   return {
     options,
     store,
     pool,
     actors: actors as Ref<unknown>,
-    timeLine: new TimeLine(options.node, new HybridClock(() => Date.now())),
-    metrics: new Metrics(),
+    timeLine,
+    metrics,
     directory: new RunnerDirectory(options.runners),
-    peers: store.add(new PeerClients()),
+    authenticator,
+    peers: store.add(new PeerClients(authenticator)),
     backends: {
       engine: perAddress((address) => new HttpModelEngine(pool, address)),
       service: perAddress((address) => new HttpPlainService(pool, address))
     },
     hasher: await PrefixHasher.create(),
-    estimator: new TokenEstimator()
+    estimator: new TokenEstimator(),
+    platform: new Map()
   }
 }
--- a/packages/node/src/dispatch/DispatcherDesk.ts
+++ b/packages/node/src/dispatch/DispatcherDesk.ts
@@ -1,8 +1,8 @@
 /** Places orders with the dispatcher that the router chooses, here or on a peer. */
 import { Metadata, status } from '@grpc/grpc-js'
 import type { ServiceError } from '@grpc/grpc-js'
-import { hashText, ownerOf } from '@bluebellhill/domain'
-import type { DispatchOrder, FailureDomain, Member, NodeId, OrderFacts, OutcomeKind, Router, RoutingRefusal, RunnerId } from '@bluebellhill/domain'
+import { hashText, OutcomeKind, ownerOf } from '@bluebellhill/domain'
+import type { DispatchOrder, FailureDomain, Member, NodeId, OrderFacts, Router, RoutingRefusal, RunnerId } from '@bluebellhill/domain'
 import { EventKind } from '@bluebellhill/protocol'
 import type { AcquireReply, Grant as GrantMessage } from '@bluebellhill/protocol'
 
@@ -30,6 +30,8 @@
   readonly dispatcher: DispatcherHost
   readonly clients: PeerClients
   readonly timeLine: TimeLine
+  /** Told of a request for a model that no dispatcher serves. */
+  readonly unserved: (model: string) => void
 }
 
 /** The desk of one entry node. */
@@ -72,8 +74,13 @@
     const { router, membership, timeLine } = this.#parts
     const me = membership.me()
     const chosen = router.choose(factsOf(order), states, me.failureDomain, avoid, monotonicNow())
-    if (typeof chosen !== 'string') return refusedByRouter(chosen)
-    timeLine.record(EventKind.OrderSought, { request: order.request, attempt: order.attempt, organisation: order.organisation }, '', {
+    const subject = { request: order.request, attempt: order.attempt, organisation: order.organisation }
+    if (typeof chosen !== 'string') {
+      timeLine.record(EventKind.OrderRefused, subject, chosen.reason, { entry: order.entry, code: chosen.kind, retryAfter: chosen.retryAfter })
+      if (chosen.kind === OutcomeKind.NoRunner) this.#parts.unserved(order.model)
+      return refusedByRouter(chosen)
+    }
+    timeLine.record(EventKind.OrderSought, subject, seekReason(chosen, me), {
       dispatcher: chosen,
       excluded: order.excluded,
       remaining: order.remaining
@@ -125,7 +132,7 @@
           if (isConnectionError(error)) membership.callFailed(peer.node)
           return resolve({ type: 'lost', dispatcher: chosen, reason: error.details })
         }
-        timeLine.receive(reply.clock)
+        timeLine.receive(reply.clock, peer.node)
         resolve(resultOf(order, chosen, reply))
       })
       signal.addEventListener('abort', () => call.cancel(), { once: true })
@@ -148,13 +155,19 @@
       const message = { attempt, runner, kind, generated, order: encodeOrder(order), clock: timeLine.send() }
       clients.dispatcher(owner.peerAddress).progress(message, new Metadata(), { deadline: Date.now() + REPORT_TIMEOUT_MS }, (error, reply) => {
         if (error !== null) return resolve(false)
-        timeLine.receive(reply.clock)
+        timeLine.receive(reply.clock, owner.node)
         resolve(reply.recalled)
       })
     })
   }
 }
 
+const seekReason = (chosen: NodeId, me: Member): string => {
+  const failureDomain = failureDomainOf(chosen)
+  if (failureDomain !== null) return `spills over to failure domain ${failureDomain}`
+  return chosen === me.node ? 'this node, by prefix and expected wait' : 'own failure domain, by prefix and expected wait'
+}
+
 const factsOf = (order: DispatchOrder): OrderFacts => ({
   model: order.model,
   promptTokens: order.promptTokens,
--- a/packages/node/src/dispatch/RunnerOwnership.ts
+++ b/packages/node/src/dispatch/RunnerOwnership.ts
@@ -1,8 +1,9 @@
 /** Keeps the dispatcher in charge of exactly the runners that fall to this node. */
 import type { FailureDomain, Millis, RunnerId, RunnerReport } from '@bluebellhill/domain'
-import { EventKind } from '@bluebellhill/protocol'
+import { EventKind, RunnerState } from '@bluebellhill/protocol'
 
 import { monotonicNow } from '../clock/monotonic.js'
+import type { PlacedState } from '../placement/index.js'
 import type { TimeLine } from '../timeline/index.js'
 import type { DispatcherHost } from './DispatcherHost.js'
 import type { Monitor, MonitorListener } from './Monitor.js'
@@ -14,6 +15,12 @@
   abstract isOwn (runner: RunnerId): boolean
 }
 
+/** Takes what engines say of their placement. */
+export interface PlacedSink {
+  publish (runner: RunnerId, state: PlacedState, leaving: boolean): void
+  retract (runner: RunnerId): void
+}
+
 /** Makes the monitor that fits a backend server. */
 export abstract class MonitorSource {
   abstract create (backend: Backend, listener: MonitorListener): Monitor
@@ -31,9 +38,12 @@
   readonly backend: Backend
   readonly monitor: Monitor
   leaving: boolean
+  draining: boolean
   report: RunnerReport | null
   reportedAt: Millis | null
   unreachable: boolean
+  /** As last recorded. */
+  state: RunnerState | null
 }
 
 /** Takes runners over and gives them up as the members of the failure domain change. */
@@ -44,15 +54,17 @@
   readonly #monitors: MonitorSource
   readonly #dispatcher: DispatcherHost
   readonly #timeLine: TimeLine
+  readonly #placed: PlacedSink
   readonly #owned = new Map<RunnerId, OwnedRunner>()
 
-  constructor (failureDomain: FailureDomain, directory: RunnerDirectory, rule: OwnershipRule, monitors: MonitorSource, dispatcher: DispatcherHost, timeLine: TimeLine) {
+  constructor (failureDomain: FailureDomain, directory: RunnerDirectory, rule: OwnershipRule, monitors: MonitorSource, dispatcher: DispatcherHost, timeLine: TimeLine, placed: PlacedSink) {
     this.#failureDomain = failureDomain
     this.#directory = directory
     this.#rule = rule
     this.#monitors = monitors
     this.#dispatcher = dispatcher
     this.#timeLine = timeLine
+    this.#placed = placed
   }
 
   /** The runners that this node dispatches for, as last seen. */
@@ -60,8 +72,12 @@
     return [...this.#owned.values()].map((owned) => ({ ...owned, backend: this.#directory.find(owned.backend.id) ?? owned.backend }))
   }
 
-  /** Compares what is owned with what should be; called after any change of members or backend servers. */
-  reconcile (): void {
+  /**
+   * Compares what is owned with what should be; called after any change of members or backend servers.
+   *
+   * @param draining - runners that get no new work until their model is changed
+   */
+  reconcile (draining: ReadonlySet<RunnerId>): void {
     const wanted = new Map(this.#directory.all()
       .filter((backend) => backend.failureDomain === this.#failureDomain && this.#rule.isOwn(backend.id))
       .map((backend) => [backend.id, backend]))
@@ -70,6 +86,7 @@
       if (backend === undefined || backend.address !== owned.backend.address) this.#giveUp(id)
     }
     for (const backend of wanted.values()) this.#takeOver(backend)
+    for (const [id, owned] of this.#owned) this.#drain(id, owned, draining.has(id))
   }
 
   dispose (): void {
@@ -80,6 +97,7 @@
     const owned = this.#owned.get(backend.id) ?? this.#assign(backend)
     if (!backend.leaving || owned.leaving) return
     owned.leaving = true
+    this.#noteState(owned, 'the VM list or a peer says that it is leaving')
     this.#dispatcher.tell({ type: 'runner_leaving', runner: backend.id })
   }
 
@@ -87,10 +105,11 @@
     const runner = backend.id
     const monitor = this.#monitors.create(backend, {
       reported: (report) => this.#reported(runner, report),
+      placed: (state) => this.#placed.publish(runner, state, this.#directory.find(runner)?.leaving ?? true),
       cacheChanged: (gap, events) => this.#dispatcher.tell({ type: 'cache_changed', runner, gap, events }),
-      unreachable: () => this.#unreachable(runner)
+      unreachable: (reason) => this.#unreachable(runner, reason)
     })
-    const owned: OwnedRunner = { backend, monitor, leaving: false, report: null, reportedAt: null, unreachable: false }
+    const owned: OwnedRunner = { backend, monitor, leaving: false, draining: false, report: null, reportedAt: null, unreachable: false, state: null }
     this.#owned.set(runner, owned)
     this.#timeLine.record(EventKind.RunnerTakenOver, { runner }, 'owner by rendezvous among the live members', { previous: null })
     this.#dispatcher.tell({ type: 'runner_assigned', runner, failureDomain: backend.failureDomain })
@@ -98,24 +117,47 @@
     return owned
   }
 
+  #drain (runner: RunnerId, owned: OwnedRunner, draining: boolean): void {
+    if (owned.draining === draining) return
+    owned.draining = draining
+    this.#dispatcher.tell({ type: 'runner_draining', runner, draining })
+  }
+
   #reported (runner: RunnerId, report: RunnerReport): void {
     const owned = this.#owned.get(runner)
     if (owned === undefined) return
     owned.report = report
     owned.reportedAt = monotonicNow()
     owned.unreachable = false
+    this.#noteState(owned, 'its report')
     this.#dispatcher.tell({ type: 'runner_reported', runner, report })
   }
 
-  #unreachable (runner: RunnerId): void {
+  #unreachable (runner: RunnerId, reason: string): void {
     const owned = this.#owned.get(runner)
-    if (owned !== undefined) owned.unreachable = true
+    if (owned === undefined) return
+    owned.unreachable = true
+    this.#noteState(owned, reason)
     this.#dispatcher.tell({ type: 'runner_unreachable', runner })
   }
 
+  #noteState (owned: OwnedRunner, reason: string): void {
+    const state = stateOf(owned)
+    if (state === owned.state) return
+    this.#timeLine.record(EventKind.RunnerChanged, { runner: owned.backend.id }, reason, { from: owned.state, to: state })
+    owned.state = state
+  }
+
   #giveUp (runner: RunnerId): void {
     this.#owned.get(runner)?.monitor.dispose()
     this.#owned.delete(runner)
+    this.#placed.retract(runner)
     this.#dispatcher.tell({ type: 'runner_removed', runner })
   }
 }
+
+const stateOf = ({ leaving, unreachable, report }: OwnedRunner): RunnerState => {
+  if (unreachable) return RunnerState.Unreachable
+  if (leaving) return RunnerState.Leaving
+  return report?.loading === true ? RunnerState.Loading : RunnerState.Ready
+}
--- a/packages/node/src/membership/codec.ts
+++ b/packages/node/src/membership/codec.ts
@@ -5,6 +5,8 @@
 
 const STATES: readonly MemberState[] = [MemberState.Alive, MemberState.Suspect, MemberState.Unreachable, MemberState.Left]
 
+const SCOPES: readonly ValueScope[] = [ValueScope.Subscribers, ValueScope.FailureDomain, ValueScope.Fleet]
+
 type WireBody = gossipWire.GossipDatagram['body']
 
 const encodeBody = (body: GossipBody): WireBody => {
@@ -14,6 +16,7 @@
     case 'ack': return { $case: 'ack', value: { sequence: body.sequence } }
     case 'nack': return { $case: 'nack', value: { sequence: body.sequence } }
     case 'push': return { $case: 'push', value: {} }
+    case 'sync': return { $case: 'sync', value: {} }
     case 'join': return { $case: 'join', value: {} }
     case 'digest': return { $case: 'digest', value: { members: [...body.members], values: [...body.values], reply: body.reply } }
     default: return assertNever(body)
@@ -27,6 +30,7 @@
     case 'ack': return { type: 'ack', sequence: body.value.sequence }
     case 'nack': return { type: 'nack', sequence: body.value.sequence }
     case 'push': return { type: 'push' }
+    case 'sync': return { type: 'sync' }
     case 'join': return { type: 'join' }
     case 'digest': return { type: 'digest', members: body.value.members, values: body.value.values, reply: body.value.reply }
     case undefined: throw new RangeError('datagram without a body')
@@ -63,22 +67,26 @@
 const encodeValue = (value: GossipValue): gossipWire.GossipValue => ({
   node: value.node,
   topic: value.topic,
-  fleet: value.scope === ValueScope.Fleet,
+  scope: SCOPES.indexOf(value.scope),
   durable: value.durable,
   startedAt: BigInt(value.startedAt),
   version: value.version,
   contents: value.bytes
 })
 
-const decodeValue = (value: gossipWire.GossipValue): GossipValue => ({
-  node: value.node as NodeId,
-  topic: value.topic,
-  scope: value.fleet ? ValueScope.Fleet : ValueScope.FailureDomain,
-  durable: value.durable,
-  startedAt: Number(value.startedAt),
-  version: value.version,
-  bytes: new Uint8Array(value.contents)
-})
+const decodeValue = (value: gossipWire.GossipValue): GossipValue => {
+  const scope = SCOPES[value.scope]
+  if (scope === undefined || value.node === '') throw new RangeError(`value of node "${value.node}" with scope ${value.scope}`)
+  return {
+    node: value.node as NodeId,
+    topic: value.topic,
+    scope,
+    durable: value.durable,
+    startedAt: Number(value.startedAt),
+    version: value.version,
+    bytes: new Uint8Array(value.contents)
+  }
+}
 
 /**
  * @param message - message to send
--- a/packages/node/src/peers/PeerClients.ts
+++ b/packages/node/src/peers/PeerClients.ts
@@ -1,20 +1,28 @@
 /** Keeps one gRPC channel to each peer and one client for each of its services. */
 import { credentials } from '@grpc/grpc-js'
-import type { ChannelCredentials } from '@grpc/grpc-js'
-import { DispatcherClient, EntryClient } from '@bluebellhill/protocol'
+import type { Interceptor } from '@grpc/grpc-js'
+import { ConfigurationExchangeClient, DispatcherClient, EntryClient } from '@bluebellhill/protocol'
+
+import { MAX_MESSAGE_BYTES } from './constants.js'
+import type { PeerAuthenticator } from './PeerAuthenticator.js'
 
 interface PeerChannel {
   readonly dispatcher: DispatcherClient
   readonly entry: EntryClient
+  readonly configuration: ConfigurationExchangeClient
 }
 
 /** The clients of all peers, by address. */
 export class PeerClients {
   readonly #channels = new Map<string, PeerChannel>()
-  readonly #credentials: ChannelCredentials
+  readonly #credentials = credentials.createInsecure()
+  readonly #interceptor: Interceptor
 
-  constructor (channelCredentials: ChannelCredentials = credentials.createInsecure()) {
-    this.#credentials = channelCredentials
+  /**
+   * @param authenticator - signs each call
+   */
+  constructor (authenticator: PeerAuthenticator) {
+    this.#interceptor = authenticator.interceptor()
   }
 
   /**
@@ -35,6 +43,15 @@
     return this.#channel(address).entry
   }
 
+  /**
+   * Gives the configuration service of a peer.
+   *
+   * @param address - the peer's `ip:port`
+   */
+  configuration (address: string): ConfigurationExchangeClient {
+    return this.#channel(address).configuration
+  }
+
   /** Closes every channel whose address is not in use any more. */
   retain (addresses: ReadonlySet<string>): void {
     for (const [address, channel] of this.#channels) {
@@ -59,6 +76,8 @@
 
   #open (address: string): PeerChannel {
     const options = {
+      interceptors: [this.#interceptor],
+      'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
       'grpc.initial_reconnect_backoff_ms': 100,
       'grpc.max_reconnect_backoff_ms': 1_000,
       'grpc.keepalive_time_ms': 2_000,
@@ -66,12 +85,14 @@
     }
     return {
       dispatcher: new DispatcherClient(address, this.#credentials, options),
-      entry: new EntryClient(address, this.#credentials, options)
+      entry: new EntryClient(address, this.#credentials, options),
+      configuration: new ConfigurationExchangeClient(address, this.#credentials, options)
     }
   }
 
   #close (channel: PeerChannel): void {
     channel.dispatcher.close()
     channel.entry.close()
+    channel.configuration.close()
   }
 }
--- a/packages/node/src/requests/CompletionSource.ts
+++ b/packages/node/src/requests/CompletionSource.ts
@@ -4,14 +4,17 @@
 import type { ModelEngine } from '@bluebellhill/platform'
 
 import { monotonicNow } from '../clock/monotonic.js'
-import type { CompletionCall } from '../edge/types.js'
 import type { AnswerEnd } from './Answer.js'
 import { ChunkFate } from './Attempt.js'
 import type { Attempt, AttemptListener, AttemptOrder } from './Attempt.js'
 import { CompletionAttempt } from './CompletionAttempt.js'
+import { GroupAttempt, segmentId, splitPrompt } from './GroupAttempt.js'
 import { AttemptSource } from './ports.js'
 import type { TokenEstimator } from './TokenEstimator.js'
 
+/** Sampling fields of an OpenAI body. */
+export type Sampling = Readonly<Record<string, unknown>>
+
 /** Gives the client of an engine by its address. */
 export type EngineSource = (address: string) => ModelEngine
 
@@ -29,17 +32,19 @@
    * Makes the source of one request.
    *
    * @param spec - the admitted request
-   * @param call - what the caller asked for
+   * @param prompt - the text for the engine
+   * @param sampling - sampling fields that are handed to the engine as they are
    */
-  create (spec: RequestSpec, call: CompletionCall): AttemptSource {
-    return new CompletionSource(spec, call, this.#engines, this.#estimator)
+  create (spec: RequestSpec, prompt: string, sampling: Sampling): AttemptSource {
+    return new CompletionSource(spec, prompt, sampling, this.#engines, this.#estimator)
   }
 }
 
 /** Knows a completion's prompt, and the text that its caller already has. */
 class CompletionSource extends AttemptSource {
   readonly #spec: RequestSpec
-  readonly #call: CompletionCall
+  readonly #prompt: string
+  readonly #sampling: Sampling
   readonly #engines: EngineSource
   readonly #estimator: TokenEstimator
   readonly #sent: string[] = []
@@ -48,10 +53,11 @@
   /** The text of those tokens. */
   #before = ''
 
-  constructor (spec: RequestSpec, call: CompletionCall, engines: EngineSource, estimator: TokenEstimator) {
+  constructor (spec: RequestSpec, prompt: string, sampling: Sampling, engines: EngineSource, estimator: TokenEstimator) {
     super()
     this.#spec = spec
-    this.#call = call
+    this.#prompt = prompt
+    this.#sampling = sampling
     this.#engines = engines
     this.#estimator = estimator
   }
@@ -60,8 +66,21 @@
     if (order.mode !== SendMode.Resume) this.#rebase(order)
     const start = order.mode === SendMode.Resume ? order.generated - this.#base : 0
     const timeout = Math.max(1, Math.ceil(this.#spec.deadline - monotonicNow()))
-    const engine = this.#engines(order.address)
-    return new CompletionAttempt(engine, order, start, this, this.#keepText(listener), timeout)
+    const keeping = this.#keepText(listener)
+    if (order.groupAddresses.length > 0) return this.#createGroup(order, keeping, timeout)
+    return new CompletionAttempt(this.#engines(order.address), order, start, this, keeping, timeout)
+  }
+
+  #createGroup (order: AttemptOrder, listener: AttemptListener, timeout: number): Attempt {
+    const { model, version } = this.#spec
+    const engines = order.groupAddresses.map((address) => this.#engines(address))
+    const parts = splitPrompt(this.#prompt + this.#before, engines.length)
+    const members = engines.map((engine, index) => ({ engine, text: parts[index] ?? '' }))
+    const last = engines.at(-1) ?? this.#engines(order.address)
+    // Its segments are released with the attempt, so a broken stream of a group starts anew.
+    const untilBroken: AttemptListener = { ...listener, sending: () => {}, broken: (attempt, reason) => listener.broken(attempt, { ...reason, resumable: false }) }
+    const decode = new CompletionAttempt(last, order, 0, this, untilBroken, timeout)
+    return new GroupAttempt({ attempt: order.attempt, members, model, version, priority: order.grant.priority, timeout }, listener, decode)
   }
 
   async cancel (address: string, attempt: AttemptId): Promise<void> {
@@ -72,15 +91,16 @@
   encode (order: AttemptOrder): string {
     const { model, version, adapter } = this.#spec
     return JSON.stringify({
-      ...this.#call.sampling,
+      ...this.#sampling,
       model,
       version: version ?? undefined,
       adapter: adapter ?? undefined,
-      prompt: this.#call.prompt + this.#before,
+      prompt: this.#prompt + this.#before,
       max_tokens: this.#spec.maxTokens - this.#base,
       stream: true,
       request_id: order.attempt,
       priority: order.grant.priority,
+      group: order.groupAddresses.length === 0 ? undefined : { segments: order.groupAddresses.map((_, index) => segmentId(order.attempt, index)) },
       resume: order.mode === SendMode.Resume ? { offset: order.generated - this.#base } : undefined
     })
   }
@@ -107,7 +127,7 @@
 
   #completed (listener: AttemptListener, attempt: AttemptId, end: AnswerEnd): void {
     if (this.#base > 0) return listener.completed(attempt, this.#withOwnPrompt(end))
-    this.#estimator.learn(this.#spec.model, this.#call.promptBytes, end.usage.promptTokens)
+    this.#estimator.learn(this.#spec.model, Buffer.byteLength(this.#prompt), end.usage.promptTokens)
     listener.completed(attempt, end)
   }
 
--- a/packages/protocol/src/codes/resultCodes.ts
+++ b/packages/protocol/src/codes/resultCodes.ts
@@ -140,7 +140,7 @@
     number: 1303,
     status: 409,
     type: ErrorType.Conflict,
-    ran: [Ran.Unknown],
+    ran: [Ran.Unknown, Ran.Yes],
     retry: false,
     sentence: 'A call with the same Idempotency-Key was sent and its result is not known; look in the service itself before using a new key.',
     operator: 'Ask the plain service whether it executed the key.'
@@ -199,6 +199,15 @@
     sentence: 'The caller closed the connection before the answer was whole.',
     operator: 'Compare the client\'s own time limit with the template\'s deadline.'
   },
+  [OutcomeKind.Starting]: {
+    number: 1503,
+    status: 503,
+    type: ErrorType.Server,
+    ran: NOT_RUN,
+    retry: true,
+    sentence: 'This node has just started and has no configuration yet; send the request again.',
+    operator: 'Check that the balancer honours "/readyz"; if it lasts, see the page on platform outages.'
+  },
   [OutcomeKind.Stopping]: {
     number: 1501,
     status: 503,
--- a/packages/standin/src/engine/Engine.ts
+++ b/packages/standin/src/engine/Engine.ts
@@ -141,13 +141,9 @@
     if (!stream.isDue) return
     const sink = stream.sink!
     const wrong = stream.sent === 0 && takeFault(this.faults, 'wrongId')
-    const events = stream.takeEvents(wrong ? FOREIGN_ID : stream.spec.requestId)
-    if (stream.cutAt !== null && stream.sent >= stream.cutAt) {
-      stream.cutAt = null
-      sink.dispose()
-      return
-    }
-    this.deliver(stream, sink, events)
+    const events = stream.takeEvents(wrong ? FOREIGN_ID : stream.spec.requestId, stream.cutAt ?? Infinity)
+    if (stream.cutAt !== null && stream.sent >= stream.cutAt) this.cut(stream, sink, events)
+    else this.deliver(stream, sink, events)
   }
 
   /**
@@ -203,6 +199,7 @@
   }
 
   private runDueSteps (now: number, advanced: Set<AnswerStream>): void {
+    if (this.step && this.stepEndsAt <= now) this.ledger.wake(now - this.stepEndsAt)
     while (this.step && this.stepEndsAt <= now) {
       for (const sequence of this.scheduler.commit(this.step)) this.advance(sequence, advanced)
       this.begin(Math.max(this.stepEndsAt, now - CATCH_UP_MS))
@@ -249,6 +246,12 @@
     this.forget(stream, RunState.Done)
   }
 
+  private cut (stream: AnswerStream, sink: AnswerSink, events: string): void {
+    stream.cutAt = null
+    sink.cut(events)
+    this.detach(stream, sink)
+  }
+
   private freeLater (stream: AnswerStream): void {
     setTimeout(() => {
       const unread = stream.sink === null && stream.lostAt !== null
