--- a/packages/domain/src/dispatch/Runner.ts
+++ b/packages/domain/src/dispatch/Runner.ts
@@ -1,6 +1,7 @@
 /** One runner as its dispatcher accounts for it. */
 import type { AttemptId, FailureDomain, Millis, RunnerId, Tokens } from '../types.js'
 import { LONG_CLASS } from './constants.js'
+import { Reservations } from './groups/Reservations.js'
 import { LearnedRate } from './LearnedRate.js'
 import type { LiveAttempt } from './LiveAttempt.js'
 import { PrefixIndex } from './PrefixIndex.js'
@@ -19,19 +20,27 @@
   readonly startedAt: Millis
 }
 
+/** The parts of an order that say which runners have what it needs. */
+export type OrderTarget = Pick<DispatchOrder, 'model' | 'version' | 'adapter' | 'excluded'>
+
 /** Slots, memory, learned rates and prefix cache of one runner. */
 export class Runner {
   readonly id: RunnerId
   readonly failureDomain: FailureDomain
   readonly assignedAt: Millis
   readonly prefixes = new PrefixIndex()
+  /** Memory kept for sequence groups. */
+  readonly reservations = new Reservations()
   readonly attempts = new Map<AttemptId, LiveAttempt>()
   readonly unknown = new Map<AttemptId, UnknownAttempt>()
   leaving = false
+  draining = false
   unreachable = false
   #report: RunnerReport | null = null
   readonly #prefillRate = new LearnedRate()
+  /** From reports; used until streams have shown more. */
   readonly #decodeRate = new LearnedRate()
+  readonly #streamRate = new LearnedRate()
   #interference = 1
 
   /**
@@ -56,7 +65,7 @@
 
   /** Tokens a second of one stream; 0 while unknown. */
   get decodeRate (): number {
-    return this.#decodeRate.value
+    return this.#streamRate.value || this.#decodeRate.value
   }
 
   get totalTokens (): Tokens {
@@ -69,12 +78,12 @@
 
   /** Slots that neither a granted nor an unknown attempt takes. */
   get freeSlots (): number {
-    return Math.max(0, this.slots - this.attempts.size - this.unknown.size)
+    return Math.max(0, this.slots - this.attempts.size - this.unknown.size - this.reservations.size)
   }
 
   /** Memory that neither a granted nor an unknown attempt may come to hold. */
   get freeTokens (): Tokens {
-    let taken = 0
+    let taken = this.reservations.tokens
     for (const attempt of this.attempts.values()) taken += this.#blocks(attempt.reservedTokens)
     for (const attempt of this.unknown.values()) taken += attempt.heldTokens
     return Math.max(0, this.totalTokens - taken)
@@ -116,11 +125,11 @@
 
   /** Whether the runner may be given work. */
   get isUsable (): boolean {
-    return this.#report !== null && !this.leaving && !this.unreachable && !this.#report.loading
+    return this.#report !== null && !this.leaving && !this.draining && !this.unreachable && !this.#report.loading
   }
 
   /** @returns whether the runner has the model, version and adapter that the order names */
-  serves (order: DispatchOrder): boolean {
+  serves (order: OrderTarget): boolean {
     const report = this.#report
     if (report === null || !this.isUsable || report.model !== order.model) return false
     if (order.version !== null && report.version !== order.version) return false
@@ -167,7 +176,13 @@
   learnEnd (attempt: LiveAttempt, now: Millis): void {
     if (attempt.firstTokenAt === null) return
     const decoding = now - attempt.firstTokenAt
-    if (decoding > 0 && attempt.generated > 1) this.#decodeRate.learn((attempt.generated - 1) * 1_000 / decoding)
+    if (decoding > 0 && attempt.generated > 1) this.#streamRate.learn((attempt.generated - 1) * 1_000 / decoding)
+  }
+
+  /** Counts a granted attempt as one that the engine may hold for an entry node not heard of. */
+  disown (attempt: LiveAttempt): void {
+    const { id, reservedTokens, grantedAt } = attempt
+    this.unknown.set(id, { attempt: id, heldTokens: reservedTokens, seenAt: grantedAt, startedAt: grantedAt })
   }
 
   #pending (now: Millis, counts: (attempt: LiveAttempt) => boolean): Tokens {
@@ -182,7 +197,7 @@
     const before = new Map(this.unknown)
     this.unknown.clear()
     for (const { attempt, heldTokens, age } of held) {
-      if (this.attempts.has(attempt)) continue
+      if (this.attempts.has(attempt) || this.reservations.has(attempt)) continue
       const seenAt = before.get(attempt)?.seenAt ?? now
       this.unknown.set(attempt, { attempt, heldTokens, seenAt, startedAt: now - age })
     }
--- a/packages/node/src/daemon/buildNode.ts
+++ b/packages/node/src/daemon/buildNode.ts
@@ -13,6 +13,7 @@
 import { CallerServer } from '../edge/CallerServer.js'
 import { Organisations } from '../edge/Organisations.js'
 import type { IdempotencyService } from '../idempotency/index.js'
+import { CountedKeyValueService } from '../metrics/index.js'
 import { PeerServer } from '../peers/PeerServer.js'
 import type { PeerServerParts } from '../peers/types.js'
 import { CompletionSources } from '../requests/CompletionSource.js'
@@ -23,6 +24,8 @@
 import { buildDispatch } from './dispatch.js'
 import type { DispatchParts } from './dispatch.js'
 import { keepKeys } from './keys.js'
+import { keepPlacement } from './placement.js'
+import type { Placement } from './placement.js'
 import { joinFleet } from './fleet.js'
 import type { Fleet } from './fleet.js'
 import type { Foundation } from './foundation.js'
@@ -65,18 +68,20 @@
   const peerServer = store.add(new PeerServer(foundation.authenticator, () => serving))
   const peer = await peerServer.listen(options.listen.peer)
   const fleet = await joinFleet(foundation, peer)
-  const keyValue = options.keyValue.length === 0 ? null : new HttpKeyValueService(foundation.pool, options.keyValue)
+  const keyValue = options.keyValue.length === 0 ? null : new CountedKeyValueService(new HttpKeyValueService(foundation.pool, options.keyValue), foundation.metrics)
   const keys = keyValue === null ? null : keepKeys(foundation, fleet, keyValue)
   const configuration = keepConfiguration(foundation, fleet, keyValue)
   let requests: RequestHost | null = null
-  const dispatch = buildDispatch(foundation, fleet, () => requests ?? NO_REQUESTS)
+  let placement: Placement | null = null
+  const dispatch = buildDispatch(foundation, fleet, () => requests ?? NO_REQUESTS, (model) => placement?.unserved(model))
   requests = buildRequests(foundation, dispatch)
   serving = { dispatcher: dispatch.dispatcher, desk: dispatch.desk, requests, configuration: configuration.service, timeLine }
+  placement = keyValue === null ? null : keepPlacement(foundation, fleet, dispatch, keyValue, configuration.current)
   const doors = { ready: true, open: true }
   const callers = buildCallers(foundation, new Organisations(configuration.current), dispatch, requests, new KeyedRuns(keys, timeLine), doors)
   const caller = await callers.listen(options.listen.caller)
   const drain = new EventTarget()
-  const admin = await listenAdmin({ foundation, fleet, dispatch, requests, configuration: configuration.service, isReady: () => doors.ready, drain: () => drain.dispatchEvent(new Event('drain')), version: VERSION })
+  const admin = await listenAdmin({ foundation, fleet, dispatch, requests, configuration: configuration.service, placement, isReady: () => doors.ready, drain: () => drain.dispatchEvent(new Event('drain')), version: VERSION })
   const addresses = { caller, peer, gossip: fleet.gossipAddress, admin }
   addGauges(foundation, fleet, requests, dispatch)
   timeLine.record(EventKind.NodeStarted, {}, '', { failureDomain: options.failureDomain, version: VERSION })
