--- a/packages/domain/src/dispatch/Runner.ts
+++ b/packages/domain/src/dispatch/Runner.ts
@@ -28,10 +28,13 @@
   readonly attempts = new Map<AttemptId, LiveAttempt>()
   readonly unknown = new Map<AttemptId, UnknownAttempt>()
   leaving = false
+  draining = false
   unreachable = false
   #report: RunnerReport | null = null
   readonly #prefillRate = new LearnedRate()
+  /** From reports; used until streams have shown more. */
   readonly #decodeRate = new LearnedRate()
+  readonly #streamRate = new LearnedRate()
   #interference = 1
 
   /**
@@ -56,7 +59,7 @@
 
   /** Tokens a second of one stream; 0 while unknown. */
   get decodeRate (): number {
-    return this.#decodeRate.value
+    return this.#streamRate.value || this.#decodeRate.value
   }
 
   get totalTokens (): Tokens {
@@ -116,7 +119,7 @@
 
   /** Whether the runner may be given work. */
   get isUsable (): boolean {
-    return this.#report !== null && !this.leaving && !this.unreachable && !this.#report.loading
+    return this.#report !== null && !this.leaving && !this.draining && !this.unreachable && !this.#report.loading
   }
 
   /** @returns whether the runner has the model, version and adapter that the order names */
@@ -167,7 +170,13 @@
   learnEnd (attempt: LiveAttempt, now: Millis): void {
     if (attempt.firstTokenAt === null) return
     const decoding = now - attempt.firstTokenAt
-    if (decoding > 0 && attempt.generated > 1) this.#decodeRate.learn((attempt.generated - 1) * 1_000 / decoding)
+    if (decoding > 0 && attempt.generated > 1) this.#streamRate.learn((attempt.generated - 1) * 1_000 / decoding)
+  }
+
+  /** Counts a granted attempt as one that the engine may hold for an entry node not heard of. */
+  disown (attempt: LiveAttempt): void {
+    const { id, reservedTokens, grantedAt } = attempt
+    this.unknown.set(id, { attempt: id, heldTokens: reservedTokens, seenAt: grantedAt, startedAt: grantedAt })
   }
 
   #pending (now: Millis, counts: (attempt: LiveAttempt) => boolean): Tokens {
