Stop the configuration's start when the node stops

A node that was disposed of while it waited for its first peers went on to ask the stopped membership, an unhandled rejection that ended the test of callers' input now and then. The start looks whether it was disposed of after each wait; the new test fails without it.

--- a/packages/node/src/configuration/ConfigurationService.ts
+++ b/packages/node/src/configuration/ConfigurationService.ts
@@ -140,6 +140,7 @@
 
   async #readFirst (): Promise<void> {
     for (let tries = 0; tries < START_PEERS && this.#set.isEmpty && !this.#disposed; tries += 1) await this.#askAtStart()
+    if (this.#disposed) return
     if (this.#set.isEmpty && !this.#isRankedWatcher()) await this.#watcher?.readOnce()
   }
 
--- a/packages/node/tests/configurationService.test.ts
+++ b/packages/node/tests/configurationService.test.ts
@@ -123,6 +123,18 @@
   t.is(cluster.reports.filter((report) => report.type === 'installed').length, installs)
 })
 
+test('a node that stops while it starts asks nobody any more', async (t) => {
+  const cluster = new Cluster()
+  const service = cluster.add('alone', 'bayangol')
+  const started = service.start()
+  service.dispose()
+  let asked = 0
+  Object.defineProperty(cluster, 'members', { get: () => { asked += 1; throw new Error('the membership has stopped') } })
+  await t.notThrowsAsync(started)
+  t.is(asked, 0)
+  t.is(cluster.keyValue.calls, 0)
+})
+
 test('a node that starts in an outage takes the configuration from peers', async (t) => {
   const cluster = new Cluster()
   t.teardown(() => cluster.dispose())
