--- a/packages/domain/src/membership/GossipBoard.ts
+++ b/packages/domain/src/membership/GossipBoard.ts
@@ -109,6 +109,11 @@
     return this.store.get(node, topic)
   }
 
+  /** When the value was last received or renewed; undefined where there is none. */
+  receivedAt (node: NodeId, topic: string): Millis | undefined {
+    return this.store.receivedAt(node, topic)
+  }
+
   /**
    * @param prefix - start of the topics
    * @param since - only values that were received or renewed after this time
--- a/packages/standin/src/fleet/Fleet.ts
+++ b/packages/standin/src/fleet/Fleet.ts
@@ -4,7 +4,7 @@
 import { ProcessSet } from '../processes/index.js'
 import type { ChildProcess } from '../processes/index.js'
 import type { Disposable } from '../Disposables.js'
-import type { VmEntry } from '../vmList/createVmList.js'
+import type { VmEntry } from '../vmList/VmList.js'
 import { MODEL, MODEL_VERSION, SERVICE } from './constants.js'
 import { fleetDocument, nodeSettings, organisationDocument } from './documents.js'
 import type { PlatformAddresses } from './documents.js'
@@ -176,7 +176,8 @@
   private async writeConfiguration (): Promise<void> {
     if (!this.plan.configurationFromFiles) {
       await this.apply('fleet', fleetDocument(this.plan), false)
-      for (const organisation of this.plan.organisations) await this.apply(organisation.name, organisationDocument(this.plan, organisation), false)
+      await Promise.all(this.plan.organisations.map(async (organisation) =>
+        await this.apply(organisation.name, organisationDocument(this.plan, organisation), false)))
       return
     }
     this.configurationFiles = [
