--- a/packages/cli/src/actions/status.ts
+++ b/packages/cli/src/actions/status.ts
@@ -22,7 +22,8 @@
 const HEADER = ['NODE', 'DOMAIN', 'STATE', 'UP', 'REQUESTS', 'QUEUED', 'MEMBERS', 'CONFIG', 'LEASES', 'MEMORY']
 
 const rowOf = (status: StatusReply): string[] => {
-  const alive = status.members.filter((member) => member.state === MemberState.Alive).length
+  const present = status.members.filter((member) => member.state !== MemberState.Gone)
+  const alive = present.filter((member) => member.state === MemberState.Alive).length
   const fleet = status.configurations.find((value) => value.organisation === null)
   const tone = status.state === NodeState.Ready ? Tone.Good : Tone.Warning
   return [
@@ -32,7 +33,7 @@
     formatDuration(status.uptime),
     String(status.requestsInProgress),
     String(status.ordersQueued),
-    `${alive} of ${status.members.length}`,
+    `${alive} of ${present.length}`,
     fleet?.revision ?? '-',
     status.leases.map((lease) => lease.lease).join(',') || '-',
     `${Math.round(status.memoryBytes / BYTES_PER_MEGABYTE)} MB`
