Record an order to an engine with the engine's answer

The time line said accepted of every order before the engine had answered. The record is made when the answer is there, with the reason of the plan; an engine that holds a later fencing number is named with it.

--- a/packages/node/src/daemon/placement.ts
+++ b/packages/node/src/daemon/placement.ts
@@ -6,7 +6,7 @@
 import type { LeaseStatus } from '@bluebellhill/protocol'
 
 import { monotonicNow } from '../clock/monotonic.js'
-import { HttpEngineOrders, KeyValueLeadership, PlacedRunners, PlacementService, RunnerDrains, wantedModels } from '../placement/index.js'
+import { HttpEngineOrders, KeyValueLeadership, PlacedRunners, PlacementService, RecordedEngineOrders, RunnerDrains, wantedModels } from '../placement/index.js'
 import type { PlacementChange } from '../placement/index.js'
 import type { DispatchParts } from './dispatch.js'
 import type { Fleet } from './fleet.js'
@@ -36,21 +36,22 @@
  * @param configuration - gives the configuration in force
  */
 export const keepPlacement = (foundation: Foundation, fleet: Fleet, dispatch: DispatchParts, keyValue: KeyValueService, configuration: () => Configuration | null): Placement => {
-  const { options, store, directory, backends } = foundation
+  const { options, store, directory, backends, timeLine } = foundation
   const { membership } = fleet
+  const engines = new RecordedEngineOrders(new HttpEngineOrders(directory, backends.engine), timeLine)
   const service = new PlacementService({
     node: options.node,
     failureDomain: options.failureDomain,
     startedAt: Date.now(),
     enginesCheckFencing: options.enginesCheckFencing,
     store: new KeyValueLeadership(keyValue),
-    engines: new HttpEngineOrders(directory, backends.engine),
+    engines,
     workers: () => membership.workers(options.failureDomain),
     clock: monotonicNow
   })
   store.add(service)
   const drains = new RunnerDrains(membership)
-  service.onChange((change) => follow(foundation, drains, change))
+  service.onChange((change) => follow(foundation, drains, engines, change))
   const reporter = new PlacementReporter(foundation, fleet, dispatch, service, configuration)
   const timer = setInterval(() => reporter.report(), REPORT_INTERVAL_MS)
   store.addStep(() => clearInterval(timer))
@@ -61,11 +62,9 @@
   }
 }
 
-const follow = ({ timeLine, options }: Foundation, drains: RunnerDrains, change: PlacementChange): void => {
+const follow = ({ timeLine, options }: Foundation, drains: RunnerDrains, engines: RecordedEngineOrders, change: PlacementChange): void => {
   switch (change.type) {
-    case 'order':
-      timeLine.record(EventKind.EngineOrdered, { runner: change.runner }, change.reason, { order: JSON.stringify(change.order), fencing: String(change.fencing), accepted: true })
-      return
+    case 'order': return engines.because(change.runner, change.reason)
     case 'drain': return drains.set(change.runner, true)
     case 'undrain': return drains.set(change.runner, false)
     case 'led':
