Hold the limits of organisations and templates over all nodes by gossiped demand

Seen with three nodes and a bound of four requests at once: 12 requests over all nodes, four answered, eight refused as not run with a retry time; all demand at one node moves the whole bound there.

--- a/packages/node/src/daemon/buildNode.ts
+++ b/packages/node/src/daemon/buildNode.ts
@@ -2,6 +2,7 @@
 import { RetryBudget } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { HttpKeyValueService } from '@bluebellhill/platform'
+import type { Configuration } from '@bluebellhill/platform'
 import { EventKind } from '@bluebellhill/protocol'
 
 import { AdminServer } from '../admin/AdminServer.js'
@@ -14,6 +15,7 @@
 import { Organisations } from '../edge/Organisations.js'
 import type { IdempotencyService } from '../idempotency/index.js'
 import { CountedKeyValueService } from '../metrics/index.js'
+import { OrganisationLimits } from '../limits/index.js'
 import { PeerServer } from '../peers/PeerServer.js'
 import type { PeerServerParts } from '../peers/types.js'
 import { CompletionSources } from '../requests/CompletionSource.js'
@@ -78,7 +80,7 @@
   serving = { dispatcher: dispatch.dispatcher, desk: dispatch.desk, requests, configuration: configuration.service, timeLine }
   placement = keyValue === null ? null : keepPlacement(foundation, fleet, dispatch, keyValue, configuration.current)
   const doors = { ready: true, open: true }
-  const callers = buildCallers(foundation, new Organisations(configuration.current), dispatch, requests, new KeyedRuns(keys, timeLine), doors)
+  const callers = buildCallers(foundation, configuration.current, store.add(new OrganisationLimits(options.node, fleet.membership, configuration.current)), dispatch, requests, new KeyedRuns(keys, timeLine), doors)
   const caller = await callers.listen(options.listen.caller)
   const drain = new EventTarget()
   const admin = await listenAdmin({ foundation, fleet, dispatch, requests, configuration: configuration.service, placement, isReady: () => doors.ready, drain: () => drain.dispatchEvent(new Event('drain')), version: VERSION })
@@ -102,14 +104,16 @@
 const buildRequests = ({ options, timeLine, metrics, actors }: Foundation, { desk }: DispatchParts): RequestHost =>
   new RequestHost(options.node, { retryBudget: new RetryBudget() }, { desk, timeLine, metrics }, actors)
 
-const buildCallers = (foundation: Foundation, organisations: Organisations, dispatch: DispatchParts, requests: RequestHost, keyed: KeyedRuns, doors: Doors): CallerServer => {
+const buildCallers = (foundation: Foundation, current: () => Configuration | null, organisationLimits: OrganisationLimits, dispatch: DispatchParts, requests: RequestHost, keyed: KeyedRuns, doors: Doors): CallerServer => {
   const startedAt = monotonicNow()
+  const organisations = new Organisations(current)
   const { options, timeLine, metrics, hasher, estimator, backends, store } = foundation
   const admission = new Admission({
     hasher,
     estimator,
     timeLine,
     limits: options.admission,
+    organisationLimits,
     blockTokens: () => BLOCK_TOKENS,
     isOpen: () => doors.open,
     inProgress: () => requests.size
--- a/packages/node/src/edge/Admission.ts
+++ b/packages/node/src/edge/Admission.ts
@@ -9,6 +9,7 @@
 
 import { monotonicNow } from '../clock/monotonic.js'
 import { serviceModel } from '../dispatch/PlainMonitor.js'
+import type { LimitedRequest, OrganisationLimits } from '../limits/index.js'
 import type { PrefixHasher } from '../requests/PrefixHasher.js'
 import type { TokenEstimator } from '../requests/TokenEstimator.js'
 import type { TimeLine } from '../timeline/index.js'
@@ -32,6 +33,7 @@
   readonly estimator: TokenEstimator
   readonly timeLine: TimeLine
   readonly limits: AdmissionLimits
+  readonly organisationLimits: OrganisationLimits
   /** Tokens in one block of a model's prefix cache. */
   readonly blockTokens: (model: string) => Tokens
   /** Whether the node takes new work. */
@@ -47,9 +49,14 @@
   readonly path: string
 }
 
-/** An admitted completion with the prompt that the engine gets. */
-export interface AdmittedCompletion {
+/** An admitted request with the places that it takes under its limits. */
+export interface AdmittedCall {
   readonly spec: RequestSpec
+  readonly limited: LimitedRequest
+}
+
+/** An admitted completion with the prompt that the engine gets. */
+export interface AdmittedCompletion extends AdmittedCall {
   readonly prompt: string
 }
 
@@ -76,8 +83,8 @@
     const template = caller.configuration.templateFor(caller.organisation, call.model)
     if (template?.model == null) throw new RefusedCall(OutcomeKind.UnknownModel, `no template for "${call.model}"`)
     const prompt = promptOf(template, call)
-    const spec = this.#admit(caller, template, limit, this.#dispatched(template, template.model, prompt, call))
-    return { spec, prompt }
+    const admitted = this.#admit(caller, template, limit, this.#dispatched(template, template.model, prompt, call))
+    return { ...admitted, prompt }
   }
 
   /**
@@ -89,7 +96,7 @@
    * @returns the admitted request
    * @throws RefusedCall where no template fits or the node takes no more work
    */
-  service (caller: KnownOrganisation, target: ServiceTarget, limit: Millis | null): RequestSpec {
+  service (caller: KnownOrganisation, target: ServiceTarget, limit: Millis | null): AdmittedCall {
     const { service, method, path } = target
     const template = caller.configuration.serviceTemplateFor(caller.organisation, service, method, path)
     if (template === null) throw new RefusedCall(OutcomeKind.UnknownRoute, `no template for ${method} on the service "${service}"`)
@@ -110,8 +117,9 @@
     }
   }
 
-  #admit (caller: KnownOrganisation, template: ResolvedTemplate, limit: Millis | null, dispatched: Dispatched): RequestSpec {
+  #admit (caller: KnownOrganisation, template: ResolvedTemplate, limit: Millis | null, dispatched: Dispatched): AdmittedCall {
     this.#checkOpen()
+    const limited = this.#takePlaces(caller, template, dispatched)
     const admittedAt = monotonicNow()
     const allowed = Math.min(template.deadline, limit ?? Infinity, this.#parts.limits.longestDeadline)
     const spec: RequestSpec = {
@@ -125,7 +133,14 @@
       deadline: admittedAt + allowed
     }
     this.#record(spec, allowed)
-    return spec
+    return { spec, limited }
+  }
+
+  #takePlaces (caller: KnownOrganisation, template: ResolvedTemplate, { promptTokens, maxTokens }: Dispatched): LimitedRequest {
+    const result = this.#parts.organisationLimits.admit({ organisation: caller.id, template: template.name, tokens: promptTokens + maxTokens })
+    if (result.type === 'admitted') return result.request
+    const { bound, reason, retryAfter } = result.refusal
+    throw new RefusedCall(OutcomeKind.OrganisationLimit, `${bound}: ${reason}`, retryAfter)
   }
 
   #checkOpen (): void {
--- a/packages/node/src/edge/CompletionRoute.ts
+++ b/packages/node/src/edge/CompletionRoute.ts
@@ -56,11 +56,11 @@
     await this.#run(admitted, completion, call, body)
   }
 
-  async #run ({ spec, prompt }: AdmittedCompletion, completion: CompletionCall, call: EdgeCall, identity: Buffer): Promise<void> {
+  async #run ({ spec, limited, prompt }: AdmittedCompletion, completion: CompletionCall, call: EdgeCall, identity: Buffer): Promise<void> {
     call.response.setHeader('x-request-id', spec.id)
     const answer = new RecordingCompletion(answerFor(spec, completion, call))
     const source = this.#parts.sources.create(spec, prompt, completion.sampling)
-    await this.#parts.runner.run({ spec, call, answer, source, identity })
+    await this.#parts.runner.run({ spec, limited, call, answer, source, identity })
   }
 }
 
--- a/packages/node/src/edge/ServiceRoute.ts
+++ b/packages/node/src/edge/ServiceRoute.ts
@@ -7,7 +7,7 @@
 
 import type { ServiceCallBody } from '../requests/ServiceAttempt.js'
 import { ServiceSource } from '../requests/ServiceSource.js'
-import type { Admission } from './Admission.js'
+import type { Admission, AdmittedCall } from './Admission.js'
 import type { AdmittedRunner } from './AdmittedRunner.js'
 import { readBody } from './body.js'
 import type { BodyLimits } from './body.js'
@@ -47,20 +47,20 @@
     if (match?.[1] === undefined) throw new RefusedCall(OutcomeKind.UnknownRoute, 'the path has to be /services/NAME/...')
     const deadline = readDeadline(call.request.headers)
     const body = await readBody(call.request, this.#parts.limits)
-    const spec = this.#parts.admission.service(organisation, { service: match[1], method: call.request.method ?? 'GET', path: match[2] ?? '/' }, deadline)
-    await this.#run(spec, call, {
+    const admitted = this.#parts.admission.service(organisation, { service: match[1], method: call.request.method ?? 'GET', path: match[2] ?? '/' }, deadline)
+    await this.#run(admitted, call, {
       method: call.request.method ?? 'GET',
       path: `${match[2] ?? '/'}${call.query}`,
-      headers: forwardedHeaders(call.request.headers, spec),
+      headers: forwardedHeaders(call.request.headers, admitted.spec),
       body
     })
   }
 
-  async #run (spec: RequestSpec, call: EdgeCall, body: ServiceCallBody): Promise<void> {
+  async #run ({ spec, limited }: AdmittedCall, call: EdgeCall, body: ServiceCallBody): Promise<void> {
     call.response.setHeader('x-request-id', spec.id)
     const answer = new ServiceReply(call.response, spec.id)
     const source = new ServiceSource(spec, body, this.#parts.services, this.#parts.limits.bytes, answer)
-    await this.#parts.runner.run({ spec, call, answer, source, identity: identityOf(body) })
+    await this.#parts.runner.run({ spec, limited, call, answer, source, identity: identityOf(body) })
   }
 }
 
--- /dev/null
+++ b/packages/node/src/limits/index.ts
@@ -0,0 +1,2 @@
+/** Limits of organisations and templates. */
+export * from './OrganisationLimits.js'
--- /dev/null
+++ b/packages/node/src/limits/limitCodec.ts
@@ -0,0 +1,55 @@
+/** Encoding of limit demands as one gossip value. */
+import { hashText } from '@bluebellhill/domain'
+import type { LimitDemand, NodeId, OrganisationId } from '@bluebellhill/domain'
+import { gossipWire } from '@bluebellhill/protocol'
+
+const RATE_UNIT = 100
+
+/**
+ * Encodes the demands of this node.
+ *
+ * @param demands - one for each limit that is in use here
+ */
+export const encodeDemands = (demands: readonly LimitDemand[]): Uint8Array => gossipWire.LimitDemands.encode({
+  limits: demands.map(({ organisation }) => hashText(organisation)),
+  held: demands.map(({ held }) => held),
+  concurrent: demands.map(({ concurrent }) => concurrent),
+  tokenRate: demands.map(({ tokensPerSecond }) => Math.ceil(tokensPerSecond / RATE_UNIT))
+}).finish()
+
+/**
+ * Reads one limit's demand out of another node's value.
+ *
+ * @param limit - the limit's name
+ * @param node - the other node
+ * @param bytes - its value
+ * @returns the demand, or null where there is none
+ */
+export const decodeDemand = (limit: OrganisationId, node: NodeId, bytes: Uint8Array): LimitDemand | null => {
+  const columns = readColumns(bytes)
+  const row = columns?.limits.indexOf(hashText(limit)) ?? -1
+  if (columns === null || row < 0) return null
+  return {
+    organisation: limit,
+    node,
+    held: columns.held[row] ?? 0,
+    concurrent: columns.concurrent[row] ?? 0,
+    tokensPerSecond: (columns.tokenRate[row] ?? 0) * RATE_UNIT
+  }
+}
+
+/**
+ * Rounds a demand as the others will read it, so that all divide by the same numbers.
+ *
+ * @param demand - this node's demand
+ */
+export const asGossiped = (demand: LimitDemand): LimitDemand =>
+  ({ ...demand, tokensPerSecond: Math.ceil(demand.tokensPerSecond / RATE_UNIT) * RATE_UNIT })
+
+const readColumns = (bytes: Uint8Array): gossipWire.LimitDemands | null => {
+  try {
+    return gossipWire.LimitDemands.decode(bytes)
+  } catch {
+    return null
+  }
+}
--- a/packages/node/src/requests/RequestHost.ts
+++ b/packages/node/src/requests/RequestHost.ts
@@ -6,6 +6,12 @@
 import type { AttemptSource, SessionPorts } from './ports.js'
 import { RequestSession } from './RequestSession.js'
 
+/** A request in progress, and its final result. */
+export interface StartedRequest {
+  readonly session: RequestSession
+  readonly finished: Promise<Outcome>
+}
+
 /** Starts requests, finds them by attempt, and knows when none is left. */
 export class RequestHost {
   readonly #node: NodeId
@@ -35,7 +41,7 @@
    * @param source - starts its tries
    * @returns the session, and its final result
    */
-  start (spec: RequestSpec, answer: Answer, source: AttemptSource): { session: RequestSession, finished: Promise<Outcome> } {
+  start (spec: RequestSpec, answer: Answer, source: AttemptSource): StartedRequest {
     let settle: (outcome: Outcome) => void = () => {}
     const finished = new Promise<Outcome>((resolve) => { settle = resolve })
     const session = new RequestSession(spec, this.#options, answer, source, this.#ports, this.#parent, this.#node, (outcome) => {
--- a/packages/node/src/requests/RequestSession.ts
+++ b/packages/node/src/requests/RequestSession.ts
@@ -55,6 +55,11 @@
     this.#actor = spawn(parent as never, (_state: unknown, event: RequestEvent) => this.#handle(event), spec.id) as Ref<RequestEvent>
   }
 
+  /** Tokens that the caller has. */
+  get generated (): Tokens {
+    return this.#request.generated
+  }
+
   start (): void {
     this.tell({ type: 'admitted' })
   }
--- a/packages/standin/src/fleet/documents.ts
+++ b/packages/standin/src/fleet/documents.ts
@@ -60,10 +60,11 @@
  * @param urgency - of its completions
  * @returns the value
  */
-export const organisationDocument = (plan: FleetPlan, { name, apiKey }: PlannedOrganisation, urgency: number = STANDARD_URGENCY): unknown => ({
+export const organisationDocument = (plan: FleetPlan, { name, apiKey, requestsAtOnce }: PlannedOrganisation, urgency: number = STANDARD_URGENCY): unknown => ({
   kind: 'organisation',
   name,
   keys: [{ name: 'main', sha256: createHash('sha256').update(apiKey).digest('hex') }],
+  limits: requestsAtOnce === undefined ? {} : { requestsAtOnce },
   templates: [
     { name: 'assist', request: { shape: 'completion' }, model: MODEL, urgency, deadline: plan.deadline, idempotent: true },
     { name: 'order', request: { shape: 'service' }, service: SERVICE, deadline: plan.deadline, idempotent: false }
--- a/packages/standin/src/fleet/types.ts
+++ b/packages/standin/src/fleet/types.ts
@@ -33,6 +33,8 @@
   readonly name: string
   readonly apiKey: string
   readonly weight: number
+  /** Requests in progress at most, over all nodes. */
+  readonly requestsAtOnce?: number
 }
 
 /** A process at its place. */
