Let a completion over segments held here go before waiting sequences

On the engine a prompt that waited for memory stood before the completion of the group that held this memory, by priority: both ended at their deadline. A sequence whose KV is resident goes first, as a preempted one does on real engines. The test fails without it. The over-commitment itself is the dispatcher's: it reserves 400 k, 400 k and 209 k for a prompt that the entry node splits evenly.

--- a/packages/standin/src/engine/BatchScheduler.ts
+++ b/packages/standin/src/engine/BatchScheduler.ts
@@ -140,6 +140,7 @@
   }
 
   private goesBefore (one: Sequence, other: Sequence): boolean {
+    if (one.spec.isResident !== other.spec.isResident) return one.spec.isResident
     if (this.ignorePriorities || one.spec.priority === other.spec.priority) return one.order < other.order
     return one.spec.priority < other.spec.priority
   }
--- a/packages/standin/src/engine/completionRoutes.ts
+++ b/packages/standin/src/engine/completionRoutes.ts
@@ -44,11 +44,11 @@
   const common = { id: body.requestId, maxTokens: body.maxTokens, priority: body.priority }
   if (body.groupSegments) {
     const outsideTokens = parts.segments.requireGroup(body.groupSegments, promptTokens)
-    return { ...common, promptTokens: 1, hashes: [], readyTokens: 0, outsideTokens }
+    return { ...common, promptTokens: 1, hashes: [], readyTokens: 0, outsideTokens, isResident: true }
   }
   const readyTokens = body.kvSegment === null ? 0 : parts.segments.require(body.kvSegment).tokens
   const hashes = typeof body.prompt === 'string' ? blockHashes(bytes, parts.options.blockTokens) : []
-  return { ...common, promptTokens, hashes, readyTokens, outsideTokens: 0 }
+  return { ...common, promptTokens, hashes, readyTokens, outsideTokens: 0, isResident: false }
 }
 
 const open = (parts: EngineParts, body: CompletionBody, requestKey: string | null): AnswerStream => {
--- a/packages/standin/src/engine/segmentRoutes.ts
+++ b/packages/standin/src/engine/segmentRoutes.ts
@@ -29,7 +29,7 @@
   let finish = (): void => {}
   const done = new Promise<void>((resolve) => { finish = resolve })
   const sequence = parts.engine.prefill({
-    id: `${requestId}/${id}`, promptTokens: tokens, maxTokens: 0, priority: Number(body['priority'] ?? 0), hashes: [], readyTokens: 0, outsideTokens
+    id: `${requestId}/${id}`, promptTokens: tokens, maxTokens: 0, priority: Number(body['priority'] ?? 0), hashes: [], readyTokens: 0, outsideTokens, isResident: false
   }, finish)
   if (!(sequence instanceof Sequence)) throw sequence === Submission.TooLong ? tooLong() : noCapacity()
   parts.segments.keep({ id, requestId, tokens, createdAt: performance.now(), sequence })
--- a/packages/standin/src/engine/types.ts
+++ b/packages/standin/src/engine/types.ts
@@ -64,6 +64,8 @@
   readonly readyTokens: number
   /** Context outside this sequence's own memory: segments on other engines or in host memory. */
   readonly outsideTokens: number
+  /** Whether its KV is held here already; such a sequence goes before waiting ones, which may wait for its memory. */
+  readonly isResident: boolean
 }
 
 export const SequenceState = { Waiting: 'waiting', Prefill: 'prefill', Decode: 'decode', Done: 'done', Gone: 'gone' } as const
--- a/packages/standin/tests/engineBatch.test.ts
+++ b/packages/standin/tests/engineBatch.test.ts
@@ -17,7 +17,7 @@
 }
 
 const spec = (id: string, promptTokens: number, maxTokens: number, priority = 0) =>
-  ({ id, promptTokens, maxTokens, priority, hashes: [], readyTokens: 0, outsideTokens: 0 })
+  ({ id, promptTokens, maxTokens, priority, hashes: [], readyTokens: 0, outsideTokens: 0, isResident: false })
 
 const submit = (scheduler: BatchScheduler, ...args: Parameters<typeof spec>): Sequence => {
   const sequence = scheduler.submit(spec(...args))
@@ -81,3 +81,18 @@
   for (let index = 0; index < 8; index++) submit(scheduler, String(index), 10, 1)
   t.is(scheduler.submit(spec('more', 10, 1)), 'no_capacity')
 })
+
+test('a sequence whose segments are held here does not wait behind one that waits for their memory', (t) => {
+  const { memory, scheduler } = make()
+  const segment = submit(scheduler, 'segment', 800, 0)
+  while (segment.state !== SequenceState.Done) stepOnce(scheduler)
+  const blocked = submit(scheduler, 'blocked', 400, 1, 0)
+  const owner = scheduler.submit({ ...spec('owner', 1, 10, 5), outsideTokens: 800, isResident: true })
+  stepOnce(scheduler)
+  t.is(blocked.state, SequenceState.Waiting)
+  t.is((owner as Sequence).state, SequenceState.Decode)
+  scheduler.remove(segment)
+  stepOnce(scheduler)
+  t.is(blocked.state, SequenceState.Prefill)
+  t.true(memory.heldBlocks <= memory.totalBlocks)
+})
