--- a/packages/node/src/dispatch/DispatcherViews.ts
+++ b/packages/node/src/dispatch/DispatcherViews.ts
@@ -1,13 +1,11 @@
 /** What this node knows of the dispatchers that it may ask. */
-import type { DispatcherState, DispatchSummary, FailureDomain, Millis, NodeId } from '@bluebellhill/domain'
+import type { DispatcherState, DispatchSummary, FailureDomain, NodeId } from '@bluebellhill/domain'
 
 import { monotonicNow } from '../clock/monotonic.js'
 import type { MembershipService, SummaryExchange } from '../membership/index.js'
 import type { DispatcherHost } from './DispatcherHost.js'
 
 const DOMAIN_PREFIX = 'domain:'
-const DISPATCHER_TOPIC = 'd/'
-const AGGREGATE_TOPIC = 'a/'
 
 /**
  * Names a whole failure domain in a router's choice, where only its sum is known.
@@ -30,18 +28,11 @@
   readonly #membership: MembershipService
   readonly #exchange: SummaryExchange
   readonly #own: DispatcherHost
-  readonly #receivedAt = new Map<string, Millis>()
-  readonly #stopListening: () => void
 
   constructor (membership: MembershipService, exchange: SummaryExchange, own: DispatcherHost) {
     this.#membership = membership
     this.#exchange = exchange
     this.#own = own
-    this.#stopListening = membership.onChange((change) => {
-      if (change.type !== 'value_changed') return
-      const { node, topic } = change.value
-      if (topic.startsWith(DISPATCHER_TOPIC) || topic.startsWith(AGGREGATE_TOPIC)) this.#receivedAt.set(`${topic}|${node}`, monotonicNow())
-    })
   }
 
   /**
@@ -55,15 +46,10 @@
 
   /** Summaries of the other dispatchers in the own failure domain, for all models. */
   peers (): DispatchSummary[] {
-    const models = new Set(this.#membership.valuesUnder(DISPATCHER_TOPIC).map(({ topic }) => topic.slice(DISPATCHER_TOPIC.length)))
     const me = this.#membership.me().node
-    return [...models].flatMap((model) => this.#exchange.dispatchers(model)
+    return this.#exchange.models().flatMap((model) => this.#exchange.dispatchers(model)
       .filter(({ dispatcher }) => dispatcher.node !== me)
-      .map(({ summary }) => summary))
-  }
-
-  dispose (): void {
-    this.#stopListening()
+      .map(({ dispatcher, summary }) => ({ ...summary, node: dispatcher.node })))
   }
 
   #ownState (model: string): DispatcherState[] {
@@ -77,28 +63,20 @@
     const me = this.#membership.me()
     return this.#exchange.dispatchers(model)
       .filter(({ dispatcher }) => dispatcher.node !== me.node)
-      .map(({ dispatcher, summary }) => ({
+      .map(({ dispatcher, summary, receivedAt }) => ({
         node: dispatcher.node,
         failureDomain: dispatcher.failureDomain,
-        receivedAt: this.#receivedAt.get(`${DISPATCHER_TOPIC}${model}|${dispatcher.node}`) ?? 0,
+        receivedAt,
         summaries: [summary]
       }))
   }
 
   #far (model: string): DispatcherState[] {
-    return this.#exchange.failureDomains(model).map(({ failureDomain, summary }) => ({
+    return this.#exchange.failureDomains(model).map(({ failureDomain, summary, receivedAt }) => ({
       node: domainNode(failureDomain),
       failureDomain,
-      receivedAt: this.#latest(`${AGGREGATE_TOPIC}${model}|`),
+      receivedAt,
       summaries: [summary]
     }))
   }
-
-  #latest (prefix: string): Millis {
-    let latest = 0
-    for (const [key, at] of this.#receivedAt) {
-      if (key.startsWith(prefix)) latest = Math.max(latest, at)
-    }
-    return latest
-  }
 }
