--- /dev/null
+++ b/packages/domain/src/dispatch/AttemptLedger.ts
@@ -0,0 +1,192 @@
+/** Who holds what on the runners: granted attempts, members of groups, and attempts that nobody here granted. */
+import type { AttemptId, Millis, NodeId, RunnerId, Tokens } from '../types.js'
+import { LOST_ENTRY_SILENCE } from './constants.js'
+import { EndedAttempts } from './EndedAttempts.js'
+import { LiveAttempt } from './LiveAttempt.js'
+import { orphanedAt } from './orphans.js'
+import type { OrphanGraces } from './orphans.js'
+import type { Runner } from './Runner.js'
+import type { RunnerPool } from './RunnerPool.js'
+import type { DispatchEvent, RunnerReport } from './types.js'
+import { ProgressKind } from './types.js'
+
+type Progressed = Extract<DispatchEvent, { type: 'progressed' }>
+
+/** Times after which an attempt counts as left by its entry node. */
+export interface LedgerTimes extends OrphanGraces {
+  readonly silenceLimit: Millis
+  readonly lostEntryGrace: Millis
+}
+
+/** Told what becomes of attempts. */
+export interface LedgerObserver {
+  generated (attempt: LiveAttempt, tokens: Tokens): void
+  finished (attempt: LiveAttempt, now: Millis): void
+  /** An attempt that another dispatcher granted is counted here from now on. */
+  takenUp (attempt: LiveAttempt): void
+  /** The engine is to free what it holds. */
+  cancel (runner: RunnerId, attempt: AttemptId, reason: string): void
+}
+
+/** Keeps attempts while their entry nodes report, and frees what has no owner. */
+export class AttemptLedger {
+  readonly #pool: RunnerPool
+  readonly #times: LedgerTimes
+  readonly #observer: LedgerObserver
+  readonly #ended = new EndedAttempts()
+
+  constructor (pool: RunnerPool, times: LedgerTimes, observer: LedgerObserver) {
+    this.#pool = pool
+    this.#times = times
+    this.#observer = observer
+  }
+
+  /** @returns whether the attempt has ended here */
+  hasEnded (attempt: AttemptId): boolean {
+    return this.#ended.has(attempt)
+  }
+
+  /** @returns when the next attempt lapses or counts as orphaned; infinite without any */
+  get nextTimer (): Millis {
+    let next = Infinity
+    for (const attempt of this.#pool.attempts) next = Math.min(next, attempt.lapsesAt)
+    for (const runner of this.#pool.runners) {
+      next = Math.min(next, runner.reservations.nextExpiry)
+      for (const unknown of runner.unknown.values()) {
+        if (!this.#ended.has(unknown.attempt)) next = Math.min(next, orphanedAt(runner, unknown, this.#times))
+      }
+    }
+    return next
+  }
+
+  /** Takes an engine's report in, and frees again what it still holds of ended attempts. */
+  reported (runner: Runner, report: RunnerReport, now: Millis): void {
+    runner.take(report, now)
+    for (const unknown of runner.unknown.values()) {
+      if (this.#ended.has(unknown.attempt)) this.#observer.cancel(runner.id, unknown.attempt, 'the attempt has ended')
+    }
+  }
+
+  /** Ends an attempt that its entry node gave up, granted or not. */
+  withdrawn (id: AttemptId, now: Millis): void {
+    this.#ended.add(id, now)
+    this.releaseMembers(id)
+    const attempt = this.#pool.leave(id)
+    if (attempt !== undefined) this.#observer.cancel(attempt.runner, id, 'withdrawn by the entry node')
+  }
+
+  /** Shortens the time of a lost entry node's attempts. */
+  entryLost (entry: NodeId, now: Millis): void {
+    for (const attempt of this.#pool.attempts) {
+      const silent = now - attempt.heardAt > LOST_ENTRY_SILENCE
+      if (attempt.entry === entry && silent) attempt.lapsesAt = Math.min(attempt.lapsesAt, now + this.#times.lostEntryGrace)
+    }
+  }
+
+  /** Frees what no entry node has reported in time. */
+  expire (now: Millis): void {
+    this.#ended.expire(now)
+    this.#expireAttempts(now)
+    this.#expireReservations(now)
+    this.#freeOrphans(now)
+  }
+
+  /** Takes a report of an entry node in; it renews the attempt, and lets one be taken up that was granted elsewhere. */
+  progressed (event: Progressed, now: Millis): void {
+    const reserving = this.#pool.runner(event.runner)
+    if (reserving?.reservations.has(event.attempt)) return this.#memberProgressed(event, reserving, now)
+    const attempt = this.#pool.attempt(event.attempt) ?? this.#takeUp(event, now)
+    if (attempt === undefined) return
+    if (attempt.runner !== event.runner && reserving !== undefined) {
+      reserving.reservations.reserve(event.attempt, reserving.freeTokens, now)
+      return this.#memberProgressed(event, reserving, now)
+    }
+    const runner = this.#pool.runner(attempt.runner)
+    const before = { generated: attempt.generated, prefilling: attempt.isPrefilling }
+    attempt.progress(event.kind, event.generated, now)
+    attempt.lapsesAt = now + this.#times.silenceLimit
+    this.#observer.generated(attempt, attempt.generated - before.generated)
+    if (before.prefilling && !attempt.isPrefilling) runner?.learnFirstToken(attempt, now)
+    if (event.kind === ProgressKind.Ended) this.#learnEnd(attempt, now)
+    if (event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed) this.#end(attempt, now)
+  }
+
+  /** A member's memory stays reserved while the entry node reports, as a granted attempt does. */
+  #memberProgressed (event: Progressed, runner: Runner, now: Millis): void {
+    runner.reservations.renew(event.attempt, now + this.#times.silenceLimit)
+    if (event.kind !== ProgressKind.Ended && event.kind !== ProgressKind.Failed) return
+    runner.reservations.release(event.attempt)
+    this.#ended.add(event.attempt, now)
+  }
+
+  /** Frees a group's memory on all own runners. */
+  releaseMembers (id: AttemptId, round?: number): void {
+    for (const runner of this.#pool.reserving(id)) {
+      if (runner.reservations.release(id, round)) this.#observer.cancel(runner.id, id, 'the group was given up')
+    }
+  }
+
+  #learnEnd (attempt: LiveAttempt, now: Millis): void {
+    this.#pool.runner(attempt.runner)?.learnEnd(attempt, now)
+    this.#observer.finished(attempt, now)
+  }
+
+  #end (attempt: LiveAttempt, now: Millis): void {
+    this.#pool.leave(attempt.id)
+    this.#ended.add(attempt.id, now)
+  }
+
+  /** Takes up an attempt that another dispatcher granted. */
+  #takeUp (event: Progressed, now: Millis): LiveAttempt | undefined {
+    const runner = this.#pool.runner(event.runner)
+    const over = event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed
+    if (over) this.#ended.add(event.attempt, now)
+    if (event.order === null || runner === undefined || this.#ended.has(event.attempt)) return undefined
+    const load = { cachedTokens: 0, ahead: 0, behind: 0, queuedAt: now, expected: 0 }
+    const attempt = new LiveAttempt(event.order, event.runner, now, now + this.#times.silenceLimit, load)
+    this.#observer.takenUp(attempt)
+    this.#pool.enter(attempt)
+    return attempt
+  }
+
+  #expireAttempts (now: Millis): void {
+    for (const attempt of [...this.#pool.attempts]) {
+      if (now < attempt.lapsesAt) continue
+      if (attempt.sentAt === null) {
+        this.#disown(attempt)
+        continue
+      }
+      this.#end(attempt, now)
+      this.#observer.cancel(attempt.runner, attempt.id, 'no progress was reported in time')
+    }
+  }
+
+  /**
+   * Gives up a grant that nobody reported on. It may be in use all the same: its entry node may take another dispatcher
+   * for the runner's. If the engine holds it, it is left alone for the time of an attempt that is not known here.
+   */
+  #disown (attempt: LiveAttempt): void {
+    this.#pool.leave(attempt.id)
+    this.#pool.runner(attempt.runner)?.disown(attempt)
+  }
+
+  #expireReservations (now: Millis): void {
+    for (const runner of this.#pool.runners) {
+      for (const { attempt, used } of runner.reservations.expire(now)) {
+        if (!used) continue
+        this.#ended.add(attempt, now)
+        this.#observer.cancel(runner.id, attempt, 'no progress of the group was reported in time')
+      }
+    }
+  }
+
+  #freeOrphans (now: Millis): void {
+    for (const runner of this.#pool.runners) {
+      for (const unknown of [...runner.unknown.values()]) {
+        if (this.#ended.has(unknown.attempt) || now < orphanedAt(runner, unknown, this.#times)) continue
+        this.#ended.add(unknown.attempt, now)
+        this.#observer.cancel(runner.id, unknown.attempt, 'no entry node reported the attempt')
+      }
+    }
+  }
+}
--- a/packages/domain/src/dispatch/Dispatcher.ts
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -1,13 +1,14 @@
 /** The account of one node's runners and the queue before them: grants, refuses, recalls and frees. */
 import type { AttemptId, Millis, NodeId, RunnerId } from '../types.js'
 import { assertNever, OutcomeKind } from '../types.js'
+import { AttemptLedger } from './AttemptLedger.js'
+import type { LedgerObserver } from './AttemptLedger.js'
 import { assess, boundedRetry, estimate, expectedWait, leastService } from './admission.js'
 import type { Refusal } from './admission.js'
 import * as defaults from './constants.js'
 import { DispatchQueue } from './DispatchQueue.js'
 import type { QueuedOrder, QueueOptions } from './DispatchQueue.js'
 import { DomainView } from './DomainView.js'
-import { EndedAttempts } from './EndedAttempts.js'
 import { LengthAware } from './LengthAware.js'
 import { GroupDesk, groupTokens } from './groups/GroupDesk.js'
 import type { GroupHost } from './groups/GroupDesk.js'
@@ -16,7 +17,6 @@
 import type { GroupEffect, GroupEvent, GroupMember } from './groups/types.js'
 import { isLongPrompt, lengthClassOf } from './lengths.js'
 import { LiveAttempt } from './LiveAttempt.js'
-import { orphanedAt } from './orphans.js'
 import type { OrphanGraces } from './orphans.js'
 import { Punctuality } from './Punctuality.js'
 import type { RoutingContext, RoutingPolicy, RunnerChoice } from './RoutingPolicy.js'
@@ -24,7 +24,6 @@
 import { RunnerPool } from './RunnerPool.js'
 import { summarise } from './summaries.js'
 import type { DispatchEffect, DispatchEvent, DispatchOrder, DispatchSummary, RunnerReport } from './types.js'
-import { ProgressKind } from './types.js'
 
 /** Settings of a dispatcher; what is left out takes the default. */
 export interface DispatcherOptions extends Partial<OrphanGraces> {
@@ -41,8 +40,6 @@
 
 type Settings = Required<Omit<DispatcherOptions, 'policy' | 'queue' | 'node'>>
 
-type Progressed = Extract<DispatchEvent, { type: 'progressed' }>
-
 /** Deterministic: the same events at the same times give the same effects. */
 export class Dispatcher {
   readonly node: NodeId
@@ -52,7 +49,7 @@
   readonly #queue: DispatchQueue
   readonly #domain = new DomainView()
   readonly #punctuality = new Punctuality()
-  readonly #ended = new EndedAttempts()
+  readonly #ledger: AttemptLedger
   readonly #groups: GroupDesk
   #effects: DispatchEffect[] = []
 
@@ -68,6 +65,7 @@
       inheritedGrace: options.inheritedGrace ?? defaults.INHERITED_GRACE,
       foreignGrace: options.foreignGrace ?? defaults.FOREIGN_GRACE
     }
+    this.#ledger = new AttemptLedger(this.#pool, this.#settings, this.#ledgerObserver())
     this.#groups = new GroupDesk(this.#groupHost())
   }
 
@@ -122,16 +120,8 @@
 
   /** @returns when `ticked` is due next, or null when nothing is under way */
   nextTimer (): Millis | null {
-    let next = Infinity
-    for (const attempt of this.#pool.attempts) next = Math.min(next, attempt.lapsesAt)
+    let next = Math.min(this.#ledger.nextTimer, this.#groups.nextTimer)
     for (const queued of this.#queue.orders) next = Math.min(next, this.#hopelessAt(queued))
-    next = Math.min(next, this.#groups.nextTimer)
-    for (const runner of this.#pool.runners) {
-      next = Math.min(next, runner.reservations.nextExpiry)
-      for (const unknown of runner.unknown.values()) {
-        if (!this.#ended.has(unknown.attempt)) next = Math.min(next, orphanedAt(runner, unknown, this.#settings))
-      }
-    }
     return Number.isFinite(next) ? next : null
   }
 
@@ -147,7 +137,7 @@
       case 'peers_summarised': return this.#peersSummarised(event.summaries, now)
       case 'ordered': return this.#ordered(event.order, now)
       case 'withdrawn': return this.#withdrawn(event.attempt, now)
-      case 'progressed': return this.#progressed(event, now)
+      case 'progressed': return this.#ledger.progressed(event, now)
       case 'entry_lost': return this.#entryLost(event.entry, now)
       case 'ticked': return
       default: assertNever(event)
@@ -162,10 +152,7 @@
   #reported (id: RunnerId, report: RunnerReport, now: Millis): void {
     const runner = this.#pool.runner(id)
     if (runner === undefined) return
-    runner.take(report, now)
-    for (const unknown of runner.unknown.values()) {
-      if (this.#ended.has(unknown.attempt)) this.#cancel(id, unknown.attempt, 'the attempt has ended')
-    }
+    this.#ledger.reported(runner, report, now)
   }
 
   #peersSummarised (summaries: readonly DispatchSummary[], now: Millis): void {
@@ -188,7 +175,7 @@
 
   #ordered (order: DispatchOrder, now: Millis): void {
     if (this.#queue.has(order.attempt) || this.#groups.has(order.attempt) || this.#pool.attempt(order.attempt) !== undefined) return
-    if (this.#ended.has(order.attempt)) return this.#refuse(order, { kind: OutcomeKind.NoRunner, retryAfter: 0, reason: 'the attempt has ended' })
+    if (this.#ledger.hasEnded(order.attempt)) return this.#refuse(order, { kind: OutcomeKind.NoRunner, retryAfter: 0, reason: 'the attempt has ended' })
     this.#domain.count(order.model, order.promptTokens, now)
     if (this.#needsGroup(order)) return this.#groups.start(order, now)
     const queued = this.#queue.add(order, now)
@@ -211,46 +198,9 @@
   }
 
   #withdrawn (id: AttemptId, now: Millis): void {
-    this.#ended.add(id, now)
     this.#queue.remove(id)
     this.#groups.drop(id)
-    this.#releaseMembers(id)
-    const attempt = this.#pool.leave(id)
-    if (attempt !== undefined) this.#cancel(attempt.runner, id, 'withdrawn by the entry node')
-  }
-
-  #progressed (event: Progressed, now: Millis): void {
-    const reserving = this.#pool.runner(event.runner)
-    if (reserving?.reservations.has(event.attempt)) return this.#memberProgressed(event, reserving, now)
-    const attempt = this.#pool.attempt(event.attempt) ?? this.#takeUp(event, now)
-    if (attempt === undefined) return
-    if (attempt.runner !== event.runner && reserving !== undefined) {
-      reserving.reservations.reserve(event.attempt, reserving.freeTokens, now)
-      return this.#memberProgressed(event, reserving, now)
-    }
-    const runner = this.#pool.runner(attempt.runner)
-    const before = { generated: attempt.generated, prefilling: attempt.isPrefilling }
-    attempt.progress(event.kind, event.generated, now)
-    attempt.lapsesAt = now + this.#settings.silenceLimit
-    this.#queue.charge(attempt.order.organisation, 0, attempt.generated - before.generated)
-    if (before.prefilling && !attempt.isPrefilling) runner?.learnFirstToken(attempt, now)
-    if (event.kind === ProgressKind.Ended) this.#learnEnd(attempt, now)
-    if (event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed) this.#end(attempt, now)
-  }
-
-  /** A member's memory stays reserved while the entry node reports, as a granted attempt does. */
-  #memberProgressed (event: Progressed, runner: Runner, now: Millis): void {
-    runner.reservations.renew(event.attempt, now + this.#settings.silenceLimit)
-    if (event.kind !== ProgressKind.Ended && event.kind !== ProgressKind.Failed) return
-    runner.reservations.release(event.attempt)
-    this.#ended.add(event.attempt, now)
-  }
-
-  /** Frees a group's memory on all own runners. */
-  #releaseMembers (id: AttemptId, round?: number): void {
-    for (const runner of this.#pool.reserving(id)) {
-      if (runner.reservations.release(id, round)) this.#cancel(runner.id, id, 'the group was given up')
-    }
+    this.#ledger.withdrawn(id, now)
   }
 
   #needsGroup (order: DispatchOrder): boolean {
@@ -260,12 +210,21 @@
     return serving.reduce((sum, runner) => sum + runner.totalTokens, peers) >= groupTokens(order)
   }
 
+  #ledgerObserver (): LedgerObserver {
+    return {
+      generated: ({ order }, tokens) => this.#queue.charge(order.organisation, 0, tokens),
+      finished: ({ load }, now) => this.#punctuality.learn(load.expected, now - load.queuedAt, now),
+      takenUp: ({ id }) => { this.#queue.remove(id) },
+      cancel: (runner, attempt, reason) => { this.#effects.push({ type: 'cancel_on_runner', runner, attempt, reason }) }
+    }
+  }
+
   #groupHost (): GroupHost {
     return {
       node: this.node,
       dispatchers: (order) => [this.node, ...this.#domain.peersWith(order.model).flatMap((peer) => peer.node ?? [])],
       reserve: (request, now) => reserveMembers(request, this.#pool.serving(request), now),
-      release: (attempt, round) => this.#releaseMembers(attempt, round),
+      release: (attempt, round) => this.#ledger.releaseMembers(attempt, round),
       ready: (group, members, now) => this.#grantGroup(group, members, now),
       failed: ({ order }, now) => this.#refuse(order, { kind: OutcomeKind.NoGroup, retryAfter: this.#drainTime(order, now), reason: 'no group of runners could be had in time' }),
       service: (order) => {
@@ -285,29 +244,6 @@
     this.#effects.push({ type: 'grant', grant: { attempt: order.attempt, entry: order.entry, runner, validFor, priority: this.#policy.priority(order), reason, group: members.map((member) => member.runner) } })
   }
 
-  #learnEnd (attempt: LiveAttempt, now: Millis): void {
-    this.#pool.runner(attempt.runner)?.learnEnd(attempt, now)
-    this.#punctuality.learn(attempt.load.expected, now - attempt.load.queuedAt, now)
-  }
-
-  #end (attempt: LiveAttempt, now: Millis): void {
-    this.#pool.leave(attempt.id)
-    this.#ended.add(attempt.id, now)
-  }
-
-  /** Takes up an attempt that another dispatcher granted. */
-  #takeUp (event: Progressed, now: Millis): LiveAttempt | undefined {
-    const runner = this.#pool.runner(event.runner)
-    const over = event.kind === ProgressKind.Ended || event.kind === ProgressKind.Failed
-    if (over) this.#ended.add(event.attempt, now)
-    if (event.order === null || runner === undefined || this.#ended.has(event.attempt)) return undefined
-    const load = { cachedTokens: 0, ahead: 0, behind: 0, queuedAt: now, expected: 0 }
-    const attempt = new LiveAttempt(event.order, event.runner, now, now + this.#settings.silenceLimit, load)
-    this.#queue.remove(event.attempt)
-    this.#pool.enter(attempt)
-    return attempt
-  }
-
   #entryLost (entry: NodeId, now: Millis): void {
     for (const { order } of [...this.#queue.orders]) {
       if (order.entry !== entry) continue
@@ -316,50 +252,13 @@
       this.#refuse(order, { kind: OutcomeKind.NoRunner, retryAfter: 0, reason: 'the entry node could not be reached' })
     }
     for (const order of this.#groups.orders) if (order.entry === entry) this.#groups.drop(order.attempt)
-    for (const attempt of this.#pool.attempts) {
-      const silent = now - attempt.heardAt > defaults.LOST_ENTRY_SILENCE
-      if (attempt.entry === entry && silent) attempt.lapsesAt = Math.min(attempt.lapsesAt, now + this.#settings.lostEntryGrace)
-    }
+    this.#ledger.entryLost(entry, now)
   }
 
   #expire (now: Millis): void {
-    this.#ended.expire(now)
-    this.#expireAttempts(now)
-    this.#expireReservations(now)
+    this.#ledger.expire(now)
     this.#groups.wake(now)
     this.#expireQueue(now)
-    this.#freeOrphans(now)
-  }
-
-  #expireAttempts (now: Millis): void {
-    for (const attempt of [...this.#pool.attempts]) {
-      if (now < attempt.lapsesAt) continue
-      if (attempt.sentAt === null) {
-        this.#disown(attempt)
-        continue
-      }
-      this.#end(attempt, now)
-      this.#cancel(attempt.runner, attempt.id, 'no progress was reported in time')
-    }
-  }
-
-  /**
-   * Gives up a grant that nobody reported on. It may be in use all the same: its entry node may take another dispatcher
-   * for the runner's. If the engine holds it, it is left alone for the time of an attempt that is not known here.
-   */
-  #disown (attempt: LiveAttempt): void {
-    this.#pool.leave(attempt.id)
-    this.#pool.runner(attempt.runner)?.disown(attempt)
-  }
-
-  #expireReservations (now: Millis): void {
-    for (const runner of this.#pool.runners) {
-      for (const { attempt, used } of runner.reservations.expire(now)) {
-        if (!used) continue
-        this.#ended.add(attempt, now)
-        this.#cancel(runner.id, attempt, 'no progress of the group was reported in time')
-      }
-    }
   }
 
   #expireQueue (now: Millis): void {
@@ -389,16 +288,6 @@
     return expectedWait(order, { policy: this.#policy, context: this.#context(order.model, now), serving, ahead: [...this.#queue.orders] })
   }
 
-  #freeOrphans (now: Millis): void {
-    for (const runner of this.#pool.runners) {
-      for (const unknown of [...runner.unknown.values()]) {
-        if (this.#ended.has(unknown.attempt) || now < orphanedAt(runner, unknown, this.#settings)) continue
-        this.#ended.add(unknown.attempt, now)
-        this.#cancel(runner.id, unknown.attempt, 'no entry node reported the attempt')
-      }
-    }
-  }
-
   #dispatch (now: Millis): void {
     if (this.#queue.size === 0) return
     const contexts = new Map<string, RoutingContext>()
@@ -449,10 +338,6 @@
   #refuse (order: DispatchOrder, { kind, retryAfter, reason }: Refusal): void {
     this.#effects.push({ type: 'refuse', attempt: order.attempt, entry: order.entry, kind, retryAfter: boundedRetry(retryAfter), reason })
   }
-
-  #cancel (runner: RunnerId, attempt: AttemptId, reason: string): void {
-    this.#effects.push({ type: 'cancel_on_runner', runner, attempt, reason })
-  }
 }
 
 const isGroupEvent = (event: DispatchEvent | GroupEvent): event is GroupEvent =>
