--- a/packages/node/src/membership/SummaryExchange.ts
+++ b/packages/node/src/membership/SummaryExchange.ts
@@ -1,5 +1,5 @@
 import { aggregateSummaries, hashText, ranked, REPORT_PERIOD, takesNewWork, VALUE_LIFETIME, ValueScope } from '@bluebellhill/domain'
-import type { DispatchSummary, FailureDomain, Member, NodeId } from '@bluebellhill/domain'
+import type { DispatchSummary, FailureDomain, Member, Millis, NodeId } from '@bluebellhill/domain'
 
 import type { MembershipService } from './MembershipService.js'
 import { decodeSummary, encodeSummaries } from './summaryCodec.js'
@@ -17,12 +17,22 @@
 export interface DispatcherSummary {
   readonly dispatcher: Member
   readonly summary: DispatchSummary
+  /** Reading of the monotonic clock when it was last received or renewed, in milliseconds. */
+  readonly receivedAt: Millis
+}
+
+interface PublishedSummary {
+  readonly publisher: Member
+  readonly summary: DispatchSummary
+  readonly receivedAt: Millis
 }
 
 /** All dispatchers of one failure domain together. */
 export interface DomainSummary {
   readonly failureDomain: FailureDomain
   readonly summary: DispatchSummary
+  /** Reading of the monotonic clock when it was last received or renewed, in milliseconds. */
+  readonly receivedAt: Millis
 }
 
 /**
@@ -56,7 +66,13 @@
    * @returns dispatchers of the own failure domain that may get new work and whose state is known here
    */
   dispatchers (model: string): DispatcherSummary[] {
-    return this.read(SUMMARY_TOPIC, model).map(({ publisher, summary }) => ({ dispatcher: publisher, summary }))
+    return this.read(SUMMARY_TOPIC, model).map(({ publisher, ...state }) => ({ dispatcher: publisher, ...state }))
+  }
+
+  /** Names of the models that dispatchers of the own failure domain have runners of. */
+  models (): string[] {
+    const names = this.service.valuesUnder(`${MODELS_TOPIC}/`).flatMap((value) => namesOf(value.bytes))
+    return [...new Set(names)].sort()
   }
 
   /**
@@ -79,7 +95,7 @@
     const { failureDomain } = this.service.me()
     return this.read(AGGREGATE_TOPIC, model)
       .filter(({ publisher }) => publisher.failureDomain !== failureDomain && publisher.node === this.reporter(publisher.failureDomain))
-      .map(({ publisher, summary }) => ({ failureDomain: publisher.failureDomain, summary }))
+      .map(({ publisher, ...state }) => ({ failureDomain: publisher.failureDomain, ...state }))
   }
 
   dispose (): void {
@@ -91,8 +107,7 @@
   report (): void {
     const { node, failureDomain } = this.service.me()
     if (this.reporter(failureDomain) !== node) return
-    const models = new Set(this.service.valuesUnder(`${MODELS_TOPIC}/`).flatMap((value) => namesOf(value.bytes)))
-    const sums = [...models].sort().flatMap((model) => this.estimate(model))
+    const sums = this.models().flatMap((model) => this.estimate(model))
     this.publishSplit(AGGREGATE_TOPIC, sums, encodeSummaries, ValueScope.Fleet)
   }
 
@@ -124,12 +139,12 @@
     }
   }
 
-  private read (topic: string, model: string): Array<{ publisher: Member, summary: DispatchSummary }> {
+  private read (topic: string, model: string): PublishedSummary[] {
     const members = new Map(this.service.members().map((member) => [member.node, member]))
     return this.service.valuesUnder(`${topic}/`, VALUE_LIFETIME).flatMap((value) => {
       const publisher = members.get(value.node)
       const summary = decodeOrNull(model, value.bytes)
-      return publisher === undefined || summary === null || !takesNewWork(publisher) ? [] : [{ publisher, summary }]
+      return publisher === undefined || summary === null || !takesNewWork(publisher) ? [] : [{ publisher, summary, receivedAt: this.service.receivedAt(value) }]
     })
   }
 }
