--- a/packages/node/bench/memberFleet.ts
+++ b/packages/node/bench/memberFleet.ts
@@ -15,9 +15,9 @@
 
 /** What a run cost, over all nodes. */
 export interface Cost {
-  /** Processor milliseconds in the aggregate. */
+  /** Wall-clock milliseconds in the aggregate; more than processor time where the machine is busy. */
   decideMs: number
-  /** Processor milliseconds in encoding, authentication and decoding. */
+  /** The same in encoding, authentication and decoding. */
   codecMs: number
   datagrams: number
   bytes: number
