Let a caller finish sending a refused body, so that it reads the refusal

'bad input: body over the limit' failed once in a run of everything on the busy machine with EPIPE: the node closed the connection with its 413 while the caller was still writing, and the answer was lost. A node that is stopped while it looks for its first configuration left an unhandled rejection (membership service is not running), which would end the process; it is logged.

--- a/packages/node/src/daemon/configuration.ts
+++ b/packages/node/src/daemon/configuration.ts
@@ -42,7 +42,8 @@
     wallClock: () => Date.now(),
     report: (report) => record(foundation, report)
   }))
-  void service.start()
+  // a node that is stopped while it still looks for its first configuration ends the look with an error
+  service.start().catch((error: unknown) => options.log.warn('configuration_start_ended', { error }))
   return { service, current: () => options.fixedConfiguration ?? service.current }
 }
 
--- a/packages/node/src/edge/CallerServer.ts
+++ b/packages/node/src/edge/CallerServer.ts
@@ -10,6 +10,7 @@
 
 import type { Metrics } from '../metrics/index.js'
 import type { TimeLine } from '../timeline/index.js'
+import { discardBody } from './discardBody.js'
 import { RefusedCall } from './errors.js'
 import { listen } from './listen.js'
 import { parserOutcome, rawAnswer } from './protocolErrors.js'
@@ -95,9 +96,8 @@
   #refuse (request: IncomingMessage, response: ServerResponse, error: unknown): void {
     const outcome = refusalOf(error)
     const requestId = this.#record(outcome)
-    if (!request.complete) response.setHeader('connection', 'close')
     writeFailure(response, outcome, requestId)
-    if (!request.complete) request.resume()
+    if (!request.complete) discardBody(request)
   }
 }
 
