Recall waiting requests in the generated histories; correct the drive of aggregates

The drive withdrew an order that was granted while it was being sent on, and then reported on it without end: a fault of the test's driver, not of the aggregates (Request cancels such a grant and asks anew, as the histories now show).

--- a/packages/domain/tests/dispatchDrive.ts
+++ b/packages/domain/tests/dispatchDrive.ts
@@ -193,8 +193,9 @@
   #sendOn (trace: Trace, id: AttemptId): void {
     trace.redirects += 1
     this.at(this.now + 1, () => {
+      if (trace.grantedFor === id) return
       for (const dispatcher of this.#dispatchers.values()) this.give(dispatcher, { type: 'withdrawn', attempt: id })
-      if (trace.grantedFor !== id) this.#place(trace.order.request)
+      this.#place(trace.order.request)
     })
   }
 
--- a/packages/domain/tests/requestHistory.ts
+++ b/packages/domain/tests/requestHistory.ts
@@ -206,6 +206,7 @@
     else if (kind === 1) this.#restart()
     else if (kind === 2) this.#give({ type: 'timer' })
     else if (kind === 3 && grant !== undefined) this.#give({ type: 'granted', dispatcher: node('d'), grant })
+    else if (kind === 4 && this.#seeks.length > 0) this.#give({ type: 'recalled', attempt: this.#seeks.at(-1)! })
     else if (grant !== undefined) this.#give({ type: 'recalled', attempt: grant.attempt })
   }
 
