Report attempts without their prefix hashes, after the request has left

Cause: each report carried the whole order, whose prefix hashes alone are 2 KB at 64 blocks (docs/CAPACITY.md works out 326 KB/s a node at the target); a dispatcher that takes an attempt up does not use them. The first report is also encoded after the request to the engine has been started.

--- a/packages/node/src/requests/ActiveAttempt.ts
+++ b/packages/node/src/requests/ActiveAttempt.ts
@@ -59,8 +59,8 @@
     this.#connection = connection
     this.#order = order
     this.#listener = listener
-    if (first) this.#startReports()
     void connection.run()
+    if (first) this.#startReports()
   }
 
   firstToken (): void {
--- a/packages/node/src/requests/RequestSession.ts
+++ b/packages/node/src/requests/RequestSession.ts
@@ -172,8 +172,10 @@
     active.run(this.#source.create(order, this), this.#orderFor(active.attempt), this)
   }
 
+  /** The order for reports; a dispatcher that takes the attempt up has no use for its prefix. */
   #orderFor (attempt: AttemptId): DispatchOrder {
-    return this.#orderOf({ type: 'seek', attempt, excluded: [], generated: 0, remaining: this.#spec.deadline - monotonicNow(), avoid: [] })
+    const order = this.#orderOf({ type: 'seek', attempt, excluded: [], generated: 0, remaining: this.#spec.deadline - monotonicNow(), avoid: [] })
+    return { ...order, prefix: [] }
   }
 
   #cancel (effect: Effect<'cancel'>): void {
