Make the test of wrong request ids able to fail; wait for every node after a boundary fault

It now asks that the nodes counted dropped answers; without the check it fails (seen). `truth: reset before the headers` failed once in a full run: after the refused connections the test waited for one node to run orders again and sent the next to another, which may not have heard of it yet. It now waits for all three.

--- a/packages/standin/tests/path.test.ts
+++ b/packages/standin/tests/path.test.ts
@@ -119,7 +119,7 @@
     const result = await order(address(index % 3), key)
     const off = Object.fromEntries(Object.keys(boundary.faults).map((name) => [name, 0]))
     await Promise.all(fleet.plains.map(async ({ process }) => await fleet.setFaults(process, off)))
-    await until('orders run again', 15_000, async () => (await order(address(index % 3), `${key}-after`)).status === 200)
+    for (const node of [0, 1, 2]) await until('orders run again', 15_000, async () => (await order(address(node), `${key}-after-${node}`)).status === 200)
     t.is(result.status, boundary.status)
     t.is(result.error?.ran ?? null, boundary.ran)
     t.is(await executions(fleet.plains, key), boundary.executions)
@@ -148,11 +148,20 @@
 
 for (const [name, faults] of ENGINE_FAULTS) {
   test.serial(`engine: ${name}`, async (t) => {
+    const before = await crossedAnswers()
     await Promise.all(fleet.engines.map(async ({ process }) => await fleet.setFaults(process, faults)))
     const prompts = [0, 1, 2, 3].map((turn) => `${name} ${turn}`)
     const results = await Promise.all(prompts.map(async (prompt, turn) => await complete(address(turn % 3), prompt, 20)))
     const off = Object.fromEntries(Object.keys(faults).map((fault) => [fault, 0]))
     await Promise.all(fleet.engines.map(async ({ process }) => await fleet.setFaults(process, off)))
     for (const [turn, result] of results.entries()) t.is(streamedText(result), expectedText(prompts[turn] ?? '', 20), result.text.slice(-300))
+    if ('wrongId' in faults || 'crossed' in faults) t.true(await crossedAnswers() > before)
   })
 }
+
+/** Answers of other requests that the nodes have dropped. */
+const crossedAnswers = async (): Promise<number> => {
+  const pages = await Promise.all([0, 1, 2].map(async (node) => (await call(address(node), '/metrics', { method: 'GET' })).text))
+  const counts = pages.flatMap((page) => [...page.matchAll(/^bluebellhill_answers_dropped_total\{cause="crossed"\} (\d+)$/gm)].map((match) => Number(match[1])))
+  return counts.reduce((sum, count) => sum + count, 0)
+}
