--- a/packages/domain/src/dispatch/Dispatcher.ts
+++ b/packages/domain/src/dispatch/Dispatcher.ts
@@ -316,7 +316,7 @@
     const runners = this.#usable(model)
     const prefillRate = runners.reduce((total, runner) => total + runner.prefillRate, 0)
     const own = { node: this.node, runnerIds: runners.map((runner) => runner.id), prefillRate }
-    return { now, zones: this.#domain.zones(model, own, this.#policy, now) }
+    return { now, bands: this.#domain.bands(model, own, this.#policy, now) }
   }
 
   #usable (model: string): readonly Runner[] {
--- a/packages/domain/src/dispatch/DomainView.ts
+++ b/packages/domain/src/dispatch/DomainView.ts
@@ -7,7 +7,7 @@
 import type { DispatchSummary } from './types.js'
 
 /** Which work a runner takes first. */
-export const RunnerZone = {
+export const RunnerBand = {
   /** Long prompts, and middle ones beside them. */
   Long: 'long',
   /** Middle prompts first; lent to a long one when idle. */
@@ -15,10 +15,10 @@
   /** The shortest prompts first; lent to a middle one when that costs least. */
   Short: 'short'
 } as const
-export type RunnerZone = typeof RunnerZone[keyof typeof RunnerZone]
+export type RunnerBand = typeof RunnerBand[keyof typeof RunnerBand]
 
-/** Zones of this dispatcher's runners of one model; a runner that is not listed takes everything. */
-export type ZoneMap = ReadonlyMap<RunnerId, RunnerZone>
+/** Bands of this dispatcher's runners of one model; a runner that is not listed takes everything. */
+export type BandMap = ReadonlyMap<RunnerId, RunnerBand>
 
 /** Facts of this dispatcher's own runners, to be joined with those of its peers. */
 export interface OwnModel {
@@ -30,7 +30,7 @@
 }
 
 /** How a deployment weighs its two measures. */
-export interface ZoneWeights {
+export interface BandWeights {
   /** 0 favours short prompts, 1 the first token of long ones. */
   readonly longWeight: number
 }
@@ -70,7 +70,7 @@
    * Divides a model's runners.
    *
    * All dispatchers number the runners of the failure domain alike: by the rendezvous order of their nodes, then within
-   * each node. The numbers are taken in an order that spreads them evenly, so that every node has its part of each zone
+   * each node. The numbers are taken in an order that spreads them evenly, so that every node has its part of each band
    * and a boundary that moves by one changes one runner.
    *
    * @param model - name of the model
@@ -78,23 +78,23 @@
    * @param weights - how the deployment weighs short and long prompts
    * @param now - time
    */
-  zones (model: string, own: OwnModel, weights: ZoneWeights, now: Millis): ZoneMap {
+  bands (model: string, own: OwnModel, weights: BandWeights, now: Millis): BandMap {
     const peers = this.#peers.filter((peer) => peer.model === model && peer.node !== undefined && peer.node !== own.node)
     const total = own.runnerIds.length + sum(peers.map((peer) => peer.runners))
     const demand = addUp([this.ownDemand(model, now), ...peers.map((peer) => peer.demand ?? [])])
     const capacity = own.prefillRate + sum(peers.map((peer) => peer.prefillRate))
-    const bounds = zoneBounds({ total, capacity, demand }, weights)
+    const bounds = bandBounds({ total, capacity, demand }, weights)
     if (bounds === null) return new Map()
     const first = this.#firstNumber(model, own.node, peers)
     const places = spreadOrder(total)
-    return new Map([...own.runnerIds].sort().map((id, index) => [id, zoneOf(places[first + index] ?? 0, bounds)]))
+    return new Map([...own.runnerIds].sort().map((id, index) => [id, bandOf(places[first + index] ?? 0, bounds)]))
   }
 
   /** Number of this dispatcher's first runner in the failure domain. */
   #firstNumber (model: string, own: NodeId, peers: readonly DispatchSummary[]): number {
     const runners = new Map(peers.map((peer) => [peer.node ?? own, peer.runners]))
     let number = 0
-    for (const node of rendezvousOrder(`zones/${model}`, [own, ...runners.keys()])) {
+    for (const node of rendezvousOrder(`bands/${model}`, [own, ...runners.keys()])) {
       if (node === own) break
       number += runners.get(node) ?? 0
     }
@@ -118,18 +118,18 @@
   readonly demand: readonly number[]
 }
 
-/** Places below `long` are of the long zone, those from `short` on of the short zone. */
-interface ZoneBounds {
+/** Places below `long` are of the long band, those from `short` on of the short band. */
+interface BandBounds {
   readonly long: number
   readonly short: number
 }
 
-/** Utilisation that a zone is planned for, at the weights 0 and 1 of long prompts. */
+/** Utilisation that a band is planned for, at the weights 0 and 1 of long prompts. */
 const SHORT_UTILISATION = { least: 0.2, most: 1.2 }
 const MIDDLE_UTILISATION = { least: 0.8, most: 1.4 }
 
 /** @returns null where there is no long work or nothing to divide */
-const zoneBounds = ({ total, capacity, demand }: Balance, { longWeight }: ZoneWeights): ZoneBounds | null => {
+const bandBounds = ({ total, capacity, demand }: Balance, { longWeight }: BandWeights): BandBounds | null => {
   const long = sum(demand.slice(LONG_CLASS))
   if (total < 2 || long <= 0) return null
   const busyWith = (tokens: number): number => capacity > 0 ? tokens * total / capacity : 0
@@ -140,9 +140,9 @@
   return { long: Math.max(1, total - kept - middle), short: total - kept }
 }
 
-const zoneOf = (place: number, bounds: ZoneBounds): RunnerZone => {
-  if (place < bounds.long) return RunnerZone.Long
-  return place < bounds.short ? RunnerZone.Flexible : RunnerZone.Short
+const bandOf = (place: number, bounds: BandBounds): RunnerBand => {
+  if (place < bounds.long) return RunnerBand.Long
+  return place < bounds.short ? RunnerBand.Flexible : RunnerBand.Short
 }
 
 const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0)
--- a/packages/domain/src/dispatch/LengthAware.ts
+++ b/packages/domain/src/dispatch/LengthAware.ts
@@ -2,7 +2,7 @@
 import type { AttemptId, Millis } from '../types.js'
 import * as defaults from './constants.js'
 import type { QueuedOrder } from './DispatchQueue.js'
-import { RunnerZone } from './DomainView.js'
+import { RunnerBand } from './DomainView.js'
 import { isLongPrompt, lengthClassOf } from './lengths.js'
 import type { OrderSize, RoutingContext, RunnerChoice } from './RoutingPolicy.js'
 import { RoutingPolicy } from './RoutingPolicy.js'
@@ -23,7 +23,7 @@
 const NO_RECALL_WEIGHT = 0.9
 
 /**
- * Long prompts run one at a time, on the runners of the long zone and on idle ones of the flexible zone.
+ * Long prompts run one at a time, on the runners of the long band and on idle ones of the flexible band.
  * Others take the runner where they cost least: their own wait, what their answer loses beside a longer prefill, and
  * what their prefill takes from the answers being generated there.
  */
@@ -52,14 +52,14 @@
 
   override eligible (order: OrderSize, serving: readonly Runner[], context: RoutingContext): readonly Runner[] {
     if (!isLongPrompt(order.promptTokens)) return serving
-    const allowed = serving.filter((runner) => context.zones.get(runner.id) !== RunnerZone.Short)
+    const allowed = serving.filter((runner) => context.bands.get(runner.id) !== RunnerBand.Short)
     return allowed.length > 0 ? allowed : serving
   }
 
   override startDelay (order: OrderSize, runner: Runner, context: RoutingContext): Millis {
-    const zone = context.zones.get(runner.id)
-    if (!isLongPrompt(order.promptTokens)) return shortDelay(order, runner, context.now) + outsideDelay(order, zone)
-    const misplaced = zone === RunnerZone.Short ? defaults.MISPLACED_DELAY : 0
+    const band = context.bands.get(runner.id)
+    if (!isLongPrompt(order.promptTokens)) return shortDelay(order, runner, context.now) + outsideDelay(order, band)
+    const misplaced = band === RunnerBand.Short ? defaults.MISPLACED_DELAY : 0
     return misplaced + prefillTime(runner, runner.pendingPrefill(context.now))
   }
 
@@ -67,16 +67,16 @@
     if (lengthClassOf(order.promptTokens) >= defaults.MIDDLE_CLASS || this.#longWeight >= NO_RECALL_WEIGHT) return []
     const delays = serving.filter((runner) => runner.hasRoom(order)).map((runner) => shortDelay(order, runner, context.now))
     if (Math.min(...delays) <= defaults.RECALL_DELAY) return []
-    const lent = serving.filter((runner) => context.zones.get(runner.id) === RunnerZone.Short)
+    const lent = serving.filter((runner) => context.bands.get(runner.id) === RunnerBand.Short)
     const least = leastBy(lent.flatMap((runner) => recallable(runner, context.now)), ({ done }) => done)
     return least === null ? [] : [least.attempt]
   }
 }
 
-const chooseForShort = (order: DispatchOrder, serving: readonly Runner[], { now, zones }: RoutingContext): RunnerChoice | null => {
+const chooseForShort = (order: DispatchOrder, serving: readonly Runner[], { now, bands }: RoutingContext): RunnerChoice | null => {
   const lengthClass = lengthClassOf(order.promptTokens)
   const open = serving.filter((runner) => runner.hasRoom(order) && hasBudget(runner, lengthClass, now))
-  const best = leastBy(open, (runner) => shortDelay(order, runner, now) + ownPrefill(order, runner) + outsideDelay(order, zones.get(runner.id)) + harm(order, runner, zones.get(runner.id)))
+  const best = leastBy(open, (runner) => shortDelay(order, runner, now) + ownPrefill(order, runner) + outsideDelay(order, bands.get(runner.id)) + harm(order, runner, bands.get(runner.id)))
   if (best === null) return null
   return { runner: best, reason: `least cost, ${Math.round(shortDelay(order, best, now))} ms lost to others' prefill` }
 }
@@ -91,11 +91,11 @@
 const chooseForLong = (queued: QueuedOrder, serving: readonly Runner[], context: RoutingContext): RunnerChoice | null => {
   const { order } = queued
   const open = serving.filter((runner) => runner.hasRoom(order) && !runner.hasLongPrefill)
-  const inZone = (zone: RunnerZone | undefined) => open.filter((runner) => context.zones.get(runner.id) === zone)
+  const inBand = (band: RunnerBand | undefined) => open.filter((runner) => context.bands.get(runner.id) === band)
   const cost = (runner: Runner): number => runner.pendingPrefill(context.now) - runner.cachedTokens(order)
-  const own = leastBy([...inZone(RunnerZone.Long), ...inZone(undefined)], cost)
+  const own = leastBy([...inBand(RunnerBand.Long), ...inBand(undefined)], cost)
   if (own !== null) return { runner: own, reason: 'runner for long prompts' }
-  const lent = leastBy(inZone(RunnerZone.Flexible).filter((runner) => canLend(runner, context.now)), cost)
+  const lent = leastBy(inBand(RunnerBand.Flexible).filter((runner) => canLend(runner, context.now)), cost)
   if (lent !== null) return { runner: lent, reason: 'runner lent to a long prompt' }
   if (!isLate(queued, serving, context)) return null
   const any = leastBy(open, cost)
@@ -107,8 +107,8 @@
   runner.interference < defaults.UNRANKED_INTERFERENCE || runner.pendingPrefill(now) === 0
 
 /** Whether an order has waited long, or no runner here is meant for it. */
-const isLate = (queued: QueuedOrder, serving: readonly Runner[], { now, zones }: RoutingContext): boolean => {
-  const misplaced = serving.every((runner) => zones.get(runner.id) === RunnerZone.Short)
+const isLate = (queued: QueuedOrder, serving: readonly Runner[], { now, bands }: RoutingContext): boolean => {
+  const misplaced = serving.every((runner) => bands.get(runner.id) === RunnerBand.Short)
   const waited = now - queued.queuedAt
   return misplaced || waited >= (queued.deadline - queued.queuedAt) * defaults.LATE_SHARE
 }
@@ -124,12 +124,12 @@
 }
 
 /** Time that one of the shortest prompts is to lose where longer ones come in beside it. */
-const outsideDelay = (order: OrderSize, zone: RunnerZone | undefined): Millis =>
-  zone !== undefined && zone !== RunnerZone.Short && lengthClassOf(order.promptTokens) < defaults.MIDDLE_CLASS ? defaults.OUTSIDE_DELAY : 0
+const outsideDelay = (order: OrderSize, band: RunnerBand | undefined): Millis =>
+  band !== undefined && band !== RunnerBand.Short && lengthClassOf(order.promptTokens) < defaults.MIDDLE_CLASS ? defaults.OUTSIDE_DELAY : 0
 
 /** Time that a prompt's prefill takes from others on a runner: answers under way, and short prompts still to come. */
-const harm = (order: DispatchOrder, runner: Runner, zone: RunnerZone | undefined): Millis => {
-  const guest = zone === RunnerZone.Short && lengthClassOf(order.promptTokens) >= defaults.MIDDLE_CLASS
+const harm = (order: DispatchOrder, runner: Runner, band: RunnerBand | undefined): Millis => {
+  const guest = band === RunnerBand.Short && lengthClassOf(order.promptTokens) >= defaults.MIDDLE_CLASS
   const weight = defaults.HARM_WEIGHT * runner.decoding + (guest ? defaults.GUEST_HARM : 0)
   return weight * ownPrefill(order, runner)
 }
--- a/packages/domain/src/dispatch/RoutingPolicy.ts
+++ b/packages/domain/src/dispatch/RoutingPolicy.ts
@@ -1,7 +1,7 @@
 /** How a dispatcher picks the runner of an order. */
 import type { AttemptId, Millis } from '../types.js'
 import type { QueuedOrder } from './DispatchQueue.js'
-import type { ZoneMap } from './DomainView.js'
+import type { BandMap } from './DomainView.js'
 import type { Runner } from './Runner.js'
 import type { DispatchOrder } from './types.js'
 import { prefillTime } from './WaitEstimate.js'
@@ -10,7 +10,7 @@
 export interface RoutingContext {
   readonly now: Millis
   /** Which work the runners take first. */
-  readonly zones: ZoneMap
+  readonly bands: BandMap
 }
 
 /** A runner picked for an order. */
--- a/packages/domain/tests/lengthAware.test.ts
+++ b/packages/domain/tests/lengthAware.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 
-import { Dispatcher, LeastReportedLoad, LengthAware, RoundRobin, Router, RunnerZone } from '../src/index.js'
+import { Dispatcher, LeastReportedLoad, LengthAware, RoundRobin, Router, RunnerBand } from '../src/index.js'
 import type { DispatchEffect, DispatchSummary, RoutingPolicy } from '../src/index.js'
 import { DomainView } from '../src/dispatch/DomainView.js'
 import { DispatchDrive, ENGINE } from './dispatchDrive.js'
@@ -15,28 +15,28 @@
   model: 'm', node: node(name), runners, freeTokens: 0, freeSlots: 0, largestPrompt: 0, queueDelay: [0, 0, 0, 0], prefillRate: runners * 80_000, demand: [8_000, 8_000, 0, 60_000], ...changes
 })
 
-const zonesOf = (summaries: readonly DispatchSummary[], longWeight = 0.5): ReadonlyMap<string, RunnerZone> => {
-  const zones = new Map<string, RunnerZone>()
+const bandsOf = (summaries: readonly DispatchSummary[], longWeight = 0.5): ReadonlyMap<string, RunnerBand> => {
+  const bands = new Map<string, RunnerBand>()
   for (const own of summaries) {
     const view = new DomainView()
     view.update(summaries.filter((summary) => summary !== own))
     const demand = own.demand ?? []
     demand.forEach((rate, index) => view.count('m', (rate ?? 0) * 10, 0) ?? index)
     const runnerIds = Array.from({ length: own.runners }, (_, index) => runner(`${own.node}-${index}`))
-    for (const [id, zone] of view.zones('m', { node: own.node!, runnerIds, prefillRate: own.prefillRate }, { longWeight }, 0)) zones.set(id, zone)
+    for (const [id, band] of view.bands('m', { node: own.node!, runnerIds, prefillRate: own.prefillRate }, { longWeight }, 0)) bands.set(id, band)
   }
-  return zones
+  return bands
 }
 
-const countOf = (zones: ReadonlyMap<string, RunnerZone>, zone: RunnerZone): number =>
-  [...zones.values()].filter((each) => each === zone).length
+const countOf = (bands: ReadonlyMap<string, RunnerBand>, band: RunnerBand): number =>
+  [...bands.values()].filter((each) => each === band).length
 
 test('all dispatchers of a failure domain divide its runners alike and leave some for every kind', (t) => {
   fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 16 }), { minLength: 1, maxLength: 8 }), (sizes) => {
-    const zones = zonesOf(sizes.map((size, index) => summaryOf(`n${index}`, size, { demand: [1_000, 1_000, 0, 4_000] })))
+    const bands = bandsOf(sizes.map((size, index) => summaryOf(`n${index}`, size, { demand: [1_000, 1_000, 0, 4_000] })))
     const total = sizes.reduce((sum, size) => sum + size, 0)
-    if (total < 2) return zones.size === 0
-    return zones.size === total && countOf(zones, RunnerZone.Long) >= 1 && countOf(zones, RunnerZone.Short) >= 1
+    if (total < 2) return bands.size === 0
+    return bands.size === total && countOf(bands, RunnerBand.Long) >= 1 && countOf(bands, RunnerBand.Short) >= 1
   }), { seed: SEED, numRuns: 300 })
   t.pass()
 })
@@ -44,13 +44,13 @@
 test('a boundary that moves by one changes one runner', (t) => {
   const sizes = [3, 3, 2]
   const longAt = (demand: number): ReadonlySet<string> => {
-    const zones = zonesOf(sizes.map((size, index) => summaryOf(`n${index}`, size, { demand: [demand, 1_000, 0, 60_000] })))
-    return new Set([...zones].filter(([, zone]) => zone === RunnerZone.Short).map(([id]) => id))
+    const bands = bandsOf(sizes.map((size, index) => summaryOf(`n${index}`, size, { demand: [demand, 1_000, 0, 60_000] })))
+    return new Set([...bands].filter(([, band]) => band === RunnerBand.Short).map(([id]) => id))
   }
   let before = longAt(1_000)
   for (let demand = 2_000; demand < 120_000; demand += 2_000) {
     const now = longAt(demand)
-    t.true([...before].every((id) => now.has(id)), `at ${demand} a runner left the short zone while demand grew`)
+    t.true([...before].every((id) => now.has(id)), `at ${demand} a runner left the short band while demand grew`)
     before = now
   }
   t.true(before.size > 1)
@@ -58,7 +58,7 @@
 
 test('the weight moves the boundary', (t) => {
   const summaries = [summaryOf('a', 8, { demand: [60_000, 0, 0, 60_000] }), summaryOf('b', 8, { demand: [60_000, 0, 0, 60_000] })]
-  t.true(countOf(zonesOf(summaries, 0), RunnerZone.Short) > countOf(zonesOf(summaries, 1), RunnerZone.Short))
+  t.true(countOf(bandsOf(summaries, 0), RunnerBand.Short) > countOf(bandsOf(summaries, 1), RunnerBand.Short))
 })
 
 /** Mixed prompts, one in fifty over 100 k, on eight runners of three dispatchers. */
