--- a/packages/domain/src/request/Request.ts
+++ b/packages/domain/src/request/Request.ts
@@ -4,25 +4,12 @@
 import { assertNever, OutcomeKind, Ran } from '../types.js'
 import { Attempt } from './Attempt.js'
 import * as defaults from './constants.js'
+import { cancelAttempt, cancelGrant, mergeRan } from './outcomes.js'
+import { RequestState } from './RequestState.js'
 import type { RetryBudget } from './RetryBudget.js'
 import type { RequestEffect, RequestEvent, RequestSpec } from './types.js'
 import { SendMode } from './types.js'
 
-export const RequestState = {
-  /** Not yet admitted. */
-  New: 'new',
-  /** Waits for a dispatcher's grant. */
-  Seeking: 'seeking',
-  /** Granted; no byte has left. */
-  Granted: 'granted',
-  /** Bytes have left for the backend server. */
-  Sent: 'sent',
-  /** Waits before the next attempt. */
-  Delayed: 'delayed',
-  Finished: 'finished'
-} as const
-export type RequestState = typeof RequestState[keyof typeof RequestState]
-
 /** Bounds of a request's attempts; what is left out takes the default. */
 export interface RequestOptions {
   /** Shared by all requests of the entry node. */
@@ -347,15 +334,3 @@
     return [{ type: 'finish', outcome }]
   }
 }
-
-/** A request ran when any attempt did, and may have run when any may have. */
-const mergeRan = (before: Ran, attempt: Ran): Ran => {
-  if (before === Ran.Yes || attempt === Ran.Yes) return Ran.Yes
-  return before === Ran.Unknown || attempt === Ran.Unknown ? Ran.Unknown : Ran.No
-}
-
-const cancelGrant = (dispatcher: NodeId, grant: Grant, reason: string): RequestEffect =>
-  ({ type: 'cancel', attempt: grant.attempt, runner: grant.runner, dispatcher, reason })
-
-const cancelAttempt = (attempt: AttemptId, reason: string): RequestEffect =>
-  ({ type: 'cancel', attempt, runner: null, dispatcher: null, reason })
