--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['packages/*/dist/tests/**/*.test.js'],
+  files: ['packages/*/dist/tests/**/*.test.js', 'platform/dist/tests/**/*.test.js'],
   workerThreads: false,
   concurrency: 4,
   timeout: '5m'
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,17 +6,21 @@
 const allowedImports = {
   domain: [],
   protocol: ['domain'],
-  platform: ['domain', 'protocol'],
-  node: ['domain', 'protocol', 'platform'],
-  cli: ['protocol', 'platform'],
+  services: ['domain', 'protocol'],
+  platform: ['domain', 'services'],
+  node: ['domain', 'protocol', 'services', 'platform'],
+  cli: ['protocol', 'services'],
   standin: ['protocol']
 }
 
 const packageNames = Object.keys(allowedImports)
 
+/** The adapter of the users' platform stands beside the packages. */
+const folderOf = (name) => name === 'platform' ? 'platform' : `packages/${name}`
+
 const importDirection = packageNames.map((name) => ({
   name: `import direction of ${name}`,
-  files: [`packages/${name}/src/**/*.ts`],
+  files: [`${folderOf(name)}/src/**/*.ts`],
   rules: {
     'no-restricted-imports': ['error', {
       patterns: [
@@ -24,7 +28,7 @@
           group: packageNames
             .filter((other) => !allowedImports[name].includes(other))
             .map((other) => `@bluebellhill/${other}`),
-          message: `packages/${name} may import ${allowedImports[name].join(', ') || 'no package of ours'}.`
+          message: `${folderOf(name)} may import ${allowedImports[name].join(', ') || 'no package of ours'}.`
         },
         {
           group: ['@bluebellhill/*/*', '**/packages/*'],
@@ -41,11 +45,11 @@
 const clockAndRandom = ['Date', 'performance', 'setTimeout', 'setInterval', 'setImmediate', 'queueMicrotask', 'process', 'crypto', 'fetch']
 
 export default [
-  ...neostandard({ ts: true, noStyle: true, ignores: ['**/dist/**', '**/generated/**', 'out/**'] }),
-  ...tseslint.configs.recommended.map((config) => ({ ...config, files: ['packages/**/*.ts'] })),
+  ...neostandard({ ts: true, noStyle: true, ignores: ['**/dist/**', '**/generated/**', 'out/**', 'target/**', 'journal/**'] }),
+  ...tseslint.configs.recommended.map((config) => ({ ...config, files: ['packages/**/*.ts', 'platform/**/*.ts'] })),
   {
     name: 'house rules',
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     rules: {
       '@typescript-eslint/consistent-type-imports': ['error', { fixStyle: 'separate-type-imports' }],
       '@typescript-eslint/no-explicit-any': 'error',
--- a/eslint.format.config.js
+++ b/eslint.format.config.js
@@ -3,7 +3,7 @@
 
 export default neostandard({
   ts: true,
-  ignores: ['**/dist/**', '**/generated/**', 'out/**']
+  ignores: ['**/dist/**', '**/generated/**', 'target/**', 'journal/**', 'out/**']
 }).map((config) => Object.keys(config).every((key) => key === 'ignores' || key === 'name')
   ? config
   : ({
--- a/packages/cli/src/actions/apply.ts
+++ b/packages/cli/src/actions/apply.ts
@@ -1,6 +1,6 @@
 import { defineCommand } from 'citty'
-import { checkReferences, ConfigurationKind, formatProblem, parseConfiguration, valueNameOf } from '@bluebellhill/platform'
-import type { ConfigurationFile, ConfigurationStore, Fleet, Organisation } from '@bluebellhill/platform'
+import { checkReferences, ConfigurationKind, formatProblem, parseConfiguration, valueNameOf } from '@bluebellhill/services'
+import type { ConfigurationFile, ConfigurationStore, Fleet, Organisation } from '@bluebellhill/services'
 
 import { answered, checkFile, EDIT_ARGS, makeEdit, PLATFORM_ARGS, showEdit, withStore } from '../configuration/index.js'
 import { ActionError, ExitCode, runAction } from '../terminal/index.js'
--- a/packages/cli/src/actions/check.ts
+++ b/packages/cli/src/actions/check.ts
@@ -1,5 +1,5 @@
 import { defineCommand } from 'citty'
-import { formatProblem } from '@bluebellhill/platform'
+import { formatProblem } from '@bluebellhill/services'
 
 import { checkFile, checkTogether } from '../configuration/index.js'
 import { ActionError, ExitCode, plural, runAction } from '../terminal/index.js'
--- a/packages/cli/src/actions/diff.ts
+++ b/packages/cli/src/actions/diff.ts
@@ -1,5 +1,5 @@
 import { defineCommand } from 'citty'
-import { formatProblem, valueNameOf } from '@bluebellhill/platform'
+import { formatProblem, valueNameOf } from '@bluebellhill/services'
 
 import { answered, checkFile, differencesOf, PLATFORM_ARGS, withStore } from '../configuration/index.js'
 import { ActionError, ExitCode, outputPainter, runAction } from '../terminal/index.js'
--- a/packages/cli/src/actions/docs.ts
+++ b/packages/cli/src/actions/docs.ts
@@ -1,5 +1,5 @@
 import { defineCommand } from 'citty'
-import { configurationDocument } from '@bluebellhill/platform'
+import { configurationDocument } from '@bluebellhill/services'
 
 import { runAction } from '../terminal/index.js'
 import type { ActionMeta } from '../terminal/index.js'
--- a/packages/cli/src/actions/get.ts
+++ b/packages/cli/src/actions/get.ts
@@ -1,5 +1,5 @@
 import { defineCommand } from 'citty'
-import type { ConfigurationStore, StoredValue } from '@bluebellhill/platform'
+import type { ConfigurationStore, StoredValue } from '@bluebellhill/services'
 
 import { answered, PLATFORM_ARGS, readValue, valueNameOfText, withStore } from '../configuration/index.js'
 import { formatTime, outputPainter, runAction, tableOf } from '../terminal/index.js'
--- a/packages/cli/src/actions/history.ts
+++ b/packages/cli/src/actions/history.ts
@@ -1,5 +1,5 @@
 import { defineCommand } from 'citty'
-import type { EditRecord } from '@bluebellhill/platform'
+import type { EditRecord } from '@bluebellhill/services'
 
 import { PLATFORM_ARGS, readValue, valueNameOfText, withStore } from '../configuration/index.js'
 import { formatTime, outputPainter, runAction, tableOf } from '../terminal/index.js'
--- a/packages/cli/src/actions/remove.ts
+++ b/packages/cli/src/actions/remove.ts
@@ -1,5 +1,5 @@
 import { defineCommand } from 'citty'
-import { FLEET_NAME } from '@bluebellhill/platform'
+import { FLEET_NAME } from '@bluebellhill/services'
 
 import { EDIT_ARGS, makeEdit, PLATFORM_ARGS, readValue, showEdit, valueNameOfText, withStore } from '../configuration/index.js'
 import { ActionError, ExitCode, runAction } from '../terminal/index.js'
--- a/packages/cli/src/configuration/edit.ts
+++ b/packages/cli/src/configuration/edit.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import { userInfo } from 'node:os'
 
-import type { ConfigurationStore, ConfigurationValue, EditId, EditOutcome } from '@bluebellhill/platform'
+import type { ConfigurationStore, ConfigurationValue, EditId, EditOutcome } from '@bluebellhill/services'
 
 import { nodesOf } from '../fleet/index.js'
 import { ActionError, ExitCode, formatTime, outputPainter, parseDuration } from '../terminal/index.js'
--- a/packages/cli/src/configuration/files.ts
+++ b/packages/cli/src/configuration/files.ts
@@ -1,8 +1,8 @@
 /** Reading and checking files that operators wrote. */
 import { readFile } from 'node:fs/promises'
 
-import { checkReferences, ConfigurationKind, lineOfField, loadSettings, parseConfiguration } from '@bluebellhill/platform'
-import type { ConfigurationFile, DocumentProblem, Fleet, Organisation } from '@bluebellhill/platform'
+import { checkReferences, ConfigurationKind, lineOfField, loadSettings, parseConfiguration } from '@bluebellhill/services'
+import type { ConfigurationFile, DocumentProblem, Fleet, Organisation } from '@bluebellhill/services'
 
 import { ActionError, ExitCode } from '../terminal/index.js'
 
--- a/packages/cli/src/configuration/store.ts
+++ b/packages/cli/src/configuration/store.ts
@@ -1,8 +1,8 @@
 /** The stored configuration, as the command line reaches it. */
 import { isIPv4, isIPv6 } from 'node:net'
 
-import { ConfigurationStore, describeFailure, FLEET_NAME, HttpKeyValueService, HttpPool, loadSettings, organisationValueName } from '@bluebellhill/platform'
-import type { CallFailure, ConfigurationValue, Result } from '@bluebellhill/platform'
+import { ConfigurationStore, describeFailure, FLEET_NAME, HttpKeyValueService, HttpPool, loadSettings, organisationValueName } from '@bluebellhill/services'
+import type { CallFailure, ConfigurationValue, Result } from '@bluebellhill/services'
 
 import { ActionError, ExitCode } from '../terminal/index.js'
 import { readText } from './files.js'
--- a/packages/cli/tests/configuration.test.ts
+++ b/packages/cli/tests/configuration.test.ts
@@ -5,7 +5,7 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-import { configurationDocument } from '@bluebellhill/platform'
+import { configurationDocument } from '@bluebellhill/services'
 
 import { runCommand } from './runCommand.js'
 import type { CommandResult } from './runCommand.js'
--- /dev/null
+++ b/packages/domain/src/forwarding/PlacementPolicy.ts
@@ -0,0 +1,42 @@
+/** Ways to choose the engine that serves a request, and those that help it to read the prompt. */
+import type { FailureDomain, Millis } from '../types.js'
+import type { EngineModel } from './EngineModel.js'
+import type { RunnerWorks } from './FleetWork.js'
+import type { BackendServer, PromptSize } from './types.js'
+
+/** An engine that may be chosen. */
+export interface Candidate {
+  readonly server: BackendServer
+  /** How much slower it is than published; 1 for a sound one. */
+  readonly slowdown: number
+}
+
+/** What has to be placed. */
+export interface PlacementRequest {
+  readonly size: PromptSize
+  /** Time left until the first event is due; negative once it is late. */
+  readonly objective: Millis
+  readonly pauseObjective: Millis | null
+  /** Failure domain of the node that asks. */
+  readonly failureDomain: FailureDomain
+  readonly candidates: readonly Candidate[]
+  readonly model: EngineModel
+  readonly works: RunnerWorks
+  readonly now: Millis
+}
+
+/** Where a request goes. */
+export interface Choice {
+  readonly server: BackendServer
+  readonly helpers: readonly BackendServer[]
+  /** Expected time until the first event. */
+  readonly firstEvent: Millis
+}
+
+export abstract class PlacementPolicy {
+  /**
+   * @param placement - what has to be placed, and what is known of the engines
+   * @returns where it goes; null where no engine can take it now
+   */
+  abstract choose (placement: PlacementRequest): Choice | null
+}
--- /dev/null
+++ b/packages/domain/src/forwarding/constants.ts
@@ -0,0 +1,38 @@
+/** Weights and bounds of the choice of engines. */
+import type { Millis } from '../types.js'
+
+/** Engines that may help one prompt; the engines accept no more. */
+export const MOST_HELPERS = 16
+
+/** Numbers of engines that a prompt is tried to be read on. */
+export const PART_COUNTS: readonly number[] = [1, 2, 3, 4, 6, 8, 12, MOST_HELPERS + 1]
+
+/** Share of an objective that a prediction may use, so that its error does not make the answer late. */
+export const OBJECTIVE_SHARE = 0.85
+
+/** Share of a request's value that is lost when it is late. */
+export const LATE_LOSS = 0.75
+
+/** The value of a prompt grows with its length to this power. */
+export const VALUE_EXPONENT = 0.75
+
+/** Prompt tokens whose value is 1. */
+export const VALUE_UNIT_TOKENS = 5_000
+
+/** Cost, in shares of the request's value, of a first event that takes its whole objective. */
+export const WAIT_COST = 0.2
+
+/** Cost, in shares of the request's value, of each engine that its prompt depends on. */
+export const PART_COST = 0.004
+
+/** Cost of the first answer with tight pauses on an engine: long prompts cannot be read there without harm. */
+export const FIRST_TIGHT_WRITER_COST = 0.08
+
+/** Cost of harming an answer whose pauses are too long already, for each second that is added. */
+export const FURTHER_HARM_PER_SECOND = 0.5
+
+/** Reading time assumed to be left of a prompt that should have been read by now. */
+export const OVERDUE_READING: Millis = 15
+
+/** Shortest prompt that is read in parts; below it the first event waits for the pass, not for the reading. */
+export const SHORTEST_DIVIDED_PROMPT = 8_000
--- a/packages/node/bench/claims.ts
+++ b/packages/node/bench/claims.ts
@@ -8,7 +8,7 @@
 
 import { OutcomeKind, Ran } from '@bluebellhill/domain'
 import type { NodeId, OrganisationId } from '@bluebellhill/domain'
-import { HttpKeyValueService, HttpPool } from '@bluebellhill/platform'
+import { HttpKeyValueService, HttpPool } from '@bluebellhill/services'
 
 import { monotonicNow } from '../src/clock/monotonic.js'
 import { IdempotencyService } from '../src/idempotency/index.js'
--- a/packages/node/bench/configuration.ts
+++ b/packages/node/bench/configuration.ts
@@ -7,7 +7,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 
 import type { ConfigurationValue, EditId, FailureDomain, NodeId, ValueVersion } from '@bluebellhill/domain'
-import { ConfigurationStore, FLEET_NAME, HttpKeyValueService, HttpPool } from '@bluebellhill/platform'
+import { ConfigurationStore, FLEET_NAME, HttpKeyValueService, HttpPool } from '@bluebellhill/services'
 
 import { ConfigurationPeers, ConfigurationService } from '../src/configuration/index.js'
 import type { ConfigurationMember } from '../src/configuration/index.js'
--- a/packages/node/bench/configurationSize.ts
+++ b/packages/node/bench/configurationSize.ts
@@ -6,7 +6,7 @@
 
 import { ConfigurationSet } from '@bluebellhill/domain'
 import type { ConfigurationEffect, ConfigurationValue, EditId, NodeId } from '@bluebellhill/domain'
-import { organisationValueName } from '@bluebellhill/platform'
+import { organisationValueName } from '@bluebellhill/services'
 
 import { ConfigurationInForce } from '../src/configuration/ConfigurationInForce.js'
 
--- a/packages/node/src/admin/DaemonSources.ts
+++ b/packages/node/src/admin/DaemonSources.ts
@@ -1,6 +1,6 @@
 /** The running daemon as its admin address sees it. */
 import type { FailureDomain, Millis, NodeId } from '@bluebellhill/domain'
-import { organisationOfValue } from '@bluebellhill/platform'
+import { organisationOfValue } from '@bluebellhill/services'
 import { MemberState, NodeState, RunnerState } from '@bluebellhill/protocol'
 import type { ConfigurationStatus, LeaseStatus, MemberStatus, PlatformStatus, RunnerStatus } from '@bluebellhill/protocol'
 
--- a/packages/node/src/configuration/ConfigurationInForce.ts
+++ b/packages/node/src/configuration/ConfigurationInForce.ts
@@ -2,8 +2,8 @@
 import { setImmediate } from 'node:timers/promises'
 
 import type { ConfigurationValue } from '@bluebellhill/domain'
-import { Configuration, ConfigurationKind, failed, FLEET_NAME, formatProblem, parseConfiguration, success, valueNameOf } from '@bluebellhill/platform'
-import type { ConfigurationFile, Fleet, Organisation, Result } from '@bluebellhill/platform'
+import { Configuration, ConfigurationKind, failed, FLEET_NAME, formatProblem, parseConfiguration, success, valueNameOf } from '@bluebellhill/services'
+import type { ConfigurationFile, Fleet, Organisation, Result } from '@bluebellhill/services'
 
 /** Values that are checked before the node does other work. */
 const VALUES_PER_TURN = 1
--- a/packages/node/src/configuration/ConfigurationService.ts
+++ b/packages/node/src/configuration/ConfigurationService.ts
@@ -6,7 +6,7 @@
 
 import { compareVersions, ConfigurationSet } from '@bluebellhill/domain'
 import type { ConfigurationEffect, ConfigurationEvent, ConfigurationValue, EditRecord, FailureDomain, NodeId, StoredValue, ValueSource, ValueVersion } from '@bluebellhill/domain'
-import type { Configuration, ConfigurationStore } from '@bluebellhill/platform'
+import type { Configuration, ConfigurationStore } from '@bluebellhill/services'
 
 import { ConfigurationInForce } from './ConfigurationInForce.js'
 import type { ConfigurationMember, ConfigurationPeers } from './ConfigurationPeers.js'
--- a/packages/node/src/configuration/StoreWatcher.ts
+++ b/packages/node/src/configuration/StoreWatcher.ts
@@ -2,7 +2,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 
-import type { ConfigurationStore, StoredConfiguration, StoreListener } from '@bluebellhill/platform'
+import type { ConfigurationStore, StoredConfiguration, StoreListener } from '@bluebellhill/services'
 
 import { FIRST_RETRY_MS, LONGEST_RETRY_MS, READ_PERIOD_MS } from './constants.js'
 import type { Disposable } from '../store/index.js'
--- a/packages/node/src/configuration/WriteBackQueue.ts
+++ b/packages/node/src/configuration/WriteBackQueue.ts
@@ -4,7 +4,7 @@
 
 import { compareVersions } from '@bluebellhill/domain'
 import type { ConfigurationValue, StoredValue, ValueVersion } from '@bluebellhill/domain'
-import type { ConfigurationStore } from '@bluebellhill/platform'
+import type { ConfigurationStore } from '@bluebellhill/services'
 
 import { WRITE_BACK_DELAY_MS, WRITE_BACK_PERIOD_MS } from './constants.js'
 
--- a/packages/node/src/daemon/VmListPoller.ts
+++ b/packages/node/src/daemon/VmListPoller.ts
@@ -1,7 +1,7 @@
 /** Reads the platform's VM list and hands it to the directory and the membership. */
 import type { FailureDomain, NodeId, RunnerId } from '@bluebellhill/domain'
-import type { Vm, VmList, VmReport } from '@bluebellhill/platform'
-import { VmRole, VmState } from '@bluebellhill/platform'
+import type { Vm, VmList, VmReport } from '@bluebellhill/services'
+import { VmRole, VmState } from '@bluebellhill/services'
 import { setTimeout as delay } from 'node:timers/promises'
 
 import type { Backend, RunnerDirectory } from '../dispatch/RunnerDirectory.js'
--- a/packages/node/src/daemon/adapters.ts
+++ b/packages/node/src/daemon/adapters.ts
@@ -2,7 +2,7 @@
 import { Metadata } from '@grpc/grpc-js'
 import { assertNever, hashText, ownerOf } from '@bluebellhill/domain'
 import type { AttemptId, FailureDomain, GroupEffect, NodeId, RunnerId } from '@bluebellhill/domain'
-import type { ModelEngine, PlainService } from '@bluebellhill/platform'
+import type { ModelEngine, PlainService } from '@bluebellhill/services'
 
 import { DispatchReach } from '../dispatch/DispatcherHost.js'
 import { EngineMonitor } from '../dispatch/EngineMonitor.js'
--- a/packages/node/src/daemon/buildNode.ts
+++ b/packages/node/src/daemon/buildNode.ts
@@ -1,8 +1,8 @@
 /** Builds the parts of a node and joins them. */
 import { RetryBudget } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
-import { HttpKeyValueService } from '@bluebellhill/platform'
-import type { Configuration } from '@bluebellhill/platform'
+import { HttpKeyValueService } from '@bluebellhill/services'
+import type { Configuration } from '@bluebellhill/services'
 import { EventKind } from '@bluebellhill/protocol'
 
 import { AdminServer } from '../admin/AdminServer.js'
--- a/packages/node/src/daemon/configuration.ts
+++ b/packages/node/src/daemon/configuration.ts
@@ -4,8 +4,8 @@
 
 import { assertNever } from '@bluebellhill/domain'
 import type { ConfigurationValue, ValueSource } from '@bluebellhill/domain'
-import { ConfigurationStore } from '@bluebellhill/platform'
-import type { Configuration, KeyValueService } from '@bluebellhill/platform'
+import { ConfigurationStore } from '@bluebellhill/services'
+import type { Configuration, KeyValueService } from '@bluebellhill/services'
 import { EventKind } from '@bluebellhill/protocol'
 
 import { ConfigurationService } from '../configuration/index.js'
--- a/packages/node/src/daemon/configurationFiles.ts
+++ b/packages/node/src/daemon/configurationFiles.ts
@@ -1,8 +1,8 @@
 /** Reads the operators' configuration from files, for a setup without a key-value service. */
 import { readFile } from 'node:fs/promises'
 
-import { Configuration, ConfigurationKind, formatProblem, parseConfiguration } from '@bluebellhill/platform'
-import type { Fleet, Organisation } from '@bluebellhill/platform'
+import { Configuration, ConfigurationKind, formatProblem, parseConfiguration } from '@bluebellhill/services'
+import type { Fleet, Organisation } from '@bluebellhill/services'
 
 /**
  * Reads configuration files.
--- a/packages/node/src/daemon/fleet.ts
+++ b/packages/node/src/daemon/fleet.ts
@@ -1,6 +1,6 @@
 /** A node's view of the fleet: members, summaries and leaving backend servers. */
 import type { MemberState } from '@bluebellhill/domain'
-import { HttpVmList } from '@bluebellhill/platform'
+import { HttpVmList } from '@bluebellhill/services'
 import { EventKind } from '@bluebellhill/protocol'
 import type { MemberState as RecordedState } from '@bluebellhill/protocol'
 
--- a/packages/node/src/daemon/foundation.ts
+++ b/packages/node/src/daemon/foundation.ts
@@ -2,7 +2,7 @@
 import { start as startActors, stop as stopActors } from 'nact'
 import type { Ref } from 'nact'
 
-import { HttpModelEngine, HttpPlainService, HttpPool } from '@bluebellhill/platform'
+import { HttpModelEngine, HttpPlainService, HttpPool } from '@bluebellhill/services'
 import { HybridClock } from '@bluebellhill/protocol'
 import type { PlatformStatus } from '@bluebellhill/protocol'
 
--- a/packages/node/src/daemon/keys.ts
+++ b/packages/node/src/daemon/keys.ts
@@ -3,7 +3,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 
 import { assertNever } from '@bluebellhill/domain'
-import type { KeyValueService } from '@bluebellhill/platform'
+import type { KeyValueService } from '@bluebellhill/services'
 
 import { monotonicNow } from '../clock/monotonic.js'
 import { IdempotencyService } from '../idempotency/index.js'
--- a/packages/node/src/daemon/main.ts
+++ b/packages/node/src/daemon/main.ts
@@ -1,8 +1,8 @@
 /** The command `bluebellhilld`. */
 import { readFile } from 'node:fs/promises'
 
-import { formatProblem, loadSettings } from '@bluebellhill/platform'
-import type { Configuration, Settings } from '@bluebellhill/platform'
+import { formatProblem, loadSettings } from '@bluebellhill/services'
+import type { Configuration, Settings } from '@bluebellhill/services'
 import { defineCommand, runMain } from 'citty'
 
 import { openLog } from '../log/index.js'
--- a/packages/node/src/daemon/optionsOf.ts
+++ b/packages/node/src/daemon/optionsOf.ts
@@ -1,8 +1,8 @@
 /** Turns checked settings into what the daemon is started with. */
 import { assertNever, LeastReportedLoad, LengthAware, RoundRobin } from '@bluebellhill/domain'
 import type { FailureDomain, NodeId, RoutingPolicy, RunnerId } from '@bluebellhill/domain'
-import { PolicyName } from '@bluebellhill/platform'
-import type { Configuration, Settings } from '@bluebellhill/platform'
+import { PolicyName } from '@bluebellhill/services'
+import type { Configuration, Settings } from '@bluebellhill/services'
 
 import type { Backend } from '../dispatch/RunnerDirectory.js'
 import type { Log } from '../log/index.js'
--- a/packages/node/src/daemon/placement.ts
+++ b/packages/node/src/daemon/placement.ts
@@ -1,7 +1,7 @@
 /** This node's part in placing models on the runners of its failure domain. */
 import { assertNever, ValueScope } from '@bluebellhill/domain'
 import type { RunnerId } from '@bluebellhill/domain'
-import type { Configuration, KeyValueService } from '@bluebellhill/platform'
+import type { Configuration, KeyValueService } from '@bluebellhill/services'
 import { EventKind } from '@bluebellhill/protocol'
 import type { LeaseStatus } from '@bluebellhill/protocol'
 
--- a/packages/node/src/daemon/types.ts
+++ b/packages/node/src/daemon/types.ts
@@ -1,7 +1,7 @@
 /** What a daemon is started with. */
 import type { FailureDomain, Millis, NodeId, RoutingPolicy } from '@bluebellhill/domain'
 
-import type { Configuration } from '@bluebellhill/platform'
+import type { Configuration } from '@bluebellhill/services'
 
 import type { AdmissionLimits } from '../edge/Admission.js'
 import type { BodyLimits } from '../edge/body.js'
--- a/packages/node/src/dispatch/EngineMonitor.ts
+++ b/packages/node/src/dispatch/EngineMonitor.ts
@@ -1,7 +1,7 @@
 /** Reads the status and the cache events of one model engine. */
 import type { AttemptId, CacheEvent, HeldAttempt, RunnerReport } from '@bluebellhill/domain'
-import { describeFailure } from '@bluebellhill/platform'
-import type { EngineCacheEvents, EngineStatus, ModelEngine } from '@bluebellhill/platform'
+import { describeFailure } from '@bluebellhill/services'
+import type { EngineCacheEvents, EngineStatus, ModelEngine } from '@bluebellhill/services'
 import { setTimeout as delay } from 'node:timers/promises'
 
 import type { PlacedState } from '../placement/index.js'
--- a/packages/node/src/dispatch/PlainMonitor.ts
+++ b/packages/node/src/dispatch/PlainMonitor.ts
@@ -1,6 +1,6 @@
 /** Checks the health of one plain service and reports its capacity. */
 import type { RunnerReport } from '@bluebellhill/domain'
-import type { PlainService } from '@bluebellhill/platform'
+import type { PlainService } from '@bluebellhill/services'
 import { setTimeout as delay } from 'node:timers/promises'
 
 import { Monitor } from './Monitor.js'
--- a/packages/node/src/dispatch/RunnerDirectory.ts
+++ b/packages/node/src/dispatch/RunnerDirectory.ts
@@ -1,6 +1,6 @@
 /** All backend servers that this node knows of, wherever the knowledge came from. */
 import type { FailureDomain, RunnerId } from '@bluebellhill/domain'
-import type { BackendKind } from '@bluebellhill/platform'
+import type { BackendKind } from '@bluebellhill/services'
 
 /** One backend server. */
 export interface Backend {
--- a/packages/node/src/edge/Admission.ts
+++ b/packages/node/src/edge/Admission.ts
@@ -3,8 +3,8 @@
 
 import { OutcomeKind } from '@bluebellhill/domain'
 import type { Millis, RequestId, RequestSpec, Tokens } from '@bluebellhill/domain'
-import { renderPrompt } from '@bluebellhill/platform'
-import type { ResolvedTemplate } from '@bluebellhill/platform'
+import { renderPrompt } from '@bluebellhill/services'
+import type { ResolvedTemplate } from '@bluebellhill/services'
 import { EventKind } from '@bluebellhill/protocol'
 
 import { monotonicNow } from '../clock/monotonic.js'
--- a/packages/node/src/edge/Organisations.ts
+++ b/packages/node/src/edge/Organisations.ts
@@ -2,7 +2,7 @@
 import { createHash } from 'node:crypto'
 
 import type { OrganisationId } from '@bluebellhill/domain'
-import type { Configuration, Organisation } from '@bluebellhill/platform'
+import type { Configuration, Organisation } from '@bluebellhill/services'
 
 import { serviceModel } from '../dispatch/PlainMonitor.js'
 
--- a/packages/node/src/edge/ServiceRoute.ts
+++ b/packages/node/src/edge/ServiceRoute.ts
@@ -3,7 +3,7 @@
 
 import { OutcomeKind } from '@bluebellhill/domain'
 import type { RequestSpec } from '@bluebellhill/domain'
-import type { PlainService } from '@bluebellhill/platform'
+import type { PlainService } from '@bluebellhill/services'
 
 import type { ServiceCallBody } from '../requests/ServiceAttempt.js'
 import { ServiceSource } from '../requests/ServiceSource.js'
--- /dev/null
+++ b/packages/node/src/forward/FleetDispatch.ts
@@ -0,0 +1,157 @@
+/** Places requests on backend servers, and keeps the account of where they are. */
+import { EngineModel, FleetWork, LeastOutstanding, LengthPlacement, RetryBudget, ServerHealth } from '@bluebellhill/domain'
+import type { BackendServer, Candidate, Choice, FailureDomain, Millis, PlacementPolicy, RunnerId, Service, Work, Evidence } from '@bluebellhill/domain'
+
+import type { Log } from '../log/index.js'
+import type { AdmittedCall } from './AdmittedCall.js'
+import type { Knowledge } from './Knowledge.js'
+
+/** Bounds on requests that are sent again, over all nodes. */
+export interface RetryBounds {
+  readonly ratio: number
+  readonly slack: number
+}
+
+export interface FleetDispatchOptions {
+  readonly failureDomain: FailureDomain
+  readonly knowledge: Knowledge
+  readonly log: Log
+  readonly clock: () => Millis
+  readonly retries: RetryBounds
+  /** Nodes that share the retry budget. */
+  readonly nodes: () => number
+}
+
+/** Share of the allowed retries that is used, since nodes count at different moments. */
+const RETRY_SHARE = 0.7
+
+/** Nodes among which the retries are divided at least, before all are known. */
+const FEWEST_NODES = 3
+
+/** Chooses backend servers by the account of all nodes. */
+export class FleetDispatch {
+  readonly work = new FleetWork()
+  readonly health = new ServerHealth()
+  readonly #options: FleetDispatchOptions
+  readonly #engines: PlacementPolicy = new LengthPlacement()
+  readonly #plain: PlacementPolicy = new LeastOutstanding()
+  readonly #models = new WeakMap<Service, EngineModel>()
+  readonly #budgets = new Map<string, RetryBudget>()
+  #workListener: () => void = () => {}
+
+  /** @param options - what the choice rests on */
+  constructor (options: FleetDispatchOptions) {
+    this.#options = options
+    options.knowledge.onDeparture((id) => this.health.forget(id))
+  }
+
+  /** Sets what is called when this node's work changes. */
+  onWork (listener: () => void): void {
+    this.#workListener = listener
+  }
+
+  /**
+   * Chooses where a request goes.
+   *
+   * @param call - the request
+   * @param tried - servers that it was sent to
+   * @returns the choice; null where no server can take it
+   */
+  choose (call: AdmittedCall, tried: ReadonlySet<RunnerId>): Choice | null {
+    const now = this.#options.clock()
+    const candidates = this.#candidates(call, tried, now)
+    if (candidates.length === 0) return null
+    const policy = call.service.engine === null ? this.#plain : this.#engines
+    return policy.choose({
+      size: call.size,
+      objective: call.dueAt - now,
+      pauseObjective: call.route.pauseObjective,
+      failureDomain: this.#options.failureDomain,
+      candidates,
+      model: this.#modelOf(call.service),
+      works: this.work.byRunner(now),
+      now
+    })
+  }
+
+  /**
+   * Enters a request that is about to be sent.
+   *
+   * @param call - the request
+   * @param choice - where it goes
+   * @returns the entry in the account
+   */
+  begin (call: AdmittedCall, { server, helpers }: Choice): Work {
+    const { size, service, route, dueAt } = call
+    const usual = service.engine?.usualAnswer ?? 0
+    const work = this.work.begin({
+      runner: server.id,
+      helpers: helpers.map(({ id }) => id),
+      prompt: size.prompt,
+      answer: usual > 0 ? Math.min(size.mostAnswer, usual) : size.mostAnswer,
+      sentAt: this.#options.clock(),
+      firstEventAt: null,
+      pauseObjective: route.pauseObjective,
+      dueAt
+    })
+    this.#workListener()
+    return work
+  }
+
+  /** The prompt is read. */
+  firstEvent (work: Work): void {
+    this.work.firstEvent(work.key, this.#options.clock())
+    this.#workListener()
+  }
+
+  /** The request has left its server. */
+  end (work: Work): void {
+    this.work.end(work.key)
+    this.#workListener()
+  }
+
+  /** Takes in what an attempt says of its server. */
+  observe (server: BackendServer, evidence: Evidence): void {
+    const avoided = this.health.observe(server.id, evidence, this.#options.clock())
+    if (avoided) this.#options.log.warn('server.avoided', { server: server.id, service: server.service, evidence })
+  }
+
+  /** Counts a request towards the retry budget of its service. */
+  admitted (service: string): void {
+    this.#budgetOf(service).deposit(this.#options.clock())
+  }
+
+  /** @returns whether the shared budget allows one more request to be sent again */
+  takeRetry (service: string): boolean {
+    return this.#budgetOf(service).withdraw(this.#options.clock())
+  }
+
+  #candidates ({ service }: AdmittedCall, tried: ReadonlySet<RunnerId>, now: Millis): Candidate[] {
+    const servers = this.#options.knowledge.servers.ready(service.name).filter(({ id }) => !tried.has(id))
+    const sound = servers.filter(({ id }) => !this.health.isAvoided(id, now))
+    return (sound.length > 0 ? sound : servers).map((server) => ({ server, slowdown: 1 }))
+  }
+
+  #modelOf (service: Service): EngineModel {
+    const known = this.#models.get(service)
+    if (known !== undefined) return known
+    const model = new EngineModel(service.engine ?? PLAIN_FIGURES)
+    this.#models.set(service, model)
+    return model
+  }
+
+  #budgetOf (service: string): RetryBudget {
+    const known = this.#budgets.get(service)
+    if (known !== undefined) return known
+    const { ratio, slack } = this.#options.retries
+    const nodes = Math.max(FEWEST_NODES, this.#options.nodes())
+    const budget = new RetryBudget({ ratio: ratio * RETRY_SHARE, capacity: Math.max(1, slack * RETRY_SHARE / nodes), perSecond: 0 })
+    this.#budgets.set(service, budget)
+    return budget
+  }
+}
+
+/** Plain services read no prompts: every time is 0. */
+const PLAIN_FIGURES = {
+  slots: 1, memory: 0, stepsPerPass: 0, step: 0, stepPerWriter: 0, stepPerThousandContext: 0, readTokensPerMs: 1, readPerMillionPairs: 0, chunk: 1, hop: 0, usualAnswer: 0
+}
--- /dev/null
+++ b/packages/node/src/forward/Forwarding.ts
@@ -0,0 +1,360 @@
+/** One request on its way: attempts at backend servers until an answer is whole or the request is given up. */
+import type { ServerResponse } from 'node:http'
+
+import { AttemptEnd, Evidence, mayFollow } from '@bluebellhill/domain'
+import type { BackendServer, Choice, Millis, RunnerId, Work } from '@bluebellhill/domain'
+import { decodeAnswerHeaders, encodeForwardedHeaders, encodeReturnedHeaders } from '@bluebellhill/platform'
+import type { AnswerHeaders } from '@bluebellhill/platform'
+
+import type { Log } from '../log/index.js'
+import type { AdmittedCall } from './AdmittedCall.js'
+import { ServerCall } from './backend/ServerCall.js'
+import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
+import { RefusalCause, refuse } from './entry/refusals.js'
+import type { FleetDispatch } from './FleetDispatch.js'
+import type { ForwardMetrics } from './ForwardMetrics.js'
+import type { Knowledge } from './Knowledge.js'
+
+/** Time to open a connection to a backend server. */
+const CONNECT_TIMEOUT: Millis = 400
+
+/** What requests share. */
+export interface ForwardingContext {
+  readonly dispatch: FleetDispatch
+  readonly knowledge: Knowledge
+  readonly log: Log
+  readonly metrics: ForwardMetrics
+  readonly clock: () => Millis
+}
+
+/** One attempt in progress. */
+export interface OpenAttempt {
+  readonly server: BackendServer
+  readonly work: Work
+  readonly sentAt: Millis
+  readonly choice: Choice
+  call: ServerCall
+  head: AnswerHead | null
+  answer: AnswerHeaders | null
+}
+
+/** A failure that a backend server answered with and signed. */
+export interface SignedFailure {
+  readonly head: AnswerHead
+  readonly body: Buffer
+}
+
+/** How requests end, for logs and metrics. */
+export const ForwardOutcome = {
+  Answered: 'answered',
+  ServerFailed: 'server_failed',
+  Refused: 'refused',
+  Lost: 'lost',
+  TimedOut: 'timed_out',
+  CallerGone: 'caller_gone'
+} as const
+export type ForwardOutcome = typeof ForwardOutcome[keyof typeof ForwardOutcome]
+
+const SERVER_ERROR = 500
+const FIRST_FAILURE_STATUS = 300
+
+/** Sends one request to one backend server after another, as far as its route allows. */
+export abstract class Forwarding {
+  protected attempt: OpenAttempt | null = null
+  protected readonly tried = new Set<RunnerId>()
+  protected failure: SignedFailure | null = null
+  protected firstAnswerAt: Millis | null = null
+  #sent = 0
+  #unsent = 0
+  #mayHaveRun = false
+  #lastProblem = ''
+  #over = false
+  #deadline: NodeJS.Timeout | null = null
+  #silence: NodeJS.Timeout | null = null
+
+  /**
+   * @param context - what requests share
+   * @param call - the request
+   * @param response - where the answer goes
+   */
+  constructor (protected readonly context: ForwardingContext, protected readonly call: AdmittedCall, protected readonly response: ServerResponse) {}
+
+  /** Starts the first attempt. */
+  start (): void {
+    const { dispatch, clock } = this.context
+    dispatch.admitted(this.call.service.name)
+    this.response.once('close', () => { if (!this.response.writableFinished) this.#callerLeft() })
+    this.#deadline = setTimeout(() => this.#timedOut(), Math.max(0, this.call.endsAt - clock()))
+    this.#next()
+  }
+
+  /** Whether any part of an answer has gone to the caller. */
+  protected get answering (): boolean {
+    return this.response.headersSent
+  }
+
+  /** The last event that the caller has, for the next attempt. */
+  protected abstract get lastEventId (): string | null
+
+  /** Longest time without a byte of the answer; null waits until the end. */
+  protected abstract patience (attempt: OpenAttempt): Millis | null
+
+  /** A signed success has begun. */
+  protected abstract begun (attempt: OpenAttempt): void
+
+  /** A piece of a signed success. */
+  protected abstract piece (attempt: OpenAttempt, piece: Buffer): void
+
+  /** @returns whether the answer is whole; the caller then has it */
+  protected abstract complete (attempt: OpenAttempt): boolean
+
+  /** Fields of the closing log line that depend on the kind of answer. */
+  protected abstract summary (): Record<string, unknown>
+
+  /** Notes the moment at which the answer reached the caller first. */
+  protected answered (attempt: OpenAttempt): void {
+    if (this.firstAnswerAt !== null) return
+    this.firstAnswerAt = this.context.clock()
+    this.context.metrics.firstAnswer(this.call.route.kind, attempt.choice.firstEvent, this.firstAnswerAt - attempt.sentAt)
+  }
+
+  /** Restarts the wait for the next byte. */
+  protected awaitBytes (attempt: OpenAttempt): void {
+    if (this.#silence !== null) clearTimeout(this.#silence)
+    const patience = this.patience(attempt)
+    this.#silence = patience === null ? null : setTimeout(() => this.fail(attempt, AttemptEnd.Lost, `silent for ${Math.round(patience)} ms`), patience)
+  }
+
+  /** Ends an attempt without a whole answer, and goes on with another where the route allows it. */
+  protected fail (attempt: OpenAttempt, end: AttemptEnd, reason: string): void {
+    if (this.attempt !== attempt || this.#over) return
+    this.#closeAttempt(attempt)
+    this.#lastProblem = `${end}: ${reason}`
+    if (end === AttemptEnd.Unsent) this.#unsent += 1
+    else this.#sent += 1
+    if (end === AttemptEnd.Lost || end === AttemptEnd.Failed) this.#mayHaveRun = true
+    this.#judge(attempt, end)
+    this.context.log.warn('attempt.failed', {
+      request: this.call.id, server: attempt.server.id, end, reason, after_ms: Math.round(this.context.clock() - attempt.sentAt), helpers: attempt.choice.helpers.map(({ id }) => id).join(',') || undefined
+    })
+    if (this.#mayGoOn(end)) this.#next()
+    else this.#giveUp()
+  }
+
+  #mayGoOn (end: AttemptEnd): boolean {
+    const { call, context } = this
+    if (!mayFollow(call.route, end, { sent: this.#sent, unsent: this.#unsent })) return false
+    if (context.clock() >= call.endsAt) return false
+    if (end === AttemptEnd.Unsent || context.dispatch.takeRetry(call.service.name)) return true
+    context.log.info('request.retry_budget_spent', { request: call.id, service: call.service.name })
+    return false
+  }
+
+  #next (): void {
+    const { dispatch, clock } = this.context
+    const choice = dispatch.choose(this.call, this.tried)
+    if (choice === null) {
+      this.#lastProblem ||= 'no backend server can take it'
+      this.#giveUp()
+      return
+    }
+    this.tried.add(choice.server.id)
+    const work = dispatch.begin(this.call, choice)
+    const attempt: Omit<OpenAttempt, 'call'> = { server: choice.server, work, sentAt: clock(), choice, head: null, answer: null }
+    this.#log(choice)
+    this.attempt = attempt as OpenAttempt
+    this.attempt.call = this.#send(this.attempt)
+    this.awaitBytes(this.attempt)
+  }
+
+  #send (attempt: OpenAttempt): ServerCall {
+    const { call } = this
+    const headers = encodeForwardedHeaders(call.headers, {
+      deadline: call.endsAt - this.context.clock(),
+      expectedServer: attempt.server.id,
+      organisation: call.organisation,
+      urgency: call.service.engine === null ? null : call.urgency,
+      helpers: attempt.choice.helpers.map(({ address }) => address),
+      lastEventId: this.lastEventId
+    })
+    const request = { address: attempt.server.address, method: call.method, path: call.path, headers, body: call.body, connectTimeout: CONNECT_TIMEOUT }
+    return new ServerCall(request, this.#listener(attempt))
+  }
+
+  #listener (attempt: OpenAttempt): ServerCallListener {
+    const failure: Buffer[] = []
+    return {
+      head: (head) => this.#head(attempt, head),
+      data: (piece) => {
+        if (this.attempt !== attempt) return
+        this.awaitBytes(attempt)
+        if (isSuccess(attempt)) this.piece(attempt, piece)
+        else failure.push(piece)
+      },
+      ended: () => this.#ended(attempt, Buffer.concat(failure)),
+      broke: (sent, reason) => this.fail(attempt, sent ? AttemptEnd.Lost : AttemptEnd.Unsent, reason)
+    }
+  }
+
+  #head (attempt: OpenAttempt, head: AnswerHead): void {
+    if (this.attempt !== attempt) return
+    attempt.head = head
+    attempt.answer = decodeAnswerHeaders(head.status, head.headers)
+    const problem = problemOf(attempt.answer, head.status, this.call.id)
+    if (problem !== null) this.fail(attempt, AttemptEnd.Lost, problem)
+    else if (isSuccess(attempt)) this.begun(attempt)
+  }
+
+  #ended (attempt: OpenAttempt, body: Buffer): void {
+    if (this.attempt !== attempt) return
+    const { head, answer } = attempt
+    if (head === null || answer === null) {
+      this.fail(attempt, AttemptEnd.Lost, 'the answer has no head')
+    } else if (answer.notRun) {
+      this.#replaced(attempt, head, answer)
+      this.fail(attempt, AttemptEnd.NotRun, `status ${head.status}${answer.faultyServer === null ? '' : ` because of ${answer.faultyServer}`}`)
+    } else if (head.status >= FIRST_FAILURE_STATUS) {
+      this.#serverFailed(attempt, { head, body })
+    } else if (this.complete(attempt)) {
+      this.#closeAttempt(attempt)
+      this.context.dispatch.observe(attempt.server, Evidence.Good)
+      this.#finish(ForwardOutcome.Answered, head.status)
+    } else {
+      this.fail(attempt, AttemptEnd.Lost, 'the answer ended early')
+    }
+  }
+
+  #replaced (attempt: OpenAttempt, head: AnswerHead, { server }: AnswerHeaders): void {
+    const MISDIRECTED = 421
+    if (head.status === MISDIRECTED && server !== attempt.server.id) this.context.knowledge.foundReplaced(attempt.server.id)
+  }
+
+  #serverFailed (attempt: OpenAttempt, failure: SignedFailure): void {
+    this.failure = failure
+    if (failure.head.status >= SERVER_ERROR) {
+      this.fail(attempt, AttemptEnd.Failed, `status ${failure.head.status}`)
+      return
+    }
+    this.#closeAttempt(attempt)
+    this.#returnFailure(failure)
+  }
+
+  #judge ({ server }: OpenAttempt, end: AttemptEnd): void {
+    if (end === AttemptEnd.Unsent) this.context.dispatch.observe(server, Evidence.Unreachable)
+    else this.context.dispatch.observe(server, Evidence.Bad)
+  }
+
+  #giveUp (): void {
+    if (this.answering) {
+      this.#breakOff(ForwardOutcome.Lost)
+    } else if (this.failure !== null) {
+      this.#returnFailure(this.failure)
+    } else if (this.#mayHaveRun) {
+      refuse(this.response, RefusalCause.AnswerLost)
+      this.#finish(ForwardOutcome.Lost, this.response.statusCode)
+    } else {
+      refuse(this.response, RefusalCause.NoServer)
+      this.#finish(ForwardOutcome.Refused, this.response.statusCode)
+    }
+  }
+
+  #returnFailure ({ head, body }: SignedFailure): void {
+    this.response.writeHead(head.status, withoutLength(encodeReturnedHeaders(head.rawHeaders), body.length))
+    this.response.end(body)
+    this.#finish(ForwardOutcome.ServerFailed, head.status)
+  }
+
+  #timedOut (): void {
+    if (this.#over) return
+    const { attempt } = this
+    if (attempt !== null) {
+      this.#mayHaveRun ||= attempt.call.sent
+      this.#closeAttempt(attempt)
+    }
+    if (this.answering) {
+      this.#breakOff(ForwardOutcome.TimedOut)
+      return
+    }
+    refuse(this.response, this.#mayHaveRun ? RefusalCause.TimedOut : RefusalCause.TimedOutUnsent)
+    this.#finish(ForwardOutcome.TimedOut, this.response.statusCode)
+  }
+
+  /** An answer that has begun and cannot be completed must not look whole. */
+  #breakOff (outcome: ForwardOutcome): void {
+    this.#finish(outcome, this.response.statusCode)
+    this.response.destroy()
+  }
+
+  #callerLeft (): void {
+    if (this.#over) return
+    if (this.attempt !== null) this.#closeAttempt(this.attempt)
+    this.#finish(ForwardOutcome.CallerGone, 0)
+  }
+
+  #closeAttempt (attempt: OpenAttempt): void {
+    if (this.#silence !== null) clearTimeout(this.#silence)
+    this.attempt = null
+    attempt.call.abort()
+    this.context.dispatch.end(attempt.work)
+  }
+
+  #finish (outcome: ForwardOutcome, status: number): void {
+    if (this.#over) return
+    this.#over = true
+    if (this.#deadline !== null) clearTimeout(this.#deadline)
+    const { call, context } = this
+    const took = context.clock() - call.arrivedAt
+    context.metrics.ended(call.route.kind, outcome, took)
+    context.log.info('request.ended', {
+      request: call.id,
+      outcome,
+      status: status === 0 ? undefined : status,
+      route: call.route.name,
+      service: call.service.name,
+      prompt: call.size.prompt || undefined,
+      servers: [...this.tried].join(','),
+      first_ms: this.firstAnswerAt === null ? undefined : Math.round(this.firstAnswerAt - call.arrivedAt),
+      took_ms: Math.round(took),
+      ...this.summary(),
+      problem: this.#lastProblem || undefined
+    })
+  }
+
+  #log ({ server, helpers, firstEvent }: Choice): void {
+    const { call, context } = this
+    context.log.info('request.sent', {
+      request: call.id,
+      attempt: this.tried.size,
+      server: server.id,
+      server_domain: server.failureDomain,
+      helpers: helpers.length || undefined,
+      expected_ms: Math.round(firstEvent),
+      due_in_ms: Math.round(call.dueAt - context.clock()),
+      configuration: context.knowledge.version,
+      servers_revision: context.knowledge.serversRevision,
+      resumes: this.lastEventId ?? undefined
+    })
+  }
+}
+
+const isSuccess = ({ head, answer }: OpenAttempt): boolean =>
+  head !== null && answer !== null && head.status < FIRST_FAILURE_STATUS && !answer.notRun
+
+/** @returns why an answer cannot be the backend server's own answer to this request, or null */
+const problemOf = (answer: AnswerHeaders, status: number, request: string): string | null => {
+  if (answer.notRun) return null
+  if (answer.attemptId !== request) return 'the answer belongs to another request'
+  if (!answer.isSigned) return `status ${status} without a signature`
+  if (answer.isEncoded) return 'the body was encoded on the way'
+  return null
+}
+
+/** @returns headers with the length of a body that was read whole in place of how it was framed */
+export const withoutLength = (headers: readonly string[], length: number): string[] => {
+  const kept: string[] = []
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() !== 'content-length') kept.push(headers[index] ?? '', headers[index + 1] ?? '')
+  }
+  kept.push('content-length', String(length))
+  return kept
+}
--- /dev/null
+++ b/packages/node/src/forward/MetricsServer.ts
@@ -0,0 +1,37 @@
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import { once } from 'node:events'
+
+import type { Registry } from 'prom-client'
+
+/** Path at which the metrics are served. */
+export const METRICS_PATH = '/metrics'
+
+/** Serves the metrics as text. */
+export class MetricsServer {
+  readonly #server: Server
+
+  /** @param registry - what is served */
+  constructor (registry: Registry) {
+    this.#server = createServer((request, response) => {
+      if (request.url !== METRICS_PATH) {
+        response.writeHead(404).end()
+        return
+      }
+      registry.metrics().then(
+        (text) => response.writeHead(200, { 'content-type': registry.contentType }).end(text),
+        (error: unknown) => response.writeHead(500).end(String(error))
+      )
+    })
+  }
+
+  async start (host: string, port: number): Promise<void> {
+    this.#server.listen(port, host)
+    await once(this.#server, 'listening')
+  }
+
+  dispose (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+}
--- /dev/null
+++ b/packages/node/src/forward/backend/ServerCall.ts
@@ -0,0 +1,129 @@
+/** One attempt at a backend server, on a connection of its own. */
+import type { IncomingHttpHeaders } from 'node:http'
+
+import { Client } from 'undici'
+import type { Dispatcher } from 'undici'
+
+import type { Millis } from '@bluebellhill/domain'
+
+/** What is sent. */
+export interface ServerCallRequest {
+  /** `ip:port` */
+  readonly address: string
+  readonly method: string
+  readonly path: string
+  /** Names and values by turns. */
+  readonly headers: readonly string[]
+  readonly body: Buffer
+  /** Time to open the connection. */
+  readonly connectTimeout: Millis
+}
+
+/** Head of an answer. */
+export interface AnswerHead {
+  readonly status: number
+  /** Names in lower case. */
+  readonly headers: IncomingHttpHeaders
+  /** Names and values by turns, as they came. */
+  readonly rawHeaders: readonly string[]
+}
+
+/** Told what the backend server answers; after `ended` and `broke` nothing follows. */
+export interface ServerCallListener {
+  head (head: AnswerHead): void
+  data (piece: Buffer): void
+  /** The answer is whole. */
+  ended (): void
+  /** `sent` is false only where no byte of the request left. */
+  broke (sent: boolean, reason: string): void
+}
+
+/**
+ * Sends one request and reports its answer. The connection is closed afterwards: bytes that a server sends behind its
+ * answer can never be taken for the answer of another request.
+ */
+export class ServerCall implements Dispatcher.DispatchHandler {
+  readonly #client: Client
+  readonly #listener: ServerCallListener
+  #sent = false
+  #over = false
+
+  /**
+   * @param request - what is sent where
+   * @param listener - told what comes back
+   */
+  constructor (request: ServerCallRequest, listener: ServerCallListener) {
+    this.#listener = listener
+    this.#client = new Client(`http://${request.address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: { timeout: request.connectTimeout }
+    })
+    this.#client.dispatch({
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: [...request.headers],
+      body: request.body.length > 0 ? request.body : null,
+      reset: true
+    }, this)
+  }
+
+  /** Whether bytes of the request may have left. */
+  get sent (): boolean {
+    return this.#sent
+  }
+
+  /** Closes the connection, so that the server stops working; the listener hears nothing more. */
+  abort (): void {
+    if (this.#over) return
+    this.#over = true
+    this.#release()
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    if (this.#sent || this.#over) {
+      controller.abort(new Error('the request was given up before it was sent'))
+      return
+    }
+    this.#sent = true
+  }
+
+  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    if (this.#over || status < 200) return
+    this.#listener.head({ status, headers, rawHeaders: rawOf(controller.rawHeaders, headers) })
+  }
+
+  onResponseData (_: Dispatcher.DispatchController, piece: Buffer): void {
+    if (!this.#over) this.#listener.data(piece)
+  }
+
+  onResponseEnd (): void {
+    if (this.#over) return
+    this.#over = true
+    this.#release()
+    this.#listener.ended()
+  }
+
+  onResponseError (_: Dispatcher.DispatchController, error: Error): void {
+    if (this.#over) return
+    this.#over = true
+    this.#release()
+    this.#listener.broke(this.#sent, reasonOf(error))
+  }
+
+  #release (): void {
+    // The outcome of closing does not matter: the answer has been judged already.
+    this.#client.destroy().catch(() => {})
+  }
+}
+
+const rawOf = (raw: Dispatcher.DispatchController['rawHeaders'], headers: IncomingHttpHeaders): string[] => {
+  if (Array.isArray(raw)) return raw.map((part) => part.toString('latin1'))
+  return Object.entries(headers).flatMap(([name, value]) => [value ?? []].flat().flatMap((one) => [name, one]))
+}
+
+const reasonOf = (error: Error): string => {
+  const code = (error as NodeJS.ErrnoException).code
+  return code === undefined ? error.message : `${code} ${error.message}`
+}
--- /dev/null
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -0,0 +1,126 @@
+/** Takes callers' requests. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { once } from 'node:events'
+import type { Socket } from 'node:net'
+
+import { CallKind } from '@bluebellhill/domain'
+import type { Millis } from '@bluebellhill/domain'
+import { decodeCallerHeaders } from '@bluebellhill/platform'
+import type { SocketAddress } from '@bluebellhill/platform'
+
+import type { ForwardingContext } from '../Forwarding.js'
+import { PlainForwarding } from '../PlainForwarding.js'
+import { StreamForwarding } from '../StreamForwarding.js'
+import { acceptHead, admit, readCallerBody } from './admit.js'
+import { RefusalCause, refuse } from './refusals.js'
+
+/** Bytes of a head that the parser takes; the configured limit is held against it afterwards. */
+const MOST_HEAD_BYTES = 128 * 1024
+
+/** Interval at which slow and idle connections are looked for. */
+const CONNECTION_CHECK_PERIOD: Millis = 500
+
+/** After a stop, how long an idle connection may still bring a request that is on its way. */
+const IDLE_AFTER_STOP: Millis = 1_000
+
+/** Serves callers until it is stopped. */
+export class EntryServer {
+  readonly #server: Server
+  readonly #context: ForwardingContext
+  #open = 0
+  #stopping = false
+
+  /** @param context - what requests share */
+  constructor (context: ForwardingContext) {
+    this.#context = context
+    this.#server = createServer({ maxHeaderSize: MOST_HEAD_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_PERIOD, requestTimeout: 0, noDelay: true }, (request, response) => {
+      void this.#serve(request, response)
+    })
+    context.knowledge.onChange(() => this.#applyLimits())
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => answerBadBytes(error, socket))
+  }
+
+  /** Requests that have no final answer yet. */
+  get openRequests (): number {
+    return this.#open
+  }
+
+  async start ({ host, port }: SocketAddress): Promise<void> {
+    this.#server.listen(port, host)
+    await once(this.#server, 'listening')
+  }
+
+  /**
+   * Takes no more connections, and lets requests in progress end.
+   *
+   * @param grace - longest time to wait for them
+   */
+  async stop (grace: Millis): Promise<void> {
+    this.#stopping = true
+    const closed = once(this.#server, 'close')
+    this.#server.close()
+    const idle = setTimeout(() => { this.#server.closeIdleConnections() }, Math.min(grace, IDLE_AFTER_STOP))
+    const sweep = setInterval(() => { if (this.#open === 0) this.#server.closeIdleConnections() }, IDLE_AFTER_STOP)
+    const forced = setTimeout(() => this.#server.closeAllConnections(), grace)
+    await closed
+    clearTimeout(idle)
+    clearInterval(sweep)
+    clearTimeout(forced)
+  }
+
+  #applyLimits (): void {
+    const limits = this.#context.knowledge.table?.deployment.limits
+    if (limits === undefined) return
+    this.#server.keepAliveTimeout = limits.idleTimeout
+    this.#server.headersTimeout = limits.headerTimeout
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = this.#context.clock()
+    this.#open += 1
+    response.once('close', () => { this.#open -= 1 })
+    if (this.#stopping) response.setHeader('connection', 'close')
+    const cause = await this.#forward(request, response, arrivedAt)
+    if (cause !== null) this.#refuse(request, response, cause)
+  }
+
+  /** @returns why the request is refused; null where it is on its way, or the caller left */
+  async #forward (request: IncomingMessage, response: ServerResponse, arrivedAt: Millis): Promise<RefusalCause | null> {
+    const table = this.#context.knowledge.table
+    if (table === null) return RefusalCause.Starting
+    const head = acceptHead(request, table)
+    if (!head.ok) return head.failure
+    const body = await readCallerBody(request, table.deployment.limits)
+    if (body === null || response.destroyed) return null
+    if (!body.ok) return body.failure
+    const call = admit(request, head.value, body.value, table, arrivedAt)
+    if (!call.ok) return call.failure
+    const forwarding = call.value.route.kind === CallKind.Stream
+      ? new StreamForwarding(this.#context, call.value, response)
+      : new PlainForwarding(this.#context, call.value, response)
+    if (this.#stopping && !response.headersSent) response.setHeader('connection', 'close')
+    forwarding.start()
+    return null
+  }
+
+  #refuse (request: IncomingMessage, response: ServerResponse, cause: RefusalCause): void {
+    const { log, metrics, knowledge } = this.#context
+    metrics.refused(cause)
+    log.info('request.refused', {
+      request: decodeCallerHeaders(request.headers).attemptId ?? undefined, cause, host: request.headers.host, path: request.url, configuration: knowledge.version, configuration_age_ms: Math.round(knowledge.configurationAge)
+    })
+    if (!request.complete) response.setHeader('connection', 'close')
+    refuse(response, cause)
+  }
+}
+
+/** Answers bytes that are no request; other connections are not touched. */
+const answerBadBytes = (error: NodeJS.ErrnoException, socket: Socket): void => {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request'
+  socket.end(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`)
+}
--- /dev/null
+++ b/packages/node/src/forward/entry/ReadinessServer.ts
@@ -0,0 +1,31 @@
+/** Answers the platform's question whether this node takes callers. */
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import { once } from 'node:events'
+
+import { READINESS_PATH } from '@bluebellhill/platform'
+import type { SocketAddress } from '@bluebellhill/platform'
+
+/** Serves one path with 200 or 503. */
+export class ReadinessServer {
+  readonly #server: Server
+
+  /** @param isReady - whether the node takes callers */
+  constructor (isReady: () => boolean) {
+    this.#server = createServer((request, response) => {
+      const status = request.url !== READINESS_PATH ? 404 : isReady() ? 200 : 503
+      response.writeHead(status, { 'content-length': 0 })
+      response.end()
+    })
+  }
+
+  async start ({ host, port }: SocketAddress): Promise<void> {
+    this.#server.listen(port, host)
+    await once(this.#server, 'listening')
+  }
+
+  dispose (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+}
--- /dev/null
+++ b/packages/node/src/forward/entry/admit.ts
@@ -0,0 +1,110 @@
+/** Reads a caller's request and holds it against the configuration in force. */
+import type { IncomingMessage } from 'node:http'
+
+import { pickService } from '@bluebellhill/domain'
+import type { CallerLimits, Millis, OrganisationKeys, Route, RouteTable } from '@bluebellhill/domain'
+import { decodeCallerHeaders } from '@bluebellhill/platform'
+import type { CallerHeaders } from '@bluebellhill/platform'
+import { failed, success } from '@bluebellhill/services'
+import type { Result } from '@bluebellhill/services'
+
+import type { AdmittedCall } from '../AdmittedCall.js'
+import { RefusalCause } from './refusals.js'
+
+/** Bytes beside the name and the value that a header takes on the wire. */
+const HEADER_FRAMING_BYTES = 4
+
+/** Time after which a request is given up where neither caller nor route say. */
+const LONGEST_REQUEST: Millis = 60_000
+
+/** Urgency of a request that names none. */
+const MIDDLE_URGENCY = 5
+const LEAST_URGENCY = 9
+
+/** A request whose head is acceptable. */
+export interface AcceptedHead {
+  readonly route: Route
+  readonly organisation: OrganisationKeys | null
+  readonly headers: CallerHeaders
+  readonly attemptId: string
+}
+
+/**
+ * Judges a request by its head.
+ *
+ * @param request - the request; its body is not read
+ * @param table - the configuration in force
+ * @returns what it is, or why it is refused
+ */
+export const acceptHead = (request: IncomingMessage, table: RouteTable): Result<AcceptedHead, RefusalCause> => {
+  const { limits } = table.deployment
+  if (headBytes(request) > limits.headerBytes) return failed(RefusalCause.HeadTooLarge)
+  const path = request.url ?? ''
+  const host = request.headers.host
+  if (host === undefined || !path.startsWith('/')) return failed(RefusalCause.BadRequest)
+  const route = table.route(host, path)
+  if (route === null) return failed(RefusalCause.UnknownRoute)
+  const headers = decodeCallerHeaders(request.headers)
+  const organisation = headers.apiKey === null ? null : table.organisation(headers.apiKey)
+  if (table.needsKeys && !route.isPublic && organisation === null) return failed(RefusalCause.UnknownKey)
+  if (headers.attemptId === null) return failed(RefusalCause.BadRequest)
+  if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) return failed(RefusalCause.BodyTooLarge)
+  return success({ route, organisation, headers, attemptId: headers.attemptId })
+}
+
+/**
+ * Reads a body whole.
+ *
+ * @param request - the request
+ * @param limits - bounds on its size
+ * @returns the body, why it is refused, or null where the caller left
+ */
+export const readCallerBody = async (request: IncomingMessage, limits: CallerLimits): Promise<Result<Buffer, RefusalCause> | null> => {
+  const pieces: Buffer[] = []
+  let size = 0
+  try {
+    for await (const piece of request) {
+      size += (piece as Buffer).length
+      if (size > limits.bodyBytes) return failed(RefusalCause.BodyTooLarge)
+      pieces.push(piece as Buffer)
+    }
+  } catch {
+    // The connection broke: nobody is left to be told, and nothing has been sent on.
+    return null
+  }
+  return success(Buffer.concat(pieces))
+}
+
+/**
+ * Puts together what is sent on.
+ *
+ * @param request - the caller's request
+ * @param head - its accepted head
+ * @param body - its body
+ * @param table - the configuration in force
+ * @param arrivedAt - when its head was read
+ * @returns the request, or why it is refused
+ */
+export const admit = (request: IncomingMessage, { route, organisation, headers, attemptId }: AcceptedHead, body: Buffer, table: RouteTable, arrivedAt: Millis): Result<AdmittedCall, RefusalCause> => {
+  const service = table.service(pickService(route, Math.random()) ?? '')
+  if (service === null) return failed(RefusalCause.NoServer)
+  return success({
+    id: attemptId,
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    headers: request.rawHeaders,
+    body,
+    route,
+    service,
+    organisation: organisation?.name ?? null,
+    urgency: Math.min(LEAST_URGENCY, organisation?.priority ?? route.priority ?? MIDDLE_URGENCY),
+    size: headers.size ?? { prompt: 0, mostAnswer: 0 },
+    lastEventId: headers.lastEventId,
+    arrivedAt,
+    dueAt: arrivedAt + route.objective,
+    endsAt: arrivedAt + Math.min(route.timeout, headers.deadline ?? LONGEST_REQUEST)
+  })
+}
+
+const headBytes = ({ rawHeaders, url, method }: IncomingMessage): number =>
+  rawHeaders.reduce((sum, part) => sum + part.length, 0) + HEADER_FRAMING_BYTES * rawHeaders.length / 2 + (url?.length ?? 0) + (method?.length ?? 0)
--- /dev/null
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -0,0 +1,163 @@
+/** Tells the other nodes of this node's work, and hears of theirs. */
+import { createSocket } from 'node:dgram'
+import type { RemoteInfo, Socket } from 'node:dgram'
+import { once } from 'node:events'
+
+import type { FleetWork, Millis, NodeId } from '@bluebellhill/domain'
+
+import type { Knowledge } from '../Knowledge.js'
+import type { Log } from '../../log/index.js'
+import { PeerTable } from './PeerTable.js'
+import type { Peer } from './PeerTable.js'
+import { decodeState, encodeState } from './stateCodec.js'
+
+/** Interval at which a state is sent though nothing has changed. */
+const HEARTBEAT_PERIOD: Millis = 500
+
+/** How long changes are gathered before they are sent together. */
+const GATHERING_TIME: Millis = 1
+
+/** Heartbeats between two that name the known nodes. */
+const HEARTBEATS_PER_INTRODUCTION = 4
+
+export interface PeerLinkOptions {
+  readonly node: NodeId
+  readonly host: string
+  /** UDP port; the other nodes use the same. */
+  readonly port: number
+  /** Wall-clock milliseconds at which this process started. */
+  readonly startedAt: number
+  readonly work: FleetWork
+  readonly knowledge: Knowledge
+  readonly log: Log
+  readonly clock: () => Millis
+  /** Told of a node that knows more. */
+  readonly onAhead: (peer: Peer) => void
+}
+
+/** Exchanges states over UDP. */
+export class PeerLink {
+  readonly table = new PeerTable()
+  readonly #options: PeerLinkOptions
+  readonly #socket: Socket = createSocket('udp4')
+  #sequence = 0
+  #heartbeats = 0
+  #pending: NodeJS.Timeout | null = null
+  #heartbeat: NodeJS.Timeout | null = null
+  #stopping = false
+  #closed = false
+  #undelivered = 0
+  #malformed = 0
+
+  /** @param options - this node, its account and its socket */
+  constructor (options: PeerLinkOptions) {
+    this.#options = options
+    this.#socket.on('message', (datagram, remote) => this.#receive(datagram, remote))
+    this.#socket.on('error', (error) => {
+      this.#undelivered += 1
+      options.log.warn('peers.socket_error', { reason: error.message })
+    })
+  }
+
+  /** Datagrams that could not be sent, and those that could not be read. */
+  get counters (): { readonly undelivered: number, readonly malformed: number } {
+    return { undelivered: this.#undelivered, malformed: this.#malformed }
+  }
+
+  /** @throws Error where the port cannot be bound */
+  async start (): Promise<void> {
+    this.#socket.bind(this.#options.port, this.#options.host)
+    await once(this.#socket, 'listening')
+    this.#heartbeat = setInterval(() => this.#beat(), HEARTBEAT_PERIOD)
+    this.#beat()
+  }
+
+  /**
+   * Notes where other nodes may be.
+   *
+   * @param addresses - `ip:port` of nodes
+   */
+  named (addresses: readonly string[]): void {
+    const own = `${this.#options.host}:${this.#options.port}`
+    this.table.named(addresses.filter((address) => address !== own), this.#options.clock())
+  }
+
+  /** This node's work has changed: the others are told within a millisecond or two. */
+  workChanged (): void {
+    this.#pending ??= setTimeout(() => this.#send(), GATHERING_TIME)
+  }
+
+  /** The others hear that this node stops. */
+  stopping (): void {
+    this.#stopping = true
+    this.#send()
+  }
+
+  dispose (): void {
+    if (this.#closed) return
+    this.#closed = true
+    if (this.#pending !== null) clearTimeout(this.#pending)
+    if (this.#heartbeat !== null) clearInterval(this.#heartbeat)
+    this.#socket.close()
+  }
+
+  #beat (): void {
+    const now = this.#options.clock()
+    for (const peer of this.table.expire(now)) {
+      this.#options.work.forget(peer.node)
+      this.#options.log.warn('peer.lost', { peer: peer.node, silent_ms: Math.round(now - peer.heardAt) })
+    }
+    this.#heartbeats += 1
+    this.#send(this.#heartbeats % HEARTBEATS_PER_INTRODUCTION === 1)
+  }
+
+  #send (introducing = false): void {
+    if (this.#pending !== null) clearTimeout(this.#pending)
+    this.#pending = null
+    if (this.#closed) return
+    const { node, startedAt, work, knowledge, clock } = this.#options
+    this.#sequence += 1
+    const datagrams = encodeState({
+      node,
+      startedAt,
+      sequence: this.#sequence,
+      configurationVersion: knowledge.version,
+      serversRevision: knowledge.serversRevision,
+      stopping: this.#stopping,
+      works: work.own(),
+      peers: introducing ? this.table.all().filter(({ lost }) => !lost).map(({ address }) => address) : []
+    }, clock())
+    for (const address of this.table.addresses()) for (const datagram of datagrams) this.#transmit(datagram, address)
+  }
+
+  #transmit (datagram: Uint8Array, address: string): void {
+    const [host = '', port = ''] = address.split(':')
+    this.#socket.send(datagram, Number(port), host, (error) => {
+      if (error !== null) this.#undelivered += 1
+    })
+  }
+
+  #receive (datagram: Buffer, remote: RemoteInfo): void {
+    const { work, knowledge, log, clock, onAhead, node } = this.#options
+    const now = clock()
+    const part = this.#decode(datagram, now)
+    if (part === null || part.node === node) return
+    const heard = this.table.hear(part, `${remote.address}:${remote.port}`, now)
+    if (heard === null) return
+    work.hear(heard.peer.node, heard.works, now)
+    this.named(part.peers)
+    if (heard.isNew) log.info('peer.found', { peer: heard.peer.node, address: heard.peer.address, started_at: heard.peer.startedAt })
+    const ahead = heard.peer.configurationVersion > knowledge.version || heard.peer.serversRevision > knowledge.serversRevision
+    if (ahead) onAhead(heard.peer)
+  }
+
+  #decode (datagram: Buffer, now: Millis): ReturnType<typeof decodeState> | null {
+    try {
+      return decodeState(datagram, now)
+    } catch (error) {
+      this.#malformed += 1
+      this.#options.log.warn('peers.datagram_malformed', { reason: error instanceof Error ? error.message : String(error) })
+      return null
+    }
+  }
+}
--- a/packages/node/src/idempotency/IdempotencyService.ts
+++ b/packages/node/src/idempotency/IdempotencyService.ts
@@ -5,7 +5,7 @@
 
 import { IdempotencyRegister, MAX_ANSWER_LENGTH } from '@bluebellhill/domain'
 import type { ClaimResult, ClaimToken, Conclusion, KeyDigest, KeyWrite, Millis, NodeId, OrganisationId, RecordedOutcome, RegisterEffect, RegisterEvent } from '@bluebellhill/domain'
-import type { CallFailure, KeyValueService, Result, TransactionAnswer } from '@bluebellhill/platform'
+import type { CallFailure, KeyValueService, Result, TransactionAnswer } from '@bluebellhill/services'
 
 import { KEY_PREFIX, TICK_MS } from './constants.js'
 import { decodeRecord, encodeRecord } from './keyRecord.js'
--- a/packages/node/src/idempotency/LeaseBucket.ts
+++ b/packages/node/src/idempotency/LeaseBucket.ts
@@ -1,6 +1,6 @@
 /** Leases that let the records of claims expire: one for all claims of a node in one part of the retention time. */
-import { success } from '@bluebellhill/platform'
-import type { CallFailure, KeyValueService, Result } from '@bluebellhill/platform'
+import { success } from '@bluebellhill/services'
+import type { CallFailure, KeyValueService, Result } from '@bluebellhill/services'
 import type { Millis } from '@bluebellhill/domain'
 
 import { LEASES_PER_RETENTION } from './constants.js'
--- a/packages/node/src/limits/OrganisationLimits.ts
+++ b/packages/node/src/limits/OrganisationLimits.ts
@@ -1,7 +1,7 @@
 /** The limits of organisations and templates at this node, divided among the nodes by gossiped demand. */
 import { OrganisationLimit, ValueScope } from '@bluebellhill/domain'
 import type { LimitDemand, LimitRefusal, NodeId, OrganisationBounds, OrganisationId, Tokens } from '@bluebellhill/domain'
-import type { Configuration } from '@bluebellhill/platform'
+import type { Configuration } from '@bluebellhill/services'
 
 import { monotonicNow } from '../clock/monotonic.js'
 import type { MembershipService } from '../membership/index.js'
--- a/packages/node/src/log/index.ts
+++ b/packages/node/src/log/index.ts
@@ -1,2 +1,3 @@
+export * from './BoundedOutput.js'
 export * from './Redactor.js'
 export * from './logger.js'
--- a/packages/node/src/metrics/CountedKeyValueService.ts
+++ b/packages/node/src/metrics/CountedKeyValueService.ts
@@ -1,6 +1,6 @@
 /** Counts the calls to the key-value service, which the platform limits and charges for. */
-import { KeyValueService } from '@bluebellhill/platform'
-import type { CallFailure, Lease, RangeAnswer, RangeQuery, Result, Transaction, TransactionAnswer, Watch, WatchListener, WatchQuery } from '@bluebellhill/platform'
+import { KeyValueService } from '@bluebellhill/services'
+import type { CallFailure, Lease, RangeAnswer, RangeQuery, Result, Transaction, TransactionAnswer, Watch, WatchListener, WatchQuery } from '@bluebellhill/services'
 
 import type { Metrics } from './Metrics.js'
 
--- a/packages/node/src/placement/HttpEngineOrders.ts
+++ b/packages/node/src/placement/HttpEngineOrders.ts
@@ -1,7 +1,7 @@
 /** Gives the leader's orders to engines. */
 import type { EngineOrder, OrderResult, RunnerId } from '@bluebellhill/domain'
-import { describeFailure } from '@bluebellhill/platform'
-import type { ModelEngine } from '@bluebellhill/platform'
+import { describeFailure } from '@bluebellhill/services'
+import type { ModelEngine } from '@bluebellhill/services'
 
 import type { RunnerDirectory } from '../dispatch/RunnerDirectory.js'
 import { EngineOrders } from './ports.js'
--- a/packages/node/src/placement/KeyValueLeadership.ts
+++ b/packages/node/src/placement/KeyValueLeadership.ts
@@ -1,6 +1,6 @@
 /** Leadership of a failure domain as a leased key of the key-value service. */
 import type { FailureDomain, Millis } from '@bluebellhill/domain'
-import type { KeyValueService } from '@bluebellhill/platform'
+import type { KeyValueService } from '@bluebellhill/services'
 
 import { LeadershipStore } from './ports.js'
 import type { LeaseAnswer } from './ports.js'
--- a/packages/node/src/placement/wantedModels.ts
+++ b/packages/node/src/placement/wantedModels.ts
@@ -1,7 +1,7 @@
 /** What the operators' configuration asks of each failure domain. */
 import { EngineRole } from '@bluebellhill/domain'
 import type { WantedModel } from '@bluebellhill/domain'
-import type { Configuration, FleetModel, ResolvedTemplate } from '@bluebellhill/platform'
+import type { Configuration, FleetModel, ResolvedTemplate } from '@bluebellhill/services'
 
 /** Size that is assumed of a model's weights, for the pace of loads. */
 const ASSUMED_WEIGHT_BYTES = 2_000_000_000
--- a/packages/node/src/requests/CompletionAttempt.ts
+++ b/packages/node/src/requests/CompletionAttempt.ts
@@ -1,8 +1,8 @@
 /** A completion call to a model engine. */
 import { Ran, SendMode } from '@bluebellhill/domain'
 import type { Tokens } from '@bluebellhill/domain'
-import { describeFailure, ranOf } from '@bluebellhill/platform'
-import type { CallFailure, ModelEngine } from '@bluebellhill/platform'
+import { describeFailure, ranOf } from '@bluebellhill/services'
+import type { CallFailure, ModelEngine } from '@bluebellhill/services'
 import { z } from 'zod'
 
 import type { Usage } from '../edge/types.js'
--- a/packages/node/src/requests/CompletionSource.ts
+++ b/packages/node/src/requests/CompletionSource.ts
@@ -1,7 +1,7 @@
 /** Starts the tries of one completion. */
 import { SendMode } from '@bluebellhill/domain'
 import type { AttemptId, RequestSpec, Tokens } from '@bluebellhill/domain'
-import type { ModelEngine } from '@bluebellhill/platform'
+import type { ModelEngine } from '@bluebellhill/services'
 
 import { monotonicNow } from '../clock/monotonic.js'
 import type { AnswerEnd } from './Answer.js'
--- a/packages/node/src/requests/GroupAttempt.ts
+++ b/packages/node/src/requests/GroupAttempt.ts
@@ -1,8 +1,8 @@
 /** A completion whose prompt is above one engine's memory: prefilled in segments over a group, decoded by its last member. */
 import { Ran } from '@bluebellhill/domain'
 import type { AttemptId } from '@bluebellhill/domain'
-import { describeFailure, ranOf } from '@bluebellhill/platform'
-import type { CallFailure, ModelEngine, Result } from '@bluebellhill/platform'
+import { describeFailure, ranOf } from '@bluebellhill/services'
+import type { CallFailure, ModelEngine, Result } from '@bluebellhill/services'
 
 import { Attempt } from './Attempt.js'
 import type { AttemptListener } from './Attempt.js'
--- a/packages/node/src/requests/ServiceAttempt.ts
+++ b/packages/node/src/requests/ServiceAttempt.ts
@@ -1,7 +1,7 @@
 /** A call to a plain service. The answer is passed on only when it is whole. */
 import { Ran } from '@bluebellhill/domain'
-import { describeFailure, ranOf } from '@bluebellhill/platform'
-import type { PlainService, ServiceAnswer } from '@bluebellhill/platform'
+import { describeFailure, ranOf } from '@bluebellhill/services'
+import type { PlainService, ServiceAnswer } from '@bluebellhill/services'
 
 import { Attempt } from './Attempt.js'
 import type { AttemptListener, AttemptOrder, Break } from './Attempt.js'
--- a/packages/node/src/requests/ServiceSource.ts
+++ b/packages/node/src/requests/ServiceSource.ts
@@ -1,6 +1,6 @@
 /** Starts the tries of one service call. */
 import type { AttemptId, RequestSpec } from '@bluebellhill/domain'
-import type { PlainService } from '@bluebellhill/platform'
+import type { PlainService } from '@bluebellhill/services'
 
 import { monotonicNow } from '../clock/monotonic.js'
 import type { Attempt, AttemptListener, AttemptOrder } from './Attempt.js'
--- a/packages/node/tests/configurationService.test.ts
+++ b/packages/node/tests/configurationService.test.ts
@@ -3,8 +3,8 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 
 import type { ConfigurationValue, EditId, FailureDomain, NodeId, ValueVersion } from '@bluebellhill/domain'
-import { ConfigurationStore, FLEET_NAME } from '@bluebellhill/platform'
-import type { EditOutcome } from '@bluebellhill/platform'
+import { ConfigurationStore, FLEET_NAME } from '@bluebellhill/services'
+import type { EditOutcome } from '@bluebellhill/services'
 
 import { ConfigurationPeers, ConfigurationService } from '../src/configuration/index.js'
 import type { ConfigurationMember, ConfigurationReport } from '../src/configuration/index.js'
--- a/packages/node/tests/configurationStandin.test.ts
+++ b/packages/node/tests/configurationStandin.test.ts
@@ -3,7 +3,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 
 import type { ConfigurationValue, EditId, FailureDomain, NodeId, ValueVersion } from '@bluebellhill/domain'
-import { ConfigurationStore, FLEET_NAME, HttpKeyValueService, HttpPool } from '@bluebellhill/platform'
+import { ConfigurationStore, FLEET_NAME, HttpKeyValueService, HttpPool } from '@bluebellhill/services'
 
 import { startStandin } from '../bench/standinProcess.js'
 import { ConfigurationPeers, ConfigurationService } from '../src/configuration/index.js'
--- a/packages/node/tests/fakeKeyValue.ts
+++ b/packages/node/tests/fakeKeyValue.ts
@@ -1,6 +1,6 @@
 /** A key-value service in memory, with the faults that the configuration and the claims have to bear. */
-import { KeyValueService } from '@bluebellhill/platform'
-import type { CallFailure, Comparison, KeyValue, Lease, Operation, OperationAnswer, RangeAnswer, RangeQuery, Result, Transaction, TransactionAnswer, Watch, WatchListener, WatchQuery } from '@bluebellhill/platform'
+import { KeyValueService } from '@bluebellhill/services'
+import type { CallFailure, Comparison, KeyValue, Lease, Operation, OperationAnswer, RangeAnswer, RangeQuery, Result, Transaction, TransactionAnswer, Watch, WatchListener, WatchQuery } from '@bluebellhill/services'
 
 const OUTAGE: CallFailure = { type: 'not_sent', reason: 'the store is down' }
 
--- a/packages/node/tests/fuzzDaemon.ts
+++ b/packages/node/tests/fuzzDaemon.ts
@@ -3,8 +3,8 @@
 import { connect } from 'node:net'
 import { Writable } from 'node:stream'
 
-import { loadSettings, parseConfiguration, Configuration, ConfigurationKind } from '@bluebellhill/platform'
-import type { Fleet, Organisation } from '@bluebellhill/platform'
+import { loadSettings, parseConfiguration, Configuration, ConfigurationKind } from '@bluebellhill/services'
+import type { Fleet, Organisation } from '@bluebellhill/services'
 import { transports } from 'winston'
 
 import { Daemon, openLog } from '../src/index.js'
--- a/packages/node/tests/keyedOrders.test.ts
+++ b/packages/node/tests/keyedOrders.test.ts
@@ -5,7 +5,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 
 import type { EditId } from '@bluebellhill/domain'
-import { ConfigurationStore, FLEET_NAME, HttpKeyValueService, HttpPool, organisationValueName } from '@bluebellhill/platform'
+import { ConfigurationStore, FLEET_NAME, HttpKeyValueService, HttpPool, organisationValueName } from '@bluebellhill/services'
 
 import { startStandin } from '../bench/standinProcess.js'
 import type { StandinProcess } from '../bench/standinProcess.js'
--- a/packages/node/tests/metrics.test.ts
+++ b/packages/node/tests/metrics.test.ts
@@ -7,7 +7,7 @@
 import { CountedKeyValueService, HIGHEST_VALUE, Metrics, histogramsReply, lengthClassOf } from '../src/index.js'
 import { FakeKeyValue } from './fakeKeyValue.js'
 import type { FailureDomain } from '@bluebellhill/domain'
-import type { Watch } from '@bluebellhill/platform'
+import type { Watch } from '@bluebellhill/services'
 
 const measured = fc.record({ promptTokens: fc.integer({ min: 1, max: 2_000_000 }), elapsed: fc.integer({ min: 0, max: HIGHEST_VALUE }) })
 
