--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -1,6 +1,6 @@
 /** What one engine is predicted to do next, and whom further work there would harm. */
 import type { Millis, Tokens } from '../types.js'
-import { FURTHER_HARM_PER_SECOND, LATE_LOSS, OBJECTIVE_SHARE, OVERDUE_READING, VALUE_EXPONENT, VALUE_UNIT_TOKENS } from './constants.js'
+import { FURTHER_HARM_PER_SECOND, LATE_LOSS, OBJECTIVE_SHARE, OVERDUE_READING, SHARED_MEMORY_SHARE, VALUE_EXPONENT, VALUE_UNIT_TOKENS } from './constants.js'
 import type { EngineModel } from './EngineModel.js'
 import type { RunnerWork, Work } from './FleetWork.js'
 import type { BackendServer } from './types.js'
@@ -45,7 +45,7 @@
     this.#context = work.writing.reduce((sum, { prompt, answer }) => sum + prompt + answer / 2, 0)
     this.pass = slowdown * model.pass(work.writing.length, this.#context)
     this.requests = work.reading.length + work.writing.length
-    this.freeMemory = model.figures.memory - reservedMemory(work)
+    this.freeMemory = freeMemory(work, model.figures.memory)
     this.pendingReading = this.#predictReading()
   }
 
@@ -65,10 +65,20 @@
   }
 
   /**
-   * @param part - time that one more part takes to read on a sound engine
+   * Engines read parts of other engines' prompts before everything else, the newest first.
+   *
+   * @param part - time that a part of another engine's prompt takes to read on a sound engine
    * @returns time until it would be read
    */
-  finishOf (part: Millis): Millis {
+  helpingFinish (part: Millis): Millis {
+    return this.pass + part * this.slowdown
+  }
+
+  /**
+   * @param part - time that a prompt, or the first part of it, takes to read on a sound engine
+   * @returns time until it would be read, behind all that waits there
+   */
+  readingFinish (part: Millis): Millis {
     return this.pendingReading + this.pass + part * this.slowdown
   }
 
@@ -81,30 +91,29 @@
   }
 
   /**
-   * @param part - time that one more part takes to read on a sound engine
-   * @param pass - length of its passes from then on
-   * @returns value of the answers that the part would make late
+   * Enters what one more part would cost the requests on this engine.
+   *
+   * @param harm - the greatest loss of each request, over all engines of a choice
+   * @param part - time that the part takes to read on a sound engine
+   * @param pass - length of the passes from then on
    */
-  harmOf (part: Millis, pass: Millis = this.pass): number {
+  addHarm (harm: Map<Work, number>, part: Millis, pass: Millis = this.pass): void {
     const added = part * this.slowdown + pass - this.pass
-    const writing = this.#work.writing.reduce((sum, work) => sum + this.#pauseHarm(work, added), 0)
-    const reading = this.#work.reading.reduce((sum, work) => sum + this.#delayHarm(work, added), 0)
-    return writing + reading
-  }
-
-  #pauseHarm ({ pauseObjective, prompt }: Work, added: Millis): number {
-    if (pauseObjective === null) return 0
-    return this.#harm(prompt, pauseObjective * OBJECTIVE_SHARE - this.pass - this.pendingReading, added)
-  }
-
-  #delayHarm ({ dueAt, prompt }: Work, added: Millis): number {
-    return this.#harm(prompt, dueAt - this.#now - this.pass - this.pendingReading, added)
+    const waiting = this.pass + this.pendingReading
+    for (const work of this.#work.writing) {
+      if (work.pauseObjective !== null) enter(harm, work, work.pauseObjective * OBJECTIVE_SHARE - waiting, added)
+    }
+    for (const work of [...this.#work.reading, ...this.#work.helping]) enter(harm, work, work.dueAt - this.#now - waiting, added)
   }
 
-  #harm (prompt: Tokens, spare: Millis, added: Millis): number {
-    if (added <= spare) return 0
-    const share = spare > 0 ? LATE_LOSS : Math.min(LATE_LOSS, FURTHER_HARM_PER_SECOND * added / MS_PER_SECOND)
-    return share * valueOf(prompt)
+  /**
+   * @param part - time that one more part takes to read on a sound engine
+   * @returns value of the answers that it would make late
+   */
+  harmOf (part: Millis): number {
+    const harm = new Map<Work, number>()
+    this.addHarm(harm, part)
+    return totalOf(harm)
   }
 
   #predictReading (): Millis {
@@ -116,5 +125,21 @@
   }
 }
 
-const reservedMemory = ({ reading, writing }: RunnerWork): Tokens =>
-  [...reading, ...writing].reduce((sum, { prompt, answer }) => sum + prompt + answer, 0)
+/**
+ * @param harm - losses by request
+ * @returns their sum
+ */
+export const totalOf = (harm: ReadonlyMap<Work, number>): number => [...harm.values()].reduce((sum, loss) => sum + loss, 0)
+
+/** What a request loses where `added` exceeds the time that it has to spare; one that is late already loses by the delay. */
+const enter = (harm: Map<Work, number>, work: Work, spare: Millis, added: Millis): void => {
+  if (added <= spare) return
+  const share = spare > 0 ? LATE_LOSS : Math.min(LATE_LOSS, FURTHER_HARM_PER_SECOND * added / MS_PER_SECOND)
+  harm.set(work, Math.max(harm.get(work) ?? 0, share * valueOf(work.prompt)))
+}
+
+/** An engine that is nearly full stops reading: only a prompt alone may use its whole memory. */
+const freeMemory = ({ reading, writing }: RunnerWork, memory: Tokens): Tokens => {
+  const used = [...reading, ...writing].reduce((sum, { prompt, answer }) => sum + prompt + answer, 0)
+  return used === 0 ? memory : memory * SHARED_MEMORY_SHARE - used
+}
--- a/packages/domain/src/forwarding/PlacementPolicy.ts
+++ b/packages/domain/src/forwarding/PlacementPolicy.ts
@@ -14,8 +14,10 @@
 /** What has to be placed. */
 export interface PlacementRequest {
   readonly size: PromptSize
-  /** Time left until the first event is due; negative once it is late. */
+  /** Time within which the first event is due, from the arrival of the request. */
   readonly objective: Millis
+  /** Time left of it; negative once the first event is late. */
+  readonly timeLeft: Millis
   readonly pauseObjective: Millis | null
   /** Failure domain of the node that asks. */
   readonly failureDomain: FailureDomain
--- a/packages/domain/src/forwarding/constants.ts
+++ b/packages/domain/src/forwarding/constants.ts
@@ -10,6 +10,9 @@
 /** Share of an objective that a prediction may use, so that its error does not make the answer late. */
 export const OBJECTIVE_SHARE = 0.85
 
+/** Share of an objective up to which a prediction bears no risk. */
+export const SAFE_SHARE = 0.45
+
 /** Share of a request's value that is lost when it is late. */
 export const LATE_LOSS = 0.75
 
@@ -20,7 +23,7 @@
 export const VALUE_UNIT_TOKENS = 5_000
 
 /** Cost, in shares of the request's value, of a first event that takes its whole objective. */
-export const WAIT_COST = 0.2
+export const WAIT_COST = 0.06
 
 /** Cost, in shares of the request's value, of each engine that its prompt depends on. */
 export const PART_COST = 0.004
@@ -36,3 +39,6 @@
 
 /** Shortest prompt that is read in parts; below it the first event waits for the pass, not for the reading. */
 export const SHORTEST_DIVIDED_PROMPT = 8_000
+
+/** Share of an engine's memory that several requests may use together. */
+export const SHARED_MEMORY_SHARE = 0.85
--- a/packages/node/src/forward/FleetDispatch.ts
+++ b/packages/node/src/forward/FleetDispatch.ts
@@ -64,7 +64,8 @@
     const policy = call.service.engine === null ? this.#plain : this.#engines
     return policy.choose({
       size: call.size,
-      objective: call.dueAt - now,
+      objective: call.route.objective,
+      timeLeft: call.dueAt - now,
       pauseObjective: call.route.pauseObjective,
       failureDomain: this.#options.failureDomain,
       candidates,
