Follow the reading of each engine; pack short answers; wait by the cost of reading

Cause: the remaining reading of an engine was taken from the age of its oldest prompt, so parts that had finished since counted as progress of those that had not; short answers spread over every engine that had one, and never left it; long prompts were given up as silent after 3 s and read elsewhere, at 3 s of an engine each. Change: one queue per engine (parts first, newest first) advanced from all nodes' accounts; the fullest engine that serves well gets the next short answer; silence is borne longer where the prompt is dear to read.

--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -1,31 +1,42 @@
 /** What one engine is predicted to do next, and whom further work there would harm. */
 import type { Millis, Tokens } from '../types.js'
-import { FURTHER_HARM_PER_SECOND, LATE_LOSS, OBJECTIVE_SHARE, OVERDUE_READING, SHARED_MEMORY_SHARE, VALUE_EXPONENT, VALUE_UNIT_TOKENS } from './constants.js'
+import { FURTHER_HARM_PER_SECOND, LATE_LOSS, OBJECTIVE_SHARE, SHARED_MEMORY_SHARE, VALUE_EXPONENT, VALUE_UNIT_TOKENS } from './constants.js'
 import type { EngineModel } from './EngineModel.js'
 import type { RunnerWork, Work } from './FleetWork.js'
-import type { BackendServer } from './types.js'
 import type { Candidate } from './PlacementPolicy.js'
+import type { PendingReading } from './ReadingQueue.js'
+import type { BackendServer } from './types.js'
 
 const MS_PER_SECOND = 1_000
 
+/** Losses by request, each the greatest over the engines of one choice. */
+export type Harm = Map<string, number>
+
 /**
  * @param prompt - length of a prompt
  * @returns what serving it on time is worth, in units of a short request
  */
 export const valueOf = (prompt: Tokens): number => (prompt / VALUE_UNIT_TOKENS) ** VALUE_EXPONENT
 
+/**
+ * @param harm - losses by request
+ * @returns their sum
+ */
+export const totalOf = (harm: Harm): number => [...harm.values()].reduce((sum, loss) => sum + loss, 0)
+
 /** A prediction for one engine at one moment. */
 export class EngineState {
   readonly server: BackendServer
-  readonly slowdown: number
   /** Time until everything that is to be read there is read. */
   readonly pendingReading: Millis
   /** Length of its passes without reading. */
   readonly pass: Millis
-  /** Requests it reads or writes for. */
+  /** Requests that it reads for itself or writes for. */
   readonly requests: number
   readonly freeMemory: Tokens
-  readonly #work: RunnerWork
+  readonly #slowdown: number
+  readonly #writing: readonly Work[]
+  readonly #pending: readonly PendingReading[]
   readonly #model: EngineModel
   readonly #now: Millis
   readonly #context: Tokens
@@ -38,15 +49,16 @@
    */
   constructor ({ server, slowdown }: Candidate, work: RunnerWork, model: EngineModel, now: Millis) {
     this.server = server
-    this.slowdown = slowdown
-    this.#work = work
+    this.#slowdown = slowdown
+    this.#pending = work.pending
+    this.#writing = work.requests.filter(({ isRead }) => isRead)
     this.#model = model
     this.#now = now
-    this.#context = work.writing.reduce((sum, { prompt, answer }) => sum + prompt + answer / 2, 0)
-    this.pass = slowdown * model.pass(work.writing.length, this.#context)
-    this.requests = work.reading.length + work.writing.length
-    this.freeMemory = freeMemory(work, model.figures.memory)
-    this.pendingReading = this.#predictReading()
+    this.#context = this.#writing.reduce((sum, { prompt, answer }) => sum + prompt + answer / 2, 0)
+    this.pass = slowdown * model.pass(this.#writing.length, this.#context)
+    this.requests = work.requests.length
+    this.freeMemory = freeMemory(work.requests, model.figures.memory)
+    this.pendingReading = slowdown * work.pending.reduce((sum, { left }) => sum + left, 0)
   }
 
   /** Whether another request can begin there at once. */
@@ -56,12 +68,16 @@
 
   /** Whether it can read a part of another prompt. */
   get canHelp (): boolean {
-    return this.#work.helping.length < this.server.slots
+    return this.#pending.filter(({ isPart }) => isPart).length < this.server.slots
   }
 
-  /** The shortest pause that any answer there allows; Infinity where none is bounded. */
-  get tightestPause (): Millis {
-    return [...this.#work.writing, ...this.#work.reading].reduce((least, { pauseObjective }) => Math.min(least, pauseObjective ?? Infinity), Infinity)
+  /**
+   * @param pause - longest pause between events
+   * @returns how many requests there allow no longer pauses
+   */
+  tightRequests (pause: Millis): number {
+    const own = this.#pending.filter(({ isPart }) => !isPart).map(({ work }) => work)
+    return [...this.#writing, ...own].filter(({ pauseObjective }) => pauseObjective !== null && pauseObjective <= pause).length
   }
 
   /**
@@ -71,7 +87,7 @@
    * @returns time until it would be read
    */
   helpingFinish (part: Millis): Millis {
-    return this.pass + part * this.slowdown
+    return this.pass + part * this.#slowdown
   }
 
   /**
@@ -79,7 +95,7 @@
    * @returns time until it would be read, behind all that waits there
    */
   readingFinish (part: Millis): Millis {
-    return this.pendingReading + this.pass + part * this.slowdown
+    return this.pendingReading + this.pass + part * this.#slowdown
   }
 
   /**
@@ -87,59 +103,53 @@
    * @returns length of a pass with one more answer
    */
   passWith (prompt: Tokens): Millis {
-    return this.slowdown * this.#model.pass(this.#work.writing.length + 1, this.#context + prompt)
+    return this.#slowdown * this.#model.pass(this.#writing.length + 1, this.#context + prompt)
   }
 
   /**
-   * Enters what one more part would cost the requests on this engine.
+   * Enters what a part of another engine's prompt would cost the requests here.
    *
    * @param harm - the greatest loss of each request, over all engines of a choice
    * @param part - time that the part takes to read on a sound engine
-   * @param pass - length of the passes from then on
    */
-  addHarm (harm: Map<Work, number>, part: Millis, pass: Millis = this.pass): void {
-    const added = part * this.slowdown + pass - this.pass
-    const waiting = this.pass + this.pendingReading
-    for (const work of this.#work.writing) {
-      if (work.pauseObjective !== null) enter(harm, work, work.pauseObjective * OBJECTIVE_SHARE - waiting, added)
+  addHelpingHarm (harm: Harm, part: Millis): void {
+    const added = part * this.#slowdown
+    this.#addPauseHarm(harm, added)
+    let before = this.pass
+    for (const { work, left } of this.#pending) {
+      before += left * this.#slowdown
+      enter(harm, work, work.dueAt - this.#now - before, added)
     }
-    for (const work of [...this.#work.reading, ...this.#work.helping]) enter(harm, work, work.dueAt - this.#now - waiting, added)
   }
 
   /**
-   * @param part - time that one more part takes to read on a sound engine
-   * @returns value of the answers that it would make late
+   * Enters what a prompt that is read and written for here would cost the requests here.
+   *
+   * @param harm - the greatest loss of each request, over all engines of a choice
+   * @param part - time that the prompt, or the first part of it, takes to read on a sound engine
+   * @param prompt - its whole length
    */
-  harmOf (part: Millis): number {
-    const harm = new Map<Work, number>()
-    this.addHarm(harm, part)
-    return totalOf(harm)
+  addServingHarm (harm: Harm, part: Millis, prompt: Tokens): void {
+    this.#addPauseHarm(harm, part * this.#slowdown + this.passWith(prompt) - this.pass)
   }
 
-  #predictReading (): Millis {
-    const waiting = [...this.#work.reading, ...this.#work.helping]
-    if (waiting.length === 0) return 0
-    const total = waiting.reduce((sum, { prompt, helpers }) => sum + this.slowdown * this.#model.reading(prompt, helpers.length + 1), 0)
-    const since = waiting.reduce((earliest, { sentAt }) => Math.min(earliest, sentAt), this.#now)
-    return Math.max(total - (this.#now - since), OVERDUE_READING)
+  #addPauseHarm (harm: Harm, added: Millis): void {
+    const waiting = this.pass + this.pendingReading
+    for (const work of this.#writing) {
+      if (work.pauseObjective !== null) enter(harm, work, work.pauseObjective * OBJECTIVE_SHARE - waiting, added)
+    }
   }
 }
 
-/**
- * @param harm - losses by request
- * @returns their sum
- */
-export const totalOf = (harm: ReadonlyMap<Work, number>): number => [...harm.values()].reduce((sum, loss) => sum + loss, 0)
-
 /** What a request loses where `added` exceeds the time that it has to spare; one that is late already loses by the delay. */
-const enter = (harm: Map<Work, number>, work: Work, spare: Millis, added: Millis): void => {
+const enter = (harm: Harm, { id, prompt }: Work, spare: Millis, added: Millis): void => {
   if (added <= spare) return
   const share = spare > 0 ? LATE_LOSS : Math.min(LATE_LOSS, FURTHER_HARM_PER_SECOND * added / MS_PER_SECOND)
-  harm.set(work, Math.max(harm.get(work) ?? 0, share * valueOf(work.prompt)))
+  harm.set(id, Math.max(harm.get(id) ?? 0, share * valueOf(prompt)))
 }
 
 /** An engine that is nearly full stops reading: only a prompt alone may use its whole memory. */
-const freeMemory = ({ reading, writing }: RunnerWork, memory: Tokens): Tokens => {
-  const used = [...reading, ...writing].reduce((sum, { prompt, answer }) => sum + prompt + answer, 0)
+const freeMemory = (requests: readonly Work[], memory: Tokens): Tokens => {
+  const used = requests.reduce((sum, { prompt, answer }) => sum + prompt + answer, 0)
   return used === 0 ? memory : memory * SHARED_MEMORY_SHARE - used
 }
--- a/packages/domain/src/forwarding/FleetWork.ts
+++ b/packages/domain/src/forwarding/FleetWork.ts
@@ -1,19 +1,23 @@
 /** The account of all work on the engines: this node's own, and what each peer last said of its own. */
 import type { Millis, NodeId, RunnerId, Tokens } from '../types.js'
+import { ReadingQueue } from './ReadingQueue.js'
+import type { PendingReading } from './ReadingQueue.js'
 
 /** One request on an engine, from the moment at which it is sent there. */
 export interface Work {
-  /** Distinguishes the works of one node. */
-  readonly key: number
+  /** Unique over all nodes. */
+  readonly id: string
   readonly runner: RunnerId
-  /** Engines that read parts of the prompt for `runner`; empty once the prompt is read. */
+  /** Engines that read parts of the prompt for `runner`. */
   readonly helpers: readonly RunnerId[]
   readonly prompt: Tokens
   /** Expected length of the answer. */
   readonly answer: Tokens
+  /** Time for which each engine reads, if it is sound. */
+  readonly part: Millis
   readonly sentAt: Millis
-  /** When its first event arrived; null while the prompt is waiting or read. */
-  readonly firstEventAt: Millis | null
+  /** Whether its first event has come: the prompt is read. */
+  readonly isRead: boolean
   /** Longest pause between events that keeps the answer on time; null where there is none. */
   readonly pauseObjective: Millis | null
   /** When its first event is due. */
@@ -22,24 +26,16 @@
 
 /** What one engine has to do. */
 export interface RunnerWork {
-  /** Requests that are read or wait to be read there. */
-  readonly reading: readonly Work[]
-  /** Requests of other engines of which it reads a part. */
-  readonly helping: readonly Work[]
-  /** Requests that are written for. */
-  readonly writing: readonly Work[]
+  /** What it reads, in the order in which it does. */
+  readonly pending: readonly PendingReading[]
+  /** Requests that it reads for itself or writes for. */
+  readonly requests: readonly Work[]
 }
 
-const NO_WORK: RunnerWork = { reading: [], helping: [], writing: [] }
-
-interface MutableRunnerWork {
-  reading: Work[]
-  helping: Work[]
-  writing: Work[]
-}
+const NO_WORK: RunnerWork = { pending: [], requests: [] }
 
 interface PeerWork {
-  readonly works: readonly Work[]
+  readonly works: ReadonlyMap<string, Work>
   readonly heardAt: Millis
 }
 
@@ -48,9 +44,16 @@
 
 /** All work on the engines, as far as this node knows. */
 export class FleetWork {
-  readonly #own = new Map<number, Work>()
+  readonly #node: NodeId
+  readonly #own = new Map<string, Work>()
   readonly #peers = new Map<NodeId, PeerWork>()
-  #nextKey = 1
+  readonly #reading = new Map<RunnerId, ReadingQueue>()
+  #nextNumber = 1
+
+  /** @param node - this node */
+  constructor (node: NodeId) {
+    this.#node = node
+  }
 
   /** @returns this node's own work */
   own (): readonly Work[] {
@@ -60,33 +63,37 @@
   /**
    * Enters work of this node.
    *
-   * @param work - what is sent, without its key
-   * @returns the work with its key
+   * @param work - what is sent, without its id
+   * @returns the work with its id
    */
-  begin (work: Omit<Work, 'key'>): Work {
-    const entered = { ...work, key: this.#nextKey++ }
-    this.#own.set(entered.key, entered)
+  begin (work: Omit<Work, 'id'>): Work {
+    const entered = { ...work, id: `${this.#node}/${this.#nextNumber++}` }
+    this.#own.set(entered.id, entered)
+    this.#startReading(entered, work.sentAt)
     return entered
   }
 
   /**
    * Notes that the prompt of this node's work is read.
    *
-   * @param key - key of the work
+   * @param work - the work
    * @param now - time
    */
-  firstEvent (key: number, now: Millis): void {
-    const work = this.#own.get(key)
-    if (work !== undefined) this.#own.set(key, { ...work, helpers: [], firstEventAt: now })
+  firstEvent (work: Work, now: Millis): void {
+    if (!this.#own.has(work.id)) return
+    this.#endReading(work, now)
+    this.#own.set(work.id, { ...work, isRead: true })
   }
 
   /**
    * Removes work of this node.
    *
-   * @param key - key of the work
+   * @param work - the work
+   * @param now - time
    */
-  end (key: number): void {
-    this.#own.delete(key)
+  end (work: Work, now: Millis): void {
+    this.#endReading(work, now)
+    this.#own.delete(work.id)
   }
 
   /**
@@ -97,15 +104,26 @@
    * @param now - time
    */
   hear (node: NodeId, works: readonly Work[], now: Millis): void {
-    this.#peers.set(node, { works, heardAt: now })
+    const before = this.#peers.get(node)?.works ?? new Map<string, Work>()
+    const after = new Map(works.map((work) => [work.id, work]))
+    for (const work of before.values()) {
+      const successor = after.get(work.id)
+      if (!work.isRead && (successor === undefined || successor.isRead)) this.#endReading(work, now)
+    }
+    for (const work of after.values()) {
+      if (!before.has(work.id) && !work.isRead) this.#startReading(work, work.sentAt)
+    }
+    this.#peers.set(node, { works: after, heardAt: now })
   }
 
   /**
    * Forgets a peer.
    *
    * @param node - the peer
+   * @param now - time
    */
-  forget (node: NodeId): void {
+  forget (node: NodeId, now: Millis): void {
+    this.hear(node, [], now)
     this.#peers.delete(node)
   }
 
@@ -113,48 +131,68 @@
    * Adds up the work of all nodes by engine.
    *
    * @param now - time
-   * @returns work by engine; engines without work are left out
+   * @returns work by engine
    */
   byRunner (now: Millis): RunnerWorks {
-    const works = new RunnerWorks()
-    for (const work of this.#own.values()) works.add(work)
-    for (const { works: theirs, heardAt } of this.#peers.values()) {
-      if (now - heardAt > PEER_WORK_EXPIRY) continue
-      for (const work of theirs) works.add(work)
+    for (const [node, { heardAt }] of this.#peers) if (now - heardAt > PEER_WORK_EXPIRY) this.forget(node, now)
+    const requests = new Map<RunnerId, Work[]>()
+    for (const work of this.#all()) {
+      const known = requests.get(work.runner)
+      if (known === undefined) requests.set(work.runner, [work])
+      else known.push(work)
+    }
+    return new RunnerWorks(requests, this.#pending(now))
+  }
+
+  * #all (): Generator<Work> {
+    yield * this.#own.values()
+    for (const { works } of this.#peers.values()) yield * works.values()
+  }
+
+  #pending (now: Millis): Map<RunnerId, PendingReading[]> {
+    const pending = new Map<RunnerId, PendingReading[]>()
+    for (const [runner, queue] of this.#reading) {
+      queue.advance(now)
+      if (queue.isEmpty) this.#reading.delete(runner)
+      else pending.set(runner, queue.pending())
     }
-    return works
+    return pending
+  }
+
+  #startReading (work: Work, now: Millis): void {
+    this.#queueOf(work.runner, now).add(work, false, now)
+    for (const helper of work.helpers) this.#queueOf(helper, now).add(work, true, now)
+  }
+
+  #endReading (work: Work, now: Millis): void {
+    for (const runner of [work.runner, ...work.helpers]) this.#reading.get(runner)?.remove(work, now)
+  }
+
+  #queueOf (runner: RunnerId, now: Millis): ReadingQueue {
+    const known = this.#reading.get(runner)
+    if (known !== undefined) return known
+    const queue = new ReadingQueue(now)
+    this.#reading.set(runner, queue)
+    return queue
   }
 }
 
-/** Work by engine. */
+/** Work by engine at one moment. */
 export class RunnerWorks {
-  readonly #works = new Map<RunnerId, MutableRunnerWork>()
+  /**
+   * @param requests - requests by the engine that writes for them
+   * @param pending - readings by engine
+   */
+  constructor (private readonly requests: ReadonlyMap<RunnerId, readonly Work[]>, private readonly pending: ReadonlyMap<RunnerId, readonly PendingReading[]>) {}
 
   /**
    * @param runner - the engine
    * @returns its work
    */
   of (runner: RunnerId): RunnerWork {
-    return this.#works.get(runner) ?? NO_WORK
-  }
-
-  /**
-   * Enters work on its engine and on those that help it.
-   *
-   * @param work - the work
-   */
-  add (work: Work): void {
-    const owner = this.#entry(work.runner)
-    if (work.firstEventAt === null) owner.reading.push(work)
-    else owner.writing.push(work)
-    for (const helper of work.helpers) this.#entry(helper).helping.push(work)
-  }
-
-  #entry (runner: RunnerId): MutableRunnerWork {
-    const known = this.#works.get(runner)
-    if (known !== undefined) return known
-    const entry: MutableRunnerWork = { reading: [], helping: [], writing: [] }
-    this.#works.set(runner, entry)
-    return entry
+    const requests = this.requests.get(runner)
+    const pending = this.pending.get(runner)
+    if (requests === undefined && pending === undefined) return NO_WORK
+    return { requests: requests ?? [], pending: pending ?? [] }
   }
 }
--- a/packages/domain/src/forwarding/LeastOutstanding.ts
+++ b/packages/domain/src/forwarding/LeastOutstanding.ts
@@ -5,10 +5,7 @@
 /** Chooses the engine with the fewest requests, whatever their length. */
 export class LeastOutstanding extends PlacementPolicy {
   choose ({ candidates, works, model, size }: PlacementRequest): Choice | null {
-    const loads = candidates.map(({ server }) => {
-      const { reading, writing } = works.of(server.id)
-      return { server, requests: reading.length + writing.length }
-    })
+    const loads = candidates.map(({ server }) => ({ server, requests: works.of(server.id).requests.length }))
     loads.sort((a, b) => a.requests - b.requests)
     const [best] = loads
     if (best === undefined) return null
--- a/packages/domain/src/forwarding/LengthPlacement.ts
+++ b/packages/domain/src/forwarding/LengthPlacement.ts
@@ -3,9 +3,9 @@
  * where nobody's pauses suffer, and short ones share engines so that others stay free of them.
  */
 import type { Millis, Tokens } from '../types.js'
-import { FIRST_TIGHT_WRITER_COST, LATE_LOSS, OBJECTIVE_SHARE, PART_COST, PART_COUNTS, SAFE_SHARE, SHORTEST_DIVIDED_PROMPT, WAIT_COST } from './constants.js'
+import { TIGHT_WRITER_COST, LATE_LOSS, OBJECTIVE_SHARE, PART_COST, PART_COUNTS, SAFE_SHARE, SHORTEST_DIVIDED_PROMPT, WAIT_COST } from './constants.js'
 import { EngineState, totalOf, valueOf } from './EngineState.js'
-import type { Work } from './FleetWork.js'
+import type { Harm } from './EngineState.js'
 import { PlacementPolicy } from './PlacementPolicy.js'
 import type { Choice, PlacementRequest } from './PlacementPolicy.js'
 
@@ -39,7 +39,7 @@
 /** The best engines for reading in a number of parts, each of two of them as the one that writes. */
 const divided = (request: PlacementRequest, states: readonly EngineState[], owners: readonly EngineState[], parts: number): Option[] => {
   const part = request.model.reading(request.size.prompt, parts)
-  const cost = new Map(states.map((state) => [state, state.harmOf(part) + state.readingFinish(part) / request.objective]))
+  const cost = new Map(states.map((state) => [state, helpingHarm(state, part) + state.readingFinish(part) / request.objective]))
   const ranked = [...states].sort((a, b) => (cost.get(a) ?? 0) - (cost.get(b) ?? 0))
   const bestOwners = ranked.filter((state) => owners.includes(state)).slice(0, parts)
   const roomiest = bestOwners.reduce<EngineState | null>((best, state) => best === null || state.freeMemory > best.freeMemory ? state : best, null)
@@ -57,9 +57,9 @@
   const pass = owner.passWith(size.prompt)
   const read = helpers.reduce((latest, helper) => Math.max(latest, helper.helpingFinish(part)), owner.readingFinish(part))
   const firstEvent = read + pass
-  const harm = new Map<Work, number>()
-  owner.addHarm(harm, part, pass)
-  for (const helper of helpers) helper.addHarm(harm, part)
+  const harm: Harm = new Map()
+  owner.addServingHarm(harm, part, size.prompt)
+  for (const helper of helpers) helper.addHelpingHarm(harm, part)
   const own = valueOf(size.prompt) * (lossOf(request, firstEvent, pass) + PART_COST * helpers.length)
   return { server: owner.server, helpers: helpers.map(({ server }) => server), firstEvent, cost: totalOf(harm) + own + tightCost(request, owner) }
 }
@@ -73,5 +73,14 @@
   return waiting + LATE_LOSS * risk ** 2
 }
 
-const tightCost = ({ pauseObjective }: PlacementRequest, owner: EngineState): number =>
-  pauseObjective !== null && pauseObjective < owner.tightestPause ? FIRST_TIGHT_WRITER_COST : 0
+/** Short answers share as few engines as serve them well: the others stay free to read long prompts. */
+const tightCost = ({ pauseObjective }: PlacementRequest, owner: EngineState): number => {
+  if (pauseObjective === null) return 0
+  return TIGHT_WRITER_COST * (1 - Math.min(1, owner.tightRequests(pauseObjective) / owner.server.slots))
+}
+
+const helpingHarm = (state: EngineState, part: Millis): number => {
+  const harm: Harm = new Map()
+  state.addHelpingHarm(harm, part)
+  return totalOf(harm)
+}
--- a/packages/domain/src/forwarding/constants.ts
+++ b/packages/domain/src/forwarding/constants.ts
@@ -1,6 +1,4 @@
 /** Weights and bounds of the choice of engines. */
-import type { Millis } from '../types.js'
-
 /** Engines that may help one prompt; the engines accept no more. */
 export const MOST_HELPERS = 16
 
@@ -29,14 +27,11 @@
 export const PART_COST = 0.004
 
 /** Cost of the first answer with tight pauses on an engine: long prompts cannot be read there without harm. */
-export const FIRST_TIGHT_WRITER_COST = 0.08
+export const TIGHT_WRITER_COST = 0.1
 
 /** Cost of harming an answer whose pauses are too long already, for each second that is added. */
 export const FURTHER_HARM_PER_SECOND = 0.5
 
-/** Reading time assumed to be left of a prompt that should have been read by now. */
-export const OVERDUE_READING: Millis = 15
-
 /** Shortest prompt that is read in parts; below it the first event waits for the pass, not for the reading. */
 export const SHORTEST_DIVIDED_PROMPT = 8_000
 
--- a/packages/domain/src/forwarding/silence.ts
+++ b/packages/domain/src/forwarding/silence.ts
@@ -10,14 +10,43 @@
 /** How much longer than its objective a pause may be. */
 const PAUSE_FACTOR = 1.5
 
+/** How many times its objective a caller waits for the first event, or for the next one, before it leaves. */
+const CALLER_WAIT_FOR_FIRST_EVENT = 4
+const CALLER_WAIT_FOR_NEXT_EVENT = 8
+
+/** Shortest wait of a caller. */
+const SHORTEST_CALLER_WAIT: Millis = 2_000
+
+/** Share of the caller's wait after which another server can still answer in time. */
+const SHARE_OF_CALLER_WAIT = 0.65
+
+/** What a stream waits for. */
+export interface SilenceBounds {
+  /** Predicted time until the first event. */
+  readonly expected: Millis
+  /** Time within which the first event is due. */
+  readonly objective: Millis
+  /** Longest pause that keeps the answer on time; null where there is none. */
+  readonly pauseObjective: Millis | null
+  /** Time to read the prompt once more, alone: what another attempt costs everybody. */
+  readonly reading: Millis
+}
+
 /**
- * @param expected - predicted time until the first event
+ * @param bounds - what the stream waits for
  * @returns the time after which the first event is not waited for any longer
  */
-export const longestWaitForFirstEvent = (expected: Millis): Millis => SHORTEST_SILENCE + FIRST_EVENT_FACTOR * expected
+export const longestWaitForFirstEvent = ({ expected, objective, reading }: SilenceBounds): Millis => {
+  const callerWait = Math.max(SHORTEST_CALLER_WAIT, CALLER_WAIT_FOR_FIRST_EVENT * objective)
+  return Math.min(SHORTEST_SILENCE + FIRST_EVENT_FACTOR * expected + reading, SHARE_OF_CALLER_WAIT * callerWait)
+}
 
 /**
- * @param pauseObjective - longest pause that keeps the answer on time; null where there is none
+ * @param bounds - what the stream waits for
  * @returns the time after which the next event is not waited for any longer
  */
-export const longestPause = (pauseObjective: Millis | null): Millis => SHORTEST_SILENCE + PAUSE_FACTOR * (pauseObjective ?? SHORTEST_SILENCE)
+export const longestPause = ({ pauseObjective, reading }: SilenceBounds): Millis => {
+  const pause = pauseObjective ?? SHORTEST_SILENCE
+  const callerWait = Math.max(SHORTEST_CALLER_WAIT, CALLER_WAIT_FOR_NEXT_EVENT * pause)
+  return Math.min(SHORTEST_SILENCE + PAUSE_FACTOR * pause + reading, SHARE_OF_CALLER_WAIT * callerWait)
+}
--- a/packages/node/src/forward/FleetDispatch.ts
+++ b/packages/node/src/forward/FleetDispatch.ts
@@ -1,6 +1,6 @@
 /** Places requests on backend servers, and keeps the account of where they are. */
 import { EngineModel, FleetWork, LeastOutstanding, LengthPlacement, RetryBudget, ServerHealth } from '@bluebellhill/domain'
-import type { BackendServer, Candidate, Choice, FailureDomain, Millis, PlacementPolicy, RunnerId, Service, Work, Evidence } from '@bluebellhill/domain'
+import type { BackendServer, Candidate, Choice, FailureDomain, Millis, NodeId, PlacementPolicy, RunnerId, Service, Work, Evidence } from '@bluebellhill/domain'
 
 import type { Log } from '../log/index.js'
 import type { AdmittedCall } from './AdmittedCall.js'
@@ -13,6 +13,7 @@
 }
 
 export interface FleetDispatchOptions {
+  readonly node: NodeId
   readonly failureDomain: FailureDomain
   readonly knowledge: Knowledge
   readonly log: Log
@@ -30,7 +31,7 @@
 
 /** Chooses backend servers by the account of all nodes. */
 export class FleetDispatch {
-  readonly work = new FleetWork()
+  readonly work: FleetWork
   readonly health = new ServerHealth()
   readonly #options: FleetDispatchOptions
   readonly #engines: PlacementPolicy = new LengthPlacement()
@@ -42,6 +43,7 @@
   /** @param options - what the choice rests on */
   constructor (options: FleetDispatchOptions) {
     this.#options = options
+    this.work = new FleetWork(options.node)
     options.knowledge.onDeparture((id) => this.health.forget(id))
   }
 
@@ -90,8 +92,9 @@
       helpers: helpers.map(({ id }) => id),
       prompt: size.prompt,
       answer: usual > 0 ? Math.min(size.mostAnswer, usual) : size.mostAnswer,
+      part: this.#modelOf(service).reading(size.prompt, helpers.length + 1),
       sentAt: this.#options.clock(),
-      firstEventAt: null,
+      isRead: false,
       pauseObjective: route.pauseObjective,
       dueAt
     })
@@ -101,16 +104,21 @@
 
   /** The prompt is read. */
   firstEvent (work: Work): void {
-    this.work.firstEvent(work.key, this.#options.clock())
+    this.work.firstEvent(work, this.#options.clock())
     this.#workListener()
   }
 
   /** The request has left its server. */
   end (work: Work): void {
-    this.work.end(work.key)
+    this.work.end(work, this.#options.clock())
     this.#workListener()
   }
 
+  /** @returns the time to read a prompt on one engine, with nothing else there */
+  reading ({ service, size }: AdmittedCall): Millis {
+    return this.#modelOf(service).reading(size.prompt)
+  }
+
   /** Takes in what an attempt says of its server. */
   observe (server: BackendServer, evidence: Evidence): void {
     const avoided = this.health.observe(server.id, evidence, this.#options.clock())
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -59,6 +59,7 @@
     this.#options = options
     this.#knowledge = new Knowledge(log, clock)
     this.#dispatch = new FleetDispatch({
+      node: settings.node,
       failureDomain: settings.failureDomain,
       knowledge: this.#knowledge,
       log,
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -34,6 +34,8 @@
   readonly sentAt: Millis
   readonly choice: Choice
   call: ServerCall
+  /** Whether its first event has come. */
+  isRead: boolean
   head: AnswerHead | null
   answer: AnswerHeaders | null
 }
@@ -160,7 +162,7 @@
     }
     this.tried.add(choice.server.id)
     const work = dispatch.begin(this.call, choice)
-    const attempt: Omit<OpenAttempt, 'call'> = { server: choice.server, work, sentAt: clock(), choice, head: null, answer: null }
+    const attempt: Omit<OpenAttempt, 'call'> = { server: choice.server, work, sentAt: clock(), choice, isRead: false, head: null, answer: null }
     this.#log(choice)
     this.attempt = attempt as OpenAttempt
     this.attempt.call = this.#send(this.attempt)
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -23,7 +23,9 @@
   protected patience ({ head, choice }: OpenAttempt): Millis | null {
     const { route } = this.call
     if (!mayRunAgain(route) || this.tried.size >= route.maxAttempts) return null
-    return head === null ? longestWaitForFirstEvent(choice.firstEvent) : longestPause(route.pauseObjective)
+    const { objective, pauseObjective } = route
+    const bounds = { expected: choice.firstEvent, objective, pauseObjective, reading: this.context.dispatch.reading(this.call) }
+    return head === null ? longestWaitForFirstEvent(bounds) : longestPause(bounds)
   }
 
   protected begun (): void {
@@ -33,7 +35,8 @@
   protected piece (attempt: OpenAttempt, piece: Buffer): void {
     const events = this.#splitter.push(piece).filter((event) => this.#isNew(event))
     if (events.length === 0) return
-    if (attempt.work.firstEventAt === null) this.context.dispatch.firstEvent(attempt.work)
+    if (!attempt.isRead) this.context.dispatch.firstEvent(attempt.work)
+    attempt.isRead = true
     this.#writeHead(attempt)
     this.answered(attempt)
     for (const event of events) this.#pass(event)
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -104,7 +104,7 @@
   #beat (): void {
     const now = this.#options.clock()
     for (const peer of this.table.expire(now)) {
-      this.#options.work.forget(peer.node)
+      this.#options.work.forget(peer.node, now)
       this.#options.log.warn('peer.lost', { peer: peer.node, silent_ms: Math.round(now - peer.heardAt) })
     }
     this.#heartbeats += 1
--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -64,25 +64,27 @@
 }
 
 const encodeWork = (work: Work, now: Millis): fleetWire.EngineWork => ({
-  key: work.key,
+  id: work.id,
   runner: work.runner,
-  helpers: [...work.helpers],
+  helpers: work.isRead ? [] : [...work.helpers],
   promptTokens: work.prompt,
   answerTokens: Math.round(work.answer),
   sentAgoMs: ageOf(work.sentAt, now),
-  firstEventAgoMs: work.firstEventAt === null ? undefined : ageOf(work.firstEventAt, now),
+  partMs: Math.round(work.part),
+  isRead: work.isRead,
   pauseObjectiveMs: work.pauseObjective === null ? undefined : Math.round(work.pauseObjective),
   dueInMs: Math.round(work.dueAt - now)
 })
 
 const decodeWork = (wire: fleetWire.EngineWork, now: Millis): Work => ({
-  key: wire.key,
+  id: wire.id,
   runner: wire.runner as RunnerId,
   helpers: wire.helpers as RunnerId[],
   prompt: wire.promptTokens,
   answer: wire.answerTokens,
   sentAt: now - wire.sentAgoMs,
-  firstEventAt: wire.firstEventAgoMs === undefined ? null : now - wire.firstEventAgoMs,
+  part: wire.partMs,
+  isRead: wire.isRead,
   pauseObjective: wire.pauseObjectiveMs ?? null,
   dueAt: now + wire.dueInMs
 })
