Take an answer without a length for broken when its connection is reset

Cause: undici declares an answer without a length whole on ECONNRESET. Test: serverCall.test.ts, 'an answer without a length is not whole when its connection is reset', failed before.

--- a/packages/node/src/forward/backend/ServerCall.ts
+++ b/packages/node/src/forward/backend/ServerCall.ts
@@ -1,7 +1,7 @@
 /** One attempt at a backend server, on a connection of its own. */
 import type { IncomingHttpHeaders } from 'node:http'
 
-import { Client } from 'undici'
+import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
 
 import type { Millis } from '@bluebellhill/domain'
@@ -47,6 +47,8 @@
   readonly #listener: ServerCallListener
   #sent = false
   #over = false
+  /** Error of the connection; undici takes an answer without a length for whole when its connection is reset. */
+  #connectionError: Error | null = null
 
   /**
    * @param request - what is sent where
@@ -58,7 +60,7 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: { timeout: request.connectTimeout }
+      connect: this.#connector(request.connectTimeout)
     })
     this.#client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
@@ -102,7 +104,8 @@
     if (this.#over) return
     this.#over = true
     this.#release()
-    this.#listener.ended()
+    if (this.#connectionError === null) this.#listener.ended()
+    else this.#listener.broke(this.#sent, reasonOf(this.#connectionError))
   }
 
   onResponseError (_: Dispatcher.DispatchController, error: Error): void {
@@ -112,6 +115,15 @@
     this.#listener.broke(this.#sent, reasonOf(error))
   }
 
+  #connector (timeout: Millis): buildConnector.connector {
+    const connect = buildConnector({ timeout })
+    return (options, callback) => connect(options, (...result) => {
+      // Before the client's own listener, which may declare the answer whole.
+      result[1]?.prependOnceListener('error', (error: Error) => { this.#connectionError = error })
+      callback(...result)
+    })
+  }
+
   #release (): void {
     // The outcome of closing does not matter: the answer has been judged already.
     this.#client.destroy().catch(() => {})
--- /dev/null
+++ b/packages/node/tests/serverCall.test.ts
@@ -0,0 +1,106 @@
+import { once } from 'node:events'
+import { createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+
+import { ServerCall } from '../src/forward/backend/ServerCall.js'
+
+const HEAD = 'HTTP/1.1 200 OK\r\n'
+const CONNECT_TIMEOUT = 1_000
+
+interface Seen {
+  readonly text: string
+  readonly end: string
+}
+
+/** Serves one connection with the given script and reports what the call makes of it. */
+const answerOf = async (t: ExecutionContext, script: (socket: Socket) => void, method = 'GET', body = Buffer.alloc(0)): Promise<Seen> => {
+  const server = createServer((socket) => {
+    socket.on('error', () => {})
+    socket.once('data', () => script(socket))
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  t.teardown(() => { server.close() })
+  const { port } = server.address() as AddressInfo
+  return await new Promise((resolve) => {
+    let text = ''
+    // eslint-disable-next-line no-new -- the call reports to its listener
+    new ServerCall({ address: `127.0.0.1:${port}`, method, path: '/', headers: [], body, connectTimeout: CONNECT_TIMEOUT }, {
+      head: () => {},
+      data: (piece) => { text += piece.toString() },
+      ended: () => resolve({ text, end: 'ended' }),
+      broke: (sent) => resolve({ text, end: sent ? 'broke' : 'not sent' })
+    })
+  })
+}
+
+/** Lets what was written arrive before the connection is reset. */
+const resetSoon = (socket: Socket): void => { setTimeout(() => socket.resetAndDestroy(), 30) }
+
+test('a chunked answer with its last chunk is whole', async (t) => {
+  const seen = await answerOf(t, (socket) => socket.end(`${HEAD}transfer-encoding: chunked\r\nconnection: close\r\n\r\n3\r\nabc\r\n0\r\n\r\n`))
+  t.deepEqual(seen, { text: 'abc', end: 'ended' })
+})
+
+test('a chunked answer that is closed before its last chunk is not whole', async (t) => {
+  const seen = await answerOf(t, (socket) => socket.end(`${HEAD}transfer-encoding: chunked\r\nconnection: close\r\n\r\n3\r\nabc\r\n`))
+  t.is(seen.end, 'broke')
+})
+
+test('a chunked answer that is reset before its last chunk is not whole', async (t) => {
+  const seen = await answerOf(t, (socket) => {
+    socket.write(`${HEAD}transfer-encoding: chunked\r\nconnection: close\r\n\r\n3\r\nabc\r\n`)
+    resetSoon(socket)
+  })
+  t.is(seen.end, 'broke')
+})
+
+test('an answer without a length is whole when its connection is closed', async (t) => {
+  const seen = await answerOf(t, (socket) => socket.end(`${HEAD}connection: close\r\n\r\nabc`))
+  t.deepEqual(seen, { text: 'abc', end: 'ended' })
+})
+
+test('an answer without a length is not whole when its connection is reset', async (t) => {
+  const seen = await answerOf(t, (socket) => {
+    socket.write(`${HEAD}connection: close\r\n\r\nabc`)
+    resetSoon(socket)
+  })
+  t.is(seen.end, 'broke')
+})
+
+test('an answer shorter than its length is not whole', async (t) => {
+  const seen = await answerOf(t, (socket) => socket.end(`${HEAD}content-length: 9\r\nconnection: close\r\n\r\nabc`))
+  t.is(seen.end, 'broke')
+})
+
+test('bytes behind a whole answer are not part of it', async (t) => {
+  const seen = await answerOf(t, (socket) => socket.end(`${HEAD}content-length: 3\r\n\r\nabc${HEAD}content-length: 3\r\n\r\nxyz`))
+  t.deepEqual(seen, { text: 'abc', end: 'ended' })
+})
+
+test('an answer to a long body may come before the body is read', async (t) => {
+  const seen = await answerOf(t, (socket) => {
+    socket.pause()
+    socket.write('HTTP/1.1 413 Too Large\r\ncontent-length: 3\r\n\r\nbig')
+  }, 'POST', Buffer.alloc(4 * 1024 * 1024))
+  t.deepEqual(seen, { text: 'big', end: 'ended' })
+})
+
+test('a connection that is refused leaves the request unsent', async (t) => {
+  const server = createServer()
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  server.close()
+  await once(server, 'close')
+  const sent = await new Promise<boolean>((resolve) => {
+    // eslint-disable-next-line no-new -- the call reports to its listener
+    new ServerCall({ address: `127.0.0.1:${port}`, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), connectTimeout: CONNECT_TIMEOUT }, {
+      head: () => {}, data: () => {}, ended: () => {}, broke: resolve
+    })
+  })
+  t.false(sent)
+})
