Tell a reset from an end where both are read at once

Cause: libuv reports an end of the stream where a reset arrives together with the bytes before it. Change: at the end of a connection, one whose peer's address is gone was reset. Ruled out: a wrong length and a cut chunked answer (both noticed before). Test: serverCall.test.ts, 'a reset that is read together with the bytes before it is not an end', on real sockets, failed before.

--- a/packages/node/src/forward/backend/ServerCall.ts
+++ b/packages/node/src/forward/backend/ServerCall.ts
@@ -1,5 +1,6 @@
 /** One attempt at a backend server, on a connection of its own. */
 import type { IncomingHttpHeaders } from 'node:http'
+import type { Socket } from 'node:net'
 
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
@@ -118,12 +119,21 @@
   #connector (timeout: Millis): buildConnector.connector {
     const connect = buildConnector({ timeout })
     return (options, callback) => connect(options, (...result) => {
-      // Before the client's own listener, which may declare the answer whole.
-      result[1]?.prependOnceListener('error', (error: Error) => { this.#connectionError = error })
+      const [, socket] = result
+      if (socket != null) this.#watch(socket)
       callback(...result)
     })
   }
 
+  /** Listens before the client does, which may declare the answer whole. */
+  #watch (socket: Socket): void {
+    socket.prependOnceListener('error', (error: Error) => { this.#connectionError = error })
+    socket.prependOnceListener('end', () => {
+      // libuv reports an end where a reset arrives together with bytes; a connection that was reset has no peer any more.
+      if (socket.remoteAddress === undefined) this.#connectionError = new Error('ECONNRESET the connection was reset behind the last byte')
+    })
+  }
+
   #release (): void {
     // The outcome of closing does not matter: the answer has been judged already.
     this.#client.destroy().catch(() => {})
--- a/packages/node/tests/serverCall.test.ts
+++ b/packages/node/tests/serverCall.test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events'
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
+import { Worker } from 'node:worker_threads'
 
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
@@ -104,3 +105,32 @@
   })
   t.false(sent)
 })
+
+/** Answers without a length, and resets the connection right behind the bytes. */
+const RESETTING_SERVER = `
+  const { createServer } = require('node:net')
+  const { parentPort } = require('node:worker_threads')
+  const server = createServer((socket) => socket.once('data', () => {
+    socket.write('HTTP/1.1 200 OK\\r\\nconnection: close\\r\\n\\r\\nabc')
+    setTimeout(() => socket.resetAndDestroy(), 50)
+  }))
+  server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port))
+`
+
+test('a reset that is read together with the bytes before it is not an end', async (t) => {
+  const worker = new Worker(RESETTING_SERVER, { eval: true })
+  t.teardown(async () => { await worker.terminate() })
+  const [port] = await once(worker, 'message') as [number]
+  const end = await new Promise<string>((resolve) => {
+    const call: ServerCall = new ServerCall({ address: `127.0.0.1:${port}`, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), connectTimeout: CONNECT_TIMEOUT }, {
+      head: () => {}, data: () => {}, ended: () => resolve('ended'), broke: () => resolve('broke')
+    })
+    // Once the request is written, this thread stands still until bytes and reset have both arrived.
+    const poll = setInterval(() => {
+      if (!call.sent) return
+      clearInterval(poll)
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 200)
+    }, 1)
+  })
+  t.is(end, 'broke')
+})
