Close idle connections while stopping; tests of the forwarding path

Change: idle connections are closed every 200 ms; requests that come over 2 s after the SIGTERM are refused as not run, and every answer from then on closes its connection.

--- /dev/null
+++ b/packages/domain/tests/attempts.test.ts
@@ -0,0 +1,65 @@
+import test from 'ava'
+import fc from 'fast-check'
+
+import { AttemptEnd, CallKind, longestPause, longestWaitForFirstEvent, mayFollow, mayRunAgain, MOST_UNSENT_ATTEMPTS, ServerHealth, Evidence } from '../src/index.js'
+import type { RunnerId } from '../src/index.js'
+import { ROUTE } from './forwardingFixtures.js'
+
+const UNSAFE = { ...ROUTE, kind: CallKind.Unsafe, resumable: false, maxAttempts: 3 }
+
+test('an unsafe request runs once at most, whatever happens', (t) => {
+  const end = fc.constantFrom(...Object.values(AttemptEnd))
+  fc.assert(fc.property(fc.array(end, { maxLength: 12 }), (ends) => {
+    let sent = 0
+    let unsent = 0
+    let ran = 0
+    for (const one of ends) {
+      if (one === AttemptEnd.Unsent) unsent += 1
+      else sent += 1
+      if (one === AttemptEnd.Lost || one === AttemptEnd.Failed) ran += 1
+      if (!mayFollow(UNSAFE, one, { sent, unsent })) break
+    }
+    return ran <= 1 && sent <= UNSAFE.maxAttempts
+  }), { seed: 3, numRuns: 1_000 })
+  t.pass()
+})
+
+test('a stream runs again only where it may be resumed', (t) => {
+  t.true(mayRunAgain(ROUTE))
+  t.false(mayRunAgain({ ...ROUTE, resumable: false }))
+  t.true(mayRunAgain({ ...ROUTE, kind: CallKind.Safe, resumable: false }))
+})
+
+test('a request that never left may go elsewhere a few times', (t) => {
+  t.true(mayFollow(UNSAFE, AttemptEnd.Unsent, { sent: 0, unsent: MOST_UNSENT_ATTEMPTS }))
+  t.false(mayFollow(UNSAFE, AttemptEnd.Unsent, { sent: 0, unsent: MOST_UNSENT_ATTEMPTS + 1 }))
+})
+
+test('silence is borne longer where the prompt is dear to read, and never until the caller leaves', (t) => {
+  const short = { expected: 100, objective: 300, pauseObjective: 200, reading: 20 }
+  const long = { expected: 500, objective: 3_000, pauseObjective: 800, reading: 2_840 }
+  t.is(longestWaitForFirstEvent(short), 1_300)
+  t.true(longestWaitForFirstEvent(long) > 5_000)
+  t.true(longestWaitForFirstEvent({ ...long, reading: 50_000 }) < 12_000)
+  t.true(longestPause(short) < 2_000)
+  t.true(longestPause(long) > 4_000)
+})
+
+test('a server that fails again and again is avoided for longer and longer', (t) => {
+  const health = new ServerHealth()
+  const id = 'e1' as RunnerId
+  t.false(health.observe(id, Evidence.Bad, 0))
+  t.true(health.observe(id, Evidence.Bad, 1))
+  t.true(health.isAvoided(id, 400))
+  t.false(health.isAvoided(id, 600))
+  t.true(health.observe(id, Evidence.Bad, 600))
+  t.true(health.isAvoided(id, 1_500))
+})
+
+test('a server that cannot be reached is avoided at once, and forgotten when it starts again', (t) => {
+  const health = new ServerHealth()
+  const id = 'e1' as RunnerId
+  t.true(health.observe(id, Evidence.Unreachable, 0))
+  health.forget(id)
+  t.false(health.isAvoided(id, 1))
+})
--- /dev/null
+++ b/packages/domain/tests/backendServerTable.test.ts
@@ -0,0 +1,114 @@
+import test from 'ava'
+import fc from 'fast-check'
+
+import { BackendServerTable, Departure, LAPSED_ENTRY_GRACE, Readiness, SHORTEST_LAPSING_OUTAGE } from '../src/index.js'
+import type { RunnerId } from '../src/index.js'
+import { server } from './forwardingFixtures.js'
+
+const ID = 'e1' as RunnerId
+
+const tableWith = (...ids: string[]): BackendServerTable => {
+  const table = new BackendServerTable()
+  ids.forEach((id, index) => table.put({ server: server(id), revision: index + 1 }))
+  return table
+}
+
+const readyIds = (table: BackendServerTable): string[] => table.ready('s').map(({ id }) => id)
+
+test('an entry that goes while the store answers is gone at once', (t) => {
+  const table = tableWith('e1', 'e2')
+  const [change] = table.remove(ID, 5, 100)
+  t.like(change, { type: 'departed', cause: Departure.Removed })
+  t.deepEqual(readyIds(table), ['e2'])
+})
+
+test('an entry that lapses in an outage is kept until the grace after it', (t) => {
+  const table = tableWith('e1')
+  table.storeLost(0)
+  t.deepEqual(table.remove(ID, 5, 4_000), [])
+  table.storeRegained(5_000)
+  t.deepEqual(table.expire(5_000 + LAPSED_ENTRY_GRACE - 1), [])
+  t.deepEqual(readyIds(table), ['e1'])
+  t.like(table.expire(5_000 + LAPSED_ENTRY_GRACE)[0], { type: 'departed', cause: Departure.Lapsed })
+  t.deepEqual(readyIds(table), [])
+})
+
+test('a lapsed entry that comes back stays', (t) => {
+  const table = tableWith('e1')
+  table.storeLost(0)
+  table.replace([], 5, 4_000)
+  table.storeRegained(4_000)
+  table.put({ server: server('e1'), revision: 6 })
+  t.deepEqual(table.expire(60_000), [])
+  t.deepEqual(readyIds(table), ['e1'])
+})
+
+test('a watch that is cut for a moment does not keep removed entries', (t) => {
+  const table = tableWith('e1')
+  table.storeLost(0)
+  table.storeRegained(SHORTEST_LAPSING_OUTAGE - 1)
+  t.is(table.remove(ID, 5, SHORTEST_LAPSING_OUTAGE).length, 1)
+})
+
+test('what a peer saw removed is gone, though this node lost the store', (t) => {
+  const table = tableWith('e1')
+  table.storeLost(0)
+  t.is(table.replace([], 5, 4_000, true).length, 1)
+  t.deepEqual(readyIds(table), [])
+})
+
+test('a draining server gets no new work', (t) => {
+  const table = tableWith('e1')
+  const [change] = table.put({ server: server('e1', { readiness: Readiness.Draining }), revision: 9 })
+  t.like(change, { type: 'departed', cause: Departure.Draining })
+  t.deepEqual(readyIds(table), [])
+})
+
+test('an older entry never replaces a newer one', (t) => {
+  const table = tableWith('e1')
+  table.put({ server: server('e1', { readiness: Readiness.Draining }), revision: 9 })
+  t.deepEqual(table.put({ server: server('e1'), revision: 8 }), [])
+  t.deepEqual(readyIds(table), [])
+})
+
+test('a server that starts again under its id is another one', (t) => {
+  const table = new BackendServerTable()
+  table.put({ server: server('e1', { startedAt: 1 }), revision: 1 })
+  const changes = table.put({ server: server('e1', { startedAt: 2 }), revision: 2 })
+  t.deepEqual(changes.map(({ type }) => type), ['departed', 'arrived'])
+})
+
+test('a server whose address answers for another gets nothing until it starts again', (t) => {
+  const table = new BackendServerTable()
+  table.put({ server: server('e1', { startedAt: 1 }), revision: 1 })
+  t.is(table.foundReplaced(ID).length, 1)
+  t.deepEqual(table.foundReplaced(ID), [])
+  t.deepEqual(readyIds(table), [])
+  table.put({ server: server('e1', { startedAt: 2 }), revision: 2 })
+  t.deepEqual(readyIds(table), ['e1'])
+})
+
+test('after any history, a full list says who is ready', (t) => {
+  const id = fc.constantFrom('e1', 'e2', 'e3')
+  const step = fc.oneof(
+    fc.record({ type: fc.constant('put' as const), id, draining: fc.boolean() }),
+    fc.record({ type: fc.constant('remove' as const), id }),
+    fc.record({ type: fc.constantFrom('lost' as const, 'regained' as const) })
+  )
+  fc.assert(fc.property(fc.array(step, { maxLength: 40 }), fc.uniqueArray(id), (steps, last) => {
+    const table = new BackendServerTable()
+    let now = 0
+    for (const one of steps) {
+      now += 700
+      if (one.type === 'put') table.put({ server: server(one.id, one.draining ? { readiness: Readiness.Draining } : {}), revision: now })
+      if (one.type === 'remove') table.remove(one.id as RunnerId, now, now)
+      if (one.type === 'lost') table.storeLost(now)
+      if (one.type === 'regained') table.storeRegained(now)
+    }
+    table.storeRegained(now)
+    table.replace(last.map((one) => ({ server: server(one), revision: now + 1 })), now + 1, now)
+    table.expire(now + LAPSED_ENTRY_GRACE)
+    return readyIds(table).sort().join() === [...last].sort().join()
+  }), { seed: 11, numRuns: 500 })
+  t.pass()
+})
--- /dev/null
+++ b/packages/domain/tests/forwardingFixtures.ts
@@ -0,0 +1,97 @@
+/** Engines, servers and works for the tests of forwarding. */
+import { CallKind, EngineModel, FleetWork, LengthPlacement, Readiness } from '../src/index.js'
+import type { BackendServer, Choice, EngineFigures, FailureDomain, NodeId, PlacementRequest, Route, RunnerId, Work } from '../src/index.js'
+
+/** The figures that the users' engines publish. */
+export const FIGURES: EngineFigures = {
+  slots: 11,
+  memory: 450_000,
+  stepsPerPass: 46,
+  step: 0.925,
+  stepPerWriter: 0.007,
+  stepPerThousandContext: 0.00254,
+  readTokensPerMs: 256,
+  readPerMillionPairs: 0.0917,
+  chunk: 2_048,
+  hop: 0.1,
+  usualAnswer: 1_540
+}
+
+export const MODEL = new EngineModel(FIGURES)
+
+export const ROUTE: Route = {
+  name: 'r',
+  host: 'a.example',
+  pathPrefix: '/a/',
+  kind: CallKind.Stream,
+  resumable: true,
+  timeout: 10_000,
+  objective: 300,
+  pauseObjective: 200,
+  priority: 1,
+  maxAttempts: 2,
+  isPublic: false,
+  services: [{ service: 's', weight: 1 }]
+}
+
+export const server = (id: string, changes: Partial<BackendServer> = {}): BackendServer => ({
+  id: id as RunnerId,
+  service: 's',
+  address: '127.0.0.1:1',
+  failureDomain: 'd1' as FailureDomain,
+  slots: FIGURES.slots,
+  readiness: Readiness.Ready,
+  startedAt: null,
+  ...changes
+})
+
+export const engines = (count: number): BackendServer[] => Array.from({ length: count }, (_, index) => server(`e${index}`))
+
+/** Lengths and objectives of the users' three kinds of prompt. */
+export const SHORT = { prompt: 5_000, answer: 1_600, objective: 300, pause: 200 }
+export const MIDDLE = { prompt: 45_000, answer: 960, objective: 1_500, pause: 500 }
+export const LONG = { prompt: 210_000, answer: 800, objective: 3_000, pause: 800 }
+export type Size = typeof SHORT
+
+/** A fleet of engines as one node sees it, with the policy under test. */
+export class PlacedFleet {
+  readonly work = new FleetWork('n1' as NodeId)
+  readonly #policy = new LengthPlacement()
+
+  constructor (readonly servers: readonly BackendServer[]) {}
+
+  choose (size: Size, now: number, changes: Partial<PlacementRequest> = {}): Choice | null {
+    return this.#policy.choose({
+      size: { prompt: size.prompt, mostAnswer: size.answer },
+      objective: size.objective,
+      timeLeft: size.objective,
+      pauseObjective: size.pause,
+      failureDomain: 'd1' as FailureDomain,
+      candidates: this.servers.map((one) => ({ server: one, slowdown: 1 })),
+      model: MODEL,
+      works: this.work.byRunner(now),
+      now,
+      ...changes
+    })
+  }
+
+  /** Chooses and enters the choice. */
+  place (size: Size, now: number): { choice: Choice, work: Work } {
+    const choice = this.choose(size, now)
+    if (choice === null) throw new Error('nowhere to place it')
+    return { choice, work: this.enter(size, now, choice.server.id, choice.helpers.map(({ id }) => id)) }
+  }
+
+  enter (size: Size, now: number, runner: string, helpers: readonly RunnerId[] = []): Work {
+    return this.work.begin({
+      runner: runner as RunnerId, helpers, prompt: size.prompt, answer: size.answer, part: MODEL.reading(size.prompt, helpers.length + 1), sentAt: now, isRead: false, pauseObjective: size.pause, dueAt: now + size.objective
+    })
+  }
+
+  /** Enters a request whose answer is being written. */
+  writing (size: Size, now: number, runner: string): Work {
+    const work = this.enter(size, now, runner)
+    this.work.firstEvent(work, now)
+    return work
+  }
+}
--- /dev/null
+++ b/packages/domain/tests/lengthPlacement.test.ts
@@ -0,0 +1,88 @@
+import test from 'ava'
+
+import { engines, LONG, MIDDLE, MODEL, PlacedFleet, SHORT } from './forwardingFixtures.js'
+import type { Size } from './forwardingFixtures.js'
+
+const E0 = 'e0'
+
+/** Engines with any short answer on them. */
+const shared = (fleet: PlacedFleet): Set<string> => new Set(fleet.work.own().filter(({ pauseObjective }) => pauseObjective === SHORT.pause).map(({ runner }) => runner))
+
+test('a long prompt is read in parts that keep its objective', (t) => {
+  const fleet = new PlacedFleet(engines(18))
+  const choice = fleet.choose(LONG, 0)
+  t.true((choice?.helpers.length ?? 0) >= 2)
+  t.true((choice?.firstEvent ?? Infinity) < LONG.objective / 2)
+})
+
+test('a short prompt is read by one engine', (t) => {
+  t.deepEqual(new PlacedFleet(engines(18)).choose(SHORT, 0)?.helpers, [])
+})
+
+test('pattern: steady short requests share few engines', (t) => {
+  const fleet = new PlacedFleet(engines(18))
+  for (let index = 0; index < 20; index += 1) {
+    const { work } = fleet.place(SHORT, index * 100)
+    fleet.work.firstEvent(work, index * 100 + 60)
+  }
+  t.is(shared(fleet).size, 2)
+})
+
+test('pattern: a burst of short requests in one instant is spread, so that each is read in time', (t) => {
+  const fleet = new PlacedFleet(engines(18))
+  const expected = Array.from({ length: 60 }, () => fleet.place(SHORT, 0).choice.firstEvent)
+  t.true(Math.max(...expected) < SHORT.objective)
+})
+
+test('pattern: long prompts beside short answers are read where nobody pauses', (t) => {
+  const fleet = new PlacedFleet(engines(18))
+  for (let index = 0; index < 20; index += 1) fleet.writing(SHORT, 0, `e${index % 4}`)
+  const { choice } = fleet.place(LONG, 10)
+  const used = [choice.server, ...choice.helpers].map(({ id }) => id)
+  t.deepEqual(used.filter((id) => shared(fleet).has(id)), [])
+})
+
+test('pattern: a prompt that is late already does not make others late', (t) => {
+  const fleet = new PlacedFleet(engines(6))
+  for (let index = 0; index < 30; index += 1) fleet.writing(SHORT, 0, `e${index % 5}`)
+  const choice = fleet.choose(LONG, 10, { timeLeft: -500 })
+  t.is(choice?.server.id as string, 'e5')
+  t.deepEqual(choice?.helpers, [])
+})
+
+test('pattern: long prompts in quick succession do not starve the first one', (t) => {
+  const fleet = new PlacedFleet(engines(18))
+  const first = fleet.place(LONG, 0)
+  const used = new Set([first.choice.server.id, ...first.choice.helpers.map(({ id }) => id)])
+  const second = fleet.place(LONG, 100)
+  const delayed = second.choice.helpers.filter(({ id }) => used.has(id))
+  const left = MODEL.reading(LONG.prompt, used.size) - 100 + (delayed.length > 0 ? second.work.part : 0)
+  t.true(100 + left < LONG.objective)
+})
+
+test('several prompts do not fill the memory of an engine', (t) => {
+  const fleet = new PlacedFleet(engines(1))
+  fleet.writing(LONG, 0, E0)
+  t.is(fleet.choose({ ...LONG, prompt: 200_000 }, 10), null)
+  t.is(fleet.choose(MIDDLE, 10)?.server.id as string, E0)
+})
+
+test('a prompt that no engine can hold goes nowhere', (t) => {
+  t.is(new PlacedFleet(engines(18)).choose({ ...LONG, prompt: 460_000 }, 0), null)
+})
+
+test('a full engine gets a request only where all are full', (t) => {
+  const fleet = new PlacedFleet(engines(2))
+  for (let index = 0; index < 11; index += 1) fleet.writing(SHORT, 0, E0)
+  t.is(fleet.choose(SHORT, 10)?.server.id as string, 'e1')
+  for (let index = 0; index < 11; index += 1) fleet.writing(SHORT, 0, 'e1')
+  t.truthy(fleet.choose(SHORT, 10))
+})
+
+test('predictions follow the published figures', (t) => {
+  const near = (size: Size, expected: number): void => { t.true(Math.abs(MODEL.reading(size.prompt) - expected) < 0.02 * expected) }
+  near(SHORT, 20.7)
+  near(MIDDLE, 268.6)
+  near(LONG, 2_842)
+  t.true(Math.abs(MODEL.pass(11, 11 * 5_800) - 53.5) < 1)
+})
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -21,15 +21,18 @@
 /** Interval at which slow and idle connections are looked for. */
 const CONNECTION_CHECK_PERIOD: Millis = 500
 
-/** After a stop, how long an idle connection may still bring a request that is on its way. */
-const IDLE_AFTER_STOP: Millis = 1_000
+/** After a stop, interval at which connections that have become idle are closed. */
+const IDLE_SWEEP_PERIOD: Millis = 200
+
+/** After a stop, how long requests on open connections are still taken; later ones could not end in time. */
+const INTAKE_AFTER_STOP: Millis = 2_000
 
 /** Serves callers until it is stopped. */
 export class EntryServer {
   readonly #server: Server
   readonly #context: ForwardingContext
-  #open = 0
-  #stopping = false
+  readonly #open = new Set<ServerResponse>()
+  #stoppedAt: Millis | null = null
 
   /** @param context - what requests share */
   constructor (context: ForwardingContext) {
@@ -43,7 +46,7 @@
 
   /** Requests that have no final answer yet. */
   get openRequests (): number {
-    return this.#open
+    return this.#open.size
   }
 
   async start ({ host, port }: SocketAddress): Promise<void> {
@@ -57,14 +60,13 @@
    * @param grace - longest time to wait for them
    */
   async stop (grace: Millis): Promise<void> {
-    this.#stopping = true
+    this.#stoppedAt = this.#context.clock()
+    for (const response of this.#open) announceClose(response)
     const closed = once(this.#server, 'close')
     this.#server.close()
-    const idle = setTimeout(() => { this.#server.closeIdleConnections() }, Math.min(grace, IDLE_AFTER_STOP))
-    const sweep = setInterval(() => { if (this.#open === 0) this.#server.closeIdleConnections() }, IDLE_AFTER_STOP)
+    const sweep = setInterval(() => this.#server.closeIdleConnections(), IDLE_SWEEP_PERIOD)
     const forced = setTimeout(() => this.#server.closeAllConnections(), grace)
     await closed
-    clearTimeout(idle)
     clearInterval(sweep)
     clearTimeout(forced)
   }
@@ -78,9 +80,9 @@
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = this.#context.clock()
-    this.#open += 1
-    response.once('close', () => { this.#open -= 1 })
-    if (this.#stopping) response.setHeader('connection', 'close')
+    this.#open.add(response)
+    response.once('close', () => { this.#open.delete(response) })
+    if (this.#stoppedAt !== null) announceClose(response)
     const cause = await this.#forward(request, response, arrivedAt)
     if (cause !== null) this.#refuse(request, response, cause)
   }
@@ -89,6 +91,7 @@
   async #forward (request: IncomingMessage, response: ServerResponse, arrivedAt: Millis): Promise<RefusalCause | null> {
     const table = this.#context.knowledge.table
     if (table === null) return RefusalCause.Starting
+    if (this.#stoppedAt !== null && arrivedAt - this.#stoppedAt > INTAKE_AFTER_STOP) return RefusalCause.Stopping
     const head = acceptHead(request, table)
     if (!head.ok) return head.failure
     const body = await readCallerBody(request, table.deployment.limits)
@@ -99,7 +102,6 @@
     const forwarding = call.value.route.kind === CallKind.Stream
       ? new StreamForwarding(this.#context, call.value, response)
       : new PlainForwarding(this.#context, call.value, response)
-    if (this.#stopping && !response.headersSent) response.setHeader('connection', 'close')
     forwarding.start()
     return null
   }
@@ -110,11 +112,16 @@
     log.info('request.refused', {
       request: decodeCallerHeaders(request.headers).attemptId ?? undefined, cause, host: request.headers.host, path: request.url, configuration: knowledge.version, configuration_age_ms: Math.round(knowledge.configurationAge)
     })
-    if (!request.complete) response.setHeader('connection', 'close')
+    if (!request.complete) announceClose(response)
     refuse(response, cause)
   }
 }
 
+/** The caller opens another connection for its next request. */
+const announceClose = (response: ServerResponse): void => {
+  if (!response.headersSent) response.setHeader('connection', 'close')
+}
+
 /** Answers bytes that are no request; other connections are not touched. */
 const answerBadBytes = (error: NodeJS.ErrnoException, socket: Socket): void => {
   if (!socket.writable || error.code === 'ECONNRESET') {
--- a/packages/node/src/forward/entry/refusals.ts
+++ b/packages/node/src/forward/entry/refusals.ts
@@ -12,6 +12,8 @@
   HeadTooLarge: 'head_too_large',
   /** No configuration is known yet. */
   Starting: 'starting',
+  /** This node stops; another one takes the request. */
+  Stopping: 'stopping',
   /** No backend server can take the request. */
   NoServer: 'no_server',
   /** The time was up before the request was sent. */
@@ -36,6 +38,7 @@
   [RefusalCause.BodyTooLarge]: { status: 413, retryAfter: null },
   [RefusalCause.HeadTooLarge]: { status: 431, retryAfter: null },
   [RefusalCause.Starting]: { status: 503, retryAfter: 300 },
+  [RefusalCause.Stopping]: { status: 503, retryAfter: 0 },
   [RefusalCause.NoServer]: { status: 503, retryAfter: 300 },
   [RefusalCause.TimedOutUnsent]: { status: 503, retryAfter: 300 },
   [RefusalCause.TimedOut]: { status: 504, retryAfter: null },
--- /dev/null
+++ b/packages/node/tests/forwardFixture.ts
@@ -0,0 +1,161 @@
+/** An entry server in front of scripted backend servers, on loopback. */
+import { once } from 'node:events'
+import { createServer, request as httpRequest } from 'node:http'
+import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+
+import type { ExecutionContext } from 'ava'
+import Transport from 'winston-transport'
+
+import { CallKind, Readiness } from '@bluebellhill/domain'
+import type { Deployment, FailureDomain, NodeId, Route, RunnerId } from '@bluebellhill/domain'
+
+import { EntryServer } from '../src/forward/entry/EntryServer.js'
+import { FleetDispatch } from '../src/forward/FleetDispatch.js'
+import { ForwardMetrics } from '../src/forward/ForwardMetrics.js'
+import { Knowledge } from '../src/forward/Knowledge.js'
+import { LogLevel, openLog } from '../src/log/index.js'
+
+export const HOST = 'a.example'
+export const KEY = 'the-key-of-growers'
+
+/** Headers of a signed answer to a request. */
+export const signed = (request: IncomingMessage): Record<string, string> => ({
+  'x-bluebellhill-attempt-id': String(request.headers['x-bluebellhill-attempt-id']),
+  'x-bluebellhill-backend-signature': 'signature'
+})
+
+const ROUTES: readonly Route[] = [
+  { name: 'safe', kind: CallKind.Safe, maxAttempts: 2 },
+  { name: 'unsafe', kind: CallKind.Unsafe, maxAttempts: 2 },
+  { name: 'stream', kind: CallKind.Stream, maxAttempts: 2, resumable: true },
+  { name: 'once', kind: CallKind.Stream, maxAttempts: 2, resumable: false }
+].map((route) => ({
+  host: HOST, pathPrefix: `/${route.name}/`, resumable: false, timeout: 1_500, objective: 300, pauseObjective: 200, priority: 1, isPublic: false, services: [{ service: 's', weight: 1 }], ...route
+}))
+
+export const DEPLOYMENT: Deployment = {
+  version: 1,
+  routes: ROUTES,
+  services: [{ name: 's', healthPath: '/healthz', maxConnections: 100, engine: null }],
+  limits: { headerBytes: 4_096, bodyBytes: 1_024, headerTimeout: 1_000, idleTimeout: 10_000 },
+  organisations: [{ name: 'growers', apiKeys: [KEY], priority: null }]
+}
+
+export type Script = (request: IncomingMessage, response: ServerResponse, socket: Socket) => void
+
+export interface Answer {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: string
+  /** Whether the answer was complete. */
+  readonly whole: boolean
+}
+
+/** One entry server and what it forwards to. */
+export class ForwardFixture {
+  readonly lines: string[] = []
+  readonly knowledge: Knowledge
+  readonly entry: EntryServer
+  readonly #servers: Server[] = []
+  #port = 0
+  #nextId = 1
+
+  constructor () {
+    const { lines } = this
+    const log = openLog({ node: 'n1', failureDomain: 'd1', level: LogLevel.Info, transport: new LineCollector(lines) })
+    const clock = (): number => performance.now()
+    this.knowledge = new Knowledge(log, clock)
+    const dispatch = new FleetDispatch({
+      node: 'n1' as NodeId, failureDomain: 'd1' as FailureDomain, knowledge: this.knowledge, log, clock, retries: { ratio: 0.2, slack: 100 }, nodes: () => 3
+    })
+    this.entry = new EntryServer({ dispatch, knowledge: this.knowledge, log, metrics: new ForwardMetrics(), clock })
+  }
+
+  /** Starts the entry server with backend servers that follow the scripts. */
+  static async start (t: ExecutionContext, ...scripts: Script[]): Promise<ForwardFixture> {
+    const fixture = new ForwardFixture()
+    for (const [index, script] of scripts.entries()) await fixture.#addServer(`e${index}`, script)
+    if (scripts.length > 0) fixture.knowledge.install(DEPLOYMENT, 'store')
+    fixture.#port = await freePort()
+    await fixture.entry.start({ host: '127.0.0.1', port: fixture.#port })
+    t.teardown(() => fixture.dispose())
+    return fixture
+  }
+
+  async call (path: string, options: { method?: string, headers?: Record<string, string>, body?: string, leaveAfter?: number } = {}): Promise<Answer> {
+    const request = httpRequest({
+      host: '127.0.0.1',
+      port: this.#port,
+      path,
+      method: options.method ?? 'POST',
+      agent: false,
+      headers: { host: HOST, authorization: `Bearer ${KEY}`, 'x-bluebellhill-attempt-id': `a${this.#nextId++}`, ...options.headers }
+    })
+    if (options.leaveAfter !== undefined) setTimeout(() => request.destroy(), options.leaveAfter)
+    request.end(options.body ?? 'body')
+    return await answerTo(request)
+  }
+
+  get port (): number {
+    return this.#port
+  }
+
+  /** Lines of the log for an event. */
+  logged (event: string): string[] {
+    return this.lines.filter((line) => line.includes(`event=${event} `))
+  }
+
+  async dispose (): Promise<void> {
+    await this.entry.stop(0)
+    for (const server of this.#servers) {
+      server.closeAllConnections()
+      server.close()
+    }
+  }
+
+  async #addServer (id: string, script: Script): Promise<void> {
+    const server = createServer((request, response) => {
+      request.resume()
+      script(request, response, request.socket)
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    this.#servers.push(server)
+    const { port } = server.address() as AddressInfo
+    const listed = { id: id as RunnerId, service: 's', address: `127.0.0.1:${port}`, failureDomain: 'd1' as FailureDomain, slots: 4, readiness: Readiness.Ready, startedAt: null }
+    this.knowledge.putServer({ server: listed, revision: 1 }, 'store')
+  }
+}
+
+class LineCollector extends Transport {
+  constructor (private readonly lines: string[]) {
+    super()
+  }
+
+  override log (info: { message: unknown }, done: () => void): void {
+    this.lines.push(String(info.message))
+    done()
+  }
+}
+
+const answerTo = async (request: ReturnType<typeof httpRequest>): Promise<Answer> => await new Promise((resolve, reject) => {
+  request.on('error', reject)
+  request.on('response', (response) => {
+    let body = ''
+    const finish = (): void => resolve({ status: response.statusCode ?? 0, headers: response.headers, body, whole: response.complete })
+    response.on('data', (piece: Buffer) => { body += piece.toString() })
+    response.on('error', finish)
+    response.on('close', finish)
+  })
+})
+
+const freePort = async (): Promise<number> => {
+  const server = createServer()
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  server.close()
+  await once(server, 'close')
+  return port
+}
--- /dev/null
+++ b/packages/node/tests/forwarding.test.ts
@@ -0,0 +1,208 @@
+import { once } from 'node:events'
+import { Agent, request as httpRequest } from 'node:http'
+import type { IncomingMessage } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
+
+import test from 'ava'
+
+import { ForwardFixture, HOST, KEY, signed } from './forwardFixture.js'
+import type { Script } from './forwardFixture.js'
+
+const event = (id: number): string => `id: ${id}\ndata: x\n\n`
+
+const ok: Script = (request, response) => { response.writeHead(200, signed(request)).end('answer') }
+const fails: Script = (request, response) => { response.writeHead(500, signed(request)).end('failure') }
+const shed: Script = (_, response) => { response.writeHead(503, { 'x-bluebellhill-not-executed': '1' }).end() }
+const resets: Script = (_, __, socket) => { socket.resetAndDestroy() }
+const silent: Script = () => {}
+
+/** Counts the requests that a script gets. */
+const counted = (script: Script): { script: Script, calls: IncomingMessage[] } => {
+  const calls: IncomingMessage[] = []
+  return { calls, script: (request, ...rest) => { calls.push(request); script(request, ...rest) } }
+}
+
+test('an answer is returned as the backend server gave it', async (t) => {
+  const server = counted(ok)
+  const fixture = await ForwardFixture.start(t, server.script)
+  const answer = await fixture.call('/safe/x?q=1', { headers: { 'x-own': '1', 'x-bluebellhill-deadline-ms': '900' } })
+  t.like(answer, { status: 200, body: 'answer', whole: true })
+  t.is(answer.headers['x-bluebellhill-backend-signature'], 'signature')
+  const [call] = server.calls
+  t.is(call?.url, '/safe/x?q=1')
+  t.like(call?.headers, { 'x-own': '1', 'x-bluebellhill-tenant': 'growers', 'x-bluebellhill-expected-instance': 'e0', authorization: undefined })
+  t.true(Number(call?.headers['x-bluebellhill-deadline-ms']) <= 900)
+})
+
+test('a safe request is sent to another server after a failure', async (t) => {
+  const fixture = await ForwardFixture.start(t, fails, ok)
+  for (let index = 0; index < 4; index += 1) t.is((await fixture.call('/safe/x')).status, 200)
+})
+
+test('the failure of the last server is returned unchanged', async (t) => {
+  const fixture = await ForwardFixture.start(t, fails, fails)
+  const answer = await fixture.call('/safe/x')
+  t.like(answer, { status: 500, body: 'failure' })
+  t.is(answer.headers['x-bluebellhill-backend-signature'], 'signature')
+})
+
+test('an unsafe request is not sent again after a reset, and its answer promises nothing', async (t) => {
+  const first = counted(resets)
+  const second = counted(resets)
+  const fixture = await ForwardFixture.start(t, first.script, second.script)
+  t.is((await fixture.call('/unsafe/x')).status, 502)
+  t.is(first.calls.length + second.calls.length, 1)
+})
+
+test('an unsafe request goes elsewhere where the server says that it has not run it', async (t) => {
+  const fixture = await ForwardFixture.start(t, shed, ok)
+  for (let index = 0; index < 4; index += 1) t.is((await fixture.call('/unsafe/x')).status, 200)
+})
+
+test('a request that no server has run is refused with a time to come back', async (t) => {
+  const fixture = await ForwardFixture.start(t, shed, shed)
+  const answer = await fixture.call('/unsafe/x')
+  t.is(answer.status, 503)
+  t.true(Number(answer.headers['retry-after']) > 0)
+})
+
+test('a success without a signature, or for another request, is not returned', async (t) => {
+  const unsigned: Script = (request, response) => { response.writeHead(200, { ...signed(request), 'x-bluebellhill-backend-signature': [] }).end('answer') }
+  const crossed: Script = (request, response) => { response.writeHead(200, { ...signed(request), 'x-bluebellhill-attempt-id': 'other' }).end('answer') }
+  for (const script of [unsigned, crossed]) {
+    const fixture = await ForwardFixture.start(t, script)
+    t.is((await fixture.call('/unsafe/x')).status, 502)
+  }
+})
+
+test('a server at the address of another one gets no further request', async (t) => {
+  const moved = counted((_, response) => { response.writeHead(421, { 'x-bluebellhill-instance-id': 'e9' }).end() })
+  const fixture = await ForwardFixture.start(t, moved.script, ok)
+  for (let index = 0; index < 6; index += 1) t.is((await fixture.call('/unsafe/x')).status, 200)
+  t.true(moved.calls.length <= 1)
+})
+
+test('the events of a stream are passed on whole', async (t) => {
+  const fixture = await ForwardFixture.start(t, (request, response) => {
+    response.writeHead(200, { ...signed(request), 'content-type': 'text/event-stream' })
+    response.write(event(1) + event(2).slice(0, 5))
+    setTimeout(() => response.end(event(2).slice(5)), 30)
+  })
+  t.like(await fixture.call('/stream/x'), { status: 200, body: event(1) + event(2), whole: true })
+})
+
+test('a stream that breaks off goes on at another server, behind the last event', async (t) => {
+  const broken: Script = (request, response, socket) => {
+    if (request.headers['last-event-id'] !== undefined) {
+      response.writeHead(200, signed(request)).end(event(2) + event(3))
+      return
+    }
+    response.writeHead(200, signed(request))
+    response.write(event(1) + event(2).slice(0, 5))
+    setTimeout(() => socket.resetAndDestroy(), 30)
+  }
+  const fixture = await ForwardFixture.start(t, broken, broken)
+  t.like(await fixture.call('/stream/x'), { status: 200, body: event(1) + event(2) + event(3), whole: true })
+  t.is(fixture.logged('attempt.failed').length, 1)
+})
+
+test('a stream that may not be resumed never looks whole after a break', async (t) => {
+  const broken: Script = (request, response, socket) => {
+    response.writeHead(200, signed(request))
+    response.write(event(1))
+    setTimeout(() => socket.resetAndDestroy(), 30)
+  }
+  const fixture = await ForwardFixture.start(t, broken, broken)
+  t.like(await fixture.call('/once/x'), { body: event(1), whole: false })
+})
+
+test('a silent server is left, where the request may run again', async (t) => {
+  const fixture = await ForwardFixture.start(t, silent, ok)
+  for (let index = 0; index < 2; index += 1) t.is((await fixture.call('/safe/x')).status, 200)
+})
+
+test('a request is answered when its time is up', async (t) => {
+  const fixture = await ForwardFixture.start(t, silent)
+  const startedAt = performance.now()
+  t.is((await fixture.call('/unsafe/x', { headers: { 'x-bluebellhill-deadline-ms': '200' } })).status, 504)
+  t.true(performance.now() - startedAt < 1_000)
+})
+
+test('a caller that leaves ends the work of the server', async (t) => {
+  let closed: Promise<unknown> | null = null
+  const fixture = await ForwardFixture.start(t, (_, __, socket) => { closed = once(socket, 'close') })
+  await t.throwsAsync(fixture.call('/safe/x', { leaveAfter: 100 }))
+  await closed
+  t.is(fixture.entry.openRequests, 0)
+})
+
+test('what the configuration does not allow is refused', async (t) => {
+  const server = counted(ok)
+  const fixture = await ForwardFixture.start(t, server.script)
+  t.is((await fixture.call('/safe/x', { headers: { authorization: 'Bearer other' } })).status, 401)
+  t.is((await fixture.call('/none/x')).status, 404)
+  t.is((await fixture.call('/safe/x', { body: 'x'.repeat(2_000) })).status, 413)
+  t.is((await fixture.call('/safe/x', { headers: { 'x-long': 'x'.repeat(5_000) } })).status, 431)
+  t.is(server.calls.length, 0)
+  t.is(fixture.logged('request.refused').length, 4)
+})
+
+test('a node without a configuration says that it has not run the request', async (t) => {
+  const fixture = await ForwardFixture.start(t)
+  const answer = await fixture.call('/safe/x')
+  t.is(answer.status, 503)
+  t.true(Number(answer.headers['retry-after']) > 0)
+})
+
+test('a node that stops ends its requests and closes connections that become idle', async (t) => {
+  const fixture = await ForwardFixture.start(t, (request, response) => {
+    response.writeHead(200, signed(request))
+    response.write(event(1))
+    setTimeout(() => response.end(event(2)), 300)
+  })
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+  t.teardown(() => agent.destroy())
+  const request = httpRequest({ agent, host: '127.0.0.1', port: fixture.port, path: '/stream/x', headers: { host: HOST, authorization: `Bearer ${KEY}`, 'x-bluebellhill-attempt-id': 'a' } })
+  request.end()
+  const [response] = await once(request, 'response') as [IncomingMessage]
+  const stopped = fixture.entry.stop(5_000)
+  let body = ''
+  for await (const piece of response) body += String(piece)
+  t.is(body, event(1) + event(2))
+  const startedAt = performance.now()
+  await stopped
+  t.true(performance.now() - startedAt < 2_000)
+})
+
+test('a node that stops closes an idle connection while another request goes on', async (t) => {
+  const fixture = await ForwardFixture.start(t, (request, response) => {
+    response.writeHead(200, signed(request))
+    response.write(event(1))
+    setTimeout(() => response.end(event(2)), request.url === '/stream/long' ? 1_300 : 200)
+  })
+  const agent = new Agent({ keepAlive: true })
+  t.teardown(() => agent.destroy())
+  const open = async (path: string): Promise<IncomingMessage> => {
+    const request = httpRequest({ agent, host: '127.0.0.1', port: fixture.port, path, headers: { host: HOST, authorization: `Bearer ${KEY}`, 'x-bluebellhill-attempt-id': path } })
+    request.end()
+    const [response] = await once(request, 'response') as [IncomingMessage]
+    response.resume()
+    return response
+  }
+  const [long, short] = await Promise.all([open('/stream/long'), open('/stream/short')])
+  const shortClosed = once(short.socket, 'close')
+  const stopped = fixture.entry.stop(5_000)
+  await shortClosed
+  t.false(long.complete)
+  await stopped
+  t.true(long.complete)
+})
+
+test('keys of callers are not logged', async (t) => {
+  const fixture = await ForwardFixture.start(t, ok)
+  await fixture.call('/safe/x')
+  await fixture.call('/none/x')
+  await sleep(10)
+  t.true(fixture.lines.length > 2)
+  t.false(fixture.lines.some((line) => line.includes(KEY)))
+})
