Hold prompts larger than one engine on several; avoid failure domains that are cut off

Change: the roomiest engine writes, others hold the rest under reservations of 3 s that are renewed each second, so that nothing stays set aside when a node dies.

--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -57,7 +57,7 @@
     this.#context = this.#writing.reduce((sum, { prompt, answer }) => sum + prompt + answer / 2, 0)
     this.pass = slowdown * model.pass(this.#writing.length, this.#context)
     this.requests = work.requests.length
-    this.freeMemory = freeMemory(work.requests, model.figures.memory)
+    this.freeMemory = freeMemory(work, model.figures.memory)
     this.pendingReading = slowdown * work.pending.reduce((sum, { left }) => sum + left, 0)
   }
 
@@ -148,8 +148,12 @@
   harm.set(id, Math.max(harm.get(id) ?? 0, share * valueOf(prompt)))
 }
 
-/** An engine that is nearly full stops reading: only a prompt alone may use its whole memory. */
-const freeMemory = (requests: readonly Work[], memory: Tokens): Tokens => {
-  const used = requests.reduce((sum, { prompt, answer }) => sum + prompt + answer, 0)
+/** Only a prompt alone may use the whole memory of an engine. */
+const freeMemory = ({ requests, held }: RunnerWork, memory: Tokens): Tokens => {
+  const used = requests.reduce((sum, work) => sum + ownTokens(work), held)
   return used === 0 ? memory : memory * SHARED_MEMORY_SHARE - used
 }
+
+/** Memory that a request takes on the engine that writes for it. */
+const ownTokens = ({ prompt, answer, held }: Work): Tokens =>
+  prompt + answer - held.reduce((sum, { tokens }) => sum + tokens, 0)
--- a/packages/domain/src/forwarding/FleetWork.ts
+++ b/packages/domain/src/forwarding/FleetWork.ts
@@ -3,6 +3,12 @@
 import { ReadingQueue } from './ReadingQueue.js'
 import type { PendingReading } from './ReadingQueue.js'
 
+/** Memory of one engine that a request of another one has reserved. */
+export interface HeldTokens {
+  readonly runner: RunnerId
+  readonly tokens: Tokens
+}
+
 /** One request on an engine, from the moment at which it is sent there. */
 export interface Work {
   /** Unique over all nodes. */
@@ -10,6 +16,8 @@
   readonly runner: RunnerId
   /** Engines that read parts of the prompt for `runner`. */
   readonly helpers: readonly RunnerId[]
+  /** Reserved memory of other engines that holds parts of the prompt. */
+  readonly held: readonly HeldTokens[]
   readonly prompt: Tokens
   /** Expected length of the answer. */
   readonly answer: Tokens
@@ -30,9 +38,11 @@
   readonly pending: readonly PendingReading[]
   /** Requests that it reads for itself or writes for. */
   readonly requests: readonly Work[]
+  /** Memory that requests of other engines have reserved there. */
+  readonly held: Tokens
 }
 
-const NO_WORK: RunnerWork = { pending: [], requests: [] }
+const NO_WORK: RunnerWork = { pending: [], requests: [], held: 0 }
 
 interface PeerWork {
   readonly works: ReadonlyMap<string, Work>
@@ -136,12 +146,14 @@
   byRunner (now: Millis): RunnerWorks {
     for (const [node, { heardAt }] of this.#peers) if (now - heardAt > PEER_WORK_EXPIRY) this.forget(node, now)
     const requests = new Map<RunnerId, Work[]>()
+    const held = new Map<RunnerId, Tokens>()
     for (const work of this.#all()) {
+      for (const { runner, tokens } of work.held) held.set(runner, (held.get(runner) ?? 0) + tokens)
       const known = requests.get(work.runner)
       if (known === undefined) requests.set(work.runner, [work])
       else known.push(work)
     }
-    return new RunnerWorks(requests, this.#pending(now))
+    return new RunnerWorks(requests, this.#pending(now), held)
   }
 
   * #all (): Generator<Work> {
@@ -182,8 +194,13 @@
   /**
    * @param requests - requests by the engine that writes for them
    * @param pending - readings by engine
+   * @param held - memory that requests of other engines have reserved, by engine
    */
-  constructor (private readonly requests: ReadonlyMap<RunnerId, readonly Work[]>, private readonly pending: ReadonlyMap<RunnerId, readonly PendingReading[]>) {}
+  constructor (
+    private readonly requests: ReadonlyMap<RunnerId, readonly Work[]>,
+    private readonly pending: ReadonlyMap<RunnerId, readonly PendingReading[]>,
+    private readonly held: ReadonlyMap<RunnerId, Tokens>
+  ) {}
 
   /**
    * @param runner - the engine
@@ -192,7 +209,8 @@
   of (runner: RunnerId): RunnerWork {
     const requests = this.requests.get(runner)
     const pending = this.pending.get(runner)
-    if (requests === undefined && pending === undefined) return NO_WORK
-    return { requests: requests ?? [], pending: pending ?? [] }
+    const held = this.held.get(runner)
+    if (requests === undefined && pending === undefined && held === undefined) return NO_WORK
+    return { requests: requests ?? [], pending: pending ?? [], held: held ?? 0 }
   }
 }
--- a/packages/domain/src/forwarding/LeastOutstanding.ts
+++ b/packages/domain/src/forwarding/LeastOutstanding.ts
@@ -9,6 +9,6 @@
     loads.sort((a, b) => a.requests - b.requests)
     const [best] = loads
     if (best === undefined) return null
-    return { server: best.server, helpers: [], firstEvent: model.reading(size.prompt) }
+    return { server: best.server, helpers: [], holders: [], firstEvent: model.reading(size.prompt) }
   }
 }
--- a/packages/domain/src/forwarding/LengthPlacement.ts
+++ b/packages/domain/src/forwarding/LengthPlacement.ts
@@ -3,7 +3,7 @@
  * where nobody's pauses suffer, and short ones share engines so that others stay free of them.
  */
 import type { Millis, Tokens } from '../types.js'
-import { TIGHT_WRITER_COST, LATE_LOSS, OBJECTIVE_SHARE, PART_COST, PART_COUNTS, SAFE_SHARE, SHORTEST_DIVIDED_PROMPT, WAIT_COST } from './constants.js'
+import { HELD_MEMORY_SHARE, LATE_LOSS, MOST_HOLDERS, OBJECTIVE_SHARE, PART_COST, PART_COUNTS, SAFE_SHARE, SHORTEST_DIVIDED_PROMPT, TIGHT_WRITER_COST, WAIT_COST } from './constants.js'
 import { EngineState, totalOf, valueOf } from './EngineState.js'
 import type { Harm } from './EngineState.js'
 import { PlacementPolicy } from './PlacementPolicy.js'
@@ -19,13 +19,14 @@
     const { candidates, works, model, now } = request
     const states = candidates.map((candidate) => new EngineState(candidate, works.of(candidate.server.id), model, now))
     const demand = memoryDemand(request)
-    const owners = states.filter((state) => state.freeMemory >= demand)
-    const open = owners.filter((state) => state.hasSlot)
-    const options = this.#options(request, states, open.length > 0 ? open : owners)
+    const options = demand > model.figures.memory ? held(request, states, demand) : this.#options(request, states, demand)
     return options.reduce<Option | null>((best, option) => best === null || option.cost < best.cost ? option : best, null)
   }
 
-  #options (request: PlacementRequest, states: readonly EngineState[], owners: readonly EngineState[]): Option[] {
+  #options (request: PlacementRequest, states: readonly EngineState[], demand: Tokens): Option[] {
+    const roomy = states.filter((state) => state.freeMemory >= demand)
+    const open = roomy.filter((state) => state.hasSlot)
+    const owners = open.length > 0 ? open : roomy
     const alone = owners.map((owner) => weigh(request, owner, []))
     if (request.size.prompt < SHORTEST_DIVIDED_PROMPT) return alone
     const counts = PART_COUNTS.filter((parts) => parts > 1 && parts <= states.length)
@@ -36,6 +37,37 @@
 const memoryDemand = ({ size, model }: PlacementRequest): Tokens =>
   size.prompt + Math.min(size.mostAnswer, model.figures.usualAnswer)
 
+/** A prompt that no engine can hold alone: the roomiest engine writes, the next ones hold what it cannot. */
+const held = (request: PlacementRequest, states: readonly EngineState[], demand: Tokens): Option[] => {
+  const roomy = states.filter((state) => state.hasSlot && state.canHelp && state.freeMemory > 0)
+  const [owner, ...others] = roomy.sort((a, b) => b.freeMemory - a.freeMemory)
+  if (owner === undefined) return []
+  const holders = holdersOf(others, demand - owner.freeMemory * HELD_MEMORY_SHARE)
+  if (holders === null) return []
+  const holding = new Set(holders.map(({ state }) => state))
+  const rest = states.filter((state) => state !== owner && !holding.has(state) && state.canHelp)
+  const counts = PART_COUNTS.filter((parts) => parts > holders.length && parts <= rest.length + holders.length + 1)
+  return counts.map((parts) => {
+    const part = request.model.reading(request.size.prompt, parts)
+    const ranked = [...rest].sort((a, b) => helpingHarm(a, part) - helpingHarm(b, part))
+    const option = weigh(request, owner, [...holding, ...ranked.slice(0, parts - 1 - holders.length)])
+    return { ...option, holders: holders.map(({ state, tokens }) => ({ server: state.server, tokens })) }
+  })
+}
+
+/** Divides tokens among the roomiest engines; null where they have no room for them. */
+const holdersOf = (states: readonly EngineState[], tokens: Tokens): Array<{ state: EngineState, tokens: Tokens }> | null => {
+  const holders: Array<{ state: EngineState, tokens: Tokens }> = []
+  let left = Math.ceil(tokens)
+  for (const state of states) {
+    if (left <= 0) break
+    const share = Math.min(left, Math.floor(state.freeMemory * HELD_MEMORY_SHARE))
+    holders.push({ state, tokens: share })
+    left -= share
+  }
+  return left > 0 || holders.length > MOST_HOLDERS ? null : holders
+}
+
 /** The best engines for reading in a number of parts, each of two of them as the one that writes. */
 const divided = (request: PlacementRequest, states: readonly EngineState[], owners: readonly EngineState[], parts: number): Option[] => {
   const part = request.model.reading(request.size.prompt, parts)
@@ -61,7 +93,7 @@
   owner.addServingHarm(harm, part, size.prompt)
   for (const helper of helpers) helper.addHelpingHarm(harm, part)
   const own = valueOf(size.prompt) * (lossOf(request, firstEvent, pass) + PART_COST * helpers.length)
-  return { server: owner.server, helpers: helpers.map(({ server }) => server), firstEvent, cost: totalOf(harm) + own + tightCost(request, owner) }
+  return { server: owner.server, helpers: helpers.map(({ server }) => server), holders: [], firstEvent, cost: totalOf(harm) + own + tightCost(request, owner) }
 }
 
 /** The share of its value that the request itself is expected to lose. */
--- a/packages/domain/src/forwarding/PlacementPolicy.ts
+++ b/packages/domain/src/forwarding/PlacementPolicy.ts
@@ -1,5 +1,5 @@
 /** Ways to choose the engine that serves a request, and those that help it to read the prompt. */
-import type { FailureDomain, Millis } from '../types.js'
+import type { FailureDomain, Millis, Tokens } from '../types.js'
 import type { EngineModel } from './EngineModel.js'
 import type { RunnerWorks } from './FleetWork.js'
 import type { BackendServer, PromptSize } from './types.js'
@@ -27,10 +27,19 @@
   readonly now: Millis
 }
 
+/** Memory of an engine that holds a part of another engine's prompt. */
+export interface HeldMemory {
+  readonly server: BackendServer
+  readonly tokens: Tokens
+}
+
 /** Where a request goes. */
 export interface Choice {
   readonly server: BackendServer
+  /** Engines that read parts of the prompt, those that hold parts of it first. */
   readonly helpers: readonly BackendServer[]
+  /** Memory that has to be reserved before the request is sent. */
+  readonly holders: readonly HeldMemory[]
   /** Expected time until the first event. */
   readonly firstEvent: Millis
 }
--- a/packages/domain/src/forwarding/attempts.ts
+++ b/packages/domain/src/forwarding/attempts.ts
@@ -16,7 +16,7 @@
 export type AttemptEnd = typeof AttemptEnd[keyof typeof AttemptEnd]
 
 /** Attempts from which no byte left that are made beside those that the route allows. */
-export const MOST_UNSENT_ATTEMPTS = 3
+export const MOST_UNSENT_ATTEMPTS = 5
 
 /** The attempts of one request so far. */
 export interface AttemptCount {
--- a/packages/domain/src/forwarding/constants.ts
+++ b/packages/domain/src/forwarding/constants.ts
@@ -37,3 +37,9 @@
 
 /** Share of an engine's memory that several requests may use together. */
 export const SHARED_MEMORY_SHARE = 0.85
+
+/** Share of an engine's free memory that a divided prompt uses, since accounts of other nodes may be a moment old. */
+export const HELD_MEMORY_SHARE = 0.95
+
+/** Engines that hold parts of one prompt at most; each must live until the answer ends. */
+export const MOST_HOLDERS = 4
--- a/packages/domain/tests/attempts.test.ts
+++ b/packages/domain/tests/attempts.test.ts
@@ -1,10 +1,11 @@
 import test from 'ava'
 import fc from 'fast-check'
 
-import { AttemptEnd, CallKind, longestPause, longestWaitForFirstEvent, mayFollow, mayRunAgain, MOST_UNSENT_ATTEMPTS, ServerHealth, Evidence } from '../src/index.js'
-import type { RunnerId } from '../src/index.js'
+import { AttemptEnd, CallKind, DomainReach, longestPause, longestWaitForFirstEvent, mayFollow, mayRunAgain, MOST_UNSENT_ATTEMPTS, ServerHealth, Evidence } from '../src/index.js'
+import type { FailureDomain, RunnerId } from '../src/index.js'
 import { ROUTE } from './forwardingFixtures.js'
 
+const DOMAIN = 'd1' as FailureDomain
 const UNSAFE = { ...ROUTE, kind: CallKind.Unsafe, resumable: false, maxAttempts: 3 }
 
 test('an unsafe request runs once at most, whatever happens', (t) => {
@@ -63,3 +64,15 @@
   health.forget(id)
   t.false(health.isAvoided(id, 1))
 })
+
+test('pattern: a failure domain that is cut off is avoided after two of its servers, and tried again', (t) => {
+  const reach = new DomainReach()
+  t.false(reach.unreachable(DOMAIN, 'e1' as RunnerId, 0))
+  t.false(reach.unreachable(DOMAIN, 'e1' as RunnerId, 10))
+  t.true(reach.unreachable(DOMAIN, 'e2' as RunnerId, 20))
+  t.true(reach.isAvoided(DOMAIN, 500))
+  t.false(reach.isAvoided(DOMAIN, 1_100))
+  t.true(reach.unreachable(DOMAIN, 'e1' as RunnerId, 1_100))
+  reach.reached(DOMAIN)
+  t.false(reach.isAvoided(DOMAIN, 1_200))
+})
--- a/packages/node/src/forward/FleetDispatch.ts
+++ b/packages/node/src/forward/FleetDispatch.ts
@@ -1,6 +1,6 @@
 /** Places requests on backend servers, and keeps the account of where they are. */
-import { EngineModel, FleetWork, LeastOutstanding, LengthPlacement, RetryBudget, ServerHealth } from '@bluebellhill/domain'
-import type { BackendServer, Candidate, Choice, FailureDomain, Millis, NodeId, PlacementPolicy, RunnerId, Service, Work, Evidence } from '@bluebellhill/domain'
+import { DomainReach, EngineModel, Evidence, FleetWork, LeastOutstanding, LengthPlacement, RetryBudget, ServerHealth } from '@bluebellhill/domain'
+import type { BackendServer, Candidate, Choice, FailureDomain, Millis, NodeId, PlacementPolicy, RunnerId, Service, Work } from '@bluebellhill/domain'
 
 import type { Log } from '../log/index.js'
 import type { AdmittedCall } from './AdmittedCall.js'
@@ -33,6 +33,7 @@
 export class FleetDispatch {
   readonly work: FleetWork
   readonly health = new ServerHealth()
+  readonly #reach = new DomainReach()
   readonly #options: FleetDispatchOptions
   readonly #engines: PlacementPolicy = new LengthPlacement()
   readonly #plain: PlacementPolicy = new LeastOutstanding()
@@ -84,12 +85,13 @@
    * @param choice - where it goes
    * @returns the entry in the account
    */
-  begin (call: AdmittedCall, { server, helpers }: Choice): Work {
+  begin (call: AdmittedCall, { server, helpers, holders }: Choice): Work {
     const { size, service, route, dueAt } = call
     const usual = service.engine?.usualAnswer ?? 0
     const work = this.work.begin({
       runner: server.id,
       helpers: helpers.map(({ id }) => id),
+      held: holders.map((holder) => ({ runner: holder.server.id, tokens: holder.tokens })),
       prompt: size.prompt,
       answer: usual > 0 ? Math.min(size.mostAnswer, usual) : size.mostAnswer,
       part: this.#modelOf(service).reading(size.prompt, helpers.length + 1),
@@ -119,10 +121,19 @@
     return this.#modelOf(service).reading(size.prompt)
   }
 
-  /** Takes in what an attempt says of its server. */
+  /** Takes in what an attempt says of a server. */
   observe (server: BackendServer, evidence: Evidence): void {
-    const avoided = this.health.observe(server.id, evidence, this.#options.clock())
-    if (avoided) this.#options.log.warn('server.avoided', { server: server.id, service: server.service, evidence })
+    const { log, clock } = this.#options
+    const { id, service, failureDomain } = server
+    if (this.health.observe(id, evidence, clock())) log.warn('server.avoided', { server: id, service, evidence })
+    if (evidence !== Evidence.Unreachable) this.#reach.reached(failureDomain)
+    else if (this.#reach.unreachable(failureDomain, id, clock())) log.warn('domain.avoided', { server_domain: failureDomain, server: id, service })
+  }
+
+  /** A server said that the one at this address held a request up. */
+  blame (address: string): void {
+    const server = this.#options.knowledge.servers.all().find((one) => one.address === address)
+    if (server !== undefined) this.observe(server, Evidence.Unreachable)
   }
 
   /** Counts a request towards the retry budget of its service. */
@@ -137,8 +148,10 @@
 
   #candidates ({ service }: AdmittedCall, tried: ReadonlySet<RunnerId>, now: Millis): Candidate[] {
     const servers = this.#options.knowledge.servers.ready(service.name).filter(({ id }) => !tried.has(id))
-    const sound = servers.filter(({ id }) => !this.health.isAvoided(id, now))
-    return (sound.length > 0 ? sound : servers).map((server) => ({ server, slowdown: 1 }))
+    const reachable = servers.filter(({ failureDomain }) => !this.#reach.isAvoided(failureDomain, now))
+    const sound = reachable.filter(({ id }) => !this.health.isAvoided(id, now))
+    const usable = [sound, reachable, servers].find((some) => some.length > 0) ?? []
+    return usable.map((server) => ({ server, slowdown: 1 }))
   }
 
   #modelOf (service: Service): EngineModel {
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -1,6 +1,6 @@
 /** A node on the users' platform: builds its parts, and stops them in order. */
 import type { Millis } from '@bluebellhill/domain'
-import { MetadataStore } from '@bluebellhill/platform'
+import { EngineMemory, MetadataStore } from '@bluebellhill/platform'
 import type { PlatformSettings, SocketAddress } from '@bluebellhill/platform'
 import { HttpPool } from '@bluebellhill/services'
 
@@ -22,6 +22,9 @@
 /** Time within which the store answers a call that does not wait. */
 const STORE_TIMEOUT: Millis = 1_000
 
+/** Time within which an engine answers an order. */
+const ORDER_TIMEOUT: Millis = 300
+
 /** Connections to the store: two waiting watches and short calls. */
 const STORE_CONNECTIONS = 6
 
@@ -82,7 +85,10 @@
       onAhead: (peer) => this.#exchange.catchUp(peer)
     })
     this.#dispatch.onWork(() => this.#peers.workChanged())
-    this.#entry = new EntryServer({ dispatch: this.#dispatch, knowledge: this.#knowledge, log, metrics: this.#metrics, clock })
+    const engineHttp = new HttpPool(2)
+    this.#disposables.add(engineHttp)
+    const memory = new EngineMemory(engineHttp, ORDER_TIMEOUT)
+    this.#entry = new EntryServer({ dispatch: this.#dispatch, knowledge: this.#knowledge, log, metrics: this.#metrics, memory, clock })
   }
 
   /** Starts to serve. */
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -4,7 +4,7 @@
 import { AttemptEnd, Evidence, mayFollow } from '@bluebellhill/domain'
 import type { BackendServer, Choice, Millis, RunnerId, Work } from '@bluebellhill/domain'
 import { decodeAnswerHeaders, encodeForwardedHeaders, encodeReturnedHeaders } from '@bluebellhill/platform'
-import type { AnswerHeaders } from '@bluebellhill/platform'
+import type { AnswerHeaders, EngineMemory } from '@bluebellhill/platform'
 
 import type { Log } from '../log/index.js'
 import type { AdmittedCall } from './AdmittedCall.js'
@@ -14,9 +14,10 @@
 import type { FleetDispatch } from './FleetDispatch.js'
 import type { ForwardMetrics } from './ForwardMetrics.js'
 import type { Knowledge } from './Knowledge.js'
+import { Reservations } from './Reservations.js'
 
 /** Time to open a connection to a backend server. */
-const CONNECT_TIMEOUT: Millis = 400
+const CONNECT_TIMEOUT: Millis = 250
 
 /** What requests share. */
 export interface ForwardingContext {
@@ -24,6 +25,7 @@
   readonly knowledge: Knowledge
   readonly log: Log
   readonly metrics: ForwardMetrics
+  readonly memory: EngineMemory
   readonly clock: () => Millis
 }
 
@@ -33,7 +35,10 @@
   readonly work: Work
   readonly sentAt: Millis
   readonly choice: Choice
-  call: ServerCall
+  /** Memory of other engines that holds parts of the prompt; null where none is needed. */
+  readonly reservations: Reservations | null
+  /** Null until the request is sent. */
+  call: ServerCall | null
   /** Whether its first event has come. */
   isRead: boolean
   head: AnswerHead | null
@@ -162,27 +167,44 @@
     }
     this.tried.add(choice.server.id)
     const work = dispatch.begin(this.call, choice)
-    const attempt: Omit<OpenAttempt, 'call'> = { server: choice.server, work, sentAt: clock(), choice, isRead: false, head: null, answer: null }
+    const reservations = choice.holders.length === 0 ? null : new Reservations(work.id, choice.holders, this.context.memory, this.context.log)
+    const attempt: OpenAttempt = { server: choice.server, work, sentAt: clock(), choice, reservations, call: null, isRead: false, head: null, answer: null }
+    this.attempt = attempt
     this.#log(choice)
-    this.attempt = attempt as OpenAttempt
-    this.attempt.call = this.#send(this.attempt)
-    this.awaitBytes(this.attempt)
+    if (reservations === null) this.#send(attempt)
+    else void this.#reserveAndSend(attempt, reservations)
   }
 
-  #send (attempt: OpenAttempt): ServerCall {
+  async #reserveAndSend (attempt: OpenAttempt, reservations: Reservations): Promise<void> {
+    const taken = await reservations.take()
+    if (this.attempt !== attempt) return
+    if (taken) this.#send(attempt)
+    else this.fail(attempt, AttemptEnd.Unsent, 'the memory could not be reserved')
+  }
+
+  #send (attempt: OpenAttempt): void {
+    attempt.call = this.#callTo(attempt)
+    this.awaitBytes(attempt)
+  }
+
+  #callTo (attempt: OpenAttempt): ServerCall {
     const { call } = this
     const headers = encodeForwardedHeaders(call.headers, {
       deadline: call.endsAt - this.context.clock(),
       expectedServer: attempt.server.id,
       organisation: call.organisation,
       urgency: call.service.engine === null ? null : call.urgency,
-      helpers: attempt.choice.helpers.map(({ address }) => address),
+      helpers: attempt.choice.helpers.map(({ id, address }) => ({ address, reservation: this.#reservationOf(attempt, id) })),
       lastEventId: this.lastEventId
     })
     const request = { address: attempt.server.address, method: call.method, path: call.path, headers, body: call.body, connectTimeout: CONNECT_TIMEOUT }
     return new ServerCall(request, this.#listener(attempt))
   }
 
+  #reservationOf ({ reservations, choice }: OpenAttempt, id: RunnerId): string | null {
+    return choice.holders.some(({ server }) => server.id === id) ? reservations?.id ?? null : null
+  }
+
   #listener (attempt: OpenAttempt): ServerCallListener {
     const failure: Buffer[] = []
     return {
@@ -214,6 +236,7 @@
       this.fail(attempt, AttemptEnd.Lost, 'the answer has no head')
     } else if (answer.notRun) {
       this.#replaced(attempt, head, answer)
+      if (answer.faultyServer !== null) this.context.dispatch.blame(answer.faultyServer)
       this.fail(attempt, AttemptEnd.NotRun, `status ${head.status}${answer.faultyServer === null ? '' : ` because of ${answer.faultyServer}`}`)
     } else if (head.status >= FIRST_FAILURE_STATUS) {
       this.#serverFailed(attempt, { head, body })
@@ -241,8 +264,11 @@
     this.#returnFailure(failure)
   }
 
-  #judge ({ server }: OpenAttempt, end: AttemptEnd): void {
-    if (end === AttemptEnd.Unsent) this.context.dispatch.observe(server, Evidence.Unreachable)
+  #judge ({ server, call }: OpenAttempt, end: AttemptEnd): void {
+    // A refusal because of a helper, or for want of room, says nothing against the server itself.
+    if (end === AttemptEnd.NotRun) return
+    if (end === AttemptEnd.Unsent && call !== null) this.context.dispatch.observe(server, Evidence.Unreachable)
+    else if (call === null) return
     else this.context.dispatch.observe(server, Evidence.Bad)
   }
 
@@ -270,7 +296,7 @@
     if (this.#over) return
     const { attempt } = this
     if (attempt !== null) {
-      this.#mayHaveRun ||= attempt.call.sent
+      this.#mayHaveRun ||= attempt.call?.sent === true
       this.#closeAttempt(attempt)
     }
     if (this.answering) {
@@ -296,7 +322,8 @@
   #closeAttempt (attempt: OpenAttempt): void {
     if (this.#silence !== null) clearTimeout(this.#silence)
     this.attempt = null
-    attempt.call.abort()
+    attempt.call?.abort()
+    attempt.reservations?.end()
     this.context.dispatch.end(attempt.work)
   }
 
