--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -68,7 +68,7 @@
 
   /** Whether it can read a part of another prompt. */
   get canHelp (): boolean {
-    return this.#pending.filter(({ isPart }) => isPart).length < this.server.slots
+    return this.#pending.filter(({ work }) => work.runner !== this.server.id).length < this.server.slots
   }
 
   /**
@@ -76,26 +76,26 @@
    * @returns how many requests there allow no longer pauses
    */
   tightRequests (pause: Millis): number {
-    const own = this.#pending.filter(({ isPart }) => !isPart).map(({ work }) => work)
+    const own = this.#pending.filter(({ work }) => work.runner === this.server.id).map(({ work }) => work)
     return [...this.#writing, ...own].filter(({ pauseObjective }) => pauseObjective !== null && pauseObjective <= pause).length
   }
 
   /**
-   * Engines read parts of other engines' prompts before everything else, the newest first.
+   * Engines read parts of divided prompts before everything else, the newest first.
    *
-   * @param part - time that a part of another engine's prompt takes to read on a sound engine
+   * @param part - time that a part of a divided prompt takes to read on a sound engine
    * @returns time until it would be read
    */
-  helpingFinish (part: Millis): Millis {
+  partFinish (part: Millis): Millis {
     return this.pass + part * this.#slowdown
   }
 
   /**
-   * @param part - time that a prompt, or the first part of it, takes to read on a sound engine
+   * @param reading - time that a whole prompt takes to read on a sound engine
    * @returns time until it would be read, behind all that waits there
    */
-  readingFinish (part: Millis): Millis {
-    return this.pendingReading + this.pass + part * this.#slowdown
+  wholeFinish (reading: Millis): Millis {
+    return this.pendingReading + this.pass + reading * this.#slowdown
   }
 
   /**
@@ -107,14 +107,15 @@
   }
 
   /**
-   * Enters what a part of another engine's prompt would cost the requests here.
+   * Enters what a part of a divided prompt would cost the requests here.
    *
    * @param harm - the greatest loss of each request, over all engines of a choice
    * @param part - time that the part takes to read on a sound engine
+   * @param pass - length of the passes from then on
    */
-  addHelpingHarm (harm: Harm, part: Millis): void {
+  addPartHarm (harm: Harm, part: Millis, pass: Millis = this.pass): void {
     const added = part * this.#slowdown
-    this.#addPauseHarm(harm, added)
+    this.#addPauseHarm(harm, added + pass - this.pass)
     let before = this.pass
     for (const { work, left } of this.#pending) {
       before += left * this.#slowdown
@@ -123,14 +124,14 @@
   }
 
   /**
-   * Enters what a prompt that is read and written for here would cost the requests here.
+   * Enters what a whole prompt, behind all others, would cost the requests here.
    *
    * @param harm - the greatest loss of each request, over all engines of a choice
-   * @param part - time that the prompt, or the first part of it, takes to read on a sound engine
-   * @param prompt - its whole length
+   * @param reading - time that the prompt takes to read on a sound engine
+   * @param pass - length of the passes from then on
    */
-  addServingHarm (harm: Harm, part: Millis, prompt: Tokens): void {
-    this.#addPauseHarm(harm, part * this.#slowdown + this.passWith(prompt) - this.pass)
+  addWholeHarm (harm: Harm, reading: Millis, pass: Millis): void {
+    this.#addPauseHarm(harm, reading * this.#slowdown + pass - this.pass)
   }
 
   #addPauseHarm (harm: Harm, added: Millis): void {
--- a/packages/domain/src/forwarding/FleetWork.ts
+++ b/packages/domain/src/forwarding/FleetWork.ts
@@ -172,8 +172,7 @@
   }
 
   #startReading (work: Work, now: Millis): void {
-    this.#queueOf(work.runner, now).add(work, false, now)
-    for (const helper of work.helpers) this.#queueOf(helper, now).add(work, true, now)
+    for (const runner of [work.runner, ...work.helpers]) this.#queueOf(runner, now).add(work, now)
   }
 
   #endReading (work: Work, now: Millis): void {
--- a/packages/domain/src/forwarding/LengthPlacement.ts
+++ b/packages/domain/src/forwarding/LengthPlacement.ts
@@ -3,7 +3,7 @@
  * where nobody's pauses suffer, and short ones share engines so that others stay free of them.
  */
 import type { Millis, Tokens } from '../types.js'
-import { HELD_MEMORY_SHARE, LATE_LOSS, MOST_HOLDERS, OBJECTIVE_SHARE, PART_COST, PART_COUNTS, SAFE_SHARE, SHORTEST_DIVIDED_PROMPT, TIGHT_WRITER_COST, WAIT_COST } from './constants.js'
+import { HELD_MEMORY_SHARE, LATE_LOSS, MOST_HOLDERS, MOST_SHORT_PARTS, OBJECTIVE_SHARE, OWNERS_TRIED, PART_COST, PART_COUNTS, SAFE_SHARE, SHORT_PROMPT, TIGHT_WRITER_COST, WAIT_COST } from './constants.js'
 import { EngineState, totalOf, valueOf } from './EngineState.js'
 import type { Harm } from './EngineState.js'
 import { PlacementPolicy } from './PlacementPolicy.js'
@@ -28,8 +28,8 @@
     const open = roomy.filter((state) => state.hasSlot)
     const owners = open.length > 0 ? open : roomy
     const alone = owners.map((owner) => weigh(request, owner, []))
-    if (request.size.prompt < SHORTEST_DIVIDED_PROMPT) return alone
-    const counts = PART_COUNTS.filter((parts) => parts > 1 && parts <= states.length)
+    const most = Math.min(states.length, request.size.prompt < SHORT_PROMPT ? MOST_SHORT_PARTS : Infinity)
+    const counts = PART_COUNTS.filter((parts) => parts > 1 && parts <= most)
     return [...alone, ...counts.flatMap((parts) => divided(request, states, owners, parts))]
   }
 }
@@ -37,20 +37,21 @@
 const memoryDemand = ({ size, model }: PlacementRequest): Tokens =>
   size.prompt + Math.min(size.mostAnswer, model.figures.usualAnswer)
 
-/** A prompt that no engine can hold alone: the roomiest engine writes, the next ones hold what it cannot. */
+/** A prompt that no engine can hold alone: one engine writes, the roomiest others hold what it cannot. */
 const held = (request: PlacementRequest, states: readonly EngineState[], demand: Tokens): Option[] => {
-  const roomy = states.filter((state) => state.hasSlot && state.canHelp && state.freeMemory > 0)
-  const [owner, ...others] = roomy.sort((a, b) => b.freeMemory - a.freeMemory)
-  if (owner === undefined) return []
-  const holders = holdersOf(others, demand - owner.freeMemory * HELD_MEMORY_SHARE)
+  const roomy = states.filter((state) => state.hasSlot && state.canHelp && state.freeMemory > 0).sort((a, b) => b.freeMemory - a.freeMemory)
+  return roomy.slice(0, OWNERS_TRIED).flatMap((owner) => heldBy(request, states, owner, roomy, demand))
+}
+
+const heldBy = (request: PlacementRequest, states: readonly EngineState[], owner: EngineState, roomy: readonly EngineState[], demand: Tokens): Option[] => {
+  const holders = holdersOf(roomy.filter((state) => state !== owner), demand - owner.freeMemory * HELD_MEMORY_SHARE)
   if (holders === null) return []
   const holding = new Set(holders.map(({ state }) => state))
   const rest = states.filter((state) => state !== owner && !holding.has(state) && state.canHelp)
   const counts = PART_COUNTS.filter((parts) => parts > holders.length && parts <= rest.length + holders.length + 1)
   return counts.map((parts) => {
     const part = request.model.reading(request.size.prompt, parts)
-    const ranked = [...rest].sort((a, b) => helpingHarm(a, part) - helpingHarm(b, part))
-    const option = weigh(request, owner, [...holding, ...ranked.slice(0, parts - 1 - holders.length)])
+    const option = weigh(request, owner, [...holding, ...leastHarmed(rest, part).slice(0, parts - 1 - holders.length)])
     return { ...option, holders: holders.map(({ state, tokens }) => ({ server: state.server, tokens })) }
   })
 }
@@ -68,11 +69,9 @@
   return left > 0 || holders.length > MOST_HOLDERS ? null : holders
 }
 
-/** The best engines for reading in a number of parts, each of two of them as the one that writes. */
+/** The engines that are harmed least by reading in a number of parts, each of two of them as the one that writes. */
 const divided = (request: PlacementRequest, states: readonly EngineState[], owners: readonly EngineState[], parts: number): Option[] => {
-  const part = request.model.reading(request.size.prompt, parts)
-  const cost = new Map(states.map((state) => [state, helpingHarm(state, part) + state.readingFinish(part) / request.objective]))
-  const ranked = [...states].sort((a, b) => (cost.get(a) ?? 0) - (cost.get(b) ?? 0))
+  const ranked = leastHarmed(states, request.model.reading(request.size.prompt, parts))
   const bestOwners = ranked.filter((state) => owners.includes(state)).slice(0, parts)
   const roomiest = bestOwners.reduce<EngineState | null>((best, state) => best === null || state.freeMemory > best.freeMemory ? state : best, null)
   const writers = new Set([bestOwners[0], roomiest])
@@ -83,15 +82,28 @@
   })
 }
 
+/** Engines in the order of what a part would cost the requests there, then of what they have to read. */
+const leastHarmed = (states: readonly EngineState[], part: Millis): EngineState[] => {
+  const cost = new Map(states.map((state) => [state, partHarm(state, part)]))
+  return [...states].sort((a, b) => (cost.get(a) ?? 0) - (cost.get(b) ?? 0) || a.pendingReading - b.pendingReading)
+}
+
+const partHarm = (state: EngineState, part: Millis): number => {
+  const harm: Harm = new Map()
+  state.addPartHarm(harm, part)
+  return totalOf(harm)
+}
+
 const weigh = (request: PlacementRequest, owner: EngineState, helpers: readonly EngineState[]): Option => {
   const { size, model } = request
   const part = model.reading(size.prompt, helpers.length + 1)
   const pass = owner.passWith(size.prompt)
-  const read = helpers.reduce((latest, helper) => Math.max(latest, helper.helpingFinish(part)), owner.readingFinish(part))
-  const firstEvent = read + pass
   const harm: Harm = new Map()
-  owner.addServingHarm(harm, part, size.prompt)
-  for (const helper of helpers) helper.addHelpingHarm(harm, part)
+  if (helpers.length === 0) owner.addWholeHarm(harm, part, pass)
+  else owner.addPartHarm(harm, part, pass)
+  for (const helper of helpers) helper.addPartHarm(harm, part)
+  const ownRead = helpers.length === 0 ? owner.wholeFinish(part) : owner.partFinish(part)
+  const firstEvent = pass + helpers.reduce((latest, helper) => Math.max(latest, helper.partFinish(part)), ownRead)
   const own = valueOf(size.prompt) * (lossOf(request, firstEvent, pass) + PART_COST * helpers.length)
   return { server: owner.server, helpers: helpers.map(({ server }) => server), holders: [], firstEvent, cost: totalOf(harm) + own + tightCost(request, owner) }
 }
@@ -110,9 +122,3 @@
   if (pauseObjective === null) return 0
   return TIGHT_WRITER_COST * (1 - Math.min(1, owner.tightRequests(pauseObjective) / owner.server.slots))
 }
-
-const helpingHarm = (state: EngineState, part: Millis): number => {
-  const harm: Harm = new Map()
-  state.addHelpingHarm(harm, part)
-  return totalOf(harm)
-}
--- a/packages/domain/src/forwarding/ReadingQueue.ts
+++ b/packages/domain/src/forwarding/ReadingQueue.ts
@@ -5,7 +5,7 @@
 /** A prompt, or a part of one, that is not read yet. */
 export interface PendingReading {
   readonly work: Work
-  /** Whether it is a part of another engine's prompt. */
+  /** Whether it is a part of a prompt that several engines read. */
   readonly isPart: boolean
   /** Reading time that is left on a sound engine. */
   readonly left: Millis
@@ -20,10 +20,10 @@
 /** Reading time assumed to be left of a prompt that should have been read by now. */
 const OVERDUE_READING: Millis = 10
 
-/** Follows the reading of one engine: parts of other engines' prompts first, the newest of them before all. */
+/** Follows the reading of one engine: parts of divided prompts first, the newest of them before all; then whole prompts in turn. */
 export class ReadingQueue {
   #parts: Item[] = []
-  #own: Item[] = []
+  #whole: Item[] = []
   #advancedTo: Millis
 
   /** @param now - time */
@@ -32,21 +32,21 @@
   }
 
   get isEmpty (): boolean {
-    return this.#parts.length === 0 && this.#own.length === 0
+    return this.#parts.length === 0 && this.#whole.length === 0
   }
 
   /**
-   * Adds a prompt of this engine, or a part of another engine's prompt.
+   * Adds a prompt of this engine, or its part of a divided one.
    *
    * @param work - whose prompt it is
-   * @param isPart - whether it belongs to another engine
    * @param now - time
    */
-  add (work: Work, isPart: boolean, now: Millis): void {
+  add (work: Work, now: Millis): void {
     this.advance(now)
+    const isPart = work.helpers.length > 0
     const item = { work, isPart, left: work.part }
     if (isPart) this.#parts.unshift(item)
-    else this.#own.push(item)
+    else this.#whole.push(item)
   }
 
   /**
@@ -59,7 +59,7 @@
     this.advance(now)
     const others = ({ work: { id } }: Item): boolean => id !== work.id
     this.#parts = this.#parts.filter(others)
-    this.#own = this.#own.filter(others)
+    this.#whole = this.#whole.filter(others)
   }
 
   /**
@@ -83,6 +83,6 @@
   }
 
   #order (): Item[] {
-    return [...this.#parts, ...this.#own]
+    return [...this.#parts, ...this.#whole]
   }
 }
--- a/packages/domain/src/forwarding/constants.ts
+++ b/packages/domain/src/forwarding/constants.ts
@@ -32,8 +32,12 @@
 /** Cost of harming an answer whose pauses are too long already, for each second that is added. */
 export const FURTHER_HARM_PER_SECOND = 0.5
 
-/** Shortest prompt that is read in parts; below it the first event waits for the pass, not for the reading. */
-export const SHORTEST_DIVIDED_PROMPT = 8_000
+/** A prompt below this length is read by two engines at most: it waits for the pass, not for the reading. */
+export const SHORT_PROMPT = 8_000
+export const MOST_SHORT_PARTS = 2
+
+/** Engines that are tried as the one that writes for a prompt that several hold. */
+export const OWNERS_TRIED = 4
 
 /** Share of an engine's memory that several requests may use together. */
 export const SHARED_MEMORY_SHARE = 0.85
--- a/packages/domain/tests/lengthPlacement.test.ts
+++ b/packages/domain/tests/lengthPlacement.test.ts
@@ -19,6 +19,15 @@
   t.deepEqual(new PlacedFleet(engines(18)).choose(SHORT, 0)?.helpers, [])
 })
 
+test('pattern: a short prompt passes the long ones that an engine reads', (t) => {
+  const fleet = new PlacedFleet(engines(2))
+  fleet.enter({ ...LONG, objective: 9_000 }, 0, 'e0')
+  fleet.enter({ ...LONG, objective: 9_000 }, 0, 'e1')
+  const choice = fleet.choose(SHORT, 10)
+  t.is(choice?.helpers.length, 1)
+  t.true((choice?.firstEvent ?? Infinity) < SHORT.objective)
+})
+
 test('pattern: steady short requests share few engines', (t) => {
   const fleet = new PlacedFleet(engines(18))
   for (let index = 0; index < 20; index += 1) {
