Wait out the pass under way; weigh that callers leave; be patient for what is expected

Change: a part waits for the pass under way where answers are written; a first event near the end of the caller's wait counts as lost; silence is borne for 1.2 times what was predicted. Tests: lengthPlacement 'keeps away from a pass that reads a long one', 'read before its caller leaves'.

--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -81,13 +81,15 @@
   }
 
   /**
-   * Engines read parts of divided prompts before everything else, the newest first.
+   * Engines read parts of divided prompts before everything else, the newest first. Where answers are written, the
+   * pass that is under way comes before that, with all that it reads.
    *
    * @param part - time that a part of a divided prompt takes to read on a sound engine
    * @returns time until it would be read
    */
   partFinish (part: Millis): Millis {
-    return this.pass + part * this.#slowdown
+    const underWay = this.#writing.length > 0 ? this.pendingReading : 0
+    return underWay + this.pass + part * this.#slowdown
   }
 
   /**
--- a/packages/domain/src/forwarding/LengthPlacement.ts
+++ b/packages/domain/src/forwarding/LengthPlacement.ts
@@ -8,6 +8,7 @@
 import type { Harm } from './EngineState.js'
 import { PlacementPolicy } from './PlacementPolicy.js'
 import type { Choice, PlacementRequest } from './PlacementPolicy.js'
+import { callerWaitOf } from './silence.js'
 
 interface Option extends Choice {
   readonly cost: number
@@ -108,15 +109,18 @@
   return { server: owner.server, helpers: helpers.map(({ server }) => server), holders: [], firstEvent, cost: totalOf(harm) + own + tightCost(request, owner) }
 }
 
-/** The share of its value that the request itself is expected to lose. */
+/** The share of its value that the request itself is expected to lose: most of it when late, all when the caller leaves. */
 const lossOf = ({ objective, timeLeft, pauseObjective }: PlacementRequest, firstEvent: Millis, pass: Millis): number => {
-  const waiting = WAIT_COST * firstEvent / objective
+  const leaving = (1 - LATE_LOSS) * riskOf(firstEvent / callerWaitOf(objective))
+  const waiting = WAIT_COST * firstEvent / objective + leaving
   if (pass > (pauseObjective ?? Infinity) * OBJECTIVE_SHARE) return waiting + LATE_LOSS
-  const used = timeLeft > 0 ? firstEvent / timeLeft : Infinity
-  const risk = Math.min(1, Math.max(0, (used - SAFE_SHARE) / (OBJECTIVE_SHARE - SAFE_SHARE)))
-  return waiting + LATE_LOSS * risk ** 2
+  return waiting + LATE_LOSS * (timeLeft > 0 ? riskOf(firstEvent / timeLeft) : 1)
 }
 
+/** @returns the risk that a prediction that uses this share of the time there is comes too late */
+const riskOf = (used: number): number =>
+  Math.min(1, Math.max(0, (used - SAFE_SHARE) / (OBJECTIVE_SHARE - SAFE_SHARE))) ** 2
+
 /** Short answers share as few engines as serve them well: the others stay free to read long prompts. */
 const tightCost = ({ pauseObjective }: PlacementRequest, owner: EngineState): number => {
   if (pauseObjective === null) return 0
--- a/packages/domain/src/forwarding/silence.ts
+++ b/packages/domain/src/forwarding/silence.ts
@@ -10,6 +10,9 @@
 /** How much longer than its objective a pause may be. */
 const PAUSE_FACTOR = 1.5
 
+/** How much longer than predicted a first event may take that comes shortly before the caller leaves. */
+const LATE_EVENT_FACTOR = 1.2
+
 /** How many times its objective a caller waits for the first event, or for the next one, before it leaves. */
 const CALLER_WAIT_FOR_FIRST_EVENT = 4
 const CALLER_WAIT_FOR_NEXT_EVENT = 8
@@ -32,13 +35,19 @@
   readonly reading: Millis
 }
 
+/**
+ * @param objective - time within which the first event is due
+ * @returns the time after which the caller leaves, unless the first event has come
+ */
+export const callerWaitOf = (objective: Millis): Millis => Math.max(SHORTEST_CALLER_WAIT, CALLER_WAIT_FOR_FIRST_EVENT * objective)
+
 /**
  * @param bounds - what the stream waits for
  * @returns the time after which the first event is not waited for any longer
  */
 export const longestWaitForFirstEvent = ({ expected, objective, reading }: SilenceBounds): Millis => {
-  const callerWait = Math.max(SHORTEST_CALLER_WAIT, CALLER_WAIT_FOR_FIRST_EVENT * objective)
-  return Math.min(SHORTEST_SILENCE + FIRST_EVENT_FACTOR * expected + reading, SHARE_OF_CALLER_WAIT * callerWait)
+  const bearable = SHORTEST_SILENCE + FIRST_EVENT_FACTOR * expected + reading
+  return Math.min(bearable, Math.max(SHARE_OF_CALLER_WAIT * callerWaitOf(objective), LATE_EVENT_FACTOR * expected))
 }
 
 /**
--- a/packages/domain/tests/attempts.test.ts
+++ b/packages/domain/tests/attempts.test.ts
@@ -42,6 +42,7 @@
   t.is(longestWaitForFirstEvent(short), 1_300)
   t.true(longestWaitForFirstEvent(long) > 5_000)
   t.true(longestWaitForFirstEvent({ ...long, reading: 50_000 }) < 12_000)
+  t.true(longestWaitForFirstEvent({ ...long, expected: 9_900, reading: 9_900 }) > 9_900)
   t.true(longestPause(short) < 2_000)
   t.true(longestPause(long) > 4_000)
 })
--- a/packages/domain/tests/lengthPlacement.test.ts
+++ b/packages/domain/tests/lengthPlacement.test.ts
@@ -28,6 +28,21 @@
   t.true((choice?.firstEvent ?? Infinity) < SHORT.objective)
 })
 
+test('pattern: a short prompt keeps away from a pass that reads a long one', (t) => {
+  const fleet = new PlacedFleet(engines(2))
+  fleet.writing(SHORT, 0, 'e0')
+  fleet.enter({ ...LONG, objective: 9_000 }, 0, 'e0')
+  const choice = fleet.choose(SHORT, 10)
+  t.is(choice?.server.id as string, 'e1')
+  t.deepEqual(choice?.helpers, [])
+})
+
+test('pattern: a prompt that is late in any case is still read before its caller leaves', (t) => {
+  const fleet = new PlacedFleet(engines(8))
+  const choice = fleet.choose({ ...LONG, prompt: 430_000 }, 0, { timeLeft: -1 })
+  t.true((choice?.firstEvent ?? Infinity) < 8_000)
+})
+
 test('pattern: steady short requests share few engines', (t) => {
   const fleet = new PlacedFleet(engines(18))
   for (let index = 0; index < 20; index += 1) {
