A fault in the choice of a server fails one request, not the process

Cause: in trial a missing import ended processes with every request in them. Now the request is refused and the fault logged with its stack.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -159,7 +159,7 @@
 
   #next (): void {
     const { dispatch, clock } = this.context
-    const choice = dispatch.choose(this.call, this.tried)
+    const choice = this.#choose()
     if (choice === null) {
       this.#lastProblem ||= 'no backend server can take it'
       this.#giveUp()
@@ -175,6 +175,17 @@
     else void this.#reserveAndSend(attempt, reservations)
   }
 
+  /** A fault in the choice fails this request, not the process with everybody else's. */
+  #choose (): Choice | null {
+    try {
+      return this.context.dispatch.choose(this.call, this.tried)
+    } catch (error) {
+      this.#lastProblem = 'the choice of a backend server failed'
+      this.context.log.error('request.choice_failed', { request: this.call.id, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+      return null
+    }
+  }
+
   async #reserveAndSend (attempt: OpenAttempt, reservations: Reservations): Promise<void> {
     const taken = await reservations.take()
     if (this.attempt !== attempt) return
