--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -2,68 +2,24 @@
 import type { ServerResponse } from 'node:http'
 
 import { AttemptEnd, Evidence, mayFollow } from '@bluebellhill/domain'
-import type { BackendServer, Choice, Millis, RunnerId, Work } from '@bluebellhill/domain'
+import type { Choice, Millis, RunnerId } from '@bluebellhill/domain'
 import { decodeAnswerHeaders, encodeForwardedHeaders, encodeReturnedHeaders } from '@bluebellhill/platform'
-import type { AnswerHeaders, EngineMemory } from '@bluebellhill/platform'
+import type { AnswerHeaders } from '@bluebellhill/platform'
 
-import type { Log } from '../log/index.js'
 import type { AdmittedCall } from './AdmittedCall.js'
+import { FIRST_FAILURE_STATUS, isSuccess, problemOf, withoutLength } from './answers.js'
 import { ServerCall } from './backend/ServerCall.js'
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
 import { RefusalCause, refuse } from './entry/refusals.js'
-import type { FleetDispatch } from './FleetDispatch.js'
-import type { ForwardMetrics } from './ForwardMetrics.js'
-import type { Knowledge } from './Knowledge.js'
 import { Reservations } from './Reservations.js'
+import { ForwardOutcome } from './types.js'
+import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
 
 /** Time to open a connection to a backend server. */
 const CONNECT_TIMEOUT: Millis = 250
 
-/** What requests share. */
-export interface ForwardingContext {
-  readonly dispatch: FleetDispatch
-  readonly knowledge: Knowledge
-  readonly log: Log
-  readonly metrics: ForwardMetrics
-  readonly memory: EngineMemory
-  readonly clock: () => Millis
-}
-
-/** One attempt in progress. */
-export interface OpenAttempt {
-  readonly server: BackendServer
-  readonly work: Work
-  readonly sentAt: Millis
-  readonly choice: Choice
-  /** Memory of other engines that holds parts of the prompt; null where none is needed. */
-  readonly reservations: Reservations | null
-  /** Null until the request is sent. */
-  call: ServerCall | null
-  /** Whether its first event has come. */
-  isRead: boolean
-  head: AnswerHead | null
-  answer: AnswerHeaders | null
-}
-
-/** A failure that a backend server answered with and signed. */
-export interface SignedFailure {
-  readonly head: AnswerHead
-  readonly body: Buffer
-}
-
-/** How requests end, for logs and metrics. */
-export const ForwardOutcome = {
-  Answered: 'answered',
-  ServerFailed: 'server_failed',
-  Refused: 'refused',
-  Lost: 'lost',
-  TimedOut: 'timed_out',
-  CallerGone: 'caller_gone'
-} as const
-export type ForwardOutcome = typeof ForwardOutcome[keyof typeof ForwardOutcome]
-
 const SERVER_ERROR = 500
-const FIRST_FAILURE_STATUS = 300
+const MISDIRECTED = 421
 
 /** Sends one request to one backend server after another, as far as its route allows. */
 export abstract class Forwarding {
@@ -261,7 +217,6 @@
   }
 
   #replaced (attempt: OpenAttempt, head: AnswerHead, { server }: AnswerHeaders): void {
-    const MISDIRECTED = 421
     if (head.status === MISDIRECTED && server !== attempt.server.id) this.context.knowledge.foundReplaced(attempt.server.id)
   }
 
@@ -277,10 +232,8 @@
 
   #judge ({ server, call }: OpenAttempt, end: AttemptEnd): void {
     // A refusal because of a helper, or for want of room, says nothing against the server itself.
-    if (end === AttemptEnd.NotRun) return
-    if (end === AttemptEnd.Unsent && call !== null) this.context.dispatch.observe(server, Evidence.Unreachable)
-    else if (call === null) return
-    else this.context.dispatch.observe(server, Evidence.Bad)
+    if (end === AttemptEnd.NotRun || call === null) return
+    this.context.dispatch.observe(server, end === AttemptEnd.Unsent ? Evidence.Unreachable : Evidence.Bad)
   }
 
   #giveUp (): void {
@@ -378,25 +331,3 @@
     })
   }
 }
-
-const isSuccess = ({ head, answer }: OpenAttempt): boolean =>
-  head !== null && answer !== null && head.status < FIRST_FAILURE_STATUS && !answer.notRun
-
-/** @returns why an answer cannot be the backend server's own answer to this request, or null */
-const problemOf = (answer: AnswerHeaders, status: number, request: string): string | null => {
-  if (answer.notRun) return null
-  if (answer.attemptId !== request) return 'the answer belongs to another request'
-  if (!answer.isSigned) return `status ${status} without a signature`
-  if (answer.isEncoded) return 'the body was encoded on the way'
-  return null
-}
-
-/** @returns headers with the length of a body that was read whole in place of how it was framed */
-export const withoutLength = (headers: readonly string[], length: number): string[] => {
-  const kept: string[] = []
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    if (headers[index]?.toLowerCase() !== 'content-length') kept.push(headers[index] ?? '', headers[index + 1] ?? '')
-  }
-  kept.push('content-length', String(length))
-  return kept
-}
--- a/packages/node/src/forward/PlainForwarding.ts
+++ b/packages/node/src/forward/PlainForwarding.ts
@@ -2,8 +2,9 @@
 import type { Millis } from '@bluebellhill/domain'
 import { encodeReturnedHeaders } from '@bluebellhill/platform'
 
-import { Forwarding, withoutLength } from './Forwarding.js'
-import type { OpenAttempt } from './Forwarding.js'
+import { withoutLength } from './answers.js'
+import { Forwarding } from './Forwarding.js'
+import type { OpenAttempt } from './types.js'
 
 /** Share of the time left that a server may be silent while another attempt is allowed. */
 const SHARE_OF_TIME_LEFT = 0.5
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -5,7 +5,7 @@
 import { EventSplitter } from './backend/EventSplitter.js'
 import type { StreamEvent } from './backend/EventSplitter.js'
 import { Forwarding } from './Forwarding.js'
-import type { OpenAttempt } from './Forwarding.js'
+import type { OpenAttempt } from './types.js'
 
 /** A request that is answered by a stream of events; the caller gets whole events only. */
 export class StreamForwarding extends Forwarding {
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -9,7 +9,7 @@
 import { decodeCallerHeaders } from '@bluebellhill/platform'
 import type { SocketAddress } from '@bluebellhill/platform'
 
-import type { ForwardingContext } from '../Forwarding.js'
+import type { ForwardingContext } from '../types.js'
 import { PlainForwarding } from '../PlainForwarding.js'
 import { StreamForwarding } from '../StreamForwarding.js'
 import { acceptHead, admit, readCallerBody } from './admit.js'
