--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -18,10 +18,14 @@
 import { ForwardMetrics } from '../src/forward/ForwardMetrics.js'
 import { Knowledge } from '../src/forward/Knowledge.js'
 import { LogLevel, openLog } from '../src/log/index.js'
+import type { Log } from '../src/log/index.js'
 
 export const HOST = 'a.example'
 export const KEY = 'the-key-of-growers'
 
+/** A log that nobody reads. */
+export const silentLog = (): Log => openLog({ node: 'n', failureDomain: 'd', level: LogLevel.Error, transport: new LineCollector([]) })
+
 /** Headers of a signed answer to a request. */
 export const signed = (request: IncomingMessage): Record<string, string> => ({
   [HeaderName.AttemptId]: String(request.headers[HeaderName.AttemptId]),
--- /dev/null
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -0,0 +1,115 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+
+import test from 'ava'
+import fc from 'fast-check'
+
+import { FleetWork } from '@bluebellhill/domain'
+import type { NodeId, RunnerId, Work } from '@bluebellhill/domain'
+import { HttpPool } from '@bluebellhill/services'
+
+import { Knowledge } from '../src/forward/Knowledge.js'
+import { KnowledgeExchange } from '../src/forward/peers/KnowledgeExchange.js'
+import { PeerLink } from '../src/forward/peers/PeerLink.js'
+import { PEER_LOST_AFTER, PeerTable } from '../src/forward/peers/PeerTable.js'
+import type { Peer } from '../src/forward/peers/PeerTable.js'
+import { decodeState, encodeState } from '../src/forward/peers/stateCodec.js'
+import type { NodeState } from '../src/forward/peers/stateCodec.js'
+import { DEPLOYMENT, silentLog } from './forwardFixture.js'
+
+const NODE = 'n1' as NodeId
+const ADDRESS = '127.0.0.1:1'
+
+/** Datagrams stay below the usual packet size. */
+const MOST_DATAGRAM_BYTES = 1_400
+
+const work = (index: number, changes: Partial<Work> = {}): Work => ({
+  id: `edge-a-long-name-of-a-hall-1/${index}`, runner: `i-${index}` as RunnerId, helpers: [], held: [], prompt: 5_000, answer: 1_500, part: 20, sentAt: 900, isRead: false, pauseObjective: 200, dueAt: 1_300, ...changes
+})
+
+const state = (works: readonly Work[], sequence = 1, startedAt = 1_700_000_000_000): NodeState => ({
+  node: NODE, startedAt, sequence, configurationVersion: 7, serversRevision: 41, stopping: false, works, peers: []
+})
+
+const hearAll = (table: PeerTable, said: NodeState, now = 1_000): ReturnType<PeerTable['hear']> =>
+  encodeState(said, now).reduce<ReturnType<PeerTable['hear']>>((heard, datagram) => table.hear(decodeState(datagram, now), ADDRESS, now) ?? heard, null)
+
+test('a state arrives as it was said, with times on the clock of the hearer', (t) => {
+  const said = work(1, { helpers: ['i-2' as RunnerId], held: [{ runner: 'i-2' as RunnerId, tokens: 9 }] })
+  const [datagram] = encodeState(state([said]), 1_000)
+  const heard = decodeState(datagram!, 51_000)
+  t.deepEqual(heard.works, [{ ...said, sentAt: 50_900, dueAt: 51_300 }])
+  t.like(heard, { node: NODE, startedAt: 1_700_000_000_000, configurationVersion: 7, serversRevision: 41 })
+})
+
+test('a busy node says its work in several small datagrams', (t) => {
+  const works = Array.from({ length: 50 }, (_, index) => work(index))
+  const datagrams = encodeState(state(works), 1_000)
+  t.true(datagrams.length > 1)
+  t.true(Math.max(...datagrams.map(({ length }) => length)) < MOST_DATAGRAM_BYTES)
+  t.is(hearAll(new PeerTable(), state(works))?.works.length, 50)
+})
+
+test('bytes that are no state are refused and harm nothing', (t) => {
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
+    try {
+      return decodeState(bytes, 0).node !== ''
+    } catch (error) {
+      return error instanceof Error
+    }
+  }), { seed: 5, numRuns: 2_000 })
+  t.pass()
+})
+
+test('an older state never replaces a newer one, and a later start goes before', (t) => {
+  const table = new PeerTable()
+  t.truthy(hearAll(table, state([], 5)))
+  t.is(hearAll(table, state([], 4)), null)
+  t.is(hearAll(table, state([], 5)), null)
+  t.true(hearAll(table, state([], 1, 1_700_000_009_000))?.isNew)
+  t.is(hearAll(table, state([], 6)), null)
+})
+
+test('a node that falls silent is lost once, and found when it speaks again', (t) => {
+  const table = new PeerTable()
+  hearAll(table, state([], 1), 0)
+  t.deepEqual(table.expire(PEER_LOST_AFTER), [])
+  t.is(table.expire(PEER_LOST_AFTER + 1).length, 1)
+  t.deepEqual(table.expire(PEER_LOST_AFTER + 2), [])
+  t.true(hearAll(table, state([], 2), 5_000)?.isNew)
+})
+
+test('a node that was only named is spoken to', (t) => {
+  const table = new PeerTable()
+  table.named(['10.0.0.1:1'], 0)
+  t.deepEqual(table.addresses(), ['10.0.0.1:1'])
+})
+
+test('two nodes on sockets know each other’s work within moments, and a node that is behind catches up', async (t) => {
+  const log = silentLog()
+  const clock = (): number => performance.now()
+  const hosts = ['127.0.0.1', '127.0.0.2'] as const
+  const port = 20_000 + process.pid % 20_000
+  const http = new HttpPool(2)
+  const nodes = await Promise.all(hosts.map(async (host, index) => {
+    const node = `n${index}` as NodeId
+    const knowledge = new Knowledge(log, clock)
+    const account = new FleetWork(node)
+    const exchange = new KnowledgeExchange(knowledge, http, log)
+    const link = new PeerLink({ node, host, port, startedAt: Date.now(), work: account, knowledge, log, clock, onAhead: (peer: Peer) => exchange.catchUp(peer) })
+    await exchange.start(host, port)
+    await link.start()
+    t.teardown(() => { link.dispose(); exchange.dispose() })
+    return { link, account, knowledge }
+  }))
+  t.teardown(async () => { await http.dispose() })
+  const [first, second] = nodes
+  first!.link.named([`${hosts[1]}:${port}`])
+  first!.knowledge.install(DEPLOYMENT, 'store')
+  const { id: _, ...begun } = work(1, { sentAt: clock(), dueAt: clock() + 300 })
+  first!.account.begin(begun)
+  first!.link.workChanged()
+  const until = clock() + 10_000
+  while (clock() < until && (second!.knowledge.version === 0 || second!.account.byRunner(clock()).of('i-1' as RunnerId).requests.length === 0)) await sleep(10)
+  t.is(second!.knowledge.version, DEPLOYMENT.version)
+  t.is(second!.account.byRunner(clock()).of('i-1' as RunnerId).requests.length, 1)
+})
--- /dev/null
+++ b/packages/node/tests/storeFollower.test.ts
@@ -0,0 +1,143 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+
+import { MetadataStore, StoreKey } from '@bluebellhill/platform'
+import type { StoreChange, StoreChanges, StoreItem, StorePage } from '@bluebellhill/platform'
+import { failed, HttpPool, success } from '@bluebellhill/services'
+import type { CallFailure, Result } from '@bluebellhill/services'
+
+import { Knowledge } from '../src/forward/Knowledge.js'
+import { StoreContact } from '../src/forward/store/StoreContact.js'
+import { StoreFollower } from '../src/forward/store/StoreFollower.js'
+import { silentLog } from './forwardFixture.js'
+
+const DOWN: CallFailure = { type: 'interrupted', reason: 'down' }
+const GONE: CallFailure = { type: 'rejected', status: 410, code: 'gone', retryAfter: null, reason: 'gone' }
+
+/** A store in memory that can be down, and can lose its history. */
+class MemoryStore extends MetadataStore {
+  readonly items = new Map<string, StoreItem>()
+  changes: StoreChange[] = []
+  revision = 1
+  isDown = false
+  oldest = 0
+  lists = 0
+
+  constructor () {
+    super({ address: '127.0.0.1:1', http: new HttpPool(1), timeout: 1 })
+  }
+
+  set (key: string, value: string | null): void {
+    this.revision += 1
+    const bytes = value === null ? null : Buffer.from(value)
+    if (bytes === null) this.items.delete(key)
+    else this.items.set(key, { key, value: bytes, revision: this.revision })
+    this.changes.push({ key, value: bytes, revision: this.revision })
+  }
+
+  forgetHistory (): void {
+    this.oldest = this.revision
+    this.changes = []
+  }
+
+  override async range (prefix: string): Promise<Result<StorePage, CallFailure>> {
+    if (this.isDown) return failed(DOWN)
+    this.lists += 1
+    const items = [...this.items.values()].filter(({ key }) => key.startsWith(prefix))
+    return success({ items, hasMore: false, revision: this.revision })
+  }
+
+  override async watch (prefix: string, after: number, _: number, signal: AbortSignal): Promise<Result<StoreChanges, CallFailure>> {
+    for (let turn = 0; turn < 50 && !signal.aborted; turn += 1) {
+      if (this.isDown) return failed(DOWN)
+      if (after < this.oldest) return failed(GONE)
+      const changes = this.changes.filter(({ key, revision }) => key.startsWith(prefix) && revision > after)
+      if (changes.length > 0) return success({ changes, revision: this.revision })
+      await sleep(5)
+    }
+    return success({ changes: [], revision: after })
+  }
+}
+
+const entry = (state = 'ready'): string => JSON.stringify({ service: 's', address: '10.0.0.1:80', zone: 'd1', slots: 4, state })
+const key = (id: string): string => `${StoreKey.BackendServers}${id}`
+
+const follow = (t: ExecutionContext, store: MemoryStore): Knowledge => {
+  const clock = (): number => performance.now()
+  const knowledge = new Knowledge(silentLog(), clock)
+  const follower = new StoreFollower(store, knowledge, new StoreContact(knowledge, silentLog(), clock), silentLog())
+  follower.start()
+  t.teardown(() => follower.dispose())
+  return knowledge
+}
+
+const eventually = async (condition: () => boolean): Promise<boolean> => {
+  const until = performance.now() + 10_000
+  while (!condition() && performance.now() < until) await sleep(5)
+  return condition()
+}
+
+const ready = (knowledge: Knowledge): string => knowledge.servers.ready('s').map(({ id }) => id).sort().join()
+
+test('entries that come, drain and go are followed', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const knowledge = follow(t, store)
+  t.true(await eventually(() => ready(knowledge) === 'e1'))
+  store.set(key('e2'), entry())
+  store.set(key('e1'), entry('draining'))
+  t.true(await eventually(() => ready(knowledge) === 'e2'))
+  store.set(key('e2'), null)
+  t.true(await eventually(() => ready(knowledge) === ''))
+})
+
+test('after lost history everything is listed again', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const knowledge = follow(t, store)
+  t.true(await eventually(() => ready(knowledge) === 'e1'))
+  store.set(key('e2'), entry())
+  store.set(key('e1'), null)
+  store.forgetHistory()
+  t.true(await eventually(() => ready(knowledge) === 'e2'))
+  t.true(store.lists > 2)
+})
+
+test('an entry that is damaged spoils no other, and one that becomes damaged names no server', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  store.set(key('e2'), '{"service":"s","addr')
+  const knowledge = follow(t, store)
+  t.true(await eventually(() => ready(knowledge) === 'e1'))
+  store.set(key('e1'), '\u0000\u0001')
+  t.true(await eventually(() => ready(knowledge) === ''))
+})
+
+test('changes made while the store was down are caught up', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const knowledge = follow(t, store)
+  t.true(await eventually(() => ready(knowledge) === 'e1'))
+  store.isDown = true
+  await sleep(50)
+  t.is(ready(knowledge), 'e1')
+  store.set(key('e2'), entry())
+  store.isDown = false
+  t.true(await eventually(() => ready(knowledge) === 'e1,e2'))
+})
+
+test('a configuration that cannot be read leaves the one in force', async (t) => {
+  const store = new MemoryStore()
+  const configuration = (version: number): string => JSON.stringify({
+    version, routes: [], services: [], limits: { max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 }, tenants: []
+  })
+  store.set(StoreKey.Configuration, configuration(3))
+  const knowledge = follow(t, store)
+  t.true(await eventually(() => knowledge.version === 3))
+  store.set(StoreKey.Configuration, '{')
+  store.set(StoreKey.Configuration, configuration(2))
+  store.set(StoreKey.Configuration, configuration(9))
+  t.true(await eventually(() => knowledge.version === 9))
+})
