--- a/packages/domain/src/forwarding/attempts.ts
+++ b/packages/domain/src/forwarding/attempts.ts
@@ -1,4 +1,5 @@
 /** What may follow an attempt that brought no whole answer. */
+import type { RunnerId } from '../types.js'
 import { CallKind } from './types.js'
 import type { Route } from './types.js'
 
@@ -8,22 +9,22 @@
   Unsent: 'unsent',
   /** The backend server said that it has not run the request. */
   NotRun: 'not_run',
+  /** The backend server said that it has not run the request, because of an engine that was to help it. */
+  HelperLost: 'helper_lost',
   /** The backend server ran the request and answered with a failure. */
   Failed: 'failed',
-  /** The answer broke off, was not the server's own, or did not come. */
-  Lost: 'lost'
+  /** The answer broke off, or was not the server's own. */
+  Lost: 'lost',
+  /** No byte of the answer came for too long. */
+  Silent: 'silent'
 } as const
 export type AttemptEnd = typeof AttemptEnd[keyof typeof AttemptEnd]
 
 /** Attempts from which no byte left that are made beside those that the route allows. */
 export const MOST_UNSENT_ATTEMPTS = 5
 
-/** The attempts of one request so far. */
-export interface AttemptCount {
-  /** Attempts from which bytes left. */
-  readonly sent: number
-  readonly unsent: number
-}
+/** Attempts that fail because of a helper and are made beside those that the route allows. */
+export const MOST_HELPER_LOSSES = 3
 
 /**
  * @param route - the request's route
@@ -32,15 +33,81 @@
 export const mayRunAgain = ({ kind, resumable }: Route): boolean =>
   kind === CallKind.Safe || (kind === CallKind.Stream && resumable)
 
-/**
- * Decides whether the request may be sent to another backend server.
- *
- * @param route - the request's route
- * @param end - how the last attempt ended
- * @param count - attempts so far
- * @returns whether the rules of the route allow it; the retry budget is asked apart
- */
-export const mayFollow = (route: Route, end: AttemptEnd, { sent, unsent }: AttemptCount): boolean => {
-  if (sent >= route.maxAttempts || unsent > MOST_UNSENT_ATTEMPTS) return false
-  return end === AttemptEnd.Unsent || end === AttemptEnd.NotRun || mayRunAgain(route)
+/** The attempts of one request, and what may follow them by the rules of its route; the retry budget is asked apart. */
+export class AttemptHistory {
+  /** Servers that bytes of the request went to. */
+  readonly #sentTo = new Set<RunnerId>()
+  /** Servers that do not get the request again. */
+  readonly #given = new Set<RunnerId>()
+  readonly #route: Route
+  /** Where the attempt in progress goes. */
+  #current: RunnerId | null = null
+  #unsent = 0
+  #helperLosses = 0
+  #mayHaveRun = false
+
+  /** @param route - the request's route */
+  constructor (route: Route) {
+    this.#route = route
+  }
+
+  /** Whether the request may have run on any server. */
+  get mayHaveRun (): boolean {
+    return this.#mayHaveRun
+  }
+
+  /** Whether no further server may get the request. */
+  get isSpent (): boolean {
+    const isNew = this.#current !== null && !this.#sentTo.has(this.#current)
+    return this.#sentTo.size + (isNew ? 1 : 0) >= this.#route.maxAttempts
+  }
+
+  /** @returns the servers that were tried, in turn */
+  servers (): RunnerId[] {
+    return [...this.#given]
+  }
+
+  /**
+   * @param server - a backend server
+   * @returns whether the next attempt may go there
+   */
+  allows (server: RunnerId): boolean {
+    return !this.#given.has(server) && (!this.isSpent || this.#sentTo.has(server))
+  }
+
+  /**
+   * Enters an attempt that may reach its server.
+   *
+   * @param server - where it goes
+   */
+  begin (server: RunnerId): void {
+    this.#given.add(server)
+    this.#current = server
+  }
+
+  /**
+   * Enters how the last attempt ended.
+   *
+   * @param server - where it went
+   * @param end - how it ended
+   * @returns whether another attempt may follow
+   */
+  end (server: RunnerId, end: AttemptEnd): boolean {
+    this.#current = null
+    if (end !== AttemptEnd.Unsent) this.#sentTo.add(server)
+    switch (end) {
+      case AttemptEnd.Unsent:
+        this.#unsent += 1
+        return !this.isSpent && this.#unsent <= MOST_UNSENT_ATTEMPTS
+      case AttemptEnd.HelperLost:
+        this.#given.delete(server)
+        this.#helperLosses += 1
+        return this.#helperLosses <= MOST_HELPER_LOSSES
+      case AttemptEnd.NotRun:
+        return !this.isSpent
+      default:
+        this.#mayHaveRun = true
+        return !this.isSpent && mayRunAgain(this.#route)
+    }
+  }
 }
--- a/packages/node/src/forward/FleetDispatch.ts
+++ b/packages/node/src/forward/FleetDispatch.ts
@@ -1,6 +1,6 @@
 /** Places requests on backend servers, and keeps the account of where they are. */
 import { DomainReach, EngineModel, Evidence, FleetWork, LeastOutstanding, LengthPlacement, RetryBudget, ServerHealth } from '@bluebellhill/domain'
-import type { BackendServer, Candidate, Choice, FailureDomain, Millis, NodeId, PlacementPolicy, RunnerId, Service, Work } from '@bluebellhill/domain'
+import type { AttemptHistory, BackendServer, Candidate, Choice, FailureDomain, Millis, NodeId, PlacementPolicy, Service, Work } from '@bluebellhill/domain'
 
 import type { Log } from '../log/index.js'
 import type { AdmittedCall } from './AdmittedCall.js'
@@ -23,6 +23,9 @@
   readonly nodes: () => number
 }
 
+/** Reading that is left on an engine and explains why it is silent. */
+const EXPLAINING_READING: Millis = 200
+
 /** Share of the allowed retries that is used, since nodes count at different moments. */
 const RETRY_SHARE = 0.7
 
@@ -57,12 +60,12 @@
    * Chooses where a request goes.
    *
    * @param call - the request
-   * @param tried - servers that it was sent to
+   * @param history - its attempts so far
    * @returns the choice; null where no server can take it
    */
-  choose (call: AdmittedCall, tried: ReadonlySet<RunnerId>): Choice | null {
+  choose (call: AdmittedCall, history: AttemptHistory): Choice | null {
     const now = this.#options.clock()
-    const candidates = this.#candidates(call, tried, now)
+    const candidates = this.#candidates(call, history, now)
     if (candidates.length === 0) return null
     const policy = call.service.engine === null ? this.#plain : this.#engines
     return policy.choose({
@@ -130,6 +133,12 @@
     else if (this.#reach.unreachable(failureDomain, id, clock())) log.warn('domain.avoided', { server_domain: failureDomain, server: id, service })
   }
 
+  /** @returns whether an engine has so much to read that its silence says nothing against it */
+  isReading ({ id }: BackendServer): boolean {
+    const { pending } = this.work.byRunner(this.#options.clock()).of(id)
+    return pending.reduce((sum, { left }) => sum + left, 0) > EXPLAINING_READING
+  }
+
   /** A server said that the one at this address held a request up. */
   blame (address: string): void {
     const server = this.#options.knowledge.servers.all().find((one) => one.address === address)
@@ -146,8 +155,8 @@
     return this.#budgetOf(service).withdraw(this.#options.clock())
   }
 
-  #candidates ({ service }: AdmittedCall, tried: ReadonlySet<RunnerId>, now: Millis): Candidate[] {
-    const servers = this.#options.knowledge.servers.ready(service.name).filter(({ id }) => !tried.has(id))
+  #candidates ({ service }: AdmittedCall, history: AttemptHistory, now: Millis): Candidate[] {
+    const servers = this.#options.knowledge.servers.ready(service.name).filter(({ id }) => history.allows(id))
     const reachable = servers.filter(({ failureDomain }) => !this.#reach.isAvoided(failureDomain, now))
     const sound = reachable.filter(({ id }) => !this.health.isAvoided(id, now))
     const usable = [sound, reachable, servers].find((some) => some.length > 0) ?? []
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -22,7 +22,7 @@
 
   protected patience ({ head, choice }: OpenAttempt): Millis | null {
     const { route } = this.call
-    if (!mayRunAgain(route) || this.tried.size >= route.maxAttempts) return null
+    if (!mayRunAgain(route) || this.history.isSpent) return null
     const { objective, pauseObjective } = route
     const bounds = { expected: choice.firstEvent, objective, pauseObjective, reading: this.context.dispatch.reading(this.call) }
     return head === null ? longestWaitForFirstEvent(bounds) : longestPause(bounds)
--- a/packages/node/tests/forwarding.test.ts
+++ b/packages/node/tests/forwarding.test.ts
@@ -61,6 +61,17 @@
   for (let index = 0; index < 4; index += 1) t.is((await fixture.call('/unsafe/x')).status, 200)
 })
 
+test('a server whose helper is lost is asked again', async (t) => {
+  let calls = 0
+  const server: Script = (request, response, socket) => {
+    calls += 1
+    if (calls > 1) ok(request, response, socket)
+    else response.writeHead(503, { [HeaderName.NotRun]: '1', [HeaderName.FaultyServer]: '10.0.0.9:80' }).end()
+  }
+  const fixture = await ForwardFixture.start(t, server)
+  t.is((await fixture.call('/unsafe/x')).status, 200)
+})
+
 test('a request that no server has run is refused with a time to come back', async (t) => {
   const fixture = await ForwardFixture.start(t, shed, shed)
   const answer = await fixture.call('/unsafe/x')
