Find slow engines by their shortest pauses; drop settings and figures without a reader

A pause is stretched by many things, but the shortest of six in a row is a pass. Tests: attempts 'an engine whose shortest pauses are long is slow', 'one pause behind a long read'.

--- a/packages/domain/src/forwarding/PlacementPolicy.ts
+++ b/packages/domain/src/forwarding/PlacementPolicy.ts
@@ -1,5 +1,5 @@
 /** Ways to choose the engine that serves a request, and those that help it to read the prompt. */
-import type { FailureDomain, Millis, Tokens } from '../types.js'
+import type { Millis, Tokens } from '../types.js'
 import type { EngineModel } from './EngineModel.js'
 import type { RunnerWorks } from './FleetWork.js'
 import type { BackendServer, PromptSize } from './types.js'
@@ -19,8 +19,6 @@
   /** Time left of it; negative once the first event is late. */
   readonly timeLeft: Millis
   readonly pauseObjective: Millis | null
-  /** Failure domain of the node that asks. */
-  readonly failureDomain: FailureDomain
   readonly candidates: readonly Candidate[]
   readonly model: EngineModel
   readonly works: RunnerWorks
--- a/packages/domain/src/forwarding/types.ts
+++ b/packages/domain/src/forwarding/types.ts
@@ -57,10 +57,6 @@
   readonly readTokensPerMs: number
   /** Added to reading for each million pairs of a token and one before it. */
   readonly readPerMillionPairs: Millis
-  /** Prompt tokens that one step reads at most. */
-  readonly chunk: Tokens
-  /** Added to each step of a prompt that was read in parts. */
-  readonly hop: Millis
   /** Mean length of an answer. */
   readonly usualAnswer: Tokens
 }
--- a/packages/domain/tests/attempts.test.ts
+++ b/packages/domain/tests/attempts.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 
-import { AttemptEnd, AttemptHistory, CallKind, DomainReach, longestPause, longestWaitForFirstEvent, mayRunAgain, MOST_UNSENT_ATTEMPTS, ServerHealth, Evidence } from '../src/index.js'
+import { AttemptEnd, AttemptHistory, CallKind, DomainReach, longestPause, longestWaitForFirstEvent, mayRunAgain, MOST_UNSENT_ATTEMPTS, ServerHealth, ServerPace, Evidence } from '../src/index.js'
 import type { FailureDomain, RunnerId } from '../src/index.js'
 import { ROUTE } from './forwardingFixtures.js'
 
@@ -95,3 +95,18 @@
   reach.reached(DOMAIN)
   t.false(reach.isAvoided(DOMAIN, 1_200))
 })
+
+test('pattern: an engine whose shortest pauses are long is slow, until it is forgotten', (t) => {
+  const pace = new ServerPace()
+  const id = 'e1' as RunnerId
+  for (let index = 0; index < 6; index += 1) pace.observe(id, index % 2 === 0 ? 400 : 250, 50, index)
+  t.is(pace.slowdown(id, 10), 5)
+  t.is(pace.slowdown(id, 4_000), 1)
+})
+
+test('one pause behind a long read does not make an engine slow', (t) => {
+  const pace = new ServerPace()
+  const id = 'e1' as RunnerId
+  for (const pause of [60, 500, 60, 480, 60, 500]) pace.observe(id, pause, 50, 0)
+  t.is(pace.slowdown(id, 0), 1)
+})
--- a/packages/domain/tests/forwardingFixtures.ts
+++ b/packages/domain/tests/forwardingFixtures.ts
@@ -12,8 +12,6 @@
   stepPerThousandContext: 0.00254,
   readTokensPerMs: 256,
   readPerMillionPairs: 0.0917,
-  chunk: 2_048,
-  hop: 0.1,
   usualAnswer: 1_540
 }
 
@@ -66,7 +64,6 @@
       objective: size.objective,
       timeLeft: size.objective,
       pauseObjective: size.pause,
-      failureDomain: 'd1' as FailureDomain,
       candidates: this.servers.map((one) => ({ server: one, slowdown: 1 })),
       model: MODEL,
       works: this.work.byRunner(now),
--- a/packages/node/src/forward/FleetDispatch.ts
+++ b/packages/node/src/forward/FleetDispatch.ts
@@ -1,6 +1,6 @@
 /** Places requests on backend servers, and keeps the account of where they are. */
-import { DomainReach, EngineModel, Evidence, FleetWork, LeastOutstanding, LengthPlacement, RetryBudget, ServerHealth } from '@bluebellhill/domain'
-import type { AttemptHistory, BackendServer, Candidate, Choice, FailureDomain, Millis, NodeId, PlacementPolicy, Service, Work } from '@bluebellhill/domain'
+import { DomainReach, EngineModel, Evidence, FleetWork, LeastOutstanding, LengthPlacement, RetryBudget, ServerHealth, ServerPace } from '@bluebellhill/domain'
+import type { AttemptHistory, BackendServer, Candidate, Choice, Millis, NodeId, PlacementPolicy, Service, Work } from '@bluebellhill/domain'
 
 import type { Log } from '../log/index.js'
 import type { AdmittedCall } from './AdmittedCall.js'
@@ -14,7 +14,6 @@
 
 export interface FleetDispatchOptions {
   readonly node: NodeId
-  readonly failureDomain: FailureDomain
   readonly knowledge: Knowledge
   readonly log: Log
   readonly clock: () => Millis
@@ -37,6 +36,7 @@
   readonly work: FleetWork
   readonly health = new ServerHealth()
   readonly #reach = new DomainReach()
+  readonly #pace = new ServerPace()
   readonly #options: FleetDispatchOptions
   readonly #engines: PlacementPolicy = new LengthPlacement()
   readonly #plain: PlacementPolicy = new LeastOutstanding()
@@ -48,7 +48,10 @@
   constructor (options: FleetDispatchOptions) {
     this.#options = options
     this.work = new FleetWork(options.node)
-    options.knowledge.onDeparture((id) => this.health.forget(id))
+    options.knowledge.onDeparture((id) => {
+      this.health.forget(id)
+      this.#pace.forget(id)
+    })
   }
 
   /** Sets what is called when this node's work changes. */
@@ -73,7 +76,6 @@
       objective: call.route.objective,
       timeLeft: call.dueAt - now,
       pauseObjective: call.route.pauseObjective,
-      failureDomain: this.#options.failureDomain,
       candidates,
       model: this.#modelOf(call.service),
       works: this.work.byRunner(now),
@@ -124,6 +126,18 @@
     return this.#modelOf(service).reading(size.prompt)
   }
 
+  /**
+   * Takes in the pause between two events of a stream.
+   *
+   * @param call - the request
+   * @param server - where it is written
+   * @param pause - how long it was
+   */
+  observePause (call: AdmittedCall, server: BackendServer, pause: Millis): void {
+    if (call.service.engine === null) return
+    this.#pace.observe(server.id, pause, this.#modelOf(call.service).pass(1, call.size.prompt), this.#options.clock())
+  }
+
   /** Takes in what an attempt says of a server. */
   observe (server: BackendServer, evidence: Evidence): void {
     const { log, clock } = this.#options
@@ -160,7 +174,7 @@
     const reachable = servers.filter(({ failureDomain }) => !this.#reach.isAvoided(failureDomain, now))
     const sound = reachable.filter(({ id }) => !this.health.isAvoided(id, now))
     const usable = [sound, reachable, servers].find((some) => some.length > 0) ?? []
-    return usable.map((server) => ({ server, slowdown: 1 }))
+    return usable.map((server) => ({ server, slowdown: this.#pace.slowdown(server.id, now) }))
   }
 
   #modelOf (service: Service): EngineModel {
@@ -184,5 +198,5 @@
 
 /** Plain services read no prompts: every time is 0. */
 const PLAIN_FIGURES = {
-  slots: 1, memory: 0, stepsPerPass: 0, step: 0, stepPerWriter: 0, stepPerThousandContext: 0, readTokensPerMs: 1, readPerMillionPairs: 0, chunk: 1, hop: 0, usualAnswer: 0
+  slots: 1, memory: 0, stepsPerPass: 0, step: 0, stepPerWriter: 0, stepPerThousandContext: 0, readTokensPerMs: 1, readPerMillionPairs: 0, usualAnswer: 0
 }
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -63,7 +63,6 @@
     this.#knowledge = new Knowledge(log, clock)
     this.#dispatch = new FleetDispatch({
       node: settings.node,
-      failureDomain: settings.failureDomain,
       knowledge: this.#knowledge,
       log,
       clock,
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -39,6 +39,7 @@
     attempt.isRead = true
     this.#writeHead(attempt)
     this.answered(attempt)
+    this.#measure(attempt)
     for (const event of events) this.#pass(event)
   }
 
@@ -60,10 +61,16 @@
     this.response.writeHead(head.status, kept)
   }
 
-  #pass ({ bytes, id }: StreamEvent): void {
+  #measure ({ server }: OpenAttempt): void {
     const now = this.context.clock()
-    if (this.#lastEventAt !== null) this.#longestPause = Math.max(this.#longestPause, now - this.#lastEventAt)
+    const pause = this.#lastEventAt === null ? null : now - this.#lastEventAt
     this.#lastEventAt = now
+    if (pause === null) return
+    this.#longestPause = Math.max(this.#longestPause, pause)
+    this.context.dispatch.observePause(this.call, server, pause)
+  }
+
+  #pass ({ bytes, id }: StreamEvent): void {
     this.#events += 1
     if (id !== null) this.#lastEventId = id
     this.response.write(bytes)
