Divide the retry budget among the nodes as they become known

Cause (found while reading): the share of a node was fixed at its first request, when a node that has just started may know no other; nine nodes could then save up twice what all together may spend. Change: the share follows the number of known nodes, and ten are assumed before. Test: retryBudget 'a budget that more nodes share holds less'.

--- a/packages/domain/src/request/RetryBudget.ts
+++ b/packages/domain/src/request/RetryBudget.ts
@@ -19,12 +19,14 @@
 /** A budget that all requests of one entry node share. */
 export class RetryBudget {
   readonly #options: RetryBudgetOptions
+  #capacity: number
   #saved: number
   #countedUntil: Millis | null = null
 
   /** @param options - the share of retries and how many can be saved up */
   constructor (options: RetryBudgetOptions = DEFAULT_RETRY_BUDGET) {
     this.#options = options
+    this.#capacity = options.capacity
     this.#saved = options.capacity
   }
 
@@ -33,6 +35,16 @@
     return Math.floor(this.#saved)
   }
 
+  /**
+   * Changes how many retries can be saved up, as when more nodes share them; what is saved above that is lost.
+   *
+   * @param capacity - most retries that can be saved up
+   */
+  resize (capacity: number): void {
+    this.#capacity = capacity
+    this.#saved = Math.min(this.#saved, capacity)
+  }
+
   /**
    * Pays in for one admitted request.
    *
@@ -63,6 +75,6 @@
   }
 
   #payIn (retries: number): void {
-    this.#saved = Math.min(this.#options.capacity, this.#saved + retries)
+    this.#saved = Math.min(this.#capacity, this.#saved + retries)
   }
 }
--- a/packages/domain/tests/retryBudget.test.ts
+++ b/packages/domain/tests/retryBudget.test.ts
@@ -28,3 +28,11 @@
   }), { seed: 41, numRuns: 1_000 })
   t.pass()
 })
+
+test('a budget that more nodes share holds less', (t) => {
+  const budget = new RetryBudget({ ratio: 0, capacity: 10, perSecond: 0 })
+  budget.resize(3)
+  t.is(budget.available, 3)
+  budget.resize(10)
+  t.is(budget.available, 3)
+})
--- a/packages/node/src/forward/FleetDispatch.ts
+++ b/packages/node/src/forward/FleetDispatch.ts
@@ -28,8 +28,8 @@
 /** Share of the allowed retries that is used, since nodes count at different moments. */
 const RETRY_SHARE = 0.7
 
-/** Nodes among which the retries are divided at least, before all are known. */
-const FEWEST_NODES = 3
+/** Nodes among which the retries are divided at least: after a start the others are not known yet. */
+const FEWEST_NODES = 10
 
 /** Chooses backend servers by the account of all nodes. */
 export class FleetDispatch {
@@ -186,11 +186,15 @@
   }
 
   #budgetOf (service: string): RetryBudget {
-    const known = this.#budgets.get(service)
-    if (known !== undefined) return known
     const { ratio, slack } = this.#options.retries
     const nodes = Math.max(FEWEST_NODES, this.#options.nodes())
-    const budget = new RetryBudget({ ratio: ratio * RETRY_SHARE, capacity: Math.max(1, slack * RETRY_SHARE / nodes), perSecond: 0 })
+    const capacity = Math.max(1, slack * RETRY_SHARE / nodes)
+    const known = this.#budgets.get(service)
+    if (known !== undefined) {
+      known.resize(capacity)
+      return known
+    }
+    const budget = new RetryBudget({ ratio: ratio * RETRY_SHARE, capacity, perSecond: 0 })
     this.#budgets.set(service, budget)
     return budget
   }
