--- a/packages/domain/src/forwarding/constants.ts
+++ b/packages/domain/src/forwarding/constants.ts
@@ -1,8 +1,9 @@
 /** Weights and bounds of the choice of engines. */
+
 /** Engines that may help one prompt; the engines accept no more. */
 export const MOST_HELPERS = 16
 
-/** Numbers of engines that a prompt is tried to be read on. */
+/** Numbers of engines among which the reading of a prompt may be divided. */
 export const PART_COUNTS: readonly number[] = [1, 2, 3, 4, 6, 8, 12, MOST_HELPERS + 1]
 
 /** Share of an objective that a prediction may use, so that its error does not make the answer late. */
@@ -32,8 +33,10 @@
 /** Cost of harming an answer whose pauses are too long already, for each second that is added. */
 export const FURTHER_HARM_PER_SECOND = 0.5
 
-/** A prompt below this length is read by two engines at most: it waits for the pass, not for the reading. */
+/** Prompt tokens below which a prompt is short: it waits for the pass, not for the reading. */
 export const SHORT_PROMPT = 8_000
+
+/** Engines that read a short prompt at most. */
 export const MOST_SHORT_PARTS = 2
 
 /** Engines that are tried as the one that writes for a prompt that several hold. */
