Follow the store closely from six nodes; the others hear of changes from them

Change: a rank that every node computes alike makes six nodes follow closely; the others rest 2.5 s after a change, wait 20 s in a watch, and look at once when another node says that it lost the store. Node entries: lease 45 s, read at the start and every minute. Nodes hand on only what the other lacks, first within the failure domain, and check its form. An outage is counted from the start of the call that fell silent.

--- a/packages/domain/src/forwarding/BackendServerTable.ts
+++ b/packages/domain/src/forwarding/BackendServerTable.ts
@@ -52,10 +52,10 @@
   /**
    * The store cannot be reached.
    *
-   * @param now - time
+   * @param since - from when on it may have been away
    */
-  storeLost (now: Millis): void {
-    this.#storeLostAt ??= now
+  storeLost (since: Millis): void {
+    this.#storeLostAt ??= since
     this.#doubtfulUntil = Infinity
   }
 
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -1,4 +1,5 @@
 /** A node on the users' platform: builds its parts, and stops them in order. */
+import { followsClosely } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { EngineMemory, MetadataStore } from '@bluebellhill/platform'
 import type { PlatformSettings, SocketAddress } from '@bluebellhill/platform'
@@ -52,6 +53,9 @@
   readonly #entry: EntryServer
   readonly #peers: PeerLink
   readonly #exchange: KnowledgeExchange
+  readonly #contact: StoreContact
+  readonly #follower: StoreFollower
+  readonly #nodeEntry: NodeEntry
   readonly #options: ForwardNodeOptions
   #stopping = false
 
@@ -71,9 +75,16 @@
     })
     const peerHttp = new HttpPool(2)
     this.#disposables.add(peerHttp)
-    this.#exchange = new KnowledgeExchange(this.#knowledge, peerHttp, log)
+    this.#exchange = new KnowledgeExchange({
+      knowledge: this.#knowledge,
+      http: peerHttp,
+      log,
+      failureDomain: settings.failureDomain,
+      peers: () => this.#peers.table.heard()
+    })
     this.#peers = new PeerLink({
       node: settings.node,
+      failureDomain: settings.failureDomain,
       host: settings.host,
       port: settings.internalPorts[0],
       startedAt: Date.now(),
@@ -81,9 +92,30 @@
       knowledge: this.#knowledge,
       log,
       clock,
-      onAhead: (peer) => this.#exchange.catchUp(peer)
+      onAhead: () => this.#exchange.catchUp(),
+      isStoreLost: () => this.#contact.isLost,
+      onStoreLost: () => this.#follower.doubt()
     })
     this.#dispatch.onWork(() => this.#peers.workChanged())
+    const storeHttp = new HttpPool(STORE_CONNECTIONS)
+    this.#disposables.add(storeHttp)
+    const store = new MetadataStore({ address: `${settings.store.host}:${settings.store.port}`, http: storeHttp, timeout: STORE_TIMEOUT })
+    this.#contact = new StoreContact(this.#knowledge, log, clock, () => this.#peers.storeLost())
+    this.#follower = new StoreFollower({
+      store,
+      knowledge: this.#knowledge,
+      contact: this.#contact,
+      log,
+      clock,
+      isClose: () => followsClosely(settings.node, this.#peers.table.heard().map(({ node }) => node))
+    })
+    this.#nodeEntry = new NodeEntry({
+      store,
+      node: settings.node,
+      address: `${settings.host}:${settings.internalPorts[0]}`,
+      found: (addresses) => this.#peers.named(addresses),
+      log
+    })
     const engineHttp = new HttpPool(2)
     this.#disposables.add(engineHttp)
     const memory = new EngineMemory(engineHttp, ORDER_TIMEOUT)
@@ -93,7 +125,7 @@
   /** Starts to serve. */
   async start (): Promise<void> {
     const { settings, log } = this.#options
-    this.#followStore(settings, log)
+    this.#followStore()
     const port = settings.internalPorts[0]
     await Promise.all([
       this.#peers.start(),
@@ -122,19 +154,11 @@
     log.info('node.stopped', { after_ms: Math.round(monotonicNow() - startedAt), open_requests: this.#entry.openRequests })
   }
 
-  #followStore (settings: PlatformSettings, log: Log): void {
-    const http = new HttpPool(STORE_CONNECTIONS)
-    const store = new MetadataStore({ address: `${settings.store.host}:${settings.store.port}`, http, timeout: STORE_TIMEOUT })
-    const contact = new StoreContact(this.#knowledge, log, monotonicNow)
-    const follower = new StoreFollower(store, this.#knowledge, contact, log)
-    const address = `${settings.host}:${settings.internalPorts[0]}`
-    const entry = new NodeEntry(store, settings.node, address, (addresses) => this.#peers.named(addresses), log)
-    this.#disposables.add(http)
-    this.#disposables.add(follower)
-    this.#disposables.add(entry)
-    this.#metrics.gauge('store_lost', 'Whether the store does not answer', () => contact.isLost ? 1 : 0)
-    follower.start()
-    entry.start()
+  #followStore (): void {
+    this.#disposables.add(this.#follower)
+    this.#disposables.add(this.#nodeEntry)
+    this.#follower.start()
+    this.#nodeEntry.start()
   }
 
   async #startReadiness (address: SocketAddress): Promise<void> {
@@ -146,9 +170,10 @@
   async #startMetrics (): Promise<void> {
     const { metrics, droppedLines } = this.#options
     this.#metrics.gauge('configuration_version', 'Version of the configuration in force', () => this.#knowledge.version)
+    this.#metrics.gauge('store_lost', 'Whether the store does not answer', () => this.#contact.isLost ? 1 : 0)
     this.#metrics.gauge('backend_servers', 'Backend servers with an entry', () => this.#knowledge.servers.all().length)
     this.#metrics.gauge('backend_servers_avoided', 'Backend servers that are avoided', () => this.#dispatch.health.avoided(monotonicNow()).length)
-    this.#metrics.gauge('peers', 'Other nodes that are heard', () => this.#peers.table.all().filter(({ lost }) => !lost).length)
+    this.#metrics.gauge('peers', 'Other nodes that are heard', () => this.#peers.table.heard().length)
     this.#metrics.gauge('open_requests', 'Requests without a final answer', () => this.#entry.openRequests)
     this.#metrics.gauge('log_lines_dropped', 'Lines of the log that found no room', droppedLines)
     const server = new MetricsServer(this.#metrics.registry)
--- a/packages/node/src/forward/Knowledge.ts
+++ b/packages/node/src/forward/Knowledge.ts
@@ -7,12 +7,23 @@
 /** Where a piece of knowledge came from. */
 export type Origin = 'store' | 'peer' | 'answer'
 
-/** What one node hands another. */
+/** Up to what a node knows the configuration and the backend servers. */
+export interface KnowledgeVersion {
+  readonly configuration: number
+  /** Store revision. */
+  readonly servers: number
+}
+
+/** What one node hands another; null where the other knows as much. */
 export interface KnowledgeSnapshot {
   readonly deployment: Deployment | null
-  readonly servers: readonly ListedServer[]
-  /** Store revision that the servers are of. */
-  readonly serversRevision: number
+  readonly servers: ServersSnapshot | null
+}
+
+export interface ServersSnapshot {
+  readonly listed: readonly ListedServer[]
+  /** Store revision that the list is of. */
+  readonly revision: number
 }
 
 export type KnowledgeListener = () => void
@@ -98,14 +109,22 @@
     this.#changed(this.servers.foundReplaced(id), 'answer')
   }
 
-  snapshot (): KnowledgeSnapshot {
-    return { deployment: this.#table?.deployment ?? null, servers: this.servers.listed(), serversRevision: this.#serversRevision }
+  /**
+   * @param known - what another node knows
+   * @returns what this node knows better
+   */
+  newerThan (known: KnowledgeVersion): KnowledgeSnapshot {
+    const deployment = this.#table?.deployment ?? null
+    return {
+      deployment: this.version > known.configuration ? deployment : null,
+      servers: this.#serversRevision > known.servers ? { listed: this.servers.listed(), revision: this.#serversRevision } : null
+    }
   }
 
   /** Takes in what a peer knows better. */
-  merge ({ deployment, servers, serversRevision }: KnowledgeSnapshot): void {
+  merge ({ deployment, servers }: KnowledgeSnapshot): void {
     if (deployment !== null) this.install(deployment, 'peer')
-    if (serversRevision > this.#serversRevision) this.replaceServers(servers, serversRevision, 'peer')
+    if (servers !== null && servers.revision > this.#serversRevision) this.replaceServers(servers.listed, servers.revision, 'peer')
   }
 
   #sawRevision (revision: number): void {
--- a/packages/node/src/forward/peers/KnowledgeExchange.ts
+++ b/packages/node/src/forward/peers/KnowledgeExchange.ts
@@ -7,9 +7,10 @@
 import { describeFailure, readBody } from '@bluebellhill/services'
 import type { HttpPool } from '@bluebellhill/services'
 
-import type { Knowledge, KnowledgeSnapshot } from '../Knowledge.js'
+import type { Knowledge, KnowledgeVersion } from '../Knowledge.js'
 import type { Log } from '../../log/index.js'
 import type { Peer } from './PeerTable.js'
+import { decodeSnapshot } from './snapshotCodec.js'
 
 const PATH = '/knowledge'
 
@@ -22,25 +23,39 @@
 /** How long a node that is behind waits for the store before it asks another node. */
 const STORE_ADVANTAGE: Millis = 100
 
+/** Longest random time added to that, so that nodes that are behind do not all ask the first that knows. */
+const SPREAD: Millis = 100
+
 /** Pause after a node has been asked. */
 const REPEAT_DELAY: Millis = 200
 
+export interface KnowledgeExchangeOptions {
+  /** What is handed on and kept current. */
+  readonly knowledge: Knowledge
+  /** Calls the other nodes. */
+  readonly http: HttpPool
+  /** Gets a line for each failed call. */
+  readonly log: Log
+  readonly failureDomain: string
+  /** The nodes that are heard. */
+  readonly peers: () => readonly Peer[]
+}
+
 /** Serves this node's knowledge, and fetches it from nodes that know more. */
 export class KnowledgeExchange {
   readonly #server: Server
   #fetching = false
   #disposed = false
 
-  /**
-   * @param knowledge - what is handed on and kept current
-   * @param http - calls the other nodes
-   * @param log - gets a line for each failed call
-   */
-  constructor (private readonly knowledge: Knowledge, private readonly http: HttpPool, private readonly log: Log) {
+  readonly #options: KnowledgeExchangeOptions
+
+  /** @param options - what is exchanged, and with whom */
+  constructor (options: KnowledgeExchangeOptions) {
+    this.#options = options
     this.#server = createServer((request, response) => {
-      const found = request.method === 'GET' && request.url === PATH
-      response.writeHead(found ? 200 : 404, { 'content-type': 'application/json', connection: 'close' })
-      response.end(found ? JSON.stringify(knowledge.snapshot()) : '')
+      const known = request.method === 'GET' ? knownOf(request.url ?? '') : null
+      response.writeHead(known === null ? 404 : 200, { 'content-type': 'application/json', connection: 'close' })
+      response.end(known === null ? '' : JSON.stringify(options.knowledge.newerThan(known)))
     })
   }
 
@@ -59,42 +74,44 @@
     this.#server.closeAllConnections()
   }
 
-  /**
-   * Fetches what a node knows better, unless the store brings it first.
-   *
-   * @param peer - a node that is ahead
-   */
-  catchUp (peer: Peer): void {
+  /** Another node knows more: fetches it, unless the store brings it first. */
+  catchUp (): void {
     if (this.#fetching || this.#disposed) return
     this.#fetching = true
-    setTimeout(() => { void this.#fetch(peer) }, STORE_ADVANTAGE)
+    setTimeout(() => { void this.#fetch() }, STORE_ADVANTAGE + SPREAD * Math.random())
   }
 
-  async #fetch (peer: Peer): Promise<void> {
-    if (this.#isBehind(peer)) await this.#ask(peer)
+  async #fetch (): Promise<void> {
+    const peer = this.#source()
+    if (peer !== null) await this.#ask(peer)
     setTimeout(() => { this.#fetching = false }, REPEAT_DELAY)
   }
 
-  #isBehind (peer: Peer): boolean {
-    return peer.configurationVersion > this.knowledge.version || peer.serversRevision > this.knowledge.serversRevision
+  /** A node that knows more, in the same failure domain if there is one. */
+  #source (): Peer | null {
+    const { knowledge, failureDomain, peers } = this.#options
+    const ahead = peers().filter((peer) => peer.configurationVersion > knowledge.version || peer.serversRevision > knowledge.serversRevision)
+    const near = ahead.filter((peer) => peer.failureDomain === failureDomain)
+    const sources = near.length > 0 ? near : ahead
+    return sources[Math.floor(Math.random() * sources.length)] ?? null
   }
 
   async #ask ({ node, address }: Peer): Promise<void> {
-    const answer = await this.http.send({ address, method: 'GET', path: PATH, timeout: ANSWER_TIMEOUT, idleTimeout: ANSWER_TIMEOUT })
+    const { knowledge, http, log } = this.#options
+    const path = `${PATH}?configuration=${knowledge.version}&servers=${knowledge.serversRevision}`
+    const answer = await http.send({ address, method: 'GET', path, timeout: ANSWER_TIMEOUT, idleTimeout: ANSWER_TIMEOUT })
     const body = answer.ok ? await readBody(answer.value, MOST_SNAPSHOT_BYTES) : answer
     if (this.#disposed) return
-    if (!body.ok) {
-      this.log.warn('peers.catch_up_failed', { peer: node, reason: describeFailure(body.failure) })
-      return
-    }
-    this.#merge(node, body.value)
+    const snapshot = body.ok ? decodeSnapshot(body.value) : body
+    if (snapshot.ok) knowledge.merge(snapshot.value)
+    else log.warn('peers.catch_up_failed', { peer: node, reason: describeFailure(snapshot.failure) })
   }
+}
 
-  #merge (node: string, body: Buffer): void {
-    try {
-      this.knowledge.merge(JSON.parse(body.toString('utf8')) as KnowledgeSnapshot)
-    } catch (error) {
-      this.log.warn('peers.catch_up_failed', { peer: node, reason: error instanceof Error ? error.message : String(error) })
-    }
-  }
+/** @returns what the asking node knows; null where the path is another one */
+const knownOf = (url: string): KnowledgeVersion | null => {
+  const [path, query = ''] = url.split('?', 2)
+  if (path !== PATH) return null
+  const parameters = new URLSearchParams(query)
+  return { configuration: Number(parameters.get('configuration') ?? 0), servers: Number(parameters.get('servers') ?? 0) }
 }
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -8,7 +8,6 @@
 import type { Knowledge } from '../Knowledge.js'
 import type { Log } from '../../log/index.js'
 import { PeerTable } from './PeerTable.js'
-import type { Peer } from './PeerTable.js'
 import { decodeState, encodeState } from './stateCodec.js'
 
 /** Interval at which a state is sent though nothing has changed. */
@@ -22,6 +21,7 @@
 
 export interface PeerLinkOptions {
   readonly node: NodeId
+  readonly failureDomain: string
   readonly host: string
   /** UDP port; the other nodes use the same. */
   readonly port: number
@@ -31,8 +31,12 @@
   readonly knowledge: Knowledge
   readonly log: Log
   readonly clock: () => Millis
-  /** Told of a node that knows more. */
-  readonly onAhead: (peer: Peer) => void
+  /** Told that another node knows more. */
+  readonly onAhead: () => void
+  /** Whether the platform's store does not answer this node. */
+  readonly isStoreLost: () => boolean
+  /** Told that the store no longer answers another node. */
+  readonly onStoreLost: () => void
 }
 
 /** Exchanges states over UDP. */
@@ -87,6 +91,11 @@
     this.#pending ??= setTimeout(() => this.#send(), GATHERING_TIME)
   }
 
+  /** The others hear that the store no longer answers this node. */
+  storeLost (): void {
+    this.#send()
+  }
+
   /** The others hear that this node stops. */
   stopping (): void {
     this.#stopping = true
@@ -115,7 +124,7 @@
     if (this.#pending !== null) clearTimeout(this.#pending)
     this.#pending = null
     if (this.#closed) return
-    const { node, startedAt, work, knowledge, clock } = this.#options
+    const { node, failureDomain, startedAt, work, knowledge, clock, isStoreLost } = this.#options
     this.#sequence += 1
     const datagrams = encodeState({
       node,
@@ -124,8 +133,10 @@
       configurationVersion: knowledge.version,
       serversRevision: knowledge.serversRevision,
       stopping: this.#stopping,
+      storeLost: isStoreLost(),
       works: work.own(),
-      peers: introducing ? this.table.all().filter(({ lost }) => !lost).map(({ address }) => address) : []
+      peers: introducing ? this.table.heard().map(({ address }) => address) : [],
+      failureDomain: introducing ? failureDomain : ''
     }, clock())
     for (const address of this.table.addresses()) for (const datagram of datagrams) this.#transmit(datagram, address)
   }
@@ -138,7 +149,7 @@
   }
 
   #receive (datagram: Buffer, remote: RemoteInfo): void {
-    const { work, knowledge, log, clock, onAhead, node } = this.#options
+    const { work, knowledge, log, clock, onAhead, onStoreLost, node } = this.#options
     const now = clock()
     const part = this.#decode(datagram, now)
     if (part === null || part.node === node) return
@@ -148,7 +159,8 @@
     this.named(part.peers)
     if (heard.isNew) log.info('peer.found', { peer: heard.peer.node, address: heard.peer.address, started_at: heard.peer.startedAt })
     const ahead = heard.peer.configurationVersion > knowledge.version || heard.peer.serversRevision > knowledge.serversRevision
-    if (ahead) onAhead(heard.peer)
+    if (ahead) onAhead()
+    if (heard.lostStore) onStoreLost()
   }
 
   #decode (datagram: Buffer, now: Millis): ReturnType<typeof decodeState> | null {
--- a/packages/node/src/forward/peers/PeerTable.ts
+++ b/packages/node/src/forward/peers/PeerTable.ts
@@ -13,10 +13,13 @@
 export interface Peer {
   readonly node: NodeId
   readonly address: string
+  /** Empty until it has said so. */
+  readonly failureDomain: string
   readonly startedAt: number
   readonly sequence: number
   readonly configurationVersion: number
   readonly serversRevision: number
+  readonly storeLost: boolean
   readonly heardAt: Millis
   readonly lost: boolean
 }
@@ -27,6 +30,8 @@
   readonly works: readonly Work[]
   /** Whether the node was not known, or had been lost, or had started again. */
   readonly isNew: boolean
+  /** Whether the store no longer answers the node. */
+  readonly lostStore: boolean
 }
 
 interface Gathering {
@@ -47,6 +52,11 @@
     return [...this.#peers.values()]
   }
 
+  /** @returns the nodes that are heard */
+  heard (): Peer[] {
+    return this.all().filter(({ lost }) => !lost)
+  }
+
   /** @returns every address that a state is sent to */
   addresses (): string[] {
     return [...new Set([...this.all().map(({ address }) => address), ...this.#hearsay.keys()])]
@@ -76,11 +86,12 @@
     if (known !== undefined && isOlder(part, known)) return null
     const works = this.#gather(part)
     if (works === null) return null
-    const { node, startedAt, sequence, configurationVersion, serversRevision } = part
-    const peer: Peer = { node, address, startedAt, sequence, configurationVersion, serversRevision, heardAt: now, lost: false }
+    const { node, startedAt, sequence, configurationVersion, serversRevision, storeLost } = part
+    const failureDomain = part.failureDomain || (known?.failureDomain ?? '')
+    const peer: Peer = { node, address, failureDomain, startedAt, sequence, configurationVersion, serversRevision, storeLost, heardAt: now, lost: false }
     this.#peers.set(node, peer)
     this.#hearsay.delete(address)
-    return { peer, works, isNew: known === undefined || known.lost || known.startedAt !== startedAt }
+    return { peer, works, isNew: known === undefined || known.lost || known.startedAt !== startedAt, lostStore: storeLost && known?.storeLost !== true }
   }
 
   /**
--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -11,8 +11,13 @@
   readonly configurationVersion: number
   readonly serversRevision: number
   readonly stopping: boolean
+  /** Whether the platform's store does not answer it. */
+  readonly storeLost: boolean
   readonly works: readonly Work[]
+  /** Addresses of the nodes that it knows; only now and then. */
   readonly peers: readonly string[]
+  /** Only now and then; else empty. */
+  readonly failureDomain: string
 }
 
 /** A state, or one part of it. */
--- a/packages/node/src/forward/store/NodeEntry.ts
+++ b/packages/node/src/forward/store/NodeEntry.ts
@@ -8,33 +8,42 @@
 import type { Log } from '../../log/index.js'
 
 /** Time after which the entry of a node that has gone disappears. */
-const LEASE_TTL: Millis = 15_000
+const LEASE_TTL: Millis = 45_000
 
-/** Interval at which the entry is renewed and the others are read. */
-const RENEWAL_PERIOD: Millis = 5_000
+/** Interval at which the entry is renewed. */
+const RENEWAL_PERIOD: Millis = 15_000
+
+/** Pause after a call that failed. */
+const RETRY_DELAY: Millis = 2_000
+
+/** Renewals between two readings of the other entries: nodes that start read them, and speak to all whom they find. */
+const RENEWALS_PER_READING = 4
 
 const NOT_FOUND = 404
 
+export interface NodeEntryOptions {
+  readonly store: MetadataStore
+  readonly node: NodeId
+  /** `ip:port` at which this node hears the others. */
+  readonly address: string
+  /** Told the addresses of all nodes. */
+  readonly found: (addresses: readonly string[]) => void
+  /** Gets a line for each call that failed. */
+  readonly log: Log
+}
+
 /** Writes this node's entry, and reads those of the others. */
 export class NodeEntry {
+  readonly #options: NodeEntryOptions
   #lease: StoreLease | null = null
+  #renewals = 0
   #timer: NodeJS.Timeout | null = null
   #disposed = false
 
-  /**
-   * @param store - the platform's store
-   * @param node - this node
-   * @param address - `ip:port` at which it hears the others
-   * @param found - told the addresses of all nodes
-   * @param log - gets a line for each call that failed
-   */
-  constructor (
-    private readonly store: MetadataStore,
-    private readonly node: NodeId,
-    private readonly address: string,
-    private readonly found: (addresses: readonly string[]) => void,
-    private readonly log: Log
-  ) {}
+  /** @param options - the store, and what is written there */
+  constructor (options: NodeEntryOptions) {
+    this.#options = options
+  }
 
   /** Starts to write and read. */
   start (): void {
@@ -47,42 +56,52 @@
   }
 
   async #renew (): Promise<void> {
-    await this.#keepEntry()
-    await this.#readOthers()
-    if (!this.#disposed) this.#timer = setTimeout(() => { void this.#renew() }, RENEWAL_PERIOD)
+    const done = await this.#keepEntry() && await this.#readOthersNowAndThen()
+    if (this.#disposed) return
+    this.#timer = setTimeout(() => { void this.#renew() }, done ? RENEWAL_PERIOD : RETRY_DELAY)
   }
 
-  async #keepEntry (): Promise<void> {
-    if (this.#lease === null) {
-      await this.#write()
-      return
-    }
-    const renewed = await this.store.renewLease(this.#lease.id)
-    if (renewed.ok) return
-    this.#report('renew', renewed)
-    if (renewed.failure.type !== 'rejected' || renewed.failure.status !== NOT_FOUND) return
+  async #readOthersNowAndThen (): Promise<boolean> {
+    const due = this.#renewals % RENEWALS_PER_READING === 0
+    if (due && !await this.#readOthers()) return false
+    this.#renewals += 1
+    return true
+  }
+
+  /** @returns whether the entry stands */
+  async #keepEntry (): Promise<boolean> {
+    if (this.#lease === null) return await this.#write()
+    const renewed = await this.#options.store.renewLease(this.#lease.id)
+    if (this.#succeeded('renew', renewed)) return true
+    if (renewed.failure.type !== 'rejected' || renewed.failure.status !== NOT_FOUND) return false
     this.#lease = null
-    await this.#write()
+    return await this.#write()
   }
 
-  async #write (): Promise<void> {
-    const lease = await this.store.grantLease(LEASE_TTL)
-    if (!lease.ok) {
-      this.#report('lease', lease)
-      return
-    }
-    const written = await this.store.put(`${StoreKey.Nodes}${this.node}`, Buffer.from(this.address), lease.value.id)
-    if (written.ok) this.#lease = lease.value
-    else this.#report('write', written)
+  async #write (): Promise<boolean> {
+    const { store, node, address } = this.#options
+    const lease = await store.grantLease(LEASE_TTL)
+    if (!this.#succeeded('lease', lease)) return false
+    const written = await store.put(`${StoreKey.Nodes}${node}`, Buffer.from(address), lease.value.id)
+    if (!this.#succeeded('write', written)) return false
+    this.#lease = lease.value
+    return true
   }
 
-  async #readOthers (): Promise<void> {
-    const page = await this.store.range(StoreKey.Nodes)
-    if (page.ok) this.found(page.value.items.map(({ value }) => value.toString('utf8')))
-    else this.#report('read', page)
+  async #readOthers (): Promise<boolean> {
+    const { store, found } = this.#options
+    for (let after = ''; ;) {
+      const page = await store.range(StoreKey.Nodes, after)
+      if (!this.#succeeded('read', page)) return false
+      const { items, hasMore } = page.value
+      found(items.map(({ value }) => value.toString('utf8')))
+      after = items.at(-1)?.key ?? ''
+      if (!hasMore || after === '') return true
+    }
   }
 
-  #report (call: string, result: Result<unknown, CallFailure>): void {
-    if (!result.ok) this.log.warn('nodes.store_call_failed', { call, reason: describeFailure(result.failure) })
+  #succeeded<Value> (call: string, result: Result<Value, CallFailure>): result is { readonly ok: true, readonly value: Value } {
+    if (!result.ok) this.#options.log.warn('nodes.store_call_failed', { call, reason: describeFailure(result.failure) })
+    return result.ok
   }
 }
--- a/packages/node/src/forward/store/StoreContact.ts
+++ b/packages/node/src/forward/store/StoreContact.ts
@@ -16,8 +16,9 @@
    * @param knowledge - told of the loss, since entries then lapse without their servers
    * @param log - gets a line for each loss and return
    * @param clock - monotonic clock
+   * @param lost - called when the store is lost
    */
-  constructor (private readonly knowledge: Knowledge, private readonly log: Log, private readonly clock: () => Millis) {}
+  constructor (private readonly knowledge: Knowledge, private readonly log: Log, private readonly clock: () => Millis, private readonly lost: () => void = () => {}) {}
 
   get isLost (): boolean {
     return this.#lostAt !== null
@@ -27,18 +28,20 @@
    * Takes the result of a call in.
    *
    * @param result - what the call brought
+   * @param since - from when on the store may have been away, if the call failed
    */
-  observe (result: Result<unknown, CallFailure>): void {
+  observe (result: Result<unknown, CallFailure>, since: Millis = this.clock()): void {
     const answers = result.ok || (result.failure.type === 'rejected' && result.failure.status === GONE)
     if (answers) this.#regained()
-    else this.#lost(result.failure)
+    else this.#lost(result.failure, since)
   }
 
-  #lost (failure: CallFailure): void {
+  #lost (failure: CallFailure, since: Millis): void {
     if (this.#lostAt !== null) return
-    this.#lostAt = this.clock()
-    this.knowledge.servers.storeLost(this.clock())
-    this.log.warn('store.lost', { reason: describeFailure(failure) })
+    this.#lostAt = since
+    this.knowledge.servers.storeLost(since)
+    this.log.warn('store.lost', { reason: describeFailure(failure), silent_ms: Math.round(this.clock() - since) })
+    this.lost()
   }
 
   #regained (): void {
--- a/packages/node/src/forward/store/StoreFollower.ts
+++ b/packages/node/src/forward/store/StoreFollower.ts
@@ -11,8 +11,20 @@
 import type { Log } from '../../log/index.js'
 import type { StoreContact } from './StoreContact.js'
 
-/** How long one watch waits for a change: also the time after which a silent connection is noticed. */
-const WATCH_WAIT: Millis = 5_000
+/** How long a watch of a close follower waits for a change: also the time after which a silent connection is noticed. */
+const CLOSE_WAIT: Millis = 5_000
+
+/** How long a watch of another node waits: it hears of changes and of losses from the close followers. */
+const DISTANT_WAIT: Millis = 20_000
+
+/** Pause of such a node after a change, so that a series of changes costs it few calls. */
+const DISTANT_PAUSE: Millis = 2_500
+
+/** How long a watch waits that finds out whether the store still answers. */
+const DOUBT_WAIT: Millis = 1_000
+
+/** Time for which a doubt lasts; further ones are ignored in it. */
+const DOUBT_PERIOD: Millis = 2_000
 
 /** Pause before a call that failed is made again; it doubles up to the longest. */
 const FIRST_RETRY_DELAY: Millis = 100
@@ -28,28 +40,52 @@
   readonly changed: (change: StoreChange) => void
 }
 
+/** How far a prefix has been followed. */
+interface Progress {
+  readonly revision: number
+  readonly changed: boolean
+}
+
+export interface StoreFollowerOptions {
+  readonly store: MetadataStore
+  /** Kept current. */
+  readonly knowledge: Knowledge
+  /** Told which calls succeed. */
+  readonly contact: StoreContact
+  /** Gets a line for each entry that cannot be used. */
+  readonly log: Log
+  readonly clock: () => Millis
+  /** Whether other nodes rely on this one to learn of changes at once. */
+  readonly isClose: () => boolean
+}
+
 /** Keeps the node's knowledge current as long as the store answers. */
 export class StoreFollower {
+  readonly #options: StoreFollowerOptions
   readonly #stop = new AbortController()
+  #doubt = new AbortController()
+  #doubtedAt: Millis = -Infinity
 
-  /**
-   * @param store - the platform's store
-   * @param knowledge - kept current
-   * @param contact - told which calls succeed
-   * @param log - gets a line for each entry that cannot be used
-   */
-  constructor (
-    private readonly store: MetadataStore,
-    private readonly knowledge: Knowledge,
-    private readonly contact: StoreContact,
-    private readonly log: Log
-  ) {}
+  /** @param options - the store, and what is kept current */
+  constructor (options: StoreFollowerOptions) {
+    this.#options = options
+  }
 
   /** Starts to follow. */
   start (): void {
     for (const subject of [this.#configuration(), this.#servers()]) void this.#follow(subject)
   }
 
+  /** Another node has lost the store: ends the waits, to see whether this node has lost it too. */
+  doubt (): void {
+    const { clock, contact } = this.#options
+    if (contact.isLost || clock() - this.#doubtedAt < DOUBT_PERIOD) return
+    this.#doubtedAt = clock()
+    const ended = this.#doubt
+    this.#doubt = new AbortController()
+    ended.abort()
+  }
+
   /** Ends all waiting calls. */
   dispose (): void {
     this.#stop.abort()
@@ -58,7 +94,7 @@
   #configuration (): Subject {
     const take = (key: string, value: Buffer, revision: number): void => {
       const deployment = key === StoreKey.Configuration ? parseDeployment(value.toString('utf8')) : null
-      if (deployment?.ok === true) this.knowledge.install(deployment.value, 'store')
+      if (deployment?.ok === true) this.#options.knowledge.install(deployment.value, 'store')
       else if (deployment !== null) this.#unusable(key, revision, deployment.failure)
     }
     return {
@@ -81,12 +117,12 @@
           const server = parsed(item)
           return server.ok ? [{ server: server.value, revision: item.revision }] : []
         })
-        this.knowledge.replaceServers(listed, revision, 'store')
+        this.#options.knowledge.replaceServers(listed, revision, 'store')
       },
       changed: ({ key, value, revision }) => {
         const server = value === null ? null : parsed({ key, value, revision })
-        if (server?.ok === true) this.knowledge.putServer({ server: server.value, revision }, 'store')
-        else this.knowledge.removeServer(serverOfKey(key), revision, 'store')
+        if (server?.ok === true) this.#options.knowledge.putServer({ server: server.value, revision }, 'store')
+        else this.#options.knowledge.removeServer(serverOfKey(key), revision, 'store')
       }
     }
   }
@@ -96,16 +132,20 @@
     let revision: number | null = null
     let delay = FIRST_RETRY_DELAY
     while (!this.#stop.signal.aborted) {
-      const next: Result<number, CallFailure> = revision === null ? await this.#list(subject) : await this.#watch(subject, revision)
+      const doubt = this.#doubt.signal
+      const next: Result<Progress, CallFailure> = revision === null ? await this.#list(subject) : await this.#watch(subject, revision, doubt)
       if (this.#stop.signal.aborted) return
-      this.contact.observe(next)
       if (next.ok) {
-        revision = next.value
+        this.#options.contact.observe(next)
+        revision = next.value.revision
         delay = FIRST_RETRY_DELAY
+        if (next.value.changed && !this.#options.isClose()) await this.#rest(DISTANT_PAUSE, doubt)
         continue
       }
-      if (next.failure.type === 'rejected' && next.failure.status === GONE) {
-        this.log.info('store.history_lost', { prefix: subject.prefix, revision: revision ?? 0 })
+      if (doubt.aborted) continue
+      if (isGone(next.failure)) {
+        this.#options.contact.observe(next)
+        this.#options.log.info('store.history_lost', { prefix: subject.prefix, revision: revision ?? 0 })
         revision = null
         continue
       }
@@ -114,12 +154,15 @@
     }
   }
 
-  async #list ({ prefix, listed }: Subject): Promise<Result<number, CallFailure>> {
+  async #list ({ prefix, listed }: Subject): Promise<Result<Progress, CallFailure>> {
     const items: StoreItem[] = []
     let first: number | null = null
     for (let after = ''; ;) {
-      const page = await this.store.range(prefix, after)
-      if (!page.ok) return page
+      const page = await this.#options.store.range(prefix, after)
+      if (!page.ok) {
+        this.#options.contact.observe(page)
+        return page
+      }
       items.push(...page.value.items)
       // Pages are of different revisions: what changed since the first is watched again.
       first ??= page.value.revision
@@ -127,17 +170,39 @@
       if (!page.value.hasMore || after === '') break
     }
     listed(items, first)
-    return { ok: true, value: first }
+    return { ok: true, value: { revision: first, changed: false } }
   }
 
-  async #watch ({ prefix, changed }: Subject, revision: number): Promise<Result<number, CallFailure>> {
-    const seen = await this.store.watch(prefix, revision, WATCH_WAIT, this.#stop.signal)
-    if (!seen.ok) return seen
-    for (const change of seen.value.changes) changed(change)
-    return { ok: true, value: seen.value.revision }
+  async #watch ({ prefix, changed }: Subject, revision: number, doubt: AbortSignal): Promise<Result<Progress, CallFailure>> {
+    const { store, contact, clock } = this.#options
+    const startedAt = clock()
+    const wait = this.#watchWait(startedAt)
+    const seen = await store.watch(prefix, revision, wait, AbortSignal.any([this.#stop.signal, doubt]))
+    if (seen.ok) {
+      for (const change of seen.value.changes) changed(change)
+      return { ok: true, value: { revision: seen.value.revision, changed: seen.value.changes.length > 0 } }
+    }
+    const now = clock()
+    // A watch that outlasted its wait says that the store may have been away all the time.
+    if (!doubt.aborted && !isGone(seen.failure)) contact.observe(seen, now - startedAt > wait ? startedAt : now)
+    return seen
+  }
+
+  #watchWait (now: Millis): Millis {
+    if (now - this.#doubtedAt < DOUBT_PERIOD) return DOUBT_WAIT
+    return this.#options.isClose() ? CLOSE_WAIT : DISTANT_WAIT
+  }
+
+  async #rest (pause: Millis, doubt: AbortSignal): Promise<void> {
+    const signal = AbortSignal.any([this.#stop.signal, doubt])
+    await sleep(pause, undefined, { signal }).catch((error: unknown) => {
+      if (!signal.aborted) throw error
+    })
   }
 
   #unusable (key: string, revision: number, failure: CallFailure): void {
-    this.log.warn('store.entry_unusable', { key, revision, reason: describeFailure(failure) })
+    this.#options.log.warn('store.entry_unusable', { key, revision, reason: describeFailure(failure) })
   }
 }
+
+const isGone = (failure: CallFailure): boolean => failure.type === 'rejected' && failure.status === GONE
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -3,15 +3,15 @@
 import test from 'ava'
 import fc from 'fast-check'
 
-import { FleetWork } from '@bluebellhill/domain'
-import type { NodeId, RunnerId, Work } from '@bluebellhill/domain'
-import { HttpPool } from '@bluebellhill/services'
+import { FleetWork, Readiness } from '@bluebellhill/domain'
+import type { BackendServer, FailureDomain, NodeId, RunnerId, Work } from '@bluebellhill/domain'
+import { HttpPool, success } from '@bluebellhill/services'
 
 import { Knowledge } from '../src/forward/Knowledge.js'
 import { KnowledgeExchange } from '../src/forward/peers/KnowledgeExchange.js'
 import { PeerLink } from '../src/forward/peers/PeerLink.js'
 import { PEER_LOST_AFTER, PeerTable } from '../src/forward/peers/PeerTable.js'
-import type { Peer } from '../src/forward/peers/PeerTable.js'
+import { decodeSnapshot } from '../src/forward/peers/snapshotCodec.js'
 import { decodeState, encodeState } from '../src/forward/peers/stateCodec.js'
 import type { NodeState } from '../src/forward/peers/stateCodec.js'
 import { DEPLOYMENT, silentLog } from './forwardFixture.js'
@@ -22,12 +22,16 @@
 /** Datagrams stay below the usual packet size. */
 const MOST_DATAGRAM_BYTES = 1_400
 
+const BACKEND: BackendServer = {
+  id: 'i-1' as RunnerId, service: 's', address: '10.0.0.1:80', failureDomain: 'd1' as FailureDomain, slots: 4, readiness: Readiness.Ready, startedAt: 5
+}
+
 const work = (index: number, changes: Partial<Work> = {}): Work => ({
   id: `edge-a-long-name-of-a-hall-1/${index}`, runner: `i-${index}` as RunnerId, helpers: [], held: [], prompt: 5_000, answer: 1_500, part: 20, sentAt: 900, isRead: false, pauseObjective: 200, dueAt: 1_300, ...changes
 })
 
 const state = (works: readonly Work[], sequence = 1, startedAt = 1_700_000_000_000): NodeState => ({
-  node: NODE, startedAt, sequence, configurationVersion: 7, serversRevision: 41, stopping: false, works, peers: []
+  node: NODE, startedAt, sequence, configurationVersion: 7, serversRevision: 41, stopping: false, storeLost: false, works, peers: [], failureDomain: ''
 })
 
 const hearAll = (table: PeerTable, said: NodeState, now = 1_000): ReturnType<PeerTable['hear']> =>
@@ -69,6 +73,12 @@
   t.is(hearAll(table, state([], 6)), null)
 })
 
+test('the loss of the store is heard once from each node', (t) => {
+  const table = new PeerTable()
+  const lost = (sequence: number, storeLost: boolean): boolean | undefined => hearAll(table, { ...state([], sequence), storeLost })?.lostStore
+  t.deepEqual([lost(1, false), lost(2, true), lost(3, true), lost(4, false), lost(5, true)], [false, true, false, false, true])
+})
+
 test('a node that falls silent is lost once, and found when it speaks again', (t) => {
   const table = new PeerTable()
   hearAll(table, state([], 1), 0)
@@ -84,6 +94,29 @@
   t.deepEqual(table.addresses(), ['10.0.0.1:1'])
 })
 
+test('a node says its failure domain now and then, and it stays known', (t) => {
+  const table = new PeerTable()
+  t.is(hearAll(table, { ...state([], 1), failureDomain: 'd1' })?.peer.failureDomain, 'd1')
+  t.is(hearAll(table, state([], 2))?.peer.failureDomain, 'd1')
+})
+
+test('what one node hands on is read back as it was, and only what the other lacks', (t) => {
+  const clock = (): number => 0
+  const knowledge = new Knowledge(silentLog(), clock)
+  knowledge.install(DEPLOYMENT, 'store')
+  knowledge.replaceServers([{ server: BACKEND, revision: 3 }], 4, 'store')
+  const handOn = (configuration: number, servers: number): ReturnType<typeof decodeSnapshot> =>
+    decodeSnapshot(Buffer.from(JSON.stringify(knowledge.newerThan({ configuration, servers }))))
+  t.deepEqual(handOn(0, 0), success({ deployment: DEPLOYMENT, servers: { listed: [{ server: BACKEND, revision: 3 }], revision: 4 } }))
+  t.deepEqual(handOn(DEPLOYMENT.version, 4), success({ deployment: null, servers: null }))
+})
+
+test('a snapshot without the expected form is refused', (t) => {
+  for (const body of ['{', '{}', '{"deployment":{"version":9},"servers":null}', '{"deployment":null,"servers":{"listed":[{"server":{"id":1}}],"revision":9}}']) {
+    t.false(decodeSnapshot(Buffer.from(body)).ok, body)
+  }
+})
+
 test('two nodes on sockets know each other’s work within moments, and a node that is behind catches up', async (t) => {
   const log = silentLog()
   const clock = (): number => performance.now()
@@ -94,8 +127,8 @@
     const node = `n${index}` as NodeId
     const knowledge = new Knowledge(log, clock)
     const account = new FleetWork(node)
-    const exchange = new KnowledgeExchange(knowledge, http, log)
-    const link = new PeerLink({ node, host, port, startedAt: Date.now(), work: account, knowledge, log, clock, onAhead: (peer: Peer) => exchange.catchUp(peer) })
+    const exchange: KnowledgeExchange = new KnowledgeExchange({ knowledge, http, log, failureDomain: 'd1', peers: () => link.table.heard() })
+    const link = new PeerLink({ node, failureDomain: 'd1', host, port, startedAt: Date.now(), work: account, knowledge, log, clock, onAhead: () => exchange.catchUp(), isStoreLost: () => false, onStoreLost: () => {} })
     await exchange.start(host, port)
     await link.start()
     t.teardown(() => { link.dispose(); exchange.dispose() })
--- a/packages/node/tests/storeFollower.test.ts
+++ b/packages/node/tests/storeFollower.test.ts
@@ -24,6 +24,9 @@
   isDown = false
   oldest = 0
   lists = 0
+  /** Watches that brought changes. */
+  deliveries = 0
+  isSilent = false
 
   constructor () {
     super({ address: '127.0.0.1:1', http: new HttpPool(1), timeout: 1 })
@@ -50,29 +53,39 @@
   }
 
   override async watch (prefix: string, after: number, _: number, signal: AbortSignal): Promise<Result<StoreChanges, CallFailure>> {
-    for (let turn = 0; turn < 50 && !signal.aborted; turn += 1) {
+    for (let turn = 0; (turn < 50 || this.isSilent) && !signal.aborted; turn += 1) {
+      if (this.isSilent) {
+        await sleep(5)
+        continue
+      }
       if (this.isDown) return failed(DOWN)
       if (after < this.oldest) return failed(GONE)
       const changes = this.changes.filter(({ key, revision }) => key.startsWith(prefix) && revision > after)
-      if (changes.length > 0) return success({ changes, revision: this.revision })
+      if (changes.length > 0) {
+        this.deliveries += 1
+        return success({ changes, revision: this.revision })
+      }
       await sleep(5)
     }
-    return success({ changes: [], revision: after })
+    return signal.aborted ? failed(DOWN) : success({ changes: [], revision: after })
   }
 }
 
 const entry = (state = 'ready'): string => JSON.stringify({ service: 's', address: '10.0.0.1:80', zone: 'd1', slots: 4, state })
 const key = (id: string): string => `${StoreKey.BackendServers}${id}`
 
-const follow = (t: ExecutionContext, store: MemoryStore): Knowledge => {
+const start = (t: ExecutionContext, store: MemoryStore, isClose: boolean): { knowledge: Knowledge, contact: StoreContact, follower: StoreFollower } => {
   const clock = (): number => performance.now()
   const knowledge = new Knowledge(silentLog(), clock)
-  const follower = new StoreFollower(store, knowledge, new StoreContact(knowledge, silentLog(), clock), silentLog())
+  const contact = new StoreContact(knowledge, silentLog(), clock)
+  const follower = new StoreFollower({ store, knowledge, contact, log: silentLog(), clock, isClose: () => isClose })
   follower.start()
   t.teardown(() => follower.dispose())
-  return knowledge
+  return { knowledge, contact, follower }
 }
 
+const follow = (t: ExecutionContext, store: MemoryStore): Knowledge => start(t, store, true).knowledge
+
 const eventually = async (condition: () => boolean): Promise<boolean> => {
   const until = performance.now() + 10_000
   while (!condition() && performance.now() < until) await sleep(5)
@@ -141,3 +154,31 @@
   store.set(StoreKey.Configuration, configuration(9))
   t.true(await eventually(() => knowledge.version === 9))
 })
+
+test('a series of changes costs a node that others keep current few calls, and it misses none', async (t) => {
+  const store = new MemoryStore()
+  const { knowledge } = start(t, store, false)
+  store.set(key('e0'), entry())
+  t.true(await eventually(() => ready(knowledge) === 'e0'))
+  const before = store.deliveries
+  for (let index = 1; index < 40; index += 1) {
+    store.set(key(`e${index}`), entry())
+    await sleep(10)
+  }
+  t.true(await eventually(() => knowledge.servers.ready('s').length === 40))
+  t.true(store.deliveries - before <= 2, `${store.deliveries - before} watches`)
+})
+
+test('a node that waits for changes looks at the store when another node has lost it', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const { knowledge, contact, follower } = start(t, store, false)
+  t.true(await eventually(() => ready(knowledge) === 'e1'))
+  store.isSilent = true
+  await sleep(600)
+  t.false(contact.isLost)
+  store.isSilent = false
+  store.isDown = true
+  follower.doubt()
+  t.true(await eventually(() => contact.isLost))
+})
