Spread the choices of many nodes, and tell what frees a place later than what takes one

Change: each node prefers engines that are alike in an order of its own, and the last places of an engine cost what unseen requests of other nodes may make of them. Also: ends and read prompts are told within 60 and 30 ms, heartbeats only after 300 ms of silence, and a node that starts again after its clock was set back is heard.

--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -46,8 +46,9 @@
    * @param work - its work
    * @param model - its timings
    * @param now - time
+   * @param preference - from 0 to 1; of engines that are alike, the one with the lowest is chosen
    */
-  constructor ({ server, slowdown }: Candidate, work: RunnerWork, model: EngineModel, now: Millis) {
+  constructor ({ server, slowdown }: Candidate, work: RunnerWork, model: EngineModel, now: Millis, readonly preference: number) {
     this.server = server
     this.#slowdown = slowdown
     this.#pending = work.pending
--- a/packages/domain/src/forwarding/FleetWork.ts
+++ b/packages/domain/src/forwarding/FleetWork.ts
@@ -32,6 +32,15 @@
   readonly dueAt: Millis
 }
 
+/** What happens to a request on an engine. */
+export const WorkChange = {
+  Begun: 'begun',
+  /** The prompt is read. */
+  Read: 'read',
+  Ended: 'ended'
+} as const
+export type WorkChange = typeof WorkChange[keyof typeof WorkChange]
+
 /** What one engine has to do. */
 export interface RunnerWork {
   /** What it reads, in the order in which it does. */
@@ -42,6 +51,13 @@
   readonly held: Tokens
 }
 
+/**
+ * @param node - the node that sent a request
+ * @param number - how many requests it had sent
+ * @returns an id that is unique over all nodes
+ */
+export const workId = (node: NodeId, number: number): string => `${node}/${number}`
+
 const NO_WORK: RunnerWork = { pending: [], requests: [], held: 0 }
 
 interface PeerWork {
@@ -52,6 +68,9 @@
 /** Age at which what a peer said of its work no longer counts: it has stopped or cannot be reached. */
 export const PEER_WORK_EXPIRY: Millis = 1_500
 
+/** Period in which arrivals are counted. */
+const ARRIVALS_PERIOD: Millis = 1_000
+
 /** All work on the engines, as far as this node knows. */
 export class FleetWork {
   readonly #node: NodeId
@@ -77,7 +96,7 @@
    * @returns the work with its id
    */
   begin (work: Omit<Work, 'id'>): Work {
-    const entered = { ...work, id: `${this.#node}/${this.#nextNumber++}` }
+    const entered = { ...work, id: workId(this.#node, this.#nextNumber++) }
     this.#own.set(entered.id, entered)
     this.#startReading(entered, work.sentAt)
     return entered
@@ -156,6 +175,16 @@
     return new RunnerWorks(requests, this.#pending(now), held)
   }
 
+  /**
+   * @param now - time
+   * @returns requests that all nodes sent in the last second and that have not ended
+   */
+  recentArrivals (now: Millis): number {
+    let arrivals = 0
+    for (const { sentAt } of this.#all()) if (now - sentAt < ARRIVALS_PERIOD) arrivals += 1
+    return arrivals
+  }
+
   * #all (): Generator<Work> {
     yield * this.#own.values()
     for (const { works } of this.#peers.values()) yield * works.values()
--- a/packages/domain/src/forwarding/LengthPlacement.ts
+++ b/packages/domain/src/forwarding/LengthPlacement.ts
@@ -2,8 +2,9 @@
  * Chooses engines by what a prompt's length does to everyone there: long prompts are read in parts on the engines
  * where nobody's pauses suffer, and short ones share engines so that others stay free of them.
  */
-import type { Millis, Tokens } from '../types.js'
-import { HELD_MEMORY_SHARE, LATE_LOSS, MOST_HOLDERS, MOST_SHORT_PARTS, OBJECTIVE_SHARE, OWNERS_TRIED, PART_COST, PART_COUNTS, SAFE_SHARE, SHORT_PROMPT, TIGHT_WRITER_COST, WAIT_COST } from './constants.js'
+import type { Millis, NodeId, Tokens } from '../types.js'
+import { HELD_MEMORY_SHARE, LATE_LOSS, MOST_HOLDERS, MOST_SHORT_PARTS, OBJECTIVE_SHARE, OWNERS_TRIED, PART_COST, PART_COUNTS, PREFERENCE_COST, SAFE_SHARE, SHORT_PROMPT, SLOT_WAIT, TIGHT_WRITER_COST, WAIT_COST } from './constants.js'
+import { chanceOfNoPlace, preferenceOf } from './contention.js'
 import { EngineState, totalOf, valueOf } from './EngineState.js'
 import type { Harm } from './EngineState.js'
 import { PlacementPolicy } from './PlacementPolicy.js'
@@ -16,9 +17,18 @@
 
 /** Chooses by predicted first events, pauses and harm. */
 export class LengthPlacement extends PlacementPolicy {
+  readonly #node: NodeId
+
+  /** @param node - this node */
+  constructor (node: NodeId) {
+    super()
+    this.#node = node
+  }
+
   choose (request: PlacementRequest): Choice | null {
     const { candidates, works, model, now } = request
-    const states = candidates.map((candidate) => new EngineState(candidate, works.of(candidate.server.id), model, now))
+    const states = candidates.map((candidate) =>
+      new EngineState(candidate, works.of(candidate.server.id), model, now, preferenceOf(this.#node, candidate.server.id)))
     const demand = memoryDemand(request)
     const options = demand > model.figures.memory ? held(request, states, demand) : this.#options(request, states, demand)
     return options.reduce<Option | null>((best, option) => best === null || option.cost < best.cost ? option : best, null)
@@ -86,7 +96,7 @@
 /** Engines in the order of what a part would cost the requests there, then of what they have to read. */
 const leastHarmed = (states: readonly EngineState[], part: Millis): EngineState[] => {
   const cost = new Map(states.map((state) => [state, partHarm(state, part)]))
-  return [...states].sort((a, b) => (cost.get(a) ?? 0) - (cost.get(b) ?? 0) || a.pendingReading - b.pendingReading)
+  return [...states].sort((a, b) => (cost.get(a) ?? 0) - (cost.get(b) ?? 0) || a.pendingReading - b.pendingReading || a.preference - b.preference)
 }
 
 const partHarm = (state: EngineState, part: Millis): number => {
@@ -106,7 +116,8 @@
   const ownRead = helpers.length === 0 ? owner.wholeFinish(part) : owner.partFinish(part)
   const firstEvent = pass + helpers.reduce((latest, helper) => Math.max(latest, helper.partFinish(part)), ownRead)
   const own = valueOf(size.prompt) * (lossOf(request, firstEvent, pass) + PART_COST * helpers.length)
-  return { server: owner.server, helpers: helpers.map(({ server }) => server), holders: [], firstEvent, cost: totalOf(harm) + own + tightCost(request, owner) }
+  const cost = totalOf(harm) + own + tightCost(request, owner) + contentionCost(request, owner)
+  return { server: owner.server, helpers: helpers.map(({ server }) => server), holders: [], firstEvent, cost }
 }
 
 /** The share of its value that the request itself is expected to lose: most of it when late, all when the caller leaves. */
@@ -126,3 +137,9 @@
   if (pauseObjective === null) return 0
   return TIGHT_WRITER_COST * (1 - Math.min(1, owner.tightRequests(pauseObjective) / owner.server.slots))
 }
+
+/** What it may cost that other nodes choose the same engine in the same instant. */
+const contentionCost = ({ size, objective, arrivalsPerSecond }: PlacementRequest, { requests, server, preference }: EngineState): number => {
+  const late = valueOf(size.prompt) * LATE_LOSS * Math.min(1, SLOT_WAIT / objective)
+  return late * chanceOfNoPlace(Math.max(0, server.slots - requests), arrivalsPerSecond) + PREFERENCE_COST * preference
+}
--- a/packages/domain/src/forwarding/PlacementPolicy.ts
+++ b/packages/domain/src/forwarding/PlacementPolicy.ts
@@ -22,6 +22,8 @@
   readonly candidates: readonly Candidate[]
   readonly model: EngineModel
   readonly works: RunnerWorks
+  /** Requests for engines of this kind that all nodes send in a second. */
+  readonly arrivalsPerSecond: number
   readonly now: Millis
 }
 
--- a/packages/domain/src/forwarding/constants.ts
+++ b/packages/domain/src/forwarding/constants.ts
@@ -1,4 +1,5 @@
 /** Weights and bounds of the choice of engines. */
+import type { Millis } from '../types.js'
 
 /** Engines that may help one prompt; the engines accept no more. */
 export const MOST_HELPERS = 16
@@ -50,3 +51,15 @@
 
 /** Engines that hold parts of one prompt at most; each must live until the answer ends. */
 export const MOST_HOLDERS = 4
+
+/** Cost of the engine that a node likes least: nodes that decide in the same instant prefer different ones. */
+export const PREFERENCE_COST = 0.025
+
+/** Time until a node's choice is known to the others. */
+export const ACCOUNT_DELAY: Millis = 10
+
+/** Engines among which the other nodes' unseen choices are assumed to spread. */
+export const CONTENDED_ENGINES = 4
+
+/** Usual wait for a place on an engine that turns out to be full. */
+export const SLOT_WAIT: Millis = 500
--- a/packages/domain/src/forwarding/index.ts
+++ b/packages/domain/src/forwarding/index.ts
@@ -1,6 +1,7 @@
 export * from './types.js'
 export * from './attempts.js'
 export * from './BackendServerTable.js'
+export * from './contention.js'
 export * from './DomainReach.js'
 export * from './EngineModel.js'
 export * from './FleetWork.js'
--- a/packages/domain/tests/forwardingFixtures.ts
+++ b/packages/domain/tests/forwardingFixtures.ts
@@ -1,6 +1,6 @@
 /** Engines, servers and works for the tests of forwarding. */
 import { CallKind, EngineModel, FleetWork, LengthPlacement, Readiness } from '../src/index.js'
-import type { BackendServer, Choice, EngineFigures, FailureDomain, NodeId, PlacementRequest, Route, RunnerId, Work } from '../src/index.js'
+import type { BackendServer, Choice, EngineFigures, FailureDomain, NodeId, PlacementPolicy, PlacementRequest, Route, RunnerId, Work } from '../src/index.js'
 
 /** The figures that the users' engines publish. */
 export const FIGURES: EngineFigures = {
@@ -54,12 +54,11 @@
 /** A fleet of engines as one node sees it, with the policy under test. */
 export class PlacedFleet {
   readonly work = new FleetWork('n1' as NodeId)
-  readonly #policy = new LengthPlacement()
 
-  constructor (readonly servers: readonly BackendServer[]) {}
+  constructor (readonly servers: readonly BackendServer[], readonly policy: PlacementPolicy = new LengthPlacement('n1' as NodeId)) {}
 
   choose (size: Size, now: number, changes: Partial<PlacementRequest> = {}): Choice | null {
-    return this.#policy.choose({
+    return this.policy.choose({
       size: { prompt: size.prompt, mostAnswer: size.answer },
       objective: size.objective,
       timeLeft: size.objective,
@@ -67,6 +66,7 @@
       candidates: this.servers.map((one) => ({ server: one, slowdown: 1 })),
       model: MODEL,
       works: this.work.byRunner(now),
+      arrivalsPerSecond: 0,
       now,
       ...changes
     })
--- a/packages/domain/tests/lengthPlacement.test.ts
+++ b/packages/domain/tests/lengthPlacement.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava'
 
-import { engines, LONG, MIDDLE, MODEL, PlacedFleet, SHORT } from './forwardingFixtures.js'
+import { LengthPlacement, preferenceOf } from '../src/index.js'
+import type { NodeId, RunnerId } from '../src/index.js'
+import { engines, FIGURES, LONG, MIDDLE, MODEL, PlacedFleet, SHORT } from './forwardingFixtures.js'
 import type { Size } from './forwardingFixtures.js'
 
 const E0 = 'e0'
@@ -118,3 +120,47 @@
   near(LONG, 2_842)
   t.true(Math.abs(MODEL.pass(11, 11 * 5_800) - 53.5) < 1)
 })
+
+/** What many nodes with the same account choose in one instant, before they hear of each other. */
+const chosenAtOnce = (fleet: PlacedFleet, nodes: number, arrivalsPerSecond: number): Map<string, number> => {
+  const chosen = new Map<string, number>()
+  for (let index = 0; index < nodes; index += 1) {
+    const policy = new LengthPlacement(`edge-${index}` as NodeId)
+    const seen = new PlacedFleet(fleet.servers, policy)
+    for (const { id: _, ...work } of fleet.work.own()) {
+      const entered = seen.work.begin(work)
+      if (work.isRead) seen.work.firstEvent(entered, 0)
+    }
+    const engine = seen.choose(SHORT, 10, { arrivalsPerSecond })?.server.id ?? ''
+    chosen.set(engine, (chosen.get(engine) ?? 0) + 1)
+  }
+  return chosen
+}
+
+test('pattern: nodes that place short prompts in the same instant do not fill one engine beyond its places', (t) => {
+  const fleet = new PlacedFleet(engines(60))
+  const writers = FIGURES.slots - 2
+  for (let engine = 0; engine < 40; engine += 1) {
+    for (let index = 0; index < writers - engine % 3; index += 1) fleet.writing(SHORT, 0, `e${engine}`)
+  }
+  const chosen = chosenAtOnce(fleet, 6, 150)
+  for (const [engine, requests] of chosen) {
+    const taken = fleet.work.own().filter(({ runner }) => runner === engine).length
+    t.true(taken + requests <= FIGURES.slots, `${engine} had ${taken} and got ${requests}`)
+  }
+})
+
+test('pattern: the last place of an engine is left free while requests arrive in quick succession', (t) => {
+  const fleet = new PlacedFleet(engines(2))
+  for (let index = 0; index < FIGURES.slots - 1; index += 1) fleet.writing(SHORT, 0, 'e0')
+  for (let index = 0; index < FIGURES.slots - 3; index += 1) fleet.writing(SHORT, 0, 'e1')
+  t.is(fleet.choose(SHORT, 10, { arrivalsPerSecond: 150 })?.server.id as string, 'e1')
+  t.is(fleet.choose(SHORT, 10, { arrivalsPerSecond: 1 })?.server.id as string, 'e0')
+})
+
+test('each node has its own order of engines, and keeps it', (t) => {
+  const liked = (node: string): string => engines(20).map(({ id }) => id).sort((a, b) => preferenceOf(node as NodeId, a) - preferenceOf(node as NodeId, b)).join()
+  t.is(new Set(Array.from({ length: 50 }, (_, index) => liked(`edge-${index}`))).size, 50)
+  t.is(liked('edge-1'), liked('edge-1'))
+  t.true(preferenceOf('edge-1' as NodeId, 'e1' as RunnerId) < 1)
+})
--- a/packages/node/src/forward/FleetDispatch.ts
+++ b/packages/node/src/forward/FleetDispatch.ts
@@ -1,5 +1,5 @@
 /** Places requests on backend servers, and keeps the account of where they are. */
-import { DomainReach, EngineModel, Evidence, FleetWork, LeastOutstanding, LengthPlacement, RetryBudget, ServerHealth, ServerPace } from '@bluebellhill/domain'
+import { DomainReach, EngineModel, Evidence, FleetWork, LeastOutstanding, LengthPlacement, RetryBudget, ServerHealth, ServerPace, WorkChange } from '@bluebellhill/domain'
 import type { AttemptHistory, BackendServer, Candidate, Choice, Millis, NodeId, PlacementPolicy, Service, Work } from '@bluebellhill/domain'
 
 import type { Log } from '../log/index.js'
@@ -38,16 +38,18 @@
   readonly #reach = new DomainReach()
   readonly #pace = new ServerPace()
   readonly #options: FleetDispatchOptions
-  readonly #engines: PlacementPolicy = new LengthPlacement()
-  readonly #plain: PlacementPolicy = new LeastOutstanding()
+  readonly #engines: PlacementPolicy
+  readonly #plain: PlacementPolicy
   readonly #models = new WeakMap<Service, EngineModel>()
   readonly #budgets = new Map<string, RetryBudget>()
-  #workListener: () => void = () => {}
+  #workListener: (change: WorkChange) => void = () => {}
 
   /** @param options - what the choice rests on */
   constructor (options: FleetDispatchOptions) {
     this.#options = options
     this.work = new FleetWork(options.node)
+    this.#engines = new LengthPlacement(options.node)
+    this.#plain = new LeastOutstanding(options.node)
     options.knowledge.onDeparture((id) => {
       this.health.forget(id)
       this.#pace.forget(id)
@@ -55,7 +57,7 @@
   }
 
   /** Sets what is called when this node's work changes. */
-  onWork (listener: () => void): void {
+  onWork (listener: (change: WorkChange) => void): void {
     this.#workListener = listener
   }
 
@@ -79,6 +81,7 @@
       candidates,
       model: this.#modelOf(call.service),
       works: this.work.byRunner(now),
+      arrivalsPerSecond: this.work.recentArrivals(now),
       now
     })
   }
@@ -105,20 +108,20 @@
       pauseObjective: route.pauseObjective,
       dueAt
     })
-    this.#workListener()
+    this.#workListener(WorkChange.Begun)
     return work
   }
 
   /** The prompt is read. */
   firstEvent (work: Work): void {
     this.work.firstEvent(work, this.#options.clock())
-    this.#workListener()
+    this.#workListener(WorkChange.Read)
   }
 
   /** The request has left its server. */
   end (work: Work): void {
     this.work.end(work, this.#options.clock())
-    this.#workListener()
+    this.#workListener(WorkChange.Ended)
   }
 
   /** @returns the time to read a prompt on one engine, with nothing else there */
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -96,7 +96,7 @@
       isStoreLost: () => this.#contact.isLost,
       onStoreLost: () => this.#follower.doubt()
     })
-    this.#dispatch.onWork(() => this.#peers.workChanged())
+    this.#dispatch.onWork((change) => this.#peers.workChanged(change))
     const storeHttp = new HttpPool(STORE_CONNECTIONS)
     this.#disposables.add(storeHttp)
     const store = new MetadataStore({ address: `${settings.store.host}:${settings.store.port}`, http: storeHttp, timeout: STORE_TIMEOUT })
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -3,6 +3,7 @@
 import type { RemoteInfo, Socket } from 'node:dgram'
 import { once } from 'node:events'
 
+import { WorkChange } from '@bluebellhill/domain'
 import type { FleetWork, Millis, NodeId } from '@bluebellhill/domain'
 
 import type { Knowledge } from '../Knowledge.js'
@@ -13,8 +14,15 @@
 /** Interval at which a state is sent though nothing has changed. */
 const HEARTBEAT_PERIOD: Millis = 500
 
-/** How long changes are gathered before they are sent together. */
-const GATHERING_TIME: Millis = 1
+/** A heartbeat is left out where a state was sent this shortly before. */
+const FRESH_STATE: Millis = 300
+
+/** How long changes are gathered before they are sent together: what takes a place is told at once, what frees one soon. */
+const GATHERING_TIMES: Readonly<Record<WorkChange, Millis>> = {
+  [WorkChange.Begun]: 1,
+  [WorkChange.Read]: 30,
+  [WorkChange.Ended]: 60
+}
 
 /** Heartbeats between two that name the known nodes. */
 const HEARTBEATS_PER_INTRODUCTION = 4
@@ -47,6 +55,8 @@
   #sequence = 0
   #heartbeats = 0
   #pending: NodeJS.Timeout | null = null
+  #pendingUntil: Millis = Infinity
+  #sentAt: Millis = -Infinity
   #heartbeat: NodeJS.Timeout | null = null
   #stopping = false
   #closed = false
@@ -86,9 +96,14 @@
     this.table.named(addresses.filter((address) => address !== own), this.#options.clock())
   }
 
-  /** This node's work has changed: the others are told within a millisecond or two. */
-  workChanged (): void {
-    this.#pending ??= setTimeout(() => this.#send(), GATHERING_TIME)
+  /** This node's work has changed: the others are told soon. */
+  workChanged (change: WorkChange): void {
+    const now = this.#options.clock()
+    const until = now + GATHERING_TIMES[change]
+    if (until >= this.#pendingUntil) return
+    if (this.#pending !== null) clearTimeout(this.#pending)
+    this.#pendingUntil = until
+    this.#pending = setTimeout(() => this.#send(), until - now)
   }
 
   /** The others hear that the store no longer answers this node. */
@@ -117,13 +132,16 @@
       this.#options.log.warn('peer.lost', { peer: peer.node, silent_ms: Math.round(now - peer.heardAt) })
     }
     this.#heartbeats += 1
-    this.#send(this.#heartbeats % HEARTBEATS_PER_INTRODUCTION === 1)
+    const introducing = this.#heartbeats % HEARTBEATS_PER_INTRODUCTION === 1
+    if (introducing || now - this.#sentAt > FRESH_STATE) this.#send(introducing)
   }
 
   #send (introducing = false): void {
     if (this.#pending !== null) clearTimeout(this.#pending)
     this.#pending = null
+    this.#pendingUntil = Infinity
     if (this.#closed) return
+    this.#sentAt = this.#options.clock()
     const { node, failureDomain, startedAt, work, knowledge, clock, isStoreLost } = this.#options
     this.#sequence += 1
     const datagrams = encodeState({
--- a/packages/node/src/forward/peers/PeerTable.ts
+++ b/packages/node/src/forward/peers/PeerTable.ts
@@ -6,6 +6,9 @@
 /** Silence after which a node counts as lost. */
 export const PEER_LOST_AFTER: Millis = 2_000
 
+/** Silence that a running process does not keep. */
+const SILENCE_OF_ENDED_PROCESS: Millis = 1_000
+
 /** Silence after which a node is forgotten. */
 const PEER_FORGOTTEN_AFTER: Millis = 120_000
 
@@ -83,7 +86,7 @@
    */
   hear (part: StatePart, address: string, now: Millis): HeardState | null {
     const known = this.#peers.get(part.node)
-    if (known !== undefined && isOlder(part, known)) return null
+    if (known !== undefined && isOlder(part, known, now)) return null
     const works = this.#gather(part)
     if (works === null) return null
     const { node, startedAt, sequence, configurationVersion, serversRevision, storeLost } = part
@@ -121,6 +124,11 @@
   }
 }
 
-/** A process that started later goes before; within one process, the higher sequence. */
-const isOlder = (part: StatePart, known: Peer): boolean =>
-  part.startedAt < known.startedAt || (part.startedAt === known.startedAt && part.sequence <= known.sequence)
+/**
+ * A process that started later goes before; within one process, the higher sequence. Where a clock was set back, a
+ * process may seem to have started before the one that it follows: then the other one is silent.
+ */
+const isOlder = (part: StatePart, known: Peer, now: Millis): boolean => {
+  if (part.startedAt === known.startedAt) return part.sequence <= known.sequence
+  return part.startedAt < known.startedAt && now - known.heardAt <= SILENCE_OF_ENDED_PROCESS
+}
--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -1,4 +1,5 @@
 /** Turns the work of a node into datagrams and back. */
+import { workId } from '@bluebellhill/domain'
 import type { Millis, NodeId, RunnerId, Work } from '@bluebellhill/domain'
 import { fleetWire } from '@bluebellhill/protocol'
 
@@ -64,12 +65,12 @@
     node: wire.node as NodeId,
     startedAt: Number(wire.startedAt),
     serversRevision: Number(wire.serversRevision),
-    works: wire.works.map((work) => decodeWork(work, now))
+    works: wire.works.map((work) => decodeWork(work, wire.node as NodeId, now))
   }
 }
 
 const encodeWork = (work: Work, now: Millis): fleetWire.EngineWork => ({
-  id: work.id,
+  number: numberOf(work),
   runner: work.runner,
   helpers: work.isRead ? [] : [...work.helpers],
   held: work.held.map(({ runner, tokens }) => ({ runner, tokens })),
@@ -82,8 +83,8 @@
   dueInMs: Math.round(work.dueAt - now)
 })
 
-const decodeWork = (wire: fleetWire.EngineWork, now: Millis): Work => ({
-  id: wire.id,
+const decodeWork = (wire: fleetWire.EngineWork, node: NodeId, now: Millis): Work => ({
+  id: workId(node, wire.number),
   runner: wire.runner as RunnerId,
   helpers: wire.helpers as RunnerId[],
   held: wire.held.map(({ runner, tokens }) => ({ runner: runner as RunnerId, tokens })),
@@ -96,4 +97,7 @@
   dueAt: now + wire.dueInMs
 })
 
+/** The part of a work's id that its node counts. */
+const numberOf = ({ id }: Work): number => Number(id.slice(id.lastIndexOf('/') + 1))
+
 const ageOf = (time: Millis, now: Millis): number => Math.max(0, Math.round(now - time))
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -3,7 +3,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 
-import { FleetWork, Readiness } from '@bluebellhill/domain'
+import { FleetWork, Readiness, WorkChange } from '@bluebellhill/domain'
 import type { BackendServer, FailureDomain, NodeId, RunnerId, Work } from '@bluebellhill/domain'
 import { HttpPool, success } from '@bluebellhill/services'
 
@@ -19,6 +19,10 @@
 const NODE = 'n1' as NodeId
 const ADDRESS = '127.0.0.1:1'
 
+/** Ports below those that the system gives to outgoing connections. */
+const PORTS_FROM = 10_000
+const PORT_COUNT = 20_000
+
 /** Datagrams stay below the usual packet size. */
 const MOST_DATAGRAM_BYTES = 1_400
 
@@ -27,7 +31,7 @@
 }
 
 const work = (index: number, changes: Partial<Work> = {}): Work => ({
-  id: `edge-a-long-name-of-a-hall-1/${index}`, runner: `i-${index}` as RunnerId, helpers: [], held: [], prompt: 5_000, answer: 1_500, part: 20, sentAt: 900, isRead: false, pauseObjective: 200, dueAt: 1_300, ...changes
+  id: `n1/${index}`, runner: `i-${index}` as RunnerId, helpers: [], held: [], prompt: 5_000, answer: 1_500, part: 20, sentAt: 900, isRead: false, pauseObjective: 200, dueAt: 1_300, ...changes
 })
 
 const state = (works: readonly Work[], sequence = 1, startedAt = 1_700_000_000_000): NodeState => ({
@@ -79,6 +83,14 @@
   t.deepEqual([lost(1, false), lost(2, true), lost(3, true), lost(4, false), lost(5, true)], [false, true, false, false, true])
 })
 
+test('a node that starts again after its clock was set back is heard', (t) => {
+  const table = new PeerTable()
+  t.truthy(hearAll(table, state([], 50), 1_000))
+  t.is(hearAll(table, state([], 1, 1_699_999_990_000), 1_500), null)
+  t.true(hearAll(table, state([], 2, 1_699_999_990_000), 2_500)?.isNew)
+  t.truthy(hearAll(table, state([], 3, 1_699_999_990_000), 3_000))
+})
+
 test('a node that falls silent is lost once, and found when it speaks again', (t) => {
   const table = new PeerTable()
   hearAll(table, state([], 1), 0)
@@ -121,7 +133,7 @@
   const log = silentLog()
   const clock = (): number => performance.now()
   const hosts = ['127.0.0.1', '127.0.0.2'] as const
-  const port = 20_000 + process.pid % 20_000
+  const port = PORTS_FROM + process.pid % PORT_COUNT
   const http = new HttpPool(2)
   const nodes = await Promise.all(hosts.map(async (host, index) => {
     const node = `n${index}` as NodeId
@@ -140,7 +152,7 @@
   first!.knowledge.install(DEPLOYMENT, 'store')
   const { id: _, ...begun } = work(1, { sentAt: clock(), dueAt: clock() + 300 })
   first!.account.begin(begun)
-  first!.link.workChanged()
+  first!.link.workChanged(WorkChange.Begun)
   const until = clock() + 10_000
   while (clock() < until && (second!.knowledge.version === 0 || second!.account.byRunner(clock()).of('i-1' as RunnerId).requests.length === 0)) await sleep(10)
   t.is(second!.knowledge.version, DEPLOYMENT.version)
