--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -122,7 +122,7 @@
     let before = this.pass
     for (const { work, left } of this.#pending) {
       before += left * this.#slowdown
-      enter(harm, work, work.dueAt - this.#now - before, added)
+      enter(harm, work, safelyDueAt(work) - this.#now - before, added)
     }
   }
 
@@ -145,6 +145,9 @@
   }
 }
 
+/** A little before its objective, so that the error of a prediction does not make it late. */
+const safelyDueAt = ({ sentAt, dueAt }: Work): Millis => sentAt + OBJECTIVE_SHARE * (dueAt - sentAt)
+
 /** What a request loses where `added` exceeds the time that it has to spare; one that is late already loses by the delay. */
 const enter = (harm: Harm, { id, prompt }: Work, spare: Millis, added: Millis): void => {
   if (added <= spare) return
--- a/packages/domain/tests/lengthPlacement.test.ts
+++ b/packages/domain/tests/lengthPlacement.test.ts
@@ -1,11 +1,12 @@
 import test from 'ava'
 
-import { LengthPlacement, preferenceOf } from '../src/index.js'
+import { EngineState, LengthPlacement, preferenceOf, totalOf } from '../src/index.js'
 import type { NodeId, RunnerId } from '../src/index.js'
 import { engines, FIGURES, LONG, MIDDLE, MODEL, PlacedFleet, SHORT } from './forwardingFixtures.js'
 import type { Size } from './forwardingFixtures.js'
 
 const E0 = 'e0'
+const HELPER = 'e1' as RunnerId
 
 /** Engines with any short answer on them. */
 const shared = (fleet: PlacedFleet): Set<string> => new Set(fleet.work.own().filter(({ pauseObjective }) => pauseObjective === SHORT.pause).map(({ runner }) => runner))
@@ -164,3 +165,17 @@
   t.is(liked('edge-1'), liked('edge-1'))
   t.true(preferenceOf('edge-1' as NodeId, 'e1' as RunnerId) < 1)
 })
+
+test('pattern: prompts that arrive later do not push an earlier one to the edge of its objective', (t) => {
+  const fleet = new PlacedFleet(engines(1))
+  fleet.enter({ ...LONG, objective: 4_000 }, 0, 'e0', [HELPER])
+  const [first] = fleet.work.own()
+  const harmOf = (share: number): number => {
+    const harm = new Map<string, number>()
+    const state = new EngineState({ server: fleet.servers[0]!, slowdown: 1 }, fleet.work.byRunner(0).of('e0' as RunnerId), MODEL, 0, 0)
+    state.addPartHarm(harm, share * 4_000 - first!.part)
+    return totalOf(harm)
+  }
+  t.is(harmOf(0.8), 0)
+  t.true(harmOf(0.95) > 0)
+})
--- a/packages/node/src/forward/store/StoreFollower.ts
+++ b/packages/node/src/forward/store/StoreFollower.ts
@@ -17,7 +17,10 @@
 /** How long a watch of another node waits: it hears of changes and of losses from the close followers. */
 const DISTANT_WAIT: Millis = 20_000
 
-/** Pause of such a node after a change, so that a series of changes costs it few calls. */
+/** Pause of a close follower after a change, so that several changes come together. */
+const CLOSE_PAUSE: Millis = 100
+
+/** Pause of another node after a change, so that a series of changes costs it few calls. */
 const DISTANT_PAUSE: Millis = 2_500
 
 /** How long a watch waits that finds out whether the store still answers. */
@@ -139,7 +142,7 @@
         this.#options.contact.observe(next)
         revision = next.value.revision
         delay = FIRST_RETRY_DELAY
-        if (next.value.changed && !this.#options.isClose()) await this.#rest(DISTANT_PAUSE, doubt)
+        if (next.value.changed) await this.#rest(this.#options.isClose() ? CLOSE_PAUSE : DISTANT_PAUSE, doubt)
         continue
       }
       if (doubt.aborted) continue
