--- a/packages/domain/src/request/RetryBudget.ts
+++ b/packages/domain/src/request/RetryBudget.ts
@@ -20,6 +20,7 @@
 export class RetryBudget {
   readonly #options: RetryBudgetOptions
   #capacity: number
+  #ratio: number
   #saved: number
   #countedUntil: Millis | null = null
 
@@ -27,6 +28,7 @@
   constructor (options: RetryBudgetOptions = DEFAULT_RETRY_BUDGET) {
     this.#options = options
     this.#capacity = options.capacity
+    this.#ratio = options.ratio
     this.#saved = options.capacity
   }
 
@@ -36,12 +38,14 @@
   }
 
   /**
-   * Changes how many retries can be saved up, as when more nodes share them; what is saved above that is lost.
+   * Changes the bounds, as when more nodes share them; what is saved above them is lost.
    *
    * @param capacity - most retries that can be saved up
+   * @param ratio - retries that each admitted request pays in
    */
-  resize (capacity: number): void {
+  resize (capacity: number, ratio = this.#ratio): void {
     this.#capacity = capacity
+    this.#ratio = ratio
     this.#saved = Math.min(this.#saved, capacity)
   }
 
@@ -52,7 +56,7 @@
    */
   deposit (now: Millis): void {
     this.#payInForTime(now)
-    this.#payIn(this.#options.ratio)
+    this.#payIn(this.#ratio)
   }
 
   /**
--- a/packages/node/src/forward/FleetDispatch.ts
+++ b/packages/node/src/forward/FleetDispatch.ts
@@ -17,7 +17,8 @@
   readonly knowledge: Knowledge
   readonly log: Log
   readonly clock: () => Millis
-  readonly retries: RetryBounds
+  /** The bounds in force. */
+  readonly retries: () => RetryBounds
   /** Nodes that share the retry budget. */
   readonly nodes: () => number
 }
@@ -189,12 +190,12 @@
   }
 
   #budgetOf (service: string): RetryBudget {
-    const { ratio, slack } = this.#options.retries
+    const { ratio, slack } = this.#options.retries()
     const nodes = Math.max(FEWEST_NODES, this.#options.nodes())
     const capacity = Math.max(1, slack * RETRY_SHARE / nodes)
     const known = this.#budgets.get(service)
     if (known !== undefined) {
-      known.resize(capacity)
+      known.resize(capacity, ratio * RETRY_SHARE)
       return known
     }
     const budget = new RetryBudget({ ratio: ratio * RETRY_SHARE, capacity, perSecond: 0 })
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -2,7 +2,7 @@
 import { followsClosely } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { EngineMemory, MetadataStore } from '@bluebellhill/platform'
-import type { PlatformSettings, SocketAddress } from '@bluebellhill/platform'
+import type { SocketAddress } from '@bluebellhill/platform'
 import { HttpPool } from '@bluebellhill/services'
 
 import { monotonicNow } from '../clock/monotonic.js'
@@ -14,6 +14,7 @@
 import { ForwardMetrics } from './ForwardMetrics.js'
 import { Knowledge } from './Knowledge.js'
 import { MetricsServer } from './MetricsServer.js'
+import type { SettingsFile } from './SettingsFile.js'
 import { KnowledgeExchange } from './peers/KnowledgeExchange.js'
 import { PeerLink } from './peers/PeerLink.js'
 import { NodeEntry } from './store/NodeEntry.js'
@@ -36,7 +37,7 @@
 const STOP_SHARE = 0.9
 
 export interface ForwardNodeOptions {
-  readonly settings: PlatformSettings
+  readonly settings: SettingsFile
   readonly log: Log
   /** Where the metrics are served. */
   readonly metrics: SocketAddress
@@ -61,7 +62,8 @@
 
   /** @param options - settings and outputs */
   constructor (options: ForwardNodeOptions) {
-    const { settings, log } = options
+    const { log } = options
+    const settings = options.settings.current
     const clock = monotonicNow
     this.#options = options
     this.#knowledge = new Knowledge(log, clock)
@@ -70,7 +72,7 @@
       knowledge: this.#knowledge,
       log,
       clock,
-      retries: { ratio: settings.retryRatio, slack: settings.retrySlack },
+      retries: () => ({ ratio: options.settings.current.retryRatio, slack: options.settings.current.retrySlack }),
       nodes: () => this.#peers.table.all().length + 1
     })
     const peerHttp = new HttpPool(2)
@@ -124,7 +126,8 @@
 
   /** Starts to serve. */
   async start (): Promise<void> {
-    const { settings, log } = this.#options
+    const { log } = this.#options
+    const settings = this.#options.settings.current
     this.#followStore()
     const port = settings.internalPorts[0]
     await Promise.all([
@@ -146,10 +149,12 @@
     if (this.#stopping) return
     this.#stopping = true
     const { settings, log } = this.#options
+    const { stopGrace } = settings.current
     const startedAt = monotonicNow()
     log.info('node.stopping', { open_requests: this.#entry.openRequests })
     this.#peers.stopping()
-    await this.#entry.stop(settings.stopGrace * STOP_SHARE)
+    await this.#entry.stop(stopGrace * STOP_SHARE)
+    settings.dispose()
     await this.#disposables.dispose()
     log.info('node.stopped', { after_ms: Math.round(monotonicNow() - startedAt), open_requests: this.#entry.openRequests })
   }
--- /dev/null
+++ b/packages/node/src/forward/SettingsFile.ts
@@ -0,0 +1,81 @@
+/** Follows the platform's settings file: it may change with a signal or without one. */
+import { readFileSync, unwatchFile, watchFile } from 'node:fs'
+
+import { parseSettings } from '@bluebellhill/platform'
+import type { PlatformSettings, SettingsProblem } from '@bluebellhill/platform'
+import { failed } from '@bluebellhill/services'
+import type { Result } from '@bluebellhill/services'
+import type { Millis } from '@bluebellhill/domain'
+
+import type { Log } from '../log/index.js'
+
+/** Interval at which the file is looked at. */
+const CHECK_PERIOD: Millis = 2_000
+
+/** Settings that take effect without a new start. */
+const LIVE_SETTINGS: ReadonlyArray<keyof PlatformSettings> = ['stopGrace', 'retryRatio', 'retrySlack']
+
+/**
+ * Reads a settings file.
+ *
+ * @param path - where it is
+ * @returns the settings, or every field that cannot be used
+ */
+export const readSettings = (path: string): Result<PlatformSettings, readonly SettingsProblem[]> => {
+  try {
+    return parseSettings(readFileSync(path, 'utf8'))
+  } catch (error) {
+    return failed([{ field: 'file', message: error instanceof Error ? error.message : String(error) }])
+  }
+}
+
+/** Holds the settings in force. */
+export class SettingsFile {
+  #settings: PlatformSettings
+
+  /**
+   * @param path - where the file is
+   * @param settings - what it said at the start
+   * @param log - gets a line for each reload
+   */
+  constructor (private readonly path: string, settings: PlatformSettings, private readonly log: Log) {
+    this.#settings = settings
+  }
+
+  /** The settings in force. */
+  get current (): PlatformSettings {
+    return this.#settings
+  }
+
+  /** Starts to look for changes. */
+  watch (): void {
+    watchFile(this.path, { interval: CHECK_PERIOD, persistent: false }, () => this.reload('change'))
+  }
+
+  dispose (): void {
+    unwatchFile(this.path)
+  }
+
+  /**
+   * Reads the file again. One that cannot be used leaves the settings as they are.
+   *
+   * @param cause - why
+   */
+  reload (cause: string): void {
+    const settings = readSettings(this.path)
+    if (!settings.ok) {
+      const problems = settings.failure.map(({ field, message }) => `${field}: ${message}`).join('; ')
+      this.log.error('settings.unusable', { cause, problems })
+      return
+    }
+    const changed = differencesOf(this.#settings, settings.value)
+    const applied = changed.filter((field) => LIVE_SETTINGS.includes(field))
+    const waiting = changed.filter((field) => !LIVE_SETTINGS.includes(field))
+    const { stopGrace, retryRatio, retrySlack } = settings.value
+    this.#settings = { ...this.#settings, stopGrace, retryRatio, retrySlack }
+    this.log.info('settings.reloaded', { cause, applied: applied.join(',') || undefined, after_restart: waiting.join(',') || undefined })
+  }
+}
+
+const differencesOf = (before: PlatformSettings, after: PlatformSettings): Array<keyof PlatformSettings> =>
+  (Object.keys(after) as Array<keyof PlatformSettings>).filter((field) => JSON.stringify(before[field]) !== JSON.stringify(after[field]))
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -74,7 +74,7 @@
     const clock = (): number => performance.now()
     this.knowledge = new Knowledge(log, clock)
     const dispatch = new FleetDispatch({
-      node: 'n1' as NodeId, knowledge: this.knowledge, log, clock, retries: { ratio: 0.2, slack: 100 }, nodes: () => 3
+      node: 'n1' as NodeId, knowledge: this.knowledge, log, clock, retries: () => ({ ratio: 0.2, slack: 100 }), nodes: () => 3
     })
     this.entry = new EntryServer({ dispatch, knowledge: this.knowledge, log, metrics: new ForwardMetrics(), memory: new EngineMemory(new HttpPool(2), 300), clock })
   }
@@ -135,7 +135,7 @@
   }
 }
 
-class LineCollector extends Transport {
+export class LineCollector extends Transport {
   constructor (private readonly lines: string[]) {
     super()
   }
--- /dev/null
+++ b/packages/node/tests/settingsFile.test.ts
@@ -0,0 +1,60 @@
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+
+import test from 'ava'
+
+import { LogLevel, openLog } from '../src/log/index.js'
+import { readSettings, SettingsFile } from '../src/forward/SettingsFile.js'
+import { LineCollector } from './forwardFixture.js'
+
+const text = (grace: number, ratio: number, port: number): string => `
+node_name = "edge-1"
+ip = "10.1.0.40"
+zone = "hall"
+internal_ports = [7340, 7355]
+[listen]
+frontend = "10.1.0.40:${port}"
+ready = "10.1.0.40:8220"
+[bounds]
+grace_s = ${grace}
+retry_budget_ratio = ${ratio}
+budget_slack = 106
+[platform]
+address = "10.200.1.7:8223"
+`
+
+const open = (): { file: SettingsFile, write: (contents: string) => void, lines: string[] } => {
+  const path = join(mkdtempSync(join(tmpdir(), 'settings-')), 'local.toml')
+  const write = (contents: string): void => writeFileSync(path, contents)
+  write(text(8, 0.2, 80))
+  const settings = readSettings(path)
+  if (!settings.ok) throw new Error('the settings cannot be read')
+  const lines: string[] = []
+  const log = openLog({ node: 'n', failureDomain: 'd', level: LogLevel.Info, transport: new LineCollector(lines) })
+  return { file: new SettingsFile(path, settings.value, log), write, lines }
+}
+
+test('bounds that changed are in force after a reload', (t) => {
+  const { file, write, lines } = open()
+  write(text(5, 0.1, 80))
+  file.reload('SIGHUP')
+  t.like(file.current, { stopGrace: 5_000, retryRatio: 0.1, callers: { host: '10.1.0.40', port: 80 } })
+  t.regex(lines.join('\n'), /settings\.reloaded.*SIGHUP.*stopGrace,retryRatio/)
+})
+
+test('addresses that changed wait for a new start, and the log says so', (t) => {
+  const { file, write, lines } = open()
+  write(text(8, 0.2, 81))
+  file.reload('change')
+  t.is(file.current.callers.port, 80)
+  t.regex(lines.join('\n'), /after_restart.*callers/)
+})
+
+test('a file that cannot be used leaves the settings in force', (t) => {
+  const { file, write, lines } = open()
+  write('node_name = ')
+  file.reload('SIGHUP')
+  t.is(file.current.stopGrace, 8_000)
+  t.regex(lines.join('\n'), /settings\.unusable/)
+})
