--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,7 +9,7 @@
   services: ['domain', 'protocol'],
   platform: ['domain', 'services'],
   node: ['domain', 'protocol', 'services', 'platform'],
-  cli: ['protocol', 'services'],
+  cli: ['protocol', 'services', 'platform'],
   standin: ['protocol'],
   'platform-standin': ['platform'],
   soak: ['platform', 'platform-standin']
--- a/packages/cli/src/actions/check.ts
+++ b/packages/cli/src/actions/check.ts
@@ -8,7 +8,7 @@
 const META: ActionMeta = {
   name: 'check',
   description: 'Check settings and configuration files',
-  examples: ['bluebellhill check node.yaml', 'bluebellhill check fleet.yaml organisations/*.yaml', 'bluebellhill check fleet.yaml --json'],
+  examples: ['bluebellhill check node.yaml', 'bluebellhill check fleet.yaml organisations/*.yaml', 'bluebellhill check /etc/bluebellhill/local.toml', 'bluebellhill check fleet.yaml --json'],
   notes: ['Each problem names file, line, field and what is allowed. With the file of the fleet, the names that organisations use are checked too.']
 }
 
@@ -16,7 +16,7 @@
 export const check = defineCommand({
   meta: META,
   args: {
-    file: { type: 'positional', required: true, description: 'YAML files' },
+    file: { type: 'positional', required: true, description: 'YAML files, or TOML settings of the users’ platform' },
     json: { type: 'boolean', description: 'write JSON', default: false }
   },
   run: ({ args }) => runAction(args, async () => {
--- a/packages/cli/src/actions/explain.ts
+++ b/packages/cli/src/actions/explain.ts
@@ -1,8 +1,11 @@
 import { defineCommand } from 'citty'
 
+import { readText } from '../configuration/index.js'
 import { FLEET_ARGS, durationOption, nodesOf } from '../fleet/index.js'
 import { ActionError, ExitCode, Tone, outputPainter, runAction } from '../terminal/index.js'
 import type { ActionMeta } from '../terminal/index.js'
+import { explainLogged, parseDecisionLog } from '../timeline/decisionLog.js'
+import type { LoggedRequest } from '../timeline/decisionLog.js'
 import { explain as explainEvents } from '../timeline/explain.js'
 import type { Explanation } from '../timeline/explain.js'
 import { gatherTimeLine } from '../timeline/gather.js'
@@ -12,7 +15,8 @@
   description: 'Tell in a few sentences what became of one request',
   examples: [
     'bluebellhill explain 7c1f0e52 --nodes 10.0.0.1:7401,10.0.0.2:7401',
-    'BLUEBELLHILL_NODES=10.0.0.1:7401 bluebellhill explain 7c1f0e52 --json'
+    'BLUEBELLHILL_NODES=10.0.0.1:7401 bluebellhill explain 7c1f0e52 --json',
+    'bluebellhill explain 9c41d07be2a35f68 --log node-1.log,node-2.log'
   ]
 }
 
@@ -23,14 +27,34 @@
   return [paint(Tone.Strong, `Request ${request}`), ...explanation.sentences, ...advice, ...gaps].join('\n')
 }
 
+const loggedTextOf = (request: string, { sentences, meanwhile }: LoggedRequest): string => {
+  const paint = outputPainter()
+  const background = meanwhile.length === 0 ? [] : [paint(Tone.Strong, 'Shortly before and meanwhile'), ...meanwhile]
+  return [paint(Tone.Strong, `Request ${request}`), ...sentences, ...background].join('\n')
+}
+
+const explainFromLog = async (request: string, files: string, json: boolean): Promise<void> => {
+  const texts = await Promise.all(files.split(',').map(readText))
+  const explanation = explainLogged(parseDecisionLog(texts.join('\n')), request)
+  if (explanation === null) {
+    throw new ActionError(ExitCode.Failed, `no line names request "${request}"`, 'check the id, and give the logs of all entry VMs; without a line the caller reached no node')
+  }
+  console.log(json ? JSON.stringify({ request, ...explanation }, null, 2) : loggedTextOf(request, explanation))
+}
+
 /** Explains one request. */
 export const explain = defineCommand({
   meta: META,
   args: {
     request: { type: 'positional', required: true, description: 'the request id, as in the header x-request-id or an error answer' },
-    ...FLEET_ARGS
+    ...FLEET_ARGS,
+    log: { type: 'string', valueHint: 'file,...', description: 'read the decision log of the users’ platform in place of asking nodes' }
   },
   run: ({ args }) => runAction(args, async () => {
+    if (args.log !== undefined) {
+      await explainFromLog(args.request, args.log, args.json)
+      return
+    }
     const nodes = nodesOf(args.nodes, process.env)
     const { events, silent } = await gatherTimeLine(nodes, { request: args.request }, durationOption('timeout', args.timeout))
     if (events.length === 0) {
--- a/packages/cli/src/configuration/files.ts
+++ b/packages/cli/src/configuration/files.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationFile, DocumentProblem, Fleet, Organisation } from '@bluebellhill/services'
 
 import { ActionError, ExitCode } from '../terminal/index.js'
+import { checkPlatformSettings } from './platformSettings.js'
 
 /** What a file turned out to be. */
 export type CheckedFile =
@@ -12,6 +13,9 @@
   | { readonly type: 'configuration', readonly file: string, readonly text: string, readonly value: ConfigurationFile }
   | { readonly type: 'wrong', readonly file: string, readonly problems: readonly DocumentProblem[] }
 
+/** The users' platform writes its settings in TOML. */
+const PLATFORM_SETTINGS_EXTENSION = '.toml'
+
 /** Settings name listen addresses; configuration begins with its kind. */
 const SETTINGS_FIELD = /^["']?(listen|secrets|failureDomain)["']?\s*:/m
 const KIND_FIELD = /^["']?kind["']?\s*:/m
@@ -40,6 +44,10 @@
  */
 export const checkFile = async (file: string): Promise<CheckedFile> => {
   const text = await readText(file)
+  if (file.endsWith(PLATFORM_SETTINGS_EXTENSION)) {
+    const problems = checkPlatformSettings(text, file)
+    return problems.length === 0 ? { type: 'settings', file } : { type: 'wrong', file, problems }
+  }
   if (SETTINGS_FIELD.test(text) && !KIND_FIELD.test(text)) {
     const settings = loadSettings(text, file)
     return settings.ok ? { type: 'settings', file } : { type: 'wrong', file, problems: settings.failure }
--- /dev/null
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -0,0 +1,64 @@
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+
+import test from 'ava'
+import fc from 'fast-check'
+
+import { explainLogged, parseDecisionLog } from '../src/timeline/decisionLog.js'
+import { runCommand } from './runCommand.js'
+
+const line = (time: string, node: string, rest: string): string => `time=2026-08-23T15:35:${time}Z level=info node=${node} domain=hall-a ${rest}`
+
+const LOG = [
+  `  -3.1 edge-1 ${line('20.000', 'edge-1', 'event=store.lost reason="interrupted: no answer" silent_ms=6000')}`,
+  line('21.000', 'edge-2', 'event=store.lost reason="another node"'),
+  line('22.500', 'edge-2', 'event=request.sent request=long attempt=1 server=i-9 server_domain=hall-b helpers=i-1,i-2 expected_ms=900 due_in_ms=3990 configuration=3 servers_revision=40'),
+  line('23.000', 'edge-1', 'event=request.sent request=r1 attempt=1 server=i-1 server_domain=hall-b expected_ms=120 due_in_ms=301 configuration=3 servers_revision=41'),
+  line('24.300', 'edge-1', 'event=attempt.failed request=r1 server=i-1 end=silent reason="no byte for 1300 ms" after_ms=1300'),
+  line('24.301', 'edge-1', 'event=server.avoided server=i-1 service=lm evidence=bad'),
+  line('24.302', 'edge-1', 'event=request.sent request=r1 attempt=2 server=i-5 server_domain=hall-a expected_ms=110 due_in_ms=-1000 configuration=3 servers_revision=41'),
+  line('26.000', 'edge-1', 'event=request.ended request=r1 outcome=answered status=200 tokens_in=4100 servers=i-1,i-5 first_ms=1420 took_ms=3000 longest_pause_ms=140 problem="silent: no byte for 1300 ms"'),
+  line('27.000', 'edge-2', 'event=request.ended request=long outcome=answered status=200 tokens_in=377833 servers=i-9 first_ms=900 took_ms=4500')
+].join('\n')
+
+const told = explainLogged(parseDecisionLog(LOG), 'r1')
+
+test('the attempts of a request are told in order', (t) => {
+  t.is(told?.sentences.length, 4)
+  t.regex(told!.sentences[0]!, /node edge-1 sent it to i-1 in hall-b as attempt 1; it was due in 301 ms \(configuration 3, servers as of revision 41\)/)
+  t.regex(told!.sentences[1]!, /ended after 1300 ms as silent: no byte for 1300 ms\./)
+  t.regex(told!.sentences[3]!, /ended as answered with status 200 after 3000 ms\. .* after 1420 ms\. .* 140 ms\./)
+})
+
+test('what happened to its node and its servers is told beside it, and nothing of others', (t) => {
+  const meanwhile = told!.meanwhile.join('\n')
+  t.regex(meanwhile, /request long of 377833 tokens went to i-1 too/)
+  t.regex(meanwhile, /store\.lost on node edge-1 \(reason interrupted: no answer/)
+  t.regex(meanwhile, /server\.avoided on node edge-1/)
+  t.notRegex(meanwhile, /another node/)
+})
+
+test('a request that no line names is not explained', (t) => {
+  t.is(explainLogged(parseDecisionLog(LOG), 'r2'), null)
+})
+
+test('lines of other programs are passed over', (t) => {
+  fc.assert(fc.property(fc.array(fc.string()), (lines) => Array.isArray(parseDecisionLog(lines.join('\n')))), { seed: 3, numRuns: 500 })
+  t.is(parseDecisionLog(`something else\n${LOG}\n{"json":true}`).length, 9)
+})
+
+test('explain reads log files, and check reads the settings of the users’ platform', async (t) => {
+  const directory = mkdtempSync(join(tmpdir(), 'decision-log-'))
+  const log = join(directory, 'edge.log')
+  const settings = join(directory, 'local.toml')
+  writeFileSync(log, LOG)
+  writeFileSync(settings, 'node_name = "edge-1"\n[listen]\nready = "10.1.0.40:8220"\nfrontend = "nowhere"\n')
+  const explained = await runCommand(['explain', 'r1', '--log', log])
+  t.is(explained.exitCode, 0)
+  t.regex(explained.output, /as attempt 2/)
+  t.is((await runCommand(['explain', 'r2', '--log', log])).exitCode, 1)
+  const checked = await runCommand(['check', settings])
+  t.is(checked.exitCode, 1)
+  t.regex(checked.errors, /local\.toml:4: listen\.frontend cannot be used; allowed: must be IP:PORT/)
+})
