--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -11,6 +11,7 @@
 import { ServerCall } from './backend/ServerCall.js'
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
 import { RefusalCause, refuse } from './entry/refusals.js'
+import { RequestLog } from './RequestLog.js'
 import { Reservations } from './Reservations.js'
 import { ForwardOutcome } from './types.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
@@ -27,6 +28,7 @@
   protected readonly history: AttemptHistory
   protected failure: SignedFailure | null = null
   protected firstAnswerAt: Millis | null = null
+  readonly #log: RequestLog
   #attempts = 0
   #lastProblem = ''
   #over = false
@@ -40,6 +42,7 @@
    */
   constructor (protected readonly context: ForwardingContext, protected readonly call: AdmittedCall, protected readonly response: ServerResponse) {
     this.history = new AttemptHistory(call.route)
+    this.#log = new RequestLog(context, call)
   }
 
   /** Starts the first attempt. */
@@ -95,9 +98,7 @@
     this.#closeAttempt(attempt)
     this.#lastProblem = `${end}: ${reason}`
     const mayFollow = this.history.end(attempt.server.id, end)
-    this.context.log.warn('attempt.failed', {
-      request: this.call.id, server: attempt.server.id, end, reason, after_ms: Math.round(this.context.clock() - attempt.sentAt), helpers: attempt.choice.helpers.map(({ id }) => id).join(',') || undefined
-    })
+    this.#log.attemptFailed(attempt, end, reason)
     if (mayFollow && this.#mayGoOn(end)) this.#next()
     else this.#giveUp()
   }
@@ -106,7 +107,7 @@
     const { call, context } = this
     if (context.clock() >= call.endsAt) return false
     if (end === AttemptEnd.Unsent || context.dispatch.takeRetry(call.service.name)) return true
-    context.log.info('request.retry_budget_spent', { request: call.id, service: call.service.name })
+    this.#log.retryBudgetSpent()
     return false
   }
 
@@ -124,7 +125,7 @@
     const reservations = choice.holders.length === 0 ? null : new Reservations(work.id, choice.holders, this.context.memory, this.context.log)
     const attempt: OpenAttempt = { server: choice.server, work, sentAt: clock(), choice, reservations, call: null, isRead: false, head: null, answer: null }
     this.attempt = attempt
-    this.#log(choice)
+    this.#log.sent(choice, this.#attempts, this.lastEventId)
     if (reservations === null) this.#send(attempt)
     else void this.#reserveAndSend(attempt, reservations)
   }
@@ -135,7 +136,7 @@
       return this.context.dispatch.choose(this.call, this.history)
     } catch (error) {
       this.#lastProblem = 'the choice of a backend server failed'
-      this.context.log.error('request.choice_failed', { request: this.call.id, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+      this.#log.choiceFailed(error)
       return null
     }
   }
@@ -303,36 +304,14 @@
     const { call, context } = this
     const took = context.clock() - call.arrivedAt
     context.metrics.ended(call.route.kind, outcome, took)
-    context.log.info('request.ended', {
-      request: call.id,
+    this.#log.ended({
       outcome,
-      status: status === 0 ? undefined : status,
-      route: call.route.name,
-      service: call.service.name,
-      tokens_in: call.size.prompt || undefined,
-      most_tokens_out: call.size.mostAnswer || undefined,
-      urgency: call.urgency,
-      servers: this.history.servers().join(','),
-      first_ms: this.firstAnswerAt === null ? undefined : Math.round(this.firstAnswerAt - call.arrivedAt),
-      took_ms: Math.round(took),
-      ...this.summary(),
-      problem: this.#lastProblem || undefined
-    })
-  }
-
-  #log ({ server, helpers, firstEvent }: Choice): void {
-    const { call, context } = this
-    context.log.info('request.sent', {
-      request: call.id,
-      attempt: this.#attempts,
-      server: server.id,
-      server_domain: server.failureDomain,
-      helpers: helpers.map(({ id }) => id).join(',') || undefined,
-      expected_ms: Math.round(firstEvent),
-      due_in_ms: Math.round(call.dueAt - context.clock()),
-      configuration: context.knowledge.version,
-      servers_revision: context.knowledge.serversRevision,
-      resumes: this.lastEventId ?? undefined
+      status,
+      servers: this.history.servers(),
+      firstAnswer: this.firstAnswerAt === null ? null : this.firstAnswerAt - call.arrivedAt,
+      took,
+      problem: this.#lastProblem,
+      further: this.summary()
     })
   }
 }
