Name the known nodes to a new node at once, and to all others every ten seconds in place of two

Cause: at 70 nodes a list of 69 addresses went to 69 nodes every two seconds, most of the bytes between failure domains; each datagram also asked for a name lookup of a number.

--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -1,6 +1,6 @@
 /** Tells the other nodes of this node's work, and hears of theirs. */
 import { createSocket } from 'node:dgram'
-import type { RemoteInfo, Socket } from 'node:dgram'
+import type { RemoteInfo, Socket, SocketOptions } from 'node:dgram'
 import { once } from 'node:events'
 
 import { WorkChange } from '@bluebellhill/domain'
@@ -9,6 +9,7 @@
 import type { Knowledge } from '../Knowledge.js'
 import type { Log } from '../../log/index.js'
 import { PeerTable } from './PeerTable.js'
+import type { Peer } from './PeerTable.js'
 import { decodeState, encodeState } from './stateCodec.js'
 
 /** Interval at which a state is sent though nothing has changed. */
@@ -20,12 +21,17 @@
 /** How long changes are gathered before they are sent together: what takes a place is told at once, what frees one soon. */
 const GATHERING_TIMES: Readonly<Record<WorkChange, Millis>> = {
   [WorkChange.Begun]: 1,
-  [WorkChange.Read]: 30,
-  [WorkChange.Ended]: 60
+  [WorkChange.Read]: 60,
+  [WorkChange.Ended]: 120
 }
 
-/** Heartbeats between two that name the known nodes. */
-const HEARTBEATS_PER_INTRODUCTION = 4
+/** Heartbeats between two that name the known nodes; a node that is new is told at once. */
+const HEARTBEATS_PER_INTRODUCTION = 20
+
+const IP_VERSION = 4
+
+/** Addresses are numbers: nothing has to be looked up. */
+const numericOnly: SocketOptions['lookup'] = (host, _, answer) => answer(null, host, IP_VERSION)
 
 export interface PeerLinkOptions {
   readonly node: NodeId
@@ -51,7 +57,7 @@
 export class PeerLink {
   readonly table = new PeerTable()
   readonly #options: PeerLinkOptions
-  readonly #socket: Socket = createSocket('udp4')
+  readonly #socket: Socket = createSocket({ type: 'udp4', lookup: numericOnly })
   #sequence = 0
   #heartbeats = 0
   #pending: NodeJS.Timeout | null = null
@@ -80,8 +86,9 @@
 
   /** @throws Error where the port cannot be bound */
   async start (): Promise<void> {
+    const listening = once(this.#socket, 'listening')
     this.#socket.bind(this.#options.port, this.#options.host)
-    await once(this.#socket, 'listening')
+    await listening
     this.#heartbeat = setInterval(() => this.#beat(), HEARTBEAT_PERIOD)
     this.#beat()
   }
@@ -142,9 +149,19 @@
     this.#pendingUntil = Infinity
     if (this.#closed) return
     this.#sentAt = this.#options.clock()
+    const datagrams = this.#state(introducing)
+    for (const address of this.table.addresses()) for (const datagram of datagrams) this.#transmit(datagram, address)
+  }
+
+  #introduce (address: string): void {
+    if (this.#closed) return
+    for (const datagram of this.#state(true)) this.#transmit(datagram, address)
+  }
+
+  #state (introducing: boolean): Uint8Array[] {
     const { node, failureDomain, startedAt, work, knowledge, clock, isStoreLost } = this.#options
     this.#sequence += 1
-    const datagrams = encodeState({
+    return encodeState({
       node,
       startedAt,
       sequence: this.#sequence,
@@ -156,7 +173,6 @@
       peers: introducing ? this.table.heard().map(({ address }) => address) : [],
       failureDomain: introducing ? failureDomain : ''
     }, clock())
-    for (const address of this.table.addresses()) for (const datagram of datagrams) this.#transmit(datagram, address)
   }
 
   #transmit (datagram: Uint8Array, address: string): void {
@@ -167,7 +183,7 @@
   }
 
   #receive (datagram: Buffer, remote: RemoteInfo): void {
-    const { work, knowledge, log, clock, onAhead, onStoreLost, node } = this.#options
+    const { work, knowledge, clock, onAhead, onStoreLost, node } = this.#options
     const now = clock()
     const part = this.#decode(datagram, now)
     if (part === null || part.node === node) return
@@ -175,12 +191,17 @@
     if (heard === null) return
     work.hear(heard.peer.node, heard.works, now)
     this.named(part.peers)
-    if (heard.isNew) log.info('peer.found', { peer: heard.peer.node, address: heard.peer.address, started_at: heard.peer.startedAt })
+    if (heard.isNew) this.#found(heard.peer)
     const ahead = heard.peer.configurationVersion > knowledge.version || heard.peer.serversRevision > knowledge.serversRevision
     if (ahead) onAhead()
     if (heard.lostStore) onStoreLost()
   }
 
+  #found ({ node, address, startedAt }: Peer): void {
+    this.#options.log.info('peer.found', { peer: node, address, started_at: startedAt })
+    this.#introduce(address)
+  }
+
   #decode (datagram: Buffer, now: Millis): ReturnType<typeof decodeState> | null {
     try {
       return decodeState(datagram, now)
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -158,3 +158,28 @@
   t.is(second!.knowledge.version, DEPLOYMENT.version)
   t.is(second!.account.byRunner(clock()).of('i-1' as RunnerId).requests.length, 1)
 })
+
+test('a node that is new to another one learns of the others from it at once', async (t) => {
+  const log = silentLog()
+  const clock = (): number => performance.now()
+  const port = PORTS_FROM + (process.pid + 1) % PORT_COUNT
+  const links = await Promise.all(['127.0.0.3', '127.0.0.4', '127.0.0.5'].map(async (host, index) => {
+    const node = `n${index}` as NodeId
+    const knowledge = new Knowledge(log, clock)
+    const link = new PeerLink({
+      node, failureDomain: `d${index}`, host, port, startedAt: Date.now(), work: new FleetWork(node), knowledge, log, clock, onAhead: () => {}, isStoreLost: () => false, onStoreLost: () => {}
+    })
+    await link.start()
+    t.teardown(() => link.dispose())
+    return link
+  }))
+  const [first, second, third] = links
+  const until = clock() + 10_000
+  first!.named([`127.0.0.4:${port}`])
+  while (clock() < until && first!.table.heard().length < 1) await sleep(10)
+  third!.named([`127.0.0.4:${port}`])
+  while (clock() < until && links.some((link) => link.table.heard().length < 2)) await sleep(10)
+  t.deepEqual(links.map((link) => link.table.heard().length), [2, 2, 2])
+  t.is(third!.table.heard().find(({ node }) => node === 'n0')?.failureDomain, 'd0')
+  t.truthy(second)
+})
