--- a/packages/node/src/forward/store/StoreFollower.ts
+++ b/packages/node/src/forward/store/StoreFollower.ts
@@ -65,8 +65,9 @@
 /** Keeps the node's knowledge current as long as the store answers. */
 export class StoreFollower {
   readonly #options: StoreFollowerOptions
-  readonly #stop = new AbortController()
-  #doubt = new AbortController()
+  /** Ends the waits in progress: for a doubt, or for good. */
+  #interruption = new AbortController()
+  #stopped = false
   #doubtedAt: Millis = -Infinity
 
   /** @param options - the store, and what is kept current */
@@ -84,14 +85,19 @@
     const { clock, contact } = this.#options
     if (contact.isLost || clock() - this.#doubtedAt < DOUBT_PERIOD) return
     this.#doubtedAt = clock()
-    const ended = this.#doubt
-    this.#doubt = new AbortController()
-    ended.abort()
+    this.#interrupt()
   }
 
   /** Ends all waiting calls. */
   dispose (): void {
-    this.#stop.abort()
+    this.#stopped = true
+    this.#interrupt()
+  }
+
+  #interrupt (): void {
+    const ended = this.#interruption
+    this.#interruption = new AbortController()
+    ended.abort()
   }
 
   #configuration (): Subject {
@@ -134,18 +140,18 @@
   async #follow (subject: Subject): Promise<void> {
     let revision: number | null = null
     let delay = FIRST_RETRY_DELAY
-    while (!this.#stop.signal.aborted) {
-      const doubt = this.#doubt.signal
-      const next: Result<Progress, CallFailure> = revision === null ? await this.#list(subject) : await this.#watch(subject, revision, doubt)
-      if (this.#stop.signal.aborted) return
+    while (!this.#stopped) {
+      const interruption = this.#interruption.signal
+      const next: Result<Progress, CallFailure> = revision === null ? await this.#list(subject) : await this.#watch(subject, revision, interruption)
+      if (this.#stopped) return
       if (next.ok) {
         this.#options.contact.observe(next)
         revision = next.value.revision
         delay = FIRST_RETRY_DELAY
-        if (next.value.changed) await this.#rest(this.#options.isClose() ? CLOSE_PAUSE : DISTANT_PAUSE, doubt)
+        if (next.value.changed) await this.#rest(this.#options.isClose() ? CLOSE_PAUSE : DISTANT_PAUSE, interruption)
         continue
       }
-      if (doubt.aborted) continue
+      if (interruption.aborted) continue
       if (isGone(next.failure)) {
         this.#options.contact.observe(next)
         this.#options.log.info('store.history_lost', { prefix: subject.prefix, revision: revision ?? 0 })
@@ -176,18 +182,18 @@
     return { ok: true, value: { revision: first, changed: false } }
   }
 
-  async #watch ({ prefix, changed }: Subject, revision: number, doubt: AbortSignal): Promise<Result<Progress, CallFailure>> {
+  async #watch ({ prefix, changed }: Subject, revision: number, interruption: AbortSignal): Promise<Result<Progress, CallFailure>> {
     const { store, contact, clock } = this.#options
     const startedAt = clock()
     const wait = this.#watchWait(startedAt)
-    const seen = await store.watch(prefix, revision, wait, AbortSignal.any([this.#stop.signal, doubt]))
+    const seen = await store.watch(prefix, revision, wait, interruption)
     if (seen.ok) {
       for (const change of seen.value.changes) changed(change)
       return { ok: true, value: { revision: seen.value.revision, changed: seen.value.changes.length > 0 } }
     }
     const now = clock()
     // A watch that outlasted its wait says that the store may have been away all the time.
-    if (!doubt.aborted && !isGone(seen.failure)) contact.observe(seen, now - startedAt > wait ? startedAt : now)
+    if (!interruption.aborted && !isGone(seen.failure)) contact.observe(seen, now - startedAt > wait ? startedAt : now)
     return seen
   }
 
@@ -196,10 +202,9 @@
     return this.#options.isClose() ? CLOSE_WAIT : DISTANT_WAIT
   }
 
-  async #rest (pause: Millis, doubt: AbortSignal): Promise<void> {
-    const signal = AbortSignal.any([this.#stop.signal, doubt])
-    await sleep(pause, undefined, { signal }).catch((error: unknown) => {
-      if (!signal.aborted) throw error
+  async #rest (pause: Millis, interruption: AbortSignal): Promise<void> {
+    await sleep(pause, undefined, { signal: interruption }).catch((error: unknown) => {
+      if (!interruption.aborted) throw error
     })
   }
 
