--- a/packages/soak/tests/tcpProxy.test.ts
+++ b/packages/soak/tests/tcpProxy.test.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events'
 import { connect, createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
@@ -11,9 +11,9 @@
 const HOST = '127.0.0.1'
 const PROXY_HOST = '127.0.0.9'
 
-/** A server that sends back what it gets, behind a proxy on the same port of another address. */
-const echo = async (t: ExecutionContext): Promise<{ proxy: TcpProxy, port: number }> => {
-  const server = createServer((socket) => socket.on('error', () => {}).pipe(socket))
+/** A server behind a proxy on the same port of another address. */
+const behindProxy = async (t: ExecutionContext, serve: (socket: Socket) => void): Promise<{ proxy: TcpProxy, port: number }> => {
+  const server = createServer((socket) => serve(socket.on('error', () => {})))
   server.listen(0, HOST)
   await once(server, 'listening')
   const { port } = server.address() as AddressInfo
@@ -26,6 +26,8 @@
   return { proxy, port }
 }
 
+const echo = (socket: Socket): void => { socket.pipe(socket) }
+
 const open = (port: number): { socket: ReturnType<typeof connect>, text: () => string } => {
   let text = ''
   const socket = connect({ host: PROXY_HOST, port, noDelay: true }).on('error', () => {})
@@ -40,7 +42,7 @@
 }
 
 test('pieces keep their order when a delay begins and ends', async (t) => {
-  const { proxy, port } = await echo(t)
+  const { proxy, port } = await behindProxy(t, echo)
   const { socket, text } = open(port)
   for (let index = 0; index < 40; index += 1) {
     if (index % 5 === 0) proxy.setMode(index % 10 === 0 ? LinkMode.Delayed : LinkMode.Open)
@@ -52,7 +54,7 @@
 })
 
 test('a silent link passes nothing and ends nothing, and is reset when it is mended', async (t) => {
-  const { proxy, port } = await echo(t)
+  const { proxy, port } = await behindProxy(t, echo)
   const { socket, text } = open(port)
   socket.write('a')
   t.true(await eventually(() => text() === 'a'))
@@ -67,19 +69,10 @@
 
 test('a one-way link passes requests and holds answers back', async (t) => {
   const received: string[] = []
-  const server = createServer((socket) => socket.on('error', () => {}).on('data', (piece) => {
+  const { proxy, port } = await behindProxy(t, (socket) => socket.on('data', (piece) => {
     received.push(String(piece))
     socket.write('answer')
   }))
-  server.listen(0, HOST)
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  const proxy = new TcpProxy(HOST, port)
-  await proxy.start(PROXY_HOST, port)
-  t.teardown(() => {
-    proxy.dispose()
-    server.close()
-  })
   proxy.setMode(LinkMode.OneWay)
   const { socket, text } = open(port)
   socket.write('request')
