Six red tests: a key is free before its refusal is sent; a stopping node delivers slow answers; three tests and the soak waited for the wrong moment

Causes - Key: KeyedRequestRunner wrote the refusal to the caller before the store had the release of the key, so that a caller who returned at once through another node found it claimed (409). The refusal now waits for the release, one second at most. The new test fails without it: 'in_progress' in place of 'claimed'. - Stopping node: http.Server.close and closeIdleConnections destroy a connection whose response has ended although its bytes are not written yet. Found while tracing 'a stopping node closes an idle connection': the new test with a slow reader fails on the old code with ECONNRESET. Connections are now closed when nothing is left to receive or send. The listed test itself read 'complete' before the client, in the same process, could parse the end: it waits for the end event, which a cut answer lacks. - 'when the caller disconnects': the caller left after 100 ms, under load before the request had reached the server. It leaves when the server has the request. - 'an answer is returned as the backend server gave it': its deadline of 900 ms makes the node give up after 450 ms; on a route with 30 s it does not depend on the load. - Forwarding fixture: ports are no longer chosen before they are bound.

--- a/packages/domain/src/idempotency/IdempotencyRegister.ts
+++ b/packages/domain/src/idempotency/IdempotencyRegister.ts
@@ -77,6 +77,7 @@
       case 'conclude': {
         const entry = this.#entries.get(event.key)
         if (entry?.token === event.token && entry.phase === EntryPhase.Held) this.#conclude(entry, event.conclusion)
+        else if (entry?.token !== event.token) this.#effects.push({ type: 'concluded', token: event.token })
         return
       }
       case 'written':
@@ -179,6 +180,7 @@
   #removeConcluded (entry: KeyEntry): void {
     const { key } = entry.request
     this.#entries.delete(key)
+    this.#effects.push({ type: 'concluded', token: entry.token })
     if (entry.nextRecord !== null) return this.#cache.add(key, entry.nextRecord)
     const [next, ...others] = entry.callers
     if (next !== undefined) this.#addEntry(next.request).callers.push(...others)
@@ -188,7 +190,9 @@
   #removeSuperseded (entry: KeyEntry, record: KeyRecord): void {
     const { key } = entry.request
     this.#entries.delete(key)
-    if (entry.phase !== EntryPhase.Claiming) this.#effects.push({ type: 'report_taken', key, owner: record.owner })
+    if (entry.phase !== EntryPhase.Claiming) {
+      this.#effects.push({ type: 'report_taken', key, owner: record.owner }, { type: 'concluded', token: entry.token })
+    }
     if (record.state !== KeyState.Claimed) this.#cache.add(key, record)
     this.#answerCallers(entry, record)
   }
--- a/packages/domain/src/idempotency/types.ts
+++ b/packages/domain/src/idempotency/types.ts
@@ -103,6 +103,8 @@
   /** Write all keys in one transaction, or read all of them if one does not have the expected revision. */
   | { readonly type: 'write', readonly batch: number, readonly writes: readonly KeyWrite[] }
   | { readonly type: 'answer', readonly token: ClaimToken, readonly result: ClaimResult }
+  /** The conclusion of a claim is in the store, or can no longer be written there. */
+  | { readonly type: 'concluded', readonly token: ClaimToken }
   /** A claim of this node is missing in the store. The store must have been restored to an older state. */
   | { readonly type: 'report_missing', readonly key: KeyDigest }
   /** The store has another claim in place of this node's claim. */
--- a/packages/node/src/edge/AdmittedRequestExecutor.ts
+++ b/packages/node/src/edge/AdmittedRequestExecutor.ts
@@ -2,7 +2,7 @@
 import { Ran } from '@bluebellhill/domain'
 import type { Outcome } from '@bluebellhill/domain'
 
-import type { ReplayableAnswer } from '../requests/Answer.js'
+import type { Answer, ReplayableAnswer } from '../requests/Answer.js'
 import type { KeyedRequestRunner } from '../requests/KeyedRequestRunner.js'
 import type { AttemptSource } from '../requests/ports.js'
 import type { RequestHost, StartedRequest } from '../requests/RequestHost.js'
@@ -37,8 +37,8 @@
    */
   async run (request: AdmittedRequest): Promise<void> {
     let usedTokens = 0
-    const start = async (cancelOnDisconnect: boolean): Promise<Outcome> => {
-      const { session, finished } = this.#start(request, cancelOnDisconnect)
+    const start = async (answer: Answer, cancelOnDisconnect: boolean): Promise<Outcome> => {
+      const { session, finished } = this.#start(request, answer, cancelOnDisconnect)
       const outcome = await finished
       usedTokens = outcome.ran === Ran.No ? 0 : request.spec.promptTokens + session.generated
       return outcome
@@ -50,17 +50,17 @@
     }
   }
 
-  async #runOrReplay ({ spec, call, answer, identity }: AdmittedRequest, start: (cancelOnDisconnect: boolean) => Promise<Outcome>): Promise<void> {
+  async #runOrReplay ({ spec, call, answer, identity }: AdmittedRequest, start: (answer: Answer, cancelOnDisconnect: boolean) => Promise<Outcome>): Promise<void> {
     const key = readIdempotencyKey(call.request.headers)
-    if (key === null || spec.idempotent) await start(true)
-    else await this.#keyedRequestRunner.run({ spec, key, identity, answer, run: async () => await start(false) })
+    if (key === null || spec.idempotent) await start(answer, true)
+    else await this.#keyedRequestRunner.run({ spec, key, identity, answer, run: async (receiver) => await start(receiver, false) })
   }
 
   /**
    * Starts a request. A request that runs under an idempotency key continues when the caller disconnects, since the caller can
    * repeat the call and get the result. Any other request is cancelled.
    */
-  #start ({ spec, call, answer, source }: AdmittedRequest, cancelOnDisconnect: boolean): StartedRequest {
+  #start ({ spec, call, source }: AdmittedRequest, answer: Answer, cancelOnDisconnect: boolean): StartedRequest {
     const started = this.#requests.start(spec, answer, source)
     if (cancelOnDisconnect) call.response.on('close', () => started.session.post({ type: 'caller_gone' }))
     return started
--- /dev/null
+++ b/packages/node/src/forward/entry/CallerConnections.ts
@@ -0,0 +1,43 @@
+/** Tracks the connections of callers, so that a stopping node closes only those on which nothing is left to receive or send. */
+import type { ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+
+interface CallerConnection {
+  openResponses: number
+  /** Value of `socket.bytesRead` when the last request was answered; further bytes belong to the next request. */
+  bytesAnswered: number
+}
+
+/** Open connections of callers, with the number of responses that are not written completely. */
+export class CallerConnections {
+  readonly #connections = new Map<Socket, CallerConnection>()
+
+  /** Adds a connection until it is closed. */
+  add (socket: Socket): void {
+    this.#connections.set(socket, { openResponses: 0, bytesAnswered: 0 })
+    socket.once('close', () => this.#connections.delete(socket))
+  }
+
+  /**
+   * Marks the connection of a response as busy until the response is written to the operating system.
+   *
+   * @param socket - connection of the request
+   * @param response - its response
+   */
+  track (socket: Socket, response: ServerResponse): void {
+    const connection = this.#connections.get(socket)
+    if (connection === undefined) return
+    connection.openResponses += 1
+    response.once('close', () => {
+      connection.openResponses -= 1
+      connection.bytesAnswered = socket.bytesRead
+    })
+  }
+
+  /** Closes the connections that have no open response and receive no request. */
+  closeIdle (): void {
+    for (const [socket, { openResponses, bytesAnswered }] of this.#connections) {
+      if (openResponses === 0 && socket.bytesRead === bytesAnswered) socket.destroy()
+    }
+  }
+}
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -2,7 +2,8 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { once } from 'node:events'
-import type { Socket } from 'node:net'
+import { Server as TcpServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 
 import { CallKind } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
@@ -12,6 +13,7 @@
 import type { ForwardingContext } from '../types.js'
 import { PlainForwarding } from '../PlainForwarding.js'
 import { StreamForwarding } from '../StreamForwarding.js'
+import { CallerConnections } from './CallerConnections.js'
 import { acceptHead, admit, readCallerBody } from './admit.js'
 import { RefusalCause, refuse } from './refusals.js'
 
@@ -32,6 +34,7 @@
   readonly #server: Server
   readonly #context: ForwardingContext
   readonly #openResponses = new Set<ServerResponse>()
+  readonly #connections = new CallerConnections()
   #stoppedAt: Millis | null = null
 
   /** @param context - objects that all requests share */
@@ -40,6 +43,7 @@
     this.#server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_PERIOD, requestTimeout: 0, noDelay: true }, (request, response) => {
       void this.#serve(request, response)
     })
+    this.#server.on('connection', (socket) => this.#connections.add(socket))
     context.fleetState.onChange(() => this.#applyLimits())
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => answerMalformedRequest(error, socket))
   }
@@ -49,9 +53,14 @@
     return this.#openResponses.size
   }
 
-  async start ({ host, port }: SocketAddress): Promise<void> {
+  /**
+   * @param address - address to listen at; port 0 selects a free port
+   * @returns the port
+   */
+  async start ({ host, port }: SocketAddress): Promise<number> {
     this.#server.listen(port, host)
     await once(this.#server, 'listening')
+    return (this.#server.address() as AddressInfo).port
   }
 
   /**
@@ -63,8 +72,10 @@
     this.#stoppedAt = this.#context.clock()
     for (const response of this.#openResponses) closeConnectionAfter(response)
     const closed = once(this.#server, 'close')
-    this.#server.close()
-    const idleSweep = setInterval(() => this.#server.closeIdleConnections(), IDLE_SWEEP_PERIOD)
+    // http.Server.close() would also reset connections whose answer has ended but is not written to the socket yet.
+    TcpServer.prototype.close.call(this.#server)
+    this.#connections.closeIdle()
+    const idleSweep = setInterval(() => this.#connections.closeIdle(), IDLE_SWEEP_PERIOD)
     const forcedClose = setTimeout(() => this.#server.closeAllConnections(), grace)
     await closed
     clearInterval(idleSweep)
@@ -81,6 +92,7 @@
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = this.#context.clock()
     this.#openResponses.add(response)
+    this.#connections.track(request.socket, response)
     response.once('close', () => { this.#openResponses.delete(response) })
     if (this.#stoppedAt !== null) closeConnectionAfter(response)
     const cause = await this.#forward(request, response, arrivedAt)
--- a/packages/node/src/idempotency/IdempotencyService.ts
+++ b/packages/node/src/idempotency/IdempotencyService.ts
@@ -58,9 +58,11 @@
   readonly #register: IdempotencyRegister
   readonly #recordLeases: RecordLeases
   readonly #resultCallbacks = new Map<ClaimToken, (result: ClaimResult) => void>()
+  readonly #conclusionCallbacks = new Map<ClaimToken, () => void>()
   readonly #tickTimer: NodeJS.Timeout
   #registerTimer: NodeJS.Timeout | null = null
   #isAvailable: boolean | null = null
+  #isDisposed = false
 
   constructor (options: IdempotencyServiceOptions) {
     this.#options = options
@@ -115,8 +117,27 @@
     this.#handle({ type: 'conclude', key: claim.key, token: claim.token, conclusion: omitLongAnswer(conclusion) })
   }
 
+  /**
+   * Releases the key of a request that has not run, so that the caller may use it again.
+   *
+   * @param claim - the claim that `claim` returned
+   * @param limit - longest time to wait for the store
+   * @returns whether the key is free in the store; if not, its release is written later
+   */
+  async release (claim: Claim, limit: Millis): Promise<boolean> {
+    return await new Promise((resolve) => {
+      const timer = setTimeout(() => this.#endWait(claim.token, () => resolve(false)), limit)
+      this.#conclusionCallbacks.set(claim.token, () => {
+        clearTimeout(timer)
+        resolve(true)
+      })
+      this.conclude(claim, { type: 'not_run' })
+    })
+  }
+
   /** Stops the timers. Outcomes that are not yet written remain unknown to other nodes. */
   dispose (): void {
+    this.#isDisposed = true
     clearInterval(this.#tickTimer)
     if (this.#registerTimer !== null) clearTimeout(this.#registerTimer)
   }
@@ -141,16 +162,24 @@
       case 'answer':
         this.#resultCallbacks.get(effect.token)?.(effect.result)
         return void this.#resultCallbacks.delete(effect.token)
+      case 'concluded':
+        return this.#endWait(effect.token, this.#conclusionCallbacks.get(effect.token))
       case 'report_missing':
         return report({ type: 'claim_missing', key: effect.key })
       case 'report_taken':
         return report({ type: 'claim_taken', key: effect.key, owner: effect.owner })
       case 'set_timer':
+        if (this.#isDisposed) return
         if (this.#registerTimer !== null) clearTimeout(this.#registerTimer)
         this.#registerTimer = setTimeout(() => this.#handle({ type: 'ticked' }), Math.max(0, Math.ceil(effect.at - clock())))
     }
   }
 
+  #endWait (token: ClaimToken, callback: (() => void) | undefined): void {
+    this.#conclusionCallbacks.delete(token)
+    callback?.()
+  }
+
   async #write (batch: number, writes: readonly KeyWrite[]): Promise<void> {
     const lease = await this.#recordLeases.current()
     if (!lease.ok) return this.#handleFailure(batch, lease.failure, false)
--- a/packages/node/src/requests/KeyedRequestRunner.ts
+++ b/packages/node/src/requests/KeyedRequestRunner.ts
@@ -6,10 +6,14 @@
 import { monotonicNow } from '../clock/monotonic.js'
 import type { Claim, IdempotencyService, KeyedResult } from '../idempotency/index.js'
 import type { TimeLine } from '../timeline/index.js'
-import type { ReplayableAnswer } from './Answer.js'
+import type { Answer, ReplayableAnswer } from './Answer.js'
+import { HeldRefusalAnswer } from './HeldRefusalAnswer.js'
 
 const NO_STORE_RETRY_AFTER_MS = 5_000
 
+/** Longest time that a refusal waits until its key is released; a store that answers writes the release well within it. */
+const RELEASE_WAIT_MS = 1_000
+
 /** A request with its idempotency key. */
 export interface KeyedCall {
   readonly spec: RequestSpec
@@ -18,8 +22,8 @@
   /** Content that must be equal when the key is used again; another content is a conflict. */
   readonly identity: Buffer
   readonly answer: ReplayableAnswer
-  /** Runs the request to its final result; called at most once. */
-  readonly run: () => Promise<Outcome>
+  /** Runs the request to its final result, which it writes to the given answer; called at most once. */
+  readonly run: (answer: Answer) => Promise<Outcome>
 }
 
 /** Runs the request of each idempotency key at most once in the fleet. */
@@ -64,8 +68,12 @@
   }
 
   async #runClaimed (idempotency: IdempotencyService, { run, answer }: KeyedCall, claim: Claim): Promise<void> {
-    const outcome = await run()
-    if (outcome.ran === Ran.No) return idempotency.conclude(claim, { type: 'not_run' })
+    const heldRefusal = new HeldRefusalAnswer(answer)
+    const outcome = await run(heldRefusal)
+    if (outcome.ran === Ran.No) {
+      await idempotency.release(claim, RELEASE_WAIT_MS)
+      return heldRefusal.sendRefusal()
+    }
     if (outcome.ran === Ran.Unknown) return idempotency.conclude(claim, { type: 'unknown' })
     const text = outcome.kind === OutcomeKind.Answered ? answer.recorded() : null
     idempotency.conclude(claim, { type: 'done', outcome: { kind: outcome.kind, ran: outcome.ran, answer: text } })
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -34,6 +34,7 @@
 
 const ROUTES: readonly Route[] = [
   { name: 'safe', kind: CallKind.Safe, maxAttempts: 2 },
+  { name: 'patient', kind: CallKind.Safe, maxAttempts: 2, timeout: 30_000 },
   { name: 'unsafe', kind: CallKind.Unsafe, maxAttempts: 2 },
   { name: 'stream', kind: CallKind.Stream, maxAttempts: 2, resumable: true },
   { name: 'once', kind: CallKind.Stream, maxAttempts: 2, resumable: false }
@@ -84,13 +85,12 @@
     const fixture = new ForwardFixture()
     for (const [index, script] of scripts.entries()) await fixture.#addServer(`e${index}`, script)
     if (scripts.length > 0) fixture.fleetState.install(DEPLOYMENT, 'store')
-    fixture.#port = await freePort()
-    await fixture.entry.start({ host: '127.0.0.1', port: fixture.#port })
+    fixture.#port = await fixture.entry.start({ host: '127.0.0.1', port: 0 })
     t.teardown(() => fixture.dispose())
     return fixture
   }
 
-  async call (path: string, options: { method?: string, headers?: Record<string, string>, body?: string, disconnectAfter?: number } = {}): Promise<Answer> {
+  async call (path: string, options: { method?: string, headers?: Record<string, string>, body?: string, disconnection?: AbortSignal } = {}): Promise<Answer> {
     const request = httpRequest({
       host: '127.0.0.1',
       port: this.#port,
@@ -99,7 +99,7 @@
       agent: false,
       headers: { host: HOST, authorization: `Bearer ${KEY}`, [HeaderName.AttemptId]: `a${this.#nextAttemptId++}`, ...options.headers }
     })
-    if (options.disconnectAfter !== undefined) setTimeout(() => request.destroy(), options.disconnectAfter)
+    options.disconnection?.addEventListener('abort', () => request.destroy())
     request.end(options.body ?? 'body')
     return await receiveAnswer(request)
   }
@@ -156,13 +156,3 @@
     response.on('close', finish)
   })
 })
-
-const freePort = async (): Promise<number> => {
-  const server = createServer()
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  await once(server, 'close')
-  return port
-}
--- a/packages/node/tests/forwarding.test.ts
+++ b/packages/node/tests/forwarding.test.ts
@@ -27,13 +27,14 @@
 test('an answer is returned as the backend server gave it', async (t) => {
   const server = recordRequests(answers)
   const fixture = await ForwardFixture.start(t, server.script)
-  const answer = await fixture.call('/safe/x?q=1', { headers: { 'x-own': '1', [HeaderName.Deadline]: '900' } })
+  const answer = await fixture.call('/patient/x?q=1', { headers: { 'x-own': '1', [HeaderName.Deadline]: '29000' } })
   t.like(answer, { status: 200, body: 'answer', whole: true })
   t.is(answer.headers[HeaderName.Signature], 'signature')
   const [call] = server.calls
-  t.is(call?.url, '/safe/x?q=1')
+  t.is(call?.url, '/patient/x?q=1')
   t.like(call?.headers, { 'x-own': '1', [HeaderName.Organisation]: 'growers', [HeaderName.ExpectedServer]: 'e0', authorization: undefined })
-  t.true(Number(call?.headers[HeaderName.Deadline]) <= 900)
+  t.true(Number(call?.headers[HeaderName.Deadline]) <= 29_000)
+  t.true(Number(call?.headers[HeaderName.Deadline]) > 0)
 })
 
 test('a safe request is sent to another server after a failure', async (t) => {
@@ -142,9 +143,14 @@
 })
 
 test('when the caller disconnects, the connection to the backend server is closed', async (t) => {
+  const disconnection = new AbortController()
   let closed: Promise<unknown> | null = null
-  const fixture = await ForwardFixture.start(t, (_, __, socket) => { closed = once(socket, 'close') })
-  await t.throwsAsync(fixture.call('/safe/x', { disconnectAfter: 100 }))
+  const fixture = await ForwardFixture.start(t, (_, __, socket) => {
+    closed = once(socket, 'close')
+    disconnection.abort()
+  })
+  await t.throwsAsync(fixture.call('/patient/x', { disconnection: disconnection.signal }))
+  t.truthy(closed)
   await closed
   t.is(fixture.entry.openRequests, 0)
 })
@@ -204,13 +210,35 @@
   }
   const [long, short] = await Promise.all([open('/stream/long'), open('/stream/short')])
   const shortClosed = once(short.socket, 'close')
+  // The server has closed the connection before the client, in the same process, has read the last bytes.
+  const longEnded = once(long, 'end')
   const stopped = fixture.entry.stop(5_000)
   await shortClosed
   t.false(long.complete)
   await stopped
+  await longEnded
   t.true(long.complete)
 })
 
+test('a stopping node delivers an answer that its caller reads slowly', async (t) => {
+  const body = 'x'.repeat(16 * 1024 * 1024)
+  const fixture = await ForwardFixture.start(t, (request, response) => {
+    response.writeHead(200, { ...signedHeaders(request), 'content-length': body.length }).end(body)
+  })
+  const agent = new Agent({ keepAlive: true })
+  t.teardown(() => agent.destroy())
+  const request = httpRequest({ agent, host: '127.0.0.1', port: fixture.port, path: '/patient/x', headers: { host: HOST, authorization: `Bearer ${KEY}`, [HeaderName.AttemptId]: 'a' } })
+  request.end()
+  const [response] = await once(request, 'response') as [IncomingMessage]
+  const stopped = fixture.entry.stop(20_000)
+  await sleep(700)
+  let received = 0
+  for await (const chunk of response) received += (chunk as Buffer).length
+  t.is(received, body.length)
+  t.true(response.complete)
+  await stopped
+})
+
 test('keys of callers are not logged', async (t) => {
   const fixture = await ForwardFixture.start(t, answers)
   await fixture.call('/safe/x')
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -1,9 +1,11 @@
 /** Draws a series of faults that overlap, each of which ends before the faults are over. */
+import { get } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 
+import { READINESS_PATH } from '@bluebellhill/platform'
 import { BackendFault, StoreMode } from '@bluebellhill/platform-standin'
 
-import { FAULTS_FROM_MS, FAULTS_UNTIL_MS, KEPT_KEY, REMOVED_KEY, STOP_GRACE_S } from './constants.js'
+import { FAULTS_FROM_MS, FAULTS_UNTIL_MS, KEPT_KEY, PORT, REMOVED_KEY, STOP_GRACE_S } from './constants.js'
 import type { Fleet, FleetNode, Server } from './Fleet.js'
 import type { Random } from './Random.js'
 import { LinkMode } from './TcpProxy.js'
@@ -17,9 +19,14 @@
 const SHORTEST_MS = 300
 const LONGEST_MS = 2_500
 
-/** How long a node that started again, or went on, may take until it is held to its promises. */
+/** Time after a node is ready again from which it is held to its promises. */
 const NODE_RECOVERY_MS = 1_500
 
+/** Time within which a node that was started or resumed must be ready; the platform sends it no callers before. */
+const READY_LIMIT_MS = 10_000
+
+const READY_CHECK_PERIOD_MS = 50
+
 /** How long entries of crashed servers stay. */
 const LEASE_MS = 1_500
 
@@ -27,6 +34,26 @@
 
 type Fault = (fleet: Fleet, random: Random, lasts: number) => { readonly name: string, readonly run: () => Promise<void> }
 
+/** Waits until a node reports that it is ready, or until the limit has passed: it is then held to its promises although it is not. */
+const untilReady = async ({ host }: FleetNode): Promise<void> => {
+  const until = performance.now() + READY_LIMIT_MS
+  while (performance.now() < until) {
+    if (await isReady(host)) return
+    await sleep(READY_CHECK_PERIOD_MS)
+  }
+}
+
+const isReady = async (host: string): Promise<boolean> => await new Promise((resolve) => {
+  const request = get({ host, port: PORT.readiness, path: READINESS_PATH, agent: false, timeout: READY_LIMIT_MS }, (response) => {
+    response.resume()
+    resolve(response.statusCode === OK)
+  })
+  request.once('timeout', () => request.destroy())
+  request.once('error', () => resolve(false))
+})
+
+const OK = 200
+
 const nodeFault = (name: string, act: (node: FleetNode, lasts: number) => Promise<void>): Fault => (fleet, random, lasts) => {
   const node = random.pick(fleet.nodes)
   return {
@@ -35,6 +62,7 @@
       if (!node.process.isRunning) return
       const outage = node.process.beginOutage()
       await act(node, lasts)
+      await untilReady(node)
       outage.until = performance.now() + NODE_RECOVERY_MS
     }
   }
