A stream whose silence the account explains is not cut; a placement that makes callers leave costs more than lateness

The streams there were cut, read again elsewhere (501,460 tokens), and 93 requests ended as lost; and a caller whose pause exceeds two seconds leaves, which the placement counted as lateness. Ruled out: overload (engines served all their time, but 15 engines of 7 places had at most 60 requests in two seconds), dead engines (the silence began on several at one moment). Change: when the timeout of an attempt ends, it waits on while the known prefills of its engine explain the silence; a delay beyond the pause or wait after which a caller leaves costs the request's value and a loss that does not depend on its length. Tests: the new pattern fails on the old code (a segment on an engine with short answers).

--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -1,10 +1,11 @@
 /** Predicts prefill and pass times of one engine, and the loss that another request there would cause to those it has. */
 import type { Millis, Tokens } from '../types.js'
-import { FURTHER_LOSS_PER_SECOND, LATE_LOSS_SHARE, USABLE_OBJECTIVE_SHARE, SHARED_MEMORY_SHARE, VALUE_EXPONENT, VALUE_UNIT_TOKENS } from './placementConstants.js'
+import { DISCONNECT_LOSS, FURTHER_LOSS_PER_SECOND, LATE_LOSS_SHARE, USABLE_OBJECTIVE_SHARE, SHARED_MEMORY_SHARE, VALUE_EXPONENT, VALUE_UNIT_TOKENS } from './placementConstants.js'
 import type { EngineTimingModel } from './EngineTimingModel.js'
 import type { ServerLoad, Assignment } from './FleetAssignments.js'
 import type { Candidate } from './PlacementPolicy.js'
 import type { PendingPrefill } from './PrefillQueue.js'
+import { callerPauseTolerance, callerWaitTime } from './streamTimeouts.js'
 import type { BackendServer } from './types.js'
 
 const MS_PER_SECOND = 1_000
@@ -123,6 +124,7 @@
     for (const { assignment, remaining } of this.#pendingPrefills) {
       prefilledIn += remaining * this.#slowdown
       addLoss(losses, assignment, safeDueTime(assignment) - this.#now - prefilledIn, delay)
+      addDisconnectLoss(losses, assignment, leavingTime(assignment) - this.#now - prefilledIn, delay)
     }
   }
 
@@ -141,6 +143,7 @@
     const expectedPause = this.passTime + this.pendingPrefill
     for (const assignment of this.#decoding) {
       if (assignment.pauseObjective !== null) addLoss(losses, assignment, assignment.pauseObjective * USABLE_OBJECTIVE_SHARE - expectedPause, delay)
+      addDisconnectLoss(losses, assignment, callerPauseTolerance(assignment.pauseObjective) * USABLE_OBJECTIVE_SHARE - expectedPause, delay)
     }
   }
 }
@@ -148,6 +151,14 @@
 /** Due time with a safety margin, so that a prediction error does not make the first event late. */
 const safeDueTime = ({ sentAt, dueAt }: Assignment): Millis => sentAt + USABLE_OBJECTIVE_SHARE * (dueAt - sentAt)
 
+/** Time at which the caller disconnects unless the first event has arrived, with the same margin as the due time. */
+const leavingTime = ({ sentAt, dueAt }: Assignment): Millis => sentAt + USABLE_OBJECTIVE_SHARE * callerWaitTime(dueAt - sentAt)
+
+/** Adds the loss of a request whose caller would wait without the delay and disconnects because of it. */
+const addDisconnectLoss = (losses: LossByRequest, { id, prompt }: Assignment, slack: Millis, delay: Millis): void => {
+  if (slack > 0 && delay > slack) losses.set(id, Math.max(losses.get(id) ?? 0, requestValue(prompt) + DISCONNECT_LOSS))
+}
+
 /** Adds the loss of a request if `delay` exceeds its slack; the loss of a request that is late already grows with the delay. */
 const addLoss = (losses: LossByRequest, { id, prompt }: Assignment, slack: Millis, delay: Millis): void => {
   if (delay <= slack) return
--- a/packages/domain/src/forwarding/placementConstants.ts
+++ b/packages/domain/src/forwarding/placementConstants.ts
@@ -16,6 +16,12 @@
 /** Share of a request's value that is lost if it is late. */
 export const LATE_LOSS_SHARE = 0.75
 
+/**
+ * Loss of a caller who disconnects because an answer stalls, in addition to the value of the request. It does not depend on the
+ * prompt: a caller without an answer is worse off than one with a late answer, however short the prompt.
+ */
+export const DISCONNECT_LOSS = 1
+
 /** Exponent of the value of a prompt as a function of its length. */
 export const VALUE_EXPONENT = 0.75
 
--- a/packages/domain/src/forwarding/streamTimeouts.ts
+++ b/packages/domain/src/forwarding/streamTimeouts.ts
@@ -41,6 +41,13 @@
  */
 export const callerWaitTime = (objective: Millis): Millis => Math.max(MIN_CALLER_WAIT, CALLER_WAIT_FIRST_EVENT_FACTOR * objective)
 
+/**
+ * @param pauseObjective - longest pause that keeps the answer on time; null if the route sets none
+ * @returns the pause between two events after which the caller disconnects
+ */
+export const callerPauseTolerance = (pauseObjective: Millis | null): Millis =>
+  Math.max(MIN_CALLER_WAIT, CALLER_WAIT_NEXT_EVENT_FACTOR * (pauseObjective ?? MIN_TIMEOUT))
+
 /**
  * @param expectations - predictions and objectives of the stream
  * @returns longest time without data before the first event
@@ -56,6 +63,5 @@
  */
 export const nextEventTimeout = ({ pauseObjective, reading: prefillTime }: StreamExpectations): Millis => {
   const pause = pauseObjective ?? MIN_TIMEOUT
-  const callerWait = Math.max(MIN_CALLER_WAIT, CALLER_WAIT_NEXT_EVENT_FACTOR * pause)
-  return Math.min(MIN_TIMEOUT + PAUSE_FACTOR * pause + prefillTime, MAX_CALLER_WAIT_SHARE * callerWait)
+  return Math.min(MIN_TIMEOUT + PAUSE_FACTOR * pause + prefillTime, MAX_CALLER_WAIT_SHARE * callerPauseTolerance(pauseObjective))
 }
--- a/packages/domain/tests/lengthAwarePlacement.test.ts
+++ b/packages/domain/tests/lengthAwarePlacement.test.ts
@@ -179,3 +179,11 @@
   t.is(lossAt(0.8), 0)
   t.true(lossAt(0.95) > 0)
 })
+
+test('pattern: a prompt that would stall every short answer beyond the patience of its caller is read by the engines without them', (t) => {
+  const fleet = new TestFleet(engines(15))
+  for (let index = 0; index < 36; index += 1) fleet.assignDecoding(SHORT, 0, `e${index % 11}`)
+  const choice = fleet.choose({ ...LONG, prompt: 700_000, objective: 4_000 }, 10)
+  const used = [choice?.server, ...choice?.helpers ?? []].map((one) => one?.id ?? '')
+  t.deepEqual(used.filter((id) => enginesWithShortAnswers(fleet).has(id)), [])
+})
--- a/packages/node/src/forward/FleetDispatch.ts
+++ b/packages/node/src/forward/FleetDispatch.ts
@@ -25,7 +25,7 @@
   readonly nodeCount: () => number
 }
 
-/** Pending prefill time of an engine above which a timeout is not counted as its fault. */
+/** Pending prefill time of an engine above which its silence is not a fault. */
 const BUSY_PREFILL_TIME: Millis = 200
 
 /** Nodes use only this share of the allowed retries, because they count requests at different moments. */
@@ -153,10 +153,15 @@
     else if (this.#domainReachability.recordFailure(failureDomain, id, clock())) log.warn('domain.avoided', { server_domain: failureDomain, server: id, service })
   }
 
-  /** @returns whether an engine has so much pending prefill that a timeout does not indicate a fault */
-  isPrefilling ({ id }: BackendServer): boolean {
-    const { pending } = this.assignments.serverLoads(this.#options.clock()).get(id)
-    return pending.reduce((sum, { remaining: left }) => sum + left, 0) > BUSY_PREFILL_TIME
+  /**
+   * @param server - an engine that sends no data
+   * @returns how long its known prefills still explain this; 0 if they do not
+   */
+  explainedSilence ({ id }: BackendServer): Millis {
+    const now = this.#options.clock()
+    const { pending } = this.assignments.serverLoads(now).get(id)
+    const remaining = this.#slowdowns.slowdown(id, now) * pending.reduce((sum, prefill) => sum + prefill.remaining, 0)
+    return remaining > BUSY_PREFILL_TIME ? remaining : 0
   }
 
   /** Records the server at an address as unreachable, after another server reported that a request failed because of it. */
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -88,7 +88,19 @@
   protected restartDataTimer (attempt: OpenAttempt): void {
     if (this.#dataTimer !== null) clearTimeout(this.#dataTimer)
     const timeout = this.dataTimeout(attempt)
-    this.#dataTimer = timeout === null ? null : setTimeout(() => this.failAttempt(attempt, AttemptEnd.TimedOut, `no byte for ${Math.round(timeout)} ms`), timeout)
+    this.#dataTimer = timeout === null ? null : setTimeout(() => this.#dataOverdue(attempt, timeout), timeout)
+  }
+
+  /** Waits on while the engine is known to prefill other prompts: another engine would have to read this prompt anew. */
+  #dataOverdue (attempt: OpenAttempt, silence: Millis): void {
+    if (this.attempt !== attempt) return
+    const extension = this.context.dispatch.explainedSilence(attempt.server)
+    if (extension === 0) {
+      this.failAttempt(attempt, AttemptEnd.TimedOut, `no byte for ${Math.round(silence)} ms`)
+      return
+    }
+    this.#requestLog.attemptWaits(attempt, silence, extension)
+    this.#dataTimer = setTimeout(() => this.#dataOverdue(attempt, silence + extension), extension)
   }
 
   /** Ends an attempt without a complete answer, and starts another one if the route and the retry budget allow it. */
@@ -240,7 +252,6 @@
   #recordHealth ({ server, serverCall }: OpenAttempt, end: AttemptEnd): void {
     // A refusal because of a helper, or because the server has no capacity, does not indicate a fault of the server.
     if (end === AttemptEnd.NotRun || end === AttemptEnd.HelperFailed || serverCall === null) return
-    if (end === AttemptEnd.TimedOut && this.context.dispatch.isPrefilling(server)) return
     this.context.dispatch.recordHealthSignal(server, end === AttemptEnd.Unsent ? HealthSignal.Unreachable : HealthSignal.Bad)
   }
 
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -53,6 +53,11 @@
     })
   }
 
+  /** Logs that an attempt without data goes on, because its engine is known to prefill other prompts. */
+  attemptWaits ({ server }: OpenAttempt, silence: Millis, extension: Millis): void {
+    this.context.log.info('attempt.waits', { request: this.call.id, server: server.id, silent_ms: Math.round(silence), prefill_left_ms: Math.round(extension) })
+  }
+
   attemptFailed ({ server, sentAt, choice }: OpenAttempt, end: AttemptEnd, reason: string): void {
     const { call, context } = this
     context.log.warn('attempt.failed', {
