--- a/packages/domain/src/forwarding/AttemptHistory.ts
+++ b/packages/domain/src/forwarding/AttemptHistory.ts
@@ -67,12 +67,17 @@
     return [...this.#tried]
   }
 
+  /** @returns the only servers that the next attempt may be sent to, because the limit of servers is reached; null if any may get it */
+  permittedServers (): RunnerId[] | null {
+    return this.isExhausted ? [...this.#sentTo] : null
+  }
+
   /**
    * @param server - a backend server
    * @returns whether the next attempt may be sent to it
    */
   allows (server: RunnerId): boolean {
-    return !this.#tried.has(server) && (!this.isExhausted || this.#sentTo.has(server))
+    return !this.#tried.has(server) && this.permittedServers()?.includes(server) !== false
   }
 
   /**
--- a/packages/domain/src/forwarding/BackendServerTable.ts
+++ b/packages/domain/src/forwarding/BackendServerTable.ts
@@ -39,6 +39,8 @@
 export interface ServerEntry {
   readonly server: BackendServer
   readonly revision: number
+  /** Whether the store no longer has it, because of an outage, and its server may register again. */
+  readonly isLapsed?: boolean
 }
 
 /** Tracks which backend servers may get new requests. */
@@ -77,10 +79,10 @@
    * @param entry - the entry
    * @returns the resulting changes
    */
-  put ({ server, revision }: ServerEntry): BackendServerChange[] {
+  put ({ server, revision, isLapsed = false }: ServerEntry): BackendServerChange[] {
     const existing = this.#entries.get(server.id)
     if (existing !== undefined && existing.revision > revision) return []
-    this.#entries.set(server.id, { server, revision, mayReturn: false })
+    this.#entries.set(server.id, { server, revision, mayReturn: isLapsed })
     return this.#changes(existing?.server ?? null, server)
   }
 
@@ -108,10 +110,12 @@
    * @param revision - store revision of the list
    * @param now - current time
    * @param isConfirmed - whether the list still contains entries that may have expired while their servers run
+   * @param unchanged - ids of entries that the list contains without their contents
    * @returns the resulting changes
    */
-  replaceAll (entries: readonly ServerEntry[], revision: number, now: Millis, isConfirmed = false): BackendServerChange[] {
-    const present = new Set(entries.map(({ server }) => server.id))
+  replaceAll (entries: readonly ServerEntry[], revision: number, now: Millis, isConfirmed = false, unchanged: readonly RunnerId[] = []): BackendServerChange[] {
+    const present = new Set([...unchanged, ...entries.map(({ server }) => server.id)])
+    if (entries.some(({ isLapsed }) => isLapsed)) this.#graceEndsAt = Math.max(this.#graceEndsAt, now + EXPIRED_ENTRY_GRACE)
     const absent = [...this.#entries.keys()].filter((id) => !present.has(id))
     return [...entries.flatMap((entry) => this.put(entry)), ...absent.flatMap((id) => this.remove(id, revision, now, isConfirmed))]
   }
@@ -164,7 +168,7 @@
 
   /** @returns all entries with their revisions */
   entries (): ServerEntry[] {
-    return [...this.#entries.values()].map(({ server, revision }) => ({ server, revision }))
+    return [...this.#entries.values()].map(({ server, revision, mayReturn }) => ({ server, revision, ...(mayReturn ? { isLapsed: true } : {}) }))
   }
 
   #changes (before: BackendServer | null, after: BackendServer): BackendServerChange[] {
--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -60,16 +60,24 @@
  */
 export const assignmentId = (node: NodeId, sequence: number): string => `${node}/${sequence}`
 
+/** @returns the sequence number in the id of an assignment, which its node counts up */
+export const assignmentNumber = ({ id }: Assignment): number => Number(id.slice(id.lastIndexOf('/') + 1))
+
 const NO_LOAD: ServerLoad = { pending: [], requests: [], reservedTokens: 0 }
 
 interface PeerAssignments {
-  readonly assignments: ReadonlyMap<string, Assignment>
-  readonly receivedAt: Millis
+  readonly assignments: Map<string, Assignment>
+  /** Assignments that this node has granted to the peer, with the time; a report that was sent before may not contain them. */
+  readonly grantedAt: Map<string, Millis>
+  receivedAt: Millis
 }
 
 /** Age at which a peer's last report is discarded, because the peer has stopped or cannot be reached. */
 export const PEER_ASSIGNMENTS_EXPIRY: Millis = 1_500
 
+/** Time after a grant in which the reports of the peer may not contain it yet. */
+const GRANT_DELIVERY_TIME: Millis = 250
+
 /** Length of the window over which recent arrivals are counted. */
 const ARRIVALS_PERIOD: Millis = 1_000
 
@@ -91,14 +99,28 @@
     return [...this.#own.values()]
   }
 
+  /**
+   * @param number - number of an assignment of this node
+   * @returns the assignment; null if it has ended
+   */
+  findOwn (number: number): Assignment | null {
+    return this.#own.get(assignmentId(this.#node, number)) ?? null
+  }
+
+  /** @returns the number of the next assignment of this node */
+  nextNumber (): number {
+    return this.#nextSequence++
+  }
+
   /**
    * Records a new assignment of this node.
    *
    * @param draft - the assignment without its id
+   * @param number - its number, from `nextNumber`
    * @returns the assignment with its id
    */
-  start (draft: Omit<Assignment, 'id'>): Assignment {
-    const assignment = { ...draft, id: assignmentId(this.#node, this.#nextSequence++) }
+  start (draft: Omit<Assignment, 'id'>, number = this.nextNumber()): Assignment {
+    const assignment = { ...draft, id: assignmentId(this.#node, number) }
     this.#own.set(assignment.id, assignment)
     this.#enqueuePrefill(assignment, draft.sentAt)
     return assignment
@@ -128,23 +150,71 @@
   }
 
   /**
-   * Replaces the assignments of a peer with those of its latest report.
+   * Records an assignment that this node has granted to a peer.
    *
    * @param node - the peer
-   * @param assignments - all assignments made by the peer
+   * @param draft - the assignment without its id
+   * @param number - its number at the peer
    * @param now - current time
    */
-  setPeerAssignments (node: NodeId, assignments: readonly Assignment[], now: Millis): void {
-    const previous = this.#peers.get(node)?.assignments ?? new Map<string, Assignment>()
-    const current = new Map(assignments.map((assignment) => [assignment.id, assignment]))
-    for (const assignment of previous.values()) {
-      const successor = current.get(assignment.id)
-      if (!assignment.isPrefilled && (successor === undefined || successor.isPrefilled)) this.#dequeuePrefill(assignment, now)
-    }
-    for (const assignment of current.values()) {
-      if (!previous.has(assignment.id) && !assignment.isPrefilled) this.#enqueuePrefill(assignment, assignment.sentAt)
+  grant (node: NodeId, draft: Omit<Assignment, 'id'>, number: number, now: Millis): void {
+    const peer = this.#peerOf(node, now)
+    const assignment = { ...draft, id: assignmentId(node, number) }
+    this.endGranted(node, number, now)
+    peer.assignments.set(assignment.id, assignment)
+    peer.grantedAt.set(assignment.id, now)
+    this.#enqueuePrefill(assignment, now)
+  }
+
+  /**
+   * Records that the prompt of an assignment of a peer is prefilled.
+   *
+   * @param node - the peer
+   * @param number - number of the assignment at the peer
+   * @param now - current time
+   */
+  markGrantedPrefilled (node: NodeId, number: number, now: Millis): void {
+    const id = assignmentId(node, number)
+    const assignment = this.#peers.get(node)?.assignments.get(id)
+    if (assignment === undefined || assignment.isPrefilled) return
+    this.#dequeuePrefill(assignment, now)
+    this.#peers.get(node)?.assignments.set(id, { ...assignment, isPrefilled: true })
+  }
+
+  /**
+   * Removes an assignment of a peer.
+   *
+   * @param node - the peer
+   * @param number - number of the assignment at the peer
+   * @param now - current time
+   */
+  endGranted (node: NodeId, number: number, now: Millis): void {
+    const id = assignmentId(node, number)
+    const peer = this.#peers.get(node)
+    const assignment = peer?.assignments.get(id)
+    if (peer === undefined || assignment === undefined) return
+    if (!assignment.isPrefilled) this.#dequeuePrefill(assignment, now)
+    peer.assignments.delete(id)
+    peer.grantedAt.delete(id)
+  }
+
+  /**
+   * Replaces the assignments of a peer with those of its latest report, except grants that the report may not contain yet.
+   *
+   * @param node - the peer
+   * @param reported - all assignments made by the peer
+   * @param now - current time
+   */
+  setPeerAssignments (node: NodeId, reported: readonly Assignment[], now: Millis): void {
+    const peer = this.#peerOf(node, now)
+    const current = new Map(reported.map((assignment) => [assignment.id, assignment]))
+    for (const [id, grantedAt] of peer.grantedAt) {
+      const granted = peer.assignments.get(id)
+      if (granted !== undefined && !current.has(id) && now - grantedAt < GRANT_DELIVERY_TIME) current.set(id, granted)
+      else peer.grantedAt.delete(id)
     }
-    this.#peers.set(node, { assignments: current, receivedAt: now })
+    this.#replaceAssignments(peer, current, now)
+    peer.receivedAt = now
   }
 
   /**
@@ -154,7 +224,7 @@
    * @param now - current time
    */
   removePeer (node: NodeId, now: Millis): void {
-    this.setPeerAssignments(node, [], now)
+    this.#replaceAssignments(this.#peerOf(node, now), new Map(), now)
     this.#peers.delete(node)
   }
 
@@ -187,6 +257,26 @@
     return arrivals
   }
 
+  #peerOf (node: NodeId, now: Millis): PeerAssignments {
+    const existing = this.#peers.get(node)
+    if (existing !== undefined) return existing
+    const peer: PeerAssignments = { assignments: new Map(), grantedAt: new Map(), receivedAt: now }
+    this.#peers.set(node, peer)
+    return peer
+  }
+
+  #replaceAssignments (peer: PeerAssignments, current: ReadonlyMap<string, Assignment>, now: Millis): void {
+    for (const assignment of peer.assignments.values()) {
+      const successor = current.get(assignment.id)
+      if (!assignment.isPrefilled && (successor === undefined || successor.isPrefilled)) this.#dequeuePrefill(assignment, now)
+    }
+    for (const assignment of current.values()) {
+      if (!peer.assignments.has(assignment.id) && !assignment.isPrefilled) this.#enqueuePrefill(assignment, assignment.sentAt)
+    }
+    peer.assignments.clear()
+    for (const [id, assignment] of current) peer.assignments.set(id, assignment)
+  }
+
   * #all (): Generator<Assignment> {
     yield * this.#own.values()
     for (const { assignments } of this.#peers.values()) yield * assignments.values()
--- /dev/null
+++ b/packages/domain/src/forwarding/SchedulerDirectory.ts
@@ -0,0 +1,240 @@
+/** Tracks the nodes that may schedule for this node, and selects the one that does. */
+import type { FailureDomain, Millis, NodeId } from '../types.js'
+import { isInGroup } from './schedulerGroups.js'
+import type { SchedulerGroup } from './schedulerGroups.js'
+import { rankSchedulers } from './schedulerRanking.js'
+import type { SchedulerCandidate } from './schedulerRanking.js'
+
+/** Number of candidates that receive the reports of a node: the scheduler and two that can replace it. */
+export const CONTACT_COUNT = 3
+
+/** Number of candidates of a group that watch the store; they announce its changes to the others. */
+export const STORE_WATCHERS = 2
+
+/** Time without a message after which a candidate is no longer preferred. */
+export const CANDIDATE_SILENCE: Millis = 1_500
+
+/** Time after its start in which a node waits for the answers of the candidates before it watches the store in their place. */
+export const START_GRACE: Millis = 400
+
+/** Time after its start in which a process is passed over, because it has not received the reports of all nodes yet. */
+export const WARM_UP: Millis = 1_200
+
+/** Interval at which a silent candidate gets a report, so that its return is noticed. */
+export const PROBE_PERIOD: Millis = 3_000
+
+/** State that a candidate announces. */
+export interface CandidateState {
+  readonly startedAt: number
+  /** Time since its process started. */
+  readonly uptime: Millis
+  readonly isStopping: boolean
+  readonly hasLostStore: boolean
+  readonly configurationVersion: number
+  readonly serversRevision: number
+}
+
+/** A candidate with its last state. */
+export interface KnownCandidate extends SchedulerCandidate {
+  readonly state: CandidateState | null
+}
+
+interface DirectoryEntry {
+  candidate: SchedulerCandidate
+  state: CandidateState | null
+  heardAt: Millis
+  /** Time of the first report since it was last heard; null if it has answered all reports. */
+  unansweredSince: Millis | null
+  lastReportAt: Millis
+}
+
+/** Candidates of all groups, ranked; this node is one of them. */
+export class SchedulerDirectory {
+  readonly #self: SchedulerCandidate
+  readonly #startedAt: Millis
+  readonly #entries = new Map<NodeId, DirectoryEntry>()
+  #group: SchedulerGroup = { domain: null }
+  #ranking: readonly SchedulerCandidate[] = []
+
+  /**
+   * @param self - this node
+   * @param startedAt - time at which its process started
+   */
+  constructor (self: SchedulerCandidate, startedAt: Millis) {
+    this.#self = self
+    this.#startedAt = startedAt
+    this.#rank()
+  }
+
+  /** Number of known nodes, this one included. */
+  get size (): number {
+    return this.#entries.size + 1
+  }
+
+  /** Group of this node. */
+  get group (): SchedulerGroup {
+    return this.#group
+  }
+
+  /** @param group - group of this node from now on */
+  setGroup (group: SchedulerGroup): void {
+    if (group.domain === this.#group.domain) return
+    this.#group = group
+    this.#rank()
+  }
+
+  /**
+   * Adds a node, or updates its address.
+   *
+   * @param candidate - the node
+   * @returns whether it was unknown or has changed
+   */
+  add (candidate: SchedulerCandidate): boolean {
+    if (candidate.node === this.#self.node) return false
+    const existing = this.#entries.get(candidate.node)
+    if (existing !== undefined && isSame(existing.candidate, candidate)) return false
+    this.#entries.set(candidate.node, { candidate, state: null, heardAt: -Infinity, unansweredSince: null, lastReportAt: -Infinity })
+    this.#rank()
+    return true
+  }
+
+  /**
+   * Records a message of a node.
+   *
+   * @param node - the sender
+   * @param state - state that it announced; null if the message contains none
+   * @param now - current time
+   * @returns its state before; null if it was not heard for some time
+   */
+  heard (node: NodeId, state: CandidateState | null, now: Millis): CandidateState | null {
+    const entry = this.#entries.get(node)
+    if (entry === undefined) return null
+    const previous = this.#isHeard(entry, now) ? entry.state : null
+    entry.heardAt = now
+    entry.unansweredSince = null
+    entry.state = state ?? entry.state
+    return previous
+  }
+
+  /**
+   * Records that a report was sent to a node.
+   *
+   * @param node - the receiver
+   * @param now - current time
+   */
+  reported (node: NodeId, now: Millis): void {
+    const entry = this.#entries.get(node)
+    if (entry === undefined) return
+    entry.lastReportAt = now
+    entry.unansweredSince ??= now
+  }
+
+  /**
+   * Records that a node has not answered a query in time: it is passed over until it is heard again.
+   *
+   * @param node - the node
+   */
+  unanswered (node: NodeId): void {
+    const entry = this.#entries.get(node)
+    if (entry !== undefined) entry.heardAt = -Infinity
+  }
+
+  /**
+   * @param now - current time
+   * @returns the node that schedules for this one; this node itself if no preferred candidate is heard
+   */
+  scheduler (now: Millis): SchedulerCandidate {
+    const live = this.#ranking.filter((candidate) => this.#isLive(candidate, now))
+    return live.find((candidate) => this.#isWarm(candidate, now)) ?? live[0] ?? this.#self
+  }
+
+  /**
+   * @param now - current time
+   * @returns the candidates that receive the reports of this node: the highest ranked that are not silent, and silent ones at times
+   */
+  contacts (now: Millis): SchedulerCandidate[] {
+    const others = this.#ranking.filter(({ node }) => node !== this.#self.node)
+    const answering = others.filter(({ node }) => !this.#isSilent(node, now)).slice(0, CONTACT_COUNT)
+    const lastRank = answering.length === 0 ? others.length : others.indexOf(answering[answering.length - 1] as SchedulerCandidate)
+    const probed = others.slice(0, lastRank).filter(({ node }) => this.#isSilent(node, now) && this.#isProbeDue(node, now))
+    return [...answering, ...probed.slice(0, CONTACT_COUNT)]
+  }
+
+  /** @returns the candidates that were heard lately, with their states */
+  live (now: Millis): KnownCandidate[] {
+    return [...this.#entries.values()].filter((entry) => this.#isHeard(entry, now)).map(({ candidate, state }) => ({ ...candidate, state }))
+  }
+
+  /** @returns the highest ranked candidates of this node's group, this node included */
+  ranked (count: number): readonly SchedulerCandidate[] {
+    return this.#ranking.slice(0, count)
+  }
+
+  /**
+   * @param count - number of nodes of each group
+   * @returns the highest ranked nodes of the other groups
+   */
+  otherGroups (count: number): SchedulerCandidate[] {
+    if (this.#group.domain === null) return []
+    const domains = new Map<FailureDomain, SchedulerCandidate[]>()
+    for (const { candidate } of this.#entries.values()) {
+      if (!isInGroup(this.#group, candidate.failureDomain)) domains.set(candidate.failureDomain, [...domains.get(candidate.failureDomain) ?? [], candidate])
+    }
+    return [...domains.values()].flatMap((candidates) => rankSchedulers(candidates).slice(0, count))
+  }
+
+  /**
+   * A few nodes of each group watch the store. Any other node relies on them, unless none is heard or all of them have lost the
+   * store.
+   *
+   * @param now - current time
+   * @returns whether this node watches the store
+   */
+  isStoreWatcher (now: Millis): boolean {
+    const presumed = this.#ranking.filter(({ node }) => node === this.#self.node || !this.#isSilent(node, now))
+    const isFirst = presumed.slice(0, STORE_WATCHERS).some(({ node }) => node === this.#self.node)
+    if (isFirst && (this.size > 1 || this.#isStarted(now))) return true
+    const heard = this.live(now).filter(({ failureDomain }) => isInGroup(this.#group, failureDomain))
+    if (heard.length === 0) return this.#isStarted(now)
+    return heard.every(({ state }) => state === null || state.hasLostStore)
+  }
+
+  #isStarted (now: Millis): boolean {
+    return now - this.#startedAt >= START_GRACE
+  }
+
+  #rank (): void {
+    const candidates = [this.#self, ...[...this.#entries.values()].map(({ candidate }) => candidate)]
+    this.#ranking = rankSchedulers(candidates.filter(({ failureDomain }) => isInGroup(this.#group, failureDomain)))
+  }
+
+  #isLive ({ node }: SchedulerCandidate, now: Millis): boolean {
+    if (node === this.#self.node) return true
+    const entry = this.#entries.get(node)
+    return entry !== undefined && this.#isHeard(entry, now) && entry.state?.isStopping === false
+  }
+
+  #isHeard ({ heardAt }: DirectoryEntry, now: Millis): boolean {
+    return now - heardAt <= CANDIDATE_SILENCE
+  }
+
+  #isWarm ({ node }: SchedulerCandidate, now: Millis): boolean {
+    if (node === this.#self.node) return now - this.#startedAt >= WARM_UP
+    const entry = this.#entries.get(node)
+    return entry?.state != null && entry.state.uptime + now - entry.heardAt >= WARM_UP
+  }
+
+  #isSilent (node: NodeId, now: Millis): boolean {
+    const entry = this.#entries.get(node)
+    if (entry === undefined) return true
+    if (entry.state?.isStopping === true) return true
+    return entry.unansweredSince !== null && now - entry.unansweredSince > CANDIDATE_SILENCE
+  }
+
+  #isProbeDue (node: NodeId, now: Millis): boolean {
+    return now - (this.#entries.get(node)?.lastReportAt ?? now) >= PROBE_PERIOD
+  }
+}
+
+const isSame = (a: SchedulerCandidate, b: SchedulerCandidate): boolean =>
+  a.address === b.address && a.failureDomain === b.failureDomain && a.processor === b.processor
--- a/packages/domain/src/forwarding/SlowdownEstimator.ts
+++ b/packages/domain/src/forwarding/SlowdownEstimator.ts
@@ -2,7 +2,7 @@
 import type { Millis, RunnerId } from '../types.js'
 
 /** Number of most recent pauses that an estimate uses. */
-const SAMPLE_COUNT = 6
+export const SLOWDOWN_SAMPLE_COUNT = 6
 
 /**
  * Ratio of the shortest recent pause to the pass time from which an engine counts as slow. The shortest pause is used because
@@ -35,7 +35,18 @@
     this.#samples.set(id, samples)
     samples.lastObservedAt = now
     samples.ratios.push(pause / passTime)
-    if (samples.ratios.length > SAMPLE_COUNT) samples.ratios.shift()
+    if (samples.ratios.length > SLOWDOWN_SAMPLE_COUNT) samples.ratios.shift()
+  }
+
+  /**
+   * Records the shortest of the last pauses of a stream that another node forwards.
+   *
+   * @param id - the engine
+   * @param ratio - shortest pause over the pass time
+   * @param now - current time
+   */
+  observeShortest (id: RunnerId, ratio: number, now: Millis): void {
+    this.#samples.set(id, { ratios: Array.from({ length: SLOWDOWN_SAMPLE_COUNT }, () => ratio), lastObservedAt: now })
   }
 
   /**
@@ -45,7 +56,7 @@
    */
   slowdown (id: RunnerId, now: Millis): number {
     const samples = this.#samples.get(id)
-    if (samples === undefined || samples.ratios.length < SAMPLE_COUNT || now - samples.lastObservedAt > SAMPLE_EXPIRY) return 1
+    if (samples === undefined || samples.ratios.length < SLOWDOWN_SAMPLE_COUNT || now - samples.lastObservedAt > SAMPLE_EXPIRY) return 1
     const smallest = Math.min(...samples.ratios)
     return smallest < SLOWDOWN_THRESHOLD ? 1 : smallest
   }
--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -22,6 +22,8 @@
 
 export interface ServersSnapshot {
   readonly listed: readonly ServerEntry[]
+  /** Ids of the entries that the other node has already; absent if all entries are listed. */
+  readonly unchanged?: readonly RunnerId[]
   /** Store revision of the list. */
   readonly revision: number
 }
@@ -94,10 +96,10 @@
     this.#applyServerChanges(this.servers.remove(id, revision, this.clock()), origin)
   }
 
-  replaceServers (listed: readonly ServerEntry[], revision: number, origin: FleetStateOrigin): void {
+  replaceServers (listed: readonly ServerEntry[], revision: number, origin: FleetStateOrigin, unchanged: readonly RunnerId[] = []): void {
     if (revision < this.#serversRevision) return
     this.#advanceServersRevision(revision)
-    this.#applyServerChanges(this.servers.replaceAll(listed, revision, this.clock(), origin === 'peer'), origin)
+    this.#applyServerChanges(this.servers.replaceAll(listed, revision, this.clock(), origin === 'peer', unchanged), origin)
   }
 
   expireServers (): void {
@@ -121,10 +123,22 @@
     }
   }
 
+  /**
+   * @param version - versions that another node has
+   * @returns the parts of this node's state that are newer, without the entries of backend servers that the other node has
+   */
+  changesSince (version: FleetStateVersion): FleetStateSnapshot {
+    const { deployment, servers } = this.newerThan(version)
+    if (servers === null) return { deployment, servers }
+    const isKnown = ({ revision, isLapsed }: ServerEntry): boolean => revision <= version.servers && isLapsed !== true
+    const listed = servers.listed.filter((entry) => !isKnown(entry))
+    return { deployment, servers: { listed, unchanged: servers.listed.filter(isKnown).map(({ server }) => server.id), revision: servers.revision } }
+  }
+
   /** Applies the parts of a peer's snapshot that are newer than this node's state. */
   merge ({ deployment, servers }: FleetStateSnapshot): void {
     if (deployment !== null) this.install(deployment, 'peer')
-    if (servers !== null && servers.revision > this.#serversRevision) this.replaceServers(servers.listed, servers.revision, 'peer')
+    if (servers !== null && servers.revision > this.#serversRevision) this.replaceServers(servers.listed, servers.revision, 'peer', servers.unchanged)
   }
 
   #advanceServersRevision (revision: number): void {
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -1,8 +1,8 @@
 /** Builds the components of a node on the users' platform, and starts and stops them. */
-import { isStoreWatcher } from '@bluebellhill/domain'
-import type { Millis } from '@bluebellhill/domain'
+import { SchedulerDirectory } from '@bluebellhill/domain'
+import type { Millis, SchedulerCandidate } from '@bluebellhill/domain'
 import { EngineMemoryClient, MetadataStore } from '@bluebellhill/platform'
-import type { SocketAddress } from '@bluebellhill/platform'
+import type { PlatformSettings, SocketAddress } from '@bluebellhill/platform'
 import { HttpPool } from '@bluebellhill/services'
 
 import { monotonicNow } from '../clock/monotonic.js'
@@ -10,13 +10,15 @@
 import { DisposableStore } from '../store/index.js'
 import { EntryServer } from './entry/EntryServer.js'
 import { ReadinessServer } from './entry/ReadinessServer.js'
-import { FleetDispatch } from './FleetDispatch.js'
 import { ForwardMetrics } from './ForwardMetrics.js'
 import { FleetState } from './FleetState.js'
 import { MetricsServer } from './MetricsServer.js'
 import type { SettingsFile } from './SettingsFile.js'
 import { FleetStateExchange } from './peers/FleetStateExchange.js'
 import { PeerLink } from './peers/PeerLink.js'
+import { PlacementClient } from './scheduling/PlacementClient.js'
+import { Scheduler } from './scheduling/Scheduler.js'
+import { SchedulerHost } from './scheduling/SchedulerHost.js'
 import { NodeRegistration } from './store/NodeRegistration.js'
 import { StoreAvailability } from './store/StoreAvailability.js'
 import { StoreSync } from './store/StoreSync.js'
@@ -50,7 +52,9 @@
   readonly #disposables = new DisposableStore()
   readonly #metrics = new ForwardMetrics()
   readonly #fleetState: FleetState
-  readonly #dispatch: FleetDispatch
+  readonly #directory: SchedulerDirectory
+  readonly #scheduler: Scheduler
+  readonly #placement: PlacementClient
   readonly #entryServer: EntryServer
   readonly #peerLink: PeerLink
   readonly #fleetStateExchange: FleetStateExchange
@@ -65,15 +69,30 @@
     const { log } = options
     const settings = options.settings.current
     const clock = monotonicNow
+    const self = candidateOf(settings)
     this.#options = options
     this.#fleetState = new FleetState(log, clock)
-    this.#dispatch = new FleetDispatch({
+    this.#directory = new SchedulerDirectory(self, clock())
+    this.#scheduler = new Scheduler({
       node: settings.node,
       fleetState: this.#fleetState,
       log,
       clock,
-      retryBounds: () => ({ ratio: options.settings.current.retryRatio, slack: options.settings.current.retrySlack }),
-      nodeCount: () => this.#peerLink.table.all().length + 1
+      retryBounds: () => ({ ratio: options.settings.current.retryRatio, slack: options.settings.current.retrySlack, window: options.settings.current.retryWindow }),
+      schedulerCount: () => this.#schedulerCount(),
+      group: () => this.#directory.group
+    })
+    const send: PeerLink['send'] = (address, content) => this.#peerLink.send(address, content)
+    const schedulerHost = new SchedulerHost({ scheduler: this.#scheduler, log, clock, send })
+    this.#placement = new PlacementClient({
+      node: settings.node,
+      scheduler: this.#scheduler,
+      directory: this.#directory,
+      fleetState: this.#fleetState,
+      log,
+      clock,
+      send,
+      onUncoordinatedPlacement: () => this.#peerLink.reportSoon()
     })
     const peerHttp = new HttpPool(2)
     this.#disposables.add(peerHttp)
@@ -82,23 +101,25 @@
       http: peerHttp,
       log,
       failureDomain: settings.failureDomain,
-      peers: () => this.#peerLink.table.active()
+      peers: () => this.#peerLink.sources()
     })
     this.#peerLink = new PeerLink({
-      node: settings.node,
-      failureDomain: settings.failureDomain,
-      host: settings.host,
-      port: settings.internalPorts[0],
+      self,
       startedAt: Date.now(),
-      assignments: this.#dispatch.assignments,
+      scheduler: this.#scheduler,
+      directory: this.#directory,
       fleetState: this.#fleetState,
       log,
       clock,
+      schedulersInUse: () => this.#placement.schedulersInUse(),
       onPeerAhead: () => this.#fleetStateExchange.catchUp(),
       isStoreLost: () => this.#storeAvailability.isLost,
-      onPeerStoreLost: () => this.#storeSync.checkStore()
+      onPeerStoreLost: () => this.#storeSync.checkStore(),
+      onPlacementMessage: (message, address) => {
+        schedulerHost.handle(message, address)
+        this.#placement.handle(message, address)
+      }
     })
-    this.#dispatch.onAssignmentChange((change) => this.#peerLink.assignmentChanged(change))
     const storeHttp = new HttpPool(STORE_CONNECTIONS)
     this.#disposables.add(storeHttp)
     const store = new MetadataStore({ address: `${settings.store.host}:${settings.store.port}`, http: storeHttp, timeout: STORE_TIMEOUT })
@@ -109,19 +130,18 @@
       availability: this.#storeAvailability,
       log,
       clock,
-      isStoreWatcher: () => isStoreWatcher(settings.node, this.#peerLink.table.active().map(({ node }) => node))
+      isStoreWatcher: () => this.#directory.isStoreWatcher(clock())
     })
     this.#nodeRegistration = new NodeRegistration({
       store,
-      node: settings.node,
-      address: `${settings.host}:${settings.internalPorts[0]}`,
-      onNodesListed: (addresses) => this.#peerLink.addAddresses(addresses),
+      self,
+      onNodesListed: (nodes, addresses) => this.#peerLink.addNodes(nodes, addresses),
       log
     })
     const engineHttp = new HttpPool(2)
     this.#disposables.add(engineHttp)
     const memory = new EngineMemoryClient(engineHttp, RESERVATION_CALL_TIMEOUT)
-    this.#entryServer = new EntryServer({ dispatch: this.#dispatch, fleetState: this.#fleetState, log, metrics: this.#metrics, memory, clock })
+    this.#entryServer = new EntryServer({ placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, memory, clock })
   }
 
   /** Starts all components; the node then serves callers. */
@@ -138,6 +158,7 @@
       this.#startMetrics()
     ])
     this.#disposables.add(this.#peerLink)
+    this.#disposables.add(this.#placement)
     this.#disposables.add(this.#fleetStateExchange)
     const expiry = setInterval(() => this.#fleetState.expireServers(), EXPIRY_PERIOD)
     this.#disposables.addCleanup(() => clearInterval(expiry))
@@ -159,6 +180,12 @@
     log.info('node.stopped', { after_ms: Math.round(monotonicNow() - startedAt), open_requests: this.#entryServer.openRequests })
   }
 
+  /** Number of groups if the fleet is divided; otherwise one scheduler places all requests. */
+  #schedulerCount (): number {
+    if (this.#directory.group.domain === null) return 1
+    return new Set(this.#fleetState.servers.all().map(({ failureDomain }) => failureDomain)).size
+  }
+
   #startStoreClients (): void {
     this.#disposables.add(this.#storeSync)
     this.#disposables.add(this.#nodeRegistration)
@@ -177,8 +204,8 @@
     this.#metrics.addGauge('configuration_version', 'Version of the configuration in force', () => this.#fleetState.configurationVersion)
     this.#metrics.addGauge('store_lost', 'Whether the store does not answer', () => this.#storeAvailability.isLost ? 1 : 0)
     this.#metrics.addGauge('backend_servers', 'Backend servers with an entry', () => this.#fleetState.servers.all().length)
-    this.#metrics.addGauge('backend_servers_avoided', 'Backend servers that are avoided', () => this.#dispatch.health.avoided(monotonicNow()).length)
-    this.#metrics.addGauge('peers', 'Other nodes that are heard', () => this.#peerLink.table.active().length)
+    this.#metrics.addGauge('backend_servers_avoided', 'Backend servers that are avoided', () => this.#scheduler.health.avoided(monotonicNow()).length)
+    this.#metrics.addGauge('peers', 'Other nodes that are heard', () => this.#peerLink.sources().length)
     this.#metrics.addGauge('open_requests', 'Requests without a final answer', () => this.#entryServer.openRequests)
     this.#metrics.addGauge('log_lines_dropped', 'Lines of the log that found no room', droppedLogLines)
     const server = new MetricsServer(this.#metrics.registry)
@@ -186,3 +213,6 @@
     await server.start(metricsAddress.host, metricsAddress.port)
   }
 }
+
+const candidateOf = ({ node, host, internalPorts, failureDomain, processor }: PlatformSettings): SchedulerCandidate =>
+  ({ node, address: `${host}:${internalPorts[0]}`, failureDomain, processor })
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from 'node:http'
 
 import { AttemptEnd, AttemptHistory, HealthSignal } from '@bluebellhill/domain'
-import type { PlacementChoice, Millis, RunnerId } from '@bluebellhill/domain'
+import type { Millis, RunnerId } from '@bluebellhill/domain'
 import { decodeAnswerHeaders, encodeForwardedHeaders, encodeReturnedHeaders } from '@bluebellhill/platform'
 import type { AnswerHeaders } from '@bluebellhill/platform'
 
@@ -13,6 +13,7 @@
 import { RefusalCause, refuse } from './entry/refusals.js'
 import { RequestLog } from './RequestLog.js'
 import { MemoryReservations } from './MemoryReservations.js'
+import type { AttemptPlacement, PlacedAttempt } from './scheduling/types.js'
 import { ForwardOutcome } from './types.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
 
@@ -47,11 +48,10 @@
 
   /** Starts the first attempt. */
   start (): void {
-    const { dispatch, clock } = this.context
-    dispatch.countRequest(this.call.service.name)
+    const { clock } = this.context
     this.response.once('close', () => { if (!this.response.writableFinished) this.#callerDisconnected() })
     this.#deadlineTimer = setTimeout(() => this.#deadlinePassed(), Math.max(0, this.call.deadlineAt - clock()))
-    this.#startNextAttempt()
+    void this.#startNextAttempt(false)
   }
 
   /** Whether the head of an answer has been sent to the caller. */
@@ -81,78 +81,77 @@
   protected recordFirstAnswer (attempt: OpenAttempt): void {
     if (this.firstAnswerAt !== null) return
     this.firstAnswerAt = this.context.clock()
-    this.context.metrics.firstAnswerSent(this.call.route.kind, attempt.choice.timeToFirstEvent, this.firstAnswerAt - attempt.sentAt)
+    this.context.metrics.firstAnswerSent(this.call.route.kind, attempt.placed.choice.timeToFirstEvent, this.firstAnswerAt - attempt.sentAt)
   }
 
   /** Restarts the timer that fails the attempt when no data arrives. */
   protected restartDataTimer (attempt: OpenAttempt): void {
     if (this.#dataTimer !== null) clearTimeout(this.#dataTimer)
     const timeout = this.dataTimeout(attempt)
-    this.#dataTimer = timeout === null ? null : setTimeout(() => this.#dataOverdue(attempt, timeout), timeout)
+    this.#dataTimer = timeout === null ? null : setTimeout(() => { void this.#dataOverdue(attempt, timeout) }, timeout)
   }
 
   /** Waits on while the engine is known to prefill other prompts: another engine would have to read this prompt anew. */
-  #dataOverdue (attempt: OpenAttempt, silence: Millis): void {
+  async #dataOverdue (attempt: OpenAttempt, silence: Millis): Promise<void> {
+    const extension = await this.context.placement.explainedSilence(attempt.placed)
     if (this.attempt !== attempt) return
-    const extension = this.context.dispatch.explainedSilence(attempt.server)
     if (extension === 0) {
       this.failAttempt(attempt, AttemptEnd.TimedOut, `no byte for ${Math.round(silence)} ms`)
       return
     }
     this.#requestLog.attemptWaits(attempt, silence, extension)
-    this.#dataTimer = setTimeout(() => this.#dataOverdue(attempt, silence + extension), extension)
+    this.#dataTimer = setTimeout(() => { void this.#dataOverdue(attempt, silence + extension) }, extension)
   }
 
   /** Ends an attempt without a complete answer, and starts another one if the route and the retry budget allow it. */
   protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string): void {
     if (this.attempt !== attempt || this.#isFinished) return
-    this.#recordHealth(attempt, end)
-    this.#closeAttempt(attempt)
+    this.#closeAttempt(attempt, healthSignalOf(attempt, end))
     this.#lastProblem = `${end}: ${reason}`
     const isRetryAllowed = this.history.end(attempt.server.id, end)
     this.#requestLog.attemptFailed(attempt, end, reason)
-    if (isRetryAllowed && this.#mayRetry(end)) this.#startNextAttempt()
+    const hasTimeLeft = this.context.clock() < this.call.deadlineAt
+    if (isRetryAllowed && hasTimeLeft) void this.#startNextAttempt(end !== AttemptEnd.Unsent)
     else this.#giveUp()
   }
 
-  #mayRetry (end: AttemptEnd): boolean {
-    const { call, context } = this
-    if (context.clock() >= call.deadlineAt) return false
-    if (end === AttemptEnd.Unsent || context.dispatch.acquireRetry(call.service.name)) return true
-    this.#requestLog.retryBudgetSpent()
-    return false
-  }
-
-  #startNextAttempt (): void {
-    const { dispatch, clock } = this.context
-    const choice = this.#chooseServer()
-    if (choice === null) {
-      this.#lastProblem ||= 'no backend server can accept the request'
-      this.#giveUp()
+  async #startNextAttempt (chargesRetry: boolean): Promise<void> {
+    const placement = await this.#place(chargesRetry)
+    if (this.#isFinished) {
+      if (placement.type === 'placed') this.context.placement.removeAssignment(placement.attempt, null)
       return
     }
-    this.history.start(choice.server.id)
-    this.#attemptCount += 1
-    const assignment = dispatch.addAssignment(this.call, choice)
-    const reservations = choice.holders.length === 0 ? null : new MemoryReservations(assignment.id, choice.holders, this.context.memory, this.context.log)
-    const attempt: OpenAttempt = { server: choice.server, assignment, sentAt: clock(), choice, reservations, serverCall: null, hasFirstEvent: false, head: null, answer: null }
-    this.attempt = attempt
-    this.#requestLog.attemptSent(choice, this.#attemptCount, this.lastEventId)
-    if (reservations === null) this.#send(attempt)
-    else void this.#reserveAndSend(attempt, reservations)
+    if (placement.type === 'placed') {
+      this.#openAttempt(placement.attempt)
+      return
+    }
+    this.#requestLog.placementRefused(placement.reason)
+    this.#lastProblem ||= placement.reason
+    this.#giveUp()
   }
 
   /** Catches errors of the placement, so that they fail this request only and not the process with all others. */
-  #chooseServer (): PlacementChoice | null {
+  async #place (chargesRetry: boolean): Promise<AttemptPlacement> {
     try {
-      return this.context.dispatch.choose(this.call, this.history)
+      return await this.context.placement.place(this.call, this.history, chargesRetry)
     } catch (error) {
-      this.#lastProblem = 'choosing a backend server failed'
-      this.#requestLog.choiceFailed(error)
-      return null
+      this.#requestLog.placementFailed(error)
+      return { type: 'refused', reason: 'choosing a backend server failed' }
     }
   }
 
+  #openAttempt (placed: PlacedAttempt): void {
+    const { choice: { server, holders }, assignment } = placed
+    this.history.start(server.id)
+    this.#attemptCount += 1
+    const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
+    const attempt: OpenAttempt = { server, placed, sentAt: this.context.clock(), reservations, serverCall: null, hasFirstEvent: false, head: null, answer: null }
+    this.attempt = attempt
+    this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId)
+    if (reservations === null) this.#send(attempt)
+    else void this.#reserveAndSend(attempt, reservations)
+  }
+
   async #reserveAndSend (attempt: OpenAttempt, reservations: MemoryReservations): Promise<void> {
     const isReserved = await reservations.acquire()
     if (this.attempt !== attempt) return
@@ -172,14 +171,14 @@
       expectedServer: attempt.server.id,
       organisation: call.organisation,
       urgency: call.service.engine === null ? null : call.urgency,
-      helpers: attempt.choice.helpers.map(({ id, address }) => ({ address, reservation: this.#reservationIdFor(attempt, id) })),
+      helpers: attempt.placed.choice.helpers.map(({ id, address }) => ({ address, reservation: this.#reservationIdFor(attempt, id) })),
       lastEventId: this.lastEventId
     })
     const request = { address: attempt.server.address, method: call.method, path: call.path, headers, body: call.body, connectTimeout: CONNECT_TIMEOUT }
     return new ServerCall(request, this.#createListener(attempt))
   }
 
-  #reservationIdFor ({ reservations, choice }: OpenAttempt, id: RunnerId): string | null {
+  #reservationIdFor ({ reservations, placed: { choice } }: OpenAttempt, id: RunnerId): string | null {
     return choice.holders.some(({ server }) => server.id === id) ? reservations?.id ?? null : null
   }
 
@@ -218,8 +217,7 @@
     } else if (head.status >= FIRST_FAILURE_STATUS) {
       this.#serverFailed(attempt, { head, body })
     } else if (this.completeAnswer(attempt)) {
-      this.#closeAttempt(attempt)
-      this.context.dispatch.recordHealthSignal(attempt.server, HealthSignal.Good)
+      this.#closeAttempt(attempt, HealthSignal.Good)
       this.#finish(ForwardOutcome.Answered, head.status)
     } else {
       this.failAttempt(attempt, AttemptEnd.Broken, 'the answer ended before it was complete')
@@ -231,7 +229,7 @@
       this.failAttempt(attempt, AttemptEnd.NotRun, `status ${status}`)
       return
     }
-    this.context.dispatch.reportUnreachableAddress(faultyServer)
+    this.context.placement.reportUnreachableAddress(faultyServer)
     this.failAttempt(attempt, AttemptEnd.HelperFailed, `status ${status}, caused by ${faultyServer}`)
   }
 
@@ -249,12 +247,6 @@
     this.#returnFailure(failure)
   }
 
-  #recordHealth ({ server, serverCall }: OpenAttempt, end: AttemptEnd): void {
-    // A refusal because of a helper, or because the server has no capacity, does not indicate a fault of the server.
-    if (end === AttemptEnd.NotRun || end === AttemptEnd.HelperFailed || serverCall === null) return
-    this.context.dispatch.recordHealthSignal(server, end === AttemptEnd.Unsent ? HealthSignal.Unreachable : HealthSignal.Bad)
-  }
-
   #giveUp (): void {
     if (this.hasStartedAnswer) {
       this.#abortAnswer(ForwardOutcome.Lost)
@@ -300,12 +292,12 @@
     this.#finish(ForwardOutcome.CallerDisconnected, 0)
   }
 
-  #closeAttempt (attempt: OpenAttempt): void {
+  #closeAttempt (attempt: OpenAttempt, signal: HealthSignal | null = null): void {
     if (this.#dataTimer !== null) clearTimeout(this.#dataTimer)
     this.attempt = null
     attempt.serverCall?.abort()
     attempt.reservations?.release()
-    this.context.dispatch.removeAssignment(attempt.assignment)
+    this.context.placement.removeAssignment(attempt.placed, signal)
   }
 
   #finish (outcome: ForwardOutcome, status: number): void {
@@ -326,3 +318,9 @@
     })
   }
 }
+
+/** A refusal because of a helper, or because the server has no capacity, does not indicate a fault of the server. */
+const healthSignalOf = ({ serverCall }: OpenAttempt, end: AttemptEnd): HealthSignal | null => {
+  if (end === AttemptEnd.NotRun || end === AttemptEnd.HelperFailed || serverCall === null) return null
+  return end === AttemptEnd.Unsent ? HealthSignal.Unreachable : HealthSignal.Bad
+}
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -1,7 +1,8 @@
 /** Writes the log lines about the attempts and the end of one request. */
-import type { AttemptEnd, PlacementChoice, Millis, RunnerId } from '@bluebellhill/domain'
+import type { AttemptEnd, Millis, RunnerId } from '@bluebellhill/domain'
 
 import type { AdmittedCall } from './AdmittedCall.js'
+import type { PlacedAttempt } from './scheduling/types.js'
 import type { ForwardingContext, ForwardOutcome, OpenAttempt } from './types.js'
 
 /** Result of a request, for its final log line. */
@@ -32,11 +33,11 @@
   /**
    * Logs the start of an attempt.
    *
-   * @param choice - backend server, helpers and holders of the attempt
+   * @param placed - where the attempt is placed, and by which scheduler
    * @param attempt - number of the attempt, from 1
    * @param lastEventId - id of the last event of the stream that the caller has
    */
-  attemptSent ({ server, helpers, holders, timeToFirstEvent: firstEvent }: PlacementChoice, attempt: number, lastEventId: string | null): void {
+  attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent }, load, scheduler, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null): void {
     const { call, context } = this
     context.log.info('request.sent', {
       request: call.id,
@@ -46,6 +47,10 @@
       helpers: joinIds(helpers),
       held: holders.map((holder) => `${holder.server.id}:${holder.tokens}`).join(',') || undefined,
       expected_ms: Math.round(firstEvent),
+      scheduler: scheduler ?? 'self',
+      decided_ms: Math.round(decidedIn),
+      server_requests: load.requests,
+      server_pending_ms: Math.round(load.pendingPrefill),
       due_in_ms: Math.round(call.dueAt - context.clock()),
       configuration: context.fleetState.configurationVersion,
       servers_revision: context.fleetState.serversRevision,
@@ -58,19 +63,20 @@
     this.context.log.info('attempt.waits', { request: this.call.id, server: server.id, silent_ms: Math.round(silence), prefill_left_ms: Math.round(extension) })
   }
 
-  attemptFailed ({ server, sentAt, choice }: OpenAttempt, end: AttemptEnd, reason: string): void {
+  attemptFailed ({ server, sentAt, placed }: OpenAttempt, end: AttemptEnd, reason: string): void {
     const { call, context } = this
     context.log.warn('attempt.failed', {
-      request: call.id, server: server.id, end, reason, after_ms: Math.round(context.clock() - sentAt), helpers: joinIds(choice.helpers)
+      request: call.id, server: server.id, end, reason, after_ms: Math.round(context.clock() - sentAt), helpers: joinIds(placed.choice.helpers)
     })
   }
 
-  retryBudgetSpent (): void {
-    this.context.log.info('request.retry_budget_spent', { request: this.call.id, service: this.call.service.name })
+  /** Logs that no server is chosen for the next attempt. */
+  placementRefused (reason: string): void {
+    this.context.log.info('request.not_placed', { request: this.call.id, service: this.call.service.name, reason })
   }
 
-  choiceFailed (error: unknown): void {
-    this.context.log.error('request.choice_failed', { request: this.call.id, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+  placementFailed (error: unknown): void {
+    this.context.log.error('request.placement_failed', { request: this.call.id, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
   }
 
   requestEnded ({ outcome, status, servers, firstAnswer, took, problem, answerFields: further }: RequestEnd): void {
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -21,11 +21,11 @@
     return this.#lastEventId ?? this.call.lastEventId
   }
 
-  protected dataTimeout ({ head, choice }: OpenAttempt): Millis | null {
+  protected dataTimeout ({ head, placed }: OpenAttempt): Millis | null {
     const { route } = this.call
     if (!mayRunAgain(route) || this.history.isExhausted) return null
     const { objective, pauseObjective } = route
-    const bounds = { expected: choice.timeToFirstEvent, objective, pauseObjective, reading: this.context.dispatch.prefillTime(this.call) }
+    const bounds = { expected: placed.choice.timeToFirstEvent, objective, pauseObjective, reading: this.context.placement.prefillTime(this.call) }
     return head === null ? firstEventTimeout(bounds) : nextEventTimeout(bounds)
   }
 
@@ -36,7 +36,7 @@
   protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
     const events = this.#splitter.push(chunk).filter((event) => this.#isNew(event))
     if (events.length === 0) return
-    if (!attempt.hasFirstEvent) this.context.dispatch.prefillFinished(attempt.assignment)
+    if (!attempt.hasFirstEvent) this.context.placement.prefillFinished(attempt.placed)
     attempt.hasFirstEvent = true
     this.#writeHead(attempt)
     this.recordFirstAnswer(attempt)
@@ -62,13 +62,13 @@
     this.response.writeHead(head.status, kept)
   }
 
-  #recordPause ({ server }: OpenAttempt): void {
+  #recordPause ({ placed }: OpenAttempt): void {
     const now = this.context.clock()
     const pause = this.#lastEventAt === null ? null : now - this.#lastEventAt
     this.#lastEventAt = now
     if (pause === null) return
     this.#longestPause = Math.max(this.#longestPause, pause)
-    this.context.dispatch.observePause(this.call, server, pause)
+    this.context.placement.observePause(this.call, placed, pause)
   }
 
   #forwardEvent ({ bytes, id }: StreamEvent): void {
--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -1,19 +1,28 @@
 /** Exchanges the configuration and the list of backend servers between nodes, for nodes that cannot get them from the store. */
 import { createServer } from 'node:http'
-import type { Server } from 'node:http'
+import type { Server, ServerResponse } from 'node:http'
 import { once } from 'node:events'
+import { gunzipSync, gzipSync } from 'node:zlib'
 
 import type { Millis } from '@bluebellhill/domain'
 import { describeFailure, readBody } from '@bluebellhill/services'
 import type { HttpPool } from '@bluebellhill/services'
 
-import type { FleetState, FleetStateVersion } from '../FleetState.js'
+import type { FleetState, FleetStateSnapshot, FleetStateVersion } from '../FleetState.js'
 import type { Log } from '../../log/index.js'
-import type { Peer } from './PeerTable.js'
+import type { FleetStateSource } from './PeerLink.js'
 import { decodeSnapshot } from './snapshotCodec.js'
 
 const PATH = '/knowledge'
 
+/** Query parameter with which a node asks for changes only, compressed. Earlier builds neither send nor know it. */
+const CHANGES_PARAMETER = 'changes'
+
+const GZIP = 'gzip'
+
+/** Fastest compression: repeated field names make up most of a snapshot. */
+const GZIP_LEVEL = 1
+
 /** Largest snapshot that is read, in bytes. */
 const MAX_SNAPSHOT_BYTES = 8 * 1024 * 1024
 
@@ -37,14 +46,15 @@
   /** Receives a line for each failed call. */
   readonly log: Log
   readonly failureDomain: string
-  /** Returns the peers that are not lost. */
-  readonly peers: () => readonly Peer[]
+  /** Returns the nodes that were heard lately. */
+  readonly peers: () => readonly FleetStateSource[]
 }
 
 /** Serves this node's fleet state, and fetches newer states from other nodes. */
 export class FleetStateExchange {
   readonly #server: Server
   #isFetching = false
+  #lastCompressed: { readonly key: string, readonly body: Buffer } = { key: '', body: Buffer.alloc(0) }
   #isDisposed = false
 
   readonly #options: FleetStateExchangeOptions
@@ -53,9 +63,9 @@
   constructor (options: FleetStateExchangeOptions) {
     this.#options = options
     this.#server = createServer((request, response) => {
-      const requesterVersion = request.method === 'GET' ? parseRequestedVersion(request.url ?? '') : null
-      response.writeHead(requesterVersion === null ? 404 : 200, { 'content-type': 'application/json', connection: 'close' })
-      response.end(requesterVersion === null ? '' : JSON.stringify(options.fleetState.newerThan(requesterVersion)))
+      const query = request.method === 'GET' ? parseQuery(request.url ?? '') : null
+      if (query === null) response.writeHead(404, { connection: 'close' }).end()
+      else this.#answer(response, query)
     })
   }
 
@@ -74,6 +84,21 @@
     this.#server.closeAllConnections()
   }
 
+  #answer (response: ServerResponse, { version, wantsChanges }: SnapshotQuery): void {
+    const { fleetState } = this.#options
+    const headers = { 'content-type': 'application/json', connection: 'close' }
+    if (wantsChanges) response.writeHead(200, { ...headers, 'content-encoding': GZIP }).end(this.#compressed(version))
+    else response.writeHead(200, headers).end(JSON.stringify(fleetState.newerThan(version)))
+  }
+
+  /** Many nodes ask for the same change at nearly the same time. */
+  #compressed (version: FleetStateVersion): Buffer {
+    const { fleetState } = this.#options
+    const key = [version.configuration, version.servers, fleetState.configurationVersion, fleetState.serversRevision].join()
+    if (this.#lastCompressed.key !== key) this.#lastCompressed = { key, body: compress(fleetState.changesSince(version)) }
+    return this.#lastCompressed.body
+  }
+
   /** Fetches a newer state from another node, unless the store delivers it first. */
   catchUp (): void {
     if (this.#isFetching || this.#isDisposed) return
@@ -88,7 +113,7 @@
   }
 
   /** Returns a random peer with a newer state, in the same failure domain if there is one. */
-  #chooseSource (): Peer | null {
+  #chooseSource (): FleetStateSource | null {
     const { fleetState, failureDomain, peers } = this.#options
     const ahead = peers().filter((peer) => peer.configurationVersion > fleetState.configurationVersion || peer.serversRevision > fleetState.serversRevision)
     const sameDomain = ahead.filter((peer) => peer.failureDomain === failureDomain)
@@ -96,22 +121,38 @@
     return sources[Math.floor(Math.random() * sources.length)] ?? null
   }
 
-  async #fetchFrom ({ node, address }: Peer): Promise<void> {
+  async #fetchFrom ({ node, address }: FleetStateSource): Promise<void> {
     const { fleetState, http, log } = this.#options
-    const path = `${PATH}?configuration=${fleetState.configurationVersion}&servers=${fleetState.serversRevision}`
+    const path = `${PATH}?configuration=${fleetState.configurationVersion}&servers=${fleetState.serversRevision}&${CHANGES_PARAMETER}=1`
     const answer = await http.send({ address, method: 'GET', path, timeout: ANSWER_TIMEOUT, idleTimeout: ANSWER_TIMEOUT })
     const body = answer.ok ? await readBody(answer.value, MAX_SNAPSHOT_BYTES) : answer
     if (this.#isDisposed) return
-    const snapshot = body.ok ? decodeSnapshot(body.value) : body
+    const snapshot = body.ok ? decodeSnapshot(decompress(body.value)) : body
     if (snapshot.ok) fleetState.merge(snapshot.value)
     else log.warn('peers.catch_up_failed', { peer: node, reason: describeFailure(snapshot.failure) })
   }
 }
 
-/** @returns the versions that the requesting node has; null if the path is another one */
-const parseRequestedVersion = (url: string): FleetStateVersion | null => {
+interface SnapshotQuery {
+  /** Versions that the requesting node has. */
+  readonly version: FleetStateVersion
+  /** Whether it understands a compressed list of changes. */
+  readonly wantsChanges: boolean
+}
+
+/** @returns the query; null if the path is another one */
+const parseQuery = (url: string): SnapshotQuery | null => {
   const [path, query = ''] = url.split('?', 2)
   if (path !== PATH) return null
   const parameters = new URLSearchParams(query)
-  return { configuration: Number(parameters.get('configuration') ?? 0), servers: Number(parameters.get('servers') ?? 0) }
+  const version = { configuration: Number(parameters.get('configuration') ?? 0), servers: Number(parameters.get('servers') ?? 0) }
+  return { version, wantsChanges: parameters.has(CHANGES_PARAMETER) }
 }
+
+const compress = (snapshot: FleetStateSnapshot): Buffer => gzipSync(JSON.stringify(snapshot), { level: GZIP_LEVEL })
+
+/** Nodes of earlier builds answer without compression. */
+const decompress = (body: Buffer): Buffer => isGzip(body) ? gunzipSync(body, { maxOutputLength: MAX_SNAPSHOT_BYTES }) : body
+
+/** @returns whether bytes start with the magic number of gzip */
+const isGzip = (body: Buffer): boolean => body[0] === 0x1f && body[1] === 0x8b
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -1,224 +1,322 @@
-/** Sends the state and the assignments of this node to the other nodes, and receives theirs, over UDP. */
-import { createSocket } from 'node:dgram'
-import type { RemoteInfo, Socket, SocketOptions } from 'node:dgram'
-import { once } from 'node:events'
-
-import { AssignmentChange } from '@bluebellhill/domain'
-import type { FleetAssignments, Millis, NodeId } from '@bluebellhill/domain'
+/**
+ * Exchanges states with other nodes: this node reports its assignments to the candidates that may schedule for it, answers the
+ * reports of the nodes for which it is a candidate, and announces the load of its group to the schedulers of the others.
+ */
+import { groupOf } from '@bluebellhill/domain'
+import type { CandidateState, FailureDomain, GroupLoad, Millis, NodeId, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
 
 import type { FleetState } from '../FleetState.js'
 import type { Log } from '../../log/index.js'
+import type { Scheduler } from '../scheduling/Scheduler.js'
+import { DATAGRAM_VERSION, decodeCandidate, decodeDatagram, decodeGroupLoad, encodeCandidate, encodeDatagram, isSchedulerDatagram } from './datagramCodec.js'
+import type { DatagramContent, ReceivedDatagram } from './datagramCodec.js'
+import { PeerSocket } from './PeerSocket.js'
 import { PeerTable } from './PeerTable.js'
 import type { Peer } from './PeerTable.js'
 import { decodeState, encodeState } from './stateCodec.js'
+import type { NodeStateFragment } from './stateCodec.js'
 
-/** Interval at which the state is sent even if it has not changed. */
+/** Interval at which the state is reported. */
 const HEARTBEAT_PERIOD: Millis = 600
 
-/** A heartbeat is skipped if the state was sent within this time before it. */
-const RECENT_SEND_PERIOD: Millis = 400
+/** One in so many heartbeats is an introduction, with the failure domain and processor of this node; its answer names candidates. */
+const HEARTBEATS_PER_INTRODUCTION = 8
 
-/** How long changes are collected and sent together: shortest if an engine is occupied, longer if one becomes free. */
-const BATCH_DELAYS: Readonly<Record<AssignmentChange, Millis>> = {
-  [AssignmentChange.Started]: 1,
-  [AssignmentChange.StartedPlain]: 80,
-  [AssignmentChange.Prefilled]: 60,
-  [AssignmentChange.Ended]: 120
-}
+/** Number of first heartbeats that are all introductions, until the nodes that start at the same time know each other. */
+const FIRST_INTRODUCTIONS = 4
 
-/** One in so many heartbeats is an introduction, with the peers' addresses and the failure domain; a new peer gets one at once. */
-const HEARTBEATS_PER_INTRODUCTION = 16
+/** How long changes are collected before they are announced. */
+const ANNOUNCEMENT_DELAY: Millis = 20
 
-const IP_VERSION = 4
+/** Number of candidates that an answer to an introduction names. */
+const NAMED_CANDIDATES = 4
 
-/** Replaces the DNS lookup: hosts are IP numbers already. */
-const numericOnly: SocketOptions['lookup'] = (host, _, answer) => answer(null, host, IP_VERSION)
+/** Number of nodes of each other group that get the load of this group. */
+const LOAD_RECEIVERS = 2
 
-export interface PeerLinkOptions {
+/** A node from which a newer fleet state can be fetched. */
+export interface FleetStateSource {
   readonly node: NodeId
+  readonly address: string
   readonly failureDomain: string
-  readonly host: string
-  /** UDP port; the other nodes use the same. */
-  readonly port: number
+  readonly configurationVersion: number
+  readonly serversRevision: number
+}
+
+export interface PeerLinkOptions {
+  /** This node; its address is the one at which it receives datagrams. */
+  readonly self: SchedulerCandidate
   /** Wall-clock milliseconds at which this process started. */
   readonly startedAt: number
-  readonly assignments: FleetAssignments
+  readonly scheduler: Scheduler
+  readonly directory: SchedulerDirectory
   readonly fleetState: FleetState
   readonly log: Log
   readonly clock: () => Millis
+  /** Returns the addresses of all schedulers that keep assignments of this node. */
+  readonly schedulersInUse: () => ReadonlySet<string>
   /** Called when another node has a newer configuration or list of backend servers. */
   readonly onPeerAhead: () => void
   /** Returns whether the platform's store does not answer this node. */
   readonly isStoreLost: () => boolean
   /** Called when another node reports that it has lost the store. */
   readonly onPeerStoreLost: () => void
+  /** Called with every message about the placement of attempts. */
+  readonly onPlacementMessage: (message: ReceivedDatagram, address: string) => void
 }
 
 /** Exchanges node states with the peers over one UDP socket. */
 export class PeerLink {
+  /** Nodes that report their assignments to this one. */
   readonly table = new PeerTable()
   readonly #options: PeerLinkOptions
-  readonly #socket: Socket = createSocket({ type: 'udp4', lookup: numericOnly })
+  readonly #socket: PeerSocket
+  readonly #openedAt: Millis
   #sequence = 0
   #heartbeatCount = 0
-  #sendTimer: NodeJS.Timeout | null = null
-  #sendDueAt: Millis = Infinity
-  #lastSentAt: Millis = -Infinity
-  #sentAssignmentCount = 0
   #heartbeatTimer: NodeJS.Timeout | null = null
+  #reportTimer: NodeJS.Timeout | null = null
+  #announcementTimer: NodeJS.Timeout | null = null
   #isStopping = false
   #isDisposed = false
-  #undeliveredCount = 0
   #malformedCount = 0
 
-  /** @param options - this node, its assignments and fleet state, and its UDP address */
+  /** @param options - this node, its scheduler and fleet state */
   constructor (options: PeerLinkOptions) {
     this.#options = options
-    this.#socket.on('message', (datagram, remote) => this.#receive(datagram, remote))
-    this.#socket.on('error', (error) => {
-      this.#undeliveredCount += 1
-      options.log.warn('peers.socket_error', { reason: error.message })
-    })
+    this.#openedAt = options.clock()
+    this.#socket = new PeerSocket(options.log, (datagram, address) => this.#receive(datagram, address))
+    options.fleetState.onChange(() => this.#announceSoon())
   }
 
   /** Counts of datagrams that could not be sent, and of datagrams that could not be decoded. */
   get counters (): { readonly undelivered: number, readonly malformed: number } {
-    return { undelivered: this.#undeliveredCount, malformed: this.#malformedCount }
+    return { undelivered: this.#socket.undeliveredCount, malformed: this.#malformedCount }
   }
 
   /** @throws Error if the port cannot be bound */
   async start (): Promise<void> {
-    const listening = once(this.#socket, 'listening')
-    this.#socket.bind(this.#options.port, this.#options.host)
-    await listening
+    const [host = '', port = ''] = this.#options.self.address.split(':')
+    await this.#socket.start(host, Number(port))
     this.#heartbeatTimer = setInterval(() => this.#sendHeartbeat(), HEARTBEAT_PERIOD)
     this.#sendHeartbeat()
   }
 
   /**
-   * Adds addresses of other nodes, to which the state is sent.
+   * Adds nodes that the store lists, and reports to the candidates among them at once.
    *
-   * @param addresses - `ip:port` of nodes
+   * @param candidates - nodes with their failure domain and processor
+   * @param addresses - `ip:port` of nodes of earlier builds, which list nothing else
    */
-  addAddresses (addresses: readonly string[]): void {
-    const own = `${this.#options.host}:${this.#options.port}`
-    this.table.addAddresses(addresses.filter((address) => address !== own), this.#options.clock())
+  addNodes (candidates: readonly SchedulerCandidate[], addresses: readonly string[]): void {
+    const { directory, clock, self } = this.#options
+    const added = candidates.filter((candidate) => directory.add(candidate))
+    this.table.addAddresses(addresses.filter((address) => address !== self.address), clock())
+    if (added.length > 0) this.reportSoon()
   }
 
-  /** Schedules a state to be sent after an assignment of this node has changed. */
-  assignmentChanged (change: AssignmentChange): void {
-    const now = this.#options.clock()
-    const dueAt = now + BATCH_DELAYS[change]
-    if (dueAt >= this.#sendDueAt) return
-    if (this.#sendTimer !== null) clearTimeout(this.#sendTimer)
-    this.#sendDueAt = dueAt
-    this.#sendTimer = setTimeout(() => this.#sendChanges(), dueAt - now)
+  /** @returns the nodes that were heard lately, with the versions of their fleet state */
+  sources (): FleetStateSource[] {
+    const candidates = this.#options.directory.live(this.#options.clock()).flatMap(({ node, address, failureDomain, state }) =>
+      state === null ? [] : [{ node, address, failureDomain, configurationVersion: state.configurationVersion, serversRevision: state.serversRevision }])
+    return [...candidates, ...this.table.active()]
   }
 
-  /** Announces to the other nodes that this node has lost the store. */
+  /** Reports the state soon, because the candidates do not know an assignment of this node yet. */
+  reportSoon (): void {
+    this.#reportTimer ??= setTimeout(() => {
+      this.#reportTimer = null
+      this.#sendState(true)
+    }, 1)
+  }
+
+  /** Announces to the nodes that report to this one that it has lost the store. */
   announceStoreLost (): void {
-    this.#sendState()
+    this.#announce()
   }
 
-  /** Announces to the other nodes that this node is stopping. */
+  /** Announces that this node is stopping, so that others schedule in its place. */
   announceStopping (): void {
     this.#isStopping = true
-    this.#sendState()
+    this.#announce()
+    this.#sendState(false)
+  }
+
+  /**
+   * Sends a message to one node.
+   *
+   * @param address - its `ip:port`
+   * @param content - the message
+   */
+  send (address: string, content: DatagramContent): void {
+    this.#socket.send(encodeDatagram(this.#options.self.node, this.#options.startedAt, content), address)
   }
 
   dispose (): void {
     if (this.#isDisposed) return
     this.#isDisposed = true
-    if (this.#sendTimer !== null) clearTimeout(this.#sendTimer)
     if (this.#heartbeatTimer !== null) clearInterval(this.#heartbeatTimer)
-    this.#socket.close()
+    if (this.#reportTimer !== null) clearTimeout(this.#reportTimer)
+    if (this.#announcementTimer !== null) clearTimeout(this.#announcementTimer)
+    this.#socket.dispose()
   }
 
   #sendHeartbeat (): void {
-    const now = this.#options.clock()
+    const { scheduler, log, clock } = this.#options
+    const now = clock()
     for (const peer of this.table.expire(now)) {
-      this.#options.assignments.removePeer(peer.node, now)
-      this.#options.log.warn('peer.lost', { peer: peer.node, silent_ms: Math.round(now - peer.lastSeenAt) })
+      scheduler.assignments.removePeer(peer.node, now)
+      log.warn('peer.lost', { peer: peer.node, silent_ms: Math.round(now - peer.lastSeenAt) })
     }
+    this.#updateGroup()
     this.#heartbeatCount += 1
-    const isIntroduction = this.#heartbeatCount % HEARTBEATS_PER_INTRODUCTION === 1
-    if (isIntroduction || now - this.#lastSentAt > RECENT_SEND_PERIOD) this.#sendState(isIntroduction)
+    this.#sendState(this.#heartbeatCount <= FIRST_INTRODUCTIONS || this.#heartbeatCount % HEARTBEATS_PER_INTRODUCTION === 0)
+    if (this.#isGroupScheduler(now)) this.#sendGroupReport()
   }
 
-  /** Sends the changed state, unless there was no assignment in the last state sent and there is none now. */
-  #sendChanges (): void {
-    this.#sendTimer = null
-    this.#sendDueAt = Infinity
-    if (this.#sentAssignmentCount > 0 || this.#options.assignments.own().length > 0) this.#sendState()
+  #updateGroup (): void {
+    const { fleetState, directory, self, log } = this.#options
+    const engineServices = new Set(fleetState.routeTable?.deployment.services.filter(({ engine }) => engine !== null).map(({ name }) => name))
+    const engines = fleetState.servers.all().filter(({ service }) => engineServices.has(service))
+    if (engines.length === 0) return
+    const group = groupOf(engines, self.failureDomain)
+    if (group.domain === directory.group.domain) return
+    directory.setGroup(group)
+    log.info('scheduler.group', { group: group.domain ?? 'whole fleet', engines: engines.length })
   }
 
-  #sendState (isIntroduction = false): void {
-    if (this.#sendTimer !== null) clearTimeout(this.#sendTimer)
-    this.#sendTimer = null
-    this.#sendDueAt = Infinity
-    if (this.#isDisposed) return
-    this.#lastSentAt = this.#options.clock()
-    this.#sentAssignmentCount = this.#options.assignments.own().length
-    const datagrams = this.#encodeState(isIntroduction)
-    for (const address of this.table.addresses()) for (const datagram of datagrams) this.#sendDatagram(datagram, address)
+  #isGroupScheduler (now: Millis): boolean {
+    const { directory, self } = this.#options
+    return directory.scheduler(now).node === self.node && this.table.active().length > 0
   }
 
-  #sendIntroduction (address: string): void {
+  #sendState (isIntroduction: boolean): void {
     if (this.#isDisposed) return
-    for (const datagram of this.#encodeState(true)) this.#sendDatagram(datagram, address)
+    const { directory, clock, schedulersInUse } = this.#options
+    const now = clock()
+    const contacts = directory.contacts(now)
+    for (const { node } of contacts) directory.reported(node, now)
+    const addresses = new Set([...contacts.map(({ address }) => address), ...schedulersInUse(), ...this.table.addresses()])
+    if (addresses.size === 0) return
+    for (const datagram of this.#encodeState(isIntroduction)) for (const address of addresses) this.#socket.send(datagram, address)
   }
 
   #encodeState (isIntroduction: boolean): Uint8Array[] {
-    const { node, failureDomain, startedAt, assignments, fleetState, clock, isStoreLost } = this.#options
+    const { self, startedAt, scheduler, fleetState, clock, isStoreLost } = this.#options
     this.#sequence += 1
     return encodeState({
-      node,
+      node: self.node,
       startedAt,
       sequence: this.#sequence,
       configurationVersion: fleetState.configurationVersion,
       serversRevision: fleetState.serversRevision,
       stopping: this.#isStopping,
       storeLost: isStoreLost(),
-      works: assignments.own(),
-      peers: isIntroduction ? this.table.active().map(({ address }) => address) : [],
-      failureDomain: isIntroduction ? failureDomain : ''
+      works: scheduler.assignments.own(),
+      peers: [],
+      failureDomain: isIntroduction ? self.failureDomain : '',
+      version: DATAGRAM_VERSION,
+      processor: isIntroduction ? self.processor : 0
     }, clock())
   }
 
-  #sendDatagram (datagram: Uint8Array, address: string): void {
-    const [host = '', port = ''] = address.split(':')
-    this.#socket.send(datagram, Number(port), host, (error) => {
-      if (error !== null) this.#undeliveredCount += 1
-    })
+  #receive (bytes: Buffer, address: string): void {
+    try {
+      if (isSchedulerDatagram(bytes)) this.#receiveMessage(decodeDatagram(bytes), address)
+      else this.#receiveState(decodeState(bytes, this.#options.clock()), address)
+    } catch (error) {
+      this.#malformedCount += 1
+      this.#options.log.warn('peers.datagram_malformed', { from: address, reason: error instanceof Error ? error.message : String(error) })
+    }
+  }
+
+  #receiveMessage (message: ReceivedDatagram, address: string): void {
+    const { content, node } = message
+    if (content.$case === 'candidateReport') {
+      this.addNodes(content.value.candidates.map(decodeCandidate), [])
+      const { uptimeMs, configurationVersion, serversRevision, storeLost, stopping } = content.value
+      this.#candidateHeard(node, { startedAt: message.startedAt, uptime: Number(uptimeMs), isStopping: stopping, hasLostStore: storeLost, configurationVersion, serversRevision: Number(serversRevision) })
+    } else if (content.$case === 'groupReport') {
+      this.#groupReported(node, decodeGroupLoad(content.value, address), content.value.configurationVersion, Number(content.value.serversRevision))
+    } else {
+      this.#options.onPlacementMessage(message, address)
+    }
+  }
+
+  #candidateHeard (node: NodeId, state: CandidateState): void {
+    const { directory, clock, onPeerStoreLost } = this.#options
+    const previous = directory.heard(node, state, clock())
+    this.#compareVersions(state)
+    if (state.hasLostStore && previous?.hasLostStore === false) onPeerStoreLost()
   }
 
-  #receive (datagram: Buffer, remote: RemoteInfo): void {
-    const { assignments, fleetState, clock, onPeerAhead, onPeerStoreLost, node } = this.#options
+  #groupReported (node: NodeId, load: GroupLoad, configurationVersion: number, serversRevision: number): void {
+    const { scheduler, directory, clock } = this.#options
+    scheduler.recordGroupLoad(load)
+    directory.heard(node, { startedAt: 0, uptime: 0, isStopping: false, hasLostStore: false, configurationVersion, serversRevision }, clock())
+    this.#compareVersions({ configurationVersion, serversRevision })
+  }
+
+  #compareVersions (version: { readonly configurationVersion: number, readonly serversRevision: number }): void {
+    const { fleetState, onPeerAhead } = this.#options
+    if (version.configurationVersion > fleetState.configurationVersion || version.serversRevision > fleetState.serversRevision) onPeerAhead()
+  }
+
+  #receiveState (fragment: NodeStateFragment, address: string): void {
+    const { scheduler, directory, clock, onPeerStoreLost, self } = this.#options
+    if (fragment.node === self.node) return
     const now = clock()
-    const fragment = this.#decode(datagram, now)
-    if (fragment === null || fragment.node === node) return
-    const received = this.table.record(fragment, `${remote.address}:${remote.port}`, now)
+    const received = this.table.record(fragment, address, now)
     if (received === null) return
-    assignments.setPeerAssignments(received.peer.node, received.assignments, now)
-    this.addAddresses(fragment.peers)
+    scheduler.assignments.setPeerAssignments(received.peer.node, received.assignments, now)
+    this.table.addAddresses(fragment.peers.filter((peer) => peer !== self.address), now)
     if (received.isNew) this.#peerFound(received.peer)
-    const isAhead = received.peer.configurationVersion > fleetState.configurationVersion || received.peer.serversRevision > fleetState.serversRevision
-    if (isAhead) onPeerAhead()
+    if (fragment.version > 0) this.#answerState(fragment, address)
+    if (fragment.version > 0 && fragment.failureDomain !== '') directory.add({ node: fragment.node, address, failureDomain: fragment.failureDomain as FailureDomain, processor: fragment.processor })
+    this.#compareVersions(received.peer)
     if (received.hasLostStore) onPeerStoreLost()
   }
 
   #peerFound ({ node, address, startedAt }: Peer): void {
     this.#options.log.info('peer.found', { peer: node, address, started_at: startedAt })
-    this.#sendIntroduction(address)
   }
 
-  #decode (datagram: Buffer, now: Millis): ReturnType<typeof decodeState> | null {
-    try {
-      return decodeState(datagram, now)
-    } catch (error) {
-      this.#malformedCount += 1
-      this.#options.log.warn('peers.datagram_malformed', { reason: error instanceof Error ? error.message : String(error) })
-      return null
+  #answerState ({ failureDomain }: NodeStateFragment, address: string): void {
+    this.send(address, { $case: 'candidateReport', value: this.#candidateReport(failureDomain !== '') })
+  }
+
+  #candidateReport (namesCandidates: boolean): Extract<DatagramContent, { $case: 'candidateReport' }>['value'] {
+    const { fleetState, directory, isStoreLost, clock } = this.#options
+    return {
+      uptimeMs: BigInt(Math.round(clock() - this.#openedAt)),
+      configurationVersion: fleetState.configurationVersion,
+      serversRevision: BigInt(fleetState.serversRevision),
+      storeLost: isStoreLost(),
+      stopping: this.#isStopping,
+      candidates: namesCandidates ? directory.ranked(NAMED_CANDIDATES).map(encodeCandidate) : []
     }
   }
+
+  #announceSoon (): void {
+    if (this.#isDisposed) return
+    this.#announcementTimer ??= setTimeout(() => {
+      this.#announcementTimer = null
+      this.#announce()
+    }, ANNOUNCEMENT_DELAY)
+  }
+
+  /** Sends the state of this candidate to every node that reports to it. */
+  #announce (): void {
+    const content: DatagramContent = { $case: 'candidateReport', value: this.#candidateReport(false) }
+    for (const { address, version } of this.table.active()) if (version > 0) this.send(address, content)
+  }
+
+  #sendGroupReport (): void {
+    const { directory, scheduler, fleetState, self } = this.#options
+    const receivers = directory.otherGroups(LOAD_RECEIVERS)
+    if (receivers.length === 0) return
+    const services = scheduler.serviceLoads().map(({ service, slots, requests, meanPendingPrefill }) => ({ service, slots, requests, meanPendingMs: Math.round(meanPendingPrefill) }))
+    const value = { failureDomain: self.failureDomain, services, configurationVersion: fleetState.configurationVersion, serversRevision: BigInt(fleetState.serversRevision) }
+    for (const { address } of receivers) this.send(address, { $case: 'groupReport', value })
+  }
 }
--- a/packages/node/src/forward/peers/PeerTable.ts
+++ b/packages/node/src/forward/peers/PeerTable.ts
@@ -25,6 +25,8 @@
   readonly storeLost: boolean
   readonly lastSeenAt: Millis
   readonly isLost: boolean
+  /** Version of the datagrams that the node understands; 0 for earlier builds. */
+  readonly version: number
 }
 
 /** State of another node of which all fragments have arrived. */
@@ -61,9 +63,10 @@
     return this.all().filter(({ isLost }) => !isLost)
   }
 
-  /** @returns the addresses of all nodes and the reported addresses, to which this node sends its state */
+  /** @returns the addresses of nodes of earlier builds, which expect the state of every other node, and the reported addresses */
   addresses (): string[] {
-    return [...new Set([...this.all().map(({ address }) => address), ...this.#reportedAddresses.keys()])]
+    const earlierBuilds = this.all().filter(({ version }) => version === 0)
+    return [...new Set([...earlierBuilds.map(({ address }) => address), ...this.#reportedAddresses.keys()])]
   }
 
   /**
@@ -90,9 +93,9 @@
     if (previous !== undefined && isOlder(fragment, previous, now)) return null
     const assignments = this.#assemble(fragment)
     if (assignments === null) return null
-    const { node, startedAt, sequence, configurationVersion, serversRevision, storeLost } = fragment
+    const { node, startedAt, sequence, configurationVersion, serversRevision, storeLost, version } = fragment
     const failureDomain = fragment.failureDomain || (previous?.failureDomain ?? '')
-    const peer: Peer = { node, address, failureDomain, startedAt, sequence, configurationVersion, serversRevision, storeLost, lastSeenAt: now, isLost: false }
+    const peer: Peer = { node, address, failureDomain, startedAt, sequence, configurationVersion, serversRevision, storeLost, lastSeenAt: now, isLost: false, version }
     this.#peers.set(node, peer)
     this.#reportedAddresses.delete(address)
     return { peer, assignments, isNew: previous === undefined || previous.isLost || previous.startedAt !== startedAt, hasLostStore: storeLost && previous?.storeLost !== true }
--- /dev/null
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -0,0 +1,190 @@
+/** Encodes the datagrams of the scheduler protocol, and decodes them into types of the forwarding node. */
+import { HealthSignal } from '@bluebellhill/domain'
+import type { BackendServer, FailureDomain, GroupLoad, HolderReservation, Millis, NodeId, PlacementChoice, RunnerId, SchedulerCandidate } from '@bluebellhill/domain'
+import { fleetWire } from '@bluebellhill/protocol'
+
+import type { AttemptReport, PlacementResult, PlacementSpec } from '../scheduling/types.js'
+
+/** First byte of these datagrams. A node state, which earlier builds send and understand, never starts with it. */
+const DATAGRAM_MARK = 0
+
+/** Version of the datagrams that this build understands. */
+export const DATAGRAM_VERSION = 1
+
+const MILLI = 1_000
+
+export type DatagramContent = NonNullable<fleetWire.PeerDatagram['content']>
+
+/** A decoded datagram. */
+export interface ReceivedDatagram {
+  readonly node: NodeId
+  readonly startedAt: number
+  readonly content: DatagramContent
+}
+
+/**
+ * @param bytes - a received datagram
+ * @returns whether it belongs to this protocol; otherwise it is a node state
+ */
+export const isSchedulerDatagram = (bytes: Uint8Array): boolean => bytes[0] === DATAGRAM_MARK
+
+/**
+ * @param node - this node
+ * @param startedAt - wall-clock milliseconds at which this process started
+ * @param content - the message
+ * @returns the datagram
+ */
+export const encodeDatagram = (node: NodeId, startedAt: number, content: DatagramContent): Uint8Array => {
+  const message = fleetWire.PeerDatagram.encode({ node, startedAt: BigInt(startedAt), content }).finish()
+  const bytes = new Uint8Array(message.length + 1)
+  bytes[0] = DATAGRAM_MARK
+  bytes.set(message, 1)
+  return bytes
+}
+
+/**
+ * @param bytes - a received datagram that starts with the mark
+ * @returns its sender and message
+ * @throws Error if it is malformed, or of a kind that this build does not know
+ */
+export const decodeDatagram = (bytes: Uint8Array): ReceivedDatagram => {
+  const { node, startedAt, content } = fleetWire.PeerDatagram.decode(bytes.subarray(1))
+  if (node === '' || content === undefined) throw new Error('the datagram has no sender or no known content')
+  return { node: node as NodeId, startedAt: Number(startedAt), content }
+}
+
+/**
+ * @param spec - an attempt, on the clock of this node
+ * @param number - number of its assignment
+ * @param now - current time
+ * @returns the query to the scheduler
+ */
+export const encodeQuery = (spec: PlacementSpec, number: number, now: Millis): fleetWire.PlacementQuery => ({
+  number,
+  request: spec.request,
+  service: spec.service,
+  promptTokens: spec.size.prompt,
+  mostAnswerTokens: spec.size.mostAnswer,
+  objectiveMs: Math.round(spec.objective),
+  dueInMs: Math.round(spec.dueAt - now),
+  pauseObjectiveMs: spec.pauseObjective === null ? undefined : Math.round(spec.pauseObjective),
+  excluded: [...spec.excluded],
+  allowed: [...spec.allowed ?? []],
+  chargesRetry: spec.chargesRetry,
+  isRedirected: spec.isRedirected
+})
+
+/**
+ * @param wire - a received query
+ * @param now - current time
+ * @returns the attempt, on the clock of this node
+ */
+export const decodeQuery = (wire: fleetWire.PlacementQuery, now: Millis): PlacementSpec => ({
+  request: wire.request,
+  service: wire.service,
+  size: { prompt: wire.promptTokens, mostAnswer: wire.mostAnswerTokens },
+  objective: wire.objectiveMs,
+  dueAt: now + wire.dueInMs,
+  pauseObjective: wire.pauseObjectiveMs ?? null,
+  excluded: wire.excluded as RunnerId[],
+  allowed: wire.allowed.length === 0 ? null : wire.allowed as RunnerId[],
+  chargesRetry: wire.chargesRetry,
+  isRedirected: wire.isRedirected
+})
+
+/**
+ * @param number - number of the assignment at the node that asked
+ * @param result - the decision
+ * @returns the reply
+ */
+export const encodeReply = (number: number, result: PlacementResult): fleetWire.PlacementReply => {
+  switch (result.type) {
+    case 'refused':
+      return { number, result: { $case: 'refusal', value: result.reason } }
+    case 'redirected':
+      return { number, result: { $case: 'redirect', value: result.address } }
+    case 'placed': {
+      const { choice, load } = result
+      return {
+        number,
+        result: {
+          $case: 'placement',
+          value: {
+            server: encodeServer(choice.server),
+            helpers: choice.helpers.map(encodeServer),
+            holders: choice.holders.map(({ server, tokens }) => ({ runner: server.id, tokens })),
+            firstEventMs: Math.round(choice.timeToFirstEvent),
+            serverRequests: load.requests,
+            serverPendingMs: Math.round(load.pendingPrefill)
+          }
+        }
+      }
+    }
+  }
+}
+
+/** Returns the entry of a backend server; null if this node has none yet. */
+export type ServerLookup = (id: RunnerId) => BackendServer | null
+
+/**
+ * @param wire - a received reply
+ * @param service - service of the attempt
+ * @param findServer - finds the entry of a backend server
+ * @returns the decision
+ * @throws Error if the reply contains none
+ */
+export const decodeReply = ({ result }: fleetWire.PlacementReply, service: string, findServer: ServerLookup): PlacementResult => {
+  if (result === undefined) throw new Error('the placement reply contains no decision')
+  if (result.$case === 'refusal') return { type: 'refused', reason: result.value }
+  if (result.$case === 'redirect') return { type: 'redirected', address: result.value }
+  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs } = result.value
+  if (server === undefined) throw new Error('the placement names no server')
+  const decoded = helpers.map((helper) => decodeServer(helper, service, findServer))
+  const choice: PlacementChoice = {
+    server: decodeServer(server, service, findServer),
+    helpers: decoded,
+    holders: holders.flatMap(({ runner, tokens }): HolderReservation[] => decoded.filter(({ id }) => id === runner).map((holder) => ({ server: holder, tokens }))),
+    timeToFirstEvent: firstEventMs
+  }
+  return { type: 'placed', choice, load: { requests: serverRequests, pendingPrefill: serverPendingMs } }
+}
+
+const encodeServer = ({ id, address, failureDomain }: BackendServer): fleetWire.ServerAddress => ({ id, address, failureDomain })
+
+/** The scheduler may know a server before this node does. */
+const decodeServer = ({ id, address, failureDomain }: fleetWire.ServerAddress, service: string, findServer: ServerLookup): BackendServer =>
+  findServer(id as RunnerId) ?? { id: id as RunnerId, service, address, failureDomain: failureDomain as FailureDomain, slots: 0, readiness: 'ready', startedAt: null }
+
+/** @returns the wire form of reports about attempts */
+export const encodeAttemptReports = (reports: readonly AttemptReport[]): fleetWire.AttemptReports => ({
+  reports: reports.map(({ number, isEnded, server, signal, slowdown }) => ({ number, isEnded, server, signal: signal ?? '', slowdownMilli: slowdown === null ? 0 : Math.round(slowdown * MILLI) }))
+})
+
+/** @returns the reports about attempts; an unknown health signal counts as none */
+export const decodeAttemptReports = ({ reports }: fleetWire.AttemptReports): AttemptReport[] =>
+  reports.map(({ number, isEnded, server, signal, slowdownMilli }) => ({
+    number,
+    isEnded,
+    server: server as RunnerId,
+    signal: Object.values(HealthSignal).find((known) => known === signal) ?? null,
+    slowdown: slowdownMilli === 0 ? null : slowdownMilli / MILLI
+  }))
+
+/** @returns the wire form of a candidate */
+export const encodeCandidate = ({ node, address, failureDomain, processor }: SchedulerCandidate): fleetWire.Candidate =>
+  ({ node, address, failureDomain, processorMilli: Math.round(processor * MILLI) })
+
+/** @returns the candidate */
+export const decodeCandidate = ({ node, address, failureDomain, processorMilli }: fleetWire.Candidate): SchedulerCandidate =>
+  ({ node: node as NodeId, address, failureDomain: failureDomain as FailureDomain, processor: processorMilli / MILLI })
+
+/**
+ * @param wire - a received group report
+ * @param address - its sender
+ * @returns the load of the group
+ */
+export const decodeGroupLoad = ({ failureDomain, services }: fleetWire.GroupReport, address: string): GroupLoad => ({
+  domain: failureDomain as FailureDomain,
+  address,
+  services: services.map(({ service, slots, requests, meanPendingMs }) => ({ service, slots, requests, meanPendingPrefill: meanPendingMs }))
+})
--- a/packages/node/src/forward/peers/snapshotCodec.ts
+++ b/packages/node/src/forward/peers/snapshotCodec.ts
@@ -58,7 +58,11 @@
 
 const snapshotSchema = z.object({
   deployment: deploymentSchema.nullable(),
-  servers: z.object({ listed: z.array(z.object({ server: serverSchema, revision: nonNegative })), revision: nonNegative }).nullable()
+  servers: z.object({
+    listed: z.array(z.object({ server: serverSchema, revision: nonNegative, isLapsed: z.boolean().optional() })),
+    unchanged: z.array(nonEmpty.transform((id) => id as RunnerId)).optional(),
+    revision: nonNegative
+  }).nullable()
 })
 
 /**
--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -1,5 +1,5 @@
 /** Encodes the state and the assignments of a node into UDP datagrams, and decodes them. */
-import { assignmentId } from '@bluebellhill/domain'
+import { assignmentId, assignmentNumber } from '@bluebellhill/domain'
 import type { Millis, NodeId, RunnerId, Assignment } from '@bluebellhill/domain'
 import { fleetWire } from '@bluebellhill/protocol'
 
@@ -19,6 +19,10 @@
   readonly peers: readonly string[]
   /** Empty unless the state is an introduction. */
   readonly failureDomain: string
+  /** Version of the datagrams that the node understands; 0 for earlier builds. */
+  readonly version: number
+  /** Processor time of the node's VM in cores; 0 unless the state is an introduction. */
+  readonly processor: number
 }
 
 /** Fragment of a state; a small state has only one. */
@@ -27,6 +31,8 @@
   readonly parts: number
 }
 
+const MILLI = 1_000
+
 /** Assignments in one datagram: few enough that it stays below the usual packet size. */
 const MAX_ASSIGNMENTS_PER_DATAGRAM = 16
 
@@ -43,6 +49,7 @@
       ...state,
       startedAt: BigInt(state.startedAt),
       serversRevision: BigInt(state.serversRevision),
+      processorMilli: Math.round(state.processor * MILLI),
       part: fragmentIndex,
       parts: fragmentCount,
       works: assignments.map((assignment) => encodeAssignment(assignment, now)),
@@ -65,6 +72,7 @@
     node: wire.node as NodeId,
     startedAt: Number(wire.startedAt),
     serversRevision: Number(wire.serversRevision),
+    processor: wire.processorMilli / MILLI,
     works: wire.works.map((assignment) => decodeAssignment(assignment, wire.node as NodeId, now))
   }
 }
@@ -97,7 +105,4 @@
   dueAt: now + wire.dueInMs
 })
 
-/** @returns the number in the id of an assignment, which its node counts up */
-const assignmentNumber = ({ id }: Assignment): number => Number(id.slice(id.lastIndexOf('/') + 1))
-
 const ageOf = (time: Millis, now: Millis): number => Math.max(0, Math.round(now - time))
--- /dev/null
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -0,0 +1,255 @@
+/** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
+import { assignmentNumber, HealthSignal, SLOWDOWN_SAMPLE_COUNT } from '@bluebellhill/domain'
+import type { Assignment, AttemptHistory, Millis, NodeId, RunnerId, SchedulerDirectory } from '@bluebellhill/domain'
+
+import type { Log } from '../../log/index.js'
+import type { AdmittedCall } from '../AdmittedCall.js'
+import type { FleetState } from '../FleetState.js'
+import { decodeReply, encodeAttemptReports, encodeQuery } from '../peers/datagramCodec.js'
+import type { DatagramContent, ReceivedDatagram } from '../peers/datagramCodec.js'
+import { PendingQueries, QUERY_TIMING } from '../peers/PendingQueries.js'
+import type { QueryTiming } from '../peers/PendingQueries.js'
+import type { Scheduler } from './Scheduler.js'
+import type { AttemptPlacement, AttemptReport, PlacedAttempt, PlacementResult, PlacementSpec } from './types.js'
+
+/** How long reports of attempts are collected and sent together. */
+const REPORT_DELAY: Millis = 5
+
+/** Schedulers that are asked before this node decides itself. */
+const MAX_SCHEDULERS_ASKED = 2
+
+export interface PlacementClientOptions {
+  readonly node: NodeId
+  /** Scheduler of this node; it keeps this node's own assignments. */
+  readonly scheduler: Scheduler
+  readonly directory: SchedulerDirectory
+  readonly fleetState: FleetState
+  readonly log: Log
+  readonly clock: () => Millis
+  /** Sends a message to the node at an address. */
+  readonly send: (address: string, content: DatagramContent) => void
+  /** Called when this node has placed an attempt without the scheduler of its group, which has to learn of it. */
+  readonly onUncoordinatedPlacement: () => void
+  /** When queries are repeated and given up; `QUERY_TIMING` if absent. */
+  readonly queryTiming?: QueryTiming
+}
+
+/** A decision and the scheduler that made it; the address is null for this node. */
+interface Decision {
+  readonly result: PlacementResult
+  readonly scheduler: string | null
+}
+
+/** Places attempts, and reports what becomes of them. */
+export class PlacementClient {
+  readonly #options: PlacementClientOptions
+  readonly #placementQueries: PendingQueries<Parameters<typeof decodeReply>[0]>
+  readonly #silenceQueries: PendingQueries<Millis>
+  /** Address of the scheduler that keeps an assignment, by assignment id. */
+  readonly #schedulers = new Map<string, string>()
+  /** Last pauses of each stream over the published pass time, by assignment id. */
+  readonly #pauses = new Map<string, number[]>()
+  readonly #unsentReports = new Map<string, AttemptReport[]>()
+  #reportTimer: NodeJS.Timeout | null = null
+  #nextSilenceQuery = 1
+
+  /** @param options - the scheduler of this node and those of the others */
+  constructor (options: PlacementClientOptions) {
+    const timing = options.queryTiming ?? QUERY_TIMING
+    this.#options = options
+    this.#placementQueries = new PendingQueries(timing)
+    this.#silenceQueries = new PendingQueries(timing)
+  }
+
+  /** @returns addresses of the schedulers that keep assignments of this node */
+  schedulersInUse (): ReadonlySet<string> {
+    return new Set(this.#schedulers.values())
+  }
+
+  /**
+   * Places the next attempt of a request.
+   *
+   * @param call - the request
+   * @param history - its earlier attempts
+   * @param chargesRetry - whether the attempt is taken from the retry budget
+   * @returns the placed attempt, whose assignment must be removed with `removeAssignment`; or why there is none
+   */
+  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean): Promise<AttemptPlacement> {
+    const { scheduler, clock } = this.#options
+    const startedAt = clock()
+    const spec = specOf(call, history, chargesRetry)
+    const number = scheduler.assignments.nextNumber()
+    const { result, scheduler: address } = await this.#decide(spec, number)
+    if (result.type !== 'placed') return { type: 'refused', reason: result.type === 'refused' ? result.reason : 'no scheduler has accepted the request' }
+    const assignment = address === null
+      ? scheduler.assignments.findOwn(number)
+      : scheduler.assignments.start(scheduler.draftAssignment(spec, result.choice, clock()), number)
+    if (assignment === null) return { type: 'refused', reason: 'the assignment is not recorded' }
+    if (address !== null) this.#schedulers.set(assignment.id, address)
+    const { choice, load } = result
+    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, decidedIn: clock() - startedAt } }
+  }
+
+  /** Records that the first event of an attempt has arrived: its prefill is finished. */
+  prefillFinished ({ assignment }: PlacedAttempt): void {
+    const { scheduler, clock } = this.#options
+    scheduler.assignments.markPrefilled(assignment, clock())
+    this.#report(assignment, false, null)
+  }
+
+  /**
+   * Removes the assignment of an attempt that has ended.
+   *
+   * @param attempt - the attempt
+   * @param signal - what it shows of its server; null if nothing
+   */
+  removeAssignment ({ assignment, choice }: PlacedAttempt, signal: HealthSignal | null): void {
+    const { scheduler, clock } = this.#options
+    scheduler.assignments.end(assignment, clock())
+    if (signal !== null) scheduler.recordHealthSignal(choice.server, signal)
+    this.#report(assignment, true, signal)
+    this.#schedulers.delete(assignment.id)
+    this.#pauses.delete(assignment.id)
+  }
+
+  /** Records the pause between two events of a stream, for the slowdown estimate of its engine. */
+  observePause (call: AdmittedCall, { assignment, choice }: PlacedAttempt, pause: Millis): void {
+    if (call.service.engine === null) return
+    const { scheduler } = this.#options
+    const passTime = scheduler.modelOf(call.service).passTime(1, call.size.prompt)
+    scheduler.observePause(choice.server, pause, passTime)
+    const ratios = this.#pauses.get(assignment.id) ?? []
+    this.#pauses.set(assignment.id, ratios)
+    ratios.push(pause / passTime)
+    if (ratios.length > SLOWDOWN_SAMPLE_COUNT) ratios.shift()
+  }
+
+  /** Records the server at an address as unreachable, after another server reported that a request failed because of it. */
+  reportUnreachableAddress (address: string): void {
+    const { fleetState, scheduler, directory, clock, node } = this.#options
+    const server = fleetState.servers.all().find((candidate) => candidate.address === address)
+    if (server === undefined) return
+    scheduler.recordHealthSignal(server, HealthSignal.Unreachable)
+    const group = directory.scheduler(clock())
+    if (group.node !== node) this.#queueReport(group.address, { number: 0, isEnded: false, server: server.id, signal: HealthSignal.Unreachable, slowdown: null })
+  }
+
+  /**
+   * @param attempt - an attempt whose server sends no data
+   * @returns how long known prefills still explain this; 0 if they do not
+   */
+  async explainedSilence ({ assignment, choice }: PlacedAttempt): Promise<Millis> {
+    const { scheduler, send } = this.#options
+    const address = this.#schedulers.get(assignment.id)
+    if (address === undefined) return scheduler.explainedSilence(choice.server.id)
+    const number = this.#nextSilenceQuery++
+    const query: DatagramContent = { $case: 'silenceQuery', value: { number, server: choice.server.id } }
+    return await this.#silenceQueries.ask(number, () => send(address, query)) ?? scheduler.explainedSilence(choice.server.id)
+  }
+
+  /** @returns the predicted prefill time of a request on one idle engine */
+  prefillTime ({ service, size }: AdmittedCall): Millis {
+    return this.#options.scheduler.modelOf(service).prefillTime(size.prompt)
+  }
+
+  /**
+   * Handles a message, if it is a reply to a query of this node.
+   *
+   * @param message - the message
+   * @param address - `ip:port` of its sender
+   */
+  handle ({ node, content }: ReceivedDatagram, address: string): void {
+    const { directory, clock } = this.#options
+    if (content.$case === 'silenceReply') {
+      this.#silenceQueries.answer(content.value.number, content.value.explainedMs)
+    } else if (content.$case === 'placementReply') {
+      directory.heard(node, null, clock())
+      const { number, result } = content.value
+      if (!this.#placementQueries.answer(number, content.value) && result?.$case === 'placement') this.#returnUnusedGrant(address, number, result.value.server?.id ?? '')
+    }
+  }
+
+  dispose (): void {
+    if (this.#reportTimer !== null) clearTimeout(this.#reportTimer)
+  }
+
+  async #decide (spec: PlacementSpec, number: number): Promise<Decision> {
+    const { directory, clock, node, log, scheduler } = this.#options
+    for (let asked = 0; asked < MAX_SCHEDULERS_ASKED; asked += 1) {
+      const candidate = directory.scheduler(clock())
+      if (candidate.node === node) return await this.#followRedirect(scheduler.place(spec, { node, number }, 0), null, spec, number)
+      const result = await this.#ask(candidate.address, spec, number)
+      if (result !== null) return await this.#followRedirect(result, candidate.address, spec, number)
+      directory.unanswered(candidate.node)
+      log.warn('scheduler.unanswered', { request: spec.request, scheduler: candidate.node })
+    }
+    return this.#decideAlone(spec, number)
+  }
+
+  /** If a group cannot serve the request in time, its scheduler names that of another group, which is asked once. */
+  async #followRedirect (result: PlacementResult, scheduler: string | null, spec: PlacementSpec, number: number): Promise<Decision> {
+    if (result.type !== 'redirected') return { result, scheduler }
+    const redirected = await this.#ask(result.address, { ...spec, isRedirected: true }, number)
+    if (redirected?.type === 'placed') return { result: redirected, scheduler: result.address }
+    return this.#decideAlone({ ...spec, isRedirected: true }, number)
+  }
+
+  #decideAlone (spec: PlacementSpec, number: number): Decision {
+    const { scheduler, node, clock, onUncoordinatedPlacement } = this.#options
+    const result = scheduler.place(spec, { node, number }, scheduler.assignments.recentArrivals(clock()))
+    if (result.type === 'placed') onUncoordinatedPlacement()
+    return { result, scheduler: null }
+  }
+
+  async #ask (address: string, spec: PlacementSpec, number: number): Promise<PlacementResult | null> {
+    const { send, clock, fleetState, log } = this.#options
+    const reply = await this.#placementQueries.ask(number, () => send(address, { $case: 'placementQuery', value: encodeQuery(spec, number, clock()) }))
+    if (reply === null) return null
+    try {
+      return decodeReply(reply, spec.service, (id) => fleetState.servers.find(id))
+    } catch (error) {
+      log.warn('scheduler.reply_malformed', { request: spec.request, scheduler: address, reason: error instanceof Error ? error.message : String(error) })
+      return null
+    }
+  }
+
+  /** Frees the place of a reply that came too late or twice, unless the attempt is in progress. */
+  #returnUnusedGrant (address: string, number: number, server: string): void {
+    if (this.#options.scheduler.assignments.findOwn(number) !== null) return
+    this.#queueReport(address, { number, isEnded: true, server: server as RunnerId, signal: null, slowdown: null })
+  }
+
+  #report (assignment: Assignment, isEnded: boolean, signal: HealthSignal | null): void {
+    const address = this.#schedulers.get(assignment.id)
+    if (address === undefined) return
+    const ratios = isEnded ? this.#pauses.get(assignment.id) ?? [] : []
+    const slowdown = ratios.length < SLOWDOWN_SAMPLE_COUNT ? null : Math.min(...ratios)
+    this.#queueReport(address, { number: assignmentNumber(assignment), isEnded, server: assignment.server, signal, slowdown })
+  }
+
+  #queueReport (address: string, report: AttemptReport): void {
+    const queued = this.#unsentReports.get(address)
+    if (queued === undefined) this.#unsentReports.set(address, [report])
+    else queued.push(report)
+    this.#reportTimer ??= setTimeout(() => this.#sendReports(), REPORT_DELAY)
+  }
+
+  #sendReports (): void {
+    this.#reportTimer = null
+    for (const [address, reports] of this.#unsentReports) this.#options.send(address, { $case: 'attemptReports', value: encodeAttemptReports(reports) })
+    this.#unsentReports.clear()
+  }
+}
+
+const specOf = (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean): PlacementSpec => ({
+  request: call.id,
+  service: call.service.name,
+  size: call.size,
+  objective: call.route.objective,
+  dueAt: call.dueAt,
+  pauseObjective: call.route.pauseObjective,
+  excluded: history.triedServers(),
+  allowed: history.permittedServers(),
+  chargesRetry,
+  isRedirected: false
+})
--- /dev/null
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -0,0 +1,225 @@
+/** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
+import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE } from '@bluebellhill/domain'
+import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, RunnerId, SchedulerGroup, Service, ServiceLoad } from '@bluebellhill/domain'
+
+import type { Log } from '../../log/index.js'
+import type { FleetState } from '../FleetState.js'
+import { RetryBudgets } from './RetryBudgets.js'
+import type { RetryBounds } from './RetryBudgets.js'
+import { PlacementRefusal } from './types.js'
+import type { AssignmentOwner, AttemptReport, PlacementResult, PlacementSpec } from './types.js'
+
+export interface SchedulerOptions {
+  readonly node: NodeId
+  readonly fleetState: FleetState
+  readonly log: Log
+  readonly clock: () => Millis
+  /** Returns the limits on retries in force. */
+  readonly retryBounds: () => RetryBounds
+  /** Returns the number of schedulers that share them. */
+  readonly schedulerCount: () => number
+  /** Returns the group whose engines this node places requests on. */
+  readonly group: () => SchedulerGroup
+}
+
+/** Pending prefill time of an engine above which its silence is not a fault. */
+const BUSY_PREFILL_TIME: Millis = 200
+
+/** Keeps the assignments of the nodes that report to this one, and places attempts by them. */
+export class Scheduler {
+  readonly assignments: FleetAssignments
+  readonly health = new ServerHealth()
+  readonly groupLoads = new GroupLoads()
+  readonly #domainReachability = new DomainReachability()
+  readonly #slowdowns = new SlowdownEstimator()
+  readonly #options: SchedulerOptions
+  readonly #enginePolicy: PlacementPolicy
+  readonly #plainPolicy: PlacementPolicy
+  readonly #models = new WeakMap<Service, EngineTimingModel>()
+  readonly #retryBudgets: RetryBudgets
+
+  /** @param options - fleet state, retry limits and log */
+  constructor (options: SchedulerOptions) {
+    this.#options = options
+    this.assignments = new FleetAssignments(options.node)
+    this.#enginePolicy = new LengthAwarePlacement(options.node)
+    this.#plainPolicy = new LeastOutstanding(options.node)
+    this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
+    options.fleetState.onDeparture((id) => {
+      this.health.remove(id)
+      this.#slowdowns.remove(id)
+    })
+  }
+
+  /**
+   * Places an attempt and records its assignment.
+   *
+   * @param spec - the attempt
+   * @param owner - node that sends it, with the number of the assignment there
+   * @param unseenArrivals - requests per second that other nodes place without this scheduler
+   * @returns the decision
+   */
+  place (spec: PlacementSpec, owner: AssignmentOwner, unseenArrivals: number): PlacementResult {
+    const service = this.#options.fleetState.routeTable?.service(spec.service) ?? null
+    if (service === null) return { type: 'refused', reason: PlacementRefusal.UnknownService }
+    if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent }
+    if (spec.excluded.length === 0) this.#retryBudgets.countRequest(spec.service)
+    const now = this.#options.clock()
+    const loads = this.assignments.serverLoads(now)
+    const candidates = this.#candidates(spec, service, now)
+    const choice = candidates.length === 0
+      ? null
+      : this.#policyOf(service).choose({
+        size: spec.size,
+        objective: spec.objective,
+        timeLeft: spec.dueAt - now,
+        pauseObjective: spec.pauseObjective,
+        candidates,
+        timing: this.modelOf(service),
+        loads,
+        arrivalsPerSecond: unseenArrivals,
+        now
+      })
+    const relief = this.#findRelief(spec, service, choice, now)
+    if (relief !== null) return { type: 'redirected', address: relief }
+    if (choice === null) return { type: 'refused', reason: PlacementRefusal.NoServer }
+    const { requests, pending } = loads.get(choice.server.id)
+    this.#record(spec, choice, owner, now)
+    return { type: 'placed', choice, load: { requests: requests.length, pendingPrefill: pending.reduce((sum, { remaining }) => sum + remaining, 0) } }
+  }
+
+  /**
+   * Creates the record of a placed attempt.
+   *
+   * @param spec - the attempt
+   * @param choice - where it is placed
+   * @param now - current time
+   * @returns the assignment without its id
+   */
+  draftAssignment ({ service: name, size, pauseObjective, dueAt }: PlacementSpec, { server, helpers, holders }: PlacementChoice, now: Millis): Omit<Assignment, 'id'> {
+    const service = this.#options.fleetState.routeTable?.service(name) ?? null
+    const usualAnswer = service?.engine?.usualAnswer ?? 0
+    return {
+      server: server.id,
+      helpers: helpers.map(({ id }) => id),
+      reservations: holders.map((holder) => ({ runner: holder.server.id, tokens: holder.tokens })),
+      prompt: size.prompt,
+      answer: usualAnswer > 0 ? Math.min(size.mostAnswer, usualAnswer) : size.mostAnswer,
+      prefillTime: service === null ? 0 : this.modelOf(service).prefillTime(size.prompt, helpers.length + 1),
+      sentAt: now,
+      isPrefilled: false,
+      pauseObjective,
+      dueAt
+    }
+  }
+
+  /**
+   * Applies what a node reports of its attempts.
+   *
+   * @param node - the node
+   * @param reports - its reports, in order
+   */
+  applyReports (node: NodeId, reports: readonly AttemptReport[]): void {
+    const now = this.#options.clock()
+    for (const { number, isEnded, server, signal, slowdown } of reports) {
+      if (isEnded) this.assignments.endGranted(node, number, now)
+      else if (number > 0) this.assignments.markGrantedPrefilled(node, number, now)
+      if (slowdown !== null) this.#slowdowns.observeShortest(server, slowdown, now)
+      const known = signal === null ? null : this.#options.fleetState.servers.find(server)
+      if (known !== null && signal !== null) this.recordHealthSignal(known, signal, node)
+    }
+  }
+
+  /** Records the pause between two events of a stream, for the slowdown estimate of the engine. */
+  observePause (server: BackendServer, pause: Millis, passTime: Millis): void {
+    this.#slowdowns.observe(server.id, pause, passTime, this.#options.clock())
+  }
+
+  /**
+   * Updates the health estimates of a backend server and of its failure domain after an attempt.
+   *
+   * @param server - the backend server
+   * @param signal - what the attempt shows
+   * @param reporter - node that made the attempt
+   */
+  recordHealthSignal (server: BackendServer, signal: HealthSignal, reporter: NodeId = this.#options.node): void {
+    const { log, clock } = this.#options
+    const { id, service, failureDomain } = server
+    if (this.health.observe(id, signal, clock())) log.warn('server.avoided', { server: id, service, evidence: signal, reporter })
+    if (signal !== HealthSignal.Unreachable) this.#domainReachability.recordSuccess(failureDomain)
+    else if (this.#domainReachability.recordFailure(failureDomain, id, clock())) log.warn('domain.avoided', { server_domain: failureDomain, server: id, service, reporter })
+  }
+
+  /**
+   * @param id - an engine that sends no data
+   * @returns how long its known prefills still explain this; 0 if they do not
+   */
+  explainedSilence (id: RunnerId): Millis {
+    const now = this.#options.clock()
+    const { pending } = this.assignments.serverLoads(now).get(id)
+    const remaining = this.#slowdowns.slowdown(id, now) * pending.reduce((sum, prefill) => sum + prefill.remaining, 0)
+    return remaining > BUSY_PREFILL_TIME ? remaining : 0
+  }
+
+  /** @returns the timing model of a service's engines */
+  modelOf (service: Service): EngineTimingModel {
+    const existing = this.#models.get(service)
+    if (existing !== undefined) return existing
+    const model = new EngineTimingModel(service.engine ?? PLAIN_SERVICE_FIGURES)
+    this.#models.set(service, model)
+    return model
+  }
+
+  /** @returns the loads of this group's engines by service, for the schedulers of the other groups */
+  serviceLoads (): ServiceLoad[] {
+    const { fleetState, clock, group } = this.#options
+    const loads = this.assignments.serverLoads(clock())
+    const services = fleetState.routeTable?.deployment.services ?? []
+    return services.filter(({ engine }) => engine !== null).map(({ name }) => {
+      const servers = fleetState.servers.ready(name).filter(({ failureDomain }) => isInGroup(group(), failureDomain))
+      const pending = servers.reduce((sum, { id }) => sum + loads.get(id).pending.reduce((total, { remaining }) => total + remaining, 0), 0)
+      return {
+        service: name,
+        slots: servers.reduce((sum, { slots }) => sum + slots, 0),
+        requests: servers.reduce((sum, { id }) => sum + loads.get(id).requests.length, 0),
+        meanPendingPrefill: servers.length === 0 ? 0 : pending / servers.length
+      }
+    })
+  }
+
+  /** Records the load of another group. */
+  recordGroupLoad (load: GroupLoad): void {
+    this.groupLoads.record(load, this.#options.clock())
+  }
+
+  #findRelief ({ service, objective, isRedirected, chargesRetry }: PlacementSpec, { engine }: Service, choice: PlacementChoice | null, now: Millis): string | null {
+    if (engine === null || isRedirected || chargesRetry) return null
+    const wait = choice?.timeToFirstEvent ?? Infinity
+    return wait <= USABLE_OBJECTIVE_SHARE * objective ? null : this.groupLoads.findRelief(service, wait, now)
+  }
+
+  #record (spec: PlacementSpec, choice: PlacementChoice, { node, number }: AssignmentOwner, now: Millis): void {
+    const draft = this.draftAssignment(spec, choice, now)
+    if (node === this.#options.node) this.assignments.start(draft, number)
+    else this.assignments.grant(node, draft, number, now)
+  }
+
+  #candidates ({ excluded, allowed }: PlacementSpec, service: Service, now: Millis): Candidate[] {
+    const { fleetState, group } = this.#options
+    const permitted = fleetState.servers.ready(service.name).filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
+    const reachable = permitted.filter(({ failureDomain }) => !this.#domainReachability.isAvoided(failureDomain, now))
+    const healthy = reachable.filter(({ id }) => !this.health.isAvoided(id, now))
+    const inGroup = healthy.filter(({ failureDomain }) => isInGroup(group(), failureDomain))
+    const usable = [inGroup, healthy, reachable, permitted].find((servers) => servers.length > 0) ?? []
+    return usable.map((server) => ({ server, slowdown: this.#slowdowns.slowdown(server.id, now) }))
+  }
+
+  #policyOf ({ engine }: Service): PlacementPolicy {
+    return engine === null ? this.#plainPolicy : this.#enginePolicy
+  }
+}
+
+/** Plain services have no prefill: every predicted time is 0. */
+const PLAIN_SERVICE_FIGURES = {
+  slots: 1, memory: 0, stepsPerPass: 0, step: 0, stepPerWriter: 0, stepPerThousandContext: 0, readTokensPerMs: 1, readPerMillionPairs: 0, usualAnswer: 0
+}
--- /dev/null
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -0,0 +1,76 @@
+/** Types of the placement of attempts by the scheduler of a group. */
+import type { Assignment, HealthSignal, Millis, NodeId, PlacementChoice, PromptSize, RunnerId } from '@bluebellhill/domain'
+
+/** An attempt that is to be placed; times are on the clock of this node. */
+export interface PlacementSpec {
+  /** Attempt id of the caller. */
+  readonly request: string
+  readonly service: string
+  readonly size: PromptSize
+  readonly objective: Millis
+  /** Time at which the answer, or its first event, is due. */
+  readonly dueAt: Millis
+  readonly pauseObjective: Millis | null
+  /** Servers that must not get the attempt. */
+  readonly excluded: readonly RunnerId[]
+  /** The only servers that may get it; null if all may. */
+  readonly allowed: readonly RunnerId[] | null
+  /** Whether the attempt is taken from the retry budget. */
+  readonly chargesRetry: boolean
+  /** Whether the scheduler of another group has passed it on. */
+  readonly isRedirected: boolean
+}
+
+/** Why an attempt is not placed. */
+export const PlacementRefusal = {
+  NoServer: 'no_server',
+  RetryBudgetSpent: 'retry_budget_spent',
+  UnknownService: 'unknown_service'
+} as const
+export type PlacementRefusal = typeof PlacementRefusal[keyof typeof PlacementRefusal]
+
+/** Load of the chosen server before the attempt, for the log. */
+export interface ChosenServerLoad {
+  readonly requests: number
+  readonly pendingPrefill: Millis
+}
+
+/** Decision about one attempt. */
+export type PlacementResult =
+  | { readonly type: 'placed', readonly choice: PlacementChoice, readonly load: ChosenServerLoad }
+  | { readonly type: 'refused', readonly reason: string }
+  /** The scheduler of another group can serve it sooner. */
+  | { readonly type: 'redirected', readonly address: string }
+
+/** An attempt that is placed and recorded. */
+export interface PlacedAttempt {
+  readonly choice: PlacementChoice
+  readonly assignment: Assignment
+  readonly load: ChosenServerLoad
+  /** `ip:port` of the scheduler that keeps the assignment; null if it is this node. */
+  readonly scheduler: string | null
+  /** Time from the decision to place the attempt until the result was known. */
+  readonly decidedIn: Millis
+}
+
+export type AttemptPlacement =
+  | { readonly type: 'placed', readonly attempt: PlacedAttempt }
+  | { readonly type: 'refused', readonly reason: string }
+
+/** What became of an attempt, for the scheduler that keeps its assignment. */
+export interface AttemptReport {
+  /** Number of the assignment at the reporting node; 0 if the report is only about the server. */
+  readonly number: number
+  readonly isEnded: boolean
+  readonly server: RunnerId
+  /** Null if the attempt gives no health signal. */
+  readonly signal: HealthSignal | null
+  /** Shortest of the last pauses over the published pass time; null if there were too few pauses. */
+  readonly slowdown: number | null
+}
+
+/** Number and node of an assignment. */
+export interface AssignmentOwner {
+  readonly node: NodeId
+  readonly number: number
+}
--- a/packages/node/src/forward/store/NodeRegistration.ts
+++ b/packages/node/src/forward/store/NodeRegistration.ts
@@ -1,5 +1,5 @@
 /** Registers this node in the platform's store, and reads the addresses of the other nodes from it. */
-import type { Millis, NodeId } from '@bluebellhill/domain'
+import type { FailureDomain, Millis, NodeId, SchedulerCandidate } from '@bluebellhill/domain'
 import { StoreKey } from '@bluebellhill/platform'
 import type { MetadataStore, StoreLease } from '@bluebellhill/platform'
 import { describeFailure } from '@bluebellhill/services'
@@ -8,26 +8,25 @@
 import type { Log } from '../../log/index.js'
 
 /** Time after which the entry of a node that no longer renews it expires. */
-const LEASE_TTL: Millis = 45_000
+const LEASE_TTL: Millis = 300_000
 
 /** Interval at which the entry is renewed. */
-const RENEWAL_PERIOD: Millis = 15_000
+const RENEWAL_PERIOD: Millis = 100_000
 
 /** Delay before a failed call is repeated. */
 const RETRY_DELAY: Millis = 2_000
 
 /** Renewals between two listings of all nodes. Few are needed: a starting node lists all others and contacts them. */
-const RENEWALS_PER_LISTING = 4
+const RENEWALS_PER_LISTING = 2
 
 const NOT_FOUND = 404
 
 export interface NodeRegistrationOptions {
   readonly store: MetadataStore
-  readonly node: NodeId
-  /** `ip:port` at which this node receives the states of the others. */
-  readonly address: string
-  /** Called with the addresses of the listed nodes. */
-  readonly onNodesListed: (addresses: readonly string[]) => void
+  /** This node; it registers its address, failure domain and processor. */
+  readonly self: SchedulerCandidate
+  /** Called with the listed nodes, and with the addresses of those that registered nothing else. */
+  readonly onNodesListed: (nodes: readonly SchedulerCandidate[], addresses: readonly string[]) => void
   /** Receives a line for each failed call. */
   readonly log: Log
 }
@@ -79,10 +78,10 @@
   }
 
   async #writeEntry (): Promise<boolean> {
-    const { store, node, address } = this.#options
+    const { store, self } = this.#options
     const lease = await store.grantLease(LEASE_TTL)
     if (!this.#succeeded('lease', lease)) return false
-    const written = await store.put(`${StoreKey.Nodes}${node}`, Buffer.from(address), lease.value.id)
+    const written = await store.put(`${StoreKey.Nodes}${self.node}`, Buffer.from(encodeNodeEntry(self)), lease.value.id)
     if (!this.#succeeded('write', written)) return false
     this.#lease = lease.value
     return true
@@ -94,7 +93,8 @@
       const page = await store.range(StoreKey.Nodes, lastKey)
       if (!this.#succeeded('read', page)) return false
       const { items, hasMore } = page.value
-      onNodesListed(items.map(({ value }) => value.toString('utf8')))
+      const entries = items.map(({ key, value }) => parseNodeEntry(key.slice(StoreKey.Nodes.length), value.toString('utf8')))
+      onNodesListed(entries.flatMap((entry) => typeof entry === 'string' ? [] : [entry]), entries.filter((entry) => typeof entry === 'string'))
       lastKey = items.at(-1)?.key ?? ''
       if (!hasMore || lastKey === '') return true
     }
@@ -105,3 +105,24 @@
     return result.ok
   }
 }
+
+/**
+ * Earlier builds read an entry as `ip:port` and ignore what follows a second colon.
+ *
+ * @param candidate - a node
+ * @returns its entry: `ip:port:domain:processor`
+ */
+export const encodeNodeEntry = ({ address, failureDomain, processor }: SchedulerCandidate): string =>
+  [address, encodeURIComponent(failureDomain), processor].join(':')
+
+/**
+ * @param node - name of a node
+ * @param entry - its entry
+ * @returns the node; only its address if it is of an earlier build
+ */
+export const parseNodeEntry = (node: string, entry: string): SchedulerCandidate | string => {
+  const [host = '', port = '', domain, processor] = entry.split(':')
+  const address = `${host}:${port}`
+  if (domain === undefined || !(Number(processor) > 0)) return address
+  return { node: node as NodeId, address, failureDomain: decodeURIComponent(domain) as FailureDomain, processor: Number(processor) }
+}
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -11,17 +11,14 @@
 import type { Log } from '../../log/index.js'
 import type { StoreAvailability } from './StoreAvailability.js'
 
-/** How long a watch of a store watcher waits for a change; a connection without data is detected after the same time. */
-const STORE_WATCHER_WAIT: Millis = 5_000
+/** How long a watch waits for a change; a connection without data is detected after the same time. */
+const WATCH_WAIT: Millis = 5_000
 
-/** How long a watch of any other node waits: the store watchers inform it of changes and of the loss of the store. */
-const OTHER_NODE_WAIT: Millis = 20_000
+/** Pause after a change, so that one call returns several changes. */
+const PAUSE_AFTER_CHANGES: Millis = 100
 
-/** Pause of a store watcher after a change, so that one call returns several changes. */
-const STORE_WATCHER_PAUSE: Millis = 100
-
-/** Pause of any other node after a change, so that a series of changes takes few calls. */
-const OTHER_NODE_PAUSE: Millis = 2_500
+/** Interval at which a node that does not watch the store checks whether it has to. */
+const ROLE_CHECK_PERIOD: Millis = 100
 
 /** How long a watch waits that checks whether the store still answers. */
 const STORE_CHECK_WAIT: Millis = 1_000
@@ -58,7 +55,7 @@
   /** Receives a line for each entry that cannot be parsed. */
   readonly log: Log
   readonly clock: () => Millis
-  /** Returns whether this node is a store watcher: the others rely on it to be informed of changes at once. */
+  /** Returns whether this node watches the store; otherwise other nodes inform it of changes. */
   readonly isStoreWatcher: () => boolean
 }
 
@@ -141,6 +138,11 @@
     let revision: number | null = null
     let delay = FIRST_RETRY_DELAY
     while (!this.#isStopped) {
+      if (!this.#options.isStoreWatcher()) {
+        revision = null
+        await sleep(ROLE_CHECK_PERIOD)
+        continue
+      }
       const interruption = this.#interruption.signal
       const progress: Result<SyncProgress, CallFailure> = revision === null ? await this.#list(synced) : await this.#watch(synced, revision, interruption)
       if (this.#isStopped) return
@@ -148,7 +150,7 @@
         this.#options.availability.recordResult(progress)
         revision = progress.value.revision
         delay = FIRST_RETRY_DELAY
-        if (progress.value.hasChanges) await this.#pauseAfterChanges(this.#options.isStoreWatcher() ? STORE_WATCHER_PAUSE : OTHER_NODE_PAUSE, interruption)
+        if (progress.value.hasChanges) await this.#pauseAfterChanges(interruption)
         continue
       }
       if (interruption.aborted) continue
@@ -199,11 +201,11 @@
 
   #watchWait (now: Millis): Millis {
     if (now - this.#checkStartedAt < STORE_CHECK_PERIOD) return STORE_CHECK_WAIT
-    return this.#options.isStoreWatcher() ? STORE_WATCHER_WAIT : OTHER_NODE_WAIT
+    return WATCH_WAIT
   }
 
-  async #pauseAfterChanges (pause: Millis, interruption: AbortSignal): Promise<void> {
-    await sleep(pause, undefined, { signal: interruption }).catch((error: unknown) => {
+  async #pauseAfterChanges (interruption: AbortSignal): Promise<void> {
+    await sleep(PAUSE_AFTER_CHANGES, undefined, { signal: interruption }).catch((error: unknown) => {
       if (!interruption.aborted) throw error
     })
   }
--- a/packages/node/src/forward/types.ts
+++ b/packages/node/src/forward/types.ts
@@ -1,17 +1,18 @@
 /** Types that the modules of the forwarding node share. */
-import type { BackendServer, PlacementChoice, Millis, Assignment } from '@bluebellhill/domain'
+import type { BackendServer, Millis } from '@bluebellhill/domain'
 import type { AnswerHeaders, EngineMemoryClient } from '@bluebellhill/platform'
 
 import type { Log } from '../log/index.js'
 import type { AnswerHead, ServerCall } from './backend/ServerCall.js'
-import type { FleetDispatch } from './FleetDispatch.js'
 import type { ForwardMetrics } from './ForwardMetrics.js'
 import type { FleetState } from './FleetState.js'
 import type { MemoryReservations } from './MemoryReservations.js'
+import type { PlacementClient } from './scheduling/PlacementClient.js'
+import type { PlacedAttempt } from './scheduling/types.js'
 
 /** Objects that all requests of a node share. */
 export interface ForwardingContext {
-  readonly dispatch: FleetDispatch
+  readonly placement: PlacementClient
   readonly fleetState: FleetState
   readonly log: Log
   readonly metrics: ForwardMetrics
@@ -22,9 +23,8 @@
 /** State of one attempt in progress. */
 export interface OpenAttempt {
   readonly server: BackendServer
-  readonly assignment: Assignment
+  readonly placed: PlacedAttempt
   readonly sentAt: Millis
-  readonly choice: PlacementChoice
   /** KV cache memory that is reserved on other engines for this prompt; null if none is needed. */
   readonly reservations: MemoryReservations | null
   /** Null until the request is sent, while memory is being reserved. */
--- /dev/null
+++ b/packages/node/tests/scheduling.test.ts
@@ -0,0 +1,246 @@
+/** Nodes that place attempts through one scheduler, over a network in memory that can lose and count messages. */
+import { setTimeout as sleep } from 'node:timers/promises'
+
+import test from 'ava'
+
+import { AttemptHistory, CallKind, HealthSignal, Readiness, SchedulerDirectory, WARM_UP } from '@bluebellhill/domain'
+import type { BackendServer, CandidateState, FailureDomain, NodeId, Route, RunnerId, SchedulerCandidate, Service } from '@bluebellhill/domain'
+
+import type { AdmittedCall } from '../src/forward/AdmittedCall.js'
+import { FleetState } from '../src/forward/FleetState.js'
+import { decodeDatagram, encodeDatagram } from '../src/forward/peers/datagramCodec.js'
+import type { DatagramContent } from '../src/forward/peers/datagramCodec.js'
+import type { QueryTiming } from '../src/forward/peers/PendingQueries.js'
+import { PlacementClient } from '../src/forward/scheduling/PlacementClient.js'
+import { RetryBudgets } from '../src/forward/scheduling/RetryBudgets.js'
+import { Scheduler } from '../src/forward/scheduling/Scheduler.js'
+import { SchedulerHost } from '../src/forward/scheduling/SchedulerHost.js'
+import type { AttemptPlacement, PlacedAttempt } from '../src/forward/scheduling/types.js'
+import { DEPLOYMENT, silentLog } from './forwardFixture.js'
+
+const ENGINE = { slots: 2, memory: 450_000, stepsPerPass: 46, step: 0.925, stepPerWriter: 0.007, stepPerThousandContext: 0.00254, readTokensPerMs: 256, readPerMillionPairs: 0.0917, usualAnswer: 1_500 }
+const SERVICE: Service = { name: 'lm', healthPath: '/', maxConnections: 100, engine: ENGINE }
+const ROUTE: Route = {
+  name: 'chat', host: 'a', pathPrefix: '/', kind: CallKind.Stream, resumable: true, timeout: 10_000, objective: 300, pauseObjective: 200, priority: 1, maxAttempts: 3, isPublic: false, services: [{ service: 'lm', weight: 1 }]
+}
+const CANDIDATE_STATE: CandidateState = { startedAt: 1, uptime: WARM_UP, isStopping: false, hasLostStore: false, configurationVersion: 1, serversRevision: 1 }
+/** Generous, so that a busy machine does not decide a test. */
+const PATIENT: QueryTiming = { repeatDelay: 5_000, timeout: 10_000 }
+const REPEATING: QueryTiming = { repeatDelay: 20, timeout: 10_000 }
+const IMPATIENT: QueryTiming = { repeatDelay: 100, timeout: 500 }
+
+const SHORT_PROMPT = { prompt: 5_000, mostAnswer: 1_500 }
+
+const engine = (index: number): BackendServer =>
+  ({ id: `e${index}` as RunnerId, service: 'lm', address: `10.9.0.${index}:80`, failureDomain: 'd1' as FailureDomain, slots: ENGINE.slots, readiness: Readiness.Ready, startedAt: null })
+
+interface TestNode {
+  readonly self: SchedulerCandidate
+  readonly scheduler: Scheduler
+  readonly placement: PlacementClient
+  readonly directory: SchedulerDirectory
+  readonly host: SchedulerHost
+  uncoordinated: number
+}
+
+/** Nodes that know each other; the first is the scheduler of all. */
+class TestNetwork {
+  readonly nodes: TestNode[] = []
+  readonly messages: string[] = []
+  /** Receiver of each message. */
+  readonly receivers: TestNode[] = []
+  /** Returns whether a message is lost. */
+  loses: (from: TestNode, to: TestNode, content: DatagramContent) => boolean = () => false
+  #nextRequest = 1
+
+  constructor (count: number, engines: number, private readonly queryTiming = PATIENT) {
+    for (let index = 0; index < count; index += 1) this.nodes.push(this.#createNode(index, engines))
+    for (const node of this.nodes) for (const other of this.nodes) node.directory.add(other.self)
+    this.hearAll()
+  }
+
+  get schedulerNode (): TestNode {
+    return this.nodes[0]!
+  }
+
+  /** Lets every node hear every other one. */
+  hearAll (): void {
+    for (const node of this.nodes) for (const { self } of this.nodes) node.directory.heard(self.node, CANDIDATE_STATE, performance.now())
+  }
+
+  async place (node: TestNode, history = new AttemptHistory(ROUTE), chargesRetry = false): Promise<AttemptPlacement> {
+    return await node.placement.place(this.call(), history, chargesRetry)
+  }
+
+  async placeOne (node: TestNode): Promise<PlacedAttempt> {
+    const placement = await this.place(node)
+    if (placement.type !== 'placed') throw new Error(placement.reason)
+    return placement.attempt
+  }
+
+  call (): AdmittedCall {
+    const now = performance.now()
+    return {
+      id: `r${this.#nextRequest++}`, method: 'POST', path: '/', headers: [], body: Buffer.alloc(0), route: ROUTE, service: SERVICE, organisation: null, urgency: 1, size: SHORT_PROMPT, lastEventId: null, arrivedAt: now, dueAt: now + ROUTE.objective, deadlineAt: now + ROUTE.timeout
+    }
+  }
+
+  #createNode (index: number, engines: number): TestNode {
+    const log = silentLog()
+    const clock = (): number => performance.now()
+    const self: SchedulerCandidate = { node: `n${index}` as NodeId, address: `10.0.0.${index}:1`, failureDomain: 'd1' as FailureDomain, processor: 100 - index }
+    const fleetState = new FleetState(log, clock)
+    fleetState.install({ ...DEPLOYMENT, services: [SERVICE] }, 'store')
+    for (let id = 0; id < engines; id += 1) fleetState.putServer({ server: engine(id), revision: 1 }, 'store')
+    const directory = new SchedulerDirectory(self, clock() - WARM_UP)
+    const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, retryBounds: () => ({ ratio: 0, slack: 10, window: 1_000_000 }), schedulerCount: () => 1, group: () => directory.group })
+    const send = (address: string, content: DatagramContent): void => this.#deliver(node, address, content)
+    const host = new SchedulerHost({ scheduler, log, clock, send })
+    const placement = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, send, onUncoordinatedPlacement: () => { node.uncoordinated += 1 }, queryTiming: this.queryTiming })
+    const node: TestNode = { self, scheduler, placement, directory, host, uncoordinated: 0 }
+    return node
+  }
+
+  #deliver (from: TestNode, address: string, content: DatagramContent): void {
+    const to = this.nodes.find(({ self }) => self.address === address)
+    if (to === undefined) return
+    this.messages.push(content.$case)
+    this.receivers.push(to)
+    if (this.loses(from, to, content)) return
+    const datagram = encodeDatagram(from.self.node, 1, content)
+    setImmediate(() => {
+      const message = decodeDatagram(datagram)
+      to.host.handle(message, from.self.address)
+      to.placement.handle(message, from.self.address)
+    })
+  }
+}
+
+/** Requests on each engine, as the scheduler counts them. */
+const counted = ({ schedulerNode }: TestNetwork, engines: number): number[] =>
+  Array.from({ length: engines }, (_, index) => schedulerNode.scheduler.assignments.serverLoads(performance.now()).get(`e${index}` as RunnerId).requests.length)
+
+/** Waits for a condition, with a generous limit. */
+const until = async (condition: () => boolean): Promise<void> => {
+  const limit = performance.now() + 10_000
+  while (!condition() && performance.now() < limit) await sleep(2)
+}
+
+test('pattern: nodes that place requests at the same moment never take the same slot', async (t) => {
+  const network = new TestNetwork(20, 10)
+  await Promise.all(network.nodes.map(async (node) => await network.placeOne(node)))
+  t.deepEqual(counted(network, 10), Array.from({ length: 10 }, () => ENGINE.slots))
+})
+
+test('pattern: a request costs at most six messages, however many nodes there are', async (t) => {
+  for (const size of [3, 30, 100]) {
+    const network = new TestNetwork(size, 4)
+    const node = network.nodes.at(-1)!
+    const attempt = await network.placeOne(node)
+    node.placement.prefillFinished(attempt)
+    await until(() => network.messages.length === 3)
+    node.placement.removeAssignment(attempt, HealthSignal.Good)
+    await until(() => counted(network, 4).every((count) => count === 0))
+    t.true(network.messages.length <= 6, `${size} nodes: ${network.messages.join()}`)
+    t.deepEqual(counted(network, 4), [0, 0, 0, 0])
+  }
+})
+
+test('a query whose reply is lost is repeated and gets the same slot', async (t) => {
+  const network = new TestNetwork(2, 4, REPEATING)
+  let lost = 0
+  network.loses = (_, __, { $case }) => $case === 'placementReply' && lost++ === 0
+  const attempt = await network.placeOne(network.nodes[1]!)
+  t.is(attempt.scheduler, network.schedulerNode.self.address)
+  t.is(counted(network, 4).reduce((sum, count) => sum + count), 1)
+})
+
+test('pattern: a scheduler that dies is replaced by the next candidate, and no request is lost', async (t) => {
+  const network = new TestNetwork(4, 4, IMPATIENT)
+  network.loses = (from, to) => from === network.schedulerNode || to === network.schedulerNode
+  const node = network.nodes[3]!
+  t.is((await network.placeOne(node)).scheduler, network.nodes[1]!.self.address)
+  network.receivers.length = 0
+  t.is((await network.placeOne(node)).scheduler, network.nodes[1]!.self.address)
+  t.false(network.receivers.includes(network.schedulerNode))
+})
+
+test('a node that reaches no scheduler places requests itself, and announces them', async (t) => {
+  const network = new TestNetwork(4, 4, IMPATIENT)
+  network.loses = () => true
+  const node = network.nodes[3]!
+  const attempt = await network.placeOne(node)
+  t.is(attempt.scheduler, null)
+  t.is(node.uncoordinated, 1)
+  t.is(node.scheduler.assignments.own().length, 1)
+})
+
+test('a grant that arrives too late is returned', async (t) => {
+  const network = new TestNetwork(2, 4, IMPATIENT)
+  network.loses = (_, __, { $case }) => $case === 'placementReply'
+  const node = network.nodes[1]!
+  const attempt = await network.placeOne(node)
+  t.is(attempt.scheduler, null)
+  t.is(counted(network, 4).reduce((sum, count) => sum + count), 1)
+  const number = Number(attempt.assignment.id.split('/')[1])
+  const late: DatagramContent = { $case: 'placementReply', value: { number: number + 1, result: { $case: 'placement', value: { server: { id: 'e0', address: '', failureDomain: '' }, helpers: [], holders: [], firstEventMs: 1, serverRequests: 0, serverPendingMs: 0 } } } }
+  network.schedulerNode.scheduler.assignments.grant(node.self.node, { ...attempt.assignment, server: 'e0' as RunnerId }, number + 1, performance.now())
+  node.placement.handle({ node: network.schedulerNode.self.node, startedAt: 1, content: late }, network.schedulerNode.self.address)
+  await until(() => counted(network, 4).reduce((sum, count) => sum + count) === 1)
+  t.is(counted(network, 4).reduce((sum, count) => sum + count), 1)
+})
+
+test('pattern: a server that one node finds unreachable is avoided for all nodes of the group', async (t) => {
+  const network = new TestNetwork(10, 3)
+  const first = await network.placeOne(network.nodes[1]!)
+  network.nodes[1]!.placement.removeAssignment(first, HealthSignal.Unreachable)
+  await until(() => network.schedulerNode.scheduler.health.avoided(performance.now()).length > 0)
+  const attempts = await Promise.all([2, 3, 4, 5].map(async (index) => await network.placeOne(network.nodes[index]!)))
+  t.false(attempts.some(({ choice }) => choice.server.id === first.choice.server.id))
+})
+
+test('pattern: retries of all nodes together stay within one budget', async (t) => {
+  const network = new TestNetwork(10, 200)
+  const history = new AttemptHistory(ROUTE)
+  history.start('e0' as RunnerId)
+  history.end('e0' as RunnerId, 'not_run')
+  const retries = await Promise.all(Array.from({ length: 30 }, async (_, index) => await network.place(network.nodes[index % 10]!, history, true)))
+  t.is(retries.filter(({ type }) => type === 'placed').length, 3)
+})
+
+test('a retry is never placed on a server that was tried', async (t) => {
+  const network = new TestNetwork(2, 2)
+  const history = new AttemptHistory(ROUTE)
+  history.start('e0' as RunnerId)
+  history.end('e0' as RunnerId, 'unsent')
+  for (let index = 0; index < 2; index += 1) {
+    const placement = await network.place(network.nodes[1]!, history)
+    t.is(placement.type === 'placed' ? placement.attempt.choice.server.id : '', 'e1' as RunnerId)
+  }
+})
+
+test('silence is explained by a prompt that another node has placed on the engine', async (t) => {
+  const network = new TestNetwork(3, 1)
+  const [, asking, other] = network.nodes
+  const attempt = await network.placeOne(asking!)
+  asking!.placement.prefillFinished(attempt)
+  await until(() => network.messages.length === 3)
+  await sleep(5)
+  t.is(await asking!.placement.explainedSilence(attempt), 0)
+  const long: AdmittedCall = { ...network.call(), size: { prompt: 210_000, mostAnswer: 800 } }
+  t.is((await other!.placement.place(long, new AttemptHistory(ROUTE), false)).type, 'placed')
+  t.true(await asking!.placement.explainedSilence(attempt) > 2_000)
+})
+
+test('a budget that nobody uses does not grow beyond its share of the slack', (t) => {
+  let now = 0
+  const budgets = new RetryBudgets({ bounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), sharedBy: () => 5, clock: () => now })
+  const acquireAll = (): number => {
+    let count = 0
+    while (budgets.acquire('s')) count += 1
+    return count
+  }
+  t.is(acquireAll(), 6)
+  now = 1_000_000
+  t.is(acquireAll(), 6)
+})
