Candidates that have lost the store are replaced as its watchers; changes announced during a fetch are fetched at once

The store turned away the two candidates that watch it, from 2.5 s on; the third of nine nodes heard that they had lost it, but counted itself third and did not watch. Change: the first two candidates that are not known to have lost the store watch it, and each node reports to these too, so that it learns when they lose it. A change announced while a node fetches is fetched after 100 ms, in place of at the next heartbeat. Test: 'the store turns away the nodes that watch it' fails on the old rule (no watcher left with 2 to 6 lost).

--- a/packages/domain/src/forwarding/SchedulerDirectory.ts
+++ b/packages/domain/src/forwarding/SchedulerDirectory.ts
@@ -150,11 +150,13 @@
 
   /**
    * @param now - current time
-   * @returns the candidates that receive the reports of this node: the highest ranked that are not silent, and silent ones at times
+   * @returns the candidates that receive the reports of this node: the highest ranked that are not silent, those that should
+   *   watch the store, and silent ones at times
    */
   contacts (now: Millis): SchedulerCandidate[] {
     const others = this.#ranking.filter(({ node }) => node !== this.#self.node)
-    const answering = others.filter(({ node }) => !this.#isSilent(node, now)).slice(0, CONTACT_COUNT)
+    const watchers = this.#storeWatchers(now)
+    const answering = others.filter(({ node }) => !this.#isSilent(node, now)).filter((candidate, rank) => rank < CONTACT_COUNT || watchers.includes(candidate))
     const lastRank = answering.length === 0 ? others.length : others.indexOf(answering[answering.length - 1] as SchedulerCandidate)
     const probed = others.slice(0, lastRank).filter(({ node }) => this.#isSilent(node, now) && this.#isProbeDue(node, now))
     return [...answering, ...probed.slice(0, CONTACT_COUNT)]
@@ -184,19 +186,27 @@
   }
 
   /**
-   * A few nodes of each group watch the store. Any other node relies on them, unless none is heard or all of them have lost the
-   * store.
+   * The highest ranked nodes of each group that have not lost the store watch it, and any other node relies on them, unless it
+   * hears none.
    *
    * @param now - current time
    * @returns whether this node watches the store
    */
   isStoreWatcher (now: Millis): boolean {
-    const presumed = this.#ranking.filter(({ node }) => node === this.#self.node || !this.#isSilent(node, now))
-    const isFirst = presumed.slice(0, STORE_WATCHERS).some(({ node }) => node === this.#self.node)
+    const isFirst = this.#storeWatchers(now).some(({ node }) => node === this.#self.node)
     if (isFirst && (this.size > 1 || this.#isStarted(now))) return true
-    const heard = this.live(now).filter(({ failureDomain }) => isInGroup(this.#group, failureDomain))
-    if (heard.length === 0) return this.#isStarted(now)
-    return heard.every(({ state }) => state === null || state.hasLostStore)
+    const isHeard = this.live(now).some(({ failureDomain }) => isInGroup(this.#group, failureDomain))
+    return !isHeard && this.#isStarted(now)
+  }
+
+  #storeWatchers (now: Millis): SchedulerCandidate[] {
+    const presumed = this.#ranking.filter(({ node }) => node === this.#self.node || (!this.#isSilent(node, now) && !this.#hasLostStore(node, now)))
+    return presumed.slice(0, STORE_WATCHERS)
+  }
+
+  #hasLostStore (node: NodeId, now: Millis): boolean {
+    const entry = this.#entries.get(node)
+    return entry !== undefined && this.#isHeard(entry, now) && entry.state?.hasLostStore === true
   }
 
   #isStarted (now: Millis): boolean {
--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -29,14 +29,14 @@
 /** Timeout of a request to another node. */
 const ANSWER_TIMEOUT: Millis = 1_000
 
-/** How long a node with an older state waits for the store before it asks another node. */
-const STORE_HEAD_START: Millis = 100
+/** How long a node with an older state waits, so that one request returns several changes. */
+const FETCH_DELAY: Millis = 30
 
 /** Longest random delay that is added to it, so that nodes do not all ask the first node that has the newer state. */
 const MAX_JITTER: Millis = 100
 
 /** Pause after a request to another node. */
-const REPEAT_DELAY: Millis = 200
+const REPEAT_DELAY: Millis = 100
 
 export interface FleetStateExchangeOptions {
   /** State that is served to other nodes, and updated from them. */
@@ -103,13 +103,19 @@
   catchUp (): void {
     if (this.#isFetching || this.#isDisposed) return
     this.#isFetching = true
-    setTimeout(() => { void this.#fetchOnce() }, STORE_HEAD_START + MAX_JITTER * Math.random())
+    setTimeout(() => { void this.#fetchOnce() }, FETCH_DELAY + MAX_JITTER * Math.random())
   }
 
   async #fetchOnce (): Promise<void> {
     const peer = this.#chooseSource()
     if (peer !== null) await this.#fetchFrom(peer)
-    setTimeout(() => { this.#isFetching = false }, REPEAT_DELAY)
+    setTimeout(() => this.#fetchEnded(), REPEAT_DELAY)
+  }
+
+  /** Changes that were announced during the last request are fetched by another one. */
+  #fetchEnded (): void {
+    this.#isFetching = false
+    if (this.#chooseSource() !== null) this.catchUp()
   }
 
   /** Returns a random peer with a newer state, in the same failure domain if there is one. */
