Waits for slots are predicted, late requests are deferred, hopeless ones refused; short prompts no longer overtake long prefills

Change: the wait for a slot is part of the predicted first event; a request that it makes late is sent with the least urgency, so that the engine admits it after those that can be on time; one whose caller would leave is refused at once with a spread time to return. A segment on an engine with requests waits for the pass, and its pause counts. A candidate heard after a silence is passed over for 1.2 s.

--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -41,6 +41,7 @@
   readonly #timing: EngineTimingModel
   readonly #now: Millis
   readonly #contextTokens: Tokens
+  readonly #waitingDeferredCount: number
 
   /**
    * @param candidate - the engine
@@ -49,18 +50,21 @@
    * @param now - current time
    * @param tieBreakRank - from 0 to 1; of otherwise equal engines the one with the lowest rank is chosen
    */
-  constructor ({ server, slowdown }: Candidate, load: ServerLoad, timing: EngineTimingModel, now: Millis, readonly tieBreakRank: number) {
+  constructor (candidate: Candidate, load: ServerLoad, timing: EngineTimingModel, now: Millis, readonly tieBreakRank: number) {
+    const { server, slowdown } = candidate
     this.server = server
     this.#slowdown = slowdown
-    this.#pendingPrefills = load.pending
+    // Deferred requests are prefilled when nothing else waits for a slot.
+    this.#pendingPrefills = load.pending.filter(({ assignment }) => !assignment.isDeferred || assignment.server !== server.id)
     this.#decoding = load.requests.filter(({ isPrefilled }) => isPrefilled)
     this.#timing = timing
     this.#now = now
     this.#contextTokens = this.#decoding.reduce((sum, { prompt, answer }) => sum + prompt + answer / 2, 0)
     this.passTime = slowdown * timing.passTime(this.#decoding.length, this.#contextTokens)
     this.requestCount = load.requests.length
+    this.#waitingDeferredCount = load.requests.filter(({ isDeferred, isPrefilled }) => isDeferred && !isPrefilled).length
     this.freeMemory = freeMemory(load, timing.figures.memory)
-    this.pendingPrefill = slowdown * load.pending.reduce((sum, { remaining }) => sum + remaining, 0)
+    this.pendingPrefill = slowdown * this.#pendingPrefills.reduce((sum, { remaining }) => sum + remaining, 0)
   }
 
   /** Whether another request can start there without waiting for a slot. */
@@ -68,6 +72,16 @@
     return this.requestCount < this.server.slots
   }
 
+  /** Time until another request would get a slot that is admitted before all deferred ones. */
+  get slotWait (): Millis {
+    return this.#waitBehind(this.requestCount - this.#waitingDeferredCount)
+  }
+
+  /** Time until another deferred request would get a slot. */
+  get deferredSlotWait (): Millis {
+    return this.#waitBehind(this.requestCount)
+  }
+
   /** Whether it can prefill another segment for another engine. */
   get canHelp (): boolean {
     return this.#pendingPrefills.filter(({ assignment }) => assignment.server !== this.server.id).length < this.server.slots
@@ -83,14 +97,14 @@
   }
 
   /**
-   * Engines prefill segments of divided prompts before whole prompts, the newest segment first. If the engine is decoding,
-   * its current pass, with all prefills in it, finishes first.
+   * Engines prefill segments of divided prompts before whole prompts, the newest segment first. If the engine has requests of
+   * its own, its current pass, with all prefills in it, finishes first.
    *
    * @param segmentTime - prefill time of the segment on an engine at its published speed
    * @returns time until the segment would be prefilled
    */
   timeUntilSegmentDone (segmentTime: Millis): Millis {
-    const currentPassPrefill = this.#decoding.length > 0 ? this.pendingPrefill : 0
+    const currentPassPrefill = this.requestCount > 0 ? this.pendingPrefill : 0
     return currentPassPrefill + this.passTime + segmentTime * this.#slowdown
   }
 
@@ -139,6 +153,15 @@
     this.#addPauseLoss(losses, prefillTime * this.#slowdown + passTime - this.passTime)
   }
 
+  /** Requests beyond the slots wait until others end; ends are assumed to be evenly spread over the time that an answer takes. */
+  #waitBehind (requests: number): Millis {
+    const { slots } = this.server
+    const ahead = requests - slots + 1
+    if (ahead <= 0) return 0
+    const answerTime = this.#slowdown * this.#timing.decodeTime(this.#timing.figures.usualAnswer, slots, this.#contextTokens)
+    return ahead * answerTime / Math.max(1, slots)
+  }
+
   #addPauseLoss (losses: LossByRequest, delay: Millis): void {
     const expectedPause = this.passTime + this.pendingPrefill
     for (const assignment of this.#decoding) {
--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -30,6 +30,8 @@
   readonly pauseObjective: Millis | null
   /** When its first event is due. */
   readonly dueAt: Millis
+  /** Whether its engine admits it only after all requests that can still be on time. */
+  readonly isDeferred: boolean
 }
 
 /** Change of an assignment; it is announced to the peers. */
--- a/packages/domain/src/forwarding/LeastOutstanding.ts
+++ b/packages/domain/src/forwarding/LeastOutstanding.ts
@@ -19,6 +19,6 @@
     loads.sort((a, b) => a.requests - b.requests || tieBreakRank(this.#node, a.server.id) - tieBreakRank(this.#node, b.server.id))
     const [best] = loads
     if (best === undefined) return null
-    return { server: best.server, helpers: [], holders: [], timeToFirstEvent: timing.prefillTime(size.prompt) }
+    return { server: best.server, helpers: [], holders: [], timeToFirstEvent: timing.prefillTime(size.prompt), isDeferred: false }
   }
 }
--- a/packages/domain/src/forwarding/LengthAwarePlacement.ts
+++ b/packages/domain/src/forwarding/LengthAwarePlacement.ts
@@ -10,7 +10,7 @@
 import type { LossByRequest } from './EngineState.js'
 import { PlacementPolicy } from './PlacementPolicy.js'
 import type { PlacementChoice, PlacementRequest } from './PlacementPolicy.js'
-import { callerWaitTime } from './streamTimeouts.js'
+import { callerPauseTolerance, callerWaitTime } from './streamTimeouts.js'
 
 interface EvaluatedChoice extends PlacementChoice {
   readonly cost: number
@@ -118,17 +118,22 @@
   else owner.addSegmentLoss(losses, prefillTime, passTime)
   for (const helper of helpers) helper.addSegmentLoss(losses, prefillTime)
   const ownPrefillDone = helpers.length === 0 ? owner.timeUntilPromptDone(prefillTime) : owner.timeUntilSegmentDone(prefillTime)
-  const timeToFirstEvent = passTime + helpers.reduce((latest, helper) => Math.max(latest, helper.timeUntilSegmentDone(prefillTime)), ownPrefillDone)
-  const ownCost = requestValue(size.prompt) * (ownLossShare(request, timeToFirstEvent, passTime) + HELPER_COST * helpers.length)
+  const prefillDone = passTime + helpers.reduce((latest, helper) => Math.max(latest, helper.timeUntilSegmentDone(prefillTime)), ownPrefillDone)
+  const isDeferred = owner.slotWait > 0 && owner.slotWait + prefillDone > request.timeLeft
+  const timeToFirstEvent = prefillDone + (isDeferred ? owner.deferredSlotWait : owner.slotWait)
+  // A segment overtakes whole prompts, but the first pass that decodes its request also prefills them.
+  const longestPause = passTime + (helpers.length === 0 ? 0 : owner.pendingPrefill)
+  const ownCost = requestValue(size.prompt) * (ownLossShare(request, timeToFirstEvent, longestPause) + HELPER_COST * helpers.length)
   const cost = totalLoss(losses) + ownCost + tightPauseCost(request, owner) + contentionCost(request, owner)
-  return { server: owner.server, helpers: helpers.map(({ server }) => server), holders: [], timeToFirstEvent, cost }
+  return { server: owner.server, helpers: helpers.map(({ server }) => server), holders: [], timeToFirstEvent, isDeferred, cost }
 }
 
 /** Share of its value that the request itself is expected to lose: most of it if late, all of it if the caller disconnects. */
-const ownLossShare = ({ objective, timeLeft, pauseObjective }: PlacementRequest, timeToFirstEvent: Millis, passTime: Millis): number => {
-  const disconnectLoss = (1 - LATE_LOSS_SHARE) * lateRisk(timeToFirstEvent / callerWaitTime(objective))
+const ownLossShare = ({ objective, timeLeft, pauseObjective }: PlacementRequest, timeToFirstEvent: Millis, longestPause: Millis): number => {
+  const waitShare = Math.max(timeToFirstEvent / callerWaitTime(objective), longestPause / callerPauseTolerance(pauseObjective))
+  const disconnectLoss = (1 - LATE_LOSS_SHARE) * lateRisk(waitShare)
   const baseLoss = WAIT_COST * timeToFirstEvent / objective + disconnectLoss
-  if (passTime > (pauseObjective ?? Infinity) * USABLE_OBJECTIVE_SHARE) return baseLoss + LATE_LOSS_SHARE
+  if (longestPause > (pauseObjective ?? Infinity) * USABLE_OBJECTIVE_SHARE) return baseLoss + LATE_LOSS_SHARE
   return baseLoss + LATE_LOSS_SHARE * (timeLeft > 0 ? lateRisk(timeToFirstEvent / timeLeft) : 1)
 }
 
--- a/packages/domain/src/forwarding/PlacementPolicy.ts
+++ b/packages/domain/src/forwarding/PlacementPolicy.ts
@@ -42,6 +42,8 @@
   readonly holders: readonly HolderReservation[]
   /** Predicted time until the first event. */
   readonly timeToFirstEvent: Millis
+  /** Whether the engine should admit it only after all requests that can still be on time, because it will be late for want of a slot. */
+  readonly isDeferred: boolean
 }
 
 export abstract class PlacementPolicy {
--- a/packages/domain/src/forwarding/SchedulerDirectory.ts
+++ b/packages/domain/src/forwarding/SchedulerDirectory.ts
@@ -17,7 +17,10 @@
 /** Time after its start in which a node waits for the answers of the candidates before it watches the store in their place. */
 export const START_GRACE: Millis = 400
 
-/** Time after its start in which a process is passed over, because it has not received the reports of all nodes yet. */
+/**
+ * Time after its start, or after a silence, in which a candidate is passed over: it has not received the reports of all nodes
+ * yet, and after a partition it still avoids the servers that it could not reach.
+ */
 export const WARM_UP: Millis = 1_200
 
 /** Interval at which a silent candidate gets a report, so that its return is noticed. */
@@ -43,6 +46,10 @@
   candidate: SchedulerCandidate
   state: CandidateState | null
   heardAt: Millis
+  /** Time since which it has been heard without a longer silence. */
+  heardSince: Millis
+  /** Whether it has left a query unanswered since it was last heard. */
+  isSuspected: boolean
   /** Time of the first report since it was last heard; null if it has answered all reports. */
   unansweredSince: Millis | null
   lastReportAt: Millis
@@ -93,7 +100,7 @@
     if (candidate.node === this.#self.node) return false
     const existing = this.#entries.get(candidate.node)
     if (existing !== undefined && isSame(existing.candidate, candidate)) return false
-    this.#entries.set(candidate.node, { candidate, state: null, heardAt: -Infinity, unansweredSince: null, lastReportAt: -Infinity })
+    this.#entries.set(candidate.node, { candidate, state: null, heardAt: -Infinity, heardSince: Infinity, isSuspected: false, unansweredSince: null, lastReportAt: -Infinity })
     this.#rank()
     return true
   }
@@ -110,7 +117,9 @@
     const entry = this.#entries.get(node)
     if (entry === undefined) return null
     const previous = this.#isHeard(entry, now) ? entry.state : null
+    if (now - entry.heardAt > CANDIDATE_SILENCE) entry.heardSince = now
     entry.heardAt = now
+    entry.isSuspected = false
     entry.unansweredSince = null
     entry.state = state ?? entry.state
     return previous
@@ -136,7 +145,7 @@
    */
   unanswered (node: NodeId): void {
     const entry = this.#entries.get(node)
-    if (entry !== undefined) entry.heardAt = -Infinity
+    if (entry !== undefined) entry.isSuspected = true
   }
 
   /**
@@ -224,14 +233,14 @@
     return entry !== undefined && this.#isHeard(entry, now) && entry.state?.isStopping === false
   }
 
-  #isHeard ({ heardAt }: DirectoryEntry, now: Millis): boolean {
-    return now - heardAt <= CANDIDATE_SILENCE
+  #isHeard ({ heardAt, isSuspected }: DirectoryEntry, now: Millis): boolean {
+    return !isSuspected && now - heardAt <= CANDIDATE_SILENCE
   }
 
   #isWarm ({ node }: SchedulerCandidate, now: Millis): boolean {
     if (node === this.#self.node) return now - this.#startedAt >= WARM_UP
     const entry = this.#entries.get(node)
-    return entry?.state != null && entry.state.uptime + now - entry.heardAt >= WARM_UP
+    return entry?.state != null && now - entry.heardSince >= WARM_UP && entry.state.uptime + now - entry.heardAt >= WARM_UP
   }
 
   #isSilent (node: NodeId, now: Millis): boolean {
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -10,6 +10,7 @@
 import { FIRST_FAILURE_STATUS, isSuccessfulAnswer, findAnswerProblem, withContentLength } from './answerHeads.js'
 import { ServerCall } from './backend/ServerCall.js'
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
+import { LEAST_URGENCY } from './entry/admit.js'
 import { RefusalCause, refuse } from './entry/refusals.js'
 import { RequestLog } from './RequestLog.js'
 import { MemoryReservations } from './MemoryReservations.js'
@@ -127,7 +128,7 @@
     }
     this.#requestLog.placementRefused(placement.reason)
     this.#lastProblem ||= placement.reason
-    this.#giveUp()
+    this.#giveUp(placement.retryAfter)
   }
 
   /** Catches errors of the placement, so that they fail this request only and not the process with all others. */
@@ -136,7 +137,7 @@
       return await this.context.placement.place(this.call, this.history, chargesRetry)
     } catch (error) {
       this.#requestLog.placementFailed(error)
-      return { type: 'refused', reason: 'choosing a backend server failed' }
+      return { type: 'refused', reason: 'choosing a backend server failed', retryAfter: null }
     }
   }
 
@@ -170,7 +171,7 @@
       deadline: call.deadlineAt - this.context.clock(),
       expectedServer: attempt.server.id,
       organisation: call.organisation,
-      urgency: call.service.engine === null ? null : call.urgency,
+      urgency: call.service.engine === null ? null : attempt.placed.choice.isDeferred ? LEAST_URGENCY : call.urgency,
       helpers: attempt.placed.choice.helpers.map(({ id, address }) => ({ address, reservation: this.#reservationIdFor(attempt, id) })),
       lastEventId: this.lastEventId
     })
@@ -247,7 +248,7 @@
     this.#returnFailure(failure)
   }
 
-  #giveUp (): void {
+  #giveUp (retryAfter: Millis | null = null): void {
     if (this.hasStartedAnswer) {
       this.#abortAnswer(ForwardOutcome.Lost)
     } else if (this.signedFailure !== null) {
@@ -256,7 +257,7 @@
       refuse(this.response, RefusalCause.AnswerLost)
       this.#finish(ForwardOutcome.Lost, this.response.statusCode)
     } else {
-      refuse(this.response, RefusalCause.NoServer)
+      refuse(this.response, RefusalCause.NoServer, retryAfter)
       this.#finish(ForwardOutcome.Refused, this.response.statusCode)
     }
   }
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -37,7 +37,7 @@
    * @param attempt - number of the attempt, from 1
    * @param lastEventId - id of the last event of the stream that the caller has
    */
-  attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent }, load, scheduler, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null): void {
+  attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent, isDeferred }, load, scheduler, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null): void {
     const { call, context } = this
     context.log.info('request.sent', {
       request: call.id,
@@ -51,6 +51,7 @@
       decided_ms: Math.round(decidedIn),
       server_requests: load.requests,
       server_pending_ms: Math.round(load.pendingPrefill),
+      deferred: isDeferred || undefined,
       due_in_ms: Math.round(call.dueAt - context.clock()),
       configuration: context.fleetState.configurationVersion,
       servers_revision: context.fleetState.serversRevision,
--- a/packages/node/src/forward/entry/admit.ts
+++ b/packages/node/src/forward/entry/admit.ts
@@ -19,7 +19,7 @@
 
 /** Urgency of a request if neither its organisation nor its route has a priority. */
 const DEFAULT_URGENCY = 5
-const LEAST_URGENCY = 9
+export const LEAST_URGENCY = 9
 
 /** Result of the checks of a request head. */
 export interface AcceptedHead {
--- a/packages/node/src/forward/entry/refusals.ts
+++ b/packages/node/src/forward/entry/refusals.ts
@@ -31,6 +31,9 @@
   readonly retryAfter: Millis | null
 }
 
+/** Longest time after which a caller is asked to return. */
+const MAX_RETRY_AFTER: Millis = 3_000
+
 const REFUSALS: Readonly<Record<RefusalCause, Refusal>> = {
   [RefusalCause.BadRequest]: { status: 400, retryAfter: null },
   [RefusalCause.UnknownKey]: { status: 401, retryAfter: null },
@@ -52,10 +55,12 @@
  *
  * @param response - response to the caller; it is not used if its head has been sent
  * @param cause - why the request is not answered by a backend server
+ * @param predictedRetryAfter - time after which it can be served, as far as is known; null for the usual time of the cause
  */
-export const refuse = (response: ServerResponse, cause: RefusalCause): void => {
+export const refuse = (response: ServerResponse, cause: RefusalCause, predictedRetryAfter: Millis | null = null): void => {
   if (response.headersSent || response.destroyed) return
-  const { status, retryAfter } = REFUSALS[cause]
+  const { status, retryAfter: usualRetryAfter } = REFUSALS[cause]
+  const retryAfter = usualRetryAfter === null || predictedRetryAfter === null ? usualRetryAfter : Math.min(MAX_RETRY_AFTER, predictedRetryAfter)
   const body = JSON.stringify({ error: { code: cause } })
   response.writeHead(status, {
     'content-type': 'application/json',
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -100,7 +100,7 @@
 export const encodeReply = (number: number, result: PlacementResult): fleetWire.PlacementReply => {
   switch (result.type) {
     case 'refused':
-      return { number, result: { $case: 'refusal', value: result.reason } }
+      return { number, result: { $case: 'refusal', value: { reason: result.reason, retryAfterMs: Math.round(result.retryAfter ?? 0) } } }
     case 'redirected':
       return { number, result: { $case: 'redirect', value: result.address } }
     case 'placed': {
@@ -115,7 +115,8 @@
             holders: choice.holders.map(({ server, tokens }) => ({ runner: server.id, tokens })),
             firstEventMs: Math.round(choice.timeToFirstEvent),
             serverRequests: load.requests,
-            serverPendingMs: Math.round(load.pendingPrefill)
+            serverPendingMs: Math.round(load.pendingPrefill),
+            isDeferred: choice.isDeferred
           }
         }
       }
@@ -135,16 +136,17 @@
  */
 export const decodeReply = ({ result }: fleetWire.PlacementReply, service: string, findServer: ServerLookup): PlacementResult => {
   if (result === undefined) throw new Error('the placement reply contains no decision')
-  if (result.$case === 'refusal') return { type: 'refused', reason: result.value }
+  if (result.$case === 'refusal') return { type: 'refused', reason: result.value.reason, retryAfter: result.value.retryAfterMs === 0 ? null : result.value.retryAfterMs }
   if (result.$case === 'redirect') return { type: 'redirected', address: result.value }
-  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs } = result.value
+  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred } = result.value
   if (server === undefined) throw new Error('the placement names no server')
   const decoded = helpers.map((helper) => decodeServer(helper, service, findServer))
   const choice: PlacementChoice = {
     server: decodeServer(server, service, findServer),
     helpers: decoded,
     holders: holders.flatMap(({ runner, tokens }): HolderReservation[] => decoded.filter(({ id }) => id === runner).map((holder) => ({ server: holder, tokens }))),
-    timeToFirstEvent: firstEventMs
+    timeToFirstEvent: firstEventMs,
+    isDeferred
   }
   return { type: 'placed', choice, load: { requests: serverRequests, pendingPrefill: serverPendingMs } }
 }
--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -88,7 +88,8 @@
   partMs: Math.round(assignment.prefillTime),
   isRead: assignment.isPrefilled,
   pauseObjectiveMs: assignment.pauseObjective === null ? undefined : Math.round(assignment.pauseObjective),
-  dueInMs: Math.round(assignment.dueAt - now)
+  dueInMs: Math.round(assignment.dueAt - now),
+  isDeferred: assignment.isDeferred
 })
 
 const decodeAssignment = (wire: fleetWire.EngineWork, node: NodeId, now: Millis): Assignment => ({
@@ -102,7 +103,8 @@
   prefillTime: wire.partMs,
   isPrefilled: wire.isRead,
   pauseObjective: wire.pauseObjectiveMs ?? null,
-  dueAt: now + wire.dueInMs
+  dueAt: now + wire.dueInMs,
+  isDeferred: wire.isDeferred
 })
 
 const ageOf = (time: Millis, now: Millis): number => Math.max(0, Math.round(now - time))
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -80,11 +80,12 @@
     const spec = specOf(call, history, chargesRetry)
     const number = scheduler.assignments.nextNumber()
     const { result, scheduler: address } = await this.#decide(spec, number)
-    if (result.type !== 'placed') return { type: 'refused', reason: result.type === 'refused' ? result.reason : 'no scheduler has accepted the request' }
+    if (result.type === 'refused') return result
+    if (result.type === 'redirected') return { type: 'refused', reason: 'no scheduler has accepted the request', retryAfter: null }
     const assignment = address === null
       ? scheduler.assignments.findOwn(number)
       : scheduler.assignments.start(scheduler.draftAssignment(spec, result.choice, clock()), number)
-    if (assignment === null) return { type: 'refused', reason: 'the assignment is not recorded' }
+    if (assignment === null) return { type: 'refused', reason: 'the assignment is not recorded', retryAfter: null }
     if (address !== null) this.#schedulers.set(assignment.id, address)
     const { choice, load } = result
     return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, decidedIn: clock() - startedAt } }
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,5 +1,5 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
-import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE } from '@bluebellhill/domain'
+import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
 import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, RunnerId, SchedulerGroup, Service, ServiceLoad } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
@@ -61,8 +61,8 @@
    */
   place (spec: PlacementSpec, owner: AssignmentOwner, unseenArrivals: number): PlacementResult {
     const service = this.#options.fleetState.routeTable?.service(spec.service) ?? null
-    if (service === null) return { type: 'refused', reason: PlacementRefusal.UnknownService }
-    if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent }
+    if (service === null) return { type: 'refused', reason: PlacementRefusal.UnknownService, retryAfter: null }
+    if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
     if (spec.excluded.length === 0) this.#retryBudgets.countRequest(spec.service)
     const now = this.#options.clock()
     const loads = this.assignments.serverLoads(now)
@@ -82,7 +82,9 @@
       })
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
-    if (choice === null) return { type: 'refused', reason: PlacementRefusal.NoServer }
+    if (choice === null) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
+    const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
+    if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
     const { requests, pending } = loads.get(choice.server.id)
     this.#record(spec, choice, owner, now)
     return { type: 'placed', choice, load: { requests: requests.length, pendingPrefill: pending.reduce((sum, { remaining }) => sum + remaining, 0) } }
@@ -96,8 +98,9 @@
    * @param now - current time
    * @returns the assignment without its id
    */
-  draftAssignment ({ service: name, size, pauseObjective, dueAt }: PlacementSpec, { server, helpers, holders }: PlacementChoice, now: Millis): Omit<Assignment, 'id'> {
+  draftAssignment ({ service: name, size, pauseObjective, dueAt }: PlacementSpec, choice: PlacementChoice, now: Millis): Omit<Assignment, 'id'> {
     const service = this.#options.fleetState.routeTable?.service(name) ?? null
+    const { server, helpers, holders } = choice
     const usualAnswer = service?.engine?.usualAnswer ?? 0
     return {
       server: server.id,
@@ -109,7 +112,8 @@
       sentAt: now,
       isPrefilled: false,
       pauseObjective,
-      dueAt
+      dueAt,
+      isDeferred: choice.isDeferred
     }
   }
 
@@ -219,6 +223,9 @@
   }
 }
 
+/** @returns a random time from `wait` to twice as long, so that refused callers do not return as one wave */
+const spreadReturn = (wait: Millis): Millis => wait * (1 + Math.random())
+
 /** Plain services have no prefill: every predicted time is 0. */
 const PLAIN_SERVICE_FIGURES = {
   slots: 1, memory: 0, stepsPerPass: 0, step: 0, stepPerWriter: 0, stepPerThousandContext: 0, readTokensPerMs: 1, readPerMillionPairs: 0, usualAnswer: 0
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -24,6 +24,8 @@
 /** Why an attempt is not placed. */
 export const PlacementRefusal = {
   NoServer: 'no_server',
+  /** The caller would disconnect before the first event. */
+  TooLate: 'too_late',
   RetryBudgetSpent: 'retry_budget_spent',
   UnknownService: 'unknown_service'
 } as const
@@ -35,10 +37,18 @@
   readonly pendingPrefill: Millis
 }
 
+/** Decision not to place an attempt. */
+export interface RefusedPlacement {
+  readonly type: 'refused'
+  readonly reason: string
+  /** Time after which the caller may return; null if nothing is known of it. */
+  readonly retryAfter: Millis | null
+}
+
 /** Decision about one attempt. */
 export type PlacementResult =
   | { readonly type: 'placed', readonly choice: PlacementChoice, readonly load: ChosenServerLoad }
-  | { readonly type: 'refused', readonly reason: string }
+  | RefusedPlacement
   /** The scheduler of another group can serve it sooner. */
   | { readonly type: 'redirected', readonly address: string }
 
@@ -55,7 +65,7 @@
 
 export type AttemptPlacement =
   | { readonly type: 'placed', readonly attempt: PlacedAttempt }
-  | { readonly type: 'refused', readonly reason: string }
+  | RefusedPlacement
 
 /** What became of an attempt, for the scheduler that keeps its assignment. */
 export interface AttemptReport {
