--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -33,7 +33,7 @@
 /** State changes of a node that may explain the outcome of any of its requests. */
 const NODE_EVENTS: ReadonlySet<string> = new Set([
   'node.started', 'node.stopping', 'node.stopped', 'node.failed', 'settings.reloaded', 'settings.unusable', 'configuration.installed',
-  'store.lost', 'store.regained', 'store.history_lost', 'peer.lost', 'peer.found', 'domain.avoided', 'log.lines_dropped'
+  'store.lost', 'store.regained', 'store.history_lost', 'peer.lost', 'peer.found', 'scheduler.group', 'domain.avoided', 'log.lines_dropped'
 ])
 
 /** State changes of one backend server, as seen by a node. */
@@ -63,7 +63,15 @@
   const helpersText = helpers.length === 0 ? '' : `, with ${helpers.length} helper engines for its prefill (${helpers.join(', ')})`
   const expected = Number(fields.expected_ms) > 0 ? ` The first event was expected after ${fields.expected_ms} ms.` : ''
   return `${timeOfDay(at)}: node ${node} sent it to ${fields.server} in ${fields.server_domain} as attempt ${fields.attempt}${helpersText}; it was due in ${fields.due_in_ms} ms ` +
-    `(configuration ${fields.configuration}, servers as of revision ${fields.servers_revision}).${expected}`
+    `(configuration ${fields.configuration}, servers as of revision ${fields.servers_revision}).${expected}${describePlacement(fields)}`
+}
+
+/** Earlier builds log neither the scheduler nor the load of the server. */
+const describePlacement = ({ scheduler, decided_ms: decided, server_requests: requests, server_pending_ms: pending, deferred }: LogLine['fields']): string => {
+  if (scheduler === undefined) return ''
+  const by = scheduler === 'self' ? 'The node itself chose the server' : `The scheduler at ${scheduler} chose the server`
+  const deferral = deferred === undefined ? '' : ' It was deferred, since no slot was free in time.'
+  return ` ${by} within ${decided} ms; the server had ${requests} requests and ${pending} ms of pending prefill.${deferral}`
 }
 
 const describeFailedAttempt = ({ at, fields }: LogLine): string =>
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -62,3 +62,10 @@
   t.is(checked.exitCode, 1)
   t.regex(checked.errors, /local\.toml:4: listen\.frontend cannot be used; allowed: must be IP:PORT/)
 })
+
+test('the explanation tells which scheduler placed an attempt, and what it knew of the server', (t) => {
+  const lines = parseDecisionLog('time=2026-12-04T05:00:00.000Z node=edge-1 event=request.sent request=r9 attempt=1 server=i-1 server_domain=d1 expected_ms=200 scheduler=10.0.0.2:7340 decided_ms=4 server_requests=11 server_pending_ms=90 deferred=true due_in_ms=300 configuration=1 servers_revision=2')
+  const [sentence = ''] = explainLogged(lines, 'r9')?.sentences ?? []
+  t.true(sentence.includes('The scheduler at 10.0.0.2:7340 chose the server within 4 ms; the server had 11 requests and 90 ms of pending prefill.'))
+  t.true(sentence.includes('It was deferred'))
+})
