--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -34,17 +34,6 @@
   readonly isDeferred: boolean
 }
 
-/** Change of an assignment; it is announced to the peers. */
-export const AssignmentChange = {
-  Started: 'begun',
-  /** Started on a plain service. Such requests are short, and slightly outdated assignments are good enough to place them. */
-  StartedPlain: 'begun_plain',
-  /** The prompt is prefilled. */
-  Prefilled: 'read',
-  Ended: 'ended'
-} as const
-export type AssignmentChange = typeof AssignmentChange[keyof typeof AssignmentChange]
-
 /** Current load of one backend server. */
 export interface ServerLoad {
   /** Prefills that are not done, in the order in which the engine processes them. */
--- /dev/null
+++ b/packages/node/src/forward/peers/Announcements.ts
@@ -0,0 +1,68 @@
+/** Builds the messages in which a candidate announces itself to the nodes of its group, and the load of the group to the others. */
+import type { Millis, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
+
+import type { FleetState } from '../FleetState.js'
+import type { Scheduler } from '../scheduling/Scheduler.js'
+import { encodeCandidate } from './datagramCodec.js'
+import type { DatagramContent } from './datagramCodec.js'
+
+/** Number of candidates that an answer to an introduction names. */
+const NAMED_CANDIDATES = 4
+
+export interface AnnouncementsOptions {
+  readonly self: SchedulerCandidate
+  readonly scheduler: Scheduler
+  readonly directory: SchedulerDirectory
+  readonly fleetState: FleetState
+  readonly clock: () => Millis
+  /** Returns whether the platform's store does not answer this node. */
+  readonly isStoreLost: () => boolean
+}
+
+/** Messages of one candidate about itself and its group. */
+export class Announcements {
+  readonly #options: AnnouncementsOptions
+  readonly #startedAt: Millis
+  #isStopping = false
+
+  /** @param options - this node, its scheduler and fleet state */
+  constructor (options: AnnouncementsOptions) {
+    this.#options = options
+    this.#startedAt = options.clock()
+  }
+
+  /** Marks this node as stopping in all further messages. */
+  stop (): void {
+    this.#isStopping = true
+  }
+
+  /**
+   * @param namesCandidates - whether the receiver gets to know the highest ranked candidates
+   * @returns the state of this candidate
+   */
+  candidateReport (namesCandidates: boolean): DatagramContent {
+    const { fleetState, directory, isStoreLost, clock } = this.#options
+    return {
+      $case: 'candidateReport',
+      value: {
+        uptimeMs: BigInt(Math.round(clock() - this.#startedAt)),
+        configurationVersion: fleetState.configurationVersion,
+        serversRevision: BigInt(fleetState.serversRevision),
+        storeLost: isStoreLost(),
+        stopping: this.#isStopping,
+        candidates: namesCandidates ? directory.ranked(NAMED_CANDIDATES).map(encodeCandidate) : []
+      }
+    }
+  }
+
+  /** @returns the load of this group's engines, and the versions of its fleet state */
+  groupReport (): DatagramContent {
+    const { scheduler, fleetState, self } = this.#options
+    const services = scheduler.serviceLoads().map(({ service, slots, requests, meanPendingPrefill }) =>
+      ({ service, slots, requests, meanPendingMs: Math.round(meanPendingPrefill) }))
+    return {
+      $case: 'groupReport',
+      value: { failureDomain: self.failureDomain, services, configurationVersion: fleetState.configurationVersion, serversRevision: BigInt(fleetState.serversRevision) }
+    }
+  }
+}
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -8,7 +8,8 @@
 import type { FleetState } from '../FleetState.js'
 import type { Log } from '../../log/index.js'
 import type { Scheduler } from '../scheduling/Scheduler.js'
-import { DATAGRAM_VERSION, decodeCandidate, decodeDatagram, decodeGroupLoad, encodeCandidate, encodeDatagram, isSchedulerDatagram } from './datagramCodec.js'
+import { Announcements } from './Announcements.js'
+import { DATAGRAM_VERSION, decodeCandidate, decodeDatagram, decodeGroupLoad, encodeDatagram, isSchedulerDatagram } from './datagramCodec.js'
 import type { DatagramContent, ReceivedDatagram } from './datagramCodec.js'
 import { PeerSocket } from './PeerSocket.js'
 import { PeerTable } from './PeerTable.js'
@@ -28,9 +29,6 @@
 /** How long changes are collected before they are announced. */
 const ANNOUNCEMENT_DELAY: Millis = 20
 
-/** Number of candidates that an answer to an introduction names. */
-const NAMED_CANDIDATES = 4
-
 /** Number of nodes of each other group that get the load of this group. */
 const LOAD_RECEIVERS = 2
 
@@ -71,7 +69,7 @@
   readonly table = new PeerTable()
   readonly #options: PeerLinkOptions
   readonly #socket: PeerSocket
-  readonly #openedAt: Millis
+  readonly #announcements: Announcements
   #sequence = 0
   #heartbeatCount = 0
   #heartbeatTimer: NodeJS.Timeout | null = null
@@ -84,7 +82,7 @@
   /** @param options - this node, its scheduler and fleet state */
   constructor (options: PeerLinkOptions) {
     this.#options = options
-    this.#openedAt = options.clock()
+    this.#announcements = new Announcements(options)
     this.#socket = new PeerSocket(options.log, (datagram, address) => this.#receive(datagram, address))
     options.fleetState.onChange(() => this.#announceSoon())
   }
@@ -138,6 +136,7 @@
   /** Announces that this node is stopping, so that others schedule in its place. */
   announceStopping (): void {
     this.#isStopping = true
+    this.#announcements.stop()
     this.#announce()
     this.#sendState(false)
   }
@@ -171,7 +170,7 @@
     this.#updateGroup()
     this.#heartbeatCount += 1
     this.#sendState(this.#heartbeatCount <= FIRST_INTRODUCTIONS || this.#heartbeatCount % HEARTBEATS_PER_INTRODUCTION === 0)
-    if (this.#isGroupScheduler(now)) this.#sendGroupReport()
+    if (this.#isGroupScheduler(now)) this.#announceLoad()
   }
 
   #updateGroup (): void {
@@ -282,19 +281,7 @@
   }
 
   #answerState ({ failureDomain }: NodeStateFragment, address: string): void {
-    this.send(address, { $case: 'candidateReport', value: this.#candidateReport(failureDomain !== '') })
-  }
-
-  #candidateReport (namesCandidates: boolean): Extract<DatagramContent, { $case: 'candidateReport' }>['value'] {
-    const { fleetState, directory, isStoreLost, clock } = this.#options
-    return {
-      uptimeMs: BigInt(Math.round(clock() - this.#openedAt)),
-      configurationVersion: fleetState.configurationVersion,
-      serversRevision: BigInt(fleetState.serversRevision),
-      storeLost: isStoreLost(),
-      stopping: this.#isStopping,
-      candidates: namesCandidates ? directory.ranked(NAMED_CANDIDATES).map(encodeCandidate) : []
-    }
+    this.send(address, this.#announcements.candidateReport(failureDomain !== ''))
   }
 
   #announceSoon (): void {
@@ -307,16 +294,15 @@
 
   /** Sends the state of this candidate to every node that reports to it. */
   #announce (): void {
-    const content: DatagramContent = { $case: 'candidateReport', value: this.#candidateReport(false) }
+    const content = this.#announcements.candidateReport(false)
     for (const { address, version } of this.table.active()) if (version > 0) this.send(address, content)
   }
 
-  #sendGroupReport (): void {
-    const { directory, scheduler, fleetState, self } = this.#options
-    const receivers = directory.otherGroups(LOAD_RECEIVERS)
+  /** Sends the load of this group to the schedulers of the others. */
+  #announceLoad (): void {
+    const receivers = this.#options.directory.otherGroups(LOAD_RECEIVERS)
     if (receivers.length === 0) return
-    const services = scheduler.serviceLoads().map(({ service, slots, requests, meanPendingPrefill }) => ({ service, slots, requests, meanPendingMs: Math.round(meanPendingPrefill) }))
-    const value = { failureDomain: self.failureDomain, services, configurationVersion: fleetState.configurationVersion, serversRevision: BigInt(fleetState.serversRevision) }
-    for (const { address } of receivers) this.send(address, { $case: 'groupReport', value })
+    const content = this.#announcements.groupReport()
+    for (const { address } of receivers) this.send(address, content)
   }
 }
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,13 +1,13 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
 import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
-import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, RunnerId, SchedulerGroup, Service, ServiceLoad } from '@bluebellhill/domain'
+import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
 import { PlacementRefusal } from './types.js'
-import type { AssignmentOwner, AttemptReport, PlacementResult, PlacementSpec } from './types.js'
+import type { AssignmentOwner, AttemptReport, ChosenServerLoad, PlacementResult, PlacementSpec } from './types.js'
 
 export interface SchedulerOptions {
   readonly node: NodeId
@@ -29,7 +29,7 @@
 export class Scheduler {
   readonly assignments: FleetAssignments
   readonly health = new ServerHealth()
-  readonly groupLoads = new GroupLoads()
+  readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
   readonly #options: SchedulerOptions
@@ -85,9 +85,8 @@
     if (choice === null) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
     const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
-    const { requests, pending } = loads.get(choice.server.id)
     this.#record(spec, choice, owner, now)
-    return { type: 'placed', choice, load: { requests: requests.length, pendingPrefill: pending.reduce((sum, { remaining }) => sum + remaining, 0) } }
+    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)) }
   }
 
   /**
@@ -193,13 +192,29 @@
 
   /** Records the load of another group. */
   recordGroupLoad (load: GroupLoad): void {
-    this.groupLoads.record(load, this.#options.clock())
+    this.#groupLoads.record(load, this.#options.clock())
+  }
+
+  #choose (spec: PlacementSpec, service: Service, loads: ServerLoads, unseenArrivals: number, now: Millis): PlacementChoice | null {
+    const candidates = this.#candidates(spec, service, now)
+    if (candidates.length === 0) return null
+    return this.#policyOf(service).choose({
+      size: spec.size,
+      objective: spec.objective,
+      timeLeft: spec.dueAt - now,
+      pauseObjective: spec.pauseObjective,
+      candidates,
+      timing: this.modelOf(service),
+      loads,
+      arrivalsPerSecond: unseenArrivals,
+      now
+    })
   }
 
   #findRelief ({ service, objective, isRedirected, chargesRetry }: PlacementSpec, { engine }: Service, choice: PlacementChoice | null, now: Millis): string | null {
     if (engine === null || isRedirected || chargesRetry) return null
     const wait = choice?.timeToFirstEvent ?? Infinity
-    return wait <= USABLE_OBJECTIVE_SHARE * objective ? null : this.groupLoads.findRelief(service, wait, now)
+    return wait <= USABLE_OBJECTIVE_SHARE * objective ? null : this.#groupLoads.findRelief(service, wait, now)
   }
 
   #record (spec: PlacementSpec, choice: PlacementChoice, { node, number }: AssignmentOwner, now: Millis): void {
@@ -223,6 +238,9 @@
   }
 }
 
+const summaryOf = ({ requests, pending }: ServerLoad): ChosenServerLoad =>
+  ({ requests: requests.length, pendingPrefill: pending.reduce((sum, { remaining }) => sum + remaining, 0) })
+
 /** @returns a random time from `wait` to twice as long, so that refused callers do not return as one wave */
 const spreadReturn = (wait: Millis): Millis => wait * (1 + Math.random())
 
