--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -66,20 +66,7 @@
     if (spec.excluded.length === 0) this.#retryBudgets.countRequest(spec.service)
     const now = this.#options.clock()
     const loads = this.assignments.serverLoads(now)
-    const candidates = this.#candidates(spec, service, now)
-    const choice = candidates.length === 0
-      ? null
-      : this.#policyOf(service).choose({
-        size: spec.size,
-        objective: spec.objective,
-        timeLeft: spec.dueAt - now,
-        pauseObjective: spec.pauseObjective,
-        candidates,
-        timing: this.modelOf(service),
-        loads,
-        arrivalsPerSecond: unseenArrivals,
-        now
-      })
+    const choice = this.#choose(spec, service, loads, unseenArrivals, now)
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
     if (choice === null) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
