Memory held by other engines is released soon after an engine goes dark

An engine went dark 0.2 s after a prompt of 467 k tokens was sent, without closing the connection. The attempt waited 7.8 s, since reading the prompt again is dear, and renewed the reservation on its holder all the while: 5.8 s after the request was over, with 4 s allowed. Change: an attempt with holders waits for its first event for 1 s and 1.5 times the prediction. Not covered: a prediction above 2 s on an engine that goes dark at once.

--- a/packages/domain/src/forwarding/streamTimeouts.ts
+++ b/packages/domain/src/forwarding/streamTimeouts.ts
@@ -10,6 +10,12 @@
 /** Multiple of the pause objective that a pause may last. */
 const PAUSE_FACTOR = 1.5
 
+/**
+ * Multiple of its predicted time that the first event may take while other engines hold memory for it: that memory stays reserved
+ * if the engine has died without closing its connection.
+ */
+const HELD_FIRST_EVENT_FACTOR = 1.5
+
 /** Multiple of its predicted time that the first event may take if it is predicted shortly before the caller disconnects. */
 const LATE_FIRST_EVENT_FACTOR = 1.2
 
@@ -33,6 +39,8 @@
   readonly pauseObjective: Millis | null
   /** Time to prefill the prompt again on one engine without other load: the cost of another attempt to the fleet. */
   readonly reading: Millis
+  /** Whether other engines hold KV cache memory for the stream. */
+  readonly holdsMemory: boolean
 }
 
 /**
@@ -52,7 +60,8 @@
  * @param expectations - predictions and objectives of the stream
  * @returns longest time without data before the first event
  */
-export const firstEventTimeout = ({ expected: timeToFirstEvent, objective, reading: prefillTime }: StreamExpectations): Millis => {
+export const firstEventTimeout = ({ expected: timeToFirstEvent, objective, reading: prefillTime, holdsMemory }: StreamExpectations): Millis => {
+  if (holdsMemory) return MIN_TIMEOUT + HELD_FIRST_EVENT_FACTOR * timeToFirstEvent
   const predictionTimeout = MIN_TIMEOUT + FIRST_EVENT_FACTOR * timeToFirstEvent + prefillTime
   return Math.min(predictionTimeout, Math.max(MAX_CALLER_WAIT_SHARE * callerWaitTime(objective), LATE_FIRST_EVENT_FACTOR * timeToFirstEvent))
 }
--- a/packages/domain/tests/attempts.test.ts
+++ b/packages/domain/tests/attempts.test.ts
@@ -55,8 +55,8 @@
 })
 
 test('stream timeouts are longer for prompts with a long prefill, and end before the caller disconnects', (t) => {
-  const short = { expected: 100, objective: 300, pauseObjective: 200, reading: 20 }
-  const long = { expected: 500, objective: 3_000, pauseObjective: 800, reading: 2_840 }
+  const short = { expected: 100, objective: 300, pauseObjective: 200, reading: 20, holdsMemory: false }
+  const long = { expected: 500, objective: 3_000, pauseObjective: 800, reading: 2_840, holdsMemory: false }
   t.is(firstEventTimeout(short), 1_300)
   t.true(firstEventTimeout(long) > 5_000)
   t.true(firstEventTimeout({ ...long, reading: 50_000 }) < 12_000)
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -25,7 +25,7 @@
     const { route } = this.call
     if (!mayRunAgain(route) || this.history.isExhausted) return null
     const { objective, pauseObjective } = route
-    const bounds = { expected: placed.choice.timeToFirstEvent, objective, pauseObjective, reading: this.context.placement.prefillTime(this.call) }
+    const bounds = { expected: placed.choice.timeToFirstEvent, objective, pauseObjective, reading: this.context.placement.prefillTime(this.call), holdsMemory: placed.choice.holders.length > 0 }
     return head === null ? firstEventTimeout(bounds) : nextEventTimeout(bounds)
   }
 
