A scheduler announces its own state to the other groups, in place of one made up by the receiver

Found by reading: a group report was recorded as a state with uptime 0 and without loss of the store, whatever its sender was. It now carries the sender's report. The field startedAt of a candidate's state was never read and goes. The way to another group had no test: two over a network in memory, one over sockets, which fails if the state is made up again.

--- a/packages/domain/src/forwarding/SchedulerDirectory.ts
+++ b/packages/domain/src/forwarding/SchedulerDirectory.ts
@@ -28,7 +28,6 @@
 
 /** State that a candidate announces. */
 export interface CandidateState {
-  readonly startedAt: number
   /** Time since its process started. */
   readonly uptime: Millis
   readonly isStopping: boolean
@@ -50,7 +49,7 @@
   heardSince: Millis
   /** Whether it has left a query unanswered since it was last heard. */
   isSuspected: boolean
-  /** Time of the first report since it was last heard; null if it has answered all reports. */
+  /** Time of the oldest report that it has not answered; null if there is none. */
   unansweredSince: Millis | null
   lastReportAt: Millis
 }
--- a/packages/domain/tests/schedulerDirectory.test.ts
+++ b/packages/domain/tests/schedulerDirectory.test.ts
@@ -14,7 +14,7 @@
 
 const fleet = (size: number): SchedulerCandidate[] => Array.from({ length: size }, (_, index) => candidate(index))
 
-const STATE: CandidateState = { startedAt: 1, uptime: WARM_UP, isStopping: false, hasLostStore: false, configurationVersion: 1, serversRevision: 1 }
+const STATE: CandidateState = { uptime: WARM_UP, isStopping: false, hasLostStore: false, configurationVersion: 1, serversRevision: 1 }
 
 /** Directory of a node that knows all nodes and has heard the given ones. */
 const directoryOf = (self: SchedulerCandidate, all: readonly SchedulerCandidate[], heard: readonly SchedulerCandidate[], now: Millis, state: CandidateState = STATE): SchedulerDirectory => {
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -171,7 +171,7 @@
       deadline: call.deadlineAt - this.context.clock(),
       expectedServer: attempt.server.id,
       organisation: call.organisation,
-      urgency: call.service.engine === null ? null : attempt.placed.choice.isDeferred ? LEAST_URGENCY : call.urgency,
+      urgency: call.service.engine === null ? null : this.#urgencyOf(attempt),
       helpers: attempt.placed.choice.helpers.map(({ id, address }) => ({ address, reservation: this.#reservationIdFor(attempt, id) })),
       lastEventId: this.lastEventId
     })
@@ -179,6 +179,10 @@
     return new ServerCall(request, this.#createListener(attempt))
   }
 
+  #urgencyOf ({ placed }: OpenAttempt): number {
+    return placed.choice.isDeferred ? LEAST_URGENCY : this.call.urgency
+  }
+
   #reservationIdFor ({ reservations, placed: { choice } }: OpenAttempt, id: RunnerId): string | null {
     return choice.holders.some(({ server }) => server.id === id) ? reservations?.id ?? null : null
   }
--- a/packages/node/src/forward/peers/Announcements.ts
+++ b/packages/node/src/forward/peers/Announcements.ts
@@ -1,5 +1,6 @@
 /** Builds the messages in which a candidate announces itself to the nodes of its group, and the load of the group to the others. */
 import type { Millis, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
+import type { fleetWire } from '@bluebellhill/protocol'
 
 import type { FleetState } from '../FleetState.js'
 import type { Scheduler } from '../scheduling/Scheduler.js'
@@ -41,28 +42,26 @@
    * @returns the state of this candidate
    */
   candidateReport (namesCandidates: boolean): DatagramContent {
-    const { fleetState, directory, isStoreLost, clock } = this.#options
-    return {
-      $case: 'candidateReport',
-      value: {
-        uptimeMs: BigInt(Math.round(clock() - this.#startedAt)),
-        configurationVersion: fleetState.configurationVersion,
-        serversRevision: BigInt(fleetState.serversRevision),
-        storeLost: isStoreLost(),
-        stopping: this.#isStopping,
-        candidates: namesCandidates ? directory.ranked(NAMED_CANDIDATES).map(encodeCandidate) : []
-      }
-    }
+    return { $case: 'candidateReport', value: this.#ownState(namesCandidates) }
   }
 
-  /** @returns the load of this group's engines, and the versions of its fleet state */
+  /** @returns the load of this group's engines, with the state of this candidate */
   groupReport (): DatagramContent {
-    const { scheduler, fleetState, self } = this.#options
+    const { scheduler, self } = this.#options
     const services = scheduler.serviceLoads().map(({ service, slots, requests, meanPendingPrefill }) =>
       ({ service, slots, requests, meanPendingMs: Math.round(meanPendingPrefill) }))
+    return { $case: 'groupReport', value: { failureDomain: self.failureDomain, services, sender: this.#ownState(false) } }
+  }
+
+  #ownState (namesCandidates: boolean): fleetWire.CandidateReport {
+    const { fleetState, directory, isStoreLost, clock } = this.#options
     return {
-      $case: 'groupReport',
-      value: { failureDomain: self.failureDomain, services, configurationVersion: fleetState.configurationVersion, serversRevision: BigInt(fleetState.serversRevision) }
+      uptimeMs: BigInt(Math.round(clock() - this.#startedAt)),
+      configurationVersion: fleetState.configurationVersion,
+      serversRevision: BigInt(fleetState.serversRevision),
+      storeLost: isStoreLost(),
+      stopping: this.#isStopping,
+      candidates: namesCandidates ? directory.ranked(NAMED_CANDIDATES).map(encodeCandidate) : []
     }
   }
 }
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -3,13 +3,13 @@
  * reports of the nodes for which it is a candidate, and announces the load of its group to the schedulers of the others.
  */
 import { groupOf } from '@bluebellhill/domain'
-import type { CandidateState, FailureDomain, GroupLoad, Millis, NodeId, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
+import type { CandidateState, FailureDomain, Millis, NodeId, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
 
 import type { FleetState } from '../FleetState.js'
 import type { Log } from '../../log/index.js'
 import type { Scheduler } from '../scheduling/Scheduler.js'
 import { Announcements } from './Announcements.js'
-import { DATAGRAM_VERSION, decodeCandidate, decodeDatagram, decodeGroupLoad, encodeDatagram, isSchedulerDatagram } from './datagramCodec.js'
+import { DATAGRAM_VERSION, decodeCandidate, decodeCandidateState, decodeDatagram, decodeGroupLoad, encodeDatagram, isSchedulerDatagram } from './datagramCodec.js'
 import type { DatagramContent, ReceivedDatagram } from './datagramCodec.js'
 import { PeerSocket } from './PeerSocket.js'
 import { PeerTable } from './PeerTable.js'
@@ -184,6 +184,7 @@
     log.info('scheduler.group', { group: group.domain ?? 'whole fleet', engines: engines.length })
   }
 
+  /** A node to which no other one reports knows too little of the load of its group to announce it. */
   #isGroupScheduler (now: Millis): boolean {
     const { directory, self } = this.#options
     return directory.scheduler(now).node === self.node && this.table.active().length > 0
@@ -233,10 +234,10 @@
     const { content, node } = message
     if (content.$case === 'candidateReport') {
       this.addNodes(content.value.candidates.map(decodeCandidate), [])
-      const { uptimeMs, configurationVersion, serversRevision, storeLost, stopping } = content.value
-      this.#candidateHeard(node, { startedAt: message.startedAt, uptime: Number(uptimeMs), isStopping: stopping, hasLostStore: storeLost, configurationVersion, serversRevision: Number(serversRevision) })
+      this.#candidateHeard(node, decodeCandidateState(content.value))
     } else if (content.$case === 'groupReport') {
-      this.#groupReported(node, decodeGroupLoad(content.value, address), content.value.configurationVersion, Number(content.value.serversRevision))
+      this.#options.scheduler.recordGroupLoad(decodeGroupLoad(content.value, address))
+      if (content.value.sender !== undefined) this.#candidateHeard(node, decodeCandidateState(content.value.sender))
     } else {
       this.#options.onPlacementMessage(message, address)
     }
@@ -249,13 +250,6 @@
     if (state.hasLostStore && previous?.hasLostStore === false) onPeerStoreLost()
   }
 
-  #groupReported (node: NodeId, load: GroupLoad, configurationVersion: number, serversRevision: number): void {
-    const { scheduler, directory, clock } = this.#options
-    scheduler.recordGroupLoad(load)
-    directory.heard(node, { startedAt: 0, uptime: 0, isStopping: false, hasLostStore: false, configurationVersion, serversRevision }, clock())
-    this.#compareVersions({ configurationVersion, serversRevision })
-  }
-
   #compareVersions (version: { readonly configurationVersion: number, readonly serversRevision: number }): void {
     const { fleetState, onPeerAhead } = this.#options
     if (version.configurationVersion > fleetState.configurationVersion || version.serversRevision > fleetState.serversRevision) onPeerAhead()
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -1,6 +1,6 @@
 /** Encodes the datagrams of the scheduler protocol, and decodes them into types of the forwarding node. */
 import { HealthSignal } from '@bluebellhill/domain'
-import type { BackendServer, FailureDomain, GroupLoad, HolderReservation, Millis, NodeId, PlacementChoice, RunnerId, SchedulerCandidate } from '@bluebellhill/domain'
+import type { BackendServer, CandidateState, FailureDomain, GroupLoad, HolderReservation, Millis, NodeId, PlacementChoice, RunnerId, SchedulerCandidate } from '@bluebellhill/domain'
 import { fleetWire } from '@bluebellhill/protocol'
 
 import type { AttemptReport, PlacementResult, PlacementSpec } from '../scheduling/types.js'
@@ -180,6 +180,10 @@
 export const decodeCandidate = ({ node, address, failureDomain, processorMilli }: fleetWire.Candidate): SchedulerCandidate =>
   ({ node: node as NodeId, address, failureDomain: failureDomain as FailureDomain, processor: processorMilli / MILLI })
 
+/** @returns the state that a candidate announces */
+export const decodeCandidateState = ({ uptimeMs, configurationVersion, serversRevision, storeLost, stopping }: fleetWire.CandidateReport): CandidateState =>
+  ({ uptime: Number(uptimeMs), isStopping: stopping, hasLostStore: storeLost, configurationVersion, serversRevision: Number(serversRevision) })
+
 /**
  * @param wire - a received group report
  * @param address - its sender
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -6,7 +6,7 @@
 import type { ExecutionContext } from 'ava'
 import fc from 'fast-check'
 
-import { Readiness, SchedulerDirectory, WARM_UP } from '@bluebellhill/domain'
+import { CANDIDATE_SILENCE, MAX_GROUP_ENGINES, Readiness, SchedulerDirectory, WARM_UP } from '@bluebellhill/domain'
 import type { BackendServer, FailureDomain, NodeId, RunnerId, Assignment, SchedulerCandidate } from '@bluebellhill/domain'
 import { fleetWire } from '@bluebellhill/protocol'
 import { HttpPool, success } from '@bluebellhill/services'
@@ -139,10 +139,10 @@
 })
 
 /** Starts a node with its scheduler and its sockets, without callers and store. */
-const openPeer = async (t: ExecutionContext, host: string, port: number, index: number): Promise<TestPeer> => {
+const openPeer = async (t: ExecutionContext, host: string, port: number, index: number, domain = `d${index}`): Promise<TestPeer> => {
   const log = silentLog()
   const clock = (): number => performance.now()
-  const self: SchedulerCandidate = { node: `n${index}` as NodeId, address: `${host}:${port}`, failureDomain: `d${index}` as FailureDomain, processor: 1 + index }
+  const self: SchedulerCandidate = { node: `n${index}` as NodeId, address: `${host}:${port}`, failureDomain: domain as FailureDomain, processor: 1 + index }
   const fleetState = new FleetState(log, clock)
   const directory = new SchedulerDirectory(self, clock() - WARM_UP)
   const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), schedulerCount: () => 1, group: () => directory.group })
@@ -293,3 +293,22 @@
   }), { seed: 6, numRuns: 2_000 })
   t.pass()
 })
+
+test('the schedulers of two groups hear each other, with their own states', async (t) => {
+  const port = PORTS_FROM + (process.pid + 4) % PORT_COUNT
+  const peers = [await openPeer(t, '127.0.0.10', port, 0), await openPeer(t, '127.0.0.11', port, 1), await openPeer(t, '127.0.0.12', port, 2, 'd1')]
+  const engine = { slots: 4, memory: 1, stepsPerPass: 1, step: 1, stepPerWriter: 0, stepPerThousandContext: 0, readTokensPerMs: 1, readPerMillionPairs: 0, usualAnswer: 1 }
+  const servers = Array.from({ length: MAX_GROUP_ENGINES + 1 }, (_, index) => ({ server: { ...BACKEND, id: `e${index}` as RunnerId, failureDomain: `d${index % 2}` as FailureDomain }, revision: 1 }))
+  for (const { fleetState, link } of peers) {
+    fleetState.install({ ...DEPLOYMENT, services: [{ name: 's', healthPath: '/', maxConnections: 1, engine }] }, 'store')
+    fleetState.replaceServers(servers, 2, 'store')
+    link.addNodes(peers.map(({ self }) => self), [])
+  }
+  const [alone] = peers
+  await until(() => alone!.directory.group.domain === 'd0')
+  // All messages from before the division are now older than the time after which a node is no longer heard.
+  await sleep(CANDIDATE_SILENCE + 500)
+  const other = alone!.directory.live(performance.now()).find(({ node }) => node === peers[2]!.self.node)
+  t.true((other?.state?.uptime ?? 0) > CANDIDATE_SILENCE)
+  t.is(alone!.directory.scheduler(performance.now()).node, alone!.self.node)
+})
--- a/packages/node/tests/scheduling.test.ts
+++ b/packages/node/tests/scheduling.test.ts
@@ -23,7 +23,7 @@
 const ROUTE: Route = {
   name: 'chat', host: 'a', pathPrefix: '/', kind: CallKind.Stream, resumable: true, timeout: 10_000, objective: 300, pauseObjective: 200, priority: 1, maxAttempts: 3, isPublic: false, services: [{ service: 'lm', weight: 1 }]
 }
-const CANDIDATE_STATE: CandidateState = { startedAt: 1, uptime: WARM_UP, isStopping: false, hasLostStore: false, configurationVersion: 1, serversRevision: 1 }
+const CANDIDATE_STATE: CandidateState = { uptime: WARM_UP, isStopping: false, hasLostStore: false, configurationVersion: 1, serversRevision: 1 }
 /** Generous, so that a busy machine does not decide a test. */
 const PATIENT: QueryTiming = { repeatDelay: 5_000, timeout: 10_000 }
 const REPEATING: QueryTiming = { repeatDelay: 20, timeout: 10_000 }
@@ -256,3 +256,22 @@
   t.true(refused.every((placement) => placement.type === 'refused' && placement.reason === 'too_late' && (placement.retryAfter ?? 0) > 0))
   t.true(placements.filter(({ type }) => type === 'placed').length >= ENGINE.slots)
 })
+
+test('pattern: a group that is full passes a request on to the scheduler of another group', async (t) => {
+  const network = new TestNetwork(3, 1)
+  const [full, asking, other] = network.nodes
+  full!.scheduler.recordGroupLoad({ domain: 'd2' as FailureDomain, address: other!.self.address, services: [{ service: 'lm', slots: 100, requests: 0, meanPendingPrefill: 0 }] })
+  for (let index = 0; index < ENGINE.slots; index += 1) t.is((await network.placeOne(asking!)).scheduler, full!.self.address)
+  t.is((await network.placeOne(asking!)).scheduler, other!.self.address)
+  t.is(other!.scheduler.assignments.serverLoads(performance.now()).get('e0' as RunnerId).requests.length, 1)
+})
+
+test('a request that no other group takes in time stays in its own', async (t) => {
+  const network = new TestNetwork(3, 1, IMPATIENT)
+  const [full, asking, other] = network.nodes
+  full!.scheduler.recordGroupLoad({ domain: 'd2' as FailureDomain, address: other!.self.address, services: [{ service: 'lm', slots: 100, requests: 0, meanPendingPrefill: 0 }] })
+  network.loses = (_, to) => to === other
+  for (let index = 0; index < ENGINE.slots; index += 1) await network.placeOne(asking!)
+  t.is((await network.placeOne(asking!)).scheduler, null)
+  t.is(asking!.uncoordinated, 1)
+})
