Log what backend servers state of themselves, and what a node knows of it when it sends an attempt

A node now writes server.stated when the limit of a server changes, with the request whose answer said so, and request.sent names the limit that the node knows of, its age and who heard it. Nothing is decided by it yet.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -148,7 +148,7 @@
     const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
     const attempt: OpenAttempt = { server, placed, sentAt: this.context.clock(), reservations, serverCall: null, hasFirstEvent: false, head: null, answer: null }
     this.attempt = attempt
-    this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId)
+    this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.findNotice(server))
     if (reservations === null) this.#send(attempt)
     else void this.#reserveAndSend(attempt, reservations)
   }
@@ -206,11 +206,18 @@
     if (this.attempt !== attempt) return
     attempt.head = head
     attempt.answer = decodeAnswerHeaders(head.status, head.headers)
+    this.#recordStatement(attempt, head.status, attempt.answer)
     const problem = findAnswerProblem(attempt.answer, head.status, this.call.id)
     if (problem !== null) this.failAttempt(attempt, AttemptEnd.Broken, problem)
     else if (isSuccessfulAnswer(attempt)) this.successStarted(attempt)
   }
 
+  /** An answer to another request, or of another server at the same address, says nothing of the server that was asked. */
+  #recordStatement ({ server }: OpenAttempt, status: number, { attemptId, notRun, statement }: AnswerHeaders): void {
+    const isOwnAnswer = status !== MISDIRECTED_REQUEST && (notRun || attemptId === this.call.id)
+    if (isOwnAnswer) this.context.placement.statementReceived(server, statement, this.call.id)
+  }
+
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
     if (this.attempt !== attempt) return
     const { head, answer } = attempt
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -1,5 +1,5 @@
 /** Writes the log lines about the attempts and the end of one request. */
-import type { AttemptEnd, Millis, RunnerId } from '@bluebellhill/domain'
+import type { AttemptEnd, Millis, RunnerId, ServerNotice } from '@bluebellhill/domain'
 
 import type { AdmittedCall } from './AdmittedCall.js'
 import type { PlacedAttempt } from './scheduling/types.js'
@@ -36,9 +36,11 @@
    * @param placed - where the attempt is placed, and by which scheduler
    * @param attempt - number of the attempt, from 1
    * @param lastEventId - id of the last event of the stream that the caller has
+   * @param notice - what the server has stated about itself, as far as this node knows
    */
-  attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent, isDeferred }, load, scheduler, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null): void {
+  attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent, isDeferred }, load, scheduler, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null, notice: ServerNotice | null): void {
     const { call, context } = this
+    const now = context.clock()
     context.log.info('request.sent', {
       request: call.id,
       attempt,
@@ -52,7 +54,10 @@
       server_requests: load.requests,
       server_pending_ms: Math.round(load.pendingPrefill),
       deferred: isDeferred || undefined,
-      due_in_ms: Math.round(call.dueAt - context.clock()),
+      server_limit: notice?.requestLimit ?? undefined,
+      server_limit_age_ms: notice === null || notice.requestLimit === null ? undefined : Math.round(now - notice.heardAt),
+      server_limit_heard_by: notice === null || notice.requestLimit === null ? undefined : notice.heardBy,
+      due_in_ms: Math.round(call.dueAt - now),
       configuration: context.fleetState.configurationVersion,
       servers_revision: context.fleetState.serversRevision,
       resumes: lastEventId ?? undefined
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,6 +1,6 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
 import { assignmentNumber, HealthSignal, SLOWDOWN_SAMPLE_COUNT } from '@bluebellhill/domain'
-import type { Assignment, AttemptHistory, Millis, NodeId, RunnerId, SchedulerDirectory } from '@bluebellhill/domain'
+import type { Assignment, AttemptHistory, BackendServer, Millis, NodeId, RunnerId, SchedulerDirectory, ServerNotice, ServerStatement } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { AdmittedCall } from '../AdmittedCall.js'
@@ -135,6 +135,27 @@
     if (group.node !== node) this.#queueReport(group.address, { number: 0, isEnded: false, server: server.id, signal: HealthSignal.Unreachable, slowdown: null })
   }
 
+  /**
+   * Records what a backend server states about itself in an answer to this node.
+   *
+   * @param server - the backend server
+   * @param statement - its statement
+   * @param request - the request that it answers
+   */
+  statementReceived ({ id, startedAt }: BackendServer, statement: ServerStatement, request: string): void {
+    const { scheduler, node, clock, log } = this.#options
+    const isChanged = scheduler.notices.record({ ...statement, server: id, startedAt, heardAt: clock(), heardBy: node })
+    if (isChanged) log.info('server.stated', { server: id, request_limit: statement.requestLimit ?? 'none', request })
+  }
+
+  /**
+   * @param server - a backend server
+   * @returns its newest statement that this node knows; null if there is none
+   */
+  findNotice (server: BackendServer): ServerNotice | null {
+    return this.#options.scheduler.notices.find(server)
+  }
+
   /**
    * @param attempt - an attempt whose server sends no data
    * @returns how long known prefills still explain this; 0 if they do not
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,5 +1,5 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
-import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
+import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, ServerHealth, ServerNotices, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
 import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
@@ -29,6 +29,7 @@
 export class Scheduler {
   readonly assignments: FleetAssignments
   readonly health = new ServerHealth()
+  readonly notices = new ServerNotices()
   readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
@@ -47,6 +48,7 @@
     this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
     options.fleetState.onDeparture((id) => {
       this.health.remove(id)
+      this.notices.remove(id)
       this.#slowdowns.remove(id)
     })
   }
