--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -9,6 +9,7 @@
 import { ENGINE_SERVICE, HOST, KEPT_KEY, NODES, PLAIN_SERVICE, PORT, REMOVED_KEY, RETRY_RATIO, RETRY_SLACK, SERVERS_PER_SERVICE, STOP_GRACE_S } from './constants.js'
 import { NodeProcess } from './NodeProcess.js'
 import { TcpProxy } from './TcpProxy.js'
+import type { LimitedSpan } from './types.js'
 
 const DOMAINS = ['hall-a', 'hall-b', 'hall-c']
 
@@ -54,6 +55,7 @@
   readonly ledger = new Ledger()
   readonly servers: Server[] = []
   readonly nodes: FleetNode[] = []
+  readonly limitedSpans: LimitedSpan[] = []
   readonly #network: string
   #incarnations = 0
   #version = 1
@@ -116,6 +118,21 @@
     this.#writeEntry(server, server.standin.id, true)
   }
 
+  /**
+   * Lets a server name a limit in all its answers.
+   *
+   * @param server - the server
+   * @param perSecond - requests per second
+   * @returns the time in which it does, which ends when its `until` is set and the limit is taken back
+   */
+  limitServer ({ standin }: Server, perSecond: number): LimitedSpan | null {
+    if (standin === null || standin.requestLimit !== null) return null
+    standin.requestLimit = perSecond
+    const span: LimitedSpan = { server: standin.id, perSecond, from: performance.now(), until: Infinity }
+    this.limitedSpans.push(span)
+    return span
+  }
+
   #host (last: number): string {
     return `${this.#network}.${last}`
   }
--- a/packages/soak/src/Soak.ts
+++ b/packages/soak/src/Soak.ts
@@ -8,6 +8,7 @@
 import { drawFaults } from './faults.js'
 import { Fleet } from './Fleet.js'
 import { Random } from './Random.js'
+import { drawStatements } from './statements.js'
 import { RequestKind } from './types.js'
 import type { Exchange, FaultStep, SoakReport, Violation } from './types.js'
 
@@ -46,7 +47,7 @@
     const random = new Random(seed)
     callers.push(...fleet.nodes.flatMap(({ index, host }) => Array.from({ length: CALLERS_PER_NODE }, (_, caller) =>
       new Caller(`c${index}.${caller}`, index, host, random.between(1, 1_000_000)))))
-    const steps = drawFaults(fleet, random)
+    const steps = [...drawFaults(fleet, random), ...drawStatements(fleet, seed)]
     const drained = watchDrains(fleet)
     await Promise.all([...callers.map(async (caller) => { await caller.run() }), play(steps), stopLater(callers)])
     const violations = [...await recoveryOf(fleet, seed), ...drained(), ...await revocationOf(fleet, seed)]
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -2,10 +2,10 @@
 import { answerBody, streamEvent, STREAM_EVENT_COUNT } from '@bluebellhill/platform-standin'
 import type { Ledger } from '@bluebellhill/platform-standin'
 
-import { ABANDON_MS, ANSWER_SLACK_MS, MEASURE_SLACK_MS, RETRY_RATIO, RETRY_SLACK } from './constants.js'
+import { ABANDON_MS, ANSWER_SLACK_MS, LIMIT_KNOWN_MS, LIMIT_RATIO, LIMIT_SLACK, LIMIT_WINDOW_MS, MEASURE_SLACK_MS, RETRY_RATIO, RETRY_SLACK } from './constants.js'
 import type { Fleet } from './Fleet.js'
 import { RequestKind } from './types.js'
-import type { Exchange, Violation } from './types.js'
+import type { Exchange, LimitedSpan, Violation } from './types.js'
 
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
@@ -86,6 +86,20 @@
   return repeated <= allowed ? [] : [{ rule: 'retry budget', detail: `${repeated} runs were repeated, ${allowed} may be` }]
 }
 
+const MS_PER_SECOND = 1_000
+
+/** A server that names a limit gets no more requests than that from nodes that were sound in that time. */
+const serverLimit = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { server, perSecond, from, until }: LimitedSpan): Violation[] => {
+  const allowed = LIMIT_RATIO * perSecond * LIMIT_WINDOW_MS / MS_PER_SECOND + LIMIT_SLACK
+  const isSound = (request: string): boolean => {
+    const node = fleet.nodes[exchanges.get(request)?.node ?? -1]
+    return node?.process.wasSound(from, until) ?? false
+  }
+  const arrivals = fleet.ledger.arrivalsAt(server).filter(({ request, at }) => at >= from + LIMIT_KNOWN_MS && at <= until && isSound(request))
+  const most = Math.max(0, ...arrivals.map((first) => arrivals.filter(({ at }) => at >= first.at && at < first.at + LIMIT_WINDOW_MS).length))
+  return most <= allowed ? [] : [{ rule: 'limits of servers', detail: `${server} names ${perSecond} a second and got ${most} in ${LIMIT_WINDOW_MS} ms, ${allowed} may come` }]
+}
+
 /**
  * @param exchanges - what callers saw
  * @param fleet - what ran
@@ -97,5 +111,7 @@
     return problem === null ? [] : [{ rule, detail: `${exchange.kind} ${exchange.id} at node ${exchange.node}: ${problem}` }]
   }))
   const ends = fleet.nodes.flatMap(({ process }) => process.unexpectedEnds.map((detail) => ({ rule: 'processes end only when asked to', detail })))
-  return [...single, ...retryBudget(exchanges, fleet.ledger), ...ends]
+  const byId = new Map(exchanges.map((exchange) => [exchange.id, exchange]))
+  const limits = fleet.limitedSpans.flatMap((span) => serverLimit(byId, fleet, span))
+  return [...single, ...retryBudget(exchanges, fleet.ledger), ...limits, ...ends]
 }
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -20,6 +20,16 @@
 /** Time after which a draining server gets nothing new. */
 export const DRAIN_MS = 2_000
 
+/** Time after a server first names a limit from which all nodes keep to it. */
+export const LIMIT_KNOWN_MS = 1_000
+
+/** Length of the windows over which requests are held against the limit of a server. */
+export const LIMIT_WINDOW_MS = 4_000
+
+/** Bounds on the requests of a window: a multiple of what the limit allows, and some more. */
+export const LIMIT_RATIO = 1.5
+export const LIMIT_SLACK = 5
+
 /** Time after which a removed key is refused by every node. */
 export const REVOKE_MS = 5_000
 
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -53,3 +53,12 @@
   readonly faults: readonly string[]
   readonly violations: readonly Violation[]
 }
+
+/** A time in which a server named the same limit in all its answers. Times are milliseconds on the monotonic clock. */
+export interface LimitedSpan {
+  /** Id of the server. */
+  readonly server: string
+  readonly perSecond: number
+  readonly from: number
+  until: number
+}
--- a/packages/soak/tests/checks.test.ts
+++ b/packages/soak/tests/checks.test.ts
@@ -4,6 +4,7 @@
 import { answerBody, streamEvent, Ledger, STREAM_EVENT_COUNT } from '@bluebellhill/platform-standin'
 
 import { violationsOf } from '../src/checks.js'
+import { LIMIT_KNOWN_MS } from '../src/constants.js'
 import type { Fleet } from '../src/Fleet.js'
 import { NodeProcess } from '../src/NodeProcess.js'
 import { RequestKind } from '../src/types.js'
@@ -18,7 +19,7 @@
   for (let run = 0; run < runs; run += 1) ledger.startRun(ID, SERVER).endedAt = 10
   const nodes = [{ index: 0, process: new NodeProcess('node-0', 'none', {}, LOG) }]
   const servers = [{ standin: { id: SERVER }, proxy: { isSoundSince: () => true } }]
-  return { ledger, nodes, servers } as unknown as Fleet
+  return { ledger, nodes, servers, limitedSpans: [] } as unknown as Fleet
 }
 
 const exchange = (changes: Partial<Exchange> = {}): Exchange => ({
@@ -69,3 +70,14 @@
   outage.until = sentAt - 1
   t.deepEqual(rules(lost, fleet), ['every request is answered'])
 })
+
+test('limits of servers: broken by arrivals beyond the limit, and not by those of nodes in an outage', (t) => {
+  const fleet = fleetOf(0)
+  fleet.limitedSpans.push({ server: SERVER, perSecond: 1, from: performance.now() - LIMIT_KNOWN_MS, until: Infinity })
+  for (let index = 0; index < 11; index += 1) fleet.ledger.arrive(ID, SERVER)
+  t.deepEqual(rules({}, fleet).filter((rule) => rule === 'limits of servers'), [])
+  fleet.ledger.arrive(ID, SERVER)
+  t.true(rules({}, fleet).includes('limits of servers'))
+  fleet.nodes[0]?.process.beginOutage()
+  t.false(rules({}, fleet).includes('limits of servers'))
+})
