--- a/packages/domain/src/forwarding/ServerNotices.ts
+++ b/packages/domain/src/forwarding/ServerNotices.ts
@@ -1,4 +1,4 @@
-/** Keeps what backend servers have stated about themselves in their answers. */
+/** Keeps what backend servers have stated about themselves in their answers, to this node or to others. */
 import type { Millis, NodeId, RunnerId } from '../types.js'
 import type { BackendServer } from './types.js'
 
@@ -11,7 +11,7 @@
 /** Newest statement of a backend server. */
 export interface ServerNotice extends ServerStatement {
   readonly server: RunnerId
-  /** Start time of the server that made it; a server that restarts under the same id is not bound by it. */
+  /** Start time of the server that made it, null if it is not known; the statement does not hold for a later start under the same id. */
   readonly startedAt: number | null
   /** Time at which the answer arrived. */
   readonly heardAt: Millis
@@ -19,22 +19,37 @@
   readonly heardBy: NodeId
 }
 
-/** Newest statement of each backend server that has made one. */
+/** Time for which a statement holds that no further answer confirms. */
+const NOTICE_EXPIRY: Millis = 600_000
+
+/** Time for which other nodes are told of the withdrawal of a statement. */
+const WITHDRAWAL_EXPIRY: Millis = 5_000
+
+/** Relative change of a limit below which other nodes need not know of it at once. */
+const MINOR_LIMIT_CHANGE = 0.1
+
+interface NoticeRecord {
+  readonly notice: ServerNotice
+  /** Whether other nodes may have an earlier statement, so that they have to know of this one. */
+  isShared: boolean
+}
+
+/** Newest statement of each backend server that has answered. */
 export class ServerNotices {
-  readonly #notices = new Map<RunnerId, ServerNotice>()
+  readonly #records = new Map<RunnerId, NoticeRecord>()
 
   /**
    * Records a statement, unless a newer one is known.
    *
    * @param notice - the statement
-   * @returns whether it differs from the one known before
+   * @returns whether the other nodes should know of it at once
    */
   record (notice: ServerNotice): boolean {
-    const existing = this.#notices.get(notice.server)
-    if (existing === undefined && isEmpty(notice)) return false
-    if (existing !== undefined && isNewer(existing, notice)) return false
-    this.#notices.set(notice.server, notice)
-    return existing?.startedAt !== notice.startedAt || existing.requestLimit !== notice.requestLimit
+    const existing = this.#records.get(notice.server)
+    if (existing !== undefined && isNewer(existing.notice, notice)) return false
+    const isShared = !isEmpty(notice) || existing?.isShared === true
+    this.#records.set(notice.server, { notice, isShared })
+    return isShared && (existing === undefined || isMajorChange(existing.notice, notice))
   }
 
   /**
@@ -42,8 +57,23 @@
    * @returns its newest statement; null if it has made none
    */
   find ({ id, startedAt }: BackendServer): ServerNotice | null {
-    const notice = this.#notices.get(id)
-    return notice === undefined || notice.startedAt !== startedAt ? null : notice
+    const notice = this.#records.get(id)?.notice
+    return notice === undefined || startDifference(notice.startedAt, startedAt) !== 0 ? null : notice
+  }
+
+  /**
+   * Discards expired statements first.
+   *
+   * @param now - current time
+   * @returns the statements that other nodes have to know, withdrawals included
+   */
+  shared (now: Millis): ServerNotice[] {
+    for (const [id, record] of this.#records) {
+      const age = now - record.notice.heardAt
+      if (age > NOTICE_EXPIRY) this.#records.delete(id)
+      else if (isEmpty(record.notice) && age > WITHDRAWAL_EXPIRY) record.isShared = false
+    }
+    return [...this.#records.values()].filter(({ isShared }) => isShared).map(({ notice }) => notice)
   }
 
   /**
@@ -52,13 +82,24 @@
    * @param id - the backend server
    */
   remove (id: RunnerId): void {
-    this.#notices.delete(id)
+    this.#records.delete(id)
   }
 }
 
 const isEmpty = ({ requestLimit }: ServerStatement): boolean => requestLimit === null
 
 const isNewer = (a: ServerNotice, b: ServerNotice): boolean => {
-  const startDifference = (a.startedAt ?? 0) - (b.startedAt ?? 0)
-  return startDifference === 0 ? a.heardAt > b.heardAt : startDifference > 0
+  const difference = startDifference(a.startedAt, b.startedAt)
+  return difference === 0 ? a.heardAt > b.heardAt : difference > 0
+}
+
+/** A node may receive an answer of a server before it knows when the server started: an unknown start time equals any other. */
+const startDifference = (a: number | null, b: number | null): number => a === null || b === null ? 0 : a - b
+
+const isMajorChange = (before: ServerNotice, after: ServerNotice): boolean =>
+  startDifference(before.startedAt, after.startedAt) !== 0 || isMajorLimitChange(before.requestLimit, after.requestLimit)
+
+const isMajorLimitChange = (before: number | null, after: number | null): boolean => {
+  if (before === null || after === null) return before !== after
+  return Math.abs(after - before) > MINOR_LIMIT_CHANGE * before
 }
--- a/packages/domain/src/forwarding/schedulerGroups.ts
+++ b/packages/domain/src/forwarding/schedulerGroups.ts
@@ -11,6 +11,9 @@
   readonly domain: FailureDomain | null
 }
 
+/** Part of a backend server's request limit that the schedulers of the other groups share; its own group has the rest. */
+const OTHER_GROUPS_SHARE = 0.25
+
 const WHOLE_FLEET: SchedulerGroup = { domain: null }
 
 /**
@@ -29,3 +32,14 @@
  * @returns whether the group contains the failure domain
  */
 export const isInGroup = (group: SchedulerGroup, domain: FailureDomain): boolean => group.domain === null || group.domain === domain
+
+/**
+ * @param group - group of a scheduler
+ * @param domain - failure domain of a backend server
+ * @param groupCount - number of groups
+ * @returns part of the server's request limit that the scheduler may use, so that all schedulers together keep to the limit
+ */
+export const requestLimitShare = (group: SchedulerGroup, domain: FailureDomain, groupCount: number): number => {
+  if (group.domain === null || groupCount < 2) return 1
+  return isInGroup(group, domain) ? 1 - OTHER_GROUPS_SHARE : OTHER_GROUPS_SHARE / (groupCount - 1)
+}
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -92,7 +92,8 @@
       log,
       clock,
       send,
-      onUncoordinatedPlacement: () => this.#peerLink.reportSoon()
+      onUncoordinatedPlacement: () => this.#peerLink.reportSoon(),
+      onNotice: (notice) => this.#peerLink.noticeHeard(notice)
     })
     const peerHttp = new HttpPool(2)
     this.#disposables.add(peerHttp)
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -126,7 +126,7 @@
       this.#openAttempt(placement.attempt)
       return
     }
-    this.#requestLog.placementRefused(placement.reason)
+    this.#requestLog.placementRefused(placement)
     this.#lastProblem ||= placement.reason
     this.#giveUp(placement.retryAfter)
   }
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -2,7 +2,7 @@
 import type { AttemptEnd, Millis, RunnerId, ServerNotice } from '@bluebellhill/domain'
 
 import type { AdmittedCall } from './AdmittedCall.js'
-import type { PlacedAttempt } from './scheduling/types.js'
+import type { PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import type { ForwardingContext, ForwardOutcome, OpenAttempt } from './types.js'
 
 /** Result of a request, for its final log line. */
@@ -54,9 +54,7 @@
       server_requests: load.requests,
       server_pending_ms: Math.round(load.pendingPrefill),
       deferred: isDeferred || undefined,
-      server_limit: notice?.requestLimit ?? undefined,
-      server_limit_age_ms: notice === null || notice.requestLimit === null ? undefined : Math.round(now - notice.heardAt),
-      server_limit_heard_by: notice === null || notice.requestLimit === null ? undefined : notice.heardBy,
+      ...limitFields(notice, now),
       due_in_ms: Math.round(call.dueAt - now),
       configuration: context.fleetState.configurationVersion,
       servers_revision: context.fleetState.serversRevision,
@@ -77,8 +75,16 @@
   }
 
   /** Logs that no server is chosen for the next attempt. */
-  placementRefused (reason: string): void {
-    this.context.log.info('request.not_placed', { request: this.call.id, service: this.call.service.name, reason })
+  placementRefused ({ reason, retryAfter, notice }: RefusedPlacement): void {
+    const { call, context } = this
+    context.log.info('request.not_placed', {
+      request: call.id,
+      service: call.service.name,
+      reason,
+      retry_after_ms: retryAfter === null ? undefined : Math.round(retryAfter),
+      server: notice?.server,
+      ...limitFields(notice ?? null, context.clock())
+    })
   }
 
   placementFailed (error: unknown): void {
@@ -105,4 +111,10 @@
   }
 }
 
+/** Returns the limit that a server has stated, how long ago and to which node. */
+const limitFields = (notice: ServerNotice | null, now: Millis): Record<string, unknown> =>
+  notice === null || notice.requestLimit === null
+    ? {}
+    : { server_limit: notice.requestLimit, server_limit_age_ms: Math.round(now - notice.heardAt), server_limit_heard_by: notice.heardBy }
+
 const joinIds = (servers: ReadonlyArray<{ readonly id: RunnerId }>): string | undefined => servers.map(({ id }) => id).join(',') || undefined
--- a/packages/node/src/forward/peers/Announcements.ts
+++ b/packages/node/src/forward/peers/Announcements.ts
@@ -1,11 +1,13 @@
 /** Builds the messages in which a candidate announces itself to the nodes of its group, and the load of the group to the others. */
-import type { Millis, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
+import type { Millis, RunnerId, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
 import type { fleetWire } from '@bluebellhill/protocol'
 
 import type { FleetState } from '../FleetState.js'
 import type { Scheduler } from '../scheduling/Scheduler.js'
 import { encodeCandidate } from './datagramCodec.js'
 import type { DatagramContent } from './datagramCodec.js'
+import { encodeNotice } from './noticeCodec.js'
+import { NoticeQueue } from './NoticeQueue.js'
 
 /** Number of candidates that an answer to an introduction names. */
 const NAMED_CANDIDATES = 4
@@ -24,12 +26,24 @@
 export class Announcements {
   readonly #options: AnnouncementsOptions
   readonly #startedAt: Millis
+  readonly #notices: NoticeQueue
   #isStopping = false
 
   /** @param options - this node, its scheduler and fleet state */
   constructor (options: AnnouncementsOptions) {
     this.#options = options
     this.#startedAt = options.clock()
+    this.#notices = new NoticeQueue(() => options.scheduler.notices.shared(options.clock()))
+  }
+
+  /** Whether statements have changed that no message has contained yet. */
+  get hasChangedNotices (): boolean {
+    return this.#notices.hasChanges
+  }
+
+  /** @param server - backend server whose statement has changed */
+  noticeChanged (server: RunnerId): void {
+    this.#notices.markChanged(server)
   }
 
   /** Marks this node as stopping in all further messages. */
@@ -61,7 +75,8 @@
       serversRevision: BigInt(fleetState.serversRevision),
       storeLost: isStoreLost(),
       stopping: this.#isStopping,
-      candidates: namesCandidates ? directory.ranked(NAMED_CANDIDATES).map(encodeCandidate) : []
+      candidates: namesCandidates ? directory.ranked(NAMED_CANDIDATES).map(encodeCandidate) : [],
+      notices: this.#notices.next().map((notice) => encodeNotice(notice, clock()))
     }
   }
 }
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -3,7 +3,8 @@
  * reports of the nodes for which it is a candidate, and announces the load of its group to the schedulers of the others.
  */
 import { groupOf } from '@bluebellhill/domain'
-import type { CandidateState, FailureDomain, Millis, NodeId, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
+import type { CandidateState, FailureDomain, Millis, NodeId, RunnerId, SchedulerCandidate, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
+import type { fleetWire } from '@bluebellhill/protocol'
 
 import type { FleetState } from '../FleetState.js'
 import type { Log } from '../../log/index.js'
@@ -11,6 +12,8 @@
 import { Announcements } from './Announcements.js'
 import { DATAGRAM_VERSION, decodeCandidate, decodeCandidateState, decodeDatagram, decodeGroupLoad, encodeDatagram, isSchedulerDatagram } from './datagramCodec.js'
 import type { DatagramContent, ReceivedDatagram } from './datagramCodec.js'
+import { decodeNotice, encodeNotice } from './noticeCodec.js'
+import { NoticeQueue } from './NoticeQueue.js'
 import { PeerSocket } from './PeerSocket.js'
 import { PeerTable } from './PeerTable.js'
 import type { Peer } from './PeerTable.js'
@@ -70,6 +73,8 @@
   readonly #options: PeerLinkOptions
   readonly #socket: PeerSocket
   readonly #announcements: Announcements
+  /** Statements that backend servers have made to this node. */
+  readonly #ownNotices: NoticeQueue
   #sequence = 0
   #heartbeatCount = 0
   #heartbeatTimer: NodeJS.Timeout | null = null
@@ -83,6 +88,7 @@
   constructor (options: PeerLinkOptions) {
     this.#options = options
     this.#announcements = new Announcements(options)
+    this.#ownNotices = new NoticeQueue(() => options.scheduler.notices.shared(options.clock()).filter(({ heardBy }) => heardBy === options.self.node))
     this.#socket = new PeerSocket(options.log, (datagram, address) => this.#receive(datagram, address))
     options.fleetState.onChange(() => this.#announceSoon())
   }
@@ -128,6 +134,17 @@
     }, 1)
   }
 
+  /**
+   * Tells the other nodes soon what a backend server has stated to this one.
+   *
+   * @param notice - the statement
+   */
+  noticeHeard ({ server }: ServerNotice): void {
+    this.#ownNotices.markChanged(server)
+    this.reportSoon()
+    this.#noticeChanged(server)
+  }
+
   /** Announces to the nodes that report to this one that it has lost the store. */
   announceStoreLost (): void {
     this.#announce()
@@ -216,7 +233,8 @@
       peers: [],
       failureDomain: isIntroduction ? self.failureDomain : '',
       version: DATAGRAM_VERSION,
-      processor: isIntroduction ? self.processor : 0
+      processor: isIntroduction ? self.processor : 0,
+      notices: this.#ownNotices.next().map((notice) => encodeNotice(notice, clock()))
     }, clock())
   }
 
@@ -234,10 +252,14 @@
     const { content, node } = message
     if (content.$case === 'candidateReport') {
       this.addNodes(content.value.candidates.map(decodeCandidate), [])
+      this.#recordNotices(content.value.notices)
       this.#candidateHeard(node, decodeCandidateState(content.value))
     } else if (content.$case === 'groupReport') {
       this.#options.scheduler.recordGroupLoad(decodeGroupLoad(content.value, address))
-      if (content.value.sender !== undefined) this.#candidateHeard(node, decodeCandidateState(content.value.sender))
+      const { sender } = content.value
+      if (sender === undefined) return
+      this.#recordNotices(sender.notices)
+      this.#candidateHeard(node, decodeCandidateState(sender))
     } else {
       this.#options.onPlacementMessage(message, address)
     }
@@ -259,6 +281,7 @@
     const { scheduler, directory, clock, onPeerStoreLost, self } = this.#options
     if (fragment.node === self.node) return
     const now = clock()
+    this.#recordNotices(fragment.notices)
     const received = this.table.record(fragment, address, now)
     if (received === null) return
     scheduler.assignments.setPeerAssignments(received.peer.node, received.assignments, now)
@@ -270,6 +293,22 @@
     if (received.hasLostStore) onPeerStoreLost()
   }
 
+  #recordNotices (notices: readonly fleetWire.ServerNotice[]): void {
+    const { scheduler, clock, log } = this.#options
+    for (const wire of notices) {
+      const notice = decodeNotice(wire, clock())
+      if (!scheduler.recordNotice(notice)) continue
+      const { server, requestLimit, heardBy } = notice
+      log.info('server.stated', { server, request_limit: requestLimit ?? 'none', heard_by: heardBy, age_ms: wire.heardAgoMs })
+      this.#noticeChanged(server)
+    }
+  }
+
+  #noticeChanged (server: RunnerId): void {
+    this.#announcements.noticeChanged(server)
+    this.#announceSoon()
+  }
+
   #peerFound ({ node, address, startedAt }: Peer): void {
     this.#options.log.info('peer.found', { peer: node, address, started_at: startedAt })
   }
@@ -288,8 +327,10 @@
 
   /** Sends the state of this candidate to every node that reports to it. */
   #announce (): void {
-    const content = this.#announcements.candidateReport(false)
-    for (const { address, version } of this.table.active()) if (version > 0) this.send(address, content)
+    do {
+      const content = this.#announcements.candidateReport(false)
+      for (const { address, version } of this.table.active()) if (version > 0) this.send(address, content)
+    } while (this.#announcements.hasChangedNotices)
   }
 
   /** Sends the load of this group to the schedulers of the others. */
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -3,7 +3,8 @@
 import type { BackendServer, CandidateState, FailureDomain, GroupLoad, HolderReservation, Millis, NodeId, PlacementChoice, RunnerId, SchedulerCandidate } from '@bluebellhill/domain'
 import { fleetWire } from '@bluebellhill/protocol'
 
-import type { AttemptReport, PlacementResult, PlacementSpec } from '../scheduling/types.js'
+import type { AttemptReport, PlacementResult, PlacementSpec, RefusedPlacement } from '../scheduling/types.js'
+import { decodeNotice, encodeNotice } from './noticeCodec.js'
 
 /** First byte of these datagrams. A node state, which earlier builds send and understand, never starts with it. */
 const DATAGRAM_MARK = 0
@@ -95,12 +96,13 @@
 /**
  * @param number - number of the assignment at the node that asked
  * @param result - the decision
+ * @param now - current time
  * @returns the reply
  */
-export const encodeReply = (number: number, result: PlacementResult): fleetWire.PlacementReply => {
+export const encodeReply = (number: number, result: PlacementResult, now: Millis): fleetWire.PlacementReply => {
   switch (result.type) {
     case 'refused':
-      return { number, result: { $case: 'refusal', value: { reason: result.reason, retryAfterMs: Math.round(result.retryAfter ?? 0) } } }
+      return { number, result: { $case: 'refusal', value: encodeRefusal(result, now) } }
     case 'redirected':
       return { number, result: { $case: 'redirect', value: result.address } }
     case 'placed': {
@@ -116,7 +118,8 @@
             firstEventMs: Math.round(choice.timeToFirstEvent),
             serverRequests: load.requests,
             serverPendingMs: Math.round(load.pendingPrefill),
-            isDeferred: choice.isDeferred
+            isDeferred: choice.isDeferred,
+            keepsLimit: result.keepsLimit
           }
         }
       }
@@ -131,14 +134,15 @@
  * @param wire - a received reply
  * @param service - service of the attempt
  * @param findServer - finds the entry of a backend server
+ * @param now - time of its arrival
  * @returns the decision
  * @throws Error if the reply contains none
  */
-export const decodeReply = ({ result }: fleetWire.PlacementReply, service: string, findServer: ServerLookup): PlacementResult => {
+export const decodeReply = ({ result }: fleetWire.PlacementReply, service: string, findServer: ServerLookup, now: Millis): PlacementResult => {
   if (result === undefined) throw new Error('the placement reply contains no decision')
-  if (result.$case === 'refusal') return { type: 'refused', reason: result.value.reason, retryAfter: result.value.retryAfterMs === 0 ? null : result.value.retryAfterMs }
+  if (result.$case === 'refusal') return decodeRefusal(result.value, now)
   if (result.$case === 'redirect') return { type: 'redirected', address: result.value }
-  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred } = result.value
+  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit } = result.value
   if (server === undefined) throw new Error('the placement names no server')
   const decoded = helpers.map((helper) => decodeServer(helper, service, findServer))
   const choice: PlacementChoice = {
@@ -148,9 +152,19 @@
     timeToFirstEvent: firstEventMs,
     isDeferred
   }
-  return { type: 'placed', choice, load: { requests: serverRequests, pendingPrefill: serverPendingMs } }
+  return { type: 'placed', choice, load: { requests: serverRequests, pendingPrefill: serverPendingMs }, keepsLimit }
 }
 
+const encodeRefusal = ({ reason, retryAfter, notice }: RefusedPlacement, now: Millis): fleetWire.Refusal =>
+  ({ reason, retryAfterMs: Math.round(retryAfter ?? 0), notice: notice === undefined ? undefined : encodeNotice(notice, now) })
+
+const decodeRefusal = ({ reason, retryAfterMs, notice }: fleetWire.Refusal, now: Millis): RefusedPlacement => ({
+  type: 'refused',
+  reason,
+  retryAfter: retryAfterMs === 0 ? null : retryAfterMs,
+  ...(notice === undefined ? {} : { notice: decodeNotice(notice, now) })
+})
+
 const encodeServer = ({ id, address, failureDomain }: BackendServer): fleetWire.ServerAddress => ({ id, address, failureDomain })
 
 /** The scheduler may know a server before this node does. */
--- /dev/null
+++ b/packages/node/src/forward/peers/noticeCodec.ts
@@ -0,0 +1,33 @@
+/** Encodes the statements of backend servers for other nodes, and decodes them. */
+import type { Millis, NodeId, RunnerId, ServerNotice } from '@bluebellhill/domain'
+import type { fleetWire } from '@bluebellhill/protocol'
+
+/**
+ * @param notice - a statement
+ * @param now - current time
+ * @returns its wire form
+ */
+export const encodeNotice = ({ server, startedAt, requestLimit, heardBy, heardAt }: ServerNotice, now: Millis): fleetWire.ServerNotice => ({
+  server,
+  serverStartedAt: BigInt(startedAt ?? 0),
+  requestLimit: requestLimit ?? undefined,
+  heardBy,
+  heardAgoMs: Math.max(0, Math.round(now - heardAt))
+})
+
+/**
+ * @param wire - a received statement
+ * @param now - time of its arrival
+ * @returns the statement, on the clock of this node
+ * @throws Error if its limit is not a number that a server can state
+ */
+export const decodeNotice = ({ server, serverStartedAt, requestLimit, heardBy, heardAgoMs }: fleetWire.ServerNotice, now: Millis): ServerNotice => {
+  if (requestLimit !== undefined && !(requestLimit >= 0)) throw new Error('the limit of a backend server is not a number from 0')
+  return {
+    server: server as RunnerId,
+    startedAt: serverStartedAt === 0n ? null : Number(serverStartedAt),
+    requestLimit: requestLimit ?? null,
+    heardBy: heardBy as NodeId,
+    heardAt: now - heardAgoMs
+  }
+}
--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -23,6 +23,8 @@
   readonly version: number
   /** Processor time of the node's VM in cores; 0 unless the state is an introduction. */
   readonly processor: number
+  /** Statements of backend servers that the node has received itself. */
+  readonly notices: readonly fleetWire.ServerNotice[]
 }
 
 /** Fragment of a state; a small state has only one. */
@@ -53,7 +55,8 @@
       part: fragmentIndex,
       parts: fragmentCount,
       works: assignments.map((assignment) => encodeAssignment(assignment, now)),
-      peers: fragmentIndex === 0 ? [...state.peers] : []
+      peers: fragmentIndex === 0 ? [...state.peers] : [],
+      notices: fragmentIndex === 0 ? [...state.notices] : []
     }).finish()
   })
 }
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -10,7 +10,8 @@
 import { PendingQueries, QUERY_TIMING } from '../peers/PendingQueries.js'
 import type { QueryTiming } from '../peers/PendingQueries.js'
 import type { Scheduler } from './Scheduler.js'
-import type { AttemptPlacement, AttemptReport, PlacedAttempt, PlacementResult, PlacementSpec } from './types.js'
+import { GROUP_CONTEXT, PlacementRefusal } from './types.js'
+import type { AttemptPlacement, AttemptReport, PlacedAttempt, PlacementContext, PlacementResult, PlacementSpec } from './types.js'
 
 /** How long reports of attempts are collected and sent together. */
 const REPORT_DELAY: Millis = 5
@@ -18,6 +19,9 @@
 /** Schedulers that are asked before this node decides itself. */
 const MAX_SCHEDULERS_ASKED = 2
 
+/** Decisions that are asked for while the chosen servers turn out to have reached their request limits. */
+const MAX_DECISIONS = 3
+
 export interface PlacementClientOptions {
   readonly node: NodeId
   /** Scheduler of this node; it keeps this node's own assignments. */
@@ -30,6 +34,8 @@
   readonly send: (address: string, content: DatagramContent) => void
   /** Called when this node has placed an attempt without the scheduler of its group, which has to learn of it. */
   readonly onUncoordinatedPlacement: () => void
+  /** Called when a backend server has stated something to this node that the other nodes should know at once. */
+  readonly onNotice: (notice: ServerNotice) => void
   /** When queries are repeated and given up; `QUERY_TIMING` if absent. */
   readonly queryTiming?: QueryTiming
 }
@@ -77,9 +83,18 @@
   async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean): Promise<AttemptPlacement> {
     const { scheduler, clock } = this.#options
     const startedAt = clock()
-    const spec = specOf(call, history, chargesRetry)
-    const number = scheduler.assignments.nextNumber()
-    const { result, scheduler: address } = await this.#decide(spec, number)
+    let spec = specOf(call, history, chargesRetry)
+    for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
+      const number = scheduler.assignments.nextNumber()
+      const decision = await this.#decide(spec, number)
+      if (this.#keepsLimit(decision)) return this.#record(spec, number, decision, startedAt)
+      spec = this.#withoutChosen(spec, number, decision)
+    }
+    return { type: 'refused', reason: PlacementRefusal.RequestLimit, retryAfter: null }
+  }
+
+  #record (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision, startedAt: Millis): AttemptPlacement {
+    const { scheduler, clock } = this.#options
     if (result.type === 'refused') return result
     if (result.type === 'redirected') return { type: 'refused', reason: 'no scheduler has accepted the request', retryAfter: null }
     const assignment = address === null
@@ -91,6 +106,21 @@
     return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, decidedIn: clock() - startedAt } }
   }
 
+  /** A scheduler of an earlier build does not know the request limits of servers: this node then uses its own share of them. */
+  #keepsLimit ({ result }: Decision): boolean {
+    if (result.type !== 'placed' || result.keepsLimit) return true
+    const { scheduler, directory } = this.#options
+    return scheduler.takeQuota(result.choice.server, 1 / directory.size)
+  }
+
+  /** Returns a grant, and excludes its server from the next decision. */
+  #withoutChosen (spec: PlacementSpec, number: number, { result, scheduler }: Decision): PlacementSpec {
+    if (result.type !== 'placed') return spec
+    const { id } = result.choice.server
+    if (scheduler !== null) this.#returnUnusedGrant(scheduler, number, id)
+    return { ...spec, excluded: [...spec.excluded, id], chargesRetry: false }
+  }
+
   /** Records that the first event of an attempt has arrived: its prefill is finished. */
   prefillFinished ({ assignment }: PlacedAttempt): void {
     const { scheduler, clock } = this.#options
@@ -143,9 +173,11 @@
    * @param request - the request that it answers
    */
   statementReceived ({ id, startedAt }: BackendServer, statement: ServerStatement, request: string): void {
-    const { scheduler, node, clock, log } = this.#options
-    const isChanged = scheduler.notices.record({ ...statement, server: id, startedAt, heardAt: clock(), heardBy: node })
-    if (isChanged) log.info('server.stated', { server: id, request_limit: statement.requestLimit ?? 'none', request })
+    const { scheduler, node, clock, log, onNotice } = this.#options
+    const notice: ServerNotice = { ...statement, server: id, startedAt, heardAt: clock(), heardBy: node }
+    if (!scheduler.recordNotice(notice)) return
+    log.info('server.stated', { server: id, request_limit: statement.requestLimit ?? 'none', request, heard_by: node })
+    onNotice(notice)
   }
 
   /**
@@ -199,13 +231,13 @@
     const { directory, clock, node, log, scheduler } = this.#options
     for (let asked = 0; asked < MAX_SCHEDULERS_ASKED; asked += 1) {
       const candidate = directory.scheduler(clock())
-      if (candidate.node === node) return await this.#followRedirect(scheduler.place(spec, { node, number }, 0), null, spec, number)
+      if (candidate.node === node) return await this.#followRedirect(scheduler.place(spec, { node, number }, GROUP_CONTEXT), null, spec, number)
       const result = await this.#ask(candidate.address, spec, number)
       if (result !== null) return await this.#followRedirect(result, candidate.address, spec, number)
       directory.unanswered(candidate.node)
       log.warn('scheduler.unanswered', { request: spec.request, scheduler: candidate.node })
     }
-    return this.#decideAlone(spec, number)
+    return this.#decideAlone(spec, number, this.#loneContext())
   }
 
   /** If a group cannot serve the request in time, its scheduler names that of another group, which is asked once. */
@@ -213,12 +245,18 @@
     if (result.type !== 'redirected') return { result, scheduler }
     const redirected = await this.#ask(result.address, { ...spec, isRedirected: true }, number)
     if (redirected?.type === 'placed') return { result: redirected, scheduler: result.address }
-    return this.#decideAlone({ ...spec, isRedirected: true }, number)
+    return this.#decideAlone({ ...spec, isRedirected: true }, number, scheduler === null ? GROUP_CONTEXT : this.#loneContext())
+  }
+
+  /** The other nodes may decide alone at the same time. */
+  #loneContext (): PlacementContext {
+    const { scheduler, clock, directory } = this.#options
+    return { unseenArrivals: scheduler.assignments.recentArrivals(clock()), limitShare: 1 / directory.size }
   }
 
-  #decideAlone (spec: PlacementSpec, number: number): Decision {
-    const { scheduler, node, clock, onUncoordinatedPlacement } = this.#options
-    const result = scheduler.place(spec, { node, number }, scheduler.assignments.recentArrivals(clock()))
+  #decideAlone (spec: PlacementSpec, number: number, context: PlacementContext): Decision {
+    const { scheduler, node, onUncoordinatedPlacement } = this.#options
+    const result = scheduler.place(spec, { node, number }, context)
     if (result.type === 'placed') onUncoordinatedPlacement()
     return { result, scheduler: null }
   }
@@ -228,7 +266,7 @@
     const reply = await this.#placementQueries.ask(number, () => send(address, { $case: 'placementQuery', value: encodeQuery(spec, number, clock()) }))
     if (reply === null) return null
     try {
-      return decodeReply(reply, spec.service, (id) => fleetState.servers.find(id))
+      return decodeReply(reply, spec.service, (id) => fleetState.servers.find(id), clock())
     } catch (error) {
       log.warn('scheduler.reply_malformed', { request: spec.request, scheduler: address, reason: error instanceof Error ? error.message : String(error) })
       return null
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,13 +1,13 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
-import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, ServerHealth, ServerNotices, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
-import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
+import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, requestLimitShare, RequestQuotas, ServerHealth, ServerNotices, SlowdownEstimator, tieBreakRank, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
+import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, Quota, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, ServerNotice, Service, ServiceLoad } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
 import { PlacementRefusal } from './types.js'
-import type { AssignmentOwner, AttemptReport, ChosenServerLoad, PlacementResult, PlacementSpec } from './types.js'
+import type { AssignmentOwner, AttemptReport, ChosenServerLoad, PlacementContext, PlacementResult, PlacementSpec, RefusedPlacement } from './types.js'
 
 export interface SchedulerOptions {
   readonly node: NodeId
@@ -30,6 +30,7 @@
   readonly assignments: FleetAssignments
   readonly health = new ServerHealth()
   readonly notices = new ServerNotices()
+  readonly #requestQuotas = new RequestQuotas()
   readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
@@ -49,6 +50,7 @@
     options.fleetState.onDeparture((id) => {
       this.health.remove(id)
       this.notices.remove(id)
+      this.#requestQuotas.remove(id)
       this.#slowdowns.remove(id)
     })
   }
@@ -58,24 +60,54 @@
    *
    * @param spec - the attempt
    * @param owner - node that sends it, with the number of the assignment there
-   * @param unseenArrivals - requests per second that other nodes place without this scheduler
+   * @param context - whom this scheduler decides for
    * @returns the decision
    */
-  place (spec: PlacementSpec, owner: AssignmentOwner, unseenArrivals: number): PlacementResult {
+  place (spec: PlacementSpec, owner: AssignmentOwner, context: PlacementContext): PlacementResult {
     const service = this.#options.fleetState.routeTable?.service(spec.service) ?? null
     if (service === null) return { type: 'refused', reason: PlacementRefusal.UnknownService, retryAfter: null }
     if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
     if (spec.excluded.length === 0) this.#retryBudgets.countRequest(spec.service)
     const now = this.#options.clock()
     const loads = this.assignments.serverLoads(now)
-    const choice = this.#choose(spec, service, loads, unseenArrivals, now)
+    const permitted = this.#permittedServers(spec, service)
+    const choice = this.#choose(spec, service, permitted, loads, context, now)
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
-    if (choice === null) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
+    if (choice === null) return this.#refusalFor(permitted, context, now)
     const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
     this.#record(spec, choice, owner, now)
-    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)) }
+    this.takeQuota(choice.server, context.limitShare)
+    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true }
+  }
+
+  /**
+   * Records what a backend server has stated about itself, to this node or to another one.
+   *
+   * @param notice - the statement
+   * @returns whether the other nodes should know of it at once
+   */
+  recordNotice (notice: ServerNotice): boolean {
+    const isMajor = this.notices.record(notice)
+    if (notice.requestLimit === null) this.#requestQuotas.remove(notice.server)
+    return isMajor
+  }
+
+  /**
+   * Uses the quota of one request to a backend server, if the server has stated a limit.
+   *
+   * @param server - the backend server
+   * @param limitShare - part of the group's share of its limit that may be used
+   * @returns whether the limit was not reached yet
+   */
+  takeQuota (server: BackendServer, limitShare: number): boolean {
+    const quota = this.#quotaOf(server, limitShare)
+    if (quota === null) return true
+    const now = this.#options.clock()
+    const isFree = this.#requestQuotas.waitTime(server.id, quota, now) === 0
+    if (isFree) this.#requestQuotas.take(server.id, quota, now)
+    return isFree
   }
 
   /**
@@ -184,8 +216,8 @@
     this.#groupLoads.record(load, this.#options.clock())
   }
 
-  #choose (spec: PlacementSpec, service: Service, loads: ServerLoads, unseenArrivals: number, now: Millis): PlacementChoice | null {
-    const candidates = this.#candidates(spec, service, now)
+  #choose (spec: PlacementSpec, service: Service, permitted: readonly BackendServer[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementChoice | null {
+    const candidates = this.#candidates(permitted.filter((server) => this.#quotaWait(server, context, now) === 0), now)
     if (candidates.length === 0) return null
     return this.#policyOf(service).choose({
       size: spec.size,
@@ -195,7 +227,7 @@
       candidates,
       timing: this.modelOf(service),
       loads,
-      arrivalsPerSecond: unseenArrivals,
+      arrivalsPerSecond: context.unseenArrivals,
       now
     })
   }
@@ -212,9 +244,34 @@
     else this.assignments.grant(node, draft, number, now)
   }
 
-  #candidates ({ excluded, allowed }: PlacementSpec, service: Service, now: Millis): Candidate[] {
-    const { fleetState, group } = this.#options
-    const permitted = fleetState.servers.ready(service.name).filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
+  #permittedServers ({ excluded, allowed }: PlacementSpec, service: Service): BackendServer[] {
+    return this.#options.fleetState.servers.ready(service.name).filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
+  }
+
+  /** Refuses because no server is permitted, or because the permitted ones have reached their request limits. */
+  #refusalFor (permitted: readonly BackendServer[], context: PlacementContext, now: Millis): RefusedPlacement {
+    const waits = permitted.map((server) => ({ notice: this.notices.find(server), wait: this.#quotaWait(server, context, now) })).filter(({ wait }) => wait > 0)
+    const [soonest] = waits.sort((a, b) => a.wait - b.wait)
+    if (soonest === undefined || soonest.notice === null) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
+    return { type: 'refused', reason: PlacementRefusal.RequestLimit, retryAfter: spreadReturn(soonest.wait), notice: soonest.notice }
+  }
+
+  #quotaWait (server: BackendServer, { limitShare }: PlacementContext, now: Millis): Millis {
+    const quota = this.#quotaOf(server, limitShare)
+    return quota === null ? 0 : this.#requestQuotas.waitTime(server.id, quota, now)
+  }
+
+  /** Returns this scheduler's quota of requests to a server; null if the server has stated no limit. */
+  #quotaOf (server: BackendServer, limitShare: number): Quota | null {
+    const { group, schedulerCount, node } = this.#options
+    const limit = this.notices.find(server)?.requestLimit ?? null
+    if (limit === null) return null
+    const share = limitShare * requestLimitShare(group(), server.failureDomain, schedulerCount())
+    return { limit, share, phase: limitShare === 1 ? 0 : tieBreakRank(node, server.id) }
+  }
+
+  #candidates (permitted: readonly BackendServer[], now: Millis): Candidate[] {
+    const { group } = this.#options
     const reachable = permitted.filter(({ failureDomain }) => !this.#domainReachability.isAvoided(failureDomain, now))
     const healthy = reachable.filter(({ id }) => !this.health.isAvoided(id, now))
     const inGroup = healthy.filter(({ failureDomain }) => isInGroup(group(), failureDomain))
--- a/packages/node/src/forward/scheduling/SchedulerHost.ts
+++ b/packages/node/src/forward/scheduling/SchedulerHost.ts
@@ -5,6 +5,7 @@
 import { decodeAttemptReports, decodeQuery, encodeReply } from '../peers/datagramCodec.js'
 import type { DatagramContent, ReceivedDatagram } from '../peers/datagramCodec.js'
 import type { Scheduler } from './Scheduler.js'
+import { GROUP_CONTEXT } from './types.js'
 import type { PlacementResult } from './types.js'
 
 /** Time for which a decision is kept, so that a repeated query gets the same answer. */
@@ -41,11 +42,11 @@
    * @param address - `ip:port` of its sender
    */
   handle ({ node, startedAt, content }: ReceivedDatagram, address: string): void {
-    const { scheduler, send } = this.#options
+    const { scheduler, send, clock } = this.#options
     if (content.$case === 'placementQuery') {
       const { number } = content.value
       const result = this.#decide(node, startedAt, content.value)
-      send(address, { $case: 'placementReply', value: encodeReply(number, result) })
+      send(address, { $case: 'placementReply', value: encodeReply(number, result, clock()) })
     } else if (content.$case === 'silenceQuery') {
       const { number, server } = content.value
       send(address, { $case: 'silenceReply', value: { number, explainedMs: Math.round(scheduler.explainedSilence(server as RunnerId)) } })
@@ -62,7 +63,7 @@
     const stored = this.#decisions.get(key)
     if (stored !== undefined) return stored.result
     const spec = decodeQuery(wire, now)
-    const result = scheduler.place(spec, { node, number: wire.number }, 0)
+    const result = scheduler.place(spec, { node, number: wire.number }, GROUP_CONTEXT)
     this.#decisions.set(key, { result, at: now })
     if (result.type === 'refused') log.info('placement.refused', { request: spec.request, node, service: spec.service, reason: result.reason, excluded: spec.excluded.length })
     if (result.type === 'redirected') log.info('placement.redirected', { request: spec.request, node, service: spec.service, to: result.address })
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -1,5 +1,5 @@
 /** Types of the placement of attempts by the scheduler of a group. */
-import type { Assignment, HealthSignal, Millis, NodeId, PlacementChoice, PromptSize, RunnerId } from '@bluebellhill/domain'
+import type { Assignment, HealthSignal, Millis, NodeId, PlacementChoice, PromptSize, RunnerId, ServerNotice } from '@bluebellhill/domain'
 
 /** An attempt that is to be placed; times are on the clock of this node. */
 export interface PlacementSpec {
@@ -24,6 +24,8 @@
 /** Why an attempt is not placed. */
 export const PlacementRefusal = {
   NoServer: 'no_server',
+  /** All backend servers that could serve it have stated a request limit, and it is reached. */
+  RequestLimit: 'request_limit',
   /** The caller would disconnect before the first event. */
   TooLate: 'too_late',
   RetryBudgetSpent: 'retry_budget_spent',
@@ -43,11 +45,19 @@
   readonly reason: string
   /** Time after which the caller may return; null if nothing is known of it. */
   readonly retryAfter: Millis | null
+  /** Statement of a backend server because of which none is chosen; absent if there is none. */
+  readonly notice?: ServerNotice
 }
 
 /** Decision about one attempt. */
 export type PlacementResult =
-  | { readonly type: 'placed', readonly choice: PlacementChoice, readonly load: ChosenServerLoad }
+  | {
+    readonly type: 'placed'
+    readonly choice: PlacementChoice
+    readonly load: ChosenServerLoad
+    /** Whether the request limit that the server has stated was applied; schedulers of earlier builds do not know of it. */
+    readonly keepsLimit: boolean
+  }
   | RefusedPlacement
   /** The scheduler of another group can serve it sooner. */
   | { readonly type: 'redirected', readonly address: string }
@@ -79,6 +89,17 @@
   readonly slowdown: number | null
 }
 
+/** What a decision of a scheduler depends on besides the attempt. */
+export interface PlacementContext {
+  /** Requests per second that other nodes place without this scheduler. */
+  readonly unseenArrivals: number
+  /** Part of the group's share of request limits that this scheduler may use: less than 1 if it decides for one node only. */
+  readonly limitShare: number
+}
+
+/** Context of a scheduler that decides for all nodes of its group. */
+export const GROUP_CONTEXT: PlacementContext = { unseenArrivals: 0, limitShare: 1 }
+
 /** Number and node of an assignment. */
 export interface AssignmentOwner {
   readonly node: NodeId
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -81,7 +81,7 @@
     const scheduler = new Scheduler({
       node: SELF.node, fleetState: this.fleetState, log, clock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), schedulerCount: () => 1, group: () => directory.group
     })
-    const placement = new PlacementClient({ node: SELF.node, scheduler, directory, fleetState: this.fleetState, log, clock, send: () => {}, onUncoordinatedPlacement: () => {} })
+    const placement = new PlacementClient({ node: SELF.node, scheduler, directory, fleetState: this.fleetState, log, clock, send: () => {}, onUncoordinatedPlacement: () => {}, onNotice: () => {} })
     this.entry = new EntryServer({ placement, fleetState: this.fleetState, log, metrics: new ForwardMetrics(), memory: new EngineMemoryClient(new HttpPool(2), 300), clock })
   }
 
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -44,7 +44,7 @@
 })
 
 const stateOf = (assignments: readonly Assignment[], sequence = 1, startedAt = 1_700_000_000_000): NodeState => ({
-  node: NODE, startedAt, sequence, configurationVersion: 7, serversRevision: 41, stopping: false, storeLost: false, works: assignments, peers: [], failureDomain: '', version: 1, processor: 0
+  node: NODE, startedAt, sequence, configurationVersion: 7, serversRevision: 41, stopping: false, storeLost: false, works: assignments, peers: [], notices: [], failureDomain: '', version: 1, processor: 0
 })
 
 const recordAll = (table: PeerTable, sent: NodeState, now = 1_000): ReturnType<PeerTable['record']> =>
@@ -150,7 +150,7 @@
   const exchange: FleetStateExchange = new FleetStateExchange({ fleetState, http, log, failureDomain: self.failureDomain, peers: () => link.sources() })
   const send: PeerLink['send'] = (address, content) => link.send(address, content)
   const schedulerHost = new SchedulerHost({ scheduler, log, clock, send })
-  const placement: PlacementClient = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, send, onUncoordinatedPlacement: () => link.reportSoon() })
+  const placement: PlacementClient = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, send, onUncoordinatedPlacement: () => link.reportSoon(), onNotice: (notice) => link.noticeHeard(notice) })
   const link: PeerLink = new PeerLink({
     self,
     startedAt: Date.now(),
@@ -176,7 +176,7 @@
     placement.dispose()
     await http.dispose()
   })
-  return { self, link, scheduler, directory, fleetState }
+  return { self, link, scheduler, directory, fleetState, placement }
 }
 
 interface TestPeer {
@@ -185,6 +185,7 @@
   readonly scheduler: Scheduler
   readonly directory: SchedulerDirectory
   readonly fleetState: FleetState
+  readonly placement: PlacementClient
 }
 
 /** Waits for a condition, with a generous limit. */
@@ -312,3 +313,24 @@
   t.true((other?.state?.uptime ?? 0) > CANDIDATE_SILENCE)
   t.is(alone!.directory.scheduler(performance.now()).node, alone!.self.node)
 })
+
+/** More servers than the statements of one message. */
+const STATING_SERVERS = 30
+
+test('what backend servers state to one node is soon known to the scheduler and to the nodes that report to it', async (t) => {
+  const port = PORTS_FROM + (process.pid + 5) % PORT_COUNT
+  const peers = [await openPeer(t, '127.0.0.13', port, 0), await openPeer(t, '127.0.0.14', port, 1), await openPeer(t, '127.0.0.15', port, 2)]
+  const [first, second, scheduling] = peers
+  for (const { link } of [first!, second!]) link.addNodes([scheduling!.self], [])
+  await until(() => scheduling!.link.table.active().length === 2)
+  const servers = Array.from({ length: STATING_SERVERS }, (_, index) => ({ ...BACKEND, id: `e${index}` as RunnerId }))
+  for (const server of servers) first!.placement.statementReceived(server, { requestLimit: 2 }, 'r0')
+  const knownBy = ({ scheduler }: TestPeer): number => servers.filter((server) => scheduler.notices.find(server)?.requestLimit === 2).length
+  await until(() => knownBy(scheduling!) === STATING_SERVERS && knownBy(second!) === STATING_SERVERS)
+  t.is(knownBy(scheduling!), STATING_SERVERS)
+  t.is(knownBy(second!), STATING_SERVERS)
+  t.is(second!.scheduler.notices.find(servers[0]!)?.heardBy, first!.self.node)
+  first!.placement.statementReceived(servers[0]!, { requestLimit: null }, 'r1')
+  await until(() => second!.scheduler.notices.find(servers[0]!)?.requestLimit === null)
+  t.is(second!.scheduler.notices.find(servers[0]!)?.requestLimit, null)
+})
--- a/packages/node/tests/scheduling.test.ts
+++ b/packages/node/tests/scheduling.test.ts
@@ -51,6 +51,8 @@
   readonly receivers: TestNode[] = []
   /** Returns whether a message is lost. */
   loses: (from: TestNode, to: TestNode, content: DatagramContent) => boolean = () => false
+  /** Whether replies are those of an earlier build, which knows no request limits. */
+  forgetsLimits = false
   #nextRequest = 1
 
   constructor (count: number, engines: number, private readonly queryTiming = PATIENT) {
@@ -97,7 +99,7 @@
     const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, retryBounds: () => ({ ratio: 0, slack: 10, window: 1_000_000 }), schedulerCount: () => 1, group: () => directory.group })
     const send = (address: string, content: DatagramContent): void => this.#deliver(node, address, content)
     const host = new SchedulerHost({ scheduler, log, clock, send })
-    const placement = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, send, onUncoordinatedPlacement: () => { node.uncoordinated += 1 }, queryTiming: this.queryTiming })
+    const placement = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, send, onUncoordinatedPlacement: () => { node.uncoordinated += 1 }, onNotice: () => {}, queryTiming: this.queryTiming })
     const node: TestNode = { self, scheduler, placement, directory, host, uncoordinated: 0 }
     return node
   }
@@ -108,6 +110,7 @@
     this.messages.push(content.$case)
     this.receivers.push(to)
     if (this.loses(from, to, content)) return
+    if (this.forgetsLimits && content.$case === 'placementReply' && content.value.result?.$case === 'placement') content.value.result.value.keepsLimit = false
     const datagram = encodeDatagram(from.self.node, 1, content)
     setImmediate(() => {
       const message = decodeDatagram(datagram)
@@ -184,7 +187,7 @@
   t.is(attempt.scheduler, null)
   t.is(counted(network, 4).reduce((sum, count) => sum + count), 1)
   const number = Number(attempt.assignment.id.split('/')[1])
-  const late: DatagramContent = { $case: 'placementReply', value: { number: number + 1, result: { $case: 'placement', value: { server: { id: 'e0', address: '', failureDomain: '' }, helpers: [], holders: [], firstEventMs: 1, serverRequests: 0, serverPendingMs: 0, isDeferred: false } } } }
+  const late: DatagramContent = { $case: 'placementReply', value: { number: number + 1, result: { $case: 'placement', value: { server: { id: 'e0', address: '', failureDomain: '' }, helpers: [], holders: [], firstEventMs: 1, serverRequests: 0, serverPendingMs: 0, isDeferred: false, keepsLimit: true } } } }
   network.schedulerNode.scheduler.assignments.grant(node.self.node, { ...attempt.assignment, server: 'e0' as RunnerId }, number + 1, performance.now())
   node.placement.handle({ node: network.schedulerNode.self.node, startedAt: 1, content: late }, network.schedulerNode.self.address)
   await until(() => counted(network, 4).reduce((sum, count) => sum + count) === 1)
@@ -275,3 +278,78 @@
   t.is((await network.placeOne(asking!)).scheduler, null)
   t.is(asking!.uncoordinated, 1)
 })
+
+const LIMIT = 2
+
+/** Lets nodes place requests at the same moment, again and again. Returns how many reached each engine, and the refusals. */
+const placeInTurns = async (network: TestNetwork, turns: number): Promise<{ sent: Map<string, number>, refused: AttemptPlacement[] }> => {
+  const sent = new Map<string, number>()
+  const refused: AttemptPlacement[] = []
+  for (let turn = 0; turn < turns; turn += 1) {
+    await until(() => network.nodes.every(({ scheduler }) => scheduler.assignments.recentArrivals(performance.now()) === 0))
+    for (const placement of await Promise.all(network.nodes.map(async (node) => await network.place(node)))) {
+      if (placement.type === 'refused') {
+        refused.push(placement)
+        continue
+      }
+      const { server } = placement.attempt.choice
+      sent.set(server.id, (sent.get(server.id) ?? 0) + 1)
+      network.nodes.find(({ self }) => placement.attempt.assignment.id.startsWith(`${self.node}/`))?.placement.removeAssignment(placement.attempt, HealthSignal.Good)
+    }
+  }
+  return { sent, refused }
+}
+
+/** Most requests that a limit, or a node's share of it, allows since a moment: its rate, and what a burst may take. */
+const allowedSince = (startedAt: number, perSecond: number): number => perSecond * (performance.now() - startedAt) / 1_000 + Math.max(1, perSecond) + 1
+
+const stateLimit = (node: TestNode, index: number): void => node.placement.statementReceived(engine(index), { requestLimit: LIMIT }, 'r0')
+
+/** Guards against the fault of incident LIMIT over several nodes: the scheduler placed as before on a server whose limit it had heard. */
+test('steady requests of six nodes: an engine with a stated limit gets that much, the others take the rest', async (t) => {
+  const network = new TestNetwork(6, 9)
+  const startedAt = performance.now()
+  stateLimit(network.schedulerNode, 0)
+  const { sent, refused } = await placeInTurns(network, 20)
+  t.true((sent.get('e0') ?? 0) <= allowedSince(startedAt, LIMIT), `${sent.get('e0')}`)
+  t.is(refused.length, 0)
+})
+
+test('a burst when all engines have stated limits: what exceeds them is refused at once, with the time and the statement', async (t) => {
+  const network = new TestNetwork(4, 2)
+  const startedAt = performance.now()
+  for (const index of [0, 1]) stateLimit(network.schedulerNode, index)
+  const { sent, refused } = await placeInTurns(network, 5)
+  t.true(sent.size <= 2)
+  for (const count of sent.values()) t.true(count <= allowedSince(startedAt, LIMIT), `${count}`)
+  t.true(refused.length > 0)
+  for (const placement of refused) {
+    t.like(placement, { reason: 'request_limit', notice: { requestLimit: LIMIT, heardBy: network.schedulerNode.self.node } })
+    t.true(placement.type === 'refused' && placement.retryAfter !== null && placement.retryAfter > 0 && placement.retryAfter <= 2 * 1_000 / LIMIT)
+  }
+})
+
+test('a node whose schedulers do not answer uses only its own share of a limit', async (t) => {
+  const network = new TestNetwork(4, 1, IMPATIENT)
+  network.loses = () => true
+  const node = network.nodes[3]!
+  const startedAt = performance.now()
+  stateLimit(node, 0)
+  const placements = [await network.place(node), await network.place(node), await network.place(node)]
+  t.true(placements.filter(({ type }) => type === 'placed').length <= allowedSince(startedAt, LIMIT / network.nodes.length))
+})
+
+test('a grant of a scheduler that does not know limits is returned once the share of the node is used', async (t) => {
+  const network = new TestNetwork(2, 9)
+  const node = network.nodes[1]!
+  network.forgetsLimits = true
+  const startedAt = performance.now()
+  stateLimit(node, 0)
+  const chosen: string[] = []
+  for (let index = 0; index < 6; index += 1) {
+    const attempt = await network.placeOne(node)
+    chosen.push(attempt.choice.server.id)
+    node.placement.removeAssignment(attempt, HealthSignal.Good)
+  }
+  t.true(chosen.filter((id) => id === 'e0').length <= allowedSince(startedAt, LIMIT / network.nodes.length), chosen.join())
+})
