A backend server that states in an answer that it leaves gets no further requests

Callers saw: nothing yet.

The statement is part of ServerNotices: it stays until the server starts again, so that an answer made earlier that arrives later does not take it back. A service whose servers all leave is refused at once, and the line names the statement and who heard it.

--- a/packages/domain/src/forwarding/ServerNotices.ts
+++ b/packages/domain/src/forwarding/ServerNotices.ts
@@ -6,6 +6,8 @@
 export interface ServerStatement {
   /** Requests per second that it accepts from all nodes together; null if it sets no limit. */
   readonly requestLimit: number | null
+  /** Whether it will end soon and accepts no new requests. It does not take this back while it runs. */
+  readonly isLeaving: boolean
 }
 
 /** Newest statement of a backend server. */
@@ -46,10 +48,18 @@
    */
   record (notice: ServerNotice): boolean {
     const existing = this.#records.get(notice.server)
-    if (existing !== undefined && isNewer(existing.notice, notice)) return false
-    const isShared = !isEmpty(notice) || existing?.isShared === true
-    this.#records.set(notice.server, { notice, isShared })
-    return isShared && (existing === undefined || isMajorChange(existing.notice, notice))
+    if (existing !== undefined && isNewer(existing.notice, notice)) return this.#recordOlder(existing.notice, notice)
+    const merged = existing === undefined ? notice : keepLeaving(existing.notice, notice)
+    const isShared = !isEmpty(merged) || existing?.isShared === true
+    this.#records.set(notice.server, { notice: merged, isShared })
+    return isShared && (existing === undefined || isMajorChange(existing.notice, merged))
+  }
+
+  /** An older statement only matters if the server was leaving then. */
+  #recordOlder (newer: ServerNotice, older: ServerNotice): boolean {
+    if (!older.isLeaving || newer.isLeaving || startDifference(newer.startedAt, older.startedAt) !== 0) return false
+    this.#records.set(newer.server, { notice: { ...newer, isLeaving: true }, isShared: true })
+    return true
   }
 
   /**
@@ -61,6 +71,14 @@
     return notice === undefined || startDifference(notice.startedAt, startedAt) !== 0 ? null : notice
   }
 
+  /**
+   * @param server - a backend server
+   * @returns whether it has stated that it is leaving
+   */
+  isLeaving (server: BackendServer): boolean {
+    return this.find(server)?.isLeaving === true
+  }
+
   /**
    * Discards expired statements first.
    *
@@ -86,7 +104,11 @@
   }
 }
 
-const isEmpty = ({ requestLimit }: ServerStatement): boolean => requestLimit === null
+const isEmpty = ({ requestLimit, isLeaving }: ServerStatement): boolean => requestLimit === null && !isLeaving
+
+/** An answer that was made before another one may arrive after it: a server that leaves stays so until it starts again. */
+const keepLeaving = (before: ServerNotice, after: ServerNotice): ServerNotice =>
+  before.isLeaving && startDifference(before.startedAt, after.startedAt) === 0 ? { ...after, isLeaving: true } : after
 
 const isNewer = (a: ServerNotice, b: ServerNotice): boolean => {
   const difference = startDifference(a.startedAt, b.startedAt)
@@ -97,7 +119,7 @@
 const startDifference = (a: number | null, b: number | null): number => a === null || b === null ? 0 : a - b
 
 const isMajorChange = (before: ServerNotice, after: ServerNotice): boolean =>
-  startDifference(before.startedAt, after.startedAt) !== 0 || isMajorLimitChange(before.requestLimit, after.requestLimit)
+  startDifference(before.startedAt, after.startedAt) !== 0 || before.isLeaving !== after.isLeaving || isMajorLimitChange(before.requestLimit, after.requestLimit)
 
 const isMajorLimitChange = (before: number | null, after: number | null): boolean => {
   if (before === null || after === null) return before !== after
--- a/packages/domain/tests/serverNotices.test.ts
+++ b/packages/domain/tests/serverNotices.test.ts
@@ -7,7 +7,7 @@
 const SERVER: BackendServer = { id: 'e0' as RunnerId, service: 's', address: '10.0.0.1:80', failureDomain: 'd0' as FailureDomain, slots: 4, readiness: Readiness.Ready, startedAt: 100 }
 
 const notice = (heardAt: number, requestLimit: number | null, startedAt: number | null = 100): ServerNotice =>
-  ({ server: SERVER.id, startedAt, heardAt, requestLimit, heardBy: 'n0' as NodeId })
+  ({ server: SERVER.id, startedAt, heardAt, requestLimit, isLeaving: false, heardBy: 'n0' as NodeId })
 
 test('the newest statement holds, in whatever order statements arrive', (t) => {
   const statement = fc.record({ heardAt: fc.integer({ min: 0, max: 50 }), requestLimit: fc.option(fc.integer({ min: 1, max: 9 }), { nil: null }) })
@@ -59,3 +59,17 @@
   t.is(notices.shared(500_000).length, 1)
   t.is(notices.shared(700_000).length, 0)
 })
+
+test('a server that leaves stays so, in whatever order its answers arrive, until it starts again', (t) => {
+  const leaving = { ...notice(10, null), isLeaving: true }
+  const inOrder = new ServerNotices()
+  t.true(inOrder.record(leaving))
+  t.false(inOrder.record(notice(20, null)))
+  t.true(inOrder.isLeaving(SERVER))
+  const reversed = new ServerNotices()
+  reversed.record(notice(20, null))
+  t.true(reversed.record(leaving))
+  t.true(reversed.isLeaving(SERVER))
+  t.is(reversed.shared(20).length, 1)
+  t.false(reversed.isLeaving({ ...SERVER, startedAt: 200 }))
+})
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -156,8 +156,9 @@
   async #reserveAndSend (attempt: OpenAttempt, reservations: MemoryReservations): Promise<void> {
     const isReserved = await reservations.acquire()
     if (this.attempt !== attempt) return
-    if (isReserved) this.#send(attempt)
-    else this.failAttempt(attempt, AttemptEnd.Unsent, 'reserving KV cache memory failed')
+    const obstacle = isReserved ? this.context.placement.obstacleTo(attempt.placed) : 'reserving KV cache memory failed'
+    if (obstacle === null) this.#send(attempt)
+    else this.failAttempt(attempt, AttemptEnd.Unsent, obstacle)
   }
 
   #send (attempt: OpenAttempt): void {
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -54,7 +54,7 @@
       server_requests: load.requests,
       server_pending_ms: Math.round(load.pendingPrefill),
       deferred: isDeferred || undefined,
-      ...limitFields(notice, now),
+      ...statementFields(notice, now),
       due_in_ms: Math.round(call.dueAt - now),
       configuration: context.fleetState.configurationVersion,
       servers_revision: context.fleetState.serversRevision,
@@ -83,7 +83,7 @@
       reason,
       retry_after_ms: retryAfter === null ? undefined : Math.round(retryAfter),
       server: notice?.server,
-      ...limitFields(notice ?? null, context.clock())
+      ...statementFields(notice ?? null, context.clock())
     })
   }
 
@@ -111,10 +111,15 @@
   }
 }
 
-/** Returns the limit that a server has stated, how long ago and to which node. */
-const limitFields = (notice: ServerNotice | null, now: Millis): Record<string, unknown> =>
-  notice === null || notice.requestLimit === null
-    ? {}
-    : { server_limit: notice.requestLimit, server_limit_age_ms: Math.round(now - notice.heardAt), server_limit_heard_by: notice.heardBy }
+/** Returns what a server has stated about itself, how long ago and to which node. */
+const statementFields = (notice: ServerNotice | null, now: Millis): Record<string, unknown> => {
+  if (notice === null || (notice.requestLimit === null && !notice.isLeaving)) return {}
+  return {
+    server_limit: notice.requestLimit ?? undefined,
+    server_leaving: notice.isLeaving || undefined,
+    server_stated_ms_ago: Math.round(now - notice.heardAt),
+    server_heard_by: notice.heardBy
+  }
+}
 
 const joinIds = (servers: ReadonlyArray<{ readonly id: RunnerId }>): string | undefined => servers.map(({ id }) => id).join(',') || undefined
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -298,8 +298,8 @@
     for (const wire of notices) {
       const notice = decodeNotice(wire, clock())
       if (!scheduler.recordNotice(notice)) continue
-      const { server, requestLimit, heardBy } = notice
-      log.info('server.stated', { server, request_limit: requestLimit ?? 'none', heard_by: heardBy, age_ms: wire.heardAgoMs })
+      const { server, requestLimit, isLeaving, heardBy } = notice
+      log.info('server.stated', { server, request_limit: requestLimit ?? 'none', leaving: isLeaving || undefined, heard_by: heardBy, age_ms: wire.heardAgoMs })
       this.#noticeChanged(server)
     }
   }
--- a/packages/node/src/forward/peers/noticeCodec.ts
+++ b/packages/node/src/forward/peers/noticeCodec.ts
@@ -7,10 +7,11 @@
  * @param now - current time
  * @returns its wire form
  */
-export const encodeNotice = ({ server, startedAt, requestLimit, heardBy, heardAt }: ServerNotice, now: Millis): fleetWire.ServerNotice => ({
+export const encodeNotice = ({ server, startedAt, requestLimit, isLeaving, heardBy, heardAt }: ServerNotice, now: Millis): fleetWire.ServerNotice => ({
   server,
   serverStartedAt: BigInt(startedAt ?? 0),
   requestLimit: requestLimit ?? undefined,
+  isLeaving,
   heardBy,
   heardAgoMs: Math.max(0, Math.round(now - heardAt))
 })
@@ -21,12 +22,13 @@
  * @returns the statement, on the clock of this node
  * @throws Error if its limit is not a number that a server can state
  */
-export const decodeNotice = ({ server, serverStartedAt, requestLimit, heardBy, heardAgoMs }: fleetWire.ServerNotice, now: Millis): ServerNotice => {
+export const decodeNotice = ({ server, serverStartedAt, requestLimit, isLeaving, heardBy, heardAgoMs }: fleetWire.ServerNotice, now: Millis): ServerNotice => {
   if (requestLimit !== undefined && !(requestLimit >= 0)) throw new Error('the limit of a backend server is not a number from 0')
   return {
     server: server as RunnerId,
     startedAt: serverStartedAt === 0n ? null : Number(serverStartedAt),
     requestLimit: requestLimit ?? null,
+    isLeaving,
     heardBy: heardBy as NodeId,
     heardAt: now - heardAgoMs
   }
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -19,7 +19,7 @@
 /** Schedulers that are asked before this node decides itself. */
 const MAX_SCHEDULERS_ASKED = 2
 
-/** Decisions that are asked for while the chosen servers turn out to have reached their request limits. */
+/** Decisions that are asked for while this node knows that a chosen server accepts no more requests. */
 const MAX_DECISIONS = 3
 
 export interface PlacementClientOptions {
@@ -87,10 +87,10 @@
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
       const decision = await this.#decide(spec, number)
-      if (this.#keepsLimit(decision)) return this.#record(spec, number, decision, startedAt)
+      if (this.#isUsable(decision)) return this.#record(spec, number, decision, startedAt)
       spec = this.#withoutChosen(spec, number, decision)
     }
-    return { type: 'refused', reason: PlacementRefusal.RequestLimit, retryAfter: null }
+    return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
   }
 
   #record (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision, startedAt: Millis): AttemptPlacement {
@@ -106,19 +106,27 @@
     return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, decidedIn: clock() - startedAt } }
   }
 
-  /** A scheduler of an earlier build does not know the request limits of servers: this node then uses its own share of them. */
-  #keepsLimit ({ result }: Decision): boolean {
-    if (result.type !== 'placed' || result.keepsLimit) return true
+  /**
+   * The scheduler may not know yet what a server has stated to this node, and one of an earlier build never does: this node then
+   * uses its own share of the server's request limit.
+   */
+  #isUsable ({ result }: Decision): boolean {
+    if (result.type !== 'placed') return true
     const { scheduler, directory } = this.#options
-    return scheduler.takeQuota(result.choice.server, 1 / directory.size)
+    const { server, helpers } = result.choice
+    if ([server, ...helpers].some((participant) => scheduler.notices.isLeaving(participant))) return false
+    return result.keepsLimit || scheduler.takeQuota(server, 1 / directory.size)
   }
 
-  /** Returns a grant, and excludes its server from the next decision. */
-  #withoutChosen (spec: PlacementSpec, number: number, { result, scheduler }: Decision): PlacementSpec {
+  /** Returns a grant, and excludes the servers that made it unusable from the next decision. */
+  #withoutChosen (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision): PlacementSpec {
     if (result.type !== 'placed') return spec
-    const { id } = result.choice.server
-    if (scheduler !== null) this.#returnUnusedGrant(scheduler, number, id)
-    return { ...spec, excluded: [...spec.excluded, id], chargesRetry: false }
+    const { scheduler } = this.#options
+    const { server, helpers } = result.choice
+    if (address !== null) this.#returnUnusedGrant(address, number, server.id)
+    const leaving = [server, ...helpers].filter((participant) => scheduler.notices.isLeaving(participant))
+    const unusable = leaving.length > 0 ? leaving : [server]
+    return { ...spec, excluded: [...spec.excluded, ...unusable.map(({ id }) => id)], chargesRetry: false }
   }
 
   /** Records that the first event of an attempt has arrived: its prefill is finished. */
@@ -176,10 +184,19 @@
     const { scheduler, node, clock, log, onNotice } = this.#options
     const notice: ServerNotice = { ...statement, server: id, startedAt, heardAt: clock(), heardBy: node }
     if (!scheduler.recordNotice(notice)) return
-    log.info('server.stated', { server: id, request_limit: statement.requestLimit ?? 'none', request, heard_by: node })
+    log.info('server.stated', { server: id, request_limit: statement.requestLimit ?? 'none', leaving: statement.isLeaving || undefined, request, heard_by: node })
     onNotice(notice)
   }
 
+  /**
+   * @param attempt - a placed attempt that has not been sent yet
+   * @returns why it must not be sent any more; null if it may
+   */
+  obstacleTo ({ choice: { server, helpers } }: PlacedAttempt): string | null {
+    const leaving = [server, ...helpers].find((participant) => this.#options.scheduler.notices.isLeaving(participant))
+    return leaving === undefined ? null : `server ${leaving.id} is leaving`
+  }
+
   /**
    * @param server - a backend server
    * @returns its newest statement that this node knows; null if there is none
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -71,10 +71,11 @@
     const now = this.#options.clock()
     const loads = this.assignments.serverLoads(now)
     const permitted = this.#permittedServers(spec, service)
-    const choice = this.#choose(spec, service, permitted, loads, context, now)
+    const staying = permitted.filter((server) => !this.notices.isLeaving(server))
+    const choice = this.#choose(spec, service, staying, loads, context, now)
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
-    if (choice === null) return this.#refusalFor(permitted, context, now)
+    if (choice === null) return this.#refusalFor(permitted, staying, context, now)
     const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
     this.#record(spec, choice, owner, now)
@@ -216,8 +217,8 @@
     this.#groupLoads.record(load, this.#options.clock())
   }
 
-  #choose (spec: PlacementSpec, service: Service, permitted: readonly BackendServer[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementChoice | null {
-    const candidates = this.#candidates(permitted.filter((server) => this.#quotaWait(server, context, now) === 0), now)
+  #choose (spec: PlacementSpec, service: Service, servers: readonly BackendServer[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementChoice | null {
+    const candidates = this.#candidates(servers.filter((server) => this.#quotaWait(server, context, now) === 0), now)
     if (candidates.length === 0) return null
     return this.#policyOf(service).choose({
       size: spec.size,
@@ -245,12 +246,17 @@
   }
 
   #permittedServers ({ excluded, allowed }: PlacementSpec, service: Service): BackendServer[] {
-    return this.#options.fleetState.servers.ready(service.name).filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
+    const ready = this.#options.fleetState.servers.ready(service.name)
+    return ready.filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
   }
 
-  /** Refuses because no server is permitted, or because the permitted ones have reached their request limits. */
-  #refusalFor (permitted: readonly BackendServer[], context: PlacementContext, now: Millis): RefusedPlacement {
-    const waits = permitted.map((server) => ({ notice: this.notices.find(server), wait: this.#quotaWait(server, context, now) })).filter(({ wait }) => wait > 0)
+  /** Refuses because no server is permitted, or because of what the permitted ones have stated. */
+  #refusalFor (permitted: readonly BackendServer[], staying: readonly BackendServer[], context: PlacementContext, now: Millis): RefusedPlacement {
+    const [leaving] = permitted
+    if (leaving !== undefined && staying.length === 0) {
+      return { type: 'refused', reason: PlacementRefusal.ServersLeaving, retryAfter: null, notice: this.notices.find(leaving) ?? undefined }
+    }
+    const waits = staying.map((server) => ({ notice: this.notices.find(server), wait: this.#quotaWait(server, context, now) })).filter(({ wait }) => wait > 0)
     const [soonest] = waits.sort((a, b) => a.wait - b.wait)
     if (soonest === undefined || soonest.notice === null) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
     return { type: 'refused', reason: PlacementRefusal.RequestLimit, retryAfter: spreadReturn(soonest.wait), notice: soonest.notice }
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -26,6 +26,8 @@
   NoServer: 'no_server',
   /** All backend servers that could serve it have stated a request limit, and it is reached. */
   RequestLimit: 'request_limit',
+  /** All backend servers that could serve it have stated that they are leaving. */
+  ServersLeaving: 'servers_leaving',
   /** The caller would disconnect before the first event. */
   TooLate: 'too_late',
   RetryBudgetSpent: 'retry_budget_spent',
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -118,6 +118,13 @@
     return this.lines.filter((line) => line.includes(`event=${event} `))
   }
 
+  /** Registers a backend server anew, as after a restart under the same id and address. */
+  restartServer (id: string): void {
+    const server = this.fleetState.servers.find(id as RunnerId)
+    if (server === null) throw new Error(`no server ${id}`)
+    this.fleetState.putServer({ server: { ...server, startedAt: (server.startedAt ?? 0) + 1 }, revision: this.fleetState.serversRevision + 1 }, 'store')
+  }
+
   async dispose (): Promise<void> {
     await this.entry.stop(0)
     for (const server of this.#servers) {
@@ -135,7 +142,7 @@
     await once(server, 'listening')
     this.#servers.push(server)
     const { port } = server.address() as AddressInfo
-    const listed = { id: id as RunnerId, service: 's', address: `127.0.0.1:${port}`, failureDomain: 'd1' as FailureDomain, slots: 4, readiness: Readiness.Ready, startedAt: null }
+    const listed = { id: id as RunnerId, service: 's', address: `127.0.0.1:${port}`, failureDomain: 'd1' as FailureDomain, slots: 4, readiness: Readiness.Ready, startedAt: 1 }
     this.fleetState.putServer({ server: listed, revision: 1 }, 'store')
   }
 }
--- a/packages/node/tests/serverStatements.test.ts
+++ b/packages/node/tests/serverStatements.test.ts
@@ -35,3 +35,40 @@
   t.true(inWindow.length <= allowedWithin(LIMIT_PER_SECOND, LIMIT_WINDOW_S), `${inWindow.length} requests`)
   t.true(fixture.linesOf('server.stated').length > 0)
 })
+
+/** Servers that state that they leave, from a number of requests on. */
+const leavingServers = (...after: number[]): { scripts: Script[], arrivals: number[] } => {
+  const arrivals = after.map(() => 0)
+  const scripts = after.map((count, index): Script => (request, response) => {
+    arrivals[index] = (arrivals[index] ?? 0) + 1
+    const statement = (arrivals[index] ?? 0) > count ? { [HeaderName.Leaving]: '1' } : {}
+    response.writeHead(200, { ...signedHeaders(request), ...statement }).end('answer')
+  })
+  return { scripts, arrivals }
+}
+
+/** Guards against requests to a server that has said in an answer that it leaves, while the store still lists it as ready. */
+for (const route of ['safe', 'unsafe']) {
+  test(`a server that states that it leaves gets no further ${route} request`, async (t) => {
+    const { scripts, arrivals } = leavingServers(3, Infinity)
+    const fixture = await ForwardFixture.start(t, ...scripts)
+    while (arrivals[0]! < 4 && arrivals[1]! < 20) t.is((await fixture.call(`/${route}/x`)).status, 200)
+    const before = arrivals[0]
+    for (let index = 0; index < 20; index += 1) t.is((await fixture.call(`/${route}/x`)).status, 200)
+    t.is(arrivals[0], before)
+  })
+}
+
+test('a service whose servers all leave refuses truthfully, and serves again once one has restarted', async (t) => {
+  const { scripts, arrivals } = leavingServers(0, 0)
+  const fixture = await ForwardFixture.start(t, ...scripts)
+  for (let index = 0; index < 2; index += 1) t.is((await fixture.call('/unsafe/x')).status, 200)
+  const refusal = await fixture.call('/unsafe/x')
+  t.is(refusal.status, 503)
+  t.true(Number(refusal.headers['retry-after']) > 0)
+  t.deepEqual(arrivals, [1, 1])
+  t.regex(fixture.linesOf('request.not_placed').join(), /reason=servers_leaving .*server_leaving=true .*server_heard_by=n1/)
+  fixture.restartServer('e0')
+  t.is((await fixture.call('/unsafe/x')).status, 200)
+  t.deepEqual(arrivals, [2, 1])
+})
--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -40,6 +40,8 @@
   standin: BackendStandin | null
   /** When it was said to be draining; null unless it is. */
   drainingSince: number | null
+  /** When it began to say in its answers that it leaves, which the store does not know; null unless it does. */
+  leavingSince: number | null
 }
 
 export interface FleetNode {
@@ -100,6 +102,7 @@
     await standin.start(this.#host(FIRST_SERVER + server.index), PORT.server)
     server.standin = standin
     server.drainingSince = null
+    server.leavingSince = null
     this.#writeEntry(server, id, false)
   }
 
@@ -118,6 +121,13 @@
     this.#writeEntry(server, server.standin.id, true)
   }
 
+  /** Lets a server say in its answers that it leaves, and nowhere else. */
+  leaveServer (server: Server): void {
+    if (server.standin === null) return
+    server.leavingSince = performance.now()
+    server.standin.isLeaving = true
+  }
+
   /**
    * Lets a server name a limit in all its answers.
    *
@@ -146,7 +156,7 @@
   async #addServer (index: number, service: string): Promise<void> {
     const proxy = new TcpProxy(this.#host(FIRST_SERVER + index), PORT.server)
     await proxy.start(this.#host(FIRST_SERVER + SERVER_PROXY + index), PORT.server)
-    const server: Server = { index, service, failureDomain: DOMAINS[index % DOMAINS.length] ?? '', proxy, standin: null, drainingSince: null }
+    const server: Server = { index, service, failureDomain: DOMAINS[index % DOMAINS.length] ?? '', proxy, standin: null, drainingSince: null, leavingSince: null }
     this.servers.push(server)
     await this.startServer(server)
   }
--- a/packages/soak/src/Soak.ts
+++ b/packages/soak/src/Soak.ts
@@ -48,9 +48,9 @@
     callers.push(...fleet.nodes.flatMap(({ index, host }) => Array.from({ length: CALLERS_PER_NODE }, (_, caller) =>
       new Caller(`c${index}.${caller}`, index, host, random.between(1, 1_000_000)))))
     const steps = [...drawFaults(fleet, random), ...drawStatements(fleet, seed)]
-    const drained = watchDrains(fleet)
+    const leavings = watchLeavings(fleet)
     await Promise.all([...callers.map(async (caller) => { await caller.run() }), play(steps), stopLater(callers)])
-    const violations = [...await recoveryOf(fleet, seed), ...drained(), ...await revocationOf(fleet, seed)]
+    const violations = [...await recoveryOf(fleet, seed), ...leavings(), ...await revocationOf(fleet, seed)]
     const exchanges = callers.flatMap((caller) => caller.exchanges)
     return reportOf(seed, exchanges, fleet, steps, [...violations, ...violationsOf(exchanges, fleet)])
   } finally {
@@ -109,19 +109,20 @@
   return checked.flat()
 }
 
-/** Notes which servers drained, and later whether any began something after the time for that. */
-const watchDrains = (fleet: Fleet): () => Violation[] => {
+/** Notes which servers drained or said that they leave, and later whether any began something after the time for that. */
+const watchLeavings = (fleet: Fleet): () => Violation[] => {
   const since = new Map<string, number>()
   const timer = setInterval(() => {
-    for (const { standin, drainingSince } of fleet.servers) {
-      if (standin !== null && drainingSince !== null) since.set(standin.id, drainingSince)
+    for (const { standin, drainingSince, leavingSince } of fleet.servers) {
+      const leavesFrom = drainingSince ?? leavingSince
+      if (standin !== null && leavesFrom !== null) since.set(standin.id, leavesFrom)
     }
   }, PROBE_PERIOD_MS)
   return () => {
     clearInterval(timer)
-    return [...since].flatMap(([server, drainingSince]) => fleet.ledger.runsOnServer(server)
-      .filter(({ startedAt }) => startedAt > drainingSince + DRAIN_MS + MEASURE_SLACK_MS)
-      .map(({ request, startedAt }) => ({ rule: 'draining servers get nothing', detail: `${request} began at ${server} ${Math.round(startedAt - drainingSince)} ms after it drained` })))
+    return [...since].flatMap(([server, leavesFrom]) => fleet.ledger.runsOnServer(server)
+      .filter(({ startedAt }) => startedAt > leavesFrom + DRAIN_MS + MEASURE_SLACK_MS)
+      .map(({ request, startedAt }) => ({ rule: 'leaving servers get nothing', detail: `${request} began at ${server} ${Math.round(startedAt - leavesFrom)} ms after it began to leave` })))
   }
 }
 
--- a/packages/soak/src/statements.ts
+++ b/packages/soak/src/statements.ts
@@ -1,7 +1,7 @@
 /** Draws what backend servers state about themselves in the course of a soak, beside the faults. */
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { FAULTS_FROM_MS, FAULTS_UNTIL_MS, LIMIT_WINDOW_MS } from './constants.js'
+import { DRAIN_MS, FAULTS_FROM_MS, FAULTS_UNTIL_MS, LIMIT_WINDOW_MS } from './constants.js'
 import type { Fleet } from './Fleet.js'
 import { Random } from './Random.js'
 import type { FaultStep } from './types.js'
@@ -9,6 +9,9 @@
 /** Servers that name a limit in one soak. */
 const MOST_LIMITS = 2
 
+/** Servers that leave without a word to the store in one soak. */
+const MOST_LEAVINGS = 2
+
 /** Limits that are drawn, in tenths of a request per second. */
 const LOWEST_LIMIT = 3
 const HIGHEST_LIMIT = 60
@@ -17,6 +20,29 @@
 /** Added to the seed of the faults, whose series does not change with the statements. */
 const STATEMENT_SEED = 1_000_003
 
+/** Time from the statement of a server that it leaves to its end; it is longer than the time after which it gets nothing new. */
+const SHORTEST_LEAVING_MS = DRAIN_MS + 1_000
+const LONGEST_LEAVING_MS = DRAIN_MS + 3_000
+
+const leaveServer = (fleet: Fleet, random: Random): FaultStep => {
+  const server = random.pick(fleet.servers)
+  const at = random.between(FAULTS_FROM_MS, FAULTS_UNTIL_MS - SHORTEST_LEAVING_MS)
+  const lasts = random.between(SHORTEST_LEAVING_MS, LONGEST_LEAVING_MS)
+  return {
+    at,
+    name: `server ${server.index} leaves in ${lasts} ms`,
+    run: async () => {
+      const { standin } = server
+      if (standin === null || server.drainingSince !== null || server.leavingSince !== null) return
+      fleet.leaveServer(server)
+      await sleep(lasts)
+      if (server.standin !== standin) return
+      await fleet.crashServer(server, 0)
+      await fleet.startServer(server)
+    }
+  }
+}
+
 const limitServer = (fleet: Fleet, random: Random): FaultStep => {
   const server = random.pick(fleet.servers)
   const perSecond = random.between(LOWEST_LIMIT, HIGHEST_LIMIT) / TENTHS
@@ -43,6 +69,8 @@
  */
 export const drawStatements = (fleet: Fleet, seed: number): FaultStep[] => {
   const random = new Random(seed + STATEMENT_SEED)
-  const steps = Array.from({ length: random.between(0, MOST_LIMITS) }, () => limitServer(fleet, random))
+  const limits = Array.from({ length: random.between(0, MOST_LIMITS) }, () => limitServer(fleet, random))
+  const leavings = Array.from({ length: random.between(0, MOST_LEAVINGS) }, () => leaveServer(fleet, random))
+  const steps = [...limits, ...leavings]
   return steps.sort((a, b) => a.at - b.at)
 }
