A backend server that refuses with Retry-After gets nothing more from this node until then

Cause: a server that asked for a pause was chosen again for the next request, whose retry took from the budget until it was spent. Ruled out: placement on the scheduler alone, since the pause holds for the node that was refused and not for the others.

The node keeps the pause, excludes the server from its queries and does not send to it what was placed before. If only paused servers are left, the caller is refused at once with the time that is left; that time is known and is not cut at 3 s, as a predicted one is. Whether a query is a first attempt is said in the query now: the retry budget was counted by an empty list of excluded servers.

The tests fail without it: 40 of 40 callers answered with one request to the paused server, before a refusal among them.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -14,7 +14,8 @@
 import { RefusalCause, refuse } from './entry/refusals.js'
 import { RequestLog } from './RequestLog.js'
 import { MemoryReservations } from './MemoryReservations.js'
-import type { AttemptPlacement, PlacedAttempt } from './scheduling/types.js'
+import { PlacementRefusal } from './scheduling/types.js'
+import type { AttemptPlacement, PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import { ForwardOutcome } from './types.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
 
@@ -128,7 +129,7 @@
     }
     this.#requestLog.placementRefused(placement)
     this.#lastProblem ||= placement.reason
-    this.#giveUp(placement.retryAfter)
+    this.#giveUp(placement)
   }
 
   /** Catches errors of the placement, so that they fail this request only and not the process with all others. */
@@ -214,9 +215,12 @@
   }
 
   /** An answer to another request, or of another server at the same address, says nothing of the server that was asked. */
-  #recordStatement ({ server }: OpenAttempt, status: number, { attemptId, notRun, statement }: AnswerHeaders): void {
-    const isOwnAnswer = status !== MISDIRECTED_REQUEST && (notRun || attemptId === this.call.id)
-    if (isOwnAnswer) this.context.placement.statementReceived(server, statement, this.call.id)
+  #recordStatement ({ server }: OpenAttempt, status: number, { attemptId, notRun, statement, pause }: AnswerHeaders): void {
+    const { call, context: { placement } } = this
+    const isOwnAnswer = status !== MISDIRECTED_REQUEST && (notRun || attemptId === call.id)
+    if (!isOwnAnswer) return
+    placement.statementReceived(server, statement, call.id)
+    if (pause !== null) placement.pauseRequested(server, pause, call.id)
   }
 
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
@@ -260,7 +264,7 @@
     this.#returnFailure(failure)
   }
 
-  #giveUp (retryAfter: Millis | null = null): void {
+  #giveUp (refusal: RefusedPlacement | null = null): void {
     if (this.hasStartedAnswer) {
       this.#abortAnswer(ForwardOutcome.Lost)
     } else if (this.signedFailure !== null) {
@@ -269,7 +273,7 @@
       refuse(this.response, RefusalCause.AnswerLost)
       this.#finish(ForwardOutcome.Lost, this.response.statusCode)
     } else {
-      refuse(this.response, RefusalCause.NoServer, retryAfter)
+      refuse(this.response, refusalCauseOf(refusal), refusal?.retryAfter ?? null)
       this.#finish(ForwardOutcome.Refused, this.response.statusCode)
     }
   }
@@ -332,6 +336,12 @@
   }
 }
 
+/** Servers that have stated when they accept requests again are told apart from those of which that is only predicted. */
+const refusalCauseOf = (refusal: RefusedPlacement | null): RefusalCause => {
+  const isStated = refusal?.reason === PlacementRefusal.RequestLimit || refusal?.reason === PlacementRefusal.ServersPaused
+  return isStated ? RefusalCause.ServersLimited : RefusalCause.NoServer
+}
+
 /** A refusal because of a helper, or because the server has no capacity, does not indicate a fault of the server. */
 const healthSignalOf = ({ serverCall }: OpenAttempt, end: AttemptEnd): HealthSignal | null => {
   if (end === AttemptEnd.NotRun || end === AttemptEnd.HelperFailed || serverCall === null) return null
--- a/packages/node/src/forward/entry/refusals.ts
+++ b/packages/node/src/forward/entry/refusals.ts
@@ -16,6 +16,8 @@
   Stopping: 'stopping',
   /** No backend server can accept the request. */
   NoServer: 'no_server',
+  /** All backend servers that can accept the request have limited what they accept. */
+  ServersLimited: 'servers_limited',
   /** The deadline passed before the request was sent. */
   TimedOutUnsent: 'timed_out_unsent',
   /** The deadline passed, and the request may have run. */
@@ -29,10 +31,12 @@
   readonly status: number
   /** Time after which the caller may retry; null if the request may have run, or if a retry cannot help. */
   readonly retryAfter: Millis | null
+  /** Whether a longer time is known and not only predicted. */
+  readonly isRetryAfterKnown?: boolean
 }
 
-/** Longest time after which a caller is asked to return. */
-const MAX_RETRY_AFTER: Millis = 3_000
+/** Longest time after which a caller is asked to return, as far as it is only predicted. */
+const MAX_PREDICTED_RETRY_AFTER: Millis = 3_000
 
 const REFUSALS: Readonly<Record<RefusalCause, Refusal>> = {
   [RefusalCause.BadRequest]: { status: 400, retryAfter: null },
@@ -43,6 +47,7 @@
   [RefusalCause.Starting]: { status: 503, retryAfter: 300 },
   [RefusalCause.Stopping]: { status: 503, retryAfter: 0 },
   [RefusalCause.NoServer]: { status: 503, retryAfter: 300 },
+  [RefusalCause.ServersLimited]: { status: 503, retryAfter: 300, isRetryAfterKnown: true },
   [RefusalCause.TimedOutUnsent]: { status: 503, retryAfter: 300 },
   [RefusalCause.TimedOut]: { status: 504, retryAfter: null },
   [RefusalCause.AnswerLost]: { status: 502, retryAfter: null }
@@ -59,8 +64,9 @@
  */
 export const refuse = (response: ServerResponse, cause: RefusalCause, predictedRetryAfter: Millis | null = null): void => {
   if (response.headersSent || response.destroyed) return
-  const { status, retryAfter: usualRetryAfter } = REFUSALS[cause]
-  const retryAfter = usualRetryAfter === null || predictedRetryAfter === null ? usualRetryAfter : Math.min(MAX_RETRY_AFTER, predictedRetryAfter)
+  const { status, retryAfter: usualRetryAfter, isRetryAfterKnown = false } = REFUSALS[cause]
+  const longest = isRetryAfterKnown ? Infinity : MAX_PREDICTED_RETRY_AFTER
+  const retryAfter = usualRetryAfter === null || predictedRetryAfter === null ? usualRetryAfter : Math.min(longest, predictedRetryAfter)
   const body = JSON.stringify({ error: { code: cause } })
   response.writeHead(status, {
     'content-type': 'application/json',
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -72,7 +72,8 @@
   excluded: [...spec.excluded],
   allowed: [...spec.allowed ?? []],
   chargesRetry: spec.chargesRetry,
-  isRedirected: spec.isRedirected
+  isRedirected: spec.isRedirected,
+  isFirstAttempt: spec.isFirstAttempt
 })
 
 /**
@@ -90,7 +91,9 @@
   excluded: wire.excluded as RunnerId[],
   allowed: wire.allowed.length === 0 ? null : wire.allowed as RunnerId[],
   chargesRetry: wire.chargesRetry,
-  isRedirected: wire.isRedirected
+  isRedirected: wire.isRedirected,
+  // Nodes of earlier builds exclude only servers that the request was sent to before.
+  isFirstAttempt: wire.isFirstAttempt || wire.excluded.length === 0
 })
 
 /**
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,6 +1,6 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
-import { assignmentNumber, HealthSignal, SLOWDOWN_SAMPLE_COUNT } from '@bluebellhill/domain'
-import type { Assignment, AttemptHistory, BackendServer, Millis, NodeId, RunnerId, SchedulerDirectory, ServerNotice, ServerStatement } from '@bluebellhill/domain'
+import { assignmentNumber, HealthSignal, ServerBackoffs, SLOWDOWN_SAMPLE_COUNT } from '@bluebellhill/domain'
+import type { Assignment, AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, RunnerId, SchedulerDirectory, ServerNotice, ServerStatement } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { AdmittedCall } from '../AdmittedCall.js'
@@ -11,7 +11,8 @@
 import type { QueryTiming } from '../peers/PendingQueries.js'
 import type { Scheduler } from './Scheduler.js'
 import { GROUP_CONTEXT, PlacementRefusal } from './types.js'
-import type { AttemptPlacement, AttemptReport, PlacedAttempt, PlacementContext, PlacementResult, PlacementSpec } from './types.js'
+import { spreadReturn } from './spreadReturn.js'
+import type { AttemptPlacement, AttemptReport, PlacedAttempt, PlacementContext, PlacementResult, PlacementSpec, RefusedPlacement } from './types.js'
 
 /** How long reports of attempts are collected and sent together. */
 const REPORT_DELAY: Millis = 5
@@ -55,6 +56,7 @@
   readonly #schedulers = new Map<string, string>()
   /** Last pauses of each stream over the published pass time, by assignment id. */
   readonly #pauses = new Map<string, number[]>()
+  readonly #backoffs = new ServerBackoffs()
   readonly #unsentReports = new Map<string, AttemptReport[]>()
   #reportTimer: NodeJS.Timeout | null = null
   #nextSilenceQuery = 1
@@ -65,6 +67,7 @@
     this.#options = options
     this.#placementQueries = new PendingQueries(timing)
     this.#silenceQueries = new PendingQueries(timing)
+    options.fleetState.onDeparture((id) => this.#backoffs.remove(id))
   }
 
   /** @returns addresses of the schedulers that keep assignments of this node */
@@ -83,7 +86,7 @@
   async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean): Promise<AttemptPlacement> {
     const { scheduler, clock } = this.#options
     const startedAt = clock()
-    let spec = specOf(call, history, chargesRetry)
+    let spec = specOf(call, history, chargesRetry, this.#backoffs.active(startedAt))
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
       const decision = await this.#decide(spec, number)
@@ -95,7 +98,7 @@
 
   #record (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision, startedAt: Millis): AttemptPlacement {
     const { scheduler, clock } = this.#options
-    if (result.type === 'refused') return result
+    if (result.type === 'refused') return this.#withPause(spec, result)
     if (result.type === 'redirected') return { type: 'refused', reason: 'no scheduler has accepted the request', retryAfter: null }
     const assignment = address === null
       ? scheduler.assignments.findOwn(number)
@@ -113,20 +116,36 @@
   #isUsable ({ result }: Decision): boolean {
     if (result.type !== 'placed') return true
     const { scheduler, directory } = this.#options
-    const { server, helpers } = result.choice
-    if ([server, ...helpers].some((participant) => scheduler.notices.isLeaving(participant))) return false
+    const { server } = result.choice
+    if (this.#obstaclesIn(result.choice).length > 0) return false
     return result.keepsLimit || scheduler.takeQuota(server, 1 / directory.size)
   }
 
   /** Returns a grant, and excludes the servers that made it unusable from the next decision. */
   #withoutChosen (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision): PlacementSpec {
     if (result.type !== 'placed') return spec
-    const { scheduler } = this.#options
-    const { server, helpers } = result.choice
+    const { server } = result.choice
     if (address !== null) this.#returnUnusedGrant(address, number, server.id)
-    const leaving = [server, ...helpers].filter((participant) => scheduler.notices.isLeaving(participant))
-    const unusable = leaving.length > 0 ? leaving : [server]
-    return { ...spec, excluded: [...spec.excluded, ...unusable.map(({ id }) => id)], chargesRetry: false }
+    const obstacles = this.#obstaclesIn(result.choice).map(({ id }) => id)
+    const unusable = obstacles.length > 0 ? obstacles : [server.id]
+    return { ...spec, excluded: [...spec.excluded, ...unusable], chargesRetry: false, isFirstAttempt: false }
+  }
+
+  /** Returns the servers of a choice that accept no requests of this node now. */
+  #obstaclesIn ({ server, helpers }: PlacementChoice): BackendServer[] {
+    const now = this.#options.clock()
+    return [server, ...helpers].filter((participant) => this.#options.scheduler.notices.isLeaving(participant) || this.#backoffs.remaining(participant.id, now) > 0)
+  }
+
+  /** Names the time after which a paused server accepts requests again, if that is why there is no server. */
+  #withPause (spec: PlacementSpec, refusal: RefusedPlacement): RefusedPlacement {
+    if (refusal.reason !== PlacementRefusal.NoServer) return refusal
+    const { fleetState, clock } = this.#options
+    const now = clock()
+    const paused = fleetState.servers.ready(spec.service).map(({ id }) => ({ id, pause: this.#backoffs.remaining(id, now) })).filter(({ pause }) => pause > 0)
+    const [soonest] = paused.sort((a, b) => a.pause - b.pause)
+    if (soonest === undefined) return refusal
+    return { type: 'refused', reason: PlacementRefusal.ServersPaused, retryAfter: spreadReturn(soonest.pause), pausedServer: soonest.id }
   }
 
   /** Records that the first event of an attempt has arrived: its prefill is finished. */
@@ -188,13 +207,25 @@
     onNotice(notice)
   }
 
+  /**
+   * Records that a backend server wants no requests of this node for some time.
+   *
+   * @param server - the backend server
+   * @param pause - how long
+   * @param request - the request that it refused
+   */
+  pauseRequested ({ id }: BackendServer, pause: Millis, request: string): void {
+    this.#backoffs.record(id, pause, Math.random(), this.#options.clock())
+    this.#options.log.info('server.paused', { server: id, pause_ms: Math.round(pause), request })
+  }
+
   /**
    * @param attempt - a placed attempt that has not been sent yet
    * @returns why it must not be sent any more; null if it may
    */
-  obstacleTo ({ choice: { server, helpers } }: PlacedAttempt): string | null {
-    const leaving = [server, ...helpers].find((participant) => this.#options.scheduler.notices.isLeaving(participant))
-    return leaving === undefined ? null : `server ${leaving.id} is leaving`
+  obstacleTo ({ choice }: PlacedAttempt): string | null {
+    const [server] = this.#obstaclesIn(choice)
+    return server === undefined ? null : `server ${server.id} accepts no requests of this node now`
   }
 
   /**
@@ -318,15 +349,16 @@
   }
 }
 
-const specOf = (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean): PlacementSpec => ({
+const specOf = (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, paused: readonly RunnerId[]): PlacementSpec => ({
   request: call.id,
   service: call.service.name,
   size: call.size,
   objective: call.route.objective,
   dueAt: call.dueAt,
   pauseObjective: call.route.pauseObjective,
-  excluded: history.triedServers(),
+  excluded: [...history.triedServers(), ...paused],
   allowed: history.permittedServers(),
   chargesRetry,
-  isRedirected: false
+  isRedirected: false,
+  isFirstAttempt: history.triedServers().length === 0
 })
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -6,6 +6,7 @@
 import type { FleetState } from '../FleetState.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
+import { spreadReturn } from './spreadReturn.js'
 import { PlacementRefusal } from './types.js'
 import type { AssignmentOwner, AttemptReport, ChosenServerLoad, PlacementContext, PlacementResult, PlacementSpec, RefusedPlacement } from './types.js'
 
@@ -67,7 +68,7 @@
     const service = this.#options.fleetState.routeTable?.service(spec.service) ?? null
     if (service === null) return { type: 'refused', reason: PlacementRefusal.UnknownService, retryAfter: null }
     if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
-    if (spec.excluded.length === 0) this.#retryBudgets.countRequest(spec.service)
+    if (spec.isFirstAttempt) this.#retryBudgets.countRequest(spec.service)
     const now = this.#options.clock()
     const loads = this.assignments.serverLoads(now)
     const permitted = this.#permittedServers(spec, service)
@@ -293,9 +294,6 @@
 const summaryOf = ({ requests, pending }: ServerLoad): ChosenServerLoad =>
   ({ requests: requests.length, pendingPrefill: pending.reduce((sum, { remaining }) => sum + remaining, 0) })
 
-/** @returns a random time from `wait` to twice as long, so that refused callers do not return as one wave */
-const spreadReturn = (wait: Millis): Millis => wait * (1 + Math.random())
-
 /** Plain services have no prefill: every predicted time is 0. */
 const PLAIN_SERVICE_FIGURES = {
   slots: 1, memory: 0, stepsPerPass: 0, step: 0, stepPerWriter: 0, stepPerThousandContext: 0, readTokensPerMs: 1, readPerMillionPairs: 0, usualAnswer: 0
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -19,6 +19,7 @@
   readonly chargesRetry: boolean
   /** Whether the scheduler of another group has passed it on. */
   readonly isRedirected: boolean
+  readonly isFirstAttempt: boolean
 }
 
 /** Why an attempt is not placed. */
@@ -28,6 +29,8 @@
   RequestLimit: 'request_limit',
   /** All backend servers that could serve it have stated that they are leaving. */
   ServersLeaving: 'servers_leaving',
+  /** All backend servers that could serve it have asked this node for a pause. */
+  ServersPaused: 'servers_paused',
   /** The caller would disconnect before the first event. */
   TooLate: 'too_late',
   RetryBudgetSpent: 'retry_budget_spent',
@@ -49,6 +52,8 @@
   readonly retryAfter: Millis | null
   /** Statement of a backend server because of which none is chosen; absent if there is none. */
   readonly notice?: ServerNotice
+  /** Backend server that has asked for a pause until the caller may return; absent if there is none. */
+  readonly pausedServer?: RunnerId
 }
 
 /** Decision about one attempt. */
--- a/packages/node/tests/serverStatements.test.ts
+++ b/packages/node/tests/serverStatements.test.ts
@@ -72,3 +72,44 @@
   t.is((await fixture.call('/unsafe/x')).status, 200)
   t.deepEqual(arrivals, [2, 1])
 })
+
+/** A server that refuses everything and asks for a pause. */
+const pausing = (retryAfter: string): { script: Script, arrivals: () => number } => {
+  let count = 0
+  const script: Script = (_, response) => {
+    count += 1
+    response.writeHead(503, { [HeaderName.NotRun]: '1', 'retry-after': retryAfter }).end()
+  }
+  return { script, arrivals: () => count }
+}
+
+const answering: Script = (request, response) => { response.writeHead(200, signedHeaders(request)).end('answer') }
+
+/** Guards against retries that use up the budget at a server that has asked for a pause, while others are idle. */
+test('a server that asks for a pause gets no further request until its end, and no caller is refused', async (t) => {
+  const paused = pausing('60')
+  const fixture = await ForwardFixture.start(t, paused.script, answering, answering)
+  for (let index = 0; index < 40; index += 1) t.is((await fixture.call('/unsafe/x')).status, 200)
+  t.is(paused.arrivals(), 1)
+})
+
+test('a caller is refused at once if all servers have asked for a pause, with the time that is left', async (t) => {
+  const servers = [pausing('60'), pausing('20.5')]
+  const fixture = await ForwardFixture.start(t, ...servers.map(({ script }) => script))
+  t.is((await fixture.call('/unsafe/x')).status, 503)
+  const refusal = await fixture.call('/unsafe/x')
+  t.is(refusal.status, 503)
+  const seconds = Number(refusal.headers['retry-after'])
+  t.true(seconds > 10 && seconds < 60, `${seconds}`)
+  t.deepEqual(servers.map(({ arrivals }) => arrivals()), [1, 1])
+  t.regex(fixture.linesOf('request.not_placed').join(), /reason=servers_paused .*server=e1/)
+})
+
+for (const ignored of ['soon', '-3', '0', '']) {
+  test(`a refusal with retry-after '${ignored}' asks for no pause`, async (t) => {
+    const server = pausing(ignored)
+    const fixture = await ForwardFixture.start(t, server.script)
+    for (let index = 0; index < 3; index += 1) t.is((await fixture.call('/unsafe/x')).status, 503)
+    t.is(server.arrivals(), 3)
+  })
+}
--- a/packages/services/src/http/json.ts
+++ b/packages/services/src/http/json.ts
@@ -104,12 +104,17 @@
 const MS_PER_SECOND = 1_000
 
 /**
- * Parses a `Retry-After` header that is given in seconds.
+ * Parses a `Retry-After` header, which is a number of seconds or a date.
  *
  * @param header - value of the header
- * @returns milliseconds; null if the header is missing or is no number of seconds
+ * @param now - wall-clock time in milliseconds
+ * @returns milliseconds from now; null if the header is missing, negative or neither a number nor a date
  */
-export const parseRetryAfter = (header: string | string[] | undefined): number | null => {
-  const seconds = Number(Array.isArray(header) ? header[0] : header ?? NaN)
-  return Number.isFinite(seconds) && seconds >= 0 ? seconds * MS_PER_SECOND : null
+export const parseRetryAfter = (header: string | string[] | undefined, now = Date.now()): number | null => {
+  const text = (Array.isArray(header) ? header[0] : header ?? '')?.trim() ?? ''
+  if (text === '') return null
+  const seconds = Number(text)
+  if (!Number.isNaN(seconds)) return seconds >= 0 && Number.isFinite(seconds) ? seconds * MS_PER_SECOND : null
+  const date = Date.parse(text)
+  return Number.isNaN(date) ? null : Math.max(0, date - now)
 }
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -1,8 +1,8 @@
 /** The promises, held against what callers and backend servers saw. */
 import { answerBody, streamEvent, STREAM_EVENT_COUNT } from '@bluebellhill/platform-standin'
-import type { Ledger } from '@bluebellhill/platform-standin'
+import type { Ledger, PauseRequest } from '@bluebellhill/platform-standin'
 
-import { ABANDON_MS, ANSWER_SLACK_MS, LIMIT_KNOWN_MS, LIMIT_RATIO, LIMIT_SLACK, LIMIT_WINDOW_MS, MEASURE_SLACK_MS, RETRY_RATIO, RETRY_SLACK } from './constants.js'
+import { ABANDON_MS, ANSWER_SLACK_MS, LIMIT_KNOWN_MS, LIMIT_RATIO, LIMIT_SLACK, LIMIT_WINDOW_MS, MEASURE_SLACK_MS, PAUSE_KNOWN_MS, PAUSE_SLACK, RETRY_RATIO, RETRY_SLACK } from './constants.js'
 import type { Fleet } from './Fleet.js'
 import { RequestKind } from './types.js'
 import type { Exchange, LimitedSpan, Violation } from './types.js'
@@ -100,6 +100,15 @@
   return most <= allowed ? [] : [{ rule: 'limits of servers', detail: `${server} names ${perSecond} a second and got ${most} in ${LIMIT_WINDOW_MS} ms, ${allowed} may come` }]
 }
 
+/** A server that asks a node for a pause gets nothing of that node until its end. */
+const serverPause = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { request, server, at, pauseMs }: PauseRequest): Violation[] => {
+  const node = exchanges.get(request)?.node ?? -1
+  const until = at + pauseMs
+  if (fleet.nodes[node]?.process.wasSound(at, until) !== true) return []
+  const arrivals = fleet.ledger.arrivalsAt(server).filter((arrival) => arrival.at > at + PAUSE_KNOWN_MS && arrival.at < until && exchanges.get(arrival.request)?.node === node)
+  return arrivals.length <= PAUSE_SLACK ? [] : [{ rule: 'pauses of servers', detail: `${server} asked node ${node} for ${pauseMs} ms and got ${arrivals.length} requests of it` }]
+}
+
 /**
  * @param exchanges - what callers saw
  * @param fleet - what ran
@@ -113,5 +122,6 @@
   const ends = fleet.nodes.flatMap(({ process }) => process.unexpectedEnds.map((detail) => ({ rule: 'processes end only when asked to', detail })))
   const byId = new Map(exchanges.map((exchange) => [exchange.id, exchange]))
   const limits = fleet.limitedSpans.flatMap((span) => serverLimit(byId, fleet, span))
-  return [...single, ...retryBudget(exchanges, fleet.ledger), ...limits, ...ends]
+  const pauses = fleet.ledger.pauseRequests.flatMap((request) => serverPause(byId, fleet, request))
+  return [...single, ...retryBudget(exchanges, fleet.ledger), ...limits, ...pauses, ...ends]
 }
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -30,6 +30,10 @@
 export const LIMIT_RATIO = 1.5
 export const LIMIT_SLACK = 5
 
+/** Time after a server asks for a pause from which it is held, and requests of one node that may come in it nevertheless. */
+export const PAUSE_KNOWN_MS = 500
+export const PAUSE_SLACK = 2
+
 /** Time after which a removed key is refused by every node. */
 export const REVOKE_MS = 5_000
 
--- a/packages/soak/src/statements.ts
+++ b/packages/soak/src/statements.ts
@@ -43,6 +43,33 @@
   }
 }
 
+/** Servers that refuse all requests and ask for pauses in one soak. */
+const MOST_PAUSES = 2
+
+/** Time for which they refuse, and the pauses that they ask for, in tenths of a second. */
+const SHORTEST_REFUSAL_MS = 500
+const LONGEST_REFUSAL_MS = 3_000
+const SHORTEST_PAUSE = 2
+const LONGEST_PAUSE = 30
+
+const pauseServer = (fleet: Fleet, random: Random): FaultStep => {
+  const server = random.pick(fleet.servers)
+  const lasts = random.between(SHORTEST_REFUSAL_MS, LONGEST_REFUSAL_MS)
+  const at = random.between(FAULTS_FROM_MS, FAULTS_UNTIL_MS - lasts)
+  const seconds = random.between(SHORTEST_PAUSE, LONGEST_PAUSE) / TENTHS
+  return {
+    at,
+    name: `server ${server.index} refuses for ${lasts} ms and asks for pauses of ${seconds} s`,
+    run: async () => {
+      const { standin } = server
+      if (standin === null) return
+      standin.pauseSeconds = seconds
+      await sleep(lasts)
+      standin.pauseSeconds = null
+    }
+  }
+}
+
 const limitServer = (fleet: Fleet, random: Random): FaultStep => {
   const server = random.pick(fleet.servers)
   const perSecond = random.between(LOWEST_LIMIT, HIGHEST_LIMIT) / TENTHS
@@ -71,6 +98,7 @@
   const random = new Random(seed + STATEMENT_SEED)
   const limits = Array.from({ length: random.between(0, MOST_LIMITS) }, () => limitServer(fleet, random))
   const leavings = Array.from({ length: random.between(0, MOST_LEAVINGS) }, () => leaveServer(fleet, random))
-  const steps = [...limits, ...leavings]
+  const pauses = Array.from({ length: random.between(0, MOST_PAUSES) }, () => pauseServer(fleet, random))
+  const steps = [...limits, ...leavings, ...pauses]
   return steps.sort((a, b) => a.at - b.at)
 }
--- a/packages/soak/tests/checks.test.ts
+++ b/packages/soak/tests/checks.test.ts
@@ -1,10 +1,12 @@
 /** Each check of the soak fails on a record that breaks its promise. */
+import { setTimeout as sleep } from 'node:timers/promises'
+
 import test from 'ava'
 
 import { answerBody, streamEvent, Ledger, STREAM_EVENT_COUNT } from '@bluebellhill/platform-standin'
 
 import { violationsOf } from '../src/checks.js'
-import { LIMIT_KNOWN_MS } from '../src/constants.js'
+import { LIMIT_KNOWN_MS, PAUSE_KNOWN_MS, PAUSE_SLACK } from '../src/constants.js'
 import type { Fleet } from '../src/Fleet.js'
 import { NodeProcess } from '../src/NodeProcess.js'
 import { RequestKind } from '../src/types.js'
@@ -81,3 +83,13 @@
   fleet.nodes[0]?.process.beginOutage()
   t.false(rules({}, fleet).includes('limits of servers'))
 })
+
+test('pauses of servers: broken by a third request of the same node', async (t) => {
+  const fleet = fleetOf(0)
+  fleet.ledger.requestPause(ID, SERVER, 60_000)
+  await sleep(PAUSE_KNOWN_MS + 50)
+  for (let index = 0; index < PAUSE_SLACK; index += 1) fleet.ledger.arrive(ID, SERVER)
+  t.deepEqual(rules({}, fleet).filter((rule) => rule === 'pauses of servers'), [])
+  fleet.ledger.arrive(ID, SERVER)
+  t.true(rules({}, fleet).includes('pauses of servers'))
+})
