Store: a return from a copy does not bring back what was known better

Callers saw: nothing yet. The users' new rule: the store may come back from a copy some seconds old, give out revisions anew and raise its era.

An answer of a new era leads to a new listing. What contradicts what was known (another readiness, address or start, or a server that was removed within the last minute) is withheld until its server writes again or a grace of two seconds ends; what is missing stays for as long. Nodes register again within two seconds.

--- a/packages/domain/src/forwarding/BackendServerTable.ts
+++ b/packages/domain/src/forwarding/BackendServerTable.ts
@@ -1,11 +1,16 @@
 /** Keeps the list of backend servers from the store, and decides which missing entries are real removals. */
 import type { Millis, RunnerId } from '../types.js'
+import { eraOf } from './storeRevision.js'
+import type { StoreRevision } from './storeRevision.js'
 import { Readiness } from './types.js'
 import type { BackendServer } from './types.js'
 
 /** Time after the store's return within which an entry that expired during the outage may be registered again. */
 export const EXPIRED_ENTRY_GRACE: Millis = 2_000
 
+/** Time for which removed servers are remembered: a copy from which the store is restored may still contain them. */
+const DEPARTURE_RETENTION: Millis = 60_000
+
 /** Shortest store outage in which entries can expire. */
 export const MIN_EXPIRY_OUTAGE: Millis = 1_000
 
@@ -30,7 +35,7 @@
 interface TableEntry {
   server: BackendServer
   /** Store revision of its last change. */
-  revision: number
+  revision: StoreRevision
   /** Whether the store dropped it during or right after an outage, so that it may be registered again. */
   mayReturn: boolean
 }
@@ -38,15 +43,30 @@
 /** Entry of a backend server in the store. */
 export interface ServerEntry {
   readonly server: BackendServer
-  readonly revision: number
+  readonly revision: StoreRevision
   /** Whether the store no longer has it, because of an outage, and its server may register again. */
   readonly isLapsed?: boolean
 }
 
+interface Departure {
+  readonly startedAt: number | null
+  readonly at: Millis
+}
+
 /** Tracks which backend servers may get new requests. */
 export class BackendServerTable {
   readonly #entries = new Map<RunnerId, TableEntry>()
   readonly #replaced = new Set<RunnerId>()
+  /**
+   * Entries of a store that was restored from a copy and that contradict what was known before. They may be older: what is known
+   * stays in force until they are written again, or until the grace period ends.
+   */
+  readonly #withheld = new Map<RunnerId, ServerEntry>()
+  /** Servers that were removed lately. */
+  readonly #departures = new Map<RunnerId, Departure>()
+  /** Era of the store's last list; null before the first one. */
+  #era: number | null = null
+  #restoreGraceEndsAt: Millis = -Infinity
   /** An entry that disappears before this time may have expired because of a store outage while its server still runs. */
   #graceEndsAt: Millis = -Infinity
   #storeLostAt: Millis | null = null
@@ -82,6 +102,7 @@
   put ({ server, revision, isLapsed = false }: ServerEntry): BackendServerChange[] {
     const existing = this.#entries.get(server.id)
     if (existing !== undefined && existing.revision > revision) return []
+    this.#withheld.delete(server.id)
     this.#entries.set(server.id, { server, revision, mayReturn: isLapsed })
     return this.#changes(existing?.server ?? null, server)
   }
@@ -95,16 +116,18 @@
    * @param isConfirmed - whether the entry cannot merely have expired while its server runs
    * @returns the resulting changes
    */
-  remove (id: RunnerId, revision: number, now: Millis, isConfirmed = false): BackendServerChange[] {
+  remove (id: RunnerId, revision: StoreRevision, now: Millis, isConfirmed = false): BackendServerChange[] {
+    this.#withheld.delete(id)
     const entry = this.#entries.get(id)
     if (entry === undefined || entry.revision > revision) return []
-    if (isConfirmed || now >= this.#graceEndsAt) return this.#removeEntry(entry, DepartureCause.Removed)
+    if (isConfirmed || !this.#isInGrace(now)) return this.#removeEntry(entry, DepartureCause.Removed, now)
     entry.mayReturn = true
     return []
   }
 
   /**
-   * Replaces the whole list; entries that are missing from it are removed.
+   * Replaces the whole list; entries that are missing from it are removed. If the store has been restored from a copy since the last
+   * list, what was known before stays in force for a grace period, in which the servers write their entries again.
    *
    * @param entries - all entries
    * @param revision - store revision of the list
@@ -113,8 +136,11 @@
    * @param unchanged - ids of entries that the list contains without their contents
    * @returns the resulting changes
    */
-  replaceAll (entries: readonly ServerEntry[], revision: number, now: Millis, isConfirmed = false, unchanged: readonly RunnerId[] = []): BackendServerChange[] {
+  replaceAll (entries: readonly ServerEntry[], revision: StoreRevision, now: Millis, isConfirmed = false, unchanged: readonly RunnerId[] = []): BackendServerChange[] {
     const present = new Set([...unchanged, ...entries.map(({ server }) => server.id)])
+    const isRestored = this.#era !== null && eraOf(revision) > this.#era
+    this.#era = Math.max(this.#era ?? 0, eraOf(revision))
+    if (isRestored) return this.#mergeRestored(entries, present, now)
     if (entries.some(({ isLapsed }) => isLapsed)) this.#graceEndsAt = Math.max(this.#graceEndsAt, now + EXPIRED_ENTRY_GRACE)
     const absent = [...this.#entries.keys()].filter((id) => !present.has(id))
     return [...entries.flatMap((entry) => this.put(entry)), ...absent.flatMap((id) => this.remove(id, revision, now, isConfirmed))]
@@ -127,9 +153,10 @@
    * @returns the resulting changes
    */
   expire (now: Millis): BackendServerChange[] {
-    if (now < this.#graceEndsAt) return []
-    const missing = [...this.#entries.values()].filter((entry) => entry.mayReturn)
-    return missing.flatMap((entry) => this.#removeEntry(entry, DepartureCause.Expired))
+    if (this.#isInGrace(now)) return []
+    const withheld = [...this.#withheld.values()]
+    const missing = [...this.#entries.values()].filter((entry) => entry.mayReturn && !this.#withheld.has(entry.server.id))
+    return [...withheld.flatMap((entry) => this.put(entry)), ...missing.flatMap((entry) => this.#removeEntry(entry, DepartureCause.Expired, now))]
   }
 
   /**
@@ -171,6 +198,29 @@
     return [...this.#entries.values()].map(({ server, revision, mayReturn }) => ({ server, revision, ...(mayReturn ? { isLapsed: true } : {}) }))
   }
 
+  #isInGrace (now: Millis): boolean {
+    return now < this.#graceEndsAt || now < this.#restoreGraceEndsAt
+  }
+
+  /** Applies the list of a restored store as far as it agrees with what is known, or is new; nothing departs because of it. */
+  #mergeRestored (entries: readonly ServerEntry[], present: ReadonlySet<RunnerId>, now: Millis): BackendServerChange[] {
+    this.#restoreGraceEndsAt = now + EXPIRED_ENTRY_GRACE
+    this.#withheld.clear()
+    for (const [id, entry] of this.#entries) if (!present.has(id)) entry.mayReturn = true
+    return entries.flatMap((entry) => {
+      if (!this.#contradicts(entry, now)) return this.put(entry)
+      this.#withheld.set(entry.server.id, entry)
+      return []
+    })
+  }
+
+  #contradicts ({ server }: ServerEntry, now: Millis): boolean {
+    const known = this.#entries.get(server.id)?.server
+    if (known !== undefined) return known.readiness !== server.readiness || known.address !== server.address || known.startedAt !== server.startedAt
+    const departure = this.#departures.get(server.id)
+    return departure !== undefined && now - departure.at <= DEPARTURE_RETENTION && departure.startedAt === server.startedAt
+  }
+
   #changes (before: BackendServer | null, after: BackendServer): BackendServerChange[] {
     if (before === null) return [{ type: 'arrived', server: after }]
     const restarted = after.startedAt !== null && before.startedAt !== null && after.startedAt !== before.startedAt
@@ -184,11 +234,17 @@
       : [{ type: 'departed', server: after, cause: DepartureCause.Draining }]
   }
 
-  #removeEntry (entry: TableEntry, cause: DepartureCause): BackendServerChange[] {
+  #removeEntry (entry: TableEntry, cause: DepartureCause, now: Millis): BackendServerChange[] {
     this.#entries.delete(entry.server.id)
+    this.#rememberDeparture(entry.server, now)
     this.#replaced.delete(entry.server.id)
     return entry.server.readiness === Readiness.Draining && cause === DepartureCause.Removed
       ? []
       : [{ type: 'departed', server: entry.server, cause }]
   }
+
+  #rememberDeparture ({ id, startedAt }: BackendServer, now: Millis): void {
+    for (const [departed, { at }] of this.#departures) if (now - at > DEPARTURE_RETENTION) this.#departures.delete(departed)
+    this.#departures.set(id, { startedAt, at: now })
+  }
 }
--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -1,6 +1,6 @@
 /** Keeps this node's view of the configuration and of the backend servers, merged from the store, peers and answers. */
-import { BackendServerTable, DepartureCause, RouteTable } from '@bluebellhill/domain'
-import type { BackendServerChange, Deployment, ServerEntry, Millis, RunnerId } from '@bluebellhill/domain'
+import { BackendServerTable, DepartureCause, describeRevision, eraOf, RouteTable } from '@bluebellhill/domain'
+import type { BackendServerChange, Deployment, ServerEntry, Millis, RunnerId, StoreRevision } from '@bluebellhill/domain'
 
 import type { Log } from '../log/index.js'
 
@@ -11,7 +11,7 @@
 export interface FleetStateVersion {
   readonly configuration: number
   /** Store revision of the list of backend servers. */
-  readonly servers: number
+  readonly servers: StoreRevision
 }
 
 /** State that one node sends to another; a field is null if the other node has the same or a newer version. */
@@ -25,7 +25,7 @@
   /** Ids of the entries that the other node has already; absent if all entries are listed. */
   readonly unchanged?: readonly RunnerId[]
   /** Store revision of the list. */
-  readonly revision: number
+  readonly revision: StoreRevision
 }
 
 export type FleetStateListener = () => void
@@ -35,9 +35,10 @@
   readonly servers = new BackendServerTable()
   #routeTable: RouteTable | null = null
   #installedAt: Millis = 0
-  #serversRevision = 0
+  #serversRevision: StoreRevision = 0
   readonly #listeners = new Set<FleetStateListener>()
   readonly #departureListeners = new Set<(id: RunnerId) => void>()
+  readonly #restoreListeners = new Set<() => void>()
 
   /**
    * @param log - receives a line for each change
@@ -56,7 +57,7 @@
   }
 
   /** Store revision up to which the list of backend servers is current. */
-  get serversRevision (): number {
+  get serversRevision (): StoreRevision {
     return this.#serversRevision
   }
 
@@ -76,6 +77,11 @@
     this.#departureListeners.add(listener)
   }
 
+  /** Adds a listener that is called when the store has been restored from a copy, which lacks its last changes. */
+  onStoreRestored (listener: () => void): void {
+    this.#restoreListeners.add(listener)
+  }
+
   /** Installs a configuration unless the same or a newer version is in force. */
   install (deployment: Deployment, origin: FleetStateOrigin): void {
     if (deployment.version <= this.configurationVersion) return
@@ -91,12 +97,12 @@
     this.#applyServerChanges(this.servers.put(listed), origin)
   }
 
-  removeServer (id: RunnerId, revision: number, origin: FleetStateOrigin): void {
+  removeServer (id: RunnerId, revision: StoreRevision, origin: FleetStateOrigin): void {
     this.#advanceServersRevision(revision)
     this.#applyServerChanges(this.servers.remove(id, revision, this.clock()), origin)
   }
 
-  replaceServers (listed: readonly ServerEntry[], revision: number, origin: FleetStateOrigin, unchanged: readonly RunnerId[] = []): void {
+  replaceServers (listed: readonly ServerEntry[], revision: StoreRevision, origin: FleetStateOrigin, unchanged: readonly RunnerId[] = []): void {
     if (revision < this.#serversRevision) return
     this.#advanceServersRevision(revision)
     this.#applyServerChanges(this.servers.replaceAll(listed, revision, this.clock(), origin === 'peer', unchanged), origin)
@@ -141,15 +147,17 @@
     if (servers !== null && servers.revision > this.#serversRevision) this.replaceServers(servers.listed, servers.revision, 'peer', servers.unchanged)
   }
 
-  #advanceServersRevision (revision: number): void {
-    this.#serversRevision = Math.max(this.#serversRevision, revision)
+  #advanceServersRevision (revision: StoreRevision): void {
+    const before = this.#serversRevision
+    this.#serversRevision = Math.max(before, revision)
+    if (before > 0 && eraOf(this.#serversRevision) > eraOf(before)) for (const listener of this.#restoreListeners) listener()
   }
 
   #applyServerChanges (changes: readonly BackendServerChange[], origin: FleetStateOrigin): void {
     for (const change of changes) {
       const { id, service, address, failureDomain } = change.server
       const cause = change.type === 'departed' ? change.cause : undefined
-      this.log.info(`server.${change.type}`, { server: id, service, address, server_domain: failureDomain, cause, origin, revision: this.#serversRevision })
+      this.log.info(`server.${change.type}`, { server: id, service, address, server_domain: failureDomain, cause, origin, revision: describeRevision(this.#serversRevision) })
       if (cause !== undefined && cause !== DepartureCause.Draining) for (const listener of this.#departureListeners) listener(id)
     }
     if (changes.length > 0) this.#notifyListeners()
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -139,6 +139,7 @@
       onNodesListed: (nodes, addresses) => this.#peerLink.addNodes(nodes, addresses),
       log
     })
+    this.#fleetState.onStoreRestored(() => this.#nodeRegistration.storeRestored())
     const engineHttp = new HttpPool(2)
     this.#disposables.add(engineHttp)
     const memory = new EngineMemoryClient(engineHttp, RESERVATION_CALL_TIMEOUT)
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -1,4 +1,5 @@
 /** Writes the log lines about the attempts and the end of one request. */
+import { describeRevision } from '@bluebellhill/domain'
 import type { AttemptEnd, Millis, RunnerId, ServerNotice } from '@bluebellhill/domain'
 
 import type { AdmittedCall } from './AdmittedCall.js'
@@ -57,7 +58,7 @@
       ...statementFields(notice, now),
       due_in_ms: Math.round(call.dueAt - now),
       configuration: context.fleetState.configurationVersion,
-      servers_revision: context.fleetState.serversRevision,
+      servers_revision: describeRevision(context.fleetState.serversRevision),
       resumes: lastEventId ?? undefined
     })
   }
--- a/packages/node/src/forward/peers/Announcements.ts
+++ b/packages/node/src/forward/peers/Announcements.ts
@@ -8,6 +8,7 @@
 import type { DatagramContent } from './datagramCodec.js'
 import { encodeNotice } from './noticeCodec.js'
 import { NoticeQueue } from './NoticeQueue.js'
+import { encodeRevision } from './revisionCodec.js'
 
 /** Number of candidates that an answer to an introduction names. */
 const NAMED_CANDIDATES = 4
@@ -72,7 +73,7 @@
     return {
       uptimeMs: BigInt(Math.round(clock() - this.#startedAt)),
       configurationVersion: fleetState.configurationVersion,
-      serversRevision: BigInt(fleetState.serversRevision),
+      ...encodeRevision(fleetState.serversRevision),
       storeLost: isStoreLost(),
       stopping: this.#isStopping,
       candidates: namesCandidates ? directory.ranked(NAMED_CANDIDATES).map(encodeCandidate) : [],
--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -4,6 +4,7 @@
 import { once } from 'node:events'
 import { gunzipSync, gzipSync } from 'node:zlib'
 
+import { eraOf, revisionInEra, storeRevision } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { describeFailure, readBody } from '@bluebellhill/services'
 import type { HttpPool } from '@bluebellhill/services'
@@ -11,13 +12,16 @@
 import type { FleetState, FleetStateSnapshot, FleetStateVersion } from '../FleetState.js'
 import type { Log } from '../../log/index.js'
 import type { FleetStateSource } from './PeerLink.js'
-import { decodeSnapshot } from './snapshotCodec.js'
+import { decodeSnapshot, encodeSnapshot } from './snapshotCodec.js'
 
 const PATH = '/knowledge'
 
 /** Query parameter with which a node asks for changes only, compressed. Earlier builds neither send nor know it. */
 const CHANGES_PARAMETER = 'changes'
 
+/** Query parameter with the era of the store to which the revision belongs. Earlier builds neither send nor know it. */
+const ERA_PARAMETER = 'era'
+
 const GZIP = 'gzip'
 
 /** Fastest compression: repeated field names make up most of a snapshot. */
@@ -63,7 +67,7 @@
   constructor (options: FleetStateExchangeOptions) {
     this.#options = options
     this.#server = createServer((request, response) => {
-      const query = request.method === 'GET' ? parseQuery(request.url ?? '') : null
+      const query = request.method === 'GET' ? parseQuery(request.url ?? '', eraOf(options.fleetState.serversRevision)) : null
       if (query === null) response.writeHead(404, { connection: 'close' }).end()
       else this.#answer(response, query)
     })
@@ -88,7 +92,7 @@
     const { fleetState } = this.#options
     const headers = { 'content-type': 'application/json', connection: 'close' }
     if (wantsChanges) response.writeHead(200, { ...headers, 'content-encoding': GZIP }).end(this.#compressed(version))
-    else response.writeHead(200, headers).end(JSON.stringify(fleetState.newerThan(version)))
+    else response.writeHead(200, headers).end(encodeSnapshot(fleetState.newerThan(version)))
   }
 
   /** Many nodes ask for the same change at nearly the same time. */
@@ -129,11 +133,12 @@
 
   async #fetchFrom ({ node, address }: FleetStateSource): Promise<void> {
     const { fleetState, http, log } = this.#options
-    const path = `${PATH}?configuration=${fleetState.configurationVersion}&servers=${fleetState.serversRevision}&${CHANGES_PARAMETER}=1`
+    const { configurationVersion, serversRevision } = fleetState
+    const path = `${PATH}?configuration=${configurationVersion}&servers=${revisionInEra(serversRevision)}&${ERA_PARAMETER}=${eraOf(serversRevision)}&${CHANGES_PARAMETER}=1`
     const answer = await http.send({ address, method: 'GET', path, timeout: ANSWER_TIMEOUT, idleTimeout: ANSWER_TIMEOUT })
     const body = answer.ok ? await readBody(answer.value, MAX_SNAPSHOT_BYTES) : answer
     if (this.#isDisposed) return
-    const snapshot = body.ok ? decodeSnapshot(decompress(body.value)) : body
+    const snapshot = body.ok ? decodeSnapshot(decompress(body.value), eraOf(serversRevision)) : body
     if (snapshot.ok) fleetState.merge(snapshot.value)
     else log.warn('peers.catch_up_failed', { peer: node, reason: describeFailure(snapshot.failure) })
   }
@@ -147,15 +152,16 @@
 }
 
 /** @returns the query; null if the path is another one */
-const parseQuery = (url: string): SnapshotQuery | null => {
+const parseQuery = (url: string, ownEra: number): SnapshotQuery | null => {
   const [path, query = ''] = url.split('?', 2)
   if (path !== PATH) return null
   const parameters = new URLSearchParams(query)
-  const version = { configuration: Number(parameters.get('configuration') ?? 0), servers: Number(parameters.get('servers') ?? 0) }
+  const servers = storeRevision(Number(parameters.get(ERA_PARAMETER) ?? ownEra), Number(parameters.get('servers') ?? 0))
+  const version = { configuration: Number(parameters.get('configuration') ?? 0), servers }
   return { version, wantsChanges: parameters.has(CHANGES_PARAMETER) }
 }
 
-const compress = (snapshot: FleetStateSnapshot): Buffer => gzipSync(JSON.stringify(snapshot), { level: GZIP_LEVEL })
+const compress = (snapshot: FleetStateSnapshot): Buffer => gzipSync(encodeSnapshot(snapshot), { level: GZIP_LEVEL })
 
 /** Nodes of earlier builds answer without compression. */
 const decompress = (body: Buffer): Buffer => isGzip(body) ? gunzipSync(body, { maxOutputLength: MAX_SNAPSHOT_BYTES }) : body
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -2,7 +2,7 @@
  * Exchanges states with other nodes: this node reports its assignments to the candidates that may schedule for it, answers the
  * reports of the nodes for which it is a candidate, and announces the load of its group to the schedulers of the others.
  */
-import { groupOf } from '@bluebellhill/domain'
+import { eraOf, groupOf } from '@bluebellhill/domain'
 import type { CandidateState, FailureDomain, Millis, NodeId, RunnerId, SchedulerCandidate, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 import type { fleetWire } from '@bluebellhill/protocol'
 
@@ -190,6 +190,10 @@
     if (this.#isGroupScheduler(now)) this.#announceLoad()
   }
 
+  get #ownEra (): number {
+    return eraOf(this.#options.fleetState.serversRevision)
+  }
+
   #updateGroup (): void {
     const { fleetState, directory, self, log } = this.#options
     const engineServices = new Set(fleetState.routeTable?.deployment.services.filter(({ engine }) => engine !== null).map(({ name }) => name))
@@ -241,7 +245,7 @@
   #receive (bytes: Buffer, address: string): void {
     try {
       if (isSchedulerDatagram(bytes)) this.#receiveMessage(decodeDatagram(bytes), address)
-      else this.#receiveState(decodeState(bytes, this.#options.clock()), address)
+      else this.#receiveState(decodeState(bytes, this.#options.clock(), this.#ownEra), address)
     } catch (error) {
       this.#malformedCount += 1
       this.#options.log.warn('peers.datagram_malformed', { from: address, reason: error instanceof Error ? error.message : String(error) })
@@ -253,13 +257,13 @@
     if (content.$case === 'candidateReport') {
       this.addNodes(content.value.candidates.map(decodeCandidate), [])
       this.#recordNotices(content.value.notices)
-      this.#candidateHeard(node, decodeCandidateState(content.value))
+      this.#candidateHeard(node, decodeCandidateState(content.value, this.#ownEra))
     } else if (content.$case === 'groupReport') {
       this.#options.scheduler.recordGroupLoad(decodeGroupLoad(content.value, address))
       const { sender } = content.value
       if (sender === undefined) return
       this.#recordNotices(sender.notices)
-      this.#candidateHeard(node, decodeCandidateState(sender))
+      this.#candidateHeard(node, decodeCandidateState(sender, this.#ownEra))
     } else {
       this.#options.onPlacementMessage(message, address)
     }
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -5,6 +5,7 @@
 
 import type { AttemptReport, PlacementResult, PlacementSpec, RefusedPlacement } from '../scheduling/types.js'
 import { decodeNotice, encodeNotice } from './noticeCodec.js'
+import { decodeRevision } from './revisionCodec.js'
 
 /** First byte of these datagrams. A node state, which earlier builds send and understand, never starts with it. */
 const DATAGRAM_MARK = 0
@@ -197,9 +198,15 @@
 export const decodeCandidate = ({ node, address, failureDomain, processorMilli }: fleetWire.Candidate): SchedulerCandidate =>
   ({ node: node as NodeId, address, failureDomain: failureDomain as FailureDomain, processor: processorMilli / MILLI })
 
-/** @returns the state that a candidate announces */
-export const decodeCandidateState = ({ uptimeMs, configurationVersion, serversRevision, storeLost, stopping }: fleetWire.CandidateReport): CandidateState =>
-  ({ uptime: Number(uptimeMs), isStopping: stopping, hasLostStore: storeLost, configurationVersion, serversRevision: Number(serversRevision) })
+/**
+ * @param report - a received report
+ * @param ownEra - era of the store as this node knows it
+ * @returns the state that a candidate announces
+ */
+export const decodeCandidateState = (report: fleetWire.CandidateReport, ownEra: number): CandidateState => {
+  const { uptimeMs, configurationVersion, storeLost, stopping } = report
+  return { uptime: Number(uptimeMs), isStopping: stopping, hasLostStore: storeLost, configurationVersion, serversRevision: decodeRevision(report, ownEra) }
+}
 
 /**
  * @param wire - a received group report
--- /dev/null
+++ b/packages/node/src/forward/peers/revisionCodec.ts
@@ -0,0 +1,22 @@
+/** Encodes revisions of the platform's store for other nodes, and decodes them. Nodes of earlier builds send no era. */
+import { eraOf, revisionInEra, storeRevision } from '@bluebellhill/domain'
+import type { StoreRevision } from '@bluebellhill/domain'
+
+/** Revision of the list of backend servers in a datagram. */
+export interface RevisionFields {
+  readonly serversRevision: bigint
+  /** 0 if the sender does not know eras. */
+  readonly serversEraPlusOne: number
+}
+
+/** @returns the fields of a datagram for a revision */
+export const encodeRevision = (revision: StoreRevision): RevisionFields =>
+  ({ serversRevision: BigInt(revisionInEra(revision)), serversEraPlusOne: eraOf(revision) + 1 })
+
+/**
+ * @param fields - fields of a received datagram
+ * @param ownEra - era of the store as this node knows it, which is assumed if the sender knows none
+ * @returns the revision
+ */
+export const decodeRevision = ({ serversRevision, serversEraPlusOne }: RevisionFields, ownEra: number): StoreRevision =>
+  storeRevision(serversEraPlusOne === 0 ? ownEra : serversEraPlusOne - 1, Number(serversRevision))
--- a/packages/node/src/forward/peers/snapshotCodec.ts
+++ b/packages/node/src/forward/peers/snapshotCodec.ts
@@ -1,8 +1,8 @@
-/** Decodes a fleet state snapshot of another node; a snapshot with any invalid field is refused as a whole. */
+/** Encodes fleet state snapshots for other nodes, and decodes theirs; a snapshot with any invalid field is refused as a whole. */
 import * as z from 'zod'
 
-import { CallKind, Readiness } from '@bluebellhill/domain'
-import type { FailureDomain, RunnerId } from '@bluebellhill/domain'
+import { CallKind, eraOf, Readiness, revisionInEra, storeRevision } from '@bluebellhill/domain'
+import type { FailureDomain, RunnerId, StoreRevision } from '@bluebellhill/domain'
 import { failed, success } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
 
@@ -56,23 +56,51 @@
   startedAt: z.number().nullable()
 })
 
+/** Revision of the store; nodes of earlier builds send no era. */
+const revisionFields = { revision: nonNegative, era: nonNegative.optional() }
+
 const snapshotSchema = z.object({
   deployment: deploymentSchema.nullable(),
   servers: z.object({
-    listed: z.array(z.object({ server: serverSchema, revision: nonNegative, isLapsed: z.boolean().optional() })),
+    listed: z.array(z.object({ server: serverSchema, isLapsed: z.boolean().optional(), ...revisionFields })),
     unchanged: z.array(nonEmpty.transform((id) => id as RunnerId)).optional(),
-    revision: nonNegative
+    ...revisionFields
   }).nullable()
 })
 
+interface WireRevision {
+  readonly revision: number
+  readonly era?: number
+}
+
+/**
+ * @param snapshot - state for another node
+ * @returns JSON text
+ */
+export const encodeSnapshot = ({ deployment, servers }: FleetStateSnapshot): string => JSON.stringify({
+  deployment,
+  servers: servers === null
+    ? null
+    : { ...servers, ...encodeRevision(servers.revision), listed: servers.listed.map((entry) => ({ ...entry, ...encodeRevision(entry.revision) })) }
+})
+
 /**
  * @param body - JSON text that another node sent
+ * @param ownEra - era of the store as this node knows it, which is assumed if the other node knows none
  * @returns the snapshot, or the failure `malformed`
  */
-export const decodeSnapshot = (body: Buffer): Result<FleetStateSnapshot, CallFailure> => {
+export const decodeSnapshot = (body: Buffer, ownEra: number): Result<FleetStateSnapshot, CallFailure> => {
   try {
-    return success(snapshotSchema.parse(JSON.parse(body.toString('utf8'))))
+    const { deployment, servers } = snapshotSchema.parse(JSON.parse(body.toString('utf8')))
+    if (servers === null) return success({ deployment, servers })
+    const listed = servers.listed.map(({ era, ...entry }) => ({ ...entry, revision: decodeRevision({ revision: entry.revision, era }, ownEra) }))
+    const unchanged = servers.unchanged === undefined ? {} : { unchanged: servers.unchanged }
+    return success({ deployment, servers: { ...unchanged, listed, revision: decodeRevision(servers, ownEra) } })
   } catch (error) {
     return failed({ type: 'malformed', reason: error instanceof Error ? error.message : String(error) })
   }
 }
+
+const encodeRevision = (revision: StoreRevision): Required<WireRevision> => ({ revision: revisionInEra(revision), era: eraOf(revision) })
+
+const decodeRevision = ({ revision, era }: WireRevision, ownEra: number): StoreRevision => storeRevision(era ?? ownEra, revision)
--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -3,6 +3,8 @@
 import type { Millis, NodeId, RunnerId, Assignment } from '@bluebellhill/domain'
 import { fleetWire } from '@bluebellhill/protocol'
 
+import { decodeRevision, encodeRevision } from './revisionCodec.js'
+
 /** State that a node sends to the other nodes. */
 export interface NodeState {
   readonly node: NodeId
@@ -50,7 +52,7 @@
     return fleetWire.NodeState.encode({
       ...state,
       startedAt: BigInt(state.startedAt),
-      serversRevision: BigInt(state.serversRevision),
+      ...encodeRevision(state.serversRevision),
       processorMilli: Math.round(state.processor * MILLI),
       part: fragmentIndex,
       parts: fragmentCount,
@@ -64,17 +66,18 @@
 /**
  * @param datagram - datagram from another node
  * @param now - time of its arrival
+ * @param ownEra - era of the store as this node knows it
  * @returns a fragment of that node's state
  * @throws Error if the datagram is not a node state
  */
-export const decodeState = (datagram: Uint8Array, now: Millis): NodeStateFragment => {
+export const decodeState = (datagram: Uint8Array, now: Millis, ownEra = 0): NodeStateFragment => {
   const wire = fleetWire.NodeState.decode(datagram)
   if (wire.node === '' || wire.parts < 1 || wire.part >= wire.parts) throw new Error('the datagram is not a node state')
   return {
     ...wire,
     node: wire.node as NodeId,
     startedAt: Number(wire.startedAt),
-    serversRevision: Number(wire.serversRevision),
+    serversRevision: decodeRevision(wire, ownEra),
     processor: wire.processorMilli / MILLI,
     works: wire.works.map((assignment) => decodeAssignment(assignment, wire.node as NodeId, now))
   }
--- a/packages/node/src/forward/store/NodeRegistration.ts
+++ b/packages/node/src/forward/store/NodeRegistration.ts
@@ -16,6 +16,9 @@
 /** Delay before a failed call is repeated. */
 const RETRY_DELAY: Millis = 2_000
 
+/** Longest time after which a node registers again once the store was restored, so that not all nodes do at once. */
+const MAX_RESTORE_DELAY: Millis = 2_000
+
 /** Renewals between two listings of all nodes. Few are needed: a starting node lists all others and contacts them. */
 const RENEWALS_PER_LISTING = 2
 
@@ -37,6 +40,9 @@
   #lease: StoreLease | null = null
   #renewals = 0
   #timer: NodeJS.Timeout | null = null
+  /** Whether the store was restored from a copy since the last registration. */
+  #isRestored = false
+  #isRefreshing = false
   #isDisposed = false
 
   /** @param options - the store, and the id and address of this node */
@@ -49,15 +55,36 @@
     void this.#refresh()
   }
 
+  /** Registers this node anew soon: the store was restored from a copy that may lack its entry, its lease and other nodes. */
+  storeRestored (): void {
+    this.#isRestored = true
+    if (!this.#isRefreshing) this.#scheduleRefresh(true)
+  }
+
   dispose (): void {
     this.#isDisposed = true
     if (this.#timer !== null) clearTimeout(this.#timer)
   }
 
   async #refresh (): Promise<void> {
+    this.#isRefreshing = true
+    if (this.#isRestored) this.#forgetRegistration()
     const isDone = await this.#renewEntry() && await this.#listNodesIfDue()
+    this.#isRefreshing = false
+    this.#scheduleRefresh(isDone)
+  }
+
+  #scheduleRefresh (isDone: boolean): void {
     if (this.#isDisposed) return
-    this.#timer = setTimeout(() => { void this.#refresh() }, isDone ? RENEWAL_PERIOD : RETRY_DELAY)
+    if (this.#timer !== null) clearTimeout(this.#timer)
+    const usualDelay = isDone ? RENEWAL_PERIOD : RETRY_DELAY
+    this.#timer = setTimeout(() => { void this.#refresh() }, this.#isRestored ? MAX_RESTORE_DELAY * Math.random() : usualDelay)
+  }
+
+  #forgetRegistration (): void {
+    this.#isRestored = false
+    this.#lease = null
+    this.#renewals = 0
   }
 
   async #listNodesIfDue (): Promise<boolean> {
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -1,7 +1,8 @@
 /** Keeps the configuration and the list of backend servers in sync with the platform's store. */
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import type { Millis } from '@bluebellhill/domain'
+import { describeRevision, eraOf } from '@bluebellhill/domain'
+import type { Millis, StoreRevision } from '@bluebellhill/domain'
 import { parseDeployment, parseServerEntry, serverIdOfKey, StoreKey } from '@bluebellhill/platform'
 import type { MetadataStore, StoreChange, StoreItem } from '@bluebellhill/platform'
 import { describeFailure } from '@bluebellhill/services'
@@ -36,13 +37,14 @@
 interface SyncedPrefix {
   readonly prefix: string
   /** Applies a complete listing. */
-  readonly onListed: (items: readonly StoreItem[], revision: number) => void
+  readonly onListed: (items: readonly StoreItem[], revision: StoreRevision) => void
   readonly onChanged: (change: StoreChange) => void
 }
 
 /** Result of a listing or of a watch. */
 interface SyncProgress {
-  readonly revision: number
+  /** Revision to watch from; null if the items have to be listed again. */
+  readonly revision: StoreRevision | null
   readonly hasChanges: boolean
 }
 
@@ -98,7 +100,7 @@
   }
 
   #configurationPrefix (): SyncedPrefix {
-    const install = (key: string, value: Buffer, revision: number): void => {
+    const install = (key: string, value: Buffer, revision: StoreRevision): void => {
       const deployment = key === StoreKey.Configuration ? parseDeployment(value.toString('utf8')) : null
       if (deployment?.ok === true) this.#options.fleetState.install(deployment.value, 'store')
       else if (deployment !== null) this.#logUnusableEntry(key, revision, deployment.failure)
@@ -135,7 +137,7 @@
 
   /** Lists a prefix, then watches it; after a failure it continues at the last revision, or with a new listing if history is lost. */
   async #syncPrefix (synced: SyncedPrefix): Promise<void> {
-    let revision: number | null = null
+    let revision: StoreRevision | null = null
     let delay = FIRST_RETRY_DELAY
     while (!this.#isStopped) {
       if (!this.#options.isStoreWatcher()) {
@@ -156,7 +158,7 @@
       if (interruption.aborted) continue
       if (isHistoryLost(progress.failure)) {
         this.#options.availability.recordResult(progress)
-        this.#options.log.info('store.history_lost', { prefix: synced.prefix, revision: revision ?? 0 })
+        this.#options.log.info('store.history_lost', { prefix: synced.prefix, revision: describeRevision(revision ?? 0) })
         revision = null
         continue
       }
@@ -167,13 +169,14 @@
 
   async #list ({ prefix, onListed }: SyncedPrefix): Promise<Result<SyncProgress, CallFailure>> {
     const items: StoreItem[] = []
-    let firstRevision: number | null = null
+    let firstRevision: StoreRevision | null = null
     for (let after = ''; ;) {
       const page = await this.#options.store.range(prefix, after)
       if (!page.ok) {
         this.#options.availability.recordResult(page)
         return page
       }
+      if (firstRevision !== null && eraOf(page.value.revision) !== eraOf(firstRevision)) return this.#restored(prefix, firstRevision, page.value.revision)
       items.push(...page.value.items)
       // Pages may have different revisions: the watch starts at the first, so that changes between pages are not missed.
       firstRevision ??= page.value.revision
@@ -184,11 +187,18 @@
     return { ok: true, value: { revision: firstRevision, hasChanges: false } }
   }
 
-  async #watch ({ prefix, onChanged }: SyncedPrefix, revision: number, interruption: AbortSignal): Promise<Result<SyncProgress, CallFailure>> {
+  /** The store was restored from a copy: what it reported before does not continue, and all items have to be listed again. */
+  #restored (prefix: string, before: StoreRevision, after: StoreRevision): Result<SyncProgress, CallFailure> {
+    this.#options.log.warn('store.restored', { prefix, before: describeRevision(before), revision: describeRevision(after) })
+    return { ok: true, value: { revision: null, hasChanges: false } }
+  }
+
+  async #watch ({ prefix, onChanged }: SyncedPrefix, revision: StoreRevision, interruption: AbortSignal): Promise<Result<SyncProgress, CallFailure>> {
     const { store, availability, clock } = this.#options
     const startedAt = clock()
     const wait = this.#watchWait(startedAt)
     const result = await store.watch(prefix, revision, wait, interruption)
+    if (result.ok && eraOf(result.value.revision) !== eraOf(revision)) return this.#restored(prefix, revision, result.value.revision)
     if (result.ok) {
       for (const change of result.value.changes) onChanged(change)
       return { ok: true, value: { revision: result.value.revision, hasChanges: result.value.changes.length > 0 } }
@@ -210,8 +220,8 @@
     })
   }
 
-  #logUnusableEntry (key: string, revision: number, failure: CallFailure): void {
-    this.#options.log.warn('store.entry_unusable', { key, revision, reason: describeFailure(failure) })
+  #logUnusableEntry (key: string, revision: StoreRevision, failure: CallFailure): void {
+    this.#options.log.warn('store.entry_unusable', { key, revision: describeRevision(revision), reason: describeFailure(failure) })
   }
 }
 
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -16,7 +16,7 @@
 import { FleetStateExchange } from '../src/forward/peers/FleetStateExchange.js'
 import { PeerLink } from '../src/forward/peers/PeerLink.js'
 import { PEER_LOST_AFTER, PeerTable } from '../src/forward/peers/PeerTable.js'
-import { decodeSnapshot } from '../src/forward/peers/snapshotCodec.js'
+import { decodeSnapshot, encodeSnapshot } from '../src/forward/peers/snapshotCodec.js'
 import { decodeState, encodeState } from '../src/forward/peers/stateCodec.js'
 import type { NodeState } from '../src/forward/peers/stateCodec.js'
 import { PlacementClient } from '../src/forward/scheduling/PlacementClient.js'
@@ -127,14 +127,14 @@
   fleetState.install(DEPLOYMENT, 'store')
   fleetState.replaceServers([{ server: BACKEND, revision: 3 }], 4, 'store')
   const exchange = (configuration: number, servers: number): ReturnType<typeof decodeSnapshot> =>
-    decodeSnapshot(Buffer.from(JSON.stringify(fleetState.newerThan({ configuration, servers }))))
+    decodeSnapshot(Buffer.from(encodeSnapshot(fleetState.newerThan({ configuration, servers }))), 0)
   t.deepEqual(exchange(0, 0), success({ deployment: DEPLOYMENT, servers: { listed: [{ server: BACKEND, revision: 3 }], revision: 4 } }))
   t.deepEqual(exchange(DEPLOYMENT.version, 4), success({ deployment: null, servers: null }))
 })
 
 test('a snapshot without the expected form is refused', (t) => {
   for (const body of ['{', '{}', '{"deployment":{"version":9},"servers":null}', '{"deployment":null,"servers":{"listed":[{"server":{"id":1}}],"revision":9}}']) {
-    t.false(decodeSnapshot(Buffer.from(body)).ok, body)
+    t.false(decodeSnapshot(Buffer.from(body), 0).ok, body)
   }
 })
 
--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -38,10 +38,10 @@
   readonly proxy: TcpProxy
   /** Null while it is down. */
   standin: BackendStandin | null
+  /** Wall-clock milliseconds at which the running one started. */
+  startedAt: number
   /** When it was said to be draining; null unless it is. */
   drainingSince: number | null
-  /** When it began to say in its answers that it leaves, which the store does not know; null unless it does. */
-  leavingSince: number | null
 }
 
 export interface FleetNode {
@@ -61,6 +61,7 @@
   readonly #network: string
   #incarnations = 0
   #version = 1
+  #configuration = ''
 
   /**
    * @param network - first three numbers of the addresses
@@ -92,7 +93,26 @@
 
   /** Puts a configuration with these API keys in force. */
   configure (apiKeys: readonly string[]): void {
-    this.store.put(StoreKey.Configuration, configurationDocument({ version: this.#version++, routes: ROUTES, services: SERVICES, apiKeys }))
+    this.#configuration = configurationDocument({ version: this.#version++, routes: ROUTES, services: SERVICES, apiKeys })
+    this.store.put(StoreKey.Configuration, this.#configuration)
+  }
+
+  /** Writes the configuration and the entries of all running servers again, after the store has lost some of them. */
+  writeAgain (): void {
+    this.store.put(StoreKey.Configuration, this.#configuration)
+    for (const server of this.servers) if (server.standin !== null) this.#writeEntry(server, server.standin.id, server.drainingSince !== null)
+  }
+
+  /** Removes the entries of servers that do not run, as the store does when their leases have run out. */
+  removeStaleEntries (): void {
+    const running = new Set(this.servers.map(({ standin }) => `${StoreKey.BackendServers}${standin?.id ?? ''}`))
+    for (const key of this.store.keys(StoreKey.BackendServers)) if (!running.has(key)) this.store.remove(key)
+  }
+
+  /** @returns names of the nodes that have no entry in the store */
+  unregisteredNodes (): string[] {
+    const registered = this.store.keys(StoreKey.Nodes)
+    return this.nodes.map(({ process }) => process.name).filter((name) => !registered.includes(`${StoreKey.Nodes}${name}`))
   }
 
   /** Starts a server anew, with nothing of what it held. */
@@ -101,8 +121,8 @@
     const standin = new BackendStandin(id, this.ledger)
     await standin.start(this.#host(FIRST_SERVER + server.index), PORT.server)
     server.standin = standin
+    server.startedAt = Date.now()
     server.drainingSince = null
-    server.leavingSince = null
     this.#writeEntry(server, id, false)
   }
 
@@ -123,9 +143,7 @@
 
   /** Lets a server say in its answers that it leaves, and nowhere else. */
   leaveServer (server: Server): void {
-    if (server.standin === null) return
-    server.leavingSince = performance.now()
-    server.standin.isLeaving = true
+    if (server.standin !== null) server.standin.isLeaving = true
   }
 
   /**
@@ -148,15 +166,15 @@
   }
 
   #writeEntry (server: Server, id: string, isDraining: boolean): void {
-    const { service, failureDomain, index } = server
+    const { service, failureDomain, index, startedAt } = server
     const address = `${this.#host(FIRST_SERVER + SERVER_PROXY + index)}:${PORT.server}`
-    this.store.put(`${StoreKey.BackendServers}${id}`, serverDocument({ service, address, failureDomain, isDraining, startedAt: Date.now() }))
+    this.store.put(`${StoreKey.BackendServers}${id}`, serverDocument({ service, address, failureDomain, isDraining, startedAt }))
   }
 
   async #addServer (index: number, service: string): Promise<void> {
     const proxy = new TcpProxy(this.#host(FIRST_SERVER + index), PORT.server)
     await proxy.start(this.#host(FIRST_SERVER + SERVER_PROXY + index), PORT.server)
-    const server: Server = { index, service, failureDomain: DOMAINS[index % DOMAINS.length] ?? '', proxy, standin: null, drainingSince: null, leavingSince: null }
+    const server: Server = { index, service, failureDomain: DOMAINS[index % DOMAINS.length] ?? '', proxy, standin: null, startedAt: 0, drainingSince: null }
     this.servers.push(server)
     await this.startServer(server)
   }
--- a/packages/soak/src/Soak.ts
+++ b/packages/soak/src/Soak.ts
@@ -7,8 +7,8 @@
 import { CALLERS_PER_NODE, DRAIN_MS, KEPT_KEY, MEASURE_SLACK_MS, RECOVERY_MS, REMOVED_KEY, REVOKE_MS, TRAFFIC_MS } from './constants.js'
 import { drawFaults } from './faults.js'
 import { Fleet } from './Fleet.js'
+import { drawFurtherFaults } from './furtherFaults.js'
 import { Random } from './Random.js'
-import { drawStatements } from './statements.js'
 import { RequestKind } from './types.js'
 import type { Exchange, FaultStep, SoakReport, Violation } from './types.js'
 
@@ -47,10 +47,10 @@
     const random = new Random(seed)
     callers.push(...fleet.nodes.flatMap(({ index, host }) => Array.from({ length: CALLERS_PER_NODE }, (_, caller) =>
       new Caller(`c${index}.${caller}`, index, host, random.between(1, 1_000_000)))))
-    const steps = [...drawFaults(fleet, random), ...drawStatements(fleet, seed)]
+    const steps = [...drawFaults(fleet, random), ...drawFurtherFaults(fleet, seed)]
     const leavings = watchLeavings(fleet)
     await Promise.all([...callers.map(async (caller) => { await caller.run() }), play(steps), stopLater(callers)])
-    const violations = [...await recoveryOf(fleet, seed), ...leavings(), ...await revocationOf(fleet, seed)]
+    const violations = [...await recoveryOf(fleet, seed), ...await registrationOf(fleet), ...leavings(), ...await revocationOf(fleet, seed)]
     const exchanges = callers.flatMap((caller) => caller.exchanges)
     return reportOf(seed, exchanges, fleet, steps, [...violations, ...violationsOf(exchanges, fleet)])
   } finally {
@@ -90,6 +90,13 @@
   return served.filter(({ serves }) => !serves).map(({ index }) => ({ rule: 'recovery', detail: `node ${index} does not serve ${RECOVERY_MS} ms after the faults` }))
 }
 
+/** Every node is listed in the store, also after the store has lost its entry. */
+const registrationOf = async (fleet: Fleet): Promise<Violation[]> => {
+  const until = performance.now() + RECOVERY_MS
+  while (fleet.unregisteredNodes().length > 0 && performance.now() < until) await sleep(PROBE_PERIOD_MS)
+  return fleet.unregisteredNodes().map((name) => ({ rule: 'registered nodes', detail: `${name} has no entry ${RECOVERY_MS} ms after the faults` }))
+}
+
 /** A key that the operator removes is refused by every node, and the others are not. */
 const revocationOf = async (fleet: Fleet, seed: number): Promise<Violation[]> => {
   fleet.configure([KEPT_KEY])
@@ -109,12 +116,12 @@
   return checked.flat()
 }
 
-/** Notes which servers drained or said that they leave, and later whether any began something after the time for that. */
+/** Notes which servers drained or told a node that they leave, and later whether any began something after the time for that. */
 const watchLeavings = (fleet: Fleet): () => Violation[] => {
   const since = new Map<string, number>()
   const timer = setInterval(() => {
-    for (const { standin, drainingSince, leavingSince } of fleet.servers) {
-      const leavesFrom = drainingSince ?? leavingSince
+    for (const { standin, drainingSince } of fleet.servers) {
+      const leavesFrom = drainingSince ?? standin?.toldLeavingAt ?? null
       if (standin !== null && leavesFrom !== null) since.set(standin.id, leavesFrom)
     }
   }, PROBE_PERIOD_MS)
--- a/packages/soak/src/furtherFaults.ts
+++ b/packages/soak/src/furtherFaults.ts
@@ -1,4 +1,4 @@
-/** Draws what backend servers state about themselves in the course of a soak, beside the faults. */
+/** Draws faults beside the first ones, from a generator of their own: what backend servers state about themselves, and returns of the store from a copy. */
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import { DRAIN_MS, FAULTS_FROM_MS, FAULTS_UNTIL_MS, LIMIT_WINDOW_MS } from './constants.js'
@@ -17,8 +17,8 @@
 const HIGHEST_LIMIT = 60
 const TENTHS = 10
 
-/** Added to the seed of the faults, whose series does not change with the statements. */
-const STATEMENT_SEED = 1_000_003
+/** Added to the seed of the first faults, whose series stays as it is. */
+const SEED_OFFSET = 1_000_003
 
 /** Time from the statement of a server that it leaves to its end; it is longer than the time after which it gets nothing new. */
 const SHORTEST_LEAVING_MS = DRAIN_MS + 1_000
@@ -33,7 +33,7 @@
     name: `server ${server.index} leaves in ${lasts} ms`,
     run: async () => {
       const { standin } = server
-      if (standin === null || server.drainingSince !== null || server.leavingSince !== null) return
+      if (standin === null || server.drainingSince !== null || standin.isLeaving) return
       fleet.leaveServer(server)
       await sleep(lasts)
       if (server.standin !== standin) return
@@ -70,6 +70,36 @@
   }
 }
 
+/** Returns of the store from a copy in one soak, and the age of the copy. */
+const MOST_RETURNS = 2
+const SHORTEST_LOSS_MS = 200
+const LONGEST_LOSS_MS = 3_000
+
+/** Time within which the operator and the servers write again what the copy lacks. */
+const LONGEST_REWRITE_MS = 1_500
+
+/** Time after which entries of servers that do not run are removed. */
+const EXPIRY_MS = 1_000
+
+const returnStore = (fleet: Fleet, random: Random): FaultStep => {
+  const loses = random.between(SHORTEST_LOSS_MS, LONGEST_LOSS_MS)
+  const rewrites = random.between(0, LONGEST_REWRITE_MS)
+  const at = random.between(FAULTS_FROM_MS, FAULTS_UNTIL_MS - loses)
+  return {
+    at,
+    name: `store returns from a copy ${loses} ms old, written again after ${rewrites} ms`,
+    run: async () => {
+      const copy = fleet.store.copy()
+      await sleep(loses)
+      fleet.store.restore(copy)
+      await sleep(rewrites)
+      fleet.writeAgain()
+      await sleep(EXPIRY_MS)
+      fleet.removeStaleEntries()
+    }
+  }
+}
+
 const limitServer = (fleet: Fleet, random: Random): FaultStep => {
   const server = random.pick(fleet.servers)
   const perSecond = random.between(LOWEST_LIMIT, HIGHEST_LIMIT) / TENTHS
@@ -90,15 +120,16 @@
 }
 
 /**
- * @param fleet - whose servers make statements
+ * @param fleet - what is injured
  * @param seed - of the soak
  * @returns the steps by time
  */
-export const drawStatements = (fleet: Fleet, seed: number): FaultStep[] => {
-  const random = new Random(seed + STATEMENT_SEED)
+export const drawFurtherFaults = (fleet: Fleet, seed: number): FaultStep[] => {
+  const random = new Random(seed + SEED_OFFSET)
   const limits = Array.from({ length: random.between(0, MOST_LIMITS) }, () => limitServer(fleet, random))
   const leavings = Array.from({ length: random.between(0, MOST_LEAVINGS) }, () => leaveServer(fleet, random))
   const pauses = Array.from({ length: random.between(0, MOST_PAUSES) }, () => pauseServer(fleet, random))
-  const steps = [...limits, ...leavings, ...pauses]
+  const returns = Array.from({ length: random.between(0, MOST_RETURNS) }, () => returnStore(fleet, random))
+  const steps = [...limits, ...leavings, ...pauses, ...returns]
   return steps.sort((a, b) => a.at - b.at)
 }
