--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -33,11 +33,11 @@
 /** State changes of a node that may explain the outcome of any of its requests. */
 const NODE_EVENTS: ReadonlySet<string> = new Set([
   'node.started', 'node.stopping', 'node.stopped', 'node.failed', 'settings.reloaded', 'settings.unusable', 'configuration.installed',
-  'store.lost', 'store.regained', 'store.history_lost', 'peer.lost', 'peer.found', 'scheduler.group', 'domain.avoided', 'log.lines_dropped'
+  'store.lost', 'store.regained', 'store.history_lost', 'store.restored', 'servers.restored', 'peer.lost', 'peer.found', 'scheduler.group', 'domain.avoided', 'log.lines_dropped'
 ])
 
 /** State changes of one backend server, as seen by a node. */
-const SERVER_EVENTS: ReadonlySet<string> = new Set(['server.arrived', 'server.departed', 'server.avoided'])
+const SERVER_EVENTS: ReadonlySet<string> = new Set(['server.arrived', 'server.departed', 'server.avoided', 'server.stated', 'server.paused'])
 
 const unquote = (value: string): string => value.startsWith('"') ? value.slice(1, -1).replace(/\\(.)/g, '$1') : value
 
@@ -74,6 +74,34 @@
   return ` ${by} within ${decided} ms; the server had ${requests} requests and ${pending} ms of pending prefill.${deferral}`
 }
 
+/** Describes what servers had stated when the next attempt found none. */
+const describeNotPlaced = ({ at, fields }: LogLine): string => {
+  const retry = fields.retry_after_ms === undefined ? '' : ` The caller could return after ${fields.retry_after_ms} ms.`
+  return `${timeOfDay(at)}: no server of ${fields.service} could take it: ${fields.reason}${describeStatement(fields)}.${retry}`
+}
+
+const describeStatement = ({ server, server_limit: limit, server_leaving: leaving, server_heard_by: node, server_stated_ms_ago: age }: LogLine['fields']): string => {
+  if (server === undefined) return ''
+  if (limit !== undefined) return `; ${server} had stated a limit of ${limit} requests a second to node ${node}, ${age} ms before`
+  if (leaving !== undefined) return `; ${server} had told node ${node} ${age} ms before that it leaves`
+  return `; ${server} had asked this node for a pause`
+}
+
+/** Describes the newest statements of the servers that an attempt was not sent to because of them. */
+const describePassedOver = (lines: readonly LogLine[], sent: LogLine): string[] =>
+  listOf(sent.fields.passed_over).map((server) => {
+    const isStatement = ({ event, node, at, fields }: LogLine): boolean => at <= sent.at && fields.server === server &&
+      ((event === 'server.stated' && fields.age_ms === undefined) || (event === 'server.paused' && node === sent.node))
+    const statement = lines.findLast(isStatement)
+    const cause = statement === undefined ? 'the log does not hold its statement' : `${describeStated(statement)}, ${sent.at - statement.at} ms before`
+    return `${timeOfDay(sent.at)}: server ${server} was not considered: ${cause}.`
+  })
+
+const describeStated = ({ event, node, fields }: LogLine): string => {
+  if (event === 'server.paused') return `it had asked node ${node} for a pause of ${fields.pause_ms} ms`
+  return fields.leaving === undefined ? `it had stated a limit of ${fields.request_limit} requests a second to node ${node}` : `it had told node ${node} that it leaves`
+}
+
 const describeFailedAttempt = ({ at, fields }: LogLine): string =>
   `${timeOfDay(at)}: the attempt at ${fields.server} ended after ${fields.after_ms} ms as ${fields.end}: ${fields.reason}.`
 
@@ -91,6 +119,7 @@
 
 const DESCRIBERS: Readonly<Record<string, (line: LogLine) => string>> = {
   'request.sent': describeSent,
+  'request.not_placed': describeNotPlaced,
   'attempt.failed': describeFailedAttempt,
   'request.ended': describeEnded
 }
@@ -122,14 +151,14 @@
   const last = own.at(-1)
   if (first === undefined || last === undefined) return null
   const nodes = new Set(own.map(({ node }) => node))
-  const servers = new Set(own.flatMap(serversOf))
+  const servers = new Set(own.flatMap((line) => [...serversOf(line), ...listOf(line.fields.passed_over)]))
   const from = first.at - BACKGROUND_MS
   const stateChanges = lines
     .filter(({ at, node, event, fields }) => at >= from && at <= last.at && nodes.has(node) &&
       (NODE_EVENTS.has(event) || (SERVER_EVENTS.has(event) && servers.has(fields.server ?? ''))))
     .map(describeOther)
   return {
-    sentences: own.map((line) => (DESCRIBERS[line.event] ?? describeOther)(line)),
+    sentences: own.flatMap((line) => [(DESCRIBERS[line.event] ?? describeOther)(line), ...describePassedOver(lines, line)]),
     meanwhile: [...concurrentRequestsOf(lines, request, servers, from, last.at), ...stateChanges.slice(-MAX_STATE_CHANGES)]
   }
 }
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -69,3 +69,35 @@
   t.true(sentence.includes('The scheduler at 10.0.0.2:7340 chose the server within 4 ms; the server had 11 requests and 90 ms of pending prefill.'))
   t.true(sentence.includes('It was deferred'))
 })
+
+const STATEMENT_LOG = [
+  line('30.000', 'edge-1', 'event=server.stated server=i-1 request_limit=1.9 request=r9 heard_by=edge-1'),
+  line('30.010', 'edge-2', 'event=server.stated server=i-1 request_limit=1.9 heard_by=edge-1 age_ms=9'),
+  line('30.100', 'edge-2', 'event=server.paused server=i-2 pause_ms=6000 request=r8'),
+  line('30.200', 'edge-3', 'event=server.stated server=i-3 request_limit=none leaving=true request=r7 heard_by=edge-3'),
+  line('30.300', 'edge-2', 'event=servers.restored before=1.40 revision=2.31 origin=store kept=i-4'),
+  line('31.000', 'edge-2', 'event=request.sent request=late attempt=1 server=i-5 server_domain=hall-a expected_ms=400 passed_over=i-1,i-2,i-3,i-6 due_in_ms=301 configuration=3 servers_revision=2.31'),
+  line('31.500', 'edge-2', 'event=request.not_placed request=limited service=lm reason=request_limit retry_after_ms=620 server=i-1 server_limit=1.9 server_stated_ms_ago=1490 server_heard_by=edge-1'),
+  line('31.600', 'edge-2', 'event=request.not_placed request=paused service=lm reason=servers_paused retry_after_ms=4500 server=i-2'),
+  line('31.700', 'edge-2', 'event=request.not_placed request=leaving service=lm reason=servers_leaving server=i-3 server_leaving=true server_stated_ms_ago=1500 server_heard_by=edge-3')
+].join('\n')
+
+const explained = (request: string): string => {
+  const { sentences = [], meanwhile = [] } = explainLogged(parseDecisionLog(STATEMENT_LOG), request) ?? {}
+  return [...sentences, ...meanwhile].join('\n')
+}
+
+test('a delayed request is explained by the statements of the servers that were not considered', (t) => {
+  const text = explained('late')
+  t.regex(text, /server i-1 was not considered: it had stated a limit of 1\.9 requests a second to node edge-1, 1000 ms before\./)
+  t.regex(text, /server i-2 was not considered: it had asked node edge-2 for a pause of 6000 ms, 900 ms before\./)
+  t.regex(text, /server i-3 was not considered: it had told node edge-3 that it leaves, 800 ms before\./)
+  t.regex(text, /server i-6 was not considered: the log does not hold its statement\./)
+  t.regex(text, /servers\.restored on node edge-2 \(before 1\.40, revision 2\.31, origin store, kept i-4\)\./)
+})
+
+test('a refused request is explained by the statement that decided it', (t) => {
+  t.regex(explained('limited'), /request_limit; i-1 had stated a limit of 1\.9 requests a second to node edge-1, 1490 ms before\. The caller could return after 620 ms\./)
+  t.regex(explained('paused'), /servers_paused; i-2 had asked this node for a pause\. The caller could return after 4500 ms\./)
+  t.regex(explained('leaving'), /servers_leaving; i-3 had told node edge-3 1500 ms before that it leaves\./)
+})
--- a/packages/domain/src/forwarding/BackendServerTable.ts
+++ b/packages/domain/src/forwarding/BackendServerTable.ts
@@ -193,6 +193,12 @@
     return [...this.#entries.values()].map(({ server }) => server)
   }
 
+  /** @returns the servers whose entries are kept as they were before the store was restored: they are missing from it, or differ there */
+  keptOverRestore (): RunnerId[] {
+    const missing = [...this.#entries.values()].filter(({ mayReturn }) => mayReturn).map(({ server }) => server.id)
+    return [...new Set([...this.#withheld.keys(), ...missing])]
+  }
+
   /** @returns all entries with their revisions */
   entries (): ServerEntry[] {
     return [...this.#entries.values()].map(({ server, revision, mayReturn }) => ({ server, revision, ...(mayReturn ? { isLapsed: true } : {}) }))
--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -104,8 +104,10 @@
 
   replaceServers (listed: readonly ServerEntry[], revision: StoreRevision, origin: FleetStateOrigin, unchanged: readonly RunnerId[] = []): void {
     if (revision < this.#serversRevision) return
+    const before = this.#serversRevision
     this.#advanceServersRevision(revision)
     this.#applyServerChanges(this.servers.replaceAll(listed, revision, this.clock(), origin === 'peer', unchanged), origin)
+    if (before > 0 && eraOf(revision) > eraOf(before)) this.#logRestore(before, origin)
   }
 
   expireServers (): void {
@@ -147,6 +149,11 @@
     if (servers !== null && servers.revision > this.#serversRevision) this.replaceServers(servers.listed, servers.revision, 'peer', servers.unchanged)
   }
 
+  #logRestore (before: StoreRevision, origin: FleetStateOrigin): void {
+    const kept = this.servers.keptOverRestore().join(',')
+    this.log.warn('servers.restored', { before: describeRevision(before), revision: describeRevision(this.#serversRevision), origin, kept: kept === '' ? undefined : kept })
+  }
+
   #advanceServersRevision (revision: StoreRevision): void {
     const before = this.#serversRevision
     this.#serversRevision = Math.max(before, revision)
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -39,7 +39,7 @@
    * @param lastEventId - id of the last event of the stream that the caller has
    * @param notice - what the server has stated about itself, as far as this node knows
    */
-  attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent, isDeferred }, load, scheduler, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null, notice: ServerNotice | null): void {
+  attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent, isDeferred }, load, scheduler, passedOver, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null, notice: ServerNotice | null): void {
     const { call, context } = this
     const now = context.clock()
     context.log.info('request.sent', {
@@ -55,6 +55,7 @@
       server_requests: load.requests,
       server_pending_ms: Math.round(load.pendingPrefill),
       deferred: isDeferred || undefined,
+      passed_over: passedOver.join(',') || undefined,
       ...statementFields(notice, now),
       due_in_ms: Math.round(call.dueAt - now),
       configuration: context.fleetState.configurationVersion,
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -123,7 +123,8 @@
             serverRequests: load.requests,
             serverPendingMs: Math.round(load.pendingPrefill),
             isDeferred: choice.isDeferred,
-            keepsLimit: result.keepsLimit
+            keepsLimit: result.keepsLimit,
+            passedOver: [...result.passedOver]
           }
         }
       }
@@ -146,7 +147,7 @@
   if (result === undefined) throw new Error('the placement reply contains no decision')
   if (result.$case === 'refusal') return decodeRefusal(result.value, now)
   if (result.$case === 'redirect') return { type: 'redirected', address: result.value }
-  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit } = result.value
+  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit, passedOver } = result.value
   if (server === undefined) throw new Error('the placement names no server')
   const decoded = helpers.map((helper) => decodeServer(helper, service, findServer))
   const choice: PlacementChoice = {
@@ -156,7 +157,7 @@
     timeToFirstEvent: firstEventMs,
     isDeferred
   }
-  return { type: 'placed', choice, load: { requests: serverRequests, pendingPrefill: serverPendingMs }, keepsLimit }
+  return { type: 'placed', choice, load: { requests: serverRequests, pendingPrefill: serverPendingMs }, keepsLimit, passedOver: passedOver as RunnerId[] }
 }
 
 const encodeRefusal = ({ reason, retryAfter, notice }: RefusedPlacement, now: Millis): fleetWire.Refusal =>
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -106,7 +106,8 @@
     if (assignment === null) return { type: 'refused', reason: 'the assignment is not recorded', retryAfter: null }
     if (address !== null) this.#schedulers.set(assignment.id, address)
     const { choice, load } = result
-    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, decidedIn: clock() - startedAt } }
+    const passedOver = [...new Set([...result.passedOver, ...this.#pausedServersOf(spec.service).map(({ id }) => id)])]
+    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, decidedIn: clock() - startedAt } }
   }
 
   /**
@@ -140,14 +141,18 @@
   /** Names the time after which a paused server accepts requests again, if that is why there is no server. */
   #withPause (spec: PlacementSpec, refusal: RefusedPlacement): RefusedPlacement {
     if (refusal.reason !== PlacementRefusal.NoServer) return refusal
-    const { fleetState, clock } = this.#options
-    const now = clock()
-    const paused = fleetState.servers.ready(spec.service).map(({ id }) => ({ id, pause: this.#backoffs.remaining(id, now) })).filter(({ pause }) => pause > 0)
-    const [soonest] = paused.sort((a, b) => a.pause - b.pause)
+    const [soonest] = this.#pausedServersOf(spec.service).sort((a, b) => a.pause - b.pause)
     if (soonest === undefined) return refusal
     return { type: 'refused', reason: PlacementRefusal.ServersPaused, retryAfter: spreadReturn(soonest.pause), pausedServer: soonest.id }
   }
 
+  #pausedServersOf (service: string): Array<{ readonly id: RunnerId, readonly pause: Millis }> {
+    const { fleetState, clock } = this.#options
+    const now = clock()
+    if (this.#backoffs.active(now).length === 0) return []
+    return fleetState.servers.ready(service).map(({ id }) => ({ id, pause: this.#backoffs.remaining(id, now) })).filter(({ pause }) => pause > 0)
+  }
+
   /** Records that the first event of an attempt has arrived: its prefill is finished. */
   prefillFinished ({ assignment }: PlacedAttempt): void {
     const { scheduler, clock } = this.#options
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -26,6 +26,9 @@
 /** Pending prefill time of an engine above which its silence is not a fault. */
 const BUSY_PREFILL_TIME: Millis = 200
 
+/** Servers that were not considered, in the log of one attempt. */
+const MAX_PASSED_OVER = 4
+
 /** Keeps the assignments of the nodes that report to this one, and places attempts by them. */
 export class Scheduler {
   readonly assignments: FleetAssignments
@@ -73,7 +76,8 @@
     const loads = this.assignments.serverLoads(now)
     const permitted = this.#permittedServers(spec, service)
     const staying = permitted.filter((server) => !this.notices.isLeaving(server))
-    const choice = this.#choose(spec, service, staying, loads, context, now)
+    const open = staying.filter((server) => this.#quotaWait(server, context, now) === 0)
+    const choice = this.#choose(spec, service, open, loads, context, now)
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
     if (choice === null) return this.#refusalFor(permitted, staying, context, now)
@@ -81,7 +85,8 @@
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
     this.#record(spec, choice, owner, now)
     this.takeQuota(choice.server, context.limitShare)
-    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true }
+    const passedOver = permitted.filter((server) => !open.includes(server)).slice(0, MAX_PASSED_OVER).map(({ id }) => id)
+    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver }
   }
 
   /**
@@ -219,7 +224,7 @@
   }
 
   #choose (spec: PlacementSpec, service: Service, servers: readonly BackendServer[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementChoice | null {
-    const candidates = this.#candidates(servers.filter((server) => this.#quotaWait(server, context, now) === 0), now)
+    const candidates = this.#candidates(servers, now)
     if (candidates.length === 0) return null
     return this.#policyOf(service).choose({
       size: spec.size,
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -64,6 +64,8 @@
     readonly load: ChosenServerLoad
     /** Whether the request limit that the server has stated was applied; schedulers of earlier builds do not know of it. */
     readonly keepsLimit: boolean
+    /** Some of the servers that were not considered because of what they have stated, for the log. */
+    readonly passedOver: readonly RunnerId[]
   }
   | RefusedPlacement
   /** The scheduler of another group can serve it sooner. */
@@ -76,6 +78,8 @@
   readonly load: ChosenServerLoad
   /** `ip:port` of the scheduler that keeps the assignment; null if it is this node. */
   readonly scheduler: string | null
+  /** Some of the servers that were not considered because of what they have stated. */
+  readonly passedOver: readonly RunnerId[]
   /** Time from the decision to place the attempt until the result was known. */
   readonly decidedIn: Millis
 }
