Limits of organisations: an excess of requests in progress no longer keeps itself alive

Cause of the lasting: every node kept a share for all that it had in progress, also when that was more than the bound together, so that the next round began with the same shares.

If more is in progress than the bound, the bound is divided in proportion to it.

--- a/packages/domain/src/limits/shares.ts
+++ b/packages/domain/src/limits/shares.ts
@@ -13,16 +13,17 @@
 
 /** One node's demand for concurrent requests. */
 export interface ConcurrencyDemand extends NodeDemand {
-  /** Requests in progress at the node. Its share never falls below this number. */
+  /** Requests in progress at the node. */
   readonly held: number
 }
 
 /**
  * Computes one node's share of a bound on concurrent requests.
  *
- * All nodes with the same view compute shares that add up to the bound. Each node keeps what its requests in progress use.
- * The rest of the bound is divided in proportion to the demand beyond that, rounded by the largest remainder method;
- * rendezvous order breaks ties.
+ * All nodes with the same view compute shares that add up to the bound. Each node keeps what its requests in progress use, and
+ * the rest of the bound is divided in proportion to the demand beyond that. If more requests are in progress than the bound
+ * allows, the bound is divided in proportion to them, so that the excess ends with them. Parts are rounded by the largest
+ * remainder method; rendezvous order breaks ties.
  *
  * @param bound - fleet-wide bound
  * @param ownNode - node whose share is computed
@@ -32,15 +33,26 @@
  */
 export const shareOfConcurrency = (bound: number, ownNode: NodeId, nodes: readonly ConcurrencyDemand[], key: string): number => {
   const held = nodes.reduce((sum, node) => sum + node.held, 0)
-  const free = Math.max(0, bound - held)
-  const total = nodes.reduce((sum, node) => sum + weightOf(node), 0)
+  if (held > bound) return divide(bound, ownNode, nodes.map((each) => ({ node: each.node, weight: each.held })), key)
+  const ownHeld = nodes.find(({ node }) => node === ownNode)?.held ?? 0
+  return ownHeld + divide(bound - held, ownNode, nodes.map((each) => ({ node: each.node, weight: weightOf(each) })), key)
+}
+
+interface NodeWeight {
+  readonly node: NodeId
+  readonly weight: number
+}
+
+/** Divides a whole number in proportion to weights by the largest remainder method. Returns the part of one node. */
+const divide = (count: number, ownNode: NodeId, nodes: readonly NodeWeight[], key: string): number => {
+  const total = nodes.reduce((sum, { weight }) => sum + weight, 0)
   const ranks = new Map(rendezvousOrder(key, nodes.map(({ node }) => node)).map((node, index) => [node, index]))
-  const shares = nodes.map((each) => ({ ...each, exactShare: free * weightOf(each) / total }))
-  const remainder = free - shares.reduce((sum, { exactShare: share }) => sum + Math.floor(share), 0)
+  const shares = nodes.map(({ node, weight }) => ({ node, exactShare: count * weight / total }))
+  const remainder = count - shares.reduce((sum, { exactShare: share }) => sum + Math.floor(share), 0)
   const byRemainder = [...shares].sort((a, b) => (b.exactShare % 1) - (a.exactShare % 1) || ranks.get(a.node)! - ranks.get(b.node)!)
   const getsRemainder = byRemainder.slice(0, remainder).some(({ node }) => node === ownNode)
   const ownShare = shares.find(({ node }) => node === ownNode)
-  return ownShare === undefined ? 0 : ownShare.held + Math.floor(ownShare.exactShare) + (getsRemainder ? 1 : 0)
+  return ownShare === undefined ? 0 : Math.floor(ownShare.exactShare) + (getsRemainder ? 1 : 0)
 }
 
 /**
--- a/packages/domain/tests/limits.test.ts
+++ b/packages/domain/tests/limits.test.ts
@@ -45,6 +45,15 @@
   t.pass()
 })
 
+/** Guards against an excess that keeps itself alive: nodes that had more in progress than the bound kept shares for all of it. */
+test('the shares add up to the bound even if more requests are in progress', (t) => {
+  const heldByNode = fc.array(fc.nat(20), { minLength: 1, maxLength: 40 })
+  t.notThrows(() => fc.assert(fc.property(heldByNode, fc.integer({ min: 0, max: 60 }), (held, bound) => {
+    const nodes = held.map((count, index) => ({ node: node(`n${index}`), demand: count + index % 3, held: count }))
+    return nodes.reduce((sum, each) => sum + shareOfConcurrency(bound, each.node, nodes, 'o'), 0) === bound
+  }), { seed: SEED, numRuns: 500 }))
+})
+
 test('concurrent requests never exceed the bound while demand changes at all nodes and gossip is delayed', (t) => {
   const steps = fc.array(fc.record({ which: fc.nat(8), ends: fc.nat(3), after: fc.nat(400) }), { minLength: 50, maxLength: 300, size: 'max' })
   fc.assert(fc.property(fc.integer({ min: 1, max: 9 }), fc.integer({ min: 1, max: 60 }), steps, (size, bound, played) => {
