--- a/packages/node/src/forward/store/NodeRegistration.ts
+++ b/packages/node/src/forward/store/NodeRegistration.ts
@@ -50,8 +50,12 @@
     this.#options = options
   }
 
-  /** Starts the periodic renewals and listings. */
+  /**
+   * Starts the periodic renewals and listings. The nodes that were there before are listed at once: a node that starts again with
+   * all others learns from it whether it has to watch the store. Nodes that start at the same moment are found after the registration.
+   */
   start (): void {
+    void this.#listNodes(true)
     void this.#refresh()
   }
 
@@ -114,10 +118,10 @@
     return true
   }
 
-  async #listNodes (): Promise<boolean> {
+  async #listNodes (mayBeStale = false): Promise<boolean> {
     const { store, onNodesListed } = this.#options
     for (let lastKey = ''; ;) {
-      const page = await store.range(StoreKey.Nodes, lastKey)
+      const page = await store.range(StoreKey.Nodes, lastKey, mayBeStale)
       if (!this.#succeeded('read', page)) return false
       const { items, hasMore } = page.value
       const entries = items.map(({ key, value }) => parseNodeEntry(key.slice(StoreKey.Nodes.length), value.toString('utf8')))
