Store: after a failed call a node asks at once whether the store was restored

Found by reading a test that took 7 s: two returns in a row, and the node waited 5 s in a watch from a revision that the store had given out again.

--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -18,6 +18,12 @@
 /** Pause after a change, so that one call returns several changes. */
 const PAUSE_AFTER_CHANGES: Millis = 100
 
+/**
+ * How long a watch waits that follows a failed call. The store may have been restored meanwhile, and a watch from a revision that it
+ * has given out again would not tell so before its end.
+ */
+const WAIT_AFTER_FAILURE: Millis = 1
+
 /** Interval at which a node that does not watch the store checks whether it has to. */
 const ROLE_CHECK_PERIOD: Millis = 100
 
@@ -139,6 +145,7 @@
   async #syncPrefix (synced: SyncedPrefix): Promise<void> {
     let revision: StoreRevision | null = null
     let delay = FIRST_RETRY_DELAY
+    let hasFailed = false
     while (!this.#isStopped) {
       if (!this.#options.isStoreWatcher()) {
         revision = null
@@ -146,16 +153,18 @@
         continue
       }
       const interruption = this.#interruption.signal
-      const progress: Result<SyncProgress, CallFailure> = revision === null ? await this.#list(synced) : await this.#watch(synced, revision, interruption)
+      const progress: Result<SyncProgress, CallFailure> = revision === null ? await this.#list(synced) : await this.#watch(synced, revision, interruption, hasFailed)
       if (this.#isStopped) return
       if (progress.ok) {
         this.#options.availability.recordResult(progress)
         revision = progress.value.revision
         delay = FIRST_RETRY_DELAY
+        hasFailed = false
         if (progress.value.hasChanges) await this.#pauseAfterChanges(interruption)
         continue
       }
       if (interruption.aborted) continue
+      hasFailed = true
       if (isHistoryLost(progress.failure)) {
         this.#options.availability.recordResult(progress)
         this.#options.log.info('store.history_lost', { prefix: synced.prefix, revision: describeRevision(revision ?? 0) })
@@ -193,10 +202,10 @@
     return { ok: true, value: { revision: null, hasChanges: false } }
   }
 
-  async #watch ({ prefix, onChanged }: SyncedPrefix, revision: StoreRevision, interruption: AbortSignal): Promise<Result<SyncProgress, CallFailure>> {
+  async #watch ({ prefix, onChanged }: SyncedPrefix, revision: StoreRevision, interruption: AbortSignal, hasFailed: boolean): Promise<Result<SyncProgress, CallFailure>> {
     const { store, availability, clock } = this.#options
     const startedAt = clock()
-    const wait = this.#watchWait(startedAt)
+    const wait = hasFailed ? WAIT_AFTER_FAILURE : this.#watchWait(startedAt)
     const result = await store.watch(prefix, revision, wait, interruption)
     if (result.ok && eraOf(result.value.revision) !== eraOf(revision)) return this.#restored(prefix, revision, result.value.revision)
     if (result.ok) {
--- a/packages/node/tests/storeSync.test.ts
+++ b/packages/node/tests/storeSync.test.ts
@@ -27,6 +27,7 @@
   /** Number of watches that returned changes. */
   deliveryCount = 0
   isSilent = false
+  readonly watchWaits: number[] = []
 
   constructor () {
     super({ address: '127.0.0.1:1', http: new HttpPool(1), timeout: 1 })
@@ -52,7 +53,8 @@
     return success({ items, hasMore: false, revision: this.revision })
   }
 
-  override async watch (prefix: string, after: number, _: number, signal: AbortSignal): Promise<Result<StoreChanges, CallFailure>> {
+  override async watch (prefix: string, after: number, wait: number, signal: AbortSignal): Promise<Result<StoreChanges, CallFailure>> {
+    this.watchWaits.push(wait)
     for (let turn = 0; (turn < 50 || this.isSilent) && !signal.aborted; turn += 1) {
       if (this.isSilent) {
         await sleep(5)
@@ -181,3 +183,15 @@
   sync.checkStore()
   t.true(await eventually(() => availability.isLost))
 })
+
+/** Guards against a node that waits for changes of an era that has ended: only an answer tells that the store was restored. */
+test('the first watch after a failed call does not wait for changes', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const fleetState = startSync(t, store)
+  t.true(await eventually(() => readyServers(fleetState) === 'e1'))
+  store.isDown = true
+  t.true(await eventually(() => fleetState.servers.ready('s').length === 1 && store.watchWaits.some((wait) => wait <= 1)))
+  store.isDown = false
+  t.true(await eventually(() => (store.watchWaits.at(-1) ?? 0) > 1))
+})
