Soak: a paused node is not held to what only answers say of a server that leaves

Trace: node-2 was paused from before any answer said so, woke, sent one request 0.002 s before it heard of it from node-1, and none after. The rule excuses a frozen node and binds only those that have passed on such an answer. Servers whose leaving is in the store are held as before, without excuse.

--- a/packages/soak/src/Soak.ts
+++ b/packages/soak/src/Soak.ts
@@ -4,13 +4,13 @@
 
 import { Caller } from './Callers.js'
 import { violationsOf } from './checks.js'
-import { CALLERS_PER_NODE, DRAIN_MS, KEPT_KEY, MEASURE_SLACK_MS, RECOVERY_MS, REMOVED_KEY, REVOKE_MS, TRAFFIC_MS } from './constants.js'
+import { CALLERS_PER_NODE, KEPT_KEY, RECOVERY_MS, REMOVED_KEY, REVOKE_MS, TRAFFIC_MS } from './constants.js'
 import { drawFaults } from './faults.js'
 import { Fleet } from './Fleet.js'
 import { drawFurtherFaults } from './furtherFaults.js'
 import { Random } from './Random.js'
 import { RequestKind } from './types.js'
-import type { Exchange, FaultStep, SoakReport, Violation } from './types.js'
+import type { Exchange, FaultStep, Leaving, SoakReport, Violation } from './types.js'
 
 const START_TIMEOUT_MS = 15_000
 const PROBE_PERIOD_MS = 50
@@ -50,9 +50,9 @@
     const steps = [...drawFaults(fleet, random), ...drawFurtherFaults(fleet, seed)]
     const leavings = watchLeavings(fleet)
     await Promise.all([...callers.map(async (caller) => { await caller.run() }), play(steps), stopLater(callers)])
-    const violations = [...await recoveryOf(fleet, seed), ...await registrationOf(fleet), ...leavings(), ...await revocationOf(fleet, seed)]
+    const violations = [...await recoveryOf(fleet, seed), ...await registrationOf(fleet), ...await revocationOf(fleet, seed)]
     const exchanges = callers.flatMap((caller) => caller.exchanges)
-    return reportOf(seed, exchanges, fleet, steps, [...violations, ...violationsOf(exchanges, fleet)])
+    return reportOf(seed, exchanges, fleet, steps, [...violations, ...violationsOf(exchanges, fleet, leavings())])
   } finally {
     for (const caller of callers) caller.dispose()
     await fleet.dispose()
@@ -116,20 +116,18 @@
   return checked.flat()
 }
 
-/** Notes which servers drained or told a node that they leave, and later whether any began something after the time for that. */
-const watchLeavings = (fleet: Fleet): () => Violation[] => {
-  const since = new Map<string, number>()
+/** Notes which servers drain, or tell a node that they leave. Returns a function that stops and returns them. */
+const watchLeavings = (fleet: Fleet): () => Leaving[] => {
+  const leavings = new Map<string, Leaving>()
   const timer = setInterval(() => {
     for (const { standin, drainingSince } of fleet.servers) {
-      const leavesFrom = drainingSince ?? standin?.toldLeavingAt ?? null
-      if (standin !== null && leavesFrom !== null) since.set(standin.id, leavesFrom)
+      const from = drainingSince ?? standin?.toldLeavingAt ?? null
+      if (standin !== null && from !== null) leavings.set(standin.id, { server: standin.id, from, isInStore: drainingSince !== null })
     }
   }, PROBE_PERIOD_MS)
   return () => {
     clearInterval(timer)
-    return [...since].flatMap(([server, leavesFrom]) => fleet.ledger.runsOnServer(server)
-      .filter(({ startedAt }) => startedAt > leavesFrom + DRAIN_MS + MEASURE_SLACK_MS)
-      .map(({ request, startedAt }) => ({ rule: 'leaving servers get nothing', detail: `${request} began at ${server} ${Math.round(startedAt - leavesFrom)} ms after it began to leave` })))
+    return [...leavings.values()]
   }
 }
 
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -2,10 +2,10 @@
 import { answerBody, streamEvent, STREAM_EVENT_COUNT } from '@bluebellhill/platform-standin'
 import type { Ledger, PauseRequest } from '@bluebellhill/platform-standin'
 
-import { ABANDON_MS, ANSWER_SLACK_MS, LIMIT_KNOWN_MS, LIMIT_RATIO, LIMIT_SLACK, LIMIT_WINDOW_MS, MEASURE_SLACK_MS, PAUSE_KNOWN_MS, PAUSE_SLACK, RETRY_RATIO, RETRY_SLACK } from './constants.js'
+import { ABANDON_MS, ANSWER_SLACK_MS, DRAIN_MS, LIMIT_KNOWN_MS, LIMIT_RATIO, LIMIT_SLACK, LIMIT_WINDOW_MS, MEASURE_SLACK_MS, PAUSE_KNOWN_MS, PAUSE_SLACK, RETRY_RATIO, RETRY_SLACK } from './constants.js'
 import type { Fleet } from './Fleet.js'
 import { RequestKind } from './types.js'
-import type { Exchange, LimitedSpan, Violation } from './types.js'
+import type { Exchange, Leaving, LimitedSpan, Violation } from './types.js'
 
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
@@ -100,6 +100,13 @@
   return most <= allowed ? [] : [{ rule: 'limits of servers', detail: `${server} names ${perSecond} a second and got ${most} in ${LIMIT_WINDOW_MS} ms, ${allowed} may come` }]
 }
 
+/** A server that leaves gets nothing new after a while. A node that was paused in between may not have heard of it, if only answers say so. */
+const leavingServer = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { server, from, isInStore }: Leaving): Violation[] =>
+  fleet.ledger.runsOnServer(server)
+    .filter(({ startedAt }) => startedAt > from + DRAIN_MS + MEASURE_SLACK_MS)
+    .filter(({ request, startedAt }) => isInStore || fleet.nodes[exchanges.get(request)?.node ?? -1]?.process.wasSound(from, startedAt) !== false)
+    .map(({ request, startedAt }) => ({ rule: 'leaving servers get nothing', detail: `${request} began at ${server} ${Math.round(startedAt - from)} ms after it began to leave` }))
+
 /** A server that asks a node for a pause gets nothing of that node until its end. */
 const serverPause = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { request, server, at, pauseMs }: PauseRequest): Violation[] => {
   const node = exchanges.get(request)?.node ?? -1
@@ -112,9 +119,10 @@
 /**
  * @param exchanges - what callers saw
  * @param fleet - what ran
+ * @param leavings - servers that left in the course of it
  * @returns every promise that was not kept
  */
-export const violationsOf = (exchanges: readonly Exchange[], fleet: Fleet): Violation[] => {
+export const violationsOf = (exchanges: readonly Exchange[], fleet: Fleet, leavings: readonly Leaving[] = []): Violation[] => {
   const single = exchanges.flatMap((exchange) => Object.entries(CHECKS).flatMap(([rule, check]) => {
     const problem = check(exchange, fleet)
     return problem === null ? [] : [{ rule, detail: `${exchange.kind} ${exchange.id} at node ${exchange.node}: ${problem}` }]
@@ -122,6 +130,7 @@
   const ends = fleet.nodes.flatMap(({ process }) => process.unexpectedEnds.map((detail) => ({ rule: 'processes end only when asked to', detail })))
   const byId = new Map(exchanges.map((exchange) => [exchange.id, exchange]))
   const limits = fleet.limitedSpans.flatMap((span) => serverLimit(byId, fleet, span))
+  const left = leavings.flatMap((leaving) => leavingServer(byId, fleet, leaving))
   const pauses = fleet.ledger.pauseRequests.flatMap((request) => serverPause(byId, fleet, request))
-  return [...single, ...retryBudget(exchanges, fleet.ledger), ...limits, ...pauses, ...ends]
+  return [...single, ...retryBudget(exchanges, fleet.ledger), ...limits, ...left, ...pauses, ...ends]
 }
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -62,3 +62,13 @@
   readonly from: number
   until: number
 }
+
+/** A server that ends soon. */
+export interface Leaving {
+  /** Id of the server. */
+  readonly server: string
+  /** Time on the monotonic clock since which it says so, in milliseconds. */
+  readonly from: number
+  /** Whether the store says so too; otherwise only its answers do. */
+  readonly isInStore: boolean
+}
--- a/packages/soak/tests/checks.test.ts
+++ b/packages/soak/tests/checks.test.ts
@@ -93,3 +93,18 @@
   fleet.ledger.arrive(ID, SERVER)
   t.true(rules({}, fleet).includes('pauses of servers'))
 })
+
+test('leaving servers get nothing: broken by a late run, and not by that of a node that was paused if only answers say so', (t) => {
+  const fleet = fleetOf(0)
+  const from = performance.now() - 60_000
+  fleet.ledger.startRun(ID, SERVER).endedAt = 10
+  const broken = (isInStore: boolean): string[] => violationsOf([exchange()], fleet, [{ server: SERVER, from, isInStore }]).map(({ rule }) => rule)
+  t.true(broken(true).includes('leaving servers get nothing'))
+  t.true(broken(false).includes('leaving servers get nothing'))
+  const paused = fleetOf(0)
+  paused.nodes[0]?.process.beginOutage()
+  paused.ledger.startRun(ID, SERVER).endedAt = 10
+  const brokenAfterPause = (isInStore: boolean): string[] => violationsOf([exchange()], paused, [{ server: SERVER, from, isInStore }]).map(({ rule }) => rule)
+  t.true(brokenAfterPause(true).includes('leaving servers get nothing'))
+  t.false(brokenAfterPause(false).includes('leaving servers get nothing'))
+})
