Split what servers state from placing attempts and from the link between nodes

One fault mended by the way: a decision of the node's own scheduler that the node could not use would have kept its assignment; it is ended now. No other change of behaviour.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -149,7 +149,7 @@
     const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
     const attempt: OpenAttempt = { server, placed, sentAt: this.context.clock(), reservations, serverCall: null, hasFirstEvent: false, head: null, answer: null }
     this.attempt = attempt
-    this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.findNotice(server))
+    this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server))
     if (reservations === null) this.#send(attempt)
     else void this.#reserveAndSend(attempt, reservations)
   }
@@ -219,8 +219,8 @@
     const { call, context: { placement } } = this
     const isOwnAnswer = status !== MISDIRECTED_REQUEST && (notRun || attemptId === call.id)
     if (!isOwnAnswer) return
-    placement.statementReceived(server, statement, call.id)
-    if (pause !== null) placement.pauseRequested(server, pause, call.id)
+    placement.answers.received(server, statement, call.id)
+    if (pause !== null) placement.answers.pauseRequested(server, pause, call.id)
   }
 
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
--- a/packages/node/src/forward/peers/Announcements.ts
+++ b/packages/node/src/forward/peers/Announcements.ts
@@ -1,13 +1,12 @@
 /** Builds the messages in which a candidate announces itself to the nodes of its group, and the load of the group to the others. */
-import type { Millis, RunnerId, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
+import type { Millis, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
 import type { fleetWire } from '@bluebellhill/protocol'
 
 import type { FleetState } from '../FleetState.js'
 import type { Scheduler } from '../scheduling/Scheduler.js'
 import { encodeCandidate } from './datagramCodec.js'
 import type { DatagramContent } from './datagramCodec.js'
-import { encodeNotice } from './noticeCodec.js'
-import { NoticeQueue } from './NoticeQueue.js'
+import type { NoticeExchange } from './NoticeExchange.js'
 import { encodeRevision } from './revisionCodec.js'
 
 /** Number of candidates that an answer to an introduction names. */
@@ -18,6 +17,7 @@
   readonly scheduler: Scheduler
   readonly directory: SchedulerDirectory
   readonly fleetState: FleetState
+  readonly notices: NoticeExchange
   readonly clock: () => Millis
   /** Returns whether the platform's store does not answer this node. */
   readonly isStoreLost: () => boolean
@@ -27,24 +27,12 @@
 export class Announcements {
   readonly #options: AnnouncementsOptions
   readonly #startedAt: Millis
-  readonly #notices: NoticeQueue
   #isStopping = false
 
   /** @param options - this node, its scheduler and fleet state */
   constructor (options: AnnouncementsOptions) {
     this.#options = options
     this.#startedAt = options.clock()
-    this.#notices = new NoticeQueue(() => options.scheduler.notices.shared(options.clock()))
-  }
-
-  /** Whether statements have changed that no message has contained yet. */
-  get hasChangedNotices (): boolean {
-    return this.#notices.hasChanges
-  }
-
-  /** @param server - backend server whose statement has changed */
-  noticeChanged (server: RunnerId): void {
-    this.#notices.markChanged(server)
   }
 
   /** Marks this node as stopping in all further messages. */
@@ -69,7 +57,7 @@
   }
 
   #ownState (namesCandidates: boolean): fleetWire.CandidateReport {
-    const { fleetState, directory, isStoreLost, clock } = this.#options
+    const { fleetState, directory, notices, isStoreLost, clock } = this.#options
     return {
       uptimeMs: BigInt(Math.round(clock() - this.#startedAt)),
       configurationVersion: fleetState.configurationVersion,
@@ -77,7 +65,7 @@
       storeLost: isStoreLost(),
       stopping: this.#isStopping,
       candidates: namesCandidates ? directory.ranked(NAMED_CANDIDATES).map(encodeCandidate) : [],
-      notices: this.#notices.next().map((notice) => encodeNotice(notice, clock()))
+      notices: notices.nextAnnouncement()
     }
   }
 }
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -3,7 +3,7 @@
  * reports of the nodes for which it is a candidate, and announces the load of its group to the schedulers of the others.
  */
 import { eraOf, groupOf } from '@bluebellhill/domain'
-import type { CandidateState, FailureDomain, Millis, NodeId, RunnerId, SchedulerCandidate, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
+import type { CandidateState, FailureDomain, Millis, NodeId, SchedulerCandidate, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 import type { fleetWire } from '@bluebellhill/protocol'
 
 import type { FleetState } from '../FleetState.js'
@@ -12,8 +12,7 @@
 import { Announcements } from './Announcements.js'
 import { DATAGRAM_VERSION, decodeCandidate, decodeCandidateState, decodeDatagram, decodeGroupLoad, encodeDatagram, isSchedulerDatagram } from './datagramCodec.js'
 import type { DatagramContent, ReceivedDatagram } from './datagramCodec.js'
-import { decodeNotice, encodeNotice } from './noticeCodec.js'
-import { NoticeQueue } from './NoticeQueue.js'
+import { NoticeExchange } from './NoticeExchange.js'
 import { PeerSocket } from './PeerSocket.js'
 import { PeerTable } from './PeerTable.js'
 import type { Peer } from './PeerTable.js'
@@ -73,8 +72,7 @@
   readonly #options: PeerLinkOptions
   readonly #socket: PeerSocket
   readonly #announcements: Announcements
-  /** Statements that backend servers have made to this node. */
-  readonly #ownNotices: NoticeQueue
+  readonly #notices: NoticeExchange
   #sequence = 0
   #heartbeatCount = 0
   #heartbeatTimer: NodeJS.Timeout | null = null
@@ -87,8 +85,8 @@
   /** @param options - this node, its scheduler and fleet state */
   constructor (options: PeerLinkOptions) {
     this.#options = options
-    this.#announcements = new Announcements(options)
-    this.#ownNotices = new NoticeQueue(() => options.scheduler.notices.shared(options.clock()).filter(({ heardBy }) => heardBy === options.self.node))
+    this.#notices = new NoticeExchange({ ...options, node: options.self.node, statements: options.scheduler.statements })
+    this.#announcements = new Announcements({ ...options, notices: this.#notices })
     this.#socket = new PeerSocket(options.log, (datagram, address) => this.#receive(datagram, address))
     options.fleetState.onChange(() => this.#announceSoon())
   }
@@ -140,9 +138,9 @@
    * @param notice - the statement
    */
   noticeHeard ({ server }: ServerNotice): void {
-    this.#ownNotices.markChanged(server)
+    this.#notices.heard(server)
     this.reportSoon()
-    this.#noticeChanged(server)
+    this.#announceSoon()
   }
 
   /** Announces to the nodes that report to this one that it has lost the store. */
@@ -238,7 +236,7 @@
       failureDomain: isIntroduction ? self.failureDomain : '',
       version: DATAGRAM_VERSION,
       processor: isIntroduction ? self.processor : 0,
-      notices: this.#ownNotices.next().map((notice) => encodeNotice(notice, clock()))
+      notices: this.#notices.nextReport()
     }, clock())
   }
 
@@ -298,19 +296,7 @@
   }
 
   #recordNotices (notices: readonly fleetWire.ServerNotice[]): void {
-    const { scheduler, clock, log } = this.#options
-    for (const wire of notices) {
-      const notice = decodeNotice(wire, clock())
-      if (!scheduler.recordNotice(notice)) continue
-      const { server, requestLimit, isLeaving, heardBy } = notice
-      log.info('server.stated', { server, request_limit: requestLimit ?? 'none', leaving: isLeaving || undefined, heard_by: heardBy, age_ms: wire.heardAgoMs })
-      this.#noticeChanged(server)
-    }
-  }
-
-  #noticeChanged (server: RunnerId): void {
-    this.#announcements.noticeChanged(server)
-    this.#announceSoon()
+    if (this.#notices.received(notices)) this.#announceSoon()
   }
 
   #peerFound ({ node, address, startedAt }: Peer): void {
@@ -334,7 +320,7 @@
     do {
       const content = this.#announcements.candidateReport(false)
       for (const { address, version } of this.table.active()) if (version > 0) this.send(address, content)
-    } while (this.#announcements.hasChangedNotices)
+    } while (this.#notices.hasUnannounced)
   }
 
   /** Sends the load of this group to the schedulers of the others. */
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,21 +1,19 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
-import { assignmentNumber, HealthSignal, ServerBackoffs, SLOWDOWN_SAMPLE_COUNT } from '@bluebellhill/domain'
-import type { Assignment, AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, RunnerId, SchedulerDirectory, ServerNotice, ServerStatement } from '@bluebellhill/domain'
+import { assignmentNumber, HealthSignal, SLOWDOWN_SAMPLE_COUNT } from '@bluebellhill/domain'
+import type { Assignment, AttemptHistory, Millis, NodeId, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { AdmittedCall } from '../AdmittedCall.js'
 import type { FleetState } from '../FleetState.js'
-import { decodeReply, encodeAttemptReports, encodeQuery } from '../peers/datagramCodec.js'
+import { decodeReply, encodeQuery } from '../peers/datagramCodec.js'
 import type { DatagramContent, ReceivedDatagram } from '../peers/datagramCodec.js'
 import { PendingQueries, QUERY_TIMING } from '../peers/PendingQueries.js'
 import type { QueryTiming } from '../peers/PendingQueries.js'
+import { AnswerStatements } from './AnswerStatements.js'
+import { ReportQueue } from './ReportQueue.js'
 import type { Scheduler } from './Scheduler.js'
 import { GROUP_CONTEXT, PlacementRefusal } from './types.js'
-import { spreadReturn } from './spreadReturn.js'
-import type { AttemptPlacement, AttemptReport, PlacedAttempt, PlacementContext, PlacementResult, PlacementSpec, RefusedPlacement } from './types.js'
-
-/** How long reports of attempts are collected and sent together. */
-const REPORT_DELAY: Millis = 5
+import type { AttemptPlacement, PlacedAttempt, PlacementContext, PlacementResult, PlacementSpec } from './types.js'
 
 /** Schedulers that are asked before this node decides itself. */
 const MAX_SCHEDULERS_ASKED = 2
@@ -49,6 +47,8 @@
 
 /** Places attempts, and reports what becomes of them. */
 export class PlacementClient {
+  /** What backend servers state in their answers to this node. */
+  readonly answers: AnswerStatements
   readonly #options: PlacementClientOptions
   readonly #placementQueries: PendingQueries<Parameters<typeof decodeReply>[0]>
   readonly #silenceQueries: PendingQueries<Millis>
@@ -56,9 +56,7 @@
   readonly #schedulers = new Map<string, string>()
   /** Last pauses of each stream over the published pass time, by assignment id. */
   readonly #pauses = new Map<string, number[]>()
-  readonly #backoffs = new ServerBackoffs()
-  readonly #unsentReports = new Map<string, AttemptReport[]>()
-  #reportTimer: NodeJS.Timeout | null = null
+  readonly #reports: ReportQueue
   #nextSilenceQuery = 1
 
   /** @param options - the scheduler of this node and those of the others */
@@ -67,7 +65,8 @@
     this.#options = options
     this.#placementQueries = new PendingQueries(timing)
     this.#silenceQueries = new PendingQueries(timing)
-    options.fleetState.onDeparture((id) => this.#backoffs.remove(id))
+    this.#reports = new ReportQueue(options.send)
+    this.answers = new AnswerStatements({ ...options, statements: options.scheduler.statements })
   }
 
   /** @returns addresses of the schedulers that keep assignments of this node */
@@ -86,7 +85,7 @@
   async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean): Promise<AttemptPlacement> {
     const { scheduler, clock } = this.#options
     const startedAt = clock()
-    let spec = specOf(call, history, chargesRetry, this.#backoffs.active(startedAt))
+    let spec = specOf(call, history, chargesRetry, this.answers.pausedServers())
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
       const decision = await this.#decide(spec, number)
@@ -98,7 +97,7 @@
 
   #record (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision, startedAt: Millis): AttemptPlacement {
     const { scheduler, clock } = this.#options
-    if (result.type === 'refused') return this.#withPause(spec, result)
+    if (result.type === 'refused') return this.answers.explainRefusal(result, spec.service)
     if (result.type === 'redirected') return { type: 'refused', reason: 'no scheduler has accepted the request', retryAfter: null }
     const assignment = address === null
       ? scheduler.assignments.findOwn(number)
@@ -106,7 +105,7 @@
     if (assignment === null) return { type: 'refused', reason: 'the assignment is not recorded', retryAfter: null }
     if (address !== null) this.#schedulers.set(assignment.id, address)
     const { choice, load } = result
-    const passedOver = [...new Set([...result.passedOver, ...this.#pausedServersOf(spec.service).map(({ id }) => id)])]
+    const passedOver = [...new Set([...result.passedOver, ...this.answers.pausedServersOf(spec.service).map(({ id }) => id)])]
     return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, decidedIn: clock() - startedAt } }
   }
 
@@ -118,41 +117,23 @@
     if (result.type !== 'placed') return true
     const { scheduler, directory } = this.#options
     const { server } = result.choice
-    if (this.#obstaclesIn(result.choice).length > 0) return false
-    return result.keepsLimit || scheduler.takeQuota(server, 1 / directory.size)
+    if (this.answers.obstaclesIn(result.choice).length > 0) return false
+    return result.keepsLimit || scheduler.statements.take(server, 1 / directory.size)
   }
 
   /** Returns a grant, and excludes the servers that made it unusable from the next decision. */
   #withoutChosen (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision): PlacementSpec {
     if (result.type !== 'placed') return spec
+    const { scheduler, clock } = this.#options
     const { server } = result.choice
-    if (address !== null) this.#returnUnusedGrant(address, number, server.id)
-    const obstacles = this.#obstaclesIn(result.choice).map(({ id }) => id)
+    const own = scheduler.assignments.findOwn(number)
+    if (own !== null) scheduler.assignments.end(own, clock())
+    else if (address !== null) this.#returnUnusedGrant(address, number, server.id)
+    const obstacles = this.answers.obstaclesIn(result.choice).map(({ id }) => id)
     const unusable = obstacles.length > 0 ? obstacles : [server.id]
     return { ...spec, excluded: [...spec.excluded, ...unusable], chargesRetry: false, isFirstAttempt: false }
   }
 
-  /** Returns the servers of a choice that accept no requests of this node now. */
-  #obstaclesIn ({ server, helpers }: PlacementChoice): BackendServer[] {
-    const now = this.#options.clock()
-    return [server, ...helpers].filter((participant) => this.#options.scheduler.notices.isLeaving(participant) || this.#backoffs.remaining(participant.id, now) > 0)
-  }
-
-  /** Names the time after which a paused server accepts requests again, if that is why there is no server. */
-  #withPause (spec: PlacementSpec, refusal: RefusedPlacement): RefusedPlacement {
-    if (refusal.reason !== PlacementRefusal.NoServer) return refusal
-    const [soonest] = this.#pausedServersOf(spec.service).sort((a, b) => a.pause - b.pause)
-    if (soonest === undefined) return refusal
-    return { type: 'refused', reason: PlacementRefusal.ServersPaused, retryAfter: spreadReturn(soonest.pause), pausedServer: soonest.id }
-  }
-
-  #pausedServersOf (service: string): Array<{ readonly id: RunnerId, readonly pause: Millis }> {
-    const { fleetState, clock } = this.#options
-    const now = clock()
-    if (this.#backoffs.active(now).length === 0) return []
-    return fleetState.servers.ready(service).map(({ id }) => ({ id, pause: this.#backoffs.remaining(id, now) })).filter(({ pause }) => pause > 0)
-  }
-
   /** Records that the first event of an attempt has arrived: its prefill is finished. */
   prefillFinished ({ assignment }: PlacedAttempt): void {
     const { scheduler, clock } = this.#options
@@ -194,34 +175,7 @@
     if (server === undefined) return
     scheduler.recordHealthSignal(server, HealthSignal.Unreachable)
     const group = directory.scheduler(clock())
-    if (group.node !== node) this.#queueReport(group.address, { number: 0, isEnded: false, server: server.id, signal: HealthSignal.Unreachable, slowdown: null })
-  }
-
-  /**
-   * Records what a backend server states about itself in an answer to this node.
-   *
-   * @param server - the backend server
-   * @param statement - its statement
-   * @param request - the request that it answers
-   */
-  statementReceived ({ id, startedAt }: BackendServer, statement: ServerStatement, request: string): void {
-    const { scheduler, node, clock, log, onNotice } = this.#options
-    const notice: ServerNotice = { ...statement, server: id, startedAt, heardAt: clock(), heardBy: node }
-    if (!scheduler.recordNotice(notice)) return
-    log.info('server.stated', { server: id, request_limit: statement.requestLimit ?? 'none', leaving: statement.isLeaving || undefined, request, heard_by: node })
-    onNotice(notice)
-  }
-
-  /**
-   * Records that a backend server wants no requests of this node for some time.
-   *
-   * @param server - the backend server
-   * @param pause - how long
-   * @param request - the request that it refused
-   */
-  pauseRequested ({ id }: BackendServer, pause: Millis, request: string): void {
-    this.#backoffs.record(id, pause, Math.random(), this.#options.clock())
-    this.#options.log.info('server.paused', { server: id, pause_ms: Math.round(pause), request })
+    if (group.node !== node) this.#reports.add(group.address, { number: 0, isEnded: false, server: server.id, signal: HealthSignal.Unreachable, slowdown: null })
   }
 
   /**
@@ -229,18 +183,10 @@
    * @returns why it must not be sent any more; null if it may
    */
   obstacleTo ({ choice }: PlacedAttempt): string | null {
-    const [server] = this.#obstaclesIn(choice)
+    const [server] = this.answers.obstaclesIn(choice)
     return server === undefined ? null : `server ${server.id} accepts no requests of this node now`
   }
 
-  /**
-   * @param server - a backend server
-   * @returns its newest statement that this node knows; null if there is none
-   */
-  findNotice (server: BackendServer): ServerNotice | null {
-    return this.#options.scheduler.notices.find(server)
-  }
-
   /**
    * @param attempt - an attempt whose server sends no data
    * @returns how long known prefills still explain this; 0 if they do not
@@ -277,7 +223,7 @@
   }
 
   dispose (): void {
-    if (this.#reportTimer !== null) clearTimeout(this.#reportTimer)
+    this.#reports.dispose()
   }
 
   async #decide (spec: PlacementSpec, number: number): Promise<Decision> {
@@ -329,7 +275,7 @@
   /** Frees the place of a reply that came too late or twice, unless the attempt is in progress. */
   #returnUnusedGrant (address: string, number: number, server: string): void {
     if (this.#options.scheduler.assignments.findOwn(number) !== null) return
-    this.#queueReport(address, { number, isEnded: true, server: server as RunnerId, signal: null, slowdown: null })
+    this.#reports.add(address, { number, isEnded: true, server: server as RunnerId, signal: null, slowdown: null })
   }
 
   #report (assignment: Assignment, isEnded: boolean, signal: HealthSignal | null): void {
@@ -337,20 +283,7 @@
     if (address === undefined) return
     const ratios = isEnded ? this.#pauses.get(assignment.id) ?? [] : []
     const slowdown = ratios.length < SLOWDOWN_SAMPLE_COUNT ? null : Math.min(...ratios)
-    this.#queueReport(address, { number: assignmentNumber(assignment), isEnded, server: assignment.server, signal, slowdown })
-  }
-
-  #queueReport (address: string, report: AttemptReport): void {
-    const queued = this.#unsentReports.get(address)
-    if (queued === undefined) this.#unsentReports.set(address, [report])
-    else queued.push(report)
-    this.#reportTimer ??= setTimeout(() => this.#sendReports(), REPORT_DELAY)
-  }
-
-  #sendReports (): void {
-    this.#reportTimer = null
-    for (const [address, reports] of this.#unsentReports) this.#options.send(address, { $case: 'attemptReports', value: encodeAttemptReports(reports) })
-    this.#unsentReports.clear()
+    this.#reports.add(address, { number: assignmentNumber(assignment), isEnded, server: assignment.server, signal, slowdown })
   }
 }
 
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,14 +1,15 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
-import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, requestLimitShare, RequestQuotas, ServerHealth, ServerNotices, SlowdownEstimator, tieBreakRank, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
-import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, Quota, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, ServerNotice, Service, ServiceLoad } from '@bluebellhill/domain'
+import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
+import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
+import { ServerStatements } from './ServerStatements.js'
 import { spreadReturn } from './spreadReturn.js'
 import { PlacementRefusal } from './types.js'
-import type { AssignmentOwner, AttemptReport, ChosenServerLoad, PlacementContext, PlacementResult, PlacementSpec, RefusedPlacement } from './types.js'
+import type { AssignmentOwner, AttemptReport, ChosenServerLoad, PlacementContext, PlacementResult, PlacementSpec } from './types.js'
 
 export interface SchedulerOptions {
   readonly node: NodeId
@@ -33,8 +34,7 @@
 export class Scheduler {
   readonly assignments: FleetAssignments
   readonly health = new ServerHealth()
-  readonly notices = new ServerNotices()
-  readonly #requestQuotas = new RequestQuotas()
+  readonly statements: ServerStatements
   readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
@@ -48,13 +48,13 @@
   constructor (options: SchedulerOptions) {
     this.#options = options
     this.assignments = new FleetAssignments(options.node)
+    this.statements = new ServerStatements(options)
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
     this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
     options.fleetState.onDeparture((id) => {
       this.health.remove(id)
-      this.notices.remove(id)
-      this.#requestQuotas.remove(id)
+      this.statements.remove(id)
       this.#slowdowns.remove(id)
     })
   }
@@ -75,48 +75,19 @@
     const now = this.#options.clock()
     const loads = this.assignments.serverLoads(now)
     const permitted = this.#permittedServers(spec, service)
-    const staying = permitted.filter((server) => !this.notices.isLeaving(server))
-    const open = staying.filter((server) => this.#quotaWait(server, context, now) === 0)
+    const open = permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, context.limitShare) === 0)
     const choice = this.#choose(spec, service, open, loads, context, now)
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
-    if (choice === null) return this.#refusalFor(permitted, staying, context, now)
+    if (choice === null) return this.statements.refusalFor(permitted, context.limitShare)
     const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
     this.#record(spec, choice, owner, now)
-    this.takeQuota(choice.server, context.limitShare)
+    this.statements.take(choice.server, context.limitShare)
     const passedOver = permitted.filter((server) => !open.includes(server)).slice(0, MAX_PASSED_OVER).map(({ id }) => id)
     return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver }
   }
 
-  /**
-   * Records what a backend server has stated about itself, to this node or to another one.
-   *
-   * @param notice - the statement
-   * @returns whether the other nodes should know of it at once
-   */
-  recordNotice (notice: ServerNotice): boolean {
-    const isMajor = this.notices.record(notice)
-    if (notice.requestLimit === null) this.#requestQuotas.remove(notice.server)
-    return isMajor
-  }
-
-  /**
-   * Uses the quota of one request to a backend server, if the server has stated a limit.
-   *
-   * @param server - the backend server
-   * @param limitShare - part of the group's share of its limit that may be used
-   * @returns whether the limit was not reached yet
-   */
-  takeQuota (server: BackendServer, limitShare: number): boolean {
-    const quota = this.#quotaOf(server, limitShare)
-    if (quota === null) return true
-    const now = this.#options.clock()
-    const isFree = this.#requestQuotas.waitTime(server.id, quota, now) === 0
-    if (isFree) this.#requestQuotas.take(server.id, quota, now)
-    return isFree
-  }
-
   /**
    * Creates the record of a placed attempt.
    *
@@ -256,32 +227,6 @@
     return ready.filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
   }
 
-  /** Refuses because no server is permitted, or because of what the permitted ones have stated. */
-  #refusalFor (permitted: readonly BackendServer[], staying: readonly BackendServer[], context: PlacementContext, now: Millis): RefusedPlacement {
-    const [leaving] = permitted
-    if (leaving !== undefined && staying.length === 0) {
-      return { type: 'refused', reason: PlacementRefusal.ServersLeaving, retryAfter: null, notice: this.notices.find(leaving) ?? undefined }
-    }
-    const waits = staying.map((server) => ({ notice: this.notices.find(server), wait: this.#quotaWait(server, context, now) })).filter(({ wait }) => wait > 0)
-    const [soonest] = waits.sort((a, b) => a.wait - b.wait)
-    if (soonest === undefined || soonest.notice === null) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
-    return { type: 'refused', reason: PlacementRefusal.RequestLimit, retryAfter: spreadReturn(soonest.wait), notice: soonest.notice }
-  }
-
-  #quotaWait (server: BackendServer, { limitShare }: PlacementContext, now: Millis): Millis {
-    const quota = this.#quotaOf(server, limitShare)
-    return quota === null ? 0 : this.#requestQuotas.waitTime(server.id, quota, now)
-  }
-
-  /** Returns this scheduler's quota of requests to a server; null if the server has stated no limit. */
-  #quotaOf (server: BackendServer, limitShare: number): Quota | null {
-    const { group, schedulerCount, node } = this.#options
-    const limit = this.notices.find(server)?.requestLimit ?? null
-    if (limit === null) return null
-    const share = limitShare * requestLimitShare(group(), server.failureDomain, schedulerCount())
-    return { limit, share, phase: limitShare === 1 ? 0 : tieBreakRank(node, server.id) }
-  }
-
   #candidates (permitted: readonly BackendServer[], now: Millis): Candidate[] {
     const { group } = this.#options
     const reachable = permitted.filter(({ failureDomain }) => !this.#domainReachability.isAvoided(failureDomain, now))
--- /dev/null
+++ b/packages/node/src/forward/scheduling/ServerStatements.ts
@@ -0,0 +1,104 @@
+/** Keeps what backend servers have stated to this node and to others, and the quotas that follow from their request limits. */
+import { requestLimitShare, RequestQuotas, ServerNotices, tieBreakRank } from '@bluebellhill/domain'
+import type { BackendServer, Millis, NodeId, Quota, RunnerId, SchedulerGroup, ServerNotice } from '@bluebellhill/domain'
+
+import { spreadReturn } from './spreadReturn.js'
+import { PlacementRefusal } from './types.js'
+import type { RefusedPlacement } from './types.js'
+
+export interface ServerStatementsOptions {
+  readonly node: NodeId
+  readonly clock: () => Millis
+  /** Returns the group whose backend servers this node places requests on. */
+  readonly group: () => SchedulerGroup
+  /** Returns the number of schedulers that share the request limits. */
+  readonly schedulerCount: () => number
+}
+
+/** Statements of the backend servers. */
+export class ServerStatements {
+  readonly notices = new ServerNotices()
+  readonly #quotas = new RequestQuotas()
+  readonly #options: ServerStatementsOptions
+
+  /** @param options - this node and its group */
+  constructor (options: ServerStatementsOptions) {
+    this.#options = options
+  }
+
+  /**
+   * Records what a backend server has stated, to this node or to another one.
+   *
+   * @param notice - the statement
+   * @returns whether the other nodes should know of it at once
+   */
+  record (notice: ServerNotice): boolean {
+    const isMajor = this.notices.record(notice)
+    if (notice.requestLimit === null) this.#quotas.remove(notice.server)
+    return isMajor
+  }
+
+  /**
+   * @param server - a backend server
+   * @param limitShare - part of the group's share of its request limit that may be used
+   * @returns time until it may get another request; 0 if it may now
+   */
+  waitTime (server: BackendServer, limitShare: number): Millis {
+    const quota = this.#quotaOf(server, limitShare)
+    return quota === null ? 0 : this.#quotas.waitTime(server.id, quota, this.#options.clock())
+  }
+
+  /**
+   * Uses the quota of one request to a backend server, if the server has stated a limit.
+   *
+   * @param server - the backend server
+   * @param limitShare - part of the group's share of its request limit that may be used
+   * @returns whether the limit was not reached yet
+   */
+  take (server: BackendServer, limitShare: number): boolean {
+    const quota = this.#quotaOf(server, limitShare)
+    if (quota === null) return true
+    const now = this.#options.clock()
+    const isFree = this.#quotas.waitTime(server.id, quota, now) === 0
+    if (isFree) this.#quotas.take(server.id, quota, now)
+    return isFree
+  }
+
+  /**
+   * Explains why none of some servers is chosen.
+   *
+   * @param permitted - the servers that an attempt may be sent to
+   * @param limitShare - part of the group's share of their request limits that may be used
+   * @returns the refusal, with the statement that decides it
+   */
+  refusalFor (permitted: readonly BackendServer[], limitShare: number): RefusedPlacement {
+    const staying = permitted.filter((server) => !this.notices.isLeaving(server))
+    const [leaving] = permitted
+    if (leaving !== undefined && staying.length === 0) {
+      return { type: 'refused', reason: PlacementRefusal.ServersLeaving, retryAfter: null, notice: this.notices.find(leaving) ?? undefined }
+    }
+    const waits = staying.map((server) => ({ notice: this.notices.find(server), wait: this.waitTime(server, limitShare) })).filter(({ wait }) => wait > 0)
+    const [soonest] = waits.sort((a, b) => a.wait - b.wait)
+    if (soonest === undefined || soonest.notice === null) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
+    return { type: 'refused', reason: PlacementRefusal.RequestLimit, retryAfter: spreadReturn(soonest.wait), notice: soonest.notice }
+  }
+
+  /**
+   * Discards the statement of a server that was removed or has restarted.
+   *
+   * @param id - the backend server
+   */
+  remove (id: RunnerId): void {
+    this.notices.remove(id)
+    this.#quotas.remove(id)
+  }
+
+  /** Returns this node's quota of requests to a server; null if the server has stated no limit. */
+  #quotaOf (server: BackendServer, limitShare: number): Quota | null {
+    const { group, schedulerCount, node } = this.#options
+    const limit = this.notices.find(server)?.requestLimit ?? null
+    if (limit === null) return null
+    const share = limitShare * requestLimitShare(group(), server.failureDomain, schedulerCount())
+    return { limit, share, phase: limitShare === 1 ? 0 : tieBreakRank(node, server.id) }
+  }
+}
--- a/packages/node/tests/scheduling.test.ts
+++ b/packages/node/tests/scheduling.test.ts
@@ -303,7 +303,7 @@
 /** Most requests that a limit, or a node's share of it, allows since a moment: its rate, and what a burst may take. */
 const allowedSince = (startedAt: number, perSecond: number): number => perSecond * (performance.now() - startedAt) / 1_000 + Math.max(1, perSecond) + 1
 
-const stateLimit = (node: TestNode, index: number): void => node.placement.statementReceived(engine(index), { requestLimit: LIMIT, isLeaving: false }, 'r0')
+const stateLimit = (node: TestNode, index: number): void => node.placement.answers.received(engine(index), { requestLimit: LIMIT, isLeaving: false }, 'r0')
 
 /** Guards against the fault of incident LIMIT over several nodes: the scheduler placed as before on a server whose limit it had heard. */
 test('steady requests of six nodes: an engine with a stated limit gets that much, the others take the rest', async (t) => {
@@ -358,6 +358,6 @@
   const network = new TestNetwork(2, 9)
   const node = network.nodes[1]!
   const { choice: { server } } = await network.placeOne(node)
-  node.placement.statementReceived(server, { requestLimit: null, isLeaving: true }, 'r0')
+  node.placement.answers.received(server, { requestLimit: null, isLeaving: true }, 'r0')
   for (let index = 0; index < 6; index += 1) t.not((await network.placeOne(node)).choice.server.id, server.id)
 })
