--- a/packages/domain/src/forwarding/PrefillQueue.ts
+++ b/packages/domain/src/forwarding/PrefillQueue.ts
@@ -1,6 +1,6 @@
 /** Estimates the progress of the prefills on one engine. */
 import type { Millis } from '../types.js'
-import type { Assignment } from './FleetAssignments.js'
+import type { Assignment } from './assignment.js'
 
 /** A prompt, or a segment of one, that is not prefilled yet. */
 export interface PendingPrefill {
--- a/packages/domain/src/forwarding/index.ts
+++ b/packages/domain/src/forwarding/index.ts
@@ -1,4 +1,5 @@
 export * from './types.js'
+export * from './assignment.js'
 export * from './AttemptHistory.js'
 export * from './BackendServerTable.js'
 export * from './contention.js'
--- a/packages/node/src/forward/ForwardMetrics.ts
+++ b/packages/node/src/forward/ForwardMetrics.ts
@@ -3,7 +3,7 @@
 
 import type { CallKind, Millis } from '@bluebellhill/domain'
 
-import type { ForwardOutcome } from './types.js'
+import type { ForwardOutcome } from './ForwardOutcome.js'
 
 const MS_PER_SECOND = 1_000
 
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -16,7 +16,7 @@
 import { MemoryReservations } from './MemoryReservations.js'
 import { PlacementRefusal } from './scheduling/types.js'
 import type { AttemptPlacement, PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
-import { ForwardOutcome } from './types.js'
+import { ForwardOutcome } from './ForwardOutcome.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
 
 /** Timeout for opening a connection to a backend server. */
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -4,7 +4,8 @@
 
 import type { AdmittedCall } from './AdmittedCall.js'
 import type { PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
-import type { ForwardingContext, ForwardOutcome, OpenAttempt } from './types.js'
+import type { ForwardOutcome } from './ForwardOutcome.js'
+import type { ForwardingContext, OpenAttempt } from './types.js'
 
 /** Result of a request, for its final log line. */
 export interface RequestEnd {
