--- a/packages/soak/src/Callers.ts
+++ b/packages/soak/src/Callers.ts
@@ -1,4 +1,4 @@
-/** Callers that keep their connections, and note what they see. */
+/** Callers that reuse their connections and record the answers. */
 import { Agent, request as httpRequest } from 'node:http'
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -40,7 +40,7 @@
   standin: BackendStandin | null
   /** Wall-clock milliseconds at which the running one started. */
   startedAt: number
-  /** When it was said to be draining; null unless it is. */
+  /** Time at which its entry changed to draining; null if it is not. */
   drainingSince: number | null
 }
 
@@ -118,7 +118,7 @@
     return this.nodes.map(({ process }) => process.name).filter((name) => !registered.includes(`${StoreKey.Nodes}${name}`))
   }
 
-  /** Starts a server anew, with nothing of what it held. */
+  /** Starts a server as a new process without any state. */
   async startServer (server: Server): Promise<void> {
     const id = `i-${server.index}-${this.#incarnations++}`
     const standin = new BackendStandin(id, this.ledger)
@@ -129,7 +129,7 @@
     this.#writeEntry(server, id, false)
   }
 
-  /** Ends a server as a crash would; its entry goes when its lease has run out. */
+  /** Stops a server as a crash would; its entry is removed when its lease has expired. */
   async crashServer (server: Server, leaseMs: number): Promise<void> {
     const { standin } = server
     if (standin === null) return
@@ -144,17 +144,17 @@
     this.#writeEntry(server, server.standin.id, true)
   }
 
-  /** Lets a server say in its answers that it leaves, and nowhere else. */
+  /** Makes a server state in its answers that it is leaving; its entry in the store does not change. */
   leaveServer (server: Server): void {
     if (server.standin !== null) server.standin.isLeaving = true
   }
 
   /**
-   * Lets a server name a limit in all its answers.
+   * Makes a server state a request limit in all its answers.
    *
    * @param server - the server
    * @param perSecond - requests per second
-   * @returns the time in which it does, which ends when its `until` is set and the limit is taken back
+   * @returns the period in which it does; the caller ends it by clearing the limit and setting `until`
    */
   limitServer ({ standin }: Server, perSecond: number): LimitedSpan | null {
     if (standin === null || standin.requestLimit !== null) return null
--- a/packages/soak/src/NodeProcess.ts
+++ b/packages/soak/src/NodeProcess.ts
@@ -1,4 +1,4 @@
-/** One node under test: a process that signals stop, pause, kill and start again. */
+/** Process of one node under test, which can be stopped, paused, killed and started again. */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
 import { createWriteStream } from 'node:fs'
@@ -6,7 +6,7 @@
 import { once } from 'node:events'
 import { dirname, resolve } from 'node:path'
 
-/** A time in which a node cannot be held to its promises. */
+/** Period in which the checks do not apply to a node. */
 export interface Outage {
   readonly from: number
   until: number
@@ -14,7 +14,7 @@
 
 /** Runs the program that is deployed. */
 export class NodeProcess {
-  /** Ends of the process that nobody asked for, and ends of another kind than was asked for. */
+  /** Exits that the soak did not cause, and exits with another code than expected. */
   readonly unexpectedEnds: string[] = []
   readonly #log: WriteStream
   #child: ChildProcess | null = null
@@ -54,7 +54,7 @@
     return !this.#outages.some((outage) => outage.from < until && outage.until > from)
   }
 
-  /** Notes that the node cannot be held to its promises from now on, until the end of what is returned. */
+  /** Starts a period in which the checks do not apply to the node; it ends when `until` of the returned outage is set. */
   beginOutage (): Outage {
     const outage = { from: performance.now(), until: Infinity }
     this.#outages.push(outage)
@@ -77,7 +77,7 @@
     await this.#end('SIGKILL')
   }
 
-  /** Asks it to stop; it has to end in order within the grace. */
+  /** Sends SIGTERM; the process has to exit with code 0 within the grace period. */
   async stop (grace: number): Promise<void> {
     const child = this.#child
     if (child === null) return
--- a/packages/soak/src/TcpProxy.ts
+++ b/packages/soak/src/TcpProxy.ts
@@ -1,19 +1,19 @@
-/** A loopback proxy that injures the connections through it. */
+/** TCP proxy on loopback that disrupts the connections through it. */
 import { once } from 'node:events'
 import { connect, createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 
-/** What happens to bytes on the way. */
+/** How the proxy treats the bytes of its connections. */
 export const LinkMode = {
   Open: 'open',
-  /** New connections are reset, open ones too. */
+  /** New and open connections are reset. */
   Reset: 'reset',
-  /** Nothing passes in either direction, and no connection ends. */
+  /** No bytes are forwarded in either direction, and no connection is closed. */
   Silent: 'silent',
-  /** Requests pass, answers do not. */
+  /** Only the bytes of requests are forwarded. */
   OneWay: 'one_way',
-  /** Every piece is late. */
+  /** Every chunk is delayed. */
   Delayed: 'delayed'
 } as const
 export type LinkMode = typeof LinkMode[keyof typeof LinkMode]
@@ -25,7 +25,7 @@
   readonly server: Socket
 }
 
-/** Listens at one address and passes on to another. */
+/** Listens at one address and forwards its connections to another. */
 export class TcpProxy {
   readonly #server: Server
   readonly #links = new Set<Link>()
@@ -45,12 +45,12 @@
     await once(this.#server, 'listening')
   }
 
-  /** Whether bytes pass, and have since this time. */
+  /** Whether the proxy has forwarded all bytes since this time. */
   isSoundSince (time: number): boolean {
     return this.#mode === LinkMode.Open && this.#lastInjury < time
   }
 
-  /** Changes what happens to bytes from now on. */
+  /** Changes how bytes are treated from now on. */
   setMode (mode: LinkMode): void {
     if (this.#mode !== LinkMode.Open) this.#lastInjury = performance.now()
     // A connection on which pieces were held back stays broken: TCP would not lose them in the middle.
@@ -90,7 +90,7 @@
     }
   }
 
-  /** Passes bytes on; `passingMode` is the mode that holds back the other direction only. */
+  /** Forwards bytes in one direction; `passingMode` is the mode that blocks only the other direction. */
   #pass (from: Socket, to: Socket, passingMode: LinkMode | null): void {
     const isHeld = (): boolean => this.#mode === LinkMode.Silent || (this.#mode === LinkMode.OneWay && passingMode !== LinkMode.OneWay)
     // What follows a late piece is later still: TCP keeps the order.
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -1,4 +1,4 @@
-/** The promises, held against what callers and backend servers saw. */
+/** Checks the users' requirements against what callers and backend servers have recorded. */
 import { answerBody, streamEvent, STREAM_EVENT_COUNT } from '@bluebellhill/platform-standin'
 import type { Ledger, PauseRequest } from '@bluebellhill/platform-standin'
 
@@ -28,7 +28,7 @@
   return exchange.body === expected ? null : `the answer has ${exchange.body.length} bytes in place of ${expected.length}: ${exchange.body.slice(0, 80)}`
 }
 
-/** What was passed on of a stream is its beginning. */
+/** The events that the caller received are the first ones of the stream, in order. */
 const orderedEvents: Check = (exchange) => {
   if (exchange.kind !== RequestKind.Stream || !isSuccess(exchange)) return null
   return streamOf(exchange.id).startsWith(exchange.body) ? null : `events that do not follow each other: ${exchange.body.slice(-80)}`
@@ -52,7 +52,7 @@
   return `it took ${Math.round(took)} ms of ${exchange.deadline}`
 }
 
-/** A node that runs ends no request without a final answer. */
+/** A running node gives every request a final answer. */
 const answered: Check = (exchange, fleet) => {
   if (exchange.left || exchange.status !== null || !nodeWasSound(exchange, fleet)) return null
   return `no answer: ${exchange.error}`
@@ -88,33 +88,33 @@
 
 const MS_PER_SECOND = 1_000
 
-/** Whether the node of a request is held to what servers state in their answers: it ran freely in that time, and knows of it. */
-const isHeldToStatements = ({ nodes }: Fleet, exchange: Exchange | undefined, from: number, until: number): boolean => {
+/** Whether the checks of server statements apply to the node of a request: it ran without interruption, and is not of an earlier build. */
+const isCheckedForStatements = ({ nodes }: Fleet, exchange: Exchange | undefined, from: number, until: number): boolean => {
   const node = nodes[exchange?.node ?? -1]
   return node !== undefined && !node.isEarlierBuild && node.process.wasSound(from, until)
 }
 
-/** A server that names a limit gets no more requests than that from nodes that were sound in that time. */
+/** A server with a request limit receives no more requests than that from nodes to which the checks apply. */
 const serverLimit = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { server, perSecond, from, until }: LimitedSpan): Violation[] => {
   const allowed = LIMIT_RATIO * perSecond * LIMIT_WINDOW_MS / MS_PER_SECOND + LIMIT_SLACK
-  const isSound = (request: string): boolean => isHeldToStatements(fleet, exchanges.get(request), from, until)
+  const isSound = (request: string): boolean => isCheckedForStatements(fleet, exchanges.get(request), from, until)
   const arrivals = fleet.ledger.arrivalsAt(server).filter(({ request, at }) => at >= from + LIMIT_KNOWN_MS && at <= until && isSound(request))
   const most = Math.max(0, ...arrivals.map((first) => arrivals.filter(({ at }) => at >= first.at && at < first.at + LIMIT_WINDOW_MS).length))
   return most <= allowed ? [] : [{ rule: 'limits of servers', detail: `${server} names ${perSecond} a second and got ${most} in ${LIMIT_WINDOW_MS} ms, ${allowed} may come` }]
 }
 
-/** A server that leaves gets nothing new after a while. A node that was paused in between may not have heard of it, if only answers say so. */
+/** A leaving server receives no new requests after the drain time. If only its answers say that it leaves, a node that was paused may not have received one. */
 const leavingServer = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { server, from, isInStore }: Leaving): Violation[] =>
   fleet.ledger.runsOnServer(server)
     .filter(({ startedAt }) => startedAt > from + DRAIN_MS + MEASURE_SLACK_MS)
-    .filter(({ request, startedAt }) => isInStore || isHeldToStatements(fleet, exchanges.get(request), from, startedAt))
+    .filter(({ request, startedAt }) => isInStore || isCheckedForStatements(fleet, exchanges.get(request), from, startedAt))
     .map(({ request, startedAt }) => ({ rule: 'leaving servers get nothing', detail: `${request} began at ${server} ${Math.round(startedAt - from)} ms after it began to leave` }))
 
-/** A server that asks a node for a pause gets nothing of that node until its end. */
+/** A server that asks a node for a pause receives no requests of that node until the end of the pause. */
 const serverPause = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { request, server, at, pauseMs }: PauseRequest): Violation[] => {
   const node = exchanges.get(request)?.node
   const until = at + pauseMs
-  if (!isHeldToStatements(fleet, exchanges.get(request), at, until)) return []
+  if (!isCheckedForStatements(fleet, exchanges.get(request), at, until)) return []
   const arrivals = fleet.ledger.arrivalsAt(server).filter((arrival) => arrival.at > at + PAUSE_KNOWN_MS && arrival.at < until && exchanges.get(arrival.request)?.node === node)
   return arrivals.length <= PAUSE_SLACK ? [] : [{ rule: 'pauses of servers', detail: `${server} asked node ${node} for ${pauseMs} ms and got ${arrivals.length} requests of it` }]
 }
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -14,23 +14,23 @@
 /** Time within which the work for a caller who has left is stopped. */
 export const ABANDON_MS = 500
 
-/** Time for which a paused or busy test process may distort what it measures. */
+/** Tolerance for delays of the soak's own process. */
 export const MEASURE_SLACK_MS = 400
 
-/** Time after which a draining server gets nothing new. */
+/** Time after which a draining server must not receive new requests. */
 export const DRAIN_MS = 2_000
 
-/** Time after a server first names a limit from which all nodes keep to it. */
+/** Time after a server first states a request limit from which all nodes must keep to it. */
 export const LIMIT_KNOWN_MS = 1_000
 
-/** Length of the windows over which requests are held against the limit of a server. */
+/** Length of the windows over which requests are compared with the limit of a server. */
 export const LIMIT_WINDOW_MS = 4_000
 
 /** Bounds on the requests of a window: a multiple of what the limit allows, and some more. */
 export const LIMIT_RATIO = 1.5
 export const LIMIT_SLACK = 5
 
-/** Time after a server asks for a pause from which it is held, and requests of one node that may come in it nevertheless. */
+/** Time after which a requested pause must be kept, and requests of one node that are tolerated in it. */
 export const PAUSE_KNOWN_MS = 500
 export const PAUSE_SLACK = 2
 
@@ -39,7 +39,7 @@
 
 export const STOP_GRACE_S = 4
 
-/** Bounds on requests that are sent again. */
+/** Limits of the retry budget. */
 export const RETRY_RATIO = 0.2
 export const RETRY_SLACK = 30
 
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -1,4 +1,4 @@
-/** Draws a series of faults that overlap, each of which ends before the faults are over. */
+/** Draws a series of overlapping faults, each of which ends before the recovery is checked. */
 import { get } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 
@@ -15,11 +15,11 @@
 const FEWEST = 5
 const MOST = 10
 
-/** How long a fault lasts; milliseconds. */
+/** Duration of a fault, in milliseconds. */
 const SHORTEST_MS = 300
 const LONGEST_MS = 2_500
 
-/** Time after a node is ready again from which it is held to its promises. */
+/** Time after a node is ready again from which the checks apply to it. */
 const NODE_RECOVERY_MS = 1_500
 
 /** Time within which a node that was started or resumed must be ready; the platform sends it no callers before. */
@@ -27,14 +27,14 @@
 
 const READY_CHECK_PERIOD_MS = 50
 
-/** How long entries of crashed servers stay. */
+/** Time until the store removes the entry of a crashed server. */
 const LEASE_MS = 1_500
 
 const MS_PER_SECOND = 1_000
 
 type Fault = (fleet: Fleet, random: Random, lasts: number) => { readonly name: string, readonly run: () => Promise<void> }
 
-/** Waits until a node reports that it is ready, or until the limit has passed: it is then held to its promises although it is not. */
+/** Waits until a node reports that it is ready, at most for the limit: the checks then apply to it although it is not ready. */
 const untilReady = async ({ host }: FleetNode): Promise<void> => {
   const until = performance.now() + READY_LIMIT_MS
   while (performance.now() < until) {
--- a/packages/soak/src/furtherFaults.ts
+++ b/packages/soak/src/furtherFaults.ts
@@ -6,13 +6,13 @@
 import { Random } from './Random.js'
 import type { FaultStep } from './types.js'
 
-/** Servers that name a limit in one soak. */
+/** Maximum number of servers with a request limit in one soak. */
 const MOST_LIMITS = 2
 
-/** Servers that leave without a word to the store in one soak. */
+/** Maximum number of servers that leave without a change of their store entries in one soak. */
 const MOST_LEAVINGS = 2
 
-/** Limits that are drawn, in tenths of a request per second. */
+/** Range of the limits, in tenths of a request per second. */
 const LOWEST_LIMIT = 3
 const HIGHEST_LIMIT = 60
 const TENTHS = 10
@@ -43,7 +43,7 @@
   }
 }
 
-/** Servers that refuse all requests and ask for pauses in one soak. */
+/** Maximum number of servers that refuse all requests and ask for pauses in one soak. */
 const MOST_PAUSES = 2
 
 /** Time for which they refuse, and the pauses that they ask for, in tenths of a second. */
@@ -70,7 +70,7 @@
   }
 }
 
-/** Returns of the store from a copy in one soak, and the age of the copy. */
+/** Maximum number of restores of the store from a copy in one soak, and range of the age of the copy. */
 const MOST_RETURNS = 2
 const SHORTEST_LOSS_MS = 200
 const LONGEST_LOSS_MS = 3_000
