A request that may have run waits for a server whose statement lets it send again soon

Cause: a refusal for want of quota ended the request like any other, and one that may have run cannot be told to come back truthfully. It waits now, for a second at most and within its deadline, and is logged as request.waits. The test got 502 before, 200 after.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -12,9 +12,10 @@
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
 import { LEAST_URGENCY } from './entry/admit.js'
 import { RefusalCause, refuse } from './entry/refusals.js'
+import { healthSignalOf } from './healthSignal.js'
+import { isWaitStated, refusalCauseOf } from './refusalCause.js'
 import { RequestLog } from './RequestLog.js'
 import { MemoryReservations } from './MemoryReservations.js'
-import { PlacementRefusal } from './scheduling/types.js'
 import type { AttemptPlacement, PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import { ForwardOutcome } from './ForwardOutcome.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
@@ -22,6 +23,9 @@
 /** Timeout for opening a connection to a backend server. */
 const CONNECT_TIMEOUT: Millis = 250
 
+/** Longest time for which a request that may have run waits until a server accepts requests again. */
+const MAX_SERVER_WAIT: Millis = 1_000
+
 const SERVER_ERROR = 500
 const MISDIRECTED_REQUEST = 421
 
@@ -37,6 +41,7 @@
   #isFinished = false
   #deadlineTimer: NodeJS.Timeout | null = null
   #dataTimer: NodeJS.Timeout | null = null
+  #waitTimer: NodeJS.Timeout | null = null
 
   /**
    * @param context - objects that all requests share
@@ -127,11 +132,22 @@
       this.#openAttempt(placement.attempt)
       return
     }
+    if (this.#waitsForServer(placement)) return
     this.#requestLog.placementRefused(placement)
     this.#lastProblem ||= placement.reason
     this.#giveUp(placement)
   }
 
+  /** A request that may have run cannot be refused truthfully, so it waits for a server that will accept requests again soon. */
+  #waitsForServer (refusal: RefusedPlacement): boolean {
+    const { retryAfter } = refusal
+    if (!this.history.mayHaveRun || !isWaitStated(refusal) || retryAfter === null || retryAfter > MAX_SERVER_WAIT) return false
+    if (this.context.clock() + retryAfter >= this.call.deadlineAt) return false
+    this.#requestLog.requestWaits(refusal, retryAfter)
+    this.#waitTimer = setTimeout(() => { void this.#startNextAttempt(false) }, retryAfter)
+    return true
+  }
+
   /** Catches errors of the placement, so that they fail this request only and not the process with all others. */
   async #place (chargesRetry: boolean): Promise<AttemptPlacement> {
     try {
@@ -321,6 +337,7 @@
     if (this.#isFinished) return
     this.#isFinished = true
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer)
+    if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
     const { call, context } = this
     const took = context.clock() - call.arrivedAt
     context.metrics.requestEnded(call.route.kind, outcome, took)
@@ -335,15 +352,3 @@
     })
   }
 }
-
-/** Servers that have stated when they accept requests again are told apart from those of which that is only predicted. */
-const refusalCauseOf = (refusal: RefusedPlacement | null): RefusalCause => {
-  const isStated = refusal?.reason === PlacementRefusal.RequestLimit || refusal?.reason === PlacementRefusal.ServersPaused
-  return isStated ? RefusalCause.ServersLimited : RefusalCause.NoServer
-}
-
-/** A refusal because of a helper, or because the server has no capacity, does not indicate a fault of the server. */
-const healthSignalOf = ({ serverCall }: OpenAttempt, end: AttemptEnd): HealthSignal | null => {
-  if (end === AttemptEnd.NotRun || end === AttemptEnd.HelperFailed || serverCall === null) return null
-  return end === AttemptEnd.Unsent ? HealthSignal.Unreachable : HealthSignal.Bad
-}
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -90,6 +90,14 @@
     })
   }
 
+  /** Logs that the request waits until a server accepts requests again. */
+  requestWaits ({ reason, notice, pausedServer }: RefusedPlacement, wait: Millis): void {
+    const { call, context } = this
+    context.log.info('request.waits', {
+      request: call.id, service: call.service.name, reason, wait_ms: Math.round(wait), server: notice?.server ?? pausedServer, ...statementFields(notice ?? null, context.clock())
+    })
+  }
+
   placementFailed (error: unknown): void {
     this.context.log.error('request.placement_failed', { request: this.call.id, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
   }
--- a/packages/node/tests/serverStatements.test.ts
+++ b/packages/node/tests/serverStatements.test.ts
@@ -113,3 +113,13 @@
     t.is(server.arrivals(), 3)
   })
 }
+
+/** Guards against a lost answer where the only server left has a request limit that is free again within a moment. */
+test('a request that may have run waits for the quota of the only server that can still answer it', async (t) => {
+  const limited: Script = (request, response) => {
+    response.writeHead(200, { ...signedHeaders(request), [HeaderName.RequestLimit]: '8' }).end('answer')
+  }
+  const fixture = await ForwardFixture.start(t, limited, (_, __, socket) => { socket.resetAndDestroy() })
+  for (let index = 0; index < 8; index += 1) t.is((await fixture.call('/safe/x')).status, 200)
+  t.true(fixture.linesOf('request.waits').length > 0)
+})
