Limits of organisations: nodes no longer all take themselves for the one with the most demand

Ruled out: membership (all three knew each other).

A node weighs itself by the least demand that it has published in two seconds and the others by the greatest that it has heard in that time, and the bound is divided by highest averages, where nobody gains by weighing less. The cost: while demand rises a part of the limit stays unused for up to four seconds.

--- a/packages/domain/src/limits/OrganisationLimit.ts
+++ b/packages/domain/src/limits/OrganisationLimit.ts
@@ -1,6 +1,7 @@
 /** Enforces one organisation's limits at one node: this node's share of the fleet-wide bounds, divided by gossiped demand. */
 import type { Millis, NodeId, OrganisationId, Tokens } from '../types.js'
 import { shareOfConcurrency, shareOfRate } from './shares.js'
+import type { ConcurrencyDemand } from './shares.js'
 import { TokenBucket } from './TokenBucket.js'
 import type { LimitDemand, LimitRefusal, OrganisationBounds } from './types.js'
 
@@ -19,11 +20,18 @@
  */
 export const SHARE_GROWTH_DELAY: Millis = 2_000
 
+/** A demand and the time at which this node published or received it. */
+interface TimedDemand {
+  readonly demand: LimitDemand
+  readonly at: Millis
+}
+
 /**
  * Admits requests within this node's share of an organisation's bounds.
  *
  * Concurrent requests: the shares of all nodes that have the same view add up to the fleet-wide bound. A share grows only
- * after every other node has had time to learn by gossip that its own share has shrunk. During a network partition, each
+ * after every other node has had time to learn by gossip that its own share has shrunk. A node knows its own demand before the
+ * others do, so its share is computed from the least demand that it has published and the greatest that it has received in that time. During a network partition, each
  * group of nodes divides the whole bound, so g groups admit at most g times the bound, whatever their sizes.
  * Token rate: the rates of all nodes add up to the bound in the same way. The fleet can exceed it by one burst window and
  * by one request per node, because a request larger than the window's inflow is admitted on credit.
@@ -34,6 +42,8 @@
   #bounds: OrganisationBounds
   #nodes: readonly NodeId[]
   #peerDemands = new Map<NodeId, LimitDemand>()
+  /** Demands of each node, this one included, that may still be the newest that some node knows. */
+  readonly #recentDemands = new Map<NodeId, TimedDemand[]>()
   readonly #bucket: TokenBucket
   #inProgress = 0
   #share = 0
@@ -87,6 +97,7 @@
   update (nodes: readonly NodeId[], demands: readonly LimitDemand[], now: Millis): void {
     this.#nodes = nodes.includes(this.#node) ? nodes : [...nodes, this.#node]
     this.#peerDemands = new Map(demands.filter(({ node }) => node !== this.#node).map((demand) => [demand.node, demand]))
+    for (const node of this.#nodes) if (node !== this.#node) this.#remember(node, this.#peerDemands.get(node), now)
     this.#computeShares(now)
   }
 
@@ -141,8 +152,21 @@
     if (concurrent === null) return
     this.#recentShares = this.#recentShares.filter(({ until }) => until > now)
     this.#recentShares.push({ share: this.#share, until: now + SHARE_GROWTH_DELAY })
-    const demands = this.#mapDemands((demand) => ({ demand: demand?.concurrent ?? 0, held: demand?.held ?? 0 }))
-    this.#share = shareOfConcurrency(concurrent, this.#node, demands, this.organisation)
+    this.#share = shareOfConcurrency(concurrent, this.#node, this.#nodes.map((node) => this.#cautiousDemand(node)), this.organisation)
+  }
+
+  #remember (node: NodeId, demand: LimitDemand | undefined, now: Millis): void {
+    const recent = (this.#recentDemands.get(node) ?? []).filter(({ at }) => now - at < SHARE_GROWTH_DELAY)
+    const known = demand ?? { organisation: this.organisation, node, held: 0, concurrent: 0, tokensPerSecond: 0 }
+    this.#recentDemands.set(node, [...recent, { demand: known, at: now }])
+  }
+
+  /** Returns the last requests in progress, with the least recent demand of this node and the greatest of another one. */
+  #cautiousDemand (node: NodeId): ConcurrencyDemand {
+    const recent = this.#recentDemands.get(node)?.map(({ demand }) => demand) ?? []
+    if (recent.length === 0) return { node, demand: 0, held: 0 }
+    const select = node === this.#node ? Math.min : Math.max
+    return { node, demand: select(...recent.map(({ concurrent }) => concurrent)), held: recent.at(-1)?.held ?? 0 }
   }
 
   #mapDemands<Selected>(select: (demand: LimitDemand | undefined) => Selected): readonly (Selected & { readonly node: NodeId })[] {
@@ -160,6 +184,7 @@
    */
   setPublishedDemand (demand: LimitDemand, now: Millis): void {
     this.#publishedDemand = demand
+    this.#remember(this.#node, demand, now)
     this.#computeShares(now)
   }
 
--- a/packages/domain/src/limits/shares.ts
+++ b/packages/domain/src/limits/shares.ts
@@ -22,8 +22,8 @@
  *
  * All nodes with the same view compute shares that add up to the bound. Each node keeps what its requests in progress use, and
  * the rest of the bound is divided in proportion to the demand beyond that. If more requests are in progress than the bound
- * allows, the bound is divided in proportion to them, so that the excess ends with them. Parts are rounded by the largest
- * remainder method; rendezvous order breaks ties.
+ * allows, the bound is divided in proportion to them, so that the excess ends with them. Parts are rounded by the method of
+ * highest averages; rendezvous order breaks ties.
  *
  * @param bound - fleet-wide bound
  * @param ownNode - node whose share is computed
@@ -43,16 +43,21 @@
   readonly weight: number
 }
 
-/** Divides a whole number in proportion to weights by the largest remainder method. Returns the part of one node. */
+/**
+ * Divides a whole number in proportion to weights by the method of highest averages: each unit goes to the node with the highest
+ * weight for one more unit. A node never gets more because its weight falls or another one's rises. Returns the part of one node.
+ */
 const divide = (count: number, ownNode: NodeId, nodes: readonly NodeWeight[], key: string): number => {
+  const order = rendezvousOrder(key, nodes.map(({ node }) => node))
+  const ranks = new Map(order.map((node, index) => [node, index]))
   const total = nodes.reduce((sum, { weight }) => sum + weight, 0)
-  const ranks = new Map(rendezvousOrder(key, nodes.map(({ node }) => node)).map((node, index) => [node, index]))
-  const shares = nodes.map(({ node, weight }) => ({ node, exactShare: count * weight / total }))
-  const remainder = count - shares.reduce((sum, { exactShare: share }) => sum + Math.floor(share), 0)
-  const byRemainder = [...shares].sort((a, b) => (b.exactShare % 1) - (a.exactShare % 1) || ranks.get(a.node)! - ranks.get(b.node)!)
-  const getsRemainder = byRemainder.slice(0, remainder).some(({ node }) => node === ownNode)
-  const ownShare = shares.find(({ node }) => node === ownNode)
-  return ownShare === undefined ? 0 : Math.floor(ownShare.exactShare) + (getsRemainder ? 1 : 0)
+  const parts = nodes.map(({ node, weight }) => ({ node, weight, units: total > 0 ? Math.floor(count * weight / total) : 0 })).sort((a, b) => ranks.get(a.node)! - ranks.get(b.node)!)
+  const assigned = parts.reduce((sum, { units }) => sum + units, 0)
+  for (let unit = assigned; unit < count; unit += 1) {
+    const next = parts.reduce((best, part) => part.weight * (best.units + 1) > best.weight * (part.units + 1) ? part : best)
+    next.units += 1
+  }
+  return parts.find(({ node }) => node === ownNode)?.units ?? 0
 }
 
 /**
--- a/packages/domain/tests/limits.test.ts
+++ b/packages/domain/tests/limits.test.ts
@@ -129,3 +129,33 @@
   t.is(refusal?.bound, 'tokens_per_second')
   t.is(limits[0]!.admit(1, 3_003 + refusal!.retryAfter), null)
 })
+
+/** Guards against nodes that each take themselves for the one with the most demand, because their own demand is the newest that they know. */
+for (const delay of [200, 500, 900, 1_400]) {
+  test(`concurrent requests never exceed the bound while demand rises at all nodes, which hear of it after ${delay} ms`, (t) => {
+    const bound = 4
+    const names = ['node-1', 'node-2', 'node-3'].map((name) => node(name))
+    const limits = names.map((name) => new OrganisationLimit(ORG, name, { concurrent: bound, tokensPerSecond: null }, 0))
+    const views = names.map(() => new Map<string, LimitDemand>())
+    let inTransit: Array<{ readonly demand: LimitDemand, readonly to: number, readonly at: number }> = []
+    const ends: Array<{ readonly which: number, readonly at: number }> = []
+    let most = 0
+    for (let now = 0; now < 12_000; now += 10) {
+      for (const { demand, to } of inTransit.filter(({ at }) => at <= now)) views[to]!.set(demand.node, demand)
+      inTransit = inTransit.filter(({ at }) => at > now)
+      for (const end of ends.filter(({ at }) => at === now)) limits[end.which]!.release(0, now)
+      limits.forEach((limit, which) => {
+        if (now % 500 === which * 180) {
+          const demand = limit.demand(now)
+          limit.setPublishedDemand(demand, now)
+          names.forEach((_, to) => { if (to !== which) inTransit.push({ demand, to, at: now + delay }) })
+          limit.update(names, [...views[which]!.values()], now)
+        }
+        if (now % 200 === which * 10 && limit.admit(10, now) === null) ends.push({ which, at: now + 1_000 })
+      })
+      most = Math.max(most, limits.reduce((sum, { inProgress }) => sum + inProgress, 0))
+    }
+    t.true(most <= bound, `${most} at once`)
+    t.true(most >= bound - 1, `${most} at once`)
+  })
+}
