--- a/packages/domain/src/forwarding/RequestQuotas.ts
+++ b/packages/domain/src/forwarding/RequestQuotas.ts
@@ -6,7 +6,7 @@
 /** Unused quota of this time is kept and may be used at once. */
 const BURST_TIME: Millis = 1_000
 
-/** Lowest rate that is applied: a server that accepts nothing gets a request at times, whose answer says whether the limit still holds. */
+/** Lowest rate that is applied, in requests per second: a server that accepts nothing gets a request at times, whose answer says whether the limit still holds. */
 const LOWEST_RATE = 0.1
 
 /** Share of a stated limit that one node may use. */
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -113,14 +113,14 @@
   await fleet.startServer(server)
 })
 
-const spoilServer = (fault: BackendFault): Fault => serverFault(fault, async (_, { standin }, lasts) => {
+const applyServerFault = (fault: BackendFault): Fault => serverFault(fault, async (_, { standin }, lasts) => {
   if (standin === null) return
   standin.fault = fault
   await sleep(lasts)
   standin.fault = BackendFault.None
 })
 
-const injureServerLink = (mode: LinkMode): Fault => serverFault(`${mode} link of`, async (_, { proxy }, lasts) => {
+const disruptServerLink = (mode: LinkMode): Fault => serverFault(`${mode} link of`, async (_, { proxy }, lasts) => {
   proxy.setMode(mode)
   await sleep(lasts)
   proxy.setMode(LinkMode.Open)
@@ -128,7 +128,7 @@
 
 const cutServerLink: Fault = serverFault('cut connections of', async (_, { proxy }) => proxy.cut())
 
-const injureStoreLink = (mode: LinkMode): Fault => (fleet, random, lasts) => {
+const disruptStoreLink = (mode: LinkMode): Fault => (fleet, random, lasts) => {
   const { storeLink, process } = random.pick(fleet.nodes)
   return {
     name: `${mode} store link of ${process.name}`,
@@ -140,7 +140,7 @@
   }
 }
 
-const spoilStore = (mode: StoreMode): Fault => ({ store }, _, lasts) => ({
+const applyStoreMode = (mode: StoreMode): Fault => ({ store }, _, lasts) => ({
   name: `store ${mode}`,
   run: async () => {
     store.mode = mode
@@ -156,15 +156,15 @@
 const FAULTS: readonly Fault[] = [
   killNode, killNode, pauseNode, pauseNode, stopNode, stopNode, reloadNode,
   crashServer, crashServer, drainServer, cutServerLink,
-  ...[BackendFault.Errors, BackendFault.Hang, BackendFault.CutAnswers, BackendFault.LoseAnswers, BackendFault.SurplusBytes, BackendFault.Shed, BackendFault.Slow].map(spoilServer),
-  ...[LinkMode.Reset, LinkMode.Silent, LinkMode.OneWay, LinkMode.Delayed].map(injureServerLink),
-  ...[LinkMode.Reset, LinkMode.Silent, LinkMode.OneWay, LinkMode.Delayed].map(injureStoreLink),
-  ...[StoreMode.Busy, StoreMode.AnswersLost].map(spoilStore),
+  ...[BackendFault.Errors, BackendFault.Hang, BackendFault.CutAnswers, BackendFault.LoseAnswers, BackendFault.SurplusBytes, BackendFault.Shed, BackendFault.Slow].map(applyServerFault),
+  ...[LinkMode.Reset, LinkMode.Silent, LinkMode.OneWay, LinkMode.Delayed].map(disruptServerLink),
+  ...[LinkMode.Reset, LinkMode.Silent, LinkMode.OneWay, LinkMode.Delayed].map(disruptStoreLink),
+  ...[StoreMode.Busy, StoreMode.AnswersLost].map(applyStoreMode),
   forgetHistory, configure
 ]
 
 /**
- * @param fleet - what is injured
+ * @param fleet - the fleet in which the faults occur
  * @param random - draws kinds, targets and times
  * @returns the steps by time
  */
--- a/packages/soak/src/furtherFaults.ts
+++ b/packages/soak/src/furtherFaults.ts
@@ -120,7 +120,7 @@
 }
 
 /**
- * @param fleet - what is injured
+ * @param fleet - the fleet in which the faults occur
  * @param seed - of the soak
  * @returns the steps by time
  */
