--- a/packages/domain/src/limits/OrganisationLimit.ts
+++ b/packages/domain/src/limits/OrganisationLimit.ts
@@ -98,6 +98,7 @@
     this.#nodes = nodes.includes(this.#node) ? nodes : [...nodes, this.#node]
     this.#peerDemands = new Map(demands.filter(({ node }) => node !== this.#node).map((demand) => [demand.node, demand]))
     for (const node of this.#nodes) if (node !== this.#node) this.#remember(node, this.#peerDemands.get(node), now)
+    this.#forgetOldDemands(now)
     this.#computeShares(now)
   }
 
@@ -161,6 +162,13 @@
     this.#recentDemands.set(node, [...recent, { demand: known, at: now }])
   }
 
+  /** Nodes are replaced all the time: without this, the demands of all that ever were would be kept. */
+  #forgetOldDemands (now: Millis): void {
+    for (const [node, recent] of this.#recentDemands) {
+      if (recent.every(({ at }) => now - at >= SHARE_GROWTH_DELAY)) this.#recentDemands.delete(node)
+    }
+  }
+
   /** Returns the last requests in progress, with the least recent demand of this node and the greatest of another one. */
   #cautiousDemand (node: NodeId): ConcurrencyDemand {
     const recent = this.#recentDemands.get(node)?.map(({ demand }) => demand) ?? []
