Logs and metrics tell how late a change of the store reaches a node, and over which hop

New, without any effect on decisions: the histogram bluebellhill_state_hop_seconds (hop store: time without an answer of the store to a watcher; hop peer: from the first message that another node has a newer state to its installation), the lines store.watch_started, store.watch_ended, store.changed and peers.caught_up with that time, and behind_ms in peers.catch_up_failed.

--- a/packages/node/src/forward/ForwardMetrics.ts
+++ b/packages/node/src/forward/ForwardMetrics.ts
@@ -10,6 +10,18 @@
 /** Upper bounds of the buckets of the duration histograms, in seconds. */
 const DURATION_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 15]
 
+/** Upper bounds of the buckets of the staleness histogram, in seconds; fine around the bounds within which a change has to be in force. */
+const STALENESS_BUCKETS = [0.01, 0.05, 0.1, 0.2, 0.4, 0.7, 1, 1.3, 1.6, 1.8, 2, 2.5, 3, 4, 5, 6, 8]
+
+/** Hops of a change on its way from the platform's store to this node. */
+export const StateHop = {
+  /** Time without any answer of the store to this node, while this node watches it. */
+  Store: 'store',
+  /** Time from the first message that another node has a newer state to the installation of that state. */
+  Peer: 'peer'
+} as const
+export type StateHop = typeof StateHop[keyof typeof StateHop]
+
 /** Records the metrics of one node in a registry of their own. */
 export class ForwardMetrics {
   readonly registry = new Registry()
@@ -19,6 +31,18 @@
   readonly #firstAnswerTime = new Histogram({ name: 'bluebellhill_first_answer_seconds', help: 'Time from sending to the first event or the answer', labelNames: ['kind'], buckets: DURATION_BUCKETS, registers: [this.registry] })
   readonly #predictionError = new Histogram({ name: 'bluebellhill_prediction_error_seconds', help: 'First event later than predicted', labelNames: ['kind'], buckets: [-0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1], registers: [this.registry] })
 
+  readonly #hopDuration = new Histogram({ name: 'bluebellhill_state_hop_seconds', help: 'Longest time by which a hop may have delayed a change of the configuration or of the backend servers', labelNames: ['hop'], buckets: STALENESS_BUCKETS, registers: [this.registry] })
+
+  /**
+   * Records by how much a hop may have delayed a change.
+   *
+   * @param hop - the hop
+   * @param took - longest possible delay
+   */
+  stateHopEnded (hop: StateHop, took: Millis): void {
+    this.#hopDuration.observe({ hop }, took / MS_PER_SECOND)
+  }
+
   /** Counts a request that has ended, and records its duration. */
   requestEnded (kind: CallKind, outcome: ForwardOutcome, took: Millis): void {
     this.#endedRequests.inc({ kind, outcome })
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -101,6 +101,8 @@
       fleetState: this.#fleetState,
       http: peerHttp,
       log,
+      metrics: this.#metrics,
+      clock,
       failureDomain: settings.failureDomain,
       peers: () => this.#peerLink.sources()
     })
@@ -129,6 +131,7 @@
       store,
       fleetState: this.#fleetState,
       availability: this.#storeAvailability,
+      metrics: this.#metrics,
       log,
       clock,
       isStoreWatcher: () => this.#directory.isStoreWatcher(clock())
--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -4,12 +4,14 @@
 import { once } from 'node:events'
 import { gunzipSync, gzipSync } from 'node:zlib'
 
-import { eraOf, revisionInEra, storeRevision } from '@bluebellhill/domain'
-import type { Millis } from '@bluebellhill/domain'
+import { describeRevision, eraOf, revisionInEra, storeRevision } from '@bluebellhill/domain'
+import type { Millis, NodeId } from '@bluebellhill/domain'
 import { describeFailure, readBody } from '@bluebellhill/services'
 import type { HttpPool } from '@bluebellhill/services'
 
 import type { FleetState, FleetStateSnapshot, FleetStateVersion } from '../FleetState.js'
+import { StateHop } from '../ForwardMetrics.js'
+import type { ForwardMetrics } from '../ForwardMetrics.js'
 import type { Log } from '../../log/index.js'
 import type { FleetStateSource } from './PeerLink.js'
 import { decodeSnapshot, encodeSnapshot } from './snapshotCodec.js'
@@ -49,6 +51,8 @@
   readonly http: HttpPool
   /** Receives a line for each failed call. */
   readonly log: Log
+  readonly metrics: ForwardMetrics
+  readonly clock: () => Millis
   readonly failureDomain: string
   /** Returns the nodes that were heard lately. */
   readonly peers: () => readonly FleetStateSource[]
@@ -58,6 +62,8 @@
 export class FleetStateExchange {
   readonly #server: Server
   #isFetching = false
+  /** Time since which another node is known to have a newer state; null if none is. */
+  #behindSince: Millis | null = null
   #lastCompressed: { readonly key: string, readonly body: Buffer } = { key: '', body: Buffer.alloc(0) }
   #isDisposed = false
 
@@ -105,14 +111,17 @@
 
   /** Fetches a newer state from another node, unless the store delivers it first. */
   catchUp (): void {
-    if (this.#isFetching || this.#isDisposed) return
+    if (this.#isDisposed) return
+    this.#behindSince ??= this.#options.clock()
+    if (this.#isFetching) return
     this.#isFetching = true
     setTimeout(() => { void this.#fetchOnce() }, FETCH_DELAY + MAX_JITTER * Math.random())
   }
 
   async #fetchOnce (): Promise<void> {
     const peer = this.#chooseSource()
-    if (peer !== null) await this.#fetchFrom(peer)
+    if (peer === null) this.#behindSince = null
+    else await this.#fetchFrom(peer)
     setTimeout(() => this.#fetchEnded(), REPEAT_DELAY)
   }
 
@@ -139,8 +148,22 @@
     const body = answer.ok ? await readBody(answer.value, MAX_SNAPSHOT_BYTES) : answer
     if (this.#isDisposed) return
     const snapshot = body.ok ? decodeSnapshot(decompress(body.value), eraOf(serversRevision)) : body
-    if (snapshot.ok) fleetState.merge(snapshot.value)
-    else log.warn('peers.catch_up_failed', { peer: node, reason: describeFailure(snapshot.failure) })
+    if (snapshot.ok) this.#install(node, snapshot.value)
+    else log.warn('peers.catch_up_failed', { peer: node, reason: describeFailure(snapshot.failure), behind_ms: this.#behindFor() })
+  }
+
+  #install (node: NodeId, snapshot: FleetStateSnapshot): void {
+    const { fleetState, metrics, log } = this.#options
+    const behind = this.#behindFor()
+    this.#behindSince = null
+    fleetState.merge(snapshot)
+    metrics.stateHopEnded(StateHop.Peer, behind)
+    log.info('peers.caught_up', { peer: node, behind_ms: behind, configuration: fleetState.configurationVersion, servers_revision: describeRevision(fleetState.serversRevision) })
+  }
+
+  #behindFor (): Millis {
+    const { clock } = this.#options
+    return Math.round(clock() - (this.#behindSince ?? clock()))
   }
 }
 
--- a/packages/node/src/forward/store/StoreAvailability.ts
+++ b/packages/node/src/forward/store/StoreAvailability.ts
@@ -11,6 +11,7 @@
 /** Detects from the results of calls when the store is lost and when it answers again. */
 export class StoreAvailability {
   #lostAt: Millis | null = null
+  #answeredAt: Millis | null = null
 
   /**
    * @param fleetState - is notified of a loss, because then entries expire although their servers still run
@@ -20,6 +21,11 @@
    */
   constructor (private readonly fleetState: FleetState, private readonly log: Log, private readonly clock: () => Millis, private readonly onLost: () => void = () => {}) {}
 
+  /** Time since the last answer of the store; null if there was none yet. */
+  get silence (): Millis | null {
+    return this.#answeredAt === null ? null : this.clock() - this.#answeredAt
+  }
+
   get isLost (): boolean {
     return this.#lostAt !== null
   }
@@ -32,6 +38,7 @@
    */
   recordResult (result: Result<unknown, CallFailure>, since: Millis = this.clock()): void {
     const isAvailable = result.ok || (result.failure.type === 'rejected' && result.failure.status === GONE)
+    if (isAvailable) this.#answeredAt = this.clock()
     if (isAvailable) this.#markRegained()
     else this.#markLost(result.failure, since)
   }
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -9,6 +9,8 @@
 import type { CallFailure, Result } from '@bluebellhill/services'
 
 import type { FleetState } from '../FleetState.js'
+import { StateHop } from '../ForwardMetrics.js'
+import type { ForwardMetrics } from '../ForwardMetrics.js'
 import type { Log } from '../../log/index.js'
 import type { StoreAvailability } from './StoreAvailability.js'
 
@@ -60,6 +62,7 @@
   readonly fleetState: FleetState
   /** Records which calls succeed. */
   readonly availability: StoreAvailability
+  readonly metrics: ForwardMetrics
   /** Receives a line for each entry that cannot be parsed. */
   readonly log: Log
   readonly clock: () => Millis
@@ -148,6 +151,7 @@
     let hasFailed = false
     while (!this.#isStopped) {
       if (!this.#options.isStoreWatcher()) {
+        if (revision !== null) this.#options.log.info('store.watch_ended', { prefix: synced.prefix, revision: describeRevision(revision) })
         revision = null
         await sleep(ROLE_CHECK_PERIOD)
         continue
@@ -156,6 +160,7 @@
       const progress: Result<SyncProgress, CallFailure> = revision === null ? await this.#list(synced) : await this.#watch(synced, revision, interruption, hasFailed)
       if (this.#isStopped) return
       if (progress.ok) {
+        this.#recordAnswer(synced, revision, progress.value)
         this.#options.availability.recordResult(progress)
         revision = progress.value.revision
         delay = FIRST_RETRY_DELAY
@@ -176,6 +181,15 @@
     }
   }
 
+  /** Logs how long the store may have had a change before this node, and the start of a watch. */
+  #recordAnswer ({ prefix }: SyncedPrefix, watched: StoreRevision | null, { revision, hasChanges }: SyncProgress): void {
+    const { availability: { silence }, metrics, log } = this.#options
+    if (watched !== null && silence !== null) metrics.stateHopEnded(StateHop.Store, silence)
+    const fields = { prefix, revision: revision === null ? undefined : describeRevision(revision), silent_ms: silence === null ? undefined : Math.round(silence) }
+    if (watched === null) log.info('store.watch_started', fields)
+    else if (hasChanges) log.info('store.changed', fields)
+  }
+
   async #list ({ prefix, onListed }: SyncedPrefix): Promise<Result<SyncProgress, CallFailure>> {
     const items: StoreItem[] = []
     let firstRevision: StoreRevision | null = null
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -12,6 +12,7 @@
 import { HttpPool, success } from '@bluebellhill/services'
 
 import { FleetState } from '../src/forward/FleetState.js'
+import { ForwardMetrics } from '../src/forward/ForwardMetrics.js'
 import { decodeDatagram } from '../src/forward/peers/datagramCodec.js'
 import { FleetStateExchange } from '../src/forward/peers/FleetStateExchange.js'
 import { PeerLink } from '../src/forward/peers/PeerLink.js'
@@ -147,7 +148,7 @@
   const directory = new SchedulerDirectory(self, clock() - WARM_UP)
   const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), schedulerCount: () => 1, group: () => directory.group })
   const http = new HttpPool(2)
-  const exchange: FleetStateExchange = new FleetStateExchange({ fleetState, http, log, failureDomain: self.failureDomain, peers: () => link.sources() })
+  const exchange: FleetStateExchange = new FleetStateExchange({ fleetState, http, log, metrics: new ForwardMetrics(), clock, failureDomain: self.failureDomain, peers: () => link.sources() })
   const send: PeerLink['send'] = (address, content) => link.send(address, content)
   const schedulerHost = new SchedulerHost({ scheduler, log, clock, send })
   const placement: PlacementClient = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, send, onUncoordinatedPlacement: () => link.reportSoon(), onNotice: (notice) => link.noticeHeard(notice) })
--- a/packages/node/tests/storeEra.test.ts
+++ b/packages/node/tests/storeEra.test.ts
@@ -10,6 +10,7 @@
 import { HttpPool } from '@bluebellhill/services'
 
 import { FleetState } from '../src/forward/FleetState.js'
+import { ForwardMetrics } from '../src/forward/ForwardMetrics.js'
 import { StoreAvailability } from '../src/forward/store/StoreAvailability.js'
 import { StoreSync } from '../src/forward/store/StoreSync.js'
 import { silentLog } from './forwardFixture.js'
@@ -42,6 +43,7 @@
     store: new MetadataStore({ address: `${HOST}:${port}`, http, timeout: 1_000 }),
     fleetState,
     availability: new StoreAvailability(fleetState, log, clock),
+    metrics: new ForwardMetrics(),
     log,
     clock,
     isStoreWatcher: () => true
--- a/packages/node/tests/storeSync.test.ts
+++ b/packages/node/tests/storeSync.test.ts
@@ -9,6 +9,7 @@
 import type { CallFailure, Result } from '@bluebellhill/services'
 
 import { FleetState } from '../src/forward/FleetState.js'
+import { ForwardMetrics } from '../src/forward/ForwardMetrics.js'
 import { StoreAvailability } from '../src/forward/store/StoreAvailability.js'
 import { StoreSync } from '../src/forward/store/StoreSync.js'
 import { silentLog } from './forwardFixture.js'
@@ -80,7 +81,7 @@
   const clock = (): number => performance.now()
   const fleetState = new FleetState(silentLog(), clock)
   const availability = new StoreAvailability(fleetState, silentLog(), clock)
-  const sync = new StoreSync({ store, fleetState, availability, log: silentLog(), clock, isStoreWatcher })
+  const sync = new StoreSync({ store, fleetState, availability, metrics: new ForwardMetrics(), log: silentLog(), clock, isStoreWatcher })
   sync.start()
   t.teardown(() => sync.dispose())
   return { fleetState, availability, sync }
