A grant is compared with this node's own list: nothing is sent to a server that it knows has left

Callers' requests reached a server 2.0 s after it had said that it leaves. The decision is the scheduler's, and the node that sends took its grant as it was, even if it knew itself that the server is draining, removed or replaced; so the age of one list, that of the scheduler, decided for all nodes, though another node's list may be seconds newer (a scheduler that is cut off from the store). A grant that is usable costs no further message. The line grant.returned tells scheduler, server and the revision of this node's list.

--- a/packages/domain/src/forwarding/BackendServerTable.ts
+++ b/packages/domain/src/forwarding/BackendServerTable.ts
@@ -49,6 +49,7 @@
 }
 
 interface Departure {
+  readonly service: string
   readonly startedAt: number | null
   readonly at: Millis
 }
@@ -188,6 +189,28 @@
     return this.all().filter((server) => server.service === service && server.readiness === Readiness.Ready && !this.#replaced.has(server.id))
   }
 
+  /**
+   * @param service - name of a service
+   * @returns its backend servers that accept no new requests: draining or replaced ones, then those that were removed lately, the last one first
+   */
+  leaving (service: string): RunnerId[] {
+    const listed = this.all().filter((server) => server.service === service && this.hasLeft(server.id)).map(({ id }) => id)
+    const removed = [...this.#departures].filter(([id, departure]) => departure.service === service && !this.#entries.has(id)).map(([id]) => id)
+    return [...listed, ...removed.reverse()]
+  }
+
+  /**
+   * Another node may still choose a server that this one knows to be draining, removed or replaced.
+   *
+   * @param id - a backend server that another node has chosen
+   * @returns whether it must not get new requests; false if this node has not heard of it yet
+   */
+  hasLeft (id: RunnerId): boolean {
+    const server = this.find(id)
+    if (server === null) return this.#departures.has(id)
+    return server.readiness !== Readiness.Ready || this.#replaced.has(id)
+  }
+
   /** @returns all backend servers that have an entry */
   all (): BackendServer[] {
     return [...this.#entries.values()].map(({ server }) => server)
@@ -249,8 +272,9 @@
       : [{ type: 'departed', server: entry.server, cause }]
   }
 
-  #rememberDeparture ({ id, startedAt }: BackendServer, now: Millis): void {
+  #rememberDeparture ({ id, service, startedAt }: BackendServer, now: Millis): void {
     for (const [departed, { at }] of this.#departures) if (now - at > DEPARTURE_RETENTION) this.#departures.delete(departed)
-    this.#departures.set(id, { startedAt, at: now })
+    this.#departures.delete(id)
+    this.#departures.set(id, { service, startedAt, at: now })
   }
 }
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,6 +1,6 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
-import { assignmentNumber, HealthSignal, SLOWDOWN_SAMPLE_COUNT } from '@bluebellhill/domain'
-import type { Assignment, AttemptHistory, Millis, NodeId, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
+import { assignmentNumber, describeRevision, HealthSignal, SLOWDOWN_SAMPLE_COUNT } from '@bluebellhill/domain'
+import type { Assignment, AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { AdmittedCall } from '../AdmittedCall.js'
@@ -18,6 +18,9 @@
 /** Schedulers that are asked before this node decides itself. */
 const MAX_SCHEDULERS_ASKED = 2
 
+/** Known departures that are named in a repeated query, so that it stays within one datagram. */
+const MAX_LEAVING_EXCLUDED = 32
+
 /** Decisions that are asked for while this node knows that a chosen server accepts no more requests. */
 const MAX_DECISIONS = 3
 
@@ -110,28 +113,37 @@
   }
 
   /**
-   * The scheduler may not know yet what a server has stated to this node, and one of an earlier build never does: this node then
-   * uses its own share of the server's request limit.
+   * The scheduler may not know yet that a server has left or what it has stated to this node, and one of an earlier build never knows
+   * statements: this node then uses its own share of the server's request limit.
    */
   #isUsable ({ result }: Decision): boolean {
     if (result.type !== 'placed') return true
     const { scheduler, directory } = this.#options
     const { server } = result.choice
-    if (this.answers.obstaclesIn(result.choice).length > 0) return false
+    if (this.#obstaclesIn(result.choice).length > 0) return false
     return result.keepsLimit || scheduler.statements.take(server, 1 / directory.size)
   }
 
   /** Returns a grant, and excludes the servers that made it unusable from the next decision. */
   #withoutChosen (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision): PlacementSpec {
     if (result.type !== 'placed') return spec
-    const { scheduler, clock } = this.#options
+    const { scheduler, fleetState, clock, log } = this.#options
     const { server } = result.choice
     const own = scheduler.assignments.findOwn(number)
     if (own !== null) scheduler.assignments.end(own, clock())
     else if (address !== null) this.#returnUnusedGrant(address, number, server.id)
-    const obstacles = this.answers.obstaclesIn(result.choice).map(({ id }) => id)
+    const obstacles = this.#obstaclesIn(result.choice).map(({ id }) => id)
     const unusable = obstacles.length > 0 ? obstacles : [server.id]
-    return { ...spec, excluded: [...spec.excluded, ...unusable], chargesRetry: false, isFirstAttempt: false }
+    log.info('grant.returned', { request: spec.request, scheduler: address ?? 'self', server: server.id, unusable: unusable.join(','), servers_revision: describeRevision(fleetState.serversRevision) })
+    const leaving = fleetState.servers.leaving(spec.service).slice(0, MAX_LEAVING_EXCLUDED)
+    return { ...spec, excluded: [...new Set([...spec.excluded, ...unusable, ...leaving])], chargesRetry: false, isFirstAttempt: false }
+  }
+
+  /** Returns the servers of a choice that have left, or that accept no requests of this node now. */
+  #obstaclesIn (choice: PlacementChoice): BackendServer[] {
+    const { servers } = this.#options.fleetState
+    const hasLeft = [choice.server, ...choice.helpers].filter(({ id }) => servers.hasLeft(id))
+    return [...new Set([...hasLeft, ...this.answers.obstaclesIn(choice)])]
   }
 
   /** Records that the first event of an attempt has arrived: its prefill is finished. */
@@ -183,7 +195,7 @@
    * @returns why it must not be sent any more; null if it may
    */
   obstacleTo ({ choice }: PlacedAttempt): string | null {
-    const [server] = this.answers.obstaclesIn(choice)
+    const [server] = this.#obstaclesIn(choice)
     return server === undefined ? null : `server ${server.id} accepts no requests of this node now`
   }
 
--- a/packages/node/tests/scheduling.test.ts
+++ b/packages/node/tests/scheduling.test.ts
@@ -40,6 +40,7 @@
   readonly placement: PlacementClient
   readonly directory: SchedulerDirectory
   readonly host: SchedulerHost
+  readonly fleetState: FleetState
   uncoordinated: number
 }
 
@@ -100,7 +101,7 @@
     const send = (address: string, content: DatagramContent): void => this.#deliver(node, address, content)
     const host = new SchedulerHost({ scheduler, log, clock, send })
     const placement = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, send, onUncoordinatedPlacement: () => { node.uncoordinated += 1 }, onNotice: () => {}, queryTiming: this.queryTiming })
-    const node: TestNode = { self, scheduler, placement, directory, host, uncoordinated: 0 }
+    const node: TestNode = { self, scheduler, placement, directory, host, fleetState, uncoordinated: 0 }
     return node
   }
 
@@ -361,3 +362,33 @@
   node.placement.answers.received(server, { requestLimit: null, isLeaving: true }, 'r0')
   for (let index = 0; index < 6; index += 1) t.not((await network.placeOne(node)).choice.server.id, server.id)
 })
+
+/** Ways in which a node learns that an engine gets no more requests. */
+const DEPARTURES: ReadonlyMap<string, (fleetState: FleetState, server: BackendServer) => void> = new Map([
+  ['draining', (fleetState: FleetState, server: BackendServer) => { fleetState.putServer({ server: { ...server, readiness: Readiness.Draining }, revision: 2 }, 'store') }],
+  ['removed', (fleetState: FleetState, { id }: BackendServer) => { fleetState.removeServer(id, 2, 'store') }],
+  ['replaced', (fleetState: FleetState, { id }: BackendServer) => { fleetState.markServerReplaced(id) }]
+])
+
+for (const [departure, depart] of DEPARTURES) {
+  // Guards against incident DRAIN of issue 26: a grant of a scheduler whose list is old was sent although this node knew that the server had left.
+  test(`a grant for engines that this node knows to be ${departure} is returned, and the attempt goes to another one`, async (t) => {
+    const network = new TestNetwork(2, 9)
+    const node = network.nodes[1]!
+    for (let index = 0; index < 8; index += 1) depart(node.fleetState, engine(index))
+    const attempt = await network.placeOne(node)
+    t.is(attempt.choice.server.id, 'e8' as RunnerId)
+    await until(() => counted(network, 9).reduce((sum, count) => sum + count) === 1)
+    t.deepEqual(counted(network, 9), [0, 0, 0, 0, 0, 0, 0, 0, 1])
+  })
+}
+
+// Guards against incident DRAIN of issue 26: a server may leave between the grant and the attempt, while memory is reserved.
+test('an attempt that is placed is not sent once this node knows that its server is draining', async (t) => {
+  const network = new TestNetwork(2, 3)
+  const node = network.nodes[1]!
+  const attempt = await network.placeOne(node)
+  t.is(node.placement.obstacleTo(attempt), null)
+  node.fleetState.putServer({ server: { ...attempt.choice.server, readiness: Readiness.Draining }, revision: 2 }, 'store')
+  t.not(node.placement.obstacleTo(attempt), null)
+})
