Nodes that watch the store probe it: one that has gone silent is noticed within a second, and others watch in their place

What callers saw: requests were sent to servers that had said 2.0 s before, and earlier, that they leave. Cause: the nodes of a group learn of all changes from two watchers. A watch that waits for 5 s looks the same whether nothing has changed or the store, or the way to it, has gone silent towards this node; it failed after 6 s. With both watchers turned away without an answer, or cut off from the store, all other nodes, which are in touch with the platform, went by an old list until the first of the four watches ended, and after that for 1 s more for each pair that took over and was turned away as well.

A watcher whose last answer is 0.3 s old now sends the cheapest read, with a timeout of 0.35 s; without an answer it counts the store as lost, as after a refused call, so that the next nodes take over, and it repeats its watches. A node that takes over probes at once. Class of fault: silence read as good news, where only an answer is. The configuration travels the same way and is covered by the same probe.

--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -21,6 +21,7 @@
 import { SchedulerHost } from './scheduling/SchedulerHost.js'
 import { NodeRegistration } from './store/NodeRegistration.js'
 import { StoreAvailability } from './store/StoreAvailability.js'
+import { StoreProbe } from './store/StoreProbe.js'
 import { StoreSync } from './store/StoreSync.js'
 
 /** Timeout of a call to the store that does not wait for changes. */
@@ -60,6 +61,7 @@
   readonly #fleetStateExchange: FleetStateExchange
   readonly #storeAvailability: StoreAvailability
   readonly #storeSync: StoreSync
+  readonly #storeProbe: StoreProbe
   readonly #nodeRegistration: NodeRegistration
   readonly #options: ForwardNodeOptions
   #isStopping = false
@@ -127,6 +129,7 @@
     this.#disposables.add(storeHttp)
     const store = new MetadataStore({ address: `${settings.store.host}:${settings.store.port}`, http: storeHttp, timeout: STORE_TIMEOUT })
     this.#storeAvailability = new StoreAvailability(this.#fleetState, log, clock, () => this.#peerLink.announceStoreLost())
+    const isStoreWatcher = (): boolean => this.#directory.isStoreWatcher(clock())
     this.#storeSync = new StoreSync({
       store,
       fleetState: this.#fleetState,
@@ -134,8 +137,9 @@
       metrics: this.#metrics,
       log,
       clock,
-      isStoreWatcher: () => this.#directory.isStoreWatcher(clock())
+      isStoreWatcher
     })
+    this.#storeProbe = new StoreProbe({ store, node: settings.node, availability: this.#storeAvailability, clock, isStoreWatcher, onSilent: () => this.#storeSync.storeSilent() })
     this.#nodeRegistration = new NodeRegistration({
       store,
       self,
@@ -193,8 +197,10 @@
 
   #startStoreClients (): void {
     this.#disposables.add(this.#storeSync)
+    this.#disposables.add(this.#storeProbe)
     this.#disposables.add(this.#nodeRegistration)
     this.#storeSync.start()
+    this.#storeProbe.start()
     this.#nodeRegistration.start()
   }
 
--- /dev/null
+++ b/packages/node/src/forward/store/StoreProbe.ts
@@ -0,0 +1,70 @@
+/** Checks whether the platform's store still answers a node that watches it. */
+import { StoreKey } from '@bluebellhill/platform'
+import type { MetadataStore } from '@bluebellhill/platform'
+import type { Millis, NodeId } from '@bluebellhill/domain'
+
+import type { StoreAvailability } from './StoreAvailability.js'
+
+/** Time without an answer of the store after which it is probed; a watch may wait for longer than the other nodes can. */
+const MAX_SILENCE: Millis = 300
+
+/** Timeout of a probe. Two probes, and the list of the node that takes over, fit into the time in which a change has to be in force. */
+const PROBE_TIMEOUT: Millis = 350
+
+const CHECK_PERIOD: Millis = 100
+
+export interface StoreProbeOptions {
+  readonly store: MetadataStore
+  readonly node: NodeId
+  /** Receives the results. */
+  readonly availability: StoreAvailability
+  readonly clock: () => Millis
+  /** Returns whether this node watches the store. */
+  readonly isStoreWatcher: () => boolean
+  /** Called when the store does not answer any more: watches that wait for it will not end soon. */
+  readonly onSilent: () => void
+}
+
+/**
+ * Probes the store whenever it has not answered a watcher for a short time. A store, or the way to it, that has gone silent leaves a
+ * watch waiting like a store without changes, and the other nodes rely on the watchers.
+ */
+export class StoreProbe {
+  readonly #options: StoreProbeOptions
+  #timer: NodeJS.Timeout | null = null
+  #isProbing = false
+  #isDisposed = false
+
+  /** @param options - the store, and whether this node watches it */
+  constructor (options: StoreProbeOptions) {
+    this.#options = options
+  }
+
+  start (): void {
+    this.#timer = setInterval(() => { if (this.#isDue()) void this.#probe() }, CHECK_PERIOD)
+  }
+
+  dispose (): void {
+    this.#isDisposed = true
+    if (this.#timer !== null) clearInterval(this.#timer)
+  }
+
+  /** A node that has lost the store repeats its calls anyway. */
+  #isDue (): boolean {
+    const { availability, isStoreWatcher } = this.#options
+    return !this.#isProbing && !availability.isLost && (availability.silence ?? Infinity) >= MAX_SILENCE && isStoreWatcher()
+  }
+
+  /** The content of the answer does not matter, so the cheapest read is used. */
+  async #probe (): Promise<void> {
+    const { store, node, availability, clock, onSilent } = this.#options
+    this.#isProbing = true
+    const startedAt = clock()
+    const result = await store.range(`${StoreKey.Nodes}${node}`, '', true, PROBE_TIMEOUT)
+    this.#isProbing = false
+    if (this.#isDisposed) return
+    if (!result.ok && (availability.silence ?? Infinity) < clock() - startedAt) return
+    availability.recordResult(result, startedAt)
+    if (!result.ok) onSilent()
+  }
+}
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -96,6 +96,11 @@
     this.#interrupt()
   }
 
+  /** Ends the waits in progress and repeats the calls, after the store has stopped answering this node. */
+  storeSilent (): void {
+    this.#interrupt()
+  }
+
   /** Ends all waiting calls. */
   dispose (): void {
     this.#isStopped = true
@@ -219,7 +224,7 @@
   async #watch ({ prefix, onChanged }: SyncedPrefix, revision: StoreRevision, interruption: AbortSignal, hasFailed: boolean): Promise<Result<SyncProgress, CallFailure>> {
     const { store, availability, clock } = this.#options
     const startedAt = clock()
-    const wait = hasFailed ? WAIT_AFTER_FAILURE : this.#watchWait(startedAt)
+    const wait = hasFailed || availability.isLost ? WAIT_AFTER_FAILURE : this.#watchWait(startedAt)
     const result = await store.watch(prefix, revision, wait, interruption)
     if (result.ok && eraOf(result.value.revision) !== eraOf(revision)) return this.#restored(prefix, revision, result.value.revision)
     if (result.ok) {
