Store watchers that end are replaced before a change of the store is overdue

If both watchers of a group freeze, die or are cut off at the same moment, the next candidate watched the store only after their reports had been unanswered for 1.5 s: 0.6 s to the next report, 1.5 s, 0.1 s until the role is checked, 2.2 s in all, then a list and an announcement; servers leave, and configurations change, with a bound of 2 s. Now a watcher counts as silent after 0.8 s, longer than the distance of two reports, so that a single lost report changes nothing: 1.5 s in all. A scheduler and a contact are still given up after 1.5 s.

Before (WATCHER_SILENCE = 1500) the new test failed: the third candidate did not watch 1.5 s after both had ended.

--- a/packages/domain/src/forwarding/SchedulerDirectory.ts
+++ b/packages/domain/src/forwarding/SchedulerDirectory.ts
@@ -17,6 +17,12 @@
 /** Time after its start in which a node waits for the answers of the candidates before it watches the store in their place. */
 export const START_GRACE: Millis = 400
 
+/**
+ * Time for which a report to a store watcher may stay unanswered before the next candidate watches as well. A lost report is
+ * followed by the next one sooner; a change of the store has to reach all nodes within two seconds after the watchers have ended.
+ */
+export const WATCHER_SILENCE: Millis = 800
+
 /**
  * Time after its start, or after a silence, in which a candidate is passed over: it has not received the reports of all nodes
  * yet, and after a partition it still avoids the servers that it could not reach.
@@ -208,7 +214,7 @@
   }
 
   #storeWatchers (now: Millis): SchedulerCandidate[] {
-    const presumed = this.#ranking.filter(({ node }) => node === this.#self.node || (!this.#isSilent(node, now) && !this.#hasLostStore(node, now)))
+    const presumed = this.#ranking.filter(({ node }) => node === this.#self.node || (!this.#isSilent(node, now, WATCHER_SILENCE) && !this.#hasLostStore(node, now)))
     return presumed.slice(0, STORE_WATCHERS)
   }
 
@@ -242,11 +248,11 @@
     return entry?.state != null && now - entry.heardSince >= WARM_UP && entry.state.uptime + now - entry.heardAt >= WARM_UP
   }
 
-  #isSilent (node: NodeId, now: Millis): boolean {
+  #isSilent (node: NodeId, now: Millis, limit: Millis = CANDIDATE_SILENCE): boolean {
     const entry = this.#entries.get(node)
     if (entry === undefined) return true
     if (entry.state?.isStopping === true) return true
-    return entry.unansweredSince !== null && now - entry.unansweredSince > CANDIDATE_SILENCE
+    return entry.unansweredSince !== null && now - entry.unansweredSince > limit
   }
 
   #isProbeDue (node: NodeId, now: Millis): boolean {
--- a/packages/domain/tests/schedulerDirectory.test.ts
+++ b/packages/domain/tests/schedulerDirectory.test.ts
@@ -174,3 +174,38 @@
   t.is(loads.findRelief('other', 1_000, 0), null)
   t.is(loads.findRelief('s', 1_000, 10_000), null)
 })
+
+/** Interval at which nodes report, and the time after which a live candidate answers. */
+const REPORT_PERIOD: Millis = 600
+const ANSWER_TIME: Millis = 5
+
+/** Time within which a change of the store has to be in force on all nodes, less what it takes to list, announce and fetch it. */
+const TAKEOVER_BOUND: Millis = 1_500
+
+/** Directory of a node that reports from 0 on; the given candidates answer the first report only. */
+const reportingDirectory = (self: SchedulerCandidate, all: readonly SchedulerCandidate[], ended: readonly SchedulerCandidate[], until: Millis): SchedulerDirectory => {
+  const directory = directoryOf(self, all, all, 0)
+  for (let at = 0; at <= until; at += REPORT_PERIOD) {
+    for (const { node } of directory.contacts(at)) {
+      directory.reported(node, at)
+      if (at === 0 || !ended.some((other) => other.node === node)) directory.heard(node, STATE, at + ANSWER_TIME)
+    }
+  }
+  return directory
+}
+
+// Guards against incident DRAIN of issue 26: for 2.1 s after both store watchers had ended, frozen or been cut off, no other node watched.
+test('both store watchers end at the same moment, and the next candidate watches in time', (t) => {
+  const nodes = fleet(6)
+  const ranked = rankSchedulers(nodes)
+  const directory = reportingDirectory(ranked[STORE_WATCHERS]!, nodes, ranked.slice(0, STORE_WATCHERS), TAKEOVER_BOUND)
+  t.true(directory.isStoreWatcher(TAKEOVER_BOUND))
+})
+
+test('a single lost report does not make a further node watch the store', (t) => {
+  const nodes = fleet(6)
+  const [first, second, third] = rankSchedulers(nodes)
+  const directory = reportingDirectory(third!, nodes, [], 0)
+  for (const watcher of [first!, second!]) directory.reported(watcher.node, REPORT_PERIOD)
+  t.false(directory.isStoreWatcher(2 * REPORT_PERIOD))
+})
