A node that has lost the store stays no store watcher while it is not heard

What a candidate had said of the store was forgotten as soon as it left one placement query unanswered: it then counted as a watcher again, and the nodes that had taken over stopped to watch, until it was heard or had been silent for the usual time. With both of them gone meanwhile nobody watched for that long.

Before, the new test failed: the third candidate did not watch once the first two had lost the store and left a query unanswered.

--- a/packages/domain/src/forwarding/SchedulerDirectory.ts
+++ b/packages/domain/src/forwarding/SchedulerDirectory.ts
@@ -214,13 +214,13 @@
   }
 
   #storeWatchers (now: Millis): SchedulerCandidate[] {
-    const presumed = this.#ranking.filter(({ node }) => node === this.#self.node || (!this.#isSilent(node, now, WATCHER_SILENCE) && !this.#hasLostStore(node, now)))
+    const presumed = this.#ranking.filter(({ node }) => node === this.#self.node || (!this.#isSilent(node, now, WATCHER_SILENCE) && !this.#hasLostStore(node)))
     return presumed.slice(0, STORE_WATCHERS)
   }
 
-  #hasLostStore (node: NodeId, now: Millis): boolean {
-    const entry = this.#entries.get(node)
-    return entry !== undefined && this.#isHeard(entry, now) && entry.state?.hasLostStore === true
+  /** A node that has lost the store and is not heard any more has not regained it, as far as this node knows. */
+  #hasLostStore (node: NodeId): boolean {
+    return this.#entries.get(node)?.state?.hasLostStore === true
   }
 
   #isStarted (now: Millis): boolean {
--- a/packages/domain/tests/schedulerDirectory.test.ts
+++ b/packages/domain/tests/schedulerDirectory.test.ts
@@ -209,3 +209,19 @@
   for (const watcher of [first!, second!]) directory.reported(watcher.node, REPORT_PERIOD)
   t.false(directory.isStoreWatcher(2 * REPORT_PERIOD))
 })
+
+// Guards against incident DRAIN of issue 26: a node that had lost the store counted as a watcher again as soon as it left a query unanswered.
+test('nodes that have lost the store are no watchers while they are not heard, and are again once they have regained it', (t) => {
+  const nodes = fleet(6)
+  const [first, second, third] = rankSchedulers(nodes)
+  const directory = directoryOf(third!, nodes, nodes, 10_000)
+  t.false(directory.isStoreWatcher(10_000))
+  for (const lost of [first!, second!]) {
+    directory.heard(lost.node, { ...STATE, hasLostStore: true }, 10_100)
+    directory.unanswered(lost.node)
+  }
+  t.true(directory.isStoreWatcher(10_100))
+  t.true(directory.isStoreWatcher(10_100 + CANDIDATE_SILENCE))
+  for (const regained of [first!, second!]) directory.heard(regained.node, STATE, 20_000)
+  t.false(directory.isStoreWatcher(20_000))
+})
