A node that has announced a change and then stopped is not asked for it again while another has it

A node fetches a change from one of the nodes that announced it, one of its own failure domain if there is one. If that node froze, died or was cut off right after the announcement, the request waited for 1 s, and the next one went to the same node again, which counts as heard for 1.5 s to 2 s: up to 2.6 s, with other nodes at hand. Now a node whose request failed is passed over for 3 s if another has the newer state, and while there is another one a request waits for 0.4 s.

Before, the new test failed: with the stopped node in the same failure domain the state was never fetched within the limit of 10 s.

--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -35,6 +35,12 @@
 /** Timeout of a request to another node. */
 const ANSWER_TIMEOUT: Millis = 1_000
 
+/** Timeout while further nodes have the newer state: the one that was chosen may have stopped since it was heard. */
+const FIRST_ANSWER_TIMEOUT: Millis = 400
+
+/** Time after a failed request in which other nodes are preferred; a node that has stopped is no longer heard after it. */
+const FAILED_SOURCE_PERIOD: Millis = 3_000
+
 /** How long a node with an older state waits, so that one request returns several changes. */
 const FETCH_DELAY: Millis = 30
 
@@ -67,6 +73,9 @@
   #lastCompressed: { readonly key: string, readonly body: Buffer } = { key: '', body: Buffer.alloc(0) }
   #isDisposed = false
 
+  /** Times of the last failed requests. */
+  readonly #failures = new Map<NodeId, Millis>()
+
   readonly #options: FleetStateExchangeOptions
 
   /** @param options - the fleet state, the peers and the HTTP client */
@@ -119,37 +128,51 @@
   }
 
   async #fetchOnce (): Promise<void> {
-    const peer = this.#chooseSource()
+    const sources = this.#sources()
+    const peer = this.#chooseFrom(sources)
     if (peer === null) this.#behindSince = null
-    else await this.#fetchFrom(peer)
+    else await this.#fetchFrom(peer, sources.length > 1 ? FIRST_ANSWER_TIMEOUT : ANSWER_TIMEOUT)
     setTimeout(() => this.#fetchEnded(), REPEAT_DELAY)
   }
 
   /** Changes that were announced during the last request are fetched by another one. */
   #fetchEnded (): void {
     this.#isFetching = false
-    if (this.#chooseSource() !== null) this.catchUp()
+    if (this.#sources().length > 0) this.catchUp()
   }
 
-  /** Returns a random peer with a newer state, in the same failure domain if there is one. */
-  #chooseSource (): FleetStateSource | null {
-    const { fleetState, failureDomain, peers } = this.#options
+  /** Returns the peers with a newer state; those that have failed lately only if there is no other. */
+  #sources (): FleetStateSource[] {
+    const { fleetState, peers, clock } = this.#options
+    const now = clock()
+    for (const [node, failedAt] of this.#failures) if (now - failedAt > FAILED_SOURCE_PERIOD) this.#failures.delete(node)
     const ahead = peers().filter((peer) => peer.configurationVersion > fleetState.configurationVersion || peer.serversRevision > fleetState.serversRevision)
-    const sameDomain = ahead.filter((peer) => peer.failureDomain === failureDomain)
-    const sources = sameDomain.length > 0 ? sameDomain : ahead
-    return sources[Math.floor(Math.random() * sources.length)] ?? null
+    const answering = ahead.filter(({ node }) => !this.#failures.has(node))
+    return answering.length > 0 ? answering : ahead
+  }
+
+  /** Returns a random source, in the same failure domain if there is one. */
+  #chooseFrom (sources: readonly FleetStateSource[]): FleetStateSource | null {
+    const sameDomain = sources.filter((peer) => peer.failureDomain === this.#options.failureDomain)
+    const preferred = sameDomain.length > 0 ? sameDomain : sources
+    return preferred[Math.floor(Math.random() * preferred.length)] ?? null
   }
 
-  async #fetchFrom ({ node, address }: FleetStateSource): Promise<void> {
-    const { fleetState, http, log } = this.#options
+  async #fetchFrom ({ node, address }: FleetStateSource, timeout: Millis): Promise<void> {
+    const { fleetState, http, log, clock } = this.#options
     const { configurationVersion, serversRevision } = fleetState
     const path = `${PATH}?configuration=${configurationVersion}&servers=${revisionInEra(serversRevision)}&${ERA_PARAMETER}=${eraOf(serversRevision)}&${CHANGES_PARAMETER}=1`
-    const answer = await http.send({ address, method: 'GET', path, timeout: ANSWER_TIMEOUT, idleTimeout: ANSWER_TIMEOUT })
+    const answer = await http.send({ address, method: 'GET', path, timeout, idleTimeout: ANSWER_TIMEOUT })
     const body = answer.ok ? await readBody(answer.value, MAX_SNAPSHOT_BYTES) : answer
     if (this.#isDisposed) return
     const snapshot = body.ok ? decodeSnapshot(decompress(body.value), eraOf(serversRevision)) : body
-    if (snapshot.ok) this.#install(node, snapshot.value)
-    else log.warn('peers.catch_up_failed', { peer: node, reason: describeFailure(snapshot.failure), behind_ms: this.#behindFor() })
+    if (snapshot.ok) {
+      this.#failures.delete(node)
+      this.#install(node, snapshot.value)
+      return
+    }
+    this.#failures.set(node, clock())
+    log.warn('peers.catch_up_failed', { peer: node, reason: describeFailure(snapshot.failure), behind_ms: this.#behindFor() })
   }
 
   #install (node: NodeId, snapshot: FleetStateSnapshot): void {
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -1,5 +1,6 @@
 import { createSocket } from 'node:dgram'
 import { once } from 'node:events'
+import { createServer } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
@@ -16,6 +17,7 @@
 import { decodeDatagram } from '../src/forward/peers/datagramCodec.js'
 import { FleetStateExchange } from '../src/forward/peers/FleetStateExchange.js'
 import { PeerLink } from '../src/forward/peers/PeerLink.js'
+import type { FleetStateSource } from '../src/forward/peers/PeerLink.js'
 import { PEER_LOST_AFTER, PeerTable } from '../src/forward/peers/PeerTable.js'
 import { decodeSnapshot, encodeSnapshot } from '../src/forward/peers/snapshotCodec.js'
 import { decodeState, encodeState } from '../src/forward/peers/stateCodec.js'
@@ -139,6 +141,35 @@
   }
 })
 
+// Guards against incident DRAIN of issue 26: a node that had announced a change and then stopped was asked for it again and again, for 2.6 s.
+test('a newer state is fetched from another node after the one in the same failure domain has stopped answering', async (t) => {
+  const port = PORTS_FROM + (process.pid + 6) % PORT_COUNT
+  const clock = (): number => performance.now()
+  const stopped = createServer(() => {})
+  stopped.listen(port, '127.0.0.16')
+  await once(stopped, 'listening')
+  t.teardown(() => { stopped.close() })
+  const http = new HttpPool(2)
+  const openExchange = (fleetState: FleetState, peers: readonly FleetStateSource[]): FleetStateExchange =>
+    new FleetStateExchange({ fleetState, http, log: silentLog(), metrics: new ForwardMetrics(), clock, failureDomain: 'd1', peers: () => peers })
+  const source = (node: string, address: string, failureDomain: string): FleetStateSource =>
+    ({ node: node as NodeId, address: `${address}:${port}`, failureDomain, configurationVersion: DEPLOYMENT.version, serversRevision: 0 })
+  const current = new FleetState(silentLog(), clock)
+  current.install(DEPLOYMENT, 'store')
+  const answering = openExchange(current, [])
+  await answering.start('127.0.0.17', port)
+  const behind = new FleetState(silentLog(), clock)
+  const exchange = openExchange(behind, [source('stopped', '127.0.0.16', 'd1'), source('answering', '127.0.0.17', 'd2')])
+  t.teardown(async () => {
+    exchange.dispose()
+    answering.dispose()
+    await http.dispose()
+  })
+  exchange.catchUp()
+  await until(() => behind.configurationVersion > 0)
+  t.is(behind.configurationVersion, DEPLOYMENT.version)
+})
+
 /** Starts a node with its scheduler and its sockets, without callers and store. */
 const openPeer = async (t: ExecutionContext, host: string, port: number, index: number, domain = `d${index}`): Promise<TestPeer> => {
   const log = silentLog()
