Logs and metrics name every request that ends without an answer at this node

request.unanswered (stage, cause, last problem, configuration version and age) and bluebellhill_unanswered_total; request.refused also for heads that are not complete or not valid. No decision changes. A caller cut off at the end of the stop grace now counts as lost, not as gone.

Tests: packages/node/tests/callerConnections.test.ts; without the lines the two tests of the log fail (no such line).

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -19,6 +19,7 @@
 import type { AttemptPlacement, PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import { ForwardOutcome } from './ForwardOutcome.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
+import { CloseCause, recordUnanswered, RequestStage } from './unansweredRequests.js'
 
 /** Timeout for opening a connection to a backend server. */
 const CONNECT_TIMEOUT: Millis = 250
@@ -61,6 +62,24 @@
     void this.#startNextAttempt(false)
   }
 
+  /** Breaks the connection to the caller, because the stop grace of this node is over. */
+  breakOff (): void {
+    const { stage } = this
+    if (this.#isFinished) {
+      this.#recordUnanswered(CloseCause.StopGraceOver, stage, 'the caller has not read its answer')
+      return
+    }
+    if (this.attempt !== null) this.#closeAttempt(this.attempt)
+    this.#abortAnswer(ForwardOutcome.Lost, CloseCause.StopGraceOver, stage)
+  }
+
+  /** How far the request has come. */
+  protected get stage (): RequestStage {
+    if (this.hasStartedAnswer) return RequestStage.Answer
+    if (this.attempt === null) return RequestStage.Placement
+    return this.attempt.serverCall === null ? RequestStage.Reservation : RequestStage.Sent
+  }
+
   /** Whether the head of an answer has been sent to the caller. */
   protected get hasStartedAnswer (): boolean {
     return this.response.headersSent
@@ -282,7 +301,7 @@
 
   #giveUp (refusal: RefusedPlacement | null = null): void {
     if (this.hasStartedAnswer) {
-      this.#abortAnswer(ForwardOutcome.Lost)
+      this.#abortAnswer(ForwardOutcome.Lost, CloseCause.AnswerLost)
     } else if (this.signedFailure !== null) {
       this.#returnFailure(this.signedFailure)
     } else if (this.history.mayHaveRun) {
@@ -306,7 +325,7 @@
     const mayHaveRun = this.history.mayHaveRun || attempt?.serverCall?.mayBeSent === true
     if (attempt !== null) this.#closeAttempt(attempt)
     if (this.hasStartedAnswer) {
-      this.#abortAnswer(ForwardOutcome.TimedOut)
+      this.#abortAnswer(ForwardOutcome.TimedOut, CloseCause.DeadlinePassed)
       return
     }
     refuse(this.response, mayHaveRun ? RefusalCause.TimedOut : RefusalCause.TimedOutUnsent)
@@ -314,11 +333,17 @@
   }
 
   /** Breaks the connection to the caller, so that the incomplete answer does not look complete. */
-  #abortAnswer (outcome: ForwardOutcome): void {
+  #abortAnswer (outcome: ForwardOutcome, cause: CloseCause, stage = this.stage): void {
+    this.#recordUnanswered(cause, stage, this.#lastProblem)
     this.#finish(outcome, this.response.statusCode)
     this.response.destroy()
   }
 
+  #recordUnanswered (cause: CloseCause, stage: RequestStage, problem: string): void {
+    const { context, call } = this
+    recordUnanswered(context, { id: call.id, stage, cause, problem, took: context.clock() - call.arrivedAt })
+  }
+
   #callerDisconnected (): void {
     if (this.#isFinished) return
     if (this.attempt !== null) this.#closeAttempt(this.attempt)
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -1,5 +1,5 @@
 /** Accepts callers' HTTP requests, and forwards or refuses them. */
-import { createServer } from 'node:http'
+import { createServer, STATUS_CODES } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { once } from 'node:events'
 import { Server as TcpServer } from 'node:net'
@@ -10,12 +10,14 @@
 import { decodeCallerHeaders } from '@bluebellhill/platform'
 import type { SocketAddress } from '@bluebellhill/platform'
 
+import type { Forwarding } from '../Forwarding.js'
 import type { ForwardingContext } from '../types.js'
 import { PlainForwarding } from '../PlainForwarding.js'
 import { StreamForwarding } from '../StreamForwarding.js'
+import { CloseCause, recordUnanswered, RequestStage } from '../unansweredRequests.js'
 import { CallerConnections } from './CallerConnections.js'
 import { acceptHead, admit, readCallerBody } from './admit.js'
-import { RefusalCause, refuse } from './refusals.js'
+import { RefusalCause, refusalStatus, refuse } from './refusals.js'
 
 /** Largest request head that the HTTP parser accepts; the configured limit is checked afterwards. */
 const MAX_HEAD_BYTES = 128 * 1024
@@ -29,11 +31,19 @@
 /** Time after `stop` in which requests on open connections are still accepted; later ones could not finish in time. */
 const ACCEPT_PERIOD_AFTER_STOP: Millis = 2_000
 
+/** A request without a final answer. */
+interface OpenRequest {
+  readonly request: IncomingMessage
+  readonly arrivedAt: Millis
+  /** Null until the request is read. */
+  forwarding: Forwarding | null
+}
+
 /** HTTP server for callers. */
 export class EntryServer {
   readonly #server: Server
   readonly #context: ForwardingContext
-  readonly #openResponses = new Set<ServerResponse>()
+  readonly #openRequests = new Map<ServerResponse, OpenRequest>()
   readonly #connections = new CallerConnections()
   #stoppedAt: Millis | null = null
 
@@ -45,12 +55,12 @@
     })
     this.#server.on('connection', (socket) => this.#connections.add(socket))
     context.fleetState.onChange(() => this.#applyLimits())
-    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => answerMalformedRequest(error, socket))
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => this.#refuseMalformed(error, socket))
   }
 
   /** Number of requests that have no final answer yet. */
   get openRequests (): number {
-    return this.#openResponses.size
+    return this.#openRequests.size
   }
 
   /**
@@ -70,18 +80,28 @@
    */
   async stop (grace: Millis): Promise<void> {
     this.#stoppedAt = this.#context.clock()
-    for (const response of this.#openResponses) closeConnectionAfter(response)
+    for (const response of this.#openRequests.keys()) closeConnectionAfter(response)
     const closed = once(this.#server, 'close')
     // http.Server.close() would also reset connections whose answer has ended but is not written to the socket yet.
     TcpServer.prototype.close.call(this.#server)
     this.#connections.closeIdle()
     const idleSweep = setInterval(() => this.#connections.closeIdle(), IDLE_SWEEP_PERIOD)
-    const forcedClose = setTimeout(() => this.#server.closeAllConnections(), grace)
+    const forcedClose = setTimeout(() => this.#closeAll(), grace)
     await closed
     clearInterval(idleSweep)
     clearTimeout(forcedClose)
   }
 
+  /** Closes all connections, also those of requests that have no complete answer. */
+  #closeAll (): void {
+    const { clock } = this.#context
+    for (const { request, arrivedAt, forwarding } of this.#openRequests.values()) {
+      if (forwarding !== null) forwarding.breakOff()
+      else recordUnanswered(this.#context, { id: decodeCallerHeaders(request.headers).attemptId, stage: RequestStage.Reading, cause: CloseCause.StopGraceOver, problem: '', took: clock() - arrivedAt })
+    }
+    this.#server.closeAllConnections()
+  }
+
   #applyLimits (): void {
     const limits = this.#context.fleetState.routeTable?.deployment.limits
     if (limits === undefined) return
@@ -91,16 +111,18 @@
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = this.#context.clock()
-    this.#openResponses.add(response)
+    const open: OpenRequest = { request, arrivedAt, forwarding: null }
+    this.#openRequests.set(response, open)
     this.#connections.track(request.socket, response)
-    response.once('close', () => { this.#openResponses.delete(response) })
+    response.once('close', () => { this.#openRequests.delete(response) })
     if (this.#stoppedAt !== null) closeConnectionAfter(response)
-    const cause = await this.#forward(request, response, arrivedAt)
+    const cause = await this.#forward(open, response)
     if (cause !== null) this.#refuse(request, response, cause)
   }
 
   /** @returns why the request is refused; null if it is being forwarded or the caller has disconnected */
-  async #forward (request: IncomingMessage, response: ServerResponse, arrivedAt: Millis): Promise<RefusalCause | null> {
+  async #forward (open: OpenRequest, response: ServerResponse): Promise<RefusalCause | null> {
+    const { request, arrivedAt } = open
     const table = this.#context.fleetState.routeTable
     if (table === null) return RefusalCause.Starting
     if (this.#stoppedAt !== null && arrivedAt - this.#stoppedAt > ACCEPT_PERIOD_AFTER_STOP) return RefusalCause.Stopping
@@ -111,13 +133,27 @@
     if (!body.ok) return body.failure
     const call = admit(request, head.value, body.value, table, arrivedAt)
     if (!call.ok) return call.failure
-    const forwarding = call.value.route.kind === CallKind.Stream
+    open.forwarding = call.value.route.kind === CallKind.Stream
       ? new StreamForwarding(this.#context, call.value, response)
       : new PlainForwarding(this.#context, call.value, response)
-    forwarding.start()
+    open.forwarding.start()
     return null
   }
 
+  #refuseMalformed (error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy()
+      return
+    }
+    const { log, metrics, fleetState } = this.#context
+    const cause = malformedCause(error)
+    metrics.requestRefused(cause)
+    log.info('request.refused', {
+      cause, reason: error.message, bytes_read: socket.bytesRead, configuration: fleetState.configurationVersion, configuration_age_ms: Math.round(fleetState.configurationAge)
+    })
+    answerMalformed(cause, socket)
+  }
+
   #refuse (request: IncomingMessage, response: ServerResponse, cause: RefusalCause): void {
     const { log, metrics, fleetState } = this.#context
     metrics.requestRefused(cause)
@@ -135,11 +171,12 @@
 }
 
 /** Answers bytes that are not a valid HTTP request; other connections are not affected. */
-const answerMalformedRequest = (error: NodeJS.ErrnoException, socket: Socket): void => {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy()
-    return
-  }
-  const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request'
-  socket.end(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`)
+const answerMalformed = (cause: RefusalCause, socket: Socket): void => {
+  const status = refusalStatus(cause)
+  socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`)
+}
+
+const malformedCause = ({ code }: NodeJS.ErrnoException): RefusalCause => {
+  if (code === 'HPE_HEADER_OVERFLOW') return RefusalCause.HeadTooLarge
+  return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? RefusalCause.HeadTimeout : RefusalCause.BadRequest
 }
--- a/packages/node/src/forward/entry/refusals.ts
+++ b/packages/node/src/forward/entry/refusals.ts
@@ -6,6 +6,8 @@
 /** Why a node refuses a request or cannot return the answer of a backend server. */
 export const RefusalCause = {
   BadRequest: 'bad_request',
+  /** The head of a request was not complete in time. */
+  HeadTimeout: 'head_timeout',
   UnknownKey: 'unknown_key',
   UnknownRoute: 'unknown_route',
   BodyTooLarge: 'body_too_large',
@@ -40,6 +42,7 @@
 
 const REFUSALS: Readonly<Record<RefusalCause, Refusal>> = {
   [RefusalCause.BadRequest]: { status: 400, retryAfter: null },
+  [RefusalCause.HeadTimeout]: { status: 408, retryAfter: null },
   [RefusalCause.UnknownKey]: { status: 401, retryAfter: null },
   [RefusalCause.UnknownRoute]: { status: 404, retryAfter: null },
   [RefusalCause.BodyTooLarge]: { status: 413, retryAfter: null },
@@ -53,6 +56,12 @@
   [RefusalCause.AnswerLost]: { status: 502, retryAfter: null }
 }
 
+/**
+ * @param cause - why a request is refused
+ * @returns the HTTP status of the refusal
+ */
+export const refusalStatus = (cause: RefusalCause): number => REFUSALS[cause].status
+
 const MS_PER_SECOND = 1_000
 
 /**
--- /dev/null
+++ b/packages/node/src/forward/unansweredRequests.ts
@@ -0,0 +1,59 @@
+/** Logs and counts the requests whose connection this node closes before their answer is complete. */
+import type { Millis } from '@bluebellhill/domain'
+
+import type { ForwardingContext } from './types.js'
+
+/** How far a request had come. */
+export const RequestStage = {
+  /** Its body was not read completely. */
+  Reading: 'reading',
+  /** It waited for a backend server. */
+  Placement: 'placement',
+  /** It waited for KV cache memory on other engines. */
+  Reservation: 'reservation',
+  /** It was sent, and the caller had nothing of the answer. */
+  Sent: 'sent',
+  /** The caller had a part of the answer. */
+  Answer: 'answer'
+} as const
+export type RequestStage = typeof RequestStage[keyof typeof RequestStage]
+
+/** Why the connection was closed. */
+export const CloseCause = {
+  /** The attempt failed, and there was no other one. */
+  AnswerLost: 'answer_lost',
+  DeadlinePassed: 'deadline_passed',
+  /** The stop grace of this node was over. */
+  StopGraceOver: 'stop_grace_over'
+} as const
+export type CloseCause = typeof CloseCause[keyof typeof CloseCause]
+
+export interface UnansweredRequest {
+  /** Attempt id of the caller; null if it sent none. */
+  readonly id: string | null
+  readonly stage: RequestStage
+  readonly cause: CloseCause
+  /** Last failure; empty if there was none. */
+  readonly problem: string
+  /** Time from the arrival of the request until the connection was closed. */
+  readonly took: Millis
+}
+
+/**
+ * Records a request whose connection is closed by this node without a complete answer.
+ *
+ * @param context - log, metrics and configuration in force
+ * @param request - the request
+ */
+export const recordUnanswered = ({ log, metrics, fleetState }: ForwardingContext, { id, stage, cause, problem, took }: UnansweredRequest): void => {
+  metrics.connectionClosed(stage, cause)
+  log.warn('request.unanswered', {
+    request: id ?? undefined,
+    stage,
+    cause,
+    problem: problem || undefined,
+    took_ms: Math.round(took),
+    configuration: fleetState.configurationVersion,
+    configuration_age_ms: Math.round(fleetState.configurationAge)
+  })
+}
--- /dev/null
+++ b/packages/node/tests/callerConnections.test.ts
@@ -0,0 +1,71 @@
+import { once } from 'node:events'
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+
+import type { Millis } from '@bluebellhill/domain'
+import { HeaderName } from '@bluebellhill/platform'
+
+import { DEPLOYMENT, ForwardFixture, HOST, KEY, signedHeaders } from './forwardFixture.js'
+import type { Script } from './forwardFixture.js'
+
+/** Longest time that a test waits for the end of a connection. */
+const WAIT_LIMIT: Millis = 20_000
+
+const answers: Script = (request, response) => { response.writeHead(200, signedHeaders(request)).end('answer') }
+
+const headText = (path: string, ...headers: string[]): string =>
+  [`POST ${path} HTTP/1.1`, `host: ${HOST}`, `authorization: Bearer ${KEY}`, `${HeaderName.AttemptId}: a`, ...headers, '', ''].join('\r\n')
+
+interface RawCaller {
+  readonly socket: Socket
+  readonly received: () => string
+}
+
+const openCaller = async (t: ExecutionContext, { port }: ForwardFixture): Promise<RawCaller> => {
+  const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
+  socket.setTimeout(WAIT_LIMIT, () => socket.destroy(new Error('nothing in time')))
+  t.teardown(() => { socket.destroy() })
+  let received = ''
+  socket.on('data', (chunk) => { received += String(chunk) })
+  socket.on('error', () => { socket.emit('end') })
+  await once(socket, 'connect')
+  return { socket, received: () => received }
+}
+
+// Guards against connections that end without an answer and without a trace in the logs.
+test('a request that the end of the stop grace cuts off is logged with its stage and the configuration', async (t) => {
+  const fixture = await ForwardFixture.start(t, () => {})
+  const { socket } = await openCaller(t, fixture)
+  socket.write(headText('/patient/x', 'content-length: 0'))
+  const reader = await openCaller(t, fixture)
+  reader.socket.write(headText('/patient/x', 'content-length: 9'))
+  while (fixture.entry.openRequests < 2 || fixture.linesOf('request.sent').length === 0) await sleep(10)
+  await fixture.entry.stop(50)
+  const [sent, reading] = ['sent', 'reading'].map((stage) => fixture.linesOf('request.unanswered').find((line) => line.includes(`stage=${stage} `)))
+  for (const line of [sent, reading]) t.regex(line ?? '', /request=a .*cause=stop_grace_over .*configuration=1 configuration_age_ms=\d+/)
+  t.regex(await fixture.metrics.registry.metrics(), /bluebellhill_unanswered_total{stage="sent",cause="stop_grace_over"} 1/)
+})
+
+// Guards against refusals of a head that leave no trace in the logs.
+test('a head that is not complete in time is refused and logged', async (t) => {
+  const fixture = await ForwardFixture.start(t, answers)
+  const { socket, received } = await openCaller(t, fixture)
+  socket.write('POST /safe/x HTTP/1.1\r\n')
+  await once(socket, 'end')
+  t.regex(received(), /^HTTP\/1\.1 408 /)
+  t.regex(fixture.linesOf('request.refused')[0] ?? '', /cause=head_timeout .*configuration=1/)
+})
+
+// Guards against a request without an answer: the connection was broken off before the refusal of its body was sent.
+test('a caller whose chunked body exceeds the limit is told so', async (t) => {
+  const fixture = await ForwardFixture.start(t, answers)
+  const { socket, received } = await openCaller(t, fixture)
+  const chunk = 'x'.repeat(DEPLOYMENT.limits.bodyBytes + 1)
+  socket.write(`${headText('/safe/x', 'transfer-encoding: chunked')}${chunk.length.toString(16)}\r\n${chunk}\r\n`)
+  await once(socket, 'end')
+  t.regex(received(), /^HTTP\/1\.1 413 /)
+})
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -40,7 +40,8 @@
   { name: 'patient', kind: CallKind.Safe, maxAttempts: 2, timeout: 30_000 },
   { name: 'unsafe', kind: CallKind.Unsafe, maxAttempts: 2 },
   { name: 'stream', kind: CallKind.Stream, maxAttempts: 2, resumable: true },
-  { name: 'once', kind: CallKind.Stream, maxAttempts: 2, resumable: false }
+  { name: 'once', kind: CallKind.Stream, maxAttempts: 2, resumable: false },
+  { name: 'pausing', kind: CallKind.Stream, maxAttempts: 2, resumable: true, timeout: 30_000 }
 ].map((route) => ({
   host: HOST, pathPrefix: `/${route.name}/`, resumable: false, timeout: 1_500, objective: 300, pauseObjective: 200, priority: 1, isPublic: false, services: [{ service: 's', weight: 1 }], ...route
 }))
@@ -68,6 +69,8 @@
   readonly lines: string[] = []
   readonly fleetState: FleetState
   readonly entry: EntryServer
+  readonly placement: PlacementClient
+  readonly metrics = new ForwardMetrics()
   readonly #servers: Server[] = []
   #port = 0
   #nextAttemptId = 1
@@ -81,8 +84,8 @@
     const scheduler = new Scheduler({
       node: SELF.node, fleetState: this.fleetState, log, clock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), schedulerCount: () => 1, group: () => directory.group
     })
-    const placement = new PlacementClient({ node: SELF.node, scheduler, directory, fleetState: this.fleetState, log, clock, send: () => {}, onUncoordinatedPlacement: () => {}, onNotice: () => {} })
-    this.entry = new EntryServer({ placement, fleetState: this.fleetState, log, metrics: new ForwardMetrics(), memory: new EngineMemoryClient(new HttpPool(2), 300), clock })
+    this.placement = new PlacementClient({ node: SELF.node, scheduler, directory, fleetState: this.fleetState, log, clock, send: () => {}, onUncoordinatedPlacement: () => {}, onNotice: () => {} })
+    this.entry = new EntryServer({ placement: this.placement, fleetState: this.fleetState, log, metrics: this.metrics, memory: new EngineMemoryClient(new HttpPool(2), 300), clock })
   }
 
   /** Starts the entry server with backend servers that follow the scripts. */
@@ -125,6 +128,11 @@
     this.fleetState.putServer({ server: { ...server, startedAt: (server.startedAt ?? 0) + 1 }, revision: this.fleetState.serversRevision + 1 }, 'store')
   }
 
+  /** Installs a configuration whose routes and services are gone. */
+  removeServices (): void {
+    this.fleetState.install({ ...DEPLOYMENT, version: 2, routes: [], services: [] }, 'store')
+  }
+
   async dispose (): Promise<void> {
     await this.entry.stop(0)
     for (const server of this.#servers) {
