Data that arrives while the scheduler is asked about a pause keeps the attempt

Callers saw a stream that was broken off, or repeated on another server, although its server had gone on: after 1.3 s without data the node asks the scheduler whether known prefills explain it (up to 80 ms if the scheduler is busy or gone), and gave the attempt up by what was true before the question. If a prefill did explain it, a second timer was started beside that of the new data, and later failed the attempt as well.

Cause: the answer was applied without looking whether data had come. The timer that has expired is now compared with the one in force, which every piece of data replaces.

Test: 'data that arrives while the scheduler is asked about a pause keeps the attempt'; before, the server was called twice.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -119,8 +119,9 @@
 
   /** Waits on while the engine is known to prefill other prompts: another engine would have to read this prompt anew. */
   async #dataOverdue (attempt: OpenAttempt, silence: Millis): Promise<void> {
+    const timer = this.#dataTimer
     const extension = await this.context.placement.explainedSilence(attempt.placed)
-    if (this.attempt !== attempt) return
+    if (this.attempt !== attempt || this.#dataTimer !== timer) return
     if (extension === 0) {
       this.failAttempt(attempt, AttemptEnd.TimedOut, `no byte for ${Math.round(silence)} ms`)
       return
