A silent server is given up only once another one has begun to answer

Callers saw a started stream broken off, or 502 answer_lost, although their server was only silent for a second or so and went on: after 1.3 s without data the attempt was cut first, and another server was looked for afterwards. If none could be chosen (retry budget, no server, limits, a configuration without the service) or the chosen one refused or broke, the request was lost.

Cause: silence was taken for the end of the attempt. Now the next attempt is placed first, and the silent one is kept beside it until the other server sends the head of a success. Whatever ends the other attempt, the request goes on at the silent server, at the latest until its deadline; if that sends data first, the other attempt is aborted. What the two send cannot mix: one is closed before a byte of the other is taken. An attempt with reserved KV cache memory is still closed once the next one is placed, since a dead server would keep the memory. Retry rules and budget count as before.

Evidence, tests that failed before with 'whole: false' or 502 (packages/node/tests/pausingServers.test.ts): - a stream whose server pauses goes on there if no other server can be chosen - a stream whose server pauses before its first event waits for it if no other server can be chosen - a stream whose server pauses goes on after a configuration without its service - a stream whose server pauses goes on there if the next server refuses it Three more hold the new states: data from the silent server first, its late refusal, and a caller who leaves while there are two attempts.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -27,12 +27,17 @@
 /** Longest time for which a request that may have run waits until a server accepts requests again. */
 const MAX_SERVER_WAIT: Millis = 1_000
 
+/** Interval at which another server is looked for while the server of a request is silent. */
+const SEARCH_PERIOD: Millis = 1_000
+
 const SERVER_ERROR = 500
 const MISDIRECTED_REQUEST = 421
 
 /** Sends one request to one backend server after another, as far as its route and the retry budget allow. */
 export abstract class Forwarding {
   protected attempt: OpenAttempt | null = null
+  /** Attempt whose server is silent. It is kept until another server answers, and goes on if its server does so first. */
+  #silentAttempt: OpenAttempt | null = null
   protected readonly history: AttemptHistory
   protected signedFailure: SignedFailure | null = null
   protected firstAnswerAt: Millis | null = null
@@ -120,18 +125,85 @@
   /** Waits on while the engine is known to prefill other prompts: another engine would have to read this prompt anew. */
   async #dataOverdue (attempt: OpenAttempt, silence: Millis): Promise<void> {
     const timer = this.#dataTimer
+    const hasGoneOn = (): boolean => this.attempt !== attempt || this.#dataTimer !== timer
     const extension = await this.context.placement.explainedSilence(attempt.placed)
-    if (this.attempt !== attempt || this.#dataTimer !== timer) return
-    if (extension === 0) {
-      this.failAttempt(attempt, AttemptEnd.TimedOut, `no byte for ${Math.round(silence)} ms`)
+    if (hasGoneOn()) return
+    if (extension > 0) {
+      this.#requestLog.attemptWaits(attempt, silence, extension)
+      this.#dataTimer = setTimeout(() => { void this.#dataOverdue(attempt, silence + extension) }, extension)
+      return
+    }
+    if (!attempt.isSilenceReported) this.context.placement.reportSilence(attempt.placed)
+    attempt.isSilenceReported = true
+    await this.#replaceSilent(attempt, silence, hasGoneOn)
+  }
+
+  /** Starts another attempt beside a silent one, which is only given up once the other server has begun to answer. */
+  async #replaceSilent (attempt: OpenAttempt, silence: Millis, hasGoneOn: () => boolean): Promise<void> {
+    const placement = await this.#place(true)
+    if (hasGoneOn()) {
+      if (placement.type === 'placed') this.context.placement.removeAssignment(placement.attempt, null)
+      return
+    }
+    this.#lastProblem = `${AttemptEnd.TimedOut}: no byte for ${Math.round(silence)} ms`
+    if (placement.type === 'refused') {
+      this.#requestLog.silentAttemptKept(attempt, silence, placement.reason)
+      this.#dataTimer = setTimeout(() => { void this.#dataOverdue(attempt, silence + SEARCH_PERIOD) }, SEARCH_PERIOD)
+      return
+    }
+    this.history.end(attempt.server.id, AttemptEnd.TimedOut)
+    this.#requestLog.attemptFailed(attempt, AttemptEnd.TimedOut, `no byte for ${Math.round(silence)} ms`)
+    this.#setAside(attempt)
+    this.#openAttempt(placement.attempt)
+  }
+
+  /** Memory on other engines is released at once: the next attempt may need it, and a dead server would keep it. */
+  #setAside (attempt: OpenAttempt): void {
+    if (attempt.reservations !== null) {
+      this.#closeAttempt(attempt)
       return
     }
-    this.#requestLog.attemptWaits(attempt, silence, extension)
-    this.#dataTimer = setTimeout(() => { void this.#dataOverdue(attempt, silence + extension) }, extension)
+    this.#clearDataTimer()
+    this.#silentAttempt = attempt
+  }
+
+  /** @returns whether an attempt is in progress; a silent one whose server goes on takes the place of the one that was to replace it */
+  #isCurrent (attempt: OpenAttempt): boolean {
+    if (this.attempt === attempt) return true
+    if (this.#silentAttempt !== attempt || this.#isFinished) return false
+    const replacement = this.attempt
+    if (replacement !== null) {
+      this.history.end(replacement.server.id, replacement.serverCall?.mayBeSent === true ? AttemptEnd.TimedOut : AttemptEnd.Unsent)
+      this.#closeAttempt(replacement)
+    }
+    this.#returnToSilent('data')
+    return true
+  }
+
+  /** Goes on with the silent attempt, if there is one. */
+  #returnToSilent (cause: 'data' | 'no_other_attempt'): boolean {
+    const attempt = this.#silentAttempt
+    if (attempt === null) return false
+    this.#silentAttempt = null
+    if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
+    this.attempt = attempt
+    this.#requestLog.silentAttemptResumed(attempt, cause)
+    this.restartDataTimer(attempt)
+    return true
+  }
+
+  #closeSilent (): void {
+    const attempt = this.#silentAttempt
+    this.#silentAttempt = null
+    if (attempt !== null) this.#release(attempt, null)
   }
 
   /** Ends an attempt without a complete answer, and starts another one if the route and the retry budget allow it. */
   protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string): void {
+    if (this.#silentAttempt === attempt) {
+      this.#requestLog.attemptFailed(attempt, end, reason)
+      this.#closeSilent()
+    }
     if (this.attempt !== attempt || this.#isFinished) return
     this.#closeAttempt(attempt, healthSignalOf(attempt, end))
     this.#lastProblem = `${end}: ${reason}`
@@ -144,7 +216,7 @@
 
   async #startNextAttempt (chargesRetry: boolean): Promise<void> {
     const placement = await this.#place(chargesRetry)
-    if (this.#isFinished) {
+    if (this.#isFinished || this.attempt !== null) {
       if (placement.type === 'placed') this.context.placement.removeAssignment(placement.attempt, null)
       return
     }
@@ -183,7 +255,7 @@
     this.history.start(server.id)
     this.#attemptCount += 1
     const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
-    const attempt: OpenAttempt = { server, placed, sentAt: this.context.clock(), reservations, serverCall: null, hasFirstEvent: false, head: null, answer: null }
+    const attempt: OpenAttempt = { server, placed, sentAt: this.context.clock(), reservations, serverCall: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
     this.attempt = attempt
     this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server))
     if (reservations === null) this.#send(attempt)
@@ -230,7 +302,7 @@
     return {
       onHead: (head) => this.#headReceived(attempt, head),
       onData: (chunk) => {
-        if (this.attempt !== attempt) return
+        if (!this.#isCurrent(attempt)) return
         this.restartDataTimer(attempt)
         if (isSuccessfulAnswer(attempt)) this.chunkReceived(attempt, chunk)
         else failureChunks.push(chunk)
@@ -241,13 +313,21 @@
   }
 
   #headReceived (attempt: OpenAttempt, head: AnswerHead): void {
-    if (this.attempt !== attempt) return
+    if (this.#isFinished || (this.attempt !== attempt && this.#silentAttempt !== attempt)) return
     attempt.head = head
     attempt.answer = decodeAnswerHeaders(head.status, head.headers)
     this.#recordStatement(attempt, head.status, attempt.answer)
     const problem = findAnswerProblem(attempt.answer, head.status, this.call.id)
+    if (this.#silentAttempt === attempt && (problem !== null || !isSuccessfulAnswer(attempt))) {
+      this.failAttempt(attempt, AttemptEnd.Failed, problem ?? `status ${head.status}`)
+      return
+    }
+    if (!this.#isCurrent(attempt)) return
     if (problem !== null) this.failAttempt(attempt, AttemptEnd.Broken, problem)
-    else if (isSuccessfulAnswer(attempt)) this.successStarted(attempt)
+    else if (isSuccessfulAnswer(attempt)) {
+      this.#closeSilent()
+      this.successStarted(attempt)
+    }
   }
 
   /** An answer to another request, or of another server at the same address, says nothing of the server that was asked. */
@@ -260,7 +340,7 @@
   }
 
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
-    if (this.attempt !== attempt) return
+    if (!this.#isCurrent(attempt)) return
     const { head, answer } = attempt
     if (head === null || answer === null) {
       this.failAttempt(attempt, AttemptEnd.Broken, 'the answer ended before its head')
@@ -301,6 +381,7 @@
   }
 
   #giveUp (refusal: RefusedPlacement | null = null): void {
+    if ((this.hasStartedAnswer || this.signedFailure === null) && this.#returnToSilent('no_other_attempt')) return
     if (this.hasStartedAnswer) {
       this.#abortAnswer(ForwardOutcome.Lost, CloseCause.AnswerLost)
     } else if (this.signedFailure !== null) {
@@ -352,8 +433,17 @@
   }
 
   #closeAttempt (attempt: OpenAttempt, signal: HealthSignal | null = null): void {
-    if (this.#dataTimer !== null) clearTimeout(this.#dataTimer)
+    this.#clearDataTimer()
     this.attempt = null
+    this.#release(attempt, signal)
+  }
+
+  #clearDataTimer (): void {
+    if (this.#dataTimer !== null) clearTimeout(this.#dataTimer)
+    this.#dataTimer = null
+  }
+
+  #release (attempt: OpenAttempt, signal: HealthSignal | null): void {
     attempt.serverCall?.abort()
     attempt.reservations?.release()
     this.context.placement.removeAssignment(attempt.placed, signal)
@@ -362,6 +452,7 @@
   #finish (outcome: ForwardOutcome, status: number): void {
     if (this.#isFinished) return
     this.#isFinished = true
+    this.#closeSilent()
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer)
     if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
     const { call, context } = this
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -70,6 +70,18 @@
     this.context.log.info('attempt.waits', { request: this.call.id, server: server.id, silent_ms: Math.round(silence), prefill_left_ms: Math.round(extension) })
   }
 
+  /** Logs that a silent attempt is kept, because no other server can be chosen. */
+  silentAttemptKept ({ server }: OpenAttempt, silence: Millis, reason: string): void {
+    const { call, context } = this
+    context.log.info('attempt.kept', { request: call.id, server: server.id, silent_ms: Math.round(silence), reason, configuration: context.fleetState.configurationVersion, configuration_age_ms: Math.round(context.fleetState.configurationAge) })
+  }
+
+  /** Logs that a request goes on at a server that was silent, instead of at the one that was chosen to replace it. */
+  silentAttemptResumed ({ server, sentAt }: OpenAttempt, cause: string): void {
+    const { call, context } = this
+    context.log.info('attempt.resumed', { request: call.id, server: server.id, cause, after_ms: Math.round(context.clock() - sentAt) })
+  }
+
   attemptFailed ({ server, sentAt, placed }: OpenAttempt, end: AttemptEnd, reason: string): void {
     const { call, context } = this
     context.log.warn('attempt.failed', {
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -182,12 +182,13 @@
 
   /** Records the server at an address as unreachable, after another server reported that a request failed because of it. */
   reportUnreachableAddress (address: string): void {
-    const { fleetState, scheduler, directory, clock, node } = this.#options
-    const server = fleetState.servers.all().find((candidate) => candidate.address === address)
-    if (server === undefined) return
-    scheduler.recordHealthSignal(server, HealthSignal.Unreachable)
-    const group = directory.scheduler(clock())
-    if (group.node !== node) this.#reports.add(group.address, { number: 0, isEnded: false, server: server.id, signal: HealthSignal.Unreachable, slowdown: null })
+    const server = this.#options.fleetState.servers.all().find((candidate) => candidate.address === address)
+    if (server !== undefined) this.#reportSignal(server, HealthSignal.Unreachable)
+  }
+
+  /** Records that the server of an attempt in progress sends no data. */
+  reportSilence ({ choice }: PlacedAttempt): void {
+    this.#reportSignal(choice.server, HealthSignal.Bad)
   }
 
   /**
@@ -290,6 +291,13 @@
     this.#reports.add(address, { number, isEnded: true, server: server as RunnerId, signal: null, slowdown: null })
   }
 
+  #reportSignal (server: BackendServer, signal: HealthSignal): void {
+    const { scheduler, directory, clock, node } = this.#options
+    scheduler.recordHealthSignal(server, signal)
+    const group = directory.scheduler(clock())
+    if (group.node !== node) this.#reports.add(group.address, { number: 0, isEnded: false, server: server.id, signal, slowdown: null })
+  }
+
   #report (assignment: Assignment, isEnded: boolean, signal: HealthSignal | null): void {
     const address = this.#schedulers.get(assignment.id)
     if (address === undefined) return
--- a/packages/node/src/forward/types.ts
+++ b/packages/node/src/forward/types.ts
@@ -31,6 +31,8 @@
   serverCall: ServerCall | null
   /** Whether the first event of the answer has arrived. */
   hasFirstEvent: boolean
+  /** Whether the scheduler has been told that the server sends no data. */
+  isSilenceReported: boolean
   head: AnswerHead | null
   answer: AnswerHeaders | null
 }
--- a/packages/node/tests/pausingServers.test.ts
+++ b/packages/node/tests/pausingServers.test.ts
@@ -1,8 +1,10 @@
+import { once } from 'node:events'
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
 
 import type { Millis } from '@bluebellhill/domain'
+import { HeaderName } from '@bluebellhill/platform'
 
 import { ForwardFixture, signedHeaders } from './forwardFixture.js'
 import type { Script } from './forwardFixture.js'
@@ -12,6 +14,72 @@
 
 const eventText = (id: number): string => `id: ${id}\ndata: x\n\n`
 
+const refuses: Script = (_, response) => { response.writeHead(503, { [HeaderName.NotRun]: '1' }).end() }
+
+/** Sends one event, pauses, and sends the rest of the answer. */
+const pauses: Script = (request, response) => {
+  response.writeHead(200, signedHeaders(request))
+  response.write(eventText(1))
+  setTimeout(() => response.end(eventText(2)), LONG_PAUSE)
+}
+
+// Guards against a started answer that is broken off because its server pauses and no other server can go on with it.
+test('a stream whose server pauses goes on there if no other server can be chosen', async (t) => {
+  const fixture = await ForwardFixture.start(t, pauses)
+  t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
+})
+
+// Guards against a request that fails although the only server that it may be sent to is about to answer.
+test('a stream whose server pauses before its first event waits for it if no other server can be chosen', async (t) => {
+  const fixture = await ForwardFixture.start(t, (request, response) => {
+    setTimeout(() => response.writeHead(200, signedHeaders(request)).end(eventText(1)), LONG_PAUSE)
+  })
+  t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1), whole: true })
+})
+
+// Guards against a started answer that is broken off because the configuration in force has no longer its service.
+test('a stream whose server pauses goes on after a configuration without its service', async (t) => {
+  const fixture = await ForwardFixture.start(t, pauses, pauses)
+  const answer = fixture.call('/pausing/x')
+  await sleep(200)
+  fixture.removeServices()
+  t.like(await answer, { status: 200, body: eventText(1) + eventText(2), whole: true })
+})
+
+// Guards against a started answer that is broken off because the server that was to go on with it refuses.
+test('a stream whose server pauses goes on there if the next server refuses it', async (t) => {
+  let calls = 0
+  const script: Script = (...args) => { (calls++ === 0 ? pauses : refuses)(...args) }
+  const fixture = await ForwardFixture.start(t, script, script)
+  t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
+})
+
+// Guards against a request that loses the server which answers it, because the one that was silent refuses it in the end.
+test('a server that refuses a request after a silence does not end the attempt that has replaced it', async (t) => {
+  let calls = 0
+  const script: Script = (request, response, socket) => {
+    calls += 1
+    if (calls === 1) setTimeout(() => refuses(request, response, socket), LONG_PAUSE)
+    else setTimeout(() => response.writeHead(200, signedHeaders(request)).end(eventText(1)), LONG_PAUSE)
+  }
+  const fixture = await ForwardFixture.start(t, script, script)
+  t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1), whole: true })
+  t.is(calls, 2)
+})
+
+// Guards against a started answer that is broken off because its server goes on while another one is asked.
+test('a stream goes on at its silent server if that is the first to send something', async (t) => {
+  let calls = 0
+  const script: Script = (request, response, socket) => {
+    calls += 1
+    if (calls === 1) pauses(request, response, socket)
+  }
+  const fixture = await ForwardFixture.start(t, script, script)
+  t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
+  t.is(calls, 2)
+  t.regex(fixture.linesOf('attempt.resumed')[0] ?? '', /cause=data/)
+})
+
 // Guards against an attempt that is given up although its data has arrived while the scheduler was asked about the pause.
 test('data that arrives while the scheduler is asked about a pause keeps the attempt', async (t) => {
   let calls = 0
@@ -28,3 +96,18 @@
   t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2) + eventText(3), whole: true })
   t.is(calls, 1)
 })
+
+// Guards against a server that works on for a caller who has gone, because its attempt was set aside for another one.
+test('when the caller disconnects, no server goes on with its request', async (t) => {
+  const closed: Array<Promise<unknown>> = []
+  const disconnection = new AbortController()
+  const silent: Script = (request, response, socket) => {
+    closed.push(once(socket, 'close'))
+    if (closed.length === 1) response.writeHead(200, signedHeaders(request)).write(eventText(1))
+    else disconnection.abort()
+  }
+  const fixture = await ForwardFixture.start(t, silent, silent)
+  await fixture.call('/pausing/x', { disconnection: disconnection.signal }).catch(() => {})
+  t.is(closed.length, 2)
+  await Promise.all(closed)
+})
