Data that waits to be read keeps its attempt after the process was held up

Callers saw a stream that was repeated on another server, or broken off where there was none, although its events had arrived: when the process had been held up (a large configuration on 0.675 cores, a stopped VM) expired timers ran before the sockets were read, and the silence that they found was its own.

The timer now lets waiting input be read before it decides; data that is read then replaces the timer.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -6,6 +6,7 @@
 import { decodeAnswerHeaders, encodeForwardedHeaders, encodeReturnedHeaders } from '@bluebellhill/platform'
 import type { AnswerHeaders } from '@bluebellhill/platform'
 
+import { waitingInputRead } from '../clock/inputTurn.js'
 import type { AdmittedCall } from './AdmittedCall.js'
 import { FIRST_FAILURE_STATUS, isSuccessfulAnswer, findAnswerProblem, withContentLength } from './answerHeads.js'
 import { ServerCall } from './backend/ServerCall.js'
@@ -126,6 +127,8 @@
   async #dataOverdue (attempt: OpenAttempt, silence: Millis): Promise<void> {
     const timer = this.#dataTimer
     const hasGoneOn = (): boolean => this.attempt !== attempt || this.#dataTimer !== timer
+    await waitingInputRead()
+    if (hasGoneOn()) return
     const extension = await this.context.placement.explainedSilence(attempt.placed)
     if (hasGoneOn()) return
     if (extension > 0) {
