A request that waits to be read keeps its idle connection after the process was held up

Callers saw a connection that was closed without an answer although their whole request had been sent: when the process had been held up, the idle timeout of the connection ran before its input was read.

The server now lets waiting input be read before it closes an idle connection, and closes it only if nothing of a request has arrived; the time limit of heads covers the rest.

Test (packages/node/tests/heldUpProcess.test.ts): 'a request that has arrived on an idle connection while the process was held up is answered'; before, the second of two requests got no answer.

--- a/packages/node/src/forward/entry/CallerConnections.ts
+++ b/packages/node/src/forward/entry/CallerConnections.ts
@@ -2,6 +2,8 @@
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
+import { waitingInputRead } from '../../clock/inputTurn.js'
+
 interface CallerConnection {
   openResponses: number
   /** Value of `socket.bytesRead` when the last request was answered; further bytes belong to the next request. */
@@ -34,10 +36,25 @@
     })
   }
 
+  /**
+   * Closes an idle connection whose time is over, unless a request has arrived that waits to be read.
+   *
+   * @param socket - the connection
+   */
+  async closeExpired (socket: Socket): Promise<void> {
+    await waitingInputRead()
+    const connection = this.#connections.get(socket)
+    if (connection !== undefined && isIdle(socket, connection)) socket.destroy()
+  }
+
   /** Closes the connections that have no open response and receive no request. */
   closeIdle (): void {
-    for (const [socket, { openResponses, bytesAnswered }] of this.#connections) {
-      if (openResponses === 0 && socket.bytesRead === bytesAnswered) socket.destroy()
+    for (const [socket, connection] of this.#connections) {
+      if (isIdle(socket, connection)) socket.destroy()
     }
   }
 }
+
+/** The time limit of heads closes a connection on which a part of a request has arrived. */
+const isIdle = (socket: Socket, { openResponses, bytesAnswered }: CallerConnection): boolean =>
+  openResponses === 0 && socket.bytesRead === bytesAnswered
--- a/packages/node/tests/callerConnections.test.ts
+++ b/packages/node/tests/callerConnections.test.ts
@@ -1,40 +1,10 @@
 import { once } from 'node:events'
-import { connect } from 'node:net'
-import type { Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
-import type { ExecutionContext } from 'ava'
 
-import type { Millis } from '@bluebellhill/domain'
-import { HeaderName } from '@bluebellhill/platform'
-
-import { DEPLOYMENT, ForwardFixture, HOST, KEY, signedHeaders } from './forwardFixture.js'
-import type { Script } from './forwardFixture.js'
-
-/** Longest time that a test waits for the end of a connection. */
-const WAIT_LIMIT: Millis = 20_000
-
-const answers: Script = (request, response) => { response.writeHead(200, signedHeaders(request)).end('answer') }
-
-const headText = (path: string, ...headers: string[]): string =>
-  [`POST ${path} HTTP/1.1`, `host: ${HOST}`, `authorization: Bearer ${KEY}`, `${HeaderName.AttemptId}: a`, ...headers, '', ''].join('\r\n')
-
-interface RawCaller {
-  readonly socket: Socket
-  readonly received: () => string
-}
-
-const openCaller = async (t: ExecutionContext, { port }: ForwardFixture): Promise<RawCaller> => {
-  const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
-  socket.setTimeout(WAIT_LIMIT, () => socket.destroy(new Error('nothing in time')))
-  t.teardown(() => { socket.destroy() })
-  let received = ''
-  socket.on('data', (chunk) => { received += String(chunk) })
-  socket.on('error', () => { socket.emit('end') })
-  await once(socket, 'connect')
-  return { socket, received: () => received }
-}
+import { answers, headText, openCaller } from './callers.js'
+import { DEPLOYMENT, ForwardFixture } from './forwardFixture.js'
 
 // Guards against connections that end without an answer and without a trace in the logs.
 test('a request that the end of the stop grace cuts off is logged with its stage and the configuration', async (t) => {
--- a/packages/node/tests/heldUpProcess.test.ts
+++ b/packages/node/tests/heldUpProcess.test.ts
@@ -1,8 +1,12 @@
+import { once } from 'node:events'
+import { setTimeout as sleep } from 'node:timers/promises'
+
 import test from 'ava'
 
 import type { Millis } from '@bluebellhill/domain'
 
-import { ForwardFixture, signedHeaders } from './forwardFixture.js'
+import { answers, headText, openCaller } from './callers.js'
+import { DEPLOYMENT, ForwardFixture, signedHeaders } from './forwardFixture.js'
 import type { Script } from './forwardFixture.js'
 
 /** Longer than the time without data after which another server is looked for. */
@@ -33,3 +37,21 @@
   t.is(calls, 1)
   t.deepEqual(fixture.linesOf('attempt.failed'), [])
 })
+
+// Guards against a request without an answer: its connection expired while the request waited to be read.
+test.serial('a request that has arrived on an idle connection while the process was held up is answered', async (t) => {
+  const fixture = await ForwardFixture.start(t, answers)
+  fixture.fleetState.install({ ...DEPLOYMENT, version: 2, limits: { ...DEPLOYMENT.limits, idleTimeout: 500 } }, 'store')
+  const { socket, received } = await openCaller(t, fixture)
+  socket.write(headText('/safe/first', 'content-length: 0'))
+  while (!received().includes('answer')) await once(socket, 'data')
+  await sleep(100)
+  const ended = once(socket, 'end')
+  // Timers are run next after this callback.
+  setImmediate(() => {
+    socket.write(headText('/safe/second', 'content-length: 0'))
+    holdUp(2_000)
+  })
+  await ended
+  t.is(received().split('answer').length, 3)
+})
