A request whose connection was refused for a slow head is not forwarded

Callers got 408, which promises that their request has not run and never will, and the request could still run: the answer to a head that was not complete in time only half-closed the connection. A head that was completed afterwards, or a request that crossed the 408 on a connection which had been open longer than the limit, was forwarded, and its own answer could not be written any more: a whole request with neither an answer nor a refusal. The limit of heads comes from the configuration and runs from the opening of a connection.

CallerConnections now remembers that a connection is refused: nothing more is accepted on it, and it is closed a second later, where before it stayed open until the caller closed it.

Test (packages/node/tests/callerConnections.test.ts): 'a request that arrives after the answer to a slow head is not forwarded'; before, the server ran it.

--- a/packages/node/src/forward/entry/CallerConnections.ts
+++ b/packages/node/src/forward/entry/CallerConnections.ts
@@ -2,12 +2,19 @@
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
+import type { Millis } from '@bluebellhill/domain'
+
 import { waitingInputRead } from '../../clock/inputTurn.js'
 
+/** Time in which a caller can read why its connection is refused, before the connection is closed. */
+const REFUSED_CLOSE_DELAY: Millis = 1_000
+
 interface CallerConnection {
   openResponses: number
   /** Value of `socket.bytesRead` when the last request was answered; further bytes belong to the next request. */
   bytesAnswered: number
+  /** Whether bytes have arrived that are no request, or a head that took too long: nothing more is accepted. */
+  isRefused: boolean
 }
 
 /** Open connections of callers, with the number of responses that are not written completely. */
@@ -16,7 +23,7 @@
 
   /** Adds a connection until it is closed. */
   add (socket: Socket): void {
-    this.#connections.set(socket, { openResponses: 0, bytesAnswered: 0 })
+    this.#connections.set(socket, { openResponses: 0, bytesAnswered: 0, isRefused: false })
     socket.once('close', () => this.#connections.delete(socket))
   }
 
@@ -36,6 +43,29 @@
     })
   }
 
+  /**
+   * Accepts no more requests on a connection, and closes it some time after its answer.
+   *
+   * @param socket - the connection
+   * @returns whether the connection can be told why: not if that was done before
+   */
+  refuse (socket: Socket): boolean {
+    const connection = this.#connections.get(socket)
+    if (connection === undefined || connection.isRefused) return false
+    connection.isRefused = true
+    const timer = setTimeout(() => socket.destroy(), REFUSED_CLOSE_DELAY)
+    socket.once('close', () => clearTimeout(timer))
+    return true
+  }
+
+  /**
+   * @param socket - a connection
+   * @returns whether no more requests are accepted on it
+   */
+  isRefused (socket: Socket): boolean {
+    return this.#connections.get(socket)?.isRefused === true
+  }
+
   /**
    * Closes an idle connection whose time is over, unless a request has arrived that waits to be read.
    *
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -111,6 +111,10 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.#connections.isRefused(request.socket)) {
+      request.socket.destroy()
+      return
+    }
     const arrivedAt = this.#context.clock()
     const open: OpenRequest = { request, arrivedAt, forwarding: null }
     this.#openRequests.set(response, open)
@@ -148,11 +152,14 @@
     }
     const { log, metrics, fleetState } = this.#context
     const cause = malformedCause(error)
+    const isKnown = this.#connections.isRefused(socket)
+    const isAnswerable = this.#connections.refuse(socket)
+    if (isKnown) return
     metrics.requestRefused(cause)
     log.info('request.refused', {
-      cause, reason: error.message, bytes_read: socket.bytesRead, configuration: fleetState.configurationVersion, configuration_age_ms: Math.round(fleetState.configurationAge)
+      cause, reason: error.message, bytes_read: socket.bytesRead, answered: isAnswerable, configuration: fleetState.configurationVersion, configuration_age_ms: Math.round(fleetState.configurationAge)
     })
-    answerMalformed(cause, socket)
+    if (isAnswerable) answerMalformed(cause, socket)
   }
 
   #refuse (request: IncomingMessage, response: ServerResponse, cause: RefusalCause): void {
--- a/packages/node/tests/callerConnections.test.ts
+++ b/packages/node/tests/callerConnections.test.ts
@@ -3,8 +3,10 @@
 
 import test from 'ava'
 
+import { HeaderName } from '@bluebellhill/platform'
+
 import { answers, headText, openCaller } from './callers.js'
-import { DEPLOYMENT, ForwardFixture } from './forwardFixture.js'
+import { DEPLOYMENT, ForwardFixture, HOST, KEY } from './forwardFixture.js'
 
 // Guards against connections that end without an answer and without a trace in the logs.
 test('a request that the end of the stop grace cuts off is logged with its stage and the configuration', async (t) => {
@@ -30,6 +32,19 @@
   t.regex(fixture.linesOf('request.refused')[0] ?? '', /cause=head_timeout .*configuration=1/)
 })
 
+// Guards against a request that runs although its connection has got the answer that it has not been read in time.
+test('a request that arrives after the answer to a slow head is not forwarded', async (t) => {
+  let calls = 0
+  const fixture = await ForwardFixture.start(t, (...args) => { calls += 1; answers(...args) })
+  const { socket, received } = await openCaller(t, fixture)
+  socket.write('POST /safe/x HTTP/1.1\r\n')
+  await once(socket, 'end')
+  t.regex(received(), /^HTTP\/1\.1 408 /)
+  socket.write(`host: ${HOST}\r\nauthorization: Bearer ${KEY}\r\n${HeaderName.AttemptId}: a\r\ncontent-length: 0\r\n\r\n`)
+  await sleep(300)
+  t.is(calls, 0)
+})
+
 // Guards against a request without an answer: the connection was broken off before the refusal of its body was sent.
 test('a caller whose chunked body exceeds the limit is told so', async (t) => {
   const fixture = await ForwardFixture.start(t, answers)
