Bytes that are no request do not end the answer in progress on their connection

Callers whose connection carried bytes behind a request lost its answer, or got '400 Bad Request' in the middle of it: the parser's error was answered at once, whatever was being sent. The answer in progress now ends first, and nothing more is accepted on the connection. A caller who disconnects after such bytes still ends its attempt.

Tests (packages/node/tests/callerConnections.test.ts): 'bytes that are no request do not end the answer in progress on their connection'; before, the answer never came (400 on the socket, test limit of 20 s). 'a caller who disconnects after bytes that are no request ends the attempt' holds the other side.

--- a/packages/node/src/forward/entry/CallerConnections.ts
+++ b/packages/node/src/forward/entry/CallerConnections.ts
@@ -47,12 +47,13 @@
    * Accepts no more requests on a connection, and closes it some time after its answer.
    *
    * @param socket - the connection
-   * @returns whether the connection can be told why: not if that was done before
+   * @returns whether the connection can be told why: not if that was done before, or if an answer is being sent
    */
   refuse (socket: Socket): boolean {
     const connection = this.#connections.get(socket)
     if (connection === undefined || connection.isRefused) return false
     connection.isRefused = true
+    if (connection.openResponses > 0) return false
     const timer = setTimeout(() => socket.destroy(), REFUSED_CLOSE_DELAY)
     socket.once('close', () => clearTimeout(timer))
     return true
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -154,6 +154,8 @@
     const cause = malformedCause(error)
     const isKnown = this.#connections.isRefused(socket)
     const isAnswerable = this.#connections.refuse(socket)
+    // A caller who has ended its connection waits for no answer.
+    if (!isAnswerable && socket.readableEnded) socket.destroy()
     if (isKnown) return
     metrics.requestRefused(cause)
     log.info('request.refused', {
--- a/packages/node/tests/callerConnections.test.ts
+++ b/packages/node/tests/callerConnections.test.ts
@@ -6,7 +6,7 @@
 import { HeaderName } from '@bluebellhill/platform'
 
 import { answers, headText, openCaller } from './callers.js'
-import { DEPLOYMENT, ForwardFixture, HOST, KEY } from './forwardFixture.js'
+import { DEPLOYMENT, ForwardFixture, HOST, KEY, signedHeaders } from './forwardFixture.js'
 
 // Guards against connections that end without an answer and without a trace in the logs.
 test('a request that the end of the stop grace cuts off is logged with its stage and the configuration', async (t) => {
@@ -45,6 +45,33 @@
   t.is(calls, 0)
 })
 
+// Guards against an answer that is broken off, or mixed with another one, by bytes behind its request.
+test('bytes that are no request do not end the answer in progress on their connection', async (t) => {
+  const fixture = await ForwardFixture.start(t, (request, response) => {
+    response.writeHead(200, signedHeaders(request)).write('first ')
+    setTimeout(() => response.end('last'), 300)
+  })
+  const { socket, received } = await openCaller(t, fixture)
+  socket.write(headText('/patient/x', 'content-length: 0'))
+  while (fixture.linesOf('request.sent').length === 0) await sleep(10)
+  socket.write('no request\r\n\r\n')
+  while (!received().includes('last')) await once(socket, 'data')
+  t.regex(received(), /^HTTP\/1\.1 200 .*first last/s)
+  t.false(received().includes('400'))
+})
+
+// Guards against a server that works on for a caller who has disconnected after bytes that are no request.
+test('a caller who disconnects after bytes that are no request ends the attempt', async (t) => {
+  const closed: Array<Promise<unknown>> = []
+  const fixture = await ForwardFixture.start(t, (_, __, socket) => { closed.push(once(socket, 'close')) })
+  const { socket } = await openCaller(t, fixture)
+  socket.write(headText('/patient/x', 'content-length: 0'))
+  while (closed.length === 0) await sleep(10)
+  socket.end('no request\r\n\r\n')
+  await Promise.all(closed)
+  t.is(fixture.entry.openRequests, 0)
+})
+
 // Guards against a request without an answer: the connection was broken off before the refusal of its body was sent.
 test('a caller whose chunked body exceeds the limit is told so', async (t) => {
   const fixture = await ForwardFixture.start(t, answers)
