A request that has arrived before the stop is answered

Callers saw a reset instead of an answer although their whole request had been sent before the SIGTERM: stop() closed the listener, and with it the connections that were still to be accepted, and destroyed every connection of which nothing was read yet, before the waiting input was read.

The stop now lets waiting connections be accepted and their input be read before it closes the listener and the idle connections.

Tests (packages/node/tests/callerConnections.test.ts): 'a request that has arrived before the stop is answered' and 'a request on a connection that is not accepted before the stop is answered'; before, no answer and ECONNRESET.

--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -10,6 +10,7 @@
 import { decodeCallerHeaders } from '@bluebellhill/platform'
 import type { SocketAddress } from '@bluebellhill/platform'
 
+import { waitingInputRead } from '../../clock/inputTurn.js'
 import type { Forwarding } from '../Forwarding.js'
 import type { ForwardingContext } from '../types.js'
 import { PlainForwarding } from '../PlainForwarding.js'
@@ -83,8 +84,11 @@
     this.#stoppedAt = this.#context.clock()
     for (const response of this.#openRequests.keys()) closeConnectionAfter(response)
     const closed = once(this.#server, 'close')
+    // Requests that have arrived may wait on connections that are not accepted yet.
+    await waitingInputRead()
     // http.Server.close() would also reset connections whose answer has ended but is not written to the socket yet.
     TcpServer.prototype.close.call(this.#server)
+    await waitingInputRead()
     this.#connections.closeIdle()
     const idleSweep = setInterval(() => this.#connections.closeIdle(), IDLE_SWEEP_PERIOD)
     const forcedClose = setTimeout(() => this.#closeAll(), grace)
--- a/packages/node/tests/callerConnections.test.ts
+++ b/packages/node/tests/callerConnections.test.ts
@@ -1,4 +1,5 @@
 import { once } from 'node:events'
+import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
@@ -72,6 +73,34 @@
   t.is(fixture.entry.openRequests, 0)
 })
 
+// Guards against a request without an answer: its connection was closed as idle at the stop, before it was read.
+test('a request that has arrived before the stop is answered', async (t) => {
+  const fixture = await ForwardFixture.start(t, answers)
+  const { socket, received } = await openCaller(t, fixture)
+  await sleep(50)
+  socket.write(headText('/safe/x', 'content-length: 0'))
+  const stopped = fixture.entry.stop(5_000)
+  await once(socket, 'end')
+  t.regex(received(), /^HTTP\/1\.1 200 /)
+  await stopped
+})
+
+// Guards against a request without an answer: its connection was still to be accepted at the stop.
+test('a request on a connection that is not accepted before the stop is answered', async (t) => {
+  const fixture = await ForwardFixture.start(t, answers)
+  const socket = connect(fixture.port, '127.0.0.1')
+  t.teardown(() => { socket.destroy() })
+  let received = ''
+  socket.on('data', (chunk) => { received += String(chunk) })
+  socket.write(headText('/safe/x', 'content-length: 0'))
+  // The listener of the client runs before the server accepts the connection.
+  const ended = Promise.race([once(socket, 'end'), once(socket, 'close')])
+  const stopped = once(socket, 'connect').then(async () => { await fixture.entry.stop(5_000) })
+  await ended
+  t.regex(received, /^HTTP\/1\.1 200 /)
+  await stopped
+})
+
 // Guards against a request without an answer: the connection was broken off before the refusal of its body was sent.
 test('a caller whose chunked body exceeds the limit is told so', async (t) => {
   const fixture = await ForwardFixture.start(t, answers)
