A reply that waits to be read counts after the process was held up

A node that had been held up for 40 ms took schedulers for dead whose replies it had not read: it then placed the attempt itself, besides the grant that it returned later, and so decided by less. The timeout of a query now lets waiting input be read first; the same cause as of the timers of attempts and idle connections.

Test (packages/node/tests/heldUpProcess.test.ts): 'a reply that has arrived while the process was held up is taken'; before, null.

--- a/packages/node/src/forward/peers/PendingQueries.ts
+++ b/packages/node/src/forward/peers/PendingQueries.ts
@@ -1,6 +1,8 @@
 /** Sends queries to other nodes as datagrams, repeats them, and matches the replies. */
 import type { Millis } from '@bluebellhill/domain'
 
+import { waitingInputRead } from '../../clock/inputTurn.js'
+
 /** Times after which a query is repeated and given up. */
 export interface QueryTiming {
   /** Time after which a query is sent once more, because datagrams may get lost. */
@@ -34,8 +36,9 @@
   async ask (number: number, send: () => void): Promise<Reply | null> {
     return await new Promise((resolve) => {
       this.#settle(number, null)
-      const timers = [setTimeout(send, this.timing.repeatDelay), setTimeout(() => this.#settle(number, null), this.timing.timeout)]
-      this.#pending.set(number, { resolve, timers })
+      const timers = [setTimeout(send, this.timing.repeatDelay), setTimeout(() => { void this.#expire(number, query) }, this.timing.timeout)]
+      const query = { resolve, timers }
+      this.#pending.set(number, query)
       send()
     })
   }
@@ -49,6 +52,12 @@
     return this.#settle(number, reply)
   }
 
+  /** A reply may have arrived while the process was held up. */
+  async #expire (number: number, query: PendingQuery<Reply>): Promise<void> {
+    await waitingInputRead()
+    if (this.#pending.get(number) === query) this.#settle(number, null)
+  }
+
   #settle (number: number, reply: Reply | null): boolean {
     const query = this.#pending.get(number)
     if (query === undefined) return false
--- a/packages/node/tests/heldUpProcess.test.ts
+++ b/packages/node/tests/heldUpProcess.test.ts
@@ -1,3 +1,4 @@
+import { createSocket } from 'node:dgram'
 import { once } from 'node:events'
 import { setTimeout as sleep } from 'node:timers/promises'
 
@@ -5,6 +6,7 @@
 
 import type { Millis } from '@bluebellhill/domain'
 
+import { PendingQueries, QUERY_TIMING } from '../src/forward/peers/PendingQueries.js'
 import { answers, headText, openCaller } from './callers.js'
 import { DEPLOYMENT, ForwardFixture, signedHeaders } from './forwardFixture.js'
 import type { Script } from './forwardFixture.js'
@@ -55,3 +57,25 @@
   await ended
   t.is(received().split('answer').length, 3)
 })
+
+// Guards against a scheduler that counts as unanswered although its reply waits to be read.
+test.serial('a reply that has arrived while the process was held up is taken', async (t) => {
+  const socket = createSocket('udp4')
+  t.teardown(() => { socket.close() })
+  socket.bind(0, '127.0.0.1')
+  await once(socket, 'listening')
+  const queries = new PendingQueries<string>(QUERY_TIMING)
+  socket.on('message', (message) => { queries.answer(1, String(message)) })
+  let wasHeldUp = false
+  const reply = await queries.ask(1, () => {
+    if (wasHeldUp) return
+    wasHeldUp = true
+    // Timers are run next after this callback.
+    setImmediate(() => {
+      socket.send('the reply', socket.address().port, '127.0.0.1')
+      // The datagram is sent after its address is looked up, in this turn.
+      process.nextTick(() => { process.nextTick(() => { holdUp(4 * QUERY_TIMING.timeout) }) })
+    })
+  })
+  t.is(reply, 'the reply')
+})
