A node that had lost the store and is relieved does not count as having lost it for ever

What callers saw: a request was sent by edge-saham-hall-2 to a server 2.0 s after it had left. Cause: a node that lost the store while it watched, and was relieved by better ranked nodes before it had an answer, made no further call, so nothing ended the loss. When it watched again, minutes later, its first answer looked like the return of the store after that whole time, and for 2 s it, and the nodes that fetched its list, kept servers whose entries were removed (servers that leave without draining) as if they might register again. The loss now ends when the node stops watching. Class of fault: state that only an event ends, in a node that no longer gets the event.

Before, the new test failed: the node counted as having lost the store until the limit of 10 s.

--- a/packages/node/src/forward/store/StoreAvailability.ts
+++ b/packages/node/src/forward/store/StoreAvailability.ts
@@ -43,6 +43,18 @@
     else this.#markLost(result.failure, since)
   }
 
+  /** Ends a loss when this node stops watching the store: other nodes do, and it makes no call that could show the return. */
+  watchEnded (): void {
+    if (this.#lostAt === null) return
+    this.log.info('store.loss_ended', { after_ms: Math.round(this.clock() - this.#lostAt) })
+    this.#endLoss()
+  }
+
+  #endLoss (): void {
+    this.#lostAt = null
+    this.fleetState.servers.storeRegained(this.clock())
+  }
+
   #markLost (failure: CallFailure, since: Millis): void {
     if (this.#lostAt !== null) return
     this.#lostAt = since
@@ -54,7 +66,6 @@
   #markRegained (): void {
     if (this.#lostAt === null) return
     this.log.info('store.regained', { after_ms: Math.round(this.clock() - this.#lostAt) })
-    this.#lostAt = null
-    this.fleetState.servers.storeRegained(this.clock())
+    this.#endLoss()
   }
 }
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -157,6 +157,7 @@
     while (!this.#isStopped) {
       if (!this.#options.isStoreWatcher()) {
         if (revision !== null) this.#options.log.info('store.watch_ended', { prefix: synced.prefix, revision: describeRevision(revision) })
+        this.#options.availability.watchEnded()
         revision = null
         await sleep(ROLE_CHECK_PERIOD)
         continue
--- a/packages/node/tests/storeSync.test.ts
+++ b/packages/node/tests/storeSync.test.ts
@@ -196,3 +196,15 @@
   store.isDown = false
   t.true(await eventually(() => (store.watchWaits.at(-1) ?? 0) > 1))
 })
+
+// Guards against incident DRAIN of issue 26: a node that had lost the store and was relieved counted as having lost it until it watched again.
+test('a node that no longer watches the store has not lost it any more', async (t) => {
+  const store = new MemoryStore()
+  let isStoreWatcher = true
+  const { availability } = start(t, store, () => isStoreWatcher)
+  t.true(await eventually(() => store.listCount > 1))
+  store.isDown = true
+  t.true(await eventually(() => availability.isLost))
+  isStoreWatcher = false
+  t.true(await eventually(() => !availability.isLost))
+})
