A server that is removed after the store's return is gone at once, also within the grace period

For 2 s after a node has the store back, entries that are missing are kept, because they may have expired in the outage while their servers run. That held for every removal in that time, also of servers that left after the return: they were kept for up to 2.2 s, and for 2.2 s more at nodes that fetched the list from this one. When the store was away for one node only (it was cut off from the store, or turned away), all others are in touch and bound by 2 s. The first answer on the entries after the return contains all that expired in the outage. A removal with a later revision is now applied at once; what that answer, or a list, lacks is kept as before.

Before, the new test over StoreSync failed: e2, removed after the return, was still ready at the limit of 10 s (no expiry runs there).

--- a/packages/domain/src/forwarding/BackendServerTable.ts
+++ b/packages/domain/src/forwarding/BackendServerTable.ts
@@ -71,6 +71,8 @@
   /** An entry that disappears before this time may have expired because of a store outage while its server still runs. */
   #graceEndsAt: Millis = -Infinity
   #storeLostAt: Millis | null = null
+  /** Revision of the first answer on the entries after the last outage: what was removed later was removed by a store that serves. */
+  #returnRevision: StoreRevision = Infinity
 
   /**
    * Records that the store cannot be reached.
@@ -80,6 +82,7 @@
   storeLost (since: Millis): void {
     this.#storeLostAt ??= since
     this.#graceEndsAt = Infinity
+    this.#returnRevision = Infinity
   }
 
   /**
@@ -94,6 +97,15 @@
     this.#graceEndsAt = outage < MIN_EXPIRY_OUTAGE ? now : now + EXPIRED_ENTRY_GRACE
   }
 
+  /**
+   * Records that the store has answered a call on the entries, after its changes were applied.
+   *
+   * @param revision - store revision up to which the entries are known; the first after an outage contains all that expired in it
+   */
+  storeAnswered (revision: StoreRevision): void {
+    if (this.#storeLostAt === null) this.#returnRevision = Math.min(this.#returnRevision, revision)
+  }
+
   /**
    * Adds or updates an entry; an entry older than the stored one is ignored.
    *
@@ -126,6 +138,15 @@
     return []
   }
 
+  /**
+   * @param revision - store revision at which an entry was removed
+   * @param now - current time
+   * @returns whether a store that was serving again has removed it, so that it has not expired in an outage
+   */
+  isRemovedWhileServing (revision: StoreRevision, now: Millis): boolean {
+    return this.#storeLostAt === null && revision > this.#returnRevision && now >= this.#restoreGraceEndsAt
+  }
+
   /**
    * Replaces the whole list; entries that are missing from it are removed. If the store has been restored from a copy since the last
    * list, what was known before stays in force for a grace period, in which the servers write their entries again.
--- a/packages/domain/tests/backendServerTable.test.ts
+++ b/packages/domain/tests/backendServerTable.test.ts
@@ -112,3 +112,20 @@
   }), { seed: 11, numRuns: 500 })
   t.pass()
 })
+
+// Guards against incident DRAIN of issue 26: a server that was removed after the store's return stayed in use until the end of the grace period.
+test('an entry that is removed after the first answer of a store that has returned is removed at once', (t) => {
+  const table = tableWith('a', 'b', 'c')
+  table.storeLost(0)
+  t.false(table.isRemovedWhileServing(10, 4_000))
+  table.storeRegained(5_000)
+  t.false(table.isRemovedWhileServing(11, 5_000))
+  table.storeAnswered(10)
+  table.storeAnswered(12)
+  t.false(table.isRemovedWhileServing(10, 5_001))
+  t.true(table.isRemovedWhileServing(11, 5_001))
+  t.deepEqual(table.remove('a' as RunnerId, 10, 5_001, table.isRemovedWhileServing(10, 5_001)), [])
+  t.is(table.remove('b' as RunnerId, 11, 5_001, table.isRemovedWhileServing(11, 5_001))[0]?.type, 'departed')
+  table.storeLost(6_000)
+  t.false(table.isRemovedWhileServing(12, 6_001))
+})
--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -99,7 +99,8 @@
 
   removeServer (id: RunnerId, revision: StoreRevision, origin: FleetStateOrigin): void {
     this.#advanceServersRevision(revision)
-    this.#applyServerChanges(this.servers.remove(id, revision, this.clock()), origin)
+    const now = this.clock()
+    this.#applyServerChanges(this.servers.remove(id, revision, now, this.servers.isRemovedWhileServing(revision, now)), origin)
   }
 
   replaceServers (listed: readonly ServerEntry[], revision: StoreRevision, origin: FleetStateOrigin, unchanged: readonly RunnerId[] = []): void {
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -47,6 +47,8 @@
   /** Applies a complete listing. */
   readonly onListed: (items: readonly StoreItem[], revision: StoreRevision) => void
   readonly onChanged: (change: StoreChange) => void
+  /** Called after an answer has been applied, with the revision up to which it goes. */
+  readonly onApplied?: (revision: StoreRevision) => void
 }
 
 /** Result of a listing or of a watch. */
@@ -145,7 +147,8 @@
         const server = value === null ? null : parse({ key, value, revision })
         if (server?.ok === true) this.#options.fleetState.putServer({ server: server.value, revision }, 'store')
         else this.#options.fleetState.removeServer(serverIdOfKey(key), revision, 'store')
-      }
+      },
+      onApplied: (revision) => this.#options.fleetState.servers.storeAnswered(revision)
     }
   }
 
@@ -169,6 +172,7 @@
         this.#recordAnswer(synced, revision, progress.value)
         this.#options.availability.recordResult(progress)
         revision = progress.value.revision
+        if (revision !== null) synced.onApplied?.(revision)
         delay = FIRST_RETRY_DELAY
         hasFailed = false
         if (progress.value.hasChanges) await this.#pauseAfterChanges(interruption)
--- a/packages/node/tests/storeSync.test.ts
+++ b/packages/node/tests/storeSync.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
+import { MIN_EXPIRY_OUTAGE } from '@bluebellhill/domain'
 import { MetadataStore, StoreKey } from '@bluebellhill/platform'
 import type { StoreChange, StoreChanges, StoreItem, StorePage } from '@bluebellhill/platform'
 import { failed, HttpPool, success } from '@bluebellhill/services'
@@ -208,3 +209,19 @@
   isStoreWatcher = false
   t.true(await eventually(() => !availability.isLost))
 })
+
+// Guards against incident DRAIN of issue 26: a server that leaves right after a node has the store back was kept as if its entry had expired meanwhile.
+test('a removal after the return of the store is applied at once, one during the outage is not', async (t) => {
+  const store = new MemoryStore()
+  for (const id of ['e1', 'e2', 'e3']) store.set(key(id), entry())
+  const { fleetState, availability } = start(t, store)
+  t.true(await eventually(() => readyServers(fleetState) === 'e1,e2,e3'))
+  store.isDown = true
+  await sleep(MIN_EXPIRY_OUTAGE + 200)
+  t.true(availability.isLost)
+  store.set(key('e1'), null)
+  store.isDown = false
+  t.true(await eventually(() => !availability.isLost && fleetState.serversRevision === store.revision))
+  store.set(key('e2'), null)
+  t.true(await eventually(() => readyServers(fleetState) === 'e1,e3'))
+})
