An idle connection is closed although bytes have arrived that begin no request

Since an idle connection stayed open for ever after a line break behind a request: it counted as the begin of another one, whose time limit only runs once it has begun. Such a connection now gets the time limit of a head once, and is then closed.

--- a/packages/node/src/forward/entry/CallerConnections.ts
+++ b/packages/node/src/forward/entry/CallerConnections.ts
@@ -15,6 +15,8 @@
   bytesAnswered: number
   /** Whether bytes have arrived that are no request, or a head that took too long: nothing more is accepted. */
   isRefused: boolean
+  /** Whether its idle time was over when a part of a request had arrived. */
+  hasExpired: boolean
 }
 
 /** Open connections of callers, with the number of responses that are not written completely. */
@@ -23,7 +25,7 @@
 
   /** Adds a connection until it is closed. */
   add (socket: Socket): void {
-    this.#connections.set(socket, { openResponses: 0, bytesAnswered: 0, isRefused: false })
+    this.#connections.set(socket, { openResponses: 0, bytesAnswered: 0, isRefused: false, hasExpired: false })
     socket.once('close', () => this.#connections.delete(socket))
   }
 
@@ -40,6 +42,7 @@
     response.once('close', () => {
       connection.openResponses -= 1
       connection.bytesAnswered = socket.bytesRead
+      connection.hasExpired = false
     })
   }
 
@@ -71,11 +74,18 @@
    * Closes an idle connection whose time is over, unless a request has arrived that waits to be read.
    *
    * @param socket - the connection
+   * @param headTimeout - time in which a request has to begin of which bytes have arrived
    */
-  async closeExpired (socket: Socket): Promise<void> {
+  async closeExpired (socket: Socket, headTimeout: Millis): Promise<void> {
     await waitingInputRead()
     const connection = this.#connections.get(socket)
-    if (connection !== undefined && isIdle(socket, connection)) socket.destroy()
+    if (connection === undefined || connection.openResponses > 0) return
+    if (isIdle(socket, connection) || connection.hasExpired) {
+      socket.destroy()
+      return
+    }
+    connection.hasExpired = true
+    socket.setTimeout(headTimeout)
   }
 
   /** Closes the connections that have no open response and receive no request. */
@@ -86,6 +96,5 @@
   }
 }
 
-/** The time limit of heads closes a connection on which a part of a request has arrived. */
 const isIdle = (socket: Socket, { openResponses, bytesAnswered }: CallerConnection): boolean =>
   openResponses === 0 && socket.bytesRead === bytesAnswered
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -55,7 +55,7 @@
       void this.#serve(request, response)
     })
     this.#server.on('connection', (socket) => this.#connections.add(socket))
-    this.#server.on('timeout', (socket) => { void this.#connections.closeExpired(socket) })
+    this.#server.on('timeout', (socket) => { void this.#connections.closeExpired(socket, this.#server.headersTimeout) })
     context.fleetState.onChange(() => this.#applyLimits())
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => this.#refuseMalformed(error, socket))
   }
--- a/packages/node/tests/callerConnections.test.ts
+++ b/packages/node/tests/callerConnections.test.ts
@@ -101,6 +101,19 @@
   await stopped
 })
 
+// Guards against connections that stay open for ever after bytes that begin no request.
+test('an idle connection is closed although bytes have arrived that begin no request', async (t) => {
+  const fixture = await ForwardFixture.start(t, answers)
+  fixture.fleetState.install({ ...DEPLOYMENT, version: 2, limits: { ...DEPLOYMENT.limits, idleTimeout: 200, headerTimeout: 200 } }, 'store')
+  const { socket, received } = await openCaller(t, fixture)
+  socket.write(headText('/safe/x', 'content-length: 0'))
+  while (!received().includes('answer')) await once(socket, 'data')
+  socket.write('\r\n')
+  await once(socket, 'end')
+  t.true(socket.readableEnded, 'the caller has given up')
+  t.regex(received(), /answer$/)
+})
+
 // Guards against a request without an answer: the connection was broken off before the refusal of its body was sent.
 test('a caller whose chunked body exceeds the limit is told so', async (t) => {
   const fixture = await ForwardFixture.start(t, answers)
