A started answer keeps its silent server also if memory on other engines is reserved for it

Callers of long prompts, whose KV cache is spread over engines, still saw a started stream broken off when the engine paused and the next one refused: such an attempt was closed once the next one was placed, so that its memory is free. That is kept for requests that have no part of their answer yet.

Test: 'a stream with reserved memory whose server pauses goes on there if the next server refuses it'; before, 'whole: false'.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -160,9 +160,9 @@
     this.#openAttempt(placement.attempt)
   }
 
-  /** Memory on other engines is released at once: the next attempt may need it, and a dead server would keep it. */
+  /** Before the answer has started, memory on other engines is released at once: the next attempt may need it, and a dead server would keep it. */
   #setAside (attempt: OpenAttempt): void {
-    if (attempt.reservations !== null) {
+    if (attempt.reservations !== null && !this.hasStartedAnswer) {
       this.#closeAttempt(attempt)
       return
     }
--- a/packages/node/tests/pausingServers.test.ts
+++ b/packages/node/tests/pausingServers.test.ts
@@ -54,6 +54,25 @@
   t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
 })
 
+// Guards against a started answer that is broken off because memory on other engines is reserved for it.
+test('a stream with reserved memory whose server pauses goes on there if the next server refuses it', async (t) => {
+  let calls = 0
+  const script: Script = (request, response, socket) => {
+    if (request.url?.startsWith('/api/') === true) response.writeHead(200, { 'content-type': 'application/json' }).end('{"free":1}')
+    else (calls++ === 0 ? pauses : refuses)(request, response, socket)
+  }
+  const fixture = await ForwardFixture.start(t, script, script)
+  const place = fixture.placement.place.bind(fixture.placement)
+  fixture.placement.place = async (...args) => {
+    const placement = await place(...args)
+    if (placement.type === 'refused') return placement
+    const { choice } = placement.attempt
+    return { type: 'placed', attempt: { ...placement.attempt, choice: { ...choice, holders: [{ server: choice.server, tokens: 100 }] } } }
+  }
+  t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
+  t.is(calls, 2)
+})
+
 // Guards against a request that loses the server which answers it, because the one that was silent refuses it in the end.
 test('a server that refuses a request after a silence does not end the attempt that has replaced it', async (t) => {
   let calls = 0
