--- a/packages/node/tests/storeWatchers.test.ts
+++ b/packages/node/tests/storeWatchers.test.ts
@@ -99,12 +99,12 @@
   return rankSchedulers(nodes.map(({ self }) => self)).map(({ node }) => nodes.find(({ self }) => self.node === node)!)
 }
 
-const hasLine = ({ lines }: TestNode, event: string, server: string): boolean => lines.some((line) => line.includes(event) && line.includes(server))
+const hasLine = ({ lines }: TestNode, event: string, subject: string): boolean => lines.some((line) => line.includes(event) && line.includes(subject))
 
-/** Waits until all nodes have logged an event of a server. Returns how long that took. */
-const timeUntilKnown = async (nodes: readonly TestNode[], event: string, server: string): Promise<number> => {
+/** Waits until all nodes have logged an event of a server or of a version. Returns how long that took. */
+const timeUntilKnown = async (nodes: readonly TestNode[], event: string, subject: string): Promise<number> => {
   const startedAt = performance.now()
-  while (!nodes.every((node) => hasLine(node, event, server)) && performance.now() - startedAt < 10_000) await sleep(10)
+  while (!nodes.every((node) => hasLine(node, event, subject)) && performance.now() - startedAt < 10_000) await sleep(10)
   return performance.now() - startedAt
 }
 
@@ -143,6 +143,18 @@
   t.true(took < GENEROUS_BOUND, `${Math.round(took)} ms`)
 })
 
+// Guards against the same fault for the configuration, which reaches the nodes over the same watchers.
+test.serial('a new configuration is in force on all nodes in time although the store is silent towards its watchers', async (t) => {
+  const port = PORTS_FROM + (process.pid + 2) % (PORT_COUNT / PORTS_PER_HOST) * PORTS_PER_HOST
+  const store = await startStore(t, port)
+  const nodes = await startNodes(t, 4, port)
+  await silenceAfterChange(store, nodes, nodes.slice(0, 2))
+  putConfiguration(store, 3)
+  const took = await timeUntilKnown(nodes, 'configuration.installed', 'version=3')
+  t.log(`${Math.round(took)} ms`)
+  t.true(took < GENEROUS_BOUND, `${Math.round(took)} ms`)
+})
+
 // Guards against the same fault with more nodes: those that take over are turned away as well, one pair after the other.
 test.serial('a server that leaves is known to all nodes in time although the store is silent towards its watchers and those that take over', async (t) => {
   const port = PORTS_FROM + (process.pid + 1) % (PORT_COUNT / PORTS_PER_HOST) * PORTS_PER_HOST
