A silent server that ends inside an event does not end the attempt that has replaced it

Follows: the end of the silent attempt's answer was taken for a sign of life even if the answer was not complete, and the attempt that was about to go on with it was aborted. The caller's stream was then broken off. Only a complete answer now takes the place of the other attempt.

Test: 'a server that ends inside an event after a silence does not end the attempt that has replaced it'; before, 'whole: false'.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -103,6 +103,9 @@
   /** Called for each chunk of the body of a signed, successful answer. */
   protected abstract chunkReceived (attempt: OpenAttempt, chunk: Buffer): void
 
+  /** Whether the answer is complete if its server ends it now. */
+  protected abstract get isAnswerWhole (): boolean
+
   /** Called when a successful answer has ended. Returns whether it is complete; it has then been sent to the caller. */
   protected abstract completeAnswer (attempt: OpenAttempt): boolean
 
@@ -343,6 +346,10 @@
   }
 
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
+    if (this.#silentAttempt === attempt && !this.isAnswerWhole) {
+      this.failAttempt(attempt, AttemptEnd.Broken, 'the answer ended before it was complete')
+      return
+    }
     if (!this.#isCurrent(attempt)) return
     const { head, answer } = attempt
     if (head === null || answer === null) {
--- a/packages/node/src/forward/PlainForwarding.ts
+++ b/packages/node/src/forward/PlainForwarding.ts
@@ -32,6 +32,10 @@
     this.#chunks.push(chunk)
   }
 
+  protected get isAnswerWhole (): boolean {
+    return true
+  }
+
   protected completeAnswer (attempt: OpenAttempt): boolean {
     const { head } = attempt
     if (head === null) return false
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -44,8 +44,12 @@
     for (const event of events) this.#forwardEvent(event)
   }
 
+  protected get isAnswerWhole (): boolean {
+    return this.#splitter.pendingBytes === 0 && this.#eventCount > 0
+  }
+
   protected completeAnswer (attempt: OpenAttempt): boolean {
-    if (this.#splitter.pendingBytes > 0 || this.#eventCount === 0) return false
+    if (!this.isAnswerWhole) return false
     this.#writeHead(attempt)
     this.response.end()
     return true
--- a/packages/node/tests/pausingServers.test.ts
+++ b/packages/node/tests/pausingServers.test.ts
@@ -86,6 +86,23 @@
   t.is(calls, 2)
 })
 
+// Guards against a request that loses the server which answers it, because the one that was silent ends inside an event.
+test('a server that ends inside an event after a silence does not end the attempt that has replaced it', async (t) => {
+  let calls = 0
+  const script: Script = (request, response) => {
+    calls += 1
+    if (calls === 1) {
+      response.writeHead(200, signedHeaders(request)).write(eventText(1) + eventText(2).slice(0, 5))
+      setTimeout(() => response.end(), LONG_PAUSE)
+    } else {
+      setTimeout(() => response.writeHead(200, signedHeaders(request)).end(eventText(2)), LONG_PAUSE)
+    }
+  }
+  const fixture = await ForwardFixture.start(t, script, script)
+  t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
+  t.is(calls, 2)
+})
+
 // Guards against a started answer that is broken off because its server goes on while another one is asked.
 test('a stream goes on at its silent server if that is the first to send something', async (t) => {
   let calls = 0
