Answers: a head or framing without end is cut off after 64 KiB, and its server avoided at once

Callers waited: a backend server that sends bytes which never become the body of an answer kept its attempt until the timeout of the attempt or the deadline of the request, while its bytes were read at full speed in the process that serves all other callers. undici limits only the headers of one head. Endless empty lines, a status line, spaces, interim heads, the size or an extension of a chunk were read for as long as they came; a connection that was cut for its headers counted as one that broke off, so that the next request went to the same server at once.

ServerCall counts the bytes since the last head or piece of the body (the listener runs after undici's, so all bytes that arrived are parsed), closes the connection beyond MAX_FRAMING_BYTES, and reports it as oversized. The attempt ends as `oversized`; its health signal `faulty` avoids the server at once without a word on its failure domain. A head that says that the request has not run still holds, so an unsafe request goes elsewhere.

--- a/packages/domain/src/forwarding/AttemptHistory.ts
+++ b/packages/domain/src/forwarding/AttemptHistory.ts
@@ -16,7 +16,9 @@
   /** The answer broke off, or did not come from the server itself. */
   Broken: 'lost',
   /** No byte of the answer arrived within the timeout. */
-  TimedOut: 'silent'
+  TimedOut: 'silent',
+  /** The backend server sent more bytes than an answer may hold. */
+  Oversized: 'oversized'
 } as const
 export type AttemptEnd = typeof AttemptEnd[keyof typeof AttemptEnd]
 
--- a/packages/domain/src/forwarding/ServerHealth.ts
+++ b/packages/domain/src/forwarding/ServerHealth.ts
@@ -7,6 +7,8 @@
   Good: 'good',
   /** The server failed, its answer broke off, or the attempt timed out. */
   Bad: 'bad',
+  /** The server sent bytes without end; it is avoided at once. */
+  Faulty: 'faulty',
   /** The server could not be reached. */
   Unreachable: 'unreachable'
 } as const
--- a/packages/domain/tests/attempts.test.ts
+++ b/packages/domain/tests/attempts.test.ts
@@ -76,6 +76,12 @@
   t.true(health.isAvoided(id, 1_500))
 })
 
+test('a server that sends bytes without end is avoided at once', (t) => {
+  const health = new ServerHealth()
+  t.true(health.observe('e1' as RunnerId, HealthSignal.Faulty, 0))
+  t.true(health.isAvoided('e1' as RunnerId, 1))
+})
+
 test('a server that cannot be reached is avoided at once, until its record is removed after a restart', (t) => {
   const health = new ServerHealth()
   const id = 'e1' as RunnerId
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -205,13 +205,13 @@
   }
 
   /** Ends an attempt without a complete answer, and starts another one if the route and the retry budget allow it. */
-  protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string): void {
+  protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string, signal = healthSignalOf(attempt, end)): void {
     if (this.#silentAttempt === attempt) {
       this.#requestLog.attemptFailed(attempt, end, reason)
       this.#closeSilent()
     }
     if (this.attempt !== attempt || this.#isFinished) return
-    this.#closeAttempt(attempt, healthSignalOf(attempt, end))
+    this.#closeAttempt(attempt, signal)
     this.#lastProblem = `${end}: ${reason}`
     const isRetryAllowed = this.history.end(attempt.server.id, end)
     this.#requestLog.attemptFailed(attempt, end, reason)
@@ -220,6 +220,12 @@
     else this.#giveUp()
   }
 
+  /** Ends an attempt whose server sends more than an answer may hold. A head that says that the request has not run still holds. */
+  protected answerOversized (attempt: OpenAttempt, reason: string): void {
+    const end = attempt.answer?.notRun === true ? AttemptEnd.NotRun : AttemptEnd.Oversized
+    this.failAttempt(attempt, end, reason, HealthSignal.Faulty)
+  }
+
   async #startNextAttempt (chargesRetry: boolean): Promise<void> {
     const placement = await this.#place(chargesRetry)
     if (this.#isFinished || this.attempt !== null) {
@@ -314,7 +320,8 @@
         else failureChunks.push(chunk)
       },
       onEnd: () => this.#answerEnded(attempt, Buffer.concat(failureChunks)),
-      onFailure: (mayBeSent, reason) => this.failAttempt(attempt, mayBeSent ? AttemptEnd.Broken : AttemptEnd.Unsent, reason)
+      onFailure: (mayBeSent, reason) => this.failAttempt(attempt, mayBeSent ? AttemptEnd.Broken : AttemptEnd.Unsent, reason),
+      onOversize: (reason) => this.answerOversized(attempt, reason)
     }
   }
 
--- a/packages/node/src/forward/backend/ServerCall.ts
+++ b/packages/node/src/forward/backend/ServerCall.ts
@@ -2,11 +2,15 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Socket } from 'node:net'
 
-import { buildConnector, Client } from 'undici'
+import { buildConnector, Client, errors } from 'undici'
 import type { Dispatcher } from 'undici'
 
 import type { Millis } from '@bluebellhill/domain'
 
+import { MAX_FRAMING_BYTES } from './answerLimits.js'
+
+const OVERSIZE_REASON = `more than ${MAX_FRAMING_BYTES} bytes without any of the body`
+
 /** Request to a backend server. */
 export interface ServerCallRequest {
   /** `ip:port` */
@@ -29,7 +33,7 @@
   readonly rawHeaders: readonly string[]
 }
 
-/** Receives the answer of a backend server; no method is called after `onEnd` or `onFailure`. */
+/** Receives the answer of a backend server; no method is called after `onEnd`, `onFailure` or `onOversize`. */
 export interface ServerCallListener {
   onHead (head: AnswerHead): void
   onData (chunk: Buffer): void
@@ -37,6 +41,8 @@
   onEnd (): void
   /** Called when the attempt fails; `mayBeSent` is false only if no byte of the request was sent. */
   onFailure (mayBeSent: boolean, reason: string): void
+  /** Called when the server sends more than the limits allow without any byte of a body; the connection is closed. */
+  onOversize (reason: string): void
 }
 
 /**
@@ -50,6 +56,9 @@
   #isFinished = false
   /** Error of the connection. It is kept because undici reports an answer without a length as complete after a reset. */
   #connectionError: Error | null = null
+  #socket: Socket | null = null
+  /** Bytes that had arrived with the last head or piece of the body. */
+  #bytesAtLastProgress = 0
 
   /**
    * @param request - address and contents of the request
@@ -61,6 +70,7 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
+      maxHeaderSize: MAX_FRAMING_BYTES,
       connect: this.#createConnector(request.connectTimeout)
     })
     this.#client.dispatch({
@@ -94,11 +104,14 @@
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
     if (this.#isFinished || status < 200) return
+    this.#recordProgress()
     this.#listener.onHead({ status, headers, rawHeaders: rawHeadersOf(controller.rawHeaders, headers) })
   }
 
   onResponseData (_: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.#isFinished) this.#listener.onData(chunk)
+    if (this.#isFinished) return
+    this.#recordProgress()
+    this.#listener.onData(chunk)
   }
 
   onResponseEnd (): void {
@@ -113,7 +126,8 @@
     if (this.#isFinished) return
     this.#isFinished = true
     this.#closeClient()
-    this.#listener.onFailure(this.#mayBeSent, describeError(error))
+    if (error instanceof errors.HeadersOverflowError) this.#listener.onOversize(OVERSIZE_REASON)
+    else this.#listener.onFailure(this.#mayBeSent, describeError(error))
   }
 
   #createConnector (timeout: Millis): buildConnector.connector {
@@ -122,9 +136,25 @@
       const [, socket] = result
       if (socket != null) this.#watchForReset(socket)
       callback(...result)
+      if (socket != null) this.#limitFraming(socket)
+    })
+  }
+
+  /** undici limits the headers of one head only: not their number, a status line, empty lines, or the framing of chunks. */
+  #limitFraming (socket: Socket): void {
+    this.#socket = socket
+    // Added after the listener of undici, which has then parsed all bytes that have arrived.
+    socket.on('readable', () => {
+      if (this.#isFinished || socket.bytesRead - this.#bytesAtLastProgress <= MAX_FRAMING_BYTES) return
+      this.abort()
+      this.#listener.onOversize(OVERSIZE_REASON)
     })
   }
 
+  #recordProgress (): void {
+    this.#bytesAtLastProgress = this.#socket?.bytesRead ?? 0
+  }
+
   /** Adds listeners that run before those of undici, which may report the answer as complete. */
   #watchForReset (socket: Socket): void {
     socket.prependOnceListener('error', (error: Error) => { this.#connectionError = error })
--- a/packages/node/src/forward/healthSignal.ts
+++ b/packages/node/src/forward/healthSignal.ts
@@ -12,5 +12,6 @@
  */
 export const healthSignalOf = ({ serverCall }: OpenAttempt, end: AttemptEnd): HealthSignal | null => {
   if (end === AttemptEnd.NotRun || end === AttemptEnd.HelperFailed || serverCall === null) return null
+  if (end === AttemptEnd.Oversized) return HealthSignal.Faulty
   return end === AttemptEnd.Unsent ? HealthSignal.Unreachable : HealthSignal.Bad
 }
--- /dev/null
+++ b/packages/node/tests/endlessAnswers.test.ts
@@ -0,0 +1,58 @@
+/** Backend servers that send bytes without end: the answer is given up, the server is avoided, and the request goes elsewhere. */
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+
+import { ForwardFixture } from './forwardFixture.js'
+import { flood, signedHead, startRawServer } from './rawServer.js'
+import type { RawScript } from './rawServer.js'
+
+const answers: RawScript = (socket, request) => socket.end(`${signedHead(request, 'content-length: 6\r\n')}answer`)
+
+const REQUESTS = 4
+
+/** Sends requests to a node with a server that sends bytes without end and a sound one: all are answered, and the former is avoided at once. */
+const checkFlood = async (t: ExecutionContext, script: RawScript, reason: RegExp, end = 'oversized'): Promise<void> => {
+  const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, script), await startRawServer(t, answers)])
+  for (let index = 0; index < REQUESTS; index += 1) t.like(await fixture.call('/safe/x'), { status: 200, body: 'answer', whole: true })
+  const [failure] = fixture.linesOf('attempt.failed')
+  t.regex(failure ?? '', reason)
+  t.true(failure?.includes(`server=e0 end=${end} `))
+  const [avoided] = fixture.linesOf('server.avoided')
+  t.true(avoided?.includes('server=e0 ') === true && avoided.includes('evidence=faulty '))
+  t.is(fixture.lines.findIndex((line) => line === avoided), fixture.lines.findIndex((line) => line === failure) - 1)
+}
+
+const FRAMING = /more than 65536 bytes without any of the body/
+
+const ENDLESS_HEADS: ReadonlyArray<readonly [string, RawScript]> = [
+  ['empty lines before the status line', (socket) => flood(socket, '\r\n')],
+  ['a status line', (socket) => { socket.write('HTTP/1.1 200 '); flood(socket, 'OK') }],
+  ['headers', (socket) => { socket.write('HTTP/1.1 200 OK\r\n'); flood(socket, 'x-more: bytes\r\n') }],
+  ['the name of a header', (socket) => { socket.write('HTTP/1.1 200 OK\r\n'); flood(socket, 'x') }],
+  ['the value of a header', (socket) => { socket.write('HTTP/1.1 200 OK\r\nx-more: '); flood(socket, 'x') }],
+  ['spaces before the value of a header', (socket) => { socket.write('HTTP/1.1 200 OK\r\nx-more:'); flood(socket, ' ') }],
+  ['interim heads', (socket) => flood(socket, 'HTTP/1.1 103 Early Hints\r\n\r\n')],
+  ['the size of a chunk', (socket, request) => { socket.write(signedHead(request, 'transfer-encoding: chunked\r\n')); flood(socket, '0') }],
+  ['an extension of a chunk', (socket, request) => { socket.write(`${signedHead(request, 'transfer-encoding: chunked\r\n')}1;`); flood(socket, 'x') }],
+  ['trailers', (socket, request) => { socket.write(`${signedHead(request, 'transfer-encoding: chunked\r\n')}1\r\nx\r\n0\r\n`); flood(socket, 'x-more: bytes\r\n') }]
+]
+for (const [name, script] of ENDLESS_HEADS) {
+  // Guards against an answer that never leaves its head or framing: nothing ended it before the timeout of the request.
+  test(`a server that sends ${name} without end is given up and avoided`, async (t) => {
+    await checkFlood(t, script, FRAMING)
+  })
+}
+
+// Guards against limits that real answers reach.
+test('heads of 40 KiB in all, and many small chunks, are passed on', async (t) => {
+  const long = `x-long: ${'x'.repeat(10 * 1_024)}\r\n`
+  const port = await startRawServer(t, (socket, request) => {
+    socket.write(`HTTP/1.1 103 Early Hints\r\n${long}\r\n`.repeat(3))
+    socket.write(signedHead(request, `${long}transfer-encoding: chunked\r\n`))
+    socket.end(`${'1\r\nx\r\n'.repeat(100_000)}0\r\n\r\n`)
+  })
+  const fixture = await ForwardFixture.startWithPorts(t, [port])
+  const answer = await fixture.call('/patient/x')
+  t.is(answer.status, 200)
+  t.is(answer.body.length, 100_000)
+})
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -98,6 +98,16 @@
     return fixture
   }
 
+  /** Starts the entry server with backend servers that listen on these ports of the loopback address. */
+  static async startWithPorts (t: ExecutionContext, ports: readonly number[]): Promise<ForwardFixture> {
+    const fixture = new ForwardFixture()
+    for (const [index, port] of ports.entries()) fixture.#listServer(`e${index}`, port)
+    fixture.fleetState.install(DEPLOYMENT, 'store')
+    fixture.#port = await fixture.entry.start({ host: '127.0.0.1', port: 0 })
+    t.teardown(() => fixture.dispose())
+    return fixture
+  }
+
   async call (path: string, options: { method?: string, headers?: Record<string, string>, body?: string, disconnection?: AbortSignal } = {}): Promise<Answer> {
     const request = httpRequest({
       host: '127.0.0.1',
@@ -149,7 +159,10 @@
     server.listen(0, '127.0.0.1')
     await once(server, 'listening')
     this.#servers.push(server)
-    const { port } = server.address() as AddressInfo
+    this.#listServer(id, (server.address() as AddressInfo).port)
+  }
+
+  #listServer (id: string, port: number): void {
     const listed = { id: id as RunnerId, service: 's', address: `127.0.0.1:${port}`, failureDomain: 'd1' as FailureDomain, slots: 4, readiness: Readiness.Ready, startedAt: 1 }
     this.fleetState.putServer({ server: listed, revision: 1 }, 'store')
   }
--- a/packages/node/tests/serverCall.test.ts
+++ b/packages/node/tests/serverCall.test.ts
@@ -33,7 +33,8 @@
       onHead: () => {},
       onData: (chunk) => { text += chunk.toString() },
       onEnd: () => resolve({ text, end: 'ended' }),
-      onFailure: (mayBeSent) => resolve({ text, end: mayBeSent ? 'broke' : 'not sent' })
+      onFailure: (mayBeSent) => resolve({ text, end: mayBeSent ? 'broke' : 'not sent' }),
+      onOversize: () => resolve({ text, end: 'oversized' })
     })
   })
 }
@@ -100,7 +101,7 @@
   const sent = await new Promise<boolean>((resolve) => {
     // eslint-disable-next-line no-new -- the call reports to its listener
     new ServerCall({ address: `127.0.0.1:${port}`, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), connectTimeout: CONNECT_TIMEOUT }, {
-      onHead: () => {}, onData: () => {}, onEnd: () => {}, onFailure: resolve
+      onHead: () => {}, onData: () => {}, onEnd: () => {}, onFailure: resolve, onOversize: () => {}
     })
   })
   t.false(sent)
@@ -123,7 +124,7 @@
   const [port] = await once(worker, 'message') as [number]
   const end = await new Promise<string>((resolve) => {
     const call: ServerCall = new ServerCall({ address: `127.0.0.1:${port}`, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), connectTimeout: CONNECT_TIMEOUT }, {
-      onHead: () => {}, onData: () => {}, onEnd: () => resolve('ended'), onFailure: () => resolve('broke')
+      onHead: () => {}, onData: () => {}, onEnd: () => resolve('ended'), onFailure: () => resolve('broke'), onOversize: () => {}
     })
     // Blocks this thread, once the request is written, until both the bytes and the reset have arrived.
     const poll = setInterval(() => {
