Streams: an event without end is given up at 1 MiB, and long events are not copied with each chunk

Callers of a stream whose backend server never ends an event waited until their deadline and got a broken stream; meanwhile the node buffered all of it, and copied the whole incomplete event with each chunk that arrived, so that its processor time grew with the square of the length and other callers waited.

Beyond MAX_EVENT_BYTES the attempt ends as `oversized`; the stream goes on at another server after its last complete event if its route allows, and otherwise breaks off without looking complete.

--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -3,6 +3,7 @@
 import type { Millis } from '@bluebellhill/domain'
 import { encodeReturnedHeaders } from '@bluebellhill/platform'
 
+import { MAX_EVENT_BYTES } from './backend/answerLimits.js'
 import { EventSplitter } from './backend/EventSplitter.js'
 import type { StreamEvent } from './backend/EventSplitter.js'
 import { Forwarding } from './Forwarding.js'
@@ -34,7 +35,12 @@
   }
 
   protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
-    const events = this.#splitter.push(chunk).filter((event) => this.#isNew(event))
+    const complete = this.#splitter.push(chunk)
+    if (complete === null) {
+      this.answerOversized(attempt, `an event of more than ${MAX_EVENT_BYTES} bytes`)
+      return
+    }
+    const events = complete.filter((event) => this.#isNew(event))
     if (events.length === 0) return
     if (!attempt.hasFirstEvent) this.context.placement.prefillFinished(attempt.placed)
     attempt.hasFirstEvent = true
--- a/packages/node/src/forward/backend/EventSplitter.ts
+++ b/packages/node/src/forward/backend/EventSplitter.ts
@@ -1,4 +1,6 @@
 /** Splits a stream of server-sent events into complete events. */
+import { MAX_EVENT_BYTES } from './answerLimits.js'
+import { BoundedBuffer } from './BoundedBuffer.js'
 
 /** A complete event, including the blank line that ends it. */
 export interface StreamEvent {
@@ -13,7 +15,7 @@
 
 /** Buffers the bytes of an event until it is complete. */
 export class EventSplitter {
-  #incomplete: Buffer = Buffer.alloc(0)
+  readonly #incomplete = new BoundedBuffer(MAX_EVENT_BYTES)
 
   /** Number of bytes of an event that is not complete yet. */
   get pendingBytes (): number {
@@ -22,28 +24,38 @@
 
   /**
    * @param chunk - next bytes of the stream
-   * @returns the events that are completed by them
+   * @returns the events that are completed by them; null if an event is longer than events may be
    */
-  push (chunk: Buffer): StreamEvent[] {
-    const bytes = this.#incomplete.length === 0 ? chunk : Buffer.concat([this.#incomplete, chunk])
+  push (chunk: Buffer): StreamEvent[] | null {
     const events: StreamEvent[] = []
     let start = 0
-    for (let end = findEventEnd(bytes, start); end !== -1; end = findEventEnd(bytes, start)) {
-      events.push(parseEvent(bytes.subarray(start, end)))
-      start = end
+    for (let index = chunk.indexOf(LINE_FEED); index !== -1; index = chunk.indexOf(LINE_FEED, index + 1)) {
+      if (!this.#endsEvent(chunk, start, index)) continue
+      const event = this.#complete(chunk.subarray(start, index + 1))
+      if (event === null) return null
+      events.push(event)
+      start = index + 1
     }
-    this.#incomplete = Buffer.from(bytes.subarray(start))
-    return events
+    return this.#incomplete.append(chunk.subarray(start)) ? events : null
   }
-}
 
-const parseEvent = (bytes: Buffer): StreamEvent => ({ bytes, id: ID_LINE.exec(bytes.toString('utf8'))?.[1] ?? null })
+  /** An event ends with a blank line: a line feed that follows another one, with a carriage return between them or not. */
+  #endsEvent (chunk: Buffer, start: number, index: number): boolean {
+    const last = this.#byteBefore(chunk, start, index, 1)
+    if (last !== CARRIAGE_RETURN) return last === LINE_FEED
+    return this.#byteBefore(chunk, start, index, 2) === LINE_FEED
+  }
 
-/** @returns the index after the next blank line; -1 if there is none */
-const findEventEnd = (bytes: Buffer, from: number): number => {
-  for (let index = bytes.indexOf(LINE_FEED, from); index !== -1; index = bytes.indexOf(LINE_FEED, index + 1)) {
-    const next = bytes[index + 1] === CARRIAGE_RETURN ? index + 2 : index + 1
-    if (bytes[next] === LINE_FEED) return next + 1
+  /** Looks up a byte of the event, which may have begun in earlier chunks. */
+  #byteBefore (chunk: Buffer, start: number, index: number, distance: number): number | undefined {
+    const position = index - distance
+    return position >= start ? chunk[position] : this.#incomplete.fromEnd(start - position)
+  }
+
+  #complete (lastBytes: Buffer): StreamEvent | null {
+    if (this.#incomplete.length === 0) return lastBytes.length <= MAX_EVENT_BYTES ? parseEvent(lastBytes) : null
+    return this.#incomplete.append(lastBytes) ? parseEvent(this.#incomplete.take()) : null
   }
-  return -1
 }
+
+const parseEvent = (bytes: Buffer): StreamEvent => ({ bytes, id: ID_LINE.exec(bytes.toString('utf8'))?.[1] ?? null })
--- a/packages/node/src/forward/backend/answerLimits.ts
+++ b/packages/node/src/forward/backend/answerLimits.ts
@@ -1,6 +1,10 @@
 /** Limits of what a backend server may send as one answer. Beyond them it is treated as a server that never stops sending. */
 
 const KIB = 1_024
+const MIB = 1_024 * KIB
 
 /** Maximum number of bytes in a row that are no body: all heads of an answer, interim ones included, the framing of a chunk, or trailers. */
 export const MAX_FRAMING_BYTES = 64 * KIB
+
+/** Maximum length of one event of a stream. */
+export const MAX_EVENT_BYTES = MIB
--- a/packages/node/tests/endlessAnswers.test.ts
+++ b/packages/node/tests/endlessAnswers.test.ts
@@ -10,6 +10,15 @@
 
 const REQUESTS = 4
 
+const event = (id: number): string => `id: ${id}\ndata: x\n\n`
+
+/** Sends the events that follow the last one that the caller has, and ends the stream with its connection. */
+const streams: RawScript = (socket, request) => {
+  const from = Number(/^last-event-id: (\d+)/im.exec(request)?.[1] ?? 0)
+  const events = [1, 2, 3].filter((id) => id > from).map(event)
+  socket.end(signedHead(request, 'connection: close\r\n') + events.join(''))
+}
+
 /** Sends requests to a node with a server that sends bytes without end and a sound one: all are answered, and the former is avoided at once. */
 const checkFlood = async (t: ExecutionContext, script: RawScript, reason: RegExp, end = 'oversized'): Promise<void> => {
   const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, script), await startRawServer(t, answers)])
@@ -38,13 +47,13 @@
 ]
 for (const [name, script] of ENDLESS_HEADS) {
   // Guards against an answer that never leaves its head or framing: nothing ended it before the timeout of the request.
-  test(`a server that sends ${name} without end is given up and avoided`, async (t) => {
+  test.serial(`a server that sends ${name} without end is given up and avoided`, async (t) => {
     await checkFlood(t, script, FRAMING)
   })
 }
 
 // Guards against limits that real answers reach.
-test('heads of 40 KiB in all, and many small chunks, are passed on', async (t) => {
+test.serial('heads of 40 KiB in all, and many small chunks, are passed on', async (t) => {
   const long = `x-long: ${'x'.repeat(10 * 1_024)}\r\n`
   const port = await startRawServer(t, (socket, request) => {
     socket.write(`HTTP/1.1 103 Early Hints\r\n${long}\r\n`.repeat(3))
@@ -56,3 +65,25 @@
   t.is(answer.status, 200)
   t.is(answer.body.length, 100_000)
 })
+
+// Guards against an event without end: it was buffered until the deadline, and copied with each of its chunks.
+test.serial('a stream with an event without end goes on at another server after its last event', async (t) => {
+  const endless: RawScript = (socket, request) => {
+    socket.write(signedHead(request, 'connection: close\r\n') + event(1))
+    flood(socket, 'data: x\n')
+  }
+  const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, endless), await startRawServer(t, streams)])
+  for (let index = 0; index < REQUESTS; index += 1) t.like(await fixture.call('/stream/x'), { status: 200, body: event(1) + event(2) + event(3), whole: true })
+  t.regex(fixture.linesOf('attempt.failed')[0] ?? '', /server=e0 end=oversized reason="an event of more than 1048576 bytes"/)
+})
+
+test.serial('a stream with an event without end that may not be resumed never looks complete', async (t) => {
+  const port = await startRawServer(t, (socket, request) => {
+    socket.write(signedHead(request, 'transfer-encoding: chunked\r\n'))
+    socket.write('f\r\nid: 1\ndata: x\n\n\r\n')
+    flood(socket, '8\r\ndata: x\n\r\n')
+  })
+  const fixture = await ForwardFixture.startWithPorts(t, [port])
+  t.like(await fixture.call('/once/x'), { body: event(1), whole: false })
+  t.is(fixture.linesOf('attempt.failed').length, 1)
+})
