Plain answers: a body without end is given up at 32 MiB

A backend server that never ends the body of an answer, without a length, in chunks or of a length that nobody can keep, filled the memory of the node until the deadline of the request: PlainForwarding collects the whole answer before it passes any of it on, and had no limit. With bytes at full speed that is some hundred megabytes a request, and the process of all other callers ends with it.

The body is collected in a BoundedBuffer. Beyond MAX_PLAIN_ANSWER_BYTES the attempt ends as `oversized`, the server is avoided at once and the request goes elsewhere if its route allows.

--- a/packages/node/src/forward/PlainForwarding.ts
+++ b/packages/node/src/forward/PlainForwarding.ts
@@ -4,6 +4,8 @@
 import { encodeReturnedHeaders } from '@bluebellhill/platform'
 
 import { withContentLength } from './answerHeads.js'
+import { MAX_PLAIN_ANSWER_BYTES } from './backend/answerLimits.js'
+import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import { Forwarding } from './Forwarding.js'
 import type { OpenAttempt } from './types.js'
 
@@ -12,7 +14,7 @@
 
 /** Collects the single answer of a request, and sends it to the caller when it is complete. */
 export class PlainForwarding extends Forwarding {
-  #chunks: Buffer[] = []
+  #body = new BoundedBuffer(MAX_PLAIN_ANSWER_BYTES)
 
   protected get lastEventId (): null {
     return null
@@ -25,11 +27,11 @@
   }
 
   protected successStarted (): void {
-    this.#chunks = []
+    this.#body = new BoundedBuffer(MAX_PLAIN_ANSWER_BYTES)
   }
 
-  protected chunkReceived (_: OpenAttempt, chunk: Buffer): void {
-    this.#chunks.push(chunk)
+  protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
+    if (!this.#body.append(chunk)) this.answerOversized(attempt, `an answer of more than ${MAX_PLAIN_ANSWER_BYTES} bytes`)
   }
 
   protected get isAnswerWhole (): boolean {
@@ -39,7 +41,7 @@
   protected completeAnswer (attempt: OpenAttempt): boolean {
     const { head } = attempt
     if (head === null) return false
-    const body = Buffer.concat(this.#chunks)
+    const body = this.#body.take()
     this.response.writeHead(head.status, withContentLength(encodeReturnedHeaders(head.rawHeaders), body.length))
     this.response.end(body)
     this.recordFirstAnswer(attempt)
--- a/packages/node/src/forward/backend/answerLimits.ts
+++ b/packages/node/src/forward/backend/answerLimits.ts
@@ -8,3 +8,6 @@
 
 /** Maximum length of one event of a stream. */
 export const MAX_EVENT_BYTES = MIB
+
+/** Maximum length of an answer that is not a stream. */
+export const MAX_PLAIN_ANSWER_BYTES = 32 * MIB
--- a/packages/node/tests/endlessAnswers.test.ts
+++ b/packages/node/tests/endlessAnswers.test.ts
@@ -20,12 +20,12 @@
 }
 
 /** Sends requests to a node with a server that sends bytes without end and a sound one: all are answered, and the former is avoided at once. */
-const checkFlood = async (t: ExecutionContext, script: RawScript, reason: RegExp, end = 'oversized'): Promise<void> => {
+const checkFlood = async (t: ExecutionContext, script: RawScript, reason: RegExp, path = '/safe/x'): Promise<void> => {
   const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, script), await startRawServer(t, answers)])
-  for (let index = 0; index < REQUESTS; index += 1) t.like(await fixture.call('/safe/x'), { status: 200, body: 'answer', whole: true })
+  for (let index = 0; index < REQUESTS; index += 1) t.like(await fixture.call(path), { status: 200, body: 'answer', whole: true })
   const [failure] = fixture.linesOf('attempt.failed')
   t.regex(failure ?? '', reason)
-  t.true(failure?.includes(`server=e0 end=${end} `))
+  t.true(failure?.includes('server=e0 end=oversized '))
   const [avoided] = fixture.linesOf('server.avoided')
   t.true(avoided?.includes('server=e0 ') === true && avoided.includes('evidence=faulty '))
   t.is(fixture.lines.findIndex((line) => line === avoided), fixture.lines.findIndex((line) => line === failure) - 1)
@@ -87,3 +87,24 @@
   t.like(await fixture.call('/once/x'), { body: event(1), whole: false })
   t.is(fixture.linesOf('attempt.failed').length, 1)
 })
+
+const ENDLESS_BODIES: ReadonlyArray<readonly [string, RawScript]> = [
+  ['without a length', (socket, request) => { socket.write(signedHead(request, 'connection: close\r\n')); flood(socket, 'x') }],
+  ['in chunks', (socket, request) => { socket.write(signedHead(request, 'transfer-encoding: chunked\r\n')); flood(socket, `400\r\n${'x'.repeat(1_024)}\r\n`) }],
+  ['of a length that is too large', (socket, request) => { socket.write(signedHead(request, 'content-length: 99999999999\r\n')); flood(socket, 'x') }]
+]
+for (const [name, script] of ENDLESS_BODIES) {
+  // Guards against an answer without end: all of it was kept in memory until the deadline of the request.
+  test.serial(`a server that sends a body ${name} without end is given up and avoided`, async (t) => {
+    await checkFlood(t, script, /an answer of more than 33554432 bytes/, '/patient/x')
+  })
+}
+
+test.serial('an answer of 3 MiB is passed on', async (t) => {
+  const body = 'x'.repeat(3 * 1_024 * 1_024)
+  const port = await startRawServer(t, (socket, request) => { socket.end(signedHead(request, 'connection: close\r\n') + body) })
+  const fixture = await ForwardFixture.startWithPorts(t, [port])
+  const answer = await fixture.call('/patient/x')
+  t.true(answer.whole && answer.body === body)
+  t.is(answer.headers['content-length'], String(body.length))
+})
