Failures: the body of a failure or refusal without end is given up at 1 MiB

A backend server that answers with a failure status and never ends its body filled the memory of the node until the deadline, as with plain answers; a refusal that said in its head that the request has not run kept the caller waiting although another server could have run it.

The body of a failure is collected in a BoundedBuffer. Beyond MAX_FAILURE_BODY_BYTES the attempt ends as `oversized` and the server is avoided; with a head that says that the request has not run it ends as `not_run`, so that unsafe requests go to another server.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -9,6 +9,8 @@
 import { waitingInputRead } from '../clock/inputTurn.js'
 import type { AdmittedCall } from './AdmittedCall.js'
 import { FIRST_FAILURE_STATUS, isSuccessfulAnswer, findAnswerProblem, withContentLength } from './answerHeads.js'
+import { MAX_FAILURE_BODY_BYTES } from './backend/answerLimits.js'
+import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import { ServerCall } from './backend/ServerCall.js'
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
 import { LEAST_URGENCY } from './entry/admit.js'
@@ -310,16 +312,16 @@
   }
 
   #createListener (attempt: OpenAttempt): ServerCallListener {
-    const failureChunks: Buffer[] = []
+    const failureBody = new BoundedBuffer(MAX_FAILURE_BODY_BYTES)
     return {
       onHead: (head) => this.#headReceived(attempt, head),
       onData: (chunk) => {
         if (!this.#isCurrent(attempt)) return
         this.restartDataTimer(attempt)
         if (isSuccessfulAnswer(attempt)) this.chunkReceived(attempt, chunk)
-        else failureChunks.push(chunk)
+        else if (!failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
       },
-      onEnd: () => this.#answerEnded(attempt, Buffer.concat(failureChunks)),
+      onEnd: () => this.#answerEnded(attempt, failureBody.take()),
       onFailure: (mayBeSent, reason) => this.failAttempt(attempt, mayBeSent ? AttemptEnd.Broken : AttemptEnd.Unsent, reason),
       onOversize: (reason) => this.answerOversized(attempt, reason)
     }
--- a/packages/node/src/forward/backend/answerLimits.ts
+++ b/packages/node/src/forward/backend/answerLimits.ts
@@ -11,3 +11,6 @@
 
 /** Maximum length of an answer that is not a stream. */
 export const MAX_PLAIN_ANSWER_BYTES = 32 * MIB
+
+/** Maximum length of the body of an answer with a failure status. */
+export const MAX_FAILURE_BODY_BYTES = MIB
--- a/packages/node/tests/endlessAnswers.test.ts
+++ b/packages/node/tests/endlessAnswers.test.ts
@@ -2,6 +2,8 @@
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
+import { HeaderName } from '@bluebellhill/platform'
+
 import { ForwardFixture } from './forwardFixture.js'
 import { flood, signedHead, startRawServer } from './rawServer.js'
 import type { RawScript } from './rawServer.js'
@@ -108,3 +110,34 @@
   t.true(answer.whole && answer.body === body)
   t.is(answer.headers['content-length'], String(body.length))
 })
+
+// Guards against a failure without end: its body was kept in memory until the deadline of the request.
+test.serial('a server that sends the body of a failure without end is given up and avoided', async (t) => {
+  await checkFlood(t, (socket, request) => {
+    socket.write(signedHead(request, 'connection: close\r\n', '500 Failed'))
+    flood(socket, 'x')
+  }, /the body of a failure of more than 1048576 bytes/)
+})
+
+test.serial('an unsafe request goes to another server after a refusal without end', async (t) => {
+  const refuses: RawScript = (socket) => {
+    socket.write(`HTTP/1.1 503 Full\r\n${HeaderName.NotRun}: 1\r\nconnection: close\r\n\r\n`)
+    flood(socket, 'x')
+  }
+  const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, refuses), await startRawServer(t, answers)])
+  for (let index = 0; index < REQUESTS; index += 1) t.is((await fixture.call('/unsafe/x')).status, 200)
+  t.regex(fixture.linesOf('attempt.failed')[0] ?? '', /server=e0 end=not_run reason="the body of a failure/)
+  t.regex(fixture.linesOf('server.avoided')[0] ?? '', /server=e0 .*evidence=faulty/)
+})
+
+test.serial('an unsafe request whose answer never ends is answered at once, and not sent again', async (t) => {
+  let requests = 0
+  const endless: RawScript = (socket, request) => {
+    requests += 1
+    socket.write(signedHead(request, 'connection: close\r\n'))
+    flood(socket, 'x')
+  }
+  const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, endless), await startRawServer(t, endless)])
+  t.is((await fixture.call('/unsafe/x')).status, 502)
+  t.is(requests, 1)
+})
