Tests: answers that end with their connection, and answers with a silence of a second

The code did this already: ServerCall tells an end from a reset, and a stream is whole only between two events; a caller gets such an answer with the node's own framing.

--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -40,6 +40,9 @@
   { name: 'patient', kind: CallKind.Safe, maxAttempts: 2, timeout: 30_000 },
   { name: 'unsafe', kind: CallKind.Unsafe, maxAttempts: 2 },
   { name: 'stream', kind: CallKind.Stream, maxAttempts: 2, resumable: true },
+  { name: 'patient-unsafe', kind: CallKind.Unsafe, maxAttempts: 2, timeout: 30_000 },
+  { name: 'patient-stream', kind: CallKind.Stream, maxAttempts: 2, resumable: true, timeout: 30_000 },
+  { name: 'patient-once', kind: CallKind.Stream, maxAttempts: 2, resumable: false, timeout: 30_000 },
   { name: 'once', kind: CallKind.Stream, maxAttempts: 2, resumable: false },
   { name: 'pausing', kind: CallKind.Stream, maxAttempts: 2, resumable: true, timeout: 30_000 }
 ].map((route) => ({
