Plain answers: all that are collected at once share 48 MiB

AnswerMemory counts what the plain answers in progress have collected beyond the first MiB of each, so that short answers always pass; an answer that would exceed it is given up like one without end.

--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -8,6 +8,7 @@
 import { monotonicNow } from '../clock/monotonic.js'
 import type { Log } from '../log/index.js'
 import { DisposableStore } from '../store/index.js'
+import { AnswerMemory } from './backend/AnswerMemory.js'
 import { EntryServer } from './entry/EntryServer.js'
 import { ReadinessServer } from './entry/ReadinessServer.js'
 import { ForwardMetrics } from './ForwardMetrics.js'
@@ -150,7 +151,7 @@
     const engineHttp = new HttpPool(2)
     this.#disposables.add(engineHttp)
     const memory = new EngineMemoryClient(engineHttp, RESERVATION_CALL_TIMEOUT)
-    this.#entryServer = new EntryServer({ placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, memory, clock })
+    this.#entryServer = new EntryServer({ placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, memory, answerMemory: new AnswerMemory(), clock })
   }
 
   /** Starts all components; the node then serves callers. */
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -111,6 +111,9 @@
   /** Called when a successful answer has ended. Returns whether it is complete; it has then been sent to the caller. */
   protected abstract completeAnswer (attempt: OpenAttempt): boolean
 
+  /** Called when an attempt is over, so that what has been collected of its answer is discarded. */
+  protected abstract attemptClosed (): void
+
   /** Returns the fields of the final log line that depend on the kind of answer. */
   protected abstract answerLogFields (): Record<string, unknown>
 
@@ -464,6 +467,7 @@
 
   #release (attempt: OpenAttempt, signal: HealthSignal | null): void {
     attempt.serverCall?.abort()
+    this.attemptClosed()
     attempt.reservations?.release()
     this.context.placement.removeAssignment(attempt.placed, signal)
   }
--- a/packages/node/src/forward/PlainForwarding.ts
+++ b/packages/node/src/forward/PlainForwarding.ts
@@ -4,7 +4,7 @@
 import { encodeReturnedHeaders } from '@bluebellhill/platform'
 
 import { withContentLength } from './answerHeads.js'
-import { MAX_PLAIN_ANSWER_BYTES } from './backend/answerLimits.js'
+import { MAX_COLLECTED_BYTES, MAX_PLAIN_ANSWER_BYTES } from './backend/answerLimits.js'
 import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import { Forwarding } from './Forwarding.js'
 import type { OpenAttempt } from './types.js'
@@ -14,7 +14,7 @@
 
 /** Collects the single answer of a request, and sends it to the caller when it is complete. */
 export class PlainForwarding extends Forwarding {
-  #body = new BoundedBuffer(MAX_PLAIN_ANSWER_BYTES)
+  readonly #body = new BoundedBuffer(MAX_PLAIN_ANSWER_BYTES, this.context.answerMemory)
 
   protected get lastEventId (): null {
     return null
@@ -27,11 +27,13 @@
   }
 
   protected successStarted (): void {
-    this.#body = new BoundedBuffer(MAX_PLAIN_ANSWER_BYTES)
+    this.#body.clear()
   }
 
   protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
-    if (!this.#body.append(chunk)) this.answerOversized(attempt, `an answer of more than ${MAX_PLAIN_ANSWER_BYTES} bytes`)
+    if (this.#body.append(chunk)) return
+    const { length } = this.#body
+    this.answerOversized(attempt, `an answer of more than ${length} bytes, of ${MAX_PLAIN_ANSWER_BYTES} for one and ${MAX_COLLECTED_BYTES} for all`)
   }
 
   protected get isAnswerWhole (): boolean {
@@ -48,6 +50,10 @@
     return true
   }
 
+  protected attemptClosed (): void {
+    this.#body.clear()
+  }
+
   protected answerLogFields (): Record<string, unknown> {
     return {}
   }
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -61,6 +61,8 @@
     return true
   }
 
+  protected attemptClosed (): void {}
+
   protected answerLogFields (): Record<string, unknown> {
     return { events: this.#eventCount, longest_pause_ms: Math.round(this.#longestPause), repeated_events: this.#repeatedEventCount || undefined }
   }
--- a/packages/node/src/forward/backend/answerLimits.ts
+++ b/packages/node/src/forward/backend/answerLimits.ts
@@ -14,3 +14,7 @@
 
 /** Maximum length of the body of an answer with a failure status. */
 export const MAX_FAILURE_BODY_BYTES = MIB
+
+/** Maximum memory of all plain answers in progress, and the part of each that does not count, so that short answers always pass. */
+export const MAX_COLLECTED_BYTES = 48 * MIB
+export const UNCOUNTED_BYTES = MIB
--- a/packages/node/src/forward/types.ts
+++ b/packages/node/src/forward/types.ts
@@ -3,6 +3,7 @@
 import type { AnswerHeaders, EngineMemoryClient } from '@bluebellhill/platform'
 
 import type { Log } from '../log/index.js'
+import type { AnswerMemory } from './backend/AnswerMemory.js'
 import type { AnswerHead, ServerCall } from './backend/ServerCall.js'
 import type { ForwardMetrics } from './ForwardMetrics.js'
 import type { FleetState } from './FleetState.js'
@@ -17,6 +18,7 @@
   readonly log: Log
   readonly metrics: ForwardMetrics
   readonly memory: EngineMemoryClient
+  readonly answerMemory: AnswerMemory
   readonly clock: () => Millis
 }
 
