Streams: one without end is given up at 64 MiB, and earlier if its caller does not read it

A backend server whose stream never ends, in complete events, kept the node busy until the deadline, and the node kept all of it in memory for a caller that does not read: writes to the caller had no bound.

An attempt beyond MAX_STREAM_BYTES ends as `oversized` and its server is avoided; the stream breaks off without looking complete, or goes on elsewhere. An attempt whose caller has left more than MAX_UNSENT_BYTES unread ends too, without a signal on the server. (By reading, not tried: pausing the connection to the server instead is not safe: undici 7.30 asserts in `Parser.finish` that it is not paused, which a reset reaches.) The events of one chunk are written at once. With the old code both new tests fail: the flood of 256 MiB is passed on or kept.

--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -1,9 +1,9 @@
 /** Forwards requests that are answered by a stream of server-sent events. */
-import { nextEventTimeout, firstEventTimeout, mayRunAgain } from '@bluebellhill/domain'
+import { AttemptEnd, nextEventTimeout, firstEventTimeout, mayRunAgain } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { encodeReturnedHeaders } from '@bluebellhill/platform'
 
-import { MAX_EVENT_BYTES } from './backend/answerLimits.js'
+import { MAX_EVENT_BYTES, MAX_STREAM_BYTES, MAX_UNSENT_BYTES } from './backend/answerLimits.js'
 import { EventSplitter } from './backend/EventSplitter.js'
 import type { StreamEvent } from './backend/EventSplitter.js'
 import { Forwarding } from './Forwarding.js'
@@ -12,6 +12,8 @@
 /** Passes the events of a stream on to the caller, each one only when it is complete. */
 export class StreamForwarding extends Forwarding {
   #splitter = new EventSplitter()
+  /** Bytes of the attempt in progress, with those of events that the caller had already. */
+  #receivedBytes = 0
   #lastEventId: string | null = null
   #eventCount = 0
   #repeatedEventCount = 0
@@ -32,9 +34,15 @@
 
   protected successStarted (): void {
     this.#splitter = new EventSplitter()
+    this.#receivedBytes = 0
   }
 
   protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
+    this.#receivedBytes += chunk.length
+    if (this.#receivedBytes > MAX_STREAM_BYTES) {
+      this.answerOversized(attempt, `a stream of more than ${MAX_STREAM_BYTES} bytes`)
+      return
+    }
     const complete = this.#splitter.push(chunk)
     if (complete === null) {
       this.answerOversized(attempt, `an event of more than ${MAX_EVENT_BYTES} bytes`)
@@ -47,7 +55,9 @@
     this.#writeHead(attempt)
     this.recordFirstAnswer(attempt)
     this.#recordPause(attempt)
-    for (const event of events) this.#forwardEvent(event)
+    for (const event of events) this.#countEvent(event)
+    this.response.write(Buffer.concat(events.map(({ bytes }) => bytes)))
+    this.#checkCallerReads(attempt)
   }
 
   protected get isAnswerWhole (): boolean {
@@ -83,10 +93,15 @@
     this.context.placement.observePause(this.call, placed, pause)
   }
 
-  #forwardEvent ({ bytes, id }: StreamEvent): void {
+  #countEvent ({ id }: StreamEvent): void {
     this.#eventCount += 1
     if (id !== null) this.#lastEventId = id
-    this.response.write(bytes)
+  }
+
+  /** A caller that does not read says nothing of the server. */
+  #checkCallerReads (attempt: OpenAttempt): void {
+    if (this.response.writableLength <= MAX_UNSENT_BYTES) return
+    this.failAttempt(attempt, AttemptEnd.Oversized, `the caller has left more than ${MAX_UNSENT_BYTES} bytes unread`, null)
   }
 
   /** Counts repeated events: a server that resumes a stream may send events again that the caller already has. */
--- a/packages/node/src/forward/backend/answerLimits.ts
+++ b/packages/node/src/forward/backend/answerLimits.ts
@@ -9,6 +9,12 @@
 /** Maximum length of one event of a stream. */
 export const MAX_EVENT_BYTES = MIB
 
+/** Maximum length of a whole stream. */
+export const MAX_STREAM_BYTES = 64 * MIB
+
+/** Maximum number of bytes of a stream that wait for their caller to read them. */
+export const MAX_UNSENT_BYTES = 8 * MIB
+
 /** Maximum length of an answer that is not a stream. */
 export const MAX_PLAIN_ANSWER_BYTES = 32 * MIB
 
--- a/packages/node/tests/endlessAnswers.test.ts
+++ b/packages/node/tests/endlessAnswers.test.ts
@@ -1,16 +1,21 @@
 /** Backend servers that send bytes without end: the answer is given up, the server is avoided, and the request goes elsewhere. */
+import { connect } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
 import { HeaderName } from '@bluebellhill/platform'
 
-import { ForwardFixture } from './forwardFixture.js'
+import { MAX_STREAM_BYTES } from '../src/forward/backend/answerLimits.js'
+import { ForwardFixture, HOST, KEY } from './forwardFixture.js'
 import { flood, signedHead, startRawServer } from './rawServer.js'
 import type { RawScript } from './rawServer.js'
 
 const answers: RawScript = (socket, request) => socket.end(`${signedHead(request, 'content-length: 6\r\n')}answer`)
 
 const REQUESTS = 4
+const POLL_MS = 10
 
 const event = (id: number): string => `id: ${id}\ndata: x\n\n`
 
@@ -141,3 +146,31 @@
   t.is((await fixture.call('/unsafe/x')).status, 502)
   t.is(requests, 1)
 })
+
+/** Events that are all sound, without end. */
+const endlessEvents: RawScript = (socket, request) => {
+  socket.write(signedHead(request, 'connection: close\r\n'))
+  flood(socket, `data: ${'x'.repeat(1_024)}\n\n`)
+}
+
+// Guards against a stream without end whose events are all complete: it was passed on until the deadline.
+test.serial('a stream of complete events without end breaks off, and its server is avoided', async (t) => {
+  const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, endlessEvents)])
+  const answer = await fixture.call('/patient-once/x')
+  t.false(answer.whole)
+  t.true(answer.body.length <= MAX_STREAM_BYTES)
+  t.regex(fixture.linesOf('attempt.failed')[0] ?? '', /end=oversized reason="a stream of more than/)
+  t.is(fixture.linesOf('server.avoided').length, 1)
+})
+
+// Guards against a stream that fills the memory of the node because its caller does not read it.
+test.serial('a stream without end whose caller does not read it is given up, and its server is not avoided', async (t) => {
+  const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, endlessEvents)])
+  const caller = connect(fixture.port, '127.0.0.1')
+  t.teardown(() => { caller.destroy() })
+  caller.pause()
+  caller.write(`POST /patient-once/x HTTP/1.1\r\nhost: ${HOST}\r\nauthorization: Bearer ${KEY}\r\n${HeaderName.AttemptId}: a1\r\ncontent-length: 0\r\n\r\n`)
+  while (fixture.linesOf('request.ended').length === 0) await sleep(POLL_MS)
+  t.regex(fixture.linesOf('attempt.failed')[0] ?? '', /the caller has left more than/)
+  t.is(fixture.linesOf('server.avoided').length, 0)
+})
