Soak: parts of prompts that end engines, unusual and endless answers, and checks of what follows

Streams now carry parts of prompts. Up to four servers give answers without length or chunks, whole or broken off, heads or bodies without end, or fall silent for a second.

Two checks take what the engines and callers recorded, not the nodes' logs: later than 3 s (`contact_ms`) after the fifth crash not more than three requests with that part reach engines from nodes that ran without interruption; from twice that time on at least half of the sound streams, which share its other parts, are served (20 or more).

--- a/packages/soak/src/Callers.ts
+++ b/packages/soak/src/Callers.ts
@@ -4,8 +4,10 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import { HeaderName } from '@bluebellhill/platform'
+import { encodePromptParts } from '@bluebellhill/platform-standin'
 
 import { HOST, KEPT_KEY, PORT } from './constants.js'
+import type { PromptParts } from './PromptParts.js'
 import { Random } from './Random.js'
 import { RequestKind } from './types.js'
 import type { Exchange } from './types.js'
@@ -40,6 +42,7 @@
   readonly exchanges: Exchange[] = []
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 })
   readonly #random: Random
+  readonly #partsRandom: Random
   #stopped = false
 
   /**
@@ -47,9 +50,11 @@
    * @param node - index of the node
    * @param host - address of the node
    * @param seed - of its choices
+   * @param promptParts - parts of its prompts; null if it sends no streams
    */
-  constructor (private readonly name: string, private readonly node: number, private readonly host: string, seed: number) {
+  constructor (private readonly name: string, private readonly node: number, private readonly host: string, seed: number, private readonly promptParts: PromptParts | null = null) {
     this.#random = new Random(seed)
+    this.#partsRandom = new Random(seed)
   }
 
   /** Sends until `stop`. */
@@ -77,7 +82,8 @@
    */
   async send (kind: RequestKind, key = KEPT_KEY): Promise<Exchange> {
     const id = `${this.name}-${this.exchanges.length}`
-    const exchange: Exchange = { id, kind, node: this.node, sentAt: performance.now(), deadline: DEADLINES[kind], endedAt: null, status: null, body: '', whole: false, left: false, error: '' }
+    const parts = kind === RequestKind.Stream ? this.promptParts?.draw(this.#partsRandom) ?? [] : []
+    const exchange: Exchange = { id, kind, parts, node: this.node, sentAt: performance.now(), deadline: DEADLINES[kind], endedAt: null, status: null, body: '', whole: false, left: false, error: '' }
     this.exchanges.push(exchange)
     await this.#exchange(exchange, key)
     exchange.endedAt = performance.now()
@@ -85,7 +91,7 @@
   }
 
   async #exchange (exchange: Exchange, key: string): Promise<void> {
-    const { id, kind, deadline } = exchange
+    const { id, kind, parts, deadline } = exchange
     const request = httpRequest({
       host: this.host,
       port: PORT.callers,
@@ -97,7 +103,7 @@
         authorization: `Bearer ${key}`,
         [HeaderName.AttemptId]: id,
         [HeaderName.Deadline]: String(deadline),
-        ...(kind === RequestKind.Stream ? { [HeaderName.PromptSize]: PROMPT_SIZE } : {})
+        ...(kind === RequestKind.Stream ? { [HeaderName.PromptSize]: PROMPT_SIZE, [HeaderName.PromptParts]: encodePromptParts(parts) } : {})
       }
     })
     const ended = new Promise<void>((resolve) => {
--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -1,13 +1,15 @@
 /** Everything that one soak runs: a store, backend servers, nodes, and proxies between them. */
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { join, resolve } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
 
 import { SETTINGS_VARIABLE, StoreKey } from '@bluebellhill/platform'
 import { BackendStandin, configurationDocument, Ledger, serverDocument, settingsDocument, StoreStandin } from '@bluebellhill/platform-standin'
 import type { RouteDocument } from '@bluebellhill/platform-standin'
 
-import { ENGINE_SERVICE, HOST, KEPT_KEY, NODES, PLAIN_SERVICE, PORT, REMOVED_KEY, RETRY_RATIO, RETRY_SLACK, SERVERS_PER_SERVICE, STOP_GRACE_S } from './constants.js'
+import { ENGINE_SERVICE, HOST, KEPT_KEY, LEASE_MS, NODES, PLAIN_SERVICE, PORT, REMOVED_KEY, RETRY_RATIO, RETRY_SLACK, SERVERS_PER_SERVICE, STOP_GRACE_S } from './constants.js'
 import { NodeProcess } from './NodeProcess.js'
+import { PromptParts } from './PromptParts.js'
 import { TcpProxy } from './TcpProxy.js'
 import type { LimitedSpan } from './types.js'
 
@@ -60,10 +62,13 @@
   readonly servers: Server[] = []
   readonly nodes: FleetNode[] = []
   readonly limitedSpans: LimitedSpan[] = []
+  /** Parts of the prompts that callers send. */
+  readonly promptParts = new PromptParts()
   readonly #network: string
   #incarnations = 0
   #version = 1
   #configuration = ''
+  #isDisposed = false
 
   /**
    * @param network - first three numbers of the addresses
@@ -85,6 +90,7 @@
   }
 
   async dispose (): Promise<void> {
+    this.#isDisposed = true
     await Promise.all(this.nodes.map(async ({ process }) => { await process.dispose() }))
     for (const { storeLink } of this.nodes) storeLink.dispose()
     for (const { proxy, standin } of this.servers) {
@@ -118,10 +124,11 @@
     return this.nodes.map(({ process }) => process.name).filter((name) => !registered.includes(`${StoreKey.Nodes}${name}`))
   }
 
-  /** Starts a server as a new process without any state. */
-  async startServer (server: Server): Promise<void> {
-    const id = `i-${server.index}-${this.#incarnations++}`
+  /** Starts a server as a new process without any state; by default under a new id. */
+  async startServer (server: Server, id = `i-${server.index}-${this.#incarnations++}`): Promise<void> {
     const standin = new BackendStandin(id, this.ledger)
+    standin.crashingParts = this.promptParts.crashingParts
+    standin.onCrash = () => { void this.#restartCrashed(server, standin) }
     await standin.start(this.#host(FIRST_SERVER + server.index), PORT.server)
     server.standin = standin
     server.startedAt = Date.now()
@@ -129,13 +136,30 @@
     this.#writeEntry(server, id, false)
   }
 
+  /** Brings back a server that a part of a prompt has ended; meanwhile its port refuses connections. */
+  async #restartCrashed (server: Server, standin: BackendStandin): Promise<void> {
+    if (server.standin !== standin) return
+    const { keepsId, downMs } = this.promptParts
+    server.standin = null
+    server.proxy.close()
+    if (!keepsId) this.#removeLater(standin)
+    await sleep(downMs)
+    if (this.#isDisposed) return
+    await server.proxy.reopen()
+    await this.startServer(server, keepsId ? standin.id : undefined)
+  }
+
   /** Stops a server as a crash would; its entry is removed when its lease has expired. */
   async crashServer (server: Server, leaseMs: number): Promise<void> {
     const { standin } = server
     if (standin === null) return
     server.standin = null
     await standin.dispose()
-    setTimeout(() => this.store.remove(`${StoreKey.BackendServers}${standin.id}`), leaseMs)
+    this.#removeLater(standin, leaseMs)
+  }
+
+  #removeLater ({ id }: BackendStandin, leaseMs = LEASE_MS): void {
+    setTimeout(() => this.store.remove(`${StoreKey.BackendServers}${id}`), leaseMs)
   }
 
   drainServer (server: Server): void {
--- a/packages/soak/src/Soak.ts
+++ b/packages/soak/src/Soak.ts
@@ -2,6 +2,7 @@
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 
+import { drawAnswerFaults } from './answerFaults.js'
 import { Caller } from './Callers.js'
 import { violationsOf } from './checks.js'
 import { CALLERS_PER_NODE, KEPT_KEY, RECOVERY_MS, REMOVED_KEY, REVOKE_MS, TRAFFIC_MS } from './constants.js'
@@ -48,10 +49,10 @@
     await Promise.all(fleet.nodes.map(async ({ index, host }) => { await untilServing(new Caller(`start-${index}`, index, host, seed), START_TIMEOUT_MS) }))
     const random = new Random(seed)
     callers.push(...fleet.nodes.flatMap(({ index, host }) => Array.from({ length: CALLERS_PER_NODE }, (_, caller) =>
-      new Caller(`c${index}.${caller}`, index, host, random.between(1, 1_000_000)))))
-    const steps = [...drawFaults(fleet, random), ...drawFurtherFaults(fleet, seed)]
+      new Caller(`c${index}.${caller}`, index, host, random.between(1, 1_000_000), fleet.promptParts))))
+    const steps = [...drawFaults(fleet, random), ...drawFurtherFaults(fleet, seed), ...drawAnswerFaults(fleet, seed)]
     const leavings = watchLeavings(fleet)
-    await Promise.all([...callers.map(async (caller) => { await caller.run() }), play(steps), stopLater(callers)])
+    await Promise.all([...callers.map(async (caller) => { await caller.run() }), play(steps), stopLater(callers, Math.max(TRAFFIC_MS, ...steps.map(({ trafficUntil = 0 }) => trafficUntil)))])
     const violations = [...await recoveryOf(fleet, seed), ...await registrationOf(fleet), ...await revocationOf(fleet, seed)]
     const exchanges = callers.flatMap((caller) => caller.exchanges)
     return reportOf(seed, exchanges, fleet, steps, [...violations, ...violationsOf(exchanges, fleet, leavings())])
@@ -68,8 +69,8 @@
   }))
 }
 
-const stopLater = async (callers: readonly Caller[]): Promise<void> => {
-  await sleep(TRAFFIC_MS)
+const stopLater = async (callers: readonly Caller[], trafficMs: number): Promise<void> => {
+  await sleep(trafficMs)
   for (const caller of callers) caller.stop()
 }
 
@@ -140,6 +141,7 @@
   refused: exchanges.filter(({ status }) => status === 503).length,
   failed: exchanges.filter(({ status, left }) => !left && (status === null || (status >= 500 && status !== 503))).length,
   runs: fleet.ledger.runCount,
+  partCrashes: fleet.ledger.partCrashes.length,
   faults: steps.map(({ at, name }) => `${at} ms ${name}`),
   violations
 })
--- a/packages/soak/src/TcpProxy.ts
+++ b/packages/soak/src/TcpProxy.ts
@@ -29,6 +29,7 @@
 export class TcpProxy {
   readonly #server: Server
   readonly #links = new Set<Link>()
+  #address = { host: '', port: 0 }
   #mode: LinkMode = LinkMode.Open
   #lastInjury = -Infinity
 
@@ -41,7 +42,19 @@
   }
 
   async start (host: string, port: number): Promise<void> {
-    this.#server.listen(port, host)
+    this.#address = { host, port }
+    await this.reopen()
+  }
+
+  /** Leaves its port, so that connections are refused, and resets the open ones. */
+  close (): void {
+    this.#server.close()
+    this.cut()
+  }
+
+  /** Listens again after `close`. */
+  async reopen (): Promise<void> {
+    this.#server.listen(this.#address)
     await once(this.#server, 'listening')
   }
 
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -4,6 +4,7 @@
 
 import { ABANDON_MS, ANSWER_SLACK_MS, DRAIN_MS, LIMIT_KNOWN_MS, LIMIT_RATIO, LIMIT_SLACK, LIMIT_WINDOW_MS, MEASURE_SLACK_MS, PAUSE_KNOWN_MS, PAUSE_SLACK, RETRY_RATIO, RETRY_SLACK } from './constants.js'
 import type { Fleet } from './Fleet.js'
+import { partViolationsOf } from './partChecks.js'
 import { RequestKind } from './types.js'
 import type { Exchange, Leaving, LimitedSpan, Violation } from './types.js'
 
@@ -135,5 +136,5 @@
   const limits = fleet.limitedSpans.flatMap((span) => serverLimit(byId, fleet, span))
   const left = leavings.flatMap((leaving) => leavingServer(byId, fleet, leaving))
   const pauses = fleet.ledger.pauseRequests.flatMap((request) => serverPause(byId, fleet, request))
-  return [...single, ...retryBudget(exchanges, fleet.ledger), ...limits, ...left, ...pauses, ...ends]
+  return [...single, ...retryBudget(exchanges, fleet.ledger), ...limits, ...left, ...pauses, ...partViolationsOf(exchanges, fleet), ...ends]
 }
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -37,6 +37,23 @@
 /** Time after which a removed key is refused by every node. */
 export const REVOKE_MS = 5_000
 
+/** Time within which nodes in touch learn what others know. */
+export const CONTACT_MS = 3_000
+
+/** Crashes of engines by one part of a prompt after which it is known, and requests with it that may reach engines from then on. */
+export const CRASHES_UNTIL_KNOWN = 5
+export const MOST_AFTER_KNOWN = 3
+
+/** Duration of the traffic of a soak with a crashing part. */
+export const CRASHING_PART_TRAFFIC_MS = 15_000
+
+/** Share of the sound requests beside a crashing part that are served, and number of requests from which it is judged. */
+export const LEAST_SERVED_SHARE = 0.5
+export const FEWEST_SAMPLES = 20
+
+/** Time until the store removes the entry of a crashed server. */
+export const LEASE_MS = 1_500
+
 export const STOP_GRACE_S = 4
 
 /** Limits of the retry budget. */
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -5,7 +5,7 @@
 import { READINESS_PATH } from '@bluebellhill/platform'
 import { BackendFault, StoreMode } from '@bluebellhill/platform-standin'
 
-import { FAULTS_FROM_MS, FAULTS_UNTIL_MS, KEPT_KEY, PORT, REMOVED_KEY, STOP_GRACE_S } from './constants.js'
+import { FAULTS_FROM_MS, FAULTS_UNTIL_MS, KEPT_KEY, LEASE_MS, PORT, REMOVED_KEY, STOP_GRACE_S } from './constants.js'
 import type { Fleet, FleetNode, Server } from './Fleet.js'
 import type { Random } from './Random.js'
 import { LinkMode } from './TcpProxy.js'
@@ -27,9 +27,6 @@
 
 const READY_CHECK_PERIOD_MS = 50
 
-/** Time until the store removes the entry of a crashed server. */
-const LEASE_MS = 1_500
-
 const MS_PER_SECOND = 1_000
 
 type Fault = (fleet: Fleet, random: Random, lasts: number) => { readonly name: string, readonly run: () => Promise<void> }
@@ -113,7 +110,8 @@
   await fleet.startServer(server)
 })
 
-const applyServerFault = (fault: BackendFault): Fault => serverFault(fault, async (_, { standin }, lasts) => {
+/** Applies a fault of the stand-in to a server for a time. */
+export const applyServerFault = (fault: BackendFault): Fault => serverFault(fault, async (_, { standin }, lasts) => {
   if (standin === null) return
   standin.fault = fault
   await sleep(lasts)
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -14,6 +14,8 @@
 export interface Exchange {
   readonly id: string
   readonly kind: RequestKind
+  /** Parts of its prompt, the last of which no other request has; empty if it has no prompt. */
+  readonly parts: readonly string[]
   /** Index of the node that it was sent to. */
   readonly node: number
   readonly sentAt: number
@@ -40,6 +42,8 @@
   /** Milliseconds after the start of traffic. */
   readonly at: number
   readonly name: string
+  /** Milliseconds from the start of traffic until which it goes on at least; unset for the usual duration. */
+  readonly trafficUntil?: number
   readonly run: () => void | Promise<void>
 }
 
@@ -50,6 +54,8 @@
   readonly refused: number
   readonly failed: number
   readonly runs: number
+  /** Ends of engines because of parts of prompts. */
+  readonly partCrashes: number
   readonly faults: readonly string[]
   readonly violations: readonly Violation[]
 }
--- a/packages/soak/tests/checks.test.ts
+++ b/packages/soak/tests/checks.test.ts
@@ -6,7 +6,7 @@
 import { answerBody, streamEvent, Ledger, STREAM_EVENT_COUNT } from '@bluebellhill/platform-standin'
 
 import { violationsOf } from '../src/checks.js'
-import { LIMIT_KNOWN_MS, PAUSE_KNOWN_MS, PAUSE_SLACK } from '../src/constants.js'
+import { CONTACT_MS, CRASHES_UNTIL_KNOWN, FEWEST_SAMPLES, LIMIT_KNOWN_MS, MOST_AFTER_KNOWN, PAUSE_KNOWN_MS, PAUSE_SLACK } from '../src/constants.js'
 import type { Fleet } from '../src/Fleet.js'
 import { NodeProcess } from '../src/NodeProcess.js'
 import { RequestKind } from '../src/types.js'
@@ -25,7 +25,7 @@
 }
 
 const exchange = (changes: Partial<Exchange> = {}): Exchange => ({
-  id: ID, kind: RequestKind.Safe, node: 0, sentAt: 0, deadline: 1_500, endedAt: 40, status: 200, body: answerBody(ID), whole: true, left: false, error: '', ...changes
+  id: ID, kind: RequestKind.Safe, parts: [], node: 0, sentAt: 0, deadline: 1_500, endedAt: 40, status: 200, body: answerBody(ID), whole: true, left: false, error: '', ...changes
 })
 
 const rules = (changes: Partial<Exchange>, fleet = fleetOf(1)): string[] => violationsOf([exchange(changes)], fleet).map(({ rule }) => rule)
@@ -108,3 +108,39 @@
   t.true(brokenAfterPause(true).includes('leaving servers get nothing'))
   t.false(brokenAfterPause(false).includes('leaving servers get nothing'))
 })
+
+const PART = 'dead'
+
+/** A fleet that a part has ended so many engines of, and requests with it that arrived later than a time after the last crash. */
+const fleetWithCrashes = (arrivals: number, after: number, isInOutage = false): Fleet => {
+  const ledger = new Ledger()
+  const known = performance.now() - after
+  const partCrashes = Array.from({ length: CRASHES_UNTIL_KNOWN }, () => ({ part: PART, request: 'r0', server: SERVER, at: known }))
+  const nodes = [{ index: 0, process: new NodeProcess('node-0', 'none', {}, LOG) }]
+  if (isInOutage) nodes[0]?.process.beginOutage()
+  for (let index = 0; index < arrivals; index += 1) ledger.arrive(ID, SERVER)
+  return { ledger: { partCrashes, arrivals: ledger.arrivals, runsOfRequest: () => [], pauseRequests: [] }, nodes, servers: [], limitedSpans: [] } as unknown as Fleet
+}
+
+const partRules = (fleet: Fleet, exchanges: readonly Exchange[]): string[] =>
+  violationsOf(exchanges, fleet).map(({ rule }) => rule).filter((rule) => rule.includes('crashing parts'))
+
+test('crashing parts: broken by one more request that reaches an engine, and not if it is the last part or its node is in an outage', (t) => {
+  const late = fleetWithCrashes(MOST_AFTER_KNOWN + 1, CONTACT_MS + 100)
+  const tainted = exchange({ parts: ['a0', PART, 'e1'] })
+  t.deepEqual(partRules(late, [tainted]), ['crashing parts'])
+  t.deepEqual(partRules(late, [exchange({ parts: ['a0', PART] })]), [])
+  t.deepEqual(partRules(fleetWithCrashes(MOST_AFTER_KNOWN, CONTACT_MS + 100), [tainted]), [])
+  t.deepEqual(partRules(fleetWithCrashes(MOST_AFTER_KNOWN + 1, CONTACT_MS - 1_000), [tainted]), [])
+  t.deepEqual(partRules(fleetWithCrashes(MOST_AFTER_KNOWN + 1, CONTACT_MS + 100, true), [tainted]), [])
+})
+
+test('requests beside crashing parts: broken if less than half of the sound ones are served', (t) => {
+  const fleet = fleetWithCrashes(0, 3 * CONTACT_MS)
+  const stream = (served: boolean, parts: readonly string[]): Exchange =>
+    exchange({ kind: RequestKind.Stream, parts, sentAt: performance.now(), status: served ? 200 : 503, body: '', whole: true })
+  const half = Array.from({ length: FEWEST_SAMPLES }, (_, index) => stream(index % 2 === 0, ['a0', 'e1']))
+  t.deepEqual(partRules(fleet, half), [])
+  t.deepEqual(partRules(fleet, [...half, stream(false, ['a0', 'e1'])]), ['requests beside crashing parts'])
+  t.deepEqual(partRules(fleet, [...half, stream(false, ['a0', PART, 'e1'])]), [])
+})
