Forwarding: what is collected of an answer belongs to its attempt

Where the bounded answers meet the attempts that are set aside: closing the attempt that was to replace a silent one would have discarded what the silent one had received, and its answer would have looked complete without its first bytes. A silent server that sends bytes without end is avoided as well.

Test: 'an answer whose server pauses is whole if the next server fails'; with the condition taken out the body is 'last' in place of 'first last'.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -41,6 +41,8 @@
   protected attempt: OpenAttempt | null = null
   /** Attempt whose server is silent. It is kept until another server answers, and goes on if its server does so first. */
   #silentAttempt: OpenAttempt | null = null
+  /** Attempt whose successful answer is being received; what is collected of an answer belongs to it. */
+  #answeringAttempt: OpenAttempt | null = null
   protected readonly history: AttemptHistory
   protected signedFailure: SignedFailure | null = null
   protected firstAnswerAt: Millis | null = null
@@ -111,7 +113,7 @@
   /** Called when a successful answer has ended. Returns whether it is complete; it has then been sent to the caller. */
   protected abstract completeAnswer (attempt: OpenAttempt): boolean
 
-  /** Called when an attempt is over, so that what has been collected of its answer is discarded. */
+  /** Called when an attempt is over whose answer had started, so that what has been collected of it is discarded. */
   protected abstract attemptClosed (): void
 
   /** Returns the fields of the final log line that depend on the kind of answer. */
@@ -203,17 +205,17 @@
     return true
   }
 
-  #closeSilent (): void {
+  #closeSilent (signal: HealthSignal | null = null): void {
     const attempt = this.#silentAttempt
     this.#silentAttempt = null
-    if (attempt !== null) this.#release(attempt, null)
+    if (attempt !== null) this.#release(attempt, signal)
   }
 
   /** Ends an attempt without a complete answer, and starts another one if the route and the retry budget allow it. */
   protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string, signal = healthSignalOf(attempt, end)): void {
     if (this.#silentAttempt === attempt) {
       this.#requestLog.attemptFailed(attempt, end, reason)
-      this.#closeSilent()
+      this.#closeSilent(signal === HealthSignal.Faulty ? signal : null)
     }
     if (this.attempt !== attempt || this.#isFinished) return
     this.#closeAttempt(attempt, signal)
@@ -344,6 +346,7 @@
     if (problem !== null) this.failAttempt(attempt, AttemptEnd.Broken, problem)
     else if (isSuccessfulAnswer(attempt)) {
       this.#closeSilent()
+      this.#answeringAttempt = attempt
       this.successStarted(attempt)
     }
   }
@@ -467,7 +470,7 @@
 
   #release (attempt: OpenAttempt, signal: HealthSignal | null): void {
     attempt.serverCall?.abort()
-    this.attemptClosed()
+    if (this.#answeringAttempt === attempt) this.attemptClosed()
     attempt.reservations?.release()
     this.context.placement.removeAssignment(attempt.placed, signal)
   }
--- a/packages/node/tests/pausingServers.test.ts
+++ b/packages/node/tests/pausingServers.test.ts
@@ -133,6 +133,21 @@
   t.is(calls, 1)
 })
 
+// Guards against a complete looking answer that lacks its first bytes, because they were discarded with the attempt that was to replace it.
+test('an answer whose server pauses is whole if the next server fails', async (t) => {
+  let calls = 0
+  const script: Script = (request, response) => {
+    calls += 1
+    if (calls === 1) {
+      response.writeHead(200, signedHeaders(request)).write('first ')
+      setTimeout(() => response.end('last'), 1_200)
+    } else response.writeHead(200, { [HeaderName.AttemptId]: String(request.headers[HeaderName.AttemptId]) }).end('unsigned')
+  }
+  const fixture = await ForwardFixture.start(t, script, script)
+  t.like(await fixture.call('/safe/x'), { status: 200, body: 'first last', whole: true })
+  t.is(calls, 2)
+})
+
 // Guards against a server that works on for a caller who has gone, because its attempt was set aside for another one.
 test('when the caller disconnects, no server goes on with its request', async (t) => {
   const closed: Array<Promise<unknown>> = []
