--- /dev/null
+++ b/packages/domain/src/forwarding/quarantine/CrashReports.ts
@@ -0,0 +1,152 @@
+/** Keeps the reports of crashed servers and groups them into crashes. */
+import type { Millis, RunnerId } from '../../types.js'
+import { FACT_TOLERANCE, SAME_END_TOLERANCE, SURVIVAL_DELAY } from './constants.js'
+import type { CrashReport, PromptPart, ServerSurvival } from './types.js'
+
+/** End of one start of a server, as all nodes together report it. */
+export interface Crash {
+  readonly server: RunnerId
+  readonly at: Millis
+  /** Requests of all nodes that may have caused it. */
+  readonly suspects: number
+  readonly parts: ReadonlySet<PromptPart>
+  readonly reports: readonly CrashReport[]
+}
+
+type ServerStart = Pick<CrashReport, 'server' | 'startedAt'>
+
+/** Reports and survivals, each kept once whatever the order in which they arrive. */
+export class CrashReports {
+  readonly #reports = new Map<string, CrashReport>()
+  readonly #survivals = new Map<string, ServerSurvival>()
+
+  /** Number of reports. */
+  get size (): number {
+    return this.#reports.size
+  }
+
+  /** All reports, refuted ones included. */
+  get reports (): CrashReport[] {
+    return [...this.#reports.values()]
+  }
+
+  /** All survivals. */
+  get survivals (): ServerSurvival[] {
+    return [...this.#survivals.values()]
+  }
+
+  /**
+   * @param report - a report of a crash
+   * @returns whether it adds something
+   */
+  record (report: CrashReport): boolean {
+    const key = reportKey(report)
+    const known = this.#reports.get(key)
+    const merged = known === undefined ? report : mergeReports(known, report)
+    if (merged === known) return false
+    this.#reports.set(key, merged)
+    return known === undefined || !haveSameContent(known, merged)
+  }
+
+  /**
+   * @param survival - a sign of life of a server
+   * @returns whether it is newer than the one that was known
+   */
+  recordSurvival (survival: ServerSurvival): boolean {
+    const key = startKey(survival)
+    const known = this.#survivals.get(key)
+    if (known !== undefined && survival.at <= known.at + FACT_TOLERANCE) return false
+    this.#survivals.set(key, survival)
+    return true
+  }
+
+  /**
+   * @param report - a report of a crash
+   * @returns whether the server has sent data under the same start since
+   */
+  isRefuted (report: CrashReport): boolean {
+    const survival = this.#survivals.get(startKey(report))
+    return survival !== undefined && survival.at > report.at + SURVIVAL_DELAY
+  }
+
+  /**
+   * @param start - one start of a server
+   * @returns number of reports on it that are not refuted
+   */
+  countValid (start: ServerStart): number {
+    return this.reports.filter((report) => startKey(report) === startKey(start) && !this.isRefuted(report)).length
+  }
+
+  /** @returns the crashes that are not refuted, oldest first */
+  crashes (): Crash[] {
+    const groups = new Map<string, CrashReport[]>()
+    const valid = this.reports.filter((report) => !this.isRefuted(report)).sort(compareReports)
+    for (const report of valid) appendReport(groups, report)
+    return [...groups.values()].map(crashOf).sort((a, b) => a.at - b.at || (a.server < b.server ? -1 : 1))
+  }
+
+  /** @returns number of server starts whose reports are all refuted */
+  countRefuted (): number {
+    const refuted = this.reports.filter((report) => this.isRefuted(report)).map(startKey)
+    const valid = new Set(this.reports.filter((report) => !this.isRefuted(report)).map(startKey))
+    return new Set(refuted.filter((key) => !valid.has(key))).size
+  }
+
+  /** @param report - the report to discard */
+  remove (report: CrashReport): void {
+    this.#reports.delete(reportKey(report))
+  }
+
+  /** @param survival - the survival to discard */
+  removeSurvival (survival: ServerSurvival): void {
+    this.#survivals.delete(startKey(survival))
+  }
+}
+
+const startKey = ({ server, startedAt }: ServerStart): string => `${startedAt ?? '?'} ${server}`
+
+/** Ends of unknown starts are told apart by their times. */
+const reportKey = (report: CrashReport): string => {
+  const end = report.startedAt === null ? Math.round(report.at / SAME_END_TOLERANCE) : ''
+  return `${startKey(report)} ${end} ${report.reportedBy}`
+}
+
+/** A start ends once: the later of two ends is the real one. Reports of the same end are joined. */
+const mergeReports = (known: CrashReport, report: CrashReport): CrashReport => {
+  if (report.at > known.at + SAME_END_TOLERANCE) return report
+  if (report.at < known.at - SAME_END_TOLERANCE) return known
+  const fuller = compareContent(known, report) >= 0 ? known : report
+  const at = Math.min(known.at, report.at)
+  return fuller.at === at ? fuller : { ...fuller, at }
+}
+
+const compareContent = (a: CrashReport, b: CrashReport): number =>
+  a.suspects - b.suspects || a.parts.length - b.parts.length || compareText(a.parts.join(' '), b.parts.join(' '))
+
+const haveSameContent = (a: CrashReport, b: CrashReport): boolean =>
+  compareContent(a, b) === 0 && Math.abs(a.at - b.at) <= SAME_END_TOLERANCE
+
+const compareText = (a: string, b: string): number => a === b ? 0 : a < b ? -1 : 1
+
+const compareReports = (a: CrashReport, b: CrashReport): number => a.at - b.at || compareText(reportKey(a), reportKey(b))
+
+/** Reports arrive ordered by time, so that those of one end with an unknown start follow each other. */
+const appendReport = (groups: Map<string, CrashReport[]>, report: CrashReport): void => {
+  const key = startKey(report)
+  const group = groups.get(key)
+  const last = group?.at(-1)
+  if (group === undefined || last === undefined) groups.set(key, [report])
+  else if (report.startedAt !== null || report.at - last.at <= SAME_END_TOLERANCE) group.push(report)
+  else {
+    groups.set(`${key} ${last.at}`, group)
+    groups.set(key, [report])
+  }
+}
+
+const crashOf = (reports: readonly CrashReport[]): Crash => ({
+  server: reports[0]!.server,
+  at: reports[0]!.at,
+  suspects: reports.reduce((sum, { suspects }) => sum + suspects, 0),
+  parts: new Set(reports.flatMap(({ parts }) => parts)),
+  reports
+})
--- /dev/null
+++ b/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
@@ -0,0 +1,248 @@
+/** Decides which prompt parts crash engines, from facts that the nodes exchange. */
+import type { Millis } from '../../types.js'
+import { assessParts } from './assessment.js'
+import type { PartStanding } from './assessment.js'
+import {
+  FACT_EXPIRY, FACT_TOLERANCE, MAX_REPORTS, MAX_SHARED_REPORTS, MAX_SHARED_SOUNDS, MAX_SHARED_SURVIVALS, MAX_SHARED_TRIALS, MAX_SOUND_PARTS,
+  MAX_SURVIVALS, MAX_TRIALS
+} from './constants.js'
+import { CrashReports } from './CrashReports.js'
+import { collectSuspects, sharedParts } from './promptParts.js'
+import { SoundParts } from './SoundParts.js'
+import { nextTrialTime } from './trialSchedule.js'
+import { PartStatus } from './types.js'
+import type {
+  CrashReport, PartEvidence, PartTrial, PartVerdict, PromptPart, QuarantineCounts, QuarantineFacts, ServerSurvival, SoundPart
+} from './types.js'
+
+interface QuarantinedStanding extends PartStanding {
+  readonly quarantinedAt: Millis
+}
+
+/** Copy of one node. Copies that have the same facts reach the same verdicts, in whatever order the facts arrive. */
+export class PartQuarantine {
+  readonly #reports = new CrashReports()
+  readonly #sounds = new SoundParts(MAX_SOUND_PARTS)
+  readonly #trials = new Map<PromptPart, PartTrial>()
+  /** Times of the known crashes of each part. */
+  #crashTimes = new Map<PromptPart, Millis[]>()
+  /** Null if facts have changed since it was computed. */
+  #standings: Map<PromptPart, PartStanding> | null = null
+  #factsDropped = 0
+
+  /**
+   * @param report - requests of a node that may have crashed a server
+   * @returns whether other nodes should know of it; the facts then also contain what is known of its parts
+   */
+  recordCrash (report: CrashReport): boolean {
+    if (!this.#reports.record(report)) return false
+    this.#factsChanged()
+    this.#dropReports()
+    return true
+  }
+
+  /**
+   * @param sound - a part of a request that proved sound
+   * @returns whether other nodes should know of it, since it lifts or weakens a suspicion
+   */
+  recordSound (sound: SoundPart): boolean {
+    const { part, at } = sound
+    const crashTimes = this.#crashTimes.get(part) ?? []
+    const known = this.#sounds.find(part)
+    const isBetween = (from: Millis, to: Millis): boolean => crashTimes.some((time) => time > from && time <= to)
+    if (!this.#sounds.record(sound, isBetween)) return false
+    this.#factsDropped += this.#sounds.trim((each) => this.#crashTimes.has(each))
+    if (crashTimes.length === 0) return false
+    this.#standings = null
+    return known === null || isBetween(known, at)
+  }
+
+  /**
+   * @param survival - a sign of life of a server that was reported as crashed
+   * @returns whether other nodes should know of it, since it refutes a report
+   */
+  recordSurvival (survival: ServerSurvival): boolean {
+    const before = this.#reports.countValid(survival)
+    if (!this.#reports.recordSurvival(survival)) return false
+    const refuted = before - this.#reports.countValid(survival)
+    this.#dropSurvivals()
+    this.#factsChanged()
+    return refuted > 0
+  }
+
+  /**
+   * @param trial - a request that was sent to find out whether a part is sound again
+   * @returns whether other nodes should know of it
+   */
+  recordTrial (trial: PartTrial): boolean {
+    const known = this.#trials.get(trial.part)
+    if (known !== undefined && trial.at <= known.at + FACT_TOLERANCE) return false
+    this.#trials.delete(trial.part)
+    this.#trials.set(trial.part, trial)
+    this.#dropTrials()
+    return true
+  }
+
+  /**
+   * @param parts - all parts of a request's prompt
+   * @param now - current time
+   * @returns whether, and how, the request may be sent
+   */
+  verdict (parts: readonly PromptPart[], now: Millis): PartVerdict {
+    this.#expire(now)
+    const standings = this.#assess()
+    const found = sharedParts(parts).map((part) => standings.get(part)).filter((standing) => standing !== undefined)
+    const quarantined = found.filter(isQuarantined)
+    if (quarantined.length > 0) return this.#quarantineVerdict(quarantined, now)
+    const suspected = found.reduce<PartStanding | null>((most, each) => most === null || each.moments > most.moments ? each : most, null)
+    return suspected === null ? { status: PartStatus.Clear } : { status: PartStatus.Suspected, evidence: evidenceOf(suspected, now) }
+  }
+
+  /** The part whose trial is due last decides. */
+  #quarantineVerdict (standings: readonly QuarantinedStanding[], now: Millis): PartVerdict {
+    const deciding = standings.reduce((last, each) => this.#trialTime(each) > this.#trialTime(last) ? each : last)
+    return {
+      status: PartStatus.Quarantined,
+      evidence: evidenceOf(deciding, now),
+      parts: standings.map(({ part }) => part),
+      isTrialDue: now >= this.#trialTime(deciding)
+    }
+  }
+
+  #trialTime ({ part, quarantinedAt, lastCrashAt }: QuarantinedStanding): Millis {
+    return nextTrialTime(quarantinedAt, Math.max(lastCrashAt, this.#trials.get(part)?.at ?? -Infinity))
+  }
+
+  /**
+   * @param requests - all parts of each request that had not proved sound when a server ended
+   * @returns what a crash report says of them
+   */
+  suspectsOf (requests: readonly (readonly PromptPart[])[]): Pick<CrashReport, 'suspects' | 'parts'> {
+    return collectSuspects(requests, (part) => this.#sounds.find(part))
+  }
+
+  /**
+   * @param now - current time
+   * @returns the parts that are quarantined, with the evidence
+   */
+  quarantinedParts (now: Millis): PartEvidence[] {
+    this.#expire(now)
+    return [...this.#assess().values()].filter(isQuarantined).map((standing) => evidenceOf(standing, now))
+  }
+
+  /**
+   * @param now - current time
+   * @returns counts for metrics
+   */
+  counts (now: Millis): QuarantineCounts {
+    this.#expire(now)
+    const standings = [...this.#assess().values()]
+    const partsQuarantined = standings.filter(isQuarantined).length
+    return {
+      crashesKnown: this.#reports.crashes().length,
+      crashesRefuted: this.#reports.countRefuted(),
+      partsSuspected: standings.length - partsQuarantined,
+      partsQuarantined,
+      factsDropped: this.#factsDropped
+    }
+  }
+
+  /**
+   * @param now - current time
+   * @returns the facts that other nodes need, bounded; those that decide a quarantine come first
+   */
+  facts (now: Millis): QuarantineFacts {
+    this.#expire(now)
+    const reports = this.#reports.reports.sort((a, b) => this.#importance(b) - this.#importance(a) || b.at - a.at)
+    const crashes = reports.slice(0, MAX_SHARED_REPORTS)
+    const parts = partsByFrequency(crashes)
+    return {
+      crashes,
+      sounds: parts.flatMap((part) => this.#soundOf(part)).slice(0, MAX_SHARED_SOUNDS),
+      survivals: this.#reports.survivals.sort((a, b) => b.at - a.at).slice(0, MAX_SHARED_SURVIVALS),
+      trials: [...this.#trials.values()].sort((a, b) => b.at - a.at).slice(0, MAX_SHARED_TRIALS)
+    }
+  }
+
+  #soundOf (part: PromptPart): SoundPart[] {
+    const at = this.#sounds.find(part)
+    return at === null ? [] : [{ part, at }]
+  }
+
+  /** Reports that decide a quarantine go before others, and refuted ones last. */
+  #importance (report: CrashReport): number {
+    if (this.#reports.isRefuted(report)) return 0
+    return report.parts.some((part) => this.#isQuarantined(part)) ? 2 : 1
+  }
+
+  #isQuarantined (part: PromptPart): boolean {
+    const standing = this.#assess().get(part)
+    return standing !== undefined && isQuarantined(standing)
+  }
+
+  #assess (): Map<PromptPart, PartStanding> {
+    this.#standings ??= assessParts(this.#reports.crashes(), (part) => this.#sounds.find(part))
+    return this.#standings
+  }
+
+  #factsChanged (): void {
+    this.#standings = null
+    this.#crashTimes = new Map()
+    for (const { parts, at } of this.#reports.reports) {
+      for (const part of parts) {
+        const times = this.#crashTimes.get(part)
+        if (times === undefined) this.#crashTimes.set(part, [at])
+        else times.push(at)
+      }
+    }
+  }
+
+  /** Evidence against a part is kept as long as its quarantine is confirmed at times. */
+  #expire (now: Millis): void {
+    const limit = now - FACT_EXPIRY
+    const expired = this.#reports.reports.filter((report) => report.at < limit && !report.parts.some((part) => this.#isConfirmedSince(part, limit)))
+    for (const report of expired) this.#reports.remove(report)
+    for (const survival of this.#reports.survivals) if (survival.at < limit) this.#reports.removeSurvival(survival)
+    for (const [part, { at }] of this.#trials) if (at < limit) this.#trials.delete(part)
+    if (expired.length > 0) this.#factsChanged()
+  }
+
+  #isConfirmedSince (part: PromptPart, limit: Millis): boolean {
+    const standing = this.#assess().get(part)
+    return standing !== undefined && isQuarantined(standing) && Math.max(standing.lastCrashAt, this.#trials.get(part)?.at ?? -Infinity) >= limit
+  }
+
+  #dropReports (): void {
+    if (this.#reports.size <= MAX_REPORTS) return
+    const least = this.#reports.reports.reduce((a, b) => this.#importance(b) - this.#importance(a) || b.at - a.at < 0 ? b : a)
+    this.#reports.remove(least)
+    this.#factsChanged()
+    this.#factsDropped++
+  }
+
+  #dropSurvivals (): void {
+    const survivals = this.#reports.survivals
+    if (survivals.length <= MAX_SURVIVALS) return
+    this.#reports.removeSurvival(survivals.reduce((a, b) => b.at < a.at ? b : a))
+    this.#factsDropped++
+  }
+
+  #dropTrials (): void {
+    const oldest = this.#trials.keys().next()
+    if (this.#trials.size <= MAX_TRIALS || oldest.done === true) return
+    this.#trials.delete(oldest.value)
+    this.#factsDropped++
+  }
+}
+
+const isQuarantined = (standing: PartStanding): standing is QuarantinedStanding => standing.quarantinedAt !== null
+
+const evidenceOf = ({ part, crashes, moments, lastCrashAt, soundAt }: PartStanding, now: Millis): PartEvidence =>
+  ({ part, crashes: crashes.length, moments, lastCrashAge: now - lastCrashAt, wasSound: soundAt !== null })
+
+/** Parts of the reports, those in most reports first. */
+const partsByFrequency = (reports: readonly CrashReport[]): PromptPart[] => {
+  const counts = new Map<PromptPart, number>()
+  for (const part of reports.flatMap(({ parts }) => parts)) counts.set(part, (counts.get(part) ?? 0) + 1)
+  return [...counts].sort(([, a], [, b]) => b - a).map(([part]) => part)
+}
--- /dev/null
+++ b/packages/domain/src/forwarding/quarantine/assessment.ts
@@ -0,0 +1,134 @@
+/** Finds the parts that explain the crashes of engines best. */
+import type { Millis } from '../../types.js'
+import { COMMON_EVENT_SERVERS, COMMON_EVENT_TIME, MOMENT_LENGTH, NEW_PART_THRESHOLD, SOUND_PART_THRESHOLD } from './constants.js'
+import type { Threshold } from './constants.js'
+import type { Crash } from './CrashReports.js'
+import type { PromptPart } from './types.js'
+
+/** What the crashes say about a part. */
+export interface PartStanding {
+  readonly part: PromptPart
+  /** Its counted crashes since its last sound answer, oldest first. */
+  readonly crashes: readonly Crash[]
+  readonly moments: number
+  readonly weight: number
+  /** Time of the crash that met the threshold; null if the part is only suspected. */
+  readonly quarantinedAt: Millis | null
+  readonly soundAt: Millis | null
+  /** Time of its last crash, counted or not. */
+  readonly lastCrashAt: Millis
+}
+
+/** Time of a part's newest sound answer; null if there is none. */
+type SoundTime = (part: PromptPart) => Millis | null
+
+/**
+ * Accuses the part with the most evidence, sets aside the crashes that it explains, and goes on with the rest. Sound parts that were on
+ * board with a guilty one are so cleared, however often they met it.
+ *
+ * @param crashes - the crashes that are not refuted, oldest first
+ * @param soundTime - time of a part's newest sound answer
+ * @returns the parts that are quarantined or suspected
+ */
+export const assessParts = (crashes: readonly Crash[], soundTime: SoundTime): Map<PromptPart, PartStanding> => {
+  const standings = new Map<PromptPart, PartStanding>()
+  let unexplained = crashes
+  for (;;) {
+    const candidates = collectStandings(unexplained, soundTime).filter(({ part }) => !standings.has(part))
+    const accused = mostAccused(candidates)
+    if (accused.length === 0) {
+      for (const standing of candidates) standings.set(standing.part, standing)
+      return standings
+    }
+    for (const standing of accused) standings.set(standing.part, { ...standing, lastCrashAt: lastCrashTime(crashes, standing) })
+    unexplained = unexplained.filter((crash) => !accused.some((standing) => isCandidate(crash, standing.part, standing.soundAt)))
+  }
+}
+
+const isCandidate = (crash: Crash, part: PromptPart, soundAt: Millis | null): boolean => crash.parts.has(part) && crash.at > (soundAt ?? -Infinity)
+
+const lastCrashTime = (crashes: readonly Crash[], { part, soundAt, lastCrashAt }: PartStanding): Millis =>
+  crashes.findLast((crash) => isCandidate(crash, part, soundAt))?.at ?? lastCrashAt
+
+/** The part with the most evidence, and those that were never seen apart from it. */
+const mostAccused = (candidates: readonly PartStanding[]): PartStanding[] => {
+  const accused = candidates.filter(({ quarantinedAt }) => quarantinedAt !== null).sort(compareEvidence)
+  const first = accused[0]
+  return first === undefined ? [] : accused.filter((standing) => isInseparable(first, standing))
+}
+
+const compareEvidence = (a: PartStanding, b: PartStanding): number =>
+  b.moments / thresholdOf(b.soundAt).moments - a.moments / thresholdOf(a.soundAt).moments ||
+  b.weight / thresholdOf(b.soundAt).weight - a.weight / thresholdOf(a.soundAt).weight ||
+  (a.soundAt ?? -Infinity) - (b.soundAt ?? -Infinity) ||
+  (a.part < b.part ? -1 : 1)
+
+const isInseparable = (a: PartStanding, b: PartStanding): boolean =>
+  (a.soundAt === null) === (b.soundAt === null) &&
+  Math.abs((a.soundAt ?? 0) - (b.soundAt ?? 0)) <= SOUND_PART_THRESHOLD.silence &&
+  a.crashes.length === b.crashes.length &&
+  a.crashes.every((crash, index) => crash === b.crashes[index])
+
+const thresholdOf = (soundAt: Millis | null): Threshold => soundAt === null ? NEW_PART_THRESHOLD : SOUND_PART_THRESHOLD
+
+const collectStandings = (crashes: readonly Crash[], soundTime: SoundTime): PartStanding[] => {
+  const crashesByPart = new Map<PromptPart, Crash[]>()
+  const rivals = new Map(crashes.map((crash) => [crash, countRivals(crash, soundTime)]))
+  crashes.forEach((crash, index) => {
+    const neighbours = neighboursOf(crashes, index)
+    for (const part of crash.parts) {
+      if (!isCandidate(crash, part, soundTime(part)) || isCommonEvent(neighbours, part)) continue
+      const known = crashesByPart.get(part)
+      if (known === undefined) crashesByPart.set(part, [crash])
+      else known.push(crash)
+    }
+  })
+  return [...crashesByPart].map(([part, ofPart]) => standingOf(part, ofPart, soundTime(part), rivals))
+}
+
+/** Other servers that ended at almost the same time. */
+const neighboursOf = (crashes: readonly Crash[], index: number): Crash[] => {
+  const { at, server } = crashes[index]!
+  const neighbours: Crash[] = []
+  for (let before = index - 1; before >= 0 && crashes[before]!.at >= at - COMMON_EVENT_TIME; before--) neighbours.push(crashes[before]!)
+  for (let after = index + 1; after < crashes.length && crashes[after]!.at <= at + COMMON_EVENT_TIME; after++) neighbours.push(crashes[after]!)
+  return neighbours.filter((crash) => crash.server !== server)
+}
+
+/** Servers that end together, some of them without the part, are more likely to have lost power or their connections. */
+const isCommonEvent = (neighbours: readonly Crash[], part: PromptPart): boolean =>
+  neighbours.some(({ suspects }) => suspects === 0) ||
+  new Set(neighbours.filter(({ parts }) => !parts.has(part)).map(({ server }) => server)).size >= COMMON_EVENT_SERVERS
+
+/** Number of parts that may have caused a crash: those that were never sound, and all that were not sound since. */
+interface Rivals {
+  readonly neverSound: number
+  readonly all: number
+}
+
+const countRivals = (crash: Crash, soundTime: SoundTime): Rivals => {
+  const candidates = [...crash.parts].filter((part) => isCandidate(crash, part, soundTime(part)))
+  return { neverSound: candidates.filter((part) => soundTime(part) === null).length, all: candidates.length }
+}
+
+/** Share of the blame for a crash. Sound answers to the other suspects raise it. */
+const shareOfBlame = (crash: Crash, { neverSound, all }: Rivals, isNew: boolean): number =>
+  1 / Math.max(1, Math.min(crash.suspects, isNew ? neverSound : all))
+
+const standingOf = (part: PromptPart, crashes: readonly Crash[], soundAt: Millis | null, rivals: ReadonlyMap<Crash, Rivals>): PartStanding => {
+  const threshold = thresholdOf(soundAt)
+  let [moments, weight, momentStart, momentShare] = [0, 0, -Infinity, 0]
+  let quarantinedAt: Millis | null = null
+  for (const crash of crashes) {
+    if (crash.at > momentStart + MOMENT_LENGTH) [moments, momentStart, momentShare] = [moments + 1, crash.at, 0]
+    const share = shareOfBlame(crash, rivals.get(crash)!, soundAt === null)
+    weight += Math.max(0, share - momentShare)
+    momentShare = Math.max(share, momentShare)
+    if (meetsThreshold(threshold, moments, weight, crash.at - (soundAt ?? -Infinity))) quarantinedAt ??= crash.at
+  }
+  return { part, crashes, moments, weight, quarantinedAt, soundAt, lastCrashAt: crashes.at(-1)!.at }
+}
+
+const meetsThreshold = (threshold: Threshold, moments: number, weight: number, silence: Millis): boolean =>
+  silence >= threshold.silence &&
+  (moments >= threshold.sufficientMoments || (moments >= threshold.moments && weight >= threshold.weight))
--- /dev/null
+++ b/packages/domain/src/forwarding/quarantine/constants.ts
@@ -0,0 +1,62 @@
+/** Thresholds and bounds of the quarantine of prompt parts. */
+import type { Millis } from '../../types.js'
+
+/** Moments and weight of evidence from which a part is quarantined. */
+export interface Threshold {
+  readonly moments: number
+  /** Sum over the moments of the part's share of the blame. */
+  readonly weight: number
+  /** Moments that suffice whatever their weight is. */
+  readonly sufficientMoments: number
+  /** Time from the last sound answer to the last crash. */
+  readonly silence: Millis
+}
+
+/** For parts that were never seen in a sound answer. */
+export const NEW_PART_THRESHOLD: Threshold = { moments: 2, weight: 1, sufficientMoments: 3, silence: 0 }
+
+/** For parts that were sound before: other causes are more likely. */
+export const SOUND_PART_THRESHOLD: Threshold = { moments: 4, weight: 2, sufficientMoments: 5, silence: 1_000 }
+
+/** Crashes closer than this to the first of a moment belong to it. */
+export const MOMENT_LENGTH: Millis = 250
+
+/** Other servers' ends within this time, before or after, may have the same cause. */
+export const COMMON_EVENT_TIME: Millis = 200
+
+/** Number of unrelated servers whose ends make a common event. */
+export const COMMON_EVENT_SERVERS = 2
+
+/** Data that arrives this much later than a crash refutes the crash. */
+export const SURVIVAL_DELAY: Millis = 50
+
+/** Difference in time below which a fact about a part or a survival is the one that is known: it was only under way. */
+export const FACT_TOLERANCE: Millis = 150
+
+/** Difference in time below which two reports of a node on the same start are about the same end. */
+export const SAME_END_TOLERANCE: Millis = 1_000
+
+/** Time from the crash that decides a quarantine, or from a later one, to the first trial. */
+export const FIRST_TRIAL_GAP: Millis = 500
+
+/** Later gaps are this multiple of the time for which the quarantine has lasted. */
+export const TRIAL_GAP_GROWTH = 5
+
+export const MAX_TRIAL_GAP: Millis = 480_000
+
+/** Time after which facts without a later crash of the same part expire. */
+export const FACT_EXPIRY: Millis = 600_000
+
+export const MAX_REPORTS = 256
+export const MAX_SURVIVALS = 256
+export const MAX_TRIALS = 256
+export const MAX_SOUND_PARTS = 20_000
+
+/** Upper bound of the parts in a crash report. */
+export const MAX_REPORT_PARTS = 32
+
+/** Upper bounds of what other nodes are told. */
+export const MAX_SHARED_REPORTS = 64
+export const MAX_SHARED_SOUNDS = 256
+export const MAX_SHARED_SURVIVALS = 64
+export const MAX_SHARED_TRIALS = 64
--- /dev/null
+++ b/packages/domain/src/forwarding/quarantine/index.ts
@@ -0,0 +1,3 @@
+export * from './types.js'
+export * from './PartQuarantine.js'
+export { sharedParts } from './promptParts.js'
--- /dev/null
+++ b/packages/domain/tests/partQuarantine.test.ts
@@ -0,0 +1,51 @@
+import test from 'ava'
+
+import { PartQuarantine, PartStatus } from '../src/index.js'
+import type { CrashReport, NodeId, RunnerId } from '../src/index.js'
+
+const NODE = 'n0' as NodeId
+
+/** A server of its own ends at the time of each crash. */
+const crash = (at: number, parts: readonly string[], suspects = 1): CrashReport =>
+  ({ server: `e${at}` as RunnerId, startedAt: 1, reportedBy: NODE, at, suspects, parts })
+
+const quarantineOf = (...reports: readonly CrashReport[]): PartQuarantine => {
+  const quarantine = new PartQuarantine()
+  for (const report of reports) quarantine.recordCrash(report)
+  return quarantine
+}
+
+const statusOf = (quarantine: PartQuarantine, part: string, now: number): PartStatus => quarantine.verdict([part, 'own'], now).status
+
+test('one crash makes a part suspected, a second one quarantines it', (t) => {
+  const quarantine = quarantineOf(crash(0, ['a']))
+  t.is(statusOf(quarantine, 'a', 1), PartStatus.Suspected)
+  quarantine.recordCrash(crash(1_000, ['a']))
+  t.is(statusOf(quarantine, 'a', 1_001), PartStatus.Quarantined)
+  t.is(statusOf(quarantine, 'b', 1_001), PartStatus.Clear)
+})
+
+test('the last part of a request is no object of a verdict', (t) => {
+  const quarantine = quarantineOf(crash(0, ['a']), crash(1_000, ['a']))
+  t.is(quarantine.verdict(['b', 'a'], 1_001).status, PartStatus.Clear)
+  t.deepEqual(quarantine.suspectsOf([['b', 'a'], ['c']]), { suspects: 1, parts: ['b'] })
+})
+
+test('a sound answer after the last crash lifts a quarantine', (t) => {
+  const quarantine = quarantineOf(crash(0, ['a']), crash(1_000, ['a']))
+  t.true(quarantine.recordSound({ part: 'a', at: 1_010 }))
+  t.is(statusOf(quarantine, 'a', 1_011), PartStatus.Clear)
+})
+
+test('servers that end together count as one crash', (t) => {
+  const together = [0, 50, 100, 150].map((at) => crash(at, ['a']))
+  t.is(statusOf(quarantineOf(...together), 'a', 200), PartStatus.Suspected)
+})
+
+test('a server that sends data after its crash was reported has not crashed', (t) => {
+  const reports = [crash(0, ['a']), crash(1_000, ['a'])]
+  const quarantine = quarantineOf(...reports)
+  t.true(quarantine.recordSurvival({ server: reports[1]!.server, startedAt: 1, at: 1_100 }))
+  t.is(statusOf(quarantine, 'a', 1_101), PartStatus.Suspected)
+  t.like(quarantine.counts(1_101), { crashesKnown: 1, crashesRefuted: 1 })
+})
