Domain: parts that crash engines, first loads in virtual time; requests with some of several inseparable parts tell them apart

A request without all of them is now a trial of its own, and repeated trials of several parts are spaced over the fleet.

--- a/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
+++ b/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
@@ -9,16 +9,13 @@
 import { CrashReports } from './CrashReports.js'
 import { collectSuspects, sharedParts } from './promptParts.js'
 import { SoundParts } from './SoundParts.js'
-import { nextTrialTime } from './trialSchedule.js'
+import { trialTime } from './trialSchedule.js'
+import type { QuarantinedStanding } from './trialSchedule.js'
 import { PartStatus } from './types.js'
 import type {
   CrashReport, PartEvidence, PartTrial, PartVerdict, PromptPart, QuarantineCounts, QuarantineFacts, ServerSurvival, SoundPart
 } from './types.js'
 
-interface QuarantinedStanding extends PartStanding {
-  readonly quarantinedAt: Millis
-}
-
 /** Copy of one node. Copies that have the same facts reach the same verdicts, in whatever order the facts arrive. */
 export class PartQuarantine {
   readonly #reports = new CrashReports()
@@ -70,6 +67,14 @@
     return refuted > 0
   }
 
+  /**
+   * @param start - one start of a server
+   * @returns whether it is reported as crashed, so that data from it has to be recorded as a survival
+   */
+  isReported (start: Pick<CrashReport, 'server' | 'startedAt'>): boolean {
+    return this.#reports.countValid(start) > 0
+  }
+
   /**
    * @param trial - a request that was sent to find out whether a part is sound again
    * @returns whether other nodes should know of it
@@ -100,17 +105,20 @@
 
   /** The part whose trial is due last decides. */
   #quarantineVerdict (standings: readonly QuarantinedStanding[], now: Millis): PartVerdict {
-    const deciding = standings.reduce((last, each) => this.#trialTime(each) > this.#trialTime(last) ? each : last)
+    const parts = standings.map(({ part }) => part)
+    const context = { present: new Set(parts), quarantined: this.#quarantined(), trials: this.#trials }
+    const times = standings.map((standing) => trialTime(standing, context))
+    const dueAt = Math.max(...times)
     return {
       status: PartStatus.Quarantined,
-      evidence: evidenceOf(deciding, now),
-      parts: standings.map(({ part }) => part),
-      isTrialDue: now >= this.#trialTime(deciding)
+      evidence: evidenceOf(standings[times.indexOf(dueAt)]!, now),
+      parts,
+      isTrialDue: now >= dueAt
     }
   }
 
-  #trialTime ({ part, quarantinedAt, lastCrashAt }: QuarantinedStanding): Millis {
-    return nextTrialTime(quarantinedAt, Math.max(lastCrashAt, this.#trials.get(part)?.at ?? -Infinity))
+  #quarantined (): QuarantinedStanding[] {
+    return [...this.#assess().values()].filter(isQuarantined)
   }
 
   /**
@@ -127,7 +135,7 @@
    */
   quarantinedParts (now: Millis): PartEvidence[] {
     this.#expire(now)
-    return [...this.#assess().values()].filter(isQuarantined).map((standing) => evidenceOf(standing, now))
+    return this.#quarantined().map((standing) => evidenceOf(standing, now))
   }
 
   /**
--- a/packages/domain/src/forwarding/quarantine/assessment.ts
+++ b/packages/domain/src/forwarding/quarantine/assessment.ts
@@ -15,6 +15,8 @@
   /** Time of the crash that met the threshold; null if the part is only suspected. */
   readonly quarantinedAt: Millis | null
   readonly soundAt: Millis | null
+  /** The part, and those that met exactly the same crashes; a request without all of them tells them apart. */
+  readonly inseparable: readonly PromptPart[]
   /** Time of its last crash, counted or not. */
   readonly lastCrashAt: Millis
 }
@@ -40,7 +42,8 @@
       for (const standing of candidates) standings.set(standing.part, standing)
       return standings
     }
-    for (const standing of accused) standings.set(standing.part, { ...standing, lastCrashAt: lastCrashTime(crashes, standing) })
+    const inseparable = accused.map(({ part }) => part)
+    for (const standing of accused) standings.set(standing.part, { ...standing, inseparable, lastCrashAt: lastCrashTime(crashes, standing) })
     unexplained = unexplained.filter((crash) => !accused.some((standing) => isCandidate(crash, standing.part, standing.soundAt)))
   }
 }
@@ -126,7 +129,7 @@
     momentShare = Math.max(share, momentShare)
     if (meetsThreshold(threshold, moments, weight, crash.at - (soundAt ?? -Infinity))) quarantinedAt ??= crash.at
   }
-  return { part, crashes, moments, weight, quarantinedAt, soundAt, lastCrashAt: crashes.at(-1)!.at }
+  return { part, crashes, moments, weight, quarantinedAt, soundAt, inseparable: [part], lastCrashAt: crashes.at(-1)!.at }
 }
 
 const meetsThreshold = (threshold: Threshold, moments: number, weight: number, silence: Millis): boolean =>
--- a/packages/domain/src/forwarding/quarantine/constants.ts
+++ b/packages/domain/src/forwarding/quarantine/constants.ts
@@ -42,6 +42,9 @@
 /** Later gaps are this multiple of the time for which the quarantine has lasted. */
 export const TRIAL_GAP_GROWTH = 5
 
+/** Time after the trial of a quarantined part in which no other part gets a repeated trial: engines pay for all of them. */
+export const FLEET_TRIAL_GAP: Millis = 20_000
+
 export const MAX_TRIAL_GAP: Millis = 480_000
 
 /** Time after which facts without a later crash of the same part expire. */
--- /dev/null
+++ b/packages/domain/tests/quarantineFleet.ts
@@ -0,0 +1,286 @@
+/** Simulates nodes that exchange facts about prompt parts, and engines that crash, in virtual time. */
+import { PartQuarantine, PartStatus } from '../src/index.js'
+import type { Millis, NodeId, PromptPart, QuarantineFacts, RunnerId } from '../src/index.js'
+import { seededRandom } from './random.js'
+import { VirtualScheduler } from './virtualScheduler.js'
+
+/** Requests, engines and disturbances of one simulation. */
+export interface FleetLoad {
+  readonly seed: number
+  readonly until: Millis
+  readonly nodes: number
+  readonly engines: number
+  readonly slots: number
+  /** Requests per second. */
+  readonly rate: number
+  /** Shortest and longest time to the first event. */
+  readonly prefill: readonly [Millis, Millis]
+  /** Shortest and longest time from the first event to the end. */
+  readonly answer: readonly [Millis, Millis]
+  readonly partsOf: (random: () => number, index: number) => readonly PromptPart[]
+  readonly isGuilty: (part: PromptPart, now: Millis) => boolean
+  /** Whether answers to requests with these parts are counted. */
+  readonly isCounted: (parts: readonly PromptPart[]) => boolean
+  /** Whether messages between two nodes are lost. */
+  readonly isCut: (from: number, to: number, now: Millis) => boolean
+  /** Share of the answers that an engine breaks off although it lives on. */
+  readonly breakOffShare: (engine: number, now: Millis) => number
+  readonly disturbances: ReadonlyArray<{ readonly at: Millis, readonly run: (fleet: QuarantineFleet) => void }>
+}
+
+interface SimulatedRequest { readonly arrivedAt: Millis, readonly parts: readonly PromptPart[], readonly isCounted: boolean, attempts: number }
+
+interface SimulatedAttempt {
+  readonly request: SimulatedRequest
+  readonly engine: SimulatedEngine
+  readonly startedAt: number
+  readonly node: SimulatedNode
+  readonly isTrial: boolean
+  isProved: boolean
+  isOpen: boolean
+}
+
+interface SimulatedEngine { readonly index: number, readonly id: RunnerId, startedAt: number, isUp: boolean, readonly running: Set<SimulatedAttempt> }
+
+interface SimulatedNode { readonly index: number, readonly id: NodeId, quarantine: PartQuarantine, readonly open: Set<SimulatedAttempt> }
+
+const RESTART_TIME: Millis = 3_000
+const HEARTBEAT: Millis = 600
+const EVENT_GAP: Millis = 100
+const MAX_ATTEMPTS = 3
+const RETRY_DELAY: Millis = 20
+const FULL_DELAY: Millis = 100
+const LONGEST_WAIT: Millis = 3_000
+const SAMPLE_GAP: Millis = 50
+
+/** One run; its public fields are what the tests assert. */
+export class QuarantineFleet {
+  /** Times at which guilty requests crashed an engine. */
+  readonly crashes: Millis[] = []
+  /** Times at which guilty requests reached an engine. */
+  readonly guiltyArrivals: Millis[] = []
+  /** Arrival times of the counted requests that were answered. */
+  readonly served: Millis[] = []
+  /** Arrival times of the counted requests that were refused because of a part. */
+  readonly refused: Millis[] = []
+  /** Longest time for which each part was quarantined without a break at the observed node while it was not guilty. */
+  readonly falseQuarantines = new Map<PromptPart, Millis>()
+  readonly nodes: SimulatedNode[]
+  readonly engines: SimulatedEngine[]
+  readonly #load: FleetLoad
+  readonly #scheduler = new VirtualScheduler()
+  readonly #arrivalRandom: () => number
+  readonly #random: () => number
+
+  constructor (load: FleetLoad) {
+    this.#load = load
+    this.#arrivalRandom = seededRandom(load.seed)
+    this.#random = seededRandom(load.seed + 1_000)
+    this.nodes = Array.from({ length: load.nodes }, (_, index) => ({ index, id: `n${index}` as NodeId, quarantine: new PartQuarantine(), open: new Set() }))
+    this.engines = Array.from({ length: load.engines }, (_, index) => ({ index, id: `e${index}` as RunnerId, startedAt: 1, isUp: true, running: new Set() }))
+  }
+
+  get now (): Millis {
+    return this.#scheduler.now
+  }
+
+  /** @returns the fleet after the whole simulation */
+  run (): this {
+    this.#scheduleArrival(0)
+    for (const node of this.nodes) this.#after(this.#random() * HEARTBEAT, () => { this.#beat(node) })
+    for (const { at, run } of this.#load.disturbances) this.#scheduler.schedule(at, () => { run(this) })
+    this.#after(SAMPLE_GAP, () => { this.#sample(new Map()) })
+    this.#scheduler.run(this.#load.until)
+    return this
+  }
+
+  /** Ends an engine and all its connections; it is back after some seconds. */
+  crash (engine: SimulatedEngine): void {
+    if (!engine.isUp) return
+    engine.isUp = false
+    const running = [...engine.running]
+    for (const node of this.nodes) this.#after(this.#random() * 10, () => { this.#breakOff(node, running.filter((attempt) => attempt.node === node)) })
+    engine.running.clear()
+    this.#after(RESTART_TIME, () => { Object.assign(engine, { isUp: true, startedAt: this.now }) })
+  }
+
+  /** Breaks a share of the connections of a node; the engines live on. */
+  resetConnections (node: SimulatedNode, share: number): void {
+    const broken = [...node.open].filter(() => this.#random() < share)
+    for (const engine of this.engines) this.#breakOff(node, broken.filter((attempt) => attempt.engine === engine))
+  }
+
+  /** Replaces what a node knows by the facts that a peer tells it. */
+  restartNode (node: SimulatedNode): void {
+    node.quarantine = new PartQuarantine()
+    const peer = this.nodes.find((each) => each !== node)!
+    this.#tell(peer, node, peer.quarantine.facts(this.now))
+  }
+
+  #after (delay: Millis, run: () => void): void {
+    this.#scheduler.schedule(this.now + delay, run)
+  }
+
+  #between ([least, most]: readonly [Millis, Millis]): Millis {
+    return least + this.#random() * (most - least)
+  }
+
+  #isGuilty ({ parts }: SimulatedRequest): boolean {
+    return parts.slice(0, -1).some((part) => this.#load.isGuilty(part, this.now))
+  }
+
+  #scheduleArrival (index: number): void {
+    const random = this.#arrivalRandom
+    this.#after(-Math.log(1 - random()) * 1_000 / this.#load.rate, () => {
+      const parts = this.#load.partsOf(random, index)
+      const node = this.nodes[Math.floor(random() * this.nodes.length)]!
+      this.#send({ arrivedAt: this.now, parts, isCounted: this.#load.isCounted(parts), attempts: 0 }, node)
+      this.#scheduleArrival(index + 1)
+    })
+  }
+
+  #send (request: SimulatedRequest, node: SimulatedNode): void {
+    const verdict = node.quarantine.verdict(request.parts, this.now)
+    const isTrial = verdict.status === PartStatus.Quarantined && verdict.isTrialDue && this.#grantTrial(request, node)
+    if (verdict.status === PartStatus.Quarantined && !isTrial) {
+      if (request.isCounted) this.refused.push(request.arrivedAt)
+      return
+    }
+    const engine = this.#choose(verdict.status !== PartStatus.Clear)
+    if (engine !== null) this.#start(request, node, engine, isTrial)
+    else if (this.now < request.arrivedAt + LONGEST_WAIT) this.#after(FULL_DELAY, () => { this.#send(request, node) })
+  }
+
+  /** The first node that is reached decides for all. */
+  #grantTrial (request: SimulatedRequest, node: SimulatedNode): boolean {
+    const chooser = this.nodes.find((each) => each === node || !this.#load.isCut(node.index, each.index, this.now))!
+    const verdict = chooser.quarantine.verdict(request.parts, this.now)
+    if (verdict.status !== PartStatus.Quarantined || !verdict.isTrialDue) return false
+    for (const part of verdict.parts) {
+      const trial = { part, at: this.now, grantedBy: chooser.id }
+      chooser.quarantine.recordTrial(trial)
+      node.quarantine.recordTrial(trial)
+    }
+    this.#announce(chooser)
+    return true
+  }
+
+  #choose (isAlone: boolean): SimulatedEngine | null {
+    const free = this.engines.filter(({ isUp, running }) => isUp && running.size < this.#load.slots)
+    if (free.length === 0) return null
+    if (isAlone) return free.reduce((a, b) => b.running.size < a.running.size ? b : a)
+    const [a, b] = [0, 1].map(() => free[Math.floor(this.#random() * free.length)]!)
+    return a!.running.size <= b!.running.size ? a! : b!
+  }
+
+  #start (request: SimulatedRequest, node: SimulatedNode, engine: SimulatedEngine, isTrial: boolean): void {
+    request.attempts++
+    const attempt: SimulatedAttempt = { request, engine, startedAt: engine.startedAt, node, isTrial, isProved: false, isOpen: true }
+    engine.running.add(attempt)
+    node.open.add(attempt)
+    if (this.#isGuilty(request)) this.guiltyArrivals.push(this.now)
+    const prefill = this.#between(this.#load.prefill)
+    const end = prefill + EVENT_GAP + this.#between(this.#load.answer)
+    if (this.#random() < this.#load.breakOffShare(engine.index, this.now)) this.#after(this.#random() * end, () => { if (attempt.isOpen) this.#breakOff(node, [attempt]) })
+    this.#after(prefill, () => { this.#beginAnswer(attempt, this.now + end - prefill) })
+  }
+
+  #beginAnswer (attempt: SimulatedAttempt, end: Millis): void {
+    if (!attempt.isOpen || !attempt.engine.running.has(attempt)) return
+    if (this.#isGuilty(attempt.request)) {
+      this.crashes.push(this.now)
+      this.crash(attempt.engine)
+      return
+    }
+    this.#after(EVENT_GAP, () => { this.#prove(attempt) })
+    this.#nextEvent(attempt, end)
+  }
+
+  #prove (attempt: SimulatedAttempt): void {
+    if (!attempt.isOpen || !attempt.engine.running.has(attempt)) return
+    attempt.isProved = true
+    const { node, request } = attempt
+    const news = request.parts.slice(0, -1).filter((part) => node.quarantine.recordSound({ part, at: this.now }))
+    if (news.length > 0) this.#announce(node)
+  }
+
+  #nextEvent (attempt: SimulatedAttempt, end: Millis): void {
+    if (!attempt.isOpen || !attempt.engine.running.has(attempt)) return
+    const { node, engine: { id: server }, startedAt } = attempt
+    const isNews = node.quarantine.isReported({ server, startedAt }) && node.quarantine.recordSurvival({ server, startedAt, at: this.now })
+    if (isNews) this.#announce(node)
+    if (this.now < end) this.#after(EVENT_GAP, () => { this.#nextEvent(attempt, end) })
+    else {
+      this.#close(attempt)
+      if (attempt.request.isCounted) this.served.push(attempt.request.arrivedAt)
+    }
+  }
+
+  #close (attempt: SimulatedAttempt): void {
+    attempt.isOpen = false
+    attempt.engine.running.delete(attempt)
+    attempt.node.open.delete(attempt)
+  }
+
+  /** Connections of a node to one server break: the node reports all open requests there, and sends those that broke again. */
+  #breakOff (node: SimulatedNode, broken: readonly SimulatedAttempt[]): void {
+    const first = broken.find(({ isOpen }) => isOpen)
+    if (first === undefined) return
+    const { engine, startedAt } = first
+    const unproved = [...node.open].filter((attempt) => attempt.engine === engine && attempt.startedAt === startedAt && !attempt.isProved)
+    const suspects = node.quarantine.suspectsOf(unproved.map(({ request }) => request.parts))
+    const isNews = node.quarantine.recordCrash({ server: engine.id, startedAt, reportedBy: node.id, at: this.now, ...suspects })
+    if (isNews) this.#announce(node)
+    this.#cutQuarantined(node)
+    for (const attempt of broken.filter(({ isOpen }) => isOpen)) {
+      this.#close(attempt)
+      if (attempt.request.attempts < MAX_ATTEMPTS) this.#after(RETRY_DELAY, () => { this.#send(attempt.request, node) })
+    }
+  }
+
+  #beat (node: SimulatedNode): void {
+    this.#announce(node)
+    this.#after(HEARTBEAT, () => { this.#beat(node) })
+  }
+
+  #announce (node: SimulatedNode): void {
+    const facts = node.quarantine.facts(this.now)
+    if (Object.values(facts).every((each: readonly unknown[]) => each.length === 0)) return
+    for (const peer of this.nodes) if (peer !== node) this.#tell(node, peer, facts)
+  }
+
+  /** Times travel as ages, so that the receiver takes each fact for younger than it is, by the time under way. */
+  #tell (from: SimulatedNode, to: SimulatedNode, facts: QuarantineFacts): void {
+    if (this.#load.isCut(from.index, to.index, this.now)) return
+    const delay = this.#between(MESSAGE_DELAY)
+    this.#after(delay, () => { this.#hear(to, facts, delay) })
+  }
+
+  #hear (node: SimulatedNode, facts: QuarantineFacts, delay: Millis): void {
+    const { quarantine } = node
+    const later = <Fact extends { readonly at: Millis }>(fact: Fact): Fact => ({ ...fact, at: Math.round(fact.at + delay) })
+    for (const crash of facts.crashes) quarantine.recordCrash(later(crash))
+    for (const sound of facts.sounds) quarantine.recordSound(later(sound))
+    for (const survival of facts.survivals) quarantine.recordSurvival(later(survival))
+    for (const trial of facts.trials) quarantine.recordTrial(later(trial))
+    this.#cutQuarantined(node)
+  }
+
+  #cutQuarantined (node: SimulatedNode): void {
+    for (const attempt of [...node.open]) {
+      if (attempt.isProved || attempt.isTrial || node.quarantine.verdict(attempt.request.parts, this.now).status !== PartStatus.Quarantined) continue
+      this.#close(attempt)
+      if (attempt.request.isCounted) this.refused.push(attempt.request.arrivedAt)
+    }
+  }
+
+  #sample (since: ReadonlyMap<PromptPart, Millis>): void {
+    const parts = this.nodes[1]!.quarantine.quarantinedParts(this.now).map(({ part }) => part).filter((part) => !this.#load.isGuilty(part, this.now))
+    const next = new Map(parts.map((part) => [part, since.get(part) ?? this.now]))
+    for (const [part, from] of next) this.falseQuarantines.set(part, Math.max(this.falseQuarantines.get(part) ?? 0, this.now - from + SAMPLE_GAP))
+    this.#after(SAMPLE_GAP, () => { this.#sample(next) })
+  }
+}
+
+/** Shortest and longest time of a message between two nodes. */
+const MESSAGE_DELAY: readonly [Millis, Millis] = [2, 80]
