--- a/packages/domain/src/forwarding/quarantine/CrashReports.ts
+++ b/packages/domain/src/forwarding/quarantine/CrashReports.ts
@@ -48,6 +48,18 @@
     return known === undefined || !haveSameContent(known, merged)
   }
 
+  /**
+   * @param reports - reports that a peer tells
+   * @returns least time by which those that are known seem later than they were; 0 if none is known
+   */
+  delayOf (reports: readonly CrashReport[]): Millis {
+    const delays = reports.flatMap((report) => {
+      const known = this.#reports.get(reportKey(report))
+      return known !== undefined && Math.abs(report.at - known.at) <= SAME_END_TOLERANCE ? [report.at - known.at] : []
+    })
+    return delays.length === 0 ? 0 : Math.max(0, Math.min(...delays))
+  }
+
   /**
    * @param survival - a sign of life of a server
    * @returns whether it is newer than the one that was known
--- a/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
+++ b/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
@@ -3,10 +3,11 @@
 import { assessParts } from './assessment.js'
 import type { PartStanding } from './assessment.js'
 import {
-  FACT_EXPIRY, FACT_TOLERANCE, MAX_REPORTS, MAX_SHARED_REPORTS, MAX_SHARED_SOUNDS, MAX_SHARED_SURVIVALS, MAX_SHARED_TRIALS, MAX_SOUND_PARTS,
-  MAX_SURVIVALS, MAX_TRIALS
+  EXPIRY_CHECK_GAP, FACT_EXPIRY, MAX_REPORTS, MAX_SHARED_REPORTS, MAX_SHARED_SOUNDS, MAX_SHARED_SURVIVALS, MAX_SHARED_TRIALS, MAX_SOUND_PARTS,
+  MAX_SURVIVALS, MAX_TRIED_PARTS
 } from './constants.js'
 import { CrashReports } from './CrashReports.js'
+import { PartTrials } from './PartTrials.js'
 import { collectSuspects, sharedParts } from './promptParts.js'
 import { SoundParts } from './SoundParts.js'
 import { trialTime } from './trialSchedule.js'
@@ -20,12 +21,33 @@
 export class PartQuarantine {
   readonly #reports = new CrashReports()
   readonly #sounds = new SoundParts(MAX_SOUND_PARTS)
-  readonly #trials = new Map<PromptPart, PartTrial>()
+  readonly #trials = new PartTrials(MAX_TRIED_PARTS)
   /** Times of the known crashes of each part. */
   #crashTimes = new Map<PromptPart, Millis[]>()
+  #lastCrashAt: Millis = Infinity
   /** Null if facts have changed since it was computed. */
   #standings: Map<PromptPart, PartStanding> | null = null
   #factsDropped = 0
+  #expiryCheckedAt: Millis = -Infinity
+
+  /**
+   * Merges what a peer tells. The crashes that both know show how long the message was under way; its times are corrected by that, since
+   * sound answers would otherwise move past later crashes as they go round.
+   *
+   * @param facts - facts of a peer, with times on this node's clock
+   * @returns whether other nodes should know of some of them
+   */
+  merge (facts: QuarantineFacts): boolean {
+    const delay = this.#reports.delayOf(facts.crashes)
+    const corrected = <Fact extends { readonly at: Millis }>(fact: Fact): Fact => ({ ...fact, at: fact.at - delay })
+    const news = [
+      ...facts.crashes.map((crash) => this.recordCrash(corrected(crash))),
+      ...facts.survivals.map((survival) => this.recordSurvival(corrected(survival))),
+      ...facts.sounds.map((sound) => this.recordSound(corrected(sound))),
+      ...facts.trials.map((trial) => this.recordTrial(corrected(trial)))
+    ]
+    return news.includes(true)
+  }
 
   /**
    * @param report - requests of a node that may have crashed a server
@@ -44,14 +66,15 @@
    */
   recordSound (sound: SoundPart): boolean {
     const { part, at } = sound
-    const crashTimes = this.#crashTimes.get(part) ?? []
-    const known = this.#sounds.find(part)
-    const isBetween = (from: Millis, to: Millis): boolean => crashTimes.some((time) => time > from && time <= to)
-    if (!this.#sounds.record(sound, isBetween)) return false
+    const known = this.#sounds.find(part) ?? -Infinity
+    const newest = this.#sounds.newest?.at ?? -Infinity
+    if (!this.#sounds.record(sound)) return false
+    this.#trials.removeUntil(part, at)
     this.#factsDropped += this.#sounds.trim((each) => this.#crashTimes.has(each))
-    if (crashTimes.length === 0) return false
-    this.#standings = null
-    return known === null || isBetween(known, at)
+    const isContrast = newest <= this.#lastCrashAt && at > this.#lastCrashAt
+    const crashTimes = this.#crashTimes.get(part) ?? []
+    if (isContrast || crashTimes.length > 0) this.#standings = null
+    return isContrast || crashTimes.some((time) => time > known && (time <= at || known === -Infinity))
   }
 
   /**
@@ -80,11 +103,9 @@
    * @returns whether other nodes should know of it
    */
   recordTrial (trial: PartTrial): boolean {
-    const known = this.#trials.get(trial.part)
-    if (known !== undefined && trial.at <= known.at + FACT_TOLERANCE) return false
-    this.#trials.delete(trial.part)
-    this.#trials.set(trial.part, trial)
-    this.#dropTrials()
+    const soundAt = this.#sounds.find(trial.part) ?? -Infinity
+    if (trial.at <= soundAt || !this.#trials.record(trial)) return false
+    this.#factsDropped += this.#trials.trim()
     return true
   }
 
@@ -163,15 +184,22 @@
     this.#expire(now)
     const reports = this.#reports.reports.sort((a, b) => this.#importance(b) - this.#importance(a) || b.at - a.at)
     const crashes = reports.slice(0, MAX_SHARED_REPORTS)
-    const parts = partsByFrequency(crashes)
     return {
       crashes,
-      sounds: parts.flatMap((part) => this.#soundOf(part)).slice(0, MAX_SHARED_SOUNDS),
+      sounds: this.#sharedSounds(crashes),
       survivals: this.#reports.survivals.sort((a, b) => b.at - a.at).slice(0, MAX_SHARED_SURVIVALS),
-      trials: [...this.#trials.values()].sort((a, b) => b.at - a.at).slice(0, MAX_SHARED_TRIALS)
+      trials: this.#trials.all.slice(0, MAX_SHARED_TRIALS)
     }
   }
 
+  /** The newest sound answer of any part shows that other requests are answered. */
+  #sharedSounds (crashes: readonly CrashReport[]): SoundPart[] {
+    const { newest } = this.#sounds
+    if (newest === null || crashes.length === 0) return []
+    const others = partsByFrequency(crashes).filter((part) => part !== newest.part)
+    return [newest, ...others.flatMap((part) => this.#soundOf(part))].slice(0, MAX_SHARED_SOUNDS)
+  }
+
   #soundOf (part: PromptPart): SoundPart[] {
     const at = this.#sounds.find(part)
     return at === null ? [] : [{ part, at }]
@@ -189,13 +217,14 @@
   }
 
   #assess (): Map<PromptPart, PartStanding> {
-    this.#standings ??= assessParts(this.#reports.crashes(), (part) => this.#sounds.find(part))
+    this.#standings ??= assessParts(this.#reports.crashes(), this.#sounds)
     return this.#standings
   }
 
   #factsChanged (): void {
     this.#standings = null
     this.#crashTimes = new Map()
+    this.#lastCrashAt = this.#reports.reports.reduce<Millis>((latest, { at }) => Math.max(latest, at), -Infinity)
     for (const { parts, at } of this.#reports.reports) {
       for (const part of parts) {
         const times = this.#crashTimes.get(part)
@@ -207,17 +236,19 @@
 
   /** Evidence against a part is kept as long as its quarantine is confirmed at times. */
   #expire (now: Millis): void {
+    if (now < this.#expiryCheckedAt + EXPIRY_CHECK_GAP) return
+    this.#expiryCheckedAt = now
     const limit = now - FACT_EXPIRY
     const expired = this.#reports.reports.filter((report) => report.at < limit && !report.parts.some((part) => this.#isConfirmedSince(part, limit)))
     for (const report of expired) this.#reports.remove(report)
     for (const survival of this.#reports.survivals) if (survival.at < limit) this.#reports.removeSurvival(survival)
-    for (const [part, { at }] of this.#trials) if (at < limit) this.#trials.delete(part)
+    this.#trials.expire(limit)
     if (expired.length > 0) this.#factsChanged()
   }
 
   #isConfirmedSince (part: PromptPart, limit: Millis): boolean {
     const standing = this.#assess().get(part)
-    return standing !== undefined && isQuarantined(standing) && Math.max(standing.lastCrashAt, this.#trials.get(part)?.at ?? -Infinity) >= limit
+    return standing !== undefined && isQuarantined(standing) && Math.max(standing.lastCrashAt, this.#trials.lastTime(part)) >= limit
   }
 
   #dropReports (): void {
@@ -234,13 +265,6 @@
     this.#reports.removeSurvival(survivals.reduce((a, b) => b.at < a.at ? b : a))
     this.#factsDropped++
   }
-
-  #dropTrials (): void {
-    const oldest = this.#trials.keys().next()
-    if (this.#trials.size <= MAX_TRIALS || oldest.done === true) return
-    this.#trials.delete(oldest.value)
-    this.#factsDropped++
-  }
 }
 
 const isQuarantined = (standing: PartStanding): standing is QuarantinedStanding => standing.quarantinedAt !== null
--- a/packages/domain/src/forwarding/quarantine/SoundParts.ts
+++ b/packages/domain/src/forwarding/quarantine/SoundParts.ts
@@ -7,6 +7,8 @@
 export class SoundParts {
   readonly #times = new Map<PromptPart, Millis>()
   readonly #capacity: number
+  /** Newest sound answer of any part; null if there is none. */
+  newest: SoundPart | null = null
 
   /** @param capacity - number of parts that are kept */
   constructor (capacity: number) {
@@ -15,15 +17,13 @@
 
   /**
    * @param sound - the sound answer
-   * @param isDecisive - whether a crash lies between the given two times, so that even a small difference counts
    * @returns whether it is newer than the one that was known
    */
-  record ({ part, at }: SoundPart, isDecisive: (from: Millis, to: Millis) => boolean): boolean {
-    const known = this.#times.get(part) ?? -Infinity
-    const isNewer = at > known + FACT_TOLERANCE || (at > known && isDecisive(known, at))
-    if (!isNewer) return false
+  record ({ part, at }: SoundPart): boolean {
+    if (at <= (this.#times.get(part) ?? -Infinity) + FACT_TOLERANCE) return false
     this.#times.delete(part)
     this.#times.set(part, at)
+    if (this.newest === null || at > this.newest.at || (at === this.newest.at && part < this.newest.part)) this.newest = { part, at }
     return true
   }
 
--- a/packages/domain/src/forwarding/quarantine/assessment.ts
+++ b/packages/domain/src/forwarding/quarantine/assessment.ts
@@ -1,6 +1,6 @@
 /** Finds the parts that explain the crashes of engines best. */
 import type { Millis } from '../../types.js'
-import { COMMON_EVENT_SERVERS, COMMON_EVENT_TIME, MOMENT_LENGTH, NEW_PART_THRESHOLD, SOUND_PART_THRESHOLD } from './constants.js'
+import { COMMON_EVENT_SERVERS, COMMON_EVENT_TIME, CONTRAST_MARGIN, LIKELY_CAUSE_SHARE, MOMENT_LENGTH, NEW_PART_THRESHOLD, SOUND_PART_THRESHOLD } from './constants.js'
 import type { Threshold } from './constants.js'
 import type { Crash } from './CrashReports.js'
 import type { PromptPart } from './types.js'
@@ -21,22 +21,27 @@
   readonly lastCrashAt: Millis
 }
 
-/** Time of a part's newest sound answer; null if there is none. */
-type SoundTime = (part: PromptPart) => Millis | null
+/** What is known of sound answers. */
+export interface SoundTimes {
+  /** Time of a part's newest sound answer; null if there is none. */
+  readonly find: (part: PromptPart) => Millis | null
+  /** Newest sound answer of any part. */
+  readonly newest: { readonly at: Millis } | null
+}
 
 /**
  * Accuses the part with the most evidence, sets aside the crashes that it explains, and goes on with the rest. Sound parts that were on
  * board with a guilty one are so cleared, however often they met it.
  *
  * @param crashes - the crashes that are not refuted, oldest first
- * @param soundTime - time of a part's newest sound answer
+ * @param sounds - the sound answers
  * @returns the parts that are quarantined or suspected
  */
-export const assessParts = (crashes: readonly Crash[], soundTime: SoundTime): Map<PromptPart, PartStanding> => {
+export const assessParts = (crashes: readonly Crash[], sounds: SoundTimes): Map<PromptPart, PartStanding> => {
   const standings = new Map<PromptPart, PartStanding>()
   let unexplained = crashes
   for (;;) {
-    const candidates = collectStandings(unexplained, soundTime).filter(({ part }) => !standings.has(part))
+    const candidates = collectStandings(unexplained, sounds).filter(({ part }) => !standings.has(part))
     const accused = mostAccused(candidates)
     if (accused.length === 0) {
       for (const standing of candidates) standings.set(standing.part, standing)
@@ -74,19 +79,21 @@
 
 const thresholdOf = (soundAt: Millis | null): Threshold => soundAt === null ? NEW_PART_THRESHOLD : SOUND_PART_THRESHOLD
 
-const collectStandings = (crashes: readonly Crash[], soundTime: SoundTime): PartStanding[] => {
+const collectStandings = (crashes: readonly Crash[], sounds: SoundTimes): PartStanding[] => {
   const crashesByPart = new Map<PromptPart, Crash[]>()
-  const rivals = new Map(crashes.map((crash) => [crash, countRivals(crash, soundTime)]))
+  const rivals = new Map(crashes.map((crash) => [crash, countRivals(crash, sounds)]))
   crashes.forEach((crash, index) => {
     const neighbours = neighboursOf(crashes, index)
     for (const part of crash.parts) {
-      if (!isCandidate(crash, part, soundTime(part)) || isCommonEvent(neighbours, part)) continue
+      if (!isCandidate(crash, part, sounds.find(part)) || isCommonEvent(neighbours, part)) continue
       const known = crashesByPart.get(part)
       if (known === undefined) crashesByPart.set(part, [crash])
       else known.push(crash)
     }
   })
-  return [...crashesByPart].map(([part, ofPart]) => standingOf(part, ofPart, soundTime(part), rivals))
+  return [...crashesByPart]
+    .map(([part, ofPart]) => standingOf(part, ofPart, sounds, rivals))
+    .map((standing) => hasContrast(standing, crashes, sounds) ? standing : { ...standing, quarantinedAt: null })
 }
 
 /** Other servers that ended at almost the same time. */
@@ -109,16 +116,17 @@
   readonly all: number
 }
 
-const countRivals = (crash: Crash, soundTime: SoundTime): Rivals => {
-  const candidates = [...crash.parts].filter((part) => isCandidate(crash, part, soundTime(part)))
-  return { neverSound: candidates.filter((part) => soundTime(part) === null).length, all: candidates.length }
+const countRivals = (crash: Crash, sounds: SoundTimes): Rivals => {
+  const candidates = [...crash.parts].filter((part) => isCandidate(crash, part, sounds.find(part)))
+  return { neverSound: candidates.filter((part) => sounds.find(part) === null).length, all: candidates.length }
 }
 
 /** Share of the blame for a crash. Sound answers to the other suspects raise it. */
 const shareOfBlame = (crash: Crash, { neverSound, all }: Rivals, isNew: boolean): number =>
   1 / Math.max(1, Math.min(crash.suspects, isNew ? neverSound : all))
 
-const standingOf = (part: PromptPart, crashes: readonly Crash[], soundAt: Millis | null, rivals: ReadonlyMap<Crash, Rivals>): PartStanding => {
+const standingOf = (part: PromptPart, crashes: readonly Crash[], sounds: SoundTimes, rivals: ReadonlyMap<Crash, Rivals>): PartStanding => {
+  const soundAt = sounds.find(part)
   const threshold = thresholdOf(soundAt)
   let [moments, weight, momentStart, momentShare] = [0, 0, -Infinity, 0]
   let quarantinedAt: Millis | null = null
@@ -135,3 +143,13 @@
 const meetsThreshold = (threshold: Threshold, moments: number, weight: number, silence: Millis): boolean =>
   silence >= threshold.silence &&
   (moments >= threshold.sufficientMoments || (moments >= threshold.moments && weight >= threshold.weight))
+
+/** Whether requests without the part were sound meanwhile. Crashes say nothing about a part that all requests carry, or while all engines crash. */
+const hasContrast = ({ crashes, quarantinedAt, soundAt }: PartStanding, all: readonly Crash[], { newest }: SoundTimes): boolean => {
+  if (quarantinedAt === null || newest === null) return false
+  const firstAt = crashes[0]!.at
+  const isMeanwhile = ({ at }: Crash): boolean => at >= firstAt && at <= quarantinedAt
+  const share = crashes.filter(isMeanwhile).length / all.filter(isMeanwhile).length
+  const from = share >= LIKELY_CAUSE_SHARE ? firstAt : quarantinedAt
+  return newest.at > from && newest.at > (soundAt ?? -Infinity) + CONTRAST_MARGIN
+}
--- a/packages/domain/src/forwarding/quarantine/constants.ts
+++ b/packages/domain/src/forwarding/quarantine/constants.ts
@@ -19,7 +19,7 @@
 export const SOUND_PART_THRESHOLD: Threshold = { moments: 4, weight: 2, sufficientMoments: 5, silence: 1_000 }
 
 /** Crashes closer than this to the first of a moment belong to it. */
-export const MOMENT_LENGTH: Millis = 250
+export const MOMENT_LENGTH: Millis = 50
 
 /** Other servers' ends within this time, before or after, may have the same cause. */
 export const COMMON_EVENT_TIME: Millis = 200
@@ -33,13 +33,19 @@
 /** Difference in time below which a fact about a part or a survival is the one that is known: it was only under way. */
 export const FACT_TOLERANCE: Millis = 150
 
+/** Time by which sound answers to others have to be newer than the part's own: its own may be recorded that much too early. */
+export const CONTRAST_MARGIN: Millis = 2 * FACT_TOLERANCE
+
+/** Share of the crashes meanwhile from which on a part is their likely cause even if nobody was answered after them. */
+export const LIKELY_CAUSE_SHARE = 0.9
+
 /** Difference in time below which two reports of a node on the same start are about the same end. */
 export const SAME_END_TOLERANCE: Millis = 1_000
 
 /** Time from the crash that decides a quarantine, or from a later one, to the first trial. */
 export const FIRST_TRIAL_GAP: Millis = 500
 
-/** Later gaps are this multiple of the time for which the quarantine has lasted. */
+/** Later gaps are this multiple of the time since the first trial. */
 export const TRIAL_GAP_GROWTH = 5
 
 /** Time after the trial of a quarantined part in which no other part gets a repeated trial: engines pay for all of them. */
@@ -50,9 +56,14 @@
 /** Time after which facts without a later crash of the same part expire. */
 export const FACT_EXPIRY: Millis = 600_000
 
+/** Time between two searches for expired facts. */
+export const EXPIRY_CHECK_GAP: Millis = 1_000
+
 export const MAX_REPORTS = 256
 export const MAX_SURVIVALS = 256
-export const MAX_TRIALS = 256
+/** Number of parts whose trials are kept. */
+export const MAX_TRIED_PARTS = 256
+export const MAX_TRIALS_PER_PART = 8
 export const MAX_SOUND_PARTS = 20_000
 
 /** Upper bound of the parts in a crash report. */
