--- a/packages/node/src/forward/AdmittedCall.ts
+++ b/packages/node/src/forward/AdmittedCall.ts
@@ -1,5 +1,5 @@
 /** Describes a caller's request that has been read completely and may be sent to a backend server. */
-import type { Millis, PromptSize, Route, Service } from '@bluebellhill/domain'
+import type { Millis, PromptPart, PromptSize, Route, Service } from '@bluebellhill/domain'
 
 export interface AdmittedCall {
   /** Attempt id that the caller sent with the request. */
@@ -15,6 +15,8 @@
   readonly organisation: string | null
   readonly urgency: number
   readonly size: PromptSize
+  /** Parts of its prompt in order; other requests may have all of them but the last. */
+  readonly parts: readonly PromptPart[]
   /** Id of the last event that the caller has of a stream that it resumes; null if it does not resume one. */
   readonly lastEventId: string | null
   readonly arrivedAt: Millis
--- a/packages/node/tests/scheduling.test.ts
+++ b/packages/node/tests/scheduling.test.ts
@@ -85,7 +85,7 @@
   call (): AdmittedCall {
     const now = performance.now()
     return {
-      id: `r${this.#nextRequest++}`, method: 'POST', path: '/', headers: [], body: Buffer.alloc(0), route: ROUTE, service: SERVICE, organisation: null, urgency: 1, size: SHORT_PROMPT, lastEventId: null, arrivedAt: now, dueAt: now + ROUTE.objective, deadlineAt: now + ROUTE.timeout
+      id: `r${this.#nextRequest++}`, method: 'POST', path: '/', headers: [], body: Buffer.alloc(0), route: ROUTE, service: SERVICE, organisation: null, urgency: 1, size: SHORT_PROMPT, parts: [], lastEventId: null, arrivedAt: now, dueAt: now + ROUTE.objective, deadlineAt: now + ROUTE.timeout
     }
   }
 
