Node: evidence on prompt parts is exchanged, and obeyed by the placement

Requests with a part that crashes engines come at any node, no two alike, so that one node alone would let an engine crash for each node of the fleet. Crash reports, refutations, sound answers and trials travel in the messages that are sent anyway (node states, announcements, group reports), and at once when they are new; a node that is just found gets all of them in a few messages. They are bounded in count and in bytes a message, and go into a fragment of their own beside many assignments. Times are sent as ages. Earlier builds skip the new fields.

Placement: a request with a suspected part goes alone to the server with the fewest requests. A request with quarantined parts goes out only as a trial, which the scheduler of the first group grants if its own copy says that it is due, recorded before it answers. A grant without it (a scheduler of an earlier build) is returned, and a scheduler that does not answer is not replaced by another.

--- a/packages/domain/src/forwarding/GroupLoads.ts
+++ b/packages/domain/src/forwarding/GroupLoads.ts
@@ -40,6 +40,14 @@
     this.#loads.set(load.domain, { load, receivedAt: now })
   }
 
+  /**
+   * @param now - current time
+   * @returns the other groups whose load was announced lately
+   */
+  heardDomains (now: Millis): FailureDomain[] {
+    return [...this.#loads.values()].filter(({ receivedAt }) => now - receivedAt <= LOAD_EXPIRY).map(({ load }) => load.domain)
+  }
+
   /**
    * @param service - service of a request that this group cannot serve in time
    * @param ownPendingPrefill - predicted wait on this group's engines
--- a/packages/node/src/forward/peers/Announcements.ts
+++ b/packages/node/src/forward/peers/Announcements.ts
@@ -3,6 +3,7 @@
 import type { fleetWire } from '@bluebellhill/protocol'
 
 import type { FleetState } from '../FleetState.js'
+import type { FactExchange } from '../quarantine/FactExchange.js'
 import type { Scheduler } from '../scheduling/Scheduler.js'
 import { encodeCandidate } from './datagramCodec.js'
 import type { DatagramContent } from './datagramCodec.js'
@@ -18,6 +19,7 @@
   readonly directory: SchedulerDirectory
   readonly fleetState: FleetState
   readonly notices: NoticeExchange
+  readonly facts: FactExchange
   readonly clock: () => Millis
   /** Returns whether the platform's store does not answer this node. */
   readonly isStoreLost: () => boolean
@@ -40,12 +42,22 @@
     this.#isStopping = true
   }
 
+  /** @returns the state of this candidate, for all nodes that report to it */
+  announcement (): DatagramContent {
+    return { $case: 'candidateReport', value: this.#ownState(false, this.#options.facts.nextAnnouncement()) }
+  }
+
   /**
    * @param namesCandidates - whether the receiver gets to know the highest ranked candidates
-   * @returns the state of this candidate
+   * @returns the state of this candidate, for one node that has reported to it
    */
-  candidateReport (namesCandidates: boolean): DatagramContent {
-    return { $case: 'candidateReport', value: this.#ownState(namesCandidates) }
+  answer (namesCandidates: boolean): DatagramContent {
+    return { $case: 'candidateReport', value: this.#ownState(namesCandidates, this.#options.facts.nextAnswer()) }
+  }
+
+  /** @returns messages with all that is known of prompt parts which crash engines, for a node that has just been found */
+  introduction (): DatagramContent[] {
+    return this.#options.facts.everything().map((facts) => ({ $case: 'candidateReport', value: this.#ownState(false, facts) }))
   }
 
   /** @returns the load of this group's engines, with the state of this candidate */
@@ -53,10 +65,10 @@
     const { scheduler, self } = this.#options
     const services = scheduler.serviceLoads().map(({ service, slots, requests, meanPendingPrefill }) =>
       ({ service, slots, requests, meanPendingMs: Math.round(meanPendingPrefill) }))
-    return { $case: 'groupReport', value: { failureDomain: self.failureDomain, services, sender: this.#ownState(false) } }
+    return { $case: 'groupReport', value: { failureDomain: self.failureDomain, services, sender: this.#ownState(false, this.#options.facts.nextGroupReport()) } }
   }
 
-  #ownState (namesCandidates: boolean): fleetWire.CandidateReport {
+  #ownState (namesCandidates: boolean, quarantine: fleetWire.QuarantineFacts): fleetWire.CandidateReport {
     const { fleetState, directory, notices, isStoreLost, clock } = this.#options
     return {
       uptimeMs: BigInt(Math.round(clock() - this.#startedAt)),
@@ -65,7 +77,8 @@
       storeLost: isStoreLost(),
       stopping: this.#isStopping,
       candidates: namesCandidates ? directory.ranked(NAMED_CANDIDATES).map(encodeCandidate) : [],
-      notices: notices.nextAnnouncement()
+      notices: notices.nextAnnouncement(),
+      quarantine
     }
   }
 }
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -8,6 +8,7 @@
 
 import type { FleetState } from '../FleetState.js'
 import type { Log } from '../../log/index.js'
+import { FactExchange } from '../quarantine/FactExchange.js'
 import type { Scheduler } from '../scheduling/Scheduler.js'
 import { Announcements } from './Announcements.js'
 import { DATAGRAM_VERSION, decodeCandidate, decodeCandidateState, decodeDatagram, decodeGroupLoad, encodeDatagram, isSchedulerDatagram } from './datagramCodec.js'
@@ -73,6 +74,7 @@
   readonly #socket: PeerSocket
   readonly #announcements: Announcements
   readonly #notices: NoticeExchange
+  readonly #facts: FactExchange
   #sequence = 0
   #heartbeatCount = 0
   #heartbeatTimer: NodeJS.Timeout | null = null
@@ -86,7 +88,8 @@
   constructor (options: PeerLinkOptions) {
     this.#options = options
     this.#notices = new NoticeExchange({ ...options, node: options.self.node, statements: options.scheduler.statements })
-    this.#announcements = new Announcements({ ...options, notices: this.#notices })
+    this.#facts = new FactExchange({ quarantine: options.scheduler.quarantine, clock: options.clock, onOwnFact: () => this.#factFound() })
+    this.#announcements = new Announcements({ ...options, notices: this.#notices, facts: this.#facts })
     this.#socket = new PeerSocket(options.log, (datagram, address) => this.#receive(datagram, address))
     options.fleetState.onChange(() => this.#announceSoon())
   }
@@ -143,6 +146,11 @@
     this.#announceSoon()
   }
 
+  #factFound (): void {
+    this.reportSoon()
+    this.#announceSoon()
+  }
+
   /** Announces to the nodes that report to this one that it has lost the store. */
   announceStoreLost (): void {
     this.#announce()
@@ -217,7 +225,9 @@
     for (const { node } of contacts) directory.reported(node, now)
     const addresses = new Set([...contacts.map(({ address }) => address), ...schedulersInUse(), ...this.table.addresses()])
     if (addresses.size === 0) return
-    for (const datagram of this.#encodeState(isIntroduction)) for (const address of addresses) this.#socket.send(datagram, address)
+    do {
+      for (const datagram of this.#encodeState(isIntroduction)) for (const address of addresses) this.#socket.send(datagram, address)
+    } while (this.#facts.hasUnreported)
   }
 
   #encodeState (isIntroduction: boolean): Uint8Array[] {
@@ -236,7 +246,8 @@
       failureDomain: isIntroduction ? self.failureDomain : '',
       version: DATAGRAM_VERSION,
       processor: isIntroduction ? self.processor : 0,
-      notices: this.#notices.nextReport()
+      notices: this.#notices.nextReport(),
+      quarantine: this.#facts.nextReport()
     }, clock())
   }
 
@@ -254,13 +265,13 @@
     const { content, node } = message
     if (content.$case === 'candidateReport') {
       this.addNodes(content.value.candidates.map(decodeCandidate), [])
-      this.#recordNotices(content.value.notices)
+      this.#recordStatements(content.value)
       this.#candidateHeard(node, decodeCandidateState(content.value, this.#ownEra))
     } else if (content.$case === 'groupReport') {
       this.#options.scheduler.recordGroupLoad(decodeGroupLoad(content.value, address))
       const { sender } = content.value
       if (sender === undefined) return
-      this.#recordNotices(sender.notices)
+      this.#recordStatements(sender)
       this.#candidateHeard(node, decodeCandidateState(sender, this.#ownEra))
     } else {
       this.#options.onPlacementMessage(message, address)
@@ -283,7 +294,7 @@
     const { scheduler, directory, clock, onPeerStoreLost, self } = this.#options
     if (fragment.node === self.node) return
     const now = clock()
-    this.#recordNotices(fragment.notices)
+    this.#recordStatements(fragment)
     const received = this.table.record(fragment, address, now)
     if (received === null) return
     scheduler.assignments.setPeerAssignments(received.peer.node, received.assignments, now)
@@ -295,16 +306,19 @@
     if (received.hasLostStore) onPeerStoreLost()
   }
 
-  #recordNotices (notices: readonly fleetWire.ServerNotice[]): void {
-    if (this.#notices.received(notices)) this.#announceSoon()
+  #recordStatements ({ notices, quarantine }: Pick<fleetWire.CandidateReport, 'quarantine'> & { readonly notices: readonly fleetWire.ServerNotice[] }): void {
+    const hasNewNotices = this.#notices.received(notices)
+    const hasNewFacts = this.#facts.received(quarantine)
+    if (hasNewNotices || hasNewFacts) this.#announceSoon()
   }
 
-  #peerFound ({ node, address, startedAt }: Peer): void {
+  #peerFound ({ node, address, startedAt, version }: Peer): void {
     this.#options.log.info('peer.found', { peer: node, address, started_at: startedAt })
+    if (version > 0) for (const content of this.#announcements.introduction()) this.send(address, content)
   }
 
   #answerState ({ failureDomain }: NodeStateFragment, address: string): void {
-    this.send(address, this.#announcements.candidateReport(failureDomain !== ''))
+    this.send(address, this.#announcements.answer(failureDomain !== ''))
   }
 
   #announceSoon (): void {
@@ -318,16 +332,19 @@
   /** Sends the state of this candidate to every node that reports to it. */
   #announce (): void {
     do {
-      const content = this.#announcements.candidateReport(false)
+      const content = this.#announcements.announcement()
       for (const { address, version } of this.table.active()) if (version > 0) this.send(address, content)
-    } while (this.#notices.hasUnannounced)
+    } while (this.#notices.hasUnannounced || this.#facts.hasUnannounced)
+    if (this.#facts.hasNewForGroups && this.#isGroupScheduler(this.#options.clock())) this.#announceLoad()
   }
 
   /** Sends the load of this group to the schedulers of the others. */
   #announceLoad (): void {
     const receivers = this.#options.directory.otherGroups(LOAD_RECEIVERS)
     if (receivers.length === 0) return
-    const content = this.#announcements.groupReport()
-    for (const { address } of receivers) this.send(address, content)
+    do {
+      const content = this.#announcements.groupReport()
+      for (const { address } of receivers) this.send(address, content)
+    } while (this.#facts.hasNewForGroups)
   }
 }
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -74,7 +74,9 @@
   allowed: [...spec.allowed ?? []],
   chargesRetry: spec.chargesRetry,
   isRedirected: spec.isRedirected,
-  isFirstAttempt: spec.isFirstAttempt
+  isFirstAttempt: spec.isFirstAttempt,
+  isSuspected: spec.isSuspected,
+  trialParts: [...spec.trialParts]
 })
 
 /**
@@ -94,7 +96,9 @@
   chargesRetry: wire.chargesRetry,
   isRedirected: wire.isRedirected,
   // Nodes of earlier builds exclude only servers that the request was sent to before.
-  isFirstAttempt: wire.isFirstAttempt || wire.excluded.length === 0
+  isFirstAttempt: wire.isFirstAttempt || wire.excluded.length === 0,
+  isSuspected: wire.isSuspected,
+  trialParts: wire.trialParts
 })
 
 /**
@@ -124,7 +128,8 @@
             serverPendingMs: Math.round(load.pendingPrefill),
             isDeferred: choice.isDeferred,
             keepsLimit: result.keepsLimit,
-            passedOver: [...result.passedOver]
+            passedOver: [...result.passedOver],
+            isTrial: result.isTrial
           }
         }
       }
@@ -147,7 +152,7 @@
   if (result === undefined) throw new Error('the placement reply contains no decision')
   if (result.$case === 'refusal') return decodeRefusal(result.value, now)
   if (result.$case === 'redirect') return { type: 'redirected', address: result.value }
-  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit, passedOver } = result.value
+  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit, passedOver, isTrial } = result.value
   if (server === undefined) throw new Error('the placement names no server')
   const decoded = helpers.map((helper) => decodeServer(helper, service, findServer))
   const choice: PlacementChoice = {
@@ -157,7 +162,7 @@
     timeToFirstEvent: firstEventMs,
     isDeferred
   }
-  return { type: 'placed', choice, load: { requests: serverRequests, pendingPrefill: serverPendingMs }, keepsLimit, passedOver: passedOver as RunnerId[] }
+  return { type: 'placed', choice, load: { requests: serverRequests, pendingPrefill: serverPendingMs }, keepsLimit, passedOver: passedOver as RunnerId[], isTrial }
 }
 
 const encodeRefusal = ({ reason, retryAfter, notice }: RefusedPlacement, now: Millis): fleetWire.Refusal =>
--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -3,6 +3,7 @@
 import type { Millis, NodeId, RunnerId, Assignment } from '@bluebellhill/domain'
 import { fleetWire } from '@bluebellhill/protocol'
 
+import { isEmptyWire } from './quarantineCodec.js'
 import { decodeRevision, encodeRevision } from './revisionCodec.js'
 
 /** State that a node sends to the other nodes. */
@@ -27,6 +28,8 @@
   readonly processor: number
   /** Statements of backend servers that the node has received itself. */
   readonly notices: readonly fleetWire.ServerNotice[]
+  /** Evidence on prompt parts that crash engines; undefined from nodes of earlier builds. */
+  readonly quarantine: fleetWire.QuarantineFacts | undefined
 }
 
 /** Fragment of a state; a small state has only one. */
@@ -40,13 +43,16 @@
 /** Assignments in one datagram: few enough that it stays below the usual packet size. */
 const MAX_ASSIGNMENTS_PER_DATAGRAM = 16
 
+/** Assignments beside which the evidence on prompt parts fits into the same datagram. */
+const MAX_ASSIGNMENTS_BESIDE_FACTS = 4
+
 /**
  * @param state - state of this node
  * @param now - current time
  * @returns the datagrams, one for each fragment
  */
 export const encodeState = (state: NodeState, now: Millis): Uint8Array[] => {
-  const fragmentCount = Math.max(1, Math.ceil(state.works.length / MAX_ASSIGNMENTS_PER_DATAGRAM))
+  const fragmentCount = countFragments(state)
   return Array.from({ length: fragmentCount }, (_, fragmentIndex) => {
     const assignments = state.works.slice(fragmentIndex * MAX_ASSIGNMENTS_PER_DATAGRAM, (fragmentIndex + 1) * MAX_ASSIGNMENTS_PER_DATAGRAM)
     return fleetWire.NodeState.encode({
@@ -58,11 +64,20 @@
       parts: fragmentCount,
       works: assignments.map((assignment) => encodeAssignment(assignment, now)),
       peers: fragmentIndex === 0 ? [...state.peers] : [],
-      notices: fragmentIndex === 0 ? [...state.notices] : []
+      notices: fragmentIndex === 0 ? [...state.notices] : [],
+      quarantine: fragmentIndex === fragmentCount - 1 ? state.quarantine : undefined
     }).finish()
   })
 }
 
+/** The evidence goes into the last fragment, which is one of its own if the assignments leave no room. */
+const countFragments = ({ works, quarantine }: NodeState): number => {
+  const count = Math.max(1, Math.ceil(works.length / MAX_ASSIGNMENTS_PER_DATAGRAM))
+  if (quarantine === undefined || isEmptyWire(quarantine)) return count
+  const inLast = works.length - (count - 1) * MAX_ASSIGNMENTS_PER_DATAGRAM
+  return inLast > MAX_ASSIGNMENTS_BESIDE_FACTS ? count + 1 : count
+}
+
 /**
  * @param datagram - datagram from another node
  * @param now - time of its arrival
--- /dev/null
+++ b/packages/node/src/forward/quarantine/PromptQuarantine.ts
@@ -0,0 +1,161 @@
+/** Keeps this node's copy of the evidence on prompt parts that crash engines, and judges requests by it. */
+import { PartQuarantine, PartStatus, sharedParts } from '@bluebellhill/domain'
+import type { CrashReport, Millis, NodeId, PartVerdict, PromptPart, QuarantineCounts, QuarantineFacts, ServerSurvival } from '@bluebellhill/domain'
+
+import type { Log } from '../../log/index.js'
+import { EngineWatch } from './EngineWatch.js'
+import { FactKind } from './FactQueue.js'
+import type { Fact } from './FactQueue.js'
+import { QuarantineLog } from './QuarantineLog.js'
+
+export interface PromptQuarantineOptions {
+  readonly node: NodeId
+  readonly log: Log
+  readonly clock: () => Millis
+}
+
+/** Stands for the last part of a prompt, by which no request is judged. */
+const OWN_PART: PromptPart = ''
+
+/** Verdict on a request that must not be sent. */
+export type QuarantineVerdict = Extract<PartVerdict, { readonly status: typeof PartStatus.Quarantined }>
+
+/** Evidence of this node and of the others. */
+export class PromptQuarantine {
+  /** Attempts of this node, whose ends are the evidence. */
+  readonly engines: EngineWatch
+  readonly #options: PromptQuarantineOptions
+  readonly #aggregate: PartQuarantine
+  readonly #log: QuarantineLog
+  readonly #factListeners = new Set<(fact: Fact) => void>()
+  readonly #quarantineListeners = new Set<() => void>()
+
+  /** @param options - this node, its log and clock */
+  constructor (options: PromptQuarantineOptions) {
+    const { node, clock } = options
+    this.#options = options
+    this.#aggregate = new PartQuarantine()
+    this.#log = new QuarantineLog(options)
+    this.engines = new EngineWatch({
+      node,
+      clock,
+      onCrash: (report, requests) => this.#crashed(report, requests),
+      onSurvival: (survival) => this.#survived(survival),
+      onSound: (parts) => this.#soundAnswer(parts),
+      suspectsOf: (requests) => this.#aggregate.suspectsOf(requests)
+    })
+  }
+
+  /**
+   * @param parts - all parts of a request's prompt
+   * @returns whether, and how, the request may be sent
+   */
+  verdict (parts: readonly PromptPart[]): PartVerdict {
+    return this.#aggregate.verdict(parts, this.#options.clock())
+  }
+
+  /** @returns the facts that other nodes need */
+  facts (): QuarantineFacts {
+    return this.#aggregate.facts(this.#options.clock())
+  }
+
+  /** @returns counts for metrics */
+  counts (): QuarantineCounts {
+    return this.#aggregate.counts(this.#options.clock())
+  }
+
+  /** Adds a listener for facts that this node has found out itself; other nodes should know them at once. */
+  onOwnFact (listener: (fact: Fact) => void): void {
+    this.#factListeners.add(listener)
+  }
+
+  /** Adds a listener that is called when a part gets quarantined. Returns a function that removes it. */
+  onQuarantine (listener: () => void): () => void {
+    this.#quarantineListeners.add(listener)
+    return () => this.#quarantineListeners.delete(listener)
+  }
+
+  /**
+   * Records a fact that another node has sent.
+   *
+   * @param fact - the fact
+   * @returns whether it is new to this node
+   */
+  received (fact: Fact): boolean {
+    if (!this.#record(fact)) return false
+    // Each node with requests on the server reports the crash.
+    if (fact.kind !== FactKind.Crash || this.engines.crashHeard(fact.fact)) this.#log.heard(fact)
+    this.#update()
+    return true
+  }
+
+  /**
+   * @param parts - the quarantined parts of a request's prompt
+   * @returns whether one request may be sent now to find out if they are sound again
+   */
+  isTrialDue (parts: readonly PromptPart[]): boolean {
+    const verdict = this.verdict([...parts, OWN_PART])
+    return verdict.status === PartStatus.Quarantined && verdict.isTrialDue
+  }
+
+  /**
+   * Records a trial of quarantined parts, and tells the other nodes of it.
+   *
+   * @param parts - the quarantined parts of the request's prompt
+   * @param request - id of the request
+   */
+  grantTrial (parts: readonly PromptPart[], request: string): void {
+    const { node, clock } = this.#options
+    this.#log.trialGranted(parts, request)
+    for (const part of parts) this.#share({ kind: FactKind.Trial, fact: { part, at: clock(), grantedBy: node } })
+  }
+
+  #crashed (report: CrashReport, requests: readonly string[]): void {
+    this.#log.crashSuspected(report, requests)
+    this.#share({ kind: FactKind.Crash, fact: report })
+    this.#shareSounds(report.parts)
+    this.#update()
+  }
+
+  #survived (survival: ServerSurvival): void {
+    this.#log.survived(survival)
+    this.#share({ kind: FactKind.Survival, fact: survival })
+    this.#update()
+  }
+
+  #soundAnswer (parts: readonly PromptPart[]): void {
+    const at = this.#options.clock()
+    for (const part of sharedParts(parts)) this.#share({ kind: FactKind.Sound, fact: { part, at } })
+    this.#update()
+  }
+
+  /** Whether a part was sound before decides how much evidence it takes, and the other nodes may not know it. */
+  #shareSounds (parts: readonly PromptPart[]): void {
+    const blamed = new Set(parts)
+    const sounds = this.facts().sounds.filter(({ part }) => blamed.has(part))
+    for (const fact of sounds) for (const listener of this.#factListeners) listener({ kind: FactKind.Sound, fact })
+  }
+
+  #share (fact: Fact): void {
+    if (this.#record(fact)) for (const listener of this.#factListeners) listener(fact)
+  }
+
+  #record ({ kind, fact }: Fact): boolean {
+    switch (kind) {
+      case FactKind.Crash:
+        return this.#aggregate.recordCrash(fact)
+      case FactKind.Survival:
+        return this.#aggregate.recordSurvival(fact)
+      case FactKind.Trial:
+        return this.#aggregate.recordTrial(fact)
+      case FactKind.Sound:
+        return this.#aggregate.recordSound(fact)
+    }
+  }
+
+  /** Logs which parts have got into the quarantine or out of it; requests in progress are judged again if one has got into it. */
+  #update (): void {
+    const hasNew = this.#log.quarantineChanged(this.#aggregate.quarantinedParts(this.#options.clock()))
+    if (hasNew) for (const listener of [...this.#quarantineListeners]) listener()
+  }
+}
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -9,13 +9,14 @@
 import type { DatagramContent, ReceivedDatagram } from '../peers/datagramCodec.js'
 import { PendingQueries, QUERY_TIMING } from '../peers/PendingQueries.js'
 import type { QueryTiming } from '../peers/PendingQueries.js'
+import type { PromptQuarantine } from '../quarantine/PromptQuarantine.js'
 import { AnswerStatements } from './AnswerStatements.js'
 import { ReportQueue } from './ReportQueue.js'
 import type { Scheduler } from './Scheduler.js'
-import { GROUP_CONTEXT, PlacementRefusal } from './types.js'
-import type { AttemptPlacement, PlacedAttempt, PlacementContext, PlacementResult, PlacementSpec } from './types.js'
+import { GROUP_CONTEXT, NO_CAUTION, PlacementRefusal } from './types.js'
+import type { AttemptCaution, AttemptPlacement, PlacedAttempt, PlacementContext, PlacementResult, PlacementSpec } from './types.js'
 
-/** Schedulers that are asked before this node decides itself. */
+/** Schedulers that are asked before this node decides itself; for a trial only one, since a silent one may have granted it. */
 const MAX_SCHEDULERS_ASKED = 2
 
 /** Known departures that are named in a repeated query, so that it stays within one datagram. */
@@ -72,6 +73,11 @@
     this.answers = new AnswerStatements({ ...options, statements: options.scheduler.statements })
   }
 
+  /** Evidence on prompt parts that crash engines. */
+  get quarantine (): PromptQuarantine {
+    return this.#options.scheduler.quarantine
+  }
+
   /** @returns addresses of the schedulers that keep assignments of this node */
   schedulersInUse (): ReadonlySet<string> {
     return new Set(this.#schedulers.values())
@@ -83,15 +89,20 @@
    * @param call - the request
    * @param history - its earlier attempts
    * @param chargesRetry - whether the attempt is taken from the retry budget
+   * @param caution - how the parts of its prompt are judged
    * @returns the placed attempt, whose assignment must be removed with `removeAssignment`; or why there is none
    */
-  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean): Promise<AttemptPlacement> {
+  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: AttemptCaution = NO_CAUTION): Promise<AttemptPlacement> {
     const { scheduler, clock } = this.#options
     const startedAt = clock()
-    let spec = specOf(call, history, chargesRetry, this.answers.pausedServers())
+    let spec = specOf(call, history, { chargesRetry, ...caution }, this.answers.pausedServers())
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
       const decision = await this.#decide(spec, number)
+      if (isTrialMissing(spec, decision)) {
+        this.#withoutChosen(spec, number, decision)
+        return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
+      }
       if (this.#isUsable(decision)) return this.#record(spec, number, decision, startedAt)
       spec = this.#withoutChosen(spec, number, decision)
     }
@@ -107,9 +118,9 @@
       : scheduler.assignments.start(scheduler.draftAssignment(spec, result.choice, clock()), number)
     if (assignment === null) return { type: 'refused', reason: 'the assignment is not recorded', retryAfter: null }
     if (address !== null) this.#schedulers.set(assignment.id, address)
-    const { choice, load } = result
+    const { choice, load, isTrial } = result
     const passedOver = [...new Set([...result.passedOver, ...this.answers.pausedServersOf(spec.service).map(({ id }) => id)])]
-    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, decidedIn: clock() - startedAt } }
+    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, isTrial, decidedIn: clock() - startedAt } }
   }
 
   /**
@@ -241,7 +252,8 @@
 
   async #decide (spec: PlacementSpec, number: number): Promise<Decision> {
     const { directory, clock, node, log, scheduler } = this.#options
-    for (let asked = 0; asked < MAX_SCHEDULERS_ASKED; asked += 1) {
+    const schedulersAsked = spec.trialParts.length > 0 ? 1 : MAX_SCHEDULERS_ASKED
+    for (let asked = 0; asked < schedulersAsked; asked += 1) {
       const candidate = directory.scheduler(clock())
       if (candidate.node === node) return await this.#followRedirect(scheduler.place(spec, { node, number }, GROUP_CONTEXT), null, spec, number)
       const result = await this.#ask(candidate.address, spec, number)
@@ -263,7 +275,7 @@
   /** The other nodes may decide alone at the same time. */
   #loneContext (): PlacementContext {
     const { scheduler, clock, directory } = this.#options
-    return { unseenArrivals: scheduler.assignments.recentArrivals(clock()), limitShare: 1 / directory.size }
+    return { unseenArrivals: scheduler.assignments.recentArrivals(clock()), limitShare: 1 / directory.size, isGroupDecision: false }
   }
 
   #decideAlone (spec: PlacementSpec, number: number, context: PlacementContext): Decision {
@@ -307,7 +319,10 @@
   }
 }
 
-const specOf = (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, paused: readonly RunnerId[]): PlacementSpec => ({
+/** Schedulers of earlier builds place a trial like any other attempt. */
+const isTrialMissing = ({ trialParts }: PlacementSpec, { result }: Decision): boolean => trialParts.length > 0 && result.type === 'placed' && !result.isTrial
+
+const specOf = (call: AdmittedCall, history: AttemptHistory, terms: AttemptCaution & Pick<PlacementSpec, 'chargesRetry'>, paused: readonly RunnerId[]): PlacementSpec => ({
   request: call.id,
   service: call.service.name,
   size: call.size,
@@ -316,7 +331,7 @@
   pauseObjective: call.route.pauseObjective,
   excluded: [...history.triedServers(), ...paused],
   allowed: history.permittedServers(),
-  chargesRetry,
   isRedirected: false,
-  isFirstAttempt: history.triedServers().length === 0
+  isFirstAttempt: history.triedServers().length === 0,
+  ...terms
 })
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,9 +1,10 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
 import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
-import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
+import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
+import { PromptQuarantine } from '../quarantine/PromptQuarantine.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
 import { ServerStatements } from './ServerStatements.js'
@@ -35,6 +36,7 @@
   readonly assignments: FleetAssignments
   readonly health = new ServerHealth()
   readonly statements: ServerStatements
+  readonly quarantine: PromptQuarantine
   readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
@@ -49,6 +51,7 @@
     this.#options = options
     this.assignments = new FleetAssignments(options.node)
     this.statements = new ServerStatements(options)
+    this.quarantine = new PromptQuarantine(options)
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
     this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
@@ -70,6 +73,8 @@
   place (spec: PlacementSpec, owner: AssignmentOwner, context: PlacementContext): PlacementResult {
     const service = this.#options.fleetState.routeTable?.service(spec.service) ?? null
     if (service === null) return { type: 'refused', reason: PlacementRefusal.UnknownService, retryAfter: null }
+    const isTrial = spec.trialParts.length > 0
+    if (isTrial && !this.#mayGrantTrial(spec, context)) return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
     if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
     if (spec.isFirstAttempt) this.#retryBudgets.countRequest(spec.service)
     const now = this.#options.clock()
@@ -82,10 +87,11 @@
     if (choice === null) return this.statements.refusalFor(permitted, context.limitShare)
     const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
+    if (isTrial) this.quarantine.grantTrial(spec.trialParts, spec.request)
     this.#record(spec, choice, owner, now)
     this.statements.take(choice.server, context.limitShare)
     const passedOver = permitted.filter((server) => !open.includes(server)).slice(0, MAX_PASSED_OVER).map(({ id }) => id)
-    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver }
+    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver, isTrial }
   }
 
   /**
@@ -194,10 +200,18 @@
     this.#groupLoads.record(load, this.#options.clock())
   }
 
+  /** Of several groups, the first one by name decides on trials, so that they have one scheduler. */
+  #mayGrantTrial ({ trialParts }: PlacementSpec, { isGroupDecision }: PlacementContext): boolean {
+    const { group, clock } = this.#options
+    const { domain } = group()
+    const isFirstGroup = domain === null || this.#groupLoads.heardDomains(clock()).every((other) => domain <= other)
+    return isGroupDecision && isFirstGroup && this.quarantine.isTrialDue(trialParts)
+  }
+
   #choose (spec: PlacementSpec, service: Service, servers: readonly BackendServer[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementChoice | null {
     const candidates = this.#candidates(servers, now)
     if (candidates.length === 0) return null
-    return this.#policyOf(service).choose({
+    const request = {
       size: spec.size,
       objective: spec.objective,
       timeLeft: spec.dueAt - now,
@@ -207,11 +221,19 @@
       loads,
       arrivalsPerSecond: context.unseenArrivals,
       now
-    })
+    }
+    const policy = this.#policyOf(service)
+    return (isRisky(spec) ? this.#chooseQuietest(request, policy) : null) ?? policy.choose(request)
   }
 
-  #findRelief ({ service, objective, isRedirected, chargesRetry }: PlacementSpec, { engine }: Service, choice: PlacementChoice | null, now: Millis): string | null {
-    if (engine === null || isRedirected || chargesRetry) return null
+  /** One server alone, so that a crash breaks off as few other requests as possible. */
+  #chooseQuietest (request: PlacementRequest, policy: PlacementPolicy): PlacementChoice | null {
+    const quietest = this.#plainPolicy.choose(request)
+    return policy.choose({ ...request, candidates: request.candidates.filter(({ server }) => server === quietest?.server) })
+  }
+
+  #findRelief ({ service, objective, isRedirected, chargesRetry, trialParts }: PlacementSpec, { engine }: Service, choice: PlacementChoice | null, now: Millis): string | null {
+    if (engine === null || isRedirected || chargesRetry || trialParts.length > 0) return null
     const wait = choice?.timeToFirstEvent ?? Infinity
     return wait <= USABLE_OBJECTIVE_SHARE * objective ? null : this.#groupLoads.findRelief(service, wait, now)
   }
@@ -241,6 +263,9 @@
   }
 }
 
+/** Whether the request may crash the engine that gets it. */
+const isRisky = ({ isSuspected, trialParts }: PlacementSpec): boolean => isSuspected || trialParts.length > 0
+
 const summaryOf = ({ requests, pending }: ServerLoad): ChosenServerLoad =>
   ({ requests: requests.length, pendingPrefill: pending.reduce((sum, { remaining }) => sum + remaining, 0) })
 
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -1,5 +1,5 @@
 /** Types of the placement of attempts by the scheduler of a group. */
-import type { Assignment, HealthSignal, Millis, NodeId, PlacementChoice, PromptSize, RunnerId, ServerNotice } from '@bluebellhill/domain'
+import type { Assignment, HealthSignal, Millis, NodeId, PlacementChoice, PromptPart, PromptSize, RunnerId, ServerNotice } from '@bluebellhill/domain'
 
 /** An attempt that is to be placed; times are on the clock of this node. */
 export interface PlacementSpec {
@@ -20,8 +20,17 @@
   /** Whether the scheduler of another group has passed it on. */
   readonly isRedirected: boolean
   readonly isFirstAttempt: boolean
+  /** Whether a part of its prompt may crash engines: it goes where fewest requests run. */
+  readonly isSuspected: boolean
+  /** Quarantined parts of its prompt for which a trial is asked; empty if none is. */
+  readonly trialParts: readonly PromptPart[]
 }
 
+/** How an attempt is placed because of the parts of its prompt. */
+export type AttemptCaution = Pick<PlacementSpec, 'isSuspected' | 'trialParts'>
+
+export const NO_CAUTION: AttemptCaution = { isSuspected: false, trialParts: [] }
+
 /** Why an attempt is not placed. */
 export const PlacementRefusal = {
   NoServer: 'no_server',
@@ -31,6 +40,8 @@
   ServersLeaving: 'servers_leaving',
   /** All backend servers that could serve it have asked this node for a pause. */
   ServersPaused: 'servers_paused',
+  /** A part of its prompt is quarantined, and no trial is granted. */
+  Quarantined: 'quarantined',
   /** The caller would disconnect before the first event. */
   TooLate: 'too_late',
   RetryBudgetSpent: 'retry_budget_spent',
@@ -66,6 +77,8 @@
     readonly keepsLimit: boolean
     /** Some of the servers that were not considered because of what they have stated, for the log. */
     readonly passedOver: readonly RunnerId[]
+    /** Whether it is a trial of quarantined prompt parts; schedulers of earlier builds grant none. */
+    readonly isTrial: boolean
   }
   | RefusedPlacement
   /** The scheduler of another group can serve it sooner. */
@@ -80,6 +93,8 @@
   readonly scheduler: string | null
   /** Some of the servers that were not considered because of what they have stated. */
   readonly passedOver: readonly RunnerId[]
+  /** Whether it is a trial of quarantined prompt parts. */
+  readonly isTrial: boolean
   /** Time from the decision to place the attempt until the result was known. */
   readonly decidedIn: Millis
 }
@@ -106,10 +121,12 @@
   readonly unseenArrivals: number
   /** Part of the group's share of request limits that this scheduler may use: less than 1 if it decides for one node only. */
   readonly limitShare: number
+  /** Whether this scheduler decides for all nodes of its group. */
+  readonly isGroupDecision: boolean
 }
 
 /** Context of a scheduler that decides for all nodes of its group. */
-export const GROUP_CONTEXT: PlacementContext = { unseenArrivals: 0, limitShare: 1 }
+export const GROUP_CONTEXT: PlacementContext = { unseenArrivals: 0, limitShare: 1, isGroupDecision: true }
 
 /** Number and node of an assignment. */
 export interface AssignmentOwner {
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -47,7 +47,7 @@
 })
 
 const stateOf = (assignments: readonly Assignment[], sequence = 1, startedAt = 1_700_000_000_000): NodeState => ({
-  node: NODE, startedAt, sequence, configurationVersion: 7, serversRevision: 41, stopping: false, storeLost: false, works: assignments, peers: [], notices: [], failureDomain: '', version: 1, processor: 0
+  node: NODE, startedAt, sequence, configurationVersion: 7, serversRevision: 41, stopping: false, storeLost: false, works: assignments, peers: [], notices: [], quarantine: undefined, failureDomain: '', version: 1, processor: 0
 })
 
 const recordAll = (table: PeerTable, sent: NodeState, now = 1_000): ReturnType<PeerTable['record']> =>
--- a/packages/node/tests/scheduling.test.ts
+++ b/packages/node/tests/scheduling.test.ts
@@ -188,7 +188,7 @@
   t.is(attempt.scheduler, null)
   t.is(counted(network, 4).reduce((sum, count) => sum + count), 1)
   const number = Number(attempt.assignment.id.split('/')[1])
-  const late: DatagramContent = { $case: 'placementReply', value: { number: number + 1, result: { $case: 'placement', value: { server: { id: 'e0', address: '', failureDomain: '' }, helpers: [], holders: [], firstEventMs: 1, serverRequests: 0, serverPendingMs: 0, isDeferred: false, keepsLimit: true, passedOver: [] } } } }
+  const late: DatagramContent = { $case: 'placementReply', value: { number: number + 1, result: { $case: 'placement', value: { server: { id: 'e0', address: '', failureDomain: '' }, helpers: [], holders: [], firstEventMs: 1, serverRequests: 0, serverPendingMs: 0, isDeferred: false, keepsLimit: true, passedOver: [], isTrial: false } } } }
   network.schedulerNode.scheduler.assignments.grant(node.self.node, { ...attempt.assignment, server: 'e0' as RunnerId }, number + 1, performance.now())
   node.placement.handle({ node: network.schedulerNode.self.node, startedAt: 1, content: late }, network.schedulerNode.self.address)
   await until(() => counted(network, 4).reduce((sum, count) => sum + count) === 1)
