Node: requests with a prompt part that crashes engines are refused at once

One part of a prompt crashed each engine that began to write an answer on it.

Each entry node now asks its own copy of the evidence before each attempt: the first, a retry, a resumption, after a wait, and again when the attempt is placed or its memory is reserved. A quarantined part means a final refusal with status 400 and a code of its own: callers repeat nothing after 400, while 429 and 503 invite a return and 502 and 504 a repetition. The body says truthfully whether the request may have run. Attempts in progress that have not proved sound (second event of a stream, or a complete answer) are cut and refused when their part gets quarantined; trials and sound streams go on. A connection that the server closed or reset after the request was sent, also in the middle of an event or a chunk, is evidence of a crash; timeouts, refused connections, answers with a status and callers who leave are none.

--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -217,6 +217,8 @@
     this.#metrics.addGauge('store_lost', 'Whether the store does not answer', () => this.#storeAvailability.isLost ? 1 : 0)
     this.#metrics.addGauge('backend_servers', 'Backend servers with an entry', () => this.#fleetState.servers.all().length)
     this.#metrics.addGauge('backend_servers_avoided', 'Backend servers that are avoided', () => this.#scheduler.health.avoided(monotonicNow()).length)
+    this.#metrics.addGauge('prompt_parts_quarantined', 'Prompt parts whose requests are refused', () => this.#scheduler.quarantine.counts().partsQuarantined)
+    this.#metrics.addGauge('prompt_parts_suspected', 'Prompt parts that may crash engines', () => this.#scheduler.quarantine.counts().partsSuspected)
     this.#metrics.addGauge('peers', 'Other nodes that are heard', () => this.#peerLink.sources().length)
     this.#metrics.addGauge('open_requests', 'Requests without a final answer', () => this.#entryServer.openRequests)
     this.#metrics.addGauge('log_lines_dropped', 'Lines of the log that found no room', droppedLogLines)
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -19,7 +19,10 @@
 import { isWaitStated, refusalCauseOf } from './refusalCause.js'
 import { RequestLog } from './RequestLog.js'
 import { MemoryReservations } from './MemoryReservations.js'
-import type { AttemptPlacement, PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
+import { RequestGuard } from './quarantine/RequestGuard.js'
+import type { QuarantineVerdict } from './quarantine/PromptQuarantine.js'
+import { PlacementRefusal } from './scheduling/types.js'
+import type { AttemptCaution, AttemptPlacement, PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import { ForwardOutcome } from './ForwardOutcome.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
 import { CloseCause, recordUnanswered, RequestStage } from './unansweredRequests.js'
@@ -36,6 +39,9 @@
 const SERVER_ERROR = 500
 const MISDIRECTED_REQUEST = 421
 
+/** Result of placing a request that must not be sent. */
+const QUARANTINED: RefusedPlacement = { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
+
 /** Sends one request to one backend server after another, as far as its route and the retry budget allow. */
 export abstract class Forwarding {
   protected attempt: OpenAttempt | null = null
@@ -46,6 +52,7 @@
   protected readonly history: AttemptHistory
   protected signedFailure: SignedFailure | null = null
   protected firstAnswerAt: Millis | null = null
+  readonly #guard: RequestGuard
   readonly #requestLog: RequestLog
   #attemptCount = 0
   #lastProblem = ''
@@ -62,6 +69,7 @@
   constructor (protected readonly context: ForwardingContext, protected readonly call: AdmittedCall, protected readonly response: ServerResponse) {
     this.history = new AttemptHistory(call.route)
     this.#requestLog = new RequestLog(context, call)
+    this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
   }
 
   /** Starts the first attempt. */
@@ -153,7 +161,8 @@
 
   /** Starts another attempt beside a silent one, which is only given up once the other server has begun to answer. */
   async #replaceSilent (attempt: OpenAttempt, silence: Millis, hasGoneOn: () => boolean): Promise<void> {
-    const placement = await this.#place(true)
+    const caution = this.#guard.caution()
+    const placement = caution === null ? QUARANTINED : await this.#place(true, caution)
     if (hasGoneOn()) {
       if (placement.type === 'placed') this.context.placement.removeAssignment(placement.attempt, null)
       return
@@ -234,7 +243,8 @@
   }
 
   async #startNextAttempt (chargesRetry: boolean): Promise<void> {
-    const placement = await this.#place(chargesRetry)
+    const caution = this.#guard.caution()
+    const placement = caution === null ? QUARANTINED : await this.#place(chargesRetry, caution)
     if (this.#isFinished || this.attempt !== null) {
       if (placement.type === 'placed') this.context.placement.removeAssignment(placement.attempt, null)
       return
@@ -243,6 +253,11 @@
       this.#openAttempt(placement.attempt)
       return
     }
+    const quarantine = placement.reason === PlacementRefusal.Quarantined ? this.#guard.findQuarantine() : null
+    if (quarantine !== null) {
+      this.#refuseQuarantined(quarantine)
+      return
+    }
     if (this.#waitsForServer(placement)) return
     this.#requestLog.placementRefused(placement)
     this.#lastProblem ||= placement.reason
@@ -260,9 +275,9 @@
   }
 
   /** Catches errors of the placement, so that they fail this request only and not the process with all others. */
-  async #place (chargesRetry: boolean): Promise<AttemptPlacement> {
+  async #place (chargesRetry: boolean, caution: AttemptCaution): Promise<AttemptPlacement> {
     try {
-      return await this.context.placement.place(this.call, this.history, chargesRetry)
+      return await this.context.placement.place(this.call, this.history, chargesRetry, caution)
     } catch (error) {
       this.#requestLog.placementFailed(error)
       return { type: 'refused', reason: 'choosing a backend server failed', retryAfter: null }
@@ -274,10 +289,10 @@
     this.history.start(server.id)
     this.#attemptCount += 1
     const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
-    const attempt: OpenAttempt = { server, placed, sentAt: this.context.clock(), reservations, serverCall: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
+    const attempt: OpenAttempt = { server, placed, sentAt: this.context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
     this.attempt = attempt
     this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server))
-    if (reservations === null) this.#send(attempt)
+    if (reservations === null) this.#sendUnlessQuarantined(attempt)
     else void this.#reserveAndSend(attempt, reservations)
   }
 
@@ -285,11 +300,19 @@
     const isReserved = await reservations.acquire()
     if (this.attempt !== attempt) return
     const obstacle = isReserved ? this.context.placement.obstacleTo(attempt.placed) : 'reserving KV cache memory failed'
-    if (obstacle === null) this.#send(attempt)
+    if (obstacle === null) this.#sendUnlessQuarantined(attempt)
     else this.failAttempt(attempt, AttemptEnd.Unsent, obstacle)
   }
 
+  /** A part may have got quarantined while the attempt was being placed, or while memory was being reserved for it. */
+  #sendUnlessQuarantined (attempt: OpenAttempt): void {
+    const quarantine = attempt.placed.isTrial ? null : this.#guard.findQuarantine()
+    if (quarantine === null) this.#send(attempt)
+    else this.#refuseQuarantined(quarantine)
+  }
+
   #send (attempt: OpenAttempt): void {
+    attempt.watch = this.#guard.watch(attempt.server, attempt.placed.isTrial)
     attempt.serverCall = this.#openServerCall(attempt)
     this.restartDataTimer(attempt)
   }
@@ -323,15 +346,22 @@
       onData: (chunk) => {
         if (!this.#isCurrent(attempt)) return
         this.restartDataTimer(attempt)
-        if (isSuccessfulAnswer(attempt)) this.chunkReceived(attempt, chunk)
-        else if (!failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
+        if (isSuccessfulAnswer(attempt)) {
+          attempt.watch?.dataReceived()
+          this.chunkReceived(attempt, chunk)
+        } else if (!failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
       },
       onEnd: () => this.#answerEnded(attempt, failureBody.take()),
-      onFailure: (mayBeSent, reason) => this.failAttempt(attempt, mayBeSent ? AttemptEnd.Broken : AttemptEnd.Unsent, reason),
+      onFailure: (mayBeSent, reason) => this.#connectionFailed(attempt, mayBeSent, reason),
       onOversize: (reason) => this.answerOversized(attempt, reason)
     }
   }
 
+  #connectionFailed (attempt: OpenAttempt, mayBeSent: boolean, reason: string): void {
+    if (mayBeSent && attempt.serverCall?.isBrokenOff === true) attempt.watch?.brokenOff()
+    this.failAttempt(attempt, mayBeSent ? AttemptEnd.Broken : AttemptEnd.Unsent, reason)
+  }
+
   #headReceived (attempt: OpenAttempt, head: AnswerHead): void {
     if (this.#isFinished || (this.attempt !== attempt && this.#silentAttempt !== attempt)) return
     attempt.head = head
@@ -368,20 +398,26 @@
     if (!this.#isCurrent(attempt)) return
     const { head, answer } = attempt
     if (head === null || answer === null) {
-      this.failAttempt(attempt, AttemptEnd.Broken, 'the answer ended before its head')
+      this.#connectionEnded(attempt, 'the answer ended before its head')
     } else if (answer.notRun) {
       this.#checkServerReplaced(attempt, head, answer)
       this.#notRunReceived(attempt, head.status, answer.faultyServer)
     } else if (head.status >= FIRST_FAILURE_STATUS) {
       this.#serverFailed(attempt, { head, body })
     } else if (this.completeAnswer(attempt)) {
+      attempt.watch?.completed()
       this.#closeAttempt(attempt, HealthSignal.Good)
       this.#finish(ForwardOutcome.Answered, head.status)
     } else {
-      this.failAttempt(attempt, AttemptEnd.Broken, 'the answer ended before it was complete')
+      this.#connectionEnded(attempt, 'the answer ended before it was complete')
     }
   }
 
+  #connectionEnded (attempt: OpenAttempt, reason: string): void {
+    attempt.watch?.brokenOff()
+    this.failAttempt(attempt, AttemptEnd.Broken, reason)
+  }
+
   #notRunReceived (attempt: OpenAttempt, status: number, faultyServer: string | null): void {
     if (faultyServer === null || faultyServer === attempt.server.address) {
       this.failAttempt(attempt, AttemptEnd.NotRun, `status ${status}`)
@@ -420,6 +456,24 @@
     }
   }
 
+  /** Final, since each repetition could crash another engine. */
+  #refuseQuarantined (verdict: QuarantineVerdict): void {
+    if (this.#isFinished) return
+    const { attempt } = this
+    const mayHaveRun = this.history.mayHaveRun || attempt?.serverCall?.mayBeSent === true
+    if (attempt !== null) this.#closeAttempt(attempt)
+    this.#requestLog.quarantined(verdict, mayHaveRun)
+    this.#lastProblem = `part ${verdict.evidence.part} of the prompt is quarantined`
+    const cause = mayHaveRun ? RefusalCause.Quarantined : RefusalCause.QuarantinedUnsent
+    this.context.metrics.requestRefused(cause)
+    if (this.hasStartedAnswer) {
+      this.#abortAnswer(ForwardOutcome.Lost, CloseCause.Quarantined)
+      return
+    }
+    refuse(this.response, cause)
+    this.#finish(mayHaveRun ? ForwardOutcome.Lost : ForwardOutcome.Refused, this.response.statusCode)
+  }
+
   #returnFailure ({ head, body }: SignedFailure): void {
     this.response.writeHead(head.status, withContentLength(encodeReturnedHeaders(head.rawHeaders), body.length))
     this.response.end(body)
@@ -469,6 +523,7 @@
   }
 
   #release (attempt: OpenAttempt, signal: HealthSignal | null): void {
+    attempt.watch?.ended()
     attempt.serverCall?.abort()
     if (this.#answeringAttempt === attempt) this.attemptClosed()
     attempt.reservations?.release()
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -3,6 +3,8 @@
 import type { AttemptEnd, Millis, RunnerId, ServerNotice } from '@bluebellhill/domain'
 
 import type { AdmittedCall } from './AdmittedCall.js'
+import { evidenceFields } from './quarantine/QuarantineLog.js'
+import type { QuarantineVerdict } from './quarantine/PromptQuarantine.js'
 import type { PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import type { ForwardOutcome } from './ForwardOutcome.js'
 import type { ForwardingContext, OpenAttempt } from './types.js'
@@ -40,7 +42,7 @@
    * @param lastEventId - id of the last event of the stream that the caller has
    * @param notice - what the server has stated about itself, as far as this node knows
    */
-  attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent, isDeferred }, load, scheduler, passedOver, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null, notice: ServerNotice | null): void {
+  attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent, isDeferred }, load, scheduler, passedOver, isTrial, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null, notice: ServerNotice | null): void {
     const { call, context } = this
     const now = context.clock()
     context.log.info('request.sent', {
@@ -56,6 +58,7 @@
       server_requests: load.requests,
       server_pending_ms: Math.round(load.pendingPrefill),
       deferred: isDeferred || undefined,
+      trial: isTrial || undefined,
       passed_over: passedOver.join(',') || undefined,
       ...statementFields(notice, now),
       due_in_ms: Math.round(call.dueAt - now),
@@ -110,6 +113,16 @@
     })
   }
 
+  /**
+   * Logs that the request is refused because of a part of its prompt.
+   *
+   * @param verdict - the verdict, with the evidence against the part
+   * @param mayHaveRun - whether a backend server may have run the request
+   */
+  quarantined ({ evidence: { part, ...evidence } }: QuarantineVerdict, mayHaveRun: boolean): void {
+    this.context.log.info('request.quarantined', { request: this.call.id, part, ...evidenceFields(evidence), ran: mayHaveRun ? 'unknown' : 'no' })
+  }
+
   placementFailed (error: unknown): void {
     this.context.log.error('request.placement_failed', { request: this.call.id, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
   }
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -48,6 +48,7 @@
       this.answerOversized(attempt, `an event of more than ${MAX_EVENT_BYTES} bytes`)
       return
     }
+    attempt.watch?.eventsReceived(complete.length)
     const events = complete.filter((event) => this.#isNew(event))
     if (events.length === 0) return
     if (!attempt.hasFirstEvent) this.context.placement.prefillFinished(attempt.placed)
--- a/packages/node/src/forward/backend/ServerCall.ts
+++ b/packages/node/src/forward/backend/ServerCall.ts
@@ -59,6 +59,7 @@
   #socket: Socket | null = null
   /** Bytes that had arrived with the last head or piece of the body. */
   #bytesAtLastProgress = 0
+  #isBrokenOff = false
 
   /**
    * @param request - address and contents of the request
@@ -87,6 +88,11 @@
     return this.#mayBeSent
   }
 
+  /** Whether the connection was closed or reset from outside. */
+  get isBrokenOff (): boolean {
+    return this.#isBrokenOff
+  }
+
   /** Closes the connection, so that the server stops processing the request; the listener is not called afterwards. */
   abort (): void {
     if (this.#isFinished) return
@@ -157,8 +163,12 @@
 
   /** Adds listeners that run before those of undici, which may report the answer as complete. */
   #watchForReset (socket: Socket): void {
-    socket.prependOnceListener('error', (error: Error) => { this.#connectionError = error })
+    socket.prependOnceListener('error', (error: Error) => {
+      this.#isBrokenOff = true
+      this.#connectionError = error
+    })
     socket.prependOnceListener('end', () => {
+      this.#isBrokenOff = true
       // libuv reports an end if a reset arrives together with bytes; a socket that was reset has no remote address.
       if (socket.remoteAddress === undefined) this.#connectionError = new Error('ECONNRESET the connection was reset after the last byte')
     })
--- a/packages/node/src/forward/entry/refusals.ts
+++ b/packages/node/src/forward/entry/refusals.ts
@@ -25,7 +25,11 @@
   /** The deadline passed, and the request may have run. */
   TimedOut: 'timed_out',
   /** A backend server may have run the request, and its answer was lost. */
-  AnswerLost: 'answer_lost'
+  AnswerLost: 'answer_lost',
+  /** A part of the prompt crashes engines; the request has not run. */
+  QuarantinedUnsent: 'prompt_quarantined_unsent',
+  /** A part of the prompt crashes engines, and the request may have run. */
+  Quarantined: 'prompt_quarantined'
 } as const
 export type RefusalCause = typeof RefusalCause[keyof typeof RefusalCause]
 
@@ -35,6 +39,8 @@
   readonly retryAfter: Millis | null
   /** Whether a longer time is known and not only predicted. */
   readonly isRetryAfterKnown?: boolean
+  /** What the body says of it; absent if the status says it. */
+  readonly ran?: 'no' | 'unknown'
 }
 
 /** Longest time after which a caller is asked to return, as far as it is only predicted. */
@@ -53,7 +59,10 @@
   [RefusalCause.ServersLimited]: { status: 503, retryAfter: 300, isRetryAfterKnown: true },
   [RefusalCause.TimedOutUnsent]: { status: 503, retryAfter: 300 },
   [RefusalCause.TimedOut]: { status: 504, retryAfter: null },
-  [RefusalCause.AnswerLost]: { status: 502, retryAfter: null }
+  [RefusalCause.AnswerLost]: { status: 502, retryAfter: null },
+  // Callers repeat no request after this status: each repetition could crash another engine.
+  [RefusalCause.QuarantinedUnsent]: { status: 400, retryAfter: null, ran: 'no' },
+  [RefusalCause.Quarantined]: { status: 400, retryAfter: null, ran: 'unknown' }
 }
 
 /**
@@ -73,10 +82,10 @@
  */
 export const refuse = (response: ServerResponse, cause: RefusalCause, predictedRetryAfter: Millis | null = null): void => {
   if (response.headersSent || response.destroyed) return
-  const { status, retryAfter: usualRetryAfter, isRetryAfterKnown = false } = REFUSALS[cause]
+  const { status, retryAfter: usualRetryAfter, isRetryAfterKnown = false, ran } = REFUSALS[cause]
   const longest = isRetryAfterKnown ? Infinity : MAX_PREDICTED_RETRY_AFTER
   const retryAfter = usualRetryAfter === null || predictedRetryAfter === null ? usualRetryAfter : Math.min(longest, predictedRetryAfter)
-  const body = JSON.stringify({ error: { code: cause } })
+  const body = JSON.stringify({ error: { code: cause, ran } })
   response.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
--- a/packages/node/src/forward/types.ts
+++ b/packages/node/src/forward/types.ts
@@ -8,6 +8,7 @@
 import type { ForwardMetrics } from './ForwardMetrics.js'
 import type { FleetState } from './FleetState.js'
 import type { MemoryReservations } from './MemoryReservations.js'
+import type { AttemptWatch } from './quarantine/AttemptWatch.js'
 import type { PlacementClient } from './scheduling/PlacementClient.js'
 import type { PlacedAttempt } from './scheduling/types.js'
 
@@ -31,6 +32,8 @@
   readonly reservations: MemoryReservations | null
   /** Null until the request is sent, while memory is being reserved. */
   serverCall: ServerCall | null
+  /** Observes it as evidence on the parts of its prompt; null until the request is sent, or if it can be none. */
+  watch: AttemptWatch | null
   /** Whether the first event of the answer has arrived. */
   hasFirstEvent: boolean
   /** Whether the scheduler has been told that the server sends no data. */
--- a/packages/node/src/forward/unansweredRequests.ts
+++ b/packages/node/src/forward/unansweredRequests.ts
@@ -20,6 +20,8 @@
 
 /** Why the connection was closed. */
 export const CloseCause = {
+  /** A part of its prompt crashes engines. */
+  Quarantined: 'quarantined',
   /** The attempt failed, and there was no other one. */
   AnswerLost: 'answer_lost',
   DeadlinePassed: 'deadline_passed',
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -17,6 +17,7 @@
 import { EntryServer } from '../src/forward/entry/EntryServer.js'
 import { ForwardMetrics } from '../src/forward/ForwardMetrics.js'
 import { FleetState } from '../src/forward/FleetState.js'
+import type { PromptQuarantine } from '../src/forward/quarantine/PromptQuarantine.js'
 import { PlacementClient } from '../src/forward/scheduling/PlacementClient.js'
 import { Scheduler } from '../src/forward/scheduling/Scheduler.js'
 import { LogLevel, openLog } from '../src/log/index.js'
@@ -75,6 +76,7 @@
   readonly entry: EntryServer
   readonly placement: PlacementClient
   readonly metrics = new ForwardMetrics()
+  readonly quarantine: PromptQuarantine
   readonly #servers: Server[] = []
   #port = 0
   #nextAttemptId = 1
@@ -88,6 +90,7 @@
     const scheduler = new Scheduler({
       node: SELF.node, fleetState: this.fleetState, log, clock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), schedulerCount: () => 1, group: () => directory.group
     })
+    this.quarantine = scheduler.quarantine
     this.placement = new PlacementClient({ node: SELF.node, scheduler, directory, fleetState: this.fleetState, log, clock, send: () => {}, onUncoordinatedPlacement: () => {}, onNotice: () => {} })
     this.entry = new EntryServer({ placement: this.placement, fleetState: this.fleetState, log, metrics: this.metrics, memory: new EngineMemoryClient(new HttpPool(2), 5_000), answerMemory: new AnswerMemory(), clock })
   }
