--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -1,4 +1,5 @@
 /** Parses the decision logs that nodes write on the users' platform, and explains from them what happened to one request. */
+import { describeEvidence, describeQuarantined, evidenceAgainst } from './quarantineEvidence.js'
 
 /** One parsed line of the decision log. */
 export interface LogLine {
@@ -37,7 +38,7 @@
 ])
 
 /** State changes of one backend server, as seen by a node. */
-const SERVER_EVENTS: ReadonlySet<string> = new Set(['server.arrived', 'server.departed', 'server.avoided', 'server.stated', 'server.paused'])
+const SERVER_EVENTS: ReadonlySet<string> = new Set(['server.arrived', 'server.departed', 'server.avoided', 'server.stated', 'server.paused', 'engine.crash_suspected', 'engine.crash_refuted'])
 
 const unquote = (value: string): string => value.startsWith('"') ? value.slice(1, -1).replace(/\\(.)/g, '$1') : value
 
@@ -67,11 +68,12 @@
 }
 
 /** Earlier builds log neither the scheduler nor the load of the server. */
-const describePlacement = ({ scheduler, decided_ms: decided, server_requests: requests, server_pending_ms: pending, deferred }: LogLine['fields']): string => {
+const describePlacement = ({ scheduler, decided_ms: decided, server_requests: requests, server_pending_ms: pending, deferred, trial }: LogLine['fields']): string => {
   if (scheduler === undefined) return ''
   const by = scheduler === 'self' ? 'The node itself chose the server' : `The scheduler at ${scheduler} chose the server`
+  const risk = trial === undefined ? '' : ' It was a trial: a part of its prompt was quarantined.'
   const deferral = deferred === undefined ? '' : ' It was deferred, since no slot was free in time.'
-  return ` ${by} within ${decided} ms; the server had ${requests} requests and ${pending} ms of pending prefill.${deferral}`
+  return ` ${by} within ${decided} ms; the server had ${requests} requests and ${pending} ms of pending prefill.${deferral}${risk}`
 }
 
 /** Describes what servers had stated when the next attempt found none. */
@@ -105,6 +107,12 @@
 const describeFailedAttempt = ({ at, fields }: LogLine): string =>
   `${timeOfDay(at)}: the attempt at ${fields.server} ended after ${fields.after_ms} ms as ${fields.end}: ${fields.reason}.`
 
+/** The evidence comes first, since it is older than the refusal. */
+const describeQuarantine = (lines: readonly LogLine[], line: LogLine): string[] => {
+  if (line.event !== 'request.quarantined') return []
+  return evidenceAgainst(lines, line).map((evidence) => `${timeOfDay(evidence.at)}: ${describeEvidence(evidence)}`)
+}
+
 const describeEnded = ({ at, fields }: LogLine): string => {
   const status = fields.status === undefined ? '' : ` with status ${fields.status}`
   const first = fields.first_ms === undefined ? '' : ` The caller received the first part of the answer after ${fields.first_ms} ms.`
@@ -121,6 +129,7 @@
   'request.sent': describeSent,
   'request.not_placed': describeNotPlaced,
   'attempt.failed': describeFailedAttempt,
+  'request.quarantined': (line) => `${timeOfDay(line.at)}: ${describeQuarantined(line)}`,
   'request.ended': describeEnded
 }
 
@@ -158,7 +167,7 @@
       (NODE_EVENTS.has(event) || (SERVER_EVENTS.has(event) && servers.has(fields.server ?? ''))))
     .map(describeOther)
   return {
-    sentences: own.flatMap((line) => [(DESCRIBERS[line.event] ?? describeOther)(line), ...describePassedOver(lines, line)]),
+    sentences: own.flatMap((line) => [...describeQuarantine(lines, line), (DESCRIBERS[line.event] ?? describeOther)(line), ...describePassedOver(lines, line)]),
     meanwhile: [...concurrentRequestsOf(lines, request, servers, from, last.at), ...stateChanges.slice(-MAX_STATE_CHANGES)]
   }
 }
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -101,3 +101,25 @@
   t.regex(explained('paused'), /servers_paused; i-2 had asked this node for a pause\. The caller could return after 4500 ms\./)
   t.regex(explained('leaving'), /servers_leaving; i-3 had told node edge-3 1500 ms before that it leaves\./)
 })
+
+const QUARANTINE_LOG = [
+  line('20.000', 'edge-2', 'event=engine.crash_suspected server=i-3 suspects=1 parts=ab12,cd34 requests=first reported_by=edge-2'),
+  line('20.010', 'edge-1', 'event=engine.crash_suspected server=i-3 suspects=1 parts=ab12,cd34 reported_by=edge-2 age_ms=4'),
+  line('21.000', 'edge-3', 'event=engine.crash_suspected server=i-4 suspects=2 parts=ab12 requests=second,third reported_by=edge-3'),
+  line('21.000', 'edge-3', 'event=engine.crash_suspected server=i-5 suspects=1 parts=ab12x requests=fourth reported_by=edge-3'),
+  line('21.002', 'edge-1', 'event=part.quarantined part=ab12 crashes=2 moments=2 last_crash_ms_ago=1 sound_before=false'),
+  line('21.500', 'edge-2', 'event=part.trial request=fifth parts=ab12'),
+  line('22.000', 'edge-1', 'event=request.quarantined request=r3 part=ab12 crashes=3 moments=3 last_crash_ms_ago=400 sound_before=false ran=no'),
+  line('22.001', 'edge-1', 'event=request.ended request=r3 outcome=refused status=400 servers= took_ms=1 problem="part ab12 of the prompt is quarantined"'),
+  line('23.000', 'edge-2', 'event=part.trial request=sixth parts=ab12')
+].join('\n')
+
+test('a request that was refused because of a part of its prompt is explained with the evidence of all nodes', (t) => {
+  const sentences = explainLogged(parseDecisionLog(QUARANTINE_LOG), 'r3')?.sentences ?? []
+  t.is(sentences.length, 6)
+  t.regex(sentences[0]!, /engine i-3 broke off its connections to node edge-2 while 1 requests there had not proved sound \(first\)/)
+  t.regex(sentences[1]!, /engine i-4 .* node edge-3 .* \(second,third\)/)
+  t.regex(sentences[2]!, /node edge-1 put the part into quarantine/)
+  t.regex(sentences[3]!, /let request fifth go as a trial/)
+  t.regex(sentences[4]!, /node edge-1 refused it for good: part ab12 .* after 3 crashes of engines at 3 different moments, the last one 400 ms before; the part had never been seen in a sound answer\. It has not run\./)
+})
