Node: suspected requests and trials avoid servers that have just crashed, and those that prefill for others

And a server without requests may be reading parts of long prompts for others: trials and suspected requests waited for more than a second there. Servers with a report of a crash that is not refuted are passed over as long as there is any other, and among servers with equally few requests the one with the least pending prefill is taken.

Both tests fail without their mechanism, each taken out by hand.

--- a/packages/node/src/forward/quarantine/EngineWatch.ts
+++ b/packages/node/src/forward/quarantine/EngineWatch.ts
@@ -126,6 +126,14 @@
     return true
   }
 
+  /**
+   * @param server - a backend server
+   * @returns whether a crash of its present start is reported and not refuted
+   */
+  isReportedCrashed ({ id, startedAt }: BackendServer): boolean {
+    return this.#crashes.has(keyOf(id, startedAt))
+  }
+
   #survived ({ server: { id, startedAt } }: WatchedAttempt, at: Millis): void {
     if (!this.#crashes.delete(keyOf(id, startedAt))) return
     this.#options.onSurvival({ server: id, startedAt, at })
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -226,10 +226,13 @@
     return (isRisky(spec) ? this.#chooseQuietest(request, policy) : null) ?? policy.choose(request)
   }
 
-  /** One server alone, so that a crash breaks off as few other requests as possible. */
+  /** One server alone, so that a crash breaks off as few other requests as possible. A server that has just crashed is quiet, but gone. */
   #chooseQuietest (request: PlacementRequest, policy: PlacementPolicy): PlacementChoice | null {
-    const quietest = this.#plainPolicy.choose(request)
-    return policy.choose({ ...request, candidates: request.candidates.filter(({ server }) => server === quietest?.server) })
+    const { candidates, loads } = request
+    const running = candidates.filter(({ server }) => !this.quarantine.engines.isReportedCrashed(server))
+    const byLoad = (running.length > 0 ? running : candidates).map((candidate) => ({ candidate, load: summaryOf(loads.get(candidate.server.id)) }))
+    const [quietest] = byLoad.sort((a, b) => a.load.requests - b.load.requests || a.load.pendingPrefill - b.load.pendingPrefill)
+    return quietest === undefined ? null : policy.choose({ ...request, candidates: [quietest.candidate] })
   }
 
   #findRelief ({ service, objective, isRedirected, chargesRetry, trialParts }: PlacementSpec, { engine }: Service, choice: PlacementChoice | null, now: Millis): string | null {
--- a/packages/node/tests/quarantinePlacement.test.ts
+++ b/packages/node/tests/quarantinePlacement.test.ts
@@ -128,6 +128,27 @@
   t.false(busy.includes(retried))
 })
 
+/** Guards against trials and suspected requests that go to the server that has just crashed, because nothing runs there any more. */
+test('a suspected request does not go to a server that is reported as crashed', async (t) => {
+  const network = new TestNetwork(1, 3)
+  const { scheduler } = network.schedulerNode
+  for (const index of [0, 1]) {
+    scheduler.quarantine.received({ kind: FactKind.Crash, fact: { server: `e${index}` as RunnerId, startedAt: null, reportedBy: 'n9' as NodeId, at: performance.now(), suspects: 1, parts: ['other'] } })
+  }
+  const chosen = [await network.place(network.schedulerNode, SUSPECTED), await network.place(network.schedulerNode, SUSPECTED)]
+  t.deepEqual(chosen.map(serverOf), ['e2', 'e2'])
+})
+
+test('of servers with equally few requests a suspected one goes where the least prefill is pending', async (t) => {
+  const network = new TestNetwork(1, 3)
+  const now = performance.now()
+  network.schedulerNode.scheduler.assignments.start({
+    server: 'e0' as RunnerId, helpers: ['e1' as RunnerId], reservations: [], prompt: 100_000, answer: 1_500, sentAt: now, prefillTime: 5_000, isPrefilled: false, pauseObjective: 200, dueAt: now + 5_000, isDeferred: false
+  })
+  t.is(serverOf(await network.place(network.schedulerNode, SUSPECTED)), 'e2')
+  t.is(serverOf(await network.place(network.schedulerNode, SUSPECTED)), 'e1')
+})
+
 test('a suspected request gets no helpers', async (t) => {
   const network = new TestNetwork(1, 3)
   const divided = await network.place(network.schedulerNode, NO_CAUTION, LONG_PROMPT)
