Node: evidence on prompt parts shares no datagram with the statements of servers

A state of a node with twelve statements, four assignments and new evidence was longer than the usual packet; it would be sent in pieces and lost with any of them. The evidence now has a fragment of its own beside statements, and takes 600 bytes of an announcement at most.

--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -70,12 +70,13 @@
   })
 }
 
-/** The evidence goes into the last fragment, which is one of its own if the assignments leave no room. */
-const countFragments = ({ works, quarantine }: NodeState): number => {
+/** The evidence goes into the last fragment, which is one of its own if assignments or statements leave no room. */
+const countFragments = ({ works, notices, quarantine }: NodeState): number => {
   const count = Math.max(1, Math.ceil(works.length / MAX_ASSIGNMENTS_PER_DATAGRAM))
   if (quarantine === undefined || isEmptyWire(quarantine)) return count
   const inLast = works.length - (count - 1) * MAX_ASSIGNMENTS_PER_DATAGRAM
-  return inLast > MAX_ASSIGNMENTS_BESIDE_FACTS ? count + 1 : count
+  const hasRoom = inLast <= MAX_ASSIGNMENTS_BESIDE_FACTS && (count > 1 || notices.length === 0)
+  return hasRoom ? count : count + 1
 }
 
 /**
--- a/packages/node/src/forward/quarantine/FactQueue.ts
+++ b/packages/node/src/forward/quarantine/FactQueue.ts
@@ -20,8 +20,8 @@
 /** New facts that wait for a message; beyond, the oldest are sent in turn like all others. */
 const MAX_NEW_FACTS = 256
 
-/** Bytes of the new facts in one message. */
-const MAX_NEW_BYTES = 700
+/** Bytes of the new facts in one message: few enough that a datagram with statements of servers stays below the usual packet size. */
+const MAX_NEW_BYTES = 600
 
 /** Bytes of the facts that are repeated in turn in each message: a few, since messages are sent all the time. */
 const MAX_REPEATED_BYTES = 250
--- a/packages/node/tests/quarantineCodec.test.ts
+++ b/packages/node/tests/quarantineCodec.test.ts
@@ -2,9 +2,10 @@
 import test from 'ava'
 import fc from 'fast-check'
 
-import type { CrashReport, NodeId, QuarantineFacts, RunnerId } from '@bluebellhill/domain'
+import type { Assignment, CrashReport, NodeId, QuarantineFacts, RunnerId } from '@bluebellhill/domain'
 import { fleetWire } from '@bluebellhill/protocol'
 
+import { encodeDatagram } from '../src/forward/peers/datagramCodec.js'
 import { decodeFacts, encodeFacts } from '../src/forward/peers/quarantineCodec.js'
 import { decodeState, encodeState } from '../src/forward/peers/stateCodec.js'
 import { FactKind, FactQueue } from '../src/forward/quarantine/FactQueue.js'
@@ -28,6 +29,10 @@
 
 const encodedBytes = (facts: QuarantineFacts): number => fleetWire.QuarantineFacts.encode(encodeFacts(facts, 1_000)).finish().length
 
+const assignments = (count: number, helpers: readonly RunnerId[] = []): Assignment[] => Array.from({ length: count }, (_, index) => ({
+  id: `n1/${index}`, server: `i-36e3019fc${index}` as RunnerId, helpers, reservations: [], prompt: 5_000, answer: 1_500, prefillTime: 20, sentAt: 900, isPrefilled: false, pauseObjective: 200, dueAt: 1_300, isDeferred: false
+}))
+
 test('decoded evidence equals the encoded one, with times on the clock of the receiver', (t) => {
   const bytes = fleetWire.QuarantineFacts.encode(encodeFacts(FACTS, 1_000)).finish()
   const received = decodeFacts(fleetWire.QuarantineFacts.decode(bytes), 51_000)
@@ -66,13 +71,10 @@
 })
 
 test('the evidence of a node with many requests is sent in a datagram of its own', (t) => {
-  const works = Array.from({ length: 16 }, (_, index) => ({
-    id: `n1/${index}`, server: `i-36e3019fc${index}` as RunnerId, helpers: [], reservations: [], prompt: 5_000, answer: 1_500, prefillTime: 20, sentAt: 900, isPrefilled: false, pauseObjective: 200, dueAt: 1_300, isDeferred: false
-  }))
   const queue = new FactQueue(() => ({ ...NOTHING, crashes: Array.from({ length: 20 }, (_, index) => crashOf(index)) }))
   for (let index = 0; index < 20; index += 1) queue.markNew({ kind: FactKind.Crash, fact: crashOf(index) })
   const datagrams = encodeState({
-    node: 'n1' as NodeId, startedAt: 5, sequence: 1, configurationVersion: 7, serversRevision: 41, stopping: false, storeLost: false, works, peers: [], notices: [], failureDomain: '', version: 1, processor: 0, quarantine: encodeFacts(queue.next(), 1_000)
+    node: 'n1' as NodeId, startedAt: 5, sequence: 1, configurationVersion: 7, serversRevision: 41, stopping: false, storeLost: false, works: assignments(16), peers: [], notices: [], failureDomain: '', version: 1, processor: 0, quarantine: encodeFacts(queue.next(), 1_000)
   }, 1_000)
   t.is(datagrams.length, 2)
   t.true(Math.max(...datagrams.map(({ length }) => length)) < MAX_DATAGRAM_BYTES)
@@ -81,6 +83,26 @@
   t.is(received.flatMap(({ works: each }) => each).length, 16)
 })
 
+const NOTICES = Array.from({ length: 12 }, (_, index): fleetWire.ServerNotice => ({ server: `i-36e3019f${index}0`, serverStartedAt: 1_700_000_000_000n, requestLimit: 2.5, isLeaving: true, heardBy: 'edge-saham-hall-2', heardAgoMs: 100_000 }))
+
+const queueOf = (count: number): FactQueue => {
+  const crashes = Array.from({ length: count }, (_, index) => crashOf(index, ['48720f3588ea', 'a1979a9a31ef']))
+  const queue = new FactQueue(() => ({ ...NOTHING, crashes }))
+  for (const fact of crashes) queue.markNew({ kind: FactKind.Crash, fact })
+  return queue
+}
+
+test('evidence and statements of servers fit into one announcement, and into the datagrams of a state', (t) => {
+  const quarantine = encodeFacts(queueOf(20).next(), 1_000)
+  const report = fleetWire.CandidateReport.fromPartial({ uptimeMs: 1_000_000n, configurationVersion: 1_000, serversRevision: 1_000n, notices: NOTICES, quarantine })
+  const announcement = encodeDatagram('edge-saham-hall-2' as NodeId, 1_700_000_000_000, { $case: 'candidateReport', value: report })
+  t.true(announcement.length < MAX_DATAGRAM_BYTES, `${announcement.length} bytes`)
+  const state = encodeState({
+    node: 'n1' as NodeId, startedAt: 5, sequence: 1, configurationVersion: 7, serversRevision: 41, stopping: false, storeLost: false, works: assignments(4, ['i-36e3019fd1', 'i-36e3019fd2'] as RunnerId[]), peers: [], notices: NOTICES, failureDomain: 'saham-hall', version: 1, processor: 1, quarantine
+  }, 1_000)
+  t.true(Math.max(...state.map(({ length }) => length)) < MAX_DATAGRAM_BYTES)
+})
+
 test('new facts are sent once and before all others, in messages of limited size', (t) => {
   const crashes = Array.from({ length: 40 }, (_, index) => crashOf(index, Array.from({ length: 32 }, (_, part) => `${index}ab${part}f0e1d2c3`)))
   const queue = new FactQueue(() => ({ ...NOTHING, crashes }))
