Node: the end of a server that has announced it is no crash

Servers that are replaced as planned drain, or state that they leave, and in the end close the connections on which they still answer. Each such end blamed the requests that were under way there. A server that drains by its entry, or has stated that it leaves, is no evidence when it breaks off. One whose entry is only removed still is; sound answers and the thresholds bound what that can do.

--- a/packages/node/src/forward/quarantine/EngineWatch.ts
+++ b/packages/node/src/forward/quarantine/EngineWatch.ts
@@ -24,6 +24,8 @@
 export interface EngineWatchOptions {
   readonly node: NodeId
   readonly clock: () => Millis
+  /** Returns whether a server has announced that it will end. */
+  readonly isLeaving: (server: BackendServer) => boolean
   /** Called with each crash and the requests that may have caused it. */
   readonly onCrash: (report: CrashReport, requests: readonly string[]) => void
   readonly onSurvival: (survival: ServerSurvival) => void
@@ -86,14 +88,14 @@
   }
 
   /**
-   * Reports that the server has crashed, unless an earlier report covers the attempt.
+   * Reports that the server has crashed, unless an earlier report covers the attempt or the server has announced its end.
    *
    * @param attempt - an open attempt whose connection was reset or closed before its answer was complete
    */
   brokenOff (attempt: WatchedAttempt): void {
     const { id, startedAt } = attempt.server
     const key = keyOf(id, startedAt)
-    if (this.#crashes.get(key)?.covered?.has(attempt) === true) return
+    if (this.#crashes.get(key)?.covered?.has(attempt) === true || this.#options.isLeaving(attempt.server)) return
     const covered = new Set([...this.#open.get(key) ?? [], attempt])
     const suspects = [...covered].filter(({ isSound }) => !isSound)
     const report: CrashReport = {
--- a/packages/node/src/forward/quarantine/PromptQuarantine.ts
+++ b/packages/node/src/forward/quarantine/PromptQuarantine.ts
@@ -1,6 +1,6 @@
 /** Keeps this node's copy of the evidence on prompt parts that crash engines, and judges requests by it. */
 import { PartQuarantine, PartStatus, sharedParts } from '@bluebellhill/domain'
-import type { CrashReport, Millis, NodeId, PartVerdict, PromptPart, QuarantineCounts, QuarantineFacts, ServerSurvival } from '@bluebellhill/domain'
+import type { BackendServer, CrashReport, Millis, NodeId, PartVerdict, PromptPart, QuarantineCounts, QuarantineFacts, ServerSurvival } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import { EngineWatch } from './EngineWatch.js'
@@ -12,6 +12,8 @@
   readonly node: NodeId
   readonly log: Log
   readonly clock: () => Millis
+  /** Returns whether a backend server has announced that it will end. */
+  readonly isLeaving: (server: BackendServer) => boolean
 }
 
 /** Stands for the last part of a prompt, by which no request is judged. */
@@ -32,13 +34,14 @@
 
   /** @param options - this node, its log and clock */
   constructor (options: PromptQuarantineOptions) {
-    const { node, clock } = options
+    const { node, clock, isLeaving } = options
     this.#options = options
     this.#aggregate = new PartQuarantine()
     this.#log = new QuarantineLog(options)
     this.engines = new EngineWatch({
       node,
       clock,
+      isLeaving,
       onCrash: (report, requests) => this.#crashed(report, requests),
       onSurvival: (survival) => this.#survived(survival),
       onSound: (parts) => this.#soundAnswer(parts),
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,5 +1,5 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
-import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
+import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, Readiness, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
 import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
@@ -51,7 +51,7 @@
     this.#options = options
     this.assignments = new FleetAssignments(options.node)
     this.statements = new ServerStatements(options)
-    this.quarantine = new PromptQuarantine(options)
+    this.quarantine = new PromptQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
     this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
@@ -261,6 +261,10 @@
     return usable.map((server) => ({ server, slowdown: this.#slowdowns.slowdown(server.id, now) }))
   }
 
+  #isLeaving (server: BackendServer): boolean {
+    return this.#options.fleetState.servers.find(server.id)?.readiness === Readiness.Draining || this.statements.notices.isLeaving(server)
+  }
+
   #policyOf ({ engine }: Service): PlacementPolicy {
     return engine === null ? this.#plainPolicy : this.#enginePolicy
   }
--- a/packages/node/tests/engineWatch.test.ts
+++ b/packages/node/tests/engineWatch.test.ts
@@ -17,6 +17,7 @@
   readonly crashes: CrashReport[] = []
   readonly survivals: ServerSurvival[] = []
   readonly sounds: PromptPart[] = []
+  readonly leaving = new Set<RunnerId>()
   readonly watch: EngineWatch
   #requestCount = 0
 
@@ -25,6 +26,7 @@
     this.watch = new EngineWatch({
       node: name as NodeId,
       clock: () => this.now,
+      isLeaving: ({ id }) => this.leaving.has(id),
       onCrash: (report) => this.crashes.push(report),
       onSurvival: (survival) => this.survivals.push(survival),
       onSound: (parts) => this.sounds.push(...parts),
@@ -147,6 +149,14 @@
   t.deepEqual(node.crashes[0]?.parts, ['a'])
 })
 
+/** Guards against the blame of requests that were under way when servers were replaced as planned. */
+test('the end of a server that has announced it is no crash', (t) => {
+  const node = new TestNode()
+  node.leaving.add(SERVER.id)
+  node.breakOff([node.send(['a']), node.send(['b'])])
+  t.deepEqual(node.crashes, [])
+})
+
 test('several nodes that see one crash report their own requests', (t) => {
   const nodes = [new TestNode('n1'), new TestNode('n2')]
   for (const [index, node] of nodes.entries()) node.breakOff([node.send([`p${index}`])])
--- a/packages/node/tests/quarantinedRequests.test.ts
+++ b/packages/node/tests/quarantinedRequests.test.ts
@@ -1,7 +1,8 @@
 /** Requests with a prompt part that crashes engines: what their callers get, and what reaches the backend servers. */
 import test from 'ava'
 
-import { PartStatus } from '@bluebellhill/domain'
+import { PartStatus, Readiness } from '@bluebellhill/domain'
+import type { RunnerId } from '@bluebellhill/domain'
 import { HeaderName } from '@bluebellhill/platform'
 
 import { ForwardFixture, signedHeaders } from './forwardFixture.js'
@@ -135,6 +136,17 @@
   t.regex(fixture.linesOf('engine.crash_suspected')[0] ?? '', /suspects=1 parts=d0 /)
 })
 
+test('the end of a server that drains is no crash', async (t) => {
+  const { script } = crashing(BAD)
+  const fixture = await ForwardFixture.start(t, script)
+  const call = fixture.call('/once/x', { headers: headersOf(BAD) })
+  await until(() => fixture.linesOf('request.sent').length === 1)
+  const server = fixture.fleetState.servers.find('e0' as RunnerId)!
+  fixture.fleetState.putServer({ server: { ...server, readiness: Readiness.Draining }, revision: 2 }, 'store')
+  await call
+  t.deepEqual(fixture.linesOf('engine.crash_suspected'), [])
+})
+
 /** Guards against a quarantine because of servers that refuse, fail, or are given up by this node. */
 test('refusals, failures and the departure of the caller are no crashes', async (t) => {
   const scripts: Script[] = [
