--- a/packages/cli/src/timeline/quarantineEvidence.ts
+++ b/packages/cli/src/timeline/quarantineEvidence.ts
@@ -34,7 +34,7 @@
 export const describeEvidence = (line: LogLine): string => SENTENCES[line.event]?.(line) ?? line.event
 
 const SENTENCES: Readonly<Record<string, (line: LogLine) => string>> = {
-  'engine.crash_suspected': ({ node, fields }) => `engine ${fields.server} broke off its connections to node ${node} while ${fields.suspects} requests there had not proved sound (${fields.requests ?? 'none'}).`,
+  'engine.crash_suspected': ({ node, fields }) => `engine ${fields.server} broke off its connections to node ${node}; requests that had not proved sound there: ${fields.suspects} (${fields.requests ?? 'none'}).`,
   'part.quarantined': ({ node }) => `node ${node} put the part into quarantine.`,
   'part.released': ({ node }) => `node ${node} released the part.`,
   'part.trial': ({ node, fields }) => `node ${node} let request ${fields.request} go as a trial.`
