Node: facts of other nodes are merged message by message

A time that goes round among nodes as an age grows by the way of each message, so that a sound answer could move past the crash that followed it and lift a quarantine. The aggregate now takes all facts of a message together and corrects their times by the crashes that both nodes know; the node hands them over in this form, forwards them if one is news, and logs a repeated fact once. The tests give the aggregate the sound answer of another part, without which it now accuses none.

--- a/packages/node/src/forward/quarantine/FactExchange.ts
+++ b/packages/node/src/forward/quarantine/FactExchange.ts
@@ -3,8 +3,7 @@
 import type { fleetWire } from '@bluebellhill/protocol'
 
 import { decodeFacts, encodeFacts } from '../peers/quarantineCodec.js'
-import { FactKind, FactQueue } from './FactQueue.js'
-import type { Fact } from './FactQueue.js'
+import { FactQueue, listFacts } from './FactQueue.js'
 import type { PromptQuarantine } from './PromptQuarantine.js'
 
 export interface FactExchangeOptions {
@@ -86,20 +85,13 @@
    */
   received (wire: fleetWire.QuarantineFacts | undefined): boolean {
     const { quarantine, clock } = this.#options
-    const { crashes, survivals, sounds, trials } = decodeFacts(wire, clock())
-    const facts: Fact[] = [
-      // Sound answers come first: with them, a crash in the same message may not suffice for a quarantine.
-      ...sounds.map((fact): Fact => ({ kind: FactKind.Sound, fact })),
-      ...survivals.map((fact): Fact => ({ kind: FactKind.Survival, fact })),
-      ...crashes.map((fact): Fact => ({ kind: FactKind.Crash, fact })),
-      ...trials.map((fact): Fact => ({ kind: FactKind.Trial, fact }))
-    ]
-    const news = facts.filter((fact) => quarantine.received(fact))
-    for (const fact of news) {
+    const facts = decodeFacts(wire, clock())
+    if (!quarantine.received(facts)) return false
+    for (const fact of listFacts(facts)) {
       this.#announced.markNew(fact)
       this.#toGroups.markNew(fact)
     }
-    return news.length > 0
+    return true
   }
 
   #encode (facts: QuarantineFacts): fleetWire.QuarantineFacts {
--- a/packages/node/src/forward/quarantine/FactQueue.ts
+++ b/packages/node/src/forward/quarantine/FactQueue.ts
@@ -55,7 +55,7 @@
 
   /** @returns the facts of the next message: new ones, which count as sent, and some others in turn */
   next (): QuarantineFacts {
-    const all = ranked(this.facts())
+    const all = listFacts(this.facts())
     const unsent = all.filter((fact) => this.#new.has(keyOf(fact)))
     const selected = firstWithin(unsent, MAX_NEW_BYTES)
     for (const fact of selected) this.#new.delete(keyOf(fact))
@@ -68,13 +68,13 @@
 
   /** @returns some facts in turn; new ones stay unsent */
   nextRepeated (): QuarantineFacts {
-    return collect(this.#nextInTurn(ranked(this.facts()), MAX_REPEATED_BYTES))
+    return collect(this.#nextInTurn(listFacts(this.facts()), MAX_REPEATED_BYTES))
   }
 
   /** @returns the facts for a node that has just started, divided into messages */
   everything (): QuarantineFacts[] {
     const messages: QuarantineFacts[] = []
-    let rest = ranked(this.facts())
+    let rest = listFacts(this.facts())
     while (rest.length > 0 && messages.length < MAX_MESSAGES_AT_START) {
       const selected = firstWithin(rest, MAX_NEW_BYTES)
       messages.push(collect(selected))
@@ -92,8 +92,11 @@
   }
 }
 
-/** @returns all facts, those that bear on a crash first: the sound answers of other parts decide nothing yet */
-const ranked = ({ crashes, survivals, trials, sounds }: QuarantineFacts): Fact[] => {
+/**
+ * @param facts - facts of all kinds
+ * @returns a list of them, those that bear on a crash first: the sound answers of other parts decide little
+ */
+export const listFacts = ({ crashes, survivals, trials, sounds }: QuarantineFacts): Fact[] => {
   const blamed = new Set(crashes.flatMap(({ parts }) => parts))
   const isBlamed = ({ part }: SoundPart): boolean => blamed.has(part)
   return [
--- a/packages/node/src/forward/quarantine/PromptQuarantine.ts
+++ b/packages/node/src/forward/quarantine/PromptQuarantine.ts
@@ -79,15 +79,16 @@
   }
 
   /**
-   * Records a fact that another node has sent.
+   * Records facts that another node has sent in one message.
    *
-   * @param fact - the fact
-   * @returns whether it is new to this node
+   * @param facts - the facts
+   * @returns whether other nodes should know of some of them
    */
-  received (fact: Fact): boolean {
-    if (!this.#record(fact)) return false
-    // Each node with requests on the server reports the crash.
-    if (fact.kind !== FactKind.Crash || this.engines.crashHeard(fact.fact)) this.#log.heard(fact)
+  received (facts: QuarantineFacts): boolean {
+    if (!this.#aggregate.merge(facts)) return false
+    // Each node with requests on a server reports its crash, which is logged once.
+    const crashes = facts.crashes.filter((crash) => this.engines.crashHeard(crash))
+    this.#log.heard({ ...facts, crashes })
     this.#update()
     return true
   }
--- a/packages/node/src/forward/quarantine/QuarantineLog.ts
+++ b/packages/node/src/forward/quarantine/QuarantineLog.ts
@@ -1,9 +1,13 @@
 /** Writes the log lines about prompt parts that crash engines, and remembers which parts are quarantined for them. */
-import type { CrashReport, Millis, PartEvidence, PromptPart, ServerSurvival } from '@bluebellhill/domain'
+import type { CrashReport, Millis, PartEvidence, PromptPart, QuarantineFacts, ServerSurvival } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
-import { FactKind } from './FactQueue.js'
-import type { Fact } from './FactQueue.js'
+
+/** Difference in time below which a fact is one that was logged before. */
+const REPETITION_TOLERANCE: Millis = 200
+
+/** Facts of other nodes that are remembered, so that repetitions are not logged. */
+const MAX_HEARD = 512
 
 /** Ids that one log line names. */
 const MAX_IDS = 8
@@ -16,6 +20,8 @@
 /** Log lines about crashes of engines and the parts behind them. */
 export class QuarantineLog {
   readonly #options: QuarantineLogOptions
+  /** Times of facts of other nodes that were logged. */
+  readonly #heardAt = new Map<string, Millis>()
   /** Parts whose quarantine has been logged. */
   #quarantined: ReadonlySet<PromptPart> = new Set()
 
@@ -37,13 +43,26 @@
     this.#options.log.info('engine.crash_refuted', { server, server_started_at: startedAt ?? undefined, reason: 'the server has sent more data' })
   }
 
-  /** @param fact - new fact that another node has sent */
-  heard ({ kind, fact }: Fact): void {
+  /** @param facts - facts that another node has sent; those that are repeated are not logged again */
+  heard ({ crashes, survivals, trials }: QuarantineFacts): void {
     const { log, clock } = this.#options
-    const age = Math.round(clock() - fact.at)
-    if (kind === FactKind.Crash) log.warn('engine.crash_suspected', { ...crashFields(fact), reported_by: fact.reportedBy, age_ms: age })
-    else if (kind === FactKind.Survival) log.info('engine.crash_refuted', { server: fact.server, server_started_at: fact.startedAt ?? undefined, age_ms: age, reason: 'another node has received more data' })
-    else if (kind === FactKind.Trial) log.info('part.trial', { parts: fact.part, granted_by: fact.grantedBy, age_ms: age })
+    const now = clock()
+    for (const crash of crashes) log.warn('engine.crash_suspected', { ...crashFields(crash), reported_by: crash.reportedBy, age_ms: Math.round(now - crash.at) })
+    for (const { server, startedAt, at } of survivals) {
+      if (this.#isNew(`survival of ${server}`, at)) log.info('engine.crash_refuted', { server, server_started_at: startedAt ?? undefined, age_ms: Math.round(now - at), reason: 'another node has received more data' })
+    }
+    for (const { part, at, grantedBy } of trials) {
+      if (this.#isNew(`trial of ${part}`, at)) log.info('part.trial', { parts: part, granted_by: grantedBy, age_ms: Math.round(now - at) })
+    }
+  }
+
+  #isNew (name: string, at: Millis): boolean {
+    if (at <= (this.#heardAt.get(name) ?? -Infinity) + REPETITION_TOLERANCE) return false
+    this.#heardAt.delete(name)
+    this.#heardAt.set(name, at)
+    const [oldest] = this.#heardAt.keys()
+    if (this.#heardAt.size > MAX_HEARD && oldest !== undefined) this.#heardAt.delete(oldest)
+    return true
   }
 
   /**
--- a/packages/node/tests/quarantineFixture.ts
+++ b/packages/node/tests/quarantineFixture.ts
@@ -15,6 +15,11 @@
 /** Time between two crashes of a test: they are not one moment. */
 const CRASH_INTERVAL_MS = 300
 
+/** Part of requests that are answered meanwhile: without any, nothing tells a part that crashes engines from another cause. */
+const OTHER_PART = 'another'
+
+const MAX_CRASHES = 20
+
 /** A node without callers and store. */
 export interface EvidencePeer {
   readonly self: SchedulerCandidate
@@ -58,6 +63,8 @@
     quarantine.engines.brokenOff(attempt)
     quarantine.engines.ended(attempt)
     await sleep(CRASH_INTERVAL_MS)
+    proveSound(quarantine, OTHER_PART)
+    if (index > MAX_CRASHES) throw new Error('the part was not quarantined')
   }
 }
 
