--- a/packages/domain/src/forwarding/quarantine/CrashReports.ts
+++ b/packages/domain/src/forwarding/quarantine/CrashReports.ts
@@ -18,6 +18,8 @@
 /** Reports and survivals, each kept once whatever the order in which they arrive. */
 export class CrashReports {
   readonly #reports = new Map<string, CrashReport>()
+  /** Keys of the reports on each start. */
+  readonly #keysByStart = new Map<string, Set<string>>()
   readonly #survivals = new Map<string, ServerSurvival>()
 
   /** Number of reports. */
@@ -45,6 +47,8 @@
     const merged = known === undefined ? report : mergeReports(known, report)
     if (merged === known) return false
     this.#reports.set(key, merged)
+    const start = startKey(report)
+    this.#keysByStart.set(start, (this.#keysByStart.get(start) ?? new Set()).add(key))
     return known === undefined || !haveSameContent(known, merged)
   }
 
@@ -86,7 +90,8 @@
    * @returns number of reports on it that are not refuted
    */
   countValid (start: ServerStart): number {
-    return this.reports.filter((report) => startKey(report) === startKey(start) && !this.isRefuted(report)).length
+    const keys = this.#keysByStart.get(startKey(start)) ?? []
+    return [...keys].filter((key) => !this.isRefuted(this.#reports.get(key)!)).length
   }
 
   /** @returns the crashes that are not refuted, oldest first */
@@ -106,7 +111,11 @@
 
   /** @param report - the report to discard */
   remove (report: CrashReport): void {
-    this.#reports.delete(reportKey(report))
+    const [start, key] = [startKey(report), reportKey(report)]
+    this.#reports.delete(key)
+    const keys = this.#keysByStart.get(start)
+    keys?.delete(key)
+    if (keys?.size === 0) this.#keysByStart.delete(start)
   }
 
   /** @param survival - the survival to discard */
--- a/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
+++ b/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
@@ -84,10 +84,10 @@
   recordSurvival (survival: ServerSurvival): boolean {
     const before = this.#reports.countValid(survival)
     if (!this.#reports.recordSurvival(survival)) return false
-    const refuted = before - this.#reports.countValid(survival)
+    const isRefutation = this.#reports.countValid(survival) < before
     this.#dropSurvivals()
-    this.#factsChanged()
-    return refuted > 0
+    if (isRefutation) this.#standings = null
+    return isRefutation
   }
 
   /**
@@ -260,9 +260,10 @@
   }
 
   #dropSurvivals (): void {
-    const survivals = this.#reports.survivals
+    const { survivals } = this.#reports
     if (survivals.length <= MAX_SURVIVALS) return
     this.#reports.removeSurvival(survivals.reduce((a, b) => b.at < a.at ? b : a))
+    this.#standings = null
     this.#factsDropped++
   }
 }
--- a/packages/domain/src/forwarding/quarantine/assessment.ts
+++ b/packages/domain/src/forwarding/quarantine/assessment.ts
@@ -141,7 +141,7 @@
 }
 
 const meetsThreshold = (threshold: Threshold, moments: number, weight: number, silence: Millis): boolean =>
-  silence >= threshold.silence &&
+  (silence >= threshold.silence || moments >= threshold.burstMoments) &&
   (moments >= threshold.sufficientMoments || (moments >= threshold.moments && weight >= threshold.weight))
 
 /** Whether requests without the part were sound meanwhile. Crashes say nothing about a part that all requests carry, or while all engines crash. */
--- a/packages/domain/src/forwarding/quarantine/constants.ts
+++ b/packages/domain/src/forwarding/quarantine/constants.ts
@@ -10,13 +10,15 @@
   readonly sufficientMoments: number
   /** Time from the last sound answer to the last crash. */
   readonly silence: Millis
+  /** Moments from which on a shorter silence is enough: engines may all be gone within that time. */
+  readonly burstMoments: number
 }
 
 /** For parts that were never seen in a sound answer. */
-export const NEW_PART_THRESHOLD: Threshold = { moments: 2, weight: 1, sufficientMoments: 3, silence: 0 }
+export const NEW_PART_THRESHOLD: Threshold = { moments: 2, weight: 1, sufficientMoments: 3, silence: 0, burstMoments: 0 }
 
 /** For parts that were sound before: other causes are more likely. */
-export const SOUND_PART_THRESHOLD: Threshold = { moments: 4, weight: 2, sufficientMoments: 5, silence: 1_000 }
+export const SOUND_PART_THRESHOLD: Threshold = { moments: 4, weight: 2, sufficientMoments: 5, silence: 1_000, burstMoments: 8 }
 
 /** Crashes closer than this to the first of a moment belong to it. */
 export const MOMENT_LENGTH: Millis = 50
@@ -46,7 +48,7 @@
 export const FIRST_TRIAL_GAP: Millis = 500
 
 /** Later gaps are this multiple of the time since the first trial. */
-export const TRIAL_GAP_GROWTH = 5
+export const TRIAL_GAP_GROWTH = 15
 
 /** Time after the trial of a quarantined part in which no other part gets a repeated trial: engines pay for all of them. */
 export const FLEET_TRIAL_GAP: Millis = 20_000
