Node: a test that new evidence is not sent in turn with older evidence

The tests so far waited long enough for the rotation. The new one has sixty crashes to send besides, and fails ("came in turn") where the facts of another node are not marked as new.

--- a/packages/node/tests/quarantineExchange.test.ts
+++ b/packages/node/tests/quarantineExchange.test.ts
@@ -6,7 +6,7 @@
 import test from 'ava'
 
 import { MAX_GROUP_ENGINES, PartStatus, Readiness } from '@bluebellhill/domain'
-import type { CrashReport, FailureDomain, NodeId, RunnerId } from '@bluebellhill/domain'
+import type { CrashReport, FailureDomain, NodeId, PromptPart, QuarantineFacts, RunnerId } from '@bluebellhill/domain'
 
 import { DEPLOYMENT } from './forwardFixture.js'
 import { crashEngines, openEvidencePeer, proveSound, refuses, until } from './quarantineFixture.js'
@@ -50,14 +50,32 @@
 /** More evidence than one message holds, and than is repeated within the time of the test. */
 const CRASHING_PARTS = 30
 
+const manyCrashes = (parts: readonly PromptPart[]): QuarantineFacts => {
+  const now = performance.now()
+  const crashes = parts.flatMap((part, index) => [500, 1_500].map((age): CrashReport =>
+    ({ server: `${part}-${age}` as RunnerId, startedAt: null, reportedBy: 'n9' as NodeId, at: now - 5_000 * index - age, suspects: 1, parts: [part] })))
+  return { crashes, survivals: [], trials: [], sounds: [{ part: 'good', at: now - 100 }] }
+}
+
+/** Guards against news that waits its turn among older evidence, while engines go on to crash. */
+test('new evidence is passed on at once, before what is known', async (t) => {
+  const peers = [await openEvidencePeer(t, '127.0.1.14', port, 0), await openEvidencePeer(t, '127.0.1.15', port, 1), await openEvidencePeer(t, '127.0.1.16', port, 2)]
+  const [first, second, scheduling] = peers
+  const parts = Array.from({ length: CRASHING_PARTS }, (_, index) => `${index}f0e1d2c3b4`)
+  for (const peer of peers) quarantineOf(peer).received(manyCrashes(parts))
+  for (const { link } of [first!, second!]) link.addNodes([scheduling!.self], [])
+  await until(() => scheduling!.link.table.active().length === 2)
+  await crashEngines(quarantineOf(first!), 'bad')
+  const from = performance.now()
+  await until(() => refuses(quarantineOf(second!), 'bad'))
+  t.true(performance.now() - from < 3 * HEARTBEAT_MS, 'the evidence came in turn')
+})
+
 /** Guards against a node that lets engines crash after its start, because it gets the evidence in small portions. */
 test('a node that starts gets all evidence at once', async (t) => {
   const first = await openEvidencePeer(t, '127.0.1.12', port, 1)
   const parts = Array.from({ length: CRASHING_PARTS }, (_, index) => `${index}f0e1d2c3b4`)
-  const now = performance.now()
-  const crashes = parts.flatMap((part, index) => [500, 1_500].map((age): CrashReport =>
-    ({ server: `${part}-${age}` as RunnerId, startedAt: null, reportedBy: 'n9' as NodeId, at: now - 5_000 * index - age, suspects: 1, parts: [part] })))
-  quarantineOf(first).received({ crashes, survivals: [], trials: [], sounds: [{ part: 'good', at: now - 100 }] })
+  quarantineOf(first).received(manyCrashes(parts))
   t.true(parts.every((part) => refuses(quarantineOf(first), part)))
   const late = await openEvidencePeer(t, '127.0.1.13', port, 0)
   late.link.addNodes([first.self], [])
