A second silent server does not displace the first one

With three attempts or more, a replacement that is silent too was set aside in the place of the attempt that it had been opened beside. That one was never closed again: its server worked on for a caller who had gone or had another answer, its place at the scheduler and its memory stayed taken, and what it sent when it went on was ignored, so that the caller lost a started answer.

All silent attempts are now kept, and closed together.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -45,8 +45,8 @@
 /** Sends one request to one backend server after another, as far as its route and the retry budget allow. */
 export abstract class Forwarding {
   protected attempt: OpenAttempt | null = null
-  /** Attempt whose server is silent. It is kept until another server answers, and goes on if its server does so first. */
-  #silentAttempt: OpenAttempt | null = null
+  /** Attempts whose servers are silent, the earliest first. They are kept until another server answers; one goes on if its server does so first. */
+  #silentAttempts: readonly OpenAttempt[] = []
   /** Attempt whose successful answer is being received; what is collected of an answer belongs to it. */
   #answeringAttempt: OpenAttempt | null = null
   protected readonly history: AttemptHistory
@@ -186,27 +186,27 @@
       return
     }
     this.#clearDataTimer()
-    this.#silentAttempt = attempt
+    this.#silentAttempts = [...this.#silentAttempts, attempt]
   }
 
   /** @returns whether an attempt is in progress; a silent one whose server goes on takes the place of the one that was to replace it */
   #isCurrent (attempt: OpenAttempt): boolean {
     if (this.attempt === attempt) return true
-    if (this.#silentAttempt !== attempt || this.#isFinished) return false
+    if (!this.#silentAttempts.includes(attempt) || this.#isFinished) return false
     const replacement = this.attempt
     if (replacement !== null) {
       this.history.end(replacement.server.id, replacement.serverCall?.mayBeSent === true ? AttemptEnd.TimedOut : AttemptEnd.Unsent)
       this.#closeAttempt(replacement)
     }
-    this.#returnToSilent('data')
+    this.#returnToSilent(attempt, 'data')
+    this.#closeSilent()
     return true
   }
 
-  /** Goes on with the silent attempt, if there is one. */
-  #returnToSilent (cause: 'data' | 'no_other_attempt'): boolean {
-    const attempt = this.#silentAttempt
-    if (attempt === null) return false
-    this.#silentAttempt = null
+  /** Goes on with a silent attempt, if there is one. */
+  #returnToSilent (attempt: OpenAttempt | undefined, cause: 'data' | 'no_other_attempt'): boolean {
+    if (attempt === undefined) return false
+    this.#silentAttempts = this.#silentAttempts.filter((silent) => silent !== attempt)
     if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
     this.attempt = attempt
     this.#requestLog.silentAttemptResumed(attempt, cause)
@@ -214,17 +214,16 @@
     return true
   }
 
-  #closeSilent (signal: HealthSignal | null = null): void {
-    const attempt = this.#silentAttempt
-    this.#silentAttempt = null
-    if (attempt !== null) this.#release(attempt, signal)
+  #closeSilent (closed: readonly OpenAttempt[] = this.#silentAttempts, signal: HealthSignal | null = null): void {
+    this.#silentAttempts = this.#silentAttempts.filter((attempt) => !closed.includes(attempt))
+    for (const attempt of closed) this.#release(attempt, signal)
   }
 
   /** Ends an attempt without a complete answer, and starts another one if the route and the retry budget allow it. */
   protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string, signal = healthSignalOf(attempt, end)): void {
-    if (this.#silentAttempt === attempt) {
+    if (this.#silentAttempts.includes(attempt)) {
       this.#requestLog.attemptFailed(attempt, end, reason)
-      this.#closeSilent(signal === HealthSignal.Faulty ? signal : null)
+      this.#closeSilent([attempt], signal === HealthSignal.Faulty ? signal : null)
     }
     if (this.attempt !== attempt || this.#isFinished) return
     this.#closeAttempt(attempt, signal)
@@ -363,12 +362,12 @@
   }
 
   #headReceived (attempt: OpenAttempt, head: AnswerHead): void {
-    if (this.#isFinished || (this.attempt !== attempt && this.#silentAttempt !== attempt)) return
+    if (this.#isFinished || (this.attempt !== attempt && !this.#silentAttempts.includes(attempt))) return
     attempt.head = head
     attempt.answer = decodeAnswerHeaders(head.status, head.headers)
     this.#recordStatement(attempt, head.status, attempt.answer)
     const problem = findAnswerProblem(attempt.answer, head.status, this.call.id)
-    if (this.#silentAttempt === attempt && (problem !== null || !isSuccessfulAnswer(attempt))) {
+    if (this.#silentAttempts.includes(attempt) && (problem !== null || !isSuccessfulAnswer(attempt))) {
       this.failAttempt(attempt, AttemptEnd.Failed, problem ?? `status ${head.status}`)
       return
     }
@@ -442,7 +441,7 @@
   }
 
   #giveUp (refusal: RefusedPlacement | null = null): void {
-    if ((this.hasStartedAnswer || this.signedFailure === null) && this.#returnToSilent('no_other_attempt')) return
+    if ((this.hasStartedAnswer || this.signedFailure === null) && this.#returnToSilent(this.#silentAttempts[0], 'no_other_attempt')) return
     if (this.hasStartedAnswer) {
       this.#abortAnswer(ForwardOutcome.Lost, CloseCause.AnswerLost)
     } else if (this.signedFailure !== null) {
