A silent server is kept until another one has sent something to pass on

A started answer was still broken off, although its server went on after a pause: the head of another server's success was enough to close the silent attempt. If that server then broke off before its first event, or before a plain answer was complete, nothing was left.

Silent attempts are now closed with the first data that is passed on to the caller. So that what two servers send cannot mix, each attempt has a splitter, or a list of chunks, of its own.

Test (packages/node/tests/severalSilentServers.test.ts): 'a stream goes on at its silent server if the next one breaks off behind its head'; before, 'whole: false'.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -47,8 +47,6 @@
   protected attempt: OpenAttempt | null = null
   /** Attempts whose servers are silent, the earliest first. They are kept until another server answers; one goes on if its server does so first. */
   #silentAttempts: readonly OpenAttempt[] = []
-  /** Attempt whose successful answer is being received; what is collected of an answer belongs to it. */
-  #answeringAttempt: OpenAttempt | null = null
   protected readonly history: AttemptHistory
   protected signedFailure: SignedFailure | null = null
   protected firstAnswerAt: Millis | null = null
@@ -116,19 +114,20 @@
   protected abstract chunkReceived (attempt: OpenAttempt, chunk: Buffer): void
 
   /** Whether the answer is complete if its server ends it now. */
-  protected abstract get isAnswerWhole (): boolean
+  protected abstract isAnswerWhole (attempt: OpenAttempt): boolean
 
   /** Called when a successful answer has ended. Returns whether it is complete; it has then been sent to the caller. */
   protected abstract completeAnswer (attempt: OpenAttempt): boolean
 
-  /** Called when an attempt is over whose answer had started, so that what has been collected of it is discarded. */
-  protected abstract attemptClosed (): void
+  /** Called when an attempt is over, so that what has been collected of its answer is discarded. */
+  protected abstract attemptClosed (attempt: OpenAttempt): void
 
   /** Returns the fields of the final log line that depend on the kind of answer. */
   protected abstract answerLogFields (): Record<string, unknown>
 
-  /** Records the time of the first data that is sent to the caller. */
+  /** Records the time of the first data that is sent to the caller, and gives up the attempts that were kept until then. */
   protected recordFirstAnswer (attempt: OpenAttempt): void {
+    this.#closeSilent()
     if (this.firstAnswerAt !== null) return
     this.firstAnswerAt = this.context.clock()
     this.context.metrics.firstAnswerSent(this.call.route.kind, attempt.placed.choice.timeToFirstEvent, this.firstAnswerAt - attempt.sentAt)
@@ -373,11 +372,7 @@
     }
     if (!this.#isCurrent(attempt)) return
     if (problem !== null) this.failAttempt(attempt, AttemptEnd.Broken, problem)
-    else if (isSuccessfulAnswer(attempt)) {
-      this.#closeSilent()
-      this.#answeringAttempt = attempt
-      this.successStarted(attempt)
-    }
+    else if (isSuccessfulAnswer(attempt)) this.successStarted(attempt)
   }
 
   /** An answer to another request, or of another server at the same address, says nothing of the server that was asked. */
@@ -390,7 +385,7 @@
   }
 
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
-    if (this.#silentAttempt === attempt && !this.isAnswerWhole) {
+    if (this.#silentAttempts.includes(attempt) && !this.isAnswerWhole(attempt)) {
       this.failAttempt(attempt, AttemptEnd.Broken, 'the answer ended before it was complete')
       return
     }
@@ -524,7 +519,7 @@
   #release (attempt: OpenAttempt, signal: HealthSignal | null): void {
     attempt.watch?.ended()
     attempt.serverCall?.abort()
-    if (this.#answeringAttempt === attempt) this.attemptClosed()
+    this.attemptClosed(attempt)
     attempt.reservations?.release()
     this.context.placement.removeAssignment(attempt.placed, signal)
   }
--- a/packages/node/src/forward/PlainForwarding.ts
+++ b/packages/node/src/forward/PlainForwarding.ts
@@ -14,7 +14,8 @@
 
 /** Collects the single answer of a request, and sends it to the caller when it is complete. */
 export class PlainForwarding extends Forwarding {
-  readonly #body = new BoundedBuffer(MAX_PLAIN_ANSWER_BYTES, this.context.answerMemory)
+  /** What has arrived of each attempt's answer: a silent one may go on after the head of another. */
+  readonly #bodies = new Map<OpenAttempt, BoundedBuffer>()
 
   protected get lastEventId (): null {
     return null
@@ -26,32 +27,33 @@
     return Math.max(route.objective, REMAINING_TIME_SHARE * (deadlineAt - this.context.clock()))
   }
 
-  protected successStarted (): void {
-    this.#body.clear()
+  protected successStarted (attempt: OpenAttempt): void {
+    this.#bodies.set(attempt, new BoundedBuffer(MAX_PLAIN_ANSWER_BYTES, this.context.answerMemory))
   }
 
   protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
-    if (this.#body.append(chunk)) return
-    const { length } = this.#body
-    this.answerOversized(attempt, `an answer of more than ${length} bytes, of ${MAX_PLAIN_ANSWER_BYTES} for one and ${MAX_COLLECTED_BYTES} for all`)
+    const body = this.#bodies.get(attempt)
+    if (body === undefined || body.append(chunk)) return
+    this.answerOversized(attempt, `an answer of more than ${body.length} bytes, of ${MAX_PLAIN_ANSWER_BYTES} for one and ${MAX_COLLECTED_BYTES} for all`)
   }
 
-  protected get isAnswerWhole (): boolean {
+  protected isAnswerWhole (): boolean {
     return true
   }
 
   protected completeAnswer (attempt: OpenAttempt): boolean {
     const { head } = attempt
     if (head === null) return false
-    const body = this.#body.take()
+    const body = this.#bodies.get(attempt)?.take() ?? Buffer.alloc(0)
     this.response.writeHead(head.status, withContentLength(encodeReturnedHeaders(head.rawHeaders), body.length))
     this.response.end(body)
     this.recordFirstAnswer(attempt)
     return true
   }
 
-  protected attemptClosed (): void {
-    this.#body.clear()
+  protected attemptClosed (attempt: OpenAttempt): void {
+    this.#bodies.get(attempt)?.clear()
+    this.#bodies.delete(attempt)
   }
 
   protected answerLogFields (): Record<string, unknown> {
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -9,11 +9,17 @@
 import { Forwarding } from './Forwarding.js'
 import type { OpenAttempt } from './types.js'
 
+/** Events of one attempt. */
+interface ReceivedStream {
+  readonly splitter: EventSplitter
+  /** With those of events that the caller had already. */
+  bytes: number
+}
+
 /** Passes the events of a stream on to the caller, each one only when it is complete. */
 export class StreamForwarding extends Forwarding {
-  #splitter = new EventSplitter()
-  /** Bytes of the attempt in progress, with those of events that the caller had already. */
-  #receivedBytes = 0
+  /** What has arrived of each attempt's stream: a silent one may go on after the head of another. */
+  readonly #streams = new WeakMap<OpenAttempt, ReceivedStream>()
   #lastEventId: string | null = null
   #eventCount = 0
   #repeatedEventCount = 0
@@ -32,18 +38,19 @@
     return head === null ? firstEventTimeout(bounds) : nextEventTimeout(bounds)
   }
 
-  protected successStarted (): void {
-    this.#splitter = new EventSplitter()
-    this.#receivedBytes = 0
+  protected successStarted (attempt: OpenAttempt): void {
+    this.#streams.set(attempt, { splitter: new EventSplitter(), bytes: 0 })
   }
 
   protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
-    this.#receivedBytes += chunk.length
-    if (this.#receivedBytes > MAX_STREAM_BYTES) {
+    const stream = this.#streams.get(attempt)
+    if (stream === undefined) return
+    stream.bytes += chunk.length
+    if (stream.bytes > MAX_STREAM_BYTES) {
       this.answerOversized(attempt, `a stream of more than ${MAX_STREAM_BYTES} bytes`)
       return
     }
-    const complete = this.#splitter.push(chunk)
+    const complete = stream.splitter.push(chunk)
     if (complete === null) {
       this.answerOversized(attempt, `an event of more than ${MAX_EVENT_BYTES} bytes`)
       return
@@ -61,12 +68,12 @@
     this.#checkCallerReads(attempt)
   }
 
-  protected get isAnswerWhole (): boolean {
-    return this.#splitter.pendingBytes === 0 && this.#eventCount > 0
+  protected isAnswerWhole (attempt: OpenAttempt): boolean {
+    return this.#streams.get(attempt)?.splitter.pendingBytes === 0 && this.#eventCount > 0
   }
 
   protected completeAnswer (attempt: OpenAttempt): boolean {
-    if (!this.isAnswerWhole) return false
+    if (!this.isAnswerWhole(attempt)) return false
     this.#writeHead(attempt)
     this.response.end()
     return true
--- a/packages/node/tests/severalSilentServers.test.ts
+++ b/packages/node/tests/severalSilentServers.test.ts
@@ -44,3 +44,21 @@
   t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
   t.is(calls, 3)
 })
+
+// Guards against a started answer that is broken off because the next server breaks off before it has sent an event.
+test('a stream goes on at its silent server if the next one breaks off behind its head', async (t) => {
+  let calls = 0
+  const script: Script = (request, response, socket) => {
+    calls += 1
+    response.writeHead(200, signedHeaders(request))
+    if (calls === 1) {
+      response.write(eventText(1))
+      setTimeout(() => response.end(eventText(2)), 3_000)
+    } else {
+      response.flushHeaders()
+      setTimeout(() => socket.destroy(), 100)
+    }
+  }
+  const fixture = await ForwardFixture.start(t, script, script)
+  t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
+})
