An HTTP answer that waits to be read counts after the process was held up

A store watcher that was held up for longer than the timeout of a probe (350 ms) took the store for lost, although the answer had arrived: the timer ran before the input was read. It told all nodes, ended its watches, and others watched in its place; for a second or more of it, entries that were removed were kept. The other calls over HttpPool (fetches from nodes, reservations) had the same cause.

The timeout of a call now lets waiting input be read first, as those of attempts and queries do.

--- a/packages/services/src/http/HttpPool.ts
+++ b/packages/services/src/http/HttpPool.ts
@@ -109,7 +109,7 @@
   async send (call: HttpCall): Promise<Result<HttpResponse, CallFailure>> {
     const sendState: SendState = { isSent: false, onSending: call.onSending }
     const timeoutController = new AbortController()
-    const timer = call.timeout === undefined ? null : setTimeout(() => timeoutController.abort(new Error(`no response within ${call.timeout} ms`)), call.timeout)
+    const stopTimer = call.timeout === undefined ? null : startTimer(call.timeout, () => timeoutController.abort(new Error(`no response within ${call.timeout} ms`)))
     const abortSignal = call.signal === undefined ? timeoutController.signal : AbortSignal.any([call.signal, timeoutController.signal])
     try {
       const response = await request(`http://${call.address}${call.path}`, {
@@ -126,7 +126,7 @@
     } catch (error) {
       return failed({ type: sendState.isSent ? 'interrupted' : 'not_sent', reason: errorMessage(error) })
     } finally {
-      if (timer !== null) clearTimeout(timer)
+      stopTimer?.()
     }
   }
 
@@ -136,6 +136,16 @@
   }
 }
 
+/** Calls back after a time, once input that has arrived is read: after the process was held up, expired timers run first. Returns what stops the timer. */
+const startTimer = (time: Millis, callback: () => void): (() => void) => {
+  let immediate: NodeJS.Immediate | undefined
+  const timer = setTimeout(() => { immediate = setImmediate(callback) }, time)
+  return () => {
+    clearTimeout(timer)
+    clearImmediate(immediate)
+  }
+}
+
 const errorMessage = (error: unknown): string => {
   if (!(error instanceof Error)) return String(error)
   const code = (error as NodeJS.ErrnoException).code
