A removed server does not return with the list of a node that keeps it over an outage

A node that had already applied the removal, from the other watcher, and then fetched that list for another change took the server in again ('arrived'), for 2.2 s more.

A lapsed entry that is no newer than the one whose removal this node knows is now ignored.

--- a/packages/domain/src/forwarding/BackendServerTable.ts
+++ b/packages/domain/src/forwarding/BackendServerTable.ts
@@ -51,6 +51,8 @@
 interface Departure {
   readonly service: string
   readonly startedAt: number | null
+  /** Store revision of the entry that was removed. */
+  readonly revision: StoreRevision
   readonly at: Millis
 }
 
@@ -107,7 +109,8 @@
   }
 
   /**
-   * Adds or updates an entry; an entry older than the stored one is ignored.
+   * Adds or updates an entry; an entry older than the stored one is ignored, and one that another node keeps over an outage if this
+   * node knows that it was removed.
    *
    * @param entry - the entry
    * @returns the resulting changes
@@ -115,6 +118,7 @@
   put ({ server, revision, isLapsed = false }: ServerEntry): BackendServerChange[] {
     const existing = this.#entries.get(server.id)
     if (existing !== undefined && existing.revision > revision) return []
+    if (existing === undefined && isLapsed && revision <= (this.#departures.get(server.id)?.revision ?? -Infinity)) return []
     this.#withheld.delete(server.id)
     this.#entries.set(server.id, { server, revision, mayReturn: isLapsed })
     return this.#changes(existing?.server ?? null, server)
@@ -286,16 +290,16 @@
 
   #removeEntry (entry: TableEntry, cause: DepartureCause, now: Millis): BackendServerChange[] {
     this.#entries.delete(entry.server.id)
-    this.#rememberDeparture(entry.server, now)
+    this.#rememberDeparture(entry, now)
     this.#replaced.delete(entry.server.id)
     return entry.server.readiness === Readiness.Draining && cause === DepartureCause.Removed
       ? []
       : [{ type: 'departed', server: entry.server, cause }]
   }
 
-  #rememberDeparture ({ id, service, startedAt }: BackendServer, now: Millis): void {
+  #rememberDeparture ({ server: { id, service, startedAt }, revision }: TableEntry, now: Millis): void {
     for (const [departed, { at }] of this.#departures) if (now - at > DEPARTURE_RETENTION) this.#departures.delete(departed)
     this.#departures.delete(id)
-    this.#departures.set(id, { service, startedAt, at: now })
+    this.#departures.set(id, { service, startedAt, revision, at: now })
   }
 }
