--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -2,8 +2,8 @@
 import type { ServerResponse } from 'node:http'
 
 import { AttemptEnd, AttemptHistory, HealthSignal } from '@bluebellhill/domain'
-import type { Millis, RunnerId } from '@bluebellhill/domain'
-import { decodeAnswerHeaders, encodeForwardedHeaders, encodeReturnedHeaders } from '@bluebellhill/platform'
+import type { Millis } from '@bluebellhill/domain'
+import { decodeAnswerHeaders, encodeReturnedHeaders } from '@bluebellhill/platform'
 import type { AnswerHeaders } from '@bluebellhill/platform'
 
 import { waitingInputRead } from '../clock/inputTurn.js'
@@ -13,7 +13,6 @@
 import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import { ServerCall } from './backend/ServerCall.js'
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
-import { LEAST_URGENCY } from './entry/admit.js'
 import { RefusalCause, refuse } from './entry/refusals.js'
 import { healthSignalOf } from './healthSignal.js'
 import { isWaitStated, refusalCauseOf } from './refusalCause.js'
@@ -25,11 +24,9 @@
 import type { AttemptCaution, AttemptPlacement, PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import { ForwardOutcome } from './ForwardOutcome.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
+import { serverCallRequest } from './serverCallRequest.js'
 import { CloseCause, recordUnanswered, RequestStage } from './unansweredRequests.js'
 
-/** Timeout for opening a connection to a backend server. */
-const CONNECT_TIMEOUT: Millis = 250
-
 /** Longest time for which a request that may have run waits until a server accepts requests again. */
 const MAX_SERVER_WAIT: Millis = 1_000
 
@@ -311,32 +308,11 @@
 
   #send (attempt: OpenAttempt): void {
     attempt.watch = this.#guard.watch(attempt.server, attempt.placed.isTrial)
-    attempt.serverCall = this.#openServerCall(attempt)
+    const request = serverCallRequest(this.call, attempt, this.lastEventId, this.context.clock())
+    attempt.serverCall = new ServerCall(request, this.#createListener(attempt))
     this.restartDataTimer(attempt)
   }
 
-  #openServerCall (attempt: OpenAttempt): ServerCall {
-    const { call } = this
-    const headers = encodeForwardedHeaders(call.headers, {
-      deadline: call.deadlineAt - this.context.clock(),
-      expectedServer: attempt.server.id,
-      organisation: call.organisation,
-      urgency: call.service.engine === null ? null : this.#urgencyOf(attempt),
-      helpers: attempt.placed.choice.helpers.map(({ id, address }) => ({ address, reservation: this.#reservationIdFor(attempt, id) })),
-      lastEventId: this.lastEventId
-    })
-    const request = { address: attempt.server.address, method: call.method, path: call.path, headers, body: call.body, connectTimeout: CONNECT_TIMEOUT }
-    return new ServerCall(request, this.#createListener(attempt))
-  }
-
-  #urgencyOf ({ placed }: OpenAttempt): number {
-    return placed.choice.isDeferred ? LEAST_URGENCY : this.call.urgency
-  }
-
-  #reservationIdFor ({ reservations, placed: { choice } }: OpenAttempt, id: RunnerId): string | null {
-    return choice.holders.some(({ server }) => server.id === id) ? reservations?.id ?? null : null
-  }
-
   #createListener (attempt: OpenAttempt): ServerCallListener {
     const failureBody = new BoundedBuffer(MAX_FAILURE_BODY_BYTES)
     return {
--- /dev/null
+++ b/packages/node/src/forward/serverCallRequest.ts
@@ -0,0 +1,36 @@
+/** Builds the request of one attempt at a backend server. */
+import type { Millis, RunnerId } from '@bluebellhill/domain'
+import { encodeForwardedHeaders } from '@bluebellhill/platform'
+
+import type { AdmittedCall } from './AdmittedCall.js'
+import type { ServerCallRequest } from './backend/ServerCall.js'
+import { LEAST_URGENCY } from './entry/admit.js'
+import type { OpenAttempt } from './types.js'
+
+/** Timeout for opening a connection to a backend server. */
+const CONNECT_TIMEOUT: Millis = 250
+
+/**
+ * @param call - the caller's request
+ * @param attempt - the attempt
+ * @param lastEventId - id of the last event that the caller has received; null if there is none
+ * @param now - current time
+ * @returns the request to the server of the attempt
+ */
+export const serverCallRequest = (call: AdmittedCall, attempt: OpenAttempt, lastEventId: string | null, now: Millis): ServerCallRequest => {
+  const { server, placed: { choice } } = attempt
+  const headers = encodeForwardedHeaders(call.headers, {
+    deadline: call.deadlineAt - now,
+    expectedServer: server.id,
+    organisation: call.organisation,
+    urgency: call.service.engine === null ? null : urgencyOf(call, attempt),
+    helpers: choice.helpers.map(({ id, address }) => ({ address, reservation: reservationIdFor(attempt, id) })),
+    lastEventId
+  })
+  return { address: server.address, method: call.method, path: call.path, headers, body: call.body, connectTimeout: CONNECT_TIMEOUT }
+}
+
+const urgencyOf = ({ urgency }: AdmittedCall, { placed }: OpenAttempt): number => placed.choice.isDeferred ? LEAST_URGENCY : urgency
+
+const reservationIdFor = ({ reservations, placed: { choice } }: OpenAttempt, id: RunnerId): string | null =>
+  choice.holders.some(({ server }) => server.id === id) ? reservations?.id ?? null : null
