A refusal for want of quota is decided at one time

What callers saw: beside load, a request that had to wait for the quota of the only server that could still answer it was answered 502, and others were refused without the time to return. Cause: the scheduler looked whether servers have quota, and looked again with a later clock for the wait to name; if quota became free between the two, no limit was left to name, and the refusal said that there is no server. Class: two readings of a clock in one decision.

The second is taken to be the same cause; that is not shown by a run.

Test: 'a decision that is held up until quota is free again still names the limit that decided it'; before, reason no_server without a notice.

--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -80,11 +80,11 @@
     const now = this.#options.clock()
     const loads = this.assignments.serverLoads(now)
     const permitted = this.#permittedServers(spec, service)
-    const open = permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, context.limitShare) === 0)
+    const open = permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, context.limitShare, now) === 0)
     const choice = this.#choose(spec, service, open, loads, context, now)
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
-    if (choice === null) return this.statements.refusalFor(permitted, context.limitShare)
+    if (choice === null) return this.statements.refusalFor(permitted, context.limitShare, now)
     const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
     if (isTrial) this.quarantine.grantTrial(spec.trialParts, spec.request)
--- a/packages/node/src/forward/scheduling/ServerStatements.ts
+++ b/packages/node/src/forward/scheduling/ServerStatements.ts
@@ -41,11 +41,12 @@
   /**
    * @param server - a backend server
    * @param limitShare - part of the group's share of its request limit that may be used
+   * @param now - time of the decision
    * @returns time until it may get another request; 0 if it may now
    */
-  waitTime (server: BackendServer, limitShare: number): Millis {
+  waitTime (server: BackendServer, limitShare: number, now: Millis): Millis {
     const quota = this.#quotaOf(server, limitShare)
-    return quota === null ? 0 : this.#quotas.waitTime(server.id, quota, this.#options.clock())
+    return quota === null ? 0 : this.#quotas.waitTime(server.id, quota, now)
   }
 
   /**
@@ -69,15 +70,16 @@
    *
    * @param permitted - the servers that an attempt may be sent to
    * @param limitShare - part of the group's share of their request limits that may be used
+   * @param now - time of the decision, at which none of them could be chosen
    * @returns the refusal, with the statement that decides it
    */
-  refusalFor (permitted: readonly BackendServer[], limitShare: number): RefusedPlacement {
+  refusalFor (permitted: readonly BackendServer[], limitShare: number, now: Millis): RefusedPlacement {
     const staying = permitted.filter((server) => !this.notices.isLeaving(server))
     const [leaving] = permitted
     if (leaving !== undefined && staying.length === 0) {
       return { type: 'refused', reason: PlacementRefusal.ServersLeaving, retryAfter: null, notice: this.notices.find(leaving) ?? undefined }
     }
-    const waits = staying.map((server) => ({ notice: this.notices.find(server), wait: this.waitTime(server, limitShare) })).filter(({ wait }) => wait > 0)
+    const waits = staying.map((server) => ({ notice: this.notices.find(server), wait: this.waitTime(server, limitShare, now) })).filter(({ wait }) => wait > 0)
     const [soonest] = waits.sort((a, b) => a.wait - b.wait)
     if (soonest === undefined || soonest.notice === null) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
     return { type: 'refused', reason: PlacementRefusal.RequestLimit, retryAfter: spreadReturn(soonest.wait), notice: soonest.notice }
