--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -8,6 +8,7 @@
 import { monotonicNow } from '../clock/monotonic.js'
 import type { Log } from '../log/index.js'
 import { DisposableStore } from '../store/index.js'
+import { AnswerMemory } from './backend/AnswerMemory.js'
 import { EntryServer } from './entry/EntryServer.js'
 import { ReadinessServer } from './entry/ReadinessServer.js'
 import { ForwardMetrics } from './ForwardMetrics.js'
@@ -150,7 +151,7 @@
     const engineHttp = new HttpPool(2)
     this.#disposables.add(engineHttp)
     const memory = new EngineMemoryClient(engineHttp, RESERVATION_CALL_TIMEOUT)
-    this.#entryServer = new EntryServer({ placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, memory, clock })
+    this.#entryServer = new EntryServer({ placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, memory, answerMemory: new AnswerMemory(), clock })
   }
 
   /** Starts all components; the node then serves callers. */
@@ -216,6 +217,8 @@
     this.#metrics.addGauge('store_lost', 'Whether the store does not answer', () => this.#storeAvailability.isLost ? 1 : 0)
     this.#metrics.addGauge('backend_servers', 'Backend servers with an entry', () => this.#fleetState.servers.all().length)
     this.#metrics.addGauge('backend_servers_avoided', 'Backend servers that are avoided', () => this.#scheduler.health.avoided(monotonicNow()).length)
+    this.#metrics.addGauge('prompt_parts_quarantined', 'Prompt parts whose requests are refused', () => this.#scheduler.quarantine.counts().partsQuarantined)
+    this.#metrics.addGauge('prompt_parts_suspected', 'Prompt parts that may crash engines', () => this.#scheduler.quarantine.counts().partsSuspected)
     this.#metrics.addGauge('peers', 'Other nodes that are heard', () => this.#peerLink.sources().length)
     this.#metrics.addGauge('open_requests', 'Requests without a final answer', () => this.#entryServer.openRequests)
     this.#metrics.addGauge('log_lines_dropped', 'Lines of the log that found no room', droppedLogLines)
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -2,29 +2,31 @@
 import type { ServerResponse } from 'node:http'
 
 import { AttemptEnd, AttemptHistory, HealthSignal } from '@bluebellhill/domain'
-import type { Millis, RunnerId } from '@bluebellhill/domain'
-import { decodeAnswerHeaders, encodeForwardedHeaders, encodeReturnedHeaders } from '@bluebellhill/platform'
+import type { Millis } from '@bluebellhill/domain'
+import { decodeAnswerHeaders, encodeReturnedHeaders } from '@bluebellhill/platform'
 import type { AnswerHeaders } from '@bluebellhill/platform'
 
 import { waitingInputRead } from '../clock/inputTurn.js'
 import type { AdmittedCall } from './AdmittedCall.js'
 import { FIRST_FAILURE_STATUS, isSuccessfulAnswer, findAnswerProblem, withContentLength } from './answerHeads.js'
+import { MAX_FAILURE_BODY_BYTES } from './backend/answerLimits.js'
+import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import { ServerCall } from './backend/ServerCall.js'
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
-import { LEAST_URGENCY } from './entry/admit.js'
 import { RefusalCause, refuse } from './entry/refusals.js'
 import { healthSignalOf } from './healthSignal.js'
 import { isWaitStated, refusalCauseOf } from './refusalCause.js'
 import { RequestLog } from './RequestLog.js'
 import { MemoryReservations } from './MemoryReservations.js'
-import type { AttemptPlacement, PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
+import { RequestGuard } from './quarantine/RequestGuard.js'
+import type { QuarantineVerdict } from './quarantine/PromptQuarantine.js'
+import { PlacementRefusal } from './scheduling/types.js'
+import type { AttemptCaution, AttemptPlacement, PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import { ForwardOutcome } from './ForwardOutcome.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
+import { serverCallRequest } from './serverCallRequest.js'
 import { CloseCause, recordUnanswered, RequestStage } from './unansweredRequests.js'
 
-/** Timeout for opening a connection to a backend server. */
-const CONNECT_TIMEOUT: Millis = 250
-
 /** Longest time for which a request that may have run waits until a server accepts requests again. */
 const MAX_SERVER_WAIT: Millis = 1_000
 
@@ -34,14 +36,18 @@
 const SERVER_ERROR = 500
 const MISDIRECTED_REQUEST = 421
 
+/** Result of placing a request that must not be sent. */
+const QUARANTINED: RefusedPlacement = { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
+
 /** Sends one request to one backend server after another, as far as its route and the retry budget allow. */
 export abstract class Forwarding {
   protected attempt: OpenAttempt | null = null
-  /** Attempt whose server is silent. It is kept until another server answers, and goes on if its server does so first. */
-  #silentAttempt: OpenAttempt | null = null
+  /** Attempts whose servers are silent, the earliest first. They are kept until another server answers; one goes on if its server does so first. */
+  #silentAttempts: readonly OpenAttempt[] = []
   protected readonly history: AttemptHistory
   protected signedFailure: SignedFailure | null = null
   protected firstAnswerAt: Millis | null = null
+  readonly #guard: RequestGuard
   readonly #requestLog: RequestLog
   #attemptCount = 0
   #lastProblem = ''
@@ -58,6 +64,7 @@
   constructor (protected readonly context: ForwardingContext, protected readonly call: AdmittedCall, protected readonly response: ServerResponse) {
     this.history = new AttemptHistory(call.route)
     this.#requestLog = new RequestLog(context, call)
+    this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
   }
 
   /** Starts the first attempt. */
@@ -104,16 +111,20 @@
   protected abstract chunkReceived (attempt: OpenAttempt, chunk: Buffer): void
 
   /** Whether the answer is complete if its server ends it now. */
-  protected abstract get isAnswerWhole (): boolean
+  protected abstract isAnswerWhole (attempt: OpenAttempt): boolean
 
   /** Called when a successful answer has ended. Returns whether it is complete; it has then been sent to the caller. */
   protected abstract completeAnswer (attempt: OpenAttempt): boolean
 
+  /** Called when an attempt is over, so that what has been collected of its answer is discarded. */
+  protected abstract attemptClosed (attempt: OpenAttempt): void
+
   /** Returns the fields of the final log line that depend on the kind of answer. */
   protected abstract answerLogFields (): Record<string, unknown>
 
-  /** Records the time of the first data that is sent to the caller. */
+  /** Records the time of the first data that is sent to the caller, and gives up the attempts that were kept until then. */
   protected recordFirstAnswer (attempt: OpenAttempt): void {
+    this.#closeSilent()
     if (this.firstAnswerAt !== null) return
     this.firstAnswerAt = this.context.clock()
     this.context.metrics.firstAnswerSent(this.call.route.kind, attempt.placed.choice.timeToFirstEvent, this.firstAnswerAt - attempt.sentAt)
@@ -146,7 +157,8 @@
 
   /** Starts another attempt beside a silent one, which is only given up once the other server has begun to answer. */
   async #replaceSilent (attempt: OpenAttempt, silence: Millis, hasGoneOn: () => boolean): Promise<void> {
-    const placement = await this.#place(true)
+    const caution = this.#guard.caution()
+    const placement = caution === null ? QUARANTINED : await this.#place(true, caution)
     if (hasGoneOn()) {
       if (placement.type === 'placed') this.context.placement.removeAssignment(placement.attempt, null)
       return
@@ -170,27 +182,27 @@
       return
     }
     this.#clearDataTimer()
-    this.#silentAttempt = attempt
+    this.#silentAttempts = [...this.#silentAttempts, attempt]
   }
 
   /** @returns whether an attempt is in progress; a silent one whose server goes on takes the place of the one that was to replace it */
   #isCurrent (attempt: OpenAttempt): boolean {
     if (this.attempt === attempt) return true
-    if (this.#silentAttempt !== attempt || this.#isFinished) return false
+    if (!this.#silentAttempts.includes(attempt) || this.#isFinished) return false
     const replacement = this.attempt
     if (replacement !== null) {
       this.history.end(replacement.server.id, replacement.serverCall?.mayBeSent === true ? AttemptEnd.TimedOut : AttemptEnd.Unsent)
       this.#closeAttempt(replacement)
     }
-    this.#returnToSilent('data')
+    this.#returnToSilent(attempt, 'data')
+    this.#closeSilent()
     return true
   }
 
-  /** Goes on with the silent attempt, if there is one. */
-  #returnToSilent (cause: 'data' | 'no_other_attempt'): boolean {
-    const attempt = this.#silentAttempt
-    if (attempt === null) return false
-    this.#silentAttempt = null
+  /** Goes on with a silent attempt, if there is one. */
+  #returnToSilent (attempt: OpenAttempt | undefined, cause: 'data' | 'no_other_attempt'): boolean {
+    if (attempt === undefined) return false
+    this.#silentAttempts = this.#silentAttempts.filter((silent) => silent !== attempt)
     if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
     this.attempt = attempt
     this.#requestLog.silentAttemptResumed(attempt, cause)
@@ -198,20 +210,19 @@
     return true
   }
 
-  #closeSilent (): void {
-    const attempt = this.#silentAttempt
-    this.#silentAttempt = null
-    if (attempt !== null) this.#release(attempt, null)
+  #closeSilent (closed: readonly OpenAttempt[] = this.#silentAttempts, signal: HealthSignal | null = null): void {
+    this.#silentAttempts = this.#silentAttempts.filter((attempt) => !closed.includes(attempt))
+    for (const attempt of closed) this.#release(attempt, signal)
   }
 
   /** Ends an attempt without a complete answer, and starts another one if the route and the retry budget allow it. */
-  protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string): void {
-    if (this.#silentAttempt === attempt) {
+  protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string, signal = healthSignalOf(attempt, end)): void {
+    if (this.#silentAttempts.includes(attempt)) {
       this.#requestLog.attemptFailed(attempt, end, reason)
-      this.#closeSilent()
+      this.#closeSilent([attempt], signal === HealthSignal.Faulty ? signal : null)
     }
     if (this.attempt !== attempt || this.#isFinished) return
-    this.#closeAttempt(attempt, healthSignalOf(attempt, end))
+    this.#closeAttempt(attempt, signal)
     this.#lastProblem = `${end}: ${reason}`
     const isRetryAllowed = this.history.end(attempt.server.id, end)
     this.#requestLog.attemptFailed(attempt, end, reason)
@@ -220,8 +231,15 @@
     else this.#giveUp()
   }
 
+  /** Ends an attempt whose server sends more than an answer may hold. A head that says that the request has not run still holds. */
+  protected answerOversized (attempt: OpenAttempt, reason: string): void {
+    const end = attempt.answer?.notRun === true ? AttemptEnd.NotRun : AttemptEnd.Oversized
+    this.failAttempt(attempt, end, reason, HealthSignal.Faulty)
+  }
+
   async #startNextAttempt (chargesRetry: boolean): Promise<void> {
-    const placement = await this.#place(chargesRetry)
+    const caution = this.#guard.caution()
+    const placement = caution === null ? QUARANTINED : await this.#place(chargesRetry, caution)
     if (this.#isFinished || this.attempt !== null) {
       if (placement.type === 'placed') this.context.placement.removeAssignment(placement.attempt, null)
       return
@@ -230,6 +248,11 @@
       this.#openAttempt(placement.attempt)
       return
     }
+    const quarantine = placement.reason === PlacementRefusal.Quarantined ? this.#guard.findQuarantine() : null
+    if (quarantine !== null) {
+      this.#refuseQuarantined(quarantine)
+      return
+    }
     if (this.#waitsForServer(placement)) return
     this.#requestLog.placementRefused(placement)
     this.#lastProblem ||= placement.reason
@@ -247,9 +270,9 @@
   }
 
   /** Catches errors of the placement, so that they fail this request only and not the process with all others. */
-  async #place (chargesRetry: boolean): Promise<AttemptPlacement> {
+  async #place (chargesRetry: boolean, caution: AttemptCaution): Promise<AttemptPlacement> {
     try {
-      return await this.context.placement.place(this.call, this.history, chargesRetry)
+      return await this.context.placement.place(this.call, this.history, chargesRetry, caution)
     } catch (error) {
       this.#requestLog.placementFailed(error)
       return { type: 'refused', reason: 'choosing a backend server failed', retryAfter: null }
@@ -261,10 +284,10 @@
     this.history.start(server.id)
     this.#attemptCount += 1
     const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
-    const attempt: OpenAttempt = { server, placed, sentAt: this.context.clock(), reservations, serverCall: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
+    const attempt: OpenAttempt = { server, placed, sentAt: this.context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
     this.attempt = attempt
     this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server))
-    if (reservations === null) this.#send(attempt)
+    if (reservations === null) this.#sendUnlessQuarantined(attempt)
     else void this.#reserveAndSend(attempt, reservations)
   }
 
@@ -272,68 +295,60 @@
     const isReserved = await reservations.acquire()
     if (this.attempt !== attempt) return
     const obstacle = isReserved ? this.context.placement.obstacleTo(attempt.placed) : 'reserving KV cache memory failed'
-    if (obstacle === null) this.#send(attempt)
+    if (obstacle === null) this.#sendUnlessQuarantined(attempt)
     else this.failAttempt(attempt, AttemptEnd.Unsent, obstacle)
   }
 
-  #send (attempt: OpenAttempt): void {
-    attempt.serverCall = this.#openServerCall(attempt)
-    this.restartDataTimer(attempt)
-  }
-
-  #openServerCall (attempt: OpenAttempt): ServerCall {
-    const { call } = this
-    const headers = encodeForwardedHeaders(call.headers, {
-      deadline: call.deadlineAt - this.context.clock(),
-      expectedServer: attempt.server.id,
-      organisation: call.organisation,
-      urgency: call.service.engine === null ? null : this.#urgencyOf(attempt),
-      helpers: attempt.placed.choice.helpers.map(({ id, address }) => ({ address, reservation: this.#reservationIdFor(attempt, id) })),
-      lastEventId: this.lastEventId
-    })
-    const request = { address: attempt.server.address, method: call.method, path: call.path, headers, body: call.body, connectTimeout: CONNECT_TIMEOUT }
-    return new ServerCall(request, this.#createListener(attempt))
-  }
-
-  #urgencyOf ({ placed }: OpenAttempt): number {
-    return placed.choice.isDeferred ? LEAST_URGENCY : this.call.urgency
+  /** A part may have got quarantined while the attempt was being placed, or while memory was being reserved for it. */
+  #sendUnlessQuarantined (attempt: OpenAttempt): void {
+    const quarantine = attempt.placed.isTrial ? null : this.#guard.findQuarantine()
+    if (quarantine === null) this.#send(attempt)
+    else this.#refuseQuarantined(quarantine)
   }
 
-  #reservationIdFor ({ reservations, placed: { choice } }: OpenAttempt, id: RunnerId): string | null {
-    return choice.holders.some(({ server }) => server.id === id) ? reservations?.id ?? null : null
+  #send (attempt: OpenAttempt): void {
+    attempt.watch = this.#guard.watch(attempt.server, attempt.placed.isTrial)
+    const request = serverCallRequest(this.call, attempt, this.lastEventId, this.context.clock())
+    attempt.serverCall = new ServerCall(request, this.#createListener(attempt))
+    this.restartDataTimer(attempt)
   }
 
   #createListener (attempt: OpenAttempt): ServerCallListener {
-    const failureChunks: Buffer[] = []
+    const failureBody = new BoundedBuffer(MAX_FAILURE_BODY_BYTES)
     return {
       onHead: (head) => this.#headReceived(attempt, head),
       onData: (chunk) => {
         if (!this.#isCurrent(attempt)) return
         this.restartDataTimer(attempt)
-        if (isSuccessfulAnswer(attempt)) this.chunkReceived(attempt, chunk)
-        else failureChunks.push(chunk)
+        if (isSuccessfulAnswer(attempt)) {
+          attempt.watch?.dataReceived()
+          this.chunkReceived(attempt, chunk)
+        } else if (!failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
       },
-      onEnd: () => this.#answerEnded(attempt, Buffer.concat(failureChunks)),
-      onFailure: (mayBeSent, reason) => this.failAttempt(attempt, mayBeSent ? AttemptEnd.Broken : AttemptEnd.Unsent, reason)
+      onEnd: () => this.#answerEnded(attempt, failureBody.take()),
+      onFailure: (mayBeSent, reason) => this.#connectionFailed(attempt, mayBeSent, reason),
+      onOversize: (reason) => this.answerOversized(attempt, reason)
     }
   }
 
+  #connectionFailed (attempt: OpenAttempt, mayBeSent: boolean, reason: string): void {
+    if (mayBeSent && attempt.serverCall?.isBrokenOff === true) attempt.watch?.brokenOff()
+    this.failAttempt(attempt, mayBeSent ? AttemptEnd.Broken : AttemptEnd.Unsent, reason)
+  }
+
   #headReceived (attempt: OpenAttempt, head: AnswerHead): void {
-    if (this.#isFinished || (this.attempt !== attempt && this.#silentAttempt !== attempt)) return
+    if (this.#isFinished || (this.attempt !== attempt && !this.#silentAttempts.includes(attempt))) return
     attempt.head = head
     attempt.answer = decodeAnswerHeaders(head.status, head.headers)
     this.#recordStatement(attempt, head.status, attempt.answer)
     const problem = findAnswerProblem(attempt.answer, head.status, this.call.id)
-    if (this.#silentAttempt === attempt && (problem !== null || !isSuccessfulAnswer(attempt))) {
+    if (this.#silentAttempts.includes(attempt) && (problem !== null || !isSuccessfulAnswer(attempt))) {
       this.failAttempt(attempt, AttemptEnd.Failed, problem ?? `status ${head.status}`)
       return
     }
     if (!this.#isCurrent(attempt)) return
     if (problem !== null) this.failAttempt(attempt, AttemptEnd.Broken, problem)
-    else if (isSuccessfulAnswer(attempt)) {
-      this.#closeSilent()
-      this.successStarted(attempt)
-    }
+    else if (isSuccessfulAnswer(attempt)) this.successStarted(attempt)
   }
 
   /** An answer to another request, or of another server at the same address, says nothing of the server that was asked. */
@@ -346,27 +361,33 @@
   }
 
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
-    if (this.#silentAttempt === attempt && !this.isAnswerWhole) {
+    if (this.#silentAttempts.includes(attempt) && !this.isAnswerWhole(attempt)) {
       this.failAttempt(attempt, AttemptEnd.Broken, 'the answer ended before it was complete')
       return
     }
     if (!this.#isCurrent(attempt)) return
     const { head, answer } = attempt
     if (head === null || answer === null) {
-      this.failAttempt(attempt, AttemptEnd.Broken, 'the answer ended before its head')
+      this.#connectionEnded(attempt, 'the answer ended before its head')
     } else if (answer.notRun) {
       this.#checkServerReplaced(attempt, head, answer)
       this.#notRunReceived(attempt, head.status, answer.faultyServer)
     } else if (head.status >= FIRST_FAILURE_STATUS) {
       this.#serverFailed(attempt, { head, body })
     } else if (this.completeAnswer(attempt)) {
+      attempt.watch?.completed()
       this.#closeAttempt(attempt, HealthSignal.Good)
       this.#finish(ForwardOutcome.Answered, head.status)
     } else {
-      this.failAttempt(attempt, AttemptEnd.Broken, 'the answer ended before it was complete')
+      this.#connectionEnded(attempt, 'the answer ended before it was complete')
     }
   }
 
+  #connectionEnded (attempt: OpenAttempt, reason: string): void {
+    attempt.watch?.brokenOff()
+    this.failAttempt(attempt, AttemptEnd.Broken, reason)
+  }
+
   #notRunReceived (attempt: OpenAttempt, status: number, faultyServer: string | null): void {
     if (faultyServer === null || faultyServer === attempt.server.address) {
       this.failAttempt(attempt, AttemptEnd.NotRun, `status ${status}`)
@@ -391,7 +412,7 @@
   }
 
   #giveUp (refusal: RefusedPlacement | null = null): void {
-    if ((this.hasStartedAnswer || this.signedFailure === null) && this.#returnToSilent('no_other_attempt')) return
+    if ((this.hasStartedAnswer || this.signedFailure === null) && this.#returnToSilent(this.#silentAttempts[0], 'no_other_attempt')) return
     if (this.hasStartedAnswer) {
       this.#abortAnswer(ForwardOutcome.Lost, CloseCause.AnswerLost)
     } else if (this.signedFailure !== null) {
@@ -405,6 +426,24 @@
     }
   }
 
+  /** Final, since each repetition could crash another engine. */
+  #refuseQuarantined (verdict: QuarantineVerdict): void {
+    if (this.#isFinished) return
+    const { attempt } = this
+    const mayHaveRun = this.history.mayHaveRun || attempt?.serverCall?.mayBeSent === true
+    if (attempt !== null) this.#closeAttempt(attempt)
+    this.#requestLog.quarantined(verdict, mayHaveRun)
+    this.#lastProblem = `part ${verdict.evidence.part} of the prompt is quarantined`
+    const cause = mayHaveRun ? RefusalCause.Quarantined : RefusalCause.QuarantinedUnsent
+    this.context.metrics.requestRefused(cause)
+    if (this.hasStartedAnswer) {
+      this.#abortAnswer(ForwardOutcome.Lost, CloseCause.Quarantined)
+      return
+    }
+    refuse(this.response, cause)
+    this.#finish(mayHaveRun ? ForwardOutcome.Lost : ForwardOutcome.Refused, this.response.statusCode)
+  }
+
   #returnFailure ({ head, body }: SignedFailure): void {
     this.response.writeHead(head.status, withContentLength(encodeReturnedHeaders(head.rawHeaders), body.length))
     this.response.end(body)
@@ -454,7 +493,9 @@
   }
 
   #release (attempt: OpenAttempt, signal: HealthSignal | null): void {
+    attempt.watch?.ended()
     attempt.serverCall?.abort()
+    this.attemptClosed(attempt)
     attempt.reservations?.release()
     this.context.placement.removeAssignment(attempt.placed, signal)
   }
--- a/packages/node/src/forward/PlainForwarding.ts
+++ b/packages/node/src/forward/PlainForwarding.ts
@@ -4,6 +4,8 @@
 import { encodeReturnedHeaders } from '@bluebellhill/platform'
 
 import { withContentLength } from './answerHeads.js'
+import { MAX_COLLECTED_BYTES, MAX_PLAIN_ANSWER_BYTES } from './backend/answerLimits.js'
+import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import { Forwarding } from './Forwarding.js'
 import type { OpenAttempt } from './types.js'
 
@@ -12,7 +14,8 @@
 
 /** Collects the single answer of a request, and sends it to the caller when it is complete. */
 export class PlainForwarding extends Forwarding {
-  #chunks: Buffer[] = []
+  /** What has arrived of each attempt's answer: a silent one may go on after the head of another. */
+  readonly #bodies = new Map<OpenAttempt, BoundedBuffer>()
 
   protected get lastEventId (): null {
     return null
@@ -24,28 +27,35 @@
     return Math.max(route.objective, REMAINING_TIME_SHARE * (deadlineAt - this.context.clock()))
   }
 
-  protected successStarted (): void {
-    this.#chunks = []
+  protected successStarted (attempt: OpenAttempt): void {
+    this.#bodies.set(attempt, new BoundedBuffer(MAX_PLAIN_ANSWER_BYTES, this.context.answerMemory))
   }
 
-  protected chunkReceived (_: OpenAttempt, chunk: Buffer): void {
-    this.#chunks.push(chunk)
+  protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
+    const body = this.#bodies.get(attempt)
+    if (body === undefined || body.append(chunk)) return
+    this.answerOversized(attempt, `an answer of more than ${body.length} bytes, of ${MAX_PLAIN_ANSWER_BYTES} for one and ${MAX_COLLECTED_BYTES} for all`)
   }
 
-  protected get isAnswerWhole (): boolean {
+  protected isAnswerWhole (): boolean {
     return true
   }
 
   protected completeAnswer (attempt: OpenAttempt): boolean {
     const { head } = attempt
     if (head === null) return false
-    const body = Buffer.concat(this.#chunks)
+    const body = this.#bodies.get(attempt)?.take() ?? Buffer.alloc(0)
     this.response.writeHead(head.status, withContentLength(encodeReturnedHeaders(head.rawHeaders), body.length))
     this.response.end(body)
     this.recordFirstAnswer(attempt)
     return true
   }
 
+  protected attemptClosed (attempt: OpenAttempt): void {
+    this.#bodies.get(attempt)?.clear()
+    this.#bodies.delete(attempt)
+  }
+
   protected answerLogFields (): Record<string, unknown> {
     return {}
   }
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -1,16 +1,25 @@
 /** Forwards requests that are answered by a stream of server-sent events. */
-import { nextEventTimeout, firstEventTimeout, mayRunAgain } from '@bluebellhill/domain'
+import { AttemptEnd, nextEventTimeout, firstEventTimeout, mayRunAgain } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { encodeReturnedHeaders } from '@bluebellhill/platform'
 
+import { MAX_EVENT_BYTES, MAX_STREAM_BYTES, MAX_UNSENT_BYTES } from './backend/answerLimits.js'
 import { EventSplitter } from './backend/EventSplitter.js'
 import type { StreamEvent } from './backend/EventSplitter.js'
 import { Forwarding } from './Forwarding.js'
 import type { OpenAttempt } from './types.js'
 
+/** Events of one attempt. */
+interface ReceivedStream {
+  readonly splitter: EventSplitter
+  /** With those of events that the caller had already. */
+  bytes: number
+}
+
 /** Passes the events of a stream on to the caller, each one only when it is complete. */
 export class StreamForwarding extends Forwarding {
-  #splitter = new EventSplitter()
+  /** What has arrived of each attempt's stream: a silent one may go on after the head of another. */
+  readonly #streams = new WeakMap<OpenAttempt, ReceivedStream>()
   #lastEventId: string | null = null
   #eventCount = 0
   #repeatedEventCount = 0
@@ -29,32 +38,49 @@
     return head === null ? firstEventTimeout(bounds) : nextEventTimeout(bounds)
   }
 
-  protected successStarted (): void {
-    this.#splitter = new EventSplitter()
+  protected successStarted (attempt: OpenAttempt): void {
+    this.#streams.set(attempt, { splitter: new EventSplitter(), bytes: 0 })
   }
 
   protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
-    const events = this.#splitter.push(chunk).filter((event) => this.#isNew(event))
+    const stream = this.#streams.get(attempt)
+    if (stream === undefined) return
+    stream.bytes += chunk.length
+    if (stream.bytes > MAX_STREAM_BYTES) {
+      this.answerOversized(attempt, `a stream of more than ${MAX_STREAM_BYTES} bytes`)
+      return
+    }
+    const complete = stream.splitter.push(chunk)
+    if (complete === null) {
+      this.answerOversized(attempt, `an event of more than ${MAX_EVENT_BYTES} bytes`)
+      return
+    }
+    attempt.watch?.eventsReceived(complete.length)
+    const events = complete.filter((event) => this.#isNew(event))
     if (events.length === 0) return
     if (!attempt.hasFirstEvent) this.context.placement.prefillFinished(attempt.placed)
     attempt.hasFirstEvent = true
     this.#writeHead(attempt)
     this.recordFirstAnswer(attempt)
     this.#recordPause(attempt)
-    for (const event of events) this.#forwardEvent(event)
+    for (const event of events) this.#countEvent(event)
+    this.response.write(Buffer.concat(events.map(({ bytes }) => bytes)))
+    this.#checkCallerReads(attempt)
   }
 
-  protected get isAnswerWhole (): boolean {
-    return this.#splitter.pendingBytes === 0 && this.#eventCount > 0
+  protected isAnswerWhole (attempt: OpenAttempt): boolean {
+    return this.#streams.get(attempt)?.splitter.pendingBytes === 0 && this.#eventCount > 0
   }
 
   protected completeAnswer (attempt: OpenAttempt): boolean {
-    if (!this.isAnswerWhole) return false
+    if (!this.isAnswerWhole(attempt)) return false
     this.#writeHead(attempt)
     this.response.end()
     return true
   }
 
+  protected attemptClosed (): void {}
+
   protected answerLogFields (): Record<string, unknown> {
     return { events: this.#eventCount, longest_pause_ms: Math.round(this.#longestPause), repeated_events: this.#repeatedEventCount || undefined }
   }
@@ -75,10 +101,15 @@
     this.context.placement.observePause(this.call, placed, pause)
   }
 
-  #forwardEvent ({ bytes, id }: StreamEvent): void {
+  #countEvent ({ id }: StreamEvent): void {
     this.#eventCount += 1
     if (id !== null) this.#lastEventId = id
-    this.response.write(bytes)
+  }
+
+  /** A caller that does not read says nothing of the server. */
+  #checkCallerReads (attempt: OpenAttempt): void {
+    if (this.response.writableLength <= MAX_UNSENT_BYTES) return
+    this.failAttempt(attempt, AttemptEnd.Oversized, `the caller has left more than ${MAX_UNSENT_BYTES} bytes unread`, null)
   }
 
   /** Counts repeated events: a server that resumes a stream may send events again that the caller already has. */
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,9 +1,10 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
-import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
-import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
+import { DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, Readiness, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
+import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
+import { PromptQuarantine } from '../quarantine/PromptQuarantine.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
 import { ServerStatements } from './ServerStatements.js'
@@ -35,6 +36,7 @@
   readonly assignments: FleetAssignments
   readonly health = new ServerHealth()
   readonly statements: ServerStatements
+  readonly quarantine: PromptQuarantine
   readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
@@ -49,6 +51,7 @@
     this.#options = options
     this.assignments = new FleetAssignments(options.node)
     this.statements = new ServerStatements(options)
+    this.quarantine = new PromptQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
     this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
@@ -70,22 +73,25 @@
   place (spec: PlacementSpec, owner: AssignmentOwner, context: PlacementContext): PlacementResult {
     const service = this.#options.fleetState.routeTable?.service(spec.service) ?? null
     if (service === null) return { type: 'refused', reason: PlacementRefusal.UnknownService, retryAfter: null }
+    const isTrial = spec.trialParts.length > 0
+    if (isTrial && !this.#mayGrantTrial(spec, context)) return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
     if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
     if (spec.isFirstAttempt) this.#retryBudgets.countRequest(spec.service)
     const now = this.#options.clock()
     const loads = this.assignments.serverLoads(now)
     const permitted = this.#permittedServers(spec, service)
-    const open = permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, context.limitShare) === 0)
+    const open = permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, context.limitShare, now) === 0)
     const choice = this.#choose(spec, service, open, loads, context, now)
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
-    if (choice === null) return this.statements.refusalFor(permitted, context.limitShare)
+    if (choice === null) return this.statements.refusalFor(permitted, context.limitShare, now)
     const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
+    if (isTrial) this.quarantine.grantTrial(spec.trialParts, spec.request)
     this.#record(spec, choice, owner, now)
     this.statements.take(choice.server, context.limitShare)
     const passedOver = permitted.filter((server) => !open.includes(server)).slice(0, MAX_PASSED_OVER).map(({ id }) => id)
-    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver }
+    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver, isTrial }
   }
 
   /**
@@ -194,10 +200,18 @@
     this.#groupLoads.record(load, this.#options.clock())
   }
 
+  /** Of several groups, the first one by name decides on trials, so that they have one scheduler. */
+  #mayGrantTrial ({ trialParts }: PlacementSpec, { isGroupDecision }: PlacementContext): boolean {
+    const { group, clock } = this.#options
+    const { domain } = group()
+    const isFirstGroup = domain === null || this.#groupLoads.heardDomains(clock()).every((other) => domain <= other)
+    return isGroupDecision && isFirstGroup && this.quarantine.isTrialDue(trialParts)
+  }
+
   #choose (spec: PlacementSpec, service: Service, servers: readonly BackendServer[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementChoice | null {
     const candidates = this.#candidates(servers, now)
     if (candidates.length === 0) return null
-    return this.#policyOf(service).choose({
+    const request = {
       size: spec.size,
       objective: spec.objective,
       timeLeft: spec.dueAt - now,
@@ -207,11 +221,22 @@
       loads,
       arrivalsPerSecond: context.unseenArrivals,
       now
-    })
+    }
+    const policy = this.#policyOf(service)
+    return (isRisky(spec) ? this.#chooseQuietest(request, policy) : null) ?? policy.choose(request)
   }
 
-  #findRelief ({ service, objective, isRedirected, chargesRetry }: PlacementSpec, { engine }: Service, choice: PlacementChoice | null, now: Millis): string | null {
-    if (engine === null || isRedirected || chargesRetry) return null
+  /** One server alone, so that a crash breaks off as few other requests as possible. A server that has just crashed is quiet, but gone. */
+  #chooseQuietest (request: PlacementRequest, policy: PlacementPolicy): PlacementChoice | null {
+    const { candidates, loads } = request
+    const running = candidates.filter(({ server }) => !this.quarantine.engines.isReportedCrashed(server))
+    const byLoad = (running.length > 0 ? running : candidates).map((candidate) => ({ candidate, load: summaryOf(loads.get(candidate.server.id)) }))
+    const [quietest] = byLoad.sort((a, b) => a.load.requests - b.load.requests || a.load.pendingPrefill - b.load.pendingPrefill)
+    return quietest === undefined ? null : policy.choose({ ...request, candidates: [quietest.candidate] })
+  }
+
+  #findRelief ({ service, objective, isRedirected, chargesRetry, trialParts }: PlacementSpec, { engine }: Service, choice: PlacementChoice | null, now: Millis): string | null {
+    if (engine === null || isRedirected || chargesRetry || trialParts.length > 0) return null
     const wait = choice?.timeToFirstEvent ?? Infinity
     return wait <= USABLE_OBJECTIVE_SHARE * objective ? null : this.#groupLoads.findRelief(service, wait, now)
   }
@@ -236,11 +261,18 @@
     return usable.map((server) => ({ server, slowdown: this.#slowdowns.slowdown(server.id, now) }))
   }
 
+  #isLeaving (server: BackendServer): boolean {
+    return this.#options.fleetState.servers.find(server.id)?.readiness === Readiness.Draining || this.statements.notices.isLeaving(server)
+  }
+
   #policyOf ({ engine }: Service): PlacementPolicy {
     return engine === null ? this.#plainPolicy : this.#enginePolicy
   }
 }
 
+/** Whether the request may crash the engine that gets it. */
+const isRisky = ({ isSuspected, trialParts }: PlacementSpec): boolean => isSuspected || trialParts.length > 0
+
 const summaryOf = ({ requests, pending }: ServerLoad): ChosenServerLoad =>
   ({ requests: requests.length, pendingPrefill: pending.reduce((sum, { remaining }) => sum + remaining, 0) })
 
--- a/packages/node/src/forward/types.ts
+++ b/packages/node/src/forward/types.ts
@@ -3,10 +3,12 @@
 import type { AnswerHeaders, EngineMemoryClient } from '@bluebellhill/platform'
 
 import type { Log } from '../log/index.js'
+import type { AnswerMemory } from './backend/AnswerMemory.js'
 import type { AnswerHead, ServerCall } from './backend/ServerCall.js'
 import type { ForwardMetrics } from './ForwardMetrics.js'
 import type { FleetState } from './FleetState.js'
 import type { MemoryReservations } from './MemoryReservations.js'
+import type { AttemptWatch } from './quarantine/AttemptWatch.js'
 import type { PlacementClient } from './scheduling/PlacementClient.js'
 import type { PlacedAttempt } from './scheduling/types.js'
 
@@ -17,6 +19,7 @@
   readonly log: Log
   readonly metrics: ForwardMetrics
   readonly memory: EngineMemoryClient
+  readonly answerMemory: AnswerMemory
   readonly clock: () => Millis
 }
 
@@ -29,6 +32,8 @@
   readonly reservations: MemoryReservations | null
   /** Null until the request is sent, while memory is being reserved. */
   serverCall: ServerCall | null
+  /** Observes it as evidence on the parts of its prompt; null until the request is sent, or if it can be none. */
+  watch: AttemptWatch | null
   /** Whether the first event of the answer has arrived. */
   hasFirstEvent: boolean
   /** Whether the scheduler has been told that the server sends no data. */
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -13,9 +13,11 @@
 import { EngineMemoryClient, HeaderName } from '@bluebellhill/platform'
 import { HttpPool } from '@bluebellhill/services'
 
+import { AnswerMemory } from '../src/forward/backend/AnswerMemory.js'
 import { EntryServer } from '../src/forward/entry/EntryServer.js'
 import { ForwardMetrics } from '../src/forward/ForwardMetrics.js'
 import { FleetState } from '../src/forward/FleetState.js'
+import type { PromptQuarantine } from '../src/forward/quarantine/PromptQuarantine.js'
 import { PlacementClient } from '../src/forward/scheduling/PlacementClient.js'
 import { Scheduler } from '../src/forward/scheduling/Scheduler.js'
 import { LogLevel, openLog } from '../src/log/index.js'
@@ -40,6 +42,9 @@
   { name: 'patient', kind: CallKind.Safe, maxAttempts: 2, timeout: 30_000 },
   { name: 'unsafe', kind: CallKind.Unsafe, maxAttempts: 2 },
   { name: 'stream', kind: CallKind.Stream, maxAttempts: 2, resumable: true },
+  { name: 'patient-unsafe', kind: CallKind.Unsafe, maxAttempts: 2, timeout: 30_000 },
+  { name: 'patient-stream', kind: CallKind.Stream, maxAttempts: 2, resumable: true, timeout: 30_000 },
+  { name: 'patient-once', kind: CallKind.Stream, maxAttempts: 2, resumable: false, timeout: 30_000 },
   { name: 'once', kind: CallKind.Stream, maxAttempts: 2, resumable: false },
   { name: 'pausing', kind: CallKind.Stream, maxAttempts: 2, resumable: true, timeout: 30_000 }
 ].map((route) => ({
@@ -71,6 +76,7 @@
   readonly entry: EntryServer
   readonly placement: PlacementClient
   readonly metrics = new ForwardMetrics()
+  readonly quarantine: PromptQuarantine
   readonly #servers: Server[] = []
   #port = 0
   #nextAttemptId = 1
@@ -84,8 +90,9 @@
     const scheduler = new Scheduler({
       node: SELF.node, fleetState: this.fleetState, log, clock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), schedulerCount: () => 1, group: () => directory.group
     })
+    this.quarantine = scheduler.quarantine
     this.placement = new PlacementClient({ node: SELF.node, scheduler, directory, fleetState: this.fleetState, log, clock, send: () => {}, onUncoordinatedPlacement: () => {}, onNotice: () => {} })
-    this.entry = new EntryServer({ placement: this.placement, fleetState: this.fleetState, log, metrics: this.metrics, memory: new EngineMemoryClient(new HttpPool(2), 5_000), clock })
+    this.entry = new EntryServer({ placement: this.placement, fleetState: this.fleetState, log, metrics: this.metrics, memory: new EngineMemoryClient(new HttpPool(2), 5_000), answerMemory: new AnswerMemory(), clock })
   }
 
   /** Starts the entry server with backend servers that follow the scripts. */
@@ -98,6 +105,16 @@
     return fixture
   }
 
+  /** Starts the entry server with backend servers that listen on these ports of the loopback address. */
+  static async startWithPorts (t: ExecutionContext, ports: readonly number[]): Promise<ForwardFixture> {
+    const fixture = new ForwardFixture()
+    for (const [index, port] of ports.entries()) fixture.#listServer(`e${index}`, port)
+    fixture.fleetState.install(DEPLOYMENT, 'store')
+    fixture.#port = await fixture.entry.start({ host: '127.0.0.1', port: 0 })
+    t.teardown(() => fixture.dispose())
+    return fixture
+  }
+
   async call (path: string, options: { method?: string, headers?: Record<string, string>, body?: string, disconnection?: AbortSignal } = {}): Promise<Answer> {
     const request = httpRequest({
       host: '127.0.0.1',
@@ -149,7 +166,10 @@
     server.listen(0, '127.0.0.1')
     await once(server, 'listening')
     this.#servers.push(server)
-    const { port } = server.address() as AddressInfo
+    this.#listServer(id, (server.address() as AddressInfo).port)
+  }
+
+  #listServer (id: string, port: number): void {
     const listed = { id: id as RunnerId, service: 's', address: `127.0.0.1:${port}`, failureDomain: 'd1' as FailureDomain, slots: 4, readiness: Readiness.Ready, startedAt: 1 }
     this.fleetState.putServer({ server: listed, revision: 1 }, 'store')
   }
