--- a/packages/domain/src/forwarding/quarantine/assessment.ts
+++ b/packages/domain/src/forwarding/quarantine/assessment.ts
@@ -30,8 +30,8 @@
 }
 
 /**
- * Accuses the part with the most evidence, sets aside the crashes that it explains, and goes on with the rest. Sound parts that were on
- * board with a guilty one are so cleared, however often they met it.
+ * Selects the part with the most evidence as a cause, sets aside the crashes that it explains, and goes on with the rest. Sound parts whose
+ * requests were in progress beside those of a cause are not selected for these crashes, however many they are.
  *
  * @param crashes - the crashes that are not refuted, oldest first
  * @param sounds - the sound answers
@@ -42,14 +42,14 @@
   let unexplained = crashes
   for (;;) {
     const candidates = collectStandings(unexplained, sounds).filter(({ part }) => !standings.has(part))
-    const accused = mostAccused(candidates)
-    if (accused.length === 0) {
+    const causes = likeliestCauses(candidates)
+    if (causes.length === 0) {
       for (const standing of candidates) standings.set(standing.part, standing)
       return standings
     }
-    const inseparable = accused.map(({ part }) => part)
-    for (const standing of accused) standings.set(standing.part, { ...standing, inseparable, lastCrashAt: lastCrashTime(crashes, standing) })
-    unexplained = unexplained.filter((crash) => !accused.some((standing) => isCandidate(crash, standing.part, standing.soundAt)))
+    const inseparable = causes.map(({ part }) => part)
+    for (const standing of causes) standings.set(standing.part, { ...standing, inseparable, lastCrashAt: lastCrashTime(crashes, standing) })
+    unexplained = unexplained.filter((crash) => !causes.some((standing) => isCandidate(crash, standing.part, standing.soundAt)))
   }
 }
 
@@ -59,10 +59,10 @@
   crashes.findLast((crash) => isCandidate(crash, part, soundAt))?.at ?? lastCrashAt
 
 /** The part with the most evidence, and those that were never seen apart from it. */
-const mostAccused = (candidates: readonly PartStanding[]): PartStanding[] => {
-  const accused = candidates.filter(({ quarantinedAt }) => quarantinedAt !== null).sort(compareEvidence)
-  const first = accused[0]
-  return first === undefined ? [] : accused.filter((standing) => isInseparable(first, standing))
+const likeliestCauses = (candidates: readonly PartStanding[]): PartStanding[] => {
+  const causes = candidates.filter(({ quarantinedAt }) => quarantinedAt !== null).sort(compareEvidence)
+  const first = causes[0]
+  return first === undefined ? [] : causes.filter((standing) => isInseparable(first, standing))
 }
 
 const compareEvidence = (a: PartStanding, b: PartStanding): number =>
@@ -121,8 +121,8 @@
   return { neverSound: candidates.filter((part) => sounds.find(part) === null).length, all: candidates.length }
 }
 
-/** Share of the blame for a crash. Sound answers to the other suspects raise it. */
-const shareOfBlame = (crash: Crash, { neverSound, all }: Rivals, isNew: boolean): number =>
+/** Part of a crash that counts as evidence against one prompt part. Sound answers to the other suspects raise it. */
+const shareOfEvidence = (crash: Crash, { neverSound, all }: Rivals, isNew: boolean): number =>
   1 / Math.max(1, Math.min(crash.suspects, isNew ? neverSound : all))
 
 const standingOf = (part: PromptPart, crashes: readonly Crash[], sounds: SoundTimes, rivals: ReadonlyMap<Crash, Rivals>): PartStanding => {
@@ -132,7 +132,7 @@
   let quarantinedAt: Millis | null = null
   for (const crash of crashes) {
     if (crash.at > momentStart + MOMENT_LENGTH) [moments, momentStart, momentShare] = [moments + 1, crash.at, 0]
-    const share = shareOfBlame(crash, rivals.get(crash)!, soundAt === null)
+    const share = shareOfEvidence(crash, rivals.get(crash)!, soundAt === null)
     weight += Math.max(0, share - momentShare)
     momentShare = Math.max(share, momentShare)
     if (meetsThreshold(threshold, moments, weight, crash.at - (soundAt ?? -Infinity))) quarantinedAt ??= crash.at
--- a/packages/domain/src/forwarding/quarantine/constants.ts
+++ b/packages/domain/src/forwarding/quarantine/constants.ts
@@ -4,7 +4,7 @@
 /** Moments and weight of evidence from which a part is quarantined. */
 export interface Threshold {
   readonly moments: number
-  /** Sum over the moments of the part's share of the blame. */
+  /** Sum over the moments of the shares of evidence against the part. */
   readonly weight: number
   /** Moments that suffice whatever their weight is. */
   readonly sufficientMoments: number
--- a/packages/domain/src/forwarding/quarantine/promptParts.ts
+++ b/packages/domain/src/forwarding/quarantine/promptParts.ts
@@ -27,7 +27,7 @@
   return { suspects: suspects.length, parts: bySoundTime.slice(0, MAX_REPORT_PARTS).map(({ part }) => part) }
 }
 
-/** The first of each list, then the second of each, and so on, so that a bound on the number strikes no list as a whole. */
+/** The first of each list, then the second of each, and so on, so that a bound on the number removes no list as a whole. */
 const interleave = (lists: readonly (readonly PromptPart[])[]): PromptPart[] => {
   const longest = Math.max(0, ...lists.map(({ length }) => length))
   return Array.from({ length: longest }, (_, index) => lists.flatMap((list) => list.slice(index, index + 1))).flat()
--- a/packages/domain/tests/quarantineFleet.ts
+++ b/packages/domain/tests/quarantineFleet.ts
@@ -4,7 +4,7 @@
 import { seededRandom } from './random.js'
 import { VirtualScheduler } from './virtualScheduler.js'
 
-/** Requests, engines and disturbances of one simulation. */
+/** Requests, engines and faults of one simulation. */
 export interface FleetLoad {
   readonly seed: number
   /** End of the simulation unless `observed` has passed since the fifth crash. */
@@ -21,14 +21,14 @@
   /** Shortest and longest time from the first event to the end. */
   readonly answer: readonly [Millis, Millis]
   readonly partsOf: (random: () => number, index: number) => readonly PromptPart[]
-  readonly isGuilty: (part: PromptPart, now: Millis) => boolean
+  readonly isHarmful: (part: PromptPart, now: Millis) => boolean
   /** Whether answers to requests with these parts are counted. */
   readonly isCounted: (parts: readonly PromptPart[]) => boolean
   /** Whether messages between two nodes are lost. */
   readonly isCut: (fleet: QuarantineFleet, from: number, to: number) => boolean
   /** Share of the answers that an engine breaks off although it lives on. */
   readonly breakOffShare: (engine: number, now: Millis) => number
-  readonly disturbances: ReadonlyArray<{ readonly at: Millis, readonly run: (fleet: QuarantineFleet) => void }>
+  readonly faults: ReadonlyArray<{ readonly at: Millis, readonly run: (fleet: QuarantineFleet) => void }>
 }
 
 interface SimulatedRequest { readonly arrivedAt: Millis, readonly parts: readonly PromptPart[], readonly isCounted: boolean, attempts: number }
@@ -47,7 +47,7 @@
 
 interface SimulatedNode { readonly index: number, readonly id: NodeId, quarantine: PartQuarantine, isTelling: boolean, readonly open: Set<SimulatedAttempt> }
 
-/** Index of the crash from which on guilty requests are counted. */
+/** Index of the crash from which on harmful requests are counted. */
 const FIFTH = 4
 const RESTART_TIME: Millis = 3_000
 const HEARTBEAT: Millis = 600
@@ -61,17 +61,17 @@
 
 /** One run; its public fields are what the tests assert. */
 export class QuarantineFleet {
-  /** Times at which guilty requests crashed an engine. */
+  /** Times at which harmful requests crashed an engine. */
   readonly crashes: Millis[] = []
-  /** Times at which guilty requests reached an engine. */
-  readonly guiltyArrivals: Millis[] = []
+  /** Times at which harmful requests reached an engine. */
+  readonly harmfulArrivals: Millis[] = []
   /** Arrival times of all counted requests. */
   readonly arrived: Millis[] = []
   /** Arrival times of the counted requests that were answered. */
   readonly served: Millis[] = []
   /** Arrival times of the counted requests that were refused because of a part. */
   readonly refused: Millis[] = []
-  /** Longest time for which each part was quarantined without a break at the observed node while it was not guilty. */
+  /** Longest time for which each part was quarantined without a break at the observed node while it was not harmful. */
   readonly falseQuarantines = new Map<PromptPart, Millis>()
   readonly nodes: SimulatedNode[]
   readonly engines: SimulatedEngine[]
@@ -96,7 +96,7 @@
   run (): this {
     this.#scheduleArrival(0)
     for (const node of this.nodes) this.#after(this.#random() * HEARTBEAT, () => { this.#beat(node) })
-    for (const { at, run } of this.#load.disturbances) this.#scheduler.schedule(at, () => { run(this) })
+    for (const { at, run } of this.#load.faults) this.#scheduler.schedule(at, () => { run(this) })
     this.#after(SAMPLE_GAP, () => { this.#sample(new Map()) })
     while (this.now < this.#end()) this.#scheduler.run(this.now + HEARTBEAT)
     return this
@@ -137,8 +137,8 @@
     return least + this.#random() * (most - least)
   }
 
-  #isGuilty ({ parts }: SimulatedRequest): boolean {
-    return parts.slice(0, -1).some((part) => this.#load.isGuilty(part, this.now))
+  #isHarmful ({ parts }: SimulatedRequest): boolean {
+    return parts.slice(0, -1).some((part) => this.#load.isHarmful(part, this.now))
   }
 
   #scheduleArrival (index: number): void {
@@ -192,7 +192,7 @@
     const attempt: SimulatedAttempt = { request, engine, startedAt: engine.startedAt, node, isTrial, isProved: false, isOpen: true }
     engine.running.add(attempt)
     node.open.add(attempt)
-    if (this.#isGuilty(request)) this.guiltyArrivals.push(this.now)
+    if (this.#isHarmful(request)) this.harmfulArrivals.push(this.now)
     const prefill = this.#between(this.#load.prefill)
     const end = prefill + EVENT_GAP + this.#between(this.#load.answer)
     if (this.#random() < this.#load.breakOffShare(engine.index, this.now)) this.#after(this.#random() * end, () => { if (attempt.isOpen) this.#breakOff(node, [attempt]) })
@@ -201,7 +201,7 @@
 
   #beginAnswer (attempt: SimulatedAttempt, end: Millis): void {
     if (!attempt.isOpen || !attempt.engine.running.has(attempt)) return
-    if (this.#isGuilty(attempt.request)) {
+    if (this.#isHarmful(attempt.request)) {
       this.crashes.push(this.now)
       this.crash(attempt.engine)
       return
@@ -300,7 +300,7 @@
   }
 
   #sample (since: ReadonlyMap<PromptPart, Millis>): void {
-    const parts = this.nodes[1]!.quarantine.quarantinedParts(this.now).map(({ part }) => part).filter((part) => !this.#load.isGuilty(part, this.now))
+    const parts = this.nodes[1]!.quarantine.quarantinedParts(this.now).map(({ part }) => part).filter((part) => !this.#load.isHarmful(part, this.now))
     const next = new Map(parts.map((part) => [part, since.get(part) ?? this.now]))
     for (const [part, from] of next) this.falseQuarantines.set(part, Math.max(this.falseQuarantines.get(part) ?? 0, this.now - from + SAMPLE_GAP))
     this.#after(SAMPLE_GAP, () => { this.#sample(next) })
--- a/packages/node/src/forward/quarantine/FactQueue.ts
+++ b/packages/node/src/forward/quarantine/FactQueue.ts
@@ -97,14 +97,14 @@
  * @returns a list of them, those that bear on a crash first: the sound answers of other parts decide little
  */
 export const listFacts = ({ crashes, survivals, trials, sounds }: QuarantineFacts): Fact[] => {
-  const blamed = new Set(crashes.flatMap(({ parts }) => parts))
-  const isBlamed = ({ part }: SoundPart): boolean => blamed.has(part)
+  const suspected = new Set(crashes.flatMap(({ parts }) => parts))
+  const isSuspected = ({ part }: SoundPart): boolean => suspected.has(part)
   return [
     ...crashes.map((fact): Fact => ({ kind: FactKind.Crash, fact })),
     ...survivals.map((fact): Fact => ({ kind: FactKind.Survival, fact })),
     ...trials.map((fact): Fact => ({ kind: FactKind.Trial, fact })),
-    ...sounds.filter(isBlamed).map((fact): Fact => ({ kind: FactKind.Sound, fact })),
-    ...sounds.filter((sound) => !isBlamed(sound)).map((fact): Fact => ({ kind: FactKind.Sound, fact }))
+    ...sounds.filter(isSuspected).map((fact): Fact => ({ kind: FactKind.Sound, fact })),
+    ...sounds.filter((sound) => !isSuspected(sound)).map((fact): Fact => ({ kind: FactKind.Sound, fact }))
   ]
 }
 
--- a/packages/node/src/forward/quarantine/PromptQuarantine.ts
+++ b/packages/node/src/forward/quarantine/PromptQuarantine.ts
@@ -135,8 +135,8 @@
 
   /** Whether a part was sound before decides how much evidence it takes, and the other nodes may not know it. */
   #shareSounds (parts: readonly PromptPart[]): void {
-    const blamed = new Set(parts)
-    const sounds = this.facts().sounds.filter(({ part }) => blamed.has(part))
+    const suspected = new Set(parts)
+    const sounds = this.facts().sounds.filter(({ part }) => suspected.has(part))
     for (const fact of sounds) for (const listener of this.#factListeners) listener({ kind: FactKind.Sound, fact })
   }
 
--- a/packages/node/tests/engineWatch.test.ts
+++ b/packages/node/tests/engineWatch.test.ts
@@ -57,8 +57,8 @@
   }
 }
 
-/** Guards against the blame of streams that were long under way when another request crashed their engine. */
-test('a crash under thirty sound streams is blamed on the only request that had not proved sound', (t) => {
+/** Guards against the suspicion of streams that were long under way when another request crashed their engine. */
+test('a crash under thirty sound streams is attributed to the only request that had not proved sound', (t) => {
   const node = new TestNode()
   const sound = Array.from({ length: 30 }, () => node.sendSound())
   const suspect = node.send(['shared', 'bad'])
@@ -149,7 +149,7 @@
   t.deepEqual(node.crashes[0]?.parts, ['a'])
 })
 
-/** Guards against the blame of requests that were under way when servers were replaced as planned. */
+/** Guards against the suspicion of requests that were under way when servers were replaced as planned. */
 test('the end of a server that has announced it is no crash', (t) => {
   const node = new TestNode()
   node.leaving.add(SERVER.id)
