Soak: a reset that arrives together with bytes is passed on as a reset

The soak's own proxy got an end from libuv, which reports one where a reset arrives with the bytes before it, and closed the connection to the node cleanly, so that the answer was complete by the protocol. The node tells the two apart (ServerCall); the proxy now does as well. The check is unchanged.

--- a/packages/soak/src/TcpProxy.ts
+++ b/packages/soak/src/TcpProxy.ts
@@ -122,7 +122,11 @@
       late = turn
     }
     from.on('data', (piece) => later(() => { if (!to.destroyed) to.write(piece) }))
-    from.on('end', () => later(() => to.end()))
+    from.on('end', () => {
+      // libuv reports an end if a reset arrives together with bytes; a socket that was reset has no remote address.
+      const isReset = from.remoteAddress === undefined
+      later(() => { if (isReset) reset(to); else to.end() })
+    })
   }
 }
 
--- a/packages/soak/tests/tcpProxy.test.ts
+++ b/packages/soak/tests/tcpProxy.test.ts
@@ -80,3 +80,18 @@
   await sleep(50)
   t.is(text(), '')
 })
+
+// Guards against an answer without a length that looks complete although its server has reset the connection right after the last bytes.
+test('a reset that arrives together with bytes is passed on as a reset', async (t) => {
+  const { port } = await behindProxy(t, (socket) => {
+    socket.once('data', () => { socket.write('half of an answer', () => { socket.resetAndDestroy() }) })
+  })
+  for (let round = 0; round < 20; round += 1) {
+    const socket = connect({ host: PROXY_HOST, port, noDelay: true })
+    let hasEnded = false
+    socket.write('request')
+    socket.on('error', () => {}).on('end', () => { hasEnded = socket.remoteAddress !== undefined }).resume()
+    await once(socket, 'close').catch(() => {})
+    t.false(hasEnded, `round ${round}`)
+  }
+})
