A server that breaks off a silent answer is evidence of a crash

Found in the read-through: an attempt that was set aside because its server was silent, and whose connection then ended, was closed without a word to the quarantine, while the same end of an attempt in progress is reported. A crash could so go uncounted. Both ends now take the same path.

Test: 'a server that breaks off a silent answer is reported as crashed'; before, no engine.crash_suspected was logged.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -362,7 +362,7 @@
 
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
     if (this.#silentAttempts.includes(attempt) && !this.isAnswerWhole(attempt)) {
-      this.failAttempt(attempt, AttemptEnd.Broken, 'the answer ended before it was complete')
+      this.#connectionEnded(attempt, 'the answer ended before it was complete')
       return
     }
     if (!this.#isCurrent(attempt)) return
--- a/packages/node/tests/quarantinedRequests.test.ts
+++ b/packages/node/tests/quarantinedRequests.test.ts
@@ -168,3 +168,19 @@
   await until(() => fixture.linesOf('request.ended').length === 1)
   t.deepEqual(fixture.linesOf('engine.crash_suspected'), [])
 })
+
+// Guards against a crash that is no evidence, because its request had been silent for a while and another server was already asked.
+test('a server that breaks off a silent answer is reported as crashed', async (t) => {
+  let calls = 0
+  const script: Script = (request, response) => {
+    calls += 1
+    if (calls === 1) {
+      response.writeHead(200, signedHeaders(request)).write('id: 1\n\nid')
+      setTimeout(() => response.end(), 1_700)
+    } else setTimeout(() => response.writeHead(200, signedHeaders(request)).end('id: 2\n\nid: 3\n\n'), 1_700)
+  }
+  const fixture = await ForwardFixture.start(t, script, script)
+  t.like(await fixture.call('/patient-stream/x', { headers: headersOf(BAD) }), { status: 200, whole: true })
+  t.is(calls, 2)
+  t.is(fixture.linesOf('engine.crash_suspected').length, 1)
+})
