--- /dev/null
+++ b/packages/node/src/forward/AttemptSearch.ts
@@ -0,0 +1,54 @@
+/** Looks for a backend server for the next attempt of one request. */
+import type { AttemptHistory } from '@bluebellhill/domain'
+
+import type { AdmittedCall } from './AdmittedCall.js'
+import type { RequestGuard } from './quarantine/RequestGuard.js'
+import type { RequestLog } from './RequestLog.js'
+import type { PlacementClient } from './scheduling/PlacementClient.js'
+import { PlacementRefusal } from './scheduling/types.js'
+import type { AttemptPlacement, RefusedPlacement } from './scheduling/types.js'
+
+/** Result of a search for a request that must not be sent. */
+const QUARANTINED: RefusedPlacement = { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
+
+export interface AttemptSearchOptions {
+  readonly placement: PlacementClient
+  readonly call: AdmittedCall
+  /** Earlier attempts of the request. */
+  readonly history: AttemptHistory
+  readonly guard: RequestGuard
+  readonly requestLog: RequestLog
+}
+
+/** Has attempts placed by the scheduler. */
+export class AttemptSearch {
+  readonly #options: AttemptSearchOptions
+
+  /** @param options - the request, and its earlier attempts */
+  constructor (options: AttemptSearchOptions) {
+    this.#options = options
+  }
+
+  /**
+   * Places the next attempt. An error fails this request only, and not the process with all others.
+   *
+   * @param chargesRetry - whether the attempt takes from the retry budget
+   * @returns the placed attempt, or why there is none
+   */
+  async find (chargesRetry: boolean): Promise<AttemptPlacement> {
+    const { placement, call, history, guard, requestLog } = this.#options
+    const caution = guard.caution()
+    if (caution === null) return QUARANTINED
+    try {
+      return await placement.place(call, history, chargesRetry, caution)
+    } catch (error) {
+      requestLog.placementFailed(error)
+      return { type: 'refused', reason: 'choosing a backend server failed', retryAfter: null }
+    }
+  }
+
+  /** Returns a place that is not needed any more. */
+  discard (found: AttemptPlacement): void {
+    if (found.type === 'placed') this.#options.placement.removeAssignment(found.attempt, null)
+  }
+}
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -3,29 +3,34 @@
 
 import { AttemptEnd, AttemptHistory, HealthSignal } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
-import { decodeAnswerHeaders, encodeReturnedHeaders } from '@bluebellhill/platform'
+import { decodeAnswerHeaders } from '@bluebellhill/platform'
 import type { AnswerHeaders } from '@bluebellhill/platform'
 
-import { waitingInputRead } from '../clock/inputTurn.js'
 import type { AdmittedCall } from './AdmittedCall.js'
-import { FIRST_FAILURE_STATUS, isSuccessfulAnswer, findAnswerProblem, withContentLength } from './answerHeads.js'
+import { AttemptSearch } from './AttemptSearch.js'
+import { FIRST_FAILURE_STATUS, isSuccessfulAnswer, findAnswerProblem } from './answerHeads.js'
 import { MAX_FAILURE_BODY_BYTES } from './backend/answerLimits.js'
 import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import { ServerCall } from './backend/ServerCall.js'
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
-import { RefusalCause, refuse } from './entry/refusals.js'
+import { RefusalCause } from './entry/refusals.js'
 import { healthSignalOf } from './healthSignal.js'
 import { isWaitStated, refusalCauseOf } from './refusalCause.js'
+import { RequestEnding } from './RequestEnding.js'
+import type { RequestSummary } from './RequestEnding.js'
 import { RequestLog } from './RequestLog.js'
 import { MemoryReservations } from './MemoryReservations.js'
 import { RequestGuard } from './quarantine/RequestGuard.js'
 import type { QuarantineVerdict } from './quarantine/PromptQuarantine.js'
 import { PlacementRefusal } from './scheduling/types.js'
-import type { AttemptCaution, AttemptPlacement, PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
+import type { PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import { ForwardOutcome } from './ForwardOutcome.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
+import { SilenceTimer } from './SilenceTimer.js'
+import type { ChangeCheck } from './SilenceTimer.js'
+import { SilentAttempts } from './SilentAttempts.js'
 import { serverCallRequest } from './serverCallRequest.js'
-import { CloseCause, recordUnanswered, RequestStage } from './unansweredRequests.js'
+import { CloseCause, RequestStage } from './unansweredRequests.js'
 
 /** Longest time for which a request that may have run waits until a server accepts requests again. */
 const MAX_SERVER_WAIT: Millis = 1_000
@@ -36,24 +41,21 @@
 const SERVER_ERROR = 500
 const MISDIRECTED_REQUEST = 421
 
-/** Result of placing a request that must not be sent. */
-const QUARANTINED: RefusedPlacement = { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
-
 /** Sends one request to one backend server after another, as far as its route and the retry budget allow. */
 export abstract class Forwarding {
   protected attempt: OpenAttempt | null = null
-  /** Attempts whose servers are silent, the earliest first. They are kept until another server answers; one goes on if its server does so first. */
-  #silentAttempts: readonly OpenAttempt[] = []
   protected readonly history: AttemptHistory
   protected signedFailure: SignedFailure | null = null
   protected firstAnswerAt: Millis | null = null
   readonly #guard: RequestGuard
   readonly #requestLog: RequestLog
+  readonly #ending: RequestEnding
+  readonly #search: AttemptSearch
+  readonly #silentAttempts = new SilentAttempts((attempt, signal) => this.#release(attempt, signal))
+  readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#dataOverdue(attempt, silence, hasGoneOn) })
   #attemptCount = 0
   #lastProblem = ''
-  #isFinished = false
   #deadlineTimer: NodeJS.Timeout | null = null
-  #dataTimer: NodeJS.Timeout | null = null
   #waitTimer: NodeJS.Timeout | null = null
 
   /**
@@ -64,7 +66,9 @@
   constructor (protected readonly context: ForwardingContext, protected readonly call: AdmittedCall, protected readonly response: ServerResponse) {
     this.history = new AttemptHistory(call.route)
     this.#requestLog = new RequestLog(context, call)
+    this.#ending = new RequestEnding({ context, call, response, requestLog: this.#requestLog, summary: () => this.#summary(), onEnded: () => this.#releaseAll() })
     this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
+    this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog })
   }
 
   /** Starts the first attempt. */
@@ -78,12 +82,12 @@
   /** Breaks the connection to the caller, because the stop grace of this node is over. */
   breakOff (): void {
     const { stage } = this
-    if (this.#isFinished) {
-      this.#recordUnanswered(CloseCause.StopGraceOver, stage, 'the caller has not read its answer')
+    if (this.#ending.isOver) {
+      this.#ending.recordUnanswered(CloseCause.StopGraceOver, stage, 'the caller has not read its answer')
       return
     }
     if (this.attempt !== null) this.#closeAttempt(this.attempt)
-    this.#abortAnswer(ForwardOutcome.Lost, CloseCause.StopGraceOver, stage)
+    this.#ending.abort(ForwardOutcome.Lost, CloseCause.StopGraceOver, stage)
   }
 
   /** How far the request has come. */
@@ -124,30 +128,24 @@
 
   /** Records the time of the first data that is sent to the caller, and gives up the attempts that were kept until then. */
   protected recordFirstAnswer (attempt: OpenAttempt): void {
-    this.#closeSilent()
+    this.#silentAttempts.closeAll()
     if (this.firstAnswerAt !== null) return
     this.firstAnswerAt = this.context.clock()
     this.context.metrics.firstAnswerSent(this.call.route.kind, attempt.placed.choice.timeToFirstEvent, this.firstAnswerAt - attempt.sentAt)
   }
 
-  /** Restarts the timer that fails the attempt when no data arrives. */
+  /** Measures anew how long the server of the attempt sends no data. */
   protected restartDataTimer (attempt: OpenAttempt): void {
-    if (this.#dataTimer !== null) clearTimeout(this.#dataTimer)
-    const timeout = this.dataTimeout(attempt)
-    this.#dataTimer = timeout === null ? null : setTimeout(() => { void this.#dataOverdue(attempt, timeout) }, timeout)
+    this.#silenceTimer.restart(attempt, this.dataTimeout(attempt))
   }
 
   /** Waits on while the engine is known to prefill other prompts: another engine would have to read this prompt anew. */
-  async #dataOverdue (attempt: OpenAttempt, silence: Millis): Promise<void> {
-    const timer = this.#dataTimer
-    const hasGoneOn = (): boolean => this.attempt !== attempt || this.#dataTimer !== timer
-    await waitingInputRead()
-    if (hasGoneOn()) return
+  async #dataOverdue (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
     const extension = await this.context.placement.explainedSilence(attempt.placed)
     if (hasGoneOn()) return
     if (extension > 0) {
       this.#requestLog.attemptWaits(attempt, silence, extension)
-      this.#dataTimer = setTimeout(() => { void this.#dataOverdue(attempt, silence + extension) }, extension)
+      this.#silenceTimer.extend(attempt, extension, silence + extension)
       return
     }
     if (!attempt.isSilenceReported) this.context.placement.reportSilence(attempt.placed)
@@ -156,17 +154,16 @@
   }
 
   /** Starts another attempt beside a silent one, which is only given up once the other server has begun to answer. */
-  async #replaceSilent (attempt: OpenAttempt, silence: Millis, hasGoneOn: () => boolean): Promise<void> {
-    const caution = this.#guard.caution()
-    const placement = caution === null ? QUARANTINED : await this.#place(true, caution)
+  async #replaceSilent (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
+    const placement = await this.#search.find(true)
     if (hasGoneOn()) {
-      if (placement.type === 'placed') this.context.placement.removeAssignment(placement.attempt, null)
+      this.#search.discard(placement)
       return
     }
     this.#lastProblem = `${AttemptEnd.TimedOut}: no byte for ${Math.round(silence)} ms`
     if (placement.type === 'refused') {
       this.#requestLog.silentAttemptKept(attempt, silence, placement.reason)
-      this.#dataTimer = setTimeout(() => { void this.#dataOverdue(attempt, silence + SEARCH_PERIOD) }, SEARCH_PERIOD)
+      this.#silenceTimer.extend(attempt, SEARCH_PERIOD, silence + SEARCH_PERIOD)
       return
     }
     this.history.end(attempt.server.id, AttemptEnd.TimedOut)
@@ -181,28 +178,28 @@
       this.#closeAttempt(attempt)
       return
     }
-    this.#clearDataTimer()
-    this.#silentAttempts = [...this.#silentAttempts, attempt]
+    this.#silenceTimer.clear()
+    this.#silentAttempts.add(attempt)
   }
 
   /** @returns whether an attempt is in progress; a silent one whose server goes on takes the place of the one that was to replace it */
   #isCurrent (attempt: OpenAttempt): boolean {
     if (this.attempt === attempt) return true
-    if (!this.#silentAttempts.includes(attempt) || this.#isFinished) return false
+    if (!this.#silentAttempts.has(attempt) || this.#ending.isOver) return false
     const replacement = this.attempt
     if (replacement !== null) {
       this.history.end(replacement.server.id, replacement.serverCall?.mayBeSent === true ? AttemptEnd.TimedOut : AttemptEnd.Unsent)
       this.#closeAttempt(replacement)
     }
     this.#returnToSilent(attempt, 'data')
-    this.#closeSilent()
+    this.#silentAttempts.closeAll()
     return true
   }
 
   /** Goes on with a silent attempt, if there is one. */
   #returnToSilent (attempt: OpenAttempt | undefined, cause: 'data' | 'no_other_attempt'): boolean {
     if (attempt === undefined) return false
-    this.#silentAttempts = this.#silentAttempts.filter((silent) => silent !== attempt)
+    this.#silentAttempts.remove(attempt)
     if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
     this.attempt = attempt
     this.#requestLog.silentAttemptResumed(attempt, cause)
@@ -210,18 +207,13 @@
     return true
   }
 
-  #closeSilent (closed: readonly OpenAttempt[] = this.#silentAttempts, signal: HealthSignal | null = null): void {
-    this.#silentAttempts = this.#silentAttempts.filter((attempt) => !closed.includes(attempt))
-    for (const attempt of closed) this.#release(attempt, signal)
-  }
-
   /** Ends an attempt without a complete answer, and starts another one if the route and the retry budget allow it. */
   protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string, signal = healthSignalOf(attempt, end)): void {
-    if (this.#silentAttempts.includes(attempt)) {
+    if (this.#silentAttempts.has(attempt)) {
       this.#requestLog.attemptFailed(attempt, end, reason)
-      this.#closeSilent([attempt], signal === HealthSignal.Faulty ? signal : null)
+      this.#silentAttempts.close(attempt, signal === HealthSignal.Faulty ? signal : null)
     }
-    if (this.attempt !== attempt || this.#isFinished) return
+    if (this.attempt !== attempt || this.#ending.isOver) return
     this.#closeAttempt(attempt, signal)
     this.#lastProblem = `${end}: ${reason}`
     const isRetryAllowed = this.history.end(attempt.server.id, end)
@@ -238,10 +230,9 @@
   }
 
   async #startNextAttempt (chargesRetry: boolean): Promise<void> {
-    const caution = this.#guard.caution()
-    const placement = caution === null ? QUARANTINED : await this.#place(chargesRetry, caution)
-    if (this.#isFinished || this.attempt !== null) {
-      if (placement.type === 'placed') this.context.placement.removeAssignment(placement.attempt, null)
+    const placement = await this.#search.find(chargesRetry)
+    if (this.#ending.isOver || this.attempt !== null) {
+      this.#search.discard(placement)
       return
     }
     if (placement.type === 'placed') {
@@ -269,16 +260,6 @@
     return true
   }
 
-  /** Catches errors of the placement, so that they fail this request only and not the process with all others. */
-  async #place (chargesRetry: boolean, caution: AttemptCaution): Promise<AttemptPlacement> {
-    try {
-      return await this.context.placement.place(this.call, this.history, chargesRetry, caution)
-    } catch (error) {
-      this.#requestLog.placementFailed(error)
-      return { type: 'refused', reason: 'choosing a backend server failed', retryAfter: null }
-    }
-  }
-
   #openAttempt (placed: PlacedAttempt): void {
     const { choice: { server, holders }, assignment } = placed
     this.history.start(server.id)
@@ -337,12 +318,12 @@
   }
 
   #headReceived (attempt: OpenAttempt, head: AnswerHead): void {
-    if (this.#isFinished || (this.attempt !== attempt && !this.#silentAttempts.includes(attempt))) return
+    if (this.#ending.isOver || (this.attempt !== attempt && !this.#silentAttempts.has(attempt))) return
     attempt.head = head
     attempt.answer = decodeAnswerHeaders(head.status, head.headers)
     this.#recordStatement(attempt, head.status, attempt.answer)
     const problem = findAnswerProblem(attempt.answer, head.status, this.call.id)
-    if (this.#silentAttempts.includes(attempt) && (problem !== null || !isSuccessfulAnswer(attempt))) {
+    if (this.#silentAttempts.has(attempt) && (problem !== null || !isSuccessfulAnswer(attempt))) {
       this.failAttempt(attempt, AttemptEnd.Failed, problem ?? `status ${head.status}`)
       return
     }
@@ -361,7 +342,7 @@
   }
 
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
-    if (this.#silentAttempts.includes(attempt) && !this.isAnswerWhole(attempt)) {
+    if (this.#silentAttempts.has(attempt) && !this.isAnswerWhole(attempt)) {
       this.#connectionEnded(attempt, 'the answer ended before it was complete')
       return
     }
@@ -377,7 +358,7 @@
     } else if (this.completeAnswer(attempt)) {
       attempt.watch?.completed()
       this.#closeAttempt(attempt, HealthSignal.Good)
-      this.#finish(ForwardOutcome.Answered, head.status)
+      this.#ending.answered(head.status)
     } else {
       this.#connectionEnded(attempt, 'the answer ended before it was complete')
     }
@@ -408,27 +389,25 @@
       return
     }
     this.#closeAttempt(attempt)
-    this.#returnFailure(failure)
+    this.#ending.returnFailure(failure)
   }
 
   #giveUp (refusal: RefusedPlacement | null = null): void {
-    if ((this.hasStartedAnswer || this.signedFailure === null) && this.#returnToSilent(this.#silentAttempts[0], 'no_other_attempt')) return
+    if ((this.hasStartedAnswer || this.signedFailure === null) && this.#returnToSilent(this.#silentAttempts.first, 'no_other_attempt')) return
     if (this.hasStartedAnswer) {
-      this.#abortAnswer(ForwardOutcome.Lost, CloseCause.AnswerLost)
+      this.#ending.abort(ForwardOutcome.Lost, CloseCause.AnswerLost, this.stage)
     } else if (this.signedFailure !== null) {
-      this.#returnFailure(this.signedFailure)
+      this.#ending.returnFailure(this.signedFailure)
     } else if (this.history.mayHaveRun) {
-      refuse(this.response, RefusalCause.AnswerLost)
-      this.#finish(ForwardOutcome.Lost, this.response.statusCode)
+      this.#ending.refuse(RefusalCause.AnswerLost, ForwardOutcome.Lost)
     } else {
-      refuse(this.response, refusalCauseOf(refusal), refusal?.retryAfter ?? null)
-      this.#finish(ForwardOutcome.Refused, this.response.statusCode)
+      this.#ending.refuse(refusalCauseOf(refusal), ForwardOutcome.Refused, refusal?.retryAfter ?? null)
     }
   }
 
   /** Final, since each repetition could crash another engine. */
   #refuseQuarantined (verdict: QuarantineVerdict): void {
-    if (this.#isFinished) return
+    if (this.#ending.isOver) return
     const { attempt } = this
     const mayHaveRun = this.history.mayHaveRun || attempt?.serverCall?.mayBeSent === true
     if (attempt !== null) this.#closeAttempt(attempt)
@@ -437,61 +416,36 @@
     const cause = mayHaveRun ? RefusalCause.Quarantined : RefusalCause.QuarantinedUnsent
     this.context.metrics.requestRefused(cause)
     if (this.hasStartedAnswer) {
-      this.#abortAnswer(ForwardOutcome.Lost, CloseCause.Quarantined)
+      this.#ending.abort(ForwardOutcome.Lost, CloseCause.Quarantined, this.stage)
       return
     }
-    refuse(this.response, cause)
-    this.#finish(mayHaveRun ? ForwardOutcome.Lost : ForwardOutcome.Refused, this.response.statusCode)
-  }
-
-  #returnFailure ({ head, body }: SignedFailure): void {
-    this.response.writeHead(head.status, withContentLength(encodeReturnedHeaders(head.rawHeaders), body.length))
-    this.response.end(body)
-    this.#finish(ForwardOutcome.ServerFailed, head.status)
+    this.#ending.refuse(cause, mayHaveRun ? ForwardOutcome.Lost : ForwardOutcome.Refused)
   }
 
   #deadlinePassed (): void {
-    if (this.#isFinished) return
+    if (this.#ending.isOver) return
     const { attempt } = this
     const mayHaveRun = this.history.mayHaveRun || attempt?.serverCall?.mayBeSent === true
     if (attempt !== null) this.#closeAttempt(attempt)
     if (this.hasStartedAnswer) {
-      this.#abortAnswer(ForwardOutcome.TimedOut, CloseCause.DeadlinePassed)
+      this.#ending.abort(ForwardOutcome.TimedOut, CloseCause.DeadlinePassed, this.stage)
       return
     }
-    refuse(this.response, mayHaveRun ? RefusalCause.TimedOut : RefusalCause.TimedOutUnsent)
-    this.#finish(ForwardOutcome.TimedOut, this.response.statusCode)
-  }
-
-  /** Breaks the connection to the caller, so that the incomplete answer does not look complete. */
-  #abortAnswer (outcome: ForwardOutcome, cause: CloseCause, stage = this.stage): void {
-    this.#recordUnanswered(cause, stage, this.#lastProblem)
-    this.#finish(outcome, this.response.statusCode)
-    this.response.destroy()
-  }
-
-  #recordUnanswered (cause: CloseCause, stage: RequestStage, problem: string): void {
-    const { context, call } = this
-    recordUnanswered(context, { id: call.id, stage, cause, problem, took: context.clock() - call.arrivedAt })
+    this.#ending.refuse(mayHaveRun ? RefusalCause.TimedOut : RefusalCause.TimedOutUnsent, ForwardOutcome.TimedOut)
   }
 
   #callerDisconnected (): void {
-    if (this.#isFinished) return
+    if (this.#ending.isOver) return
     if (this.attempt !== null) this.#closeAttempt(this.attempt)
-    this.#finish(ForwardOutcome.CallerDisconnected, 0)
+    this.#ending.callerDisconnected()
   }
 
   #closeAttempt (attempt: OpenAttempt, signal: HealthSignal | null = null): void {
-    this.#clearDataTimer()
+    this.#silenceTimer.clear()
     this.attempt = null
     this.#release(attempt, signal)
   }
 
-  #clearDataTimer (): void {
-    if (this.#dataTimer !== null) clearTimeout(this.#dataTimer)
-    this.#dataTimer = null
-  }
-
   #release (attempt: OpenAttempt, signal: HealthSignal | null): void {
     attempt.watch?.ended()
     attempt.serverCall?.abort()
@@ -500,23 +454,18 @@
     this.context.placement.removeAssignment(attempt.placed, signal)
   }
 
-  #finish (outcome: ForwardOutcome, status: number): void {
-    if (this.#isFinished) return
-    this.#isFinished = true
-    this.#closeSilent()
+  #releaseAll (): void {
+    this.#silentAttempts.closeAll()
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer)
     if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
-    const { call, context } = this
-    const took = context.clock() - call.arrivedAt
-    context.metrics.requestEnded(call.route.kind, outcome, took)
-    this.#requestLog.requestEnded({
-      outcome,
-      status,
+  }
+
+  #summary (): RequestSummary {
+    return {
       servers: this.history.triedServers(),
-      firstAnswer: this.firstAnswerAt === null ? null : this.firstAnswerAt - call.arrivedAt,
-      took,
+      firstAnswer: this.firstAnswerAt === null ? null : this.firstAnswerAt - this.call.arrivedAt,
       problem: this.#lastProblem,
       answerFields: this.answerLogFields()
-    })
+    }
   }
 }
--- /dev/null
+++ b/packages/node/src/forward/RequestEnding.ts
@@ -0,0 +1,109 @@
+/** Ends one request, exactly once. */
+import type { ServerResponse } from 'node:http'
+
+import type { Millis, RunnerId } from '@bluebellhill/domain'
+import { encodeReturnedHeaders } from '@bluebellhill/platform'
+
+import type { AdmittedCall } from './AdmittedCall.js'
+import { withContentLength } from './answerHeads.js'
+import { refuse } from './entry/refusals.js'
+import type { RefusalCause } from './entry/refusals.js'
+import { ForwardOutcome } from './ForwardOutcome.js'
+import type { RequestLog } from './RequestLog.js'
+import type { ForwardingContext, SignedFailure } from './types.js'
+import { recordUnanswered } from './unansweredRequests.js'
+import type { CloseCause, RequestStage } from './unansweredRequests.js'
+
+/** What the log tells of a request besides its outcome. */
+export interface RequestSummary {
+  /** Backend servers of its attempts, in order. */
+  readonly servers: readonly RunnerId[]
+  /** Time from its arrival until the first data was sent to the caller; null if there was none. */
+  readonly firstAnswer: Millis | null
+  /** Last failure; empty if there was none. */
+  readonly problem: string
+  /** Log fields that depend on the kind of answer. */
+  readonly answerFields: Record<string, unknown>
+}
+
+export interface RequestEndingOptions {
+  readonly context: ForwardingContext
+  readonly call: AdmittedCall
+  /** Response to the caller. */
+  readonly response: ServerResponse
+  readonly requestLog: RequestLog
+  /** Returns what has happened to the request so far. */
+  readonly summary: () => RequestSummary
+  /** Called when the request is over, to release what it holds. */
+  readonly onEnded: () => void
+}
+
+/** Sends what ends a request, and records its outcome. */
+export class RequestEnding {
+  readonly #options: RequestEndingOptions
+  #isOver = false
+
+  /** @param options - the request, and its response */
+  constructor (options: RequestEndingOptions) {
+    this.#options = options
+  }
+
+  /** Whether the outcome of the request is known. */
+  get isOver (): boolean {
+    return this.#isOver
+  }
+
+  /** The complete answer of a backend server has been sent. */
+  answered (status: number): void {
+    this.#end(ForwardOutcome.Answered, status)
+  }
+
+  callerDisconnected (): void {
+    this.#end(ForwardOutcome.CallerDisconnected, 0)
+  }
+
+  /**
+   * Sends an answer of this node's own.
+   *
+   * @param cause - why the answer of a backend server is not returned
+   * @param outcome - outcome of the request
+   * @param retryAfter - time after which the caller may come back; null for the default of the cause
+   */
+  refuse (cause: RefusalCause, outcome: ForwardOutcome, retryAfter: Millis | null = null): void {
+    const { response } = this.#options
+    refuse(response, cause, retryAfter)
+    this.#end(outcome, response.statusCode)
+  }
+
+  /** Returns the failure that a backend server has answered. */
+  returnFailure ({ head, body }: SignedFailure): void {
+    const { response } = this.#options
+    response.writeHead(head.status, withContentLength(encodeReturnedHeaders(head.rawHeaders), body.length))
+    response.end(body)
+    this.#end(ForwardOutcome.ServerFailed, head.status)
+  }
+
+  /** Breaks the connection to the caller, so that the incomplete answer does not look complete. */
+  abort (outcome: ForwardOutcome, cause: CloseCause, stage: RequestStage): void {
+    const { response, summary } = this.#options
+    this.recordUnanswered(cause, stage, summary().problem)
+    this.#end(outcome, response.statusCode)
+    response.destroy()
+  }
+
+  /** Records that the connection to the caller is closed before the complete answer has been read. */
+  recordUnanswered (cause: CloseCause, stage: RequestStage, problem: string): void {
+    const { context, call } = this.#options
+    recordUnanswered(context, { id: call.id, stage, cause, problem, took: context.clock() - call.arrivedAt })
+  }
+
+  #end (outcome: ForwardOutcome, status: number): void {
+    if (this.#isOver) return
+    this.#isOver = true
+    const { context, call, requestLog, summary, onEnded } = this.#options
+    onEnded()
+    const took = context.clock() - call.arrivedAt
+    context.metrics.requestEnded(call.route.kind, outcome, took)
+    requestLog.requestEnded({ outcome, status, took, ...summary() })
+  }
+}
