A refusal that comes after its search was needed does not end the request

Cause: a silent attempt kept beside others goes on while a search for another server is in progress, then breaks off, and a second search begins. The refusal of the first one, which nobody needs any more, gave the request up. Only a placed result was checked against the attempt in progress. Now a search that a later one has superseded is discarded, whatever it found. The test failed before (whole: false, two of three events), and passes with the check.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -54,6 +54,7 @@
   readonly #silentAttempts = new SilentAttempts((attempt, signal) => this.#release(attempt, signal))
   readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#dataOverdue(attempt, silence, hasGoneOn) })
   #attemptCount = 0
+  #searchCount = 0
   #lastProblem = ''
   #deadlineTimer: NodeJS.Timeout | null = null
   #waitTimer: NodeJS.Timeout | null = null
@@ -230,8 +231,12 @@
   }
 
   async #startNextAttempt (chargesRetry: boolean): Promise<void> {
+    this.#searchCount += 1
+    const search = this.#searchCount
     const placement = await this.#search.find(chargesRetry)
-    if (this.#ending.isOver || this.attempt !== null) {
+    // A silent attempt may have gone on and failed meanwhile, so that a later search has begun.
+    const isSuperseded = search !== this.#searchCount
+    if (this.#ending.isOver || this.attempt !== null || isSuperseded) {
       this.#search.discard(placement)
       return
     }
--- a/packages/node/tests/severalSilentServers.test.ts
+++ b/packages/node/tests/severalSilentServers.test.ts
@@ -1,4 +1,6 @@
 import { once } from 'node:events'
+import type { Socket } from 'node:net'
+import { setImmediate, setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
 
@@ -7,9 +9,9 @@
 
 const eventText = (id: number): string => `id: ${id}\ndata: x\n\n`
 
-/** Allows three attempts on the routes of the fixture. */
-const allowThreeAttempts = (fixture: ForwardFixture): void => {
-  const routes = DEPLOYMENT.routes.map((route) => ({ ...route, maxAttempts: 3 }))
+/** Allows a number of attempts on the routes of the fixture. */
+const allowAttempts = (fixture: ForwardFixture, maxAttempts: number): void => {
+  const routes = DEPLOYMENT.routes.map((route) => ({ ...route, maxAttempts }))
   fixture.fleetState.install({ ...DEPLOYMENT, version: 2, routes }, 'store')
 }
 
@@ -23,7 +25,7 @@
     if (closed.length === 3) disconnection.abort()
   }
   const fixture = await ForwardFixture.start(t, silent, silent, silent)
-  allowThreeAttempts(fixture)
+  allowAttempts(fixture, 3)
   await fixture.call('/pausing/x', { disconnection: disconnection.signal }).catch(() => {})
   t.is(closed.length, 3)
   await Promise.all(closed)
@@ -40,7 +42,7 @@
     }
   }
   const fixture = await ForwardFixture.start(t, script, script, script)
-  allowThreeAttempts(fixture)
+  allowAttempts(fixture, 3)
   t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
   t.is(calls, 3)
 })
@@ -62,3 +64,43 @@
   const fixture = await ForwardFixture.start(t, script, script)
   t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
 })
+
+// Guards against a started answer that is broken off by the refusal of a search from before its silent server went on.
+test('a refusal that comes after its search was needed does not end the request', async (t) => {
+  let calls = 0
+  let resumeFirst = (): unknown => undefined
+  const sockets: Socket[] = []
+  const script: Script = (request, response, socket) => {
+    calls += 1
+    sockets.push(socket)
+    if (calls === 2) {
+      socket.destroy()
+      return
+    }
+    response.writeHead(200, signedHeaders(request))
+    if (calls === 1) response.write(eventText(1))
+    else response.end(eventText(3))
+    if (calls === 1) resumeFirst = () => response.write(eventText(2))
+  }
+  const fixture = await ForwardFixture.start(t, script, script, script)
+  allowAttempts(fixture, 4)
+  const place = fixture.placement.place.bind(fixture.placement)
+  let searches = 0
+  let refuseLate = (): void => {}
+  fixture.placement.place = async (...args) => {
+    searches += 1
+    if (searches === 3) {
+      resumeFirst()
+      return await new Promise((resolve) => { refuseLate = () => resolve({ type: 'refused', reason: 'no server', retryAfter: null }) })
+    }
+    if (searches === 4) {
+      refuseLate()
+      await setImmediate()
+    }
+    return await place(...args)
+  }
+  const answer = fixture.call('/pausing/x')
+  while (fixture.linesOf('attempt.resumed').length === 0) await sleep(10)
+  sockets[0]?.destroy()
+  t.like(await answer, { status: 200, body: eventText(1) + eventText(2) + eventText(3), whole: true })
+})
