--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -4,12 +4,12 @@
 import { AttemptEnd, AttemptHistory, HealthSignal } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { decodeAnswerHeaders } from '@bluebellhill/platform'
-import type { AnswerHeaders } from '@bluebellhill/platform'
 
 import type { AdmittedCall } from './AdmittedCall.js'
 import { AttemptSearch } from './AttemptSearch.js'
 import { FIRST_FAILURE_STATUS, isSuccessfulAnswer, findAnswerProblem } from './answerHeads.js'
 import { MAX_FAILURE_BODY_BYTES } from './backend/answerLimits.js'
+import { isOfOtherServer, recordStatements } from './answerStatements.js'
 import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import { ServerCall } from './backend/ServerCall.js'
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
@@ -39,7 +39,6 @@
 const SEARCH_PERIOD: Millis = 1_000
 
 const SERVER_ERROR = 500
-const MISDIRECTED_REQUEST = 421
 
 /** Sends one request to one backend server after another, as far as its route and the retry budget allow. */
 export abstract class Forwarding {
@@ -326,7 +325,7 @@
     if (this.#ending.isOver || (this.attempt !== attempt && !this.#silentAttempts.has(attempt))) return
     attempt.head = head
     attempt.answer = decodeAnswerHeaders(head.status, head.headers)
-    this.#recordStatement(attempt, head.status, attempt.answer)
+    recordStatements(this.context, this.call, attempt.server, head.status, attempt.answer)
     const problem = findAnswerProblem(attempt.answer, head.status, this.call.id)
     if (this.#silentAttempts.has(attempt) && (problem !== null || !isSuccessfulAnswer(attempt))) {
       this.failAttempt(attempt, AttemptEnd.Failed, problem ?? `status ${head.status}`)
@@ -337,15 +336,6 @@
     else if (isSuccessfulAnswer(attempt)) this.successStarted(attempt)
   }
 
-  /** An answer to another request, or of another server at the same address, says nothing of the server that was asked. */
-  #recordStatement ({ server }: OpenAttempt, status: number, { attemptId, notRun, statement, pause }: AnswerHeaders): void {
-    const { call, context: { placement } } = this
-    const isOwnAnswer = status !== MISDIRECTED_REQUEST && (notRun || attemptId === call.id)
-    if (!isOwnAnswer) return
-    placement.answers.received(server, statement, call.id)
-    if (pause !== null) placement.answers.pauseRequested(server, pause, call.id)
-  }
-
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
     if (this.#silentAttempts.has(attempt) && !this.isAnswerWhole(attempt)) {
       this.#connectionEnded(attempt, 'the answer ended before it was complete')
@@ -356,7 +346,7 @@
     if (head === null || answer === null) {
       this.#connectionEnded(attempt, 'the answer ended before its head')
     } else if (answer.notRun) {
-      this.#checkServerReplaced(attempt, head, answer)
+      if (isOfOtherServer(attempt.server, head.status, answer)) this.context.fleetState.markServerReplaced(attempt.server.id)
       this.#notRunReceived(attempt, head.status, answer.faultyServer)
     } else if (head.status >= FIRST_FAILURE_STATUS) {
       this.#serverFailed(attempt, { head, body })
@@ -383,10 +373,6 @@
     this.failAttempt(attempt, AttemptEnd.HelperFailed, `status ${status}, caused by ${faultyServer}`)
   }
 
-  #checkServerReplaced (attempt: OpenAttempt, head: AnswerHead, { server }: AnswerHeaders): void {
-    if (head.status === MISDIRECTED_REQUEST && server !== attempt.server.id) this.context.fleetState.markServerReplaced(attempt.server.id)
-  }
-
   #serverFailed (attempt: OpenAttempt, failure: SignedFailure): void {
     this.signedFailure = failure
     if (failure.head.status >= SERVER_ERROR) {
