--- a/packages/cli/src/actions/status.ts
+++ b/packages/cli/src/actions/status.ts
@@ -1,10 +1,9 @@
-import { defineCommand } from 'citty'
 import { AdminPath, MemberState, NodeState } from '@bluebellhill/protocol'
 import type { RunnersReply, StatusReply } from '@bluebellhill/protocol'
 
-import { FLEET_ARGS, callNodes, durationOption, findingsOf, parseNodeAddresses, runnerFindingsOf, showView } from '../fleet/index.js'
+import { callNodes, defineView, findingsOf, runnerFindingsOf } from '../fleet/index.js'
 import type { FleetAnswer } from '../fleet/index.js'
-import { Tone, formatDuration, outputPainter, runAction, tableOf } from '../terminal/index.js'
+import { Tone, formatDuration, outputPainter, tableOf } from '../terminal/index.js'
 import type { ActionMeta } from '../terminal/index.js'
 
 const META: ActionMeta = {
@@ -77,19 +76,7 @@
 }
 
 /** Prints the status of all nodes and the problems found. */
-export const status = defineCommand({
-  meta: META,
-  args: {
-    ...FLEET_ARGS,
-    watch: { type: 'boolean', description: 'repeat every two seconds', default: false }
-  },
-  run: ({ args }) => runAction(args, async () => {
-    const nodes = parseNodeAddresses(args.nodes, process.env)
-    const timeout = durationOption('timeout', args.timeout)
-    const indent = args.watch ? 0 : 2
-    await showView(args.watch, async () => {
-      const answer = await readStatus(nodes, timeout)
-      return args.json ? jsonOf(answer, indent) : textOf(answer)
-    })
-  })
+export const status = defineView(META, async ({ nodes, timeout, isJson, indent }) => {
+  const answer = await readStatus(nodes, timeout)
+  return isJson ? jsonOf(answer, indent) : textOf(answer)
 })
--- a/packages/cli/src/actions/top.ts
+++ b/packages/cli/src/actions/top.ts
@@ -1,10 +1,9 @@
-import { defineCommand } from 'citty'
 import { AdminPath, RunnerState } from '@bluebellhill/protocol'
 import type { RunnerStatus, RunnersReply } from '@bluebellhill/protocol'
 
-import { FLEET_ARGS, callNodes, durationOption, parseNodeAddresses, showView, warnOfUnresponsiveNodes } from '../fleet/index.js'
+import { callNodes, defineView, warnOfUnresponsiveNodes } from '../fleet/index.js'
 import type { FleetAnswer } from '../fleet/index.js'
-import { Tone, formatDuration, outputPainter, runAction, tableOf } from '../terminal/index.js'
+import { Tone, formatDuration, outputPainter, tableOf } from '../terminal/index.js'
 import type { ActionMeta } from '../terminal/index.js'
 
 const META: ActionMeta = {
@@ -61,22 +60,10 @@
 }
 
 /** Prints the status of all runners, those with the greatest share of used memory first. */
-export const top = defineCommand({
-  meta: META,
-  args: {
-    ...FLEET_ARGS,
-    watch: { type: 'boolean', description: 'repeat every two seconds', default: false }
-  },
-  run: ({ args }) => runAction(args, async () => {
-    const nodes = parseNodeAddresses(args.nodes, process.env)
-    const timeout = durationOption('timeout', args.timeout)
-    const indent = args.watch ? 0 : 2
-    await showView(args.watch, async () => {
-      const answer = await callNodes<RunnersReply>(nodes, { path: AdminPath.Runners, timeout })
-      const runners = runnersOf(answer)
-      if (args.json) return JSON.stringify({ runners, silent: answer.silent }, null, indent)
-      warnOfUnresponsiveNodes(answer.silent)
-      return textOf(runners)
-    })
-  })
+export const top = defineView(META, async ({ nodes, timeout, isJson, indent }) => {
+  const answer = await callNodes<RunnersReply>(nodes, { path: AdminPath.Runners, timeout })
+  const runners = runnersOf(answer)
+  if (isJson) return JSON.stringify({ runners, silent: answer.silent }, null, indent)
+  warnOfUnresponsiveNodes(answer.silent)
+  return textOf(runners)
 })
