A watch whose answer was lost is repeated when other answers show a later revision

Seen by callers: with the answers of both waiting watches lost, all nodes used a server for up to 6 s after it had left (2 s are allowed); a new configuration came as late.

Cause: a connection on which an answer is lost returns nothing further, so the watch waits until its timeout (5 s and 1 s), like one without changes. The probe asks on another connection and is answered, so the store counts as sound; the revision in its answer was not looked at.

Ruled out: the announcement between nodes (the four nodes log the change within 0.2 s of the first); the probe (it is answered every 0.3 s).

Change: every answer of the store states a revision. WatchedRevisions (domain) compares it with what the watches have brought. If it is later for 0.2 s, and the difference is not made up of changes that arrived on the other watch, the waiting call is ended and repeated from its revision with a wait of 1 ms. It is safe at any time, since the call starts from the same revision: lost history and a new era are found by its answer.

--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -140,7 +140,15 @@
       clock,
       isStoreWatcher
     })
-    this.#storeProbe = new StoreProbe({ store, node: settings.node, availability: this.#storeAvailability, clock, isStoreWatcher, onSilent: () => this.#storeSync.storeSilent() })
+    this.#storeProbe = new StoreProbe({
+      store,
+      node: settings.node,
+      availability: this.#storeAvailability,
+      clock,
+      isStoreWatcher,
+      onSilent: () => this.#storeSync.storeSilent(),
+      onRevision: (revision) => this.#storeSync.storeAt(revision)
+    })
     this.#nodeRegistration = new NodeRegistration({
       store,
       self,
--- a/packages/node/src/forward/store/StoreProbe.ts
+++ b/packages/node/src/forward/store/StoreProbe.ts
@@ -1,7 +1,7 @@
 /** Checks whether the platform's store still answers a node that watches it. */
 import { StoreKey } from '@bluebellhill/platform'
 import type { MetadataStore } from '@bluebellhill/platform'
-import type { Millis, NodeId } from '@bluebellhill/domain'
+import type { Millis, NodeId, StoreRevision } from '@bluebellhill/domain'
 
 import type { StoreAvailability } from './StoreAvailability.js'
 
@@ -23,6 +23,8 @@
   readonly isStoreWatcher: () => boolean
   /** Called when the store does not answer any more: watches that wait for it will not end soon. */
   readonly onSilent: () => void
+  /** Called with the revision that an answer states; it may be that of a replica that is behind. */
+  readonly onRevision: (revision: StoreRevision) => void
 }
 
 /**
@@ -55,9 +57,9 @@
     return !this.#isProbing && !availability.isLost && (availability.silence ?? Infinity) >= MAX_SILENCE && isStoreWatcher()
   }
 
-  /** The content of the answer does not matter, so the cheapest read is used. */
+  /** Only the revision in the answer matters, so the cheapest read is used. */
   async #probe (): Promise<void> {
-    const { store, node, availability, clock, onSilent } = this.#options
+    const { store, node, availability, clock, onSilent, onRevision } = this.#options
     this.#isProbing = true
     const startedAt = clock()
     const result = await store.range(`${StoreKey.Nodes}${node}`, '', true, PROBE_TIMEOUT)
@@ -65,6 +67,7 @@
     if (this.#isDisposed) return
     if (!result.ok && (availability.silence ?? Infinity) < clock() - startedAt) return
     availability.recordResult(result, startedAt)
-    if (!result.ok) onSilent()
+    if (result.ok) onRevision(result.value.revision)
+    else onSilent()
   }
 }
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -1,7 +1,7 @@
 /** Keeps the configuration and the list of backend servers in sync with the platform's store. */
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { describeRevision, eraOf } from '@bluebellhill/domain'
+import { describeRevision, eraOf, WatchedRevisions } from '@bluebellhill/domain'
 import type { Millis, StoreRevision } from '@bluebellhill/domain'
 import { parseDeployment, parseServerEntry, serverIdOfKey, StoreKey } from '@bluebellhill/platform'
 import type { MetadataStore, StoreChange, StoreItem } from '@bluebellhill/platform'
@@ -21,8 +21,8 @@
 const PAUSE_AFTER_CHANGES: Millis = 100
 
 /**
- * How long a watch waits that follows a failed call. The store may have been restored meanwhile, and a watch from a revision that it
- * has given out again would not tell so before its end.
+ * How long a watch waits that follows a failed call, or one whose answer may have been lost. The store may have been restored meanwhile,
+ * and a watch from a revision that it has given out again would not tell so before its end.
  */
 const WAIT_AFTER_FAILURE: Millis = 1
 
@@ -55,7 +55,8 @@
 interface SyncProgress {
   /** Revision to watch from; null if the items have to be listed again. */
   readonly revision: StoreRevision | null
-  readonly hasChanges: boolean
+  /** Revisions of the changes in the answer of a watch. */
+  readonly changes: readonly StoreRevision[]
 }
 
 export interface StoreSyncOptions {
@@ -75,8 +76,11 @@
 /** Keeps the fleet state of this node current as long as the store answers. */
 export class StoreSync {
   readonly #options: StoreSyncOptions
-  /** Ends the waits in progress, for a store check or when the sync is disposed. */
-  #interruption = new AbortController()
+  /** Ends the wait in progress of each prefix. */
+  readonly #interruptions = new Map<string, AbortController>()
+  /** Prefixes whose last call may have been answered although no answer has arrived. */
+  readonly #unanswered = new Set<string>()
+  readonly #revisions = new WatchedRevisions()
   #isStopped = false
   #checkStartedAt: Millis = -Infinity
 
@@ -103,6 +107,19 @@
     this.#interrupt()
   }
 
+  /**
+   * Repeats the watches that may have missed a change.
+   *
+   * @param revision - revision of the store, as stated by any of its answers
+   */
+  storeAt (revision: StoreRevision): void {
+    for (const prefix of this.#revisions.storeAt(revision, this.#options.clock())) {
+      this.#options.log.info('store.watch_repeated', { prefix, store_revision: describeRevision(revision) })
+      this.#unanswered.add(prefix)
+      this.#interruptions.get(prefix)?.abort()
+    }
+  }
+
   /** Ends all waiting calls. */
   dispose (): void {
     this.#isStopped = true
@@ -110,9 +127,14 @@
   }
 
   #interrupt (): void {
-    const previous = this.#interruption
-    this.#interruption = new AbortController()
-    previous.abort()
+    for (const interruption of this.#interruptions.values()) interruption.abort()
+  }
+
+  /** @returns a signal that ends the next call of this prefix, and the pause after it */
+  #nextInterruption (prefix: string): AbortSignal {
+    const interruption = new AbortController()
+    this.#interruptions.set(prefix, interruption)
+    return interruption.signal
   }
 
   #configurationPrefix (): SyncedPrefix {
@@ -156,33 +178,33 @@
   async #syncPrefix (synced: SyncedPrefix): Promise<void> {
     let revision: StoreRevision | null = null
     let delay = FIRST_RETRY_DELAY
-    let hasFailed = false
     while (!this.#isStopped) {
       if (!this.#options.isStoreWatcher()) {
         if (revision !== null) this.#options.log.info('store.watch_ended', { prefix: synced.prefix, revision: describeRevision(revision) })
         this.#options.availability.watchEnded()
+        this.#revisions.ended(synced.prefix)
         revision = null
         await sleep(ROLE_CHECK_PERIOD)
         continue
       }
-      const interruption = this.#interruption.signal
-      const progress: Result<SyncProgress, CallFailure> = revision === null ? await this.#list(synced) : await this.#watch(synced, revision, interruption, hasFailed)
+      const interruption = this.#nextInterruption(synced.prefix)
+      const progress: Result<SyncProgress, CallFailure> = revision === null ? await this.#list(synced) : await this.#watch(synced, revision, interruption)
       if (this.#isStopped) return
       if (progress.ok) {
         this.#recordAnswer(synced, revision, progress.value)
         this.#options.availability.recordResult(progress)
         revision = progress.value.revision
-        if (revision !== null) synced.onApplied?.(revision)
+        this.#recordRevision(synced, progress.value)
         delay = FIRST_RETRY_DELAY
-        hasFailed = false
-        if (progress.value.hasChanges) await this.#pauseAfterChanges(interruption)
+        if (progress.value.changes.length > 0) await this.#pauseAfterChanges(interruption)
         continue
       }
       if (interruption.aborted) continue
-      hasFailed = true
+      this.#unanswered.add(synced.prefix)
       if (isHistoryLost(progress.failure)) {
         this.#options.availability.recordResult(progress)
         this.#options.log.info('store.history_lost', { prefix: synced.prefix, revision: describeRevision(revision ?? 0) })
+        this.#revisions.ended(synced.prefix)
         revision = null
         continue
       }
@@ -192,17 +214,28 @@
   }
 
   /** Logs how long the store may have had a change before this node, and the start of a watch. */
-  #recordAnswer ({ prefix }: SyncedPrefix, watched: StoreRevision | null, { revision, hasChanges }: SyncProgress): void {
+  #recordAnswer ({ prefix }: SyncedPrefix, watched: StoreRevision | null, { revision, changes }: SyncProgress): void {
     const { availability: { silence }, metrics, log } = this.#options
     if (watched !== null && silence !== null) metrics.stateHopEnded(StateHop.Store, silence)
     const fields = { prefix, revision: revision === null ? undefined : describeRevision(revision), silent_ms: silence === null ? undefined : Math.round(silence) }
     if (watched === null) log.info('store.watch_started', fields)
-    else if (hasChanges) log.info('store.changed', fields)
+    else if (changes.length > 0) log.info('store.changed', fields)
+  }
+
+  #recordRevision ({ prefix, onApplied }: SyncedPrefix, { revision, changes }: SyncProgress): void {
+    if (revision === null) {
+      this.#revisions.ended(prefix)
+      return
+    }
+    this.#revisions.answered(prefix, revision, changes)
+    onApplied?.(revision)
+    this.storeAt(revision)
   }
 
   async #list ({ prefix, onListed }: SyncedPrefix): Promise<Result<SyncProgress, CallFailure>> {
     const items: StoreItem[] = []
     let firstRevision: StoreRevision | null = null
+    this.#unanswered.delete(prefix)
     for (let after = ''; ;) {
       const page = await this.#options.store.range(prefix, after)
       if (!page.ok) {
@@ -217,24 +250,27 @@
       if (!page.value.hasMore || after === '') break
     }
     onListed(items, firstRevision)
-    return { ok: true, value: { revision: firstRevision, hasChanges: false } }
+    return { ok: true, value: { revision: firstRevision, changes: [] } }
   }
 
   /** The store was restored from a copy: what it reported before does not continue, and all items have to be listed again. */
   #restored (prefix: string, before: StoreRevision, after: StoreRevision): Result<SyncProgress, CallFailure> {
     this.#options.log.warn('store.restored', { prefix, before: describeRevision(before), revision: describeRevision(after) })
-    return { ok: true, value: { revision: null, hasChanges: false } }
+    return { ok: true, value: { revision: null, changes: [] } }
   }
 
-  async #watch ({ prefix, onChanged }: SyncedPrefix, revision: StoreRevision, interruption: AbortSignal, hasFailed: boolean): Promise<Result<SyncProgress, CallFailure>> {
+  async #watch ({ prefix, onChanged }: SyncedPrefix, revision: StoreRevision, interruption: AbortSignal): Promise<Result<SyncProgress, CallFailure>> {
     const { store, availability, clock } = this.#options
     const startedAt = clock()
-    const wait = hasFailed || availability.isLost ? WAIT_AFTER_FAILURE : this.#watchWait(startedAt)
+    const isUnanswered = this.#unanswered.has(prefix)
+    const wait = isUnanswered || availability.isLost ? WAIT_AFTER_FAILURE : this.#watchWait(startedAt)
     const result = await store.watch(prefix, revision, wait, interruption)
+    // A watch that was reported while it waited has to be repeated even if its answer arrives in the end.
+    if (result.ok && isUnanswered) this.#unanswered.delete(prefix)
     if (result.ok && eraOf(result.value.revision) !== eraOf(revision)) return this.#restored(prefix, revision, result.value.revision)
     if (result.ok) {
       for (const change of result.value.changes) onChanged(change)
-      return { ok: true, value: { revision: result.value.revision, hasChanges: result.value.changes.length > 0 } }
+      return { ok: true, value: { revision: result.value.revision, changes: result.value.changes.map((change) => change.revision) } }
     }
     const now = clock()
     // If the watch took longer than its wait, the store may have been unavailable since the watch started.
--- a/packages/node/tests/storeSync.test.ts
+++ b/packages/node/tests/storeSync.test.ts
@@ -3,7 +3,7 @@
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
-import { MIN_EXPIRY_OUTAGE } from '@bluebellhill/domain'
+import { MAX_ANSWER_DELAY, MIN_EXPIRY_OUTAGE } from '@bluebellhill/domain'
 import { MetadataStore, StoreKey } from '@bluebellhill/platform'
 import type { StoreChange, StoreChanges, StoreItem, StorePage } from '@bluebellhill/platform'
 import { failed, HttpPool, success } from '@bluebellhill/services'
@@ -29,6 +29,8 @@
   /** Number of watches that returned changes. */
   deliveryCount = 0
   isSilent = false
+  /** Whether the answers of watches are lost that wait for long. */
+  losesAnswers = false
   readonly watchWaits: number[] = []
 
   constructor () {
@@ -57,8 +59,9 @@
 
   override async watch (prefix: string, after: number, wait: number, signal: AbortSignal): Promise<Result<StoreChanges, CallFailure>> {
     this.watchWaits.push(wait)
-    for (let turn = 0; (turn < 50 || this.isSilent) && !signal.aborted; turn += 1) {
-      if (this.isSilent) {
+    const isLost = (): boolean => this.isSilent || (this.losesAnswers && wait > 1)
+    for (let turn = 0; (turn < Math.min(50, wait) || isLost()) && !signal.aborted; turn += 1) {
+      if (isLost()) {
         await sleep(5)
         continue
       }
@@ -225,3 +228,60 @@
   store.set(key('e2'), null)
   t.true(await eventually(() => readyServers(fleetState) === 'e1,e3'))
 })
+
+// Guards against a watch whose answer was lost: it waits like one without changes, although other answers show that the store has changed.
+test('a watch that may have missed a change is repeated', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const { fleetState, sync } = start(t, store)
+  t.true(await eventually(() => readyServers(fleetState) === 'e1'))
+  store.losesAnswers = true
+  store.set(key('e1'), entry('draining'))
+  t.true(await eventually(() => {
+    sync.storeAt(store.revision)
+    return readyServers(fleetState) === ''
+  }))
+})
+
+test('the watches of a store without changes are not repeated', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const { fleetState, sync } = start(t, store)
+  t.true(await eventually(() => readyServers(fleetState) === 'e1'))
+  const shownAt = performance.now()
+  while (performance.now() - shownAt < 6 * MAX_ANSWER_DELAY) {
+    sync.storeAt(store.revision)
+    await sleep(10)
+  }
+  t.false(store.watchWaits.includes(1))
+})
+
+test('a watch is not repeated because of a change that has arrived on the watch of another prefix', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const { fleetState, sync } = start(t, store)
+  t.true(await eventually(() => readyServers(fleetState) === 'e1'))
+  store.set(key('e2'), entry())
+  t.true(await eventually(() => readyServers(fleetState) === 'e1,e2'))
+  const shownAt = performance.now()
+  while (performance.now() - shownAt < 2 * MAX_ANSWER_DELAY) {
+    sync.storeAt(store.revision)
+    await sleep(10)
+  }
+  t.false(store.watchWaits.includes(1))
+})
+
+// The store may have given out a revision for a key that nobody here watches. What is repeated once is not repeated again.
+test('both watches are repeated once after a change under a third prefix', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const { fleetState, sync } = start(t, store)
+  t.true(await eventually(() => readyServers(fleetState) === 'e1'))
+  store.set(`${StoreKey.Nodes}n9`, 'other')
+  const shownAt = performance.now()
+  while (performance.now() - shownAt < 6 * MAX_ANSWER_DELAY) {
+    sync.storeAt(store.revision)
+    await sleep(10)
+  }
+  t.is(store.watchWaits.filter((wait) => wait === 1).length, 2)
+})
