A server that is kept over an outage is kept by all nodes until the same time

Cause, by reading: an entry that the store dropped in an outage is sent as lapsed, and the receiver keeps it for the whole grace period from the time at which it gets the list. The node that saw the store return removes it at the end of its own grace without a new revision, so nobody hears of that. A list compressed for one node was also sent to later ones as it was.

Ruled out: that the next list brings it to the others: lists are fetched for a newer revision only.

Change: the time that is left is sent with a lapsed entry; the receiver keeps it that long, whatever its own way to the store does. Nodes of earlier builds send no time and are taken to begin; they ignore the field. A list with lapsed entries is compressed anew for each node. A list that keeps a server no longer delays the removal of others at its receiver.

Before, by the constants (the test shows that it is kept beyond 2 s): a node that gets the list 1 s after the return kept the server until 3 s after it, a third one that gets it from there at 1.9 s until 3.9 s. Now all until 2 s.

--- a/packages/domain/src/forwarding/BackendServerTable.ts
+++ b/packages/domain/src/forwarding/BackendServerTable.ts
@@ -38,6 +38,8 @@
   revision: StoreRevision
   /** Whether the store dropped it during or right after an outage, so that it may be registered again. */
   mayReturn: boolean
+  /** Until when another node keeps it then; null if that is up to the grace period of this node. */
+  keptUntil: Millis | null
 }
 
 /** Entry of a backend server in the store. */
@@ -46,6 +48,8 @@
   readonly revision: StoreRevision
   /** Whether the store no longer has it, because of an outage, and its server may register again. */
   readonly isLapsed?: boolean
+  /** Time for which it is still kept then; absent if that is not known. */
+  readonly keptFor?: Millis
 }
 
 interface Departure {
@@ -113,14 +117,17 @@
    * node knows that it was removed.
    *
    * @param entry - the entry
+   * @param keptUntil - until when another node keeps an entry that the store no longer has
    * @returns the resulting changes
    */
-  put ({ server, revision, isLapsed = false }: ServerEntry): BackendServerChange[] {
+  put ({ server, revision, isLapsed = false }: ServerEntry, keptUntil: Millis | null = null): BackendServerChange[] {
     const existing = this.#entries.get(server.id)
     if (existing !== undefined && existing.revision > revision) return []
     if (existing === undefined && isLapsed && revision <= (this.#departures.get(server.id)?.revision ?? -Infinity)) return []
     this.#withheld.delete(server.id)
-    this.#entries.set(server.id, { server, revision, mayReturn: isLapsed })
+    // Several nodes may keep it; the one that has seen the store return first knows best until when.
+    const isKeptAlready = existing?.mayReturn === true && keptUntil !== null
+    this.#entries.set(server.id, { server, revision, mayReturn: isLapsed, keptUntil: isKeptAlready ? Math.min(this.#keptUntil(existing), keptUntil) : keptUntil })
     return this.#changes(existing?.server ?? null, server)
   }
 
@@ -167,9 +174,8 @@
     const isRestored = this.#era !== null && eraOf(revision) > this.#era
     this.#era = Math.max(this.#era ?? 0, eraOf(revision))
     if (isRestored) return this.#mergeRestored(entries, present, now)
-    if (entries.some(({ isLapsed }) => isLapsed)) this.#graceEndsAt = Math.max(this.#graceEndsAt, now + EXPIRED_ENTRY_GRACE)
     const absent = [...this.#entries.keys()].filter((id) => !present.has(id))
-    return [...entries.flatMap((entry) => this.put(entry)), ...absent.flatMap((id) => this.remove(id, revision, now, isConfirmed))]
+    return [...entries.flatMap((entry) => this.put(entry, keptUntil(entry, now))), ...absent.flatMap((id) => this.remove(id, revision, now, isConfirmed))]
   }
 
   /**
@@ -179,9 +185,8 @@
    * @returns the resulting changes
    */
   expire (now: Millis): BackendServerChange[] {
-    if (this.#isInGrace(now)) return []
-    const withheld = [...this.#withheld.values()]
-    const missing = [...this.#entries.values()].filter((entry) => entry.mayReturn && !this.#withheld.has(entry.server.id))
+    const withheld = this.#isInGrace(now) ? [] : [...this.#withheld.values()]
+    const missing = [...this.#entries.values()].filter((entry) => entry.mayReturn && !this.#withheld.has(entry.server.id) && now >= this.#keptUntil(entry))
     return [...withheld.flatMap((entry) => this.put(entry)), ...missing.flatMap((entry) => this.#removeEntry(entry, DepartureCause.Expired, now))]
   }
 
@@ -247,9 +252,27 @@
     return [...new Set([...this.#withheld.keys(), ...missing])]
   }
 
-  /** @returns all entries with their revisions */
-  entries (): ServerEntry[] {
-    return [...this.#entries.values()].map(({ server, revision, mayReturn }) => ({ server, revision, ...(mayReturn ? { isLapsed: true } : {}) }))
+  /**
+   * @param now - current time
+   * @returns all entries with their revisions
+   */
+  entries (now: Millis): ServerEntry[] {
+    return [...this.#entries.values()].map((entry) => ({ server: entry.server, revision: entry.revision, ...this.#lapse(entry, now) }))
+  }
+
+  /** @returns whether some entries are kept that the store no longer has */
+  keepsLapsed (): boolean {
+    return [...this.#entries.values()].some(({ mayReturn }) => mayReturn)
+  }
+
+  #lapse (entry: TableEntry, now: Millis): Pick<ServerEntry, 'isLapsed' | 'keptFor'> {
+    if (!entry.mayReturn) return {}
+    const keptFor = Math.max(0, this.#keptUntil(entry) - now)
+    return { isLapsed: true, ...(Number.isFinite(keptFor) ? { keptFor } : {}) }
+  }
+
+  #keptUntil ({ keptUntil }: TableEntry): Millis {
+    return Math.max(this.#restoreGraceEndsAt, keptUntil ?? this.#graceEndsAt)
   }
 
   #isInGrace (now: Millis): boolean {
@@ -303,3 +326,6 @@
     this.#departures.set(id, { service, startedAt, revision, at: now })
   }
 }
+
+/** @returns until when an entry of another node's list is kept; null if the store has it */
+const keptUntil = ({ isLapsed = false, keptFor = EXPIRED_ENTRY_GRACE }: ServerEntry, now: Millis): Millis | null => isLapsed ? now + keptFor : null
--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -128,7 +128,7 @@
     const deployment = this.#routeTable?.deployment ?? null
     return {
       deployment: this.configurationVersion > version.configuration ? deployment : null,
-      servers: this.#serversRevision > version.servers ? { listed: this.servers.entries(), revision: this.#serversRevision } : null
+      servers: this.#serversRevision > version.servers ? { listed: this.servers.entries(this.clock()), revision: this.#serversRevision } : null
     }
   }
 
--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -113,6 +113,8 @@
   /** Many nodes ask for the same change at nearly the same time. */
   #compressed (version: FleetStateVersion): Buffer {
     const { fleetState } = this.#options
+    // What is kept over an outage changes with time, without a new revision.
+    if (fleetState.servers.keepsLapsed()) return compress(fleetState.changesSince(version))
     const key = [version.configuration, version.servers, fleetState.configurationVersion, fleetState.serversRevision].join()
     if (this.#lastCompressed.key !== key) this.#lastCompressed = { key, body: compress(fleetState.changesSince(version)) }
     return this.#lastCompressed.body
--- a/packages/node/src/forward/peers/snapshotCodec.ts
+++ b/packages/node/src/forward/peers/snapshotCodec.ts
@@ -62,7 +62,7 @@
 const snapshotSchema = z.object({
   deployment: deploymentSchema.nullable(),
   servers: z.object({
-    listed: z.array(z.object({ server: serverSchema, isLapsed: z.boolean().optional(), ...revisionFields })),
+    listed: z.array(z.object({ server: serverSchema, isLapsed: z.boolean().optional(), keptFor: nonNegative.optional(), ...revisionFields })),
     unchanged: z.array(nonEmpty.transform((id) => id as RunnerId)).optional(),
     ...revisionFields
   }).nullable()
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -312,7 +312,7 @@
   const changes = source.changesSince({ configuration: 0, servers: 5 })
   t.deepEqual(changes.servers?.listed.map(({ server }) => server.id), [other.id])
   copy.merge(changes)
-  t.deepEqual(copy.servers.entries(), source.servers.entries())
+  t.deepEqual(copy.servers.entries(clock()), source.servers.entries(clock()))
   t.is(copy.serversRevision, 7)
 })
 
