A short loss of the store does not end the grace period of the outage before it

Callers: half a second after the end of an outage of 9 s, a node that watched the store dropped all 15 servers of its list, and the five others, by its list or in the same way, 10 to 14 each within 0.7 s; each was missing until its server had registered again. Nine requests were refused with 503 (no_server).

Ruled out: late expiry, that is entries that are removed after the return with a later revision (the cause is 'lapsed', not 'removed').

Change: the end of the grace period stays as it is over a loss, and moves only with the return from an outage in which entries can expire. The new test of the aggregate failed before.

--- a/packages/domain/src/forwarding/BackendServerTable.ts
+++ b/packages/domain/src/forwarding/BackendServerTable.ts
@@ -87,7 +87,6 @@
    */
   storeLost (since: Millis): void {
     this.#storeLostAt ??= since
-    this.#graceEndsAt = Infinity
     this.#returnRevision = Infinity
   }
 
@@ -100,7 +99,8 @@
     if (this.#storeLostAt === null) return
     const outage = now - this.#storeLostAt
     this.#storeLostAt = null
-    this.#graceEndsAt = outage < MIN_EXPIRY_OUTAGE ? now : now + EXPIRED_ENTRY_GRACE
+    // A short loss may follow the return from a long one.
+    if (outage >= MIN_EXPIRY_OUTAGE) this.#graceEndsAt = now + EXPIRED_ENTRY_GRACE
   }
 
   /**
@@ -272,11 +272,15 @@
   }
 
   #keptUntil ({ keptUntil }: TableEntry): Millis {
-    return Math.max(this.#restoreGraceEndsAt, keptUntil ?? this.#graceEndsAt)
+    return Math.max(this.#restoreGraceEndsAt, keptUntil ?? this.#ownGraceEnd)
+  }
+
+  get #ownGraceEnd (): Millis {
+    return this.#storeLostAt === null ? this.#graceEndsAt : Infinity
   }
 
   #isInGrace (now: Millis): boolean {
-    return now < this.#graceEndsAt || now < this.#restoreGraceEndsAt
+    return now < this.#ownGraceEnd || now < this.#restoreGraceEndsAt
   }
 
   /** Applies the list of a restored store as far as it agrees with what is known, or is new; nothing departs because of it. */
--- a/packages/domain/tests/backendServerTable.test.ts
+++ b/packages/domain/tests/backendServerTable.test.ts
@@ -50,6 +50,18 @@
   t.is(table.remove(ID, 5, MIN_EXPIRY_OUTAGE).length, 1)
 })
 
+// Guards against all servers vanishing right after an outage, because one more call failed then.
+test('a short loss of the store does not end the grace period of the outage before it', (t) => {
+  const table = tableWith('e1')
+  table.storeLost(0)
+  table.storeRegained(9_000)
+  t.deepEqual(table.replaceAll([], 5, 9_000), [])
+  table.storeLost(9_100)
+  table.storeRegained(9_300)
+  t.deepEqual(table.expire(9_000 + EXPIRED_ENTRY_GRACE - 1), [])
+  t.is(table.expire(9_000 + EXPIRED_ENTRY_GRACE).length, 1)
+})
+
 test('an entry that is missing from a peer\'s list is removed even while this node cannot reach the store', (t) => {
   const table = tableWith('e1')
   table.storeLost(0)
