A call that was made in an outage and fails after the store's return is no loss of the store

The two prefixes have calls of their own. The listing of one was answered, the call of the other had begun in the outage and ran into its timeout.

Change: a call without an answer shows nothing if another one was answered since it began; refusals and unusable answers still count at once. The rule was in the probe, and is in StoreAvailability now for all calls.

Test: storeSync.test.ts 'a call that fails after another one was answered since it began' counted 2 losses in place of 1 with the rule taken out.

--- a/packages/node/src/forward/store/StoreAvailability.ts
+++ b/packages/node/src/forward/store/StoreAvailability.ts
@@ -12,6 +12,8 @@
 export class StoreAvailability {
   #lostAt: Millis | null = null
   #answeredAt: Millis | null = null
+  /** Time of the last answer that a replica which is behind cannot have given. */
+  #currentAnswerAt: Millis | null = null
 
   /**
    * @param fleetState - is notified of a loss, because then entries expire although their servers still run
@@ -31,16 +33,32 @@
   }
 
   /**
-   * Records the result of a call.
+   * Records the result of a call. A call that the store did not answer shows nothing if another one was answered since it began: it was
+   * made in an outage that has ended, or its connection has broken.
    *
    * @param result - result of the call
+   * @param startedAt - time at which the call began
    * @param since - time since which the store may have been unavailable, if the call failed
    */
-  recordResult (result: Result<unknown, CallFailure>, since: Millis = this.clock()): void {
+  recordResult (result: Result<unknown, CallFailure>, startedAt: Millis, since: Millis = this.clock()): void {
     const isAvailable = result.ok || (result.failure.type === 'rejected' && result.failure.status === GONE)
-    if (isAvailable) this.#answeredAt = this.clock()
-    if (isAvailable) this.#markRegained()
-    else this.#markLost(result.failure, since)
+    if (isAvailable) this.#markAnswered()
+    else if (!isUnanswered(result.failure) || !this.#hasAnsweredSince(startedAt)) this.#markLost(result.failure, since)
+  }
+
+  /** Records the answer to a read that may be stale, which does not show that the store answers other calls. */
+  recordStaleAnswer (): void {
+    this.#answeredAt = this.clock()
+  }
+
+  #markAnswered (): void {
+    this.#answeredAt = this.clock()
+    this.#currentAnswerAt = this.#answeredAt
+    this.#markRegained()
+  }
+
+  #hasAnsweredSince (time: Millis): boolean {
+    return this.#currentAnswerAt !== null && this.#currentAnswerAt > time
   }
 
   /** Ends a loss when this node stops watching the store: other nodes do, and it makes no call that could show the return. */
@@ -69,3 +87,5 @@
     this.#endLoss()
   }
 }
+
+const isUnanswered = ({ type }: CallFailure): boolean => type === 'interrupted' || type === 'not_sent'
--- a/packages/node/src/forward/store/StoreProbe.ts
+++ b/packages/node/src/forward/store/StoreProbe.ts
@@ -65,9 +65,12 @@
     const result = await store.range(`${StoreKey.Nodes}${node}`, '', true, PROBE_TIMEOUT)
     this.#isProbing = false
     if (this.#isDisposed) return
-    if (!result.ok && (availability.silence ?? Infinity) < clock() - startedAt) return
-    availability.recordResult(result, startedAt)
-    if (result.ok) onRevision(result.value.revision)
-    else onSilent()
+    if (result.ok) {
+      availability.recordStaleAnswer()
+      onRevision(result.value.revision)
+      return
+    }
+    availability.recordResult(result, startedAt, startedAt)
+    if (availability.isLost) onSilent()
   }
 }
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -189,11 +189,12 @@
         continue
       }
       const interruption = this.#nextInterruption(synced.prefix)
+      const startedAt = this.#options.clock()
       const progress: Result<SyncProgress, CallFailure> = revision === null ? await this.#list(synced) : await this.#watch(synced, revision, interruption)
       if (this.#isStopped) return
       if (progress.ok) {
         this.#recordAnswer(synced, revision, progress.value)
-        this.#options.availability.recordResult(progress)
+        this.#options.availability.recordResult(progress, startedAt)
         revision = progress.value.revision
         this.#recordRevision(synced, progress.value)
         delay = FIRST_RETRY_DELAY
@@ -203,7 +204,7 @@
       if (interruption.aborted) continue
       this.#unanswered.add(synced.prefix)
       if (isHistoryLost(progress.failure)) {
-        this.#options.availability.recordResult(progress)
+        this.#options.availability.recordResult(progress, startedAt)
         this.#options.log.info('store.history_lost', { prefix: synced.prefix, revision: describeRevision(revision ?? 0) })
         this.#revisions.ended(synced.prefix)
         revision = null
@@ -238,9 +239,10 @@
     let firstRevision: StoreRevision | null = null
     this.#unanswered.delete(prefix)
     for (let after = ''; ;) {
+      const startedAt = this.#options.clock()
       const page = await this.#options.store.range(prefix, after)
       if (!page.ok) {
-        this.#options.availability.recordResult(page)
+        this.#options.availability.recordResult(page, startedAt)
         return page
       }
       if (firstRevision !== null && eraOf(page.value.revision) !== eraOf(firstRevision)) return this.#restored(prefix, firstRevision, page.value.revision)
@@ -276,7 +278,7 @@
     }
     const now = clock()
     // If the watch took longer than its wait, the store may have been unavailable since the watch started.
-    if (!interruption.aborted && !isHistoryLost(result.failure)) availability.recordResult(result, now - startedAt > wait ? startedAt : now)
+    if (!interruption.aborted && !isHistoryLost(result.failure)) availability.recordResult(result, startedAt, now - startedAt > wait ? startedAt : now)
     return result
   }
 
--- a/packages/node/tests/storeSync.test.ts
+++ b/packages/node/tests/storeSync.test.ts
@@ -31,6 +31,9 @@
   isSilent = false
   /** Whether the answers of watches are lost that wait for long. */
   losesAnswers = false
+  /** Time after which a watch of this prefix fails while the store is down; the others fail at once. */
+  lateFailure: { readonly prefix: string, readonly delay: number } | null = null
+  lateFailureCount = 0
   readonly watchWaits: number[] = []
 
   constructor () {
@@ -65,7 +68,7 @@
         await sleep(5)
         continue
       }
-      if (this.isDown) return failed(DOWN)
+      if (this.isDown) return await this.#fail(prefix)
       if (after < this.compactedRevision) return failed(GONE)
       const changes = this.changes.filter(({ key, revision }) => key.startsWith(prefix) && revision > after)
       if (changes.length > 0) {
@@ -76,15 +79,22 @@
     }
     return signal.aborted ? failed(DOWN) : success({ changes: [], revision: after })
   }
+
+  async #fail (prefix: string): Promise<Result<never, CallFailure>> {
+    if (prefix !== this.lateFailure?.prefix) return failed(DOWN)
+    await sleep(this.lateFailure.delay)
+    this.lateFailureCount += 1
+    return failed(DOWN)
+  }
 }
 
 const entry = (state = 'ready'): string => JSON.stringify({ service: 's', address: '10.0.0.1:80', zone: 'd1', slots: 4, state })
 const key = (id: string): string => `${StoreKey.BackendServers}${id}`
 
-const start = (t: ExecutionContext, store: MemoryStore, isStoreWatcher: () => boolean = () => true): { fleetState: FleetState, availability: StoreAvailability, sync: StoreSync } => {
+const start = (t: ExecutionContext, store: MemoryStore, isStoreWatcher: () => boolean = () => true, onLost = (): void => {}): { fleetState: FleetState, availability: StoreAvailability, sync: StoreSync } => {
   const clock = (): number => performance.now()
   const fleetState = new FleetState(silentLog(), clock)
-  const availability = new StoreAvailability(fleetState, silentLog(), clock)
+  const availability = new StoreAvailability(fleetState, silentLog(), clock, onLost)
   const sync = new StoreSync({ store, fleetState, availability, metrics: new ForwardMetrics(), log: silentLog(), clock, isStoreWatcher })
   sync.start()
   t.teardown(() => sync.dispose())
@@ -285,3 +295,20 @@
   }
   t.is(store.watchWaits.filter((wait) => wait === 1).length, 2)
 })
+
+// Guards against a call that was made in an outage and fails after the store's return, which counted as another loss.
+test('a call that fails after another one was answered since it began is no loss of the store', async (t) => {
+  const store = new MemoryStore()
+  let losses = 0
+  const { availability } = start(t, store, () => true, () => { losses += 1 })
+  t.true(await eventually(() => store.listCount > 1))
+  store.lateFailure = { prefix: StoreKey.Configuration, delay: 1_500 }
+  store.isDown = true
+  t.true(await eventually(() => availability.isLost))
+  store.isDown = false
+  t.true(await eventually(() => !availability.isLost))
+  t.is(store.lateFailureCount, 0)
+  t.true(await eventually(() => store.lateFailureCount > 0))
+  await sleep(50)
+  t.is(losses, 1)
+})
