--- a/packages/node/src/forward/store/StoreProbe.ts
+++ b/packages/node/src/forward/store/StoreProbe.ts
@@ -1,15 +1,15 @@
 /** Checks whether the platform's store still answers a node that watches it. */
 import { StoreKey } from '@bluebellhill/platform'
 import type { MetadataStore } from '@bluebellhill/platform'
-import type { Millis, NodeId } from '@bluebellhill/domain'
+import type { Millis, NodeId, StoreRevision } from '@bluebellhill/domain'
 
 import type { StoreAvailability } from './StoreAvailability.js'
 
 /** Time without an answer of the store after which it is probed; a watch may wait for longer than the other nodes can. */
 const MAX_SILENCE: Millis = 300
 
-/** Timeout of a probe. Two probes, and the list of the node that takes over, fit into the time in which a change has to be in force. */
-const PROBE_TIMEOUT: Millis = 350
+/** Timeout of a probe, and of other calls that find out whether the store answers. Two probes, and the list of the node that takes over, fit into the time in which a change has to be in force. */
+export const PROBE_TIMEOUT: Millis = 350
 
 const CHECK_PERIOD: Millis = 100
 
@@ -23,6 +23,8 @@
   readonly isStoreWatcher: () => boolean
   /** Called when the store does not answer any more: watches that wait for it will not end soon. */
   readonly onSilent: () => void
+  /** Called with the revision that an answer states; it may be that of a replica that is behind. */
+  readonly onRevision: (revision: StoreRevision) => void
 }
 
 /**
@@ -55,16 +57,20 @@
     return !this.#isProbing && !availability.isLost && (availability.silence ?? Infinity) >= MAX_SILENCE && isStoreWatcher()
   }
 
-  /** The content of the answer does not matter, so the cheapest read is used. */
+  /** Only the revision in the answer matters, so the cheapest read is used. */
   async #probe (): Promise<void> {
-    const { store, node, availability, clock, onSilent } = this.#options
+    const { store, node, availability, clock, onSilent, onRevision } = this.#options
     this.#isProbing = true
     const startedAt = clock()
     const result = await store.range(`${StoreKey.Nodes}${node}`, '', true, PROBE_TIMEOUT)
     this.#isProbing = false
     if (this.#isDisposed) return
-    if (!result.ok && (availability.silence ?? Infinity) < clock() - startedAt) return
-    availability.recordResult(result, startedAt)
-    if (!result.ok) onSilent()
+    if (result.ok) {
+      availability.recordStaleAnswer()
+      onRevision(result.value.revision)
+      return
+    }
+    availability.recordResult(result, startedAt, startedAt)
+    if (availability.isLost) onSilent()
   }
 }
--- a/packages/node/tests/storeSync.test.ts
+++ b/packages/node/tests/storeSync.test.ts
@@ -3,7 +3,7 @@
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
-import { MIN_EXPIRY_OUTAGE } from '@bluebellhill/domain'
+import { MAX_ANSWER_DELAY, MIN_EXPIRY_OUTAGE } from '@bluebellhill/domain'
 import { MetadataStore, StoreKey } from '@bluebellhill/platform'
 import type { StoreChange, StoreChanges, StoreItem, StorePage } from '@bluebellhill/platform'
 import { failed, HttpPool, success } from '@bluebellhill/services'
@@ -29,6 +29,11 @@
   /** Number of watches that returned changes. */
   deliveryCount = 0
   isSilent = false
+  /** Whether the answers of watches are lost that wait for long. */
+  losesAnswers = false
+  /** Time after which a watch of this prefix fails while the store is down; the others fail at once. */
+  lateFailure: { readonly prefix: string, readonly delay: number } | null = null
+  lateFailureCount = 0
   readonly watchWaits: number[] = []
 
   constructor () {
@@ -57,12 +62,13 @@
 
   override async watch (prefix: string, after: number, wait: number, signal: AbortSignal): Promise<Result<StoreChanges, CallFailure>> {
     this.watchWaits.push(wait)
-    for (let turn = 0; (turn < 50 || this.isSilent) && !signal.aborted; turn += 1) {
-      if (this.isSilent) {
+    const isLost = (): boolean => this.isSilent || (this.losesAnswers && wait > 1)
+    for (let turn = 0; (turn < Math.min(50, wait) || isLost()) && !signal.aborted; turn += 1) {
+      if (isLost()) {
         await sleep(5)
         continue
       }
-      if (this.isDown) return failed(DOWN)
+      if (this.isDown) return await this.#fail(prefix)
       if (after < this.compactedRevision) return failed(GONE)
       const changes = this.changes.filter(({ key, revision }) => key.startsWith(prefix) && revision > after)
       if (changes.length > 0) {
@@ -73,15 +79,22 @@
     }
     return signal.aborted ? failed(DOWN) : success({ changes: [], revision: after })
   }
+
+  async #fail (prefix: string): Promise<Result<never, CallFailure>> {
+    if (prefix !== this.lateFailure?.prefix) return failed(DOWN)
+    await sleep(this.lateFailure.delay)
+    this.lateFailureCount += 1
+    return failed(DOWN)
+  }
 }
 
 const entry = (state = 'ready'): string => JSON.stringify({ service: 's', address: '10.0.0.1:80', zone: 'd1', slots: 4, state })
 const key = (id: string): string => `${StoreKey.BackendServers}${id}`
 
-const start = (t: ExecutionContext, store: MemoryStore, isStoreWatcher: () => boolean = () => true): { fleetState: FleetState, availability: StoreAvailability, sync: StoreSync } => {
+const start = (t: ExecutionContext, store: MemoryStore, isStoreWatcher: () => boolean = () => true, onLost = (): void => {}): { fleetState: FleetState, availability: StoreAvailability, sync: StoreSync } => {
   const clock = (): number => performance.now()
   const fleetState = new FleetState(silentLog(), clock)
-  const availability = new StoreAvailability(fleetState, silentLog(), clock)
+  const availability = new StoreAvailability(fleetState, silentLog(), clock, onLost)
   const sync = new StoreSync({ store, fleetState, availability, metrics: new ForwardMetrics(), log: silentLog(), clock, isStoreWatcher })
   sync.start()
   t.teardown(() => sync.dispose())
@@ -225,3 +238,77 @@
   store.set(key('e2'), null)
   t.true(await eventually(() => readyServers(fleetState) === 'e1,e3'))
 })
+
+// Guards against a watch whose answer was lost: it waits like one without changes, although other answers show that the store has changed.
+test('a watch that may have missed a change is repeated', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const { fleetState, sync } = start(t, store)
+  t.true(await eventually(() => readyServers(fleetState) === 'e1'))
+  store.losesAnswers = true
+  store.set(key('e1'), entry('draining'))
+  t.true(await eventually(() => {
+    sync.storeAt(store.revision)
+    return readyServers(fleetState) === ''
+  }))
+})
+
+test('the watches of a store without changes are not repeated', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const { fleetState, sync } = start(t, store)
+  t.true(await eventually(() => readyServers(fleetState) === 'e1'))
+  const shownAt = performance.now()
+  while (performance.now() - shownAt < 6 * MAX_ANSWER_DELAY) {
+    sync.storeAt(store.revision)
+    await sleep(10)
+  }
+  t.false(store.watchWaits.includes(1))
+})
+
+test('a watch is not repeated because of a change that has arrived on the watch of another prefix', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const { fleetState, sync } = start(t, store)
+  t.true(await eventually(() => readyServers(fleetState) === 'e1'))
+  store.set(key('e2'), entry())
+  t.true(await eventually(() => readyServers(fleetState) === 'e1,e2'))
+  const shownAt = performance.now()
+  while (performance.now() - shownAt < 2 * MAX_ANSWER_DELAY) {
+    sync.storeAt(store.revision)
+    await sleep(10)
+  }
+  t.false(store.watchWaits.includes(1))
+})
+
+// The store may have given out a revision for a key that nobody here watches. What is repeated once is not repeated again.
+test('both watches are repeated once after a change under a third prefix', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  const { fleetState, sync } = start(t, store)
+  t.true(await eventually(() => readyServers(fleetState) === 'e1'))
+  store.set(`${StoreKey.Nodes}n9`, 'other')
+  const shownAt = performance.now()
+  while (performance.now() - shownAt < 6 * MAX_ANSWER_DELAY) {
+    sync.storeAt(store.revision)
+    await sleep(10)
+  }
+  t.is(store.watchWaits.filter((wait) => wait === 1).length, 2)
+})
+
+// Guards against a call that was made in an outage and fails after the store's return, which counted as another loss.
+test('a call that fails after another one was answered since it began is no loss of the store', async (t) => {
+  const store = new MemoryStore()
+  let losses = 0
+  const { availability } = start(t, store, () => true, () => { losses += 1 })
+  t.true(await eventually(() => store.listCount > 1))
+  store.lateFailure = { prefix: StoreKey.Configuration, delay: 1_500 }
+  store.isDown = true
+  t.true(await eventually(() => availability.isLost))
+  store.isDown = false
+  t.true(await eventually(() => !availability.isLost))
+  t.is(store.lateFailureCount, 0)
+  t.true(await eventually(() => store.lateFailureCount > 0))
+  await sleep(50)
+  t.is(losses, 1)
+})
