Soak: the limit of a server ends with its process

No caller saw anything wrong; it is a fault of the account of the soak.

Cause: server i-7-7 named 1.4 a second and was then ended by a part of a prompt (12:03:01.96); 0.87 s later it was back under the same id, as a new process that states no limit. The account of the soak went on under the id until the planned end of the limit. Evidence: all nodes logged server.departed cause=restarted at 12:03:02.84, the first request beyond the limit came at 02.847, and no line of a later answer names a limit (server.stated). Ruled out: two schedulers at once (node-2 scheduled all along), a bucket filled anew (before the crash 4 requests in 2.3 s).

The fleet now ends the period when the process ends.

--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -141,6 +141,7 @@
     if (server.standin !== standin) return
     const { keepsId, downMs } = this.promptParts
     server.standin = null
+    this.endLimit(standin)
     server.proxy.close()
     if (!keepsId) this.#removeLater(standin)
     await sleep(downMs)
@@ -154,6 +155,7 @@
     const { standin } = server
     if (standin === null) return
     server.standin = null
+    this.endLimit(standin)
     await standin.dispose()
     this.#removeLater(standin, leaseMs)
   }
@@ -178,14 +180,20 @@
    *
    * @param server - the server
    * @param perSecond - requests per second
-   * @returns the period in which it does; the caller ends it by clearing the limit and setting `until`
+   * @returns the standin that does, for `endLimit`; null if the server is down or has a limit already
    */
-  limitServer ({ standin }: Server, perSecond: number): LimitedSpan | null {
+  limitServer ({ standin }: Server, perSecond: number): BackendStandin | null {
     if (standin === null || standin.requestLimit !== null) return null
     standin.requestLimit = perSecond
-    const span: LimitedSpan = { server: standin.id, perSecond, from: performance.now(), until: Infinity }
-    this.limitedSpans.push(span)
-    return span
+    this.limitedSpans.push({ server: standin.id, perSecond, from: performance.now(), until: Infinity })
+    return standin
+  }
+
+  /** Ends the limit of a server process, which may have ended itself meanwhile: the next process under the same id states none. */
+  endLimit (standin: BackendStandin): void {
+    if (standin.requestLimit === null) return
+    standin.requestLimit = null
+    for (const span of this.limitedSpans) if (span.server === standin.id) span.until = Math.min(span.until, performance.now())
   }
 
   #host (last: number): string {
--- a/packages/soak/src/furtherFaults.ts
+++ b/packages/soak/src/furtherFaults.ts
@@ -109,12 +109,10 @@
     at,
     name: `limit of ${perSecond} a second at server ${server.index} for ${lasts} ms`,
     run: async () => {
-      const span = fleet.limitServer(server, perSecond)
-      const { standin } = server
-      if (span === null || standin === null) return
+      const standin = fleet.limitServer(server, perSecond)
+      if (standin === null) return
       await sleep(lasts)
-      standin.requestLimit = null
-      span.until = performance.now()
+      fleet.endLimit(standin)
     }
   }
 }
