Soak: a pause counts from the arrival of the refusal that asks for it

No caller saw anything wrong; the account of the soak was.

Cause: the stand-in recorded a pause when it wrote the refusal, whether or not the refusal arrived. Ruled out: a node that forgets a pause at a restore of the store (no server.departed of i-0-0).

The proxy now records when bytes of a server were handed to the connection of a node that had not closed it, and the check counts from there. A refusal that arrived is checked as before.

--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -62,6 +62,8 @@
   readonly servers: Server[] = []
   readonly nodes: FleetNode[] = []
   readonly limitedSpans: LimitedSpan[] = []
+  /** Proxy of each server that ever ran, by its id. */
+  readonly serverProxies = new Map<string, TcpProxy>()
   /** Parts of the prompts that callers send. */
   readonly promptParts = new PromptParts()
   readonly #network: string
@@ -131,6 +133,7 @@
     standin.onCrash = () => { void this.#restartCrashed(server, standin) }
     await standin.start(this.#host(FIRST_SERVER + server.index), PORT.server)
     server.standin = standin
+    this.serverProxies.set(id, server.proxy)
     server.startedAt = Date.now()
     server.drainingSince = null
     this.#writeEntry(server, id, false)
--- a/packages/soak/src/TcpProxy.ts
+++ b/packages/soak/src/TcpProxy.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events'
 import { connect, createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
-import { setTimeout as sleep } from 'node:timers/promises'
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises'
 
 /** How the proxy treats the bytes of its connections. */
 export const LinkMode = {
@@ -25,11 +25,21 @@
   readonly server: Socket
 }
 
+/** Bytes of the server that were forwarded to the client. */
+interface Delivery {
+  readonly server: Socket
+  /** Local port of the connection to the server. */
+  readonly port: number
+  /** Milliseconds on the process's monotonic clock. */
+  readonly at: number
+}
+
 /** Listens at one address and forwards its connections to another. */
 export class TcpProxy {
   readonly #server: Server
   readonly #links = new Set<Link>()
   #address = { host: '', port: 0 }
+  #deliveries: Delivery[] = []
   #mode: LinkMode = LinkMode.Open
   #lastInjury = -Infinity
 
@@ -63,6 +73,17 @@
     return this.#mode === LinkMode.Open && this.#lastInjury < time
   }
 
+  /**
+   * Finds out whether an answer has arrived. Bytes to a client that had closed the connection before have not.
+   *
+   * @param port - local port of the connection to the server, which is the remote port that the server sees
+   * @param time - time of the request, on the process's monotonic clock
+   * @returns time at which the next bytes of the server were forwarded on that connection; null if none were
+   */
+  deliveredAfter (port: number, time: number): number | null {
+    return this.#deliveries.find((delivery) => delivery.port === port && delivery.at >= time)?.at ?? null
+  }
+
   /** Changes how bytes are treated from now on. */
   setMode (mode: LinkMode): void {
     if (this.#mode !== LinkMode.Open) this.#lastInjury = performance.now()
@@ -94,8 +115,9 @@
     client.setNoDelay(true)
     const link = { client, server }
     this.#links.add(link)
-    this.#pass(client, server, LinkMode.OneWay)
-    this.#pass(server, client, null)
+    this.#pass(client, server, LinkMode.OneWay, () => {})
+    this.#pass(server, client, null, () => { void this.#recordDelivery(link) })
+    client.on('error', () => this.#discardDeliveries(server))
     for (const [end, other] of [[client, server], [server, client]] as const) {
       // A reset of one end is passed on as a reset of the other.
       end.on('error', () => reset(other))
@@ -103,8 +125,22 @@
     }
   }
 
+  async #recordDelivery ({ client, server }: Link): Promise<void> {
+    const { localPort: port } = server
+    if (port === undefined) return
+    const delivery = { server, port, at: performance.now() }
+    // The next poll of the event loop, which precedes the second callback, reports an end that the client had sent before.
+    await nextTurn()
+    await nextTurn()
+    if (!client.readableEnded && !client.errored) this.#deliveries.push(delivery)
+  }
+
+  #discardDeliveries (server: Socket): void {
+    this.#deliveries = this.#deliveries.filter((delivery) => delivery.server !== server)
+  }
+
   /** Forwards bytes in one direction; `passingMode` is the mode that blocks only the other direction. */
-  #pass (from: Socket, to: Socket, passingMode: LinkMode | null): void {
+  #pass (from: Socket, to: Socket, passingMode: LinkMode | null, forwarded: () => void): void {
     const isHeld = (): boolean => this.#mode === LinkMode.Silent || (this.#mode === LinkMode.OneWay && passingMode !== LinkMode.OneWay)
     // What follows a late piece is later still: TCP keeps the order.
     let late: Promise<void> | null = null
@@ -121,7 +157,11 @@
       })
       late = turn
     }
-    from.on('data', (piece) => later(() => { if (!to.destroyed) to.write(piece) }))
+    from.on('data', (piece) => later(() => {
+      if (to.destroyed) return
+      if (!to.writableEnded) forwarded()
+      to.write(piece)
+    }))
     from.on('end', () => {
       // libuv reports an end if a reset arrives together with bytes; a socket that was reset has no remote address.
       const isReset = from.remoteAddress === undefined
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -111,12 +111,14 @@
     .filter(({ request, startedAt }) => isInStore || isCheckedForStatements(fleet, exchanges.get(request), from, startedAt))
     .map(({ request, startedAt }) => ({ rule: 'leaving servers get nothing', detail: `${request} began at ${server} ${Math.round(startedAt - from)} ms after it began to leave` }))
 
-/** A server that asks a node for a pause receives no requests of that node until the end of the pause. */
-const serverPause = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { request, server, at, pauseMs }: PauseRequest): Violation[] => {
+/** A server that has asked a node for a pause receives no requests of that node until the end of the pause. A refusal that did not arrive asks for none. */
+const serverPause = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { request, server, at, pauseMs, port }: PauseRequest): Violation[] => {
   const node = exchanges.get(request)?.node
+  const askedAt = fleet.serverProxies.get(server)?.deliveredAfter(port, at) ?? null
+  if (askedAt === null) return []
   const until = at + pauseMs
   if (!isCheckedForStatements(fleet, exchanges.get(request), at, until)) return []
-  const arrivals = fleet.ledger.arrivalsAt(server).filter((arrival) => arrival.at > at + PAUSE_KNOWN_MS && arrival.at < until && exchanges.get(arrival.request)?.node === node)
+  const arrivals = fleet.ledger.arrivalsAt(server).filter((arrival) => arrival.at > askedAt + PAUSE_KNOWN_MS && arrival.at < until && exchanges.get(arrival.request)?.node === node)
   return arrivals.length <= PAUSE_SLACK ? [] : [{ rule: 'pauses of servers', detail: `${server} asked node ${node} for ${pauseMs} ms and got ${arrivals.length} requests of it` }]
 }
 
--- a/packages/soak/tests/tcpProxy.test.ts
+++ b/packages/soak/tests/tcpProxy.test.ts
@@ -81,6 +81,48 @@
   t.is(text(), '')
 })
 
+/** Connects, sends a request, and returns the port that the server sees. */
+const exchangeBytes = async (t: ExecutionContext, mode: LinkMode): Promise<{ proxy: TcpProxy, socket: Socket, text: () => string, seenPort: () => number, answer: () => void }> => {
+  let accepted: Socket | null = null
+  const { proxy, port } = await behindProxy(t, (socket) => { socket.once('data', () => { accepted = socket }) })
+  proxy.setMode(mode)
+  const { socket, text } = open(port)
+  socket.write('request')
+  t.true(await eventually(() => accepted !== null))
+  return { proxy, socket, text, seenPort: () => accepted?.remotePort ?? 0, answer: () => { accepted?.write('answer') } }
+}
+
+test('an answer is delivered when it has been forwarded', async (t) => {
+  for (const mode of [LinkMode.Open, LinkMode.Delayed]) {
+    const { proxy, text, seenPort, answer } = await exchangeBytes(t, mode)
+    const requestedAt = performance.now()
+    t.is(proxy.deliveredAfter(seenPort(), requestedAt), null)
+    answer()
+    t.true(await eventually(() => text() === 'answer'))
+    t.true(await eventually(() => (proxy.deliveredAfter(seenPort(), requestedAt) ?? 0) >= requestedAt))
+    t.is(proxy.deliveredAfter(seenPort() + 1, requestedAt), null)
+    t.is(proxy.deliveredAfter(seenPort(), performance.now()), null)
+  }
+})
+
+test('an answer that is held back is not delivered', async (t) => {
+  const { proxy, seenPort, answer } = await exchangeBytes(t, LinkMode.OneWay)
+  answer()
+  await sleep(50)
+  t.is(proxy.deliveredAfter(seenPort(), 0), null)
+})
+
+test('an answer to a client that has closed the connection is not delivered', async (t) => {
+  for (let round = 0; round < 20; round += 1) {
+    const { proxy, socket, seenPort, answer } = await exchangeBytes(t, LinkMode.Open)
+    const port = seenPort()
+    answer()
+    socket.destroy()
+    await sleep(5)
+    t.is(proxy.deliveredAfter(port, 0), null, `round ${round}`)
+  }
+})
+
 // Guards against an answer without a length that looks complete although its server has reset the connection right after the last bytes.
 test('a reset that arrives together with bytes is passed on as a reset', async (t) => {
   const { port } = await behindProxy(t, (socket) => {
