Soak: a node that is killed while it stops has not ended unexpectedly

Beside load it still had three requests in progress: node.stopping at 12:20:49.918, a request sent at 50.173, and no further line until the next start; SIGKILL came 1.365 s after SIGTERM, and 'stop' took the exit by SIGKILL for one of its own. No caller saw anything wrong.

'stop' now expects nothing of a process that 'kill' has ended; a process that exits with another code, or late, is reported as before, also after an earlier process was killed.

--- a/packages/soak/src/NodeProcess.ts
+++ b/packages/soak/src/NodeProcess.ts
@@ -19,6 +19,7 @@
   readonly #log: WriteStream
   #child: ChildProcess | null = null
   #ending = false
+  #isKilled = false
   readonly #outages: Outage[] = []
 
   /**
@@ -35,6 +36,7 @@
   start (): void {
     if (this.#child !== null) return
     this.#ending = false
+    this.#isKilled = false
     const child = spawn(process.execPath, [resolve(this.program)], { cwd: dirname(dirname(resolve(this.program))), env: { ...process.env, ...this.environment }, stdio: ['ignore', 'pipe', 'pipe'] })
     child.stdout.pipe(this.#log, { end: false })
     child.stderr.pipe(this.#log, { end: false })
@@ -74,10 +76,11 @@
   }
 
   async kill (): Promise<void> {
+    this.#isKilled = true
     await this.#end('SIGKILL')
   }
 
-  /** Sends SIGTERM; the process has to exit with code 0 within the grace period. */
+  /** Sends SIGTERM; the process has to exit with code 0 within the grace period, unless it is killed meanwhile. */
   async stop (grace: number): Promise<void> {
     const child = this.#child
     if (child === null) return
@@ -87,7 +90,7 @@
     }, grace)
     const code = await this.#end('SIGTERM')
     clearTimeout(timer)
-    if (code !== 0) this.unexpectedEnds.push(`${this.name} stopped with code ${String(code)}`)
+    if (code !== 0 && !this.#isKilled) this.unexpectedEnds.push(`${this.name} stopped with code ${String(code)}`)
   }
 
   async dispose (): Promise<void> {
