--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -8,6 +8,7 @@
 import type { RouteDocument } from '@bluebellhill/platform-standin'
 
 import { ENGINE_SERVICE, HOST, KEPT_KEY, LEASE_MS, NODES, PLAIN_SERVICE, PORT, REMOVED_KEY, RETRY_RATIO, RETRY_SLACK, SERVERS_PER_SERVICE, STOP_GRACE_S } from './constants.js'
+import { EventLoopDelays } from './EventLoopDelays.js'
 import { NodeProcess } from './NodeProcess.js'
 import { PromptParts } from './PromptParts.js'
 import { TcpProxy } from './TcpProxy.js'
@@ -61,7 +62,11 @@
   readonly ledger = new Ledger()
   readonly servers: Server[] = []
   readonly nodes: FleetNode[] = []
+  /** When the process of the soak, in which all but the nodes run, could not run. */
+  readonly delays = new EventLoopDelays()
   readonly limitedSpans: LimitedSpan[] = []
+  /** Proxy of each server that ever ran, by its id. */
+  readonly serverProxies = new Map<string, TcpProxy>()
   /** Parts of the prompts that callers send. */
   readonly promptParts = new PromptParts()
   readonly #network: string
@@ -91,6 +96,7 @@
 
   async dispose (): Promise<void> {
     this.#isDisposed = true
+    this.delays.dispose()
     await Promise.all(this.nodes.map(async ({ process }) => { await process.dispose() }))
     for (const { storeLink } of this.nodes) storeLink.dispose()
     for (const { proxy, standin } of this.servers) {
@@ -131,6 +137,7 @@
     standin.onCrash = () => { void this.#restartCrashed(server, standin) }
     await standin.start(this.#host(FIRST_SERVER + server.index), PORT.server)
     server.standin = standin
+    this.serverProxies.set(id, server.proxy)
     server.startedAt = Date.now()
     server.drainingSince = null
     this.#writeEntry(server, id, false)
@@ -141,6 +148,7 @@
     if (server.standin !== standin) return
     const { keepsId, downMs } = this.promptParts
     server.standin = null
+    this.endLimit(standin)
     server.proxy.close()
     if (!keepsId) this.#removeLater(standin)
     await sleep(downMs)
@@ -154,6 +162,7 @@
     const { standin } = server
     if (standin === null) return
     server.standin = null
+    this.endLimit(standin)
     await standin.dispose()
     this.#removeLater(standin, leaseMs)
   }
@@ -178,14 +187,20 @@
    *
    * @param server - the server
    * @param perSecond - requests per second
-   * @returns the period in which it does; the caller ends it by clearing the limit and setting `until`
+   * @returns the standin that does, for `endLimit`; null if the server is down or has a limit already
    */
-  limitServer ({ standin }: Server, perSecond: number): LimitedSpan | null {
+  limitServer ({ standin }: Server, perSecond: number): BackendStandin | null {
     if (standin === null || standin.requestLimit !== null) return null
     standin.requestLimit = perSecond
-    const span: LimitedSpan = { server: standin.id, perSecond, from: performance.now(), until: Infinity }
-    this.limitedSpans.push(span)
-    return span
+    this.limitedSpans.push({ server: standin.id, perSecond, from: performance.now(), until: Infinity })
+    return standin
+  }
+
+  /** Ends the limit of a server process, which may have ended itself meanwhile: the next process under the same id states none. */
+  endLimit (standin: BackendStandin): void {
+    if (standin.requestLimit === null) return
+    standin.requestLimit = null
+    for (const span of this.limitedSpans) if (span.server === standin.id) span.until = Math.min(span.until, performance.now())
   }
 
   #host (last: number): string {
--- a/packages/soak/src/NodeProcess.ts
+++ b/packages/soak/src/NodeProcess.ts
@@ -6,6 +6,8 @@
 import { once } from 'node:events'
 import { dirname, resolve } from 'node:path'
 
+import { ProcessorWaits } from './ProcessorWaits.js'
+
 /** Period in which the checks do not apply to a node. */
 export interface Outage {
   readonly from: number
@@ -16,9 +18,12 @@
 export class NodeProcess {
   /** Exits that the soak did not cause, and exits with another code than expected. */
   readonly unexpectedEnds: string[] = []
+  /** When the running process waited for a processor. */
+  readonly waits = new ProcessorWaits()
   readonly #log: WriteStream
   #child: ChildProcess | null = null
   #ending = false
+  #isKilled = false
   readonly #outages: Outage[] = []
 
   /**
@@ -35,6 +40,7 @@
   start (): void {
     if (this.#child !== null) return
     this.#ending = false
+    this.#isKilled = false
     const child = spawn(process.execPath, [resolve(this.program)], { cwd: dirname(dirname(resolve(this.program))), env: { ...process.env, ...this.environment }, stdio: ['ignore', 'pipe', 'pipe'] })
     child.stdout.pipe(this.#log, { end: false })
     child.stderr.pipe(this.#log, { end: false })
@@ -43,6 +49,7 @@
       if (this.#child === child) this.#child = null
     })
     this.#child = child
+    if (child.pid !== undefined) this.waits.follow(child.pid)
   }
 
   get isRunning (): boolean {
@@ -74,10 +81,11 @@
   }
 
   async kill (): Promise<void> {
+    this.#isKilled = true
     await this.#end('SIGKILL')
   }
 
-  /** Sends SIGTERM; the process has to exit with code 0 within the grace period. */
+  /** Sends SIGTERM; the process has to exit with code 0 within the grace period, unless it is killed meanwhile. */
   async stop (grace: number): Promise<void> {
     const child = this.#child
     if (child === null) return
@@ -87,11 +95,12 @@
     }, grace)
     const code = await this.#end('SIGTERM')
     clearTimeout(timer)
-    if (code !== 0) this.unexpectedEnds.push(`${this.name} stopped with code ${String(code)}`)
+    if (code !== 0 && !this.#isKilled) this.unexpectedEnds.push(`${this.name} stopped with code ${String(code)}`)
   }
 
   async dispose (): Promise<void> {
     await this.kill()
+    this.waits.dispose()
     this.#log.end()
   }
 
