A node that takes over the watch of the store keeps what the others keep over an outage

Takeovers are common right after an outage.

Change: an unconfirmed removal leaves an entry as it is that is kept until a later time. What a peer saw removed is gone as before. Test: lapsedServers.test.ts 'a node that lists the store itself' failed before.

--- a/packages/domain/src/forwarding/BackendServerTable.ts
+++ b/packages/domain/src/forwarding/BackendServerTable.ts
@@ -144,7 +144,8 @@
     this.#withheld.delete(id)
     const entry = this.#entries.get(id)
     if (entry === undefined || entry.revision > revision) return []
-    if (isConfirmed || !this.#isInGrace(now)) return this.#removeEntry(entry, DepartureCause.Removed, now)
+    const isKept = this.#isInGrace(now) || (entry.mayReturn && now < this.#keptUntil(entry))
+    if (isConfirmed || !isKept) return this.#removeEntry(entry, DepartureCause.Removed, now)
     entry.mayReturn = true
     return []
   }
--- a/packages/domain/tests/lapsedServers.test.ts
+++ b/packages/domain/tests/lapsedServers.test.ts
@@ -73,3 +73,16 @@
   table.put({ server: server('e2'), revision: 5 })
   t.is(table.remove('e2' as RunnerId, 6, START + 1)[0]?.type, 'departed')
 })
+
+// Guards against a node that takes over the watch of the store right after an outage, and drops what the others keep.
+test('a node that lists the store itself keeps a server as long as the node from which it had the list', (t) => {
+  const table = tableOf(keepingTable(), START + 500)
+  t.deepEqual(table.replaceAll([], 6, START + 600), [])
+  t.deepEqual(table.expire(START + EXPIRED_ENTRY_GRACE - 1), [])
+  t.is(table.expire(START + EXPIRED_ENTRY_GRACE)[0]?.type, 'departed')
+})
+
+test('a server that another node keeps is gone once a further one has seen its removal', (t) => {
+  const table = tableOf(keepingTable(), START + 500)
+  t.is(table.replaceAll([], 6, START + 600, true)[0]?.type, 'departed')
+})
--- a/packages/node/src/forward/store/StoreProbe.ts
+++ b/packages/node/src/forward/store/StoreProbe.ts
@@ -8,7 +8,10 @@
 /** Time without an answer of the store after which it is probed; a watch may wait for longer than the other nodes can. */
 const MAX_SILENCE: Millis = 300
 
-/** Timeout of a probe, and of other calls that find out whether the store answers. Two probes, and the list of the node that takes over, fit into the time in which a change has to be in force. */
+/**
+ * Timeout of a probe, and of other calls that find out whether the store answers. Two probes, and the list of the node that takes over,
+ * fit into the time in which a change has to be in force.
+ */
 export const PROBE_TIMEOUT: Millis = 350
 
 const CHECK_PERIOD: Millis = 100
