Organisation limits: nodes announce claims and raise their limit only to what the others leave

Cause: each node computed the parts of all nodes from the demands that it knew and used its own part after 2 s. Nodes that know different demands compute parts that add up to more than the bound; no delay mends that, only its effect for slower changes. Ruled out by earlier trials: memories of demand of 2 to 3 s with growth delays of 0 to 2 s.

Change: a node announces, beside its demand, how many requests it may have in progress. It uses the least claim that it announced within 2 s and raises its limit only to what the newest claims of all other nodes leave of the bound. Whenever it raises, each other node has heard its claim, and uses at most the claim that this node knows. So the bound holds for gossip up to 2 s late, whatever shares the nodes compute; claims that add up to more are reduced in proportion, so that they do not block each other for good. A node that is gone is counted for 3 s more, and a node held up for longer admits nothing until it has heard of the others. Claims are a new column of the gossip value; values of earlier builds are read, and those nodes count with their share by demand.

All earlier tests of limits are unchanged.

--- a/packages/domain/src/limits/shares.ts
+++ b/packages/domain/src/limits/shares.ts
@@ -60,6 +60,16 @@
   return parts.find(({ node }) => node === ownNode)?.units ?? 0
 }
 
+/**
+ * Computes one node's share of a bound that is divided evenly; it is the one of `shareOfConcurrency` without any demand.
+ *
+ * @param bound - fleet-wide bound
+ * @param rank - position of the node in rendezvous order, from 0
+ * @param count - number of nodes
+ * @returns number of concurrent requests
+ */
+export const evenShare = (bound: number, rank: number, count: number): number => Math.floor((bound + count - 1 - rank) / count)
+
 /**
  * Computes one node's share of a rate, mostly in proportion to demand.
  *
--- a/packages/domain/src/limits/types.ts
+++ b/packages/domain/src/limits/types.ts
@@ -19,6 +19,8 @@
   readonly concurrent: number
   /** Tokens per second that callers requested, including those of refused requests. */
   readonly tokensPerSecond: number
+  /** Concurrent requests that the node may have in progress; absent if they are not limited, or in a demand of an earlier build. */
+  readonly claim?: number
 }
 
 /** The bound that a request would exceed, and when to retry. */
--- a/packages/domain/tests/limits.test.ts
+++ b/packages/domain/tests/limits.test.ts
@@ -159,3 +159,81 @@
     t.true(most >= bound - 1, `${most} at once`)
   })
 }
+
+/** Gossips every 500 ms, and admits as many requests as it can at the given nodes, each of which lasts a second. */
+const play = (fleet: ReturnType<typeof fleetOf>, from: number, to: number, busy: readonly number[], isDelivered?: (from: number, to: number) => boolean): void => {
+  const ends: Array<{ readonly which: number, readonly at: number }> = []
+  for (let now = from; now < to; now += 100) {
+    for (const { which } of ends.filter(({ at }) => at === now)) fleet.limits[which]!.release(0, now)
+    if (now % 500 === 0) fleet.gossip(now, isDelivered)
+    for (const which of busy) while (fleet.limits[which]!.admit(10, now) === null) ends.push({ which, at: now + 1_000 })
+  }
+  for (const { which } of ends.filter(({ at }) => at >= to)) fleet.limits[which]!.release(0, to)
+}
+
+const limitsAt = ({ limits }: ReturnType<typeof fleetOf>, now: number): number[] => limits.map((limit) => limit.concurrencyLimit(now))
+
+const sumOf = (numbers: readonly number[]): number => numbers.reduce((sum, each) => sum + each, 0)
+
+test('a node that was paused admits nothing until it has heard of the others again', (t) => {
+  const fleet = fleetOf(2, 4, null)
+  play(fleet, 0, 10_000, [0, 1])
+  t.deepEqual(limitsAt(fleet, 10_000), [2, 2])
+  t.like(fleet.limits[0]!.admit(10, 13_500), { bound: 'concurrent' })
+  fleet.limits[0]!.update([node('n0')], [], 13_500)
+  t.like(fleet.limits[0]!.admit(10, 13_500), { bound: 'concurrent' })
+})
+
+test('the share of a node that is gone is used only after that node would have stopped by itself', (t) => {
+  const fleet = fleetOf(2, 4, null)
+  play(fleet, 0, 10_000, [0, 1])
+  const [survivor] = fleet.limits
+  const limitAfter = (since: number): number => {
+    const now = 10_000 + since
+    survivor!.setPublishedDemand(survivor!.demand(now), now)
+    survivor!.update([node('n0')], [], now)
+    return survivor!.concurrencyLimit(now)
+  }
+  const limits = Array.from({ length: 12 }, (_, index) => limitAfter(index * 500))
+  t.deepEqual(limits.slice(0, 6), [2, 2, 2, 2, 2, 2])
+  t.is(limits.at(-1), 4)
+})
+
+test('the limits of two halves that see each other again add up to the bound', (t) => {
+  const fleet = fleetOf(6, 12, null)
+  play(fleet, 0, 5_000, [0, 1, 2, 3, 4, 5])
+  const half = (index: number): number => index % 2
+  for (let now = 5_000; now < 15_000; now += 500) {
+    const demands = fleet.limits.map((limit) => limit.demand(now))
+    fleet.limits.forEach((limit, which) => {
+      const heard = demands.filter((_, other) => half(other) === half(which))
+      limit.setPublishedDemand(demands[which]!, now)
+      limit.update(heard.map(({ node }) => node), heard, now)
+      limit.admit(10, now)
+    })
+  }
+  t.is(sumOf(limitsAt(fleet, 15_000)), 24)
+  for (const limit of fleet.limits) while (limit.inProgress > 0) limit.release(0, 15_000)
+  play(fleet, 15_000, 20_000, [0, 1, 2, 3, 4, 5])
+  t.is(sumOf(limitsAt(fleet, 20_000)), 12)
+})
+
+test('equal demand at more nodes than the bound has places uses it up', (t) => {
+  const bound = 4
+  const fleet = fleetOf(9, bound, null)
+  play(fleet, 0, 10_000, [0, 1, 2, 3, 4, 5, 6, 7, 8])
+  t.is(sumOf(limitsAt(fleet, 10_000)), bound)
+})
+
+test('the bound is divided among nodes that announce no demand', (t) => {
+  const fleet = fleetOf(3, 4, null)
+  const names = [0, 1, 2].map((index) => node(`n${index}`))
+  for (let now = 0; now <= 3_000; now += 500) {
+    for (const limit of fleet.limits) {
+      const demand = limit.demand(now)
+      limit.setPublishedDemand(limit.isIdle(demand) ? null : demand, now)
+      limit.update(names, [], now)
+    }
+  }
+  t.deepEqual(limitsAt(fleet, 3_000).sort(), [1, 1, 2])
+})
--- a/packages/node/src/limits/OrganisationLimits.ts
+++ b/packages/node/src/limits/OrganisationLimits.ts
@@ -1,6 +1,6 @@
 /** Enforces the limits of organisations and templates on this node; the nodes divide each limit by their gossiped demand. */
-import { OrganisationLimit, ValueScope } from '@bluebellhill/domain'
-import type { LimitDemand, LimitRefusal, NodeId, OrganisationBounds, OrganisationId, Tokens } from '@bluebellhill/domain'
+import { isReachable, OrganisationLimit, ValueScope } from '@bluebellhill/domain'
+import type { GossipValue, LimitDemand, LimitRefusal, NodeId, OrganisationBounds, OrganisationId, Tokens } from '@bluebellhill/domain'
 import type { Configuration } from '@bluebellhill/services'
 
 import { monotonicNow } from '../clock/monotonic.js'
@@ -104,20 +104,22 @@
   #exchangeDemands (): void {
     this.#applyConfiguration()
     const now = monotonicNow()
-    const demands = [...this.#limits.values()].map((limit) => roundDemand(limit.demand(now)))
-    const busiest = demands.filter(isInUse).sort((left, right) => right.concurrent - left.concurrent).slice(0, MAX_GOSSIPED_LIMITS)
+    const demands = [...this.#limits.values()].flatMap((limit) => demandToGossip(limit, now) ?? [])
+    const busiest = demands.sort((left, right) => right.concurrent - left.concurrent).slice(0, MAX_GOSSIPED_LIMITS)
     this.#membership.publish(DEMANDS_TOPIC, encodeDemands(busiest), { scope: ValueScope.Fleet })
     const publishedDemands = new Map(busiest.map((demand) => [demand.organisation, demand]))
-    for (const limit of this.#limits.values()) this.#updateLimit(limit, publishedDemands.get(limit.organisation), now)
+    const nodes = this.#nodes()
+    const peerValues = this.#peerValues()
+    for (const limit of this.#limits.values()) {
+      limit.setPublishedDemand(publishedDemands.get(limit.organisation) ?? null, now)
+      limit.update(nodes, peerValues.flatMap(({ node, bytes }) => decodeDemand(limit.organisation, node, bytes) ?? []), now)
+    }
   }
 
-  #updateLimit (limit: OrganisationLimit, publishedDemand: LimitDemand | undefined, now: number): void {
-    const { organisation } = limit
-    limit.setPublishedDemand(publishedDemand ?? { organisation, node: this.#node, held: 0, concurrent: 0, tokensPerSecond: 0 }, now)
-    const demands = this.#membership.values(DEMANDS_TOPIC)
-      .filter(({ node }) => node !== this.#node)
-      .flatMap(({ node, bytes }) => decodeDemand(organisation, node, bytes) ?? [])
-    limit.update(this.#nodes(), demands, now)
+  /** Values of other nodes that can be reached; those that are stopping still have requests in progress. */
+  #peerValues (): GossipValue[] {
+    const reachable = new Set(this.#membership.members().filter(isReachable).map(({ node }) => node))
+    return this.#membership.values(DEMANDS_TOPIC).filter(({ node }) => node !== this.#node && reachable.has(node))
   }
 
   #nodes (): NodeId[] {
@@ -125,7 +127,11 @@
   }
 }
 
-const isInUse = ({ concurrent, tokensPerSecond }: LimitDemand): boolean => concurrent > 0 || tokensPerSecond > 0
+/** Returns null if the other nodes assume the demand of this node without it. */
+const demandToGossip = (limit: OrganisationLimit, now: number): LimitDemand | null => {
+  const demand = roundDemand(limit.demand(now))
+  return limit.isIdle(demand) ? null : demand
+}
 
 const templateLimitName = (organisation: OrganisationId, template: string): OrganisationId => `${organisation}/${template}` as OrganisationId
 
--- a/packages/node/src/limits/limitCodec.ts
+++ b/packages/node/src/limits/limitCodec.ts
@@ -14,7 +14,8 @@
   limits: demands.map(({ organisation }) => hashText(organisation)),
   held: demands.map(({ held }) => held),
   concurrent: demands.map(({ concurrent }) => concurrent),
-  tokenRate: demands.map(({ tokensPerSecond }) => Math.ceil(tokensPerSecond / RATE_UNIT_TOKENS_PER_SECOND))
+  tokenRate: demands.map(({ tokensPerSecond }) => Math.ceil(tokensPerSecond / RATE_UNIT_TOKENS_PER_SECOND)),
+  claims: demands.map(({ claim }) => claim === undefined ? 0 : claim + 1)
 }).finish()
 
 /**
@@ -29,12 +30,14 @@
   const columns = decodeColumns(bytes)
   const row = columns?.limits.indexOf(hashText(limit)) ?? -1
   if (columns === null || row < 0) return null
+  const claimPlusOne = columns.claims[row] ?? 0
   return {
     organisation: limit,
     node,
     held: columns.held[row] ?? 0,
     concurrent: columns.concurrent[row] ?? 0,
-    tokensPerSecond: (columns.tokenRate[row] ?? 0) * RATE_UNIT_TOKENS_PER_SECOND
+    tokensPerSecond: (columns.tokenRate[row] ?? 0) * RATE_UNIT_TOKENS_PER_SECOND,
+    ...(claimPlusOne === 0 ? {} : { claim: claimPlusOne - 1 })
   }
 }
 
