An order at a dispatcher that becomes unreachable is given up at once

What callers saw: an order, or a prompt, could wait until its deadline (30 s) and end as deadline_passed though other dispatchers had runners.

Keepalive starts only once the connection stands. Membership reports the process as unreachable within seconds, but nobody told the orders that wait for it. An order was also sent to a dispatcher that membership already had as unreachable, if its summary was still there.

Change: the dispatch client gives up the orders at a peer when membership has it as unreachable or gone, so that the request seeks another dispatcher. It withdraws the call; a grant whose reply is lost so expires, as before. No order runs twice by it: only the entry node sends, with a grant.

The test now also bounds the orders at the third node, by the same 15 s, so that a failure names the order that waited.

--- a/packages/node/src/dispatch/RoutedDispatchClient.ts
+++ b/packages/node/src/dispatch/RoutedDispatchClient.ts
@@ -1,7 +1,7 @@
 /** Sends dispatch orders to the dispatcher that the router chooses: this node's own or a peer's. */
 import { Metadata, status } from '@grpc/grpc-js'
 import type { ServiceError } from '@grpc/grpc-js'
-import { hashText, OutcomeKind, ownerOf } from '@bluebellhill/domain'
+import { hashText, isReachable, OutcomeKind, ownerOf } from '@bluebellhill/domain'
 import type { DispatchOrder, FailureDomain, Member, NodeId, RoutingCriteria, Router, RoutingRefusal, RunnerId } from '@bluebellhill/domain'
 import { EventKind } from '@bluebellhill/protocol'
 import type { AcquireReply, Grant as GrantMessage } from '@bluebellhill/protocol'
@@ -37,11 +37,16 @@
 /** Dispatch client of one entry node: routes each order and calls the chosen dispatcher locally or over gRPC. */
 export class RoutedDispatchClient extends DispatchClient {
   readonly #dependencies: DispatchClientDependencies
+  /** Orders that wait for the reply of a peer, by the peer; each is given up by calling its function. */
+  readonly #pendingOrders = new Map<NodeId, Set<() => void>>()
   #workerCounter = 0
 
   constructor (dependencies: DispatchClientDependencies) {
     super()
     this.#dependencies = dependencies
+    dependencies.membership.onChange((change) => {
+      if (change.type === 'member_changed' && !isReachable(change.member)) this.#giveUpOrdersAt(change.member.node)
+    })
   }
 
   async acquire (order: DispatchOrder, avoid: readonly NodeId[], signal: AbortSignal): Promise<OrderResult> {
@@ -112,7 +117,7 @@
   #findPeer (chosen: NodeId): Member | undefined {
     const failureDomain = failureDomainOf(chosen)
     const { membership } = this.#dependencies
-    if (failureDomain === null) return membership.members().find((member) => member.node === chosen)
+    if (failureDomain === null) return membership.members().find((member) => member.node === chosen && isReachable(member))
     return this.#nextWorker(failureDomain)
   }
 
@@ -127,18 +132,40 @@
     return new Promise((resolve) => {
       const deadline = Date.now() + order.remaining
       const message = { order: encodeOrder(order), clock: timeLine.stampOutgoing(), direct: failureDomainOf(chosen) === null }
+      const settle = (result: OrderResult): void => {
+        this.#pendingOrders.get(peer.node)?.delete(giveUp)
+        resolve(result)
+      }
       const call = clients.dispatcher(peer.peerAddress).acquire(message, new Metadata(), { deadline }, (error, reply) => {
         if (error !== null) {
           if (isConnectionError(error)) membership.callFailed(peer.node)
-          return resolve({ type: 'lost', dispatcher: chosen, reason: error.details })
+          return settle({ type: 'lost', dispatcher: chosen, reason: error.details })
         }
         timeLine.stampReceived(reply.clock, peer.node)
-        resolve(decodeReply(order, chosen, reply))
+        settle(decodeReply(order, chosen, reply))
       })
+      const giveUp = (): void => {
+        settle({ type: 'lost', dispatcher: chosen, reason: 'the dispatcher became unreachable' })
+        call.cancel()
+      }
+      this.#addPendingOrder(peer.node, giveUp)
       signal.addEventListener('abort', () => call.cancel(), { once: true })
     })
   }
 
+  #addPendingOrder (peer: NodeId, giveUp: () => void): void {
+    const pending = this.#pendingOrders.get(peer) ?? new Set()
+    pending.add(giveUp)
+    this.#pendingOrders.set(peer, pending)
+  }
+
+  /** Connecting to a paused process succeeds, and the call then waits for its settings until the deadline of the order. */
+  #giveUpOrdersAt (peer: NodeId): void {
+    const pending = this.#pendingOrders.get(peer) ?? []
+    this.#pendingOrders.delete(peer)
+    for (const giveUp of pending) giveUp()
+  }
+
   #findOwner (runner: RunnerId): Member | null {
     const { membership, directory } = this.#dependencies
     const backend = directory.find(runner)
--- a/packages/standin/tests/recovery.test.ts
+++ b/packages/standin/tests/recovery.test.ts
@@ -120,6 +120,7 @@
     t.true(await executions(fleet.plains, key) <= 1, key)
     t.true(await executions(fleet.plains, `p-${key}`) <= 1, `p-${key}`)
   }
+  for (const result of during) t.true(result.elapsed < PAUSED_ORDER_LIMIT_MS, endOf(result))
   for (const result of late) t.true((result?.elapsed ?? 0) < PAUSED_ORDER_LIMIT_MS, endOf(result))
   for (const result of during) t.true(result.status === 200 || (result.error?.number ?? 0) >= 1_000, result.text)
   await replaceNode('node-8')
