--- a/packages/node/tests/storeSync.test.ts
+++ b/packages/node/tests/storeSync.test.ts
@@ -31,10 +31,10 @@
   isSilent = false
   /** Whether the answers of watches are lost that wait for long. */
   losesAnswers = false
-  /** Time after which a watch of this prefix fails while the store is down; the others fail at once. */
-  lateFailure: { readonly prefix: string, readonly delay: number } | null = null
-  lateFailureCount = 0
+  /** While the store is down, a watch of this prefix fails only when the promise is resolved; the others fail at once. */
+  lateFailure: { readonly prefix: string, readonly released: Promise<void> } | null = null
   readonly watchWaits: number[] = []
+  readonly watchedPrefixes: string[] = []
 
   constructor () {
     super({ address: '127.0.0.1:1', http: new HttpPool(1), timeout: 1 })
@@ -62,6 +62,7 @@
 
   override async watch (prefix: string, after: number, wait: number, signal: AbortSignal): Promise<Result<StoreChanges, CallFailure>> {
     this.watchWaits.push(wait)
+    this.watchedPrefixes.push(prefix)
     const isLost = (): boolean => this.isSilent || (this.losesAnswers && wait > 1)
     for (let turn = 0; (turn < Math.min(50, wait) || isLost()) && !signal.aborted; turn += 1) {
       if (isLost()) {
@@ -82,8 +83,7 @@
 
   async #fail (prefix: string): Promise<Result<never, CallFailure>> {
     if (prefix !== this.lateFailure?.prefix) return failed(DOWN)
-    await sleep(this.lateFailure.delay)
-    this.lateFailureCount += 1
+    await this.lateFailure.released
     return failed(DOWN)
   }
 }
@@ -288,12 +288,17 @@
   const { fleetState, sync } = start(t, store)
   t.true(await eventually(() => readyServers(fleetState) === 'e1'))
   store.set(`${StoreKey.Nodes}n9`, 'other')
-  const shownAt = performance.now()
-  while (performance.now() - shownAt < 6 * MAX_ANSWER_DELAY) {
+  const shortWatches = (): number => store.watchWaits.filter((wait) => wait === 1).length
+  t.true(await eventually(() => {
+    sync.storeAt(store.revision)
+    return shortWatches() === 2
+  }))
+  const repeatedAt = performance.now()
+  while (performance.now() - repeatedAt < 3 * MAX_ANSWER_DELAY) {
     sync.storeAt(store.revision)
     await sleep(10)
   }
-  t.is(store.watchWaits.filter((wait) => wait === 1).length, 2)
+  t.is(shortWatches(), 2)
 })
 
 // Guards against a call that was made in an outage and fails after the store's return, which counted as another loss.
@@ -302,13 +307,15 @@
   let losses = 0
   const { availability } = start(t, store, () => true, () => { losses += 1 })
   t.true(await eventually(() => store.listCount > 1))
-  store.lateFailure = { prefix: StoreKey.Configuration, delay: 1_500 }
+  let release = (): void => {}
+  store.lateFailure = { prefix: StoreKey.Configuration, released: new Promise((resolve) => { release = resolve }) }
   store.isDown = true
   t.true(await eventually(() => availability.isLost))
   store.isDown = false
   t.true(await eventually(() => !availability.isLost))
-  t.is(store.lateFailureCount, 0)
-  t.true(await eventually(() => store.lateFailureCount > 0))
-  await sleep(50)
+  const watches = (): number => store.watchedPrefixes.filter((prefix) => prefix === StoreKey.Configuration).length
+  const before = watches()
+  release()
+  t.true(await eventually(() => watches() > before))
   t.is(losses, 1)
 })
