Nodes: the silence of others is measured without this node's own hold-ups

What callers saw: after a node was held up for more than 1.5 s (paused VM, no processor time, one long task), it placed their requests itself for about a second, as if it were the scheduler of its group: with the whole of a stated request limit instead of asking for a place, and knowing only its own load. A scheduler that was held up for longer than 1.5 s also dropped what the others had reported. Cause: three limits on the silence of others are compared with the monotonic clock: CANDIDATE_SILENCE (SchedulerDirectory, 1.5 s), PEER_ASSIGNMENTS_EXPIRY (FleetAssignments, 1.5 s), PEER_LOST_AFTER (PeerTable, 2 s). A process that is held up hears no one, and its timers run before waiting datagrams; a candidate that is heard again is then passed over for WARM_UP (1.2 s) as after a partition. Ruled out: waiting for one turn of the event loop, as for timers, does not help: what was answered before the hold-up does not wait. The silence of other nodes is measured on it, everything else as before. Limits are unchanged. A hold-up changes no verdict, in whatever order timers and datagrams are handled afterwards, since the clock itself leaves it out.

--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -21,7 +21,8 @@
   readonly assignments: Map<string, Assignment>
   /** Assignments that this node has granted to the peer, with the time; a report that was sent before may not contain them. */
   readonly grantedAt: Map<string, Millis>
-  receivedAt: Millis
+  /** Time of the last report, or of the first grant, on the clock for the silence of peers. */
+  heardAt: Millis
 }
 
 /** Age at which a peer's last report is discarded, because the peer has stopped or cannot be reached. */
@@ -108,9 +109,10 @@
    * @param draft - the assignment without its id
    * @param number - its number at the peer
    * @param now - current time
+   * @param runningNow - current time on the clock for the silence of peers
    */
-  grant (node: NodeId, draft: Omit<Assignment, 'id'>, number: number, now: Millis): void {
-    const peer = this.#peerOf(node, now)
+  grant (node: NodeId, draft: Omit<Assignment, 'id'>, number: number, now: Millis, runningNow: Millis = now): void {
+    const peer = this.#peerOf(node, runningNow)
     const assignment = { ...draft, id: assignmentId(node, number) }
     this.endGranted(node, number, now)
     peer.assignments.set(assignment.id, assignment)
@@ -156,9 +158,10 @@
    * @param node - the peer
    * @param reported - all assignments made by the peer
    * @param now - current time
+   * @param runningNow - current time on the clock for the silence of peers
    */
-  setPeerAssignments (node: NodeId, reported: readonly Assignment[], now: Millis): void {
-    const peer = this.#peerOf(node, now)
+  setPeerAssignments (node: NodeId, reported: readonly Assignment[], now: Millis, runningNow: Millis = now): void {
+    const peer = this.#peerOf(node, runningNow)
     const current = new Map(reported.map((assignment) => [assignment.id, assignment]))
     for (const [id, grantedAt] of peer.grantedAt) {
       const granted = peer.assignments.get(id)
@@ -166,7 +169,7 @@
       else peer.grantedAt.delete(id)
     }
     this.#replaceAssignments(peer, current, now)
-    peer.receivedAt = now
+    peer.heardAt = runningNow
   }
 
   /**
@@ -184,10 +187,11 @@
    * Sums up the assignments of all nodes by backend server; expired reports of peers are removed first.
    *
    * @param now - current time
+   * @param runningNow - current time on the clock for the silence of peers
    * @returns load by backend server
    */
-  serverLoads (now: Millis): ServerLoads {
-    for (const [node, { receivedAt }] of this.#peers) if (now - receivedAt > PEER_ASSIGNMENTS_EXPIRY) this.removePeer(node, now)
+  serverLoads (now: Millis, runningNow: Millis = now): ServerLoads {
+    for (const [node, { heardAt }] of this.#peers) if (runningNow - heardAt > PEER_ASSIGNMENTS_EXPIRY) this.removePeer(node, now)
     const requests = new Map<RunnerId, Assignment[]>()
     const reservedTokens = new Map<RunnerId, Tokens>()
     for (const assignment of this.#all()) {
@@ -209,10 +213,10 @@
     return arrivals
   }
 
-  #peerOf (node: NodeId, now: Millis): PeerAssignments {
+  #peerOf (node: NodeId, heardAt: Millis): PeerAssignments {
     const existing = this.#peers.get(node)
     if (existing !== undefined) return existing
-    const peer: PeerAssignments = { assignments: new Map(), grantedAt: new Map(), receivedAt: now }
+    const peer: PeerAssignments = { assignments: new Map(), grantedAt: new Map(), heardAt }
     this.#peers.set(node, peer)
     return peer
   }
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -6,6 +6,7 @@
 import { HttpPool } from '@bluebellhill/services'
 
 import { monotonicNow } from '../clock/monotonic.js'
+import { RunningClock } from '../clock/RunningClock.js'
 import type { Log } from '../log/index.js'
 import { DisposableStore } from '../store/index.js'
 import { AnswerMemory } from './backend/AnswerMemory.js'
@@ -53,6 +54,7 @@
 export class ForwardNode {
   readonly #disposables = new DisposableStore()
   readonly #metrics = new ForwardMetrics()
+  readonly #runningClock = new RunningClock(monotonicNow)
   readonly #fleetState: FleetState
   readonly #directory: SchedulerDirectory
   readonly #scheduler: Scheduler
@@ -72,15 +74,17 @@
     const { log } = options
     const settings = options.settings.current
     const clock = monotonicNow
+    const runningClock = (): Millis => this.#runningClock.now()
     const self = candidateOf(settings)
     this.#options = options
     this.#fleetState = new FleetState(log, clock)
-    this.#directory = new SchedulerDirectory(self, clock())
+    this.#directory = new SchedulerDirectory(self, runningClock())
     this.#scheduler = new Scheduler({
       node: settings.node,
       fleetState: this.#fleetState,
       log,
       clock,
+      runningClock,
       retryBounds: () => ({ ratio: options.settings.current.retryRatio, slack: options.settings.current.retrySlack, window: options.settings.current.retryWindow }),
       schedulerCount: () => this.#schedulerCount(),
       group: () => this.#directory.group
@@ -94,6 +98,7 @@
       fleetState: this.#fleetState,
       log,
       clock,
+      runningClock,
       send,
       onUncoordinatedPlacement: () => this.#peerLink.reportSoon(),
       onNotice: (notice) => this.#peerLink.noticeHeard(notice)
@@ -117,6 +122,7 @@
       fleetState: this.#fleetState,
       log,
       clock,
+      runningClock,
       schedulersInUse: () => this.#placement.schedulersInUse(),
       onPeerAhead: () => this.#fleetStateExchange.catchUp(),
       isStoreLost: () => this.#storeAvailability.isLost,
@@ -130,7 +136,7 @@
     this.#disposables.add(storeHttp)
     const store = new MetadataStore({ address: `${settings.store.host}:${settings.store.port}`, http: storeHttp, timeout: STORE_TIMEOUT })
     this.#storeAvailability = new StoreAvailability(this.#fleetState, log, clock, () => this.#peerLink.announceStoreLost())
-    const isStoreWatcher = (): boolean => this.#directory.isStoreWatcher(clock())
+    const isStoreWatcher = (): boolean => this.#directory.isStoreWatcher(runningClock())
     this.#storeSync = new StoreSync({
       store,
       fleetState: this.#fleetState,
@@ -158,6 +164,8 @@
   async start (): Promise<void> {
     const { log } = this.#options
     const settings = this.#options.settings.current
+    this.#runningClock.start()
+    this.#disposables.add(this.#runningClock)
     this.#startStoreClients()
     const port = settings.internalPorts[0]
     await Promise.all([
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -54,6 +54,8 @@
   readonly fleetState: FleetState
   readonly log: Log
   readonly clock: () => Millis
+  /** Clock on which the silence of other nodes is measured; `clock` if absent. */
+  readonly runningClock?: () => Millis
   /** Returns the addresses of all schedulers that keep assignments of this node. */
   readonly schedulersInUse: () => ReadonlySet<string>
   /** Called when another node has a newer configuration or list of backend servers. */
@@ -75,6 +77,7 @@
   readonly #announcements: Announcements
   readonly #notices: NoticeExchange
   readonly #facts: FactExchange
+  readonly #runningClock: () => Millis
   #sequence = 0
   #heartbeatCount = 0
   #heartbeatTimer: NodeJS.Timeout | null = null
@@ -87,6 +90,7 @@
   /** @param options - this node, its scheduler and fleet state */
   constructor (options: PeerLinkOptions) {
     this.#options = options
+    this.#runningClock = options.runningClock ?? options.clock
     this.#notices = new NoticeExchange({ ...options, node: options.self.node, statements: options.scheduler.statements })
     this.#facts = new FactExchange({ quarantine: options.scheduler.quarantine, clock: options.clock, onOwnFact: () => this.#factFound() })
     this.#announcements = new Announcements({ ...options, notices: this.#notices, facts: this.#facts })
@@ -114,15 +118,15 @@
    * @param addresses - `ip:port` of nodes of earlier builds, which list nothing else
    */
   addNodes (candidates: readonly SchedulerCandidate[], addresses: readonly string[]): void {
-    const { directory, clock, self } = this.#options
+    const { directory, self } = this.#options
     const added = candidates.filter((candidate) => directory.add(candidate))
-    this.table.addAddresses(addresses.filter((address) => address !== self.address), clock())
+    this.table.addAddresses(addresses.filter((address) => address !== self.address), this.#runningClock())
     if (added.length > 0) this.reportSoon()
   }
 
   /** @returns the nodes that were heard lately, with the versions of their fleet state */
   sources (): FleetStateSource[] {
-    const candidates = this.#options.directory.live(this.#options.clock()).flatMap(({ node, address, failureDomain, state }) =>
+    const candidates = this.#options.directory.live(this.#runningClock()).flatMap(({ node, address, failureDomain, state }) =>
       state === null ? [] : [{ node, address, failureDomain, configurationVersion: state.configurationVersion, serversRevision: state.serversRevision }])
     return [...candidates, ...this.table.active()]
   }
@@ -185,9 +189,9 @@
 
   #sendHeartbeat (): void {
     const { scheduler, log, clock } = this.#options
-    const now = clock()
+    const now = this.#runningClock()
     for (const peer of this.table.expire(now)) {
-      scheduler.assignments.removePeer(peer.node, now)
+      scheduler.assignments.removePeer(peer.node, clock())
       log.warn('peer.lost', { peer: peer.node, silent_ms: Math.round(now - peer.lastSeenAt) })
     }
     this.#updateGroup()
@@ -219,8 +223,8 @@
 
   #sendState (isIntroduction: boolean): void {
     if (this.#isDisposed) return
-    const { directory, clock, schedulersInUse } = this.#options
-    const now = clock()
+    const { directory, schedulersInUse } = this.#options
+    const now = this.#runningClock()
     const contacts = directory.contacts(now)
     for (const { node } of contacts) directory.reported(node, now)
     const addresses = new Set([...contacts.map(({ address }) => address), ...schedulersInUse(), ...this.table.addresses()])
@@ -279,8 +283,8 @@
   }
 
   #candidateHeard (node: NodeId, state: CandidateState): void {
-    const { directory, clock, onPeerStoreLost } = this.#options
-    const previous = directory.heard(node, state, clock())
+    const { directory, onPeerStoreLost } = this.#options
+    const previous = directory.heard(node, state, this.#runningClock())
     this.#compareVersions(state)
     if (state.hasLostStore && previous?.hasLostStore === false) onPeerStoreLost()
   }
@@ -293,12 +297,12 @@
   #receiveState (fragment: NodeStateFragment, address: string): void {
     const { scheduler, directory, clock, onPeerStoreLost, self } = this.#options
     if (fragment.node === self.node) return
-    const now = clock()
+    const heardAt = this.#runningClock()
     this.#recordStatements(fragment)
-    const received = this.table.record(fragment, address, now)
+    const received = this.table.record(fragment, address, heardAt)
     if (received === null) return
-    scheduler.assignments.setPeerAssignments(received.peer.node, received.assignments, now)
-    this.table.addAddresses(fragment.peers.filter((peer) => peer !== self.address), now)
+    scheduler.assignments.setPeerAssignments(received.peer.node, received.assignments, clock(), heardAt)
+    this.table.addAddresses(fragment.peers.filter((peer) => peer !== self.address), heardAt)
     if (received.isNew) this.#peerFound(received.peer)
     if (fragment.version > 0) this.#answerState(fragment, address)
     if (fragment.version > 0 && fragment.failureDomain !== '') directory.add({ node: fragment.node, address, failureDomain: fragment.failureDomain as FailureDomain, processor: fragment.processor })
@@ -335,7 +339,7 @@
       const content = this.#announcements.announcement()
       for (const { address, version } of this.table.active()) if (version > 0) this.send(address, content)
     } while (this.#notices.hasUnannounced || this.#facts.hasUnannounced)
-    if (this.#facts.hasNewForGroups && this.#isGroupScheduler(this.#options.clock())) this.#announceLoad()
+    if (this.#facts.hasNewForGroups && this.#isGroupScheduler(this.#runningClock())) this.#announceLoad()
   }
 
   /** Sends the load of this group to the schedulers of the others. */
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -39,6 +39,8 @@
   readonly onUncoordinatedPlacement: () => void
   /** Called when a backend server has stated something to this node that the other nodes should know at once. */
   readonly onNotice: (notice: ServerNotice) => void
+  /** Clock on which the silence of other nodes is measured; `clock` if absent. */
+  readonly runningClock?: () => Millis
   /** When queries are repeated and given up; `QUERY_TIMING` if absent. */
   readonly queryTiming?: QueryTiming
 }
@@ -61,6 +63,7 @@
   /** Last pauses of each stream over the published pass time, by assignment id. */
   readonly #pauses = new Map<string, number[]>()
   readonly #reports: ReportQueue
+  readonly #runningClock: () => Millis
   #nextSilenceQuery = 1
 
   /** @param options - the scheduler of this node and those of the others */
@@ -69,6 +72,7 @@
     this.#options = options
     this.#placementQueries = new PendingQueries(timing)
     this.#silenceQueries = new PendingQueries(timing)
+    this.#runningClock = options.runningClock ?? options.clock
     this.#reports = new ReportQueue(options.send)
     this.answers = new AnswerStatements({ ...options, statements: options.scheduler.statements })
   }
@@ -236,11 +240,11 @@
    * @param address - `ip:port` of its sender
    */
   handle ({ node, content }: ReceivedDatagram, address: string): void {
-    const { directory, clock } = this.#options
+    const { directory } = this.#options
     if (content.$case === 'silenceReply') {
       this.#silenceQueries.answer(content.value.number, content.value.explainedMs)
     } else if (content.$case === 'placementReply') {
-      directory.heard(node, null, clock())
+      directory.heard(node, null, this.#runningClock())
       const { number, result } = content.value
       if (!this.#placementQueries.answer(number, content.value) && result?.$case === 'placement') this.#returnUnusedGrant(address, number, result.value.server?.id ?? '')
     }
@@ -251,10 +255,10 @@
   }
 
   async #decide (spec: PlacementSpec, number: number): Promise<Decision> {
-    const { directory, clock, node, log, scheduler } = this.#options
+    const { directory, node, log, scheduler } = this.#options
     const schedulersAsked = spec.trialParts.length > 0 ? 1 : MAX_SCHEDULERS_ASKED
     for (let asked = 0; asked < schedulersAsked; asked += 1) {
-      const candidate = directory.scheduler(clock())
+      const candidate = directory.scheduler(this.#runningClock())
       if (candidate.node === node) return await this.#followRedirect(scheduler.place(spec, { node, number }, GROUP_CONTEXT), null, spec, number)
       const result = await this.#ask(candidate.address, spec, number)
       if (result !== null) return await this.#followRedirect(result, candidate.address, spec, number)
@@ -304,9 +308,9 @@
   }
 
   #reportSignal (server: BackendServer, signal: HealthSignal): void {
-    const { scheduler, directory, clock, node } = this.#options
+    const { scheduler, directory, node } = this.#options
     scheduler.recordHealthSignal(server, signal)
-    const group = directory.scheduler(clock())
+    const group = directory.scheduler(this.#runningClock())
     if (group.node !== node) this.#reports.add(group.address, { number: 0, isEnded: false, server: server.id, signal, slowdown: null })
   }
 
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -17,6 +17,8 @@
   readonly fleetState: FleetState
   readonly log: Log
   readonly clock: () => Millis
+  /** Clock on which the silence of other nodes is measured; `clock` if absent. */
+  readonly runningClock?: () => Millis
   /** Returns the limits on retries in force. */
   readonly retryBounds: () => RetryBounds
   /** Returns the number of schedulers that share them. */
@@ -78,7 +80,7 @@
     if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
     if (spec.isFirstAttempt) this.#retryBudgets.countRequest(spec.service)
     const now = this.#options.clock()
-    const loads = this.assignments.serverLoads(now)
+    const loads = this.#loads(now)
     const permitted = this.#permittedServers(spec, service)
     const open = permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, context.limitShare, now) === 0)
     const choice = this.#choose(spec, service, open, loads, context, now)
@@ -164,7 +166,7 @@
    */
   explainedSilence (id: RunnerId): Millis {
     const now = this.#options.clock()
-    const { pending } = this.assignments.serverLoads(now).get(id)
+    const { pending } = this.#loads(now).get(id)
     const remaining = this.#slowdowns.slowdown(id, now) * pending.reduce((sum, prefill) => sum + prefill.remaining, 0)
     return remaining > BUSY_PREFILL_TIME ? remaining : 0
   }
@@ -181,7 +183,7 @@
   /** @returns the loads of this group's engines by service, for the schedulers of the other groups */
   serviceLoads (): ServiceLoad[] {
     const { fleetState, clock, group } = this.#options
-    const loads = this.assignments.serverLoads(clock())
+    const loads = this.#loads(clock())
     const services = fleetState.routeTable?.deployment.services ?? []
     return services.filter(({ engine }) => engine !== null).map(({ name }) => {
       const servers = fleetState.servers.ready(name).filter(({ failureDomain }) => isInGroup(group(), failureDomain))
@@ -244,7 +246,7 @@
   #record (spec: PlacementSpec, choice: PlacementChoice, { node, number }: AssignmentOwner, now: Millis): void {
     const draft = this.draftAssignment(spec, choice, now)
     if (node === this.#options.node) this.assignments.start(draft, number)
-    else this.assignments.grant(node, draft, number, now)
+    else this.assignments.grant(node, draft, number, now, this.#runningNow())
   }
 
   #permittedServers ({ excluded, allowed }: PlacementSpec, service: Service): BackendServer[] {
@@ -265,6 +267,15 @@
     return this.#options.fleetState.servers.find(server.id)?.readiness === Readiness.Draining || this.statements.notices.isLeaving(server)
   }
 
+  #loads (now: Millis): ServerLoads {
+    return this.assignments.serverLoads(now, this.#runningNow())
+  }
+
+  #runningNow (): Millis {
+    const { runningClock, clock } = this.#options
+    return (runningClock ?? clock)()
+  }
+
   #policyOf ({ engine }: Service): PlacementPolicy {
     return engine === null ? this.#plainPolicy : this.#enginePolicy
   }
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -8,10 +8,11 @@
 import fc from 'fast-check'
 
 import { CANDIDATE_SILENCE, MAX_GROUP_ENGINES, Readiness, SchedulerDirectory, WARM_UP } from '@bluebellhill/domain'
-import type { BackendServer, FailureDomain, NodeId, RunnerId, Assignment, SchedulerCandidate } from '@bluebellhill/domain'
+import type { BackendServer, FailureDomain, Millis, NodeId, RunnerId, Assignment, SchedulerCandidate } from '@bluebellhill/domain'
 import { fleetWire } from '@bluebellhill/protocol'
 import { HttpPool, success } from '@bluebellhill/services'
 
+import { RunningClock } from '../src/clock/RunningClock.js'
 import { FleetState } from '../src/forward/FleetState.js'
 import { ForwardMetrics } from '../src/forward/ForwardMetrics.js'
 import { decodeDatagram } from '../src/forward/peers/datagramCodec.js'
@@ -173,16 +174,20 @@
 /** Starts a node with its scheduler and its sockets, without callers and store. */
 const openPeer = async (t: ExecutionContext, host: string, port: number, index: number, domain = `d${index}`): Promise<TestPeer> => {
   const log = silentLog()
-  const clock = (): number => performance.now()
+  let heldUp: Millis = 0
+  const clock = (): Millis => performance.now() + heldUp
+  const silenceClock = new RunningClock(clock)
+  silenceClock.start()
+  const runningClock = (): Millis => silenceClock.now()
   const self: SchedulerCandidate = { node: `n${index}` as NodeId, address: `${host}:${port}`, failureDomain: domain as FailureDomain, processor: 1 + index }
   const fleetState = new FleetState(log, clock)
-  const directory = new SchedulerDirectory(self, clock() - WARM_UP)
-  const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), schedulerCount: () => 1, group: () => directory.group })
+  const directory = new SchedulerDirectory(self, runningClock() - WARM_UP)
+  const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, runningClock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), schedulerCount: () => 1, group: () => directory.group })
   const http = new HttpPool(2)
   const exchange: FleetStateExchange = new FleetStateExchange({ fleetState, http, log, metrics: new ForwardMetrics(), clock, failureDomain: self.failureDomain, peers: () => link.sources() })
   const send: PeerLink['send'] = (address, content) => link.send(address, content)
   const schedulerHost = new SchedulerHost({ scheduler, log, clock, send })
-  const placement: PlacementClient = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, send, onUncoordinatedPlacement: () => link.reportSoon(), onNotice: (notice) => link.noticeHeard(notice) })
+  const placement: PlacementClient = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, runningClock, send, onUncoordinatedPlacement: () => link.reportSoon(), onNotice: (notice) => link.noticeHeard(notice) })
   const link: PeerLink = new PeerLink({
     self,
     startedAt: Date.now(),
@@ -191,6 +196,7 @@
     fleetState,
     log,
     clock,
+    runningClock,
     schedulersInUse: () => placement.schedulersInUse(),
     onPeerAhead: () => exchange.catchUp(),
     isStoreLost: () => false,
@@ -207,8 +213,13 @@
     exchange.dispose()
     placement.dispose()
     await http.dispose()
+    silenceClock.dispose()
   })
-  return { self, link, scheduler, directory, fleetState, placement }
+  const holdUp = (time: Millis): void => {
+    silenceClock.dispose()
+    heldUp += time
+  }
+  return { self, link, scheduler, directory, fleetState, placement, clock, runningClock, holdUp }
 }
 
 interface TestPeer {
@@ -218,6 +229,11 @@
   readonly directory: SchedulerDirectory
   readonly fleetState: FleetState
   readonly placement: PlacementClient
+  readonly clock: () => Millis
+  /** Clock on which the silence of other nodes is measured. */
+  readonly runningClock: () => Millis
+  /** Lets a time pass in which the node does not run; its clock for silence stands still from then on. */
+  readonly holdUp: (time: Millis) => void
 }
 
 /** Waits for a condition, with a generous limit. */
@@ -234,12 +250,34 @@
   const { id: _, ...assignment } = assignmentOf(1, { sentAt: performance.now(), dueAt: performance.now() + 300 })
   first.scheduler.assignments.start(assignment)
   first.link.addNodes([second.self], [])
-  const reported = (): number => second.scheduler.assignments.serverLoads(performance.now()).get('i-1' as RunnerId).requests.length
+  const reported = (): number => second.scheduler.assignments.serverLoads(second.clock(), second.runningClock()).get('i-1' as RunnerId).requests.length
   await until(() => first.fleetState.configurationVersion > 0 && reported() > 0)
   t.is(first.fleetState.configurationVersion, DEPLOYMENT.version)
   t.is(reported(), 1)
-  await until(() => first.directory.scheduler(performance.now()).node === second.self.node)
-  t.is(first.directory.scheduler(performance.now()).node, second.self.node)
+  await until(() => first.directory.scheduler(first.runningClock()).node === second.self.node)
+  t.is(first.directory.scheduler(first.runningClock()).node, second.self.node)
+})
+
+// Guards against a scheduler that forgets what runs on the engines because it was held up itself.
+test('a node that was held up for some seconds keeps what others have reported, and hears its scheduler', async (t) => {
+  const port = PORTS_FROM + (process.pid + 7) % PORT_COUNT
+  const reporting = await openPeer(t, '127.0.0.18', port, 0)
+  const scheduling = await openPeer(t, '127.0.0.19', port, 1)
+  const listener = createSocket('udp4')
+  listener.bind(port, '127.0.0.20')
+  await once(listener, 'listening')
+  t.teardown(() => { listener.close() })
+  const { id: _, ...assignment } = assignmentOf(1, { sentAt: reporting.clock() })
+  reporting.scheduler.assignments.start(assignment)
+  reporting.link.addNodes([scheduling.self], [])
+  await until(() => scheduling.link.table.active().length === 1 && reporting.directory.scheduler(reporting.runningClock()).node === scheduling.self.node)
+  reporting.link.dispose()
+  for (const { holdUp } of [reporting, scheduling]) holdUp(60_000)
+  scheduling.link.addNodes([], [`127.0.0.20:${port}`])
+  // Two heartbeats, each of which looks for lost nodes.
+  for (let count = 0; count < 2; count += 1) await once(listener, 'message')
+  t.is(reporting.directory.scheduler(reporting.runningClock()).node, scheduling.self.node)
+  t.is(scheduling.scheduler.assignments.serverLoads(scheduling.clock(), scheduling.runningClock()).get('i-1' as RunnerId).requests.length, 1)
 })
 
 test('a change of the configuration reaches the nodes that report to a candidate', async (t) => {
@@ -260,8 +298,8 @@
   second!.link.addNodes([third!.self], [])
   await until(() => second!.link.sources().length === 1)
   first!.link.addNodes([second!.self], [])
-  await until(() => first!.directory.scheduler(performance.now()).node === third!.self.node)
-  t.is(first!.directory.scheduler(performance.now()).node, third!.self.node)
+  await until(() => first!.directory.scheduler(first!.runningClock()).node === third!.self.node)
+  t.is(first!.directory.scheduler(first!.runningClock()).node, third!.self.node)
 })
 
 test('pattern: requests that come and go between heartbeats are not sent to every node', async (t) => {
@@ -341,9 +379,9 @@
   await until(() => alone!.directory.group.domain === 'd0')
   // All messages from before the division are now older than the time after which a node is no longer heard.
   await sleep(CANDIDATE_SILENCE + 500)
-  const other = alone!.directory.live(performance.now()).find(({ node }) => node === peers[2]!.self.node)
+  const other = alone!.directory.live(alone!.runningClock()).find(({ node }) => node === peers[2]!.self.node)
   t.true((other?.state?.uptime ?? 0) > CANDIDATE_SILENCE)
-  t.is(alone!.directory.scheduler(performance.now()).node, alone!.self.node)
+  t.is(alone!.directory.scheduler(alone!.runningClock()).node, alone!.self.node)
 })
 
 /** More servers than the statements of one message. */
