Tests of forwarding wait for conditions instead of parts of a second

Seen beside load: ten runs of beside 6 busy processes, load average 16 to 21 on 8 cores: 'a stopping node closes an idle connection' failed four times (ECONNRESET), 'a request is answered when its deadline passes' twice (503 instead of 504). Of pausingServers, in 20 runs beside 8, load 17 to 37: 'with reserved memory' seven times, 'after a configuration without its service' five times, 'goes on at its silent server' twice. Cause: the tests measured the machine; in all of them the node did what it should. - Routes of the fixture had a timeout of 1,500 ms. The long stream took 1,300 ms of it, so that its deadline passed first; single requests of this file took up to 1.6 s at that load. Change: requests of the fixture have 30 s. The deadline test stops the clock and the timers of the node: nothing 1 ms before the deadline, 504 at the deadline, which is stricter than within 1 s. The short stream ends first, its connection has to close while the long one, which the test ends after that, is open; neither idle timeout nor grace can close it. Servers go on when the other one has been asked or has refused. Two tests in which half of the time until the deadline has to pass set 6 s. Without the mechanism (built files altered): no timer for the deadline: 0 endings instead of 1. After: 20 runs of forwarding and serverStatements beside 8 busy processes, load average 17 to 37, and 20 of forwarding and pausingServers beside 6, load average 11 to 42, without a failure.

--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -8,7 +8,7 @@
 import Transport from 'winston-transport'
 
 import { CallKind, Readiness, SchedulerDirectory } from '@bluebellhill/domain'
-import type { Deployment, FailureDomain, NodeId, Route, RunnerId, SchedulerCandidate } from '@bluebellhill/domain'
+import type { Deployment, FailureDomain, Millis, NodeId, Route, RunnerId, SchedulerCandidate } from '@bluebellhill/domain'
 
 import { EngineMemoryClient, HeaderName } from '@bluebellhill/platform'
 import { HttpPool } from '@bluebellhill/services'
@@ -26,6 +26,9 @@
 export const HOST = 'a.example'
 export const KEY = 'the-key-of-growers'
 
+/** Deadline in milliseconds of a request whose first server stays silent: another one is asked after half of it. */
+export const TIME_FOR_TWO_ATTEMPTS = '6000'
+
 const SELF: SchedulerCandidate = { node: 'n1' as NodeId, address: '127.0.0.1:1', failureDomain: 'd1' as FailureDomain, processor: 1 }
 
 /** Creates a log whose lines are discarded. */
@@ -48,7 +51,7 @@
   { name: 'once', kind: CallKind.Stream, maxAttempts: 2, resumable: false },
   { name: 'pausing', kind: CallKind.Stream, maxAttempts: 2, resumable: true, timeout: 30_000 }
 ].map((route) => ({
-  host: HOST, pathPrefix: `/${route.name}/`, resumable: false, timeout: 1_500, objective: 300, pauseObjective: 200, priority: 1, isPublic: false, services: [{ service: 's', weight: 1 }], ...route
+  host: HOST, pathPrefix: `/${route.name}/`, resumable: false, timeout: 30_000, objective: 300, pauseObjective: 200, priority: 1, isPublic: false, services: [{ service: 's', weight: 1 }], ...route
 }))
 
 export const DEPLOYMENT: Deployment = {
@@ -77,6 +80,8 @@
   readonly placement: PlacementClient
   readonly metrics = new ForwardMetrics()
   readonly quarantine: PromptQuarantine
+  /** Clock of the node; a test may stop it. */
+  clock: () => Millis = () => performance.now()
   readonly #servers: Server[] = []
   #port = 0
   #nextAttemptId = 1
@@ -84,7 +89,7 @@
   constructor () {
     const { lines } = this
     const log = openLog({ node: 'n1', failureDomain: 'd1', level: LogLevel.Info, transport: new LineCollector(lines) })
-    const clock = (): number => performance.now()
+    const clock = (): Millis => this.clock()
     this.fleetState = new FleetState(log, clock)
     const directory = new SchedulerDirectory(SELF, clock())
     const scheduler = new Scheduler({
--- a/packages/node/tests/forwarding.test.ts
+++ b/packages/node/tests/forwarding.test.ts
@@ -1,15 +1,20 @@
 import { once } from 'node:events'
 import { Agent, request as httpRequest } from 'node:http'
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { mock } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
 
+import type { Millis } from '@bluebellhill/domain'
 import { HeaderName } from '@bluebellhill/platform'
 
-import { ForwardFixture, HOST, KEY, signedHeaders } from './forwardFixture.js'
+import { DEPLOYMENT, ForwardFixture, HOST, KEY, signedHeaders, TIME_FOR_TWO_ATTEMPTS } from './forwardFixture.js'
 import type { Script } from './forwardFixture.js'
 
+/** Longer than any of these requests takes. */
+const STOP_GRACE: Millis = 60_000
+
 const eventText = (id: number): string => `id: ${id}\ndata: x\n\n`
 
 const answers: Script = (request, response) => { response.writeHead(200, signedHeaders(request)).end('answer') }
@@ -132,14 +137,24 @@
 
 test('a request that may run again is sent to another server if the first does not answer', async (t) => {
   const fixture = await ForwardFixture.start(t, neverAnswers, answers)
-  for (let index = 0; index < 2; index += 1) t.is((await fixture.call('/safe/x')).status, 200)
+  for (let index = 0; index < 2; index += 1) t.is((await fixture.call('/safe/x', { headers: { [HeaderName.Deadline]: TIME_FOR_TWO_ATTEMPTS } })).status, 200)
 })
 
-test('a request is answered when its deadline passes', async (t) => {
-  const fixture = await ForwardFixture.start(t, neverAnswers)
-  const startedAt = performance.now()
-  t.is((await fixture.call('/unsafe/x', { headers: { [HeaderName.Deadline]: '200' } })).status, 504)
-  t.true(performance.now() - startedAt < 1_000)
+test.serial('a request is answered when its deadline passes', async (t) => {
+  const deadline = 200
+  let reached = (): void => {}
+  const isSent = new Promise<void>((resolve) => { reached = resolve })
+  const fixture = await ForwardFixture.start(t, () => reached())
+  fixture.clock = () => 0
+  mock.timers.enable({ apis: ['setTimeout'] })
+  t.teardown(() => mock.timers.reset())
+  const answer = fixture.call('/unsafe/x', { headers: { [HeaderName.Deadline]: String(deadline) } })
+  await isSent
+  mock.timers.tick(deadline - 1)
+  t.is(fixture.linesOf('request.ended').length, 0)
+  mock.timers.tick(1)
+  t.is(fixture.linesOf('request.ended').length, 1)
+  t.is((await answer).status, 504)
 })
 
 test('when the caller disconnects, the connection to the backend server is closed', async (t) => {
@@ -194,11 +209,13 @@
 })
 
 test('a stopping node closes an idle connection while another request is in progress', async (t) => {
+  const responses = new Map<string | undefined, ServerResponse>()
   const fixture = await ForwardFixture.start(t, (request, response) => {
+    responses.set(request.url, response)
     response.writeHead(200, signedHeaders(request))
     response.write(eventText(1))
-    setTimeout(() => response.end(eventText(2)), request.url === '/stream/long' ? 1_300 : 200)
   })
+  fixture.fleetState.install({ ...DEPLOYMENT, version: 2, limits: { ...DEPLOYMENT.limits, idleTimeout: 2 * STOP_GRACE } }, 'store')
   const agent = new Agent({ keepAlive: true })
   t.teardown(() => agent.destroy())
   const open = async (path: string): Promise<IncomingMessage> => {
@@ -212,9 +229,12 @@
   const shortClosed = once(short.socket, 'close')
   // The server has closed the connection before the client, in the same process, has read the last bytes.
   const longEnded = once(long, 'end')
-  const stopped = fixture.entry.stop(5_000)
+  const stopped = fixture.entry.stop(STOP_GRACE)
+  responses.get('/stream/short')?.end(eventText(2))
   await shortClosed
+  t.true(short.complete)
   t.false(long.complete)
+  responses.get('/stream/long')?.end(eventText(2))
   await stopped
   await longEnded
   t.true(long.complete)
--- a/packages/node/tests/pausingServers.test.ts
+++ b/packages/node/tests/pausingServers.test.ts
@@ -1,4 +1,5 @@
 import { once } from 'node:events'
+import type { ServerResponse } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
@@ -6,7 +7,7 @@
 import type { Millis } from '@bluebellhill/domain'
 import { HeaderName } from '@bluebellhill/platform'
 
-import { ForwardFixture, signedHeaders } from './forwardFixture.js'
+import { ForwardFixture, signedHeaders, TIME_FOR_TWO_ATTEMPTS } from './forwardFixture.js'
 import type { Script } from './forwardFixture.js'
 
 /** Longer than the time without data after which another server is looked for. */
@@ -23,6 +24,21 @@
   setTimeout(() => response.end(eventText(2)), LONG_PAUSE)
 }
 
+/** Script of two servers: the first to be asked sends one event, and the rest once the other one has refused the request. */
+const pausesUntilRefused = (): { script: Script, calls: () => number } => {
+  const responses: ServerResponse[] = []
+  const script: Script = (request, response, socket) => {
+    responses.push(response)
+    if (responses.length === 1) {
+      response.writeHead(200, signedHeaders(request)).write(eventText(1))
+      return
+    }
+    refuses(request, response, socket)
+    socket.once('close', () => responses[0]?.end(eventText(2)))
+  }
+  return { script, calls: () => responses.length }
+}
+
 // Guards against a started answer that is broken off because its server pauses and no other server can go on with it.
 test('a stream whose server pauses goes on there if no other server can be chosen', async (t) => {
   const fixture = await ForwardFixture.start(t, pauses)
@@ -39,27 +55,32 @@
 
 // Guards against a started answer that is broken off because the configuration in force has no longer its service.
 test('a stream whose server pauses goes on after a configuration without its service', async (t) => {
-  const fixture = await ForwardFixture.start(t, pauses, pauses)
+  let reached = (): void => {}
+  const isSent = new Promise<void>((resolve) => { reached = resolve })
+  const script: Script = (...args) => {
+    pauses(...args)
+    reached()
+  }
+  const fixture = await ForwardFixture.start(t, script, script)
   const answer = fixture.call('/pausing/x')
-  await sleep(200)
+  await isSent
   fixture.removeServices()
   t.like(await answer, { status: 200, body: eventText(1) + eventText(2), whole: true })
 })
 
 // Guards against a started answer that is broken off because the server that was to go on with it refuses.
 test('a stream whose server pauses goes on there if the next server refuses it', async (t) => {
-  let calls = 0
-  const script: Script = (...args) => { (calls++ === 0 ? pauses : refuses)(...args) }
-  const fixture = await ForwardFixture.start(t, script, script)
+  const servers = pausesUntilRefused()
+  const fixture = await ForwardFixture.start(t, servers.script, servers.script)
   t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
 })
 
 // Guards against a started answer that is broken off because memory on other engines is reserved for it.
 test('a stream with reserved memory whose server pauses goes on there if the next server refuses it', async (t) => {
-  let calls = 0
+  const servers = pausesUntilRefused()
   const script: Script = (request, response, socket) => {
     if (request.url?.startsWith('/api/') === true) response.writeHead(200, { 'content-type': 'application/json' }).end('{"free":1}')
-    else (calls++ === 0 ? pauses : refuses)(request, response, socket)
+    else servers.script(request, response, socket)
   }
   const fixture = await ForwardFixture.start(t, script, script)
   const place = fixture.placement.place.bind(fixture.placement)
@@ -70,49 +91,53 @@
     return { type: 'placed', attempt: { ...placement.attempt, choice: { ...choice, holders: [{ server: choice.server, tokens: 100 }] } } }
   }
   t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
-  t.is(calls, 2)
+  t.is(servers.calls(), 2)
 })
 
 // Guards against a request that loses the server which answers it, because the one that was silent refuses it in the end.
 test('a server that refuses a request after a silence does not end the attempt that has replaced it', async (t) => {
-  let calls = 0
+  const silent: Array<Parameters<Script>> = []
   const script: Script = (request, response, socket) => {
-    calls += 1
-    if (calls === 1) setTimeout(() => refuses(request, response, socket), LONG_PAUSE)
-    else setTimeout(() => response.writeHead(200, signedHeaders(request)).end(eventText(1)), LONG_PAUSE)
+    silent.push([request, response, socket])
+    if (silent.length === 1) return
+    const [[firstRequest, firstResponse, firstSocket]] = silent as [Parameters<Script>]
+    firstSocket.once('close', () => response.writeHead(200, signedHeaders(request)).end(eventText(1)))
+    refuses(firstRequest, firstResponse, firstSocket)
   }
   const fixture = await ForwardFixture.start(t, script, script)
   t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1), whole: true })
-  t.is(calls, 2)
+  t.is(silent.length, 2)
 })
 
 // Guards against a request that loses the server which answers it, because the one that was silent ends inside an event.
 test('a server that ends inside an event after a silence does not end the attempt that has replaced it', async (t) => {
-  let calls = 0
+  const responses: ServerResponse[] = []
   const script: Script = (request, response) => {
-    calls += 1
-    if (calls === 1) {
+    responses.push(response)
+    if (responses.length === 1) {
       response.writeHead(200, signedHeaders(request)).write(eventText(1) + eventText(2).slice(0, 5))
-      setTimeout(() => response.end(), LONG_PAUSE)
-    } else {
-      setTimeout(() => response.writeHead(200, signedHeaders(request)).end(eventText(2)), LONG_PAUSE)
+      return
     }
+    const [first] = responses as [ServerResponse]
+    first.socket?.once('close', () => response.writeHead(200, signedHeaders(request)).end(eventText(2)))
+    first.end()
   }
   const fixture = await ForwardFixture.start(t, script, script)
   t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
-  t.is(calls, 2)
+  t.is(responses.length, 2)
 })
 
 // Guards against a started answer that is broken off because its server goes on while another one is asked.
 test('a stream goes on at its silent server if that is the first to send something', async (t) => {
-  let calls = 0
-  const script: Script = (request, response, socket) => {
-    calls += 1
-    if (calls === 1) pauses(request, response, socket)
+  const responses: ServerResponse[] = []
+  const script: Script = (request, response) => {
+    responses.push(response)
+    if (responses.length === 1) response.writeHead(200, signedHeaders(request)).write(eventText(1))
+    else responses[0]?.end(eventText(2))
   }
   const fixture = await ForwardFixture.start(t, script, script)
   t.like(await fixture.call('/pausing/x'), { status: 200, body: eventText(1) + eventText(2), whole: true })
-  t.is(calls, 2)
+  t.is(responses.length, 2)
   t.regex(fixture.linesOf('attempt.resumed')[0] ?? '', /cause=data/)
 })
 
@@ -135,17 +160,19 @@
 
 // Guards against a complete looking answer that lacks its first bytes, because they were discarded with the attempt that was to replace it.
 test('an answer whose server pauses is whole if the next server fails', async (t) => {
-  let calls = 0
-  const script: Script = (request, response) => {
-    calls += 1
-    if (calls === 1) {
+  const responses: ServerResponse[] = []
+  const script: Script = (request, response, socket) => {
+    responses.push(response)
+    if (responses.length === 1) {
       response.writeHead(200, signedHeaders(request)).write('first ')
-      setTimeout(() => response.end('last'), 1_200)
-    } else response.writeHead(200, { [HeaderName.AttemptId]: String(request.headers[HeaderName.AttemptId]) }).end('unsigned')
+      return
+    }
+    response.writeHead(200, { [HeaderName.AttemptId]: String(request.headers[HeaderName.AttemptId]) }).end('unsigned')
+    socket.once('close', () => responses[0]?.end('last'))
   }
   const fixture = await ForwardFixture.start(t, script, script)
-  t.like(await fixture.call('/safe/x'), { status: 200, body: 'first last', whole: true })
-  t.is(calls, 2)
+  t.like(await fixture.call('/safe/x', { headers: { [HeaderName.Deadline]: TIME_FOR_TWO_ATTEMPTS } }), { status: 200, body: 'first last', whole: true })
+  t.is(responses.length, 2)
 })
 
 // Guards against a server that works on for a caller who has gone, because its attempt was set aside for another one.
