Tests: the quota that a request waits for is used up on a clock that stands still

'a request that may have run waits for the quota of the only server that can still answer it' failed in 7 of 10 runs of beside 6 busy processes, load average 16 to 21. Cause: the test measured the machine. The server accepts 8 requests a second, and the test took it for granted that eight requests in a row come faster; beside load they did not, so that none had to wait. Change: the clock of the node stands still until a request waits; then it goes on, and all requests have to be answered. Without the mechanism (built file altered) the requests are answered although none has waited.

--- a/packages/node/tests/serverStatements.test.ts
+++ b/packages/node/tests/serverStatements.test.ts
@@ -1,4 +1,6 @@
 /** What backend servers state about themselves in their answers binds the nodes that received it. */
+import { setTimeout as sleep } from 'node:timers/promises'
+
 import test from 'ava'
 
 import { HeaderName } from '@bluebellhill/platform'
@@ -120,6 +122,15 @@
     response.writeHead(200, { ...signedHeaders(request), [HeaderName.RequestLimit]: '8' }).end('answer')
   }
   const fixture = await ForwardFixture.start(t, limited, (_, __, socket) => { socket.resetAndDestroy() })
-  for (let index = 0; index < 8; index += 1) t.is((await fixture.call('/safe/x')).status, 200)
-  t.true(fixture.linesOf('request.waits').length > 0)
+  const stoppedAt = performance.now()
+  fixture.clock = () => stoppedAt
+  t.is((await fixture.call('/safe/x')).status, 200)
+  const answered: number[] = []
+  const answers = Promise.all(Array.from({ length: 3 }, async () => answered.push((await fixture.call('/safe/x')).status)))
+  while (answered.length < 3 && fixture.linesOf('request.waits').length === 0) await sleep(2)
+  t.true(answered.length < 3)
+  const resumedAt = performance.now()
+  fixture.clock = () => stoppedAt + performance.now() - resumedAt
+  await answers
+  t.deepEqual(answered, [200, 200, 200])
 })
