Tests: nodes of the scheduling tests are silent only when the test says so

Cause: the nodes of these tests send no heartbeats, so that a candidate counted as silent 1.5 s after the start of a test or after its last reply, and a node then placed for itself. Change: silence is measured on a RunningClock that does not tick. Tests with timeouts run one after the other on mocked timers, with the real QUERY_TIMING in place of 500 ms: a query expires once no message is on its way. 'returned' also checks that the late grant was counted.

--- a/packages/node/tests/scheduling.test.ts
+++ b/packages/node/tests/scheduling.test.ts
@@ -1,15 +1,19 @@
 /** Nodes that place attempts through one scheduler, over a network in memory that can lose and count messages. */
-import { setTimeout as sleep } from 'node:timers/promises'
+import { mock } from 'node:test'
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
+import type { ExecutionContext } from 'ava'
 
 import { AttemptHistory, CallKind, HealthSignal, Readiness, SchedulerDirectory, WARM_UP } from '@bluebellhill/domain'
-import type { BackendServer, CandidateState, FailureDomain, NodeId, Route, RunnerId, SchedulerCandidate, Service } from '@bluebellhill/domain'
+import type { BackendServer, CandidateState, FailureDomain, Millis, NodeId, Route, RunnerId, SchedulerCandidate, Service } from '@bluebellhill/domain'
 
+import { RunningClock } from '../src/clock/RunningClock.js'
 import type { AdmittedCall } from '../src/forward/AdmittedCall.js'
 import { FleetState } from '../src/forward/FleetState.js'
 import { decodeDatagram, encodeDatagram } from '../src/forward/peers/datagramCodec.js'
 import type { DatagramContent } from '../src/forward/peers/datagramCodec.js'
+import { QUERY_TIMING } from '../src/forward/peers/PendingQueries.js'
 import type { QueryTiming } from '../src/forward/peers/PendingQueries.js'
 import { PlacementClient } from '../src/forward/scheduling/PlacementClient.js'
 import { RetryBudgets } from '../src/forward/scheduling/RetryBudgets.js'
@@ -23,11 +27,16 @@
 const ROUTE: Route = {
   name: 'chat', host: 'a', pathPrefix: '/', kind: CallKind.Stream, resumable: true, timeout: 10_000, objective: 300, pauseObjective: 200, priority: 1, maxAttempts: 3, isPublic: false, services: [{ service: 'lm', weight: 1 }]
 }
-const CANDIDATE_STATE: CandidateState = { uptime: WARM_UP, isStopping: false, hasLostStore: false, configurationVersion: 1, serversRevision: 1 }
+/** Time for which all nodes have run; a millisecond more than it takes, because times are rounded. */
+const WARM_TIME: Millis = WARM_UP + 1
+
+const CANDIDATE_STATE: CandidateState = { uptime: WARM_TIME, isStopping: false, hasLostStore: false, configurationVersion: 1, serversRevision: 1 }
 /** Generous, so that a busy machine does not decide a test. */
 const PATIENT: QueryTiming = { repeatDelay: 5_000, timeout: 10_000 }
 const REPEATING: QueryTiming = { repeatDelay: 20, timeout: 10_000 }
-const IMPATIENT: QueryTiming = { repeatDelay: 100, timeout: 500 }
+
+/** Turns of the event loop without a message after which none is on its way. */
+const IDLE_TURNS = 5
 
 const SHORT_PROMPT = { prompt: 5_000, mostAnswer: 1_500 }
 
@@ -50,13 +59,18 @@
   readonly messages: string[] = []
   /** Receiver of each message. */
   readonly receivers: TestNode[] = []
+  /** Measures the silence of the nodes; it does not tick, so that none is silent. */
+  readonly runningClock: RunningClock
   /** Returns whether a message is lost. */
   loses: (from: TestNode, to: TestNode, content: DatagramContent) => boolean = () => false
   /** Whether replies are those of an earlier build, which knows no request limits. */
   forgetsLimits = false
   #nextRequest = 1
+  #heldUp: Millis = 0
+  #messagesOnTheWay = 0
 
   constructor (count: number, engines: number, private readonly queryTiming = PATIENT) {
+    this.runningClock = new RunningClock(this.clock)
     for (let index = 0; index < count; index += 1) this.nodes.push(this.#createNode(index, engines))
     for (const node of this.nodes) for (const other of this.nodes) node.directory.add(other.self)
     this.hearAll()
@@ -66,10 +80,22 @@
     return this.nodes[0]!
   }
 
+  readonly clock = (): Millis => performance.now() + this.#heldUp
+
+  /** Lets a time pass in which no node runs. */
+  holdUp (time: Millis): void {
+    this.#heldUp += time
+  }
+
+  /** Waits until no message is on its way. */
+  async quiet (): Promise<void> {
+    for (let idle = 0; idle < IDLE_TURNS; idle = this.#messagesOnTheWay > 0 ? 0 : idle + 1) await nextTurn()
+  }
+
   /** Lets every node hear every other one. */
   hearAll (): void {
-    const now = performance.now()
-    for (const at of [now - WARM_UP, now]) for (const node of this.nodes) for (const { self } of this.nodes) node.directory.heard(self.node, CANDIDATE_STATE, at)
+    const now = this.runningClock.now()
+    for (const at of [now - WARM_TIME, now]) for (const node of this.nodes) for (const { self } of this.nodes) node.directory.heard(self.node, CANDIDATE_STATE, at)
   }
 
   async place (node: TestNode, history = new AttemptHistory(ROUTE), chargesRetry = false): Promise<AttemptPlacement> {
@@ -83,7 +109,7 @@
   }
 
   call (): AdmittedCall {
-    const now = performance.now()
+    const now = this.clock()
     return {
       id: `r${this.#nextRequest++}`, method: 'POST', path: '/', headers: [], body: Buffer.alloc(0), route: ROUTE, service: SERVICE, organisation: null, urgency: 1, size: SHORT_PROMPT, parts: [], lastEventId: null, arrivedAt: now, dueAt: now + ROUTE.objective, deadlineAt: now + ROUTE.timeout
     }
@@ -91,16 +117,17 @@
 
   #createNode (index: number, engines: number): TestNode {
     const log = silentLog()
-    const clock = (): number => performance.now()
+    const { clock } = this
+    const runningClock = (): Millis => this.runningClock.now()
     const self: SchedulerCandidate = { node: `n${index}` as NodeId, address: `10.0.0.${index}:1`, failureDomain: 'd1' as FailureDomain, processor: 100 - index }
     const fleetState = new FleetState(log, clock)
     fleetState.install({ ...DEPLOYMENT, services: [SERVICE] }, 'store')
     for (let id = 0; id < engines; id += 1) fleetState.putServer({ server: engine(id), revision: 1 }, 'store')
-    const directory = new SchedulerDirectory(self, clock() - WARM_UP)
-    const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, retryBounds: () => ({ ratio: 0, slack: 10, window: 1_000_000 }), schedulerCount: () => 1, group: () => directory.group })
+    const directory = new SchedulerDirectory(self, runningClock() - WARM_TIME)
+    const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, runningClock, retryBounds: () => ({ ratio: 0, slack: 10, window: 1_000_000 }), schedulerCount: () => 1, group: () => directory.group })
     const send = (address: string, content: DatagramContent): void => this.#deliver(node, address, content)
     const host = new SchedulerHost({ scheduler, log, clock, send })
-    const placement = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, send, onUncoordinatedPlacement: () => { node.uncoordinated += 1 }, onNotice: () => {}, queryTiming: this.queryTiming })
+    const placement = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, runningClock, send, onUncoordinatedPlacement: () => { node.uncoordinated += 1 }, onNotice: () => {}, queryTiming: this.queryTiming })
     const node: TestNode = { self, scheduler, placement, directory, host, fleetState, uncoordinated: 0 }
     return node
   }
@@ -113,7 +140,9 @@
     if (this.loses(from, to, content)) return
     if (this.forgetsLimits && content.$case === 'placementReply' && content.value.result?.$case === 'placement') content.value.result.value.keepsLimit = false
     const datagram = encodeDatagram(from.self.node, 1, content)
+    this.#messagesOnTheWay += 1
     setImmediate(() => {
+      this.#messagesOnTheWay -= 1
       const message = decodeDatagram(datagram)
       to.host.handle(message, from.self.address)
       to.placement.handle(message, from.self.address)
@@ -122,8 +151,8 @@
 }
 
 /** Requests on each engine, as the scheduler counts them. */
-const counted = ({ schedulerNode }: TestNetwork, engines: number): number[] =>
-  Array.from({ length: engines }, (_, index) => schedulerNode.scheduler.assignments.serverLoads(performance.now()).get(`e${index}` as RunnerId).requests.length)
+const counted = ({ schedulerNode, clock, runningClock }: TestNetwork, engines: number): number[] =>
+  Array.from({ length: engines }, (_, index) => schedulerNode.scheduler.assignments.serverLoads(clock(), runningClock.now()).get(`e${index}` as RunnerId).requests.length)
 
 /** Waits for a condition, with a generous limit. */
 const until = async (condition: () => boolean): Promise<void> => {
@@ -131,6 +160,29 @@
   while (!condition() && performance.now() < limit) await sleep(2)
 }
 
+/** Stops the timers of queries; they expire only while `placeWithTimeouts` waits. */
+const stopTimers = (t: ExecutionContext): void => {
+  mock.timers.enable({ apis: ['setTimeout'] })
+  t.teardown(() => mock.timers.reset())
+}
+
+/** Places an attempt; a query expires as soon as no message is on its way any more. */
+const placeWithTimeouts = async (network: TestNetwork, node: TestNode): Promise<AttemptPlacement> => {
+  let placement: AttemptPlacement | null = null
+  void network.place(node).then((result) => { placement = result })
+  for (;;) {
+    await network.quiet()
+    if (placement !== null) return placement
+    mock.timers.tick(QUERY_TIMING.timeout)
+  }
+}
+
+const placeOneWithTimeouts = async (network: TestNetwork, node: TestNode): Promise<PlacedAttempt> => {
+  const placement = await placeWithTimeouts(network, node)
+  if (placement.type !== 'placed') throw new Error(placement.reason)
+  return placement.attempt
+}
+
 test('pattern: nodes that place requests at the same moment never take the same slot', async (t) => {
   const network = new TestNetwork(20, 10)
   await Promise.all(network.nodes.map(async (node) => await network.placeOne(node)))
@@ -160,46 +212,61 @@
   t.is(counted(network, 4).reduce((sum, count) => sum + count), 1)
 })
 
-test('pattern: a scheduler that dies is replaced by the next candidate, and no request is lost', async (t) => {
-  const network = new TestNetwork(4, 4, IMPATIENT)
+test.serial('pattern: a scheduler that dies is replaced by the next candidate, and no request is lost', async (t) => {
+  stopTimers(t)
+  const network = new TestNetwork(4, 4, QUERY_TIMING)
   network.loses = (from, to) => from === network.schedulerNode || to === network.schedulerNode
   const node = network.nodes[3]!
-  t.is((await network.placeOne(node)).scheduler, network.nodes[1]!.self.address)
+  t.is((await placeOneWithTimeouts(network, node)).scheduler, network.nodes[1]!.self.address)
   network.receivers.length = 0
   t.is((await network.placeOne(node)).scheduler, network.nodes[1]!.self.address)
   t.false(network.receivers.includes(network.schedulerNode))
 })
 
-test('a node that reaches no scheduler places requests itself, and announces them', async (t) => {
-  const network = new TestNetwork(4, 4, IMPATIENT)
+test.serial('a node that reaches no scheduler places requests itself, and announces them', async (t) => {
+  stopTimers(t)
+  const network = new TestNetwork(4, 4, QUERY_TIMING)
   network.loses = () => true
   const node = network.nodes[3]!
-  const attempt = await network.placeOne(node)
+  const attempt = await placeOneWithTimeouts(network, node)
   t.is(attempt.scheduler, null)
   t.is(node.uncoordinated, 1)
   t.is(node.scheduler.assignments.own().length, 1)
 })
 
-test('a grant that arrives too late is returned', async (t) => {
-  const network = new TestNetwork(2, 4, IMPATIENT)
+test.serial('a grant that arrives too late is returned', async (t) => {
+  stopTimers(t)
+  const network = new TestNetwork(2, 4, QUERY_TIMING)
   network.loses = (_, __, { $case }) => $case === 'placementReply'
   const node = network.nodes[1]!
-  const attempt = await network.placeOne(node)
+  const attempt = await placeOneWithTimeouts(network, node)
   t.is(attempt.scheduler, null)
   t.is(counted(network, 4).reduce((sum, count) => sum + count), 1)
   const number = Number(attempt.assignment.id.split('/')[1])
   const late: DatagramContent = { $case: 'placementReply', value: { number: number + 1, result: { $case: 'placement', value: { server: { id: 'e0', address: '', failureDomain: '' }, helpers: [], holders: [], firstEventMs: 1, serverRequests: 0, serverPendingMs: 0, isDeferred: false, keepsLimit: true, passedOver: [], isTrial: false } } } }
-  network.schedulerNode.scheduler.assignments.grant(node.self.node, { ...attempt.assignment, server: 'e0' as RunnerId }, number + 1, performance.now())
+  network.schedulerNode.scheduler.assignments.grant(node.self.node, { ...attempt.assignment, server: 'e0' as RunnerId }, number + 1, network.clock(), network.runningClock.now())
+  t.is(counted(network, 4).reduce((sum, count) => sum + count), 2)
   node.placement.handle({ node: network.schedulerNode.self.node, startedAt: 1, content: late }, network.schedulerNode.self.address)
-  await until(() => counted(network, 4).reduce((sum, count) => sum + count) === 1)
+  mock.timers.tick(QUERY_TIMING.timeout)
+  await network.quiet()
   t.is(counted(network, 4).reduce((sum, count) => sum + count), 1)
 })
 
+// Guards against a node that takes all others for silent because it was held up itself: it placed requests on its own, without knowing
+// the load of the engines, and used a stated limit as if it were the scheduler of all.
+test('nodes that were held up for some seconds place requests as before', async (t) => {
+  const network = new TestNetwork(4, 4)
+  await network.placeOne(network.nodes[1]!)
+  network.holdUp(5_000)
+  t.is((await network.placeOne(network.nodes[2]!)).scheduler, network.schedulerNode.self.address)
+  t.is(counted(network, 4).reduce((sum, count) => sum + count), 2)
+})
+
 test('pattern: a server that one node finds unreachable is avoided for all nodes of the group', async (t) => {
   const network = new TestNetwork(10, 3)
   const first = await network.placeOne(network.nodes[1]!)
   network.nodes[1]!.placement.removeAssignment(first, HealthSignal.Unreachable)
-  await until(() => network.schedulerNode.scheduler.health.avoided(performance.now()).length > 0)
+  await until(() => network.schedulerNode.scheduler.health.avoided(network.clock()).length > 0)
   const attempts = await Promise.all([2, 3, 4, 5].map(async (index) => await network.placeOne(network.nodes[index]!)))
   t.false(attempts.some(({ choice }) => choice.server.id === first.choice.server.id))
 })
@@ -267,16 +334,17 @@
   full!.scheduler.recordGroupLoad({ domain: 'd2' as FailureDomain, address: other!.self.address, services: [{ service: 'lm', slots: 100, requests: 0, meanPendingPrefill: 0 }] })
   for (let index = 0; index < ENGINE.slots; index += 1) t.is((await network.placeOne(asking!)).scheduler, full!.self.address)
   t.is((await network.placeOne(asking!)).scheduler, other!.self.address)
-  t.is(other!.scheduler.assignments.serverLoads(performance.now()).get('e0' as RunnerId).requests.length, 1)
+  t.is(other!.scheduler.assignments.serverLoads(network.clock(), network.runningClock.now()).get('e0' as RunnerId).requests.length, 1)
 })
 
-test('a request that no other group takes in time stays in its own', async (t) => {
-  const network = new TestNetwork(3, 1, IMPATIENT)
+test.serial('a request that no other group takes in time stays in its own', async (t) => {
+  stopTimers(t)
+  const network = new TestNetwork(3, 1, QUERY_TIMING)
   const [full, asking, other] = network.nodes
   full!.scheduler.recordGroupLoad({ domain: 'd2' as FailureDomain, address: other!.self.address, services: [{ service: 'lm', slots: 100, requests: 0, meanPendingPrefill: 0 }] })
   network.loses = (_, to) => to === other
   for (let index = 0; index < ENGINE.slots; index += 1) await network.placeOne(asking!)
-  t.is((await network.placeOne(asking!)).scheduler, null)
+  t.is((await placeOneWithTimeouts(network, asking!)).scheduler, null)
   t.is(asking!.uncoordinated, 1)
 })
 
@@ -287,7 +355,7 @@
   const sent = new Map<string, number>()
   const refused: AttemptPlacement[] = []
   for (let turn = 0; turn < turns; turn += 1) {
-    await until(() => network.nodes.every(({ scheduler }) => scheduler.assignments.recentArrivals(performance.now()) === 0))
+    await until(() => network.nodes.every(({ scheduler }) => scheduler.assignments.recentArrivals(network.clock()) === 0))
     for (const placement of await Promise.all(network.nodes.map(async (node) => await network.place(node)))) {
       if (placement.type === 'refused') {
         refused.push(placement)
@@ -330,13 +398,14 @@
   }
 })
 
-test('a node whose schedulers do not answer uses only its own share of a limit', async (t) => {
-  const network = new TestNetwork(4, 1, IMPATIENT)
+test.serial('a node whose schedulers do not answer uses only its own share of a limit', async (t) => {
+  stopTimers(t)
+  const network = new TestNetwork(4, 1, QUERY_TIMING)
   network.loses = () => true
   const node = network.nodes[3]!
   const startedAt = performance.now()
   stateLimit(node, 0)
-  const placements = [await network.place(node), await network.place(node), await network.place(node)]
+  const placements = [await placeWithTimeouts(network, node), await placeWithTimeouts(network, node), await placeWithTimeouts(network, node)]
   t.true(placements.filter(({ type }) => type === 'placed').length <= allowedSince(startedAt, LIMIT / network.nodes.length))
 })
 
