Scheduler: a decision is kept although the scheduler was held up

A query is repeated after 15 ms. If its scheduler decides, answers, and is then held up for more than 500 ms, the repetition waits to be read, and DECISION_RETENTION is over by then: the scheduler decided again. That used up a stated request limit and the retry budget twice, and left the scheduler with an assignment that the node does not have, until its next report. Change: decisions are kept for 500 ms on the RunningClock.

--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -90,7 +90,7 @@
       group: () => this.#directory.group
     })
     const send: PeerLink['send'] = (address, content) => this.#peerLink.send(address, content)
-    const schedulerHost = new SchedulerHost({ scheduler: this.#scheduler, log, clock, send })
+    const schedulerHost = new SchedulerHost({ scheduler: this.#scheduler, log, clock, runningClock, send })
     this.#placement = new PlacementClient({
       node: settings.node,
       scheduler: this.#scheduler,
--- a/packages/node/src/forward/scheduling/SchedulerHost.ts
+++ b/packages/node/src/forward/scheduling/SchedulerHost.ts
@@ -20,6 +20,8 @@
   readonly scheduler: Scheduler
   readonly log: Log
   readonly clock: () => Millis
+  /** Clock on which decisions are kept; `clock` if absent. A query may wait to be read for longer while this process is held up. */
+  readonly runningClock?: () => Millis
   /** Sends a message to the node at an address. */
   readonly send: (address: string, content: DatagramContent) => void
 }
@@ -56,15 +58,15 @@
   }
 
   #decide (node: NodeId, startedAt: number, wire: Parameters<typeof decodeQuery>[0]): PlacementResult {
-    const { scheduler, clock, log } = this.#options
-    const now = clock()
-    this.#discardOldDecisions(now)
+    const { scheduler, clock, log, runningClock = clock } = this.#options
+    const decidedAt = runningClock()
+    this.#discardOldDecisions(decidedAt)
     const key = `${node}/${startedAt}/${wire.number}`
     const stored = this.#decisions.get(key)
     if (stored !== undefined) return stored.result
-    const spec = decodeQuery(wire, now)
+    const spec = decodeQuery(wire, clock())
     const result = scheduler.place(spec, { node, number: wire.number }, GROUP_CONTEXT)
-    this.#decisions.set(key, { result, at: now })
+    this.#decisions.set(key, { result, at: decidedAt })
     if (result.type === 'refused') log.info('placement.refused', { request: spec.request, node, service: spec.service, reason: result.reason, excluded: spec.excluded.length })
     if (result.type === 'redirected') log.info('placement.redirected', { request: spec.request, node, service: spec.service, to: result.address })
     return result
--- a/packages/node/tests/scheduling.test.ts
+++ b/packages/node/tests/scheduling.test.ts
@@ -126,7 +126,7 @@
     const directory = new SchedulerDirectory(self, runningClock() - WARM_TIME)
     const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, runningClock, retryBounds: () => ({ ratio: 0, slack: 10, window: 1_000_000 }), schedulerCount: () => 1, group: () => directory.group })
     const send = (address: string, content: DatagramContent): void => this.#deliver(node, address, content)
-    const host = new SchedulerHost({ scheduler, log, clock, send })
+    const host = new SchedulerHost({ scheduler, log, clock, runningClock, send })
     const placement = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, runningClock, send, onUncoordinatedPlacement: () => { node.uncoordinated += 1 }, onNotice: () => {}, queryTiming: this.queryTiming })
     const node: TestNode = { self, scheduler, placement, directory, host, fleetState, uncoordinated: 0 }
     return node
@@ -262,6 +262,24 @@
   t.is(counted(network, 4).reduce((sum, count) => sum + count), 2)
 })
 
+// Guards against a second decision on one query: its repetition had waited to be read while the scheduler was held up.
+test('a query that is repeated while its scheduler is held up gets the same answer', async (t) => {
+  const network = new TestNetwork(2, 1)
+  const [scheduling, asking] = network.nodes
+  // Another decision within the next ten seconds would exceed the limit.
+  scheduling!.placement.answers.received(engine(0), { requestLimit: 0.1, isLeaving: false }, 'r0')
+  const contents: DatagramContent[] = []
+  network.loses = (_, __, content) => {
+    contents.push(content)
+    return false
+  }
+  await network.placeOne(asking!)
+  network.holdUp(5_000)
+  scheduling!.host.handle({ node: asking!.self.node, startedAt: 1, content: contents[0]! }, asking!.self.address)
+  await network.quiet()
+  t.deepEqual(contents.flatMap((content) => content.$case === 'placementReply' ? [content.value.result?.$case] : []), ['placement', 'placement'])
+})
+
 test('pattern: a server that one node finds unreachable is avoided for all nodes of the group', async (t) => {
   const network = new TestNetwork(10, 3)
   const first = await network.placeOne(network.nodes[1]!)
