PlacementClient: queries to schedulers and reports on grants stand in modules of their own

PlacementQueries has an attempt decided on, by the scheduler of the group or by this node; GrantReports tells the schedulers what becomes of the attempts that they have placed. Behaviour is unchanged.

--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,23 +1,21 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
-import { assignmentNumber, describeRevision, HealthSignal, SLOWDOWN_SAMPLE_COUNT } from '@bluebellhill/domain'
-import type { Assignment, AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
+import { describeRevision, HealthSignal } from '@bluebellhill/domain'
+import type { AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { AdmittedCall } from '../AdmittedCall.js'
 import type { FleetState } from '../FleetState.js'
-import { decodeReply, encodeQuery } from '../peers/datagramCodec.js'
 import type { DatagramContent, ReceivedDatagram } from '../peers/datagramCodec.js'
 import { PendingQueries, QUERY_TIMING } from '../peers/PendingQueries.js'
 import type { QueryTiming } from '../peers/PendingQueries.js'
 import type { PromptQuarantine } from '../quarantine/PromptQuarantine.js'
 import { AnswerStatements } from './AnswerStatements.js'
-import { ReportQueue } from './ReportQueue.js'
+import { GrantReports } from './GrantReports.js'
+import { PlacementQueries } from './PlacementQueries.js'
+import type { Decision } from './PlacementQueries.js'
 import type { Scheduler } from './Scheduler.js'
-import { GROUP_CONTEXT, NO_CAUTION, PlacementRefusal } from './types.js'
-import type { AttemptCaution, AttemptPlacement, PlacedAttempt, PlacementContext, PlacementResult, PlacementSpec } from './types.js'
-
-/** Schedulers that are asked before this node decides itself; for a trial only one, since a silent one may have granted it. */
-const MAX_SCHEDULERS_ASKED = 2
+import { NO_CAUTION, PlacementRefusal } from './types.js'
+import type { AttemptCaution, AttemptPlacement, PlacedAttempt, PlacementSpec } from './types.js'
 
 /** Known departures that are named in a repeated query, so that it stays within one datagram. */
 const MAX_LEAVING_EXCLUDED = 32
@@ -45,35 +43,25 @@
   readonly queryTiming?: QueryTiming
 }
 
-/** A decision and the scheduler that made it; the address is null for this node. */
-interface Decision {
-  readonly result: PlacementResult
-  readonly scheduler: string | null
-}
-
 /** Places attempts, and reports what becomes of them. */
 export class PlacementClient {
   /** What backend servers state in their answers to this node. */
   readonly answers: AnswerStatements
   readonly #options: PlacementClientOptions
-  readonly #placementQueries: PendingQueries<Parameters<typeof decodeReply>[0]>
+  readonly #queries: PlacementQueries
   readonly #silenceQueries: PendingQueries<Millis>
-  /** Address of the scheduler that keeps an assignment, by assignment id. */
-  readonly #schedulers = new Map<string, string>()
-  /** Last pauses of each stream over the published pass time, by assignment id. */
-  readonly #pauses = new Map<string, number[]>()
-  readonly #reports: ReportQueue
+  readonly #reports: GrantReports
   readonly #runningClock: () => Millis
   #nextSilenceQuery = 1
 
   /** @param options - the scheduler of this node and those of the others */
   constructor (options: PlacementClientOptions) {
-    const timing = options.queryTiming ?? QUERY_TIMING
+    const { queryTiming = QUERY_TIMING, runningClock = options.clock } = options
     this.#options = options
-    this.#placementQueries = new PendingQueries(timing)
-    this.#silenceQueries = new PendingQueries(timing)
-    this.#runningClock = options.runningClock ?? options.clock
-    this.#reports = new ReportQueue(options.send)
+    this.#runningClock = runningClock
+    this.#queries = new PlacementQueries({ ...options, queryTiming, runningClock })
+    this.#silenceQueries = new PendingQueries(queryTiming)
+    this.#reports = new GrantReports(options.send)
     this.answers = new AnswerStatements({ ...options, statements: options.scheduler.statements })
   }
 
@@ -84,7 +72,7 @@
 
   /** @returns addresses of the schedulers that keep assignments of this node */
   schedulersInUse (): ReadonlySet<string> {
-    return new Set(this.#schedulers.values())
+    return this.#reports.schedulersInUse()
   }
 
   /**
@@ -102,7 +90,7 @@
     let spec = specOf(call, history, { chargesRetry, ...caution }, this.answers.pausedServers())
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
-      const decision = await this.#decide(spec, number)
+      const decision = await this.#queries.decide(spec, number)
       if (isTrialMissing(spec, decision)) {
         this.#withoutChosen(spec, number, decision)
         return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
@@ -121,7 +109,7 @@
       ? scheduler.assignments.findOwn(number)
       : scheduler.assignments.start(scheduler.draftAssignment(spec, result.choice, clock()), number)
     if (assignment === null) return { type: 'refused', reason: 'the assignment is not recorded', retryAfter: null }
-    if (address !== null) this.#schedulers.set(assignment.id, address)
+    if (address !== null) this.#reports.granted(assignment, address)
     const { choice, load, isTrial } = result
     const passedOver = [...new Set([...result.passedOver, ...this.answers.pausedServersOf(spec.service).map(({ id }) => id)])]
     return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, isTrial, decidedIn: clock() - startedAt } }
@@ -165,7 +153,7 @@
   prefillFinished ({ assignment }: PlacedAttempt): void {
     const { scheduler, clock } = this.#options
     scheduler.assignments.markPrefilled(assignment, clock())
-    this.#report(assignment, false, null)
+    this.#reports.prefillFinished(assignment)
   }
 
   /**
@@ -178,9 +166,7 @@
     const { scheduler, clock } = this.#options
     scheduler.assignments.end(assignment, clock())
     if (signal !== null) scheduler.recordHealthSignal(choice.server, signal)
-    this.#report(assignment, true, signal)
-    this.#schedulers.delete(assignment.id)
-    this.#pauses.delete(assignment.id)
+    this.#reports.ended(assignment, signal)
   }
 
   /** Records the pause between two events of a stream, for the slowdown estimate of its engine. */
@@ -189,10 +175,7 @@
     const { scheduler } = this.#options
     const passTime = scheduler.modelOf(call.service).passTime(1, call.size.prompt)
     scheduler.observePause(choice.server, pause, passTime)
-    const ratios = this.#pauses.get(assignment.id) ?? []
-    this.#pauses.set(assignment.id, ratios)
-    ratios.push(pause / passTime)
-    if (ratios.length > SLOWDOWN_SAMPLE_COUNT) ratios.shift()
+    this.#reports.observePause(assignment, pause / passTime)
   }
 
   /** Records the server at an address as unreachable, after another server reported that a request failed because of it. */
@@ -221,8 +204,8 @@
    */
   async explainedSilence ({ assignment, choice }: PlacedAttempt): Promise<Millis> {
     const { scheduler, send } = this.#options
-    const address = this.#schedulers.get(assignment.id)
-    if (address === undefined) return scheduler.explainedSilence(choice.server.id)
+    const address = this.#reports.schedulerOf(assignment)
+    if (address === null) return scheduler.explainedSilence(choice.server.id)
     const number = this.#nextSilenceQuery++
     const query: DatagramContent = { $case: 'silenceQuery', value: { number, server: choice.server.id } }
     return await this.#silenceQueries.ask(number, () => send(address, query)) ?? scheduler.explainedSilence(choice.server.id)
@@ -246,7 +229,7 @@
     } else if (content.$case === 'placementReply') {
       directory.heard(node, null, this.#runningClock())
       const { number, result } = content.value
-      if (!this.#placementQueries.answer(number, content.value) && result?.$case === 'placement') this.#returnUnusedGrant(address, number, result.value.server?.id ?? '')
+      if (!this.#queries.answer(content.value) && result?.$case === 'placement') this.#returnUnusedGrant(address, number, result.value.server?.id ?? '')
     }
   }
 
@@ -254,72 +237,17 @@
     this.#reports.dispose()
   }
 
-  async #decide (spec: PlacementSpec, number: number): Promise<Decision> {
-    const { directory, node, log, scheduler } = this.#options
-    const schedulersAsked = spec.trialParts.length > 0 ? 1 : MAX_SCHEDULERS_ASKED
-    for (let asked = 0; asked < schedulersAsked; asked += 1) {
-      const candidate = directory.scheduler(this.#runningClock())
-      if (candidate.node === node) return await this.#followRedirect(scheduler.place(spec, { node, number }, GROUP_CONTEXT), null, spec, number)
-      const result = await this.#ask(candidate.address, spec, number)
-      if (result !== null) return await this.#followRedirect(result, candidate.address, spec, number)
-      directory.unanswered(candidate.node)
-      log.warn('scheduler.unanswered', { request: spec.request, scheduler: candidate.node })
-    }
-    return this.#decideAlone(spec, number, this.#loneContext())
-  }
-
-  /** If a group cannot serve the request in time, its scheduler names that of another group, which is asked once. */
-  async #followRedirect (result: PlacementResult, scheduler: string | null, spec: PlacementSpec, number: number): Promise<Decision> {
-    if (result.type !== 'redirected') return { result, scheduler }
-    const redirected = await this.#ask(result.address, { ...spec, isRedirected: true }, number)
-    if (redirected?.type === 'placed') return { result: redirected, scheduler: result.address }
-    return this.#decideAlone({ ...spec, isRedirected: true }, number, scheduler === null ? GROUP_CONTEXT : this.#loneContext())
-  }
-
-  /** The other nodes may decide alone at the same time. */
-  #loneContext (): PlacementContext {
-    const { scheduler, clock, directory } = this.#options
-    return { unseenArrivals: scheduler.assignments.recentArrivals(clock()), limitShare: 1 / directory.size, isGroupDecision: false }
-  }
-
-  #decideAlone (spec: PlacementSpec, number: number, context: PlacementContext): Decision {
-    const { scheduler, node, onUncoordinatedPlacement } = this.#options
-    const result = scheduler.place(spec, { node, number }, context)
-    if (result.type === 'placed') onUncoordinatedPlacement()
-    return { result, scheduler: null }
-  }
-
-  async #ask (address: string, spec: PlacementSpec, number: number): Promise<PlacementResult | null> {
-    const { send, clock, fleetState, log } = this.#options
-    const reply = await this.#placementQueries.ask(number, () => send(address, { $case: 'placementQuery', value: encodeQuery(spec, number, clock()) }))
-    if (reply === null) return null
-    try {
-      return decodeReply(reply, spec.service, (id) => fleetState.servers.find(id), clock())
-    } catch (error) {
-      log.warn('scheduler.reply_malformed', { request: spec.request, scheduler: address, reason: error instanceof Error ? error.message : String(error) })
-      return null
-    }
-  }
-
   /** Frees the place of a reply that came too late or twice, unless the attempt is in progress. */
   #returnUnusedGrant (address: string, number: number, server: string): void {
     if (this.#options.scheduler.assignments.findOwn(number) !== null) return
-    this.#reports.add(address, { number, isEnded: true, server: server as RunnerId, signal: null, slowdown: null })
+    this.#reports.returned(address, number, server)
   }
 
   #reportSignal (server: BackendServer, signal: HealthSignal): void {
     const { scheduler, directory, node } = this.#options
     scheduler.recordHealthSignal(server, signal)
     const group = directory.scheduler(this.#runningClock())
-    if (group.node !== node) this.#reports.add(group.address, { number: 0, isEnded: false, server: server.id, signal, slowdown: null })
-  }
-
-  #report (assignment: Assignment, isEnded: boolean, signal: HealthSignal | null): void {
-    const address = this.#schedulers.get(assignment.id)
-    if (address === undefined) return
-    const ratios = isEnded ? this.#pauses.get(assignment.id) ?? [] : []
-    const slowdown = ratios.length < SLOWDOWN_SAMPLE_COUNT ? null : Math.min(...ratios)
-    this.#reports.add(address, { number: assignmentNumber(assignment), isEnded, server: assignment.server, signal, slowdown })
+    if (group.node !== node) this.#reports.signal(group.address, server.id, signal)
   }
 }
 
