--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -11,24 +11,19 @@
 import { FactExchange } from '../quarantine/FactExchange.js'
 import type { Scheduler } from '../scheduling/Scheduler.js'
 import { Announcements } from './Announcements.js'
-import { DATAGRAM_VERSION, decodeCandidate, decodeCandidateState, decodeDatagram, decodeGroupLoad, encodeDatagram, isSchedulerDatagram } from './datagramCodec.js'
+import { decodeCandidate, decodeCandidateState, decodeDatagram, decodeGroupLoad, encodeDatagram, isSchedulerDatagram } from './datagramCodec.js'
 import type { DatagramContent, ReceivedDatagram } from './datagramCodec.js'
 import { NoticeExchange } from './NoticeExchange.js'
 import { PeerSocket } from './PeerSocket.js'
 import { PeerTable } from './PeerTable.js'
 import type { Peer } from './PeerTable.js'
-import { decodeState, encodeState } from './stateCodec.js'
+import { decodeState } from './stateCodec.js'
 import type { NodeStateFragment } from './stateCodec.js'
+import { StateReports } from './StateReports.js'
 
 /** Interval at which the state is reported. */
 const HEARTBEAT_PERIOD: Millis = 600
 
-/** One in so many heartbeats is an introduction, with the failure domain and processor of this node; its answer names candidates. */
-const HEARTBEATS_PER_INTRODUCTION = 8
-
-/** Number of first heartbeats that are all introductions, until the nodes that start at the same time know each other. */
-const FIRST_INTRODUCTIONS = 4
-
 /** How long changes are collected before they are announced. */
 const ANNOUNCEMENT_DELAY: Millis = 20
 
@@ -78,12 +73,10 @@
   readonly #notices: NoticeExchange
   readonly #facts: FactExchange
   readonly #runningClock: () => Millis
-  #sequence = 0
-  #heartbeatCount = 0
+  readonly #reports: StateReports
   #heartbeatTimer: NodeJS.Timeout | null = null
   #reportTimer: NodeJS.Timeout | null = null
   #announcementTimer: NodeJS.Timeout | null = null
-  #isStopping = false
   #isDisposed = false
   #malformedCount = 0
 
@@ -95,6 +88,14 @@
     this.#facts = new FactExchange({ quarantine: options.scheduler.quarantine, clock: options.clock, onOwnFact: () => this.#factFound() })
     this.#announcements = new Announcements({ ...options, notices: this.#notices, facts: this.#facts })
     this.#socket = new PeerSocket(options.log, (datagram, address) => this.#receive(datagram, address))
+    this.#reports = new StateReports({
+      ...options,
+      runningClock: this.#runningClock,
+      table: this.table,
+      notices: this.#notices,
+      facts: this.#facts,
+      sendDatagram: (datagram, address) => this.#socket.send(datagram, address)
+    })
     options.fleetState.onChange(() => this.#announceSoon())
   }
 
@@ -162,7 +163,7 @@
 
   /** Announces that this node is stopping, so that others schedule in its place. */
   announceStopping (): void {
-    this.#isStopping = true
+    this.#reports.stop()
     this.#announcements.stop()
     this.#announce()
     this.#sendState(false)
@@ -195,8 +196,7 @@
       log.warn('peer.lost', { peer: peer.node, silent_ms: Math.round(now - peer.lastSeenAt) })
     }
     this.#updateGroup()
-    this.#heartbeatCount += 1
-    this.#sendState(this.#heartbeatCount <= FIRST_INTRODUCTIONS || this.#heartbeatCount % HEARTBEATS_PER_INTRODUCTION === 0)
+    this.#reports.sendHeartbeat()
     if (this.#isGroupScheduler(now)) this.#announceLoad()
   }
 
@@ -222,37 +222,7 @@
   }
 
   #sendState (isIntroduction: boolean): void {
-    if (this.#isDisposed) return
-    const { directory, schedulersInUse } = this.#options
-    const now = this.#runningClock()
-    const contacts = directory.contacts(now)
-    for (const { node } of contacts) directory.reported(node, now)
-    const addresses = new Set([...contacts.map(({ address }) => address), ...schedulersInUse(), ...this.table.addresses()])
-    if (addresses.size === 0) return
-    do {
-      for (const datagram of this.#encodeState(isIntroduction)) for (const address of addresses) this.#socket.send(datagram, address)
-    } while (this.#facts.hasUnreported)
-  }
-
-  #encodeState (isIntroduction: boolean): Uint8Array[] {
-    const { self, startedAt, scheduler, fleetState, clock, isStoreLost } = this.#options
-    this.#sequence += 1
-    return encodeState({
-      node: self.node,
-      startedAt,
-      sequence: this.#sequence,
-      configurationVersion: fleetState.configurationVersion,
-      serversRevision: fleetState.serversRevision,
-      stopping: this.#isStopping,
-      storeLost: isStoreLost(),
-      works: scheduler.assignments.own(),
-      peers: [],
-      failureDomain: isIntroduction ? self.failureDomain : '',
-      version: DATAGRAM_VERSION,
-      processor: isIntroduction ? self.processor : 0,
-      notices: this.#notices.nextReport(),
-      quarantine: this.#facts.nextReport()
-    }, clock())
+    if (!this.#isDisposed) this.#reports.send(isIntroduction)
   }
 
   #receive (bytes: Buffer, address: string): void {
