Soak: time for which a node waited for a processor is no delay of the node

The soak now reads /proc/PID/schedstat of each node: the time for which its main thread could run and got no processor. Such time counts as no delay of the node where a check compares a time with an upper bound. A node that is busy with its own work, blocks its event loop or sleeps is not excused: that is no wait. Where the system does not count waits, all time counts. A caller who gives up 3 s after its deadline is owed an answer only if node and soak could run for as long as 'answers in time' allows; a connection that ends without an answer is a violation as before.

--- a/packages/soak/src/Callers.ts
+++ b/packages/soak/src/Callers.ts
@@ -83,7 +83,7 @@
   async send (kind: RequestKind, key = KEPT_KEY): Promise<Exchange> {
     const id = `${this.name}-${this.exchanges.length}`
     const parts = kind === RequestKind.Stream ? this.promptParts?.draw(this.#partsRandom) ?? [] : []
-    const exchange: Exchange = { id, kind, parts, node: this.node, sentAt: performance.now(), deadline: DEADLINES[kind], endedAt: null, status: null, body: '', whole: false, left: false, error: '' }
+    const exchange: Exchange = { id, kind, parts, node: this.node, sentAt: performance.now(), deadline: DEADLINES[kind], endedAt: null, status: null, body: '', whole: false, left: false, error: '', gaveUp: false }
     this.exchanges.push(exchange)
     await this.#exchange(exchange, key)
     exchange.endedAt = performance.now()
@@ -114,7 +114,7 @@
       })
     })
     request.end(kind === RequestKind.Unsafe ? 'order' : undefined)
-    const timers = [setTimeout(() => request.destroy(new Error('no end came')), deadline + GIVES_UP_AFTER_MS)]
+    const timers = [setTimeout(() => giveUp(exchange, request), deadline + GIVES_UP_AFTER_MS)]
     if (kind === RequestKind.Leaving) timers.push(setTimeout(() => leave(exchange, request), LEAVES_AFTER_MS))
     await ended
     for (const timer of timers) clearTimeout(timer)
@@ -126,6 +126,11 @@
   request.destroy(new Error('left'))
 }
 
+const giveUp = (exchange: Exchange, request: ClientRequest): void => {
+  exchange.gaveUp = true
+  request.destroy(new Error('no end came'))
+}
+
 const read = async (exchange: Exchange, response: IncomingMessage): Promise<void> => {
   exchange.status = response.statusCode ?? null
   try {
--- a/packages/soak/src/NodeProcess.ts
+++ b/packages/soak/src/NodeProcess.ts
@@ -6,6 +6,8 @@
 import { once } from 'node:events'
 import { dirname, resolve } from 'node:path'
 
+import { ProcessorWaits } from './ProcessorWaits.js'
+
 /** Period in which the checks do not apply to a node. */
 export interface Outage {
   readonly from: number
@@ -16,6 +18,8 @@
 export class NodeProcess {
   /** Exits that the soak did not cause, and exits with another code than expected. */
   readonly unexpectedEnds: string[] = []
+  /** When the running process waited for a processor. */
+  readonly waits = new ProcessorWaits()
   readonly #log: WriteStream
   #child: ChildProcess | null = null
   #ending = false
@@ -45,6 +49,7 @@
       if (this.#child === child) this.#child = null
     })
     this.#child = child
+    if (child.pid !== undefined) this.waits.follow(child.pid)
   }
 
   get isRunning (): boolean {
@@ -95,6 +100,7 @@
 
   async dispose (): Promise<void> {
     await this.kill()
+    this.waits.dispose()
     this.#log.end()
   }
 
--- /dev/null
+++ b/packages/soak/src/ProcessorWaits.ts
@@ -0,0 +1,52 @@
+/** Measures how long another process waits for a processor although it could run, as Linux counts it. */
+import { readFileSync } from 'node:fs'
+
+import { DelayRecord } from './runningTime.js'
+
+const PERIOD_MS = 50
+const NANOSECONDS_PER_MS = 1_000_000
+
+/** @returns time for which the main thread of a process has waited for a processor so far; null if it is not known */
+const processorWaitOf = (pid: number): number | null => {
+  try {
+    const [, waited] = readFileSync(`/proc/${pid}/schedstat`, 'utf8').split(' ')
+    return waited === undefined ? null : Number(waited) / NANOSECONDS_PER_MS
+  } catch {
+    // The process has ended, or the system does not count it: no delay is recorded then.
+    return null
+  }
+}
+
+/** Waits of one process; of none until `follow` is called. Nothing is recorded where the system does not count them. */
+export class ProcessorWaits {
+  readonly record = new DelayRecord()
+  #timer: NodeJS.Timeout | null = null
+  #waited: number | null = null
+
+  /**
+   * @param waitOf - total wait of a process, in milliseconds; null if it is not known
+   * @param clock - current time
+   */
+  constructor (private readonly waitOf = processorWaitOf, private readonly clock: () => number = () => performance.now()) {}
+
+  /** Measures a process from now on, in place of the one before. */
+  follow (pid: number): void {
+    this.dispose()
+    this.#waited = this.waitOf(pid)
+    this.#timer = setInterval(() => this.observe(pid), PERIOD_MS).unref()
+  }
+
+  /** Records the wait since the last call. The system counts a wait when it ends, so that it may have begun before that call. */
+  observe (pid: number): void {
+    const before = this.#waited
+    this.#waited = this.waitOf(pid)
+    if (before === null || this.#waited === null) return
+    const now = this.clock()
+    this.record.add(now - (this.#waited - before), now)
+  }
+
+  dispose (): void {
+    if (this.#timer !== null) clearInterval(this.#timer)
+    this.#timer = null
+  }
+}
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -22,6 +22,12 @@
 const nodeWasSound = (exchange: Exchange, { nodes }: Fleet): boolean =>
   nodes[exchange.node]?.process.wasSound(exchange.sentAt, endOf(exchange)) ?? false
 
+/** Time in which the soak and the node of a request could run. */
+const runningTime = ({ delays, nodes }: Fleet, exchange: Exchange | undefined, from: number, until: number): number => {
+  const node = nodes[exchange?.node ?? -1]
+  return delays.runningTime(from, until, node === undefined ? [] : [node.process.waits.record])
+}
+
 /** An answer that looks whole is the backend server's own, from the first byte to the last. */
 const wholeAnswers: Check = (exchange) => {
   if (!isSuccess(exchange) || !exchange.whole) return null
@@ -48,13 +54,14 @@
 }
 
 const answeredInTime: Check = (exchange, fleet) => {
-  const took = fleet.delays.runningTime(exchange.sentAt, endOf(exchange))
+  const took = runningTime(fleet, exchange, exchange.sentAt, endOf(exchange))
   if (exchange.left || took <= exchange.deadline + ANSWER_SLACK_MS || !nodeWasSound(exchange, fleet)) return null
   return `it took ${Math.round(took)} ms of ${exchange.deadline}`
 }
 
-/** A running node gives every request a final answer. */
+/** A running node gives every request a final answer; the caller waits for it as long as 'answers in time' allows at least. */
 const answered: Check = (exchange, fleet) => {
+  if (exchange.gaveUp && answeredInTime(exchange, fleet) === null) return null
   if (exchange.left || exchange.status !== null || !nodeWasSound(exchange, fleet)) return null
   return `no answer: ${exchange.error}`
 }
@@ -65,7 +72,7 @@
   const end = endOf(exchange)
   const late = fleet.ledger.runsOfRequest(exchange.id).find((run) => {
     const server = fleet.servers.find(({ standin }) => standin?.id === run.server)
-    const wentOnFor = fleet.delays.runningTime(end, run.endedAt ?? Infinity)
+    const wentOnFor = runningTime(fleet, exchange, end, run.endedAt ?? Infinity)
     return server !== undefined && server.proxy.isSoundSince(exchange.sentAt) && wentOnFor > ABANDON_MS + MEASURE_SLACK_MS
   })
   return late === undefined ? null : `${late.server} went on for it`
@@ -99,7 +106,7 @@
 const serverLimit = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { server, perSecond, from, until }: LimitedSpan): Violation[] => {
   const allowed = LIMIT_RATIO * perSecond * LIMIT_WINDOW_MS / MS_PER_SECOND + LIMIT_SLACK
   const isSound = (request: string): boolean => isCheckedForStatements(fleet, exchanges.get(request), from, until)
-  const arrivals = fleet.ledger.arrivalsAt(server).filter(({ request, at }) => fleet.delays.runningTime(from, at) >= LIMIT_KNOWN_MS && at <= until && isSound(request))
+  const arrivals = fleet.ledger.arrivalsAt(server).filter(({ request, at }) => runningTime(fleet, exchanges.get(request), from, at) >= LIMIT_KNOWN_MS && at <= until && isSound(request))
   const most = Math.max(0, ...arrivals.map((first) => arrivals.filter(({ at }) => at >= first.at && at < first.at + LIMIT_WINDOW_MS).length))
   return most <= allowed ? [] : [{ rule: 'limits of servers', detail: `${server} names ${perSecond} a second and got ${most} in ${LIMIT_WINDOW_MS} ms, ${allowed} may come` }]
 }
@@ -107,7 +114,7 @@
 /** A leaving server receives no new requests after the drain time. If only its answers say that it leaves, a node that was paused may not have received one. */
 const leavingServer = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { server, from, isInStore }: Leaving): Violation[] =>
   fleet.ledger.runsOnServer(server)
-    .filter(({ startedAt }) => fleet.delays.runningTime(from, startedAt) > DRAIN_MS + MEASURE_SLACK_MS)
+    .filter(({ request, startedAt }) => runningTime(fleet, exchanges.get(request), from, startedAt) > DRAIN_MS + MEASURE_SLACK_MS)
     .filter(({ request, startedAt }) => isInStore || isCheckedForStatements(fleet, exchanges.get(request), from, startedAt))
     .map(({ request, startedAt }) => ({ rule: 'leaving servers get nothing', detail: `${request} began at ${server} ${Math.round(startedAt - from)} ms after it began to leave` }))
 
@@ -118,7 +125,7 @@
   if (askedAt === null) return []
   const until = at + pauseMs
   if (!isCheckedForStatements(fleet, exchanges.get(request), at, until)) return []
-  const arrivals = fleet.ledger.arrivalsAt(server).filter((arrival) => fleet.delays.runningTime(askedAt, arrival.at) > PAUSE_KNOWN_MS && arrival.at < until && exchanges.get(arrival.request)?.node === node)
+  const arrivals = fleet.ledger.arrivalsAt(server).filter((arrival) => runningTime(fleet, exchanges.get(arrival.request), askedAt, arrival.at) > PAUSE_KNOWN_MS && arrival.at < until && exchanges.get(arrival.request)?.node === node)
   return arrivals.length <= PAUSE_SLACK ? [] : [{ rule: 'pauses of servers', detail: `${server} asked node ${node} for ${pauseMs} ms and got ${arrivals.length} requests of it` }]
 }
 
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -29,6 +29,8 @@
   /** Whether the caller left on purpose. */
   left: boolean
   error: string
+  /** Whether the caller ended the connection because no answer had come for long after its deadline. */
+  gaveUp: boolean
 }
 
 /** A promise that was not kept. */
