--- a/packages/soak/tests/soak.test.ts
+++ b/packages/soak/tests/soak.test.ts
@@ -4,7 +4,7 @@
 
 import { runSoak } from '../src/index.js'
 
-/** Seeds of the run in CI; each that ever failed stays here, with its cause. */
+/** Seeds of the run in CI; each that ever failed stays here, with its cause. One runs at a time, so that a slow machine can run its processes. */
 const SEEDS: ReadonlyArray<{ readonly seed: number, readonly cause: string }> = [
   { seed: 3, cause: 'faults that overlapped on one node ended each other in the account of the soak itself' },
   { seed: 115, cause: 'the proxy let pieces overtake others when a delay ended, which TCP never does' },
@@ -15,7 +15,7 @@
 test.before(() => { execFileSync(process.execPath, ['scripts/bundle.mjs']) })
 
 for (const [slot, { seed, cause }] of SEEDS.entries()) {
-  test(`seed ${seed} keeps every promise (${cause})`, async (t) => {
+  test.serial(`seed ${seed} keeps every promise (${cause})`, async (t) => {
     t.timeout(120_000)
     const report = await runSoak({ seed, directory: 'out/soak/ci', program: 'target/start.cjs', slot })
     t.deepEqual(report.violations, [])
