--- a/packages/soak/src/Soak.ts
+++ b/packages/soak/src/Soak.ts
@@ -2,6 +2,8 @@
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 
+import type { BackendStandin } from '@bluebellhill/platform-standin'
+
 import { drawAnswerFaults } from './answerFaults.js'
 import { Caller } from './Callers.js'
 import { violationsOf } from './checks.js'
@@ -126,11 +128,14 @@
 
 /** Notes which servers drain, or tell a node that they leave. Returns a function that stops and returns them. */
 const watchLeavings = (fleet: Fleet): () => Leaving[] => {
-  const leavings = new Map<string, Leaving>()
+  const leavings = new Map<BackendStandin, Leaving>()
   const timer = setInterval(() => {
     for (const { standin, drainingSince } of fleet.servers) {
       const from = drainingSince ?? standin?.toldLeavingAt ?? null
-      if (standin !== null && from !== null) leavings.set(standin.id, { server: standin.id, from, isInStore: drainingSince !== null })
+      if (standin !== null && from !== null) leavings.set(standin, { server: standin.id, from, isInStore: drainingSince !== null, until: Infinity })
+    }
+    for (const [process, leaving] of leavings) {
+      if (!fleet.servers.some(({ standin }) => standin === process)) leaving.until = Math.min(leaving.until, performance.now())
     }
   }, PROBE_PERIOD_MS)
   return () => {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -112,8 +112,9 @@
 }
 
 /** A leaving server receives no new requests after the drain time. If only its answers say that it leaves, a node that was paused may not have received one. */
-const leavingServer = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { server, from, isInStore }: Leaving): Violation[] =>
+const leavingServer = (exchanges: ReadonlyMap<string, Exchange>, fleet: Fleet, { server, from, isInStore, until }: Leaving): Violation[] =>
   fleet.ledger.runsOnServer(server)
+    .filter(({ startedAt }) => startedAt <= until)
     .filter(({ request, startedAt }) => runningTime(fleet, exchanges.get(request), from, startedAt) > DRAIN_MS + MEASURE_SLACK_MS)
     .filter(({ request, startedAt }) => isInStore || isCheckedForStatements(fleet, exchanges.get(request), from, startedAt))
     .map(({ request, startedAt }) => ({ rule: 'leaving servers get nothing', detail: `${request} began at ${server} ${Math.round(startedAt - from)} ms after it began to leave` }))
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -79,4 +79,6 @@
   readonly from: number
   /** Whether the store says so too; otherwise only its answers do. */
   readonly isInStore: boolean
+  /** Time at which its process ended; infinity while it runs. The next process under the same id does not leave. */
+  until: number
 }
--- a/packages/soak/tests/checks.test.ts
+++ b/packages/soak/tests/checks.test.ts
@@ -138,17 +138,28 @@
   const fleet = fleetOf(0)
   const from = performance.now() - 60_000
   fleet.ledger.startRun(ID, SERVER).endedAt = 10
-  const broken = (isInStore: boolean): string[] => violationsOf([exchange()], fleet, [{ server: SERVER, from, isInStore }]).map(({ rule }) => rule)
+  const broken = (isInStore: boolean): string[] => violationsOf([exchange()], fleet, [{ server: SERVER, from, isInStore, until: Infinity }]).map(({ rule }) => rule)
   t.true(broken(true).includes('leaving servers get nothing'))
   t.true(broken(false).includes('leaving servers get nothing'))
   const paused = fleetOf(0)
   paused.nodes[0]?.process.beginOutage()
   paused.ledger.startRun(ID, SERVER).endedAt = 10
-  const brokenAfterPause = (isInStore: boolean): string[] => violationsOf([exchange()], paused, [{ server: SERVER, from, isInStore }]).map(({ rule }) => rule)
+  const brokenAfterPause = (isInStore: boolean): string[] => violationsOf([exchange()], paused, [{ server: SERVER, from, isInStore, until: Infinity }]).map(({ rule }) => rule)
   t.true(brokenAfterPause(true).includes('leaving servers get nothing'))
   t.false(brokenAfterPause(false).includes('leaving servers get nothing'))
 })
 
+// Guards against 'leaving servers get nothing' at a server that a part of a prompt had ended: it was back under the same id and did not leave.
+test('leaving servers get nothing: not broken by a run of the next process under the same id', (t) => {
+  const fleet = fleetOf(0)
+  const now = performance.now()
+  fleet.ledger.startRun(ID, SERVER).endedAt = 10
+  const brokenIfEndedAt = (until: number): boolean =>
+    violationsOf([exchange()], fleet, [{ server: SERVER, from: now - 60_000, isInStore: true, until }]).some(({ rule }) => rule === 'leaving servers get nothing')
+  t.true(brokenIfEndedAt(Infinity))
+  t.false(brokenIfEndedAt(now - 1))
+})
+
 const PART = 'dead'
 
 /** A fleet that a part has ended so many engines of, and requests with it that arrived later than a time after the last crash. */
