Quarantine: standings follow each change of a crash time, and are kept while nothing that decides them changes

Cause: a report that a node knew, told again with an earlier time, moved the known time back, but the standings that had been computed stayed; the verdict followed at the next other fact. Found by reading, not seen by a caller.

What is derived from the reports (crashes, times by part) now stands in CrashReports and is discarded with each change there. A sound answer discards the standings only if a crash with its part has come since the known one, or if it may be a contrast; before, each sound answer of a part in any report did.

--- a/packages/domain/src/forwarding/quarantine/CrashReports.ts
+++ b/packages/domain/src/forwarding/quarantine/CrashReports.ts
@@ -21,6 +21,10 @@
   /** Keys of the reports on each start. */
   readonly #keysByStart = new Map<string, Set<string>>()
   readonly #survivals = new Map<string, ServerSurvival>()
+  /** Derived from the reports and survivals; null if they have changed since. */
+  #crashes: readonly Crash[] | null = null
+  #times: ReadonlyMap<PromptPart, readonly Millis[]> | null = null
+  #lastTime: Millis | null = null
 
   /** Number of reports. */
   get size (): number {
@@ -47,6 +51,7 @@
     const merged = known === undefined ? report : mergeReports(known, report)
     if (merged === known) return false
     this.#reports.set(key, merged)
+    this.#changed()
     const start = startKey(report)
     this.#keysByStart.set(start, (this.#keysByStart.get(start) ?? new Set()).add(key))
     return known === undefined || !haveSameContent(known, merged)
@@ -73,6 +78,7 @@
     const known = this.#survivals.get(key)
     if (known !== undefined && survival.at <= known.at + FACT_TOLERANCE) return false
     this.#survivals.set(key, survival)
+    this.#changed()
     return true
   }
 
@@ -94,8 +100,28 @@
     return [...keys].filter((key) => !this.isRefuted(this.#reports.get(key)!)).length
   }
 
-  /** @returns the crashes that are not refuted, oldest first */
-  crashes (): Crash[] {
+  /** Time of the newest report, refuted or not; infinity if there is none. */
+  get lastTime (): Millis {
+    this.#lastTime ??= this.#reports.size === 0 ? Infinity : Math.max(...this.reports.map(({ at }) => at))
+    return this.#lastTime
+  }
+
+  /** @returns the crashes that are not refuted, oldest first; the same array as long as no report or survival changes */
+  crashes (): readonly Crash[] {
+    this.#crashes ??= this.#collectCrashes()
+    return this.#crashes
+  }
+
+  /**
+   * @param part - a prompt part
+   * @returns times of the reports with it, refuted ones included
+   */
+  timesOf (part: PromptPart): readonly Millis[] {
+    this.#times ??= collectTimes(this.#reports.values())
+    return this.#times.get(part) ?? []
+  }
+
+  #collectCrashes (): Crash[] {
     const groups = new Map<string, CrashReport[]>()
     const valid = this.reports.filter((report) => !this.isRefuted(report)).sort(compareReports)
     for (const report of valid) appendReport(groups, report)
@@ -113,6 +139,7 @@
   remove (report: CrashReport): void {
     const [start, key] = [startKey(report), reportKey(report)]
     this.#reports.delete(key)
+    this.#changed()
     const keys = this.#keysByStart.get(start)
     keys?.delete(key)
     if (keys?.size === 0) this.#keysByStart.delete(start)
@@ -121,9 +148,28 @@
   /** @param survival - the survival to discard */
   removeSurvival (survival: ServerSurvival): void {
     this.#survivals.delete(startKey(survival))
+    this.#changed()
+  }
+
+  #changed (): void {
+    this.#crashes = null
+    this.#times = null
+    this.#lastTime = null
   }
 }
 
+const collectTimes = (reports: Iterable<CrashReport>): Map<PromptPart, Millis[]> => {
+  const times = new Map<PromptPart, Millis[]>()
+  for (const { parts, at } of reports) {
+    for (const part of parts) {
+      const ofPart = times.get(part)
+      if (ofPart === undefined) times.set(part, [at])
+      else ofPart.push(at)
+    }
+  }
+  return times
+}
+
 const startKey = ({ server, startedAt }: ServerStart): string => `${startedAt ?? '?'} ${server}`
 
 /** Ends of unknown starts are told apart by their times. */
@@ -142,7 +188,12 @@
 }
 
 const compareContent = (a: CrashReport, b: CrashReport): number =>
-  a.suspects - b.suspects || a.parts.length - b.parts.length || compareText(a.parts.join(' '), b.parts.join(' '))
+  a.suspects - b.suspects || a.parts.length - b.parts.length || compareLists(a.parts, b.parts)
+
+const compareLists = (a: readonly string[], b: readonly string[]): number => {
+  const index = a.findIndex((text, position) => text !== b[position])
+  return index < 0 ? 0 : compareText(a[index]!, b[index]!)
+}
 
 const haveSameContent = (a: CrashReport, b: CrashReport): boolean =>
   compareContent(a, b) === 0 && Math.abs(a.at - b.at) <= SAME_END_TOLERANCE
--- a/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
+++ b/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
@@ -2,13 +2,12 @@
 import type { Millis } from '../../types.js'
 import { assessParts } from './assessment.js'
 import type { PartStanding } from './assessment.js'
-import {
-  EXPIRY_CHECK_GAP, FACT_EXPIRY, MAX_REPORTS, MAX_SHARED_REPORTS, MAX_SHARED_SOUNDS, MAX_SHARED_SURVIVALS, MAX_SHARED_TRIALS, MAX_SOUND_PARTS,
-  MAX_SURVIVALS, MAX_TRIED_PARTS
-} from './constants.js'
+import { CONTRAST_MARGIN, EXPIRY_CHECK_GAP, FACT_EXPIRY, MAX_REPORTS, MAX_SOUND_PARTS, MAX_SURVIVALS, MAX_TRIED_PARTS } from './constants.js'
 import { CrashReports } from './CrashReports.js'
+import type { Crash } from './CrashReports.js'
 import { PartTrials } from './PartTrials.js'
 import { collectSuspects, sharedParts } from './promptParts.js'
+import { byImportance, selectFacts } from './sharedFacts.js'
 import { SoundParts } from './SoundParts.js'
 import { trialTime } from './trialSchedule.js'
 import type { QuarantinedStanding } from './trialSchedule.js'
@@ -22,10 +21,9 @@
   readonly #reports = new CrashReports()
   readonly #sounds = new SoundParts(MAX_SOUND_PARTS)
   readonly #trials = new PartTrials(MAX_TRIED_PARTS)
-  /** Times of the known crashes of each part. */
-  #crashTimes = new Map<PromptPart, Millis[]>()
-  #lastCrashAt: Millis = Infinity
-  /** Null if facts have changed since it was computed. */
+  /** Crashes from which the standings were computed. */
+  #assessed: readonly Crash[] | null = null
+  /** Null if sound answers have changed since it was computed. */
   #standings: Map<PromptPart, PartStanding> | null = null
   #factsDropped = 0
   #expiryCheckedAt: Millis = -Infinity
@@ -39,7 +37,7 @@
    */
   merge (facts: QuarantineFacts): boolean {
     const delay = this.#reports.delayOf(facts.crashes)
-    const corrected = <Fact extends { readonly at: Millis }>(fact: Fact): Fact => ({ ...fact, at: fact.at - delay })
+    const corrected = <Fact extends { readonly at: Millis }>(fact: Fact): Fact => delay === 0 ? fact : { ...fact, at: fact.at - delay }
     const news = [
       ...facts.crashes.map((crash) => this.recordCrash(corrected(crash))),
       ...facts.survivals.map((survival) => this.recordSurvival(corrected(survival))),
@@ -55,7 +53,6 @@
    */
   recordCrash (report: CrashReport): boolean {
     if (!this.#reports.record(report)) return false
-    this.#factsChanged()
     this.#dropReports()
     return true
   }
@@ -70,11 +67,13 @@
     const newest = this.#sounds.newest?.at ?? -Infinity
     if (!this.#sounds.record(sound)) return false
     this.#trials.removeUntil(part, at)
-    this.#factsDropped += this.#sounds.trim((each) => this.#crashTimes.has(each))
-    const isContrast = newest <= this.#lastCrashAt && at > this.#lastCrashAt
-    const crashTimes = this.#crashTimes.get(part) ?? []
-    if (isContrast || crashTimes.length > 0) this.#standings = null
-    return isContrast || crashTimes.some((time) => time > known && (time <= at || known === -Infinity))
+    this.#factsDropped += this.#sounds.trim((each) => this.#reports.timesOf(each).length > 0)
+    const { lastTime } = this.#reports
+    const isContrast = newest <= lastTime && at > lastTime
+    const laterCrashes = this.#reports.timesOf(part).filter((time) => time > known)
+    // Without a crash since the sound answer that was known, a newer one changes nothing.
+    if (newest <= lastTime + CONTRAST_MARGIN || laterCrashes.length > 0) this.#standings = null
+    return isContrast || laterCrashes.some((time) => time <= at || known === -Infinity)
   }
 
   /**
@@ -86,7 +85,6 @@
     if (!this.#reports.recordSurvival(survival)) return false
     const isRefutation = this.#reports.countValid(survival) < before
     this.#dropSurvivals()
-    if (isRefutation) this.#standings = null
     return isRefutation
   }
 
@@ -182,33 +180,8 @@
    */
   facts (now: Millis): QuarantineFacts {
     this.#expire(now)
-    const reports = this.#reports.reports.sort((a, b) => this.#importance(b) - this.#importance(a) || b.at - a.at)
-    const crashes = reports.slice(0, MAX_SHARED_REPORTS)
-    return {
-      crashes,
-      sounds: this.#sharedSounds(crashes),
-      survivals: this.#reports.survivals.sort((a, b) => b.at - a.at).slice(0, MAX_SHARED_SURVIVALS),
-      trials: this.#trials.all.slice(0, MAX_SHARED_TRIALS)
-    }
-  }
-
-  /** The newest sound answer of any part shows that other requests are answered. */
-  #sharedSounds (crashes: readonly CrashReport[]): SoundPart[] {
-    const { newest } = this.#sounds
-    if (newest === null || crashes.length === 0) return []
-    const others = partsByFrequency(crashes).filter((part) => part !== newest.part)
-    return [newest, ...others.flatMap((part) => this.#soundOf(part))].slice(0, MAX_SHARED_SOUNDS)
-  }
-
-  #soundOf (part: PromptPart): SoundPart[] {
-    const at = this.#sounds.find(part)
-    return at === null ? [] : [{ part, at }]
-  }
-
-  /** Reports that decide a quarantine go before others, and refuted ones last. */
-  #importance (report: CrashReport): number {
-    if (this.#reports.isRefuted(report)) return 0
-    return report.parts.some((part) => this.#isQuarantined(part)) ? 2 : 1
+    const isQuarantined = (part: PromptPart): boolean => this.#isQuarantined(part)
+    return selectFacts({ reports: this.#reports, sounds: this.#sounds, trials: this.#trials, isQuarantined })
   }
 
   #isQuarantined (part: PromptPart): boolean {
@@ -217,21 +190,12 @@
   }
 
   #assess (): Map<PromptPart, PartStanding> {
-    this.#standings ??= assessParts(this.#reports.crashes(), this.#sounds)
-    return this.#standings
-  }
-
-  #factsChanged (): void {
-    this.#standings = null
-    this.#crashTimes = new Map()
-    this.#lastCrashAt = this.#reports.reports.reduce<Millis>((latest, { at }) => Math.max(latest, at), -Infinity)
-    for (const { parts, at } of this.#reports.reports) {
-      for (const part of parts) {
-        const times = this.#crashTimes.get(part)
-        if (times === undefined) this.#crashTimes.set(part, [at])
-        else times.push(at)
-      }
+    const crashes = this.#reports.crashes()
+    if (this.#standings === null || this.#assessed !== crashes) {
+      this.#standings = assessParts(crashes, this.#sounds)
+      this.#assessed = crashes
     }
+    return this.#standings
   }
 
   /** Evidence against a part is kept as long as its quarantine is confirmed at times. */
@@ -243,7 +207,6 @@
     for (const report of expired) this.#reports.remove(report)
     for (const survival of this.#reports.survivals) if (survival.at < limit) this.#reports.removeSurvival(survival)
     this.#trials.expire(limit)
-    if (expired.length > 0) this.#factsChanged()
   }
 
   #isConfirmedSince (part: PromptPart, limit: Millis): boolean {
@@ -253,9 +216,9 @@
 
   #dropReports (): void {
     if (this.#reports.size <= MAX_REPORTS) return
-    const least = this.#reports.reports.reduce((a, b) => this.#importance(b) - this.#importance(a) || b.at - a.at < 0 ? b : a)
+    const isQuarantined = (part: PromptPart): boolean => this.#isQuarantined(part)
+    const least = byImportance(this.#reports, isQuarantined).at(-1)!
     this.#reports.remove(least)
-    this.#factsChanged()
     this.#factsDropped++
   }
 
@@ -263,7 +226,6 @@
     const { survivals } = this.#reports
     if (survivals.length <= MAX_SURVIVALS) return
     this.#reports.removeSurvival(survivals.reduce((a, b) => b.at < a.at ? b : a))
-    this.#standings = null
     this.#factsDropped++
   }
 }
@@ -272,10 +234,3 @@
 
 const evidenceOf = ({ part, crashes, moments, lastCrashAt, soundAt }: PartStanding, now: Millis): PartEvidence =>
   ({ part, crashes: crashes.length, moments, lastCrashAge: now - lastCrashAt, wasSound: soundAt !== null })
-
-/** Parts of the reports, those in most reports first. */
-const partsByFrequency = (reports: readonly CrashReport[]): PromptPart[] => {
-  const counts = new Map<PromptPart, number>()
-  for (const part of reports.flatMap(({ parts }) => parts)) counts.set(part, (counts.get(part) ?? 0) + 1)
-  return [...counts].sort(([, a], [, b]) => b - a).map(([part]) => part)
-}
--- /dev/null
+++ b/packages/domain/src/forwarding/quarantine/sharedFacts.ts
@@ -0,0 +1,64 @@
+/** Which facts other nodes are told, and which are given up first. */
+import { MAX_SHARED_REPORTS, MAX_SHARED_SOUNDS, MAX_SHARED_SURVIVALS, MAX_SHARED_TRIALS } from './constants.js'
+import type { CrashReports } from './CrashReports.js'
+import type { PartTrials } from './PartTrials.js'
+import type { SoundParts } from './SoundParts.js'
+import type { CrashReport, PromptPart, QuarantineFacts, SoundPart } from './types.js'
+
+/** All that a copy knows. */
+export interface KnownFacts {
+  readonly reports: CrashReports
+  readonly sounds: SoundParts
+  readonly trials: PartTrials
+  readonly isQuarantined: (part: PromptPart) => boolean
+}
+
+/**
+ * @param known - all that a copy knows
+ * @returns the facts that other nodes need, bounded; those that decide a quarantine come first
+ */
+export const selectFacts = ({ reports, sounds, trials, isQuarantined }: KnownFacts): QuarantineFacts => {
+  const crashes = byImportance(reports, isQuarantined).slice(0, MAX_SHARED_REPORTS)
+  return {
+    crashes,
+    sounds: selectSounds(crashes, sounds),
+    survivals: reports.survivals.sort((a, b) => b.at - a.at).slice(0, MAX_SHARED_SURVIVALS),
+    trials: trials.all.slice(0, MAX_SHARED_TRIALS)
+  }
+}
+
+/**
+ * @param reports - all reports
+ * @param isQuarantined - whether a part is quarantined
+ * @returns the reports that decide a quarantine, then the others, and refuted ones last; newest first in each group
+ */
+export const byImportance = (reports: CrashReports, isQuarantined: (part: PromptPart) => boolean): CrashReport[] => {
+  const importanceOf = (report: CrashReport): number => {
+    if (reports.isRefuted(report)) return 0
+    return report.parts.some(isQuarantined) ? 2 : 1
+  }
+  return reports.reports
+    .map((report) => ({ report, importance: importanceOf(report) }))
+    .sort((a, b) => b.importance - a.importance || b.report.at - a.report.at)
+    .map(({ report }) => report)
+}
+
+/** The newest sound answer of any part shows that other requests are answered. */
+const selectSounds = (crashes: readonly CrashReport[], sounds: SoundParts): SoundPart[] => {
+  const { newest } = sounds
+  if (newest === null || crashes.length === 0) return []
+  const others = partsByFrequency(crashes).filter((part) => part !== newest.part)
+  return [newest, ...others.flatMap((part) => soundOf(part, sounds))].slice(0, MAX_SHARED_SOUNDS)
+}
+
+const soundOf = (part: PromptPart, sounds: SoundParts): SoundPart[] => {
+  const at = sounds.find(part)
+  return at === null ? [] : [{ part, at }]
+}
+
+/** Parts of the reports, those in most reports first. */
+const partsByFrequency = (reports: readonly CrashReport[]): PromptPart[] => {
+  const counts = new Map<PromptPart, number>()
+  for (const part of reports.flatMap(({ parts }) => parts)) counts.set(part, (counts.get(part) ?? 0) + 1)
+  return [...counts].sort(([, a], [, b]) => b - a).map(([part]) => part)
+}
