Quarantine: a part that was sound is not spared until a further crash when all engines are down

Cause: a part that was sound before is quarantined only if 1 s lies between its last sound answer and its last crash. Copies record the time of that answer up to 150 ms apart (FACT_TOLERANCE). Class: a rule in time that only an event of one kind can move on, in copies whose times differ.

The silence is now measured up to the newest sound answer of any request, if that is later than the crash: that others are answered and the part is not is what the rule asks for. It goes on as long as anything is answered, so that all copies get there. Nothing was weakened: moments, weights, the second and the contrast are as before, and a part that all requests carry has no silence by this measure either.

Both new tests of partQuarantine.test.ts failed with the assessment of the parent.

--- a/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
+++ b/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
@@ -1,8 +1,8 @@
 /** Decides which prompt parts crash engines, from facts that the nodes exchange. */
 import type { Millis } from '../../types.js'
-import { assessParts } from './assessment.js'
+import { assessParts, CONTRAST_PERIOD } from './assessment.js'
 import type { PartStanding } from './assessment.js'
-import { CONTRAST_MARGIN, EXPIRY_CHECK_GAP, FACT_EXPIRY, MAX_REPORTS, MAX_SOUND_PARTS, MAX_SURVIVALS, MAX_TRIED_PARTS } from './constants.js'
+import { EXPIRY_CHECK_GAP, FACT_EXPIRY, MAX_REPORTS, MAX_SOUND_PARTS, MAX_SURVIVALS, MAX_TRIED_PARTS } from './constants.js'
 import { CrashReports } from './CrashReports.js'
 import type { Crash } from './CrashReports.js'
 import { PartTrials } from './PartTrials.js'
@@ -72,7 +72,7 @@
     const isContrast = newest <= lastTime && at > lastTime
     const laterCrashes = this.#reports.timesOf(part).filter((time) => time > known)
     // Without a crash since the sound answer that was known, a newer one changes nothing.
-    if (newest <= lastTime + CONTRAST_MARGIN || laterCrashes.length > 0) this.#standings = null
+    if (newest <= lastTime + CONTRAST_PERIOD || laterCrashes.length > 0) this.#standings = null
     return isContrast || laterCrashes.some((time) => time <= at || known === -Infinity)
   }
 
--- a/packages/domain/src/forwarding/quarantine/assessment.ts
+++ b/packages/domain/src/forwarding/quarantine/assessment.ts
@@ -29,6 +29,9 @@
   readonly newest: { readonly at: Millis } | null
 }
 
+/** Time after the last crash from which a newer sound answer of any part changes no standing. */
+export const CONTRAST_PERIOD: Millis = Math.max(CONTRAST_MARGIN, SOUND_PART_THRESHOLD.silence)
+
 /**
  * Selects the part with the most evidence as a cause, sets aside the crashes that it explains, and goes on with the rest. Sound parts whose
  * requests were in progress beside those of a cause are not selected for these crashes, however many they are.
@@ -128,6 +131,8 @@
 const standingOf = (part: PromptPart, crashes: readonly Crash[], sounds: SoundTimes, rivals: ReadonlyMap<Crash, Rivals>): PartStanding => {
   const soundAt = sounds.find(part)
   const threshold = thresholdOf(soundAt)
+  // Not only up to the crash: no further one comes while all engines are down.
+  const silence = Math.max(crashes.at(-1)!.at, sounds.newest?.at ?? -Infinity) - (soundAt ?? -Infinity)
   let [moments, weight, momentStart, momentShare] = [0, 0, -Infinity, 0]
   let quarantinedAt: Millis | null = null
   for (const crash of crashes) {
@@ -135,7 +140,7 @@
     const share = shareOfEvidence(crash, rivals.get(crash)!, soundAt === null)
     weight += Math.max(0, share - momentShare)
     momentShare = Math.max(share, momentShare)
-    if (meetsThreshold(threshold, moments, weight, crash.at - (soundAt ?? -Infinity))) quarantinedAt ??= crash.at
+    if (meetsThreshold(threshold, moments, weight, silence)) quarantinedAt ??= crash.at
   }
   return { part, crashes, moments, weight, quarantinedAt, soundAt, inseparable: [part], lastCrashAt: crashes.at(-1)!.at }
 }
--- a/packages/domain/src/forwarding/quarantine/constants.ts
+++ b/packages/domain/src/forwarding/quarantine/constants.ts
@@ -8,7 +8,7 @@
   readonly weight: number
   /** Moments that suffice whatever their weight is. */
   readonly sufficientMoments: number
-  /** Time from the last sound answer to the last crash. */
+  /** Time from the part's last sound answer to its last crash, or to the newest sound answer of any request if that is later. */
   readonly silence: Millis
   /** Moments from which on a shorter silence is enough: engines may all be gone within that time. */
   readonly burstMoments: number
--- a/packages/domain/tests/partQuarantine.test.ts
+++ b/packages/domain/tests/partQuarantine.test.ts
@@ -60,3 +60,25 @@
   t.is(statusOf(quarantine, 'a', 1_101), PartStatus.Suspected)
   t.like(quarantine.counts(1_101), { crashesKnown: 1, crashesRefuted: 1 })
 })
+
+/** Guards against a verdict that waits for a further crash, which cannot come while all engines are down. */
+test('a part that was sound is quarantined once others have been sound for a second longer', (t) => {
+  const quarantine = new PartQuarantine()
+  quarantine.recordSound({ part: 'a', at: 1_000 })
+  for (const at of [1_300, 1_400, 1_500, 1_600, 1_700]) quarantine.recordCrash(crash(at, ['a']))
+  quarantine.recordSound({ part: 'other', at: 1_900 })
+  t.is(statusOf(quarantine, 'a', 1_901), PartStatus.Suspected)
+  quarantine.recordSound({ part: 'other', at: 2_100 })
+  t.is(statusOf(quarantine, 'a', 2_101), PartStatus.Quarantined)
+})
+
+test('copies agree on a part although they have recorded its last sound answer at different times', (t) => {
+  const copies = [850, 990].map((soundAt) => {
+    const quarantine = new PartQuarantine()
+    quarantine.recordSound({ part: 'a', at: soundAt })
+    for (const at of [1_300, 1_450, 1_600, 1_750, 1_900]) quarantine.recordCrash(crash(at, ['a']))
+    quarantine.recordSound({ part: 'other', at: 2_000 })
+    return statusOf(quarantine, 'a', 2_001)
+  })
+  t.deepEqual(copies, [PartStatus.Quarantined, PartStatus.Quarantined])
+})
