Tests: nodes that ask for trials hear each other however slow the machine is

'of nodes that ask for a trial at the same moment one gets it' failed in 1 of 14 runs beside load, load average 28 to 39 on 8 cores: two trials instead of one. Cause: as in the scheduling tests, the nodes send no heartbeats; once 1.5 s have passed, a node takes the scheduler for silent and grants itself the trial. Change: silence is measured on a RunningClock that does not tick, queries have 10 s, except in the test whose scheduler does not answer, and the end of an assignment is awaited instead of 50 ms.

--- a/packages/node/tests/quarantinePlacement.test.ts
+++ b/packages/node/tests/quarantinePlacement.test.ts
@@ -1,13 +1,17 @@
 /** Where requests go whose prompt parts are suspected, and who grants trials of quarantined ones. */
+import { setTimeout as sleep } from 'node:timers/promises'
+
 import test from 'ava'
 
 import { AttemptEnd, AttemptHistory, CallKind, Readiness, SchedulerDirectory, WARM_UP } from '@bluebellhill/domain'
-import type { BackendServer, CandidateState, CrashReport, FailureDomain, NodeId, QuarantineFacts, Route, RunnerId, SchedulerCandidate, Service } from '@bluebellhill/domain'
+import type { BackendServer, CandidateState, CrashReport, FailureDomain, Millis, NodeId, QuarantineFacts, Route, RunnerId, SchedulerCandidate, Service } from '@bluebellhill/domain'
 
+import { RunningClock } from '../src/clock/RunningClock.js'
 import type { AdmittedCall } from '../src/forward/AdmittedCall.js'
 import { FleetState } from '../src/forward/FleetState.js'
 import { decodeDatagram, encodeDatagram } from '../src/forward/peers/datagramCodec.js'
 import type { DatagramContent } from '../src/forward/peers/datagramCodec.js'
+import type { QueryTiming } from '../src/forward/peers/PendingQueries.js'
 import { PlacementClient } from '../src/forward/scheduling/PlacementClient.js'
 import { Scheduler } from '../src/forward/scheduling/Scheduler.js'
 import { SchedulerHost } from '../src/forward/scheduling/SchedulerHost.js'
@@ -20,6 +24,13 @@
 const ROUTE: Route = {
   name: 'chat', host: 'a', pathPrefix: '/', kind: CallKind.Stream, resumable: true, timeout: 10_000, objective: 300, pauseObjective: 200, priority: 1, maxAttempts: 3, isPublic: false, services: [{ service: 'lm', weight: 1 }]
 }
+/** Generous, so that a busy machine does not decide a test. */
+const PATIENT: QueryTiming = { repeatDelay: 5_000, timeout: 10_000 }
+const IMPATIENT: QueryTiming = { repeatDelay: 100, timeout: 1_000 }
+
+/** Time for which all nodes have run; a millisecond more than it takes, because times are rounded. */
+const WARM_TIME: Millis = WARM_UP + 1
+
 const SUSPECTED: AttemptCaution = { isSuspected: true, trialParts: [] }
 const NO_FACTS: QuarantineFacts = { crashes: [], survivals: [], sounds: [], trials: [] }
 const TRIAL: AttemptCaution = { isSuspected: false, trialParts: ['bad'] }
@@ -45,15 +56,17 @@
   /** Changes a message on its way; null if it is lost. */
   alter: (content: DatagramContent) => DatagramContent | null = (content) => content
   group: { readonly domain: FailureDomain | null } = { domain: null }
+  /** Measures the silence of the nodes; it does not tick, so that none is silent. */
+  readonly runningClock = new RunningClock(() => performance.now())
   #requestCount = 0
 
-  constructor (count: number, engines: number) {
+  constructor (count: number, engines: number, private readonly queryTiming = PATIENT) {
     for (let index = 0; index < count; index += 1) this.nodes.push(this.#createNode(index, engines))
-    const now = performance.now()
-    const state: CandidateState = { uptime: WARM_UP, isStopping: false, hasLostStore: false, configurationVersion: 1, serversRevision: 1 }
+    const now = this.runningClock.now()
+    const state: CandidateState = { uptime: WARM_TIME, isStopping: false, hasLostStore: false, configurationVersion: 1, serversRevision: 1 }
     for (const { directory } of this.nodes) {
       for (const { self } of this.nodes) directory.add(self)
-      for (const at of [now - WARM_UP, now]) for (const { self } of this.nodes) directory.heard(self.node, state, at)
+      for (const at of [now - WARM_TIME, now]) for (const { self } of this.nodes) directory.heard(self.node, state, at)
     }
   }
 
@@ -79,16 +92,17 @@
 
   #createNode (index: number, engines: number): TestNode {
     const log = silentLog()
-    const clock = (): number => performance.now()
+    const clock = (): Millis => performance.now()
+    const runningClock = (): Millis => this.runningClock.now()
     const self: SchedulerCandidate = { node: `n${index}` as NodeId, address: `10.0.0.${index}:1`, failureDomain: 'd1' as FailureDomain, processor: 100 - index }
     const fleetState = new FleetState(log, clock)
     fleetState.install({ ...DEPLOYMENT, services: [SERVICE] }, 'store')
     for (let id = 0; id < engines; id += 1) fleetState.putServer({ server: engine(id), revision: 1 }, 'store')
-    const directory = new SchedulerDirectory(self, clock() - WARM_UP)
-    const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, retryBounds: () => ({ ratio: 0, slack: 10, window: 1_000_000 }), schedulerCount: () => 1, group: () => this.group })
+    const directory = new SchedulerDirectory(self, runningClock() - WARM_TIME)
+    const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, runningClock, retryBounds: () => ({ ratio: 0, slack: 10, window: 1_000_000 }), schedulerCount: () => 1, group: () => this.group })
     const send = (address: string, content: DatagramContent): void => this.#deliver(node, address, content)
-    const host = new SchedulerHost({ scheduler, log, clock, send })
-    const placement = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, send, onUncoordinatedPlacement: () => {}, onNotice: () => {}, queryTiming: { repeatDelay: 100, timeout: 1_000 } })
+    const host = new SchedulerHost({ scheduler, log, clock, runningClock, send })
+    const placement = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, runningClock, send, onUncoordinatedPlacement: () => {}, onNotice: () => {}, queryTiming: this.queryTiming })
     const node: TestNode = { self, scheduler, placement, directory, host }
     return node
   }
@@ -110,8 +124,8 @@
 
 const reasonOf = (placement: AttemptPlacement): string | null => placement.type === 'refused' ? placement.reason : null
 
-const requestsOn = ({ schedulerNode }: TestNetwork): number =>
-  [0, 1, 2].reduce((sum, index) => sum + schedulerNode.scheduler.assignments.serverLoads(performance.now()).get(`e${index}` as RunnerId).requests.length, 0)
+const requestsOn = ({ schedulerNode, runningClock }: TestNetwork): number =>
+  [0, 1, 2].reduce((sum, index) => sum + schedulerNode.scheduler.assignments.serverLoads(performance.now(), runningClock.now()).get(`e${index}` as RunnerId).requests.length, 0)
 
 /** Guards against many streams that break off because a suspected request was packed onto a busy engine, as short prompts are. */
 test('a suspected request goes where fewest requests run, also as a retry', async (t) => {
@@ -175,7 +189,7 @@
 })
 
 test('without the answer of a scheduler there is no trial', async (t) => {
-  const network = new TestNetwork(2, 3)
+  const network = new TestNetwork(2, 3, IMPATIENT)
   for (const node of network.nodes) network.tellOfCrashes(node)
   network.alter = () => null
   t.is(reasonOf(await network.place(network.nodes[1]!, TRIAL)), PlacementRefusal.Quarantined)
@@ -190,7 +204,8 @@
     return content
   }
   t.is(reasonOf(await network.place(network.nodes[1]!, TRIAL)), PlacementRefusal.Quarantined)
-  await new Promise((resolve) => setTimeout(resolve, 50))
+  const limit = performance.now() + PATIENT.timeout
+  while (requestsOn(network) > 0 && performance.now() < limit) await sleep(2)
   t.is(requestsOn(network), 0)
 })
 
