A call that fails after this node was relieved is no loss of the store

Seen: whole nodes on loopback, eight of them, the store silent towards all for 1.2 s: a node of a later pair logs store.loss_ended when it is relieved and, 2 ms later, store.lost ("no response within 1000 ms") for the listing of the other prefix, which it began before. It announces that loss to the nodes that report to it; their watchers then interrupt their waits and watch briefly for 2 s. (The announcement was read in the code, not recorded.) Cause: the result of a call counts whatever the node's part is by then; the rule of covers only calls since whose start another one was answered. Change: a failure is recorded only while this node watches the store. Answers count as before. Ruled out: that the loss is needed for a node that is to watch again: it lists first, and that call is recorded.

--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -242,7 +242,7 @@
       const startedAt = this.#options.clock()
       const page = await this.#options.store.range(prefix, after)
       if (!page.ok) {
-        this.#options.availability.recordResult(page, startedAt)
+        this.#recordFailure(page, startedAt)
         return page
       }
       if (firstRevision !== null && eraOf(page.value.revision) !== eraOf(firstRevision)) return this.#restored(prefix, firstRevision, page.value.revision)
@@ -278,10 +278,15 @@
     }
     const now = clock()
     // If the watch took longer than its wait, the store may have been unavailable since the watch started.
-    if (!interruption.aborted && !isHistoryLost(result.failure)) availability.recordResult(result, startedAt, now - startedAt > wait ? startedAt : now)
+    if (!interruption.aborted && !isHistoryLost(result.failure)) this.#recordFailure(result, startedAt, now - startedAt > wait ? startedAt : now)
     return result
   }
 
+  /** A call that fails after other nodes have taken over is no loss: this node makes no further one that could show the return. */
+  #recordFailure (failure: Result<never, CallFailure>, startedAt: Millis, since?: Millis): void {
+    if (this.#options.isStoreWatcher()) this.#options.availability.recordResult(failure, startedAt, since)
+  }
+
   #watchWait (now: Millis): Millis {
     if (now - this.#checkStartedAt < STORE_CHECK_PERIOD) return STORE_CHECK_WAIT
     return WATCH_WAIT
--- a/packages/node/tests/storeSync.test.ts
+++ b/packages/node/tests/storeSync.test.ts
@@ -319,3 +319,21 @@
   t.true(await eventually(() => watches() > before))
   t.is(losses, 1)
 })
+
+// Guards against a false loss that is announced to the other nodes, whose watchers then check the store.
+test('a call that fails after this node was relieved is no loss of the store', async (t) => {
+  const store = new MemoryStore()
+  store.set(key('e1'), entry())
+  let isStoreWatcher = true
+  let lossCount = 0
+  const { fleetState, availability } = start(t, store, () => isStoreWatcher, () => { lossCount += 1 })
+  t.true(await eventually(() => readyServers(fleetState) === 'e1'))
+  store.lateFailure = { prefix: StoreKey.BackendServers, delay: 400 }
+  store.isDown = true
+  t.true(await eventually(() => availability.isLost))
+  isStoreWatcher = false
+  t.true(await eventually(() => !availability.isLost))
+  t.true(await eventually(() => store.lateFailureCount > 0))
+  await new Promise((resolve) => setImmediate(resolve))
+  t.is(lossCount, 1)
+})
