--- a/packages/node/tests/storeSync.test.ts
+++ b/packages/node/tests/storeSync.test.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises'
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
@@ -328,12 +328,13 @@
   let lossCount = 0
   const { fleetState, availability } = start(t, store, () => isStoreWatcher, () => { lossCount += 1 })
   t.true(await eventually(() => readyServers(fleetState) === 'e1'))
-  store.lateFailure = { prefix: StoreKey.BackendServers, delay: 400 }
+  let release = (): void => {}
+  store.lateFailure = { prefix: StoreKey.BackendServers, released: new Promise((resolve) => { release = resolve }) }
   store.isDown = true
   t.true(await eventually(() => availability.isLost))
   isStoreWatcher = false
   t.true(await eventually(() => !availability.isLost))
-  t.true(await eventually(() => store.lateFailureCount > 0))
-  await new Promise((resolve) => setImmediate(resolve))
+  release()
+  for (let turn = 0; turn < 5; turn += 1) await nextTurn()
   t.is(lossCount, 1)
 })
