Soak: a server that is starting while the fleet is disposed of is ended

Cause, by reading: a server that a part of a prompt has ended is started again in the background; if the fleet is disposed of between its start and the moment at which it listens, its socket stays open. That the run seen was this one is not shown: its process was not inspected. The new test failed before (the server runs), also with the check taken out of the built file.

--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -136,6 +136,10 @@
     standin.crashingParts = this.promptParts.crashingParts
     standin.onCrash = () => { void this.#restartCrashed(server, standin) }
     await standin.start(this.#host(FIRST_SERVER + server.index), PORT.server)
+    if (this.#isDisposed) {
+      await standin.dispose()
+      return
+    }
     server.standin = standin
     this.serverProxies.set(id, server.proxy)
     server.startedAt = Date.now()
@@ -154,7 +158,8 @@
     await sleep(downMs)
     if (this.#isDisposed) return
     await server.proxy.reopen()
-    await this.startServer(server, keepsId ? standin.id : undefined)
+    if (this.#isDisposed) server.proxy.dispose()
+    else await this.startServer(server, keepsId ? standin.id : undefined)
   }
 
   /** Stops a server as a crash would; its entry is removed when its lease has expired. */
--- a/packages/soak/tests/fleet.test.ts
+++ b/packages/soak/tests/fleet.test.ts
@@ -51,3 +51,14 @@
     t.is(span?.until, until)
   })
 }
+
+// Guards against a run that does not end: a server that was starting while the fleet was disposed of kept its socket open.
+test.serial('a server that is starting while the fleet is disposed of does not run afterwards', async (t) => {
+  const { fleet, server, standin } = await startServer(t)
+  await standin.dispose()
+  server.standin = null
+  const start = fleet.startServer(server)
+  await fleet.dispose()
+  await start
+  t.is(server.standin, null)
+})
