Test: a node that reaches no backend server refuses what another node could serve (fails)

Connections that are refused, and connections that hang; safe and unsafe requests and streams. On this code each first attempt at such a node ends as 503 or at its deadline.

--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -80,6 +80,7 @@
   readonly placement: PlacementClient
   readonly metrics = new ForwardMetrics()
   readonly quarantine: PromptQuarantine
+  readonly directory: SchedulerDirectory
   /** Clock of the node; a test may stop it. */
   clock: () => Millis = () => performance.now()
   readonly #servers: Server[] = []
@@ -92,6 +93,7 @@
     const clock = (): Millis => this.clock()
     this.fleetState = new FleetState(log, clock)
     const directory = new SchedulerDirectory(SELF, clock())
+    this.directory = directory
     const scheduler = new Scheduler({
       node: SELF.node, fleetState: this.fleetState, log, clock, runningClock: clock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), schedulerCount: () => 1, group: () => directory.group
     })
@@ -120,6 +122,15 @@
     return fixture
   }
 
+  /** Listens to other nodes. Returns `ip:port`. */
+  async listenToNodes (): Promise<string> {
+    const server = createServer((_, response) => { response.writeHead(404).end() })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    this.#servers.push(server)
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`
+  }
+
   async call (path: string, options: { method?: string, headers?: Record<string, string>, body?: string, disconnection?: AbortSignal } = {}): Promise<Answer> {
     const request = httpRequest({
       host: '127.0.0.1',
