A node that reaches no backend server passes requests on to one that does

Cause: such a node had no other way than its own. It tried one server after the other and refused, or waited until the deadline where connections hang; and it booked each failure on the server or its failure domain, so that the scheduler avoided servers that answered all others. Class: a fault of the observer was taken for one of what it observes.

Change: a connection that is not established starts a check of one server in each of three failure domains; if none accepts a connection the service is unreachable from this node, and requests go by one hop to a node that reaches it, on the port that only nodes reach. That node handles them as if the caller had come to it; no second hop. Failed connections are told as the fault of servers only once another server of the service is reached.

Ruled out: to refuse or to become unready (docs/design/relay.md).

--- a/packages/domain/src/forwarding/AttemptHistory.ts
+++ b/packages/domain/src/forwarding/AttemptHistory.ts
@@ -64,6 +64,11 @@
     return this.#sentTo.size + (isNewServer ? 1 : 0) >= this.#route.maxAttempts
   }
 
+  /** @returns the servers that have received bytes of the request */
+  sentServers (): RunnerId[] {
+    return [...this.#sentTo]
+  }
+
   /** @returns the servers that were tried, in order; a server whose attempt ended because a helper failed is not included */
   triedServers (): RunnerId[] {
     return [...this.#tried]
--- a/packages/domain/src/forwarding/SchedulerDirectory.ts
+++ b/packages/domain/src/forwarding/SchedulerDirectory.ts
@@ -181,6 +181,11 @@
     return [...this.#entries.values()].filter((entry) => this.#isHeard(entry, now)).map(({ candidate, state }) => ({ ...candidate, state }))
   }
 
+  /** @returns all other nodes that are known, heard or not */
+  others (): SchedulerCandidate[] {
+    return [...this.#entries.values()].map(({ candidate }) => candidate)
+  }
+
   /** @returns the highest ranked candidates of this node's group, this node included */
   ranked (count: number): readonly SchedulerCandidate[] {
     return this.#ranking.slice(0, count)
--- a/packages/node/src/forward/AdmittedCall.ts
+++ b/packages/node/src/forward/AdmittedCall.ts
@@ -1,5 +1,5 @@
 /** Describes a caller's request that has been read completely and may be sent to a backend server. */
-import type { Millis, PromptPart, PromptSize, Route, Service } from '@bluebellhill/domain'
+import type { Millis, PromptPart, PromptSize, Route, RunnerId, Service } from '@bluebellhill/domain'
 
 export interface AdmittedCall {
   /** Attempt id that the caller sent with the request. */
@@ -17,6 +17,10 @@
   readonly size: PromptSize
   /** Parts of its prompt in order; other requests may have all of them but the last. */
   readonly parts: readonly PromptPart[]
+  /** Whether another node has passed it on: it is not passed on again. */
+  readonly isRelayed: boolean
+  /** Backend servers that have received it from that node. */
+  readonly triedServers: readonly RunnerId[]
   /** Id of the last event that the caller has of a stream that it resumes; null if it does not resume one. */
   readonly lastEventId: string | null
   readonly arrivedAt: Millis
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -19,6 +19,7 @@
 import { FleetStateExchange } from './peers/FleetStateExchange.js'
 import { PeerLink } from './peers/PeerLink.js'
 import { PlacementClient } from './scheduling/PlacementClient.js'
+import { Relay } from './relay/Relay.js'
 import { Scheduler } from './scheduling/Scheduler.js'
 import { SchedulerHost } from './scheduling/SchedulerHost.js'
 import { NodeRegistration } from './store/NodeRegistration.js'
@@ -59,6 +60,7 @@
   readonly #directory: SchedulerDirectory
   readonly #scheduler: Scheduler
   readonly #placement: PlacementClient
+  readonly #relay: Relay
   readonly #entryServer: EntryServer
   readonly #peerLink: PeerLink
   readonly #fleetStateExchange: FleetStateExchange
@@ -112,7 +114,8 @@
       metrics: this.#metrics,
       clock,
       failureDomain: settings.failureDomain,
-      peers: () => this.#peerLink.sources()
+      peers: () => this.#peerLink.sources(),
+      onRelayed: (request, response) => { void this.#entryServer.serveRelayed(request, response) }
     })
     this.#peerLink = new PeerLink({
       self,
@@ -165,7 +168,18 @@
     const engineHttp = new HttpPool(2)
     this.#disposables.add(engineHttp)
     const memory = new EngineMemoryClient(engineHttp, RESERVATION_CALL_TIMEOUT)
-    this.#entryServer = new EntryServer({ placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, memory, answerMemory: new AnswerMemory(), clock })
+    this.#relay = new Relay({
+      node: settings.node,
+      failureDomain: settings.failureDomain,
+      directory: this.#directory,
+      fleetState: this.#fleetState,
+      log,
+      clock,
+      runningClock,
+      onServerUnreachable: (server) => this.#placement.reportUnreachable(server)
+    })
+    this.#disposables.add(this.#relay)
+    this.#entryServer = new EntryServer({ relay: this.#relay, placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, memory, answerMemory: new AnswerMemory(), clock })
   }
 
   /** Starts all components; the node then serves callers. */
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -4,6 +4,7 @@
 import { AttemptEnd, AttemptHistory, HealthSignal } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { decodeAnswerHeaders } from '@bluebellhill/platform'
+import { parseRetryAfter } from '@bluebellhill/services'
 
 import type { AdmittedCall } from './AdmittedCall.js'
 import { AttemptSearch } from './AttemptSearch.js'
@@ -29,7 +30,10 @@
 import { SilenceTimer } from './SilenceTimer.js'
 import type { ChangeCheck } from './SilenceTimer.js'
 import { SilentAttempts } from './SilentAttempts.js'
-import { serverCallRequest } from './serverCallRequest.js'
+import { finalCauseOf, serverOfPeer } from './relay/relayedAttempts.js'
+import { decodeRelayAnswer, SERVER_ANSWER, withoutRelayHeaders } from './relay/relayHeaders.js'
+import type { RelayPeer } from './relay/RelayPeers.js'
+import { relayCallRequest, serverCallRequest } from './serverCallRequest.js'
 import { CloseCause, RequestStage } from './unansweredRequests.js'
 
 /** Longest time for which a request that may have run waits until a server accepts requests again. */
@@ -67,6 +71,10 @@
    */
   constructor (protected readonly context: ForwardingContext, protected readonly call: AdmittedCall, protected readonly response: ServerResponse) {
     this.history = new AttemptHistory(call.route)
+    for (const server of call.triedServers) {
+      this.history.start(server)
+      this.history.end(server, AttemptEnd.Broken)
+    }
     this.#requestLog = new RequestLog(context, call)
     this.#ending = new RequestEnding({ context, call, response, requestLog: this.#requestLog, summary: () => this.#summary(), onEnded: () => this.#releaseAll() })
     this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
@@ -133,7 +141,7 @@
     this.#silentAttempts.closeAll()
     if (this.firstAnswerAt !== null) return
     this.firstAnswerAt = this.context.clock()
-    this.context.metrics.firstAnswerSent(this.call.route.kind, attempt.placed.choice.timeToFirstEvent, this.firstAnswerAt - attempt.sentAt)
+    if (attempt.placed !== null) this.context.metrics.firstAnswerSent(this.call.route.kind, attempt.placed.choice.timeToFirstEvent, this.firstAnswerAt - attempt.sentAt)
   }
 
   /** Measures anew how long the server of the attempt sends no data. */
@@ -143,14 +151,16 @@
 
   /** Waits on while the engine is known to prefill other prompts: another engine would have to read this prompt anew. */
   async #dataOverdue (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
-    const extension = await this.context.placement.explainedSilence(attempt.placed)
+    const { placed } = attempt
+    if (placed === null) return
+    const extension = await this.context.placement.explainedSilence(placed)
     if (hasGoneOn()) return
     if (extension > 0) {
       this.#requestLog.attemptWaits(attempt, silence, extension)
       this.#silenceTimer.extend(attempt, extension, silence + extension)
       return
     }
-    if (!attempt.isSilenceReported) this.context.placement.reportSilence(attempt.placed)
+    if (!attempt.isSilenceReported) this.context.placement.reportSilence(placed)
     attempt.isSilenceReported = true
     await this.#replaceSilent(attempt, silence, hasGoneOn)
   }
@@ -209,14 +219,21 @@
     return true
   }
 
+  /** While this node may reach no server at all, a failed connection says nothing of the server. */
+  #signalOf (attempt: OpenAttempt, end: AttemptEnd): HealthSignal | null {
+    const isOwnFault = end === AttemptEnd.Unsent && this.context.relay.checks.isInDoubt(this.call.service.name)
+    return isOwnFault ? null : healthSignalOf(attempt, end)
+  }
+
   /** Ends an attempt without a complete answer, and starts another one if the route and the retry budget allow it. */
-  protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string, signal = healthSignalOf(attempt, end)): void {
+  protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string, signal = this.#signalOf(attempt, end)): void {
     if (this.#silentAttempts.has(attempt)) {
       this.#requestLog.attemptFailed(attempt, end, reason)
       this.#silentAttempts.close(attempt, signal === HealthSignal.Faulty ? signal : null)
     }
     if (this.attempt !== attempt || this.#ending.isOver) return
     this.#closeAttempt(attempt, signal)
+    if (attempt.peer !== null && end === AttemptEnd.Broken) this.context.relay.peers.failed(attempt.peer)
     this.#lastProblem = `${end}: ${reason}`
     const isRetryAllowed = this.history.end(attempt.server.id, end)
     this.#requestLog.attemptFailed(attempt, end, reason)
@@ -234,10 +251,17 @@
   async #startNextAttempt (chargesRetry: boolean): Promise<void> {
     this.#searchCount += 1
     const search = this.#searchCount
-    const placement = await this.#search.find(chargesRetry)
     // A silent attempt may have gone on and failed meanwhile, so that a later search has begun.
-    const isSuperseded = search !== this.#searchCount
-    if (this.#ending.isOver || this.attempt !== null || isSuperseded) {
+    const isSuperseded = (): boolean => this.#ending.isOver || this.attempt !== null || search !== this.#searchCount
+    if (this.#attemptCount > 0) await this.context.relay.checks.settled(this.call.service.name)
+    if (isSuperseded()) return
+    const peer = this.call.isRelayed ? null : this.context.relay.peerFor(this.call.service.name)
+    if (peer !== null) {
+      this.#passOn(peer)
+      return
+    }
+    const placement = await this.#search.find(chargesRetry)
+    if (isSuperseded()) {
       this.#search.discard(placement)
       return
     }
@@ -271,35 +295,68 @@
     return true
   }
 
+  /** Passes the request on to a node that reaches servers of its service, which handles it as if the caller had sent it there. */
+  #passOn (peer: RelayPeer): void {
+    const { clock, relay } = this.context
+    const server = serverOfPeer(peer, this.call.service.name)
+    const tried = this.history.sentServers()
+    this.history.start(server.id)
+    this.#attemptCount += 1
+    const attempt: OpenAttempt = { server, placed: null, peer, sentAt: clock(), reservations: null, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
+    this.attempt = attempt
+    relay.peers.started(peer)
+    this.#requestLog.requestRelayed(peer, this.#attemptCount)
+    const request = relayCallRequest({ call: this.call, from: relay.node, timeLeft: this.call.deadlineAt - clock(), lastEventId: this.lastEventId, tried }, peer.address)
+    attempt.serverCall = new ServerCall(request, this.#createListener(attempt))
+  }
+
+  /** @returns whether the attempt has ended, because the other node does not pass on the answer of a server */
+  #peerRefused (attempt: OpenAttempt, peer: RelayPeer, head: AnswerHead): boolean {
+    const relayed = decodeRelayAnswer(head.headers)
+    if (relayed === SERVER_ANSWER) return false
+    const cause = finalCauseOf(relayed)
+    if (cause === null) {
+      this.context.relay.peers.refused(peer, this.call.service.name)
+      this.failAttempt(attempt, AttemptEnd.Unsent, `node ${peer.node} does not serve it: ${relayed ?? 'an earlier build'}`, null)
+      return true
+    }
+    this.#requestLog.attemptFailed(attempt, AttemptEnd.NotRun, `refused by node ${peer.node}: ${cause}`)
+    this.#lastProblem = `node ${peer.node}: ${cause}`
+    this.#closeAttempt(attempt)
+    this.context.metrics.requestRefused(cause)
+    this.#refuseOrAbort(cause, ForwardOutcome.Refused, CloseCause.AnswerLost, parseRetryAfter(head.headers['retry-after']))
+    return true
+  }
+
   #openAttempt (placed: PlacedAttempt): void {
     const { choice: { server, holders }, assignment } = placed
     this.history.start(server.id)
     this.#attemptCount += 1
     const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
-    const attempt: OpenAttempt = { server, placed, sentAt: this.context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
+    const attempt: OpenAttempt = { server, placed, peer: null, sentAt: this.context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
     this.attempt = attempt
     this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server))
-    if (reservations === null) this.#sendUnlessQuarantined(attempt)
-    else void this.#reserveAndSend(attempt, reservations)
+    if (reservations === null) this.#sendUnlessQuarantined(attempt, placed)
+    else void this.#reserveAndSend(attempt, placed, reservations)
   }
 
-  async #reserveAndSend (attempt: OpenAttempt, reservations: MemoryReservations): Promise<void> {
+  async #reserveAndSend (attempt: OpenAttempt, placed: PlacedAttempt, reservations: MemoryReservations): Promise<void> {
     const isReserved = await reservations.acquire()
     if (this.attempt !== attempt) return
-    const obstacle = isReserved ? this.context.placement.obstacleTo(attempt.placed) : 'reserving KV cache memory failed'
-    if (obstacle === null) this.#sendUnlessQuarantined(attempt)
+    const obstacle = isReserved ? this.context.placement.obstacleTo(placed) : 'reserving KV cache memory failed'
+    if (obstacle === null) this.#sendUnlessQuarantined(attempt, placed)
     else this.failAttempt(attempt, AttemptEnd.Unsent, obstacle)
   }
 
   /** A part may have got quarantined while the attempt was being placed, or while memory was being reserved for it. */
-  #sendUnlessQuarantined (attempt: OpenAttempt): void {
-    const quarantine = attempt.placed.isTrial ? null : this.#guard.findQuarantine()
-    if (quarantine === null) this.#send(attempt)
+  #sendUnlessQuarantined (attempt: OpenAttempt, { isTrial }: PlacedAttempt): void {
+    const quarantine = isTrial ? null : this.#guard.findQuarantine()
+    if (quarantine === null) this.#send(attempt, isTrial)
     else this.#refuseQuarantined(quarantine)
   }
 
-  #send (attempt: OpenAttempt): void {
-    attempt.watch = this.#guard.watch(attempt.server, attempt.placed.isTrial)
+  #send (attempt: OpenAttempt, isTrial: boolean): void {
+    attempt.watch = this.#guard.watch(attempt.server, isTrial)
     const request = serverCallRequest(this.call, attempt, this.lastEventId, this.context.clock())
     attempt.serverCall = new ServerCall(request, this.#createListener(attempt))
     this.restartDataTimer(attempt)
@@ -324,15 +381,27 @@
   }
 
   #connectionFailed (attempt: OpenAttempt, mayBeSent: boolean, reason: string): void {
+    if (!mayBeSent) this.#notConnected(attempt)
     if (mayBeSent && attempt.serverCall?.isBrokenOff === true) attempt.watch?.brokenOff()
     this.failAttempt(attempt, mayBeSent ? AttemptEnd.Broken : AttemptEnd.Unsent, reason)
   }
 
+  #notConnected ({ peer, server }: OpenAttempt): void {
+    const { relay } = this.context
+    if (peer === null) relay.checks.connectionFailed(server)
+    else relay.peers.failed(peer)
+  }
+
   #headReceived (attempt: OpenAttempt, head: AnswerHead): void {
     if (this.#ending.isOver || (this.attempt !== attempt && !this.#silentAttempts.has(attempt))) return
-    attempt.head = head
+    const { peer } = attempt
+    if (peer !== null && this.#peerRefused(attempt, peer, head)) return
+    attempt.head = peer === null ? head : { ...head, rawHeaders: withoutRelayHeaders(head.rawHeaders) }
     attempt.answer = decodeAnswerHeaders(head.status, head.headers)
-    recordStatements(this.context, this.call, attempt.server, head.status, attempt.answer)
+    if (peer === null) {
+      this.context.relay.checks.dataReceived(attempt.server, attempt.sentAt)
+      recordStatements(this.context, this.call, attempt.server, head.status, attempt.answer)
+    }
     const problem = findAnswerProblem(attempt.answer, head.status, this.call.id)
     if (this.#silentAttempts.has(attempt) && (problem !== null || !isSuccessfulAnswer(attempt))) {
       this.failAttempt(attempt, AttemptEnd.Failed, problem ?? `status ${head.status}`)
@@ -382,7 +451,7 @@
 
   #serverFailed (attempt: OpenAttempt, failure: SignedFailure): void {
     this.signedFailure = failure
-    if (failure.head.status >= SERVER_ERROR) {
+    if (failure.head.status >= SERVER_ERROR && attempt.peer === null) {
       this.failAttempt(attempt, AttemptEnd.Failed, `status ${failure.head.status}`)
       return
     }
@@ -429,9 +498,9 @@
   }
 
   /** A caller that has a part of an answer cannot be refused any more. */
-  #refuseOrAbort (refusal: RefusalCause, outcome: ForwardOutcome, closeCause: CloseCause): void {
+  #refuseOrAbort (refusal: RefusalCause, outcome: ForwardOutcome, closeCause: CloseCause, retryAfter: Millis | null = null): void {
     if (this.hasStartedAnswer) this.#ending.abort(outcome, closeCause, this.stage)
-    else this.#ending.refuse(refusal, outcome)
+    else this.#ending.refuse(refusal, outcome, retryAfter)
   }
 
   #callerDisconnected (): void {
@@ -451,7 +520,8 @@
     attempt.serverCall?.abort()
     this.attemptClosed(attempt)
     attempt.reservations?.release()
-    this.context.placement.removeAssignment(attempt.placed, signal)
+    if (attempt.placed !== null) this.context.placement.removeAssignment(attempt.placed, signal)
+    if (attempt.peer !== null) this.context.relay.peers.ended(attempt.peer)
   }
 
   #releaseAll (): void {
--- a/packages/node/src/forward/PlainForwarding.ts
+++ b/packages/node/src/forward/PlainForwarding.ts
@@ -21,9 +21,9 @@
     return null
   }
 
-  protected dataTimeout (): Millis | null {
+  protected dataTimeout ({ placed }: OpenAttempt): Millis | null {
     const { route, deadlineAt } = this.call
-    if (!mayRunAgain(route) || this.history.isExhausted) return null
+    if (placed === null || !mayRunAgain(route) || this.history.isExhausted) return null
     return Math.max(route.objective, REMAINING_TIME_SHARE * (deadlineAt - this.context.clock()))
   }
 
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -5,6 +5,7 @@
 import type { AdmittedCall } from './AdmittedCall.js'
 import { evidenceFields, suspectField } from './quarantine/QuarantineLog.js'
 import type { QuarantineVerdict } from './quarantine/PromptQuarantine.js'
+import type { RelayPeer } from './relay/RelayPeers.js'
 import type { PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import type { ForwardOutcome } from './ForwardOutcome.js'
 import type { ForwardingContext, OpenAttempt } from './types.js'
@@ -68,6 +69,17 @@
     })
   }
 
+  /**
+   * Logs that the request is passed on to another node, because this one reaches no server of its service.
+   *
+   * @param peer - the other node
+   * @param attempt - number of the attempt, from 1
+   */
+  requestRelayed ({ node, failureDomain, address }: RelayPeer, attempt: number): void {
+    const { call, context } = this
+    context.log.info('request.relayed', { request: call.id, attempt, service: call.service.name, peer: node, peer_domain: failureDomain, address, left_ms: Math.round(call.deadlineAt - context.clock()) })
+  }
+
   /** Logs that an attempt without data goes on, because its engine is known to prefill other prompts. */
   attemptWaits ({ server }: OpenAttempt, silence: Millis, extension: Millis): void {
     this.context.log.info('attempt.waits', { request: this.call.id, server: server.id, silent_ms: Math.round(silence), prefill_left_ms: Math.round(extension) })
@@ -88,7 +100,7 @@
   attemptFailed ({ server, sentAt, placed }: OpenAttempt, end: AttemptEnd, reason: string): void {
     const { call, context } = this
     context.log.warn('attempt.failed', {
-      request: call.id, server: server.id, end, reason, after_ms: Math.round(context.clock() - sentAt), helpers: joinIds(placed.choice.helpers)
+      request: call.id, server: server.id, end, reason, after_ms: Math.round(context.clock() - sentAt), helpers: placed === null ? undefined : joinIds(placed.choice.helpers)
     })
   }
 
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -32,7 +32,7 @@
 
   protected dataTimeout ({ head, placed }: OpenAttempt): Millis | null {
     const { route } = this.call
-    if (!mayRunAgain(route) || this.history.isExhausted) return null
+    if (placed === null || !mayRunAgain(route) || this.history.isExhausted) return null
     const { objective, pauseObjective } = route
     const bounds = { expected: placed.choice.timeToFirstEvent, objective, pauseObjective, reading: this.context.placement.prefillTime(this.call), holdsMemory: placed.choice.holders.length > 0 }
     return head === null ? firstEventTimeout(bounds) : nextEventTimeout(bounds)
@@ -58,7 +58,7 @@
     attempt.watch?.eventsReceived(complete.length)
     const events = complete.filter((event) => this.#isNew(event))
     if (events.length === 0) return
-    if (!attempt.hasFirstEvent) this.context.placement.prefillFinished(attempt.placed)
+    if (!attempt.hasFirstEvent && attempt.placed !== null) this.context.placement.prefillFinished(attempt.placed)
     attempt.hasFirstEvent = true
     this.#writeHead(attempt)
     this.recordFirstAnswer(attempt)
@@ -98,7 +98,7 @@
     this.#lastEventAt = now
     if (pause === null) return
     this.#longestPause = Math.max(this.#longestPause, pause)
-    this.context.placement.observePause(this.call, placed, pause)
+    if (placed !== null) this.context.placement.observePause(this.call, placed, pause)
   }
 
   #countEvent ({ id }: StreamEvent): void {
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -4,6 +4,7 @@
 import { once } from 'node:events'
 import { Server as TcpServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 
 import { CallKind } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
@@ -15,6 +16,7 @@
 import type { ForwardingContext } from '../types.js'
 import { PlainForwarding } from '../PlainForwarding.js'
 import { StreamForwarding } from '../StreamForwarding.js'
+import { RELAY_HEADER, SERVER_ANSWER } from '../relay/relayHeaders.js'
 import { CloseCause, recordUnanswered, RequestStage } from '../unansweredRequests.js'
 import { CallerConnections } from './CallerConnections.js'
 import { acceptHead, admit, readCallerBody } from './admit.js'
@@ -29,6 +31,9 @@
 /** Interval at which idle connections are closed after `stop` was called. */
 const IDLE_SWEEP_PERIOD: Millis = 200
 
+/** Interval at which a stopping node checks whether the requests that other nodes have passed on are answered. */
+const RELAYED_CHECK_PERIOD: Millis = 20
+
 /** Time after `stop` in which requests on open connections are still accepted; later ones could not finish in time. */
 const ACCEPT_PERIOD_AFTER_STOP: Millis = 2_000
 
@@ -52,7 +57,7 @@
   constructor (context: ForwardingContext) {
     this.#context = context
     this.#server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_PERIOD, requestTimeout: 0, noDelay: true }, (request, response) => {
-      void this.#serve(request, response)
+      void this.#serve(request, response, false)
     })
     this.#server.on('connection', (socket) => this.#connections.add(socket))
     this.#server.on('timeout', (socket) => { void this.#connections.closeExpired(socket, this.#server.headersTimeout) })
@@ -93,6 +98,7 @@
     const idleSweep = setInterval(() => this.#connections.closeIdle(), IDLE_SWEEP_PERIOD)
     const forcedClose = setTimeout(() => this.#closeAll(), grace)
     await closed
+    while (this.#openRequests.size > 0 && this.#context.clock() - this.#stoppedAt < grace) await sleep(RELAYED_CHECK_PERIOD)
     clearInterval(idleSweep)
     clearTimeout(forcedClose)
   }
@@ -114,7 +120,13 @@
     this.#server.headersTimeout = limits.headerTimeout
   }
 
-  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  /** Serves a request that another node passes on for a caller, on a connection that this server does not listen to. */
+  async serveRelayed (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.setHeader(RELAY_HEADER, SERVER_ANSWER)
+    await this.#serve(request, response, true)
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse, isRelayed: boolean): Promise<void> {
     if (this.#connections.isRefused(request.socket)) {
       request.socket.destroy()
       return
@@ -125,23 +137,24 @@
     this.#connections.track(request.socket, response)
     response.once('close', () => { this.#openRequests.delete(response) })
     if (this.#stoppedAt !== null) closeConnectionAfter(response)
-    const cause = await this.#forward(open, response)
+    const cause = await this.#forward(open, response, isRelayed)
     if (cause !== null) this.#refuse(request, response, cause)
   }
 
   /** @returns why the request is refused; null if it is being forwarded or the caller has disconnected */
-  async #forward (open: OpenRequest, response: ServerResponse): Promise<RefusalCause | null> {
+  async #forward (open: OpenRequest, response: ServerResponse, isRelayed: boolean): Promise<RefusalCause | null> {
     const { request, arrivedAt } = open
     const table = this.#context.fleetState.routeTable
     if (table === null) return RefusalCause.Starting
     if (this.#stoppedAt !== null && arrivedAt - this.#stoppedAt > ACCEPT_PERIOD_AFTER_STOP) return RefusalCause.Stopping
-    const head = acceptHead(request, table)
+    const head = acceptHead(request, table, isRelayed)
     if (!head.ok) return head.failure
     const body = await readCallerBody(request, table.deployment.limits)
     if (body === null || response.destroyed) return null
     if (!body.ok) return body.failure
     const call = admit(request, head.value, body.value, table, arrivedAt)
     if (!call.ok) return call.failure
+    if (isRelayed && this.#context.relay.checks.isUnreachable(call.value.service.name)) return RefusalCause.Unreachable
     open.forwarding = call.value.route.kind === CallKind.Stream
       ? new StreamForwarding(this.#context, call.value, response)
       : new PlainForwarding(this.#context, call.value, response)
--- a/packages/node/src/forward/entry/admit.ts
+++ b/packages/node/src/forward/entry/admit.ts
@@ -9,6 +9,7 @@
 import type { Result } from '@bluebellhill/services'
 
 import type { AdmittedCall } from '../AdmittedCall.js'
+import { decodeTried, withoutRelayHeaders } from '../relay/relayHeaders.js'
 import { RefusalCause } from './refusals.js'
 
 /** Bytes of a header line on the wire besides its name and value. */
@@ -27,6 +28,8 @@
   readonly organisation: OrganisationKeys | null
   readonly headers: CallerHeaders
   readonly attemptId: string
+  /** Whether another node passes the request on. */
+  readonly isRelayed: boolean
 }
 
 /**
@@ -34,11 +37,12 @@
  *
  * @param request - the request; its body is not read
  * @param table - the configuration in force
+ * @param isRelayed - whether another node passes it on, which has checked the size of its head and added to it
  * @returns route, organisation and decoded headers, or why the request is refused
  */
-export const acceptHead = (request: IncomingMessage, table: RouteTable): Result<AcceptedHead, RefusalCause> => {
+export const acceptHead = (request: IncomingMessage, table: RouteTable, isRelayed = false): Result<AcceptedHead, RefusalCause> => {
   const { limits } = table.deployment
-  if (headBytes(request) > limits.headerBytes) return failed(RefusalCause.HeadTooLarge)
+  if (!isRelayed && headBytes(request) > limits.headerBytes) return failed(RefusalCause.HeadTooLarge)
   const path = request.url ?? ''
   const host = request.headers.host
   if (host === undefined || !path.startsWith('/')) return failed(RefusalCause.BadRequest)
@@ -49,7 +53,7 @@
   if (table.isKeyRequired && !route.isPublic && organisation === null) return failed(RefusalCause.UnknownKey)
   if (headers.attemptId === null) return failed(RefusalCause.BadRequest)
   if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) return failed(RefusalCause.BodyTooLarge)
-  return success({ route, organisation, headers, attemptId: headers.attemptId })
+  return success({ route, organisation, headers, attemptId: headers.attemptId, isRelayed })
 }
 
 /**
@@ -85,14 +89,14 @@
  * @param arrivedAt - time at which its head was read
  * @returns the request to forward, or why it is refused
  */
-export const admit = (request: IncomingMessage, { route, organisation, headers, attemptId }: AcceptedHead, body: Buffer, table: RouteTable, arrivedAt: Millis): Result<AdmittedCall, RefusalCause> => {
+export const admit = (request: IncomingMessage, { route, organisation, headers, attemptId, isRelayed }: AcceptedHead, body: Buffer, table: RouteTable, arrivedAt: Millis): Result<AdmittedCall, RefusalCause> => {
   const service = table.service(pickService(route, Math.random()) ?? '')
   if (service === null) return failed(RefusalCause.NoServer)
   return success({
     id: attemptId,
     method: request.method ?? 'GET',
     path: request.url ?? '/',
-    headers: request.rawHeaders,
+    headers: withoutRelayHeaders(request.rawHeaders),
     body,
     route,
     service,
@@ -100,6 +104,8 @@
     urgency: Math.min(LEAST_URGENCY, organisation?.priority ?? route.priority ?? DEFAULT_URGENCY),
     size: headers.size ?? { prompt: 0, mostAnswer: 0 },
     parts: headers.promptParts,
+    isRelayed,
+    triedServers: isRelayed ? decodeTried(request.headers) : [],
     lastEventId: headers.lastEventId,
     arrivedAt,
     dueAt: arrivedAt + route.objective,
--- a/packages/node/src/forward/entry/refusals.ts
+++ b/packages/node/src/forward/entry/refusals.ts
@@ -3,6 +3,8 @@
 
 import type { Millis } from '@bluebellhill/domain'
 
+import { RELAY_HEADER } from '../relay/relayHeaders.js'
+
 /** Why a node refuses a request or cannot return the answer of a backend server. */
 export const RefusalCause = {
   BadRequest: 'bad_request',
@@ -18,6 +20,8 @@
   Stopping: 'stopping',
   /** No backend server can accept the request. */
   NoServer: 'no_server',
+  /** This node reaches no backend server of the service; told to the node that has passed the request on. */
+  Unreachable: 'unreachable',
   /** All backend servers that can accept the request have limited what they accept. */
   ServersLimited: 'servers_limited',
   /** The deadline passed before the request was sent. */
@@ -60,6 +64,7 @@
   [RefusalCause.Starting]: { status: 503, retryAfter: 300 },
   [RefusalCause.Stopping]: { status: 503, retryAfter: 0 },
   [RefusalCause.NoServer]: { status: 503, retryAfter: 300 },
+  [RefusalCause.Unreachable]: { status: 503, retryAfter: 300 },
   [RefusalCause.ServersLimited]: { status: 503, retryAfter: 300, isRetryAfterKnown: true },
   [RefusalCause.TimedOutUnsent]: { status: 503, retryAfter: 300 },
   [RefusalCause.TimedOut]: { status: 504, retryAfter: null },
@@ -91,6 +96,7 @@
   const { status, retryAfter: usualRetryAfter, isRetryAfterKnown = false, ran } = REFUSALS[cause]
   const longest = isRetryAfterKnown ? Infinity : MAX_PREDICTED_RETRY_AFTER
   const retryAfter = usualRetryAfter === null || predictedRetryAfter === null ? usualRetryAfter : Math.min(longest, predictedRetryAfter)
+  if (response.hasHeader(RELAY_HEADER)) response.setHeader(RELAY_HEADER, cause)
   const body = JSON.stringify({ error: { code: cause, ran } })
   response.writeHead(status, {
     'content-type': 'application/json',
--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -1,6 +1,6 @@
 /** Exchanges the configuration and the list of backend servers between nodes, for nodes that cannot get them from the store. */
 import { createServer } from 'node:http'
-import type { Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { once } from 'node:events'
 import { gunzipSync, gzipSync } from 'node:zlib'
 
@@ -13,6 +13,7 @@
 import { StateHop } from '../ForwardMetrics.js'
 import type { ForwardMetrics } from '../ForwardMetrics.js'
 import type { Log } from '../../log/index.js'
+import { isRelayed } from '../relay/relayHeaders.js'
 import type { FleetStateSource } from './PeerLink.js'
 import { decodeSnapshot, encodeSnapshot } from './snapshotCodec.js'
 
@@ -24,6 +25,9 @@
 /** Query parameter with the era of the store to which the revision belongs. Earlier builds neither send nor know it. */
 const ERA_PARAMETER = 'era'
 
+/** Largest request head that the HTTP parser accepts: that of a caller, and what the node that passes it on adds. */
+const MAX_HEAD_BYTES = 160 * 1024
+
 const GZIP = 'gzip'
 
 /** Fastest compression: repeated field names make up most of a snapshot. */
@@ -62,6 +66,8 @@
   readonly failureDomain: string
   /** Returns the nodes that were heard lately. */
   readonly peers: () => readonly FleetStateSource[]
+  /** Called with each caller's request that another node passes on. */
+  readonly onRelayed: (request: IncomingMessage, response: ServerResponse) => void
 }
 
 /** Serves this node's fleet state, and fetches newer states from other nodes. */
@@ -81,7 +87,11 @@
   /** @param options - the fleet state, the peers and the HTTP client */
   constructor (options: FleetStateExchangeOptions) {
     this.#options = options
-    this.#server = createServer((request, response) => {
+    this.#server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, requestTimeout: 0, noDelay: true }, (request, response) => {
+      if (isRelayed(request.headers)) {
+        options.onRelayed(request, response)
+        return
+      }
       const query = request.method === 'GET' ? parseQuery(request.url ?? '', eraOf(options.fleetState.serversRevision)) : null
       if (query === null) response.writeHead(404, { connection: 'close' }).end()
       else this.#answer(response, query)
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -179,7 +179,12 @@
   /** Records the server at an address as unreachable, after another server reported that a request failed because of it. */
   reportUnreachableAddress (address: string): void {
     const server = this.#options.fleetState.servers.all().find((candidate) => candidate.address === address)
-    if (server !== undefined) this.#reportSignal(server, HealthSignal.Unreachable)
+    if (server !== undefined) this.reportUnreachable(server)
+  }
+
+  /** Records a server as unreachable. */
+  reportUnreachable (server: BackendServer): void {
+    this.#reportSignal(server, HealthSignal.Unreachable)
   }
 
   /** Records that the server of an attempt in progress sends no data. */
--- a/packages/node/src/forward/serverCallRequest.ts
+++ b/packages/node/src/forward/serverCallRequest.ts
@@ -5,9 +5,12 @@
 import type { AdmittedCall } from './AdmittedCall.js'
 import type { ServerCallRequest } from './backend/ServerCall.js'
 import { LEAST_URGENCY } from './entry/admit.js'
+import { encodeRelayRequest } from './relay/relayHeaders.js'
+import type { RelayedRequest } from './relay/relayHeaders.js'
+import type { PlacedAttempt } from './scheduling/types.js'
 import type { OpenAttempt } from './types.js'
 
-/** Timeout for opening a connection to a backend server. */
+/** Timeout for opening a connection to a backend server or to another node. */
 const CONNECT_TIMEOUT: Millis = 250
 
 /**
@@ -18,19 +21,31 @@
  * @returns the request to the server of the attempt
  */
 export const serverCallRequest = (call: AdmittedCall, attempt: OpenAttempt, lastEventId: string | null, now: Millis): ServerCallRequest => {
-  const { server, placed: { choice } } = attempt
+  const { server, placed } = attempt
+  if (placed === null) throw new Error('the attempt is placed by another node')
+  const { choice } = placed
   const headers = encodeForwardedHeaders(call.headers, {
     deadline: call.deadlineAt - now,
     expectedServer: server.id,
     organisation: call.organisation,
-    urgency: call.service.engine === null ? null : urgencyOf(call, attempt),
-    helpers: choice.helpers.map(({ id, address }) => ({ address, reservation: reservationIdFor(attempt, id) })),
+    urgency: call.service.engine === null ? null : urgencyOf(call, placed),
+    helpers: choice.helpers.map(({ id, address }) => ({ address, reservation: reservationIdFor(attempt, placed, id) })),
     lastEventId
   })
   return { address: server.address, method: call.method, path: call.path, headers, body: call.body, connectTimeout: CONNECT_TIMEOUT }
 }
 
-const urgencyOf = ({ urgency }: AdmittedCall, { placed }: OpenAttempt): number => placed.choice.isDeferred ? LEAST_URGENCY : urgency
+/**
+ * @param relayed - the caller's request, and what another node needs to handle it
+ * @param address - `ip:port` of that node
+ * @returns the request to that node
+ */
+export const relayCallRequest = (relayed: RelayedRequest, address: string): ServerCallRequest => {
+  const { call: { method, path, body } } = relayed
+  return { address, method, path, headers: encodeRelayRequest(relayed), body, connectTimeout: CONNECT_TIMEOUT }
+}
+
+const urgencyOf = ({ urgency }: AdmittedCall, { choice }: PlacedAttempt): number => choice.isDeferred ? LEAST_URGENCY : urgency
 
-const reservationIdFor = ({ reservations, placed: { choice } }: OpenAttempt, id: RunnerId): string | null =>
+const reservationIdFor = ({ reservations }: OpenAttempt, { choice }: PlacedAttempt, id: RunnerId): string | null =>
   choice.holders.some(({ server }) => server.id === id) ? reservations?.id ?? null : null
--- a/packages/node/src/forward/types.ts
+++ b/packages/node/src/forward/types.ts
@@ -10,6 +10,8 @@
 import type { MemoryReservations } from './MemoryReservations.js'
 import type { AttemptWatch } from './quarantine/AttemptWatch.js'
 import type { PlacementClient } from './scheduling/PlacementClient.js'
+import type { Relay } from './relay/Relay.js'
+import type { RelayPeer } from './relay/RelayPeers.js'
 import type { PlacedAttempt } from './scheduling/types.js'
 
 /** Objects that all requests of a node share. */
@@ -20,19 +22,23 @@
   readonly metrics: ForwardMetrics
   readonly memory: EngineMemoryClient
   readonly answerMemory: AnswerMemory
+  readonly relay: Relay
   readonly clock: () => Millis
 }
 
 /** State of one attempt in progress. */
 export interface OpenAttempt {
   readonly server: BackendServer
-  readonly placed: PlacedAttempt
+  /** Null if the request is passed on to another node, which places it. */
+  readonly placed: PlacedAttempt | null
+  /** Node that the request is passed on to; null if it is sent to the server itself. */
+  readonly peer: RelayPeer | null
   readonly sentAt: Millis
   /** KV cache memory that is reserved on other engines for this prompt; null if none is needed. */
   readonly reservations: MemoryReservations | null
   /** Null until the request is sent, while memory is being reserved. */
   serverCall: ServerCall | null
-  /** Observes it as evidence on the parts of its prompt; null until the request is sent, or if it can be none. */
+  /** Observes it as evidence on what crashes servers; null until the request is sent, or if another node sends it. */
   watch: AttemptWatch | null
   /** Whether the first event of the answer has arrived. */
   hasFirstEvent: boolean
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -19,6 +19,7 @@
 import { FleetState } from '../src/forward/FleetState.js'
 import type { PromptQuarantine } from '../src/forward/quarantine/PromptQuarantine.js'
 import { PlacementClient } from '../src/forward/scheduling/PlacementClient.js'
+import { Relay } from '../src/forward/relay/Relay.js'
 import { Scheduler } from '../src/forward/scheduling/Scheduler.js'
 import { LogLevel, openLog } from '../src/log/index.js'
 import type { Log } from '../src/log/index.js'
@@ -78,6 +79,7 @@
   readonly fleetState: FleetState
   readonly entry: EntryServer
   readonly placement: PlacementClient
+  readonly relay: Relay
   readonly metrics = new ForwardMetrics()
   readonly quarantine: PromptQuarantine
   readonly directory: SchedulerDirectory
@@ -99,7 +101,10 @@
     })
     this.quarantine = scheduler.quarantine
     this.placement = new PlacementClient({ node: SELF.node, scheduler, directory, fleetState: this.fleetState, log, clock, runningClock: clock, send: () => {}, onUncoordinatedPlacement: () => {}, onNotice: () => {} })
-    this.entry = new EntryServer({ placement: this.placement, fleetState: this.fleetState, log, metrics: this.metrics, memory: new EngineMemoryClient(new HttpPool(2), 5_000), answerMemory: new AnswerMemory(), clock })
+    this.relay = new Relay({
+      node: SELF.node, failureDomain: SELF.failureDomain, directory, fleetState: this.fleetState, log, clock, runningClock: clock, onServerUnreachable: (server) => this.placement.reportUnreachable(server)
+    })
+    this.entry = new EntryServer({ relay: this.relay, placement: this.placement, fleetState: this.fleetState, log, metrics: this.metrics, memory: new EngineMemoryClient(new HttpPool(2), 5_000), answerMemory: new AnswerMemory(), clock })
   }
 
   /** Starts the entry server with backend servers that follow the scripts. */
@@ -124,7 +129,7 @@
 
   /** Listens to other nodes. Returns `ip:port`. */
   async listenToNodes (): Promise<string> {
-    const server = createServer((_, response) => { response.writeHead(404).end() })
+    const server = createServer((request, response) => { void this.entry.serveRelayed(request, response) })
     server.listen(0, '127.0.0.1')
     await once(server, 'listening')
     this.#servers.push(server)
@@ -167,6 +172,7 @@
   }
 
   async dispose (): Promise<void> {
+    this.relay.dispose()
     await this.entry.stop(0)
     for (const server of this.#servers) {
       server.closeAllConnections()
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -152,7 +152,7 @@
   t.teardown(() => { stopped.close() })
   const http = new HttpPool(2)
   const openExchange = (fleetState: FleetState, peers: readonly FleetStateSource[]): FleetStateExchange =>
-    new FleetStateExchange({ fleetState, http, log: silentLog(), metrics: new ForwardMetrics(), clock, failureDomain: 'd1', peers: () => peers })
+    new FleetStateExchange({ fleetState, http, log: silentLog(), metrics: new ForwardMetrics(), clock, failureDomain: 'd1', peers: () => peers, onRelayed: () => {} })
   const source = (node: string, address: string, failureDomain: string): FleetStateSource =>
     ({ node: node as NodeId, address: `${address}:${port}`, failureDomain, configurationVersion: DEPLOYMENT.version, serversRevision: 0 })
   const current = new FleetState(silentLog(), clock)
@@ -184,7 +184,7 @@
   const directory = new SchedulerDirectory(self, runningClock() - WARM_UP)
   const scheduler = new Scheduler({ node: self.node, fleetState, log, clock, runningClock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), schedulerCount: () => 1, group: () => directory.group })
   const http = new HttpPool(2)
-  const exchange: FleetStateExchange = new FleetStateExchange({ fleetState, http, log, metrics: new ForwardMetrics(), clock, failureDomain: self.failureDomain, peers: () => link.sources() })
+  const exchange: FleetStateExchange = new FleetStateExchange({ fleetState, http, log, metrics: new ForwardMetrics(), clock, failureDomain: self.failureDomain, peers: () => link.sources(), onRelayed: () => {} })
   const send: PeerLink['send'] = (address, content) => link.send(address, content)
   const schedulerHost = new SchedulerHost({ scheduler, log, clock, runningClock, send })
   const placement: PlacementClient = new PlacementClient({ node: self.node, scheduler, directory, fleetState, log, clock, runningClock, send, onUncoordinatedPlacement: () => link.reportSoon(), onNotice: (notice) => link.noticeHeard(notice) })
--- a/packages/node/tests/keptServers.test.ts
+++ b/packages/node/tests/keptServers.test.ts
@@ -71,7 +71,7 @@
   let now = RETURN
   const http = new HttpPool(1)
   const fleetState = keepingState(() => now)
-  const exchange = new FleetStateExchange({ fleetState, http, log: silentLog(), metrics: new ForwardMetrics(), clock: () => now, failureDomain: 'd1', peers: () => [] })
+  const exchange = new FleetStateExchange({ fleetState, http, log: silentLog(), metrics: new ForwardMetrics(), clock: () => now, failureDomain: 'd1', peers: () => [], onRelayed: () => {} })
   const port = await freePort()
   await exchange.start(HOST, port)
   t.teardown(async () => {
--- a/packages/node/tests/quarantinePlacement.test.ts
+++ b/packages/node/tests/quarantinePlacement.test.ts
@@ -78,7 +78,7 @@
     const now = performance.now()
     this.#requestCount += 1
     const call: AdmittedCall = {
-      id: `r${this.#requestCount}`, method: 'POST', path: '/', headers: [], body: Buffer.alloc(0), route: ROUTE, service: SERVICE, organisation: null, urgency: 1, size, parts: [], lastEventId: null, arrivedAt: now, dueAt: now + ROUTE.objective, deadlineAt: now + ROUTE.timeout
+      id: `r${this.#requestCount}`, method: 'POST', path: '/', headers: [], body: Buffer.alloc(0), route: ROUTE, service: SERVICE, organisation: null, urgency: 1, size, parts: [], isRelayed: false, triedServers: [], lastEventId: null, arrivedAt: now, dueAt: now + ROUTE.objective, deadlineAt: now + ROUTE.timeout
     }
     return await node.placement.place(call, history, false, caution)
   }
--- a/packages/node/tests/requestGuard.test.ts
+++ b/packages/node/tests/requestGuard.test.ts
@@ -29,6 +29,8 @@
   urgency: 1,
   size: { prompt: 1, mostAnswer: 1 },
   parts,
+  isRelayed: false,
+  triedServers: [],
   lastEventId: null,
   arrivedAt: 0,
   dueAt: 300,
--- a/packages/node/tests/scheduling.test.ts
+++ b/packages/node/tests/scheduling.test.ts
@@ -111,7 +111,7 @@
   call (): AdmittedCall {
     const now = this.clock()
     return {
-      id: `r${this.#nextRequest++}`, method: 'POST', path: '/', headers: [], body: Buffer.alloc(0), route: ROUTE, service: SERVICE, organisation: null, urgency: 1, size: SHORT_PROMPT, parts: [], lastEventId: null, arrivedAt: now, dueAt: now + ROUTE.objective, deadlineAt: now + ROUTE.timeout
+      id: `r${this.#nextRequest++}`, method: 'POST', path: '/', headers: [], body: Buffer.alloc(0), route: ROUTE, service: SERVICE, organisation: null, urgency: 1, size: SHORT_PROMPT, parts: [], isRelayed: false, triedServers: [], lastEventId: null, arrivedAt: now, dueAt: now + ROUTE.objective, deadlineAt: now + ROUTE.timeout
     }
   }
 
