--- a/packages/soak/tests/soak.test.ts
+++ b/packages/soak/tests/soak.test.ts
@@ -1,4 +1,5 @@
-import { execFileSync } from 'node:child_process'
+import { execFileSync, spawn } from 'node:child_process'
+import { once } from 'node:events'
 
 import test from 'ava'
 
@@ -14,6 +15,26 @@
 
 test.before(() => { execFileSync(process.execPath, ['scripts/bundle.mjs']) })
 
+/** Sends the process that starts a signal as it reads its bundle, before the program can listen to it. */
+const SIGNAL_DURING_START = `
+const fs = require('node:fs')
+const { readFileSync } = fs
+fs.readFileSync = (path, ...rest) => {
+  if (String(path).endsWith('bluebellhilld.cjs')) process.kill(process.pid, 'SIGHUP')
+  return readFileSync(path, ...rest)
+}
+require('./target/start.cjs')
+`
+
+const EXIT_BAD_SETTINGS = 1
+
+/** Guards against the end of a node whose settings change while it starts: seed 29102 of the soak, with two deadly requests, ended so. */
+test.serial('a signal to reload the settings does not end a program that is starting', async (t) => {
+  const child = spawn(process.execPath, ['-e', SIGNAL_DURING_START], { stdio: 'ignore', env: {} })
+  const [code, signal] = await once(child, 'exit') as [number | null, string | null]
+  t.deepEqual({ code, signal }, { code: EXIT_BAD_SETTINGS, signal: null })
+})
+
 for (const [slot, { seed, cause }] of SEEDS.entries()) {
   test.serial(`seed ${seed} keeps every promise (${cause})`, async (t) => {
     t.timeout(120_000)
