A quarantined request is remembered for as long as it comes

A request that kept coming was forgotten ten minutes after its last crash or trial, and would have ended up to three servers again each time. Each refusal counts as a recurrence now; one in two and a half minutes is told to the other nodes, since each of many nodes sees it rarely. Its trials are kept as long, so that there are three at most. Test: a request that comes every 20 s for an hour at three nodes (quarantineRequests.test.ts).

--- a/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
+++ b/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
@@ -2,19 +2,20 @@
 import type { Millis } from '../../types.js'
 import { CONTRAST_PERIOD } from './assessment.js'
 import type { PartStanding } from './crashEvidence.js'
-import { EXPIRY_CHECK_GAP, FACT_EXPIRY, MAX_REPORTS, MAX_SOUND_PARTS, MAX_SURVIVALS, MAX_TRIED_PARTS } from './constants.js'
+import { EXPIRY_CHECK_GAP, FACT_EXPIRY, MAX_RECURRING_REQUESTS, MAX_REPORTS, MAX_SOUND_PARTS, MAX_SURVIVALS, MAX_TRIED_PARTS } from './constants.js'
 import { CrashReports } from './CrashReports.js'
 import type { Crash } from './CrashReports.js'
 import { PartTrials } from './PartTrials.js'
 import { collectSuspects, sharedParts } from './promptParts.js'
 import { byImportance, selectFacts } from './sharedFacts.js'
+import { Recurrences } from './Recurrences.js'
 import { SoundParts, UNKNOWN_SERVICE } from './SoundParts.js'
 import { trialTime } from './trialSchedule.js'
 import type { QuarantinedStanding } from './trialSchedule.js'
 import { isRequest } from './suspects.js'
 import { PartStatus } from './types.js'
 import type {
-  CrashReport, PartEvidence, PartTrial, PartVerdict, PromptPart, QuarantineCounts, QuarantineFacts, ServerSurvival, SoundPart, Suspect
+  CrashReport, PartEvidence, PartTrial, PartVerdict, PromptPart, QuarantineCounts, QuarantineFacts, Recurrence, ServerSurvival, SoundPart, Suspect
 } from './types.js'
 import { assessSuspects } from './verdicts.js'
 
@@ -23,6 +24,7 @@
   readonly #reports = new CrashReports()
   readonly #sounds = new SoundParts(MAX_SOUND_PARTS)
   readonly #trials = new PartTrials(MAX_TRIED_PARTS)
+  readonly #recurrences = new Recurrences(MAX_RECURRING_REQUESTS)
   /** Crashes from which the standings were computed. */
   #assessed: readonly Crash[] | null = null
   /** Null if sound answers have changed since it was computed. */
@@ -44,7 +46,8 @@
       ...facts.crashes.map((crash) => this.recordCrash(corrected(crash))),
       ...facts.survivals.map((survival) => this.recordSurvival(corrected(survival))),
       ...facts.sounds.map((sound) => this.recordSound(corrected(sound))),
-      ...facts.trials.map((trial) => this.recordTrial(corrected(trial)))
+      ...facts.trials.map((trial) => this.recordTrial(corrected(trial))),
+      ...(facts.recurrences ?? []).map((recurrence) => this.recordRecurrence(corrected(recurrence)))
     ]
     return news.includes(true)
   }
@@ -109,6 +112,14 @@
     return true
   }
 
+  /**
+   * @param recurrence - a quarantined request that came again
+   * @returns whether other nodes should know of it, so that they do not forget the request
+   */
+  recordRecurrence (recurrence: Recurrence): boolean {
+    return this.#recurrences.record(recurrence)
+  }
+
   /** Whether a request, and not only prompt parts, is among the suspects of a crash. */
   get hasSuspectedRequests (): boolean {
     return this.#reports.hasRequests
@@ -202,7 +213,7 @@
   facts (now: Millis): QuarantineFacts {
     this.#expire(now)
     const isQuarantined = (part: Suspect): boolean => this.#isQuarantined(part)
-    return selectFacts({ reports: this.#reports, sounds: this.#sounds, trials: this.#trials, isQuarantined })
+    return { ...selectFacts({ reports: this.#reports, sounds: this.#sounds, trials: this.#trials, isQuarantined }), recurrences: this.#recurrences.all }
   }
 
   #isQuarantined (part: Suspect): boolean {
@@ -227,12 +238,13 @@
     const expired = this.#reports.reports.filter((report) => report.at < limit && !report.parts.some((part) => this.#isConfirmedSince(part, limit)))
     for (const report of expired) this.#reports.remove(report)
     for (const survival of this.#reports.survivals) if (survival.at < limit) this.#reports.removeSurvival(survival)
-    this.#trials.expire(limit)
+    this.#recurrences.expire(limit)
+    this.#trials.expire(limit, (part) => this.#recurrences.lastTime(part) >= limit)
   }
 
   #isConfirmedSince (part: PromptPart, limit: Millis): boolean {
     const standing = this.#assess().get(part)
-    return standing !== undefined && isQuarantined(standing) && Math.max(standing.lastCrashAt, this.#trials.lastTime(part)) >= limit
+    return standing !== undefined && isQuarantined(standing) && Math.max(standing.lastCrashAt, this.#trials.lastTime(part), this.#recurrences.lastTime(part)) >= limit
   }
 
   #dropReports (): void {
--- a/packages/domain/src/forwarding/quarantine/PartTrials.ts
+++ b/packages/domain/src/forwarding/quarantine/PartTrials.ts
@@ -72,8 +72,9 @@
    * Discards the trials of suspects that were not tried since a time.
    *
    * @param limit - the time
+   * @param isKept - whether the trials of a suspect are kept all the same
    */
-  expire (limit: Millis): void {
-    for (const part of this.#trials.keys()) if (this.lastTime(part) < limit) this.#trials.delete(part)
+  expire (limit: Millis, isKept: (part: Suspect) => boolean): void {
+    for (const part of this.#trials.keys()) if (this.lastTime(part) < limit && !isKept(part)) this.#trials.delete(part)
   }
 }
--- a/packages/domain/src/forwarding/quarantine/constants.ts
+++ b/packages/domain/src/forwarding/quarantine/constants.ts
@@ -79,6 +79,12 @@
 /** Time after which facts without a later crash of the same part expire. */
 export const FACT_EXPIRY: Millis = 600_000
 
+/** Time after which a further recurrence of a request is news to others: they need one within the expiry of facts. */
+export const RECURRENCE_NEWS_GAP: Millis = 150_000
+
+/** Number of requests whose recurrences are kept. */
+export const MAX_RECURRING_REQUESTS = 256
+
 /** Time between two searches for expired facts. */
 export const EXPIRY_CHECK_GAP: Millis = 1_000
 
--- a/packages/domain/src/forwarding/quarantine/types.ts
+++ b/packages/domain/src/forwarding/quarantine/types.ts
@@ -48,12 +48,20 @@
   readonly grantedBy: NodeId
 }
 
+/** A quarantined request came again and was refused. */
+export interface Recurrence {
+  readonly part: Suspect
+  readonly at: Millis
+}
+
 /** What other nodes need in order to reach the same verdicts. */
 export interface QuarantineFacts {
   readonly crashes: readonly CrashReport[]
   readonly sounds: readonly SoundPart[]
   readonly survivals: readonly ServerSurvival[]
   readonly trials: readonly PartTrial[]
+  /** Absent from nodes of earlier builds. */
+  readonly recurrences?: readonly Recurrence[]
 }
 
 /** How a request may be sent, judged by itself and by its parts. */
--- a/packages/domain/tests/quarantineFleet.ts
+++ b/packages/domain/tests/quarantineFleet.ts
@@ -195,6 +195,7 @@
     const isTrial = isQuarantined && verdict.isTrialDue && (engine === null || this.#grantTrial(request, node))
     if (isQuarantined && !isTrial) {
       if (request.isCounted) this.refused.push(request.arrivedAt)
+      if (verdict.parts.includes(request.identity) && node.quarantine.recordRecurrence({ part: request.identity, at: this.now })) this.#announce(node)
       return
     }
     if (engine !== null) this.#start(request, node, engine, { isTrial, isIsolated })
@@ -334,7 +335,8 @@
       crashes: facts.crashes.map(later),
       sounds: facts.sounds.map(later),
       survivals: facts.survivals.map(later),
-      trials: facts.trials.map(later)
+      trials: facts.trials.map(later),
+      recurrences: (facts.recurrences ?? []).map(later)
     })
     this.#cutQuarantined(node)
   }
--- a/packages/domain/tests/quarantineRequests.test.ts
+++ b/packages/domain/tests/quarantineRequests.test.ts
@@ -94,6 +94,11 @@
   assertStopped(t, { repetitions: [deadly()], faults })
 })
 
+/** Guards against a request that is forgotten ten minutes after its last trial although it keeps coming, at another node each time. */
+test('it comes for an hour', (t) => {
+  assertStopped(t, { repetitions: [deadly({ gap: 20_000, until: 3_600_000 })], until: 3_600_000, nodes: 3, rate: 0.5 }, { seeds: [1] })
+})
+
 test('it is sound again later, and stops to be refused once it is tried', (t) => {
   for (const seed of SEEDS) {
     const isHarmful: FleetLoad['isHarmful'] = (part, now) => part === 'deadly' && now < 15_000
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -477,6 +477,7 @@
     if (this.#ending.isOver) return
     const mayHaveRun = this.#closeLastAttempt()
     this.#requestLog.quarantined(verdict, mayHaveRun)
+    this.context.placement.quarantine.refused(verdict)
     this.#lastProblem = quarantineProblem(verdict)
     const cause = quarantineCauseOf(verdict, mayHaveRun)
     this.context.metrics.requestRefused(cause)
--- a/packages/node/src/forward/peers/quarantineCodec.ts
+++ b/packages/node/src/forward/peers/quarantineCodec.ts
@@ -20,11 +20,12 @@
  * @param now - current time
  * @returns its wire form, with ages in place of times
  */
-export const encodeFacts = ({ crashes, survivals, sounds, trials }: QuarantineFacts, now: Millis): fleetWire.QuarantineFacts => ({
+export const encodeFacts = ({ crashes, survivals, sounds, trials, recurrences = [] }: QuarantineFacts, now: Millis): fleetWire.QuarantineFacts => ({
   crashes: crashes.map((crash) => encodeCrash(crash, now)),
   survivals: survivals.map(({ server, startedAt, at }) => ({ server, serverStartedAt: BigInt(startedAt ?? 0), agoMs: ageOf(at, now) })),
   sound: sounds.map(({ part, at, service }) => ({ part, agoMs: ageOf(at, now), service: service ?? '' })),
-  trials: trials.map(({ part, at, grantedBy }) => ({ part, agoMs: ageOf(at, now), grantedBy }))
+  trials: trials.map(({ part, at, grantedBy }) => ({ part, agoMs: ageOf(at, now), grantedBy })),
+  recurrences: recurrences.map(({ part, at }) => ({ part, agoMs: ageOf(at, now) }))
 })
 
 /**
@@ -38,15 +39,21 @@
     ({ server: survival.server as RunnerId, startedAt: startTimeOf(survival.serverStartedAt), at: now - survival.agoMs })),
   sounds: (wire?.sound ?? []).filter(({ part, service }) => isSuspect(part) || (part === '' && service !== '')).map(({ part, agoMs, service }): SoundPart =>
     ({ part, at: now - agoMs, ...serviceOf(service) })),
-  trials: (wire?.trials ?? []).filter(({ part }) => isSuspect(part)).map(({ part, agoMs, grantedBy }): PartTrial => ({ part, at: now - agoMs, grantedBy: grantedBy as NodeId }))
+  trials: (wire?.trials ?? []).filter(({ part }) => isSuspect(part)).map(({ part, agoMs, grantedBy }): PartTrial => ({ part, at: now - agoMs, grantedBy: grantedBy as NodeId })),
+  ...recurrencesOf(wire, now)
 })
 
+const recurrencesOf = (wire: fleetWire.QuarantineFacts | undefined, now: Millis): Pick<QuarantineFacts, 'recurrences'> => {
+  const known = (wire?.recurrences ?? []).filter(({ part }) => isSuspect(part))
+  return known.length === 0 ? {} : { recurrences: known.map(({ part, agoMs }) => ({ part, at: now - agoMs })) }
+}
+
 /**
  * @param facts - evidence in wire form
  * @returns whether it contains nothing
  */
-export const isEmptyWire = ({ crashes, survivals, sound, trials }: fleetWire.QuarantineFacts): boolean =>
-  crashes.length + survivals.length + sound.length + trials.length === 0
+export const isEmptyWire = ({ crashes, survivals, sound, trials, recurrences }: fleetWire.QuarantineFacts): boolean =>
+  crashes.length + survivals.length + sound.length + trials.length + recurrences.length === 0
 
 const encodeCrash = ({ server, startedAt, service, reportedBy, at, suspects, parts }: CrashReport, now: Millis): fleetWire.EngineCrash => ({
   server,
--- a/packages/node/src/forward/quarantine/FactQueue.ts
+++ b/packages/node/src/forward/quarantine/FactQueue.ts
@@ -1,12 +1,13 @@
 /** Selects the facts on what crashes servers that the next message to other nodes contains. */
-import type { CrashReport, PartTrial, QuarantineFacts, ServerSurvival, SoundPart } from '@bluebellhill/domain'
+import type { CrashReport, PartTrial, QuarantineFacts, Recurrence, ServerSurvival, SoundPart } from '@bluebellhill/domain'
 
 /** Kinds of facts. */
 export const FactKind = {
   Crash: 'crash',
   Survival: 'survival',
   Trial: 'trial',
-  Sound: 'sound'
+  Sound: 'sound',
+  Recurrence: 'recurrence'
 } as const
 export type FactKind = typeof FactKind[keyof typeof FactKind]
 
@@ -16,6 +17,7 @@
   | { readonly kind: typeof FactKind.Survival, readonly fact: ServerSurvival }
   | { readonly kind: typeof FactKind.Trial, readonly fact: PartTrial }
   | { readonly kind: typeof FactKind.Sound, readonly fact: SoundPart }
+  | { readonly kind: typeof FactKind.Recurrence, readonly fact: Recurrence }
 
 /** New facts that wait for a message; beyond, the oldest are sent in turn like all others. */
 const MAX_NEW_FACTS = 256
@@ -96,13 +98,14 @@
  * @param facts - facts of all kinds
  * @returns a list of them, those that bear on a crash first: the sound answers of other parts decide little
  */
-export const listFacts = ({ crashes, survivals, trials, sounds }: QuarantineFacts): Fact[] => {
+export const listFacts = ({ crashes, survivals, trials, sounds, recurrences = [] }: QuarantineFacts): Fact[] => {
   const suspected = new Set(crashes.flatMap(({ parts }) => parts))
   const isSuspected = ({ part }: SoundPart): boolean => suspected.has(part)
   return [
     ...crashes.map((fact): Fact => ({ kind: FactKind.Crash, fact })),
     ...survivals.map((fact): Fact => ({ kind: FactKind.Survival, fact })),
     ...trials.map((fact): Fact => ({ kind: FactKind.Trial, fact })),
+    ...recurrences.map((fact): Fact => ({ kind: FactKind.Recurrence, fact })),
     ...sounds.filter(isSuspected).map((fact): Fact => ({ kind: FactKind.Sound, fact })),
     ...sounds.filter((sound) => !isSuspected(sound)).map((fact): Fact => ({ kind: FactKind.Sound, fact }))
   ]
@@ -128,6 +131,8 @@
       return FACT_BYTES + fact.server.length
     case FactKind.Trial:
       return FACT_BYTES + fact.part.length + fact.grantedBy.length
+    case FactKind.Recurrence:
+      return FACT_BYTES + fact.part.length
     case FactKind.Sound:
       return FACT_BYTES + fact.part.length + (fact.service?.length ?? 0)
   }
@@ -140,6 +145,7 @@
     case FactKind.Survival:
       return [kind, fact.server, fact.startedAt].join('/')
     case FactKind.Trial:
+    case FactKind.Recurrence:
       return [kind, fact.part].join('/')
     case FactKind.Sound:
       return [kind, fact.part, fact.part === '' ? fact.service : ''].join('/')
@@ -150,5 +156,6 @@
   crashes: facts.flatMap(({ kind, fact }) => kind === FactKind.Crash ? [fact] : []),
   survivals: facts.flatMap(({ kind, fact }) => kind === FactKind.Survival ? [fact] : []),
   sounds: facts.flatMap(({ kind, fact }) => kind === FactKind.Sound ? [fact] : []),
-  trials: facts.flatMap(({ kind, fact }) => kind === FactKind.Trial ? [fact] : [])
+  trials: facts.flatMap(({ kind, fact }) => kind === FactKind.Trial ? [fact] : []),
+  recurrences: facts.flatMap(({ kind, fact }) => kind === FactKind.Recurrence ? [fact] : [])
 })
--- a/packages/node/src/forward/quarantine/PromptQuarantine.ts
+++ b/packages/node/src/forward/quarantine/PromptQuarantine.ts
@@ -122,6 +122,16 @@
     for (const part of parts) this.#share({ kind: FactKind.Trial, fact: { part, at: clock(), grantedBy: node } })
   }
 
+  /**
+   * Records that a quarantined request came again, so that it is remembered for as long as it comes.
+   *
+   * @param verdict - the verdict because of which it was refused
+   */
+  refused ({ parts }: QuarantineVerdict): void {
+    const at = this.#options.clock()
+    for (const part of parts.filter(isRequest)) this.#share({ kind: FactKind.Recurrence, fact: { part, at } })
+  }
+
   #crashed (report: CrashReport, requests: readonly string[]): void {
     this.#log.crashSuspected(report, requests)
     this.#share({ kind: FactKind.Crash, fact: report })
@@ -166,6 +176,8 @@
         return this.#aggregate.recordTrial(fact)
       case FactKind.Sound:
         return this.#aggregate.recordSound(fact)
+      case FactKind.Recurrence:
+        return this.#aggregate.recordRecurrence(fact)
     }
   }
 
