--- a/packages/domain/src/forwarding/quarantine/CrashReports.ts
+++ b/packages/domain/src/forwarding/quarantine/CrashReports.ts
@@ -1,7 +1,7 @@
 /** Keeps the reports of crashed servers and groups them into crashes. */
 import type { Millis, RunnerId } from '../../types.js'
 import { FACT_TOLERANCE, SAME_END_TOLERANCE, SURVIVAL_DELAY } from './constants.js'
-import { UNKNOWN_SERVICE } from './SoundParts.js'
+import { UNKNOWN_SERVICE } from './SoundAnswers.js'
 import { isRequest } from './suspects.js'
 import type { CrashReport, ServerSurvival, Suspect } from './types.js'
 
--- a/packages/domain/src/forwarding/quarantine/PartQuarantine.ts
+++ b/packages/domain/src/forwarding/quarantine/Quarantine.ts
@@ -1,34 +1,34 @@
 /** Decides which prompt parts and which requests crash backend servers, from facts that the nodes exchange. */
 import type { Millis } from '../../types.js'
-import { CONTRAST_PERIOD } from './assessment.js'
-import type { PartStanding } from './crashEvidence.js'
+import { CONTRAST_PERIOD } from './partAssessment.js'
+import type { Standing } from './crashEvidence.js'
 import { EXPIRY_CHECK_GAP, FACT_EXPIRY, MAX_RECURRING_REQUESTS, MAX_REPORTS, MAX_SOUND_PARTS, MAX_SURVIVALS, MAX_TRIED_PARTS } from './constants.js'
 import { CrashReports } from './CrashReports.js'
 import type { Crash } from './CrashReports.js'
-import { PartTrials } from './PartTrials.js'
+import { Trials } from './Trials.js'
 import { collectSuspects, sharedParts } from './promptParts.js'
 import { byImportance, selectFacts } from './sharedFacts.js'
 import { Recurrences } from './Recurrences.js'
-import { SoundParts, UNKNOWN_SERVICE } from './SoundParts.js'
+import { SoundAnswers, UNKNOWN_SERVICE } from './SoundAnswers.js'
 import { trialTime } from './trialSchedule.js'
 import type { QuarantinedStanding } from './trialSchedule.js'
 import { isRequest } from './suspects.js'
-import { PartStatus } from './types.js'
+import { QuarantineStatus } from './types.js'
 import type {
-  CrashReport, PartEvidence, PartTrial, PartVerdict, PromptPart, QuarantineCounts, QuarantineFacts, Recurrence, ServerSurvival, SoundPart, Suspect
+  CrashReport, Evidence, Trial, Verdict, PromptPart, QuarantineCounts, QuarantineFacts, Recurrence, ServerSurvival, SoundAnswer, Suspect
 } from './types.js'
-import { assessSuspects } from './verdicts.js'
+import { assessSuspects } from './assessSuspects.js'
 
 /** Copy of one node. Copies that have the same facts reach the same verdicts, in whatever order the facts arrive. */
-export class PartQuarantine {
+export class Quarantine {
   readonly #reports = new CrashReports()
-  readonly #sounds = new SoundParts(MAX_SOUND_PARTS)
-  readonly #trials = new PartTrials(MAX_TRIED_PARTS)
+  readonly #sounds = new SoundAnswers(MAX_SOUND_PARTS)
+  readonly #trials = new Trials(MAX_TRIED_PARTS)
   readonly #recurrences = new Recurrences(MAX_RECURRING_REQUESTS)
   /** Crashes from which the standings were computed. */
   #assessed: readonly Crash[] | null = null
   /** Null if sound answers have changed since it was computed. */
-  #standings: Map<Suspect, PartStanding> | null = null
+  #standings: Map<Suspect, Standing> | null = null
   #factsDropped = 0
   #expiryCheckedAt: Millis = -Infinity
 
@@ -66,7 +66,7 @@
    * @param sound - a part of a request that proved sound
    * @returns whether other nodes should know of it, since it lifts or weakens a suspicion
    */
-  recordSound (sound: SoundPart): boolean {
+  recordSound (sound: SoundAnswer): boolean {
     const { part, at, service = UNKNOWN_SERVICE } = sound
     const known = this.#sounds.find(part) ?? -Infinity
     const newest = this.#sounds.newestOf(service)?.at ?? -Infinity
@@ -105,7 +105,7 @@
    * @param trial - a request that was sent to find out whether a part is sound again
    * @returns whether other nodes should know of it
    */
-  recordTrial (trial: PartTrial): boolean {
+  recordTrial (trial: Trial): boolean {
     const soundAt = this.#sounds.find(trial.part) ?? -Infinity
     if (trial.at <= soundAt || !this.#trials.record(trial)) return false
     this.#factsDropped += this.#trials.trim()
@@ -139,25 +139,25 @@
    * @param request - the request itself; null if no request is suspected
    * @returns whether, and how, the request may be sent
    */
-  verdict (parts: readonly PromptPart[], now: Millis, request: Suspect | null = null): PartVerdict {
+  verdict (parts: readonly PromptPart[], now: Millis, request: Suspect | null = null): Verdict {
     this.#expire(now)
     const standings = this.#assess()
     const suspects = request === null ? sharedParts(parts) : [request, ...sharedParts(parts)]
     const found = suspects.map((part) => standings.get(part)).filter((standing) => standing !== undefined)
     const quarantined = found.filter(isQuarantined)
     if (quarantined.length > 0) return this.#quarantineVerdict(quarantined, now)
-    const suspected = found.find(({ part }) => isRequest(part)) ?? found.reduce<PartStanding | null>((most, each) => most === null || each.moments > most.moments ? each : most, null)
-    return suspected === null ? { status: PartStatus.Clear } : { status: PartStatus.Suspected, evidence: evidenceOf(suspected, now) }
+    const suspected = found.find(({ part }) => isRequest(part)) ?? found.reduce<Standing | null>((most, each) => most === null || each.moments > most.moments ? each : most, null)
+    return suspected === null ? { status: QuarantineStatus.Clear } : { status: QuarantineStatus.Suspected, evidence: evidenceOf(suspected, now) }
   }
 
   /** The suspect whose trial is due last decides. */
-  #quarantineVerdict (standings: readonly QuarantinedStanding[], now: Millis): PartVerdict {
+  #quarantineVerdict (standings: readonly QuarantinedStanding[], now: Millis): Verdict {
     const parts = standings.map(({ part }) => part)
     const context = { present: new Set(parts), quarantined: this.#quarantined(), trials: this.#trials }
     const times = standings.map((standing) => trialTime(standing, context))
     const dueAt = Math.max(...times)
     return {
-      status: PartStatus.Quarantined,
+      status: QuarantineStatus.Quarantined,
       evidence: evidenceOf(standings[times.indexOf(dueAt)]!, now),
       parts,
       isTrialDue: now >= dueAt
@@ -184,7 +184,7 @@
    * @param now - current time
    * @returns the parts that are quarantined, with the evidence
    */
-  quarantinedParts (now: Millis): PartEvidence[] {
+  quarantinedParts (now: Millis): Evidence[] {
     this.#expire(now)
     return this.#quarantined().map((standing) => evidenceOf(standing, now))
   }
@@ -221,7 +221,7 @@
     return standing !== undefined && isQuarantined(standing)
   }
 
-  #assess (): Map<Suspect, PartStanding> {
+  #assess (): Map<Suspect, Standing> {
     const crashes = this.#reports.crashes()
     if (this.#standings === null || this.#assessed !== crashes) {
       this.#standings = assessSuspects(crashes, this.#sounds)
@@ -263,7 +263,7 @@
   }
 }
 
-const isQuarantined = (standing: PartStanding): standing is QuarantinedStanding => standing.quarantinedAt !== null
+const isQuarantined = (standing: Standing): standing is QuarantinedStanding => standing.quarantinedAt !== null
 
-const evidenceOf = ({ part, crashes, moments, lastCrashAt, soundAt }: PartStanding, now: Millis): PartEvidence =>
+const evidenceOf = ({ part, crashes, moments, lastCrashAt, soundAt }: Standing, now: Millis): Evidence =>
   ({ part, crashes: crashes.length, moments, lastCrashAge: now - lastCrashAt, wasSound: soundAt !== null })
--- a/packages/domain/src/forwarding/quarantine/SoundParts.ts
+++ b/packages/domain/src/forwarding/quarantine/SoundAnswers.ts
@@ -1,15 +1,15 @@
 /** Remembers when suspects were last seen in a sound answer, and when each service last gave one. */
 import type { Millis } from '../../types.js'
 import { FACT_TOLERANCE } from './constants.js'
-import type { SoundPart, Suspect } from './types.js'
+import type { SoundAnswer, Suspect } from './types.js'
 
 /** Service of sound answers and crashes whose service is not told. */
 export const UNKNOWN_SERVICE = ''
 
 /** Newest sound answer of each suspect. Those that were seen longest ago are dropped first. */
-export class SoundParts {
+export class SoundAnswers {
   readonly #times = new Map<Suspect, Millis>()
-  readonly #newest = new Map<string, SoundPart>()
+  readonly #newest = new Map<string, SoundAnswer>()
   readonly #capacity: number
 
   /** @param capacity - number of suspects that are kept */
@@ -21,7 +21,7 @@
    * @param sound - the sound answer
    * @returns whether it is newer than the one that was known
    */
-  record (sound: SoundPart): boolean {
+  record (sound: SoundAnswer): boolean {
     const { part, at, service = UNKNOWN_SERVICE } = sound
     if (part === '') return this.#recordNewest(service, sound)
     if (at <= (this.#times.get(part) ?? -Infinity) + FACT_TOLERANCE) return false
@@ -31,7 +31,7 @@
     return true
   }
 
-  #recordNewest (service: string, sound: SoundPart): boolean {
+  #recordNewest (service: string, sound: SoundAnswer): boolean {
     const known = this.#newest.get(service)
     if (known !== undefined && (sound.at < known.at || (sound.at === known.at && sound.part >= known.part))) return false
     this.#newest.set(service, sound)
@@ -39,7 +39,7 @@
   }
 
   /** Newest sound answer of each service. */
-  get newest (): SoundPart[] {
+  get newest (): SoundAnswer[] {
     return [...this.#newest.values()]
   }
 
@@ -47,7 +47,7 @@
    * @param service - name of a service
    * @returns its newest sound answer to any request, or one whose service is not told if that is newer; null if none is known
    */
-  newestOf (service: string): SoundPart | null {
+  newestOf (service: string): SoundAnswer | null {
     const [own, untold] = [this.#newest.get(service) ?? null, this.#newest.get(UNKNOWN_SERVICE) ?? null]
     return own === null || (untold !== null && untold.at > own.at) ? untold : own
   }
--- a/packages/domain/src/forwarding/quarantine/PartTrials.ts
+++ b/packages/domain/src/forwarding/quarantine/Trials.ts
@@ -1,12 +1,12 @@
 /** Remembers the trials of quarantined suspects. */
 import type { Millis } from '../../types.js'
 import { FACT_TOLERANCE, MAX_TRIALS_PER_PART } from './constants.js'
-import type { PartTrial, Suspect } from './types.js'
+import type { Trial, Suspect } from './types.js'
 
 /** Trials of each suspect since its last sound answer; those of the suspects that were tried longest ago are dropped first. */
-export class PartTrials {
+export class Trials {
   /** Oldest first. */
-  readonly #trials = new Map<Suspect, readonly PartTrial[]>()
+  readonly #trials = new Map<Suspect, readonly Trial[]>()
   readonly #capacity: number
 
   /** @param capacity - number of suspects whose trials are kept */
@@ -15,7 +15,7 @@
   }
 
   /** All trials, newest first. */
-  get all (): PartTrial[] {
+  get all (): Trial[] {
     return [...this.#trials.values()].flat().sort((a, b) => b.at - a.at)
   }
 
@@ -23,7 +23,7 @@
    * @param trial - the trial
    * @returns whether it was unknown
    */
-  record (trial: PartTrial): boolean {
+  record (trial: Trial): boolean {
     const known = this.of(trial.part)
     if (known.some(({ at }) => Math.abs(at - trial.at) <= FACT_TOLERANCE)) return false
     const trials = [...known, trial].sort((a, b) => a.at - b.at).slice(-MAX_TRIALS_PER_PART)
@@ -36,7 +36,7 @@
    * @param part - a suspect
    * @returns its trials, oldest first
    */
-  of (part: Suspect): readonly PartTrial[] {
+  of (part: Suspect): readonly Trial[] {
     return this.#trials.get(part) ?? []
   }
 
--- a/packages/domain/src/forwarding/quarantine/verdicts.ts
+++ b/packages/domain/src/forwarding/quarantine/assessSuspects.ts
@@ -1,9 +1,9 @@
 /** Judges prompt parts and requests by the crashes of each service. */
-import { assessParts } from './assessment.js'
-import type { PartStanding } from './crashEvidence.js'
+import { assessParts } from './partAssessment.js'
+import type { Standing } from './crashEvidence.js'
 import type { Crash } from './CrashReports.js'
 import { assessRequests, withoutExplained } from './requestAssessment.js'
-import type { SoundParts } from './SoundParts.js'
+import type { SoundAnswers } from './SoundAnswers.js'
 import type { Suspect } from './types.js'
 
 /**
@@ -13,8 +13,8 @@
  * @param sounds - the sound answers
  * @returns what is quarantined or suspected
  */
-export const assessSuspects = (crashes: readonly Crash[], sounds: SoundParts): Map<Suspect, PartStanding> => {
-  const standings = new Map<Suspect, PartStanding>()
+export const assessSuspects = (crashes: readonly Crash[], sounds: SoundAnswers): Map<Suspect, Standing> => {
+  const standings = new Map<Suspect, Standing>()
   for (const [service, ofService] of groupByService(crashes)) {
     for (const standing of assessService(ofService, service, sounds)) {
       const known = standings.get(standing.part)
@@ -24,7 +24,7 @@
   return standings
 }
 
-const assessService = (crashes: readonly Crash[], service: string, sounds: SoundParts): PartStanding[] => {
+const assessService = (crashes: readonly Crash[], service: string, sounds: SoundAnswers): Standing[] => {
   const times = { find: (suspect: Suspect) => sounds.find(suspect), newest: sounds.newestOf(service) }
   const requests = assessRequests(crashes, times)
   const culprits = requests.filter(({ quarantinedAt }) => quarantinedAt !== null)
@@ -34,7 +34,7 @@
 }
 
 /** A request that met all crashes of a part leaves open which of the two is the cause, until the part comes with another request. */
-const requestsWithSameCrashes = (part: PartStanding, requests: readonly PartStanding[]): Suspect[] => {
+const requestsWithSameCrashes = (part: Standing, requests: readonly Standing[]): Suspect[] => {
   if (part.quarantinedAt === null) return []
   return requests.filter((request) => request.quarantinedAt !== null && part.crashes.every((crash) => request.crashes.includes(crash))).map((request) => request.part)
 }
@@ -49,5 +49,5 @@
   return groups
 }
 
-const isStronger = (a: PartStanding, b: PartStanding): boolean =>
+const isStronger = (a: Standing, b: Standing): boolean =>
   (a.quarantinedAt !== null) === (b.quarantinedAt !== null) ? a.moments > b.moments : a.quarantinedAt !== null
--- a/packages/domain/src/forwarding/quarantine/crashEvidence.ts
+++ b/packages/domain/src/forwarding/quarantine/crashEvidence.ts
@@ -5,7 +5,7 @@
 import type { PromptPart, Suspect } from './types.js'
 
 /** What the crashes say about a suspect. */
-export interface PartStanding {
+export interface Standing {
   readonly part: Suspect
   /** Its counted crashes since its last sound answer, oldest first. */
   readonly crashes: readonly Crash[]
@@ -44,7 +44,7 @@
  * @param standing - standing of a suspect
  * @returns time of the suspect's last crash since it was sound, counted or not
  */
-export const lastCrashTime = (crashes: readonly Crash[], { part, soundAt, lastCrashAt }: PartStanding): Millis =>
+export const lastCrashTime = (crashes: readonly Crash[], { part, soundAt, lastCrashAt }: Standing): Millis =>
   crashes.findLast((crash) => isCandidate(crash, part, soundAt))?.at ?? lastCrashAt
 
 /**
--- a/packages/domain/src/forwarding/quarantine/index.ts
+++ b/packages/domain/src/forwarding/quarantine/index.ts
@@ -1,4 +1,4 @@
 export * from './types.js'
-export * from './PartQuarantine.js'
+export * from './Quarantine.js'
 export { sharedParts } from './promptParts.js'
 export { isolatedRequest, isRequest, requestSuspect } from './suspects.js'
--- a/packages/domain/src/forwarding/quarantine/assessment.ts
+++ b/packages/domain/src/forwarding/quarantine/partAssessment.ts
@@ -1,7 +1,7 @@
 /** Finds the prompt parts that explain the crashes of a service's servers best. */
 import type { Millis } from '../../types.js'
 import { isCandidate, isCommonEvent, lastCrashTime, neighboursOf } from './crashEvidence.js'
-import type { PartStanding, SoundTimes } from './crashEvidence.js'
+import type { Standing, SoundTimes } from './crashEvidence.js'
 import { CONTRAST_MARGIN, LIKELY_CAUSE_SHARE, MOMENT_LENGTH, NEW_PART_THRESHOLD, SOUND_PART_THRESHOLD } from './constants.js'
 import type { Threshold } from './constants.js'
 import type { Crash } from './CrashReports.js'
@@ -20,8 +20,8 @@
  * @param culprits - requests that have met enough crashes to be quarantined
  * @returns the parts that are quarantined or suspected
  */
-export const assessParts = (crashes: readonly Crash[], sounds: SoundTimes, culprits: readonly PartStanding[]): Map<PromptPart, PartStanding> => {
-  const standings = new Map<PromptPart, PartStanding>()
+export const assessParts = (crashes: readonly Crash[], sounds: SoundTimes, culprits: readonly Standing[]): Map<PromptPart, Standing> => {
+  const standings = new Map<PromptPart, Standing>()
   let unexplained = crashes
   for (;;) {
     const candidates = collectStandings(unexplained, sounds, culprits)
@@ -39,23 +39,23 @@
 }
 
 /** A part that sound requests have shared is not blamed for the crashes of one request that met them all. */
-const isDueToRequest = ({ soundAt, crashes }: PartStanding, culprits: readonly PartStanding[]): boolean =>
+const isDueToRequest = ({ soundAt, crashes }: Standing, culprits: readonly Standing[]): boolean =>
   soundAt !== null && culprits.some(({ part }) => crashes.every((crash) => crash.parts.has(part)))
 
 /** The part with the most evidence, and those that were never seen apart from it. */
-const likeliestCauses = (candidates: readonly PartStanding[]): PartStanding[] => {
+const likeliestCauses = (candidates: readonly Standing[]): Standing[] => {
   const causes = candidates.filter(({ quarantinedAt }) => quarantinedAt !== null).sort(compareEvidence)
   const first = causes[0]
   return first === undefined ? [] : causes.filter((standing) => isInseparable(first, standing))
 }
 
-const compareEvidence = (a: PartStanding, b: PartStanding): number =>
+const compareEvidence = (a: Standing, b: Standing): number =>
   b.moments / thresholdOf(b.soundAt).moments - a.moments / thresholdOf(a.soundAt).moments ||
   b.weight / thresholdOf(b.soundAt).weight - a.weight / thresholdOf(a.soundAt).weight ||
   (a.soundAt ?? -Infinity) - (b.soundAt ?? -Infinity) ||
   (a.part < b.part ? -1 : 1)
 
-const isInseparable = (a: PartStanding, b: PartStanding): boolean =>
+const isInseparable = (a: Standing, b: Standing): boolean =>
   (a.soundAt === null) === (b.soundAt === null) &&
   Math.abs((a.soundAt ?? 0) - (b.soundAt ?? 0)) <= SOUND_PART_THRESHOLD.silence &&
   a.crashes.length === b.crashes.length &&
@@ -63,7 +63,7 @@
 
 const thresholdOf = (soundAt: Millis | null): Threshold => soundAt === null ? NEW_PART_THRESHOLD : SOUND_PART_THRESHOLD
 
-const collectStandings = (crashes: readonly Crash[], sounds: SoundTimes, culprits: readonly PartStanding[]): PartStanding[] => {
+const collectStandings = (crashes: readonly Crash[], sounds: SoundTimes, culprits: readonly Standing[]): Standing[] => {
   const crashesByPart = new Map<PromptPart, Crash[]>()
   const rivals = new Map(crashes.map((crash) => [crash, countRivals(crash, sounds)]))
   crashes.forEach((crash, index) => {
@@ -97,7 +97,7 @@
 const shareOfEvidence = (crash: Crash, { neverSound, all }: Rivals, isNew: boolean): number =>
   1 / Math.max(1, Math.min(crash.suspects, isNew ? neverSound : all))
 
-const standingOf = (part: PromptPart, crashes: readonly Crash[], sounds: SoundTimes, rivals: ReadonlyMap<Crash, Rivals>): PartStanding => {
+const standingOf = (part: PromptPart, crashes: readonly Crash[], sounds: SoundTimes, rivals: ReadonlyMap<Crash, Rivals>): Standing => {
   const soundAt = sounds.find(part)
   const threshold = thresholdOf(soundAt)
   // Not only up to the crash: no further one comes while all engines are down.
@@ -119,7 +119,7 @@
   (moments >= threshold.sufficientMoments || (moments >= threshold.moments && weight >= threshold.weight))
 
 /** Whether requests without the part were sound meanwhile. Crashes say nothing about a part that all requests carry, or while all engines crash. */
-const hasContrast = ({ crashes, quarantinedAt, soundAt }: PartStanding, all: readonly Crash[], { newest }: SoundTimes): boolean => {
+const hasContrast = ({ crashes, quarantinedAt, soundAt }: Standing, all: readonly Crash[], { newest }: SoundTimes): boolean => {
   if (quarantinedAt === null || newest === null) return false
   const firstAt = crashes[0]!.at
   const isMeanwhile = ({ at }: Crash): boolean => at >= firstAt && at <= quarantinedAt
--- a/packages/domain/src/forwarding/quarantine/requestAssessment.ts
+++ b/packages/domain/src/forwarding/quarantine/requestAssessment.ts
@@ -2,7 +2,7 @@
 import type { Millis } from '../../types.js'
 import { LEAST_REQUEST_SHARE, MOMENT_LENGTH, REQUEST_MOMENTS, REQUEST_SILENCE, SUFFICIENT_REQUEST_MOMENTS } from './constants.js'
 import { isCandidate } from './crashEvidence.js'
-import type { PartStanding, SoundTimes } from './crashEvidence.js'
+import type { Standing, SoundTimes } from './crashEvidence.js'
 import type { Crash } from './CrashReports.js'
 import { isRequest } from './suspects.js'
 import type { Suspect } from './types.js'
@@ -16,7 +16,7 @@
  * @param sounds - the sound answers
  * @returns the requests that met a crash since they were sound
  */
-export const assessRequests = (crashes: readonly Crash[], sounds: SoundTimes): PartStanding[] =>
+export const assessRequests = (crashes: readonly Crash[], sounds: SoundTimes): Standing[] =>
   [...crashesByRequest(crashes, sounds)].map(([request, ofRequest]) => standingOf(request, ofRequest, crashes, sounds.find(request)))
 
 /**
@@ -25,7 +25,7 @@
  * @param crashes - the crashes of the service
  * @returns the requests, judged without the crashes that quarantined parts explain
  */
-export const withoutExplained = (requests: readonly PartStanding[], parts: readonly PartStanding[], crashes: readonly Crash[]): PartStanding[] => {
+export const withoutExplained = (requests: readonly Standing[], parts: readonly Standing[], crashes: readonly Crash[]): Standing[] => {
   const causes = parts.filter(({ quarantinedAt }) => quarantinedAt !== null)
   if (causes.length === 0) return [...requests]
   return requests.flatMap((standing) => {
@@ -36,7 +36,7 @@
 }
 
 /** Crashes of a part that all have the same request say as much of the one as of the other. */
-const hasOtherRequests = ({ crashes }: PartStanding, request: Suspect): boolean => crashes.some(({ parts }) => !parts.has(request))
+const hasOtherRequests = ({ crashes }: Standing, request: Suspect): boolean => crashes.some(({ parts }) => !parts.has(request))
 
 const crashesByRequest = (crashes: readonly Crash[], sounds: SoundTimes): Map<Suspect, Crash[]> => {
   const found = new Map<Suspect, Crash[]>()
@@ -51,7 +51,7 @@
   return found
 }
 
-const standingOf = (part: Suspect, crashes: readonly Crash[], all: readonly Crash[], soundAt: Millis | null): PartStanding => {
+const standingOf = (part: Suspect, crashes: readonly Crash[], all: readonly Crash[], soundAt: Millis | null): Standing => {
   const [first, last] = [crashes[0]!.at, crashes.at(-1)!.at]
   const deciding = crashes.find((_, index) => {
     const met = crashes.slice(0, index + 1)
--- a/packages/domain/src/forwarding/quarantine/sharedFacts.ts
+++ b/packages/domain/src/forwarding/quarantine/sharedFacts.ts
@@ -1,15 +1,15 @@
 /** Which facts other nodes are told, and which are given up first. */
 import { MAX_SHARED_REPORTS, MAX_SHARED_SOUNDS, MAX_SHARED_SURVIVALS, MAX_SHARED_TRIALS } from './constants.js'
 import type { CrashReports } from './CrashReports.js'
-import type { PartTrials } from './PartTrials.js'
-import type { SoundParts } from './SoundParts.js'
-import type { CrashReport, Suspect, QuarantineFacts, SoundPart } from './types.js'
+import type { Trials } from './Trials.js'
+import type { SoundAnswers } from './SoundAnswers.js'
+import type { CrashReport, Suspect, QuarantineFacts, SoundAnswer } from './types.js'
 
 /** All that a copy knows. */
 export interface KnownFacts {
   readonly reports: CrashReports
-  readonly sounds: SoundParts
-  readonly trials: PartTrials
+  readonly sounds: SoundAnswers
+  readonly trials: Trials
   readonly isQuarantined: (part: Suspect) => boolean
 }
 
@@ -44,14 +44,14 @@
 }
 
 /** The newest sound answer of each service shows that other requests are answered. */
-const selectSounds = (crashes: readonly CrashReport[], sounds: SoundParts): SoundPart[] => {
+const selectSounds = (crashes: readonly CrashReport[], sounds: SoundAnswers): SoundAnswer[] => {
   if (crashes.length === 0) return []
   const { newest } = sounds
   const others = partsByFrequency(crashes).filter((part) => !newest.some((sound) => sound.part === part))
   return [...newest, ...others.flatMap((part) => soundOf(part, sounds))].slice(0, MAX_SHARED_SOUNDS)
 }
 
-const soundOf = (part: Suspect, sounds: SoundParts): SoundPart[] => {
+const soundOf = (part: Suspect, sounds: SoundAnswers): SoundAnswer[] => {
   const at = sounds.find(part)
   return at === null ? [] : [{ part, at }]
 }
--- a/packages/domain/src/forwarding/quarantine/suspects.ts
+++ b/packages/domain/src/forwarding/quarantine/suspects.ts
@@ -1,6 +1,6 @@
 /** Tells what a crash may be blamed on: prompt parts that requests share, and single requests that come again. */
-import { PartStatus } from './types.js'
-import type { PartVerdict, Suspect } from './types.js'
+import { QuarantineStatus } from './types.js'
+import type { Verdict, Suspect } from './types.js'
 
 /** First character of the suspects that stand for a whole request; ids of prompt parts are hexadecimal. */
 const REQUEST_MARK = '@'
@@ -21,13 +21,13 @@
  * @param verdict - verdict on a request
  * @returns the request if it has to run apart from others that may have crashed servers; null if it need not
  */
-export const isolatedRequest = (verdict: PartVerdict): Suspect | null => {
+export const isolatedRequest = (verdict: Verdict): Suspect | null => {
   switch (verdict.status) {
-    case PartStatus.Clear:
+    case QuarantineStatus.Clear:
       return null
-    case PartStatus.Suspected:
+    case QuarantineStatus.Suspected:
       return isRequest(verdict.evidence.part) ? verdict.evidence.part : null
-    case PartStatus.Quarantined:
+    case QuarantineStatus.Quarantined:
       return verdict.parts.find(isRequest) ?? null
   }
 }
--- a/packages/domain/src/forwarding/quarantine/trialSchedule.ts
+++ b/packages/domain/src/forwarding/quarantine/trialSchedule.ts
@@ -1,13 +1,13 @@
 /** When a quarantined request, or one with a quarantined part, may be sent to find out whether it is sound again. */
 import type { Millis } from '../../types.js'
-import type { PartStanding } from './crashEvidence.js'
+import type { Standing } from './crashEvidence.js'
 import { FACT_TOLERANCE, FIRST_TRIAL_GAP, FLEET_TRIAL_GAP, MAX_REQUEST_CRASHES, MAX_REQUEST_TRIALS, MAX_TRIAL_GAP, REQUEST_TRIAL_GAP, TRIAL_GAP_GROWTH } from './constants.js'
-import type { PartTrials } from './PartTrials.js'
+import type { Trials } from './Trials.js'
 import { isRequest } from './suspects.js'
 import type { Suspect } from './types.js'
 
 /** A suspect that is quarantined. */
-export interface QuarantinedStanding extends PartStanding {
+export interface QuarantinedStanding extends Standing {
   readonly quarantinedAt: Millis
 }
 
@@ -17,7 +17,7 @@
   readonly present: ReadonlySet<Suspect>
   /** All that is quarantined. */
   readonly quarantined: readonly QuarantinedStanding[]
-  readonly trials: PartTrials
+  readonly trials: Trials
 }
 
 /**
@@ -38,10 +38,10 @@
   return Math.max(nextTrialTime(firstTrial.at, Math.max(lastTrialAt, lastCrashAt), shortest), latest(others, trials) + FLEET_TRIAL_GAP)
 }
 
-const isTriedEnough = ({ part, crashCount }: QuarantinedStanding, trials: PartTrials): boolean =>
+const isTriedEnough = ({ part, crashCount }: QuarantinedStanding, trials: Trials): boolean =>
   trials.of(part).length >= MAX_REQUEST_TRIALS || crashCount >= MAX_REQUEST_CRASHES
 
-const latest = (parts: readonly Suspect[], trials: PartTrials): Millis => Math.max(-Infinity, ...parts.map((part) => trials.lastTime(part)))
+const latest = (parts: readonly Suspect[], trials: Trials): Millis => Math.max(-Infinity, ...parts.map((part) => trials.lastTime(part)))
 
 /** The gap grows with the time since the first trial, so that a wrong quarantine ends soon and a right one costs few engines. */
 const nextTrialTime = (firstTrialAt: Millis, lastEventAt: Millis, shortest: Millis): Millis =>
--- a/packages/domain/src/forwarding/quarantine/types.ts
+++ b/packages/domain/src/forwarding/quarantine/types.ts
@@ -26,7 +26,7 @@
 }
 
 /** A backend server answered a request beyond the point at which it would have crashed. */
-export interface SoundPart {
+export interface SoundAnswer {
   /** A part of its prompt, or the request; empty if only the service is told. */
   readonly part: Suspect
   readonly at: Millis
@@ -42,7 +42,7 @@
 }
 
 /** A request that is quarantined, or has a quarantined part, was sent to find out whether it is sound again. */
-export interface PartTrial {
+export interface Trial {
   readonly part: Suspect
   readonly at: Millis
   readonly grantedBy: NodeId
@@ -57,15 +57,15 @@
 /** What other nodes need in order to reach the same verdicts. */
 export interface QuarantineFacts {
   readonly crashes: readonly CrashReport[]
-  readonly sounds: readonly SoundPart[]
+  readonly sounds: readonly SoundAnswer[]
   readonly survivals: readonly ServerSurvival[]
-  readonly trials: readonly PartTrial[]
+  readonly trials: readonly Trial[]
   /** Absent from nodes of earlier builds. */
   readonly recurrences?: readonly Recurrence[]
 }
 
 /** How a request may be sent, judged by itself and by its parts. */
-export const PartStatus = {
+export const QuarantineStatus = {
   /** Neither it nor a part of it is suspected. */
   Clear: 'clear',
   /** It or a part of it may have crashed a server: it goes where little runs. */
@@ -73,10 +73,10 @@
   /** It or a part of it crashes servers: it is refused, except for a trial. */
   Quarantined: 'quarantined'
 } as const
-export type PartStatus = typeof PartStatus[keyof typeof PartStatus]
+export type QuarantineStatus = typeof QuarantineStatus[keyof typeof QuarantineStatus]
 
 /** Evidence against the suspect that decides a verdict. */
-export interface PartEvidence {
+export interface Evidence {
   readonly part: Suspect
   /** Crashes since it was last seen sound that no other quarantined suspect explains. */
   readonly crashes: number
@@ -88,12 +88,12 @@
 }
 
 /** Verdict on a request. */
-export type PartVerdict =
-  | { readonly status: typeof PartStatus.Clear }
-  | { readonly status: typeof PartStatus.Suspected, readonly evidence: PartEvidence }
+export type Verdict =
+  | { readonly status: typeof QuarantineStatus.Clear }
+  | { readonly status: typeof QuarantineStatus.Suspected, readonly evidence: Evidence }
   | {
-    readonly status: typeof PartStatus.Quarantined
-    readonly evidence: PartEvidence
+    readonly status: typeof QuarantineStatus.Quarantined
+    readonly evidence: Evidence
     /** All quarantined parts of the request, and the request itself if it is quarantined; a trial is recorded for each. */
     readonly parts: readonly Suspect[]
     /** Whether one request may be sent now to find out if the parts are sound again; one node of the fleet decides on it. */
--- a/packages/domain/tests/quarantineFleet.ts
+++ b/packages/domain/tests/quarantineFleet.ts
@@ -1,6 +1,6 @@
 /** Simulates nodes that exchange facts about prompt parts and requests, and servers that crash, in virtual time. */
-import { isolatedRequest, PartQuarantine, PartStatus, requestSuspect } from '../src/index.js'
-import type { Millis, NodeId, PartVerdict, PromptPart, QuarantineFacts, RunnerId, Suspect } from '../src/index.js'
+import { isolatedRequest, Quarantine, QuarantineStatus, requestSuspect } from '../src/index.js'
+import type { Millis, NodeId, Verdict, PromptPart, QuarantineFacts, RunnerId, Suspect } from '../src/index.js'
 import { seededRandom } from './random.js'
 import { VirtualScheduler } from './virtualScheduler.js'
 
@@ -58,7 +58,7 @@
 
 interface SimulatedEngine { readonly index: number, readonly id: RunnerId, startedAt: number, isUp: boolean, readonly running: Set<SimulatedAttempt> }
 
-interface SimulatedNode { readonly index: number, readonly id: NodeId, quarantine: PartQuarantine, isTelling: boolean, readonly open: Set<SimulatedAttempt> }
+interface SimulatedNode { readonly index: number, readonly id: NodeId, quarantine: Quarantine, isTelling: boolean, readonly open: Set<SimulatedAttempt> }
 
 /** Index of the crash from which on harmful requests are counted. */
 const FIFTH = 4
@@ -98,7 +98,7 @@
     this.#load = load
     this.#arrivalRandom = seededRandom(load.seed)
     this.#random = seededRandom(load.seed + 1_000)
-    this.nodes = Array.from({ length: load.nodes }, (_, index) => ({ index, id: `n${index}` as NodeId, quarantine: new PartQuarantine(), isTelling: false, open: new Set() }))
+    this.nodes = Array.from({ length: load.nodes }, (_, index) => ({ index, id: `n${index}` as NodeId, quarantine: new Quarantine(), isTelling: false, open: new Set() }))
     this.engines = Array.from({ length: load.engines }, (_, index) => ({ index, id: `e${index}` as RunnerId, startedAt: 1, isUp: true, running: new Set() }))
   }
 
@@ -139,7 +139,7 @@
 
   /** Replaces what a node knows by the facts that a peer tells it. */
   restartNode (node: SimulatedNode): void {
-    node.quarantine = new PartQuarantine()
+    node.quarantine = new Quarantine()
     const peer = this.nodes.find((each) => each !== node)!
     this.#tell(peer, node, peer.quarantine.facts(this.now))
   }
@@ -168,7 +168,7 @@
     this.#send({ arrivedAt: this.now, parts, identity: requestSuspect(parts.at(-1)!), isCounted, attempts: 0 }, node)
   }
 
-  #verdict (request: SimulatedRequest, node: SimulatedNode): PartVerdict {
+  #verdict (request: SimulatedRequest, node: SimulatedNode): Verdict {
     return node.quarantine.verdict(request.parts, this.now, request.identity)
   }
 
@@ -184,13 +184,13 @@
 
   #send (request: SimulatedRequest, node: SimulatedNode): void {
     const verdict = this.#verdict(request, node)
-    const isQuarantined = verdict.status === PartStatus.Quarantined
+    const isQuarantined = verdict.status === QuarantineStatus.Quarantined
     const isIsolated = isolatedRequest(verdict) !== null
     if (isIsolated && !isQuarantined && this.#isInProgressAlone(request)) {
       this.#after(ISOLATION_DELAY, () => { this.#send(request, node) })
       return
     }
-    const engine = this.#choose(verdict.status !== PartStatus.Clear, isIsolated)
+    const engine = this.#choose(verdict.status !== QuarantineStatus.Clear, isIsolated)
     // A trial is granted, and counts, when there is a server for it, as in the scheduler of the program.
     const isTrial = isQuarantined && verdict.isTrialDue && (engine === null || this.#grantTrial(request, node))
     if (isQuarantined && !isTrial) {
@@ -206,7 +206,7 @@
   #grantTrial (request: SimulatedRequest, node: SimulatedNode): boolean {
     const chooser = this.nodes.find((each) => each === node || !this.#load.isCut(this, node.index, each.index))!
     const verdict = this.#verdict(request, chooser)
-    if (verdict.status !== PartStatus.Quarantined || !verdict.isTrialDue) return false
+    if (verdict.status !== QuarantineStatus.Quarantined || !verdict.isTrialDue) return false
     for (const part of verdict.parts) {
       const trial = { part, at: this.now, grantedBy: chooser.id }
       chooser.quarantine.recordTrial(trial)
@@ -343,7 +343,7 @@
 
   #cutQuarantined (node: SimulatedNode): void {
     for (const attempt of [...node.open]) {
-      if (attempt.isProved || attempt.isTrial || this.#verdict(attempt.request, node).status !== PartStatus.Quarantined) continue
+      if (attempt.isProved || attempt.isTrial || this.#verdict(attempt.request, node).status !== QuarantineStatus.Quarantined) continue
       this.#close(attempt)
       if (attempt.request.isCounted) this.refused.push(attempt.request.arrivedAt)
     }
--- a/packages/domain/tests/quarantineProperties.test.ts
+++ b/packages/domain/tests/quarantineProperties.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava'
 import * as fc from 'fast-check'
 
-import { PartQuarantine, PartStatus } from '../src/index.js'
-import type { CrashReport, Millis, NodeId, PartTrial, QuarantineFacts, RunnerId, ServerSurvival, SoundPart } from '../src/index.js'
-import { SoundParts } from '../src/forwarding/quarantine/SoundParts.js'
+import { Quarantine, QuarantineStatus } from '../src/index.js'
+import type { CrashReport, Millis, NodeId, Trial, QuarantineFacts, RunnerId, ServerSurvival, SoundAnswer } from '../src/index.js'
+import { SoundAnswers } from '../src/forwarding/quarantine/SoundAnswers.js'
 
 const SEED = 26
 const PARTS = ['a', 'b', 'c', 'd', 'e']
@@ -27,14 +27,14 @@
   parts: fc.uniqueArray(fc.constantFrom(...PARTS), { maxLength: 4 })
 }).map(({ start, suspects, parts, ...rest }) => ({ ...start, ...rest, suspects, parts: suspects === 0 ? [] : parts }))
 
-const sound: fc.Arbitrary<SoundPart> = fc.record({ part: fc.constantFrom(...PARTS, 'other'), at: time.map((at) => offset(at, 400)) })
+const sound: fc.Arbitrary<SoundAnswer> = fc.record({ part: fc.constantFrom(...PARTS, 'other'), at: time.map((at) => offset(at, 400)) })
 
 const survival: fc.Arbitrary<ServerSurvival> = fc.record({ start, at: time.map((at) => offset(at, 800)) }).map(({ start, at }) => ({ ...start, at }))
 
-const trial: fc.Arbitrary<PartTrial> =
+const trial: fc.Arbitrary<Trial> =
   fc.record({ part: fc.constantFrom(...PARTS), at: time.map((at) => offset(at, 1_200)), grantedBy: fc.constant('n0' as NodeId) })
 
-type Fact = (quarantine: PartQuarantine) => boolean
+type Fact = (quarantine: Quarantine) => boolean
 
 const fact: fc.Arbitrary<Fact> = fc.oneof(
   { weight: 4, arbitrary: crash.map((each): Fact => (quarantine) => quarantine.recordCrash(each)) },
@@ -45,16 +45,16 @@
 
 const facts = fc.array(fact, { minLength: 1, maxLength: 40, size: 'max' })
 
-const afterFacts = (all: readonly Fact[]): PartQuarantine => {
-  const quarantine = new PartQuarantine()
+const afterFacts = (all: readonly Fact[]): Quarantine => {
+  const quarantine = new Quarantine()
   for (const record of all) record(quarantine)
   return quarantine
 }
 
-const verdicts = (quarantine: PartQuarantine) => PARTS.map((part) => quarantine.verdict([part, 'own'], END))
+const verdicts = (quarantine: Quarantine) => PARTS.map((part) => quarantine.verdict([part, 'own'], END))
 
 /** Facts and verdicts, comparable. */
-const stateOf = (quarantine: PartQuarantine): string => {
+const stateOf = (quarantine: Quarantine): string => {
   const shared: QuarantineFacts = quarantine.facts(END)
   const sorted = Object.values(shared).map((kind: readonly unknown[]) => kind.map((each) => JSON.stringify(each)).sort())
   return JSON.stringify([sorted, verdicts(quarantine)])
@@ -101,7 +101,7 @@
   t.notThrows(() => {
     holds(fc.property(facts, (all) => {
       const quarantine = afterFacts(all)
-      const fresh = new PartQuarantine()
+      const fresh = new Quarantine()
       fresh.merge(quarantine.facts(END))
       return JSON.stringify(verdicts(fresh)) === JSON.stringify(verdicts(quarantine))
     }))
@@ -113,7 +113,7 @@
     holds(fc.property(facts, fc.constantFrom(...PARTS), (all, part) => {
       const quarantine = afterFacts(all)
       quarantine.recordSound({ part, at: END - 1 })
-      return quarantine.verdict([part, 'own'], END).status === PartStatus.Clear
+      return quarantine.verdict([part, 'own'], END).status === QuarantineStatus.Clear
     }))
   })
 })
@@ -121,9 +121,9 @@
 test('times that seem later by the time under way do not move with each exchange', (t) => {
   t.notThrows(() => {
     holds(fc.property(facts, fc.integer({ min: 1, max: 900 }), (all, delay) => {
-      const [here, there] = [afterFacts(all), new PartQuarantine()]
+      const [here, there] = [afterFacts(all), new Quarantine()]
       const later = <Each extends { readonly at: Millis }>(each: Each): Each => ({ ...each, at: each.at + delay })
-      const tell = (from: PartQuarantine, to: PartQuarantine): void => {
+      const tell = (from: Quarantine, to: Quarantine): void => {
         const { crashes, sounds, survivals, trials } = from.facts(END)
         to.merge({ crashes: crashes.map(later), sounds: sounds.map(later), survivals: survivals.map(later), trials: trials.map(later) })
       }
@@ -138,7 +138,7 @@
 })
 
 test('what is kept and told stays bounded', (t) => {
-  const quarantine = new PartQuarantine()
+  const quarantine = new Quarantine()
   for (let index = 0; index < 3_000; index++) {
     const at = index * 10
     const server = `e${index}` as RunnerId
@@ -155,7 +155,7 @@
 })
 
 test('facts expire, unless they are the evidence of a quarantine that goes on', (t) => {
-  const quarantine = new PartQuarantine()
+  const quarantine = new Quarantine()
   const report = (at: Millis): CrashReport => ({ server: `e${at}` as RunnerId, startedAt: 1, reportedBy: 'n0' as NodeId, at, suspects: 1, parts: ['a'] })
   quarantine.recordSound({ part: 'other', at: 5_000 })
   for (const at of [0, 1_000, 500_000]) quarantine.recordCrash(report(at))
@@ -164,7 +164,7 @@
 })
 
 test('the parts that were sound longest ago are forgotten first', (t) => {
-  const sounds = new SoundParts(3)
+  const sounds = new SoundAnswers(3)
   for (const [index, part] of PARTS.entries()) sounds.record({ part, at: index * 1_000 })
   t.is(sounds.trim((part) => part === 'a'), 2)
   t.deepEqual(PARTS.filter((part) => sounds.find(part) !== null), ['a', 'd', 'e'])
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -4,7 +4,6 @@
 import { AttemptEnd, AttemptHistory, HealthSignal } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { decodeAnswerHeaders } from '@bluebellhill/platform'
-import { parseRetryAfter } from '@bluebellhill/services'
 
 import type { AdmittedCall } from './AdmittedCall.js'
 import { AttemptSearch } from './AttemptSearch.js'
@@ -22,7 +21,7 @@
 import { RequestLog } from './RequestLog.js'
 import { MemoryReservations } from './MemoryReservations.js'
 import { RequestGuard } from './quarantine/RequestGuard.js'
-import type { QuarantineVerdict } from './quarantine/PromptQuarantine.js'
+import type { QuarantineVerdict } from './quarantine/NodeQuarantine.js'
 import { PlacementRefusal } from './scheduling/types.js'
 import type { PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import { ForwardOutcome } from './ForwardOutcome.js'
@@ -30,10 +29,10 @@
 import { SilenceTimer } from './SilenceTimer.js'
 import type { ChangeCheck } from './SilenceTimer.js'
 import { SilentAttempts } from './SilentAttempts.js'
-import { finalCauseOf, serverOfPeer } from './relay/relayedAttempts.js'
-import { decodeRelayAnswer, SERVER_ANSWER, withoutRelayHeaders } from './relay/relayHeaders.js'
+import { withoutRelayHeaders } from './relay/relayHeaders.js'
 import type { RelayPeer } from './relay/RelayPeers.js'
-import { relayCallRequest, serverCallRequest } from './serverCallRequest.js'
+import { RequestRelay } from './relay/RequestRelay.js'
+import { serverCallRequest } from './serverCallRequest.js'
 import { CloseCause, RequestStage } from './unansweredRequests.js'
 
 /** Longest time for which a request that may have run waits until a server accepts requests again. */
@@ -54,6 +53,7 @@
   readonly #requestLog: RequestLog
   readonly #ending: RequestEnding
   readonly #search: AttemptSearch
+  readonly #relay: RequestRelay
   readonly #silentAttempts = new SilentAttempts((attempt, signal) => this.#release(attempt, signal))
   readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#dataOverdue(attempt, silence, hasGoneOn) })
   #attemptCount = 0
@@ -78,6 +78,7 @@
     this.#requestLog = new RequestLog(context, call)
     this.#ending = new RequestEnding({ context, call, response, requestLog: this.#requestLog, summary: () => this.#summary(), onEnded: () => this.#releaseAll() })
     this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
+    this.#relay = new RequestRelay({ context, call, history: this.history, requestLog: this.#requestLog })
     this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog })
   }
 
@@ -221,8 +222,7 @@
 
   /** While this node may reach no server at all, a failed connection says nothing of the server. */
   #signalOf (attempt: OpenAttempt, end: AttemptEnd): HealthSignal | null {
-    const isOwnFault = end === AttemptEnd.Unsent && this.context.relay.checks.isInDoubt(this.call.service.name)
-    return isOwnFault ? null : healthSignalOf(attempt, end)
+    return end === AttemptEnd.Unsent && this.#relay.isInDoubt ? null : healthSignalOf(attempt, end)
   }
 
   /** Ends an attempt without a complete answer, and starts another one if the route and the retry budget allow it. */
@@ -253,9 +253,9 @@
     const search = this.#searchCount
     // A silent attempt may have gone on and failed meanwhile, so that a later search has begun.
     const isSuperseded = (): boolean => this.#ending.isOver || this.attempt !== null || search !== this.#searchCount
-    if (this.#attemptCount > 0) await this.context.relay.checks.settled(this.call.service.name)
+    if (this.#attemptCount > 0) await this.#relay.checkSettled()
     if (isSuperseded()) return
-    const peer = this.call.isRelayed ? null : this.context.relay.peerFor(this.call.service.name)
+    const peer = this.#relay.choosePeer()
     if (peer !== null) {
       this.#passOn(peer)
       return
@@ -295,36 +295,27 @@
     return true
   }
 
-  /** Passes the request on to a node that reaches servers of its service, which handles it as if the caller had sent it there. */
+  /** Passes the request on to a node that reaches servers of its service. */
   #passOn (peer: RelayPeer): void {
-    const { clock, relay } = this.context
-    const server = serverOfPeer(peer, this.call.service.name)
-    const tried = this.history.sentServers()
-    this.history.start(server.id)
     this.#attemptCount += 1
-    const attempt: OpenAttempt = { server, placed: null, peer, sentAt: clock(), reservations: null, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
+    const { attempt, request } = this.#relay.open(peer, this.#attemptCount, this.lastEventId)
     this.attempt = attempt
-    relay.peers.started(peer)
-    this.#requestLog.requestRelayed(peer, this.#attemptCount)
-    const request = relayCallRequest({ call: this.call, from: relay.node, timeLeft: this.call.deadlineAt - clock(), lastEventId: this.lastEventId, tried }, peer.address)
     attempt.serverCall = new ServerCall(request, this.#createListener(attempt))
   }
 
   /** @returns whether the attempt has ended, because the other node does not pass on the answer of a server */
   #peerRefused (attempt: OpenAttempt, peer: RelayPeer, head: AnswerHead): boolean {
-    const relayed = decodeRelayAnswer(head.headers)
-    if (relayed === SERVER_ANSWER) return false
-    const cause = finalCauseOf(relayed)
-    if (cause === null) {
-      this.context.relay.peers.refused(peer, this.call.service.name)
-      this.failAttempt(attempt, AttemptEnd.Unsent, `node ${peer.node} does not serve it: ${relayed ?? 'an earlier build'}`, null)
+    const refusal = this.#relay.refusalOf(peer, head)
+    if (refusal === null) return false
+    if (refusal.cause === null) {
+      this.failAttempt(attempt, AttemptEnd.Unsent, refusal.reason, null)
       return true
     }
-    this.#requestLog.attemptFailed(attempt, AttemptEnd.NotRun, `refused by node ${peer.node}: ${cause}`)
-    this.#lastProblem = `node ${peer.node}: ${cause}`
+    this.#requestLog.attemptFailed(attempt, AttemptEnd.NotRun, refusal.reason)
+    this.#lastProblem = refusal.reason
     this.#closeAttempt(attempt)
-    this.context.metrics.requestRefused(cause)
-    this.#refuseOrAbort(cause, ForwardOutcome.Refused, CloseCause.AnswerLost, parseRetryAfter(head.headers['retry-after']))
+    this.context.metrics.requestRefused(refusal.cause)
+    this.#refuseOrAbort(refusal.cause, ForwardOutcome.Refused, CloseCause.AnswerLost, refusal.retryAfter)
     return true
   }
 
@@ -381,17 +372,11 @@
   }
 
   #connectionFailed (attempt: OpenAttempt, mayBeSent: boolean, reason: string): void {
-    if (!mayBeSent) this.#notConnected(attempt)
+    if (!mayBeSent) this.#relay.notConnected(attempt)
     if (mayBeSent && attempt.serverCall?.isBrokenOff === true) attempt.watch?.brokenOff()
     this.failAttempt(attempt, mayBeSent ? AttemptEnd.Broken : AttemptEnd.Unsent, reason)
   }
 
-  #notConnected ({ peer, server }: OpenAttempt): void {
-    const { relay } = this.context
-    if (peer === null) relay.checks.connectionFailed(server)
-    else relay.peers.failed(peer)
-  }
-
   #headReceived (attempt: OpenAttempt, head: AnswerHead): void {
     if (this.#ending.isOver || (this.attempt !== attempt && !this.#silentAttempts.has(attempt))) return
     const { peer } = attempt
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -4,7 +4,7 @@
 
 import type { AdmittedCall } from './AdmittedCall.js'
 import { evidenceFields, suspectField } from './quarantine/QuarantineLog.js'
-import type { QuarantineVerdict } from './quarantine/PromptQuarantine.js'
+import type { QuarantineVerdict } from './quarantine/NodeQuarantine.js'
 import type { RelayPeer } from './relay/RelayPeers.js'
 import type { PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import type { ForwardOutcome } from './ForwardOutcome.js'
--- a/packages/node/src/forward/peers/Announcements.ts
+++ b/packages/node/src/forward/peers/Announcements.ts
@@ -55,7 +55,7 @@
     return { $case: 'candidateReport', value: this.#ownState(namesCandidates, this.#options.facts.nextAnswer()) }
   }
 
-  /** @returns messages with all that is known of prompt parts which crash engines, for a node that has just been found */
+  /** @returns messages with all that is known of what crashes backend servers, for a node that has just been found */
   introduction (): DatagramContent[] {
     return this.#options.facts.everything().map((facts) => ({ $case: 'candidateReport', value: this.#ownState(false, facts) }))
   }
--- a/packages/node/src/forward/peers/quarantineCodec.ts
+++ b/packages/node/src/forward/peers/quarantineCodec.ts
@@ -1,6 +1,6 @@
 /** Encodes the evidence on what crashes backend servers for other nodes, and decodes it. */
 import { isRequest } from '@bluebellhill/domain'
-import type { CrashReport, Millis, NodeId, PartTrial, QuarantineFacts, RunnerId, ServerSurvival, SoundPart, Suspect } from '@bluebellhill/domain'
+import type { CrashReport, Millis, NodeId, Trial, QuarantineFacts, RunnerId, ServerSurvival, SoundAnswer, Suspect } from '@bluebellhill/domain'
 import type { fleetWire } from '@bluebellhill/protocol'
 
 /** Longest id of a suspect that is accepted from another node. */
@@ -37,9 +37,9 @@
   crashes: (wire?.crashes ?? []).filter(({ server, reportedBy }) => server !== '' && reportedBy !== '').map((crash) => decodeCrash(crash, now)),
   survivals: (wire?.survivals ?? []).filter(({ server }) => server !== '').map((survival): ServerSurvival =>
     ({ server: survival.server as RunnerId, startedAt: startTimeOf(survival.serverStartedAt), at: now - survival.agoMs })),
-  sounds: (wire?.sound ?? []).filter(({ part, service }) => isSuspect(part) || (part === '' && service !== '')).map(({ part, agoMs, service }): SoundPart =>
+  sounds: (wire?.sound ?? []).filter(({ part, service }) => isSuspect(part) || (part === '' && service !== '')).map(({ part, agoMs, service }): SoundAnswer =>
     ({ part, at: now - agoMs, ...serviceOf(service) })),
-  trials: (wire?.trials ?? []).filter(({ part }) => isSuspect(part)).map(({ part, agoMs, grantedBy }): PartTrial => ({ part, at: now - agoMs, grantedBy: grantedBy as NodeId })),
+  trials: (wire?.trials ?? []).filter(({ part }) => isSuspect(part)).map(({ part, agoMs, grantedBy }): Trial => ({ part, at: now - agoMs, grantedBy: grantedBy as NodeId })),
   ...recurrencesOf(wire, now)
 })
 
@@ -75,7 +75,7 @@
   parts: parts.filter(isSuspect)
 })
 
-const serviceOf = (service: string): Pick<SoundPart, 'service'> => service === '' ? {} : { service }
+const serviceOf = (service: string): Pick<SoundAnswer, 'service'> => service === '' ? {} : { service }
 
 const withinBytes = (suspects: readonly Suspect[], limit: number): Suspect[] => {
   let bytes = 0
--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -28,7 +28,7 @@
   readonly processor: number
   /** Statements of backend servers that the node has received itself. */
   readonly notices: readonly fleetWire.ServerNotice[]
-  /** Evidence on prompt parts that crash engines; undefined from nodes of earlier builds. */
+  /** Evidence on what crashes backend servers; undefined from nodes of earlier builds. */
   readonly quarantine: fleetWire.QuarantineFacts | undefined
 }
 
@@ -43,7 +43,7 @@
 /** Assignments in one datagram: few enough that it stays below the usual packet size. */
 const MAX_ASSIGNMENTS_PER_DATAGRAM = 16
 
-/** Assignments beside which the evidence on prompt parts fits into the same datagram. */
+/** Assignments beside which the evidence on crashes fits into the same datagram. */
 const MAX_ASSIGNMENTS_BESIDE_FACTS = 4
 
 /**
--- a/packages/node/src/forward/quarantine/AttemptWatch.ts
+++ b/packages/node/src/forward/quarantine/AttemptWatch.ts
@@ -1,5 +1,5 @@
-/** Observes one attempt at a backend server as evidence on the parts of its prompt. */
-import type { EngineWatch, WatchedAttempt } from './EngineWatch.js'
+/** Observes one attempt at a backend server as evidence on the request and the parts of its prompt. */
+import type { ServerWatch, WatchedAttempt } from './ServerWatch.js'
 
 /** Events after which an answer counts as sound: an engine may crash when it begins to write. */
 const SOUND_EVENT_COUNT = 2
@@ -10,18 +10,18 @@
   #stopListening: (() => void) | null
 
   /**
-   * @param engines - open attempts of this node
+   * @param serverWatch - open attempts of this node
    * @param attempt - the attempt
    * @param stopListening - ends the calls that tell of new quarantines; null if there are none
    */
-  constructor (private readonly engines: EngineWatch, private readonly attempt: WatchedAttempt, stopListening: (() => void) | null) {
+  constructor (private readonly serverWatch: ServerWatch, private readonly attempt: WatchedAttempt, stopListening: (() => void) | null) {
     this.#stopListening = stopListening
-    engines.sent(attempt)
+    serverWatch.sent(attempt)
   }
 
   /** Records that the server has sent bytes of its answer. */
   dataReceived (): void {
-    this.engines.dataReceived(this.attempt)
+    this.serverWatch.dataReceived(this.attempt)
   }
 
   /** @param count - number of further events of a stream that have arrived */
@@ -33,19 +33,19 @@
   /** Records that the answer has gone far enough to be sound. */
   completed (): void {
     this.#listenNoMore()
-    this.engines.provedSound(this.attempt)
+    this.serverWatch.provedSound(this.attempt)
   }
 
   /** Records that the connection was broken off before the answer was complete. */
   brokenOff (): void {
     this.#listenNoMore()
-    this.engines.brokenOff(this.attempt)
+    this.serverWatch.brokenOff(this.attempt)
   }
 
   /** Stops to observe the attempt, which has ended in any way. */
   ended (): void {
     this.#listenNoMore()
-    this.engines.ended(this.attempt)
+    this.serverWatch.ended(this.attempt)
   }
 
   #listenNoMore (): void {
--- a/packages/node/src/forward/quarantine/FactExchange.ts
+++ b/packages/node/src/forward/quarantine/FactExchange.ts
@@ -1,13 +1,13 @@
-/** Exchanges the evidence on prompt parts with the other nodes, as parts of messages that are sent anyway. */
+/** Exchanges the evidence on what crashes backend servers with the other nodes, as parts of messages that are sent anyway. */
 import type { Millis, QuarantineFacts } from '@bluebellhill/domain'
 import type { fleetWire } from '@bluebellhill/protocol'
 
 import { decodeFacts, encodeFacts } from '../peers/quarantineCodec.js'
 import { FactQueue, listFacts } from './FactQueue.js'
-import type { PromptQuarantine } from './PromptQuarantine.js'
+import type { NodeQuarantine } from './NodeQuarantine.js'
 
 export interface FactExchangeOptions {
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: NodeQuarantine
   readonly clock: () => Millis
   /** Called when this node has found out something that other nodes should know at once. */
   readonly onOwnFact: () => void
--- a/packages/node/src/forward/quarantine/FactQueue.ts
+++ b/packages/node/src/forward/quarantine/FactQueue.ts
@@ -1,5 +1,5 @@
 /** Selects the facts on what crashes servers that the next message to other nodes contains. */
-import type { CrashReport, PartTrial, QuarantineFacts, Recurrence, ServerSurvival, SoundPart } from '@bluebellhill/domain'
+import type { CrashReport, Trial, QuarantineFacts, Recurrence, ServerSurvival, SoundAnswer } from '@bluebellhill/domain'
 
 /** Kinds of facts. */
 export const FactKind = {
@@ -15,8 +15,8 @@
 export type Fact =
   | { readonly kind: typeof FactKind.Crash, readonly fact: CrashReport }
   | { readonly kind: typeof FactKind.Survival, readonly fact: ServerSurvival }
-  | { readonly kind: typeof FactKind.Trial, readonly fact: PartTrial }
-  | { readonly kind: typeof FactKind.Sound, readonly fact: SoundPart }
+  | { readonly kind: typeof FactKind.Trial, readonly fact: Trial }
+  | { readonly kind: typeof FactKind.Sound, readonly fact: SoundAnswer }
   | { readonly kind: typeof FactKind.Recurrence, readonly fact: Recurrence }
 
 /** New facts that wait for a message; beyond, the oldest are sent in turn like all others. */
@@ -100,7 +100,7 @@
  */
 export const listFacts = ({ crashes, survivals, trials, sounds, recurrences = [] }: QuarantineFacts): Fact[] => {
   const suspected = new Set(crashes.flatMap(({ parts }) => parts))
-  const isSuspected = ({ part }: SoundPart): boolean => suspected.has(part)
+  const isSuspected = ({ part }: SoundAnswer): boolean => suspected.has(part)
   return [
     ...crashes.map((fact): Fact => ({ kind: FactKind.Crash, fact })),
     ...survivals.map((fact): Fact => ({ kind: FactKind.Survival, fact })),
--- a/packages/node/src/forward/quarantine/PromptQuarantine.ts
+++ b/packages/node/src/forward/quarantine/NodeQuarantine.ts
@@ -1,15 +1,15 @@
 /** Keeps this node's copy of the evidence on what crashes backend servers, and judges requests by it. */
-import { isRequest, PartQuarantine, PartStatus, sharedParts } from '@bluebellhill/domain'
-import type { BackendServer, CrashReport, Millis, NodeId, PartVerdict, PromptPart, QuarantineCounts, QuarantineFacts, ServerSurvival, Suspect } from '@bluebellhill/domain'
+import { isRequest, Quarantine, QuarantineStatus, sharedParts } from '@bluebellhill/domain'
+import type { BackendServer, CrashReport, Millis, NodeId, Verdict, PromptPart, QuarantineCounts, QuarantineFacts, ServerSurvival, Suspect } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
-import { EngineWatch } from './EngineWatch.js'
-import type { WatchedAttempt } from './EngineWatch.js'
+import { ServerWatch } from './ServerWatch.js'
+import type { WatchedAttempt } from './ServerWatch.js'
 import { FactKind } from './FactQueue.js'
 import type { Fact } from './FactQueue.js'
 import { QuarantineLog } from './QuarantineLog.js'
 
-export interface PromptQuarantineOptions {
+export interface NodeQuarantineOptions {
   readonly node: NodeId
   readonly log: Log
   readonly clock: () => Millis
@@ -24,25 +24,25 @@
 const SERVICE_ONLY: Suspect = ''
 
 /** Verdict on a request that must not be sent. */
-export type QuarantineVerdict = Extract<PartVerdict, { readonly status: typeof PartStatus.Quarantined }>
+export type QuarantineVerdict = Extract<Verdict, { readonly status: typeof QuarantineStatus.Quarantined }>
 
 /** Evidence of this node and of the others. */
-export class PromptQuarantine {
+export class NodeQuarantine {
   /** Attempts of this node, whose ends are the evidence. */
-  readonly engines: EngineWatch
-  readonly #options: PromptQuarantineOptions
-  readonly #aggregate: PartQuarantine
+  readonly serverWatch: ServerWatch
+  readonly #options: NodeQuarantineOptions
+  readonly #aggregate: Quarantine
   readonly #log: QuarantineLog
   readonly #factListeners = new Set<(fact: Fact) => void>()
   readonly #quarantineListeners = new Set<() => void>()
 
   /** @param options - this node, its log and clock */
-  constructor (options: PromptQuarantineOptions) {
+  constructor (options: NodeQuarantineOptions) {
     const { node, clock, isLeaving } = options
     this.#options = options
-    this.#aggregate = new PartQuarantine()
+    this.#aggregate = new Quarantine()
     this.#log = new QuarantineLog(options)
-    this.engines = new EngineWatch({
+    this.serverWatch = new ServerWatch({
       node,
       clock,
       isLeaving,
@@ -58,7 +58,7 @@
    * @param identity - returns the suspect that stands for the request; called only while requests are suspected
    * @returns whether, and how, the request may be sent
    */
-  verdict (parts: readonly PromptPart[], identity: (() => Suspect) | null = null): PartVerdict {
+  verdict (parts: readonly PromptPart[], identity: (() => Suspect) | null = null): Verdict {
     const request = this.#aggregate.hasSuspectedRequests ? identity?.() ?? null : null
     return this.#aggregate.verdict(parts, this.#options.clock(), request)
   }
@@ -78,7 +78,7 @@
     this.#factListeners.add(listener)
   }
 
-  /** Adds a listener that is called when a part gets quarantined. Returns a function that removes it. */
+  /** Adds a listener that is called when a prompt part or a request gets quarantined. Returns a function that removes it. */
   onQuarantine (listener: () => void): () => void {
     this.#quarantineListeners.add(listener)
     return () => this.#quarantineListeners.delete(listener)
@@ -93,7 +93,7 @@
   received (facts: QuarantineFacts): boolean {
     if (!this.#aggregate.merge(facts)) return false
     // Each node with requests on a server reports its crash, which is logged once.
-    const crashes = facts.crashes.filter((crash) => this.engines.crashHeard(crash))
+    const crashes = facts.crashes.filter((crash) => this.serverWatch.crashHeard(crash))
     this.#log.heard({ ...facts, crashes })
     this.#update()
     return true
@@ -107,7 +107,7 @@
     const request = suspects.find(isRequest)
     const parts = suspects.filter((suspect) => !isRequest(suspect))
     const verdict = this.verdict([...parts, OWN_PART], request === undefined ? null : () => request)
-    return verdict.status === PartStatus.Quarantined && verdict.isTrialDue
+    return verdict.status === QuarantineStatus.Quarantined && verdict.isTrialDue
   }
 
   /**
--- a/packages/node/src/forward/quarantine/QuarantineLog.ts
+++ b/packages/node/src/forward/quarantine/QuarantineLog.ts
@@ -1,6 +1,6 @@
 /** Writes the log lines about what crashes backend servers, and remembers what is quarantined for them. */
 import { isRequest } from '@bluebellhill/domain'
-import type { CrashReport, Millis, PartEvidence, QuarantineFacts, ServerSurvival, Suspect } from '@bluebellhill/domain'
+import type { CrashReport, Millis, Evidence, QuarantineFacts, ServerSurvival, Suspect } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 
@@ -80,7 +80,7 @@
    * @param quarantined - what is quarantined now
    * @returns whether something has got into the quarantine
    */
-  quarantineChanged (quarantined: readonly PartEvidence[]): boolean {
+  quarantineChanged (quarantined: readonly Evidence[]): boolean {
     const { log } = this.#options
     const parts = new Set(quarantined.map(({ part }) => part))
     const released = [...this.#quarantined].filter((part) => !parts.has(part))
@@ -96,7 +96,7 @@
  * @param evidence - evidence against a prompt part or a request
  * @returns its fields in a log line
  */
-export const evidenceFields = ({ crashes, moments, lastCrashAge, wasSound }: Omit<PartEvidence, 'part'>): Record<string, unknown> =>
+export const evidenceFields = ({ crashes, moments, lastCrashAge, wasSound }: Omit<Evidence, 'part'>): Record<string, unknown> =>
   ({ crashes, moments, last_crash_ms_ago: Math.round(lastCrashAge), sound_before: wasSound })
 
 /**
--- a/packages/node/src/forward/quarantine/RequestGuard.ts
+++ b/packages/node/src/forward/quarantine/RequestGuard.ts
@@ -1,16 +1,16 @@
 /** Applies the quarantine to the attempts of one request. */
-import { isolatedRequest, PartStatus } from '@bluebellhill/domain'
-import type { BackendServer, Millis, PartVerdict, Suspect } from '@bluebellhill/domain'
+import { isolatedRequest, QuarantineStatus } from '@bluebellhill/domain'
+import type { BackendServer, Millis, Verdict, Suspect } from '@bluebellhill/domain'
 
 import type { AdmittedCall } from '../AdmittedCall.js'
 import { NO_CAUTION } from '../scheduling/types.js'
 import type { AttemptCaution } from '../scheduling/types.js'
 import { AttemptWatch } from './AttemptWatch.js'
 import { digestRequest } from './digestRequest.js'
-import type { PromptQuarantine, QuarantineVerdict } from './PromptQuarantine.js'
+import type { NodeQuarantine, QuarantineVerdict } from './NodeQuarantine.js'
 
 export interface RequestGuardOptions {
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: NodeQuarantine
   readonly call: AdmittedCall
   readonly clock: () => Millis
   /** Called when the request or a part of it gets quarantined while an attempt is in progress that has not proved sound. */
@@ -30,18 +30,18 @@
   /** @returns the verdict if the request or a part of it is quarantined; else null */
   findQuarantine (): QuarantineVerdict | null {
     const verdict = this.#verdict()
-    return verdict.status === PartStatus.Quarantined ? verdict : null
+    return verdict.status === QuarantineStatus.Quarantined ? verdict : null
   }
 
   /** @returns how the next attempt is to be placed; null if the request must be refused */
   caution (): AttemptCaution | null {
     const verdict = this.#verdict()
     switch (verdict.status) {
-      case PartStatus.Clear:
+      case QuarantineStatus.Clear:
         return NO_CAUTION
-      case PartStatus.Suspected:
+      case QuarantineStatus.Suspected:
         return { isSuspected: true, trialParts: [], ...isolation(verdict) }
-      case PartStatus.Quarantined:
+      case QuarantineStatus.Quarantined:
         return verdict.isTrialDue ? { isSuspected: false, trialParts: verdict.parts, ...isolation(verdict) } : null
     }
   }
@@ -56,10 +56,10 @@
   watch (server: BackendServer, isTrial: boolean): AttemptWatch {
     const { call, quarantine, clock } = this.#options
     const stopListening = isTrial ? null : quarantine.onQuarantine(() => this.#judgeAgain())
-    return new AttemptWatch(quarantine.engines, { request: call.id, server, parts: call.parts, identity: () => this.#suspect(), sentAt: clock(), isSound: false }, stopListening)
+    return new AttemptWatch(quarantine.serverWatch, { request: call.id, server, parts: call.parts, identity: () => this.#suspect(), sentAt: clock(), isSound: false }, stopListening)
   }
 
-  #verdict (): PartVerdict {
+  #verdict (): Verdict {
     const { quarantine, call } = this.#options
     return quarantine.verdict(call.parts, () => this.#suspect())
   }
@@ -76,7 +76,7 @@
 }
 
 /** A request that has met a crash is told from sound ones beside it when it runs apart from other such requests. */
-const isolation = (verdict: PartVerdict): Pick<AttemptCaution, 'isolatedAs'> => {
+const isolation = (verdict: Verdict): Pick<AttemptCaution, 'isolatedAs'> => {
   const request = isolatedRequest(verdict)
   return request === null ? {} : { isolatedAs: request }
 }
--- a/packages/node/src/forward/quarantine/EngineWatch.ts
+++ b/packages/node/src/forward/quarantine/ServerWatch.ts
@@ -23,7 +23,7 @@
   isSound: boolean
 }
 
-export interface EngineWatchOptions {
+export interface ServerWatchOptions {
   readonly node: NodeId
   readonly clock: () => Millis
   /** Returns whether a server has announced that it will end. */
@@ -46,13 +46,13 @@
 }
 
 /** Open attempts of this node by backend server and its start time. */
-export class EngineWatch {
-  readonly #options: EngineWatchOptions
+export class ServerWatch {
+  readonly #options: ServerWatchOptions
   readonly #open = new Map<string, Set<WatchedAttempt>>()
   readonly #crashes = new Map<string, SuspectedCrash>()
 
   /** @param options - this node, and who is told of what it sees */
-  constructor (options: EngineWatchOptions) {
+  constructor (options: ServerWatchOptions) {
     this.#options = options
   }
 
--- a/packages/node/src/forward/refusalCause.ts
+++ b/packages/node/src/forward/refusalCause.ts
@@ -2,7 +2,7 @@
 import { isRequest } from '@bluebellhill/domain'
 
 import { RefusalCause } from './entry/refusals.js'
-import type { QuarantineVerdict } from './quarantine/PromptQuarantine.js'
+import type { QuarantineVerdict } from './quarantine/NodeQuarantine.js'
 import { PlacementRefusal } from './scheduling/types.js'
 import type { RefusedPlacement } from './scheduling/types.js'
 
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -8,7 +8,7 @@
 import type { DatagramContent, ReceivedDatagram } from '../peers/datagramCodec.js'
 import { PendingQueries, QUERY_TIMING } from '../peers/PendingQueries.js'
 import type { QueryTiming } from '../peers/PendingQueries.js'
-import type { PromptQuarantine } from '../quarantine/PromptQuarantine.js'
+import type { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
 import { AnswerStatements } from './AnswerStatements.js'
 import { GrantReports } from './GrantReports.js'
 import { PlacementQueries } from './PlacementQueries.js'
@@ -63,8 +63,8 @@
     this.answers = new AnswerStatements({ ...options, statements: options.scheduler.statements })
   }
 
-  /** Evidence on prompt parts that crash engines. */
-  get quarantine (): PromptQuarantine {
+  /** Evidence on what crashes backend servers. */
+  get quarantine (): NodeQuarantine {
     return this.#options.scheduler.quarantine
   }
 
@@ -79,7 +79,7 @@
    * @param call - the request
    * @param history - its earlier attempts
    * @param chargesRetry - whether the attempt is taken from the retry budget
-   * @param caution - how the parts of its prompt are judged
+   * @param caution - how it and the parts of its prompt are judged
    * @returns the placed attempt, whose assignment must be removed with `removeAssignment`; or why there is none
    */
   async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: AttemptCaution = NO_CAUTION): Promise<AttemptPlacement> {
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -4,7 +4,7 @@
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
-import { PromptQuarantine } from '../quarantine/PromptQuarantine.js'
+import { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
 import { IsolatedAttempts } from './IsolatedAttempts.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
@@ -42,7 +42,7 @@
   readonly assignments: FleetAssignments
   readonly health = new ServerHealth()
   readonly statements: ServerStatements
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: NodeQuarantine
   readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
@@ -58,7 +58,7 @@
     this.#options = options
     this.assignments = new FleetAssignments(options.node)
     this.statements = new ServerStatements(options)
-    this.quarantine = new PromptQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
+    this.quarantine = new NodeQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
     this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
@@ -255,7 +255,7 @@
    */
   #chooseAlone (request: PlacementRequest, policy: PlacementPolicy, isIsolated: boolean): PlacementChoice | null {
     const { candidates, loads } = request
-    const running = candidates.filter(({ server }) => !this.quarantine.engines.isReportedCrashed(server))
+    const running = candidates.filter(({ server }) => !this.quarantine.serverWatch.isReportedCrashed(server))
     const byLoad = (running.length > 0 ? running : candidates).map((candidate) => ({ candidate, load: summaryOf(loads.get(candidate.server.id)) }))
     const startOf = ({ candidate: { server: { startedAt } } }: { readonly candidate: Candidate }): number => isIsolated ? startedAt ?? 0 : 0
     const [best] = byLoad.sort((a, b) => startOf(b) - startOf(a) || a.load.requests - b.load.requests || a.load.pendingPrefill - b.load.pendingPrefill)
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -81,7 +81,7 @@
     readonly keepsLimit: boolean
     /** Some of the servers that were not considered because of what they have stated, for the log. */
     readonly passedOver: readonly RunnerId[]
-    /** Whether it is a trial of quarantined prompt parts; schedulers of earlier builds grant none. */
+    /** Whether it is a trial of what is quarantined; schedulers of earlier builds grant none. */
     readonly isTrial: boolean
   }
   | RefusedPlacement
@@ -97,7 +97,7 @@
   readonly scheduler: string | null
   /** Some of the servers that were not considered because of what they have stated. */
   readonly passedOver: readonly RunnerId[]
-  /** Whether it is a trial of quarantined prompt parts. */
+  /** Whether it is a trial of what is quarantined. */
   readonly isTrial: boolean
   /** Time from the decision to place the attempt until the result was known. */
   readonly decidedIn: Millis
--- a/packages/node/src/forward/unansweredRequests.ts
+++ b/packages/node/src/forward/unansweredRequests.ts
@@ -20,7 +20,7 @@
 
 /** Why the connection was closed. */
 export const CloseCause = {
-  /** A part of its prompt crashes engines. */
+  /** It or a part of its prompt crashes backend servers. */
   Quarantined: 'quarantined',
   /** The attempt failed, and there was no other one. */
   AnswerLost: 'answer_lost',
--- a/packages/node/tests/engineWatch.test.ts
+++ b/packages/node/tests/engineWatch.test.ts
@@ -3,11 +3,11 @@
 
 import test from 'ava'
 
-import { PartQuarantine, Readiness } from '@bluebellhill/domain'
+import { Quarantine, Readiness } from '@bluebellhill/domain'
 import type { BackendServer, CrashReport, FailureDomain, NodeId, PromptPart, RunnerId, ServerSurvival } from '@bluebellhill/domain'
 
-import { EngineWatch } from '../src/forward/quarantine/EngineWatch.js'
-import type { WatchedAttempt } from '../src/forward/quarantine/EngineWatch.js'
+import { ServerWatch } from '../src/forward/quarantine/ServerWatch.js'
+import type { WatchedAttempt } from '../src/forward/quarantine/ServerWatch.js'
 
 const SERVER: BackendServer = { id: 'e1' as RunnerId, service: 's', address: '10.0.0.1:80', failureDomain: 'd1' as FailureDomain, slots: 11, readiness: Readiness.Ready, startedAt: 5 }
 
@@ -18,12 +18,12 @@
   readonly survivals: ServerSurvival[] = []
   readonly sounds: PromptPart[] = []
   readonly leaving = new Set<RunnerId>()
-  readonly watch: EngineWatch
+  readonly watch: ServerWatch
   #requestCount = 0
 
   constructor (name = 'n1') {
-    const aggregate = new PartQuarantine()
-    this.watch = new EngineWatch({
+    const aggregate = new Quarantine()
+    this.watch = new ServerWatch({
       node: name as NodeId,
       clock: () => this.now,
       isLeaving: ({ id }) => this.leaving.has(id),
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -17,7 +17,7 @@
 import { EntryServer } from '../src/forward/entry/EntryServer.js'
 import { ForwardMetrics } from '../src/forward/ForwardMetrics.js'
 import { FleetState } from '../src/forward/FleetState.js'
-import type { PromptQuarantine } from '../src/forward/quarantine/PromptQuarantine.js'
+import type { NodeQuarantine } from '../src/forward/quarantine/NodeQuarantine.js'
 import { PlacementClient } from '../src/forward/scheduling/PlacementClient.js'
 import { Relay } from '../src/forward/relay/Relay.js'
 import { Scheduler } from '../src/forward/scheduling/Scheduler.js'
@@ -81,7 +81,7 @@
   readonly placement: PlacementClient
   readonly relay: Relay
   readonly metrics = new ForwardMetrics()
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: NodeQuarantine
   readonly directory: SchedulerDirectory
   /** Clock of the node; a test may stop it. */
   clock: () => Millis = () => performance.now()
--- a/packages/node/tests/quarantineExchange.test.ts
+++ b/packages/node/tests/quarantineExchange.test.ts
@@ -5,7 +5,7 @@
 
 import test from 'ava'
 
-import { MAX_GROUP_ENGINES, PartStatus, Readiness } from '@bluebellhill/domain'
+import { MAX_GROUP_ENGINES, QuarantineStatus, Readiness } from '@bluebellhill/domain'
 import type { CrashReport, FailureDomain, NodeId, PromptPart, QuarantineFacts, RunnerId } from '@bluebellhill/domain'
 
 import { DEPLOYMENT } from './forwardFixture.js'
@@ -30,7 +30,7 @@
   await crashEngines(quarantineOf(first!), 'bad')
   await until(() => peers.every((peer) => refuses(quarantineOf(peer), 'bad')))
   t.true(peers.every((peer) => refuses(quarantineOf(peer), 'bad')))
-  t.is(quarantineOf(second!).verdict(['good', 'own']).status, PartStatus.Clear)
+  t.is(quarantineOf(second!).verdict(['good', 'own']).status, QuarantineStatus.Clear)
   proveSound(quarantineOf(second!), 'bad')
   await until(() => peers.every((peer) => !refuses(quarantineOf(peer), 'bad')))
   t.true(peers.every((peer) => !refuses(quarantineOf(peer), 'bad')))
--- a/packages/node/tests/quarantineFixture.ts
+++ b/packages/node/tests/quarantineFixture.ts
@@ -3,12 +3,12 @@
 
 import type { ExecutionContext } from 'ava'
 
-import { PartStatus, SchedulerDirectory, WARM_UP } from '@bluebellhill/domain'
+import { QuarantineStatus, SchedulerDirectory, WARM_UP } from '@bluebellhill/domain'
 import type { BackendServer, FailureDomain, NodeId, PromptPart, RunnerId, SchedulerCandidate } from '@bluebellhill/domain'
 
 import { FleetState } from '../src/forward/FleetState.js'
 import { PeerLink } from '../src/forward/peers/PeerLink.js'
-import type { PromptQuarantine } from '../src/forward/quarantine/PromptQuarantine.js'
+import type { NodeQuarantine } from '../src/forward/quarantine/NodeQuarantine.js'
 import { Scheduler } from '../src/forward/scheduling/Scheduler.js'
 import { silentLog } from './forwardFixture.js'
 
@@ -52,16 +52,16 @@
 }
 
 /** Returns whether requests with a part are refused. */
-export const refuses = (quarantine: PromptQuarantine, part: PromptPart): boolean => quarantine.verdict([part, 'own']).status === PartStatus.Quarantined
+export const refuses = (quarantine: NodeQuarantine, part: PromptPart): boolean => quarantine.verdict([part, 'own']).status === QuarantineStatus.Quarantined
 
 /** Lets engines crash one after the other under a request with a part, until the part is quarantined at the node that sees it. */
-export const crashEngines = async (quarantine: PromptQuarantine, part: PromptPart): Promise<void> => {
+export const crashEngines = async (quarantine: NodeQuarantine, part: PromptPart): Promise<void> => {
   for (let index = 0; !refuses(quarantine, part); index += 1) {
     const server: BackendServer = { id: `${part}-${index}` as RunnerId, service: 's', address: '10.0.0.1:80', failureDomain: 'd1' as FailureDomain, slots: 1, readiness: 'ready', startedAt: null }
     const attempt = { request: `${part}${index}`, server, parts: [part, `own${index}`], identity: () => `@${part}${index}`, sentAt: performance.now(), isSound: false }
-    quarantine.engines.sent(attempt)
-    quarantine.engines.brokenOff(attempt)
-    quarantine.engines.ended(attempt)
+    quarantine.serverWatch.sent(attempt)
+    quarantine.serverWatch.brokenOff(attempt)
+    quarantine.serverWatch.ended(attempt)
     await sleep(CRASH_INTERVAL_MS)
     proveSound(quarantine, OTHER_PART)
     if (index > MAX_CRASHES) throw new Error('the part was not quarantined')
@@ -69,10 +69,10 @@
 }
 
 /** Proves a part sound. */
-export const proveSound = (quarantine: PromptQuarantine, part: PromptPart): void => {
+export const proveSound = (quarantine: NodeQuarantine, part: PromptPart): void => {
   const server: BackendServer = { id: `${part}-sound` as RunnerId, service: 's', address: '10.0.0.1:80', failureDomain: 'd1' as FailureDomain, slots: 1, readiness: 'ready', startedAt: null }
   const attempt = { request: `${part}-sound`, server, parts: [part, 'own'], identity: () => `@${part}-sound`, sentAt: performance.now(), isSound: false }
-  quarantine.engines.sent(attempt)
-  quarantine.engines.provedSound(attempt)
-  quarantine.engines.ended(attempt)
+  quarantine.serverWatch.sent(attempt)
+  quarantine.serverWatch.provedSound(attempt)
+  quarantine.serverWatch.ended(attempt)
 }
--- a/packages/node/tests/quarantinedRequests.test.ts
+++ b/packages/node/tests/quarantinedRequests.test.ts
@@ -1,7 +1,7 @@
 /** Requests with a prompt part that crashes engines: what their callers get, and what reaches the backend servers. */
 import test from 'ava'
 
-import { PartStatus, Readiness } from '@bluebellhill/domain'
+import { QuarantineStatus, Readiness } from '@bluebellhill/domain'
 import type { RunnerId } from '@bluebellhill/domain'
 import { HeaderName } from '@bluebellhill/platform'
 
@@ -97,7 +97,7 @@
   }
   t.true(refuses(fixture.quarantine, BAD))
   t.true(servers.reduce((sum, { arrivals }) => sum + arrivals(), 0) <= 4)
-  t.is(fixture.quarantine.verdict(['face0', 'own']).status, PartStatus.Clear)
+  t.is(fixture.quarantine.verdict(['face0', 'own']).status, QuarantineStatus.Clear)
   t.true(fixture.linesOf('engine.crash_suspected').every((line) => line.includes('server=e') && line.includes('requests=a')))
 })
 
--- a/packages/node/tests/requestGuard.test.ts
+++ b/packages/node/tests/requestGuard.test.ts
@@ -1,12 +1,12 @@
 /** Which attempts are ended when a part of their prompt gets quarantined, on a clock that the test moves. */
 import test from 'ava'
 
-import { CallKind, PartStatus } from '@bluebellhill/domain'
+import { CallKind, QuarantineStatus } from '@bluebellhill/domain'
 import type { BackendServer, FailureDomain, NodeId, PromptPart, RunnerId } from '@bluebellhill/domain'
 
 import type { AdmittedCall } from '../src/forward/AdmittedCall.js'
-import type { WatchedAttempt } from '../src/forward/quarantine/EngineWatch.js'
-import { PromptQuarantine } from '../src/forward/quarantine/PromptQuarantine.js'
+import type { WatchedAttempt } from '../src/forward/quarantine/ServerWatch.js'
+import { NodeQuarantine } from '../src/forward/quarantine/NodeQuarantine.js'
 import { RequestGuard } from '../src/forward/quarantine/RequestGuard.js'
 import { NO_CAUTION } from '../src/forward/scheduling/types.js'
 import { silentLog } from './forwardFixture.js'
@@ -41,7 +41,7 @@
 class TestNode {
   now = 1_000
   cuts = 0
-  readonly quarantine = new PromptQuarantine({ node: 'n1' as NodeId, log: silentLog(), clock: () => this.now, isLeaving: () => false })
+  readonly quarantine = new NodeQuarantine({ node: 'n1' as NodeId, log: silentLog(), clock: () => this.now, isLeaving: () => false })
   #serverCount = 0
 
   guard (...parts: PromptPart[]): RequestGuard {
@@ -52,21 +52,21 @@
   crashEngines (part: PromptPart): void {
     for (let index = 0; index < 20 && !this.#refuses(part); index += 1) {
       this.now += CRASH_INTERVAL_MS
-      this.#attempt('sound', (attempt) => this.quarantine.engines.provedSound(attempt))
+      this.#attempt('sound', (attempt) => this.quarantine.serverWatch.provedSound(attempt))
       this.now += CRASH_INTERVAL_MS
-      this.#attempt(part, (attempt) => this.quarantine.engines.brokenOff(attempt))
+      this.#attempt(part, (attempt) => this.quarantine.serverWatch.brokenOff(attempt))
     }
   }
 
   #attempt (part: PromptPart, end: (attempt: WatchedAttempt) => void): void {
     const attempt = { request: 'other', server: serverOf(`e${this.#serverCount++}`), parts: [part, 'other'], identity: () => `@${this.#serverCount}`, sentAt: this.now, isSound: false }
-    this.quarantine.engines.sent(attempt)
+    this.quarantine.serverWatch.sent(attempt)
     end(attempt)
-    this.quarantine.engines.ended(attempt)
+    this.quarantine.serverWatch.ended(attempt)
   }
 
   #refuses (part: PromptPart): boolean {
-    return this.quarantine.verdict([part, 'own']).status === PartStatus.Quarantined
+    return this.quarantine.verdict([part, 'own']).status === QuarantineStatus.Quarantined
   }
 }
 
