Nodes of another failure domain are asked once two of the own one reach no server either

Where a whole failure domain is cut off from the servers, a request went through its nodes one after the other and was refused before a node of another domain was asked.

--- a/packages/node/src/forward/relay/RelayPeers.ts
+++ b/packages/node/src/forward/relay/RelayPeers.ts
@@ -7,6 +7,15 @@
 /** Nodes that may refuse requests of a service before it counts as down for all: each further one costs the request its time. */
 const MAX_REFUSING_NODES = 6
 
+/** Nodes of this node's failure domain that may refuse requests of a service before those of other domains are preferred: it may be cut as a whole. */
+const MAX_REFUSING_NEIGHBOURS = 2
+
+/** A node that is left out for a time. */
+interface Avoidance {
+  readonly until: Millis
+  readonly failureDomain: FailureDomain
+}
+
 /** A node that reaches backend servers, as far as is known. */
 export type RelayPeer = Pick<SchedulerCandidate, 'node' | 'address' | 'failureDomain'>
 
@@ -23,7 +32,7 @@
   readonly #options: RelayPeersOptions
   readonly #requests = new Map<NodeId, number>()
   /** By service and node; all services where connections to the node fail. */
-  readonly #avoidedUntil = new Map<string, Millis>()
+  readonly #avoided = new Map<string, Avoidance>()
 
   /** @param options - the other nodes */
   constructor (options: RelayPeersOptions) {
@@ -31,22 +40,34 @@
   }
 
   /**
-   * Nodes that were heard lately go first, then those of the same failure domain, then those that got the fewest requests.
+   * Nodes that were heard lately go first, then those of the same failure domain unless several of them have refused, then those that got the fewest
+   * requests.
    *
    * @param service - name of the service
    * @returns the node to pass a request on to; null if there is none
    */
   choose (service: string): RelayPeer | null {
-    const { directory, failureDomain, runningClock } = this.#options
+    const { directory, runningClock } = this.#options
     this.#expire()
-    if (this.#countRefusing(service) >= MAX_REFUSING_NODES) return null
+    const refusing = this.#refusing(service)
+    if (refusing.length >= MAX_REFUSING_NODES) return null
     const live = directory.live(runningClock()).filter(isServing)
     const heard = new Set(live.map(({ node }) => node))
     const others = directory.others().filter(({ node }) => !heard.has(node))
-    const usable = [live, others].map((peers) => peers.filter(({ node }) => !this.#isAvoided(node, service))).find((peers) => peers.length > 0) ?? []
-    const sameDomain = usable.filter((peer) => peer.failureDomain === failureDomain)
-    const preferred = sameDomain.length > 0 ? sameDomain : usable
-    return [...preferred].sort((a, b) => this.#requestsOf(a.node) - this.#requestsOf(b.node))[0] ?? null
+    const usable = (peers: readonly SchedulerCandidate[]): SchedulerCandidate[] => peers.filter(({ node }) => !this.#isAvoided(node, service))
+    const candidates = this.#inOrder(usable(live), usable(others), refusing).find((peers) => peers.length > 0) ?? []
+    return [...candidates].sort((a, b) => this.#requestsOf(a.node) - this.#requestsOf(b.node))[0] ?? null
+  }
+
+  /** While the own failure domain seems to be cut as a whole, a node of another one is preferred even if it was not heard. */
+  #inOrder (live: readonly SchedulerCandidate[], others: readonly SchedulerCandidate[], refusing: readonly Avoidance[]): ReadonlyArray<readonly SchedulerCandidate[]> {
+    const { failureDomain } = this.#options
+    const isNear = (peer: RelayPeer | Avoidance): boolean => peer.failureDomain === failureDomain
+    const isFar = (peer: RelayPeer): boolean => !isNear(peer)
+    const isDomainCut = refusing.filter(isNear).length >= MAX_REFUSING_NEIGHBOURS
+    return isDomainCut
+      ? [live.filter(isFar), others.filter(isFar), live, others]
+      : [live.filter(isNear), live, others.filter(isNear), others]
   }
 
   /** Records that a request is passed on to a node. */
@@ -62,13 +83,17 @@
   }
 
   /** Records that a node does not serve a service either. */
-  refused ({ node }: RelayPeer, service: string): void {
-    this.#avoidedUntil.set(keyOf(node, service), this.#options.clock() + AVOIDANCE_TIME)
+  refused (peer: RelayPeer, service: string): void {
+    this.#avoid(peer, service)
   }
 
   /** Records that no connection to a node was established, or that one broke. */
-  failed ({ node }: RelayPeer): void {
-    this.#avoidedUntil.set(keyOf(node, ANY_SERVICE), this.#options.clock() + AVOIDANCE_TIME)
+  failed (peer: RelayPeer): void {
+    this.#avoid(peer, ANY_SERVICE)
+  }
+
+  #avoid ({ node, failureDomain }: RelayPeer, service: string): void {
+    this.#avoided.set(keyOf(node, service), { until: this.#options.clock() + AVOIDANCE_TIME, failureDomain })
   }
 
   #requestsOf (node: NodeId): number {
@@ -76,16 +101,16 @@
   }
 
   #isAvoided (node: NodeId, service: string): boolean {
-    return this.#avoidedUntil.has(keyOf(node, service)) || this.#avoidedUntil.has(keyOf(node, ANY_SERVICE))
+    return this.#avoided.has(keyOf(node, service)) || this.#avoided.has(keyOf(node, ANY_SERVICE))
   }
 
-  #countRefusing (service: string): number {
-    return [...this.#avoidedUntil.keys()].filter((key) => key.startsWith(`${service}/`)).length
+  #refusing (service: string): Avoidance[] {
+    return [...this.#avoided].filter(([key]) => key.startsWith(`${service}/`)).map(([, avoidance]) => avoidance)
   }
 
   #expire (): void {
     const now = this.#options.clock()
-    for (const [key, until] of this.#avoidedUntil) if (until <= now) this.#avoidedUntil.delete(key)
+    for (const [key, { until }] of this.#avoided) if (until <= now) this.#avoided.delete(key)
   }
 }
 
--- a/packages/node/tests/relayedRequests.test.ts
+++ b/packages/node/tests/relayedRequests.test.ts
@@ -94,6 +94,16 @@
   t.is(cut.linesOf('request.relayed').filter((line) => line.includes('peer=n2')).length, 1)
 })
 
+/** Guards against requests that are refused by one node after the other of a failure domain that is cut as a whole. */
+test('nodes of another failure domain are asked where those of the own one serve nothing either', async (t) => {
+  const cut = await startUnreachable(t)
+  for (const node of ['n2', 'n3', 'n4', 'n5', 'n6', 'n7', 'n8']) addPeer(cut, await (await startUnreachable(t)).listenToNodes(), node)
+  const peer = await ForwardFixture.start(t, answering)
+  addPeer(cut, await peer.listenToNodes(), 'n9', 'd2')
+  for (let index = 0; index < 5; index += 1) t.is((await cut.call('/unsafe/x')).status, 200)
+  t.true(cut.linesOf('request.relayed').length <= 7)
+})
+
 test('a node of an earlier build, which passes nothing on, is followed by another one', async (t) => {
   const earlier = createServer((_, response) => { response.writeHead(404, { connection: 'close' }).end() }).listen(0, '127.0.0.1')
   await once(earlier, 'listening')
