Data that quarantines its own request is not passed on after the refusal

Data of a server that was reported as crashed refutes that crash; without it another crash counts again, the request itself is quarantined and refused, and the event that had arrived was then written to the ended response. Test in quarantinedRequests.test.ts; it ended the test process before.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -362,7 +362,8 @@
         this.restartDataTimer(attempt)
         if (isSuccessfulAnswer(attempt)) {
           attempt.watch?.dataReceived()
-          this.chunkReceived(attempt, chunk)
+          // The data may refute a crash, and so leave the request itself as the cause of another one.
+          if (this.attempt === attempt) this.chunkReceived(attempt, chunk)
         } else if (!failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
       },
       onEnd: () => this.#answerEnded(attempt, failureBody.take()),
--- a/packages/node/tests/quarantinedRequests.test.ts
+++ b/packages/node/tests/quarantinedRequests.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava'
 
 import { QuarantineStatus, Readiness } from '@bluebellhill/domain'
-import type { RunnerId } from '@bluebellhill/domain'
+import type { CrashReport, NodeId, RunnerId } from '@bluebellhill/domain'
 import { HeaderName } from '@bluebellhill/platform'
 
 import { ForwardFixture, signedHeaders } from './forwardFixture.js'
@@ -184,3 +184,18 @@
   t.is(calls, 2)
   t.is(fixture.linesOf('engine.crash_suspected').length, 1)
 })
+
+/** Guards against the end of the process: the data that quarantined the request was written after its refusal (soak, seed 290411). */
+test('data that refutes a crash, and so quarantines its own request, is not passed on after the refusal', async (t) => {
+  const { script } = streaming()
+  const fixture = await ForwardFixture.start(t, script)
+  const now = performance.now()
+  const crash = (server: string, at: number, parts: readonly string[]): CrashReport =>
+    ({ server: server as RunnerId, startedAt: 1, service: 's', reportedBy: 'n9' as NodeId, at, suspects: parts.length, parts })
+  // Without the end of e0 the second crash would count, and the part would be quarantined.
+  fixture.quarantine.received({ crashes: [crash('x1', now - 2_000, [BAD]), crash('x2', now - 1_000, [BAD]), crash('e0', now - 1_000, [])], survivals: [], sounds: [{ part: GOOD, at: now - 500, service: 's' }], trials: [] })
+  t.is(fixture.quarantine.verdict([BAD, 'own']).status, QuarantineStatus.Suspected)
+  const answer = await fixture.call('/stream/x', { headers: headersOf(BAD) })
+  t.is(answer.status, 400)
+  t.is(fixture.linesOf('engine.crash_refuted').length, 1)
+})
