--- a/packages/domain/src/forwarding/types.ts
+++ b/packages/domain/src/forwarding/types.ts
@@ -1,5 +1,5 @@
 /** Types of the operator's configuration and of the entries of backend servers, as the forwarding logic uses them. */
-import type { FailureDomain, Millis, RunnerId, Tokens } from '../types.js'
+import type { FailureDomain, Millis, Region, RunnerId, Tokens } from '../types.js'
 
 /** Whether a request may be repeated, and how it is answered. */
 export const CallKind = {
@@ -40,6 +40,8 @@
   /** Whether requests need no API key. */
   readonly isPublic: boolean
   readonly services: readonly WeightedService[]
+  /** The only regions whose backend servers may run its requests; absent if all may. */
+  readonly regions?: readonly Region[]
 }
 
 /** Speed and size of a service's engines, as published in the configuration. */
@@ -57,10 +59,20 @@
   readonly readTokensPerMs: number
   /** Time added to prefill for each million pairs of a token and an earlier token. */
   readonly readPerMillionPairs: Millis
+  /** Mean prompt length in tokens; absent if it is not published. */
+  readonly usualPrompt?: Tokens
   /** Mean answer length in tokens. */
   readonly usualAnswer: Tokens
 }
 
+/** What the servers of a service accept while they are cold, as published in the configuration. */
+export interface WarmUpFigures {
+  /** Time after its start for which a server is cold. */
+  readonly period: Millis
+  /** Requests per second that a cold server accepts from all nodes together; 0 if it sets no limit. */
+  readonly requestsPerSecond: number
+}
+
 export interface Service {
   readonly name: string
   readonly healthPath: string
@@ -68,6 +80,8 @@
   readonly maxConnections: number
   /** Figures of its engines; null for a plain service. */
   readonly engine: EngineFigures | null
+  /** Absent if the configuration states none. */
+  readonly warmUp?: WarmUpFigures
 }
 
 /** Limits on the size of a caller's request and on the time that the caller may take to send it. */
@@ -83,6 +97,8 @@
   readonly apiKeys: readonly string[]
   /** Overrides the priority of the route; null if none is set. */
   readonly priority: number | null
+  /** The only regions whose backend servers may run its requests; absent if all may. */
+  readonly regions?: readonly Region[]
 }
 
 /** One complete version of the operator's configuration. */
@@ -112,6 +128,8 @@
   readonly readiness: Readiness
   /** Wall-clock start time in milliseconds; null if it reports none. A server that restarts under its id keeps no earlier state. */
   readonly startedAt: number | null
+  /** Time for which it stays cold, from the writing of the entry; 0 if it is warm, absent if it reports none. */
+  readonly warmUpLeft?: Millis
 }
 
 /** Prompt length and maximum answer length that a caller declares. */
--- a/packages/domain/src/types.ts
+++ b/packages/domain/src/types.ts
@@ -14,6 +14,7 @@
 export type NodeId = Branded<string, 'NodeId'>
 export type OrganisationId = Branded<string, 'OrganisationId'>
 export type FailureDomain = Branded<string, 'FailureDomain'>
+export type Region = Branded<string, 'Region'>
 
 /** Milliseconds: a duration or a reading of the monotonic clock. */
 export type Millis = number
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -1,6 +1,6 @@
 /** Encodes the datagrams of the scheduler protocol, and decodes them into types of the forwarding node. */
 import { HealthSignal } from '@bluebellhill/domain'
-import type { BackendServer, CandidateState, FailureDomain, GroupLoad, HolderReservation, Millis, NodeId, PlacementChoice, RunnerId, SchedulerCandidate } from '@bluebellhill/domain'
+import type { BackendServer, CandidateState, FailureDomain, GroupLoad, HolderReservation, Millis, NodeId, PlacementChoice, Region, RunnerId, SchedulerCandidate } from '@bluebellhill/domain'
 import { fleetWire } from '@bluebellhill/protocol'
 
 import type { AttemptReport, PlacementResult, PlacementSpec, RefusedPlacement } from '../scheduling/types.js'
@@ -77,7 +77,14 @@
   isFirstAttempt: spec.isFirstAttempt,
   isSuspected: spec.isSuspected,
   trialParts: [...spec.trialParts],
-  isolatedAs: spec.isolatedAs ?? ''
+  isolatedAs: spec.isolatedAs ?? '',
+  organisation: spec.organisation ?? '',
+  urgencyPlusOne: spec.urgency === undefined ? 0 : spec.urgency + 1,
+  waitedMs: Math.round(spec.waited ?? 0),
+  identity: spec.identity ?? '',
+  regions: [...spec.regions ?? []],
+  acceptsQueueing: spec.acceptsQueueing === true,
+  isHedge: spec.isHedge === true
 })
 
 /**
@@ -100,7 +107,14 @@
   isFirstAttempt: wire.isFirstAttempt || wire.excluded.length === 0,
   isSuspected: wire.isSuspected,
   trialParts: wire.trialParts,
-  ...(wire.isolatedAs === '' ? {} : { isolatedAs: wire.isolatedAs })
+  ...(wire.isolatedAs === '' ? {} : { isolatedAs: wire.isolatedAs }),
+  ...(wire.organisation === '' ? {} : { organisation: wire.organisation }),
+  ...(wire.urgencyPlusOne === 0 ? {} : { urgency: wire.urgencyPlusOne - 1 }),
+  ...(wire.waitedMs === 0 ? {} : { waited: wire.waitedMs }),
+  ...(wire.identity === '' ? {} : { identity: wire.identity }),
+  ...(wire.regions.length === 0 ? {} : { regions: wire.regions as Region[] }),
+  ...(wire.acceptsQueueing ? { acceptsQueueing: true } : {}),
+  ...(wire.isHedge ? { isHedge: true } : {})
 })
 
 /**
--- a/packages/node/src/forward/peers/snapshotCodec.ts
+++ b/packages/node/src/forward/peers/snapshotCodec.ts
@@ -2,7 +2,7 @@
 import * as z from 'zod'
 
 import { CallKind, eraOf, Readiness, revisionInEra, storeRevision } from '@bluebellhill/domain'
-import type { FailureDomain, RunnerId, StoreRevision } from '@bluebellhill/domain'
+import type { FailureDomain, Region, RunnerId, StoreRevision } from '@bluebellhill/domain'
 import { failed, success } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
 
@@ -11,6 +11,9 @@
 const nonNegative = z.number().min(0)
 const nonEmpty = z.string().min(1)
 
+/** Nodes of earlier builds send none. */
+const regionsSchema = z.array(nonEmpty.transform((region) => region as Region)).optional()
+
 const routeSchema = z.object({
   name: nonEmpty,
   host: z.string(),
@@ -23,7 +26,8 @@
   priority: z.number(),
   maxAttempts: z.number().int().min(1),
   isPublic: z.boolean(),
-  services: z.array(z.object({ service: nonEmpty, weight: nonNegative }))
+  services: z.array(z.object({ service: nonEmpty, weight: nonNegative })),
+  regions: regionsSchema
 })
 
 const engineSchema = z.object({
@@ -35,15 +39,18 @@
   stepPerThousandContext: nonNegative,
   readTokensPerMs: nonNegative,
   readPerMillionPairs: nonNegative,
+  usualPrompt: nonNegative.optional(),
   usualAnswer: nonNegative
 })
 
+const warmUpSchema = z.object({ period: nonNegative, requestsPerSecond: nonNegative }).optional()
+
 const deploymentSchema = z.object({
   version: z.number().int(),
   routes: z.array(routeSchema),
-  services: z.array(z.object({ name: nonEmpty, healthPath: z.string(), maxConnections: nonNegative, engine: engineSchema.nullable() })),
+  services: z.array(z.object({ name: nonEmpty, healthPath: z.string(), maxConnections: nonNegative, engine: engineSchema.nullable(), warmUp: warmUpSchema })),
   limits: z.object({ headerBytes: nonNegative, bodyBytes: nonNegative, headerTimeout: nonNegative, idleTimeout: nonNegative }),
-  organisations: z.array(z.object({ name: z.string(), apiKeys: z.array(z.string()), priority: z.number().nullable() }))
+  organisations: z.array(z.object({ name: z.string(), apiKeys: z.array(z.string()), priority: z.number().nullable(), regions: regionsSchema }))
 })
 
 const serverSchema = z.object({
@@ -53,7 +60,8 @@
   failureDomain: z.string().transform((domain) => domain as FailureDomain),
   slots: nonNegative,
   readiness: z.enum([Readiness.Ready, Readiness.Draining]),
-  startedAt: z.number().nullable()
+  startedAt: z.number().nullable(),
+  warmUpLeft: nonNegative.optional()
 })
 
 /** Revision of the store; nodes of earlier builds send no era. */
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -1,5 +1,5 @@
 /** Types of the placement of attempts by the scheduler of a group. */
-import type { Assignment, HealthSignal, Millis, NodeId, PlacementChoice, PromptSize, RunnerId, ServerNotice, Suspect } from '@bluebellhill/domain'
+import type { Assignment, HealthSignal, Millis, NodeId, PlacementChoice, PromptSize, Region, RunnerId, ServerNotice, Suspect } from '@bluebellhill/domain'
 
 /** An attempt that is to be placed; times are on the clock of this node. */
 export interface PlacementSpec {
@@ -26,6 +26,20 @@
   readonly trialParts: readonly Suspect[]
   /** The request, if it may crash servers itself: it gets a server without another such request. Absent if it is not suspected. */
   readonly isolatedAs?: Suspect
+  /** Organisation of the caller; absent if it has none, or if the node that asks does not state it. */
+  readonly organisation?: string
+  /** From 0, the most urgent, to 9; absent if the node that asks does not state it. */
+  readonly urgency?: number
+  /** Time for which it has waited for a placement already; absent if it has not. */
+  readonly waited?: Millis
+  /** Digest that the request has each time its caller sends it; absent if the node that asks does not state it. */
+  readonly identity?: string
+  /** The only regions whose servers may get it; absent if all may. */
+  readonly regions?: readonly Region[]
+  /** Whether the node that asks understands that a request waits for its placement. */
+  readonly acceptsQueueing?: boolean
+  /** Whether it is a second attempt beside one in progress. */
+  readonly isHedge?: boolean
 }
 
 /** How an attempt is placed because of what it may do to its server. */
