Long prompts are divided over holders when no engine has the free memory

Cause: in a memory-bound service, a few short prompts on each engine leave no engine with the memory for a prompt of 139,000 tokens or more, and it was refused although the engines together had the memory.

Change: isMemoryBound tells from the published figures whether memory runs out first. For such services, a prompt that finds no engine with a free slot and the memory is also considered with holders, by cost. The last holder is the engine with the least memory that suffices, so that the emptier ones stay usable for the next long prompt. Placement of other services is unchanged.

--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -4,7 +4,7 @@
 import type { EngineTimingModel } from './EngineTimingModel.js'
 import type { Assignment } from './assignment.js'
 import type { ServerLoad } from './FleetAssignments.js'
-import type { Candidate } from './PlacementPolicy.js'
+import type { Candidate, PlacementRequest } from './PlacementPolicy.js'
 import type { PendingPrefill } from './PrefillQueue.js'
 import { callerPauseTolerance, callerWaitTime } from './streamTimeouts.js'
 import type { BackendServer } from './types.js'
@@ -35,6 +35,8 @@
   readonly passTime: Millis
   /** Number of its own requests, in prefill or in decode; segments that it prefills for other engines are not counted. */
   readonly requestCount: number
+  /** KV cache memory that its requests and reservations use. */
+  readonly usedMemory: Tokens
   readonly freeMemory: Tokens
   readonly #slowdown: number
   readonly #decoding: readonly Assignment[]
@@ -64,7 +66,8 @@
     this.passTime = slowdown * timing.passTime(this.#decoding.length, this.#contextTokens)
     this.requestCount = load.requests.length
     this.#waitingDeferredCount = load.requests.filter(({ isDeferred, isPrefilled }) => isDeferred && !isPrefilled).length
-    this.freeMemory = freeMemory(load, timing.figures.memory)
+    this.usedMemory = load.requests.reduce((sum, assignment) => sum + memoryUse(assignment), load.reservedTokens)
+    this.freeMemory = sharedFreeMemory(this.usedMemory, timing.figures.memory)
     this.pendingPrefill = slowdown * this.#pendingPrefills.reduce((sum, { remaining }) => sum + remaining, 0)
   }
 
@@ -190,12 +193,23 @@
   losses.set(id, Math.max(losses.get(id) ?? 0, lossShare * requestValue(prompt)))
 }
 
-/** KV cache memory available to another request; only a request that is alone on an engine may use all of it. */
-const freeMemory = ({ requests, reservedTokens }: ServerLoad, memory: Tokens): Tokens => {
-  const used = requests.reduce((sum, assignment) => sum + memoryUse(assignment), reservedTokens)
-  return used === 0 ? memory : memory * SHARED_MEMORY_SHARE - used
-}
+/**
+ * @param used - KV cache memory in use on an engine
+ * @param memory - its total KV cache memory
+ * @returns memory available to another request; only a request that is alone on an engine may use all of it
+ */
+export const sharedFreeMemory = (used: Tokens, memory: Tokens): Tokens => used === 0 ? memory : memory * SHARED_MEMORY_SHARE - used
 
-/** KV cache memory that a request uses on the engine that decodes it, without what its holders keep. */
-const memoryUse = ({ prompt, answer, reservations }: Assignment): Tokens =>
+/**
+ * @param assignment - a request
+ * @returns KV cache memory that it uses on the engine that decodes it, without what its holders keep
+ */
+export const memoryUse = ({ prompt, answer, reservations }: Assignment): Tokens =>
   prompt + answer - reservations.reduce((sum, { tokens }) => sum + tokens, 0)
+
+/**
+ * @param request - a request to be placed
+ * @returns KV cache memory that its prompt and its expected answer need
+ */
+export const memoryDemand = ({ size, timing }: PlacementRequest): Tokens =>
+  size.prompt + Math.min(size.mostAnswer, timing.figures.usualAnswer)
--- a/packages/domain/src/forwarding/LengthAwarePlacement.ts
+++ b/packages/domain/src/forwarding/LengthAwarePlacement.ts
@@ -6,8 +6,9 @@
 import type { Millis, NodeId, Tokens } from '../types.js'
 import { RESERVABLE_MEMORY_SHARE, LATE_LOSS_SHARE, MAX_HOLDERS, MAX_SHORT_PROMPT_SEGMENTS, USABLE_OBJECTIVE_SHARE, MAX_OWNERS_TRIED, HELPER_COST, SEGMENT_COUNTS, TIE_BREAK_COST, RISK_FREE_SHARE, SHORT_PROMPT_TOKENS, SLOT_WAIT, TIGHT_PAUSE_COST, WAIT_COST } from './placementConstants.js'
 import { noFreeSlotProbability, tieBreakRank } from './contention.js'
-import { EngineState, totalLoss, requestValue } from './EngineState.js'
+import { EngineState, memoryDemand, totalLoss, requestValue } from './EngineState.js'
 import type { LossByRequest } from './EngineState.js'
+import { isMemoryBound } from './memoryBound.js'
 import { PlacementPolicy } from './PlacementPolicy.js'
 import type { PlacementChoice, PlacementRequest } from './PlacementPolicy.js'
 import { callerPauseTolerance, callerWaitTime } from './streamTimeouts.js'
@@ -31,10 +32,17 @@
     const states = candidates.map((candidate) =>
       new EngineState(candidate, loads.get(candidate.server.id), timing, now, tieBreakRank(this.#node, candidate.server.id)))
     const demand = memoryDemand(request)
-    const options = demand > timing.figures.memory ? optionsWithHolders(request, states, demand) : this.#options(request, states, demand)
+    const options = demand > timing.figures.memory ? optionsWithHolders(request, states, demand) : this.#optionsWithinEngine(request, states, demand)
     return options.reduce<EvaluatedChoice | null>((best, option) => best === null || option.cost < best.cost ? option : best, null)
   }
 
+  /** Where memory runs out first, a prompt that fits an engine, but none at the moment, is divided over holders too. */
+  #optionsWithinEngine (request: PlacementRequest, states: readonly EngineState[], demand: Tokens): EvaluatedChoice[] {
+    const options = this.#options(request, states, demand)
+    const isEngineFree = states.some((state) => state.hasFreeSlot && state.freeMemory >= demand)
+    return isEngineFree || !isMemoryBound(request.timing.figures) ? options : [...options, ...optionsWithHolders(request, states, demand)]
+  }
+
   #options (request: PlacementRequest, states: readonly EngineState[], demand: Tokens): EvaluatedChoice[] {
     const withMemory = states.filter((state) => state.freeMemory >= demand)
     const withSlot = withMemory.filter((state) => state.hasFreeSlot)
@@ -46,41 +54,47 @@
   }
 }
 
-const memoryDemand = ({ size, timing }: PlacementRequest): Tokens =>
-  size.prompt + Math.min(size.mostAnswer, timing.figures.usualAnswer)
-
-/** Options for a prompt that exceeds the memory of one engine: holders with the most free memory keep what the owner cannot. */
+/** Options for a prompt that exceeds the free memory of one engine: holders keep what the owner cannot. */
 const optionsWithHolders = (request: PlacementRequest, states: readonly EngineState[], demand: Tokens): EvaluatedChoice[] => {
   const withMemory = states.filter((state) => state.hasFreeSlot && state.canHelp && state.freeMemory > 0).sort((a, b) => b.freeMemory - a.freeMemory)
   return withMemory.slice(0, MAX_OWNERS_TRIED).flatMap((owner) => optionsForOwner(request, states, owner, withMemory, demand))
 }
 
 const optionsForOwner = (request: PlacementRequest, states: readonly EngineState[], owner: EngineState, withMemory: readonly EngineState[], demand: Tokens): EvaluatedChoice[] => {
-  const holders = assignHolders(withMemory.filter((state) => state !== owner), demand - owner.freeMemory * RESERVABLE_MEMORY_SHARE)
+  const others = withMemory.filter((state) => state !== owner)
+  const isLastSmallest = isMemoryBound(request.timing.figures)
+  const holders = assignHolders(others, demand - owner.freeMemory * RESERVABLE_MEMORY_SHARE, isLastSmallest)
   if (holders === null) return []
   const holderStates = new Set(holders.map(({ state }) => state))
-  const others = states.filter((state) => state !== owner && !holderStates.has(state) && state.canHelp)
-  const segmentCounts = SEGMENT_COUNTS.filter((segments) => segments > holders.length && segments <= others.length + holders.length + 1)
+  const helpers = states.filter((state) => state !== owner && !holderStates.has(state) && state.canHelp)
+  const segmentCounts = SEGMENT_COUNTS.filter((segments) => segments > holders.length && segments <= helpers.length + holders.length + 1)
   return segmentCounts.map((segments) => {
     const segmentTime = request.timing.prefillTime(request.size.prompt, segments)
-    const option = evaluate(request, owner, [...holderStates, ...sortBySegmentLoss(others, segmentTime).slice(0, segments - 1 - holders.length)])
+    const option = evaluate(request, owner, [...holderStates, ...sortBySegmentLoss(helpers, segmentTime).slice(0, segments - 1 - holders.length)])
     return { ...option, holders: holders.map(({ state, tokens }) => ({ server: state.server, tokens })) }
   })
 }
 
-/** Divides tokens among engines in the given order; null if they lack the memory or would be too many. */
-const assignHolders = (states: readonly EngineState[], demand: Tokens): Array<{ state: EngineState, tokens: Tokens }> | null => {
+/**
+ * Divides tokens among the engines with the most free memory; null if they lack it or would be too many. Where memory runs out
+ * first, the last share goes to the engine with the least memory that suffices, so that the others stay free for later long prompts.
+ */
+const assignHolders = (states: readonly EngineState[], demand: Tokens, isLastSmallest: boolean): Array<{ state: EngineState, tokens: Tokens }> | null => {
   const holders: Array<{ state: EngineState, tokens: Tokens }> = []
   let remaining = Math.ceil(demand)
-  for (const state of states) {
+  for (const [index, state] of states.entries()) {
     if (remaining <= 0) break
-    const share = Math.min(remaining, Math.floor(state.freeMemory * RESERVABLE_MEMORY_SHARE))
-    holders.push({ state, tokens: share })
+    const share = Math.min(remaining, reservableMemory(state))
+    const isLast = share === remaining
+    const smallest = isLastSmallest && isLast ? states.slice(index).findLast((other) => reservableMemory(other) >= remaining) : undefined
+    holders.push({ state: smallest ?? state, tokens: share })
     remaining -= share
   }
   return remaining > 0 || holders.length > MAX_HOLDERS ? null : holders
 }
 
+const reservableMemory = ({ freeMemory }: EngineState): Tokens => Math.floor(freeMemory * RESERVABLE_MEMORY_SHARE)
+
 /**
  * Options for a prompt divided into a number of segments, on the engines where a segment causes the least loss. Two owners
  * are tried: the one with the least loss and the one with the most free memory.
--- /dev/null
+++ b/packages/domain/src/forwarding/memoryBound.ts
@@ -0,0 +1,12 @@
+/** Tells whether memory, and not slots, is the resource of a service's engines that runs out first. */
+import type { EngineFigures } from './types.js'
+
+/** Share of an engine's KV cache memory that usual requests in all of its slots exceed if the service is memory-bound. */
+const MEMORY_BOUND_SHARE = 0.5
+
+/**
+ * @param figures - figures that the service publishes
+ * @returns whether usual requests in all slots take more than half of an engine's memory; false if no usual prompt is published
+ */
+export const isMemoryBound = ({ slots, usualPrompt, usualAnswer, memory }: EngineFigures): boolean =>
+  usualPrompt !== undefined && slots * (usualPrompt + usualAnswer) > memory * MEMORY_BOUND_SHARE
