--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -39,6 +39,7 @@
   readonly usedMemory: Tokens
   readonly freeMemory: Tokens
   readonly #slowdown: number
+  readonly #requests: readonly Assignment[]
   readonly #decoding: readonly Assignment[]
   readonly #pendingPrefills: readonly PendingPrefill[]
   readonly #timing: EngineTimingModel
@@ -59,6 +60,7 @@
     this.#slowdown = slowdown
     // Deferred requests are prefilled when nothing else waits for a slot.
     this.#pendingPrefills = load.pending.filter(({ assignment }) => !assignment.isDeferred || assignment.server !== server.id)
+    this.#requests = load.requests
     this.#decoding = load.requests.filter(({ isPrefilled }) => isPrefilled)
     this.#timing = timing
     this.#now = now
@@ -157,6 +159,72 @@
     this.#addPauseLoss(losses, prefillTime * this.#slowdown + passTime - this.passTime)
   }
 
+  /** @returns time until each of its pending prefills is done, by request */
+  prefillEnds (): Map<string, Millis> {
+    let end = this.passTime
+    return new Map(this.#pendingPrefills.map(({ assignment, remaining }) => {
+      end += remaining * this.#slowdown
+      return [assignment.id, end]
+    }))
+  }
+
+  /**
+   * Predicts when its requests end if it gets no others. Those beyond its slots start when earlier ones end, the deferred ones
+   * last.
+   *
+   * @param prefilledIn - time until the prompts that are not prefilled are, on all engines that prefill segments of them
+   * @returns time until each of its requests ends, by request
+   */
+  expectedEnds (prefilledIn: ReadonlyMap<string, Millis>): Map<string, Millis> {
+    const ends = new Map(this.#decoding.map((assignment) => [assignment.id, this.#decodingEnd(assignment)]))
+    const waiting = this.#requests.filter(({ isPrefilled }) => !isPrefilled)
+    for (const assignment of waiting.sort((a, b) => Number(a.isDeferred) - Number(b.isDeferred) || a.sentAt - b.sentAt)) {
+      const slotFreeIn = [...ends.values()].sort((a, b) => a - b)[ends.size - this.server.slots] ?? 0
+      const prefillTime = assignment.prefillTime * this.#slowdown
+      const prefilled = Math.max(prefilledIn.get(assignment.id) ?? this.pendingPrefill + prefillTime, slotFreeIn > 0 ? slotFreeIn + prefillTime : 0)
+      ends.set(assignment.id, prefilled + this.#answerTime(assignment.answer))
+    }
+    return this.#withShorterPasses(ends)
+  }
+
+  /** Passes become shorter as requests end; the given times assume that all requests stay until the last one ends. */
+  #withShorterPasses (ends: ReadonlyMap<string, Millis>): Map<string, Millis> {
+    const remaining = [...this.#requests].sort((a, b) => (ends.get(a.id) ?? 0) - (ends.get(b.id) ?? 0))
+    const fullPass = this.#sharedPassTime(remaining)
+    const corrected = new Map<string, Millis>()
+    let [previous, time] = [this.pendingPrefill, this.pendingPrefill]
+    for (let next = remaining[0]; next !== undefined; next = remaining[0]) {
+      const end = ends.get(next.id) ?? previous
+      time += (end - previous) * this.#sharedPassTime(remaining) / fullPass
+      previous = end
+      corrected.set(next.id, time)
+      remaining.shift()
+    }
+    return corrected
+  }
+
+  /** Decoding stands still during prefills: time that they have taken since its first event does not count as progress. */
+  #decodingEnd (assignment: Assignment): Millis {
+    const prefilledAt = prefilledTime(assignment, this.#slowdown)
+    const laterPrefills = this.#decoding.filter((other) => prefilledTime(other, this.#slowdown) > prefilledAt)
+    const inProgress = this.#pendingPrefills.reduce((sum, { assignment: { prefillTime }, remaining }) => sum + Math.max(0, prefillTime - remaining), 0)
+    const interrupted = this.#slowdown * laterPrefills.reduce((sum, { prefillTime }) => sum + prefillTime, inProgress)
+    // The first event contains the tokens of one pass.
+    const remaining = this.#answerTime(assignment.answer - this.#timing.figures.stepsPerPass) + interrupted - (this.#now - prefilledAt)
+    return Math.max(this.passTime, remaining) + this.pendingPrefill
+  }
+
+  /** Time to decode tokens of an answer beside all requests that the engine has. */
+  #answerTime (tokens: Tokens): Millis {
+    return Math.ceil(tokens / this.#timing.figures.stepsPerPass) * this.#sharedPassTime(this.#requests)
+  }
+
+  /** Duration of a pass that decodes these requests, as many of them as there are slots. */
+  #sharedPassTime (requests: readonly Assignment[]): Millis {
+    const context = requests.reduce((sum, { prompt, answer }) => sum + prompt + answer / 2, 0)
+    return this.#slowdown * this.#timing.passTime(Math.min(requests.length, this.server.slots), context)
+  }
+
   /** Requests beyond the slots wait until others end; ends are assumed to be evenly spread over the time that an answer takes. */
   #waitBehind (requests: number): Millis {
     const { slots } = this.server
@@ -193,6 +261,9 @@
   losses.set(id, Math.max(losses.get(id) ?? 0, lossShare * requestValue(prompt)))
 }
 
+/** Time of the first event; if it was reported without one, the earliest time possible. */
+const prefilledTime = ({ prefilledAt, sentAt, prefillTime }: Assignment, slowdown: number): Millis => prefilledAt ?? sentAt + slowdown * prefillTime
+
 /**
  * @param used - KV cache memory in use on an engine
  * @param memory - its total KV cache memory
--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -88,7 +88,7 @@
   markPrefilled (assignment: Assignment, now: Millis): void {
     if (!this.#own.has(assignment.id)) return
     this.#dequeuePrefill(assignment, now)
-    this.#own.set(assignment.id, { ...assignment, isPrefilled: true })
+    this.#own.set(assignment.id, { ...assignment, isPrefilled: true, prefilledAt: now })
   }
 
   /**
@@ -132,7 +132,7 @@
     const assignment = this.#peers.get(node)?.assignments.get(id)
     if (assignment === undefined || assignment.isPrefilled) return
     this.#dequeuePrefill(assignment, now)
-    this.#peers.get(node)?.assignments.set(id, { ...assignment, isPrefilled: true })
+    this.#peers.get(node)?.assignments.set(id, { ...assignment, isPrefilled: true, prefilledAt: now })
   }
 
   /**
@@ -229,8 +229,9 @@
     for (const assignment of current.values()) {
       if (!peer.assignments.has(assignment.id) && !assignment.isPrefilled) this.#enqueuePrefill(assignment, assignment.sentAt)
     }
+    const known = new Map(peer.assignments)
     peer.assignments.clear()
-    for (const [id, assignment] of current) peer.assignments.set(id, assignment)
+    for (const [id, assignment] of current) peer.assignments.set(id, withPrefilledTime(assignment, known.get(id), now))
   }
 
   * #all (): Generator<Assignment> {
@@ -265,6 +266,13 @@
   }
 }
 
+/** Reports do not state when a prompt was prefilled; it is the time of the first report that says so. */
+const withPrefilledTime = (reported: Assignment, known: Assignment | undefined, now: Millis): Assignment => {
+  if (!reported.isPrefilled || known === undefined) return reported
+  const prefilledAt = known.isPrefilled ? known.prefilledAt : now
+  return prefilledAt === undefined ? reported : { ...reported, prefilledAt }
+}
+
 /** Load by backend server at one moment. */
 export class ServerLoads {
   /**
@@ -278,6 +286,11 @@
     private readonly reservedTokens: ReadonlyMap<RunnerId, Tokens>
   ) {}
 
+  /** @returns the requests on all backend servers */
+  * assignments (): Generator<Assignment> {
+    for (const requests of this.requests.values()) yield * requests
+  }
+
   /**
    * @param server - the backend server
    * @returns its load
--- a/packages/domain/src/forwarding/assignment.ts
+++ b/packages/domain/src/forwarding/assignment.ts
@@ -24,6 +24,8 @@
   readonly sentAt: Millis
   /** Whether its first event has arrived, which means that the prompt is prefilled. */
   readonly isPrefilled: boolean
+  /** When this node learned that the prompt is prefilled; absent if it is not, or if a peer reported it so from the start. */
+  readonly prefilledAt?: Millis
   /** Longest pause between events that keeps the answer on time; null if the route sets none. */
   readonly pauseObjective: Millis | null
   /** When its first event is due. */
