No new request reaches an evacuated failure domain, or a region that is not allowed

Nothing read the operator's evacuations and regions. Store watchers now watch op/ (both the configuration and the evacuations, with the same number of calls), and reports between nodes carry the set. The scheduler leaves evacuated servers out before all other choices; the node that sends checks each grant, and again at the moment of the send, after memory is reserved; a scheduler that does not know them is asked again with the servers excluded, and the third decision is the node's own. If all failure domains are evacuated, requests are refused at once as domains_evacuated. Relays neither test evacuated servers nor pass a body on to a region that the request may not reach.

storeSync.test.ts named the prefix op/config as the one that is watched; it names op/ now, with the same assertions.

--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -34,7 +34,8 @@
 /** State changes of a node that may explain the outcome of any of its requests. */
 const NODE_EVENTS: ReadonlySet<string> = new Set([
   'node.started', 'node.stopping', 'node.stopped', 'node.failed', 'settings.reloaded', 'settings.unusable', 'configuration.installed',
-  'store.lost', 'store.regained', 'store.history_lost', 'store.restored', 'servers.restored', 'peer.lost', 'peer.found', 'scheduler.group', 'domain.avoided', 'log.lines_dropped'
+  'store.lost', 'store.regained', 'store.history_lost', 'store.restored', 'servers.restored', 'peer.lost', 'peer.found', 'scheduler.group', 'domain.avoided', 'log.lines_dropped',
+  'evacuation.changed', 'evacuation.unknown_domain', 'evacuation.peer_outdated'
 ])
 
 /** State changes of one backend server, as seen by a node. */
@@ -79,6 +80,7 @@
 /** Describes what servers had stated when the next attempt found none. */
 const describeNotPlaced = ({ at, fields }: LogLine): string => {
   const retry = fields.retry_after_ms === undefined ? '' : ` The caller could return after ${fields.retry_after_ms} ms.`
+  if (fields.reason === 'domains_evacuated') return `${timeOfDay(at)}: the operator has evacuated all failure domains whose servers of ${fields.service} it could reach.${retry}`
   return `${timeOfDay(at)}: no server of ${fields.service} could take it: ${fields.reason}${describeStatement(fields)}.${retry}`
 }
 
@@ -120,6 +122,18 @@
   return `${timeOfDay(at)}: it ended as ${fields.outcome}${status} after ${fields.took_ms} ms.${first}${pause}`
 }
 
+/** A grant is returned because of servers that have left, or of failure domains that were evacuated as far as the node knew. */
+const describeReturned = ({ at, node, fields }: LogLine): string => {
+  const evacuated = fields.evacuated === undefined ? '' : ` Failure domains evacuated as far as the node knew: ${fields.evacuated}.`
+  return `${timeOfDay(at)}: node ${node} did not use the placement on ${fields.server} by the scheduler at ${fields.scheduler}, since it must not send to ${fields.unusable}.${evacuated}`
+}
+
+const describeEvacuation = ({ at, node, fields }: LogLine): string => {
+  const begun = fields.begun === 'none' ? '' : ` evacuation of ${fields.begun} begun,`
+  const ended = fields.ended === 'none' ? '' : ` evacuation of ${fields.ended} ended,`
+  return `${timeOfDay(at)}: node ${node} learnt from ${fields.origin === 'store' ? 'the store' : 'another node'}:${begun}${ended} as of revision ${fields.revision}.`
+}
+
 const describeOther = ({ at, node, event, fields }: LogLine): string => {
   const shownFields = Object.entries(fields).filter(([name]) => !['time', 'level', 'node', 'domain', 'event', 'request'].includes(name))
   return `${timeOfDay(at)}: ${event} on node ${node} (${shownFields.map(([name, value]) => `${name} ${value}`).join(', ')}).`
@@ -129,10 +143,13 @@
   'request.sent': describeSent,
   'request.not_placed': describeNotPlaced,
   'attempt.failed': describeFailedAttempt,
+  'grant.returned': describeReturned,
   'request.quarantined': (line) => `${timeOfDay(line.at)}: ${describeQuarantined(line)}`,
   'request.ended': describeEnded
 }
 
+const STATE_DESCRIBERS: Readonly<Record<string, (line: LogLine) => string>> = { 'evacuation.changed': describeEvacuation }
+
 const serversOf = ({ fields }: LogLine): string[] => [...listOf(fields.server), ...listOf(fields.helpers)]
 
 /** Describes the requests with the longest prompts that were sent to the same servers between two times. */
@@ -165,7 +182,7 @@
   const stateChanges = lines
     .filter(({ at, node, event, fields }) => at >= from && at <= last.at && nodes.has(node) &&
       (NODE_EVENTS.has(event) || (SERVER_EVENTS.has(event) && servers.has(fields.server ?? ''))))
-    .map(describeOther)
+    .map((line) => (STATE_DESCRIBERS[line.event] ?? describeOther)(line))
   return {
     sentences: own.flatMap((line) => [...describeQuarantine(lines, line), (DESCRIBERS[line.event] ?? describeOther)(line), ...describePassedOver(lines, line)]),
     meanwhile: [...concurrentRequestsOf(lines, request, servers, from, last.at), ...stateChanges.slice(-MAX_STATE_CHANGES)]
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -141,3 +141,15 @@
   t.regex(sentences[3]!, /let request fifth go as a trial/)
   t.regex(sentences[4]!, /node edge-1 refused it for good: part ab12 .* after 3 crashes of engines at 3 different moments, the last one 400 ms before; the part had never been seen in a sound answer\. It has not run\./)
 })
+
+test('a grant that was returned because of an evacuation, and the evacuation itself, are told', (t) => {
+  const log = [
+    line('20.000', 'edge-1', 'event=evacuation.changed begun=hall-b ended=none origin=peer evacuated=hall-b revision=1.41'),
+    line('20.100', 'edge-1', 'event=grant.returned request=r5 scheduler=10.0.0.1:1 server=i-3 unusable=i-3 evacuated=hall-b servers_revision=1.40'),
+    line('20.101', 'edge-1', 'event=request.not_placed request=r5 service=lm reason=domains_evacuated retry_after_ms=1400')
+  ].join('\n')
+  const { sentences, meanwhile } = explainLogged(parseDecisionLog(log), 'r5')!
+  t.regex(sentences[0]!, /did not use the placement on i-3 .* evacuated as far as the node knew: hall-b\./)
+  t.regex(sentences[1]!, /evacuated all failure domains .* could return after 1400 ms/)
+  t.regex(meanwhile[0]!, /node edge-1 learnt from another node: evacuation of hall-b begun, as of revision 1\.41\./)
+})
--- a/packages/node/src/forward/AdmittedCall.ts
+++ b/packages/node/src/forward/AdmittedCall.ts
@@ -1,5 +1,5 @@
 /** Describes a caller's request that has been read completely and may be sent to a backend server. */
-import type { Millis, PromptPart, PromptSize, Route, RunnerId, Service } from '@bluebellhill/domain'
+import type { Millis, PromptPart, PromptSize, Region, Route, RunnerId, Service } from '@bluebellhill/domain'
 
 export interface AdmittedCall {
   /** Attempt id that the caller sent with the request. */
@@ -14,6 +14,8 @@
   readonly service: Service
   readonly organisation: string | null
   readonly urgency: number
+  /** The only regions that it may reach, by its route and its organisation; absent if it may reach all. */
+  readonly regions?: readonly Region[]
   readonly size: PromptSize
   /** Parts of its prompt in order; other requests may have all of them but the last. */
   readonly parts: readonly PromptPart[]
--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -3,6 +3,8 @@
 import type { BackendServerChange, Deployment, ServerEntry, Millis, RunnerId, StoreRevision } from '@bluebellhill/domain'
 
 import type { Log } from '../log/index.js'
+import { ServerRestrictions } from './ServerRestrictions.js'
+import type { RegionMap } from './ServerRestrictions.js'
 
 /** Source of a change of the fleet state. */
 export type FleetStateOrigin = 'store' | 'peer' | 'answer'
@@ -33,6 +35,8 @@
 /** Keeps the newest configuration and the list of backend servers, and logs each change of them. */
 export class FleetState {
   readonly servers = new BackendServerTable()
+  /** Evacuated failure domains, and the regions of all. */
+  readonly restrictions: ServerRestrictions
   #routeTable: RouteTable | null = null
   #installedAt: Millis = 0
   #serversRevision: StoreRevision = 0
@@ -43,8 +47,12 @@
   /**
    * @param log - receives a line for each change
    * @param clock - monotonic clock
+   * @param regions - returns the region of each failure domain
    */
-  constructor (private readonly log: Log, private readonly clock: () => Millis) {}
+  constructor (private readonly log: Log, private readonly clock: () => Millis, regions: () => RegionMap = () => new Map()) {
+    this.restrictions = new ServerRestrictions({ log, clock, regions, servers: () => this.servers.all() })
+    this.restrictions.onChange(() => this.#notifyListeners())
+  }
 
   /** Lookup table of the configuration in force; null until the first configuration is installed. */
   get routeTable (): RouteTable | null {
@@ -113,6 +121,7 @@
 
   expireServers (): void {
     this.#applyServerChanges(this.servers.expire(this.clock()), 'store')
+    this.restrictions.expire()
   }
 
   /** Records that another server answered at the address of this one. */
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -79,7 +79,7 @@
     const runningClock = (): Millis => this.#runningClock.now()
     const self = candidateOf(settings)
     this.#options = options
-    this.#fleetState = new FleetState(log, clock)
+    this.#fleetState = new FleetState(log, clock, () => options.settings.current.regions)
     this.#directory = new SchedulerDirectory(self, runningClock())
     this.#scheduler = new Scheduler({
       node: settings.node,
@@ -246,6 +246,7 @@
     this.#metrics.addGauge('configuration_version', 'Version of the configuration in force', () => this.#fleetState.configurationVersion)
     this.#metrics.addGauge('store_lost', 'Whether the store does not answer', () => this.#storeAvailability.isLost ? 1 : 0)
     this.#metrics.addGauge('backend_servers', 'Backend servers with an entry', () => this.#fleetState.servers.all().length)
+    this.#metrics.addGauge('failure_domains_evacuated', 'Failure domains to which no new request is sent', () => this.#fleetState.restrictions.evacuated().length)
     this.#metrics.addGauge('backend_servers_avoided', 'Backend servers that are avoided', () => this.#scheduler.health.avoided(monotonicNow()).length)
     this.#metrics.addGauge('prompt_parts_quarantined', 'Prompt parts and requests that are refused', () => this.#scheduler.quarantine.counts().partsQuarantined)
     this.#metrics.addGauge('prompt_parts_suspected', 'Prompt parts and requests that may crash backend servers', () => this.#scheduler.quarantine.counts().partsSuspected)
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -327,14 +327,20 @@
     const attempt: OpenAttempt = { server, placed, peer: null, sentAt: this.context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
     this.attempt = attempt
     this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server))
-    if (reservations === null) this.#sendUnlessQuarantined(attempt, placed)
+    if (reservations === null) this.#sendUnlessHindered(attempt, placed)
     else void this.#reserveAndSend(attempt, placed, reservations)
   }
 
   async #reserveAndSend (attempt: OpenAttempt, placed: PlacedAttempt, reservations: MemoryReservations): Promise<void> {
     const isReserved = await reservations.acquire()
     if (this.attempt !== attempt) return
-    const obstacle = isReserved ? this.context.placement.obstacleTo(placed) : 'reserving KV cache memory failed'
+    if (isReserved) this.#sendUnlessHindered(attempt, placed)
+    else this.failAttempt(attempt, AttemptEnd.Unsent, 'reserving KV cache memory failed')
+  }
+
+  /** A server may have left, or its failure domain may have been evacuated, while the attempt was being placed or memory was being reserved. */
+  #sendUnlessHindered (attempt: OpenAttempt, placed: PlacedAttempt): void {
+    const obstacle = this.context.placement.obstacleTo(placed)
     if (obstacle === null) this.#sendUnlessQuarantined(attempt, placed)
     else this.failAttempt(attempt, AttemptEnd.Unsent, obstacle)
   }
--- a/packages/node/src/forward/entry/admit.ts
+++ b/packages/node/src/forward/entry/admit.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 
 import { pickService } from '@bluebellhill/domain'
-import type { CallerLimits, Millis, OrganisationKeys, Route, RouteTable } from '@bluebellhill/domain'
+import type { CallerLimits, Millis, OrganisationKeys, Region, Route, RouteTable } from '@bluebellhill/domain'
 import { decodeCallerHeaders } from '@bluebellhill/platform'
 import type { CallerHeaders } from '@bluebellhill/platform'
 import { failed, success } from '@bluebellhill/services'
@@ -102,6 +102,7 @@
     service,
     organisation: organisation?.name ?? null,
     urgency: Math.min(LEAST_URGENCY, organisation?.priority ?? route.priority ?? DEFAULT_URGENCY),
+    ...allowedRegions(route, organisation),
     size: headers.size ?? { prompt: 0, mostAnswer: 0 },
     parts: headers.promptParts,
     isRelayed,
@@ -113,5 +114,12 @@
   })
 }
 
+/** If both the route and the organisation list regions, a request may reach those that are in both lists. */
+const allowedRegions = (route: Route, organisation: OrganisationKeys | null): { readonly regions?: readonly Region[] } => {
+  const lists = [route.regions, organisation?.regions].filter((regions) => regions !== undefined)
+  const [first, second = first] = lists
+  return first === undefined ? {} : { regions: first.filter((region) => second?.includes(region)) }
+}
+
 const headBytes = ({ rawHeaders, url, method }: IncomingMessage): number =>
   rawHeaders.reduce((sum, text) => sum + text.length, 0) + HEADER_FRAMING_BYTES * rawHeaders.length / 2 + (url?.length ?? 0) + (method?.length ?? 0)
--- a/packages/node/src/forward/entry/refusals.ts
+++ b/packages/node/src/forward/entry/refusals.ts
@@ -24,6 +24,8 @@
   Unreachable: 'unreachable',
   /** All backend servers that can accept the request have limited what they accept. */
   ServersLimited: 'servers_limited',
+  /** The operator has evacuated all failure domains that the request may reach. */
+  DomainsEvacuated: 'domains_evacuated',
   /** The deadline passed before the request was sent. */
   TimedOutUnsent: 'timed_out_unsent',
   /** The deadline passed, and the request may have run. */
@@ -66,6 +68,7 @@
   [RefusalCause.NoServer]: { status: 503, retryAfter: 300 },
   [RefusalCause.Unreachable]: { status: 503, retryAfter: 300 },
   [RefusalCause.ServersLimited]: { status: 503, retryAfter: 300, isRetryAfterKnown: true },
+  [RefusalCause.DomainsEvacuated]: { status: 503, retryAfter: 1_000 },
   [RefusalCause.TimedOutUnsent]: { status: 503, retryAfter: 300 },
   [RefusalCause.TimedOut]: { status: 504, retryAfter: null },
   [RefusalCause.AnswerLost]: { status: 502, retryAfter: null },
--- a/packages/node/src/forward/peers/Announcements.ts
+++ b/packages/node/src/forward/peers/Announcements.ts
@@ -7,6 +7,7 @@
 import type { Scheduler } from '../scheduling/Scheduler.js'
 import { encodeCandidate } from './datagramCodec.js'
 import type { DatagramContent } from './datagramCodec.js'
+import { encodeEvacuations } from './evacuationCodec.js'
 import type { NoticeExchange } from './NoticeExchange.js'
 import { encodeRevision } from './revisionCodec.js'
 
@@ -78,7 +79,8 @@
       stopping: this.#isStopping,
       candidates: namesCandidates ? directory.ranked(NAMED_CANDIDATES).map(encodeCandidate) : [],
       notices: notices.nextAnnouncement(),
-      quarantine
+      quarantine,
+      evacuations: encodeEvacuations(fleetState.restrictions.shared())
     }
   }
 }
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -13,6 +13,7 @@
 import { Announcements } from './Announcements.js'
 import { decodeCandidate, decodeCandidateState, decodeDatagram, decodeGroupLoad, encodeDatagram, isSchedulerDatagram } from './datagramCodec.js'
 import type { DatagramContent, ReceivedDatagram } from './datagramCodec.js'
+import { decodeEvacuations } from './evacuationCodec.js'
 import { NoticeExchange } from './NoticeExchange.js'
 import { PeerSocket } from './PeerSocket.js'
 import { PeerTable } from './PeerTable.js'
@@ -63,6 +64,13 @@
   readonly onPlacementMessage: (message: ReceivedDatagram, address: string) => void
 }
 
+/** What the messages of all nodes contain besides their own state. */
+interface ReportedFacts {
+  readonly notices: readonly fleetWire.ServerNotice[]
+  readonly quarantine: fleetWire.QuarantineFacts | undefined
+  readonly evacuations?: fleetWire.Evacuations | undefined
+}
+
 /** Exchanges node states with the peers over one UDP socket. */
 export class PeerLink {
   /** Nodes that report their assignments to this one. */
@@ -76,6 +84,8 @@
   #heartbeatTimer: NodeJS.Timeout | null = null
   #reportTimer: NodeJS.Timeout | null = null
   #announcementTimer: NodeJS.Timeout | null = null
+  /** Whether the other groups have yet to be told of a change of the evacuations. */
+  #hasEvacuationsForGroups = false
   #isDisposed = false
   #malformedCount = 0
 
@@ -94,6 +104,10 @@
       sendDatagram: (datagram, address) => this.#socket.send(datagram, address)
     })
     options.fleetState.onChange(() => this.#announceSoon())
+    options.fleetState.restrictions.onChange(() => {
+      this.#hasEvacuationsForGroups = true
+      this.reportSoon()
+    })
   }
 
   /** Counts of datagrams that could not be sent, and of datagrams that could not be decoded. */
@@ -236,13 +250,13 @@
     const { content, node } = message
     if (content.$case === 'candidateReport') {
       this.addNodes(content.value.candidates.map(decodeCandidate), [])
-      this.#recordStatements(content.value)
+      this.#recordStatements(content.value, false)
       this.#candidateHeard(node, decodeCandidateState(content.value, this.#ownEra))
     } else if (content.$case === 'groupReport') {
       this.#options.scheduler.recordGroupLoad(decodeGroupLoad(content.value, address))
       const { sender } = content.value
       if (sender === undefined) return
-      this.#recordStatements(sender)
+      this.#recordStatements(sender, false)
       this.#candidateHeard(node, decodeCandidateState(sender, this.#ownEra))
     } else {
       this.#options.onPlacementMessage(message, address)
@@ -265,7 +279,7 @@
     const { scheduler, directory, clock, onPeerStoreLost, self } = this.#options
     if (fragment.node === self.node) return
     const heardAt = this.#options.runningClock()
-    this.#recordStatements(fragment)
+    this.#recordStatements(fragment, true)
     const received = this.table.record(fragment, address, heardAt)
     if (received === null) return
     scheduler.assignments.setPeerAssignments(received.peer.node, received.assignments, clock(), heardAt)
@@ -277,12 +291,21 @@
     if (received.hasLostStore) onPeerStoreLost()
   }
 
-  #recordStatements ({ notices, quarantine }: Pick<fleetWire.CandidateReport, 'quarantine'> & { readonly notices: readonly fleetWire.ServerNotice[] }): void {
+  #recordStatements ({ notices, quarantine, evacuations }: ReportedFacts, isReport: boolean): void {
+    this.#recordEvacuations(evacuations, isReport)
     const hasNewNotices = this.#notices.received(notices)
     const hasNewFacts = this.#facts.received(quarantine)
     if (hasNewNotices || hasNewFacts) this.#announceSoon()
   }
 
+  /** A node that has outdated evacuations is told at once: one that reports to this node by an announcement, a candidate by a report. */
+  #recordEvacuations (evacuations: fleetWire.Evacuations | undefined, isReport: boolean): void {
+    const state = decodeEvacuations(evacuations)
+    if (state === null || !this.#options.fleetState.restrictions.reported(state)) return
+    if (isReport) this.#announceSoon()
+    else this.reportSoon()
+  }
+
   #peerFound ({ node, address, startedAt, version }: Peer): void {
     this.#options.log.info('peer.found', { peer: node, address, started_at: startedAt })
     if (version > 0) for (const content of this.#announcements.introduction()) this.send(address, content)
@@ -306,7 +329,9 @@
       const content = this.#announcements.announcement()
       for (const { address, version } of this.table.active()) if (version > 0) this.send(address, content)
     } while (this.#notices.hasUnannounced || this.#facts.hasUnannounced)
-    if (this.#facts.hasNewForGroups && this.#isGroupScheduler(this.#options.runningClock())) this.#announceLoad()
+    const hasNewForGroups = this.#facts.hasNewForGroups || this.#hasEvacuationsForGroups
+    if (hasNewForGroups && this.#isGroupScheduler(this.#options.runningClock())) this.#announceLoad()
+    this.#hasEvacuationsForGroups = false
   }
 
   /** Sends the load of this group to the schedulers of the others. */
--- a/packages/node/src/forward/peers/StateReports.ts
+++ b/packages/node/src/forward/peers/StateReports.ts
@@ -5,6 +5,7 @@
 import type { FactExchange } from '../quarantine/FactExchange.js'
 import type { Scheduler } from '../scheduling/Scheduler.js'
 import { DATAGRAM_VERSION } from './datagramCodec.js'
+import { encodeEvacuations } from './evacuationCodec.js'
 import type { NoticeExchange } from './NoticeExchange.js'
 import type { PeerTable } from './PeerTable.js'
 import { encodeState } from './stateCodec.js'
@@ -95,7 +96,8 @@
       version: DATAGRAM_VERSION,
       processor: isIntroduction ? self.processor : 0,
       notices: notices.nextReport(),
-      quarantine: facts.nextReport()
+      quarantine: facts.nextReport(),
+      evacuations: encodeEvacuations(fleetState.restrictions.shared())
     }, clock())
   }
 }
--- /dev/null
+++ b/packages/node/src/forward/peers/evacuationCodec.ts
@@ -0,0 +1,12 @@
+/** Encodes the evacuated failure domains for other nodes, and decodes them. */
+import { eraOf, revisionInEra, storeRevision } from '@bluebellhill/domain'
+import type { EvacuationState, FailureDomain } from '@bluebellhill/domain'
+import type { fleetWire } from '@bluebellhill/protocol'
+
+/** @returns the wire form; undefined if other nodes need not know of evacuations */
+export const encodeEvacuations = (state: EvacuationState | null): fleetWire.Evacuations | undefined =>
+  state === null ? undefined : { revision: BigInt(revisionInEra(state.revision)), eraPlusOne: eraOf(state.revision) + 1, failureDomains: [...state.failureDomains] }
+
+/** @returns the state; null if the other node tells nothing of evacuations */
+export const decodeEvacuations = (wire: fleetWire.Evacuations | undefined): EvacuationState | null =>
+  wire === undefined || wire.eraPlusOne === 0 ? null : { revision: storeRevision(wire.eraPlusOne - 1, Number(wire.revision)), failureDomains: wire.failureDomains as FailureDomain[] }
--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -30,6 +30,8 @@
   readonly notices: readonly fleetWire.ServerNotice[]
   /** Evidence on what crashes backend servers; undefined from nodes of earlier builds. */
   readonly quarantine: fleetWire.QuarantineFacts | undefined
+  /** Evacuated failure domains; absent if other nodes need not know of them. */
+  readonly evacuations?: fleetWire.Evacuations | undefined
 }
 
 /** Fragment of a state; a small state has only one. */
@@ -65,7 +67,8 @@
       works: assignments.map((assignment) => encodeAssignment(assignment, now)),
       peers: fragmentIndex === 0 ? [...state.peers] : [],
       notices: fragmentIndex === 0 ? [...state.notices] : [],
-      quarantine: fragmentIndex === fragmentCount - 1 ? state.quarantine : undefined
+      quarantine: fragmentIndex === fragmentCount - 1 ? state.quarantine : undefined,
+      evacuations: fragmentIndex === 0 ? state.evacuations : undefined
     }).finish()
   })
 }
--- a/packages/node/src/forward/refusalCause.ts
+++ b/packages/node/src/forward/refusalCause.ts
@@ -12,8 +12,10 @@
  * @param refusal - why the next attempt was not placed; null if none was allowed
  * @returns the cause in the answer to the caller
  */
-export const refusalCauseOf = (refusal: RefusedPlacement | null): RefusalCause =>
-  refusal !== null && isWaitStated(refusal) ? RefusalCause.ServersLimited : RefusalCause.NoServer
+export const refusalCauseOf = (refusal: RefusedPlacement | null): RefusalCause => {
+  if (refusal?.reason === PlacementRefusal.DomainsEvacuated) return RefusalCause.DomainsEvacuated
+  return refusal !== null && isWaitStated(refusal) ? RefusalCause.ServersLimited : RefusalCause.NoServer
+}
 
 /** @returns whether backend servers have stated when they accept requests again */
 export const isWaitStated = ({ reason }: RefusedPlacement): boolean => reason === PlacementRefusal.RequestLimit || reason === PlacementRefusal.ServersPaused
--- a/packages/node/src/forward/relay/Relay.ts
+++ b/packages/node/src/forward/relay/Relay.ts
@@ -1,5 +1,5 @@
 /** Passes requests on to other nodes while this node reaches no backend server of their service. */
-import type { BackendServer, FailureDomain, Millis, NodeId, SchedulerDirectory } from '@bluebellhill/domain'
+import type { BackendServer, FailureDomain, Millis, NodeId, Region, SchedulerDirectory } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
@@ -36,10 +36,11 @@
 
   /**
    * @param service - name of the service
+   * @param regions - the only regions that the request may reach; absent if it may reach all
    * @returns the node to pass a request on to; null if this node sends it itself
    */
-  peerFor (service: string): RelayPeer | null {
-    return this.checks.isUnreachable(service) ? this.peers.choose(service) : null
+  peerFor (service: string, regions?: readonly Region[]): RelayPeer | null {
+    return this.checks.isUnreachable(service) ? this.peers.choose(service, regions) : null
   }
 
   dispose (): void {
--- a/packages/node/src/forward/relay/RelayPeers.ts
+++ b/packages/node/src/forward/relay/RelayPeers.ts
@@ -1,5 +1,7 @@
 /** Chooses the nodes that requests are passed on to. */
-import type { FailureDomain, KnownCandidate, Millis, NodeId, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
+import type { FailureDomain, KnownCandidate, Millis, NodeId, Region, SchedulerCandidate, SchedulerDirectory } from '@bluebellhill/domain'
+
+import type { FleetState } from '../FleetState.js'
 
 /** Time for which a node gets no requests of a service that it has refused, or none at all after a failed connection. */
 const AVOIDANCE_TIME: Millis = 1_000
@@ -21,6 +23,7 @@
 
 export interface RelayPeersOptions {
   readonly directory: SchedulerDirectory
+  readonly fleetState: FleetState
   readonly failureDomain: FailureDomain
   readonly clock: () => Millis
   /** Clock on which the silence of other nodes is measured. */
@@ -41,31 +44,32 @@
 
   /**
    * Nodes that were heard lately go first, then those of the same failure domain unless several of them have refused, then those that got the fewest
-   * requests.
+   * requests. A node in a region that the request may not reach does not get it.
    *
    * @param service - name of the service
+   * @param regions - the only regions that the request may reach; absent if it may reach all
    * @returns the node to pass a request on to; null if there is none
    */
-  choose (service: string): RelayPeer | null {
-    const { directory, runningClock } = this.#options
+  choose (service: string, regions?: readonly Region[]): RelayPeer | null {
+    const { directory, runningClock, fleetState: { restrictions } } = this.#options
     this.#expire()
     const refusing = this.#refusing(service)
     if (refusing.length >= MAX_REFUSING_NODES) return null
     const live = directory.live(runningClock()).filter(isServing)
     const heard = new Set(live.map(({ node }) => node))
     const others = directory.others().filter(({ node }) => !heard.has(node))
-    const usable = (peers: readonly SchedulerCandidate[]): SchedulerCandidate[] => peers.filter(({ node }) => !this.#isAvoided(node, service))
+    const usable = (peers: readonly SchedulerCandidate[]): SchedulerCandidate[] => peers.filter(({ node, failureDomain }) => !this.#isAvoided(node, service) && restrictions.isInRegions(failureDomain, regions))
     const candidates = this.#inOrder(usable(live), usable(others), refusing).find((peers) => peers.length > 0) ?? []
     return [...candidates].sort((a, b) => this.#requestsOf(a.node) - this.#requestsOf(b.node))[0] ?? null
   }
 
-  /** While the own failure domain seems to be cut as a whole, a node of another one is preferred even if it was not heard. */
+  /** While the own failure domain seems to be cut as a whole, or is evacuated, a node of another one is preferred even if it was not heard. */
   #inOrder (live: readonly SchedulerCandidate[], others: readonly SchedulerCandidate[], refusing: readonly Avoidance[]): ReadonlyArray<readonly SchedulerCandidate[]> {
-    const { failureDomain } = this.#options
+    const { failureDomain, fleetState: { restrictions } } = this.#options
     const isNear = (peer: RelayPeer | Avoidance): boolean => peer.failureDomain === failureDomain
     const isFar = (peer: RelayPeer): boolean => !isNear(peer)
     const isDomainCut = refusing.filter(isNear).length >= MAX_REFUSING_NEIGHBOURS
-    return isDomainCut
+    return isDomainCut || restrictions.isEvacuated(failureDomain)
       ? [live.filter(isFar), others.filter(isFar), live, others]
       : [live.filter(isNear), live, others.filter(isNear), others]
   }
--- a/packages/node/src/forward/relay/RequestRelay.ts
+++ b/packages/node/src/forward/relay/RequestRelay.ts
@@ -7,6 +7,7 @@
 import type { AnswerHead, ServerCallRequest } from '../backend/ServerCall.js'
 import { RefusalCause } from '../entry/refusals.js'
 import type { RequestLog } from '../RequestLog.js'
+import { findRestriction } from '../scheduling/findRestriction.js'
 import { relayCallRequest } from '../serverCallRequest.js'
 import type { ForwardingContext, OpenAttempt } from '../types.js'
 import { decodeRelayAnswer, SERVER_ANSWER } from './relayHeaders.js'
@@ -62,10 +63,14 @@
     await context.relay.checks.settled(call.service.name)
   }
 
-  /** @returns the node to pass the request on to; null if this node sends it itself, as it does with what others have passed on */
+  /**
+   * @returns the node to pass the request on to; null if this node sends it itself, as it does with what others have passed on, or if
+   *   no server may get it
+   */
   choosePeer (): RelayPeer | null {
     const { context, call } = this.#options
-    return call.isRelayed ? null : context.relay.peerFor(call.service.name)
+    if (call.isRelayed || findRestriction(context.fleetState, call.service.name, call.regions) !== null) return null
+    return context.relay.peerFor(call.service.name, call.regions)
   }
 
   /**
--- a/packages/node/src/forward/relay/ServiceChecks.ts
+++ b/packages/node/src/forward/relay/ServiceChecks.ts
@@ -110,7 +110,8 @@
   /** Servers of different failure domains, since a node may be cut off from some of them only; another one of each domain in each check. */
   #nextServers (service: string): BackendServer[] {
     const byDomain = new Map<string, BackendServer[]>()
-    for (const server of this.#options.fleetState.servers.ready(service)) byDomain.set(server.failureDomain, [...byDomain.get(server.failureDomain) ?? [], server])
+    const { servers, restrictions } = this.#options.fleetState
+    for (const server of servers.ready(service).filter((candidate) => restrictions.permits(candidate))) byDomain.set(server.failureDomain, [...byDomain.get(server.failureDomain) ?? [], server])
     const turn = this.#turn++
     const { failureDomain } = this.#options
     const domains = [...byDomain.keys()].sort((a, b) => Number(b === failureDomain) - Number(a === failureDomain))
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,6 +1,6 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
 import { describeRevision, HealthSignal } from '@bluebellhill/domain'
-import type { AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
+import type { AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, Region, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { AdmittedCall } from '../AdmittedCall.js'
@@ -10,6 +10,7 @@
 import type { QueryTiming } from '../peers/PendingQueries.js'
 import type { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
 import { AnswerStatements } from './AnswerStatements.js'
+import { findRestriction } from './findRestriction.js'
 import { GrantReports } from './GrantReports.js'
 import { PlacementQueries } from './PlacementQueries.js'
 import type { Decision } from './PlacementQueries.js'
@@ -17,7 +18,7 @@
 import { NO_CAUTION, PlacementRefusal } from './types.js'
 import type { AttemptCaution, AttemptPlacement, PlacedAttempt, PlacementSpec } from './types.js'
 
-/** Known departures that are named in a repeated query, so that it stays within one datagram. */
+/** Servers that are named in a repeated query because they have left or are evacuated, so that it stays within one datagram. */
 const MAX_LEAVING_EXCLUDED = 32
 
 /** Decisions that are asked for while this node knows that a chosen server accepts no more requests. */
@@ -83,20 +84,26 @@
    * @returns the placed attempt, whose assignment must be removed with `removeAssignment`; or why there is none
    */
   async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: AttemptCaution = NO_CAUTION): Promise<AttemptPlacement> {
-    const { scheduler, clock } = this.#options
+    const { scheduler, fleetState, clock } = this.#options
     const startedAt = clock()
+    const restriction = findRestriction(fleetState, call.service.name, call.regions)
+    if (restriction !== null) return restriction
     let spec = specOf(call, history, { chargesRetry, ...caution }, this.answers.pausedServers())
+    let hasRestriction = false
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
-      const decision = await this.#queries.decide(spec, number)
+      // A scheduler of an earlier build knows neither evacuations nor regions, and may choose one excluded server after another.
+      const isLast = decisions === MAX_DECISIONS - 1
+      const decision = isLast && hasRestriction ? this.#queries.decideAlone(spec, number) : await this.#queries.decide(spec, number)
       if (isTrialMissing(spec, decision)) {
         this.#withoutChosen(spec, number, decision)
         return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
       }
-      if (this.#isUsable(decision)) return this.#record(spec, number, decision, startedAt)
+      if (this.#isUsable(spec, decision)) return this.#record(spec, number, decision, startedAt)
+      hasRestriction ||= this.#isRestricted(spec, decision)
       spec = this.#withoutChosen(spec, number, decision)
     }
-    return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
+    return findRestriction(fleetState, spec.service, spec.regions) ?? { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
   }
 
   #record (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision, startedAt: Millis): AttemptPlacement {
@@ -110,21 +117,31 @@
     if (address !== null) this.#reports.granted(assignment, address)
     const { choice, load, isTrial } = result
     const passedOver = [...new Set([...result.passedOver, ...this.answers.pausedServersOf(spec.service).map(({ id }) => id)])]
-    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, isTrial, decidedIn: clock() - startedAt } }
+    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, isTrial, regions: spec.regions, decidedIn: clock() - startedAt } }
   }
 
   /**
    * The scheduler may not know yet that a server has left or what it has stated to this node, and one of an earlier build never knows
    * statements: this node then uses its own share of the server's request limit.
    */
-  #isUsable ({ result }: Decision): boolean {
+  #isUsable ({ regions }: PlacementSpec, { result }: Decision): boolean {
     if (result.type !== 'placed') return true
     const { scheduler, directory } = this.#options
     const { server } = result.choice
-    if (this.#obstaclesIn(result.choice).length > 0) return false
+    if (this.#obstaclesIn(result.choice, regions).length > 0) return false
     return result.keepsLimit || scheduler.statements.take(server, 1 / directory.size)
   }
 
+  /** Whether a choice contains a server that no new request, or none of these regions, may reach. */
+  #isRestricted ({ regions }: PlacementSpec, { result }: Decision): boolean {
+    return result.type === 'placed' && this.#restrictedIn(result.choice, regions).length > 0
+  }
+
+  #restrictedIn ({ server, helpers }: PlacementChoice, regions?: readonly Region[]): BackendServer[] {
+    const { restrictions } = this.#options.fleetState
+    return [server, ...helpers].filter((participant) => !restrictions.permits(participant, regions))
+  }
+
   /** Returns a grant, and excludes the servers that made it unusable from the next decision. */
   #withoutChosen (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision): PlacementSpec {
     if (result.type !== 'placed') return spec
@@ -133,18 +150,20 @@
     const own = scheduler.assignments.findOwn(number)
     if (own !== null) scheduler.assignments.end(own, clock())
     else if (address !== null) this.#returnUnusedGrant(address, number, server.id)
-    const obstacles = this.#obstaclesIn(result.choice).map(({ id }) => id)
+    const obstacles = this.#obstaclesIn(result.choice, spec.regions).map(({ id }) => id)
     const unusable = obstacles.length > 0 ? obstacles : [server.id]
-    log.info('grant.returned', { request: spec.request, scheduler: address ?? 'self', server: server.id, unusable: unusable.join(','), servers_revision: describeRevision(fleetState.serversRevision) })
-    const leaving = fleetState.servers.leaving(spec.service).slice(0, MAX_LEAVING_EXCLUDED)
+    const evacuated = fleetState.restrictions.evacuated()
+    log.info('grant.returned', { request: spec.request, scheduler: address ?? 'self', server: server.id, unusable: unusable.join(','), evacuated: evacuated.length === 0 ? undefined : evacuated.join(','), servers_revision: describeRevision(fleetState.serversRevision) })
+    const restricted = fleetState.servers.ready(spec.service).filter((candidate) => !fleetState.restrictions.permits(candidate, spec.regions)).map(({ id }) => id)
+    const leaving = [...fleetState.servers.leaving(spec.service), ...restricted].slice(0, MAX_LEAVING_EXCLUDED)
     return { ...spec, excluded: [...new Set([...spec.excluded, ...unusable, ...leaving])], chargesRetry: false, isFirstAttempt: false }
   }
 
-  /** Returns the servers of a choice that have left, or that accept no requests of this node now. */
-  #obstaclesIn (choice: PlacementChoice): BackendServer[] {
+  /** Returns the servers of a choice that have left, that accept no requests of this node now, or that the operator has excluded. */
+  #obstaclesIn (choice: PlacementChoice, regions?: readonly Region[]): BackendServer[] {
     const { servers } = this.#options.fleetState
     const hasLeft = [choice.server, ...choice.helpers].filter(({ id }) => servers.hasLeft(id))
-    return [...new Set([...hasLeft, ...this.answers.obstaclesIn(choice)])]
+    return [...new Set([...hasLeft, ...this.answers.obstaclesIn(choice), ...this.#restrictedIn(choice, regions)])]
   }
 
   /** Records that the first event of an attempt has arrived: its prefill is finished. */
@@ -196,9 +215,11 @@
    * @param attempt - a placed attempt that has not been sent yet
    * @returns why it must not be sent any more; null if it may
    */
-  obstacleTo ({ choice }: PlacedAttempt): string | null {
-    const [server] = this.#obstaclesIn(choice)
-    return server === undefined ? null : `server ${server.id} accepts no requests of this node now`
+  obstacleTo ({ choice, regions }: PlacedAttempt): string | null {
+    const [server] = this.#obstaclesIn(choice, regions)
+    if (server === undefined) return null
+    const isEvacuated = this.#options.fleetState.restrictions.isEvacuated(server.failureDomain)
+    return isEvacuated ? `failure domain ${server.failureDomain} of server ${server.id} is evacuated` : `server ${server.id} accepts no requests of this node now`
   }
 
   /**
@@ -268,5 +289,6 @@
   allowed: history.permittedServers(),
   isRedirected: false,
   isFirstAttempt: history.triedServers().length === 0,
+  ...(call.regions === undefined ? {} : { regions: call.regions }),
   ...terms
 })
--- a/packages/node/src/forward/scheduling/PlacementQueries.ts
+++ b/packages/node/src/forward/scheduling/PlacementQueries.ts
@@ -73,6 +73,17 @@
     return this.#decideAlone(spec, number, this.#loneContext())
   }
 
+  /**
+   * Decides on one attempt without asking another node.
+   *
+   * @param spec - the attempt
+   * @param number - number of its assignment at this node
+   * @returns the decision
+   */
+  decideAlone (spec: PlacementSpec, number: number): Decision {
+    return this.#decideAlone(spec, number, this.#loneContext())
+  }
+
   /**
    * Takes the reply to a query.
    *
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -5,6 +5,7 @@
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 import { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
+import { findRestriction } from './findRestriction.js'
 import { IsolatedAttempts } from './IsolatedAttempts.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
@@ -80,6 +81,8 @@
   place (spec: PlacementSpec, owner: AssignmentOwner, context: PlacementContext): PlacementResult {
     const service = this.#options.fleetState.routeTable?.service(spec.service) ?? null
     if (service === null) return { type: 'refused', reason: PlacementRefusal.UnknownService, retryAfter: null }
+    const restriction = findRestriction(this.#options.fleetState, spec.service, spec.regions)
+    if (restriction !== null) return restriction
     const isTrial = spec.trialParts.length > 0
     if (isTrial && !this.#mayGrantTrial(spec, context)) return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
     const now = this.#options.clock()
@@ -193,7 +196,7 @@
     const loads = this.#loads(clock())
     const services = fleetState.routeTable?.deployment.services ?? []
     return services.filter(({ engine }) => engine !== null).map(({ name }) => {
-      const servers = fleetState.servers.ready(name).filter(({ failureDomain }) => isInGroup(group(), failureDomain))
+      const servers = fleetState.servers.ready(name).filter((server) => isInGroup(group(), server.failureDomain) && fleetState.restrictions.permits(server))
       const pending = servers.reduce((sum, { id }) => sum + loads.get(id).pending.reduce((total, { remaining }) => total + remaining, 0), 0)
       return {
         service: name,
@@ -275,9 +278,11 @@
     else this.assignments.grant(node, draft, number, now, this.#options.runningClock())
   }
 
-  #permittedServers ({ excluded, allowed }: PlacementSpec, service: Service): BackendServer[] {
-    const ready = this.#options.fleetState.servers.ready(service.name)
-    return ready.filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
+  /** The operator's restrictions hold for every choice: a server that they exclude is no owner, helper or holder, and no last resort. */
+  #permittedServers ({ excluded, allowed, regions }: PlacementSpec, service: Service): BackendServer[] {
+    const { servers, restrictions } = this.#options.fleetState
+    const permitted = servers.ready(service.name).filter((server) => restrictions.permits(server, regions))
+    return permitted.filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
   }
 
   #candidates (permitted: readonly BackendServer[], now: Millis): Candidate[] {
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -63,7 +63,9 @@
   /** The caller would disconnect before the first event. */
   TooLate: 'too_late',
   RetryBudgetSpent: 'retry_budget_spent',
-  UnknownService: 'unknown_service'
+  UnknownService: 'unknown_service',
+  /** The operator has evacuated all failure domains whose servers could serve it. */
+  DomainsEvacuated: 'domains_evacuated'
 } as const
 export type PlacementRefusal = typeof PlacementRefusal[keyof typeof PlacementRefusal]
 
@@ -113,6 +115,8 @@
   readonly passedOver: readonly RunnerId[]
   /** Whether it is a trial of what is quarantined. */
   readonly isTrial: boolean
+  /** The only regions that its request may reach; absent if it may reach all. */
+  readonly regions?: readonly Region[] | undefined
   /** Time from the decision to place the attempt until the result was known. */
   readonly decidedIn: Millis
 }
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -1,9 +1,9 @@
-/** Keeps the configuration and the list of backend servers in sync with the platform's store. */
+/** Keeps the configuration, the evacuations and the list of backend servers in sync with the platform's store. */
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import { describeRevision, eraOf, WatchedRevisions } from '@bluebellhill/domain'
-import type { Millis, StoreRevision } from '@bluebellhill/domain'
-import { parseDeployment, parseServerEntry, serverIdOfKey, StoreKey } from '@bluebellhill/platform'
+import type { EvacuationWrite, Millis, StoreRevision } from '@bluebellhill/domain'
+import { evacuationOfKey, parseDeployment, parseServerEntry, serverIdOfKey, StoreKey } from '@bluebellhill/platform'
 import type { MetadataStore, StoreChange, StoreItem } from '@bluebellhill/platform'
 import { describeFailure } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
@@ -92,7 +92,7 @@
 
   /** Starts to list and watch the configuration and the backend servers. */
   start (): void {
-    for (const synced of [this.#configurationPrefix(), this.#serversPrefix()]) void this.#syncPrefix(synced)
+    for (const synced of [this.#operatorPrefix(), this.#serversPrefix()]) void this.#syncPrefix(synced)
   }
 
   /** Ends the waits in progress to check whether the store answers this node, after another node has lost it. */
@@ -138,16 +138,36 @@
     return interruption.signal
   }
 
-  #configurationPrefix (): SyncedPrefix {
+  #operatorPrefix (): SyncedPrefix {
+    const { restrictions } = this.#options.fleetState
+    let writes: EvacuationWrite[] = []
+    const recordWrite = (key: string, isEvacuated: boolean, revision: StoreRevision): void => {
+      const failureDomain = evacuationOfKey(key)
+      if (failureDomain === '') this.#logUnusableEntry(key, revision, { type: 'malformed', reason: 'the key names no failure domain' })
+      else if (failureDomain !== null) writes.push({ failureDomain, isEvacuated, revision })
+    }
     const install = (key: string, value: Buffer, revision: StoreRevision): void => {
       const deployment = key === StoreKey.Configuration ? parseDeployment(value.toString('utf8')) : null
       if (deployment?.ok === true) this.#options.fleetState.install(deployment.value, 'store')
       else if (deployment !== null) this.#logUnusableEntry(key, revision, deployment.failure)
     }
     return {
-      prefix: StoreKey.Configuration,
-      onListed: (items) => { for (const { key, value, revision } of items) install(key, value, revision) },
-      onChanged: ({ key, value, revision }) => { if (value !== null) install(key, value, revision) }
+      prefix: StoreKey.Operator,
+      onListed: (items, revision) => {
+        writes = []
+        for (const item of items) recordWrite(item.key, true, item.revision)
+        restrictions.listed({ failureDomains: writes.map(({ failureDomain }) => failureDomain), revision })
+        writes = []
+        for (const item of items) install(item.key, item.value, item.revision)
+      },
+      onChanged: ({ key, value, revision }) => {
+        recordWrite(key, value !== null, revision)
+        if (value !== null) install(key, value, revision)
+      },
+      onApplied: (revision) => {
+        restrictions.written(writes, revision)
+        writes = []
+      }
     }
   }
 
--- a/packages/node/tests/storeSync.test.ts
+++ b/packages/node/tests/storeSync.test.ts
@@ -308,12 +308,12 @@
   const { availability } = start(t, store, () => true, () => { losses += 1 })
   t.true(await eventually(() => store.listCount > 1))
   let release = (): void => {}
-  store.lateFailure = { prefix: StoreKey.Configuration, released: new Promise((resolve) => { release = resolve }) }
+  store.lateFailure = { prefix: StoreKey.Operator, released: new Promise((resolve) => { release = resolve }) }
   store.isDown = true
   t.true(await eventually(() => availability.isLost))
   store.isDown = false
   t.true(await eventually(() => !availability.isLost))
-  const watches = (): number => store.watchedPrefixes.filter((prefix) => prefix === StoreKey.Configuration).length
+  const watches = (): number => store.watchedPrefixes.filter((prefix) => prefix === StoreKey.Operator).length
   const before = watches()
   release()
   t.true(await eventually(() => watches() > before))
