Soak: a failure domain is evacuated and taken back

No request may reach a server of it later than 5 s after the write, restarts and restores of the store included; requests that a server refuses as meant for another one do not count. The check fails on a record with a later arrival.

--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -13,7 +13,7 @@
 import { NodeProcess } from './NodeProcess.js'
 import { PromptParts } from './PromptParts.js'
 import { TcpProxy } from './TcpProxy.js'
-import type { LimitedSpan } from './types.js'
+import type { Evacuation, LimitedSpan } from './types.js'
 
 const DOMAINS = ['hall-a', 'hall-b', 'hall-c']
 
@@ -66,6 +66,9 @@
   /** When the process of the soak, in which all but the nodes run, could not run. */
   readonly delays = new EventLoopDelays()
   readonly limitedSpans: LimitedSpan[] = []
+  readonly evacuations: Evacuation[] = []
+  /** Failure domain of each server that ever ran, by its id. */
+  readonly serverDomains = new Map<string, string>()
   /** Proxy of each server that ever ran, by its id. */
   readonly serverProxies = new Map<string, TcpProxy>()
   /** Parts of the prompts that callers send. */
@@ -114,8 +117,29 @@
     this.store.put(StoreKey.Configuration, this.#configuration)
   }
 
-  /** Writes the configuration and the entries of all running servers again, after the store has lost some of them. */
+  /** Evacuates a failure domain. */
+  evacuate (failureDomain: string): void {
+    this.store.put(`${StoreKey.Evacuations}${failureDomain}`, '{}')
+    this.evacuations.push({ failureDomain, from: performance.now(), until: Infinity })
+  }
+
+  /** Takes all evacuated failure domains back. */
+  endEvacuations (): void {
+    for (const evacuation of this.evacuations) evacuation.until = Math.min(evacuation.until, performance.now())
+    this.#writeEvacuations()
+  }
+
+  #writeEvacuations (): void {
+    for (const { failureDomain, until } of this.evacuations) {
+      const key = `${StoreKey.Evacuations}${failureDomain}`
+      if (until === Infinity) this.store.put(key, '{}')
+      else this.store.remove(key)
+    }
+  }
+
+  /** Writes the configuration, the evacuations and the entries of all running servers again, after the store has lost some of them. */
   writeAgain (): void {
+    this.#writeEvacuations()
     this.store.put(StoreKey.Configuration, this.#configuration)
     for (const server of this.servers) if (server.standin !== null) this.#writeEntry(server, server.standin.id, server.drainingSince !== null)
   }
@@ -145,6 +169,7 @@
     }
     server.standin = standin
     this.serverProxies.set(id, server.proxy)
+    this.serverDomains.set(id, server.failureDomain)
     server.startedAt = Date.now()
     server.drainingSince = null
     this.#writeEntry(server, id, false)
--- a/packages/soak/src/Soak.ts
+++ b/packages/soak/src/Soak.ts
@@ -8,6 +8,7 @@
 import { Caller } from './Callers.js'
 import { violationsOf } from './checks.js'
 import { CALLERS_PER_NODE, KEPT_KEY, RECOVERY_MS, REMOVED_KEY, REVOKE_MS, TRAFFIC_MS } from './constants.js'
+import { drawEvacuation } from './evacuationFaults.js'
 import { drawFaults } from './faults.js'
 import { Fleet } from './Fleet.js'
 import { drawFurtherFaults } from './furtherFaults.js'
@@ -53,12 +54,12 @@
     const random = new Random(seed)
     callers.push(...fleet.nodes.flatMap(({ index, host }) => Array.from({ length: CALLERS_PER_NODE }, (_, caller) =>
       new Caller(`c${index}.${caller}`, index, host, random.between(1, 1_000_000), fleet.promptParts))))
-    const steps = [...drawFaults(fleet, random), ...drawFurtherFaults(fleet, seed), ...drawAnswerFaults(fleet, seed), ...drawRequestFaults(fleet, seed)]
+    const steps = [...drawFaults(fleet, random), ...drawFurtherFaults(fleet, seed), ...drawAnswerFaults(fleet, seed), ...drawRequestFaults(fleet, seed), ...drawEvacuation(fleet, seed)]
     const leavings = watchLeavings(fleet)
     await Promise.all([...callers.map(async (caller) => { await caller.run() }), play(steps), stopLater(callers, Math.max(TRAFFIC_MS, ...steps.map(({ trafficUntil = 0 }) => trafficUntil)))])
     const violations = [...await recoveryOf(fleet, seed), ...await registrationOf(fleet), ...await revocationOf(fleet, seed)]
     const exchanges = [...callers.flatMap((caller) => caller.exchanges), ...fleet.deadlyRequests.exchanges]
-    return reportOf(seed, exchanges, fleet, steps, [...violations, ...violationsOf(exchanges, fleet, leavings())])
+    return reportOf(seed, exchanges, fleet, steps, [...violations, ...violationsOf(exchanges, fleet, leavings(), fleet.evacuations)])
   } finally {
     for (const caller of callers) caller.dispose()
     await fleet.dispose()
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -3,10 +3,11 @@
 import type { Ledger, PauseRequest } from '@bluebellhill/platform-standin'
 
 import { ABANDON_MS, ANSWER_SLACK_MS, DRAIN_MS, LIMIT_KNOWN_MS, LIMIT_RATIO, LIMIT_SLACK, LIMIT_WINDOW_MS, MEASURE_SLACK_MS, PAUSE_KNOWN_MS, PAUSE_SLACK, RETRY_RATIO, RETRY_SLACK } from './constants.js'
+import { evacuationViolations } from './evacuationFaults.js'
 import type { Fleet } from './Fleet.js'
 import { partViolationsOf } from './partChecks.js'
 import { RequestKind } from './types.js'
-import type { Exchange, Leaving, LimitedSpan, Violation } from './types.js'
+import type { Evacuation, Exchange, Leaving, LimitedSpan, Violation } from './types.js'
 
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
@@ -134,9 +135,10 @@
  * @param exchanges - what callers saw
  * @param fleet - what ran
  * @param leavings - servers that left in the course of it
+ * @param evacuations - failure domains that were evacuated in the course of it
  * @returns every promise that was not kept
  */
-export const violationsOf = (exchanges: readonly Exchange[], fleet: Fleet, leavings: readonly Leaving[] = []): Violation[] => {
+export const violationsOf = (exchanges: readonly Exchange[], fleet: Fleet, leavings: readonly Leaving[] = [], evacuations: readonly Evacuation[] = []): Violation[] => {
   const single = exchanges.flatMap((exchange) => Object.entries(CHECKS).flatMap(([rule, check]) => {
     const problem = check(exchange, fleet)
     return problem === null ? [] : [{ rule, detail: `${exchange.kind} ${exchange.id} at node ${exchange.node}: ${problem}` }]
@@ -145,6 +147,7 @@
   const byId = new Map(exchanges.map((exchange) => [exchange.id, exchange]))
   const limits = fleet.limitedSpans.flatMap((span) => serverLimit(byId, fleet, span))
   const left = leavings.flatMap((leaving) => leavingServer(byId, fleet, leaving))
+  const evacuated = evacuations.flatMap((evacuation) => evacuationViolations(byId, fleet, evacuation))
   const pauses = fleet.ledger.pauseRequests.flatMap((request) => serverPause(byId, fleet, request))
-  return [...single, ...retryBudget(exchanges, fleet.ledger), ...limits, ...left, ...pauses, ...partViolationsOf(exchanges, fleet), ...ends]
+  return [...single, ...retryBudget(exchanges, fleet.ledger), ...limits, ...left, ...pauses, ...evacuated, ...partViolationsOf(exchanges, fleet), ...ends]
 }
--- a/packages/soak/src/constants.ts
+++ b/packages/soak/src/constants.ts
@@ -20,6 +20,9 @@
 /** Time after which a draining server must not receive new requests. */
 export const DRAIN_MS = 2_000
 
+/** Time after the write of an evacuation from which no new request may reach the failure domain. */
+export const EVACUATION_MS = 5_000
+
 /** Time after a server first states a request limit from which all nodes must keep to it. */
 export const LIMIT_KNOWN_MS = 1_000
 
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -72,6 +72,13 @@
   until: number
 }
 
+/** A failure domain that the operator has evacuated for a time. Times are milliseconds on the monotonic clock. */
+export interface Evacuation {
+  readonly failureDomain: string
+  readonly from: number
+  until: number
+}
+
 /** A server that ends soon. */
 export interface Leaving {
   /** Id of the server. */
--- a/packages/soak/tests/checks.test.ts
+++ b/packages/soak/tests/checks.test.ts
@@ -6,7 +6,7 @@
 import { answerBody, streamEvent, Ledger, STREAM_EVENT_COUNT } from '@bluebellhill/platform-standin'
 
 import { violationsOf } from '../src/checks.js'
-import { CONTACT_MS, CRASHES_UNTIL_KNOWN, FEWEST_SAMPLES, LIMIT_KNOWN_MS, MOST_AFTER_KNOWN, PAUSE_KNOWN_MS, PAUSE_SLACK } from '../src/constants.js'
+import { CONTACT_MS, CRASHES_UNTIL_KNOWN, EVACUATION_MS, FEWEST_SAMPLES, LIMIT_KNOWN_MS, MOST_AFTER_KNOWN, PAUSE_KNOWN_MS, PAUSE_SLACK } from '../src/constants.js'
 import type { Fleet } from '../src/Fleet.js'
 import { NodeProcess } from '../src/NodeProcess.js'
 import { runningTime } from '../src/runningTime.js'
@@ -195,3 +195,16 @@
   t.deepEqual(partRules(fleet, [...half, stream(false, ['a0', 'e1'])]), ['requests beside crashing parts'])
   t.deepEqual(partRules(fleet, [...half, stream(false, ['a0', PART, 'e1'])]), [])
 })
+
+test('evacuated failure domains get nothing: broken by an arrival after the bound, and not before it, after the end, or elsewhere', (t) => {
+  const fleet = fleetOf(0)
+  const now = performance.now()
+  Object.assign(fleet, { serverDomains: new Map([[SERVER, 'hall-a']]) })
+  fleet.ledger.arrive(ID, SERVER, true)
+  const isBroken = (failureDomain: string, from: number, until: number): boolean =>
+    violationsOf([exchange()], fleet, [], [{ failureDomain, from, until }]).some(({ rule }) => rule === 'evacuated failure domains get nothing')
+  t.false(isBroken('hall-a', now - EVACUATION_MS - 1, Infinity))
+  fleet.ledger.arrive(ID, SERVER)
+  t.true(isBroken('hall-a', now - EVACUATION_MS - 1, Infinity))
+  t.deepEqual([isBroken('hall-a', now - EVACUATION_MS + 1_000, Infinity), isBroken('hall-a', now - EVACUATION_MS - 1, now - 1), isBroken('hall-b', now - EVACUATION_MS - 1, Infinity)], [false, false, false])
+})
