After a hold-up of 2 s or more, a node hears of evacuations before it uses a placement

A process that was paused while a failure domain was evacuated handles requests and grants that wait to be read before, or in the same turn as, the message that tells it so. Without a hold-up nothing waits.

--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -102,6 +102,7 @@
       clock,
       runningClock,
       send,
+      settlingTime: () => this.#runningClock.settlingTime(),
       onUncoordinatedPlacement: () => this.#peerLink.reportSoon(),
       onNotice: (notice) => this.#peerLink.noticeHeard(notice)
     })
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -333,6 +333,7 @@
 
   async #reserveAndSend (attempt: OpenAttempt, placed: PlacedAttempt, reservations: MemoryReservations): Promise<void> {
     const isReserved = await reservations.acquire()
+    await this.context.placement.settled()
     if (this.attempt !== attempt) return
     if (isReserved) this.#sendUnlessHindered(attempt, placed)
     else this.failAttempt(attempt, AttemptEnd.Unsent, 'reserving KV cache memory failed')
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,4 +1,6 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
+import { setTimeout as sleep } from 'node:timers/promises'
+
 import { describeRevision, HealthSignal } from '@bluebellhill/domain'
 import type { AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, Region, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 
@@ -40,6 +42,8 @@
   readonly onNotice: (notice: ServerNotice) => void
   /** Clock on which the silence of other nodes is measured. */
   readonly runningClock: () => Millis
+  /** Returns how long it takes until what was said during a hold-up of this process is known; none if absent. */
+  readonly settlingTime?: () => Millis
   /** When queries are repeated and given up; `QUERY_TIMING` if absent. */
   readonly queryTiming?: QueryTiming
 }
@@ -95,6 +99,7 @@
       // A scheduler of an earlier build knows neither evacuations nor regions, and may choose one excluded server after another.
       const isLast = decisions === MAX_DECISIONS - 1
       const decision = isLast && hasRestriction ? this.#queries.decideAlone(spec, number) : await this.#queries.decide(spec, number)
+      await this.settled()
       if (isTrialMissing(spec, decision)) {
         this.#withoutChosen(spec, number, decision)
         return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
@@ -211,6 +216,12 @@
     this.#reportSignal(choice.server, HealthSignal.Bad)
   }
 
+  /** Waits, after this process was held up for long, until it knows of evacuations that have begun meanwhile. */
+  async settled (): Promise<void> {
+    const { settlingTime = () => 0 } = this.#options
+    for (let left = settlingTime(); left > 0; left = settlingTime()) await sleep(left)
+  }
+
   /**
    * @param attempt - a placed attempt that has not been sent yet
    * @returns why it must not be sent any more; null if it may
--- a/packages/node/tests/evacuation.test.ts
+++ b/packages/node/tests/evacuation.test.ts
@@ -4,6 +4,7 @@
 import { HealthSignal } from '@bluebellhill/domain'
 import type { FailureDomain, NodeId, RunnerId } from '@bluebellhill/domain'
 
+import { LONG_HOLD_UP, RunningClock, SETTLING_PERIOD } from '../src/clock/RunningClock.js'
 import { FleetState } from '../src/forward/FleetState.js'
 import { GROUP_CONTEXT, PlacementRefusal } from '../src/forward/scheduling/types.js'
 import { LogLevel, openLog } from '../src/log/index.js'
@@ -140,3 +141,20 @@
   t.like(await node.place(SHORT, [NORTH]), { type: 'refused', reason: PlacementRefusal.DomainsEvacuated })
   t.deepEqual(domainsOf(await node.place()), [D3])
 })
+
+// Guards against a node that was paused while a failure domain was evacuated, and places what has arrived before it hears of that.
+test('a node that was held up for seconds uses what it hears at once afterwards before it uses a placement', async (t) => {
+  let now = 0
+  const clock = new RunningClock(() => now)
+  const node = new RestrictedNode(undefined, [4, 1, 0])
+  node.settlingTime = () => clock.settlingTime()
+  now = LONG_HOLD_UP
+  clock.tick()
+  const placement = node.place()
+  setImmediate(() => {
+    node.evacuate(D1)
+    now += SETTLING_PERIOD
+  })
+  t.deepEqual(domainsOf(await placement), [D2])
+  t.is(clock.settlingTime(), 0)
+})
--- a/packages/node/tests/restrictedNode.ts
+++ b/packages/node/tests/restrictedNode.ts
@@ -47,6 +47,7 @@
   readonly #host: SchedulerHost
   #schedulerNode: RestrictedNode | null = null
   #revision = 1
+  settlingTime: () => Millis = () => 0
 
   constructor (readonly clock: () => Millis = () => 0, engines: readonly [number, number, number] = [4, 4, 4], name = 'n1', address = `${name}:1`) {
     const node = name as NodeId
@@ -57,7 +58,7 @@
     this.scheduler = new Scheduler({ node, fleetState: this.fleetState, log, clock, runningClock: clock, retryBounds: () => ({ ratio: 0, slack: 100, window: 60_000 }), schedulerCount: () => 1, group: () => this.directory.group })
     const send = (_: string, content: DatagramContent): void => this.#send(content)
     this.#host = new SchedulerHost({ scheduler: this.scheduler, log, clock, runningClock: clock, send })
-    this.placement = new PlacementClient({ node, scheduler: this.scheduler, directory: this.directory, fleetState: this.fleetState, log, clock, runningClock: clock, send, onUncoordinatedPlacement: () => {}, onNotice: () => {} })
+    this.placement = new PlacementClient({ node, scheduler: this.scheduler, directory: this.directory, fleetState: this.fleetState, log, clock, runningClock: clock, send, settlingTime: () => this.settlingTime(), onUncoordinatedPlacement: () => {}, onNotice: () => {} })
     this.fleetState.install({ ...DEPLOYMENT, services: [SERVICE] }, 'store')
     for (const [index, failureDomain] of [D1, D2, D3].entries()) for (let engine = 0; engine < engines[index]!; engine += 1) this.addEngine(failureDomain, engine)
   }
