Keep cold servers within the requests that they accept in every second, over all nodes

A server that has just started accepts warmup_per_s requests a second and crashes well above that. Nothing limited what it got, and the one mechanism for limits keeps a burst of one second, which alone exceeds the bound of a second.

The bound of a second is divided into a part of the scheduler, by the nodes that it hears, and one of the nodes that decide alone, one request a second for each of as many of them as the part allows. The burst is part of a quota, and grants for cold servers that are older than 100 ms are returned.

Answers without a limit discarded the bucket, 8 requests in 132 ms at a limit of 5; cold servers have buckets of their own now.

--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -38,7 +38,7 @@
 ])
 
 /** State changes of one backend server, as seen by a node. */
-const SERVER_EVENTS: ReadonlySet<string> = new Set(['server.arrived', 'server.departed', 'server.avoided', 'server.stated', 'server.paused', 'engine.crash_suspected', 'engine.crash_refuted'])
+const SERVER_EVENTS: ReadonlySet<string> = new Set(['server.arrived', 'server.departed', 'server.avoided', 'server.stated', 'server.paused', 'server.cold', 'engine.crash_suspected', 'engine.crash_refuted'])
 
 const unquote = (value: string): string => value.startsWith('"') ? value.slice(1, -1).replace(/\\(.)/g, '$1') : value
 
@@ -68,12 +68,13 @@
 }
 
 /** Earlier builds log neither the scheduler nor the load of the server. */
-const describePlacement = ({ scheduler, decided_ms: decided, server_requests: requests, server_pending_ms: pending, deferred, trial }: LogLine['fields']): string => {
+const describePlacement = ({ scheduler, decided_ms: decided, server_requests: requests, server_pending_ms: pending, deferred, trial, server_cold_ms: cold }: LogLine['fields']): string => {
   if (scheduler === undefined) return ''
   const by = scheduler === 'self' ? 'The node itself chose the server' : `The scheduler at ${scheduler} chose the server`
   const risk = trial === undefined ? '' : ' It was a trial: it or a part of its prompt was quarantined.'
   const deferral = deferred === undefined ? '' : ' It was deferred, since no slot was free in time.'
-  return ` ${by} within ${decided} ms; the server had ${requests} requests and ${pending} ms of pending prefill.${deferral}${risk}`
+  const warmUp = cold === undefined ? '' : ` The server was cold for another ${cold} ms, and got no more requests than it accepts then.`
+  return ` ${by} within ${decided} ms; the server had ${requests} requests and ${pending} ms of pending prefill.${deferral}${risk}${warmUp}`
 }
 
 /** Describes what servers had stated when the next attempt found none. */
@@ -93,7 +94,7 @@
 const describePassedOver = (lines: readonly LogLine[], sent: LogLine): string[] =>
   listOf(sent.fields.passed_over).map((server) => {
     const isStatement = ({ event, node, at, fields }: LogLine): boolean => at <= sent.at && fields.server === server &&
-      ((event === 'server.stated' && fields.age_ms === undefined) || (event === 'server.paused' && node === sent.node))
+      ((event === 'server.stated' && fields.age_ms === undefined) || event === 'server.cold' || (event === 'server.paused' && node === sent.node))
     const statement = lines.findLast(isStatement)
     const cause = statement === undefined ? 'the log does not hold its statement' : `${describeStated(statement)}, ${sent.at - statement.at} ms before`
     return `${timeOfDay(sent.at)}: server ${server} was not considered: ${cause}.`
@@ -101,6 +102,7 @@
 
 const describeStated = ({ event, node, fields }: LogLine): string => {
   if (event === 'server.paused') return `it had asked node ${node} for a pause of ${fields.pause_ms} ms`
+  if (event === 'server.cold') return `it was known to node ${node} to stay cold for ${fields.left_ms} ms, with a limit of ${fields.limit} requests a second`
   return fields.leaving === undefined ? `it had stated a limit of ${fields.request_limit} requests a second to node ${node}` : `it had told node ${node} that it leaves`
 }
 
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -102,6 +102,17 @@
   t.regex(explained('leaving'), /servers_leaving; i-3 had told node edge-3 1500 ms before that it leaves\./)
 })
 
+test('a request at a cold server, and one that passed it over, are explained by its warm-up', (t) => {
+  const sent = 'event=request.sent attempt=1 server_domain=d1 expected_ms=0 scheduler=self decided_ms=0 server_requests=1 server_pending_ms=0 due_in_ms=300 configuration=1 servers_revision=2'
+  const lines = parseDecisionLog([
+    line('30.000', 'edge-1', 'event=server.cold server=i-1 service=lm left_ms=3000 evidence=entry limit=26'),
+    line('30.100', 'edge-1', `${sent} request=at server=i-1 server_cold_ms=2900`),
+    line('30.200', 'edge-1', `${sent} request=past server=i-2 passed_over=i-1`)
+  ].join('\n'))
+  t.regex(explainLogged(lines, 'at')?.sentences.join() ?? '', /The server was cold for another 2900 ms, and got no more requests than it accepts then\./)
+  t.regex(explainLogged(lines, 'past')?.sentences.join() ?? '', /i-1 was not considered: it was known to node edge-1 to stay cold for 3000 ms, with a limit of 26 requests a second, 200 ms before\./)
+})
+
 const QUARANTINE_LOG = [
   line('20.000', 'edge-2', 'event=engine.crash_suspected server=i-3 suspects=1 parts=ab12,cd34 requests=first reported_by=edge-2'),
   line('20.010', 'edge-1', 'event=engine.crash_suspected server=i-3 suspects=1 parts=ab12,cd34 reported_by=edge-2 age_ms=4'),
--- a/packages/domain/src/forwarding/RequestQuotas.ts
+++ b/packages/domain/src/forwarding/RequestQuotas.ts
@@ -17,6 +17,8 @@
   readonly share: number
   /** Part of an interval that passes before the first request, from 0 to 1; it keeps nodes from starting at the same moment. */
   readonly phase: number
+  /** Requests that may be sent at once in addition to the steady rate, if quota was unused; one second of the quota if absent. */
+  readonly burst?: number
 }
 
 /** Rates of requests to the backend servers that have stated a limit. */
@@ -66,4 +68,4 @@
 
 const intervalOf = ({ limit, share }: Quota): Millis => MS_PER_SECOND / (Math.max(limit, LOWEST_RATE) * share)
 
-const burstOf = (quota: Quota): Millis => Math.max(0, BURST_TIME - intervalOf(quota))
+const burstOf = (quota: Quota): Millis => Math.min(Math.max(0, BURST_TIME - intervalOf(quota)), (quota.burst ?? Infinity) * intervalOf(quota))
--- a/packages/domain/src/forwarding/SchedulerDirectory.ts
+++ b/packages/domain/src/forwarding/SchedulerDirectory.ts
@@ -14,6 +14,12 @@
 /** Time without a message after which a candidate is no longer preferred. */
 export const CANDIDATE_SILENCE: Millis = 1_500
 
+/**
+ * Time without a message of a higher ranked candidate after which it certainly takes the nodes of this side of a cut for silent too: its last report may
+ * have arrived a report period later than that of this node.
+ */
+const SUCCESSION_SILENCE: Millis = CANDIDATE_SILENCE + 1_000
+
 /** Time after its start in which a node waits for the answers of the candidates before it watches the store in their place. */
 export const START_GRACE: Millis = 400
 
@@ -32,6 +38,9 @@
 /** Interval at which a silent candidate gets a report, so that its return is noticed. */
 export const PROBE_PERIOD: Millis = 3_000
 
+/** Time after which a node that is not heard is taken for ended, and no longer for one behind a cut: regions may be cut off from each other for an hour. */
+const LONGEST_CUT: Millis = 3_900_000
+
 /** State that a candidate announces. */
 export interface CandidateState {
   /** Time since its process started. */
@@ -58,6 +67,10 @@
   /** Time of the oldest report that it has not answered; null if there is none. */
   unansweredSince: Millis | null
   lastReportAt: Millis
+  /** Time at which this node last received a report of it. */
+  reportReceivedAt: Millis
+  /** Time at which it became known. */
+  readonly addedAt: Millis
 }
 
 /** Candidates of all groups, ranked; this node is one of them. */
@@ -99,13 +112,14 @@
    * Adds a node, or updates its address.
    *
    * @param candidate - the node
+   * @param now - current time
    * @returns whether it was unknown or has changed
    */
-  add (candidate: SchedulerCandidate): boolean {
+  add (candidate: SchedulerCandidate, now: Millis = this.#startedAt): boolean {
     if (candidate.node === this.#self.node) return false
     const existing = this.#entries.get(candidate.node)
     if (existing !== undefined && isSame(existing.candidate, candidate)) return false
-    this.#entries.set(candidate.node, { candidate, state: null, heardAt: -Infinity, heardSince: Infinity, isSuspected: false, unansweredSince: null, lastReportAt: -Infinity })
+    this.#entries.set(candidate.node, { candidate, state: null, heardAt: -Infinity, heardSince: Infinity, isSuspected: false, unansweredSince: null, lastReportAt: -Infinity, reportReceivedAt: -Infinity, addedAt: now })
     this.#rank()
     return true
   }
@@ -130,6 +144,17 @@
     return previous
   }
 
+  /**
+   * Records that a node reports to this one.
+   *
+   * @param node - the sender
+   * @param now - current time
+   */
+  reportReceived (node: NodeId, now: Millis): void {
+    const entry = this.#entries.get(node)
+    if (entry !== undefined) entry.reportReceivedAt = now
+  }
+
   /**
    * Records that a report was sent to a node.
    *
@@ -186,6 +211,30 @@
     return [...this.#entries.values()].map(({ candidate }) => candidate)
   }
 
+  /**
+   * @param now - current time
+   * @returns whether a higher ranked candidate was heard lately, which may schedule for nodes that reach it, also if it does not answer this one
+   */
+  hearsHigherRanked (now: Millis): boolean {
+    const rank = this.#ranking.findIndex(({ node }) => node === this.#self.node)
+    return this.#ranking.slice(0, rank).some(({ node }) => {
+      const entry = this.#entries.get(node)
+      return entry !== undefined && now - entry.heardAt <= SUCCESSION_SILENCE && entry.state?.isStopping !== true
+    })
+  }
+
+  /**
+   * @param now - current time
+   * @returns part of the nodes of this node's group that it hears, itself included; after a cut the parts of all sides add up to 1
+   */
+  heardShare (now: Millis): number {
+    const others = [...this.#entries.values()].filter(({ candidate }) => isInGroup(this.#group, candidate.failureDomain))
+    const heardAgo = others.map(({ heardAt, reportReceivedAt }) => now - Math.max(heardAt, reportReceivedAt))
+    const heard = heardAgo.filter((ago) => ago <= CANDIDATE_SILENCE).length
+    const known = others.filter(({ addedAt }, index) => Math.min(heardAgo[index] ?? Infinity, now - addedAt) <= LONGEST_CUT).length
+    return (1 + heard) / (1 + known)
+  }
+
   /** @returns the highest ranked candidates of this node's group, this node included */
   ranked (count: number): readonly SchedulerCandidate[] {
     return this.#ranking.slice(0, count)
--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -38,6 +38,7 @@
   #serversRevision: StoreRevision = 0
   readonly #listeners = new Set<FleetStateListener>()
   readonly #departureListeners = new Set<(id: RunnerId) => void>()
+  readonly #entryListeners = new Set<(entry: ServerEntry) => void>()
   readonly #restoreListeners = new Set<() => void>()
 
   /**
@@ -77,6 +78,11 @@
     this.#departureListeners.add(listener)
   }
 
+  /** Adds a listener for each entry of a backend server that arrives and is in force, also if it was known; it is called after departures because of it. */
+  onEntry (listener: (entry: ServerEntry) => void): void {
+    this.#entryListeners.add(listener)
+  }
+
   /** Adds a listener that is called when the store has been restored from a copy, which lacks its last changes. */
   onStoreRestored (listener: () => void): void {
     this.#restoreListeners.add(listener)
@@ -94,7 +100,7 @@
 
   putServer (listed: ServerEntry, origin: FleetStateOrigin): void {
     this.#advanceServersRevision(listed.revision)
-    this.#applyServerChanges(this.servers.put(listed), origin)
+    this.#applyServerChanges(this.servers.put(listed), origin, [listed])
   }
 
   removeServer (id: RunnerId, revision: StoreRevision, origin: FleetStateOrigin): void {
@@ -107,7 +113,7 @@
     if (revision < this.#serversRevision) return
     const before = this.#serversRevision
     this.#advanceServersRevision(revision)
-    this.#applyServerChanges(this.servers.replaceAll(listed, revision, this.clock(), origin === 'peer', unchanged), origin)
+    this.#applyServerChanges(this.servers.replaceAll(listed, revision, this.clock(), origin === 'peer', unchanged), origin, listed)
     if (before > 0 && eraOf(revision) > eraOf(before)) this.#logRestore(before, origin)
   }
 
@@ -161,13 +167,14 @@
     if (before > 0 && eraOf(this.#serversRevision) > eraOf(before)) for (const listener of this.#restoreListeners) listener()
   }
 
-  #applyServerChanges (changes: readonly BackendServerChange[], origin: FleetStateOrigin): void {
+  #applyServerChanges (changes: readonly BackendServerChange[], origin: FleetStateOrigin, entries: readonly ServerEntry[] = []): void {
     for (const change of changes) {
       const { id, service, address, failureDomain } = change.server
       const cause = change.type === 'departed' ? change.cause : undefined
       this.log.info(`server.${change.type}`, { server: id, service, address, server_domain: failureDomain, cause, origin, revision: describeRevision(this.#serversRevision) })
       if (cause !== undefined && cause !== DepartureCause.Draining) for (const listener of this.#departureListeners) listener(id)
     }
+    for (const entry of entries.filter(({ server }) => this.servers.find(server.id) === server)) for (const listener of this.#entryListeners) listener(entry)
     if (changes.length > 0) this.#notifyListeners()
   }
 
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -1,6 +1,6 @@
 /** Builds the components of a node on the users' platform, and starts and stops them. */
-import { SchedulerDirectory } from '@bluebellhill/domain'
-import type { Millis, SchedulerCandidate } from '@bluebellhill/domain'
+import { SchedulerDirectory, STRICT_WARM_UP_BOUNDS } from '@bluebellhill/domain'
+import type { Millis, SchedulerCandidate, WarmUpBounds } from '@bluebellhill/domain'
 import { EngineMemoryClient, MetadataStore } from '@bluebellhill/platform'
 import type { PlatformSettings, SocketAddress } from '@bluebellhill/platform'
 import { HttpPool } from '@bluebellhill/services'
@@ -88,8 +88,10 @@
       clock,
       runningClock,
       retryBounds: () => ({ ratio: options.settings.current.retryRatio, slack: options.settings.current.retrySlack, window: options.settings.current.retryWindow }),
+      warmUpBounds: () => warmUpBoundsOf(options.settings.current),
       schedulerCount: () => this.#schedulerCount(),
-      group: () => this.#directory.group
+      group: () => this.#directory.group,
+      directory: this.#directory
     })
     const send: PeerLink['send'] = (address, content) => this.#peerLink.send(address, content)
     const schedulerHost = new SchedulerHost({ scheduler: this.#scheduler, log, clock, runningClock, send })
@@ -247,6 +249,7 @@
     this.#metrics.addGauge('store_lost', 'Whether the store does not answer', () => this.#storeAvailability.isLost ? 1 : 0)
     this.#metrics.addGauge('backend_servers', 'Backend servers with an entry', () => this.#fleetState.servers.all().length)
     this.#metrics.addGauge('backend_servers_avoided', 'Backend servers that are avoided', () => this.#scheduler.health.avoided(monotonicNow()).length)
+    this.#metrics.addGauge('backend_servers_cold', 'Backend servers that are cold, of the services that state a warm-up', () => this.#scheduler.statements.coldServers.count())
     this.#metrics.addGauge('prompt_parts_quarantined', 'Prompt parts and requests that are refused', () => this.#scheduler.quarantine.counts().partsQuarantined)
     this.#metrics.addGauge('prompt_parts_suspected', 'Prompt parts and requests that may crash backend servers', () => this.#scheduler.quarantine.counts().partsSuspected)
     this.#metrics.addGauge('peers', 'Other nodes that are heard', () => this.#peerLink.sources().length)
@@ -258,5 +261,10 @@
   }
 }
 
+const warmUpBoundsOf = ({ warmUpOverage, warmUpTolerance }: PlatformSettings): WarmUpBounds => ({
+  overage: warmUpOverage ?? STRICT_WARM_UP_BOUNDS.overage,
+  tolerance: warmUpTolerance ?? STRICT_WARM_UP_BOUNDS.tolerance
+})
+
 const candidateOf = ({ node, host, internalPorts, failureDomain, processor }: PlatformSettings): SchedulerCandidate =>
   ({ node, address: `${host}:${internalPorts[0]}`, failureDomain, processor })
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -326,7 +326,7 @@
     const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
     const attempt: OpenAttempt = { server, placed, peer: null, sentAt: this.context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
     this.attempt = attempt
-    this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server))
+    this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server), this.context.placement.answers.coldFor(server))
     if (reservations === null) this.#sendUnlessQuarantined(attempt, placed)
     else void this.#reserveAndSend(attempt, placed, reservations)
   }
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -42,8 +42,9 @@
    * @param attempt - number of the attempt, from 1
    * @param lastEventId - id of the last event of the stream that the caller has
    * @param notice - what the server has stated about itself, as far as this node knows
+   * @param coldFor - time for which the server stays cold, as far as this node knows; 0 if it is warm
    */
-  attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent, isDeferred }, load, scheduler, passedOver, isTrial, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null, notice: ServerNotice | null): void {
+  attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent, isDeferred }, load, scheduler, passedOver, isTrial, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null, notice: ServerNotice | null, coldFor: Millis): void {
     const { call, context } = this
     const now = context.clock()
     context.log.info('request.sent', {
@@ -62,6 +63,7 @@
       trial: isTrial || undefined,
       passed_over: passedOver.join(',') || undefined,
       ...statementFields(notice, now),
+      server_cold_ms: coldFor === 0 ? undefined : Math.round(coldFor),
       due_in_ms: Math.round(call.dueAt - now),
       configuration: context.fleetState.configurationVersion,
       servers_revision: describeRevision(context.fleetState.serversRevision),
--- a/packages/node/src/forward/answerStatements.ts
+++ b/packages/node/src/forward/answerStatements.ts
@@ -17,10 +17,11 @@
  * @param status - HTTP status of the answer
  * @param answer - decoded headers of the answer
  */
-export const recordStatements = ({ placement }: ForwardingContext, call: AdmittedCall, server: BackendServer, status: number, { attemptId, notRun, statement, pause }: AnswerHeaders): void => {
+export const recordStatements = ({ placement }: ForwardingContext, call: AdmittedCall, server: BackendServer, status: number, { attemptId, notRun, statement, warmUpLeft, pause }: AnswerHeaders): void => {
   const isOwnAnswer = status !== MISDIRECTED_REQUEST && (notRun || attemptId === call.id)
   if (!isOwnAnswer) return
   placement.answers.received(server, statement, call.id)
+  if (warmUpLeft !== null) placement.answers.warmUpStated(server, warmUpLeft, call.id)
   if (pause !== null) placement.answers.pauseRequested(server, pause, call.id)
 }
 
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -116,9 +116,9 @@
    * @param addresses - `ip:port` of nodes of earlier builds, which list nothing else
    */
   addNodes (candidates: readonly SchedulerCandidate[], addresses: readonly string[]): void {
-    const { directory, self } = this.#options
-    const added = candidates.filter((candidate) => directory.add(candidate))
-    this.table.addAddresses(addresses.filter((address) => address !== self.address), this.#options.runningClock())
+    const { directory, self, runningClock } = this.#options
+    const added = candidates.filter((candidate) => directory.add(candidate, runningClock()))
+    this.table.addAddresses(addresses.filter((address) => address !== self.address), runningClock())
     if (added.length > 0) this.reportSoon()
   }
 
@@ -272,7 +272,8 @@
     this.table.addAddresses(fragment.peers.filter((peer) => peer !== self.address), heardAt)
     if (received.isNew) this.#peerFound(received.peer)
     if (fragment.version > 0) this.#answerState(fragment, address)
-    if (fragment.version > 0 && fragment.failureDomain !== '') directory.add({ node: fragment.node, address, failureDomain: fragment.failureDomain as FailureDomain, processor: fragment.processor })
+    if (fragment.version > 0 && fragment.failureDomain !== '') directory.add({ node: fragment.node, address, failureDomain: fragment.failureDomain as FailureDomain, processor: fragment.processor }, heardAt)
+    directory.reportReceived(fragment.node, heardAt)
     this.#compareVersions(received.peer)
     if (received.hasLostStore) onPeerStoreLost()
   }
--- a/packages/node/src/forward/refusalCause.ts
+++ b/packages/node/src/forward/refusalCause.ts
@@ -16,7 +16,8 @@
   refusal !== null && isWaitStated(refusal) ? RefusalCause.ServersLimited : RefusalCause.NoServer
 
 /** @returns whether backend servers have stated when they accept requests again */
-export const isWaitStated = ({ reason }: RefusedPlacement): boolean => reason === PlacementRefusal.RequestLimit || reason === PlacementRefusal.ServersPaused
+export const isWaitStated = ({ reason }: RefusedPlacement): boolean =>
+  reason === PlacementRefusal.RequestLimit || reason === PlacementRefusal.ServersCold || reason === PlacementRefusal.ServersPaused
 
 /**
  * @param verdict - verdict on a request that must not be sent
--- a/packages/node/src/forward/scheduling/AnswerStatements.ts
+++ b/packages/node/src/forward/scheduling/AnswerStatements.ts
@@ -53,6 +53,17 @@
     onNotice(notice)
   }
 
+  /**
+   * Records that a backend server is cold.
+   *
+   * @param server - the backend server
+   * @param left - how long it stays cold
+   * @param request - the request that it answers
+   */
+  warmUpStated (server: BackendServer, left: Millis, request: string): void {
+    this.#options.statements.coldServers.stated(server, left, request)
+  }
+
   /**
    * Records that a backend server wants no requests of this node for some time.
    *
@@ -73,6 +84,14 @@
     return this.#options.statements.notices.find(server)
   }
 
+  /**
+   * @param server - a backend server
+   * @returns time for which it stays cold; 0 if it is warm
+   */
+  coldFor (server: BackendServer): Millis {
+    return this.#options.statements.coldServers.left(server)
+  }
+
   /**
    * @param choice - the servers of an attempt
    * @returns those that accept no requests of this node now
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -88,12 +88,13 @@
     let spec = specOf(call, history, { chargesRetry, ...caution }, this.answers.pausedServers())
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
+      const askedAt = clock()
       const decision = await this.#queries.decide(spec, number)
       if (isTrialMissing(spec, decision)) {
         this.#withoutChosen(spec, number, decision)
         return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
       }
-      if (this.#isUsable(decision)) return this.#record(spec, number, decision, startedAt)
+      if (this.#isUsable(decision, clock() - askedAt)) return this.#record(spec, number, decision, startedAt)
       spec = this.#withoutChosen(spec, number, decision)
     }
     return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
@@ -115,14 +116,16 @@
 
   /**
    * The scheduler may not know yet that a server has left or what it has stated to this node, and one of an earlier build never knows
-   * statements: this node then uses its own share of the server's request limit.
+   * statements or cold servers: this node then uses its own share of the server's request limit.
    */
-  #isUsable ({ result }: Decision): boolean {
+  #isUsable ({ result }: Decision, age: Millis): boolean {
     if (result.type !== 'placed') return true
     const { scheduler, directory } = this.#options
     const { server } = result.choice
     if (this.#obstaclesIn(result.choice).length > 0) return false
-    return result.keepsLimit || scheduler.statements.take(server, 1 / directory.size)
+    if (scheduler.statements.coldServers.isTooLateFor(server, age)) return false
+    const keepsLimits = result.keepsLimit && (result.keepsWarmUp === true || !scheduler.statements.coldServers.limits(server, this.#options.clock()))
+    return keepsLimits || scheduler.statements.take(server, 1 / directory.size)
   }
 
   /** Returns a grant, and excludes the servers that made it unusable from the next decision. */
@@ -196,7 +199,10 @@
    * @param attempt - a placed attempt that has not been sent yet
    * @returns why it must not be sent any more; null if it may
    */
-  obstacleTo ({ choice }: PlacedAttempt): string | null {
+  obstacleTo ({ choice, assignment, decidedIn }: PlacedAttempt): string | null {
+    const { scheduler, clock } = this.#options
+    const age = clock() - assignment.sentAt + decidedIn
+    if (scheduler.statements.coldServers.isTooLateFor(choice.server, age)) return `server ${choice.server.id} is cold, and it was placed ${Math.round(age)} ms ago`
     const [server] = this.#obstaclesIn(choice)
     return server === undefined ? null : `server ${server.id} accepts no requests of this node now`
   }
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,10 +1,11 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
 import { assignmentId, DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, Readiness, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
-import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
+import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerDirectory, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad, WarmUpBounds } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 import { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
+import { ColdServers } from './ColdServers.js'
 import { IsolatedAttempts } from './IsolatedAttempts.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
@@ -26,6 +27,12 @@
   readonly schedulerCount: () => number
   /** Returns the group whose engines this node places requests on. */
   readonly group: () => SchedulerGroup
+  /** Returns by how much a second may exceed the rate of a cold server; no excess is allowed if absent. */
+  readonly warmUpBounds?: () => WarmUpBounds
+  /** Nodes that may place requests on the same servers; if absent, this node is the only one. */
+  readonly directory?: SchedulerDirectory
+  /** Wall clock, for the start times of backend servers; that of the process if absent. */
+  readonly wallClock?: () => number
 }
 
 /** Pending prefill time of an engine above which its silence is not a fault. */
@@ -57,7 +64,7 @@
   constructor (options: SchedulerOptions) {
     this.#options = options
     this.assignments = new FleetAssignments(options.node)
-    this.statements = new ServerStatements(options)
+    this.statements = new ServerStatements({ ...options, coldServers: new ColdServers(options) })
     this.quarantine = new NodeQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
@@ -99,8 +106,9 @@
     if (isTrial) this.quarantine.grantTrial(spec.trialParts, spec.request)
     this.#record(spec, choice, owner, now)
     this.statements.take(choice.server, context.limitShare)
+    for (const helper of choice.helpers) if (this.statements.coldServers.limits(helper, now)) this.statements.take(helper, context.limitShare)
     const passedOver = permitted.filter((server) => !open.includes(server)).slice(0, MAX_PASSED_OVER).map(({ id }) => id)
-    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver, isTrial }
+    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, keepsWarmUp: true, passedOver, isTrial }
   }
 
   /**
--- a/packages/node/src/forward/scheduling/ServerStatements.ts
+++ b/packages/node/src/forward/scheduling/ServerStatements.ts
@@ -1,7 +1,8 @@
-/** Keeps what backend servers have stated to this node and to others, and the quotas that follow from their request limits. */
+/** Keeps what backend servers have stated to this node and to others, and the quotas that follow from their request limits and their warm-up. */
 import { requestLimitShare, RequestQuotas, ServerNotices, tieBreakRank } from '@bluebellhill/domain'
 import type { BackendServer, Millis, NodeId, Quota, RunnerId, SchedulerGroup, ServerNotice } from '@bluebellhill/domain'
 
+import type { ColdLimit, ColdServers } from './ColdServers.js'
 import { spreadReturn } from './spreadReturn.js'
 import { PlacementRefusal } from './types.js'
 import type { RefusedPlacement } from './types.js'
@@ -13,17 +14,23 @@
   readonly group: () => SchedulerGroup
   /** Returns the number of schedulers that share the request limits. */
   readonly schedulerCount: () => number
+  /** Backend servers that accept fewer requests until they are warm. */
+  readonly coldServers: ColdServers
 }
 
 /** Statements of the backend servers. */
 export class ServerStatements {
   readonly notices = new ServerNotices()
+  readonly coldServers: ColdServers
+  /** Quotas by the limits that servers have stated. They are discarded with the statement, so cold servers have quotas of their own. */
   readonly #quotas = new RequestQuotas()
+  readonly #coldQuotas = new RequestQuotas()
   readonly #options: ServerStatementsOptions
 
   /** @param options - this node and its group */
   constructor (options: ServerStatementsOptions) {
     this.#options = options
+    this.coldServers = options.coldServers
   }
 
   /**
@@ -45,24 +52,29 @@
    * @returns time until it may get another request; 0 if it may now
    */
   waitTime (server: BackendServer, limitShare: number, now: Millis): Millis {
-    const quota = this.#quotaOf(server, limitShare)
-    return quota === null ? 0 : this.#quotas.waitTime(server.id, quota, now)
+    const stated = this.#statedQuota(server, limitShare)
+    const wait = stated === null ? 0 : this.#quotas.waitTime(server.id, stated, now)
+    const cold = this.#coldLimit(server, limitShare, now)
+    if (cold === null) return wait
+    const coldWait = cold.quota === null ? cold.holdsFor : this.#coldQuotas.waitTime(server.id, cold.quota, now)
+    return Math.max(wait, Math.min(coldWait, cold.holdsFor))
   }
 
   /**
-   * Uses the quota of one request to a backend server, if the server has stated a limit.
+   * Uses the quota of one request to a backend server, if the server has stated a limit or is cold.
    *
    * @param server - the backend server
    * @param limitShare - part of the group's share of its request limit that may be used
    * @returns whether the limit was not reached yet
    */
   take (server: BackendServer, limitShare: number): boolean {
-    const quota = this.#quotaOf(server, limitShare)
-    if (quota === null) return true
     const now = this.#options.clock()
-    const isFree = this.#quotas.waitTime(server.id, quota, now) === 0
-    if (isFree) this.#quotas.take(server.id, quota, now)
-    return isFree
+    if (this.waitTime(server, limitShare, now) > 0) return false
+    const stated = this.#statedQuota(server, limitShare)
+    if (stated !== null) this.#quotas.take(server.id, stated, now)
+    const cold = this.#coldLimit(server, limitShare, now)
+    if (cold !== null && cold.quota !== null) this.#coldQuotas.take(server.id, cold.quota, now)
+    return true
   }
 
   /**
@@ -81,8 +93,10 @@
     }
     const waits = staying.map((server) => ({ notice: this.notices.find(server), wait: this.waitTime(server, limitShare, now) })).filter(({ wait }) => wait > 0)
     const [soonest] = waits.sort((a, b) => a.wait - b.wait)
-    if (soonest === undefined || soonest.notice === null) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
-    return { type: 'refused', reason: PlacementRefusal.RequestLimit, retryAfter: spreadReturn(soonest.wait), notice: soonest.notice }
+    if (soonest === undefined) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
+    const { notice, wait } = soonest
+    if (notice === null || notice.requestLimit === null) return { type: 'refused', reason: PlacementRefusal.ServersCold, retryAfter: spreadReturn(wait) }
+    return { type: 'refused', reason: PlacementRefusal.RequestLimit, retryAfter: spreadReturn(wait), notice }
   }
 
   /**
@@ -93,14 +107,23 @@
   remove (id: RunnerId): void {
     this.notices.remove(id)
     this.#quotas.remove(id)
+    this.#coldQuotas.remove(id)
+    this.coldServers.remove(id)
   }
 
   /** Returns this node's quota of requests to a server; null if the server has stated no limit. */
-  #quotaOf (server: BackendServer, limitShare: number): Quota | null {
-    const { group, schedulerCount, node } = this.#options
+  #statedQuota (server: BackendServer, limitShare: number): Quota | null {
     const limit = this.notices.find(server)?.requestLimit ?? null
     if (limit === null) return null
-    const share = limitShare * requestLimitShare(group(), server.failureDomain, schedulerCount())
-    return { limit, share, phase: limitShare === 1 ? 0 : tieBreakRank(node, server.id) }
+    return { limit, share: limitShare * this.#groupShare(server), phase: limitShare === 1 ? 0 : tieBreakRank(this.#options.node, server.id) }
+  }
+
+  #coldLimit (server: BackendServer, limitShare: number, now: Millis): ColdLimit | null {
+    return this.coldServers.limitOf(server, () => this.#groupShare(server), limitShare < 1, now)
+  }
+
+  #groupShare ({ failureDomain }: BackendServer): number {
+    const { group, schedulerCount } = this.#options
+    return requestLimitShare(group(), failureDomain, schedulerCount())
   }
 }
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -52,6 +52,8 @@
   NoServer: 'no_server',
   /** All backend servers that could serve it have stated a request limit, and it is reached. */
   RequestLimit: 'request_limit',
+  /** All backend servers that could serve it are cold, and have got as many requests as they accept until they are warm. */
+  ServersCold: 'servers_cold',
   /** All backend servers that could serve it have stated that they are leaving. */
   ServersLeaving: 'servers_leaving',
   /** All backend servers that could serve it have asked this node for a pause. */
@@ -93,6 +95,8 @@
     readonly load: ChosenServerLoad
     /** Whether the request limit that the server has stated was applied; schedulers of earlier builds do not know of it. */
     readonly keepsLimit: boolean
+    /** Whether the limit of cold servers was applied; absent if not, as with schedulers of earlier builds. */
+    readonly keepsWarmUp?: boolean
     /** Some of the servers that were not considered because of what they have stated, for the log. */
     readonly passedOver: readonly RunnerId[]
     /** Whether it is a trial of what is quarantined; schedulers of earlier builds grant none. */
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -3,7 +3,7 @@
 
 import { describeRevision, eraOf, WatchedRevisions } from '@bluebellhill/domain'
 import type { Millis, StoreRevision } from '@bluebellhill/domain'
-import { parseDeployment, parseServerEntry, serverIdOfKey, StoreKey } from '@bluebellhill/platform'
+import { hasMalformedWarmUp, parseDeployment, parseServerEntry, serverIdOfKey, StoreKey } from '@bluebellhill/platform'
 import type { MetadataStore, StoreChange, StoreItem } from '@bluebellhill/platform'
 import { describeFailure } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
@@ -153,8 +153,10 @@
 
   #serversPrefix (): SyncedPrefix {
     const parse = ({ key, value, revision }: StoreItem): ReturnType<typeof parseServerEntry> => {
-      const server = parseServerEntry(key, value.toString('utf8'))
+      const text = value.toString('utf8')
+      const server = parseServerEntry(key, text)
       if (!server.ok) this.#logUnusableEntry(key, revision, server.failure)
+      else if (hasMalformedWarmUp(text)) this.#options.log.warn('server.warmup_unusable', { server: server.value.id, revision: describeRevision(revision) })
       return server
     }
     return {
