--- a/packages/node/src/forward/ServerRestrictions.ts
+++ b/packages/node/src/forward/ServerRestrictions.ts
@@ -23,6 +23,7 @@
   readonly #options: ServerRestrictionsOptions
   readonly #evacuations = new Evacuations()
   readonly #listeners = new Set<() => void>()
+  readonly #returnListeners = new Set<(failureDomains: readonly FailureDomain[]) => void>()
   /** What the last line of the log has told. */
   #logged: readonly FailureDomain[] = []
   #outdatedLoggedAt: Millis = -Infinity
@@ -39,6 +40,11 @@
     this.#listeners.add(listener)
   }
 
+  /** Adds a listener for failure domains whose evacuation has ended. */
+  onReturn (listener: (failureDomains: readonly FailureDomain[]) => void): void {
+    this.#returnListeners.add(listener)
+  }
+
   /** @returns the failure domains that are evacuated now */
   evacuated (): FailureDomain[] {
     return this.#evacuations.inForce(this.#options.clock())
@@ -135,6 +141,7 @@
     this.#options.log.warn('evacuation.changed', { begun: listText(begun), ended: listText(ended), origin, ...this.#stateFields() })
     this.#unchecked = [...this.#unchecked, ...begun]
     this.#logUnknown()
+    if (ended.length > 0) for (const listener of this.#returnListeners) listener(ended)
   }
 
   #stateFields (): { readonly evacuated: string, readonly revision: string } {
