Requests within their slot's share of memory are not divided over holders

Cause: 'no engine has a free slot and the memory' was taken for want of memory. Now only a request above its slot's share may use holders. The test fails without the change.

--- a/packages/domain/src/forwarding/LengthAwarePlacement.ts
+++ b/packages/domain/src/forwarding/LengthAwarePlacement.ts
@@ -8,7 +8,7 @@
 import { noFreeSlotProbability, tieBreakRank } from './contention.js'
 import { EngineState, memoryDemand, totalLoss, requestValue } from './EngineState.js'
 import type { LossByRequest } from './EngineState.js'
-import { isMemoryBound } from './memoryBound.js'
+import { isMemoryBound, mayUseHolders } from './memoryBound.js'
 import { PlacementPolicy } from './PlacementPolicy.js'
 import type { PlacementChoice, PlacementRequest } from './PlacementPolicy.js'
 import { callerPauseTolerance, callerWaitTime } from './streamTimeouts.js'
@@ -40,7 +40,7 @@
   #optionsWithinEngine (request: PlacementRequest, states: readonly EngineState[], demand: Tokens): EvaluatedChoice[] {
     const options = this.#options(request, states, demand)
     const isEngineFree = states.some((state) => state.hasFreeSlot && state.freeMemory >= demand)
-    return isEngineFree || !isMemoryBound(request.timing.figures) ? options : [...options, ...optionsWithHolders(request, states, demand)]
+    return isEngineFree || !mayUseHolders(request.timing.figures, demand) ? options : [...options, ...optionsWithHolders(request, states, demand)]
   }
 
   #options (request: PlacementRequest, states: readonly EngineState[], demand: Tokens): EvaluatedChoice[] {
--- a/packages/domain/src/forwarding/RoomForecast.ts
+++ b/packages/domain/src/forwarding/RoomForecast.ts
@@ -3,7 +3,7 @@
 import type { Assignment } from './assignment.js'
 import { EngineState, memoryDemand, memoryUse, sharedFreeMemory } from './EngineState.js'
 import type { EngineTimingModel } from './EngineTimingModel.js'
-import { isMemoryBound } from './memoryBound.js'
+import { mayUseHolders } from './memoryBound.js'
 import { MAX_HOLDERS, RESERVABLE_MEMORY_SHARE, SEGMENT_COUNTS } from './placementConstants.js'
 import type { PlacementRequest } from './PlacementPolicy.js'
 
@@ -83,7 +83,7 @@
 const hasRoom = (rooms: readonly EngineRoom[], demand: Tokens, { figures }: EngineTimingModel, time: Millis): boolean => {
   const free = (room: EngineRoom): Tokens => sharedFreeMemory(room.used, figures.memory)
   if (rooms.some((room) => free(room) >= demand)) return true
-  if (demand <= figures.memory && !isMemoryBound(figures)) return false
+  if (!mayUseHolders(figures, demand)) return false
   const helping = rooms.filter(({ helpsFrom }) => helpsFrom <= time)
   const shares = helping.filter(({ requests, slots }) => requests < slots).map((room) => Math.floor(Math.max(0, free(room)) * RESERVABLE_MEMORY_SHARE))
   const engines = enginesNeeded(shares.sort((a, b) => b - a), demand)
--- a/packages/domain/tests/memoryBoundPlacement.test.ts
+++ b/packages/domain/tests/memoryBoundPlacement.test.ts
@@ -52,3 +52,12 @@
   t.is(choice?.server.id as string, 'e0')
   t.deepEqual(choice?.holders, [])
 })
+
+// Guards against short prompts that are spread over many engines while all slots are taken: on a burst of short prompts half of them were late.
+test('load: a burst of short prompts that fills all slots waits for slots, and is not divided over holders', (t) => {
+  const fleet = new MemoryFleet()
+  for (const { id, slots } of fleet.servers.slice(12)) for (let index = 0; index < slots + 3; index += 1) fleet.placeOn(SHORT_CALL, id)
+  for (const { id } of fleet.servers.slice(0, 12)) fleet.placeOn({ ...SHORT_CALL, prompt: 160_000 }, id)
+  const choices = [5_000, 8_500, 20_000].map((prompt) => fleet.place({ ...SHORT_CALL, prompt })?.choice)
+  t.deepEqual(choices.map((choice) => choice?.holders), [[], [], []])
+})
