--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -41,12 +41,18 @@
   readonly #peers = new Map<NodeId, PeerAssignments>()
   readonly #prefillQueues = new Map<RunnerId, PrefillQueue>()
   #nextSequence = 1
+  #onRoomFreed: () => void = () => {}
 
   /** @param node - this node */
   constructor (node: NodeId) {
     this.#node = node
   }
 
+  /** Calls a listener after each change that may have freed memory or a slot of a backend server. */
+  onRoomFreed (listener: () => void): void {
+    this.#onRoomFreed = listener
+  }
+
   /** @returns the assignments made by this node */
   own (): readonly Assignment[] {
     return [...this.#own.values()]
@@ -99,7 +105,7 @@
    */
   end (assignment: Assignment, now: Millis): void {
     this.#dequeuePrefill(assignment, now)
-    this.#own.delete(assignment.id)
+    if (this.#own.delete(assignment.id)) this.#onRoomFreed()
   }
 
   /**
@@ -150,6 +156,7 @@
     if (!assignment.isPrefilled) this.#dequeuePrefill(assignment, now)
     peer.assignments.delete(id)
     peer.grantedAt.delete(id)
+    this.#onRoomFreed()
   }
 
   /**
@@ -229,8 +236,10 @@
     for (const assignment of current.values()) {
       if (!peer.assignments.has(assignment.id) && !assignment.isPrefilled) this.#enqueuePrefill(assignment, assignment.sentAt)
     }
+    const hasEnded = [...peer.assignments.keys()].some((id) => !current.has(id))
     peer.assignments.clear()
     for (const [id, assignment] of current) peer.assignments.set(id, assignment)
+    if (hasEnded) this.#onRoomFreed()
   }
 
   * #all (): Generator<Assignment> {
--- a/packages/domain/src/forwarding/index.ts
+++ b/packages/domain/src/forwarding/index.ts
@@ -1,3 +1,4 @@
+export * from './admission/index.js'
 export * from './types.js'
 export * from './assignment.js'
 export * from './AttemptHistory.js'
