--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -94,7 +94,7 @@
   markPrefilled (assignment: Assignment, now: Millis): void {
     if (!this.#own.has(assignment.id)) return
     this.#dequeuePrefill(assignment, now)
-    this.#own.set(assignment.id, { ...assignment, isPrefilled: true })
+    this.#own.set(assignment.id, { ...assignment, isPrefilled: true, prefilledAt: now })
   }
 
   /**
@@ -138,7 +138,7 @@
     const assignment = this.#peers.get(node)?.assignments.get(id)
     if (assignment === undefined || assignment.isPrefilled) return
     this.#dequeuePrefill(assignment, now)
-    this.#peers.get(node)?.assignments.set(id, { ...assignment, isPrefilled: true })
+    this.#peers.get(node)?.assignments.set(id, { ...assignment, isPrefilled: true, prefilledAt: now })
   }
 
   /**
@@ -236,10 +236,10 @@
     for (const assignment of current.values()) {
       if (!peer.assignments.has(assignment.id) && !assignment.isPrefilled) this.#enqueuePrefill(assignment, assignment.sentAt)
     }
-    const hasEnded = [...peer.assignments.keys()].some((id) => !current.has(id))
+    const known = new Map(peer.assignments)
     peer.assignments.clear()
-    for (const [id, assignment] of current) peer.assignments.set(id, assignment)
-    if (hasEnded) this.#onRoomFreed()
+    for (const [id, assignment] of current) peer.assignments.set(id, withPrefilledTime(assignment, known.get(id), now))
+    if ([...known.keys()].some((id) => !current.has(id))) this.#onRoomFreed()
   }
 
   * #all (): Generator<Assignment> {
@@ -274,6 +274,13 @@
   }
 }
 
+/** Reports do not state when a prompt was prefilled; it is the time of the first report that says so. */
+const withPrefilledTime = (reported: Assignment, known: Assignment | undefined, now: Millis): Assignment => {
+  if (!reported.isPrefilled || known === undefined) return reported
+  const prefilledAt = known.isPrefilled ? known.prefilledAt : now
+  return prefilledAt === undefined ? reported : { ...reported, prefilledAt }
+}
+
 /** Load by backend server at one moment. */
 export class ServerLoads {
   /**
@@ -287,6 +294,11 @@
     private readonly reservedTokens: ReadonlyMap<RunnerId, Tokens>
   ) {}
 
+  /** @returns the requests on all backend servers */
+  * assignments (): Generator<Assignment> {
+    for (const requests of this.requests.values()) yield * requests
+  }
+
   /**
    * @param server - the backend server
    * @returns its load
