--- a/packages/domain/src/forwarding/admission/index.ts
+++ b/packages/domain/src/forwarding/admission/index.ts
@@ -1,4 +1,4 @@
 export * from './AdmissionQueue.js'
 export * from './OrganisationShares.js'
-export * from './ThroughputEstimate.js'
+export * from './releaseTime.js'
 export * from './waitLimits.js'
--- a/packages/domain/tests/admissionQueue.test.ts
+++ b/packages/domain/tests/admissionQueue.test.ts
@@ -2,9 +2,9 @@
 import test from 'ava'
 import fc from 'fast-check'
 
-import { AdmissionQueue, MAX_COUNTED_ORGANISATIONS, OrganisationShares, RENEWAL_EXPIRY, RENEWAL_PERIOD, routeTimeout, ThroughputEstimate, waitLimits } from '../src/index.js'
+import { AdmissionQueue, MAX_COUNTED_ORGANISATIONS, OrganisationShares, RENEWAL_EXPIRY, releaseTime, RENEWAL_PERIOD, routeTimeout, waitLimits } from '../src/index.js'
 import type { AdmissionEntry, NodeId, RunnerId } from '../src/index.js'
-import { ROUTE, TIMING } from './forwardingFixtures.js'
+import { engines, ROUTE, SHORT, TestFleet, TIMING } from './forwardingFixtures.js'
 
 const key = (number: number): AdmissionEntry['key'] => ({ node: 'n' as NodeId, startedAt: 1, number })
 
@@ -109,12 +109,15 @@
   t.is(routeTimeout([ROUTE, { ...ROUTE, timeout: 8_000 }, { ...ROUTE, objective: 9, timeout: 1 }], 's', 300), 8_000)
 })
 
-test('the wait behind others follows from the memory that was given out lately', (t) => {
-  const throughput = new ThroughputEstimate(0)
-  t.is(throughput.timeFor(5_000, 0), 0)
-  for (let now = 0; now < 20_000; now += 10) throughput.placed(1_000, now)
-  const wait = throughput.timeFor(50_000, 20_000)
-  t.true(wait > 400 && wait < 600, `${wait}`)
+test('the wait behind others follows from the memory and the duration of the requests in progress', (t) => {
+  const fleet = new TestFleet(engines(2))
+  const candidates = fleet.servers.map((server) => ({ server, slowdown: 1 }))
+  const wait = (): number => releaseTime(50_000, { candidates, timing: TIMING, loads: fleet.assignments.serverLoads(0) })
+  t.is(wait(), 0)
+  fleet.place(SHORT, 0)
+  const alone = wait()
+  fleet.place(SHORT, 0)
+  t.true(alone > 0 && Math.abs(wait() - alone / 2) < 1, `${alone}, ${wait()}`)
 })
 
 interface Step { readonly kind: 'add' | 'serve' | 'leave' | 'renew' | 'wait', readonly number: number, readonly urgency: number, readonly organisation: string, readonly work: number }
--- a/packages/node/src/forward/AttemptSearch.ts
+++ b/packages/node/src/forward/AttemptSearch.ts
@@ -18,6 +18,8 @@
   readonly history: AttemptHistory
   readonly guard: RequestGuard
   readonly requestLog: RequestLog
+  /** Ends the wait for a placement, because the request is over. */
+  readonly signal: AbortSignal
 }
 
 /** Has attempts placed by the scheduler. */
@@ -33,14 +35,15 @@
    * Places the next attempt. An error fails this request only, and not the process with all others.
    *
    * @param chargesRetry - whether the attempt takes from the retry budget
+   * @param mayWait - whether it may wait for memory or a slot of a backend server
    * @returns the placed attempt, or why there is none
    */
-  async find (chargesRetry: boolean): Promise<AttemptPlacement> {
-    const { placement, call, history, guard, requestLog } = this.#options
+  async find (chargesRetry: boolean, mayWait = true): Promise<AttemptPlacement> {
+    const { placement, call, history, guard, requestLog, signal } = this.#options
     const caution = guard.caution()
     if (caution === null) return QUARANTINED
     try {
-      return await placement.place(call, history, chargesRetry, caution)
+      return await placement.place(call, history, chargesRetry, caution, { mayWait, signal })
     } catch (error) {
       requestLog.placementFailed(error)
       return { type: 'refused', reason: 'choosing a backend server failed', retryAfter: null }
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -53,6 +53,8 @@
   readonly #requestLog: RequestLog
   readonly #ending: RequestEnding
   readonly #search: AttemptSearch
+  /** Aborted when the request is over. */
+  readonly #over = new AbortController()
   readonly #relay: RequestRelay
   readonly #silentAttempts = new SilentAttempts((attempt, signal) => this.#release(attempt, signal))
   readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#dataOverdue(attempt, silence, hasGoneOn) })
@@ -79,7 +81,7 @@
     this.#ending = new RequestEnding({ context, call, response, requestLog: this.#requestLog, summary: () => this.#summary(), onEnded: () => this.#releaseAll() })
     this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
     this.#relay = new RequestRelay({ context, call, history: this.history, requestLog: this.#requestLog })
-    this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog })
+    this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog, signal: this.#over.signal })
   }
 
   /** Starts the first attempt. */
@@ -168,7 +170,7 @@
 
   /** Starts another attempt beside a silent one, which is only given up once the other server has begun to answer. */
   async #replaceSilent (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
-    const placement = await this.#search.find(true)
+    const placement = await this.#search.find(true, false)
     if (hasGoneOn()) {
       this.#search.discard(placement)
       return
@@ -512,6 +514,7 @@
   }
 
   #releaseAll (): void {
+    this.#over.abort()
     this.#silentAttempts.closeAll()
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer)
     if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
--- a/packages/node/src/forward/peers/PendingQueries.ts
+++ b/packages/node/src/forward/peers/PendingQueries.ts
@@ -43,6 +43,32 @@
     })
   }
 
+  /**
+   * Waits for a reply that is sent without being asked for.
+   *
+   * @param number - identifies the query at this node
+   * @param limit - longest wait
+   * @param signal - ends the wait
+   * @returns the reply; null if there is none in time
+   */
+  async expect (number: number, limit: Millis, signal?: AbortSignal): Promise<Reply | null> {
+    return await new Promise((resolve) => {
+      this.#settle(number, null)
+      const stop = (): void => { this.#settle(number, null) }
+      const timers = [setTimeout(() => { void this.#expire(number, query) }, Math.max(0, limit))]
+      const query = {
+        timers,
+        resolve: (reply: Reply | null): void => {
+          signal?.removeEventListener('abort', stop)
+          resolve(reply)
+        }
+      }
+      this.#pending.set(number, query)
+      signal?.addEventListener('abort', stop)
+      if (signal?.aborted === true) stop()
+    })
+  }
+
   /**
    * @param number - number of the query
    * @param reply - its reply
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -15,6 +15,9 @@
 
 const MILLI = 1_000
 
+/** Shortest interval at which this node renews a query that waits, whatever the reply states. */
+const MIN_RENEWAL_PERIOD: Millis = 50
+
 export type DatagramContent = NonNullable<fleetWire.PeerDatagram['content']>
 
 /** A decoded datagram. */
@@ -129,6 +132,8 @@
       return { number, result: { $case: 'refusal', value: encodeRefusal(result, now) } }
     case 'redirected':
       return { number, result: { $case: 'redirect', value: result.address } }
+    case 'queued':
+      return { number, result: { $case: 'queued', value: { renewMs: Math.round(result.renewAfter) } } }
     case 'placed': {
       const { choice, load } = result
       return {
@@ -168,6 +173,7 @@
   if (result === undefined) throw new Error('the placement reply contains no decision')
   if (result.$case === 'refusal') return decodeRefusal(result.value, now)
   if (result.$case === 'redirect') return { type: 'redirected', address: result.value }
+  if (result.$case === 'queued') return { type: 'queued', renewAfter: Math.max(MIN_RENEWAL_PERIOD, result.value.renewMs) }
   const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit, passedOver, isTrial } = result.value
   if (server === undefined) throw new Error('the placement names no server')
   const decoded = helpers.map((helper) => decodeServer(helper, service, findServer))
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -15,7 +15,7 @@
 import type { Decision } from './PlacementQueries.js'
 import type { Scheduler } from './Scheduler.js'
 import { NO_CAUTION, PlacementRefusal } from './types.js'
-import type { AttemptCaution, AttemptPlacement, PlacedAttempt, PlacementSpec } from './types.js'
+import type { AttemptCaution, AttemptPlacement, PlacedAttempt, PlacementSpec, PlacementWait } from './types.js'
 
 /** Known departures that are named in a repeated query, so that it stays within one datagram. */
 const MAX_LEAVING_EXCLUDED = 32
@@ -23,6 +23,18 @@
 /** Decisions that are asked for while this node knows that a chosen server accepts no more requests. */
 const MAX_DECISIONS = 3
 
+/** Time before the deadline of a request at which it stops waiting for a placement, so that its caller still gets a refusal. */
+const DEADLINE_MARGIN: Millis = 50
+
+/** Whether an attempt may wait for its placement. */
+export interface WaitTerms {
+  readonly mayWait: boolean
+  /** Ends the wait, because the caller has left. */
+  readonly signal?: AbortSignal
+}
+
+const MAY_WAIT: WaitTerms = { mayWait: true }
+
 export interface PlacementClientOptions {
   readonly node: NodeId
   /** Scheduler of this node; it keeps this node's own assignments. */
@@ -57,7 +69,7 @@
   constructor (options: PlacementClientOptions) {
     const { queryTiming = QUERY_TIMING } = options
     this.#options = options
-    this.#queries = new PlacementQueries({ ...options, queryTiming })
+    this.#queries = new PlacementQueries({ ...options, queryTiming, onWithdrawn: (address, number) => this.#reports.returned(address, number, '') })
     this.#silenceQueries = new PendingQueries(queryTiming)
     this.#reports = new GrantReports(options.send)
     this.answers = new AnswerStatements({ ...options, statements: options.scheduler.statements })
@@ -80,19 +92,26 @@
    * @param history - its earlier attempts
    * @param chargesRetry - whether the attempt is taken from the retry budget
    * @param caution - how it and the parts of its prompt are judged
+   * @param terms - whether it may wait for memory or a slot, and what ends the wait before the deadline of the request
    * @returns the placed attempt, whose assignment must be removed with `removeAssignment`; or why there is none
    */
-  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: AttemptCaution = NO_CAUTION): Promise<AttemptPlacement> {
+  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: AttemptCaution = NO_CAUTION, terms: WaitTerms = MAY_WAIT): Promise<AttemptPlacement> {
     const { scheduler, clock } = this.#options
     const startedAt = clock()
-    let spec = specOf(call, history, { chargesRetry, ...caution }, this.answers.pausedServers())
+    const wait: PlacementWait = { until: call.deadlineAt - DEADLINE_MARGIN, signal: terms.signal }
+    let spec = specOf(call, history, { chargesRetry, acceptsQueueing: terms.mayWait && call.service.engine !== null, ...caution }, this.answers.pausedServers())
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
-      const decision = await this.#queries.decide(spec, number)
+      const decision = await this.#queries.decide(spec, number, wait)
       if (isTrialMissing(spec, decision)) {
         this.#withoutChosen(spec, number, decision)
         return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
       }
+      if (decision.isOutdated === true && decision.result.type === 'placed') {
+        this.#returnOutdated(spec, number, decision)
+        spec = { ...spec, chargesRetry: false, isFirstAttempt: false }
+        continue
+      }
       if (this.#isUsable(decision)) return this.#record(spec, number, decision, startedAt)
       spec = this.#withoutChosen(spec, number, decision)
     }
@@ -125,6 +144,16 @@
     return result.keepsLimit || scheduler.statements.take(server, 1 / directory.size)
   }
 
+  /** Returns a grant that was received so late, because this process was held up, that its scheduler may have given the place to another request. */
+  #returnOutdated (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision): void {
+    if (result.type !== 'placed') return
+    const { scheduler, clock, log } = this.#options
+    const own = scheduler.assignments.findOwn(number)
+    if (own !== null) scheduler.assignments.end(own, clock())
+    else if (address !== null) this.#returnUnusedGrant(address, number, result.choice.server.id)
+    log.info('grant.outdated', { request: spec.request, scheduler: address ?? 'self', server: result.choice.server.id })
+  }
+
   /** Returns a grant, and excludes the servers that made it unusable from the next decision. */
   #withoutChosen (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision): PlacementSpec {
     if (result.type !== 'placed') return spec
@@ -232,7 +261,7 @@
     } else if (content.$case === 'placementReply') {
       directory.heard(node, null, this.#options.runningClock())
       const { number, result } = content.value
-      if (!this.#queries.answer(content.value) && result?.$case === 'placement') this.#returnUnusedGrant(address, number, result.value.server?.id ?? '')
+      if (!this.#queries.answer(content.value, address) && result?.$case === 'placement') this.#returnUnusedGrant(address, number, result.value.server?.id ?? '')
     }
   }
 
@@ -257,7 +286,7 @@
 /** Schedulers of earlier builds place a trial like any other attempt. */
 const isTrialMissing = ({ trialParts }: PlacementSpec, { result }: Decision): boolean => trialParts.length > 0 && result.type === 'placed' && !result.isTrial
 
-const specOf = (call: AdmittedCall, history: AttemptHistory, terms: AttemptCaution & Pick<PlacementSpec, 'chargesRetry'>, paused: readonly RunnerId[]): PlacementSpec => ({
+const specOf = (call: AdmittedCall, history: AttemptHistory, terms: AttemptCaution & Pick<PlacementSpec, 'chargesRetry' | 'acceptsQueueing'>, paused: readonly RunnerId[]): PlacementSpec => ({
   request: call.id,
   service: call.service.name,
   size: call.size,
@@ -268,5 +297,7 @@
   allowed: history.permittedServers(),
   isRedirected: false,
   isFirstAttempt: history.triedServers().length === 0,
+  ...(call.organisation === null ? {} : { organisation: call.organisation }),
+  urgency: call.urgency,
   ...terms
 })
--- a/packages/node/src/forward/scheduling/PlacementQueries.ts
+++ b/packages/node/src/forward/scheduling/PlacementQueries.ts
@@ -1,4 +1,5 @@
 /** Has attempts decided on by the scheduler of this node's group, or by this node's own scheduler if no other one answers. */
+import { RENEWAL_EXPIRY } from '@bluebellhill/domain'
 import type { Millis, NodeId, SchedulerDirectory } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
@@ -8,15 +9,27 @@
 import { PendingQueries } from '../peers/PendingQueries.js'
 import type { QueryTiming } from '../peers/PendingQueries.js'
 import type { Scheduler } from './Scheduler.js'
-import { GROUP_CONTEXT } from './types.js'
-import type { PlacementContext, PlacementResult, PlacementSpec } from './types.js'
+import { GROUP_CONTEXT, PlacementRefusal } from './types.js'
+import type { FinalPlacement, PlacementContext, PlacementResult, PlacementSpec, PlacementWait } from './types.js'
 
 /** Schedulers that are asked before this node decides itself; for a trial only one, since a silent one may have granted it. */
 const MAX_SCHEDULERS_ASKED = 2
 
+/** Start of the own process in the keys of requests that wait at the scheduler of this node. */
+const OWN_PROCESS = 0
+
 /** Reply of a scheduler, as it is received. */
 type PlacementReply = Parameters<typeof decodeReply>[0]
 
+/** Reply of another scheduler, or decision of this node's own about a request that has waited. */
+type PlacementAnswer = { readonly reply: PlacementReply } | { readonly decided: PlacementResult }
+
+/** The scheduler that is asked; the address is null for this node. */
+interface AskedScheduler {
+  readonly node: NodeId
+  readonly address: string | null
+}
+
 export interface PlacementQueriesOptions {
   readonly node: NodeId
   /** Scheduler of this node. */
@@ -31,20 +44,26 @@
   readonly send: (address: string, content: DatagramContent) => void
   /** Called when this node has placed an attempt without the scheduler of its group, which has to learn of it. */
   readonly onUncoordinatedPlacement: () => void
+  /** Called when a request no longer waits at the scheduler at an address. */
+  readonly onWithdrawn: (address: string, number: number) => void
   /** When queries are repeated and given up. */
   readonly queryTiming: QueryTiming
 }
 
 /** A decision and the scheduler that made it; the address is null for this node. */
 export interface Decision {
-  readonly result: PlacementResult
+  readonly result: FinalPlacement
   readonly scheduler: string | null
+  /** Whether the decision was received so long after the question that the scheduler may have taken it back. */
+  readonly isOutdated?: boolean
 }
 
 /** Queries for the placement of attempts. */
 export class PlacementQueries {
   readonly #options: PlacementQueriesOptions
-  readonly #pending: PendingQueries<PlacementReply>
+  readonly #pending: PendingQueries<PlacementAnswer>
+  /** Address of the scheduler that was asked last about an attempt without a decision, by number; null if it is this node. */
+  readonly #asked = new Map<number, string | null>()
 
   /** @param options - the scheduler of this node and those of the others */
   constructor (options: PlacementQueriesOptions) {
@@ -57,36 +76,104 @@
    *
    * @param spec - the attempt
    * @param number - number of its assignment at this node
+   * @param wait - how long it may wait, if its scheduler lets it
    * @returns the decision
    */
-  async decide (spec: PlacementSpec, number: number): Promise<Decision> {
-    const { directory, node, log, scheduler, runningClock } = this.#options
-    const schedulersAsked = spec.trialParts.length > 0 ? 1 : MAX_SCHEDULERS_ASKED
-    for (let asked = 0; asked < schedulersAsked; asked += 1) {
-      const candidate = directory.scheduler(runningClock())
-      if (candidate.node === node) return await this.#followRedirect(scheduler.place(spec, { node, number }, GROUP_CONTEXT), null, spec, number)
-      const result = await this.#ask(candidate.address, spec, number)
-      if (result !== null) return await this.#followRedirect(result, candidate.address, spec, number)
-      directory.unanswered(candidate.node)
-      log.warn('scheduler.unanswered', { request: spec.request, scheduler: candidate.node })
+  async decide (spec: PlacementSpec, number: number, wait: PlacementWait): Promise<Decision> {
+    try {
+      return await this.#askSchedulers(spec, number, wait)
+    } finally {
+      this.#asked.delete(number)
     }
-    return this.#decideAlone(spec, number, this.#loneContext())
   }
 
   /**
    * Takes the reply to a query.
    *
    * @param reply - the reply
+   * @param address - scheduler that sent it
    * @returns whether the query was waiting for it
    */
-  answer (reply: PlacementReply): boolean {
-    return this.#pending.answer(reply.number, reply)
+  answer (reply: PlacementReply, address: string): boolean {
+    return this.#asked.get(reply.number) === address && this.#pending.answer(reply.number, { reply })
+  }
+
+  async #askSchedulers (spec: PlacementSpec, number: number, wait: PlacementWait): Promise<Decision> {
+    const { directory, node, log, runningClock } = this.#options
+    const schedulersAsked = spec.trialParts.length > 0 ? 1 : MAX_SCHEDULERS_ASKED
+    let current = spec
+    for (let unanswered = 0; unanswered < schedulersAsked;) {
+      const candidate = directory.scheduler(runningClock())
+      const asked: AskedScheduler = { node: candidate.node, address: candidate.node === node ? null : candidate.address }
+      const startedAt = this.#options.clock()
+      const first = await this.#ask(asked, current, number)
+      const decision = first?.type === 'queued' ? await this.#renew(asked, current, number, wait, first.renewAfter) : first === null ? null : { result: first, scheduler: asked.address }
+      if (first?.type === 'queued') current = afterWait(current, this.#options.clock() - startedAt)
+      if (decision === 'moved') continue
+      if (decision !== null) return await this.#followRedirect(decision, current, number)
+      unanswered += 1
+      directory.unanswered(candidate.node)
+      log.warn('scheduler.unanswered', { request: spec.request, scheduler: candidate.node, waited_ms: current.waited === undefined ? undefined : Math.round(current.waited) })
+    }
+    return this.#decideAlone({ ...current, acceptsQueueing: false }, number, this.#loneContext())
+  }
+
+  /**
+   * Renews the query of a request that waits, until it is decided on.
+   *
+   * @returns null if the scheduler no longer answers; `moved` if another one has taken its place
+   */
+  async #renew (asked: AskedScheduler, spec: PlacementSpec, number: number, wait: PlacementWait, period: Millis): Promise<Decision | 'moved' | null> {
+    const { clock, directory, runningClock, log } = this.#options
+    const startedAt = clock()
+    log.info('request.queued', { request: spec.request, scheduler: asked.node, renew_ms: period, waited_ms: Math.round(spec.waited ?? 0) })
+    let askedAt = startedAt
+    for (;;) {
+      const result = await this.#expect(asked, spec, number, wait, askedAt + period)
+      if (result !== null) return this.#decisionOf(asked, result, askedAt)
+      const now = clock()
+      const isOver = wait.signal?.aborted === true || now >= wait.until
+      const hasMoved = directory.scheduler(runningClock()).node !== asked.node
+      if (isOver || hasMoved) this.#withdraw(asked, number)
+      if (isOver) {
+        log.info('request.withdrawn', { request: spec.request, scheduler: asked.node, caller_left: wait.signal?.aborted === true, queued_ms: Math.round(now - startedAt) })
+        return { result: { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: null }, scheduler: asked.address }
+      }
+      if (hasMoved) return 'moved'
+      askedAt = now
+      const renewed = await this.#ask(asked, afterWait(spec, now - startedAt), number)
+      if (renewed === null) return null
+      if (renewed.type !== 'queued') return this.#decisionOf(asked, renewed, askedAt)
+    }
+  }
+
+  /** Waits for the decision about a request that waits; null if there is none until a time, or the wait has ended. */
+  async #expect (asked: AskedScheduler, spec: PlacementSpec, number: number, { until, signal }: PlacementWait, renewAt: Millis): Promise<FinalPlacement | null> {
+    const { clock } = this.#options
+    for (;;) {
+      const limit = Math.min(renewAt, until) - clock()
+      const answer = limit <= 0 ? null : await this.#pending.expect(number, limit, signal)
+      const result = answer === null ? null : this.#read(asked, answer, spec)
+      if (answer === null || (result !== null && result.type !== 'queued')) return result as FinalPlacement | null
+    }
+  }
+
+  #decisionOf ({ address }: AskedScheduler, result: FinalPlacement, askedAt: Millis): Decision {
+    return { result, scheduler: address, isOutdated: this.#options.clock() - askedAt > RENEWAL_EXPIRY }
+  }
+
+  #withdraw ({ address }: AskedScheduler, number: number): void {
+    const { scheduler, node, onWithdrawn } = this.#options
+    this.#asked.delete(number)
+    if (address === null) scheduler.admission.withdraw({ node, startedAt: OWN_PROCESS, number })
+    else onWithdrawn(address, number)
   }
 
   /** If a group cannot serve the request in time, its scheduler names that of another group, which is asked once. */
-  async #followRedirect (result: PlacementResult, scheduler: string | null, spec: PlacementSpec, number: number): Promise<Decision> {
-    if (result.type !== 'redirected') return { result, scheduler }
-    const redirected = await this.#ask(result.address, { ...spec, isRedirected: true }, number)
+  async #followRedirect (decision: Decision, spec: PlacementSpec, number: number): Promise<Decision> {
+    const { result, scheduler } = decision
+    if (result.type !== 'redirected') return decision
+    const redirected = await this.#ask({ node: this.#options.node, address: result.address }, { ...spec, isRedirected: true }, number)
     if (redirected?.type === 'placed') return { result: redirected, scheduler: result.address }
     return this.#decideAlone({ ...spec, isRedirected: true }, number, scheduler === null ? GROUP_CONTEXT : this.#loneContext())
   }
@@ -104,15 +191,31 @@
     return { result, scheduler: null }
   }
 
-  async #ask (address: string, spec: PlacementSpec, number: number): Promise<PlacementResult | null> {
-    const { send, clock, fleetState, log } = this.#options
-    const reply = await this.#pending.ask(number, () => send(address, { $case: 'placementQuery', value: encodeQuery(spec, number, clock()) }))
-    if (reply === null) return null
+  /** @returns the reply of a scheduler; null if there is none in time, or none that can be read */
+  async #ask (asked: AskedScheduler, spec: PlacementSpec, number: number): Promise<PlacementResult | null> {
+    const { send, clock, scheduler, node } = this.#options
+    const { address } = asked
+    this.#asked.set(number, address)
+    if (address === null) {
+      const deliver = (decided: PlacementResult): void => { this.#pending.answer(number, { decided }) }
+      return scheduler.admission.place(spec, { node, number }, { startedAt: OWN_PROCESS, deliver })
+    }
+    const answer = await this.#pending.ask(number, () => send(address, { $case: 'placementQuery', value: encodeQuery(spec, number, clock()) }))
+    return answer === null ? null : this.#read(asked, answer, spec)
+  }
+
+  #read ({ address }: AskedScheduler, answer: PlacementAnswer, { service, request }: PlacementSpec): PlacementResult | null {
+    const { clock, fleetState, log } = this.#options
+    if ('decided' in answer) return answer.decided
     try {
-      return decodeReply(reply, spec.service, (id) => fleetState.servers.find(id), clock())
+      return decodeReply(answer.reply, service, (id) => fleetState.servers.find(id), clock())
     } catch (error) {
-      log.warn('scheduler.reply_malformed', { request: spec.request, scheduler: address, reason: error instanceof Error ? error.message : String(error) })
+      log.warn('scheduler.reply_malformed', { request, scheduler: address ?? 'self', reason: error instanceof Error ? error.message : String(error) })
       return null
     }
   }
 }
+
+/** The query of a request that has waited: it has been counted, and its retry has been taken from the budget, when it began to wait. */
+const afterWait = (spec: PlacementSpec, waited: Millis): PlacementSpec =>
+  ({ ...spec, waited: Math.max(1, (spec.waited ?? 0) + waited), chargesRetry: false, isFirstAttempt: false })
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -5,13 +5,15 @@
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 import { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
+import { AdmissionControl } from './AdmissionControl.js'
+import type { Timer } from './AdmissionControl.js'
 import { IsolatedAttempts } from './IsolatedAttempts.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
 import { ServerStatements } from './ServerStatements.js'
 import { spreadReturn } from './spreadReturn.js'
-import { PlacementRefusal } from './types.js'
-import type { AssignmentOwner, AttemptReport, ChosenServerLoad, PlacementContext, PlacementResult, PlacementSpec } from './types.js'
+import { GROUP_CONTEXT, NO_TERMS, PlacementRefusal } from './types.js'
+import type { AssignmentOwner, AttemptReport, ChosenServerLoad, FinalPlacement, PlacementContext, PlacementSpec, PlacementTerms } from './types.js'
 
 export interface SchedulerOptions {
   readonly node: NodeId
@@ -26,6 +28,8 @@
   readonly schedulerCount: () => number
   /** Returns the group whose engines this node places requests on. */
   readonly group: () => SchedulerGroup
+  /** Serves waiting requests later; timers of the process if absent. */
+  readonly setTimer?: Timer
 }
 
 /** Pending prefill time of an engine above which its silence is not a fault. */
@@ -43,6 +47,8 @@
   readonly health = new ServerHealth()
   readonly statements: ServerStatements
   readonly quarantine: NodeQuarantine
+  /** Requests that wait for memory or a slot. */
+  readonly admission: AdmissionControl
   readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
@@ -62,6 +68,9 @@
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
     this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
+    this.admission = new AdmissionControl({ ...options, scheduler: this })
+    this.assignments.onRoomFreed(() => this.admission.roomFreed())
+    options.fleetState.onChange(() => this.admission.roomFreed())
     options.fleetState.onDeparture((id) => {
       this.health.remove(id)
       this.statements.remove(id)
@@ -75,9 +84,10 @@
    * @param spec - the attempt
    * @param owner - node that sends it, with the number of the assignment there
    * @param context - whom this scheduler decides for
+   * @param terms - how it is placed beside requests that wait
    * @returns the decision
    */
-  place (spec: PlacementSpec, owner: AssignmentOwner, context: PlacementContext): PlacementResult {
+  place (spec: PlacementSpec, owner: AssignmentOwner, context: PlacementContext, terms: PlacementTerms = NO_TERMS): FinalPlacement {
     const service = this.#options.fleetState.routeTable?.service(spec.service) ?? null
     if (service === null) return { type: 'refused', reason: PlacementRefusal.UnknownService, retryAfter: null }
     const isTrial = spec.trialParts.length > 0
@@ -85,12 +95,12 @@
     const now = this.#options.clock()
     const loads = this.#loads(now)
     const permitted = this.#permittedServers(spec, service)
-    const open = permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, context.limitShare, now) === 0)
-    const candidates = this.#candidatesApart(spec, this.#candidates(open, now), loads)
+    const open = this.#openServers(permitted, context, now)
+    const candidates = this.#candidatesApart(spec, withoutHeld(this.#candidates(open, now), terms), loads)
     if (candidates === null) return { type: 'refused', reason: PlacementRefusal.SuspectsInProgress, retryAfter: ISOLATION_RETRY_AFTER }
-    if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
-    if (spec.isFirstAttempt) this.#retryBudgets.countRequest(spec.service)
+    if (!terms.isCounted && !this.count(spec)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
     const choice = this.#choose(spec, service, candidates, loads, context, now)
+    if (terms.needsFreeSlot && choice !== null && !hasFreeSlot(choice, loads)) return { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: null }
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
     if (choice === null) return this.statements.refusalFor(permitted, context.limitShare, now)
@@ -103,6 +113,33 @@
     return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver, isTrial }
   }
 
+  /**
+   * Counts an attempt in the retry budget of its service.
+   *
+   * @param spec - the attempt
+   * @returns whether the budget allows it
+   */
+  count ({ chargesRetry, isFirstAttempt, service }: PlacementSpec): boolean {
+    if (chargesRetry && !this.#retryBudgets.acquire(service)) return false
+    if (isFirstAttempt) this.#retryBudgets.countRequest(service)
+    return true
+  }
+
+  /**
+   * Describes an attempt to the forecast of free memory.
+   *
+   * @param spec - the attempt
+   * @returns the attempt, with the engines that this scheduler may place it on and their loads; null if it knows no such service
+   */
+  placementRequest (spec: PlacementSpec): PlacementRequest | null {
+    const { fleetState, clock } = this.#options
+    const service = fleetState.routeTable?.service(spec.service) ?? null
+    if (service === null) return null
+    const now = clock()
+    const open = this.#openServers(this.#permittedServers(spec, service), GROUP_CONTEXT, now)
+    return this.#requestOf(spec, service, this.#candidates(open, now), this.#loads(now), GROUP_CONTEXT, now)
+  }
+
   /**
    * Creates the record of a placed attempt.
    *
@@ -234,7 +271,13 @@
 
   #choose (spec: PlacementSpec, service: Service, candidates: readonly Candidate[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementChoice | null {
     if (candidates.length === 0) return null
-    const request = {
+    const request = this.#requestOf(spec, service, candidates, loads, context, now)
+    const policy = this.#policyOf(service)
+    return (isRisky(spec) ? this.#chooseAlone(request, policy, spec.isolatedAs !== undefined) : null) ?? policy.choose(request)
+  }
+
+  #requestOf (spec: PlacementSpec, service: Service, candidates: readonly Candidate[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementRequest {
+    return {
       size: spec.size,
       objective: spec.objective,
       timeLeft: spec.dueAt - now,
@@ -245,8 +288,6 @@
       arrivalsPerSecond: context.unseenArrivals,
       now
     }
-    const policy = this.#policyOf(service)
-    return (isRisky(spec) ? this.#chooseAlone(request, policy, spec.isolatedAs !== undefined) : null) ?? policy.choose(request)
   }
 
   /**
@@ -280,6 +321,10 @@
     return ready.filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
   }
 
+  #openServers (permitted: readonly BackendServer[], { limitShare }: PlacementContext, now: Millis): BackendServer[] {
+    return permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, limitShare, now) === 0)
+  }
+
   #candidates (permitted: readonly BackendServer[], now: Millis): Candidate[] {
     const { group } = this.#options
     const reachable = permitted.filter(({ failureDomain }) => !this.#domainReachability.isAvoided(failureDomain, now))
@@ -305,6 +350,11 @@
 /** Whether the request may crash the engine that gets it. */
 const isRisky = ({ isSuspected, trialParts }: PlacementSpec): boolean => isSuspected || trialParts.length > 0
 
+const withoutHeld = (candidates: readonly Candidate[], { held }: PlacementTerms): readonly Candidate[] =>
+  held.size === 0 ? candidates : candidates.filter(({ server }) => !held.has(server.id))
+
+const hasFreeSlot = ({ server }: PlacementChoice, loads: ServerLoads): boolean => loads.get(server.id).requests.length < server.slots
+
 const summaryOf = ({ requests, pending }: ServerLoad): ChosenServerLoad =>
   ({ requests: requests.length, pendingPrefill: pending.reduce((sum, { remaining }) => sum + remaining, 0) })
 
--- a/packages/node/src/forward/scheduling/SchedulerHost.ts
+++ b/packages/node/src/forward/scheduling/SchedulerHost.ts
@@ -5,8 +5,7 @@
 import { decodeAttemptReports, decodeQuery, encodeReply } from '../peers/datagramCodec.js'
 import type { DatagramContent, ReceivedDatagram } from '../peers/datagramCodec.js'
 import type { Scheduler } from './Scheduler.js'
-import { GROUP_CONTEXT } from './types.js'
-import type { PlacementResult } from './types.js'
+import type { PlacementResult, PlacementSpec } from './types.js'
 
 /** Time for which a decision is kept, so that a repeated query gets the same answer. */
 const DECISION_RETENTION: Millis = 500
@@ -47,29 +46,41 @@
     const { scheduler, send, clock } = this.#options
     if (content.$case === 'placementQuery') {
       const { number } = content.value
-      const result = this.#decide(node, startedAt, content.value)
-      send(address, { $case: 'placementReply', value: encodeReply(number, result, clock()) })
+      const reply = (result: PlacementResult): void => { send(address, { $case: 'placementReply', value: encodeReply(number, result, clock()) }) }
+      reply(this.#decide(node, startedAt, content.value, reply))
     } else if (content.$case === 'silenceQuery') {
       const { number, server } = content.value
       send(address, { $case: 'silenceReply', value: { number, explainedMs: Math.round(scheduler.explainedSilence(server as RunnerId)) } })
     } else if (content.$case === 'attemptReports') {
-      scheduler.applyReports(node, decodeAttemptReports(content.value))
+      const reports = decodeAttemptReports(content.value)
+      for (const { number, isEnded } of reports) if (isEnded) scheduler.admission.withdraw({ node, startedAt, number })
+      scheduler.applyReports(node, reports)
     }
   }
 
-  #decide (node: NodeId, startedAt: number, wire: Parameters<typeof decodeQuery>[0]): PlacementResult {
-    const { scheduler, clock, log, runningClock } = this.#options
-    const decidedAt = runningClock()
-    this.#discardOldDecisions(decidedAt)
+  #decide (node: NodeId, startedAt: number, wire: Parameters<typeof decodeQuery>[0], reply: (result: PlacementResult) => void): PlacementResult {
+    const { scheduler, clock } = this.#options
+    this.#discardOldDecisions(this.#options.runningClock())
     const key = `${node}/${startedAt}/${wire.number}`
     const stored = this.#decisions.get(key)
     if (stored !== undefined) return stored.result
     const spec = decodeQuery(wire, clock())
-    const result = scheduler.place(spec, { node, number: wire.number }, GROUP_CONTEXT)
-    this.#decisions.set(key, { result, at: decidedAt })
+    const deliver = (result: PlacementResult): void => {
+      this.#store(key, result, spec, node)
+      reply(result)
+    }
+    const result = scheduler.admission.place(spec, { node, number: wire.number }, { startedAt, deliver })
+    // The decision about a request that waits is still to come, so that its renewals must not get an earlier answer.
+    if (result.type !== 'queued') this.#store(key, result, spec, node)
+    return result
+  }
+
+  #store (key: string, result: PlacementResult, spec: PlacementSpec, node: NodeId): void {
+    const { log, runningClock } = this.#options
+    this.#decisions.delete(key)
+    this.#decisions.set(key, { result, at: runningClock() })
     if (result.type === 'refused') log.info('placement.refused', { request: spec.request, node, service: spec.service, reason: result.reason, excluded: spec.excluded.length })
     if (result.type === 'redirected') log.info('placement.redirected', { request: spec.request, node, service: spec.service, to: result.address })
-    return result
   }
 
   #discardOldDecisions (now: Millis): void {
--- /dev/null
+++ b/packages/node/src/forward/scheduling/ServiceAdmission.ts
@@ -0,0 +1,306 @@
+/** Places the requests of one memory-bound service in the order of admission, and lets those wait that cannot be placed yet. */
+import { AdmissionQueue, EngineState, releaseTime, RENEWAL_PERIOD, RoomForecast, routeTimeout, waitLimits } from '@bluebellhill/domain'
+import type { AdmissionEntry, AdmissionKey, Candidate, Millis, PlacementRequest, RunnerId, Service, Tokens } from '@bluebellhill/domain'
+
+import type { AdmissionControlOptions } from './AdmissionControl.js'
+import { GROUP_CONTEXT, PlacementRefusal } from './types.js'
+import type { AssignmentOwner, PlacementResult, PlacementSpec, PlacementWaiter, RefusedPlacement } from './types.js'
+
+/** Waiting requests that are looked at in one round, in order. */
+const MAX_CONSIDERED = 32
+
+/** Full evaluations of engines in one round: with 200 rounds a second, 800 beside those of arriving requests. */
+const MAX_EVALUATED = 4
+
+/** Time after which a request that did not fit, although the free memory seemed enough, is evaluated again. */
+const EVALUATION_INTERVAL: Millis = 20
+
+/** Share of the engines that may be held for requests which need much memory, so that the others still serve smaller ones. */
+const MAX_HELD_SHARE = 1 / 2
+
+/** Engines that may keep one prompt: its owner and four holders. */
+const MAX_ENGINES_PER_PROMPT = 5
+
+/** Refusals for want of memory, a slot or time, which waiting may change. */
+const ROOM_REFUSALS: ReadonlySet<string> = new Set([PlacementRefusal.NoServer, PlacementRefusal.NoRoom, PlacementRefusal.TooLate, PlacementRefusal.RequestLimit])
+
+const NO_ROOM: RefusedPlacement = { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: null }
+
+/** Urgency of requests whose nodes do not state it. */
+const LEAST_URGENT = 9
+
+/** An attempt of a node that is to be placed. */
+export interface AdmissionRequest extends Pick<PlacementWaiter, 'deliver'> {
+  readonly spec: PlacementSpec
+  readonly owner: AssignmentOwner
+  readonly key: AdmissionKey
+  /** Whether it has been counted and taken from the retry budget before. */
+  readonly isCounted: boolean
+}
+
+interface WaitingRequest extends AdmissionEntry {
+  readonly request: AdmissionRequest
+  /** Whether it needs more than a slot's part of an engine's memory. */
+  readonly needsMuchMemory: boolean
+  readonly enteredAt: Millis
+  /** Time of its last evaluation without a result. */
+  evaluatedAt: Millis
+  /** Whether it was not placed although there was memory for a request like it, because it may only use some engines: others need not wait for it. */
+  isUnlikeOthers: boolean
+}
+
+/** Free memory of the engines at one moment. */
+interface FreeRoom {
+  /** A request that may use all engines. */
+  readonly request: PlacementRequest
+  /** Free memory of the engines with a free slot. */
+  readonly freeMemory: ReadonlyMap<RunnerId, Tokens>
+}
+
+/** Order of admission of one service. */
+export class ServiceAdmission {
+  readonly queue = new AdmissionQueue<WaitingRequest>()
+  /** The service as it is configured now. */
+  service: Service
+  readonly #options: AdmissionControlOptions
+  readonly #forecast = new RoomForecast()
+
+  /**
+   * @param service - the service, which is memory-bound
+   * @param options - the scheduler that places the requests
+   */
+  constructor (service: Service, options: AdmissionControlOptions) {
+    this.service = service
+    this.#options = options
+  }
+
+  /**
+   * Places a request, or lets it wait.
+   *
+   * @param request - the request, which does not wait yet
+   * @returns the decision
+   */
+  place (request: AdmissionRequest): PlacementResult {
+    const { scheduler, clock } = this.#options
+    const entry = this.#entryOf(request, clock())
+    const mayWait = isQueueable(request.spec)
+    if (mayWait && this.#isBehindOthers(entry)) {
+      const isAllowed = request.isCounted || scheduler.count(request.spec)
+      return isAllowed ? this.#letWait(entry, NO_ROOM) : { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
+    }
+    const result = this.#tryPlace(entry, request.isCounted, mayWait)
+    return mayWait && isRoomRefusal(result) ? this.#letWait(entry, result) : result
+  }
+
+  /**
+   * Removes a request whose node has given it up.
+   *
+   * @param key - the request
+   * @returns whether it was waiting
+   */
+  withdraw (key: AdmissionKey): boolean {
+    const entry = this.queue.remove(key)
+    if (entry !== null) this.#logEnd(entry, 'withdrawn')
+    return entry !== null
+  }
+
+  /** Places the waiting requests that can be placed now, as far as the limits of one round allow, and refuses those that cannot be served any more. */
+  serve (): void {
+    const { clock, runningClock } = this.#options
+    for (const entry of this.queue.removeExpired(runningClock())) this.#logEnd(entry, 'expired')
+    for (const entry of this.queue.removeOverdue(clock())) this.#refuse(entry, PlacementRefusal.TooLate, this.#forecastOf(entry))
+    if (this.queue.length > 0) this.#serveInOrder(this.queue.first(MAX_CONSIDERED, clock()), clock())
+  }
+
+  #serveInOrder (entries: readonly WaitingRequest[], now: Millis): void {
+    let evaluations = 0
+    let room = this.#freeRoom(entries)
+    if (room === null) return
+    let isSmallBlocked = false
+    let isLargeBlocked = false
+    for (const entry of entries) {
+      const isLarge = entry.needsMuchMemory
+      if (this.queue.heldBy(entry.key).length === 0 && (isSmallBlocked || (isLarge && isLargeBlocked))) continue
+      const mayFit = this.#mayFit(entry, room)
+      if (mayFit && now - entry.evaluatedAt >= EVALUATION_INTERVAL) {
+        if (evaluations >= MAX_EVALUATED) return
+        evaluations += 1
+        const result = this.#tryPlace(entry, true, true)
+        if (result.type !== 'refused') {
+          this.#deliver(entry, result)
+          room = this.#freeRoom(entries) ?? room
+          continue
+        }
+        entry.evaluatedAt = now
+      }
+      entry.isUnlikeOthers = mayFit
+      if (!isLarge) isSmallBlocked ||= !mayFit
+      else if (!this.#keepsHold(entry, room)) {
+        evaluations += 1
+        isLargeBlocked = !this.#hold(entry, room)
+      }
+    }
+  }
+
+  /** Places a request on an engine that is not held for another one. A more urgent request takes held memory if nothing else is free. */
+  #tryPlace ({ urgency, key, work, organisation, request }: WaitingRequest, isCounted: boolean, needsFreeSlot: boolean): PlacementResult {
+    const { scheduler } = this.#options
+    const held = this.queue.heldAgainst(Infinity, key)
+    const heldAgainst = this.queue.heldAgainst(urgency, key)
+    const placeBeside = (engines: ReadonlySet<RunnerId>, isRepeated: boolean): PlacementResult =>
+      scheduler.place(request.spec, request.owner, GROUP_CONTEXT, { held: engines, needsFreeSlot, isCounted: isCounted || isRepeated })
+    const first = placeBeside(held, false)
+    const result = isRoomRefusal(first) && heldAgainst.size < held.size ? placeBeside(heldAgainst, true) : first
+    if (result.type === 'placed' && !this.queue.has(key)) this.queue.shares.charge(organisation, work)
+    return result
+  }
+
+  /** Lets a request wait if it can be placed in time. */
+  #letWait (entry: WaitingRequest, refusal: RefusedPlacement): PlacementResult {
+    const { clock, runningClock, log } = this.#options
+    const now = clock()
+    const forecast = this.#forecastOf(entry)
+    if (forecast === null) return refusal
+    if (now + forecast > entry.giveUpAt) return { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: forecast }
+    const displaced = this.queue.add(entry, now, runningClock())
+    if (displaced === entry) return { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: forecast }
+    if (displaced !== null) this.#refuse(displaced, PlacementRefusal.NoRoom, forecast)
+    const { request: { spec, owner }, urgency, organisation, tokens } = entry
+    log.info('placement.queued', {
+      request: spec.request,
+      node: owner.node,
+      service: spec.service,
+      urgency,
+      organisation,
+      tokens,
+      forecast_ms: Math.round(forecast),
+      give_up_ms: Math.round(entry.giveUpAt - now),
+      waited_ms: Math.round(spec.waited ?? 0),
+      waiting: this.queue.length
+    })
+    return { type: 'queued', renewAfter: RENEWAL_PERIOD }
+  }
+
+  /** Time until the request finds room behind those that wait for the same; null if it never does. */
+  #forecastOf (entry: WaitingRequest): Millis | null {
+    const described = this.#options.scheduler.placementRequest(entry.request.spec)
+    if (described === null) return null
+    const held = this.queue.heldAgainst(entry.urgency)
+    const open = described.candidates.filter(({ server }) => !held.has(server.id))
+    const room = this.#forecast.timeUntilRoom({ ...described, candidates: open }) ?? this.#forecast.timeUntilRoom(described)
+    if (room === null) return null
+    const tokensBefore = this.queue.before(entry).reduce((sum, { tokens }) => sum + tokens, 0)
+    return room + releaseTime(tokensBefore, described)
+  }
+
+  /** Whether requests before it wait for the same memory. A request that needs much memory and holds engines, or could not hold any, lets smaller ones past. */
+  #isBehindOthers (entry: WaitingRequest): boolean {
+    return this.queue.before(entry).some((other) => !other.isUnlikeOthers && (entry.needsMuchMemory || !other.needsMuchMemory))
+  }
+
+  #deliver (entry: WaitingRequest, result: PlacementResult): void {
+    if (result.type === 'placed') this.queue.placed(entry.key)
+    else this.queue.remove(entry.key)
+    this.#logEnd(entry, result.type)
+    entry.request.deliver(result)
+  }
+
+  /** Refuses a request that is no longer in the queue. */
+  #refuse (entry: WaitingRequest, reason: PlacementRefusal, retryAfter: Millis | null): void {
+    this.#logEnd(entry, reason)
+    entry.request.deliver({ type: 'refused', reason, retryAfter })
+  }
+
+  /** Logs that a request no longer waits. */
+  #logEnd ({ request: { spec, owner }, enteredAt }: WaitingRequest, outcome: string): void {
+    const { log, clock } = this.#options
+    log.info('placement.dequeued', {
+      request: spec.request,
+      node: owner.node,
+      service: spec.service,
+      outcome,
+      queued_ms: Math.round(clock() - enteredAt),
+      waiting: this.queue.length
+    })
+  }
+
+  /** Keeps engines for a request that needs much memory: those that have it soonest. Returns whether there are any left to hold. */
+  #hold (entry: WaitingRequest, { request }: FreeRoom): boolean {
+    const held = this.queue.allHeld()
+    const free = request.candidates.filter(({ server }) => !held.has(server.id))
+    const { memory } = request.timing.figures
+    const maxCount = Math.min(MAX_ENGINES_PER_PROMPT, Math.floor(request.candidates.length * MAX_HELD_SHARE) - held.size)
+    const described = { ...request, size: entry.request.spec.size }
+    const soonest = this.#soonestFree(described, free)
+    for (let count = Math.ceil(entry.tokens / memory); count <= Math.min(maxCount, soonest.length); count += 1) {
+      const engines = soonest.slice(0, count)
+      if (this.#forecast.timeUntilRoom({ ...described, candidates: engines }) === null) continue
+      this.queue.hold(entry.key, engines.map(({ server }) => server.id))
+      return true
+    }
+    return false
+  }
+
+  /** Sorts engines by the time until they have the memory, or all of theirs if it needs more. */
+  #soonestFree (request: PlacementRequest, candidates: readonly Candidate[]): Candidate[] {
+    const { memory, usualAnswer } = request.timing.figures
+    const size = { ...request.size, prompt: Math.min(request.size.prompt, memory - usualAnswer) }
+    const times = candidates.map((candidate) => ({ candidate, time: this.#forecast.timeUntilRoom({ ...request, size, candidates: [candidate] }) ?? Infinity }))
+    return times.sort((a, b) => a.time - b.time).map(({ candidate }) => candidate)
+  }
+
+  /** Whether a request holds engines that can all still serve it. */
+  #keepsHold ({ key }: WaitingRequest, { request: { candidates } }: FreeRoom): boolean {
+    const held = this.queue.heldBy(key)
+    const usable = new Set(candidates.map(({ server }) => server.id))
+    return held.length > 0 && held.every((engine) => usable.has(engine))
+  }
+
+  /** Free memory of the engines, as far as all requests may use them. */
+  #freeRoom ([first]: readonly WaitingRequest[]): FreeRoom | null {
+    const { scheduler } = this.#options
+    const request = first === undefined ? null : scheduler.placementRequest({ ...first.request.spec, excluded: [], allowed: null })
+    if (request === null) return null
+    const { candidates, loads, timing, now } = request
+    const states = candidates.map((candidate) => new EngineState(candidate, loads.get(candidate.server.id), timing, now, 0)).filter(({ hasFreeSlot }) => hasFreeSlot)
+    return { request, freeMemory: new Map(states.map(({ server, freeMemory }) => [server.id, freeMemory])) }
+  }
+
+  /** Whether the free memory may be enough for a request, on one engine or on an owner and its holders. */
+  #mayFit (entry: WaitingRequest, { freeMemory }: FreeRoom): boolean {
+    const held = this.queue.heldAgainst(entry.urgency, entry.key)
+    const free = [...freeMemory].filter(([id]) => !held.has(id)).map(([, tokens]) => tokens).sort((a, b) => b - a)
+    return sum(free.slice(0, entry.needsMuchMemory ? MAX_ENGINES_PER_PROMPT : 1)) >= entry.tokens
+  }
+
+  #entryOf (request: AdmissionRequest, now: Millis): WaitingRequest {
+    const { fleetState, scheduler } = this.#options
+    const { spec, key } = request
+    const { size, objective, organisation = '', urgency = LEAST_URGENT } = spec
+    const timing = scheduler.modelOf(this.service)
+    const { memory, slots, usualAnswer } = timing.figures
+    const tokens = size.prompt + Math.min(size.mostAnswer, usualAnswer)
+    const timeout = routeTimeout(fleetState.routeTable?.deployment.routes ?? [], this.service.name, objective)
+    return {
+      key,
+      request,
+      urgency,
+      organisation,
+      tokens,
+      needsMuchMemory: tokens > memory / slots,
+      work: timing.prefillTime(size.prompt),
+      enteredAt: now,
+      evaluatedAt: -Infinity,
+      isUnlikeOthers: false,
+      ...waitLimits(spec, timeout, timing, fleetState.servers.ready(this.service.name).length)
+    }
+  }
+}
+
+const sum = (numbers: readonly number[]): number => numbers.reduce((total, number) => total + number, 0)
+
+const isRoomRefusal = (result: PlacementResult): result is RefusedPlacement => result.type === 'refused' && ROOM_REFUSALS.has(result.reason)
+
+/** A request that has to run apart from others, or beside an attempt in progress, is placed at once or not at all. */
+const isQueueable = ({ acceptsQueueing, isHedge, isSuspected, isolatedAs, trialParts, isRedirected }: PlacementSpec): boolean =>
+  acceptsQueueing === true && isHedge !== true && !isSuspected && isolatedAs === undefined && trialParts.length === 0 && !isRedirected
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -50,6 +50,8 @@
 /** Why an attempt is not placed. */
 export const PlacementRefusal = {
   NoServer: 'no_server',
+  /** No backend server will have the memory and a slot for it before its caller leaves. */
+  NoRoom: 'no_room',
   /** All backend servers that could serve it have stated a request limit, and it is reached. */
   RequestLimit: 'request_limit',
   /** All backend servers that could serve it have stated that they are leaving. */
@@ -85,6 +87,9 @@
   readonly pausedServer?: RunnerId
 }
 
+/** Decision about one attempt that does not wait. */
+export type FinalPlacement = Exclude<PlacementResult, { readonly type: 'queued' }>
+
 /** Decision about one attempt. */
 export type PlacementResult =
   | {
@@ -99,6 +104,8 @@
     readonly isTrial: boolean
   }
   | RefusedPlacement
+  /** It waits for memory or a slot: the node renews the query after each `renewAfter`, and gets the placement as soon as it is decided. */
+  | { readonly type: 'queued', readonly renewAfter: Millis }
   /** The scheduler of another group can serve it sooner. */
   | { readonly type: 'redirected', readonly address: string }
 
@@ -151,3 +158,32 @@
   readonly node: NodeId
   readonly number: number
 }
+
+/** How a scheduler places an attempt beside requests that wait. */
+export interface PlacementTerms {
+  /** Engines that are held for other requests. */
+  readonly held: ReadonlySet<RunnerId>
+  /** Whether its engine must have a free slot, since the attempt can wait for one at the scheduler. */
+  readonly needsFreeSlot: boolean
+  /** Whether it has been counted and taken from the retry budget before. */
+  readonly isCounted: boolean
+}
+
+/** Terms of a scheduler without waiting requests. */
+export const NO_TERMS: PlacementTerms = { held: new Set(), needsFreeSlot: false, isCounted: false }
+
+/** The process that asks for a placement, and how it gets one that is decided later. */
+export interface PlacementWaiter {
+  /** Tells the process from earlier ones of the same node. */
+  readonly startedAt: number
+  /** Sends the decision. */
+  readonly deliver: (result: PlacementResult) => void
+}
+
+/** How long a node lets an attempt wait for its placement. */
+export interface PlacementWait {
+  /** Time at which it gives up waiting. */
+  readonly until: Millis
+  /** Ends the wait, because the caller has left. */
+  readonly signal?: AbortSignal
+}
