--- a/packages/node/tests/admissionFleet.ts
+++ b/packages/node/tests/admissionFleet.ts
@@ -15,7 +15,7 @@
 export const MEDIUM: Kind = { name: 'medium', prompt: 45_000, objective: 1_500, pause: 600, timeout: 10_000 }
 export const LONG: Kind = { name: 'long', prompt: 190_000, objective: 6_000, pause: 1_000, timeout: 15_000 }
 
-const ROUTES: Route[] = [SHORT, MEDIUM, LONG].map(({ name, objective, pause, timeout }) =>
+export const ROUTES: Route[] = [SHORT, MEDIUM, LONG].map(({ name, objective, pause, timeout }) =>
   ({ name, host: 'a', pathPrefix: `/${name}/`, kind: 'stream', resumable: true, timeout, objective, pauseObjective: pause, priority: 5, maxAttempts: 2, isPublic: false, services: [{ service: 'lm', weight: 1 }] }))
 
 /** Linear congruential generator, so that a load is the same in each run. */
