--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -120,6 +120,31 @@
   return `${timeOfDay(at)}: it ended as ${fields.outcome}${status} after ${fields.took_ms} ms.${first}${pause}`
 }
 
+const describeQueued = ({ at, fields }: LogLine): string => {
+  const waited = fields.waited_ms === '0' || fields.waited_ms === undefined ? '' : ` It had waited for ${fields.waited_ms} ms at another scheduler.`
+  const forecast = `room for its ${fields.tokens} tokens was expected in ${fields.forecast_ms} ms, and it could wait for ${fields.give_up_ms} ms`
+  return `${timeOfDay(at)}: no engine of ${fields.service} had room for it; it began to wait at the scheduler with urgency ${fields.urgency}, as one of ${fields.waiting}: ${forecast}.${waited}`
+}
+
+const QUEUE_OUTCOMES: Readonly<Record<string, string>> = {
+  placed: 'was placed',
+  withdrawn: 'was withdrawn by its node',
+  expired: 'was dropped, since its node no longer renewed it',
+  too_late: 'was refused, since its caller could no longer be served in time',
+  no_room: 'was refused, since too many requests before it waited',
+  redirected: 'was passed on to the scheduler of another group'
+}
+
+const describeDequeued = ({ at, fields }: LogLine): string =>
+  `${timeOfDay(at)}: it ${QUEUE_OUTCOMES[fields.outcome ?? ''] ?? `left the queue as ${fields.outcome}`} after ${fields.queued_ms} ms in the queue of the scheduler.`
+
+const describeNodeQueued = ({ at, node, fields }: LogLine): string => `${timeOfDay(at)}: node ${node} lets it wait at the scheduler ${fields.scheduler}.`
+
+const describeWithdrawn = ({ at, node, fields }: LogLine): string => {
+  const cause = fields.caller_left === 'true' ? 'the request was over' : 'its deadline was near'
+  return `${timeOfDay(at)}: node ${node} withdrew it from the scheduler ${fields.scheduler} after ${fields.queued_ms} ms, since ${cause}.`
+}
+
 const describeOther = ({ at, node, event, fields }: LogLine): string => {
   const shownFields = Object.entries(fields).filter(([name]) => !['time', 'level', 'node', 'domain', 'event', 'request'].includes(name))
   return `${timeOfDay(at)}: ${event} on node ${node} (${shownFields.map(([name, value]) => `${name} ${value}`).join(', ')}).`
@@ -128,6 +153,10 @@
 const DESCRIBERS: Readonly<Record<string, (line: LogLine) => string>> = {
   'request.sent': describeSent,
   'request.not_placed': describeNotPlaced,
+  'placement.queued': describeQueued,
+  'placement.dequeued': describeDequeued,
+  'request.queued': describeNodeQueued,
+  'request.withdrawn': describeWithdrawn,
   'attempt.failed': describeFailedAttempt,
   'request.quarantined': (line) => `${timeOfDay(line.at)}: ${describeQuarantined(line)}`,
   'request.ended': describeEnded
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -141,3 +141,15 @@
   t.regex(sentences[3]!, /let request fifth go as a trial/)
   t.regex(sentences[4]!, /node edge-1 refused it for good: part ab12 .* after 3 crashes of engines at 3 different moments, the last one 400 ms before; the part had never been seen in a sound answer\. It has not run\./)
 })
+
+test('a request that waited for memory is explained from the lines of its scheduler and its node', (t) => {
+  const log = parseDecisionLog([
+    line('32.000', 'edge-1', 'event=placement.queued request=long node=edge-2 service=lm urgency=5 organisation=o tokens=191400 forecast_ms=900 give_up_ms=9000 waited_ms=0 waiting=3'),
+    line('32.001', 'edge-2', 'event=request.queued request=long scheduler=edge-1 renew_ms=200 waited_ms=0'),
+    line('32.800', 'edge-1', 'event=placement.dequeued request=long node=edge-2 service=lm outcome=placed queued_ms=800 waiting=2')
+  ].join('\n'))
+  const sentences = explainLogged(log, 'long')?.sentences ?? []
+  t.is(sentences.length, 3)
+  t.regex(sentences[0] ?? '', /had room for it; it began to wait at the scheduler with urgency 5, as one of 3: room for its 191400 tokens was expected in 900 ms/)
+  t.regex(sentences[2] ?? '', /it was placed after 800 ms in the queue/)
+})
--- a/packages/domain/src/forwarding/admission/AdmissionQueue.ts
+++ b/packages/domain/src/forwarding/admission/AdmissionQueue.ts
@@ -62,6 +62,8 @@
 export class AdmissionQueue<Entry extends AdmissionEntry> {
   readonly shares = new OrganisationShares()
   readonly #waiting = new Map<string, WaitingEntry<Entry>>()
+  /** Request that holds an engine, by engine. */
+  readonly #holders = new Map<RunnerId, Entry>()
   #nextSequence = 0
 
   /** @param maxLength - longest queue; beyond it, the last in order is refused */
@@ -73,7 +75,7 @@
 
   /** Number of engines that are held for waiting requests. */
   get heldCount (): number {
-    return [...this.#waiting.values()].reduce((sum, { held }) => sum + held.length, 0)
+    return this.#holders.size
   }
 
   has (key: AdmissionKey): boolean {
@@ -122,6 +124,7 @@
   remove (key: AdmissionKey): Entry | null {
     const waiting = this.#waiting.get(textOf(key))
     if (waiting === undefined) return null
+    this.hold(key, [])
     this.#waiting.delete(textOf(key))
     this.shares.stopWaiting(waiting.entry.organisation)
     return waiting.entry
@@ -198,7 +201,10 @@
    */
   hold (key: AdmissionKey, engines: readonly RunnerId[]): void {
     const waiting = this.#waiting.get(textOf(key))
-    if (waiting !== undefined) waiting.held = engines
+    if (waiting === undefined) return
+    for (const engine of waiting.held) this.#holders.delete(engine)
+    for (const engine of engines) this.#holders.set(engine, waiting.entry)
+    waiting.held = engines
   }
 
   /** @returns the engines that a waiting request holds */
@@ -206,20 +212,23 @@
     return this.#waiting.get(textOf(key))?.held ?? []
   }
 
-  /** @returns the engines that waiting requests hold */
-  allHeld (): Set<RunnerId> {
-    return this.heldAgainst(Infinity)
+  /**
+   * @param engine - an engine
+   * @param key - a request
+   * @returns whether the engine is held for another request
+   */
+  isHeldForOther (engine: RunnerId, key: AdmissionKey): boolean {
+    const holder = this.#holders.get(engine)
+    return holder !== undefined && !isSame(holder.key, key)
   }
 
   /**
-   * @param urgency - urgency of a request
-   * @param key - the request, if it waits itself
-   * @returns the engines that it must not use: those held for others that are not less urgent
+   * @param key - a request
+   * @param urgency - its urgency; of all requests that hold engines, those that are not less urgent count
+   * @returns the engines that the request must not use
    */
-  heldAgainst (urgency: number, key: AdmissionKey | null = null): Set<RunnerId> {
-    const own = key === null ? null : textOf(key)
-    const holders = [...this.#waiting].filter(([text, { entry }]) => text !== own && entry.urgency <= urgency)
-    return new Set(holders.flatMap(([, { held }]) => held))
+  heldAgainst (key: AdmissionKey, urgency = Infinity): Set<RunnerId> {
+    return new Set([...this.#holders].filter(([, holder]) => holder.urgency <= urgency && !isSame(holder.key, key)).map(([engine]) => engine))
   }
 
   /** All requests in order. */
@@ -241,4 +250,6 @@
 const isOwnBefore = (entry: AdmissionRank, { organisation, urgency, latestStart }: AdmissionRank): boolean =>
   entry.organisation === organisation && (entry.urgency - urgency || entry.latestStart - latestStart) <= 0
 
+const isSame = (a: AdmissionKey, b: AdmissionKey): boolean => a.number === b.number && a.node === b.node && a.startedAt === b.startedAt
+
 const textOf = ({ node, startedAt, number }: AdmissionKey): string => `${node}/${startedAt}/${number}`
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -249,6 +249,8 @@
     this.#metrics.addGauge('backend_servers_avoided', 'Backend servers that are avoided', () => this.#scheduler.health.avoided(monotonicNow()).length)
     this.#metrics.addGauge('prompt_parts_quarantined', 'Prompt parts and requests that are refused', () => this.#scheduler.quarantine.counts().partsQuarantined)
     this.#metrics.addGauge('prompt_parts_suspected', 'Prompt parts and requests that may crash backend servers', () => this.#scheduler.quarantine.counts().partsSuspected)
+    this.#metrics.addGauge('placements_waiting', 'Requests that wait at this scheduler for memory or a slot', () => this.#scheduler.admission.waitingCount)
+    this.#metrics.addGauge('backend_servers_held', 'Backend servers whose free memory is kept for waiting requests', () => this.#scheduler.admission.heldCount)
     this.#metrics.addGauge('peers', 'Other nodes that are heard', () => this.#peerLink.sources().length)
     this.#metrics.addGauge('open_requests', 'Requests without a final answer', () => this.#entryServer.openRequests)
     this.#metrics.addGauge('log_lines_dropped', 'Lines of the log that found no room', droppedLogLines)
--- a/packages/node/src/forward/scheduling/AdmissionControl.ts
+++ b/packages/node/src/forward/scheduling/AdmissionControl.ts
@@ -14,9 +14,9 @@
 
 /**
  * Shortest time between two rounds in which waiting requests are placed. Engines free memory up to some hundred times a second; one
- * round serves all of it that became free meanwhile.
+ * round serves all that became free meanwhile.
  */
-const MIN_ROUND_INTERVAL: Millis = 5
+const MIN_ROUND_INTERVAL: Millis = 10
 
 /** Longest time between two rounds while requests wait, for memory that becomes free without a report. */
 const MAX_ROUND_INTERVAL: Millis = 50
@@ -73,7 +73,7 @@
     const isCounted = (spec.waited ?? 0) > 0
     const admission = this.#admissionOf(spec.service)
     if (admission === null) return scheduler.place(spec, owner, GROUP_CONTEXT, { ...NO_TERMS, isCounted })
-    if (this.#isRoomFreed) this.#runRound()
+    if (this.#isRoomFreed && clock() - this.#lastRoundAt >= MIN_ROUND_INTERVAL) this.#runRound()
     const result = admission.place({ spec, owner, key, isCounted, deliver: waiter.deliver })
     if (result.type === 'queued') this.#planRound(MAX_ROUND_INTERVAL)
     return result
--- a/packages/node/src/forward/scheduling/ServiceAdmission.ts
+++ b/packages/node/src/forward/scheduling/ServiceAdmission.ts
@@ -1,6 +1,6 @@
 /** Places the requests of one memory-bound service in the order of admission, and lets those wait that cannot be placed yet. */
 import { AdmissionQueue, EngineState, releaseTime, RENEWAL_PERIOD, RoomForecast, routeTimeout, waitLimits } from '@bluebellhill/domain'
-import type { AdmissionEntry, AdmissionKey, Candidate, Millis, PlacementRequest, RunnerId, Service, Tokens } from '@bluebellhill/domain'
+import type { AdmissionEntry, AdmissionKey, Candidate, Millis, PlacementRequest, RunnerId, Service } from '@bluebellhill/domain'
 
 import type { AdmissionControlOptions } from './AdmissionControl.js'
 import { GROUP_CONTEXT, PlacementRefusal } from './types.js'
@@ -9,7 +9,7 @@
 /** Waiting requests that are looked at in one round, in order. */
 const MAX_CONSIDERED = 32
 
-/** Full evaluations of engines in one round: with 200 rounds a second, 800 beside those of arriving requests. */
+/** Full evaluations of engines in one round: with 100 rounds a second, 400 beside those of arriving requests. */
 const MAX_EVALUATED = 4
 
 /** Time after which a request that did not fit, although the free memory seemed enough, is evaluated again. */
@@ -53,8 +53,8 @@
 interface FreeRoom {
   /** A request that may use all engines. */
   readonly request: PlacementRequest
-  /** Free memory of the engines with a free slot. */
-  readonly freeMemory: ReadonlyMap<RunnerId, Tokens>
+  /** Engines with a free slot, that with the most free memory first. */
+  readonly engines: readonly EngineState[]
 }
 
 /** Order of admission of one service. */
@@ -145,8 +145,8 @@
   /** Places a request on an engine that is not held for another one. A more urgent request takes held memory if nothing else is free. */
   #tryPlace ({ urgency, key, work, organisation, request }: WaitingRequest, isCounted: boolean, needsFreeSlot: boolean): PlacementResult {
     const { scheduler } = this.#options
-    const held = this.queue.heldAgainst(Infinity, key)
-    const heldAgainst = this.queue.heldAgainst(urgency, key)
+    const held = this.queue.heldAgainst(key)
+    const heldAgainst = this.queue.heldAgainst(key, urgency)
     const placeBeside = (engines: ReadonlySet<RunnerId>, isRepeated: boolean): PlacementResult =>
       scheduler.place(request.spec, request.owner, GROUP_CONTEXT, { held: engines, needsFreeSlot, isCounted: isCounted || isRepeated })
     const first = placeBeside(held, false)
@@ -185,7 +185,7 @@
   #forecastOf (entry: WaitingRequest): Millis | null {
     const described = this.#options.scheduler.placementRequest(entry.request.spec)
     if (described === null) return null
-    const held = this.queue.heldAgainst(entry.urgency)
+    const held = this.queue.heldAgainst(entry.key, entry.urgency)
     const open = described.candidates.filter(({ server }) => !held.has(server.id))
     const room = this.#forecast.timeUntilRoom({ ...described, candidates: open }) ?? this.#forecast.timeUntilRoom(described)
     if (room === null) return null
@@ -226,13 +226,13 @@
 
   /** Keeps engines for a request that needs much memory: those that have it soonest. Returns whether there are any left to hold. */
   #hold (entry: WaitingRequest, { request }: FreeRoom): boolean {
-    const held = this.queue.allHeld()
-    const free = request.candidates.filter(({ server }) => !held.has(server.id))
-    const { memory } = request.timing.figures
-    const maxCount = Math.min(MAX_ENGINES_PER_PROMPT, Math.floor(request.candidates.length * MAX_HELD_SHARE) - held.size)
+    this.queue.hold(entry.key, [])
+    const minCount = Math.ceil(entry.tokens / request.timing.figures.memory)
+    const maxCount = Math.min(MAX_ENGINES_PER_PROMPT, Math.floor(request.candidates.length * MAX_HELD_SHARE) - this.queue.heldCount)
+    if (minCount > maxCount) return false
     const described = { ...request, size: entry.request.spec.size }
-    const soonest = this.#soonestFree(described, free)
-    for (let count = Math.ceil(entry.tokens / memory); count <= Math.min(maxCount, soonest.length); count += 1) {
+    const soonest = this.#soonestFree(described, request.candidates.filter(({ server }) => !this.queue.isHeldForOther(server.id, entry.key)))
+    for (let count = minCount; count <= Math.min(maxCount, soonest.length); count += 1) {
       const engines = soonest.slice(0, count)
       if (this.#forecast.timeUntilRoom({ ...described, candidates: engines }) === null) continue
       this.queue.hold(entry.key, engines.map(({ server }) => server.id))
@@ -263,14 +263,20 @@
     if (request === null) return null
     const { candidates, loads, timing, now } = request
     const states = candidates.map((candidate) => new EngineState(candidate, loads.get(candidate.server.id), timing, now, 0)).filter(({ hasFreeSlot }) => hasFreeSlot)
-    return { request, freeMemory: new Map(states.map(({ server, freeMemory }) => [server.id, freeMemory])) }
+    return { request, engines: states.sort((a, b) => b.freeMemory - a.freeMemory) }
   }
 
   /** Whether the free memory may be enough for a request, on one engine or on an owner and its holders. */
-  #mayFit (entry: WaitingRequest, { freeMemory }: FreeRoom): boolean {
-    const held = this.queue.heldAgainst(entry.urgency, entry.key)
-    const free = [...freeMemory].filter(([id]) => !held.has(id)).map(([, tokens]) => tokens).sort((a, b) => b - a)
-    return sum(free.slice(0, entry.needsMuchMemory ? MAX_ENGINES_PER_PROMPT : 1)) >= entry.tokens
+  #mayFit ({ urgency, key, tokens, needsMuchMemory }: WaitingRequest, { engines }: FreeRoom): boolean {
+    const held = this.queue.heldAgainst(key, urgency)
+    let [missing, count] = [tokens, needsMuchMemory ? MAX_ENGINES_PER_PROMPT : 1]
+    for (const { server, freeMemory } of engines) {
+      if (missing <= 0 || count === 0) break
+      if (held.has(server.id)) continue
+      missing -= freeMemory
+      count -= 1
+    }
+    return missing <= 0
   }
 
   #entryOf (request: AdmissionRequest, now: Millis): WaitingRequest {
@@ -297,8 +303,6 @@
   }
 }
 
-const sum = (numbers: readonly number[]): number => numbers.reduce((total, number) => total + number, 0)
-
 const isRoomRefusal = (result: PlacementResult): result is RefusedPlacement => result.type === 'refused' && ROOM_REFUSALS.has(result.reason)
 
 /** A request that has to run apart from others, or beside an attempt in progress, is placed at once or not at all. */
