--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -153,3 +153,15 @@
   t.regex(sentences[0] ?? '', /had room for it; it began to wait at the scheduler with urgency 5, as one of 3: room for its 191400 tokens was expected in 900 ms/)
   t.regex(sentences[2] ?? '', /it was placed after 800 ms in the queue/)
 })
+
+test('a grant that was returned because of an evacuation, and the evacuation itself, are told', (t) => {
+  const log = [
+    line('20.000', 'edge-1', 'event=evacuation.changed begun=hall-b ended=none origin=peer evacuated=hall-b revision=1.41'),
+    line('20.100', 'edge-1', 'event=grant.returned request=r5 scheduler=10.0.0.1:1 server=i-3 unusable=i-3 evacuated=hall-b servers_revision=1.40'),
+    line('20.101', 'edge-1', 'event=request.not_placed request=r5 service=lm reason=domains_evacuated retry_after_ms=1400')
+  ].join('\n')
+  const { sentences, meanwhile } = explainLogged(parseDecisionLog(log), 'r5')!
+  t.regex(sentences[0]!, /did not use the placement on i-3 .* evacuated as far as the node knew: hall-b\./)
+  t.regex(sentences[1]!, /evacuated all failure domains .* could return after 1400 ms/)
+  t.regex(meanwhile[0]!, /node edge-1 learnt from another node: evacuation of hall-b begun, as of revision 1\.41\./)
+})
--- a/packages/node/src/forward/scheduling/ServiceAdmission.ts
+++ b/packages/node/src/forward/scheduling/ServiceAdmission.ts
@@ -3,6 +3,7 @@
 import type { AdmissionEntry, AdmissionKey, Candidate, Millis, PlacementRequest, RunnerId, Service } from '@bluebellhill/domain'
 
 import type { AdmissionControlOptions } from './AdmissionControl.js'
+import { findRestriction } from './findRestriction.js'
 import { GROUP_CONTEXT, PlacementRefusal } from './types.js'
 import type { AssignmentOwner, PlacementResult, PlacementSpec, PlacementWaiter, RefusedPlacement } from './types.js'
 
@@ -112,10 +113,22 @@
     if (this.queue.length > 0) this.#serveInOrder(this.queue.first(MAX_CONSIDERED, clock()), clock())
   }
 
+  /** Refuses the requests to which the operator has left no engine. */
+  #refuseRestricted (entries: readonly WaitingRequest[]): void {
+    for (const entry of entries) {
+      const restriction = findRestriction(this.#options.fleetState, this.service.name, entry.request.spec.regions)
+      if (restriction !== null) this.#deliver(entry, restriction)
+    }
+  }
+
   #serveInOrder (entries: readonly WaitingRequest[], now: Millis): void {
     let evaluations = 0
     let room = this.#freeRoom(entries)
     if (room === null) return
+    if (room.request.candidates.length === 0) {
+      this.#refuseRestricted(entries)
+      return
+    }
     let isSmallBlocked = false
     let isLargeBlocked = false
     for (const entry of entries) {
@@ -126,7 +139,7 @@
         if (evaluations >= MAX_EVALUATED) return
         evaluations += 1
         const result = this.#tryPlace(entry, true, true)
-        if (result.type !== 'refused') {
+        if (!isRoomRefusal(result)) {
           this.#deliver(entry, result)
           room = this.#freeRoom(entries) ?? room
           continue
@@ -201,7 +214,7 @@
   #deliver (entry: WaitingRequest, result: PlacementResult): void {
     if (result.type === 'placed') this.queue.placed(entry.key)
     else this.queue.remove(entry.key)
-    this.#logEnd(entry, result.type)
+    this.#logEnd(entry, result.type === 'refused' ? result.reason : result.type)
     entry.request.deliver(result)
   }
 
@@ -259,7 +272,7 @@
   /** Free memory of the engines, as far as all requests may use them. */
   #freeRoom ([first]: readonly WaitingRequest[]): FreeRoom | null {
     const { scheduler } = this.#options
-    const request = first === undefined ? null : scheduler.placementRequest({ ...first.request.spec, excluded: [], allowed: null })
+    const request = first === undefined ? null : scheduler.placementRequest({ ...first.request.spec, excluded: [], allowed: null, regions: undefined })
     if (request === null) return null
     const { candidates, loads, timing, now } = request
     const states = candidates.map((candidate) => new EngineState(candidate, loads.get(candidate.server.id), timing, now, 0)).filter(({ hasFreeSlot }) => hasFreeSlot)
