--- a/packages/domain/src/forwarding/admission/AdmissionQueue.ts
+++ b/packages/domain/src/forwarding/admission/AdmissionQueue.ts
@@ -212,6 +212,11 @@
     return this.#waiting.get(textOf(key))?.held ?? []
   }
 
+  /** @returns the requests that hold engines */
+  holders (): Entry[] {
+    return [...new Set(this.#holders.values())]
+  }
+
   /**
    * @param engine - an engine
    * @param key - a request
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -102,10 +102,12 @@
     const candidates = this.#candidatesApart(spec, withoutHeld(this.#candidates(open, now), terms), loads)
     if (candidates === null) return { type: 'refused', reason: PlacementRefusal.SuspectsInProgress, retryAfter: ISOLATION_RETRY_AFTER }
     if (!terms.isCounted && !this.count(spec)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
-    const choice = this.#choose(spec, service, candidates, loads, context, now)
-    if (terms.needsFreeSlot && choice !== null && !hasFreeSlot(choice, loads)) return { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: null }
+    const best = this.#choose(spec, service, candidates, loads, context, now)
+    const hasSlot = !terms.needsFreeSlot || best === null || hasFreeSlot(best, loads)
+    const choice = hasSlot ? best : null
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
+    if (!hasSlot) return { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: null }
     if (choice === null) return this.statements.refusalFor(permitted, context.limitShare, now)
     const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
--- a/packages/node/src/forward/scheduling/ServiceAdmission.ts
+++ b/packages/node/src/forward/scheduling/ServiceAdmission.ts
@@ -19,6 +19,9 @@
 /** Share of the engines that may be held for requests which need much memory, so that the others still serve smaller ones. */
 const MAX_HELD_SHARE = 1 / 2
 
+/** Share of an engine's memory above which a request needs it nearly empty. Below, one of the requests in turn holds an engine; the next soon follows there. */
+const ENGINE_SHARE = 1 / 2
+
 /** Engines that may keep one prompt: its owner and four holders. */
 const MAX_ENGINES_PER_PROMPT = 5
 
@@ -43,6 +46,8 @@
   readonly request: AdmissionRequest
   /** Whether it needs more than a slot's part of an engine's memory. */
   readonly needsMuchMemory: boolean
+  /** Whether it needs more than half of an engine's memory. */
+  readonly needsEngine: boolean
   readonly enteredAt: Millis
   /** Time of its last evaluation without a result. */
   evaluatedAt: Millis
@@ -240,6 +245,7 @@
   /** Keeps engines for a request that needs much memory: those that have it soonest. Returns whether there are any left to hold. */
   #hold (entry: WaitingRequest, { request }: FreeRoom): boolean {
     this.queue.hold(entry.key, [])
+    if (!entry.needsEngine && this.queue.holders().some(({ needsEngine }) => !needsEngine)) return false
     const minCount = Math.ceil(entry.tokens / request.timing.figures.memory)
     const maxCount = Math.min(MAX_ENGINES_PER_PROMPT, Math.floor(request.candidates.length * MAX_HELD_SHARE) - this.queue.heldCount)
     if (minCount > maxCount) return false
@@ -307,6 +313,7 @@
       organisation,
       tokens,
       needsMuchMemory: tokens > memory / slots,
+      needsEngine: tokens > memory * ENGINE_SHARE,
       work: timing.prefillTime(size.prompt),
       enteredAt: now,
       evaluatedAt: -Infinity,
