--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,7 +1,7 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { describeRevision, HealthSignal } from '@bluebellhill/domain'
+import { describeRevision, HealthSignal, RENEWAL_EXPIRY } from '@bluebellhill/domain'
 import type { AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, Region, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
@@ -110,6 +110,7 @@
     let hasRestriction = false
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
+      const askedAt = clock()
       // A scheduler of an earlier build knows neither evacuations nor regions, and may choose one excluded server after another.
       const isLast = decisions === MAX_DECISIONS - 1
       const decision = isLast && hasRestriction ? this.#queries.decideAlone(spec, number) : await this.#queries.decide(spec, number, wait)
@@ -118,12 +119,13 @@
         this.#withoutChosen(spec, number, decision)
         return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
       }
-      if (decision.isOutdated === true && decision.result.type === 'placed') {
+      const age = clock() - (decision.outstandingAt ?? askedAt)
+      if (decision.outstandingAt !== undefined && decision.result.type === 'placed' && age > RENEWAL_EXPIRY) {
         this.#returnOutdated(spec, number, decision)
         spec = { ...spec, chargesRetry: false, isFirstAttempt: false }
         continue
       }
-      if (this.#isUsable(spec, decision)) return this.#record(spec, number, decision, startedAt)
+      if (this.#isUsable(spec, decision, age)) return this.#record(spec, number, decision, startedAt)
       hasRestriction ||= this.#isRestricted(spec, decision)
       spec = this.#withoutChosen(spec, number, decision)
     }
@@ -146,14 +148,16 @@
 
   /**
    * The scheduler may not know yet that a server has left or what it has stated to this node, and one of an earlier build never knows
-   * statements: this node then uses its own share of the server's request limit.
+   * statements or cold servers: this node then uses its own share of the server's request limit.
    */
-  #isUsable ({ regions }: PlacementSpec, { result }: Decision): boolean {
+  #isUsable ({ regions }: PlacementSpec, { result }: Decision, age: Millis): boolean {
     if (result.type !== 'placed') return true
     const { scheduler, directory } = this.#options
     const { server } = result.choice
     if (this.#obstaclesIn(result.choice, regions).length > 0) return false
-    return result.keepsLimit || scheduler.statements.take(server, 1 / directory.size)
+    if (scheduler.statements.coldServers.isTooLateFor(server, age)) return false
+    const keepsLimits = result.keepsLimit && (result.keepsWarmUp === true || !scheduler.statements.coldServers.limits(server, this.#options.clock()))
+    return keepsLimits || scheduler.statements.take(server, 1 / directory.size)
   }
 
   /** Returns a grant that was received so late, because this process was held up, that its scheduler may have given the place to another request. */
@@ -255,10 +259,13 @@
    * @param attempt - a placed attempt that has not been sent yet
    * @returns why it must not be sent any more; null if it may
    */
-  obstacleTo ({ choice, regions }: PlacedAttempt): string | null {
+  obstacleTo ({ choice, regions, assignment, decidedIn }: PlacedAttempt): string | null {
+    const { scheduler, clock, fleetState } = this.#options
+    const age = clock() - assignment.sentAt + decidedIn
+    if (scheduler.statements.coldServers.isTooLateFor(choice.server, age)) return `server ${choice.server.id} is cold, and it was placed ${Math.round(age)} ms ago`
     const [server] = this.#obstaclesIn(choice, regions)
     if (server === undefined) return null
-    const isEvacuated = this.#options.fleetState.restrictions.isEvacuated(server.failureDomain)
+    const isEvacuated = fleetState.restrictions.isEvacuated(server.failureDomain)
     return isEvacuated ? `failure domain ${server.failureDomain} of server ${server.id} is evacuated` : `server ${server.id} accepts no requests of this node now`
   }
 
--- a/packages/node/src/forward/scheduling/PlacementQueries.ts
+++ b/packages/node/src/forward/scheduling/PlacementQueries.ts
@@ -1,5 +1,4 @@
 /** Has attempts decided on by the scheduler of this node's group, or by this node's own scheduler if no other one answers. */
-import { RENEWAL_EXPIRY } from '@bluebellhill/domain'
 import type { Millis, NodeId, SchedulerDirectory } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
@@ -15,6 +14,9 @@
 /** Schedulers that are asked before this node decides itself; for a trial only one, since a silent one may have granted it. */
 const MAX_SCHEDULERS_ASKED = 2
 
+/** Interval at which a waiting request notices that it has no decision yet, so that the age of one that arrives is known: cold servers need it within 100 ms. */
+const INPUT_CHECK_PERIOD: Millis = 50
+
 /** Start of the own process in the keys of requests that wait at the scheduler of this node. */
 const OWN_PROCESS = 0
 
@@ -54,8 +56,8 @@
 export interface Decision {
   readonly result: FinalPlacement
   readonly scheduler: string | null
-  /** Whether the decision was received so long after the question that the scheduler may have taken it back. */
-  readonly isOutdated?: boolean
+  /** Time at which a request that has waited had no decision yet: it is older than that only by the way of the message. Absent if it has not waited. */
+  readonly outstandingAt?: Millis
 }
 
 /** Queries for the placement of attempts. */
@@ -140,8 +142,8 @@
     log.info('request.queued', { request: spec.request, scheduler: asked.node, renew_ms: period, waited_ms: Math.round(spec.waited ?? 0) })
     let askedAt = startedAt
     for (;;) {
-      const result = await this.#expect(asked, spec, number, wait, askedAt + period)
-      if (result !== null) return this.#decisionOf(asked, result, askedAt)
+      const decision = await this.#expect(asked, spec, number, wait, askedAt + period)
+      if (decision !== null) return decision
       const now = clock()
       const isOver = wait.signal?.aborted === true || now >= wait.until
       const hasMoved = directory.scheduler(runningClock()).node !== asked.node
@@ -154,23 +156,20 @@
       askedAt = now
       const renewed = await this.#ask(asked, afterWait(spec, now - startedAt), number)
       if (renewed === null) return null
-      if (renewed.type !== 'queued') return this.#decisionOf(asked, renewed, askedAt)
+      if (renewed.type !== 'queued') return { result: renewed, scheduler: asked.address, outstandingAt: askedAt }
     }
   }
 
   /** Waits for the decision about a request that waits; null if there is none until a time, or the wait has ended. */
-  async #expect (asked: AskedScheduler, spec: PlacementSpec, number: number, { until, signal }: PlacementWait, renewAt: Millis): Promise<FinalPlacement | null> {
+  async #expect (asked: AskedScheduler, spec: PlacementSpec, number: number, { until, signal }: PlacementWait, renewAt: Millis): Promise<Decision | null> {
     const { clock } = this.#options
-    for (;;) {
-      const limit = Math.min(renewAt, until) - clock()
-      const answer = limit <= 0 ? null : await this.#pending.expect(number, limit, signal)
+    const end = Math.min(renewAt, until)
+    for (let now = clock(); now < end && signal?.aborted !== true; now = clock()) {
+      const answer = await this.#pending.expect(number, Math.min(INPUT_CHECK_PERIOD, end - now), signal)
       const result = answer === null ? null : this.#read(asked, answer, spec)
-      if (answer === null || (result !== null && result.type !== 'queued')) return result as FinalPlacement | null
+      if (result !== null && result.type !== 'queued') return { result, scheduler: asked.address, outstandingAt: now }
     }
-  }
-
-  #decisionOf ({ address }: AskedScheduler, result: FinalPlacement, askedAt: Millis): Decision {
-    return { result, scheduler: address, isOutdated: this.#options.clock() - askedAt > RENEWAL_EXPIRY }
+    return null
   }
 
   #withdraw ({ address }: AskedScheduler, number: number): void {
--- a/packages/node/src/forward/scheduling/ServiceAdmission.ts
+++ b/packages/node/src/forward/scheduling/ServiceAdmission.ts
@@ -26,7 +26,7 @@
 const MAX_ENGINES_PER_PROMPT = 5
 
 /** Refusals for want of memory, a slot or time, which waiting may change. */
-const ROOM_REFUSALS: ReadonlySet<string> = new Set([PlacementRefusal.NoServer, PlacementRefusal.NoRoom, PlacementRefusal.TooLate, PlacementRefusal.RequestLimit])
+const ROOM_REFUSALS: ReadonlySet<string> = new Set([PlacementRefusal.NoServer, PlacementRefusal.NoRoom, PlacementRefusal.TooLate, PlacementRefusal.RequestLimit, PlacementRefusal.ServersCold])
 
 const NO_ROOM: RefusedPlacement = { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: null }
 
