A round that reaches its limit of evaluations is followed by another one after 10 ms

Memory that became free at once was given to four waiting requests, and the others waited for the next report or 50 ms.

--- a/packages/node/src/forward/scheduling/AdmissionControl.ts
+++ b/packages/node/src/forward/scheduling/AdmissionControl.ts
@@ -120,7 +120,7 @@
     this.#lastRoundAt = this.#options.clock()
     this.#nextRoundAt = Infinity
     this.#isRoomFreed = false
-    for (const admission of this.#services.values()) admission.serve()
-    if (this.waitingCount > 0) this.#planRound(MAX_ROUND_INTERVAL)
+    const isUnfinished = [...this.#services.values()].map((admission) => admission.serve()).includes(true)
+    if (this.waitingCount > 0) this.#planRound(isUnfinished ? MIN_ROUND_INTERVAL : MAX_ROUND_INTERVAL)
   }
 }
--- a/packages/node/src/forward/scheduling/ServiceAdmission.ts
+++ b/packages/node/src/forward/scheduling/ServiceAdmission.ts
@@ -110,12 +110,16 @@
     return entry !== null
   }
 
-  /** Places the waiting requests that can be placed now, as far as the limits of one round allow, and refuses those that cannot be served any more. */
-  serve (): void {
+  /**
+   * Places the waiting requests that can be placed now, as far as the limits of one round allow, and refuses those that cannot be served any more.
+   *
+   * @returns whether more might be placed in another round
+   */
+  serve (): boolean {
     const { clock, runningClock } = this.#options
     for (const entry of this.queue.removeExpired(runningClock())) this.#logEnd(entry, 'expired')
     for (const entry of this.queue.removeOverdue(clock())) this.#refuse(entry, PlacementRefusal.TooLate, this.#forecastOf(entry))
-    if (this.queue.length > 0) this.#serveInOrder(this.queue.first(MAX_CONSIDERED, clock()), clock())
+    return this.queue.length > 0 && this.#serveInOrder(this.queue.first(MAX_CONSIDERED, clock()), clock())
   }
 
   /** Refuses the requests to which the operator has left no engine. */
@@ -126,13 +130,14 @@
     }
   }
 
-  #serveInOrder (entries: readonly WaitingRequest[], now: Millis): void {
+  /** @returns whether the limit of evaluations was reached before the end */
+  #serveInOrder (entries: readonly WaitingRequest[], now: Millis): boolean {
     let evaluations = 0
     let room = this.#freeRoom(entries)
-    if (room === null) return
+    if (room === null) return false
     if (room.request.candidates.length === 0) {
       this.#refuseRestricted(entries)
-      return
+      return false
     }
     let isSmallBlocked = false
     let isLargeBlocked = false
@@ -141,7 +146,7 @@
       if (this.queue.heldBy(entry.key).length === 0 && (isSmallBlocked || (isLarge && isLargeBlocked))) continue
       const mayFit = this.#mayFit(entry, room)
       if (mayFit && now - entry.evaluatedAt >= EVALUATION_INTERVAL) {
-        if (evaluations >= MAX_EVALUATED) return
+        if (evaluations >= MAX_EVALUATED) return true
         evaluations += 1
         const result = this.#tryPlace(entry, true, true)
         if (!isRoomRefusal(result)) {
@@ -158,6 +163,7 @@
         isLargeBlocked = !this.#hold(entry, room)
       }
     }
+    return false
   }
 
   /** Places a request on an engine that is not held for another one. A more urgent request takes held memory if nothing else is free. */
--- a/packages/node/tests/admissionFleet.ts
+++ b/packages/node/tests/admissionFleet.ts
@@ -91,6 +91,13 @@
     return request
   }
 
+  /** Occupies the first engine. Returns what ends it. */
+  occupy (prompt: number, answer: number): () => void {
+    const { assignments } = this.scheduler
+    const assignment = assignments.start({ server: engine(0).id, helpers: [], reservations: [], prompt, answer, prefillTime: 300, sentAt: this.now, isPrefilled: false, pauseObjective: null, dueAt: 1_000, isDeferred: false })
+    return () => assignments.end(assignment, this.now)
+  }
+
   #ask (request: Request, spec: PlacementSpec, number: number): void {
     const owner = { node: this.#node, number }
     const result = this.scheduler.admission.place(spec, owner, { startedAt: 0, deliver: (decided) => this.#decided(request, number, decided) })
--- a/packages/node/tests/admissionLoad.test.ts
+++ b/packages/node/tests/admissionLoad.test.ts
@@ -85,3 +85,15 @@
   t.log(`long: ${summary(ofKind(fleet, LONG))}; short: ${summary(ofKind(fleet, SHORT))}`)
   t.deepEqual(fleet.requests.filter((request) => !isPlaced(request)).map(({ kind, refusal }) => `${kind.name} ${refusal}`), [])
 })
+
+// Guards against a round that stops at its limit of evaluations and leaves free memory unused until the next one.
+test('memory that becomes free at once serves all requests that wait for it within 40 ms', (t) => {
+  const fleet = new AdmissionFleet(1)
+  const end = fleet.occupy(190_000, 480)
+  for (let index = 0; index < 8; index += 1) fleet.send(SHORT)
+  fleet.run(300)
+  t.is(fleet.scheduler.admission.waitingCount, 8)
+  end()
+  fleet.run(340)
+  t.true(fleet.requests.every(isPlaced), summary(fleet.requests))
+})
