--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,7 +1,7 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { describeRevision, HealthSignal } from '@bluebellhill/domain'
+import { describeRevision, HealthSignal, RENEWAL_EXPIRY } from '@bluebellhill/domain'
 import type { AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, Region, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
@@ -18,7 +18,7 @@
 import type { Decision } from './PlacementQueries.js'
 import type { Scheduler } from './Scheduler.js'
 import { NO_CAUTION, PlacementRefusal } from './types.js'
-import type { AttemptCaution, AttemptPlacement, PlacedAttempt, PlacementSpec } from './types.js'
+import type { AttemptCaution, AttemptPlacement, PlacedAttempt, PlacementSpec, PlacementWait } from './types.js'
 
 /** Servers that are named in a repeated query because they have left or are evacuated, so that it stays within one datagram. */
 const MAX_LEAVING_EXCLUDED = 32
@@ -26,6 +26,18 @@
 /** Decisions that are asked for while this node knows that a chosen server accepts no more requests. */
 const MAX_DECISIONS = 3
 
+/** Time before the deadline of a request at which it stops waiting for a placement, so that its caller still gets a refusal. */
+const DEADLINE_MARGIN: Millis = 50
+
+/** Whether an attempt may wait for its placement. */
+export interface WaitTerms {
+  readonly mayWait: boolean
+  /** Ends the wait, because the caller has left. */
+  readonly signal?: AbortSignal
+}
+
+const MAY_WAIT: WaitTerms = { mayWait: true }
+
 export interface PlacementClientOptions {
   readonly node: NodeId
   /** Scheduler of this node; it keeps this node's own assignments. */
@@ -62,7 +74,7 @@
   constructor (options: PlacementClientOptions) {
     const { queryTiming = QUERY_TIMING } = options
     this.#options = options
-    this.#queries = new PlacementQueries({ ...options, queryTiming })
+    this.#queries = new PlacementQueries({ ...options, queryTiming, onWithdrawn: (address, number) => this.#reports.returned(address, number, '') })
     this.#silenceQueries = new PendingQueries(queryTiming)
     this.#reports = new GrantReports(options.send)
     this.answers = new AnswerStatements({ ...options, statements: options.scheduler.statements })
@@ -85,27 +97,35 @@
    * @param history - its earlier attempts
    * @param chargesRetry - whether the attempt is taken from the retry budget
    * @param caution - how it and the parts of its prompt are judged
+   * @param terms - whether it may wait for memory or a slot, and what ends the wait before the deadline of the request
    * @returns the placed attempt, whose assignment must be removed with `removeAssignment`; or why there is none
    */
-  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: AttemptCaution = NO_CAUTION): Promise<AttemptPlacement> {
+  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: AttemptCaution = NO_CAUTION, terms: WaitTerms = MAY_WAIT): Promise<AttemptPlacement> {
     const { scheduler, fleetState, clock } = this.#options
     const startedAt = clock()
     const restriction = findRestriction(fleetState, call.service.name, call.regions)
     if (restriction !== null) return restriction
-    let spec = specOf(call, history, { chargesRetry, ...caution }, this.answers.pausedServers())
+    const wait: PlacementWait = { until: call.deadlineAt - DEADLINE_MARGIN, signal: terms.signal }
+    let spec = specOf(call, history, { chargesRetry, acceptsQueueing: terms.mayWait && call.service.engine !== null, ...caution }, this.answers.pausedServers())
     let hasRestriction = false
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
       const askedAt = clock()
       // A scheduler of an earlier build knows neither evacuations nor regions, and may choose one excluded server after another.
       const isLast = decisions === MAX_DECISIONS - 1
-      const decision = isLast && hasRestriction ? this.#queries.decideAlone(spec, number) : await this.#queries.decide(spec, number)
+      const decision = isLast && hasRestriction ? this.#queries.decideAlone(spec, number) : await this.#queries.decide(spec, number, wait)
       await this.settled()
       if (isTrialMissing(spec, decision)) {
         this.#withoutChosen(spec, number, decision)
         return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
       }
-      if (this.#isUsable(spec, decision, clock() - askedAt)) return this.#record(spec, number, decision, startedAt)
+      const age = clock() - (decision.outstandingAt ?? askedAt)
+      if (decision.outstandingAt !== undefined && decision.result.type === 'placed' && age > RENEWAL_EXPIRY) {
+        this.#returnOutdated(spec, number, decision)
+        spec = { ...spec, chargesRetry: false, isFirstAttempt: false }
+        continue
+      }
+      if (this.#isUsable(spec, decision, age)) return this.#record(spec, number, decision, startedAt)
       hasRestriction ||= this.#isRestricted(spec, decision)
       spec = this.#withoutChosen(spec, number, decision)
     }
@@ -140,6 +160,16 @@
     return keepsLimits || scheduler.statements.take(server, 1 / directory.size)
   }
 
+  /** Returns a grant that was received so late, because this process was held up, that its scheduler may have given the place to another request. */
+  #returnOutdated (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision): void {
+    if (result.type !== 'placed') return
+    const { scheduler, clock, log } = this.#options
+    const own = scheduler.assignments.findOwn(number)
+    if (own !== null) scheduler.assignments.end(own, clock())
+    else if (address !== null) this.#returnUnusedGrant(address, number, result.choice.server.id)
+    log.info('grant.outdated', { request: spec.request, scheduler: address ?? 'self', server: result.choice.server.id })
+  }
+
   /** Whether a choice contains a server that no new request, or none of these regions, may reach. */
   #isRestricted ({ regions }: PlacementSpec, { result }: Decision): boolean {
     return result.type === 'placed' && this.#restrictedIn(result.choice, regions).length > 0
@@ -270,7 +300,7 @@
     } else if (content.$case === 'placementReply') {
       directory.heard(node, null, this.#options.runningClock())
       const { number, result } = content.value
-      if (!this.#queries.answer(content.value) && result?.$case === 'placement') this.#returnUnusedGrant(address, number, result.value.server?.id ?? '')
+      if (!this.#queries.answer(content.value, address) && result?.$case === 'placement') this.#returnUnusedGrant(address, number, result.value.server?.id ?? '')
     }
   }
 
@@ -295,7 +325,7 @@
 /** Schedulers of earlier builds place a trial like any other attempt. */
 const isTrialMissing = ({ trialParts }: PlacementSpec, { result }: Decision): boolean => trialParts.length > 0 && result.type === 'placed' && !result.isTrial
 
-const specOf = (call: AdmittedCall, history: AttemptHistory, terms: AttemptCaution & Pick<PlacementSpec, 'chargesRetry'>, paused: readonly RunnerId[]): PlacementSpec => ({
+const specOf = (call: AdmittedCall, history: AttemptHistory, terms: AttemptCaution & Pick<PlacementSpec, 'chargesRetry' | 'acceptsQueueing'>, paused: readonly RunnerId[]): PlacementSpec => ({
   request: call.id,
   service: call.service.name,
   size: call.size,
@@ -306,6 +336,8 @@
   allowed: history.permittedServers(),
   isRedirected: false,
   isFirstAttempt: history.triedServers().length === 0,
+  ...(call.organisation === null ? {} : { organisation: call.organisation }),
+  urgency: call.urgency,
   ...(call.regions === undefined ? {} : { regions: call.regions }),
   ...terms
 })
