--- a/packages/node/tests/relayedRequests.test.ts
+++ b/packages/node/tests/relayedRequests.test.ts
@@ -230,13 +230,13 @@
 })
 
 test('a node that stops answers what others have passed on', async (t) => {
-  let finish: () => void = () => {}
-  const { cut, peer } = await startNoticed(t, (request, response) => { finish = () => response.writeHead(200, signedHeaders(request)).end('an answer') })
+  let finish: (() => void) | null = null
+  const { cut, peer } = await startNoticed(t, (request, response) => { finish = () => { response.writeHead(200, signedHeaders(request)).end('an answer') } })
   const call = cut.call('/unsafe/x')
-  await until(() => peer.linesOf('request.sent').length === 1)
+  await until(() => peer.linesOf('request.sent').length === 1 && finish !== null)
   const stopped = peer.entry.stop(5_000)
   await sleep(100)
-  finish()
+  finish!()
   t.is((await call).status, 200)
   await stopped
 })
