Only events keep a stream alive, and bodies of callers have a deadline

Each byte of a stream restarted the timer for the next event: a stalled server that sent a byte of an event, a comment or a blank line now and then kept its request until the deadline, and a silent attempt took the place of its replacement for a single byte. A stream of comments only passed for an answer. The body of a caller had no deadline until it was complete.

The timer now runs from one event with a field to the next; comments are passed on once an answer has begun, and do not begin it. A body that is not complete at the deadline of its request is refused as not sent.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -122,8 +122,15 @@
   /** Called when the head of a signed, successful answer arrives. */
   protected abstract successStarted (attempt: OpenAttempt): void
 
-  /** Called for each chunk of the body of a signed, successful answer. */
-  protected abstract chunkReceived (attempt: OpenAttempt, chunk: Buffer): void
+  /**
+   * Called for each chunk of the body of a signed, successful answer, also of a silent attempt.
+   *
+   * @returns whether the answer has gone on; bytes that complete no event keep no stream alive
+   */
+  protected abstract chunkReceived (attempt: OpenAttempt, chunk: Buffer): boolean
+
+  /** Called when the answer of the attempt in progress has gone on. */
+  protected abstract answerContinued (attempt: OpenAttempt): void
 
   /** Whether the answer is complete if its server ends it now. */
   protected abstract isAnswerWhole (attempt: OpenAttempt): boolean
@@ -358,13 +365,8 @@
     return {
       onHead: (head) => this.#headReceived(attempt, head),
       onData: (chunk) => {
-        if (!this.#isCurrent(attempt)) return
-        this.restartDataTimer(attempt)
-        if (isSuccessfulAnswer(attempt)) {
-          attempt.watch?.dataReceived()
-          // The data may refute a crash, and so leave the request itself as the cause of another one.
-          if (this.attempt === attempt) this.chunkReceived(attempt, chunk)
-        } else if (!failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
+        if (isSuccessfulAnswer(attempt)) this.#answerDataReceived(attempt, chunk)
+        else if (this.#isCurrent(attempt) && !failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
       },
       onEnd: () => this.#answerEnded(attempt, failureBody.take()),
       onFailure: (mayBeSent, reason) => this.#connectionFailed(attempt, mayBeSent, reason),
@@ -372,6 +374,18 @@
     }
   }
 
+  /** A silent attempt takes the place of its replacement only if its answer goes on, not for any single byte. */
+  #answerDataReceived (attempt: OpenAttempt, chunk: Buffer): void {
+    if (this.#ending.isOver || (this.attempt !== attempt && !this.#silentAttempts.has(attempt))) return
+    const hasGoneOn = this.chunkReceived(attempt, chunk)
+    const isCurrent = hasGoneOn ? this.#isCurrent(attempt) : this.attempt === attempt
+    if (!isCurrent) return
+    if (hasGoneOn) this.restartDataTimer(attempt)
+    attempt.watch?.dataReceived()
+    // The data may refute a crash, and so leave the request itself as the cause of another one.
+    if (hasGoneOn && this.attempt === attempt) this.answerContinued(attempt)
+  }
+
   #connectionFailed (attempt: OpenAttempt, mayBeSent: boolean, reason: string): void {
     if (!mayBeSent) this.#relay.notConnected(attempt)
     if (mayBeSent && attempt.serverCall?.isBrokenOff === true) attempt.watch?.brokenOff()
--- a/packages/node/src/forward/PlainForwarding.ts
+++ b/packages/node/src/forward/PlainForwarding.ts
@@ -31,12 +31,15 @@
     this.#bodies.set(attempt, new BoundedBuffer(MAX_PLAIN_ANSWER_BYTES, this.context.answerMemory))
   }
 
-  protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
+  protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): boolean {
     const body = this.#bodies.get(attempt)
-    if (body === undefined || body.append(chunk)) return
+    if (body === undefined || body.append(chunk)) return true
     this.answerOversized(attempt, `an answer of more than ${body.length} bytes, of ${MAX_PLAIN_ANSWER_BYTES} for one and ${MAX_COLLECTED_BYTES} for all`)
+    return false
   }
 
+  protected answerContinued (): void {}
+
   protected isAnswerWhole (): boolean {
     return true
   }
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -12,6 +12,8 @@
 /** Events of one attempt. */
 interface ReceivedStream {
   readonly splitter: EventSplitter
+  /** Complete events that are not passed on yet. */
+  events: readonly StreamEvent[]
   /** With those of events that the caller had already. */
   bytes: number
 }
@@ -39,23 +41,31 @@
   }
 
   protected successStarted (attempt: OpenAttempt): void {
-    this.#streams.set(attempt, { splitter: new EventSplitter(), bytes: 0 })
+    this.#streams.set(attempt, { splitter: new EventSplitter(), events: [], bytes: 0 })
   }
 
-  protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
+  protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): boolean {
     const stream = this.#streams.get(attempt)
-    if (stream === undefined) return
+    if (stream === undefined) return false
     stream.bytes += chunk.length
     if (stream.bytes > MAX_STREAM_BYTES) {
       this.answerOversized(attempt, `a stream of more than ${MAX_STREAM_BYTES} bytes`)
-      return
+      return false
     }
     const complete = stream.splitter.push(chunk)
     if (complete === null) {
       this.answerOversized(attempt, `an event of more than ${MAX_EVENT_BYTES} bytes`)
-      return
+      return false
     }
-    attempt.watch?.eventsReceived(complete.length)
+    const hasGoneOn = complete.some(({ hasContent }) => hasContent)
+    if (hasGoneOn) stream.events = complete
+    else this.#passOnComments(attempt, complete)
+    return hasGoneOn
+  }
+
+  protected answerContinued (attempt: OpenAttempt): void {
+    const complete = this.#streams.get(attempt)?.events ?? []
+    attempt.watch?.eventsReceived(complete.filter(({ hasContent }) => hasContent).length)
     const events = complete.filter((event) => this.#isNew(event))
     if (events.length === 0) return
     if (!attempt.hasFirstEvent && attempt.placed !== null) this.context.placement.prefillFinished(attempt.placed)
@@ -85,6 +95,13 @@
     return { events: this.#eventCount, longest_pause_ms: Math.round(this.#longestPause), repeated_events: this.#repeatedEventCount || undefined }
   }
 
+  /** Comments do not start the answer: the request could no longer be refused or sent again. */
+  #passOnComments (attempt: OpenAttempt, comments: readonly StreamEvent[]): void {
+    if (comments.length === 0 || this.attempt !== attempt || !this.hasStartedAnswer) return
+    this.response.write(Buffer.concat(comments.map(({ bytes }) => bytes)))
+    this.#checkCallerReads(attempt)
+  }
+
   #writeHead ({ head }: OpenAttempt): void {
     if (this.hasStartedAnswer || head === null) return
     const headers = encodeReturnedHeaders(head.rawHeaders)
@@ -101,7 +118,8 @@
     if (placed !== null) this.context.placement.observePause(this.call, placed, pause)
   }
 
-  #countEvent ({ id }: StreamEvent): void {
+  #countEvent ({ id, hasContent }: StreamEvent): void {
+    if (!hasContent) return
     this.#eventCount += 1
     if (id !== null) this.#lastEventId = id
   }
--- a/packages/node/src/forward/backend/EventSplitter.ts
+++ b/packages/node/src/forward/backend/EventSplitter.ts
@@ -7,10 +7,15 @@
   readonly bytes: Buffer
   /** Null if the event has no id. */
   readonly id: string | null
+  /** Whether it has a field; false for comments and blank lines only, which servers may send while they make no progress. */
+  readonly hasContent: boolean
 }
 
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
+
+/** A line that is neither blank nor a comment. */
+const FIELD_LINE = /^[^:\r\n]/m
 const ID_LINE = /^id: ?(.*?)\r?$/m
 
 /** Buffers the bytes of an event until it is complete. */
@@ -58,4 +63,7 @@
   }
 }
 
-const parseEvent = (bytes: Buffer): StreamEvent => ({ bytes, id: ID_LINE.exec(bytes.toString('utf8'))?.[1] ?? null })
+const parseEvent = (bytes: Buffer): StreamEvent => {
+  const text = bytes.toString('utf8')
+  return { bytes, id: ID_LINE.exec(text)?.[1] ?? null, hasContent: FIELD_LINE.test(text) }
+}
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -19,7 +19,7 @@
 import { RELAY_HEADER, SERVER_ANSWER } from '../relay/relayHeaders.js'
 import { CloseCause, recordUnanswered, RequestStage } from '../unansweredRequests.js'
 import { CallerConnections } from './CallerConnections.js'
-import { acceptHead, admit, readCallerBody } from './admit.js'
+import { acceptHead, admit, readCallerBody, timeAllowed } from './admit.js'
 import { RefusalCause, refusalStatus, refuse } from './refusals.js'
 
 /** Largest request head that the HTTP parser accepts; the configured limit is checked afterwards. */
@@ -149,7 +149,7 @@
     if (this.#stoppedAt !== null && arrivedAt - this.#stoppedAt > ACCEPT_PERIOD_AFTER_STOP) return RefusalCause.Stopping
     const head = acceptHead(request, table, isRelayed)
     if (!head.ok) return head.failure
-    const body = await readCallerBody(request, table.deployment.limits)
+    const body = await readCallerBody(request, table.deployment.limits, timeAllowed(head.value))
     if (body === null || response.destroyed) return null
     if (!body.ok) return body.failure
     const call = admit(request, head.value, body.value, table, arrivedAt)
--- a/packages/node/src/forward/entry/admit.ts
+++ b/packages/node/src/forward/entry/admit.ts
@@ -1,5 +1,6 @@
 /** Reads a caller's request and checks it against the configuration in force. */
 import type { IncomingMessage } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
 
 import { pickService } from '@bluebellhill/domain'
 import type { CallerLimits, Millis, OrganisationKeys, Route, RouteTable } from '@bluebellhill/domain'
@@ -8,6 +9,7 @@
 import { failed, success } from '@bluebellhill/services'
 import type { Result } from '@bluebellhill/services'
 
+import { waitingInputRead } from '../../clock/inputTurn.js'
 import type { AdmittedCall } from '../AdmittedCall.js'
 import { decodeTried, withoutRelayHeaders } from '../relay/relayHeaders.js'
 import { RefusalCause } from './refusals.js'
@@ -56,14 +58,29 @@
   return success({ route, organisation, headers, attemptId: headers.attemptId, isRelayed })
 }
 
+/**
+ * @param head - result of the checks of a request head
+ * @returns time from the arrival of the head until the deadline of the request
+ */
+export const timeAllowed = ({ route, headers }: AcceptedHead): Millis => Math.min(route.timeout, headers.deadline ?? MAX_TIME_WITHOUT_DEADLINE)
+
 /**
  * Reads the complete body of a request.
  *
  * @param request - the request
  * @param limits - limits on its size
+ * @param timeout - time in which it has to be complete, however slowly it arrives
  * @returns the body, or why the request is refused; null if the caller has disconnected
  */
-export const readCallerBody = async (request: IncomingMessage, limits: CallerLimits): Promise<Result<Buffer, RefusalCause> | null> => {
+export const readCallerBody = async (request: IncomingMessage, limits: CallerLimits, timeout: Millis): Promise<Result<Buffer, RefusalCause> | null> => {
+  const timer = new AbortController()
+  const timedOut = sleep(timeout, undefined, { signal: timer.signal }).then(waitingInputRead).then(() => failed(RefusalCause.TimedOutUnsent), () => null)
+  const body = await Promise.race([readWhole(request, limits), timedOut])
+  timer.abort()
+  return body
+}
+
+const readWhole = async (request: IncomingMessage, limits: CallerLimits): Promise<Result<Buffer, RefusalCause> | null> => {
   const chunks: Buffer[] = []
   let size = 0
   try {
@@ -89,7 +106,8 @@
  * @param arrivedAt - time at which its head was read
  * @returns the request to forward, or why it is refused
  */
-export const admit = (request: IncomingMessage, { route, organisation, headers, attemptId, isRelayed }: AcceptedHead, body: Buffer, table: RouteTable, arrivedAt: Millis): Result<AdmittedCall, RefusalCause> => {
+export const admit = (request: IncomingMessage, head: AcceptedHead, body: Buffer, table: RouteTable, arrivedAt: Millis): Result<AdmittedCall, RefusalCause> => {
+  const { route, organisation, headers, attemptId, isRelayed } = head
   const service = table.service(pickService(route, Math.random()) ?? '')
   if (service === null) return failed(RefusalCause.NoServer)
   return success({
@@ -109,7 +127,7 @@
     lastEventId: headers.lastEventId,
     arrivedAt,
     dueAt: arrivedAt + route.objective,
-    deadlineAt: arrivedAt + Math.min(route.timeout, headers.deadline ?? MAX_TIME_WITHOUT_DEADLINE)
+    deadlineAt: arrivedAt + timeAllowed(head)
   })
 }
 
