Calls whose answer decides something have connections of their own

A server may send a second copy of an answer late. On a connection in use again it passes for the answer to the next call: the body of one caller of a plain service reached the next one, and a refusal, a reservation of memory, a lease or a conditional write could be taken for answered. An answer without a length that was reset passed for complete, as undici reports it so.

Calls of plain services, completions, commands and segments of engines, reservations of memory and calls of both stores now open a connection each, as attempts of the forwarding node did already; a reset on it breaks the answer off. Reads of an engine's state and cancels share connections as before.

Without the change both new tests fail: the second caller gets the first answer, and the part before the reset is complete.

--- a/packages/services/src/engine/HttpModelEngine.ts
+++ b/packages/services/src/engine/HttpModelEngine.ts
@@ -47,7 +47,8 @@
       signal: call.signal,
       timeout: call.timeout ?? HEADERS_TIMEOUT_MS,
       idleTimeout: call.idleTimeout ?? BODY_IDLE_TIMEOUT_MS,
-      onSending: call.onSending
+      onSending: call.onSending,
+      hasOwnConnection: true
     })
     if (!response.ok) return response
     if (response.value.status !== OK_STATUS) return failed(await readFailure(response.value))
@@ -72,7 +73,7 @@
   }
 
   override async sendCommand (fencing: number, command: EngineCommand): Promise<Result<CommandResult, CallFailure>> {
-    const response = await this.#post('/v1/engine/orders', { fencing, order: command })
+    const response = await this.#post('/v1/engine/orders', { fencing, order: command }, { hasOwnConnection: true })
     if (!response.ok) return response
     if (response.value.status === CONFLICT_STATUS) return await readStaleFencing(response.value)
     if (response.value.status >= 300) return failed(await readFailure(response.value))
@@ -89,14 +90,14 @@
       model: prefill.model,
       version: prefill.version,
       priority: prefill.priority
-    }, { signal: prefill.signal, timeout: prefill.timeout ?? HEADERS_TIMEOUT_MS })
+    }, { signal: prefill.signal, timeout: prefill.timeout ?? HEADERS_TIMEOUT_MS, hasOwnConnection: true })
     if (!response.ok) return response
     const read = await readJson(response.value, tokensSchema)
     return read.ok ? success(read.value.tokens) : read
   }
 
   override async exportSegment (segmentId: string, signal?: AbortSignal): Promise<Result<ExportedSegment, CallFailure>> {
-    const response = await this.#post('/v1/kv/export', { segment_id: segmentId }, { signal, timeout: TRANSFER_TIMEOUT_MS })
+    const response = await this.#post('/v1/kv/export', { segment_id: segmentId }, { signal, timeout: TRANSFER_TIMEOUT_MS, hasOwnConnection: true })
     if (!response.ok) return response
     if (response.value.status !== OK_STATUS) return failed(await readFailure(response.value))
     const tokens = Number(response.value.headers['x-segment-tokens'] ?? NaN)
@@ -115,7 +116,8 @@
       headers: { 'content-type': 'application/octet-stream' },
       body: bytes,
       signal,
-      timeout: TRANSFER_TIMEOUT_MS
+      timeout: TRANSFER_TIMEOUT_MS,
+      hasOwnConnection: true
     })
     return await expectSuccess(response)
   }
@@ -128,10 +130,10 @@
     return (await expectSuccess(await this.#get('/health', this.#timeout))).ok
   }
 
-  async #post (path: string, body: unknown, limits: Pick<HttpCall, 'signal' | 'timeout'> = {}): Promise<Result<HttpResponse, CallFailure>> {
+  async #post (path: string, body: unknown, limits: Pick<HttpCall, 'signal' | 'timeout' | 'hasOwnConnection'> = {}): Promise<Result<HttpResponse, CallFailure>> {
     const timeout = limits.timeout ?? this.#timeout
     const signal = limits.signal ?? AbortSignal.timeout(timeout)
-    return await this.#pool.send({ address: this.address, method: 'POST', path, headers: JSON_HEADERS, body: JSON.stringify(body), timeout, signal })
+    return await this.#pool.send({ address: this.address, method: 'POST', path, headers: JSON_HEADERS, body: JSON.stringify(body), timeout, signal, hasOwnConnection: limits.hasOwnConnection })
   }
 
   async #get (path: string, timeout: Millis): Promise<Result<HttpResponse, CallFailure>> {
--- a/packages/services/src/keyValue/HttpKeyValueService.ts
+++ b/packages/services/src/keyValue/HttpKeyValueService.ts
@@ -85,7 +85,7 @@
     const result = await this.#addresses.run(async (address) => {
       this.callCount += 1
       const signal = AbortSignal.timeout(this.#timeout)
-      const response = await this.#pool.send({ address, method: 'POST', path, headers: { 'content-type': 'application/json' }, body: text, timeout: this.#timeout, signal })
+      const response = await this.#pool.send({ address, method: 'POST', path, headers: { 'content-type': 'application/json' }, body: text, timeout: this.#timeout, signal, hasOwnConnection: true })
       return response.ok ? readJson(response.value, schema) : response
     })
     return markRefusalNotStarted(result)
--- a/packages/services/src/plainService/HttpPlainService.ts
+++ b/packages/services/src/plainService/HttpPlainService.ts
@@ -26,7 +26,7 @@
   }
 
   override async call (call: ServiceCall): Promise<Result<ServiceResponse, CallFailure>> {
-    const response = await this.#pool.send({ ...call, address: this.address })
+    const response = await this.#pool.send({ ...call, address: this.address, hasOwnConnection: true })
     if (!response.ok) return response
     const { status, headers, body } = response.value
     if (status !== SERVICE_UNAVAILABLE || headers['x-not-started'] !== '1') return success({ status, headers, body })
--- a/packages/services/tests/httpPool.test.ts
+++ b/packages/services/tests/httpPool.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import type { ExecutionContext } from 'ava'
 import { createServer } from 'node:net'
 import { setTimeout } from 'node:timers/promises'
 import type { AddressInfo, Server, Socket } from 'node:net'
@@ -106,3 +107,47 @@
   t.deepEqual(await engine.cancel('b'), { ok: true, value: true })
   t.is(sockets, 1)
 })
+
+/** Answers a first call twice, the second time when the next call arrives on the same connection; it answers that one later. */
+const answersTwice = async (t: ExecutionContext): Promise<string> => {
+  const { server, address } = await listen((socket) => {
+    let calls = 0
+    socket.on('data', () => {
+      calls += 1
+      writeResponse(socket, '200 OK', [], calls === 1 ? 'own' : 'first')
+    })
+  })
+  t.teardown(() => { server.close() })
+  return address
+}
+
+// Guards against an answer that reaches the next caller, because its server sends a second copy late on a connection in use again.
+test('a second copy of an answer does not reach the next caller of a plain service', async (t) => {
+  const pool = new HttpPool()
+  t.teardown(async () => { await pool.dispose() })
+  const service = new HttpPlainService(pool, await answersTwice(t))
+  const bodies: string[] = []
+  for (const path of ['/first', '/second']) {
+    const answer = await service.call({ method: 'POST', path, headers: {}, body: 'x', timeout: 2_000 })
+    if (answer.ok) for await (const chunk of answer.value.body) bodies.push(String(chunk))
+    await setTimeout(20)
+  }
+  t.deepEqual(bodies, ['own', 'own'])
+})
+
+// Guards against a part of an answer that passes for a success: its connection was reset, and nothing states its length.
+test('an answer of a plain service without a length is broken off by a reset', async (t) => {
+  const { server, address } = await listen((socket) => socket.once('data', () => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\na part')
+    void setTimeout(50).then(() => socket.resetAndDestroy())
+  }))
+  const pool = new HttpPool()
+  t.teardown(async () => {
+    await pool.dispose()
+    server.close()
+  })
+  const answer = await new HttpPlainService(pool, address).call({ method: 'POST', path: '/x', headers: {}, body: 'x', timeout: 2_000 })
+  if (!answer.ok) throw new Error('no head')
+  const chunks = answer.value.body[Symbol.asyncIterator]()
+  await t.throwsAsync(async () => { while (!(await chunks.next()).done) { /* read to its end */ } }, { message: /ECONNRESET/ })
+})
