A node that is stopped while it starts ends with exit code 0

Known red of the soak: a node got SIGTERM as it was starting, before the program listened to it, and ended by the signal.

The start program listens to SIGTERM from its first statement, as it does to SIGHUP; signals are delivered once its statements are done, and the node's own listener is there by then. A stop waits for a start in progress, so that nothing begins to listen behind it. The daemon of our own interface listens from the moment its command runs, where it did so only once it had begun to accept requests.

The test sends SIGTERM as the bundle is read; it failed before with the signal in place of code 0, and then also expects the lines of a start and of a stop. What comes before the first statement of the program, some 40 ms of the runtime's own start, cannot be helped here. The soak itself was not run. The daemon's change has no test of its own.

--- a/packages/node/src/daemon/main.ts
+++ b/packages/node/src/daemon/main.ts
@@ -32,11 +32,12 @@
 }
 
 const serve = async (settingsFile: string, configurationFiles: string): Promise<void> => {
+  const stopRequested = new Promise<void>((resolve) => { for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => resolve()) })
   const settings = await readSettings(settingsFile)
   const fixedConfiguration = await loadConfigurationFiles(configurationFiles.split(',').filter((file) => file !== ''))
   const daemon = await startDaemon(settings, fixedConfiguration)
-  process.once('SIGTERM', () => stopAndExit(daemon))
-  process.once('SIGINT', () => stopAndExit(daemon))
+  // A signal during the start would otherwise end the process, which may already have accepted requests.
+  void stopRequested.then(() => stopAndExit(daemon))
   process.stdout.write(`${JSON.stringify({ ready: true, name: settings.name, ...daemon.addresses })}\n`)
 }
 
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -70,6 +70,7 @@
   readonly #nodeRegistration: NodeRegistration
   readonly #options: ForwardNodeOptions
   #isStopping = false
+  #starting: Promise<void> = Promise.resolve()
 
   /** @param options - settings, log and metrics address */
   constructor (options: ForwardNodeOptions) {
@@ -184,6 +185,27 @@
 
   /** Starts all components; the node then serves callers. */
   async start (): Promise<void> {
+    this.#starting = this.#startComponents()
+    await this.#starting
+  }
+
+  /** Waits for a start in progress and for requests in progress, within the stop grace of the settings, then releases all resources. */
+  async stop (): Promise<void> {
+    if (this.#isStopping) return
+    this.#isStopping = true
+    await this.#starting
+    const { settings, log } = this.#options
+    const { stopGrace } = settings.current
+    const startedAt = monotonicNow()
+    log.info('node.stopping', { open_requests: this.#entryServer.openRequests })
+    this.#peerLink.announceStopping()
+    await this.#entryServer.stop(stopGrace * STOP_GRACE_SHARE)
+    settings.dispose()
+    await this.#disposables.dispose()
+    log.info('node.stopped', { after_ms: Math.round(monotonicNow() - startedAt), open_requests: this.#entryServer.openRequests })
+  }
+
+  async #startComponents (): Promise<void> {
     const { log } = this.#options
     const settings = this.#options.settings.current
     this.#runningClock.start()
@@ -205,21 +227,6 @@
     log.info('node.started', { callers: `${settings.callers.host}:${settings.callers.port}`, peers: port, store: `${settings.store.host}:${settings.store.port}` })
   }
 
-  /** Waits for requests in progress, within the stop grace of the settings, then releases all resources. */
-  async stop (): Promise<void> {
-    if (this.#isStopping) return
-    this.#isStopping = true
-    const { settings, log } = this.#options
-    const { stopGrace } = settings.current
-    const startedAt = monotonicNow()
-    log.info('node.stopping', { open_requests: this.#entryServer.openRequests })
-    this.#peerLink.announceStopping()
-    await this.#entryServer.stop(stopGrace * STOP_GRACE_SHARE)
-    settings.dispose()
-    await this.#disposables.dispose()
-    log.info('node.stopped', { after_ms: Math.round(monotonicNow() - startedAt), open_requests: this.#entryServer.openRequests })
-  }
-
   /** Number of groups if the fleet is divided; otherwise one scheduler places all requests. */
   #schedulerCount (): number {
     if (this.#directory.group.domain === null) return 1
--- a/packages/soak/tests/soak.test.ts
+++ b/packages/soak/tests/soak.test.ts
@@ -1,8 +1,14 @@
 import { execFileSync, spawn } from 'node:child_process'
 import { once } from 'node:events'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 
 import test from 'ava'
 
+import { SETTINGS_VARIABLE } from '@bluebellhill/platform'
+import { settingsDocument } from '@bluebellhill/platform-standin'
+
 import { runSoak } from '../src/index.js'
 
 /** Seeds of the run in CI; each that ever failed stays here, with its cause. One runs at a time, so that a slow machine can run its processes. */
@@ -16,25 +22,44 @@
 test.before(() => { execFileSync(process.execPath, ['scripts/bundle.mjs']) })
 
 /** Sends the process that starts a signal as it reads its bundle, before the program can listen to it. */
-const SIGNAL_DURING_START = `
+const signalDuringStart = (sent: NodeJS.Signals): string => `
 const fs = require('node:fs')
 const { readFileSync } = fs
 fs.readFileSync = (path, ...rest) => {
-  if (String(path).endsWith('bluebellhilld.cjs')) process.kill(process.pid, 'SIGHUP')
+  if (String(path).endsWith('bluebellhilld.cjs')) process.kill(process.pid, '${sent}')
   return readFileSync(path, ...rest)
 }
 require('./target/start.cjs')
 `
 
+/** Address of which no other test uses the ports. */
+const HOST = '127.0.77.1'
+
 const EXIT_BAD_SETTINGS = 1
 
 /** Guards against the end of a node whose settings change while it starts: seed 29102 of the soak, with two deadly requests, ended so. */
 test.serial('a signal to reload the settings does not end a program that is starting', async (t) => {
-  const child = spawn(process.execPath, ['-e', SIGNAL_DURING_START], { stdio: 'ignore', env: {} })
+  const child = spawn(process.execPath, ['-e', signalDuringStart('SIGHUP')], { stdio: 'ignore', env: {} })
   const [code, signal] = await once(child, 'exit') as [number | null, string | null]
   t.deepEqual({ code, signal }, { code: EXIT_BAD_SETTINGS, signal: null })
 })
 
+/** Guards against a node that ends by the signal, as a crashed one would, because it is stopped while it starts: seed 292012 of the soak. */
+test.serial('a program that is stopped while it starts ends as after any other stop', async (t) => {
+  const directory = mkdtempSync(join(tmpdir(), 'stopped-start-'))
+  t.teardown(() => { rmSync(directory, { recursive: true }) })
+  const settings = join(directory, 'settings.toml')
+  writeFileSync(settings, settingsDocument({
+    node: 'n1', host: HOST, failureDomain: 'd1', callerPort: 9_001, readinessPort: 9_002, peerPort: 9_003, store: `${HOST}:9004`, stopGraceSeconds: 1, retryRatio: 0.2, retrySlack: 10
+  }))
+  const child = spawn(process.execPath, ['-e', signalDuringStart('SIGTERM')], { stdio: ['ignore', 'pipe', 'inherit'], env: { [SETTINGS_VARIABLE]: settings } })
+  let log = ''
+  child.stdout?.on('data', (chunk) => { log += String(chunk) })
+  const [code, signal] = await once(child, 'exit') as [number | null, string | null]
+  t.deepEqual({ code, signal }, { code: 0, signal: null })
+  t.regex(log, /node\.started[^]*node\.stopping[^]*node\.stopped/)
+})
+
 for (const [slot, { seed, cause }] of SEEDS.entries()) {
   test.serial(`seed ${seed} keeps every promise (${cause})`, async (t) => {
     t.timeout(120_000)
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -33,8 +33,8 @@
 writeFileSync(CACHE, script.createCachedData())
 
 writeFileSync(START, `// Loads the bundle with its code cache; V8 compiles it anew where the cache does not fit.
-// A signal to reload the settings would end the process until the program listens to it; it reads them at its start anyway.
-process.on('SIGHUP', () => {})
+// Until the program listens to them, signals would end the process. They are delivered once the statements below are done: by then it does.
+for (const signal of ['SIGHUP', 'SIGTERM']) process.on(signal, () => {})
 const { readFileSync } = require('node:fs')
 const { wrap } = require('node:module')
 const { Script } = require('node:vm')
