Grants and reservations that have aged while the process was held up are not used

A process that was stopped for seconds, or whose event loop was blocked, read a grant that its scheduler had already given away as the node was taken for lost, and sent its request; likewise a prompt whose reserved memory had expired on the holders, and a request whose deadline had passed, since waiting input is read before timers run.

A grant older than 1 s is returned and asked for again, without a charge to the retry budget; reservations older than their 3 s are released; an attempt past the deadline is not begun. Log lines: grant.returned with age_ms, memory.reservation_expired.

Without the change 'a grant that was read only after...' and 'reservations that may have expired...' fail.

--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -272,6 +272,12 @@
       this.#search.discard(placement)
       return
     }
+    // Input is read before timers run if the process was held up: the grant may be there before the deadline's timer.
+    if (this.context.clock() >= this.call.deadlineAt) {
+      this.#search.discard(placement)
+      this.#deadlinePassed()
+      return
+    }
     if (placement.type === 'placed') {
       this.#openAttempt(placement.attempt)
       return
@@ -330,7 +336,7 @@
     const { choice: { server, holders }, assignment } = placed
     this.history.start(server.id)
     this.#attemptCount += 1
-    const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
+    const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log, this.context.clock)
     const attempt: OpenAttempt = { server, placed, peer: null, sentAt: this.context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
     this.attempt = attempt
     this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server))
@@ -341,6 +347,10 @@
   async #reserveAndSend (attempt: OpenAttempt, placed: PlacedAttempt, reservations: MemoryReservations): Promise<void> {
     const isReserved = await reservations.acquire()
     if (this.attempt !== attempt) return
+    if (this.context.clock() >= this.call.deadlineAt) {
+      this.#deadlinePassed()
+      return
+    }
     const obstacle = isReserved ? this.context.placement.obstacleTo(placed) : 'reserving KV cache memory failed'
     if (obstacle === null) this.#sendUnlessQuarantined(attempt, placed)
     else this.failAttempt(attempt, AttemptEnd.Unsent, obstacle)
--- a/packages/node/src/forward/MemoryReservations.ts
+++ b/packages/node/src/forward/MemoryReservations.ts
@@ -3,10 +3,11 @@
 import type { EngineMemoryClient } from '@bluebellhill/platform'
 import { describeFailure } from '@bluebellhill/services'
 
+import { monotonicNow } from '../clock/monotonic.js'
 import type { Log } from '../log/index.js'
 
 /** Time after which a reservation expires unless renewed: short, so that no memory stays reserved when this node dies. */
-const RESERVATION_TTL: Millis = 3_000
+export const RESERVATION_TTL: Millis = 3_000
 
 /** Interval at which reservations are renewed. */
 const RENEWAL_PERIOD: Millis = 1_000
@@ -21,14 +22,21 @@
    * @param holders - the engines, with the number of tokens to reserve on each
    * @param memory - client that reserves and releases memory on engines
    * @param log - receives a line for each failed call
+   * @param clock - monotonic clock
    */
-  constructor (readonly id: string, private readonly holders: readonly HolderReservation[], private readonly memory: EngineMemoryClient, private readonly log: Log) {}
+  constructor (readonly id: string, private readonly holders: readonly HolderReservation[], private readonly memory: EngineMemoryClient, private readonly log: Log, private readonly clock: () => Millis = monotonicNow) {}
 
-  /** Reserves memory on all holders. Returns false if one of them fails; all reservations are then released. */
+  /**
+   * Reserves memory on all holders. Returns false if one of them fails, or if a reservation may have expired before its answer was read, because this
+   * process was held up; all reservations are then released.
+   */
   async acquire (): Promise<boolean> {
+    const startedAt = this.clock()
     const results = await Promise.all(this.holders.map((holder) => this.#reserveOn(holder)))
     if (this.#isReleased) return false
-    if (results.includes(false)) {
+    const age = this.clock() - startedAt
+    if (age >= RESERVATION_TTL) this.log.warn('memory.reservation_expired', { reservation: this.id, age_ms: Math.round(age) })
+    if (results.includes(false) || age >= RESERVATION_TTL) {
       this.release()
       return false
     }
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -20,6 +20,12 @@
 /** Known departures that are named in a repeated query, so that it stays within one datagram. */
 const MAX_LEAVING_EXCLUDED = 32
 
+/**
+ * Age at which a grant is returned instead of used. This process was held up since it asked: its scheduler may have taken it for lost and given the
+ * place away, which it does 1.4 s after a state report that is missing, and what it counted against a limit per second belongs to an earlier one.
+ */
+export const MAX_GRANT_AGE: Millis = 1_000
+
 /** Decisions that are asked for while this node knows that a chosen server accepts no more requests. */
 const MAX_DECISIONS = 3
 
@@ -88,7 +94,12 @@
     let spec = specOf(call, history, { chargesRetry, ...caution }, this.answers.pausedServers())
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
+      const askedAt = clock()
       const decision = await this.#queries.decide(spec, number)
+      if (this.#isTooOld(decision, askedAt)) {
+        spec = this.#withoutGrant(spec, number, decision, clock() - askedAt)
+        continue
+      }
       if (isTrialMissing(spec, decision)) {
         this.#withoutChosen(spec, number, decision)
         return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
@@ -99,6 +110,19 @@
     return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
   }
 
+  /** A decision of this node's own is made at the moment of its use. */
+  #isTooOld ({ result, scheduler }: Decision, askedAt: Millis): boolean {
+    return result.type === 'placed' && scheduler !== null && this.#options.clock() - askedAt > MAX_GRANT_AGE
+  }
+
+  /** Returns a grant that is too old, and asks for the same again. */
+  #withoutGrant (spec: PlacementSpec, number: number, { result, scheduler }: Decision, age: Millis): PlacementSpec {
+    if (result.type !== 'placed' || scheduler === null) return spec
+    this.#returnUnusedGrant(scheduler, number, result.choice.server.id)
+    this.#options.log.info('grant.returned', { request: spec.request, scheduler, server: result.choice.server.id, age_ms: Math.round(age) })
+    return { ...spec, chargesRetry: false, isFirstAttempt: false }
+  }
+
   #record (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision, startedAt: Millis): AttemptPlacement {
     const { scheduler, clock } = this.#options
     if (result.type === 'refused') return this.answers.explainRefusal(result, spec.service)
--- a/packages/node/tests/heldUpProcess.test.ts
+++ b/packages/node/tests/heldUpProcess.test.ts
@@ -5,6 +5,7 @@
 import test from 'ava'
 
 import type { Millis } from '@bluebellhill/domain'
+import { HeaderName } from '@bluebellhill/platform'
 
 import { PendingQueries, QUERY_TIMING } from '../src/forward/peers/PendingQueries.js'
 import { answers, headText, openCaller } from './callers.js'
@@ -58,6 +59,23 @@
   t.is(received().split('answer').length, 3)
 })
 
+// Guards against a request that runs after its caller was told that it has not, or has left: its grant is read before the timer of the deadline runs.
+test.serial('a request whose deadline passed while the process was held up is not sent', async (t) => {
+  let calls = 0
+  const fixture = await ForwardFixture.start(t, (request, response) => {
+    calls += 1
+    response.writeHead(200, signedHeaders(request)).end('answer')
+  })
+  const { place } = fixture.placement
+  fixture.placement.place = async (...rest) => {
+    const placement = await place.apply(fixture.placement, rest)
+    holdUp(600)
+    return placement
+  }
+  const { status } = await fixture.call('/safe/x', { headers: { [HeaderName.Deadline]: '300' } })
+  t.deepEqual([status, calls], [503, 0])
+})
+
 // Guards against a scheduler that counts as unanswered although its reply waits to be read.
 test.serial('a reply that has arrived while the process was held up is taken', async (t) => {
   const socket = createSocket('udp4')
--- a/packages/node/tests/reservations.test.ts
+++ b/packages/node/tests/reservations.test.ts
@@ -8,7 +8,7 @@
 import { failed, HttpPool, success } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
 
-import { MemoryReservations } from '../src/forward/MemoryReservations.js'
+import { MemoryReservations, RESERVATION_TTL } from '../src/forward/MemoryReservations.js'
 import { silentLog } from './forwardFixture.js'
 
 const FULL: CallFailure = { type: 'rejected', status: 409, code: 'full', retryAfter: null, reason: 'full' }
@@ -70,3 +70,15 @@
   await sleep(10)
   t.is(memory.held.size, 0)
 })
+
+// Guards against a prompt that is sent although the memory reserved for it has expired while this process was held up.
+test('reservations that may have expired before their answers were read are not used', async (t) => {
+  let now = 0
+  const memory = new RecordingMemory(new Set(), 10)
+  const reservations = new MemoryReservations('r', HOLDERS, memory, silentLog(), () => now)
+  const acquired = reservations.acquire()
+  now = RESERVATION_TTL
+  t.false(await acquired)
+  await sleep(10)
+  t.is(memory.held.size, 0)
+})
--- a/packages/node/tests/scheduling.test.ts
+++ b/packages/node/tests/scheduling.test.ts
@@ -262,6 +262,21 @@
   t.is(counted(network, 4).reduce((sum, count) => sum + count), 2)
 })
 
+// Guards against a place that two requests take: the scheduler had given it away while the process that it was granted to was held up.
+test('a grant that was read only after its process had been held up for seconds is returned', async (t) => {
+  const network = new TestNetwork(2, 4)
+  let replies = 0
+  network.loses = (_, __, { $case }) => {
+    if ($case === 'placementReply' && replies++ === 0) network.holdUp(2_000)
+    return false
+  }
+  const attempt = await network.placeOne(network.nodes[1]!)
+  t.is(attempt.scheduler, network.schedulerNode.self.address)
+  t.is(replies, 2)
+  await until(() => counted(network, 4).reduce((sum, count) => sum + count) === 1)
+  t.is(counted(network, 4).reduce((sum, count) => sum + count), 1)
+})
+
 // Guards against two grants for one query: a scheduler that was held up had forgotten its decision when it read the repeated query.
 test('a query that is repeated while its scheduler is held up gets the same answer', async (t) => {
   const network = new TestNetwork(2, 1)
