--- a/packages/node/src/forward/RequestEnding.ts
+++ b/packages/node/src/forward/RequestEnding.ts
@@ -11,6 +11,7 @@
 import { ForwardOutcome } from './ForwardOutcome.js'
 import type { RequestLog } from './RequestLog.js'
 import type { ForwardingContext, SignedFailure } from './types.js'
+import { breakConnection } from './entry/breakConnection.js'
 import { recordUnanswered } from './unansweredRequests.js'
 import type { CloseCause, RequestStage } from './unansweredRequests.js'
 
@@ -88,7 +89,7 @@
     const { response, summary } = this.#options
     this.recordUnanswered(cause, stage, summary().problem)
     this.#end(outcome, response.statusCode)
-    response.destroy()
+    breakConnection(response)
   }
 
   /** Records that the connection to the caller is closed before the complete answer has been read. */
--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -6,8 +6,8 @@
 
 import { describeRevision, eraOf, revisionInEra, storeRevision } from '@bluebellhill/domain'
 import type { Millis, NodeId } from '@bluebellhill/domain'
-import { describeFailure, readBody } from '@bluebellhill/services'
-import type { HttpPool } from '@bluebellhill/services'
+import { describeFailure, failed, readBody, success } from '@bluebellhill/services'
+import type { CallFailure, HttpPool, Result } from '@bluebellhill/services'
 
 import type { FleetState, FleetStateSnapshot, FleetStateVersion } from '../FleetState.js'
 import { StateHop } from '../ForwardMetrics.js'
@@ -177,7 +177,8 @@
     const answer = await http.send({ address, method: 'GET', path, timeout, idleTimeout: ANSWER_TIMEOUT })
     const body = answer.ok ? await readBody(answer.value, MAX_SNAPSHOT_BYTES) : answer
     if (this.#isDisposed) return
-    const snapshot = body.ok ? decodeSnapshot(decompress(body.value), eraOf(serversRevision)) : body
+    const bytes = body.ok ? decompress(body.value) : body
+    const snapshot = bytes.ok ? decodeSnapshot(bytes.value, eraOf(serversRevision)) : bytes
     if (snapshot.ok) {
       this.#failures.delete(node)
       this.#install(node, snapshot.value)
@@ -222,7 +223,14 @@
 const compress = (snapshot: FleetStateSnapshot): Buffer => gzipSync(encodeSnapshot(snapshot), { level: GZIP_LEVEL })
 
 /** Nodes of earlier builds answer without compression. */
-const decompress = (body: Buffer): Buffer => isGzip(body) ? gunzipSync(body, { maxOutputLength: MAX_SNAPSHOT_BYTES }) : body
+const decompress = (body: Buffer): Result<Buffer, CallFailure> => {
+  if (!isGzip(body)) return success(body)
+  try {
+    return success(gunzipSync(body, { maxOutputLength: MAX_SNAPSHOT_BYTES }))
+  } catch (error) {
+    return failed({ type: 'malformed', reason: error instanceof Error ? error.message : String(error) })
+  }
+}
 
 /** @returns whether bytes start with the magic number of gzip */
 const isGzip = (body: Buffer): boolean => body[0] === 0x1f && body[1] === 0x8b
