--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -130,7 +130,10 @@
       schedulersInUse: () => this.#placement.schedulersInUse(),
       onPeerAhead: () => this.#fleetStateExchange.catchUp(),
       isStoreLost: () => this.#storeAvailability.isLost,
-      onPeerStoreLost: () => this.#storeSync.checkStore(),
+      onPeerStoreLost: () => {
+        this.#fleetState.servers.lossReported(clock())
+        this.#storeSync.checkStore()
+      },
       onPlacementMessage: (message, address) => {
         schedulerHost.handle(message, address)
         this.#placement.handle(message, address)
