A stopping node answers all connections that were established before the stop

The operating system queues connections until they are accepted, one in each turn of the event loop. A stop waited for one or two turns and closed the listener: under load all others in the queue were reset, with the requests that they carried. A connection that was just accepted was closed as idle while its first request was on its way.

A stop now accepts until the queue is empty (at most as many as it holds, so that steady arrivals do not delay it for ever), and awaits the first request of a new connection for 1 s.

Without the change the tests with a hundred connections and with a late first request fail; the one with half a body passes.

--- a/packages/node/src/forward/entry/CallerConnections.ts
+++ b/packages/node/src/forward/entry/CallerConnections.ts
@@ -9,7 +9,11 @@
 /** Time in which a caller can read why its connection is refused, before the connection is closed. */
 const REFUSED_CLOSE_DELAY: Millis = 1_000
 
+/** Time for which a stopping node keeps a connection open that was just accepted: its first request is on its way. */
+const FIRST_REQUEST_PERIOD: Millis = 1_000
+
 interface CallerConnection {
+  readonly openedAt: Millis
   openResponses: number
   /** Value of `socket.bytesRead` when the last request was answered; further bytes belong to the next request. */
   bytesAnswered: number
@@ -22,10 +26,20 @@
 /** Open connections of callers, with the number of responses that are not written completely. */
 export class CallerConnections {
   readonly #connections = new Map<Socket, CallerConnection>()
+  #acceptedCount = 0
+
+  /** @param clock - monotonic clock */
+  constructor (private readonly clock: () => Millis) {}
+
+  /** Number of connections that were ever added. */
+  get acceptedCount (): number {
+    return this.#acceptedCount
+  }
 
   /** Adds a connection until it is closed. */
   add (socket: Socket): void {
-    this.#connections.set(socket, { openResponses: 0, bytesAnswered: 0, isRefused: false, hasExpired: false })
+    this.#acceptedCount += 1
+    this.#connections.set(socket, { openedAt: this.clock(), openResponses: 0, bytesAnswered: 0, isRefused: false, hasExpired: false })
     socket.once('close', () => this.#connections.delete(socket))
   }
 
@@ -88,10 +102,12 @@
     socket.setTimeout(headTimeout)
   }
 
-  /** Closes the connections that have no open response and receive no request. */
+  /** Closes the connections that have no open response and receive no request, except those that were just accepted. */
   closeIdle (): void {
+    const now = this.clock()
     for (const [socket, connection] of this.#connections) {
-      if (isIdle(socket, connection)) socket.destroy()
+      const awaitsFirst = connection.bytesAnswered === 0 && now - connection.openedAt < FIRST_REQUEST_PERIOD
+      if (isIdle(socket, connection) && !awaitsFirst) socket.destroy()
     }
   }
 }
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -37,6 +37,12 @@
 /** Time after `stop` in which requests on open connections are still accepted; later ones could not finish in time. */
 const ACCEPT_PERIOD_AFTER_STOP: Millis = 2_000
 
+/** Length of the queue of connections that the operating system has established for the server, the default of Node.js. */
+const CONNECTION_QUEUE = 511
+
+/** Turns without a new connection after which none is waiting; the first may end before input is read. */
+const QUIET_TURNS = 2
+
 /** A request without a final answer. */
 interface OpenRequest {
   readonly request: IncomingMessage
@@ -50,12 +56,13 @@
   readonly #server: Server
   readonly #context: ForwardingContext
   readonly #openRequests = new Map<ServerResponse, OpenRequest>()
-  readonly #connections = new CallerConnections()
+  readonly #connections: CallerConnections
   #stoppedAt: Millis | null = null
 
   /** @param context - objects that all requests share */
   constructor (context: ForwardingContext) {
     this.#context = context
+    this.#connections = new CallerConnections(context.clock)
     this.#server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_PERIOD, requestTimeout: 0, noDelay: true }, (request, response) => {
       void this.#serve(request, response, false)
     })
@@ -89,8 +96,7 @@
     this.#stoppedAt = this.#context.clock()
     for (const response of this.#openRequests.keys()) closeConnectionAfter(response)
     const closed = once(this.#server, 'close')
-    // Requests that have arrived may wait on connections that are not accepted yet.
-    await waitingInputRead()
+    await this.#queueAccepted()
     // http.Server.close() would also reset connections whose answer has ended but is not written to the socket yet.
     TcpServer.prototype.close.call(this.#server)
     await waitingInputRead()
@@ -98,11 +104,23 @@
     const idleSweep = setInterval(() => this.#connections.closeIdle(), IDLE_SWEEP_PERIOD)
     const forcedClose = setTimeout(() => this.#closeAll(), grace)
     await closed
-    while (this.#openRequests.size > 0 && this.#context.clock() - this.#stoppedAt < grace) await sleep(RELAYED_CHECK_PERIOD)
+    // The other nodes may not have heard of the stop yet when the last request is answered.
+    do await sleep(Math.min(grace, RELAYED_CHECK_PERIOD))
+    while (this.#openRequests.size > 0 && this.#context.clock() - this.#stoppedAt < grace)
     clearInterval(idleSweep)
     clearTimeout(forcedClose)
   }
 
+  /** Requests that have arrived may wait on connections that are not accepted yet; one is accepted in each turn of the event loop. */
+  async #queueAccepted (): Promise<void> {
+    let quietTurns = 0
+    for (let turns = 0; turns < CONNECTION_QUEUE && quietTurns < QUIET_TURNS; turns += 1) {
+      const { acceptedCount } = this.#connections
+      await waitingInputRead()
+      quietTurns = this.#connections.acceptedCount === acceptedCount ? quietTurns + 1 : 0
+    }
+  }
+
   /** Closes all connections, also those of requests that have no complete answer. */
   #closeAll (): void {
     const { clock } = this.#context
--- a/packages/node/tests/callerConnections.test.ts
+++ b/packages/node/tests/callerConnections.test.ts
@@ -101,6 +101,51 @@
   await stopped
 })
 
+// Guards against requests without an answer: many connections were still to be accepted at the stop.
+test('requests on a hundred connections that are not accepted before the stop are answered', async (t) => {
+  const fixture = await ForwardFixture.start(t, answers)
+  const received = Array.from({ length: 100 }, async () => {
+    const socket = connect(fixture.port, '127.0.0.1')
+    t.teardown(() => { socket.destroy() })
+    let text = ''
+    socket.on('data', (chunk) => { text += String(chunk) })
+    socket.on('error', () => {})
+    socket.write(headText('/safe/x', 'content-length: 0'))
+    await new Promise((resolve) => { socket.once('close', resolve) })
+    return text
+  })
+  const stopped = fixture.entry.stop(5_000)
+  const statuses = (await Promise.all(received)).map((text) => text.slice(0, 'HTTP/1.1 200'.length))
+  t.deepEqual([...new Set(statuses)], ['HTTP/1.1 200'])
+  await stopped
+})
+
+// Guards against a request without an answer: its connection was accepted before the stop, and closed as idle while the request was on its way.
+test('a request that arrives shortly after the stop on a connection that was just accepted is answered', async (t) => {
+  const fixture = await ForwardFixture.start(t, answers)
+  const { socket, received } = await openCaller(t, fixture)
+  await sleep(50)
+  const stopped = fixture.entry.stop(5_000)
+  await sleep(100)
+  socket.write(headText('/safe/x', 'content-length: 0'))
+  await once(socket, 'end')
+  t.regex(received(), /^HTTP\/1\.1 200 /)
+  await stopped
+})
+
+test('a request of which half the body has arrived before the stop is answered', async (t) => {
+  const fixture = await ForwardFixture.start(t, answers)
+  const { socket, received } = await openCaller(t, fixture)
+  socket.write(`${headText('/safe/x', 'content-length: 4')}bo`)
+  while (fixture.entry.openRequests === 0) await sleep(10)
+  const stopped = fixture.entry.stop(5_000)
+  await sleep(500)
+  socket.write('dy')
+  await once(socket, 'end')
+  t.regex(received(), /^HTTP\/1\.1 200 /)
+  await stopped
+})
+
 // Guards against connections that stay open for ever after bytes that begin no request.
 test('an idle connection is closed although bytes have arrived that begin no request', async (t) => {
   const fixture = await ForwardFixture.start(t, answers)
