--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -104,6 +104,12 @@
   return fields.leaving === undefined ? `it had stated a limit of ${fields.request_limit} requests a second to node ${node}` : `it had told node ${node} that it leaves`
 }
 
+/** A grant without an age was returned for its servers, which the next attempt tells. */
+const describeReturned = ({ at, fields }: LogLine): string => {
+  const cause = fields.age_ms === undefined ? 'accepted no requests of this node' : `had been granted ${fields.age_ms} ms before, as the process of the node was held up`
+  return `${timeOfDay(at)}: the place at ${fields.server} was returned to its scheduler: it ${cause}.`
+}
+
 const describeFailedAttempt = ({ at, fields }: LogLine): string =>
   `${timeOfDay(at)}: the attempt at ${fields.server} ended after ${fields.after_ms} ms as ${fields.end}: ${fields.reason}.`
 
@@ -127,6 +133,7 @@
 
 const DESCRIBERS: Readonly<Record<string, (line: LogLine) => string>> = {
   'request.sent': describeSent,
+  'grant.returned': describeReturned,
   'request.not_placed': describeNotPlaced,
   'attempt.failed': describeFailedAttempt,
   'request.quarantined': (line) => `${timeOfDay(line.at)}: ${describeQuarantined(line)}`,
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -141,3 +141,8 @@
   t.regex(sentences[3]!, /let request fifth go as a trial/)
   t.regex(sentences[4]!, /node edge-1 refused it for good: part ab12 .* after 3 crashes of engines at 3 different moments, the last one 400 ms before; the part had never been seen in a sound answer\. It has not run\./)
 })
+
+test('a grant that had aged while the process was held up is described', (t) => {
+  const log = line('23.000', 'edge-1', 'event=grant.returned request=r1 scheduler=10.0.0.1:1 server=i-1 age_ms=2004')
+  t.regex(explainLogged(parseDecisionLog(log), 'r1')?.sentences[0] ?? '', /the place at i-1 was returned to its scheduler: it had been granted 2004 ms before/)
+})
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -180,14 +180,14 @@
       this.#search.discard(placement)
       return
     }
-    this.#lastProblem = `${AttemptEnd.TimedOut}: no byte for ${Math.round(silence)} ms`
+    this.#lastProblem = `${AttemptEnd.TimedOut}: no progress for ${Math.round(silence)} ms`
     if (placement.type === 'refused') {
       this.#requestLog.silentAttemptKept(attempt, silence, placement.reason)
       this.#silenceTimer.extend(attempt, SEARCH_PERIOD, silence + SEARCH_PERIOD)
       return
     }
     this.history.end(attempt.server.id, AttemptEnd.TimedOut)
-    this.#requestLog.attemptFailed(attempt, AttemptEnd.TimedOut, `no byte for ${Math.round(silence)} ms`)
+    this.#requestLog.attemptFailed(attempt, AttemptEnd.TimedOut, `no progress for ${Math.round(silence)} ms`)
     this.#setAside(attempt)
     this.#openAttempt(placement.attempt)
   }
