--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -149,8 +149,9 @@
   return `${timeOfDay(at)}: node ${node} withdrew it from the scheduler ${fields.scheduler} after ${fields.queued_ms} ms, since ${cause}.`
 }
 
-/** A grant is returned because of servers that have left, or of failure domains that were evacuated as far as the node knew. */
+/** A grant is returned because of its age, of servers that have left, or of failure domains that were evacuated as far as the node knew. */
 const describeReturned = ({ at, node, fields }: LogLine): string => {
+  if (fields.age_ms !== undefined) return `${timeOfDay(at)}: the place at ${fields.server} was returned to its scheduler: it had been granted ${fields.age_ms} ms before, as the process of the node was held up.`
   const evacuated = fields.evacuated === undefined ? '' : ` Failure domains evacuated as far as the node knew: ${fields.evacuated}.`
   return `${timeOfDay(at)}: node ${node} did not use the placement on ${fields.server} by the scheduler at ${fields.scheduler}, since it must not send to ${fields.unusable}.${evacuated}`
 }
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -176,3 +176,8 @@
   t.regex(sentences[1]!, /evacuated all failure domains .* could return after 1400 ms/)
   t.regex(meanwhile[0]!, /node edge-1 learnt from another node: evacuation of hall-b begun, as of revision 1\.41\./)
 })
+
+test('a grant that had aged while the process was held up is described', (t) => {
+  const log = line('23.000', 'edge-1', 'event=grant.returned request=r1 scheduler=10.0.0.1:1 server=i-1 age_ms=2004')
+  t.regex(explainLogged(parseDecisionLog(log), 'r1')?.sentences[0] ?? '', /the place at i-1 was returned to its scheduler: it had been granted 2004 ms before/)
+})
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -124,8 +124,15 @@
   /** Called when the head of a signed, successful answer arrives. */
   protected abstract successStarted (attempt: OpenAttempt): void
 
-  /** Called for each chunk of the body of a signed, successful answer. */
-  protected abstract chunkReceived (attempt: OpenAttempt, chunk: Buffer): void
+  /**
+   * Called for each chunk of the body of a signed, successful answer, also of a silent attempt.
+   *
+   * @returns whether the answer has gone on; bytes that complete no event keep no stream alive
+   */
+  protected abstract chunkReceived (attempt: OpenAttempt, chunk: Buffer): boolean
+
+  /** Called when the answer of the attempt in progress has gone on. */
+  protected abstract answerContinued (attempt: OpenAttempt): void
 
   /** Whether the answer is complete if its server ends it now. */
   protected abstract isAnswerWhole (attempt: OpenAttempt): boolean
@@ -175,14 +182,14 @@
       this.#search.discard(placement)
       return
     }
-    this.#lastProblem = `${AttemptEnd.TimedOut}: no byte for ${Math.round(silence)} ms`
+    this.#lastProblem = `${AttemptEnd.TimedOut}: no progress for ${Math.round(silence)} ms`
     if (placement.type === 'refused') {
       this.#requestLog.silentAttemptKept(attempt, silence, placement.reason)
       this.#silenceTimer.extend(attempt, SEARCH_PERIOD, silence + SEARCH_PERIOD)
       return
     }
     this.history.end(attempt.server.id, AttemptEnd.TimedOut)
-    this.#requestLog.attemptFailed(attempt, AttemptEnd.TimedOut, `no byte for ${Math.round(silence)} ms`)
+    this.#requestLog.attemptFailed(attempt, AttemptEnd.TimedOut, `no progress for ${Math.round(silence)} ms`)
     this.#setAside(attempt)
     this.#openAttempt(placement.attempt)
   }
@@ -325,7 +332,7 @@
     const { choice: { server, holders }, assignment } = placed
     this.history.start(server.id)
     this.#attemptCount += 1
-    const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
+    const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log, this.context.clock)
     const attempt: OpenAttempt = { server, placed, peer: null, sentAt: this.context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
     this.attempt = attempt
     this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server), this.context.placement.answers.coldFor(server))
@@ -367,13 +374,8 @@
     return {
       onHead: (head) => this.#headReceived(attempt, head),
       onData: (chunk) => {
-        if (!this.#isCurrent(attempt)) return
-        this.restartDataTimer(attempt)
-        if (isSuccessfulAnswer(attempt)) {
-          attempt.watch?.dataReceived()
-          // The data may refute a crash, and so leave the request itself as the cause of another one.
-          if (this.attempt === attempt) this.chunkReceived(attempt, chunk)
-        } else if (!failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
+        if (isSuccessfulAnswer(attempt)) this.#answerDataReceived(attempt, chunk)
+        else if (this.#isCurrent(attempt) && !failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
       },
       onEnd: () => this.#answerEnded(attempt, failureBody.take()),
       onFailure: (mayBeSent, reason) => this.#connectionFailed(attempt, mayBeSent, reason),
@@ -381,6 +383,18 @@
     }
   }
 
+  /** A silent attempt takes the place of its replacement only if its answer goes on, not for any single byte. */
+  #answerDataReceived (attempt: OpenAttempt, chunk: Buffer): void {
+    if (this.#ending.isOver || (this.attempt !== attempt && !this.#silentAttempts.has(attempt))) return
+    const hasGoneOn = this.chunkReceived(attempt, chunk)
+    const isCurrent = hasGoneOn ? this.#isCurrent(attempt) : this.attempt === attempt
+    if (!isCurrent) return
+    if (hasGoneOn) this.restartDataTimer(attempt)
+    attempt.watch?.dataReceived()
+    // The data may refute a crash, and so leave the request itself as the cause of another one.
+    if (hasGoneOn && this.attempt === attempt) this.answerContinued(attempt)
+  }
+
   #connectionFailed (attempt: OpenAttempt, mayBeSent: boolean, reason: string): void {
     if (!mayBeSent) this.#relay.notConnected(attempt)
     if (mayBeSent && attempt.serverCall?.isBrokenOff === true) attempt.watch?.brokenOff()
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -23,6 +23,12 @@
 /** Servers that are named in a repeated query because they have left or are evacuated, so that it stays within one datagram. */
 const MAX_LEAVING_EXCLUDED = 32
 
+/**
+ * Age at which a grant is returned instead of used. This process was held up since it asked: its scheduler may have taken it for lost and given the
+ * place away, which it does 1.4 s after a state report that is missing, and what it counted against a limit per second belongs to an earlier one.
+ */
+export const MAX_GRANT_AGE: Millis = 1_000
+
 /** Decisions that are asked for while this node knows that a chosen server accepts no more requests. */
 const MAX_DECISIONS = 3
 
@@ -115,16 +121,15 @@
       const isLast = decisions === MAX_DECISIONS - 1
       const decision = isLast && hasRestriction ? this.#queries.decideAlone(spec, number) : await this.#queries.decide(spec, number, wait)
       await this.settled()
+      const age = clock() - (decision.outstandingAt ?? askedAt)
+      if (isTooOld(decision, age)) {
+        spec = this.#withoutGrant(spec, number, decision, age)
+        continue
+      }
       if (isTrialMissing(spec, decision)) {
         this.#withoutChosen(spec, number, decision)
         return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
       }
-      const age = clock() - (decision.outstandingAt ?? askedAt)
-      if (decision.outstandingAt !== undefined && decision.result.type === 'placed' && age > RENEWAL_EXPIRY) {
-        this.#returnOutdated(spec, number, decision)
-        spec = { ...spec, chargesRetry: false, isFirstAttempt: false }
-        continue
-      }
       if (this.#isUsable(spec, decision, age)) return this.#record(spec, number, decision, startedAt)
       hasRestriction ||= this.#isRestricted(spec, decision)
       spec = this.#withoutChosen(spec, number, decision)
@@ -132,6 +137,17 @@
     return findRestriction(fleetState, spec.service, spec.regions) ?? { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
   }
 
+  /** Returns a grant that is too old, and asks for the same again. */
+  #withoutGrant (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision, age: Millis): PlacementSpec {
+    if (result.type !== 'placed') return spec
+    const { scheduler, clock, log } = this.#options
+    const own = scheduler.assignments.findOwn(number)
+    if (own !== null) scheduler.assignments.end(own, clock())
+    else if (address !== null) this.#returnUnusedGrant(address, number, result.choice.server.id)
+    log.info('grant.returned', { request: spec.request, scheduler: address ?? 'self', server: result.choice.server.id, age_ms: Math.round(age) })
+    return { ...spec, chargesRetry: false, isFirstAttempt: false }
+  }
+
   #record (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision, startedAt: Millis): AttemptPlacement {
     const { scheduler, clock } = this.#options
     if (result.type === 'refused') return this.answers.explainRefusal(result, spec.service)
@@ -160,16 +176,6 @@
     return keepsLimits || scheduler.statements.take(server, 1 / directory.size)
   }
 
-  /** Returns a grant that was received so late, because this process was held up, that its scheduler may have given the place to another request. */
-  #returnOutdated (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision): void {
-    if (result.type !== 'placed') return
-    const { scheduler, clock, log } = this.#options
-    const own = scheduler.assignments.findOwn(number)
-    if (own !== null) scheduler.assignments.end(own, clock())
-    else if (address !== null) this.#returnUnusedGrant(address, number, result.choice.server.id)
-    log.info('grant.outdated', { request: spec.request, scheduler: address ?? 'self', server: result.choice.server.id })
-  }
-
   /** Whether a choice contains a server that no new request, or none of these regions, may reach. */
   #isRestricted ({ regions }: PlacementSpec, { result }: Decision): boolean {
     return result.type === 'placed' && this.#restrictedIn(result.choice, regions).length > 0
@@ -322,6 +328,13 @@
   }
 }
 
+/** A decision that this node has just made itself is used at once; one for a request that waited may have been made while nobody took it up. */
+const isTooOld = ({ result, scheduler, outstandingAt }: Decision, age: Millis): boolean => {
+  if (result.type !== 'placed') return false
+  if (outstandingAt !== undefined) return age > RENEWAL_EXPIRY
+  return scheduler !== null && age > MAX_GRANT_AGE
+}
+
 /** Schedulers of earlier builds place a trial like any other attempt. */
 const isTrialMissing = ({ trialParts }: PlacementSpec, { result }: Decision): boolean => trialParts.length > 0 && result.type === 'placed' && !result.isTrial
 
