--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -4,7 +4,7 @@
 import type { EngineTimingModel } from './EngineTimingModel.js'
 import type { Assignment } from './assignment.js'
 import type { ServerLoad } from './FleetAssignments.js'
-import type { Candidate } from './PlacementPolicy.js'
+import type { Candidate, PlacementRequest } from './PlacementPolicy.js'
 import type { PendingPrefill } from './PrefillQueue.js'
 import { callerPauseTolerance, callerWaitTime } from './streamTimeouts.js'
 import type { BackendServer } from './types.js'
@@ -35,8 +35,11 @@
   readonly passTime: Millis
   /** Number of its own requests, in prefill or in decode; segments that it prefills for other engines are not counted. */
   readonly requestCount: number
+  /** KV cache memory that its requests and reservations use. */
+  readonly usedMemory: Tokens
   readonly freeMemory: Tokens
   readonly #slowdown: number
+  readonly #requests: readonly Assignment[]
   readonly #decoding: readonly Assignment[]
   readonly #pendingPrefills: readonly PendingPrefill[]
   readonly #timing: EngineTimingModel
@@ -57,6 +60,7 @@
     this.#slowdown = slowdown
     // Deferred requests are prefilled when nothing else waits for a slot.
     this.#pendingPrefills = load.pending.filter(({ assignment }) => !assignment.isDeferred || assignment.server !== server.id)
+    this.#requests = load.requests
     this.#decoding = load.requests.filter(({ isPrefilled }) => isPrefilled)
     this.#timing = timing
     this.#now = now
@@ -64,7 +68,8 @@
     this.passTime = slowdown * timing.passTime(this.#decoding.length, this.#contextTokens)
     this.requestCount = load.requests.length
     this.#waitingDeferredCount = load.requests.filter(({ isDeferred, isPrefilled }) => isDeferred && !isPrefilled).length
-    this.freeMemory = freeMemory(load, timing.figures.memory)
+    this.usedMemory = load.requests.reduce((sum, assignment) => sum + memoryUse(assignment), load.reservedTokens)
+    this.freeMemory = sharedFreeMemory(this.usedMemory, timing.figures.memory)
     this.pendingPrefill = slowdown * this.#pendingPrefills.reduce((sum, { remaining }) => sum + remaining, 0)
   }
 
@@ -154,6 +159,72 @@
     this.#addPauseLoss(losses, prefillTime * this.#slowdown + passTime - this.passTime)
   }
 
+  /** @returns time until each of its pending prefills is done, by request */
+  prefillEnds (): Map<string, Millis> {
+    let end = this.passTime
+    return new Map(this.#pendingPrefills.map(({ assignment, remaining }) => {
+      end += remaining * this.#slowdown
+      return [assignment.id, end]
+    }))
+  }
+
+  /**
+   * Predicts when its requests end if it gets no others. Those beyond its slots start when earlier ones end, the deferred ones
+   * last.
+   *
+   * @param prefilledIn - time until the prompts that are not prefilled are, on all engines that prefill segments of them
+   * @returns time until each of its requests ends, by request
+   */
+  expectedEnds (prefilledIn: ReadonlyMap<string, Millis>): Map<string, Millis> {
+    const ends = new Map(this.#decoding.map((assignment) => [assignment.id, this.#decodingEnd(assignment)]))
+    const waiting = this.#requests.filter(({ isPrefilled }) => !isPrefilled)
+    for (const assignment of waiting.sort((a, b) => Number(a.isDeferred) - Number(b.isDeferred) || a.sentAt - b.sentAt)) {
+      const slotFreeIn = [...ends.values()].sort((a, b) => a - b)[ends.size - this.server.slots] ?? 0
+      const prefillTime = assignment.prefillTime * this.#slowdown
+      const prefilled = Math.max(prefilledIn.get(assignment.id) ?? this.pendingPrefill + prefillTime, slotFreeIn > 0 ? slotFreeIn + prefillTime : 0)
+      ends.set(assignment.id, prefilled + this.#answerTime(assignment.answer))
+    }
+    return this.#withShorterPasses(ends)
+  }
+
+  /** Passes become shorter as requests end; the given times assume that all requests stay until the last one ends. */
+  #withShorterPasses (ends: ReadonlyMap<string, Millis>): Map<string, Millis> {
+    const remaining = [...this.#requests].sort((a, b) => (ends.get(a.id) ?? 0) - (ends.get(b.id) ?? 0))
+    const fullPass = this.#sharedPassTime(remaining)
+    const corrected = new Map<string, Millis>()
+    let [previous, time] = [this.pendingPrefill, this.pendingPrefill]
+    for (let next = remaining[0]; next !== undefined; next = remaining[0]) {
+      const end = ends.get(next.id) ?? previous
+      time += (end - previous) * this.#sharedPassTime(remaining) / fullPass
+      previous = end
+      corrected.set(next.id, time)
+      remaining.shift()
+    }
+    return corrected
+  }
+
+  /** Decoding stands still during prefills: time that they have taken since its first event does not count as progress. */
+  #decodingEnd (assignment: Assignment): Millis {
+    const prefilledAt = prefilledTime(assignment, this.#slowdown)
+    const laterPrefills = this.#decoding.filter((other) => prefilledTime(other, this.#slowdown) > prefilledAt)
+    const inProgress = this.#pendingPrefills.reduce((sum, { assignment: { prefillTime }, remaining }) => sum + Math.max(0, prefillTime - remaining), 0)
+    const interrupted = this.#slowdown * laterPrefills.reduce((sum, { prefillTime }) => sum + prefillTime, inProgress)
+    // The first event contains the tokens of one pass.
+    const remaining = this.#answerTime(assignment.answer - this.#timing.figures.stepsPerPass) + interrupted - (this.#now - prefilledAt)
+    return Math.max(this.passTime, remaining) + this.pendingPrefill
+  }
+
+  /** Time to decode tokens of an answer beside all requests that the engine has. */
+  #answerTime (tokens: Tokens): Millis {
+    return Math.ceil(tokens / this.#timing.figures.stepsPerPass) * this.#sharedPassTime(this.#requests)
+  }
+
+  /** Duration of a pass that decodes these requests, as many of them as there are slots. */
+  #sharedPassTime (requests: readonly Assignment[]): Millis {
+    const context = requests.reduce((sum, { prompt, answer }) => sum + prompt + answer / 2, 0)
+    return this.#slowdown * this.#timing.passTime(Math.min(requests.length, this.server.slots), context)
+  }
+
   /** Requests beyond the slots wait until others end; ends are assumed to be evenly spread over the time that an answer takes. */
   #waitBehind (requests: number): Millis {
     const { slots } = this.server
@@ -190,12 +261,26 @@
   losses.set(id, Math.max(losses.get(id) ?? 0, lossShare * requestValue(prompt)))
 }
 
-/** KV cache memory available to another request; only a request that is alone on an engine may use all of it. */
-const freeMemory = ({ requests, reservedTokens }: ServerLoad, memory: Tokens): Tokens => {
-  const used = requests.reduce((sum, assignment) => sum + memoryUse(assignment), reservedTokens)
-  return used === 0 ? memory : memory * SHARED_MEMORY_SHARE - used
-}
+/** Time of the first event; if it was reported without one, the earliest time possible. */
+const prefilledTime = ({ prefilledAt, sentAt, prefillTime }: Assignment, slowdown: number): Millis => prefilledAt ?? sentAt + slowdown * prefillTime
 
-/** KV cache memory that a request uses on the engine that decodes it, without what its holders keep. */
-const memoryUse = ({ prompt, answer, reservations }: Assignment): Tokens =>
+/**
+ * @param used - KV cache memory in use on an engine
+ * @param memory - its total KV cache memory
+ * @returns memory available to another request; only a request that is alone on an engine may use all of it
+ */
+export const sharedFreeMemory = (used: Tokens, memory: Tokens): Tokens => used === 0 ? memory : memory * SHARED_MEMORY_SHARE - used
+
+/**
+ * @param assignment - a request
+ * @returns KV cache memory that it uses on the engine that decodes it, without what its holders keep
+ */
+export const memoryUse = ({ prompt, answer, reservations }: Assignment): Tokens =>
   prompt + answer - reservations.reduce((sum, { tokens }) => sum + tokens, 0)
+
+/**
+ * @param request - a request to be placed
+ * @returns KV cache memory that its prompt and its expected answer need
+ */
+export const memoryDemand = ({ size, timing }: PlacementRequest): Tokens =>
+  size.prompt + Math.min(size.mostAnswer, timing.figures.usualAnswer)
--- a/packages/node/src/forward/scheduling/ColdServers.ts
+++ b/packages/node/src/forward/scheduling/ColdServers.ts
@@ -1,6 +1,6 @@
 /** Keeps which backend servers are cold, and the quota of requests that this node may place on each until it is warm. */
 import { coldQuota, ColdSenders, MAX_SENDING_DELAY_S, STRICT_WARM_UP_BOUNDS, tieBreakRank, WarmUps } from '@bluebellhill/domain'
-import type { BackendServer, Millis, NodeId, Quota, RunnerId, SchedulerDirectory, ServerEntry, WarmUpBounds, WarmUpFigures } from '@bluebellhill/domain'
+import type { BackendServer, FailureDomain, Millis, NodeId, Quota, RunnerId, SchedulerDirectory, ServerEntry, WarmUpBounds, WarmUpFigures } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
@@ -45,6 +45,7 @@
     this.#warmUps = new WarmUps((service) => this.#figuresOf(service)?.period ?? null)
     this.#senders = new ColdSenders(options.node, options.directory ?? null)
     options.fleetState.onEntry((entry) => this.#entryArrived(entry))
+    options.fleetState.restrictions.onReturn((failureDomains) => this.#evacuationEnded(failureDomains))
   }
 
   /**
@@ -126,6 +127,11 @@
     this.#warmUps.remove(id)
   }
 
+  #evacuationEnded (failureDomains: readonly FailureDomain[]): void {
+    const { fleetState, clock } = this.#options
+    this.domainReturned(fleetState.servers.all().filter(({ failureDomain }) => failureDomains.includes(failureDomain)), clock())
+  }
+
   #entryArrived (entry: ServerEntry): void {
     const { clock, wallClock = Date.now } = this.#options
     if (this.#warmUps.entryArrived(entry, clock(), wallClock())) this.#logCold(entry.server, entry.server.warmUpLeft === undefined ? 'started' : 'entry')
--- a/packages/node/tests/coldServers.test.ts
+++ b/packages/node/tests/coldServers.test.ts
@@ -251,12 +251,16 @@
   t.true(Math.max(...returned) <= 1.5 * returned.reduce((sum, count) => sum + count) / returned.length, returned.join())
 })
 
-test('a server that gets cold again, in its entry, in a response or with its failure domain, is limited again', (t) => {
+test('a server that gets cold again, in its entry, in a response, with its failure domain or after an evacuation, is limited again', (t) => {
   const warm = TWO_SERVERS.map((server) => ({ ...server, startedAt: WALL - 60_000 }))
   const causes: ReadonlyArray<(fleet: VirtualFleet) => void> = [
     (fleet) => { for (const server of warm) fleet.put({ ...server, warmUpLeft: 3_000 }, 2) },
     (fleet) => { for (const { scheduler } of fleet.nodes) for (const server of warm) scheduler.statements.coldServers.stated(server, 3_000, 'r') },
-    (fleet) => { for (const { scheduler } of fleet.nodes) scheduler.statements.coldServers.domainReturned(warm, fleet.now) }
+    (fleet) => { for (const { scheduler } of fleet.nodes) scheduler.statements.coldServers.domainReturned(warm, fleet.now) },
+    (fleet) => {
+      for (const { fleetState } of fleet.nodes) fleetState.restrictions.listed({ failureDomains: DOMAINS, revision: 2 })
+      for (const { fleetState } of fleet.nodes) fleetState.restrictions.listed({ failureDomains: [], revision: 3 })
+    }
   ]
   for (const cause of causes) {
     const fleet = new VirtualFleet({ nodes: 3, servers: warm })
