Plain services: a test of the ramp with the warm-up of a real entry

Guards the wiring of WarmUps to the placement: a server that has just started gets its share in proportion to how far it is warm, in each second.

--- a/packages/node/tests/unevenServers.test.ts
+++ b/packages/node/tests/unevenServers.test.ts
@@ -20,11 +20,12 @@
 const UNEVEN: Service = { ...EVEN, warmUp: { period: 0, requestsPerSecond: 0 } }
 const IDS = ['e0', 'e1', 'e2'] as RunnerId[]
 
-/** A scheduler with three servers; requests of another node are placed one after the other, and the first server takes four times as long. */
+/** A scheduler with three servers; requests of another node are placed one after the other, and the first server takes four times as long unless set. */
 class OneScheduler {
   readonly lines: string[] = []
   readonly fleetState: FleetState
   readonly scheduler: Scheduler
+  slowTime: Millis = 172
   #number = 1
   #now = 0
 
@@ -51,7 +52,7 @@
       const { id } = result.choice.server
       if (id === 'e0') atSlow += 1
       this.#now += 43
-      const report = { number, isEnded: true, server: id, signal: null, slowdown: null, serviceTime: { time: id === 'e0' ? 172 : 43, requestsBefore: result.load.requests } }
+      const report = { number, isEnded: true, server: id, signal: null, slowdown: null, serviceTime: { time: id === 'e0' ? this.slowTime : 43, requestsBefore: result.load.requests } }
       const bytes = fleetWire.AttemptReports.encode(encodeAttemptReports([sent(report)])).finish()
       this.scheduler.applyReports(OTHER, decodeAttemptReports(fleetWire.AttemptReports.decode(bytes)))
     }
@@ -72,6 +73,17 @@
   t.is(new OneScheduler(EVEN).run(90, (report) => report), 30)
 })
 
+test('a server that has just started gets its share of the requests in proportion to how far it is warm', (t) => {
+  const one = new OneScheduler({ ...UNEVEN, warmUp: { period: 3_000, requestsPerSecond: 0 } })
+  one.slowTime = 43
+  one.run(90, (report) => report)
+  one.put(IDS[0]!, Date.now())
+  const perSecond = 23
+  const counts = [1, 2, 3, 4].map(() => one.run(perSecond, (report) => report))
+  for (const [second, warmth] of [1 / 6, 3 / 6, 5 / 6, 1].entries()) t.true(Math.abs(counts[second]! - warmth * perSecond / 3) <= 1.5, counts.join())
+  t.true(one.lines.some((line) => / event=placement\.by_time .*other=e0 .*other_warmth=0/.test(line)))
+})
+
 test('a server that restarts under its id is not taken for slow any more', (t) => {
   const one = new OneScheduler(UNEVEN)
   one.run(90, (report) => report)
