Bound what a node buffers for callers and backend servers that read slowly

Unread bytes were limited for each stream only (8 MiB). All streams together, plain answers after they had been written, and request bodies had no limit, on VMs of 250 to 602 MB.

One account for each node (BufferAccount, domain), with a limit from limits.memory_mb of the settings; without the field nothing is counted. From half of the limit, servers whose callers do not read are held back for 1 s at a time; at 90 % the callers are cut off whose unread bytes have taken most memory for longest, by a reset. A request whose body finds no room gets 503 with Retry-After before it is sent.

The body of a request is read by an iterator that leaves the request open when it ends early, so that the refusal can be sent.

--- a/packages/node/src/forward/ForwardMetrics.ts
+++ b/packages/node/src/forward/ForwardMetrics.ts
@@ -28,6 +28,8 @@
   readonly #endedRequests = new Counter({ name: 'bluebellhill_requests_total', help: 'Requests that ended, by kind and outcome', labelNames: ['kind', 'outcome'], registers: [this.registry] })
   readonly #refusedRequests = new Counter({ name: 'bluebellhill_refusals_total', help: 'Requests refused at the entry, by cause', labelNames: ['cause'], registers: [this.registry] })
   readonly #closedConnections = new Counter({ name: 'bluebellhill_unanswered_total', help: 'Requests whose connection was closed by this node before their answer was complete, by stage and cause', labelNames: ['stage', 'cause'], registers: [this.registry] })
+  readonly #cutOffCallers = new Counter({ name: 'bluebellhill_callers_cut_off_total', help: 'Callers that were cut off because they read slowest while the buffers were full', registers: [this.registry] })
+  readonly #heldServers = new Counter({ name: 'bluebellhill_servers_held_total', help: 'Times that a backend server was held back because its caller did not read', registers: [this.registry] })
   readonly #requestDuration = new Histogram({ name: 'bluebellhill_request_seconds', help: 'Time from arrival to end', labelNames: ['kind', 'outcome'], buckets: DURATION_BUCKETS, registers: [this.registry] })
   readonly #firstAnswerTime = new Histogram({ name: 'bluebellhill_first_answer_seconds', help: 'Time from sending to the first event or the answer', labelNames: ['kind'], buckets: DURATION_BUCKETS, registers: [this.registry] })
   readonly #predictionError = new Histogram({ name: 'bluebellhill_prediction_error_seconds', help: 'First event later than predicted', labelNames: ['kind'], buckets: [-0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1], registers: [this.registry] })
@@ -55,6 +57,16 @@
     this.#refusedRequests.inc({ cause })
   }
 
+  /** Counts a caller that was cut off because it reads too slowly. */
+  callerCutOff (): void {
+    this.#cutOffCallers.inc()
+  }
+
+  /** Counts a server that is held back for a moment. */
+  serverHeld (): void {
+    this.#heldServers.inc()
+  }
+
   /** Counts a request whose connection this node has closed without a complete answer. */
   connectionClosed (stage: string, cause: string): void {
     this.#closedConnections.inc({ stage, cause })
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -1,5 +1,5 @@
 /** Builds the components of a node on the users' platform, and starts and stops them. */
-import { SchedulerDirectory, STRICT_WARM_UP_BOUNDS } from '@bluebellhill/domain'
+import { bufferLimit, SchedulerDirectory, STRICT_WARM_UP_BOUNDS } from '@bluebellhill/domain'
 import type { Millis, SchedulerCandidate, WarmUpBounds } from '@bluebellhill/domain'
 import { EngineMemoryClient, MetadataStore } from '@bluebellhill/platform'
 import type { PlatformSettings, SocketAddress } from '@bluebellhill/platform'
@@ -10,6 +10,7 @@
 import type { Log } from '../log/index.js'
 import { DisposableStore } from '../store/index.js'
 import { AnswerMemory } from './backend/AnswerMemory.js'
+import { NodeBuffers } from './buffers/NodeBuffers.js'
 import { EntryServer } from './entry/EntryServer.js'
 import { ReadinessServer } from './entry/ReadinessServer.js'
 import { ForwardMetrics } from './ForwardMetrics.js'
@@ -62,6 +63,7 @@
   readonly #placement: PlacementClient
   readonly #relay: Relay
   readonly #entryServer: EntryServer
+  readonly #buffers: NodeBuffers
   readonly #peerLink: PeerLink
   readonly #fleetStateExchange: FleetStateExchange
   readonly #storeAvailability: StoreAvailability
@@ -182,7 +184,8 @@
       onServerUnreachable: (server) => this.#placement.reportUnreachable(server)
     })
     this.#disposables.add(this.#relay)
-    this.#entryServer = new EntryServer({ relay: this.#relay, placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, memory, answerMemory: new AnswerMemory(), clock })
+    this.#buffers = new NodeBuffers({ limit: settings.memory === null ? null : bufferLimit(settings.memory), log, metrics: this.#metrics, clock: runningClock })
+    this.#entryServer = new EntryServer({ relay: this.#relay, placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, memory, answerMemory: new AnswerMemory(), buffers: this.#buffers, clock })
   }
 
   /** Starts all components; the node then serves callers. */
@@ -256,6 +259,7 @@
     this.#metrics.addGauge('prompt_parts_suspected', 'Prompt parts and requests that may crash backend servers', () => this.#scheduler.quarantine.counts().partsSuspected)
     this.#metrics.addGauge('peers', 'Other nodes that are heard', () => this.#peerLink.sources().length)
     this.#metrics.addGauge('open_requests', 'Requests without a final answer', () => this.#entryServer.openRequests)
+    this.#metrics.addGauge('buffered_bytes', 'Bytes buffered for callers and backend servers; 0 if the settings state no memory', () => this.#buffers.total)
     this.#metrics.addGauge('log_lines_dropped', 'Lines of the log that found no room', droppedLogLines)
     const server = new MetricsServer(this.#metrics.registry)
     this.#disposables.add(server)
--- a/packages/node/src/forward/ForwardOutcome.ts
+++ b/packages/node/src/forward/ForwardOutcome.ts
@@ -5,6 +5,8 @@
   Refused: 'refused',
   Lost: 'lost',
   TimedOut: 'timed_out',
-  CallerDisconnected: 'caller_gone'
+  CallerDisconnected: 'caller_gone',
+  /** The node has cut the caller off, because it reads too slowly. */
+  CallerCutOff: 'caller_cut_off'
 } as const
 export type ForwardOutcome = typeof ForwardOutcome[keyof typeof ForwardOutcome]
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -13,6 +13,7 @@
 import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import { ServerCall } from './backend/ServerCall.js'
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
+import { CallerAnswer } from './buffers/CallerAnswer.js'
 import { RefusalCause } from './entry/refusals.js'
 import { healthSignalOf } from './healthSignal.js'
 import { isWaitStated, quarantineCauseOf, quarantineProblem, refusalCauseOf } from './refusalCause.js'
@@ -54,6 +55,9 @@
   readonly #ending: RequestEnding
   readonly #search: AttemptSearch
   readonly #relay: RequestRelay
+  readonly #callerAnswer: CallerAnswer
+  /** Attempt whose server is held back, because the caller does not read; null if there is none. */
+  #heldAttempt: OpenAttempt | null = null
   readonly #silentAttempts = new SilentAttempts((attempt, signal) => this.#release(attempt, signal))
   readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#dataOverdue(attempt, silence, hasGoneOn) })
   #attemptCount = 0
@@ -76,7 +80,8 @@
       this.history.end(server, AttemptEnd.Broken)
     }
     this.#requestLog = new RequestLog(context, call)
-    this.#ending = new RequestEnding({ context, call, response, requestLog: this.#requestLog, summary: () => this.#summary(), onEnded: () => this.#releaseAll() })
+    this.#ending = new RequestEnding({ context, call, response, requestLog: this.#requestLog, summary: () => this.#summary(), onWritten: (bytes) => this.answerWritten(bytes), onEnded: () => this.#releaseAll() })
+    this.#callerAnswer = new CallerAnswer({ buffers: context.buffers, request: call.id, response, onCutOff: (reason) => this.#callerCutOff(reason), onHold: (isHeld) => this.#holdServer(isHeld) })
     this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
     this.#relay = new RequestRelay({ context, call, history: this.history, requestLog: this.#requestLog })
     this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog })
@@ -137,6 +142,14 @@
   /** Returns the fields of the final log line that depend on the kind of answer. */
   protected abstract answerLogFields (): Record<string, unknown>
 
+  /** Called when the server of the attempt in progress is held back. */
+  protected serverHeld (): void {}
+
+  /** Counts bytes of the answer that have been written to the caller. */
+  protected answerWritten (bytes: number): void {
+    this.#callerAnswer.add(bytes)
+  }
+
   /** Records the time of the first data that is sent to the caller, and gives up the attempts that were kept until then. */
   protected recordFirstAnswer (attempt: OpenAttempt): void {
     this.#silentAttempts.closeAll()
@@ -147,7 +160,18 @@
 
   /** Measures anew how long the server of the attempt sends no data. */
   protected restartDataTimer (attempt: OpenAttempt): void {
-    this.#silenceTimer.restart(attempt, this.dataTimeout(attempt))
+    this.#silenceTimer.restart(attempt, attempt === this.#heldAttempt ? null : this.dataTimeout(attempt))
+  }
+
+  /** While the server is held back its silence is no failure. */
+  #holdServer (isHeld: boolean): void {
+    const attempt = isHeld ? this.attempt : this.#heldAttempt
+    this.#heldAttempt = isHeld ? attempt : null
+    if (attempt === null || attempt !== this.attempt) return
+    this.serverHeld()
+    attempt.serverCall?.hold(isHeld)
+    // What had arrived meanwhile may have ended the attempt.
+    if (attempt === this.attempt) this.restartDataTimer(attempt)
   }
 
   /** Waits on while the engine is known to prefill other prompts: another engine would have to read this prompt anew. */
@@ -503,6 +527,18 @@
     this.#ending.callerDisconnected()
   }
 
+  /** Its connection is reset. */
+  #callerCutOff (reason: string): void {
+    const { stage } = this
+    if (this.#ending.isOver) {
+      this.#ending.recordUnanswered(CloseCause.SlowReader, stage, reason)
+      return
+    }
+    if (this.attempt !== null) this.#closeAttempt(this.attempt)
+    this.#lastProblem = reason
+    this.#ending.abort(ForwardOutcome.CallerCutOff, CloseCause.SlowReader, stage)
+  }
+
   #closeAttempt (attempt: OpenAttempt, signal: HealthSignal | null = null): void {
     this.#silenceTimer.clear()
     this.attempt = null
--- a/packages/node/src/forward/PlainForwarding.ts
+++ b/packages/node/src/forward/PlainForwarding.ts
@@ -1,5 +1,5 @@
 /** Forwards requests that have a single answer instead of a stream of events. */
-import { mayRunAgain } from '@bluebellhill/domain'
+import { AttemptEnd, mayRunAgain } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { encodeReturnedHeaders } from '@bluebellhill/platform'
 
@@ -33,7 +33,13 @@
 
   protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): void {
     const body = this.#bodies.get(attempt)
-    if (body === undefined || body.append(chunk)) return
+    if (body === undefined) return
+    if (!this.context.buffers.reserveAnswer(chunk.length)) {
+      this.failAttempt(attempt, AttemptEnd.Oversized, 'the buffers of the node are full', null)
+      return
+    }
+    if (body.append(chunk)) return
+    this.context.buffers.releaseAnswer(chunk.length)
     this.answerOversized(attempt, `an answer of more than ${body.length} bytes, of ${MAX_PLAIN_ANSWER_BYTES} for one and ${MAX_COLLECTED_BYTES} for all`)
   }
 
@@ -45,14 +51,18 @@
     const { head } = attempt
     if (head === null) return false
     const body = this.#bodies.get(attempt)?.take() ?? Buffer.alloc(0)
+    this.context.buffers.releaseAnswer(body.length)
     this.response.writeHead(head.status, withContentLength(encodeReturnedHeaders(head.rawHeaders), body.length))
     this.response.end(body)
+    this.answerWritten(body.length)
     this.recordFirstAnswer(attempt)
     return true
   }
 
   protected attemptClosed (attempt: OpenAttempt): void {
-    this.#bodies.get(attempt)?.clear()
+    const body = this.#bodies.get(attempt)
+    this.context.buffers.releaseAnswer(body?.length ?? 0)
+    body?.clear()
     this.#bodies.delete(attempt)
   }
 
--- a/packages/node/src/forward/RequestEnding.ts
+++ b/packages/node/src/forward/RequestEnding.ts
@@ -34,6 +34,8 @@
   readonly requestLog: RequestLog
   /** Returns what has happened to the request so far. */
   readonly summary: () => RequestSummary
+  /** Called when bytes of a body have been written to the caller. */
+  readonly onWritten: (bytes: number) => void
   /** Called when the request is over, to release what it holds. */
   readonly onEnded: () => void
 }
@@ -77,9 +79,10 @@
 
   /** Sends the caller a failure that a backend server has answered, unchanged. */
   returnFailure ({ head, body }: SignedFailure): void {
-    const { response } = this.#options
+    const { response, onWritten } = this.#options
     response.writeHead(head.status, withContentLength(encodeReturnedHeaders(head.rawHeaders), body.length))
     response.end(body)
+    onWritten(body.length)
     this.#end(ForwardOutcome.ServerFailed, head.status)
   }
 
--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -64,7 +64,9 @@
     this.recordFirstAnswer(attempt)
     this.#recordPause(attempt)
     for (const event of events) this.#countEvent(event)
-    this.response.write(Buffer.concat(events.map(({ bytes }) => bytes)))
+    const bytes = Buffer.concat(events.map((event) => event.bytes))
+    this.response.write(bytes)
+    this.answerWritten(bytes.length)
     this.#checkCallerReads(attempt)
   }
 
@@ -92,6 +94,11 @@
     this.response.writeHead(head.status, kept)
   }
 
+  /** A pause in which this node does not read says nothing of the engine. */
+  protected override serverHeld (): void {
+    this.#lastEventAt = null
+  }
+
   #recordPause ({ placed }: OpenAttempt): void {
     const now = this.context.clock()
     const pause = this.#lastEventAt === null ? null : now - this.#lastEventAt
--- a/packages/node/src/forward/backend/ServerCall.ts
+++ b/packages/node/src/forward/backend/ServerCall.ts
@@ -60,6 +60,7 @@
   /** Bytes that had arrived with the last head or piece of the body. */
   #bytesAtLastProgress = 0
   #isBrokenOff = false
+  #isHeld = false
 
   /**
    * @param request - address and contents of the request
@@ -100,6 +101,17 @@
     this.#closeClient()
   }
 
+  /**
+   * Reads no more of the answer, so that the server waits, or goes on reading. Not to be released while data of the answer is being handled.
+   *
+   * @param isHeld - whether the answer is left unread
+   */
+  hold (isHeld: boolean): void {
+    if (this.#isFinished || isHeld === this.#isHeld) return
+    this.#isHeld = isHeld
+    if (!isHeld) this.#socket?.emit('readable')
+  }
+
   onRequestStart (controller: Dispatcher.DispatchController): void {
     if (this.#mayBeSent || this.#isFinished) {
       controller.abort(new Error('the request was aborted before it was sent'))
@@ -140,7 +152,10 @@
     const connect = buildConnector({ timeout })
     return (options, callback) => connect(options, (...result) => {
       const [, socket] = result
-      if (socket != null) this.#watchForReset(socket)
+      if (socket != null) {
+        this.#watchForReset(socket)
+        this.#makeHoldable(socket)
+      }
       callback(...result)
       if (socket != null) this.#limitFraming(socket)
     })
@@ -151,12 +166,21 @@
     this.#socket = socket
     // Added after the listener of undici, which has then parsed all bytes that have arrived.
     socket.on('readable', () => {
-      if (this.#isFinished || socket.bytesRead - this.#bytesAtLastProgress <= MAX_FRAMING_BYTES) return
+      if (this.#isFinished || this.#isHeld || socket.bytesRead - this.#bytesAtLastProgress <= MAX_FRAMING_BYTES) return
       this.abort()
       this.#listener.onOversize(OVERSIZE_REASON)
     })
   }
 
+  /**
+   * Lets the socket seem empty while the answer is held. Its buffer fills, and the operating system makes the server wait. undici's own pause is not
+   * used: undici 7.30 fails with an assertion if the connection is reset, or ends, while its parser is paused.
+   */
+  #makeHoldable (socket: Socket): void {
+    const read = socket.read.bind(socket)
+    socket.read = (size?: number) => this.#isHeld && size !== 0 ? null : read(size)
+  }
+
   #recordProgress (): void {
     this.#bytesAtLastProgress = this.#socket?.bytesRead ?? 0
   }
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -149,7 +149,9 @@
     if (this.#stoppedAt !== null && arrivedAt - this.#stoppedAt > ACCEPT_PERIOD_AFTER_STOP) return RefusalCause.Stopping
     const head = acceptHead(request, table, isRelayed)
     if (!head.ok) return head.failure
-    const body = await readCallerBody(request, table.deployment.limits)
+    const { buffers } = this.#context
+    if (!buffers.hasRoomForBody(Number(request.headers['content-length'] ?? 0))) return RefusalCause.NodeMemory
+    const body = await readCallerBody(request, table.deployment.limits, buffers.openBody(response))
     if (body === null || response.destroyed) return null
     if (!body.ok) return body.failure
     const call = admit(request, head.value, body.value, table, arrivedAt)
@@ -182,10 +184,10 @@
   }
 
   #refuse (request: IncomingMessage, response: ServerResponse, cause: RefusalCause): void {
-    const { log, metrics, fleetState } = this.#context
+    const { log, metrics, fleetState, buffers } = this.#context
     metrics.requestRefused(cause)
     log.info('request.refused', {
-      request: decodeCallerHeaders(request.headers).attemptId ?? undefined, cause, host: request.headers.host, path: request.url, configuration: fleetState.configurationVersion, configuration_age_ms: Math.round(fleetState.configurationAge)
+      request: decodeCallerHeaders(request.headers).attemptId ?? undefined, cause, host: request.headers.host, path: request.url, configuration: fleetState.configurationVersion, configuration_age_ms: Math.round(fleetState.configurationAge), ...(cause === RefusalCause.NodeMemory ? buffers.describe() : {})
     })
     if (!request.complete) closeConnectionAfter(response)
     refuse(response, cause)
--- a/packages/node/src/forward/entry/admit.ts
+++ b/packages/node/src/forward/entry/admit.ts
@@ -9,6 +9,7 @@
 import type { Result } from '@bluebellhill/services'
 
 import type { AdmittedCall } from '../AdmittedCall.js'
+import type { BodyReservation } from '../buffers/BodyReservation.js'
 import { decodeTried, withoutRelayHeaders } from '../relay/relayHeaders.js'
 import { RefusalCause } from './refusals.js'
 
@@ -61,15 +62,18 @@
  *
  * @param request - the request
  * @param limits - limits on its size
+ * @param reservation - memory of the node, in which room is reserved for it
  * @returns the body, or why the request is refused; null if the caller has disconnected
  */
-export const readCallerBody = async (request: IncomingMessage, limits: CallerLimits): Promise<Result<Buffer, RefusalCause> | null> => {
+export const readCallerBody = async (request: IncomingMessage, limits: CallerLimits, reservation: BodyReservation): Promise<Result<Buffer, RefusalCause> | null> => {
   const chunks: Buffer[] = []
   let size = 0
   try {
-    for await (const chunk of request) {
+    // The request stays open when the loop ends early, so that the refusal can be sent.
+    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
       size += (chunk as Buffer).length
       if (size > limits.bodyBytes) return failed(RefusalCause.BodyTooLarge)
+      if (!reservation.reserve((chunk as Buffer).length)) return failed(RefusalCause.NodeMemory)
       chunks.push(chunk as Buffer)
     }
   } catch {
--- a/packages/node/src/forward/entry/refusals.ts
+++ b/packages/node/src/forward/entry/refusals.ts
@@ -22,6 +22,8 @@
   NoServer: 'no_server',
   /** This node reaches no backend server of the service; told to the node that has passed the request on. */
   Unreachable: 'unreachable',
+  /** The buffers of this node are full, and its body cannot be held. */
+  NodeMemory: 'node_memory',
   /** All backend servers that can accept the request have limited what they accept. */
   ServersLimited: 'servers_limited',
   /** The operator has evacuated all failure domains that the request may reach. */
@@ -67,6 +69,7 @@
   [RefusalCause.Stopping]: { status: 503, retryAfter: 0 },
   [RefusalCause.NoServer]: { status: 503, retryAfter: 300 },
   [RefusalCause.Unreachable]: { status: 503, retryAfter: 300 },
+  [RefusalCause.NodeMemory]: { status: 503, retryAfter: 300 },
   [RefusalCause.ServersLimited]: { status: 503, retryAfter: 300, isRetryAfterKnown: true },
   [RefusalCause.DomainsEvacuated]: { status: 503, retryAfter: 1_000 },
   [RefusalCause.TimedOutUnsent]: { status: 503, retryAfter: 300 },
--- a/packages/node/src/forward/types.ts
+++ b/packages/node/src/forward/types.ts
@@ -4,6 +4,7 @@
 
 import type { Log } from '../log/index.js'
 import type { AnswerMemory } from './backend/AnswerMemory.js'
+import type { NodeBuffers } from './buffers/NodeBuffers.js'
 import type { AnswerHead, ServerCall } from './backend/ServerCall.js'
 import type { ForwardMetrics } from './ForwardMetrics.js'
 import type { FleetState } from './FleetState.js'
@@ -22,6 +23,7 @@
   readonly metrics: ForwardMetrics
   readonly memory: EngineMemoryClient
   readonly answerMemory: AnswerMemory
+  readonly buffers: NodeBuffers
   readonly relay: Relay
   readonly clock: () => Millis
 }
--- a/packages/node/src/forward/unansweredRequests.ts
+++ b/packages/node/src/forward/unansweredRequests.ts
@@ -25,6 +25,8 @@
   /** The attempt failed, and there was no other one. */
   AnswerLost: 'answer_lost',
   DeadlinePassed: 'deadline_passed',
+  /** The buffers of the node were full, and this caller read slowest. */
+  SlowReader: 'slow_reader',
   /** The stop grace of this node was over. */
   StopGraceOver: 'stop_grace_over'
 } as const
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -14,6 +14,7 @@
 import { HttpPool } from '@bluebellhill/services'
 
 import { AnswerMemory } from '../src/forward/backend/AnswerMemory.js'
+import { NodeBuffers } from '../src/forward/buffers/NodeBuffers.js'
 import { EntryServer } from '../src/forward/entry/EntryServer.js'
 import { ForwardMetrics } from '../src/forward/ForwardMetrics.js'
 import { FleetState } from '../src/forward/FleetState.js'
@@ -78,6 +79,7 @@
   readonly lines: string[] = []
   readonly fleetState: FleetState
   readonly entry: EntryServer
+  readonly buffers: NodeBuffers
   readonly placement: PlacementClient
   readonly relay: Relay
   readonly metrics = new ForwardMetrics()
@@ -89,7 +91,8 @@
   #port = 0
   #nextAttemptId = 1
 
-  constructor () {
+  /** @param bufferLimit - bytes that the node may buffer; null for no limit */
+  constructor (bufferLimit: number | null = null) {
     const { lines } = this
     const log = openLog({ node: 'n1', failureDomain: 'd1', level: LogLevel.Info, transport: new LineCollector(lines) })
     const clock = (): Millis => this.clock()
@@ -104,7 +107,8 @@
     this.relay = new Relay({
       node: SELF.node, failureDomain: SELF.failureDomain, directory, fleetState: this.fleetState, log, clock, runningClock: clock, onServerUnreachable: (server) => this.placement.reportUnreachable(server)
     })
-    this.entry = new EntryServer({ relay: this.relay, placement: this.placement, fleetState: this.fleetState, log, metrics: this.metrics, memory: new EngineMemoryClient(new HttpPool(2), 5_000), answerMemory: new AnswerMemory(), clock })
+    this.buffers = new NodeBuffers({ limit: bufferLimit, log, metrics: this.metrics, clock })
+    this.entry = new EntryServer({ relay: this.relay, placement: this.placement, fleetState: this.fleetState, log, metrics: this.metrics, memory: new EngineMemoryClient(new HttpPool(2), 5_000), answerMemory: new AnswerMemory(), buffers: this.buffers, clock })
   }
 
   /** Starts the entry server with backend servers that follow the scripts. */
@@ -118,8 +122,8 @@
   }
 
   /** Starts the entry server with backend servers that listen on these ports of the loopback address. */
-  static async startWithPorts (t: ExecutionContext, ports: readonly number[]): Promise<ForwardFixture> {
-    const fixture = new ForwardFixture()
+  static async startWithPorts (t: ExecutionContext, ports: readonly number[], bufferLimit: number | null = null): Promise<ForwardFixture> {
+    const fixture = new ForwardFixture(bufferLimit)
     for (const [index, port] of ports.entries()) fixture.#listServer(`e${index}`, port)
     fixture.fleetState.install(DEPLOYMENT, 'store')
     fixture.#port = await fixture.entry.start({ host: '127.0.0.1', port: 0 })
