--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -136,6 +136,13 @@
   return `${timeOfDay(at)}: node ${node} learnt from ${fields.origin === 'store' ? 'the store' : 'another node'}:${begun}${ended} as of revision ${fields.revision}.`
 }
 
+const describeCutOff = ({ at, node, fields }: LogLine): string =>
+  `${timeOfDay(at)}: node ${node} cut its caller off, which had left ${fields.unread} bytes unread, the oldest for ${fields.waited_ms} ms. It read slowest while the node buffered ` +
+  `${fields.unread_bytes} unread bytes, ${fields.collected_bytes} of answers and ${fields.body_bytes} of requests, of ${fields.limit_bytes}.`
+
+const describeHeld = ({ at, node, fields }: LogLine): string =>
+  `${timeOfDay(at)}: node ${node} held its server back, since the caller had left ${fields.unread} bytes unread and the buffers of the node were half full.`
+
 const describeOther = ({ at, node, event, fields }: LogLine): string => {
   const shownFields = Object.entries(fields).filter(([name]) => !['time', 'level', 'node', 'domain', 'event', 'request'].includes(name))
   return `${timeOfDay(at)}: ${event} on node ${node} (${shownFields.map(([name, value]) => `${name} ${value}`).join(', ')}).`
@@ -146,6 +153,8 @@
   'request.not_placed': describeNotPlaced,
   'attempt.failed': describeFailedAttempt,
   'grant.returned': describeReturned,
+  'caller.cut_off': describeCutOff,
+  'attempt.held': describeHeld,
   'request.quarantined': (line) => `${timeOfDay(line.at)}: ${describeQuarantined(line)}`,
   'request.ended': describeEnded
 }
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -164,3 +164,12 @@
   t.regex(sentences[1]!, /evacuated all failure domains .* could return after 1400 ms/)
   t.regex(meanwhile[0]!, /node edge-1 learnt from another node: evacuation of hall-b begun, as of revision 1\.41\./)
 })
+
+// Guards against an explanation that names neither the caller's part in its end nor the state of the node.
+test('a caller that was cut off is told how slowly it read, and what the node buffered', (t) => {
+  const lines = parseDecisionLog('time=2026-12-04T10:00:00.000Z level=warn node=n1 domain=d1 event=caller.cut_off request=r7 unread=800 waited_ms=1200 written=900 body_bytes=1 collected_bytes=2 unread_bytes=950 limit_bytes=1000\n' +
+    'time=2026-12-04T09:59:59.000Z level=info node=n1 domain=d1 event=attempt.held request=r7 unread=600')
+  const [held = '', cutOff = ''] = explainLogged(lines, 'r7')?.sentences ?? []
+  t.regex(held, /node n1 held its server back, since the caller had left 600 bytes unread/)
+  t.regex(cutOff, /node n1 cut its caller off, which had left 800 bytes unread, the oldest for 1200 ms\. .* buffered 950 unread bytes, .* of 1000\./)
+})
--- a/packages/node/src/forward/PlainForwarding.ts
+++ b/packages/node/src/forward/PlainForwarding.ts
@@ -38,8 +38,10 @@
       this.failAttempt(attempt, AttemptEnd.Oversized, 'the buffers of the node are full', null)
       return
     }
+    const lengthBefore = body.length
     if (body.append(chunk)) return
-    this.context.buffers.releaseAnswer(chunk.length)
+    // A part of the chunk may have been added.
+    this.context.buffers.releaseAnswer(chunk.length - (body.length - lengthBefore))
     this.answerOversized(attempt, `an answer of more than ${body.length} bytes, of ${MAX_PLAIN_ANSWER_BYTES} for one and ${MAX_COLLECTED_BYTES} for all`)
   }
 
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -19,7 +19,7 @@
 import { RELAY_HEADER, SERVER_ANSWER } from '../relay/relayHeaders.js'
 import { CloseCause, recordUnanswered, RequestStage } from '../unansweredRequests.js'
 import { CallerConnections } from './CallerConnections.js'
-import { acceptHead, admit, readCallerBody } from './admit.js'
+import { acceptHead, admit, readCallerBody, timeUntilDeadline } from './admit.js'
 import { RefusalCause, refusalStatus, refuse } from './refusals.js'
 
 /** Largest request head that the HTTP parser accepts; the configured limit is checked afterwards. */
@@ -151,8 +151,10 @@
     if (!head.ok) return head.failure
     const { buffers } = this.#context
     if (!buffers.hasRoomForBody(Number(request.headers['content-length'] ?? 0))) return RefusalCause.NodeMemory
+    const readTimer = buffers.isLimited ? setTimeout(() => this.#refuse(request, response, RefusalCause.TimedOutUnsent), timeUntilDeadline(head.value.route, head.value.headers)) : undefined
     const body = await readCallerBody(request, table.deployment.limits, buffers.openBody(response))
-    if (body === null || response.destroyed) return null
+    clearTimeout(readTimer)
+    if (body === null || response.destroyed || response.writableEnded) return null
     if (!body.ok) return body.failure
     const call = admit(request, head.value, body.value, table, arrivedAt)
     if (!call.ok) return call.failure
--- a/packages/node/src/forward/entry/admit.ts
+++ b/packages/node/src/forward/entry/admit.ts
@@ -57,6 +57,13 @@
   return success({ route, organisation, headers, attemptId: headers.attemptId, isRelayed })
 }
 
+/**
+ * @param route - route of a request
+ * @param headers - its decoded headers
+ * @returns time from its arrival until it is given up
+ */
+export const timeUntilDeadline = (route: Route, headers: CallerHeaders): Millis => Math.min(route.timeout, headers.deadline ?? MAX_TIME_WITHOUT_DEADLINE)
+
 /**
  * Reads the complete body of a request.
  *
@@ -114,7 +121,7 @@
     lastEventId: headers.lastEventId,
     arrivedAt,
     dueAt: arrivedAt + route.objective,
-    deadlineAt: arrivedAt + Math.min(route.timeout, headers.deadline ?? MAX_TIME_WITHOUT_DEADLINE)
+    deadlineAt: arrivedAt + timeUntilDeadline(route, headers)
   })
 }
 
--- a/packages/node/tests/slowReaders.test.ts
+++ b/packages/node/tests/slowReaders.test.ts
@@ -9,6 +9,7 @@
 
 import { HeaderName } from '@bluebellhill/platform'
 
+import { headText, openCaller } from './callers.js'
 import { ForwardFixture, HOST, KEY } from './forwardFixture.js'
 import { flood, signedHead, startRawServer } from './rawServer.js'
 import type { RawScript } from './rawServer.js'
@@ -125,6 +126,17 @@
   })
 }
 
+// Guards against a caller that keeps memory for as long as it likes by sending its body slowly.
+test.serial('a request whose body is incomplete at its deadline is refused, and its memory released', async (t) => {
+  const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, answers)], LIMIT)
+  const { socket, received } = await openCaller(t, fixture)
+  socket.write(`${headText('/safe/x', 'content-length: 100', `${HeaderName.Deadline}: 300`)}part`)
+  await until(() => fixture.buffers.total > 0)
+  await once(socket, 'end')
+  t.regex(received(), /^HTTP\/1.1 503 [^]*"timed_out_unsent"/)
+  await until(() => fixture.buffers.total === 0)
+})
+
 // Guards against request bodies that fill the memory of the node, and against a refusal of a request that has run.
 test.serial('a request whose body finds no room is refused at once and not sent', async (t) => {
   let requests = 0
