--- a/packages/node/tests/slowReaders.test.ts
+++ b/packages/node/tests/slowReaders.test.ts
@@ -81,6 +81,22 @@
   t.regex(fixture.linesOf('caller.cut_off')[0] ?? '', /request=slow /)
 })
 
+// Guards against bytes that stay counted, or are released twice, and against a sound server that is avoided because the node has no room.
+for (const [limit, avoided, reason] of [[LIMIT, 0, /the buffers of the node are full/], [100_000_000, 1, /an answer of more than/]] as const) {
+  test.serial(`an endless plain answer at a node that buffers ${limit} bytes ends, and all of its bytes come back`, async (t) => {
+    const port = await startRawServer(t, (socket, request) => {
+      socket.write(signedHead(request, 'connection: close\r\n'))
+      flood(socket, 'x')
+    })
+    const fixture = await ForwardFixture.startWithPorts(t, [port], limit)
+    t.is((await fixture.call('/patient-unsafe/x')).status, 502)
+    t.regex(fixture.linesOf('attempt.failed')[0] ?? '', reason)
+    t.is(fixture.linesOf('server.avoided').length, avoided)
+    await until(() => fixture.entry.openRequests === 0)
+    t.is(fixture.buffers.total, 0)
+  })
+}
+
 // Guards against an answer without a length that looks complete because its connection is closed.
 test.serial('a caller of HTTP/1.0 that is cut off sees a reset', async (t) => {
   const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, streams)], LIMIT / 10)
