--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -192,3 +192,12 @@
   t.regex(sentences[0] ?? '', /node edge-2 chose by expected time p-2 \(1 requests, 1 times the usual time\), and not p-1 \(0 requests, 3\.9 times the usual time, warmed up by 50 %\)\./)
   t.true(meanwhile.some((text) => text.includes('by the answers known to node edge-2, p-1 took 3.9 times as long as the median server of w.')))
 })
+
+// Guards against an explanation that names neither the caller's part in its end nor the state of the node.
+test('a caller that was cut off is told how slowly it read, and what the node buffered', (t) => {
+  const lines = parseDecisionLog('time=2026-12-04T10:00:00.000Z level=warn node=n1 domain=d1 event=caller.cut_off request=r7 unread=800 waited_ms=1200 written=900 body_bytes=1 collected_bytes=2 unread_bytes=950 limit_bytes=1000\n' +
+    'time=2026-12-04T09:59:59.000Z level=info node=n1 domain=d1 event=attempt.held request=r7 unread=600')
+  const [held = '', cutOff = ''] = explainLogged(lines, 'r7')?.sentences ?? []
+  t.regex(held, /node n1 held its server back, since the caller had left 600 bytes unread/)
+  t.regex(cutOff, /node n1 cut its caller off, which had left 800 bytes unread, the oldest for 1200 ms\. .* buffered 950 unread bytes, .* of 1000\./)
+})
--- a/packages/node/src/forward/entry/admit.ts
+++ b/packages/node/src/forward/entry/admit.ts
@@ -11,6 +11,7 @@
 
 import { waitingInputRead } from '../../clock/inputTurn.js'
 import type { AdmittedCall } from '../AdmittedCall.js'
+import type { BodyReservation } from '../buffers/BodyReservation.js'
 import { decodeTried, withoutRelayHeaders } from '../relay/relayHeaders.js'
 import { RefusalCause } from './refusals.js'
 
@@ -70,23 +71,26 @@
  * @param request - the request
  * @param limits - limits on its size
  * @param timeout - time in which it has to be complete, however slowly it arrives
+ * @param reservation - memory of the node, in which room is reserved for it
  * @returns the body, or why the request is refused; null if the caller has disconnected
  */
-export const readCallerBody = async (request: IncomingMessage, limits: CallerLimits, timeout: Millis): Promise<Result<Buffer, RefusalCause> | null> => {
+export const readCallerBody = async (request: IncomingMessage, limits: CallerLimits, timeout: Millis, reservation: BodyReservation): Promise<Result<Buffer, RefusalCause> | null> => {
   const timer = new AbortController()
   const timedOut = sleep(timeout, undefined, { signal: timer.signal }).then(waitingInputRead).then(() => failed(RefusalCause.TimedOutUnsent), () => null)
-  const body = await Promise.race([readWhole(request, limits), timedOut])
+  const body = await Promise.race([readWhole(request, limits, reservation), timedOut])
   timer.abort()
   return body
 }
 
-const readWhole = async (request: IncomingMessage, limits: CallerLimits): Promise<Result<Buffer, RefusalCause> | null> => {
+const readWhole = async (request: IncomingMessage, limits: CallerLimits, reservation: BodyReservation): Promise<Result<Buffer, RefusalCause> | null> => {
   const chunks: Buffer[] = []
   let size = 0
   try {
-    for await (const chunk of request) {
+    // The request stays open when the loop ends early, so that the refusal can be sent.
+    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
       size += (chunk as Buffer).length
       if (size > limits.bodyBytes) return failed(RefusalCause.BodyTooLarge)
+      if (!reservation.reserve((chunk as Buffer).length)) return failed(RefusalCause.NodeMemory)
       chunks.push(chunk as Buffer)
     }
   } catch {
