--- a/packages/domain/src/forwarding/EngineState.ts
+++ b/packages/domain/src/forwarding/EngineState.ts
@@ -33,7 +33,7 @@
   readonly pendingPrefill: Millis
   /** Duration of its passes without prefill. */
   readonly passTime: Millis
-  /** Number of its own requests, in prefill or in decode; segments that it prefills for other engines are not counted. */
+  /** Number of its own requests, in prefill or in decode, and of slots that are kept free; segments that it prefills for other engines are not counted. */
   readonly requestCount: number
   /** KV cache memory that its requests and reservations use. */
   readonly usedMemory: Tokens
@@ -66,7 +66,7 @@
     this.#now = now
     this.#contextTokens = this.#decoding.reduce((sum, { prompt, answer }) => sum + prompt + answer / 2, 0)
     this.passTime = slowdown * timing.passTime(this.#decoding.length, this.#contextTokens)
-    this.requestCount = load.requests.length
+    this.requestCount = load.requests.length + load.withheldSlots
     this.#waitingDeferredCount = load.requests.filter(({ isDeferred, isPrefilled }) => isDeferred && !isPrefilled).length
     this.usedMemory = load.requests.reduce((sum, assignment) => sum + memoryUse(assignment), load.reservedTokens)
     this.freeMemory = sharedFreeMemory(this.usedMemory, timing.figures.memory)
@@ -173,10 +173,11 @@
    * last.
    *
    * @param prefilledIn - time until the prompts that are not prefilled are, on all engines that prefill segments of them
+   * @param helped - requests of other engines of whose prompts it has prefilled a segment
    * @returns time until each of its requests ends, by request
    */
-  expectedEnds (prefilledIn: ReadonlyMap<string, Millis>): Map<string, Millis> {
-    const ends = new Map(this.#decoding.map((assignment) => [assignment.id, this.#decodingEnd(assignment)]))
+  expectedEnds (prefilledIn: ReadonlyMap<string, Millis>, helped: readonly Assignment[] = []): Map<string, Millis> {
+    const ends = new Map(this.#decoding.map((assignment) => [assignment.id, this.#decodingEnd(assignment, helped)]))
     const waiting = this.#requests.filter(({ isPrefilled }) => !isPrefilled)
     for (const assignment of waiting.sort((a, b) => Number(a.isDeferred) - Number(b.isDeferred) || a.sentAt - b.sentAt)) {
       const slotFreeIn = [...ends.values()].sort((a, b) => a - b)[ends.size - this.server.slots] ?? 0
@@ -204,9 +205,9 @@
   }
 
   /** Decoding stands still during prefills: time that they have taken since its first event does not count as progress. */
-  #decodingEnd (assignment: Assignment): Millis {
+  #decodingEnd (assignment: Assignment, helped: readonly Assignment[]): Millis {
     const prefilledAt = prefilledTime(assignment, this.#slowdown)
-    const laterPrefills = this.#decoding.filter((other) => prefilledTime(other, this.#slowdown) > prefilledAt)
+    const laterPrefills = [...this.#decoding, ...helped].filter((other) => prefilledTime(other, this.#slowdown) > prefilledAt)
     const inProgress = this.#pendingPrefills.reduce((sum, { assignment: { prefillTime }, remaining }) => sum + Math.max(0, prefillTime - remaining), 0)
     const interrupted = this.#slowdown * laterPrefills.reduce((sum, { prefillTime }) => sum + prefillTime, inProgress)
     // The first event contains the tokens of one pass.
--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -11,11 +11,19 @@
   readonly pending: readonly PendingPrefill[]
   /** Its own requests, in prefill or in decode. */
   readonly requests: readonly Assignment[]
-  /** KV cache memory reserved there for requests of other engines. */
+  /** KV cache memory reserved there for requests of other engines, or kept free. */
   readonly reservedTokens: Tokens
+  /** Slots that are kept free. */
+  readonly withheldSlots: number
 }
 
-const NO_LOAD: ServerLoad = { pending: [], requests: [], reservedTokens: 0 }
+/** What is kept free on an engine for requests that are expected to return. */
+export interface WithheldRoom {
+  readonly tokens: Tokens
+  readonly slots: number
+}
+
+const NO_LOAD: ServerLoad = { pending: [], requests: [], reservedTokens: 0, withheldSlots: 0 }
 
 interface PeerAssignments {
   readonly assignments: Map<string, Assignment>
@@ -279,13 +287,23 @@
    * @param requests - requests by the engine that decodes them
    * @param pending - pending prefills by engine
    * @param reservedTokens - KV cache memory reserved for requests of other engines, by engine
+   * @param withheld - what is kept free, by engine
    */
   constructor (
     private readonly requests: ReadonlyMap<RunnerId, readonly Assignment[]>,
     private readonly pending: ReadonlyMap<RunnerId, readonly PendingPrefill[]>,
-    private readonly reservedTokens: ReadonlyMap<RunnerId, Tokens>
+    private readonly reservedTokens: ReadonlyMap<RunnerId, Tokens>,
+    private readonly withheld: ReadonlyMap<RunnerId, WithheldRoom> = new Map()
   ) {}
 
+  /**
+   * @param withheld - what is kept free, by engine
+   * @returns the same load with that in use
+   */
+  withholding (withheld: ReadonlyMap<RunnerId, WithheldRoom>): ServerLoads {
+    return withheld.size === 0 ? this : new ServerLoads(this.requests, this.pending, this.reservedTokens, withheld)
+  }
+
   /** @returns the requests on all backend servers */
   * assignments (): Generator<Assignment> {
     for (const requests of this.requests.values()) yield * requests
@@ -299,7 +317,8 @@
     const requests = this.requests.get(server)
     const pending = this.pending.get(server)
     const reservedTokens = this.reservedTokens.get(server)
-    if (requests === undefined && pending === undefined && reservedTokens === undefined) return NO_LOAD
-    return { requests: requests ?? [], pending: pending ?? [], reservedTokens: reservedTokens ?? 0 }
+    const withheld = this.withheld.get(server)
+    if (requests === undefined && pending === undefined && reservedTokens === undefined && withheld === undefined) return NO_LOAD
+    return { requests: requests ?? [], pending: pending ?? [], reservedTokens: (reservedTokens ?? 0) + (withheld?.tokens ?? 0), withheldSlots: withheld?.slots ?? 0 }
   }
 }
