Refusals for want of memory name the time and keep the memory

A refused caller was told to return after a fixed 0.3 s, and found the memory taken. For memory-bound services the scheduler now refuses with no_memory and the time of the forecast, and withholds the memory from others until the request with the same identity returns. The identity is the digest that the quarantine uses, made once for each request, only where a promise is possible. Refusal.is_promised tells the node; nothing changes for other services, and nodes of earlier builds state no identity and get the time only.

Only first attempts at a scheduler that decides for its group are promised something: a request that may have run is not sent again, and a node that decides alone is not the one that is asked next.

--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -78,10 +78,20 @@
 
 /** Describes what servers had stated when the next attempt found none. */
 const describeNotPlaced = ({ at, fields }: LogLine): string => {
-  const retry = fields.retry_after_ms === undefined ? '' : ` The caller could return after ${fields.retry_after_ms} ms.`
+  const retry = fields.retry_after_ms === undefined ? '' : ` The caller could return after ${fields.retry_after_ms} ms${fields.promised === 'true' ? '; memory was kept for it until then' : ''}.`
   return `${timeOfDay(at)}: no server of ${fields.service} could take it: ${fields.reason}${describeStatement(fields)}.${retry}`
 }
 
+/** Describes for how long a refused request had to wait for memory, and whether the scheduler kept it. */
+const describePromise = ({ at, node, event, fields }: LogLine): string => {
+  const forecast = `the scheduler ${node} expected ${fields.tokens_needed} tokens of free memory in ${fields.room_in_ms} ms on ${listOf(fields.engines_kept).join(', ')}`
+  const decision = event === 'promise.made' ? `kept them for request identity ${fields.identity}` : 'kept none'
+  return `${timeOfDay(at)}: ${forecast} and ${decision}; it told the caller to return after ${fields.retry_after_ms} ms (${fields.promises} promises in force).`
+}
+
+const describeKeptPromise = ({ at, node, fields }: LogLine): string =>
+  `${timeOfDay(at)}: it returned for the memory that scheduler ${node} had kept for identity ${fields.identity}, ${fields.late_ms} ms after the named time, and was placed.`
+
 const describeStatement = ({ server, server_limit: limit, server_leaving: leaving, server_heard_by: node, server_stated_ms_ago: age }: LogLine['fields']): string => {
   if (server === undefined) return ''
   if (limit !== undefined) return `; ${server} had stated a limit of ${limit} requests a second to node ${node}, ${age} ms before`
@@ -128,6 +138,9 @@
 const DESCRIBERS: Readonly<Record<string, (line: LogLine) => string>> = {
   'request.sent': describeSent,
   'request.not_placed': describeNotPlaced,
+  'promise.made': describePromise,
+  'promise.not_made': describePromise,
+  'promise.kept': describeKeptPromise,
   'attempt.failed': describeFailedAttempt,
   'request.quarantined': (line) => `${timeOfDay(line.at)}: ${describeQuarantined(line)}`,
   'request.ended': describeEnded
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -102,6 +102,19 @@
   t.regex(explained('leaving'), /servers_leaving; i-3 had told node edge-3 1500 ms before that it leaves\./)
 })
 
+const PROMISE_LOG = [
+  line('10.000', 'edge-1', 'event=promise.made request=told service=lm identity=request:ab tokens_needed=191400 room_in_ms=400 prefill_share=0.20 engines_kept=i-1,i-2 retry_after_ms=700 promises=3'),
+  line('10.001', 'edge-2', 'event=request.not_placed request=told service=lm reason=no_memory retry_after_ms=700 promised=true'),
+  line('10.750', 'edge-1', 'event=promise.kept request=again service=lm identity=request:ab tokens_promised=191400 late_ms=50')
+].join('\n')
+
+test('a request refused for want of memory is explained by the forecast, and its return by the memory that was kept', (t) => {
+  const sentencesOf = (request: string): string => (explainLogged(parseDecisionLog(PROMISE_LOG), request)?.sentences ?? []).join('\n')
+  t.regex(sentencesOf('told'), /expected 191400 tokens of free memory in 400 ms on i-1, i-2 and kept them for request identity request:ab; it told the caller to return after 700 ms \(3 promises in force\)\./)
+  t.regex(sentencesOf('told'), /no_memory\. The caller could return after 700 ms; memory was kept for it until then\./)
+  t.regex(sentencesOf('again'), /scheduler edge-1 had kept for identity request:ab, 50 ms after the named time, and was placed\./)
+})
+
 const QUARANTINE_LOG = [
   line('20.000', 'edge-2', 'event=engine.crash_suspected server=i-3 suspects=1 parts=ab12,cd34 requests=first reported_by=edge-2'),
   line('20.010', 'edge-1', 'event=engine.crash_suspected server=i-3 suspects=1 parts=ab12,cd34 reported_by=edge-2 age_ms=4'),
--- a/packages/node/src/forward/AttemptSearch.ts
+++ b/packages/node/src/forward/AttemptSearch.ts
@@ -1,4 +1,5 @@
 /** Looks for a backend server for the next attempt of one request. */
+import { isMemoryBound } from '@bluebellhill/domain'
 import type { AttemptHistory } from '@bluebellhill/domain'
 
 import type { AdmittedCall } from './AdmittedCall.js'
@@ -6,7 +7,7 @@
 import type { RequestLog } from './RequestLog.js'
 import type { PlacementClient } from './scheduling/PlacementClient.js'
 import { PlacementRefusal } from './scheduling/types.js'
-import type { AttemptPlacement, RefusedPlacement } from './scheduling/types.js'
+import type { AttemptPlacement, PlacementSpec, RefusedPlacement } from './scheduling/types.js'
 
 /** Result of a search for a request that must not be sent. */
 const QUARANTINED: RefusedPlacement = { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
@@ -40,13 +41,19 @@
     const caution = guard.caution()
     if (caution === null) return QUARANTINED
     try {
-      return await placement.place(call, history, chargesRetry, caution)
+      return await placement.place(call, history, chargesRetry, { ...caution, ...this.#identity() })
     } catch (error) {
       requestLog.placementFailed(error)
       return { type: 'refused', reason: 'choosing a backend server failed', retryAfter: null }
     }
   }
 
+  /** Large bodies take long to digest, so that only requests to which memory may be promised have an identity. */
+  #identity (): Pick<PlacementSpec, 'identity'> {
+    const { call: { service: { engine } }, guard } = this.#options
+    return engine !== null && isMemoryBound(engine) ? { identity: guard.identity() } : {}
+  }
+
   /** Frees the place that a search has found, if no attempt will be made there. */
   discard (found: AttemptPlacement): void {
     if (found.type === 'placed') this.#options.placement.removeAssignment(found.attempt, null)
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -105,13 +105,14 @@
   }
 
   /** Logs that no server is chosen for the next attempt. */
-  placementRefused ({ reason, retryAfter, notice, pausedServer }: RefusedPlacement): void {
+  placementRefused ({ reason, retryAfter, isPromised, notice, pausedServer }: RefusedPlacement): void {
     const { call, context } = this
     context.log.info('request.not_placed', {
       request: call.id,
       service: call.service.name,
       reason,
       retry_after_ms: retryAfter === null ? undefined : Math.round(retryAfter),
+      promised: isPromised,
       server: notice?.server ?? pausedServer,
       ...statementFields(notice ?? null, context.clock())
     })
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -181,13 +181,14 @@
   return { type: 'placed', choice, load: { requests: serverRequests, pendingPrefill: serverPendingMs }, keepsLimit, passedOver: passedOver as RunnerId[], isTrial }
 }
 
-const encodeRefusal = ({ reason, retryAfter, notice }: RefusedPlacement, now: Millis): fleetWire.Refusal =>
-  ({ reason, retryAfterMs: Math.round(retryAfter ?? 0), notice: notice === undefined ? undefined : encodeNotice(notice, now) })
+const encodeRefusal = ({ reason, retryAfter, isPromised = false, notice }: RefusedPlacement, now: Millis): fleetWire.Refusal =>
+  ({ reason, retryAfterMs: Math.round(retryAfter ?? 0), notice: notice === undefined ? undefined : encodeNotice(notice, now), isPromised })
 
-const decodeRefusal = ({ reason, retryAfterMs, notice }: fleetWire.Refusal, now: Millis): RefusedPlacement => ({
+const decodeRefusal = ({ reason, retryAfterMs, notice, isPromised }: fleetWire.Refusal, now: Millis): RefusedPlacement => ({
   type: 'refused',
   reason,
   retryAfter: retryAfterMs === 0 ? null : retryAfterMs,
+  ...(isPromised ? { isPromised } : {}),
   ...(notice === undefined ? {} : { notice: decodeNotice(notice, now) })
 })
 
--- a/packages/node/src/forward/quarantine/RequestGuard.ts
+++ b/packages/node/src/forward/quarantine/RequestGuard.ts
@@ -56,19 +56,20 @@
   watch (server: BackendServer, isTrial: boolean): AttemptWatch {
     const { call, quarantine, clock } = this.#options
     const stopListening = isTrial ? null : quarantine.onQuarantine(() => this.#judgeAgain())
-    return new AttemptWatch(quarantine.serverWatch, { request: call.id, server, parts: call.parts, identity: () => this.#suspect(), sentAt: clock(), isSound: false }, stopListening)
+    return new AttemptWatch(quarantine.serverWatch, { request: call.id, server, parts: call.parts, identity: () => this.identity(), sentAt: clock(), isSound: false }, stopListening)
   }
 
-  #verdict (): Verdict {
-    const { quarantine, call } = this.#options
-    return quarantine.verdict(call.parts, () => this.#suspect())
-  }
-
-  #suspect (): Suspect {
+  /** @returns the digest that the request has each time its caller sends it; computed once */
+  identity (): Suspect {
     this.#identity ??= digestRequest(this.#options.call)
     return this.#identity
   }
 
+  #verdict (): Verdict {
+    const { quarantine, call } = this.#options
+    return quarantine.verdict(call.parts, () => this.identity())
+  }
+
   #judgeAgain (): void {
     const verdict = this.findQuarantine()
     if (verdict !== null) this.#options.onQuarantined(verdict)
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -15,7 +15,7 @@
 import type { Decision } from './PlacementQueries.js'
 import type { Scheduler } from './Scheduler.js'
 import { NO_CAUTION, PlacementRefusal } from './types.js'
-import type { AttemptCaution, AttemptPlacement, PlacedAttempt, PlacementSpec } from './types.js'
+import type { AttemptPlacement, PlacedAttempt, PlacementSpec, PlacementTerms } from './types.js'
 
 /** Known departures that are named in a repeated query, so that it stays within one datagram. */
 const MAX_LEAVING_EXCLUDED = 32
@@ -79,10 +79,10 @@
    * @param call - the request
    * @param history - its earlier attempts
    * @param chargesRetry - whether the attempt is taken from the retry budget
-   * @param caution - how it and the parts of its prompt are judged
+   * @param caution - how it and the parts of its prompt are judged, and its identity
    * @returns the placed attempt, whose assignment must be removed with `removeAssignment`; or why there is none
    */
-  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: AttemptCaution = NO_CAUTION): Promise<AttemptPlacement> {
+  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: PlacementTerms = NO_CAUTION): Promise<AttemptPlacement> {
     const { scheduler, clock } = this.#options
     const startedAt = clock()
     let spec = specOf(call, history, { chargesRetry, ...caution }, this.answers.pausedServers())
@@ -257,7 +257,7 @@
 /** Schedulers of earlier builds place a trial like any other attempt. */
 const isTrialMissing = ({ trialParts }: PlacementSpec, { result }: Decision): boolean => trialParts.length > 0 && result.type === 'placed' && !result.isTrial
 
-const specOf = (call: AdmittedCall, history: AttemptHistory, terms: AttemptCaution & Pick<PlacementSpec, 'chargesRetry'>, paused: readonly RunnerId[]): PlacementSpec => ({
+const specOf = (call: AdmittedCall, history: AttemptHistory, terms: PlacementTerms & Pick<PlacementSpec, 'chargesRetry'>, paused: readonly RunnerId[]): PlacementSpec => ({
   request: call.id,
   service: call.service.name,
   size: call.size,
@@ -268,5 +268,6 @@
   allowed: history.permittedServers(),
   isRedirected: false,
   isFirstAttempt: history.triedServers().length === 0,
+  ...(call.organisation === null ? {} : { organisation: call.organisation }),
   ...terms
 })
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -8,6 +8,7 @@
 import { IsolatedAttempts } from './IsolatedAttempts.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
+import { PromisedRoom } from './PromisedRoom.js'
 import { ServerStatements } from './ServerStatements.js'
 import { spreadReturn } from './spreadReturn.js'
 import { PlacementRefusal } from './types.js'
@@ -43,6 +44,7 @@
   readonly health = new ServerHealth()
   readonly statements: ServerStatements
   readonly quarantine: NodeQuarantine
+  readonly promisedRoom: PromisedRoom
   readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
@@ -59,6 +61,7 @@
     this.assignments = new FleetAssignments(options.node)
     this.statements = new ServerStatements(options)
     this.quarantine = new NodeQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
+    this.promisedRoom = new PromisedRoom(options.log)
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
     this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
@@ -83,17 +86,21 @@
     const isTrial = spec.trialParts.length > 0
     if (isTrial && !this.#mayGrantTrial(spec, context)) return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
     const now = this.#options.clock()
-    const loads = this.#loads(now)
+    const loads = this.promisedRoom.loadsFor(spec, this.#loads(now), now)
     const permitted = this.#permittedServers(spec, service)
     const open = permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, context.limitShare, now) === 0)
     const candidates = this.#candidatesApart(spec, this.#candidates(open, now), loads)
     if (candidates === null) return { type: 'refused', reason: PlacementRefusal.SuspectsInProgress, retryAfter: ISOLATION_RETRY_AFTER }
     if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
     if (spec.isFirstAttempt) this.#retryBudgets.countRequest(spec.service)
-    const choice = this.#choose(spec, service, candidates, loads, context, now)
+    const request = this.#requestOf(spec, service, candidates, loads, context, now)
+    const choice = this.#choose(spec, service, request)
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
-    if (choice === null) return this.statements.refusalFor(permitted, context.limitShare, now)
+    if (choice === null) {
+      const refusal = this.statements.refusalFor(permitted, context.limitShare, now)
+      return refusal.reason === PlacementRefusal.NoServer ? this.promisedRoom.refuse(spec, request, context) : refusal
+    }
     const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
     if (isTrial) this.quarantine.grantTrial(spec.trialParts, spec.request)
@@ -232,9 +239,8 @@
     return isTwinInProgress || (apart.length === 0 && candidates.length > 0) ? null : apart
   }
 
-  #choose (spec: PlacementSpec, service: Service, candidates: readonly Candidate[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementChoice | null {
-    if (candidates.length === 0) return null
-    const request = {
+  #requestOf (spec: PlacementSpec, service: Service, candidates: readonly Candidate[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementRequest {
+    return {
       size: spec.size,
       objective: spec.objective,
       timeLeft: spec.dueAt - now,
@@ -245,6 +251,10 @@
       arrivalsPerSecond: context.unseenArrivals,
       now
     }
+  }
+
+  #choose (spec: PlacementSpec, service: Service, request: PlacementRequest): PlacementChoice | null {
+    if (request.candidates.length === 0) return null
     const policy = this.#policyOf(service)
     return (isRisky(spec) ? this.#chooseAlone(request, policy, spec.isolatedAs !== undefined) : null) ?? policy.choose(request)
   }
@@ -270,6 +280,7 @@
 
   #record (spec: PlacementSpec, choice: PlacementChoice, { node, number }: AssignmentOwner, now: Millis): void {
     const draft = this.draftAssignment(spec, choice, now)
+    this.promisedRoom.placed(spec, draft, now)
     if (spec.isolatedAs !== undefined) this.#isolated.add(assignmentId(node, number), { server: choice.server.id, suspect: spec.isolatedAs })
     if (node === this.#options.node) this.assignments.start(draft, number)
     else this.assignments.grant(node, draft, number, now, this.#options.runningClock())
--- a/packages/node/src/forward/scheduling/SchedulerHost.ts
+++ b/packages/node/src/forward/scheduling/SchedulerHost.ts
@@ -67,7 +67,7 @@
     const spec = decodeQuery(wire, clock())
     const result = scheduler.place(spec, { node, number: wire.number }, GROUP_CONTEXT)
     this.#decisions.set(key, { result, at: decidedAt })
-    if (result.type === 'refused') log.info('placement.refused', { request: spec.request, node, service: spec.service, reason: result.reason, excluded: spec.excluded.length })
+    if (result.type === 'refused') log.info('placement.refused', { request: spec.request, node, service: spec.service, reason: result.reason, retry_after_ms: result.retryAfter === null ? undefined : Math.round(result.retryAfter), promised: result.isPromised, excluded: spec.excluded.length })
     if (result.type === 'redirected') log.info('placement.redirected', { request: spec.request, node, service: spec.service, to: result.address })
     return result
   }
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -45,11 +45,16 @@
 /** How an attempt is placed because of what it may do to its server. */
 export type AttemptCaution = Pick<PlacementSpec, 'isSuspected' | 'trialParts' | 'isolatedAs'>
 
+/** What is known of a request besides its content; its identity where memory may be promised to it. */
+export type PlacementTerms = AttemptCaution & Pick<PlacementSpec, 'identity'>
+
 export const NO_CAUTION: AttemptCaution = { isSuspected: false, trialParts: [] }
 
 /** Why an attempt is not placed. */
 export const PlacementRefusal = {
   NoServer: 'no_server',
+  /** No engines have the memory for it now. */
+  NoMemory: 'no_memory',
   /** All backend servers that could serve it have stated a request limit, and it is reached. */
   RequestLimit: 'request_limit',
   /** All backend servers that could serve it have stated that they are leaving. */
@@ -79,6 +84,8 @@
   readonly reason: string
   /** Time after which the caller may return; null if nothing is known of it. */
   readonly retryAfter: Millis | null
+  /** Whether memory is kept for the request until then. */
+  readonly isPromised?: boolean
   /** Statement of a backend server because of which none is chosen; absent if there is none. */
   readonly notice?: ServerNotice
   /** Backend server that has asked for a pause until the caller may return; absent if there is none. */
--- a/packages/node/tests/heldMemory.test.ts
+++ b/packages/node/tests/heldMemory.test.ts
@@ -44,3 +44,37 @@
   for (const answer of open) answer()
   for (const answer of await Promise.all(occupying)) t.like(answer, { status: 200, whole: true })
 })
+
+// Guards against the memory that a refused request waits for being given to the next one, and against an identity that changes from call to call.
+test('a prompt that finds no memory is told when it will, and is served when its caller sends it again', async (t) => {
+  let endOccupying = (): void => {}
+  const script: Script = (request, response) => {
+    response.writeHead(200, signedHeaders(request)).write(EVENT)
+    if (request.url === '/stream/occupying') endOccupying = () => { response.end() }
+    else response.end()
+  }
+  const fixture = await ForwardFixture.start(t, script)
+  fixture.fleetState.install({ ...DEPLOYMENT, version: 2, services: [{ name: 's', healthPath: '/healthz', maxConnections: 100, engine: ENGINE }] }, 'store')
+  const call = async (path: string, body: string): Promise<{ status: number, headers: Record<string, unknown> }> => await fixture.call(path, { headers: { [HeaderName.PromptSize]: '100000,1400' }, body })
+  const prefillFinished = fixture.placement.prefillFinished.bind(fixture.placement)
+  const isPrefilled = new Promise<void>((resolve) => {
+    fixture.placement.prefillFinished = (attempt) => {
+      prefillFinished(attempt)
+      resolve()
+    }
+  })
+  const occupying = call('/stream/occupying', 'a')
+  await isPrefilled
+  // The engine has had the time to end the answer, as far as the node can tell.
+  fixture.clock = () => performance.now() + 10_000
+  const refused = await call('/stream/x', 'b')
+  t.is(refused.status, 503)
+  t.regex(fixture.linesOf('request.not_placed')[0] ?? '', /promised=true/)
+  const retryAfter = Number(refused.headers['retry-after'])
+  t.true(retryAfter > 0 && retryAfter < 1)
+  endOccupying()
+  t.is((await occupying).status, 200)
+  t.is((await call('/stream/x', 'another')).status, 503)
+  t.is((await call('/stream/x', 'b')).status, 200)
+  t.is(fixture.linesOf('promise.kept').length, 1)
+})
