--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -252,6 +252,7 @@
     this.#metrics.addGauge('promises_pending', 'Refused requests for which memory is kept', () => this.#scheduler.promisedRoom.counts(monotonicNow()).pending)
     this.#metrics.addGauge('promises_made', 'Requests to which memory was promised since the start', () => this.#scheduler.promisedRoom.counts(monotonicNow()).made)
     this.#metrics.addGauge('promises_kept', 'Requests that returned and were placed since the start', () => this.#scheduler.promisedRoom.counts(monotonicNow()).kept)
+    this.#metrics.addGauge('promises_expired', 'Promises that ran out without a return since the start', () => this.#scheduler.promisedRoom.counts(monotonicNow()).expired)
     this.#metrics.addGauge('peers', 'Other nodes that are heard', () => this.#peerLink.sources().length)
     this.#metrics.addGauge('open_requests', 'Requests without a final answer', () => this.#entryServer.openRequests)
     this.#metrics.addGauge('log_lines_dropped', 'Lines of the log that found no room', droppedLogLines)
