--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -104,17 +104,28 @@
 
 const PROMISE_LOG = [
   line('10.000', 'edge-1', 'event=promise.made request=told service=lm identity=request:ab tokens_needed=191400 room_in_ms=400 prefill_share=0.20 engines_kept=i-1,i-2 retry_after_ms=700 promises=3'),
-  line('10.001', 'edge-2', 'event=request.not_placed request=told service=lm reason=no_memory retry_after_ms=700 promised=true'),
+  line('10.001', 'edge-2', 'event=request.not_placed request=told service=lm reason=no_room retry_after_ms=700 promised=true'),
   line('10.750', 'edge-1', 'event=promise.kept request=again service=lm identity=request:ab tokens_promised=191400 late_ms=50')
 ].join('\n')
 
 test('a request refused for want of memory is explained by the forecast, and its return by the memory that was kept', (t) => {
   const sentencesOf = (request: string): string => (explainLogged(parseDecisionLog(PROMISE_LOG), request)?.sentences ?? []).join('\n')
   t.regex(sentencesOf('told'), /expected 191400 tokens of free memory in 400 ms on i-1, i-2 and kept them for request identity request:ab; it told the caller to return after 700 ms \(3 promises in force\)\./)
-  t.regex(sentencesOf('told'), /no_memory\. The caller could return after 700 ms; memory was kept for it until then\./)
+  t.regex(sentencesOf('told'), /no_room\. The caller could return after 700 ms; memory was kept for it until then\./)
   t.regex(sentencesOf('again'), /scheduler edge-1 had kept for identity request:ab, 50 ms after the named time, and was placed\./)
 })
 
+test('a request at a cold server, and one that passed it over, are explained by its warm-up', (t) => {
+  const sent = 'event=request.sent attempt=1 server_domain=d1 expected_ms=0 scheduler=self decided_ms=0 server_requests=1 server_pending_ms=0 due_in_ms=300 configuration=1 servers_revision=2'
+  const lines = parseDecisionLog([
+    line('30.000', 'edge-1', 'event=server.cold server=i-1 service=lm left_ms=3000 evidence=entry limit=26'),
+    line('30.100', 'edge-1', `${sent} request=at server=i-1 server_cold_ms=2900`),
+    line('30.200', 'edge-1', `${sent} request=past server=i-2 passed_over=i-1`)
+  ].join('\n'))
+  t.regex(explainLogged(lines, 'at')?.sentences.join() ?? '', /The server was cold for another 2900 ms, and got no more requests than it accepts then\./)
+  t.regex(explainLogged(lines, 'past')?.sentences.join() ?? '', /i-1 was not considered: it was known to node edge-1 to stay cold for 3000 ms, with a limit of 26 requests a second, 200 ms before\./)
+})
+
 const QUARANTINE_LOG = [
   line('20.000', 'edge-2', 'event=engine.crash_suspected server=i-3 suspects=1 parts=ab12,cd34 requests=first reported_by=edge-2'),
   line('20.010', 'edge-1', 'event=engine.crash_suspected server=i-3 suspects=1 parts=ab12,cd34 reported_by=edge-2 age_ms=4'),
@@ -154,3 +165,32 @@
   t.regex(sentences[3]!, /let request fifth go as a trial/)
   t.regex(sentences[4]!, /node edge-1 refused it for good: part ab12 .* after 3 crashes of engines at 3 different moments, the last one 400 ms before; the part had never been seen in a sound answer\. It has not run\./)
 })
+
+test('a request that waited for memory is explained from the lines of its scheduler and its node', (t) => {
+  const log = parseDecisionLog([
+    line('32.000', 'edge-1', 'event=placement.queued request=long node=edge-2 service=lm urgency=5 organisation=o tokens=191400 forecast_ms=900 give_up_ms=9000 waited_ms=0 waiting=3'),
+    line('32.001', 'edge-2', 'event=request.queued request=long scheduler=edge-1 renew_ms=200 waited_ms=0'),
+    line('32.800', 'edge-1', 'event=placement.dequeued request=long node=edge-2 service=lm outcome=placed queued_ms=800 waiting=2')
+  ].join('\n'))
+  const sentences = explainLogged(log, 'long')?.sentences ?? []
+  t.is(sentences.length, 3)
+  t.regex(sentences[0] ?? '', /had room for it; it began to wait at the scheduler with urgency 5, as one of 3: room for its 191400 tokens was expected in 900 ms/)
+  t.regex(sentences[2] ?? '', /it was placed after 800 ms in the queue/)
+})
+
+test('a grant that was returned because of an evacuation, and the evacuation itself, are told', (t) => {
+  const log = [
+    line('20.000', 'edge-1', 'event=evacuation.changed begun=hall-b ended=none origin=peer evacuated=hall-b revision=1.41'),
+    line('20.100', 'edge-1', 'event=grant.returned request=r5 scheduler=10.0.0.1:1 server=i-3 unusable=i-3 evacuated=hall-b servers_revision=1.40'),
+    line('20.101', 'edge-1', 'event=request.not_placed request=r5 service=lm reason=domains_evacuated retry_after_ms=1400')
+  ].join('\n')
+  const { sentences, meanwhile } = explainLogged(parseDecisionLog(log), 'r5')!
+  t.regex(sentences[0]!, /did not use the placement on i-3 .* evacuated as far as the node knew: hall-b\./)
+  t.regex(sentences[1]!, /evacuated all failure domains .* could return after 1400 ms/)
+  t.regex(meanwhile[0]!, /node edge-1 learnt from another node: evacuation of hall-b begun, as of revision 1\.41\./)
+})
+
+test('a grant that had aged while the process was held up is described', (t) => {
+  const log = line('23.000', 'edge-1', 'event=grant.returned request=r1 scheduler=10.0.0.1:1 server=i-1 age_ms=2004')
+  t.regex(explainLogged(parseDecisionLog(log), 'r1')?.sentences[0] ?? '', /the place at i-1 was returned to its scheduler: it had been granted 2004 ms before/)
+})
--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -49,12 +49,18 @@
   readonly #peers = new Map<NodeId, PeerAssignments>()
   readonly #prefillQueues = new Map<RunnerId, PrefillQueue>()
   #nextSequence = 1
+  #onRoomFreed: () => void = () => {}
 
   /** @param node - this node */
   constructor (node: NodeId) {
     this.#node = node
   }
 
+  /** Calls a listener after each change that may have freed memory or a slot of a backend server. */
+  onRoomFreed (listener: () => void): void {
+    this.#onRoomFreed = listener
+  }
+
   /** @returns the assignments made by this node */
   own (): readonly Assignment[] {
     return [...this.#own.values()]
@@ -107,7 +113,7 @@
    */
   end (assignment: Assignment, now: Millis): void {
     this.#dequeuePrefill(assignment, now)
-    this.#own.delete(assignment.id)
+    if (this.#own.delete(assignment.id)) this.#onRoomFreed()
   }
 
   /**
@@ -158,6 +164,7 @@
     if (!assignment.isPrefilled) this.#dequeuePrefill(assignment, now)
     peer.assignments.delete(id)
     peer.grantedAt.delete(id)
+    this.#onRoomFreed()
   }
 
   /**
@@ -240,6 +247,7 @@
     const known = new Map(peer.assignments)
     peer.assignments.clear()
     for (const [id, assignment] of current) peer.assignments.set(id, withPrefilledTime(assignment, known.get(id), now))
+    if ([...known.keys()].some((id) => !current.has(id))) this.#onRoomFreed()
   }
 
   * #all (): Generator<Assignment> {
--- a/packages/domain/src/forwarding/RoomForecast.ts
+++ b/packages/domain/src/forwarding/RoomForecast.ts
@@ -4,7 +4,7 @@
 import { EngineState, memoryDemand, memoryUse, sharedFreeMemory } from './EngineState.js'
 import type { EngineTimingModel } from './EngineTimingModel.js'
 import type { ServerLoads } from './FleetAssignments.js'
-import { isMemoryBound } from './memoryBound.js'
+import { mayUseHolders } from './memoryBound.js'
 import { MAX_HOLDERS, RESERVABLE_MEMORY_SHARE, SEGMENT_COUNTS } from './placementConstants.js'
 import type { PlacementRequest } from './PlacementPolicy.js'
 
@@ -116,7 +116,7 @@
   const free = (room: EngineRoom): Tokens => sharedFreeMemory(room.used, figures.memory)
   const [smallest] = rooms.filter((room) => free(room) >= demand).sort((a, b) => free(a) - free(b))
   if (smallest !== undefined) return new Map([[smallest.id, demand]])
-  if (demand <= figures.memory && !isMemoryBound(figures)) return null
+  if (!mayUseHolders(figures, demand)) return null
   const helping = rooms.filter(({ helpsFrom }) => helpsFrom <= time)
   const largest = helping.filter(({ requests, slots }) => requests < slots).sort((a, b) => free(b) - free(a)).slice(0, MAX_HOLDERS + 1)
   const shares = divideDemand(largest.map((room) => [room.id, Math.max(0, free(room))]), demand)
--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -3,6 +3,8 @@
 import type { BackendServerChange, Deployment, ServerEntry, Millis, RunnerId, StoreRevision } from '@bluebellhill/domain'
 
 import type { Log } from '../log/index.js'
+import { ServerRestrictions } from './ServerRestrictions.js'
+import type { RegionMap } from './ServerRestrictions.js'
 
 /** Source of a change of the fleet state. */
 export type FleetStateOrigin = 'store' | 'peer' | 'answer'
@@ -26,6 +28,11 @@
   readonly unchanged?: readonly RunnerId[]
   /** Store revision of the list. */
   readonly revision: StoreRevision
+  /**
+   * Revision of the last list that was read from the store as a whole. What is missing from it may have been removed, or may have expired in an outage: a
+   * list does not tell, as a watch does. Absent from nodes of earlier builds.
+   */
+  readonly readAt?: StoreRevision
 }
 
 export type FleetStateListener = () => void
@@ -33,18 +40,27 @@
 /** Keeps the newest configuration and the list of backend servers, and logs each change of them. */
 export class FleetState {
   readonly servers = new BackendServerTable()
+  /** Evacuated failure domains, and the regions of all. */
+  readonly restrictions: ServerRestrictions
   #routeTable: RouteTable | null = null
   #installedAt: Millis = 0
   #serversRevision: StoreRevision = 0
+  /** Revision of the last whole list of the store in what this node knows, its own or that of another node. */
+  #readAt: StoreRevision = 0
   readonly #listeners = new Set<FleetStateListener>()
   readonly #departureListeners = new Set<(id: RunnerId) => void>()
+  readonly #entryListeners = new Set<(entry: ServerEntry) => void>()
   readonly #restoreListeners = new Set<() => void>()
 
   /**
    * @param log - receives a line for each change
    * @param clock - monotonic clock
+   * @param regions - returns the region of each failure domain
    */
-  constructor (private readonly log: Log, private readonly clock: () => Millis) {}
+  constructor (private readonly log: Log, private readonly clock: () => Millis, regions: () => RegionMap = () => new Map()) {
+    this.restrictions = new ServerRestrictions({ log, clock, regions, servers: () => this.servers.all() })
+    this.restrictions.onChange(() => this.#notifyListeners())
+  }
 
   /** Lookup table of the configuration in force; null until the first configuration is installed. */
   get routeTable (): RouteTable | null {
@@ -77,6 +93,11 @@
     this.#departureListeners.add(listener)
   }
 
+  /** Adds a listener for each entry of a backend server that arrives and is in force, also if it was known; it is called after departures because of it. */
+  onEntry (listener: (entry: ServerEntry) => void): void {
+    this.#entryListeners.add(listener)
+  }
+
   /** Adds a listener that is called when the store has been restored from a copy, which lacks its last changes. */
   onStoreRestored (listener: () => void): void {
     this.#restoreListeners.add(listener)
@@ -94,7 +115,7 @@
 
   putServer (listed: ServerEntry, origin: FleetStateOrigin): void {
     this.#advanceServersRevision(listed.revision)
-    this.#applyServerChanges(this.servers.put(listed), origin)
+    this.#applyServerChanges(this.servers.put(listed), origin, [listed])
   }
 
   removeServer (id: RunnerId, revision: StoreRevision, origin: FleetStateOrigin): void {
@@ -103,16 +124,20 @@
     this.#applyServerChanges(this.servers.remove(id, revision, now, this.servers.isRemovedWhileServing(revision, now)), origin)
   }
 
-  replaceServers (listed: readonly ServerEntry[], revision: StoreRevision, origin: FleetStateOrigin, unchanged: readonly RunnerId[] = []): void {
+  replaceServers (listed: readonly ServerEntry[], revision: StoreRevision, origin: FleetStateOrigin, unchanged: readonly RunnerId[] = [], readAt: StoreRevision = origin === 'store' ? revision : 0): void {
     if (revision < this.#serversRevision) return
+    // A node that has followed the changes since that list knows for certain what is missing.
+    const isConfirmed = origin === 'peer' && readAt <= this.#serversRevision
+    this.#readAt = Math.max(this.#readAt, readAt)
     const before = this.#serversRevision
     this.#advanceServersRevision(revision)
-    this.#applyServerChanges(this.servers.replaceAll(listed, revision, this.clock(), origin === 'peer', unchanged), origin)
+    this.#applyServerChanges(this.servers.replaceAll(listed, revision, this.clock(), isConfirmed, unchanged), origin, listed)
     if (before > 0 && eraOf(revision) > eraOf(before)) this.#logRestore(before, origin)
   }
 
   expireServers (): void {
     this.#applyServerChanges(this.servers.expire(this.clock()), 'store')
+    this.restrictions.expire()
   }
 
   /** Records that another server answered at the address of this one. */
@@ -141,13 +166,13 @@
     if (servers === null) return { deployment, servers }
     const isKnown = ({ revision, isLapsed }: ServerEntry): boolean => revision <= version.servers && isLapsed !== true
     const listed = servers.listed.filter((entry) => !isKnown(entry))
-    return { deployment, servers: { listed, unchanged: servers.listed.filter(isKnown).map(({ server }) => server.id), revision: servers.revision } }
+    return { deployment, servers: { listed, unchanged: servers.listed.filter(isKnown).map(({ server }) => server.id), revision: servers.revision, readAt: this.#readAt } }
   }
 
   /** Applies the parts of a peer's snapshot that are newer than this node's state. */
   merge ({ deployment, servers }: FleetStateSnapshot): void {
     if (deployment !== null) this.install(deployment, 'peer')
-    if (servers !== null && servers.revision > this.#serversRevision) this.replaceServers(servers.listed, servers.revision, 'peer', servers.unchanged)
+    if (servers !== null && servers.revision > this.#serversRevision) this.replaceServers(servers.listed, servers.revision, 'peer', servers.unchanged, servers.readAt)
   }
 
   #logRestore (before: StoreRevision, origin: FleetStateOrigin): void {
@@ -161,13 +186,14 @@
     if (before > 0 && eraOf(this.#serversRevision) > eraOf(before)) for (const listener of this.#restoreListeners) listener()
   }
 
-  #applyServerChanges (changes: readonly BackendServerChange[], origin: FleetStateOrigin): void {
+  #applyServerChanges (changes: readonly BackendServerChange[], origin: FleetStateOrigin, entries: readonly ServerEntry[] = []): void {
     for (const change of changes) {
       const { id, service, address, failureDomain } = change.server
       const cause = change.type === 'departed' ? change.cause : undefined
       this.log.info(`server.${change.type}`, { server: id, service, address, server_domain: failureDomain, cause, origin, revision: describeRevision(this.#serversRevision) })
       if (cause !== undefined && cause !== DepartureCause.Draining) for (const listener of this.#departureListeners) listener(id)
     }
+    for (const entry of entries.filter(({ server }) => this.servers.find(server.id) === server)) for (const listener of this.#entryListeners) listener(entry)
     if (changes.length > 0) this.#notifyListeners()
   }
 
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -1,6 +1,6 @@
 /** Builds the components of a node on the users' platform, and starts and stops them. */
-import { SchedulerDirectory } from '@bluebellhill/domain'
-import type { Millis, SchedulerCandidate } from '@bluebellhill/domain'
+import { SchedulerDirectory, STRICT_WARM_UP_BOUNDS } from '@bluebellhill/domain'
+import type { Millis, SchedulerCandidate, WarmUpBounds } from '@bluebellhill/domain'
 import { EngineMemoryClient, MetadataStore } from '@bluebellhill/platform'
 import type { PlatformSettings, SocketAddress } from '@bluebellhill/platform'
 import { HttpPool } from '@bluebellhill/services'
@@ -70,6 +70,7 @@
   readonly #nodeRegistration: NodeRegistration
   readonly #options: ForwardNodeOptions
   #isStopping = false
+  #starting: Promise<void> = Promise.resolve()
 
   /** @param options - settings, log and metrics address */
   constructor (options: ForwardNodeOptions) {
@@ -79,7 +80,7 @@
     const runningClock = (): Millis => this.#runningClock.now()
     const self = candidateOf(settings)
     this.#options = options
-    this.#fleetState = new FleetState(log, clock)
+    this.#fleetState = new FleetState(log, clock, () => options.settings.current.regions)
     this.#directory = new SchedulerDirectory(self, runningClock())
     this.#scheduler = new Scheduler({
       node: settings.node,
@@ -88,8 +89,10 @@
       clock,
       runningClock,
       retryBounds: () => ({ ratio: options.settings.current.retryRatio, slack: options.settings.current.retrySlack, window: options.settings.current.retryWindow }),
+      warmUpBounds: () => warmUpBoundsOf(options.settings.current),
       schedulerCount: () => this.#schedulerCount(),
-      group: () => this.#directory.group
+      group: () => this.#directory.group,
+      directory: this.#directory
     })
     const send: PeerLink['send'] = (address, content) => this.#peerLink.send(address, content)
     const schedulerHost = new SchedulerHost({ scheduler: this.#scheduler, log, clock, runningClock, send })
@@ -102,6 +105,7 @@
       clock,
       runningClock,
       send,
+      settlingTime: () => this.#runningClock.settlingTime(),
       onUncoordinatedPlacement: () => this.#peerLink.reportSoon(),
       onNotice: (notice) => this.#peerLink.noticeHeard(notice)
     })
@@ -129,7 +133,10 @@
       schedulersInUse: () => this.#placement.schedulersInUse(),
       onPeerAhead: () => this.#fleetStateExchange.catchUp(),
       isStoreLost: () => this.#storeAvailability.isLost,
-      onPeerStoreLost: () => this.#storeSync.checkStore(),
+      onPeerStoreLost: () => {
+        this.#fleetState.servers.lossReported(clock())
+        this.#storeSync.checkStore()
+      },
       onPlacementMessage: (message, address) => {
         schedulerHost.handle(message, address)
         this.#placement.handle(message, address)
@@ -184,6 +191,27 @@
 
   /** Starts all components; the node then serves callers. */
   async start (): Promise<void> {
+    this.#starting = this.#startComponents()
+    await this.#starting
+  }
+
+  /** Waits for a start in progress and for requests in progress, within the stop grace of the settings, then releases all resources. */
+  async stop (): Promise<void> {
+    if (this.#isStopping) return
+    this.#isStopping = true
+    await this.#starting
+    const { settings, log } = this.#options
+    const { stopGrace } = settings.current
+    const startedAt = monotonicNow()
+    log.info('node.stopping', { open_requests: this.#entryServer.openRequests })
+    this.#peerLink.announceStopping()
+    await this.#entryServer.stop(stopGrace * STOP_GRACE_SHARE)
+    settings.dispose()
+    await this.#disposables.dispose()
+    log.info('node.stopped', { after_ms: Math.round(monotonicNow() - startedAt), open_requests: this.#entryServer.openRequests })
+  }
+
+  async #startComponents (): Promise<void> {
     const { log } = this.#options
     const settings = this.#options.settings.current
     this.#runningClock.start()
@@ -205,21 +233,6 @@
     log.info('node.started', { callers: `${settings.callers.host}:${settings.callers.port}`, peers: port, store: `${settings.store.host}:${settings.store.port}` })
   }
 
-  /** Waits for requests in progress, within the stop grace of the settings, then releases all resources. */
-  async stop (): Promise<void> {
-    if (this.#isStopping) return
-    this.#isStopping = true
-    const { settings, log } = this.#options
-    const { stopGrace } = settings.current
-    const startedAt = monotonicNow()
-    log.info('node.stopping', { open_requests: this.#entryServer.openRequests })
-    this.#peerLink.announceStopping()
-    await this.#entryServer.stop(stopGrace * STOP_GRACE_SHARE)
-    settings.dispose()
-    await this.#disposables.dispose()
-    log.info('node.stopped', { after_ms: Math.round(monotonicNow() - startedAt), open_requests: this.#entryServer.openRequests })
-  }
-
   /** Number of groups if the fleet is divided; otherwise one scheduler places all requests. */
   #schedulerCount (): number {
     if (this.#directory.group.domain === null) return 1
@@ -246,9 +259,13 @@
     this.#metrics.addGauge('configuration_version', 'Version of the configuration in force', () => this.#fleetState.configurationVersion)
     this.#metrics.addGauge('store_lost', 'Whether the store does not answer', () => this.#storeAvailability.isLost ? 1 : 0)
     this.#metrics.addGauge('backend_servers', 'Backend servers with an entry', () => this.#fleetState.servers.all().length)
+    this.#metrics.addGauge('failure_domains_evacuated', 'Failure domains to which no new request is sent', () => this.#fleetState.restrictions.evacuated().length)
     this.#metrics.addGauge('backend_servers_avoided', 'Backend servers that are avoided', () => this.#scheduler.health.avoided(monotonicNow()).length)
+    this.#metrics.addGauge('backend_servers_cold', 'Backend servers that are cold, of the services that state a warm-up', () => this.#scheduler.statements.coldServers.count())
     this.#metrics.addGauge('prompt_parts_quarantined', 'Prompt parts and requests that are refused', () => this.#scheduler.quarantine.counts().partsQuarantined)
     this.#metrics.addGauge('prompt_parts_suspected', 'Prompt parts and requests that may crash backend servers', () => this.#scheduler.quarantine.counts().partsSuspected)
+    this.#metrics.addGauge('placements_waiting', 'Requests that wait at this scheduler for memory or a slot', () => this.#scheduler.admission.waitingCount)
+    this.#metrics.addGauge('backend_servers_held', 'Backend servers whose free memory is kept for waiting requests', () => this.#scheduler.admission.heldCount)
     this.#metrics.addGauge('promises_pending', 'Refused requests for which memory is kept', () => this.#scheduler.promisedRoom.counts(monotonicNow()).pending)
     this.#metrics.addGauge('promises_made', 'Requests to which memory was promised since the start', () => this.#scheduler.promisedRoom.counts(monotonicNow()).made)
     this.#metrics.addGauge('promises_kept', 'Requests that returned and were placed since the start', () => this.#scheduler.promisedRoom.counts(monotonicNow()).kept)
@@ -262,5 +279,10 @@
   }
 }
 
+const warmUpBoundsOf = ({ warmUpOverage, warmUpTolerance }: PlatformSettings): WarmUpBounds => ({
+  overage: warmUpOverage ?? STRICT_WARM_UP_BOUNDS.overage,
+  tolerance: warmUpTolerance ?? STRICT_WARM_UP_BOUNDS.tolerance
+})
+
 const candidateOf = ({ node, host, internalPorts, failureDomain, processor }: PlatformSettings): SchedulerCandidate =>
   ({ node, address: `${host}:${internalPorts[0]}`, failureDomain, processor })
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -53,6 +53,8 @@
   readonly #requestLog: RequestLog
   readonly #ending: RequestEnding
   readonly #search: AttemptSearch
+  /** Aborted when the request is over. */
+  readonly #over = new AbortController()
   readonly #relay: RequestRelay
   readonly #silentAttempts = new SilentAttempts((attempt, signal) => this.#release(attempt, signal))
   readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#dataOverdue(attempt, silence, hasGoneOn) })
@@ -79,7 +81,7 @@
     this.#ending = new RequestEnding({ context, call, response, requestLog: this.#requestLog, summary: () => this.#summary(), onEnded: () => this.#releaseAll() })
     this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
     this.#relay = new RequestRelay({ context, call, history: this.history, requestLog: this.#requestLog })
-    this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog })
+    this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog, signal: this.#over.signal })
   }
 
   /** Starts the first attempt. */
@@ -122,8 +124,15 @@
   /** Called when the head of a signed, successful answer arrives. */
   protected abstract successStarted (attempt: OpenAttempt): void
 
-  /** Called for each chunk of the body of a signed, successful answer. */
-  protected abstract chunkReceived (attempt: OpenAttempt, chunk: Buffer): void
+  /**
+   * Called for each chunk of the body of a signed, successful answer, also of a silent attempt.
+   *
+   * @returns whether the answer has gone on; bytes that complete no event keep no stream alive
+   */
+  protected abstract chunkReceived (attempt: OpenAttempt, chunk: Buffer): boolean
+
+  /** Called when the answer of the attempt in progress has gone on. */
+  protected abstract answerContinued (attempt: OpenAttempt): void
 
   /** Whether the answer is complete if its server ends it now. */
   protected abstract isAnswerWhole (attempt: OpenAttempt): boolean
@@ -168,19 +177,19 @@
 
   /** Starts another attempt beside a silent one, which is only given up once the other server has begun to answer. */
   async #replaceSilent (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
-    const placement = await this.#search.find(true)
+    const placement = await this.#search.find(true, false)
     if (hasGoneOn()) {
       this.#search.discard(placement)
       return
     }
-    this.#lastProblem = `${AttemptEnd.TimedOut}: no byte for ${Math.round(silence)} ms`
+    this.#lastProblem = `${AttemptEnd.TimedOut}: no progress for ${Math.round(silence)} ms`
     if (placement.type === 'refused') {
       this.#requestLog.silentAttemptKept(attempt, silence, placement.reason)
       this.#silenceTimer.extend(attempt, SEARCH_PERIOD, silence + SEARCH_PERIOD)
       return
     }
     this.history.end(attempt.server.id, AttemptEnd.TimedOut)
-    this.#requestLog.attemptFailed(attempt, AttemptEnd.TimedOut, `no byte for ${Math.round(silence)} ms`)
+    this.#requestLog.attemptFailed(attempt, AttemptEnd.TimedOut, `no progress for ${Math.round(silence)} ms`)
     this.#setAside(attempt)
     this.#openAttempt(placement.attempt)
   }
@@ -323,18 +332,25 @@
     const { choice: { server, holders }, assignment } = placed
     this.history.start(server.id)
     this.#attemptCount += 1
-    const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
+    const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log, this.context.clock)
     const attempt: OpenAttempt = { server, placed, peer: null, sentAt: this.context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
     this.attempt = attempt
-    this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server))
-    if (reservations === null) this.#sendUnlessQuarantined(attempt, placed)
+    this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server), this.context.placement.answers.coldFor(server))
+    if (reservations === null) this.#sendUnlessHindered(attempt, placed)
     else void this.#reserveAndSend(attempt, placed, reservations)
   }
 
   async #reserveAndSend (attempt: OpenAttempt, placed: PlacedAttempt, reservations: MemoryReservations): Promise<void> {
     const isReserved = await reservations.acquire()
+    await this.context.placement.settled()
     if (this.attempt !== attempt) return
-    const obstacle = isReserved ? this.context.placement.obstacleTo(placed) : 'reserving KV cache memory failed'
+    if (isReserved) this.#sendUnlessHindered(attempt, placed)
+    else this.failAttempt(attempt, AttemptEnd.Unsent, 'reserving KV cache memory failed')
+  }
+
+  /** A server may have left, or its failure domain may have been evacuated, while the attempt was being placed or memory was being reserved. */
+  #sendUnlessHindered (attempt: OpenAttempt, placed: PlacedAttempt): void {
+    const obstacle = this.context.placement.obstacleTo(placed)
     if (obstacle === null) this.#sendUnlessQuarantined(attempt, placed)
     else this.failAttempt(attempt, AttemptEnd.Unsent, obstacle)
   }
@@ -358,13 +374,8 @@
     return {
       onHead: (head) => this.#headReceived(attempt, head),
       onData: (chunk) => {
-        if (!this.#isCurrent(attempt)) return
-        this.restartDataTimer(attempt)
-        if (isSuccessfulAnswer(attempt)) {
-          attempt.watch?.dataReceived()
-          // The data may refute a crash, and so leave the request itself as the cause of another one.
-          if (this.attempt === attempt) this.chunkReceived(attempt, chunk)
-        } else if (!failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
+        if (isSuccessfulAnswer(attempt)) this.#answerDataReceived(attempt, chunk)
+        else if (this.#isCurrent(attempt) && !failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
       },
       onEnd: () => this.#answerEnded(attempt, failureBody.take()),
       onFailure: (mayBeSent, reason) => this.#connectionFailed(attempt, mayBeSent, reason),
@@ -372,6 +383,18 @@
     }
   }
 
+  /** A silent attempt takes the place of its replacement only if its answer goes on, not for any single byte. */
+  #answerDataReceived (attempt: OpenAttempt, chunk: Buffer): void {
+    if (this.#ending.isOver || (this.attempt !== attempt && !this.#silentAttempts.has(attempt))) return
+    const hasGoneOn = this.chunkReceived(attempt, chunk)
+    const isCurrent = hasGoneOn ? this.#isCurrent(attempt) : this.attempt === attempt
+    if (!isCurrent) return
+    if (hasGoneOn) this.restartDataTimer(attempt)
+    attempt.watch?.dataReceived()
+    // The data may refute a crash, and so leave the request itself as the cause of another one.
+    if (hasGoneOn && this.attempt === attempt) this.answerContinued(attempt)
+  }
+
   #connectionFailed (attempt: OpenAttempt, mayBeSent: boolean, reason: string): void {
     if (!mayBeSent) this.#relay.notConnected(attempt)
     if (mayBeSent && attempt.serverCall?.isBrokenOff === true) attempt.watch?.brokenOff()
@@ -512,6 +535,7 @@
   }
 
   #releaseAll (): void {
+    this.#over.abort()
     this.#silentAttempts.closeAll()
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer)
     if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,6 +1,8 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
-import { describeRevision, HealthSignal } from '@bluebellhill/domain'
-import type { AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
+import { setTimeout as sleep } from 'node:timers/promises'
+
+import { describeRevision, HealthSignal, RENEWAL_EXPIRY } from '@bluebellhill/domain'
+import type { AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, Region, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { AdmittedCall } from '../AdmittedCall.js'
@@ -10,19 +12,38 @@
 import type { QueryTiming } from '../peers/PendingQueries.js'
 import type { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
 import { AnswerStatements } from './AnswerStatements.js'
+import { findRestriction } from './findRestriction.js'
 import { GrantReports } from './GrantReports.js'
 import { PlacementQueries } from './PlacementQueries.js'
 import type { Decision } from './PlacementQueries.js'
 import type { Scheduler } from './Scheduler.js'
 import { NO_CAUTION, PlacementRefusal } from './types.js'
-import type { AttemptPlacement, PlacedAttempt, PlacementSpec, PlacementTerms } from './types.js'
+import type { AttemptPlacement, IdentifiedCaution, PlacedAttempt, PlacementSpec, PlacementWait } from './types.js'
 
-/** Known departures that are named in a repeated query, so that it stays within one datagram. */
+/** Servers that are named in a repeated query because they have left or are evacuated, so that it stays within one datagram. */
 const MAX_LEAVING_EXCLUDED = 32
 
+/**
+ * Age at which a grant is returned instead of used. This process was held up since it asked: its scheduler may have taken it for lost and given the
+ * place away, which it does 1.4 s after a state report that is missing, and what it counted against a limit per second belongs to an earlier one.
+ */
+export const MAX_GRANT_AGE: Millis = 1_000
+
 /** Decisions that are asked for while this node knows that a chosen server accepts no more requests. */
 const MAX_DECISIONS = 3
 
+/** Time before the deadline of a request at which it stops waiting for a placement, so that its caller still gets a refusal. */
+const DEADLINE_MARGIN: Millis = 50
+
+/** Whether an attempt may wait for its placement. */
+export interface WaitTerms {
+  readonly mayWait: boolean
+  /** Ends the wait, because the caller has left. */
+  readonly signal?: AbortSignal
+}
+
+const MAY_WAIT: WaitTerms = { mayWait: true }
+
 export interface PlacementClientOptions {
   readonly node: NodeId
   /** Scheduler of this node; it keeps this node's own assignments. */
@@ -39,6 +60,8 @@
   readonly onNotice: (notice: ServerNotice) => void
   /** Clock on which the silence of other nodes is measured. */
   readonly runningClock: () => Millis
+  /** Returns how long it takes until what was said during a hold-up of this process is known; none if absent. */
+  readonly settlingTime?: () => Millis
   /** When queries are repeated and given up; `QUERY_TIMING` if absent. */
   readonly queryTiming?: QueryTiming
 }
@@ -57,7 +80,7 @@
   constructor (options: PlacementClientOptions) {
     const { queryTiming = QUERY_TIMING } = options
     this.#options = options
-    this.#queries = new PlacementQueries({ ...options, queryTiming })
+    this.#queries = new PlacementQueries({ ...options, queryTiming, onWithdrawn: (address, number) => this.#reports.returned(address, number, '') })
     this.#silenceQueries = new PendingQueries(queryTiming)
     this.#reports = new GrantReports(options.send)
     this.answers = new AnswerStatements({ ...options, statements: options.scheduler.statements })
@@ -80,23 +103,49 @@
    * @param history - its earlier attempts
    * @param chargesRetry - whether the attempt is taken from the retry budget
    * @param caution - how it and the parts of its prompt are judged, and its identity
+   * @param terms - whether it may wait for memory or a slot, and what ends the wait before the deadline of the request
    * @returns the placed attempt, whose assignment must be removed with `removeAssignment`; or why there is none
    */
-  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: PlacementTerms = NO_CAUTION): Promise<AttemptPlacement> {
-    const { scheduler, clock } = this.#options
+  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: IdentifiedCaution = NO_CAUTION, terms: WaitTerms = MAY_WAIT): Promise<AttemptPlacement> {
+    const { scheduler, fleetState, clock } = this.#options
     const startedAt = clock()
-    let spec = specOf(call, history, { chargesRetry, ...caution }, this.answers.pausedServers())
+    const restriction = findRestriction(fleetState, call.service.name, call.regions)
+    if (restriction !== null) return restriction
+    const wait: PlacementWait = { until: call.deadlineAt - DEADLINE_MARGIN, signal: terms.signal }
+    let spec = specOf(call, history, { chargesRetry, acceptsQueueing: terms.mayWait && call.service.engine !== null, ...caution }, this.answers.pausedServers())
+    let hasRestriction = false
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
-      const decision = await this.#queries.decide(spec, number)
+      const askedAt = clock()
+      // A scheduler of an earlier build knows neither evacuations nor regions, and may choose one excluded server after another.
+      const isLast = decisions === MAX_DECISIONS - 1
+      const decision = isLast && hasRestriction ? this.#queries.decideAlone(spec, number) : await this.#queries.decide(spec, number, wait)
+      await this.settled()
+      const age = clock() - (decision.outstandingAt ?? askedAt)
+      if (isTooOld(decision, age)) {
+        spec = this.#withoutGrant(spec, number, decision, age)
+        continue
+      }
       if (isTrialMissing(spec, decision)) {
         this.#withoutChosen(spec, number, decision)
         return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
       }
-      if (this.#isUsable(decision)) return this.#record(spec, number, decision, startedAt)
+      if (this.#isUsable(spec, decision, age)) return this.#record(spec, number, decision, startedAt)
+      hasRestriction ||= this.#isRestricted(spec, decision)
       spec = this.#withoutChosen(spec, number, decision)
     }
-    return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
+    return findRestriction(fleetState, spec.service, spec.regions) ?? { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
+  }
+
+  /** Returns a grant that is too old, and asks for the same again. */
+  #withoutGrant (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision, age: Millis): PlacementSpec {
+    if (result.type !== 'placed') return spec
+    const { scheduler, clock, log } = this.#options
+    const own = scheduler.assignments.findOwn(number)
+    if (own !== null) scheduler.assignments.end(own, clock())
+    else if (address !== null) this.#returnUnusedGrant(address, number, result.choice.server.id)
+    log.info('grant.returned', { request: spec.request, scheduler: address ?? 'self', server: result.choice.server.id, age_ms: Math.round(age) })
+    return { ...spec, chargesRetry: false, isFirstAttempt: false }
   }
 
   #record (spec: PlacementSpec, number: number, { result, scheduler: address }: Decision, startedAt: Millis): AttemptPlacement {
@@ -110,19 +159,31 @@
     if (address !== null) this.#reports.granted(assignment, address)
     const { choice, load, isTrial } = result
     const passedOver = [...new Set([...result.passedOver, ...this.answers.pausedServersOf(spec.service).map(({ id }) => id)])]
-    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, isTrial, decidedIn: clock() - startedAt } }
+    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, isTrial, regions: spec.regions, decidedIn: clock() - startedAt } }
   }
 
   /**
    * The scheduler may not know yet that a server has left or what it has stated to this node, and one of an earlier build never knows
-   * statements: this node then uses its own share of the server's request limit.
+   * statements or cold servers: this node then uses its own share of the server's request limit.
    */
-  #isUsable ({ result }: Decision): boolean {
+  #isUsable ({ regions }: PlacementSpec, { result }: Decision, age: Millis): boolean {
     if (result.type !== 'placed') return true
     const { scheduler, directory } = this.#options
     const { server } = result.choice
-    if (this.#obstaclesIn(result.choice).length > 0) return false
-    return result.keepsLimit || scheduler.statements.take(server, 1 / directory.size)
+    if (this.#obstaclesIn(result.choice, regions).length > 0) return false
+    if (scheduler.statements.coldServers.isTooLateFor(server, age)) return false
+    const keepsLimits = result.keepsLimit && (result.keepsWarmUp === true || !scheduler.statements.coldServers.limits(server, this.#options.clock()))
+    return keepsLimits || scheduler.statements.take(server, 1 / directory.size)
+  }
+
+  /** Whether a choice contains a server that no new request, or none of these regions, may reach. */
+  #isRestricted ({ regions }: PlacementSpec, { result }: Decision): boolean {
+    return result.type === 'placed' && this.#restrictedIn(result.choice, regions).length > 0
+  }
+
+  #restrictedIn ({ server, helpers }: PlacementChoice, regions?: readonly Region[]): BackendServer[] {
+    const { restrictions } = this.#options.fleetState
+    return [server, ...helpers].filter((participant) => !restrictions.permits(participant, regions))
   }
 
   /** Returns a grant, and excludes the servers that made it unusable from the next decision. */
@@ -133,18 +194,20 @@
     const own = scheduler.assignments.findOwn(number)
     if (own !== null) scheduler.assignments.end(own, clock())
     else if (address !== null) this.#returnUnusedGrant(address, number, server.id)
-    const obstacles = this.#obstaclesIn(result.choice).map(({ id }) => id)
+    const obstacles = this.#obstaclesIn(result.choice, spec.regions).map(({ id }) => id)
     const unusable = obstacles.length > 0 ? obstacles : [server.id]
-    log.info('grant.returned', { request: spec.request, scheduler: address ?? 'self', server: server.id, unusable: unusable.join(','), servers_revision: describeRevision(fleetState.serversRevision) })
-    const leaving = fleetState.servers.leaving(spec.service).slice(0, MAX_LEAVING_EXCLUDED)
+    const evacuated = fleetState.restrictions.evacuated()
+    log.info('grant.returned', { request: spec.request, scheduler: address ?? 'self', server: server.id, unusable: unusable.join(','), evacuated: evacuated.length === 0 ? undefined : evacuated.join(','), servers_revision: describeRevision(fleetState.serversRevision) })
+    const restricted = fleetState.servers.ready(spec.service).filter((candidate) => !fleetState.restrictions.permits(candidate, spec.regions)).map(({ id }) => id)
+    const leaving = [...fleetState.servers.leaving(spec.service), ...restricted].slice(0, MAX_LEAVING_EXCLUDED)
     return { ...spec, excluded: [...new Set([...spec.excluded, ...unusable, ...leaving])], chargesRetry: false, isFirstAttempt: false }
   }
 
-  /** Returns the servers of a choice that have left, or that accept no requests of this node now. */
-  #obstaclesIn (choice: PlacementChoice): BackendServer[] {
+  /** Returns the servers of a choice that have left, that accept no requests of this node now, or that the operator has excluded. */
+  #obstaclesIn (choice: PlacementChoice, regions?: readonly Region[]): BackendServer[] {
     const { servers } = this.#options.fleetState
     const hasLeft = [choice.server, ...choice.helpers].filter(({ id }) => servers.hasLeft(id))
-    return [...new Set([...hasLeft, ...this.answers.obstaclesIn(choice)])]
+    return [...new Set([...hasLeft, ...this.answers.obstaclesIn(choice), ...this.#restrictedIn(choice, regions)])]
   }
 
   /** Records that the first event of an attempt has arrived: its prefill is finished. */
@@ -192,13 +255,24 @@
     this.#reportSignal(choice.server, HealthSignal.Bad)
   }
 
+  /** Waits, after this process was held up for long, until it knows of evacuations that have begun meanwhile. */
+  async settled (): Promise<void> {
+    const { settlingTime = () => 0 } = this.#options
+    for (let left = settlingTime(); left > 0; left = settlingTime()) await sleep(left)
+  }
+
   /**
    * @param attempt - a placed attempt that has not been sent yet
    * @returns why it must not be sent any more; null if it may
    */
-  obstacleTo ({ choice }: PlacedAttempt): string | null {
-    const [server] = this.#obstaclesIn(choice)
-    return server === undefined ? null : `server ${server.id} accepts no requests of this node now`
+  obstacleTo ({ choice, regions, assignment, decidedIn }: PlacedAttempt): string | null {
+    const { scheduler, clock, fleetState } = this.#options
+    const age = clock() - assignment.sentAt + decidedIn
+    if (scheduler.statements.coldServers.isTooLateFor(choice.server, age)) return `server ${choice.server.id} is cold, and it was placed ${Math.round(age)} ms ago`
+    const [server] = this.#obstaclesIn(choice, regions)
+    if (server === undefined) return null
+    const isEvacuated = fleetState.restrictions.isEvacuated(server.failureDomain)
+    return isEvacuated ? `failure domain ${server.failureDomain} of server ${server.id} is evacuated` : `server ${server.id} accepts no requests of this node now`
   }
 
   /**
@@ -232,7 +306,7 @@
     } else if (content.$case === 'placementReply') {
       directory.heard(node, null, this.#options.runningClock())
       const { number, result } = content.value
-      if (!this.#queries.answer(content.value) && result?.$case === 'placement') this.#returnUnusedGrant(address, number, result.value.server?.id ?? '')
+      if (!this.#queries.answer(content.value, address) && result?.$case === 'placement') this.#returnUnusedGrant(address, number, result.value.server?.id ?? '')
     }
   }
 
@@ -254,10 +328,17 @@
   }
 }
 
+/** A decision that this node has just made itself is used at once; one for a request that waited may have been made while nobody took it up. */
+const isTooOld = ({ result, scheduler, outstandingAt }: Decision, age: Millis): boolean => {
+  if (result.type !== 'placed') return false
+  if (outstandingAt !== undefined) return age > RENEWAL_EXPIRY
+  return scheduler !== null && age > MAX_GRANT_AGE
+}
+
 /** Schedulers of earlier builds place a trial like any other attempt. */
 const isTrialMissing = ({ trialParts }: PlacementSpec, { result }: Decision): boolean => trialParts.length > 0 && result.type === 'placed' && !result.isTrial
 
-const specOf = (call: AdmittedCall, history: AttemptHistory, terms: PlacementTerms & Pick<PlacementSpec, 'chargesRetry'>, paused: readonly RunnerId[]): PlacementSpec => ({
+const specOf = (call: AdmittedCall, history: AttemptHistory, terms: IdentifiedCaution & Pick<PlacementSpec, 'chargesRetry' | 'acceptsQueueing'>, paused: readonly RunnerId[]): PlacementSpec => ({
   request: call.id,
   service: call.service.name,
   size: call.size,
@@ -269,5 +350,7 @@
   isRedirected: false,
   isFirstAttempt: history.triedServers().length === 0,
   ...(call.organisation === null ? {} : { organisation: call.organisation }),
+  urgency: call.urgency,
+  ...(call.regions === undefined ? {} : { regions: call.regions }),
   ...terms
 })
--- a/packages/node/src/forward/scheduling/PromisedRoom.ts
+++ b/packages/node/src/forward/scheduling/PromisedRoom.ts
@@ -35,6 +35,15 @@
     return loads.withholding(withheld)
   }
 
+  /**
+   * @param spec - an attempt that is to be placed
+   * @param now - current time
+   * @returns whether memory is kept for it
+   */
+  isPromised ({ identity }: PlacementSpec, now: Millis): boolean {
+    return this.#promises.find(identity ?? null, now) !== null
+  }
+
   /**
    * Ends the promise to a request that is placed, and counts its prefill.
    *
@@ -62,7 +71,7 @@
     const { timing: { figures }, candidates, now } = request
     if (candidates.length === 0 || !isMemoryBound(figures)) return { type: 'refused', reason: PlacementRefusal.NoServer, retryAfter: null }
     const room = this.#forecast.findRoom(request)
-    if (room === null) return { type: 'refused', reason: PlacementRefusal.NoMemory, retryAfter: null }
+    if (room === null) return { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: null }
     const prefillShare = this.#mixOf(spec.service).prefillShare(candidates.length, now)
     const promise = mayPromise(spec, context) ? this.#promise(spec, request, room, prefillShare) : null
     const retryAfter = promise === null ? spreadReturn(namedTime(room, prefillShare)) : promise.returnAt - now
@@ -70,7 +79,7 @@
     this.#log.info(decision, {
       request: spec.request, service: spec.service, identity: spec.identity, tokens_needed: Math.round(memoryDemand(request)), room_in_ms: Math.round(room.in), prefill_share: prefillShare.toFixed(2), engines_kept: [...room.shares.keys()].join(','), retry_after_ms: Math.round(retryAfter), promises: this.#promises.count(now)
     })
-    return { type: 'refused', reason: PlacementRefusal.NoMemory, retryAfter, ...(promise === null ? {} : { isPromised: true }) }
+    return { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter, ...(promise === null ? {} : { isPromised: true }) }
   }
 
   /**
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,18 +1,22 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
 import { assignmentId, DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, Readiness, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
-import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
+import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerDirectory, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad, WarmUpBounds } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 import { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
+import { AdmissionControl } from './AdmissionControl.js'
+import type { Timer } from './AdmissionControl.js'
+import { ColdServers } from './ColdServers.js'
+import { findRestriction } from './findRestriction.js'
 import { IsolatedAttempts } from './IsolatedAttempts.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
 import { PromisedRoom } from './PromisedRoom.js'
 import { ServerStatements } from './ServerStatements.js'
 import { spreadReturn } from './spreadReturn.js'
-import { PlacementRefusal } from './types.js'
-import type { AssignmentOwner, AttemptReport, ChosenServerLoad, PlacementContext, PlacementResult, PlacementSpec } from './types.js'
+import { GROUP_CONTEXT, NO_TERMS, PlacementRefusal } from './types.js'
+import type { AssignmentOwner, AttemptReport, ChosenServerLoad, FinalPlacement, PlacementContext, PlacementSpec, PlacementTerms } from './types.js'
 
 export interface SchedulerOptions {
   readonly node: NodeId
@@ -27,6 +31,14 @@
   readonly schedulerCount: () => number
   /** Returns the group whose engines this node places requests on. */
   readonly group: () => SchedulerGroup
+  /** Serves waiting requests later; timers of the process if absent. */
+  readonly setTimer?: Timer
+  /** Returns by how much a second may exceed the rate of a cold server; no excess is allowed if absent. */
+  readonly warmUpBounds?: () => WarmUpBounds
+  /** Nodes that may place requests on the same servers; if absent, this node is the only one. */
+  readonly directory?: SchedulerDirectory
+  /** Wall clock, for the start times of backend servers; that of the process if absent. */
+  readonly wallClock?: () => number
 }
 
 /** Pending prefill time of an engine above which its silence is not a fault. */
@@ -45,6 +57,8 @@
   readonly statements: ServerStatements
   readonly quarantine: NodeQuarantine
   readonly promisedRoom: PromisedRoom
+  /** Requests that wait for memory or a slot. */
+  readonly admission: AdmissionControl
   readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
@@ -59,12 +73,15 @@
   constructor (options: SchedulerOptions) {
     this.#options = options
     this.assignments = new FleetAssignments(options.node)
-    this.statements = new ServerStatements(options)
+    this.statements = new ServerStatements({ ...options, coldServers: new ColdServers(options) })
     this.quarantine = new NodeQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
     this.promisedRoom = new PromisedRoom(options.log)
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
     this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
+    this.admission = new AdmissionControl({ ...options, scheduler: this })
+    this.assignments.onRoomFreed(() => this.admission.roomFreed())
+    options.fleetState.onChange(() => this.admission.roomFreed())
     options.fleetState.onDeparture((id) => {
       this.health.remove(id)
       this.statements.remove(id)
@@ -78,36 +95,65 @@
    * @param spec - the attempt
    * @param owner - node that sends it, with the number of the assignment there
    * @param context - whom this scheduler decides for
+   * @param terms - how it is placed beside requests that wait
    * @returns the decision
    */
-  place (spec: PlacementSpec, owner: AssignmentOwner, context: PlacementContext): PlacementResult {
+  place (spec: PlacementSpec, owner: AssignmentOwner, context: PlacementContext, terms: PlacementTerms = NO_TERMS): FinalPlacement {
     const service = this.#options.fleetState.routeTable?.service(spec.service) ?? null
     if (service === null) return { type: 'refused', reason: PlacementRefusal.UnknownService, retryAfter: null }
+    const restriction = findRestriction(this.#options.fleetState, spec.service, spec.regions)
+    if (restriction !== null) return restriction
     const isTrial = spec.trialParts.length > 0
     if (isTrial && !this.#mayGrantTrial(spec, context)) return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
     const now = this.#options.clock()
     const loads = this.promisedRoom.loadsFor(spec, this.#loads(now), now)
     const permitted = this.#permittedServers(spec, service)
-    const open = permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, context.limitShare, now) === 0)
-    const candidates = this.#candidatesApart(spec, this.#candidates(open, now), loads)
+    const open = this.#openServers(permitted, context, now)
+    const candidates = this.#candidatesApart(spec, withoutHeld(this.#candidates(open, now), terms), loads)
     if (candidates === null) return { type: 'refused', reason: PlacementRefusal.SuspectsInProgress, retryAfter: ISOLATION_RETRY_AFTER }
-    if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
-    if (spec.isFirstAttempt) this.#retryBudgets.countRequest(spec.service)
-    const request = this.#requestOf(spec, service, candidates, loads, context, now)
-    const choice = this.#choose(spec, service, request)
+    if (!terms.isCounted && !this.count(spec)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
+    const best = this.#choose(spec, service, candidates, loads, context, now)
+    const hasSlot = !terms.needsFreeSlot || best === null || hasFreeSlot(best, loads)
+    const choice = hasSlot ? best : null
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
-    if (choice === null) {
-      const refusal = this.statements.refusalFor(permitted, context.limitShare, now)
-      return refusal.reason === PlacementRefusal.NoServer ? this.promisedRoom.refuse(spec, request, context) : refusal
-    }
+    if (!hasSlot) return { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: null }
+    if (choice === null) return this.statements.refusalFor(permitted, context.limitShare, now)
     const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
     if (isTrial) this.quarantine.grantTrial(spec.trialParts, spec.request)
     this.#record(spec, choice, owner, now)
     this.statements.take(choice.server, context.limitShare)
+    for (const helper of choice.helpers) if (this.statements.coldServers.limits(helper, now)) this.statements.take(helper, context.limitShare)
     const passedOver = permitted.filter((server) => !open.includes(server)).slice(0, MAX_PASSED_OVER).map(({ id }) => id)
-    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver, isTrial }
+    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, keepsWarmUp: true, passedOver, isTrial }
+  }
+
+  /**
+   * Counts an attempt in the retry budget of its service.
+   *
+   * @param spec - the attempt
+   * @returns whether the budget allows it
+   */
+  count ({ chargesRetry, isFirstAttempt, service }: PlacementSpec): boolean {
+    if (chargesRetry && !this.#retryBudgets.acquire(service)) return false
+    if (isFirstAttempt) this.#retryBudgets.countRequest(service)
+    return true
+  }
+
+  /**
+   * Describes an attempt to the forecast of free memory.
+   *
+   * @param spec - the attempt
+   * @returns the attempt, with the engines that this scheduler may place it on and their loads; null if it knows no such service
+   */
+  placementRequest (spec: PlacementSpec): PlacementRequest | null {
+    const { fleetState, clock } = this.#options
+    const service = fleetState.routeTable?.service(spec.service) ?? null
+    if (service === null) return null
+    const now = clock()
+    const open = this.#openServers(this.#permittedServers(spec, service), GROUP_CONTEXT, now)
+    return this.#requestOf(spec, service, this.#candidates(open, now), this.promisedRoom.loadsFor(spec, this.#loads(now), now), GROUP_CONTEXT, now)
   }
 
   /**
@@ -200,7 +246,7 @@
     const loads = this.#loads(clock())
     const services = fleetState.routeTable?.deployment.services ?? []
     return services.filter(({ engine }) => engine !== null).map(({ name }) => {
-      const servers = fleetState.servers.ready(name).filter(({ failureDomain }) => isInGroup(group(), failureDomain))
+      const servers = fleetState.servers.ready(name).filter((server) => isInGroup(group(), server.failureDomain) && fleetState.restrictions.permits(server))
       const pending = servers.reduce((sum, { id }) => sum + loads.get(id).pending.reduce((total, { remaining }) => total + remaining, 0), 0)
       return {
         service: name,
@@ -239,6 +285,13 @@
     return isTwinInProgress || (apart.length === 0 && candidates.length > 0) ? null : apart
   }
 
+  #choose (spec: PlacementSpec, service: Service, candidates: readonly Candidate[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementChoice | null {
+    if (candidates.length === 0) return null
+    const request = this.#requestOf(spec, service, candidates, loads, context, now)
+    const policy = this.#policyOf(service)
+    return (isRisky(spec) ? this.#chooseAlone(request, policy, spec.isolatedAs !== undefined) : null) ?? policy.choose(request)
+  }
+
   #requestOf (spec: PlacementSpec, service: Service, candidates: readonly Candidate[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementRequest {
     return {
       size: spec.size,
@@ -253,12 +306,6 @@
     }
   }
 
-  #choose (spec: PlacementSpec, service: Service, request: PlacementRequest): PlacementChoice | null {
-    if (request.candidates.length === 0) return null
-    const policy = this.#policyOf(service)
-    return (isRisky(spec) ? this.#chooseAlone(request, policy, spec.isolatedAs !== undefined) : null) ?? policy.choose(request)
-  }
-
   /**
    * One server alone, so that a crash breaks off as few other requests as possible. A server that has just crashed is quiet, but gone. A request that
    * is suspected itself goes to the server that started last: where servers are ended in turn, that one is ended last.
@@ -286,9 +333,15 @@
     else this.assignments.grant(node, draft, number, now, this.#options.runningClock())
   }
 
-  #permittedServers ({ excluded, allowed }: PlacementSpec, service: Service): BackendServer[] {
-    const ready = this.#options.fleetState.servers.ready(service.name)
-    return ready.filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
+  /** The operator's restrictions hold for every choice: a server that they exclude is no owner, helper or holder, and no last resort. */
+  #permittedServers ({ excluded, allowed, regions }: PlacementSpec, service: Service): BackendServer[] {
+    const { servers, restrictions } = this.#options.fleetState
+    const permitted = servers.ready(service.name).filter((server) => restrictions.permits(server, regions))
+    return permitted.filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
+  }
+
+  #openServers (permitted: readonly BackendServer[], { limitShare }: PlacementContext, now: Millis): BackendServer[] {
+    return permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, limitShare, now) === 0)
   }
 
   #candidates (permitted: readonly BackendServer[], now: Millis): Candidate[] {
@@ -316,6 +369,14 @@
 /** Whether the request may crash the engine that gets it. */
 const isRisky = ({ isSuspected, trialParts }: PlacementSpec): boolean => isSuspected || trialParts.length > 0
 
+const withoutHeld = (candidates: readonly Candidate[], { held }: PlacementTerms): readonly Candidate[] =>
+  held.size === 0 ? candidates : candidates.filter(({ server }) => !held.has(server.id))
+
+const hasFreeSlot = ({ server }: PlacementChoice, loads: ServerLoads): boolean => {
+  const { requests, withheldSlots } = loads.get(server.id)
+  return requests.length + withheldSlots < server.slots
+}
+
 const summaryOf = ({ requests, pending }: ServerLoad): ChosenServerLoad =>
   ({ requests: requests.length, pendingPrefill: pending.reduce((sum, { remaining }) => sum + remaining, 0) })
 
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -45,18 +45,20 @@
 /** How an attempt is placed because of what it may do to its server. */
 export type AttemptCaution = Pick<PlacementSpec, 'isSuspected' | 'trialParts' | 'isolatedAs'>
 
-/** What is known of a request besides its content; its identity where memory may be promised to it. */
-export type PlacementTerms = AttemptCaution & Pick<PlacementSpec, 'identity'>
+/** The same with the identity of the request, where memory may be promised to it. */
+export type IdentifiedCaution = AttemptCaution & Pick<PlacementSpec, 'identity'>
 
 export const NO_CAUTION: AttemptCaution = { isSuspected: false, trialParts: [] }
 
 /** Why an attempt is not placed. */
 export const PlacementRefusal = {
   NoServer: 'no_server',
-  /** No engines have the memory for it now. */
-  NoMemory: 'no_memory',
+  /** No backend servers have the memory and a slot for it now; or, if it may wait, none will have them before its caller leaves. */
+  NoRoom: 'no_room',
   /** All backend servers that could serve it have stated a request limit, and it is reached. */
   RequestLimit: 'request_limit',
+  /** All backend servers that could serve it are cold, and have got as many requests as they accept until they are warm. */
+  ServersCold: 'servers_cold',
   /** All backend servers that could serve it have stated that they are leaving. */
   ServersLeaving: 'servers_leaving',
   /** All backend servers that could serve it have asked this node for a pause. */
@@ -68,7 +70,9 @@
   /** The caller would disconnect before the first event. */
   TooLate: 'too_late',
   RetryBudgetSpent: 'retry_budget_spent',
-  UnknownService: 'unknown_service'
+  UnknownService: 'unknown_service',
+  /** The operator has evacuated all failure domains whose servers could serve it. */
+  DomainsEvacuated: 'domains_evacuated'
 } as const
 export type PlacementRefusal = typeof PlacementRefusal[keyof typeof PlacementRefusal]
 
@@ -92,6 +96,9 @@
   readonly pausedServer?: RunnerId
 }
 
+/** Decision about one attempt that does not wait. */
+export type FinalPlacement = Exclude<PlacementResult, { readonly type: 'queued' }>
+
 /** Decision about one attempt. */
 export type PlacementResult =
   | {
@@ -100,12 +107,16 @@
     readonly load: ChosenServerLoad
     /** Whether the request limit that the server has stated was applied; schedulers of earlier builds do not know of it. */
     readonly keepsLimit: boolean
+    /** Whether the limit of cold servers was applied; absent if not, as with schedulers of earlier builds. */
+    readonly keepsWarmUp?: boolean
     /** Some of the servers that were not considered because of what they have stated, for the log. */
     readonly passedOver: readonly RunnerId[]
     /** Whether it is a trial of what is quarantined; schedulers of earlier builds grant none. */
     readonly isTrial: boolean
   }
   | RefusedPlacement
+  /** It waits for memory or a slot: the node renews the query after each `renewAfter`, and gets the placement as soon as it is decided. */
+  | { readonly type: 'queued', readonly renewAfter: Millis }
   /** The scheduler of another group can serve it sooner. */
   | { readonly type: 'redirected', readonly address: string }
 
@@ -120,6 +131,8 @@
   readonly passedOver: readonly RunnerId[]
   /** Whether it is a trial of what is quarantined. */
   readonly isTrial: boolean
+  /** The only regions that its request may reach; absent if it may reach all. */
+  readonly regions?: readonly Region[] | undefined
   /** Time from the decision to place the attempt until the result was known. */
   readonly decidedIn: Millis
 }
@@ -158,3 +171,32 @@
   readonly node: NodeId
   readonly number: number
 }
+
+/** How a scheduler places an attempt beside requests that wait. */
+export interface PlacementTerms {
+  /** Engines that are held for other requests. */
+  readonly held: ReadonlySet<RunnerId>
+  /** Whether its engine must have a free slot, since the attempt can wait for one at the scheduler. */
+  readonly needsFreeSlot: boolean
+  /** Whether it has been counted and taken from the retry budget before. */
+  readonly isCounted: boolean
+}
+
+/** Terms of a scheduler without waiting requests. */
+export const NO_TERMS: PlacementTerms = { held: new Set(), needsFreeSlot: false, isCounted: false }
+
+/** The process that asks for a placement, and how it gets one that is decided later. */
+export interface PlacementWaiter {
+  /** Tells the process from earlier ones of the same node. */
+  readonly startedAt: number
+  /** Sends the decision. */
+  readonly deliver: (result: PlacementResult) => void
+}
+
+/** How long a node lets an attempt wait for its placement. */
+export interface PlacementWait {
+  /** Time at which it gives up waiting. */
+  readonly until: Millis
+  /** Ends the wait, because the caller has left. */
+  readonly signal?: AbortSignal
+}
--- a/packages/node/tests/promisedRoom.test.ts
+++ b/packages/node/tests/promisedRoom.test.ts
@@ -7,7 +7,7 @@
 import { FleetState } from '../src/forward/FleetState.js'
 import { decodeReply, encodeReply } from '../src/forward/peers/datagramCodec.js'
 import { Scheduler } from '../src/forward/scheduling/Scheduler.js'
-import { GROUP_CONTEXT, PlacementRefusal } from '../src/forward/scheduling/types.js'
+import { PlacementRefusal } from '../src/forward/scheduling/types.js'
 import type { PlacementResult, PlacementSpec } from '../src/forward/scheduling/types.js'
 import { DEPLOYMENT, silentLog } from './forwardFixture.js'
 
@@ -19,6 +19,7 @@
 class BusyScheduler {
   now: Millis = 10_000
   readonly scheduler: Scheduler
+  readonly delivered: Array<[string, string]> = []
   #number = 100
 
   constructor () {
@@ -28,7 +29,7 @@
     for (const id of ['e0', 'e1']) {
       fleetState.putServer({ server: { id: id as RunnerId, service: 's', address: '10.0.0.1:80', failureDomain: 'd1' as FailureDomain, slots: 8, readiness: Readiness.Ready, startedAt: null }, revision: 1 }, 'store')
     }
-    this.scheduler = new Scheduler({ node: NODE, fleetState, log: silentLog(), clock, runningClock: clock, retryBounds: () => ({ ratio: 0, slack: 0, window: 1_000 }), schedulerCount: () => 1, group: () => ({ domain: null }) })
+    this.scheduler = new Scheduler({ node: NODE, fleetState, log: silentLog(), clock, runningClock: clock, retryBounds: () => ({ ratio: 0, slack: 0, window: 1_000 }), schedulerCount: () => 1, group: () => ({ domain: null }), setTimer: () => {} })
     for (const number of [1, 2]) this.place({}, number)
     this.now += 5_000
     for (const number of [1, 2]) this.scheduler.assignments.markPrefilled(this.scheduler.assignments.findOwn(number)!, this.now)
@@ -39,7 +40,7 @@
     const spec = {
       request: `r${number}`, service: 's', size: LONG, objective: 6_000, dueAt: this.now + 6_000, pauseObjective: 1_000, excluded: [], allowed: null, chargesRetry: false, isRedirected: false, isFirstAttempt: true, isSuspected: false, trialParts: [], ...changes
     }
-    return this.scheduler.place(spec, { node: NODE, number }, GROUP_CONTEXT)
+    return this.scheduler.admission.place(spec, { node: NODE, number }, { startedAt: 0, deliver: (result) => this.delivered.push([spec.request, result.type]) })
   }
 
   end (number: number): void {
@@ -57,7 +58,7 @@
 test('a refusal for want of memory names the time, and the memory is there for the request that returns, but for no other', (t) => {
   const busy = new BusyScheduler()
   const first = busy.place({ identity: 'a' })
-  t.like(first, { type: 'refused', reason: PlacementRefusal.NoMemory, isPromised: true })
+  t.like(first, { type: 'refused', reason: PlacementRefusal.NoRoom, isPromised: true })
   const retryAfter = first.type === 'refused' ? first.retryAfter! : 0
   t.true(retryAfter > 100 && retryAfter < 2_000)
   t.like(decodeReply(encodeReply(1, first, 0), 's', () => null, 0), { isPromised: true, retryAfter: Math.round(retryAfter) })
@@ -78,6 +79,20 @@
   t.is(busy.place({ identity: 'a' }).type, 'placed')
 })
 
+// Guards against a request that came in time being refused a second time, because others were waiting when it returned.
+test('a request that returns before its memory is free waits before more urgent ones', (t) => {
+  const busy = new BusyScheduler()
+  busy.promise('a')
+  t.is(busy.place({ request: 'urgent', urgency: 0, acceptsQueueing: true }).type, 'queued')
+  t.is(busy.place({ request: 'returned', identity: 'a', urgency: 9, acceptsQueueing: true }).type, 'queued')
+  busy.end(1)
+  busy.now += 100
+  busy.scheduler.admission.roomFreed()
+  busy.place({ size: { prompt: 100, mostAnswer: 1 } })
+  t.deepEqual(busy.delivered, [['returned', 'placed']])
+  t.is(busy.scheduler.promisedRoom.counts(busy.now).kept, 1)
+})
+
 // Guards against a process that was paused and acts on a promise that has run out meanwhile.
 test('a scheduler that was held up for seconds keeps no memory for promises that have run out', (t) => {
   const busy = new BusyScheduler()
@@ -102,6 +117,6 @@
     const refusal = busy.place(changes)
     t.true(refusal.type === 'refused' && refusal.retryAfter !== null && refusal.isPromised === undefined)
   }
-  t.like(busy.place({ identity: 'd', size: { prompt: 900_000, mostAnswer: 1 } }), { reason: PlacementRefusal.NoMemory, retryAfter: null })
+  t.like(busy.place({ identity: 'd', size: { prompt: 900_000, mostAnswer: 1 } }), { reason: PlacementRefusal.NoRoom, retryAfter: null })
   t.is(busy.scheduler.promisedRoom.counts(busy.now).made, 0)
 })
