--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -13,6 +13,7 @@
 import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import { ServerCall } from './backend/ServerCall.js'
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
+import { CallerAnswer } from './buffers/CallerAnswer.js'
 import { RefusalCause } from './entry/refusals.js'
 import { healthSignalOf } from './healthSignal.js'
 import { isWaitStated, quarantineCauseOf, quarantineProblem, refusalCauseOf } from './refusalCause.js'
@@ -23,6 +24,7 @@
 import { RequestGuard } from './quarantine/RequestGuard.js'
 import type { QuarantineVerdict } from './quarantine/NodeQuarantine.js'
 import { PlacementRefusal } from './scheduling/types.js'
+import { isUneven } from './scheduling/UnevenServers.js'
 import type { PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import { ForwardOutcome } from './ForwardOutcome.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
@@ -56,6 +58,9 @@
   /** Aborted when the request is over. */
   readonly #over = new AbortController()
   readonly #relay: RequestRelay
+  readonly #callerAnswer: CallerAnswer
+  /** Attempt whose server is held back, because the caller does not read; null if there is none. */
+  #heldAttempt: OpenAttempt | null = null
   readonly #silentAttempts = new SilentAttempts((attempt, signal) => this.#release(attempt, signal))
   readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#dataOverdue(attempt, silence, hasGoneOn) })
   #attemptCount = 0
@@ -78,7 +83,8 @@
       this.history.end(server, AttemptEnd.Broken)
     }
     this.#requestLog = new RequestLog(context, call)
-    this.#ending = new RequestEnding({ context, call, response, requestLog: this.#requestLog, summary: () => this.#summary(), onEnded: () => this.#releaseAll() })
+    this.#ending = new RequestEnding({ context, call, response, requestLog: this.#requestLog, summary: () => this.#summary(), onWritten: (bytes) => this.answerWritten(bytes), onEnded: () => this.#releaseAll() })
+    this.#callerAnswer = new CallerAnswer({ buffers: context.buffers, request: call.id, response, onCutOff: (reason) => this.#callerCutOff(reason), onHold: (isHeld) => this.#holdServer(isHeld) })
     this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
     this.#relay = new RequestRelay({ context, call, history: this.history, requestLog: this.#requestLog })
     this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog, signal: this.#over.signal })
@@ -146,6 +152,14 @@
   /** Returns the fields of the final log line that depend on the kind of answer. */
   protected abstract answerLogFields (): Record<string, unknown>
 
+  /** Called when the server of the attempt in progress is held back. */
+  protected serverHeld (): void {}
+
+  /** Counts bytes of the answer that have been written to the caller. */
+  protected answerWritten (bytes: number): void {
+    this.#callerAnswer.add(bytes)
+  }
+
   /** Records the time of the first data that is sent to the caller, and gives up the attempts that were kept until then. */
   protected recordFirstAnswer (attempt: OpenAttempt): void {
     this.#silentAttempts.closeAll()
@@ -156,7 +170,18 @@
 
   /** Measures anew how long the server of the attempt sends no data. */
   protected restartDataTimer (attempt: OpenAttempt): void {
-    this.#silenceTimer.restart(attempt, this.dataTimeout(attempt))
+    this.#silenceTimer.restart(attempt, attempt === this.#heldAttempt ? null : this.dataTimeout(attempt))
+  }
+
+  /** While the server is held back its silence is no failure. */
+  #holdServer (isHeld: boolean): void {
+    const attempt = isHeld ? this.attempt : this.#heldAttempt
+    this.#heldAttempt = isHeld ? attempt : null
+    if (attempt === null || attempt !== this.attempt) return
+    this.serverHeld()
+    attempt.serverCall?.hold(isHeld)
+    // What had arrived meanwhile may have ended the attempt.
+    if (attempt === this.attempt) this.restartDataTimer(attempt)
   }
 
   /** Waits on while the engine is known to prefill other prompts: another engine would have to read this prompt anew. */
@@ -437,7 +462,7 @@
       this.#serverFailed(attempt, { head, body })
     } else if (this.completeAnswer(attempt)) {
       attempt.watch?.completed()
-      this.#closeAttempt(attempt, HealthSignal.Good)
+      this.#closeAttempt(attempt, HealthSignal.Good, this.#serviceTimeOf(attempt))
       this.#ending.answered(head.status)
     } else {
       this.#connectionEnded(attempt, 'the answer ended before it was complete')
@@ -519,18 +544,35 @@
     this.#ending.callerDisconnected()
   }
 
-  #closeAttempt (attempt: OpenAttempt, signal: HealthSignal | null = null): void {
+  /** Its connection is reset. */
+  #callerCutOff (reason: string): void {
+    const { stage } = this
+    if (this.#ending.isOver) {
+      this.#ending.recordUnanswered(CloseCause.SlowReader, stage, reason)
+      return
+    }
+    if (this.attempt !== null) this.#closeAttempt(this.attempt)
+    this.#lastProblem = reason
+    this.#ending.abort(ForwardOutcome.CallerCutOff, CloseCause.SlowReader, stage)
+  }
+
+  /** Time of a complete answer, if placement depends on it. */
+  #serviceTimeOf ({ sentAt }: OpenAttempt): Millis | undefined {
+    return isUneven(this.call.service) ? this.context.clock() - sentAt : undefined
+  }
+
+  #closeAttempt (attempt: OpenAttempt, signal: HealthSignal | null = null, serviceTime?: Millis): void {
     this.#silenceTimer.clear()
     this.attempt = null
-    this.#release(attempt, signal)
+    this.#release(attempt, signal, serviceTime)
   }
 
-  #release (attempt: OpenAttempt, signal: HealthSignal | null): void {
+  #release (attempt: OpenAttempt, signal: HealthSignal | null, serviceTime?: Millis): void {
     attempt.watch?.ended()
     attempt.serverCall?.abort()
     this.attemptClosed(attempt)
     attempt.reservations?.release()
-    if (attempt.placed !== null) this.context.placement.removeAssignment(attempt.placed, signal)
+    if (attempt.placed !== null) this.context.placement.removeAssignment(attempt.placed, signal, serviceTime)
     if (attempt.peer !== null) this.context.relay.peers.ended(attempt.peer)
   }
 
