Test of returned requests: other memory becomes free first

The test passed without the precedence in the queue too, since the kept engine was the one that became free. It now ends the request on the other one, and fails when returned requests have the least urgency.

--- a/packages/node/tests/promisedRoom.test.ts
+++ b/packages/node/tests/promisedRoom.test.ts
@@ -79,13 +79,14 @@
   t.is(busy.place({ identity: 'a' }).type, 'placed')
 })
 
-// Guards against a request that came in time being refused a second time, because others were waiting when it returned.
+// Guards against a request that came in time being refused a second time, because others that wait got the first memory.
 test('a request that returns before its memory is free waits before more urgent ones', (t) => {
   const busy = new BusyScheduler()
   busy.promise('a')
   t.is(busy.place({ request: 'urgent', urgency: 0, acceptsQueueing: true }).type, 'queued')
   t.is(busy.place({ request: 'returned', identity: 'a', urgency: 9, acceptsQueueing: true }).type, 'queued')
-  busy.end(1)
+  // The engine on which nothing is kept becomes free first.
+  busy.end(2)
   busy.now += 100
   busy.scheduler.admission.roomFreed()
   busy.place({ size: { prompt: 100, mostAnswer: 1 } })
