--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -80,11 +80,21 @@
 
 /** Describes what servers had stated when the next attempt found none. */
 const describeNotPlaced = ({ at, fields }: LogLine): string => {
-  const retry = fields.retry_after_ms === undefined ? '' : ` The caller could return after ${fields.retry_after_ms} ms.`
+  const retry = fields.retry_after_ms === undefined ? '' : ` The caller could return after ${fields.retry_after_ms} ms${fields.promised === 'true' ? '; memory was kept for it until then' : ''}.`
   if (fields.reason === 'domains_evacuated') return `${timeOfDay(at)}: the operator has evacuated all failure domains whose servers of ${fields.service} it could reach.${retry}`
   return `${timeOfDay(at)}: no server of ${fields.service} could take it: ${fields.reason}${describeStatement(fields)}.${retry}`
 }
 
+/** Describes for how long a refused request had to wait for memory, and whether the scheduler kept it. */
+const describePromise = ({ at, node, event, fields }: LogLine): string => {
+  const forecast = `the scheduler ${node} expected ${fields.tokens_needed} tokens of free memory in ${fields.room_in_ms} ms on ${listOf(fields.engines_kept).join(', ')}`
+  const decision = event === 'promise.made' ? `kept them for request identity ${fields.identity}` : 'kept none'
+  return `${timeOfDay(at)}: ${forecast} and ${decision}; it told the caller to return after ${fields.retry_after_ms} ms (${fields.promises} promises in force).`
+}
+
+const describeKeptPromise = ({ at, node, fields }: LogLine): string =>
+  `${timeOfDay(at)}: it returned for the memory that scheduler ${node} had kept for identity ${fields.identity}, ${fields.late_ms} ms after the named time, and was placed.`
+
 const describeStatement = ({ server, server_limit: limit, server_leaving: leaving, server_heard_by: node, server_stated_ms_ago: age }: LogLine['fields']): string => {
   if (server === undefined) return ''
   if (limit !== undefined) return `; ${server} had stated a limit of ${limit} requests a second to node ${node}, ${age} ms before`
@@ -196,6 +206,9 @@
   'placement.dequeued': describeDequeued,
   'request.queued': describeNodeQueued,
   'request.withdrawn': describeWithdrawn,
+  'promise.made': describePromise,
+  'promise.not_made': describePromise,
+  'promise.kept': describeKeptPromise,
   'attempt.failed': describeFailedAttempt,
   'grant.returned': describeReturned,
   'placement.by_time': describeByTime,
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -18,7 +18,7 @@
 import type { Decision } from './PlacementQueries.js'
 import type { Scheduler } from './Scheduler.js'
 import { NO_CAUTION, PlacementRefusal } from './types.js'
-import type { AttemptCaution, AttemptPlacement, PlacedAttempt, PlacementSpec, PlacementWait } from './types.js'
+import type { AttemptPlacement, IdentifiedCaution, PlacedAttempt, PlacementSpec, PlacementWait } from './types.js'
 
 /** Servers that are named in a repeated query because they have left or are evacuated, so that it stays within one datagram. */
 const MAX_LEAVING_EXCLUDED = 32
@@ -102,11 +102,11 @@
    * @param call - the request
    * @param history - its earlier attempts
    * @param chargesRetry - whether the attempt is taken from the retry budget
-   * @param caution - how it and the parts of its prompt are judged
+   * @param caution - how it and the parts of its prompt are judged, and its identity
    * @param terms - whether it may wait for memory or a slot, and what ends the wait before the deadline of the request
    * @returns the placed attempt, whose assignment must be removed with `removeAssignment`; or why there is none
    */
-  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: AttemptCaution = NO_CAUTION, terms: WaitTerms = MAY_WAIT): Promise<AttemptPlacement> {
+  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: IdentifiedCaution = NO_CAUTION, terms: WaitTerms = MAY_WAIT): Promise<AttemptPlacement> {
     const { scheduler, fleetState, clock } = this.#options
     const startedAt = clock()
     const restriction = findRestriction(fleetState, call.service.name, call.regions)
@@ -341,7 +341,7 @@
 /** Schedulers of earlier builds place a trial like any other attempt. */
 const isTrialMissing = ({ trialParts }: PlacementSpec, { result }: Decision): boolean => trialParts.length > 0 && result.type === 'placed' && !result.isTrial
 
-const specOf = (call: AdmittedCall, history: AttemptHistory, terms: AttemptCaution & Pick<PlacementSpec, 'chargesRetry' | 'acceptsQueueing'>, paused: readonly RunnerId[]): PlacementSpec => ({
+const specOf = (call: AdmittedCall, history: AttemptHistory, terms: IdentifiedCaution & Pick<PlacementSpec, 'chargesRetry' | 'acceptsQueueing'>, paused: readonly RunnerId[]): PlacementSpec => ({
   request: call.id,
   service: call.service.name,
   size: call.size,
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -12,6 +12,7 @@
 import { IsolatedAttempts } from './IsolatedAttempts.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
+import { PromisedRoom } from './PromisedRoom.js'
 import { ServerStatements } from './ServerStatements.js'
 import { spreadReturn } from './spreadReturn.js'
 import { GROUP_CONTEXT, NO_TERMS, PlacementRefusal } from './types.js'
@@ -56,6 +57,7 @@
   readonly health = new ServerHealth()
   readonly statements: ServerStatements
   readonly quarantine: NodeQuarantine
+  readonly promisedRoom: PromisedRoom
   /** Requests that wait for memory or a slot. */
   readonly admission: AdmissionControl
   readonly unevenServers: UnevenServers
@@ -75,6 +77,7 @@
     this.assignments = new FleetAssignments(options.node)
     this.statements = new ServerStatements({ ...options, coldServers: new ColdServers(options) })
     this.quarantine = new NodeQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
+    this.promisedRoom = new PromisedRoom(options.log)
     this.unevenServers = new UnevenServers({ ...options, coldServers: this.statements.coldServers })
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
@@ -107,7 +110,7 @@
     const isTrial = spec.trialParts.length > 0
     if (isTrial && !this.#mayGrantTrial(spec, context)) return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
     const now = this.#options.clock()
-    const loads = this.#loads(now)
+    const loads = this.promisedRoom.loadsFor(spec, this.#loads(now), now)
     const permitted = this.#permittedServers(spec, service)
     const open = this.#openServers(permitted, context, now)
     const candidates = this.#candidatesApart(spec, withoutHeld(this.#candidates(open, now), terms), loads)
@@ -154,7 +157,7 @@
     if (service === null) return null
     const now = clock()
     const open = this.#openServers(this.#permittedServers(spec, service), GROUP_CONTEXT, now)
-    return this.#requestOf(spec, service, this.#candidates(open, now), this.#loads(now), GROUP_CONTEXT, now)
+    return this.#requestOf(spec, service, this.#candidates(open, now), this.promisedRoom.loadsFor(spec, this.#loads(now), now), GROUP_CONTEXT, now)
   }
 
   /**
@@ -333,6 +336,7 @@
 
   #record (spec: PlacementSpec, choice: PlacementChoice, { node, number }: AssignmentOwner, now: Millis): void {
     const draft = this.draftAssignment(spec, choice, now)
+    this.promisedRoom.placed(spec, draft, now)
     if (spec.isolatedAs !== undefined) this.#isolated.add(assignmentId(node, number), { server: choice.server.id, suspect: spec.isolatedAs })
     if (node === this.#options.node) this.assignments.start(draft, number)
     else this.assignments.grant(node, draft, number, now, this.#options.runningClock())
@@ -378,7 +382,10 @@
 const withoutHeld = (candidates: readonly Candidate[], { held }: PlacementTerms): readonly Candidate[] =>
   held.size === 0 ? candidates : candidates.filter(({ server }) => !held.has(server.id))
 
-const hasFreeSlot = ({ server }: PlacementChoice, loads: ServerLoads): boolean => loads.get(server.id).requests.length < server.slots
+const hasFreeSlot = ({ server }: PlacementChoice, loads: ServerLoads): boolean => {
+  const { requests, withheldSlots } = loads.get(server.id)
+  return requests.length + withheldSlots < server.slots
+}
 
 const summaryOf = ({ requests, pending }: ServerLoad): ChosenServerLoad =>
   ({ requests: requests.length, pendingPrefill: pending.reduce((sum, { remaining }) => sum + remaining, 0) })
--- a/packages/node/src/forward/scheduling/ServiceAdmission.ts
+++ b/packages/node/src/forward/scheduling/ServiceAdmission.ts
@@ -30,9 +30,15 @@
 
 const NO_ROOM: RefusedPlacement = { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: null }
 
+/** Refusals for want of memory, which name the time at which there will be some. */
+const MEMORY_REFUSALS: ReadonlySet<string> = new Set([PlacementRefusal.NoServer, PlacementRefusal.NoRoom])
+
 /** Urgency of requests whose nodes do not state it. */
 const LEAST_URGENT = 9
 
+/** Urgency of a request that returns while memory is kept for it: before all others. */
+const PROMISED_URGENCY = -1
+
 /** An attempt of a node that is to be placed. */
 export interface AdmissionRequest extends Pick<PlacementWaiter, 'deliver'> {
   readonly spec: PlacementSpec
@@ -48,6 +54,8 @@
   readonly needsMuchMemory: boolean
   /** Whether it needs more than half of an engine's memory. */
   readonly needsEngine: boolean
+  /** Whether memory was kept for it when it returned. */
+  readonly isPromised: boolean
   readonly enteredAt: Millis
   /** Time of its last evaluation without a result. */
   evaluatedAt: Millis
@@ -95,7 +103,8 @@
       return isAllowed ? this.#letWait(entry, NO_ROOM) : { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
     }
     const result = this.#tryPlace(entry, request.isCounted, mayWait)
-    return mayWait && isRoomRefusal(result) ? this.#letWait(entry, result) : result
+    if (!isRoomRefusal(result)) return result
+    return mayWait ? this.#letWait(entry, result) : this.#finalRefusal(entry, result)
   }
 
   /**
@@ -144,7 +153,8 @@
     for (const entry of entries) {
       const isLarge = entry.needsMuchMemory
       if (this.queue.heldBy(entry.key).length === 0 && (isSmallBlocked || (isLarge && isLargeBlocked))) continue
-      const mayFit = this.#mayFit(entry, room)
+      const ownRoom = this.#roomFor(entry, room)
+      const mayFit = this.#mayFit(entry, ownRoom)
       if (mayFit && now - entry.evaluatedAt >= EVALUATION_INTERVAL) {
         if (evaluations >= MAX_EVALUATED) return true
         evaluations += 1
@@ -158,9 +168,9 @@
       }
       entry.isUnlikeOthers = mayFit
       if (!isLarge) isSmallBlocked ||= !mayFit
-      else if (!this.#keepsHold(entry, room)) {
+      else if (!this.#keepsHold(entry, ownRoom)) {
         evaluations += 1
-        isLargeBlocked = !this.#hold(entry, room)
+        isLargeBlocked = !this.#hold(entry, ownRoom)
       }
     }
     return false
@@ -184,10 +194,10 @@
     const { clock, runningClock, log } = this.#options
     const now = clock()
     const forecast = this.#forecastOf(entry)
-    if (forecast === null) return refusal
-    if (now + forecast > entry.giveUpAt) return { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: forecast }
+    if (forecast === null) return this.#finalRefusal(entry, refusal)
+    if (now + forecast > entry.giveUpAt) return this.#finalRefusal(entry, { ...NO_ROOM, retryAfter: forecast })
     const displaced = this.queue.add(entry, now, runningClock())
-    if (displaced === entry) return { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: forecast }
+    if (displaced === entry) return this.#finalRefusal(entry, { ...NO_ROOM, retryAfter: forecast })
     if (displaced !== null) this.#refuse(displaced, PlacementRefusal.NoRoom, forecast)
     const { request: { spec, owner }, urgency, organisation, tokens } = entry
     log.info('placement.queued', {
@@ -232,7 +242,25 @@
   /** Refuses a request that is no longer in the queue. */
   #refuse (entry: WaitingRequest, reason: PlacementRefusal, retryAfter: Millis | null): void {
     this.#logEnd(entry, reason)
-    entry.request.deliver({ type: 'refused', reason, retryAfter })
+    entry.request.deliver(this.#nameReturn(entry, { type: 'refused', reason, retryAfter }))
+  }
+
+  /** A refusal for another reason than memory stays as it is. */
+  #finalRefusal (entry: WaitingRequest, refusal: RefusedPlacement): RefusedPlacement {
+    return MEMORY_REFUSALS.has(refusal.reason) ? this.#nameReturn(entry, refusal) : refusal
+  }
+
+  /** Names the time at which there will be memory for a request that is refused, and keeps the memory if its caller can return by then. */
+  #nameReturn ({ request: { spec } }: WaitingRequest, refusal: RefusedPlacement): RefusedPlacement {
+    const { scheduler } = this.#options
+    const described = scheduler.placementRequest(spec)
+    if (described === null) return refusal
+    const named = scheduler.promisedRoom.refuse(spec, described, GROUP_CONTEXT)
+    // Nodes of an earlier build state no identity, and know the reason that was given before there were promises.
+    const reason = spec.identity === undefined || refusal.reason === PlacementRefusal.TooLate ? refusal.reason : named.reason
+    if (named.isPromised === true || refusal.retryAfter === null) return { ...named, reason }
+    // Without a promise, the requests that wait before it come first when it returns.
+    return { ...named, reason, retryAfter: Math.max(named.retryAfter ?? 0, refusal.retryAfter) }
   }
 
   /** Logs that a request no longer waits. */
@@ -281,10 +309,15 @@
     return held.length > 0 && held.every((engine) => usable.has(engine))
   }
 
-  /** Free memory of the engines, as far as all requests may use them. */
-  #freeRoom ([first]: readonly WaitingRequest[]): FreeRoom | null {
+  /** Free memory of the engines for one request, with what is kept for it. */
+  #roomFor (entry: WaitingRequest, room: FreeRoom): FreeRoom {
+    return entry.isPromised ? this.#freeRoom([entry], entry.request.spec.identity) ?? room : room
+  }
+
+  /** Free memory of the engines, as far as all requests may use them, or one with the identity. */
+  #freeRoom ([first]: readonly WaitingRequest[], identity?: string): FreeRoom | null {
     const { scheduler } = this.#options
-    const request = first === undefined ? null : scheduler.placementRequest({ ...first.request.spec, excluded: [], allowed: null, regions: undefined })
+    const request = first === undefined ? null : scheduler.placementRequest({ ...first.request.spec, excluded: [], allowed: null, regions: undefined, identity })
     if (request === null) return null
     const { candidates, loads, timing, now } = request
     const states = candidates.map((candidate) => new EngineState(candidate, loads.get(candidate.server.id), timing, now, 0)).filter(({ hasFreeSlot }) => hasFreeSlot)
@@ -308,6 +341,7 @@
     const { fleetState, scheduler } = this.#options
     const { spec, key } = request
     const { size, objective, organisation = '', urgency = LEAST_URGENT } = spec
+    const isPromised = scheduler.promisedRoom.isPromised(spec, now)
     const timing = scheduler.modelOf(this.service)
     const { memory, slots, usualAnswer } = timing.figures
     const tokens = size.prompt + Math.min(size.mostAnswer, usualAnswer)
@@ -315,9 +349,10 @@
     return {
       key,
       request,
-      urgency,
+      urgency: isPromised ? PROMISED_URGENCY : urgency,
       organisation,
       tokens,
+      isPromised,
       needsMuchMemory: tokens > memory / slots,
       needsEngine: tokens > memory * ENGINE_SHARE,
       work: timing.prefillTime(size.prompt),
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -45,12 +45,15 @@
 /** How an attempt is placed because of what it may do to its server. */
 export type AttemptCaution = Pick<PlacementSpec, 'isSuspected' | 'trialParts' | 'isolatedAs'>
 
+/** The same with the identity of the request, where memory may be promised to it. */
+export type IdentifiedCaution = AttemptCaution & Pick<PlacementSpec, 'identity'>
+
 export const NO_CAUTION: AttemptCaution = { isSuspected: false, trialParts: [] }
 
 /** Why an attempt is not placed. */
 export const PlacementRefusal = {
   NoServer: 'no_server',
-  /** No backend server will have the memory and a slot for it before its caller leaves. */
+  /** No backend servers have the memory and a slot for it now; or, if it may wait, none will have them before its caller leaves. */
   NoRoom: 'no_room',
   /** All backend servers that could serve it have stated a request limit, and it is reached. */
   RequestLimit: 'request_limit',
@@ -85,6 +88,8 @@
   readonly reason: string
   /** Time after which the caller may return; null if nothing is known of it. */
   readonly retryAfter: Millis | null
+  /** Whether memory is kept for the request until then. */
+  readonly isPromised?: boolean
   /** Statement of a backend server because of which none is chosen; absent if there is none. */
   readonly notice?: ServerNotice
   /** Backend server that has asked for a pause until the caller may return; absent if there is none. */
