Forwarding is split by job: sending, answers, silence, and the course of the request

AttemptSender, AnswerReceiver and SilentReplacement now have one of these jobs each and share a ForwardingHost; Forwarding keeps the course of the request. No change of behaviour.

--- /dev/null
+++ b/packages/node/src/forward/AttemptSender.ts
@@ -0,0 +1,81 @@
+/** Sends one request to the backend servers that are chosen for it. */
+import { AttemptEnd } from '@bluebellhill/domain'
+
+import { ServerCall } from './backend/ServerCall.js'
+import type { ServerCallListener } from './backend/ServerCall.js'
+import type { ForwardingHost } from './ForwardingHost.js'
+import { MemoryReservations } from './MemoryReservations.js'
+import type { RelayPeer } from './relay/RelayPeers.js'
+import type { PlacedAttempt } from './scheduling/types.js'
+import { serverCallRequest } from './serverCallRequest.js'
+import type { OpenAttempt } from './types.js'
+
+export interface AttemptSenderOptions {
+  readonly host: ForwardingHost
+  /** Returns what handles the answer of an attempt. */
+  readonly createListener: (attempt: OpenAttempt) => ServerCallListener
+  /** Called when an attempt has been sent to its server. */
+  readonly onSent: (attempt: OpenAttempt) => void
+}
+
+/** Begins the attempts of one request. */
+export class AttemptSender {
+  readonly #options: AttemptSenderOptions
+
+  /** @param options - the request, and what handles its answers */
+  constructor (options: AttemptSenderOptions) {
+    this.#options = options
+  }
+
+  /** Passes the request on to a node that reaches servers of its service. */
+  passOn (peer: RelayPeer): void {
+    const { host: { relay, progress, lastEventId }, createListener } = this.#options
+    progress.attemptCount += 1
+    const { attempt, request } = relay.open(peer, progress.attemptCount, lastEventId())
+    progress.attempt = attempt
+    attempt.serverCall = new ServerCall(request, createListener(attempt))
+  }
+
+  /**
+   * Begins an attempt that has been placed, and reserves the memory that it needs.
+   *
+   * @param placed - where it is placed
+   */
+  open (placed: PlacedAttempt): void {
+    const { context, history, progress, requestLog, lastEventId } = this.#options.host
+    const { choice: { server, holders }, assignment } = placed
+    history.start(server.id)
+    progress.attemptCount += 1
+    const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, context.memory, context.log)
+    const attempt: OpenAttempt = { server, placed, peer: null, sentAt: context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
+    progress.attempt = attempt
+    requestLog.attemptSent(placed, progress.attemptCount, lastEventId(), context.placement.answers.find(server))
+    if (reservations === null) this.#sendUnlessQuarantined(attempt, placed)
+    else void this.#reserveAndSend(attempt, placed, reservations)
+  }
+
+  async #reserveAndSend (attempt: OpenAttempt, placed: PlacedAttempt, reservations: MemoryReservations): Promise<void> {
+    const { context, progress, fail } = this.#options.host
+    const isReserved = await reservations.acquire()
+    if (progress.attempt !== attempt) return
+    const obstacle = isReserved ? context.placement.obstacleTo(placed) : 'reserving KV cache memory failed'
+    if (obstacle === null) this.#sendUnlessQuarantined(attempt, placed)
+    else fail(attempt, AttemptEnd.Unsent, obstacle)
+  }
+
+  /** A part may have got quarantined while the attempt was being placed, or while memory was being reserved for it. */
+  #sendUnlessQuarantined (attempt: OpenAttempt, { isTrial }: PlacedAttempt): void {
+    const { guard, refuseQuarantined } = this.#options.host
+    const quarantine = isTrial ? null : guard.findQuarantine()
+    if (quarantine === null) this.#send(attempt, isTrial)
+    else refuseQuarantined(quarantine)
+  }
+
+  #send (attempt: OpenAttempt, isTrial: boolean): void {
+    const { host: { context, call, guard, lastEventId }, createListener, onSent } = this.#options
+    attempt.watch = guard.watch(attempt.server, isTrial)
+    const request = serverCallRequest(call, attempt, lastEventId(), context.clock())
+    attempt.serverCall = new ServerCall(request, createListener(attempt))
+    onSent(attempt)
+  }
+}
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -3,62 +3,46 @@
 
 import { AttemptEnd, AttemptHistory, HealthSignal } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
-import { decodeAnswerHeaders } from '@bluebellhill/platform'
 
 import type { AdmittedCall } from './AdmittedCall.js'
+import { AnswerReceiver } from './AnswerReceiver.js'
+import type { AnswerHandler } from './AnswerReceiver.js'
 import { AttemptSearch } from './AttemptSearch.js'
-import { FIRST_FAILURE_STATUS, isSuccessfulAnswer, findAnswerProblem } from './answerHeads.js'
-import { MAX_FAILURE_BODY_BYTES } from './backend/answerLimits.js'
-import { isOfOtherServer, recordStatements } from './answerStatements.js'
-import { BoundedBuffer } from './backend/BoundedBuffer.js'
-import { ServerCall } from './backend/ServerCall.js'
-import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
+import { AttemptSender } from './AttemptSender.js'
 import { RefusalCause } from './entry/refusals.js'
+import type { ForwardingHost, RequestProgress } from './ForwardingHost.js'
+import { ForwardOutcome } from './ForwardOutcome.js'
 import { healthSignalOf } from './healthSignal.js'
+import type { QuarantineVerdict } from './quarantine/NodeQuarantine.js'
+import { RequestGuard } from './quarantine/RequestGuard.js'
 import { isWaitStated, quarantineCauseOf, quarantineProblem, refusalCauseOf } from './refusalCause.js'
+import { RequestRelay } from './relay/RequestRelay.js'
+import type { PeerRefusal } from './relay/RequestRelay.js'
 import { RequestEnding } from './RequestEnding.js'
 import type { RequestSummary } from './RequestEnding.js'
 import { RequestLog } from './RequestLog.js'
-import { MemoryReservations } from './MemoryReservations.js'
-import { RequestGuard } from './quarantine/RequestGuard.js'
-import type { QuarantineVerdict } from './quarantine/NodeQuarantine.js'
 import { PlacementRefusal } from './scheduling/types.js'
-import type { PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
-import { ForwardOutcome } from './ForwardOutcome.js'
-import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
-import { SilenceTimer } from './SilenceTimer.js'
-import type { ChangeCheck } from './SilenceTimer.js'
-import { SilentAttempts } from './SilentAttempts.js'
-import { withoutRelayHeaders } from './relay/relayHeaders.js'
-import type { RelayPeer } from './relay/RelayPeers.js'
-import { RequestRelay } from './relay/RequestRelay.js'
-import { serverCallRequest } from './serverCallRequest.js'
+import type { RefusedPlacement } from './scheduling/types.js'
+import { SilentReplacement } from './SilentReplacement.js'
+import type { ForwardingContext, OpenAttempt } from './types.js'
 import { CloseCause, RequestStage } from './unansweredRequests.js'
 
 /** Longest time for which a request that may have run waits until a server accepts requests again. */
 const MAX_SERVER_WAIT: Millis = 1_000
 
-/** Interval at which another server is looked for while the server of a request is silent. */
-const SEARCH_PERIOD: Millis = 1_000
-
-const SERVER_ERROR = 500
-
 /** Sends one request to one backend server after another, as far as its route and the retry budget allow. */
 export abstract class Forwarding {
-  protected attempt: OpenAttempt | null = null
   protected readonly history: AttemptHistory
-  protected signedFailure: SignedFailure | null = null
-  protected firstAnswerAt: Millis | null = null
+  readonly #progress: RequestProgress = { attempt: null, attemptCount: 0, lastProblem: '', signedFailure: null }
   readonly #guard: RequestGuard
   readonly #requestLog: RequestLog
   readonly #ending: RequestEnding
   readonly #search: AttemptSearch
   readonly #relay: RequestRelay
-  readonly #silentAttempts = new SilentAttempts((attempt, signal) => this.#release(attempt, signal))
-  readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#dataOverdue(attempt, silence, hasGoneOn) })
-  #attemptCount = 0
+  readonly #silence: SilentReplacement
+  readonly #sender: AttemptSender
+  #firstAnswerAt: Millis | null = null
   #searchCount = 0
-  #lastProblem = ''
   #deadlineTimer: NodeJS.Timeout | null = null
   #waitTimer: NodeJS.Timeout | null = null
   /** Why the request waited last; empty if it has not. */
@@ -80,6 +64,10 @@
     this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
     this.#relay = new RequestRelay({ context, call, history: this.history, requestLog: this.#requestLog })
     this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog })
+    const host = this.#createHost()
+    this.#silence = new SilentReplacement(host, () => this.#stopWaiting())
+    const receiver = new AnswerReceiver({ host, silence: this.#silence, handler: this.#createAnswerHandler() })
+    this.#sender = new AttemptSender({ host, createListener: (attempt) => receiver.createListener(attempt), onSent: (attempt) => this.#silence.restartTimer(attempt) })
   }
 
   /** Starts the first attempt. */
@@ -97,15 +85,15 @@
       this.#ending.recordUnanswered(CloseCause.StopGraceOver, stage, 'the caller has not read its answer')
       return
     }
-    if (this.attempt !== null) this.#closeAttempt(this.attempt)
+    if (this.#progress.attempt !== null) this.#closeAttempt(this.#progress.attempt)
     this.#ending.abort(ForwardOutcome.Lost, CloseCause.StopGraceOver, stage)
   }
 
   /** How far the request has come. */
   protected get stage (): RequestStage {
     if (this.hasStartedAnswer) return RequestStage.Answer
-    if (this.attempt === null) return RequestStage.Placement
-    return this.attempt.serverCall === null ? RequestStage.Reservation : RequestStage.Sent
+    if (this.#progress.attempt === null) return RequestStage.Placement
+    return this.#progress.attempt.serverCall === null ? RequestStage.Reservation : RequestStage.Sent
   }
 
   /** Whether the head of an answer has been sent to the caller. */
@@ -139,85 +127,10 @@
 
   /** Records the time of the first data that is sent to the caller, and gives up the attempts that were kept until then. */
   protected recordFirstAnswer (attempt: OpenAttempt): void {
-    this.#silentAttempts.closeAll()
-    if (this.firstAnswerAt !== null) return
-    this.firstAnswerAt = this.context.clock()
-    if (attempt.placed !== null) this.context.metrics.firstAnswerSent(this.call.route.kind, attempt.placed.choice.timeToFirstEvent, this.firstAnswerAt - attempt.sentAt)
-  }
-
-  /** Measures anew how long the server of the attempt sends no data. */
-  protected restartDataTimer (attempt: OpenAttempt): void {
-    this.#silenceTimer.restart(attempt, this.dataTimeout(attempt))
-  }
-
-  /** Waits on while the engine is known to prefill other prompts: another engine would have to read this prompt anew. */
-  async #dataOverdue (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
-    const { placed } = attempt
-    if (placed === null) return
-    const extension = await this.context.placement.explainedSilence(placed)
-    if (hasGoneOn()) return
-    if (extension > 0) {
-      this.#requestLog.attemptWaits(attempt, silence, extension)
-      this.#silenceTimer.extend(attempt, extension, silence + extension)
-      return
-    }
-    if (!attempt.isSilenceReported) this.context.placement.reportSilence(placed)
-    attempt.isSilenceReported = true
-    await this.#replaceSilent(attempt, silence, hasGoneOn)
-  }
-
-  /** Starts another attempt beside a silent one, which is only given up once the other server has begun to answer. */
-  async #replaceSilent (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
-    const placement = await this.#search.find(true)
-    if (hasGoneOn()) {
-      this.#search.discard(placement)
-      return
-    }
-    this.#lastProblem = `${AttemptEnd.TimedOut}: no byte for ${Math.round(silence)} ms`
-    if (placement.type === 'refused') {
-      this.#requestLog.silentAttemptKept(attempt, silence, placement.reason)
-      this.#silenceTimer.extend(attempt, SEARCH_PERIOD, silence + SEARCH_PERIOD)
-      return
-    }
-    this.history.end(attempt.server.id, AttemptEnd.TimedOut)
-    this.#requestLog.attemptFailed(attempt, AttemptEnd.TimedOut, `no byte for ${Math.round(silence)} ms`)
-    this.#setAside(attempt)
-    this.#openAttempt(placement.attempt)
-  }
-
-  /** Before the answer has started, memory on other engines is released at once: the next attempt may need it, and a dead server would keep it. */
-  #setAside (attempt: OpenAttempt): void {
-    if (attempt.reservations !== null && !this.hasStartedAnswer) {
-      this.#closeAttempt(attempt)
-      return
-    }
-    this.#silenceTimer.clear()
-    this.#silentAttempts.add(attempt)
-  }
-
-  /** @returns whether an attempt is in progress; a silent one whose server goes on takes the place of the one that was to replace it */
-  #isCurrent (attempt: OpenAttempt): boolean {
-    if (this.attempt === attempt) return true
-    if (!this.#silentAttempts.has(attempt) || this.#ending.isOver) return false
-    const replacement = this.attempt
-    if (replacement !== null) {
-      this.history.end(replacement.server.id, replacement.serverCall?.mayBeSent === true ? AttemptEnd.TimedOut : AttemptEnd.Unsent)
-      this.#closeAttempt(replacement)
-    }
-    this.#returnToSilent(attempt, 'data')
-    this.#silentAttempts.closeAll()
-    return true
-  }
-
-  /** Goes on with a silent attempt, if there is one. */
-  #returnToSilent (attempt: OpenAttempt | undefined, cause: 'data' | 'no_other_attempt'): boolean {
-    if (attempt === undefined) return false
-    this.#silentAttempts.remove(attempt)
-    if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
-    this.attempt = attempt
-    this.#requestLog.silentAttemptResumed(attempt, cause)
-    this.restartDataTimer(attempt)
-    return true
+    this.#silence.closeAll()
+    if (this.#firstAnswerAt !== null) return
+    this.#firstAnswerAt = this.context.clock()
+    if (attempt.placed !== null) this.context.metrics.firstAnswerSent(this.call.route.kind, attempt.placed.choice.timeToFirstEvent, this.#firstAnswerAt - attempt.sentAt)
   }
 
   /** While this node may reach no server at all, a failed connection says nothing of the server. */
@@ -227,14 +140,14 @@
 
   /** Ends an attempt without a complete answer, and starts another one if the route and the retry budget allow it. */
   protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string, signal = this.#signalOf(attempt, end)): void {
-    if (this.#silentAttempts.has(attempt)) {
+    if (this.#silence.has(attempt)) {
       this.#requestLog.attemptFailed(attempt, end, reason)
-      this.#silentAttempts.close(attempt, signal === HealthSignal.Faulty ? signal : null)
+      this.#silence.close(attempt, signal === HealthSignal.Faulty ? signal : null)
     }
-    if (this.attempt !== attempt || this.#ending.isOver) return
+    if (this.#progress.attempt !== attempt || this.#ending.isOver) return
     this.#closeAttempt(attempt, signal)
     if (attempt.peer !== null && end === AttemptEnd.Broken) this.context.relay.peers.failed(attempt.peer)
-    this.#lastProblem = `${end}: ${reason}`
+    this.#progress.lastProblem = `${end}: ${reason}`
     const isRetryAllowed = this.history.end(attempt.server.id, end)
     this.#requestLog.attemptFailed(attempt, end, reason)
     const hasTimeLeft = this.context.clock() < this.call.deadlineAt
@@ -252,12 +165,12 @@
     this.#searchCount += 1
     const search = this.#searchCount
     // A silent attempt may have gone on and failed meanwhile, so that a later search has begun.
-    const isSuperseded = (): boolean => this.#ending.isOver || this.attempt !== null || search !== this.#searchCount
-    if (this.#attemptCount > 0) await this.#relay.checkSettled()
+    const isSuperseded = (): boolean => this.#ending.isOver || this.#progress.attempt !== null || search !== this.#searchCount
+    if (this.#progress.attemptCount > 0) await this.#relay.checkSettled()
     if (isSuperseded()) return
     const peer = this.#relay.choosePeer()
     if (peer !== null) {
-      this.#passOn(peer)
+      this.#sender.passOn(peer)
       return
     }
     const placement = await this.#search.find(chargesRetry)
@@ -266,7 +179,7 @@
       return
     }
     if (placement.type === 'placed') {
-      this.#openAttempt(placement.attempt)
+      this.#sender.open(placement.attempt)
       return
     }
     const quarantine = placement.reason === PlacementRefusal.Quarantined ? this.#guard.findQuarantine() : null
@@ -276,7 +189,7 @@
     }
     if (this.#waitsForServer(placement, chargesRetry)) return
     this.#requestLog.placementRefused(placement)
-    this.#lastProblem ||= placement.reason
+    this.#progress.lastProblem ||= placement.reason
     this.#giveUp(placement)
   }
 
@@ -295,162 +208,57 @@
     return true
   }
 
-  /** Passes the request on to a node that reaches servers of its service. */
-  #passOn (peer: RelayPeer): void {
-    this.#attemptCount += 1
-    const { attempt, request } = this.#relay.open(peer, this.#attemptCount, this.lastEventId)
-    this.attempt = attempt
-    attempt.serverCall = new ServerCall(request, this.#createListener(attempt))
-  }
-
-  /** @returns whether the attempt has ended, because the other node does not pass on the answer of a server */
-  #peerRefused (attempt: OpenAttempt, peer: RelayPeer, head: AnswerHead): boolean {
-    const refusal = this.#relay.refusalOf(peer, head)
-    if (refusal === null) return false
-    if (refusal.cause === null) {
-      this.failAttempt(attempt, AttemptEnd.Unsent, refusal.reason, null)
-      return true
+  #peerRefused (attempt: OpenAttempt, { cause, reason, retryAfter }: PeerRefusal): void {
+    if (cause === null) {
+      this.failAttempt(attempt, AttemptEnd.Unsent, reason, null)
+      return
     }
-    this.#requestLog.attemptFailed(attempt, AttemptEnd.NotRun, refusal.reason)
-    this.#lastProblem = refusal.reason
+    this.#requestLog.attemptFailed(attempt, AttemptEnd.NotRun, reason)
+    this.#progress.lastProblem = reason
     this.#closeAttempt(attempt)
-    this.context.metrics.requestRefused(refusal.cause)
-    this.#refuseOrAbort(refusal.cause, ForwardOutcome.Refused, CloseCause.AnswerLost, refusal.retryAfter)
-    return true
-  }
-
-  #openAttempt (placed: PlacedAttempt): void {
-    const { choice: { server, holders }, assignment } = placed
-    this.history.start(server.id)
-    this.#attemptCount += 1
-    const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, this.context.memory, this.context.log)
-    const attempt: OpenAttempt = { server, placed, peer: null, sentAt: this.context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
-    this.attempt = attempt
-    this.#requestLog.attemptSent(placed, this.#attemptCount, this.lastEventId, this.context.placement.answers.find(server))
-    if (reservations === null) this.#sendUnlessQuarantined(attempt, placed)
-    else void this.#reserveAndSend(attempt, placed, reservations)
-  }
-
-  async #reserveAndSend (attempt: OpenAttempt, placed: PlacedAttempt, reservations: MemoryReservations): Promise<void> {
-    const isReserved = await reservations.acquire()
-    if (this.attempt !== attempt) return
-    const obstacle = isReserved ? this.context.placement.obstacleTo(placed) : 'reserving KV cache memory failed'
-    if (obstacle === null) this.#sendUnlessQuarantined(attempt, placed)
-    else this.failAttempt(attempt, AttemptEnd.Unsent, obstacle)
-  }
-
-  /** A part may have got quarantined while the attempt was being placed, or while memory was being reserved for it. */
-  #sendUnlessQuarantined (attempt: OpenAttempt, { isTrial }: PlacedAttempt): void {
-    const quarantine = isTrial ? null : this.#guard.findQuarantine()
-    if (quarantine === null) this.#send(attempt, isTrial)
-    else this.#refuseQuarantined(quarantine)
-  }
-
-  #send (attempt: OpenAttempt, isTrial: boolean): void {
-    attempt.watch = this.#guard.watch(attempt.server, isTrial)
-    const request = serverCallRequest(this.call, attempt, this.lastEventId, this.context.clock())
-    attempt.serverCall = new ServerCall(request, this.#createListener(attempt))
-    this.restartDataTimer(attempt)
+    this.context.metrics.requestRefused(cause)
+    this.#refuseOrAbort(cause, ForwardOutcome.Refused, CloseCause.AnswerLost, retryAfter)
   }
 
-  #createListener (attempt: OpenAttempt): ServerCallListener {
-    const failureBody = new BoundedBuffer(MAX_FAILURE_BODY_BYTES)
+  #createHost (): ForwardingHost {
     return {
-      onHead: (head) => this.#headReceived(attempt, head),
-      onData: (chunk) => {
-        if (!this.#isCurrent(attempt)) return
-        this.restartDataTimer(attempt)
-        if (isSuccessfulAnswer(attempt)) {
-          attempt.watch?.dataReceived()
-          // The data may refute a crash, and so leave the request itself as the cause of another one.
-          if (this.attempt === attempt) this.chunkReceived(attempt, chunk)
-        } else if (!failureBody.append(chunk)) this.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
-      },
-      onEnd: () => this.#answerEnded(attempt, failureBody.take()),
-      onFailure: (mayBeSent, reason) => this.#connectionFailed(attempt, mayBeSent, reason),
-      onOversize: (reason) => this.answerOversized(attempt, reason)
-    }
-  }
-
-  #connectionFailed (attempt: OpenAttempt, mayBeSent: boolean, reason: string): void {
-    if (!mayBeSent) this.#relay.notConnected(attempt)
-    if (mayBeSent && attempt.serverCall?.isBrokenOff === true) attempt.watch?.brokenOff()
-    this.failAttempt(attempt, mayBeSent ? AttemptEnd.Broken : AttemptEnd.Unsent, reason)
-  }
-
-  #headReceived (attempt: OpenAttempt, head: AnswerHead): void {
-    if (this.#ending.isOver || (this.attempt !== attempt && !this.#silentAttempts.has(attempt))) return
-    const { peer } = attempt
-    if (peer !== null && this.#peerRefused(attempt, peer, head)) return
-    attempt.head = peer === null ? head : { ...head, rawHeaders: withoutRelayHeaders(head.rawHeaders) }
-    attempt.answer = decodeAnswerHeaders(head.status, head.headers)
-    if (peer === null) {
-      this.context.relay.checks.dataReceived(attempt.server, attempt.sentAt)
-      recordStatements(this.context, this.call, attempt.server, head.status, attempt.answer)
-    }
-    const problem = findAnswerProblem(attempt.answer, head.status, this.call.id)
-    if (this.#silentAttempts.has(attempt) && (problem !== null || !isSuccessfulAnswer(attempt))) {
-      this.failAttempt(attempt, AttemptEnd.Failed, problem ?? `status ${head.status}`)
-      return
-    }
-    if (!this.#isCurrent(attempt)) return
-    if (problem !== null) this.failAttempt(attempt, AttemptEnd.Broken, problem)
-    else if (isSuccessfulAnswer(attempt)) this.successStarted(attempt)
-  }
-
-  #answerEnded (attempt: OpenAttempt, body: Buffer): void {
-    if (this.#silentAttempts.has(attempt) && !this.isAnswerWhole(attempt)) {
-      this.#connectionEnded(attempt, 'the answer ended before it was complete')
-      return
-    }
-    if (!this.#isCurrent(attempt)) return
-    const { head, answer } = attempt
-    if (head === null || answer === null) {
-      this.#connectionEnded(attempt, 'the answer ended before its head')
-    } else if (answer.notRun) {
-      if (isOfOtherServer(attempt.server, head.status, answer)) this.context.fleetState.markServerReplaced(attempt.server.id)
-      this.#notRunReceived(attempt, head.status, answer.faultyServer)
-    } else if (head.status >= FIRST_FAILURE_STATUS) {
-      this.#serverFailed(attempt, { head, body })
-    } else if (this.completeAnswer(attempt)) {
-      attempt.watch?.completed()
-      this.#closeAttempt(attempt, HealthSignal.Good)
-      this.#ending.answered(head.status)
-    } else {
-      this.#connectionEnded(attempt, 'the answer ended before it was complete')
-    }
-  }
-
-  #connectionEnded (attempt: OpenAttempt, reason: string): void {
-    attempt.watch?.brokenOff()
-    this.failAttempt(attempt, AttemptEnd.Broken, reason)
-  }
-
-  #notRunReceived (attempt: OpenAttempt, status: number, faultyServer: string | null): void {
-    if (faultyServer === null || faultyServer === attempt.server.address) {
-      this.failAttempt(attempt, AttemptEnd.NotRun, `status ${status}`)
-      return
+      context: this.context,
+      call: this.call,
+      history: this.history,
+      requestLog: this.#requestLog,
+      guard: this.#guard,
+      search: this.#search,
+      relay: this.#relay,
+      ending: this.#ending,
+      progress: this.#progress,
+      lastEventId: () => this.lastEventId,
+      hasStartedAnswer: () => this.hasStartedAnswer,
+      dataTimeout: (attempt) => this.dataTimeout(attempt),
+      open: (placed) => this.#sender.open(placed),
+      close: (attempt, signal) => this.#closeAttempt(attempt, signal),
+      release: (attempt, signal) => this.#release(attempt, signal),
+      fail: (attempt, end, reason, signal) => this.failAttempt(attempt, end, reason, signal),
+      refuseQuarantined: (verdict) => this.#refuseQuarantined(verdict)
     }
-    this.context.placement.reportUnreachableAddress(faultyServer)
-    this.failAttempt(attempt, AttemptEnd.HelperFailed, `status ${status}, caused by ${faultyServer}`)
   }
 
-  #serverFailed (attempt: OpenAttempt, failure: SignedFailure): void {
-    this.signedFailure = failure
-    if (failure.head.status >= SERVER_ERROR && attempt.peer === null) {
-      this.failAttempt(attempt, AttemptEnd.Failed, `status ${failure.head.status}`)
-      return
+  #createAnswerHandler (): AnswerHandler {
+    return {
+      successStarted: (attempt) => this.successStarted(attempt),
+      chunkReceived: (attempt, chunk) => this.chunkReceived(attempt, chunk),
+      isAnswerWhole: (attempt) => this.isAnswerWhole(attempt),
+      completeAnswer: (attempt) => this.completeAnswer(attempt),
+      answerOversized: (attempt, reason) => this.answerOversized(attempt, reason),
+      peerRefused: (attempt, refusal) => this.#peerRefused(attempt, refusal)
     }
-    this.#closeAttempt(attempt)
-    this.#ending.returnFailure(failure)
   }
 
   #giveUp (refusal: RefusedPlacement | null = null): void {
-    if ((this.hasStartedAnswer || this.signedFailure === null) && this.#returnToSilent(this.#silentAttempts.first, 'no_other_attempt')) return
+    if ((this.hasStartedAnswer || this.#progress.signedFailure === null) && this.#silence.resumeFirst()) return
     if (this.hasStartedAnswer) {
       this.#ending.abort(ForwardOutcome.Lost, CloseCause.AnswerLost, this.stage)
-    } else if (this.signedFailure !== null) {
-      this.#ending.returnFailure(this.signedFailure)
+    } else if (this.#progress.signedFailure !== null) {
+      this.#ending.returnFailure(this.#progress.signedFailure)
     } else if (this.history.mayHaveRun) {
       this.#ending.refuse(RefusalCause.AnswerLost, ForwardOutcome.Lost)
     } else {
@@ -464,7 +272,7 @@
     const mayHaveRun = this.#closeLastAttempt()
     this.#requestLog.quarantined(verdict, mayHaveRun)
     this.context.placement.quarantine.refused(verdict)
-    this.#lastProblem = quarantineProblem(verdict)
+    this.#progress.lastProblem = quarantineProblem(verdict)
     const cause = quarantineCauseOf(verdict, mayHaveRun)
     this.context.metrics.requestRefused(cause)
     this.#refuseOrAbort(cause, mayHaveRun ? ForwardOutcome.Lost : ForwardOutcome.Refused, CloseCause.Quarantined)
@@ -478,7 +286,7 @@
 
   /** Closes the attempt in progress, if there is one. Returns whether a backend server may have run the request. */
   #closeLastAttempt (): boolean {
-    const { attempt } = this
+    const { attempt } = this.#progress
     const mayHaveRun = this.history.mayHaveRun || attempt?.serverCall?.mayBeSent === true
     if (attempt !== null) this.#closeAttempt(attempt)
     return mayHaveRun
@@ -492,13 +300,13 @@
 
   #callerDisconnected (): void {
     if (this.#ending.isOver) return
-    if (this.attempt !== null) this.#closeAttempt(this.attempt)
+    if (this.#progress.attempt !== null) this.#closeAttempt(this.#progress.attempt)
     this.#ending.callerDisconnected()
   }
 
   #closeAttempt (attempt: OpenAttempt, signal: HealthSignal | null = null): void {
-    this.#silenceTimer.clear()
-    this.attempt = null
+    this.#silence.stopTimer()
+    this.#progress.attempt = null
     this.#release(attempt, signal)
   }
 
@@ -512,16 +320,20 @@
   }
 
   #releaseAll (): void {
-    this.#silentAttempts.closeAll()
+    this.#silence.closeAll()
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer)
+    this.#stopWaiting()
+  }
+
+  #stopWaiting (): void {
     if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
   }
 
   #summary (): RequestSummary {
     return {
       servers: this.history.triedServers(),
-      firstAnswer: this.firstAnswerAt === null ? null : this.firstAnswerAt - this.call.arrivedAt,
-      problem: this.#lastProblem,
+      firstAnswer: this.#firstAnswerAt === null ? null : this.#firstAnswerAt - this.call.arrivedAt,
+      problem: this.#progress.lastProblem,
       answerFields: this.answerLogFields()
     }
   }
--- /dev/null
+++ b/packages/node/src/forward/SilentReplacement.ts
@@ -0,0 +1,133 @@
+/** Replaces an attempt whose server is silent, and goes on with it if its server sends data first after all. */
+import { AttemptEnd } from '@bluebellhill/domain'
+import type { HealthSignal, Millis } from '@bluebellhill/domain'
+
+import type { ForwardingHost } from './ForwardingHost.js'
+import { SilenceTimer } from './SilenceTimer.js'
+import type { ChangeCheck } from './SilenceTimer.js'
+import { SilentAttempts } from './SilentAttempts.js'
+import type { OpenAttempt } from './types.js'
+
+/** Interval at which another server is looked for while the server of a request is silent. */
+const SEARCH_PERIOD: Millis = 1_000
+
+/** Measures the silence of the attempt in progress, and keeps the silent attempts beside it. */
+export class SilentReplacement {
+  readonly #host: ForwardingHost
+  readonly #silentAttempts: SilentAttempts
+  readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#dataOverdue(attempt, silence, hasGoneOn) })
+  readonly #onResumed: () => void
+
+  /**
+   * @param host - the request
+   * @param onResumed - called when the request goes on with a silent attempt
+   */
+  constructor (host: ForwardingHost, onResumed: () => void) {
+    this.#host = host
+    this.#onResumed = onResumed
+    this.#silentAttempts = new SilentAttempts((attempt, signal) => host.release(attempt, signal))
+  }
+
+  /** Measures anew how long the server of the attempt sends no data. */
+  restartTimer (attempt: OpenAttempt): void {
+    this.#silenceTimer.restart(attempt, this.#host.dataTimeout(attempt))
+  }
+
+  stopTimer (): void {
+    this.#silenceTimer.clear()
+  }
+
+  /** @returns whether the attempt is silent and another one is in progress */
+  has (attempt: OpenAttempt): boolean {
+    return this.#silentAttempts.has(attempt)
+  }
+
+  close (attempt: OpenAttempt, signal: HealthSignal | null): void {
+    this.#silentAttempts.close(attempt, signal)
+  }
+
+  closeAll (): void {
+    this.#silentAttempts.closeAll()
+  }
+
+  /** @returns whether an attempt is in progress; a silent one whose server goes on takes the place of the one that was to replace it */
+  isCurrent (attempt: OpenAttempt): boolean {
+    const { progress, history, ending, close } = this.#host
+    if (progress.attempt === attempt) return true
+    if (!this.#silentAttempts.has(attempt) || ending.isOver) return false
+    const replacement = progress.attempt
+    if (replacement !== null) {
+      history.end(replacement.server.id, replacement.serverCall?.mayBeSent === true ? AttemptEnd.TimedOut : AttemptEnd.Unsent)
+      close(replacement)
+    }
+    this.#resume(attempt, 'data')
+    this.#silentAttempts.closeAll()
+    return true
+  }
+
+  /** Goes on with the earliest silent attempt. Returns false if there is none. */
+  resumeFirst (): boolean {
+    const { first } = this.#silentAttempts
+    if (first === undefined) return false
+    this.#resume(first, 'no_other_attempt')
+    return true
+  }
+
+  #resume (attempt: OpenAttempt, cause: 'data' | 'no_other_attempt'): void {
+    const { progress, requestLog } = this.#host
+    this.#silentAttempts.remove(attempt)
+    this.#onResumed()
+    progress.attempt = attempt
+    requestLog.silentAttemptResumed(attempt, cause)
+    this.restartTimer(attempt)
+  }
+
+  /** Waits on while the engine is known to prefill other prompts: another engine would have to read this prompt anew. */
+  async #dataOverdue (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
+    const { context: { placement }, requestLog } = this.#host
+    const { placed } = attempt
+    if (placed === null) return
+    const extension = await placement.explainedSilence(placed)
+    if (hasGoneOn()) return
+    if (extension > 0) {
+      requestLog.attemptWaits(attempt, silence, extension)
+      this.#silenceTimer.extend(attempt, extension, silence + extension)
+      return
+    }
+    if (!attempt.isSilenceReported) placement.reportSilence(placed)
+    attempt.isSilenceReported = true
+    await this.#replace(attempt, silence, hasGoneOn)
+  }
+
+  /** Starts another attempt beside a silent one, which is only given up once the other server has begun to answer. */
+  async #replace (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
+    const { search, history, requestLog, progress, open } = this.#host
+    const placement = await search.find(true)
+    if (hasGoneOn()) {
+      search.discard(placement)
+      return
+    }
+    const reason = `no byte for ${Math.round(silence)} ms`
+    progress.lastProblem = `${AttemptEnd.TimedOut}: ${reason}`
+    if (placement.type === 'refused') {
+      requestLog.silentAttemptKept(attempt, silence, placement.reason)
+      this.#silenceTimer.extend(attempt, SEARCH_PERIOD, silence + SEARCH_PERIOD)
+      return
+    }
+    history.end(attempt.server.id, AttemptEnd.TimedOut)
+    requestLog.attemptFailed(attempt, AttemptEnd.TimedOut, reason)
+    this.#setAside(attempt)
+    open(placement.attempt)
+  }
+
+  /** Before the answer has started, memory on other engines is released at once: the next attempt may need it, and a dead server would keep it. */
+  #setAside (attempt: OpenAttempt): void {
+    const { hasStartedAnswer, close } = this.#host
+    if (attempt.reservations !== null && !hasStartedAnswer()) {
+      close(attempt)
+      return
+    }
+    this.#silenceTimer.clear()
+    this.#silentAttempts.add(attempt)
+  }
+}
