Decisions on hedged requests: when an attempt is late, and how many may be hedged

The slowest safe requests wait for one server that is late, while others are free. AttemptHistory counts both attempts of a hedged request.

--- a/packages/domain/src/forwarding/AttemptHistory.ts
+++ b/packages/domain/src/forwarding/AttemptHistory.ts
@@ -42,6 +42,8 @@
   /** Servers that must not get the request again, in order of their attempts. */
   readonly #tried = new Set<RunnerId>()
   readonly #route: Route
+  /** Servers whose attempts go on beside the one that was started last. */
+  readonly #beside = new Set<RunnerId>()
   /** Server of the attempt in progress. */
   #current: RunnerId | null = null
   #unsentAttempts = 0
@@ -55,7 +57,7 @@
 
   /** Whether the request may have run on any server. */
   get mayHaveRun (): boolean {
-    return this.#mayHaveRun
+    return this.#mayHaveRun || this.#beside.size > 0
   }
 
   /** Whether the limit of servers that the request may be sent to is reached. */
@@ -98,14 +100,26 @@
   }
 
   /**
-   * Records the end of the last attempt.
+   * Records that an attempt goes on while another one is started beside it. Both count towards the route's limit.
+   *
+   * @param server - the backend server that it was sent to
+   */
+  keepBeside (server: RunnerId): void {
+    this.#current = null
+    this.#sentTo.add(server)
+    this.#beside.add(server)
+  }
+
+  /**
+   * Records the end of the last attempt, or of one that went on beside it.
    *
    * @param server - the backend server that it was sent to
    * @param end - how it ended
    * @returns whether another attempt is allowed
    */
   end (server: RunnerId, end: AttemptEnd): boolean {
-    this.#current = null
+    this.#beside.delete(server)
+    if (this.#current === server) this.#current = null
     if (end !== AttemptEnd.Unsent) this.#sentTo.add(server)
     switch (end) {
       case AttemptEnd.Unsent:
--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -141,15 +141,17 @@
    * @param node - the peer
    * @param number - number of the assignment at the peer
    * @param now - current time
+   * @returns the assignment; null if it is not known
    */
-  endGranted (node: NodeId, number: number, now: Millis): void {
+  endGranted (node: NodeId, number: number, now: Millis): Assignment | null {
     const id = assignmentId(node, number)
     const peer = this.#peers.get(node)
     const assignment = peer?.assignments.get(id)
-    if (peer === undefined || assignment === undefined) return
+    if (peer === undefined || assignment === undefined) return null
     if (!assignment.isPrefilled) this.#dequeuePrefill(assignment, now)
     peer.assignments.delete(id)
     peer.grantedAt.delete(id)
+    return assignment
   }
 
   /**
--- /dev/null
+++ b/packages/domain/src/forwarding/hedging/index.ts
@@ -0,0 +1,2 @@
+export * from './HedgeAdmission.js'
+export * from './HedgeDelays.js'
