Setting hedging.max_ratio, and the environment variable for deployments that cannot change the file

Operators state which share of requests may be hedged. The file goes first; a share that is not above 0 and at most 1 is refused by its field or variable. Nothing reads it yet.

--- a/packages/node/src/forward/SettingsFile.ts
+++ b/packages/node/src/forward/SettingsFile.ts
@@ -1,7 +1,7 @@
 /** Reads the platform's settings file, and reads it again after a signal or when the file has changed. */
 import { readFileSync, unwatchFile, watchFile } from 'node:fs'
 
-import { parseSettings } from '@bluebellhill/platform'
+import { applyEnvironment, parseSettings } from '@bluebellhill/platform'
 import type { PlatformSettings, SettingsProblem } from '@bluebellhill/platform'
 import { failed } from '@bluebellhill/services'
 import type { Result } from '@bluebellhill/services'
@@ -13,17 +13,19 @@
 const POLL_PERIOD: Millis = 2_000
 
 /** Settings that take effect without a restart. */
-const RELOADABLE_SETTINGS: ReadonlyArray<keyof PlatformSettings> = ['stopGrace', 'retryRatio', 'retrySlack']
+const RELOADABLE_SETTINGS: ReadonlyArray<keyof PlatformSettings> = ['stopGrace', 'retryRatio', 'retrySlack', 'hedgingMaxRatio']
 
 /**
- * Reads a settings file.
+ * Reads a settings file, and the environment variables for what it leaves out.
  *
  * @param path - path of the file
+ * @param environment - environment variables of the process
  * @returns the settings, or a problem for each invalid field
  */
-export const readSettings = (path: string): Result<PlatformSettings, readonly SettingsProblem[]> => {
+export const readSettings = (path: string, environment: Readonly<Record<string, string | undefined>> = process.env): Result<PlatformSettings, readonly SettingsProblem[]> => {
   try {
-    return parseSettings(readFileSync(path, 'utf8'))
+    const settings = parseSettings(readFileSync(path, 'utf8'))
+    return settings.ok ? applyEnvironment(settings.value, environment) : settings
   } catch (error) {
     return failed([{ field: 'file', message: error instanceof Error ? error.message : String(error) }])
   }
@@ -71,8 +73,8 @@
     const changed = changedFields(this.#settings, settings.value)
     const applied = changed.filter((field) => RELOADABLE_SETTINGS.includes(field))
     const deferred = changed.filter((field) => !RELOADABLE_SETTINGS.includes(field))
-    const { stopGrace, retryRatio, retrySlack } = settings.value
-    this.#settings = { ...this.#settings, stopGrace, retryRatio, retrySlack }
+    const { stopGrace, retryRatio, retrySlack, hedgingMaxRatio } = settings.value
+    this.#settings = { ...this.#settings, stopGrace, retryRatio, retrySlack, hedgingMaxRatio }
     this.log.info('settings.reloaded', { cause, applied: applied.join(',') || undefined, after_restart: deferred.join(',') || undefined })
   }
 }
--- a/packages/node/tests/settingsFile.test.ts
+++ b/packages/node/tests/settingsFile.test.ts
@@ -58,3 +58,14 @@
   t.is(file.current.stopGrace, 8_000)
   t.regex(lines.join('\n'), /settings\.unusable/)
 })
+
+test('a changed share of hedged requests is in force after a reload', (t) => {
+  const { file, write } = open()
+  t.is(file.current.hedgingMaxRatio, null)
+  write(`${text(8, 0.2, 80)}[hedging]\nmax_ratio = 0.02\n`)
+  file.reload('SIGHUP')
+  t.is(file.current.hedgingMaxRatio, 0.02)
+  write(`${text(8, 0.2, 80)}[hedging]\nmax_ratio = 2\n`)
+  file.reload('SIGHUP')
+  t.is(file.current.hedgingMaxRatio, 0.02)
+})
