Late safe requests are hedged: a second attempt at another server, the first complete answer wins

SilentReplacement starts the second attempt beside a silent one as before, and now also earlier, once the attempt is later than nearly all recent ones of its kind. The two attempts are then equal: data of the set-aside one are collected without ending the other, a failure leaves the other, the loser is closed at once. Only plain requests that may run any number of times.

The scheduler decides on each hedge: its query carries is_hedge, charges the retry budget and the operator's share, which the scheduler keeps for the requests of all nodes. At 1.8 reads a second over 59 nodes, a node by itself would see one read in 33 s, and could send a hedge each 27 minutes. For the same reason the scheduler learns the answer times of plain services from the reports of attempts, and states the delay with its grants (Placement.hedge_after_ms); a node with enough answers of the route uses its own. A grant without Placement.is_hedge comes from an earlier build, which does not bound hedges, and is returned.

--- a/packages/node/src/forward/AnswerReceiver.ts
+++ b/packages/node/src/forward/AnswerReceiver.ts
@@ -82,11 +82,11 @@
       recordStatements(context, call, attempt.server, head.status, attempt.answer)
     }
     const problem = findAnswerProblem(attempt.answer, head.status, call.id)
-    if (silence.has(attempt) && (problem !== null || !isSuccessfulAnswer(attempt))) {
+    if (silence.has(attempt) && !attempt.isRaced && (problem !== null || !isSuccessfulAnswer(attempt))) {
       fail(attempt, AttemptEnd.Failed, problem ?? `status ${head.status}`)
       return
     }
-    if (!silence.isCurrent(attempt)) return
+    if (!silence.takesData(attempt)) return
     if (problem !== null) fail(attempt, AttemptEnd.Broken, problem)
     else if (isSuccessfulAnswer(attempt)) handler.successStarted(attempt)
   }
@@ -101,12 +101,12 @@
 
   #dataReceived (attempt: OpenAttempt, chunk: Buffer, failureBody: BoundedBuffer): void {
     const { host: { progress }, silence, handler } = this.#options
-    if (!silence.isCurrent(attempt)) return
-    silence.restartTimer(attempt)
+    if (!silence.takesData(attempt)) return
+    if (progress.attempt === attempt) silence.restartTimer(attempt)
     if (isSuccessfulAnswer(attempt)) {
       attempt.watch?.dataReceived()
       // The data may refute a crash, and so leave the request itself as the cause of another one.
-      if (progress.attempt === attempt) handler.chunkReceived(attempt, chunk)
+      if (silence.takesData(attempt)) handler.chunkReceived(attempt, chunk)
     } else if (!failureBody.append(chunk)) handler.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
   }
 
@@ -116,7 +116,7 @@
       this.#connectionEnded(attempt, 'the answer ended before it was complete')
       return
     }
-    if (!silence.isCurrent(attempt)) return
+    if (!silence.takesData(attempt)) return
     const { head, answer } = attempt
     if (head === null || answer === null) {
       this.#connectionEnded(attempt, 'the answer ended before its head')
@@ -125,8 +125,9 @@
       this.#notRunReceived(attempt, head.status, answer.faultyServer)
     } else if (head.status >= FIRST_FAILURE_STATUS) {
       this.#serverFailed(attempt, { head, body })
-    } else if (handler.completeAnswer(attempt)) {
+    } else if (this.#isAnswered(attempt)) {
       attempt.watch?.completed()
+      this.#raceEnded(attempt)
       close(attempt, HealthSignal.Good)
       ending.answered(head.status)
     } else {
@@ -134,6 +135,19 @@
     }
   }
 
+  /** The first complete answer of two attempts side by side wins. */
+  #isAnswered (attempt: OpenAttempt): boolean {
+    const { silence, handler } = this.#options
+    return silence.isCurrent(attempt) && handler.completeAnswer(attempt)
+  }
+
+  #raceEnded (winner: OpenAttempt): void {
+    if (!winner.isRaced) return
+    const { requestLog, context } = this.#options.host
+    requestLog.raceEnded(winner)
+    if (winner.isHedge) context.metrics.hedgeWon()
+  }
+
   #connectionEnded (attempt: OpenAttempt, reason: string): void {
     attempt.watch?.brokenOff()
     this.#options.host.fail(attempt, AttemptEnd.Broken, reason)
@@ -150,12 +164,14 @@
   }
 
   #serverFailed (attempt: OpenAttempt, failure: SignedFailure): void {
-    const { progress, ending, close, fail } = this.#options.host
+    const { host: { progress, ending, close, fail }, silence } = this.#options
     progress.signedFailure = failure
     if (failure.head.status >= SERVER_ERROR && attempt.peer === null) {
       fail(attempt, AttemptEnd.Failed, `status ${failure.head.status}`)
       return
     }
+    if (!silence.isCurrent(attempt)) return
+    this.#raceEnded(attempt)
     close(attempt)
     ending.returnFailure(failure)
   }
--- a/packages/node/src/forward/AttemptSearch.ts
+++ b/packages/node/src/forward/AttemptSearch.ts
@@ -33,14 +33,15 @@
    * Places the next attempt. An error fails this request only, and not the process with all others.
    *
    * @param chargesRetry - whether the attempt takes from the retry budget
+   * @param isHedge - whether it is a second attempt beside one in progress
    * @returns the placed attempt, or why there is none
    */
-  async find (chargesRetry: boolean): Promise<AttemptPlacement> {
+  async find (chargesRetry: boolean, isHedge = false): Promise<AttemptPlacement> {
     const { placement, call, history, guard, requestLog } = this.#options
     const caution = guard.caution()
     if (caution === null) return QUARANTINED
     try {
-      return await placement.place(call, history, chargesRetry, caution)
+      return await placement.place(call, history, chargesRetry, caution, isHedge)
     } catch (error) {
       requestLog.placementFailed(error)
       return { type: 'refused', reason: 'choosing a backend server failed', retryAfter: null }
--- a/packages/node/src/forward/AttemptSender.ts
+++ b/packages/node/src/forward/AttemptSender.ts
@@ -40,14 +40,15 @@
    * Begins an attempt that has been placed, and reserves the memory that it needs.
    *
    * @param placed - where it is placed
+   * @param isHedge - whether another attempt goes on beside it until one of the answers is complete
    */
-  open (placed: PlacedAttempt): void {
+  open (placed: PlacedAttempt, isHedge = false): void {
     const { context, history, progress, requestLog, lastEventId } = this.#options.host
     const { choice: { server, holders }, assignment } = placed
     history.start(server.id)
     progress.attemptCount += 1
     const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, context.memory, context.log)
-    const attempt: OpenAttempt = { server, placed, peer: null, sentAt: context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false }
+    const attempt: OpenAttempt = { server, placed, peer: null, sentAt: context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isHedge, isHedgeTried: isHedge, isRaced: isHedge, isSilenceReported: false }
     progress.attempt = attempt
     requestLog.attemptSent(placed, progress.attemptCount, lastEventId(), context.placement.answers.find(server))
     if (reservations === null) this.#sendUnlessQuarantined(attempt, placed)
--- a/packages/node/src/forward/ForwardMetrics.ts
+++ b/packages/node/src/forward/ForwardMetrics.ts
@@ -28,6 +28,8 @@
   readonly #endedRequests = new Counter({ name: 'bluebellhill_requests_total', help: 'Requests that ended, by kind and outcome', labelNames: ['kind', 'outcome'], registers: [this.registry] })
   readonly #refusedRequests = new Counter({ name: 'bluebellhill_refusals_total', help: 'Requests refused at the entry, by cause', labelNames: ['cause'], registers: [this.registry] })
   readonly #closedConnections = new Counter({ name: 'bluebellhill_unanswered_total', help: 'Requests whose connection was closed by this node before their answer was complete, by stage and cause', labelNames: ['stage', 'cause'], registers: [this.registry] })
+  readonly #hedges = new Counter({ name: 'bluebellhill_hedges_total', help: 'Second attempts beside late ones: sent, and won by the second', labelNames: ['result'], registers: [this.registry] })
+  readonly #refusedHedges = new Counter({ name: 'bluebellhill_hedges_refused_total', help: 'Second attempts that were due and not sent, by cause', labelNames: ['cause'], registers: [this.registry] })
   readonly #requestDuration = new Histogram({ name: 'bluebellhill_request_seconds', help: 'Time from arrival to end', labelNames: ['kind', 'outcome'], buckets: DURATION_BUCKETS, registers: [this.registry] })
   readonly #firstAnswerTime = new Histogram({ name: 'bluebellhill_first_answer_seconds', help: 'Time from sending to the first event or the answer', labelNames: ['kind'], buckets: DURATION_BUCKETS, registers: [this.registry] })
   readonly #predictionError = new Histogram({ name: 'bluebellhill_prediction_error_seconds', help: 'First event later than predicted', labelNames: ['kind'], buckets: [-0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1], registers: [this.registry] })
@@ -55,6 +57,21 @@
     this.#refusedRequests.inc({ cause })
   }
 
+  /** Counts a second attempt that was sent beside a late one. */
+  hedgeSent (): void {
+    this.#hedges.inc({ result: 'sent' })
+  }
+
+  /** Counts a second attempt whose complete answer came first. */
+  hedgeWon (): void {
+    this.#hedges.inc({ result: 'won' })
+  }
+
+  /** Counts a second attempt that was due and not sent. */
+  hedgeRefused (cause: string): void {
+    this.#refusedHedges.inc({ cause })
+  }
+
   /** Counts a request whose connection this node has closed without a complete answer. */
   connectionClosed (stage: string, cause: string): void {
     this.#closedConnections.inc({ stage, cause })
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -88,6 +88,7 @@
       clock,
       runningClock,
       retryBounds: () => ({ ratio: options.settings.current.retryRatio, slack: options.settings.current.retrySlack, window: options.settings.current.retryWindow }),
+      hedgeRatio: () => options.settings.current.hedgingMaxRatio,
       schedulerCount: () => this.#schedulerCount(),
       group: () => this.#directory.group
     })
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -142,7 +142,8 @@
   protected failAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string, signal = this.#signalOf(attempt, end)): void {
     if (this.#silence.has(attempt)) {
       this.#requestLog.attemptFailed(attempt, end, reason)
-      this.#silence.close(attempt, signal === HealthSignal.Faulty ? signal : null)
+      if (attempt.isRaced) this.history.end(attempt.server.id, end)
+      this.#silence.close(attempt, attempt.isRaced || signal === HealthSignal.Faulty ? signal : null)
     }
     if (this.#progress.attempt !== attempt || this.#ending.isOver) return
     this.#closeAttempt(attempt, signal)
@@ -150,6 +151,7 @@
     this.#progress.lastProblem = `${end}: ${reason}`
     const isRetryAllowed = this.history.end(attempt.server.id, end)
     this.#requestLog.attemptFailed(attempt, end, reason)
+    if (this.#silence.resumeRaced()) return
     const hasTimeLeft = this.context.clock() < this.call.deadlineAt
     if (isRetryAllowed && hasTimeLeft) void this.#startNextAttempt(end !== AttemptEnd.Unsent)
     else this.#giveUp()
@@ -234,7 +236,7 @@
       lastEventId: () => this.lastEventId,
       hasStartedAnswer: () => this.hasStartedAnswer,
       dataTimeout: (attempt) => this.dataTimeout(attempt),
-      open: (placed) => this.#sender.open(placed),
+      open: (placed, isHedge) => this.#sender.open(placed, isHedge),
       close: (attempt, signal) => this.#closeAttempt(attempt, signal),
       release: (attempt, signal) => this.#release(attempt, signal),
       fail: (attempt, end, reason, signal) => this.failAttempt(attempt, end, reason, signal),
@@ -315,6 +317,7 @@
     attempt.serverCall?.abort()
     this.attemptClosed(attempt)
     attempt.reservations?.release()
+    this.context.placement.hedgeTiming.attemptEnded(this.call, attempt, signal === HealthSignal.Good)
     if (attempt.placed !== null) this.context.placement.removeAssignment(attempt.placed, signal)
     if (attempt.peer !== null) this.context.relay.peers.ended(attempt.peer)
   }
--- a/packages/node/src/forward/ForwardingHost.ts
+++ b/packages/node/src/forward/ForwardingHost.ts
@@ -38,8 +38,8 @@
   hasStartedAnswer: () => boolean
   /** Longest time without data before the attempt is given up; null to wait until the deadline of the request. */
   dataTimeout: (attempt: OpenAttempt) => Millis | null
-  /** Starts an attempt that has been placed. */
-  open: (placed: PlacedAttempt) => void
+  /** Starts an attempt that has been placed; another one goes on beside a hedge. */
+  open: (placed: PlacedAttempt, isHedge?: boolean) => void
   /** Ends the attempt in progress, and releases what it holds. */
   close: (attempt: OpenAttempt, signal?: HealthSignal | null) => void
   /** Releases what an attempt holds. */
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -97,6 +97,37 @@
     context.log.info('attempt.resumed', { request: call.id, server: server.id, cause, after_ms: Math.round(context.clock() - sentAt) })
   }
 
+  /**
+   * Logs that a second attempt is sent beside one that is later than nearly all recent ones of its kind.
+   *
+   * @param attempt - the first attempt
+   * @param hedge - where the second one is placed
+   */
+  hedgeSent ({ server, sentAt }: OpenAttempt, { choice }: PlacedAttempt): void {
+    const { call, context } = this
+    context.log.info('hedge.sent', {
+      request: call.id,
+      server: choice.server.id,
+      server_domain: choice.server.failureDomain,
+      beside: server.id,
+      beside_domain: server.failureDomain,
+      after_ms: Math.round(context.clock() - sentAt),
+      left_ms: Math.round(call.deadlineAt - context.clock())
+    })
+  }
+
+  /** Logs that no second attempt is sent beside one that is late. */
+  hedgeRefused ({ server, sentAt }: OpenAttempt, reason: string): void {
+    const { call, context } = this
+    context.log.info('hedge.refused', { request: call.id, beside: server.id, after_ms: Math.round(context.clock() - sentAt), reason })
+  }
+
+  /** Logs which of two attempts side by side has answered first. */
+  raceEnded ({ server, sentAt, isHedge }: OpenAttempt): void {
+    const { call, context } = this
+    context.log.info('hedge.ended', { request: call.id, server: server.id, winner: isHedge ? 'hedge' : 'first', after_ms: Math.round(context.clock() - sentAt) })
+  }
+
   attemptFailed ({ server, sentAt, placed }: OpenAttempt, end: AttemptEnd, reason: string): void {
     const { call, context } = this
     context.log.warn('attempt.failed', {
--- a/packages/node/src/forward/SilentAttempts.ts
+++ b/packages/node/src/forward/SilentAttempts.ts
@@ -18,6 +18,11 @@
     return this.#attempts[0]
   }
 
+  /** The earliest attempt that goes on beside its hedge. */
+  get firstRaced (): OpenAttempt | undefined {
+    return this.#attempts.find(({ isRaced }) => isRaced)
+  }
+
   has (attempt: OpenAttempt): boolean {
     return this.#attempts.includes(attempt)
   }
--- a/packages/node/src/forward/SilentReplacement.ts
+++ b/packages/node/src/forward/SilentReplacement.ts
@@ -1,4 +1,7 @@
-/** Replaces an attempt whose server is silent, and goes on with it if its server sends data first after all. */
+/**
+ * Starts another attempt beside one whose server is silent. There are two degrees: a hedge, once the attempt is later than nearly all recent ones, after
+ * which the first complete answer wins; and a replacement, once the silence suggests a fault, after which the first data wins.
+ */
 import { AttemptEnd } from '@bluebellhill/domain'
 import type { HealthSignal, Millis } from '@bluebellhill/domain'
 
@@ -15,8 +18,10 @@
 export class SilentReplacement {
   readonly #host: ForwardingHost
   readonly #silentAttempts: SilentAttempts
-  readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#dataOverdue(attempt, silence, hasGoneOn) })
+  readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#silenceNoticed(attempt, silence, hasGoneOn) })
   readonly #onResumed: () => void
+  /** Silence after which the attempt in progress is replaced. */
+  #timeout: Millis | null = null
 
   /**
    * @param host - the request
@@ -30,7 +35,8 @@
 
   /** Measures anew how long the server of the attempt sends no data. */
   restartTimer (attempt: OpenAttempt): void {
-    this.#silenceTimer.restart(attempt, this.#host.dataTimeout(attempt))
+    this.#timeout = this.#host.dataTimeout(attempt)
+    this.#silenceTimer.restart(attempt, this.#hedgeDueIn(attempt) ?? this.#timeout)
   }
 
   stopTimer (): void {
@@ -42,6 +48,11 @@
     return this.#silentAttempts.has(attempt)
   }
 
+  /** @returns whether data of an attempt are taken: it is in progress, or one of the two attempts of a hedged request */
+  takesData (attempt: OpenAttempt): boolean {
+    return this.#isRacedBeside(attempt) || this.isCurrent(attempt)
+  }
+
   close (attempt: OpenAttempt, signal: HealthSignal | null): void {
     this.#silentAttempts.close(attempt, signal)
   }
@@ -73,7 +84,15 @@
     return true
   }
 
-  #resume (attempt: OpenAttempt, cause: 'data' | 'no_other_attempt'): void {
+  /** Goes on with the other attempt of a hedged request after one has failed. Returns false if there is none. */
+  resumeRaced (): boolean {
+    const { firstRaced } = this.#silentAttempts
+    if (firstRaced === undefined) return false
+    this.#resume(firstRaced, 'other_attempt_failed')
+    return true
+  }
+
+  #resume (attempt: OpenAttempt, cause: 'data' | 'no_other_attempt' | 'other_attempt_failed'): void {
     const { progress, requestLog } = this.#host
     this.#silentAttempts.remove(attempt)
     this.#onResumed()
@@ -82,6 +101,55 @@
     this.restartTimer(attempt)
   }
 
+  #isRacedBeside (attempt: OpenAttempt): boolean {
+    return attempt.isRaced && this.#silentAttempts.has(attempt) && !this.#host.ending.isOver
+  }
+
+  /** Counted from the sending of the attempt: data that trickle in do not make it less late. Null if no hedge is due before the attempt is replaced. */
+  #hedgeDueIn (attempt: OpenAttempt): Millis | null {
+    const { context, call } = this.#host
+    if (this.#timeout === null || attempt.isHedgeTried) return null
+    const delay = context.placement.hedgeTiming.delay(call, attempt)
+    if (delay === null) return null
+    const dueIn = Math.max(0, delay - (context.clock() - attempt.sentAt))
+    return dueIn < this.#timeout ? dueIn : null
+  }
+
+  async #silenceNoticed (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
+    const isHedgeDue = !attempt.isHedgeTried && this.#timeout !== null && silence < this.#timeout
+    if (isHedgeDue) await this.#hedge(attempt, silence, hasGoneOn)
+    else await this.#dataOverdue(attempt, silence, hasGoneOn)
+  }
+
+  async #hedge (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
+    const { search, history, requestLog, context, open } = this.#host
+    attempt.isHedgeTried = true
+    const timeout = this.#timeout ?? silence
+    const placement = await search.find(true, true)
+    if (hasGoneOn()) {
+      search.discard(placement)
+      this.#hedgeRefused(attempt, 'no_longer_needed')
+      return
+    }
+    if (placement.type === 'refused') {
+      this.#hedgeRefused(attempt, placement.reason)
+      this.#silenceTimer.extend(attempt, timeout - silence, timeout)
+      return
+    }
+    history.keepBeside(attempt.server.id)
+    attempt.isRaced = true
+    requestLog.hedgeSent(attempt, placement.attempt)
+    context.metrics.hedgeSent()
+    this.#setAside(attempt)
+    open(placement.attempt, true)
+  }
+
+  #hedgeRefused (attempt: OpenAttempt, cause: string): void {
+    const { requestLog, context } = this.#host
+    requestLog.hedgeRefused(attempt, cause)
+    context.metrics.hedgeRefused(cause)
+  }
+
   /** Waits on while the engine is known to prefill other prompts: another engine would have to read this prompt anew. */
   async #dataOverdue (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
     const { context: { placement }, requestLog } = this.#host
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -145,7 +145,9 @@
             isDeferred: choice.isDeferred,
             keepsLimit: result.keepsLimit,
             passedOver: [...result.passedOver],
-            isTrial: result.isTrial
+            isTrial: result.isTrial,
+            hedgeAfterMs: result.hedgeAfter === undefined ? undefined : Math.round(result.hedgeAfter),
+            isHedge: result.isHedge
           }
         }
       }
@@ -168,7 +170,7 @@
   if (result === undefined) throw new Error('the placement reply contains no decision')
   if (result.$case === 'refusal') return decodeRefusal(result.value, now)
   if (result.$case === 'redirect') return { type: 'redirected', address: result.value }
-  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit, passedOver, isTrial } = result.value
+  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit, passedOver, isTrial, hedgeAfterMs, isHedge } = result.value
   if (server === undefined) throw new Error('the placement names no server')
   const decoded = helpers.map((helper) => decodeServer(helper, service, findServer))
   const choice: PlacementChoice = {
@@ -178,7 +180,16 @@
     timeToFirstEvent: firstEventMs,
     isDeferred
   }
-  return { type: 'placed', choice, load: { requests: serverRequests, pendingPrefill: serverPendingMs }, keepsLimit, passedOver: passedOver as RunnerId[], isTrial }
+  return {
+    type: 'placed',
+    choice,
+    load: { requests: serverRequests, pendingPrefill: serverPendingMs },
+    keepsLimit,
+    passedOver: passedOver as RunnerId[],
+    isTrial,
+    ...(isHedge === true ? { isHedge } : {}),
+    ...(hedgeAfterMs === undefined ? {} : { hedgeAfter: hedgeAfterMs })
+  }
 }
 
 const encodeRefusal = ({ reason, retryAfter, notice }: RefusedPlacement, now: Millis): fleetWire.Refusal =>
--- a/packages/node/src/forward/relay/RequestRelay.ts
+++ b/packages/node/src/forward/relay/RequestRelay.ts
@@ -84,7 +84,7 @@
     relay.peers.started(peer)
     requestLog.requestRelayed(peer, attemptNumber)
     return {
-      attempt: { server, placed: null, peer, sentAt: clock(), reservations: null, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isSilenceReported: false },
+      attempt: { server, placed: null, peer, sentAt: clock(), reservations: null, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isHedge: false, isHedgeTried: false, isRaced: false, isSilenceReported: false },
       request: relayCallRequest({ call, from: relay.node, timeLeft: call.deadlineAt - clock(), lastEventId, tried }, peer.address)
     }
   }
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,5 +1,5 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
-import { describeRevision, HealthSignal } from '@bluebellhill/domain'
+import { describeRevision, HealthSignal, HedgeRefusal } from '@bluebellhill/domain'
 import type { AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
@@ -8,6 +8,7 @@
 import type { DatagramContent, ReceivedDatagram } from '../peers/datagramCodec.js'
 import { PendingQueries, QUERY_TIMING } from '../peers/PendingQueries.js'
 import type { QueryTiming } from '../peers/PendingQueries.js'
+import { HedgeTiming } from '../hedging/HedgeTiming.js'
 import type { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
 import { AnswerStatements } from './AnswerStatements.js'
 import { GrantReports } from './GrantReports.js'
@@ -47,6 +48,8 @@
 export class PlacementClient {
   /** What backend servers state in their answers to this node. */
   readonly answers: AnswerStatements
+  /** When attempts are late enough for a hedge. */
+  readonly hedgeTiming: HedgeTiming
   readonly #options: PlacementClientOptions
   readonly #queries: PlacementQueries
   readonly #silenceQueries: PendingQueries<Millis>
@@ -60,6 +63,7 @@
     this.#queries = new PlacementQueries({ ...options, queryTiming })
     this.#silenceQueries = new PendingQueries(queryTiming)
     this.#reports = new GrantReports(options.send)
+    this.hedgeTiming = new HedgeTiming(() => options.scheduler.hedges.maxRatio, options.clock)
     this.answers = new AnswerStatements({ ...options, statements: options.scheduler.statements })
   }
 
@@ -80,18 +84,20 @@
    * @param history - its earlier attempts
    * @param chargesRetry - whether the attempt is taken from the retry budget
    * @param caution - how it and the parts of its prompt are judged
+   * @param isHedge - whether it is a second attempt beside one in progress
    * @returns the placed attempt, whose assignment must be removed with `removeAssignment`; or why there is none
    */
-  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: AttemptCaution = NO_CAUTION): Promise<AttemptPlacement> {
+  async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: AttemptCaution = NO_CAUTION, isHedge = false): Promise<AttemptPlacement> {
     const { scheduler, clock } = this.#options
     const startedAt = clock()
-    let spec = specOf(call, history, { chargesRetry, ...caution }, this.answers.pausedServers())
+    let spec = specOf(call, history, { chargesRetry, ...caution, ...(isHedge ? { isHedge } : {}) }, this.answers.pausedServers())
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
       const decision = await this.#queries.decide(spec, number)
-      if (isTrialMissing(spec, decision)) {
+      const missing = missingTerm(spec, decision)
+      if (missing !== null) {
         this.#withoutChosen(spec, number, decision)
-        return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
+        return { type: 'refused', reason: missing, retryAfter: null }
       }
       if (this.#isUsable(decision)) return this.#record(spec, number, decision, startedAt)
       spec = this.#withoutChosen(spec, number, decision)
@@ -108,9 +114,9 @@
       : scheduler.assignments.start(scheduler.draftAssignment(spec, result.choice, clock()), number)
     if (assignment === null) return { type: 'refused', reason: 'the assignment is not recorded', retryAfter: null }
     if (address !== null) this.#reports.granted(assignment, address)
-    const { choice, load, isTrial } = result
+    const { choice, load, isTrial, hedgeAfter } = result
     const passedOver = [...new Set([...result.passedOver, ...this.answers.pausedServersOf(spec.service).map(({ id }) => id)])]
-    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, isTrial, decidedIn: clock() - startedAt } }
+    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, isTrial, ...(hedgeAfter === undefined ? {} : { hedgeAfter }), decidedIn: clock() - startedAt } }
   }
 
   /**
@@ -163,6 +169,7 @@
   removeAssignment ({ assignment, choice }: PlacedAttempt, signal: HealthSignal | null): void {
     const { scheduler, clock } = this.#options
     scheduler.assignments.end(assignment, clock())
+    scheduler.hedges.attemptEnded(assignment, signal)
     if (signal !== null) scheduler.recordHealthSignal(choice.server, signal)
     this.#reports.ended(assignment, signal)
   }
@@ -254,10 +261,14 @@
   }
 }
 
-/** Schedulers of earlier builds place a trial like any other attempt. */
-const isTrialMissing = ({ trialParts }: PlacementSpec, { result }: Decision): boolean => trialParts.length > 0 && result.type === 'placed' && !result.isTrial
+/** Schedulers of earlier builds place a trial or a hedge like any other attempt. Returns why the grant must not be used; null if it may. */
+const missingTerm = ({ trialParts, isHedge }: PlacementSpec, { result }: Decision): string | null => {
+  if (result.type !== 'placed') return null
+  if (trialParts.length > 0 && !result.isTrial) return PlacementRefusal.Quarantined
+  return isHedge === true && result.isHedge !== true ? HedgeRefusal.Off : null
+}
 
-const specOf = (call: AdmittedCall, history: AttemptHistory, terms: AttemptCaution & Pick<PlacementSpec, 'chargesRetry'>, paused: readonly RunnerId[]): PlacementSpec => ({
+const specOf = (call: AdmittedCall, history: AttemptHistory, terms: AttemptCaution & Pick<PlacementSpec, 'chargesRetry' | 'isHedge'>, paused: readonly RunnerId[]): PlacementSpec => ({
   request: call.id,
   service: call.service.name,
   size: call.size,
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -5,6 +5,7 @@
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 import { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
+import { HedgePlacement } from '../hedging/HedgePlacement.js'
 import { IsolatedAttempts } from './IsolatedAttempts.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
@@ -22,6 +23,8 @@
   readonly runningClock: () => Millis
   /** Returns the limits on retries in force. */
   readonly retryBounds: () => RetryBounds
+  /** Returns the greatest share of requests that may be hedged; null or absent to place no hedges. */
+  readonly hedgeRatio?: () => number | null
   /** Returns the number of schedulers that share them. */
   readonly schedulerCount: () => number
   /** Returns the group whose engines this node places requests on. */
@@ -43,6 +46,7 @@
   readonly health = new ServerHealth()
   readonly statements: ServerStatements
   readonly quarantine: NodeQuarantine
+  readonly hedges: HedgePlacement
   readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
@@ -59,6 +63,7 @@
     this.assignments = new FleetAssignments(options.node)
     this.statements = new ServerStatements(options)
     this.quarantine = new NodeQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
+    this.hedges = new HedgePlacement({ ...options, maxRatio: options.hedgeRatio ?? (() => null) })
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
     this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
@@ -86,10 +91,12 @@
     const loads = this.#loads(now)
     const permitted = this.#permittedServers(spec, service)
     const open = permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, context.limitShare, now) === 0)
-    const candidates = this.#candidatesApart(spec, this.#candidates(open, now), loads)
-    if (candidates === null) return { type: 'refused', reason: PlacementRefusal.SuspectsInProgress, retryAfter: ISOLATION_RETRY_AFTER }
+    const apart = this.#candidatesApart(spec, this.#candidates(open, now), loads)
+    if (apart === null) return { type: 'refused', reason: PlacementRefusal.SuspectsInProgress, retryAfter: ISOLATION_RETRY_AFTER }
+    const candidates = spec.isHedge === true ? this.hedges.select(spec, this.#withoutAvoided(apart, now), loads) : apart
+    if (typeof candidates === 'string') return { type: 'refused', reason: candidates, retryAfter: null }
     if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
-    if (spec.isFirstAttempt) this.#retryBudgets.countRequest(spec.service)
+    if (spec.isFirstAttempt) this.#countRequest(spec.service)
     const choice = this.#choose(spec, service, candidates, loads, context, now)
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
@@ -99,8 +106,9 @@
     if (isTrial) this.quarantine.grantTrial(spec.trialParts, spec.request)
     this.#record(spec, choice, owner, now)
     this.statements.take(choice.server, context.limitShare)
+    if (spec.isHedge === true) this.hedges.placed(spec.service)
     const passedOver = permitted.filter((server) => !open.includes(server)).slice(0, MAX_PASSED_OVER).map(({ id }) => id)
-    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver, isTrial }
+    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver, isTrial, ...this.#hedgeTerms(spec) }
   }
 
   /**
@@ -139,8 +147,9 @@
   applyReports (node: NodeId, reports: readonly AttemptReport[]): void {
     const now = this.#options.clock()
     for (const { number, isEnded, server, signal, slowdown } of reports) {
-      if (isEnded) this.assignments.endGranted(node, number, now)
-      else if (number > 0) this.assignments.markGrantedPrefilled(node, number, now)
+      const ended = isEnded ? this.assignments.endGranted(node, number, now) : null
+      if (ended !== null) this.hedges.attemptEnded(ended, signal)
+      if (!isEnded && number > 0) this.assignments.markGrantedPrefilled(node, number, now)
       if (slowdown !== null) this.#slowdowns.observeShortest(server, slowdown, now)
       const known = signal === null ? null : this.#options.fleetState.servers.find(server)
       if (known !== null && signal !== null) this.recordHealthSignal(known, signal, node)
@@ -289,6 +298,22 @@
     return usable.map((server) => ({ server, slowdown: this.#slowdowns.slowdown(server.id, now) }))
   }
 
+  /** The choice of a first attempt falls back to servers that are avoided; a hedge is better not sent. */
+  #withoutAvoided (candidates: readonly Candidate[], now: Millis): Candidate[] {
+    return candidates.filter(({ server }) => !this.#domainReachability.isAvoided(server.failureDomain, now) && !this.health.isAvoided(server.id, now))
+  }
+
+  #countRequest (service: string): void {
+    this.#retryBudgets.countRequest(service)
+    this.hedges.countRequest(service)
+  }
+
+  #hedgeTerms ({ service, isFirstAttempt, isHedge }: PlacementSpec): { readonly isHedge?: true, readonly hedgeAfter?: Millis } {
+    if (isHedge === true) return { isHedge }
+    const hedgeAfter = isFirstAttempt ? this.hedges.delay(service) : null
+    return hedgeAfter === null ? {} : { hedgeAfter }
+  }
+
   #isLeaving (server: BackendServer): boolean {
     return this.#options.fleetState.servers.find(server.id)?.readiness === Readiness.Draining || this.statements.notices.isLeaving(server)
   }
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -97,6 +97,10 @@
     readonly passedOver: readonly RunnerId[]
     /** Whether it is a trial of what is quarantined; schedulers of earlier builds grant none. */
     readonly isTrial: boolean
+    /** Whether the limits of hedges were applied; absent if it is no hedge, or the scheduler is of an earlier build. */
+    readonly isHedge?: boolean
+    /** Time after which the attempt is later than nearly all recent ones of its service; absent if too few are known, or no hedges may be sent. */
+    readonly hedgeAfter?: Millis
   }
   | RefusedPlacement
   /** The scheduler of another group can serve it sooner. */
@@ -113,6 +117,8 @@
   readonly passedOver: readonly RunnerId[]
   /** Whether it is a trial of what is quarantined. */
   readonly isTrial: boolean
+  /** Time after which it is later than nearly all recent ones of its service; absent if the scheduler states none. */
+  readonly hedgeAfter?: Millis
   /** Time from the decision to place the attempt until the result was known. */
   readonly decidedIn: Millis
 }
--- a/packages/node/src/forward/types.ts
+++ b/packages/node/src/forward/types.ts
@@ -42,6 +42,12 @@
   watch: AttemptWatch | null
   /** Whether the first event of the answer has arrived. */
   hasFirstEvent: boolean
+  /** Whether it was sent as a hedge, beside an attempt that was later than nearly all others. */
+  readonly isHedge: boolean
+  /** Whether a hedge has been asked for, so that no other one is. */
+  isHedgeTried: boolean
+  /** Whether it is one of two attempts side by side of which the first complete answer wins. */
+  isRaced: boolean
   /** Whether the scheduler has been told that the server sends no data. */
   isSilenceReported: boolean
   head: AnswerHead | null
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -85,6 +85,8 @@
   readonly directory: SchedulerDirectory
   /** Clock of the node; a test may stop it. */
   clock: () => Millis = () => performance.now()
+  /** Greatest share of requests that may be hedged; null to send no hedges. */
+  hedgeRatio: number | null = null
   readonly #servers: Server[] = []
   #port = 0
   #nextAttemptId = 1
@@ -97,7 +99,7 @@
     const directory = new SchedulerDirectory(SELF, clock())
     this.directory = directory
     const scheduler = new Scheduler({
-      node: SELF.node, fleetState: this.fleetState, log, clock, runningClock: clock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), schedulerCount: () => 1, group: () => directory.group
+      node: SELF.node, fleetState: this.fleetState, log, clock, runningClock: clock, retryBounds: () => ({ ratio: 0.2, slack: 100, window: 10_000 }), hedgeRatio: () => this.hedgeRatio, schedulerCount: () => 1, group: () => directory.group
     })
     this.quarantine = scheduler.quarantine
     this.placement = new PlacementClient({ node: SELF.node, scheduler, directory, fleetState: this.fleetState, log, clock, runningClock: clock, send: () => {}, onUncoordinatedPlacement: () => {}, onNotice: () => {} })
