--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -113,6 +113,18 @@
   return evidenceAgainst(lines, line).map((evidence) => `${timeOfDay(evidence.at)}: ${describeEvidence(evidence)}`)
 }
 
+const describeHedge = ({ at, fields }: LogLine): string =>
+  `${timeOfDay(at)}: ${fields.beside} in ${fields.beside_domain} had not answered after ${fields.after_ms} ms, later than nearly all requests of its kind (${fields.delay_ms} ms), so it was sent to ${fields.server} in ${fields.server_domain} too.`
+
+const describeHedgeRefused = ({ at, fields }: LogLine): string =>
+  `${timeOfDay(at)}: ${fields.beside} had not answered after ${fields.after_ms} ms, later than nearly all requests of its kind (${fields.delay_ms} ms); no second server was asked: ${fields.reason}.`
+
+const describeHedgeLimited = ({ at, node, fields }: LogLine): string =>
+  `${timeOfDay(at)}: the scheduler ${node} allowed no second server: ${fields.reason}; ${fields.requests} of ${fields.slots} slots of ${fields.service} were in use, and ${fields.max_ratio} of the requests may be hedged.`
+
+const describeHedgeEnded = ({ at, fields }: LogLine): string =>
+  `${timeOfDay(at)}: ${fields.server} (${fields.winner === 'hedge' ? 'the second server' : 'the first server'}) answered first, after ${fields.after_ms} ms; the other attempt was cancelled.`
+
 const describeEnded = ({ at, fields }: LogLine): string => {
   const status = fields.status === undefined ? '' : ` with status ${fields.status}`
   const first = fields.first_ms === undefined ? '' : ` The caller received the first part of the answer after ${fields.first_ms} ms.`
@@ -129,6 +141,10 @@
   'request.sent': describeSent,
   'request.not_placed': describeNotPlaced,
   'attempt.failed': describeFailedAttempt,
+  'hedge.sent': describeHedge,
+  'hedge.refused': describeHedgeRefused,
+  'hedge.limited': describeHedgeLimited,
+  'hedge.ended': describeHedgeEnded,
   'request.quarantined': (line) => `${timeOfDay(line.at)}: ${describeQuarantined(line)}`,
   'request.ended': describeEnded
 }
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -141,3 +141,18 @@
   t.regex(sentences[3]!, /let request fifth go as a trial/)
   t.regex(sentences[4]!, /node edge-1 refused it for good: part ab12 .* after 3 crashes of engines at 3 different moments, the last one 400 ms before; the part had never been seen in a sound answer\. It has not run\./)
 })
+
+test('a hedged request is explained: why a second server was asked or not, and which one answered', (t) => {
+  const lines = parseDecisionLog([
+    line('20.000', 'edge-1', 'event=hedge.sent request=r5 server=i-2 server_domain=hall-b beside=i-1 beside_domain=hall-a after_ms=81 delay_ms=80 left_ms=900'),
+    line('20.040', 'edge-1', 'event=hedge.ended request=r5 server=i-2 winner=hedge after_ms=40'),
+    line('20.100', 'edge-2', 'event=hedge.limited request=r6 service=app reason=hedge_high_load requests=12 slots=18 max_ratio=0.02'),
+    line('20.101', 'edge-1', 'event=hedge.refused request=r6 beside=i-1 after_ms=82 delay_ms=80 reason=hedge_high_load')
+  ].join('\n'))
+  const [sent, ended] = explainLogged(lines, 'r5')?.sentences ?? []
+  const [limited, refused] = explainLogged(lines, 'r6')?.sentences ?? []
+  t.regex(sent!, /i-1 in hall-a had not answered after 81 ms, .* \(80 ms\), so it was sent to i-2 in hall-b too\./)
+  t.regex(ended!, /i-2 \(the second server\) answered first, after 40 ms/)
+  t.regex(limited!, /scheduler edge-2 .* hedge_high_load; 12 of 18 slots of app/)
+  t.regex(refused!, /no second server was asked: hedge_high_load\./)
+})
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -101,9 +101,10 @@
    * Logs that a second attempt is sent beside one that is later than nearly all recent ones of its kind.
    *
    * @param attempt - the first attempt
+   * @param delay - time after which it is later than nearly all
    * @param hedge - where the second one is placed
    */
-  hedgeSent ({ server, sentAt }: OpenAttempt, { choice }: PlacedAttempt): void {
+  hedgeSent ({ server, sentAt }: OpenAttempt, delay: Millis, { choice }: PlacedAttempt): void {
     const { call, context } = this
     context.log.info('hedge.sent', {
       request: call.id,
@@ -112,14 +113,15 @@
       beside: server.id,
       beside_domain: server.failureDomain,
       after_ms: Math.round(context.clock() - sentAt),
+      delay_ms: Math.round(delay),
       left_ms: Math.round(call.deadlineAt - context.clock())
     })
   }
 
   /** Logs that no second attempt is sent beside one that is late. */
-  hedgeRefused ({ server, sentAt }: OpenAttempt, reason: string): void {
+  hedgeRefused ({ server, sentAt }: OpenAttempt, delay: Millis, reason: string): void {
     const { call, context } = this
-    context.log.info('hedge.refused', { request: call.id, beside: server.id, after_ms: Math.round(context.clock() - sentAt), reason })
+    context.log.info('hedge.refused', { request: call.id, beside: server.id, after_ms: Math.round(context.clock() - sentAt), delay_ms: Math.round(delay), reason })
   }
 
   /** Logs which of two attempts side by side has answered first. */
--- a/packages/node/src/forward/SilentReplacement.ts
+++ b/packages/node/src/forward/SilentReplacement.ts
@@ -122,31 +122,32 @@
   }
 
   async #hedge (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
-    const { search, history, requestLog, context, open } = this.#host
-    attempt.isHedgeTried = true
+    const { search, history, requestLog, context, call, open } = this.#host
     const timeout = this.#timeout ?? silence
+    const delay = context.placement.hedgeTiming.delay(call, attempt) ?? silence
+    attempt.isHedgeTried = true
     const placement = await search.find(true, true)
     if (hasGoneOn()) {
       search.discard(placement)
-      this.#hedgeRefused(attempt, 'no_longer_needed')
+      this.#hedgeRefused(attempt, delay, 'no_longer_needed')
       return
     }
     if (placement.type === 'refused') {
-      this.#hedgeRefused(attempt, placement.reason)
+      this.#hedgeRefused(attempt, delay, placement.reason)
       this.#silenceTimer.extend(attempt, timeout - silence, timeout)
       return
     }
     history.keepBeside(attempt.server.id)
     attempt.isRaced = true
-    requestLog.hedgeSent(attempt, placement.attempt)
+    requestLog.hedgeSent(attempt, delay, placement.attempt)
     context.metrics.hedgeSent()
     this.#setAside(attempt)
     open(placement.attempt, true)
   }
 
-  #hedgeRefused (attempt: OpenAttempt, cause: string): void {
+  #hedgeRefused (attempt: OpenAttempt, delay: Millis, cause: string): void {
     const { requestLog, context } = this.#host
-    requestLog.hedgeRefused(attempt, cause)
+    requestLog.hedgeRefused(attempt, delay, cause)
     context.metrics.hedgeRefused(cause)
   }
 
--- a/packages/node/src/forward/hedging/HedgePlacement.ts
+++ b/packages/node/src/forward/hedging/HedgePlacement.ts
@@ -2,11 +2,13 @@
 import { HedgeAdmission, HedgeRefusal, HealthSignal } from '@bluebellhill/domain'
 import type { Assignment, BackendServer, Candidate, Millis, ServerLoads } from '@bluebellhill/domain'
 
+import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 import type { PlacementSpec } from '../scheduling/types.js'
 
 export interface HedgePlacementOptions {
   readonly fleetState: FleetState
+  readonly log: Log
   /** Returns the greatest share of requests that may be hedged; null to send no hedges. */
   readonly maxRatio: () => number | null
   readonly clock: () => Millis
@@ -58,12 +60,16 @@
    * @param loads - loads of all servers
    * @returns the servers that may get it; or why none may
    */
-  select ({ service, isSuspected, isolatedAs, trialParts }: PlacementSpec, healthy: readonly Candidate[], loads: ServerLoads): readonly Candidate[] | HedgeRefusal {
+  select ({ request, service, isSuspected, isolatedAs, trialParts }: PlacementSpec, healthy: readonly Candidate[], loads: ServerLoads): readonly Candidate[] | HedgeRefusal {
     const { fleetState, clock } = this.#options
     if (this.maxRatio === null || !this.#isPlain(service)) return HedgeRefusal.Off
     if (isSuspected || isolatedAs !== undefined || trialParts.length > 0) return HedgeRefusal.Suspected
-    const refusal = this.#admission.refusal(service, fleetState.servers.ready(service), loads)
-    if (refusal !== null) return refusal
+    const servers = fleetState.servers.ready(service)
+    const refusal = this.#admission.refusal(service, servers, loads)
+    if (refusal !== null) {
+      this.#logLimit(request, service, refusal, servers, loads)
+      return refusal
+    }
     const candidates = this.#admission.candidates(service, healthy, loads, clock())
     return candidates.length > 0 ? candidates : HedgeRefusal.NoServer
   }
@@ -73,6 +79,12 @@
     this.#admission.take(service)
   }
 
+  #logLimit (request: string, service: string, reason: HedgeRefusal, servers: readonly BackendServer[], loads: ServerLoads): void {
+    const requests = servers.reduce((sum, { id }) => sum + loads.get(id).requests.length, 0)
+    const slots = servers.reduce((sum, server) => sum + server.slots, 0)
+    this.#options.log.info('hedge.limited', { request, service, reason, requests, slots, max_ratio: this.maxRatio ?? undefined })
+  }
+
   #isPlain (service: string): boolean {
     return this.#options.fleetState.routeTable?.service(service)?.engine === null
   }
