--- a/packages/cli/src/timeline/decisionLog.ts
+++ b/packages/cli/src/timeline/decisionLog.ts
@@ -34,11 +34,12 @@
 /** State changes of a node that may explain the outcome of any of its requests. */
 const NODE_EVENTS: ReadonlySet<string> = new Set([
   'node.started', 'node.stopping', 'node.stopped', 'node.failed', 'settings.reloaded', 'settings.unusable', 'configuration.installed',
-  'store.lost', 'store.regained', 'store.history_lost', 'store.restored', 'servers.restored', 'peer.lost', 'peer.found', 'scheduler.group', 'domain.avoided', 'log.lines_dropped'
+  'store.lost', 'store.regained', 'store.history_lost', 'store.restored', 'servers.restored', 'peer.lost', 'peer.found', 'scheduler.group', 'domain.avoided', 'log.lines_dropped',
+  'evacuation.changed', 'evacuation.unknown_domain', 'evacuation.peer_outdated'
 ])
 
 /** State changes of one backend server, as seen by a node. */
-const SERVER_EVENTS: ReadonlySet<string> = new Set(['server.arrived', 'server.departed', 'server.avoided', 'server.stated', 'server.paused', 'engine.crash_suspected', 'engine.crash_refuted'])
+const SERVER_EVENTS: ReadonlySet<string> = new Set(['server.arrived', 'server.departed', 'server.avoided', 'server.stated', 'server.paused', 'server.cold', 'server.uneven', 'server.even', 'engine.crash_suspected', 'engine.crash_refuted'])
 
 const unquote = (value: string): string => value.startsWith('"') ? value.slice(1, -1).replace(/\\(.)/g, '$1') : value
 
@@ -68,17 +69,19 @@
 }
 
 /** Earlier builds log neither the scheduler nor the load of the server. */
-const describePlacement = ({ scheduler, decided_ms: decided, server_requests: requests, server_pending_ms: pending, deferred, trial }: LogLine['fields']): string => {
+const describePlacement = ({ scheduler, decided_ms: decided, server_requests: requests, server_pending_ms: pending, deferred, trial, server_cold_ms: cold }: LogLine['fields']): string => {
   if (scheduler === undefined) return ''
   const by = scheduler === 'self' ? 'The node itself chose the server' : `The scheduler at ${scheduler} chose the server`
   const risk = trial === undefined ? '' : ' It was a trial: it or a part of its prompt was quarantined.'
   const deferral = deferred === undefined ? '' : ' It was deferred, since no slot was free in time.'
-  return ` ${by} within ${decided} ms; the server had ${requests} requests and ${pending} ms of pending prefill.${deferral}${risk}`
+  const warmUp = cold === undefined ? '' : ` The server was cold for another ${cold} ms, and got no more requests than it accepts then.`
+  return ` ${by} within ${decided} ms; the server had ${requests} requests and ${pending} ms of pending prefill.${deferral}${risk}${warmUp}`
 }
 
 /** Describes what servers had stated when the next attempt found none. */
 const describeNotPlaced = ({ at, fields }: LogLine): string => {
   const retry = fields.retry_after_ms === undefined ? '' : ` The caller could return after ${fields.retry_after_ms} ms.`
+  if (fields.reason === 'domains_evacuated') return `${timeOfDay(at)}: the operator has evacuated all failure domains whose servers of ${fields.service} it could reach.${retry}`
   return `${timeOfDay(at)}: no server of ${fields.service} could take it: ${fields.reason}${describeStatement(fields)}.${retry}`
 }
 
@@ -93,7 +96,7 @@
 const describePassedOver = (lines: readonly LogLine[], sent: LogLine): string[] =>
   listOf(sent.fields.passed_over).map((server) => {
     const isStatement = ({ event, node, at, fields }: LogLine): boolean => at <= sent.at && fields.server === server &&
-      ((event === 'server.stated' && fields.age_ms === undefined) || (event === 'server.paused' && node === sent.node))
+      ((event === 'server.stated' && fields.age_ms === undefined) || event === 'server.cold' || (event === 'server.paused' && node === sent.node))
     const statement = lines.findLast(isStatement)
     const cause = statement === undefined ? 'the log does not hold its statement' : `${describeStated(statement)}, ${sent.at - statement.at} ms before`
     return `${timeOfDay(sent.at)}: server ${server} was not considered: ${cause}.`
@@ -101,6 +104,7 @@
 
 const describeStated = ({ event, node, fields }: LogLine): string => {
   if (event === 'server.paused') return `it had asked node ${node} for a pause of ${fields.pause_ms} ms`
+  if (event === 'server.cold') return `it was known to node ${node} to stay cold for ${fields.left_ms} ms, with a limit of ${fields.limit} requests a second`
   return fields.leaving === undefined ? `it had stated a limit of ${fields.request_limit} requests a second to node ${node}` : `it had told node ${node} that it leaves`
 }
 
@@ -132,6 +136,66 @@
   return `${timeOfDay(at)}: it ended as ${fields.outcome}${status} after ${fields.took_ms} ms.${first}${pause}`
 }
 
+const describeQueued = ({ at, fields }: LogLine): string => {
+  const waited = fields.waited_ms === '0' || fields.waited_ms === undefined ? '' : ` It had waited for ${fields.waited_ms} ms at another scheduler.`
+  const forecast = `room for its ${fields.tokens} tokens was expected in ${fields.forecast_ms} ms, and it could wait for ${fields.give_up_ms} ms`
+  return `${timeOfDay(at)}: no engine of ${fields.service} had room for it; it began to wait at the scheduler with urgency ${fields.urgency}, as one of ${fields.waiting}: ${forecast}.${waited}`
+}
+
+const QUEUE_OUTCOMES: Readonly<Record<string, string>> = {
+  placed: 'was placed',
+  withdrawn: 'was withdrawn by its node',
+  expired: 'was dropped, since its node no longer renewed it',
+  too_late: 'was refused, since its caller could no longer be served in time',
+  no_room: 'was refused, since too many requests before it waited',
+  redirected: 'was passed on to the scheduler of another group'
+}
+
+const describeDequeued = ({ at, fields }: LogLine): string =>
+  `${timeOfDay(at)}: it ${QUEUE_OUTCOMES[fields.outcome ?? ''] ?? `left the queue as ${fields.outcome}`} after ${fields.queued_ms} ms in the queue of the scheduler.`
+
+const describeNodeQueued = ({ at, node, fields }: LogLine): string => `${timeOfDay(at)}: node ${node} lets it wait at the scheduler ${fields.scheduler}.`
+
+const describeWithdrawn = ({ at, node, fields }: LogLine): string => {
+  const cause = fields.caller_left === 'true' ? 'the request was over' : 'its deadline was near'
+  return `${timeOfDay(at)}: node ${node} withdrew it from the scheduler ${fields.scheduler} after ${fields.queued_ms} ms, since ${cause}.`
+}
+
+/** A grant is returned because of its age, of servers that have left, or of failure domains that were evacuated as far as the node knew. */
+const describeReturned = ({ at, node, fields }: LogLine): string => {
+  if (fields.age_ms !== undefined) return `${timeOfDay(at)}: the place at ${fields.server} was returned to its scheduler: it had been granted ${fields.age_ms} ms before, as the process of the node was held up.`
+  const evacuated = fields.evacuated === undefined ? '' : ` Failure domains evacuated as far as the node knew: ${fields.evacuated}.`
+  return `${timeOfDay(at)}: node ${node} did not use the placement on ${fields.server} by the scheduler at ${fields.scheduler}, since it must not send to ${fields.unusable}.${evacuated}`
+}
+
+const describeEvacuation = ({ at, node, fields }: LogLine): string => {
+  const begun = fields.begun === 'none' ? '' : ` evacuation of ${fields.begun} begun,`
+  const ended = fields.ended === 'none' ? '' : ` evacuation of ${fields.ended} ended,`
+  return `${timeOfDay(at)}: node ${node} learnt from ${fields.origin === 'store' ? 'the store' : 'another node'}:${begun}${ended} as of revision ${fields.revision}.`
+}
+
+/** Written by the scheduler that placed the request, where the number of requests alone did not decide. */
+const describeByTime = ({ at, node, fields }: LogLine): string =>
+  `${timeOfDay(at)}: node ${node} chose by expected time ${speedText(fields, 'server')}, and not ${speedText(fields, 'other')}.`
+
+const speedText = (fields: LogLine['fields'], name: 'server' | 'other'): string => {
+  const warmth = fields[`${name}_warmth`]
+  const warmUp = warmth === undefined ? '' : `, warmed up by ${Math.round(Number(warmth) * 100)} %`
+  return `${fields[name]} (${fields[`${name}_requests`]} requests, ${fields[`${name}_relative`]} times the usual time${warmUp})`
+}
+
+const describeSpeed = ({ at, node, event, fields }: LogLine): string => {
+  const speed = event === 'server.even' ? 'about as long as the others' : `${fields.relative} times as long as the median server`
+  return `${timeOfDay(at)}: by the answers known to node ${node}, ${fields.server} took ${speed} of ${fields.service}.`
+}
+
+const describeCutOff = ({ at, node, fields }: LogLine): string =>
+  `${timeOfDay(at)}: node ${node} cut its caller off, which had left ${fields.unread} bytes unread, the oldest for ${fields.waited_ms} ms. It read slowest while the node buffered ` +
+  `${fields.unread_bytes} unread bytes, ${fields.collected_bytes} of answers and ${fields.body_bytes} of requests, of ${fields.limit_bytes}.`
+
+const describeHeld = ({ at, node, fields }: LogLine): string =>
+  `${timeOfDay(at)}: node ${node} held its server back, since the caller had left ${fields.unread} bytes unread and the buffers of the node were half full.`
+
 const describeOther = ({ at, node, event, fields }: LogLine): string => {
   const shownFields = Object.entries(fields).filter(([name]) => !['time', 'level', 'node', 'domain', 'event', 'request'].includes(name))
   return `${timeOfDay(at)}: ${event} on node ${node} (${shownFields.map(([name, value]) => `${name} ${value}`).join(', ')}).`
@@ -140,15 +204,25 @@
 const DESCRIBERS: Readonly<Record<string, (line: LogLine) => string>> = {
   'request.sent': describeSent,
   'request.not_placed': describeNotPlaced,
+  'placement.queued': describeQueued,
+  'placement.dequeued': describeDequeued,
+  'request.queued': describeNodeQueued,
+  'request.withdrawn': describeWithdrawn,
   'attempt.failed': describeFailedAttempt,
   'hedge.sent': describeHedge,
   'hedge.refused': describeHedgeRefused,
   'hedge.limited': describeHedgeLimited,
   'hedge.ended': describeHedgeEnded,
+  'grant.returned': describeReturned,
+  'placement.by_time': describeByTime,
+  'caller.cut_off': describeCutOff,
+  'attempt.held': describeHeld,
   'request.quarantined': (line) => `${timeOfDay(line.at)}: ${describeQuarantined(line)}`,
   'request.ended': describeEnded
 }
 
+const STATE_DESCRIBERS: Readonly<Record<string, (line: LogLine) => string>> = { 'evacuation.changed': describeEvacuation, 'server.uneven': describeSpeed, 'server.even': describeSpeed }
+
 const serversOf = ({ fields }: LogLine): string[] => [...listOf(fields.server), ...listOf(fields.helpers)]
 
 /** Describes the requests with the longest prompts that were sent to the same servers between two times. */
@@ -181,7 +255,7 @@
   const stateChanges = lines
     .filter(({ at, node, event, fields }) => at >= from && at <= last.at && nodes.has(node) &&
       (NODE_EVENTS.has(event) || (SERVER_EVENTS.has(event) && servers.has(fields.server ?? ''))))
-    .map(describeOther)
+    .map((line) => (STATE_DESCRIBERS[line.event] ?? describeOther)(line))
   return {
     sentences: own.flatMap((line) => [...describeQuarantine(lines, line), (DESCRIBERS[line.event] ?? describeOther)(line), ...describePassedOver(lines, line)]),
     meanwhile: [...concurrentRequestsOf(lines, request, servers, from, last.at), ...stateChanges.slice(-MAX_STATE_CHANGES)]
--- a/packages/cli/tests/decisionLog.test.ts
+++ b/packages/cli/tests/decisionLog.test.ts
@@ -102,6 +102,17 @@
   t.regex(explained('leaving'), /servers_leaving; i-3 had told node edge-3 1500 ms before that it leaves\./)
 })
 
+test('a request at a cold server, and one that passed it over, are explained by its warm-up', (t) => {
+  const sent = 'event=request.sent attempt=1 server_domain=d1 expected_ms=0 scheduler=self decided_ms=0 server_requests=1 server_pending_ms=0 due_in_ms=300 configuration=1 servers_revision=2'
+  const lines = parseDecisionLog([
+    line('30.000', 'edge-1', 'event=server.cold server=i-1 service=lm left_ms=3000 evidence=entry limit=26'),
+    line('30.100', 'edge-1', `${sent} request=at server=i-1 server_cold_ms=2900`),
+    line('30.200', 'edge-1', `${sent} request=past server=i-2 passed_over=i-1`)
+  ].join('\n'))
+  t.regex(explainLogged(lines, 'at')?.sentences.join() ?? '', /The server was cold for another 2900 ms, and got no more requests than it accepts then\./)
+  t.regex(explainLogged(lines, 'past')?.sentences.join() ?? '', /i-1 was not considered: it was known to node edge-1 to stay cold for 3000 ms, with a limit of 26 requests a second, 200 ms before\./)
+})
+
 const QUARANTINE_LOG = [
   line('20.000', 'edge-2', 'event=engine.crash_suspected server=i-3 suspects=1 parts=ab12,cd34 requests=first reported_by=edge-2'),
   line('20.010', 'edge-1', 'event=engine.crash_suspected server=i-3 suspects=1 parts=ab12,cd34 reported_by=edge-2 age_ms=4'),
@@ -156,3 +167,52 @@
   t.regex(limited!, /scheduler edge-2 .* hedge_high_load; 12 of 18 slots of app/)
   t.regex(refused!, /no second server was asked: hedge_high_load\./)
 })
+
+test('a request that waited for memory is explained from the lines of its scheduler and its node', (t) => {
+  const log = parseDecisionLog([
+    line('32.000', 'edge-1', 'event=placement.queued request=long node=edge-2 service=lm urgency=5 organisation=o tokens=191400 forecast_ms=900 give_up_ms=9000 waited_ms=0 waiting=3'),
+    line('32.001', 'edge-2', 'event=request.queued request=long scheduler=edge-1 renew_ms=200 waited_ms=0'),
+    line('32.800', 'edge-1', 'event=placement.dequeued request=long node=edge-2 service=lm outcome=placed queued_ms=800 waiting=2')
+  ].join('\n'))
+  const sentences = explainLogged(log, 'long')?.sentences ?? []
+  t.is(sentences.length, 3)
+  t.regex(sentences[0] ?? '', /had room for it; it began to wait at the scheduler with urgency 5, as one of 3: room for its 191400 tokens was expected in 900 ms/)
+  t.regex(sentences[2] ?? '', /it was placed after 800 ms in the queue/)
+})
+
+test('a grant that was returned because of an evacuation, and the evacuation itself, are told', (t) => {
+  const log = [
+    line('20.000', 'edge-1', 'event=evacuation.changed begun=hall-b ended=none origin=peer evacuated=hall-b revision=1.41'),
+    line('20.100', 'edge-1', 'event=grant.returned request=r5 scheduler=10.0.0.1:1 server=i-3 unusable=i-3 evacuated=hall-b servers_revision=1.40'),
+    line('20.101', 'edge-1', 'event=request.not_placed request=r5 service=lm reason=domains_evacuated retry_after_ms=1400')
+  ].join('\n')
+  const { sentences, meanwhile } = explainLogged(parseDecisionLog(log), 'r5')!
+  t.regex(sentences[0]!, /did not use the placement on i-3 .* evacuated as far as the node knew: hall-b\./)
+  t.regex(sentences[1]!, /evacuated all failure domains .* could return after 1400 ms/)
+  t.regex(meanwhile[0]!, /node edge-1 learnt from another node: evacuation of hall-b begun, as of revision 1\.41\./)
+})
+
+test('a grant that had aged while the process was held up is described', (t) => {
+  const log = line('23.000', 'edge-1', 'event=grant.returned request=r1 scheduler=10.0.0.1:1 server=i-1 age_ms=2004')
+  t.regex(explainLogged(parseDecisionLog(log), 'r1')?.sentences[0] ?? '', /the place at i-1 was returned to its scheduler: it had been granted 2004 ms before/)
+})
+
+test('a choice by expected time is explained by the speed of the server that was passed over', (t) => {
+  const lines = parseDecisionLog([
+    line('32.000', 'edge-2', 'event=server.uneven server=p-1 service=w relative=3.9 answered_ms=172 requests_before=0 reporter=edge-1'),
+    line('32.100', 'edge-2', 'event=placement.by_time request=r5 server=p-2 server_requests=1 server_relative=1 other=p-1 other_requests=0 other_relative=3.9 other_warmth=0.5 other_age_ms=100'),
+    line('32.101', 'edge-2', 'event=request.sent request=r5 attempt=1 server=p-1 server_domain=hall-a expected_ms=0 due_in_ms=251 configuration=3 servers_revision=41')
+  ].join('\n'))
+  const { sentences = [], meanwhile = [] } = explainLogged(lines, 'r5') ?? {}
+  t.regex(sentences[0] ?? '', /node edge-2 chose by expected time p-2 \(1 requests, 1 times the usual time\), and not p-1 \(0 requests, 3\.9 times the usual time, warmed up by 50 %\)\./)
+  t.true(meanwhile.some((text) => text.includes('by the answers known to node edge-2, p-1 took 3.9 times as long as the median server of w.')))
+})
+
+// Guards against an explanation that names neither the caller's part in its end nor the state of the node.
+test('a caller that was cut off is told how slowly it read, and what the node buffered', (t) => {
+  const lines = parseDecisionLog('time=2026-12-04T10:00:00.000Z level=warn node=n1 domain=d1 event=caller.cut_off request=r7 unread=800 waited_ms=1200 written=900 body_bytes=1 collected_bytes=2 unread_bytes=950 limit_bytes=1000\n' +
+    'time=2026-12-04T09:59:59.000Z level=info node=n1 domain=d1 event=attempt.held request=r7 unread=600')
+  const [held = '', cutOff = ''] = explainLogged(lines, 'r7')?.sentences ?? []
+  t.regex(held, /node n1 held its server back, since the caller had left 600 bytes unread/)
+  t.regex(cutOff, /node n1 cut its caller off, which had left 800 bytes unread, the oldest for 1200 ms\. .* buffered 950 unread bytes, .* of 1000\./)
+})
--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -41,12 +41,18 @@
   readonly #peers = new Map<NodeId, PeerAssignments>()
   readonly #prefillQueues = new Map<RunnerId, PrefillQueue>()
   #nextSequence = 1
+  #onRoomFreed: () => void = () => {}
 
   /** @param node - this node */
   constructor (node: NodeId) {
     this.#node = node
   }
 
+  /** Calls a listener after each change that may have freed memory or a slot of a backend server. */
+  onRoomFreed (listener: () => void): void {
+    this.#onRoomFreed = listener
+  }
+
   /** @returns the assignments made by this node */
   own (): readonly Assignment[] {
     return [...this.#own.values()]
@@ -88,7 +94,7 @@
   markPrefilled (assignment: Assignment, now: Millis): void {
     if (!this.#own.has(assignment.id)) return
     this.#dequeuePrefill(assignment, now)
-    this.#own.set(assignment.id, { ...assignment, isPrefilled: true })
+    this.#own.set(assignment.id, { ...assignment, isPrefilled: true, prefilledAt: now })
   }
 
   /**
@@ -99,7 +105,7 @@
    */
   end (assignment: Assignment, now: Millis): void {
     this.#dequeuePrefill(assignment, now)
-    this.#own.delete(assignment.id)
+    if (this.#own.delete(assignment.id)) this.#onRoomFreed()
   }
 
   /**
@@ -132,7 +138,7 @@
     const assignment = this.#peers.get(node)?.assignments.get(id)
     if (assignment === undefined || assignment.isPrefilled) return
     this.#dequeuePrefill(assignment, now)
-    this.#peers.get(node)?.assignments.set(id, { ...assignment, isPrefilled: true })
+    this.#peers.get(node)?.assignments.set(id, { ...assignment, isPrefilled: true, prefilledAt: now })
   }
 
   /**
@@ -151,6 +157,7 @@
     if (!assignment.isPrefilled) this.#dequeuePrefill(assignment, now)
     peer.assignments.delete(id)
     peer.grantedAt.delete(id)
+    this.#onRoomFreed()
     return assignment
   }
 
@@ -231,8 +238,10 @@
     for (const assignment of current.values()) {
       if (!peer.assignments.has(assignment.id) && !assignment.isPrefilled) this.#enqueuePrefill(assignment, assignment.sentAt)
     }
+    const known = new Map(peer.assignments)
     peer.assignments.clear()
-    for (const [id, assignment] of current) peer.assignments.set(id, assignment)
+    for (const [id, assignment] of current) peer.assignments.set(id, withPrefilledTime(assignment, known.get(id), now))
+    if ([...known.keys()].some((id) => !current.has(id))) this.#onRoomFreed()
   }
 
   * #all (): Generator<Assignment> {
@@ -267,6 +276,13 @@
   }
 }
 
+/** Reports do not state when a prompt was prefilled; it is the time of the first report that says so. */
+const withPrefilledTime = (reported: Assignment, known: Assignment | undefined, now: Millis): Assignment => {
+  if (!reported.isPrefilled || known === undefined) return reported
+  const prefilledAt = known.isPrefilled ? known.prefilledAt : now
+  return prefilledAt === undefined ? reported : { ...reported, prefilledAt }
+}
+
 /** Load by backend server at one moment. */
 export class ServerLoads {
   /**
@@ -280,6 +296,11 @@
     private readonly reservedTokens: ReadonlyMap<RunnerId, Tokens>
   ) {}
 
+  /** @returns the requests on all backend servers */
+  * assignments (): Generator<Assignment> {
+    for (const requests of this.requests.values()) yield * requests
+  }
+
   /**
    * @param server - the backend server
    * @returns its load
--- a/packages/node/src/forward/AnswerReceiver.ts
+++ b/packages/node/src/forward/AnswerReceiver.ts
@@ -1,5 +1,6 @@
 /** Handles the answers to the attempts of one request. */
 import { AttemptEnd, HealthSignal } from '@bluebellhill/domain'
+import type { Millis } from '@bluebellhill/domain'
 import { decodeAnswerHeaders } from '@bluebellhill/platform'
 
 import { FIRST_FAILURE_STATUS, findAnswerProblem, isSuccessfulAnswer } from './answerHeads.js'
@@ -11,6 +12,7 @@
 import { withoutRelayHeaders } from './relay/relayHeaders.js'
 import type { RelayPeer } from './relay/RelayPeers.js'
 import type { PeerRefusal } from './relay/RequestRelay.js'
+import { isUneven } from './scheduling/UnevenServers.js'
 import type { SilentReplacement } from './SilentReplacement.js'
 import type { OpenAttempt, SignedFailure } from './types.js'
 
@@ -20,8 +22,10 @@
 export interface AnswerHandler {
   /** Called when the head of a signed, successful answer arrives. */
   readonly successStarted: (attempt: OpenAttempt) => void
-  /** Called for each chunk of the body of a signed, successful answer. */
-  readonly chunkReceived: (attempt: OpenAttempt, chunk: Buffer) => void
+  /** Called for each chunk of the body of a signed, successful answer, also of a silent attempt. Returns whether the answer has gone on. */
+  readonly chunkReceived: (attempt: OpenAttempt, chunk: Buffer) => boolean
+  /** Called when the answer of the attempt in progress has gone on. */
+  readonly answerContinued: (attempt: OpenAttempt) => void
   /** Whether the answer is complete if its server ends it now. */
   readonly isAnswerWhole: (attempt: OpenAttempt) => boolean
   /** Called when a successful answer has ended. Returns whether it is complete; it has then been sent to the caller. */
@@ -100,14 +104,22 @@
   }
 
   #dataReceived (attempt: OpenAttempt, chunk: Buffer, failureBody: BoundedBuffer): void {
-    const { host: { progress }, silence, handler } = this.#options
-    if (!silence.takesData(attempt)) return
-    if (progress.attempt === attempt) silence.restartTimer(attempt)
-    if (isSuccessfulAnswer(attempt)) {
-      attempt.watch?.dataReceived()
-      // The data may refute a crash, and so leave the request itself as the cause of another one.
-      if (silence.takesData(attempt)) handler.chunkReceived(attempt, chunk)
-    } else if (!failureBody.append(chunk)) handler.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
+    const { silence, handler } = this.#options
+    if (isSuccessfulAnswer(attempt)) this.#answerDataReceived(attempt, chunk)
+    else if (silence.takesData(attempt) && !failureBody.append(chunk)) handler.answerOversized(attempt, `the body of a failure of more than ${MAX_FAILURE_BODY_BYTES} bytes`)
+  }
+
+  /** A silent attempt takes the place of its replacement only if its answer goes on, not for any single byte. */
+  #answerDataReceived (attempt: OpenAttempt, chunk: Buffer): void {
+    const { host: { progress, ending }, silence, handler } = this.#options
+    if (ending.isOver || (progress.attempt !== attempt && !silence.has(attempt))) return
+    const hasGoneOn = handler.chunkReceived(attempt, chunk)
+    const isTaken = hasGoneOn ? silence.takesData(attempt) : progress.attempt === attempt
+    if (!isTaken) return
+    if (hasGoneOn && progress.attempt === attempt) silence.restartTimer(attempt)
+    attempt.watch?.dataReceived()
+    // The data may refute a crash, and so leave the request itself as the cause of another one.
+    if (hasGoneOn && progress.attempt === attempt) handler.answerContinued(attempt)
   }
 
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
@@ -128,7 +140,7 @@
     } else if (this.#isAnswered(attempt)) {
       attempt.watch?.completed()
       this.#raceEnded(attempt)
-      close(attempt, HealthSignal.Good)
+      close(attempt, HealthSignal.Good, this.#serviceTimeOf(attempt))
       ending.answered(head.status)
     } else {
       this.#connectionEnded(attempt, 'the answer ended before it was complete')
@@ -141,6 +153,12 @@
     return silence.isCurrent(attempt) && handler.completeAnswer(attempt)
   }
 
+  /** Time of a complete answer, if placement depends on it. */
+  #serviceTimeOf ({ sentAt }: OpenAttempt): Millis | undefined {
+    const { context, call } = this.#options.host
+    return isUneven(call.service) ? context.clock() - sentAt : undefined
+  }
+
   #raceEnded (winner: OpenAttempt): void {
     if (!winner.isRaced) return
     const { requestLog, context } = this.#options.host
--- a/packages/node/src/forward/AttemptSearch.ts
+++ b/packages/node/src/forward/AttemptSearch.ts
@@ -4,7 +4,7 @@
 import type { AdmittedCall } from './AdmittedCall.js'
 import type { RequestGuard } from './quarantine/RequestGuard.js'
 import type { RequestLog } from './RequestLog.js'
-import type { PlacementClient } from './scheduling/PlacementClient.js'
+import type { PlacementClient, WaitTerms } from './scheduling/PlacementClient.js'
 import { PlacementRefusal } from './scheduling/types.js'
 import type { AttemptPlacement, RefusedPlacement } from './scheduling/types.js'
 
@@ -18,6 +18,8 @@
   readonly history: AttemptHistory
   readonly guard: RequestGuard
   readonly requestLog: RequestLog
+  /** Ends the wait for a placement, because the request is over. */
+  readonly signal: AbortSignal
 }
 
 /** Has attempts placed by the scheduler. */
@@ -33,15 +35,15 @@
    * Places the next attempt. An error fails this request only, and not the process with all others.
    *
    * @param chargesRetry - whether the attempt takes from the retry budget
-   * @param isHedge - whether it is a second attempt beside one in progress
+   * @param terms - whether it may wait for memory or a slot of a backend server, and whether it is a second attempt beside one in progress
    * @returns the placed attempt, or why there is none
    */
-  async find (chargesRetry: boolean, isHedge = false): Promise<AttemptPlacement> {
-    const { placement, call, history, guard, requestLog } = this.#options
+  async find (chargesRetry: boolean, terms: Omit<WaitTerms, 'signal'> = { mayWait: true }): Promise<AttemptPlacement> {
+    const { placement, call, history, guard, requestLog, signal } = this.#options
     const caution = guard.caution()
     if (caution === null) return QUARANTINED
     try {
-      return await placement.place(call, history, chargesRetry, caution, isHedge)
+      return await placement.place(call, history, chargesRetry, caution, { ...terms, signal })
     } catch (error) {
       requestLog.placementFailed(error)
       return { type: 'refused', reason: 'choosing a backend server failed', retryAfter: null }
--- a/packages/node/src/forward/AttemptSender.ts
+++ b/packages/node/src/forward/AttemptSender.ts
@@ -47,19 +47,27 @@
     const { choice: { server, holders }, assignment } = placed
     history.start(server.id)
     progress.attemptCount += 1
-    const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, context.memory, context.log)
+    const reservations = holders.length === 0 ? null : new MemoryReservations(assignment.id, holders, context.memory, context.log, context.clock)
     const attempt: OpenAttempt = { server, placed, peer: null, sentAt: context.clock(), reservations, serverCall: null, watch: null, hasFirstEvent: false, head: null, answer: null, isHedge, isHedgeTried: isHedge, isRaced: isHedge, isSilenceReported: false }
     progress.attempt = attempt
-    requestLog.attemptSent(placed, progress.attemptCount, lastEventId(), context.placement.answers.find(server))
-    if (reservations === null) this.#sendUnlessQuarantined(attempt, placed)
+    requestLog.attemptSent(placed, progress.attemptCount, lastEventId(), context.placement.answers.find(server), context.placement.answers.coldFor(server))
+    if (reservations === null) this.#sendUnlessHindered(attempt, placed)
     else void this.#reserveAndSend(attempt, placed, reservations)
   }
 
   async #reserveAndSend (attempt: OpenAttempt, placed: PlacedAttempt, reservations: MemoryReservations): Promise<void> {
     const { context, progress, fail } = this.#options.host
     const isReserved = await reservations.acquire()
+    await context.placement.settled()
     if (progress.attempt !== attempt) return
-    const obstacle = isReserved ? context.placement.obstacleTo(placed) : 'reserving KV cache memory failed'
+    if (isReserved) this.#sendUnlessHindered(attempt, placed)
+    else fail(attempt, AttemptEnd.Unsent, 'reserving KV cache memory failed')
+  }
+
+  /** A server may have left, or its failure domain may have been evacuated, while the attempt was being placed or memory was being reserved. */
+  #sendUnlessHindered (attempt: OpenAttempt, placed: PlacedAttempt): void {
+    const { context, fail } = this.#options.host
+    const obstacle = context.placement.obstacleTo(placed)
     if (obstacle === null) this.#sendUnlessQuarantined(attempt, placed)
     else fail(attempt, AttemptEnd.Unsent, obstacle)
   }
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -9,6 +9,7 @@
 import type { AnswerHandler } from './AnswerReceiver.js'
 import { AttemptSearch } from './AttemptSearch.js'
 import { AttemptSender } from './AttemptSender.js'
+import { CallerAnswer } from './buffers/CallerAnswer.js'
 import { RefusalCause } from './entry/refusals.js'
 import type { ForwardingHost, RequestProgress } from './ForwardingHost.js'
 import { ForwardOutcome } from './ForwardOutcome.js'
@@ -38,9 +39,14 @@
   readonly #requestLog: RequestLog
   readonly #ending: RequestEnding
   readonly #search: AttemptSearch
+  /** Aborted when the request is over. */
+  readonly #over = new AbortController()
   readonly #relay: RequestRelay
   readonly #silence: SilentReplacement
   readonly #sender: AttemptSender
+  readonly #callerAnswer: CallerAnswer
+  /** Attempt whose server is held back, because the caller does not read; null if there is none. */
+  #heldAttempt: OpenAttempt | null = null
   #firstAnswerAt: Millis | null = null
   #searchCount = 0
   #deadlineTimer: NodeJS.Timeout | null = null
@@ -60,10 +66,11 @@
       this.history.end(server, AttemptEnd.Broken)
     }
     this.#requestLog = new RequestLog(context, call)
-    this.#ending = new RequestEnding({ context, call, response, requestLog: this.#requestLog, summary: () => this.#summary(), onEnded: () => this.#releaseAll() })
+    this.#ending = new RequestEnding({ context, call, response, requestLog: this.#requestLog, summary: () => this.#summary(), onWritten: (bytes) => this.answerWritten(bytes), onEnded: () => this.#releaseAll() })
+    this.#callerAnswer = new CallerAnswer({ buffers: context.buffers, request: call.id, response, onCutOff: (reason) => this.#callerCutOff(reason), onHold: (isHeld) => this.#holdServer(isHeld) })
     this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
     this.#relay = new RequestRelay({ context, call, history: this.history, requestLog: this.#requestLog })
-    this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog })
+    this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog, signal: this.#over.signal })
     const host = this.#createHost()
     this.#silence = new SilentReplacement(host, () => this.#stopWaiting())
     const receiver = new AnswerReceiver({ host, silence: this.#silence, handler: this.#createAnswerHandler() })
@@ -89,6 +96,11 @@
     this.#ending.abort(ForwardOutcome.Lost, CloseCause.StopGraceOver, stage)
   }
 
+  /** Attempt in progress; null while one is being placed. */
+  protected get attempt (): OpenAttempt | null {
+    return this.#progress.attempt
+  }
+
   /** How far the request has come. */
   protected get stage (): RequestStage {
     if (this.hasStartedAnswer) return RequestStage.Answer
@@ -110,8 +122,15 @@
   /** Called when the head of a signed, successful answer arrives. */
   protected abstract successStarted (attempt: OpenAttempt): void
 
-  /** Called for each chunk of the body of a signed, successful answer. */
-  protected abstract chunkReceived (attempt: OpenAttempt, chunk: Buffer): void
+  /**
+   * Called for each chunk of the body of a signed, successful answer, also of a silent attempt.
+   *
+   * @returns whether the answer has gone on; bytes that complete no event keep no stream alive
+   */
+  protected abstract chunkReceived (attempt: OpenAttempt, chunk: Buffer): boolean
+
+  /** Called when the answer of the attempt in progress has gone on. */
+  protected abstract answerContinued (attempt: OpenAttempt): void
 
   /** Whether the answer is complete if its server ends it now. */
   protected abstract isAnswerWhole (attempt: OpenAttempt): boolean
@@ -125,6 +144,14 @@
   /** Returns the fields of the final log line that depend on the kind of answer. */
   protected abstract answerLogFields (): Record<string, unknown>
 
+  /** Called when the server of the attempt in progress is held back. */
+  protected serverHeld (): void {}
+
+  /** Counts bytes of the answer that have been written to the caller. */
+  protected answerWritten (bytes: number): void {
+    this.#callerAnswer.add(bytes)
+  }
+
   /** Records the time of the first data that is sent to the caller, and gives up the attempts that were kept until then. */
   protected recordFirstAnswer (attempt: OpenAttempt): void {
     this.#silence.closeAll()
@@ -133,6 +160,17 @@
     if (attempt.placed !== null) this.context.metrics.firstAnswerSent(this.call.route.kind, attempt.placed.choice.timeToFirstEvent, this.#firstAnswerAt - attempt.sentAt)
   }
 
+  /** While the server is held back its silence is no failure. */
+  #holdServer (isHeld: boolean): void {
+    const attempt = isHeld ? this.attempt : this.#heldAttempt
+    this.#heldAttempt = isHeld ? attempt : null
+    if (attempt === null || attempt !== this.attempt) return
+    this.serverHeld()
+    attempt.serverCall?.hold(isHeld)
+    // What had arrived meanwhile may have ended the attempt.
+    if (attempt === this.attempt) this.#silence.restartTimer(attempt)
+  }
+
   /** While this node may reach no server at all, a failed connection says nothing of the server. */
   #signalOf (attempt: OpenAttempt, end: AttemptEnd): HealthSignal | null {
     return end === AttemptEnd.Unsent && this.#relay.isInDoubt ? null : healthSignalOf(attempt, end)
@@ -235,9 +273,9 @@
       progress: this.#progress,
       lastEventId: () => this.lastEventId,
       hasStartedAnswer: () => this.hasStartedAnswer,
-      dataTimeout: (attempt) => this.dataTimeout(attempt),
+      dataTimeout: (attempt) => attempt === this.#heldAttempt ? null : this.dataTimeout(attempt),
       open: (placed, isHedge) => this.#sender.open(placed, isHedge),
-      close: (attempt, signal) => this.#closeAttempt(attempt, signal),
+      close: (attempt, signal, serviceTime) => this.#closeAttempt(attempt, signal, serviceTime),
       release: (attempt, signal) => this.#release(attempt, signal),
       fail: (attempt, end, reason, signal) => this.failAttempt(attempt, end, reason, signal),
       refuseQuarantined: (verdict) => this.#refuseQuarantined(verdict)
@@ -248,6 +286,7 @@
     return {
       successStarted: (attempt) => this.successStarted(attempt),
       chunkReceived: (attempt, chunk) => this.chunkReceived(attempt, chunk),
+      answerContinued: (attempt) => this.answerContinued(attempt),
       isAnswerWhole: (attempt) => this.isAnswerWhole(attempt),
       completeAnswer: (attempt) => this.completeAnswer(attempt),
       answerOversized: (attempt, reason) => this.answerOversized(attempt, reason),
@@ -306,23 +345,36 @@
     this.#ending.callerDisconnected()
   }
 
-  #closeAttempt (attempt: OpenAttempt, signal: HealthSignal | null = null): void {
+  /** Its connection is reset. */
+  #callerCutOff (reason: string): void {
+    const { stage } = this
+    if (this.#ending.isOver) {
+      this.#ending.recordUnanswered(CloseCause.SlowReader, stage, reason)
+      return
+    }
+    if (this.attempt !== null) this.#closeAttempt(this.attempt)
+    this.#progress.lastProblem = reason
+    this.#ending.abort(ForwardOutcome.CallerCutOff, CloseCause.SlowReader, stage)
+  }
+
+  #closeAttempt (attempt: OpenAttempt, signal: HealthSignal | null = null, serviceTime?: Millis): void {
     this.#silence.stopTimer()
     this.#progress.attempt = null
-    this.#release(attempt, signal)
+    this.#release(attempt, signal, serviceTime)
   }
 
-  #release (attempt: OpenAttempt, signal: HealthSignal | null): void {
+  #release (attempt: OpenAttempt, signal: HealthSignal | null, serviceTime?: Millis): void {
     attempt.watch?.ended()
     attempt.serverCall?.abort()
     this.attemptClosed(attempt)
     attempt.reservations?.release()
     this.context.placement.hedgeTiming.attemptEnded(this.call, attempt, signal === HealthSignal.Good)
-    if (attempt.placed !== null) this.context.placement.removeAssignment(attempt.placed, signal)
+    if (attempt.placed !== null) this.context.placement.removeAssignment(attempt.placed, signal, serviceTime)
     if (attempt.peer !== null) this.context.relay.peers.ended(attempt.peer)
   }
 
   #releaseAll (): void {
+    this.#over.abort()
     this.#silence.closeAll()
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer)
     this.#stopWaiting()
--- a/packages/node/src/forward/ForwardingHost.ts
+++ b/packages/node/src/forward/ForwardingHost.ts
@@ -36,12 +36,12 @@
   lastEventId: () => string | null
   /** Whether the head of an answer has been sent to the caller. */
   hasStartedAnswer: () => boolean
-  /** Longest time without data before the attempt is given up; null to wait until the deadline of the request. */
+  /** Longest time without progress before the attempt is given up; null to wait until the deadline of the request, or while its server is held back. */
   dataTimeout: (attempt: OpenAttempt) => Millis | null
   /** Starts an attempt that has been placed; another one goes on beside a hedge. */
   open: (placed: PlacedAttempt, isHedge?: boolean) => void
-  /** Ends the attempt in progress, and releases what it holds. */
-  close: (attempt: OpenAttempt, signal?: HealthSignal | null) => void
+  /** Ends the attempt in progress, and releases what it holds. The service time is that of a complete answer, if placement depends on it. */
+  close: (attempt: OpenAttempt, signal?: HealthSignal | null, serviceTime?: Millis) => void
   /** Releases what an attempt holds. */
   release: (attempt: OpenAttempt, signal: HealthSignal | null) => void
   /** Ends an attempt without a complete answer. The signal is derived from the end if it is absent. */
--- a/packages/node/src/forward/RequestEnding.ts
+++ b/packages/node/src/forward/RequestEnding.ts
@@ -11,6 +11,7 @@
 import { ForwardOutcome } from './ForwardOutcome.js'
 import type { RequestLog } from './RequestLog.js'
 import type { ForwardingContext, SignedFailure } from './types.js'
+import { breakConnection } from './entry/breakConnection.js'
 import { recordUnanswered } from './unansweredRequests.js'
 import type { CloseCause, RequestStage } from './unansweredRequests.js'
 
@@ -34,6 +35,8 @@
   readonly requestLog: RequestLog
   /** Returns what has happened to the request so far. */
   readonly summary: () => RequestSummary
+  /** Called when bytes of a body have been written to the caller. */
+  readonly onWritten: (bytes: number) => void
   /** Called when the request is over, to release what it holds. */
   readonly onEnded: () => void
 }
@@ -77,9 +80,10 @@
 
   /** Sends the caller a failure that a backend server has answered, unchanged. */
   returnFailure ({ head, body }: SignedFailure): void {
-    const { response } = this.#options
+    const { response, onWritten } = this.#options
     response.writeHead(head.status, withContentLength(encodeReturnedHeaders(head.rawHeaders), body.length))
     response.end(body)
+    onWritten(body.length)
     this.#end(ForwardOutcome.ServerFailed, head.status)
   }
 
@@ -88,7 +92,7 @@
     const { response, summary } = this.#options
     this.recordUnanswered(cause, stage, summary().problem)
     this.#end(outcome, response.statusCode)
-    response.destroy()
+    breakConnection(response)
   }
 
   /** Records that the connection to the caller is closed before the complete answer has been read. */
--- a/packages/node/src/forward/SilentReplacement.ts
+++ b/packages/node/src/forward/SilentReplacement.ts
@@ -126,7 +126,7 @@
     const timeout = this.#timeout ?? silence
     const delay = context.placement.hedgeTiming.delay(call, attempt) ?? silence
     attempt.isHedgeTried = true
-    const placement = await search.find(true, true)
+    const placement = await search.find(true, { mayWait: false, isHedge: true })
     if (hasGoneOn()) {
       search.discard(placement)
       this.#hedgeRefused(attempt, delay, 'no_longer_needed')
@@ -171,12 +171,12 @@
   /** Starts another attempt beside a silent one, which is only given up once the other server has begun to answer. */
   async #replace (attempt: OpenAttempt, silence: Millis, hasGoneOn: ChangeCheck): Promise<void> {
     const { search, history, requestLog, progress, open } = this.#host
-    const placement = await search.find(true)
+    const placement = await search.find(true, { mayWait: false })
     if (hasGoneOn()) {
       search.discard(placement)
       return
     }
-    const reason = `no byte for ${Math.round(silence)} ms`
+    const reason = `no progress for ${Math.round(silence)} ms`
     progress.lastProblem = `${AttemptEnd.TimedOut}: ${reason}`
     if (placement.type === 'refused') {
       requestLog.silentAttemptKept(attempt, silence, placement.reason)
--- a/packages/node/src/forward/entry/admit.ts
+++ b/packages/node/src/forward/entry/admit.ts
@@ -1,14 +1,17 @@
 /** Reads a caller's request and checks it against the configuration in force. */
 import type { IncomingMessage } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
 
 import { pickService } from '@bluebellhill/domain'
-import type { CallerLimits, Millis, OrganisationKeys, Route, RouteTable } from '@bluebellhill/domain'
+import type { CallerLimits, Millis, OrganisationKeys, Region, Route, RouteTable } from '@bluebellhill/domain'
 import { decodeCallerHeaders } from '@bluebellhill/platform'
 import type { CallerHeaders } from '@bluebellhill/platform'
 import { failed, success } from '@bluebellhill/services'
 import type { Result } from '@bluebellhill/services'
 
+import { waitingInputRead } from '../../clock/inputTurn.js'
 import type { AdmittedCall } from '../AdmittedCall.js'
+import type { BodyReservation } from '../buffers/BodyReservation.js'
 import { decodeTried, withoutRelayHeaders } from '../relay/relayHeaders.js'
 import { RefusalCause } from './refusals.js'
 
@@ -56,20 +59,38 @@
   return success({ route, organisation, headers, attemptId: headers.attemptId, isRelayed })
 }
 
+/**
+ * @param head - result of the checks of a request head
+ * @returns time from the arrival of the head until the deadline of the request
+ */
+export const timeAllowed = ({ route, headers }: AcceptedHead): Millis => Math.min(route.timeout, headers.deadline ?? MAX_TIME_WITHOUT_DEADLINE)
+
 /**
  * Reads the complete body of a request.
  *
  * @param request - the request
  * @param limits - limits on its size
+ * @param timeout - time in which it has to be complete, however slowly it arrives
+ * @param reservation - memory of the node, in which room is reserved for it
  * @returns the body, or why the request is refused; null if the caller has disconnected
  */
-export const readCallerBody = async (request: IncomingMessage, limits: CallerLimits): Promise<Result<Buffer, RefusalCause> | null> => {
+export const readCallerBody = async (request: IncomingMessage, limits: CallerLimits, timeout: Millis, reservation: BodyReservation): Promise<Result<Buffer, RefusalCause> | null> => {
+  const timer = new AbortController()
+  const timedOut = sleep(timeout, undefined, { signal: timer.signal }).then(waitingInputRead).then(() => failed(RefusalCause.TimedOutUnsent), () => null)
+  const body = await Promise.race([readWhole(request, limits, reservation), timedOut])
+  timer.abort()
+  return body
+}
+
+const readWhole = async (request: IncomingMessage, limits: CallerLimits, reservation: BodyReservation): Promise<Result<Buffer, RefusalCause> | null> => {
   const chunks: Buffer[] = []
   let size = 0
   try {
-    for await (const chunk of request) {
+    // The request stays open when the loop ends early, so that the refusal can be sent.
+    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
       size += (chunk as Buffer).length
       if (size > limits.bodyBytes) return failed(RefusalCause.BodyTooLarge)
+      if (!reservation.reserve((chunk as Buffer).length)) return failed(RefusalCause.NodeMemory)
       chunks.push(chunk as Buffer)
     }
   } catch {
@@ -89,7 +110,8 @@
  * @param arrivedAt - time at which its head was read
  * @returns the request to forward, or why it is refused
  */
-export const admit = (request: IncomingMessage, { route, organisation, headers, attemptId, isRelayed }: AcceptedHead, body: Buffer, table: RouteTable, arrivedAt: Millis): Result<AdmittedCall, RefusalCause> => {
+export const admit = (request: IncomingMessage, head: AcceptedHead, body: Buffer, table: RouteTable, arrivedAt: Millis): Result<AdmittedCall, RefusalCause> => {
+  const { route, organisation, headers, attemptId, isRelayed } = head
   const service = table.service(pickService(route, Math.random()) ?? '')
   if (service === null) return failed(RefusalCause.NoServer)
   return success({
@@ -102,6 +124,7 @@
     service,
     organisation: organisation?.name ?? null,
     urgency: Math.min(LEAST_URGENCY, organisation?.priority ?? route.priority ?? DEFAULT_URGENCY),
+    ...allowedRegions(route, organisation),
     size: headers.size ?? { prompt: 0, mostAnswer: 0 },
     parts: headers.promptParts,
     isRelayed,
@@ -109,9 +132,16 @@
     lastEventId: headers.lastEventId,
     arrivedAt,
     dueAt: arrivedAt + route.objective,
-    deadlineAt: arrivedAt + Math.min(route.timeout, headers.deadline ?? MAX_TIME_WITHOUT_DEADLINE)
+    deadlineAt: arrivedAt + timeAllowed(head)
   })
 }
 
+/** If both the route and the organisation list regions, a request may reach those that are in both lists. */
+const allowedRegions = (route: Route, organisation: OrganisationKeys | null): { readonly regions?: readonly Region[] } => {
+  const lists = [route.regions, organisation?.regions].filter((regions) => regions !== undefined)
+  const [first, second = first] = lists
+  return first === undefined ? {} : { regions: first.filter((region) => second?.includes(region)) }
+}
+
 const headBytes = ({ rawHeaders, url, method }: IncomingMessage): number =>
   rawHeaders.reduce((sum, text) => sum + text.length, 0) + HEADER_FRAMING_BYTES * rawHeaders.length / 2 + (url?.length ?? 0) + (method?.length ?? 0)
--- a/packages/node/src/forward/hedging/HedgePlacement.ts
+++ b/packages/node/src/forward/hedging/HedgePlacement.ts
@@ -56,15 +56,15 @@
 
   /**
    * @param spec - a hedge
-   * @param healthy - servers that may get it, without those that are avoided, leaving, or have got the request already
+   * @param healthy - servers that may get it, without those that are avoided, cold, evacuated, leaving, or have got the request already
    * @param loads - loads of all servers
    * @returns the servers that may get it; or why none may
    */
-  select ({ request, service, isSuspected, isolatedAs, trialParts }: PlacementSpec, healthy: readonly Candidate[], loads: ServerLoads): readonly Candidate[] | HedgeRefusal {
+  select ({ request, service, regions, isSuspected, isolatedAs, trialParts }: PlacementSpec, healthy: readonly Candidate[], loads: ServerLoads): readonly Candidate[] | HedgeRefusal {
     const { fleetState, clock } = this.#options
     if (this.maxRatio === null || !this.#isPlain(service)) return HedgeRefusal.Off
     if (isSuspected || isolatedAs !== undefined || trialParts.length > 0) return HedgeRefusal.Suspected
-    const servers = fleetState.servers.ready(service)
+    const servers = fleetState.servers.ready(service).filter((server) => fleetState.restrictions.permits(server, regions))
     const refusal = this.#admission.refusal(service, servers, loads)
     if (refusal !== null) {
       this.#logLimit(request, service, refusal, servers, loads)
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -15,6 +15,12 @@
 
 const MILLI = 1_000
 
+/** Shortest interval at which this node renews a query that waits, whatever the reply states. */
+const MIN_RENEWAL_PERIOD: Millis = 50
+
+/** Greatest number that a field of 32 bits holds. */
+const MAX_UINT32 = 2 ** 32 - 1
+
 export type DatagramContent = NonNullable<fleetWire.PeerDatagram['content']>
 
 /** A decoded datagram. */
@@ -129,6 +135,8 @@
       return { number, result: { $case: 'refusal', value: encodeRefusal(result, now) } }
     case 'redirected':
       return { number, result: { $case: 'redirect', value: result.address } }
+    case 'queued':
+      return { number, result: { $case: 'queued', value: { renewMs: Math.round(result.renewAfter) } } }
     case 'placed': {
       const { choice, load } = result
       return {
@@ -146,6 +154,7 @@
             keepsLimit: result.keepsLimit,
             passedOver: [...result.passedOver],
             isTrial: result.isTrial,
+            keepsWarmUp: result.keepsWarmUp === true,
             hedgeAfterMs: result.hedgeAfter === undefined ? undefined : Math.round(result.hedgeAfter),
             isHedge: result.isHedge
           }
@@ -170,7 +179,8 @@
   if (result === undefined) throw new Error('the placement reply contains no decision')
   if (result.$case === 'refusal') return decodeRefusal(result.value, now)
   if (result.$case === 'redirect') return { type: 'redirected', address: result.value }
-  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit, passedOver, isTrial, hedgeAfterMs, isHedge } = result.value
+  if (result.$case === 'queued') return { type: 'queued', renewAfter: Math.max(MIN_RENEWAL_PERIOD, result.value.renewMs) }
+  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit, passedOver, isTrial, keepsWarmUp, hedgeAfterMs, isHedge } = result.value
   if (server === undefined) throw new Error('the placement names no server')
   const decoded = helpers.map((helper) => decodeServer(helper, service, findServer))
   const choice: PlacementChoice = {
@@ -187,6 +197,7 @@
     keepsLimit,
     passedOver: passedOver as RunnerId[],
     isTrial,
+    ...(keepsWarmUp === true ? { keepsWarmUp } : {}),
     ...(isHedge === true ? { isHedge } : {}),
     ...(hedgeAfterMs === undefined ? {} : { hedgeAfter: hedgeAfterMs })
   }
@@ -210,17 +221,26 @@
 
 /** @returns the wire form of reports about attempts */
 export const encodeAttemptReports = (reports: readonly AttemptReport[]): fleetWire.AttemptReports => ({
-  reports: reports.map(({ number, isEnded, server, signal, slowdown }) => ({ number, isEnded, server, signal: signal ?? '', slowdownMilli: slowdown === null ? 0 : Math.round(slowdown * MILLI) }))
+  reports: reports.map(({ number, isEnded, server, signal, slowdown, serviceTime }) => ({
+    number,
+    isEnded,
+    server,
+    signal: signal ?? '',
+    slowdownMilli: slowdown === null ? 0 : Math.round(slowdown * MILLI),
+    serviceTimeUs: serviceTime === undefined ? undefined : Math.min(MAX_UINT32, Math.round(serviceTime.time * MILLI)),
+    requestsBefore: serviceTime?.requestsBefore
+  }))
 })
 
 /** @returns the reports about attempts; an unknown health signal counts as none */
 export const decodeAttemptReports = ({ reports }: fleetWire.AttemptReports): AttemptReport[] =>
-  reports.map(({ number, isEnded, server, signal, slowdownMilli }) => ({
+  reports.map(({ number, isEnded, server, signal, slowdownMilli, serviceTimeUs, requestsBefore }) => ({
     number,
     isEnded,
     server: server as RunnerId,
     signal: Object.values(HealthSignal).find((known) => known === signal) ?? null,
-    slowdown: slowdownMilli === 0 ? null : slowdownMilli / MILLI
+    slowdown: slowdownMilli === 0 ? null : slowdownMilli / MILLI,
+    ...(serviceTimeUs === undefined ? {} : { serviceTime: { time: serviceTimeUs / MILLI, requestsBefore: requestsBefore ?? 0 } })
   }))
 
 /** @returns the wire form of a candidate */
--- a/packages/node/src/forward/relay/RequestRelay.ts
+++ b/packages/node/src/forward/relay/RequestRelay.ts
@@ -7,6 +7,7 @@
 import type { AnswerHead, ServerCallRequest } from '../backend/ServerCall.js'
 import { RefusalCause } from '../entry/refusals.js'
 import type { RequestLog } from '../RequestLog.js'
+import { findRestriction } from '../scheduling/findRestriction.js'
 import { relayCallRequest } from '../serverCallRequest.js'
 import type { ForwardingContext, OpenAttempt } from '../types.js'
 import { decodeRelayAnswer, SERVER_ANSWER } from './relayHeaders.js'
@@ -14,7 +15,7 @@
 
 /** Refusals that hold for the other node only: a third one may serve the request, or this one itself. */
 const REFUSALS_OF_ONE_NODE: ReadonlySet<RefusalCause> = new Set([
-  RefusalCause.Unreachable, RefusalCause.Starting, RefusalCause.Stopping, RefusalCause.UnknownKey, RefusalCause.UnknownRoute,
+  RefusalCause.Unreachable, RefusalCause.Starting, RefusalCause.Stopping, RefusalCause.NodeMemory, RefusalCause.UnknownKey, RefusalCause.UnknownRoute,
   RefusalCause.BadRequest, RefusalCause.HeadTooLarge, RefusalCause.BodyTooLarge
 ])
 
@@ -62,10 +63,14 @@
     await context.relay.checks.settled(call.service.name)
   }
 
-  /** @returns the node to pass the request on to; null if this node sends it itself, as it does with what others have passed on */
+  /**
+   * @returns the node to pass the request on to; null if this node sends it itself, as it does with what others have passed on, or if
+   *   no server may get it
+   */
   choosePeer (): RelayPeer | null {
     const { context, call } = this.#options
-    return call.isRelayed ? null : context.relay.peerFor(call.service.name)
+    if (call.isRelayed || findRestriction(context.fleetState, call.service.name, call.regions) !== null) return null
+    return context.relay.peerFor(call.service.name, call.regions)
   }
 
   /**
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,18 +1,23 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
 import { assignmentId, DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, Readiness, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
-import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad } from '@bluebellhill/domain'
+import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerDirectory, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad, WarmUpBounds } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 import { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
 import { HedgePlacement } from '../hedging/HedgePlacement.js'
+import { AdmissionControl } from './AdmissionControl.js'
+import type { Timer } from './AdmissionControl.js'
+import { ColdServers } from './ColdServers.js'
+import { findRestriction } from './findRestriction.js'
 import { IsolatedAttempts } from './IsolatedAttempts.js'
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
 import { ServerStatements } from './ServerStatements.js'
 import { spreadReturn } from './spreadReturn.js'
-import { PlacementRefusal } from './types.js'
-import type { AssignmentOwner, AttemptReport, ChosenServerLoad, PlacementContext, PlacementResult, PlacementSpec } from './types.js'
+import { GROUP_CONTEXT, NO_TERMS, PlacementRefusal } from './types.js'
+import { isUneven, UnevenServers } from './UnevenServers.js'
+import type { AssignmentOwner, AttemptReport, ChosenServerLoad, FinalPlacement, PlacementContext, PlacementSpec, PlacementTerms } from './types.js'
 
 export interface SchedulerOptions {
   readonly node: NodeId
@@ -29,6 +34,14 @@
   readonly schedulerCount: () => number
   /** Returns the group whose engines this node places requests on. */
   readonly group: () => SchedulerGroup
+  /** Serves waiting requests later; timers of the process if absent. */
+  readonly setTimer?: Timer
+  /** Returns by how much a second may exceed the rate of a cold server; no excess is allowed if absent. */
+  readonly warmUpBounds?: () => WarmUpBounds
+  /** Nodes that may place requests on the same servers; if absent, this node is the only one. */
+  readonly directory?: SchedulerDirectory
+  /** Wall clock, for the start times of backend servers; that of the process if absent. */
+  readonly wallClock?: () => number
 }
 
 /** Pending prefill time of an engine above which its silence is not a fault. */
@@ -47,6 +60,9 @@
   readonly statements: ServerStatements
   readonly quarantine: NodeQuarantine
   readonly hedges: HedgePlacement
+  /** Requests that wait for memory or a slot. */
+  readonly admission: AdmissionControl
+  readonly unevenServers: UnevenServers
   readonly #groupLoads = new GroupLoads()
   readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
@@ -61,16 +77,21 @@
   constructor (options: SchedulerOptions) {
     this.#options = options
     this.assignments = new FleetAssignments(options.node)
-    this.statements = new ServerStatements(options)
+    this.statements = new ServerStatements({ ...options, coldServers: new ColdServers(options) })
     this.quarantine = new NodeQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
     this.hedges = new HedgePlacement({ ...options, maxRatio: options.hedgeRatio ?? (() => null) })
+    this.unevenServers = new UnevenServers({ ...options, coldServers: this.statements.coldServers })
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
     this.#retryBudgets = new RetryBudgets({ bounds: options.retryBounds, sharedBy: options.schedulerCount, clock: options.clock })
+    this.admission = new AdmissionControl({ ...options, scheduler: this })
+    this.assignments.onRoomFreed(() => this.admission.roomFreed())
+    options.fleetState.onChange(() => this.admission.roomFreed())
     options.fleetState.onDeparture((id) => {
       this.health.remove(id)
       this.statements.remove(id)
       this.#slowdowns.remove(id)
+      this.unevenServers.remove(id)
     })
   }
 
@@ -80,35 +101,68 @@
    * @param spec - the attempt
    * @param owner - node that sends it, with the number of the assignment there
    * @param context - whom this scheduler decides for
+   * @param terms - how it is placed beside requests that wait
    * @returns the decision
    */
-  place (spec: PlacementSpec, owner: AssignmentOwner, context: PlacementContext): PlacementResult {
+  place (spec: PlacementSpec, owner: AssignmentOwner, context: PlacementContext, terms: PlacementTerms = NO_TERMS): FinalPlacement {
     const service = this.#options.fleetState.routeTable?.service(spec.service) ?? null
     if (service === null) return { type: 'refused', reason: PlacementRefusal.UnknownService, retryAfter: null }
+    const restriction = findRestriction(this.#options.fleetState, spec.service, spec.regions)
+    if (restriction !== null) return restriction
     const isTrial = spec.trialParts.length > 0
     if (isTrial && !this.#mayGrantTrial(spec, context)) return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
     const now = this.#options.clock()
     const loads = this.#loads(now)
     const permitted = this.#permittedServers(spec, service)
-    const open = permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, context.limitShare, now) === 0)
-    const apart = this.#candidatesApart(spec, this.#candidates(open, now), loads)
+    const open = this.#openServers(permitted, context, now)
+    const apart = this.#candidatesApart(spec, withoutHeld(this.#candidates(open, now), terms), loads)
     if (apart === null) return { type: 'refused', reason: PlacementRefusal.SuspectsInProgress, retryAfter: ISOLATION_RETRY_AFTER }
-    const candidates = spec.isHedge === true ? this.hedges.select(spec, this.#withoutAvoided(apart, now), loads) : apart
+    const candidates = spec.isHedge === true ? this.hedges.select(spec, this.#hedgeCandidates(apart, now), loads) : apart
     if (typeof candidates === 'string') return { type: 'refused', reason: candidates, retryAfter: null }
-    if (spec.chargesRetry && !this.#retryBudgets.acquire(spec.service)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
-    if (spec.isFirstAttempt) this.#countRequest(spec.service)
-    const choice = this.#choose(spec, service, candidates, loads, context, now)
+    if (!terms.isCounted && !this.count(spec)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
+    const best = this.#choose(spec, service, candidates, loads, context, now)
+    const hasSlot = !terms.needsFreeSlot || best === null || hasFreeSlot(best, loads)
+    const choice = hasSlot ? best : null
     const relief = this.#findRelief(spec, service, choice, now)
     if (relief !== null) return { type: 'redirected', address: relief }
+    if (!hasSlot) return { type: 'refused', reason: PlacementRefusal.NoRoom, retryAfter: null }
     if (choice === null) return this.statements.refusalFor(permitted, context.limitShare, now)
     const lateness = choice.timeToFirstEvent - callerWaitTime(spec.objective)
     if (choice.isDeferred && lateness > 0) return { type: 'refused', reason: PlacementRefusal.TooLate, retryAfter: spreadReturn(lateness) }
     if (isTrial) this.quarantine.grantTrial(spec.trialParts, spec.request)
     this.#record(spec, choice, owner, now)
     this.statements.take(choice.server, context.limitShare)
+    for (const helper of choice.helpers) if (this.statements.coldServers.limits(helper, now)) this.statements.take(helper, context.limitShare)
     if (spec.isHedge === true) this.hedges.placed(spec.service)
     const passedOver = permitted.filter((server) => !open.includes(server)).slice(0, MAX_PASSED_OVER).map(({ id }) => id)
-    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, passedOver, isTrial, ...this.#hedgeTerms(spec) }
+    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, keepsWarmUp: true, passedOver, isTrial, ...this.#hedgeTerms(spec) }
+  }
+
+  /**
+   * Counts an attempt in the retry budget of its service, and in that of its hedges.
+   *
+   * @param spec - the attempt
+   * @returns whether the budget allows it
+   */
+  count ({ chargesRetry, isFirstAttempt, service }: PlacementSpec): boolean {
+    if (chargesRetry && !this.#retryBudgets.acquire(service)) return false
+    if (isFirstAttempt) this.#countRequest(service)
+    return true
+  }
+
+  /**
+   * Describes an attempt to the forecast of free memory.
+   *
+   * @param spec - the attempt
+   * @returns the attempt, with the engines that this scheduler may place it on and their loads; null if it knows no such service
+   */
+  placementRequest (spec: PlacementSpec): PlacementRequest | null {
+    const { fleetState, clock } = this.#options
+    const service = fleetState.routeTable?.service(spec.service) ?? null
+    if (service === null) return null
+    const now = clock()
+    const open = this.#openServers(this.#permittedServers(spec, service), GROUP_CONTEXT, now)
+    return this.#requestOf(spec, service, this.#candidates(open, now), this.#loads(now), GROUP_CONTEXT, now)
   }
 
   /**
@@ -146,11 +200,12 @@
    */
   applyReports (node: NodeId, reports: readonly AttemptReport[]): void {
     const now = this.#options.clock()
-    for (const { number, isEnded, server, signal, slowdown } of reports) {
+    for (const { number, isEnded, server, signal, slowdown, serviceTime } of reports) {
       const ended = isEnded ? this.assignments.endGranted(node, number, now) : null
       if (ended !== null) this.hedges.attemptEnded(ended, signal)
       if (!isEnded && number > 0) this.assignments.markGrantedPrefilled(node, number, now)
       if (slowdown !== null) this.#slowdowns.observeShortest(server, slowdown, now)
+      if (serviceTime !== undefined) this.unevenServers.observe(server, serviceTime, node)
       const known = signal === null ? null : this.#options.fleetState.servers.find(server)
       if (known !== null && signal !== null) this.recordHealthSignal(known, signal, node)
     }
@@ -202,7 +257,7 @@
     const loads = this.#loads(clock())
     const services = fleetState.routeTable?.deployment.services ?? []
     return services.filter(({ engine }) => engine !== null).map(({ name }) => {
-      const servers = fleetState.servers.ready(name).filter(({ failureDomain }) => isInGroup(group(), failureDomain))
+      const servers = fleetState.servers.ready(name).filter((server) => isInGroup(group(), server.failureDomain) && fleetState.restrictions.permits(server))
       const pending = servers.reduce((sum, { id }) => sum + loads.get(id).pending.reduce((total, { remaining }) => total + remaining, 0), 0)
       return {
         service: name,
@@ -243,7 +298,17 @@
 
   #choose (spec: PlacementSpec, service: Service, candidates: readonly Candidate[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementChoice | null {
     if (candidates.length === 0) return null
-    const request = {
+    const request = this.#requestOf(spec, service, candidates, loads, context, now)
+    const policy = this.#policyOf(service)
+    const alone = isRisky(spec) ? this.#chooseAlone(request, policy, spec.isolatedAs !== undefined) : null
+    if (alone !== null) return alone
+    const choice = policy.choose(request)
+    if (choice !== null && isUneven(service)) this.unevenServers.logChoice(spec.request, request, choice)
+    return choice
+  }
+
+  #requestOf (spec: PlacementSpec, service: Service, candidates: readonly Candidate[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementRequest {
+    return {
       size: spec.size,
       objective: spec.objective,
       timeLeft: spec.dueAt - now,
@@ -254,8 +319,6 @@
       arrivalsPerSecond: context.unseenArrivals,
       now
     }
-    const policy = this.#policyOf(service)
-    return (isRisky(spec) ? this.#chooseAlone(request, policy, spec.isolatedAs !== undefined) : null) ?? policy.choose(request)
   }
 
   /**
@@ -284,9 +347,15 @@
     else this.assignments.grant(node, draft, number, now, this.#options.runningClock())
   }
 
-  #permittedServers ({ excluded, allowed }: PlacementSpec, service: Service): BackendServer[] {
-    const ready = this.#options.fleetState.servers.ready(service.name)
-    return ready.filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
+  /** The operator's restrictions hold for every choice: a server that they exclude is no owner, helper or holder, and no last resort. */
+  #permittedServers ({ excluded, allowed, regions }: PlacementSpec, service: Service): BackendServer[] {
+    const { servers, restrictions } = this.#options.fleetState
+    const permitted = servers.ready(service.name).filter((server) => restrictions.permits(server, regions))
+    return permitted.filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
+  }
+
+  #openServers (permitted: readonly BackendServer[], { limitShare }: PlacementContext, now: Millis): BackendServer[] {
+    return permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, limitShare, now) === 0)
   }
 
   #candidates (permitted: readonly BackendServer[], now: Millis): Candidate[] {
@@ -298,9 +367,11 @@
     return usable.map((server) => ({ server, slowdown: this.#slowdowns.slowdown(server.id, now) }))
   }
 
-  /** The choice of a first attempt falls back to servers that are avoided; a hedge is better not sent. */
-  #withoutAvoided (candidates: readonly Candidate[], now: Millis): Candidate[] {
-    return candidates.filter(({ server }) => !this.#domainReachability.isAvoided(server.failureDomain, now) && !this.health.isAvoided(server.id, now))
+  /** The choice of a first attempt falls back to servers that are avoided, and uses cold ones within their limits; a hedge is better not sent. */
+  #hedgeCandidates (candidates: readonly Candidate[], now: Millis): Candidate[] {
+    const { coldServers } = this.statements
+    const isAvoided = ({ id, failureDomain }: BackendServer): boolean => this.#domainReachability.isAvoided(failureDomain, now) || this.health.isAvoided(id, now)
+    return candidates.filter(({ server }) => !isAvoided(server) && coldServers.left(server) === 0)
   }
 
   #countRequest (service: string): void {
@@ -322,14 +393,20 @@
     return this.assignments.serverLoads(now, this.#options.runningClock())
   }
 
-  #policyOf ({ engine }: Service): PlacementPolicy {
-    return engine === null ? this.#plainPolicy : this.#enginePolicy
+  #policyOf (service: Service): PlacementPolicy {
+    if (service.engine !== null) return this.#enginePolicy
+    return isUneven(service) ? this.unevenServers.policy : this.#plainPolicy
   }
 }
 
 /** Whether the request may crash the engine that gets it. */
 const isRisky = ({ isSuspected, trialParts }: PlacementSpec): boolean => isSuspected || trialParts.length > 0
 
+const withoutHeld = (candidates: readonly Candidate[], { held }: PlacementTerms): readonly Candidate[] =>
+  held.size === 0 ? candidates : candidates.filter(({ server }) => !held.has(server.id))
+
+const hasFreeSlot = ({ server }: PlacementChoice, loads: ServerLoads): boolean => loads.get(server.id).requests.length < server.slots
+
 const summaryOf = ({ requests, pending }: ServerLoad): ChosenServerLoad =>
   ({ requests: requests.length, pendingPrefill: pending.reduce((sum, { remaining }) => sum + remaining, 0) })
 
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -1,5 +1,5 @@
 /** Types of the placement of attempts by the scheduler of a group. */
-import type { Assignment, HealthSignal, Millis, NodeId, PlacementChoice, PromptSize, Region, RunnerId, ServerNotice, Suspect } from '@bluebellhill/domain'
+import type { Assignment, HealthSignal, Millis, NodeId, PlacementChoice, PromptSize, Region, RunnerId, ServerNotice, ServiceTime, Suspect } from '@bluebellhill/domain'
 
 /** An attempt that is to be placed; times are on the clock of this node. */
 export interface PlacementSpec {
@@ -50,8 +50,12 @@
 /** Why an attempt is not placed. */
 export const PlacementRefusal = {
   NoServer: 'no_server',
+  /** No backend server will have the memory and a slot for it before its caller leaves. */
+  NoRoom: 'no_room',
   /** All backend servers that could serve it have stated a request limit, and it is reached. */
   RequestLimit: 'request_limit',
+  /** All backend servers that could serve it are cold, and have got as many requests as they accept until they are warm. */
+  ServersCold: 'servers_cold',
   /** All backend servers that could serve it have stated that they are leaving. */
   ServersLeaving: 'servers_leaving',
   /** All backend servers that could serve it have asked this node for a pause. */
@@ -63,7 +67,9 @@
   /** The caller would disconnect before the first event. */
   TooLate: 'too_late',
   RetryBudgetSpent: 'retry_budget_spent',
-  UnknownService: 'unknown_service'
+  UnknownService: 'unknown_service',
+  /** The operator has evacuated all failure domains whose servers could serve it. */
+  DomainsEvacuated: 'domains_evacuated'
 } as const
 export type PlacementRefusal = typeof PlacementRefusal[keyof typeof PlacementRefusal]
 
@@ -85,6 +91,9 @@
   readonly pausedServer?: RunnerId
 }
 
+/** Decision about one attempt that does not wait. */
+export type FinalPlacement = Exclude<PlacementResult, { readonly type: 'queued' }>
+
 /** Decision about one attempt. */
 export type PlacementResult =
   | {
@@ -93,6 +102,8 @@
     readonly load: ChosenServerLoad
     /** Whether the request limit that the server has stated was applied; schedulers of earlier builds do not know of it. */
     readonly keepsLimit: boolean
+    /** Whether the limit of cold servers was applied; absent if not, as with schedulers of earlier builds. */
+    readonly keepsWarmUp?: boolean
     /** Some of the servers that were not considered because of what they have stated, for the log. */
     readonly passedOver: readonly RunnerId[]
     /** Whether it is a trial of what is quarantined; schedulers of earlier builds grant none. */
@@ -103,6 +114,8 @@
     readonly hedgeAfter?: Millis
   }
   | RefusedPlacement
+  /** It waits for memory or a slot: the node renews the query after each `renewAfter`, and gets the placement as soon as it is decided. */
+  | { readonly type: 'queued', readonly renewAfter: Millis }
   /** The scheduler of another group can serve it sooner. */
   | { readonly type: 'redirected', readonly address: string }
 
@@ -119,6 +132,8 @@
   readonly isTrial: boolean
   /** Time after which it is later than nearly all recent ones of its service; absent if the scheduler states none. */
   readonly hedgeAfter?: Millis
+  /** The only regions that its request may reach; absent if it may reach all. */
+  readonly regions?: readonly Region[] | undefined
   /** Time from the decision to place the attempt until the result was known. */
   readonly decidedIn: Millis
 }
@@ -137,6 +152,8 @@
   readonly signal: HealthSignal | null
   /** Shortest of the last pauses over the published pass time; null if there were too few pauses. */
   readonly slowdown: number | null
+  /** Time of the complete answer of a plain service; absent if there is none, and from earlier builds. */
+  readonly serviceTime?: ServiceTime
 }
 
 /** What a decision of a scheduler depends on besides the attempt. */
@@ -157,3 +174,32 @@
   readonly node: NodeId
   readonly number: number
 }
+
+/** How a scheduler places an attempt beside requests that wait. */
+export interface PlacementTerms {
+  /** Engines that are held for other requests. */
+  readonly held: ReadonlySet<RunnerId>
+  /** Whether its engine must have a free slot, since the attempt can wait for one at the scheduler. */
+  readonly needsFreeSlot: boolean
+  /** Whether it has been counted and taken from the retry budget before. */
+  readonly isCounted: boolean
+}
+
+/** Terms of a scheduler without waiting requests. */
+export const NO_TERMS: PlacementTerms = { held: new Set(), needsFreeSlot: false, isCounted: false }
+
+/** The process that asks for a placement, and how it gets one that is decided later. */
+export interface PlacementWaiter {
+  /** Tells the process from earlier ones of the same node. */
+  readonly startedAt: number
+  /** Sends the decision. */
+  readonly deliver: (result: PlacementResult) => void
+}
+
+/** How long a node lets an attempt wait for its placement. */
+export interface PlacementWait {
+  /** Time at which it gives up waiting. */
+  readonly until: Millis
+  /** Ends the wait, because the caller has left. */
+  readonly signal?: AbortSignal
+}
--- a/packages/node/tests/hedgePlacement.test.ts
+++ b/packages/node/tests/hedgePlacement.test.ts
@@ -9,10 +9,11 @@
 import { PlacementClient } from '../src/forward/scheduling/PlacementClient.js'
 import { Scheduler } from '../src/forward/scheduling/Scheduler.js'
 import { GROUP_CONTEXT, NO_CAUTION, PlacementRefusal } from '../src/forward/scheduling/types.js'
-import type { PlacementResult, PlacementSpec } from '../src/forward/scheduling/types.js'
+import type { AttemptPlacement, FinalPlacement, PlacementResult, PlacementSpec } from '../src/forward/scheduling/types.js'
 import { DEPLOYMENT, silentLog } from './forwardFixture.js'
 
 const NODE = 'n1' as NodeId
+const OTHER_DOMAIN = 'd2' as FailureDomain
 
 const HEDGE: PlacementSpec = {
   request: 'r1', service: 's', size: { prompt: 0, mostAnswer: 0 }, objective: 251, dueAt: 251, pauseObjective: null, excluded: ['e0' as RunnerId], allowed: null, chargesRetry: true, isRedirected: false, isFirstAttempt: false, isHedge: true, ...NO_CAUTION
@@ -31,7 +32,8 @@
 
   constructor () {
     this.fleetState.install(DEPLOYMENT, 'store')
-    for (const id of ['e0', 'e1']) this.put(id, {})
+    this.put('e0', {})
+    this.put('e1', { failureDomain: OTHER_DOMAIN })
     for (let request = 0; request < 3; request += 1) this.scheduler.hedges.countRequest('s')
   }
 
@@ -45,6 +47,31 @@
     return this.scheduler.place({ ...HEDGE, ...changes }, { node: 'n2' as NodeId, number: this.#number }, GROUP_CONTEXT)
   }
 
+  /** Lets the server e1 be cold, with 26 requests a second until it is warm. */
+  coolDown (): void {
+    this.fleetState.install({ ...DEPLOYMENT, version: DEPLOYMENT.version + 1, services: DEPLOYMENT.services.map((service) => ({ ...service, warmUp: { period: 3_000, requestsPerSecond: 26 } })) }, 'store')
+    this.scheduler.statements.coldServers.stated(this.fleetState.servers.find('e1' as RunnerId)!, 3_000, 'r0')
+  }
+
+  /** Evacuates the failure domain of all servers but e0. */
+  evacuate (): void {
+    this.fleetState.restrictions.listed({ failureDomains: [OTHER_DOMAIN], revision: 100 })
+  }
+
+  /** Asks for a hedge as a node does. */
+  async ask (): Promise<AttemptPlacement> {
+    const clock = (): number => this.now
+    const directory = new SchedulerDirectory({ node: NODE, address: '127.0.0.1:1', failureDomain: 'd1' as FailureDomain, processor: 1 }, 0)
+    const placement = new PlacementClient({ node: NODE, scheduler: this.scheduler, directory, fleetState: this.fleetState, log: silentLog(), clock, runningClock: clock, send: () => {}, onUncoordinatedPlacement: () => {}, onNotice: () => {} })
+    const route = DEPLOYMENT.routes[0]!
+    const history = new AttemptHistory(route)
+    history.start('e0' as RunnerId)
+    const call = { id: 'r1', route, service: DEPLOYMENT.services[0]!, size: HEDGE.size, dueAt: 251 } as AdmittedCall
+    const result = await placement.place(call, history, true, NO_CAUTION, { mayWait: false, isHedge: true })
+    placement.dispose()
+    return result
+  }
+
   reasonFor (changes: Partial<PlacementSpec> = {}): string | null {
     const result = this.place(changes)
     return result.type === 'refused' ? result.reason : null
@@ -64,6 +91,8 @@
   ['to a server that is avoided', HedgeRefusal.NoServer, ({ scheduler, fleetState }) => { scheduler.recordHealthSignal(fleetState.servers.find('e1' as RunnerId)!, HealthSignal.Faulty) }],
   ['to a server that is draining', HedgeRefusal.NoServer, (fixture) => { fixture.put('e1', { readiness: 'draining' }) }],
   ['to a server that has stated that it leaves', HedgeRefusal.NoServer, ({ scheduler }) => { scheduler.statements.record({ server: 'e1' as RunnerId, startedAt: 1, requestLimit: null, isLeaving: true, heardAt: 0, heardBy: NODE }) }],
+  ['to a cold server, even within its limit', HedgeRefusal.NoServer, (fixture) => { fixture.coolDown() }],
+  ['to an evacuated server', HedgeRefusal.NoServer, (fixture) => { fixture.evacuate() }],
   ['to a server without a free slot', HedgeRefusal.NoServer, (fixture) => { fixture.put('e1', { slots: 0 }) }],
   ['where the scheduler has no limit', HedgeRefusal.Off, (fixture) => { fixture.maxRatio = null }],
   ['of a request that may crash servers', HedgeRefusal.Suspected, (_, spec) => { spec.isSuspected = true }]
@@ -94,19 +123,48 @@
 
 // Guards against hedges beyond the operator's limit through a scheduler of an earlier build, which places them like retries.
 test('a hedge that its scheduler has not bounded is not sent', async (t) => {
-  const { scheduler, fleetState } = new HedgeFixture()
+  const fixture = new HedgeFixture()
+  const { scheduler } = fixture
   const place = scheduler.place.bind(scheduler)
   scheduler.place = (...args) => {
     const { isHedge, ...rest } = place(...args) as PlacementResult & { isHedge?: boolean }
-    return rest as PlacementResult
+    return rest as FinalPlacement
   }
-  const directory = new SchedulerDirectory({ node: NODE, address: '127.0.0.1:1', failureDomain: 'd1' as FailureDomain, processor: 1 }, 0)
-  const clock = (): number => 0
-  const placement = new PlacementClient({ node: NODE, scheduler, directory, fleetState, log: silentLog(), clock, runningClock: clock, send: () => {}, onUncoordinatedPlacement: () => {}, onNotice: () => {} })
-  const route = DEPLOYMENT.routes[0]!
-  const call = { id: 'r1', route, service: DEPLOYMENT.services[0]!, size: HEDGE.size, dueAt: 251 } as AdmittedCall
-  const result = await placement.place(call, new AttemptHistory(route), true, NO_CAUTION, true)
-  t.like(result, { type: 'refused', reason: HedgeRefusal.Off })
+  t.like(await fixture.ask(), { type: 'refused', reason: HedgeRefusal.Off })
   t.deepEqual(scheduler.assignments.own(), [])
-  placement.dispose()
+})
+
+test('a cold server within its limit gets no hedge, but a first attempt', (t) => {
+  const fixture = new HedgeFixture()
+  fixture.coolDown()
+  t.is(fixture.reasonFor(), HedgeRefusal.NoServer)
+  t.like(fixture.place({ isHedge: false, isFirstAttempt: true, chargesRetry: false }), { type: 'placed', choice: { server: { id: 'e1' } } })
+})
+
+// Guards against a grant of a scheduler that does not know yet what the sending node knows.
+for (const [name, change] of [['cold', (fixture: HedgeFixture) => fixture.coolDown()], ['evacuated', (fixture: HedgeFixture) => fixture.evacuate()]] as const) {
+  test(`a hedge whose server was ${name} by the time of its grant is returned`, async (t) => {
+    const fixture = new HedgeFixture()
+    const { scheduler } = fixture
+    const place = scheduler.place.bind(scheduler)
+    let grants = 0
+    scheduler.place = (...args) => {
+      const result = place(...args)
+      if (result.type === 'placed') grants += 1
+      change(fixture)
+      return result
+    }
+    t.like(await fixture.ask(), { type: 'refused', reason: HedgeRefusal.NoServer })
+    t.is(grants, 1)
+    t.deepEqual(scheduler.assignments.own(), [])
+  })
+}
+
+test('the free slots of evacuated servers do not make the load of a service look low', (t) => {
+  const fixture = new HedgeFixture()
+  fixture.put('e1', {})
+  fixture.put('e2', { failureDomain: OTHER_DOMAIN, slots: 40 })
+  fixture.evacuate()
+  for (let request = 0; request < 4; request += 1) fixture.place({ isHedge: false, isFirstAttempt: true, chargesRetry: false, excluded: [] })
+  t.is(fixture.reasonFor(), HedgeRefusal.Load)
 })
