--- a/packages/node/src/forward/ForwardMetrics.ts
+++ b/packages/node/src/forward/ForwardMetrics.ts
@@ -28,6 +28,8 @@
   readonly #endedRequests = new Counter({ name: 'bluebellhill_requests_total', help: 'Requests that ended, by kind and outcome', labelNames: ['kind', 'outcome'], registers: [this.registry] })
   readonly #refusedRequests = new Counter({ name: 'bluebellhill_refusals_total', help: 'Requests refused at the entry, by cause', labelNames: ['cause'], registers: [this.registry] })
   readonly #closedConnections = new Counter({ name: 'bluebellhill_unanswered_total', help: 'Requests whose connection was closed by this node before their answer was complete, by stage and cause', labelNames: ['stage', 'cause'], registers: [this.registry] })
+  readonly #hedges = new Counter({ name: 'bluebellhill_hedges_total', help: 'Second attempts beside late ones: sent, and won by the second', labelNames: ['result'], registers: [this.registry] })
+  readonly #refusedHedges = new Counter({ name: 'bluebellhill_hedges_refused_total', help: 'Second attempts that were due and not sent, by cause', labelNames: ['cause'], registers: [this.registry] })
   readonly #cutOffCallers = new Counter({ name: 'bluebellhill_callers_cut_off_total', help: 'Callers that were cut off because they read slowest while the buffers were full', registers: [this.registry] })
   readonly #heldServers = new Counter({ name: 'bluebellhill_servers_held_total', help: 'Times that a backend server was held back because its caller did not read', registers: [this.registry] })
   readonly #requestDuration = new Histogram({ name: 'bluebellhill_request_seconds', help: 'Time from arrival to end', labelNames: ['kind', 'outcome'], buckets: DURATION_BUCKETS, registers: [this.registry] })
@@ -57,6 +59,21 @@
     this.#refusedRequests.inc({ cause })
   }
 
+  /** Counts a second attempt that was sent beside a late one. */
+  hedgeSent (): void {
+    this.#hedges.inc({ result: 'sent' })
+  }
+
+  /** Counts a second attempt whose complete answer came first. */
+  hedgeWon (): void {
+    this.#hedges.inc({ result: 'won' })
+  }
+
+  /** Counts a second attempt that was due and not sent. */
+  hedgeRefused (cause: string): void {
+    this.#refusedHedges.inc({ cause })
+  }
+
   /** Counts a caller that was cut off because it reads too slowly. */
   callerCutOff (): void {
     this.#cutOffCallers.inc()
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -91,6 +91,7 @@
       clock,
       runningClock,
       retryBounds: () => ({ ratio: options.settings.current.retryRatio, slack: options.settings.current.retrySlack, window: options.settings.current.retryWindow }),
+      hedgeRatio: () => options.settings.current.hedgingMaxRatio,
       warmUpBounds: () => warmUpBoundsOf(options.settings.current),
       schedulerCount: () => this.#schedulerCount(),
       group: () => this.#directory.group,
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -154,7 +154,9 @@
             keepsLimit: result.keepsLimit,
             passedOver: [...result.passedOver],
             isTrial: result.isTrial,
-            keepsWarmUp: result.keepsWarmUp === true
+            keepsWarmUp: result.keepsWarmUp === true,
+            hedgeAfterMs: result.hedgeAfter === undefined ? undefined : Math.round(result.hedgeAfter),
+            isHedge: result.isHedge
           }
         }
       }
@@ -178,7 +180,7 @@
   if (result.$case === 'refusal') return decodeRefusal(result.value, now)
   if (result.$case === 'redirect') return { type: 'redirected', address: result.value }
   if (result.$case === 'queued') return { type: 'queued', renewAfter: Math.max(MIN_RENEWAL_PERIOD, result.value.renewMs) }
-  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit, passedOver, isTrial, keepsWarmUp } = result.value
+  const { server, helpers, holders, firstEventMs, serverRequests, serverPendingMs, isDeferred, keepsLimit, passedOver, isTrial, keepsWarmUp, hedgeAfterMs, isHedge } = result.value
   if (server === undefined) throw new Error('the placement names no server')
   const decoded = helpers.map((helper) => decodeServer(helper, service, findServer))
   const choice: PlacementChoice = {
@@ -188,7 +190,17 @@
     timeToFirstEvent: firstEventMs,
     isDeferred
   }
-  return { type: 'placed', choice, load: { requests: serverRequests, pendingPrefill: serverPendingMs }, keepsLimit, passedOver: passedOver as RunnerId[], isTrial, ...(keepsWarmUp === true ? { keepsWarmUp } : {}) }
+  return {
+    type: 'placed',
+    choice,
+    load: { requests: serverRequests, pendingPrefill: serverPendingMs },
+    keepsLimit,
+    passedOver: passedOver as RunnerId[],
+    isTrial,
+    ...(keepsWarmUp === true ? { keepsWarmUp } : {}),
+    ...(isHedge === true ? { isHedge } : {}),
+    ...(hedgeAfterMs === undefined ? {} : { hedgeAfter: hedgeAfterMs })
+  }
 }
 
 const encodeRefusal = ({ reason, retryAfter, isPromised = false, notice }: RefusedPlacement, now: Millis): fleetWire.Refusal =>
--- a/packages/node/src/forward/scheduling/PlacementClient.ts
+++ b/packages/node/src/forward/scheduling/PlacementClient.ts
@@ -1,7 +1,7 @@
 /** Gets the placement of this node's attempts from the scheduler of its group, or places them itself if none answers. */
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { describeRevision, HealthSignal, RENEWAL_EXPIRY } from '@bluebellhill/domain'
+import { describeRevision, HealthSignal, HedgeRefusal, RENEWAL_EXPIRY } from '@bluebellhill/domain'
 import type { AttemptHistory, BackendServer, Millis, NodeId, PlacementChoice, Region, RunnerId, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
@@ -10,6 +10,7 @@
 import type { DatagramContent, ReceivedDatagram } from '../peers/datagramCodec.js'
 import { PendingQueries, QUERY_TIMING } from '../peers/PendingQueries.js'
 import type { QueryTiming } from '../peers/PendingQueries.js'
+import { HedgeTiming } from '../hedging/HedgeTiming.js'
 import type { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
 import { AnswerStatements } from './AnswerStatements.js'
 import { findRestriction } from './findRestriction.js'
@@ -35,11 +36,14 @@
 /** Time before the deadline of a request at which it stops waiting for a placement, so that its caller still gets a refusal. */
 const DEADLINE_MARGIN: Millis = 50
 
-/** Whether an attempt may wait for its placement. */
+/** Terms of the placement of an attempt. */
 export interface WaitTerms {
+  /** Whether it may wait for memory or a slot of a backend server. */
   readonly mayWait: boolean
   /** Ends the wait, because the caller has left. */
   readonly signal?: AbortSignal
+  /** Whether it is a second attempt beside one in progress. */
+  readonly isHedge?: boolean
 }
 
 const MAY_WAIT: WaitTerms = { mayWait: true }
@@ -70,6 +74,8 @@
 export class PlacementClient {
   /** What backend servers state in their answers to this node. */
   readonly answers: AnswerStatements
+  /** When attempts are late enough for a hedge. */
+  readonly hedgeTiming: HedgeTiming
   readonly #options: PlacementClientOptions
   readonly #queries: PlacementQueries
   readonly #silenceQueries: PendingQueries<Millis>
@@ -83,6 +89,7 @@
     this.#queries = new PlacementQueries({ ...options, queryTiming, onWithdrawn: (address, number) => this.#reports.returned(address, number, '') })
     this.#silenceQueries = new PendingQueries(queryTiming)
     this.#reports = new GrantReports(options.send)
+    this.hedgeTiming = new HedgeTiming(() => options.scheduler.hedges.maxRatio, options.clock)
     this.answers = new AnswerStatements({ ...options, statements: options.scheduler.statements })
   }
 
@@ -103,7 +110,7 @@
    * @param history - its earlier attempts
    * @param chargesRetry - whether the attempt is taken from the retry budget
    * @param caution - how it and the parts of its prompt are judged, and its identity
-   * @param terms - whether it may wait for memory or a slot, and what ends the wait before the deadline of the request
+   * @param terms - whether it may wait for memory or a slot, what ends the wait before the deadline of the request, and whether it is a hedge
    * @returns the placed attempt, whose assignment must be removed with `removeAssignment`; or why there is none
    */
   async place (call: AdmittedCall, history: AttemptHistory, chargesRetry: boolean, caution: IdentifiedCaution = NO_CAUTION, terms: WaitTerms = MAY_WAIT): Promise<AttemptPlacement> {
@@ -112,7 +119,8 @@
     const restriction = findRestriction(fleetState, call.service.name, call.regions)
     if (restriction !== null) return restriction
     const wait: PlacementWait = { until: call.deadlineAt - DEADLINE_MARGIN, signal: terms.signal }
-    let spec = specOf(call, history, { chargesRetry, acceptsQueueing: terms.mayWait && call.service.engine !== null, ...caution }, this.answers.pausedServers())
+    const isHedge = terms.isHedge === true ? { isHedge: true } : {}
+    let spec = specOf(call, history, { chargesRetry, acceptsQueueing: terms.mayWait && call.service.engine !== null, ...caution, ...isHedge }, this.answers.pausedServers())
     let hasRestriction = false
     for (let decisions = 0; decisions < MAX_DECISIONS; decisions += 1) {
       const number = scheduler.assignments.nextNumber()
@@ -126,9 +134,10 @@
         spec = this.#withoutGrant(spec, number, decision, age)
         continue
       }
-      if (isTrialMissing(spec, decision)) {
+      const missing = missingTerm(spec, decision)
+      if (missing !== null) {
         this.#withoutChosen(spec, number, decision)
-        return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
+        return { type: 'refused', reason: missing, retryAfter: null }
       }
       if (this.#isUsable(spec, decision, age)) return this.#record(spec, number, decision, startedAt)
       hasRestriction ||= this.#isRestricted(spec, decision)
@@ -157,20 +166,22 @@
       : scheduler.assignments.start(scheduler.draftAssignment(spec, result.choice, clock()), number)
     if (assignment === null) return { type: 'refused', reason: 'the assignment is not recorded', retryAfter: null }
     if (address !== null) this.#reports.granted(assignment, address)
-    const { choice, load, isTrial } = result
+    const { choice, load, isTrial, hedgeAfter } = result
     const passedOver = [...new Set([...result.passedOver, ...this.answers.pausedServersOf(spec.service).map(({ id }) => id)])]
-    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, isTrial, regions: spec.regions, decidedIn: clock() - startedAt } }
+    const hedgeTerm = hedgeAfter === undefined ? {} : { hedgeAfter }
+    return { type: 'placed', attempt: { choice, load, assignment, scheduler: address, passedOver, isTrial, regions: spec.regions, ...hedgeTerm, decidedIn: clock() - startedAt } }
   }
 
   /**
    * The scheduler may not know yet that a server has left or what it has stated to this node, and one of an earlier build never knows
    * statements or cold servers: this node then uses its own share of the server's request limit.
    */
-  #isUsable ({ regions }: PlacementSpec, { result }: Decision, age: Millis): boolean {
+  #isUsable ({ regions, isHedge }: PlacementSpec, { result }: Decision, age: Millis): boolean {
     if (result.type !== 'placed') return true
     const { scheduler, directory } = this.#options
     const { server } = result.choice
     if (this.#obstaclesIn(result.choice, regions).length > 0) return false
+    if (isHedge === true && scheduler.statements.coldServers.left(server) > 0) return false
     if (scheduler.statements.coldServers.isTooLateFor(server, age)) return false
     const keepsLimits = result.keepsLimit && (result.keepsWarmUp === true || !scheduler.statements.coldServers.limits(server, this.#options.clock()))
     return keepsLimits || scheduler.statements.take(server, 1 / directory.size)
@@ -228,6 +239,7 @@
     const { scheduler, clock, node } = this.#options
     const serviceTime = answeredIn === undefined ? undefined : { time: answeredIn, requestsBefore: load.requests }
     scheduler.assignments.end(assignment, clock())
+    scheduler.hedges.attemptEnded(assignment, signal)
     if (signal !== null) scheduler.recordHealthSignal(choice.server, signal)
     if (serviceTime !== undefined) scheduler.unevenServers.observe(choice.server.id, serviceTime, node)
     this.#reports.ended(assignment, signal, serviceTime)
@@ -338,10 +350,14 @@
   return scheduler !== null && age > MAX_GRANT_AGE
 }
 
-/** Schedulers of earlier builds place a trial like any other attempt. */
-const isTrialMissing = ({ trialParts }: PlacementSpec, { result }: Decision): boolean => trialParts.length > 0 && result.type === 'placed' && !result.isTrial
+/** Schedulers of earlier builds place a trial or a hedge like any other attempt. Returns why the grant must not be used; null if it may. */
+const missingTerm = ({ trialParts, isHedge }: PlacementSpec, { result }: Decision): string | null => {
+  if (result.type !== 'placed') return null
+  if (trialParts.length > 0 && !result.isTrial) return PlacementRefusal.Quarantined
+  return isHedge === true && result.isHedge !== true ? HedgeRefusal.Off : null
+}
 
-const specOf = (call: AdmittedCall, history: AttemptHistory, terms: IdentifiedCaution & Pick<PlacementSpec, 'chargesRetry' | 'acceptsQueueing'>, paused: readonly RunnerId[]): PlacementSpec => ({
+const specOf = (call: AdmittedCall, history: AttemptHistory, terms: IdentifiedCaution & Pick<PlacementSpec, 'chargesRetry' | 'acceptsQueueing' | 'isHedge'>, paused: readonly RunnerId[]): PlacementSpec => ({
   request: call.id,
   service: call.service.name,
   size: call.size,
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -5,6 +5,7 @@
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 import { NodeQuarantine } from '../quarantine/NodeQuarantine.js'
+import { HedgePlacement } from '../hedging/HedgePlacement.js'
 import { AdmissionControl } from './AdmissionControl.js'
 import type { Timer } from './AdmissionControl.js'
 import { ColdServers } from './ColdServers.js'
@@ -28,6 +29,8 @@
   readonly runningClock: () => Millis
   /** Returns the limits on retries in force. */
   readonly retryBounds: () => RetryBounds
+  /** Returns the greatest share of requests that may be hedged; null or absent to place no hedges. */
+  readonly hedgeRatio?: () => number | null
   /** Returns the number of schedulers that share them. */
   readonly schedulerCount: () => number
   /** Returns the group whose engines this node places requests on. */
@@ -58,6 +61,7 @@
   readonly statements: ServerStatements
   readonly quarantine: NodeQuarantine
   readonly promisedRoom: PromisedRoom
+  readonly hedges: HedgePlacement
   /** Requests that wait for memory or a slot. */
   readonly admission: AdmissionControl
   readonly unevenServers: UnevenServers
@@ -78,6 +82,7 @@
     this.statements = new ServerStatements({ ...options, coldServers: new ColdServers(options) })
     this.quarantine = new NodeQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
     this.promisedRoom = new PromisedRoom(options.log)
+    this.hedges = new HedgePlacement({ ...options, maxRatio: options.hedgeRatio ?? (() => null) })
     this.unevenServers = new UnevenServers({ ...options, coldServers: this.statements.coldServers })
     this.#enginePolicy = new LengthAwarePlacement(options.node)
     this.#plainPolicy = new LeastOutstanding(options.node)
@@ -113,8 +118,10 @@
     const loads = this.promisedRoom.loadsFor(spec, this.#loads(now), now)
     const permitted = this.#permittedServers(spec, service)
     const open = this.#openServers(permitted, context, now)
-    const candidates = this.#candidatesApart(spec, withoutHeld(this.#candidates(open, now), terms), loads)
-    if (candidates === null) return { type: 'refused', reason: PlacementRefusal.SuspectsInProgress, retryAfter: ISOLATION_RETRY_AFTER }
+    const apart = this.#candidatesApart(spec, withoutHeld(this.#candidates(open, now), terms), loads)
+    if (apart === null) return { type: 'refused', reason: PlacementRefusal.SuspectsInProgress, retryAfter: ISOLATION_RETRY_AFTER }
+    const candidates = spec.isHedge === true ? this.hedges.select(spec, this.#hedgeCandidates(apart, now), loads) : apart
+    if (typeof candidates === 'string') return { type: 'refused', reason: candidates, retryAfter: null }
     if (!terms.isCounted && !this.count(spec)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
     const best = this.#choose(spec, service, candidates, loads, context, now)
     const hasSlot = !terms.needsFreeSlot || best === null || hasFreeSlot(best, loads)
@@ -129,19 +136,20 @@
     this.#record(spec, choice, owner, now)
     this.statements.take(choice.server, context.limitShare)
     for (const helper of choice.helpers) if (this.statements.coldServers.limits(helper, now)) this.statements.take(helper, context.limitShare)
+    if (spec.isHedge === true) this.hedges.placed(spec.service)
     const passedOver = permitted.filter((server) => !open.includes(server)).slice(0, MAX_PASSED_OVER).map(({ id }) => id)
-    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, keepsWarmUp: true, passedOver, isTrial }
+    return { type: 'placed', choice, load: summaryOf(loads.get(choice.server.id)), keepsLimit: true, keepsWarmUp: true, passedOver, isTrial, ...this.#hedgeTerms(spec) }
   }
 
   /**
-   * Counts an attempt in the retry budget of its service.
+   * Counts an attempt in the retry budget of its service, and in that of its hedges.
    *
    * @param spec - the attempt
    * @returns whether the budget allows it
    */
   count ({ chargesRetry, isFirstAttempt, service }: PlacementSpec): boolean {
     if (chargesRetry && !this.#retryBudgets.acquire(service)) return false
-    if (isFirstAttempt) this.#retryBudgets.countRequest(service)
+    if (isFirstAttempt) this.#countRequest(service)
     return true
   }
 
@@ -196,8 +204,9 @@
   applyReports (node: NodeId, reports: readonly AttemptReport[]): void {
     const now = this.#options.clock()
     for (const { number, isEnded, server, signal, slowdown, serviceTime } of reports) {
-      if (isEnded) this.assignments.endGranted(node, number, now)
-      else if (number > 0) this.assignments.markGrantedPrefilled(node, number, now)
+      const ended = isEnded ? this.assignments.endGranted(node, number, now) : null
+      if (ended !== null) this.hedges.attemptEnded(ended, signal)
+      if (!isEnded && number > 0) this.assignments.markGrantedPrefilled(node, number, now)
       if (slowdown !== null) this.#slowdowns.observeShortest(server, slowdown, now)
       if (serviceTime !== undefined) this.unevenServers.observe(server, serviceTime, node)
       const known = signal === null ? null : this.#options.fleetState.servers.find(server)
@@ -362,6 +371,24 @@
     return usable.map((server) => ({ server, slowdown: this.#slowdowns.slowdown(server.id, now) }))
   }
 
+  /** The choice of a first attempt falls back to servers that are avoided, and uses cold ones within their limits; a hedge is better not sent. */
+  #hedgeCandidates (candidates: readonly Candidate[], now: Millis): Candidate[] {
+    const { coldServers } = this.statements
+    const isAvoided = ({ id, failureDomain }: BackendServer): boolean => this.#domainReachability.isAvoided(failureDomain, now) || this.health.isAvoided(id, now)
+    return candidates.filter(({ server }) => !isAvoided(server) && coldServers.left(server) === 0)
+  }
+
+  #countRequest (service: string): void {
+    this.#retryBudgets.countRequest(service)
+    this.hedges.countRequest(service)
+  }
+
+  #hedgeTerms ({ service, isFirstAttempt, isHedge }: PlacementSpec): { readonly isHedge?: true, readonly hedgeAfter?: Millis } {
+    if (isHedge === true) return { isHedge }
+    const hedgeAfter = isFirstAttempt ? this.hedges.delay(service) : null
+    return hedgeAfter === null ? {} : { hedgeAfter }
+  }
+
   #isLeaving (server: BackendServer): boolean {
     return this.#options.fleetState.servers.find(server.id)?.readiness === Readiness.Draining || this.statements.notices.isLeaving(server)
   }
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -113,6 +113,10 @@
     readonly passedOver: readonly RunnerId[]
     /** Whether it is a trial of what is quarantined; schedulers of earlier builds grant none. */
     readonly isTrial: boolean
+    /** Whether the limits of hedges were applied; absent if it is no hedge, or the scheduler is of an earlier build. */
+    readonly isHedge?: boolean
+    /** Time after which the attempt is later than nearly all recent ones of its service; absent if too few are known, or no hedges may be sent. */
+    readonly hedgeAfter?: Millis
   }
   | RefusedPlacement
   /** It waits for memory or a slot: the node renews the query after each `renewAfter`, and gets the placement as soon as it is decided. */
@@ -131,6 +135,8 @@
   readonly passedOver: readonly RunnerId[]
   /** Whether it is a trial of what is quarantined. */
   readonly isTrial: boolean
+  /** Time after which it is later than nearly all recent ones of its service; absent if the scheduler states none. */
+  readonly hedgeAfter?: Millis
   /** The only regions that its request may reach; absent if it may reach all. */
   readonly regions?: readonly Region[] | undefined
   /** Time from the decision to place the attempt until the result was known. */
