--- a/packages/node/tests/heldMemory.test.ts
+++ b/packages/node/tests/heldMemory.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 
-import { HeaderName } from '@bluebellhill/platform'
+import { HeaderName, ORDER_PATH } from '@bluebellhill/platform'
 
 import { DEPLOYMENT, ForwardFixture, signedHeaders } from './forwardFixture.js'
 import type { Script } from './forwardFixture.js'
@@ -14,7 +14,7 @@
   const open: Array<() => void> = []
   let opened = (): void => {}
   const script: Script = (request, response) => {
-    if (request.url === '/api/order') {
+    if (request.url === ORDER_PATH) {
       const chunks: Buffer[] = []
       request.on('data', (chunk: Buffer) => chunks.push(chunk))
       request.on('end', () => {
