Lists between nodes take what is missing for removed again: the grace period for it broke DRAIN

Cause: kept what is missing from a first list of the store, at nodes that had heard of a loss of the store. While the store turns only some nodes away, a server whose entry is removed stayed at them for 2 s more and got requests. Log: the server is removed at 32.397 s, the watchers that take over list the store without it at 32.877 s, and three nodes drop it at 34.95 s (cause=lapsed).

--- a/packages/domain/src/forwarding/BackendServerTable.ts
+++ b/packages/domain/src/forwarding/BackendServerTable.ts
@@ -77,8 +77,6 @@
   /** An entry that disappears before this time may have expired because of a store outage while its server still runs. */
   #graceEndsAt: Millis = -Infinity
   #storeLostAt: Millis | null = null
-  /** Time of the last report of another node that it has lost the store. */
-  #lossReportedAt: Millis = -Infinity
   /** Revision of the first answer on the entries after the last outage: what was removed later was removed by a store that serves. */
   #returnRevision: StoreRevision = Infinity
 
@@ -105,15 +103,6 @@
     if (outage >= MIN_EXPIRY_OUTAGE) this.#graceEndsAt = now + EXPIRED_ENTRY_GRACE
   }
 
-  /**
-   * Records that another node has lost the store. This one may take over its watch while the outage ends: what is missing from its list may then have expired.
-   *
-   * @param now - current time
-   */
-  lossReported (now: Millis): void {
-    this.#lossReportedAt = now
-  }
-
   /**
    * Records that the store has answered a call on the entries, after its changes were applied.
    *
@@ -177,8 +166,7 @@
    * @param entries - all entries
    * @param revision - store revision of the list
    * @param now - current time
-   * @param isConfirmed - whether the list still contains entries that may have expired while their servers run; if it does not, and another node has lost the store
-   * lately, missing entries are kept for a grace period
+   * @param isConfirmed - whether the list still contains entries that may have expired while their servers run
    * @param unchanged - ids of entries that the list contains without their contents
    * @returns the resulting changes
    */
@@ -187,7 +175,6 @@
     const isRestored = this.#era !== null && eraOf(revision) > this.#era
     this.#era = Math.max(this.#era ?? 0, eraOf(revision))
     if (isRestored) return this.#mergeRestored(entries, present, now)
-    if (!isConfirmed && now - this.#lossReportedAt < EXPIRED_ENTRY_GRACE) this.#graceEndsAt = Math.max(this.#graceEndsAt, now + EXPIRED_ENTRY_GRACE)
     const absent = [...this.#entries.keys()].filter((id) => !present.has(id))
     return [...entries.flatMap((entry) => this.put(entry, keptUntil(entry, now))), ...absent.flatMap((id) => this.remove(id, revision, now, isConfirmed))]
   }
--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -28,11 +28,6 @@
   readonly unchanged?: readonly RunnerId[]
   /** Store revision of the list. */
   readonly revision: StoreRevision
-  /**
-   * Revision of the last list that was read from the store as a whole. What is missing from it may have been removed, or may have expired in an outage: a
-   * list does not tell, as a watch does. Absent from nodes of earlier builds.
-   */
-  readonly readAt?: StoreRevision
 }
 
 export type FleetStateListener = () => void
@@ -45,8 +40,6 @@
   #routeTable: RouteTable | null = null
   #installedAt: Millis = 0
   #serversRevision: StoreRevision = 0
-  /** Revision of the last whole list of the store in what this node knows, its own or that of another node. */
-  #readAt: StoreRevision = 0
   readonly #listeners = new Set<FleetStateListener>()
   readonly #departureListeners = new Set<(id: RunnerId) => void>()
   readonly #entryListeners = new Set<(entry: ServerEntry) => void>()
@@ -124,14 +117,11 @@
     this.#applyServerChanges(this.servers.remove(id, revision, now, this.servers.isRemovedWhileServing(revision, now)), origin)
   }
 
-  replaceServers (listed: readonly ServerEntry[], revision: StoreRevision, origin: FleetStateOrigin, unchanged: readonly RunnerId[] = [], readAt: StoreRevision = origin === 'store' ? revision : 0): void {
+  replaceServers (listed: readonly ServerEntry[], revision: StoreRevision, origin: FleetStateOrigin, unchanged: readonly RunnerId[] = []): void {
     if (revision < this.#serversRevision) return
-    // A node that has followed the changes since that list knows for certain what is missing.
-    const isConfirmed = origin === 'peer' && readAt <= this.#serversRevision
-    this.#readAt = Math.max(this.#readAt, readAt)
     const before = this.#serversRevision
     this.#advanceServersRevision(revision)
-    this.#applyServerChanges(this.servers.replaceAll(listed, revision, this.clock(), isConfirmed, unchanged), origin, listed)
+    this.#applyServerChanges(this.servers.replaceAll(listed, revision, this.clock(), origin === 'peer', unchanged), origin, listed)
     if (before > 0 && eraOf(revision) > eraOf(before)) this.#logRestore(before, origin)
   }
 
@@ -166,13 +156,13 @@
     if (servers === null) return { deployment, servers }
     const isKnown = ({ revision, isLapsed }: ServerEntry): boolean => revision <= version.servers && isLapsed !== true
     const listed = servers.listed.filter((entry) => !isKnown(entry))
-    return { deployment, servers: { listed, unchanged: servers.listed.filter(isKnown).map(({ server }) => server.id), revision: servers.revision, readAt: this.#readAt } }
+    return { deployment, servers: { listed, unchanged: servers.listed.filter(isKnown).map(({ server }) => server.id), revision: servers.revision } }
   }
 
   /** Applies the parts of a peer's snapshot that are newer than this node's state. */
   merge ({ deployment, servers }: FleetStateSnapshot): void {
     if (deployment !== null) this.install(deployment, 'peer')
-    if (servers !== null && servers.revision > this.#serversRevision) this.replaceServers(servers.listed, servers.revision, 'peer', servers.unchanged, servers.readAt)
+    if (servers !== null && servers.revision > this.#serversRevision) this.replaceServers(servers.listed, servers.revision, 'peer', servers.unchanged)
   }
 
   #logRestore (before: StoreRevision, origin: FleetStateOrigin): void {
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -136,10 +136,7 @@
       schedulersInUse: () => this.#placement.schedulersInUse(),
       onPeerAhead: () => this.#fleetStateExchange.catchUp(),
       isStoreLost: () => this.#storeAvailability.isLost,
-      onPeerStoreLost: () => {
-        this.#fleetState.servers.lossReported(clock())
-        this.#storeSync.checkStore()
-      },
+      onPeerStoreLost: () => this.#storeSync.checkStore(),
       onPlacementMessage: (message, address) => {
         schedulerHost.handle(message, address)
         this.#placement.handle(message, address)
--- a/packages/node/src/forward/peers/snapshotCodec.ts
+++ b/packages/node/src/forward/peers/snapshotCodec.ts
@@ -72,7 +72,6 @@
   servers: z.object({
     listed: z.array(z.object({ server: serverSchema, isLapsed: z.boolean().optional(), keptFor: nonNegative.optional(), ...revisionFields })),
     unchanged: z.array(nonEmpty.transform((id) => id as RunnerId)).optional(),
-    readAt: z.object(revisionFields).optional(),
     ...revisionFields
   }).nullable()
 })
@@ -90,7 +89,7 @@
   deployment,
   servers: servers === null
     ? null
-    : { ...servers, ...encodeRevision(servers.revision), readAt: servers.readAt === undefined ? undefined : encodeRevision(servers.readAt), listed: servers.listed.map((entry) => ({ ...entry, ...encodeRevision(entry.revision) })) }
+    : { ...servers, ...encodeRevision(servers.revision), listed: servers.listed.map((entry) => ({ ...entry, ...encodeRevision(entry.revision) })) }
 })
 
 /**
@@ -104,8 +103,7 @@
     if (servers === null) return success({ deployment, servers })
     const listed = servers.listed.map(({ era, ...entry }) => ({ ...entry, revision: decodeRevision({ revision: entry.revision, era }, ownEra) }))
     const unchanged = servers.unchanged === undefined ? {} : { unchanged: servers.unchanged }
-    const readAt = servers.readAt === undefined ? {} : { readAt: decodeRevision(servers.readAt, ownEra) }
-    return success({ deployment, servers: { ...unchanged, ...readAt, listed, revision: decodeRevision(servers, ownEra) } })
+    return success({ deployment, servers: { ...unchanged, listed, revision: decodeRevision(servers, ownEra) } })
   } catch (error) {
     return failed({ type: 'malformed', reason: error instanceof Error ? error.message : String(error) })
   }
--- a/packages/node/tests/freshNodeList.test.ts
+++ b/packages/node/tests/freshNodeList.test.ts
@@ -5,7 +5,6 @@
 import type { BackendServer, FailureDomain, Millis, RunnerId } from '@bluebellhill/domain'
 
 import { FleetState } from '../src/forward/FleetState.js'
-import { decodeSnapshot, encodeSnapshot } from '../src/forward/peers/snapshotCodec.js'
 import { silentLog } from './forwardFixture.js'
 
 const RETURN: Millis = 8_000
@@ -51,18 +50,3 @@
   state.expireServers()
   t.is(state.servers.ready('s').length, 0)
 })
-
-// Guards against servers that stay after their removal, because a node that has seen it also read the whole list long before.
-test('a removal that a node has seen since its first list counts at nodes that know that list', (t) => {
-  const clock = (): Millis => RETURN + 100
-  const watcher = knowingState(clock)
-  watcher.servers.storeLost(0)
-  watcher.servers.storeRegained(RETURN)
-  const source = knowingState(clock)
-  source.removeServer(SERVER.id, 6, 'store')
-  const sent = decodeSnapshot(Buffer.from(encodeSnapshot(source.changesSince({ configuration: 0, servers: 5 }))), 0)
-  if (!sent.ok) throw new Error('unusable snapshot')
-  t.is(sent.value.servers?.readAt, 5)
-  watcher.merge(sent.value)
-  t.is(watcher.servers.ready('s').length, 0)
-})
--- a/packages/node/tests/keptServers.test.ts
+++ b/packages/node/tests/keptServers.test.ts
@@ -87,3 +87,16 @@
   }
   t.deepEqual(kept, [EXPIRED_ENTRY_GRACE, 100])
 })
+
+// Guards against requests to a server that is gone: while the store turns only some nodes away, what the others list is missing because it was removed.
+test('a node that has lost the store drops a server that is missing from the first list of a node that the store serves', (t) => {
+  const cutOff = new FleetState(silentLog(), () => 100)
+  cutOff.replaceServers([{ server: SERVER, revision: 3 }], 5, 'store')
+  cutOff.servers.storeLost(0)
+  const served = new FleetState(silentLog(), () => 100)
+  served.replaceServers([], 6, 'store')
+  const sent = decodeSnapshot(Buffer.from(encodeSnapshot(served.changesSince({ configuration: 0, servers: 5 }))), 0)
+  if (!sent.ok) throw new Error('unusable snapshot')
+  cutOff.merge(sent.value)
+  t.deepEqual(cutOff.servers.ready('s'), [])
+})
