--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -229,9 +229,9 @@
     await Promise.all(this.nodes.map((node) => node.untilReady()))
   }
 
-  /** Writes the next version of the configuration. */
-  configure ({ routes, services }) {
-    this.#version += 1
+  /** Writes the next version of the configuration; versions are counted from 1 unless they are given. */
+  configure ({ routes, services, version = this.#version + 1 }) {
+    this.#version = version
     this.store.put('op/config', JSON.stringify({
       version: this.#version,
       routes,
--- a/review/lib/Runner.mjs
+++ b/review/lib/Runner.mjs
@@ -23,6 +23,8 @@
 
 /** A runner; each start is a process of its own as far as nodes can see. */
 export class Runner {
+  /** Ids of the requests that were sent here for this runner. */
+  arrivals = new Set()
   /** Requests that ran here: id, start and end. */
   runs = []
   /** Reservations of memory, by id. */
@@ -32,6 +34,9 @@
   #sockets = new Set()
   #record = null
   #timer = null
+  #running = 0
+  /** Requests that wait for a slot. */
+  #queue = []
 
   /**
    * @param options - service, work of a plain request in ms, events and their gap in ms for streams, whether the work goes on when the channel closes
@@ -96,6 +101,17 @@
       this.#log(`refuses ${id} for ${expected}: 421`)
       return response.writeHead(421, { ...common, [NOT_EXECUTED]: '1', 'content-length': 0 }).end()
     }
+    this.arrivals.add(id)
+    if (this.#running >= this.options.slots) {
+      this.#log(`queues ${id}`)
+      await new Promise((resolve) => { this.#queue.push(resolve) })
+    } else {
+      this.#running += 1
+    }
+    if (response.destroyed) {
+      this.#log(`drops ${id} from its queue`)
+      return this.#freeSlot()
+    }
     const held = this.#takeTickets(id, headers[HELPERS])
     const run = { id, path: url, startedAt: performance.now(), endedAt: null, headers }
     this.runs.push(run)
@@ -103,6 +119,7 @@
     const end = (text) => {
       if (run.endedAt !== null) return
       run.endedAt = performance.now()
+      this.#freeSlot()
       for (const release of held) release()
       this.#log(`${text} ${id}`)
     }
@@ -113,6 +130,12 @@
     end('has finished')
   }
 
+  #freeSlot () {
+    const next = this.#queue.shift()
+    if (next === undefined) this.#running -= 1
+    else next()
+  }
+
   async #answerPlain (id, response, headers) {
     await sleep(this.options.workMs)
     const body = plainBody(id)
