--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,59 +1,23 @@
-// Rule LOST: a node that is being stopped gets SIGTERM once more, while it finishes requests that it has accepted.
+// Rule LOST: an entry of another writer, whose address is none, ends the nodes by themselves, with the requests that they have passed on.
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { Deployment, ENGINE } from '../lib/Deployment.mjs'
+import { Deployment } from '../lib/Deployment.mjs'
+import { CONFIGURATION, createRunners, playOnKeptChannels } from '../lib/keptChannels.mjs'
 import { hasTrouble, Record, runCase } from '../lib/Record.mjs'
-import { send } from '../lib/Requester.mjs'
-import { Runner, plainBody, streamBody } from '../lib/Runner.mjs'
 
-const HOST = 'ficu95.example'
-const EVENTS = 35
-const STREAMS = 12
-const PLAIN_REQUESTS = 12
+const NODES = 9
 
-/** Time from the sending of the requests to the stop, and from there to the second SIGTERM. */
-const STOP_AFTER_MS = 300
-const REPEATED_AFTER_MS = 400
-
-const CONFIGURATION = {
-  routes: [
-    { name: 'order-chat', hostname: HOST, prefix: '/chat/', service: 'lm-serve', type: 'streaming', timeout_ms: 10_000, goal_ms: 300, gap_target_ms: 200, max_attempts: 2, priority: 1, sticky: true, resumable: true },
-    { name: 'stock-check', hostname: HOST, prefix: '/stock/', service: 'order-api', type: 'unsafe', timeout_ms: 3_000, goal_ms: 386, max_attempts: 1, priority: 2 }
-  ],
-  services: [
-    { name: 'lm-serve', health_path: '/healthz', max_conns: 434, engine: ENGINE },
-    { name: 'order-api', health_path: '/healthz', max_conns: 110 }
-  ]
-}
+const ENTRY = { service: 'order-api', address: '127.0.0.1:81290', zone: 'bayangol-hall', version: 'v1', slots: 6, state: 'ready', warmup_left_ms: 0, sequence: 1, born: Date.now() }
 
 const record = new Record(import.meta.dirname)
 const deployment = new Deployment(record)
 
-/** A whole request was read and passed on, and its channel ended without a complete answer. */
-const violationOf = ({ id, path, status, isWhole, body }) => {
-  const run = deployment.runners.flatMap(({ runs }) => runs).find((each) => each.id === id)
-  if (run === undefined) return null
-  const expected = path.startsWith('/chat/') ? streamBody(id, EVENTS) : plainBody(id)
-  const isComplete = status !== null && isWhole && (status >= 300 || body === expected)
-  return isComplete ? null : `LOST: ${id} ${path} was passed on, and its channel ended ${status === null ? 'without an answer' : `after ${body.length} of ${expected.length} bytes`}`
-}
-
 await runCase(record, deployment, async () => {
-  const engines = Array.from({ length: 6 }, () => new Runner({ service: 'lm-serve', slots: 11, events: EVENTS, gapMs: 50 }))
-  const servers = Array.from({ length: 3 }, () => new Runner({ service: 'order-api', slots: 6, workMs: 1_500 }))
-  await deployment.start(CONFIGURATION, [...engines, ...servers], 3)
+  await deployment.start(CONFIGURATION, createRunners(), NODES)
   await sleep(2_000)
-  const [node] = deployment.nodes
-  const prompt = { 'x-bluebellhill-model': 'm', 'x-bluebellhill-token-usage': '5000,1600' }
-  const exchanges = [
-    ...Array.from({ length: STREAMS }, (_, index) => send(record, node, { host: HOST, path: `/chat/${index}`, body: 'x'.repeat(1_200), deadlineMs: 10_000, headers: { ...prompt, 'x-bluebellhill-prefix-hash': `5c1e07a2:40,${(0x1000 + index).toString(16)}:4960` } })),
-    ...Array.from({ length: PLAIN_REQUESTS }, (_, index) => send(record, node, { host: HOST, path: `/stock/${index}`, body: 'x'.repeat(600), deadlineMs: 3_000 }))
-  ]
-  await sleep(STOP_AFTER_MS)
-  node.signal('SIGTERM')
-  await sleep(REPEATED_AFTER_MS)
-  if (hasTrouble && node.isRunning) node.signal('SIGTERM')
-  const seen = await Promise.all(exchanges)
-  await sleep(500)
-  return seen.map(violationOf).filter((violation) => violation !== null)
+  return await playOnKeptChannels(deployment, () => {
+    if (!hasTrouble) return
+    record.write('store', `another writer writes servers/i-0badc0de: ${JSON.stringify(ENTRY)}`)
+    deployment.store.put('servers/i-0badc0de', JSON.stringify(ENTRY))
+  })
 })
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,4 +1,4 @@
-// Rule LOST: an entry of another writer, whose address is none, ends the nodes by themselves, with the requests that they have passed on.
+// Rule LOST: a new configuration whose version needs more than 32 bits ends all nodes by themselves, with the requests that they have passed on.
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import { Deployment } from '../lib/Deployment.mjs'
@@ -7,17 +7,19 @@
 
 const NODES = 9
 
-const ENTRY = { service: 'order-api', address: '127.0.0.1:81290', zone: 'bayangol-hall', version: 'v1', slots: 6, state: 'ready', warmup_left_ms: 0, sequence: 1, born: Date.now() }
+/** Version before the change, and the steps to the next ones; the second change leaves what 32 bits hold. */
+const FIRST_VERSION = 2 ** 32 - 12
+const STEP = 7
 
 const record = new Record(import.meta.dirname)
 const deployment = new Deployment(record)
 
 await runCase(record, deployment, async () => {
-  await deployment.start(CONFIGURATION, createRunners(), NODES)
+  await deployment.start({ ...CONFIGURATION, version: FIRST_VERSION }, createRunners(), NODES)
   await sleep(2_000)
-  return await playOnKeptChannels(deployment, () => {
-    if (!hasTrouble) return
-    record.write('store', `another writer writes servers/i-0badc0de: ${JSON.stringify(ENTRY)}`)
-    deployment.store.put('servers/i-0badc0de', JSON.stringify(ENTRY))
+  return await playOnKeptChannels(deployment, async () => {
+    deployment.configure({ ...CONFIGURATION, version: FIRST_VERSION + STEP })
+    await sleep(1_000)
+    if (hasTrouble) deployment.configure({ ...CONFIGURATION, version: FIRST_VERSION + 2 * STEP })
   })
 })
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,25 +1,57 @@
-// Rule LOST: a new configuration whose version needs more than 32 bits ends all nodes by themselves, with the requests that they have passed on.
+// Rule LIMIT: a node that was killed comes back and numbers its reservations from the start, so that it uses a ticket that is in use.
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { Deployment } from '../lib/Deployment.mjs'
-import { CONFIGURATION, createRunners, playOnKeptChannels } from '../lib/keptChannels.mjs'
+import { Deployment, ENGINE } from '../lib/Deployment.mjs'
 import { hasTrouble, Record, runCase } from '../lib/Record.mjs'
+import { send } from '../lib/Requester.mjs'
+import { Runner } from '../lib/Runner.mjs'
 
-const NODES = 9
+const HOST = 'ficu95.example'
 
-/** Version before the change, and the steps to the next ones; the second change leaves what 32 bits hold. */
-const FIRST_VERSION = 2 ** 32 - 12
-const STEP = 7
+/** A prompt that no runner can keep alone: its memory is for 450,000 tokens. */
+const PROMPT_TOKENS = 900_000
+const EVENTS = 17
+const KILLED_AFTER_MS = 900
+const DOWN_MS = 300
+
+const CONFIGURATION = {
+  routes: [{ name: 'season-review', hostname: HOST, prefix: '/season/', service: 'lm-serve', type: 'streaming', timeout_ms: 15_000, goal_ms: 3_000, gap_target_ms: 800, max_attempts: 2, priority: 1, sticky: true, resumable: true }],
+  services: [{ name: 'lm-serve', health_path: '/healthz', max_conns: 434, engine: ENGINE }]
+}
 
 const record = new Record(import.meta.dirname)
 const deployment = new Deployment(record)
+const violations = []
+
+/** A request begins to use a ticket. Returns what ends its use. */
+const useTicket = (address, ticketId, request) => {
+  const holder = deployment.runners.find((runner) => runner.address === address)
+  const ticket = holder.tickets.get(ticketId)
+  if (ticket === undefined) return () => {}
+  const others = [...ticket.requests]
+  record.write('runner', `${holder.id} ticket ${ticketId} is used by ${[...others, request].join(' and ')}`)
+  if (others.length > 0) violations.push(`LIMIT: ticket ${ticketId} at ${holder.id} is used by ${[...others, request].join(' and ')} at the same time`)
+  ticket.requests.add(request)
+  return () => ticket.requests.delete(request)
+}
 
 await runCase(record, deployment, async () => {
-  await deployment.start({ ...CONFIGURATION, version: FIRST_VERSION }, createRunners(), NODES)
-  await sleep(2_000)
-  return await playOnKeptChannels(deployment, async () => {
-    deployment.configure({ ...CONFIGURATION, version: FIRST_VERSION + STEP })
-    await sleep(1_000)
-    if (hasTrouble) deployment.configure({ ...CONFIGURATION, version: FIRST_VERSION + 2 * STEP })
+  const engines = Array.from({ length: 6 }, () => new Runner({ service: 'lm-serve', slots: 11, events: EVENTS, gapMs: 150, prefillMs: 500, worksOn: true, useTicket }))
+  await deployment.start(CONFIGURATION, engines, 3)
+  await sleep(3_000)
+  const [node] = deployment.nodes
+  const review = async (number) => await send(record, node, {
+    host: HOST, path: `/season/${number}`, body: 'x'.repeat(29_000), deadlineMs: 15_000, headers: { 'x-bluebellhill-model': 'm', 'x-bluebellhill-token-usage': `${PROMPT_TOKENS},800`, 'x-bluebellhill-prefix-hash': `5c1e07a2:40,${(0x91bd3f00 + number).toString(16)}:${PROMPT_TOKENS - 40}` }
   })
+  const first = review(1)
+  await sleep(KILLED_AFTER_MS)
+  if (hasTrouble) {
+    node.signal('SIGKILL')
+    await sleep(DOWN_MS)
+    node.start()
+    await node.untilReady()
+  }
+  await Promise.all([first, review(2)])
+  await sleep(500)
+  return violations
 })
--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -126,6 +126,11 @@
 ttl_min_ms = 1000
 `
 
+/** Processes that run. None of them outlives the case, however it ends. */
+const children = new Set()
+process.on('exit', () => { for (const child of children) child.kill('SIGKILL') })
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => process.exit(2))
+
 /** A node as a process. */
 class NodeProcess {
   /** Ends of its processes, in order. */
@@ -153,7 +158,9 @@
     const output = createWriteStream(join(this.deployment.directory, `${this.name}.log`), { flags: 'a' })
     child.stdout.pipe(output, { end: false })
     child.stderr.pipe(output, { end: false })
+    children.add(child)
     child.once('exit', (code, signal) => {
+      children.delete(child)
       this.ends.push({ at: performance.now(), code, signal })
       this.deployment.record.write('node', `${this.name} ended with ${signal ?? `code ${code}`}`)
       if (this.#child === child) this.#child = null
