--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,57 +1,65 @@
-// Rule LIMIT: a node that was killed comes back and numbers its reservations from the start, so that it uses a ticket that is in use.
+// Rule BUDGET: a request that ends its runners comes again for ever, since runners that are back under their ids refute their own crashes.
+import { Agent } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { Deployment, ENGINE } from '../lib/Deployment.mjs'
+import { BOUNDS, Deployment } from '../lib/Deployment.mjs'
+import { CONFIGURATION, HOST } from '../lib/keptChannels.mjs'
 import { hasTrouble, Record, runCase } from '../lib/Record.mjs'
 import { send } from '../lib/Requester.mjs'
 import { Runner } from '../lib/Runner.mjs'
 
-const HOST = 'ficu95.example'
+const DEADLY_PATH = '/stock/deadly'
+const RUNNERS = 3
+const TRAFFIC_MS = 25_000
+const DEADLY_GAP_MS = 400
+const CHANNELS_PER_NODE = 4
+const SOUND_GAP_MS = 60
 
-/** A prompt that no runner can keep alone: its memory is for 450,000 tokens. */
-const PROMPT_TOKENS = 900_000
-const EVENTS = 17
-const KILLED_AFTER_MS = 900
-const DOWN_MS = 300
+/** Time for which a runner is down. Its entry is written as soon as it is back. */
+const DOWN_MS = 2_500
 
-const CONFIGURATION = {
-  routes: [{ name: 'season-review', hostname: HOST, prefix: '/season/', service: 'lm-serve', type: 'streaming', timeout_ms: 15_000, goal_ms: 3_000, gap_target_ms: 800, max_attempts: 2, priority: 1, sticky: true, resumable: true }],
-  services: [{ name: 'lm-serve', health_path: '/healthz', max_conns: 434, engine: ENGINE }]
-}
+/** Requests that may reach runners later than `contact_ms` after the third crash. */
+const MOST_AFTER = 3
 
 const record = new Record(import.meta.dirname)
 const deployment = new Deployment(record)
-const violations = []
-
-/** A request begins to use a ticket. Returns what ends its use. */
-const useTicket = (address, ticketId, request) => {
-  const holder = deployment.runners.find((runner) => runner.address === address)
-  const ticket = holder.tickets.get(ticketId)
-  if (ticket === undefined) return () => {}
-  const others = [...ticket.requests]
-  record.write('runner', `${holder.id} ticket ${ticketId} is used by ${[...others, request].join(' and ')}`)
-  if (others.length > 0) violations.push(`LIMIT: ticket ${ticketId} at ${holder.id} is used by ${[...others, request].join(' and ')} at the same time`)
-  ticket.requests.add(request)
-  return () => ticket.requests.delete(request)
+const crashes = []
+const lost = []
+
+const crash = async (runner, id) => {
+  crashes.push(performance.now())
+  record.write('runner', `${runner.id} is ended by ${id}, crash ${crashes.length}`)
+  runner.crash()
+  await sleep(DOWN_MS)
+  await runner.restart()
+  deployment.register(runner)
+  record.write('store', `entry of ${runner.id} with its new start`)
+}
+
+const sendSound = async (node, name, until) => {
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+  for (let count = 0; performance.now() < until; count += 1) {
+    const exchange = await send(record, node, { host: HOST, path: `/stock/${name}-${count}`, body: 'x'.repeat(600), deadlineMs: 3_000, agent })
+    if (exchange.status !== 200) lost.push(exchange)
+    await sleep(SOUND_GAP_MS)
+  }
+  agent.destroy()
 }
 
 await runCase(record, deployment, async () => {
-  const engines = Array.from({ length: 6 }, () => new Runner({ service: 'lm-serve', slots: 11, events: EVENTS, gapMs: 150, prefillMs: 500, worksOn: true, useTicket }))
-  await deployment.start(CONFIGURATION, engines, 3)
-  await sleep(3_000)
-  const [node] = deployment.nodes
-  const review = async (number) => await send(record, node, {
-    host: HOST, path: `/season/${number}`, body: 'x'.repeat(29_000), deadlineMs: 15_000, headers: { 'x-bluebellhill-model': 'm', 'x-bluebellhill-token-usage': `${PROMPT_TOKENS},800`, 'x-bluebellhill-prefix-hash': `5c1e07a2:40,${(0x91bd3f00 + number).toString(16)}:${PROMPT_TOKENS - 40}` }
-  })
-  const first = review(1)
-  await sleep(KILLED_AFTER_MS)
-  if (hasTrouble) {
-    node.signal('SIGKILL')
-    await sleep(DOWN_MS)
-    node.start()
-    await node.untilReady()
+  const runners = Array.from({ length: RUNNERS }, () => new Runner({ service: 'order-api', slots: 6, workMs: 60, ...(hasTrouble ? { deadlyPath: DEADLY_PATH, onDeadly: (runner, id) => { crash(runner, id) } } : {}) }))
+  await deployment.start(CONFIGURATION, runners, 3)
+  await sleep(2_000)
+  const until = performance.now() + TRAFFIC_MS
+  const sound = deployment.nodes.flatMap((node) => Array.from({ length: CHANNELS_PER_NODE }, (_, index) => sendSound(node, `${node.name}-${index}`, until)))
+  await sleep(2_000)
+  for (let count = 0; performance.now() < until; count += 1) {
+    await send(record, deployment.nodes[count % 3], { host: HOST, path: DEADLY_PATH, body: 'always the same', deadlineMs: 3_000 })
+    await sleep(DEADLY_GAP_MS)
   }
-  await Promise.all([first, review(2)])
-  await sleep(500)
-  return violations
+  await Promise.all(sound)
+  const third = crashes[2] ?? Infinity
+  const late = crashes.filter((at) => at > third + BOUNDS.contact_ms)
+  record.write('case', `${crashes.length} crashes, ${late.length} requests reached runners later than ${BOUNDS.contact_ms} ms after the third; ${lost.length} sound requests were not served, ${lost.filter(({ status }) => status === 502).length} of them after they had been passed on`)
+  return late.length <= MOST_AFTER ? [] : late.map((at) => `BUDGET: a request that had ended three runners reached one ${Math.round(at - third)} ms after the third crash`)
 })
--- a/review/lib/Runner.mjs
+++ b/review/lib/Runner.mjs
@@ -65,13 +65,24 @@
     return { service: this.options.service, address: this.address, zone: this.zone, version: 'v1', slots: this.options.slots, state: this.state, warmup_left_ms: 0, sequence: 1, born: this.bornAt }
   }
 
-  /** Resets all channels and leaves the port, as a crash does. */
+  /** Resets all channels and leaves the port, as a crash does. What waits or runs is gone. */
   crash () {
     this.server.close()
     for (const socket of this.#sockets) socket.resetAndDestroy()
+    this.#running = 0
+    this.#queue = []
     this.#log('crashed')
   }
 
+  /** Starts again under the same id. The entry in the store is written by the deployment. */
+  async restart () {
+    this.bornAt = Date.now()
+    const [host, port] = this.address.split(':')
+    this.server.listen(Number(port), host)
+    await once(this.server, 'listening')
+    this.#log('is back under its id')
+  }
+
   dispose () {
     clearInterval(this.#timer)
     this.server.close()
@@ -113,6 +124,7 @@
       return this.#freeSlot()
     }
     const held = this.#takeTickets(id, headers[HELPERS])
+    if (url === this.options.deadlyPath) return this.options.onDeadly(this, id)
     const run = { id, path: url, startedAt: performance.now(), endedAt: null, headers }
     this.runs.push(run)
     this.#log(`runs ${id} ${url}`)
@@ -132,7 +144,7 @@
 
   #freeSlot () {
     const next = this.#queue.shift()
-    if (next === undefined) this.#running -= 1
+    if (next === undefined) this.#running = Math.max(0, this.#running - 1)
     else next()
   }
 
