Review: names of the platform come from its adapter

Change: headers, keys and paths are imported from the adapter; documents in the platform's formats stand in a JSON file. The test is unchanged.

--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -9,6 +9,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 
+import { READINESS_PATH, StoreKey } from '@bluebellhill/platform'
+
 import { StoreStandin } from '../../platform/standin/dist/src/index.js'
 
 const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '../..')
@@ -188,7 +190,7 @@
 
   async isReady () {
     return await new Promise((resolve) => {
-      const request = get({ host: this.host, port: PORT.ready, path: '/api/readyz', agent: false, timeout: 1_000 }, (response) => {
+      const request = get({ host: this.host, port: PORT.ready, path: READINESS_PATH, agent: false, timeout: 1_000 }, (response) => {
         response.resume()
         resolve(response.statusCode === 200)
       })
@@ -239,7 +241,7 @@
   /** Writes the next version of the configuration; versions are counted from 1 unless they are given. */
   configure ({ routes, services, version = this.#version + 1 }) {
     this.#version = version
-    this.store.put('op/config', JSON.stringify({
+    this.store.put(StoreKey.Configuration, JSON.stringify({
       version: this.#version,
       routes,
       services,
@@ -258,7 +260,7 @@
   }
 
   register (runner) {
-    this.store.put(`servers/${runner.id}`, JSON.stringify(runner.entry()))
+    this.store.put(`${StoreKey.BackendServers}${runner.id}`, JSON.stringify(runner.entry()))
   }
 
   /** @returns the lines of a node's log that contain a text */
--- a/review/lib/Requester.mjs
+++ b/review/lib/Requester.mjs
@@ -2,6 +2,8 @@
 import { randomUUID } from 'node:crypto'
 import { request as httpRequest } from 'node:http'
 
+import { HeaderName } from '@bluebellhill/platform'
+
 import { KEY } from './Deployment.mjs'
 
 /**
@@ -20,7 +22,7 @@
       method,
       path,
       agent,
-      headers: { host, authorization: `Bearer ${KEY}`, 'x-bluebellhill-attempt-id': id, 'x-bluebellhill-deadline-ms': String(deadlineMs), 'content-length': Buffer.byteLength(body), ...headers }
+      headers: { host, authorization: `Bearer ${KEY}`, [HeaderName.AttemptId]: id, [HeaderName.Deadline]: String(deadlineMs), 'content-length': Buffer.byteLength(body), ...headers }
     }, (response) => {
       exchange.status = response.statusCode
       exchange.headers = response.headers
@@ -46,3 +48,15 @@
   record.write('requester', `${id} ${method} ${path} at ${node.name}: ${status ?? 'no answer'}${status !== null && !isWhole ? ', broken off' : ''}${error === '' ? '' : `, ${error}`}, after ${Math.round(exchange.endedAt - exchange.sentAt)} ms`)
   return exchange
 }
+
+/**
+ * @param prompt - number of tokens of the prompt
+ * @param maximum - greatest number of output tokens
+ * @param part - id of the part of the prompt that no other request has
+ * @returns the headers of a request with a prompt; its first 40 tokens are shared
+ */
+export const promptHeaders = (prompt, maximum, part) => ({
+  'x-bluebellhill-model': 'm',
+  [HeaderName.PromptSize]: `${prompt},${maximum}`,
+  [HeaderName.PromptParts]: `5c1e07a2:40,${part.toString(16)}:${prompt - 40}`
+})
--- a/review/lib/Runner.mjs
+++ b/review/lib/Runner.mjs
@@ -4,11 +4,11 @@
 import { randomUUID } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
 
-const ATTEMPT_ID = 'x-bluebellhill-attempt-id'
-const INSTANCE = 'x-bluebellhill-instance-id'
-const SIGNATURE = 'x-bluebellhill-backend-signature'
-const NOT_EXECUTED = 'x-bluebellhill-not-executed'
-const HELPERS = 'x-bluebellhill-helpers'
+import { HeaderName, ORDER_PATH } from '@bluebellhill/platform'
+
+import { documents } from './documents.mjs'
+
+const { AttemptId: ATTEMPT_ID, ServerId: INSTANCE, Signature: SIGNATURE, NotRun: NOT_EXECUTED, Helpers: HELPERS, ExpectedServer: EXPECTED_INSTANCE } = HeaderName
 
 const TICKET_CHECK_MS = 20
 
@@ -102,12 +102,11 @@
     } catch {
       return
     }
-    if (url === '/api/order') return this.#order(JSON.parse(Buffer.concat(chunks).toString('utf8')), response)
-    if (url === '/api/report') return sendJson(response, 200, { phase: 'prefill_decode', models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 1, queued: 0, active: 0, kv_used: 0, kv_total: 450_000, handles: 0, born: this.bornAt })
+    if (url === ORDER_PATH) return this.#order(JSON.parse(Buffer.concat(chunks).toString('utf8')), response)
     const id = headers[ATTEMPT_ID]
     const common = { [ATTEMPT_ID]: id ?? '', [INSTANCE]: this.id }
     if (id === undefined) return response.writeHead(400, { [NOT_EXECUTED]: '1', 'content-length': 0 }).end()
-    const expected = headers['x-bluebellhill-expected-instance']
+    const expected = headers[EXPECTED_INSTANCE]
     if (expected !== undefined && expected !== this.id) {
       this.#log(`refuses ${id} for ${expected}: 421`)
       return response.writeHead(421, { ...common, [NOT_EXECUTED]: '1', 'content-length': 0 }).end()
@@ -166,7 +165,7 @@
     if (!response.destroyed) response.end()
   }
 
-  #order ({ operation, id, tokens, hold_ms: holdMs }, response) {
+  #order ({ operation, id, tokens, [documents.reservation.duration]: holdMs }, response) {
     const now = performance.now()
     if (operation === 'reserve') {
       const ticket = this.tickets.get(id) ?? { id, tokens, requests: new Set() }
--- a/review/lib/keptChannels.mjs
+++ b/review/lib/keptChannels.mjs
@@ -2,10 +2,11 @@
 import { Agent } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 
+import { routes } from './documents.mjs'
 import { send } from './Requester.mjs'
 import { Runner } from './Runner.mjs'
 
-export const HOST = 'ficu95.example'
+export const HOST = routes['stock-check'].hostname
 
 /** Requests that may lose their answer under the rule. */
 const MOST_LOST = 3
@@ -16,7 +17,7 @@
 
 /** Configuration of the plain service of the site tsm-pellet. */
 export const CONFIGURATION = {
-  routes: [{ name: 'stock-check', hostname: HOST, prefix: '/stock/', service: 'order-api', type: 'unsafe', timeout_ms: 3_000, goal_ms: 386, max_attempts: 1, priority: 2 }],
+  routes: [routes['stock-check']],
   services: [{ name: 'order-api', health_path: '/healthz', max_conns: 110 }]
 }
 
