--- a/review/lib/Runner.mjs
+++ b/review/lib/Runner.mjs
@@ -154,11 +154,11 @@
   }
 
   async #answerStream (id, lastEventId, response, headers) {
-    const { events, gapMs, prefillMs, worksOn } = this.options
+    const { events, gapMs, prefillMs } = this.options
     await sleep(prefillMs)
     if (!response.destroyed) response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     for (let number = lastEventId + 1; number <= events; number += 1) {
-      if (response.destroyed && !worksOn) return
+      if (response.destroyed && !this.options.worksOn) return
       if (!response.destroyed) response.write(streamEvent(id, number))
       await sleep(gapMs)
     }
