LOST: an address that cannot be opened ends one attempt, not every node

Cause, in three layers. The pattern of an entry's address let ports above 65535 and numbers above 255 through. The HTTP client throws on such an address, out of a promise that nobody awaits. main.ts ends the process on any such error.

An attempt that cannot be begun ends as unsent and another server gets the request; any other error on the way of a request ends that request. Both are logged and counted (bluebellhill_errors_contained_total, bluebellhill_store_entries_unusable_total). It works since no such address is kept, and the error has a border where one is.

--- a/packages/node/src/forward/AttemptSender.ts
+++ b/packages/node/src/forward/AttemptSender.ts
@@ -2,7 +2,7 @@
 import { AttemptEnd } from '@bluebellhill/domain'
 
 import { ServerCall } from './backend/ServerCall.js'
-import type { ServerCallListener } from './backend/ServerCall.js'
+import type { ServerCallListener, ServerCallRequest } from './backend/ServerCall.js'
 import type { ForwardingHost } from './ForwardingHost.js'
 import { MemoryReservations } from './MemoryReservations.js'
 import type { RelayPeer } from './relay/RelayPeers.js'
@@ -29,11 +29,11 @@
 
   /** Passes the request on to a node that reaches servers of its service. */
   passOn (peer: RelayPeer): void {
-    const { host: { relay, progress, lastEventId }, createListener } = this.#options
+    const { relay, progress, lastEventId } = this.#options.host
     progress.attemptCount += 1
     const { attempt, request } = relay.open(peer, progress.attemptCount, lastEventId())
     progress.attempt = attempt
-    attempt.serverCall = new ServerCall(request, createListener(attempt))
+    this.#call(attempt, request)
   }
 
   /**
@@ -43,7 +43,7 @@
    * @param isHedge - whether another attempt goes on beside it until one of the answers is complete
    */
   open (placed: PlacedAttempt, isHedge = false): void {
-    const { context, history, progress, requestLog, lastEventId } = this.#options.host
+    const { context, history, progress, requestLog, lastEventId, failInternally } = this.#options.host
     const { choice: { server, holders }, assignment } = placed
     history.start(server.id)
     progress.attemptCount += 1
@@ -52,7 +52,7 @@
     progress.attempt = attempt
     requestLog.attemptSent(placed, progress.attemptCount, lastEventId(), context.placement.answers.find(server), context.placement.answers.coldFor(server))
     if (reservations === null) this.#sendUnlessHindered(attempt, placed)
-    else void this.#reserveAndSend(attempt, placed, reservations)
+    else this.#reserveAndSend(attempt, placed, reservations).catch(failInternally)
   }
 
   async #reserveAndSend (attempt: OpenAttempt, placed: PlacedAttempt, reservations: MemoryReservations): Promise<void> {
@@ -81,10 +81,19 @@
   }
 
   #send (attempt: OpenAttempt, isTrial: boolean): void {
-    const { host: { context, call, guard, lastEventId }, createListener, onSent } = this.#options
+    const { host: { context, call, guard, lastEventId, progress }, onSent } = this.#options
     attempt.watch = guard.watch(attempt.server, isTrial)
-    const request = serverCallRequest(call, attempt, lastEventId(), context.clock())
-    attempt.serverCall = new ServerCall(request, createListener(attempt))
-    onSent(attempt)
+    this.#call(attempt, serverCallRequest(call, attempt, lastEventId(), context.clock()))
+    if (progress.attempt === attempt) onSent(attempt)
+  }
+
+  /** An address that nothing can be sent to ends this attempt, and not the process with all others. */
+  #call (attempt: OpenAttempt, request: ServerCallRequest): void {
+    const { host: { fail }, createListener } = this.#options
+    try {
+      attempt.serverCall = new ServerCall(request, createListener(attempt))
+    } catch (error) {
+      fail(attempt, AttemptEnd.Unsent, `the connection cannot be opened: ${error instanceof Error ? error.message : String(error)}`)
+    }
   }
 }
--- a/packages/node/src/forward/ForwardMetrics.ts
+++ b/packages/node/src/forward/ForwardMetrics.ts
@@ -22,6 +22,14 @@
 } as const
 export type StateHop = typeof StateHop[keyof typeof StateHop]
 
+/** What an error of the node has ended instead of the process. */
+export const ErrorScope = {
+  Request: 'request',
+  /** One message to another node. */
+  Message: 'message'
+} as const
+export type ErrorScope = typeof ErrorScope[keyof typeof ErrorScope]
+
 /** Records the metrics of one node in a registry of their own. */
 export class ForwardMetrics {
   readonly registry = new Registry()
@@ -30,6 +38,8 @@
   readonly #closedConnections = new Counter({ name: 'bluebellhill_unanswered_total', help: 'Requests whose connection was closed by this node before their answer was complete, by stage and cause', labelNames: ['stage', 'cause'], registers: [this.registry] })
   readonly #hedges = new Counter({ name: 'bluebellhill_hedges_total', help: 'Second attempts beside late ones: sent, and won by the second', labelNames: ['result'], registers: [this.registry] })
   readonly #refusedHedges = new Counter({ name: 'bluebellhill_hedges_refused_total', help: 'Second attempts that were due and not sent, by cause', labelNames: ['cause'], registers: [this.registry] })
+  readonly #containedErrors = new Counter({ name: 'bluebellhill_errors_contained_total', help: 'Errors of this node, by what each of them has ended', labelNames: ['scope'], registers: [this.registry] })
+  readonly #unusableEntries = new Counter({ name: 'bluebellhill_store_entries_unusable_total', help: 'Values of the store that were not used because they cannot be decoded, by prefix of their keys', labelNames: ['prefix'], registers: [this.registry] })
   readonly #cutOffCallers = new Counter({ name: 'bluebellhill_callers_cut_off_total', help: 'Callers that were cut off because they read slowest while the buffers were full', registers: [this.registry] })
   readonly #heldServers = new Counter({ name: 'bluebellhill_servers_held_total', help: 'Times that a backend server was held back because its caller did not read', registers: [this.registry] })
   readonly #requestDuration = new Histogram({ name: 'bluebellhill_request_seconds', help: 'Time from arrival to end', labelNames: ['kind', 'outcome'], buckets: DURATION_BUCKETS, registers: [this.registry] })
@@ -59,6 +69,16 @@
     this.#refusedRequests.inc({ cause })
   }
 
+  /** Counts a value in the platform's store that cannot be used. */
+  storeEntryUnusable (prefix: string): void {
+    this.#unusableEntries.inc({ prefix })
+  }
+
+  /** Counts an error of this node that has ended less than the process. */
+  errorContained (scope: ErrorScope): void {
+    this.#containedErrors.inc({ scope })
+  }
+
   /** Counts a second attempt that was sent beside a late one. */
   hedgeSent (): void {
     this.#hedges.inc({ result: 'sent' })
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -12,6 +12,7 @@
 import { CallerAnswer } from './buffers/CallerAnswer.js'
 import { RefusalCause } from './entry/refusals.js'
 import type { ForwardingHost, RequestProgress } from './ForwardingHost.js'
+import { ErrorScope } from './ForwardMetrics.js'
 import { ForwardOutcome } from './ForwardOutcome.js'
 import { healthSignalOf } from './healthSignal.js'
 import type { QuarantineVerdict } from './quarantine/NodeQuarantine.js'
@@ -82,7 +83,7 @@
     const { clock } = this.context
     this.response.once('close', () => { if (!this.response.writableFinished) this.#callerDisconnected() })
     this.#deadlineTimer = setTimeout(() => this.#deadlinePassed(), Math.max(0, this.call.deadlineAt - clock()))
-    void this.#startNextAttempt(false)
+    this.#beginNextAttempt(false)
   }
 
   /** Breaks the connection to the caller, because the stop grace of this node is over. */
@@ -191,7 +192,7 @@
     this.#requestLog.attemptFailed(attempt, end, reason)
     if (this.#silence.resumeRaced()) return
     const hasTimeLeft = this.context.clock() < this.call.deadlineAt
-    if (isRetryAllowed && hasTimeLeft) void this.#startNextAttempt(end !== AttemptEnd.Unsent)
+    if (isRetryAllowed && hasTimeLeft) this.#beginNextAttempt(end !== AttemptEnd.Unsent)
     else this.#giveUp()
   }
 
@@ -201,6 +202,20 @@
     this.failAttempt(attempt, end, reason, HealthSignal.Faulty)
   }
 
+  /** An error while an attempt is begun ends this request, and not the process with all others. */
+  #beginNextAttempt (chargesRetry: boolean): void {
+    this.#startNextAttempt(chargesRetry).catch((error: unknown) => this.#failInternally(error))
+  }
+
+  #failInternally (error: unknown): void {
+    this.#requestLog.failedInternally(error)
+    this.context.metrics.errorContained(ErrorScope.Request)
+    if (this.#ending.isOver) return
+    const mayHaveRun = this.#closeLastAttempt()
+    this.#progress.lastProblem = 'an error in this node'
+    this.#refuseOrAbort(mayHaveRun ? RefusalCause.AnswerLost : RefusalCause.NoServer, mayHaveRun ? ForwardOutcome.Lost : ForwardOutcome.Refused, CloseCause.AnswerLost)
+  }
+
   async #startNextAttempt (chargesRetry: boolean): Promise<void> {
     this.#searchCount += 1
     const search = this.#searchCount
@@ -244,7 +259,7 @@
     if (retryAfter === null || retryAfter > MAX_SERVER_WAIT || this.context.clock() + retryAfter >= this.call.deadlineAt) return false
     if (this.#waitReason !== reason) this.#requestLog.requestWaits(refusal, retryAfter)
     this.#waitReason = reason
-    this.#waitTimer = setTimeout(() => { void this.#startNextAttempt(waitsForOthers && chargesRetry) }, retryAfter)
+    this.#waitTimer = setTimeout(() => this.#beginNextAttempt(waitsForOthers && chargesRetry), retryAfter)
     return true
   }
 
@@ -278,6 +293,7 @@
       close: (attempt, signal, serviceTime) => this.#closeAttempt(attempt, signal, serviceTime),
       release: (attempt, signal) => this.#release(attempt, signal),
       fail: (attempt, end, reason, signal) => this.failAttempt(attempt, end, reason, signal),
+      failInternally: (error) => this.#failInternally(error),
       refuseQuarantined: (verdict) => this.#refuseQuarantined(verdict)
     }
   }
--- a/packages/node/src/forward/ForwardingHost.ts
+++ b/packages/node/src/forward/ForwardingHost.ts
@@ -46,5 +46,7 @@
   release: (attempt: OpenAttempt, signal: HealthSignal | null) => void
   /** Ends an attempt without a complete answer. The signal is derived from the end if it is absent. */
   fail: (attempt: OpenAttempt, end: AttemptEnd, reason: string, signal?: HealthSignal | null) => void
+  /** Ends the request after an error of this node. */
+  failInternally: (error: unknown) => void
   refuseQuarantined: (verdict: QuarantineVerdict) => void
 }
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -175,6 +175,11 @@
     this.context.log.error('request.placement_failed', { request: this.call.id, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
   }
 
+  /** Logs an error of this node that ends the request. */
+  failedInternally (error: unknown): void {
+    this.context.log.error('request.failed_internally', { request: this.call.id, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+  }
+
   requestEnded ({ outcome, status, servers, firstAnswer, took, problem, answerFields: further }: RequestEnd): void {
     const { call, context } = this
     context.log.info('request.ended', {
--- a/packages/node/src/forward/SilentReplacement.ts
+++ b/packages/node/src/forward/SilentReplacement.ts
@@ -18,7 +18,7 @@
 export class SilentReplacement {
   readonly #host: ForwardingHost
   readonly #silentAttempts: SilentAttempts
-  readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#silenceNoticed(attempt, silence, hasGoneOn) })
+  readonly #silenceTimer = new SilenceTimer(async (attempt, silence, hasGoneOn) => { await this.#silenceNoticed(attempt, silence, hasGoneOn).catch(this.#host.failInternally) })
   readonly #onResumed: () => void
   /** Silence after which the attempt in progress is replaced. */
   #timeout: Millis | null = null
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -13,12 +13,14 @@
 
 import { waitingInputRead } from '../../clock/inputTurn.js'
 import type { Forwarding } from '../Forwarding.js'
+import { ErrorScope } from '../ForwardMetrics.js'
 import type { ForwardingContext } from '../types.js'
 import { PlainForwarding } from '../PlainForwarding.js'
 import { StreamForwarding } from '../StreamForwarding.js'
 import { RELAY_HEADER, SERVER_ANSWER } from '../relay/relayHeaders.js'
 import { CloseCause, recordUnanswered, RequestStage } from '../unansweredRequests.js'
 import { CallerConnections } from './CallerConnections.js'
+import { breakConnection } from './breakConnection.js'
 import { acceptHead, admit, readCallerBody, timeAllowed } from './admit.js'
 import { RefusalCause, refusalStatus, refuse } from './refusals.js'
 
@@ -155,8 +157,20 @@
     this.#connections.track(request.socket, response)
     response.once('close', () => { this.#openRequests.delete(response) })
     if (this.#stoppedAt !== null) closeConnectionAfter(response)
-    const cause = await this.#forward(open, response, isRelayed)
-    if (cause !== null) this.#refuse(request, response, cause)
+    try {
+      const cause = await this.#forward(open, response, isRelayed)
+      if (cause !== null) this.#refuse(request, response, cause)
+    } catch (error) {
+      this.#failInternally(request, response, error)
+    }
+  }
+
+  /** An error of this node ends this request, and not the process with all others. It may have been sent, so that it gets no status. */
+  #failInternally (request: IncomingMessage, response: ServerResponse, error: unknown): void {
+    const { log, metrics } = this.#context
+    log.error('request.failed_internally', { request: decodeCallerHeaders(request.headers).attemptId ?? undefined, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+    metrics.errorContained(ErrorScope.Request)
+    breakConnection(response)
   }
 
   /** @returns why the request is refused; null if it is being forwarded or the caller has disconnected */
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -5,6 +5,7 @@
 import { eraOf, groupOf } from '@bluebellhill/domain'
 import type { CandidateState, FailureDomain, Millis, NodeId, SchedulerCandidate, SchedulerDirectory, ServerNotice } from '@bluebellhill/domain'
 import type { fleetWire } from '@bluebellhill/protocol'
+import { isSocketAddress } from '@bluebellhill/services'
 
 import type { FleetState } from '../FleetState.js'
 import type { Log } from '../../log/index.js'
@@ -131,8 +132,8 @@
    */
   addNodes (candidates: readonly SchedulerCandidate[], addresses: readonly string[]): void {
     const { directory, self, runningClock } = this.#options
-    const added = candidates.filter((candidate) => directory.add(candidate, runningClock()))
-    this.table.addAddresses(addresses.filter((address) => address !== self.address), runningClock())
+    const added = candidates.filter((candidate) => isSocketAddress(candidate.address) && directory.add(candidate, runningClock()))
+    this.table.addAddresses(addresses.filter((address) => isSocketAddress(address) && address !== self.address), runningClock())
     if (added.length > 0) this.reportSoon()
   }
 
@@ -283,7 +284,7 @@
     const received = this.table.record(fragment, address, heardAt)
     if (received === null) return
     scheduler.assignments.setPeerAssignments(received.peer.node, received.assignments, clock(), heardAt)
-    this.table.addAddresses(fragment.peers.filter((peer) => peer !== self.address), heardAt)
+    this.table.addAddresses(fragment.peers.filter((peer) => isSocketAddress(peer) && peer !== self.address), heardAt)
     if (received.isNew) this.#peerFound(received.peer)
     if (fragment.version > 0) this.#answerState(fragment, address)
     if (fragment.version > 0 && fragment.failureDomain !== '') directory.add({ node: fragment.node, address, failureDomain: fragment.failureDomain as FailureDomain, processor: fragment.processor }, heardAt)
--- a/packages/node/src/forward/peers/PeerSocket.ts
+++ b/packages/node/src/forward/peers/PeerSocket.ts
@@ -3,6 +3,8 @@
 import type { RemoteInfo, Socket, SocketOptions } from 'node:dgram'
 import { once } from 'node:events'
 
+import { isSocketAddress } from '@bluebellhill/services'
+
 import type { Log } from '../../log/index.js'
 
 const IP_VERSION = 4
@@ -46,10 +48,14 @@
 
   /**
    * @param datagram - contents
-   * @param address - `ip:port` of the receiver; anything after a second colon is ignored
+   * @param address - `ip:port` of the receiver, as another node or the store has stated it
    */
   send (datagram: Uint8Array, address: string): void {
     if (this.#isDisposed) return
+    if (!isSocketAddress(address)) {
+      this.#undeliveredCount += 1
+      return
+    }
     const [host = '', port = ''] = address.split(':')
     this.#socket.send(datagram, Number(port), host, (error) => {
       if (error !== null) this.#undeliveredCount += 1
--- a/packages/node/src/forward/peers/snapshotCodec.ts
+++ b/packages/node/src/forward/peers/snapshotCodec.ts
@@ -3,7 +3,7 @@
 
 import { CallKind, eraOf, Readiness, revisionInEra, storeRevision } from '@bluebellhill/domain'
 import type { FailureDomain, Region, RunnerId, StoreRevision } from '@bluebellhill/domain'
-import { failed, success } from '@bluebellhill/services'
+import { failed, isSocketAddress, success } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
 
 import type { FleetStateSnapshot } from '../FleetState.js'
@@ -101,7 +101,8 @@
   try {
     const { deployment, servers } = snapshotSchema.parse(JSON.parse(body.toString('utf8')))
     if (servers === null) return success({ deployment, servers })
-    const listed = servers.listed.map(({ era, ...entry }) => ({ ...entry, revision: decodeRevision({ revision: entry.revision, era }, ownEra) }))
+    // A node of an earlier build keeps entries whose address cannot be used.
+    const listed = servers.listed.filter(({ server }) => isSocketAddress(server.address)).map(({ era, ...entry }) => ({ ...entry, revision: decodeRevision({ revision: entry.revision, era }, ownEra) }))
     const unchanged = servers.unchanged === undefined ? {} : { unchanged: servers.unchanged }
     return success({ deployment, servers: { ...unchanged, listed, revision: decodeRevision(servers, ownEra) } })
   } catch (error) {
--- a/packages/node/src/forward/store/NodeRegistration.ts
+++ b/packages/node/src/forward/store/NodeRegistration.ts
@@ -1,8 +1,8 @@
 /** Registers this node in the platform's store, and reads the addresses of the other nodes from it. */
 import type { FailureDomain, Millis, NodeId, SchedulerCandidate } from '@bluebellhill/domain'
 import { StoreKey } from '@bluebellhill/platform'
-import type { MetadataStore, StoreLease } from '@bluebellhill/platform'
-import { describeFailure } from '@bluebellhill/services'
+import type { MetadataStore, StoreItem, StoreLease } from '@bluebellhill/platform'
+import { describeFailure, isSocketAddress } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
 
 import type { Log } from '../../log/index.js'
@@ -124,13 +124,20 @@
       const page = await store.range(StoreKey.Nodes, lastKey, mayBeStale)
       if (!this.#succeeded('read', page)) return false
       const { items, hasMore } = page.value
-      const entries = items.map(({ key, value }) => parseNodeEntry(key.slice(StoreKey.Nodes.length), value.toString('utf8')))
-      onNodesListed(entries.flatMap((entry) => typeof entry === 'string' ? [] : [entry]), entries.filter((entry) => typeof entry === 'string'))
+      const entries = items.flatMap((item) => this.#parse(item))
+      onNodesListed(entries.filter((entry) => typeof entry !== 'string'), entries.filter((entry) => typeof entry === 'string'))
       lastKey = items.at(-1)?.key ?? ''
       if (!hasMore || lastKey === '') return true
     }
   }
 
+  #parse ({ key, value }: StoreItem): Array<SchedulerCandidate | string> {
+    const entry = parseNodeEntry(key.slice(StoreKey.Nodes.length), value.toString('utf8'))
+    if (entry !== null) return [entry]
+    this.#options.log.warn('nodes.entry_unusable', { key })
+    return []
+  }
+
   #succeeded<Value> (call: string, result: Result<Value, CallFailure>): result is { readonly ok: true, readonly value: Value } {
     if (!result.ok) this.#options.log.warn('nodes.store_call_failed', { call, reason: describeFailure(result.failure) })
     return result.ok
@@ -149,11 +156,21 @@
 /**
  * @param node - name of a node
  * @param entry - its entry
- * @returns the node; only its address if it is of an earlier build
+ * @returns the node; only its address if it is of an earlier build; null if the entry is malformed
  */
-export const parseNodeEntry = (node: string, entry: string): SchedulerCandidate | string => {
+export const parseNodeEntry = (node: string, entry: string): SchedulerCandidate | string | null => {
   const [host = '', port = '', domain, processor] = entry.split(':')
   const address = `${host}:${port}`
+  if (!isSocketAddress(address)) return null
   if (domain === undefined || !(Number(processor) > 0)) return address
-  return { node: node as NodeId, address, failureDomain: decodeURIComponent(domain) as FailureDomain, processor: Number(processor) }
+  const failureDomain = decodeDomain(domain)
+  return failureDomain === null ? null : { node: node as NodeId, address, failureDomain, processor: Number(processor) }
+}
+
+const decodeDomain = (text: string): FailureDomain | null => {
+  try {
+    return decodeURIComponent(text) as FailureDomain
+  } catch {
+    return null
+  }
 }
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -143,13 +143,13 @@
     let writes: EvacuationWrite[] = []
     const recordWrite = (key: string, isEvacuated: boolean, revision: StoreRevision): void => {
       const failureDomain = evacuationOfKey(key)
-      if (failureDomain === '') this.#logUnusableEntry(key, revision, { type: 'malformed', reason: 'the key names no failure domain' })
+      if (failureDomain === '') this.#entryUnusable(StoreKey.Operator, key, revision, { type: 'malformed', reason: 'the key names no failure domain' })
       else if (failureDomain !== null) writes.push({ failureDomain, isEvacuated, revision })
     }
     const install = (key: string, value: Buffer, revision: StoreRevision): void => {
       const deployment = key === StoreKey.Configuration ? parseDeployment(value.toString('utf8')) : null
       if (deployment?.ok === true) this.#options.fleetState.install(deployment.value, 'store')
-      else if (deployment !== null) this.#logUnusableEntry(key, revision, deployment.failure)
+      else if (deployment !== null) this.#entryUnusable(StoreKey.Operator, key, revision, deployment.failure)
     }
     return {
       prefix: StoreKey.Operator,
@@ -175,7 +175,7 @@
     const parse = ({ key, value, revision }: StoreItem): ReturnType<typeof parseServerEntry> => {
       const text = value.toString('utf8')
       const server = parseServerEntry(key, text)
-      if (!server.ok) this.#logUnusableEntry(key, revision, server.failure)
+      if (!server.ok) this.#entryUnusable(StoreKey.BackendServers, key, revision, server.failure)
       else if (hasMalformedWarmUp(text)) this.#options.log.warn('server.warmup_unusable', { server: server.value.id, revision: describeRevision(revision) })
       return server
     }
@@ -320,7 +320,8 @@
     })
   }
 
-  #logUnusableEntry (key: string, revision: StoreRevision, failure: CallFailure): void {
+  #entryUnusable (prefix: string, key: string, revision: StoreRevision, failure: CallFailure): void {
+    this.#options.metrics.storeEntryUnusable(prefix)
     this.#options.log.warn('store.entry_unusable', { key, revision: describeRevision(revision), reason: describeFailure(failure) })
   }
 }
