LOST: numbers beyond 32 bits end no node, and versions are told whole

Cause: the datagrams between nodes were narrower than what is read. Their encoder throws on a value that its field does not hold ("invalid uint32"), here out of the timers of heartbeats and announcements, and main.ts ends the process. The same holds for nearly every number in a datagram: token counts of a caller's header (one request ended the node that took it, and its repetition the next), objectives, priorities with a fraction, sums of slots, start times below 0. A duration beyond 2^31 ms also made its timer fire at once.

Change: versions get 64 bits (the same bytes on the wire up to 32 bits; an earlier build reads the lower 32 bits, takes the sender for one behind and fetches nothing from it). Quantities become the nearest value of their field, in one module (wireNumbers). Versions are whole numbers below 2^64, durations at most what a timer measures, token counts whole numbers, start times above 0; a first configuration with version 0 is installed.

--- a/packages/domain/src/types.ts
+++ b/packages/domain/src/types.ts
@@ -19,9 +19,15 @@
 /** Milliseconds: a duration or a reading of the monotonic clock. */
 export type Millis = number
 
+/** Longest time that a timer measures: 24.8 days. A longer one would fire at once. */
+export const MAX_TIMER: Millis = 2 ** 31 - 1
+
 /** A number of model tokens. */
 export type Tokens = number
 
+/** Greatest length of a prompt or an answer that is told to other nodes; no engine has memory for as much. */
+export const MAX_TOKENS: Tokens = 2 ** 32 - 1
+
 /**
  * Makes the compiler report a union whose cases are not all handled.
  *
--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -98,7 +98,7 @@
 
   /** Installs a configuration unless the same or a newer version is in force. */
   install (deployment: Deployment, origin: FleetStateOrigin): void {
-    if (deployment.version <= this.configurationVersion) return
+    if (this.#routeTable !== null && deployment.version <= this.configurationVersion) return
     const before = this.configurationVersion
     this.#routeTable = new RouteTable(deployment)
     this.#installedAt = this.clock()
--- a/packages/node/src/forward/peers/Announcements.ts
+++ b/packages/node/src/forward/peers/Announcements.ts
@@ -10,6 +10,7 @@
 import { encodeEvacuations } from './evacuationCodec.js'
 import type { NoticeExchange } from './NoticeExchange.js'
 import { encodeRevision } from './revisionCodec.js'
+import { encodeConfigurationVersion, toUint32, toUint64 } from './wireNumbers.js'
 
 /** Number of candidates that an answer to an introduction names. */
 const NAMED_CANDIDATES = 4
@@ -65,15 +66,15 @@
   groupReport (): DatagramContent {
     const { scheduler, self } = this.#options
     const services = scheduler.serviceLoads().map(({ service, slots, requests, meanPendingPrefill }) =>
-      ({ service, slots, requests, meanPendingMs: Math.round(meanPendingPrefill) }))
+      ({ service, slots: toUint32(slots), requests: toUint32(requests), meanPendingMs: toUint32(meanPendingPrefill) }))
     return { $case: 'groupReport', value: { failureDomain: self.failureDomain, services, sender: this.#ownState(false, this.#options.facts.nextGroupReport()) } }
   }
 
   #ownState (namesCandidates: boolean, quarantine: fleetWire.QuarantineFacts): fleetWire.CandidateReport {
     const { fleetState, directory, notices, isStoreLost, clock } = this.#options
     return {
-      uptimeMs: BigInt(Math.round(clock() - this.#startedAt)),
-      configurationVersion: fleetState.configurationVersion,
+      uptimeMs: toUint64(clock() - this.#startedAt),
+      configurationVersion: encodeConfigurationVersion(fleetState.configurationVersion),
       ...encodeRevision(fleetState.serversRevision),
       storeLost: isStoreLost(),
       stopping: this.#isStopping,
--- a/packages/node/src/forward/peers/datagramCodec.ts
+++ b/packages/node/src/forward/peers/datagramCodec.ts
@@ -6,6 +6,7 @@
 import type { AttemptReport, PlacementResult, PlacementSpec, RefusedPlacement } from '../scheduling/types.js'
 import { decodeNotice, encodeNotice } from './noticeCodec.js'
 import { decodeRevision } from './revisionCodec.js'
+import { decodeConfigurationVersion, toSint32, toUint32, toUint64 } from './wireNumbers.js'
 
 /** First byte of these datagrams. A node state, which earlier builds send and understand, never starts with it. */
 const DATAGRAM_MARK = 0
@@ -18,9 +19,6 @@
 /** Shortest interval at which this node renews a query that waits, whatever the reply states. */
 const MIN_RENEWAL_PERIOD: Millis = 50
 
-/** Greatest number that a field of 32 bits holds. */
-const MAX_UINT32 = 2 ** 32 - 1
-
 export type DatagramContent = NonNullable<fleetWire.PeerDatagram['content']>
 
 /** A decoded datagram. */
@@ -43,7 +41,7 @@
  * @returns the datagram
  */
 export const encodeDatagram = (node: NodeId, startedAt: number, content: DatagramContent): Uint8Array => {
-  const message = fleetWire.PeerDatagram.encode({ node, startedAt: BigInt(startedAt), content }).finish()
+  const message = fleetWire.PeerDatagram.encode({ node, startedAt: toUint64(startedAt), content }).finish()
   const bytes = new Uint8Array(message.length + 1)
   bytes[0] = DATAGRAM_MARK
   bytes.set(message, 1)
@@ -71,11 +69,11 @@
   number,
   request: spec.request,
   service: spec.service,
-  promptTokens: spec.size.prompt,
-  mostAnswerTokens: spec.size.mostAnswer,
-  objectiveMs: Math.round(spec.objective),
-  dueInMs: Math.round(spec.dueAt - now),
-  pauseObjectiveMs: spec.pauseObjective === null ? undefined : Math.round(spec.pauseObjective),
+  promptTokens: toUint32(spec.size.prompt),
+  mostAnswerTokens: toUint32(spec.size.mostAnswer),
+  objectiveMs: toUint32(spec.objective),
+  dueInMs: toSint32(spec.dueAt - now),
+  pauseObjectiveMs: spec.pauseObjective === null ? undefined : toUint32(spec.pauseObjective),
   excluded: [...spec.excluded],
   allowed: [...spec.allowed ?? []],
   chargesRetry: spec.chargesRetry,
@@ -85,8 +83,8 @@
   trialParts: [...spec.trialParts],
   isolatedAs: spec.isolatedAs ?? '',
   organisation: spec.organisation ?? '',
-  urgencyPlusOne: spec.urgency === undefined ? 0 : spec.urgency + 1,
-  waitedMs: Math.round(spec.waited ?? 0),
+  urgencyPlusOne: spec.urgency === undefined ? 0 : toUint32(Math.max(0, spec.urgency) + 1),
+  waitedMs: toUint32(spec.waited ?? 0),
   identity: spec.identity ?? '',
   regions: [...spec.regions ?? []],
   acceptsQueueing: spec.acceptsQueueing === true,
@@ -136,7 +134,7 @@
     case 'redirected':
       return { number, result: { $case: 'redirect', value: result.address } }
     case 'queued':
-      return { number, result: { $case: 'queued', value: { renewMs: Math.round(result.renewAfter) } } }
+      return { number, result: { $case: 'queued', value: { renewMs: toUint32(result.renewAfter) } } }
     case 'placed': {
       const { choice, load } = result
       return {
@@ -146,16 +144,16 @@
           value: {
             server: encodeServer(choice.server),
             helpers: choice.helpers.map(encodeServer),
-            holders: choice.holders.map(({ server, tokens }) => ({ runner: server.id, tokens })),
-            firstEventMs: Math.round(choice.timeToFirstEvent),
-            serverRequests: load.requests,
-            serverPendingMs: Math.round(load.pendingPrefill),
+            holders: choice.holders.map(({ server, tokens }) => ({ runner: server.id, tokens: toUint32(tokens) })),
+            firstEventMs: toUint32(choice.timeToFirstEvent),
+            serverRequests: toUint32(load.requests),
+            serverPendingMs: toUint32(load.pendingPrefill),
             isDeferred: choice.isDeferred,
             keepsLimit: result.keepsLimit,
             passedOver: [...result.passedOver],
             isTrial: result.isTrial,
             keepsWarmUp: result.keepsWarmUp === true,
-            hedgeAfterMs: result.hedgeAfter === undefined ? undefined : Math.round(result.hedgeAfter),
+            hedgeAfterMs: result.hedgeAfter === undefined ? undefined : toUint32(result.hedgeAfter),
             isHedge: result.isHedge
           }
         }
@@ -204,7 +202,7 @@
 }
 
 const encodeRefusal = ({ reason, retryAfter, isPromised = false, notice }: RefusedPlacement, now: Millis): fleetWire.Refusal =>
-  ({ reason, retryAfterMs: Math.round(retryAfter ?? 0), notice: notice === undefined ? undefined : encodeNotice(notice, now), isPromised })
+  ({ reason, retryAfterMs: toUint32(retryAfter ?? 0), notice: notice === undefined ? undefined : encodeNotice(notice, now), isPromised })
 
 const decodeRefusal = ({ reason, retryAfterMs, notice, isPromised }: fleetWire.Refusal, now: Millis): RefusedPlacement => ({
   type: 'refused',
@@ -227,9 +225,9 @@
     isEnded,
     server,
     signal: signal ?? '',
-    slowdownMilli: slowdown === null ? 0 : Math.round(slowdown * MILLI),
-    serviceTimeUs: serviceTime === undefined ? undefined : Math.min(MAX_UINT32, Math.round(serviceTime.time * MILLI)),
-    requestsBefore: serviceTime?.requestsBefore
+    slowdownMilli: slowdown === null ? 0 : toUint32(slowdown * MILLI),
+    serviceTimeUs: serviceTime === undefined ? undefined : toUint32(serviceTime.time * MILLI),
+    requestsBefore: serviceTime === undefined ? undefined : toUint32(serviceTime.requestsBefore)
   }))
 })
 
@@ -246,7 +244,7 @@
 
 /** @returns the wire form of a candidate */
 export const encodeCandidate = ({ node, address, failureDomain, processor }: SchedulerCandidate): fleetWire.Candidate =>
-  ({ node, address, failureDomain, processorMilli: Math.round(processor * MILLI) })
+  ({ node, address, failureDomain, processorMilli: toUint32(processor * MILLI) })
 
 /** @returns the candidate */
 export const decodeCandidate = ({ node, address, failureDomain, processorMilli }: fleetWire.Candidate): SchedulerCandidate =>
@@ -259,7 +257,7 @@
  */
 export const decodeCandidateState = (report: fleetWire.CandidateReport, ownEra: number): CandidateState => {
   const { uptimeMs, configurationVersion, storeLost, stopping } = report
-  return { uptime: Number(uptimeMs), isStopping: stopping, hasLostStore: storeLost, configurationVersion, serversRevision: decodeRevision(report, ownEra) }
+  return { uptime: Number(uptimeMs), isStopping: stopping, hasLostStore: storeLost, configurationVersion: decodeConfigurationVersion(configurationVersion), serversRevision: decodeRevision(report, ownEra) }
 }
 
 /**
--- a/packages/node/src/forward/peers/noticeCodec.ts
+++ b/packages/node/src/forward/peers/noticeCodec.ts
@@ -2,6 +2,8 @@
 import type { Millis, NodeId, RunnerId, ServerNotice } from '@bluebellhill/domain'
 import type { fleetWire } from '@bluebellhill/protocol'
 
+import { toAge, toUint64 } from './wireNumbers.js'
+
 /**
  * @param notice - a statement
  * @param now - current time
@@ -9,11 +11,11 @@
  */
 export const encodeNotice = ({ server, startedAt, requestLimit, isLeaving, heardBy, heardAt }: ServerNotice, now: Millis): fleetWire.ServerNotice => ({
   server,
-  serverStartedAt: BigInt(startedAt ?? 0),
+  serverStartedAt: toUint64(startedAt ?? 0),
   requestLimit: requestLimit ?? undefined,
   isLeaving,
   heardBy,
-  heardAgoMs: Math.max(0, Math.round(now - heardAt))
+  heardAgoMs: toAge(heardAt, now)
 })
 
 /**
--- a/packages/node/src/forward/peers/quarantineCodec.ts
+++ b/packages/node/src/forward/peers/quarantineCodec.ts
@@ -3,6 +3,8 @@
 import type { CrashReport, Millis, NodeId, Trial, QuarantineFacts, RunnerId, ServerSurvival, SoundAnswer, Suspect } from '@bluebellhill/domain'
 import type { fleetWire } from '@bluebellhill/protocol'
 
+import { toAge, toUint32, toUint64 } from './wireNumbers.js'
+
 /** Longest id of a suspect that is accepted from another node. */
 const MAX_PART_LENGTH = 64
 
@@ -22,10 +24,10 @@
  */
 export const encodeFacts = ({ crashes, survivals, sounds, trials, recurrences = [] }: QuarantineFacts, now: Millis): fleetWire.QuarantineFacts => ({
   crashes: crashes.map((crash) => encodeCrash(crash, now)),
-  survivals: survivals.map(({ server, startedAt, at }) => ({ server, serverStartedAt: BigInt(startedAt ?? 0), agoMs: ageOf(at, now) })),
-  sound: sounds.map(({ part, at, service }) => ({ part, agoMs: ageOf(at, now), service: service ?? '' })),
-  trials: trials.map(({ part, at, grantedBy }) => ({ part, agoMs: ageOf(at, now), grantedBy })),
-  recurrences: recurrences.map(({ part, at }) => ({ part, agoMs: ageOf(at, now) }))
+  survivals: survivals.map(({ server, startedAt, at }) => ({ server, serverStartedAt: toUint64(startedAt ?? 0), agoMs: toAge(at, now) })),
+  sound: sounds.map(({ part, at, service }) => ({ part, agoMs: toAge(at, now), service: service ?? '' })),
+  trials: trials.map(({ part, at, grantedBy }) => ({ part, agoMs: toAge(at, now), grantedBy })),
+  recurrences: recurrences.map(({ part, at }) => ({ part, agoMs: toAge(at, now) }))
 })
 
 /**
@@ -57,11 +59,11 @@
 
 const encodeCrash = ({ server, startedAt, service, reportedBy, at, suspects, parts }: CrashReport, now: Millis): fleetWire.EngineCrash => ({
   server,
-  serverStartedAt: BigInt(startedAt ?? 0),
+  serverStartedAt: toUint64(startedAt ?? 0),
   service: service ?? '',
   reportedBy,
-  agoMs: ageOf(at, now),
-  suspects,
+  agoMs: toAge(at, now),
+  suspects: toUint32(suspects),
   parts: [...withinBytes(parts.filter((part) => !isRequest(part)), MAX_PART_BYTES), ...withinBytes(parts.filter(isRequest), MAX_REQUEST_BYTES)]
 })
 
@@ -88,5 +90,3 @@
 const isSuspect = (part: string): boolean => part !== '' && part.length <= MAX_PART_LENGTH
 
 const startTimeOf = (wire: bigint): number | null => wire === 0n ? null : Number(wire)
-
-const ageOf = (at: Millis, now: Millis): number => Math.max(0, Math.round(now - at))
--- a/packages/node/src/forward/peers/revisionCodec.ts
+++ b/packages/node/src/forward/peers/revisionCodec.ts
@@ -2,6 +2,8 @@
 import { eraOf, revisionInEra, storeRevision } from '@bluebellhill/domain'
 import type { StoreRevision } from '@bluebellhill/domain'
 
+import { toUint32, toUint64 } from './wireNumbers.js'
+
 /** Revision of the list of backend servers in a datagram. */
 export interface RevisionFields {
   readonly serversRevision: bigint
@@ -11,7 +13,7 @@
 
 /** @returns the fields of a datagram for a revision */
 export const encodeRevision = (revision: StoreRevision): RevisionFields =>
-  ({ serversRevision: BigInt(revisionInEra(revision)), serversEraPlusOne: eraOf(revision) + 1 })
+  ({ serversRevision: toUint64(revisionInEra(revision)), serversEraPlusOne: toUint32(eraOf(revision) + 1) })
 
 /**
  * @param fields - fields of a received datagram
--- a/packages/node/src/forward/peers/snapshotCodec.ts
+++ b/packages/node/src/forward/peers/snapshotCodec.ts
@@ -1,7 +1,7 @@
 /** Encodes fleet state snapshots for other nodes, and decodes theirs; a snapshot with any invalid field is refused as a whole. */
 import * as z from 'zod'
 
-import { CallKind, eraOf, Readiness, revisionInEra, storeRevision } from '@bluebellhill/domain'
+import { CallKind, eraOf, MAX_TIMER, Readiness, revisionInEra, storeRevision } from '@bluebellhill/domain'
 import type { FailureDomain, Region, RunnerId, StoreRevision } from '@bluebellhill/domain'
 import { failed, isSocketAddress, success } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
@@ -9,6 +9,9 @@
 import type { FleetStateSnapshot } from '../FleetState.js'
 
 const nonNegative = z.number().min(0)
+/** In milliseconds, as in the configuration; nodes of earlier builds bound it by nothing. */
+const duration = nonNegative.transform((time) => Math.min(time, MAX_TIMER))
+
 const nonEmpty = z.string().min(1)
 
 /** Nodes of earlier builds send none. */
@@ -20,9 +23,9 @@
   pathPrefix: z.string(),
   kind: z.enum([CallKind.Safe, CallKind.Unsafe, CallKind.Stream]),
   resumable: z.boolean(),
-  timeout: nonNegative,
-  objective: nonNegative,
-  pauseObjective: nonNegative.nullable(),
+  timeout: duration,
+  objective: duration,
+  pauseObjective: duration.nullable(),
   priority: z.number(),
   maxAttempts: z.number().int().min(1),
   isPublic: z.boolean(),
@@ -46,10 +49,10 @@
 const warmUpSchema = z.object({ period: nonNegative, requestsPerSecond: nonNegative }).optional()
 
 const deploymentSchema = z.object({
-  version: z.number().int(),
+  version: nonNegative.refine(Number.isInteger),
   routes: z.array(routeSchema),
   services: z.array(z.object({ name: nonEmpty, healthPath: z.string(), maxConnections: nonNegative, engine: engineSchema.nullable(), warmUp: warmUpSchema })),
-  limits: z.object({ headerBytes: nonNegative, bodyBytes: nonNegative, headerTimeout: nonNegative, idleTimeout: nonNegative }),
+  limits: z.object({ headerBytes: nonNegative, bodyBytes: nonNegative, headerTimeout: duration, idleTimeout: duration }),
   organisations: z.array(z.object({ name: z.string(), apiKeys: z.array(z.string()), priority: z.number().nullable(), regions: regionsSchema }))
 })
 
--- a/packages/node/src/forward/peers/stateCodec.ts
+++ b/packages/node/src/forward/peers/stateCodec.ts
@@ -5,6 +5,7 @@
 
 import { isEmptyWire } from './quarantineCodec.js'
 import { decodeRevision, encodeRevision } from './revisionCodec.js'
+import { decodeConfigurationVersion, encodeConfigurationVersion, toAge, toSint32, toUint32, toUint64 } from './wireNumbers.js'
 
 /** State that a node sends to the other nodes. */
 export interface NodeState {
@@ -59,9 +60,10 @@
     const assignments = state.works.slice(fragmentIndex * MAX_ASSIGNMENTS_PER_DATAGRAM, (fragmentIndex + 1) * MAX_ASSIGNMENTS_PER_DATAGRAM)
     return fleetWire.NodeState.encode({
       ...state,
-      startedAt: BigInt(state.startedAt),
+      startedAt: toUint64(state.startedAt),
+      configurationVersion: encodeConfigurationVersion(state.configurationVersion),
       ...encodeRevision(state.serversRevision),
-      processorMilli: Math.round(state.processor * MILLI),
+      processorMilli: toUint32(state.processor * MILLI),
       part: fragmentIndex,
       parts: fragmentCount,
       works: assignments.map((assignment) => encodeAssignment(assignment, now)),
@@ -96,6 +98,7 @@
     ...wire,
     node: wire.node as NodeId,
     startedAt: Number(wire.startedAt),
+    configurationVersion: decodeConfigurationVersion(wire.configurationVersion),
     serversRevision: decodeRevision(wire, ownEra),
     processor: wire.processorMilli / MILLI,
     works: wire.works.map((assignment) => decodeAssignment(assignment, wire.node as NodeId, now))
@@ -106,14 +109,14 @@
   number: assignmentNumber(assignment),
   runner: assignment.server,
   helpers: assignment.isPrefilled ? [] : [...assignment.helpers],
-  held: assignment.reservations.map(({ runner, tokens }) => ({ runner, tokens })),
-  promptTokens: assignment.prompt,
-  answerTokens: Math.round(assignment.answer),
-  sentAgoMs: ageOf(assignment.sentAt, now),
-  partMs: Math.round(assignment.prefillTime),
+  held: assignment.reservations.map(({ runner, tokens }) => ({ runner, tokens: toUint32(tokens) })),
+  promptTokens: toUint32(assignment.prompt),
+  answerTokens: toUint32(assignment.answer),
+  sentAgoMs: toAge(assignment.sentAt, now),
+  partMs: toUint32(assignment.prefillTime),
   isRead: assignment.isPrefilled,
-  pauseObjectiveMs: assignment.pauseObjective === null ? undefined : Math.round(assignment.pauseObjective),
-  dueInMs: Math.round(assignment.dueAt - now),
+  pauseObjectiveMs: assignment.pauseObjective === null ? undefined : toUint32(assignment.pauseObjective),
+  dueInMs: toSint32(assignment.dueAt - now),
   isDeferred: assignment.isDeferred
 })
 
@@ -131,5 +134,3 @@
   dueAt: now + wire.dueInMs,
   isDeferred: wire.isDeferred
 })
-
-const ageOf = (time: Millis, now: Millis): number => Math.max(0, Math.round(now - time))
--- a/packages/node/src/forward/scheduling/SchedulerHost.ts
+++ b/packages/node/src/forward/scheduling/SchedulerHost.ts
@@ -4,6 +4,7 @@
 import type { Log } from '../../log/index.js'
 import { decodeAttemptReports, decodeQuery, encodeReply } from '../peers/datagramCodec.js'
 import type { DatagramContent, ReceivedDatagram } from '../peers/datagramCodec.js'
+import { toUint32 } from '../peers/wireNumbers.js'
 import type { Scheduler } from './Scheduler.js'
 import type { PlacementResult, PlacementSpec } from './types.js'
 
@@ -50,7 +51,7 @@
       reply(this.#decide(node, startedAt, content.value, reply))
     } else if (content.$case === 'silenceQuery') {
       const { number, server } = content.value
-      send(address, { $case: 'silenceReply', value: { number, explainedMs: Math.round(scheduler.explainedSilence(server as RunnerId)) } })
+      send(address, { $case: 'silenceReply', value: { number, explainedMs: toUint32(scheduler.explainedSilence(server as RunnerId)) } })
     } else if (content.$case === 'attemptReports') {
       const reports = decodeAttemptReports(content.value)
       for (const { number, isEnded } of reports) if (isEnded) scheduler.admission.withdraw({ node, startedAt, number })
--- a/packages/node/tests/unusableAddress.test.ts
+++ b/packages/node/tests/unusableAddress.test.ts
@@ -6,7 +6,7 @@
 import { decodeSnapshot } from '../src/forward/peers/snapshotCodec.js'
 import { PeerSocket } from '../src/forward/peers/PeerSocket.js'
 import { parseNodeEntry } from '../src/forward/store/NodeRegistration.js'
-import { ForwardFixture, silentLog } from './forwardFixture.js'
+import { ForwardFixture, signedHeaders, silentLog } from './forwardFixture.js'
 
 const UNUSABLE_PORT = 81_290
 
@@ -26,9 +26,7 @@
 }
 
 test('a request whose first server has an unusable address is answered by another one', async (t) => {
-  const fixture = await ForwardFixture.start(t, (request, response) => {
-    response.writeHead(200, { 'x-bluebellhill-attempt-id': String(request.headers['x-bluebellhill-attempt-id']), 'x-bluebellhill-backend-signature': 's' }).end('answer')
-  })
+  const fixture = await ForwardFixture.start(t, (request, response) => { response.writeHead(200, signedHeaders(request)).end('answer') })
   const server = fixture.fleetState.servers.all()[0]!
   fixture.fleetState.putServer({ server: { ...server, id: 'unusable' as RunnerId, address: `127.0.0.1:${UNUSABLE_PORT}` }, revision: 2 }, 'store')
   for (let index = 0; index < 6; index += 1) t.is((await fixture.call('/unsafe/x')).status, 200)
