BUDGET: a server that is back under its id no longer refutes its own crash

Cause: a node knows a server by id and start, and hears of a new start some time after the server takes requests again. An answer in that time, on a connection opened after the crash, counted as data of the old start: the crash "did not happen", and the request was released. An answer names the server, not its start.

Related: a connection that is opened later and breaks too is a further crash, of an unknown start; it was merged with the first one, so that the third crash could count as the second. The rule is one function of the domain, which the simulation of nodes and engines now uses too.

One test told a crash that was 1 s old to be refuted by a new connection; the same load is now 100 ms old, on a stopped clock.

--- a/packages/domain/src/forwarding/quarantine/constants.ts
+++ b/packages/domain/src/forwarding/quarantine/constants.ts
@@ -53,6 +53,9 @@
 /** Data that arrives this much later than a crash refutes the crash. */
 export const SURVIVAL_DELAY: Millis = 50
 
+/** A process that has crashed is not back sooner; the users' servers take seconds. */
+export const MIN_RESTART_TIME: Millis = 500
+
 /** Difference in time below which a fact about a part or a survival is the one that is known: it was only under way. */
 export const FACT_TOLERANCE: Millis = 150
 
--- a/packages/domain/src/forwarding/quarantine/index.ts
+++ b/packages/domain/src/forwarding/quarantine/index.ts
@@ -1,4 +1,6 @@
 export * from './types.js'
 export * from './Quarantine.js'
+export { MIN_RESTART_TIME } from './constants.js'
+export { provesSurvival } from './survival.js'
 export { sharedParts } from './promptParts.js'
 export { isolatedRequest, isRequest, requestSuspect } from './suspects.js'
--- a/packages/domain/tests/quarantineFleet.ts
+++ b/packages/domain/tests/quarantineFleet.ts
@@ -1,5 +1,5 @@
 /** Simulates nodes that exchange facts about prompt parts and requests, and servers that crash, in virtual time. */
-import { isolatedRequest, Quarantine, QuarantineStatus, requestSuspect } from '../src/index.js'
+import { isolatedRequest, provesSurvival, Quarantine, QuarantineStatus, requestSuspect } from '../src/index.js'
 import type { Millis, NodeId, Verdict, PromptPart, QuarantineFacts, RunnerId, Suspect } from '../src/index.js'
 import { seededRandom } from './random.js'
 import { VirtualScheduler } from './virtualScheduler.js'
@@ -49,6 +49,7 @@
   readonly engine: SimulatedEngine
   readonly startedAt: number
   readonly node: SimulatedNode
+  readonly sentAt: Millis
   readonly isTrial: boolean
   /** Whether it is sent alone because the request itself is suspected. */
   readonly isIsolated: boolean
@@ -56,7 +57,15 @@
   isOpen: boolean
 }
 
-interface SimulatedEngine { readonly index: number, readonly id: RunnerId, startedAt: number, isUp: boolean, readonly running: Set<SimulatedAttempt> }
+interface SimulatedEngine {
+  readonly index: number
+  readonly id: RunnerId
+  startedAt: number
+  isUp: boolean
+  readonly running: Set<SimulatedAttempt>
+  /** Time at which connections to it last broke. */
+  brokenAt: Millis
+}
 
 interface SimulatedNode { readonly index: number, readonly id: NodeId, quarantine: Quarantine, isTelling: boolean, readonly open: Set<SimulatedAttempt> }
 
@@ -99,7 +108,7 @@
     this.#arrivalRandom = seededRandom(load.seed)
     this.#random = seededRandom(load.seed + 1_000)
     this.nodes = Array.from({ length: load.nodes }, (_, index) => ({ index, id: `n${index}` as NodeId, quarantine: new Quarantine(), isTelling: false, open: new Set() }))
-    this.engines = Array.from({ length: load.engines }, (_, index) => ({ index, id: `e${index}` as RunnerId, startedAt: 1, isUp: true, running: new Set() }))
+    this.engines = Array.from({ length: load.engines }, (_, index) => ({ index, id: `e${index}` as RunnerId, startedAt: 1, isUp: true, running: new Set(), brokenAt: -Infinity }))
   }
 
   get now (): Millis {
@@ -236,7 +245,7 @@
 
   #start (request: SimulatedRequest, node: SimulatedNode, engine: SimulatedEngine, terms: Pick<SimulatedAttempt, 'isTrial' | 'isIsolated'>): void {
     request.attempts++
-    const attempt: SimulatedAttempt = { request, engine, startedAt: engine.startedAt, node, ...terms, isProved: false, isOpen: true }
+    const attempt: SimulatedAttempt = { request, engine, startedAt: engine.startedAt, node, sentAt: this.now, ...terms, isProved: false, isOpen: true }
     engine.running.add(attempt)
     node.open.add(attempt)
     if (this.#isHarmful(request)) this.harmfulArrivals.push(this.now)
@@ -269,8 +278,9 @@
 
   #nextEvent (attempt: SimulatedAttempt, end: Millis): void {
     if (!attempt.isOpen || !attempt.engine.running.has(attempt)) return
-    const { node, engine: { id: server }, startedAt } = attempt
-    const isNews = node.quarantine.isReported({ server, startedAt }) && node.quarantine.recordSurvival({ server, startedAt, at: this.now })
+    const { node, engine: { id: server, brokenAt }, startedAt, sentAt } = attempt
+    const isAlive = provesSurvival(brokenAt, { acceptedAt: sentAt, dataAt: this.now })
+    const isNews = isAlive && node.quarantine.isReported({ server, startedAt }) && node.quarantine.recordSurvival({ server, startedAt, at: this.now })
     if (isNews) this.#announce(node)
     if (this.now < end) this.#after(EVENT_GAP, () => { this.#nextEvent(attempt, end) })
     else {
@@ -290,6 +300,7 @@
     const first = broken.find(({ isOpen }) => isOpen)
     if (first === undefined) return
     const { engine, startedAt } = first
+    engine.brokenAt = this.now
     const unproved = [...node.open].filter((attempt) => attempt.engine === engine && attempt.startedAt === startedAt && !attempt.isProved)
     const suspects = node.quarantine.suspectsOf(unproved.map(({ request }) => request.parts), unproved.map(({ request }) => request.identity))
     const isNews = node.quarantine.recordCrash({ server: engine.id, startedAt, reportedBy: node.id, at: this.now, ...suspects })
--- a/packages/node/src/forward/quarantine/NodeQuarantine.ts
+++ b/packages/node/src/forward/quarantine/NodeQuarantine.ts
@@ -13,6 +13,8 @@
   readonly node: NodeId
   readonly log: Log
   readonly clock: () => Millis
+  /** Clock that stands still while this process is held up. */
+  readonly runningClock: () => Millis
   /** Returns whether a backend server has announced that it will end. */
   readonly isLeaving: (server: BackendServer) => boolean
 }
@@ -38,13 +40,14 @@
 
   /** @param options - this node, its log and clock */
   constructor (options: NodeQuarantineOptions) {
-    const { node, clock, isLeaving } = options
+    const { node, clock, runningClock, isLeaving } = options
     this.#options = options
     this.#aggregate = new Quarantine()
     this.#log = new QuarantineLog(options)
     this.serverWatch = new ServerWatch({
       node,
       clock,
+      runningClock,
       isLeaving,
       onCrash: (report, requests) => this.#crashed(report, requests),
       onSurvival: (survival) => this.#survived(survival),
--- a/packages/node/src/forward/quarantine/ServerWatch.ts
+++ b/packages/node/src/forward/quarantine/ServerWatch.ts
@@ -1,12 +1,15 @@
 /** Tells from the attempts of this node which backend servers have crashed, and which requests may have caused it. */
+import { MIN_RESTART_TIME, provesSurvival } from '@bluebellhill/domain'
 import type { BackendServer, CrashReport, Millis, NodeId, PromptPart, RunnerId, ServerSurvival, Suspect } from '@bluebellhill/domain'
 
-/** Data that arrives this long after a crash was reported shows that the report is wrong: a crash breaks all connections at once. */
-const SURVIVAL_DELAY: Millis = 50
+import { CONNECT_TIMEOUT } from '../backend/constants.js'
 
 /** Time for which a connection that is older than the report has to stay open: its last bytes may have waited in this process. */
 const SURVIVAL_CONFIRMATION: Millis = 100
 
+/** Hold-up of this process from which on it may have read the end of a connection when the server was back already. */
+const LONG_HOLD_UP: Millis = MIN_RESTART_TIME / 2
+
 /** Time after which a reported crash can no longer be refuted by data. */
 const CRASH_RETENTION: Millis = 60_000
 
@@ -26,6 +29,8 @@
 export interface ServerWatchOptions {
   readonly node: NodeId
   readonly clock: () => Millis
+  /** Clock that stands still while this process is held up. */
+  readonly runningClock: () => Millis
   /** Returns whether a server has announced that it will end. */
   readonly isLeaving: (server: BackendServer) => boolean
   /** Called with each crash and the requests that may have caused it. */
@@ -37,11 +42,15 @@
   readonly suspectsOf: (prompts: ReadonlyArray<readonly PromptPart[]>, requests: readonly Suspect[]) => Pick<CrashReport, 'suspects' | 'parts'>
 }
 
+type ServerStart = Pick<ServerSurvival, 'server' | 'startedAt'>
+
 /** A reported crash that data may still refute. */
 interface SuspectedCrash {
   readonly at: Millis
   /** Attempts of this node that the report covers; null if another node has reported it. */
   readonly covered: ReadonlySet<WatchedAttempt> | null
+  /** Whether this process was held up while attempts that it covers were in progress, so that the server may have ended long before. */
+  readonly isNoticedLate: boolean
   isBeingConfirmed: boolean
 }
 
@@ -50,6 +59,8 @@
   readonly #options: ServerWatchOptions
   readonly #open = new Map<string, Set<WatchedAttempt>>()
   readonly #crashes = new Map<string, SuspectedCrash>()
+  /** Time for which this process had been held up when each attempt was sent. */
+  readonly #heldUpBefore = new WeakMap<WatchedAttempt, Millis>()
 
   /** @param options - this node, and who is told of what it sees */
   constructor (options: ServerWatchOptions) {
@@ -59,6 +70,7 @@
   /** @param attempt - an attempt whose request is being sent */
   sent (attempt: WatchedAttempt): void {
     const key = keyOf(attempt.server.id, attempt.server.startedAt)
+    this.#heldUpBefore.set(attempt, this.#heldUpFor)
     const open = this.#open.get(key)
     if (open === undefined) this.#open.set(key, new Set([attempt]))
     else open.add(attempt)
@@ -67,19 +79,7 @@
   /** @param attempt - an attempt whose server has sent bytes of its own answer */
   dataReceived (attempt: WatchedAttempt): void {
     const { id, startedAt } = attempt.server
-    const crash = this.#crashes.get(keyOf(id, startedAt))
-    if (crash === undefined || crash.isBeingConfirmed) return
-    const now = this.#options.clock()
-    if (now - crash.at <= SURVIVAL_DELAY) return
-    if (attempt.sentAt > crash.at) {
-      this.#survived(attempt, now)
-      return
-    }
-    crash.isBeingConfirmed = true
-    setTimeout(() => {
-      crash.isBeingConfirmed = false
-      if (this.#isOpen(attempt)) this.#survived(attempt, now)
-    }, SURVIVAL_CONFIRMATION).unref()
+    for (const start of new Set([startedAt, null])) this.#dataReceived(attempt, { server: id, startedAt: start })
   }
 
   /** @param attempt - an attempt whose answer is complete, or has gone beyond its first event */
@@ -95,9 +95,10 @@
    * @param attempt - an open attempt whose connection was reset or closed before its answer was complete
    */
   brokenOff (attempt: WatchedAttempt): void {
-    const { id, startedAt, service } = attempt.server
-    const key = keyOf(id, startedAt)
-    if (this.#crashes.get(key)?.covered?.has(attempt) === true || this.#options.isLeaving(attempt.server)) return
+    const { id, service } = attempt.server
+    const key = keyOf(id, attempt.server.startedAt)
+    const startedAt = this.#startOf(attempt)
+    if (this.#coversAny(id, [attempt.server.startedAt, startedAt], attempt) || this.#options.isLeaving(attempt.server)) return
     const covered = new Set([...this.#open.get(key) ?? [], attempt])
     const suspects = [...covered].filter(({ isSound }) => !isSound)
     const report: CrashReport = {
@@ -108,7 +109,8 @@
       at: this.#options.clock(),
       ...this.#options.suspectsOf(suspects.map(({ parts }) => parts), suspects.map(({ identity }) => identity()))
     }
-    this.#keep(key, { at: report.at, covered, isBeingConfirmed: false })
+    const isNoticedLate = [...covered].some((each) => this.#heldUpFor - (this.#heldUpBefore.get(each) ?? 0) >= LONG_HOLD_UP)
+    this.#keep(keyOf(id, startedAt), { at: report.at, covered, isNoticedLate, isBeingConfirmed: false })
     this.#options.onCrash(report, suspects.map(({ request }) => request))
   }
 
@@ -127,7 +129,7 @@
   crashHeard ({ server, startedAt, at }: CrashReport): boolean {
     const key = keyOf(server, startedAt)
     if (this.#crashes.has(key)) return false
-    this.#keep(key, { at, covered: null, isBeingConfirmed: false })
+    this.#keep(key, { at, covered: null, isNoticedLate: false, isBeingConfirmed: false })
     return true
   }
 
@@ -139,9 +141,41 @@
     return this.#crashes.has(keyOf(id, startedAt))
   }
 
-  #survived ({ server: { id, startedAt } }: WatchedAttempt, at: Millis): void {
-    if (!this.#crashes.delete(keyOf(id, startedAt))) return
-    this.#options.onSurvival({ server: id, startedAt, at })
+  get #heldUpFor (): Millis {
+    return this.#options.clock() - this.#options.runningClock()
+  }
+
+  #dataReceived (attempt: WatchedAttempt, start: ServerStart): void {
+    const crash = this.#crashes.get(keyOf(start.server, start.startedAt))
+    if (crash === undefined || crash.isBeingConfirmed) return
+    const dataAt = this.#options.clock()
+    const isOlder = attempt.sentAt <= crash.at
+    const acceptedAt = isOlder ? attempt.sentAt : Math.min(dataAt, attempt.sentAt + CONNECT_TIMEOUT)
+    if (!provesSurvival(crash.at, { acceptedAt, dataAt }) || (crash.isNoticedLate && !isOlder)) return
+    if (!isOlder) {
+      this.#survived(start, dataAt)
+      return
+    }
+    crash.isBeingConfirmed = true
+    setTimeout(() => {
+      crash.isBeingConfirmed = false
+      if (this.#isOpen(attempt)) this.#survived(start, dataAt)
+    }, SURVIVAL_CONFIRMATION).unref()
+  }
+
+  #survived ({ server, startedAt }: ServerStart, at: Millis): void {
+    if (!this.#crashes.delete(keyOf(server, startedAt))) return
+    this.#options.onSurvival({ server, startedAt, at })
+  }
+
+  /** A server that has crashed and breaks off a later connection has started again meanwhile; when is not known yet. */
+  #startOf ({ server: { id, startedAt }, sentAt }: WatchedAttempt): number | null {
+    const crash = this.#crashes.get(keyOf(id, startedAt))
+    return crash !== undefined && sentAt >= crash.at + MIN_RESTART_TIME ? null : startedAt
+  }
+
+  #coversAny (server: RunnerId, starts: ReadonlyArray<number | null>, attempt: WatchedAttempt): boolean {
+    return starts.some((startedAt) => this.#crashes.get(keyOf(server, startedAt))?.covered?.has(attempt) === true)
   }
 
   #isOpen (attempt: WatchedAttempt): boolean {
--- a/packages/node/src/forward/serverCallRequest.ts
+++ b/packages/node/src/forward/serverCallRequest.ts
@@ -3,6 +3,7 @@
 import { encodeForwardedHeaders } from '@bluebellhill/platform'
 
 import type { AdmittedCall } from './AdmittedCall.js'
+import { CONNECT_TIMEOUT } from './backend/constants.js'
 import type { ServerCallRequest } from './backend/ServerCall.js'
 import { LEAST_URGENCY } from './entry/admit.js'
 import { encodeRelayRequest } from './relay/relayHeaders.js'
@@ -10,9 +11,6 @@
 import type { PlacedAttempt } from './scheduling/types.js'
 import type { OpenAttempt } from './types.js'
 
-/** Timeout for opening a connection to a backend server or to another node. */
-const CONNECT_TIMEOUT: Millis = 250
-
 /**
  * @param call - the caller's request
  * @param attempt - the attempt
--- a/packages/node/tests/crashingRequests.test.ts
+++ b/packages/node/tests/crashingRequests.test.ts
@@ -1,4 +1,8 @@
 /** A request that crashes each backend server that runs it, and comes again. */
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
@@ -18,6 +22,14 @@
 
 const EXECUTION_MS = 20
 
+/** Time for which a crashed server is away, and time from its return until nodes know its new start. */
+const DOWN_MS = 700
+const NEWS_DELAY_MS = 300
+
+const SOUND_INTERVAL_MS = 20
+
+const portOf = (server: Server): number => (server.address() as AddressInfo).port
+
 type Call = (fixture: ForwardFixture) => Promise<Answer>
 
 /** Servers that end under each request that a test calls deadly, and are back at once under a new start time. */
@@ -101,3 +113,60 @@
   assertRefused(t, await repeat(t, fixture, stream('/stream/deadly', 'a0'), stream('/stream/sound', 'b1')))
   t.true(servers.arrivals <= MAX_ARRIVALS, `${servers.arrivals} arrivals`)
 })
+
+/** Servers on ports of their own that are away after each deadly request, and back under their ids before their new start is known. */
+class LateServers {
+  arrivals = 0
+  readonly #servers: Server[] = []
+  #fixture: ForwardFixture | null = null
+
+  async start (t: ExecutionContext): Promise<ForwardFixture> {
+    const ports: number[] = []
+    for (const id of ['e0', 'e1', 'e2']) {
+      const server = createServer((request, response) => {
+        request.resume()
+        if (request.url !== '/unsafe/deadly') response.writeHead(200, signedHeaders(request)).end('an answer')
+        else this.#crash(id, server)
+      })
+      server.listen(0, '127.0.0.1')
+      await once(server, 'listening')
+      ports.push(portOf(server))
+      this.#servers.push(server)
+    }
+    this.#fixture = await ForwardFixture.startWithPorts(t, ports)
+    t.teardown(() => { for (const server of this.#servers) server.close() })
+    return this.#fixture
+  }
+
+  #crash (id: string, server: Server): void {
+    this.arrivals += 1
+    const port = portOf(server)
+    server.close()
+    server.closeAllConnections()
+    setTimeout(() => server.listen(port, '127.0.0.1'), DOWN_MS)
+    setTimeout(() => this.#fixture?.restartServer(id), DOWN_MS + NEWS_DELAY_MS)
+  }
+}
+
+/** Sends sound requests, one after the other. */
+const callUntil = async (over: AbortSignal, fixture: ForwardFixture): Promise<void> => {
+  for (let index = 0; !over.aborted; index += 1) {
+    await fixture.call(`/unsafe/${index}`)
+    await sleep(SOUND_INTERVAL_MS)
+  }
+}
+
+/** Guards against BUDGET: servers that are back refuted their own crashes, so that the request reached them for ever. */
+test('a request that crashes servers is refused although their new starts become known late', async (t) => {
+  const servers = new LateServers()
+  const fixture = await servers.start(t)
+  const over = new AbortController()
+  const soundRequests = callUntil(over.signal, fixture)
+  for (let index = 0; index < 2 * REPETITIONS; index += 1) {
+    await fixture.call('/unsafe/deadly')
+    await sleep(REPETITION_INTERVAL_MS)
+  }
+  over.abort()
+  await soundRequests
+  t.true(servers.arrivals <= MAX_ARRIVALS, `${servers.arrivals} arrivals`)
+})
--- a/packages/node/tests/engineWatch.test.ts
+++ b/packages/node/tests/engineWatch.test.ts
@@ -3,7 +3,7 @@
 
 import test from 'ava'
 
-import { Quarantine, Readiness } from '@bluebellhill/domain'
+import { MIN_RESTART_TIME, Quarantine, Readiness } from '@bluebellhill/domain'
 import type { BackendServer, CrashReport, FailureDomain, NodeId, PromptPart, RunnerId, ServerSurvival } from '@bluebellhill/domain'
 
 import { ServerWatch } from '../src/forward/quarantine/ServerWatch.js'
@@ -14,6 +14,8 @@
 /** One node's view of its attempts, on a clock that the test moves. */
 class TestNode {
   now = 1_000
+  /** Time for which the process was held up since its start. */
+  heldUpFor = 0
   readonly crashes: CrashReport[] = []
   readonly survivals: ServerSurvival[] = []
   readonly sounds: PromptPart[] = []
@@ -26,6 +28,7 @@
     this.watch = new ServerWatch({
       node: name as NodeId,
       clock: () => this.now,
+      runningClock: () => this.now - this.heldUpFor,
       isLeaving: ({ id }) => this.leaving.has(id),
       onCrash: (report) => this.crashes.push(report),
       onSurvival: (survival) => this.survivals.push(survival),
@@ -105,6 +108,68 @@
   t.is(node.crashes.length, 2)
 })
 
+/** Guards against BUDGET: a server that was back under its id refuted its own crash before its new start was known. */
+test('data on a connection that was opened when the server may have started again does not refute its crash', (t) => {
+  const node = new TestNode()
+  node.breakOff([node.send(['a'])])
+  node.now += MIN_RESTART_TIME
+  node.watch.dataReceived(node.send(['b']))
+  t.deepEqual(node.survivals, [])
+  t.true(node.watch.isReportedCrashed(SERVER))
+})
+
+test('data that comes late on a connection of a server that cannot have started again refutes its crash', (t) => {
+  const node = new TestNode()
+  node.breakOff([node.send(['a'])])
+  node.now += MIN_RESTART_TIME / 4
+  const later = node.send(['b'])
+  node.now += 10 * MIN_RESTART_TIME
+  node.watch.dataReceived(later)
+  t.is(node.survivals.length, 1)
+})
+
+test('data on a connection that was open before the crash refutes it at any time', async (t) => {
+  const node = new TestNode()
+  const other = node.send(['b'])
+  node.breakOff([node.send(['a'])])
+  node.now += 10 * MIN_RESTART_TIME
+  node.watch.dataReceived(other)
+  await sleep(150)
+  t.is(node.survivals.length, 1)
+})
+
+/** Guards against a node that reads the end of a connection late, and takes a server that has started again for the one that ended. */
+test('after a hold-up of this node, data on a new connection does not refute a crash', (t) => {
+  const node = new TestNode()
+  const attempt = node.send(['a'])
+  node.now += 3_000
+  node.heldUpFor += 3_000
+  node.breakOff([attempt])
+  node.now += 100
+  node.watch.dataReceived(node.send(['b']))
+  t.deepEqual(node.survivals, [])
+})
+
+test('a server that crashes again before its new start is known has crashed twice', (t) => {
+  const node = new TestNode()
+  node.breakOff([node.send(['a'])])
+  node.now += 2 * MIN_RESTART_TIME
+  node.breakOff([node.send(['a'])])
+  t.deepEqual(node.crashes.map(({ startedAt }) => startedAt), [5, null])
+})
+
+test('both crashes of a server are refuted by a connection that was open before them', async (t) => {
+  const node = new TestNode()
+  const other = node.send(['b'])
+  node.breakOff([node.send(['a'])])
+  node.now += 2 * MIN_RESTART_TIME
+  node.breakOff([node.send(['a'])])
+  node.now += 100
+  node.watch.dataReceived(other)
+  await sleep(150)
+  t.deepEqual(node.survivals.map(({ startedAt }) => startedAt), [5, null])
+})
+
 test('a reset of one connection is taken back when another stream goes on, on whichever node', async (t) => {
   const first = new TestNode('n1')
   const second = new TestNode('n2')
--- a/packages/node/tests/quarantinedRequests.test.ts
+++ b/packages/node/tests/quarantinedRequests.test.ts
@@ -190,10 +190,12 @@
   const { script } = streaming()
   const fixture = await ForwardFixture.start(t, script)
   const now = performance.now()
+  // Data refutes the end of e0 only while it cannot have started again.
+  fixture.clock = () => now
   const crash = (server: string, at: number, parts: readonly string[]): CrashReport =>
     ({ server: server as RunnerId, startedAt: 1, service: 's', reportedBy: 'n9' as NodeId, at, suspects: parts.length, parts })
   // Without the end of e0 the second crash would count, and the part would be quarantined.
-  fixture.quarantine.received({ crashes: [crash('x1', now - 2_000, [BAD]), crash('x2', now - 1_000, [BAD]), crash('e0', now - 1_000, [])], survivals: [], sounds: [{ part: GOOD, at: now - 500, service: 's' }], trials: [] })
+  fixture.quarantine.received({ crashes: [crash('x1', now - 2_000, [BAD]), crash('x2', now - 100, [BAD]), crash('e0', now - 100, [])], survivals: [], sounds: [{ part: GOOD, at: now - 500, service: 's' }], trials: [] })
   t.is(fixture.quarantine.verdict([BAD, 'own']).status, QuarantineStatus.Suspected)
   const answer = await fixture.call('/stream/x', { headers: headersOf(BAD) })
   t.is(answer.status, 400)
--- a/packages/node/tests/requestGuard.test.ts
+++ b/packages/node/tests/requestGuard.test.ts
@@ -41,7 +41,7 @@
 class TestNode {
   now = 1_000
   cuts = 0
-  readonly quarantine = new NodeQuarantine({ node: 'n1' as NodeId, log: silentLog(), clock: () => this.now, isLeaving: () => false })
+  readonly quarantine = new NodeQuarantine({ node: 'n1' as NodeId, log: silentLog(), clock: () => this.now, runningClock: () => this.now, isLeaving: () => false })
   #serverCount = 0
 
   guard (...parts: PromptPart[]): RequestGuard {
