--- a/packages/node/src/forward/answerHeads.ts
+++ b/packages/node/src/forward/answerHeads.ts
@@ -20,13 +20,21 @@
  * @returns why this cannot be the unchanged answer of a backend server to this request; null if it can
  */
 export const findAnswerProblem = (answer: AnswerHeaders, status: number, request: string): string | null => {
+  if (isOfOtherRequest(answer, request)) return 'the answer belongs to another request'
   if (answer.notRun) return null
-  if (answer.attemptId !== request) return 'the answer belongs to another request'
   if (!answer.isSigned) return `status ${status} without a signature`
   if (answer.isEncoded) return 'the body was encoded in transit'
   return null
 }
 
+/**
+ * @param answer - decoded headers of an answer
+ * @param request - id of the request that it should belong to
+ * @returns whether it belongs to another one, as a refusal that a faulty server writes again; only a refusal may name no request
+ */
+export const isOfOtherRequest = ({ attemptId, notRun }: AnswerHeaders, request: string): boolean =>
+  attemptId !== request && !(notRun && attemptId === null)
+
 /**
  * @param headers - alternating names and values
  * @param length - length of the complete body, in bytes
--- a/packages/node/src/forward/answerStatements.ts
+++ b/packages/node/src/forward/answerStatements.ts
@@ -3,6 +3,7 @@
 import type { AnswerHeaders } from '@bluebellhill/platform'
 
 import type { AdmittedCall } from './AdmittedCall.js'
+import { isOfOtherRequest } from './answerHeads.js'
 import type { ForwardingContext } from './types.js'
 
 const MISDIRECTED_REQUEST = 421
@@ -17,9 +18,9 @@
  * @param status - HTTP status of the answer
  * @param answer - decoded headers of the answer
  */
-export const recordStatements = ({ placement }: ForwardingContext, call: AdmittedCall, server: BackendServer, status: number, { attemptId, notRun, statement, warmUpLeft, pause }: AnswerHeaders): void => {
-  const isOwnAnswer = status !== MISDIRECTED_REQUEST && (notRun || attemptId === call.id)
-  if (!isOwnAnswer) return
+export const recordStatements = ({ placement }: ForwardingContext, call: AdmittedCall, server: BackendServer, status: number, answer: AnswerHeaders): void => {
+  if (status === MISDIRECTED_REQUEST || isOfOtherRequest(answer, call.id)) return
+  const { statement, warmUpLeft, pause } = answer
   placement.answers.received(server, statement, call.id)
   if (warmUpLeft !== null) placement.answers.warmUpStated(server, warmUpLeft, call.id)
   if (pause !== null) placement.answers.pauseRequested(server, pause, call.id)
--- /dev/null
+++ b/packages/node/tests/strayAnswers.test.ts
@@ -0,0 +1,76 @@
+/** Faults of servers that operators of similar systems report: refusals written again, and heads that break off. */
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+
+import { HeaderName } from '@bluebellhill/platform'
+
+import { ForwardFixture } from './forwardFixture.js'
+import { signedHead, startRawServer } from './rawServer.js'
+import type { RawScript } from './rawServer.js'
+
+const refusalOf = (attempt: string, status = '503 Service Unavailable'): string =>
+  `HTTP/1.1 ${status}\r\n${HeaderName.AttemptId}: ${attempt}\r\n${HeaderName.NotRun}: 1\r\nretry-after: 0\r\ncontent-length: 0\r\n\r\n`
+
+const attemptOf = (request: string): string => new RegExp(`^${HeaderName.AttemptId}: (.*)$`, 'im').exec(request)?.[1]?.trim() ?? ''
+
+/** Starts a node with servers that send raw bytes, each of which counts its requests. */
+const startRaw = async (t: ExecutionContext, ...scripts: RawScript[]): Promise<{ fixture: ForwardFixture, arrivals: number[] }> => {
+  const arrivals = scripts.map(() => 0)
+  const ports = await Promise.all(scripts.map(async (script, index) => await startRawServer(t, (socket, request) => {
+    arrivals[index]! += 1
+    script(socket, request)
+  })))
+  return { fixture: await ForwardFixture.startWithPorts(t, ports), arrivals }
+}
+
+// Guards against REFUSED and TWICE: a server that runs a request writes the refusal of an earlier one.
+for (const status of ['503 Service Unavailable', '421 Misdirected Request', '429 Too Many Requests']) {
+  for (const route of ['unsafe', 'once']) {
+    test(`a refusal ${status} of another request does not say that one for /${route}/ has not run`, async (t) => {
+      const stray: RawScript = (socket) => { socket.write(refusalOf('an-earlier-one', status)) }
+      const { fixture, arrivals } = await startRaw(t, stray, stray)
+      t.is((await fixture.call(`/${route}/x`)).status, 502)
+      t.is(arrivals[0]! + arrivals[1]!, 1)
+    })
+  }
+}
+
+test('a refusal of another request sends one that may run again to another server', async (t) => {
+  const stray: RawScript = (socket) => { socket.write(refusalOf('an-earlier-one')) }
+  const answers: RawScript = (socket, request) => { socket.write(signedHead(request, 'content-length: 2\r\n') + 'ok') }
+  const { fixture } = await startRaw(t, stray, answers)
+  for (let index = 0; index < 4; index += 1) t.like(await fixture.call('/safe/x'), { status: 200, body: 'ok', whole: true })
+})
+
+test('a refusal of another request says nothing of its server', async (t) => {
+  const stray: RawScript = (socket) => { socket.write(refusalOf('an-earlier-one').replace('retry-after: 0', 'retry-after: 60\r\nserver-leaving: 1')) }
+  const { fixture } = await startRaw(t, stray)
+  await fixture.call('/unsafe/x')
+  t.deepEqual([fixture.linesOf('server.statement').length, fixture.linesOf('server.pause').length], [0, 0])
+  t.is(fixture.placement.answers.pausedServers().length, 0)
+})
+
+test('a refusal that is written twice is the refusal of one request', async (t) => {
+  const refuses: RawScript = (socket, request) => { socket.write(refusalOf(attemptOf(request)).repeat(2)) }
+  const answers: RawScript = (socket, request) => { socket.write(signedHead(request, 'content-length: 2\r\n') + 'ok') }
+  const { fixture, arrivals } = await startRaw(t, refuses, answers)
+  for (let index = 0; index < 6; index += 1) t.like(await fixture.call('/unsafe/x'), { status: 200, body: 'ok', whole: true })
+  t.is(arrivals[1], 6)
+})
+
+// Guards against MIXED and ORDER: the part of a head that has arrived passes for a whole one, with a short body.
+for (const route of ['unsafe', 'once']) {
+  test(`an answer for /${route}/ that ends or is reset in the middle of its head is no success`, async (t) => {
+    const head = signedHead(`${HeaderName.AttemptId}: a1\r\n`, 'content-type: text/plain\r\n')
+    let cut = 0
+    const { fixture } = await startRaw(t, (socket, request) => {
+      const text = signedHead(request, 'content-type: text/plain\r\n').slice(0, cut)
+      if (cut % 2 === 0) socket.end(text)
+      else socket.write(text, () => setTimeout(() => socket.resetAndDestroy(), 5))
+    })
+    for (cut = 0; cut < head.length - 1; cut += 3) {
+      const { status } = await fixture.call(`/${route}/x`)
+      t.true(status === 502 || status === 503, `status ${status} after ${cut} bytes`)
+    }
+  })
+}
