ORDER: a stream that cannot be continued ends at once, whatever the next server answers

Cause: a failure below 500 is returned to the caller as it is. The head of the stream had gone out already, so that writing another one threw, inside the listener of the HTTP client, which drops such errors: nothing ended the request.

Change: once the caller has a part of an answer, a failure ends the attempt like a broken connection. And any error inside a listener ends its request, with a log line and a count, instead of leaving it open.

--- a/packages/node/src/forward/AnswerReceiver.ts
+++ b/packages/node/src/forward/AnswerReceiver.ts
@@ -59,11 +59,20 @@
     const { handler } = this.#options
     const failureBody = new BoundedBuffer(MAX_FAILURE_BODY_BYTES)
     return {
-      onHead: (head) => this.#headReceived(attempt, head),
-      onData: (chunk) => this.#dataReceived(attempt, chunk, failureBody),
-      onEnd: () => this.#answerEnded(attempt, failureBody.take()),
-      onFailure: (mayBeSent, reason) => this.#connectionFailed(attempt, mayBeSent, reason),
-      onOversize: (reason) => handler.answerOversized(attempt, reason)
+      onHead: (head) => this.#contain(() => this.#headReceived(attempt, head)),
+      onData: (chunk) => this.#contain(() => this.#dataReceived(attempt, chunk, failureBody)),
+      onEnd: () => this.#contain(() => this.#answerEnded(attempt, failureBody.take())),
+      onFailure: (mayBeSent, reason) => this.#contain(() => this.#connectionFailed(attempt, mayBeSent, reason)),
+      onOversize: (reason) => this.#contain(() => handler.answerOversized(attempt, reason))
+    }
+  }
+
+  /** The HTTP client takes errors of its listeners for errors of the connection, or drops them, and the caller would wait until its deadline. */
+  #contain (handle: () => void): void {
+    try {
+      handle()
+    } catch (error) {
+      this.#options.host.failInternally(error)
     }
   }
 
@@ -181,10 +190,12 @@
     fail(attempt, AttemptEnd.HelperFailed, `status ${status}, caused by ${faultyServer}`)
   }
 
+  /** Once the caller has a part of an answer, no failure can be returned to it. */
   #serverFailed (attempt: OpenAttempt, failure: SignedFailure): void {
-    const { host: { progress, ending, close, fail }, silence } = this.#options
+    const { host: { progress, ending, close, fail, hasStartedAnswer }, silence } = this.#options
     progress.signedFailure = failure
-    if (failure.head.status >= SERVER_ERROR && attempt.peer === null) {
+    const isServerError = failure.head.status >= SERVER_ERROR && attempt.peer === null
+    if (isServerError || hasStartedAnswer()) {
       fail(attempt, AttemptEnd.Failed, `status ${failure.head.status}`)
       return
     }
