LOST: an error that nothing handles ends its task, and not every node

Cause: main.ts ended the process on any uncaught error. Change: such an error ends the call that threw it, with a log line and a count; 30 within 10 s end the node. The loops that would stay dead begin anew: the watches of the store (with a new listing), the fetching of fleet state, the registration, the probe of the store.

--- a/packages/node/src/forward/ForwardMetrics.ts
+++ b/packages/node/src/forward/ForwardMetrics.ts
@@ -25,8 +25,8 @@
 /** What an error of the node has ended instead of the process. */
 export const ErrorScope = {
   Request: 'request',
-  /** One message to another node. */
-  Message: 'message'
+  /** One run of a task that is repeated, such as the exchange with the store. */
+  Task: 'task'
 } as const
 export type ErrorScope = typeof ErrorScope[keyof typeof ErrorScope]
 
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -50,6 +50,8 @@
   readonly metricsAddress: SocketAddress
   /** Returns the number of dropped log lines. */
   readonly droppedLogLines: () => number
+  /** Returns the number of errors that no task has handled. */
+  readonly uncaughtErrors: () => number
 }
 
 /** Runs one node. */
@@ -256,7 +258,7 @@
   }
 
   async #startMetrics (): Promise<void> {
-    const { metricsAddress, droppedLogLines } = this.#options
+    const { metricsAddress, droppedLogLines, uncaughtErrors } = this.#options
     this.#metrics.addGauge('configuration_version', 'Version of the configuration in force', () => this.#fleetState.configurationVersion)
     this.#metrics.addGauge('store_lost', 'Whether the store does not answer', () => this.#storeAvailability.isLost ? 1 : 0)
     this.#metrics.addGauge('backend_servers', 'Backend servers with an entry', () => this.#fleetState.servers.all().length)
@@ -276,6 +278,7 @@
     this.#metrics.addGauge('open_requests', 'Requests without a final answer', () => this.#entryServer.openRequests)
     this.#metrics.addGauge('buffered_bytes', 'Bytes buffered for callers and backend servers; 0 if the settings state no memory', () => this.#buffers.total)
     this.#metrics.addGauge('log_lines_dropped', 'Lines of the log that found no room', droppedLogLines)
+    this.#metrics.addGauge('errors_uncaught', 'Errors since the start that have ended a timer or callback of this node', uncaughtErrors)
     const server = new MetricsServer(this.#metrics.registry)
     this.#disposables.add(server)
     await server.start(metricsAddress.host, metricsAddress.port)
--- a/packages/node/src/forward/main.ts
+++ b/packages/node/src/forward/main.ts
@@ -1,11 +1,13 @@
-/** Starts a node on the users' platform, and handles its signals and uncaught errors. */
+/** Starts a node on the users' platform, and handles its signals. */
 import { SETTINGS_VARIABLE } from '@bluebellhill/platform'
 import type { PlatformSettings } from '@bluebellhill/platform'
 
+import { monotonicNow } from '../clock/monotonic.js'
 import { BoundedOutput, LogLevel, openLog } from '../log/index.js'
 import type { Log } from '../log/index.js'
 import { ForwardNode } from './ForwardNode.js'
 import { readSettings, SettingsFile } from './SettingsFile.js'
+import { UncaughtErrors } from './UncaughtErrors.js'
 
 const EXIT_BAD_SETTINGS = 1
 const EXIT_FAILED = 2
@@ -28,28 +30,23 @@
 }
 
 /** Runs a node until it receives SIGTERM. */
-export const runForwardNode = async (): Promise<void> => {
+export const runForwardNode = (): void => {
   const path = settingsPathOrExit()
   const settings = loadSettingsOrExit(path)
   const output = new BoundedOutput()
   const log = openLog({ node: settings.node, failureDomain: settings.failureDomain, level: LogLevel.Info, transport: output })
   const exit = (code: number): void => { void output.flush().then(() => process.exit(code)) }
-  exitOnUncaughtErrors(log, exit)
+  const errors = new UncaughtErrors({ log, clock: monotonicNow, onBroken: () => exit(EXIT_FAILED) })
+  for (const event of ['uncaughtException', 'unhandledRejection']) process.on(event, (error: unknown) => errors.record(error))
   const file = new SettingsFile(path, settings, log)
-  const node = new ForwardNode({ settings: file, log, metricsAddress: { host: settings.host, port: METRICS_PORT }, droppedLogLines: () => output.dropped })
-  process.on('SIGTERM', () => { node.stop().then(() => exit(0), (error: unknown) => { logFailure(log, error); exit(EXIT_FAILED) }) })
-  process.on('SIGHUP', () => file.reload('SIGHUP'))
-  await node.start()
-  file.watch()
-}
-
-const exitOnUncaughtErrors = (log: Log, exit: (code: number) => void): void => {
-  const exitWithError = (error: unknown): void => {
+  const node = new ForwardNode({ settings: file, log, metricsAddress: { host: settings.host, port: METRICS_PORT }, droppedLogLines: () => output.dropped, uncaughtErrors: () => errors.count })
+  const fail = (error: unknown): void => {
     logFailure(log, error)
     exit(EXIT_FAILED)
   }
-  process.on('uncaughtException', exitWithError)
-  process.on('unhandledRejection', exitWithError)
+  process.on('SIGTERM', () => { node.stop().then(() => exit(0), fail) })
+  process.on('SIGHUP', () => file.reload('SIGHUP'))
+  node.start().then(() => file.watch(), fail)
 }
 
 const logFailure = (log: Log, error: unknown): void => {
--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -10,7 +10,7 @@
 import type { CallFailure, HttpPool, Result } from '@bluebellhill/services'
 
 import type { FleetState, FleetStateSnapshot, FleetStateVersion } from '../FleetState.js'
-import { StateHop } from '../ForwardMetrics.js'
+import { ErrorScope, StateHop } from '../ForwardMetrics.js'
 import type { ForwardMetrics } from '../ForwardMetrics.js'
 import type { Log } from '../../log/index.js'
 import { isRelayed } from '../relay/relayHeaders.js'
@@ -136,7 +136,18 @@
     this.#behindSince ??= this.#options.clock()
     if (this.#isFetching) return
     this.#isFetching = true
-    setTimeout(() => { void this.#fetchOnce() }, FETCH_DELAY + MAX_JITTER * Math.random())
+    setTimeout(() => { void this.#fetchAndRepeat() }, FETCH_DELAY + MAX_JITTER * Math.random())
+  }
+
+  async #fetchAndRepeat (): Promise<void> {
+    try {
+      await this.#fetchOnce()
+    } catch (error) {
+      this.#options.log.error('peers.catch_up_error', { reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+      this.#options.metrics.errorContained(ErrorScope.Task)
+    } finally {
+      setTimeout(() => this.#fetchEnded(), REPEAT_DELAY)
+    }
   }
 
   async #fetchOnce (): Promise<void> {
@@ -144,7 +155,6 @@
     const peer = this.#chooseFrom(sources)
     if (peer === null) this.#behindSince = null
     else await this.#fetchFrom(peer, sources.length > 1 ? FIRST_ANSWER_TIMEOUT : ANSWER_TIMEOUT)
-    setTimeout(() => this.#fetchEnded(), REPEAT_DELAY)
   }
 
   /** Changes that were announced during the last request are fetched by another one. */
--- a/packages/node/src/forward/store/NodeRegistration.ts
+++ b/packages/node/src/forward/store/NodeRegistration.ts
@@ -73,11 +73,21 @@
   async #refresh (): Promise<void> {
     this.#isRefreshing = true
     if (this.#isRestored) this.#forgetRegistration()
-    const isDone = await this.#renewEntry() && await this.#listNodesIfDue()
+    const isDone = await this.#renewAndList().catch((error: unknown) => this.#failed(error))
     this.#isRefreshing = false
     this.#scheduleRefresh(isDone)
   }
 
+  async #renewAndList (): Promise<boolean> {
+    return await this.#renewEntry() && await this.#listNodesIfDue()
+  }
+
+  /** The next refresh tries again. */
+  #failed (error: unknown): false {
+    this.#options.log.error('nodes.refresh_failed', { reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+    return false
+  }
+
   #scheduleRefresh (isDone: boolean): void {
     if (this.#isDisposed) return
     if (this.#timer !== null) clearTimeout(this.#timer)
--- a/packages/node/src/forward/store/StoreProbe.ts
+++ b/packages/node/src/forward/store/StoreProbe.ts
@@ -65,8 +65,7 @@
     const { store, node, availability, clock, onSilent, onRevision } = this.#options
     this.#isProbing = true
     const startedAt = clock()
-    const result = await store.range(`${StoreKey.Nodes}${node}`, '', true, PROBE_TIMEOUT)
-    this.#isProbing = false
+    const result = await store.range(`${StoreKey.Nodes}${node}`, '', true, PROBE_TIMEOUT).finally(() => { this.#isProbing = false })
     if (this.#isDisposed) return
     if (result.ok) {
       availability.recordStaleAnswer()
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -9,7 +9,7 @@
 import type { CallFailure, Result } from '@bluebellhill/services'
 
 import type { FleetState } from '../FleetState.js'
-import { StateHop } from '../ForwardMetrics.js'
+import { ErrorScope, StateHop } from '../ForwardMetrics.js'
 import type { ForwardMetrics } from '../ForwardMetrics.js'
 import type { Log } from '../../log/index.js'
 import type { StoreAvailability } from './StoreAvailability.js'
@@ -92,7 +92,7 @@
 
   /** Starts to list and watch the configuration and the backend servers. */
   start (): void {
-    for (const synced of [this.#operatorPrefix(), this.#serversPrefix()]) void this.#syncPrefix(synced)
+    for (const synced of [this.#operatorPrefix(), this.#serversPrefix()]) void this.#keepSynced(synced)
   }
 
   /** Ends the waits in progress to check whether the store answers this node, after another node has lost it. */
@@ -197,6 +197,21 @@
     }
   }
 
+  /** An error while an answer is applied ends the watch, and the items are listed again. */
+  async #keepSynced (synced: SyncedPrefix): Promise<void> {
+    const { log, metrics } = this.#options
+    while (!this.#isStopped) {
+      try {
+        await this.#syncPrefix(synced)
+      } catch (error) {
+        log.error('store.sync_failed', { prefix: synced.prefix, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+        metrics.errorContained(ErrorScope.Task)
+        this.#revisions.ended(synced.prefix)
+        await sleep(MAX_RETRY_DELAY)
+      }
+    }
+  }
+
   /** Lists a prefix, then watches it; after a failure it continues at the last revision, or with a new listing if history is lost. */
   async #syncPrefix (synced: SyncedPrefix): Promise<void> {
     let revision: StoreRevision | null = null
--- a/packages/node/tests/silentStore.ts
+++ b/packages/node/tests/silentStore.ts
@@ -120,7 +120,7 @@
     if (!settings.ok) throw new Error('unusable settings')
     const lines: string[] = []
     const log = openLog({ node: `n${index}`, failureDomain, level: LogLevel.Info, transport: new LineCollector(lines) })
-    const node = new ForwardNode({ settings: new SettingsFile(path, settings.value, log), log, metricsAddress: { host, port: 0 }, droppedLogLines: () => 0 })
+    const node = new ForwardNode({ settings: new SettingsFile(path, settings.value, log), log, metricsAddress: { host, port: 0 }, droppedLogLines: () => 0, uncaughtErrors: () => 0 })
     await node.start()
     t.teardown(async () => {
       await node.stop()
