--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -73,7 +73,8 @@
   readonly #storeProbe: StoreProbe
   readonly #nodeRegistration: NodeRegistration
   readonly #options: ForwardNodeOptions
-  #isStopping = false
+  /** Stop under way; null until the first call. */
+  #stopping: Promise<void> | null = null
   #starting: Promise<void> = Promise.resolve()
 
   /** @param options - settings, log and metrics address */
@@ -198,10 +199,16 @@
     await this.#starting
   }
 
-  /** Waits for a start in progress and for requests in progress, within the stop grace of the settings, then releases all resources. */
+  /**
+   * Waits for a start in progress and for requests in progress, within the stop grace of the settings, then releases all resources. Further calls
+   * wait for the stop under way.
+   */
   async stop (): Promise<void> {
-    if (this.#isStopping) return
-    this.#isStopping = true
+    this.#stopping ??= this.#stopComponents()
+    await this.#stopping
+  }
+
+  async #stopComponents (): Promise<void> {
     await this.#starting
     const { settings, log } = this.#options
     const { stopGrace } = settings.current
@@ -252,7 +259,7 @@
   }
 
   async #startReadiness (address: SocketAddress): Promise<void> {
-    const readiness = new ReadinessServer(() => !this.#isStopping && this.#fleetState.routeTable !== null)
+    const readiness = new ReadinessServer(() => this.#stopping === null && this.#fleetState.routeTable !== null)
     this.#disposables.add(readiness)
     await readiness.start(address)
   }
--- a/packages/node/tests/silentStore.ts
+++ b/packages/node/tests/silentStore.ts
@@ -92,6 +92,7 @@
   readonly self: SchedulerCandidate
   readonly link: StoreLink
   readonly lines: string[]
+  readonly node: ForwardNode
 }
 
 export const entryOf = (id: string, isDraining: boolean): string =>
@@ -126,9 +127,9 @@
       await node.stop()
       link.dispose()
     })
-    nodes.push({ self: { node: `n${index}` as NodeId, address: `${host}:${firstPort + 2}`, failureDomain, processor: settings.value.processor }, link, lines })
+    nodes.push({ self: { node: `n${index}` as NodeId, address: `${host}:${firstPort + 2}`, failureDomain, processor: settings.value.processor }, link, lines, node })
   }
-  return rankSchedulers(nodes.map(({ self }) => self)).map(({ node }) => nodes.find(({ self }) => self.node === node)!)
+  return rankSchedulers(nodes.map(({ self }) => self)).map(({ node: id }) => nodes.find(({ self }) => self.node === id)!)
 }
 
 const hasLine = ({ lines }: TestNode, event: string, subject: string): boolean => lines.some((line) => line.includes(event) && line.includes(subject))
