LIMIT: assignments of a process have other numbers than those of the last one

Cause: the id is the node and a number that each process counts from 1, and reservations outlive a process by up to 3 s. Change: each process begins at a random number of 31 bits, so that the same holds for grants, queries and late replies.

--- a/packages/domain/src/forwarding/FleetAssignments.ts
+++ b/packages/domain/src/forwarding/FleetAssignments.ts
@@ -48,12 +48,16 @@
   readonly #own = new Map<string, Assignment>()
   readonly #peers = new Map<NodeId, PeerAssignments>()
   readonly #prefillQueues = new Map<RunnerId, PrefillQueue>()
-  #nextSequence = 1
+  #nextSequence: number
   #onRoomFreed: () => void = () => {}
 
-  /** @param node - this node */
-  constructor (node: NodeId) {
+  /**
+   * @param node - this node
+   * @param firstNumber - number of its first assignment; another one in each process, since engines and schedulers may still know those of the last
+   */
+  constructor (node: NodeId, firstNumber = 1) {
     this.#node = node
+    this.#nextSequence = firstNumber
   }
 
   /** Calls a listener after each change that may have freed memory or a slot of a backend server. */
--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,4 +1,6 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
+import { randomInt } from 'node:crypto'
+
 import { assignmentId, DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, Readiness, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
 import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerDirectory, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad, WarmUpBounds } from '@bluebellhill/domain'
 
@@ -20,6 +22,9 @@
 import { isUneven, UnevenServers } from './UnevenServers.js'
 import type { AssignmentOwner, AttemptReport, ChosenServerLoad, FinalPlacement, PlacementContext, PlacementSpec, PlacementTerms } from './types.js'
 
+/** Upper bound of the number of a process's first assignment; as many again fit into the messages between nodes. */
+const FIRST_NUMBERS = 2 ** 31
+
 export interface SchedulerOptions {
   readonly node: NodeId
   readonly fleetState: FleetState
@@ -78,7 +83,7 @@
   /** @param options - fleet state, retry limits and log */
   constructor (options: SchedulerOptions) {
     this.#options = options
-    this.assignments = new FleetAssignments(options.node)
+    this.assignments = new FleetAssignments(options.node, randomInt(1, FIRST_NUMBERS))
     this.statements = new ServerStatements({ ...options, coldServers: new ColdServers(options) })
     this.quarantine = new NodeQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
     this.promisedRoom = new PromisedRoom(options.log)
