Requests that come before the last one was answered end with their connection

Change: when a connection closes, its waiting responses are closed too. Evidence: both tests (plain, stream) of callerConnections.test.ts fail without it; with it no request is open and no byte buffered.

--- a/packages/node/src/forward/entry/CallerConnections.ts
+++ b/packages/node/src/forward/entry/CallerConnections.ts
@@ -14,7 +14,8 @@
 
 interface CallerConnection {
   readonly openedAt: Millis
-  openResponses: number
+  /** Responses that are not written to the operating system completely. */
+  readonly openResponses: Set<ServerResponse>
   /** Value of `socket.bytesRead` when the last request was answered; further bytes belong to the next request. */
   bytesAnswered: number
   /** Whether bytes have arrived that are no request, or a head that took too long: nothing more is accepted. */
@@ -39,8 +40,8 @@
   /** Adds a connection until it is closed. */
   add (socket: Socket): void {
     this.#acceptedCount += 1
-    this.#connections.set(socket, { openedAt: this.clock(), openResponses: 0, bytesAnswered: 0, isRefused: false, hasExpired: false })
-    socket.once('close', () => this.#connections.delete(socket))
+    this.#connections.set(socket, { openedAt: this.clock(), openResponses: new Set(), bytesAnswered: 0, isRefused: false, hasExpired: false })
+    socket.once('close', () => this.#closed(socket))
   }
 
   /**
@@ -52,14 +53,24 @@
   track (socket: Socket, response: ServerResponse): void {
     const connection = this.#connections.get(socket)
     if (connection === undefined) return
-    connection.openResponses += 1
+    connection.openResponses.add(response)
     response.once('close', () => {
-      connection.openResponses -= 1
+      connection.openResponses.delete(response)
       connection.bytesAnswered = socket.bytesRead
       connection.hasExpired = false
     })
   }
 
+  /** The response to a request that came before the last one was answered has no socket yet, and would never learn that the connection is closed. */
+  #closed (socket: Socket): void {
+    const waiting = [...this.#connections.get(socket)?.openResponses ?? []].filter((response) => response.socket === null)
+    this.#connections.delete(socket)
+    for (const response of waiting) {
+      response.destroy()
+      response.emit('close')
+    }
+  }
+
   /**
    * Accepts no more requests on a connection, and closes it some time after its answer.
    *
@@ -70,7 +81,7 @@
     const connection = this.#connections.get(socket)
     if (connection === undefined || connection.isRefused) return false
     connection.isRefused = true
-    if (connection.openResponses > 0) return false
+    if (connection.openResponses.size > 0) return false
     const timer = setTimeout(() => socket.destroy(), REFUSED_CLOSE_DELAY)
     socket.once('close', () => clearTimeout(timer))
     return true
@@ -93,7 +104,7 @@
   async closeExpired (socket: Socket, headTimeout: Millis): Promise<void> {
     await waitingInputRead()
     const connection = this.#connections.get(socket)
-    if (connection === undefined || connection.openResponses > 0) return
+    if (connection === undefined || connection.openResponses.size > 0) return
     if (isIdle(socket, connection) || connection.hasExpired) {
       socket.destroy()
       return
@@ -113,4 +124,4 @@
 }
 
 const isIdle = (socket: Socket, { openResponses, bytesAnswered }: CallerConnection): boolean =>
-  openResponses === 0 && socket.bytesRead === bytesAnswered
+  openResponses.size === 0 && socket.bytesRead === bytesAnswered
--- a/packages/node/tests/callerConnections.test.ts
+++ b/packages/node/tests/callerConnections.test.ts
@@ -8,6 +8,7 @@
 
 import { answers, headText, openCaller } from './callers.js'
 import { DEPLOYMENT, ForwardFixture, HOST, KEY, signedHeaders } from './forwardFixture.js'
+import { until } from './quarantineFixture.js'
 
 // Guards against connections that end without an answer and without a trace in the logs.
 test('a request that the end of the stop grace cuts off is logged with its stage and the configuration', async (t) => {
@@ -146,6 +147,21 @@
   await stopped
 })
 
+// Guards against requests that stay open in the node for good: the response to a request that waits for the one before it never saw the end of its connection.
+for (const route of ['patient', 'patient-stream']) {
+  test(`requests for /${route}/ that came before the last one was answered end with their connection`, async (t) => {
+    const fixture = await ForwardFixture.start(t, () => {})
+    const { socket } = await openCaller(t, fixture)
+    socket.write(headText(`/${route}/x`, 'content-length: 4') + 'body' + headText(`/${route}/y`, 'content-length: 4') + 'body' + headText(`/${route}/z`, 'content-length: 4') + 'bo')
+    await until(() => fixture.entry.openRequests === 3)
+    socket.destroy()
+    await until(() => fixture.entry.openRequests === 0)
+    t.is(fixture.entry.openRequests, 0)
+    t.is(fixture.buffers.total, 0)
+    t.is(fixture.linesOf('request.ended').length, 2)
+  })
+}
+
 // Guards against connections that stay open for ever after bytes that begin no request.
 test('an idle connection is closed although bytes have arrived that begin no request', async (t) => {
   const fixture = await ForwardFixture.start(t, answers)
