A stream of comments and blank lines ends at 64 KiB in a row

Evidence: the three tests of endlessAnswers.test.ts name the reason, which was "a stream of more than bytes" before; 40 KB of comments between events are passed on as before.

--- a/packages/node/src/forward/StreamForwarding.ts
+++ b/packages/node/src/forward/StreamForwarding.ts
@@ -3,7 +3,7 @@
 import type { Millis } from '@bluebellhill/domain'
 import { encodeReturnedHeaders } from '@bluebellhill/platform'
 
-import { MAX_EVENT_BYTES, MAX_STREAM_BYTES, MAX_UNSENT_BYTES } from './backend/answerLimits.js'
+import { MAX_EMPTY_BYTES, MAX_EVENT_BYTES, MAX_STREAM_BYTES, MAX_UNSENT_BYTES } from './backend/answerLimits.js'
 import { EventSplitter } from './backend/EventSplitter.js'
 import type { StreamEvent } from './backend/EventSplitter.js'
 import { Forwarding } from './Forwarding.js'
@@ -16,6 +16,8 @@
   events: readonly StreamEvent[]
   /** With those of events that the caller had already. */
   bytes: number
+  /** Bytes of comments and blank lines since the last event with content. */
+  emptyBytes: number
 }
 
 /** Passes the events of a stream on to the caller, each one only when it is complete. */
@@ -41,7 +43,7 @@
   }
 
   protected successStarted (attempt: OpenAttempt): void {
-    this.#streams.set(attempt, { splitter: new EventSplitter(), events: [], bytes: 0 })
+    this.#streams.set(attempt, { splitter: new EventSplitter(), events: [], bytes: 0, emptyBytes: 0 })
   }
 
   protected chunkReceived (attempt: OpenAttempt, chunk: Buffer): boolean {
@@ -58,6 +60,11 @@
       return false
     }
     const hasGoneOn = complete.some(({ hasContent }) => hasContent)
+    stream.emptyBytes = (hasGoneOn ? 0 : stream.emptyBytes) + emptyBytesAtEnd(complete)
+    if (stream.emptyBytes > MAX_EMPTY_BYTES) {
+      this.answerOversized(attempt, `more than ${MAX_EMPTY_BYTES} bytes of comments and blank lines`)
+      return false
+    }
     if (hasGoneOn) stream.events = complete
     else this.#passOnComments(attempt, complete)
     return hasGoneOn
@@ -145,3 +152,7 @@
     return isNew
   }
 }
+
+/** @returns bytes of the comments and blank lines behind the last event with content */
+const emptyBytesAtEnd = (events: readonly StreamEvent[]): number =>
+  events.slice(events.findLastIndex(({ hasContent }) => hasContent) + 1).reduce((sum, { bytes }) => sum + bytes.length, 0)
--- a/packages/node/src/forward/backend/answerLimits.ts
+++ b/packages/node/src/forward/backend/answerLimits.ts
@@ -9,6 +9,9 @@
 /** Maximum length of one event of a stream. */
 export const MAX_EVENT_BYTES = MIB
 
+/** Maximum number of bytes in a row that are comments and blank lines of a stream: each is an event to split off, and none is progress. */
+export const MAX_EMPTY_BYTES = 64 * KIB
+
 /** Maximum length of a whole stream. */
 export const MAX_STREAM_BYTES = 64 * MIB
 
--- a/packages/node/tests/endlessAnswers.test.ts
+++ b/packages/node/tests/endlessAnswers.test.ts
@@ -7,7 +7,7 @@
 
 import { HeaderName } from '@bluebellhill/platform'
 
-import { MAX_STREAM_BYTES } from '../src/forward/backend/answerLimits.js'
+import { MAX_EMPTY_BYTES, MAX_STREAM_BYTES } from '../src/forward/backend/answerLimits.js'
 import { ForwardFixture, HOST, KEY } from './forwardFixture.js'
 import { flood, signedHead, startRawServer } from './rawServer.js'
 import type { RawScript } from './rawServer.js'
@@ -84,6 +84,29 @@
   t.regex(fixture.linesOf('attempt.failed')[0] ?? '', /server=e0 end=oversized reason="an event of more than 1048576 bytes"/)
 })
 
+// Guards against processor time for nothing: each blank line is an event to split off, and 64 MiB of them were read.
+for (const line of ['\n', '\r\n', ': wait\n\n']) {
+  test.serial(`a stream of ${JSON.stringify(line)} without end goes on at another server after its last event`, async (t) => {
+    const endless: RawScript = (socket, request) => {
+      socket.write(signedHead(request, 'connection: close\r\n') + event(1))
+      flood(socket, line)
+    }
+    const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, endless), await startRawServer(t, streams)])
+    const answer = await fixture.call('/stream/x')
+    t.deepEqual([answer.status, answer.whole, answer.body.replaceAll(': wait\n\n', '').replaceAll(/[\r\n]+/g, '\n')], [200, true, (event(1) + event(2) + event(3)).replaceAll('\n\n', '\n')])
+    t.true(answer.body.length < 2 * MAX_EMPTY_BYTES)
+    t.regex(fixture.linesOf('attempt.failed')[0] ?? '', /server=e0 end=oversized reason="more than 65536 bytes of comments and blank lines"/)
+  })
+}
+
+test.serial('comments of less than the limit between events are passed on', async (t) => {
+  const comments = ': wait\n\n'.repeat(5_000)
+  const port = await startRawServer(t, (socket, request) => { socket.end(signedHead(request, 'connection: close\r\n') + [1, 2, 3].map((id) => event(id) + comments).join('')) })
+  const fixture = await ForwardFixture.startWithPorts(t, [port])
+  t.like(await fixture.call('/stream/x'), { status: 200, whole: true })
+  t.is(fixture.linesOf('attempt.failed').length, 0)
+})
+
 test.serial('a stream with an event without end that may not be resumed never looks complete', async (t) => {
   const port = await startRawServer(t, (socket, request) => {
     socket.write(signedHead(request, 'transfer-encoding: chunked\r\n'))
