Token counts that no engine could serve are refused at once, with the limit

Cause: a header of token counts that cannot be read counted as none, and numbers of any size went on to all parts. Change: for a service of engines such a request gets 400 and a text that names the header and its limit; nothing is sent, and the body says so. Plain services take no notice, as before.

--- a/packages/node/src/forward/entry/admit.ts
+++ b/packages/node/src/forward/entry/admit.ts
@@ -55,10 +55,13 @@
   const organisation = headers.apiKey === null ? null : table.organisation(headers.apiKey)
   if (table.isKeyRequired && !route.isPublic && organisation === null) return failed(RefusalCause.UnknownKey)
   if (headers.attemptId === null) return failed(RefusalCause.BadRequest)
+  if (headers.isSizeUnusable && reachesEngines(route, table)) return failed(RefusalCause.PromptSizeUnusable)
   if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) return failed(RefusalCause.BodyTooLarge)
   return success({ route, organisation, headers, attemptId: headers.attemptId, isRelayed })
 }
 
+const reachesEngines = ({ services }: Route, table: RouteTable): boolean => services.some(({ service }) => (table.service(service)?.engine ?? null) !== null)
+
 /**
  * @param head - result of the checks of a request head
  * @returns time from the arrival of the head until the deadline of the request
--- a/packages/node/src/forward/entry/refusals.ts
+++ b/packages/node/src/forward/entry/refusals.ts
@@ -2,12 +2,15 @@
 import type { ServerResponse } from 'node:http'
 
 import type { Millis } from '@bluebellhill/domain'
+import { PROMPT_SIZE_RULE } from '@bluebellhill/platform'
 
 import { RELAY_HEADER } from '../relay/relayHeaders.js'
 
 /** Why a node refuses a request or cannot return the answer of a backend server. */
 export const RefusalCause = {
   BadRequest: 'bad_request',
+  /** A request for engines states the size of its prompt in a way that no engine could serve. */
+  PromptSizeUnusable: 'prompt_size_unusable',
   /** The head of a request was not complete in time. */
   HeadTimeout: 'head_timeout',
   UnknownKey: 'unknown_key',
@@ -53,6 +56,8 @@
   readonly isRetryAfterKnown?: boolean
   /** What the body says of it; absent if the status says it. */
   readonly ran?: 'no' | 'unknown'
+  /** What the caller has to change; absent if the code says it. */
+  readonly message?: string
 }
 
 /** Longest time after which a caller is asked to return, as far as it is only predicted. */
@@ -60,6 +65,7 @@
 
 const REFUSALS: Readonly<Record<RefusalCause, Refusal>> = {
   [RefusalCause.BadRequest]: { status: 400, retryAfter: null },
+  [RefusalCause.PromptSizeUnusable]: { status: 400, retryAfter: null, ran: 'no', message: PROMPT_SIZE_RULE },
   [RefusalCause.HeadTimeout]: { status: 408, retryAfter: null },
   [RefusalCause.UnknownKey]: { status: 401, retryAfter: null },
   [RefusalCause.UnknownRoute]: { status: 404, retryAfter: null },
@@ -99,11 +105,11 @@
  */
 export const refuse = (response: ServerResponse, cause: RefusalCause, predictedRetryAfter: Millis | null = null): void => {
   if (response.headersSent || response.destroyed) return
-  const { status, retryAfter: usualRetryAfter, isRetryAfterKnown = false, ran } = REFUSALS[cause]
+  const { status, retryAfter: usualRetryAfter, isRetryAfterKnown = false, ran, message } = REFUSALS[cause]
   const longest = isRetryAfterKnown ? Infinity : MAX_PREDICTED_RETRY_AFTER
   const retryAfter = usualRetryAfter === null || predictedRetryAfter === null ? usualRetryAfter : Math.min(longest, predictedRetryAfter)
   if (response.hasHeader(RELAY_HEADER)) response.setHeader(RELAY_HEADER, cause)
-  const body = JSON.stringify({ error: { code: cause, ran } })
+  const body = JSON.stringify({ error: { code: cause, ran, message } })
   response.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
