Imports of the forwarding node no longer run in circles

Change: the inner parts name what they need in small interfaces (buffers/types, admissionTypes, TimedAttempt).

--- a/packages/node/src/forward/buffers/BodyReservation.ts
+++ b/packages/node/src/forward/buffers/BodyReservation.ts
@@ -1,13 +1,13 @@
 /** Memory that is reserved for the body of one request. */
-import type { NodeBuffers } from './NodeBuffers.js'
+import type { BodyMemory } from './types.js'
 
 /** Grows while the body arrives, and is released when the request is over. */
 export class BodyReservation {
   #bytes = 0
   #isReleased = false
 
-  /** @param buffers - memory of the node */
-  constructor (private readonly buffers: NodeBuffers) {}
+  /** @param memory - memory of the node */
+  constructor (private readonly memory: BodyMemory) {}
 
   /**
    * @param bytes - further bytes of the body
@@ -15,13 +15,13 @@
    */
   reserve (bytes: number): boolean {
     if (this.#isReleased) return true
-    if (!this.buffers.reserveBody(bytes)) return false
+    if (!this.memory.reserveBody(bytes)) return false
     this.#bytes += bytes
     return true
   }
 
   release (): void {
-    this.buffers.releaseBody(this.#bytes)
+    this.memory.releaseBody(this.#bytes)
     this.#bytes = 0
     this.#isReleased = true
   }
--- a/packages/node/src/forward/buffers/CallerAnswer.ts
+++ b/packages/node/src/forward/buffers/CallerAnswer.ts
@@ -1,10 +1,10 @@
 /** The answer to one caller, as far as it counts against the buffers of the node. */
 import type { ServerResponse } from 'node:http'
 
-import type { NodeBuffers } from './NodeBuffers.js'
+import type { AnswerAccount } from './types.js'
 
 export interface CallerAnswerOptions {
-  readonly buffers: NodeBuffers
+  readonly buffers: AnswerAccount<CallerAnswer>
   /** Id of the request. */
   readonly request: string
   readonly response: ServerResponse
--- a/packages/node/src/forward/hedging/HedgeTiming.ts
+++ b/packages/node/src/forward/hedging/HedgeTiming.ts
@@ -3,7 +3,16 @@
 import type { Millis } from '@bluebellhill/domain'
 
 import type { AdmittedCall } from '../AdmittedCall.js'
-import type { OpenAttempt } from '../types.js'
+import type { PlacedAttempt } from '../scheduling/types.js'
+
+/** What the timing of hedges needs to know of an attempt. */
+export interface TimedAttempt {
+  /** Null if another node places it. */
+  readonly placed: PlacedAttempt | null
+  readonly sentAt: Millis
+  /** Null until the request is sent. */
+  readonly serverCall: object | null
+}
 
 /** Times of the recent answers to this node, by route and service. */
 export class HedgeTiming {
@@ -21,7 +30,7 @@
   }
 
   /** Records the end of an attempt. */
-  attemptEnded (call: AdmittedCall, { placed, sentAt, serverCall }: OpenAttempt, isComplete: boolean): void {
+  attemptEnded (call: AdmittedCall, { placed, sentAt, serverCall }: TimedAttempt, isComplete: boolean): void {
     const maxRatio = this.#maxRatio()
     if (maxRatio === null || placed === null || serverCall === null || !isHedgeable(call)) return
     const now = this.#clock()
@@ -35,7 +44,7 @@
    * @param attempt - its attempt in progress
    * @returns time from sending after which a hedge is due; null if none is to be sent
    */
-  delay (call: AdmittedCall, { placed }: OpenAttempt): Millis | null {
+  delay (call: AdmittedCall, { placed }: TimedAttempt): Millis | null {
     const maxRatio = this.#maxRatio()
     if (maxRatio === null || placed === null || !isHedgeable(call)) return null
     return this.#delays.delay(kindOf(call), maxRatio, this.#clock()) ?? placed.hedgeAfter ?? null
--- a/packages/node/src/forward/scheduling/AdmissionControl.ts
+++ b/packages/node/src/forward/scheduling/AdmissionControl.ts
@@ -2,16 +2,11 @@
 import { isMemoryBound, RENEWAL_PERIOD } from '@bluebellhill/domain'
 import type { AdmissionKey, Millis } from '@bluebellhill/domain'
 
-import type { Log } from '../../log/index.js'
-import type { FleetState } from '../FleetState.js'
-import type { Scheduler } from './Scheduler.js'
+import type { AdmissionControlOptions, Timer } from './admissionTypes.js'
 import { ServiceAdmission } from './ServiceAdmission.js'
 import { GROUP_CONTEXT, NO_TERMS } from './types.js'
 import type { AssignmentOwner, PlacementResult, PlacementSpec, PlacementWaiter } from './types.js'
 
-/** Runs an action after a delay. */
-export type Timer = (run: () => void, delay: Millis) => void
-
 /**
  * Shortest time between two rounds in which waiting requests are placed. Engines free memory up to some hundred times a second; one
  * round serves all that became free meanwhile.
@@ -21,17 +16,6 @@
 /** Longest time between two rounds while requests wait, for memory that becomes free without a report. */
 const MAX_ROUND_INTERVAL: Millis = 50
 
-export interface AdmissionControlOptions {
-  readonly scheduler: Scheduler
-  readonly fleetState: FleetState
-  readonly log: Log
-  readonly clock: () => Millis
-  /** Clock on which the silence of other nodes is measured. */
-  readonly runningClock: () => Millis
-  /** Timers of the process if absent. */
-  readonly setTimer?: Timer
-}
-
 /** Waiting requests of all services. */
 export class AdmissionControl {
   readonly #options: AdmissionControlOptions
--- a/packages/node/src/forward/scheduling/ServiceAdmission.ts
+++ b/packages/node/src/forward/scheduling/ServiceAdmission.ts
@@ -2,7 +2,7 @@
 import { AdmissionQueue, EngineState, releaseTime, RENEWAL_PERIOD, RoomForecast, routeTimeout, waitLimits } from '@bluebellhill/domain'
 import type { AdmissionEntry, AdmissionKey, Candidate, Millis, PlacementRequest, RunnerId, Service } from '@bluebellhill/domain'
 
-import type { AdmissionControlOptions } from './AdmissionControl.js'
+import type { AdmissionControlOptions } from './admissionTypes.js'
 import { findRestriction } from './findRestriction.js'
 import { GROUP_CONTEXT, PlacementRefusal } from './types.js'
 import type { AssignmentOwner, PlacementResult, PlacementSpec, PlacementWaiter, RefusedPlacement } from './types.js'
