The idle limit holds after bytes that begin no request, also on Node.js 20

Cause: in Node.js 20 any byte on an idle connection ends the keep-alive timeout, and the timeout of the server takes its place, which was 0: a line break behind an answered request left the connection open for good. Change: the timeout of the server is the idle limit too; while a request is open it means nothing, as before.

--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -137,6 +137,8 @@
     const limits = this.#context.fleetState.routeTable?.deployment.limits
     if (limits === undefined) return
     this.#server.keepAliveTimeout = limits.idleTimeout
+    // Bytes that begin no request end the timeout above, in Node.js 20, and this one takes its place. It means nothing while a request is open.
+    this.#server.timeout = limits.idleTimeout
     this.#server.headersTimeout = limits.headerTimeout
   }
 
--- a/packages/node/tests/callerConnections.test.ts
+++ b/packages/node/tests/callerConnections.test.ts
@@ -184,3 +184,19 @@
   await once(socket, 'end')
   t.regex(received(), /^HTTP\/1\.1 413 /)
 })
+
+// Guards against an idle limit that ends connections on which a request is open.
+for (const [name, body] of [['its answer', ['body']], ['the rest of its body', ['bo', 'dy']]] as const) {
+  test(`a request that waits for ${name} beyond the idle limit is answered`, async (t) => {
+    const fixture = await ForwardFixture.start(t, (request, response) => { setTimeout(() => response.writeHead(200, signedHeaders(request)).end('answer'), 700) })
+    fixture.fleetState.install({ ...DEPLOYMENT, version: 2, limits: { ...DEPLOYMENT.limits, idleTimeout: 150, headerTimeout: 150 } }, 'store')
+    const { socket, received } = await openCaller(t, fixture)
+    socket.write(headText('/patient/x', 'content-length: 4'))
+    for (const part of body) {
+      socket.write(part)
+      await sleep(500)
+    }
+    await until(() => received().includes('answer'))
+    t.regex(received(), /^HTTP\/1\.1 200 .*answer$/s)
+  })
+}
