Data of streams are looked up among crashes only while there are any

Cause: each piece of each stream made two keys and a set for the lookup. Change: nothing is looked up without a reported crash. No behaviour changes; not measured.

--- a/packages/node/src/forward/quarantine/ServerWatch.ts
+++ b/packages/node/src/forward/quarantine/ServerWatch.ts
@@ -78,6 +78,7 @@
 
   /** @param attempt - an attempt whose server has sent bytes of its own answer */
   dataReceived (attempt: WatchedAttempt): void {
+    if (this.#crashes.size === 0) return
     const { id, startedAt } = attempt.server
     for (const start of new Set([startedAt, null])) this.#dataReceived(attempt, { server: id, startedAt: start })
   }
