--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -2,6 +2,7 @@
 import { describeRevision } from '@bluebellhill/domain'
 import type { AttemptEnd, Millis, RunnerId, ServerNotice } from '@bluebellhill/domain'
 
+import { errorText } from '../log/index.js'
 import type { AdmittedCall } from './AdmittedCall.js'
 import { evidenceFields, suspectField } from './quarantine/QuarantineLog.js'
 import type { QuarantineVerdict } from './quarantine/NodeQuarantine.js'
@@ -172,12 +173,12 @@
   }
 
   placementFailed (error: unknown): void {
-    this.context.log.error('request.placement_failed', { request: this.call.id, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+    this.context.log.error('request.placement_failed', { request: this.call.id, reason: errorText(error) })
   }
 
   /** Logs an error of this node that ends the request. */
   failedInternally (error: unknown): void {
-    this.context.log.error('request.failed_internally', { request: this.call.id, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+    this.context.log.error('request.failed_internally', { request: this.call.id, reason: errorText(error) })
   }
 
   requestEnded ({ outcome, status, servers, firstAnswer, took, problem, answerFields: further }: RequestEnd): void {
--- a/packages/node/src/forward/UncaughtErrors.ts
+++ b/packages/node/src/forward/UncaughtErrors.ts
@@ -1,6 +1,7 @@
 /** Decides what an error takes along that nothing else has handled: the task that threw it, or the node. */
 import type { Millis } from '@bluebellhill/domain'
 
+import { errorText } from '../log/index.js'
 import type { Log } from '../log/index.js'
 
 /** Errors within a period from which on the state of the node counts as broken. */
@@ -41,7 +42,7 @@
     this.#count += 1
     this.#times = [...this.#times.filter((at) => now - at < PERIOD), now]
     const isBroken = this.#times.length >= MAX_ERRORS
-    log.error(isBroken ? 'node.failed' : 'node.task_failed', { errors: this.#count, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+    log.error(isBroken ? 'node.failed' : 'node.task_failed', { errors: this.#count, reason: errorText(error) })
     if (isBroken) onBroken()
   }
 }
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -12,6 +12,7 @@
 import type { SocketAddress } from '@bluebellhill/platform'
 
 import { waitingInputRead } from '../../clock/inputTurn.js'
+import { errorText } from '../../log/index.js'
 import type { Forwarding } from '../Forwarding.js'
 import { ErrorScope } from '../ForwardMetrics.js'
 import type { ForwardingContext } from '../types.js'
@@ -170,7 +171,7 @@
   /** An error of this node ends this request, and not the process with all others. It may have been sent, so that it gets no status. */
   #failInternally (request: IncomingMessage, response: ServerResponse, error: unknown): void {
     const { log, metrics } = this.#context
-    log.error('request.failed_internally', { request: decodeCallerHeaders(request.headers).attemptId ?? undefined, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+    log.error('request.failed_internally', { request: decodeCallerHeaders(request.headers).attemptId ?? undefined, reason: errorText(error) })
     metrics.errorContained(ErrorScope.Request)
     breakConnection(response)
   }
--- a/packages/node/src/forward/main.ts
+++ b/packages/node/src/forward/main.ts
@@ -3,7 +3,7 @@
 import type { PlatformSettings } from '@bluebellhill/platform'
 
 import { monotonicNow } from '../clock/monotonic.js'
-import { BoundedOutput, LogLevel, openLog } from '../log/index.js'
+import { BoundedOutput, errorText, LogLevel, openLog } from '../log/index.js'
 import type { Log } from '../log/index.js'
 import { ForwardNode } from './ForwardNode.js'
 import { readSettings, SettingsFile } from './SettingsFile.js'
@@ -50,5 +50,5 @@
 }
 
 const logFailure = (log: Log, error: unknown): void => {
-  log.error('node.failed', { reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+  log.error('node.failed', { reason: errorText(error) })
 }
--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -12,6 +12,7 @@
 import type { FleetState, FleetStateSnapshot, FleetStateVersion } from '../FleetState.js'
 import { ErrorScope, StateHop } from '../ForwardMetrics.js'
 import type { ForwardMetrics } from '../ForwardMetrics.js'
+import { errorText } from '../../log/index.js'
 import type { Log } from '../../log/index.js'
 import { isRelayed } from '../relay/relayHeaders.js'
 import type { FleetStateSource } from './PeerLink.js'
@@ -143,7 +144,7 @@
     try {
       await this.#fetchOnce()
     } catch (error) {
-      this.#options.log.error('peers.catch_up_error', { reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+      this.#options.log.error('peers.catch_up_error', { reason: errorText(error) })
       this.#options.metrics.errorContained(ErrorScope.Task)
     } finally {
       setTimeout(() => this.#fetchEnded(), REPEAT_DELAY)
--- a/packages/node/src/forward/store/NodeRegistration.ts
+++ b/packages/node/src/forward/store/NodeRegistration.ts
@@ -5,6 +5,7 @@
 import { describeFailure, isSocketAddress } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
 
+import { errorText } from '../../log/index.js'
 import type { Log } from '../../log/index.js'
 
 /** Time after which the entry of a node that no longer renews it expires. */
@@ -84,7 +85,7 @@
 
   /** The next refresh tries again. */
   #failed (error: unknown): false {
-    this.#options.log.error('nodes.refresh_failed', { reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+    this.#options.log.error('nodes.refresh_failed', { reason: errorText(error) })
     return false
   }
 
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -11,6 +11,7 @@
 import type { FleetState } from '../FleetState.js'
 import { ErrorScope, StateHop } from '../ForwardMetrics.js'
 import type { ForwardMetrics } from '../ForwardMetrics.js'
+import { errorText } from '../../log/index.js'
 import type { Log } from '../../log/index.js'
 import type { StoreAvailability } from './StoreAvailability.js'
 import { PROBE_TIMEOUT } from './StoreProbe.js'
@@ -204,7 +205,7 @@
       try {
         await this.#syncPrefix(synced)
       } catch (error) {
-        log.error('store.sync_failed', { prefix: synced.prefix, reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+        log.error('store.sync_failed', { prefix: synced.prefix, reason: errorText(error) })
         metrics.errorContained(ErrorScope.Task)
         this.#revisions.ended(synced.prefix)
         await sleep(MAX_RETRY_DELAY)
