Scheduler: the selection of servers in a module of its own

No change of behaviour. The 84 tests of scheduling, quarantine, cold and uneven servers, hedges and evacuation pass.

--- a/packages/node/src/forward/scheduling/Scheduler.ts
+++ b/packages/node/src/forward/scheduling/Scheduler.ts
@@ -1,8 +1,8 @@
 /** Places attempts on backend servers by the assignments, the health and the speed that are known of them. */
 import { randomInt } from 'node:crypto'
 
-import { assignmentId, DomainReachability, EngineTimingModel, FleetAssignments, GroupLoads, HealthSignal, isInGroup, LeastOutstanding, LengthAwarePlacement, Readiness, ServerHealth, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
-import type { Assignment, BackendServer, Candidate, GroupLoad, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerDirectory, SchedulerGroup, ServerLoad, ServerLoads, Service, ServiceLoad, WarmUpBounds } from '@bluebellhill/domain'
+import { assignmentId, EngineTimingModel, FleetAssignments, GroupLoads, isInGroup, LeastOutstanding, LengthAwarePlacement, Readiness, SlowdownEstimator, USABLE_OBJECTIVE_SHARE, callerWaitTime } from '@bluebellhill/domain'
+import type { Assignment, BackendServer, Candidate, GroupLoad, HealthSignal, Millis, NodeId, PlacementChoice, PlacementPolicy, PlacementRequest, RunnerId, SchedulerDirectory, SchedulerGroup, ServerHealth, ServerLoad, ServerLoads, Service, ServiceLoad, WarmUpBounds } from '@bluebellhill/domain'
 
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
@@ -16,6 +16,7 @@
 import { RetryBudgets } from './RetryBudgets.js'
 import type { RetryBounds } from './RetryBudgets.js'
 import { PromisedRoom } from './PromisedRoom.js'
+import { ServerSelection } from './ServerSelection.js'
 import { ServerStatements } from './ServerStatements.js'
 import { spreadReturn } from './spreadReturn.js'
 import { GROUP_CONTEXT, NO_TERMS, PlacementRefusal } from './types.js'
@@ -62,7 +63,6 @@
 /** Keeps the assignments of the nodes that report to this one, and places attempts by them. */
 export class Scheduler {
   readonly assignments: FleetAssignments
-  readonly health = new ServerHealth()
   readonly statements: ServerStatements
   readonly quarantine: NodeQuarantine
   readonly promisedRoom: PromisedRoom
@@ -71,9 +71,9 @@
   readonly admission: AdmissionControl
   readonly unevenServers: UnevenServers
   readonly #groupLoads = new GroupLoads()
-  readonly #domainReachability = new DomainReachability()
   readonly #slowdowns = new SlowdownEstimator()
   readonly #isolated = new IsolatedAttempts()
+  readonly #selection: ServerSelection
   readonly #options: SchedulerOptions
   readonly #enginePolicy: PlacementPolicy
   readonly #plainPolicy: PlacementPolicy
@@ -85,6 +85,7 @@
     this.#options = options
     this.assignments = new FleetAssignments(options.node, randomInt(1, FIRST_NUMBERS))
     this.statements = new ServerStatements({ ...options, coldServers: new ColdServers(options) })
+    this.#selection = new ServerSelection({ ...options, statements: this.statements, slowdowns: this.#slowdowns, isolated: this.#isolated })
     this.quarantine = new NodeQuarantine({ ...options, isLeaving: (server) => this.#isLeaving(server) })
     this.promisedRoom = new PromisedRoom(options.log)
     this.hedges = new HedgePlacement({ ...options, maxRatio: options.hedgeRatio ?? (() => null) })
@@ -96,13 +97,18 @@
     this.assignments.onRoomFreed(() => this.admission.roomFreed())
     options.fleetState.onChange(() => this.admission.roomFreed())
     options.fleetState.onDeparture((id) => {
-      this.health.remove(id)
+      this.#selection.remove(id)
       this.statements.remove(id)
       this.#slowdowns.remove(id)
       this.unevenServers.remove(id)
     })
   }
 
+  /** Health estimates of backend servers. */
+  get health (): ServerHealth {
+    return this.#selection.health
+  }
+
   /**
    * Places an attempt and records its assignment.
    *
@@ -121,11 +127,11 @@
     if (isTrial && !this.#mayGrantTrial(spec, context)) return { type: 'refused', reason: PlacementRefusal.Quarantined, retryAfter: null }
     const now = this.#options.clock()
     const loads = this.promisedRoom.loadsFor(spec, this.#loads(now), now)
-    const permitted = this.#permittedServers(spec, service)
-    const open = this.#openServers(permitted, context, now)
-    const apart = this.#candidatesApart(spec, withoutHeld(this.#candidates(open, now), terms), loads)
+    const permitted = this.#selection.permitted(spec, service)
+    const open = this.#selection.open(permitted, context, now)
+    const apart = this.#selection.candidatesApart(spec, withoutHeld(this.#selection.candidates(open, now), terms), loads)
     if (apart === null) return { type: 'refused', reason: PlacementRefusal.SuspectsInProgress, retryAfter: ISOLATION_RETRY_AFTER }
-    const candidates = spec.isHedge === true ? this.hedges.select(spec, this.#hedgeCandidates(apart, now), loads) : apart
+    const candidates = spec.isHedge === true ? this.hedges.select(spec, this.#selection.hedgeCandidates(apart, now), loads) : apart
     if (typeof candidates === 'string') return { type: 'refused', reason: candidates, retryAfter: null }
     if (!terms.isCounted && !this.count(spec)) return { type: 'refused', reason: PlacementRefusal.RetryBudgetSpent, retryAfter: null }
     const best = this.#choose(spec, service, candidates, loads, context, now)
@@ -169,8 +175,8 @@
     const service = fleetState.routeTable?.service(spec.service) ?? null
     if (service === null) return null
     const now = clock()
-    const open = this.#openServers(this.#permittedServers(spec, service), GROUP_CONTEXT, now)
-    return this.#requestOf(spec, service, this.#candidates(open, now), this.promisedRoom.loadsFor(spec, this.#loads(now), now), GROUP_CONTEXT, now)
+    const open = this.#selection.open(this.#selection.permitted(spec, service), GROUP_CONTEXT, now)
+    return this.#requestOf(spec, service, this.#selection.candidates(open, now), this.promisedRoom.loadsFor(spec, this.#loads(now), now), GROUP_CONTEXT, now)
   }
 
   /**
@@ -232,11 +238,7 @@
    * @param reporter - node that made the attempt
    */
   recordHealthSignal (server: BackendServer, signal: HealthSignal, reporter: NodeId = this.#options.node): void {
-    const { log, clock } = this.#options
-    const { id, service, failureDomain } = server
-    if (this.health.observe(id, signal, clock())) log.warn('server.avoided', { server: id, service, evidence: signal, reporter })
-    if (signal !== HealthSignal.Unreachable) this.#domainReachability.recordSuccess(failureDomain)
-    else if (this.#domainReachability.recordFailure(failureDomain, id, clock())) log.warn('domain.avoided', { server_domain: failureDomain, server: id, service, reporter })
+    this.#selection.recordHealthSignal(server, signal, reporter)
   }
 
   /**
@@ -289,21 +291,6 @@
     return isGroupDecision && isFirstGroup && this.quarantine.isTrialDue(trialParts)
   }
 
-  /**
-   * A suspected request gets a server without another one, so that a crash tells them apart; all other requests avoid that server if they can.
-   *
-   * @returns null if the request has to wait for others like it
-   */
-  #candidatesApart ({ isolatedAs }: PlacementSpec, candidates: readonly Candidate[], loads: ServerLoads): readonly Candidate[] | null {
-    const inProgress = this.#isolated.inProgress(loads)
-    if (inProgress.length === 0) return candidates
-    const occupied = new Set(inProgress.map(({ server }) => server))
-    const apart = candidates.filter(({ server }) => !occupied.has(server.id))
-    if (isolatedAs === undefined) return apart.length > 0 ? apart : candidates
-    const isTwinInProgress = inProgress.some(({ suspect }) => suspect === isolatedAs)
-    return isTwinInProgress || (apart.length === 0 && candidates.length > 0) ? null : apart
-  }
-
   #choose (spec: PlacementSpec, service: Service, candidates: readonly Candidate[], loads: ServerLoads, context: PlacementContext, now: Millis): PlacementChoice | null {
     if (candidates.length === 0) return null
     const request = this.#requestOf(spec, service, candidates, loads, context, now)
@@ -356,33 +343,6 @@
     else this.assignments.grant(node, draft, number, now, this.#options.runningClock())
   }
 
-  /** The operator's restrictions hold for every choice: a server that they exclude is no owner, helper or holder, and no last resort. */
-  #permittedServers ({ excluded, allowed, regions }: PlacementSpec, service: Service): BackendServer[] {
-    const { servers, restrictions } = this.#options.fleetState
-    const permitted = servers.ready(service.name).filter((server) => restrictions.permits(server, regions))
-    return permitted.filter(({ id }) => !excluded.includes(id) && (allowed === null || allowed.includes(id)))
-  }
-
-  #openServers (permitted: readonly BackendServer[], { limitShare }: PlacementContext, now: Millis): BackendServer[] {
-    return permitted.filter((server) => !this.statements.notices.isLeaving(server) && this.statements.waitTime(server, limitShare, now) === 0)
-  }
-
-  #candidates (permitted: readonly BackendServer[], now: Millis): Candidate[] {
-    const { group } = this.#options
-    const reachable = permitted.filter(({ failureDomain }) => !this.#domainReachability.isAvoided(failureDomain, now))
-    const healthy = reachable.filter(({ id }) => !this.health.isAvoided(id, now))
-    const inGroup = healthy.filter(({ failureDomain }) => isInGroup(group(), failureDomain))
-    const usable = [inGroup, healthy, reachable, permitted].find((servers) => servers.length > 0) ?? []
-    return usable.map((server) => ({ server, slowdown: this.#slowdowns.slowdown(server.id, now) }))
-  }
-
-  /** The choice of a first attempt falls back to servers that are avoided, and uses cold ones within their limits; a hedge is better not sent. */
-  #hedgeCandidates (candidates: readonly Candidate[], now: Millis): Candidate[] {
-    const { coldServers } = this.statements
-    const isAvoided = ({ id, failureDomain }: BackendServer): boolean => this.#domainReachability.isAvoided(failureDomain, now) || this.health.isAvoided(id, now)
-    return candidates.filter(({ server }) => !isAvoided(server) && coldServers.left(server) === 0)
-  }
-
   #countRequest (service: string): void {
     this.#retryBudgets.countRequest(service)
     this.hedges.countRequest(service)
