Stop: log what is read after it began, and count what its end cuts off

What a stopping node takes late and what it cuts off could not be told from the logs: node.stopped gave no number, and nothing compared the arrival of a request with the time until the connections are closed.

Each request whose last byte is read after the stop began gets a line with the time of its head and its last byte, the time left and its deadline; node.stopped counts what the end of the grace has ended, by stage. The time of the end is kept in a class of its own (NodeStop).

--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -213,12 +213,18 @@
     const { settings, log } = this.#options
     const { stopGrace } = settings.current
     const startedAt = monotonicNow()
-    log.info('node.stopping', { open_requests: this.#entryServer.openRequests })
+    log.info('node.stopping', { open_requests: this.#entryServer.openRequests, grace_ms: Math.round(stopGrace * STOP_GRACE_SHARE) })
     this.#peerLink.announceStopping()
     await this.#entryServer.stop(stopGrace * STOP_GRACE_SHARE)
     settings.dispose()
     await this.#disposables.dispose()
-    log.info('node.stopped', { after_ms: Math.round(monotonicNow() - startedAt), open_requests: this.#entryServer.openRequests })
+    const cutOff = this.#entryServer.cutOffByStage()
+    log.info('node.stopped', {
+      after_ms: Math.round(monotonicNow() - startedAt),
+      open_requests: this.#entryServer.openRequests,
+      cut_off: [...cutOff.values()].reduce((sum, count) => sum + count, 0),
+      cut_off_stages: [...cutOff].map(([stage, count]) => `${stage}:${count}`).join(',') || undefined
+    })
   }
 
   async #startComponents (): Promise<void> {
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -103,7 +103,7 @@
   }
 
   /** How far the request has come. */
-  protected get stage (): RequestStage {
+  get stage (): RequestStage {
     if (this.hasStartedAnswer) return RequestStage.Answer
     if (this.#progress.attempt === null) return RequestStage.Placement
     return this.#progress.attempt.serverCall === null ? RequestStage.Reservation : RequestStage.Sent
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -13,6 +13,7 @@
 
 import { waitingInputRead } from '../../clock/inputTurn.js'
 import { errorText } from '../../log/index.js'
+import type { AdmittedCall } from '../AdmittedCall.js'
 import type { Forwarding } from '../Forwarding.js'
 import { ErrorScope } from '../ForwardMetrics.js'
 import type { ForwardingContext } from '../types.js'
@@ -20,6 +21,7 @@
 import { StreamForwarding } from '../StreamForwarding.js'
 import { RELAY_HEADER, SERVER_ANSWER } from '../relay/relayHeaders.js'
 import { CloseCause, recordUnanswered, RequestStage } from '../unansweredRequests.js'
+import { NodeStop } from '../stop/NodeStop.js'
 import { CallerConnections } from './CallerConnections.js'
 import { breakConnection } from './breakConnection.js'
 import { acceptHead, admit, readCallerBody, timeAllowed } from './admit.js'
@@ -60,11 +62,12 @@
   readonly #context: ForwardingContext
   readonly #openRequests = new Map<ServerResponse, OpenRequest>()
   readonly #connections: CallerConnections
-  #stoppedAt: Millis | null = null
+  readonly #stop: NodeStop
 
   /** @param context - objects that all requests share */
-  constructor (context: ForwardingContext) {
-    this.#context = context
+  constructor (context: Omit<ForwardingContext, 'stop'>) {
+    this.#stop = new NodeStop(context.clock)
+    this.#context = { ...context, stop: this.#stop }
     this.#connections = new CallerConnections(context.clock)
     this.#server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_PERIOD, requestTimeout: 0, noDelay: true }, (request, response) => {
       void this.#serve(request, response, false)
@@ -80,6 +83,11 @@
     return this.#openRequests.size
   }
 
+  /** @returns the number of requests that the end of the stop grace has ended, by how far they had come */
+  cutOffByStage (): ReadonlyMap<RequestStage, number> {
+    return this.#stop.cutOffByStage()
+  }
+
   /**
    * @param address - address to listen at; port 0 selects a free port
    * @returns the port
@@ -96,7 +104,7 @@
    * @param grace - time after which all connections are closed
    */
   async stop (grace: Millis): Promise<void> {
-    this.#stoppedAt = this.#context.clock()
+    this.#stop.begin(grace)
     for (const response of this.#openRequests.keys()) closeConnectionAfter(response)
     const closed = once(this.#server, 'close')
     await this.#queueAccepted()
@@ -109,7 +117,7 @@
     await closed
     // The other nodes may not have heard of the stop yet when the last request is answered.
     do await sleep(Math.min(grace, RELAYED_CHECK_PERIOD))
-    while (this.#openRequests.size > 0 && this.#context.clock() - this.#stoppedAt < grace)
+    while (this.#openRequests.size > 0 && this.#stop.timeLeft > 0)
     clearInterval(idleSweep)
     clearTimeout(forcedClose)
   }
@@ -128,6 +136,7 @@
   #closeAll (): void {
     const { clock } = this.#context
     for (const { request, arrivedAt, forwarding } of this.#openRequests.values()) {
+      this.#stop.cutOff(forwarding?.stage ?? RequestStage.Reading)
       if (forwarding !== null) forwarding.breakOff()
       else recordUnanswered(this.#context, { id: decodeCallerHeaders(request.headers).attemptId, stage: RequestStage.Reading, cause: CloseCause.StopGraceOver, problem: '', took: clock() - arrivedAt })
     }
@@ -159,7 +168,7 @@
     this.#openRequests.set(response, open)
     this.#connections.track(request.socket, response)
     response.once('close', () => { this.#openRequests.delete(response) })
-    if (this.#stoppedAt !== null) closeConnectionAfter(response)
+    if (this.#stop.isUnderWay) closeConnectionAfter(response)
     try {
       const cause = await this.#forward(open, response, isRelayed)
       if (cause !== null) this.#refuse(request, response, cause)
@@ -181,7 +190,7 @@
     const { request, arrivedAt } = open
     const table = this.#context.fleetState.routeTable
     if (table === null) return RefusalCause.Starting
-    if (this.#stoppedAt !== null && arrivedAt - this.#stoppedAt > ACCEPT_PERIOD_AFTER_STOP) return RefusalCause.Stopping
+    if ((this.#stop.after(arrivedAt) ?? 0) > ACCEPT_PERIOD_AFTER_STOP) return RefusalCause.Stopping
     const head = acceptHead(request, table, isRelayed)
     if (!head.ok) return head.failure
     const { buffers } = this.#context
@@ -192,6 +201,7 @@
     const call = admit(request, head.value, body.value, table, arrivedAt)
     if (!call.ok) return call.failure
     if (isRelayed && this.#context.relay.checks.isUnreachable(call.value.service.name)) return RefusalCause.Unreachable
+    this.#logIfStopping(call.value, isRelayed)
     open.forwarding = call.value.route.kind === CallKind.Stream
       ? new StreamForwarding(this.#context, call.value, response)
       : new PlainForwarding(this.#context, call.value, response)
@@ -199,6 +209,25 @@
     return null
   }
 
+  /** Tells what a stopping node has taken, and how much time it had for it. */
+  #logIfStopping ({ id, route, service, arrivedAt, deadlineAt }: AdmittedCall, isRelayed: boolean): void {
+    const { clock, log } = this.#context
+    const now = clock()
+    const headAfterStop = this.#stop.after(arrivedAt)
+    const readAfterStop = this.#stop.after(now)
+    if (headAfterStop === null || readAfterStop === null) return
+    log.info('request.read_after_stop', {
+      request: id,
+      route: route.name,
+      service: service.name,
+      head_after_ms: Math.round(headAfterStop),
+      read_after_ms: Math.round(readAfterStop),
+      left_ms: Math.round(this.#stop.timeLeft),
+      deadline_in_ms: Math.round(deadlineAt - now),
+      relayed: isRelayed || undefined
+    })
+  }
+
   #refuseMalformed (error: NodeJS.ErrnoException, socket: Socket): void {
     if (!socket.writable || error.code === 'ECONNRESET') {
       socket.destroy()
--- a/packages/node/tests/callerConnections.test.ts
+++ b/packages/node/tests/callerConnections.test.ts
@@ -200,3 +200,31 @@
     t.regex(received(), /^HTTP\/1\.1 200 .*answer$/s)
   })
 }
+
+// Guards against a stop of which the logs do not tell what the node took late.
+test('a request that is read after the stop began is logged with the time that was left', async (t) => {
+  const fixture = await ForwardFixture.start(t, answers)
+  const { socket } = await openCaller(t, fixture)
+  socket.write(`${headText('/patient/x', 'content-length: 4')}bo`)
+  await until(() => fixture.entry.openRequests === 1)
+  const stopped = fixture.entry.stop(10_000)
+  await sleep(200)
+  socket.write('dy')
+  await stopped
+  const fields = /request=a route=patient service=s head_after_ms=(-?\d+) read_after_ms=(\d+) left_ms=(\d+) deadline_in_ms=\d+/.exec(fixture.linesOf('request.read_after_stop')[0] ?? '')
+  const [head = NaN, read = NaN, left = NaN] = (fields ?? []).slice(1).map(Number)
+  t.true(head <= 0)
+  t.true(read >= 195)
+  t.true(Math.abs(read + left - 10_000) <= 2)
+})
+
+// Guards against a stop of which the logs do not tell how many requests its end has cut off.
+test('the requests that the end of the stop grace cuts off are counted by their stage', async (t) => {
+  const fixture = await ForwardFixture.start(t, () => {})
+  const [sent, reading] = [await openCaller(t, fixture), await openCaller(t, fixture)]
+  sent.socket.write(headText('/patient/x', 'content-length: 0'))
+  reading.socket.write(headText('/patient/x', 'content-length: 9'))
+  await until(() => fixture.entry.openRequests === 2 && fixture.linesOf('request.sent').length === 1)
+  await fixture.entry.stop(50)
+  t.deepEqual(Object.fromEntries(fixture.entry.cutOffByStage()), { sent: 1, reading: 1 })
+})
