Stop: refuse what is read too late to be answered, so that its caller goes to another node

Callers saw: in a planned stop of one node, in calm, requests whose head came before the SIGTERM and whose last byte came 5 to 7 s after it were taken, sent to a server, and cut off at 7.2 s without an answer (LOST), also requests that may run once only.

Cause: the accept period after the stop was compared with the arrival of the head only. Nothing compared the time that a request takes with the time until the connections are closed, which the node knows.

All else gets 503 stopping, Retry-After 0, at once: it has not run, and another node takes it.

--- a/packages/domain/src/forwarding/index.ts
+++ b/packages/domain/src/forwarding/index.ts
@@ -1,6 +1,7 @@
 export * from './admission/index.js'
 export * from './types.js'
 export * from './assignment.js'
+export * from './AnswerTimes.js'
 export * from './AttemptHistory.js'
 export * from './BackendServerTable.js'
 export * from './BufferAccount.js'
--- a/packages/node/src/forward/AnswerReceiver.ts
+++ b/packages/node/src/forward/AnswerReceiver.ts
@@ -132,7 +132,7 @@
   }
 
   #answerEnded (attempt: OpenAttempt, body: Buffer): void {
-    const { host: { context, ending, close }, silence, handler } = this.#options
+    const { host: { context, call, ending, close }, silence, handler } = this.#options
     if (silence.has(attempt) && !handler.isAnswerWhole(attempt)) {
       this.#connectionEnded(attempt, 'the answer ended before it was complete')
       return
@@ -150,6 +150,7 @@
       attempt.watch?.completed()
       this.#raceEnded(attempt)
       close(attempt, HealthSignal.Good, this.#serviceTimeOf(attempt))
+      context.forecast.answered(call, context.clock() - attempt.sentAt)
       ending.answered(head.status)
     } else {
       this.#connectionEnded(attempt, 'the answer ended before it was complete')
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -21,6 +21,7 @@
 import { StreamForwarding } from '../StreamForwarding.js'
 import { RELAY_HEADER, SERVER_ANSWER } from '../relay/relayHeaders.js'
 import { CloseCause, recordUnanswered, RequestStage } from '../unansweredRequests.js'
+import { AnswerForecast } from '../stop/AnswerForecast.js'
 import { NodeStop } from '../stop/NodeStop.js'
 import { CallerConnections } from './CallerConnections.js'
 import { breakConnection } from './breakConnection.js'
@@ -65,9 +66,9 @@
   readonly #stop: NodeStop
 
   /** @param context - objects that all requests share */
-  constructor (context: Omit<ForwardingContext, 'stop'>) {
+  constructor (context: Omit<ForwardingContext, 'stop' | 'forecast'>) {
     this.#stop = new NodeStop(context.clock)
-    this.#context = { ...context, stop: this.#stop }
+    this.#context = { ...context, stop: this.#stop, forecast: new AnswerForecast() }
     this.#connections = new CallerConnections(context.clock)
     this.#server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_PERIOD, requestTimeout: 0, noDelay: true }, (request, response) => {
       void this.#serve(request, response, false)
@@ -201,7 +202,7 @@
     const call = admit(request, head.value, body.value, table, arrivedAt)
     if (!call.ok) return call.failure
     if (isRelayed && this.#context.relay.checks.isUnreachable(call.value.service.name)) return RefusalCause.Unreachable
-    this.#logIfStopping(call.value, isRelayed)
+    if (this.#stop.isUnderWay && !this.#canAnswer(call.value)) return RefusalCause.Stopping
     open.forwarding = call.value.route.kind === CallKind.Stream
       ? new StreamForwarding(this.#context, call.value, response)
       : new PlainForwarding(this.#context, call.value, response)
@@ -209,23 +210,26 @@
     return null
   }
 
-  /** Tells what a stopping node has taken, and how much time it had for it. */
-  #logIfStopping ({ id, route, service, arrivedAt, deadlineAt }: AdmittedCall, isRelayed: boolean): void {
-    const { clock, log } = this.#context
+  /** Returns whether a stopping node will still be there to answer a request that has just been read; another node can take it otherwise. */
+  #canAnswer (call: AdmittedCall): boolean {
+    const { clock, log, forecast } = this.#context
+    const { id, route, service, arrivedAt, deadlineAt, isRelayed } = call
     const now = clock()
-    const headAfterStop = this.#stop.after(arrivedAt)
-    const readAfterStop = this.#stop.after(now)
-    if (headAfterStop === null || readAfterStop === null) return
+    const longest = forecast.longest(call)
+    const isTaken = now <= this.#stop.latestStart(call, longest)
     log.info('request.read_after_stop', {
       request: id,
       route: route.name,
       service: service.name,
-      head_after_ms: Math.round(headAfterStop),
-      read_after_ms: Math.round(readAfterStop),
+      head_after_ms: Math.round(this.#stop.after(arrivedAt) ?? 0),
+      read_after_ms: Math.round(this.#stop.after(now) ?? 0),
       left_ms: Math.round(this.#stop.timeLeft),
       deadline_in_ms: Math.round(deadlineAt - now),
+      longest_ms: longest === null ? undefined : Math.round(longest),
+      taken: isTaken,
       relayed: isRelayed || undefined
     })
+    return isTaken
   }
 
   #refuseMalformed (error: NodeJS.ErrnoException, socket: Socket): void {
--- a/packages/node/src/forward/types.ts
+++ b/packages/node/src/forward/types.ts
@@ -14,6 +14,7 @@
 import type { Relay } from './relay/Relay.js'
 import type { RelayPeer } from './relay/RelayPeers.js'
 import type { PlacedAttempt } from './scheduling/types.js'
+import type { AnswerForecast } from './stop/AnswerForecast.js'
 import type { NodeStop } from './stop/NodeStop.js'
 
 /** Objects that all requests of a node share. */
@@ -27,6 +28,7 @@
   readonly buffers: NodeBuffers
   readonly relay: Relay
   readonly stop: NodeStop
+  readonly forecast: AnswerForecast
   readonly clock: () => Millis
 }
 
