Stop: begin no attempt that the node cannot see through, and refuse what waits for one in time

Callers saw: requests that waited for a placement, for memory or for a retry at a stopping node were cut off at the end of its grace without an answer, or were sent shortly before it and cut off then. Those that had not run could have been answered by another node.

Cause: only the deadline of a request bounded its waits and attempts; the end of the node did not.

The beginning of each attempt (the first one, retries, hedges, replacements of silent ones, requests passed on to other nodes, those whose memory has just been reserved) is now bounded by the time left, with the predicted first event of the placement that was found; a placement that comes too late is discarded, which tells its scheduler. What waits is refused when the time comes: 503 stopping if it has not run, 502 if it may have. A stream of which the caller has a part goes on as long as the node is there.

--- a/packages/node/src/forward/AttemptSender.ts
+++ b/packages/node/src/forward/AttemptSender.ts
@@ -60,10 +60,17 @@
     const isReserved = await reservations.acquire()
     await context.placement.settled()
     if (progress.attempt !== attempt) return
-    if (isReserved) this.#sendUnlessHindered(attempt, placed)
+    if (isReserved) this.#sendUnlessTooLate(attempt, placed)
     else fail(attempt, AttemptEnd.Unsent, 'reserving KV cache memory failed')
   }
 
+  /** This node may have begun to stop while memory was being reserved. */
+  #sendUnlessTooLate (attempt: OpenAttempt, placed: PlacedAttempt): void {
+    const { startLimit, fail } = this.#options.host
+    if (startLimit.isOver(placed.choice.timeToFirstEvent)) fail(attempt, AttemptEnd.Unsent, 'this node is stopping', null)
+    else this.#sendUnlessHindered(attempt, placed)
+  }
+
   /** A server may have left, or its failure domain may have been evacuated, while the attempt was being placed or memory was being reserved. */
   #sendUnlessHindered (attempt: OpenAttempt, placed: PlacedAttempt): void {
     const { context, fail } = this.#options.host
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -7,7 +7,7 @@
 import type { AdmittedCall } from './AdmittedCall.js'
 import { AnswerReceiver } from './AnswerReceiver.js'
 import type { AnswerHandler } from './AnswerReceiver.js'
-import { AttemptSearch } from './AttemptSearch.js'
+import { AttemptSearch, NODE_STOPPING } from './AttemptSearch.js'
 import { AttemptSender } from './AttemptSender.js'
 import { CallerAnswer } from './buffers/CallerAnswer.js'
 import { RefusalCause } from './entry/refusals.js'
@@ -26,6 +26,7 @@
 import { PlacementRefusal } from './scheduling/types.js'
 import type { RefusedPlacement } from './scheduling/types.js'
 import { SilentReplacement } from './SilentReplacement.js'
+import { StartLimit } from './stop/StartLimit.js'
 import type { ForwardingContext, OpenAttempt } from './types.js'
 import { CloseCause, RequestStage } from './unansweredRequests.js'
 
@@ -40,6 +41,7 @@
   readonly #requestLog: RequestLog
   readonly #ending: RequestEnding
   readonly #search: AttemptSearch
+  readonly #startLimit: StartLimit
   /** Aborted when the request is over. */
   readonly #over = new AbortController()
   readonly #relay: RequestRelay
@@ -71,7 +73,8 @@
     this.#callerAnswer = new CallerAnswer({ buffers: context.buffers, request: call.id, response, onCutOff: (reason) => this.#callerCutOff(reason), onHold: (isHeld) => this.#holdServer(isHeld) })
     this.#guard = new RequestGuard({ quarantine: context.placement.quarantine, call, clock: context.clock, onQuarantined: (verdict) => this.#refuseQuarantined(verdict) })
     this.#relay = new RequestRelay({ context, call, history: this.history, requestLog: this.#requestLog })
-    this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog, signal: this.#over.signal })
+    this.#startLimit = new StartLimit({ context, call, hasStartedAnswer: () => this.hasStartedAnswer, onOver: () => this.#startLimitReached() })
+    this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog, startLimit: this.#startLimit, signal: this.#over.signal })
     const host = this.#createHost()
     this.#silence = new SilentReplacement(host, () => this.#stopWaiting())
     const receiver = new AnswerReceiver({ host, silence: this.#silence, handler: this.#createAnswerHandler() })
@@ -83,9 +86,15 @@
     const { clock } = this.context
     this.response.once('close', () => { if (!this.response.writableFinished) this.#callerDisconnected() })
     this.#deadlineTimer = setTimeout(() => this.#deadlinePassed(), Math.max(0, this.call.deadlineAt - clock()))
+    if (this.context.stop.isUnderWay) this.nodeStopping()
     this.#beginNextAttempt(false)
   }
 
+  /** Ends the wait for a server in time for the caller to ask another node, because this one is stopping. */
+  nodeStopping (): void {
+    this.#startLimit.nodeStopping()
+  }
+
   /** Breaks the connection to the caller, because the stop grace of this node is over. */
   breakOff (): void {
     const { stage } = this
@@ -224,7 +233,7 @@
     if (this.#progress.attemptCount > 0) await this.#relay.checkSettled()
     if (isSuperseded()) return
     const peer = this.#relay.choosePeer()
-    if (peer !== null) {
+    if (peer !== null && !this.#startLimit.isOver()) {
       this.#sender.passOn(peer)
       return
     }
@@ -242,10 +251,27 @@
       this.#refuseQuarantined(quarantine)
       return
     }
-    if (this.#waitsForServer(placement, chargesRetry)) return
-    this.#requestLog.placementRefused(placement)
-    this.#progress.lastProblem ||= placement.reason
-    this.#giveUp(placement)
+    if (!this.#waitsForServer(placement, chargesRetry)) this.#notPlaced(placement)
+  }
+
+  #notPlaced (refusal: RefusedPlacement): void {
+    this.#requestLog.placementRefused(refusal)
+    this.#progress.lastProblem ||= refusal.reason
+    this.#giveUp(refusal)
+  }
+
+  /** What waits for a placement or for memory, and has not been sent, could not be answered in time any more. */
+  #startLimitReached (): void {
+    const { attempt } = this.#progress
+    if (this.#ending.isOver || this.hasStartedAnswer) return
+    if (attempt === null) {
+      // Supersedes the search in progress.
+      this.#searchCount += 1
+      this.#stopWaiting()
+      this.#notPlaced(NODE_STOPPING)
+    } else if (attempt.serverCall === null) {
+      this.failAttempt(attempt, AttemptEnd.Unsent, 'this node is stopping', null)
+    }
   }
 
   /**
@@ -283,6 +309,7 @@
       requestLog: this.#requestLog,
       guard: this.#guard,
       search: this.#search,
+      startLimit: this.#startLimit,
       relay: this.#relay,
       ending: this.#ending,
       progress: this.#progress,
@@ -319,10 +346,14 @@
     } else if (this.history.mayHaveRun) {
       this.#ending.refuse(RefusalCause.AnswerLost, ForwardOutcome.Lost)
     } else {
-      this.#ending.refuse(refusalCauseOf(refusal), ForwardOutcome.Refused, refusal?.retryAfter ?? null)
+      this.#ending.refuse(refusalCauseOf(refusal ?? this.#stoppingRefusal()), ForwardOutcome.Refused, refusal?.retryAfter ?? null)
     }
   }
 
+  #stoppingRefusal (): RefusedPlacement | null {
+    return this.#startLimit.isOver() ? NODE_STOPPING : null
+  }
+
   /** Final, since each repetition could crash another engine. */
   #refuseQuarantined (verdict: QuarantineVerdict): void {
     if (this.#ending.isOver) return
@@ -391,6 +422,7 @@
 
   #releaseAll (): void {
     this.#over.abort()
+    this.#startLimit.dispose()
     this.#silence.closeAll()
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer)
     this.#stopWaiting()
--- a/packages/node/src/forward/ForwardingHost.ts
+++ b/packages/node/src/forward/ForwardingHost.ts
@@ -9,6 +9,7 @@
 import type { RequestEnding } from './RequestEnding.js'
 import type { RequestLog } from './RequestLog.js'
 import type { PlacedAttempt } from './scheduling/types.js'
+import type { StartLimit } from './stop/StartLimit.js'
 import type { ForwardingContext, OpenAttempt, SignedFailure } from './types.js'
 
 /** How far one request has come. */
@@ -29,6 +30,7 @@
   readonly requestLog: RequestLog
   readonly guard: RequestGuard
   readonly search: AttemptSearch
+  readonly startLimit: StartLimit
   readonly relay: RequestRelay
   readonly ending: RequestEnding
   readonly progress: RequestProgress
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -106,7 +106,10 @@
    */
   async stop (grace: Millis): Promise<void> {
     this.#stop.begin(grace)
-    for (const response of this.#openRequests.keys()) closeConnectionAfter(response)
+    for (const [response, { forwarding }] of this.#openRequests) {
+      closeConnectionAfter(response)
+      forwarding?.nodeStopping()
+    }
     const closed = once(this.#server, 'close')
     await this.#queueAccepted()
     // http.Server.close() would also reset connections whose answer has ended but is not written to the socket yet.
--- a/packages/node/src/forward/refusalCause.ts
+++ b/packages/node/src/forward/refusalCause.ts
@@ -14,6 +14,7 @@
  */
 export const refusalCauseOf = (refusal: RefusedPlacement | null): RefusalCause => {
   if (refusal?.reason === PlacementRefusal.DomainsEvacuated) return RefusalCause.DomainsEvacuated
+  if (refusal?.reason === PlacementRefusal.NodeStopping) return RefusalCause.Stopping
   return refusal !== null && isWaitStated(refusal) ? RefusalCause.ServersLimited : RefusalCause.NoServer
 }
 
--- a/packages/node/src/forward/scheduling/types.ts
+++ b/packages/node/src/forward/scheduling/types.ts
@@ -72,7 +72,9 @@
   RetryBudgetSpent: 'retry_budget_spent',
   UnknownService: 'unknown_service',
   /** The operator has evacuated all failure domains whose servers could serve it. */
-  DomainsEvacuated: 'domains_evacuated'
+  DomainsEvacuated: 'domains_evacuated',
+  /** This node is stopping, and its answer would come too late. */
+  NodeStopping: 'node_stopping'
 } as const
 export type PlacementRefusal = typeof PlacementRefusal[keyof typeof PlacementRefusal]
 
--- a/packages/node/tests/stoppingNode.test.ts
+++ b/packages/node/tests/stoppingNode.test.ts
@@ -6,12 +6,13 @@
 import type { ExecutionContext } from 'ava'
 
 import type { Millis } from '@bluebellhill/domain'
-import { HeaderName } from '@bluebellhill/platform'
+import { HeaderName, ORDER_PATH } from '@bluebellhill/platform'
 
+import { SERVICE } from './admissionFleet.js'
 import { headText, openCaller } from './callers.js'
 import type { RawCaller } from './callers.js'
-import { ForwardFixture, signedHeaders } from './forwardFixture.js'
-import type { Script } from './forwardFixture.js'
+import { DEPLOYMENT, ForwardFixture, signedHeaders } from './forwardFixture.js'
+import type { Answer, Script } from './forwardFixture.js'
 import { until } from './quarantineFixture.js'
 
 /** Answers after which a node knows how long those of a route take. */
@@ -84,3 +85,87 @@
   t.regex(caller.received(), /^HTTP\/1\.1 200 .*answer/s)
   await stopped
 })
+
+/** Ends for which a request could be tried again at another server. */
+const FAILURES: ReadonlyArray<{ readonly name: string, readonly fail: Script, readonly status: number, readonly code: string }> = [
+  { name: 'breaks off', fail: (_, __, socket) => { socket.destroy() }, status: 502, code: 'answer_lost' },
+  { name: 'has not run', fail: (request, response) => { response.writeHead(503, { [HeaderName.AttemptId]: String(request.headers[HeaderName.AttemptId]), [HeaderName.NotRun]: '1' }).end() }, status: 503, code: 'stopping' }
+]
+
+// Guards against LOST: a stopping node began a second attempt that it could not see through, and cut the request off.
+for (const { name, fail, status, code } of FAILURES) {
+  test(`a request that ${name} late in a stop is not sent again, and its caller is told`, async (t) => {
+    const runs: string[] = []
+    const known = answersAfter(800, runs)
+    const script: Script = (request, response, socket) => {
+      if (request.url !== '/safe/late') {
+        known(request, response, socket)
+        return
+      }
+      runs.push(request.url)
+      setTimeout(() => fail(request, response, socket), 900)
+    }
+    const fixture = await ForwardFixture.start(t, script, script)
+    await learn(fixture, 'safe')
+    const call = fixture.call('/safe/late')
+    await until(() => runs.includes('/safe/late'))
+    const stopped = fixture.entry.stop(1_500)
+    const answer = await call
+    t.is(answer.status, status)
+    t.true(answer.body.includes(`"code":"${code}"`))
+    await stopped
+    t.is(runs.filter((path) => path === '/safe/late').length, 1)
+  })
+}
+
+/** Gives up with the error of a connection that was closed without an answer. */
+const statusOf = async (call: Promise<Answer>): Promise<number | string> => await call.then(({ status }) => status, String)
+
+// Guards against LOST: a request waited for memory at a stopping node until it was cut off, while another node could have taken it.
+test('a request that waits for memory is refused while its caller can still ask another node', async (t) => {
+  const open: Array<() => void> = []
+  const fixture = await ForwardFixture.start(t, (request, response) => { open.push(() => response.writeHead(200, signedHeaders(request)).end('whole')) })
+  fixture.fleetState.install({ ...DEPLOYMENT, version: 2, services: [{ ...DEPLOYMENT.services[0]!, engine: { ...SERVICE.engine!, memory: 20_000, usualAnswer: 50 } }] }, 'store')
+  const headers = { [HeaderName.PromptSize]: '12000,50' }
+  const first = fixture.call('/patient/x', { headers })
+  await until(() => open.length === 1)
+  const second = fixture.call('/patient/x', { headers })
+  await until(() => fixture.linesOf('request.queued').length === 1)
+  const stopped = fixture.entry.stop(1_500)
+  const { status, body } = await second
+  t.is(status, 503)
+  t.true(body.includes('"code":"stopping"'))
+  open[0]!()
+  t.is(await statusOf(first), 200)
+  await stopped
+  t.is(open.length, 1)
+})
+
+// Guards against LOST: a request waited for memory on other engines until it was cut off, or was sent with no time left for its answer.
+test('a request whose memory is not reserved in time is refused, and not sent', async (t) => {
+  const sent: string[] = []
+  const open: Array<() => void> = []
+  let orders = 0
+  const script: Script = (request, response) => {
+    if (request.url === ORDER_PATH) {
+      orders += 1
+      return
+    }
+    sent.push(String(request.url))
+    open.push(() => response.writeHead(200, signedHeaders(request)).end('id: 1\ndata: {}\n\n'))
+  }
+  const fixture = await ForwardFixture.start(t, script, script)
+  fixture.fleetState.install({ ...DEPLOYMENT, version: 2, services: [{ ...DEPLOYMENT.services[0]!, engine: SERVICE.engine }] }, 'store')
+  const call = async (path: string, prompt: number): Promise<Answer> => await fixture.call(path, { headers: { [HeaderName.PromptSize]: `${prompt},1400` } })
+  const occupying = [call('/stream/a', 120_000), call('/stream/b', 120_000)]
+  await until(() => sent.length === 2)
+  const long = call('/stream/long', 60_000)
+  await until(() => orders > 0)
+  t.is(orders, 1)
+  const stopped = fixture.entry.stop(4_000)
+  t.is((await long).status, 503)
+  for (const answer of open) answer()
+  for (const answer of occupying) t.is(await statusOf(answer), 200)
+  await stopped
+  t.false(sent.includes('/stream/long'))
+})
