Stop: tell the callers of unfinished requests whether they may have run, in place of a reset

Callers saw: at the end of the stop grace their connections were closed without a byte, also those of requests that had never been sent. A closed connection promises nothing, so that a request that may run once was not repeated although it could have been.

Cause: the end of the grace aborted each request without a status, as it must with a stream that has begun.

What has nothing of an answer now gets a complete one: 503 stopping if it has not run, also while it is still being read, 502 if it may have run, or the failure that a server has answered before. Their callers have a twentieth of the stop grace to read it before the connections are closed. Streams of which the caller has a part are broken off as before. A body whose last bytes come after the refusal is not sent. The log line, its stage and the metric stay, and count requests whose answer was not read too; their descriptions say so.

--- a/packages/node/src/forward/ForwardMetrics.ts
+++ b/packages/node/src/forward/ForwardMetrics.ts
@@ -35,7 +35,7 @@
   readonly registry = new Registry()
   readonly #endedRequests = new Counter({ name: 'bluebellhill_requests_total', help: 'Requests that ended, by kind and outcome', labelNames: ['kind', 'outcome'], registers: [this.registry] })
   readonly #refusedRequests = new Counter({ name: 'bluebellhill_refusals_total', help: 'Requests refused at the entry, by cause', labelNames: ['cause'], registers: [this.registry] })
-  readonly #closedConnections = new Counter({ name: 'bluebellhill_unanswered_total', help: 'Requests whose connection was closed by this node before their answer was complete, by stage and cause', labelNames: ['stage', 'cause'], registers: [this.registry] })
+  readonly #closedConnections = new Counter({ name: 'bluebellhill_unanswered_total', help: 'Requests that this node ended before the complete answer of a backend server had been read: by closing the connection, or at the end of its stop by an answer of its own, by stage and cause', labelNames: ['stage', 'cause'], registers: [this.registry] })
   readonly #hedges = new Counter({ name: 'bluebellhill_hedges_total', help: 'Second attempts beside late ones: sent, and won by the second', labelNames: ['result'], registers: [this.registry] })
   readonly #refusedHedges = new Counter({ name: 'bluebellhill_hedges_refused_total', help: 'Second attempts that were due and not sent, by cause', labelNames: ['cause'], registers: [this.registry] })
   readonly #containedErrors = new Counter({ name: 'bluebellhill_errors_contained_total', help: 'Errors of this node, by what each of them has ended', labelNames: ['scope'], registers: [this.registry] })
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -43,6 +43,9 @@
 /** Share of the stop grace after a SIGTERM in which requests in progress may finish. */
 const STOP_GRACE_SHARE = 0.9
 
+/** Share of the stop grace after that in which the callers can read what they are told of requests that have not finished. */
+const WRITE_OUT_SHARE = 0.05
+
 export interface ForwardNodeOptions {
   readonly settings: SettingsFile
   readonly log: Log
@@ -215,7 +218,7 @@
     const startedAt = monotonicNow()
     log.info('node.stopping', { open_requests: this.#entryServer.openRequests, grace_ms: Math.round(stopGrace * STOP_GRACE_SHARE) })
     this.#peerLink.announceStopping()
-    await this.#entryServer.stop(stopGrace * STOP_GRACE_SHARE)
+    await this.#entryServer.stop(stopGrace * STOP_GRACE_SHARE, stopGrace * WRITE_OUT_SHARE)
     settings.dispose()
     await this.#disposables.dispose()
     const cutOff = this.#entryServer.cutOffByStage()
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -95,15 +95,22 @@
     this.#startLimit.nodeStopping()
   }
 
-  /** Breaks the connection to the caller, because the stop grace of this node is over. */
+  /** Whether the outcome is known; the caller may not have read it yet. */
+  get isOver (): boolean {
+    return this.#ending.isOver
+  }
+
+  /** Ends the request, because the stop grace of this node is over. A caller that has nothing of an answer is told whether its request may have run. */
   breakOff (): void {
     const { stage } = this
-    if (this.#ending.isOver) {
-      this.#ending.recordUnanswered(CloseCause.StopGraceOver, stage, 'the caller has not read its answer')
-      return
-    }
-    if (this.#progress.attempt !== null) this.#closeAttempt(this.#progress.attempt)
-    this.#ending.abort(ForwardOutcome.Lost, CloseCause.StopGraceOver, stage)
+    if (this.#ending.isOver) return
+    const mayHaveRun = this.#closeLastAttempt()
+    this.#ending.breakOff(CloseCause.StopGraceOver, stage, { hasStartedAnswer: this.hasStartedAnswer, mayHaveRun, signedFailure: this.#progress.signedFailure })
+  }
+
+  /** Records that the connections are closed while the caller has not read its answer. */
+  recordUnread (): void {
+    this.#ending.recordUnanswered(CloseCause.StopGraceOver, this.stage, 'the caller has not read its answer')
   }
 
   /** Attempt in progress; null while one is being placed. */
--- a/packages/node/src/forward/RequestEnding.ts
+++ b/packages/node/src/forward/RequestEnding.ts
@@ -6,8 +6,7 @@
 
 import type { AdmittedCall } from './AdmittedCall.js'
 import { withContentLength } from './answerHeads.js'
-import { refuse } from './entry/refusals.js'
-import type { RefusalCause } from './entry/refusals.js'
+import { RefusalCause, refuse } from './entry/refusals.js'
 import { ForwardOutcome } from './ForwardOutcome.js'
 import type { RequestLog } from './RequestLog.js'
 import type { ForwardingContext, SignedFailure } from './types.js'
@@ -27,6 +26,16 @@
   readonly answerFields: Record<string, unknown>
 }
 
+/** How far a request had come that is broken off. */
+export interface BrokenOffRequest {
+  /** Whether the caller has a part of the answer. */
+  readonly hasStartedAnswer: boolean
+  /** Whether a backend server may have run it. */
+  readonly mayHaveRun: boolean
+  /** Failure that a backend server has answered; null if there is none. */
+  readonly signedFailure: SignedFailure | null
+}
+
 export interface RequestEndingOptions {
   readonly context: ForwardingContext
   readonly call: AdmittedCall
@@ -95,7 +104,26 @@
     breakConnection(response)
   }
 
-  /** Records that the connection to the caller is closed before the complete answer has been read. */
+  /**
+   * Ends a request that this node can no longer wait for: with a complete answer that says whether it may have run, unless a part of another answer has
+   * been sent.
+   *
+   * @param cause - why it is not waited for
+   * @param stage - how far it had come
+   * @param request - what has become of it
+   */
+  breakOff (cause: CloseCause, stage: RequestStage, { hasStartedAnswer, mayHaveRun, signedFailure }: BrokenOffRequest): void {
+    if (hasStartedAnswer) {
+      this.abort(ForwardOutcome.Lost, cause, stage)
+      return
+    }
+    this.recordUnanswered(cause, stage, this.#options.summary().problem)
+    if (signedFailure !== null) this.returnFailure(signedFailure)
+    else if (mayHaveRun) this.refuse(RefusalCause.AnswerLost, ForwardOutcome.Lost)
+    else this.refuse(RefusalCause.Stopping, ForwardOutcome.Refused)
+  }
+
+  /** Records that this node ends the request before the complete answer of a backend server has been read. */
   recordUnanswered (cause: CloseCause, stage: RequestStage, problem: string): void {
     const { context, call } = this.#options
     recordUnanswered(context, { id: call.id, stage, cause, problem, took: context.clock() - call.arrivedAt })
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -43,6 +43,9 @@
 /** Time after `stop` in which requests on open connections are still accepted; later ones could not finish in time. */
 const ACCEPT_PERIOD_AFTER_STOP: Millis = 2_000
 
+/** Time in which the callers of requests that the end of the stop grace has ended can read what they are told, before their connections are closed. */
+const WRITE_OUT_TIME: Millis = 200
+
 /** Length of the queue of connections that the operating system has established for the server, the default of Node.js. */
 const CONNECTION_QUEUE = 511
 
@@ -55,6 +58,8 @@
   readonly arrivedAt: Millis
   /** Null until the request is read. */
   forwarding: Forwarding | null
+  /** Whether the end of the stop grace has ended it. */
+  isCutOff: boolean
 }
 
 /** HTTP server for callers. */
@@ -102,9 +107,12 @@
   /**
    * Accepts no more connections, and waits until requests in progress have finished.
    *
-   * @param grace - time after which all connections are closed
+   * @param grace - time after which the requests without an answer are ended
+   * @param writeOutTime - time after that in which the callers can read what they are told, before all connections are closed
    */
-  async stop (grace: Millis): Promise<void> {
+  async stop (grace: Millis, writeOutTime: Millis = WRITE_OUT_TIME): Promise<void> {
+    const { clock } = this.#context
+    const closesAt = clock() + grace + writeOutTime
     this.#stop.begin(grace)
     for (const [response, { forwarding }] of this.#openRequests) {
       closeConnectionAfter(response)
@@ -117,12 +125,14 @@
     await waitingInputRead()
     this.#connections.closeIdle()
     const idleSweep = setInterval(() => this.#connections.closeIdle(), IDLE_SWEEP_PERIOD)
-    const forcedClose = setTimeout(() => this.#closeAll(), grace)
+    const graceEnd = setTimeout(() => this.#cutOffAll(), grace)
+    const forcedClose = setTimeout(() => this.#closeAll(), grace + writeOutTime)
     await closed
     // The other nodes may not have heard of the stop yet when the last request is answered.
     do await sleep(Math.min(grace, RELAYED_CHECK_PERIOD))
-    while (this.#openRequests.size > 0 && this.#stop.timeLeft > 0)
+    while (this.#openRequests.size > 0 && clock() < closesAt)
     clearInterval(idleSweep)
+    clearTimeout(graceEnd)
     clearTimeout(forcedClose)
   }
 
@@ -136,13 +146,30 @@
     }
   }
 
-  /** Closes all connections, also those of requests that have no complete answer. */
+  /** Ends all requests without an answer. */
+  #cutOffAll (): void {
+    for (const [response, open] of this.#openRequests) if (open.forwarding?.isOver !== true) this.#cutOff(open, response)
+  }
+
+  #cutOff (open: OpenRequest, response: ServerResponse): void {
+    const { request, arrivedAt, forwarding } = open
+    open.isCutOff = true
+    this.#stop.cutOff(forwarding?.stage ?? RequestStage.Reading)
+    if (forwarding !== null) {
+      forwarding.breakOff()
+      return
+    }
+    const { attemptId } = decodeCallerHeaders(request.headers)
+    recordUnanswered(this.#context, { id: attemptId, stage: RequestStage.Reading, cause: CloseCause.StopGraceOver, problem: '', took: this.#context.clock() - arrivedAt })
+    this.#refuse(request, response, RefusalCause.Stopping)
+  }
+
+  /** Closes all connections, also those on which an answer has not been read completely. */
   #closeAll (): void {
-    const { clock } = this.#context
-    for (const { request, arrivedAt, forwarding } of this.#openRequests.values()) {
-      this.#stop.cutOff(forwarding?.stage ?? RequestStage.Reading)
-      if (forwarding !== null) forwarding.breakOff()
-      else recordUnanswered(this.#context, { id: decodeCallerHeaders(request.headers).attemptId, stage: RequestStage.Reading, cause: CloseCause.StopGraceOver, problem: '', took: clock() - arrivedAt })
+    for (const { forwarding, isCutOff } of this.#openRequests.values()) {
+      if (forwarding === null || isCutOff) continue
+      this.#stop.cutOff(forwarding.stage)
+      forwarding.recordUnread()
     }
     this.#server.closeAllConnections()
   }
@@ -168,7 +195,7 @@
       return
     }
     const arrivedAt = this.#context.clock()
-    const open: OpenRequest = { request, arrivedAt, forwarding: null }
+    const open: OpenRequest = { request, arrivedAt, forwarding: null, isCutOff: false }
     this.#openRequests.set(response, open)
     this.#connections.track(request.socket, response)
     response.once('close', () => { this.#openRequests.delete(response) })
@@ -200,7 +227,8 @@
     const { buffers } = this.#context
     if (!buffers.hasRoomForBody(Number(request.headers['content-length'] ?? 0))) return RefusalCause.NodeMemory
     const body = await readCallerBody(request, table.deployment.limits, timeAllowed(head.value), buffers.openBody(response))
-    if (body === null || response.destroyed) return null
+    // The end of the stop grace may have refused it meanwhile: it must not be sent.
+    if (body === null || response.destroyed || response.writableEnded) return null
     if (!body.ok) return body.failure
     const call = admit(request, head.value, body.value, table, arrivedAt)
     if (!call.ok) return call.failure
--- a/packages/node/src/forward/unansweredRequests.ts
+++ b/packages/node/src/forward/unansweredRequests.ts
@@ -1,4 +1,4 @@
-/** Logs and counts the requests whose connection this node closes before their answer is complete. */
+/** Logs and counts the requests that this node ends before the complete answer of a backend server has been read. */
 import type { Millis } from '@bluebellhill/domain'
 
 import type { ForwardingContext } from './types.js'
@@ -18,7 +18,7 @@
 } as const
 export type RequestStage = typeof RequestStage[keyof typeof RequestStage]
 
-/** Why the connection was closed. */
+/** Why the request was ended. */
 export const CloseCause = {
   /** It or a part of its prompt crashes backend servers. */
   Quarantined: 'quarantined',
@@ -39,12 +39,12 @@
   readonly cause: CloseCause
   /** Last failure; empty if there was none. */
   readonly problem: string
-  /** Time from the arrival of the request until the connection was closed. */
+  /** Time from the arrival of the request until its end. */
   readonly took: Millis
 }
 
 /**
- * Records a request whose connection is closed by this node without a complete answer.
+ * Records a request that this node ends without the complete answer of a backend server: it closes the connection, or answers itself because it stops.
  *
  * @param context - log, metrics and configuration in force
  * @param request - the request
--- a/packages/node/tests/stoppingNode.test.ts
+++ b/packages/node/tests/stoppingNode.test.ts
@@ -169,3 +169,46 @@
   await stopped
   t.false(sent.includes('/stream/long'))
 })
+
+// Guards against LOST: the end of the stop grace closed connections without a word, also those of requests that had not run.
+test('at the end of the stop grace each caller without an answer is told whether its request may have run', async (t) => {
+  const { fixture, runs } = await startNode(t, 10_000)
+  const sent = fixture.call('/patient/sent')
+  await until(() => runs.length === 1)
+  const reading = await beginRequest(t, fixture, '/patient/reading')
+  const readingEnded = once(reading.socket, 'end')
+  await fixture.entry.stop(300)
+  const { status, whole, body } = await sent
+  t.is(status, 502)
+  t.true(whole)
+  t.true(body.includes('"code":"answer_lost"'))
+  await readingEnded
+  t.regex(reading.received(), REFUSED_AS_STOPPING)
+  t.deepEqual(Object.fromEntries(fixture.entry.cutOffByStage()), { sent: 1, reading: 1 })
+})
+
+// Guards against an answer that looks complete although its stream was broken off.
+test('at the end of the stop grace a stream of which the caller has a part is broken off', async (t) => {
+  const fixture = await ForwardFixture.start(t, (request, response) => { response.writeHead(200, signedHeaders(request)).write('id: 1\ndata: {}\n\n') })
+  const stream = fixture.call('/patient-stream/x')
+  await until(() => fixture.linesOf('request.sent').length === 1)
+  await sleep(200)
+  await fixture.entry.stop(300)
+  const { status, whole } = await stream
+  t.is(status, 200)
+  t.false(whole)
+})
+
+// Guards against a request that runs after its caller was told that it has not: its last bytes came while the refusal was being written.
+test('a request that was refused at the end of the stop grace is not sent when its last bytes come', async (t) => {
+  const { fixture, runs } = await startNode(t, 10)
+  await learn(fixture, 'unsafe')
+  const caller = await beginRequest(t, fixture, '/unsafe/late')
+  caller.socket.once('data', () => { caller.socket.write('dy') })
+  const holder = fixture.call('/patient-stream/open').catch(() => null)
+  await fixture.entry.stop(300)
+  await holder
+  await sleep(300)
+  t.regex(caller.received(), REFUSED_AS_STOPPING)
+  t.false(runs.includes('/unsafe/late'))
+})
