Stop: read what has arrived before the end of the grace cuts requests off

Callers saw: a request was cut off although its server had answered in time.

Cause: after a hold-up of the process (no processor, a long task) expired timers run before waiting input is read, so that the end of the grace came before answers that had been there for long.

--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -125,7 +125,7 @@
     await waitingInputRead()
     this.#connections.closeIdle()
     const idleSweep = setInterval(() => this.#connections.closeIdle(), IDLE_SWEEP_PERIOD)
-    const graceEnd = setTimeout(() => this.#cutOffAll(), grace)
+    const graceEnd = setTimeout(() => { void this.#cutOffAll() }, grace)
     const forcedClose = setTimeout(() => this.#closeAll(), grace + writeOutTime)
     await closed
     // The other nodes may not have heard of the stop yet when the last request is answered.
@@ -146,8 +146,9 @@
     }
   }
 
-  /** Ends all requests without an answer. */
-  #cutOffAll (): void {
+  /** Ends all requests without an answer. What has arrived while this process was held up is read first. */
+  async #cutOffAll (): Promise<void> {
+    await waitingInputRead()
     for (const [response, open] of this.#openRequests) if (open.forwarding?.isOver !== true) this.#cutOff(open, response)
   }
 
