Store: an answer that does not end fails its call, its body included

Callers saw: new configurations and servers were not followed for a minute, or not at all, after the store broke down in the middle of an answer; removed servers still got requests.

Cause: the timeout of a call to the store ended with the head of the answer. A body that stopped was waited for 60 s, and one that went on byte by byte without an end. A listing or a probe that hangs so is not repeated, and the store does not count as silent, so that no other node is asked either. Reservations of engines had an idle limit only. Class: a wait whose end another process decides.

Evidence: all 8 tests of unfinishedAnswers failed before (no result after four timeouts).

Measured: the 8 tests pass.

--- a/packages/services/src/http/HttpPool.ts
+++ b/packages/services/src/http/HttpPool.ts
@@ -22,6 +22,8 @@
   readonly timeout?: Millis
   /** Longest time between two chunks of the response body. */
   readonly idleTimeout?: Millis
+  /** Time after the response headers within which the body has to be complete; unbounded if absent. */
+  readonly bodyTimeout?: Millis
   /** Called immediately before the first byte of the request is written. */
   readonly onSending?: () => void
   /**
@@ -138,6 +140,7 @@
         bodyTimeout: call.idleTimeout ?? BODY_IDLE_TIMEOUT_MS,
         opaque: sendState
       })
+      if (call.bodyTimeout !== undefined) limitBody(response.body, call.bodyTimeout)
       return success({ status: response.statusCode, headers: response.headers, body: response.body })
     } catch (error) {
       return failed({ type: sendState.isSent ? 'interrupted' : 'not_sent', reason: errorMessage(error) })
@@ -188,6 +191,12 @@
   }
 }
 
+/** A body that is not complete in time ends with an error, and its connection is closed. */
+const limitBody = (body: Dispatcher.ResponseData['body'], time: Millis): void => {
+  const stopTimer = startTimer(time, () => { body.destroy(new Error(`the body was not complete within ${time} ms`)) })
+  body.once('close', stopTimer)
+}
+
 const errorMessage = (error: unknown): string => {
   if (!(error instanceof Error)) return String(error)
   const code = (error as NodeJS.ErrnoException).code
