--- a/packages/soak/src/NodeProcess.ts
+++ b/packages/soak/src/NodeProcess.ts
@@ -56,6 +56,11 @@
     return this.#child !== null
   }
 
+  /** Id of the running process; null if none runs. */
+  get pid (): number | null {
+    return this.#child?.pid ?? null
+  }
+
   /** Whether the process ran freely from one time to another. */
   wasSound (from: number, until: number): boolean {
     return !this.#outages.some((outage) => outage.from < until && outage.until > from)
