Large fleets: the loss of all nodes and planned work can be measured by hand

The soak ran three nodes only, so that nothing showed how the start of a fleet grows with its size. The store stand-in has a latency and limits of calls.

--- a/packages/soak/src/Callers.ts
+++ b/packages/soak/src/Callers.ts
@@ -28,6 +28,13 @@
 
 const PROMPT_SIZE = '5000,400'
 
+/** What a request is like where it differs from the usual one of its kind. */
+export interface RequestShape {
+  readonly deadline?: number
+  /** Tokens of the prompt and most tokens of the answer. */
+  readonly promptSize?: string
+}
+
 const KINDS = [RequestKind.Safe, RequestKind.Safe, RequestKind.Unsafe, RequestKind.Unsafe, RequestKind.Stream, RequestKind.Leaving]
 
 const PATHS: Readonly<Record<RequestKind, string>> = {
@@ -84,19 +91,20 @@
    * @param kind - what is sent
    * @param key - API key
    * @param path - path of the request; by default one that no other request has
+   * @param shape - what the request is like
    * @returns what the caller saw
    */
-  async send (kind: RequestKind, key = KEPT_KEY, path?: string): Promise<Exchange> {
+  async send (kind: RequestKind, key = KEPT_KEY, path?: string, { deadline = DEADLINES[kind], promptSize = PROMPT_SIZE }: RequestShape = {}): Promise<Exchange> {
     const id = `${this.name}-${this.exchanges.length}`
     const parts = kind === RequestKind.Stream ? this.promptParts?.draw(this.#partsRandom) ?? [] : []
-    const exchange: Exchange = { id, kind, path: path ?? Caller.pathOf(kind, id), parts, node: this.node, sentAt: performance.now(), writtenAt: null, deadline: DEADLINES[kind], endedAt: null, status: null, body: '', whole: false, left: false, error: '', gaveUp: false }
+    const exchange: Exchange = { id, kind, path: path ?? Caller.pathOf(kind, id), parts, node: this.node, sentAt: performance.now(), writtenAt: null, deadline, endedAt: null, status: null, body: '', whole: false, left: false, error: '', gaveUp: false }
     this.exchanges.push(exchange)
-    await this.#exchange(exchange, key)
+    await this.#exchange(exchange, key, promptSize)
     exchange.endedAt = performance.now()
     return exchange
   }
 
-  async #exchange (exchange: Exchange, key: string): Promise<void> {
+  async #exchange (exchange: Exchange, key: string, promptSize: string): Promise<void> {
     const { id, kind, path, parts, deadline } = exchange
     const request = httpRequest({
       host: this.host,
@@ -109,7 +117,7 @@
         authorization: `Bearer ${key}`,
         [HeaderName.AttemptId]: id,
         [HeaderName.Deadline]: String(deadline),
-        ...(kind === RequestKind.Stream ? { [HeaderName.PromptSize]: PROMPT_SIZE, [HeaderName.PromptParts]: encodePromptParts(parts) } : {})
+        ...(kind === RequestKind.Stream ? { [HeaderName.PromptSize]: promptSize, [HeaderName.PromptParts]: encodePromptParts(parts) } : {})
       }
     })
     request.once('socket', () => { exchange.writtenAt = performance.now() })
--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -5,34 +5,20 @@
 
 import { SETTINGS_VARIABLE, StoreKey } from '@bluebellhill/platform'
 import { BackendStandin, configurationDocument, Ledger, serverDocument, settingsDocument, StoreStandin } from '@bluebellhill/platform-standin'
-import type { RouteDocument } from '@bluebellhill/platform-standin'
-
-import { ENGINE_SERVICE, HOST, KEPT_KEY, LEASE_MS, NODES, PLAIN_SERVICE, PORT, REMOVED_KEY, RETRY_RATIO, RETRY_SLACK, SERVERS_PER_SERVICE, STOP_GRACE_S } from './constants.js'
+import { KEPT_KEY, LEASE_MS, PORT, REMOVED_KEY } from './constants.js'
 import { DeadlyRequests } from './DeadlyRequests.js'
 import { EventLoopDelays } from './EventLoopDelays.js'
 import { NodeProcess } from './NodeProcess.js'
+import { SOAK_FLEET } from './profiles.js'
+import type { FleetProfile } from './profiles.js'
 import { PromptParts } from './PromptParts.js'
 import { TcpProxy } from './TcpProxy.js'
 import type { Evacuation, LimitedSpan } from './types.js'
 
 const DOMAINS = ['hall-a', 'hall-b', 'hall-c']
 
-/** Last parts of addresses. */
-const FIRST_NODE = 11
-const FIRST_STORE_PROXY = 31
-const STORE = 50
-const FIRST_SERVER = 101
-
-/** Added to the address of a server for its proxy. */
-const SERVER_PROXY = 100
-
-const ROUTES: readonly RouteDocument[] = [
-  { name: 'safe', host: HOST, prefix: '/safe/', kind: 'safe', service: PLAIN_SERVICE, timeoutMs: 5_000, resumable: false },
-  { name: 'unsafe', host: HOST, prefix: '/unsafe/', kind: 'unsafe', service: PLAIN_SERVICE, timeoutMs: 5_000, resumable: false },
-  { name: 'stream', host: HOST, prefix: '/stream/', kind: 'streaming', service: ENGINE_SERVICE, timeoutMs: 5_000, resumable: true }
-]
-
-const SERVICES = [{ name: PLAIN_SERVICE, isEngine: false }, { name: ENGINE_SERVICE, isEngine: true }]
+/** Last part of the address of the store; those of nodes, their proxies of the store, servers and their proxies follow. */
+const STORE = 1
 
 /** One backend server with the proxy that nodes reach it through. */
 export interface Server {
@@ -85,8 +71,9 @@
    * @param directory - gets settings files and logs
    * @param program - file of the node under test
    * @param earlierProgram - file of an earlier build for every second node; null to run the program under test everywhere
+   * @param profile - what the fleet consists of
    */
-  constructor (network: string, private readonly directory: string, private readonly program: string, private readonly earlierProgram: string | null = null) {
+  constructor (network: string, private readonly directory: string, private readonly program: string, private readonly earlierProgram: string | null = null, readonly profile: FleetProfile = SOAK_FLEET) {
     this.#network = network
   }
 
@@ -94,9 +81,10 @@
     mkdirSync(this.directory, { recursive: true })
     await this.store.start(this.#host(STORE), PORT.store)
     this.configure([KEPT_KEY, REMOVED_KEY])
-    const services = SERVICES.flatMap(({ name }) => Array.from({ length: SERVERS_PER_SERVICE }, () => name))
+    this.store.limits = this.profile.storeLimits
+    const services = this.profile.services.flatMap(({ name, servers }) => Array.from({ length: servers }, () => name))
     for (const [index, service] of services.entries()) await this.#addServer(index, service)
-    for (let index = 0; index < NODES; index += 1) await this.#addNode(index)
+    for (let index = 0; index < this.profile.nodes; index += 1) await this.#addNode(index)
   }
 
   async dispose (): Promise<void> {
@@ -113,7 +101,7 @@
 
   /** Puts a configuration with these API keys in force. */
   configure (apiKeys: readonly string[]): void {
-    this.#configuration = configurationDocument({ version: this.#version++, routes: ROUTES, services: SERVICES, apiKeys })
+    this.#configuration = configurationDocument({ version: this.#version++, routes: this.profile.routes, services: this.profile.services, apiKeys })
     this.store.put(StoreKey.Configuration, this.#configuration)
   }
 
@@ -159,10 +147,11 @@
   /** Starts a server as a new process without any state; by default under a new id. */
   async startServer (server: Server, id = `i-${server.index}-${this.#incarnations++}`): Promise<void> {
     const standin = new BackendStandin(id, this.ledger)
+    if (this.profile.paceOf !== undefined) standin.paceOf = this.profile.paceOf
     standin.crashingParts = this.promptParts.crashingParts
     standin.crashingPaths = this.deadlyRequests.paths
     standin.onCrash = () => { void this.#restartCrashed(server, standin) }
-    await standin.start(this.#host(FIRST_SERVER + server.index), PORT.server)
+    await standin.start(this.#serverHost(server.index), PORT.server)
     if (this.#isDisposed) {
       await standin.dispose()
       return
@@ -240,24 +229,33 @@
     return `${this.#network}.${last}`
   }
 
+  #serverHost (index: number): string {
+    return this.#host(STORE + 1 + 2 * this.profile.nodes + index)
+  }
+
+  #serverProxyHost (index: number): string {
+    const servers = this.profile.services.reduce((sum, service) => sum + service.servers, 0)
+    return this.#host(STORE + 1 + 2 * this.profile.nodes + servers + index)
+  }
+
   #writeEntry (server: Server, id: string, isDraining: boolean): void {
     const { service, failureDomain, index, startedAt } = server
-    const address = `${this.#host(FIRST_SERVER + SERVER_PROXY + index)}:${PORT.server}`
+    const address = `${this.#serverProxyHost(index)}:${PORT.server}`
     this.store.put(`${StoreKey.BackendServers}${id}`, serverDocument({ service, address, failureDomain, isDraining, startedAt }))
   }
 
   async #addServer (index: number, service: string): Promise<void> {
-    const proxy = new TcpProxy(this.#host(FIRST_SERVER + index), PORT.server)
-    await proxy.start(this.#host(FIRST_SERVER + SERVER_PROXY + index), PORT.server)
+    const proxy = new TcpProxy(this.#serverHost(index), PORT.server)
+    await proxy.start(this.#serverProxyHost(index), PORT.server)
     const server: Server = { index, service, failureDomain: DOMAINS[index % DOMAINS.length] ?? '', proxy, standin: null, startedAt: 0, drainingSince: null }
     this.servers.push(server)
     await this.startServer(server)
   }
 
   async #addNode (index: number): Promise<void> {
-    const host = this.#host(FIRST_NODE + index)
+    const host = this.#host(STORE + 1 + index)
     const storeLink = new TcpProxy(this.#host(STORE), PORT.store)
-    const linkHost = this.#host(FIRST_STORE_PROXY + index)
+    const linkHost = this.#host(STORE + 1 + this.profile.nodes + index)
     await storeLink.start(linkHost, PORT.store)
     const name = `node-${index}`
     const settings = resolve(this.directory, `${name}.toml`)
@@ -269,13 +267,11 @@
       readinessPort: PORT.readiness,
       peerPort: PORT.peers,
       store: `${linkHost}:${PORT.store}`,
-      stopGraceSeconds: STOP_GRACE_S,
-      retryRatio: RETRY_RATIO,
-      retrySlack: RETRY_SLACK
+      ...this.profile.settings
     }))
     const isEarlierBuild = this.earlierProgram !== null && index % 2 === 1
     const program = isEarlierBuild ? this.earlierProgram ?? this.program : this.program
-    const process = new NodeProcess(name, program, { [SETTINGS_VARIABLE]: settings }, join(this.directory, `${name}.log`))
+    const process = new NodeProcess(name, program, { [SETTINGS_VARIABLE]: settings }, join(this.directory, `${name}.log`), this.profile.flags)
     this.nodes.push({ index, host, process, storeLink, isEarlierBuild })
     process.start()
   }
--- a/packages/soak/src/NodeProcess.ts
+++ b/packages/soak/src/NodeProcess.ts
@@ -31,8 +31,9 @@
    * @param program - file that node.js runs, in the directory above its own: the program loads its bundle from there
    * @param environment - tells the program its settings file
    * @param logFile - gets what the process writes
+   * @param flags - flags of node.js
    */
-  constructor (readonly name: string, private readonly program: string, private readonly environment: Record<string, string>, logFile: string) {
+  constructor (readonly name: string, private readonly program: string, private readonly environment: Record<string, string>, logFile: string, private readonly flags: readonly string[] = []) {
     this.#log = createWriteStream(logFile, { flags: 'a' })
   }
 
@@ -41,7 +42,7 @@
     if (this.#child !== null) return
     this.#ending = false
     this.#isKilled = false
-    const child = spawn(process.execPath, [resolve(this.program)], { cwd: dirname(dirname(resolve(this.program))), env: { ...process.env, ...this.environment }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, [...this.flags, resolve(this.program)], { cwd: dirname(dirname(resolve(this.program))), env: { ...process.env, ...this.environment }, stdio: ['ignore', 'pipe', 'pipe'] })
     child.stdout.pipe(this.#log, { end: false })
     child.stderr.pipe(this.#log, { end: false })
     child.once('exit', (code, signal) => {
@@ -52,6 +53,11 @@
     if (child.pid !== undefined) this.waits.follow(child.pid)
   }
 
+  /** Id of the running process; null if none runs. */
+  get pid (): number | null {
+    return this.#child?.pid ?? null
+  }
+
   get isRunning (): boolean {
     return this.#child !== null
   }
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -1,13 +1,12 @@
 /** Draws a series of overlapping faults, each of which ends before the recovery is checked. */
-import { get } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { READINESS_PATH } from '@bluebellhill/platform'
 import { BackendFault, StoreMode } from '@bluebellhill/platform-standin'
 
-import { FAULTS_FROM_MS, FAULTS_UNTIL_MS, KEPT_KEY, LEASE_MS, PORT, REMOVED_KEY, STOP_GRACE_S } from './constants.js'
+import { FAULTS_FROM_MS, FAULTS_UNTIL_MS, KEPT_KEY, LEASE_MS, REMOVED_KEY, STOP_GRACE_S } from './constants.js'
 import type { Fleet, FleetNode, Server } from './Fleet.js'
 import type { Random } from './Random.js'
+import { isReady } from './Readiness.js'
 import { LinkMode } from './TcpProxy.js'
 import type { FaultStep } from './types.js'
 
@@ -35,22 +34,11 @@
 const untilReady = async ({ host }: FleetNode): Promise<void> => {
   const until = performance.now() + READY_LIMIT_MS
   while (performance.now() < until) {
-    if (await isReady(host)) return
+    if (await isReady(host, READY_LIMIT_MS)) return
     await sleep(READY_CHECK_PERIOD_MS)
   }
 }
 
-const isReady = async (host: string): Promise<boolean> => await new Promise((resolve) => {
-  const request = get({ host, port: PORT.readiness, path: READINESS_PATH, agent: false, timeout: READY_LIMIT_MS }, (response) => {
-    response.resume()
-    resolve(response.statusCode === OK)
-  })
-  request.once('timeout', () => request.destroy())
-  request.once('error', () => resolve(false))
-})
-
-const OK = 200
-
 const nodeFault = (name: string, act: (node: FleetNode, lasts: number) => Promise<void>): Fault => (fleet, random, lasts) => {
   const node = random.pick(fleet.nodes)
   return {
--- a/packages/soak/tests/soak.test.ts
+++ b/packages/soak/tests/soak.test.ts
@@ -9,7 +9,7 @@
 import { SETTINGS_VARIABLE } from '@bluebellhill/platform'
 import { settingsDocument } from '@bluebellhill/platform-standin'
 
-import { runSoak } from '../src/index.js'
+import { runRecovery, runSoak } from '../src/index.js'
 
 /** Seeds of the run in CI; each that ever failed stays here, with its cause. One runs at a time, so that a slow machine can run its processes. */
 const SEEDS: ReadonlyArray<{ readonly seed: number, readonly cause: string }> = [
@@ -70,3 +70,10 @@
     t.true(report.answered > report.requests / 4)
   })
 }
+
+// Guards against a fleet that does not serve again after all of its nodes were lost at once.
+test.serial('nodes that were all killed serve again', async (t) => {
+  const { results, violations } = await runRecovery({ scenario: 'kill', nodes: 5, share: 1, seed: 1, directory: 'out/recovery/ci', program: 'target/start.cjs' })
+  t.deepEqual(violations, [])
+  t.true((results.served ?? 0) > 0)
+})
