Each start of a node is logged with the time of each phase, and refusals are counted by cause

After all nodes of a fleet were lost, nothing in the log told where the time went until callers were served: node.started says only that a node listens. node.start_times has the time since the start of the process of each phase until the first answer, processor time until some of them, and what the node answered itself until then, by cause. Refusals for want of a server, and answers at a deadline, were not counted: bluebellhill_refusals_total now counts every request that the node answers itself (before: those refused at the entry, quarantined, or refused by a peer; those whose answer had begun when they were quarantined are in bluebellhill_unanswered_total only).

--- a/packages/node/src/forward/ForwardMetrics.ts
+++ b/packages/node/src/forward/ForwardMetrics.ts
@@ -34,7 +34,9 @@
 export class ForwardMetrics {
   readonly registry = new Registry()
   readonly #endedRequests = new Counter({ name: 'bluebellhill_requests_total', help: 'Requests that ended, by kind and outcome', labelNames: ['kind', 'outcome'], registers: [this.registry] })
-  readonly #refusedRequests = new Counter({ name: 'bluebellhill_refusals_total', help: 'Requests refused at the entry, by cause', labelNames: ['cause'], registers: [this.registry] })
+  readonly #refusedRequests = new Counter({ name: 'bluebellhill_refusals_total', help: 'Requests that this node has answered itself, without an answer of a backend server, by cause', labelNames: ['cause'], registers: [this.registry] })
+  /** Requests that this node has answered itself since its start, by cause. */
+  readonly refusalCounts = new Map<string, number>()
   readonly #closedConnections = new Counter({ name: 'bluebellhill_unanswered_total', help: 'Requests that this node ended before the complete answer of a backend server had been read: by closing the connection, or at the end of its stop by an answer of its own, by stage and cause', labelNames: ['stage', 'cause'], registers: [this.registry] })
   readonly #hedges = new Counter({ name: 'bluebellhill_hedges_total', help: 'Second attempts beside late ones: sent, and won by the second', labelNames: ['result'], registers: [this.registry] })
   readonly #refusedHedges = new Counter({ name: 'bluebellhill_hedges_refused_total', help: 'Second attempts that were due and not sent, by cause', labelNames: ['cause'], registers: [this.registry] })
@@ -64,9 +66,10 @@
     this.#requestDuration.observe({ kind, outcome }, took / MS_PER_SECOND)
   }
 
-  /** Counts a request that was refused before any attempt. */
+  /** Counts a request that this node answers itself. */
   requestRefused (cause: string): void {
     this.#refusedRequests.inc({ cause })
+    this.refusalCounts.set(cause, (this.refusalCounts.get(cause) ?? 0) + 1)
   }
 
   /** Counts a value in the platform's store that cannot be used. */
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -1,7 +1,7 @@
 /** Builds the components of a node on the users' platform, and starts and stops them. */
 import { bufferLimit, SchedulerDirectory, STRICT_WARM_UP_BOUNDS } from '@bluebellhill/domain'
 import type { Millis, SchedulerCandidate, WarmUpBounds } from '@bluebellhill/domain'
-import { EngineMemoryClient, MetadataStore } from '@bluebellhill/platform'
+import { EngineMemoryClient, MetadataStore, StoreKey } from '@bluebellhill/platform'
 import type { PlatformSettings, SocketAddress } from '@bluebellhill/platform'
 import { HttpPool } from '@bluebellhill/services'
 
@@ -23,6 +23,7 @@
 import { Relay } from './relay/Relay.js'
 import { Scheduler } from './scheduling/Scheduler.js'
 import { SchedulerHost } from './scheduling/SchedulerHost.js'
+import { StartPhase, StartTimes } from './StartTimes.js'
 import { NodeRegistration } from './store/NodeRegistration.js'
 import { StoreAvailability } from './store/StoreAvailability.js'
 import { StoreProbe } from './store/StoreProbe.js'
@@ -62,6 +63,7 @@
   readonly #disposables = new DisposableStore()
   readonly #metrics = new ForwardMetrics()
   readonly #runningClock = new RunningClock(monotonicNow)
+  readonly #startTimes: StartTimes
   readonly #fleetState: FleetState
   readonly #directory: SchedulerDirectory
   readonly #scheduler: Scheduler
@@ -88,6 +90,8 @@
     const runningClock = (): Millis => this.#runningClock.now()
     const self = candidateOf(settings)
     this.#options = options
+    this.#startTimes = new StartTimes({ log, metrics: this.#metrics, clock, processorTime })
+    this.#startTimes.reached(StartPhase.SettingsRead)
     this.#fleetState = new FleetState(log, clock, () => options.settings.current.regions)
     this.#directory = new SchedulerDirectory(self, runningClock())
     this.#scheduler = new Scheduler({
@@ -143,6 +147,7 @@
       onPeerAhead: () => this.#fleetStateExchange.catchUp(),
       isStoreLost: () => this.#storeAvailability.isLost,
       onPeerStoreLost: () => this.#storeSync.checkStore(),
+      onCandidateHeard: () => this.#candidateHeard(),
       onPlacementMessage: (message, address) => {
         schedulerHost.handle(message, address)
         this.#placement.handle(message, address)
@@ -160,7 +165,8 @@
       metrics: this.#metrics,
       log,
       clock,
-      isStoreWatcher
+      isStoreWatcher,
+      onListed: (prefix, entries) => { if (prefix === StoreKey.BackendServers) this.#startTimes.reached(StartPhase.ServersListed, { servers: entries }) }
     })
     this.#storeProbe = new StoreProbe({
       store,
@@ -174,9 +180,13 @@
     this.#nodeRegistration = new NodeRegistration({
       store,
       self,
-      onNodesListed: (nodes, addresses) => this.#peerLink.addNodes(nodes, addresses),
+      onNodesListed: (nodes, addresses) => {
+        this.#startTimes.reached(StartPhase.NodesListed, { nodes: nodes.length + addresses.length })
+        this.#peerLink.addNodes(nodes, addresses)
+      },
       log
     })
+    this.#fleetState.onChange(() => this.#fleetStateChanged())
     this.#fleetState.onStoreRestored(() => this.#nodeRegistration.storeRestored())
     const engineHttp = new HttpPool(2)
     this.#disposables.add(engineHttp)
@@ -193,7 +203,18 @@
     })
     this.#disposables.add(this.#relay)
     this.#buffers = new NodeBuffers({ limit: settings.memory === null ? null : bufferLimit(settings.memory), log, metrics: this.#metrics, clock: runningClock })
-    this.#entryServer = new EntryServer({ relay: this.#relay, placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, memory, answerMemory: new AnswerMemory(), buffers: this.#buffers, clock })
+    this.#entryServer = new EntryServer({ relay: this.#relay, placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, startTimes: this.#startTimes, memory, answerMemory: new AnswerMemory(), buffers: this.#buffers, clock })
+  }
+
+  #fleetStateChanged (): void {
+    if (this.#fleetState.routeTable !== null) this.#startTimes.reached(StartPhase.ConfigurationInForce, { configuration_version: this.#fleetState.configurationVersion })
+    if (this.#fleetState.servers.all().length > 0) this.#startTimes.reached(StartPhase.ServersKnown)
+  }
+
+  #candidateHeard (): void {
+    this.#startTimes.reached(StartPhase.PeerHeard)
+    const scheduler = this.#directory.scheduler(this.#runningClock.now())
+    if (scheduler.node !== this.#options.settings.current.node) this.#startTimes.reached(StartPhase.SchedulerKnown, { first_scheduler: scheduler.node })
   }
 
   /** Starts all components; the node then serves callers. */
@@ -216,6 +237,7 @@
     const { settings, log } = this.#options
     const { stopGrace } = settings.current
     const startedAt = monotonicNow()
+    this.#startTimes.dispose()
     log.info('node.stopping', { open_requests: this.#entryServer.openRequests, grace_ms: Math.round(stopGrace * STOP_GRACE_SHARE) })
     this.#peerLink.announceStopping()
     await this.#entryServer.stop(stopGrace * STOP_GRACE_SHARE, stopGrace * WRITE_OUT_SHARE)
@@ -249,6 +271,7 @@
     this.#disposables.add(this.#fleetStateExchange)
     const expiry = setInterval(() => this.#fleetState.expireServers(), EXPIRY_PERIOD)
     this.#disposables.addCleanup(() => clearInterval(expiry))
+    this.#startTimes.reached(StartPhase.Listening)
     log.info('node.started', { callers: `${settings.callers.host}:${settings.callers.port}`, peers: port, store: `${settings.store.host}:${settings.store.port}` })
   }
 
@@ -267,8 +290,15 @@
     this.#nodeRegistration.start()
   }
 
+  /** Whether this node accepts callers. */
+  #isReady (): boolean {
+    const isReady = this.#stopping === null && this.#fleetState.routeTable !== null
+    if (isReady) this.#startTimes.reached(StartPhase.Ready)
+    return isReady
+  }
+
   async #startReadiness (address: SocketAddress): Promise<void> {
-    const readiness = new ReadinessServer(() => this.#stopping === null && this.#fleetState.routeTable !== null)
+    const readiness = new ReadinessServer(() => this.#isReady())
     this.#disposables.add(readiness)
     await readiness.start(address)
   }
@@ -301,6 +331,12 @@
   }
 }
 
+/** @returns processor time of this process so far, in microseconds */
+const processorTime = (): number => {
+  const { user, system } = process.cpuUsage()
+  return user + system
+}
+
 const warmUpBoundsOf = ({ warmUpOverage, warmUpTolerance }: PlatformSettings): WarmUpBounds => ({
   overage: warmUpOverage ?? STRICT_WARM_UP_BOUNDS.overage,
   tolerance: warmUpTolerance ?? STRICT_WARM_UP_BOUNDS.tolerance
--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -304,7 +304,6 @@
     this.#requestLog.attemptFailed(attempt, AttemptEnd.NotRun, reason)
     this.#progress.lastProblem = reason
     this.#closeAttempt(attempt)
-    this.context.metrics.requestRefused(cause)
     this.#refuseOrAbort(cause, ForwardOutcome.Refused, CloseCause.AnswerLost, retryAfter)
   }
 
@@ -369,7 +368,6 @@
     this.context.placement.quarantine.refused(verdict)
     this.#progress.lastProblem = quarantineProblem(verdict)
     const cause = quarantineCauseOf(verdict, mayHaveRun)
-    this.context.metrics.requestRefused(cause)
     this.#refuseOrAbort(cause, mayHaveRun ? ForwardOutcome.Lost : ForwardOutcome.Refused, CloseCause.Quarantined)
   }
 
--- a/packages/node/src/forward/RequestEnding.ts
+++ b/packages/node/src/forward/RequestEnding.ts
@@ -11,6 +11,7 @@
 import type { RequestLog } from './RequestLog.js'
 import type { ForwardingContext, SignedFailure } from './types.js'
 import { breakConnection } from './entry/breakConnection.js'
+import { StartPhase } from './StartTimes.js'
 import { recordUnanswered } from './unansweredRequests.js'
 import type { CloseCause, RequestStage } from './unansweredRequests.js'
 
@@ -67,6 +68,7 @@
 
   /** The complete answer of a backend server has been sent. */
   answered (status: number): void {
+    this.#options.context.startTimes.reached(StartPhase.RequestAnswered)
     this.#end(ForwardOutcome.Answered, status)
   }
 
@@ -82,7 +84,8 @@
    * @param retryAfter - time after which the caller may come back; null for the default of the cause
    */
   refuse (cause: RefusalCause, outcome: ForwardOutcome, retryAfter: Millis | null = null): void {
-    const { response } = this.#options
+    const { response, context } = this.#options
+    context.metrics.requestRefused(cause)
     refuse(response, cause, retryAfter)
     this.#end(outcome, response.statusCode)
   }
--- a/packages/node/src/forward/RequestLog.ts
+++ b/packages/node/src/forward/RequestLog.ts
@@ -9,6 +9,7 @@
 import type { RelayPeer } from './relay/RelayPeers.js'
 import type { PlacedAttempt, RefusedPlacement } from './scheduling/types.js'
 import type { ForwardOutcome } from './ForwardOutcome.js'
+import { StartPhase } from './StartTimes.js'
 import type { ForwardingContext, OpenAttempt } from './types.js'
 
 /** Result of a request, for its final log line. */
@@ -48,6 +49,7 @@
   attemptSent ({ choice: { server, helpers, holders, timeToFirstEvent: firstEvent, isDeferred }, load, scheduler, passedOver, isTrial, decidedIn }: PlacedAttempt, attempt: number, lastEventId: string | null, notice: ServerNotice | null, coldFor: Millis): void {
     const { call, context } = this
     const now = context.clock()
+    context.startTimes.reached(StartPhase.RequestPlaced, { placed_by: scheduler ?? 'self' })
     context.log.info('request.sent', {
       request: call.id,
       attempt,
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -16,6 +16,7 @@
 import type { AdmittedCall } from '../AdmittedCall.js'
 import type { Forwarding } from '../Forwarding.js'
 import { ErrorScope } from '../ForwardMetrics.js'
+import { StartPhase } from '../StartTimes.js'
 import type { ForwardingContext } from '../types.js'
 import { PlainForwarding } from '../PlainForwarding.js'
 import { StreamForwarding } from '../StreamForwarding.js'
@@ -222,6 +223,7 @@
     const { request, arrivedAt } = open
     const table = this.#context.fleetState.routeTable
     if (table === null) return RefusalCause.Starting
+    this.#context.startTimes.reached(StartPhase.RequestAccepted)
     if ((this.#stop.after(arrivedAt) ?? 0) > ACCEPT_PERIOD_AFTER_STOP) return RefusalCause.Stopping
     const head = acceptHead(request, table, isRelayed)
     if (!head.ok) return head.failure
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -61,6 +61,8 @@
   readonly isStoreLost: () => boolean
   /** Called when another node reports that it has lost the store. */
   readonly onPeerStoreLost: () => void
+  /** Called when a candidate has announced its state. */
+  readonly onCandidateHeard?: () => void
   /** Called with every message about the placement of attempts. */
   readonly onPlacementMessage: (message: ReceivedDatagram, address: string) => void
 }
@@ -267,6 +269,7 @@
   #candidateHeard (node: NodeId, state: CandidateState): void {
     const { directory, onPeerStoreLost } = this.#options
     const previous = directory.heard(node, state, this.#options.runningClock())
+    this.#options.onCandidateHeard?.()
     this.#compareVersions(state)
     if (state.hasLostStore && previous?.hasLostStore === false) onPeerStoreLost()
   }
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -73,6 +73,8 @@
   readonly clock: () => Millis
   /** Returns whether this node watches the store; otherwise other nodes inform it of changes. */
   readonly isStoreWatcher: () => boolean
+  /** Called after a listing has been applied. */
+  readonly onListed?: (prefix: string, entries: number) => void
 }
 
 /** Keeps the fleet state of this node current as long as the store answers. */
@@ -291,6 +293,7 @@
       if (!page.value.hasMore || after === '') break
     }
     onListed(items, firstRevision)
+    this.#options.onListed?.(prefix, items.length)
     return { ok: true, value: { revision: firstRevision, changes: [] } }
   }
 
--- a/packages/node/src/forward/types.ts
+++ b/packages/node/src/forward/types.ts
@@ -14,6 +14,7 @@
 import type { Relay } from './relay/Relay.js'
 import type { RelayPeer } from './relay/RelayPeers.js'
 import type { PlacedAttempt } from './scheduling/types.js'
+import type { StartTimes } from './StartTimes.js'
 import type { AnswerForecast } from './stop/AnswerForecast.js'
 import type { NodeStop } from './stop/NodeStop.js'
 
@@ -23,6 +24,7 @@
   readonly fleetState: FleetState
   readonly log: Log
   readonly metrics: ForwardMetrics
+  readonly startTimes: StartTimes
   readonly memory: EngineMemoryClient
   readonly answerMemory: AnswerMemory
   readonly buffers: NodeBuffers
--- a/packages/soak/src/Recovery.ts
+++ b/packages/soak/src/Recovery.ts
@@ -89,10 +89,10 @@
     const traffic = load.run()
     await sleep(CALM_MS)
     const loadBefore = loadOfMinute()
-    readiness.reset()
-    processorTimes.length = 0
     const callsBefore = { ...fleet.store.calls }
     const startedAt = await loseAll(fleet, scenario)
+    if (scenario.isLoss) readiness.reset()
+    processorTimes.length = 0
     await Promise.all([scenario.disturb?.(fleet), sleep(RECOVERY_BOUND_MS)])
     const boundAt = startedAt + RECOVERY_BOUND_MS
     const { reads, writes, refused } = fleet.store.calls
