--- a/packages/soak/src/profiles.ts
+++ b/packages/soak/src/profiles.ts
@@ -31,6 +31,9 @@
   storeLimits: null
 }
 
+/** Flags with which the program is deployed; V8 only uses a code cache that was made with the same flags. */
+export const DEPLOYED_FLAGS: readonly string[] = ['--max-old-space-size=160']
+
 /** Tokens that an engine of a large fleet reads in a millisecond. */
 const PREFILL_TOKENS_PER_MS = 206
 
@@ -73,7 +76,7 @@
     { name: 'safe', host: HOST, prefix: '/safe/', kind: 'safe', service: PLAIN_SERVICE, timeoutMs: 800, resumable: false, objectiveMs: 150 }
   ],
   settings: { stopGraceSeconds: 8, retryRatio: 0.2, retrySlack: 194, vm: { memoryMb: 250, processorShare: 0.324 } },
-  flags: ['--max-old-space-size=160'],
+  flags: DEPLOYED_FLAGS,
   storeLimits: { reads: 6_000, writes: 1_200 },
   paceOf
 })
--- a/packages/soak/src/recoveryMain.ts
+++ b/packages/soak/src/recoveryMain.ts
@@ -3,6 +3,7 @@
 
 import { defineCommand, runMain } from 'citty'
 
+import { DEPLOYED_FLAGS } from './profiles.js'
 import { runRecovery } from './Recovery.js'
 import type { RecoveryReport } from './Recovery.js'
 import { SCENARIOS } from './recoveryScenarios.js'
@@ -34,7 +35,7 @@
     directory: { type: 'string', default: 'out/recovery', description: 'gets settings and logs' }
   },
   run: async ({ args }) => {
-    execFileSync(process.execPath, ['scripts/bundle.mjs'])
+    execFileSync(process.execPath, [...DEPLOYED_FLAGS, 'scripts/bundle.mjs'])
     let broken = 0
     for (const scenario of args.scenarios.split(',')) {
       if (!isScenario(scenario)) throw new Error(`unknown scenario ${scenario}`)
