Requests that a caller sends without waiting stay unread beyond 32 of a connection

What callers saw. One connection with 20,000 requests of 170 bytes, sent without waiting for the answers, held a node up: its metrics gave no answer for the 10 s and 20 s of two trials (20,000 and 100,000 requests), its memory rose from 92 to 226 and 234 MB, of 250 on the smallest VM, and other callers of that node waited as long. A head that a read had cut in two was taken for a slow one meanwhile: the connection was given up, with 1,404 requests that had been sent to servers and got no answer.

Each read of 64 KB holds several hundred requests, libuv makes up to 32 reads in a row, and the entry begins each request at once, whatever its connection has open. Nothing bounded them but the caller. The class is work that grows with a number that somebody else chose.

A connection with more than 32 open requests is paused until some of them are answered. What was read together with the last one is taken, so that it has at most 32 and one read open. The HTTP server resumes a socket whenever a body is read, and a held connection then pauses again. A head that is incomplete because the node reads nothing is not late.

That a caller has left a held connection is noticed when the first of its answers is written.

--- a/packages/node/src/forward/entry/CallerConnections.ts
+++ b/packages/node/src/forward/entry/CallerConnections.ts
@@ -12,6 +12,9 @@
 /** Time for which a stopping node keeps a connection open that was just accepted: its first request is on its way. */
 const FIRST_REQUEST_PERIOD: Millis = 1_000
 
+/** Requests that a connection may have open before its further ones stay unread. */
+export const MAX_PIPELINED = 32
+
 interface CallerConnection {
   readonly openedAt: Millis
   /** Responses that are not written to the operating system completely. */
@@ -22,6 +25,10 @@
   isRefused: boolean
   /** Whether its idle time was over when a part of a request had arrived. */
   hasExpired: boolean
+  /** Whether nothing is read from it, because it has too many open requests. */
+  isHeld: boolean
+  /** Value of `socket.bytesRead` when it was last held; null if it never was. */
+  bytesHeld: number | null
 }
 
 /** Open connections of callers, with the number of responses that are not written completely. */
@@ -40,12 +47,16 @@
   /** Adds a connection until it is closed. */
   add (socket: Socket): void {
     this.#acceptedCount += 1
-    this.#connections.set(socket, { openedAt: this.clock(), openResponses: new Set(), bytesAnswered: 0, isRefused: false, hasExpired: false })
+    const connection: CallerConnection = { openedAt: this.clock(), openResponses: new Set(), bytesAnswered: 0, isRefused: false, hasExpired: false, isHeld: false, bytesHeld: null }
+    this.#connections.set(socket, connection)
+    // The HTTP server resumes a connection whenever it reads the body of a request.
+    socket.on('resume', () => { if (connection.isHeld) socket.pause() })
     socket.once('close', () => this.#closed(socket))
   }
 
   /**
-   * Marks the connection of a response as busy until the response is written to the operating system.
+   * Marks the connection of a response as busy until the response is written to the operating system. A connection with many busy responses
+   * is held: nothing more is read from it until some of them are written.
    *
    * @param socket - connection of the request
    * @param response - its response
@@ -54,13 +65,24 @@
     const connection = this.#connections.get(socket)
     if (connection === undefined) return
     connection.openResponses.add(response)
+    if (connection.openResponses.size > MAX_PIPELINED) hold(socket, connection)
     response.once('close', () => {
       connection.openResponses.delete(response)
       connection.bytesAnswered = socket.bytesRead
       connection.hasExpired = false
+      if (connection.openResponses.size <= MAX_PIPELINED) release(socket, connection)
     })
   }
 
+  /**
+   * @param socket - a connection
+   * @returns whether nothing was read from it since it was held: a request whose head is not complete is not late then
+   */
+  isUnread (socket: Socket): boolean {
+    const connection = this.#connections.get(socket)
+    return connection !== undefined && (connection.isHeld || connection.bytesHeld === socket.bytesRead)
+  }
+
   /** The response to a request that came before the last one was answered has no socket yet, and would never learn that the connection is closed. */
   #closed (socket: Socket): void {
     const waiting = [...this.#connections.get(socket)?.openResponses ?? []].filter((response) => response.socket === null)
@@ -125,3 +147,17 @@
 
 const isIdle = (socket: Socket, { openResponses, bytesAnswered }: CallerConnection): boolean =>
   openResponses.size === 0 && socket.bytesRead === bytesAnswered
+
+/** The requests that were read together with the last one are taken before the connection is paused. */
+const hold = (socket: Socket, connection: CallerConnection): void => {
+  if (connection.isHeld) return
+  connection.isHeld = true
+  process.nextTick(() => { if (connection.isHeld) socket.pause() })
+}
+
+const release = (socket: Socket, connection: CallerConnection): void => {
+  if (!connection.isHeld) return
+  connection.isHeld = false
+  connection.bytesHeld = socket.bytesRead
+  if (!socket.destroyed) socket.resume()
+}
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -273,6 +273,7 @@
     }
     const { log, metrics, fleetState } = this.#context
     const cause = malformedCause(error)
+    if (cause === RefusalCause.HeadTimeout && this.#connections.isUnread(socket)) return
     const isKnown = this.#connections.isRefused(socket)
     const isAnswerable = this.#connections.refuse(socket)
     // A caller who has ended its connection waits for no answer.
