A time that cannot be predicted ends no request

The predicted time overflows to Infinity, and the histogram of the difference throws on any value that is not finite. It is recorded just before the first bytes of the answer are passed on. The class is a measurement that can end what it measures.

Without a prediction no difference is recorded.

--- a/packages/node/src/forward/ForwardMetrics.ts
+++ b/packages/node/src/forward/ForwardMetrics.ts
@@ -112,10 +112,16 @@
     this.#closedConnections.inc({ stage, cause })
   }
 
-  /** Records the time to the first event or the answer, and its difference from the predicted time. */
+  /**
+   * Records the time to the first event or the answer, and its difference from the predicted time.
+   *
+   * @param kind - kind of the request
+   * @param expected - predicted time; not finite if the figures of the engine allow no prediction
+   * @param took - time that it took
+   */
   firstAnswerSent (kind: CallKind, expected: Millis, took: Millis): void {
     this.#firstAnswerTime.observe({ kind }, took / MS_PER_SECOND)
-    this.#predictionError.observe({ kind }, (took - expected) / MS_PER_SECOND)
+    if (Number.isFinite(expected)) this.#predictionError.observe({ kind }, (took - expected) / MS_PER_SECOND)
   }
 
   /** Adds a gauge whose value is read whenever the metrics are requested. */
