A silence timer without an end does not expire at once

While the time of a request cannot be predicted, its silence timer is set to Infinity, which Node.js turns into 1 ms: the node asks for each such request anew every millisecond whether its server is silent.

The wait is computed from the prediction, and its range is not that of a timer.

The wait is at most the longest that a timer can measure, as for all durations that are read.

Evidence. silenceTimer.test.ts: before, the timer has expired within 50 ms; after, it has not.

--- a/packages/node/src/forward/SilenceTimer.ts
+++ b/packages/node/src/forward/SilenceTimer.ts
@@ -1,4 +1,5 @@
 /** Measures how long the server of an attempt sends no data. */
+import { MAX_TIMER } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 
 import { waitingInputRead } from '../clock/inputTurn.js'
@@ -29,11 +30,11 @@
   /**
    * Waits on without data.
    *
-   * @param wait - time until the listener is called again
+   * @param wait - time until the listener is called again; at most the longest that a timer can measure
    * @param silence - duration of the silence by then
    */
   extend (attempt: OpenAttempt, wait: Millis, silence: Millis): void {
-    this.#timer = setTimeout(() => { void this.#expired(attempt, silence) }, wait)
+    this.#timer = setTimeout(() => { void this.#expired(attempt, silence) }, Math.min(wait, MAX_TIMER))
   }
 
   clear (): void {
