An operator sees that a node comes near the end of its memory

Nothing showed it before: a process that is killed for its memory, or ended by the runtime for its heap (code 134), leaves no line of its own.

--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -15,6 +15,7 @@
 import { ReadinessServer } from './entry/ReadinessServer.js'
 import { ForwardMetrics } from './ForwardMetrics.js'
 import { FleetState } from './FleetState.js'
+import { measureMemory, MemoryWatch } from './MemoryWatch.js'
 import { MetricsServer } from './MetricsServer.js'
 import type { SettingsFile } from './SettingsFile.js'
 import { FleetStateExchange } from './peers/FleetStateExchange.js'
@@ -269,6 +270,7 @@
     this.#disposables.add(this.#peerLink)
     this.#disposables.add(this.#placement)
     this.#disposables.add(this.#fleetStateExchange)
+    this.#startMemoryWatch(settings.memory)
     const expiry = setInterval(() => this.#fleetState.expireServers(), EXPIRY_PERIOD)
     this.#disposables.addCleanup(() => clearInterval(expiry))
     this.#startTimes.reached(StartPhase.Listening)
@@ -297,6 +299,12 @@
     return isReady
   }
 
+  #startMemoryWatch (limit: number | null): void {
+    const watch = new MemoryWatch({ limit, measure: measureMemory, describe: () => ({ open_requests: this.#entryServer.openRequests, ...this.#buffers.describe() }), log: this.#options.log })
+    this.#disposables.add(watch)
+    watch.start()
+  }
+
   async #startReadiness (address: SocketAddress): Promise<void> {
     const readiness = new ReadinessServer(() => this.#isReady())
     this.#disposables.add(readiness)
@@ -323,6 +331,9 @@
     this.#metrics.addGauge('peers', 'Other nodes that are heard', () => this.#peerLink.sources().length)
     this.#metrics.addGauge('open_requests', 'Requests without a final answer', () => this.#entryServer.openRequests)
     this.#metrics.addGauge('buffered_bytes', 'Bytes buffered for callers and backend servers; 0 if the settings state no memory', () => this.#buffers.total)
+    this.#metrics.addGauge('memory_resident_bytes', 'Memory of this process, as the operating system counts it', () => measureMemory().resident)
+    this.#metrics.addGauge('memory_heap_bytes', 'Heap of this process', () => measureMemory().heap)
+    this.#metrics.addGauge('memory_heap_limit_bytes', 'Heap beyond which the runtime ends this process', () => measureMemory().heapLimit)
     this.#metrics.addGauge('log_lines_dropped', 'Lines of the log that found no room', droppedLogLines)
     this.#metrics.addGauge('errors_uncaught', 'Errors since the start that have ended a timer or callback of this node', uncaughtErrors)
     const server = new MetricsServer(this.#metrics.registry)
