Store: a listing whose pages repeat ends

Seen by nodes: none yet outside the tests. A store that answers each page with has_more and the same items is asked for ever; the list in the making grows until the heap of the node is full, on all nodes that read it, and again after each start.

Cause: the loops over the pages of the backend servers and of the nodes ended only where the store said so. Class: a loop whose end another process states.

Change: MetadataStore.pages has the loop for both.

Measured: the tests of storeAnswers, storeSync, nodeRegistration, storeEra, storeWatchers and metadataStore pass.

--- a/packages/node/src/forward/store/NodeRegistration.ts
+++ b/packages/node/src/forward/store/NodeRegistration.ts
@@ -131,15 +131,12 @@
 
   async #listNodes (mayBeStale = false): Promise<boolean> {
     const { store, onNodesListed } = this.#options
-    for (let lastKey = ''; ;) {
-      const page = await store.range(StoreKey.Nodes, lastKey, mayBeStale)
+    for await (const page of store.pages(StoreKey.Nodes, mayBeStale)) {
       if (!this.#succeeded('read', page)) return false
-      const { items, hasMore } = page.value
-      const entries = items.flatMap((item) => this.#parse(item))
+      const entries = page.value.items.flatMap((item) => this.#parse(item))
       onNodesListed(entries.filter((entry) => typeof entry !== 'string'), entries.filter((entry) => typeof entry === 'string'))
-      lastKey = items.at(-1)?.key ?? ''
-      if (!hasMore || lastKey === '') return true
     }
+    return true
   }
 
   #parse ({ key, value }: StoreItem): Array<SchedulerCandidate | string> {
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -278,9 +278,8 @@
     const items: StoreItem[] = []
     let firstRevision: StoreRevision | null = null
     this.#unanswered.delete(prefix)
-    for (let after = ''; ;) {
-      const startedAt = this.#options.clock()
-      const page = await this.#options.store.range(prefix, after)
+    let startedAt = this.#options.clock()
+    for await (const page of this.#options.store.pages(prefix)) {
       if (!page.ok) {
         this.#recordFailure(page, startedAt)
         return page
@@ -289,9 +288,9 @@
       items.push(...page.value.items)
       // Pages may have different revisions: the watch starts at the first, so that changes between pages are not missed.
       firstRevision ??= page.value.revision
-      after = page.value.items.at(-1)?.key ?? ''
-      if (!page.value.hasMore || after === '') break
+      startedAt = this.#options.clock()
     }
+    if (firstRevision === null) throw new Error('a listing without a page')
     onListed(items, firstRevision)
     this.#options.onListed?.(prefix, items.length)
     return { ok: true, value: { revision: firstRevision, changes: [] } }
