Store: listings after a lost history in a row are begun at a bounded rate

Seen by nodes: none yet outside the tests. A store that answers each watch with 410 is listed as fast as it answers; on all watchers together this takes the calls of all nodes, and each listing is parsed and applied as a whole.

Cause: a listing after a lost history is begun at once, which is right for the first one, and no delay grew for those after it: the listing in between counts as a success. Class: a rate that another process decides.

Change: the first listing is begun at once as before; those that follow without an answered watch wait as long as calls that fail.

--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -37,7 +37,10 @@
 /** Time after the start of a store check in which watches are short, and in which no further check starts. */
 const STORE_CHECK_PERIOD: Millis = 2_000
 
-/** Delay before a failed call is repeated; it doubles up to the maximum. */
+/**
+ * Delay before a failed call is repeated; it doubles up to the maximum. A listing after a lost history is begun at once, and so delayed only
+ * if no watch has been answered since the one before.
+ */
 const FIRST_RETRY_DELAY: Millis = 100
 const MAX_RETRY_DELAY: Millis = 800
 
@@ -219,6 +222,7 @@
   async #syncPrefix (synced: SyncedPrefix): Promise<void> {
     let revision: StoreRevision | null = null
     let delay = FIRST_RETRY_DELAY
+    let listingDelay: Millis = 0
     while (!this.#isStopped) {
       if (!this.#options.isStoreWatcher()) {
         if (revision !== null) this.#options.log.info('store.watch_ended', { prefix: synced.prefix, revision: describeRevision(revision) })
@@ -235,6 +239,7 @@
       if (progress.ok) {
         this.#recordAnswer(synced, revision, progress.value)
         this.#options.availability.recordResult(progress, startedAt)
+        if (revision !== null) listingDelay = 0
         revision = progress.value.revision
         this.#recordRevision(synced, progress.value)
         delay = FIRST_RETRY_DELAY
@@ -248,10 +253,12 @@
         this.#options.log.info('store.history_lost', { prefix: synced.prefix, revision: describeRevision(revision ?? 0) })
         this.#revisions.ended(synced.prefix)
         revision = null
+        await sleep(listingDelay * (0.5 + Math.random()))
+        listingDelay = nextDelay(listingDelay)
         continue
       }
       await sleep(delay * (0.5 + Math.random()))
-      delay = Math.min(MAX_RETRY_DELAY, 2 * delay)
+      delay = nextDelay(delay)
     }
   }
 
@@ -345,3 +352,5 @@
 }
 
 const isHistoryLost = (failure: CallFailure): boolean => failure.type === 'rejected' && failure.status === GONE
+
+const nextDelay = (delay: Millis): Millis => Math.min(MAX_RETRY_DELAY, Math.max(FIRST_RETRY_DELAY, 2 * delay))
--- a/packages/node/tests/storeAnswers.test.ts
+++ b/packages/node/tests/storeAnswers.test.ts
@@ -7,7 +7,7 @@
 import type { FailureDomain, NodeId } from '@bluebellhill/domain'
 import { MetadataStore, StoreKey } from '@bluebellhill/platform'
 import type { StoreChanges, StoreItem, StorePage } from '@bluebellhill/platform'
-import { HttpPool, success } from '@bluebellhill/services'
+import { failed, HttpPool, success } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
 
 import { FleetState } from '../src/forward/FleetState.js'
@@ -24,6 +24,7 @@
 
 const PREFIXES = 2
 
+const GONE: CallFailure = { type: 'rejected', status: 410, code: 'gone', retryAfter: null, reason: 'gone' }
 const ENTRY = JSON.stringify({ service: 's', address: '10.0.0.1:80', zone: 'd1', slots: 4, state: 'ready' })
 
 /** Store with one server, some of whose answers lead on. */
@@ -31,6 +32,8 @@
   listCount = 0
   /** Whether each page of a listing states that another one follows, which is the same. */
   repeatsPages = false
+  /** What a watch returns; null if it waits. */
+  watchAnswer: Result<StoreChanges, CallFailure> | null = null
 
   constructor () {
     super({ address: '127.0.0.1:1', http: new HttpPool(1), timeout: 1 })
@@ -44,6 +47,8 @@
   }
 
   override async watch (_prefix: string, _after: number, wait: number, signal: AbortSignal): Promise<Result<StoreChanges, CallFailure>> {
+    await nextTurn()
+    if (this.watchAnswer !== null) return this.watchAnswer
     await sleep(wait, undefined, { signal }).catch(() => {})
     return success({ changes: [], revision: 3 })
   }
@@ -90,3 +95,13 @@
   await sleep(MS_PER_SECOND)
   t.true(store.listCount <= MOST_CALLS_PER_SECOND, `${store.listCount} pages`)
 })
+
+// Guards against a node that spends its processor, and the calls of all nodes, on a store that never has a history.
+test('a store without a history is listed at a bounded rate', async (t) => {
+  const store = new LeadingStore()
+  store.watchAnswer = failed(GONE)
+  const fleetState = follow(t, store)
+  t.true(await untilFollowed(fleetState))
+  await sleep(MS_PER_SECOND)
+  t.true(store.listCount <= PREFIXES * MOST_CALLS_PER_SECOND, `${store.listCount} listings`)
+})
