Store: watches that end at once are repeated at a bounded rate

Seen by nodes: none yet outside the tests. A store that answers watches without waiting and without a change is asked as fast as it answers.

Cause: only an answer with changes was followed by a pause. Class: a rate that another process decides.

Change: an answer without changes that comes more than the usual pause before the end of the wait is followed by that pause. Watches with a short wait, after a failure, are not delayed.

--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -19,7 +19,7 @@
 /** How long a watch waits for a change; a connection without data is detected after the same time. */
 const WATCH_WAIT: Millis = 5_000
 
-/** Pause after a change, so that one call returns several changes. */
+/** Pause after a change, so that one call returns several changes, and after a watch that has ended early without any. */
 const PAUSE_AFTER_CHANGES: Millis = 100
 
 /**
@@ -62,6 +62,8 @@
   readonly revision: StoreRevision | null
   /** Revisions of the changes in the answer of a watch. */
   readonly changes: readonly StoreRevision[]
+  /** Whether a watch has ended without a change, and long before it had to. */
+  readonly isEarly?: boolean
 }
 
 export interface StoreSyncOptions {
@@ -243,7 +245,7 @@
         revision = progress.value.revision
         this.#recordRevision(synced, progress.value)
         delay = FIRST_RETRY_DELAY
-        if (progress.value.changes.length > 0) await this.#pauseAfterChanges(interruption)
+        if (progress.value.changes.length > 0 || progress.value.isEarly === true) await this.#pauseAfterChanges(interruption)
         continue
       }
       if (interruption.aborted) continue
@@ -321,7 +323,8 @@
     if (result.ok && eraOf(result.value.revision) !== eraOf(revision)) return this.#restored(prefix, revision, result.value.revision)
     if (result.ok) {
       for (const change of result.value.changes) onChanged(change)
-      return { ok: true, value: { revision: result.value.revision, changes: result.value.changes.map((change) => change.revision) } }
+      const isEarly = result.value.changes.length === 0 && clock() - startedAt + PAUSE_AFTER_CHANGES < wait
+      return { ok: true, value: { revision: result.value.revision, changes: result.value.changes.map((change) => change.revision), isEarly } }
     }
     const now = clock()
     // If the watch took longer than its wait, the store may have been unavailable since the watch started.
--- a/packages/node/tests/storeAnswers.test.ts
+++ b/packages/node/tests/storeAnswers.test.ts
@@ -30,6 +30,7 @@
 /** Store with one server, some of whose answers lead on. */
 class LeadingStore extends MetadataStore {
   listCount = 0
+  watchCount = 0
   /** Whether each page of a listing states that another one follows, which is the same. */
   repeatsPages = false
   /** What a watch returns; null if it waits. */
@@ -47,6 +48,7 @@
   }
 
   override async watch (_prefix: string, _after: number, wait: number, signal: AbortSignal): Promise<Result<StoreChanges, CallFailure>> {
+    this.watchCount += 1
     await nextTurn()
     if (this.watchAnswer !== null) return this.watchAnswer
     await sleep(wait, undefined, { signal }).catch(() => {})
@@ -105,3 +107,12 @@
   await sleep(MS_PER_SECOND)
   t.true(store.listCount <= PREFIXES * MOST_CALLS_PER_SECOND, `${store.listCount} listings`)
 })
+
+test('a store whose watches end at once is watched at a bounded rate', async (t) => {
+  const store = new LeadingStore()
+  store.watchAnswer = success({ changes: [], revision: 3 })
+  const fleetState = follow(t, store)
+  t.true(await untilFollowed(fleetState))
+  await sleep(MS_PER_SECOND)
+  t.true(store.watchCount <= PREFIXES * MOST_CALLS_PER_SECOND, `${store.watchCount} watches`)
+})
