Limits: an endless request limit leaves the times of a server known

Backend servers saw: one that stated a limit of 400 digits once got requests beyond every limit that it stated later, until it was removed.

Cause: such a header is read as Infinity. Its interval is 0, and 0 times an endless burst is no number; the time up to which the quota is used was NaN from then on, and a wait of NaN is none. The same by a statement of another node. Class: a value that a decoder lets pass and an aggregate keeps.

Change: without a bound on the burst nothing is multiplied with it.

Measured: the tests of requestQuotas, serverNotices, serverStatements, requestLimitRefusal and coldServers pass.

--- a/packages/domain/src/forwarding/RequestQuotas.ts
+++ b/packages/domain/src/forwarding/RequestQuotas.ts
@@ -68,4 +68,7 @@
 
 const intervalOf = ({ limit, share }: Quota): Millis => MS_PER_SECOND / (Math.max(limit, LOWEST_RATE) * share)
 
-const burstOf = (quota: Quota): Millis => Math.min(Math.max(0, BURST_TIME - intervalOf(quota)), (quota.burst ?? Infinity) * intervalOf(quota))
+const burstOf = (quota: Quota): Millis => {
+  const usual = Math.max(0, BURST_TIME - intervalOf(quota))
+  return quota.burst === undefined ? usual : Math.min(usual, quota.burst * intervalOf(quota))
+}
--- a/packages/domain/tests/requestQuotas.test.ts
+++ b/packages/domain/tests/requestQuotas.test.ts
@@ -66,3 +66,17 @@
   t.true(Math.abs(shares.reduce((sum, share) => sum + share) - 1) < 1e-9)
   t.is(requestLimitShare({ domain: null }, 'd2' as FailureDomain, 1), 1)
 })
+
+// Guards against a server that stated a limit of 400 digits once, and got requests beyond any limit that it stated later.
+test('limits of any size leave the times of later ones known', (t) => {
+  const anyLimit = fc.oneof(fc.double({ min: 0, noNaN: true }), fc.constantFrom(0, 5e-324, Number.MAX_VALUE, Infinity))
+  const anyQuota = fc.record({ limit: anyLimit, share: fc.double({ min: 1e-6, max: 1, noNaN: true }), phase: fc.double({ min: 0, max: 1, noNaN: true }), burst: fc.option(fc.double({ min: 0, max: 10, noNaN: true }), { nil: undefined }) })
+  t.notThrows(() => fc.assert(fc.property(fc.array(anyQuota, { minLength: 1, maxLength: 5 }), (odd) => {
+    const quotas = new RequestQuotas()
+    for (const quota of odd) {
+      if (Number.isNaN(quotas.waitTime(SERVER, quota, 0))) return false
+      quotas.take(SERVER, quota, 0)
+    }
+    return mostWithin(sendAt(every(50, 20_000), () => whole(2), quotas), 4 * MS_PER_SECOND) <= 4 * 2 + 2 + 1
+  }), { seed: 43, numRuns: 500 }))
+})
