Fuzzing run: names of the platform stand in platform/, and datagrams tell of engines in use

A request on the same list of headers may no longer hold expect, since it then waits for leave to send its body.

Datagrams told of engines that no request could be placed on. They now tell of two that have entries, and requests for these are placed meanwhile.

--- a/packages/soak/src/fuzz/AnswerDoor.ts
+++ b/packages/soak/src/fuzz/AnswerDoor.ts
@@ -1,10 +1,10 @@
 /** Answers of backend servers: heads, bodies and streams of events that are odd, malformed or long. */
-import { request as httpRequest } from 'node:http'
+import { HeaderName, ORDER_PATH } from '@bluebellhill/platform'
+import { SERVER_HEADERS, WEIGHT_VERSION_HEADER } from '@bluebellhill/platform-standin'
 
-import { HeaderName } from '@bluebellhill/platform'
-
-import { HOST, INPUT_MS, KEY, PORT, SERVICE } from './constants.js'
+import { PORT, PROMPT_SIZES, SERVICE } from './constants.js'
 import { Door } from './Door.js'
+import { isEnded, noEnd } from './requests.js'
 import { startRawServer } from './servers.js'
 import type { RawAnswer, RawServer } from './servers.js'
 
@@ -14,18 +14,8 @@
 /** Requests at the same time. */
 const PARALLEL = 30
 
-const DEADLINE_MS = 1_000
-
-/** A prompt that is read by several engines, and one that is not. */
-const PROMPT_SIZES = ['5000,400', '250000,400', '370000,400']
-
 const STATUSES = ['100', '101', '102', '103', '150', '199', '200', '200', '200', '201', '204', '205', '206', '299', '304', '400', '404', '408', '421', '429', '500', '502', '503', '503', '504', '599', '600', '999', '000', '1000', '-1', 'OK', '']
 
-const STATED = [
-  HeaderName.RequestLimit, HeaderName.WarmUpLeft, HeaderName.Leaving, HeaderName.FaultyServer, HeaderName.NotRun, HeaderName.ServerId, HeaderName.AttemptId, HeaderName.Signature, 'x-bluebellhill-weight-versions',
-  'retry-after', 'keep-alive', 'connection', 'content-encoding', 'content-length', 'transfer-encoding', 'trailer', 'upgrade', 'date', 'location', 'set-cookie', 'content-type', 'x-own'
-]
-
 const LONG_ID_BYTES = 1_000_000
 
 /** Requests reach servers that answer them so. */
@@ -71,33 +61,17 @@
     this.#number += 1
     const id = `ask-${this.#number}`
     const path = random.pick(['/odd/a', '/odd-unsafe/a', '/stream/a', '/stream/a'])
-    const ended = new Promise<boolean>((resolve) => {
-      const timer = setTimeout(() => resolve(false), INPUT_MS)
-      const end = (): void => {
-        clearTimeout(timer)
-        resolve(true)
-      }
-      const request = httpRequest({
-        host: this.fleet.nodeHost,
-        port: PORT.callers,
-        agent: false,
-        path,
-        method: random.pick(['GET', 'POST', 'HEAD']),
-        headers: { host: HOST, authorization: `Bearer ${KEY}`, [HeaderName.AttemptId]: id, [HeaderName.Deadline]: String(DEADLINE_MS), [HeaderName.PromptSize]: random.pick(PROMPT_SIZES), [HeaderName.PromptParts]: `${random.between(1, 1_000_000).toString(16)}:400` }
-      })
-      request.once('response', (response) => { response.resume().once('close', end).on('error', end) })
-      request.once('error', end)
-      request.end()
-    })
-    if (!await ended) this.faults.push(`request ${id} to ${path} had no end within ${INPUT_MS} ms`)
+    const method = random.pick(['GET', 'POST', 'HEAD'])
+    if (!await isEnded(this.fleet, { id, path, method, promptSize: random.pick(PROMPT_SIZES), promptParts: `${random.between(1, 1_000_000).toString(16)}:400` })) this.faults.push(noEnd(id, path))
   }
 
   #answer (head: string): RawAnswer {
-    const id = new RegExp(`^${HeaderName.AttemptId}: (.*)$`, 'im').exec(head)?.[1]?.trim() ?? ''
-    const isOrder = head.startsWith('POST /api/order')
+    const headerOf = (name: string): string => new RegExp(`^${name}: (.*)$`, 'im').exec(head)?.[1]?.trim() ?? ''
+    const id = headerOf(HeaderName.AttemptId)
+    const isOrder = head.startsWith(`POST ${ORDER_PATH}`)
     const { random } = this.values
     if (isOrder) return random.between(0, 1) === 0 ? json('{"free":1000}') : this.#oddOrder()
-    const server = /^x-bluebellhill-expected-instance: (.*)$/im.exec(head)?.[1]?.trim() ?? ''
+    const server = headerOf(HeaderName.ExpectedServer)
     const isStream = / \/stream\//.test(head.slice(0, 200))
     return isStream && random.between(0, 1) === 0 ? this.#stream(id, server) : this.#oddAnswer(id, server)
   }
@@ -122,7 +96,7 @@
   #oddAnswer (id: string, server: string): RawAnswer {
     const { values, values: { random } } = this
     const headers = this.#soundHeaders(id, server)
-    for (let index = random.between(0, 4); index > 0; index -= 1) headers.push([random.pick(STATED), random.between(0, 9) === 0 ? values.bytes(60).toString('latin1') : values.headerValue()])
+    for (let index = random.between(0, 4); index > 0; index -= 1) headers.push([random.pick(SERVER_HEADERS), random.between(0, 9) === 0 ? values.bytes(60).toString('latin1') : values.headerValue()])
     if (random.between(0, 19) === 0) headers.push(['x-long', 'y'.repeat(random.between(1, 120_000))])
     if (random.between(0, 9) === 0) headers.shift()
     const informational = random.between(0, 9) === 0 ? `HTTP/1.1 ${random.pick([100, 102, 103, 101, 199])} X\r\nx: y\r\n\r\n`.repeat(random.between(1, 1_000)) : ''
@@ -147,7 +121,7 @@
       () => `id: ${values.numberText()}\ndata: a\n\n`,
       () => `id: ${'9'.repeat(random.between(1, LONG_ID_BYTES))}\ndata: a\n\n`,
       () => `id\ndata\n:${'c'.repeat(5_000)}\n\n`,
-      () => `x-bluebellhill-weight-versions: ${values.numberText()}\nid: 2\ndata: a\n\n`,
+      () => `${WEIGHT_VERSION_HEADER}: ${values.numberText()}\nid: 2\ndata: a\n\n`,
       () => `${'\n'.repeat(random.between(1, 20_000))}`,
       () => `${'\r'.repeat(random.between(1, 20_000))}`,
       () => `data: ${values.json()}\r\n\r\n`,
--- a/packages/soak/src/fuzz/CallerDoor.ts
+++ b/packages/soak/src/fuzz/CallerDoor.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 
 import { HeaderName } from '@bluebellhill/platform'
+import { CALLER_HEADERS } from '@bluebellhill/platform-standin'
 
 import { HOST, INPUT_MS, KEY, PORT } from './constants.js'
 import { Door } from './Door.js'
@@ -17,12 +18,8 @@
 const PATHS = ['/safe/a', '/safe/a', '/unsafe/a', '/stream/a', '/', '', '*', '//safe//', '/safe/%', '/safe/%00', '/safe/../unsafe/', '/safe/?a=b#c', 'http://fuzz.example/safe/', '/safe/\u00e9', `/safe/${'a/'.repeat(5_000)}`, '/nowhere/']
 const VERSIONS = ['HTTP/1.1', 'HTTP/1.1', 'HTTP/1.1', 'HTTP/1.0', 'HTTP/2.0', 'HTTP/9.9', 'http/1.1', '']
 
-const DECODED = [
-  HeaderName.Deadline, HeaderName.PromptSize, HeaderName.PromptParts, 'x-bluebellhill-length-hint', HeaderName.LastEvent, HeaderName.Urgency, HeaderName.ExpectedServer, HeaderName.Organisation, HeaderName.Helpers, HeaderName.AttemptId,
-  'x-bluebellhill-model', 'x-bluebellhill-node-relay', 'x-bluebellhill-node-tried', 'authorization', 'connection', 'keep-alive', 'te', 'trailer', 'upgrade', 'expect', 'content-type', 'accept-encoding'
-]
-
-const FRAMING = ['host', 'content-length', 'transfer-encoding']
+/** Headers that frame a request; `expect` makes a caller wait before it sends its body. */
+const FRAMING = ['host', 'content-length', 'transfer-encoding', 'expect']
 
 interface RawRequest {
   readonly bytes: string
@@ -60,11 +57,9 @@
   #whole (): RawRequest {
     const { values, values: { random } } = this
     const headers = new Map(this.#soundHeaders())
-    for (let index = random.between(1, 3); index > 0; index -= 1) headers.set(random.pick(DECODED), values.headerValue())
-    // A request that waits for leave to send its body, or for another protocol, is not whole.
-    headers.delete('expect')
+    for (let index = random.between(1, 3); index > 0; index -= 1) headers.set(random.pick(CALLER_HEADERS), values.headerValue())
     const lines = [...headers].map(([name, value]) => `${name}: ${value}`)
-    if (random.between(0, 9) === 0) lines.push(`${random.pick(DECODED.filter((name) => name !== 'expect'))}: ${values.headerValue()}`)
+    if (random.between(0, 9) === 0) lines.push(`${random.pick(CALLER_HEADERS)}: ${values.headerValue()}`)
     lines.push(...this.ownHeaders().map(([name, value]) => `${name}: ${value}`))
     const body = this.#body()
     return { bytes: `${random.pick(['GET', 'POST', 'PUT'])} ${random.pick(['/safe/a', '/unsafe/a', '/stream/a', '/safe/a?b=c'])} HTTP/1.1\r\n${lines.join('\r\n')}\r\n${body}`, isWhole: !headers.has('upgrade') }
@@ -82,7 +77,7 @@
   #malformed (): RawRequest {
     const { values, values: { random } } = this
     const headers: Array<readonly [string, string]> = this.#soundHeaders()
-    for (let index = random.between(1, 4); index > 0; index -= 1) headers.push([random.pick([...DECODED, ...FRAMING, ...FRAMING]), random.between(0, 4) === 0 ? values.bytes(100).toString('latin1') : values.headerValue()])
+    for (let index = random.between(1, 4); index > 0; index -= 1) headers.push([random.pick([...CALLER_HEADERS, ...FRAMING, ...FRAMING]), random.between(0, 4) === 0 ? values.bytes(100).toString('latin1') : values.headerValue()])
     headers.push(...this.ownHeaders())
     const line = `${random.pick(METHODS)} ${random.pick(PATHS)} ${random.pick(VERSIONS)}`
     const body = random.pick(['', 'body', 'ffffffffffffffff\r\nx', '-1\r\n', '4;\r\nbody\r\n', 'g\r\n', values.bytes(300).toString('latin1')])
--- a/packages/soak/src/fuzz/DatagramDoor.ts
+++ b/packages/soak/src/fuzz/DatagramDoor.ts
@@ -6,8 +6,9 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import { changedMessage } from './changedMessage.js'
-import { PORT, SERVICE } from './constants.js'
+import { PORT, PROMPT_SIZES, SERVICE } from './constants.js'
 import { Door } from './Door.js'
+import { isEnded, noEnd } from './requests.js'
 import { startRawServer } from './servers.js'
 import type { RawAnswer, RawServer } from './servers.js'
 import { encodeMessage } from './wireMessage.js'
@@ -29,6 +30,10 @@
 /** Bytes of a state that is much smaller while it is compressed. */
 const BOMB_BYTES = 200_000_000
 
+/** Engines of which the datagrams tell, and an address at which none of them is. */
+const ENGINES = ['i-of-others', 'i-2']
+const UNUSED_ADDRESS = '127.0.0.1:9'
+
 /** Messages and their fields by number, as fleet.proto of the protocol has them. */
 const NOTICE = encodeMessage({ 1: 'i-of-others', 2: 1n, 3: 3, 4: 'n', 5: 4n, 6: 0n })
 
@@ -42,14 +47,14 @@
 
 const EVACUATIONS = encodeMessage({ 1: 1n, 2: 1n, 3: 'hall-z' })
 
-const SERVER = encodeMessage({ 1: 'i-of-others', 2: '127.0.0.1:9', 3: 'hall-z' })
+const SERVER = encodeMessage({ 1: 'i-of-others', 2: UNUSED_ADDRESS, 3: 'hall-z' })
 
 const HELD = encodeMessage({ 1: 'i-of-others', 2: 4n })
 
 /** Wall-clock milliseconds. */
 const STARTED_AT = 1_700_000_000_000n
 
-const CANDIDATE_REPORT = encodeMessage({ 1: 5n, 2: 1n, 3: 1n, 4: 0n, 5: 0n, 6: encodeMessage({ 1: 'peer-1', 2: '127.0.0.1:9', 3: 'hall-a', 4: 1_000n }), 7: NOTICE, 8: 1n, 9: FACTS, 10: EVACUATIONS })
+const CANDIDATE_REPORT = encodeMessage({ 1: 5n, 2: 1n, 3: 1n, 4: 0n, 5: 0n, 6: encodeMessage({ 1: 'peer-1', 2: UNUSED_ADDRESS, 3: 'hall-a', 4: 1_000n }), 7: NOTICE, 8: 1n, 9: FACTS, 10: EVACUATIONS })
 
 /** Snapshot of no later state than any node has: what is still sound of it has no effect. */
 const SNAPSHOT = {
@@ -62,15 +67,22 @@
   readonly name = 'datagrams'
   #socket: Socket | null = null
   #sequence = 0
+  #requests = 0
   #snapshots: RawServer | null = null
 
   override async send (count: number): Promise<number> {
     const socket = await this.#open()
     const before = this.#snapshots?.answered ?? 0
+    for (const engine of ENGINES) this.fleet.register(engine, SERVICE.oddEngines, UNUSED_ADDRESS)
+    const requests: Array<Promise<void>> = []
     for (let index = 0; index < count; index += 1) {
       socket.send(this.#draw(), PORT.peers, this.fleet.nodeHost)
-      if (index % BURST === 0) await sleep(BURST_PERIOD_MS)
+      if (index % BURST !== 0) continue
+      requests.push(this.#place())
+      await sleep(BURST_PERIOD_MS)
     }
+    await Promise.all(requests)
+    for (const engine of ENGINES) this.fleet.unregister(engine)
     return count + (this.#snapshots?.answered ?? 0) - before
   }
 
@@ -90,6 +102,13 @@
     return socket
   }
 
+  /** A request that is placed with what the datagrams say of the engines. */
+  async #place (): Promise<void> {
+    this.#requests += 1
+    const id = `placed-${this.#requests}`
+    if (!await isEnded(this.fleet, { id, path: '/stream/a', method: 'POST', promptSize: this.values.random.pick(PROMPT_SIZES), promptParts: `${this.#requests.toString(16)}:400` })) this.faults.push(noEnd(id, '/stream/a'))
+  }
+
   #draw (): Buffer {
     const datagram = this.#drawAny()
     return datagram.length <= MOST_BYTES ? datagram : this.#draw()
@@ -114,7 +133,7 @@
     this.#sequence += 1
     const work = (number: bigint): Buffer => encodeMessage({ 1: number, 2: 'i-of-others', 3: 'i-2', 4: 100n, 5: 10n, 6: 5n, 7: 6n, 8: 200n, 9: 600n, 10: 0n, 11: HELD, 12: 0n })
     return encodeMessage({
-      1: this.#node(), 2: STARTED_AT, 3: BigInt(this.#sequence), 4: 0n, 5: 1n, 6: 1n, 7: 1n, 8: 0n, 9: [work(1n), work(2n)], 10: '127.0.0.1:9', 11: 0n, 12: 'hall-a', 13: 1n, 14: 1_000n, 15: NOTICE, 16: 1n, 17: FACTS, 18: EVACUATIONS
+      1: this.#node(), 2: STARTED_AT, 3: BigInt(this.#sequence), 4: 0n, 5: 1n, 6: 1n, 7: 1n, 8: 0n, 9: [work(1n), work(2n), work(BigInt(this.#sequence))], 10: UNUSED_ADDRESS, 11: 0n, 12: 'hall-a', 13: 1n, 14: 1_000n, 15: NOTICE, 16: 1n, 17: FACTS, 18: EVACUATIONS
     })
   }
 
@@ -135,7 +154,7 @@
       { 3: encodeMessage({ 1: number, 2: 'r', 3: service, 4: 5_000n, 5: 400n, 6: 300n, 7: 600n, 8: 200n, 9: 'i-1', 11: 0n, 12: 0n, 13: 1n, 14: 0n, 15: 'a1', 16: '@b2', 17: 'growers', 18: 2n, 19: 3n, 20: '@c3', 22: 1n, 23: 0n }) },
       reply({ 2: encodeMessage({ 1: SERVER, 2: SERVER, 3: HELD, 4: 30n, 5: 2n, 6: 4n, 7: 0n, 8: 1n, 9: 'i-2', 10: 0n, 11: 1n, 12: 50n, 13: 0n }) }),
       reply({ 3: encodeMessage({ 1: 'full', 2: 50n, 3: NOTICE, 4: 1n }) }),
-      reply({ 4: '127.0.0.1:9' }),
+      reply({ 4: UNUSED_ADDRESS }),
       reply({ 5: encodeMessage({ 1: 60n }) }),
       { 5: encodeMessage({ 1: number, 2: 'i-of-others' }) },
       { 6: encodeMessage({ 1: number, 2: 50n }) },
--- a/packages/soak/src/fuzz/OddStore.ts
+++ b/packages/soak/src/fuzz/OddStore.ts
@@ -4,12 +4,10 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
 import { HeaderName } from '@bluebellhill/platform'
+import { STORE_NUMBERS, withFurtherPage } from '@bluebellhill/platform-standin'
 
 import type { OddValues } from './OddValues.js'
 
-/** Fields of the store's answers that hold its revision or its era: any whole number in them is a true one. */
-const REVISION_FIELDS = ['at', 'revision', 'created', 'lease', 'ttl_ms']
-
 /** Bytes of an answer that is too long to be one. */
 const LONG_BYTES = 5_000_000
 
@@ -48,10 +46,10 @@
     response.once('close', () => passed.destroy())
     passed.on('error', () => response.destroy())
     request.on('error', () => passed.destroy()).pipe(passed)
-    passed.once('response', (answer) => { void this.#answer(answer, request, response) })
+    passed.once('response', (answer) => { void this.#answer(answer, response) })
   }
 
-  async #answer (answer: IncomingMessage, { url = '' }: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #answer (answer: IncomingMessage, response: ServerResponse): Promise<void> {
     const chunks: Buffer[] = []
     try {
       for await (const chunk of answer) chunks.push(chunk as Buffer)
@@ -60,13 +58,14 @@
       return
     }
     const body = Buffer.concat(chunks)
-    if (this.#repeatedPages > 0 && url.startsWith('/api/kv-range')) {
+    const text = body.toString('utf8')
+    if (this.#repeatedPages > 0 && withFurtherPage(text) !== text) {
       this.#repeatedPages -= 1
-      sendBody(response, answer, body.toString('utf8').replace('"has_more":false', '"has_more":true'))
+      sendBody(response, answer, withFurtherPage(text))
     } else if (this.oddLeft > 0 && this.values.random.between(0, 1) === 0) {
       this.oddLeft -= 1
       this.oddCount += 1
-      this.#answerOddly(answer, body.toString('utf8'), response)
+      this.#answerOddly(answer, text, response)
     } else {
       sendBody(response, answer, body)
     }
@@ -109,7 +108,7 @@
 
   /** The answer of a sound store with one value that is no revision changed, so that it is no true one. */
   #changed (sound: object): string {
-    return this.values.changed(sound, (path) => path.length === 0 || REVISION_FIELDS.includes(String(path.at(-1))))
+    return this.values.changed(sound, (path) => path.length === 0 || STORE_NUMBERS.includes(String(path.at(-1))))
   }
 }
 
--- a/packages/soak/src/fuzz/constants.ts
+++ b/packages/soak/src/fuzz/constants.ts
@@ -37,5 +37,8 @@
 /** Service of the sound servers, and those of the servers that answer oddly. */
 export const SERVICE = { sound: 'app', odd: 'odd-app', oddEngines: 'odd-lm' } as const
 
+/** Sizes of prompts that one engine reads, and of ones that several read. */
+export const PROMPT_SIZES = ['5000,400', '250000,400', '370000,400'] as const
+
 /** Ports on the addresses of one run. */
 export const PORT = { callers: 8_060, readiness: 8_061, peers: 7_120, store: 8_068, server: 8_129 } as const
--- a/packages/soak/src/fuzz/furtherDoors.ts
+++ b/packages/soak/src/fuzz/furtherDoors.ts
@@ -2,6 +2,8 @@
 import { readFileSync, writeFileSync } from 'node:fs'
 import { setTimeout as sleep } from 'node:timers/promises'
 
+import { oddSettings } from '@bluebellhill/platform-standin'
+
 import { Door } from './Door.js'
 
 /** Time in which a node makes several calls to the store. */
@@ -30,11 +32,6 @@
 /** Time in which the node reads its settings again. */
 const RELOAD_MS = 30
 
-const LINES = [
-  'grace_s = -1', 'grace_s = 1e400', 'grace_s = inf', 'grace_s = nan', 'grace_s = 0', 'grace_s = 1e308', 'grace_s = 99999999999', 'grace_s = "8"', 'retry_budget_ratio = 1e400', 'retry_budget_ratio = -1', 'budget_slack = 1e308',
-  'grace_s = 9223372036854775808', 'grace_s = {}', 'grace_s = []', 'grace_s', '[bounds]', '= 1'
-]
-
 /** Settings that are read again. */
 export class SettingsDoor extends Door {
   readonly name = 'settings'
@@ -57,16 +54,12 @@
     const { values, values: { random } } = this
     const lines = sound.split('\n')
     const kinds: Array<() => string | Buffer> = [
-      () => sound.replace(/^grace_s.*$/m, random.pick(LINES)),
-      () => sound.replace(/^grace_s.*$/m, random.pick(LINES)),
-      () => lines.filter((_, index) => index !== random.between(0, lines.length - 1)).join('\n'),
+      () => random.pick(oddSettings(sound)),
+      () => random.pick(oddSettings(sound)),
+      () => random.pick(oddSettings(sound)),
+      () => lines.toSpliced(random.between(0, lines.length - 1), 1).join('\n'),
       () => sound.slice(0, random.between(0, sound.length)),
-      () => sound.replace(/^zone.*$/m, `zone = ${'['.repeat(random.between(1, 50_000))}`),
-      () => sound.replace(/^zone.*$/m, `${'a.'.repeat(random.between(1, 20_000))}b = 1`),
-      () => sound.replace(/^ip.*$/m, `ip = "${random.pick(['', '999.1.1.1', 'localhost', '::1', 'x'.repeat(100_000)])}"`),
-      () => sound.replace(/^internal_ports.*$/m, `internal_ports = ${random.pick(['[]', '[1]', '[-1, 99999]', '[1e400, 2]', '"7"', '[[1], [2]]'])}`),
-      () => values.bytes(2_000),
-      () => ''
+      () => values.bytes(2_000)
     ]
     return random.pick(kinds)()
   }
--- a/packages/soak/src/fuzz/storeDoors.ts
+++ b/packages/soak/src/fuzz/storeDoors.ts
@@ -2,15 +2,14 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import { StoreKey } from '@bluebellhill/platform'
+import { SERVER_ENTRY } from '@bluebellhill/platform-standin'
 
 import { Door } from './Door.js'
 
 /** Time in which a node reads what was written. */
 const READING_MS = 400
 
-const ODD_KEYS = ['', '/', '__proto__', 'constructor', '..', 'i%00', 'é', 'x'.repeat(190), '../op/config']
-
-const ENTRY = { service: 'app-of-others', address: '127.0.0.1:9', zone: 'hall-z', version: 'v1', slots: 8, state: 'ready', warmup_left_ms: 0, sequence: 1, born: 1_700_000_000_000 }
+const ODD_KEYS = ['', '/', '__proto__', 'constructor', '..', 'i%00', 'é', 'x'.repeat(190), `../${StoreKey.Configuration}`]
 
 /** Entries of backend servers. */
 export class EntryDoor extends Door {
@@ -20,7 +19,7 @@
     const { store } = this.fleet
     const { random } = this.values
     const keys = Array.from({ length: count }, (_, index) => `${StoreKey.BackendServers}${random.between(0, 9) === 0 ? random.pick(ODD_KEYS) : `odd-${index}`}`)
-    for (const key of keys) store.put(key, this.values.document(ENTRY))
+    for (const key of keys) store.put(key, this.values.document(SERVER_ENTRY))
     await sleep(READING_MS)
     for (const key of keys) store.remove(key)
     return count
