Large fleets: a late check of the shares takes nothing from a node's share

The share was given by the phase of the clock at each check. With a busy process of the rig, checks came at the same phase again and again, and a node of 20 stood still for 17 s although it was due 0.3 of the time. Each node has a quota now that fills as time passes.

--- a/packages/soak/src/ProcessorShares.ts
+++ b/packages/soak/src/ProcessorShares.ts
@@ -1,5 +1,6 @@
-/** Limits processes to a share of a processor: each is paused for a part of each period, at a phase of its own. */
+/** Limits processes to a share of a processor, as a quota does: each runs until its time of a period is used up, and is paused until it has gained it again. */
 
+/** Time over which a process gets its share. */
 const PERIOD_MS = 100
 const CHECK_PERIOD_MS = 5
 
@@ -9,45 +10,65 @@
   readonly pid: number | null
 }
 
-/** Pauses processes in turn until it is disposed of. */
+interface Quota {
+  readonly owner: Pausable
+  /** Time for which it may still run. */
+  left: number
+  /** Id of the process that is paused; null if none is. */
+  pausedPid: number | null
+}
+
+/** Pauses processes until it is disposed of. */
 export class ProcessorShares {
-  readonly #paused = new Map<Pausable, number>()
+  readonly #quotas: readonly Quota[]
   readonly #timer: NodeJS.Timeout
+  #checkedAt = performance.now()
 
   /**
    * @param processes - the processes
-   * @param share - part of each period in which a process runs
+   * @param share - part of the time in which a process runs
    */
-  constructor (private readonly processes: readonly Pausable[], private readonly share: number) {
+  constructor (processes: readonly Pausable[], private readonly share: number) {
+    this.#quotas = processes.map((owner, index) => ({ owner, left: share * PERIOD_MS * index / processes.length, pausedPid: null }))
     this.#timer = setInterval(() => this.#check(), CHECK_PERIOD_MS)
   }
 
   /** Lets all processes run freely. */
   dispose (): void {
     clearInterval(this.#timer)
-    for (const process of this.processes) this.#setRunning(process, true)
+    for (const quota of this.#quotas) resume(quota)
   }
 
+  /** A late check makes one period longer and not a share smaller: the time that passes is accounted for. */
   #check (): void {
-    const now = performance.now() / PERIOD_MS
-    for (const [index, process] of this.processes.entries()) {
-      const phase = (now + index / this.processes.length) % 1
-      this.#setRunning(process, phase < this.share)
+    const now = performance.now()
+    const elapsed = now - this.#checkedAt
+    this.#checkedAt = now
+    for (const quota of this.#quotas) {
+      const isPaused = quota.pausedPid !== null && quota.pausedPid === quota.owner.pid
+      quota.left += elapsed * (isPaused ? this.share : this.share - 1)
+      if (isPaused && quota.left >= this.share * PERIOD_MS) resume(quota)
+      else if (!isPaused && quota.left <= 0) pause(quota)
     }
   }
+}
 
-  #setRunning (owner: Pausable, isRunning: boolean): void {
-    const { pid } = owner
-    const paused = this.#paused.get(owner)
-    // A process that has been started anew runs.
-    const isPaused = pid !== null && paused === pid
-    if (pid === null || isPaused === !isRunning) return
-    try {
-      process.kill(pid, isRunning ? 'SIGCONT' : 'SIGSTOP')
-    } catch {
-      // It has ended, and its end is not reported yet.
-    }
-    if (isRunning) this.#paused.delete(owner)
-    else this.#paused.set(owner, pid)
+const pause = (quota: Quota): void => {
+  const { pid } = quota.owner
+  if (pid !== null && signal(pid, 'SIGSTOP')) quota.pausedPid = pid
+}
+
+const resume = (quota: Quota): void => {
+  const { pid } = quota.owner
+  if (pid !== null && pid === quota.pausedPid) signal(pid, 'SIGCONT')
+  quota.pausedPid = null
+}
+
+/** @returns whether the process runs; its end may not be reported yet */
+const signal = (pid: number, name: NodeJS.Signals): boolean => {
+  try {
+    return process.kill(pid, name)
+  } catch {
+    return false
   }
 }
