--- a/packages/soak/src/Fleet.ts
+++ b/packages/soak/src/Fleet.ts
@@ -240,7 +240,8 @@
 
   #writeEntry (server: Server, id: string, isDraining: boolean): void {
     const { service, failureDomain, index, startedAt } = server
-    const address = `${this.#serverProxyHost(index)}:${PORT.server}`
+    const host = this.profile.hasServerProxies ? this.#serverProxyHost(index) : this.#serverHost(index)
+    const address = `${host}:${PORT.server}`
     this.store.put(`${StoreKey.BackendServers}${id}`, serverDocument({ service, address, failureDomain, isDraining, startedAt }))
   }
 
--- a/packages/soak/src/ProcessorShares.ts
+++ b/packages/soak/src/ProcessorShares.ts
@@ -1,8 +1,12 @@
-/** Limits processes to a share of a processor, as a quota does: each runs until its time of a period is used up, and is paused until it has gained it again. */
+/** Limits processes to a share of a processor, as a quota does: each runs until it has used up its processor time, and is paused until it has gained more. */
+import { processorRunTimeOf } from './ProcessorWaits.js'
 
 /** Time over which a process gets its share. */
 const PERIOD_MS = 100
-const CHECK_PERIOD_MS = 5
+const CHECK_PERIOD_MS = 10
+
+/** Part of the processor time of a period from which a paused process goes on. */
+const RESUMED_FROM = 0.9
 
 /** A process that can be paused. */
 export interface Pausable {
@@ -12,8 +16,11 @@
 
 interface Quota {
   readonly owner: Pausable
-  /** Time for which it may still run. */
+  /** Processor time that it may still use, in milliseconds. */
   left: number
+  /** Process whose processor time is known, and that time. */
+  measuredPid: number | null
+  used: number
   /** Id of the process that is paused; null if none is. */
   pausedPid: number | null
 }
@@ -26,10 +33,10 @@
 
   /**
    * @param processes - the processes
-   * @param share - part of the time in which a process runs
+   * @param share - processor time of a process a millisecond
    */
   constructor (processes: readonly Pausable[], private readonly share: number) {
-    this.#quotas = processes.map((owner, index) => ({ owner, left: share * PERIOD_MS * index / processes.length, pausedPid: null }))
+    this.#quotas = processes.map((owner, index) => ({ owner, left: share * PERIOD_MS * index / processes.length, measuredPid: null, used: 0, pausedPid: null }))
     this.#timer = setInterval(() => this.#check(), CHECK_PERIOD_MS)
   }
 
@@ -39,20 +46,31 @@
     for (const quota of this.#quotas) resume(quota)
   }
 
-  /** A late check makes one period longer and not a share smaller: the time that passes is accounted for. */
+  /** A late check makes one period longer and not a share smaller. Time in which a process waits for a processor is not charged. */
   #check (): void {
     const now = performance.now()
     const elapsed = now - this.#checkedAt
     this.#checkedAt = now
     for (const quota of this.#quotas) {
       const isPaused = quota.pausedPid !== null && quota.pausedPid === quota.owner.pid
-      quota.left += elapsed * (isPaused ? this.share : this.share - 1)
-      if (isPaused && quota.left >= this.share * PERIOD_MS) resume(quota)
+      const most = this.share * PERIOD_MS
+      quota.left = Math.min(most, quota.left + elapsed * this.share - usedSince(quota))
+      if (isPaused && quota.left >= most * RESUMED_FROM) resume(quota)
       else if (!isPaused && quota.left <= 0) pause(quota)
     }
   }
 }
 
+/** @returns processor time that the process has used since the last call, in milliseconds */
+const usedSince = (quota: Quota): number => {
+  const { pid } = quota.owner
+  const used = pid === null ? 0 : processorRunTimeOf(pid) ?? 0
+  const before = pid === quota.measuredPid ? quota.used : 0
+  quota.measuredPid = pid
+  quota.used = used
+  return Math.max(0, used - before)
+}
+
 const pause = (quota: Quota): void => {
   const { pid } = quota.owner
   if (pid !== null && signal(pid, 'SIGSTOP')) quota.pausedPid = pid
--- a/packages/soak/src/ProcessorWaits.ts
+++ b/packages/soak/src/ProcessorWaits.ts
@@ -6,20 +6,29 @@
 const PERIOD_MS = 50
 const NANOSECONDS_PER_MS = 1_000_000
 
-/**
- * @param pid - id of a process
- * @returns time in milliseconds for which its main thread has waited for a processor so far; null if it is not known
- */
-export const processorWaitOf = (pid: number): number | null => {
+/** @returns a field of what the system counts for the main thread of a process, in milliseconds; null if it is not known */
+const readSchedulerField = (pid: number, field: number): number | null => {
   try {
-    const [, waited] = readFileSync(`/proc/${pid}/schedstat`, 'utf8').split(' ')
-    return waited === undefined ? null : Number(waited) / NANOSECONDS_PER_MS
+    const value = readFileSync(`/proc/${pid}/schedstat`, 'utf8').split(' ')[field]
+    return value === undefined ? null : Number(value) / NANOSECONDS_PER_MS
   } catch {
     // The process has ended, or the system does not count it: no delay is recorded then.
     return null
   }
 }
 
+/**
+ * @param pid - id of a process
+ * @returns time in milliseconds for which its main thread has run so far; null if it is not known
+ */
+export const processorRunTimeOf = (pid: number): number | null => readSchedulerField(pid, 0)
+
+/**
+ * @param pid - id of a process
+ * @returns time in milliseconds for which its main thread has waited for a processor so far; null if it is not known
+ */
+export const processorWaitOf = (pid: number): number | null => readSchedulerField(pid, 1)
+
 /** Waits of one process; of none until `follow` is called. Nothing is recorded where the system does not count them. */
 export class ProcessorWaits {
   readonly record = new DelayRecord()
--- a/packages/soak/src/Recovery.ts
+++ b/packages/soak/src/Recovery.ts
@@ -53,6 +53,8 @@
   readonly options: RecoveryOptions
   /** Load average of the machine over a minute, at the start and at the end. */
   readonly load: readonly [number, number]
+  /** Part of the time since the start in which the process of the rig could run; times are those of the rig if it is low. */
+  readonly rigRan: number
   /** First windows in which these shares of the requests are served; null if there is none. */
   readonly servedFrom: ReadonlyArray<{ readonly share: number, readonly at: number | null }>
   /** When the first, the middle and the last node was ready; null for those that were not. */
@@ -99,11 +101,13 @@
     await sleep(TRAFFIC_AFTER_MS)
     load.stop()
     await traffic
+    const endedAt = performance.now()
     const requests = load.requests.filter(({ sentAt }) => sentAt >= startedAt)
     const servedShareAfterBound = servedShare(requests.filter(({ sentAt }) => sentAt >= boundAt))
     return {
       options,
       load: [loadBefore, loadOfMinute()],
+      rigRan: fleet.delays.runningTime(startedAt, endedAt) / (endedAt - startedAt),
       servedFrom: SHARES.map((least) => ({ share: least, at: servedFrom(requests, startedAt, least) })),
       ready: readyRange(readiness.readyTimes, startedAt),
       processorMs: middleAndHighest(processorTimes.filter((time) => time !== undefined)),
--- a/packages/soak/src/profiles.ts
+++ b/packages/soak/src/profiles.ts
@@ -14,6 +14,8 @@
   readonly flags: readonly string[]
   /** Null if the store accepts any number of calls. */
   readonly storeLimits: CallLimits | null
+  /** Whether nodes reach servers through proxies, which can disrupt their connections. */
+  readonly hasServerProxies: boolean
   /** How long servers work on a request; the pace of the stand-in if it is absent. */
   readonly paceOf?: BackendStandin['paceOf']
 }
@@ -28,7 +30,8 @@
   ],
   settings: { stopGraceSeconds: STOP_GRACE_S, retryRatio: RETRY_RATIO, retrySlack: RETRY_SLACK },
   flags: [],
-  storeLimits: null
+  storeLimits: null,
+  hasServerProxies: true
 }
 
 /** Flags with which the program is deployed; V8 only uses a code cache that was made with the same flags. */
@@ -78,5 +81,6 @@
   settings: { stopGraceSeconds: 8, retryRatio: 0.2, retrySlack: 194, vm: { memoryMb: 250, processorShare: 0.324 } },
   flags: DEPLOYED_FLAGS,
   storeLimits: { reads: 6_000, writes: 1_200 },
+  hasServerProxies: false,
   paceOf
 })
--- a/packages/soak/src/recoveryMain.ts
+++ b/packages/soak/src/recoveryMain.ts
@@ -14,8 +14,8 @@
 /** Violations of one run that are printed. */
 const MOST_PRINTED = 20
 
-const print = ({ options: { scenario, nodes, share, seed }, load, servedFrom, ready, processorMs, storeCalls, results, servedShareAfterBound, violations }: RecoveryReport): void => {
-  console.log(`${scenario}: nodes=${nodes} share=${share} seed=${seed} load=${load.map((value) => value.toFixed(1)).join('..')} violations=${violations.length}`)
+const print = ({ options: { scenario, nodes, share, seed }, load, rigRan, servedFrom, ready, processorMs, storeCalls, results, servedShareAfterBound, violations }: RecoveryReport): void => {
+  console.log(`${scenario}: nodes=${nodes} share=${share} seed=${seed} load=${load.map((value) => value.toFixed(1)).join('..')} rig_ran=${rigRan.toFixed(2)} violations=${violations.length}`)
   console.log(`  served from (ms): ${servedFrom.map(({ share: least, at }) => `${least}: ${at}`).join(', ')}; of those after the bound: ${servedShareAfterBound.toFixed(3)}`)
   console.log(`  ready (ms): first ${ready[0]}, middle ${ready[1]}, last ${ready[2]}; processor time of a node until ready (ms): middle ${processorMs[0]}, highest ${processorMs[1]}`)
   console.log(`  store calls a node: ${storeCalls.reads.toFixed(1)} reads, ${storeCalls.writes.toFixed(1)} writes; refused of all: ${storeCalls.refused}`)
