A node that starts is ready only once it knows the backend servers

Callers got 503 no_server from nodes that had said they were ready: a node was ready as soon as it had a configuration, and the list of the servers came later. Readiness now needs a list of the servers, from the store or another node; it may be empty.

--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -292,9 +292,10 @@
     this.#nodeRegistration.start()
   }
 
-  /** Whether this node accepts callers. */
+  /** Whether this node accepts callers: it has a configuration and a list of the backend servers, which may be empty. */
   #isReady (): boolean {
-    const isReady = this.#stopping === null && this.#fleetState.routeTable !== null
+    const { routeTable, serversRevision } = this.#fleetState
+    const isReady = this.#stopping === null && routeTable !== null && serversRevision > 0
     if (isReady) this.#startTimes.reached(StartPhase.Ready)
     return isReady
   }
--- a/packages/node/tests/silentStore.ts
+++ b/packages/node/tests/silentStore.ts
@@ -42,7 +42,9 @@
   /** The answers of watches; a connection on which an answer is lost returns nothing further. */
   Watches: 'watches',
   /** All answers except those to reads that may be stale, as if a replica answered them while the store itself is silent. */
-  CurrentCalls: 'current_calls'
+  CurrentCalls: 'current_calls',
+  /** The lists of backend servers. */
+  ServerLists: 'server_lists'
 } as const
 export type Silence = typeof Silence[keyof typeof Silence]
 
@@ -79,6 +81,7 @@
   /** Whether the answer to a call is lost. */
   #isLost (call: string): boolean {
     if (this.silence === Silence.Watches) return call.includes('kv-watch')
+    if (this.silence === Silence.ServerLists) return call.includes(`kv-range?${new URLSearchParams({ prefix: StoreKey.BackendServers }).toString()}`)
     return this.silence === Silence.CurrentCalls && !call.includes('stale_ok')
   }
 
@@ -105,14 +108,15 @@
 export const firstPortOf = (slot: number): number =>
   PORTS_FROM + (process.pid * SLOTS + slot) % (PORT_COUNT / PORTS_PER_HOST) * PORTS_PER_HOST
 
-/** Starts nodes that know each other; they are returned in the order in which they watch the store. */
-export const startNodes = async (t: ExecutionContext, count: number, firstPort: number): Promise<TestNode[]> => {
+/** Starts nodes that know each other; they are returned in the order in which they watch the store, which may be silent from the start. */
+export const startNodes = async (t: ExecutionContext, count: number, firstPort: number, silence: Silence | null = null): Promise<TestNode[]> => {
   const directory = mkdtempSync(join(tmpdir(), 'store-watchers-'))
   t.teardown(() => rmSync(directory, { recursive: true }))
   const nodes: TestNode[] = []
   for (let index = 0; index < count; index += 1) {
     const host = `127.0.1.${index + 2}`
     const link = new StoreLink(firstPort)
+    link.silence = silence
     await link.start(host, firstPort + 4)
     const path = join(directory, `n${index}.toml`)
     const failureDomain = `d${index}` as FailureDomain
