Stop: count the time to read refusals from the end of the grace, also after a hold-up

Callers saw: after a hold-up of the process that lasted beyond both, the connections were closed in the same turn in which the requests without an answer were refused.

Cause: the end of the grace and the closing had a timer each, and both had expired. The closing now follows the end of the grace.

--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -70,6 +70,7 @@
   readonly #openRequests = new Map<ServerResponse, OpenRequest>()
   readonly #connections: CallerConnections
   readonly #stop: NodeStop
+  #isClosed = false
 
   /** @param context - objects that all requests share */
   constructor (context: Omit<ForwardingContext, 'stop' | 'forecast'>) {
@@ -112,8 +113,6 @@
    * @param writeOutTime - time after that in which the callers can read what they are told, before all connections are closed
    */
   async stop (grace: Millis, writeOutTime: Millis = WRITE_OUT_TIME): Promise<void> {
-    const { clock } = this.#context
-    const closesAt = clock() + grace + writeOutTime
     this.#stop.begin(grace)
     for (const [response, { forwarding }] of this.#openRequests) {
       closeConnectionAfter(response)
@@ -126,15 +125,13 @@
     await waitingInputRead()
     this.#connections.closeIdle()
     const idleSweep = setInterval(() => this.#connections.closeIdle(), IDLE_SWEEP_PERIOD)
-    const graceEnd = setTimeout(() => { void this.#cutOffAll() }, grace)
-    const forcedClose = setTimeout(() => this.#closeAll(), grace + writeOutTime)
+    const graceEnd = setTimeout(() => { void this.#endGrace(writeOutTime) }, grace)
     await closed
     // The other nodes may not have heard of the stop yet when the last request is answered.
     do await sleep(Math.min(grace, RELAYED_CHECK_PERIOD))
-    while (this.#openRequests.size > 0 && clock() < closesAt)
+    while (this.#openRequests.size > 0 && !this.#isClosed)
     clearInterval(idleSweep)
     clearTimeout(graceEnd)
-    clearTimeout(forcedClose)
   }
 
   /** Requests that have arrived may wait on connections that are not accepted yet; one is accepted in each turn of the event loop. */
@@ -147,10 +144,12 @@
     }
   }
 
-  /** Ends all requests without an answer. What has arrived while this process was held up is read first. */
-  async #cutOffAll (): Promise<void> {
+  /** Ends all requests without an answer, and then closes all connections. What has arrived while this process was held up is read first. */
+  async #endGrace (writeOutTime: Millis): Promise<void> {
     await waitingInputRead()
     for (const [response, open] of this.#openRequests) if (open.forwarding?.isOver !== true) this.#cutOff(open, response)
+    await sleep(writeOutTime)
+    this.#closeAll()
   }
 
   #cutOff (open: OpenRequest, response: ServerResponse): void {
@@ -168,6 +167,7 @@
 
   /** Closes all connections, also those on which an answer has not been read completely. */
   #closeAll (): void {
+    this.#isClosed = true
     for (const { forwarding, isCutOff } of this.#openRequests.values()) {
       if (forwarding === null || isCutOff) continue
       this.#stop.cutOff(forwarding.stage)
