More open requests than a node has memory for are refused

What callers saw. 3,700 requests with heads of 15 KB that waited for a slow plain service ended the node that held them: 'JavaScript heap out of memory', SIGABRT, at 240 MB with 3,147 requests open, all of them without an answer. Smaller heads took 225 MB of the 250 MB of the smallest VM with 3,414 open, before any body.

Bodies and answers count against the memory of a node, the requests themselves did not: some 40 to 50 KB each, for the head, two connections, timers and the placement. Only the file descriptors bounded them.

The part of the memory that is not used for buffers is divided by 50 KB: 1,220 requests on 250 MB. A further one is refused with 503 node_memory, which has not run.

Evidence. openRequests.test.ts: before, a request beyond the limit is taken and gets 504.

--- a/packages/domain/src/forwarding/BufferAccount.ts
+++ b/packages/domain/src/forwarding/BufferAccount.ts
@@ -36,6 +36,17 @@
  */
 export const bufferLimit = (memory: number): number => Math.max(memory * MIN_BUFFER_SHARE, (memory - BASE_MEMORY_BYTES) * BUFFER_SHARE)
 
+/** Memory of a request without a final answer, besides its body and its answer: its head, its connections and timers. */
+const OPEN_REQUEST_BYTES = 50_000
+
+/**
+ * The requests take the part of the memory that is not buffered.
+ *
+ * @param memory - memory of the VM in bytes
+ * @returns how many requests a node may have without a final answer
+ */
+export const openRequestLimit = (memory: number): number => Math.floor(bufferLimit(memory) / OPEN_REQUEST_BYTES)
+
 /** Bytes buffered by one node: bodies of requests, answers that are being collected, and bytes that callers have not read. */
 export class BufferAccount {
   readonly #answers = new Map<number, UnreadAnswer>()
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -1,5 +1,5 @@
 /** Builds the components of a node on the users' platform, and starts and stops them. */
-import { bufferLimit, SchedulerDirectory, STRICT_WARM_UP_BOUNDS } from '@bluebellhill/domain'
+import { bufferLimit, openRequestLimit, SchedulerDirectory, STRICT_WARM_UP_BOUNDS } from '@bluebellhill/domain'
 import type { Millis, SchedulerCandidate, WarmUpBounds } from '@bluebellhill/domain'
 import { EngineMemoryClient, MetadataStore, StoreKey } from '@bluebellhill/platform'
 import type { PlatformSettings, SocketAddress } from '@bluebellhill/platform'
@@ -11,6 +11,7 @@
 import { DisposableStore } from '../store/index.js'
 import { AnswerMemory } from './backend/AnswerMemory.js'
 import { NodeBuffers } from './buffers/NodeBuffers.js'
+import type { NodeBuffersOptions } from './buffers/NodeBuffers.js'
 import { EntryServer } from './entry/EntryServer.js'
 import { ReadinessServer } from './entry/ReadinessServer.js'
 import { ForwardMetrics } from './ForwardMetrics.js'
@@ -203,7 +204,7 @@
       onServerUnreachable: (server) => this.#placement.reportUnreachable(server)
     })
     this.#disposables.add(this.#relay)
-    this.#buffers = new NodeBuffers({ limit: settings.memory === null ? null : bufferLimit(settings.memory), log, metrics: this.#metrics, clock: runningClock })
+    this.#buffers = new NodeBuffers({ ...bufferLimitsOf(settings), log, metrics: this.#metrics, clock: runningClock })
     this.#entryServer = new EntryServer({ relay: this.#relay, placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, startTimes: this.#startTimes, memory, answerMemory: new AnswerMemory(), buffers: this.#buffers, clock })
   }
 
@@ -354,5 +355,8 @@
   tolerance: warmUpTolerance ?? STRICT_WARM_UP_BOUNDS.tolerance
 })
 
+const bufferLimitsOf = ({ memory }: PlatformSettings): Pick<NodeBuffersOptions, 'limit' | 'requestLimit'> =>
+  memory === null ? { limit: null } : { limit: bufferLimit(memory), requestLimit: openRequestLimit(memory) }
+
 const candidateOf = ({ node, host, internalPorts, failureDomain, processor }: PlatformSettings): SchedulerCandidate =>
   ({ node, address: `${host}:${internalPorts[0]}`, failureDomain, processor })
--- a/packages/node/src/forward/buffers/NodeBuffers.ts
+++ b/packages/node/src/forward/buffers/NodeBuffers.ts
@@ -15,6 +15,8 @@
 export interface NodeBuffersOptions {
   /** Largest number of bytes; null for none: nothing is counted then. */
   readonly limit: number | null
+  /** Largest number of requests without a final answer; null or absent for none. */
+  readonly requestLimit?: number | null
   readonly log: Log
   readonly metrics: ForwardMetrics
   readonly clock: () => Millis
@@ -46,6 +48,14 @@
     return this.#account.total
   }
 
+  /**
+   * @param openRequests - requests without a final answer, with the one that has arrived
+   * @returns whether there is memory for that many
+   */
+  hasRoomForRequest (openRequests: number): boolean {
+    return openRequests <= (this.#options.requestLimit ?? Infinity)
+  }
+
   /**
    * @param bytes - length of the body that a request announces
    * @returns whether there is room for it now; callers that are slow are cut off for it
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -225,9 +225,10 @@
     if (table === null) return RefusalCause.Starting
     this.#context.startTimes.reached(StartPhase.RequestAccepted)
     if ((this.#stop.after(arrivedAt) ?? 0) > ACCEPT_PERIOD_AFTER_STOP) return RefusalCause.Stopping
+    const { buffers } = this.#context
+    if (!buffers.hasRoomForRequest(this.#openRequests.size)) return RefusalCause.NodeMemory
     const head = acceptHead(request, table, isRelayed)
     if (!head.ok) return head.failure
-    const { buffers } = this.#context
     if (!buffers.hasRoomForBody(Number(request.headers['content-length'] ?? 0))) return RefusalCause.NodeMemory
     const body = await readCallerBody(request, table.deployment.limits, timeAllowed(head.value), buffers.openBody(response))
     // The end of the stop grace may have refused it meanwhile: it must not be sent.
@@ -290,7 +291,7 @@
     const { log, metrics, fleetState, buffers } = this.#context
     metrics.requestRefused(cause)
     log.info('request.refused', {
-      request: decodeCallerHeaders(request.headers).attemptId ?? undefined, cause, host: request.headers.host, path: request.url, configuration: fleetState.configurationVersion, configuration_age_ms: Math.round(fleetState.configurationAge), ...(cause === RefusalCause.NodeMemory ? buffers.describe() : {})
+      request: decodeCallerHeaders(request.headers).attemptId ?? undefined, cause, host: request.headers.host, path: request.url, configuration: fleetState.configurationVersion, configuration_age_ms: Math.round(fleetState.configurationAge), ...(cause === RefusalCause.NodeMemory ? { open_requests: this.#openRequests.size, ...buffers.describe() } : {})
     })
     if (!request.complete) closeConnectionAfter(response)
     refuse(response, cause)
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -95,8 +95,11 @@
   #port = 0
   #nextAttemptId = 1
 
-  /** @param bufferLimit - bytes that the node may buffer; null for no limit */
-  constructor (bufferLimit: number | null = null) {
+  /**
+   * @param bufferLimit - bytes that the node may buffer; null for no limit
+   * @param requestLimit - requests that it may have open; null for no limit
+   */
+  constructor (bufferLimit: number | null = null, requestLimit: number | null = null) {
     const { lines } = this
     const log = openLog({ node: 'n1', failureDomain: 'd1', level: LogLevel.Info, transport: new LineCollector(lines) })
     const clock = (): Millis => this.clock()
@@ -112,7 +115,7 @@
       node: SELF.node, failureDomain: SELF.failureDomain, directory, fleetState: this.fleetState, log, clock, runningClock: clock, onServerUnreachable: (server) => this.placement.reportUnreachable(server)
     })
     this.startTimes = new StartTimes({ log, metrics: this.metrics, clock, processorTime: () => 0 })
-    this.buffers = new NodeBuffers({ limit: bufferLimit, log, metrics: this.metrics, clock })
+    this.buffers = new NodeBuffers({ limit: bufferLimit, requestLimit, log, metrics: this.metrics, clock })
     this.entry = new EntryServer({ relay: this.relay, placement: this.placement, fleetState: this.fleetState, log, metrics: this.metrics, startTimes: this.startTimes, memory: new EngineMemoryClient(new HttpPool(2), 5_000), answerMemory: new AnswerMemory(), buffers: this.buffers, clock })
   }
 
@@ -127,8 +130,8 @@
   }
 
   /** Starts the entry server with backend servers that listen on these ports of the loopback address. */
-  static async startWithPorts (t: ExecutionContext, ports: readonly number[], bufferLimit: number | null = null): Promise<ForwardFixture> {
-    const fixture = new ForwardFixture(bufferLimit)
+  static async startWithPorts (t: ExecutionContext, ports: readonly number[], bufferLimit: number | null = null, requestLimit: number | null = null): Promise<ForwardFixture> {
+    const fixture = new ForwardFixture(bufferLimit, requestLimit)
     for (const [index, port] of ports.entries()) fixture.#listServer(`e${index}`, port)
     fixture.fleetState.install(DEPLOYMENT, 'store')
     fixture.#port = await fixture.entry.start({ host: '127.0.0.1', port: 0 })
--- /dev/null
+++ b/packages/node/tests/openRequests.test.ts
@@ -0,0 +1,51 @@
+/** More requests at once than a node has memory for. */
+import test from 'ava'
+
+import { openRequestLimit } from '@bluebellhill/domain'
+
+import { ForwardFixture } from './forwardFixture.js'
+import { until } from './quarantineFixture.js'
+import { startRawServer } from './rawServer.js'
+
+const LIMIT = 10
+
+const MB = 1_000_000
+
+// Guards against a node that is ended for its memory with all its requests, by callers who each have one open.
+test('a request for which there is no memory is refused, and has not run', async (t) => {
+  let arrivals = 0
+  const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, () => { arrivals += 1 })], null, LIMIT)
+  const leaving = new AbortController()
+  const waiting = Array.from({ length: LIMIT }, () => fixture.call('/patient-unsafe/x', { disconnection: leaving.signal }).catch(() => null))
+  await until(() => arrivals === LIMIT)
+  const { status, headers, body } = await fixture.call('/patient-unsafe/x')
+  t.is(status, 503)
+  t.is(headers['retry-after'], '0.3')
+  t.regex(body, /"code":"node_memory"/)
+  t.regex(fixture.linesOf('request.refused')[0] ?? '', /cause=node_memory .*open_requests=11/)
+  t.is(arrivals, LIMIT)
+  leaving.abort()
+  await Promise.all(waiting)
+})
+
+// Guards against a limit that stays reached after its requests are over.
+test('a node takes requests again once others are over', async (t) => {
+  let arrivals = 0
+  const fixture = await ForwardFixture.startWithPorts(t, [await startRawServer(t, () => { arrivals += 1 })], null, LIMIT)
+  const leaving = new AbortController()
+  const waiting = Array.from({ length: LIMIT }, () => fixture.call('/patient/x', { disconnection: leaving.signal }).catch(() => null))
+  await until(() => arrivals === LIMIT)
+  leaving.abort()
+  await Promise.all(waiting)
+  await until(() => fixture.entry.openRequests === 0)
+  const next = new AbortController()
+  const answer = fixture.call('/patient/x', { disconnection: next.signal }).catch(() => null)
+  await until(() => arrivals > LIMIT)
+  next.abort()
+  t.is(await answer, null)
+})
+
+test('the requests of the smallest VM leave room for its buffers', (t) => {
+  t.is(openRequestLimit(250 * MB), 1_220)
+  t.is(openRequestLimit(128 * MB), 320)
+})
