--- a/packages/soak/src/OpenLoad.ts
+++ b/packages/soak/src/OpenLoad.ts
@@ -48,19 +48,20 @@
    * @param nodes - addresses of the nodes
    * @param ready - returns the indexes of the nodes that get requests
    * @param seed - of the choices
+   * @param rate - part of the usual rate of requests
    */
-  constructor (private readonly nodes: readonly CallerTarget[], private readonly ready: () => readonly number[], private readonly seed: number) {
+  constructor (private readonly nodes: readonly CallerTarget[], private readonly ready: () => readonly number[], private readonly seed: number, private readonly rate: number) {
     this.#random = new Random(seed)
   }
 
   /** Sends until `stop`, and waits for the ends of all requests. */
   async run (): Promise<void> {
     const startedAt = performance.now()
-    const due = KINDS.map(({ perSecond }) => this.#random.between(0, MS_PER_SECOND) / perSecond)
+    const due = KINDS.map(({ perSecond }) => this.#random.between(0, MS_PER_SECOND) / (perSecond * this.rate))
     while (!this.#isStopped) {
       const elapsed = performance.now() - startedAt
       for (const [index, kind] of KINDS.entries()) {
-        for (; (due[index] ?? Infinity) <= elapsed; due[index]! += MS_PER_SECOND / kind.perSecond) this.#send(kind)
+        for (; (due[index] ?? Infinity) <= elapsed; due[index]! += MS_PER_SECOND / (kind.perSecond * this.rate)) this.#send(kind)
       }
       await sleep(1)
     }
--- a/packages/soak/src/Recovery.ts
+++ b/packages/soak/src/Recovery.ts
@@ -41,6 +41,8 @@
   readonly nodes: number
   /** Part of a processor that each node gets; 1 to let it run freely. */
   readonly share: number
+  /** Part of the usual rate of requests, which is 64 a second. */
+  readonly rate: number
   readonly seed: number
   /** Gets settings and logs. */
   readonly directory: string
@@ -76,7 +78,7 @@
  * @returns what was seen
  */
 export const runRecovery = async (options: RecoveryOptions): Promise<RecoveryReport> => {
-  const { nodes, share, seed, directory, program } = options
+  const { nodes, share, rate, seed, directory, program } = options
   const scenario: Scenario = SCENARIOS[options.scenario]
   const fleet = new Fleet(`127.49.${process.pid % NETWORKS}`, join(directory, `${options.scenario}-${nodes}-${share}`), program, null, largeFleet(nodes, scenario.isCold))
   const processorTimes: number[] = []
@@ -87,7 +89,7 @@
     const readiness = new Readiness(fleet.nodes.map(({ host }) => host), (index) => { processorTimes[index] = processorTimeOf(fleet.nodes[index]?.process.pid ?? null) })
     disposables.push(readiness)
     await untilAllReady(readiness, nodes)
-    const load = new OpenLoad(fleet.nodes, () => readiness.ready, seed)
+    const load = new OpenLoad(fleet.nodes, () => readiness.ready, seed, rate)
     const traffic = load.run()
     await sleep(CALM_MS)
     const loadBefore = loadOfMinute()
--- a/packages/soak/tests/soak.test.ts
+++ b/packages/soak/tests/soak.test.ts
@@ -73,7 +73,7 @@
 
 // Guards against a fleet that does not serve again after all of its nodes were lost at once.
 test.serial('nodes that were all killed serve again', async (t) => {
-  const { results, violations } = await runRecovery({ scenario: 'kill', nodes: 5, share: 1, seed: 1, directory: 'out/recovery/ci', program: 'target/start.cjs' })
+  const { results, violations } = await runRecovery({ scenario: 'kill', nodes: 5, share: 1, rate: 1, seed: 1, directory: 'out/recovery/ci', program: 'target/start.cjs' })
   t.deepEqual(violations, [])
   t.true((results.served ?? 0) > 0)
 })
