Nodes: a configuration that one node takes from the store is taken by the others from it

Seen by nodes: none yet outside the tests. A configuration with an empty name of a region, route or service came into force on the nodes that watch the store. All others refused it, and with it each later configuration and list of servers: they stopped following both. On a fleet of 59 that is nearly all nodes.

Cause: the decoder of a node's state asked for names that are not empty, the decoder of the store does not, and a state with one invalid field is refused as a whole. Class: two decoders of one value with unlike ranges.

Change: names may be empty in both. Nodes of earlier builds still refuse such a state.

--- a/packages/node/src/forward/peers/snapshotCodec.ts
+++ b/packages/node/src/forward/peers/snapshotCodec.ts
@@ -15,10 +15,10 @@
 const nonEmpty = z.string().min(1)
 
 /** Nodes of earlier builds send none. */
-const regionsSchema = z.array(nonEmpty.transform((region) => region as Region)).optional()
+const regionsSchema = z.array(z.string().transform((region) => region as Region)).optional()
 
 const routeSchema = z.object({
-  name: nonEmpty,
+  name: z.string(),
   host: z.string(),
   pathPrefix: z.string(),
   kind: z.enum([CallKind.Safe, CallKind.Unsafe, CallKind.Stream]),
@@ -29,7 +29,7 @@
   priority: z.number(),
   maxAttempts: z.number().int().min(1),
   isPublic: z.boolean(),
-  services: z.array(z.object({ service: nonEmpty, weight: nonNegative })),
+  services: z.array(z.object({ service: z.string(), weight: nonNegative })),
   regions: regionsSchema
 })
 
@@ -51,7 +51,7 @@
 const deploymentSchema = z.object({
   version: nonNegative.refine(Number.isInteger),
   routes: z.array(routeSchema),
-  services: z.array(z.object({ name: nonEmpty, healthPath: z.string(), maxConnections: nonNegative, engine: engineSchema.nullable(), warmUp: warmUpSchema })),
+  services: z.array(z.object({ name: z.string(), healthPath: z.string(), maxConnections: nonNegative, engine: engineSchema.nullable(), warmUp: warmUpSchema })),
   limits: z.object({ headerBytes: nonNegative, bodyBytes: nonNegative, headerTimeout: duration, idleTimeout: duration }),
   organisations: z.array(z.object({ name: z.string(), apiKeys: z.array(z.string()), priority: z.number().nullable(), regions: regionsSchema }))
 })
