A node starts although the answers of the store take longer than a second

Callers got no service for as long as the store took longer than a second for an answer: a node that starts gave up each listing of the configuration, the servers and the nodes after 1 s and called again, so that all answers came too late. It was seen with 59 nodes started at once beside a store stand-in that got too little processor time (load 20 to 26, 8 cores): nodes listened after 4.0 s (median) and had a configuration after 12.7 s, with 603 leases, 370 listings or watches and 126 listings of nodes given up, each for 'no response within 1000 ms' or 350 ms; processor time until ready was 0.8 s a node.

The first listings are repeated after 1 s as before, but the earlier calls stay open, for 4 s at most, and the first answer counts. With a store that stays silent the next call comes no later than before. A node that has its state keeps the short timeout: it has to learn soon that the store is lost.

--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -37,8 +37,8 @@
 /** Timeout of a call that reserves or releases KV cache memory on an engine. */
 const RESERVATION_CALL_TIMEOUT: Millis = 300
 
-/** Connections to the store: two for the watches that wait for changes, the others for short calls. */
-const STORE_CONNECTIONS = 6
+/** Connections to the store: two for the watches that wait for changes, or six for the first listings of a node, and the others for short calls. */
+const STORE_CONNECTIONS = 8
 
 /** Interval at which expired entries of backend servers are removed. */
 const EXPIRY_PERIOD: Millis = 200
--- a/packages/node/src/forward/store/NodeRegistration.ts
+++ b/packages/node/src/forward/store/NodeRegistration.ts
@@ -1,10 +1,11 @@
 /** Registers this node in the platform's store, and reads the addresses of the other nodes from it. */
 import type { FailureDomain, Millis, NodeId, SchedulerCandidate } from '@bluebellhill/domain'
 import { StoreKey } from '@bluebellhill/platform'
-import type { MetadataStore, StoreItem, StoreLease } from '@bluebellhill/platform'
+import type { MetadataStore, PageCall, StoreItem, StoreLease } from '@bluebellhill/platform'
 import { describeFailure, isSocketAddress } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
 
+import { callFirst } from './callUntilAnswered.js'
 import { errorText } from '../../log/index.js'
 import type { Log } from '../../log/index.js'
 
@@ -56,7 +57,7 @@
    * all others learns from it whether it has to watch the store. Nodes that start at the same moment are found after the registration.
    */
   start (): void {
-    void this.#listNodes(true)
+    void this.#listNodes(true, callFirst)
     void this.#refresh()
   }
 
@@ -129,9 +130,13 @@
     return true
   }
 
-  async #listNodes (mayBeStale = false): Promise<boolean> {
+  /**
+   * @param mayBeStale - whether the pages may be some seconds old
+   * @param call - makes the call of each page; once if absent
+   */
+  async #listNodes (mayBeStale = false, call?: PageCall): Promise<boolean> {
     const { store, onNodesListed } = this.#options
-    for await (const page of store.pages(StoreKey.Nodes, mayBeStale)) {
+    for await (const page of store.pages(StoreKey.Nodes, mayBeStale, call)) {
       if (!this.#succeeded('read', page)) return false
       const entries = page.value.items.flatMap((item) => this.#parse(item))
       onNodesListed(entries.filter((entry) => typeof entry !== 'string'), entries.filter((entry) => typeof entry === 'string'))
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -13,6 +13,7 @@
 import type { ForwardMetrics } from '../ForwardMetrics.js'
 import { errorText } from '../../log/index.js'
 import type { Log } from '../../log/index.js'
+import { callFirst } from './callUntilAnswered.js'
 import type { StoreAvailability } from './StoreAvailability.js'
 import { PROBE_TIMEOUT } from './StoreProbe.js'
 
@@ -287,8 +288,10 @@
     const items: StoreItem[] = []
     let firstRevision: StoreRevision | null = null
     this.#unanswered.delete(prefix)
-    let startedAt = this.#options.clock()
-    for await (const page of this.#options.store.pages(prefix)) {
+    const { clock, store, fleetState: { routeTable, serversRevision } } = this.#options
+    const isStarting = routeTable === null || serversRevision === 0
+    let startedAt = clock()
+    for await (const page of store.pages(prefix, false, isStarting ? callFirst : undefined)) {
       if (!page.ok) {
         this.#recordFailure(page, startedAt)
         return page
@@ -297,7 +300,7 @@
       items.push(...page.value.items)
       // Pages may have different revisions: the watch starts at the first, so that changes between pages are not missed.
       firstRevision ??= page.value.revision
-      startedAt = this.#options.clock()
+      startedAt = clock()
     }
     if (firstRevision === null) throw new Error('a listing without a page')
     onListed(items, firstRevision)
