--- a/packages/soak/src/Recovery.ts
+++ b/packages/soak/src/Recovery.ts
@@ -82,7 +82,7 @@
   const scenario: Scenario = SCENARIOS[options.scenario]
   const fleet = new Fleet(`127.49.${process.pid % NETWORKS}`, join(directory, `${options.scenario}-${nodes}-${share}`), program, null, largeFleet(nodes, scenario.isCold))
   const processorTimes: number[] = []
-  const disposables: Array<{ dispose: () => void }> = []
+  const disposables: Array<{ dispose: () => void }> = [endWithNodes(fleet)]
   try {
     await fleet.start()
     if (share < 1) disposables.push(new ProcessorShares(fleet.nodes.map(({ process }) => process), share))
@@ -124,6 +124,15 @@
   }
 }
 
+/** Ends the nodes with this process: they would go on, or stay paused. Returns what makes signals end this process alone again. */
+const endWithNodes = (fleet: Fleet): { dispose: () => void } => {
+  const end = (): void => { void fleet.dispose().then(() => process.exit(1)) }
+  for (const signal of ENDING_SIGNALS) process.once(signal, end)
+  return { dispose: () => { for (const signal of ENDING_SIGNALS) process.off(signal, end) } }
+}
+
+const ENDING_SIGNALS = ['SIGINT', 'SIGTERM'] as const
+
 /** Networks of the processes that run at the same time. */
 const NETWORKS = 200
 
