Stop: let a node that has passed a request on try it elsewhere after the stop of another one

Cause: a node takes the refusal of another one with status 502 as final, since that one has used the attempts of the request up. A cause of its own would be taken for 'not run' by nodes of earlier builds.

What may run again and was passed on is broken off, as it was before; what may run once gets 502 with its cause.

--- a/packages/node/src/forward/RequestEnding.ts
+++ b/packages/node/src/forward/RequestEnding.ts
@@ -1,6 +1,7 @@
 /** Ends one request, exactly once. */
 import type { ServerResponse } from 'node:http'
 
+import { mayRunAgain } from '@bluebellhill/domain'
 import type { Millis, RunnerId } from '@bluebellhill/domain'
 import { encodeReturnedHeaders } from '@bluebellhill/platform'
 
@@ -109,14 +110,15 @@
 
   /**
    * Ends a request that this node can no longer wait for: with a complete answer that says whether it may have run, unless a part of another answer has
-   * been sent.
+   * been sent. A node that has passed on a request which may run again takes a broken connection as a reason to try it elsewhere, and a refusal as final.
    *
    * @param cause - why it is not waited for
    * @param stage - how far it had come
    * @param request - what has become of it
    */
   breakOff (cause: CloseCause, stage: RequestStage, { hasStartedAnswer, mayHaveRun, signedFailure }: BrokenOffRequest): void {
-    if (hasStartedAnswer) {
+    const { isRelayed, route } = this.#options.call
+    if (hasStartedAnswer || (mayHaveRun && isRelayed && mayRunAgain(route))) {
       this.abort(ForwardOutcome.Lost, cause, stage)
       return
     }
--- a/packages/node/tests/relayedRequests.test.ts
+++ b/packages/node/tests/relayedRequests.test.ts
@@ -6,16 +6,16 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import test from 'ava'
-import type { ExecutionContext } from 'ava'
 
 import { Readiness } from '@bluebellhill/domain'
-import type { FailureDomain, NodeId, RunnerId } from '@bluebellhill/domain'
+import type { FailureDomain, RunnerId } from '@bluebellhill/domain'
 import { HeaderName } from '@bluebellhill/platform'
 
 import { RELAY_HEADER } from '../src/forward/relay/relayHeaders.js'
 import { ForwardFixture, HOST, KEY, signedHeaders } from './forwardFixture.js'
 import type { Script } from './forwardFixture.js'
 import { crashEngines, until } from './quarantineFixture.js'
+import { addPeer, startNoticed, startUnreachable } from './relayFixture.js'
 import { refusingPorts } from './unreachablePorts.js'
 
 /** Time within which a request is refused at once, in milliseconds. */
@@ -26,25 +26,6 @@
 
 const answering: Script = (request, response) => { response.writeHead(200, signedHeaders(request)).end('an answer') }
 
-const addPeer = (cut: ForwardFixture, address: string, node = 'n2', failureDomain = 'd1'): void => {
-  cut.directory.add({ node: node as NodeId, address, failureDomain: failureDomain as FailureDomain, processor: 1 })
-}
-
-/** A node that has noticed that it reaches no server, beside another one whose servers follow the script. */
-const startNoticed = async (t: ExecutionContext, script: Script, servers = 1): Promise<{ cut: ForwardFixture, peer: ForwardFixture }> => {
-  const peer = await ForwardFixture.start(t, ...Array.from({ length: servers }, () => script))
-  const cut = await startUnreachable(t)
-  addPeer(cut, await peer.listenToNodes())
-  return { cut, peer }
-}
-
-const startUnreachable = async (t: ExecutionContext): Promise<ForwardFixture> => {
-  const cut = await ForwardFixture.startWithPorts(t, await refusingPorts(2))
-  await cut.call('/safe/first')
-  await until(() => cut.relay.checks.isUnreachable('s'))
-  return cut
-}
-
 test('method, path, headers and body reach the server unchanged, with the organisation in place of the key, and a shorter deadline', async (t) => {
   let seen: IncomingMessage | null = null
   let body = ''
