Test of a planned stop: the nodes beside the one that stops answer every request

Whether requests are lost or refused that a scheduler of the stopping node places, or that reach nodes which counted on it.

--- a/packages/soak/tests/plannedStop.test.ts
+++ b/packages/soak/tests/plannedStop.test.ts
@@ -40,6 +40,10 @@
   return { name, host: HOST, prefix: `/${name}/`, kind, service: PLAIN_SERVICE, timeoutMs: 20_000, resumable: false }
 })))
 
+/** Requests that reach the other nodes at intervals during the stop. */
+const QUICK_ROUTE: RouteDocument = { name: 'unsafe-20-quick', host: HOST, prefix: '/unsafe-20-quick/', kind: 'unsafe', service: PLAIN_SERVICE, timeoutMs: 5_000, resumable: false }
+const QUICK_INTERVAL_MS = 50
+
 /** Answers after which a node knows how long those of a route take. */
 const KNOWN_ANSWERS = 10
 
@@ -79,7 +83,7 @@
   const directory = mkdtempSync(join(tmpdir(), 'planned-stop-'))
   const store = new StoreStandin()
   await store.start(`${NETWORK}.${STORE}`, PORT.store)
-  store.put(StoreKey.Configuration, configurationDocument({ version: 1, routes: ROUTES, services: [{ name: PLAIN_SERVICE, isEngine: false }], apiKeys: [KEPT_KEY] }))
+  store.put(StoreKey.Configuration, configurationDocument({ version: 1, routes: [...ROUTES, QUICK_ROUTE], services: [{ name: PLAIN_SERVICE, isEngine: false }], apiKeys: [KEPT_KEY] }))
   const servers = SERVERS.map((last, index) => {
     const server = createServer((request, response) => { serve(request, response, runs).catch(() => response.destroy()) })
     server.listen(PORT.server, `${NETWORK}.${last}`)
@@ -106,9 +110,15 @@
   return nodes
 }
 
-/** Sends a request to the first node; its last byte is sent when `last` resolves. */
-const send = async (path: string, id: string, last: Promise<unknown>): Promise<{ status: number | null, whole: boolean }> => {
-  const request = httpRequest({ host: `${NETWORK}.${NODES[0]}`, port: PORT.callers, path, method: 'POST', agent: false, headers: { host: HOST, authorization: `Bearer ${KEPT_KEY}`, [HeaderName.AttemptId]: id, 'content-length': 4 } })
+interface Outcome {
+  /** Null if there was no answer. */
+  readonly status: number | null
+  readonly whole: boolean
+}
+
+/** Sends a request to a node, by default the first one; its last byte is sent when `last` resolves. */
+const send = async (path: string, id: string, last: Promise<unknown>, node = NODES[0]): Promise<Outcome> => {
+  const request = httpRequest({ host: `${NETWORK}.${node}`, port: PORT.callers, path, method: 'POST', agent: false, headers: { host: HOST, authorization: `Bearer ${KEPT_KEY}`, [HeaderName.AttemptId]: id, 'content-length': 4 } })
   const answer = once(request, 'response').then(async ([response]: IncomingMessage[]) => {
     if (response === undefined) return { status: null, whole: false }
     response.resume()
@@ -121,9 +131,22 @@
   return await answer
 }
 
+/** Sends quick requests to the other nodes until the stop is over. Returns the statuses of their answers. */
+const sendBeside = async (stopped: Promise<void>): Promise<Array<number | null>> => {
+  const statuses: Array<Promise<Outcome>> = []
+  const over = new AbortController()
+  void stopped.then(() => over.abort())
+  for (let index = 0; !over.signal.aborted; index += 1) {
+    for (const node of NODES.slice(1)) statuses.push(send(`${QUICK_ROUTE.prefix}x`, `quick-${node}-${index}`, Promise.resolve(), node))
+    await sleep(QUICK_INTERVAL_MS)
+  }
+  return (await Promise.all(statuses)).map(({ status }) => status)
+}
+
 const untilServed = async (): Promise<void> => {
-  const [path = ''] = ROUTES.map(({ prefix }) => `${prefix}first`)
-  for (let index = 0; (await send(path, `first-${index}`, Promise.resolve())).status !== 200; index += 1) await sleep(100)
+  for (const node of NODES) {
+    for (let index = 0; (await send(`${QUICK_ROUTE.prefix}x`, `first-${node}-${index}`, Promise.resolve(), node)).status !== 200; index += 1) await sleep(100)
+  }
 }
 
 test.before(() => { execFileSync(process.execPath, ['scripts/bundle.mjs']) })
@@ -145,6 +168,7 @@
   await sleep(500)
   const stopped = stopping.stop(GRACE_MS)
   signal()
+  const beside = await sendBeside(stopped)
   await ended
   await stopped
   await sleep(Math.max(...WORKS_MS))
@@ -155,4 +179,6 @@
   t.deepEqual(describe(requests.filter((request) => request.status === 503 && runs.includes(request.id))), [], 'refused as not run, and run')
   t.deepEqual(describe(requests.filter(({ offset, status }) => offset <= SURELY_ANSWERED_MS && status !== 200)), [], 'refused early in the grace')
   t.is(new Set(runs).size, runs.length, 'run twice')
+  t.true(beside.length > 0)
+  t.deepEqual([...new Set(beside)], [200], 'at the nodes beside it')
 })
