A node without a configuration fetches version 0 from others

Only a few nodes read the store, the others ask them. A node without a configuration said that it has version 0, and was told that there is none newer; and it took a node with version 0 for one that has as much as itself.

--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -16,6 +16,16 @@
   readonly servers: StoreRevision
 }
 
+/** Versions that a node announces; a configuration of 0 may also mean that it has none. */
+export interface AnnouncedVersion {
+  readonly configurationVersion: number
+  /** Store revision of the list of backend servers; 0 until the store was read. */
+  readonly serversRevision: StoreRevision
+}
+
+/** Version of a node without a configuration; those of the operator count from 0. */
+const NO_CONFIGURATION = -1
+
 /** State that one node sends to another; a field is null if the other node has the same or a newer version. */
 export interface FleetStateSnapshot {
   readonly deployment: Deployment | null
@@ -65,6 +75,22 @@
     return this.#routeTable?.deployment.version ?? 0
   }
 
+  /** Versions by which other nodes tell what this node lacks. */
+  get knownVersion (): FleetStateVersion {
+    return { configuration: this.#routeTable?.deployment.version ?? NO_CONFIGURATION, servers: this.#serversRevision }
+  }
+
+  /**
+   * Until the first configuration is installed this node is behind any node that has read the store: the first version may be 0.
+   *
+   * @param other - versions that another node announces
+   * @returns whether the other node has a state that this one lacks
+   */
+  isBehind ({ configurationVersion, serversRevision }: AnnouncedVersion): boolean {
+    const lacksFirst = this.#routeTable === null && serversRevision > 0
+    return lacksFirst || configurationVersion > this.configurationVersion || serversRevision > this.#serversRevision
+  }
+
   /** Store revision up to which the list of backend servers is current. */
   get serversRevision (): StoreRevision {
     return this.#serversRevision
--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -169,7 +169,7 @@
     const { fleetState, peers, clock } = this.#options
     const now = clock()
     for (const [node, failedAt] of this.#failures) if (now - failedAt > FAILED_SOURCE_PERIOD) this.#failures.delete(node)
-    const ahead = peers().filter((peer) => peer.configurationVersion > fleetState.configurationVersion || peer.serversRevision > fleetState.serversRevision)
+    const ahead = peers().filter((peer) => fleetState.isBehind(peer))
     const answering = ahead.filter(({ node }) => !this.#failures.has(node))
     return answering.length > 0 ? answering : ahead
   }
@@ -183,8 +183,8 @@
 
   async #fetchFrom ({ node, address }: FleetStateSource, timeout: Millis): Promise<void> {
     const { fleetState, http, log, clock } = this.#options
-    const { configurationVersion, serversRevision } = fleetState
-    const path = `${PATH}?configuration=${configurationVersion}&servers=${revisionInEra(serversRevision)}&${ERA_PARAMETER}=${eraOf(serversRevision)}&${CHANGES_PARAMETER}=1`
+    const { configuration, servers: serversRevision } = fleetState.knownVersion
+    const path = `${PATH}?configuration=${configuration}&servers=${revisionInEra(serversRevision)}&${ERA_PARAMETER}=${eraOf(serversRevision)}&${CHANGES_PARAMETER}=1`
     const answer = await http.send({ address, method: 'GET', path, timeout, idleTimeout: ANSWER_TIMEOUT })
     const body = answer.ok ? await readBody(answer.value, MAX_SNAPSHOT_BYTES) : answer
     if (this.#isDisposed) return
--- a/packages/node/src/forward/peers/PeerLink.ts
+++ b/packages/node/src/forward/peers/PeerLink.ts
@@ -7,7 +7,7 @@
 import type { fleetWire } from '@bluebellhill/protocol'
 import { isSocketAddress } from '@bluebellhill/services'
 
-import type { FleetState } from '../FleetState.js'
+import type { AnnouncedVersion, FleetState } from '../FleetState.js'
 import type { Log } from '../../log/index.js'
 import { FactExchange } from '../quarantine/FactExchange.js'
 import type { Scheduler } from '../scheduling/Scheduler.js'
@@ -274,9 +274,9 @@
     if (state.hasLostStore && previous?.hasLostStore === false) onPeerStoreLost()
   }
 
-  #compareVersions (version: { readonly configurationVersion: number, readonly serversRevision: number }): void {
+  #compareVersions (version: AnnouncedVersion): void {
     const { fleetState, onPeerAhead } = this.#options
-    if (version.configurationVersion > fleetState.configurationVersion || version.serversRevision > fleetState.serversRevision) onPeerAhead()
+    if (fleetState.isBehind(version)) onPeerAhead()
   }
 
   #receiveState (fragment: NodeStateFragment, address: string): void {
