--- a/packages/soak/src/fuzz/OddStore.ts
+++ b/packages/soak/src/fuzz/OddStore.ts
@@ -16,10 +16,9 @@
 
 /** Passes calls on to the store. */
 export class OddStore {
-  /** Calls that are still to be answered oddly. */
-  oddLeft = 0
   /** Calls that were answered oddly. */
   oddCount = 0
+  #oddLeft = 0
   #repeatedPages = 0
   readonly #server: Server
 
@@ -41,6 +40,22 @@
     this.#server.closeAllConnections()
   }
 
+  /** Calls that are still to be answered oddly. */
+  get oddLeft (): number {
+    return this.#oddLeft
+  }
+
+  /** @param calls - number of calls to answer oddly from now on */
+  answerOddly (calls: number): void {
+    this.#oddLeft = calls
+  }
+
+  /** All further calls are answered by the store. */
+  answerSoundly (): void {
+    this.#oddLeft = 0
+    this.#repeatedPages = 0
+  }
+
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const passed = httpRequest({ ...this.store, method: request.method, path: request.url, headers: request.headers, agent: false })
     response.once('close', () => passed.destroy())
@@ -62,8 +77,8 @@
     if (this.#repeatedPages > 0 && withFurtherPage(text) !== text) {
       this.#repeatedPages -= 1
       sendBody(response, answer, withFurtherPage(text))
-    } else if (this.oddLeft > 0 && this.values.random.between(0, 1) === 0) {
-      this.oddLeft -= 1
+    } else if (this.#oddLeft > 0 && this.values.random.between(0, 1) === 0) {
+      this.#oddLeft -= 1
       this.oddCount += 1
       this.#answerOddly(answer, text, response)
     } else {
--- a/packages/soak/src/fuzz/furtherDoors.ts
+++ b/packages/soak/src/fuzz/furtherDoors.ts
@@ -17,13 +17,13 @@
   override async send (count: number): Promise<number> {
     const { oddStore } = this.fleet
     const before = oddStore.oddCount
-    oddStore.oddLeft = count
+    oddStore.answerOddly(count)
     for (let waited = 0; waited < CALLS_MS && oddStore.oddLeft > 0; waited += CHECK_PERIOD_MS) {
       // Changes end the watches that wait.
       this.fleet.register('i-of-others', 'app-of-others', '127.0.0.1:9')
       await sleep(CHECK_PERIOD_MS)
     }
-    oddStore.oddLeft = 0
+    oddStore.answerSoundly()
     this.fleet.unregister('i-of-others')
     return oddStore.oddCount - before
   }
