Refusals: a time to return that callers can read

Callers saw: 'Retry-After: Infinity', or a number with an exponent, after all servers of a service had asked for a pause of that kind.

Cause: the time until the pause ends is told as it is known, and a server may state any. Class: a number of others in a field of another format.

Change: at most the longest time that timers measure is named, 24.8 days.

--- a/packages/node/src/forward/entry/refusals.ts
+++ b/packages/node/src/forward/entry/refusals.ts
@@ -1,6 +1,7 @@
 /** Defines the answers that a node gives itself, without an answer of a backend server. */
 import type { ServerResponse } from 'node:http'
 
+import { MAX_TIMER } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { PROMPT_SIZE_RULE } from '@bluebellhill/platform'
 
@@ -106,7 +107,7 @@
 export const refuse = (response: ServerResponse, cause: RefusalCause, predictedRetryAfter: Millis | null = null): void => {
   if (response.headersSent || response.destroyed) return
   const { status, retryAfter: usualRetryAfter, isRetryAfterKnown = false, ran, message } = REFUSALS[cause]
-  const longest = isRetryAfterKnown ? Infinity : MAX_PREDICTED_RETRY_AFTER
+  const longest = isRetryAfterKnown ? MAX_TIMER : MAX_PREDICTED_RETRY_AFTER
   const retryAfter = usualRetryAfter === null || predictedRetryAfter === null ? usualRetryAfter : Math.min(longest, predictedRetryAfter)
   if (response.hasHeader(RELAY_HEADER)) response.setHeader(RELAY_HEADER, cause)
   const body = JSON.stringify({ error: { code: cause, ran, message } })
--- a/packages/node/tests/serverStatements.test.ts
+++ b/packages/node/tests/serverStatements.test.ts
@@ -107,6 +107,18 @@
   t.regex(fixture.linesOf('request.not_placed').join(), /reason=servers_paused .*server=e1/)
 })
 
+// Guards against a refusal whose time callers cannot read: it said Infinity, or a number with an exponent.
+for (const endless of ['1e300', '1e306', '99999999999999999999999']) {
+  test(`a pause of ${endless} s names callers a time that they can read`, async (t) => {
+    const fixture = await ForwardFixture.start(t, pausing(endless).script)
+    t.is((await fixture.call('/unsafe/x')).status, 503)
+    const refusal = await fixture.call('/unsafe/x')
+    t.is(refusal.status, 503)
+    t.regex(String(refusal.headers['retry-after']), /^\d+(\.\d+)?$/)
+    t.regex(fixture.linesOf('request.not_placed').join(), /reason=servers_paused/)
+  })
+}
+
 for (const ignored of ['soon', '-3', '0', '']) {
   test(`a refusal with retry-after '${ignored}' asks for no pause`, async (t) => {
     const server = pausing(ignored)
