Nodes: an era or a revision that no store gives out is not believed

After 3,660 inputs the node served nothing more, and its sound neighbour neither: 'no_server' until the end.

Cause: a node that is told of a newer state fetches it; the one that it fetched stated the era 4,294,967,295. It was taken, and passed on to the other node within 0.1 s. Every list of the store is older than it, so that none counts any more, on any node, for as long as one of them runs: a node that starts anew fetches it from the others. Class: a number of others that all later ones are compared with.

Change: eras go to 2^16 and revisions to 2^36, beyond which their combination is not exact. A false value within the range is still believed.

--- a/packages/domain/src/forwarding/storeRevision.ts
+++ b/packages/domain/src/forwarding/storeRevision.ts
@@ -9,6 +9,17 @@
 /** Greater than any revision that the store gives out within an era. */
 const REVISIONS_PER_ERA = 2 ** 36
 
+/** Last era whose revisions nodes compare exactly; a store is restored far less often. */
+export const MAX_ERA = 2 ** 16
+
+/**
+ * @param era - era that another program states
+ * @param revision - revision that it states
+ * @returns whether they can be those of a store
+ */
+export const isStoreRevision = (era: number, revision: number): boolean =>
+  Number.isInteger(era) && era >= 0 && era <= MAX_ERA && Number.isInteger(revision) && revision >= 0 && revision < REVISIONS_PER_ERA
+
 /**
  * @param era - era of the store
  * @param revision - revision that the store gave out in that era
--- a/packages/node/src/forward/peers/evacuationCodec.ts
+++ b/packages/node/src/forward/peers/evacuationCodec.ts
@@ -1,5 +1,5 @@
 /** Encodes the evacuated failure domains for other nodes, and decodes them. */
-import { eraOf, revisionInEra, storeRevision } from '@bluebellhill/domain'
+import { eraOf, isStoreRevision, revisionInEra, storeRevision } from '@bluebellhill/domain'
 import type { EvacuationState, FailureDomain } from '@bluebellhill/domain'
 import type { fleetWire } from '@bluebellhill/protocol'
 
@@ -9,6 +9,8 @@
 export const encodeEvacuations = (state: EvacuationState | null): fleetWire.Evacuations | undefined =>
   state === null ? undefined : { revision: toUint64(revisionInEra(state.revision)), eraPlusOne: toUint32(eraOf(state.revision) + 1), failureDomains: [...state.failureDomains] }
 
-/** @returns the state; null if the other node tells nothing of evacuations */
-export const decodeEvacuations = (wire: fleetWire.Evacuations | undefined): EvacuationState | null =>
-  wire === undefined || wire.eraPlusOne === 0 ? null : { revision: storeRevision(wire.eraPlusOne - 1, Number(wire.revision)), failureDomains: wire.failureDomains as FailureDomain[] }
+/** @returns the state; null if the other node tells nothing of evacuations, or states a revision that no store gives out */
+export const decodeEvacuations = (wire: fleetWire.Evacuations | undefined): EvacuationState | null => {
+  if (wire === undefined || !isStoreRevision(wire.eraPlusOne - 1, Number(wire.revision))) return null
+  return { revision: storeRevision(wire.eraPlusOne - 1, Number(wire.revision)), failureDomains: wire.failureDomains as FailureDomain[] }
+}
--- a/packages/node/src/forward/peers/snapshotCodec.ts
+++ b/packages/node/src/forward/peers/snapshotCodec.ts
@@ -1,7 +1,7 @@
 /** Encodes fleet state snapshots for other nodes, and decodes theirs; a snapshot with any invalid field is refused as a whole. */
 import * as z from 'zod'
 
-import { CallKind, eraOf, MAX_TIMER, Readiness, revisionInEra, storeRevision } from '@bluebellhill/domain'
+import { CallKind, eraOf, isStoreRevision, MAX_TIMER, Readiness, revisionInEra, storeRevision } from '@bluebellhill/domain'
 import type { FailureDomain, Region, RunnerId, StoreRevision } from '@bluebellhill/domain'
 import { failed, isSocketAddress, success } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
@@ -115,4 +115,8 @@
 
 const encodeRevision = (revision: StoreRevision): Required<WireRevision> => ({ revision: revisionInEra(revision), era: eraOf(revision) })
 
-const decodeRevision = ({ revision, era }: WireRevision, ownEra: number): StoreRevision => storeRevision(era ?? ownEra, revision)
+const decodeRevision = ({ revision, era }: WireRevision, ownEra: number): StoreRevision => {
+  const statedEra = era ?? ownEra
+  if (!isStoreRevision(statedEra, revision)) throw new Error(`${statedEra}.${revision} is no revision of a store`)
+  return storeRevision(statedEra, revision)
+}
--- a/packages/node/tests/wireRanges.test.ts
+++ b/packages/node/tests/wireRanges.test.ts
@@ -10,8 +10,10 @@
 import { FleetState } from '../src/forward/FleetState.js'
 import { decodeCandidateState, decodeDatagram, decodeQuery, decodeReply, encodeAttemptReports, encodeCandidate, encodeDatagram, encodeQuery, encodeReply } from '../src/forward/peers/datagramCodec.js'
 import type { DatagramContent } from '../src/forward/peers/datagramCodec.js'
+import { decodeEvacuations } from '../src/forward/peers/evacuationCodec.js'
 import { encodeNotice } from '../src/forward/peers/noticeCodec.js'
 import { encodeFacts } from '../src/forward/peers/quarantineCodec.js'
+import { decodeSnapshot } from '../src/forward/peers/snapshotCodec.js'
 import { decodeState, encodeState } from '../src/forward/peers/stateCodec.js'
 import type { NodeState } from '../src/forward/peers/stateCodec.js'
 import { encodeConfigurationVersion, toUint32, toUint64 } from '../src/forward/peers/wireNumbers.js'
@@ -164,3 +166,21 @@
   t.is(decodeState(encodeState(state, 0)[0]!, 0).serversRevision, state.serversRevision)
   t.is(fleetWire.NodeState.decode(encodeState(state, 0)[0]!).serversEraPlusOne, 2 ** 16 + 1)
 })
+
+const ODD_REVISIONS: ReadonlyArray<readonly [number, number]> = [[2 ** 32 - 2, 0], [2 ** 16 + 1, 0], [0.5, 0], [1, 2 ** 36], [1, 0.5], [1, 1e300], [1e300, 1]]
+
+// Guards against a fleet that follows the store no more: one state with an era of 2^32 was taken, passed on from node to node, and newer than any list since.
+test('a fleet state of an era or a revision that no store gives out is not taken', (t) => {
+  const body = (era: number, revision: number): Buffer => Buffer.from(JSON.stringify({ deployment: null, servers: { listed: [], era, revision } }))
+  t.true(decodeSnapshot(body(2 ** 16, 2 ** 36 - 1), 0).ok)
+  for (const [era, revision] of ODD_REVISIONS) t.false(decodeSnapshot(body(era, revision), 0).ok, `${era}.${revision}`)
+})
+
+test('a node that states such a revision is not asked for its state, nor are its evacuations taken', (t) => {
+  const wire = fleetWire.NodeState.decode(encodeState(stateOf({}), 0)[0]!)
+  for (const [serversEraPlusOne, serversRevision] of [[2 ** 32 - 1, 0n], [2 ** 16 + 2, 0n], [2, 2n ** 36n], [2, 2n ** 64n - 1n]] as Array<[number, bigint]>) {
+    const state = decodeState(fleetWire.NodeState.encode({ ...wire, serversEraPlusOne, serversRevision }).finish(), 0)
+    t.is(state.serversRevision, 0)
+    t.is(decodeEvacuations({ revision: serversRevision, eraPlusOne: serversEraPlusOne, failureDomains: ['d1'] }), null)
+  }
+})
