--- a/packages/soak/src/NodeProcess.ts
+++ b/packages/soak/src/NodeProcess.ts
@@ -1,8 +1,7 @@
 /** Process of one node under test, which can be stopped, paused, killed and started again. */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { createWriteStream } from 'node:fs'
-import type { WriteStream } from 'node:fs'
+import { closeSync, openSync } from 'node:fs'
 import { once } from 'node:events'
 import { dirname, resolve } from 'node:path'
 
@@ -20,7 +19,8 @@
   readonly unexpectedEnds: string[] = []
   /** When the running process waited for a processor. */
   readonly waits = new ProcessorWaits()
-  readonly #log: WriteStream
+  /** File that the process itself writes, so that its log takes no time of the soak. */
+  readonly #log: number
   #child: ChildProcess | null = null
   #ending = false
   #isKilled = false
@@ -34,7 +34,7 @@
    * @param flags - flags of node.js
    */
   constructor (readonly name: string, private readonly program: string, private readonly environment: Record<string, string>, logFile: string, private readonly flags: readonly string[] = []) {
-    this.#log = createWriteStream(logFile, { flags: 'a' })
+    this.#log = openSync(logFile, 'a')
   }
 
   /** Starts the program unless it runs. */
@@ -42,9 +42,7 @@
     if (this.#child !== null) return
     this.#ending = false
     this.#isKilled = false
-    const child = spawn(process.execPath, [...this.flags, resolve(this.program)], { cwd: dirname(dirname(resolve(this.program))), env: { ...process.env, ...this.environment }, stdio: ['ignore', 'pipe', 'pipe'] })
-    child.stdout.pipe(this.#log, { end: false })
-    child.stderr.pipe(this.#log, { end: false })
+    const child = spawn(process.execPath, [...this.flags, resolve(this.program)], { cwd: dirname(dirname(resolve(this.program))), env: { ...process.env, ...this.environment }, stdio: ['ignore', this.#log, this.#log] })
     child.once('exit', (code, signal) => {
       if (!this.#ending) this.unexpectedEnds.push(`${this.name} ended by itself with ${signal ?? code}`)
       if (this.#child === child) this.#child = null
@@ -107,7 +105,7 @@
   async dispose (): Promise<void> {
     await this.kill()
     this.waits.dispose()
-    this.#log.end()
+    closeSync(this.#log)
   }
 
   async #end (signal: NodeJS.Signals): Promise<number | null> {
--- a/packages/soak/src/ProcessorShares.ts
+++ b/packages/soak/src/ProcessorShares.ts
@@ -3,7 +3,7 @@
 
 /** Time over which a process gets its share. */
 const PERIOD_MS = 100
-const CHECK_PERIOD_MS = 10
+const CHECK_PERIOD_MS = 20
 
 /** Part of the processor time of a period from which a paused process goes on. */
 const RESUMED_FROM = 0.9
--- a/packages/soak/src/Readiness.ts
+++ b/packages/soak/src/Readiness.ts
@@ -5,7 +5,7 @@
 
 import { PORT } from './constants.js'
 
-const PERIOD_MS = 250
+const PERIOD_MS = 500
 const TIMEOUT_MS = 1_000
 const OK = 200
 
