--- a/packages/soak/src/Recovery.ts
+++ b/packages/soak/src/Recovery.ts
@@ -203,9 +203,13 @@
   return [...recovery, ...ends, ...lost]
 }
 
+/** Start of the error of a request that found no connection: no node has read it. */
+const NOT_CONNECTED = 'connect '
+
 /** A request that a node has read whole, and whose connection it closed without a complete answer. */
 const lostRequest = ({ id, kind, node, sentAt, endedAt, status, whole, error }: Exchange, { ledger }: Fleet): Violation[] => {
   if (status !== null && whole) return []
+  if (error.startsWith(NOT_CONNECTED)) return []
   const runs = ledger.runsOfRequest(id).length
   const after = Math.round((endedAt ?? performance.now()) - sentAt)
   if (runs === 0 && after <= CLOSE_SLACK_MS) return []
