--- a/packages/soak/src/profiles.ts
+++ b/packages/soak/src/profiles.ts
@@ -1,5 +1,6 @@
 /** Sizes of the fleets that are run: the small one of the soak, and large ones. */
 import { HeaderName } from '@bluebellhill/platform'
+import { LARGE_ENGINE } from '@bluebellhill/platform-standin'
 import type { BackendStandin, CallLimits, NodeSettings, RouteDocument, ServiceDocument } from '@bluebellhill/platform-standin'
 
 import { ENGINE_SERVICE, HOST, NODES, PLAIN_SERVICE, RETRY_RATIO, RETRY_SLACK, SERVERS_PER_SERVICE, STOP_GRACE_S } from './constants.js'
@@ -51,8 +52,6 @@
 /** Requests per second that a cold server of a large fleet accepts, and for how long. */
 const WARM_UP = { seconds: 3, perSecond: 26 }
 
-const LARGE_ENGINE = { slots: 8, kv_capacity: 197_200, stride: TOKENS_PER_EVENT, step_ms: 1.02, per_seq_ms: 0.00226, context_per_k: 0.00431, read_per_s: 206_000, pairs_per_m: 0.138 }
-
 const paceOf: BackendStandin['paceOf'] = (headers) => {
   const size = headers[HeaderName.PromptSize]
   if (size === undefined) return { executionMs: PLAIN_EXECUTION_MS, events: 0, eventPeriodMs: 0 }
