Stop: read what has arrived before idle connections are closed, at each look and not only at the first

Callers saw: a request that arrived while the process of a stopping node was held up ended with a closed connection and no answer.

Cause: after a hold-up expired timers run before waiting input is read. The connections that are looked at every 200 ms seemed idle although a request waited in them; only the look at the beginning of the stop read first.

--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -122,9 +122,8 @@
     await this.#queueAccepted()
     // http.Server.close() would also reset connections whose answer has ended but is not written to the socket yet.
     TcpServer.prototype.close.call(this.#server)
-    await waitingInputRead()
-    this.#connections.closeIdle()
-    const idleSweep = setInterval(() => this.#connections.closeIdle(), IDLE_SWEEP_PERIOD)
+    await this.#closeIdle()
+    const idleSweep = setInterval(() => { void this.#closeIdle() }, IDLE_SWEEP_PERIOD)
     const graceEnd = setTimeout(() => { void this.#endGrace(writeOutTime) }, grace)
     await closed
     // The other nodes may not have heard of the stop yet when the last request is answered.
@@ -134,6 +133,11 @@
     clearTimeout(graceEnd)
   }
 
+  async #closeIdle (): Promise<void> {
+    await waitingInputRead()
+    this.#connections.closeIdle()
+  }
+
   /** Requests that have arrived may wait on connections that are not accepted yet; one is accepted in each turn of the event loop. */
   async #queueAccepted (): Promise<void> {
     let quietTurns = 0
