Stop: a connection ends behind its last open answer, and not behind the first

Callers saw: requests that were sent on one connection without waiting for answers lost all answers but the first when their node was stopped in calm, although they ran (LOST).

Cause: a stopping node announced the end of the connection in each open answer. Node.js closes it behind the first one that does.

Change: only the last answer of a connection that has not begun announces the end; one that a further request comes behind takes that back. A request behind an answer that has announced it is refused, and does not run: its answer could not be sent.

--- a/packages/node/src/forward/entry/CallerConnections.ts
+++ b/packages/node/src/forward/entry/CallerConnections.ts
@@ -74,6 +74,29 @@
     })
   }
 
+  /**
+   * Announces that a connection closes after its last open response, so that the caller opens another one for its next request. Those before it
+   * keep the connection: Node.js closes it behind the first answer that announces its end, and further ones would be lost.
+   *
+   * @param socket - the connection
+   * @param response - a response of it, which is the only one if the connection was not added
+   */
+  closeAfterLast (socket: Socket, response: ServerResponse): void {
+    const open = [...this.#connections.get(socket)?.openResponses ?? [response]].filter(({ headersSent }) => !headersSent)
+    const last = open.pop()
+    for (const earlier of open) earlier.removeHeader('connection')
+    last?.setHeader('connection', 'close')
+  }
+
+  /**
+   * @param socket - a connection
+   * @returns whether an answer in progress has announced that it closes, so that no later one reaches the caller
+   */
+  isClosing (socket: Socket): boolean {
+    const open = this.#connections.get(socket)?.openResponses ?? []
+    return [...open].some((response) => response.headersSent && response.getHeader('connection') === 'close')
+  }
+
   /**
    * @param socket - a connection
    * @returns whether nothing was read from it since it was held: a request whose head is not complete is not late then
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -114,8 +114,8 @@
    */
   async stop (grace: Millis, writeOutTime: Millis = WRITE_OUT_TIME): Promise<void> {
     this.#stop.begin(grace)
-    for (const [response, { forwarding }] of this.#openRequests) {
-      closeConnectionAfter(response)
+    for (const [response, { request, forwarding }] of this.#openRequests) {
+      this.#connections.closeAfterLast(request.socket, response)
       forwarding?.nodeStopping()
     }
     const closed = once(this.#server, 'close')
@@ -205,7 +205,7 @@
     this.#openRequests.set(response, open)
     this.#connections.track(request.socket, response)
     response.once('close', () => { this.#openRequests.delete(response) })
-    if (this.#stop.isUnderWay) closeConnectionAfter(response)
+    if (this.#stop.isUnderWay) this.#connections.closeAfterLast(request.socket, response)
     try {
       const cause = await this.#forward(open, response, isRelayed)
       if (cause !== null) this.#refuse(request, response, cause)
@@ -225,6 +225,7 @@
   /** @returns why the request is refused; null if it is being forwarded or the caller has disconnected */
   async #forward (open: OpenRequest, response: ServerResponse, isRelayed: boolean): Promise<RefusalCause | null> {
     const { request, arrivedAt } = open
+    if (this.#connections.isClosing(request.socket)) return RefusalCause.Stopping
     const table = this.#context.fleetState.routeTable
     if (table === null) return RefusalCause.Starting
     this.#context.startTimes.reached(StartPhase.RequestAccepted)
@@ -297,16 +298,11 @@
     log.info('request.refused', {
       request: decodeCallerHeaders(request.headers).attemptId ?? undefined, cause, host: request.headers.host, path: request.url, configuration: fleetState.configurationVersion, configuration_age_ms: Math.round(fleetState.configurationAge), ...(cause === RefusalCause.NodeMemory ? { open_requests: this.#openRequests.size, ...buffers.describe() } : {})
     })
-    if (!request.complete) closeConnectionAfter(response)
+    if (!request.complete) this.#connections.closeAfterLast(request.socket, response)
     refuse(response, cause)
   }
 }
 
-/** Announces that the connection closes after this answer, so that the caller opens another one for its next request. */
-const closeConnectionAfter = (response: ServerResponse): void => {
-  if (!response.headersSent) response.setHeader('connection', 'close')
-}
-
 /** Answers bytes that are not a valid HTTP request; other connections are not affected. */
 const answerMalformed = (cause: RefusalCause, socket: Socket): void => {
   const status = refusalStatus(cause)
