Our own interface: a planned stop waits until answers are written, and tells callers of what is still read

Callers saw: in a planned stop, answers that they still read were cut off (4 of 24 MB arrived of one that was complete at the node), and requests whose last bytes came after the stop began got no answer but a closed connection.

Cause: the stop waited for the end of the requests, and not for what is written to callers or read from them; http.Server.close() resets connections whose answer has ended but is not written yet.

Evidence: both tests of daemonStop failed before (3,919,872 bytes of more than 25,165,824; no byte).

Change: the stop waits until no call is open, for 5 s at most. Idle connections are closed at the end of the stop and not at its beginning, so that a call on one is refused as stopping.

--- a/packages/node/src/daemon/Daemon.ts
+++ b/packages/node/src/daemon/Daemon.ts
@@ -10,6 +10,9 @@
 /** Longest time that a stopping node waits until the outcomes of its last keyed requests are written. */
 const KEY_SETTLE_TIMEOUT_MS = 5_000
 
+/** Longest time that a stopping node waits until its callers have read their answers. */
+const ANSWER_READ_TIMEOUT_MS = 5_000
+
 /** A running node. It stops when `stop` is called or an operator requests a planned stop. */
 export class Daemon {
   readonly #components: NodeComponents
@@ -43,7 +46,7 @@
 
   /**
    * Stops the node in order: the readiness check fails, new requests are refused after the drain grace, requests in progress
-   * finish, then everything is closed.
+   * finish and their answers are read, then everything is closed.
    *
    * @returns promise that resolves when everything is closed; further calls return the same promise
    */
@@ -63,6 +66,7 @@
     availability.acceptsRequests = false
     callers.stopListening()
     await requests.whenIdle()
+    await callers.whenAnswered(ANSWER_READ_TIMEOUT_MS)
     await idempotency?.waitUntilConcluded(KEY_SETTLE_TIMEOUT_MS)
     timeLine.record(EventKind.NodeStopped, {}, '', {})
     options.log.info('node_stopped', {})
--- a/packages/node/src/edge/CallerServer.ts
+++ b/packages/node/src/edge/CallerServer.ts
@@ -2,10 +2,12 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { randomUUID } from 'node:crypto'
+import { Server as TcpServer } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { setTimeout as sleep } from 'node:timers/promises'
 
 import { OutcomeKind, Ran } from '@bluebellhill/domain'
-import type { Outcome, RequestId } from '@bluebellhill/domain'
+import type { Millis, Outcome, RequestId } from '@bluebellhill/domain'
 import { EventKind } from '@bluebellhill/protocol'
 
 import type { Metrics } from '../metrics/index.js'
@@ -21,12 +23,17 @@
 const MAX_HEADER_BYTES = 16_384
 const MAX_TARGET_LENGTH = 4_096
 
+/** Interval at which a stopping node checks whether all answers are written. */
+const ANSWER_CHECK_PERIOD: Millis = 20
+
 /** Passes each call to its route, and answers malformed, unknown and failed calls with a numbered error. */
 export class CallerServer {
   readonly #server: Server
   readonly #routes: readonly Route[]
   readonly #timeLine: TimeLine
   readonly #metrics: Metrics
+  /** Calls whose answers are not written to the operating system completely. */
+  readonly #openCalls = new Set<ServerResponse>()
 
   constructor (routes: readonly Route[], timeLine: TimeLine, metrics: Metrics) {
     this.#routes = routes
@@ -51,10 +58,20 @@
     return await listen(this.#server, address)
   }
 
-  /** Accepts no new connections and closes the idle ones; calls in progress continue. */
+  /** Accepts no new connections. Calls in progress continue, and those that come on open connections get an answer until `dispose`. */
   stopListening (): void {
-    this.#server.close()
-    this.#server.closeIdleConnections()
+    // http.Server.close() would also reset connections whose answer has ended but is not written to the socket yet.
+    TcpServer.prototype.close.call(this.#server)
+  }
+
+  /**
+   * Waits until all answers are written, also those to calls that are still being read.
+   *
+   * @param limit - longest wait: a caller may read slowly, or never
+   */
+  async whenAnswered (limit: Millis): Promise<void> {
+    const checks = Math.ceil(limit / ANSWER_CHECK_PERIOD)
+    for (let check = 0; check < checks && this.#openCalls.size > 0; check += 1) await sleep(ANSWER_CHECK_PERIOD)
   }
 
   dispose (): void {
@@ -64,6 +81,8 @@
 
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     response.on('error', () => {})
+    this.#openCalls.add(response)
+    response.once('close', () => { this.#openCalls.delete(response) })
     try {
       const call = createEdgeCall(request, response)
       await this.#findRoute(request.method ?? 'GET', call.path).handle(call)
--- a/packages/node/tests/fuzzDaemon.ts
+++ b/packages/node/tests/fuzzDaemon.ts
@@ -9,6 +9,7 @@
 
 import { Daemon, openLog } from '../src/index.js'
 import { toDaemonOptions } from '../src/daemon/toDaemonOptions.js'
+import type { DaemonOptions } from '../src/daemon/types.js'
 
 export const API_KEY = 'sk-fuzz-0123456789abcdef'
 export const PEER_SECRET = 'peer-secret-0123456789'
@@ -50,13 +51,13 @@
   return new Configuration(fleet, values.filter((value) => value.kind === ConfigurationKind.Organisation))
 }
 
-/** Starts the node; its log is discarded. */
-export const startNode = async (): Promise<Daemon> => {
+/** Starts the node, with these options in place of its settings; its log is discarded. */
+export const startNode = async (options: Partial<DaemonOptions> = {}): Promise<Daemon> => {
   const settings = loadSettings(SETTINGS, 'test.yaml')
   if (!settings.ok) throw new Error(JSON.stringify(settings.failure))
   const discardingOutput = new transports.Stream({ stream: new Writable({ write: (_chunk, _encoding, done) => done() }) })
   const log = openLog({ node: 'sohar-1', failureDomain: 'sohar', level: 'error', transport: discardingOutput })
-  return await Daemon.start(toDaemonOptions(settings.value, configuration(), log))
+  return await Daemon.start({ ...toDaemonOptions(settings.value, configuration(), log), ...options })
 }
 
 export interface RawAnswer {
