A process that ends does not wait for ever for a reader of its log

Operators would see: a stopped node whose output nobody reads stays until it is killed.

Cause: the last lines are written before the process ends, without a limit; a pipe that is full and not read takes none. Class: a wait whose end another process decides.

Evidence: the test failed before (not ended after 5 s).

Change: the wait is 200 ms at most, which fits into what the stop leaves of the usual grace.

Measured: boundedOutput and log pass.

--- a/packages/node/src/log/BoundedOutput.ts
+++ b/packages/node/src/log/BoundedOutput.ts
@@ -10,6 +10,10 @@
 
 const STANDARD_OUTPUT = 1
 
+/** Longest wait of a process that ends until its last lines are written. */
+const FLUSH_LIMIT_MS = 200
+const FLUSH_CHECK_MS = 1
+
 /** Writes log lines in batches. Lines that exceed the queue limit are dropped, and their number is written to the output. */
 export class BoundedOutput extends Transport {
   #queue: string[] = []
@@ -41,11 +45,16 @@
     done()
   }
 
-  /** Resolves when all queued lines are written; for use before the process exits. */
-  async flush (): Promise<void> {
-    while (this.#queue.length > 0 || this.#isWriting) {
+  /**
+   * Resolves when all queued lines are written, or when they cannot be in time, since nobody reads the output; for use before the process exits.
+   *
+   * @param limit - longest wait, in milliseconds
+   */
+  async flush (limit = FLUSH_LIMIT_MS): Promise<void> {
+    const end = performance.now() + limit
+    while ((this.#queue.length > 0 || this.#isWriting) && performance.now() < end) {
       this.#writeQueue()
-      await new Promise((resolve) => setTimeout(resolve, 1))
+      await new Promise((resolve) => setTimeout(resolve, FLUSH_CHECK_MS))
     }
   }
 
--- a/packages/node/tests/boundedOutput.test.ts
+++ b/packages/node/tests/boundedOutput.test.ts
@@ -1,4 +1,5 @@
-import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs'
+import { execFileSync } from 'node:child_process'
+import { closeSync, mkdtempSync, openSync, readFileSync, readSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
@@ -27,3 +28,23 @@
   t.is(dropped, 2)
   t.is(text, '12345678\nevent=log.lines_dropped lines=2 cause=output_full\n')
 })
+
+/** More than a pipe holds. */
+const UNREAD_BYTES = 200_000
+
+// Guards against a stopped process that never ends, because nobody reads its log.
+test('a process that ends does not wait for ever for a reader of its output', async (t) => {
+  const folder = mkdtempSync(join(tmpdir(), 'output-'))
+  const pipe = join(folder, 'pipe')
+  execFileSync('mkfifo', [pipe])
+  const descriptor = openSync(pipe, 'r+')
+  const output = new BoundedOutput(descriptor)
+  output.log({ message: 'x'.repeat(UNREAD_BYTES - 1) }, () => {})
+  const limit = new Promise((resolve) => setTimeout(resolve, 5_000, 'waits'))
+  const result = await Promise.race([output.flush().then(() => 'ended'), limit])
+  for (let unread = UNREAD_BYTES; unread > 0;) unread -= readSync(descriptor, Buffer.alloc(unread))
+  await output.flush()
+  closeSync(descriptor)
+  rmSync(folder, { recursive: true })
+  t.is(result, 'ended')
+})
