--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -133,6 +133,7 @@
     clearTimeout(graceEnd)
   }
 
+  /** Closes the connections without a request. One may have arrived while this process was held up. */
   async #closeIdle (): Promise<void> {
     await waitingInputRead()
     this.#connections.closeIdle()
