A request that has arrived during a hold-up is not refused as one with a slow head

Callers saw: 408 for a whole request that had arrived while the process was held up for longer than the time for a head. The refusal was true (it had not run), but what had arrived in time could have been served.

Cause: Node.js checks the time for heads in a timer, which runs before waiting input is read after a hold-up.

The 408 was first seen in callerConnections ('a request that arrives shortly after the stop ...', time for a head of 1 s) in a run of seven files at once at load 33.

Change: waiting input is read before a head counts as late; it does not if it is complete then.

--- a/packages/node/src/forward/entry/CallerConnections.ts
+++ b/packages/node/src/forward/entry/CallerConnections.ts
@@ -19,6 +19,8 @@
   readonly openedAt: Millis
   /** Responses that are not written to the operating system completely. */
   readonly openResponses: Set<ServerResponse>
+  /** Requests whose head has been read. */
+  requestCount: number
   /** Value of `socket.bytesRead` when the last request was answered; further bytes belong to the next request. */
   bytesAnswered: number
   /** Whether bytes have arrived that are no request, or a head that took too long: nothing more is accepted. */
@@ -47,7 +49,7 @@
   /** Adds a connection until it is closed. */
   add (socket: Socket): void {
     this.#acceptedCount += 1
-    const connection: CallerConnection = { openedAt: this.clock(), openResponses: new Set(), bytesAnswered: 0, isRefused: false, hasExpired: false, isHeld: false, bytesHeld: null }
+    const connection: CallerConnection = { openedAt: this.clock(), openResponses: new Set(), requestCount: 0, bytesAnswered: 0, isRefused: false, hasExpired: false, isHeld: false, bytesHeld: null }
     this.#connections.set(socket, connection)
     // The HTTP server resumes a connection whenever it reads the body of a request.
     socket.on('resume', () => { if (connection.isHeld) socket.pause() })
@@ -65,6 +67,7 @@
     const connection = this.#connections.get(socket)
     if (connection === undefined) return
     connection.openResponses.add(response)
+    connection.requestCount += 1
     if (connection.openResponses.size > MAX_PIPELINED) hold(socket, connection)
     response.once('close', () => {
       connection.openResponses.delete(response)
@@ -106,6 +109,14 @@
     return connection !== undefined && (connection.isHeld || connection.bytesHeld === socket.bytesRead)
   }
 
+  /**
+   * @param socket - a connection
+   * @returns the number of requests whose head has been read on it
+   */
+  requestCount (socket: Socket): number {
+    return this.#connections.get(socket)?.requestCount ?? 0
+  }
+
   /** The response to a request that came before the last one was answered has no socket yet, and would never learn that the connection is closed. */
   #closed (socket: Socket): void {
     const waiting = [...this.#connections.get(socket)?.openResponses ?? []].filter((response) => response.socket === null)
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -83,7 +83,7 @@
     this.#server.on('connection', (socket) => this.#connections.add(socket))
     this.#server.on('timeout', (socket) => { void this.#connections.closeExpired(socket, this.#server.headersTimeout) })
     context.fleetState.onChange(() => this.#applyLimits())
-    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => this.#refuseMalformed(error, socket))
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => { void this.#refuseUnlessRead(error, socket) })
   }
 
   /** Number of requests that have no final answer yet. */
@@ -273,6 +273,16 @@
     return isTaken
   }
 
+  /** A head that seems late may only wait to be read, because this process was held up. */
+  async #refuseUnlessRead (error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
+    if (malformedCause(error) === RefusalCause.HeadTimeout) {
+      const requests = this.#connections.requestCount(socket)
+      await waitingInputRead()
+      if (this.#connections.requestCount(socket) > requests) return
+    }
+    this.#refuseMalformed(error, socket)
+  }
+
   #refuseMalformed (error: NodeJS.ErrnoException, socket: Socket): void {
     if (!socket.writable || error.code === 'ECONNRESET') {
       socket.destroy()
--- a/packages/node/tests/heldUpCallers.test.ts
+++ b/packages/node/tests/heldUpCallers.test.ts
@@ -1,4 +1,4 @@
-/** Requests that arrive during a stop while the process is held up; alone in its process, since it holds up all others there. */
+/** Requests that arrive while the process is held up; alone in its process, since it holds up all others there. */
 import { once } from 'node:events'
 import { setTimeout as sleep } from 'node:timers/promises'
 
@@ -11,7 +11,7 @@
 const HOLD_UP = 1_300
 
 // Guards against requests without an answer: after a hold-up of the process their connections were closed as idle before they were read.
-test('a request that has arrived on a new connection during a hold-up of a stopping node is answered', async (t) => {
+test.serial('a request that has arrived on a new connection during a hold-up of a stopping node is answered', async (t) => {
   const fixture = await ForwardFixture.start(t, answers)
   fixture.fleetState.install({ ...DEPLOYMENT, version: 2, limits: { ...DEPLOYMENT.limits, headerTimeout: 10_000 } }, 'store')
   const { socket, received } = await openCaller(t, fixture)
@@ -28,3 +28,16 @@
   t.regex(received(), /^HTTP\/1\.1 200 /)
   await stopped
 })
+
+// Guards against a request that is refused as too slow although it has arrived: after a hold-up of the process the time for its head was over.
+test.serial('a request that has arrived during a hold-up beyond the time for a head is answered', async (t) => {
+  const fixture = await ForwardFixture.start(t, answers)
+  const { socket, received } = await openCaller(t, fixture)
+  await sleep(50)
+  await new Promise<void>((resolve) => { setImmediate(resolve) })
+  socket.write(headText('/safe/x', 'content-length: 0', 'connection: close'))
+  const heldUntil = performance.now() + HOLD_UP
+  while (performance.now() < heldUntil);
+  await once(socket, 'end')
+  t.regex(received(), /^HTTP\/1\.1 200 /)
+})
