A service is not taken for unreachable because this node was held up while it checked

Callers saw: 503, or a way by other nodes, from a node that was held up for longer than 150 ms while it checked whether it reaches a service; the server had accepted the connection.

Cause: after a hold-up expired timers run before input is read, and the timeout of the check was one of them.

--- a/packages/node/src/forward/relay/ServiceChecks.ts
+++ b/packages/node/src/forward/relay/ServiceChecks.ts
@@ -4,6 +4,7 @@
 import { ServiceReachability } from '@bluebellhill/domain'
 import type { BackendServer, FailureDomain, Millis } from '@bluebellhill/domain'
 
+import { waitingInputRead } from '../../clock/inputTurn.js'
 import type { Log } from '../../log/index.js'
 import type { FleetState } from '../FleetState.js'
 
@@ -139,7 +140,7 @@
       socket.destroy()
       settle()
     }
-    const timer = setTimeout(() => end(() => reject(new Error('timeout'))), CHECK_TIMEOUT)
+    const timer = setTimeout(() => { void waitingInputRead().then(() => end(() => reject(new Error('timeout')))) }, CHECK_TIMEOUT)
     socket.once('connect', () => end(() => resolve(server)))
     socket.on('error', (error) => end(() => reject(error)))
   })
