--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -18,6 +18,7 @@
 import { FleetState } from './FleetState.js'
 import { measureMemory, MemoryWatch } from './MemoryWatch.js'
 import { MetricsServer } from './MetricsServer.js'
+import { addNodeGauges } from './nodeGauges.js'
 import type { SettingsFile } from './SettingsFile.js'
 import { FleetStateExchange } from './peers/FleetStateExchange.js'
 import { PeerLink } from './peers/PeerLink.js'
@@ -315,29 +316,17 @@
 
   async #startMetrics (): Promise<void> {
     const { metricsAddress, droppedLogLines, uncaughtErrors } = this.#options
-    this.#metrics.addGauge('configuration_version', 'Version of the configuration in force', () => this.#fleetState.configurationVersion)
-    this.#metrics.addGauge('store_lost', 'Whether the store does not answer', () => this.#storeAvailability.isLost ? 1 : 0)
-    this.#metrics.addGauge('backend_servers', 'Backend servers with an entry', () => this.#fleetState.servers.all().length)
-    this.#metrics.addGauge('failure_domains_evacuated', 'Failure domains to which no new request is sent', () => this.#fleetState.restrictions.evacuated().length)
-    this.#metrics.addGauge('backend_servers_avoided', 'Backend servers that are avoided', () => this.#scheduler.health.avoided(monotonicNow()).length)
-    this.#metrics.addGauge('backend_servers_cold', 'Backend servers that are cold, of the services that state a warm-up', () => this.#scheduler.statements.coldServers.count())
-    this.#metrics.addGauge('backend_servers_uneven', 'Backend servers of plain services that are slower or faster than the others of their service', () => this.#scheduler.unevenServers.count())
-    this.#metrics.addGauge('prompt_parts_quarantined', 'Prompt parts and requests that are refused', () => this.#scheduler.quarantine.counts().partsQuarantined)
-    this.#metrics.addGauge('prompt_parts_suspected', 'Prompt parts and requests that may crash backend servers', () => this.#scheduler.quarantine.counts().partsSuspected)
-    this.#metrics.addGauge('placements_waiting', 'Requests that wait at this scheduler for memory or a slot', () => this.#scheduler.admission.waitingCount)
-    this.#metrics.addGauge('backend_servers_held', 'Backend servers whose free memory is kept for waiting requests', () => this.#scheduler.admission.heldCount)
-    this.#metrics.addGauge('promises_pending', 'Refused requests for which memory is kept', () => this.#scheduler.promisedRoom.counts(monotonicNow()).pending)
-    this.#metrics.addGauge('promises_made', 'Requests to which memory was promised since the start', () => this.#scheduler.promisedRoom.counts(monotonicNow()).made)
-    this.#metrics.addGauge('promises_kept', 'Requests that returned and were placed since the start', () => this.#scheduler.promisedRoom.counts(monotonicNow()).kept)
-    this.#metrics.addGauge('promises_expired', 'Promises that ran out without a return since the start', () => this.#scheduler.promisedRoom.counts(monotonicNow()).expired)
-    this.#metrics.addGauge('peers', 'Other nodes that are heard', () => this.#peerLink.sources().length)
-    this.#metrics.addGauge('open_requests', 'Requests without a final answer', () => this.#entryServer.openRequests)
-    this.#metrics.addGauge('buffered_bytes', 'Bytes buffered for callers and backend servers; 0 if the settings state no memory', () => this.#buffers.total)
-    this.#metrics.addGauge('memory_resident_bytes', 'Memory of this process, as the operating system counts it', () => measureMemory().resident)
-    this.#metrics.addGauge('memory_heap_bytes', 'Heap of this process', () => measureMemory().heap)
-    this.#metrics.addGauge('memory_heap_limit_bytes', 'Heap beyond which the runtime ends this process', () => measureMemory().heapLimit)
-    this.#metrics.addGauge('log_lines_dropped', 'Lines of the log that found no room', droppedLogLines)
-    this.#metrics.addGauge('errors_uncaught', 'Errors since the start that have ended a timer or callback of this node', uncaughtErrors)
+    addNodeGauges(this.#metrics, {
+      fleetState: this.#fleetState,
+      storeAvailability: this.#storeAvailability,
+      scheduler: this.#scheduler,
+      peerLink: this.#peerLink,
+      entryServer: this.#entryServer,
+      buffers: this.#buffers,
+      clock: monotonicNow,
+      droppedLogLines,
+      uncaughtErrors
+    })
     const server = new MetricsServer(this.#metrics.registry)
     this.#disposables.add(server)
     await server.start(metricsAddress.host, metricsAddress.port)
