--- a/packages/soak/tests/checks.test.ts
+++ b/packages/soak/tests/checks.test.ts
@@ -33,7 +33,7 @@
 }
 
 const exchange = (changes: Partial<Exchange> = {}): Exchange => ({
-  id: ID, kind: RequestKind.Safe, path: `/safe/${ID}`, parts: [], node: 0, sentAt: 0, writtenAt: 0, deadline: 1_500, endedAt: 40, status: 200, body: answerBody(ID), whole: true, left: false, error: '', gaveUp: false, ...changes
+  id: ID, kind: RequestKind.Safe, path: `/safe/${ID}`, parts: [], node: 0, sentAt: 0, writtenAt: changes.sentAt ?? 0, deadline: 1_500, endedAt: 40, status: 200, body: answerBody(ID), whole: true, left: false, error: '', gaveUp: false, ...changes
 })
 
 const rules = (changes: Partial<Exchange>, fleet = fleetOf(1)): string[] => violationsOf([exchange(changes)], fleet).map(({ rule }) => rule)
