--- a/packages/node/src/forward/Forwarding.ts
+++ b/packages/node/src/forward/Forwarding.ts
@@ -17,7 +17,7 @@
 import { healthSignalOf } from './healthSignal.js'
 import type { QuarantineVerdict } from './quarantine/NodeQuarantine.js'
 import { RequestGuard } from './quarantine/RequestGuard.js'
-import { isWaitStated, quarantineCauseOf, quarantineProblem, refusalCauseOf } from './refusalCause.js'
+import { quarantineCauseOf, quarantineProblem, refusalCauseOf } from './refusalCause.js'
 import { RequestRelay } from './relay/RequestRelay.js'
 import type { PeerRefusal } from './relay/RequestRelay.js'
 import { RequestEnding } from './RequestEnding.js'
@@ -25,14 +25,12 @@
 import { RequestLog } from './RequestLog.js'
 import { PlacementRefusal } from './scheduling/types.js'
 import type { RefusedPlacement } from './scheduling/types.js'
+import { ServerWait } from './ServerWait.js'
 import { SilentReplacement } from './SilentReplacement.js'
 import { StartLimit } from './stop/StartLimit.js'
 import type { ForwardingContext, OpenAttempt } from './types.js'
 import { CloseCause, RequestStage } from './unansweredRequests.js'
 
-/** Longest time for which a request that may have run waits until a server accepts requests again. */
-const MAX_SERVER_WAIT: Millis = 1_000
-
 /** Sends one request to one backend server after another, as far as its route and the retry budget allow. */
 export abstract class Forwarding {
   protected readonly history: AttemptHistory
@@ -42,6 +40,7 @@
   readonly #ending: RequestEnding
   readonly #search: AttemptSearch
   readonly #startLimit: StartLimit
+  readonly #wait: ServerWait
   /** Aborted when the request is over. */
   readonly #over = new AbortController()
   readonly #relay: RequestRelay
@@ -53,9 +52,6 @@
   #firstAnswerAt: Millis | null = null
   #searchCount = 0
   #deadlineTimer: NodeJS.Timeout | null = null
-  #waitTimer: NodeJS.Timeout | null = null
-  /** Why the request waited last; empty if it has not. */
-  #waitReason = ''
 
   /**
    * @param context - objects that all requests share
@@ -75,8 +71,9 @@
     this.#relay = new RequestRelay({ context, call, history: this.history, requestLog: this.#requestLog })
     this.#startLimit = new StartLimit({ context, call, hasStartedAnswer: () => this.hasStartedAnswer, onOver: () => this.#startLimitReached() })
     this.#search = new AttemptSearch({ placement: context.placement, call, history: this.history, guard: this.#guard, requestLog: this.#requestLog, startLimit: this.#startLimit, signal: this.#over.signal })
+    this.#wait = new ServerWait({ call, history: this.history, requestLog: this.#requestLog, clock: context.clock, onOver: (chargesRetry) => this.#beginNextAttempt(chargesRetry) })
     const host = this.#createHost()
-    this.#silence = new SilentReplacement(host, () => this.#stopWaiting())
+    this.#silence = new SilentReplacement(host, () => this.#wait.stop())
     const receiver = new AnswerReceiver({ host, silence: this.#silence, handler: this.#createAnswerHandler() })
     this.#sender = new AttemptSender({ host, createListener: (attempt) => receiver.createListener(attempt), onSent: (attempt) => this.#silence.restartTimer(attempt) })
   }
@@ -258,7 +255,7 @@
       this.#refuseQuarantined(quarantine)
       return
     }
-    if (!this.#waitsForServer(placement, chargesRetry)) this.#notPlaced(placement)
+    if (!this.#wait.begin(placement, chargesRetry)) this.#notPlaced(placement)
   }
 
   #notPlaced (refusal: RefusedPlacement): void {
@@ -274,28 +271,13 @@
     if (attempt === null) {
       // Supersedes the search in progress.
       this.#searchCount += 1
-      this.#stopWaiting()
+      this.#wait.stop()
       this.#notPlaced(NODE_STOPPING)
     } else if (attempt.serverCall === null) {
       this.failAttempt(attempt, AttemptEnd.Unsent, 'this node is stopping', null)
     }
   }
 
-  /**
-   * A request that may have run cannot be refused truthfully, so it waits for a server that will accept requests again soon. One that waits only for
-   * others like it is placed as soon as they are answered.
-   */
-  #waitsForServer (refusal: RefusedPlacement, chargesRetry: boolean): boolean {
-    const { retryAfter, reason } = refusal
-    const waitsForOthers = reason === PlacementRefusal.SuspectsInProgress
-    if (!waitsForOthers && !(this.history.mayHaveRun && isWaitStated(refusal))) return false
-    if (retryAfter === null || retryAfter > MAX_SERVER_WAIT || this.context.clock() + retryAfter >= this.call.deadlineAt) return false
-    if (this.#waitReason !== reason) this.#requestLog.requestWaits(refusal, retryAfter)
-    this.#waitReason = reason
-    this.#waitTimer = setTimeout(() => this.#beginNextAttempt(waitsForOthers && chargesRetry), retryAfter)
-    return true
-  }
-
   #peerRefused (attempt: OpenAttempt, { cause, reason, retryAfter }: PeerRefusal): void {
     if (cause === null) {
       this.failAttempt(attempt, AttemptEnd.Unsent, reason, null)
@@ -430,11 +412,7 @@
     this.#startLimit.dispose()
     this.#silence.closeAll()
     if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer)
-    this.#stopWaiting()
-  }
-
-  #stopWaiting (): void {
-    if (this.#waitTimer !== null) clearTimeout(this.#waitTimer)
+    this.#wait.stop()
   }
 
   #summary (): RequestSummary {
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -41,7 +41,7 @@
 /** Interval at which a stopping node checks whether the requests that other nodes have passed on are answered. */
 const RELAYED_CHECK_PERIOD: Millis = 20
 
-/** Time after `stop` in which requests on open connections are still accepted; later ones could not finish in time. */
+/** Time after `stop` in which the head of a request on an open connection is still accepted; a later one is refused without reading its body. */
 const ACCEPT_PERIOD_AFTER_STOP: Millis = 2_000
 
 /** Time in which the callers of requests that the end of the stop grace has ended can read what they are told, before their connections are closed. */
