--- /dev/null
+++ b/review/lib-2/Runner.mjs
@@ -0,0 +1,78 @@
+/**
+ * Small stand-in of a runner, as a process of its own. It works on one request at a time on a connection, tells its parent what reaches it, and answers as
+ * the platform's pages say.
+ */
+import { createServer } from 'node:http'
+
+const [id, host, port] = process.argv.slice(2)
+
+const READ_TOKENS_PER_MS = 256
+const PAIRS_MS_PER_M = 0.0917
+const TOKENS_PER_EVENT = 46
+const EVENT_PERIOD_MS = 45
+const PLAIN_WORK_MS = 30
+
+const tell = (kind, request, more = {}) => process.send?.({ kind, id: request.headers['x-bluebellhill-attempt-id'], at: Date.now(), runner: id, ...more })
+
+const sleep = async (ms) => await new Promise((resolve) => { setTimeout(resolve, ms) })
+
+/**
+ * Time in which the prompt is read. Helpers read their parts beside the prompts of their own requests: with as many prompts as runners, the parts that
+ * a runner gives away take as long as those that it is given.
+ */
+const prefillMs = ({ headers }) => {
+  const [prompt = 0] = String(headers['x-bluebellhill-token-usage'] ?? '').split(',').map(Number)
+  return prompt / READ_TOKENS_PER_MS + PAIRS_MS_PER_M * prompt * prompt / 2 / 1e6
+}
+
+const headersOf = ({ headers }) => ({
+  'x-bluebellhill-attempt-id': String(headers['x-bluebellhill-attempt-id']),
+  'x-bluebellhill-instance-id': id,
+  'x-bluebellhill-backend-signature': `mac-of-${id}`
+})
+
+const stream = async (request, response) => {
+  const tokens = Number(String(request.headers['x-bluebellhill-token-usage'] ?? '0,460').split(',')[1])
+  const first = Number(request.headers['last-event-id'] ?? 0) + 1
+  await sleep(prefillMs(request))
+  if (response.destroyed) return
+  response.writeHead(200, { ...headersOf(request), 'content-type': 'text/event-stream' })
+  for (let number = first; number <= Math.ceil(tokens / TOKENS_PER_EVENT); number += 1) {
+    if (response.destroyed) return
+    response.write(`id: ${number}\ndata: ${request.headers['x-bluebellhill-attempt-id']}-${number}\n\n`)
+    await sleep(EVENT_PERIOD_MS)
+  }
+  response.end()
+}
+
+const plain = async (request, response) => {
+  await sleep(PLAIN_WORK_MS)
+  if (response.destroyed) return
+  const body = `answer to ${request.headers['x-bluebellhill-attempt-id']}`.padEnd(800, '.')
+  response.writeHead(200, { ...headersOf(request), 'content-length': body.length })
+  response.end(body)
+}
+
+const server = createServer((request, response) => {
+  request.resume()
+  request.once('end', () => {
+    if (request.url === '/healthz') {
+      response.writeHead(200, { 'x-bluebellhill-instance-id': id, 'content-length': 0 })
+      response.end()
+      return
+    }
+    const expected = request.headers['x-bluebellhill-expected-instance']
+    if (expected !== undefined && expected !== id) {
+      response.writeHead(421, { ...headersOf(request), 'x-bluebellhill-not-executed': '1', 'content-length': 0 })
+      response.end()
+      return
+    }
+    tell('run', request)
+    response.once('close', () => { if (!response.writableFinished) tell('left', request) })
+    const answer = request.url.startsWith('/stream') ? stream : plain
+    answer(request, response).catch(() => response.destroy())
+  })
+})
+server.keepAliveTimeout = 5_000
+server.listen(Number(port), host, () => process.send?.({ kind: 'ready', runner: id }))
+process.once('disconnect', () => process.exit(0))
