--- a/review/lib-2/Deployment.mjs
+++ b/review/lib-2/Deployment.mjs
@@ -35,7 +35,7 @@
 
 export const PORT = { callers: 8_227, readiness: 8_220, control: 8_229, peers: 7_340, store: 8_223, runner: 8_080 }
 
-const LIMITS = { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 2_000, idle_timeout_ms: 15_000 }
+export const LIMITS = { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 2_000, idle_timeout_ms: 15_000 }
 
 /** Engine of the sheets: eleven slots, and memory for 450,000 tokens. */
 const ENGINE = {
--- a/review/lib-2/Fleet.mjs
+++ b/review/lib-2/Fleet.mjs
@@ -37,22 +37,34 @@
     await this.storeLink.start(this.#host(LAST.storeLink), PORT.store)
   }
 
-  async addRunner (service, zone) {
+  /**
+   * Starts a runner, which registers itself.
+   *
+   * @param service - its service
+   * @param zone - its zone
+   * @param slots - requests that it works on at the same time
+   * @returns the runner
+   */
+  async addRunner (service, zone, slots) {
     const index = this.runners.length
     const host = this.#host(LAST.runners + index)
-    const id = `i-${(0x7f3a91c2 + index).toString(16)}`
-    const child = await this.#processes.startStandin('Runner.mjs', [id, host, String(PORT.runner)])
-    child.on('message', (message) => {
-      const at = performance.now()
-      this.ledger.push({ ...message, at })
-      this.note(`runner ${message.runner}: ${message.kind} ${message.id}`)
-    })
-    const runner = { id, child, service, zone, entry: runnerEntry({ service, zone, address: `${host}:${PORT.runner}`, born: Date.now() }) }
+    const runner = { id: `i-${(0x7f3a91c2 + index).toString(16)}`, host, child: null, service, zone, slots }
     this.runners.push(runner)
-    this.store.put(`servers/${id}`, runner.entry)
+    await this.startRunner(runner)
     return runner
   }
 
+  /** Starts a runner again, under the id that it had; it registers itself with the time of its start. */
+  async startRunner (runner) {
+    const { id, host, service, zone, slots } = runner
+    runner.child = await this.#processes.startStandin('Runner.mjs', [id, host, String(PORT.runner)])
+    runner.child.on('message', (message) => {
+      this.ledger.push({ ...message, at: performance.now() })
+      this.note(`runner ${message.runner}: ${message.kind} ${message.id}`)
+    })
+    this.store.put(`servers/${id}`, runnerEntry({ service, zone, slots, address: `${host}:${PORT.runner}`, born: Date.now() }))
+  }
+
   /**
    * Starts nodes, spread over the zones, and waits until all are ready.
    *
--- a/review/lib-2/Runner.mjs
+++ b/review/lib-2/Runner.mjs
@@ -10,7 +10,7 @@
 const PAIRS_MS_PER_M = 0.0917
 const TOKENS_PER_EVENT = 46
 const EVENT_PERIOD_MS = 45
-const PLAIN_WORK_MS = 30
+const PLAIN_WORK_MS = 86
 
 const tell = (kind, request, more = {}) => process.send?.({ kind, id: request.headers['x-bluebellhill-attempt-id'], at: Date.now(), runner: id, ...more })
 
@@ -67,7 +67,7 @@
       response.end()
       return
     }
-    tell('run', request)
+    tell('run', request, { tenant: request.headers['x-bluebellhill-tenant'] ?? 'none' })
     response.once('close', () => { if (!response.writableFinished) tell('left', request) })
     const answer = request.url.startsWith('/stream') ? stream : plain
     answer(request, response).catch(() => response.destroy())
