--- a/review/lib-2/Runner.mjs
+++ b/review/lib-2/Runner.mjs
@@ -16,13 +16,11 @@
 
 const sleep = async (ms) => await new Promise((resolve) => { setTimeout(resolve, ms) })
 
-/**
- * Time in which the prompt is read. Helpers read their parts beside the prompts of their own requests: with as many prompts as runners, the parts that
- * a runner gives away take as long as those that it is given.
- */
+/** Time in which the prompt is read, in even parts by this runner and its helpers: as if none of them had anything else to do. */
 const prefillMs = ({ headers }) => {
   const [prompt = 0] = String(headers['x-bluebellhill-token-usage'] ?? '').split(',').map(Number)
-  return prompt / READ_TOKENS_PER_MS + PAIRS_MS_PER_M * prompt * prompt / 2 / 1e6
+  const helpers = String(headers['x-bluebellhill-helpers'] ?? '').split(',').filter((entry) => entry !== '').length
+  return (prompt / READ_TOKENS_PER_MS + PAIRS_MS_PER_M * prompt * prompt / 2 / 1e6) / (helpers + 1)
 }
 
 const headersOf = ({ headers }) => ({
