--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -6,6 +6,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 
+import { HeaderName, StoreKey } from '@bluebellhill/platform'
+
 import { BOUNDS, configuration, HOST, PORT, ZONES } from '../lib-2/Deployment.mjs'
 import { send } from '../lib-2/Requester.mjs'
 import { runCase } from '../lib-2/runCase.mjs'
@@ -35,7 +37,7 @@
 let requests = 0
 const ask = async (fleet, node, key) => {
   const id = `r${String(requests++).padStart(6, '0')}`
-  const headers = { host: HOST, 'x-bluebellhill-attempt-id': id, 'x-bluebellhill-deadline-ms': '1000', authorization: `Bearer ${key}` }
+  const headers = { host: HOST, [HeaderName.AttemptId]: id, [HeaderName.Deadline]: '1000', authorization: `Bearer ${key}` }
   const answer = await send({ host: node.host, port: PORT.callers, path: '/status/2f', headers, timeout: 1_500 })
   fleet.note(`requester: ${id} to ${node.name} with key ${key === REMOVED_KEY ? 'removed' : 'kept'}, sent ${answer.sentAt.toFixed(0)}, answered ${answer.status ?? answer.problem}`)
   return { id, node, ...answer }
@@ -45,7 +47,7 @@
   const { store, nodes } = fleet
   store.staleLagMs = STALE_LAG_MS
   await fleet.startStore()
-  store.put('op/config', configurationOf(11, [KEPT_KEY, REMOVED_KEY]))
+  store.put(StoreKey.Configuration, configurationOf(11, [KEPT_KEY, REMOVED_KEY]))
   for (let index = 0; index < RUNNERS; index += 1) await fleet.addRunner(SERVICE, ZONES[index % ZONES.length])
   store.settle()
   await fleet.startNodes(NODES)
@@ -53,14 +55,14 @@
   for (const node of nodes) for (const key of [KEPT_KEY, REMOVED_KEY]) if ((await ask(fleet, node, key)).status !== 200) throw new Error(`${node.name} does not serve a request`)
 
   // An ordinary change: a version with one more route, and one more runner.
-  store.put('op/config', configurationOf(14, [KEPT_KEY, REMOVED_KEY], ['status', 'stock']))
+  store.put(StoreKey.Configuration, configurationOf(14, [KEPT_KEY, REMOVED_KEY], ['status', 'stock']))
   await fleet.addRunner(SERVICE, ZONES[0])
   await sleep(300)
 
   if (hasTrouble) fleet.note(`${fleet.storeLink.silenceOpen()} open channels to the store go silent; new ones work`)
   await sleep(BOUNDS.contact_ms + CONTACT_MARGIN_MS)
 
-  const removedAt = store.put('op/config', configurationOf(19, [KEPT_KEY], ['status', 'stock']))
+  const removedAt = store.put(StoreKey.Configuration, configurationOf(19, [KEPT_KEY], ['status', 'stock']))
   fleet.note(`operator: version 19 without the key, acknowledged ${removedAt.toFixed(0)}`)
   const asked = []
   while (performance.now() < removedAt + ASKED_FOR_MS) {
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -6,6 +6,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 
+import { HeaderName, StoreKey } from '@bluebellhill/platform'
+
 import { configuration, HOST, LIMITS, PORT, ZONES } from '../lib-2/Deployment.mjs'
 import { readiness, send } from '../lib-2/Requester.mjs'
 import { runCase } from '../lib-2/runCase.mjs'
@@ -39,7 +41,7 @@
   services: [SERVICE],
   engines: [SERVICE],
   tenants: [{ name: 'hule930', keys: [KEY] }],
-  routes: [{ name: 'chat', prefix: '/stream/chat/', type: 'streaming', resumable: true, service: SERVICE, timeout_ms: ROUTE_TIMEOUT_MS, goal_ms: 1_500, gap_target_ms: 500 }]
+  routes: [{ name: 'chat', prefix: '/stream/chat/', type: 'streaming', resumable: true, service: SERVICE, timeout_ms: ROUTE_TIMEOUT_MS, goal_ms: 1_500 }]
 })
 
 let requests = 0
@@ -60,11 +62,11 @@
   const id = `r${String(requests++).padStart(5, '0')}`
   const headers = {
     host: HOST,
-    'x-bluebellhill-attempt-id': id,
-    'x-bluebellhill-deadline-ms': String(DEADLINE_MS),
+    [HeaderName.AttemptId]: id,
+    [HeaderName.Deadline]: String(DEADLINE_MS),
     'x-bluebellhill-model': 'm',
-    'x-bluebellhill-token-usage': `${PARTS * TOKENS_PER_PART},${ANSWER_TOKENS}`,
-    'x-bluebellhill-prefix-hash': prefix,
+    [HeaderName.PromptSize]: `${PARTS * TOKENS_PER_PART},${ANSWER_TOKENS}`,
+    [HeaderName.PromptParts]: prefix,
     authorization: `Bearer ${KEY}`,
     'content-type': 'text/plain'
   }
@@ -77,7 +79,7 @@
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (fleet, hasTrouble) => {
   await fleet.startStore()
-  fleet.store.put('op/config', CONFIGURATION)
+  fleet.store.put(StoreKey.Configuration, CONFIGURATION)
   for (let index = 0; index < RUNNERS; index += 1) await fleet.addRunner(SERVICE, ZONES[index % ZONES.length])
   fleet.store.settle()
   await fleet.startNodes(NODES)
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -9,6 +9,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 
+import { HeaderName, StoreKey } from '@bluebellhill/platform'
+
 import { configuration, HOST, LIMITS, PORT, ZONES } from '../lib-2/Deployment.mjs'
 import { runCase } from '../lib-2/runCase.mjs'
 
@@ -54,7 +56,7 @@
   const closed = new Promise((resolve) => { socket.once('close', resolve) })
   const answered = async () => { while (!answer.includes('\r\n\r\n') && !socket.destroyed) await sleep(50) }
   await Promise.race([once(socket, 'connect').catch(() => {}), closed])
-  socket.write(`POST /import/2f HTTP/1.1\r\nHost: ${HOST}\r\nX-Bluebellhill-Attempt-Id: ${id}\r\nX-Bluebellhill-Deadline-Ms: ${UPLOAD_DEADLINE_MS}\r\nAuthorization: Bearer ${KEY}\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n`)
+  socket.write(`POST /import/2f HTTP/1.1\r\nHost: ${HOST}\r\n${HeaderName.AttemptId}: ${id}\r\n${HeaderName.Deadline}: ${UPLOAD_DEADLINE_MS}\r\nAuthorization: Bearer ${KEY}\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n`)
   const chunk = `${chunkBytes.toString(16)}\r\n${'x'.repeat(chunkBytes)}\r\n`
   const chunksAtOnce = Math.ceil(LARGE_CHUNK_BYTES / chunkBytes)
   const piece = chunk.repeat(chunksAtOnce)
@@ -71,7 +73,7 @@
 /** Sends one request on the kept channel of an agent. */
 const call = async (fleet, node, agent) => await new Promise((resolve) => {
   const id = nextId('order')
-  const headers = { host: HOST, 'x-bluebellhill-attempt-id': id, 'x-bluebellhill-deadline-ms': String(CALL_DEADLINE_MS), authorization: `Bearer ${KEY}` }
+  const headers = { host: HOST, [HeaderName.AttemptId]: id, [HeaderName.Deadline]: String(CALL_DEADLINE_MS), authorization: `Bearer ${KEY}` }
   const end = (status, problem = '') => {
     fleet.note(`requester: ${id} to ${node.name}, answered ${status ?? `nothing: ${problem}`}`)
     resolve({ id, status })
@@ -88,7 +90,7 @@
 await runCase(dirname(fileURLToPath(import.meta.url)), async (fleet, hasTrouble) => {
   if (BODY_BYTES > LIMITS.max_body_bytes) throw new Error('the bodies are too large')
   await fleet.startStore()
-  fleet.store.put('op/config', CONFIGURATION)
+  fleet.store.put(StoreKey.Configuration, CONFIGURATION)
   for (const zone of ZONES) await fleet.addRunner(SERVICE, zone)
   fleet.store.settle()
   await fleet.startNodes(NODES)
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -6,6 +6,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 
+import { HeaderName, StoreKey } from '@bluebellhill/platform'
+
 import { BOUNDS, configuration, HOST, PORT, ZONES } from '../lib-2/Deployment.mjs'
 import { send } from '../lib-2/Requester.mjs'
 import { runCase } from '../lib-2/runCase.mjs'
@@ -32,7 +34,7 @@
 let requests = 0
 const ask = async (fleet, node, key) => {
   const id = `r${String(requests++).padStart(5, '0')}`
-  const headers = { host: HOST, 'x-bluebellhill-attempt-id': id, 'x-bluebellhill-deadline-ms': '2000', authorization: `Bearer ${key}` }
+  const headers = { host: HOST, [HeaderName.AttemptId]: id, [HeaderName.Deadline]: '2000', authorization: `Bearer ${key}` }
   const answer = await send({ host: node.host, port: PORT.callers, method: 'POST', path: '/order/2f', headers, body: 'order', timeout: 3_000 })
   const tenant = fleet.ledger.find((line) => line.kind === 'run' && line.id === id)?.tenant
   fleet.note(`requester: ${id} to ${node.name} with the ${key === HELD_KEY ? 'tenant\'s' : 'foreign'} key, answered ${answer.status ?? answer.problem}${tenant === undefined ? '' : `, ran for tenant ${tenant}`}`)
@@ -41,7 +43,7 @@
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (fleet, hasTrouble) => {
   await fleet.startStore()
-  fleet.store.put('op/config', configurationOf(11, [{ name: 'hule930', keys: [HELD_KEY] }]))
+  fleet.store.put(StoreKey.Configuration, configurationOf(11, [{ name: 'hule930', keys: [HELD_KEY] }]))
   for (const zone of ZONES) await fleet.addRunner(SERVICE, zone)
   fleet.store.settle()
   await fleet.startNodes(NODES)
@@ -51,7 +53,7 @@
     if ((await ask(fleet, node, FOREIGN_KEY)).status !== 401) throw new Error(`${node.name} knows a foreign key`)
   }
   if (hasTrouble) {
-    fleet.store.put('op/config', configurationOf(14, []))
+    fleet.store.put(StoreKey.Configuration, configurationOf(14, []))
     fleet.note('operator: version 14 without the tenant')
   }
   await sleep(ASKED_AFTER_MS)
--- a/review/lib-2/Deployment.mjs
+++ b/review/lib-2/Deployment.mjs
@@ -2,6 +2,8 @@
 import { createServer } from 'node:net'
 import { once } from 'node:events'
 
+import { configurationDocument } from '@bluebellhill/platform-standin'
+
 /** Bounds of the sheet of the smaller deployments, which are in the settings of each process. */
 export const BOUNDS = {
   seed_lag_s: 3,
@@ -97,13 +99,15 @@
  * @param configuration - version, routes, names of the services and of those with engines, and tenants
  * @returns the operator's configuration
  */
-export const configuration = ({ version, routes, services, engines = [], tenants }) => ({
-  version,
-  routes: routes.map((route) => ({ hostname: HOST, public: false, resumable: false, max_attempts: 2, priority: 1, ...route })),
-  services: services.map((name) => ({ name, health_path: '/healthz', max_conns: 284, ...(engines.includes(name) ? { engine: ENGINE } : {}) })),
-  limits: LIMITS,
-  tenants: tenants.map(({ name, keys }) => ({ name, api_keys: keys, priority: 1 }))
-})
+export const configuration = ({ version, routes, services, engines = [], tenants }) => {
+  const document = configurationDocument({
+    version,
+    routes: routes.map(({ name, prefix, type, service, timeout_ms: timeoutMs, goal_ms: objectiveMs, resumable = false }) => ({ name, host: HOST, prefix, kind: type, service, timeoutMs, objectiveMs, resumable })),
+    services: services.map((name) => ({ name, isEngine: engines.includes(name), engine: ENGINE })),
+    apiKeys: []
+  })
+  return { ...JSON.parse(document), limits: LIMITS, tenants: tenants.map(({ name, keys }) => ({ name, api_keys: keys, priority: 1 })) }
+}
 
 /**
  * @param runner - its service, address and zone
--- a/review/lib-2/Fleet.mjs
+++ b/review/lib-2/Fleet.mjs
@@ -4,6 +4,8 @@
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 
+import { StoreKey } from '@bluebellhill/platform'
+
 import { freeNetwork, PORT, runnerEntry, settingsText, ZONES } from './Deployment.mjs'
 import { Link } from './Link.mjs'
 import { Processes } from './Processes.mjs'
@@ -62,7 +64,7 @@
       this.ledger.push({ ...message, at: performance.now() })
       this.note(`runner ${message.runner}: ${message.kind} ${message.id}`)
     })
-    this.store.put(`servers/${id}`, runnerEntry({ service, zone, slots, address: `${host}:${PORT.runner}`, born: Date.now() }))
+    this.store.put(`${StoreKey.BackendServers}${id}`, runnerEntry({ service, zone, slots, address: `${host}:${PORT.runner}`, born: Date.now() }))
   }
 
   /**
--- a/review/lib-2/Requester.mjs
+++ b/review/lib-2/Requester.mjs
@@ -1,6 +1,8 @@
 /** Small stand-in of a requester: one request on a channel of its own. */
 import { request } from 'node:http'
 
+import { READINESS_PATH } from '@bluebellhill/platform'
+
 /**
  * Sends one request and reads its answer.
  *
@@ -32,4 +34,4 @@
 })
 
 /** @returns the status of a node's readiness check; 0 if it does not answer */
-export const readiness = async (host, port) => (await send({ host, port, path: '/api/readyz', headers: {}, timeout: 1_000 })).status ?? 0
+export const readiness = async (host, port) => (await send({ host, port, path: READINESS_PATH, headers: {}, timeout: 1_000 })).status ?? 0
--- a/review/lib-2/Store.mjs
+++ b/review/lib-2/Store.mjs
@@ -2,6 +2,8 @@
 import { once } from 'node:events'
 import { createServer } from 'node:http'
 
+import { StoreKey } from '@bluebellhill/platform'
+
 const REVISION_AT_START = 100
 
 /** In-memory store; it loses nothing, and stale reads show what it held some time ago. */
@@ -55,11 +57,12 @@
     const url = new URL(request.url, 'http://store')
     const body = chunks.length === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString('utf8'))
     const { pathname, searchParams } = url
-    if (pathname === '/api/kv-watch') return this.#watch(searchParams, response)
-    if (pathname === '/api/kv-range') return send(response, 200, this.#range(searchParams))
-    if (pathname === '/api/kv-lease') return send(response, 200, this.#grantLease(body.ttl_ms))
-    if (pathname.startsWith('/api/kv-keep/')) return this.#keepLease(Number(pathname.split('/').at(-1)), response)
-    if (pathname === '/api/kv-txn') return this.#transaction(body, response)
+    const [, operation, lease] = /-(watch|range|lease|keep|txn)(?:\/(\d+))?$/.exec(pathname) ?? []
+    if (operation === 'watch') return this.#watch(searchParams, response)
+    if (operation === 'range') return send(response, 200, this.#range(searchParams))
+    if (operation === 'lease') return send(response, 200, this.#grantLease(body.ttl_ms))
+    if (operation === 'keep') return this.#keepLease(Number(lease), response)
+    if (operation === 'txn') return this.#transaction(body, response)
     send(response, 404, { error: 'unknown' })
   }
 
@@ -97,7 +100,7 @@
 
   #transaction ({ expected = [], writes = [], remove = [] }, response) {
     const own = [...writes.map(({ key }) => key), ...remove]
-    if (own.some((key) => key.startsWith('op/') || key.startsWith('servers/'))) return send(response, 403, { error: 'not yours' })
+    if (own.some((key) => key.startsWith(StoreKey.Operator) || key.startsWith(StoreKey.BackendServers))) return send(response, 403, { error: 'not yours' })
     const current = expected.map(({ key }) => this.#items.get(key) ?? { key, revision: 0 })
     if (current.some(({ revision }, index) => revision !== expected[index].revision)) return send(response, 412, { items: current })
     if (writes.some(({ lease }) => lease > 0 && !this.#leases.has(lease))) return send(response, 404, { error: 'no lease' })
