--- a/packages/domain/src/forwarding/WatchedRevisions.ts
+++ b/packages/domain/src/forwarding/WatchedRevisions.ts
@@ -23,6 +23,13 @@
   readonly #prefixes = new Map<string, WatchedPrefix>()
   /** Revisions of the changes that have arrived and are later than what is known of some prefix. */
   readonly #arrived = new Set<StoreRevision>()
+  /** Latest revision that an answer has stated. */
+  #newest: StoreRevision = 0
+
+  /** Whether a watch may have missed a change and has not been reported: it is compared again after `MAX_ANSWER_DELAY`. */
+  get isBehind (): boolean {
+    return [...this.#prefixes.values()].some(({ behindSince, reported }) => behindSince !== null && reported === null)
+  }
 
   /**
    * Records that the items under a prefix were listed, or that a watch was answered.
@@ -51,19 +58,22 @@
   }
 
   /**
-   * Records the revision that an answer of the store states. Answers of replicas that are behind state a lower one, which shows nothing.
+   * Records the revision that an answer of the store states. Answers of replicas that are behind state a lower one, which shows nothing: the
+   * watches are compared with the latest revision that was stated so far.
    *
    * @param revision - revision of the store
    * @param now - current time
    * @returns prefixes whose watch may have missed a change for longer than an answer needs; each once until it is answered
    */
   storeAt (revision: StoreRevision, now: Millis): string[] {
-    return [...this.#prefixes].filter(([, watched]) => this.#isReportDue(watched, revision, now)).map(([prefix]) => prefix)
+    this.#newest = Math.max(this.#newest, revision)
+    return [...this.#prefixes].filter(([, watched]) => this.#isReportDue(watched, this.#newest, now)).map(([prefix]) => prefix)
   }
 
   #isReportDue (watched: WatchedPrefix, revision: StoreRevision, now: Millis): boolean {
-    if (watched.reported !== null || !this.#mayMiss(watched.revision, revision)) return false
-    watched.behindSince ??= now
+    if (watched.reported !== null) return false
+    watched.behindSince = this.#mayMiss(watched.revision, revision) ? watched.behindSince ?? now : null
+    if (watched.behindSince === null) return false
     if (now - watched.behindSince < MAX_ANSWER_DELAY) return false
     watched.reported = revision
     return true
--- a/packages/domain/tests/watchedRevisions.test.ts
+++ b/packages/domain/tests/watchedRevisions.test.ts
@@ -61,6 +61,24 @@
   t.deepEqual(shown(watched(storeRevision(2, 10)), storeRevision(1, 50)), [])
 })
 
+// Guards against a missed change that is forgotten because the next answer comes from a replica that is behind.
+test('a missed change is reported although later answers come from a replica that is behind', (t) => {
+  const revisions = watched(10)
+  t.deepEqual(revisions.storeAt(11, 0), [])
+  t.true(revisions.isBehind)
+  t.deepEqual(revisions.storeAt(9, LATER), PREFIXES)
+  t.false(revisions.isBehind)
+})
+
+test('a change that arrives on another watch in the end is not missed any more', (t) => {
+  const revisions = watched(10)
+  t.deepEqual(revisions.storeAt(11, 0), [])
+  revisions.answered('a', 11, [11])
+  t.deepEqual(revisions.storeAt(11, 1), [])
+  t.false(revisions.isBehind)
+  t.deepEqual(revisions.storeAt(12, LATER), [])
+})
+
 test('a new era is reported, although its revisions are lower', (t) => {
   t.deepEqual(shown(watched(storeRevision(1, 10)), storeRevision(2, 3)), PREFIXES)
 })
--- a/packages/node/src/forward/ForwardMetrics.ts
+++ b/packages/node/src/forward/ForwardMetrics.ts
@@ -15,7 +15,7 @@
 
 /** Hops of a change on its way from the platform's store to this node. */
 export const StateHop = {
-  /** Time without any answer of the store to this node, while this node watches it. */
+  /** Time without an answer of the store that shows its present state, while this node watches it. */
   Store: 'store',
   /** Time from the first message that another node has a newer state to the installation of that state. */
   Peer: 'peer'
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -176,6 +176,7 @@
       node: settings.node,
       availability: this.#storeAvailability,
       clock,
+      changeBound: settings.changeBound,
       isStoreWatcher,
       onSilent: () => this.#storeSync.storeSilent(),
       onRevision: (revision) => this.#storeSync.storeAt(revision)
--- a/packages/node/src/forward/store/StoreAvailability.ts
+++ b/packages/node/src/forward/store/StoreAvailability.ts
@@ -23,11 +23,16 @@
    */
   constructor (private readonly fleetState: FleetState, private readonly log: Log, private readonly clock: () => Millis, private readonly onLost: () => void = () => {}) {}
 
-  /** Time since the last answer of the store; null if there was none yet. */
+  /** Time since the last answer of the store, also of a replica that is behind; null if there was none yet. */
   get silence (): Millis | null {
     return this.#answeredAt === null ? null : this.clock() - this.#answeredAt
   }
 
+  /** Time since the last answer that shows the state of the store as it was then; null if there was none yet. */
+  get currentSilence (): Millis | null {
+    return this.#currentAnswerAt === null ? null : this.clock() - this.#currentAnswerAt
+  }
+
   get isLost (): boolean {
     return this.#lostAt !== null
   }
--- a/packages/node/src/forward/store/StoreProbe.ts
+++ b/packages/node/src/forward/store/StoreProbe.ts
@@ -1,4 +1,4 @@
-/** Checks whether the platform's store still answers a node that watches it. */
+/** Checks whether the platform's store still answers a node that watches it, and up to which revision. */
 import { StoreKey } from '@bluebellhill/platform'
 import type { MetadataStore } from '@bluebellhill/platform'
 import type { Millis, NodeId, StoreRevision } from '@bluebellhill/domain'
@@ -16,12 +16,17 @@
 
 const CHECK_PERIOD: Millis = 100
 
+/** Part of the time in which a change has to be in force after which a watcher reads the present revision; the rest is for the change itself. */
+const CURRENT_READ_SHARE = 0.5
+
 export interface StoreProbeOptions {
   readonly store: MetadataStore
   readonly node: NodeId
   /** Receives the results. */
   readonly availability: StoreAvailability
   readonly clock: () => Millis
+  /** Time in which a change in the store has to be in force on all nodes. */
+  readonly changeBound: Millis
   /** Returns whether this node watches the store. */
   readonly isStoreWatcher: () => boolean
   /** Called when the store does not answer any more: watches that wait for it will not end soon. */
@@ -32,7 +37,8 @@
 
 /**
  * Probes the store whenever it has not answered a watcher for a short time. A store, or the way to it, that has gone silent leaves a
- * watch waiting like a store without changes, and the other nodes rely on the watchers.
+ * watch waiting like a store without changes, and the other nodes rely on the watchers. Most probes are reads that may be stale, the
+ * cheapest ones: they show that the store answers. Only a read of its present state shows that the watches have missed nothing.
  */
 export class StoreProbe {
   readonly #options: StoreProbeOptions
@@ -57,22 +63,26 @@
   /** A node that has lost the store repeats its calls anyway. */
   #isDue (): boolean {
     const { availability, isStoreWatcher } = this.#options
-    return !this.#isProbing && !availability.isLost && (availability.silence ?? Infinity) >= MAX_SILENCE && isStoreWatcher()
+    const isSilent = (availability.silence ?? Infinity) >= MAX_SILENCE || this.#isCurrentReadDue()
+    return !this.#isProbing && !availability.isLost && isSilent && isStoreWatcher()
+  }
+
+  #isCurrentReadDue (): boolean {
+    const { availability, changeBound } = this.#options
+    return (availability.currentSilence ?? Infinity) >= changeBound * CURRENT_READ_SHARE
   }
 
-  /** Only the revision in the answer matters, so the cheapest read is used. */
+  /** Only the revision in the answer matters, so the node reads its own entry. */
   async #probe (): Promise<void> {
     const { store, node, availability, clock, onSilent, onRevision } = this.#options
     this.#isProbing = true
     const startedAt = clock()
-    const result = await store.range(`${StoreKey.Nodes}${node}`, '', true, PROBE_TIMEOUT).finally(() => { this.#isProbing = false })
+    const mayBeStale = !this.#isCurrentReadDue()
+    const result = await store.range(`${StoreKey.Nodes}${node}`, '', mayBeStale, PROBE_TIMEOUT).finally(() => { this.#isProbing = false })
     if (this.#isDisposed) return
-    if (result.ok) {
-      availability.recordStaleAnswer()
-      onRevision(result.value.revision)
-      return
-    }
-    availability.recordResult(result, startedAt, startedAt)
-    if (availability.isLost) onSilent()
+    if (result.ok && mayBeStale) availability.recordStaleAnswer()
+    else availability.recordResult(result, startedAt, startedAt)
+    if (result.ok) onRevision(result.value.revision)
+    else if (availability.isLost) onSilent()
   }
 }
--- a/packages/node/src/forward/store/StoreSync.ts
+++ b/packages/node/src/forward/store/StoreSync.ts
@@ -1,7 +1,7 @@
 /** Keeps the configuration, the evacuations and the list of backend servers in sync with the platform's store. */
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { describeRevision, eraOf, WatchedRevisions } from '@bluebellhill/domain'
+import { describeRevision, eraOf, MAX_ANSWER_DELAY, WatchedRevisions } from '@bluebellhill/domain'
 import type { EvacuationWrite, Millis, StoreRevision } from '@bluebellhill/domain'
 import { evacuationOfKey, hasMalformedWarmUp, parseDeployment, parseServerEntry, serverIdOfKey, StoreKey } from '@bluebellhill/platform'
 import type { MetadataStore, StoreChange, StoreItem } from '@bluebellhill/platform'
@@ -9,6 +9,7 @@
 import type { CallFailure, Result } from '@bluebellhill/services'
 
 import type { FleetState } from '../FleetState.js'
+import { waitingInputRead } from '../../clock/inputTurn.js'
 import { ErrorScope, StateHop } from '../ForwardMetrics.js'
 import type { ForwardMetrics } from '../ForwardMetrics.js'
 import { errorText } from '../../log/index.js'
@@ -92,6 +93,8 @@
   readonly #unanswered = new Set<string>()
   readonly #revisions = new WatchedRevisions()
   #isStopped = false
+  /** Compares the watches again with the revision that the store has stated. */
+  #comparison: NodeJS.Timeout | null = null
   #checkStartedAt: Millis = -Infinity
 
   /** @param options - the store, and the fleet state to update */
@@ -118,21 +121,34 @@
   }
 
   /**
-   * Repeats the watches that may have missed a change.
+   * Repeats the watches that may have missed a change: at once, or as soon as the answer to one that has not would have arrived.
    *
    * @param revision - revision of the store, as stated by any of its answers
    */
   storeAt (revision: StoreRevision): void {
+    if (this.#isStopped) return
     for (const prefix of this.#revisions.storeAt(revision, this.#options.clock())) {
       this.#options.log.info('store.watch_repeated', { prefix, store_revision: describeRevision(revision) })
       this.#unanswered.add(prefix)
       this.#interruptions.get(prefix)?.abort()
     }
+    if (this.#revisions.isBehind) this.#compareLater(revision)
+  }
+
+  /** A change that arrived while this process was held up is read first. */
+  #compareLater (revision: StoreRevision): void {
+    this.#comparison ??= setTimeout(() => {
+      void waitingInputRead().then(() => {
+        this.#comparison = null
+        this.storeAt(revision)
+      })
+    }, MAX_ANSWER_DELAY)
   }
 
   /** Ends all waiting calls. */
   dispose (): void {
     this.#isStopped = true
+    if (this.#comparison !== null) clearTimeout(this.#comparison)
     this.#interrupt()
   }
 
@@ -267,9 +283,9 @@
 
   /** Logs how long the store may have had a change before this node, and the start of a watch. */
   #recordAnswer ({ prefix }: SyncedPrefix, watched: StoreRevision | null, { revision, changes }: SyncProgress): void {
-    const { availability: { silence }, metrics, log } = this.#options
-    if (watched !== null && silence !== null) metrics.stateHopEnded(StateHop.Store, silence)
-    const fields = { prefix, revision: revision === null ? undefined : describeRevision(revision), silent_ms: silence === null ? undefined : Math.round(silence) }
+    const { availability: { currentSilence }, metrics, log } = this.#options
+    if (watched !== null && currentSilence !== null) metrics.stateHopEnded(StateHop.Store, currentSilence)
+    const fields = { prefix, revision: revision === null ? undefined : describeRevision(revision), silent_ms: currentSilence === null ? undefined : Math.round(currentSilence) }
     if (watched === null) log.info('store.watch_started', fields)
     else if (changes.length > 0) log.info('store.changed', fields)
   }
--- a/packages/node/tests/heldUpProbe.test.ts
+++ b/packages/node/tests/heldUpProbe.test.ts
@@ -45,7 +45,7 @@
   const store = new MetadataStore({ address: `127.0.0.1:${(server.address() as AddressInfo).port}`, http, timeout: 1_000 })
   let losses = 0
   const availability = new StoreAvailability(new FleetState(silentLog(), clock), silentLog(), clock, () => { losses += 1 })
-  const probe = new StoreProbe({ store, node: 'n1' as NodeId, availability, clock, isStoreWatcher: () => true, onSilent: () => {}, onRevision: () => {} })
+  const probe = new StoreProbe({ store, node: 'n1' as NodeId, availability, clock, changeBound: 2_000, isStoreWatcher: () => true, onSilent: () => {}, onRevision: () => {} })
   t.teardown(async () => {
     probe.dispose()
     server.closeAllConnections()
--- a/packages/node/tests/silentStore.ts
+++ b/packages/node/tests/silentStore.ts
@@ -54,21 +54,27 @@
   silence: Silence | null = null
   readonly #server: Server
   readonly #sockets = new Set<Socket>()
+  /** Client ends of the connections that are silent for good, and of all others that are open. */
+  readonly #dead = new Set<Socket>()
+  readonly #open = new Set<Socket>()
 
   constructor (storePort: number) {
     this.#server = createServer((client) => {
       let call = ''
-      let isDead = false
+      this.#open.add(client)
       const store = connect({ host: STORE_HOST, port: storePort, noDelay: true })
       for (const [from, to] of [[client, store], [store, client]] as const) {
         this.#sockets.add(from)
         from.on('data', (bytes) => {
           if (from === client) call = String(bytes)
-          isDead ||= this.#isLost(call)
-          if (!isDead && this.silence !== Silence.AllCalls) to.write(bytes)
+          if (this.#isLost(call)) this.#dead.add(client)
+          if (!this.#isSilent(client)) to.write(bytes)
         })
         from.on('error', () => to.destroy())
-        from.on('close', () => { if (!isDead && this.silence !== Silence.AllCalls) to.destroy() })
+        from.on('close', () => {
+          this.#open.delete(client)
+          if (!this.#isSilent(client)) to.destroy()
+        })
       }
     })
   }
@@ -78,6 +84,15 @@
     await once(this.#server, 'listening')
   }
 
+  /** Lets the connections that are open go silent for good; new ones work. */
+  silenceOpen (): void {
+    for (const client of this.#open) this.#dead.add(client)
+  }
+
+  #isSilent (client: Socket): boolean {
+    return this.#dead.has(client) || this.silence === Silence.AllCalls
+  }
+
   /** Whether the answer to a call is lost. */
   #isLost (call: string): boolean {
     if (this.silence === Silence.Watches) return call.includes('kv-watch')
@@ -157,8 +172,8 @@
   return store
 }
 
-/** Lets the store go silent towards some of the nodes that watch it, right after they have begun to wait for a change. */
-export const silenceAfterChange = async (store: StoreStandin, nodes: readonly TestNode[], silenced: readonly TestNode[], silence: Silence): Promise<void> => {
+/** Lets the store go silent towards some of the nodes that watch it, if any, right after they have begun to wait for a change. */
+export const silenceAfterChange = async (store: StoreStandin, nodes: readonly TestNode[], silenced: readonly TestNode[], silence: Silence | null): Promise<void> => {
   await timeUntilKnown(nodes, 'server.arrived', 'old')
   await sleep(2_000)
   putConfiguration(store, 2)
