--- a/packages/domain/src/forwarding/quarantine/Quarantine.ts
+++ b/packages/domain/src/forwarding/quarantine/Quarantine.ts
@@ -7,7 +7,8 @@
 import type { Crash } from './CrashReports.js'
 import { Trials } from './Trials.js'
 import { collectSuspects, sharedParts } from './promptParts.js'
-import { byImportance, selectFacts } from './sharedFacts.js'
+import { byImportance, selectFacts, selectReports } from './sharedFacts.js'
+import type { SharedReports } from './sharedFacts.js'
 import { Recurrences } from './Recurrences.js'
 import { SoundAnswers, UNKNOWN_SERVICE } from './SoundAnswers.js'
 import { trialTime } from './trialSchedule.js'
@@ -29,6 +30,8 @@
   #assessed: readonly Crash[] | null = null
   /** Null if sound answers have changed since it was computed. */
   #standings: Map<Suspect, Standing> | null = null
+  /** Reports for other nodes, and the standings by which they were selected. */
+  #shared: { readonly selected: SharedReports, readonly standings: Map<Suspect, Standing> } | null = null
   #factsDropped = 0
   #expiryCheckedAt: Millis = -Infinity
 
@@ -212,8 +215,15 @@
    */
   facts (now: Millis): QuarantineFacts {
     this.#expire(now)
-    const isQuarantined = (part: Suspect): boolean => this.#isQuarantined(part)
-    return { ...selectFacts({ reports: this.#reports, sounds: this.#sounds, trials: this.#trials, isQuarantined }), recurrences: this.#recurrences.all }
+    const selected = selectFacts({ reports: this.#reports, shared: this.#sharedReports(), sounds: this.#sounds, trials: this.#trials })
+    return { ...selected, recurrences: this.#recurrences.all }
+  }
+
+  /** Messages to other nodes are sent all the time, and the reports rarely change; a change of them is one of the standings too. */
+  #sharedReports (): SharedReports {
+    const standings = this.#assess()
+    if (this.#shared?.standings !== standings) this.#shared = { selected: selectReports(this.#reports, (part) => this.#isQuarantined(part)), standings }
+    return this.#shared.selected
   }
 
   #isQuarantined (part: Suspect): boolean {
--- a/packages/domain/src/forwarding/quarantine/SoundAnswers.ts
+++ b/packages/domain/src/forwarding/quarantine/SoundAnswers.ts
@@ -6,13 +6,16 @@
 /** Service of sound answers and crashes whose service is not told. */
 export const UNKNOWN_SERVICE = ''
 
+/** Part of the capacity that is dropped at a time, so that the search for the oldest costs little for each. */
+const DROPPED_SHARE = 1 / 16
+
 /** Newest sound answer of each suspect. Those that were seen longest ago are dropped first. */
 export class SoundAnswers {
   readonly #times = new Map<Suspect, Millis>()
   readonly #newest = new Map<string, SoundAnswer>()
   readonly #capacity: number
 
-  /** @param capacity - number of suspects that are kept */
+  /** @param capacity - greatest number of suspects that are kept */
   constructor (capacity: number) {
     this.#capacity = capacity
   }
@@ -61,19 +64,23 @@
   }
 
   /**
-   * Drops the oldest suspects beyond the capacity.
+   * Drops the oldest suspects, some at a time, once there are more than the capacity. Each is looked at once at most.
    *
    * @param isKept - whether a suspect is kept although it is among the oldest
    * @returns number of suspects that were dropped
    */
   trim (isKept: (part: Suspect) => boolean): number {
-    if (this.#times.size <= this.#capacity) return 0
-    let dropped = 0
-    for (const [part, at] of [...this.#times]) {
-      if (this.#times.size <= this.#capacity) break
+    const { size } = this.#times
+    if (size <= this.#capacity) return 0
+    const excess = size - this.#capacity + Math.floor(this.#capacity * DROPPED_SHARE)
+    let [looked, dropped] = [0, 0]
+    for (const [part, at] of this.#times) {
+      if (looked === size || dropped === excess) break
+      looked += 1
       this.#times.delete(part)
+      // What is kept goes behind the others, where the loop would come to it again.
       if (isKept(part)) this.#times.set(part, at)
-      else dropped++
+      else dropped += 1
     }
     return dropped
   }
--- a/packages/domain/src/forwarding/quarantine/Trials.ts
+++ b/packages/domain/src/forwarding/quarantine/Trials.ts
@@ -64,8 +64,13 @@
   /** @returns number of suspects whose trials were dropped because there are more than the capacity */
   trim (): number {
     const excess = Math.max(0, this.#trials.size - this.#capacity)
-    for (const part of [...this.#trials.keys()].slice(0, excess)) this.#trials.delete(part)
-    return excess
+    let dropped = 0
+    for (const part of this.#trials.keys()) {
+      if (dropped === excess) break
+      this.#trials.delete(part)
+      dropped += 1
+    }
+    return dropped
   }
 
   /**
--- a/packages/domain/src/forwarding/quarantine/sharedFacts.ts
+++ b/packages/domain/src/forwarding/quarantine/sharedFacts.ts
@@ -5,23 +5,39 @@
 import type { SoundAnswers } from './SoundAnswers.js'
 import type { CrashReport, Suspect, QuarantineFacts, SoundAnswer } from './types.js'
 
+/** Reports that other nodes are told; they stay the same until a report, a survival or a standing changes. */
+export interface SharedReports {
+  readonly reports: readonly CrashReport[]
+  /** Their parts, those in most reports first. */
+  readonly parts: readonly Suspect[]
+}
+
 /** All that a copy knows. */
 export interface KnownFacts {
   readonly reports: CrashReports
+  readonly shared: SharedReports
   readonly sounds: SoundAnswers
   readonly trials: Trials
-  readonly isQuarantined: (part: Suspect) => boolean
+}
+
+/**
+ * @param reports - all reports
+ * @param isQuarantined - whether a part is quarantined
+ * @returns the reports that other nodes are told; those that decide a quarantine come first
+ */
+export const selectReports = (reports: CrashReports, isQuarantined: (part: Suspect) => boolean): SharedReports => {
+  const selected = byImportance(reports, isQuarantined).slice(0, MAX_SHARED_REPORTS)
+  return { reports: selected, parts: partsByFrequency(selected) }
 }
 
 /**
  * @param known - all that a copy knows
  * @returns the facts that other nodes need, bounded; those that decide a quarantine come first
  */
-export const selectFacts = ({ reports, sounds, trials, isQuarantined }: KnownFacts): QuarantineFacts => {
-  const crashes = byImportance(reports, isQuarantined).slice(0, MAX_SHARED_REPORTS)
+export const selectFacts = ({ reports, shared, sounds, trials }: KnownFacts): QuarantineFacts => {
   return {
-    crashes,
-    sounds: selectSounds(crashes, sounds),
+    crashes: shared.reports,
+    sounds: selectSounds(shared, sounds),
     survivals: reports.survivals.sort((a, b) => b.at - a.at).slice(0, MAX_SHARED_SURVIVALS),
     trials: trials.all.slice(0, MAX_SHARED_TRIALS)
   }
@@ -44,16 +60,16 @@
 }
 
 /** The newest sound answer of each service shows that other requests are answered. */
-const selectSounds = (crashes: readonly CrashReport[], sounds: SoundAnswers): SoundAnswer[] => {
-  if (crashes.length === 0) return []
-  const { newest } = sounds
-  const others = partsByFrequency(crashes).filter((part) => !newest.some((sound) => sound.part === part))
-  return [...newest, ...others.flatMap((part) => soundOf(part, sounds))].slice(0, MAX_SHARED_SOUNDS)
-}
-
-const soundOf = (part: Suspect, sounds: SoundAnswers): SoundAnswer[] => {
-  const at = sounds.find(part)
-  return at === null ? [] : [{ part, at }]
+const selectSounds = ({ reports, parts }: SharedReports, sounds: SoundAnswers): SoundAnswer[] => {
+  if (reports.length === 0) return []
+  const selected = sounds.newest
+  const listed = new Set(selected.map(({ part }) => part))
+  for (const part of parts) {
+    if (selected.length >= MAX_SHARED_SOUNDS) break
+    const at = sounds.find(part)
+    if (at !== null && !listed.has(part)) selected.push({ part, at })
+  }
+  return selected.slice(0, MAX_SHARED_SOUNDS)
 }
 
 /** Parts of the reports, those in most reports first. */
--- a/packages/node/src/forward/quarantine/FactQueue.ts
+++ b/packages/node/src/forward/quarantine/FactQueue.ts
@@ -64,7 +64,8 @@
     // A fact that is no longer among those which other nodes need is not waited for.
     if (selected.length === unsent.length) this.#new.clear()
     if (sizeOfAll(selected) >= MAX_REPEATED_BYTES) return collect(selected)
-    const others = all.filter((fact) => !unsent.includes(fact))
+    const isUnsent = new Set(unsent)
+    const others = all.filter((fact) => !isUnsent.has(fact))
     return collect([...selected, ...this.#nextInTurn(others, MAX_REPEATED_BYTES - sizeOfAll(selected))])
   }
 
