--- a/packages/node/src/edge/readBody.ts
+++ b/packages/node/src/edge/readBody.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 
 import { OutcomeKind } from '@bluebellhill/domain'
+import { BoundedBuffer } from '@bluebellhill/services'
 
 import { RefusedCall } from './errors.js'
 
@@ -32,19 +33,16 @@
 }
 
 const collectBody = async (request: IncomingMessage, limit: number): Promise<Buffer> => {
-  const chunks: Buffer[] = []
-  let length = 0
+  const body = new BoundedBuffer(limit)
   try {
     for await (const chunk of request as AsyncIterable<Buffer>) {
-      length += chunk.length
-      if (length > limit) throw tooLargeError(limit)
-      chunks.push(chunk)
+      if (!body.append(chunk)) throw tooLargeError(limit)
     }
   } catch (error) {
     if (error instanceof RefusedCall) throw error
     throw new RefusedCall(OutcomeKind.BadRequest, 'the body was cut off or came too slowly')
   }
-  return Buffer.concat(chunks, length)
+  return body.take()
 }
 
 const tooLargeError = (limit: number): RefusedCall =>
--- a/packages/node/src/forward/AnswerReceiver.ts
+++ b/packages/node/src/forward/AnswerReceiver.ts
@@ -2,11 +2,11 @@
 import { AttemptEnd, HealthSignal } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { decodeAnswerHeaders } from '@bluebellhill/platform'
+import { BoundedBuffer } from '@bluebellhill/services'
 
 import { FIRST_FAILURE_STATUS, findAnswerProblem, isSuccessfulAnswer } from './answerHeads.js'
 import { isOfOtherServer, recordStatements } from './answerStatements.js'
 import { MAX_FAILURE_BODY_BYTES } from './backend/answerLimits.js'
-import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import type { AnswerHead, ServerCallListener } from './backend/ServerCall.js'
 import type { ForwardingHost } from './ForwardingHost.js'
 import { withoutRelayHeaders } from './relay/relayHeaders.js'
--- a/packages/node/src/forward/PlainForwarding.ts
+++ b/packages/node/src/forward/PlainForwarding.ts
@@ -2,10 +2,10 @@
 import { AttemptEnd, mayRunAgain } from '@bluebellhill/domain'
 import type { Millis } from '@bluebellhill/domain'
 import { encodeReturnedHeaders } from '@bluebellhill/platform'
+import { BoundedBuffer } from '@bluebellhill/services'
 
 import { withContentLength } from './answerHeads.js'
 import { MAX_COLLECTED_BYTES, MAX_PLAIN_ANSWER_BYTES } from './backend/answerLimits.js'
-import { BoundedBuffer } from './backend/BoundedBuffer.js'
 import { Forwarding } from './Forwarding.js'
 import type { OpenAttempt } from './types.js'
 
--- a/packages/node/src/forward/backend/AnswerMemory.ts
+++ b/packages/node/src/forward/backend/AnswerMemory.ts
@@ -1,8 +1,11 @@
 /** Limits the memory that all answers in progress take together. */
-import { MAX_COLLECTED_BYTES } from './answerLimits.js'
+import type { SharedBytes } from '@bluebellhill/services'
+
+import { MAX_COLLECTED_BYTES, UNCOUNTED_BYTES } from './answerLimits.js'
 
 /** Counts the bytes that are reserved for the answers that a node collects. */
-export class AnswerMemory {
+export class AnswerMemory implements SharedBytes {
+  readonly uncounted = UNCOUNTED_BYTES
   #reserved = 0
 
   /**
--- a/packages/node/src/forward/backend/EventSplitter.ts
+++ b/packages/node/src/forward/backend/EventSplitter.ts
@@ -1,6 +1,7 @@
 /** Splits a stream of server-sent events into complete events. */
+import { BoundedBuffer } from '@bluebellhill/services'
+
 import { MAX_EVENT_BYTES } from './answerLimits.js'
-import { BoundedBuffer } from './BoundedBuffer.js'
 
 /** A complete event, including the blank line that ends it. */
 export interface StreamEvent {
--- a/packages/node/src/forward/entry/admit.ts
+++ b/packages/node/src/forward/entry/admit.ts
@@ -6,7 +6,7 @@
 import type { CallerLimits, Millis, OrganisationKeys, Region, Route, RouteTable } from '@bluebellhill/domain'
 import { decodeCallerHeaders } from '@bluebellhill/platform'
 import type { CallerHeaders } from '@bluebellhill/platform'
-import { failed, success } from '@bluebellhill/services'
+import { BoundedBuffer, failed, success } from '@bluebellhill/services'
 import type { Result } from '@bluebellhill/services'
 
 import { waitingInputRead } from '../../clock/inputTurn.js'
@@ -85,23 +85,26 @@
   return body
 }
 
-const readWhole = async (request: IncomingMessage, limits: CallerLimits, reservation: BodyReservation): Promise<Result<Buffer, RefusalCause> | null> => {
-  const chunks: Buffer[] = []
-  let size = 0
-  try {
-    // The request stays open when the loop ends early, so that the refusal can be sent.
-    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-      size += (chunk as Buffer).length
-      if (size > limits.bodyBytes) return failed(RefusalCause.BodyTooLarge)
-      if (!reservation.reserve((chunk as Buffer).length)) return failed(RefusalCause.NodeMemory)
-      chunks.push(chunk as Buffer)
-    }
-  } catch {
-    // The connection is broken: no answer can reach the caller, and nothing has been forwarded.
-    return null
+/** A body may come in chunks of a few bytes, so that nothing is kept of a chunk but its bytes, and nothing is created for each. */
+const readWhole = async (request: IncomingMessage, limits: CallerLimits, reservation: BodyReservation): Promise<Result<Buffer, RefusalCause> | null> => await new Promise((resolve) => {
+  const body = new BoundedBuffer(limits.bodyBytes)
+  const settle = (result: Result<Buffer, RefusalCause> | null): void => {
+    request.off('data', receive)
+    resolve(result)
   }
-  return success(Buffer.concat(chunks))
-}
+  const receive = (chunk: Buffer): void => {
+    const isWithinLimit = body.append(chunk)
+    if (isWithinLimit && reservation.reserve(chunk.length)) return
+    // The request stays open, so that the refusal can be sent.
+    request.pause()
+    body.clear()
+    settle(failed(isWithinLimit ? RefusalCause.NodeMemory : RefusalCause.BodyTooLarge))
+  }
+  request.on('data', receive)
+  request.once('end', () => settle(success(body.take())))
+  // The connection is broken: no answer can reach the caller, and nothing has been forwarded.
+  request.once('close', () => settle(null))
+})
 
 /**
  * Creates the request that is forwarded.
--- a/packages/node/src/requests/ServiceAttempt.ts
+++ b/packages/node/src/requests/ServiceAttempt.ts
@@ -1,6 +1,6 @@
 /** Sends a call to a plain service and buffers the answer: it is forwarded to the caller only when it is complete. */
 import { Ran } from '@bluebellhill/domain'
-import { describeFailure, deriveRan } from '@bluebellhill/services'
+import { BoundedBuffer, describeFailure, deriveRan } from '@bluebellhill/services'
 import type { PlainService, ServiceResponse } from '@bluebellhill/services'
 
 import { Attempt } from './Attempt.js'
@@ -89,14 +89,11 @@
   }
 
   async #readBody (body: AsyncIterable<Buffer>): Promise<Buffer> {
-    const chunks: Buffer[] = []
-    let length = 0
+    const collected = new BoundedBuffer(this.#bodyLimit)
     for await (const chunk of body) {
-      length += chunk.length
-      if (length > this.#bodyLimit) throw new RangeError('answer over the limit')
-      chunks.push(chunk)
+      if (!collected.append(chunk)) throw new RangeError('answer over the limit')
     }
-    return Buffer.concat(chunks, length)
+    return collected.take()
   }
 
   #fail (failure: AttemptFailure): void {
--- a/packages/node/tests/answerMemory.test.ts
+++ b/packages/node/tests/answerMemory.test.ts
@@ -6,10 +6,10 @@
 import type { ExecutionContext } from 'ava'
 
 import { HeaderName } from '@bluebellhill/platform'
+import { BoundedBuffer } from '@bluebellhill/services'
 
 import { AnswerMemory } from '../src/forward/backend/AnswerMemory.js'
 import { MAX_COLLECTED_BYTES, UNCOUNTED_BYTES } from '../src/forward/backend/answerLimits.js'
-import { BoundedBuffer } from '../src/forward/backend/BoundedBuffer.js'
 import { ForwardFixture } from './forwardFixture.js'
 import { signedHead, startRawServer } from './rawServer.js'
 
--- a/packages/node/src/forward/backend/BoundedBuffer.ts
+++ b/packages/services/src/http/BoundedBuffer.ts
@@ -1,10 +1,17 @@
 /** Collects bytes up to a limit. */
-import type { AnswerMemory } from './AnswerMemory.js'
-import { UNCOUNTED_BYTES } from './answerLimits.js'
 
 const FIRST_BLOCK_BYTES = 1_024
 const LARGEST_BLOCK_BYTES = 1_024 * 1_024
 
+/** Memory that several buffers share. */
+export interface SharedBytes {
+  /** First bytes of each buffer that are not reserved. */
+  readonly uncounted: number
+  /** @returns whether further bytes are reserved */
+  reserve (bytes: number): boolean
+  release (bytes: number): void
+}
+
 /** A list of blocks that grow; chunks are copied into them, so that many small ones need no more memory than a large one. */
 export class BoundedBuffer {
   #blocks: Buffer[] = []
@@ -17,7 +24,7 @@
    * @param limit - largest number of bytes that it holds
    * @param memory - memory that it shares with other buffers; null if the limit is low
    */
-  constructor (private readonly limit: number, private readonly memory: AnswerMemory | null = null) {}
+  constructor (private readonly limit: number, private readonly memory: SharedBytes | null = null) {}
 
   get length (): number {
     return this.#length
@@ -29,14 +36,17 @@
    */
   append (chunk: Buffer): boolean {
     if (this.#length + chunk.length > this.limit) return false
-    const rest = chunk.subarray(this.#fill(chunk))
-    return rest.length === 0 || (this.#addBlock(rest.length) && this.append(rest))
+    const copied = this.#fill(chunk)
+    if (copied === chunk.length) return true
+    const rest = chunk.subarray(copied)
+    return this.#addBlock(rest.length) && this.append(rest)
   }
 
   /** @returns the byte at a distance from the end, 1 for the last; undefined before the first */
   fromEnd (distance: number): number | undefined {
     let position = distance + this.#free
-    for (const block of this.#blocks.slice().reverse()) {
+    for (let index = this.#blocks.length - 1; index >= 0; index -= 1) {
+      const block = this.#blocks[index]!
       if (position <= block.length) return block[block.length - position]
       position -= block.length
     }
@@ -52,7 +62,7 @@
 
   /** Discards all bytes. */
   clear (): void {
-    this.memory?.release(countedBytes(this.#capacity))
+    this.memory?.release(this.#counted(this.#capacity))
     this.#blocks = []
     this.#capacity = 0
     this.#length = 0
@@ -73,12 +83,14 @@
   #addBlock (needed: number): boolean {
     const size = Math.min(Math.max(FIRST_BLOCK_BYTES, needed, this.#capacity), Math.max(needed, LARGEST_BLOCK_BYTES))
     const capacity = this.#capacity + size
-    if (this.memory?.reserve(countedBytes(capacity) - countedBytes(this.#capacity)) === false) return false
+    if (this.memory?.reserve(this.#counted(capacity) - this.#counted(this.#capacity)) === false) return false
     this.#blocks.push(Buffer.allocUnsafeSlow(size))
     this.#capacity = capacity
     this.#free = size
     return true
   }
-}
 
-const countedBytes = (capacity: number): number => Math.max(0, capacity - UNCOUNTED_BYTES)
+  #counted (capacity: number): number {
+    return Math.max(0, capacity - (this.memory?.uncounted ?? 0))
+  }
+}
--- a/packages/services/src/http/json.ts
+++ b/packages/services/src/http/json.ts
@@ -1,5 +1,6 @@
 /** Reads JSON responses of bounded size and converts error responses into failures. */
 import { MAX_JSON_BODY_BYTES, MAX_ERROR_BODY_BYTES } from './constants.js'
+import { BoundedBuffer } from './BoundedBuffer.js'
 import { failed, success } from '../result.js'
 import type { CallFailure } from '../errors.js'
 import type { HttpResponse } from './HttpPool.js'
@@ -14,18 +15,15 @@
  * @returns the body, or `malformed` if it is too long, or `interrupted` if the connection broke
  */
 export const readBody = async (response: HttpResponse, limit: number): Promise<Result<Buffer, CallFailure>> => {
-  const chunks: Buffer[] = []
-  let size = 0
+  const body = new BoundedBuffer(limit)
   try {
     for await (const chunk of response.body) {
-      size += (chunk as Buffer).length
-      if (size > limit) return failed({ type: 'malformed', reason: `the response body is longer than ${limit} bytes` })
-      chunks.push(chunk as Buffer)
+      if (!body.append(chunk as Buffer)) return failed({ type: 'malformed', reason: `the response body is longer than ${limit} bytes` })
     }
   } catch (error) {
     return failed({ type: 'interrupted', reason: error instanceof Error ? error.message : String(error) })
   }
-  return success(Buffer.concat(chunks))
+  return success(body.take())
 }
 
 /**
--- a/packages/services/src/index.ts
+++ b/packages/services/src/index.ts
@@ -1,6 +1,8 @@
 /** Clients of backend servers and platform services, the settings of a node, and the operators' configuration. */
 export * from './result.js'
 export * from './errors.js'
+export { BoundedBuffer } from './http/BoundedBuffer.js'
+export type { SharedBytes } from './http/BoundedBuffer.js'
 export { HttpPool } from './http/HttpPool.js'
 export type { HttpResponse, HttpCall } from './http/HttpPool.js'
 export { isSocketAddress } from './http/socketAddress.js'
