--- a/packages/domain/src/forwarding/RouteTable.ts
+++ b/packages/domain/src/forwarding/RouteTable.ts
@@ -12,14 +12,14 @@
     for (const route of deployment.routes) this.#addRoute(route)
     for (const routes of this.#routes.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
     for (const service of deployment.services) this.#services.set(service.name, service)
-    for (const organisation of deployment.organisations) {
+    for (const organisation of deployment.organisations ?? []) {
       for (const key of organisation.apiKeys) this.#organisations.set(key, organisation)
     }
   }
 
   /** Whether callers must send an API key on routes that are not public. */
   get isKeyRequired (): boolean {
-    return this.deployment.organisations.length > 0
+    return this.deployment.organisations !== null
   }
 
   /**
--- a/packages/domain/src/forwarding/types.ts
+++ b/packages/domain/src/forwarding/types.ts
@@ -107,7 +107,8 @@
   readonly routes: readonly Route[]
   readonly services: readonly Service[]
   readonly limits: CallerLimits
-  readonly organisations: readonly OrganisationKeys[]
+  /** Null if callers need no API key. An empty list differs from that: no key is known, and callers need one. */
+  readonly organisations: readonly OrganisationKeys[] | null
 }
 
 /** Whether a backend server accepts new requests. */
--- a/packages/node/src/forward/FleetState.ts
+++ b/packages/node/src/forward/FleetState.ts
@@ -128,7 +128,7 @@
     const before = this.configurationVersion
     this.#routeTable = new RouteTable(deployment)
     this.#installedAt = this.clock()
-    this.log.info('configuration.installed', { version: deployment.version, before, origin, routes: deployment.routes.length, organisations: deployment.organisations.length })
+    this.log.info('configuration.installed', { version: deployment.version, before, origin, routes: deployment.routes.length, organisations: deployment.organisations?.length ?? 'none' })
     this.#notifyListeners()
   }
 
--- a/packages/node/src/forward/peers/FleetStateExchange.ts
+++ b/packages/node/src/forward/peers/FleetStateExchange.ts
@@ -189,7 +189,7 @@
     const body = answer.ok ? await readBody(answer.value, MAX_SNAPSHOT_BYTES) : answer
     if (this.#isDisposed) return
     const bytes = body.ok ? decompress(body.value) : body
-    const snapshot = bytes.ok ? decodeSnapshot(bytes.value, eraOf(serversRevision)) : bytes
+    const snapshot = bytes.ok ? decodeSnapshot(bytes.value, { era: eraOf(serversRevision), isKeyRequired: fleetState.routeTable?.isKeyRequired === true }) : bytes
     if (snapshot.ok) {
       this.#failures.delete(node)
       this.#install(node, snapshot.value)
--- a/packages/node/src/forward/peers/snapshotCodec.ts
+++ b/packages/node/src/forward/peers/snapshotCodec.ts
@@ -2,7 +2,7 @@
 import * as z from 'zod'
 
 import { CallKind, eraOf, isStoreRevision, MAX_TIMER, Readiness, revisionInEra, storeRevision } from '@bluebellhill/domain'
-import type { FailureDomain, Region, RunnerId, StoreRevision } from '@bluebellhill/domain'
+import type { Deployment, FailureDomain, OrganisationKeys, Region, RunnerId, StoreRevision } from '@bluebellhill/domain'
 import { failed, isSocketAddress, success } from '@bluebellhill/services'
 import type { CallFailure, Result } from '@bluebellhill/services'
 
@@ -48,14 +48,21 @@
 
 const warmUpSchema = z.object({ period: nonNegative, requestsPerSecond: nonNegative }).optional()
 
+const organisationSchema = z.object({ name: z.string(), apiKeys: z.array(z.string()), priority: z.number().nullable(), regions: regionsSchema })
+
 const deploymentSchema = z.object({
   version: nonNegative.refine(Number.isInteger),
   routes: z.array(routeSchema),
   services: z.array(z.object({ name: z.string(), healthPath: z.string(), maxConnections: nonNegative, engine: engineSchema.nullable(), warmUp: warmUpSchema })),
   limits: z.object({ headerBytes: nonNegative, bodyBytes: nonNegative, headerTimeout: duration, idleTimeout: duration }),
-  organisations: z.array(z.object({ name: z.string(), apiKeys: z.array(z.string()), priority: z.number().nullable(), regions: regionsSchema }))
+  organisations: z.array(organisationSchema),
+  /** Length of the configuration's list; null if it has none. Nodes of earlier builds do not send it, and send no organisations in either case. */
+  organisationCount: z.number().nullable().optional()
 })
 
+/** Stands for an empty list, by which nodes of earlier builds would let every caller in. */
+const NOBODY: OrganisationKeys = { name: '', apiKeys: [], priority: null }
+
 const serverSchema = z.object({
   id: nonEmpty.transform((id) => id as RunnerId),
   service: nonEmpty,
@@ -89,20 +96,30 @@
  * @returns JSON text
  */
 export const encodeSnapshot = ({ deployment, servers }: FleetStateSnapshot): string => JSON.stringify({
-  deployment,
+  deployment: deployment === null ? null : encodeDeployment(deployment),
   servers: servers === null
     ? null
     : { ...servers, ...encodeRevision(servers.revision), listed: servers.listed.map((entry) => ({ ...entry, ...encodeRevision(entry.revision) })) }
 })
 
+/** What a node of an earlier build leaves unsaid is assumed to be as this node knows it. */
+export interface AssumedState {
+  /** Era of the store. */
+  readonly era: number
+  /** Whether callers need an API key. */
+  readonly isKeyRequired: boolean
+}
+
 /**
  * @param body - JSON text that another node sent
- * @param ownEra - era of the store as this node knows it, which is assumed if the other node knows none
+ * @param own - what is assumed if the other node does not say it
  * @returns the snapshot, or the failure `malformed`
  */
-export const decodeSnapshot = (body: Buffer, ownEra: number): Result<FleetStateSnapshot, CallFailure> => {
+export const decodeSnapshot = (body: Buffer, own: AssumedState): Result<FleetStateSnapshot, CallFailure> => {
+  const ownEra = own.era
   try {
-    const { deployment, servers } = snapshotSchema.parse(JSON.parse(body.toString('utf8')))
+    const { deployment: wire, servers } = snapshotSchema.parse(JSON.parse(body.toString('utf8')))
+    const deployment = wire === null ? null : decodeDeployment(wire, own)
     if (servers === null) return success({ deployment, servers })
     // A node of an earlier build keeps entries whose address cannot be used.
     const listed = servers.listed.filter(({ server }) => isSocketAddress(server.address)).map(({ era, ...entry }) => ({ ...entry, revision: decodeRevision({ revision: entry.revision, era }, ownEra) }))
@@ -113,6 +130,14 @@
   }
 }
 
+const encodeDeployment = ({ organisations, ...rest }: Deployment): object =>
+  ({ ...rest, organisations: organisations?.length === 0 ? [NOBODY] : organisations ?? [], organisationCount: organisations?.length ?? null })
+
+const decodeDeployment = ({ organisationCount, organisations, ...rest }: z.output<typeof deploymentSchema>, { isKeyRequired }: AssumedState): Deployment => {
+  const isListed = organisationCount === undefined ? organisations.length > 0 || isKeyRequired : organisationCount !== null
+  return { ...rest, organisations: isListed ? organisations.slice(0, organisationCount ?? organisations.length) : null }
+}
+
 const encodeRevision = (revision: StoreRevision): Required<WireRevision> => ({ revision: revisionInEra(revision), era: eraOf(revision) })
 
 const decodeRevision = ({ revision, era }: WireRevision, ownEra: number): StoreRevision => {
--- a/packages/node/tests/anySnapshot.test.ts
+++ b/packages/node/tests/anySnapshot.test.ts
@@ -19,7 +19,7 @@
     const parsed = parseDeployment(json)
     if (!parsed.ok) return
     taken += 1
-    const decoded = decodeSnapshot(Buffer.from(encodeSnapshot({ deployment: parsed.value, servers: null })), OWN_ERA)
+    const decoded = decodeSnapshot(Buffer.from(encodeSnapshot({ deployment: parsed.value, servers: null })), { era: OWN_ERA, isKeyRequired: false })
     if (!decoded.ok) throw new Error(JSON.stringify(decoded.failure))
     // The wire knows neither a negative zero nor a lone surrogate.
     if (JSON.stringify(decoded.value.deployment) !== Buffer.from(JSON.stringify(parsed.value)).toString('utf8')) throw new Error('it has changed')
@@ -34,7 +34,7 @@
     if (!parsed.ok) return
     taken += 1
     const revision = storeRevision(OWN_ERA, 5)
-    const decoded = decodeSnapshot(Buffer.from(encodeSnapshot({ deployment: null, servers: { listed: [{ server: parsed.value, revision }], revision } })), OWN_ERA)
+    const decoded = decodeSnapshot(Buffer.from(encodeSnapshot({ deployment: null, servers: { listed: [{ server: parsed.value, revision }], revision } })), { era: OWN_ERA, isKeyRequired: false })
     if (!decoded.ok) throw new Error(JSON.stringify(decoded.failure))
     if (decoded.value.servers?.listed.length !== 1) throw new Error('it is missing')
   }), RUNS)
--- a/packages/node/tests/forwardPeers.test.ts
+++ b/packages/node/tests/forwardPeers.test.ts
@@ -131,14 +131,14 @@
   fleetState.install(DEPLOYMENT, 'store')
   fleetState.replaceServers([{ server: BACKEND, revision: 3 }], 4, 'store')
   const exchange = (configuration: number, servers: number): ReturnType<typeof decodeSnapshot> =>
-    decodeSnapshot(Buffer.from(encodeSnapshot(fleetState.newerThan({ configuration, servers }))), 0)
+    decodeSnapshot(Buffer.from(encodeSnapshot(fleetState.newerThan({ configuration, servers }))), { era: 0, isKeyRequired: false })
   t.deepEqual(exchange(0, 0), success({ deployment: DEPLOYMENT, servers: { listed: [{ server: BACKEND, revision: 3 }], revision: 4 } }))
   t.deepEqual(exchange(DEPLOYMENT.version, 4), success({ deployment: null, servers: null }))
 })
 
 test('a snapshot without the expected form is refused', (t) => {
   for (const body of ['{', '{}', '{"deployment":{"version":9},"servers":null}', '{"deployment":null,"servers":{"listed":[{"server":{"id":1}}],"revision":9}}']) {
-    t.false(decodeSnapshot(Buffer.from(body), 0).ok, body)
+    t.false(decodeSnapshot(Buffer.from(body), { era: 0, isKeyRequired: false }).ok, body)
   }
 })
 
--- a/packages/node/tests/keptServers.test.ts
+++ b/packages/node/tests/keptServers.test.ts
@@ -47,7 +47,7 @@
   let now = RETURN
   const source = keepingState(() => now)
   now = END - 100
-  const sent = decodeSnapshot(Buffer.from(encodeSnapshot(source.changesSince({ configuration: 0, servers: 5 }))), 0)
+  const sent = decodeSnapshot(Buffer.from(encodeSnapshot(source.changesSince({ configuration: 0, servers: 5 }))), { era: 0, isKeyRequired: false })
   if (!sent.ok) throw new Error('unusable snapshot')
   const copy = new FleetState(silentLog(), () => now)
   copy.merge(sent.value)
@@ -62,7 +62,7 @@
   source.replaceServers([{ server: SERVER, revision: 3 }], 5, 'store')
   source.servers.storeLost(0)
   source.replaceServers([], 6, 'store')
-  const sent = decodeSnapshot(Buffer.from(encodeSnapshot(source.changesSince({ configuration: 0, servers: 5 }))), 0)
+  const sent = decodeSnapshot(Buffer.from(encodeSnapshot(source.changesSince({ configuration: 0, servers: 5 }))), { era: 0, isKeyRequired: false })
   t.deepEqual(sent.ok && sent.value.servers?.listed, [{ server: SERVER, revision: 3, isLapsed: true }])
 })
 
@@ -82,7 +82,7 @@
   for (now of [RETURN, END - 100]) {
     const answer = await http.send({ address: `${HOST}:${port}`, method: 'GET', path: '/knowledge?configuration=0&servers=5&era=0&changes=1' })
     const body = answer.ok ? await readBody(answer.value, 1_000_000) : answer
-    const snapshot = body.ok ? decodeSnapshot(gunzipSync(body.value), 0) : body
+    const snapshot = body.ok ? decodeSnapshot(gunzipSync(body.value), { era: 0, isKeyRequired: false }) : body
     if (snapshot.ok) kept.push(snapshot.value.servers?.listed[0]?.keptFor)
   }
   t.deepEqual(kept, [EXPIRED_ENTRY_GRACE, 100])
@@ -95,7 +95,7 @@
   cutOff.servers.storeLost(0)
   const served = new FleetState(silentLog(), () => 100)
   served.replaceServers([], 6, 'store')
-  const sent = decodeSnapshot(Buffer.from(encodeSnapshot(served.changesSince({ configuration: 0, servers: 5 }))), 0)
+  const sent = decodeSnapshot(Buffer.from(encodeSnapshot(served.changesSince({ configuration: 0, servers: 5 }))), { era: 0, isKeyRequired: false })
   if (!sent.ok) throw new Error('unusable snapshot')
   cutOff.merge(sent.value)
   t.deepEqual(cutOff.servers.ready('s'), [])
--- a/packages/node/tests/unusableAddress.test.ts
+++ b/packages/node/tests/unusableAddress.test.ts
@@ -36,7 +36,7 @@
 test('a snapshot of another node names only servers with usable addresses', (t) => {
   const server = { id: 'e0', service: 's', address: '127.0.0.1:80', failureDomain: 'd1', slots: 4, readiness: 'ready', startedAt: 1 }
   const listed = [server, { ...server, id: 'e1', address: `127.0.0.1:${UNUSABLE_PORT}` }].map((each) => ({ server: each, revision: 3, era: 0 }))
-  const snapshot = decodeSnapshot(Buffer.from(JSON.stringify({ deployment: null, servers: { listed, revision: 3, era: 0 } })), 0)
+  const snapshot = decodeSnapshot(Buffer.from(JSON.stringify({ deployment: null, servers: { listed, revision: 3, era: 0 } })), { era: 0, isKeyRequired: false })
   t.deepEqual(snapshot.ok ? snapshot.value.servers?.listed.map(({ server: { id } }) => id) : snapshot.failure, ['e0' as RunnerId])
 })
 
--- a/packages/node/tests/wireRanges.test.ts
+++ b/packages/node/tests/wireRanges.test.ts
@@ -172,8 +172,8 @@
 // Guards against a fleet that follows the store no more: one state with an era of 2^32 was taken, passed on from node to node, and newer than any list since.
 test('a fleet state of an era or a revision that no store gives out is not taken', (t) => {
   const body = (era: number, revision: number): Buffer => Buffer.from(JSON.stringify({ deployment: null, servers: { listed: [], era, revision } }))
-  t.true(decodeSnapshot(body(2 ** 16, 2 ** 36 - 1), 0).ok)
-  for (const [era, revision] of ODD_REVISIONS) t.false(decodeSnapshot(body(era, revision), 0).ok, `${era}.${revision}`)
+  t.true(decodeSnapshot(body(2 ** 16, 2 ** 36 - 1), { era: 0, isKeyRequired: false }).ok)
+  for (const [era, revision] of ODD_REVISIONS) t.false(decodeSnapshot(body(era, revision), { era: 0, isKeyRequired: false }).ok, `${era}.${revision}`)
 })
 
 test('a node that states such a revision is not asked for its state, nor are its evacuations taken', (t) => {
