Configuration: an empty list of regions allows no region

An operator who took the last region from the list of a route or a tenant opened all regions to its requests, and so sent them where they must not go.

--- a/packages/node/tests/evacuatedRequests.test.ts
+++ b/packages/node/tests/evacuatedRequests.test.ts
@@ -114,6 +114,15 @@
   t.deepEqual([regionsOf([NORTH]), regionsOf(undefined, [SOUTH]), regionsOf([NORTH, SOUTH], [SOUTH]), regionsOf([NORTH], [SOUTH])], [[NORTH], [SOUTH], [SOUTH], []])
 })
 
+// Guards against an operator who takes the last region of a list away, and so allows all.
+test('a request that no region may serve is refused at once, and reaches no server', async (t) => {
+  const fixture = await ForwardFixture.start(t, () => { t.fail('it was sent') })
+  fixture.fleetState.install({ ...DEPLOYMENT, version: 2, routes: DEPLOYMENT.routes.map((route) => ({ ...route, regions: [] })) }, 'store')
+  const startedAt = performance.now()
+  for (const path of ['/safe/x', '/patient/x']) t.is((await fixture.call(path)).status, 503)
+  t.true(performance.now() - startedAt < 1_000)
+})
+
 test('a request is passed on to nodes of its regions only, and from an evacuated failure domain to another one first', (t) => {
   const clock = (): number => 0
   const candidate = (failureDomain: FailureDomain): SchedulerCandidate => ({ node: `n-${failureDomain}` as NodeId, address: '', failureDomain, processor: 1 })
