Reading: connections with tiny pieces share a quarter of the processor's time

Cause: the HTTP client handles all bytes that a socket has in one turn of the event loop, some 10,000 pieces in 64 KiB, and limits count bytes. Nothing bounds the work that one answer causes.

Change: sockets are given to the client in slices that take 2 ms at most; connections whose slices take longer have their turns one after the other, with pauses of three times their length. The bodies of callers pause in the same way. The framing limit counts what was parsed.

--- a/packages/node/src/forward/AttemptSender.ts
+++ b/packages/node/src/forward/AttemptSender.ts
@@ -96,9 +96,9 @@
 
   /** An address that nothing can be sent to ends this attempt, and not the process with all others. */
   #call (attempt: OpenAttempt, request: ServerCallRequest): void {
-    const { host: { fail }, createListener } = this.#options
+    const { host: { context, fail }, createListener } = this.#options
     try {
-      attempt.serverCall = new ServerCall(request, createListener(attempt))
+      attempt.serverCall = new ServerCall(request, createListener(attempt), context.readTurns)
     } catch (error) {
       fail(attempt, AttemptEnd.Unsent, `the connection cannot be opened: ${error instanceof Error ? error.message : String(error)}`)
     }
--- a/packages/node/src/forward/ForwardNode.ts
+++ b/packages/node/src/forward/ForwardNode.ts
@@ -20,6 +20,7 @@
 import { MetricsServer } from './MetricsServer.js'
 import { addNodeGauges } from './nodeGauges.js'
 import type { SettingsFile } from './SettingsFile.js'
+import { ReadTurns } from './ReadTurns.js'
 import { FleetStateExchange } from './peers/FleetStateExchange.js'
 import { PeerLink } from './peers/PeerLink.js'
 import { PlacementClient } from './scheduling/PlacementClient.js'
@@ -207,7 +208,7 @@
     })
     this.#disposables.add(this.#relay)
     this.#buffers = new NodeBuffers({ ...bufferLimitsOf(settings), log, metrics: this.#metrics, clock: runningClock })
-    this.#entryServer = new EntryServer({ relay: this.#relay, placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, startTimes: this.#startTimes, memory, answerMemory: new AnswerMemory(), buffers: this.#buffers, clock })
+    this.#entryServer = new EntryServer({ relay: this.#relay, placement: this.#placement, fleetState: this.#fleetState, log, metrics: this.#metrics, startTimes: this.#startTimes, memory, answerMemory: new AnswerMemory(), readTurns: new ReadTurns(), buffers: this.#buffers, clock })
   }
 
   #fleetStateChanged (): void {
--- a/packages/node/src/forward/backend/ServerCall.ts
+++ b/packages/node/src/forward/backend/ServerCall.ts
@@ -7,7 +7,9 @@
 
 import type { Millis } from '@bluebellhill/domain'
 
+import { ReadTurns } from '../ReadTurns.js'
 import { MAX_FRAMING_BYTES } from './answerLimits.js'
+import { SlicedSocket } from './SlicedSocket.js'
 
 const OVERSIZE_REASON = `more than ${MAX_FRAMING_BYTES} bytes without any of the body`
 
@@ -56,8 +58,8 @@
   #isFinished = false
   /** Error of the connection. It is kept because undici reports an answer without a length as complete after a reset. */
   #connectionError: Error | null = null
-  #socket: Socket | null = null
-  /** Bytes that had arrived with the last head or piece of the body. */
+  #socket: SlicedSocket | null = null
+  /** Bytes that had been parsed with the last head or piece of the body. */
   #bytesAtLastProgress = 0
   #isBrokenOff = false
   #isHeld = false
@@ -65,8 +67,9 @@
   /**
    * @param request - address and contents of the request
    * @param listener - receives the answer
+   * @param turns - turns in which the connections of this node are read
    */
-  constructor (request: ServerCallRequest, listener: ServerCallListener) {
+  constructor (request: ServerCallRequest, listener: ServerCallListener, private readonly turns: ReadTurns = new ReadTurns()) {
     this.#listener = listener
     this.#client = new Client(`http://${request.address}`, {
       pipelining: 1,
@@ -109,7 +112,7 @@
   hold (isHeld: boolean): void {
     if (this.#isFinished || isHeld === this.#isHeld) return
     this.#isHeld = isHeld
-    if (!isHeld) this.#socket?.emit('readable')
+    this.#socket?.hold(isHeld)
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
@@ -154,7 +157,8 @@
       const [, socket] = result
       if (socket != null) {
         this.#watchForReset(socket)
-        this.#makeHoldable(socket)
+        this.#socket = new SlicedSocket(socket, this.turns)
+        this.#socket.hold(this.#isHeld)
       }
       callback(...result)
       if (socket != null) this.#limitFraming(socket)
@@ -163,26 +167,20 @@
 
   /** undici limits the headers of one head only: not their number, a status line, empty lines, or the framing of chunks. */
   #limitFraming (socket: Socket): void {
-    this.#socket = socket
-    // Added after the listener of undici, which has then parsed all bytes that have arrived.
+    // Added after the listener of undici, which has then parsed a slice of the bytes that have arrived.
     socket.on('readable', () => {
-      if (this.#isFinished || this.#isHeld || socket.bytesRead - this.#bytesAtLastProgress <= MAX_FRAMING_BYTES) return
+      if (this.#isFinished || this.#bytesTaken - this.#bytesAtLastProgress <= MAX_FRAMING_BYTES) return
       this.abort()
       this.#listener.onOversize(OVERSIZE_REASON)
     })
   }
 
-  /**
-   * Lets the socket seem empty while the answer is held. Its buffer fills, and the operating system makes the server wait. undici's own pause is not
-   * used: undici 7.30 fails with an assertion if the connection is reset, or ends, while its parser is paused.
-   */
-  #makeHoldable (socket: Socket): void {
-    const read = socket.read.bind(socket)
-    socket.read = (size?: number) => this.#isHeld && size !== 0 ? null : read(size)
+  get #bytesTaken (): number {
+    return this.#socket?.bytesTaken ?? 0
   }
 
   #recordProgress (): void {
-    this.#bytesAtLastProgress = this.#socket?.bytesRead ?? 0
+    this.#bytesAtLastProgress = this.#bytesTaken
   }
 
   /** Adds listeners that run before those of undici, which may report the answer as complete. */
--- a/packages/node/src/forward/entry/EntryServer.ts
+++ b/packages/node/src/forward/entry/EntryServer.ts
@@ -236,7 +236,7 @@
     const head = acceptHead(request, table, isRelayed)
     if (!head.ok) return head.failure
     if (!buffers.hasRoomForBody(Number(request.headers['content-length'] ?? 0))) return RefusalCause.NodeMemory
-    const body = await readCallerBody(request, table.deployment.limits, timeAllowed(head.value), buffers.openBody(response))
+    const body = await readCallerBody(request, table.deployment.limits, timeAllowed(head.value), buffers.openBody(response), this.#context.readTurns)
     // The end of the stop grace may have refused it meanwhile: it must not be sent.
     if (body === null || response.destroyed || response.writableEnded) return null
     if (!body.ok) return body.failure
--- a/packages/node/src/forward/entry/admit.ts
+++ b/packages/node/src/forward/entry/admit.ts
@@ -12,7 +12,9 @@
 import { waitingInputRead } from '../../clock/inputTurn.js'
 import type { AdmittedCall } from '../AdmittedCall.js'
 import type { BodyReservation } from '../buffers/BodyReservation.js'
+import type { ReadTurns } from '../ReadTurns.js'
 import { decodeTried, withoutRelayHeaders } from '../relay/relayHeaders.js'
+import { BodyTurns } from './BodyTurns.js'
 import { RefusalCause } from './refusals.js'
 
 /** Bytes of a header line on the wire besides its name and value. */
@@ -75,26 +77,32 @@
  * @param limits - limits on its size
  * @param timeout - time in which it has to be complete, however slowly it arrives
  * @param reservation - memory of the node, in which room is reserved for it
+ * @param turns - turns in which the connections of this node are read
  * @returns the body, or why the request is refused; null if the caller has disconnected
  */
-export const readCallerBody = async (request: IncomingMessage, limits: CallerLimits, timeout: Millis, reservation: BodyReservation): Promise<Result<Buffer, RefusalCause> | null> => {
+export const readCallerBody = async (request: IncomingMessage, limits: CallerLimits, timeout: Millis, reservation: BodyReservation, turns: ReadTurns): Promise<Result<Buffer, RefusalCause> | null> => {
   const timer = new AbortController()
   const timedOut = sleep(timeout, undefined, { signal: timer.signal }).then(waitingInputRead).then(() => failed(RefusalCause.TimedOutUnsent), () => null)
-  const body = await Promise.race([readWhole(request, limits, reservation), timedOut])
+  const body = await Promise.race([readWhole(request, limits, reservation, turns), timedOut])
   timer.abort()
   return body
 }
 
-/** A body may come in chunks of a few bytes, so that nothing is kept of a chunk but its bytes, and nothing is created for each. */
-const readWhole = async (request: IncomingMessage, limits: CallerLimits, reservation: BodyReservation): Promise<Result<Buffer, RefusalCause> | null> => await new Promise((resolve) => {
+/** A body may come in chunks of a few bytes, so that nothing is kept of a chunk but its bytes, and other connections get their turn between them. */
+const readWhole = async (request: IncomingMessage, limits: CallerLimits, reservation: BodyReservation, turns: ReadTurns): Promise<Result<Buffer, RefusalCause> | null> => await new Promise((resolve) => {
   const body = new BoundedBuffer(limits.bodyBytes)
+  const pieces = new BodyTurns(request, turns)
   const settle = (result: Result<Buffer, RefusalCause> | null): void => {
     request.off('data', receive)
+    pieces.end()
     resolve(result)
   }
   const receive = (chunk: Buffer): void => {
     const isWithinLimit = body.append(chunk)
-    if (isWithinLimit && reservation.reserve(chunk.length)) return
+    if (isWithinLimit && reservation.reserve(chunk.length)) {
+      pieces.received()
+      return
+    }
     // The request stays open, so that the refusal can be sent.
     request.pause()
     body.clear()
--- a/packages/node/src/forward/types.ts
+++ b/packages/node/src/forward/types.ts
@@ -3,6 +3,7 @@
 import type { AnswerHeaders, EngineMemoryClient } from '@bluebellhill/platform'
 
 import type { Log } from '../log/index.js'
+import type { ReadTurns } from './ReadTurns.js'
 import type { AnswerMemory } from './backend/AnswerMemory.js'
 import type { NodeBuffers } from './buffers/NodeBuffers.js'
 import type { AnswerHead, ServerCall } from './backend/ServerCall.js'
@@ -27,6 +28,8 @@
   readonly startTimes: StartTimes
   readonly memory: EngineMemoryClient
   readonly answerMemory: AnswerMemory
+  /** Turns in which the connections to backend servers, and the bodies of callers, are read. */
+  readonly readTurns: ReadTurns
   readonly buffers: NodeBuffers
   readonly relay: Relay
   readonly stop: NodeStop
--- a/packages/node/tests/forwardFixture.ts
+++ b/packages/node/tests/forwardFixture.ts
@@ -17,6 +17,7 @@
 import { NodeBuffers } from '../src/forward/buffers/NodeBuffers.js'
 import { EntryServer } from '../src/forward/entry/EntryServer.js'
 import { ForwardMetrics } from '../src/forward/ForwardMetrics.js'
+import { ReadTurns } from '../src/forward/ReadTurns.js'
 import { FleetState } from '../src/forward/FleetState.js'
 import type { NodeQuarantine } from '../src/forward/quarantine/NodeQuarantine.js'
 import { PlacementClient } from '../src/forward/scheduling/PlacementClient.js'
@@ -116,7 +117,7 @@
     })
     this.startTimes = new StartTimes({ log, metrics: this.metrics, clock, processorTime: () => 0 })
     this.buffers = new NodeBuffers({ limit: bufferLimit, requestLimit, log, metrics: this.metrics, clock })
-    this.entry = new EntryServer({ relay: this.relay, placement: this.placement, fleetState: this.fleetState, log, metrics: this.metrics, startTimes: this.startTimes, memory: new EngineMemoryClient(new HttpPool(2), 5_000), answerMemory: new AnswerMemory(), buffers: this.buffers, clock })
+    this.entry = new EntryServer({ relay: this.relay, placement: this.placement, fleetState: this.fleetState, log, metrics: this.metrics, startTimes: this.startTimes, memory: new EngineMemoryClient(new HttpPool(2), 5_000), answerMemory: new AnswerMemory(), readTurns: new ReadTurns(), buffers: this.buffers, clock })
   }
 
   /** Starts the entry server with backend servers that follow the scripts. */
--- a/packages/node/tests/smallChunks.test.ts
+++ b/packages/node/tests/smallChunks.test.ts
@@ -17,6 +17,7 @@
 
 import { BodyReservation } from '../src/forward/buffers/BodyReservation.js'
 import { readCallerBody } from '../src/forward/entry/admit.js'
+import { ReadTurns } from '../src/forward/ReadTurns.js'
 import { readBody } from '../src/edge/readBody.js'
 import { ServiceAttempt } from '../src/requests/ServiceAttempt.js'
 import type { AttemptListener, AttemptSpec } from '../src/requests/Attempt.js'
@@ -76,7 +77,7 @@
 // Guards against nodes that run out of memory because an object is kept for each small chunk of callers' bodies (review/7).
 test.serial('the body of a request in chunks of two bytes takes little more memory than its length', async (t) => {
   isSmall(t, await growthWhileReading(t, async (request) => {
-    const body = await readCallerBody(request, LIMITS, LONG, unlimited)
+    const body = await readCallerBody(request, LIMITS, LONG, unlimited, new ReadTurns())
     return body?.ok === true ? body.value.length : null
   }))
 })
