--- a/packages/node/src/forward/ReadTurns.ts
+++ b/packages/node/src/forward/ReadTurns.ts
@@ -9,7 +9,7 @@
 /** Time without a long turn after each of them, by its length: all connections that need them get a quarter of the processor's time together. */
 const REST_RATIO = 3
 
-/** A turn that seems longer was held up with the process. */
+/** Longest turn that counts: after one that seems longer, its connection does not wait for more than a fraction of a second. */
 const LONGEST_TURN: Millis = 100
 
 /** Handle of a turn that has not begun. */
--- a/packages/node/src/forward/backend/SlicedSocket.ts
+++ b/packages/node/src/forward/backend/SlicedSocket.ts
@@ -13,9 +13,14 @@
 /** Factor by which a slice is larger than the one before if that was handled in time. */
 const GROWTH = 2
 
+/** Longest time that handling a byte takes, in tiny pieces too. What seems longer is a pause of the process, which says nothing of the connection. */
+const MAX_TIME_PER_BYTE: Millis = 0.002
+
 /**
  * Replaces `read` of a socket that is read by an HTTP client until nothing is left. The client then finds the socket empty after each slice, and is woken when
- * its next turn has come. (undici's own pause is not used: undici 7.30 fails with an assertion if the connection is reset, or ends, while its parser is paused.) The size of a slice follows from the time that the last one took: pieces of a few bytes take as long to handle as large ones.
+ * its next turn has come. The size of a slice follows from the time that the last one took: pieces of a few bytes take as long to handle as large ones.
+ *
+ * undici's own pause is not used: undici 7.30 fails with an assertion if the connection is reset, or ends, while its parser is paused.
  */
 export class SlicedSocket {
   readonly #read: (size?: number) => Buffer | null
@@ -49,7 +54,7 @@
   }
 
   #nextSlice (): Buffer | null {
-    if (this.#startedAt !== null) this.#sliceHandled(monotonicNow() - this.#startedAt)
+    if (this.#startedAt !== null) this.#sliceHandled(Math.min(monotonicNow() - this.#startedAt, this.#handledBytes * MAX_TIME_PER_BYTE))
     if (this.#isHeld || this.#nextTurn !== null) return null
     const { readableLength } = this.socket
     const bytes = readableLength > this.#sliceBytes ? this.#read(this.#sliceBytes) : this.#read()
--- a/packages/node/src/forward/entry/BodyTurns.ts
+++ b/packages/node/src/forward/entry/BodyTurns.ts
@@ -10,8 +10,12 @@
 /** Pieces after which the time is looked up: fewer take no time that matters. */
 const PIECES_PER_CHECK = 64
 
+/** Longest time that reading a piece takes. What seems longer is a pause of the process, which says nothing of the body. */
+const MAX_TIME_PER_PIECE: Millis = 0.02
+
 /** Turns of one body. */
 export class BodyTurns {
+  /** Pieces of this turn. */
   #pieces = 0
   /** Null before the first piece of a turn. */
   #startedAt: Millis | null = null
@@ -35,12 +39,13 @@
     if (this.#startedAt === null) this.#startTurn()
     this.#pieces += 1
     if (this.#pieces % PIECES_PER_CHECK !== 0 || this.#startedAt === null) return
-    const took = monotonicNow() - this.#startedAt
+    const took = Math.min(monotonicNow() - this.#startedAt, this.#pieces * MAX_TIME_PER_PIECE)
     if (took > TURN_TIME) this.#pause(took)
   }
 
   #startTurn (): void {
     this.#startedAt = monotonicNow()
+    this.#pieces = 0
     setImmediate(() => { if (this.#nextTurn === null) this.#startedAt = null })
   }
 
