--- a/packages/node/tests/evacuatedRequests.test.ts
+++ b/packages/node/tests/evacuatedRequests.test.ts
@@ -114,7 +114,7 @@
   t.deepEqual([regionsOf([NORTH]), regionsOf(undefined, [SOUTH]), regionsOf([NORTH, SOUTH], [SOUTH]), regionsOf([NORTH], [SOUTH])], [[NORTH], [SOUTH], [SOUTH], []])
 })
 
-// Guards against an operator who takes the last region of a list away, and so allows all.
+// That an empty list reaches this point is tested where configurations are parsed (platform.test.ts).
 test('a request that no region may serve is refused at once, and reaches no server', async (t) => {
   const fixture = await ForwardFixture.start(t, () => { t.fail('it was sent') })
   fixture.fleetState.install({ ...DEPLOYMENT, version: 2, routes: DEPLOYMENT.routes.map((route) => ({ ...route, regions: [] })) }, 'store')
